--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent: ingress, gate, group member and coordinator in one small process.
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command-line client.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,22 @@
+//! Names, identifiers, units and the key hash that every other crate shares.
+//!
+//! Nothing here does I/O, reads a clock or draws random numbers.
+
+mod identity;
+mod key;
+mod name;
+mod outcome;
+mod time;
+
+#[cfg(test)]
+mod tests;
+
+pub use identity::{
+    ConfigVersion, GroupId, Incarnation, Instance, ObjectVersion, RequestId, Term, Token,
+};
+pub use key::{KeyHash, Slot, SlotCount, SlotCountError, key_hash};
+pub use name::{ClassName, InstanceName, NameError, ServiceName, TeamName, Zone};
+pub use outcome::{
+    NotRunReason, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, TOKEN_HEADER, UnknownReason,
+};
+pub use time::Timestamp;
--- /dev/null
+++ b/crates/ownership/src/lib.rs
@@ -0,0 +1,19 @@
+//! Who owns which slot: terms, leases, plans, handover and rebalance of one group.
+//!
+//! Invariant of the architecture: no I/O, no clock, no threads, no ambient randomness. A
+//! [`Node`] takes the time, one [`Input`] and its own seeded generator, changes its tables and
+//! returns [`Output`]s. Whoever drives it carries these out.
+
+mod input;
+mod limits;
+mod message;
+mod node;
+mod object;
+mod output;
+
+pub use input::{Input, KeyLoad, LoadReport, PlatformReply, SlotLoad, UpstreamState};
+pub use limits::{FenceCheck, Limits};
+pub use message::Message;
+pub use node::{MemberView, Node, NodeConfig, NodeView, OwnerView};
+pub use object::{Confirmation, Coordinator, HotKey, Plan, PlanSlot};
+pub use output::{CallId, Event, GateCommand, MoveReason, Output, PlatformRequest};
--- /dev/null
+++ b/crates/ownership/src/object.rs
@@ -0,0 +1,66 @@
+//! The objects that a group keeps in the platform.
+
+use model::{GroupId, Instance, KeyHash, ServiceName, Slot, SlotCount, Term, Token};
+use serde::{Deserialize, Serialize};
+
+/// How a coordinator confirms that its term has not ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Confirmation {
+    Witnesses,
+    Platform,
+}
+
+/// `coordinators/S/G`: who holds the term of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Coordinator {
+    pub service: ServiceName,
+    pub group: GroupId,
+    pub term: Term,
+    pub holder: Option<Instance>,
+    /// Drawn anew for each update, so that a lost answer can be settled by reading.
+    pub nonce: u64,
+    pub witnesses: Vec<Instance>,
+    pub confirmation: Confirmation,
+    /// No earlier term can renew or grant any more.
+    pub settled: bool,
+}
+
+/// One slot of a [`Plan`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanSlot {
+    pub slot: Slot,
+    /// Index into [`Plan::members`]; none while the group has no member for it.
+    pub owner: Option<u16>,
+    /// Indexes into [`Plan::members`], first choice first.
+    pub successors: Vec<u16>,
+}
+
+/// A key hot enough for an owner of its own, apart from its slot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HotKey {
+    pub key_hash: KeyHash,
+    pub owner: Option<u16>,
+    pub successors: Vec<u16>,
+}
+
+/// `plans/S/G`: for each slot the planned owner and its successors.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    pub service: ServiceName,
+    pub group: GroupId,
+    /// Rises with each update, over all terms.
+    pub version: u64,
+    pub term: Term,
+    pub nonce: u64,
+    pub slot_count: SlotCount,
+    pub members: Vec<Instance>,
+    pub slots: Vec<PlanSlot>,
+    pub hot_keys: Vec<HotKey>,
+    /// The token that grants may not fall below.
+    pub token_floor: Token,
+}
--- /dev/null
+++ b/crates/platform/src/api.rs
@@ -0,0 +1,67 @@
+//! The border to the platform, as a trait.
+
+use std::{future::Future, net::SocketAddr, pin::Pin, time::Duration};
+
+use bytes::Bytes;
+use model::ObjectVersion;
+
+/// What a call to the platform resolves to.
+pub type PlatformResult<'a, T> =
+    Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
+
+/// An object as read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Object {
+    pub version: ObjectVersion,
+    pub body: Bytes,
+}
+
+/// One object in a list or watch; a deleted one has no body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    pub path: String,
+    pub version: ObjectVersion,
+    pub body: Option<Bytes>,
+}
+
+/// The answer to a list or watch, and the revision to go on from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    pub revision: ObjectVersion,
+    pub changes: Vec<Change>,
+}
+
+/// Why a call has no result. Each names the step and the peer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PlatformError {
+    /// Known not to have taken effect.
+    #[error("{step}: the object has version {current}, not the expected one")]
+    Conflict { step: String, current: ObjectVersion },
+    /// Known not to have taken effect.
+    #[error("{step}: platform {peer} refused: {reason}")]
+    Refused { step: String, peer: SocketAddr, reason: String },
+    /// An update may or may not have taken effect.
+    #[error("{step}: no answer from platform {peer}: {reason}")]
+    Unavailable { step: String, peer: SocketAddr, reason: String },
+}
+
+/// The platform's object API. All calls end within the client's timeout.
+pub trait Platform: Send + Sync {
+    /// Reads the latest acknowledged state of an object.
+    fn read(&self, path: &str) -> PlatformResult<'_, Option<Object>>;
+    /// Updates on condition of the version; `ObjectVersion(0)`: that it does not exist.
+    fn update(
+        &self,
+        path: &str,
+        expected: ObjectVersion,
+        body: Bytes,
+    ) -> PlatformResult<'_, ObjectVersion>;
+    fn list(&self, prefix: &str) -> PlatformResult<'_, Changes>;
+    /// Waits at most `wait` for changes after a revision; an empty answer means none came.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> PlatformResult<'_, Changes>;
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, upstreams and callers, for development only.
--- /dev/null
+++ b/crates/traffic/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on requests: admission, retries, at-most-once records, selection. No I/O.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The conversions between typed messages and their CBOR form on the links between agents.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Repository chores: the demo and the measurements.
+
+fn main() {}
