Planner border: typed input and proposal, even spread as a first policy

Cause: protocol and placement are to be written side by side. Change: ownership::planner with typed input, moves and successors; slots are spread by count, successors come from another availability zone first. Conclusion: the protocol can call it now; the policy can change behind it.

--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -10,6 +10,7 @@
 mod node;
 mod object;
 mod output;
+pub mod planner;
 
 pub use input::{Input, KeyLoad, LoadReport, PlatformReply, SlotLoad, UpstreamState};
 pub use limits::{FenceCheck, Limits};
