--- /dev/null
+++ b/crates/traffic/src/admission/class.rs
@@ -0,0 +1,124 @@
+//! The queue of one class: earliest deadline first, with the class's smoothed service time.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::Timestamp;
+
+use super::{ClassConfig, Completion, Ticket};
+use crate::Smoothed;
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Queued {
+    pub(super) ticket: Ticket,
+    pub(super) deadline: Timestamp,
+    /// What was left to the deadline on arrival.
+    pub(super) budget: Duration,
+}
+
+#[derive(Debug)]
+pub(super) struct Class {
+    pub(super) weight: f64,
+    pub(super) estimate: Smoothed,
+    /// Service time received, over the weight; starts of a class that was idle count from the
+    /// virtual time of the others.
+    pub(super) virtual_s: f64,
+    queue: BTreeMap<(Timestamp, Ticket), Duration>,
+}
+
+impl Class {
+    pub(super) fn new(config: &ClassConfig) -> Class {
+        Class {
+            weight: config.weight,
+            estimate: Smoothed::new(config.service_guess),
+            virtual_s: 0.0,
+            queue: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub(super) fn push(&mut self, it: Queued, virtual_s: f64) {
+        if self.queue.is_empty() {
+            self.virtual_s = self.virtual_s.max(virtual_s);
+        }
+        self.queue.insert((it.deadline, it.ticket), it.budget);
+    }
+
+    pub(super) fn remove(&mut self, deadline: Timestamp, ticket: Ticket) -> bool {
+        self.queue.remove(&(deadline, ticket)).is_some()
+    }
+
+    pub(super) fn first(&self) -> Option<Queued> {
+        self.queue.first_key_value().map(queued)
+    }
+
+    pub(super) fn last(&self) -> Option<Queued> {
+        self.queue.last_key_value().map(queued)
+    }
+
+    /// Charges one start to the class; the cost in virtual seconds.
+    pub(super) fn charge(&mut self, virtual_s: f64) -> f64 {
+        let cost_s = self.estimate.mean().as_secs_f64() / self.weight;
+        self.virtual_s = self.virtual_s.max(virtual_s) + cost_s;
+        cost_s
+    }
+
+    /// Corrects the charge by what a request took, and learns from it.
+    pub(super) fn end(&mut self, taken: Duration, cost_s: f64, completion: Completion) {
+        match completion {
+            Completion::Answered => self.estimate.add(taken),
+            Completion::Cut if taken > self.estimate.mean() => self.estimate.add(taken),
+            Completion::Cut => (),
+            Completion::NotGiven => {
+                self.virtual_s -= cost_s;
+                return;
+            }
+        }
+        self.virtual_s += taken.as_secs_f64() / self.weight - cost_s;
+    }
+
+    /// Whether a request, started now, is expected to end before its deadline.
+    pub(super) fn can_finish(&self, now: Timestamp, it: Queued, certainty: f64) -> bool {
+        now + self.need(it.budget, certainty) <= it.deadline
+    }
+
+    /// When the first request of the queue has to be refused.
+    pub(super) fn drop_at(&self, certainty: f64) -> Option<Timestamp> {
+        let it = self.first()?;
+        Some(it.deadline - self.need(it.budget, certainty) + Duration::from_nanos(1))
+    }
+
+    /// The waiting requests that are not expected to finish if one starts each `step`.
+    pub(super) fn doomed(
+        &self,
+        now: Timestamp,
+        step: Duration,
+        queue_time_max: Duration,
+        certainty: f64,
+    ) -> Vec<Queued> {
+        let mut doomed = Vec::new();
+        let mut kept = 0.0;
+        for it in self.queue.iter().map(queued) {
+            let wait = step.mul_f64(kept);
+            let late = !self.can_finish(now + wait, it, certainty);
+            match late || wait > queue_time_max {
+                true => doomed.push(it),
+                false => kept += 1.0,
+            }
+        }
+        doomed
+    }
+
+    /// The time that a request is given to run: what few exceed, but no more than half of its
+    /// budget unless even the mean is longer.
+    fn need(&self, budget: Duration, certainty: f64) -> Duration {
+        let mean = self.estimate.mean();
+        self.estimate.bound(certainty).min(mean.max(budget / 2))
+    }
+}
+
+fn queued((&(deadline, ticket), &budget): (&(Timestamp, Ticket), &Duration)) -> Queued {
+    Queued { ticket, deadline, budget }
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -1,1 +1,25 @@
 //! Decisions on requests: admission, retries, at-most-once records, selection. No I/O.
+//!
+//! Invariant of the architecture: no clock, no threads, no ambient randomness. Each part is a
+//! table that takes the time and, where it draws lots, the caller's seeded generator.
+
+mod admission;
+mod records;
+mod retry;
+mod selection;
+mod sketch;
+mod smoothed;
+
+pub use admission::{
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, Ticket,
+    Verdict,
+};
+pub use records::{
+    Answer, Begin, EndedRecord, Record, RecordUnit, Records, RecordsConfig, SlotRecords,
+};
+pub use retry::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict};
+pub use selection::{
+    HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState, TargetView,
+};
+pub use sketch::{Heavy, Sketch};
+pub use smoothed::Smoothed;
--- /dev/null
+++ b/crates/traffic/src/records/table.rs
@@ -0,0 +1,243 @@
+//! The records of one unit.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use model::{KeyHash, RequestId, Timestamp, UnknownReason};
+
+use super::{Answer, Begin, EndedRecord, Record, RecordsConfig, SlotRecords};
+
+/// What a record takes beside its answer: the maps' entries, rounded up.
+const RECORD_BYTES: usize = 160;
+
+/// A point in time that may lie before the origin of this process's clock, as records of former
+/// owners do. A saturating timestamp would make such points look alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Instant {
+    ns: i128,
+}
+
+impl Instant {
+    pub(super) fn of(it: Timestamp) -> Instant {
+        Instant { ns: i128::from(it.ns) }
+    }
+
+    pub(super) fn before(self, age: Duration) -> Instant {
+        Instant { ns: self.ns - nanos(age) }
+    }
+
+    fn after(self, time: Duration) -> Instant {
+        Instant { ns: self.ns + nanos(time) }
+    }
+
+    fn since(self, earlier: Instant) -> Duration {
+        Duration::from_nanos(u64::try_from((self.ns - earlier.ns).max(0)).unwrap_or(u64::MAX))
+    }
+}
+
+fn nanos(it: Duration) -> i128 {
+    i128::try_from(it.as_nanos()).unwrap_or(i128::MAX / 4)
+}
+
+#[derive(Debug, Clone)]
+enum State<A> {
+    Running,
+    Ended { at: Instant, end: EndedRecord<A> },
+}
+
+#[derive(Debug, Clone)]
+struct Entry<A> {
+    key_hash: KeyHash,
+    first_sent: Instant,
+    state: State<A>,
+}
+
+impl<A: Answer> Entry<A> {
+    fn bytes(&self) -> usize {
+        match &self.state {
+            State::Ended { end: EndedRecord::Answered(it), .. } => RECORD_BYTES + it.size_bytes(),
+            _ => RECORD_BYTES,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Table<A> {
+    entries: HashMap<RequestId, Entry<A>>,
+    /// Ended entries, the first to end first.
+    ended: BTreeSet<(Instant, RequestId)>,
+    /// An id first sent at or after this, and not in the table, has never run.
+    complete_since: Instant,
+    bytes: usize,
+}
+
+impl<A: Answer> Table<A> {
+    pub(super) fn new(complete_since: Instant) -> Table<A> {
+        Table { entries: HashMap::new(), ended: BTreeSet::new(), complete_since, bytes: 0 }
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(super) fn begin(
+        &mut self,
+        config: &RecordsConfig,
+        now: Instant,
+        key_hash: KeyHash,
+        id: RequestId,
+        age: Duration,
+    ) -> Begin<A> {
+        if let Some(entry) = self.entries.get(&id) {
+            return match &entry.state {
+                State::Running => Begin::Attach,
+                State::Ended { end: EndedRecord::Answered(it), .. } => Begin::Replay(it.clone()),
+                State::Ended { end: EndedRecord::Unknown(it), .. } => Begin::Unknown(*it),
+            };
+        }
+        self.expire(config, now);
+        // Room is made before the check: making it may move the point that is checked against.
+        if !self.make_room(config, RECORD_BYTES) {
+            return Begin::Full;
+        }
+        // A resend's age may fall short by the margin, so it counts as that much older here. What
+        // is recorded is the latest point that it can have been sent at: see `evict`.
+        let first_sent = now.before(age);
+        let margin = if age.is_zero() { Duration::ZERO } else { config.age_margin };
+        if first_sent.before(margin) < self.complete_since {
+            return Begin::NoRecord;
+        }
+        self.insert(id, Entry { key_hash, first_sent, state: State::Running });
+        Begin::Run
+    }
+
+    pub(super) fn end(
+        &mut self,
+        config: &RecordsConfig,
+        now: Instant,
+        id: RequestId,
+        end: EndedRecord<A>,
+    ) {
+        let Some(entry) = self.take(id) else {
+            panic!("request {id} ended but was never begun");
+        };
+        assert!(matches!(entry.state, State::Running), "request {id} ended twice");
+        let mut entry = Entry { state: State::Ended { at: now, end }, ..entry };
+        if !self.make_room(config, entry.bytes()) {
+            // The answer is larger than all the memory there is; that it ran must be kept.
+            let end = EndedRecord::Unknown(UnknownReason::NoRecord);
+            entry.state = State::Ended { at: now, end };
+        }
+        self.insert(id, entry);
+    }
+
+    pub(super) fn forget(&mut self, id: RequestId) {
+        let Some(entry) = self.take(id) else { return };
+        assert!(matches!(entry.state, State::Running), "request {id} ended and can't be forgotten");
+    }
+
+    /// Drops the records that were kept long enough.
+    pub(super) fn expire(&mut self, config: &RecordsConfig, now: Instant) {
+        let horizon = now.before(config.keep);
+        while let Some(&(at, id)) = self.ended.first()
+            && at < horizon
+        {
+            self.evict(id);
+        }
+    }
+
+    pub(super) fn export(self, now: Instant, belongs: impl Fn(KeyHash) -> bool) -> SlotRecords<A> {
+        let entries = self.entries.into_iter().filter(|(_, it)| belongs(it.key_hash));
+        let record = |(id, it): (RequestId, Entry<A>)| Record {
+            id,
+            key_hash: it.key_hash,
+            first_sent_age: now.since(it.first_sent),
+            ended_age: match &it.state {
+                State::Running => Duration::ZERO,
+                State::Ended { at, .. } => now.since(*at),
+            },
+            end: match it.state {
+                State::Running => EndedRecord::Unknown(UnknownReason::ConnectionLost),
+                State::Ended { end, .. } => end,
+            },
+        };
+        let mut records: Vec<_> = entries.map(record).collect();
+        records.sort_by_key(|it| it.id);
+        SlotRecords { complete_age: now.since(self.complete_since), records }
+    }
+
+    pub(super) fn import(
+        config: &RecordsConfig,
+        now: Instant,
+        handed: SlotRecords<A>,
+        present: Option<Table<A>>,
+    ) -> Table<A> {
+        let complete_since = now.before(handed.complete_age);
+        let mut table = present.unwrap_or_else(|| Table::new(complete_since));
+        table.complete_since = table.complete_since.max(complete_since);
+        let mut records = handed.records;
+        // The latest first: if there is no room for all, the oldest are evicted.
+        records.sort_by_key(|it| (it.ended_age, it.id));
+        for it in records {
+            if table.entries.contains_key(&it.id) {
+                continue;
+            }
+            let state = State::Ended { at: now.before(it.ended_age), end: it.end };
+            let first_sent = now.before(it.first_sent_age);
+            let entry = Entry { key_hash: it.key_hash, first_sent, state };
+            match table.bytes + entry.bytes() <= config.bytes_max {
+                true => table.insert(it.id, entry),
+                false => table.raise(first_sent),
+            }
+        }
+        table
+    }
+
+    /// Evicts ended records, oldest first, until `bytes` more fit.
+    fn make_room(&mut self, config: &RecordsConfig, bytes: usize) -> bool {
+        if bytes > config.bytes_max {
+            return false;
+        }
+        while self.bytes + bytes > config.bytes_max {
+            let Some(&(_, id)) = self.ended.first() else { return false };
+            self.evict(id);
+        }
+        true
+    }
+
+    /// Forgets an ended record, though its request has run: from here on the table is complete
+    /// only for what was sent later.
+    fn evict(&mut self, id: RequestId) {
+        let entry = self.take(id).expect("an ended record is in the table");
+        self.raise(entry.first_sent);
+    }
+
+    fn raise(&mut self, first_sent: Instant) {
+        let bound = first_sent.after(Duration::from_nanos(1));
+        self.complete_since = self.complete_since.max(bound);
+    }
+
+    fn insert(&mut self, id: RequestId, entry: Entry<A>) {
+        if let State::Ended { at, .. } = entry.state {
+            self.ended.insert((at, id));
+        }
+        self.bytes += entry.bytes();
+        let former = self.entries.insert(id, entry);
+        assert!(former.is_none(), "request {id} was recorded twice");
+    }
+
+    fn take(&mut self, id: RequestId) -> Option<Entry<A>> {
+        let entry = self.entries.remove(&id)?;
+        if let State::Ended { at, .. } = entry.state {
+            self.ended.remove(&(at, id));
+        }
+        self.bytes -= entry.bytes();
+        Some(entry)
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/retry/mod.rs
@@ -0,0 +1,162 @@
+//! Whether a request that came back without an answer is sent again, and when.
+//!
+//! Retries are paid from a budget that is a share of fresh traffic, so that an overloaded service
+//! gets little more than its callers ask. A stale route is followed without charge, a few times.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use model::{NotRunReason, Outcome, Timestamp, UnknownReason};
+use rand::{Rng, RngExt};
+
+/// Bounds on retries.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RetryConfig {
+    /// Retries allowed for each fresh request, on average.
+    pub budget_share: f64,
+    /// Retries that may be saved up.
+    pub budget_max: f64,
+    /// The longest wait before the first retry; doubles with each.
+    pub backoff_base: Duration,
+    pub backoff_max: Duration,
+    /// Retries of one request, stale routes not counted.
+    pub retries_max: u8,
+    /// Stale routes that one request follows.
+    pub hops_max: u8,
+}
+
+impl Default for RetryConfig {
+    fn default() -> RetryConfig {
+        RetryConfig {
+            budget_share: 0.1,
+            budget_max: 20.0,
+            backoff_base: Duration::from_millis(10),
+            backoff_max: Duration::from_millis(500),
+            retries_max: 3,
+            hops_max: 3,
+        }
+    }
+}
+
+/// What one request has used up so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Attempts {
+    pub retries: u8,
+    pub hops: u8,
+}
+
+/// How one sending ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Attempt {
+    pub outcome: Outcome,
+    /// When the peer asked to come back.
+    pub retry_after: Option<Duration>,
+    /// The peer named another owner for the key than the one that was asked.
+    pub other_owner: bool,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryVerdict {
+    /// Send it to the owner that the peer named, now.
+    Follow,
+    /// Send it again after this time.
+    Retry { after: Duration },
+    /// Tell the caller the outcome now, and when to come back if that makes sense.
+    GiveUp { retry_after: Option<Duration> },
+}
+
+/// The retries of one agent towards one service.
+#[derive(Debug)]
+pub struct Retries {
+    config: RetryConfig,
+    budget: f64,
+}
+
+impl Retries {
+    /// Starts with half the budget saved up.
+    pub fn new(config: RetryConfig) -> Retries {
+        let budget = config.budget_max / 2.0;
+        Retries { config, budget }
+    }
+
+    /// A fresh request of a caller: pays a share of a retry into the budget.
+    pub fn fresh(&mut self) {
+        self.budget = (self.budget + self.config.budget_share).min(self.config.budget_max);
+    }
+
+    /// Decides on a request whose sending ended, and charges what it uses.
+    pub fn decide(
+        &mut self,
+        now: Timestamp,
+        deadline: Timestamp,
+        idempotent: bool,
+        attempts: &mut Attempts,
+        ended: &Attempt,
+        rng: &mut impl Rng,
+    ) -> RetryVerdict {
+        let left = deadline.since(now);
+        if ended.other_owner && attempts.hops < self.config.hops_max && left > Duration::ZERO {
+            attempts.hops += 1;
+            return RetryVerdict::Follow;
+        }
+        let backoff = self.backoff(attempts.retries, rng);
+        let after = ended.retry_after.map_or(backoff, |it| it + backoff);
+        let give_up = RetryVerdict::GiveUp { retry_after: self.come_back(ended, after) };
+        let allowed = may_retry(ended.outcome, idempotent)
+            && attempts.retries < self.config.retries_max
+            && after < left;
+        if !allowed || self.budget < 1.0 {
+            return give_up;
+        }
+        self.budget -= 1.0;
+        attempts.retries += 1;
+        RetryVerdict::Retry { after }
+    }
+
+    /// Retries that the budget still holds.
+    pub fn budget(&self) -> f64 {
+        self.budget
+    }
+
+    /// Full jitter: anything up to the exponential bound.
+    fn backoff(&self, retries: u8, rng: &mut impl Rng) -> Duration {
+        let factor = 1_u32 << u32::from(retries).min(16);
+        let bound = self.config.backoff_base.saturating_mul(factor).min(self.config.backoff_max);
+        bound.mul_f64(rng.random_range(0.0..1.0))
+    }
+
+    fn come_back(&self, ended: &Attempt, after: Duration) -> Option<Duration> {
+        match ended.outcome {
+            Outcome::NotRun(reason) if is_transient(reason) => Some(after),
+            _ => None,
+        }
+    }
+}
+
+/// Whether sending a request again after this outcome is safe and makes sense.
+fn may_retry(outcome: Outcome, idempotent: bool) -> bool {
+    match outcome {
+        Outcome::Answered => false,
+        Outcome::NotRun(reason) => is_transient(reason),
+        Outcome::Unknown(UnknownReason::DeadlineExceeded) => false,
+        Outcome::Unknown(_) => idempotent,
+    }
+}
+
+/// Whether the reason may pass by itself.
+fn is_transient(reason: NotRunReason) -> bool {
+    match reason {
+        NotRunReason::Overloaded
+        | NotRunReason::NoOwner
+        | NotRunReason::NotOwner
+        | NotRunReason::Unreachable
+        | NotRunReason::Draining
+        | NotRunReason::Refused => true,
+        NotRunReason::BadRequest | NotRunReason::DeadlineExceeded | NotRunReason::Cancelled => {
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/selection/mod.rs
@@ -0,0 +1,171 @@
+//! Which target gets a request of a service that is not divided by key.
+//!
+//! Two random choices by in-flight work and smoothed latency; targets of the own availability
+//! zone first, others when those are busy. What callers see counts; what targets say of
+//! themselves (health and load) is a weak hint, since it lags or misleads.
+
+mod target;
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use model::{Instance, InstanceName, Timestamp, Zone};
+use rand::{Rng, RngExt};
+
+use target::Target;
+
+pub use target::{HealthHint, TargetResult, TargetSpec, TargetState, TargetView};
+
+/// Bounds on selection.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SelectionConfig {
+    /// A target of another zone is taken when those of the own zone have this many requests in
+    /// flight each, and the other one is less busy.
+    pub spill_in_flight: f64,
+    /// How much longer the way to another zone takes.
+    pub zone_penalty: Duration,
+    /// How long a new target takes to get its full share.
+    pub slow_start: Duration,
+    /// A target with requests in flight and no answer for this long gets no new work.
+    pub frozen_after: Duration,
+    /// Failures in a row that eject a target.
+    pub eject_failures: u32,
+    /// How long the first ejection lasts; each one in a row lasts as much longer.
+    pub eject_for: Duration,
+    /// The largest share of all targets that is ejected at a time.
+    pub eject_share_max: f64,
+    /// What a request is expected to take until some have been measured.
+    pub latency_guess: Duration,
+}
+
+impl Default for SelectionConfig {
+    fn default() -> SelectionConfig {
+        SelectionConfig {
+            spill_in_flight: 10.0,
+            zone_penalty: Duration::from_millis(2),
+            slow_start: Duration::from_secs(10),
+            frozen_after: Duration::from_secs(1),
+            eject_failures: 5,
+            eject_for: Duration::from_secs(5),
+            eject_share_max: 0.34,
+            latency_guess: Duration::from_millis(20),
+        }
+    }
+}
+
+/// The targets of one service, as one agent sees them.
+#[derive(Debug)]
+pub struct Selection {
+    config: SelectionConfig,
+    zone: Zone,
+    /// In the order of their names.
+    targets: Vec<Target>,
+}
+
+impl Selection {
+    /// `zone` is the agent's own.
+    pub fn new(config: SelectionConfig, zone: Zone) -> Selection {
+        Selection { config, zone, targets: Vec::new() }
+    }
+
+    /// Takes over the list of live targets. Those that stay keep what is known of them, those of
+    /// a new incarnation start anew.
+    pub fn update(&mut self, now: Timestamp, specs: &[TargetSpec]) {
+        let mut former = std::mem::take(&mut self.targets);
+        for spec in specs {
+            let known = former.iter().position(|it| it.instance == spec.instance);
+            let mut target = match known {
+                Some(index) => former.swap_remove(index),
+                None => Target::new(spec.instance.clone(), self.config.latency_guess, now),
+            };
+            target.state = spec.state;
+            target.hint = spec.hint;
+            self.targets.push(target);
+        }
+        // One that is gone stays until its requests have ended: it may be announced again.
+        for mut gone in former.into_iter().filter(Target::is_busy) {
+            gone.state = TargetState::Closed;
+            self.targets.push(gone);
+        }
+        self.targets.sort_by(|a, b| a.instance.name.cmp(&b.instance.name));
+    }
+
+    /// Picks a target and counts the request as in flight there; [`Selection::finish`] must
+    /// follow. `tried` are those that this request has been refused by. None: no target may get
+    /// new work.
+    pub fn pick(
+        &mut self,
+        now: Timestamp,
+        tried: &[InstanceName],
+        rng: &mut impl Rng,
+    ) -> Option<Instance> {
+        let fit = |it: &&Target| it.takes_work(&self.config, now);
+        let fresh = |it: &&Target| !tried.contains(&it.instance.name);
+        let able: Vec<usize> = self.indexes(|it| fit(&it) && fresh(&it));
+        let able = if able.is_empty() { self.indexes(|it| fit(&it)) } else { able };
+        let index = self.choose(now, &able, rng)?;
+        let target = &mut self.targets[index];
+        target.start(now);
+        Some(target.instance.clone())
+    }
+
+    /// Ends a request given to a target.
+    pub fn finish(
+        &mut self,
+        now: Timestamp,
+        instance: &Instance,
+        taken: Duration,
+        result: TargetResult,
+    ) {
+        let ejected = self.targets.iter().filter(|it| it.is_ejected(now)).count() + 1;
+        let may_eject = ejected as f64 <= self.config.eject_share_max * self.targets.len() as f64;
+        // It may be gone from the list, or have come back as another incarnation.
+        let Some(target) = self.targets.iter_mut().find(|it| it.instance == *instance) else {
+            return;
+        };
+        target.finish(&self.config, now, taken, result, may_eject);
+    }
+
+    /// How the targets stand, for the status and metrics.
+    pub fn view(&self, now: Timestamp) -> Vec<TargetView> {
+        self.targets.iter().map(|it| it.view(&self.config, now)).collect()
+    }
+
+    fn indexes(&self, belongs: impl Fn(&Target) -> bool) -> Vec<usize> {
+        (0..self.targets.len()).filter(|it| belongs(&self.targets[*it])).collect()
+    }
+
+    fn choose(&self, now: Timestamp, able: &[usize], rng: &mut impl Rng) -> Option<usize> {
+        let is_near = |it: &usize| self.targets[*it].instance.zone == self.zone;
+        let near: Vec<usize> = able.iter().copied().filter(is_near).collect();
+        let far: Vec<usize> = able.iter().copied().filter(|it| !is_near(it)).collect();
+        let near = self.two_choices(now, &near, rng);
+        let far = self.two_choices(now, &far, rng);
+        let (Some(near), Some(far)) = (near, far) else { return near.or(far) };
+        let busy = self.targets[near].in_flight_share(&self.config, now);
+        let far_cost = self.cost(now, far) + self.config.zone_penalty.as_secs_f64();
+        match busy >= self.config.spill_in_flight && far_cost < self.cost(now, near) {
+            true => Some(far),
+            false => Some(near),
+        }
+    }
+
+    fn two_choices(&self, now: Timestamp, among: &[usize], rng: &mut impl Rng) -> Option<usize> {
+        if among.len() < 2 {
+            return among.first().copied();
+        }
+        let first = rng.random_range(0..among.len());
+        let second = (first + rng.random_range(1..among.len())) % among.len();
+        let (first, second) = (among[first], among[second]);
+        match self.cost(now, second) < self.cost(now, first) {
+            true => Some(second),
+            false => Some(first),
+        }
+    }
+
+    fn cost(&self, now: Timestamp, index: usize) -> f64 {
+        self.targets[index].cost_s(&self.config, now)
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/selection/target.rs
@@ -0,0 +1,183 @@
+//! One target of a service, as callers have found it.
+
+use std::time::Duration;
+
+use model::{Instance, Timestamp};
+
+use super::SelectionConfig;
+use crate::Smoothed;
+
+/// A new target's share of work at the least, so that it gets any.
+const RAMP_MIN: f64 = 0.1;
+/// How much the load that a target claims for itself may add to its cost.
+const HINT_LOAD_WEIGHT: f64 = 0.25;
+/// What a target that calls itself ill adds to its cost.
+const HINT_ILL_WEIGHT: f64 = 1.0;
+/// Ejections in a row that lengthen the next one.
+const EJECTIONS_MAX: u32 = 6;
+
+/// Whether a target takes new work at all, as its group says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetState {
+    Ready,
+    /// Starting or leaving.
+    Closed,
+}
+
+/// What a target's health and load endpoints say; may lag or mislead.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct HealthHint {
+    pub ill: bool,
+    /// 0 idle, 1 full.
+    pub load: f64,
+}
+
+/// A target as its group announces it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetSpec {
+    pub instance: Instance,
+    pub state: TargetState,
+    pub hint: HealthHint,
+}
+
+/// How a request ended at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetResult {
+    Answered,
+    /// Refused for lack of room: alive, not at fault.
+    Shed,
+    /// An error, a broken link, or no answer before the deadline.
+    Failed,
+    /// The caller took it back: says nothing of the target.
+    Cancelled,
+}
+
+/// A target as it stands.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetView {
+    pub instance: Instance,
+    pub in_flight: u32,
+    pub latency: Duration,
+    pub ejected: bool,
+    pub frozen: bool,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Target {
+    pub(super) instance: Instance,
+    pub(super) state: TargetState,
+    pub(super) hint: HealthHint,
+    since: Timestamp,
+    in_flight: u32,
+    latency: Smoothed,
+    /// The last answer or refusal, or the first request given since it had none in flight.
+    last_sign: Timestamp,
+    failures_in_row: u32,
+    ejections_in_row: u32,
+    ejected_until: Timestamp,
+}
+
+impl Target {
+    pub(super) fn new(instance: Instance, latency_guess: Duration, now: Timestamp) -> Target {
+        Target {
+            instance,
+            state: TargetState::Closed,
+            hint: HealthHint::default(),
+            since: now,
+            in_flight: 0,
+            latency: Smoothed::new(latency_guess),
+            last_sign: now,
+            failures_in_row: 0,
+            ejections_in_row: 0,
+            ejected_until: Timestamp::ZERO,
+        }
+    }
+
+    pub(super) fn takes_work(&self, config: &SelectionConfig, now: Timestamp) -> bool {
+        self.state == TargetState::Ready && !self.is_ejected(now) && !self.is_frozen(config, now)
+    }
+
+    pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Requests in flight and no sign of life. Deadlines and cancellations end what is in flight,
+    /// and with it the state: then one request at a time finds out whether it is back.
+    pub(super) fn is_frozen(&self, config: &SelectionConfig, now: Timestamp) -> bool {
+        self.in_flight > 0 && now.since(self.last_sign) > config.frozen_after
+    }
+
+    pub(super) fn is_busy(&self) -> bool {
+        self.in_flight > 0
+    }
+
+    pub(super) fn start(&mut self, now: Timestamp) {
+        if self.in_flight == 0 {
+            self.last_sign = now;
+        }
+        self.in_flight += 1;
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        config: &SelectionConfig,
+        now: Timestamp,
+        taken: Duration,
+        result: TargetResult,
+        may_eject: bool,
+    ) {
+        assert!(self.in_flight > 0, "{} ended more requests than it was given", self.instance);
+        self.in_flight -= 1;
+        match result {
+            TargetResult::Answered => {
+                self.latency.add(taken);
+                self.last_sign = now;
+                self.failures_in_row = 0;
+                self.ejections_in_row = 0;
+            }
+            TargetResult::Shed => self.last_sign = now,
+            TargetResult::Failed => self.fail(config, now, may_eject),
+            TargetResult::Cancelled => (),
+        }
+    }
+
+    fn fail(&mut self, config: &SelectionConfig, now: Timestamp, may_eject: bool) {
+        self.failures_in_row += 1;
+        if self.failures_in_row < config.eject_failures || !may_eject || self.is_ejected(now) {
+            return;
+        }
+        self.failures_in_row = 0;
+        self.ejections_in_row = (self.ejections_in_row + 1).min(EJECTIONS_MAX);
+        self.ejected_until = now + config.eject_for * self.ejections_in_row;
+    }
+
+    /// The expected wait at this target, in seconds: less is better.
+    pub(super) fn cost_s(&self, config: &SelectionConfig, now: Timestamp) -> f64 {
+        let ill = if self.hint.ill { HINT_ILL_WEIGHT } else { 0.0 };
+        let hint = 1.0 + ill + HINT_LOAD_WEIGHT * self.hint.load.clamp(0.0, 1.0);
+        (self.in_flight_share(config, now) + 1.0) * self.latency.mean().as_secs_f64() * hint
+    }
+
+    /// Requests in flight, over the share that a new target may have.
+    pub(super) fn in_flight_share(&self, config: &SelectionConfig, now: Timestamp) -> f64 {
+        f64::from(self.in_flight) / self.ramp(config, now)
+    }
+
+    fn ramp(&self, config: &SelectionConfig, now: Timestamp) -> f64 {
+        if config.slow_start.is_zero() {
+            return 1.0;
+        }
+        let passed = now.since(self.since).as_secs_f64() / config.slow_start.as_secs_f64();
+        passed.clamp(RAMP_MIN, 1.0)
+    }
+
+    pub(super) fn view(&self, config: &SelectionConfig, now: Timestamp) -> TargetView {
+        TargetView {
+            instance: self.instance.clone(),
+            in_flight: self.in_flight,
+            latency: self.latency.mean(),
+            ejected: self.is_ejected(now),
+            frozen: self.is_frozen(config, now),
+        }
+    }
+}
