--- a/crates/traffic/src/admission/class.rs
+++ b/crates/traffic/src/admission/class.rs
@@ -81,13 +81,13 @@
 
     /// Whether a request, started now, is expected to end before its deadline.
     pub(super) fn can_finish(&self, now: Timestamp, it: Queued, certainty: f64) -> bool {
-        now + self.need(it.budget, certainty) <= it.deadline
+        now + self.need(certainty).of(it.budget) <= it.deadline
     }
 
     /// When the first request of the queue has to be refused.
     pub(super) fn drop_at(&self, certainty: f64) -> Option<Timestamp> {
         let it = self.first()?;
-        Some(it.deadline - self.need(it.budget, certainty) + Duration::from_nanos(1))
+        Some(it.deadline - self.need(certainty).of(it.budget) + Duration::from_nanos(1))
     }
 
     /// The waiting requests that are not expected to finish if one starts each `step`.
@@ -99,23 +99,35 @@
         certainty: f64,
     ) -> Vec<Queued> {
         let mut doomed = Vec::new();
-        let mut kept = 0.0;
+        let need = self.need(certainty);
+        let start_max = now + queue_time_max;
+        let mut start = now;
         for it in self.queue.iter().map(queued) {
-            let wait = step.mul_f64(kept);
-            let late = !self.can_finish(now + wait, it, certainty);
-            match late || wait > queue_time_max {
+            let late = start + need.of(it.budget) > it.deadline;
+            match late || start > start_max {
                 true => doomed.push(it),
-                false => kept += 1.0,
+                false => start = start + step,
             }
         }
         doomed
     }
 
-    /// The time that a request is given to run: what few exceed, but no more than half of its
-    /// budget unless even the mean is longer.
-    fn need(&self, budget: Duration, certainty: f64) -> Duration {
-        let mean = self.estimate.mean();
-        self.estimate.bound(certainty).min(mean.max(budget / 2))
+    fn need(&self, certainty: f64) -> Need {
+        Need { mean: self.estimate.mean(), bound: self.estimate.bound(certainty) }
+    }
+}
+
+/// The time that a request is given to run.
+#[derive(Debug, Clone, Copy)]
+struct Need {
+    mean: Duration,
+    bound: Duration,
+}
+
+impl Need {
+    /// What few exceed, but no more than half of the budget unless even the mean is longer.
+    fn of(self, budget: Duration) -> Duration {
+        self.bound.min(self.mean.max(budget / 2))
     }
 }
 
--- a/crates/traffic/src/admission/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of admission.
--- /dev/null
+++ b/crates/traffic/src/admission/tests/mod.rs
@@ -0,0 +1,201 @@
+//! Tests of admission, in virtual time.
+
+mod overload;
+
+use std::time::Duration;
+
+use model::{ClassName, NotRunReason, Timestamp};
+use quickcheck::quickcheck;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, Ticket,
+    Verdict,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn config(slots: usize, weights: &[f64]) -> AdmissionConfig {
+    let class = |(index, weight): (usize, &f64)| ClassConfig {
+        name: ClassName::new(&format!("class-{index}")).unwrap(),
+        weight: *weight,
+        service_guess: ms(10),
+    };
+    AdmissionConfig {
+        slots,
+        queue_len_max: 200,
+        queue_time_max: ms(1000),
+        slow_start: Duration::ZERO,
+        certainty: 4.0,
+        retry_after_min: ms(50),
+        classes: weights.iter().enumerate().map(class).collect(),
+    }
+}
+
+/// One admission at a time that the test sets.
+struct Fixture {
+    admission: Admission,
+    rng: Pcg64Mcg,
+    now: Timestamp,
+    out: Vec<Decision>,
+}
+
+impl Fixture {
+    fn new(config: AdmissionConfig) -> Fixture {
+        let now = Timestamp::from_ms(1000);
+        let admission = Admission::new(config, now);
+        Fixture { admission, rng: Pcg64Mcg::seed_from_u64(1), now, out: Vec::new() }
+    }
+
+    fn offer(&mut self, class: usize, left: Duration) -> Ticket {
+        let arrival = Arrival { class: ClassIndex(class), deadline: self.now + left };
+        self.admission.offer(self.now, arrival, &mut self.rng, &mut self.out)
+    }
+
+    fn finish(&mut self, ticket: Ticket) {
+        let completion = Completion::Answered;
+        self.admission.finish(self.now, ticket, completion, &mut self.rng, &mut self.out);
+    }
+
+    fn tick(&mut self) {
+        self.admission.tick(self.now, &mut self.rng, &mut self.out);
+    }
+
+    fn verdict(&self, ticket: Ticket) -> Option<Verdict> {
+        let of_ticket = self.out.iter().filter(|it| it.ticket == ticket);
+        let verdicts: Vec<_> = of_ticket.map(|it| it.verdict).collect();
+        assert!(verdicts.len() <= 1, "{ticket:?} got {verdicts:?}");
+        verdicts.first().copied()
+    }
+}
+
+#[test]
+fn the_earliest_deadline_starts_first() {
+    let mut it = Fixture::new(config(1, &[1.0]));
+    let running = it.offer(0, ms(900));
+    let late = it.offer(0, ms(900));
+    let early = it.offer(0, ms(500));
+    it.now = it.now + ms(10);
+    it.finish(running);
+    assert_eq!(it.verdict(early), Some(Verdict::Start));
+    assert_eq!(it.verdict(late), None);
+}
+
+#[test]
+fn what_can_no_longer_finish_is_refused_at_once() {
+    let mut it = Fixture::new(config(1, &[1.0]));
+    it.offer(0, ms(900));
+    let waiting = it.offer(0, ms(100));
+    let wakeup = it.admission.next_wakeup(it.now).unwrap();
+    assert!(wakeup < it.now + ms(100), "the answer is not held back until the deadline");
+    it.now = wakeup;
+    it.tick();
+    let Some(Verdict::Shed { reason, retry_after }) = it.verdict(waiting) else {
+        panic!("{:?}", it.verdict(waiting));
+    };
+    assert_eq!(reason, NotRunReason::Overloaded);
+    assert!(retry_after >= ms(50));
+}
+
+#[test]
+fn a_deadline_that_has_passed_is_expired() {
+    let mut it = Fixture::new(config(1, &[1.0]));
+    let ticket = it.offer(0, Duration::ZERO);
+    assert_eq!(it.verdict(ticket), Some(Verdict::Expired));
+}
+
+#[test]
+fn a_cancelled_request_frees_its_place() {
+    let mut it = Fixture::new(AdmissionConfig { queue_len_max: 1, ..config(1, &[1.0]) });
+    let running = it.offer(0, ms(900));
+    let first = it.offer(0, ms(900));
+    assert!(it.admission.cancel(first));
+    let second = it.offer(0, ms(900));
+    assert_eq!(it.verdict(second), None);
+    it.finish(running);
+    assert_eq!(it.verdict(second), Some(Verdict::Start));
+    assert_eq!(it.verdict(first), None);
+    assert!(!it.admission.cancel(running));
+}
+
+#[test]
+fn a_drained_upstream_gets_no_new_work() {
+    let mut it = Fixture::new(config(1, &[1.0]));
+    let running = it.offer(0, ms(900));
+    let waiting = it.offer(0, ms(900));
+    it.admission.drain(it.now, &mut it.rng, &mut it.out);
+    let late = it.offer(0, ms(900));
+    it.finish(running);
+    for ticket in [waiting, late] {
+        let verdict = it.verdict(ticket);
+        assert!(matches!(verdict, Some(Verdict::Shed { reason: NotRunReason::Draining, .. })));
+    }
+    it.admission.restart(it.now);
+    let again = it.offer(0, ms(900));
+    assert_eq!(it.verdict(again), Some(Verdict::Start));
+}
+
+#[test]
+fn a_new_upstream_ramps_up() {
+    let mut it = Fixture::new(AdmissionConfig { slow_start: ms(1100), ..config(12, &[1.0]) });
+    for _ in 0..12 {
+        it.offer(0, ms(5000));
+    }
+    let mut open = vec![it.admission.running()];
+    while it.admission.queued() > 0 {
+        it.now = it.admission.next_wakeup(it.now).unwrap();
+        it.tick();
+        open.push(it.admission.running());
+    }
+    assert_eq!(open, (1..=12).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_crowd_in_one_class_leaves_room_for_another() {
+    let mut it = Fixture::new(AdmissionConfig { queue_len_max: 10, ..config(1, &[1.0, 1.0]) });
+    for _ in 0..30 {
+        it.offer(0, ms(900));
+    }
+    let other = it.offer(1, ms(900));
+    assert_eq!(it.verdict(other), None, "the crowd's last gives way");
+    assert_eq!(it.admission.queued(), 10);
+}
+
+quickcheck! {
+    /// Every ticket gets one end, whatever the order of events; the asserts inside hold.
+    fn every_ticket_ends_once(seed: u64) -> bool {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let config = AdmissionConfig { queue_len_max: 8, ..config(3, &[1.0, 4.0]) };
+        let mut it = Fixture::new(config);
+        let (mut open, mut cancelled) = (Vec::new(), Vec::new());
+        for _ in 0..200 {
+            it.now = it.now + ms(rng.random_range(0..20));
+            match rng.random_range(0..8) {
+                0..4 => open.push(it.offer(rng.random_range(0..2), ms(rng.random_range(0..200)))),
+                4..6 => {
+                    let running = |ticket: &Ticket| it.verdict(*ticket) == Some(Verdict::Start);
+                    if let Some(index) = open.iter().position(running) {
+                        let ticket = open.swap_remove(index);
+                        it.finish(ticket);
+                    }
+                }
+                6 if !open.is_empty() => {
+                    let ticket = open[rng.random_range(0..open.len())];
+                    if it.admission.cancel(ticket) {
+                        cancelled.push(ticket);
+                    }
+                }
+                _ => it.tick(),
+            }
+        }
+        it.admission.drain(it.now, &mut it.rng, &mut it.out);
+        let ended = (0..it.out.len()).filter(|index| {
+            cancelled.iter().all(|ticket| it.out[*index].ticket != *ticket)
+        });
+        ended.count() == it.out.len()
+            && open.iter().all(|ticket| cancelled.contains(ticket) || it.verdict(*ticket).is_some())
+    }
+}
--- a/crates/traffic/src/retry/tests.rs
+++ b/crates/traffic/src/retry/tests.rs
@@ -1,1 +1,114 @@
 //! Tests of retries.
+
+use std::time::Duration;
+
+use model::{NotRunReason, Outcome, Timestamp, UnknownReason};
+use quickcheck::quickcheck;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict};
+
+const SHED: Outcome = Outcome::NotRun(NotRunReason::Overloaded);
+const LOST: Outcome = Outcome::Unknown(UnknownReason::ConnectionLost);
+
+fn attempt(outcome: Outcome) -> Attempt {
+    Attempt { outcome, retry_after: None, other_owner: false }
+}
+
+fn decide(outcome: Outcome, idempotent: bool, left_ms: u64) -> RetryVerdict {
+    let mut retries = Retries::new(RetryConfig::default());
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let deadline = Timestamp::from_ms(left_ms);
+    let mut attempts = Attempts::default();
+    let ended = attempt(outcome);
+    retries.decide(Timestamp::ZERO, deadline, idempotent, &mut attempts, &ended, &mut rng)
+}
+
+fn check(outcome: Outcome, idempotent: bool, is_retried: bool) {
+    let verdict = decide(outcome, idempotent, 1000);
+    assert_eq!(matches!(verdict, RetryVerdict::Retry { .. }), is_retried, "{outcome}");
+}
+
+#[test]
+fn only_safe_outcomes_are_retried() {
+    for idempotent in [false, true] {
+        check(SHED, idempotent, true);
+        check(Outcome::NotRun(NotRunReason::Unreachable), idempotent, true);
+        check(Outcome::NotRun(NotRunReason::BadRequest), idempotent, false);
+        check(Outcome::NotRun(NotRunReason::Cancelled), idempotent, false);
+        check(Outcome::Unknown(UnknownReason::DeadlineExceeded), idempotent, false);
+        check(Outcome::Answered, idempotent, false);
+    }
+    check(LOST, true, true);
+    check(LOST, false, false);
+    check(Outcome::Unknown(UnknownReason::NoRecord), false, false);
+}
+
+#[test]
+fn a_refusal_is_final_at_once_when_no_retry_fits_the_deadline() {
+    let RetryVerdict::GiveUp { retry_after: Some(_) } = decide(SHED, true, 0) else {
+        panic!("the caller is told when to come back");
+    };
+    assert_eq!(decide(LOST, false, 1000), RetryVerdict::GiveUp { retry_after: None });
+}
+
+#[test]
+fn a_peers_retry_after_is_kept() {
+    let mut retries = Retries::new(RetryConfig::default());
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let asked = Duration::from_millis(300);
+    let ended = Attempt { retry_after: Some(asked), ..attempt(SHED) };
+    let mut decide = |left_ms| {
+        let deadline = Timestamp::from_ms(left_ms);
+        let mut attempts = Attempts::default();
+        retries.decide(Timestamp::ZERO, deadline, true, &mut attempts, &ended, &mut rng)
+    };
+    assert!(matches!(decide(1000), RetryVerdict::Retry { after } if after >= asked));
+    let RetryVerdict::GiveUp { retry_after: Some(after) } = decide(200) else {
+        panic!("there is no time for the wait that the peer asked for");
+    };
+    assert!(after >= asked);
+}
+
+#[test]
+fn stale_routes_are_followed_without_charge_a_few_times() {
+    let config = RetryConfig { budget_max: 0.0, ..RetryConfig::default() };
+    let mut retries = Retries::new(config);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let ended = Attempt { other_owner: true, ..attempt(Outcome::NotRun(NotRunReason::NotOwner)) };
+    let mut attempts = Attempts::default();
+    let mut decide = || {
+        let deadline = Timestamp::from_ms(1000);
+        retries.decide(Timestamp::ZERO, deadline, false, &mut attempts, &ended, &mut rng)
+    };
+    for _ in 0..3 {
+        assert_eq!(decide(), RetryVerdict::Follow);
+    }
+    assert!(matches!(decide(), RetryVerdict::GiveUp { .. }));
+}
+
+quickcheck! {
+    /// However everything fails, sendings stay within the share of fresh traffic.
+    fn retries_stay_within_the_budget(seed: u64) -> bool {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let config = RetryConfig::default();
+        let mut retries = Retries::new(config.clone());
+        let fresh = 1000;
+        let mut sent_again = 0;
+        for ms in 0..fresh {
+            retries.fresh();
+            let now = Timestamp::from_ms(ms);
+            let deadline = now + Duration::from_millis(rng.random_range(0..2000));
+            let mut attempts = Attempts::default();
+            let mut decide = || {
+                retries.decide(now, deadline, true, &mut attempts, &attempt(SHED), &mut rng)
+            };
+            while let RetryVerdict::Retry { after } = decide() {
+                assert!(now + after < deadline);
+                sent_again += 1;
+            }
+        }
+        f64::from(sent_again) <= config.budget_max / 2.0 + config.budget_share * fresh as f64
+    }
+}
--- a/crates/traffic/src/selection/mod.rs
+++ b/crates/traffic/src/selection/mod.rs
@@ -166,6 +166,16 @@
     }
 
     fn cost(&self, now: Timestamp, index: usize) -> f64 {
-        self.targets[index].cost_s(&self.config, now)
+        self.targets[index].cost_s(&self.config, now, self.usual_s())
+    }
+
+    /// The mean of what has been measured at all targets, in seconds.
+    fn usual_s(&self) -> f64 {
+        let measured = self.targets.iter().filter_map(Target::measured_s);
+        let (sum_s, count) = measured.fold((0.0, 0), |(sum, count), it| (sum + it, count + 1));
+        match count {
+            0 => self.config.latency_guess.as_secs_f64(),
+            _ => sum_s / f64::from(count),
+        }
     }
 }
--- a/crates/traffic/src/selection/target.rs
+++ b/crates/traffic/src/selection/target.rs
@@ -13,6 +13,8 @@
 const HINT_LOAD_WEIGHT: f64 = 0.25;
 /// What a target that calls itself ill adds to its cost.
 const HINT_ILL_WEIGHT: f64 = 1.0;
+/// How fast a measured latency loses its weight when nothing new is measured.
+const LATENCY_FADE: Duration = Duration::from_secs(10);
 /// Ejections in a row that lengthen the next one.
 const EJECTIONS_MAX: u32 = 6;
 
@@ -151,11 +153,25 @@
         self.ejected_until = now + config.eject_for * self.ejections_in_row;
     }
 
-    /// The expected wait at this target, in seconds: less is better.
-    pub(super) fn cost_s(&self, config: &SelectionConfig, now: Timestamp) -> f64 {
+    /// The expected wait at this target, in seconds: less is better. `usual_s` is what all
+    /// targets take.
+    pub(super) fn cost_s(&self, config: &SelectionConfig, now: Timestamp, usual_s: f64) -> f64 {
         let ill = if self.hint.ill { HINT_ILL_WEIGHT } else { 0.0 };
         let hint = 1.0 + ill + HINT_LOAD_WEIGHT * self.hint.load.clamp(0.0, 1.0);
-        (self.in_flight_share(config, now) + 1.0) * self.latency.mean().as_secs_f64() * hint
+        (self.in_flight_share(config, now) + 1.0) * self.latency_s(now, usual_s) * hint
+    }
+
+    /// The latency measured, if there is any.
+    pub(super) fn measured_s(&self) -> Option<f64> {
+        (self.latency.samples() > 0).then(|| self.latency.mean().as_secs_f64())
+    }
+
+    /// What was measured, drawn to the usual the longer ago that was: else a target that was once
+    /// slow would not be tried again.
+    fn latency_s(&self, now: Timestamp, usual_s: f64) -> f64 {
+        let Some(measured_s) = self.measured_s() else { return usual_s };
+        let idle = now.since(self.last_sign).as_secs_f64() / LATENCY_FADE.as_secs_f64();
+        usual_s + (measured_s - usual_s) * (-idle).exp()
     }
 
     /// Requests in flight, over the share that a new target may have.
