--- a/crates/traffic/src/selection/mod.rs
+++ b/crates/traffic/src/selection/mod.rs
@@ -18,6 +18,9 @@
 
 pub use target::{HealthHint, TargetResult, TargetSpec, TargetState, TargetView};
 
+/// Costs within this factor count as equal: chance decides, so that both are measured.
+const TIE: f64 = 1.05;
+
 /// Bounds on selection.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SelectionConfig {
@@ -159,23 +162,20 @@
         let first = rng.random_range(0..among.len());
         let second = (first + rng.random_range(1..among.len())) % among.len();
         let (first, second) = (among[first], among[second]);
-        match self.cost(now, second) < self.cost(now, first) {
+        match self.cost(now, second) * TIE < self.cost(now, first) {
             true => Some(second),
             false => Some(first),
         }
     }
 
     fn cost(&self, now: Timestamp, index: usize) -> f64 {
-        self.targets[index].cost_s(&self.config, now, self.usual_s())
+        self.targets[index].cost_s(&self.config, now, self.best_s())
     }
 
-    /// The mean of what has been measured at all targets, in seconds.
-    fn usual_s(&self) -> f64 {
+    /// The least latency measured at any target, in seconds.
+    fn best_s(&self) -> f64 {
         let measured = self.targets.iter().filter_map(Target::measured_s);
-        let (sum_s, count) = measured.fold((0.0, 0), |(sum, count), it| (sum + it, count + 1));
-        match count {
-            0 => self.config.latency_guess.as_secs_f64(),
-            _ => sum_s / f64::from(count),
-        }
+        let guess_s = self.config.latency_guess.as_secs_f64();
+        measured.min_by(f64::total_cmp).unwrap_or(guess_s)
     }
 }
--- a/crates/traffic/src/selection/target.rs
+++ b/crates/traffic/src/selection/target.rs
@@ -153,12 +153,12 @@
         self.ejected_until = now + config.eject_for * self.ejections_in_row;
     }
 
-    /// The expected wait at this target, in seconds: less is better. `usual_s` is what all
-    /// targets take.
-    pub(super) fn cost_s(&self, config: &SelectionConfig, now: Timestamp, usual_s: f64) -> f64 {
+    /// The expected wait at this target, in seconds: less is better. `best_s` is the
+    /// least latency of any target.
+    pub(super) fn cost_s(&self, config: &SelectionConfig, now: Timestamp, best_s: f64) -> f64 {
         let ill = if self.hint.ill { HINT_ILL_WEIGHT } else { 0.0 };
         let hint = 1.0 + ill + HINT_LOAD_WEIGHT * self.hint.load.clamp(0.0, 1.0);
-        (self.in_flight_share(config, now) + 1.0) * self.latency_s(now, usual_s) * hint
+        (self.in_flight_share(config, now) + 1.0) * self.latency_s(now, best_s) * hint
     }
 
     /// The latency measured, if there is any.
@@ -166,12 +166,12 @@
         (self.latency.samples() > 0).then(|| self.latency.mean().as_secs_f64())
     }
 
-    /// What was measured, drawn to the usual the longer ago that was: else a target that was once
-    /// slow would not be tried again.
-    fn latency_s(&self, now: Timestamp, usual_s: f64) -> f64 {
-        let Some(measured_s) = self.measured_s() else { return usual_s };
+    /// What was measured, drawn to the best of all the longer ago that was: else a target that was
+    /// once slow would not be tried again.
+    fn latency_s(&self, now: Timestamp, best_s: f64) -> f64 {
+        let Some(measured_s) = self.measured_s() else { return best_s };
         let idle = now.since(self.last_sign).as_secs_f64() / LATENCY_FADE.as_secs_f64();
-        usual_s + (measured_s - usual_s) * (-idle).exp()
+        best_s + (measured_s - best_s) * (-idle).exp()
     }
 
     /// Requests in flight, over the share that a new target may have.
