Stand-ins for the platform, upstreams and callers

The demo needs a platform, upstreams and callers that count the ground truth themselves. Each is one small program over volo-http; upstreams and callers keep append-only journals.

--- /dev/null
+++ b/crates/standins/src/answer.rs
@@ -0,0 +1,67 @@
+//! Bodies of answers, from which a caller sees whether one is its own and whole.
+
+use bytes::Bytes;
+use http::header::HeaderName;
+use model::{RequestId, key_hash};
+use serde::{Deserialize, Serialize};
+
+/// How many bytes of filler the caller asks for.
+pub(crate) const ANSWER_BYTES: HeaderName = HeaderName::from_static("x-answer-bytes");
+pub(crate) const KEY: HeaderName = HeaderName::from_static("x-key");
+
+/// The first line of a body; the filler follows.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Head {
+    id: String,
+    key: String,
+    filler_bytes: usize,
+    /// Hash of the filler, hexadecimal.
+    checksum: String,
+}
+
+/// What is wrong with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum AnswerFault {
+    #[error("the answer belongs to another request")]
+    Crossed,
+    #[error("the answer is not whole")]
+    Broken,
+}
+
+/// The body of the answer to a request.
+pub(crate) fn encode_answer(id: RequestId, key: &str, filler_bytes: usize) -> Bytes {
+    let filler: Vec<u8> = id.0.to_be_bytes().into_iter().cycle().take(filler_bytes).collect();
+    let head = Head {
+        id: format!("{:x}", id.0),
+        key: key.to_owned(),
+        filler_bytes,
+        checksum: checksum(&filler),
+    };
+    let mut body = serde_json::to_vec(&head).unwrap_or_default();
+    body.push(b'\n');
+    body.extend_from_slice(&filler);
+    Bytes::from(body)
+}
+
+/// Checks that a body answers this request and is whole.
+pub(crate) fn check_answer(
+    body: &[u8],
+    id: RequestId,
+    key: &str,
+    filler_bytes: usize,
+) -> Result<(), AnswerFault> {
+    let head_end = body.iter().position(|it| *it == b'\n').ok_or(AnswerFault::Broken)?;
+    let (head, filler) = (&body[..head_end], &body[head_end + 1..]);
+    let head: Head = serde_json::from_slice(head).map_err(|_| AnswerFault::Broken)?;
+    if head.id != format!("{:x}", id.0) || head.key != key {
+        return Err(AnswerFault::Crossed);
+    }
+    let whole = head.filler_bytes == filler_bytes
+        && filler.len() == filler_bytes
+        && head.checksum == checksum(filler);
+    if whole { Ok(()) } else { Err(AnswerFault::Broken) }
+}
+
+fn checksum(filler: &[u8]) -> String {
+    format!("{:x}", key_hash(filler).0)
+}
--- /dev/null
+++ b/crates/standins/src/caller/attempt.rs
@@ -0,0 +1,139 @@
+//! One sending of a request.
+
+use std::{error::Error, io, net::SocketAddr, time::Duration};
+
+use http::{HeaderMap, StatusCode, header::HeaderName};
+use model::{OUTCOME_HEADER, REQUEST_ID_HEADER};
+use tokio::time::timeout;
+use volo_http::{
+    body::{Body, BodyConversion},
+    client::Client,
+    response::Response,
+};
+
+use super::CallRequest;
+use crate::{
+    answer::{ANSWER_BYTES, AnswerFault, KEY, check_answer},
+    journal::AttemptResult,
+};
+
+const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const FIRST_SENT: HeaderName = HeaderName::from_static("x-first-sent-ms");
+const RETRY_AFTER: &str = "retry-after";
+const RETRY_AFTER_MS: &str = "retry-after-ms";
+
+/// An HTTP client that keeps its connections to agents.
+#[derive(Clone)]
+pub struct AgentClient {
+    client: Client,
+}
+
+/// How a sending ended, and when the agent wants to see the request again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Ending {
+    pub(crate) result: AttemptResult,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl AgentClient {
+    pub fn new() -> anyhow::Result<AgentClient> {
+        let client = Client::builder()
+            .build()
+            .map_err(|error| anyhow::anyhow!("building an HTTP client: {error}"))?;
+        Ok(AgentClient { client })
+    }
+
+    /// Sends a request once. `age` is the time since its first sending, if this is not the first.
+    pub(crate) async fn attempt(
+        &self,
+        target: SocketAddr,
+        request: &CallRequest,
+        age: Option<Duration>,
+        patience: Duration,
+    ) -> Ending {
+        match timeout(patience, self.send(target, request, age)).await {
+            Ok(ending) => ending,
+            Err(_) => Ending { result: AttemptResult::TimedOut, retry_after: None },
+        }
+    }
+
+    async fn send(
+        &self,
+        target: SocketAddr,
+        request: &CallRequest,
+        age: Option<Duration>,
+    ) -> Ending {
+        let mut builder = self
+            .client
+            .request(request.method.clone(), format!("http://{target}{}", request.path))
+            .header(REQUEST_ID_HEADER, format!("{:x}", request.id.0))
+            .header(KEY, request.key.as_str())
+            .header(DEADLINE, request.deadline.as_millis().to_string())
+            .header(ANSWER_BYTES, request.answer_bytes.to_string())
+            .body(Body::from(request.body.clone()));
+        if let Some(age) = age {
+            builder = builder.header(FIRST_SENT, age.as_millis().to_string());
+        }
+        match builder.send().await {
+            Ok(response) => read(response, request).await,
+            Err(error) if is_refused(&error) => {
+                Ending { result: AttemptResult::NotConnected, retry_after: None }
+            }
+            Err(_) => Ending { result: AttemptResult::ConnectionLost, retry_after: None },
+        }
+    }
+}
+
+/// Whether no connection was made, so that nothing was sent.
+fn is_refused(error: &(dyn Error + 'static)) -> bool {
+    let mut next = Some(error);
+    while let Some(error) = next {
+        match error.downcast_ref::<io::Error>() {
+            Some(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+            _ => next = error.source(),
+        }
+    }
+    false
+}
+
+async fn read(response: Response, request: &CallRequest) -> Ending {
+    let (parts, body) = response.into_parts();
+    let retry_after = retry_after(&parts.headers);
+    let Ok(body) = body.into_bytes().await else {
+        return Ending { result: AttemptResult::ConnectionLost, retry_after };
+    };
+    let outcome = parts.headers.get(OUTCOME_HEADER).and_then(|it| it.to_str().ok());
+    let result = classify(parts.status, outcome, &body, request);
+    Ending { result, retry_after }
+}
+
+/// What an answer means. A service's own errors count as answers too, but the stand-in has none.
+pub(crate) fn classify(
+    status: StatusCode,
+    outcome: Option<&str>,
+    body: &[u8],
+    request: &CallRequest,
+) -> AttemptResult {
+    let outcome = outcome.unwrap_or_default();
+    let (kind, reason) = outcome.split_once("; reason=").unwrap_or((outcome, ""));
+    let reason = reason.to_owned();
+    match kind {
+        "answered" => match check_answer(body, request.id, &request.key, request.answer_bytes) {
+            Ok(()) => AttemptResult::Answered,
+            Err(AnswerFault::Crossed) => AttemptResult::Crossed,
+            Err(AnswerFault::Broken) => AttemptResult::Broken,
+        },
+        "not-run" => AttemptResult::NotRun { reason },
+        "unknown" => AttemptResult::Unknown { reason },
+        _ => AttemptResult::NoOutcome { status: status.as_u16() },
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let number = |name: &str| headers.get(name)?.to_str().ok()?.trim().parse::<f64>().ok();
+    let seconds = match number(RETRY_AFTER_MS) {
+        Some(ms) => ms / 1e3,
+        None => number(RETRY_AFTER)?,
+    };
+    Duration::try_from_secs_f64(seconds).ok()
+}
--- /dev/null
+++ b/crates/standins/src/caller/call.rs
@@ -0,0 +1,145 @@
+//! One request with all its sendings.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::Method;
+use model::RequestId;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::time::{Instant, sleep};
+
+use super::{AgentClient, attempt::Ending};
+use crate::journal::{Attempt, AttemptResult, CallRecord, FinalOutcome, wall_ns};
+
+/// A request as a caller means it.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    pub id: RequestId,
+    pub method: Method,
+    pub service: String,
+    /// The path with the key filled in; its first segment names the service.
+    pub path: String,
+    pub key: String,
+    pub class: String,
+    pub idempotent: bool,
+    /// How long one sending may take.
+    pub deadline: Duration,
+    /// Filler that the answer is to hold.
+    pub answer_bytes: usize,
+    pub body: Bytes,
+}
+
+/// How callers go about a request that did not succeed.
+#[derive(Debug, Clone)]
+pub struct CallRules {
+    /// Time from the first sending after which a caller gives up.
+    pub patience: Duration,
+    /// Beyond the deadline, the longest that a caller waits for the end of one sending.
+    pub margin: Duration,
+    /// Time until the next sending where the agent names none.
+    pub resend_after: Duration,
+    /// Whether anything is sent more than once.
+    pub resend: bool,
+}
+
+impl Default for CallRules {
+    fn default() -> CallRules {
+        CallRules {
+            patience: Duration::from_secs(10),
+            margin: Duration::from_millis(250),
+            resend_after: Duration::from_millis(25),
+            resend: true,
+        }
+    }
+}
+
+/// A caller that knows the addresses of some agents.
+pub struct Caller {
+    pub client: AgentClient,
+    pub targets: Vec<SocketAddr>,
+    pub rules: CallRules,
+}
+
+/// What a caller does after a sending.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Next {
+    Done,
+    /// Send again through the same agent.
+    Same,
+    /// Send again through another one.
+    Other,
+}
+
+impl Caller {
+    /// Sends a request until its end is known or patience runs out.
+    pub async fn call(&self, request: &CallRequest, first_target: usize) -> CallRecord {
+        let mut rng = Pcg64Mcg::seed_from_u64(request.id.0 as u64);
+        let first_sent = Instant::now();
+        let mut target = first_target;
+        let mut attempts: Vec<Attempt> = Vec::new();
+        loop {
+            let age = (!attempts.is_empty()).then(|| first_sent.elapsed());
+            let address = self.targets[target % self.targets.len()];
+            let sent_ns = wall_ns();
+            let patience = request.deadline + self.rules.margin;
+            let Ending { result, retry_after } =
+                self.client.attempt(address, request, age, patience).await;
+            let next = next(&result, request.idempotent);
+            let ended_ns = wall_ns();
+            attempts.push(Attempt { target: address, sent_ns, ended_ns, result });
+            if next == Next::Done || !self.rules.resend {
+                break;
+            }
+            if next == Next::Other {
+                target += 1;
+            }
+            let jitter = rng.random_range(1.0..2.0);
+            let wait = retry_after.unwrap_or_else(|| self.rules.resend_after.mul_f64(jitter));
+            if first_sent.elapsed() + wait > self.rules.patience {
+                break;
+            }
+            sleep(wait).await;
+        }
+        CallRecord {
+            id: request.id,
+            service: request.service.clone(),
+            key: request.key.clone(),
+            class: request.class.clone(),
+            idempotent: request.idempotent,
+            outcome: final_outcome(&attempts),
+            attempts,
+        }
+    }
+}
+
+/// The same id makes it safe to ask again after a lost connection; an unknown end of a request that
+/// may not be repeated is left to people.
+pub(crate) fn next(result: &AttemptResult, idempotent: bool) -> Next {
+    match result {
+        AttemptResult::Answered | AttemptResult::Crossed => Next::Done,
+        AttemptResult::NotRun { reason } if reason == "bad-request" => Next::Done,
+        AttemptResult::NotRun { .. } => Next::Same,
+        AttemptResult::Unknown { .. } if idempotent => Next::Same,
+        AttemptResult::Unknown { .. } => Next::Done,
+        AttemptResult::NotConnected
+        | AttemptResult::ConnectionLost
+        | AttemptResult::TimedOut
+        | AttemptResult::Broken
+        | AttemptResult::NoOutcome { .. } => Next::Other,
+    }
+}
+
+/// What the caller holds to be true in the end.
+pub(crate) fn final_outcome(attempts: &[Attempt]) -> FinalOutcome {
+    let is_safe = |it: &Attempt| {
+        matches!(it.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
+    };
+    match attempts.last().map(|it| &it.result) {
+        Some(AttemptResult::Answered | AttemptResult::Crossed) => FinalOutcome::Answered,
+        Some(AttemptResult::NotRun { .. }) => FinalOutcome::NotRun,
+        Some(AttemptResult::Unknown { .. }) => FinalOutcome::Unknown,
+        Some(AttemptResult::NotConnected) if attempts.iter().all(is_safe) => FinalOutcome::NotRun,
+        _ => FinalOutcome::Lost,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/caller/load.rs
@@ -0,0 +1,168 @@
+//! Many callers that start at the same instant.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use anyhow::Context;
+use bytes::Bytes;
+use model::RequestId;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+use super::{AgentClient, CallRequest, CallRules, Caller, RouteMix};
+use crate::journal::{CallRecord, JournalWriter};
+
+/// How fast callers send.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Pace {
+    /// Each caller sends its next request once the former has ended.
+    Closed,
+    /// All callers together send at this rate, whatever the answers.
+    Rate { requests_per_s: f64 },
+}
+
+/// A load on one service.
+#[derive(Debug, Clone)]
+pub struct Load {
+    pub service: String,
+    pub targets: Vec<SocketAddr>,
+    pub callers: usize,
+    pub pace: Pace,
+    pub duration: Duration,
+    pub routes: Vec<RouteMix>,
+    pub keys: Vec<String>,
+    /// Share of the requests that goes to the first key.
+    pub hot_share: f64,
+    pub answer_bytes: usize,
+    pub deadline: Duration,
+    pub rules: CallRules,
+    pub seed: u64,
+    /// File of the journal; empty: none.
+    pub journal: String,
+}
+
+/// What became of a load.
+#[derive(Debug, Clone, Default)]
+pub struct LoadReport {
+    /// In the order of their ends.
+    pub records: Vec<CallRecord>,
+}
+
+struct Shared {
+    load: Load,
+    caller: Caller,
+    journal: JournalWriter,
+    records: Mutex<Vec<CallRecord>>,
+}
+
+/// Runs a load from an instant on and waits for its last request.
+pub async fn run_load(load: Load, start: Instant) -> anyhow::Result<LoadReport> {
+    anyhow::ensure!(!load.targets.is_empty(), "a load needs an agent to call");
+    anyhow::ensure!(!load.keys.is_empty() && !load.routes.is_empty(), "a load needs keys, routes");
+    let client = AgentClient::new()?;
+    let shared = Arc::new(Shared {
+        caller: Caller { client, targets: load.targets.clone(), rules: load.rules.clone() },
+        journal: JournalWriter::open(&load.journal)?,
+        records: Mutex::default(),
+        load,
+    });
+    let mut callers = JoinSet::new();
+    for index in 0..shared.load.callers {
+        callers.spawn(run_caller(Arc::clone(&shared), index, start));
+    }
+    while let Some(ended) = callers.join_next().await {
+        ended.context("a caller broke off")??;
+    }
+    let records = std::mem::take(&mut *shared.lock_records());
+    Ok(LoadReport { records })
+}
+
+async fn run_caller(shared: Arc<Shared>, index: usize, start: Instant) -> anyhow::Result<()> {
+    let load = &shared.load;
+    let mut rng = Pcg64Mcg::seed_from_u64(load.seed ^ ((index as u64) << 32));
+    let end = start + load.duration;
+    sleep_until(start).await;
+    match load.pace {
+        Pace::Closed => {
+            while Instant::now() < end {
+                let request = load.draw(&mut rng);
+                shared.send(request, index).await?;
+            }
+        }
+        Pace::Rate { requests_per_s } => {
+            let interval = Duration::from_secs_f64(load.callers as f64 / requests_per_s);
+            // Callers are spread over one interval; the first requests come at once.
+            let offset = interval.mul_f64(index as f64 / load.callers as f64);
+            let mut due = start + offset;
+            let mut calls = JoinSet::new();
+            while due < end {
+                sleep_until(due).await;
+                let request = load.draw(&mut rng);
+                let shared = Arc::clone(&shared);
+                calls.spawn(async move { shared.send(request, index).await });
+                due += interval;
+                while let Some(ended) = calls.try_join_next() {
+                    ended.context("a call broke off")??;
+                }
+            }
+            while let Some(ended) = calls.join_next().await {
+                ended.context("a call broke off")??;
+            }
+        }
+    }
+    Ok(())
+}
+
+impl Shared {
+    async fn send(&self, request: CallRequest, first_target: usize) -> anyhow::Result<()> {
+        let record = self.caller.call(&request, first_target).await;
+        self.journal.append(&record)?;
+        self.lock_records().push(record);
+        Ok(())
+    }
+
+    fn lock_records(&self) -> std::sync::MutexGuard<'_, Vec<CallRecord>> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Load {
+    fn draw(&self, rng: &mut Pcg64Mcg) -> CallRequest {
+        let route = self.draw_route(rng);
+        let key = match rng.random_bool(self.hot_share) {
+            true => &self.keys[0],
+            false => &self.keys[rng.random_range(0..self.keys.len())],
+        };
+        CallRequest {
+            id: RequestId(rng.random()),
+            method: route.method.clone(),
+            service: self.service.clone(),
+            path: route.path.replace("{key}", key),
+            key: key.clone(),
+            class: route.class().to_owned(),
+            idempotent: route.idempotent,
+            deadline: self.deadline,
+            answer_bytes: self.answer_bytes,
+            body: Bytes::new(),
+        }
+    }
+
+    /// Routes are drawn in proportion to their shares.
+    fn draw_route(&self, rng: &mut Pcg64Mcg) -> &RouteMix {
+        let total: f64 = self.routes.iter().map(|it| it.share).sum();
+        let mut rest = rng.random_range(0.0..1.0) * total;
+        let last = self.routes.len() - 1;
+        let found = self.routes.iter().position(|it| {
+            rest -= it.share;
+            rest < 0.0
+        });
+        &self.routes[found.unwrap_or(last)]
+    }
+}
--- /dev/null
+++ b/crates/standins/src/caller/options.rs
@@ -0,0 +1,126 @@
+//! Flags of `standin-caller`.
+
+use std::{collections::BTreeMap, str::FromStr, time::Duration};
+
+use anyhow::Context;
+use http::Method;
+use tokio::time::Instant;
+
+use super::{CallRules, Load, LoadReport, Pace, run_load};
+
+/// One kind of request within a load.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteMix {
+    pub method: Method,
+    /// `/SERVICE/...`, with `{key}` where the key stands.
+    pub path: String,
+    pub idempotent: bool,
+    /// Share among the routes of the load; they need not add up to one.
+    pub share: f64,
+}
+
+impl RouteMix {
+    /// The last segment of the path.
+    pub fn class(&self) -> &str {
+        self.path.rsplit('/').next().unwrap_or_default()
+    }
+}
+
+impl FromStr for RouteMix {
+    type Err = anyhow::Error;
+
+    /// Parses `METHOD:PATH:repeat|once:SHARE`.
+    fn from_str(text: &str) -> anyhow::Result<RouteMix> {
+        let parts: Vec<&str> = text.split(':').collect();
+        let [method, path, repeat, share] = parts[..] else {
+            anyhow::bail!("a route is METHOD:PATH:repeat|once:SHARE, not {text:?}");
+        };
+        let idempotent = match repeat {
+            "repeat" => true,
+            "once" => false,
+            other => anyhow::bail!("a request is sent repeat or once, not {other:?}"),
+        };
+        Ok(RouteMix {
+            method: method.parse().context("the method of a route")?,
+            path: path.to_owned(),
+            idempotent,
+            share: share.parse().context("the share of a route")?,
+        })
+    }
+}
+
+/// Flags of `standin-caller`.
+#[derive(Debug, gumdrop::Options)]
+pub struct CallerOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "caller addresses of agents, IP:PORT,IP:PORT", required)]
+    pub targets: String,
+    #[options(help = "the service to call", required)]
+    pub service: String,
+    #[options(help = "METHOD:PATH:repeat|once:SHARE, may be given again", required)]
+    pub route: Vec<RouteMix>,
+    #[options(no_short, help = "callers that start at once", default = "100")]
+    pub callers: usize,
+    #[options(no_short, help = "total rate; 0: each waits for its answer", default = "0")]
+    pub requests_per_s: f64,
+    #[options(no_short, help = "how long they send", default = "10000")]
+    pub duration_ms: u64,
+    #[options(no_short, help = "number of keys", default = "100")]
+    pub keys: usize,
+    #[options(no_short, help = "share of requests on the first key", default = "0")]
+    pub hot_share: f64,
+    #[options(no_short, help = "filler in each answer", default = "64")]
+    pub answer_bytes: usize,
+    #[options(no_short, help = "time for one sending", default = "1000")]
+    pub deadline_ms: u64,
+    #[options(no_short, help = "time until a caller gives up", default = "10000")]
+    pub patience_ms: u64,
+    #[options(no_short, help = "seed of keys, routes and ids", default = "1")]
+    pub seed: u64,
+    #[options(no_short, help = "file of the journal; empty: none")]
+    pub journal: String,
+}
+
+impl TryFrom<CallerOptions> for Load {
+    type Error = anyhow::Error;
+
+    fn try_from(options: CallerOptions) -> anyhow::Result<Load> {
+        let targets = options.targets.split(',').map(|it| it.parse().context("--targets"));
+        let pace = match options.requests_per_s {
+            rate if rate > 0.0 => Pace::Rate { requests_per_s: rate },
+            _ => Pace::Closed,
+        };
+        let patience = Duration::from_millis(options.patience_ms);
+        Ok(Load {
+            targets: targets.collect::<anyhow::Result<_>>()?,
+            service: options.service,
+            callers: options.callers,
+            pace,
+            duration: Duration::from_millis(options.duration_ms),
+            routes: options.route,
+            keys: (0..options.keys).map(|it| format!("key-{it}")).collect(),
+            hot_share: options.hot_share,
+            answer_bytes: options.answer_bytes,
+            deadline: Duration::from_millis(options.deadline_ms),
+            rules: CallRules { patience, ..CallRules::default() },
+            seed: options.seed,
+            journal: options.journal,
+        })
+    }
+}
+
+/// Runs the load and tells how many requests came to which end.
+pub async fn run(options: CallerOptions) -> anyhow::Result<String> {
+    let report = run_load(Load::try_from(options)?, Instant::now()).await?;
+    Ok(summary(&report))
+}
+
+fn summary(report: &LoadReport) -> String {
+    let mut outcomes: BTreeMap<String, usize> = BTreeMap::new();
+    for record in &report.records {
+        *outcomes.entry(format!("{:?}", record.outcome)).or_default() += 1;
+    }
+    let sendings: usize = report.records.iter().map(|it| it.attempts.len()).sum();
+    format!("requests {}, sendings {sendings}, {outcomes:?}", report.records.len())
+}
--- /dev/null
+++ b/crates/standins/src/platform/server.rs
@@ -0,0 +1,295 @@
+//! The HTTP of the object API over the store.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, Method, StatusCode,
+    header::{CONTENT_TYPE, HeaderName},
+    request::Parts,
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{Instant, sleep, timeout_at},
+};
+use volo::net::incoming::DefaultIncoming;
+use volo_http::{
+    body::BodyConversion,
+    request::Request,
+    response::Response,
+    server::{Router, Server},
+};
+
+use super::{
+    faults::{Counts, Faults},
+    store::{Conflict, Entry, Store},
+};
+use crate::http::{answer, bind, hang_up, json, print_address, with_header};
+
+const VERSION: HeaderName = HeaderName::from_static("x-object-version");
+const EXPECTED_VERSION: HeaderName = HeaderName::from_static("if-object-version");
+const REVISION: HeaderName = HeaderName::from_static("x-revision");
+/// The largest value of an object.
+const BODY_MAX_BYTES: usize = 1 << 20;
+/// The longest that a watch waits.
+const WATCH_MAX: Duration = Duration::from_secs(300);
+
+/// Flags of `standin-platform`.
+#[derive(Debug, gumdrop::Options)]
+pub struct PlatformOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "IP:PORT to listen at; port 0 takes a free one", default = "127.0.0.1:0")]
+    pub listen: String,
+}
+
+/// Serves until a signal ends the process.
+pub async fn run(options: PlatformOptions) -> anyhow::Result<()> {
+    let address: SocketAddr = options.listen.parse()?;
+    let (listener, bound) = bind(address).await?;
+    print_address(bound)?;
+    serve(listener).await
+}
+
+/// Serves an empty store at a listener.
+pub(crate) async fn serve(listener: TcpListener) -> anyhow::Result<()> {
+    let server = Arc::new(PlatformServer::new());
+    let handler = {
+        let server = Arc::clone(&server);
+        move |request: Request| async move {
+            let (parts, body) = request.into_parts();
+            match body.into_bytes().await {
+                Ok(body) => server.call(parts, body).await,
+                Err(_) => answer(StatusCode::BAD_REQUEST, "the body broke off"),
+            }
+        }
+    };
+    Server::new(Router::new().fallback(handler))
+        // Nothing has to outlive the process, so waiting watches are not waited for.
+        .register_shutdown_hook(|| Box::pin(async { std::process::exit(0) }))
+        .run(DefaultIncoming::from(listener))
+        .await
+        .map_err(|error| anyhow::anyhow!("serving: {error}"))
+}
+
+struct PlatformServer {
+    state: Mutex<State>,
+    /// The store's revision, for waiting watches.
+    revision: watch::Sender<u64>,
+    faults: watch::Sender<Faults>,
+}
+
+#[derive(Default)]
+struct State {
+    store: Store,
+    counts: Counts,
+}
+
+struct WatchQuery {
+    after: u64,
+    wait_ms: u64,
+}
+
+/// Counts a waiting watch for as long as it lives.
+struct WaitingWatch<'a>(&'a PlatformServer);
+
+impl<'a> WaitingWatch<'a> {
+    fn new(server: &'a PlatformServer) -> WaitingWatch<'a> {
+        server.state().counts.watches_waiting += 1;
+        WaitingWatch(server)
+    }
+}
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        self.0.state().counts.watches_waiting -= 1;
+    }
+}
+
+impl PlatformServer {
+    fn new() -> PlatformServer {
+        PlatformServer {
+            state: Mutex::default(),
+            revision: watch::Sender::new(0),
+            faults: watch::Sender::default(),
+        }
+    }
+
+    /// A connection dropped on purpose never holds the lock, so a poisoned one is sound.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn call(&self, parts: Parts, body: Bytes) -> Response {
+        let Parts { method, uri, headers, .. } = parts;
+        let path = uri.path().trim_start_matches('/');
+        match path {
+            "admin/fault" if method == Method::POST => return self.set_faults(&body),
+            "admin/counts" => return json(&self.state().counts),
+            _ => {}
+        }
+        self.fail_or_delay().await;
+        match path.split_once('/') {
+            Some(("objects", path)) if method == Method::GET => self.read(path),
+            Some(("objects", path)) if method == Method::PUT => {
+                self.update(path, &headers, Some(body))
+            }
+            Some(("objects", path)) if method == Method::DELETE => {
+                self.update(path, &headers, None)
+            }
+            Some(("list", prefix)) if method == Method::GET => self.list(prefix),
+            Some(("watch", prefix)) if method == Method::GET => {
+                self.watch(prefix, uri.query().unwrap_or("")).await
+            }
+            _ => answer(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    /// Takes over the fields that the body names and leaves the others.
+    fn set_faults(&self, body: &[u8]) -> Response {
+        let current = *self.faults.borrow();
+        match merge_faults(current, body) {
+            Ok(faults) => {
+                log::info!(target: "platform", "Faults are now {faults:?}.");
+                self.faults.send_replace(faults);
+                json(&faults)
+            }
+            Err(error) => answer(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
+    async fn fail_or_delay(&self) {
+        let faults = *self.faults.borrow();
+        if faults.slow_ms > 0 {
+            sleep(Duration::from_millis(faults.slow_ms)).await;
+        }
+        if self.faults.borrow().down {
+            hang_up();
+        }
+    }
+
+    fn read(&self, path: &str) -> Response {
+        let mut state = self.state();
+        state.counts.reads += 1;
+        match state.store.read(path) {
+            Some((version, body)) => with_header(answer(StatusCode::OK, body), VERSION, version),
+            None => answer(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
+    fn update(&self, path: &str, headers: &HeaderMap, body: Option<Bytes>) -> Response {
+        if body.as_ref().is_some_and(|it| it.len() > BODY_MAX_BYTES) {
+            return answer(StatusCode::PAYLOAD_TOO_LARGE, "a value has at most 1 MB");
+        }
+        let Ok(body) = body.map(|it| String::from_utf8(it.to_vec())).transpose() else {
+            return answer(StatusCode::BAD_REQUEST, "a value is UTF-8 text");
+        };
+        let expected = match headers.get(EXPECTED_VERSION).map(|it| it.to_str()) {
+            None => None,
+            Some(Ok(text)) if text.parse::<u64>().is_ok() => text.parse().ok(),
+            Some(_) => return answer(StatusCode::BAD_REQUEST, "if-object-version is a number"),
+        };
+        let written = self.write(path, expected, body);
+        match written {
+            Ok(_) if self.loses_answer() => hang_up(),
+            Ok(version) => with_header(answer(StatusCode::OK, ""), VERSION, version),
+            Err(Conflict { current }) => {
+                with_header(answer(StatusCode::CONFLICT, ""), VERSION, current)
+            }
+        }
+    }
+
+    fn write(
+        &self,
+        path: &str,
+        expected: Option<u64>,
+        body: Option<String>,
+    ) -> Result<u64, Conflict> {
+        let mut state = self.state();
+        state.counts.writes += 1;
+        let written = state.store.write(path, expected, body);
+        match written {
+            Ok(version) => {
+                self.revision.send_replace(version);
+            }
+            Err(_) => state.counts.conflicts += 1,
+        }
+        written
+    }
+
+    /// Whether this update's answer is one of those to be lost.
+    fn loses_answer(&self) -> bool {
+        self.faults.send_if_modified(|it| {
+            let lost = it.lose_answers > 0;
+            it.lose_answers = it.lose_answers.saturating_sub(1);
+            lost
+        })
+    }
+
+    fn list(&self, prefix: &str) -> Response {
+        let mut state = self.state();
+        state.counts.lists += 1;
+        entries(&state.store.list(prefix), state.store.revision())
+    }
+
+    async fn watch(&self, prefix: &str, query: &str) -> Response {
+        let Some(query) = parse_watch_query(query) else {
+            return answer(StatusCode::BAD_REQUEST, "a watch needs after and wait_ms");
+        };
+        self.state().counts.watches += 1;
+        let _waiting = WaitingWatch::new(self);
+        let deadline = Instant::now() + Duration::from_millis(query.wait_ms).min(WATCH_MAX);
+        let mut revision = self.revision.subscribe();
+        let mut faults = self.faults.subscribe();
+        loop {
+            revision.mark_unchanged();
+            if let Some(found) = self.changed(prefix, query.after) {
+                return found;
+            }
+            let event = timeout_at(deadline, async {
+                tokio::select! {
+                    _ = revision.changed() => {}
+                    _ = faults.wait_for(|it| it.down) => hang_up(),
+                }
+            });
+            if event.await.is_err() {
+                return answer(StatusCode::NO_CONTENT, "");
+            }
+        }
+    }
+
+    fn changed(&self, prefix: &str, after: u64) -> Option<Response> {
+        let state = self.state();
+        let changed = state.store.changed(prefix, after);
+        (!changed.is_empty()).then(|| entries(&changed, state.store.revision()))
+    }
+}
+
+fn entries(entries: &[Entry], revision: u64) -> Response {
+    let response = with_header(json(&entries), REVISION, revision);
+    with_header(response, CONTENT_TYPE, "application/json")
+}
+
+fn merge_faults(current: Faults, body: &[u8]) -> serde_json::Result<Faults> {
+    let mut merged = serde_json::to_value(current)?;
+    let named: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(body)?;
+    if let Some(fields) = merged.as_object_mut() {
+        fields.extend(named);
+    }
+    serde_json::from_value(merged)
+}
+
+fn parse_watch_query(query: &str) -> Option<WatchQuery> {
+    let value = |name: &str| {
+        query
+            .split('&')
+            .filter_map(|it| it.split_once('='))
+            .find_map(|(key, value)| (key == name).then(|| value.parse().ok())?)
+    };
+    Some(WatchQuery { after: value("after")?, wait_ms: value("wait_ms")? })
+}
--- /dev/null
+++ b/crates/standins/src/upstream/announce.rs
@@ -0,0 +1,72 @@
+//! Announcements to the agent beside the upstream.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Serialize;
+use tokio::time::{sleep, timeout};
+use volo_http::{body::Body, client::Client};
+
+use super::state::{Stage, Upstream};
+
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
+/// While the agent has not heard of a change yet.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(50);
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
+
+#[derive(Serialize)]
+struct Announcement<'a> {
+    service: &'a str,
+    address: SocketAddr,
+    state: Stage,
+    slots: u16,
+    checks_fence: bool,
+}
+
+/// Announces the upstream for ever, at once whenever its stage changes.
+pub(crate) async fn announce(upstream: &Upstream, agent: SocketAddr, address: SocketAddr) {
+    let client = match Client::builder().build() {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!(target: "upstream", "No HTTP client: {error}.");
+            return;
+        }
+    };
+    loop {
+        let stage = upstream.stage();
+        let heard = send(&client, upstream, agent, address, stage).await;
+        let wait = if heard { ANNOUNCE_EVERY } else { ANNOUNCE_AGAIN };
+        let changed = async {
+            while upstream.stage() == stage {
+                sleep(ANNOUNCE_AGAIN).await;
+            }
+        };
+        // Either the time or the change ends the wait.
+        let _ = timeout(wait, changed).await;
+    }
+}
+
+async fn send(
+    client: &Client,
+    upstream: &Upstream,
+    agent: SocketAddr,
+    address: SocketAddr,
+    state: Stage,
+) -> bool {
+    upstream.thaw().await;
+    let announcement = Announcement {
+        service: &upstream.config.service,
+        address,
+        state,
+        slots: upstream.config.slots,
+        checks_fence: upstream.config.checks_fence,
+    };
+    let Ok(body) = serde_json::to_vec(&announcement) else { return false };
+    let request = client
+        .post(format!("http://{agent}/upstream/announce"))
+        .header("content-type", "application/json")
+        .body(Body::from(body));
+    matches!(
+        timeout(ANNOUNCE_TIMEOUT, request.send()).await,
+        Ok(Ok(response)) if response.status().is_success()
+    )
+}
--- /dev/null
+++ b/crates/standins/src/upstream/control.rs
@@ -0,0 +1,119 @@
+//! The control port: health, load, grants, preparation, cancellation and faults.
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use model::{RequestId, Slot};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep_until;
+use volo_http::response::Response;
+
+use super::{
+    execution::parse_token,
+    state::{FaultRequest, Stage, Upstream},
+};
+use crate::http::{answer, json};
+
+#[derive(Serialize)]
+struct Health {
+    state: Stage,
+    slots: u16,
+}
+
+#[derive(Serialize)]
+struct Load {
+    in_flight: usize,
+    queued: usize,
+}
+
+#[derive(Deserialize)]
+struct Grant {
+    slot: Slot,
+    token: String,
+    until_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Prepare {
+    slot: Slot,
+}
+
+#[derive(Deserialize)]
+struct Cancel {
+    request_id: String,
+}
+
+/// Answers a call of the control port; `None` if the path is not one.
+pub(crate) async fn control(
+    upstream: &Upstream,
+    method: &Method,
+    path: &str,
+    body: &Bytes,
+) -> Option<Response> {
+    if method == Method::POST && path == "/admin/fault" {
+        return Some(set_faults(upstream, body));
+    }
+    let call = path.strip_prefix("/control/")?;
+    upstream.thaw().await;
+    let response = match call {
+        "health" if method == Method::GET => {
+            let report = upstream.report();
+            json(&Health { state: report.stage, slots: upstream.config.slots })
+        }
+        "load" if method == Method::GET => {
+            let report = upstream.report();
+            json(&Load { in_flight: report.in_flight, queued: report.queued })
+        }
+        "grant" if method == Method::POST => grant(body),
+        "prepare" if method == Method::POST => prepare(upstream, body).await,
+        "cancel" if method == Method::POST => cancel(upstream, body),
+        _ => answer(StatusCode::NOT_FOUND, "no such call"),
+    };
+    Some(response)
+}
+
+fn set_faults(upstream: &Upstream, body: &[u8]) -> Response {
+    match serde_json::from_slice::<FaultRequest>(body) {
+        Ok(request) => {
+            upstream.set_faults(request);
+            answer(StatusCode::OK, "")
+        }
+        Err(error) => answer(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
+
+/// Tokens are checked where requests carry them; a grant alone changes nothing here.
+fn grant(body: &[u8]) -> Response {
+    match serde_json::from_slice::<Grant>(body) {
+        Ok(grant) if parse_token(&grant.token).is_some() => {
+            log::debug!(
+                target: "upstream",
+                "Granted slot {} with token {} for {} ms.", grant.slot, grant.token, grant.until_ms
+            );
+            answer(StatusCode::OK, "")
+        }
+        Ok(_) => answer(StatusCode::BAD_REQUEST, "a token is TERM.SEQUENCE"),
+        Err(error) => answer(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
+
+async fn prepare(upstream: &Upstream, body: &[u8]) -> Response {
+    let Ok(prepare) = serde_json::from_slice::<Prepare>(body) else {
+        return answer(StatusCode::BAD_REQUEST, "prepare needs a slot");
+    };
+    sleep_until(upstream.ready_at()).await;
+    log::debug!(target: "upstream", "Prepared slot {}.", prepare.slot);
+    answer(StatusCode::OK, "")
+}
+
+fn cancel(upstream: &Upstream, body: &[u8]) -> Response {
+    let id = serde_json::from_slice::<Cancel>(body)
+        .ok()
+        .and_then(|it| u128::from_str_radix(&it.request_id, 16).ok());
+    match id {
+        Some(id) => {
+            upstream.cancel(RequestId(id));
+            answer(StatusCode::OK, "")
+        }
+        None => answer(StatusCode::BAD_REQUEST, "cancel needs a hexadecimal request_id"),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/upstream/execution.rs
@@ -0,0 +1,185 @@
+//! One request: refused, or run in a slot until it ends, is cancelled or meets its deadline.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{HeaderMap, StatusCode, Uri, header::HeaderName};
+use model::{REQUEST_ID_HEADER, RequestId, TOKEN_HEADER, Term, Token};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep_until, timeout_at},
+};
+use volo_http::response::Response;
+
+use super::state::{Stage, Upstream};
+use crate::{
+    answer::{ANSWER_BYTES, KEY, encode_answer},
+    http::{answer, with_header},
+    journal::{RefusedReason, RunEnd, RunEntry, wall_ns},
+};
+
+const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+/// The deadline of a request that names none.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
+
+/// What a request says of itself.
+struct Call {
+    id: RequestId,
+    key: String,
+    /// The last segment of the path.
+    class: String,
+    token: Option<Token>,
+    deadline: Instant,
+    answer_bytes: usize,
+}
+
+/// A started run. Dropped before its end, which is what a closed connection does, it is cancelled.
+struct Run<'a> {
+    upstream: &'a Upstream,
+    id: RequestId,
+    run: u64,
+    cancelled: Arc<Notify>,
+    ended: bool,
+}
+
+pub(crate) async fn execute(upstream: &Upstream, uri: &Uri, headers: &HeaderMap) -> Response {
+    let Some(call) = Call::parse(uri, headers) else {
+        return answer(StatusCode::BAD_REQUEST, "a request needs x-request-id and x-key");
+    };
+    upstream.thaw().await;
+    let _taken = upstream.take();
+    if let Some(reason) = refusal(upstream, &call) {
+        return refuse(upstream, &call, reason);
+    }
+    let Ok(Ok(_slot)) = timeout_at(call.deadline, upstream.slots.acquire()).await else {
+        return refuse(upstream, &call, RefusedReason::DeadlineExceeded);
+    };
+    match () {
+        _ if call.token.is_some_and(|it| !upstream.passes_fence(&call.key, it)) => {
+            refuse(upstream, &call, RefusedReason::Fenced)
+        }
+        _ if call.deadline <= Instant::now() => {
+            refuse(upstream, &call, RefusedReason::DeadlineExceeded)
+        }
+        _ => Run::start(upstream, &call).finish(&call).await,
+    }
+}
+
+fn refusal(upstream: &Upstream, call: &Call) -> Option<RefusedReason> {
+    match () {
+        _ if upstream.stage() == Stage::Starting => Some(RefusedReason::Starting),
+        _ if upstream.is_closed() => Some(RefusedReason::Draining),
+        _ if upstream.taken() > upstream.config.connections_max => Some(RefusedReason::Connections),
+        _ if upstream.sheds() || upstream.taken() > upstream.config.shed_above => {
+            Some(RefusedReason::Shed)
+        }
+        _ if upstream.config.checks_fence && call.token.is_none() => Some(RefusedReason::Fenced),
+        _ => None,
+    }
+}
+
+fn refuse(upstream: &Upstream, call: &Call, reason: RefusedReason) -> Response {
+    let (id, key) = (call.id, call.key.clone());
+    upstream.record(&RunEntry::Refused { at_ns: wall_ns(), id, key, reason });
+    with_header(answer(StatusCode::SERVICE_UNAVAILABLE, "not run"), NOT_RUN, 1)
+}
+
+impl Call {
+    fn parse(uri: &Uri, headers: &HeaderMap) -> Option<Call> {
+        let text = |name: &str| headers.get(name)?.to_str().ok();
+        let id = RequestId(u128::from_str_radix(text(REQUEST_ID_HEADER)?, 16).ok()?);
+        let deadline = match text(DEADLINE.as_str()) {
+            Some(ms) => Duration::from_millis(ms.parse().ok()?),
+            None => DEADLINE_DEFAULT,
+        };
+        Some(Call {
+            id,
+            key: text(KEY.as_str())?.to_owned(),
+            class: uri.path().rsplit('/').next().unwrap_or_default().to_owned(),
+            token: text(TOKEN_HEADER).and_then(parse_token),
+            deadline: Instant::now() + deadline,
+            answer_bytes: text(ANSWER_BYTES.as_str()).and_then(|it| it.parse().ok()).unwrap_or(0),
+        })
+    }
+}
+
+/// Parses `TERM.SEQUENCE`.
+pub(crate) fn parse_token(text: &str) -> Option<Token> {
+    let (term, sequence) = text.split_once('.')?;
+    Some(Token { term: Term(term.parse().ok()?), sequence: sequence.parse().ok()? })
+}
+
+impl<'a> Run<'a> {
+    fn start(upstream: &'a Upstream, call: &Call) -> Run<'a> {
+        let (run, cancelled) = upstream.begin_run(call.id);
+        upstream.record(&RunEntry::Started {
+            at_ns: wall_ns(),
+            run,
+            id: call.id,
+            key: call.key.clone(),
+            class: call.class.clone(),
+            token: call.token.map(|it| it.to_string()),
+        });
+        Run { upstream, id: call.id, run, cancelled, ended: false }
+    }
+
+    async fn finish(mut self, call: &Call) -> Response {
+        let started_ns = wall_ns();
+        let started = Instant::now();
+        let end = self.work(call.deadline).await;
+        // After a freeze nothing more takes effect, so the run ended at its deadline.
+        let at_ns = match end {
+            RunEnd::DeadlineExceeded => {
+                let until = u64::try_from((call.deadline - started).as_nanos()).unwrap_or(u64::MAX);
+                wall_ns().min(started_ns.saturating_add(until))
+            }
+            _ => wall_ns(),
+        };
+        self.end(at_ns, end);
+        match end {
+            RunEnd::Ran => {
+                let body = encode_answer(call.id, &call.key, call.answer_bytes);
+                let response = answer(StatusCode::OK, body);
+                with_header(response, KEY, &call.key)
+            }
+            RunEnd::Cancelled => answer(StatusCode::INTERNAL_SERVER_ERROR, "cancelled"),
+            RunEnd::DeadlineExceeded => answer(StatusCode::GATEWAY_TIMEOUT, "deadline exceeded"),
+        }
+    }
+
+    /// The deadline is looked at first: a process that was frozen past it does nothing more.
+    async fn work(&self, deadline: Instant) -> RunEnd {
+        let done = Instant::now() + self.upstream.draw_service_time();
+        let work = async {
+            if done > Instant::now() {
+                sleep_until(done).await;
+            }
+            self.upstream.thaw().await;
+        };
+        let end = tokio::select! {
+            biased;
+            _ = self.cancelled.notified() => RunEnd::Cancelled,
+            _ = sleep_until(deadline) => RunEnd::DeadlineExceeded,
+            _ = work => RunEnd::Ran,
+        };
+        if end == RunEnd::Ran && Instant::now() >= deadline {
+            RunEnd::DeadlineExceeded
+        } else {
+            end
+        }
+    }
+
+    fn end(&mut self, at_ns: u64, end: RunEnd) {
+        self.ended = true;
+        self.upstream.end_run(self.id);
+        self.upstream.record(&RunEntry::Ended { at_ns, run: self.run, end });
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(wall_ns(), RunEnd::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/upstream/server.rs
@@ -0,0 +1,69 @@
+//! The HTTP server of an upstream and its graceful stop.
+
+use std::{sync::Arc, time::Duration};
+
+use http::StatusCode;
+use tokio::{net::TcpListener, time::sleep};
+use volo::net::incoming::DefaultIncoming;
+use volo_http::{
+    body::BodyConversion,
+    request::Request,
+    server::{Router, Server},
+};
+
+use super::{
+    announce::announce,
+    control::control,
+    execution::execute,
+    options::{Config, UpstreamOptions},
+    state::Upstream,
+};
+use crate::http::{answer, bind, print_address};
+
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// For the last answers to leave the process.
+const LINGER: Duration = Duration::from_millis(100);
+
+/// Serves until a signal ends the process: announces that it leaves, stays open for a while,
+/// finishes what is in flight and exits.
+pub async fn run(options: UpstreamOptions) -> anyhow::Result<()> {
+    let config = Config::try_from(options)?;
+    let (listener, address) = bind(config.listen).await?;
+    let upstream = Arc::new(Upstream::new(config)?);
+    print_address(address)?;
+    if let Some(agent) = upstream.config.agent {
+        let upstream = Arc::clone(&upstream);
+        tokio::spawn(async move { announce(&upstream, agent, address).await });
+    }
+    serve(listener, upstream).await
+}
+
+pub(crate) async fn serve(listener: TcpListener, upstream: Arc<Upstream>) -> anyhow::Result<()> {
+    let handler = {
+        let upstream = Arc::clone(&upstream);
+        move |request: Request| async move {
+            let (parts, body) = request.into_parts();
+            let Ok(body) = body.into_bytes().await else {
+                return answer(StatusCode::BAD_REQUEST, "the body broke off");
+            };
+            match control(&upstream, &parts.method, parts.uri.path(), &body).await {
+                Some(response) => response,
+                None => execute(&upstream, &parts.uri, &parts.headers).await,
+            }
+        }
+    };
+    Server::new(Router::new().fallback(handler))
+        .register_shutdown_hook(move || Box::pin(async move { stop(&upstream).await }))
+        .run(DefaultIncoming::from(listener))
+        .await
+        .map_err(|error| anyhow::anyhow!("serving: {error}"))
+}
+
+async fn stop(upstream: &Upstream) {
+    upstream.drain();
+    while !upstream.is_closed() || upstream.taken() > 0 {
+        sleep(DRAIN_POLL).await;
+    }
+    sleep(LINGER).await;
+    std::process::exit(0);
+}
