Settings and service documents: schema, rules across fields, routes, shared objects

A document is checked in three steps: syntax with places, form against the JSON schema of its raw types, rules across fields. All problems of a step are reported together, each with line, column, field and a sentence. Accepted versions are the object versions of services/S, so operators read one number everywhere.

--- /dev/null
+++ b/crates/settings/src/agent_settings.rs
@@ -0,0 +1,206 @@
+//! What an agent is told when it starts.
+
+use std::net::SocketAddr;
+
+use model::{InstanceName, ServiceName, TeamName, Zone};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    parse::{Parsed, parse, schema_of},
+    problem::Problems,
+};
+
+/// The shortest secret that links between agents may rest on, in bytes.
+const LINK_KEY_MIN_BYTES: usize = 16;
+
+/// Checked settings of one agent.
+#[derive(Clone, PartialEq)]
+pub struct AgentSettings {
+    pub instance: InstanceName,
+    pub zone: Zone,
+    pub team: TeamName,
+    pub service: ServiceName,
+    /// Where callers and the local upstream connect.
+    pub caller_address: SocketAddr,
+    /// Where other agents hand requests on.
+    pub traffic_address: SocketAddr,
+    /// Where other agents exchange leases.
+    pub control_address: SocketAddr,
+    pub metrics_address: SocketAddr,
+    pub platform_address: SocketAddr,
+    /// The secret that all agents share; never printed.
+    pub link_key: String,
+    /// Control addresses of other agents, asked while the platform is down.
+    pub peers: Vec<SocketAddr>,
+    pub traffic_threads: usize,
+    /// A filter for log lines, such as `info` or `info,gate=debug`.
+    pub log: String,
+}
+
+impl std::fmt::Debug for AgentSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AgentSettings")
+            .field("instance", &self.instance)
+            .field("zone", &self.zone)
+            .field("service", &self.service)
+            .field("control_address", &self.control_address)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The settings as they are written.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawAgentSettings {
+    /// The JSON schema of these settings, for editors.
+    #[serde(rename = "$schema", default)]
+    schema: Option<String>,
+    /// The name of this instance, unlike that of any other.
+    #[schemars(regex(pattern = "^[a-z0-9._-]{1,63}$"))]
+    instance: String,
+    /// The availability zone.
+    #[schemars(regex(pattern = "^[a-z0-9._-]{1,63}$"))]
+    zone: String,
+    #[schemars(regex(pattern = "^[a-z0-9._-]{1,63}$"))]
+    team: String,
+    /// The service whose upstream runs beside this agent.
+    #[schemars(regex(pattern = "^[a-z0-9._-]{1,63}$"))]
+    service: String,
+    /// `IP:PORT` for callers and the local upstream.
+    caller_address: String,
+    /// `IP:PORT` for requests that other agents hand on.
+    traffic_address: String,
+    /// `IP:PORT` for leases.
+    control_address: String,
+    /// `IP:PORT` for metrics.
+    metrics_address: String,
+    /// `IP:PORT` of the platform's object API.
+    platform_address: String,
+    /// The secret that all agents share: at least 16 bytes.
+    link_key: String,
+    /// `IP:PORT` of other agents' control addresses, asked while the platform is down.
+    #[serde(default)]
+    #[schemars(length(max = 64))]
+    peers: Vec<String>,
+    #[serde(default = "default_traffic_threads")]
+    #[schemars(range(min = 1, max = 64))]
+    traffic_threads: usize,
+    /// A filter for log lines, such as `info` or `info,gate=debug`.
+    #[serde(default = "default_log")]
+    log: String,
+}
+
+fn default_traffic_threads() -> usize {
+    2
+}
+
+fn default_log() -> String {
+    "info".to_owned()
+}
+
+impl AgentSettings {
+    /// Parses and checks settings in JSON with comments; reports all problems at once.
+    pub fn parse(text: &str) -> Result<AgentSettings, Problems> {
+        let mut problems = Problems::default();
+        let settings =
+            parse::<RawAgentSettings>(text, &mut problems).and_then(|it| check(&it, &mut problems));
+        problems.or(settings)
+    }
+
+    /// The JSON schema of the text.
+    pub fn json_schema() -> serde_json::Value {
+        schema_of::<RawAgentSettings>()
+    }
+}
+
+fn check(parsed: &Parsed<RawAgentSettings>, problems: &mut Problems) -> Option<AgentSettings> {
+    let raw = &parsed.raw;
+    let mut rules = Rules { parsed, problems };
+    rules.link_key();
+    let instance = rules.taken("instance", InstanceName::new(&raw.instance));
+    let zone = rules.taken("zone", Zone::new(&raw.zone));
+    let team = rules.taken("team", TeamName::new(&raw.team));
+    let service = rules.taken("service", ServiceName::new(&raw.service));
+    let caller = rules.address("caller_address", &raw.caller_address);
+    let traffic = rules.address("traffic_address", &raw.traffic_address);
+    let control = rules.address("control_address", &raw.control_address);
+    let metrics = rules.address("metrics_address", &raw.metrics_address);
+    let platform = rules.address("platform_address", &raw.platform_address);
+    rules.distinct(&[
+        ("caller_address", caller),
+        ("traffic_address", traffic),
+        ("control_address", control),
+        ("metrics_address", metrics),
+        ("platform_address", platform),
+    ]);
+    let peers = raw.peers.iter().enumerate();
+    let peers: Vec<Option<SocketAddr>> =
+        peers.map(|(index, it)| rules.address(&format!("peers[{index}]"), it)).collect();
+    Some(AgentSettings {
+        instance: instance?,
+        zone: zone?,
+        team: team?,
+        service: service?,
+        caller_address: caller?,
+        traffic_address: traffic?,
+        control_address: control?,
+        metrics_address: metrics?,
+        platform_address: platform?,
+        link_key: raw.link_key.clone(),
+        peers: peers.into_iter().collect::<Option<Vec<_>>>()?,
+        traffic_threads: raw.traffic_threads,
+        log: raw.log.clone(),
+    })
+}
+
+struct Rules<'a> {
+    parsed: &'a Parsed<RawAgentSettings>,
+    problems: &'a mut Problems,
+}
+
+impl Rules<'_> {
+    fn report(&mut self, field: &str, sentence: impl Into<String>) {
+        self.problems.push(self.parsed.source.position(field), field, sentence);
+    }
+
+    fn taken<T>(&mut self, field: &str, value: Result<T, model::NameError>) -> Option<T> {
+        value.map_err(|error| self.report(field, format!("{error}."))).ok()
+    }
+
+    fn link_key(&mut self) {
+        let len = self.parsed.raw.link_key.len();
+        if len < LINK_KEY_MIN_BYTES {
+            let sentence =
+                format!("{len} bytes are too few, at least {LINK_KEY_MIN_BYTES} are needed.");
+            self.report("link_key", sentence);
+        }
+    }
+
+    fn address(&mut self, field: &str, text: &str) -> Option<SocketAddr> {
+        match text.parse::<SocketAddr>() {
+            Ok(address) if address.port() == 0 => {
+                self.report(field, "a port of 1 to 65535 is needed.");
+                None
+            }
+            Ok(address) if address.ip().is_unspecified() => {
+                self.report(field, "peers reach this address, so it may not be unspecified.");
+                None
+            }
+            Ok(address) => Some(address),
+            Err(_) => {
+                self.report(field, format!("{text:?} is no IP:PORT; names are not looked up."));
+                None
+            }
+        }
+    }
+
+    fn distinct(&mut self, addresses: &[(&str, Option<SocketAddr>)]) {
+        for (index, (field, address)) in addresses.iter().enumerate() {
+            let same = addresses[..index].iter().find(|it| address.is_some() && it.1 == *address);
+            if let Some((first, _)) = same {
+                self.report(field, format!("the address is that of {first} already."));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/document/rules.rs
@@ -0,0 +1,283 @@
+//! Rules across fields, and the way from the raw document to the checked one.
+
+use std::collections::HashMap;
+
+use model::{ClassName, NameError, SlotCount};
+
+use super::{
+    Class, DrainLimits, KeySource, Method, OwnershipLimits, Route, ServiceDocument, TrafficLimits,
+    UpstreamTraits,
+    raw::{RawDocument, RawMethod, RawRoute},
+    route::PathPattern,
+};
+use crate::{parse::Parsed, problem::Problems, schema::hint, source::Source};
+
+/// Where the key is if a route of a service divided by key does not say.
+const DEFAULT_KEY_HEADER: &str = "x-key";
+
+/// Checks the rules across fields; the document is missing only if there are problems.
+pub(super) fn check(
+    parsed: &Parsed<RawDocument>,
+    problems: &mut Problems,
+) -> Option<ServiceDocument> {
+    let raw = &parsed.raw;
+    let mut rules = Rules { source: &parsed.source, problems };
+    rules.upstream(raw);
+    rules.ownership(raw);
+    rules.times(raw);
+    let service = rules.name("service", model::ServiceName::new(&raw.service));
+    let team = rules.name("team", model::TeamName::new(&raw.team));
+    let classes = rules.classes(raw);
+    let routes = rules.routes(raw);
+    Some(ServiceDocument {
+        service: service?,
+        team: team?,
+        keyed: raw.keyed,
+        slot_count: SlotCount::new(raw.slot_count).ok()?,
+        upstream: UpstreamTraits::from(&raw.upstream),
+        classes: classes?,
+        routes: routes?,
+        limits: TrafficLimits::from(&raw.limits),
+        ownership: OwnershipLimits::from(&raw.ownership),
+        drain: DrainLimits::from(&raw.drain),
+    })
+}
+
+/// Checks what a document may not change against the one that it follows.
+pub(super) fn check_change(
+    parsed: &Parsed<RawDocument>,
+    former: &ServiceDocument,
+    problems: &mut Problems,
+) {
+    let raw = &parsed.raw;
+    let mut rules = Rules { source: &parsed.source, problems };
+    rules.require(raw.service == former.service.as_str(), "service", || {
+        format!("the document is that of {}; another service needs one of its own.", former.service)
+    });
+    rules.require(raw.keyed == former.keyed, "keyed", || {
+        format!("may not change while the service runs; it is {}.", former.keyed)
+    });
+    let slot_count = former.slot_count.count();
+    rules.require(raw.slot_count == slot_count, "slot_count", || {
+        format!("may not change while the service runs; it is {slot_count}.")
+    });
+}
+
+struct Rules<'a> {
+    source: &'a Source,
+    problems: &'a mut Problems,
+}
+
+impl Rules<'_> {
+    fn report(&mut self, field: &str, sentence: impl Into<String>) {
+        self.problems.push(self.source.position(field), field, sentence);
+    }
+
+    fn require(&mut self, holds: bool, field: &str, sentence: impl FnOnce() -> String) {
+        if !holds {
+            self.report(field, sentence());
+        }
+    }
+
+    fn name<T>(&mut self, field: &str, name: Result<T, NameError>) -> Option<T> {
+        match name {
+            Ok(name) => Some(name),
+            Err(error) => {
+                self.report(field, format!("{error}."));
+                None
+            }
+        }
+    }
+
+    fn upstream(&mut self, raw: &RawDocument) {
+        let upstream = &raw.upstream;
+        self.require(
+            upstream.connections_max >= upstream.slots,
+            "upstream.connections_max",
+            || {
+                format!(
+                    "{} connections cannot fill {} slots.",
+                    upstream.connections_max, upstream.slots
+                )
+            },
+        );
+    }
+
+    fn ownership(&mut self, raw: &RawDocument) {
+        let it = &raw.ownership;
+        let lease = it.lease_ms;
+        self.require(it.renew_every_ms * 2 < lease, "ownership.renew_every_ms", || {
+            format!(
+                "two renewals must fit into a lease: less than {} ms, half of lease_ms.",
+                lease / 2
+            )
+        });
+        self.require(it.drift_margin_ms < it.renew_every_ms, "ownership.drift_margin_ms", || {
+            format!("must be less than renew_every_ms, {} ms.", it.renew_every_ms)
+        });
+        self.require(it.confirmation_ms < lease, "ownership.confirmation_ms", || {
+            format!("must be less than lease_ms, {lease} ms.")
+        });
+        self.require(
+            it.platform_confirmation_ms >= it.confirmation_ms,
+            "ownership.platform_confirmation_ms",
+            || format!("must be at least confirmation_ms, {} ms.", it.confirmation_ms),
+        );
+        self.require(it.pause_max_ms < lease, "ownership.pause_max_ms", || {
+            format!("must be less than lease_ms, {lease} ms.")
+        });
+        self.require(
+            it.takeover_after_ms > it.renew_every_ms,
+            "ownership.takeover_after_ms",
+            || format!("must be more than renew_every_ms, {} ms.", it.renew_every_ms),
+        );
+        self.require(
+            it.platform_absence_max_s * 1_000 > 2 * lease,
+            "ownership.platform_absence_max_s",
+            || format!("must be more than two leases of {lease} ms."),
+        );
+    }
+
+    fn times(&mut self, raw: &RawDocument) {
+        let longest =
+            |routes: &mut dyn Iterator<Item = &RawRoute>| routes.map(|it| it.deadline_ms).max();
+        let deadline_ms = longest(&mut raw.routes.iter()).unwrap_or(0);
+        self.require(raw.limits.queue_ms_max <= deadline_ms, "limits.queue_ms_max", || {
+            format!("nothing may wait longer than the longest deadline, {deadline_ms} ms.")
+        });
+        self.require(raw.drain.in_flight_ms_max >= deadline_ms, "drain.in_flight_ms_max", || {
+            format!("would cut off requests in flight: the longest deadline is {deadline_ms} ms.")
+        });
+        let once_ms = longest(&mut raw.routes.iter().filter(|it| !it.idempotent)).unwrap_or(0);
+        self.require(raw.limits.records_ms >= 2 * once_ms, "limits.records_ms", || {
+            format!("must be at least twice the deadline of routes not idempotent, {once_ms} ms.")
+        });
+    }
+
+    fn classes(&mut self, raw: &RawDocument) -> Option<Vec<Class>> {
+        let mut seen = HashMap::new();
+        let mut classes = Vec::new();
+        for (index, class) in raw.classes.iter().enumerate() {
+            let field = format!("classes[{index}].name");
+            if let Some(first) = seen.insert(&class.name, index) {
+                self.report(&field, format!("the class is the same as classes[{first}]."));
+            }
+            let name = self.name(&field, ClassName::new(&class.name));
+            classes.push(name.map(|name| Class { name, weight: class.weight }));
+        }
+        classes.into_iter().collect()
+    }
+
+    fn routes(&mut self, raw: &RawDocument) -> Option<Vec<Route>> {
+        let mut routes: Vec<Option<Route>> = Vec::new();
+        for (index, route) in raw.routes.iter().enumerate() {
+            let field = format!("routes[{index}]");
+            let checked = self.route(raw, route, &field);
+            if let Some(checked) = &checked {
+                self.reachable(&routes, checked, &field);
+            }
+            routes.push(checked);
+        }
+        routes.into_iter().collect()
+    }
+
+    fn route(&mut self, raw: &RawDocument, route: &RawRoute, field: &str) -> Option<Route> {
+        let path = match PathPattern::parse(&route.path) {
+            Ok(path) => Some(path),
+            Err(sentence) => {
+                self.report(&format!("{field}.path"), sentence);
+                None
+            }
+        };
+        let class = self.class(raw, route, &format!("{field}.class"));
+        let key = self.key(raw, route, path.as_ref(), &format!("{field}.key"));
+        Some(Route {
+            method: route.method.map(Method::from),
+            path: path?,
+            key: key?,
+            class: class?,
+            idempotent: route.idempotent,
+            deadline: std::time::Duration::from_millis(route.deadline_ms),
+        })
+    }
+
+    /// A route that no request can reach is a mistake in the order.
+    fn reachable(&mut self, earlier: &[Option<Route>], route: &Route, field: &str) {
+        let hides = |it: &Option<Route>| {
+            it.as_ref().is_some_and(|it| {
+                (it.method.is_none() || it.method == route.method) && it.path.covers(&route.path)
+            })
+        };
+        if let Some(first) = earlier.iter().position(hides) {
+            let sentence = format!("no request gets here: routes[{first}] takes all that would.");
+            self.report(field, sentence);
+        }
+    }
+
+    fn class(&mut self, raw: &RawDocument, route: &RawRoute, field: &str) -> Option<ClassName> {
+        let mut known = raw.classes.iter().map(|it| it.name.as_str());
+        if known.clone().any(|it| it == route.class) {
+            return ClassName::new(&route.class).ok();
+        }
+        let hint = hint(&route.class, &mut known);
+        self.report(field, format!("{:?} is not among classes{hint}", route.class));
+        None
+    }
+
+    /// The inner option is that of a service which is not divided by key.
+    fn key(
+        &mut self,
+        raw: &RawDocument,
+        route: &RawRoute,
+        path: Option<&PathPattern>,
+        field: &str,
+    ) -> Option<Option<KeySource>> {
+        let Some(key) = &route.key else {
+            return Some(raw.keyed.then(|| KeySource::Header(DEFAULT_KEY_HEADER.to_owned())));
+        };
+        match (&key.header, &key.segment) {
+            _ if !raw.keyed => {
+                self.report(field, "the service is not divided by key, so no route has one.");
+                None
+            }
+            (Some(header), None) => self.key_header(header, &format!("{field}.header")),
+            (None, Some(segment)) => self.key_segment(segment, path?, &format!("{field}.segment")),
+            _ => {
+                self.report(field, "the key is in a header or in a segment: name one of the two.");
+                None
+            }
+        }
+        .map(Some)
+    }
+
+    fn key_header(&mut self, header: &str, field: &str) -> Option<KeySource> {
+        let allowed = |it: char| it.is_ascii_alphanumeric() || it == '-' || it == '_';
+        if header.is_empty() || !header.chars().all(allowed) {
+            self.report(field, format!("{header:?} is no name of a header."));
+            return None;
+        }
+        Some(KeySource::Header(header.to_ascii_lowercase()))
+    }
+
+    fn key_segment(&mut self, name: &str, path: &PathPattern, field: &str) -> Option<KeySource> {
+        let index = path.index_of(name);
+        if index.is_none() {
+            let hint = hint(name, path.names());
+            self.report(field, format!("the path has no segment {{{name}}}{hint}"));
+        }
+        index.map(KeySource::Segment)
+    }
+}
+
+impl From<RawMethod> for Method {
+    fn from(method: RawMethod) -> Method {
+        match method {
+            RawMethod::Get => Method::Get,
+            RawMethod::Head => Method::Head,
+            RawMethod::Post => Method::Post,
+            RawMethod::Put => Method::Put,
+            RawMethod::Patch => Method::Patch,
+            RawMethod::Delete => Method::Delete,
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,28 @@
 //! Agent settings and service documents: JSON with comments, checked as a whole.
+//!
+//! A text goes through three steps: its values and where they stand ([`source`]), its form against
+//! the JSON schema of its type ([`schema`]), and rules across fields. All problems of a step are
+//! reported together; a later step runs only where the earlier one found none.
+
+mod agent_settings;
+mod document;
+mod objects;
+mod parse;
+mod problem;
+mod schema;
+mod source;
+
+#[cfg(test)]
+mod tests;
+
+pub use agent_settings::AgentSettings;
+pub use document::{
+    Class, DrainLimits, KeySource, Method, OwnershipLimits, Route, RouteError, RouteMatch,
+    ServiceDocument, TrafficLimits, UpstreamTraits,
+};
+pub use objects::{
+    Accepted, CoordinatorStatus, HotKeyStatus, InForce, Measures, MoveStatus, OwnerStatus, Refused,
+    Status, UpstreamStateName, UpstreamStatus, accepted_path, service_path, status_path,
+    status_prefix,
+};
+pub use problem::{Position, Problem, Problems};
--- /dev/null
+++ b/crates/settings/src/objects.rs
@@ -0,0 +1,179 @@
+//! Objects of the platform that agents and the operators' client share.
+//!
+//! - `services/S`: the document as its team wrote it, the text as it is.
+//! - `accepted/S`: [`Accepted`], the version in force; only rises.
+//! - `status/S/G`: [`Status`] of one group, written by its coordinator.
+
+use model::{
+    ConfigVersion, GroupId, InstanceName, KeyHash, ObjectVersion, ServiceName, Slot, Term, Token,
+    Zone,
+};
+use serde::{Deserialize, Serialize};
+
+/// Where a service's document is.
+pub fn service_path(service: &ServiceName) -> String {
+    format!("services/{service}")
+}
+
+/// Where the accepted document of a service is.
+pub fn accepted_path(service: &ServiceName) -> String {
+    format!("accepted/{service}")
+}
+
+/// Where the status of one group is.
+pub fn status_path(service: &ServiceName, group: GroupId) -> String {
+    format!("status/{service}/{group}")
+}
+
+/// What the status of all groups of a service begins with.
+pub fn status_prefix(service: &ServiceName) -> String {
+    format!("status/{service}/")
+}
+
+/// The document that is in force, or on its way to be.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Accepted {
+    pub service: ServiceName,
+    /// The object version of `services/S` from which it was accepted.
+    pub version: ConfigVersion,
+    /// The text as it was written.
+    pub document: String,
+}
+
+impl Accepted {
+    /// What `accepted/S` becomes when `services/S` has this version and text; none if that would
+    /// not raise the version.
+    pub fn raised(
+        current: Option<&Accepted>,
+        service: ServiceName,
+        version: ObjectVersion,
+        document: String,
+    ) -> Option<Accepted> {
+        let version = ConfigVersion(version.0);
+        let rises = current.is_none_or(|it| it.version < version);
+        rises.then_some(Accepted { service, version, document })
+    }
+}
+
+/// What the coordinator of a group reports.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Status {
+    pub service: ServiceName,
+    pub group: GroupId,
+    /// When it was written, by the writer's wall clock, in milliseconds since 1970; for people only.
+    pub written_at_unix_ms: u64,
+    /// None until a document has been accepted.
+    pub accepted: Option<ConfigVersion>,
+    pub in_force: InForce,
+    /// The newest document that was not accepted; none if the newest was.
+    pub refused: Option<Refused>,
+    pub coordinator: CoordinatorStatus,
+    pub owners: Vec<OwnerStatus>,
+    pub upstreams: Vec<UpstreamStatus>,
+    pub hot_keys: Vec<HotKeyStatus>,
+    pub measures: Measures,
+    /// The newest first; at most 32.
+    pub moves: Vec<MoveStatus>,
+}
+
+/// On how many instances of the group the accepted version is in force.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InForce {
+    pub instances: u32,
+    pub of: u32,
+    /// Since when it is in force on all of them; none while it is not.
+    pub since_unix_ms: Option<u64>,
+}
+
+/// A document that was not accepted; the former one stays in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Refused {
+    /// The object version of `services/S`.
+    pub version: ConfigVersion,
+    /// One sentence each, with line and field.
+    pub reasons: Vec<String>,
+}
+
+/// Who coordinates the group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CoordinatorStatus {
+    pub instance: InstanceName,
+    pub zone: Zone,
+    pub term: Term,
+    /// No earlier term can renew or grant any more.
+    pub settled: bool,
+}
+
+/// One instance with what it owns.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OwnerStatus {
+    pub instance: InstanceName,
+    pub zone: Zone,
+    pub slots: u32,
+    pub load_us_per_s: u64,
+    /// The version of the document in force on it.
+    pub config: ConfigVersion,
+}
+
+/// The upstream beside an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamStatus {
+    pub instance: InstanceName,
+    pub zone: Zone,
+    pub state: UpstreamStateName,
+}
+
+/// The state of an upstream, as the status names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UpstreamStateName {
+    /// Up, but not ready for work.
+    Starting,
+    Ready,
+    /// Leaving: no new work.
+    Draining,
+    /// Left out for its failures.
+    Ejected,
+    /// Hung or gone.
+    Lost,
+}
+
+/// A key with an owner of its own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HotKeyStatus {
+    pub key_hash: KeyHash,
+    pub owner: Option<InstanceName>,
+    pub load_us_per_s: u64,
+}
+
+/// The three measures of the group.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Measures {
+    /// Busiest member's load over the mean; 1.0 is even.
+    pub imbalance: f64,
+    /// Share of all keys that changed their owner within the last minute.
+    pub churn_per_minute: f64,
+    /// Longest time within the last minute that a slot had no owner.
+    pub unavailable_ms_max: u64,
+}
+
+/// A change of owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MoveStatus {
+    pub slot: Slot,
+    pub token: Token,
+    pub to: InstanceName,
+    /// `first`, `loss`, `leave` or `rebalance`.
+    pub reason: String,
+    pub at_unix_ms: u64,
+}
--- /dev/null
+++ b/crates/settings/src/problem.rs
@@ -0,0 +1,82 @@
+//! What is wrong with a text, all of it at once.
+
+use std::fmt;
+
+/// Where in a text something stands; both count from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Position {
+    pub line: u32,
+    /// In characters.
+    pub column: u32,
+}
+
+/// One thing that is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Problem {
+    pub position: Position,
+    /// The field, such as `routes[2].deadline_ms`; empty for the text as a whole.
+    pub field: String,
+    /// What is wrong, as a sentence without the field's name.
+    pub sentence: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Position { line, column } = self.position;
+        match self.field.as_str() {
+            "" => write!(f, "line {line}, column {column}: {}", self.sentence),
+            field => write!(f, "line {line}, column {column}: {field}: {}", self.sentence),
+        }
+    }
+}
+
+/// Everything that is wrong with a text, in the order of the text; never empty as an error.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Problems(Vec<Problem>);
+
+impl Problems {
+    pub fn iter(&self) -> impl Iterator<Item = &Problem> {
+        self.0.iter()
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub(crate) fn push(
+        &mut self,
+        position: Position,
+        field: impl Into<String>,
+        sentence: impl Into<String>,
+    ) {
+        self.0.push(Problem { position, field: field.into(), sentence: sentence.into() });
+    }
+
+    /// `value` if nothing is wrong; otherwise the problems in the order of the text.
+    pub(crate) fn or<T>(mut self, value: Option<T>) -> Result<T, Problems> {
+        self.0.sort();
+        self.0.dedup();
+        match value {
+            Some(value) if self.0.is_empty() => Ok(value),
+            _ => Err(self),
+        }
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Problems {}
--- /dev/null
+++ b/crates/settings/src/source.rs
@@ -0,0 +1,164 @@
+//! A text in JSON with comments: its values, and where each of them stands.
+
+use std::collections::HashMap;
+
+use jsonc_parser::{
+    ParseOptions,
+    ast::{Object, ObjectProp, Value},
+    common::Ranged,
+    parse_to_ast,
+};
+use serde_json::{Map, Number};
+
+use crate::problem::{Position, Problems};
+
+/// The longest text that is taken, in bytes; the platform holds values up to a megabyte, and an
+/// accepted document is stored as a string within another object.
+const TEXT_MAX_BYTES: usize = 256 * 1024;
+
+const START: Position = Position { line: 1, column: 1 };
+
+/// A parsed text.
+pub(crate) struct Source {
+    pub(crate) value: serde_json::Value,
+    positions: HashMap<String, Position>,
+}
+
+impl Source {
+    /// Parses the text; a problem of syntax is reported alone, doubled fields all together.
+    pub(crate) fn parse(text: &str, problems: &mut Problems) -> Option<Source> {
+        if text.len() > TEXT_MAX_BYTES {
+            let sentence =
+                format!("the text has {} bytes, at most {TEXT_MAX_BYTES} are taken.", text.len());
+            problems.push(START, "", sentence);
+            return None;
+        }
+        let ast = match parse_to_ast(text, &Default::default(), &options()) {
+            Ok(ast) => ast.value,
+            Err(error) => {
+                let line = error.line_display() as u32;
+                let column = error.column_display() as u32;
+                problems.push(Position { line, column }, "", format!("{}.", error.kind()));
+                return None;
+            }
+        };
+        let Some(ast) = ast else {
+            problems.push(START, "", "the text holds no value, an object is expected.");
+            return None;
+        };
+        let mut reader =
+            Reader { lines: Lines::new(text), positions: HashMap::new(), problems: &mut *problems };
+        let value = reader.value(&ast, String::new());
+        Some(Source { value, positions: reader.positions })
+    }
+
+    /// Where a field stands, or, if it is left out, the nearest one around it.
+    pub(crate) fn position(&self, field: &str) -> Position {
+        let mut field = field;
+        loop {
+            if let Some(position) = self.positions.get(field) {
+                return *position;
+            }
+            let Some(end) = field.rfind(['.', '[']) else { break };
+            field = &field[..end];
+        }
+        self.positions.get("").copied().unwrap_or(START)
+    }
+}
+
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// The name of a field within another; the text as a whole has the empty name.
+pub(crate) fn child(parent: &str, name: &str) -> String {
+    match parent {
+        "" => name.to_owned(),
+        parent => format!("{parent}.{name}"),
+    }
+}
+
+struct Reader<'a> {
+    lines: Lines<'a>,
+    positions: HashMap<String, Position>,
+    problems: &'a mut Problems,
+}
+
+impl Reader<'_> {
+    fn value(&mut self, value: &Value<'_>, field: String) -> serde_json::Value {
+        let position = self.lines.position(value.start());
+        self.positions.entry(field.clone()).or_insert(position);
+        match value {
+            Value::StringLit(it) => serde_json::Value::String(it.value.as_ref().to_owned()),
+            Value::NumberLit(it) => self.number(it.value, position, &field),
+            Value::BooleanLit(it) => serde_json::Value::Bool(it.value),
+            Value::NullKeyword(_) => serde_json::Value::Null,
+            Value::Object(it) => serde_json::Value::Object(self.object(it, &field)),
+            Value::Array(it) => {
+                let elements = it.elements.iter().enumerate();
+                let read = elements.map(|(index, it)| self.value(it, format!("{field}[{index}]")));
+                serde_json::Value::Array(read.collect())
+            }
+        }
+    }
+
+    fn number(&mut self, text: &str, position: Position, field: &str) -> serde_json::Value {
+        let Ok(number) = text.parse::<Number>() else {
+            self.problems.push(position, field, format!("{text} is no number that can be held."));
+            return serde_json::Value::from(0);
+        };
+        serde_json::Value::Number(number)
+    }
+
+    fn object(&mut self, object: &Object<'_>, field: &str) -> Map<String, serde_json::Value> {
+        let mut map = Map::new();
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let field = child(field, name);
+            let position = self.name_position(property);
+            if map.contains_key(name) {
+                self.problems.push(position, field, "the field stands here a second time.");
+                continue;
+            }
+            self.positions.insert(field.clone(), position);
+            let value = self.value(&property.value, field);
+            map.insert(name.to_owned(), value);
+        }
+        map
+    }
+
+    fn name_position(&self, property: &ObjectProp<'_>) -> Position {
+        self.lines.position(property.start())
+    }
+}
+
+/// Finds lines and columns.
+struct Lines<'a> {
+    text: &'a str,
+    starts: Vec<usize>,
+}
+
+impl Lines<'_> {
+    fn new(text: &str) -> Lines<'_> {
+        let after_breaks = text.match_indices('\n').map(|(index, _)| index + 1);
+        Lines { text, starts: std::iter::once(0).chain(after_breaks).collect() }
+    }
+
+    fn position(&self, offset: usize) -> Position {
+        let line = self.starts.partition_point(|it| *it <= offset);
+        let start = self.starts[line - 1];
+        let column = self.text[start..offset].chars().count() + 1;
+        Position { line: line as u32, column: column as u32 }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/tests/agent_settings.rs
@@ -0,0 +1,56 @@
+//! Settings of an agent.
+
+use crate::AgentSettings;
+
+const SETTINGS: &str = r#"{
+  // One agent of the club.
+  "instance": "standings-1", "zone": "pitlane", "team": "karerang", "service": "standings",
+  "caller_address": "127.0.0.1:7001", "traffic_address": "127.0.0.1:7002",
+  "control_address": "127.0.0.1:7003", "metrics_address": "127.0.0.1:7004",
+  "platform_address": "127.0.0.1:7000",
+  "link_key": "0123456789abcdef",
+}"#;
+
+fn check(edit: (&str, &str), expected: &[&str]) {
+    let text = SETTINGS.replacen(edit.0, edit.1, 1);
+    let problems = match AgentSettings::parse(&text) {
+        Ok(_) => Vec::new(),
+        Err(problems) => problems.iter().map(ToString::to_string).collect(),
+    };
+    assert_eq!(problems, expected, "{text}");
+}
+
+#[test]
+fn settings_are_checked() {
+    check(("", ""), &[]);
+    check(
+        ("0123456789abcdef", "short"),
+        &["line 7, column 3: link_key: 5 bytes are too few, at least 16 are needed."],
+    );
+    check(
+        ("127.0.0.1:7003", "localhost:7003"),
+        &[
+            "line 5, column 3: control_address: \"localhost:7003\" is no IP:PORT; names are not looked up.",
+        ],
+    );
+    check(
+        ("127.0.0.1:7003", "127.0.0.1:7002"),
+        &["line 5, column 3: control_address: the address is that of traffic_address already."],
+    );
+    check(
+        ("\"link_key\"", "\"peers\": [\"127.0.0.1:0\"], \"link_key\""),
+        &["line 7, column 13: peers[0]: a port of 1 to 65535 is needed."],
+    );
+    check(
+        ("127.0.0.1:7001", "0.0.0.0:7001"),
+        &[
+            "line 4, column 3: caller_address: peers reach this address, so it may not be unspecified.",
+        ],
+    );
+}
+
+#[test]
+fn the_secret_is_not_printed() {
+    let settings = AgentSettings::parse(SETTINGS).unwrap();
+    assert!(!format!("{settings:?}").contains("0123456789abcdef"));
+}
--- /dev/null
+++ b/crates/settings/src/tests/objects.rs
@@ -0,0 +1,22 @@
+//! Accepted versions only rise.
+
+use model::{ObjectVersion, ServiceName};
+
+use crate::Accepted;
+
+fn check(current: Option<u64>, offered: u64, expected: Option<u64>) {
+    let raise = |current: Option<&Accepted>, version: u64| {
+        let service = ServiceName::new("standings").unwrap();
+        Accepted::raised(current, service, ObjectVersion(version), "{}".to_owned())
+    };
+    let current = current.map(|it| raise(None, it).unwrap());
+    assert_eq!(raise(current.as_ref(), offered).map(|it| it.version.0), expected);
+}
+
+#[test]
+fn accepted_versions_only_rise() {
+    check(None, 4, Some(4));
+    check(Some(4), 5, Some(5));
+    check(Some(4), 4, None);
+    check(Some(4), 3, None);
+}
--- /dev/null
+++ b/crates/settings/src/tests/problems.rs
@@ -0,0 +1,76 @@
+//! Problems of form: all at once, each with its place.
+
+use super::document::{MINIMAL, check};
+use crate::ServiceDocument;
+
+#[test]
+fn unknown_fields_come_with_the_nearest_name() {
+    check(
+        (r#""keyed""#, r#""keyd""#),
+        &[
+            r#"keyed: the field is missing and has no default."#,
+            r#"keyd: unknown field, did you mean "keyed"?"#,
+        ],
+    );
+    check(
+        (r#""keyed": true,"#, r#""keyed": true, "limits": { "queue_ms": 5, "qqq": 1 },"#),
+        &[
+            r#"limits.queue_ms: unknown field, did you mean "queue_ms_max"?"#,
+            "limits.qqq: unknown field.",
+        ],
+    );
+}
+
+#[test]
+fn values_have_types_and_ranges() {
+    check(
+        (r#""keyed": true,"#, r#""keyed": "yes", "slot_count": 0, "upstream": { "slots": 1.5 },"#),
+        &[
+            r#"keyed: expected true or false, not "yes"."#,
+            "slot_count: 0 is too little, the least is 1.",
+            "upstream.slots: expected a whole number, not 1.5.",
+        ],
+    );
+    check(
+        (r#""class": "lap""#, r#""class": "lap", "method": "post", "deadline_ms": 60001"#),
+        &[
+            r#"routes[0].method: "post" is none of "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"."#,
+            "routes[0].deadline_ms: 60001 ms is too much, the most is 60000.",
+        ],
+    );
+    check(
+        (r#"[{ "name": "lap" }]"#, "[]"),
+        &["classes: 0 entries are too few, at least 1 are needed."],
+    );
+}
+
+#[test]
+fn problems_name_line_and_column() {
+    let text = MINIMAL.replace(r#""idempotent": false"#, r#""idempotent": false, "deadline": 5"#);
+    let problems = ServiceDocument::parse(&text).unwrap_err();
+    assert_eq!(
+        problems.to_string(),
+        "line 6, column 76: routes[0].deadline: unknown field, did you mean \"deadline_ms\"?"
+    );
+}
+
+#[test]
+fn syntax_has_a_place_too() {
+    let check = |text: &str, expected: &str| {
+        assert_eq!(ServiceDocument::parse(text).unwrap_err().to_string(), expected);
+    };
+    check("", "line 1, column 1: the text holds no value, an object is expected.");
+    check(
+        "{\n  \"service\" \"x\"}",
+        "line 2, column 13: Expected colon after the string or word in object property.",
+    );
+    check("[]", "line 1, column 1: expected an object, not an array.");
+}
+
+#[test]
+fn doubled_fields_are_found() {
+    check(
+        (r#""keyed": true,"#, r#""keyed": true, "keyed": false,"#),
+        &["keyed: the field stands here a second time."],
+    );
+}
