Ownership border: messages, CloseKey, KeyClosed, keyed, times of a term

Additive changes that the driver has to take up: - GateCommand::CloseKey { key_hash, token, to } and its end Input::KeyClosed: without them a hot key would change its owner while the former one still runs a request of it. - NodeConfig::keyed: false for services that are not divided by key. - Events JoinRefused, ConfirmationChanged, Settled. - Coordinator::times: a successor waits by the times of the earlier term, not by its own document. The messages are typed; the node still does nothing.

--- a/crates/ownership/src/input.rs
+++ b/crates/ownership/src/input.rs
@@ -20,6 +20,8 @@
     /// Nothing of a slot closed by [`crate::GateCommand::Close`] is in flight any more, and its
     /// records have been handed over or given up.
     Closed { slot: Slot, token: Token },
+    /// The same for one key closed by [`crate::GateCommand::CloseKey`].
+    KeyClosed { key_hash: KeyHash, token: Token },
     /// The load since the last report.
     Load(LoadReport),
     /// The service's document has changed.
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -14,7 +14,10 @@
 
 pub use input::{Input, KeyLoad, LoadReport, PlatformReply, SlotLoad, UpstreamState};
 pub use limits::{FenceCheck, Limits};
-pub use message::Message;
+pub use message::{
+    Command, HeldKey, HeldSlot, Holding, Message, Renew, Renewed, Report, RouteKey, RouteMember,
+    RouteSlot, Routes, SessionId,
+};
 pub use node::{MemberView, Node, NodeConfig, NodeView, OwnerView};
-pub use object::{Confirmation, Coordinator, HotKey, Plan, PlanSlot};
+pub use object::{Confirmation, Coordinator, HotKey, Plan, PlanSlot, TermTimes};
 pub use output::{CallId, Event, GateCommand, MoveReason, Output, PlatformRequest};
--- a/crates/ownership/src/node.rs
+++ b/crates/ownership/src/node.rs
@@ -12,7 +12,11 @@
     pub instance: Instance,
     pub service: ServiceName,
     pub group: GroupId,
+    /// Of one that is not divided by key: any.
     pub slot_count: SlotCount,
+    /// Whether the service is divided by key. If not, nothing is granted, and the members in the
+    /// view are the product.
+    pub keyed: bool,
     pub limits: Limits,
     /// Seeds the node's own generator (nonces, jitter).
     pub seed: u64,
--- a/crates/ownership/src/object.rs
+++ b/crates/ownership/src/object.rs
@@ -25,6 +25,19 @@
     pub confirmation: Confirmation,
     /// No earlier term can renew or grant any more.
     pub settled: bool,
+    pub times: TermTimes,
+}
+
+/// The longest times that this term, and every earlier one still at work, goes by. A successor
+/// that waits for an earlier term to end goes by these and not by its own document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TermTimes {
+    pub lease_ms: u32,
+    pub drift_margin_ms: u32,
+    pub confirmation_ms: u32,
+    pub platform_confirmation_ms: u32,
+    pub platform_absence_max_ms: u32,
 }
 
 /// One slot of a [`Plan`].
--- a/crates/ownership/src/output.rs
+++ b/crates/ownership/src/output.rs
@@ -2,7 +2,7 @@
 
 use model::{Instance, KeyHash, ObjectVersion, Slot, Timestamp, Token};
 
-use crate::{Coordinator, Message, Plan};
+use crate::{Confirmation, Coordinator, Message, Plan};
 
 /// Names a platform call within one node's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -55,6 +55,11 @@
     ExcludeKey { key_hash: KeyHash, owner: Instance },
     /// The hot key follows its slot again.
     ForgetKey { key_hash: KeyHash },
+    /// Admit no more requests of this key, whether it has an entry of its own or follows its slot;
+    /// finish what is in flight, hand its records to `to`, then give
+    /// [`crate::Input::KeyClosed`]. The key stays refused until [`GateCommand::AdmitKey`] or
+    /// [`GateCommand::ForgetKey`].
+    CloseKey { key_hash: KeyHash, token: Token, to: Option<Instance> },
     /// Admit no more requests of this slot, finish what is in flight, hand its records to `to`,
     /// then give [`crate::Input::Closed`].
     Close { slot: Slot, token: Token, to: Option<Instance> },
@@ -83,6 +88,19 @@
     MemberLost {
         member: Instance,
     },
+    /// The group has its largest number of members already.
+    JoinRefused {
+        member: Instance,
+    },
+    /// The coordinator's confirmation has moved to another path or other witnesses.
+    ConfirmationChanged {
+        confirmation: Confirmation,
+        witnesses: u16,
+    },
+    /// No earlier term can renew or grant any more.
+    Settled {
+        term: u64,
+    },
     Granted {
         slot: Slot,
         token: Token,
