--- /dev/null
+++ b/crates/agent/src/gate/handle.rs
@@ -0,0 +1,72 @@
+//! The control thread's hold on the gate.
+
+use std::sync::Arc;
+
+use model::{Instance, Slot, Token};
+use ownership::{GateCommand, LoadReport};
+use tokio::sync::mpsc;
+
+use crate::{
+    clock::Clock,
+    gate::{load::LoadTable, table::GateTable},
+};
+
+/// What the gate has to do outside the control thread.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum GateTask {
+    Prepare {
+        slot: Slot,
+        token: Token,
+    },
+    Close {
+        slot: Slot,
+        token: Token,
+        to: Option<Instance>,
+    },
+    /// The lease is gone: cancel what is in flight.
+    CancelAll,
+}
+
+/// Changes what the gate admits. No call ever waits.
+#[derive(Debug, Clone)]
+pub struct GateHandle {
+    pub(crate) clock: Clock,
+    pub(crate) table: Arc<GateTable>,
+    pub(crate) load: Arc<LoadTable>,
+    tasks: mpsc::UnboundedSender<GateTask>,
+}
+
+impl GateHandle {
+    /// A gate that admits nothing, and the tasks that it hands to the traffic threads.
+    pub(crate) fn new(clock: Clock) -> (GateHandle, mpsc::UnboundedReceiver<GateTask>) {
+        let (tasks, receiver) = mpsc::unbounded_channel();
+        let table = Arc::new(GateTable::new());
+        (GateHandle { clock, table, load: Arc::default(), tasks }, receiver)
+    }
+
+    /// Applies the gate commands of one step, in order. Admissions, refusals and the lease hold as
+    /// soon as this returns; `Prepare` and `Close` end with a [`crate::report::Report`].
+    pub fn apply(&self, commands: &[GateCommand]) {
+        self.table.apply(commands);
+        for command in commands {
+            let task = match command {
+                GateCommand::Prepare { slot, token } => {
+                    GateTask::Prepare { slot: *slot, token: *token }
+                }
+                GateCommand::Close { slot, token, to } => {
+                    GateTask::Close { slot: *slot, token: *token, to: to.clone() }
+                }
+                GateCommand::DropAll => GateTask::CancelAll,
+                _ => continue,
+            };
+            if self.tasks.send(task).is_err() {
+                log::debug!(target: "gate", "The traffic threads have ended.");
+            }
+        }
+    }
+
+    /// The load since the last call, for [`ownership::Input::Load`].
+    pub fn take_load(&self) -> LoadReport {
+        self.load.take(self.clock.now(), |slot| self.table.in_flight(slot))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/links/control.rs
@@ -0,0 +1,256 @@
+//! Links between control threads: opaque messages, sent without waiting, lost rather than late.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use model::{Incarnation, Instance};
+use rand::RngExt;
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, mpsc},
+    time::{sleep, timeout},
+};
+use wire::link::LinkKind;
+
+use crate::links::{
+    LinkKey,
+    handshake::{Established, LinkIdentity},
+    socket::{self, Inbox, Outbox},
+};
+
+/// How many messages wait for one peer; the oldest give way.
+const QUEUE_MAX: usize = 256;
+/// How many events wait for the control thread.
+const EVENTS_MAX: usize = 4096;
+/// How long an unused link stays open.
+const IDLE_MAX: Duration = Duration::from_secs(60);
+const BACKOFF_MIN: Duration = Duration::from_millis(25);
+const BACKOFF_MAX: Duration = Duration::from_millis(500);
+
+/// What comes in over control links.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ControlEvent {
+    /// A message of an authenticated peer.
+    Message { from: Instance, payload: Bytes },
+}
+
+/// The control links of this process. Clones share them.
+#[derive(Clone)]
+pub struct ControlLinks {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    identity: LinkIdentity,
+    peers: Mutex<HashMap<SocketAddr, Peer>>,
+    events: mpsc::Sender<ControlEvent>,
+}
+
+#[derive(Default)]
+struct Peer {
+    queue: VecDeque<Queued>,
+    /// Links that take from the queue.
+    writers: usize,
+    /// A task is dialling this peer or drives the link it dialled.
+    dialled: bool,
+    dropped: u64,
+    added: Arc<Notify>,
+}
+
+struct Queued {
+    /// For this life of the peer only.
+    to: Option<Incarnation>,
+    payload: Bytes,
+}
+
+impl ControlLinks {
+    /// Listens, and dials peers as messages for them come up. To be called on the runtime of the
+    /// control thread; everything runs there.
+    pub fn start(
+        own: Instance,
+        listener: TcpListener,
+        key: LinkKey,
+    ) -> (ControlLinks, mpsc::Receiver<ControlEvent>) {
+        let (events, receiver) = mpsc::channel(EVENTS_MAX);
+        let identity = LinkIdentity { own, kind: LinkKind::Control, key };
+        let shared = Arc::new(Shared { identity, peers: Mutex::default(), events });
+        tokio::spawn(listen(Arc::clone(&shared), listener));
+        (ControlLinks { shared }, receiver)
+    }
+
+    /// Queues a message for one life of a peer and returns at once. It may be lost.
+    pub fn send(&self, to: &Instance, payload: Vec<u8>) {
+        self.queue(to.control, Some(to.incarnation), payload);
+    }
+
+    /// The same for whoever listens at a control address.
+    pub fn send_to_address(&self, to: SocketAddr, payload: Vec<u8>) {
+        self.queue(to, None, payload);
+    }
+
+    fn queue(&self, address: SocketAddr, to: Option<Incarnation>, payload: Vec<u8>) {
+        let mut peers = self.shared.peers();
+        let peer = peers.entry(address).or_default();
+        if peer.queue.len() >= QUEUE_MAX {
+            peer.queue.pop_front();
+            peer.dropped += 1;
+        }
+        peer.queue.push_back(Queued { to, payload: payload.into() });
+        peer.added.notify_one();
+        if peer.writers == 0 && !peer.dialled {
+            peer.dialled = true;
+            tokio::spawn(dial(Arc::clone(&self.shared), address));
+        }
+    }
+}
+
+impl Shared {
+    fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The next message for this life of a peer; those for other lives are dropped.
+    fn pop(&self, peer: &Instance) -> Option<Bytes> {
+        let mut peers = self.peers();
+        let entry = peers.get_mut(&peer.control)?;
+        while let Some(queued) = entry.queue.pop_front() {
+            if queued.to.is_none_or(|to| to == peer.incarnation) {
+                return Some(queued.payload);
+            }
+            entry.dropped += 1;
+        }
+        None
+    }
+
+    async fn run(self: &Arc<Shared>, link: Established, address: SocketAddr, writes: bool) {
+        let Established { peer, socket } = link;
+        log::debug!(target: "links", "Control link with {peer} at {address} is up.");
+        let added = writes.then(|| {
+            let mut peers = self.peers();
+            let entry = peers.entry(peer.control).or_default();
+            entry.writers += 1;
+            Arc::clone(&entry.added)
+        });
+        let outbox = ControlOutbox { shared: Arc::clone(self), peer: peer.clone(), added };
+        let inbox = ControlInbox { shared: Arc::clone(self), from: peer.clone() };
+        match socket::run(socket, outbox, inbox).await {
+            Ok(()) => log::debug!(target: "links", "Control link with {peer} has ended."),
+            Err(error) => log::warn!(target: "links", "Control link with {peer} ended: {error}."),
+        }
+    }
+}
+
+async fn listen(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!(target: "links", "Accepting a control link failed: {error}.");
+                sleep(BACKOFF_MAX).await;
+                continue;
+            }
+        };
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            match shared.identity.accept(address, stream).await {
+                Ok(link) => {
+                    let writers =
+                        shared.peers().get(&link.peer.control).map_or(0, |peer| peer.writers);
+                    shared.run(link, address, writers == 0).await;
+                }
+                Err(error) => log::warn!(target: "links", "Refused a control link: {error}."),
+            }
+        });
+    }
+}
+
+/// Dials a peer until its queue is empty.
+async fn dial(shared: Arc<Shared>, address: SocketAddr) {
+    let mut backoff = BACKOFF_MIN;
+    loop {
+        match shared.identity.dial(address).await {
+            Ok(link) if link.peer.control == address => {
+                backoff = BACKOFF_MIN;
+                shared.run(link, address, true).await;
+            }
+            Ok(link) => {
+                log::warn!(target: "links", "{} at {address} says it is at {}.", link.peer, link.peer.control);
+            }
+            Err(error) => log::debug!(target: "links", "No control link: {error}."),
+        }
+        let pause = rand::rng().random_range(backoff / 2..=backoff);
+        backoff = (backoff * 2).min(BACKOFF_MAX);
+        sleep(pause).await;
+        let mut peers = shared.peers();
+        let Some(peer) = peers.get_mut(&address) else { return };
+        if peer.queue.is_empty() || peer.writers > 0 {
+            peer.dialled = false;
+            if peer.writers == 0 {
+                peers.remove(&address);
+            }
+            return;
+        }
+    }
+}
+
+struct ControlOutbox {
+    shared: Arc<Shared>,
+    peer: Instance,
+    /// None: this link only reads, for another one writes.
+    added: Option<Arc<Notify>>,
+}
+
+impl Outbox for ControlOutbox {
+    async fn next(&mut self) -> Option<Bytes> {
+        let Some(added) = &self.added else { return std::future::pending().await };
+        loop {
+            if let Some(payload) = self.shared.pop(&self.peer) {
+                return Some(payload);
+            }
+            if timeout(IDLE_MAX, added.notified()).await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    fn try_next(&mut self) -> Option<Bytes> {
+        self.added.as_ref().and_then(|_| self.shared.pop(&self.peer))
+    }
+}
+
+impl Drop for ControlOutbox {
+    fn drop(&mut self) {
+        if self.added.is_none() {
+            return;
+        }
+        let mut peers = self.shared.peers();
+        let Some(peer) = peers.get_mut(&self.peer.control) else { return };
+        peer.writers -= 1;
+        if peer.writers > 0 || peer.dialled {
+            return;
+        }
+        if peer.queue.is_empty() {
+            peers.remove(&self.peer.control);
+        } else {
+            peer.dialled = true;
+            tokio::spawn(dial(Arc::clone(&self.shared), self.peer.control));
+        }
+    }
+}
+
+struct ControlInbox {
+    shared: Arc<Shared>,
+    from: Instance,
+}
+
+impl Inbox for ControlInbox {
+    async fn take(&mut self, payload: Bytes) -> Result<(), anyhow::Error> {
+        let event = ControlEvent::Message { from: self.from.clone(), payload };
+        self.shared.events.send(event).await.map_err(|_| anyhow::anyhow!("control has ended"))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/links/handshake.rs
@@ -0,0 +1,187 @@
+//! Both sides of the handshake.
+
+use std::{net::SocketAddr, time::Duration};
+
+use futures_util::{SinkExt, StreamExt};
+use model::Instance;
+use tokio::{net::TcpStream, time::timeout};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{self, Message, protocol::WebSocketConfig},
+};
+use wire::{
+    CodecError,
+    link::{
+        HANDSHAKE_BYTES_MAX, Hello, LinkKind, PROTOCOL_VERSION, Proof, Side, Transcript, Welcome,
+    },
+};
+
+use crate::links::LinkKey;
+
+/// How long a whole handshake may take.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection may take to come about; then it is tried anew.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest message of a link.
+pub(crate) const MESSAGE_BYTES_MAX: usize = 2 << 20;
+const BUFFER_BYTES: usize = 16 << 10;
+
+pub(crate) type Socket = WebSocketStream<TcpStream>;
+
+/// Who this process is on its links, and the key that proves it.
+#[derive(Debug, Clone)]
+pub(crate) struct LinkIdentity {
+    pub(crate) own: Instance,
+    pub(crate) kind: LinkKind,
+    pub(crate) key: LinkKey,
+}
+
+/// An authenticated link.
+#[derive(Debug)]
+pub(crate) struct Established {
+    pub(crate) peer: Instance,
+    pub(crate) socket: Socket,
+}
+
+/// Why no link came about.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum HandshakeError {
+    #[error("connect to {peer}: {source}")]
+    Connect { peer: SocketAddr, source: std::io::Error },
+    #[error("handshake with {peer}: {source}")]
+    Socket { peer: SocketAddr, source: Box<tungstenite::Error> },
+    #[error("handshake with {peer}: {source}")]
+    Codec { peer: SocketAddr, source: CodecError },
+    #[error("handshake with {peer}: {reason}")]
+    Refused { peer: SocketAddr, reason: &'static str },
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_message_size(Some(MESSAGE_BYTES_MAX))
+        .max_frame_size(Some(MESSAGE_BYTES_MAX))
+}
+
+impl LinkIdentity {
+    /// Connects to a peer and proves both sides.
+    pub(crate) async fn dial(&self, peer: SocketAddr) -> Result<Established, HandshakeError> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer))
+            .await
+            .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+            .map_err(|source| HandshakeError::Connect { peer, source })?;
+        in_time(peer, self.dialling(peer, stream)).await
+    }
+
+    /// Proves both sides of an accepted connection.
+    pub(crate) async fn accept(
+        &self,
+        peer: SocketAddr,
+        stream: TcpStream,
+    ) -> Result<Established, HandshakeError> {
+        in_time(peer, self.listening(peer, stream)).await
+    }
+
+    async fn dialling(
+        &self,
+        peer: SocketAddr,
+        stream: TcpStream,
+    ) -> Result<Established, HandshakeError> {
+        let socket_error = |source| HandshakeError::Socket { peer, source: Box::new(source) };
+        stream.set_nodelay(true).map_err(|source| HandshakeError::Connect { peer, source })?;
+        let url = format!("ws://{peer}/");
+        let (mut socket, _) =
+            client_async_with_config(url, stream, Some(config())).await.map_err(socket_error)?;
+        let hello = Hello {
+            version: PROTOCOL_VERSION,
+            kind: self.kind,
+            from: self.own.clone(),
+            nonce: rand::random(),
+        };
+        send(&mut socket, &hello).await.map_err(socket_error)?;
+        let welcome: Welcome = receive(peer, &mut socket).await?;
+        let mut transcript = Transcript {
+            side: Side::Listening,
+            hello: &hello,
+            listening: &welcome.from,
+            listening_nonce: welcome.nonce,
+        };
+        if !self.key.verify(&transcript, &welcome.proof) {
+            return Err(HandshakeError::Refused { peer, reason: "the proof is wrong" });
+        }
+        transcript.side = Side::Dialling;
+        let proof = Proof { proof: self.key.proof(&transcript) };
+        send(&mut socket, &proof).await.map_err(socket_error)?;
+        Ok(Established { peer: welcome.from, socket })
+    }
+
+    async fn listening(
+        &self,
+        peer: SocketAddr,
+        stream: TcpStream,
+    ) -> Result<Established, HandshakeError> {
+        let socket_error = |source| HandshakeError::Socket { peer, source: Box::new(source) };
+        let refused = |reason| HandshakeError::Refused { peer, reason };
+        stream.set_nodelay(true).map_err(|source| HandshakeError::Connect { peer, source })?;
+        let mut socket =
+            accept_async_with_config(stream, Some(config())).await.map_err(socket_error)?;
+        let hello: Hello = receive(peer, &mut socket).await?;
+        if hello.version != PROTOCOL_VERSION {
+            return Err(refused("the protocol version is another one"));
+        }
+        if hello.kind != self.kind {
+            return Err(refused("the link is of another kind"));
+        }
+        let nonce = rand::random();
+        let mut transcript = Transcript {
+            side: Side::Listening,
+            hello: &hello,
+            listening: &self.own,
+            listening_nonce: nonce,
+        };
+        let proof = self.key.proof(&transcript);
+        let welcome = Welcome { from: self.own.clone(), nonce, proof };
+        send(&mut socket, &welcome).await.map_err(socket_error)?;
+        let proof: Proof = receive(peer, &mut socket).await?;
+        transcript.side = Side::Dialling;
+        if !self.key.verify(&transcript, &proof.proof) {
+            return Err(refused("the proof is wrong"));
+        }
+        Ok(Established { peer: hello.from, socket })
+    }
+}
+
+async fn in_time(
+    peer: SocketAddr,
+    handshake: impl Future<Output = Result<Established, HandshakeError>>,
+) -> Result<Established, HandshakeError> {
+    timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .unwrap_or(Err(HandshakeError::Refused { peer, reason: "it took too long" }))
+}
+
+async fn send(
+    socket: &mut Socket,
+    message: &impl serde::Serialize,
+) -> Result<(), tungstenite::Error> {
+    socket.send(Message::Binary(wire::encode(message).into())).await
+}
+
+async fn receive<T: serde::de::DeserializeOwned>(
+    peer: SocketAddr,
+    socket: &mut Socket,
+) -> Result<T, HandshakeError> {
+    let refused = |reason| Err(HandshakeError::Refused { peer, reason });
+    match socket.next().await {
+        Some(Ok(Message::Binary(bytes))) if bytes.len() > HANDSHAKE_BYTES_MAX => {
+            refused("a message is too large")
+        }
+        Some(Ok(Message::Binary(bytes))) => {
+            wire::decode(&bytes).map_err(|source| HandshakeError::Codec { peer, source })
+        }
+        Some(Ok(_)) => refused("a message is of an unknown kind"),
+        Some(Err(source)) => Err(HandshakeError::Socket { peer, source: Box::new(source) }),
+        None => refused("the peer hung up"),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/links/socket.rs
@@ -0,0 +1,133 @@
+//! Drives one established link: reads, writes, and notices a peer that has gone silent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt, stream::SplitSink, stream::SplitStream};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use tokio_tungstenite::tungstenite::{self, Message};
+
+use crate::links::handshake::Socket;
+
+/// How often a link looks whether its peer still answers.
+const CHECK_EVERY: Duration = Duration::from_millis(500);
+/// How long a peer may leave a ping unanswered.
+const SILENCE_MAX: Duration = Duration::from_millis(1500);
+/// How long one batch may take to be written.
+const WRITE_MAX: Duration = Duration::from_secs(3);
+/// How many messages are written before a flush.
+const BATCH_MAX: usize = 64;
+
+/// Where a link takes its messages from.
+pub(crate) trait Outbox: Send {
+    /// Waits for a message; none: the link is to be closed.
+    fn next(&mut self) -> impl Future<Output = Option<Bytes>> + Send;
+    /// A message that needs no waiting for.
+    fn try_next(&mut self) -> Option<Bytes>;
+}
+
+/// Where a link gives its messages to.
+pub(crate) trait Inbox: Send {
+    /// Takes one message; an error ends the link.
+    fn take(&mut self, message: Bytes) -> impl Future<Output = Result<(), anyhow::Error>> + Send;
+}
+
+/// Why a link has ended.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum LinkError {
+    #[error("{0}")]
+    Socket(#[from] Box<tungstenite::Error>),
+    #[error("a message is of an unknown kind")]
+    UnknownKind,
+    #[error("the peer leaves pings unanswered")]
+    Silent,
+    #[error("{0:#}")]
+    Message(anyhow::Error),
+}
+
+/// Runs a link until either side closes it or something is wrong.
+pub(crate) async fn run(
+    socket: Socket,
+    mut outbox: impl Outbox,
+    mut inbox: impl Inbox,
+) -> Result<(), LinkError> {
+    let (mut sink, mut stream) = socket.split();
+    let heard = std::sync::Mutex::new(Instant::now());
+    tokio::select! {
+        result = read(&mut stream, &mut inbox, &heard) => result,
+        result = write(&mut sink, &mut outbox, &heard) => result,
+    }
+}
+
+type Heard = std::sync::Mutex<Instant>;
+
+fn boxed(error: tungstenite::Error) -> LinkError {
+    LinkError::Socket(Box::new(error))
+}
+
+async fn read(
+    stream: &mut SplitStream<Socket>,
+    inbox: &mut impl Inbox,
+    heard: &Heard,
+) -> Result<(), LinkError> {
+    while let Some(message) = stream.next().await {
+        *heard.lock().expect("no panic while held") = Instant::now();
+        match message.map_err(boxed)? {
+            Message::Binary(bytes) => inbox.take(bytes).await.map_err(LinkError::Message)?,
+            Message::Ping(_) | Message::Pong(_) => {}
+            Message::Close(_) => return Ok(()),
+            Message::Text(_) | Message::Frame(_) => return Err(LinkError::UnknownKind),
+        }
+    }
+    Ok(())
+}
+
+async fn write(
+    sink: &mut SplitSink<Socket, Message>,
+    outbox: &mut impl Outbox,
+    heard: &Heard,
+) -> Result<(), LinkError> {
+    let mut check = interval(CHECK_EVERY);
+    check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut pinged: Option<Instant> = None;
+    let mut written: Option<Instant> = None;
+    loop {
+        tokio::select! {
+            message = outbox.next() => {
+                let Some(message) = message else {
+                    return sink.close().await.map_err(boxed);
+                };
+                written = written.or_else(|| Some(Instant::now()));
+                timeout(WRITE_MAX, feed_batch(sink, message, outbox))
+                    .await
+                    .unwrap_or(Err(LinkError::Silent))?;
+            }
+            _ = check.tick() => {
+                let heard_at = *heard.lock().expect("no panic while held");
+                written = written.filter(|at| *at > heard_at);
+                pinged = pinged.filter(|at| *at > heard_at);
+                match (pinged, written) {
+                    (Some(at), _) if at.elapsed() > SILENCE_MAX => return Err(LinkError::Silent),
+                    (None, Some(at)) if at.elapsed() > CHECK_EVERY => {
+                        pinged = Some(Instant::now());
+                        sink.send(Message::Ping(Bytes::new())).await.map_err(boxed)?;
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+async fn feed_batch(
+    sink: &mut SplitSink<Socket, Message>,
+    first: Bytes,
+    outbox: &mut impl Outbox,
+) -> Result<(), LinkError> {
+    sink.feed(Message::Binary(first)).await.map_err(boxed)?;
+    for _ in 1..BATCH_MAX {
+        let Some(message) = outbox.try_next() else { break };
+        sink.feed(Message::Binary(message)).await.map_err(boxed)?;
+    }
+    sink.flush().await.map_err(boxed)
+}
--- /dev/null
+++ b/crates/agent/src/report/mod.rs
@@ -0,0 +1,72 @@
+//! What traffic tells the control thread, over one bounded channel.
+
+use std::net::SocketAddr;
+
+use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, Token};
+use ownership::UpstreamState;
+use tokio::sync::mpsc;
+
+/// How many reports may wait for the control thread.
+const REPORTS_MAX: usize = 1024;
+
+/// One event of traffic that control acts on. Load is not among them: see
+/// [`crate::gate::GateHandle::take_load`].
+#[derive(Debug, Clone)]
+pub enum Report {
+    /// The upstream beside this agent said what it is; repeated about each second.
+    Announcement(Announcement),
+    /// The upstream's state as the gate sees it: hung or gone, or answering again.
+    Upstream(UpstreamState),
+    /// The upstream is warm for a slot.
+    Prepared { slot: Slot, token: Token },
+    /// A closed slot is empty and its records have been handed over or given up.
+    Closed { slot: Slot, token: Token },
+    /// A peer refused a request for it is not the owner.
+    StaleRoute {
+        service: ServiceName,
+        key_hash: KeyHash,
+        owner: Option<Instance>,
+        route_version: u64,
+    },
+    /// A caller asked for a service that is not in the snapshot.
+    UnknownService { service: ServiceName },
+    /// A peer has a later document in force.
+    Config { service: ServiceName, version: ConfigVersion, from: Instance },
+}
+
+/// What an upstream says of itself to the agent beside it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    pub service: ServiceName,
+    pub address: SocketAddr,
+    pub state: UpstreamState,
+    /// How many requests it runs at once.
+    pub slots: u16,
+    pub checks_fence: bool,
+}
+
+/// The sending end; clones share the channel.
+#[derive(Debug, Clone)]
+pub struct Reporter(mpsc::Sender<Report>);
+
+/// Makes the channel.
+pub fn channel() -> (Reporter, mpsc::Receiver<Report>) {
+    let (sender, receiver) = mpsc::channel(REPORTS_MAX);
+    (Reporter(sender), receiver)
+}
+
+impl Reporter {
+    /// Reports what may be lost, for it is repeated or only a hint. Never waits.
+    pub(crate) fn hint(&self, report: Report) {
+        if let Err(error) = self.0.try_send(report) {
+            log::debug!(target: "report", "Dropped a report to control: {error}.");
+        }
+    }
+
+    /// Reports what must not be lost; waits for room.
+    pub(crate) async fn deliver(&self, report: Report) {
+        if self.0.send(report).await.is_err() {
+            log::debug!(target: "report", "Control has ended.");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/traffic/mod.rs
@@ -0,0 +1,1 @@
+//! Frames of forwarded requests.
