--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -13,3 +13,14 @@
 //! An upstream announces itself to the agent beside it: `POST /upstream/announce`
 //! `{"service", "address", "state", "slots", "checks_fence"}` at the agent's caller port, at start
 //! and every second; the agent's silence or the upstream's ends the pairing after some seconds.
+
+mod client;
+mod control;
+mod request;
+
+#[cfg(test)]
+mod tests;
+
+pub use client::HttpUpstream;
+pub use control::{Announced, ControlError, Health, HealthState, Load};
+pub use request::{Answer, CallError, NOT_RUN_HEADER, Request, Upstream, UpstreamFuture};
--- /dev/null
+++ b/crates/upstream/src/tests.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, uri::PathAndQuery};
+use model::{RequestId, Term, Token};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+use crate::{Answer, CallError, HttpUpstream, Request, Upstream};
+
+/// Calls an upstream that reads one request and answers these raw bytes, then hangs up.
+async fn check(answer: &'static str, expected: impl FnOnce(Result<Answer, CallError>, String)) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"body") {
+            assert_ne!(stream.read_buf(&mut seen).await.unwrap(), 0);
+        }
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        String::from_utf8(seen).unwrap()
+    });
+    let upstream = HttpUpstream::new(address, 4, 16).unwrap();
+    let result = upstream.call(request()).await;
+    expected(result, server.await.unwrap());
+}
+
+fn request() -> Request {
+    Request {
+        method: Method::POST,
+        path: PathAndQuery::from_static("/svc/x?y=1"),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"body"),
+        id: RequestId(0xabc),
+        token: Some(Token { term: Term(3), sequence: 7 }),
+        remaining: Duration::from_millis(1500),
+    }
+}
+
+#[tokio::test]
+async fn whole_answer_and_headers() {
+    check("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", |result, seen| {
+        assert_eq!(&result.unwrap().body[..], b"ok");
+        let seen = seen.to_ascii_lowercase();
+        assert!(seen.starts_with("post /svc/x?y=1 http/1.1\r\n"), "{seen}");
+        for line in ["x-request-id: abc", "x-fence-token: 3.7", "x-deadline-ms: 1500"] {
+            assert!(seen.contains(&format!("{line}\r\n")), "{seen}");
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn refused_before_running() {
+    let answer = "HTTP/1.1 503 x\r\nx-not-run: 1\r\nretry-after: 2\r\ncontent-length: 0\r\n\r\n";
+    check(answer, |result, _| match result.unwrap_err() {
+        CallError::Refused { retry_after, .. } => {
+            assert_eq!(retry_after, Some(Duration::from_secs(2)));
+        }
+        error => panic!("{error}"),
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn plain_503_is_an_answer() {
+    check("HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n", |result, _| {
+        assert_eq!(result.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn short_answer_is_broken() {
+    check("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok", |result, _| {
+        assert!(matches!(result, Err(CallError::Broken { .. })), "{result:?}");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn oversized_answer_is_broken() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 17\r\n\r\n12345678901234567";
+    check(answer, |result, _| {
+        assert!(matches!(result, Err(CallError::Broken { .. })), "{result:?}");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn hang_up_after_sending_is_lost() {
+    check("", |result, _| {
+        assert!(matches!(result, Err(CallError::Lost { .. })), "{result:?}");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn nobody_listens_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let upstream = HttpUpstream::new(address, 4, 16).unwrap();
+    let result = upstream.call(request()).await;
+    assert!(matches!(result, Err(CallError::NotSent { .. })), "{result:?}");
+}
