Platform over HTTP: volo-http's client, one address, nothing discovered

An update ends as done, conflict, refused (known without effect) or unavailable (effect unknown); only the platform's own 4xx count as refused. Tests use real sockets and a scripted server.

--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,227 @@
+//! The object API over HTTP/1.1, to one address, with connections kept alive.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use model::ObjectVersion;
+use serde::Deserialize;
+use tokio::time::timeout;
+use volo::{discovery::DummyDiscover, loadbalance::random::WeightedRandomBalance};
+use volo_http::{
+    body::Body,
+    client::{Client, ClientBuilder},
+    response::Response,
+};
+
+use crate::{Change, Changes, Object, Platform, PlatformError, PlatformResult};
+
+const VERSION_HEADER: &str = "x-object-version";
+const CONDITION_HEADER: &str = "if-object-version";
+const REVISION_HEADER: &str = "x-revision";
+
+/// The longest answer that is read, in bytes: a list of many objects, each up to a megabyte.
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// How much of an error's text is kept, in characters.
+const REASON_CHARS_MAX: usize = 200;
+
+/// How long a call may take, and how much longer than its wait a watch may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    pub call: Duration,
+    pub watch_margin: Duration,
+}
+
+impl Default for Timeouts {
+    fn default() -> Timeouts {
+        Timeouts { call: Duration::from_millis(500), watch_margin: Duration::from_millis(1000) }
+    }
+}
+
+/// [`Platform`] over HTTP.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    client: Client,
+    peer: SocketAddr,
+    timeouts: Timeouts,
+}
+
+/// One call, before it is sent.
+struct Call {
+    step: String,
+    method: Method,
+    target: String,
+    expected: Option<ObjectVersion>,
+    body: Bytes,
+    limit: Duration,
+}
+
+/// An answer read whole.
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// One object in a list, as it is written.
+#[derive(Deserialize)]
+struct RawChange {
+    path: String,
+    version: ObjectVersion,
+    body: Option<String>,
+}
+
+impl HttpPlatform {
+    /// Connects lazily, with the first call.
+    pub fn new(peer: SocketAddr, timeouts: Timeouts) -> anyhow::Result<HttpPlatform> {
+        // Calls name their address, so nothing is ever discovered or balanced.
+        let builder =
+            ClientBuilder::new().load_balance(WeightedRandomBalance::new()).discover(DummyDiscover);
+        let client = builder
+            .build()
+            .map_err(|error| anyhow::anyhow!("platform client for {peer}: {error}"))?;
+        Ok(HttpPlatform { client, peer, timeouts })
+    }
+
+    async fn send(&self, call: Call) -> Result<Answer, PlatformError> {
+        let Call { step, method, target, expected, body, limit } = call;
+        let absent_is_an_answer = method == Method::GET;
+        let exchange = async {
+            let mut request = self.client.request(method, target).address(self.peer);
+            if let Some(expected) = expected {
+                request = request.header(CONDITION_HEADER, expected.0);
+            }
+            let response = request.body(Body::from(body)).send().await;
+            read(response.map_err(|error| error.to_string())?).await
+        };
+        let answer = match timeout(limit, exchange).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(reason)) => return Err(self.unavailable(step, reason)),
+            Err(_) => return Err(self.unavailable(step, format!("none within {limit:?}"))),
+        };
+        match answer.status {
+            status if status.is_success() => Ok(answer),
+            StatusCode::NOT_FOUND if absent_is_an_answer => Ok(answer),
+            StatusCode::CONFLICT => {
+                let current = self.number(&step, &answer, VERSION_HEADER)?;
+                Err(PlatformError::Conflict { step, current })
+            }
+            // The platform says itself that the request is at fault, so nothing was done.
+            status if status.is_client_error() => {
+                let reason = format!("{status} {}", excerpt(&answer.body));
+                Err(PlatformError::Refused { step, peer: self.peer, reason })
+            }
+            status => Err(self.unavailable(step, format!("{status} {}", excerpt(&answer.body)))),
+        }
+    }
+
+    fn unavailable(&self, step: impl Into<String>, reason: impl Into<String>) -> PlatformError {
+        PlatformError::Unavailable { step: step.into(), peer: self.peer, reason: reason.into() }
+    }
+
+    fn number(
+        &self,
+        step: &str,
+        answer: &Answer,
+        header: &str,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let text = answer.headers.get(header).and_then(|it| it.to_str().ok());
+        match text.and_then(|it| it.parse().ok()) {
+            Some(number) => Ok(ObjectVersion(number)),
+            None => Err(self.unavailable(step, format!("the answer has no number in {header}"))),
+        }
+    }
+
+    fn changes(&self, step: &str, answer: &Answer) -> Result<Changes, PlatformError> {
+        let raw: Vec<RawChange> = serde_json::from_slice(&answer.body)
+            .map_err(|error| self.unavailable(step, format!("the answer is no list: {error}")))?;
+        let changes = raw.into_iter().map(Change::from).collect();
+        Ok(Changes { revision: self.number(step, answer, REVISION_HEADER)?, changes })
+    }
+
+    fn get(&self, step: String, target: String, limit: Duration) -> Call {
+        Call { step, method: Method::GET, target, expected: None, body: Bytes::new(), limit }
+    }
+}
+
+impl From<RawChange> for Change {
+    fn from(raw: RawChange) -> Change {
+        Change { path: raw.path, version: raw.version, body: raw.body.map(Bytes::from) }
+    }
+}
+
+async fn read(response: Response) -> Result<Answer, String> {
+    let (parts, body) = response.into_parts();
+    let whole = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
+    let body = whole.map_err(|error| format!("the answer broke off: {error}"))?.to_bytes();
+    Ok(Answer { status: parts.status, headers: parts.headers, body })
+}
+
+fn excerpt(body: &Bytes) -> String {
+    String::from_utf8_lossy(body).trim().chars().take(REASON_CHARS_MAX).collect()
+}
+
+impl Platform for HttpPlatform {
+    fn read(&self, path: &str) -> PlatformResult<'_, Option<Object>> {
+        let step = format!("read {path}");
+        let call = self.get(step.clone(), format!("/objects/{path}"), self.timeouts.call);
+        Box::pin(async move {
+            let answer = self.send(call).await?;
+            if answer.status == StatusCode::NOT_FOUND {
+                return Ok(None);
+            }
+            let version = self.number(&step, &answer, VERSION_HEADER)?;
+            Ok(Some(Object { version, body: answer.body }))
+        })
+    }
+
+    fn update(
+        &self,
+        path: &str,
+        expected: ObjectVersion,
+        body: Bytes,
+    ) -> PlatformResult<'_, ObjectVersion> {
+        let step = format!("update {path}");
+        let call = Call {
+            step: step.clone(),
+            method: Method::PUT,
+            target: format!("/objects/{path}"),
+            expected: Some(expected),
+            body,
+            limit: self.timeouts.call,
+        };
+        Box::pin(async move {
+            let answer = self.send(call).await?;
+            self.number(&step, &answer, VERSION_HEADER)
+        })
+    }
+
+    fn list(&self, prefix: &str) -> PlatformResult<'_, Changes> {
+        let step = format!("list {prefix}");
+        let call = self.get(step.clone(), format!("/list/{prefix}"), self.timeouts.call);
+        Box::pin(async move {
+            let answer = self.send(call).await?;
+            self.changes(&step, &answer)
+        })
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> PlatformResult<'_, Changes> {
+        let step = format!("watch {prefix}");
+        let target = format!("/watch/{prefix}?after={after}&wait_ms={}", wait.as_millis());
+        let call = self.get(step.clone(), target, wait + self.timeouts.watch_margin);
+        Box::pin(async move {
+            let answer = self.send(call).await?;
+            match answer.status {
+                StatusCode::NO_CONTENT => Ok(Changes { revision: after, changes: Vec::new() }),
+                _ => self.changes(&step, &answer),
+            }
+        })
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,5 +13,10 @@
 //! Object versions are revisions: one counter for the whole store, so they only rise.
 
 mod api;
+mod http;
+
+#[cfg(test)]
+mod tests;
 
 pub use api::{Change, Changes, Object, Platform, PlatformError, PlatformResult};
+pub use http::{HttpPlatform, Timeouts};
