--- a/crates/settings/src/tests/mod.rs
+++ b/crates/settings/src/tests/mod.rs
@@ -2,6 +2,9 @@
 
 mod agent_settings;
 mod document;
+mod examples;
+mod fuzz;
 mod objects;
 mod problems;
 mod route;
+mod schema;
--- /dev/null
+++ b/crates/settings/src/tests/schema.rs
@@ -0,0 +1,76 @@
+//! The committed JSON schemas are those of the code, and hold only what the check understands.
+
+use std::{env, fs, path::PathBuf};
+
+use serde_json::Value;
+
+use crate::{AgentSettings, ServiceDocument};
+
+/// Set to write the schemas anew in place of comparing them.
+const UPDATE_VARIABLE: &str = "UPDATE_SCHEMAS";
+
+/// Keywords that describe a value without narrowing it, or that the check of names repeats.
+const WITHOUT_EFFECT: [&str; 7] =
+    ["$schema", "title", "description", "default", "format", "pattern", "$defs"];
+
+/// Keywords that the check applies.
+const APPLIED: [&str; 14] = [
+    "$ref",
+    "type",
+    "anyOf",
+    "oneOf",
+    "enum",
+    "const",
+    "properties",
+    "additionalProperties",
+    "required",
+    "items",
+    "minItems",
+    "maxItems",
+    "minLength",
+    "maxLength",
+];
+
+fn check(file: &str, schema: &Value) {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators").join(file);
+    let expected = format!("{schema:#}\n");
+    if env::var_os(UPDATE_VARIABLE).is_some() {
+        fs::write(&path, &expected).unwrap();
+    }
+    let actual = fs::read_to_string(&path).unwrap_or_default();
+    assert!(actual == expected, "{file} is not that of the code: set {UPDATE_VARIABLE}=1 once");
+}
+
+#[test]
+fn the_committed_schemas_are_those_of_the_code() {
+    check("service-document.schema.json", &ServiceDocument::json_schema());
+    check("agent-settings.schema.json", &AgentSettings::json_schema());
+}
+
+/// Names every keyword of a schema that the check would pass over.
+fn unknown_keywords(schema: &Value, unknown: &mut Vec<String>) {
+    let Some(keywords) = schema.as_object() else { return };
+    for (keyword, value) in keywords {
+        match keyword.as_str() {
+            "properties" | "$defs" => {
+                value.as_object().unwrap().values().for_each(|it| unknown_keywords(it, unknown));
+            }
+            "items" => unknown_keywords(value, unknown),
+            "anyOf" | "oneOf" => {
+                value.as_array().unwrap().iter().for_each(|it| unknown_keywords(it, unknown));
+            }
+            "additionalProperties" => assert_eq!(value, &Value::Bool(false)),
+            "minimum" | "maximum" => {}
+            other if APPLIED.contains(&other) || WITHOUT_EFFECT.contains(&other) => {}
+            other => unknown.push(other.to_owned()),
+        }
+    }
+}
+
+#[test]
+fn the_check_understands_all_of_the_schemas() {
+    let mut unknown = Vec::new();
+    unknown_keywords(&ServiceDocument::json_schema(), &mut unknown);
+    unknown_keywords(&AgentSettings::json_schema(), &mut unknown);
+    assert_eq!(unknown, Vec::<String>::new());
+}
