--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -1,6 +1,6 @@
 //! The HTTP client of an upstream, over `volo-http`.
 
-use std::{error::Error, net::SocketAddr, time::Duration};
+use std::{error::Error, io, net::SocketAddr, time::Duration};
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -121,14 +121,18 @@
         let source = error.source();
         let reason = source.map_or_else(|| error.to_string(), ToString::to_string);
         let peer = self.address;
-        // hyper's word for a request that it never began to write.
-        let unwritten = source
-            .and_then(|it| it.downcast_ref::<volo_http::hyper::Error>())
-            .is_some_and(volo_http::hyper::Error::is_canceled);
-        match error.kind() {
-            ErrorKind::Connect => CallError::NotSent { step: "connect", peer, reason },
-            ErrorKind::Request if unwritten => CallError::NotSent { step: "send", peer, reason },
-            _ => CallError::Lost { step: "call", peer, reason },
+        let sent = match source.and_then(|it| it.downcast_ref::<volo_http::hyper::Error>()) {
+            // hyper's word for a request that it never began to write.
+            Some(error) => !error.is_canceled(),
+            // A bare I/O error is one of connecting, as is every other kind of error.
+            None => {
+                *error.kind() == ErrorKind::Request
+                    && !source.is_some_and(<dyn Error>::is::<io::Error>)
+            }
+        };
+        match sent {
+            true => CallError::Lost { step: "call", peer, reason },
+            false => CallError::NotSent { step: "connect", peer, reason },
         }
     }
 
--- /dev/null
+++ b/crates/wire/src/traffic/tests.rs
@@ -0,0 +1,95 @@
+use bytes::Bytes;
+use model::{ClassName, ConfigVersion, KeyHash, RequestId, ServiceName};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{Answer, CHUNK_BYTES_MAX, Chunk, CorrelationId, Frame, Header, Request};
+use crate::encode;
+
+const FUZZ_SEED: u64 = 0x5eed;
+const FUZZ_ROUNDS: usize = 20_000;
+
+fn request() -> Request {
+    Request {
+        id: CorrelationId(u128::MAX - 5),
+        service: ServiceName::new("standings").unwrap(),
+        key_hash: Some(KeyHash(u64::MAX)),
+        request_id: RequestId(7),
+        class: ClassName::new("lap").unwrap(),
+        idempotent: false,
+        remaining_us: 1_000_000,
+        age_us: 0,
+        config: ConfigVersion(3),
+        method: "POST".to_owned(),
+        path: "/standings/lap?x=1".to_owned(),
+        headers: vec![Header("x-key".to_owned(), Bytes::from_static(b"\xff\x00"))],
+        body_len: 4,
+        body: Bytes::from_static(b"body"),
+    }
+}
+
+fn answer(body_len: u64, body: Vec<u8>) -> Frame {
+    let id = CorrelationId(1);
+    Frame::Answer(Answer { id, status: 200, headers: Vec::new(), body_len, body: body.into() })
+}
+
+fn check_refused(frame: &Frame) {
+    assert!(Frame::parse(&frame.to_bytes()).is_err(), "{frame:?}");
+}
+
+#[test]
+fn round_trip() {
+    for frame in [
+        Frame::Request(Box::new(request())),
+        answer(9, b"part".to_vec()),
+        Frame::Cancel(CorrelationId(0)),
+        Frame::Chunk(Chunk { id: CorrelationId(2), offset: 4, data: vec![1; 5].into() }),
+    ] {
+        assert_eq!(Frame::parse(&frame.to_bytes()).unwrap(), frame);
+    }
+}
+
+#[test]
+fn refuses_wrong_lengths() {
+    check_refused(&answer(3, b"four".to_vec()));
+    check_refused(&answer(1 << 40, Vec::new()));
+    check_refused(&answer(1 << 20, vec![0; CHUNK_BYTES_MAX + 1]));
+    let empty = Chunk { id: CorrelationId(2), offset: 4, data: Bytes::new() };
+    check_refused(&Frame::Chunk(empty));
+}
+
+#[test]
+fn refuses_trailing_bytes_and_unknown_frames() {
+    let mut bytes = Frame::Cancel(CorrelationId(0)).to_bytes();
+    bytes.push(0);
+    assert!(Frame::parse(&bytes).is_err());
+    assert!(Frame::parse(&encode(&("Surprise", 1))).is_err());
+    assert!(Frame::parse(&[]).is_err());
+}
+
+#[test]
+fn survives_damaged_frames() {
+    let mut rng = Pcg64Mcg::seed_from_u64(FUZZ_SEED);
+    let whole = Frame::Request(Box::new(request())).to_bytes();
+    let mut refused = 0;
+    for _ in 0..FUZZ_ROUNDS {
+        let mut bytes = whole.clone();
+        for _ in 0..rng.random_range(1..4) {
+            let at = rng.random_range(0..bytes.len());
+            bytes[at] = rng.random();
+        }
+        bytes.truncate(rng.random_range(1..=bytes.len()));
+        refused += usize::from(Frame::parse(&bytes).is_err());
+    }
+    assert!(refused > FUZZ_ROUNDS / 2, "only {refused} damaged frames were refused");
+}
+
+#[test]
+fn survives_random_bytes() {
+    let mut rng = Pcg64Mcg::seed_from_u64(FUZZ_SEED);
+    for _ in 0..FUZZ_ROUNDS {
+        let len = rng.random_range(0..64);
+        let bytes: Vec<u8> = (0..len).map(|_| rng.random()).collect();
+        drop(Frame::parse(&bytes));
+    }
+}
