--- /dev/null
+++ b/crates/ownership/src/coordinator/confirm.rs
@@ -0,0 +1,217 @@
+//! The coordinator's right to renew leases: proof, good for a short time, that its term has not
+//! ended.
+
+use std::{collections::VecDeque, time::Duration};
+
+use model::{Instance, Term, Timestamp};
+
+use crate::{
+    CallId, Confirmation, Message, PlatformRequest, TermTimes,
+    ctx::{Ctx, MemberId, is_same},
+};
+
+/// Questions whose answers may still come.
+const QUESTIONS_MAX: usize = 8;
+/// Questions go out this many times within the time that one is good for.
+const ASKED_PER_CONFIRMATION: u32 = 3;
+/// How often a coordinator that its witnesses confirm reads its object all the same.
+const READ_EVERY: Duration = Duration::from_secs(10);
+/// How long to wait after a read that failed.
+const READ_RETRY: Duration = Duration::from_millis(100);
+/// How fresh contact with the platform must be before the path of confirmation is changed.
+const CONTACT_FRESH: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct Question {
+    number: u64,
+    sent_at: Timestamp,
+    answered: Vec<MemberId>,
+}
+
+/// By what a coordinator is confirmed at the moment.
+pub(crate) struct ConfirmBy<'a> {
+    /// None: it is not known whether a change of the path took effect, so nothing confirms.
+    pub(crate) path: Option<Confirmation>,
+    /// Every set that may be in force; a majority of each is needed.
+    pub(crate) witness_sets: Vec<&'a [Instance]>,
+    pub(crate) times: TermTimes,
+}
+
+/// Questions to witnesses, reads of the platform, and what they have proved.
+#[derive(Debug)]
+pub(crate) struct Confirm {
+    questions: VecDeque<Question>,
+    last_number: u64,
+    next_question: Timestamp,
+    read: Option<(CallId, Timestamp)>,
+    next_read: Timestamp,
+    until: Timestamp,
+    /// When the read or update was sent that last showed this term in the platform.
+    reached_platform_at: Timestamp,
+    /// Witnesses that have ever answered for this term: they confirm no lower one.
+    promised: Vec<MemberId>,
+    promised_at: Option<Timestamp>,
+}
+
+impl Confirm {
+    /// For a term whose update was sent at `sent_at` and is known to have taken effect.
+    pub(crate) fn new(now: Timestamp, sent_at: Timestamp, by: &ConfirmBy<'_>) -> Confirm {
+        let until = match by.path {
+            Some(Confirmation::Platform) => sent_at + by.times.platform_confirmation(),
+            _ => Timestamp::ZERO,
+        };
+        Confirm {
+            questions: VecDeque::new(),
+            last_number: 0,
+            next_question: now,
+            read: None,
+            next_read: now,
+            until,
+            reached_platform_at: sent_at,
+            promised: Vec::new(),
+            promised_at: None,
+        }
+    }
+
+    pub(crate) fn until(&self) -> Timestamp {
+        self.until
+    }
+
+    /// Whether leases may be renewed now.
+    pub(crate) fn holds(&self, now: Timestamp, by: &ConfirmBy<'_>) -> bool {
+        match by.path {
+            None => false,
+            Some(Confirmation::Platform) => now < self.until,
+            Some(Confirmation::Witnesses) => {
+                let absence = now.since(self.reached_platform_at);
+                now < self.until && absence < by.times.platform_absence_max()
+            }
+        }
+    }
+
+    /// When a majority of witnesses had promised this term.
+    pub(crate) fn promised_at(&self) -> Option<Timestamp> {
+        self.promised_at
+    }
+
+    /// Drops all proof: after a pause, and when the path has changed.
+    pub(crate) fn reset(&mut self, now: Timestamp) {
+        self.until = Timestamp::ZERO;
+        self.next_question = now;
+        self.next_read = now;
+    }
+
+    /// Whether the platform has answered of late.
+    pub(crate) fn platform_is_reachable(&self, now: Timestamp) -> bool {
+        now.since(self.reached_platform_at) < CONTACT_FRESH
+    }
+
+    /// Finds out soon whether the platform can be reached.
+    pub(crate) fn read_soon(&mut self, now: Timestamp) {
+        self.next_read = self.next_read.min(now + READ_RETRY);
+    }
+
+    /// An update of the coordinator's object, sent at `sent_at`, has taken effect.
+    pub(crate) fn updated(&mut self, sent_at: Timestamp) {
+        self.reached_platform_at = self.reached_platform_at.max(sent_at);
+    }
+
+    /// Asks and reads when it is time.
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>, term: Term, by: &ConfirmBy<'_>) {
+        let witnessed = by.path != Some(Confirmation::Platform);
+        if witnessed && self.next_question <= ctx.now {
+            self.ask(ctx, term, by);
+        }
+        if self.read.is_none() && self.next_read <= ctx.now {
+            let call = ctx.call(PlatformRequest::ReadCoordinator);
+            self.read = Some((call, ctx.now));
+        }
+        // Without proof from the witnesses the platform is asked, to find out whether the path
+        // can be changed.
+        if witnessed && !self.holds(ctx.now, by) {
+            self.next_read = self.next_read.min(ctx.now + READ_RETRY);
+        }
+    }
+
+    fn ask(&mut self, ctx: &mut Ctx<'_>, term: Term, by: &ConfirmBy<'_>) {
+        self.last_number += 1;
+        let number = self.last_number;
+        self.next_question = ctx.now + by.times.confirmation() / ASKED_PER_CONFIRMATION;
+        self.questions.push_back(Question { number, sent_at: ctx.now, answered: Vec::new() });
+        if self.questions.len() > QUESTIONS_MAX {
+            self.questions.pop_front();
+        }
+        let mut asked: Vec<&Instance> = Vec::new();
+        for witness in by.witness_sets.iter().copied().flatten() {
+            if !asked.iter().any(|it| is_same(it, witness)) {
+                asked.push(witness);
+            }
+        }
+        for witness in asked {
+            ctx.send(witness, Message::Question { term, number });
+        }
+    }
+
+    /// A witness has heard of no higher term when it answered.
+    pub(crate) fn answered(
+        &mut self,
+        now: Timestamp,
+        from: &Instance,
+        number: u64,
+        by: &ConfirmBy<'_>,
+    ) {
+        let id = MemberId::from(from);
+        if !self.promised.contains(&id) {
+            self.promised.push(id.clone());
+        }
+        if self.promised_at.is_none() && is_majority(&self.promised, by) {
+            self.promised_at = Some(now);
+        }
+        let Some(question) = self.questions.iter_mut().find(|it| it.number == number) else {
+            return;
+        };
+        if !question.answered.contains(&id) {
+            question.answered.push(id);
+        }
+        if by.path == Some(Confirmation::Witnesses) && is_majority(&question.answered, by) {
+            self.until = self.until.max(question.sent_at + by.times.confirmation());
+        }
+    }
+
+    /// Whether `call` is a read of this part; `shown` says whether it showed this term.
+    pub(crate) fn read(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        shown: bool,
+        by: &ConfirmBy<'_>,
+    ) -> bool {
+        let Some((_, sent_at)) = self.read.take_if(|it| it.0 == call) else { return false };
+        if !shown {
+            self.next_read = now + READ_RETRY;
+            return true;
+        }
+        self.reached_platform_at = self.reached_platform_at.max(sent_at);
+        let good_for = by.times.platform_confirmation();
+        match by.path {
+            Some(Confirmation::Platform) => {
+                self.until = self.until.max(sent_at + good_for);
+                self.next_read = sent_at + good_for / ASKED_PER_CONFIRMATION;
+            }
+            _ => self.next_read = now + READ_EVERY,
+        }
+        true
+    }
+
+    pub(crate) fn reads(&self, call: CallId) -> bool {
+        self.read.is_some_and(|it| it.0 == call)
+    }
+}
+
+fn is_majority(answered: &[MemberId], by: &ConfirmBy<'_>) -> bool {
+    let has = |set: &&[Instance]| {
+        let count = set.iter().filter(|it| answered.contains(&MemberId::from(*it))).count();
+        2 * count > set.len()
+    };
+    !by.witness_sets.is_empty() && by.witness_sets.iter().all(has)
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -0,0 +1,106 @@
+//! Grants of slots that nobody holds.
+
+use model::{Slot, Token};
+
+use crate::{
+    Command, Event, MoveReason,
+    ctx::{Ctx, MemberId},
+};
+
+use super::{
+    Coordination,
+    slots::{Grant, Holder, KeyHolder},
+};
+
+impl Coordination {
+    /// Finds out which slots of earlier terms nobody can hold any more.
+    pub(super) fn resolve_unknown(&mut self, ctx: &Ctx<'_>) {
+        if self.plan.acked().is_none() {
+            return;
+        }
+        for (slot, row) in self.table.slot_count.iter().zip(&mut self.table.slots) {
+            if row.holder == Holder::Unknown
+                && self.succession.is_clear(ctx.now, &self.confirm, &self.plan.slot_names(slot))
+            {
+                row.holder = Holder::Nobody;
+            }
+        }
+        self.resolve_unknown_keys(ctx);
+    }
+
+    /// Grants what is free to the first member that the plan names and that can take it.
+    pub(super) fn grant_free(&mut self, ctx: &mut Ctx<'_>) {
+        if !self.may_renew(ctx) || self.plan.acked().is_none() {
+            return;
+        }
+        for slot in self.table.slot_count.iter() {
+            let row = &self.table.slots[usize::from(slot.0)];
+            if row.holder != Holder::Nobody {
+                continue;
+            }
+            let prepared = row.handover.as_ref().map(|it| (it.to.clone(), it.token));
+            match prepared {
+                Some((to, token)) if self.may_grant(slot, &to) => {
+                    self.grant(ctx, slot, to, Some(token));
+                }
+                _ => {
+                    let names = self.plan.slot_names(slot);
+                    if let Some(to) = names.into_iter().find(|it| self.may_grant(slot, it)) {
+                        self.grant(ctx, slot, to, None);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn may_grant(&self, slot: Slot, to: &MemberId) -> bool {
+        self.members.eligible(to) && self.plan.names_slot(slot, to)
+    }
+
+    fn grant(&mut self, ctx: &mut Ctx<'_>, slot: Slot, to: MemberId, token: Option<Token>) {
+        let token = token.unwrap_or_else(|| self.next_token());
+        let version = self.bump_routes();
+        self.exclude_keys(slot, &to);
+        let row = &mut self.table.slots[usize::from(slot.0)];
+        assert!(row.holder == Holder::Nobody, "slot {slot} is granted while {:?}", row.holder);
+        assert!(token > row.last_token, "token {token} of slot {slot} after {}", row.last_token);
+        let handed_over = row.handover.take().is_some_and(|it| it.to == to);
+        let reason = match row.last_token {
+            it if it == Token::default() => MoveReason::First,
+            _ if handed_over => MoveReason::Rebalance,
+            _ => MoveReason::Loss,
+        };
+        let Some(member) = self.members.rows.get_mut(&to) else { return };
+        let session = member.session;
+        member.command(Command::Admit { slot, token });
+        let instance = member.instance.clone();
+        row.holder = Holder::Member(Grant { member: to, session, token, closing: false });
+        row.last_token = token;
+        row.moved_at = Some(ctx.now);
+        row.changed_in = version;
+        ctx.event(Event::Granted { slot, token, to: instance, reason });
+    }
+
+    /// Hot keys that others serve are kept out of a slot before it is admitted.
+    fn exclude_keys(&mut self, slot: Slot, to: &MemberId) {
+        let mut commands = Vec::new();
+        for (key_hash, row) in self.table.keys_of(slot) {
+            let owner = match &row.holder {
+                KeyHolder::Slot => continue,
+                KeyHolder::Entry(Holder::Member(it)) if it.member == *to => continue,
+                KeyHolder::Entry(Holder::Member(it)) | KeyHolder::LeavingSlot(it) => {
+                    Some(it.member.clone())
+                }
+                KeyHolder::Entry(_) => self.plan.planned_key_owner(key_hash),
+            };
+            let owner = owner.and_then(|it| self.members.rows.get(&it));
+            let owner = owner.map(|it| it.instance.clone());
+            commands.push((key_hash, owner));
+        }
+        let Some(member) = self.members.rows.get_mut(to) else { return };
+        for (key_hash, owner) in commands {
+            let owner = owner.unwrap_or_else(|| member.instance.clone());
+            member.command(Command::ExcludeKey { key_hash, owner });
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/handover.rs
@@ -0,0 +1,120 @@
+//! Planned handover, slot by slot: the new owner prepares, the old one closes, the new one admits.
+
+use std::time::Duration;
+
+use model::Slot;
+
+use crate::{
+    Command, UpstreamState,
+    ctx::{Ctx, MemberId},
+};
+
+use super::{
+    Coordination,
+    slots::{Handover, HandoverStep, Holder, KeyHolder},
+};
+
+/// Handovers of a group that may be under way at once.
+const HANDOVERS_MAX: usize = 8;
+/// A new owner that has not said that it is prepared is taken to be after this long.
+const PREPARE_MAX: Duration = Duration::from_secs(2);
+
+enum Next {
+    Start(MemberId),
+    Close,
+    Cancel,
+}
+
+impl Coordination {
+    /// Starts handovers and takes those under way further.
+    pub(super) fn advance_handovers(&mut self, ctx: &mut Ctx<'_>) {
+        if !self.may_renew(ctx) || self.plan.acked().is_none() {
+            return;
+        }
+        let mut running = self.table.slots.iter().filter(|it| it.handover.is_some()).count();
+        for slot in self.table.slot_count.iter() {
+            match self.next_step(ctx, slot) {
+                Some(Next::Start(to)) if running < HANDOVERS_MAX => {
+                    running += 1;
+                    self.start_handover(ctx, slot, to);
+                }
+                Some(Next::Close) => self.close_for_handover(ctx, slot),
+                Some(Next::Cancel) => {
+                    running -= 1;
+                    self.table.slots[usize::from(slot.0)].handover = None;
+                }
+                Some(Next::Start(_)) | None => {}
+            }
+        }
+    }
+
+    fn next_step(&self, ctx: &Ctx<'_>, slot: Slot) -> Option<Next> {
+        let row = &self.table.slots[usize::from(slot.0)];
+        let grant = row.holder.grant().filter(|it| !it.closing)?;
+        let holder = self.members.rows.get(&grant.member);
+        let must_give_up = holder.is_some_and(|it| it.must_give_up());
+        match &row.handover {
+            Some(it) if !self.may_grant(slot, &it.to) => Some(Next::Cancel),
+            Some(Handover { step: HandoverStep::Preparing { since }, .. }) => {
+                let hung = holder.is_none_or(|it| it.upstream == UpstreamState::Lost);
+                let late = ctx.now.since(*since) > PREPARE_MAX;
+                (hung || late).then_some(Next::Close)
+            }
+            Some(Handover { step: HandoverStep::Closing, .. }) => None,
+            None if self.a_key_leaves(slot) => None,
+            None if must_give_up => match self.heir(slot, &grant.member) {
+                Some(heir) => Some(Next::Start(heir)),
+                None if self.members.any_eligible() => None,
+                None => Some(Next::Close),
+            },
+            None if self.is_settled() && self.plan.is_idle() => {
+                let planned = self.plan.planned_owner(slot)?;
+                let moves = planned != grant.member && self.may_grant(slot, &planned);
+                moves.then_some(Next::Start(planned))
+            }
+            None => None,
+        }
+    }
+
+    /// Who takes over a slot whose owner is leaving: the planned owner, or the first successor.
+    fn heir(&self, slot: Slot, holder: &MemberId) -> Option<MemberId> {
+        let names = self.plan.slot_names(slot);
+        names.into_iter().find(|it| it != holder && self.may_grant(slot, it))
+    }
+
+    fn a_key_leaves(&self, slot: Slot) -> bool {
+        self.table.keys_of(slot).any(|(_, row)| matches!(row.holder, KeyHolder::LeavingSlot(_)))
+    }
+
+    fn start_handover(&mut self, ctx: &mut Ctx<'_>, slot: Slot, to: MemberId) {
+        let token = self.next_token();
+        let row = &mut self.table.slots[usize::from(slot.0)];
+        let holder = row.holder.grant().map(|it| it.member.clone());
+        let planned = holder
+            .is_some_and(|it| self.members.rows.get(&it).is_some_and(|it| !it.must_give_up()));
+        if planned {
+            self.moved.push_back(ctx.now);
+        }
+        if let Some(member) = self.members.rows.get_mut(&to) {
+            member.command(Command::Prepare { slot, token });
+        }
+        let step = HandoverStep::Preparing { since: ctx.now };
+        row.handover = Some(Handover { to, token, step });
+    }
+
+    /// Tells the old owner to give the slot up.
+    pub(super) fn close_for_handover(&mut self, _ctx: &mut Ctx<'_>, slot: Slot) {
+        let row = &mut self.table.slots[usize::from(slot.0)];
+        let Holder::Member(grant) = &mut row.holder else { return };
+        let to = row.handover.as_mut().map(|it| {
+            it.step = HandoverStep::Closing;
+            it.to.clone()
+        });
+        let to = to.and_then(|it| self.members.rows.get(&it)).map(|it| it.instance.clone());
+        grant.closing = true;
+        let token = grant.token;
+        if let Some(member) = self.members.rows.get_mut(&grant.member) {
+            member.command(Command::Close { slot, token, to });
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/keys.rs
@@ -0,0 +1,198 @@
+//! Hot keys with an owner of their own, apart from that of their slot.
+
+use model::{KeyHash, Token};
+
+use crate::{
+    Command,
+    ctx::{Ctx, MemberId},
+};
+
+use super::{
+    Coordination,
+    slots::{Grant, Holder, KeyHolder, KeyRow},
+};
+
+impl KeyRow {
+    /// A key of an earlier term's plan.
+    pub(super) fn unknown() -> KeyRow {
+        KeyRow {
+            holder: KeyHolder::Entry(Holder::Unknown),
+            last_token: Token::default(),
+            changed_in: 0,
+        }
+    }
+
+    fn of_slot() -> KeyRow {
+        KeyRow { holder: KeyHolder::Slot, ..KeyRow::unknown() }
+    }
+}
+
+enum Next {
+    /// The slot's owner gives the key up to this member.
+    LeaveSlot(Grant, MemberId),
+    /// The key's own owner gives it up.
+    Close(Grant, Option<MemberId>),
+    Grant(MemberId),
+    /// The slot's owner serves it again.
+    Return(Option<Grant>),
+}
+
+impl Coordination {
+    /// Rows follow the plan in force: each of its hot keys has one.
+    pub(super) fn take_planned_keys(&mut self) {
+        let Some(plan) = self.plan.acked() else { return };
+        let unknown = !self.succession.is_settled();
+        for it in &plan.hot_keys {
+            let new = || if unknown { KeyRow::unknown() } else { KeyRow::of_slot() };
+            self.table.keys.entry(it.key_hash).or_insert_with(new);
+        }
+        let planned = |key: &KeyHash| plan.hot_keys.iter().any(|it| it.key_hash == *key);
+        self.table.keys.retain(|key, row| row.holder != KeyHolder::Slot || planned(key));
+    }
+
+    /// A key that nobody can hold by an entry belongs to its slot, unless that keeps it out.
+    pub(super) fn resolve_unknown_keys(&mut self, ctx: &Ctx<'_>) {
+        let mut found = Vec::new();
+        for (key_hash, row) in &self.table.keys {
+            let names = self.plan.key_names(*key_hash);
+            let slot = self.table.slot_of(*key_hash);
+            let slot = &self.table.slots[usize::from(slot.0)].holder;
+            if row.holder != KeyHolder::Entry(Holder::Unknown)
+                || *slot == Holder::Unknown
+                || !self.succession.is_clear(ctx.now, &self.confirm, &names)
+            {
+                continue;
+            }
+            let owner = slot.grant().and_then(|it| self.members.rows.get(&it.member));
+            let excluded = owner.is_some_and(|it| it.excluded.contains(key_hash));
+            found.push((*key_hash, excluded));
+        }
+        for (key_hash, excluded) in found {
+            let Some(row) = self.table.keys.get_mut(&key_hash) else { continue };
+            row.holder = if excluded { KeyHolder::Entry(Holder::Nobody) } else { KeyHolder::Slot };
+        }
+    }
+
+    /// Brings each hot key nearer to the owner that the plan gives it.
+    pub(super) fn advance_keys(&mut self, ctx: &mut Ctx<'_>) {
+        if !self.may_renew(ctx) || self.plan.acked().is_none() || self.table.keys.is_empty() {
+            return;
+        }
+        let keys: Vec<KeyHash> = self.table.keys.keys().copied().collect();
+        for key_hash in keys {
+            match self.next_key_step(key_hash) {
+                Some(Next::LeaveSlot(grant, to)) => {
+                    self.close_key(key_hash, &grant, Some(&to), true)
+                }
+                Some(Next::Close(grant, to)) => {
+                    self.close_key(key_hash, &grant, to.as_ref(), false)
+                }
+                Some(Next::Grant(to)) => self.grant_key(key_hash, to),
+                Some(Next::Return(grant)) => self.return_key(key_hash, grant),
+                None => {}
+            }
+        }
+    }
+
+    fn next_key_step(&self, key_hash: KeyHash) -> Option<Next> {
+        let slot = &self.table.slots[usize::from(self.table.slot_of(key_hash).0)];
+        let planned = self.plan.planned_key_owner(key_hash);
+        let able = |it: &MemberId| self.members.eligible(it) && self.plan.names_key(key_hash, it);
+        match &self.table.keys.get(&key_hash)?.holder {
+            KeyHolder::Slot => {
+                let to = planned.filter(able)?;
+                let grant = slot.holder.grant().filter(|it| !it.closing && it.member != to)?;
+                let still = slot.handover.is_none() && self.is_settled();
+                still.then(|| Next::LeaveSlot(grant.clone(), to))
+            }
+            KeyHolder::Entry(Holder::Member(grant)) if !grant.closing => {
+                let row = self.members.rows.get(&grant.member);
+                let must_give_up = row.is_some_and(|it| it.must_give_up());
+                let to = match planned {
+                    Some(it) if it == grant.member => None,
+                    Some(it) if able(&it) => Some(it),
+                    Some(_) => return must_give_up.then(|| Next::Close(grant.clone(), None)),
+                    None if self.plan.is_idle() => None,
+                    None => return None,
+                };
+                let stays = to.is_none() && self.plan.planned_key_owner(key_hash).is_some();
+                (!stays || must_give_up).then(|| Next::Close(grant.clone(), to))
+            }
+            KeyHolder::Entry(Holder::Nobody) => {
+                let names = self.plan.key_names(key_hash);
+                let to = planned.into_iter().chain(names).find(able);
+                match (to, &slot.holder) {
+                    (_, Holder::Unknown) => None,
+                    (Some(to), holder) if holder.grant().is_none_or(|it| it.member != to) => {
+                        Some(Next::Grant(to))
+                    }
+                    (_, Holder::Nobody) => Some(Next::Return(None)),
+                    (_, Holder::Member(it)) if it.closing || slot.handover.is_some() => None,
+                    (_, Holder::Member(it)) => Some(Next::Return(Some(it.clone()))),
+                }
+            }
+            KeyHolder::LeavingSlot(_) | KeyHolder::Entry(_) => None,
+        }
+    }
+
+    fn close_key(
+        &mut self,
+        key_hash: KeyHash,
+        grant: &Grant,
+        to: Option<&MemberId>,
+        of_slot: bool,
+    ) {
+        let to = to.and_then(|it| self.members.rows.get(it)).map(|it| it.instance.clone());
+        let grant = Grant { closing: true, ..grant.clone() };
+        if let Some(member) = self.members.rows.get_mut(&grant.member) {
+            member.command(Command::CloseKey { key_hash, token: grant.token, to });
+        }
+        let Some(row) = self.table.keys.get_mut(&key_hash) else { return };
+        row.holder = match of_slot {
+            true => KeyHolder::LeavingSlot(grant),
+            false => KeyHolder::Entry(Holder::Member(grant)),
+        };
+    }
+
+    fn grant_key(&mut self, key_hash: KeyHash, to: MemberId) {
+        let token = self.next_token();
+        let version = self.bump_routes();
+        let Some(row) = self.table.keys.get_mut(&key_hash) else { return };
+        let Some(member) = self.members.rows.get_mut(&to) else { return };
+        assert!(
+            row.holder == KeyHolder::Entry(Holder::Nobody),
+            "key granted while {:?}",
+            row.holder
+        );
+        assert!(token > row.last_token, "token {token} of a key after {}", row.last_token);
+        let session = member.session;
+        member.command(Command::AdmitKey { key_hash, token });
+        let grant = Grant { member: to, session, token, closing: false };
+        row.holder = KeyHolder::Entry(Holder::Member(grant));
+        row.last_token = token;
+        row.changed_in = version;
+    }
+
+    /// The slot is granted anew to whoever holds it, so that the key's token rises too.
+    fn return_key(&mut self, key_hash: KeyHash, holder: Option<Grant>) {
+        let token = self.next_token();
+        let version = self.bump_routes();
+        let slot = self.table.slot_of(key_hash);
+        let Some(row) = self.table.keys.get_mut(&key_hash) else { return };
+        assert!(
+            row.holder == KeyHolder::Entry(Holder::Nobody),
+            "key returned while {:?}",
+            row.holder
+        );
+        row.holder = KeyHolder::Slot;
+        row.changed_in = version;
+        let Some(holder) = holder else { return };
+        let Some(member) = self.members.rows.get_mut(&holder.member) else { return };
+        member.command(Command::Admit { slot, token });
+        member.command(Command::ForgetKey { key_hash });
+        let row = &mut self.table.slots[usize::from(slot.0)];
+        row.holder = Holder::Member(Grant { token, ..holder });
+        row.last_token = token;
+        row.changed_in = version;
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/loads.rs
@@ -0,0 +1,116 @@
+//! Loads of slots and of the hottest keys, as the members report them.
+
+use std::collections::BTreeMap;
+
+use model::{KeyHash, Slot};
+
+use crate::{LoadReport, ctx::MemberId};
+
+use super::Coordination;
+
+/// The weight of the newest report in a smoothed load.
+const LOAD_WEIGHT: f64 = 0.3;
+/// Keys whose load is kept, over all members.
+const HOT_KEYS_MAX: usize = 256;
+/// A key's load loses this share with each proposal in which nobody has reported it.
+const FADE: f64 = 0.3;
+/// A key with less load than this is forgotten.
+const FORGOTTEN_US_PER_S: f64 = 100.0;
+
+/// The hottest keys of the group, in bounded memory.
+#[derive(Debug, Default)]
+pub(crate) struct HotKeys {
+    loads: BTreeMap<KeyHash, HotKeyLoad>,
+}
+
+#[derive(Debug)]
+struct HotKeyLoad {
+    us_per_s: f64,
+    reported: bool,
+}
+
+impl HotKeys {
+    fn report(&mut self, key_hash: KeyHash, us_per_s: f64) {
+        if let Some(it) = self.loads.get_mut(&key_hash) {
+            smooth(&mut it.us_per_s, us_per_s);
+            it.reported = true;
+            return;
+        }
+        if self.loads.len() < HOT_KEYS_MAX || self.make_room(us_per_s) {
+            self.loads.insert(key_hash, HotKeyLoad { us_per_s, reported: true });
+        }
+    }
+
+    /// Forgets the coolest key if it is cooler than this.
+    fn make_room(&mut self, us_per_s: f64) -> bool {
+        let coolest = self.loads.iter().min_by(|a, b| a.1.us_per_s.total_cmp(&b.1.us_per_s));
+        let Some((key_hash, load)) = coolest else { return true };
+        let (key_hash, cooler) = (*key_hash, load.us_per_s < us_per_s);
+        if cooler {
+            self.loads.remove(&key_hash);
+        }
+        cooler
+    }
+
+    /// Lets keys that nobody reports any more cool down.
+    pub(crate) fn fade(&mut self) {
+        for it in self.loads.values_mut() {
+            if !it.reported {
+                it.us_per_s *= 1.0 - FADE;
+            }
+            it.reported = false;
+        }
+        self.loads.retain(|_, it| it.us_per_s >= FORGOTTEN_US_PER_S);
+    }
+
+    pub(crate) fn load(&self, key_hash: KeyHash) -> f64 {
+        self.loads.get(&key_hash).map_or(0.0, |it| it.us_per_s)
+    }
+
+    pub(crate) fn keys(&self) -> impl Iterator<Item = KeyHash> {
+        self.loads.keys().copied()
+    }
+}
+
+fn smooth(load: &mut f64, us_per_s: f64) {
+    *load += LOAD_WEIGHT * (us_per_s - *load);
+}
+
+impl Coordination {
+    pub(super) fn take_loads(&mut self, id: &MemberId, report: &LoadReport) {
+        if report.period_ms == 0 {
+            return;
+        }
+        let per_s = |load_us: u64| load_us as f64 * 1000.0 / f64::from(report.period_ms);
+        let mut keys_us = 0_u64;
+        for it in &report.keys {
+            keys_us = keys_us.saturating_add(it.load_us);
+            self.hot_keys.report(it.key_hash, per_s(it.load_us));
+        }
+        let mut rest_us = report.total_us;
+        let mut reported: Vec<Slot> = Vec::with_capacity(report.slots.len());
+        for it in &report.slots {
+            rest_us = rest_us.saturating_sub(it.load_us);
+            reported.push(it.slot);
+            if let Some(row) = self.table.row(it.slot) {
+                smooth(&mut row.load_us_per_s, per_s(it.load_us));
+            }
+        }
+        self.share_rest(id, &reported, per_s(rest_us.saturating_sub(keys_us)));
+    }
+
+    /// Slots too light to be reported share what is left of their owner's load.
+    fn share_rest(&mut self, id: &MemberId, reported: &[Slot], rest_us_per_s: f64) {
+        let slots = self.table.slot_count.iter().zip(&mut self.table.slots);
+        let mut others: Vec<&mut f64> = slots
+            .filter(|(slot, row)| {
+                row.holder.grant().is_some_and(|it| it.member == *id) && !reported.contains(slot)
+            })
+            .map(|(_, row)| &mut row.load_us_per_s)
+            .collect();
+        let share = rest_us_per_s / others.len().max(1) as f64;
+        for load in &mut others {
+            smooth(load, share);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -0,0 +1,134 @@
+//! Keeps the coordinator's object true: settled, the path of confirmation, witnesses, times.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{Instance, Zone};
+
+use crate::{
+    Confirmation, Coordinator, Event, TermTimes,
+    ctx::{Ctx, MemberId, is_same},
+};
+
+use super::{Coordination, members::MemberRow};
+
+/// The most witnesses, and the least that are worth having.
+const WITNESSES_MAX: usize = 5;
+const WITNESSES_MIN: usize = 3;
+/// A member becomes a witness when it has been there for this long.
+const WITNESS_AFTER: Duration = Duration::from_secs(1);
+/// How long a majority may be missing before the other path is declared.
+const MISSING_MAX: Duration = Duration::from_millis(100);
+
+impl Coordination {
+    /// Only a settled coordinator changes its object.
+    pub(super) fn maintain(&mut self, ctx: &mut Ctx<'_>) {
+        if !self.is_settled() || self.object.is_pending() || self.releasing {
+            return;
+        }
+        let acked = self.object.acked();
+        let mut wanted = Coordinator { settled: true, ..acked.clone() };
+        self.choose_confirmation(ctx, &mut wanted);
+        self.choose_times(ctx, &mut wanted);
+        if wanted != *self.object.acked() {
+            self.object.update(ctx, wanted);
+        }
+    }
+
+    fn choose_confirmation(&mut self, ctx: &Ctx<'_>, wanted: &mut Coordinator) {
+        let candidates = self.witness_candidates(ctx);
+        let confirmed = self.may_renew(ctx);
+        let missing = ctx.now.since(self.confirm.until()) > MISSING_MAX;
+        let reachable = self.confirm.platform_is_reachable(ctx.now);
+        match wanted.confirmation {
+            Confirmation::Witnesses if !confirmed && missing && reachable => {
+                wanted.confirmation = Confirmation::Platform;
+                wanted.witnesses = Vec::new();
+            }
+            Confirmation::Witnesses if confirmed && reachable => {
+                let lost = |it: &Instance| !candidates.iter().any(|known| is_same(known, it));
+                let more = wanted.witnesses.len() < WITNESSES_MAX.min(odd(candidates.len()));
+                if candidates.len() < WITNESSES_MIN {
+                    wanted.confirmation = Confirmation::Platform;
+                    wanted.witnesses = Vec::new();
+                } else if more || wanted.witnesses.iter().any(lost) {
+                    wanted.witnesses = choose_witnesses(ctx.me(), &candidates, &wanted.witnesses);
+                }
+            }
+            // Contact is a matter of course where the platform confirms, but here it is rare.
+            Confirmation::Witnesses => {
+                let lost = |it: &Instance| !candidates.iter().any(|known| is_same(known, it));
+                if wanted.witnesses.iter().any(lost) {
+                    self.confirm.read_soon(ctx.now);
+                }
+            }
+            Confirmation::Platform if confirmed && candidates.len() >= WITNESSES_MIN => {
+                wanted.confirmation = Confirmation::Witnesses;
+                wanted.witnesses = choose_witnesses(ctx.me(), &candidates, &[]);
+            }
+            Confirmation::Platform => {}
+        }
+    }
+
+    fn witness_candidates(&self, ctx: &Ctx<'_>) -> Vec<&Instance> {
+        let able = |row: &&MemberRow| !row.leaving && ctx.now.since(row.joined_at) >= WITNESS_AFTER;
+        self.members.rows.values().filter(able).map(|it| &it.instance).collect()
+    }
+
+    /// Longer times are written before they are used. Shorter ones are used at once, and written
+    /// when nothing that was given by the longer ones can live any more.
+    fn choose_times(&mut self, ctx: &Ctx<'_>, wanted: &mut Coordinator) {
+        let asked = TermTimes::from(ctx.limits());
+        if wanted.times == asked {
+            self.times_differ_since = None;
+            return;
+        }
+        let since = *self.times_differ_since.get_or_insert(ctx.now);
+        let former = wanted.times;
+        let longest = former.confirmation().max(former.platform_confirmation()) + former.lease();
+        if ctx.now.since(since) > former.elsewhere(longest) {
+            wanted.times = asked;
+        }
+    }
+
+    /// An update of the object has taken effect.
+    pub(super) fn confirmation_changed(&mut self, ctx: &mut Ctx<'_>) {
+        let object = self.object.acked();
+        let now = (object.confirmation, object.witnesses.iter().map(MemberId::from).collect());
+        let (path, _) = &now;
+        if *path != self.confirmed_by.0 {
+            self.confirm.reset(ctx.now);
+        }
+        if now != self.confirmed_by {
+            ctx.event(Event::ConfirmationChanged {
+                confirmation: object.confirmation,
+                witnesses: object.witnesses.len() as u16,
+            });
+        }
+        self.confirmed_by = now;
+    }
+}
+
+fn odd(count: usize) -> usize {
+    if count.is_multiple_of(2) { count.saturating_sub(1) } else { count }
+}
+
+/// Spreads the witnesses over the zones. Those that are witnesses already stay, and the
+/// coordinator itself comes last, so that its loss does not cost a witness as well.
+fn choose_witnesses(me: &Instance, able: &[&Instance], former: &[Instance]) -> Vec<Instance> {
+    let count = WITNESSES_MAX.min(odd(able.len()));
+    let mut of_zone: BTreeMap<&Zone, usize> = BTreeMap::new();
+    let mut chosen: Vec<Instance> = Vec::new();
+    let mut left: Vec<&Instance> = able.to_vec();
+    while chosen.len() < count {
+        let cost = |it: &&Instance| {
+            let crowd = of_zone.get(&it.zone).copied().unwrap_or(0);
+            let new = !former.iter().any(|known| is_same(known, it));
+            (crowd, is_same(it, me), new)
+        };
+        let Some(at) = (0..left.len()).min_by_key(|it| cost(&left[*it])) else { break };
+        let it = left.remove(at);
+        *of_zone.entry(&it.zone).or_default() += 1;
+        chosen.push(it.clone());
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/members.rs
@@ -0,0 +1,209 @@
+//! The coordinator's table of members and their sessions.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use model::{ConfigVersion, Instance, KeyHash, Timestamp};
+
+use crate::{Command, LoadReport, Renew, Report, SessionId, UpstreamState, ctx::MemberId};
+
+/// The most members of one group.
+pub const GROUP_MEMBERS_MAX: usize = 32;
+/// The weight of the newest report in a member's smoothed load.
+const LOAD_WEIGHT: f64 = 0.3;
+
+/// One live session of a member.
+#[derive(Debug)]
+pub(crate) struct MemberRow {
+    pub(crate) instance: Instance,
+    pub(crate) session: SessionId,
+    /// The newest renewal taken in.
+    pub(crate) sequence: u64,
+    /// No lease of this session lives longer than this.
+    pub(crate) lease_until: Timestamp,
+    pub(crate) joined_at: Timestamp,
+    pub(crate) upstream: UpstreamState,
+    pub(crate) leaving: bool,
+    pub(crate) config: ConfigVersion,
+    pub(crate) load_us_per_s: f64,
+    /// Commands not yet heard to be applied; the first has the number `first_command`.
+    pub(crate) commands: VecDeque<Command>,
+    pub(crate) first_command: u64,
+    /// The last report taken in.
+    pub(crate) heard: u64,
+    /// The version of routes up to which the member is known to be.
+    pub(crate) route_version: u64,
+    /// The version of routes up to which it has been sent some.
+    pub(crate) routes_sent: u64,
+    /// Hot keys that the session kept out of its slots when this term found it.
+    pub(crate) excluded: BTreeSet<KeyHash>,
+    /// A renewal waits for its answer.
+    pub(crate) answer_due: bool,
+    /// There is something new to tell.
+    pub(crate) push_due: bool,
+}
+
+impl MemberRow {
+    pub(crate) fn new(from: &Instance, renew: &Renew, now: Timestamp) -> MemberRow {
+        MemberRow {
+            instance: from.clone(),
+            session: renew.session,
+            sequence: renew.sequence,
+            lease_until: now,
+            joined_at: now,
+            upstream: renew.upstream,
+            leaving: renew.leaving,
+            config: renew.config,
+            load_us_per_s: 0.0,
+            commands: VecDeque::new(),
+            first_command: 1,
+            heard: 0,
+            route_version: 0,
+            routes_sent: 0,
+            excluded: BTreeSet::new(),
+            answer_due: true,
+            push_due: false,
+        }
+    }
+
+    /// Whether slots may be granted to it.
+    pub(crate) fn is_eligible(&self) -> bool {
+        self.upstream == UpstreamState::Ready && !self.leaving
+    }
+
+    /// Whether it is to give up all it holds.
+    pub(crate) fn must_give_up(&self) -> bool {
+        self.leaving || matches!(self.upstream, UpstreamState::Draining | UpstreamState::Lost)
+    }
+
+    pub(crate) fn command(&mut self, command: Command) {
+        self.commands.push_back(command);
+        self.push_due = true;
+    }
+
+    /// Takes a renewal's state in and gives back the reports not heard before. Says also whether
+    /// something changed that others are told.
+    pub(crate) fn take_in(&mut self, renew: &Renew) -> (Vec<Report>, bool) {
+        let changed = self.upstream != renew.upstream
+            || self.leaving != renew.leaving
+            || self.config != renew.config;
+        self.sequence = renew.sequence;
+        self.upstream = renew.upstream;
+        self.leaving = renew.leaving;
+        self.config = self.config.max(renew.config);
+        self.route_version = renew.route_version;
+        self.answer_due = true;
+        while self.first_command <= renew.applied && self.commands.pop_front().is_some() {
+            self.first_command += 1;
+        }
+        if let Some(load) = &renew.load {
+            self.take_load(load);
+        }
+        let mut reports = Vec::new();
+        for (number, report) in (renew.first_report..).zip(&renew.reports) {
+            if number == self.heard + 1 {
+                self.heard = number;
+                reports.push(*report);
+            }
+        }
+        (reports, changed)
+    }
+
+    fn take_load(&mut self, load: &LoadReport) {
+        if load.period_ms == 0 {
+            return;
+        }
+        let per_s = load.total_us as f64 * 1000.0 / f64::from(load.period_ms);
+        self.load_us_per_s += LOAD_WEIGHT * (per_s - self.load_us_per_s);
+    }
+}
+
+/// A session that was replaced by a newer one of the same member before its lease had ended.
+#[derive(Debug)]
+pub(crate) struct LapsingSession {
+    pub(crate) member: MemberId,
+    pub(crate) session: SessionId,
+    pub(crate) until: Timestamp,
+}
+
+/// All sessions of the group.
+#[derive(Debug, Default)]
+pub(crate) struct MemberTable {
+    pub(crate) rows: BTreeMap<MemberId, MemberRow>,
+    pub(crate) lapsing: Vec<LapsingSession>,
+    /// For each member, the newest session that has ended in this term.
+    ended: BTreeMap<MemberId, SessionId>,
+}
+
+/// What a renewal is to the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// The next renewal of a live session.
+    Known,
+    /// A session that the table does not have.
+    New,
+    /// Late, doubled, or of a session that a newer one has replaced.
+    Stale,
+    /// Of a session that has ended.
+    Ended,
+    /// There is no room.
+    Full,
+}
+
+impl MemberTable {
+    pub(crate) fn standing(&self, id: &MemberId, renew: &Renew) -> Standing {
+        if self.ended.get(id).is_some_and(|it| renew.session <= *it) {
+            return Standing::Ended;
+        }
+        match self.rows.get(id) {
+            Some(row) if renew.session < row.session => Standing::Stale,
+            Some(row) if renew.session > row.session => Standing::New,
+            Some(row) if renew.sequence <= row.sequence => Standing::Stale,
+            Some(_) => Standing::Known,
+            None if self.rows.len() >= GROUP_MEMBERS_MAX => Standing::Full,
+            None => Standing::New,
+        }
+    }
+
+    /// Puts a new session in the place of an older one, which ends when its lease does.
+    pub(crate) fn insert(&mut self, id: MemberId, row: MemberRow) {
+        let Some(former) = self.rows.insert(id.clone(), row) else { return };
+        self.end(id.clone(), former.session);
+        self.lapsing.push(LapsingSession {
+            member: id,
+            session: former.session,
+            until: former.lease_until,
+        });
+    }
+
+    pub(crate) fn end(&mut self, id: MemberId, session: SessionId) {
+        let newest = self.ended.entry(id).or_insert(session);
+        *newest = session.max(*newest);
+    }
+
+    /// Removes all sessions whose leases have ended.
+    pub(crate) fn expire(
+        &mut self,
+        now: Timestamp,
+    ) -> Vec<(MemberId, SessionId, Option<MemberRow>)> {
+        let mut gone = Vec::new();
+        for it in self.lapsing.extract_if(.., |it| it.until <= now) {
+            gone.push((it.member, it.session, None));
+        }
+        let lapsed = self.rows.extract_if(.., |_, row| row.lease_until <= now);
+        for (id, row) in lapsed {
+            gone.push((id, row.session, Some(row)));
+        }
+        for (id, session, _) in &gone {
+            self.end(id.clone(), *session);
+        }
+        gone
+    }
+
+    pub(crate) fn eligible(&self, id: &MemberId) -> bool {
+        self.rows.get(id).is_some_and(MemberRow::is_eligible)
+    }
+
+    pub(crate) fn any_eligible(&self) -> bool {
+        self.rows.values().any(MemberRow::is_eligible)
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -0,0 +1,361 @@
+//! A node's part as coordinator of its group, while it holds the term.
+
+mod answer;
+mod confirm;
+mod grants;
+mod handover;
+mod keys;
+mod loads;
+mod maintain;
+mod members;
+mod object;
+mod plan;
+mod propose;
+mod renewals;
+mod slots;
+mod succession;
+
+use std::{collections::VecDeque, time::Duration};
+
+use model::{ConfigVersion, Instance, ObjectVersion, Term, Timestamp, Token};
+
+use crate::{
+    CallId, Confirmation, Coordinator, Event, Message, PlatformReply, TermTimes,
+    ctx::{Ctx, MemberId, is_same},
+    member::first_version,
+};
+
+pub use self::members::GROUP_MEMBERS_MAX;
+
+use self::{
+    confirm::{Confirm, ConfirmBy},
+    loads::HotKeys,
+    members::MemberTable,
+    object::{Decided, ObjectKeeper},
+    plan::{PlanKeeper, PlanReply},
+    slots::{Holder, SlotTable},
+    succession::Succession,
+};
+
+/// How often members that have not answered are told of the term.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
+/// A new coordinator that no member answers for this long stops announcing itself.
+const DEAF_AFTER: Duration = Duration::from_secs(1);
+/// A first plan waits this long, so that all who start together are in it.
+const FIRST_PLAN_DELAY: Duration = Duration::from_millis(1000);
+
+/// A term that an update is known to have won.
+#[derive(Debug)]
+pub(crate) struct Acquired {
+    pub(crate) object: Coordinator,
+    pub(crate) version: ObjectVersion,
+    /// What the object was before; none: it did not exist.
+    pub(crate) former: Option<Coordinator>,
+    /// When the update that won was sent, at the earliest.
+    pub(crate) sent_at: Timestamp,
+}
+
+/// Whether the term goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TermState {
+    Held,
+    /// Another node holds a later one.
+    Lost,
+    /// Given up by this node's own update.
+    Released,
+}
+
+/// All that a coordinator knows and does.
+pub(crate) struct Coordination {
+    term: Term,
+    object: ObjectKeeper,
+    confirm: Confirm,
+    succession: Succession,
+    members: MemberTable,
+    table: SlotTable,
+    hot_keys: HotKeys,
+    plan: PlanKeeper,
+    /// The sequence of the newest token.
+    sequence: u64,
+    route_version: u64,
+    members_changed_in: u64,
+    next_member_loads: Timestamp,
+    config: ConfigVersion,
+    /// Others to tell of the term, besides those that the plan names.
+    known: Vec<Instance>,
+    next_announcement: Timestamp,
+    next_proposal: Timestamp,
+    /// When slots were moved to even out the load, within the last minute.
+    moved: VecDeque<Timestamp>,
+    /// Since when the document has asked for other times than the object holds.
+    times_differ_since: Option<Timestamp>,
+    /// The path of confirmation and the witnesses, as last acknowledged.
+    confirmed_by: (Confirmation, Vec<MemberId>),
+    /// When any member was last heard.
+    heard_at: Timestamp,
+    releasing: bool,
+}
+
+impl Coordination {
+    pub(crate) fn new(ctx: &mut Ctx<'_>, acquired: Acquired, known: Vec<Instance>) -> Coordination {
+        let Acquired { object, version, former, sent_at } = acquired;
+        let term = object.term;
+        let first_term = former.is_none();
+        let object = ObjectKeeper::new(object, version);
+        let times = object.acked().times.min(ctx.limits().into());
+        let confirm = Confirm::new(ctx.now, sent_at, &object.confirm_by(times));
+        let succession = Succession::new(ctx.now, former.as_ref());
+        let holder = if first_term { Holder::Nobody } else { Holder::Unknown };
+        let witnesses = object.acked().witnesses.iter().map(MemberId::from).collect();
+        let confirmed_by = (object.acked().confirmation, witnesses);
+        let slots = ctx.config.slot_count;
+        let base = first_version(term);
+        let delay = if first_term { FIRST_PLAN_DELAY } else { Duration::ZERO };
+        ctx.event(Event::BecameCoordinator { term: term.0 });
+        Coordination {
+            term,
+            object,
+            confirm,
+            succession,
+            members: MemberTable::default(),
+            table: SlotTable::new(slots, &holder, base),
+            hot_keys: HotKeys::default(),
+            plan: PlanKeeper::new(ctx.now),
+            sequence: 0,
+            route_version: base + u64::from(slots.count()),
+            members_changed_in: base,
+            next_member_loads: ctx.now,
+            config: ConfigVersion(0),
+            known,
+            next_announcement: ctx.now,
+            next_proposal: ctx.now + delay,
+            moved: VecDeque::new(),
+            times_differ_since: None,
+            confirmed_by,
+            heard_at: ctx.now,
+            releasing: false,
+        }
+    }
+
+    pub(crate) fn term(&self) -> Term {
+        self.term
+    }
+
+    pub(crate) fn is_settled(&self) -> bool {
+        self.succession.is_settled()
+    }
+
+    pub(crate) fn plan_version(&self) -> u64 {
+        self.plan.acked().map_or(0, |it| it.version)
+    }
+
+    /// Until when this node may hold what it has granted itself.
+    pub(crate) fn own_lease_until(&self, ctx: &Ctx<'_>) -> Option<Timestamp> {
+        self.may_renew(ctx).then(|| self.confirm.until())
+    }
+
+    /// The times in force: those that a successor will wait by, or shorter ones.
+    fn times(&self, ctx: &Ctx<'_>) -> TermTimes {
+        self.object.acked().times.min(ctx.limits().into())
+    }
+
+    fn may_renew(&self, ctx: &Ctx<'_>) -> bool {
+        let by = self.object.confirm_by(self.times(ctx));
+        !self.releasing && self.confirm.holds(ctx.now, &by)
+    }
+
+    /// After a pause nothing that was proved before holds.
+    pub(crate) fn paused(&mut self, now: Timestamp) {
+        self.confirm.reset(now);
+    }
+
+    pub(crate) fn message(&mut self, ctx: &mut Ctx<'_>, from: &Instance, message: &Message) {
+        match message {
+            Message::Renew(renew) => {
+                self.heard_at = ctx.now;
+                self.renew(ctx, from, renew);
+            }
+            Message::Answer { term, number } if *term == self.term => {
+                let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
+                self.confirm.answered(ctx.now, from, *number, &by);
+            }
+            _ => return,
+        }
+        self.run(ctx);
+    }
+
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>) {
+        self.expire(ctx);
+        let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
+        self.confirm.tick(ctx, self.term, &by);
+        self.object.tick(ctx);
+        if ctx.config.keyed {
+            self.plan.tick(ctx);
+        }
+        if self.succession.settle(ctx.now, &self.confirm) {
+            ctx.event(Event::Settled { term: self.term.0 });
+        }
+        self.announce(ctx);
+        self.run(ctx);
+        if ctx.config.keyed {
+            self.propose(ctx);
+        }
+        self.maintain(ctx);
+        self.refresh_member_loads(ctx);
+        self.answer_all(ctx);
+    }
+
+    /// The systems that follow from any event at once.
+    fn run(&mut self, ctx: &mut Ctx<'_>) {
+        if ctx.config.keyed {
+            self.resolve_unknown(ctx);
+            self.grant_free(ctx);
+            self.advance_handovers(ctx);
+            self.advance_keys(ctx);
+        }
+        self.answer_all(ctx);
+    }
+
+    /// The end of a platform call that this part may have made.
+    pub(crate) fn platform(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        call: CallId,
+        reply: &PlatformReply,
+    ) -> TermState {
+        match self.object.reply(ctx, call, reply) {
+            Decided::No => {}
+            Decided::Deposed => return TermState::Lost,
+            Decided::Updated { sent_at } => return self.object_updated(ctx, sent_at),
+        }
+        if self.confirm.reads(call) {
+            return self.confirm_read(ctx, call, reply);
+        }
+        let (term, slots, me) = (self.term, ctx.config.slot_count, ctx.config);
+        let first = |ctx: &mut Ctx<'_>, found: Option<&crate::Plan>| {
+            propose::first_plan(ctx.nonce(), term, slots, me, found)
+        };
+        match self.plan.reply(ctx, call, reply, first) {
+            PlanReply::Deposed => return TermState::Lost,
+            PlanReply::Acknowledged(version) => {
+                ctx.event(Event::PlanWritten { version });
+                self.plan_acknowledged();
+                self.run(ctx);
+            }
+            PlanReply::NotMine | PlanReply::Nothing => {}
+        }
+        TermState::Held
+    }
+
+    fn confirm_read(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        call: CallId,
+        reply: &PlatformReply,
+    ) -> TermState {
+        let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
+        let shown = match reply {
+            PlatformReply::Coordinator(Some((_, it))) if self.object.is_own(it) => true,
+            PlatformReply::Coordinator(_) => return TermState::Lost,
+            _ => false,
+        };
+        self.confirm.read(ctx.now, call, shown, &by);
+        if shown {
+            self.run(ctx);
+        }
+        TermState::Held
+    }
+
+    fn object_updated(&mut self, ctx: &mut Ctx<'_>, sent_at: Timestamp) -> TermState {
+        self.confirm.updated(sent_at);
+        let object = self.object.acked();
+        if object.holder.is_none() {
+            return TermState::Released;
+        }
+        self.confirmation_changed(ctx);
+        TermState::Held
+    }
+
+    /// Tells all who may hold something and have not answered yet, until the term is settled.
+    fn announce(&mut self, ctx: &mut Ctx<'_>) {
+        let is_done = self.is_settled() && !self.members.rows.is_empty();
+        // One that hears nobody leaves the term to others.
+        let is_deaf = ctx.now.since(self.heard_at) > DEAF_AFTER;
+        if is_done || is_deaf || self.next_announcement > ctx.now {
+            return;
+        }
+        self.next_announcement = ctx.now + ANNOUNCE_EVERY;
+        let planned = self.plan.acked().map_or(&[][..], |it| it.members.as_slice());
+        let witnesses = self.object.acked().witnesses.as_slice();
+        let mut told: Vec<&Instance> = Vec::new();
+        for it in planned.iter().chain(witnesses).chain(&self.known).chain(&ctx.config.peers) {
+            let skip = self.succession.has_answered(&MemberId::from(it));
+            if !skip && !told.iter().any(|known| is_same(known, it)) {
+                told.push(it);
+            }
+        }
+        for it in told {
+            ctx.send(it, Message::Announce { term: self.term });
+        }
+    }
+
+    fn next_token(&mut self) -> Token {
+        self.sequence += 1;
+        Token { term: self.term, sequence: self.sequence }
+    }
+
+    fn bump_routes(&mut self) -> u64 {
+        self.route_version += 1;
+        self.route_version
+    }
+
+    /// Others are told of a change of the members.
+    fn members_changed(&mut self) {
+        self.members_changed_in = self.bump_routes();
+    }
+
+    /// A new plan is due soon; joins that come together are taken together.
+    fn propose_soon(&mut self, now: Timestamp) {
+        self.next_proposal = self.next_proposal.min(now + propose::GATHER_FOR);
+    }
+
+    /// Whether this node's own part and nobody else is left to serve the group, or to lead it.
+    pub(crate) fn others(&self, me: &Instance) -> Others {
+        let id = MemberId::from(me);
+        let mut others = Others::None;
+        for (other, row) in &self.members.rows {
+            if *other == id {
+                continue;
+            }
+            if !row.leaving {
+                return Others::Staying;
+            }
+            others = Others::Leaving;
+        }
+        others
+    }
+
+    /// Gives the term up, by an update after which this node renews nothing.
+    pub(crate) fn release(&mut self, ctx: &mut Ctx<'_>) {
+        if self.releasing || self.object.is_pending() {
+            return;
+        }
+        self.releasing = true;
+        let object = Coordinator { holder: None, ..self.object.acked().clone() };
+        self.object.update(ctx, object);
+    }
+
+    /// All members, to tell them that the term is given up.
+    pub(crate) fn instances(&self) -> impl Iterator<Item = &Instance> {
+        self.members.rows.values().map(|it| &it.instance)
+    }
+}
+
+/// Who else is in the group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Others {
+    None,
+    /// All of them are leaving too.
+    Leaving,
+    Staying,
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/object.rs
@@ -0,0 +1,153 @@
+//! The coordinator's own object in the platform, and the one update of it that may be on its way.
+
+use std::time::Duration;
+
+use model::{ObjectVersion, Timestamp};
+
+use crate::{CallId, Confirmation, Coordinator, PlatformReply, PlatformRequest, ctx::Ctx};
+
+use super::ConfirmBy;
+
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// An update that has not been acknowledged. Until it is, both the object as acknowledged and
+/// this one may be in force. It is sent again, unchanged, until that is decided: an
+/// acknowledgement or a conflict settles all sendings, however late one of them lands.
+#[derive(Debug)]
+struct Pending {
+    object: Coordinator,
+    call: Option<CallId>,
+    /// The platform has refused it: reading will show whether an earlier sending took effect.
+    refused: bool,
+    sent_at: Timestamp,
+    retry_at: Timestamp,
+}
+
+/// What has become of the update.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Decided {
+    /// The reply was not about this object, or decides nothing.
+    No,
+    /// It took effect; it had been sent at this time.
+    Updated { sent_at: Timestamp },
+    /// Somebody else has written the object: the term has ended.
+    Deposed,
+}
+
+/// `coordinators/S/G` as its holder sees it.
+#[derive(Debug)]
+pub(crate) struct ObjectKeeper {
+    acked: Coordinator,
+    version: ObjectVersion,
+    pending: Option<Pending>,
+}
+
+impl ObjectKeeper {
+    pub(crate) fn new(acked: Coordinator, version: ObjectVersion) -> ObjectKeeper {
+        ObjectKeeper { acked, version, pending: None }
+    }
+
+    pub(crate) fn acked(&self) -> &Coordinator {
+        &self.acked
+    }
+
+    pub(crate) fn is_pending(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// By what the coordinator is confirmed while the update is on its way.
+    pub(crate) fn confirm_by(&self, times: crate::TermTimes) -> ConfirmBy<'_> {
+        let mut path = Some(self.acked.confirmation);
+        let mut witness_sets = vec![self.acked.witnesses.as_slice()];
+        if let Some(pending) = &self.pending {
+            if pending.object.confirmation != self.acked.confirmation {
+                path = None;
+            }
+            if pending.object.witnesses != self.acked.witnesses {
+                witness_sets.push(pending.object.witnesses.as_slice());
+            }
+        }
+        if path == Some(Confirmation::Platform) {
+            witness_sets.clear();
+        }
+        ConfirmBy { path, witness_sets, times }
+    }
+
+    /// Starts an update; only one may be on its way.
+    pub(crate) fn update(&mut self, ctx: &mut Ctx<'_>, object: Coordinator) {
+        assert!(self.pending.is_none(), "a second update of the coordinator's object");
+        let object = Coordinator { nonce: ctx.nonce(), ..object };
+        self.pending = Some(Pending {
+            object,
+            call: None,
+            refused: false,
+            sent_at: ctx.now,
+            retry_at: ctx.now,
+        });
+        self.tick(ctx);
+    }
+
+    /// Sends the update again while it is not decided.
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>) {
+        let expected = self.version;
+        let Some(pending) = &mut self.pending else { return };
+        if pending.call.is_some() || pending.retry_at > ctx.now {
+            return;
+        }
+        let request = match pending.refused {
+            true => PlatformRequest::ReadCoordinator,
+            false => {
+                pending.sent_at = ctx.now;
+                PlatformRequest::UpdateCoordinator { expected, object: pending.object.clone() }
+            }
+        };
+        pending.call = Some(ctx.call(request));
+    }
+
+    pub(crate) fn reply(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        call: CallId,
+        reply: &PlatformReply,
+    ) -> Decided {
+        let Some(pending) = self.pending.as_mut().filter(|it| it.call == Some(call)) else {
+            return Decided::No;
+        };
+        pending.call = None;
+        match reply {
+            PlatformReply::Updated(version) => self.taken_effect(*version),
+            PlatformReply::Conflict => {
+                pending.refused = true;
+                pending.retry_at = ctx.now;
+                self.tick(ctx);
+                Decided::No
+            }
+            PlatformReply::Coordinator(Some((version, object))) => {
+                if object.nonce == pending.object.nonce {
+                    self.taken_effect(*version)
+                } else {
+                    Decided::Deposed
+                }
+            }
+            PlatformReply::Coordinator(None) => Decided::Deposed,
+            PlatformReply::Failed | PlatformReply::Plan(_) => {
+                pending.retry_at = ctx.now + ctx.jittered(RETRY_AFTER);
+                Decided::No
+            }
+        }
+    }
+
+    fn taken_effect(&mut self, version: ObjectVersion) -> Decided {
+        let Some(pending) = self.pending.take() else { return Decided::No };
+        self.acked = pending.object;
+        self.version = version;
+        Decided::Updated { sent_at: pending.sent_at }
+    }
+
+    /// Whether an object read from the platform is this coordinator's, as acknowledged or pending.
+    pub(crate) fn is_own(&self, object: &Coordinator) -> bool {
+        let pending = self.pending.as_ref().map(|it| it.object.nonce);
+        object.term == self.acked.term
+            && (object.nonce == self.acked.nonce || Some(object.nonce) == pending)
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -0,0 +1,212 @@
+//! The plan in the platform: what it names, and the one update of it that may be on its way.
+
+use std::time::Duration;
+
+use model::{KeyHash, ObjectVersion, Slot, Timestamp};
+
+use crate::{
+    CallId, Plan, PlatformReply, PlatformRequest,
+    ctx::{Ctx, MemberId},
+};
+
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+#[derive(Debug)]
+enum Step {
+    /// Read what the plan is.
+    Read,
+    /// Write this one on top of the one that is known.
+    Write(Box<Plan>),
+}
+
+/// Names of one plan, by slot and key.
+#[derive(Debug)]
+struct Named {
+    plan: Plan,
+    ids: Vec<MemberId>,
+}
+
+impl Named {
+    fn new(plan: Plan) -> Named {
+        let ids = plan.members.iter().map(MemberId::from).collect();
+        Named { plan, ids }
+    }
+
+    fn slot(&self, slot: Slot) -> Vec<&MemberId> {
+        let entry = self.plan.slots.get(usize::from(slot.0));
+        entry.map_or_else(Vec::new, |it| self.resolve(it.owner, &it.successors))
+    }
+
+    fn key(&self, key_hash: KeyHash) -> Vec<&MemberId> {
+        let entry = self.plan.hot_keys.iter().find(|it| it.key_hash == key_hash);
+        entry.map_or_else(Vec::new, |it| self.resolve(it.owner, &it.successors))
+    }
+
+    fn resolve(&self, owner: Option<u16>, successors: &[u16]) -> Vec<&MemberId> {
+        let indexes = owner.iter().chain(successors);
+        indexes.filter_map(|it| self.ids.get(usize::from(*it))).collect()
+    }
+}
+
+/// What has become of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlanReply {
+    NotMine,
+    Nothing,
+    /// A plan has been acknowledged, with this version.
+    Acknowledged(u64),
+    /// A later term has written a plan.
+    Deposed,
+}
+
+/// `plans/S/G` as the coordinator sees it. Grants rest on plans that this term has written itself:
+/// its first write also keeps any write of an earlier term from taking effect.
+#[derive(Debug)]
+pub(crate) struct PlanKeeper {
+    version: ObjectVersion,
+    /// The newest plan that this term has seen acknowledged.
+    acked: Option<Named>,
+    /// A plan written whose fate is not known.
+    doubtful: Option<Named>,
+    step: Option<Step>,
+    call: Option<CallId>,
+    retry_at: Timestamp,
+}
+
+impl PlanKeeper {
+    pub(crate) fn new(now: Timestamp) -> PlanKeeper {
+        PlanKeeper {
+            version: ObjectVersion(0),
+            acked: None,
+            doubtful: None,
+            step: Some(Step::Read),
+            call: None,
+            retry_at: now,
+        }
+    }
+
+    /// A plan of this term is in force, and grants may rest on it.
+    pub(crate) fn acked(&self) -> Option<&Plan> {
+        self.acked.as_ref().map(|it| &it.plan)
+    }
+
+    /// Whether no read or write is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.step.is_none()
+    }
+
+    /// All that may hold a slot by the plan in force.
+    pub(crate) fn slot_names(&self, slot: Slot) -> Vec<MemberId> {
+        self.acked.iter().flat_map(|it| it.slot(slot)).cloned().collect()
+    }
+
+    pub(crate) fn key_names(&self, key_hash: KeyHash) -> Vec<MemberId> {
+        self.acked.iter().flat_map(|it| it.key(key_hash)).cloned().collect()
+    }
+
+    /// Whether each plan that may be in force names the member for the slot.
+    pub(crate) fn names_slot(&self, slot: Slot, member: &MemberId) -> bool {
+        self.acked.as_ref().is_some_and(|it| it.slot(slot).contains(&member))
+            && self.doubtful.as_ref().is_none_or(|it| it.slot(slot).contains(&member))
+    }
+
+    pub(crate) fn names_key(&self, key_hash: KeyHash, member: &MemberId) -> bool {
+        self.acked.as_ref().is_some_and(|it| it.key(key_hash).contains(&member))
+            && self.doubtful.as_ref().is_none_or(|it| it.key(key_hash).contains(&member))
+    }
+
+    /// The planned owner of a slot.
+    pub(crate) fn planned_owner(&self, slot: Slot) -> Option<MemberId> {
+        let acked = self.acked.as_ref()?;
+        let owner = acked.plan.slots.get(usize::from(slot.0))?.owner?;
+        acked.ids.get(usize::from(owner)).cloned()
+    }
+
+    /// The planned owner of a hot key's entry; none: the key is to follow its slot.
+    pub(crate) fn planned_key_owner(&self, key_hash: KeyHash) -> Option<MemberId> {
+        let acked = self.acked.as_ref()?;
+        let owner = acked.plan.hot_keys.iter().find(|it| it.key_hash == key_hash)?.owner?;
+        acked.ids.get(usize::from(owner)).cloned()
+    }
+
+    /// Starts to write a plan; its version and nonce are set here.
+    pub(crate) fn write(&mut self, ctx: &mut Ctx<'_>, plan: Plan) {
+        assert!(self.step.is_none(), "a second write of the plan");
+        let former = self.acked.as_ref().map_or(0, |it| it.plan.version);
+        assert!(plan.version > former, "plan version {} after {former}", plan.version);
+        self.step = Some(Step::Write(Box::new(plan)));
+        self.retry_at = ctx.now;
+        self.tick(ctx);
+    }
+
+    /// Sends what is to be sent, again where it failed.
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>) {
+        if self.call.is_some() || self.retry_at > ctx.now {
+            return;
+        }
+        let request = match &self.step {
+            None => return,
+            Some(Step::Read) => PlatformRequest::ReadPlan,
+            Some(Step::Write(plan)) => {
+                self.doubtful = Some(Named::new(plan.as_ref().clone()));
+                PlatformRequest::UpdatePlan { expected: self.version, object: plan.clone() }
+            }
+        };
+        self.call = Some(ctx.call(request));
+    }
+
+    pub(crate) fn reply(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        call: CallId,
+        reply: &PlatformReply,
+        first: impl FnOnce(&mut Ctx<'_>, Option<&Plan>) -> Plan,
+    ) -> PlanReply {
+        if self.call != Some(call) {
+            return PlanReply::NotMine;
+        }
+        self.call = None;
+        match reply {
+            PlatformReply::Updated(version) => return self.taken_effect(*version),
+            // An earlier sending may have taken effect: reading will show.
+            PlatformReply::Conflict => self.step = Some(Step::Read),
+            PlatformReply::Plan(found) => return self.read(ctx, found.as_ref(), first),
+            PlatformReply::Failed | PlatformReply::Coordinator(_) => {
+                self.retry_at = ctx.now + ctx.jittered(RETRY_AFTER);
+            }
+        }
+        self.tick(ctx);
+        PlanReply::Nothing
+    }
+
+    fn read(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        found: Option<&(ObjectVersion, Box<Plan>)>,
+        first: impl FnOnce(&mut Ctx<'_>, Option<&Plan>) -> Plan,
+    ) -> PlanReply {
+        let nonce = found.map(|it| it.1.nonce);
+        let own = self.doubtful.as_ref().is_some_and(|it| Some(it.plan.nonce) == nonce);
+        match found {
+            Some((version, _)) if own => return self.taken_effect(*version),
+            // What this term has seen acknowledged was replaced.
+            _ if self.acked.is_some() => return PlanReply::Deposed,
+            _ => {}
+        }
+        // An earlier term wrote meanwhile: the first write of this term goes on top of that.
+        self.version = found.map_or(ObjectVersion(0), |it| it.0);
+        self.doubtful = None;
+        self.step = None;
+        let plan = first(ctx, found.map(|it| it.1.as_ref()));
+        self.write(ctx, plan);
+        PlanReply::Nothing
+    }
+
+    fn taken_effect(&mut self, version: ObjectVersion) -> PlanReply {
+        self.version = version;
+        self.step = None;
+        self.acked = self.doubtful.take();
+        let plan = self.acked.as_ref().map_or(0, |it| it.plan.version);
+        PlanReply::Acknowledged(plan)
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -0,0 +1,242 @@
+//! The next plan: what the planner proposes from members, loads and grants as they stand.
+
+use std::time::Duration;
+
+use model::{Instance, KeyHash, Slot, SlotCount, Term, Token};
+
+use crate::{
+    HotKey, NodeConfig, Plan, PlanSlot,
+    ctx::{Ctx, MemberId},
+    planner::{PlannerInput, PlannerKey, PlannerMember, PlannerSlot, Proposal, Unit, propose},
+};
+
+use super::{
+    Coordination,
+    members::MemberRow,
+    slots::{Holder, KeyHolder, SlotRow},
+};
+
+/// Joins and losses that come within this time are planned for together.
+pub(super) const GATHER_FOR: Duration = Duration::from_millis(100);
+/// How often a new plan is thought of.
+const PROPOSE_EVERY: Duration = Duration::from_secs(1);
+/// A slot that was moved stays for this long.
+const SETTLED_FOR: Duration = Duration::from_secs(10);
+const MINUTE: Duration = Duration::from_secs(60);
+/// The most hot keys with entries of their own.
+const PLANNED_KEYS_MAX: usize = 256;
+
+/// A term's first plan: what an earlier term planned, or nothing.
+pub(super) fn first_plan(
+    nonce: u64,
+    term: Term,
+    slot_count: SlotCount,
+    config: &NodeConfig,
+    found: Option<&Plan>,
+) -> Plan {
+    if let Some(found) = found {
+        return Plan { version: found.version + 1, term, nonce, ..found.clone() };
+    }
+    let slot = |slot| PlanSlot { slot, owner: None, successors: Vec::new() };
+    Plan {
+        service: config.service.clone(),
+        group: config.group,
+        version: 1,
+        term,
+        nonce,
+        slot_count,
+        members: Vec::new(),
+        slots: slot_count.iter().map(slot).collect(),
+        hot_keys: Vec::new(),
+        token_floor: Token::default(),
+    }
+}
+
+/// The members that a proposal is about, by index: live ones first.
+struct Members {
+    instances: Vec<Instance>,
+    ids: Vec<MemberId>,
+    weights: Vec<f64>,
+}
+
+impl Members {
+    fn index(&self, id: &MemberId) -> Option<u16> {
+        self.ids.iter().position(|it| it == id).map(|it| it as u16)
+    }
+}
+
+impl Coordination {
+    pub(super) fn plan_acknowledged(&mut self) {
+        self.take_planned_keys();
+        for (slot, row) in self.table.slot_count.iter().zip(&mut self.table.slots) {
+            let names = self.plan.slot_names(slot);
+            if row.names != names {
+                row.names = names;
+                self.route_version += 1;
+                row.changed_in = self.route_version;
+            }
+        }
+    }
+
+    /// Writes a new plan where the planner has a better one.
+    pub(super) fn propose(&mut self, ctx: &mut Ctx<'_>) {
+        let ready = self.is_settled() && self.plan.is_idle() && self.may_renew(ctx);
+        if !ready || self.next_proposal > ctx.now {
+            return;
+        }
+        self.next_proposal = ctx.now + PROPOSE_EVERY;
+        let members = self.planned_members();
+        let input = self.planner_input(ctx, &members);
+        let proposal = propose(&input);
+        let Some(acked) = self.plan.acked() else { return };
+        let plan = self.next_plan(acked, &members, &input, &proposal);
+        self.hot_keys.fade();
+        if !is_same_plan(acked, &plan) {
+            let plan = Plan { nonce: ctx.nonce(), ..plan };
+            self.plan.write(ctx, plan);
+        }
+    }
+
+    fn planned_members(&self) -> Members {
+        let rows = self.members.rows.iter();
+        let weight = |row: &MemberRow| if row.is_eligible() { 1.0 } else { 0.0 };
+        Members {
+            instances: rows.clone().map(|it| it.1.instance.clone()).collect(),
+            ids: rows.clone().map(|it| it.0.clone()).collect(),
+            weights: rows.map(|it| weight(it.1)).collect(),
+        }
+    }
+
+    fn planner_input(&mut self, ctx: &Ctx<'_>, members: &Members) -> PlannerInput {
+        self.moved.retain(|it| ctx.now.since(*it) < MINUTE);
+        let moved = self.moved.len() as f64 / f64::from(self.table.slot_count.count());
+        let instances = members.instances.iter().zip(&members.weights);
+        let member = |(it, weight): (&Instance, &f64)| PlannerMember {
+            zone: it.zone.clone(),
+            weight: *weight,
+        };
+        let slots = self.table.iter();
+        PlannerInput {
+            now: ctx.now,
+            slot_count: self.table.slot_count,
+            members: instances.map(member).collect(),
+            slots: slots.map(|(slot, row)| self.planner_slot(slot, row, members)).collect(),
+            keys: self.planner_keys(members),
+            churn_left: (ctx.limits().churn_per_minute_max - moved).max(0.0),
+            limits: ctx.limits().clone(),
+        }
+    }
+
+    /// A slot on its way counts as that of its next owner.
+    fn planner_slot(&self, slot: Slot, row: &SlotRow, members: &Members) -> PlannerSlot {
+        let owner = match &row.handover {
+            Some(it) => Some(&it.to),
+            None => row.holder.grant().map(|it| &it.member),
+        };
+        let names = self.plan.slot_names(slot);
+        PlannerSlot {
+            slot,
+            owner: owner.and_then(|it| members.index(it)),
+            successors: names.iter().skip(1).filter_map(|it| members.index(it)).collect(),
+            load_us_per_s: row.load_us_per_s,
+            settled_until: row.moved_at.map(|it| it + SETTLED_FOR).unwrap_or_default(),
+        }
+    }
+
+    fn planner_keys(&self, members: &Members) -> Vec<PlannerKey> {
+        let rows = self.table.keys.iter().map(|(key_hash, row)| {
+            let owner = match &row.holder {
+                KeyHolder::Entry(Holder::Member(it)) => members.index(&it.member),
+                _ => self.plan.planned_key_owner(*key_hash).and_then(|it| members.index(&it)),
+            };
+            let names = self.plan.key_names(*key_hash);
+            PlannerKey {
+                key_hash: *key_hash,
+                owner,
+                successors: names.iter().skip(1).filter_map(|it| members.index(it)).collect(),
+                load_us_per_s: self.hot_keys.load(*key_hash),
+            }
+        });
+        let new = self.hot_keys.keys().filter(|it| !self.table.keys.contains_key(it));
+        let new = new.map(|key_hash| PlannerKey {
+            key_hash,
+            owner: None,
+            successors: Vec::new(),
+            load_us_per_s: self.hot_keys.load(key_hash),
+        });
+        rows.chain(new).collect()
+    }
+
+    /// The proposal as a plan. Whoever holds something now, or is about to, stays named for it.
+    fn next_plan(
+        &self,
+        acked: &Plan,
+        members: &Members,
+        input: &PlannerInput,
+        proposal: &Proposal,
+    ) -> Plan {
+        let mut plan = Plan {
+            version: acked.version + 1,
+            term: self.term,
+            members: members.instances.clone(),
+            slots: Vec::with_capacity(input.slots.len()),
+            hot_keys: Vec::new(),
+            token_floor: Token { term: self.term, sequence: self.sequence },
+            ..acked.clone()
+        };
+        for (at, slot) in input.slots.iter().enumerate() {
+            let moved = proposal.moves.iter().find(|it| it.unit == Unit::Slot(slot.slot));
+            let owner = moved.map_or(slot.owner, |it| it.to);
+            let mut successors = proposal.successors.get(at).cloned().unwrap_or_default();
+            let row = &self.table.slots[at];
+            let holder = row.holder.grant().and_then(|it| members.index(&it.member));
+            let next = row.handover.as_ref().and_then(|it| members.index(&it.to));
+            name_too(&mut successors, owner, [holder, next]);
+            plan.slots.push(PlanSlot { slot: slot.slot, owner, successors });
+        }
+        for key in &input.keys {
+            let moved = proposal.moves.iter().find(|it| it.unit == Unit::Key(key.key_hash));
+            let owner = moved.map_or(key.owner, |it| it.to);
+            let entry = self.next_key(key.key_hash, owner, members, proposal);
+            plan.hot_keys.extend(entry);
+        }
+        plan.hot_keys.truncate(PLANNED_KEYS_MAX);
+        plan
+    }
+
+    /// A key keeps its entry until it follows its slot again.
+    fn next_key(
+        &self,
+        key_hash: KeyHash,
+        owner: Option<u16>,
+        members: &Members,
+        proposal: &Proposal,
+    ) -> Option<HotKey> {
+        let row = self.table.keys.get(&key_hash);
+        let apart = row.is_some_and(|it| it.holder != KeyHolder::Slot);
+        if owner.is_none() && !apart {
+            return None;
+        }
+        let proposed = proposal.key_successors.iter().find(|it| it.0 == key_hash);
+        let mut successors = proposed.map(|it| it.1.clone()).unwrap_or_default();
+        let holder = row.and_then(|it| match &it.holder {
+            KeyHolder::Entry(Holder::Member(it)) => members.index(&it.member),
+            _ => None,
+        });
+        name_too(&mut successors, owner, [holder, None]);
+        Some(HotKey { key_hash, owner, successors })
+    }
+}
+
+fn name_too(successors: &mut Vec<u16>, owner: Option<u16>, others: [Option<u16>; 2]) {
+    successors.retain(|it| Some(*it) != owner);
+    for it in others.into_iter().flatten() {
+        if Some(it) != owner && !successors.contains(&it) {
+            successors.push(it);
+        }
+    }
+}
+
+fn is_same_plan(a: &Plan, b: &Plan) -> bool {
+    a.members == b.members && a.slots == b.slots && a.hot_keys == b.hot_keys
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -0,0 +1,169 @@
+//! Renewals of members: joining, adopting live sessions, reports; and sessions that lapse.
+
+use model::Instance;
+
+use crate::{
+    Event, HeldKey, HeldSlot, Holding, Message, Renew, Report, SessionId,
+    ctx::{Ctx, MemberId},
+};
+
+use super::{
+    Coordination,
+    members::{MemberRow, Standing},
+    slots::{Grant, HandoverStep, Holder, KeyHolder, KeyRow},
+};
+
+impl Coordination {
+    pub(super) fn renew(&mut self, ctx: &mut Ctx<'_>, from: &Instance, renew: &Renew) {
+        if renew.term != self.term {
+            return ctx.send(from, Message::Announce { term: self.term });
+        }
+        let id = MemberId::from(from);
+        match self.members.standing(&id, renew) {
+            Standing::Stale => {}
+            Standing::Ended => self.refuse_session(ctx, from, renew.session),
+            Standing::Full => {
+                ctx.send(from, Message::JoinRefused { term: self.term });
+                ctx.event(Event::JoinRefused { member: from.clone() });
+            }
+            Standing::New => self.open_session(ctx, id, from, renew),
+            Standing::Known => self.take_in(ctx, id, renew),
+        }
+    }
+
+    fn refuse_session(&mut self, ctx: &mut Ctx<'_>, from: &Instance, session: SessionId) {
+        ctx.send(from, Message::SessionEnded { term: self.term, session });
+    }
+
+    /// A session that holds something is adopted only while earlier terms' leases may live.
+    fn open_session(&mut self, ctx: &mut Ctx<'_>, id: MemberId, from: &Instance, renew: &Renew) {
+        let Some(holding) = &renew.holding else {
+            return self.refuse_session(ctx, from, renew.session);
+        };
+        let holds = !holding.slots.is_empty() || !holding.keys.is_empty();
+        if holds && self.is_settled() {
+            self.members.end(id, renew.session);
+            return self.refuse_session(ctx, from, renew.session);
+        }
+        let mut row = MemberRow::new(from, renew, ctx.now);
+        let times = self.object.acked().times;
+        row.lease_until = ctx.now + times.elsewhere(times.lease());
+        self.members.insert(id.clone(), row);
+        self.adopt(&id, renew.session, holding);
+        if !holding.recently_lapsed {
+            self.succession.answered(id.clone());
+        }
+        ctx.event(Event::MemberJoined { member: from.clone() });
+        self.members_changed();
+        self.propose_soon(ctx.now);
+        self.take_in(ctx, id, renew);
+    }
+
+    fn adopt(&mut self, id: &MemberId, session: SessionId, holding: &Holding) {
+        for held in &holding.slots {
+            self.adopt_slot(id, session, held);
+        }
+        for held in &holding.keys {
+            self.adopt_key(id, session, held);
+        }
+        if let Some(row) = self.members.rows.get_mut(id) {
+            row.excluded = holding.excluded.iter().copied().collect();
+        }
+    }
+
+    fn adopt_slot(&mut self, id: &MemberId, session: SessionId, held: &HeldSlot) {
+        let version = self.bump_routes();
+        let Some(row) = self.table.row(held.slot) else { return };
+        assert!(
+            row.holder == Holder::Unknown,
+            "slot {} is held under {} by {id:?} and by {:?}",
+            held.slot,
+            held.token,
+            row.holder,
+        );
+        let (member, token, closing) = (id.clone(), held.token, held.closing);
+        row.holder = Holder::Member(Grant { member, session, token, closing });
+        row.last_token = row.last_token.max(held.token);
+        row.changed_in = version;
+    }
+
+    fn adopt_key(&mut self, id: &MemberId, session: SessionId, held: &HeldKey) {
+        let version = self.bump_routes();
+        let (member, token, closing) = (id.clone(), held.token, held.closing);
+        let grant = Grant { member, session, token, closing };
+        let row = self.table.keys.entry(held.key_hash).or_insert_with(KeyRow::unknown);
+        assert!(
+            row.holder == KeyHolder::Entry(Holder::Unknown),
+            "key {:?} is held under {} by {id:?} and by {:?}",
+            held.key_hash,
+            held.token,
+            row.holder,
+        );
+        row.holder = KeyHolder::Entry(Holder::Member(grant));
+        row.last_token = row.last_token.max(held.token);
+        row.changed_in = version;
+    }
+
+    fn take_in(&mut self, ctx: &mut Ctx<'_>, id: MemberId, renew: &Renew) {
+        let Some(row) = self.members.rows.get_mut(&id) else { return };
+        let (reports, changed) = row.take_in(renew);
+        self.config = self.config.max(renew.config);
+        if let Some(load) = &renew.load {
+            self.take_loads(&id, load);
+        }
+        for report in reports {
+            self.report(ctx, &id, renew.session, report);
+        }
+        if changed {
+            self.members_changed();
+            self.propose_soon(ctx.now);
+        }
+    }
+
+    fn report(&mut self, ctx: &mut Ctx<'_>, id: &MemberId, session: SessionId, report: Report) {
+        match report {
+            Report::Prepared { slot, token } => {
+                let Some(row) = self.table.row(slot) else { return };
+                let Some(handover) = &row.handover else { return };
+                let waits = matches!(handover.step, HandoverStep::Preparing { .. });
+                if waits && handover.to == *id && handover.token == token {
+                    self.close_for_handover(ctx, slot);
+                }
+            }
+            Report::Closed { slot, token } => {
+                let Some(row) = self.table.row(slot) else { return };
+                if row.holder.is_of(id, session)
+                    && row.holder.grant().is_some_and(|it| it.token == token && it.closing)
+                {
+                    row.holder = Holder::Nobody;
+                }
+            }
+            Report::KeyClosed { key_hash, token } => {
+                let Some(row) = self.table.keys.get_mut(&key_hash) else { return };
+                let grant = match &row.holder {
+                    KeyHolder::LeavingSlot(it) | KeyHolder::Entry(Holder::Member(it)) => it,
+                    KeyHolder::Slot | KeyHolder::Entry(_) => return,
+                };
+                let closing = grant.closing && grant.token == token;
+                if closing && grant.member == *id && grant.session == session {
+                    row.holder = KeyHolder::Entry(Holder::Nobody);
+                }
+            }
+        }
+    }
+
+    /// Ends the sessions whose leases have run out. Their grants end with them.
+    pub(super) fn expire(&mut self, ctx: &mut Ctx<'_>) {
+        for (id, session, row) in self.members.expire(ctx.now) {
+            let ended = self.table.end_session(&id, session);
+            if let Some(row) = row {
+                ctx.event(Event::MemberLost { member: row.instance });
+                self.members_changed();
+            }
+            if ended > 0 {
+                self.bump_routes();
+            }
+            self.propose_soon(ctx.now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -0,0 +1,171 @@
+//! The coordinator's table of slots and of hot keys: who holds them, as far as it is known.
+
+use std::collections::BTreeMap;
+
+use model::{KeyHash, Slot, SlotCount, Timestamp, Token};
+
+use crate::{SessionId, ctx::MemberId};
+
+/// A grant that may live.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Grant {
+    pub(crate) member: MemberId,
+    pub(crate) session: SessionId,
+    pub(crate) token: Token,
+    /// The member has been told to give it up, or said that it does.
+    pub(crate) closing: bool,
+}
+
+/// Who holds a slot or the entry of a hot key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Holder {
+    /// Some member of an earlier term may hold it.
+    Unknown,
+    /// No grant of it lives.
+    Nobody,
+    Member(Grant),
+}
+
+impl Holder {
+    pub(crate) fn grant(&self) -> Option<&Grant> {
+        match self {
+            Holder::Member(it) => Some(it),
+            Holder::Unknown | Holder::Nobody => None,
+        }
+    }
+
+    pub(crate) fn is_of(&self, member: &MemberId, session: SessionId) -> bool {
+        self.grant().is_some_and(|it| it.member == *member && it.session == session)
+    }
+}
+
+/// How far a planned handover has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HandoverStep {
+    /// The new owner warms up; the old one still serves.
+    Preparing { since: Timestamp },
+    /// The old owner finishes what is in flight.
+    Closing,
+}
+
+/// A planned handover of a slot.
+#[derive(Debug, Clone)]
+pub(crate) struct Handover {
+    pub(crate) to: MemberId,
+    /// The token for the new owner.
+    pub(crate) token: Token,
+    pub(crate) step: HandoverStep,
+}
+
+#[derive(Debug)]
+pub(crate) struct SlotRow {
+    pub(crate) holder: Holder,
+    pub(crate) handover: Option<Handover>,
+    /// The highest token ever granted for it, as far as it is known.
+    pub(crate) last_token: Token,
+    pub(crate) load_us_per_s: f64,
+    pub(crate) moved_at: Option<Timestamp>,
+    /// Who is named for it by the plan in force, in order.
+    pub(crate) names: Vec<MemberId>,
+    /// The route version in which the owner changed last.
+    pub(crate) changed_in: u64,
+}
+
+/// Whether a hot key is served by the owner of its slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum KeyHolder {
+    /// Whoever holds the slot serves the key.
+    Slot,
+    /// The slot's owner is giving the key up; the grant is that of the slot.
+    LeavingSlot(Grant),
+    Entry(Holder),
+}
+
+#[derive(Debug)]
+pub(crate) struct KeyRow {
+    pub(crate) holder: KeyHolder,
+    pub(crate) last_token: Token,
+    pub(crate) changed_in: u64,
+}
+
+/// All slots and hot keys of the group.
+#[derive(Debug)]
+pub(crate) struct SlotTable {
+    pub(crate) slot_count: SlotCount,
+    pub(crate) slots: Vec<SlotRow>,
+    pub(crate) keys: BTreeMap<KeyHash, KeyRow>,
+}
+
+impl SlotTable {
+    /// Each row's change has a route version of its own, from the one above `base`.
+    pub(crate) fn new(slot_count: SlotCount, holder: &Holder, base: u64) -> SlotTable {
+        let row = |slot: Slot| SlotRow {
+            holder: holder.clone(),
+            handover: None,
+            last_token: Token::default(),
+            load_us_per_s: 0.0,
+            moved_at: None,
+            names: Vec::new(),
+            changed_in: base + 1 + u64::from(slot.0),
+        };
+        let slots = slot_count.iter().map(row).collect();
+        SlotTable { slot_count, slots, keys: BTreeMap::new() }
+    }
+
+    pub(crate) fn row(&mut self, slot: Slot) -> Option<&mut SlotRow> {
+        self.slots.get_mut(usize::from(slot.0))
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Slot, &SlotRow)> {
+        self.slot_count.iter().zip(&self.slots)
+    }
+
+    pub(crate) fn slot_of(&self, key_hash: KeyHash) -> Slot {
+        self.slot_count.slot_of(key_hash)
+    }
+
+    pub(crate) fn keys_of(&self, slot: Slot) -> impl Iterator<Item = (KeyHash, &KeyRow)> {
+        let slot_count = self.slot_count;
+        let keys = self.keys.iter().map(|(key_hash, row)| (*key_hash, row));
+        keys.filter(move |it| slot_count.slot_of(it.0) == slot)
+    }
+
+    /// A session's lease has ended, and with it all its grants. Gives the number of them.
+    pub(crate) fn end_session(&mut self, member: &MemberId, session: SessionId) -> usize {
+        let mut ended = 0;
+        for row in &mut self.slots {
+            if row.holder.is_of(member, session) {
+                row.holder = Holder::Nobody;
+                ended += 1;
+            }
+        }
+        for row in self.keys.values_mut() {
+            let gone = match &row.holder {
+                KeyHolder::Slot => false,
+                KeyHolder::LeavingSlot(it) => it.member == *member && it.session == session,
+                KeyHolder::Entry(it) => it.is_of(member, session),
+            };
+            if gone {
+                row.holder = KeyHolder::Entry(Holder::Nobody);
+                ended += 1;
+            }
+        }
+        ended
+    }
+
+    /// Whether a session holds anything or is about to.
+    pub(crate) fn concerns(&self, member: &MemberId) -> bool {
+        let of = |it: &Holder| it.grant().is_some_and(|it| it.member == *member);
+        let slots = self
+            .slots
+            .iter()
+            .any(|row| of(&row.holder) || row.handover.as_ref().is_some_and(|it| it.to == *member));
+        let mut keys = self.keys.values();
+        slots
+            || keys.any(|row| match &row.holder {
+                KeyHolder::Slot => false,
+                KeyHolder::LeavingSlot(it) => it.member == *member,
+                KeyHolder::Entry(it) => of(it),
+            })
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/succession.rs
@@ -0,0 +1,123 @@
+//! What a new coordinator must wait for before earlier terms can do no more harm.
+
+use std::collections::BTreeSet;
+
+use model::Timestamp;
+
+use crate::{Confirmation, Coordinator, TermTimes, ctx::MemberId};
+
+use super::Confirm;
+
+/// The earlier terms, as the object showed them when this term replaced them.
+#[derive(Debug)]
+pub(crate) struct Succession {
+    acquired_at: Timestamp,
+    /// None: there was no object.
+    predecessor: Option<Predecessor>,
+    /// Members that have said, following this term, what they hold.
+    answered: BTreeSet<MemberId>,
+    settled: bool,
+}
+
+#[derive(Debug)]
+struct Predecessor {
+    /// None: it has given its term up, after it had stopped renewing.
+    holder: Option<MemberId>,
+    settled: bool,
+    confirmation: Confirmation,
+    times: TermTimes,
+}
+
+impl Succession {
+    pub(crate) fn new(now: Timestamp, former: Option<&Coordinator>) -> Succession {
+        let predecessor = former.map(|it| Predecessor {
+            holder: it.holder.as_ref().map(MemberId::from),
+            settled: it.settled,
+            confirmation: it.confirmation,
+            times: it.times,
+        });
+        let settled = predecessor.is_none();
+        Succession { acquired_at: now, predecessor, answered: BTreeSet::new(), settled }
+    }
+
+    /// No earlier term can renew or grant any more, and its leases have ended or been adopted.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Settles when the time has come; says whether that was now.
+    pub(crate) fn settle(&mut self, now: Timestamp, confirm: &Confirm) -> bool {
+        if self.settled || self.leases_end(confirm).is_none_or(|it| now < it) {
+            return false;
+        }
+        self.settled = true;
+        true
+    }
+
+    pub(crate) fn answered(&mut self, member: MemberId) {
+        self.answered.insert(member);
+    }
+
+    pub(crate) fn has_answered(&self, member: &MemberId) -> bool {
+        self.answered.contains(member)
+    }
+
+    /// Whether none of those that an earlier plan names for something can hold it any more.
+    /// The plan must be one that this term has written itself.
+    pub(crate) fn is_clear(&self, now: Timestamp, confirm: &Confirm, named: &[MemberId]) -> bool {
+        if self.settled {
+            return true;
+        }
+        let Some(former) = &self.predecessor else { return true };
+        // A term that had not settled may have left even earlier ones at work.
+        if !former.settled {
+            return false;
+        }
+        named.iter().all(|it| {
+            let was_holder = former.holder.as_ref() == Some(it);
+            self.answered.contains(it) || (was_holder && self.holder_ended(now, confirm))
+        })
+    }
+
+    /// The lost coordinator held its own slots only while it was confirmed.
+    fn holder_ended(&self, now: Timestamp, confirm: &Confirm) -> bool {
+        let Some(former) = &self.predecessor else { return true };
+        let times = former.times;
+        self.silenced(confirm, former, times.confirmation(), times.platform_confirmation())
+            .is_some_and(|it| now >= it)
+    }
+
+    /// When the last lease of any earlier term has ended.
+    fn leases_end(&self, confirm: &Confirm) -> Option<Timestamp> {
+        let Some(former) = &self.predecessor else { return Some(self.acquired_at) };
+        let times = former.times;
+        let lease = times.lease();
+        if former.holder.is_none() && former.settled {
+            return Some(self.acquired_at + times.elsewhere(lease));
+        }
+        let by_witnesses = times.confirmation() + lease;
+        let by_platform = times.platform_confirmation() + lease;
+        self.silenced(confirm, former, by_witnesses, by_platform)
+    }
+
+    /// When `duration` has passed since earlier terms lost their confirmation.
+    fn silenced(
+        &self,
+        confirm: &Confirm,
+        former: &Predecessor,
+        by_witnesses: std::time::Duration,
+        by_platform: std::time::Duration,
+    ) -> Option<Timestamp> {
+        let times = former.times;
+        match (former.confirmation, confirm.promised_at()) {
+            (Confirmation::Platform, _) => Some(self.acquired_at + times.elsewhere(by_platform)),
+            (Confirmation::Witnesses, Some(at)) => Some(at + times.elsewhere(by_witnesses)),
+            // No majority: the earlier coordinator ends when it has not reached the platform for
+            // the longest time allowed.
+            (Confirmation::Witnesses, None) => {
+                let absence = times.platform_absence_max() + by_witnesses;
+                Some(self.acquired_at + times.elsewhere(absence))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/ctx.rs
@@ -0,0 +1,80 @@
+//! What every part of a node needs while it takes a step.
+
+use std::{collections::VecDeque, time::Duration};
+
+use model::{Incarnation, Instance, InstanceName, Timestamp};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::{CallId, Event, GateCommand, Limits, Message, NodeConfig, Output, PlatformRequest};
+
+/// Names one incarnation of a member.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct MemberId {
+    name: InstanceName,
+    incarnation: Incarnation,
+}
+
+impl From<&Instance> for MemberId {
+    fn from(instance: &Instance) -> MemberId {
+        MemberId { name: instance.name.clone(), incarnation: instance.incarnation }
+    }
+}
+
+/// Whether two values name the same incarnation of an instance, whatever its addresses.
+pub(crate) fn is_same(a: &Instance, b: &Instance) -> bool {
+    a.incarnation == b.incarnation && a.name == b.name
+}
+
+/// The surroundings of one step.
+pub(crate) struct Ctx<'a> {
+    pub(crate) now: Timestamp,
+    pub(crate) config: &'a NodeConfig,
+    pub(crate) rng: &'a mut Pcg64Mcg,
+    pub(crate) last_call: &'a mut CallId,
+    /// Messages from this node to itself, taken in within the same step.
+    pub(crate) local: &'a mut VecDeque<Message>,
+    pub(crate) out: &'a mut Vec<Output>,
+}
+
+impl<'a> Ctx<'a> {
+    pub(crate) fn me(&self) -> &'a Instance {
+        &self.config.instance
+    }
+
+    pub(crate) fn limits(&self) -> &'a Limits {
+        &self.config.limits
+    }
+
+    pub(crate) fn send(&mut self, to: &Instance, message: Message) {
+        if is_same(to, self.me()) {
+            self.local.push_back(message);
+        } else {
+            self.out.push(Output::Send { to: to.clone(), message });
+        }
+    }
+
+    pub(crate) fn event(&mut self, event: Event) {
+        self.out.push(Output::Event(event));
+    }
+
+    pub(crate) fn gate(&mut self, command: GateCommand) {
+        self.out.push(Output::Gate(command));
+    }
+
+    pub(crate) fn call(&mut self, request: PlatformRequest) -> CallId {
+        self.last_call.0 += 1;
+        let call = *self.last_call;
+        self.out.push(Output::Platform { call, request });
+        call
+    }
+
+    pub(crate) fn nonce(&mut self) -> u64 {
+        self.rng.random()
+    }
+
+    /// Between a half and the whole of `delay`.
+    pub(crate) fn jittered(&mut self, delay: Duration) -> Duration {
+        delay.mul_f64(self.rng.random_range(0.5..1.0))
+    }
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -4,14 +4,25 @@
 //! [`Node`] takes the time, one [`Input`] and its own seeded generator, changes its tables and
 //! returns [`Output`]s. Whoever drives it carries these out.
 
+mod coordinator;
+mod ctx;
 mod input;
 mod limits;
+mod load;
+mod member;
 mod message;
 mod node;
 mod object;
 mod output;
 pub mod planner;
+#[cfg(any(test, feature = "sim"))]
+pub mod sim;
+mod times;
 
+#[cfg(test)]
+mod tests;
+
+pub use coordinator::GROUP_MEMBERS_MAX;
 pub use input::{Input, KeyLoad, LoadReport, PlatformReply, SlotLoad, UpstreamState};
 pub use limits::{FenceCheck, Limits};
 pub use message::{
--- /dev/null
+++ b/crates/ownership/src/member/routes.rs
@@ -0,0 +1,87 @@
+//! A member's copy of the group's table of owners.
+
+use std::collections::BTreeMap;
+
+use model::{Instance, KeyHash, Slot, Term, Token};
+
+use crate::{MemberView, OwnerView, RouteMember, Routes};
+
+#[derive(Debug, Clone)]
+struct Owner {
+    owner: Option<Instance>,
+    token: Token,
+    successors: Vec<Instance>,
+}
+
+/// Who owns what, as last heard from the coordinator.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RouteTable {
+    pub(crate) version: u64,
+    pub(crate) members: Vec<RouteMember>,
+    slots: BTreeMap<Slot, Owner>,
+    keys: BTreeMap<KeyHash, Owner>,
+}
+
+/// The first route version of a term, so that versions rise over all terms.
+pub(crate) fn first_version(term: Term) -> u64 {
+    term.0 << 32
+}
+
+impl RouteTable {
+    /// Takes changes in, unless some before them are missing here. The changes since a version
+    /// of an earlier term are the whole table.
+    pub(crate) fn apply(&mut self, term: Term, routes: &Routes) {
+        let whole = routes.since < first_version(term);
+        if routes.version <= self.version || (!whole && routes.since > self.version) {
+            return;
+        }
+        if self.version < first_version(term) {
+            self.keys.clear();
+        }
+        if let Some(members) = &routes.members {
+            self.members = members.clone();
+        }
+        let members = &self.members;
+        let instance = |it: u16| members.get(usize::from(it)).map(|it| it.instance.clone());
+        for it in &routes.slots {
+            let owner = Owner {
+                owner: it.owner.and_then(instance),
+                token: it.token,
+                successors: it.successors.iter().copied().filter_map(instance).collect(),
+            };
+            self.slots.insert(it.slot, owner);
+        }
+        for it in &routes.keys {
+            let Some(owner) = it.owner.and_then(instance) else {
+                self.keys.remove(&it.key_hash);
+                continue;
+            };
+            let owner = Owner { owner: Some(owner), token: it.token, successors: Vec::new() };
+            self.keys.insert(it.key_hash, owner);
+        }
+        self.version = routes.version;
+    }
+
+    pub(crate) fn owners(&self, slot_of: impl Fn(KeyHash) -> Slot) -> Vec<OwnerView> {
+        let view = |slot: Slot, key_hash: Option<KeyHash>, it: &Owner| OwnerView {
+            slot,
+            key_hash,
+            owner: it.owner.clone(),
+            token: it.owner.is_some().then_some(it.token),
+            successors: it.successors.clone(),
+        };
+        let slots = self.slots.iter().map(|(slot, it)| view(*slot, None, it));
+        let keys = self.keys.iter().map(|(key, it)| view(slot_of(*key), Some(*key), it));
+        slots.chain(keys).collect()
+    }
+
+    pub(crate) fn member_views(&self) -> Vec<MemberView> {
+        let view = |it: &RouteMember| MemberView {
+            instance: it.instance.clone(),
+            state: it.state,
+            load_us_per_s: it.load_us_per_s,
+            config: it.config,
+        };
+        self.members.iter().map(view).collect()
+    }
+}
--- a/crates/ownership/src/message/mod.rs
+++ b/crates/ownership/src/message/mod.rs
@@ -174,6 +174,8 @@
 /// Changes of the group's table of owners since the receiver's version.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Routes {
+    /// The version that these are changes of; below the first one of the term: all.
+    pub since: u64,
     /// The receiver's version once these have been taken in.
     pub version: u64,
     /// All members, if any has changed; others refer to these by index.
--- /dev/null
+++ b/crates/ownership/src/node/takeover.rs
@@ -0,0 +1,258 @@
+//! Taking the term, when there is no coordinator or it is silent.
+
+use std::time::Duration;
+
+use model::{Instance, ObjectVersion, Term, Timestamp};
+
+use crate::{
+    CallId, Confirmation, Coordinator, Message, Plan, PlatformReply, PlatformRequest, TermTimes,
+    coordinator::Acquired,
+    ctx::{Ctx, MemberId, is_same},
+};
+
+use super::Node;
+
+/// Each rank waits this much longer than the one before it.
+const RANK_DELAY: Duration = Duration::from_millis(50);
+/// Ranks that a node puts itself back by if it is leaving, or knows no other member.
+const LATE_RANKS: u32 = 8;
+/// How often others are asked who coordinates, while that is not clear.
+const ASK_EVERY: Duration = Duration::from_millis(200);
+/// Waits after calls that failed: the first, and the longest.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+const RETRY_MAX: Duration = Duration::from_secs(1);
+/// Attempts whose answer was lost and that are remembered.
+const ATTEMPTS_MAX: usize = 16;
+
+/// An update that would win a term.
+#[derive(Debug, Clone)]
+struct Attempt {
+    object: Coordinator,
+    former: Option<Coordinator>,
+    sent_at: Timestamp,
+}
+
+#[derive(Debug)]
+enum Step {
+    Idle,
+    Reading(CallId),
+    /// There is no object: the plan, if there is one, says which terms there have been.
+    ReadingPlan(CallId),
+    Updating(CallId, Box<Attempt>),
+}
+
+/// How far a node has come in taking the term.
+#[derive(Debug)]
+pub(super) struct Takeover {
+    step: Step,
+    /// Updates that may still take effect.
+    doubtful: Vec<Attempt>,
+    retry: Duration,
+    next_try: Timestamp,
+    next_ask: Timestamp,
+    /// Others have heard the coordinator lately, so that it is not lost before this time.
+    refrain_until: Timestamp,
+}
+
+impl Takeover {
+    pub(super) fn new(now: Timestamp) -> Takeover {
+        Takeover {
+            step: Step::Idle,
+            doubtful: Vec::new(),
+            retry: RETRY_MIN,
+            next_try: now,
+            next_ask: now,
+            refrain_until: now,
+        }
+    }
+
+    fn failed(&mut self, ctx: &mut Ctx<'_>) {
+        self.step = Step::Idle;
+        self.next_try = ctx.now + ctx.jittered(self.retry);
+        self.retry = (self.retry * 2).min(RETRY_MAX);
+    }
+}
+
+impl Node {
+    pub(super) fn tick_takeover(&mut self, ctx: &mut Ctx<'_>) {
+        if self.coordination.is_some() {
+            return;
+        }
+        self.ask_who_coordinates(ctx);
+        let idle = matches!(self.takeover.step, Step::Idle);
+        if idle && self.takeover.next_try <= ctx.now && self.is_time_to_take_over(ctx) {
+            self.takeover.step = Step::Reading(ctx.call(PlatformRequest::ReadCoordinator));
+        }
+    }
+
+    fn is_time_to_take_over(&self, ctx: &Ctx<'_>) -> bool {
+        let silent = ctx.now.since(self.known.heard_at);
+        let rank = RANK_DELAY * self.rank(ctx);
+        match &self.known.coordinator {
+            None if self.known.vacant => silent >= rank / 2,
+            None => true,
+            Some(_) => {
+                let after = ctx.limits().takeover_after + rank;
+                silent >= after && ctx.now >= self.takeover.refrain_until
+            }
+        }
+    }
+
+    /// The order in which members try.
+    fn rank(&self, ctx: &Ctx<'_>) -> u32 {
+        let me = MemberId::from(ctx.me());
+        let others = self.member.routes.members.iter().map(|it| &it.instance);
+        let others = others.filter(|it| !self.is_coordinator(it));
+        let mut ids: Vec<MemberId> = others.map(MemberId::from).collect();
+        ids.sort();
+        let place = ids.iter().position(|it| *it == me).map(|it| it as u32);
+        let late = if self.stop.is_begun() { LATE_RANKS } else { 0 };
+        place.unwrap_or(LATE_RANKS) + late
+    }
+
+    fn ask_who_coordinates(&mut self, ctx: &mut Ctx<'_>) {
+        let silent = ctx.now.since(self.known.heard_at);
+        let doubtful =
+            self.known.coordinator.is_none() || silent * 4 >= ctx.limits().takeover_after * 3;
+        if !doubtful || self.takeover.next_ask > ctx.now {
+            return;
+        }
+        self.takeover.next_ask = ctx.now + ASK_EVERY;
+        let me = ctx.me();
+        let members = self.member.routes.members.iter().map(|it| &it.instance);
+        let mut asked: Vec<&Instance> = vec![me];
+        for it in members.chain(&ctx.config.peers) {
+            if !asked.iter().any(|known| is_same(known, it)) {
+                asked.push(it);
+                ctx.send(it, Message::WhoCoordinates { term: self.known.term });
+            }
+        }
+    }
+
+    /// Another member has heard the coordinator later than this node: that sets the time by which
+    /// its silence counts.
+    pub(super) fn coordinator_heard_by_other(
+        &mut self,
+        ctx: &Ctx<'_>,
+        coordinator: Option<&Instance>,
+        silent_ms: u32,
+    ) {
+        let after = ctx.limits().takeover_after;
+        let silent = Duration::from_millis(silent_ms.into());
+        if silent < after && coordinator.is_some_and(|it| self.is_coordinator(it)) {
+            let until = ctx.now + (after - silent);
+            self.takeover.refrain_until = self.takeover.refrain_until.max(until);
+        }
+    }
+
+    /// Takes the end of a platform call in if it is one of the takeover's.
+    pub(super) fn platform_takeover(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        call: CallId,
+        reply: &PlatformReply,
+    ) -> bool {
+        let own = match &self.takeover.step {
+            Step::Idle => false,
+            Step::Reading(it) | Step::ReadingPlan(it) | Step::Updating(it, _) => *it == call,
+        };
+        if !own {
+            return false;
+        }
+        match (std::mem::replace(&mut self.takeover.step, Step::Idle), reply) {
+            (Step::Reading(_), PlatformReply::Coordinator(Some((version, object)))) => {
+                self.takeover.retry = RETRY_MIN;
+                self.coordinator_read(ctx, *version, object);
+            }
+            (Step::Reading(_), PlatformReply::Coordinator(None)) => {
+                self.takeover.step = Step::ReadingPlan(ctx.call(PlatformRequest::ReadPlan));
+            }
+            (Step::ReadingPlan(_), PlatformReply::Plan(found)) => {
+                let plan = found.as_ref().map(|it| it.1.as_ref());
+                self.try_first_term(ctx, plan);
+            }
+            (Step::Updating(_, attempt), PlatformReply::Updated(version)) => {
+                self.takeover.retry = RETRY_MIN;
+                self.won(ctx, *attempt, *version);
+            }
+            (Step::Updating(_, attempt), PlatformReply::Failed) => {
+                self.takeover.doubtful.push(*attempt);
+                if self.takeover.doubtful.len() > ATTEMPTS_MAX {
+                    self.takeover.doubtful.remove(0);
+                }
+                self.takeover.failed(ctx);
+            }
+            // Somebody else's update, or an earlier one of this node: reading will show.
+            (Step::Updating(..), _) => self.takeover.next_try = ctx.now,
+            _ => self.takeover.failed(ctx),
+        }
+        true
+    }
+
+    fn coordinator_read(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        version: ObjectVersion,
+        object: &Coordinator,
+    ) {
+        let own = |it: &Attempt| it.object.nonce == object.nonce;
+        if let Some(at) = self.takeover.doubtful.iter().position(own) {
+            let attempt = self.takeover.doubtful.swap_remove(at);
+            return self.won(ctx, attempt, version);
+        }
+        if object.term > self.known.term || (!self.known.vacant && self.known.coordinator.is_none())
+        {
+            self.learn(ctx, object.term, object.holder.as_ref());
+        }
+        if self.known.coordinator.is_none() && object.term == self.known.term {
+            self.known.vacant = true;
+        }
+        // Whoever is new here first asks the coordinator that there is.
+        if object.term < self.known.term || !self.is_time_to_take_over(ctx) {
+            return;
+        }
+        let attempt = Coordinator {
+            term: Term(object.term.0 + 1),
+            holder: Some(ctx.me().clone()),
+            nonce: ctx.nonce(),
+            settled: false,
+            ..object.clone()
+        };
+        self.attempt(ctx, version, attempt, Some(object.clone()));
+    }
+
+    /// The first term; or the first after the object was removed, above all that the plan knows.
+    fn try_first_term(&mut self, ctx: &mut Ctx<'_>, plan: Option<&Plan>) {
+        let former = plan.map_or(Term(0), |it| it.term.max(it.token_floor.term));
+        let object = Coordinator {
+            service: ctx.config.service.clone(),
+            group: ctx.config.group,
+            term: Term(former.max(self.known.term).0 + 1),
+            holder: Some(ctx.me().clone()),
+            nonce: ctx.nonce(),
+            witnesses: Vec::new(),
+            confirmation: Confirmation::Platform,
+            settled: true,
+            times: TermTimes::from(ctx.limits()),
+        };
+        self.attempt(ctx, ObjectVersion(0), object, None);
+    }
+
+    fn attempt(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        expected: ObjectVersion,
+        object: Coordinator,
+        former: Option<Coordinator>,
+    ) {
+        let request = PlatformRequest::UpdateCoordinator { expected, object: object.clone() };
+        let attempt = Attempt { object, former, sent_at: ctx.now };
+        self.takeover.step = Step::Updating(ctx.call(request), Box::new(attempt));
+    }
+
+    fn won(&mut self, ctx: &mut Ctx<'_>, attempt: Attempt, version: ObjectVersion) {
+        let Attempt { object, former, sent_at } = attempt;
+        self.takeover.doubtful.clear();
+        self.become_coordinator(ctx, Acquired { object, version, former, sent_at });
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/sim/fault.rs
@@ -0,0 +1,163 @@
+//! What can go wrong with hosts, links and the platform.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::{Input, UpstreamState};
+
+use super::{Happening, Links, Sim};
+
+/// One change of the surroundings. Hosts are named by index.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fault {
+    /// A host that is down starts, as a new incarnation.
+    Start(usize),
+    /// A host is lost, its upstream with it.
+    Crash(usize),
+    /// A host's agent gets no processor time.
+    Pause {
+        host: usize,
+        for_ms: u64,
+    },
+    /// The same, between deciding something and carrying it out.
+    PauseInStep {
+        host: usize,
+        for_ms: u64,
+    },
+    Stop(usize),
+    Upstream {
+        host: usize,
+        state: UpstreamState,
+    },
+    /// Messages from one host to the other are lost.
+    Cut {
+        from: usize,
+        to: usize,
+    },
+    /// Messages between these hosts and all others are lost, both ways.
+    Isolate(Vec<usize>),
+    CutFromPlatform(usize),
+    /// The platform answers nobody.
+    PlatformDown,
+    PlatformUp,
+    /// Shares of messages that are lost, doubled, late; in percent.
+    Lossy {
+        loss: u32,
+        doubled: u32,
+        late: u32,
+    },
+    /// Shares of updates whose answer is lost, or that take effect late; in percent.
+    Doubtful {
+        lost_answers: u32,
+        late_updates: u32,
+    },
+    /// All links and the platform work again.
+    HealLinks,
+    /// The load of one slot or one watched key changes.
+    SlotLoad {
+        slot: usize,
+        us_per_s: u64,
+    },
+    KeyLoad {
+        key: usize,
+        us_per_s: u64,
+    },
+}
+
+fn share(percent: u32) -> f64 {
+    f64::from(percent.min(100)) / 100.0
+}
+
+impl Sim {
+    /// Lets a fault happen now.
+    pub fn apply(&mut self, fault: Fault) {
+        self.note(|| format!("fault {fault:?}"));
+        match fault {
+            Fault::Start(host) => self.start(host),
+            Fault::Crash(host) => self.hosts[host].crash(),
+            Fault::Pause { host, for_ms } => self.pause(host, Duration::from_millis(for_ms)),
+            Fault::PauseInStep { host, for_ms } => {
+                self.hosts[host].pause_next_step_ms = Some(for_ms);
+            }
+            Fault::Stop(host) => {
+                self.hosts[host].is_stopping = true;
+                self.input(host, Input::Stop);
+            }
+            Fault::Upstream { host, state } => {
+                self.hosts[host].upstream = state;
+                self.input(host, Input::Upstream(state));
+            }
+            Fault::Cut { from, to } => {
+                self.links.cut.insert((from, to));
+            }
+            Fault::Isolate(hosts) => self.isolate(&hosts),
+            Fault::CutFromPlatform(host) => {
+                self.links.cut_from_platform.insert(host);
+            }
+            Fault::PlatformDown => self.links.platform_down = true,
+            Fault::PlatformUp => self.links.platform_down = false,
+            Fault::Lossy { loss, doubled, late } => {
+                self.links.loss = share(loss);
+                self.links.doubled = share(doubled);
+                self.links.late = share(late);
+            }
+            Fault::Doubtful { lost_answers, late_updates } => {
+                self.links.lost_answers = share(lost_answers);
+                self.links.late_updates = share(late_updates);
+            }
+            Fault::HealLinks => self.links = Links::default(),
+            Fault::SlotLoad { slot, us_per_s } => self.slot_loads[slot] = us_per_s,
+            Fault::KeyLoad { key, us_per_s } => {
+                let key_hash = self.keys[key];
+                self.key_loads.insert(key_hash, us_per_s);
+            }
+        }
+    }
+
+    fn isolate(&mut self, hosts: &[usize]) {
+        for a in 0..self.hosts.len() {
+            for b in 0..self.hosts.len() {
+                if hosts.contains(&a) != hosts.contains(&b) {
+                    self.links.cut.insert((a, b));
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, host: usize) {
+        if self.hosts[host].is_up() {
+            return;
+        }
+        let incarnation = self.next_incarnation;
+        self.next_incarnation += 1;
+        let seed = self.rng.random();
+        let others = self.hosts.iter().enumerate().filter(|(at, it)| *at != host && it.is_up());
+        let peers = others.map(|it| it.1.instance.clone()).collect();
+        let (now, config) = (self.now, self.config.clone());
+        self.hosts[host].start(now, incarnation, seed, peers, &config);
+        let life = self.hosts[host].life;
+        let delay = Duration::from_micros(self.rng.random_range(0..20_000));
+        self.schedule(now + delay, Happening::Tick { host, life });
+        self.input(host, Input::Upstream(UpstreamState::Ready));
+    }
+
+    /// Starts all hosts that are down.
+    pub fn start_all(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.start(host);
+        }
+    }
+
+    /// Ends all faults: links, platform, pauses that last, upstreams, lost hosts.
+    pub fn heal(&mut self) {
+        self.apply(Fault::HealLinks);
+        for host in 0..self.hosts.len() {
+            self.hosts[host].pause_next_step_ms = None;
+            if self.hosts[host].is_up() && self.hosts[host].upstream != UpstreamState::Ready {
+                self.apply(Fault::Upstream { host, state: UpstreamState::Ready });
+            }
+        }
+        self.start_all();
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/sim/gate.rs
@@ -0,0 +1,92 @@
+//! A gate as the ground truth sees it: what it serves, by its commands and its own clock alone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::{KeyHash, Slot, Timestamp, Token};
+
+use crate::GateCommand;
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Open {
+    pub(super) token: Token,
+    pub(super) closing: bool,
+}
+
+/// What the gate of one host admits.
+#[derive(Debug, Default)]
+pub(super) struct Gate {
+    pub(super) lease_until: Timestamp,
+    pub(super) slots: BTreeMap<Slot, Open>,
+    pub(super) keys: BTreeMap<KeyHash, Open>,
+    pub(super) excluded: BTreeSet<KeyHash>,
+}
+
+impl Gate {
+    pub(super) fn apply(&mut self, command: &GateCommand) {
+        match command {
+            GateCommand::Lease { until } => self.lease_until = *until,
+            GateCommand::Prepare { .. } => {}
+            GateCommand::Admit { slot, token } => {
+                self.slots.insert(*slot, Open { token: *token, closing: false });
+            }
+            GateCommand::AdmitKey { key_hash, token } => {
+                self.excluded.remove(key_hash);
+                self.keys.insert(*key_hash, Open { token: *token, closing: false });
+            }
+            GateCommand::ExcludeKey { key_hash, .. } => {
+                self.excluded.insert(*key_hash);
+            }
+            GateCommand::ForgetKey { key_hash } => {
+                self.excluded.remove(key_hash);
+                self.keys.remove(key_hash);
+            }
+            GateCommand::Close { slot, .. } => {
+                if let Some(open) = self.slots.get_mut(slot) {
+                    open.closing = true;
+                }
+            }
+            GateCommand::CloseKey { key_hash, token, .. } => {
+                self.keys.insert(*key_hash, Open { token: *token, closing: true });
+            }
+            GateCommand::DropAll => *self = Gate::default(),
+        }
+    }
+
+    /// What was in flight in a slot has ended.
+    pub(super) fn closed(&mut self, slot: Slot, token: Token) {
+        if self.slots.get(&slot).is_some_and(|it| it.token == token && it.closing) {
+            self.slots.remove(&slot);
+        }
+    }
+
+    pub(super) fn key_closed(&mut self, key_hash: KeyHash, token: Token) {
+        if self.keys.get(&key_hash).is_some_and(|it| it.token == token && it.closing) {
+            self.keys.remove(&key_hash);
+            self.excluded.insert(key_hash);
+        }
+    }
+
+    /// Whether requests of the slot may run here at this time of the host's clock.
+    pub(super) fn holds(&self, now: Timestamp, slot: Slot) -> bool {
+        now < self.lease_until && self.slots.contains_key(&slot)
+    }
+
+    /// The same for one key in a slot.
+    pub(super) fn holds_key(&self, now: Timestamp, slot: Slot, key_hash: KeyHash) -> bool {
+        let by_slot = self.slots.contains_key(&slot) && !self.excluded.contains(&key_hash);
+        now < self.lease_until && (self.keys.contains_key(&key_hash) || by_slot)
+    }
+
+    /// Whether new requests of the slot are admitted.
+    pub(super) fn admits(&self, now: Timestamp, slot: Slot) -> bool {
+        now < self.lease_until && self.slots.get(&slot).is_some_and(|it| !it.closing)
+    }
+
+    /// The same for one key in a slot.
+    pub(super) fn admits_key(&self, now: Timestamp, slot: Slot, key_hash: KeyHash) -> bool {
+        match self.keys.get(&key_hash) {
+            Some(it) => now < self.lease_until && !it.closing,
+            None => !self.excluded.contains(&key_hash) && self.admits(now, slot),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/sim/host.rs
@@ -0,0 +1,121 @@
+//! One host: a node, its clock, its gate and its upstream.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use model::{GroupId, Incarnation, Instance, InstanceName, ServiceName, Term, Timestamp, Zone};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::{Input, Node, NodeConfig, Output, UpstreamState};
+
+use super::{SimConfig, gate::Gate};
+
+/// The entities of a run, by index.
+pub(super) struct Host {
+    pub(super) instance: Instance,
+    pub(super) node: Option<Node>,
+    /// Counts restarts; what was meant for an earlier life is lost.
+    pub(super) life: u64,
+    clock_offset_ns: u64,
+    clock_rate: f64,
+    pub(super) gate: Gate,
+    pub(super) upstream: UpstreamState,
+    pub(super) is_paused: bool,
+    /// Inputs that wait for the end of a pause.
+    pub(super) mailbox: Vec<Input>,
+    /// Outputs of the step in which the pause began.
+    pub(super) held_back: Vec<Output>,
+    pub(super) pause_next_step_ms: Option<u64>,
+    pub(super) is_stopping: bool,
+    pub(super) has_stopped: bool,
+}
+
+impl Host {
+    pub(super) fn new(at: usize, config: &SimConfig, rng: &mut Pcg64Mcg) -> Host {
+        let address = |port: u16| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+        let name = |text: String| InstanceName::new(&text).expect("a valid name");
+        let zone = at % config.zones.max(1);
+        Host {
+            instance: Instance {
+                name: name(format!("host-{at}")),
+                incarnation: Incarnation(0),
+                zone: Zone::new(&format!("zone-{zone}")).expect("a valid name"),
+                control: address(1000 + at as u16),
+                traffic: address(2000 + at as u16),
+            },
+            node: None,
+            life: 0,
+            clock_offset_ns: rng.random_range(0..1_000_000_000_000),
+            clock_rate: 1.0 + config.drift * rng.random_range(-1.0..=1.0),
+            gate: Gate::default(),
+            upstream: UpstreamState::Starting,
+            is_paused: false,
+            mailbox: Vec::new(),
+            held_back: Vec::new(),
+            pause_next_step_ms: None,
+            is_stopping: false,
+            has_stopped: false,
+        }
+    }
+
+    /// The host's own monotonic clock at a true time.
+    pub(super) fn clock(&self, now: Timestamp) -> Timestamp {
+        Timestamp { ns: self.clock_offset_ns + (now.ns as f64 * self.clock_rate) as u64 }
+    }
+
+    pub(super) fn is_running(&self) -> bool {
+        self.node.is_some() && !self.is_paused
+    }
+
+    pub(super) fn is_up(&self) -> bool {
+        self.node.is_some()
+    }
+
+    pub(super) fn term(&self) -> Option<Term> {
+        let view = self.node.as_ref()?.view();
+        view.is_coordinator.then_some(view.term)
+    }
+
+    pub(super) fn is_settled(&self) -> bool {
+        self.node.as_ref().is_some_and(|it| it.view().settled)
+    }
+
+    pub(super) fn start(
+        &mut self,
+        now: Timestamp,
+        incarnation: u64,
+        seed: u64,
+        peers: Vec<Instance>,
+        config: &SimConfig,
+    ) {
+        self.instance.incarnation = Incarnation(incarnation);
+        self.life += 1;
+        self.gate = Gate::default();
+        self.upstream = UpstreamState::Ready;
+        self.is_paused = false;
+        self.mailbox.clear();
+        self.held_back.clear();
+        self.is_stopping = false;
+        self.has_stopped = false;
+        let node = NodeConfig {
+            instance: self.instance.clone(),
+            service: ServiceName::new("service").expect("a valid name"),
+            group: GroupId(0),
+            slot_count: config.slot_count,
+            keyed: config.keyed,
+            limits: config.limits.clone(),
+            seed,
+            peers,
+        };
+        self.node = Some(Node::new(node, self.clock(now)));
+    }
+
+    pub(super) fn crash(&mut self) {
+        self.node = None;
+        self.life += 1;
+        self.gate = Gate::default();
+        self.is_paused = false;
+        self.mailbox.clear();
+        self.held_back.clear();
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/sim/mod.rs
@@ -0,0 +1,353 @@
+//! A deterministic run of many real [`Node`]s in virtual time, with faults, and a ground truth that
+//! is checked from outside of them.
+//!
+//! Only the driver's side is modelled, as small fakes: the links between nodes, the platform's two
+//! objects, gates that do what they are told, upstreams that take time. One seed gives one run.
+
+mod drive;
+mod fault;
+mod gate;
+mod host;
+mod measure;
+mod platform;
+mod random;
+mod truth;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use model::{Instance, KeyHash, Slot, SlotCount, Timestamp};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{CallId, Event, Input, Limits, Message, Output, PlatformReply, PlatformRequest};
+
+pub use self::{
+    fault::Fault,
+    measure::{LossKind, LossReport, measure_losses},
+    random::{RunReport, Shape, logged_run, random_run},
+    truth::Violation,
+};
+
+use self::{host::Host, platform::Store, truth::Truth};
+
+/// What a run is made of.
+#[derive(Debug, Clone)]
+pub struct SimConfig {
+    pub seed: u64,
+    pub hosts: usize,
+    pub zones: usize,
+    pub slot_count: SlotCount,
+    pub keyed: bool,
+    pub limits: Limits,
+    /// Clocks run at most this much too fast or too slow.
+    pub drift: f64,
+    /// Keys that the truth watches one by one; at times they are made hot.
+    pub watched_keys: usize,
+}
+
+impl SimConfig {
+    /// Seven hosts in three zones and eight slots.
+    pub fn new(seed: u64) -> SimConfig {
+        SimConfig {
+            seed,
+            hosts: 7,
+            zones: 3,
+            slot_count: SlotCount::new(8).expect("8 is a number of slots"),
+            keyed: true,
+            limits: Limits::default(),
+            drift: 0.0,
+            watched_keys: 0,
+        }
+    }
+}
+
+/// The state of the links and of the platform.
+#[derive(Debug, Clone)]
+pub(crate) struct Links {
+    pub(crate) loss: f64,
+    pub(crate) doubled: f64,
+    /// The share of messages that take up to `late_max`.
+    pub(crate) late: f64,
+    pub(crate) late_max: Duration,
+    /// Cut in this direction only.
+    pub(crate) cut: BTreeSet<(usize, usize)>,
+    pub(crate) cut_from_platform: BTreeSet<usize>,
+    pub(crate) platform_down: bool,
+    /// The share of updates whose answer is lost although they take effect.
+    pub(crate) lost_answers: f64,
+    /// The share of updates that take effect only after their caller has given up.
+    pub(crate) late_updates: f64,
+}
+
+impl Default for Links {
+    fn default() -> Links {
+        Links {
+            loss: 0.0,
+            doubled: 0.0,
+            late: 0.0,
+            late_max: Duration::from_millis(500),
+            cut: BTreeSet::new(),
+            cut_from_platform: BTreeSet::new(),
+            platform_down: false,
+            lost_answers: 0.0,
+            late_updates: 0.0,
+        }
+    }
+}
+
+/// How long a caller waits for the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_millis(250);
+const TICK_EVERY: Duration = Duration::from_millis(20);
+
+/// Something that happens at a set time.
+#[derive(Debug)]
+enum Happening {
+    Tick {
+        host: usize,
+        life: u64,
+    },
+    Deliver {
+        to: usize,
+        life: u64,
+        from: Instance,
+        message: Box<Message>,
+    },
+    /// A call reaches the platform; the answer is passed on only if `answered`.
+    Arrive {
+        host: usize,
+        life: u64,
+        call: CallId,
+        request: Box<PlatformRequest>,
+        answered: bool,
+    },
+    Answer {
+        host: usize,
+        life: u64,
+        call: CallId,
+        reply: Box<PlatformReply>,
+    },
+    Local {
+        host: usize,
+        life: u64,
+        input: Box<Input>,
+    },
+    Resume {
+        host: usize,
+        life: u64,
+    },
+    Fault(Fault),
+}
+
+/// A run under way.
+pub struct Sim {
+    config: SimConfig,
+    rng: Pcg64Mcg,
+    now: Timestamp,
+    queue: BTreeMap<(Timestamp, u64), Happening>,
+    next_entry: u64,
+    next_incarnation: u64,
+    hosts: Vec<Host>,
+    pub(crate) links: Links,
+    store: Store,
+    truth: Truth,
+    keys: Vec<KeyHash>,
+    /// The load of each slot and watched key, in microseconds a second.
+    slot_loads: Vec<u64>,
+    key_loads: BTreeMap<KeyHash, u64>,
+    /// Lines of what happened, if asked for.
+    log: Option<Vec<String>>,
+    /// Messages sent so far.
+    pub messages: u64,
+}
+
+impl Sim {
+    /// All hosts are there, but none has started.
+    pub fn new(config: SimConfig) -> Sim {
+        let mut rng = Pcg64Mcg::seed_from_u64(config.seed);
+        let hosts = (0..config.hosts).map(|it| Host::new(it, &config, &mut rng)).collect();
+        let keys = (0..config.watched_keys).map(|_| KeyHash(rng.random())).collect();
+        let slot_count = config.slot_count;
+        Sim {
+            rng,
+            now: Timestamp::from_ms(1000),
+            queue: BTreeMap::new(),
+            next_entry: 0,
+            next_incarnation: 1,
+            hosts,
+            links: Links::default(),
+            store: Store::default(),
+            truth: Truth::new(slot_count),
+            keys,
+            slot_loads: vec![1000; usize::from(slot_count.count())],
+            key_loads: BTreeMap::new(),
+            log: None,
+            messages: 0,
+            config,
+        }
+    }
+
+    /// Keeps a line for each event from now on.
+    pub fn keep_log(&mut self) {
+        self.log = Some(Vec::new());
+    }
+
+    pub fn log(&self) -> &[String] {
+        self.log.as_deref().unwrap_or_default()
+    }
+
+    pub fn now(&self) -> Timestamp {
+        self.now
+    }
+
+    pub fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// What was seen to be wrong, if anything.
+    pub fn violation(&self) -> Option<&Violation> {
+        self.truth.violation.as_ref()
+    }
+
+    /// Who coordinates, in the latest term that any host holds.
+    pub fn coordinator(&self) -> Option<usize> {
+        let terms = self.hosts.iter().enumerate().filter_map(|(at, it)| Some((it.term()?, at)));
+        terms.max().map(|it| it.1)
+    }
+
+    /// Whose gate admits a slot now.
+    pub fn owner(&self, slot: Slot) -> Option<usize> {
+        self.hosts.iter().position(|it| it.is_running() && it.gate.admits(it.clock(self.now), slot))
+    }
+
+    /// How many slots are admitted nowhere.
+    pub fn unowned(&self) -> usize {
+        self.config.slot_count.iter().filter(|it| self.owner(*it).is_none()).count()
+    }
+
+    /// Watched keys that are admitted nowhere.
+    pub fn unowned_keys(&self) -> usize {
+        let owned = |key: &KeyHash| {
+            let slot = self.config.slot_count.slot_of(*key);
+            self.hosts
+                .iter()
+                .any(|it| it.is_running() && it.gate.admits_key(it.clock(self.now), slot, *key))
+        };
+        self.keys.iter().filter(|it| !owned(it)).count()
+    }
+
+    /// Slots that a host's gate admits.
+    pub fn owned_by(&self, host: usize) -> Vec<Slot> {
+        self.config.slot_count.iter().filter(|it| self.owner(*it) == Some(host)).collect()
+    }
+
+    pub fn has_stopped(&self, host: usize) -> bool {
+        self.hosts[host].has_stopped
+    }
+
+    /// How often each kind of event was given, by the first word of its form.
+    pub fn events(&self) -> &BTreeMap<String, u64> {
+        &self.truth.events
+    }
+
+    /// Slots handed over in order.
+    pub fn handovers(&self) -> u64 {
+        self.truth.handovers
+    }
+
+    /// How many keys have entries of their own now.
+    pub fn key_entries(&self) -> usize {
+        self.hosts.iter().map(|it| it.gate.keys.len()).sum()
+    }
+
+    /// Whether some host holds a settled term.
+    pub fn is_settled(&self) -> bool {
+        self.hosts.iter().any(Host::is_settled)
+    }
+
+    /// The object as the platform has it.
+    pub fn coordinator_object(&self) -> Option<&crate::Coordinator> {
+        self.store.coordinator()
+    }
+
+    pub fn platform_calls(&self) -> u64 {
+        self.store.calls
+    }
+
+    /// Lets virtual time pass; stops early at a violation.
+    pub fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.truth.violation.is_none() {
+            let Some(entry) = self.queue.first_entry().filter(|it| it.key().0 <= end) else {
+                break;
+            };
+            let ((at, _), happening) = entry.remove_entry();
+            self.now = at;
+            self.happen(happening);
+        }
+        self.now = end;
+    }
+
+    /// Passes time in steps until the condition holds; says whether it did in time.
+    pub fn run_until(&mut self, max: Duration, done: impl Fn(&Sim) -> bool) -> bool {
+        let end = self.now + max;
+        while self.now < end && self.truth.violation.is_none() {
+            if done(self) {
+                return true;
+            }
+            self.run_for(Duration::from_millis(5));
+        }
+        done(self)
+    }
+
+    fn schedule(&mut self, at: Timestamp, happening: Happening) {
+        self.next_entry += 1;
+        self.queue.insert((at, self.next_entry), happening);
+    }
+
+    /// Lets a fault happen after a delay.
+    pub fn fault_in(&mut self, delay: Duration, fault: Fault) {
+        self.schedule(self.now + delay, Happening::Fault(fault));
+    }
+
+    fn note(&mut self, line: impl FnOnce() -> String) {
+        let ms = self.now.ns / 1_000_000;
+        if let Some(log) = &mut self.log {
+            log.push(format!("{ms:>8} {}", line()));
+        }
+    }
+
+    fn note_output(&mut self, host: usize, output: &Output) {
+        if self.log.is_none() {
+            return;
+        }
+        match output {
+            Output::Gate(crate::GateCommand::Lease { .. }) => {}
+            Output::Gate(it) => self.note(|| format!("host {host} gate {it:?}")),
+            Output::Event(it) => self.note(|| format!("host {host} event {it:?}")),
+            Output::Stopped => self.note(|| format!("host {host} stopped")),
+            Output::Platform { request, .. } => match request {
+                PlatformRequest::UpdateCoordinator { object, .. } => {
+                    self.note(|| format!("host {host} updates {object:?}"));
+                }
+                PlatformRequest::UpdatePlan { object, .. } => {
+                    let version = object.version;
+                    self.note(|| format!("host {host} writes plan {version}"));
+                }
+                _ => {}
+            },
+            Output::Send { .. } => {}
+        }
+    }
+
+    fn count_event(&mut self, event: &Event) {
+        let form = format!("{event:?}");
+        let word = form.split(|it: char| !it.is_alphanumeric()).next().unwrap_or_default();
+        if matches!(event, Event::Granted { reason: crate::MoveReason::Rebalance, .. }) {
+            self.truth.handovers += 1;
+        }
+        *self.truth.events.entry(word.to_owned()).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/sim/random.rs
@@ -0,0 +1,148 @@
+//! Runs under faults drawn at random, and what they came to.
+
+use std::time::Duration;
+
+use model::SlotCount;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{Limits, UpstreamState};
+
+use super::{Fault, Sim, SimConfig, Violation};
+
+/// What a random run is drawn from.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    pub seed: u64,
+    pub hosts: usize,
+    pub slots: u16,
+    pub watched_keys: usize,
+    pub duration: Duration,
+    /// The longest time from one fault to the next.
+    pub fault_gap_max: Duration,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone)]
+pub struct RunReport {
+    pub violation: Option<Violation>,
+    /// Slots that nobody served when the time allowed after the last fault had passed.
+    pub unowned: usize,
+    pub unowned_keys: usize,
+    /// How long after the last fault all was served again.
+    pub recovered_ms: u64,
+    pub faults: u64,
+    pub terms: u64,
+    pub settled_terms: u64,
+    pub grants: u64,
+    pub handovers: u64,
+    pub messages: u64,
+}
+
+/// The longest time without the platform, in random runs; short, so that it is reached.
+const ABSENCE_MAX: Duration = Duration::from_secs(6);
+/// After the last fault all must be served again within this time: the longest absence, a takeover,
+/// and the sessions and plans that follow.
+const RECOVERY_MAX: Duration = Duration::from_secs(15);
+const FAULT_GAP_MIN: Duration = Duration::from_millis(100);
+
+/// Runs one shape to its end.
+pub fn random_run(shape: &Shape) -> RunReport {
+    run(shape, false).0
+}
+
+/// The same, with a line for each event.
+pub fn logged_run(shape: &Shape) -> (RunReport, Vec<String>) {
+    run(shape, true)
+}
+
+fn run(shape: &Shape, log: bool) -> (RunReport, Vec<String>) {
+    let limits = Limits { platform_absence_max: ABSENCE_MAX, ..Limits::default() };
+    // Two clocks differ by at most the margin in one lease.
+    let drift = limits.drift_margin.as_secs_f64() / limits.lease.as_secs_f64() / 2.1;
+    let mut sim = Sim::new(SimConfig {
+        hosts: shape.hosts,
+        slot_count: SlotCount::new(shape.slots).unwrap_or(SimConfig::new(0).slot_count),
+        watched_keys: shape.watched_keys,
+        limits,
+        drift,
+        ..SimConfig::new(shape.seed)
+    });
+    if log {
+        sim.keep_log();
+    }
+    let mut rng = Pcg64Mcg::seed_from_u64(shape.seed ^ 0x5eed);
+    sim.start_all();
+    sim.run_for(Duration::from_millis(rng.random_range(500..4000)));
+    let mut faults = 0;
+    let end = sim.now() + shape.duration;
+    while sim.now() < end && sim.violation().is_none() {
+        for fault in draw(&mut rng, shape) {
+            sim.apply(fault);
+            faults += 1;
+        }
+        let gap = rng.random_range(FAULT_GAP_MIN..shape.fault_gap_max);
+        sim.run_for(gap);
+    }
+    let healed_at = sim.now();
+    sim.heal();
+    sim.run_until(RECOVERY_MAX, |it| it.unowned() == 0 && it.unowned_keys() == 0);
+    let count = |word: &str| sim.events().get(word).copied().unwrap_or(0);
+    let report = RunReport {
+        violation: sim.violation().cloned(),
+        unowned: sim.unowned(),
+        unowned_keys: sim.unowned_keys(),
+        recovered_ms: sim.now().since(healed_at).as_millis() as u64,
+        faults,
+        terms: count("BecameCoordinator"),
+        settled_terms: count("Settled"),
+        grants: count("Granted"),
+        handovers: sim.handovers(),
+        messages: sim.messages,
+    };
+    let log = sim.log().to_vec();
+    (report, log)
+}
+
+fn draw(rng: &mut Pcg64Mcg, shape: &Shape) -> Vec<Fault> {
+    let host = rng.random_range(0..shape.hosts);
+    let other = rng.random_range(0..shape.hosts);
+    let short_ms = rng.random_range(20..1000);
+    let long_ms = rng.random_range(300..4000);
+    match rng.random_range(0..32) {
+        0..=2 => vec![Fault::Pause { host, for_ms: short_ms }],
+        3 => vec![Fault::Pause { host, for_ms: long_ms }],
+        4..=6 => vec![Fault::PauseInStep { host, for_ms: long_ms }],
+        7..=8 => vec![Fault::Crash(host)],
+        9 => vec![Fault::Crash(host), Fault::Crash(other)],
+        10..=12 => vec![Fault::Start(host), Fault::Start(other)],
+        13..=14 => vec![Fault::Cut { from: host, to: other }],
+        15 => vec![Fault::Isolate(vec![host])],
+        16 => vec![Fault::Isolate(vec![host, other])],
+        17 => vec![Fault::CutFromPlatform(host)],
+        18 => vec![Fault::PlatformDown],
+        19 => vec![Fault::PlatformUp],
+        20..=22 => vec![Fault::HealLinks],
+        23 => vec![Fault::Lossy {
+            loss: rng.random_range(0..30),
+            doubled: rng.random_range(0..30),
+            late: rng.random_range(0..30),
+        }],
+        24..=25 => vec![Fault::Doubtful {
+            lost_answers: rng.random_range(0..70),
+            late_updates: rng.random_range(0..40),
+        }],
+        26 => vec![Fault::Stop(host)],
+        27 => vec![Fault::Stop(host), Fault::Stop(other)],
+        28 => vec![Fault::Upstream { host, state: UpstreamState::Lost }],
+        29 => vec![Fault::Upstream { host, state: UpstreamState::Ready }],
+        30 if shape.watched_keys > 0 => vec![Fault::KeyLoad {
+            key: rng.random_range(0..shape.watched_keys),
+            us_per_s: rng.random_range(0..400_000),
+        }],
+        _ => vec![Fault::SlotLoad {
+            slot: rng.random_range(0..usize::from(shape.slots)),
+            us_per_s: rng.random_range(0..100_000),
+        }],
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/sim/truth.rs
@@ -0,0 +1,176 @@
+//! What must always hold, checked at each change of a gate.
+
+use std::{collections::BTreeMap, fmt};
+
+use model::{KeyHash, Slot, SlotCount, Timestamp, Token};
+
+use crate::GateCommand;
+
+use super::{Sim, host::Host};
+
+/// Something that must never be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Violation {
+    /// Two hosts may run requests of one slot.
+    SlotHeldTwice {
+        slot: Slot,
+        hosts: (usize, usize),
+        at: Timestamp,
+    },
+    /// Two hosts may run requests of one key.
+    KeyHeldTwice {
+        key_hash: KeyHash,
+        hosts: (usize, usize),
+        at: Timestamp,
+    },
+    /// A token is not above every token given before.
+    TokenNotRising {
+        slot: Slot,
+        token: Token,
+        last: Token,
+        at: Timestamp,
+    },
+    KeyTokenNotRising {
+        key_hash: KeyHash,
+        token: Token,
+        last: Token,
+        at: Timestamp,
+    },
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Violation::SlotHeldTwice { slot, hosts, at } => {
+                write!(f, "{} ms: slot {slot} is held by {hosts:?}", at.ns / 1_000_000)
+            }
+            Violation::KeyHeldTwice { key_hash, hosts, at } => {
+                write!(f, "{} ms: key {:x} is held by {hosts:?}", at.ns / 1_000_000, key_hash.0)
+            }
+            Violation::TokenNotRising { slot, token, last, at } => {
+                write!(f, "{} ms: slot {slot}: {token} after {last}", at.ns / 1_000_000)
+            }
+            Violation::KeyTokenNotRising { key_hash, token, last, at } => {
+                let ms = at.ns / 1_000_000;
+                write!(f, "{ms} ms: key {:x}: {token} after {last}", key_hash.0)
+            }
+        }
+    }
+}
+
+/// The highest tokens seen, and the first violation.
+#[derive(Debug)]
+pub(super) struct Truth {
+    slot_count: SlotCount,
+    slot_tokens: BTreeMap<Slot, Token>,
+    key_tokens: BTreeMap<KeyHash, Token>,
+    pub(super) violation: Option<Violation>,
+    pub(super) events: BTreeMap<String, u64>,
+    pub(super) handovers: u64,
+}
+
+impl Truth {
+    pub(super) fn new(slot_count: SlotCount) -> Truth {
+        Truth {
+            slot_count,
+            slot_tokens: BTreeMap::new(),
+            key_tokens: BTreeMap::new(),
+            violation: None,
+            events: BTreeMap::new(),
+            handovers: 0,
+        }
+    }
+
+    fn found(&mut self, violation: Violation) {
+        self.violation.get_or_insert(violation);
+    }
+
+    fn slot_token(&mut self, slot: Slot, token: Token, at: Timestamp) {
+        let last = self.slot_tokens.entry(slot).or_default();
+        if token <= *last {
+            let last = *last;
+            return self.found(Violation::TokenNotRising { slot, token, last, at });
+        }
+        *last = token;
+    }
+
+    fn key_token(&mut self, key_hash: KeyHash, token: Token, at: Timestamp) {
+        let last = self.key_tokens.entry(key_hash).or_default();
+        if token < *last {
+            let last = *last;
+            return self.found(Violation::KeyTokenNotRising { key_hash, token, last, at });
+        }
+        *last = token;
+    }
+}
+
+impl Sim {
+    /// A gate carries a command out; everything that this may let it serve is checked.
+    pub(super) fn gate_command(&mut self, host: usize, command: &GateCommand) {
+        let now = self.now;
+        let had_lease = {
+            let it = &self.hosts[host];
+            it.clock(now) < it.gate.lease_until
+        };
+        self.hosts[host].gate.apply(command);
+        match command {
+            GateCommand::Admit { slot, token } => {
+                self.truth.slot_token(*slot, *token, now);
+                self.check_slot(host, *slot);
+                for key_hash in self.watched_in(*slot) {
+                    self.check_key(host, key_hash);
+                }
+            }
+            GateCommand::AdmitKey { key_hash, .. } | GateCommand::ForgetKey { key_hash } => {
+                self.check_key(host, *key_hash);
+            }
+            GateCommand::Lease { .. } if !had_lease => {
+                let slots: Vec<Slot> = self.hosts[host].gate.slots.keys().copied().collect();
+                for slot in slots {
+                    self.check_slot(host, slot);
+                }
+                for key_hash in self.keys.clone() {
+                    self.check_key(host, key_hash);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn watched_in(&self, slot: Slot) -> Vec<KeyHash> {
+        let slot_count = self.truth.slot_count;
+        self.keys.iter().copied().filter(|it| slot_count.slot_of(*it) == slot).collect()
+    }
+
+    fn check_slot(&mut self, host: usize, slot: Slot) {
+        let now = self.now;
+        let holds = |it: &Host| it.is_up() && it.gate.holds(it.clock(now), slot);
+        if !holds(&self.hosts[host]) {
+            return;
+        }
+        let other = (0..self.hosts.len()).find(|it| *it != host && holds(&self.hosts[*it]));
+        if let Some(other) = other {
+            let hosts = (other, host);
+            self.truth.found(Violation::SlotHeldTwice { slot, hosts, at: now });
+        }
+    }
+
+    fn check_key(&mut self, host: usize, key_hash: KeyHash) {
+        let now = self.now;
+        let slot = self.truth.slot_count.slot_of(key_hash);
+        let holds = |it: &Host| it.is_up() && it.gate.holds_key(it.clock(now), slot, key_hash);
+        if !holds(&self.hosts[host]) {
+            return;
+        }
+        let other = (0..self.hosts.len()).find(|it| *it != host && holds(&self.hosts[*it]));
+        if let Some(other) = other {
+            let hosts = (other, host);
+            self.truth.found(Violation::KeyHeldTwice { key_hash, hosts, at: now });
+        }
+        let gate = &self.hosts[host].gate;
+        let token = gate.keys.get(&key_hash).or(gate.slots.get(&slot)).map(|it| it.token);
+        if let Some(token) = token {
+            self.truth.key_token(key_hash, token, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Runs of many nodes: in order, under random faults, and along recorded traces.
+
+mod order;
