--- a/crates/ownership/src/planner/tests.rs
+++ b/crates/ownership/src/planner/tests.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashSet, time::Duration};
 
 use model::{KeyHash, Slot, SlotCount, Timestamp, Zone};
-use quickcheck::quickcheck;
+use quickcheck::{Gen, QuickCheck, Testable};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -86,6 +86,11 @@
     proposal.moves.iter().filter(|it| matches!(it.unit, Unit::Slot(_))).count()
 }
 
+/// Checks a property on the same random inputs each time.
+fn seeded(property: impl Testable) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 4)).quickcheck(property);
+}
+
 fn key_in(slots: usize, slot: usize) -> KeyHash {
     KeyHash((u64::MAX / slots as u64) * slot as u64 + (u64::MAX / slots as u64) / 2)
 }
@@ -273,8 +278,9 @@
     }
 }
 
-quickcheck! {
-    fn proposals_are_sound(seed: u64) -> bool {
+#[test]
+fn proposals_are_sound() {
+    fn property(seed: u64) -> bool {
         let it = fleet(&mut Pcg64Mcg::seed_from_u64(seed));
         let proposal = propose(&it);
         assert_eq!(proposal, propose(&it), "the same input gives the same proposal");
@@ -286,14 +292,19 @@
         }
         let with_entry = next.keys.iter().filter(|it| it.owner.is_some());
         assert_eq!(with_entry.count(), proposal.key_successors.len());
-        let rebalanced = proposal.moves.iter().filter(|it| {
-            it.reason == MoveReason::Rebalance && matches!(it.unit, Unit::Slot(_))
-        });
+        let rebalanced = proposal
+            .moves
+            .iter()
+            .filter(|it| it.reason == MoveReason::Rebalance && matches!(it.unit, Unit::Slot(_)));
         rebalanced.count() as f64 / it.slots.len() as f64 <= it.churn_left
     }
+    seeded(property as fn(u64) -> bool);
+}
 
-    /// A proposal that has been carried out brings no further moves, nor other successors.
-    fn proposals_settle(seed: u64) -> bool {
+/// A proposal that has been carried out brings no further moves, nor other successors.
+#[test]
+fn proposals_settle() {
+    fn property(seed: u64) -> bool {
         let mut it = fleet(&mut Pcg64Mcg::seed_from_u64(seed));
         it.churn_left = 1.0;
         for _ in 0..4 {
@@ -304,9 +315,13 @@
         let next = apply(&it, &proposal);
         next.slots.iter().zip(&it.slots).all(|(a, b)| a.successors == b.successors)
     }
+    seeded(property as fn(u64) -> bool);
+}
 
-    /// Without lumps of load, the target is always reached.
-    fn the_target_is_reached(seed: u64) -> bool {
+/// Without lumps of load, the target is always reached.
+#[test]
+fn the_target_is_reached() {
+    fn property(seed: u64) -> bool {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let members = rng.random_range(2..9);
         let slots = 40 * members;
@@ -316,4 +331,5 @@
         let next = apply(&it, &propose(&it));
         imbalance(&next) <= it.limits.imbalance_target
     }
+    seeded(property as fn(u64) -> bool);
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -10,6 +10,9 @@
 mod sketch;
 mod smoothed;
 
+#[cfg(test)]
+mod tests;
+
 pub use admission::{
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, Ticket,
     Verdict,
--- a/crates/traffic/src/records/tests.rs
+++ b/crates/traffic/src/records/tests.rs
@@ -3,11 +3,12 @@
 use std::{collections::HashMap, time::Duration};
 
 use model::{KeyHash, RequestId, Slot, Timestamp, UnknownReason};
-use quickcheck::quickcheck;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{Answer, Begin, EndedRecord, RecordUnit, Records, RecordsConfig, SlotRecords};
+use crate::{
+    Answer, Begin, EndedRecord, RecordUnit, Records, RecordsConfig, SlotRecords, tests::seeded,
+};
 
 const UNIT: RecordUnit = RecordUnit::Slot(Slot(3));
 const KEY: KeyHash = KeyHash(5);
@@ -205,17 +206,23 @@
     (replayed, refused)
 }
 
-quickcheck! {
-    fn no_id_runs_twice(seed: u64) -> bool {
+#[test]
+fn no_id_runs_twice() {
+    fn property(seed: u64) -> bool {
         run(seed, 3_000, true);
         true
     }
+    seeded(property as fn(u64) -> bool);
+}
 
-    /// With room for all and nothing lost, resends do get their answers.
-    fn resends_are_answered(seed: u64) -> bool {
+/// With room for all and nothing lost, resends do get their answers.
+#[test]
+fn resends_are_answered() {
+    fn property(seed: u64) -> bool {
         let (replayed, refused) = run(seed, 1_000_000, false);
         replayed > 4 * refused
     }
+    seeded(property as fn(u64) -> bool);
 }
 
 #[test]
--- a/crates/traffic/src/retry/tests.rs
+++ b/crates/traffic/src/retry/tests.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use model::{NotRunReason, Outcome, Timestamp, UnknownReason};
-use quickcheck::quickcheck;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict};
+use crate::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict, tests::seeded};
 
 const SHED: Outcome = Outcome::NotRun(NotRunReason::Overloaded);
 const LOST: Outcome = Outcome::Unknown(UnknownReason::ConnectionLost);
@@ -88,9 +87,10 @@
     assert!(matches!(decide(), RetryVerdict::GiveUp { .. }));
 }
 
-quickcheck! {
-    /// However everything fails, sendings stay within the share of fresh traffic.
-    fn retries_stay_within_the_budget(seed: u64) -> bool {
+/// However everything fails, sendings stay within the share of fresh traffic.
+#[test]
+fn retries_stay_within_the_budget() {
+    fn property(seed: u64) -> bool {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let config = RetryConfig::default();
         let mut retries = Retries::new(config.clone());
@@ -101,9 +101,8 @@
             let now = Timestamp::from_ms(ms);
             let deadline = now + Duration::from_millis(rng.random_range(0..2000));
             let mut attempts = Attempts::default();
-            let mut decide = || {
-                retries.decide(now, deadline, true, &mut attempts, &attempt(SHED), &mut rng)
-            };
+            let mut decide =
+                || retries.decide(now, deadline, true, &mut attempts, &attempt(SHED), &mut rng);
             while let RetryVerdict::Retry { after } = decide() {
                 assert!(now + after < deadline);
                 sent_again += 1;
@@ -111,4 +110,5 @@
         }
         f64::from(sent_again) <= config.budget_max / 2.0 + config.budget_share * fresh as f64
     }
+    seeded(property as fn(u64) -> bool);
 }
--- a/crates/traffic/src/selection/tests.rs
+++ b/crates/traffic/src/selection/tests.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use model::{Incarnation, Instance, InstanceName, Timestamp, Zone};
-use quickcheck::quickcheck;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState};
+use crate::{
+    HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState, tests::seeded,
+};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -158,9 +159,10 @@
     assert!(it.picks(|_| TargetResult::Answered)[index] > 0);
 }
 
-quickcheck! {
-    /// Whatever happens, the asserts inside hold and closed targets get nothing.
-    fn closed_targets_get_nothing(seed: u64) -> bool {
+/// Whatever happens, the asserts inside hold and closed targets get nothing.
+#[test]
+fn closed_targets_get_nothing() {
+    fn property(seed: u64) -> bool {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut it = Fixture::new(&["a", "a", "b", "c"]);
         let mut in_flight: Vec<Instance> = Vec::new();
@@ -177,7 +179,8 @@
                 }
                 1 | 2 if !in_flight.is_empty() => {
                     let instance = in_flight.swap_remove(rng.random_range(0..in_flight.len()));
-                    let results = [TargetResult::Answered, TargetResult::Shed, TargetResult::Failed];
+                    let results =
+                        [TargetResult::Answered, TargetResult::Shed, TargetResult::Failed];
                     it.finish(&instance, results[rng.random_range(0..3)]);
                 }
                 _ => {
@@ -191,4 +194,5 @@
         }
         true
     }
+    seeded(property as fn(u64) -> bool);
 }
--- a/crates/traffic/src/sketch/tests.rs
+++ b/crates/traffic/src/sketch/tests.rs
@@ -2,9 +2,7 @@
 
 use std::collections::HashMap;
 
-use quickcheck::quickcheck;
-
-use crate::Sketch;
+use crate::{Sketch, tests::seeded};
 
 #[test]
 fn decay_forgets_what_has_gone_cold() {
@@ -18,9 +16,10 @@
     assert_eq!(sketch.total(), 650);
 }
 
-quickcheck! {
-    /// Weights are bounded on both sides, and no heavy key is missed.
-    fn bounds_hold(adds: Vec<(u8, u8)>) -> bool {
+/// Weights are bounded on both sides, and no heavy key is missed.
+#[test]
+fn bounds_hold() {
+    fn property(adds: Vec<(u8, u8)>) -> bool {
         let capacity = 8;
         let mut sketch = Sketch::new(capacity);
         let mut truth: HashMap<u8, u64> = HashMap::new();
@@ -31,11 +30,11 @@
             *truth.entry(key).or_default() += u64::from(weight);
         }
         let heaviest = sketch.heaviest(capacity);
-        let bounded = heaviest.iter().all(|it| {
-            (it.weight - it.error..=it.weight).contains(&truth[&it.key])
-        });
+        let bounded =
+            heaviest.iter().all(|it| (it.weight - it.error..=it.weight).contains(&truth[&it.key]));
         let floor = sketch.total() / capacity as u64;
         let heavy = truth.iter().filter(|(_, weight)| **weight > floor);
         bounded && heavy.into_iter().all(|(key, _)| heaviest.iter().any(|it| it.key == *key))
     }
+    seeded(property as fn(Vec<(u8, u8)>) -> bool);
 }
