Demo on real processes, judged by journals

Both deployments with an agent beside each upstream, callers that start at one instant, faults drawn from a seed, and a verdict computed from the journals of callers and upstreams alone. Journals with planted faults test the verdict.

--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -95,7 +95,16 @@
                 target += 1;
             }
             let jitter = rng.random_range(1.0..2.0);
-            let wait = retry_after.unwrap_or_else(|| self.rules.resend_after.mul_f64(jitter));
+            let wait = match retry_after {
+                Some(wait) => wait,
+                None if attempts
+                    .last()
+                    .is_some_and(|it| it.result == AttemptResult::NotConnected) =>
+                {
+                    Duration::ZERO
+                }
+                None => self.rules.resend_after.mul_f64(jitter),
+            };
             if first_sent.elapsed() + wait > self.rules.patience {
                 break;
             }
--- /dev/null
+++ b/xtask/src/cluster/instance.rs
@@ -0,0 +1,207 @@
+//! An instance: an upstream with the agent beside it.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use standins::journal::{read_journal, wall_ns};
+
+use super::{Binaries, Ports, Process, RunDir, Service};
+use crate::demo::evidence::{PlannedStop, SickIngress, UpstreamJournal, Window};
+
+/// Shared by all agents of a run; what it is does not matter on loopback.
+const LINK_KEY: &str = "a key for loopback only";
+/// How long a graceful stop may take.
+const STOP_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// An instance, planned or running.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    pub(crate) name: String,
+    pub(crate) service: String,
+    pub(crate) team: String,
+    pub(crate) zone: String,
+    pub(crate) caller: SocketAddr,
+    pub(crate) control: SocketAddr,
+    traffic: SocketAddr,
+    metrics: SocketAddr,
+    pub(crate) upstream_address: SocketAddr,
+    upstream_flags: Vec<String>,
+    agent: Option<Process>,
+    upstream: Option<Process>,
+    gone_ns: Option<u64>,
+}
+
+impl Instance {
+    /// Gives an instance its name, zone and addresses.
+    pub(crate) fn plan(
+        service: &Service,
+        number: usize,
+        ports: &mut Ports,
+    ) -> anyhow::Result<Instance> {
+        let zones = service.spec.zones;
+        let traits = &service.document.upstream;
+        let fence = if traits.checks_fence { "checked" } else { "unchecked" };
+        let flags = [
+            ("--service", service.name().to_owned()),
+            ("--slots", traits.slots.to_string()),
+            ("--connections-max", traits.connections_max.to_string()),
+            ("--service-ms", service.spec.service_ms.to_string()),
+            ("--fence", fence.to_owned()),
+        ];
+        Ok(Instance {
+            name: format!("{}-{number}", service.name()),
+            service: service.name().to_owned(),
+            team: service.spec.team.to_owned(),
+            zone: zones[(number - 1) % zones.len()].to_owned(),
+            caller: ports.next()?,
+            control: ports.next()?,
+            traffic: ports.next()?,
+            metrics: ports.next()?,
+            upstream_address: ports.next()?,
+            upstream_flags: flags
+                .into_iter()
+                .flat_map(|(name, it)| [name.to_owned(), it])
+                .collect(),
+            agent: None,
+            upstream: None,
+            gone_ns: None,
+        })
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        binaries: &Binaries,
+        dir: &RunDir,
+        platform: SocketAddr,
+        peers: &[SocketAddr],
+        seed: u64,
+    ) -> anyhow::Result<()> {
+        let settings = self.write_settings(dir, platform, peers)?;
+        let arguments = ["--settings".to_owned(), settings.display().to_string()];
+        let name = format!("{}-agent", self.name);
+        self.agent = Some(Process::spawn(&name, &binaries.agent, &arguments, dir)?);
+        let mut arguments = self.upstream_flags.clone();
+        let flags = [
+            ("--listen", self.upstream_address.to_string()),
+            ("--agent", self.caller.to_string()),
+            ("--journal", self.journal_file(dir).display().to_string()),
+            ("--seed", seed.to_string()),
+        ];
+        arguments.extend(flags.into_iter().flat_map(|(name, it)| [name.to_owned(), it]));
+        let name = format!("{}-upstream", self.name);
+        self.upstream = Some(Process::spawn(&name, &binaries.upstream, &arguments, dir)?);
+        Ok(())
+    }
+
+    fn write_settings(
+        &self,
+        dir: &RunDir,
+        platform: SocketAddr,
+        peers: &[SocketAddr],
+    ) -> anyhow::Result<PathBuf> {
+        let peers: Vec<&SocketAddr> = peers.iter().filter(|it| **it != self.control).collect();
+        let settings = json!({
+            "instance": self.name,
+            "zone": self.zone,
+            "team": self.team,
+            "service": self.service,
+            "caller_address": self.caller,
+            "traffic_address": self.traffic,
+            "control_address": self.control,
+            "metrics_address": self.metrics,
+            "platform_address": platform,
+            "link_key": LINK_KEY,
+            "peers": peers,
+        });
+        let path = dir.file(&format!("{}.jsonc", self.name));
+        let text = serde_json::to_string_pretty(&settings).context("encoding settings")?;
+        std::fs::write(&path, text).with_context(|| format!("writing {}", path.display()))?;
+        Ok(path)
+    }
+
+    fn journal_file(&self, dir: &RunDir) -> PathBuf {
+        dir.file(&format!("{}.jsonl", self.name))
+    }
+
+    pub(crate) async fn wait_listening(&self) -> anyhow::Result<()> {
+        self.agent()?.wait_listening(self.caller).await?;
+        self.upstream()?.wait_listening(self.upstream_address).await
+    }
+
+    pub(crate) fn agent(&self) -> anyhow::Result<&Process> {
+        self.agent.as_ref().with_context(|| format!("{} has no agent", self.name))
+    }
+
+    pub(crate) fn upstream(&self) -> anyhow::Result<&Process> {
+        self.upstream.as_ref().with_context(|| format!("{} has no upstream", self.name))
+    }
+
+    /// Whether neither part has been ended.
+    pub(crate) fn is_up(&self) -> bool {
+        self.gone_ns.is_none()
+    }
+
+    fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        self.agent()?.signal(signal)?;
+        self.upstream()?.signal(signal)
+    }
+
+    /// Kills both parts at once.
+    pub(crate) async fn kill(&mut self) -> anyhow::Result<SickIngress> {
+        let from_ns = wall_ns();
+        self.signal(Signal::SIGKILL)?;
+        self.agent()?.wait(STOP_TIMEOUT).await?;
+        self.upstream()?.wait(STOP_TIMEOUT).await?;
+        self.gone_ns = Some(wall_ns());
+        Ok(self.sick(from_ns, u64::MAX))
+    }
+
+    /// Freezes both parts.
+    pub(crate) fn freeze(&self) -> anyhow::Result<u64> {
+        let from_ns = wall_ns();
+        self.signal(Signal::SIGSTOP)?;
+        Ok(from_ns)
+    }
+
+    /// Lets both parts go on.
+    pub(crate) fn thaw(&self, frozen_ns: u64) -> anyhow::Result<SickIngress> {
+        self.signal(Signal::SIGCONT)?;
+        Ok(self.sick(frozen_ns, wall_ns()))
+    }
+
+    fn sick(&self, from_ns: u64, until_ns: u64) -> SickIngress {
+        SickIngress { caller_address: self.caller, window: Window { from_ns, until_ns } }
+    }
+
+    /// Tells both parts to leave and waits for their ends.
+    pub(crate) async fn leave(&mut self) -> anyhow::Result<PlannedStop> {
+        let from_ns = wall_ns();
+        let began = Instant::now();
+        self.signal(Signal::SIGTERM)?;
+        for process in [self.agent()?, self.upstream()?] {
+            let status = process.wait(STOP_TIMEOUT).await?;
+            anyhow::ensure!(status.success(), "{} ended with {status} when told to", self.name);
+        }
+        log::info!(target: "demo", "{} left within {:?}.", self.name, began.elapsed());
+        self.gone_ns = Some(wall_ns());
+        let window = Window { from_ns, until_ns: wall_ns() };
+        let instance = self.name.clone();
+        Ok(PlannedStop { instance, caller_address: self.caller, window })
+    }
+
+    pub(crate) fn journal(&self, dir: &RunDir, keyed: bool) -> anyhow::Result<UpstreamJournal> {
+        Ok(UpstreamJournal {
+            instance: self.name.clone(),
+            service: self.service.clone(),
+            keyed,
+            entries: read_journal(&self.journal_file(dir))?,
+            gone_ns: self.gone_ns.unwrap_or_else(wall_ns),
+        })
+    }
+}
--- /dev/null
+++ b/xtask/src/demo/faults.rs
@@ -0,0 +1,197 @@
+//! Which faults come when, drawn from a seed, and how they are brought about.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt, SeedableRng, seq::SliceRandom};
+use rand_pcg::Pcg64Mcg;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::{
+    config_probe::{ConfigChange, PROBE_PATH},
+    evidence::Evidence,
+};
+use crate::cluster::{Cluster, Instance};
+
+/// From one fault to the next.
+const SPACING: Duration = Duration::from_millis(4_500);
+const JITTER_MS: std::ops::Range<u64> = 0..1_000;
+const FREEZE_MS: std::ops::Range<u64> = 1_500..3_000;
+const OUTAGE_MS: std::ops::Range<u64> = 3_000..6_000;
+/// How long a change of a document is tried again while the platform is down.
+const CHANGE_TRIES: u32 = 100;
+const CHANGE_AGAIN: Duration = Duration::from_millis(100);
+
+/// One fault, with what it strikes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// Index of the instance.
+    Kill(usize),
+    Freeze(usize, Duration),
+    Leave(usize),
+    PlatformOutage(Duration),
+    /// Name of the service.
+    ChangeDocument(String),
+}
+
+/// A fault and when it comes, counted from the start of the callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PlannedFault {
+    pub(crate) after: Duration,
+    pub(crate) fault: Fault,
+}
+
+/// What the planning needs to know of an instance.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Candidate<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) keyed: bool,
+}
+
+/// Draws all faults. A kill and a freeze strike services divided by key, and no instance is struck
+/// twice.
+pub(crate) fn plan(candidates: &[Candidate<'_>], first: Duration, seed: u64) -> Vec<PlannedFault> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut keyed = indexes(candidates, |it| it.keyed);
+    keyed.shuffle(&mut rng);
+    let mut faults = Vec::new();
+    if let [killed, frozen, ..] = keyed[..] {
+        faults.push(Fault::Kill(killed));
+        faults.push(Fault::Freeze(frozen, draw_ms(&mut rng, FREEZE_MS)));
+        let mut rest = indexes(candidates, |_| true);
+        rest.retain(|it| *it != killed && *it != frozen);
+        rest.shuffle(&mut rng);
+        faults.extend(rest.first().copied().map(Fault::Leave));
+    }
+    faults.push(Fault::PlatformOutage(draw_ms(&mut rng, OUTAGE_MS)));
+    if let Some(index) = keyed.last() {
+        faults.push(Fault::ChangeDocument(candidates[*index].service.to_owned()));
+    }
+    faults.shuffle(&mut rng);
+    let mut after = first;
+    faults
+        .into_iter()
+        .map(|fault| {
+            let planned = PlannedFault { after: after + draw_ms(&mut rng, JITTER_MS), fault };
+            after += SPACING;
+            planned
+        })
+        .collect()
+}
+
+fn indexes(candidates: &[Candidate<'_>], wanted: impl Fn(&Candidate<'_>) -> bool) -> Vec<usize> {
+    (0..candidates.len()).filter(|it| wanted(&candidates[*it])).collect()
+}
+
+fn draw_ms(rng: &mut impl Rng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
+
+/// Brings the faults about, each at its time, and waits for their ends.
+pub(crate) async fn strike(
+    cluster: &mut Cluster,
+    faults: &[PlannedFault],
+    start: Instant,
+    change: &mut Option<ConfigChange>,
+    evidence: &mut Evidence,
+) -> anyhow::Result<()> {
+    let mut outage_until = None;
+    for PlannedFault { after, fault } in faults {
+        wait_until(cluster, start + *after, &mut outage_until).await?;
+        log::info!(target: "demo", "{fault:?}.");
+        match fault {
+            Fault::Kill(index) => {
+                let sick = cluster.instances[*index].kill().await?;
+                evidence.sick.push(sick);
+            }
+            Fault::Freeze(index, duration) => {
+                let frozen_ns = cluster.instances[*index].freeze()?;
+                wait_until(cluster, Instant::now() + *duration, &mut outage_until).await?;
+                evidence.sick.push(cluster.instances[*index].thaw(frozen_ns)?);
+            }
+            Fault::Leave(index) => evidence.stops.push(cluster.instances[*index].leave().await?),
+            Fault::PlatformOutage(duration) => {
+                cluster.platform_fault(r#"{"down": true}"#).await?;
+                outage_until = Some(Instant::now() + *duration);
+            }
+            Fault::ChangeDocument(service) => {
+                end_outage(cluster, &mut outage_until).await?;
+                *change = Some(change_document(cluster, service).await?);
+            }
+        }
+    }
+    end_outage(cluster, &mut outage_until).await
+}
+
+/// Waits for a time, and ends an outage on the way when its own time has come.
+async fn wait_until(
+    cluster: &Cluster,
+    until: Instant,
+    outage_until: &mut Option<Instant>,
+) -> anyhow::Result<()> {
+    if outage_until.is_some_and(|it| it < until) {
+        end_outage(cluster, outage_until).await?;
+    }
+    sleep_until(until).await;
+    Ok(())
+}
+
+async fn end_outage(cluster: &Cluster, outage_until: &mut Option<Instant>) -> anyhow::Result<()> {
+    let Some(until) = outage_until.take() else { return Ok(()) };
+    sleep_until(until).await;
+    cluster.platform_fault(r#"{"down": false}"#).await
+}
+
+async fn change_document(cluster: &Cluster, name: &str) -> anyhow::Result<ConfigChange> {
+    let service = cluster.service(name).ok_or_else(|| anyhow::anyhow!("no service {name}"))?;
+    let text = service.text_with_refusing_route(PROBE_PATH)?;
+    for _ in 0..CHANGE_TRIES {
+        if cluster.put_document(name, &text).await.is_ok() {
+            return Ok(ConfigChange::now(name));
+        }
+        sleep(CHANGE_AGAIN).await;
+    }
+    anyhow::bail!("the platform took no change of {name}")
+}
+
+/// Stops instances while callers go on, until one of each service is left: one after another, two
+/// at once where there are enough.
+pub(crate) async fn stop_gracefully(
+    cluster: &mut Cluster,
+    evidence: &mut Evidence,
+) -> anyhow::Result<()> {
+    let names: Vec<String> = cluster.services.iter().map(|it| it.name().to_owned()).collect();
+    let mut groups: Vec<Vec<&mut Instance>> = names.iter().map(|_| Vec::new()).collect();
+    for instance in cluster.instances.iter_mut().filter(|it| it.is_up()) {
+        let group = names.iter().position(|it| *it == instance.service);
+        if let Some(group) = group {
+            groups[group].push(instance);
+        }
+    }
+    let stops = groups.into_iter().map(stop_group);
+    for stops in futures_util::future::try_join_all(stops).await? {
+        evidence.stops.extend(stops);
+    }
+    Ok(())
+}
+
+async fn stop_group(
+    mut instances: Vec<&mut Instance>,
+) -> anyhow::Result<Vec<super::evidence::PlannedStop>> {
+    let mut stops = Vec::new();
+    while instances.len() > 1 {
+        let at_once = if instances.len() > 2 && stops.is_empty() { 2 } else { 1 };
+        let leaving = instances.drain(..at_once).map(|it| it.leave());
+        stops.extend(futures_util::future::try_join_all(leaving).await?);
+    }
+    Ok(stops)
+}
+
+/// Stops all that is left, at once.
+pub(crate) async fn stop_rest(
+    cluster: &mut Cluster,
+    evidence: &mut Evidence,
+) -> anyhow::Result<()> {
+    let rest = cluster.instances.iter_mut().filter(|it| it.is_up()).map(|it| it.leave());
+    evidence.stops.extend(futures_util::future::try_join_all(rest).await?);
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/demo/load.rs
@@ -0,0 +1,86 @@
+//! The callers of a demo: all at one instant, then a steady load over all keys.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use standins::caller::{CallRules, Load, Pace, run_load};
+use standins::journal::CallRecord;
+use tokio::{task::JoinSet, time::Instant};
+
+use crate::cluster::{Cluster, Service};
+
+/// Callers of each service in the first second.
+const RUSH_CALLERS: usize = 100;
+const RUSH: Duration = Duration::from_secs(1);
+const STEADY_CALLERS: usize = 20;
+/// Often enough that each of the keys is asked for every 60 ms or so.
+const STEADY_REQUESTS_PER_S: f64 = 400.0;
+const STEADY_REQUESTS_PER_S_WITHOUT_KEY: f64 = 100.0;
+const KEYS: usize = 24;
+/// Share of the requests that is for the hottest key.
+const HOT_SHARE: f64 = 0.1;
+const ANSWER_BYTES: usize = 2_000;
+const DEADLINE: Duration = Duration::from_secs(1);
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// Callers at work in the background.
+pub(crate) struct Callers {
+    loads: JoinSet<anyhow::Result<Vec<CallRecord>>>,
+}
+
+impl Callers {
+    /// Starts all callers at one instant; they send for `duration`.
+    pub(crate) fn start(
+        cluster: &Cluster,
+        duration: Duration,
+        start: Instant,
+        seed: u64,
+    ) -> Callers {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut loads = JoinSet::new();
+        for service in &cluster.services {
+            for load in [rush(cluster, service), steady(cluster, service, duration)] {
+                let load = Load { seed: rng.random(), ..load };
+                loads.spawn(async move { Ok(run_load(load, start).await?.records) });
+            }
+        }
+        Callers { loads }
+    }
+
+    /// Waits until each request has come to its end.
+    pub(crate) async fn finish(mut self) -> anyhow::Result<Vec<CallRecord>> {
+        let mut calls = Vec::new();
+        while let Some(records) = self.loads.join_next().await {
+            calls.extend(records??);
+        }
+        Ok(calls)
+    }
+}
+
+fn rush(cluster: &Cluster, service: &Service) -> Load {
+    let (callers, duration) = (RUSH_CALLERS, RUSH);
+    Load { callers, duration, pace: Pace::Closed, ..steady(cluster, service, RUSH) }
+}
+
+fn steady(cluster: &Cluster, service: &Service, duration: Duration) -> Load {
+    let requests_per_s = match service.document.keyed {
+        true => STEADY_REQUESTS_PER_S,
+        false => STEADY_REQUESTS_PER_S_WITHOUT_KEY,
+    };
+    Load {
+        service: service.name().to_owned(),
+        targets: cluster.caller_addresses(service.spec.team),
+        callers: STEADY_CALLERS,
+        pace: Pace::Rate { requests_per_s },
+        duration,
+        routes: service.routes.clone(),
+        keys: (0..KEYS).map(|it| service.key(it)).collect(),
+        hot_share: HOT_SHARE,
+        answer_bytes: ANSWER_BYTES,
+        deadline: DEADLINE,
+        rules: CallRules { patience: PATIENCE, ..CallRules::default() },
+        seed: 0,
+        journal: String::new(),
+    }
+}
--- /dev/null
+++ b/xtask/src/demo/mod.rs
@@ -0,0 +1,133 @@
+//! The main job on real processes: both deployments, callers that all start in the same second, and
+//! faults drawn from a seed. Journals decide whether the invariants held.
+
+mod config_probe;
+mod deployments;
+pub(crate) mod evidence;
+mod faults;
+mod load;
+mod report;
+pub(crate) mod verdict;
+
+#[cfg(test)]
+mod tests;
+
+use std::{process::ExitCode, time::Duration};
+
+use standins::journal::wall_ns;
+use tokio::time::{Instant, sleep_until};
+
+use self::{
+    config_probe::{Probes, judge},
+    evidence::{Evidence, Window},
+    faults::{Candidate, Fault, PlannedFault},
+    load::Callers,
+    verdict::Verdict,
+};
+use crate::cluster::{Binaries, Cluster, Profile};
+
+/// The first second belongs to the rush; the next ones show the spread without faults.
+const QUIET_FROM: Duration = Duration::from_secs(1);
+const FIRST_FAULT: Duration = Duration::from_secs(4);
+const FAULTS_END: Duration = Duration::from_secs(29);
+/// Callers go on for so long while instances leave one after another.
+const LOAD: Duration = Duration::from_secs(40);
+const LOAD_WITHOUT_FAULTS: Duration = Duration::from_secs(8);
+
+/// Flags of `cargo xtask demo`.
+#[derive(Debug, gumdrop::Options)]
+pub(crate) struct DemoOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "what the faults are drawn from; at random if left out")]
+    seed: Option<u64>,
+    #[options(no_short, help = "print one JSON object as the last line")]
+    json: bool,
+    #[options(no_short, help = "run without faults")]
+    no_faults: bool,
+    #[options(no_short, help = "keep settings, logs and journals")]
+    keep: bool,
+}
+
+/// Runs the demo; the exit code tells whether the invariants held.
+pub(crate) async fn run(options: DemoOptions) -> anyhow::Result<ExitCode> {
+    // The run of the tests' profile keeps its checks on, and a fresh clone builds it but once.
+    let binaries = Binaries::build(Profile::Dev)?;
+    let seed = options.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    report::line(&format!("seed {seed}"))?;
+    let mut cluster = Cluster::start(deployments::SERVICES, &binaries, seed).await?;
+    let work = play(&mut cluster, seed, !options.no_faults).await;
+    let (evidence, verdict) = match work {
+        Ok(done) => done,
+        Err(error) => {
+            cluster.dir.keep();
+            report::line(&format!("logs and journals are in {}", cluster.dir.path().display()))?;
+            return Err(error.context(format!("seed {seed}")));
+        }
+    };
+    if options.keep || !verdict.holds() {
+        cluster.dir.keep();
+        report::write_calls(&cluster.dir, &evidence)?;
+    }
+    report::print(&verdict, seed, &cluster.dir, &options)?;
+    Ok(if verdict.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+async fn play(
+    cluster: &mut Cluster,
+    seed: u64,
+    with_faults: bool,
+) -> anyhow::Result<(Evidence, Verdict)> {
+    cluster.wait_serving().await?;
+    let faults = match with_faults {
+        true => plan(cluster, seed),
+        false => Vec::new(),
+    };
+    let load = if with_faults { LOAD } else { LOAD_WITHOUT_FAULTS };
+    let mut evidence = Evidence::default();
+    let start = Instant::now() + Duration::from_millis(100);
+    let start_ns = wall_ns() + 100_000_000;
+    let at = |after: Duration| start_ns + u64::try_from(after.as_nanos()).unwrap_or(u64::MAX);
+    evidence.quiet = Window { from_ns: at(QUIET_FROM), until_ns: at(FIRST_FAULT) };
+    evidence.watched = Window { from_ns: start_ns, until_ns: at(load) };
+
+    let callers = Callers::start(cluster, load, start, seed);
+    let probes = start_probes(cluster, &faults)?;
+    let mut change = None;
+    faults::strike(cluster, &faults, start, &mut change, &mut evidence).await?;
+    if with_faults {
+        sleep_until(start + FAULTS_END).await;
+        faults::stop_gracefully(cluster, &mut evidence).await?;
+    }
+    sleep_until(start + load).await;
+    evidence.calls = callers.finish().await?;
+    let samples = match probes {
+        Some(probes) => probes.finish().await?,
+        None => Vec::new(),
+    };
+    faults::stop_rest(cluster, &mut evidence).await?;
+    evidence.upstreams = cluster.journals()?;
+    let config = judge(change.as_ref(), &samples, &evidence);
+    let verdict = Verdict::new(&evidence, with_faults.then_some(config));
+    Ok((evidence, verdict))
+}
+
+fn plan(cluster: &Cluster, seed: u64) -> Vec<PlannedFault> {
+    let candidates: Vec<Candidate<'_>> = cluster
+        .instances
+        .iter()
+        .map(|it| {
+            let keyed = cluster.service(&it.service).is_some_and(|it| it.document.keyed);
+            Candidate { service: &it.service, keyed }
+        })
+        .collect();
+    faults::plan(&candidates, FIRST_FAULT, seed)
+}
+
+fn start_probes(cluster: &Cluster, faults: &[PlannedFault]) -> anyhow::Result<Option<Probes>> {
+    let changed = faults.iter().find_map(|it| match &it.fault {
+        Fault::ChangeDocument(service) => cluster.service(service),
+        _ => None,
+    });
+    changed.map(|it| Probes::start(cluster, it)).transpose()
+}
--- /dev/null
+++ b/xtask/src/demo/verdict/availability.rs
@@ -0,0 +1,98 @@
+//! How long a key was not served, as callers saw it.
+
+use std::collections::BTreeMap;
+
+use standins::journal::{Attempt, AttemptResult};
+
+use super::Finding;
+use crate::demo::evidence::{Evidence, ServiceKey};
+
+/// A time in which sendings for a key failed and none was answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Gap {
+    pub(super) key: ServiceKey,
+    pub(super) from_ns: u64,
+    pub(super) gap_ms: u64,
+}
+
+impl Gap {
+    pub(super) fn finding(self) -> Finding {
+        let Gap { key, from_ns, gap_ms } = self;
+        let detail =
+            format!("{}/{} was not served for {gap_ms} ms from {from_ns}", key.service, key.key);
+        Finding { invariant: "unavailable_ms_max", detail }
+    }
+}
+
+/// What the sendings for one key say.
+#[derive(Default)]
+struct KeyHistory {
+    /// Ends of answered sendings, sorted.
+    answered_ns: Vec<u64>,
+    failed: Vec<Failure>,
+}
+
+struct Failure {
+    sent_ns: u64,
+    ended_ns: u64,
+}
+
+/// The longest gap of all keys within the watched window.
+pub(super) fn longest_gap(evidence: &Evidence) -> Option<Gap> {
+    let histories = histories(evidence);
+    histories
+        .into_iter()
+        .filter_map(|(key, history)| longest_gap_of(key, history, evidence.watched.until_ns))
+        .max_by_key(|it| it.gap_ms)
+}
+
+fn histories(evidence: &Evidence) -> BTreeMap<ServiceKey, KeyHistory> {
+    let mut histories: BTreeMap<ServiceKey, KeyHistory> = BTreeMap::new();
+    for call in &evidence.calls {
+        let key = ServiceKey { service: call.service.clone(), key: call.key.clone() };
+        let history = histories.entry(key).or_default();
+        for attempt in call.attempts.iter().filter(|it| evidence.watched.contains(it.sent_ns)) {
+            match () {
+                _ if attempt.result == AttemptResult::Answered => {
+                    history.answered_ns.push(attempt.ended_ns);
+                }
+                _ if is_failure(attempt) && !is_sick(evidence, attempt) => {
+                    let Attempt { sent_ns, ended_ns, .. } = *attempt;
+                    history.failed.push(Failure { sent_ns, ended_ns });
+                }
+                _ => {}
+            }
+        }
+    }
+    histories
+}
+
+/// Whether a sending says that its key is not served. An overloaded owner is there, and one agent
+/// that takes no connection says nothing about keys.
+fn is_failure(attempt: &Attempt) -> bool {
+    match &attempt.result {
+        AttemptResult::Answered | AttemptResult::NotConnected => false,
+        AttemptResult::NotRun { reason } => reason != "overloaded",
+        _ => true,
+    }
+}
+
+fn is_sick(evidence: &Evidence, attempt: &Attempt) -> bool {
+    evidence.sick.iter().any(|it| {
+        it.caller_address == attempt.target && it.window.overlaps(attempt.sent_ns, attempt.ended_ns)
+    })
+}
+
+fn longest_gap_of(key: ServiceKey, mut history: KeyHistory, until_ns: u64) -> Option<Gap> {
+    history.answered_ns.sort_unstable();
+    let answered = &history.answered_ns;
+    let gap = |failure: &Failure| {
+        let after = answered.partition_point(|it| *it <= failure.ended_ns);
+        let before_ns = after.checked_sub(1).map_or(0, |it| answered[it]);
+        let after_ns = answered.get(after).copied().unwrap_or(until_ns.max(failure.ended_ns));
+        let from_ns = failure.sent_ns.max(before_ns);
+        (after_ns.saturating_sub(from_ns), from_ns)
+    };
+    let (gap_ns, from_ns) = history.failed.iter().map(gap).max()?;
+    Some(Gap { key, from_ns, gap_ms: gap_ns / 1_000_000 })
+}
--- /dev/null
+++ b/xtask/src/demo/verdict/mod.rs
@@ -0,0 +1,131 @@
+//! Whether the invariants held in one run, from journals alone.
+
+mod availability;
+mod ownership;
+mod requests;
+mod spread;
+mod stops;
+
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
+
+use serde::Serialize;
+use standins::journal::FinalOutcome;
+
+use super::evidence::Evidence;
+
+/// Limits on what a run may show.
+const UNAVAILABLE_MS_MAX: u64 = 2_000;
+const CONFIG_IN_FORCE_MS_MAX: u64 = 5_000;
+
+/// The figures of one run.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub(crate) struct Verdict {
+    pub(crate) requests: usize,
+    pub(crate) answered: usize,
+    pub(crate) not_run: usize,
+    pub(crate) unknown: usize,
+    pub(crate) lost: usize,
+    pub(crate) ran_twice: usize,
+    pub(crate) not_run_but_ran: usize,
+    pub(crate) double_owned: usize,
+    pub(crate) crossed_answers: usize,
+    pub(crate) broken_answers: usize,
+    pub(crate) cut_off: usize,
+    /// Requests that reached a leaving upstream later than it allows.
+    pub(crate) late_work: usize,
+    /// None: some agent never took the change over.
+    pub(crate) config_in_force_ms: Option<u64>,
+    pub(crate) config_reverted: usize,
+    /// The longest time for which a key was not served.
+    pub(crate) unavailable_ms_max: u64,
+    /// Runs on the busiest upstream over the mean, without faults; the worst service divided by key.
+    pub(crate) imbalance: f64,
+    /// Changes of a key's owner, over the number of keys.
+    pub(crate) churn: f64,
+    #[serde(skip)]
+    pub(crate) findings: Vec<Finding>,
+}
+
+/// One breach, for whoever looks into it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Finding {
+    pub(crate) invariant: &'static str,
+    pub(crate) detail: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.invariant, self.detail)
+    }
+}
+
+/// How a change of a document went, as probes of all agents saw it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct ConfigProbe {
+    pub(crate) in_force_ms: Option<u64>,
+    /// How often an agent fell back to the former document.
+    pub(crate) reverted: usize,
+}
+
+impl ConfigProbe {
+    fn findings(&self) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        if self.in_force_ms.is_none_or(|it| it > CONFIG_IN_FORCE_MS_MAX) {
+            let detail = format!("in force after {:?} ms", self.in_force_ms);
+            findings.push(Finding { invariant: "config_in_force_ms", detail });
+        }
+        if self.reverted > 0 {
+            let detail = format!("{} times", self.reverted);
+            findings.push(Finding { invariant: "config_reverted", detail });
+        }
+        findings
+    }
+}
+
+impl Verdict {
+    /// Judges a run; `config` is none where no document was changed.
+    pub(crate) fn new(evidence: &Evidence, config: Option<ConfigProbe>) -> Verdict {
+        let executions = evidence.executions();
+        let count = |outcome| evidence.calls.iter().filter(|it| it.outcome == outcome).count();
+        let mut findings = Vec::new();
+        let mut found = |some: Vec<Finding>| {
+            let count = some.len();
+            findings.extend(some);
+            count
+        };
+        let unavailable = availability::longest_gap(evidence);
+        let mut verdict = Verdict {
+            requests: evidence.calls.len(),
+            answered: count(FinalOutcome::Answered),
+            not_run: count(FinalOutcome::NotRun),
+            unknown: count(FinalOutcome::Unknown),
+            lost: found(requests::lost(evidence, &executions)),
+            ran_twice: found(requests::ran_twice(evidence, &executions)),
+            not_run_but_ran: found(requests::not_run_but_ran(evidence, &executions)),
+            double_owned: found(ownership::double_owned(&executions)),
+            crossed_answers: found(requests::crossed(evidence)),
+            broken_answers: found(requests::broken(evidence)),
+            cut_off: found(stops::cut_off(evidence, &executions)),
+            late_work: found(stops::late_work(evidence)),
+            config_in_force_ms: config.and_then(|it| it.in_force_ms),
+            config_reverted: config.map_or(0, |it| it.reverted),
+            unavailable_ms_max: unavailable.as_ref().map_or(0, |it| it.gap_ms),
+            imbalance: spread::imbalance(evidence, &executions),
+            churn: spread::churn(&executions),
+            findings,
+        };
+        if verdict.unavailable_ms_max > UNAVAILABLE_MS_MAX {
+            verdict.findings.extend(unavailable.map(availability::Gap::finding));
+        }
+        verdict.findings.extend(config.iter().flat_map(ConfigProbe::findings));
+        verdict
+    }
+
+    /// Whether all invariants held.
+    pub(crate) fn holds(&self) -> bool {
+        self.findings.is_empty()
+    }
+}
--- /dev/null
+++ b/xtask/src/demo/verdict/ownership.rs
@@ -0,0 +1,59 @@
+//! One owner for each key at any moment.
+
+use std::collections::HashMap;
+
+use super::Finding;
+use crate::demo::evidence::{Execution, by_key};
+
+const INVARIANT: &str = "double_owned";
+
+/// Runs of one key that overlap on two upstreams, or whose token is below that of an earlier start.
+pub(super) fn double_owned(executions: &[Execution]) -> Vec<Finding> {
+    by_key(executions).values().flat_map(|it| check_key(it)).collect()
+}
+
+fn check_key(runs: &[&Execution]) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    // For each upstream, its run of this key that ends last.
+    let mut last: HashMap<&str, &Execution> = HashMap::new();
+    let mut highest = None::<&Execution>;
+    for run in runs {
+        let others = last.values().filter(|it| it.instance != run.instance);
+        findings.extend(others.filter(|it| it.until_ns > run.from_ns).map(|it| overlap(it, run)));
+        if let Some(highest) = highest.filter(|it| it.token > run.token) {
+            findings.push(token_back(highest, run));
+        }
+        if highest.is_none_or(|it| it.token <= run.token) {
+            highest = Some(run);
+        }
+        let longest = last.entry(&run.instance).or_insert(run);
+        if longest.until_ns < run.until_ns {
+            *longest = run;
+        }
+    }
+    findings
+}
+
+fn overlap(first: &Execution, second: &Execution) -> Finding {
+    let overlap_us = (first.until_ns.min(second.until_ns) - second.from_ns) / 1000;
+    let detail = format!("{}, overlapped for {overlap_us} us by {}", show(first), show(second));
+    Finding { invariant: INVARIANT, detail }
+}
+
+fn token_back(first: &Execution, second: &Execution) -> Finding {
+    Finding { invariant: INVARIANT, detail: format!("{}, later {}", show(first), show(second)) }
+}
+
+fn show(run: &Execution) -> String {
+    let token = run.token.map_or("none".to_owned(), |it| it.to_string());
+    format!(
+        "{}/{} on {} under token {token} at {} for {} us, {:?}, id {:x}",
+        run.service,
+        run.key,
+        run.instance,
+        run.from_ns,
+        run.until_ns.saturating_sub(run.from_ns) / 1000,
+        run.end,
+        run.id.0
+    )
+}
--- /dev/null
+++ b/xtask/src/demo/verdict/tests.rs
@@ -0,0 +1,258 @@
+//! Journals with planted faults: each must be found, and nothing else.
+
+use model::RequestId;
+use standins::journal::{
+    Attempt, AttemptResult, CallRecord, FinalOutcome, RefusedReason, RunEnd, RunEntry,
+};
+
+use super::{ConfigProbe, Verdict};
+use crate::demo::evidence::{Evidence, PlannedStop, SickIngress, UpstreamJournal, Window};
+
+const GOOD_CONFIG: ConfigProbe = ConfigProbe { in_force_ms: Some(300), reverted: 0 };
+const MS: u64 = 1_000_000;
+
+/// Builds journals; times are in milliseconds.
+#[derive(Default)]
+struct Plot {
+    evidence: Evidence,
+}
+
+impl Plot {
+    fn new() -> Plot {
+        let whole = Window { from_ns: 0, until_ns: 10_000 * MS };
+        let mut plot = Plot::default();
+        plot.evidence.quiet = whole;
+        for instance in ["a", "b"] {
+            plot.evidence.upstreams.push(UpstreamJournal {
+                instance: instance.to_owned(),
+                service: "s".to_owned(),
+                keyed: true,
+                entries: Vec::new(),
+                gone_ns: 20_000 * MS,
+            });
+        }
+        plot
+    }
+
+    /// Judges the time without service, too.
+    fn watched(mut self) -> Plot {
+        self.evidence.watched = self.evidence.quiet;
+        self
+    }
+
+    fn entries(&mut self, instance: &str) -> &mut Vec<RunEntry> {
+        let mut upstreams = self.evidence.upstreams.iter_mut();
+        &mut upstreams.find(|it| it.instance == instance).unwrap().entries
+    }
+
+    fn run(
+        mut self,
+        instance: &str,
+        id: u128,
+        token: &str,
+        times: std::ops::Range<u64>,
+        end: Option<RunEnd>,
+    ) -> Plot {
+        let entries = self.entries(instance);
+        let run = entries.len() as u64;
+        entries.push(RunEntry::Started {
+            at_ns: times.start * MS,
+            run,
+            id: RequestId(id),
+            key: "k".to_owned(),
+            class: "c".to_owned(),
+            token: Some(token.to_owned()),
+        });
+        if let Some(end) = end {
+            entries.push(RunEntry::Ended { at_ns: times.end * MS, run, end });
+        }
+        self
+    }
+
+    fn ran(self, instance: &str, id: u128, token: &str, times: std::ops::Range<u64>) -> Plot {
+        self.run(instance, id, token, times, Some(RunEnd::Ran))
+    }
+
+    /// A request that may not be repeated.
+    fn call(
+        mut self,
+        id: u128,
+        outcome: FinalOutcome,
+        attempts: &[(std::ops::Range<u64>, AttemptResult)],
+    ) -> Plot {
+        let attempts = attempts.iter().map(|(times, result)| Attempt {
+            target: "127.0.0.1:1".parse().unwrap(),
+            sent_ns: times.start * MS,
+            ended_ns: times.end * MS,
+            result: result.clone(),
+        });
+        self.evidence.calls.push(CallRecord {
+            id: RequestId(id),
+            service: "s".to_owned(),
+            key: "k".to_owned(),
+            class: "c".to_owned(),
+            idempotent: false,
+            outcome,
+            attempts: attempts.collect(),
+        });
+        self
+    }
+
+    fn answered(self, id: u128, times: std::ops::Range<u64>) -> Plot {
+        self.call(id, FinalOutcome::Answered, &[(times, AttemptResult::Answered)])
+    }
+
+    fn stop(mut self, instance: &str, times: std::ops::Range<u64>) -> Plot {
+        self.evidence.stops.push(PlannedStop {
+            instance: instance.to_owned(),
+            caller_address: "127.0.0.1:1".parse().unwrap(),
+            window: Window { from_ns: times.start * MS, until_ns: times.end * MS },
+        });
+        self
+    }
+
+    fn sick(mut self, times: std::ops::Range<u64>) -> Plot {
+        self.evidence.sick.push(SickIngress {
+            caller_address: "127.0.0.1:1".parse().unwrap(),
+            window: Window { from_ns: times.start * MS, until_ns: times.end * MS },
+        });
+        self
+    }
+
+    /// Checks which invariants are broken, each named as often as it was found.
+    fn check(self, expected: &[&str]) -> Verdict {
+        let verdict = Verdict::new(&self.evidence, Some(GOOD_CONFIG));
+        let found: Vec<&str> = verdict.findings.iter().map(|it| it.invariant).collect();
+        assert_eq!(found, expected, "{:#?}", verdict.findings);
+        verdict
+    }
+}
+
+fn not_run(reason: &str) -> AttemptResult {
+    AttemptResult::NotRun { reason: reason.to_owned() }
+}
+
+#[test]
+fn a_clean_run_holds() {
+    let plot = Plot::new().ran("a", 1, "1.1", 10..20).ran("b", 2, "1.2", 20..30);
+    let verdict = plot.watched().answered(1, 5..25).answered(2, 15..35).check(&[]);
+    assert_eq!((verdict.requests, verdict.answered, verdict.unavailable_ms_max), (2, 2, 0));
+    assert_eq!((verdict.imbalance, verdict.churn), (1.0, 1.0));
+}
+
+#[test]
+fn two_owners_at_once_are_found() {
+    Plot::new().ran("a", 1, "1.1", 10..20).ran("b", 2, "1.2", 19..30).check(&["double_owned"]);
+    // A run that is hidden by a shorter, later one on the same upstream.
+    let plot = Plot::new().ran("a", 1, "1.1", 0..100).ran("a", 2, "1.1", 10..20);
+    plot.ran("b", 3, "1.2", 50..60).check(&["double_owned"]);
+    // A run without an end lasts as long as its process.
+    let plot = Plot::new().run("a", 1, "1.1", 10..10, None);
+    plot.ran("b", 2, "1.2", 30..40).check(&["double_owned"]);
+    // One upstream runs several at once.
+    Plot::new().ran("a", 1, "1.1", 10..30).ran("a", 2, "1.1", 11..20).check(&[]);
+}
+
+#[test]
+fn a_token_that_goes_back_is_found() {
+    Plot::new().ran("a", 1, "1.2", 10..20).ran("b", 2, "1.1", 30..40).check(&["double_owned"]);
+    Plot::new().ran("a", 1, "1.2", 10..20).ran("b", 2, "2.1", 30..40).check(&[]);
+}
+
+#[test]
+fn a_request_that_ran_twice_is_found() {
+    let plot = Plot::new().ran("a", 1, "1.1", 10..20).ran("b", 1, "1.2", 30..40);
+    plot.answered(1, 5..45).check(&["ran_twice"]);
+    let plot = Plot::new().run("a", 1, "1.1", 10..20, Some(RunEnd::Cancelled));
+    plot.ran("a", 1, "1.1", 30..40).answered(1, 5..45).check(&["ran_twice"]);
+}
+
+#[test]
+fn a_false_not_run_is_found() {
+    let refused = [(5..15, not_run("no-owner"))];
+    let plot = Plot::new().ran("a", 1, "1.1", 10..20);
+    plot.call(1, FinalOutcome::NotRun, &refused).check(&["not_run_but_ran"]);
+    // It ran after the refusal without having been sent again.
+    let plot = Plot::new().ran("a", 1, "1.1", 20..30);
+    plot.call(1, FinalOutcome::NotRun, &refused).check(&["not_run_but_ran"]);
+    // It ran after it had been sent again.
+    let again = [(5..15, not_run("no-owner")), (40..60, AttemptResult::Answered)];
+    let plot = Plot::new().ran("a", 1, "1.1", 45..50);
+    plot.call(1, FinalOutcome::Answered, &again).check(&[]);
+}
+
+#[test]
+fn a_lost_request_is_found() {
+    let cut = [(5..15, AttemptResult::ConnectionLost)];
+    Plot::new().call(1, FinalOutcome::Lost, &cut).check(&["lost"]);
+    // Answered, but it never ran to its end.
+    Plot::new().answered(1, 5..15).check(&["lost"]);
+}
+
+#[test]
+fn crossed_and_broken_answers_are_found() {
+    let check = |result, expected| {
+        let plot = Plot::new().ran("a", 1, "1.1", 6..9);
+        plot.call(1, FinalOutcome::Answered, &[(5..15, result)]).check(&[expected]);
+    };
+    check(AttemptResult::Crossed, "crossed_answers");
+    check(AttemptResult::Broken, "broken_answers");
+}
+
+#[test]
+fn what_a_planned_stop_cuts_off_is_found() {
+    let plot = Plot::new().run("a", 1, "1.1", 10..20, Some(RunEnd::Cancelled));
+    plot.stop("a", 15..30).check(&["cut_off"]);
+    Plot::new().run("a", 1, "1.1", 10..10, None).stop("a", 15..30).check(&["cut_off"]);
+    let lost = [(20..25, AttemptResult::ConnectionLost), (26..50, AttemptResult::Answered)];
+    let plot = Plot::new().ran("b", 1, "1.1", 30..40).stop("a", 15..30);
+    plot.call(1, FinalOutcome::Answered, &lost).check(&["cut_off"]);
+    // Before the stop.
+    let plot = Plot::new().run("a", 1, "1.1", 10..12, Some(RunEnd::Cancelled));
+    plot.stop("a", 15..30).check(&[]);
+}
+
+#[test]
+fn work_for_an_upstream_that_has_left_is_found() {
+    let mut plot = Plot::new();
+    plot.entries("a").push(RunEntry::Refused {
+        at_ns: 20 * MS,
+        id: RequestId(1),
+        key: "k".to_owned(),
+        reason: RefusedReason::Draining,
+    });
+    plot.check(&["late_work"]);
+}
+
+#[test]
+fn the_longest_gap_of_a_key_is_found() {
+    let failed = |from: u64, until: u64| {
+        let ends = [(from..until, not_run("no-owner"))];
+        Plot::new().watched().ran("a", 1, "1.1", 6..9).answered(1, 5..10).call(
+            2,
+            FinalOutcome::NotRun,
+            &ends,
+        )
+    };
+    let served_again = |plot: Plot| plot.ran("a", 3, "1.1", 2990..2995).answered(3, 2900..3000);
+    let verdict = served_again(failed(500, 510)).check(&["unavailable_ms_max"]);
+    assert_eq!(verdict.unavailable_ms_max, 2500);
+    // Never served again.
+    let verdict = failed(500, 510).check(&["unavailable_ms_max"]);
+    assert_eq!(verdict.unavailable_ms_max, 9500);
+    // The agent that was asked was not well itself.
+    let verdict = served_again(failed(500, 510)).sick(400..600).check(&[]);
+    assert_eq!(verdict.unavailable_ms_max, 0);
+}
+
+#[test]
+fn a_slow_or_reverted_change_is_found() {
+    let check = |config, expected: &[&str]| {
+        let verdict = Verdict::new(&Plot::new().evidence, Some(config));
+        let found: Vec<&str> = verdict.findings.iter().map(|it| it.invariant).collect();
+        assert_eq!(found, expected);
+    };
+    check(ConfigProbe { in_force_ms: Some(5001), reverted: 0 }, &["config_in_force_ms"]);
+    check(ConfigProbe { in_force_ms: None, reverted: 0 }, &["config_in_force_ms"]);
+    check(ConfigProbe { in_force_ms: Some(10), reverted: 2 }, &["config_reverted"]);
+}
