Operators' client: check, apply, get, status, watch, explain

An edit carries the version it is based on in its last line, so that lines keep their numbers in what coordinators report. A lost answer is settled by reading the object again; of two editors one is told who was first, what changed there and how the own file differs.

--- /dev/null
+++ b/crates/client/src/commands/check.rs
@@ -0,0 +1,22 @@
+//! `check`: a file is checked as a whole, without the platform.
+
+use settings::{AgentSettings, Problems, ServiceDocument};
+
+use crate::{args::CheckArgs, commands::read_file, failure::Failure, terminal::Terminal};
+
+pub(crate) fn run(args: &CheckArgs, terminal: &Terminal) -> Result<(), Failure> {
+    let file = &args.file;
+    let text = read_file(file)?;
+    let problems = |problems: Problems| Failure::Problems { file: file.clone(), problems };
+    let summary = if args.agent {
+        let settings = AgentSettings::parse(&text).map_err(problems)?;
+        format!("agent {} of service {}", settings.instance, settings.service)
+    } else {
+        let document = ServiceDocument::parse(&text).map_err(problems)?;
+        let kind = if document.keyed { "divided by key" } else { "not divided by key" };
+        let routes = document.routes.len();
+        format!("service {} of team {}, {kind}, {routes} routes", document.service, document.team)
+    };
+    terminal.line(&format!("{file}: {summary}: no problems."));
+    Ok(())
+}
--- /dev/null
+++ b/crates/client/src/commands/explain.rs
@@ -0,0 +1,201 @@
+//! `explain`: who owns a key, who follows, and why.
+
+use model::{Instance, KeyHash, ServiceName, Slot, key_hash};
+use ownership::{Confirmation, Coordinator, Plan};
+use serde::de::DeserializeOwned;
+use settings::{Accepted, MoveStatus, ServiceDocument, Status, accepted_path, status_path};
+
+use crate::{
+    args::ExplainArgs,
+    commands::service_name,
+    failure::Failure,
+    retry::{Store, decode},
+    table::{ago, now_unix_ms},
+    terminal::Terminal,
+};
+
+/// All that the platform holds on a key.
+struct Findings {
+    service: ServiceName,
+    key: String,
+    hash: KeyHash,
+    plan: Plan,
+    coordinator: Option<Coordinator>,
+    status: Option<Status>,
+    document: Option<(u64, ServiceDocument)>,
+}
+
+pub(crate) async fn run(
+    store: &Store,
+    args: &ExplainArgs,
+    terminal: &Terminal,
+) -> Result<(), Failure> {
+    let service = service_name(&args.service)?;
+    let document = document(store, &service).await?;
+    if document.as_ref().is_some_and(|it| !it.1.keyed) {
+        terminal.line(&format!(
+            "{service} is not divided by key: any ready instance answers for {:?}.",
+            args.key
+        ));
+        return Ok(());
+    }
+    let findings = findings(store, service, &args.key, document).await?;
+    findings.lines().iter().for_each(|it| terminal.line(it));
+    Ok(())
+}
+
+async fn document(
+    store: &Store,
+    service: &ServiceName,
+) -> Result<Option<(u64, ServiceDocument)>, Failure> {
+    let accepted: Option<Accepted> = object(store, &accepted_path(service)).await?;
+    let parsed = accepted.map(|it| (it.version.0, ServiceDocument::parse(&it.document)));
+    Ok(parsed.and_then(|(version, it)| Some((version, it.ok()?))))
+}
+
+async fn findings(
+    store: &Store,
+    service: ServiceName,
+    key: &str,
+    document: Option<(u64, ServiceDocument)>,
+) -> Result<Findings, Failure> {
+    let plans = store.list(&format!("plans/{service}/")).await?;
+    let mut found = None;
+    for change in &plans.changes {
+        let Some(body) = &change.body else { continue };
+        found = Some(decode::<Plan>(&change.path, body)?);
+    }
+    let Some(plan) = found else {
+        let message = format!("no coordinator has written a plan of {service}");
+        return Err(Failure::NotFound(message));
+    };
+    let group = plan.group;
+    Ok(Findings {
+        coordinator: object(store, &format!("coordinators/{service}/{group}")).await?,
+        status: object(store, &status_path(&service, group)).await?,
+        key: key.to_owned(),
+        hash: key_hash(key.as_bytes()),
+        service,
+        plan,
+        document,
+    })
+}
+
+async fn object<T: DeserializeOwned>(store: &Store, path: &str) -> Result<Option<T>, Failure> {
+    let object = store.read(path).await?;
+    object.map(|it| decode(path, &it.body)).transpose()
+}
+
+impl Findings {
+    fn slot(&self) -> Slot {
+        self.plan.slot_count.slot_of(self.hash)
+    }
+
+    /// The planned owner and successors of the key: its own, if it is a hot one.
+    fn owners(&self) -> (Option<u16>, &[u16], bool) {
+        if let Some(hot) = self.plan.hot_keys.iter().find(|it| it.key_hash == self.hash) {
+            return (hot.owner, &hot.successors, true);
+        }
+        match self.plan.slots.iter().find(|it| it.slot == self.slot()) {
+            Some(slot) => (slot.owner, &slot.successors, false),
+            None => (None, &[], false),
+        }
+    }
+
+    fn member(&self, index: u16) -> Option<&Instance> {
+        self.plan.members.get(usize::from(index))
+    }
+
+    fn lines(&self) -> Vec<String> {
+        let (owner, successors, is_hot) = self.owners();
+        let hot = if is_hot { ", a hot key with an entry of its own" } else { "" };
+        let (plan, slot) = (&self.plan, self.slot());
+        let owner = owner.and_then(|it| self.member(it)).map_or("none".to_owned(), named);
+        let successors = successors.iter().filter_map(|it| self.member(*it)).map(named);
+        let successors: Vec<String> = successors.collect();
+        vec![
+            format!("key          {:?}, hash {:016x}{hot}", self.key, self.hash.0),
+            format!(
+                "slot         {slot} of {} of {}, group {}",
+                plan.slot_count.count(),
+                self.service,
+                plan.group
+            ),
+            format!("owner        {owner}, by plan {} of term {}", plan.version, plan.term),
+            format!("successors   {}", join_or_none(&successors)),
+            format!("lease        {}", self.lease()),
+            format!("token        {}", self.token()),
+            format!("why          {}", self.reason()),
+            format!("coordinator  {}", self.coordination()),
+        ]
+    }
+
+    fn lease(&self) -> String {
+        let Some((version, document)) = &self.document else {
+            return "unknown, no document is accepted".to_owned();
+        };
+        let limits = &document.ownership;
+        format!(
+            "{} ms, renewed each {} ms, by version {version} of the document",
+            limits.lease.as_millis(),
+            limits.renew_every.as_millis()
+        )
+    }
+
+    fn last_move(&self) -> Option<&MoveStatus> {
+        self.status.as_ref()?.moves.iter().find(|it| it.slot == self.slot())
+    }
+
+    fn token(&self) -> String {
+        match self.last_move() {
+            Some(it) => format!("{}, granted to {}", it.token, it.to),
+            None => format!("not below {}, by the plan", self.plan.token_floor),
+        }
+    }
+
+    fn reason(&self) -> String {
+        match (self.last_move(), &self.status) {
+            (Some(it), _) => {
+                let when = ago(it.at_unix_ms, now_unix_ms());
+                format!("slot {} went to {} {when}: {}", it.slot, it.to, meaning(&it.reason))
+            }
+            (None, Some(status)) => {
+                format!("not among the last {} moves, so it has stayed", status.moves.len())
+            }
+            (None, None) => "no coordinator has written a status".to_owned(),
+        }
+    }
+
+    fn coordination(&self) -> String {
+        let Some(it) = &self.coordinator else { return "none".to_owned() };
+        let settled = if it.settled { "settled" } else { "not settled yet" };
+        let confirmed = match it.confirmation {
+            Confirmation::Witnesses => format!("{} witnesses", it.witnesses.len()),
+            Confirmation::Platform => "the platform".to_owned(),
+        };
+        let holder = it.holder.as_ref().map_or("none".to_owned(), named);
+        format!("{holder}, term {}, {settled}, confirmed by {confirmed}", it.term)
+    }
+}
+
+fn named(instance: &Instance) -> String {
+    format!("{} ({})", instance.name, instance.zone)
+}
+
+fn join_or_none(names: &[String]) -> String {
+    match names {
+        [] => "none".to_owned(),
+        names => names.join(", "),
+    }
+}
+
+/// What a reason of a move says.
+fn meaning(reason: &str) -> &str {
+    match reason {
+        "first" => "nobody had owned it",
+        "loss" => "the former owner was lost",
+        "leave" => "the former owner was leaving",
+        "rebalance" => "to even out the load",
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/client/src/commands/mod.rs
@@ -0,0 +1,55 @@
+//! What each command does.
+
+mod apply;
+mod check;
+mod explain;
+mod get;
+mod status;
+mod wait;
+mod watch;
+
+use std::{env, net::SocketAddr};
+
+use model::ServiceName;
+
+use crate::{args::Command, failure::Failure, retry::Store, terminal::Terminal};
+
+/// Names the platform's address if the command line does not.
+const PLATFORM_VARIABLE: &str = "POMELOHILL_PLATFORM";
+
+pub(crate) async fn run(
+    platform: Option<String>,
+    command: Command,
+    terminal: &Terminal,
+) -> Result<(), Failure> {
+    match command {
+        Command::Check(args) => check::run(&args, terminal),
+        Command::Apply(args) => apply::run(&store(platform)?, &args, terminal).await,
+        Command::Get(args) => get::run(&store(platform)?, &args, terminal).await,
+        Command::Status(args) => status::run(&store(platform)?, &args, terminal).await,
+        Command::Watch(args) => watch::run(&store(platform)?, &args, terminal).await,
+        Command::Explain(args) => explain::run(&store(platform)?, &args, terminal).await,
+    }
+}
+
+fn store(platform: Option<String>) -> Result<Store, Failure> {
+    let given = platform.or_else(|| env::var(PLATFORM_VARIABLE).ok());
+    let Some(text) = given else {
+        let message =
+            format!("no platform is named: use --platform IP:PORT or {PLATFORM_VARIABLE}");
+        return Err(Failure::Usage(message));
+    };
+    let address: SocketAddr = text
+        .parse()
+        .map_err(|_| Failure::Usage(format!("{text:?} is no IP:PORT; names are not looked up")))?;
+    Store::new(address)
+}
+
+fn service_name(text: &str) -> Result<ServiceName, Failure> {
+    ServiceName::new(text)
+        .map_err(|error| Failure::Usage(format!("{text:?} is no name of a service: {error}")))
+}
+
+fn read_file(path: &str) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|source| Failure::File { path: path.to_owned(), source })
+}
--- /dev/null
+++ b/crates/client/src/commands/status.rs
@@ -0,0 +1,174 @@
+//! `status`: what is in force, who owns what, and how it goes.
+
+use serde::Serialize;
+use settings::{Status, UpstreamStateName, status_prefix};
+
+use crate::{
+    args::StatusArgs,
+    commands::{service_name, wait::merge},
+    failure::Failure,
+    retry::Store,
+    table::{Table, ago, now_unix_ms},
+    terminal::Terminal,
+};
+
+const ALL_PREFIX: &str = "status/";
+
+/// What `--json` prints.
+#[derive(Serialize)]
+struct Report<'a> {
+    groups: Vec<&'a Status>,
+}
+
+pub(crate) async fn run(
+    store: &Store,
+    args: &StatusArgs,
+    terminal: &Terminal,
+) -> Result<(), Failure> {
+    let prefix = match &args.service {
+        Some(service) => status_prefix(&service_name(service)?),
+        None => ALL_PREFIX.to_owned(),
+    };
+    let mut statuses = Vec::new();
+    merge(&mut statuses, store.list(&prefix).await?)?;
+    statuses.sort_by(|a, b| a.0.cmp(&b.0));
+    let groups: Vec<&Status> = statuses.iter().map(|it| &it.1).collect();
+    match &args.service {
+        Some(service) if groups.is_empty() => {
+            let message = format!("no coordinator has written a status of {service}");
+            return Err(Failure::NotFound(message));
+        }
+        _ if args.json => {
+            let report = serde_json::to_string(&Report { groups }).unwrap_or_default();
+            terminal.line(&report);
+        }
+        Some(_) => {
+            terminal.line(&overview(&groups));
+            groups.iter().for_each(|it| terminal.line(&details(it)));
+        }
+        None => terminal.line(&overview(&groups)),
+    }
+    Ok(())
+}
+
+fn overview(groups: &[&Status]) -> String {
+    let mut table = Table::new(&[
+        "SERVICE",
+        "GROUP",
+        "ACCEPTED",
+        "IN FORCE",
+        "COORDINATOR",
+        "IMBALANCE",
+        "CHURN/MIN",
+        "UNAVAILABLE",
+        "WRITTEN",
+    ]);
+    let now = now_unix_ms();
+    for status in groups {
+        let coordinator = &status.coordinator;
+        table.row(&[
+            status.service.to_string(),
+            status.group.to_string(),
+            accepted(status),
+            in_force(status),
+            format!("{} (term {})", coordinator.instance, coordinator.term),
+            format!("{:.2}", status.measures.imbalance),
+            format!("{:.1} %", status.measures.churn_per_minute * 100.0),
+            format!("{} ms", status.measures.unavailable_ms_max),
+            ago(status.written_at_unix_ms, now),
+        ]);
+    }
+    table.render()
+}
+
+fn accepted(status: &Status) -> String {
+    status.accepted.map_or("none".to_owned(), |it| it.to_string())
+}
+
+fn in_force(status: &Status) -> String {
+    let it = status.in_force;
+    match it.since_unix_ms {
+        Some(since) => format!("{} of {}, {}", it.instances, it.of, ago(since, now_unix_ms())),
+        None => format!("{} of {}", it.instances, it.of),
+    }
+}
+
+fn details(status: &Status) -> String {
+    let coordinator = &status.coordinator;
+    let settled = if coordinator.settled { "settled" } else { "not settled yet" };
+    let mut parts = vec![format!(
+        "\ngroup {}: coordinator {} ({}), term {}, {settled}",
+        status.group, coordinator.instance, coordinator.zone, coordinator.term
+    )];
+    if let Some(refused) = &status.refused {
+        parts.push(format!("\nversion {} was refused:", refused.version));
+        parts.extend(refused.reasons.iter().map(|it| format!("  {it}")));
+    }
+    parts.push(format!("\n{}", instances(status)));
+    if !status.hot_keys.is_empty() {
+        parts.push(format!("\n{}", hot_keys(status)));
+    }
+    if !status.moves.is_empty() {
+        parts.push(format!("\n{}", moves(status)));
+    }
+    parts.join("\n")
+}
+
+fn instances(status: &Status) -> String {
+    let mut table = Table::new(&["INSTANCE", "ZONE", "UPSTREAM", "SLOTS", "LOAD", "VERSION"]);
+    for upstream in &status.upstreams {
+        let owner = status.owners.iter().find(|it| it.instance == upstream.instance);
+        table.row(&[
+            upstream.instance.to_string(),
+            upstream.zone.to_string(),
+            state(upstream.state).to_owned(),
+            owner.map_or("-".to_owned(), |it| it.slots.to_string()),
+            owner.map_or("-".to_owned(), |it| load(it.load_us_per_s)),
+            owner.map_or("-".to_owned(), |it| it.config.to_string()),
+        ]);
+    }
+    table.render()
+}
+
+fn hot_keys(status: &Status) -> String {
+    let mut table = Table::new(&["HOT KEY", "OWNER", "LOAD"]);
+    for key in &status.hot_keys {
+        let owner = key.owner.as_ref();
+        table.row(&[
+            format!("{:016x}", key.key_hash.0),
+            owner.map_or("that of its slot".to_owned(), |it| it.to_string()),
+            load(key.load_us_per_s),
+        ]);
+    }
+    table.render()
+}
+
+fn moves(status: &Status) -> String {
+    let mut table = Table::new(&["MOVED", "SLOT", "TO", "TOKEN", "WHY"]);
+    let now = now_unix_ms();
+    for it in &status.moves {
+        table.row(&[
+            ago(it.at_unix_ms, now),
+            it.slot.to_string(),
+            it.to.to_string(),
+            it.token.to_string(),
+            it.reason.clone(),
+        ]);
+    }
+    table.render()
+}
+
+/// Load in busy upstream slots: a second of upstream time a second is one.
+fn load(us_per_s: u64) -> String {
+    format!("{:.2}", us_per_s as f64 / 1e6)
+}
+
+fn state(state: UpstreamStateName) -> &'static str {
+    match state {
+        UpstreamStateName::Starting => "starting",
+        UpstreamStateName::Ready => "ready",
+        UpstreamStateName::Draining => "draining",
+        UpstreamStateName::Ejected => "ejected",
+        UpstreamStateName::Lost => "lost",
+    }
+}
--- /dev/null
+++ b/crates/client/src/commands/wait.rs
@@ -0,0 +1,162 @@
+//! Waiting until a version is in force on all instances.
+
+use std::time::Duration;
+
+use model::{ConfigVersion, ObjectVersion, ServiceName};
+use platform::Changes;
+use settings::{Status, status_prefix};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    args::ApplyArgs,
+    failure::Failure,
+    retry::{Store, decode},
+    terminal::Terminal,
+};
+
+/// How long one look at the status waits for news.
+const LOOK_WAIT: Duration = Duration::from_secs(1);
+/// The pause after a look that failed.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+
+/// How far a version has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Reached {
+    /// Nothing is known: no coordinator has written a status.
+    NoStatus,
+    NotAccepted,
+    Partly {
+        instances: u32,
+        of: u32,
+    },
+    Everywhere {
+        of: u32,
+    },
+    Refused {
+        reasons: Vec<String>,
+    },
+}
+
+/// Waits, unless the command line says not to.
+pub(crate) async fn unless(
+    args: &ApplyArgs,
+    store: &Store,
+    service: &ServiceName,
+    version: ObjectVersion,
+    terminal: &Terminal,
+) -> Result<(), Failure> {
+    if args.no_wait || args.dry_run {
+        return Ok(());
+    }
+    let limit = Duration::from_secs(args.timeout_s);
+    in_force(store, service, version, limit, terminal).await
+}
+
+async fn in_force(
+    store: &Store,
+    service: &ServiceName,
+    version: ObjectVersion,
+    limit: Duration,
+    terminal: &Terminal,
+) -> Result<(), Failure> {
+    let started = Instant::now();
+    let mut revision = ObjectVersion(0);
+    let mut statuses: Vec<(String, Status)> = Vec::new();
+    let mut shown = None;
+    loop {
+        let state = match look(store, service, revision).await? {
+            Ok(changes) => {
+                revision = changes.revision.max(revision);
+                merge(&mut statuses, changes)?;
+                reached(statuses.iter().map(|it| &it.1), ConfigVersion(version.0))
+            }
+            Err(reason) => {
+                terminal.progress(&format!("{service}: {reason}"));
+                sleep(LOOK_PAUSE).await;
+                shown.clone().unwrap_or(Reached::NoStatus)
+            }
+        };
+        match &state {
+            Reached::Refused { reasons } => {
+                return Err(Failure::Refused { version, reasons: reasons.clone() });
+            }
+            Reached::Everywhere { of } => {
+                let waited_ms = started.elapsed().as_millis();
+                terminal.line(&format!(
+                    "{service}: version {version} is in force on {of} of {of} instances, seen \
+                     after {waited_ms} ms."
+                ));
+                return Ok(());
+            }
+            _ => {}
+        }
+        if shown.as_ref() != Some(&state) {
+            terminal.progress(&format!("{service}: version {version}: {}", describe(&state)));
+            shown = Some(state.clone());
+        }
+        if started.elapsed() >= limit {
+            let waited_s = limit.as_secs();
+            return Err(Failure::NotInForce { version, waited_s, state: describe(&state) });
+        }
+    }
+}
+
+/// The statuses that are new; the inner error is a sentence about a platform that is away.
+async fn look(
+    store: &Store,
+    service: &ServiceName,
+    revision: ObjectVersion,
+) -> Result<Result<Changes, String>, Failure> {
+    match store.watch(&status_prefix(service), revision, LOOK_WAIT).await {
+        Ok(changes) => Ok(Ok(changes)),
+        Err(error @ platform::PlatformError::Refused { .. }) => Err(error.into()),
+        Err(error) => Ok(Err(error.to_string())),
+    }
+}
+
+/// Takes what has changed into the statuses that are known.
+pub(crate) fn merge(statuses: &mut Vec<(String, Status)>, changes: Changes) -> Result<(), Failure> {
+    for change in changes.changes {
+        statuses.retain(|it| it.0 != change.path);
+        if let Some(body) = change.body {
+            let status = decode(&change.path, &body)?;
+            statuses.push((change.path, status));
+        }
+    }
+    Ok(())
+}
+
+/// How far a version has come, by the statuses of all groups.
+pub(crate) fn reached<'a>(
+    statuses: impl Iterator<Item = &'a Status>,
+    version: ConfigVersion,
+) -> Reached {
+    let statuses: Vec<&Status> = statuses.collect();
+    let refused = statuses.iter().filter_map(|it| it.refused.as_ref());
+    if let Some(refused) = refused.clone().find(|it| it.version == version) {
+        return Reached::Refused { reasons: refused.reasons.clone() };
+    }
+    if statuses.is_empty() {
+        return Reached::NoStatus;
+    }
+    if statuses.iter().all(|it| it.accepted.is_none_or(|it| it < version)) {
+        return Reached::NotAccepted;
+    }
+    let of = statuses.iter().map(|it| it.in_force.of).sum();
+    let has_it = |it: &&&Status| it.accepted.is_some_and(|it| it >= version);
+    let instances = statuses.iter().filter(has_it).map(|it| it.in_force.instances).sum();
+    match of > 0 && instances == of {
+        true => Reached::Everywhere { of },
+        false => Reached::Partly { instances, of },
+    }
+}
+
+fn describe(state: &Reached) -> String {
+    match state {
+        Reached::NoStatus => "no coordinator has written a status".to_owned(),
+        Reached::NotAccepted => "not accepted yet".to_owned(),
+        Reached::Partly { instances, of } => format!("in force on {instances} of {of} instances"),
+        Reached::Everywhere { of } => format!("in force on all {of} instances"),
+        Reached::Refused { reasons } => format!("refused: {}", reasons.join(" ")),
+    }
+}
--- /dev/null
+++ b/crates/client/src/failure.rs
@@ -0,0 +1,63 @@
+//! How a command can fail, each way with its exit code.
+
+use std::io;
+
+use model::ObjectVersion;
+use platform::PlatformError;
+use settings::Problems;
+
+/// Why a command has not done what was asked; shown as one message.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Failure {
+    #[error("{}", describe(.file, .problems))]
+    Problems { file: String, problems: Problems },
+    #[error("version {version} was refused, the former one stays in force:\n{}", .reasons.join("\n"))]
+    Refused { version: ObjectVersion, reasons: Vec<String> },
+    #[error("{0}")]
+    Usage(String),
+    #[error("{0}")]
+    Conflict(String),
+    #[error("{0}")]
+    Platform(#[from] PlatformError),
+    #[error("version {version} is written, but not in force after {waited_s} s: {state}")]
+    NotInForce { version: ObjectVersion, waited_s: u64, state: String },
+    #[error("{0}")]
+    NotFound(String),
+    #[error("{path}: {source}")]
+    File { path: String, source: io::Error },
+    #[error("{path} of the platform cannot be read: {reason}")]
+    BadObject { path: String, reason: String },
+    #[error("cannot start: {0}")]
+    Start(String),
+}
+
+impl Failure {
+    /// The exit code of the process; the help and the operators' pages list them.
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Failure::Problems { .. } | Failure::Refused { .. } => 1,
+            Failure::Usage(_) => 2,
+            Failure::Conflict(_) => 3,
+            Failure::Platform(_) | Failure::BadObject { .. } | Failure::Start(_) => 4,
+            Failure::NotInForce { .. } => 5,
+            Failure::NotFound(_) => 6,
+            Failure::File { .. } => 7,
+        }
+    }
+}
+
+fn describe(file: &str, problems: &Problems) -> String {
+    let mut lines: Vec<String> = problems
+        .iter()
+        .map(|it| {
+            let at = it.position;
+            let field = if it.field.is_empty() { String::new() } else { format!("{}: ", it.field) };
+            format!("{file}:{}:{}: {field}{}", at.line, at.column, it.sentence)
+        })
+        .collect();
+    lines.push(match problems.len() {
+        1 => format!("{file}: 1 problem."),
+        count => format!("{file}: {count} problems."),
+    });
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/client/src/main.rs
@@ -0,0 +1,7 @@
+//! `pomelohill`: see the crate's documentation.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    client::main()
+}
--- /dev/null
+++ b/crates/client/src/tests.rs
@@ -0,0 +1,43 @@
+//! Tests of what needs no process: the base of an edit, and how far a version has come.
+
+use model::{ObjectVersion, ServiceName};
+
+use crate::base::{self, Base, Based};
+
+fn check_base(file: &str, document: &str, base: Option<(&str, u64)>) {
+    let base = base.map(|(service, version)| Base {
+        service: service.to_owned(),
+        version: ObjectVersion(version),
+    });
+    assert_eq!(base::split(file), Based { document, base });
+}
+
+#[test]
+fn the_last_line_names_the_base() {
+    check_base("{}\n// pomelohill: standings version 12\n", "{}\n", Some(("standings", 12)));
+    check_base("{}\n// pomelohill: standings version 12\n\n", "{}\n", Some(("standings", 12)));
+    check_base(
+        "{}\n// pomelohill: standings version x\n",
+        "{}\n// pomelohill: standings version x\n",
+        None,
+    );
+    check_base(
+        "// pomelohill: standings version 12\n{}",
+        "// pomelohill: standings version 12\n{}",
+        None,
+    );
+    check_base("", "", None);
+}
+
+#[test]
+fn a_joined_file_splits_again() {
+    let service = ServiceName::new("standings").unwrap();
+    for document in ["{}\n", "{\n  // ...\n}\n\n", "\n"] {
+        let file = base::join(document, &service, ObjectVersion(3));
+        check_base(&file, document, Some(("standings", 3)));
+    }
+    assert_eq!(
+        base::join("{}", &service, ObjectVersion(3)),
+        "{}\n// pomelohill: standings version 3\n"
+    );
+}
