--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,6 +11,7 @@
 mod problem;
 mod schema;
 mod source;
+mod versions;
 
 #[cfg(test)]
 mod tests;
@@ -26,3 +27,4 @@
     status_prefix,
 };
 pub use problem::{Position, Problem, Problems};
+pub use versions::{DocumentTable, Judgement, VersionedDocument, judge};
--- a/crates/settings/src/tests/mod.rs
+++ b/crates/settings/src/tests/mod.rs
@@ -8,3 +8,4 @@
 mod problems;
 mod route;
 mod schema;
+mod versions;
