--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -5,6 +5,7 @@
 use model::{Instance, Slot, Token};
 use ownership::{GateCommand, LoadReport};
 use tokio::sync::mpsc;
+use traffic::RecordUnit;
 
 use crate::{
     clock::Clock,
@@ -19,12 +20,15 @@
         token: Token,
     },
     Close {
-        slot: Slot,
+        unit: RecordUnit,
         token: Token,
         to: Option<Instance>,
     },
-    /// The lease is gone: cancel what is in flight.
-    CancelAll,
+    /// Tell the upstream of a grant.
+    Grant {
+        slot: Slot,
+        token: Token,
+    },
 }
 
 /// Changes what the gate admits. No call ever waits.
@@ -47,16 +51,23 @@
     /// Applies the gate commands of one step, in order. Admissions, refusals and the lease hold as
     /// soon as this returns; `Prepare` and `Close` end with a [`crate::report::Report`].
     pub fn apply(&self, commands: &[GateCommand]) {
-        self.table.apply(commands);
+        self.table.apply(self.clock.now(), commands);
         for command in commands {
             let task = match command {
                 GateCommand::Prepare { slot, token } => {
                     GateTask::Prepare { slot: *slot, token: *token }
                 }
                 GateCommand::Close { slot, token, to } => {
-                    GateTask::Close { slot: *slot, token: *token, to: to.clone() }
+                    let unit = RecordUnit::Slot(*slot);
+                    GateTask::Close { unit, token: *token, to: to.clone() }
+                }
+                GateCommand::CloseKey { key_hash, token, to } => {
+                    let unit = RecordUnit::Key(*key_hash);
+                    GateTask::Close { unit, token: *token, to: to.clone() }
+                }
+                GateCommand::Admit { slot, token } => {
+                    GateTask::Grant { slot: *slot, token: *token }
                 }
-                GateCommand::DropAll => GateTask::CancelAll,
                 _ => continue,
             };
             if self.tasks.send(task).is_err() {
@@ -67,6 +78,6 @@
 
     /// The load since the last call, for [`ownership::Input::Load`].
     pub fn take_load(&self) -> LoadReport {
-        self.load.take(self.clock.now(), |slot| self.table.in_flight(slot))
+        self.load.take(self.clock.now(), |slot| self.table.slot_in_flight(slot))
     }
 }
--- a/crates/agent/src/gate/table.rs
+++ b/crates/agent/src/gate/table.rs
@@ -1,9 +1,9 @@
 //! What the gate admits: written by control, read by traffic, neither waits for the other.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, AtomicU64, Ordering, fence},
     },
 };
@@ -11,13 +11,33 @@
 use arc_swap::ArcSwap;
 use model::{Instance, KeyHash, Slot, SlotCount, Timestamp, Token};
 use ownership::GateCommand;
+use tokio::sync::watch;
+use traffic::RecordUnit;
+
+/// What the gate was granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Grant {
+    pub(crate) token: Token,
+    pub(crate) since: Timestamp,
+}
+
+/// What a request is admitted under.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Admittance {
+    pub(crate) unit: RecordUnit,
+    pub(crate) grant: Grant,
+    /// When the key came back to its slot after it was owned apart.
+    pub(crate) returned: Option<Timestamp>,
+}
 
 /// Admitted slots and keys at one moment.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Admitted {
-    slots: HashMap<Slot, Token>,
-    keys: HashMap<KeyHash, Token>,
-    excluded: HashMap<KeyHash, Instance>,
+    slots: HashMap<Slot, Grant>,
+    keys: HashMap<KeyHash, Grant>,
+    /// Keys refused though their slot may be admitted, and who owns them.
+    excluded: HashMap<KeyHash, Option<Instance>>,
+    returned: HashMap<KeyHash, Timestamp>,
 }
 
 /// Why a key is not admitted.
@@ -28,30 +48,43 @@
 }
 
 impl Admitted {
-    pub(crate) fn token(&self, slot: Slot, key_hash: KeyHash) -> Result<Token, NotAdmitted> {
+    fn admittance(&self, slot: Slot, key_hash: KeyHash) -> Result<Admittance, NotAdmitted> {
         match (self.keys.get(&key_hash), self.excluded.get(&key_hash), self.slots.get(&slot)) {
-            (Some(token), _, _) => Ok(*token),
-            (None, Some(owner), _) => Err(NotAdmitted { owner: Some(owner.clone()) }),
-            (None, None, Some(token)) => Ok(*token),
+            (Some(grant), _, _) => {
+                let unit = RecordUnit::Key(key_hash);
+                Ok(Admittance { unit, grant: *grant, returned: None })
+            }
+            (None, Some(owner), _) => Err(NotAdmitted { owner: owner.clone() }),
+            (None, None, Some(grant)) => Ok(Admittance {
+                unit: RecordUnit::Slot(slot),
+                grant: *grant,
+                returned: self.returned.get(&key_hash).copied(),
+            }),
             (None, None, None) => Err(NotAdmitted { owner: None }),
         }
     }
 
-    fn change(&mut self, command: &GateCommand) {
+    fn change(&mut self, now: Timestamp, command: &GateCommand) {
+        let grant = |token: &Token| Grant { token: *token, since: now };
         match command {
             GateCommand::Lease { .. } | GateCommand::Prepare { .. } => {}
-            GateCommand::Admit { slot, token } => drop(self.slots.insert(*slot, *token)),
+            GateCommand::Admit { slot, token } => drop(self.slots.insert(*slot, grant(token))),
             GateCommand::AdmitKey { key_hash, token } => {
                 self.excluded.remove(key_hash);
-                self.keys.insert(*key_hash, *token);
+                self.keys.insert(*key_hash, grant(token));
             }
             GateCommand::ExcludeKey { key_hash, owner } => {
                 self.keys.remove(key_hash);
-                self.excluded.insert(*key_hash, owner.clone());
+                self.excluded.insert(*key_hash, Some(owner.clone()));
+            }
+            GateCommand::CloseKey { key_hash, to, .. } => {
+                self.keys.remove(key_hash);
+                self.excluded.insert(*key_hash, to.clone());
             }
             GateCommand::ForgetKey { key_hash } => {
                 self.keys.remove(key_hash);
                 self.excluded.remove(key_hash);
+                self.returned.insert(*key_hash, now);
             }
             GateCommand::Close { slot, .. } => drop(self.slots.remove(slot)),
             GateCommand::DropAll => *self = Admitted::default(),
@@ -65,21 +98,47 @@
     admitted: ArcSwap<Admitted>,
     /// End of the lease on the process's clock, in nanoseconds; 0 while there is none.
     lease_until_ns: AtomicU64,
-    /// Requests between [`GateTable::enter`] and the drop of its [`Entry`], for each slot.
-    in_flight: Vec<AtomicU32>,
+    /// Requests admitted by their slot, for each slot.
+    slots_in_flight: Vec<AtomicU32>,
+    /// Requests of each key that has any; of traffic threads only.
+    keys_in_flight: Mutex<HashMap<KeyHash, u32>>,
+    /// Grants whose requests must end at once.
+    stopped: Mutex<HashSet<(RecordUnit, Token)>>,
+    /// Changes with every command but a lease.
+    changes: watch::Sender<u64>,
 }
 
-/// A request on its way through the gate. While it lives its slot can't finish closing.
+/// A request on its way through the gate. While it lives its unit can't finish closing.
 #[derive(Debug)]
 pub(crate) struct Entry {
     table: Arc<GateTable>,
-    pub(crate) slot: Slot,
-    pub(crate) token: Token,
+    slot: Slot,
+    key_hash: KeyHash,
+    pub(crate) admittance: Admittance,
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.table.in_flight[usize::from(self.slot.0)].fetch_sub(1, Ordering::SeqCst);
+        if matches!(self.admittance.unit, RecordUnit::Slot(_)) {
+            self.table.slots_in_flight[usize::from(self.slot.0)].fetch_sub(1, Ordering::SeqCst);
+        }
+        self.table.leave_key(self.key_hash);
+    }
+}
+
+impl Entry {
+    /// Still admitted under the same grant, and the lease holds.
+    pub(crate) fn holds(&self, now: Timestamp) -> bool {
+        self.table.lease_holds(now)
+            && self.table.peek(self.slot, self.key_hash).is_ok_and(|it| it == self.admittance)
+    }
+
+    /// Must end at once: its grant was given up while it ran too long.
+    pub(crate) fn is_stopped(&self) -> bool {
+        let key = (self.admittance.unit, self.admittance.grant.token);
+        let by_key = (RecordUnit::Key(self.key_hash), self.admittance.grant.token);
+        let stopped = self.table.stopped.lock().unwrap_or_else(PoisonError::into_inner);
+        stopped.contains(&key) || stopped.contains(&by_key)
     }
 }
 
@@ -88,24 +147,33 @@
         GateTable {
             admitted: ArcSwap::default(),
             lease_until_ns: AtomicU64::new(0),
-            in_flight: (0..SlotCount::MAX).map(|_| AtomicU32::new(0)).collect(),
+            slots_in_flight: (0..SlotCount::MAX).map(|_| AtomicU32::new(0)).collect(),
+            keys_in_flight: Mutex::default(),
+            stopped: Mutex::default(),
+            changes: watch::channel(0).0,
         }
     }
 
     /// Applies commands in order; takes effect for every later [`GateTable::enter`].
-    pub(crate) fn apply(&self, commands: &[GateCommand]) {
-        let mut admitted = Admitted::clone(&self.admitted.load());
+    pub(crate) fn apply(&self, now: Timestamp, commands: &[GateCommand]) {
         for command in commands {
             match command {
                 GateCommand::Lease { until } => self.set_lease(*until),
                 GateCommand::DropAll => self.set_lease(Timestamp::ZERO),
                 _ => {}
             }
-            admitted.change(command);
+        }
+        if commands.iter().all(|it| matches!(it, GateCommand::Lease { .. })) {
+            return;
+        }
+        let mut admitted = Admitted::clone(&self.admitted.load());
+        for command in commands {
+            admitted.change(now, command);
         }
         self.admitted.store(Arc::new(admitted));
         // Pairs with the fence in `enter`: either it sees the new set or we see its count.
         fence(Ordering::SeqCst);
+        self.changes.send_modify(|it| *it += 1);
     }
 
     fn set_lease(&self, until: Timestamp) {
@@ -120,9 +188,18 @@
         now < self.lease_until()
     }
 
-    /// Whether a key is admitted at the moment; nothing is counted.
-    pub(crate) fn peek(&self, slot: Slot, key_hash: KeyHash) -> Result<Token, NotAdmitted> {
-        self.admitted.load().token(slot, key_hash)
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// What a key is admitted under at the moment; nothing is counted.
+    pub(crate) fn peek(&self, slot: Slot, key_hash: KeyHash) -> Result<Admittance, NotAdmitted> {
+        self.admitted.load().admittance(slot, key_hash)
+    }
+
+    /// Whether a slot is held under this token.
+    pub(crate) fn holds_slot(&self, slot: Slot, token: Token) -> bool {
+        self.admitted.load().slots.get(&slot).is_some_and(|it| it.token == token)
     }
 
     /// Counts a request as in flight if its key is admitted.
@@ -131,14 +208,59 @@
         slot: Slot,
         key_hash: KeyHash,
     ) -> Result<Entry, NotAdmitted> {
-        self.in_flight[usize::from(slot.0)].fetch_add(1, Ordering::SeqCst);
-        let mut entry = Entry { table: Arc::clone(self), slot, token: Token::default() };
+        let in_flight = &self.slots_in_flight[usize::from(slot.0)];
+        in_flight.fetch_add(1, Ordering::SeqCst);
+        *self.keys().entry(key_hash).or_default() += 1;
         fence(Ordering::SeqCst);
-        entry.token = self.peek(slot, key_hash)?;
-        Ok(entry)
+        let admittance = match self.peek(slot, key_hash) {
+            Ok(admittance) => admittance,
+            Err(error) => {
+                in_flight.fetch_sub(1, Ordering::SeqCst);
+                self.leave_key(key_hash);
+                return Err(error);
+            }
+        };
+        if matches!(admittance.unit, RecordUnit::Key(_)) {
+            in_flight.fetch_sub(1, Ordering::SeqCst);
+        }
+        Ok(Entry { table: Arc::clone(self), slot, key_hash, admittance })
+    }
+
+    fn keys(&self) -> MutexGuard<'_, HashMap<KeyHash, u32>> {
+        self.keys_in_flight.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn leave_key(&self, key_hash: KeyHash) {
+        let mut keys = self.keys();
+        let Some(count) = keys.get_mut(&key_hash) else {
+            unreachable!("a key in flight is counted");
+        };
+        *count -= 1;
+        if *count == 0 {
+            keys.remove(&key_hash);
+        }
+    }
+
+    /// Requests in flight that were admitted by their slot.
+    pub(crate) fn slot_in_flight(&self, slot: Slot) -> u32 {
+        self.slots_in_flight[usize::from(slot.0)].load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn in_flight(&self, unit: RecordUnit) -> u32 {
+        match unit {
+            RecordUnit::Slot(slot) => self.slot_in_flight(slot),
+            RecordUnit::Key(key_hash) => self.keys().get(&key_hash).copied().unwrap_or(0),
+        }
+    }
+
+    /// Ends what still runs under a grant that was given up.
+    pub(crate) fn stop(&self, unit: RecordUnit, token: Token) {
+        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).insert((unit, token));
+        self.changes.send_modify(|it| *it += 1);
     }
 
-    pub(crate) fn in_flight(&self, slot: Slot) -> u32 {
-        self.in_flight[usize::from(slot.0)].load(Ordering::SeqCst)
+    /// Nothing runs under it any more.
+    pub(crate) fn forget_stop(&self, unit: RecordUnit, token: Token) {
+        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).remove(&(unit, token));
     }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod gate;
 pub mod links;
 pub mod report;
+mod request;
 pub mod snapshot;
--- a/crates/agent/src/links/mod.rs
+++ b/crates/agent/src/links/mod.rs
@@ -7,6 +7,7 @@
 mod handshake;
 mod key;
 mod socket;
+pub(crate) mod traffic;
 
 pub use control::{ControlEvent, ControlLinks};
 pub use key::LinkKey;
--- /dev/null
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -0,0 +1,225 @@
+//! Links between traffic threads: multiplexed requests, one link for each pair of peers.
+
+mod assembly;
+mod inbox;
+mod link;
+mod outbox;
+mod serve;
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use model::{Instance, NotRunReason};
+use tokio::{
+    net::TcpListener,
+    sync::{oneshot, watch},
+    time::{Instant, sleep},
+};
+use wire::link::LinkKind;
+
+use crate::{
+    links::{
+        LinkKey,
+        handshake::{Established, LinkIdentity},
+        socket,
+    },
+    request::{GateReply, GateRequest},
+};
+
+use inbox::TrafficInbox;
+use link::Link;
+
+pub(crate) use assembly::Handover;
+
+/// How long a peer that could not be reached is not dialled again.
+const DIAL_PAUSE: Duration = Duration::from_millis(100);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Takes what peers send.
+pub(crate) trait Handler: Send + Sync {
+    /// Takes a request; dropping the receiver cancels it.
+    fn request(&self, request: GateRequest) -> oneshot::Receiver<GateReply>;
+    /// Takes over records; false: they can't be used.
+    fn records(&self, from: &Instance, handover: Handover) -> bool;
+}
+
+/// The traffic links of this process. Clones share them.
+#[derive(Clone)]
+pub(crate) struct TrafficLinks {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    identity: LinkIdentity,
+    handler: Arc<dyn Handler>,
+    peers: Mutex<HashMap<SocketAddr, Peer>>,
+}
+
+enum Peer {
+    Up(Arc<Link>),
+    /// Resolves, with an error, when the dialling has ended.
+    Dialling(watch::Receiver<()>),
+    Down {
+        since: Instant,
+    },
+}
+
+enum Next {
+    Use(Arc<Link>),
+    Wait(watch::Receiver<()>),
+    Dial(watch::Sender<()>),
+    Refuse,
+}
+
+impl TrafficLinks {
+    /// Listens, and dials peers as requests for them come up.
+    pub(crate) fn start(
+        own: Instance,
+        listener: TcpListener,
+        key: LinkKey,
+        handler: Arc<dyn Handler>,
+    ) -> TrafficLinks {
+        let identity = LinkIdentity { own, kind: LinkKind::Traffic, key };
+        let shared = Arc::new(Shared { identity, handler, peers: Mutex::default() });
+        tokio::spawn(listen(Arc::clone(&shared), listener));
+        TrafficLinks { shared }
+    }
+
+    /// Asks a peer's gate. Resolves by the end of the request's remaining time; dropping the
+    /// future cancels the request there.
+    pub(crate) async fn ask(&self, peer: &Instance, request: &GateRequest) -> GateReply {
+        match self.link(peer).await {
+            Some(link) => link.ask(request).await,
+            None => GateReply::not_run(NotRunReason::Unreachable),
+        }
+    }
+
+    /// Hands records over; true once the peer has taken them.
+    pub(crate) async fn hand_over(&self, peer: &Instance, handover: &Handover) -> bool {
+        match self.link(peer).await {
+            Some(link) => link.hand_over(handover).await,
+            None => false,
+        }
+    }
+
+    /// Makes a link ahead of the first request.
+    pub(crate) fn warm(&self, peer: &Instance) {
+        if peer.traffic == self.shared.identity.own.traffic
+            || matches!(self.shared.peers().get(&peer.traffic), Some(Peer::Up(_)))
+        {
+            return;
+        }
+        let (links, peer) = (self.clone(), peer.clone());
+        tokio::spawn(async move { drop(links.link(&peer).await) });
+    }
+
+    async fn link(&self, peer: &Instance) -> Option<Arc<Link>> {
+        loop {
+            match self.shared.next(peer) {
+                Next::Use(link) => return Some(link),
+                Next::Refuse => return None,
+                // The error means that the dialling has ended.
+                Next::Wait(mut ended) => drop(ended.changed().await),
+                Next::Dial(ended) => {
+                    // Dialled in a task of its own: whoever waits first may give up.
+                    let shared = Arc::clone(&self.shared);
+                    let address = peer.traffic;
+                    tokio::spawn(async move {
+                        dial(&shared, address).await;
+                        drop(ended);
+                    });
+                }
+            }
+        }
+    }
+}
+
+impl Shared {
+    fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn next(&self, peer: &Instance) -> Next {
+        let mut peers = self.peers();
+        match peers.get(&peer.traffic) {
+            // Another life of the peer is there: this one is gone.
+            Some(Peer::Up(link)) if !link.is_down() && link.peer != *peer => Next::Refuse,
+            Some(Peer::Up(link)) if !link.is_down() => Next::Use(Arc::clone(link)),
+            Some(Peer::Dialling(ended)) => Next::Wait(ended.clone()),
+            Some(Peer::Down { since }) if since.elapsed() < DIAL_PAUSE => Next::Refuse,
+            Some(Peer::Up(_) | Peer::Down { .. }) | None => {
+                let (sender, ended) = watch::channel(());
+                peers.insert(peer.traffic, Peer::Dialling(ended));
+                Next::Dial(sender)
+            }
+        }
+    }
+
+    /// Runs a link. It is used for requests unless there is one already.
+    fn run(self: &Arc<Shared>, established: Established) {
+        let Established { peer, socket } = established;
+        let (link, outbox) = Link::new(peer.clone());
+        {
+            let mut peers = self.peers();
+            match peers.get(&peer.traffic) {
+                Some(Peer::Up(it)) if !it.is_down() && it.peer == peer => {}
+                _ => drop(peers.insert(peer.traffic, Peer::Up(Arc::clone(&link)))),
+            }
+        }
+        log::debug!(target: "links", "Traffic link with {peer} is up.");
+        let inbox = TrafficInbox::new(Arc::clone(&link), Arc::clone(&self.handler));
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            match socket::run(socket, outbox, inbox).await {
+                Ok(()) => log::debug!(target: "links", "Traffic link with {peer} has ended."),
+                Err(error) => {
+                    log::warn!(target: "links", "Traffic link with {peer} ended: {error}.");
+                }
+            }
+            link.end();
+            let mut peers = shared.peers();
+            match peers.get(&peer.traffic) {
+                Some(Peer::Up(it)) if Arc::ptr_eq(it, &link) => drop(peers.remove(&peer.traffic)),
+                _ => {}
+            }
+        });
+    }
+}
+
+async fn dial(shared: &Arc<Shared>, address: SocketAddr) {
+    match shared.identity.dial(address).await {
+        Ok(link) if link.peer.traffic == address => return shared.run(link),
+        Ok(link) => {
+            log::warn!(target: "links", "{} at {address} says it is at {}.", link.peer, link.peer.traffic);
+        }
+        Err(error) => log::debug!(target: "links", "No traffic link: {error}."),
+    }
+    let mut peers = shared.peers();
+    if matches!(peers.get(&address), Some(Peer::Dialling(_))) {
+        peers.insert(address, Peer::Down { since: Instant::now() });
+    }
+}
+
+async fn listen(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!(target: "links", "Accepting a traffic link failed: {error}.");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            match shared.identity.accept(address, stream).await {
+                Ok(link) => shared.run(link),
+                Err(error) => log::warn!(target: "links", "Refused a traffic link: {error}."),
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/links/traffic/serve.rs
@@ -0,0 +1,87 @@
+//! Requests of a peer that this side works on.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use bytes::Bytes;
+use model::{Outcome, UnknownReason};
+use tokio::{sync::oneshot, task::AbortHandle};
+use wire::traffic::{Answer, CorrelationId, Failed, Frame, NotOwner, Reason};
+
+use crate::{
+    links::traffic::link::{Link, first_len},
+    request::{GateReply, headers_to_wire},
+};
+
+/// Running requests of one link.
+#[derive(Debug, Default)]
+pub(super) struct Serving(Mutex<HashMap<CorrelationId, AbortHandle>>);
+
+impl Serving {
+    fn table(&self) -> MutexGuard<'_, HashMap<CorrelationId, AbortHandle>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends the reply when it comes. Cancelling drops the receiver, which the gate notices.
+    pub(super) fn start(
+        self: &Arc<Serving>,
+        link: &Arc<Link>,
+        id: CorrelationId,
+        reply: oneshot::Receiver<GateReply>,
+    ) {
+        let (serving, link) = (Arc::clone(self), Arc::clone(link));
+        let mut table = self.table();
+        let task = tokio::spawn(async move {
+            let reply = reply.await.unwrap_or(GateReply::unknown(UnknownReason::ConnectionLost));
+            send(&link, id, reply).await;
+            serving.table().remove(&id);
+        });
+        table.insert(id, task.abort_handle());
+    }
+
+    pub(super) fn cancel(&self, id: CorrelationId) {
+        if let Some(task) = self.table().remove(&id) {
+            task.abort();
+        }
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        for task in self.table().values() {
+            task.abort();
+        }
+    }
+}
+
+async fn send(link: &Link, id: CorrelationId, reply: GateReply) {
+    let (head, body) = match reply {
+        GateReply::Answered(answer) => {
+            let head = Frame::Answer(Answer {
+                id,
+                status: answer.status.as_u16(),
+                headers: headers_to_wire(&answer.headers),
+                body_len: answer.body.len() as u64,
+                body: answer.body.slice(..first_len(&answer.body)),
+            });
+            (head, answer.body)
+        }
+        GateReply::Failed { outcome, retry_after } => {
+            let reason = match outcome {
+                Outcome::NotRun(reason) => Reason::NotRun(reason),
+                Outcome::Unknown(reason) => Reason::Unknown(reason),
+                Outcome::Answered => unreachable!("an answer has its own reply"),
+            };
+            let retry_after_ms =
+                retry_after.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
+            (Frame::Failed(Failed { id, reason, retry_after_ms }), Bytes::new())
+        }
+        GateReply::NotOwner { owner, route_version } => {
+            (Frame::NotOwner(NotOwner { id, owner, route_version }), Bytes::new())
+        }
+    };
+    // A link that has ended fails the request at the other side.
+    drop(link.send(head, id, &body, first_len(&body), None).await);
+}
--- a/crates/agent/src/report/mod.rs
+++ b/crates/agent/src/report/mod.rs
@@ -21,6 +21,8 @@
     Prepared { slot: Slot, token: Token },
     /// A closed slot is empty and its records have been handed over or given up.
     Closed { slot: Slot, token: Token },
+    /// The same for a closed key.
+    KeyClosed { key_hash: KeyHash, token: Token },
     /// A peer refused a request for it is not the owner.
     StaleRoute {
         service: ServiceName,
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -1,10 +1,15 @@
 //! What traffic knows of services and routes: immutable, published whole by the control thread.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use arc_swap::ArcSwap;
 use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, SlotCount};
 use ownership::{NodeView, UpstreamState};
+use settings::ServiceDocument;
+use tokio::sync::watch;
 
 use crate::report::Announcement;
 
@@ -12,6 +17,8 @@
 #[derive(Debug, Default)]
 pub struct Snapshot {
     pub services: HashMap<ServiceName, Arc<ServiceRoutes>>,
+    /// Names that are known not to be services.
+    pub absent: HashSet<ServiceName>,
     /// The upstream beside this agent, once it has announced itself.
     pub local: Option<LocalUpstream>,
 }
@@ -30,6 +37,8 @@
 pub struct ServiceRoutes {
     pub service: ServiceName,
     pub version: ConfigVersion,
+    /// The document of that version.
+    pub document: Arc<ServiceDocument>,
     pub routes: Routes,
 }
 
@@ -101,15 +110,30 @@
 }
 
 /// The snapshot in use. Control stores, traffic loads; neither ever waits.
-#[derive(Debug, Default)]
-pub struct SnapshotCell(ArcSwap<Snapshot>);
+#[derive(Debug)]
+pub struct SnapshotCell {
+    snapshot: ArcSwap<Snapshot>,
+    changed: watch::Sender<()>,
+}
+
+impl Default for SnapshotCell {
+    fn default() -> SnapshotCell {
+        SnapshotCell { snapshot: ArcSwap::default(), changed: watch::channel(()).0 }
+    }
+}
 
 impl SnapshotCell {
     pub fn load(&self) -> arc_swap::Guard<Arc<Snapshot>> {
-        self.0.load()
+        self.snapshot.load()
     }
 
     pub fn store(&self, snapshot: Snapshot) {
-        self.0.store(Arc::new(snapshot));
+        self.snapshot.store(Arc::new(snapshot));
+        self.changed.send_replace(());
+    }
+
+    /// Tells of every later [`SnapshotCell::store`].
+    pub(crate) fn changes(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
     }
 }
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -199,3 +199,11 @@
 fn invalid(field: &'static str, reason: String) -> CodecError {
     CodecError::Invalid { field, reason }
 }
+
+/// An answer as it is kept in records.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    pub status: u16,
+    pub headers: Vec<Header>,
+    pub body: Bytes,
+}
