--- a/crates/agent/src/links/traffic/inbox.rs
+++ b/crates/agent/src/links/traffic/inbox.rs
@@ -77,7 +77,7 @@
             Frame::RecordsTaken(it) => {
                 if let Some(Waiting::Taken(sender)) = self.link.take(it.id) {
                     // Whoever waited may have given up.
-                    drop(sender.send(it.taken));
+                    _ = sender.send(it.taken);
                 }
                 Ok(())
             }
