Ownership: random runs under faults; proof before a lapsed slot is granted anew

A slot freed by time alone is now granted only on proof, asked for after the lapse, that there is no later term. - Two owners: a coordinator's own lease, proved by the platform for 0.6 s, outlived the 0.3 s that a successor waits after a change to witnesses. The own lease is shortened before that change. - A renewal long on the way claimed a slot that had been granted anew.

--- a/crates/ownership/src/coordinator/confirm.rs
+++ b/crates/ownership/src/coordinator/confirm.rs
@@ -46,6 +46,10 @@
     read: Option<(CallId, Timestamp)>,
     next_read: Timestamp,
     until: Timestamp,
+    /// When the question or read was sent that last proved that there was no later term.
+    proved_at: Timestamp,
+    /// When proof was last dropped.
+    reset_at: Timestamp,
     /// When the read or update was sent that last showed this term in the platform.
     reached_platform_at: Timestamp,
     /// Witnesses that have ever answered for this term: they confirm no lower one.
@@ -67,6 +71,8 @@
             read: None,
             next_read: now,
             until,
+            proved_at: Timestamp::ZERO,
+            reset_at: now,
             reached_platform_at: sent_at,
             promised: Vec::new(),
             promised_at: None,
@@ -77,6 +83,11 @@
         self.until
     }
 
+    /// Since when proof has been missing, where it is.
+    pub(crate) fn missing_since(&self) -> Timestamp {
+        self.until.max(self.reset_at)
+    }
+
     /// Whether leases may be renewed now.
     pub(crate) fn holds(&self, now: Timestamp, by: &ConfirmBy<'_>) -> bool {
         match by.path {
@@ -94,9 +105,21 @@
         self.promised_at
     }
 
+    pub(crate) fn proved_at(&self) -> Timestamp {
+        self.proved_at
+    }
+
+    /// Asks anew at once, for something rests on proof from now on.
+    pub(crate) fn prove_soon(&mut self, now: Timestamp) {
+        self.next_question = now;
+        self.next_read = self.next_read.min(now);
+    }
+
     /// Drops all proof: after a pause, and when the path has changed.
     pub(crate) fn reset(&mut self, now: Timestamp) {
         self.until = Timestamp::ZERO;
+        self.proved_at = Timestamp::ZERO;
+        self.reset_at = now;
         self.next_question = now;
         self.next_read = now;
     }
@@ -125,6 +148,7 @@
         if self.read.is_none() && self.next_read <= ctx.now {
             let call = ctx.call(PlatformRequest::ReadCoordinator);
             self.read = Some((call, ctx.now));
+            self.next_read = Timestamp { ns: u64::MAX };
         }
         // Without proof from the witnesses the platform is asked, to find out whether the path
         // can be changed.
@@ -175,6 +199,7 @@
         }
         if by.path == Some(Confirmation::Witnesses) && is_majority(&question.answered, by) {
             self.until = self.until.max(question.sent_at + by.times.confirmation());
+            self.proved_at = self.proved_at.max(question.sent_at);
         }
     }
 
@@ -188,7 +213,7 @@
     ) -> bool {
         let Some((_, sent_at)) = self.read.take_if(|it| it.0 == call) else { return false };
         if !shown {
-            self.next_read = now + READ_RETRY;
+            self.next_read = self.next_read.min(now + READ_RETRY);
             return true;
         }
         self.reached_platform_at = self.reached_platform_at.max(sent_at);
@@ -196,9 +221,11 @@
         match by.path {
             Some(Confirmation::Platform) => {
                 self.until = self.until.max(sent_at + good_for);
-                self.next_read = sent_at + good_for / ASKED_PER_CONFIRMATION;
+                self.proved_at = self.proved_at.max(sent_at);
+                let next = sent_at + good_for / ASKED_PER_CONFIRMATION;
+                self.next_read = self.next_read.min(next);
             }
-            _ => self.next_read = now + READ_EVERY,
+            _ => self.next_read = self.next_read.min(now + READ_EVERY),
         }
         true
     }
--- a/crates/ownership/src/coordinator/maintain.rs
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -37,7 +37,7 @@
     fn choose_confirmation(&mut self, ctx: &Ctx<'_>, wanted: &mut Coordinator) {
         let candidates = self.witness_candidates(ctx);
         let confirmed = self.may_renew(ctx);
-        let missing = ctx.now.since(self.confirm.until()) > MISSING_MAX;
+        let missing = ctx.now.since(self.confirm.missing_since()) > MISSING_MAX;
         let reachable = self.confirm.platform_is_reachable(ctx.now);
         match wanted.confirmation {
             Confirmation::Witnesses if !confirmed && missing && reachable => {
@@ -62,10 +62,16 @@
                 }
             }
             Confirmation::Platform if confirmed && candidates.len() >= WITNESSES_MIN => {
-                wanted.confirmation = Confirmation::Witnesses;
-                wanted.witnesses = choose_witnesses(ctx.me(), &candidates, &[]);
+                let witnesses = choose_witnesses(ctx.me(), &candidates, &[]);
+                let since = *self.own_capped_since.get_or_insert(ctx.now);
+                // By now this node's own lease ends as early as a successor of the new path
+                // expects it to.
+                if ctx.now.since(since) > wanted.times.platform_confirmation() {
+                    wanted.confirmation = Confirmation::Witnesses;
+                    wanted.witnesses = witnesses;
+                }
             }
-            Confirmation::Platform => {}
+            Confirmation::Platform => self.own_capped_since = None,
         }
     }
 
@@ -97,6 +103,7 @@
         let (path, _) = &now;
         if *path != self.confirmed_by.0 {
             self.confirm.reset(ctx.now);
+            self.own_capped_since = None;
         }
         if now != self.confirmed_by {
             ctx.event(Event::ConfirmationChanged {
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -91,6 +91,8 @@
     times_differ_since: Option<Timestamp>,
     /// The path of confirmation and the witnesses, as last acknowledged.
     confirmed_by: (Confirmation, Vec<MemberId>),
+    /// Since when this node's own lease is kept as short as witnesses would keep it.
+    own_capped_since: Option<Timestamp>,
     /// When any member was last heard.
     heard_at: Timestamp,
     releasing: bool,
@@ -105,7 +107,7 @@
         let times = object.acked().times.min(ctx.limits().into());
         let confirm = Confirm::new(ctx.now, sent_at, &object.confirm_by(times));
         let succession = Succession::new(ctx.now, former.as_ref());
-        let holder = if first_term { Holder::Nobody } else { Holder::Unknown };
+        let holder = if first_term { Holder::Nobody { lapsed_at: None } } else { Holder::Unknown };
         let witnesses = object.acked().witnesses.iter().map(MemberId::from).collect();
         let confirmed_by = (object.acked().confirmation, witnesses);
         let slots = ctx.config.slot_count;
@@ -132,6 +134,7 @@
             moved: VecDeque::new(),
             times_differ_since: None,
             confirmed_by,
+            own_capped_since: None,
             heard_at: ctx.now,
             releasing: false,
         }
@@ -151,7 +154,13 @@
 
     /// Until when this node may hold what it has granted itself.
     pub(crate) fn own_lease_until(&self, ctx: &Ctx<'_>) -> Option<Timestamp> {
-        self.may_renew(ctx).then(|| self.confirm.until())
+        let until = self.confirm.until();
+        let by_witnesses = self.confirm.proved_at() + self.times(ctx).confirmation();
+        let until = match self.own_capped_since {
+            Some(_) => until.min(by_witnesses),
+            None => until,
+        };
+        self.may_renew(ctx).then_some(until)
     }
 
     /// The times in force: those that a successor will wait by, or shorter ones.
@@ -186,15 +195,16 @@
 
     pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>) {
         self.expire(ctx);
-        let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
-        self.confirm.tick(ctx, self.term, &by);
-        self.object.tick(ctx);
-        if ctx.config.keyed {
-            self.plan.tick(ctx);
-        }
         if self.succession.settle(ctx.now, &self.confirm) {
             ctx.event(Event::Settled { term: self.term.0 });
         }
+        if ctx.config.keyed {
+            self.resolve_unknown(ctx);
+            self.plan.tick(ctx);
+        }
+        let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
+        self.confirm.tick(ctx, self.term, &by);
+        self.object.tick(ctx);
         self.announce(ctx);
         self.run(ctx);
         if ctx.config.keyed {
--- a/crates/ownership/src/coordinator/slots.rs
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -21,8 +21,12 @@
 pub(crate) enum Holder {
     /// Some member of an earlier term may hold it.
     Unknown,
-    /// No grant of it lives.
-    Nobody,
+    /// No grant of it lives. Where that follows from time alone, `lapsed_at` says since when: a
+    /// later term may have adopted and renewed the session before, so it may be granted anew only
+    /// on proof, asked for after that time, that there is no later term.
+    Nobody {
+        lapsed_at: Option<Timestamp>,
+    },
     Member(Grant),
 }
 
@@ -30,10 +34,19 @@
     pub(crate) fn grant(&self) -> Option<&Grant> {
         match self {
             Holder::Member(it) => Some(it),
-            Holder::Unknown | Holder::Nobody => None,
+            Holder::Unknown | Holder::Nobody { .. } => None,
         }
     }
 
+    pub(crate) fn lapsed(now: Timestamp) -> Holder {
+        Holder::Nobody { lapsed_at: Some(now) }
+    }
+
+    /// Whether it may be granted, on proof asked for at `proved_at`.
+    pub(crate) fn is_free(&self, proved_at: Timestamp) -> bool {
+        matches!(self, Holder::Nobody { lapsed_at } if lapsed_at.is_none_or(|it| it <= proved_at))
+    }
+
     pub(crate) fn is_of(&self, member: &MemberId, session: SessionId) -> bool {
         self.grant().is_some_and(|it| it.member == *member && it.session == session)
     }
@@ -81,6 +94,16 @@
     Entry(Holder),
 }
 
+impl KeyHolder {
+    pub(crate) fn grant(&self) -> Option<&Grant> {
+        match self {
+            KeyHolder::Slot => None,
+            KeyHolder::LeavingSlot(it) => Some(it),
+            KeyHolder::Entry(it) => it.grant(),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct KeyRow {
     pub(crate) holder: KeyHolder,
@@ -130,42 +153,35 @@
         keys.filter(move |it| slot_count.slot_of(it.0) == slot)
     }
 
-    /// A session's lease has ended, and with it all its grants. Gives the number of them.
-    pub(crate) fn end_session(&mut self, member: &MemberId, session: SessionId) -> usize {
+    /// A session's lease has ended, and with it all its grants; each comes to stand as `then` says.
+    /// Gives the number of them.
+    pub(crate) fn end_session(
+        &mut self,
+        member: &MemberId,
+        session: SessionId,
+        then: impl Fn(&Grant) -> Holder,
+    ) -> usize {
+        let of = |it: &Grant| it.member == *member && it.session == session;
         let mut ended = 0;
         for row in &mut self.slots {
-            if row.holder.is_of(member, session) {
-                row.holder = Holder::Nobody;
-                ended += 1;
-            }
+            let Some(grant) = row.holder.grant().filter(|it| of(it)) else { continue };
+            row.holder = then(grant);
+            ended += 1;
         }
         for row in self.keys.values_mut() {
-            let gone = match &row.holder {
-                KeyHolder::Slot => false,
-                KeyHolder::LeavingSlot(it) => it.member == *member && it.session == session,
-                KeyHolder::Entry(it) => it.is_of(member, session),
-            };
-            if gone {
-                row.holder = KeyHolder::Entry(Holder::Nobody);
-                ended += 1;
-            }
+            let Some(grant) = row.holder.grant().filter(|it| of(it)) else { continue };
+            row.holder = KeyHolder::Entry(then(grant));
+            ended += 1;
         }
         ended
     }
 
     /// Whether a session holds anything or is about to.
     pub(crate) fn concerns(&self, member: &MemberId) -> bool {
-        let of = |it: &Holder| it.grant().is_some_and(|it| it.member == *member);
-        let slots = self
-            .slots
-            .iter()
-            .any(|row| of(&row.holder) || row.handover.as_ref().is_some_and(|it| it.to == *member));
-        let mut keys = self.keys.values();
-        slots
-            || keys.any(|row| match &row.holder {
-                KeyHolder::Slot => false,
-                KeyHolder::LeavingSlot(it) => it.member == *member,
-                KeyHolder::Entry(it) => of(it),
-            })
+        let of = |it: Option<&Grant>| it.is_some_and(|it| it.member == *member);
+        let slots = self.slots.iter().any(|row| {
+            of(row.holder.grant()) || row.handover.as_ref().is_some_and(|it| it.to == *member)
+        });
+        slots || self.keys.values().any(|row| of(row.holder.grant()))
     }
 }
--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Runs of many nodes: in order, under random faults, and along recorded traces.
 
 mod order;
+mod random;
