Control thread: documents, membership, routes, status

Cause: the ownership core and the traffic plane need the thread between them. Change: crates/agent/src/control drives ownership::Node, accepts documents by conditional updates, spreads versions, learns other services' routes from any member, writes the status at most once a second.

--- /dev/null
+++ b/crates/agent/src/control/accept.rs
@@ -0,0 +1,180 @@
+//! Acceptance: from the document that a team wrote to the one that is in force.
+//!
+//! `accepted/S` only rises, by conditional updates. The coordinator does it; the very first time,
+//! when there is no group yet, any agent of the service may, and the condition lets one succeed.
+
+use std::time::Duration;
+
+use model::{ConfigVersion, ObjectVersion, ServiceName, Timestamp};
+use platform::PlatformError;
+use rand::RngExt;
+use settings::{Accepted, Refused, ServiceDocument};
+
+use crate::control::{documents::Raised, state::Control};
+
+/// How often the document is looked for while none is in force.
+const SEEK_EVERY: Duration = Duration::from_millis(500);
+/// How often the coordinator reads the document even if its watch says nothing.
+const READ_EVERY: Duration = Duration::from_secs(15);
+
+/// What is known of the own service's document and its acceptance.
+#[derive(Debug, Default)]
+pub(crate) struct Acceptor {
+    /// `accepted/S` as last read; none: not read yet, or in doubt after a lost answer.
+    accepted: Option<AcceptedState>,
+    /// The document as last read, until it has been dealt with.
+    pending: Option<(ObjectVersion, String)>,
+    /// An update is on its way.
+    updating: bool,
+    sought_at: Option<Timestamp>,
+    read_at: Option<Timestamp>,
+    pub(crate) refused: Option<Refused>,
+}
+
+#[derive(Debug, Clone)]
+struct AcceptedState {
+    /// 0: it does not exist.
+    object: ObjectVersion,
+    accepted: Option<Accepted>,
+}
+
+impl Control {
+    /// While no document is in force: look in the platform, and ask the peers.
+    pub(super) fn seek_document(&mut self, now: Timestamp) {
+        let due = self.acceptor.sought_at.is_none_or(|it| now.since(it) >= SEEK_EVERY);
+        if self.group.is_some() || !due {
+            return;
+        }
+        let jitter = self.rng.random_range(0..SEEK_EVERY.as_millis() as u64 / 4);
+        self.acceptor.sought_at = Some(now + Duration::from_millis(jitter));
+        let service = self.service().clone();
+        self.parts.calls.read_accepted(&service);
+        self.ask_peers(&service);
+    }
+
+    /// The coordinator's part: deal with what was read, and read once in a while.
+    pub(super) fn accept(&mut self, now: Timestamp) {
+        let coordinates = self.group.as_ref().is_some_and(|it| it.view.is_coordinator);
+        if !coordinates {
+            return;
+        }
+        if self.acceptor.read_at.is_none_or(|it| now.since(it) >= READ_EVERY) {
+            self.acceptor.read_at = Some(now);
+            self.acceptor.accepted = None;
+            self.parts.calls.read_accepted(&self.service().clone());
+        }
+    }
+
+    pub(super) fn accepted_read(
+        &mut self,
+        service: ServiceName,
+        result: Result<Option<(ObjectVersion, Accepted)>, PlatformError>,
+    ) {
+        let read = match result {
+            Ok(read) => read,
+            Err(error) => {
+                log::debug!(target: "config", "{error}.");
+                return;
+            }
+        };
+        match &read {
+            Some((_, accepted)) => {
+                self.offer_document(&service, accepted.version, &accepted.document);
+            }
+            None if self.documents.of(&service).is_none() => {
+                let now = self.now();
+                self.dirty |= self.foreign.set_absent(now, &service);
+            }
+            None => {}
+        }
+        if service != *self.service() {
+            return;
+        }
+        let object = read.as_ref().map_or(ObjectVersion(0), |(version, _)| *version);
+        self.acceptor.accepted = Some(AcceptedState { object, accepted: read.map(|(_, it)| it) });
+        self.parts.calls.read_document(&service);
+    }
+
+    pub(super) fn document_read(
+        &mut self,
+        result: Result<Option<(ObjectVersion, String)>, PlatformError>,
+    ) {
+        match result {
+            Ok(Some(read)) => self.acceptor.pending = Some(read),
+            Ok(None) => log::warn!(target: "config", "There is no document of {}.", self.service()),
+            Err(error) => log::debug!(target: "config", "{error}."),
+        }
+        self.raise_accepted();
+    }
+
+    /// Raises `accepted/S` to the pending document if that holds and is newer.
+    pub(super) fn raise_accepted(&mut self) {
+        if self.acceptor.updating {
+            return;
+        }
+        let Some(state) = self.acceptor.accepted.clone() else { return };
+        let Some((version, text)) = self.acceptor.pending.take() else { return };
+        let service = self.service().clone();
+        if ConfigVersion(version.0) <= self.documents.version(&service) {
+            return;
+        }
+        let parsed = match self.documents.of(&service) {
+            Some(former) => ServiceDocument::parse_change(&text, &former.document),
+            None => ServiceDocument::parse(&text),
+        };
+        let reasons = match parsed {
+            Ok(document) if document.service == service => Vec::new(),
+            Ok(document) => vec![format!("the document names the service {}", document.service)],
+            Err(problems) => problems.iter().map(|it| it.to_string()).collect(),
+        };
+        if !reasons.is_empty() {
+            log::warn!(target: "config", "Refused version {version} of {service}: {}.", reasons.join("; "));
+            self.acceptor.refused = Some(Refused { version: ConfigVersion(version.0), reasons });
+            return;
+        }
+        self.acceptor.refused = None;
+        let raised = Accepted::raised(state.accepted.as_ref(), service, version, text);
+        let Some(accepted) = raised else { return };
+        self.acceptor.updating = true;
+        self.parts.calls.update_accepted(state.object, accepted);
+    }
+
+    pub(super) fn accepted_updated(
+        &mut self,
+        accepted: Accepted,
+        result: Result<ObjectVersion, PlatformError>,
+    ) {
+        self.acceptor.updating = false;
+        match result {
+            Ok(object) => {
+                log::info!(target: "config", "Accepted version {} of {}.", accepted.version, accepted.service);
+                self.offer_document(&accepted.service, accepted.version, &accepted.document);
+                self.acceptor.accepted = Some(AcceptedState { object, accepted: Some(accepted) });
+                self.raise_accepted();
+            }
+            Err(error) => {
+                // Whether it took effect is settled by reading.
+                log::info!(target: "config", "{error}; reading again.");
+                self.acceptor.accepted = None;
+                self.parts.calls.read_accepted(&accepted.service);
+            }
+        }
+    }
+
+    /// Puts a document in force if it is newer, whoever it came from.
+    pub(super) fn offer_document(
+        &mut self,
+        service: &ServiceName,
+        version: ConfigVersion,
+        text: &str,
+    ) {
+        match self.documents.raise(service, version, text) {
+            Raised::Known | Raised::Invalid => {}
+            Raised::Yes if *service == *self.service() => self.own_document_changed(),
+            Raised::Yes => {
+                self.dirty = true;
+                self.foreign.has_document(service);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/calls.rs
@@ -0,0 +1,213 @@
+//! Calls to the platform: started here, run as tasks, come back as [`Done`].
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use model::{GroupId, ObjectVersion, ServiceName};
+use ownership::{CallId, Coordinator, Plan, PlatformReply, PlatformRequest};
+use platform::{Changes, Object, Platform, PlatformError};
+use serde::{Serialize, de::DeserializeOwned};
+use settings::{Accepted, Status, accepted_path, service_path, status_path};
+use tokio::sync::mpsc;
+
+/// How long one watch waits before it is renewed.
+pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// The end of a call.
+#[derive(Debug)]
+pub(crate) enum Done {
+    Node { call: CallId, reply: PlatformReply },
+    Accepted { service: ServiceName, result: Result<Option<(ObjectVersion, Accepted)>, PlatformError> },
+    Document { service: ServiceName, result: Result<Option<(ObjectVersion, String)>, PlatformError> },
+    /// An update of `accepted/S`; what it was to become, and the version that it has now.
+    AcceptedUpdated { accepted: Accepted, result: Result<ObjectVersion, PlatformError> },
+    Group { service: ServiceName, result: Result<Option<Plan>, PlatformError> },
+    Watched { prefix: WatchPrefix, result: Result<Changes, PlatformError> },
+    StatusRead { result: Result<Option<ObjectVersion>, PlatformError> },
+    StatusWritten { result: Result<ObjectVersion, PlatformError> },
+}
+
+/// What a coordinator watches.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum WatchPrefix {
+    /// The document of the own service.
+    Document(ServiceName),
+    /// All accepted documents.
+    Accepted,
+}
+
+impl WatchPrefix {
+    fn path(&self) -> String {
+        match self {
+            WatchPrefix::Document(service) => service_path(service),
+            WatchPrefix::Accepted => ACCEPTED_PREFIX.to_owned(),
+        }
+    }
+}
+
+/// What the paths of all accepted documents begin with.
+pub(crate) const ACCEPTED_PREFIX: &str = "accepted/";
+
+/// Starts calls on the runtime of the control thread.
+#[derive(Clone)]
+pub(crate) struct Calls {
+    platform: Arc<dyn Platform>,
+    done: mpsc::UnboundedSender<Done>,
+}
+
+impl Calls {
+    pub(crate) fn new(platform: Arc<dyn Platform>, done: mpsc::UnboundedSender<Done>) -> Calls {
+        Calls { platform, done }
+    }
+
+    /// A call that a group's node asked for.
+    pub(crate) fn node(
+        &self,
+        service: &ServiceName,
+        group: GroupId,
+        call: CallId,
+        request: PlatformRequest,
+    ) {
+        let coordinator = format!("coordinators/{service}/{group}");
+        let plan = plan_path(service, group);
+        self.spawn(move |platform| async move {
+            let platform = platform.as_ref();
+            let reply = match request {
+                PlatformRequest::ReadCoordinator => {
+                    let read = read_json::<Coordinator>(platform, &coordinator).await;
+                    read.map(PlatformReply::Coordinator)
+                }
+                PlatformRequest::ReadPlan => {
+                    let read = read_json::<Plan>(platform, &plan).await;
+                    read.map(|it| PlatformReply::Plan(it.map(|(version, it)| (version, Box::new(it)))))
+                }
+                PlatformRequest::UpdateCoordinator { expected, object } => {
+                    let body = json(&object);
+                    platform.update(&coordinator, expected, body).await.map(PlatformReply::Updated)
+                }
+                PlatformRequest::UpdatePlan { expected, object } => {
+                    platform.update(&plan, expected, json(&object)).await.map(PlatformReply::Updated)
+                }
+            };
+            Done::Node { call, reply: reply.unwrap_or_else(failed) }
+        });
+    }
+
+    pub(crate) fn read_accepted(&self, service: &ServiceName) {
+        let service = service.clone();
+        self.spawn(|platform| async move {
+            let result = read_json(platform.as_ref(), &accepted_path(&service)).await;
+            Done::Accepted { service, result }
+        });
+    }
+
+    pub(crate) fn read_document(&self, service: &ServiceName) {
+        let service = service.clone();
+        self.spawn(|platform| async move {
+            let result = platform.read(&service_path(&service)).await;
+            let result = result.map(|object| object.map(|it| (it.version, text(&it))));
+            Done::Document { service, result }
+        });
+    }
+
+    pub(crate) fn update_accepted(&self, expected: ObjectVersion, accepted: Accepted) {
+        self.spawn(move |platform| async move {
+            let path = accepted_path(&accepted.service);
+            let result = platform.update(&path, expected, json(&accepted)).await;
+            Done::AcceptedUpdated { accepted, result }
+        });
+    }
+
+    /// Reads the plan of another service's group, for its routes.
+    pub(crate) fn read_group(&self, service: &ServiceName, group: GroupId) {
+        let service = service.clone();
+        self.spawn(move |platform| async move {
+            let read = read_json::<Plan>(platform.as_ref(), &plan_path(&service, group)).await;
+            Done::Group { service, result: read.map(|it| it.map(|(_, plan)| plan)) }
+        });
+    }
+
+    pub(crate) fn watch(&self, prefix: WatchPrefix, after: ObjectVersion) {
+        self.spawn(move |platform| async move {
+            let result = platform.watch(&prefix.path(), after, WATCH_WAIT).await;
+            Done::Watched { prefix, result }
+        });
+    }
+
+    /// Lists what a watch is to go on from.
+    pub(crate) fn list(&self, prefix: WatchPrefix) {
+        self.spawn(move |platform| async move {
+            let result = platform.list(&prefix.path()).await;
+            Done::Watched { prefix, result }
+        });
+    }
+
+    pub(crate) fn read_status(&self, service: &ServiceName, group: GroupId) {
+        let path = status_path(service, group);
+        self.spawn(move |platform| async move {
+            let read = platform.read(&path).await;
+            Done::StatusRead { result: read.map(|object| object.map(|it| it.version)) }
+        });
+    }
+
+    pub(crate) fn write_status(&self, expected: ObjectVersion, status: &Status) {
+        let path = status_path(&status.service, status.group);
+        let body = json(status);
+        self.spawn(move |platform| async move {
+            Done::StatusWritten { result: platform.update(&path, expected, body).await }
+        });
+    }
+
+    fn spawn<F>(&self, call: impl FnOnce(Arc<dyn Platform>) -> F)
+    where
+        F: Future<Output = Done> + Send + 'static,
+    {
+        let call = call(Arc::clone(&self.platform));
+        let done = self.done.clone();
+        tokio::spawn(async move {
+            // Control may have ended meanwhile.
+            _ = done.send(call.await);
+        });
+    }
+}
+
+fn plan_path(service: &ServiceName, group: GroupId) -> String {
+    format!("plans/{service}/{group}")
+}
+
+fn failed(error: PlatformError) -> PlatformReply {
+    match error {
+        PlatformError::Conflict { .. } => PlatformReply::Conflict,
+        PlatformError::Refused { .. } | PlatformError::Unavailable { .. } => {
+            log::debug!(target: "platform", "{error}.");
+            PlatformReply::Failed
+        }
+    }
+}
+
+fn json(value: &impl Serialize) -> Bytes {
+    Bytes::from(serde_json::to_vec(value).expect("objects of the platform have a JSON form"))
+}
+
+fn text(object: &Object) -> String {
+    String::from_utf8_lossy(&object.body).into_owned()
+}
+
+/// Reads an object of our own kinds. One that can't be understood counts as not read.
+async fn read_json<T: DeserializeOwned>(
+    platform: &dyn Platform,
+    path: &str,
+) -> Result<Option<(ObjectVersion, T)>, PlatformError> {
+    let Some(object) = platform.read(path).await? else { return Ok(None) };
+    match serde_json::from_slice(&object.body) {
+        Ok(value) => Ok(Some((object.version, value))),
+        Err(error) => {
+            log::error!(target: "platform", "The object {path} can't be understood: {error}.");
+            Err(PlatformError::Refused {
+                step: format!("reading {path}"),
+                peer: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
+                reason: error.to_string(),
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/foreign.rs
@@ -0,0 +1,305 @@
+//! Routes of the services that this instance serves callers for but is no member of.
+//!
+//! They are learned when a caller first asks, and refreshed from any one member: never from the
+//! platform while a member answers, and never from the coordinator by preference. A stale route
+//! costs a redirect, no more.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{Instance, ServiceName, Timestamp};
+use ownership::{Plan, UpstreamState};
+use platform::PlatformError;
+use rand::{RngExt, seq::IndexedRandom};
+use wire::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
+
+use crate::control::state::{Control, ONLY_GROUP};
+
+/// How many services' routes are kept; callers could name any number of services.
+const SERVICES_MAX: usize = 1024;
+/// How many names without a document are looked for at a time.
+const SOUGHT_MAX: usize = 16;
+/// How long a name is known not to be a service before it is looked for again.
+const ABSENT_FOR: Duration = Duration::from_secs(5);
+/// How often the routes of a service are asked for anew.
+const REFRESH_EVERY: Duration = Duration::from_secs(1);
+/// The shortest time between two questions for one service, however stale its routes are.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(100);
+/// Questions without an answer after which the platform is asked.
+const UNANSWERED_MAX: u32 = 3;
+/// How many members are asked at once while answers stay out.
+const ASKED_AT_ONCE: usize = 2;
+
+#[derive(Debug, Default)]
+pub(crate) struct ForeignRoutes {
+    table: BTreeMap<ServiceName, Foreign>,
+}
+
+#[derive(Debug, Default)]
+struct Foreign {
+    routes: Option<RouteTable>,
+    asked_at: Timestamp,
+    unanswered: u32,
+    /// Since when the platform has been known to have no such service.
+    absent_since: Option<Timestamp>,
+}
+
+impl ForeignRoutes {
+    /// The platform has no such service.
+    pub(super) fn set_absent(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+        let Some(foreign) = self.table.get_mut(service) else { return false };
+        let first = foreign.absent_since.is_none();
+        foreign.absent_since.get_or_insert(now);
+        first
+    }
+
+    pub(super) fn absent(&self) -> impl Iterator<Item = &ServiceName> {
+        let absent = self.table.iter().filter(|(_, it)| it.absent_since.is_some());
+        absent.map(|(service, _)| service)
+    }
+
+    /// A document has come into force: its routes are due at once.
+    pub(super) fn has_document(&mut self, service: &ServiceName) {
+        if let Some(foreign) = self.table.get_mut(service) {
+            foreign.asked_at = Timestamp::ZERO;
+            foreign.absent_since = None;
+        }
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&ServiceName, Option<&RouteTable>)> {
+        self.table.iter().map(|(service, it)| (service, it.routes.as_ref()))
+    }
+}
+
+impl Control {
+    /// A caller asked for a service that is not known here.
+    pub(super) fn service_wanted(&mut self, now: Timestamp, service: ServiceName) {
+        let full = self.foreign.table.len() >= SERVICES_MAX;
+        let known = self.foreign.table.contains_key(&service);
+        let sought = self.foreign.table.keys().filter(|it| self.documents.of(it).is_none()).count();
+        if service == *self.service() || (!known && (full || sought >= SOUGHT_MAX)) {
+            return;
+        }
+        let foreign = self.foreign.table.entry(service.clone()).or_default();
+        let asked_before = foreign.asked_at != Timestamp::ZERO;
+        if asked_before && now.since(foreign.asked_at) < REFRESH_EVERY {
+            return;
+        }
+        foreign.asked_at = now;
+        self.parts.calls.read_accepted(&service);
+        self.parts.calls.read_group(&service, ONLY_GROUP);
+        self.ask_peers(&service);
+        // The document may be known already, from a watch.
+        self.dirty = true;
+    }
+
+    pub(super) fn route_is_stale(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        owner: Option<Instance>,
+    ) {
+        let Some(foreign) = self.foreign.table.get_mut(service) else { return };
+        if now.since(foreign.asked_at) < ASK_AGAIN_AFTER {
+            return;
+        }
+        foreign.asked_at = now;
+        foreign.unanswered += 1;
+        let targets = match owner {
+            Some(owner) => vec![owner],
+            None => self.some_members(service, ASKED_AT_ONCE),
+        };
+        self.fetch_routes(service, targets);
+    }
+
+    pub(super) fn refresh_foreign(&mut self, now: Timestamp) {
+        let before = self.foreign.table.len();
+        self.foreign
+            .table
+            .retain(|_, it| it.absent_since.is_none_or(|since| now.since(since) < ABSENT_FOR));
+        self.dirty |= self.foreign.table.len() != before;
+        let due: Vec<ServiceName> = self
+            .foreign
+            .table
+            .iter()
+            .filter(|(_, it)| it.absent_since.is_none())
+            .filter(|(_, it)| now.since(it.asked_at) >= REFRESH_EVERY)
+            .map(|(service, _)| service.clone())
+            .collect();
+        for service in due {
+            self.refresh_one(now, &service);
+        }
+    }
+
+    fn refresh_one(&mut self, now: Timestamp, service: &ServiceName) {
+        let jitter = Duration::from_millis(self.rng.random_range(0..100));
+        let Some(foreign) = self.foreign.table.get_mut(service) else { return };
+        foreign.asked_at = now + jitter;
+        foreign.unanswered += 1;
+        let silent = foreign.unanswered > UNANSWERED_MAX || foreign.routes.is_none();
+        if silent {
+            self.parts.calls.read_accepted(service);
+            self.parts.calls.read_group(service, ONLY_GROUP);
+            self.ask_peers(service);
+        }
+        let asked = if silent { ASKED_AT_ONCE } else { 1 };
+        let targets = self.some_members(service, asked);
+        self.fetch_routes(service, targets);
+    }
+
+    fn some_members(&mut self, service: &ServiceName, count: usize) -> Vec<Instance> {
+        let routes = self.foreign.table.get(service).and_then(|it| it.routes.as_ref());
+        let Some(routes) = routes else { return Vec::new() };
+        let picked = routes.members.sample(&mut self.rng, count);
+        picked.map(|it| it.instance.clone()).collect()
+    }
+
+    fn fetch_routes(&self, service: &ServiceName, targets: Vec<Instance>) {
+        let routes = self.foreign.table.get(service).and_then(|it| it.routes.as_ref());
+        let known = routes.map_or(0, |it| it.version);
+        for target in targets {
+            let envelope = Envelope::FetchRoutes { service: service.clone(), known };
+            self.parts.links.send(&target, envelope.encode());
+        }
+    }
+
+    /// Answers a question for routes: of the own group, or of another as last heard.
+    pub(super) fn send_routes(&self, to: &Instance, service: &ServiceName, known: u64) {
+        let own = (service == self.service()).then(|| self.own_routes()).flatten();
+        let cached = || self.foreign.table.get(service).and_then(|it| it.routes.clone());
+        let Some(mut table) = own.or_else(cached) else { return };
+        if table.version == known {
+            // Nothing but the members can have changed.
+            table.owners.clear();
+        }
+        self.parts.links.send(to, Envelope::Routes(table).encode());
+    }
+
+    pub(super) fn routes_heard(&mut self, from: Instance, mut table: RouteTable) {
+        let service = table.service.clone();
+        let config = table.config;
+        if let Some(foreign) = self.foreign.table.get_mut(&service) {
+            let current = foreign.routes.as_ref();
+            let version = current.map_or(0, |it| it.version);
+            // After long silence whatever a member says is better than what is known.
+            if table.version >= version || foreign.unanswered > UNANSWERED_MAX {
+                let unchanged = table.owners.is_empty() && table.version == version;
+                if let (true, Some(current)) = (unchanged, current) {
+                    keep_owners(&mut table, current);
+                }
+                self.dirty |= current != Some(&table);
+                foreign.routes = Some(table);
+                foreign.unanswered = 0;
+            }
+        }
+        self.version_heard(&from, service, config);
+    }
+
+    /// The plan of a group, for want of a member that answers.
+    pub(super) fn group_read(
+        &mut self,
+        service: ServiceName,
+        result: Result<Option<Plan>, PlatformError>,
+    ) {
+        let plan = match result {
+            Ok(Some(plan)) => plan,
+            Ok(None) => return,
+            Err(error) => {
+                log::debug!(target: "control", "{error}.");
+                return;
+            }
+        };
+        let config = self.documents.version(&service);
+        let Some(foreign) = self.foreign.table.get_mut(&service) else { return };
+        if foreign.routes.is_some() && foreign.unanswered <= UNANSWERED_MAX {
+            return;
+        }
+        let mut table = planned_routes(plan);
+        table.config = config;
+        foreign.routes = Some(table);
+        self.dirty = true;
+        let targets = self.some_members(&service, ASKED_AT_ONCE);
+        self.fetch_routes(&service, targets);
+    }
+
+    /// The own group's routes as its node sees them.
+    fn own_routes(&self) -> Option<RouteTable> {
+        let view = &self.group.as_ref()?.view;
+        let in_force = self.documents.of(self.service())?;
+        let mut members: Vec<RouteMember> = view
+            .members
+            .iter()
+            .map(|it| RouteMember {
+                instance: it.instance.clone(),
+                ready: it.state == UpstreamState::Ready,
+            })
+            .collect();
+        let mut owners = Vec::with_capacity(view.owners.len());
+        for owner in &view.owners {
+            owners.push(RouteOwner {
+                slot: owner.slot,
+                key_hash: owner.key_hash,
+                owner: owner.owner.as_ref().map(|it| index_of(&mut members, it)),
+                successors: owner.successors.iter().map(|it| index_of(&mut members, it)).collect(),
+            });
+        }
+        Some(RouteTable {
+            service: self.service().clone(),
+            config: in_force.version,
+            version: view.route_version,
+            slot_count: in_force.document.slot_count,
+            members,
+            owners,
+        })
+    }
+}
+
+/// The index of an instance, which is added if it is new; such a one is no live member.
+fn index_of(members: &mut Vec<RouteMember>, instance: &Instance) -> u16 {
+    let index = members.iter().position(|it| it.instance == *instance).unwrap_or_else(|| {
+        members.push(RouteMember { instance: instance.clone(), ready: false });
+        members.len() - 1
+    });
+    index as u16
+}
+
+/// The same version, sent without its owners: those known still hold, for the members as listed.
+fn keep_owners(table: &mut RouteTable, current: &RouteTable) {
+    let mut moved = |index: &u16| {
+        index_of(&mut table.members, &current.members[usize::from(*index)].instance)
+    };
+    let owners = current.owners.iter().map(|it| RouteOwner {
+        slot: it.slot,
+        key_hash: it.key_hash,
+        owner: it.owner.as_ref().map(&mut moved),
+        successors: it.successors.iter().map(&mut moved).collect(),
+    });
+    table.owners = owners.collect();
+}
+
+/// What the plan says; its version is not one of routes, so any member's word replaces it.
+fn planned_routes(plan: Plan) -> RouteTable {
+    let slots = plan.slots.into_iter().map(|it| RouteOwner {
+        slot: it.slot,
+        key_hash: None,
+        owner: it.owner,
+        successors: it.successors,
+    });
+    let keys = plan.hot_keys.into_iter().map(|it| RouteOwner {
+        slot: plan.slot_count.slot_of(it.key_hash),
+        key_hash: Some(it.key_hash),
+        owner: it.owner,
+        successors: it.successors,
+    });
+    RouteTable {
+        service: plan.service,
+        config: model::ConfigVersion(0),
+        version: 0,
+        slot_count: plan.slot_count,
+        owners: slots.chain(keys).collect(),
+        members: plan
+            .members
+            .into_iter()
+            .map(|instance| RouteMember { instance, ready: true })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/group.rs
@@ -0,0 +1,124 @@
+//! Drives the `ownership` node of the own service's group.
+
+use std::collections::VecDeque;
+
+use model::{ServiceName, Timestamp};
+use ownership::{Event, Input, MoveReason, Node, NodeConfig, NodeView, Output};
+use settings::{MoveStatus, ServiceDocument};
+use wire::exchange::Envelope;
+
+use crate::control::{
+    state::{ONLY_GROUP, Parts, limits},
+    status::unix_ms,
+};
+
+/// How many past moves the status tells.
+const MOVES_MAX: usize = 32;
+
+/// The node, what it last showed, and what is kept for the status.
+pub(crate) struct Group {
+    node: Node,
+    service: ServiceName,
+    outputs: Vec<Output>,
+    pub(crate) view: NodeView,
+    /// The newest first.
+    pub(crate) moves: VecDeque<MoveStatus>,
+    pub(crate) stopped: bool,
+}
+
+impl Group {
+    pub(crate) fn new(now: Timestamp, parts: &Parts, document: &ServiceDocument) -> Group {
+        let config = NodeConfig {
+            instance: parts.own.clone(),
+            service: document.service.clone(),
+            group: ONLY_GROUP,
+            slot_count: document.slot_count,
+            keyed: document.keyed,
+            limits: limits(document),
+            seed: parts.seed,
+            peers: Vec::new(),
+        };
+        let node = Node::new(config, now);
+        let view = node.view();
+        Group {
+            node,
+            service: document.service.clone(),
+            outputs: Vec::new(),
+            view,
+            moves: VecDeque::new(),
+            stopped: false,
+        }
+    }
+
+    /// Gives the node one input and carries out its outputs in order. True if the routes changed.
+    pub(crate) fn step(&mut self, now: Timestamp, input: Input, parts: &Parts) -> bool {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.node.step(now, input, &mut outputs);
+        let mut gate = Vec::new();
+        for output in outputs.drain(..) {
+            match output {
+                Output::Gate(command) => gate.push(command),
+                other => {
+                    // What the gate was told before holds before anybody hears of it.
+                    parts.gate.apply(&gate);
+                    gate.clear();
+                    self.carry_out(other, parts);
+                }
+            }
+        }
+        parts.gate.apply(&gate);
+        self.outputs = outputs;
+        self.refresh_view()
+    }
+
+    fn refresh_view(&mut self) -> bool {
+        let view = self.node.view();
+        let changed = view.route_version != self.view.route_version
+            || view.term != self.view.term
+            || view.members.len() != self.view.members.len()
+            || view.members.iter().zip(&self.view.members).any(|(new, old)| {
+                new.instance != old.instance || new.state != old.state
+            });
+        self.view = view;
+        changed
+    }
+
+    fn carry_out(&mut self, output: Output, parts: &Parts) {
+        match output {
+            Output::Send { to, message } => {
+                let payload = wire::control::encode(&message);
+                let service = self.service.clone();
+                let envelope = Envelope::Group { service, group: ONLY_GROUP, payload };
+                parts.links.send(&to, envelope.encode());
+            }
+            Output::Platform { call, request } => {
+                parts.calls.node(&self.service, ONLY_GROUP, call, request);
+            }
+            Output::Gate(_) => unreachable!("the gate's commands are taken out before"),
+            Output::Event(event) => self.note(event),
+            Output::Stopped => self.stopped = true,
+        }
+    }
+
+    fn note(&mut self, event: Event) {
+        log::info!(target: "ownership", "{event:?}.");
+        let Event::Granted { slot, token, to, reason } = event else { return };
+        self.moves.push_front(MoveStatus {
+            slot,
+            token,
+            to: to.name,
+            reason: reason_name(reason).to_owned(),
+            at_unix_ms: unix_ms(),
+        });
+        self.moves.truncate(MOVES_MAX);
+    }
+}
+
+fn reason_name(reason: MoveReason) -> &'static str {
+    match reason {
+        MoveReason::First => "first",
+        MoveReason::Loss => "loss",
+        MoveReason::Leave => "leave",
+        MoveReason::Rebalance => "rebalance",
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/mod.rs
@@ -0,0 +1,114 @@
+//! The control thread: membership, leases, documents, routes and the status.
+//!
+//! All state of control lives here, on one thread, in tables that systems run over each tick.
+//! Platform calls run as tasks of the same thread's runtime and come back as [`calls::Done`].
+
+mod accept;
+mod calls;
+mod documents;
+mod foreign;
+mod group;
+mod peers;
+mod publish;
+mod state;
+mod status;
+mod upstream;
+mod watch;
+
+#[cfg(test)]
+mod tests;
+
+use std::{sync::Arc, time::Duration};
+
+use model::Instance;
+use platform::Platform;
+use settings::AgentSettings;
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch as watch_channel},
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::{
+    clock::Clock,
+    gate::GateHandle,
+    links::{ControlLinks, LinkKey},
+    report::Report,
+    snapshot::SnapshotCell,
+};
+
+use self::state::Control;
+
+/// How often the systems run over the tables.
+const TICK: Duration = Duration::from_millis(25);
+
+/// How far this process is on its way out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    Running,
+    /// Hand over everything, then say so.
+    Stopping,
+    /// End the thread.
+    Ending,
+}
+
+/// What the control thread is made from.
+pub struct ControlParts {
+    pub settings: Arc<AgentSettings>,
+    pub own: Instance,
+    pub clock: Clock,
+    pub listener: TcpListener,
+    pub key: LinkKey,
+    pub platform: Arc<dyn Platform>,
+    pub gate: GateHandle,
+    pub snapshots: Arc<SnapshotCell>,
+    pub reports: mpsc::Receiver<Report>,
+    pub phase: watch_channel::Receiver<Phase>,
+    /// Told once everything has been handed over.
+    pub handed_over: oneshot::Sender<()>,
+    /// Seeds nonces and jitter.
+    pub seed: u64,
+}
+
+/// Runs control until [`Phase::Ending`]. To be called on a current-thread runtime of its own.
+pub async fn run(parts: ControlParts) {
+    let ControlParts { listener, key, mut reports, mut phase, handed_over, .. } = parts;
+    let (links, mut events) = ControlLinks::start(parts.own.clone(), listener, key);
+    let (done_sender, mut done) = mpsc::unbounded_channel();
+    let calls = calls::Calls::new(parts.platform, done_sender);
+    let mut control = Control::new(state::Parts {
+        settings: parts.settings,
+        own: parts.own,
+        clock: parts.clock,
+        links,
+        calls,
+        gate: parts.gate,
+        snapshots: parts.snapshots,
+        seed: parts.seed,
+    });
+    let mut handed_over = Some(handed_over);
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            _ = ticks.tick() => control.tick(),
+            Some(event) = events.recv() => control.peer_event(event),
+            Some(it) = done.recv() => control.call_done(it),
+            Some(report) = reports.recv() => control.report(report),
+            changed = phase.changed() => match *phase.borrow() {
+                _ if changed.is_err() => return,
+                Phase::Running => {}
+                Phase::Stopping => control.stop(),
+                Phase::Ending => return,
+            },
+        }
+        control.publish();
+        if control.is_handed_over() {
+            if let Some(sender) = handed_over.take() {
+                // The other side may have given up waiting.
+                _ = sender.send(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/publish.rs
@@ -0,0 +1,98 @@
+//! Publishes what traffic needs, whole, whenever something of it has changed.
+
+use std::{collections::HashMap, sync::Arc};
+
+use model::{Instance, ServiceName};
+use ownership::UpstreamState;
+use wire::exchange::{RouteMember, RouteTable};
+
+use crate::{
+    control::{documents::InForce, state::Control},
+    snapshot::{
+        KeyRoutes, LocalUpstream, MemberRoute, OwnerRoute, Routes, ServiceRoutes, Snapshot,
+    },
+};
+
+impl Control {
+    pub(crate) fn publish(&mut self) {
+        if !self.dirty {
+            return;
+        }
+        self.dirty = false;
+        let mut services = HashMap::new();
+        if let Some(routes) = self.own_service_routes() {
+            services.insert(routes.service.clone(), Arc::new(routes));
+        }
+        for (service, table) in self.foreign.iter() {
+            let Some(in_force) = self.documents.of(service) else { continue };
+            let routes = routes_of(in_force, table);
+            services.insert(service.clone(), Arc::new(service_routes(service, in_force, routes)));
+        }
+        let absent = self.foreign.absent().cloned().collect();
+        let local = self.local.announcement.clone().map(|announcement| LocalUpstream {
+            draining: self.stopping || announcement.state == UpstreamState::Draining,
+            announcement,
+        });
+        self.parts.snapshots.store(Snapshot { services, absent, local });
+    }
+
+    fn own_service_routes(&self) -> Option<ServiceRoutes> {
+        let view = &self.group.as_ref()?.view;
+        let service = self.service();
+        let in_force = self.documents.of(service)?;
+        let routes = if in_force.document.keyed {
+            Routes::ByKey(KeyRoutes::from_view(in_force.document.slot_count, view))
+        } else {
+            let members = view.members.iter();
+            let members = members
+                .map(|it| MemberRoute { instance: it.instance.clone(), state: it.state });
+            Routes::Any(members.collect())
+        };
+        Some(service_routes(service, in_force, routes))
+    }
+}
+
+fn service_routes(service: &ServiceName, in_force: &InForce, routes: Routes) -> ServiceRoutes {
+    ServiceRoutes {
+        service: service.clone(),
+        version: in_force.version,
+        document: Arc::clone(&in_force.document),
+        routes,
+    }
+}
+
+fn routes_of(in_force: &InForce, table: Option<&RouteTable>) -> Routes {
+    match table {
+        table if in_force.document.keyed => Routes::ByKey(key_routes(in_force, table)),
+        Some(table) => Routes::Any(table.members.iter().map(member_route).collect()),
+        None => Routes::Any(Vec::new()),
+    }
+}
+
+fn member_route(member: &RouteMember) -> MemberRoute {
+    let state = if member.ready { UpstreamState::Ready } else { UpstreamState::Starting };
+    MemberRoute { instance: member.instance.clone(), state }
+}
+
+fn key_routes(in_force: &InForce, table: Option<&RouteTable>) -> KeyRoutes {
+    let slot_count = in_force.document.slot_count;
+    let mut slots = vec![OwnerRoute::default(); usize::from(slot_count.count())];
+    let mut hot_keys = HashMap::new();
+    let instance = |members: &[RouteMember], index: u16| -> Option<Instance> {
+        members.get(usize::from(index)).map(|it| it.instance.clone())
+    };
+    for owner in table.iter().flat_map(|it| &it.owners) {
+        let members = table.map_or(&[][..], |it| &it.members);
+        let route = OwnerRoute {
+            owner: owner.owner.and_then(|it| instance(members, it)),
+            successors: owner.successors.iter().filter_map(|it| instance(members, *it)).collect(),
+        };
+        match (owner.key_hash, slots.get_mut(usize::from(owner.slot.0))) {
+            (Some(key_hash), _) => drop(hot_keys.insert(key_hash, route)),
+            (None, Some(slot)) => *slot = route,
+            (None, None) => {}
+        }
+    }
+    let route_version = table.map_or(0, |it| it.version);
+    KeyRoutes { route_version, slot_count, slots, hot_keys }
+}
--- /dev/null
+++ b/crates/agent/src/control/status.rs
@@ -0,0 +1,231 @@
+//! The status of the group, written by its coordinator: when it changes, and seldom.
+
+use std::time::{Duration, SystemTime};
+
+use model::{ObjectVersion, Timestamp};
+use ownership::{MemberView, OwnerView, UpstreamState};
+use platform::PlatformError;
+use settings::{
+    CoordinatorStatus, HotKeyStatus, InForce, Measures, OwnerStatus, Status, UpstreamStateName,
+    UpstreamStatus,
+};
+
+use crate::control::state::{Control, ONLY_GROUP};
+
+/// The shortest time between two writes of a changed status.
+const WRITE_EVERY: Duration = Duration::from_secs(1);
+/// A status that did not change is written again after this, so that a reader sees its age.
+const WRITE_AGAIN_AFTER: Duration = Duration::from_secs(30);
+/// The period over which the measures look back.
+const MEASURED_MS: u64 = 60_000;
+
+#[derive(Debug, Default)]
+pub(crate) struct StatusWriter {
+    /// The object's version; none: to be read first.
+    object: Option<ObjectVersion>,
+    in_flight: bool,
+    written_at: Option<Timestamp>,
+    written: Option<Status>,
+    in_force_since_unix_ms: Option<u64>,
+    versions_sent_at: Option<Timestamp>,
+    /// Since when a slot has had no owner.
+    unowned_since: Option<Timestamp>,
+    unavailable_max: Duration,
+}
+
+impl StatusWriter {
+    /// Whether versions are due to be spread again; notes that they are.
+    pub(super) fn versions_due(&mut self, now: Timestamp, every: Duration) -> bool {
+        let due = self.versions_sent_at.is_none_or(|it| now.since(it) >= every);
+        if due {
+            self.versions_sent_at = Some(now);
+        }
+        due
+    }
+
+    fn is_due(&self, now: Timestamp, status: &Status) -> bool {
+        let Some(written_at) = self.written_at else { return true };
+        let age = now.since(written_at);
+        match &self.written {
+            Some(written) if same(written, status) => age >= WRITE_AGAIN_AFTER,
+            _ => age >= WRITE_EVERY,
+        }
+    }
+
+    fn note_unowned(&mut self, now: Timestamp, unowned: bool) {
+        self.unowned_since = match self.unowned_since {
+            _ if !unowned => None,
+            None => Some(now),
+            since => since,
+        };
+        if let Some(since) = self.unowned_since {
+            self.unavailable_max = self.unavailable_max.max(now.since(since));
+        }
+    }
+}
+
+/// Wall-clock milliseconds since 1970, for people to read.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis() as u64)
+}
+
+impl Control {
+    pub(super) fn write_status(&mut self, now: Timestamp) {
+        let Some(group) = &self.group else { return };
+        let unowned = group.view.owners.iter().any(|it| it.owner.is_none());
+        self.status.note_unowned(now, unowned);
+        if !group.view.is_coordinator {
+            // Another's writes are unknown here: read before the next one.
+            self.status.object = None;
+            self.status.written_at = None;
+            return;
+        }
+        if self.status.in_flight {
+            return;
+        }
+        let status = self.build_status();
+        if !self.status.is_due(now, &status) {
+            return;
+        }
+        self.status.in_flight = true;
+        match self.status.object {
+            None => self.parts.calls.read_status(&status.service, ONLY_GROUP),
+            Some(object) => {
+                self.parts.calls.write_status(object, &status);
+                self.status.written_at = Some(now);
+                self.status.written = Some(status);
+            }
+        }
+    }
+
+    pub(super) fn status_read(&mut self, result: Result<Option<ObjectVersion>, PlatformError>) {
+        self.status.in_flight = false;
+        match result {
+            Ok(version) => self.status.object = Some(version.unwrap_or_default()),
+            Err(error) => self.status_failed(&error),
+        }
+    }
+
+    pub(super) fn status_written(&mut self, result: Result<ObjectVersion, PlatformError>) {
+        self.status.in_flight = false;
+        match result {
+            Ok(version) => self.status.object = Some(version),
+            Err(error) => self.status_failed(&error),
+        }
+    }
+
+    fn status_failed(&mut self, error: &PlatformError) {
+        log::debug!(target: "status", "{error}.");
+        self.status.object = None;
+        self.status.written = None;
+        self.status.written_at = Some(self.now());
+    }
+
+    fn build_status(&mut self) -> Status {
+        let in_force = self.in_force();
+        let Some(group) = &self.group else { unreachable!("a coordinator has a group") };
+        let view = &group.view;
+        let accepted = self.documents.version(self.service());
+        Status {
+            service: self.service().clone(),
+            group: ONLY_GROUP,
+            written_at_unix_ms: unix_ms(),
+            accepted: (accepted.0 > 0).then_some(accepted),
+            in_force,
+            refused: self.acceptor.refused.clone(),
+            coordinator: CoordinatorStatus {
+                instance: self.parts.own.name.clone(),
+                zone: self.parts.own.zone.clone(),
+                term: view.term,
+                settled: view.settled,
+            },
+            owners: view.members.iter().map(|it| owner_status(it, &view.owners)).collect(),
+            upstreams: view.members.iter().map(upstream_status).collect(),
+            hot_keys: view.owners.iter().filter_map(hot_key_status).collect(),
+            measures: self.measures(),
+            moves: group.moves.iter().cloned().collect(),
+        }
+    }
+
+    fn in_force(&mut self) -> InForce {
+        let accepted = self.documents.version(self.service());
+        let members = self.group.as_ref().map_or(&[][..], |it| &it.view.members);
+        let instances = members.iter().filter(|it| it.config >= accepted).count() as u32;
+        let of = members.len() as u32;
+        let since = &mut self.status.in_force_since_unix_ms;
+        if instances < of {
+            *since = None;
+        } else if since.is_none() {
+            *since = Some(unix_ms());
+        }
+        InForce { instances, of, since_unix_ms: *since }
+    }
+
+    fn measures(&self) -> Measures {
+        let Some(group) = &self.group else { return Measures::default() };
+        let loads: Vec<u64> = group.view.members.iter().map(|it| it.load_us_per_s).collect();
+        let mean = loads.iter().sum::<u64>() as f64 / loads.len().max(1) as f64;
+        let busiest = loads.iter().max().copied().unwrap_or_default() as f64;
+        let oldest_ms = unix_ms().saturating_sub(MEASURED_MS);
+        let moved = group
+            .moves
+            .iter()
+            .filter(|it| it.at_unix_ms >= oldest_ms && it.reason != "first")
+            .count();
+        let slots = group.view.owners.iter().filter(|it| it.key_hash.is_none()).count();
+        Measures {
+            imbalance: if mean > 0.0 { busiest / mean } else { 1.0 },
+            churn_per_minute: moved as f64 / slots.max(1) as f64,
+            unavailable_ms_max: self.status.unavailable_max.as_millis() as u64,
+        }
+    }
+}
+
+fn owner_status(member: &MemberView, owners: &[OwnerView]) -> OwnerStatus {
+    let slots = owners
+        .iter()
+        .filter(|it| it.key_hash.is_none() && it.owner.as_ref() == Some(&member.instance));
+    OwnerStatus {
+        instance: member.instance.name.clone(),
+        zone: member.instance.zone.clone(),
+        slots: slots.count() as u32,
+        load_us_per_s: member.load_us_per_s,
+        config: member.config,
+    }
+}
+
+fn upstream_status(member: &MemberView) -> UpstreamStatus {
+    let state = match member.state {
+        UpstreamState::Starting => UpstreamStateName::Starting,
+        UpstreamState::Ready => UpstreamStateName::Ready,
+        UpstreamState::Draining => UpstreamStateName::Draining,
+        UpstreamState::Lost => UpstreamStateName::Lost,
+    };
+    UpstreamStatus {
+        instance: member.instance.name.clone(),
+        zone: member.instance.zone.clone(),
+        state,
+    }
+}
+
+fn hot_key_status(owner: &OwnerView) -> Option<HotKeyStatus> {
+    let key_hash = owner.key_hash?;
+    let name = owner.owner.as_ref().map(|it| it.name.clone());
+    Some(HotKeyStatus { key_hash, owner: name, load_us_per_s: 0 })
+}
+
+/// Whether two statuses tell the same, loads and times of writing aside.
+fn same(left: &Status, right: &Status) -> bool {
+    left.accepted == right.accepted
+        && left.in_force == right.in_force
+        && left.refused == right.refused
+        && left.coordinator == right.coordinator
+        && left.upstreams == right.upstreams
+        && left.moves == right.moves
+        && left.hot_keys.len() == right.hot_keys.len()
+        && left.owners.iter().map(|it| (&it.instance, it.slots)).eq(right
+            .owners
+            .iter()
+            .map(|it| (&it.instance, it.slots)))
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 pub mod clock;
+pub mod control;
 pub mod gate;
 pub mod links;
 pub mod report;
