--- /dev/null
+++ b/crates/agent/src/forward/mod.rs
@@ -0,0 +1,218 @@
+//! Brings a request to a gate that may take it: picks targets, follows stale routes, retries.
+
+mod selector;
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use model::{Instance, NotRunReason, Outcome, ServiceName, TeamName, Timestamp, UnknownReason};
+use tokio::time::{sleep, timeout};
+use traffic::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict};
+
+use crate::{
+    clock::Clock,
+    gate::Gate,
+    links::traffic::TrafficLinks,
+    metrics::Metrics,
+    report::{Report, Reporter},
+    request::{GateReply, GateRequest},
+    snapshot::{ServiceRoutes, SnapshotCell},
+};
+
+use selector::Selector;
+
+pub(crate) use selector::home;
+
+/// What a forwarder is made from.
+pub(crate) struct ForwardParts {
+    pub(crate) own: Instance,
+    pub(crate) clock: Clock,
+    pub(crate) snapshots: Arc<SnapshotCell>,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) links: TrafficLinks,
+    pub(crate) reporter: Reporter,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// Sends requests of callers on.
+pub(crate) struct Forwarder {
+    parts: ForwardParts,
+    services: Mutex<HashMap<ServiceName, Arc<ServiceState>>>,
+}
+
+/// What this agent remembers of a service over requests.
+struct ServiceState {
+    retries: Mutex<Retries>,
+    selector: Selector,
+}
+
+/// The final answer for a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Ending {
+    pub(crate) reply: GateReply,
+    /// When the caller may come back.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// Where to send a request next, beside the snapshot's routes.
+#[derive(Debug, Default)]
+struct Trail {
+    /// A peer named this owner.
+    hint: Option<Instance>,
+    /// Those that did not take the request.
+    tried: Vec<Instance>,
+}
+
+impl Forwarder {
+    pub(crate) fn new(parts: ForwardParts) -> Forwarder {
+        Forwarder { parts, services: Mutex::default() }
+    }
+
+    fn state(&self, routes: &ServiceRoutes) -> Arc<ServiceState> {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let new = || {
+            let budget_share = routes.document.limits.retry_share;
+            let config = RetryConfig { budget_share, ..RetryConfig::default() };
+            Arc::new(ServiceState {
+                retries: Mutex::new(Retries::new(config)),
+                selector: Selector::new(self.parts.own.clone()),
+            })
+        };
+        Arc::clone(services.entry(routes.service.clone()).or_insert_with(new))
+    }
+
+    /// Sends a request until it has its end. Dropping the future cancels it.
+    pub(crate) async fn send(&self, mut request: GateRequest, team: &TeamName) -> Ending {
+        let clock = self.parts.clock;
+        let started = clock.now();
+        let deadline = started + request.remaining;
+        let first_age = request.age;
+        let mut attempts = Attempts::default();
+        let mut trail = Trail::default();
+        let mut fresh = true;
+        loop {
+            let Some(routes) = self.routes(&request.service) else {
+                return Ending::given_up(GateReply::not_run(NotRunReason::Unreachable));
+            };
+            let state = self.state(&routes);
+            if std::mem::take(&mut fresh) {
+                state.retries().fresh();
+            }
+            let now = clock.now();
+            request.remaining = deadline.since(now);
+            if attempts != Attempts::default() {
+                // The caller may have sent it again elsewhere while it was held here.
+                request.age = first_age + now.since(started);
+            }
+            let reply = self.attempt(&state, &routes, &request, &mut trail).await;
+            let retry_after = match &reply {
+                GateReply::Failed { retry_after, .. } => *retry_after,
+                _ => None,
+            };
+            let ended = Attempt {
+                outcome: reply.outcome(),
+                retry_after,
+                other_owner: trail.hint.is_some(),
+            };
+            if ended.outcome == Outcome::Answered {
+                return Ending { reply, retry_after: None };
+            }
+            let idempotent = request.idempotent;
+            let verdict = state.decide(clock.now(), deadline, idempotent, &mut attempts, &ended);
+            match verdict {
+                RetryVerdict::Follow => self.parts.metrics.again(team, "redirect"),
+                RetryVerdict::Retry { after } => {
+                    self.parts.metrics.again(team, "retry");
+                    sleep(after).await;
+                }
+                RetryVerdict::GiveUp { retry_after } => {
+                    let reply = final_reply(reply);
+                    return Ending { reply, retry_after };
+                }
+            }
+        }
+    }
+
+    fn routes(&self, service: &ServiceName) -> Option<Arc<ServiceRoutes>> {
+        self.parts.snapshots.load().services.get(service).cloned()
+    }
+
+    async fn attempt(
+        &self,
+        state: &ServiceState,
+        routes: &ServiceRoutes,
+        request: &GateRequest,
+        trail: &mut Trail,
+    ) -> GateReply {
+        let now = self.parts.clock.now();
+        let hint = trail.hint.take();
+        let Some(target) = state.selector.target(now, routes, request, hint, &trail.tried) else {
+            trail.tried.clear();
+            return GateReply::not_run(NotRunReason::NoOwner);
+        };
+        let asking = state.selector.start(now, self.parts.clock, &target, routes, request);
+        let reply = self.ask(&target, request).await;
+        asking.finish(reply.outcome());
+        match &reply {
+            GateReply::NotOwner { owner, route_version } => {
+                trail.hint = owner.clone().filter(|it| *it != target);
+                self.report_stale(request, owner, *route_version);
+            }
+            GateReply::Failed { outcome: Outcome::NotRun(_), .. } => trail.tried.push(target),
+            _ => {}
+        }
+        reply
+    }
+
+    async fn ask(&self, target: &Instance, request: &GateRequest) -> GateReply {
+        if *target != self.parts.own {
+            return self.parts.links.ask(target, request).await;
+        }
+        let reply = self.parts.gate.submit(request.clone());
+        match timeout(request.remaining, reply).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) => GateReply::unknown(UnknownReason::ConnectionLost),
+            Err(_) => GateReply::unknown(UnknownReason::DeadlineExceeded),
+        }
+    }
+
+    fn report_stale(&self, request: &GateRequest, owner: &Option<Instance>, route_version: u64) {
+        let Some(key_hash) = request.key_hash else { return };
+        let (service, owner) = (request.service.clone(), owner.clone());
+        self.parts.reporter.hint(Report::StaleRoute { service, key_hash, owner, route_version });
+    }
+}
+
+/// A caller has no use for the name of an owner.
+fn final_reply(reply: GateReply) -> GateReply {
+    match reply {
+        GateReply::NotOwner { .. } => GateReply::not_run(NotRunReason::NotOwner),
+        reply => reply,
+    }
+}
+
+impl Ending {
+    pub(crate) fn given_up(reply: GateReply) -> Ending {
+        Ending { reply, retry_after: None }
+    }
+}
+
+impl ServiceState {
+    fn retries(&self) -> std::sync::MutexGuard<'_, Retries> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn decide(
+        &self,
+        now: Timestamp,
+        deadline: Timestamp,
+        idempotent: bool,
+        attempts: &mut Attempts,
+        ended: &Attempt,
+    ) -> RetryVerdict {
+        self.retries().decide(now, deadline, idempotent, attempts, ended, &mut rand::rng())
+    }
+}
--- /dev/null
+++ b/crates/agent/src/forward/selector.rs
@@ -0,0 +1,167 @@
+//! Which instance a request is sent to.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use model::{Instance, InstanceName, KeyHash, Outcome, RequestId, Timestamp};
+use ownership::UpstreamState;
+use traffic::{HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState};
+
+use crate::{
+    clock::Clock,
+    request::GateRequest,
+    snapshot::{KeyRoutes, MemberRoute, Routes, ServiceRoutes},
+};
+
+/// The targets of one service.
+pub(super) struct Selector {
+    own: Instance,
+    selection: Arc<Mutex<Option<Selecting>>>,
+}
+
+/// The selection for one list of members.
+struct Selecting {
+    selection: Selection,
+    members: Vec<MemberRoute>,
+}
+
+/// A request counted as in flight at a target; dropped unfinished, it was cancelled.
+pub(super) struct Asking {
+    selection: Option<Arc<Mutex<Option<Selecting>>>>,
+    clock: Clock,
+    target: Instance,
+    started: Timestamp,
+}
+
+impl Selector {
+    pub(super) fn new(own: Instance) -> Selector {
+        Selector { own, selection: Arc::default() }
+    }
+
+    /// The next target; none: nobody may take the request at the moment.
+    pub(super) fn target(
+        &self,
+        now: Timestamp,
+        routes: &ServiceRoutes,
+        request: &GateRequest,
+        hint: Option<Instance>,
+        tried: &[Instance],
+    ) -> Option<Instance> {
+        match (&routes.routes, request.key_hash) {
+            _ if hint.is_some() => hint,
+            (Routes::ByKey(routes), Some(key_hash)) => by_key(routes, key_hash, tried),
+            (Routes::Any(members), None) if request.idempotent => {
+                self.pick(now, routes, members, tried)
+            }
+            (Routes::Any(members), None) => home(members, request.id),
+            _ => None,
+        }
+    }
+
+    /// Two choices among the members. Counted as in flight: [`Selector::start`] must follow.
+    fn pick(
+        &self,
+        now: Timestamp,
+        routes: &ServiceRoutes,
+        members: &[MemberRoute],
+        tried: &[Instance],
+    ) -> Option<Instance> {
+        let mut lock = lock(&self.selection);
+        let selecting = lock.get_or_insert_with(|| {
+            let slow_start = routes.document.upstream.warmup;
+            let config = SelectionConfig { slow_start, ..SelectionConfig::default() };
+            let selection = Selection::new(config, self.own.zone.clone());
+            Selecting { selection, members: Vec::new() }
+        });
+        if !same_members(&selecting.members, members) {
+            let specs: Vec<TargetSpec> = members.iter().map(spec).collect();
+            selecting.selection.update(now, &specs);
+            selecting.members = members.to_vec();
+        }
+        let tried: Vec<InstanceName> = tried.iter().map(|it| it.name.clone()).collect();
+        selecting.selection.pick(now, &tried, &mut rand::rng())
+    }
+
+    pub(super) fn start(
+        &self,
+        now: Timestamp,
+        clock: Clock,
+        target: &Instance,
+        routes: &ServiceRoutes,
+        request: &GateRequest,
+    ) -> Asking {
+        let picked = matches!(routes.routes, Routes::Any(_)) && request.idempotent;
+        Asking {
+            selection: picked.then(|| Arc::clone(&self.selection)),
+            clock,
+            target: target.clone(),
+            started: now,
+        }
+    }
+}
+
+impl Asking {
+    pub(super) fn finish(mut self, outcome: Outcome) {
+        let result = match outcome {
+            Outcome::Answered => TargetResult::Answered,
+            Outcome::NotRun(model::NotRunReason::Unreachable) | Outcome::Unknown(_) => {
+                TargetResult::Failed
+            }
+            Outcome::NotRun(model::NotRunReason::DeadlineExceeded) => TargetResult::Cancelled,
+            Outcome::NotRun(_) => TargetResult::Shed,
+        };
+        self.end(result);
+    }
+
+    fn end(&mut self, result: TargetResult) {
+        let Some(selection) = self.selection.take() else { return };
+        let now = self.clock.now();
+        if let Some(selecting) = &mut *lock(&selection) {
+            let taken = now.since(self.started);
+            selecting.selection.finish(now, &self.target, taken, result);
+        }
+    }
+}
+
+impl Drop for Asking {
+    fn drop(&mut self) {
+        self.end(TargetResult::Cancelled);
+    }
+}
+
+fn lock(selection: &Mutex<Option<Selecting>>) -> MutexGuard<'_, Option<Selecting>> {
+    selection.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn same_members(a: &[MemberRoute], b: &[MemberRoute]) -> bool {
+    a.len() == b.len()
+        && a.iter().zip(b).all(|(a, b)| a.instance == b.instance && a.state == b.state)
+}
+
+fn spec(member: &MemberRoute) -> TargetSpec {
+    let state = match member.state {
+        UpstreamState::Ready => TargetState::Ready,
+        _ => TargetState::Closed,
+    };
+    TargetSpec { instance: member.instance.clone(), state, hint: HealthHint::default() }
+}
+
+/// The owner, or whoever follows it once it could not be reached.
+fn by_key(routes: &KeyRoutes, key_hash: KeyHash, tried: &[Instance]) -> Option<Instance> {
+    let route = routes.route(key_hash);
+    let mut all = route.owner.iter().chain(&route.successors);
+    all.find(|it| !tried.contains(it)).or(route.owner.as_ref()).cloned()
+}
+
+/// The one member that may run a request that is not idempotent: the same for all agents that
+/// know the same members, so that a resend finds the record of its first sending.
+pub(crate) fn home(members: &[MemberRoute], id: RequestId) -> Option<Instance> {
+    let weight = |it: &&MemberRoute| {
+        let mut key = Vec::with_capacity(64);
+        key.extend_from_slice(&id.0.to_le_bytes());
+        key.extend_from_slice(&it.instance.incarnation.0.to_le_bytes());
+        key.extend_from_slice(it.instance.name.as_str().as_bytes());
+        model::key_hash(&key)
+    };
+    let ready = members.iter().filter(|it| it.state == UpstreamState::Ready);
+    ready.max_by_key(weight).map(|it| it.instance.clone())
+}
--- /dev/null
+++ b/crates/agent/src/gate/bound.rs
@@ -0,0 +1,136 @@
+//! The upstream that the gate leads to, and the document that it serves it under.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use model::{ConfigVersion, Instance, ServiceName, Timestamp};
+use ownership::UpstreamState;
+use settings::ServiceDocument;
+use traffic::RecordsConfig;
+use upstream::Upstream;
+
+use crate::{
+    gate::{Gate, lane::Lane, records::Book},
+    report::Announcement,
+    snapshot::{Routes, ServiceRoutes, Snapshot},
+};
+
+/// Each unit gets a share of the memory for records as if this share of all units were here.
+const UNITS_HELD_SHARE: usize = 4;
+const UNIT_RECORDS_BYTES_MIN: usize = 64 << 10;
+/// How much older than it says a resend may be.
+const AGE_MARGIN: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// One upstream under one version of its document.
+pub(crate) struct Bound {
+    pub(crate) service: ServiceName,
+    pub(crate) version: ConfigVersion,
+    pub(crate) document: Arc<ServiceDocument>,
+    pub(crate) announcement: Announcement,
+    pub(crate) draining: bool,
+    pub(crate) upstream: Arc<dyn Upstream>,
+    pub(crate) lane: Arc<Lane>,
+    members: Vec<Instance>,
+}
+
+impl Gate {
+    /// Follows the snapshot: the upstream's address, its document, its draining.
+    pub(super) fn rebind(&self) {
+        let snapshot = self.snapshots.load();
+        let Some((service, local)) = local_service(&snapshot) else { return };
+        let former = self.bound.load_full();
+        let bound = match self.next_bound(former.as_deref(), service, &local.announcement) {
+            Ok(bound) => bound,
+            Err(error) => {
+                log::error!(target: "gate", "No client of the upstream: {error:#}.");
+                return;
+            }
+        };
+        let bound = Bound { draining: local.draining, members: members(service), ..bound };
+        let now = self.clock.now();
+        if former.as_ref().is_none_or(|it| it.members != bound.members) {
+            self.members_changed_ns.store(now.ns, Ordering::SeqCst);
+        }
+        self.book.get_or_init(|| new_book(&bound.document));
+        if bound.draining && !bound.document.keyed {
+            bound.lane.drain();
+        }
+        self.bound.store(Some(Arc::new(bound)));
+    }
+
+    fn next_bound(
+        &self,
+        former: Option<&Bound>,
+        service: &ServiceRoutes,
+        announcement: &Announcement,
+    ) -> anyhow::Result<Bound> {
+        let document = &service.document;
+        let same_address = former.filter(|it| it.announcement.address == announcement.address);
+        // A version may change limits of the client: connections are cheap to make anew.
+        let upstream = match same_address.filter(|it| it.version == service.version) {
+            Some(former) => Arc::clone(&former.upstream),
+            None => (self.connect)(announcement.address, document)?,
+        };
+        let lane = match same_address {
+            Some(it)
+                if it.version == service.version
+                    && it.announcement.slots == announcement.slots
+                    && !revived(it, announcement.state) =>
+            {
+                Arc::clone(&it.lane)
+            }
+            _ => Lane::start(self.clock, document, announcement.slots, self.own.incarnation.0),
+        };
+        Ok(Bound {
+            service: service.service.clone(),
+            version: service.version,
+            document: Arc::clone(document),
+            announcement: announcement.clone(),
+            draining: false,
+            upstream,
+            lane,
+            members: Vec::new(),
+        })
+    }
+
+    /// When an owner that was not told of a change of members may have sent requests elsewhere.
+    pub(super) fn members_changed(&self) -> Timestamp {
+        Timestamp { ns: self.members_changed_ns.load(Ordering::SeqCst) }
+    }
+}
+
+/// A lane that was drained, or whose upstream was lost, is not used again.
+fn revived(former: &Bound, state: UpstreamState) -> bool {
+    let gone = former.draining || former.announcement.state == UpstreamState::Lost;
+    gone && state == UpstreamState::Ready
+}
+
+fn local_service(snapshot: &Snapshot) -> Option<(&ServiceRoutes, &crate::snapshot::LocalUpstream)> {
+    let local = snapshot.local.as_ref()?;
+    let service = snapshot.services.get(&local.announcement.service)?;
+    Some((service, local))
+}
+
+fn members(service: &ServiceRoutes) -> Vec<Instance> {
+    match &service.routes {
+        Routes::Any(members) => {
+            let ready = members.iter().filter(|it| it.state == UpstreamState::Ready);
+            let mut ready: Vec<Instance> = ready.map(|it| it.instance.clone()).collect();
+            ready.sort_by(|a, b| a.name.cmp(&b.name));
+            ready
+        }
+        Routes::ByKey(_) => Vec::new(),
+    }
+}
+
+fn new_book(document: &ServiceDocument) -> Book {
+    let units = match document.keyed {
+        true => (usize::from(document.slot_count.count()) / UNITS_HELD_SHARE).max(1),
+        false => 1,
+    };
+    let config = RecordsConfig {
+        bytes_max: (document.limits.records_bytes_max / units).max(UNIT_RECORDS_BYTES_MIN),
+        keep: document.limits.records_for,
+        age_margin: AGE_MARGIN,
+    };
+    Book::new(config, document.ownership.lease / 2)
+}
--- /dev/null
+++ b/crates/agent/src/gate/lane.rs
@@ -0,0 +1,269 @@
+//! The way into one upstream: its slots and its queue, for one version of its document.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    time::Duration,
+};
+
+use model::{ClassName, NotRunReason, Timestamp};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use settings::ServiceDocument;
+use tokio::{
+    sync::{Notify, oneshot},
+    task::AbortHandle,
+    time::sleep_until,
+};
+use traffic::{
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, Ticket,
+    Verdict,
+};
+
+use crate::clock::Clock;
+
+/// What a request is expected to take until some have been measured.
+const SERVICE_GUESS: Duration = Duration::from_millis(10);
+/// How many mean deviations above the mean a request is given room to run.
+const CERTAINTY: f64 = 1.0;
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+
+/// Admission, shared by the requests of the traffic threads.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    clock: Clock,
+    classes: HashMap<ClassName, ClassIndex>,
+    state: Mutex<LaneState>,
+    /// A request has begun to wait.
+    queued: Arc<Notify>,
+    ticker: Mutex<Option<AbortHandle>>,
+}
+
+#[derive(Debug)]
+struct LaneState {
+    admission: Admission,
+    waiting: HashMap<Ticket, oneshot::Sender<Verdict>>,
+    rng: Pcg64Mcg,
+    decisions: Vec<Decision>,
+}
+
+/// What a lane says to a request that arrives.
+#[derive(Debug)]
+pub(crate) enum Offer {
+    Go(Permit),
+    Wait(Place),
+    Refused { reason: NotRunReason, retry_after: Option<Duration> },
+}
+
+/// One of the upstream's slots; dropped, it goes to the next request.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    lane: Arc<Lane>,
+    ticket: Ticket,
+    /// How the request ended: never given to the upstream, until said otherwise.
+    pub(crate) completion: Completion,
+}
+
+/// A place in the queue; dropped, it is given up.
+#[derive(Debug)]
+pub(crate) struct Place {
+    lane: Arc<Lane>,
+    ticket: Ticket,
+    verdict: oneshot::Receiver<Verdict>,
+    done: bool,
+}
+
+impl Lane {
+    /// A lane whose upstream starts cold, on the runtime that calls.
+    pub(crate) fn start(
+        clock: Clock,
+        document: &ServiceDocument,
+        slots: u16,
+        seed: u64,
+    ) -> Arc<Lane> {
+        let class = |it: &settings::Class| ClassConfig {
+            name: it.name.clone(),
+            weight: f64::from(it.weight),
+            service_guess: SERVICE_GUESS,
+        };
+        let config = AdmissionConfig {
+            slots: usize::from(slots).clamp(1, document.upstream.slots as usize),
+            queue_len_max: document.limits.queue_length_max as usize,
+            queue_time_max: document.limits.queue_wait_max,
+            slow_start: document.upstream.warmup,
+            certainty: CERTAINTY,
+            retry_after_min: RETRY_AFTER_MIN,
+            classes: document.classes.iter().map(class).collect(),
+        };
+        let names = document.classes.iter().enumerate();
+        let lane = Arc::new(Lane {
+            clock,
+            classes: names.map(|(index, it)| (it.name.clone(), ClassIndex(index))).collect(),
+            state: Mutex::new(LaneState {
+                admission: Admission::new(config, clock.now()),
+                waiting: HashMap::new(),
+                rng: Pcg64Mcg::seed_from_u64(seed),
+                decisions: Vec::new(),
+            }),
+            queued: Arc::default(),
+            ticker: Mutex::default(),
+        });
+        let task = tokio::spawn(tick(Arc::downgrade(&lane), Arc::clone(&lane.queued), clock));
+        *lane.ticker.lock().unwrap_or_else(PoisonError::into_inner) = Some(task.abort_handle());
+        lane
+    }
+
+    fn state(&self) -> MutexGuard<'_, LaneState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a request in, or refuses it at once.
+    pub(crate) fn offer(self: &Arc<Lane>, class: &ClassName, deadline: Timestamp) -> Offer {
+        // An ingress with another version of the document may know other classes.
+        let class = self.classes.get(class).copied().unwrap_or(ClassIndex(0));
+        let now = self.clock.now();
+        let mut lock = self.state();
+        let state = &mut *lock;
+        let ticket = state.admission.offer(
+            now,
+            Arrival { class, deadline },
+            &mut state.rng,
+            &mut state.decisions,
+        );
+        let own = state.decisions.iter().position(|it| it.ticket == ticket);
+        let own = own.map(|it| state.decisions.swap_remove(it).verdict);
+        self.deliver(now, state);
+        match own {
+            Some(verdict) => self.offer_of(ticket, verdict),
+            None => {
+                let (sender, verdict) = oneshot::channel();
+                state.waiting.insert(ticket, sender);
+                drop(lock);
+                self.queued.notify_one();
+                Offer::Wait(Place { lane: Arc::clone(self), ticket, verdict, done: false })
+            }
+        }
+    }
+
+    fn offer_of(self: &Arc<Lane>, ticket: Ticket, verdict: Verdict) -> Offer {
+        match verdict {
+            Verdict::Start => Offer::Go(Permit {
+                lane: Arc::clone(self),
+                ticket,
+                completion: Completion::NotGiven,
+            }),
+            Verdict::Shed { reason, retry_after } => {
+                Offer::Refused { reason, retry_after: Some(retry_after) }
+            }
+            Verdict::Expired => {
+                Offer::Refused { reason: NotRunReason::DeadlineExceeded, retry_after: None }
+            }
+        }
+    }
+
+    /// Hands out verdicts. A slot given to one that has left goes to the next.
+    fn deliver(&self, now: Timestamp, state: &mut LaneState) {
+        while let Some(Decision { ticket, verdict }) = state.decisions.pop() {
+            let heard = state.waiting.remove(&ticket).is_some_and(|it| it.send(verdict).is_ok());
+            if verdict == Verdict::Start && !heard {
+                state.admission.finish(
+                    now,
+                    ticket,
+                    Completion::NotGiven,
+                    &mut state.rng,
+                    &mut state.decisions,
+                );
+            }
+        }
+    }
+
+    fn finish(&self, ticket: Ticket, completion: Completion) {
+        let now = self.clock.now();
+        let state = &mut *self.state();
+        state.admission.finish(now, ticket, completion, &mut state.rng, &mut state.decisions);
+        self.deliver(now, state);
+    }
+
+    /// Refuses what waits and all that comes.
+    pub(crate) fn drain(&self) {
+        let now = self.clock.now();
+        let state = &mut *self.state();
+        state.admission.drain(now, &mut state.rng, &mut state.decisions);
+        self.deliver(now, state);
+    }
+
+    fn tick(&self) -> Option<Timestamp> {
+        let now = self.clock.now();
+        let state = &mut *self.state();
+        state.admission.tick(now, &mut state.rng, &mut state.decisions);
+        self.deliver(now, state);
+        state.admission.next_wakeup(now)
+    }
+
+    /// Requests that run, and requests that wait.
+    pub(crate) fn load(&self) -> (usize, usize) {
+        let state = self.state();
+        (state.admission.running(), state.admission.queued())
+    }
+}
+
+impl Drop for Lane {
+    fn drop(&mut self) {
+        let ticker = self.ticker.get_mut().unwrap_or_else(PoisonError::into_inner);
+        if let Some(ticker) = ticker {
+            ticker.abort();
+        }
+    }
+}
+
+/// Refuses what can no longer finish, when it can no longer finish.
+async fn tick(lane: Weak<Lane>, queued: Arc<Notify>, clock: Clock) {
+    loop {
+        let Some(next) = lane.upgrade().map(|it| it.tick()) else { return };
+        match next {
+            None => queued.notified().await,
+            Some(at) => {
+                tokio::select! {
+                    _ = sleep_until(clock.instant(at)) => {}
+                    _ = queued.notified() => {}
+                }
+            }
+        }
+    }
+}
+
+impl Place {
+    /// Waits for the verdict.
+    pub(crate) async fn wait(mut self) -> Offer {
+        let verdict = (&mut self.verdict).await;
+        self.done = true;
+        match verdict {
+            Ok(verdict) => self.lane.offer_of(self.ticket, verdict),
+            Err(_) => unreachable!("a place in the queue is kept until its verdict"),
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        let mut state = self.lane.state();
+        state.waiting.remove(&self.ticket);
+        if state.admission.cancel(self.ticket) {
+            return;
+        }
+        drop(state);
+        // The verdict came at the same moment.
+        if let Ok(Verdict::Start) = self.verdict.try_recv() {
+            self.lane.finish(self.ticket, Completion::NotGiven);
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.lane.finish(self.ticket, self.completion);
+    }
+}
--- a/crates/agent/src/gate/load.rs
+++ b/crates/agent/src/gate/load.rs
@@ -36,12 +36,14 @@
 pub(crate) struct LoadTable(Mutex<Loads>);
 
 impl LoadTable {
-    /// Adds the upstream time of one request.
-    pub(crate) fn add(&self, slot: Slot, key_hash: KeyHash, spent: Duration) {
+    /// Adds the upstream time of one request. `slot` is none for a key owned apart from its slot.
+    pub(crate) fn add(&self, slot: Option<Slot>, key_hash: KeyHash, spent: Duration) {
         let load_us = u64::try_from(spent.as_micros()).unwrap_or(u64::MAX);
         let mut loads = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         loads.total_us = loads.total_us.saturating_add(load_us);
-        *loads.slots.entry(slot).or_default() += load_us;
+        if let Some(slot) = slot {
+            *loads.slots.entry(slot).or_default() += load_us;
+        }
         loads.add_key(key_hash, load_us);
     }
 
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -1,7 +1,171 @@
 //! The gate: the only way to the upstream beside this agent.
+//!
+//! A request passes in this order: the grant of its key, its at-most-once record, the queue for a
+//! slot of the upstream, a last check of grant and lease, the upstream.
 
+mod bound;
 mod handle;
+mod health;
+mod lane;
 mod load;
+mod records;
+mod run;
 mod table;
+mod worker;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use model::{Instance, Timestamp};
+use settings::ServiceDocument;
+use tokio::sync::{mpsc, oneshot};
+use upstream::{HttpUpstream, Upstream};
+
+use crate::{
+    clock::Clock,
+    links::traffic::{Handler, Handover, TrafficLinks},
+    metrics::Metrics,
+    report::Reporter,
+    request::{GateReply, GateRequest},
+    snapshot::SnapshotCell,
+};
+
+use bound::Bound;
+use records::Book;
 
 pub use handle::GateHandle;
+pub(crate) use handle::GateTask;
+
+/// Makes the client of an upstream.
+pub(crate) type Connect =
+    Box<dyn Fn(SocketAddr, &ServiceDocument) -> anyhow::Result<Arc<dyn Upstream>> + Send + Sync>;
+
+/// What a gate is made from.
+pub(crate) struct GateParts {
+    pub(crate) own: Instance,
+    pub(crate) handle: GateHandle,
+    pub(crate) tasks: mpsc::UnboundedReceiver<GateTask>,
+    pub(crate) snapshots: Arc<SnapshotCell>,
+    pub(crate) reporter: Reporter,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) connect: Connect,
+}
+
+/// The traffic threads' side of the gate.
+pub(crate) struct Gate {
+    own: Instance,
+    clock: Clock,
+    handle: GateHandle,
+    snapshots: Arc<SnapshotCell>,
+    reporter: Reporter,
+    metrics: Arc<Metrics>,
+    connect: Connect,
+    bound: ArcSwapOption<Bound>,
+    book: OnceLock<Book>,
+    links: OnceLock<TrafficLinks>,
+    /// When the upstream last answered, on the process's clock.
+    last_sign_ns: AtomicU64,
+    /// When the members of a service that is not divided by key last changed.
+    members_changed_ns: AtomicU64,
+    in_flight: AtomicUsize,
+}
+
+impl Gate {
+    /// A gate and its background work, on the runtime that calls.
+    pub(crate) fn start(parts: GateParts) -> Arc<Gate> {
+        let clock = parts.handle.clock;
+        let now = clock.now();
+        let gate = Arc::new(Gate {
+            own: parts.own,
+            clock,
+            handle: parts.handle,
+            snapshots: parts.snapshots,
+            reporter: parts.reporter,
+            metrics: parts.metrics,
+            connect: parts.connect,
+            bound: ArcSwapOption::empty(),
+            book: OnceLock::new(),
+            links: OnceLock::new(),
+            last_sign_ns: AtomicU64::new(now.ns),
+            members_changed_ns: AtomicU64::new(now.ns),
+            in_flight: AtomicUsize::new(0),
+        });
+        tokio::spawn(worker::run(Arc::clone(&gate), parts.tasks));
+        tokio::spawn(health::run(Arc::clone(&gate)));
+        gate
+    }
+
+    /// The links over which records are handed over; set once.
+    pub(crate) fn set_links(&self, links: TrafficLinks) {
+        assert!(self.links.set(links).is_ok(), "the gate has its links already");
+    }
+
+    /// Requests that the gate has not replied to.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Requests at the upstream, and requests that wait for a slot of it.
+    pub(crate) fn load(&self) -> (usize, usize) {
+        self.bound.load().as_ref().map_or((0, 0), |it| it.lane.load())
+    }
+
+    fn sign(&self, now: Timestamp) {
+        self.last_sign_ns.fetch_max(now.ns, Ordering::Relaxed);
+    }
+
+    fn last_sign(&self) -> Timestamp {
+        Timestamp { ns: self.last_sign_ns.load(Ordering::Relaxed) }
+    }
+
+    /// Takes a request; dropping the receiver cancels it.
+    pub(crate) fn submit(self: &Arc<Gate>, request: GateRequest) -> oneshot::Receiver<GateReply> {
+        let (mut sender, receiver) = oneshot::channel();
+        let gate = Arc::clone(self);
+        gate.in_flight.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(async move {
+            let _counted = Counted(&gate.in_flight);
+            let reply = gate.handle(request, &mut sender).await;
+            // The caller may have hung up.
+            _ = sender.send(reply);
+        });
+        receiver
+    }
+}
+
+/// Counts a request down when it ends in whatever way.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Handler for Arc<Gate> {
+    fn request(&self, request: GateRequest) -> oneshot::Receiver<GateReply> {
+        self.submit(request)
+    }
+
+    fn records(&self, from: &Instance, handover: Handover) -> bool {
+        self.take_records(from, handover)
+    }
+}
+
+/// The client of an upstream over HTTP.
+pub(crate) fn connect_http(
+    address: SocketAddr,
+    document: &ServiceDocument,
+) -> anyhow::Result<Arc<dyn Upstream>> {
+    // One connection for each slot, a few for control calls, and never more than the cap.
+    let unused_max =
+        (document.upstream.slots as usize).min(document.upstream.connections_max as usize);
+    let upstream = HttpUpstream::new(address, unused_max, document.limits.body_bytes_max)?;
+    Ok(Arc::new(upstream))
+}
--- /dev/null
+++ b/crates/agent/src/gate/records.rs
@@ -0,0 +1,307 @@
+//! At-most-once records of what the gate has admitted, grant by grant.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use model::{KeyHash, Outcome, RequestId, Slot, Timestamp, Token, UnknownReason};
+use tokio::sync::oneshot;
+use traffic::{Begin, EndedRecord, Record, RecordUnit, Records, RecordsConfig, SlotRecords};
+use upstream::Answer;
+use wire::{CodecError, traffic::KeptAnswer};
+
+use crate::{
+    gate::table::{Admittance, GateTable},
+    request::{GateReply, answer_from_parts, headers_to_wire},
+};
+
+/// An answer kept for resends; clones share it.
+#[derive(Debug, Clone)]
+struct Kept(Arc<Answer>);
+
+impl traffic::Answer for Kept {
+    fn size_bytes(&self) -> usize {
+        let headers = self.0.headers.iter();
+        self.0.body.len()
+            + headers.map(|(name, value)| name.as_str().len() + value.len()).sum::<usize>()
+    }
+}
+
+/// How a unit's table came about.
+#[derive(Debug, Clone, Copy)]
+enum Opened {
+    /// Handed over by a former owner, and not used yet.
+    Imported { at: Timestamp },
+    /// In use under this grant.
+    Granted { token: Token, epoch: u64 },
+}
+
+#[derive(Debug)]
+struct Tables {
+    records: Records<Kept>,
+    units: HashMap<RecordUnit, Opened>,
+    /// Keys that came back to their slot, and when, and have been dealt with.
+    merged: HashSet<(KeyHash, Timestamp)>,
+    attached: HashMap<Running, Vec<oneshot::Sender<GateReply>>>,
+    /// Rises with each table that is opened, so that none is taken for a former one.
+    epoch: u64,
+}
+
+/// A request that has a record as running.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct Running {
+    unit: RecordUnit,
+    epoch: u64,
+    id: RequestId,
+}
+
+/// What the records say to a request.
+#[derive(Debug)]
+pub(crate) enum Begun {
+    Run(Running),
+    /// It runs already: its reply will come here too.
+    Attach(oneshot::Receiver<GateReply>),
+    Replay(Answer),
+    Unknown(UnknownReason),
+    Full,
+}
+
+/// The records of the gate, shared by the requests of the traffic threads.
+#[derive(Debug)]
+pub(crate) struct Book {
+    tables: Mutex<Tables>,
+    /// How old a handover may be when the grant comes: less than it takes for another owner to
+    /// have come and gone in between.
+    import_max: Duration,
+}
+
+impl Book {
+    pub(crate) fn new(config: RecordsConfig, import_max: Duration) -> Book {
+        let tables = Tables {
+            records: Records::new(config),
+            units: HashMap::new(),
+            merged: HashSet::new(),
+            attached: HashMap::new(),
+            epoch: 0,
+        };
+        Book { tables: Mutex::new(tables), import_max }
+    }
+
+    fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Looks a request up and records it as running if it is new.
+    pub(crate) fn begin(
+        &self,
+        now: Timestamp,
+        table: &GateTable,
+        admittance: &Admittance,
+        key: RequestKey,
+    ) -> Begun {
+        let tables = &mut *self.tables();
+        let epoch = tables.ready(now, table, admittance, &key, self.import_max);
+        let unit = admittance.unit;
+        match tables.records.begin(now, unit, key.key_hash, key.id, key.age) {
+            Begin::Run => Begun::Run(Running { unit, epoch, id: key.id }),
+            Begin::Attach => {
+                let (sender, receiver) = oneshot::channel();
+                let running = Running { unit, epoch, id: key.id };
+                tables.attached.entry(running).or_default().push(sender);
+                Begun::Attach(receiver)
+            }
+            Begin::Replay(Kept(answer)) => Begun::Replay(Answer::clone(&answer)),
+            Begin::Unknown(reason) => Begun::Unknown(reason),
+            Begin::NoRecord => Begun::Unknown(UnknownReason::NoRecord),
+            Begin::Full => Begun::Full,
+        }
+    }
+
+    /// Ends a record with the reply, and gives the reply to those attached. A table that was
+    /// handed over or dropped meanwhile is left alone.
+    pub(crate) fn finish(&self, now: Timestamp, running: Running, reply: &GateReply) {
+        let Running { unit, epoch, id } = running;
+        let tables = &mut *self.tables();
+        let current = matches!(
+            tables.units.get(&unit), Some(Opened::Granted { epoch: it, .. }) if *it == epoch
+        );
+        match (reply, reply.outcome()) {
+            _ if !current => {}
+            (GateReply::Answered(answer), _) => {
+                tables.records.finish(now, unit, id, Kept(Arc::new(answer.clone())));
+            }
+            (_, Outcome::Unknown(reason)) => {
+                tables.records.finish_unknown(now, unit, id, reason);
+            }
+            (_, Outcome::NotRun(_) | Outcome::Answered) => tables.records.forget(unit, id),
+        }
+        for sender in tables.attached.remove(&running).into_iter().flatten() {
+            // Whoever resent it may have hung up.
+            _ = sender.send(reply.clone());
+        }
+    }
+
+    /// Closes a unit and returns its records in wire form. A key that follows its slot is taken
+    /// out of the slot's table.
+    pub(crate) fn export(
+        &self,
+        now: Timestamp,
+        unit: RecordUnit,
+        slot_of: impl Fn(KeyHash) -> Slot,
+    ) -> Option<Bytes> {
+        let tables = &mut *self.tables();
+        let known = tables.units.remove(&unit);
+        let records = match (known, unit) {
+            (Some(_), _) => tables.records.export(now, unit),
+            (None, RecordUnit::Key(key_hash)) => {
+                tables.records.export_key(now, RecordUnit::Slot(slot_of(key_hash)), key_hash)
+            }
+            (None, RecordUnit::Slot(_)) => None,
+        }?;
+        let records = map_answers(records, |Kept(answer)| {
+            Ok(KeptAnswer {
+                status: answer.status.as_u16(),
+                headers: headers_to_wire(&answer.headers),
+                body: answer.body.clone(),
+            })
+        });
+        Some(wire::encode(&records.ok()?).into())
+    }
+
+    /// Takes over a former owner's records, to be used if the grant follows soon.
+    pub(crate) fn import(
+        &self,
+        now: Timestamp,
+        unit: RecordUnit,
+        records: &[u8],
+    ) -> Result<(), CodecError> {
+        let records: SlotRecords<KeptAnswer> = wire::decode(records)?;
+        let records = map_answers(records, |it| {
+            let answer = answer_from_parts(it.status, &it.headers, it.body)?;
+            Ok(Kept(Arc::new(answer)))
+        })?;
+        let tables = &mut *self.tables();
+        if tables.units.remove(&unit).is_some() {
+            tables.records.export(now, unit);
+        }
+        tables.records.import(now, unit, records);
+        tables.units.insert(unit, Opened::Imported { at: now });
+        Ok(())
+    }
+
+    /// Forgets what has been kept long enough.
+    pub(crate) fn tick(&self, now: Timestamp) {
+        self.tables().records.tick(now);
+    }
+}
+
+/// What a record is looked up by.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RequestKey {
+    pub(crate) key_hash: KeyHash,
+    pub(crate) slot: Slot,
+    pub(crate) id: RequestId,
+    pub(crate) age: Duration,
+}
+
+impl Tables {
+    /// Makes sure that the unit's table is that of the grant; returns its epoch.
+    fn ready(
+        &mut self,
+        now: Timestamp,
+        table: &GateTable,
+        admittance: &Admittance,
+        key: &RequestKey,
+        import_max: Duration,
+    ) -> u64 {
+        let Admittance { unit, grant, returned } = *admittance;
+        let epoch = match self.units.get(&unit) {
+            Some(Opened::Granted { token, epoch }) if *token == grant.token => *epoch,
+            Some(Opened::Imported { at }) if grant.since.since(*at) <= import_max => {
+                self.opened(unit, grant.token)
+            }
+            _ => {
+                self.records.export(now, unit);
+                match self.own_slot(table, unit, key.slot) {
+                    Some(slot) => self.split(now, unit, slot, key.key_hash),
+                    None => self.records.open(grant.since, unit),
+                }
+                self.opened(unit, grant.token)
+            }
+        };
+        if let (RecordUnit::Slot(_), Some(returned)) = (unit, returned) {
+            self.merge(now, unit, key.key_hash, returned, import_max);
+        }
+        epoch
+    }
+
+    fn opened(&mut self, unit: RecordUnit, token: Token) -> u64 {
+        self.epoch += 1;
+        self.units.insert(unit, Opened::Granted { token, epoch: self.epoch });
+        self.epoch
+    }
+
+    /// The slot that a key followed until now, if it is held here without a gap.
+    fn own_slot(&self, table: &GateTable, unit: RecordUnit, slot: Slot) -> Option<RecordUnit> {
+        let RecordUnit::Key(_) = unit else { return None };
+        match self.units.get(&RecordUnit::Slot(slot)) {
+            Some(Opened::Granted { token, .. }) if table.holds_slot(slot, *token) => {
+                Some(RecordUnit::Slot(slot))
+            }
+            _ => None,
+        }
+    }
+
+    fn split(&mut self, now: Timestamp, unit: RecordUnit, slot: RecordUnit, key_hash: KeyHash) {
+        let records = self.records.export_key(now, slot, key_hash);
+        self.records.import(now, unit, records.expect("the slot's table is open"));
+    }
+
+    /// A key that was owned apart follows its slot again: with its records if they came along,
+    /// else the slot's table is complete only since then.
+    fn merge(
+        &mut self,
+        now: Timestamp,
+        slot: RecordUnit,
+        key_hash: KeyHash,
+        returned: Timestamp,
+        import_max: Duration,
+    ) {
+        if !self.merged.insert((key_hash, returned)) {
+            return;
+        }
+        let unit = RecordUnit::Key(key_hash);
+        let usable = match self.units.remove(&unit) {
+            Some(Opened::Imported { at }) => returned.since(at) <= import_max,
+            Some(Opened::Granted { .. }) => true,
+            None => false,
+        };
+        let records = self.records.export(now, unit).filter(|_| usable);
+        let none = || SlotRecords { complete_age: now.since(returned), records: Vec::new() };
+        self.records.import(now, slot, records.unwrap_or_else(none));
+    }
+}
+
+fn map_answers<A, B>(
+    records: SlotRecords<A>,
+    map: impl Fn(A) -> Result<B, CodecError>,
+) -> Result<SlotRecords<B>, CodecError> {
+    let record = |it: Record<A>| {
+        let end = match it.end {
+            EndedRecord::Answered(answer) => EndedRecord::Answered(map(answer)?),
+            EndedRecord::Unknown(reason) => EndedRecord::Unknown(reason),
+        };
+        Ok(Record {
+            id: it.id,
+            key_hash: it.key_hash,
+            first_sent_age: it.first_sent_age,
+            ended_age: it.ended_age,
+            end,
+        })
+    };
+    let mapped = records.records.into_iter().map(record).collect::<Result<Vec<_>, CodecError>>()?;
+    Ok(SlotRecords { complete_age: records.complete_age, records: mapped })
+}
--- /dev/null
+++ b/crates/agent/src/gate/run.rs
@@ -0,0 +1,391 @@
+//! The way of one request through the gate.
+
+use std::{pin::pin, sync::Arc, time::Duration};
+
+use model::{Instance, KeyHash, NotRunReason, RequestId, Slot, Timestamp, Token, UnknownReason};
+use ownership::FenceCheck;
+use tokio::{
+    sync::oneshot,
+    time::{sleep_until, timeout},
+};
+use traffic::{Completion, RecordUnit};
+use upstream::{CallError, Upstream};
+
+use crate::{
+    forward::home,
+    gate::{
+        Gate,
+        bound::Bound,
+        lane::{Offer, Permit},
+        records::{Begun, RequestKey},
+        table::{Admittance, Clearance, Entry, Grant, NotAdmitted},
+    },
+    report::Report,
+    request::{GateReply, GateRequest},
+    snapshot::Routes,
+};
+
+/// How long before the end of the lease a request must end at an upstream that checks no token.
+const LEASE_MARGIN: Duration = Duration::from_millis(5);
+/// How long the members of a service may differ about who they are.
+const MEMBERS_LAG_MAX: Duration = Duration::from_secs(1);
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The unit of records of a service that is not divided by key.
+const WHOLE_SERVICE: RecordUnit = RecordUnit::Slot(Slot(0));
+
+type Caller = oneshot::Sender<GateReply>;
+
+/// One request with what it needs on its way.
+struct Passage<'a> {
+    gate: &'a Gate,
+    bound: &'a Bound,
+    request: &'a GateRequest,
+    deadline: Timestamp,
+    /// None where the service is not divided by key.
+    entry: Option<Entry>,
+}
+
+impl Gate {
+    pub(super) async fn handle(&self, request: GateRequest, caller: &mut Caller) -> GateReply {
+        let deadline = self.clock.now() + request.remaining;
+        let Some(bound) = self.bound.load_full() else {
+            return GateReply::not_run(NotRunReason::Unreachable);
+        };
+        if bound.service != request.service {
+            return GateReply::NotOwner { owner: None, route_version: 0 };
+        }
+        if request.config > bound.version {
+            let (service, version) = (request.service.clone(), request.config);
+            let from = self.own.clone();
+            self.reporter.hint(Report::Config { service, version, from });
+        }
+        match request.key_hash {
+            Some(key_hash) if bound.document.keyed => {
+                self.keyed(&bound, &request, key_hash, deadline, caller).await
+            }
+            None if !bound.document.keyed => self.unkeyed(&bound, &request, deadline, caller).await,
+            _ => GateReply::not_run(NotRunReason::BadRequest),
+        }
+    }
+
+    async fn keyed(
+        &self,
+        bound: &Bound,
+        request: &GateRequest,
+        key_hash: KeyHash,
+        deadline: Timestamp,
+        caller: &mut Caller,
+    ) -> GateReply {
+        let slot = bound.document.slot_count.slot_of(key_hash);
+        let entry = match self.handle.table.enter(slot, key_hash) {
+            Ok(entry) => entry,
+            Err(error) => return self.not_owner(request, error),
+        };
+        let now = self.clock.now();
+        if !self.handle.table.lease_holds(now) {
+            return GateReply::not_run(NotRunReason::NoOwner);
+        }
+        let admittance = entry.admittance;
+        let passage = Passage { gate: self, bound, request, deadline, entry: Some(entry) };
+        let key = RequestKey { key_hash, slot, id: request.id, age: request.age };
+        passage.once(now, &admittance, key, caller).await
+    }
+
+    async fn unkeyed(
+        &self,
+        bound: &Bound,
+        request: &GateRequest,
+        deadline: Timestamp,
+        caller: &mut Caller,
+    ) -> GateReply {
+        if bound.draining {
+            return GateReply::not_run(NotRunReason::Draining);
+        }
+        if let Some(owner) = self.other_home(request) {
+            return GateReply::NotOwner { owner: Some(owner), route_version: 0 };
+        }
+        let now = self.clock.now();
+        let grant = Grant { token: Token::default(), since: Timestamp::ZERO };
+        let admittance = Admittance { unit: WHOLE_SERVICE, grant, returned: None };
+        let key_hash = KeyHash(request.id.0 as u64);
+        let key = RequestKey { key_hash, slot: Slot(0), id: request.id, age: request.age };
+        let passage = Passage { gate: self, bound, request, deadline, entry: None };
+        passage.once(now, &admittance, key, caller).await
+    }
+
+    /// A resend may come here though its first sending ran at a member that is gone.
+    fn may_have_run_elsewhere(&self, bound: &Bound, now: Timestamp, age: Duration) -> bool {
+        let certain_since = self.members_changed() + MEMBERS_LAG_MAX;
+        !bound.document.keyed && !age.is_zero() && now - age < certain_since
+    }
+
+    /// The member that keeps the record of a request that is not idempotent, if not this one.
+    fn other_home(&self, request: &GateRequest) -> Option<Instance> {
+        if request.idempotent {
+            return None;
+        }
+        let snapshot = self.snapshots.load();
+        match &snapshot.services.get(&request.service)?.routes {
+            Routes::Any(members) => home(members, request.id).filter(|it| *it != self.own),
+            Routes::ByKey(_) => None,
+        }
+    }
+
+    fn not_owner(&self, request: &GateRequest, error: NotAdmitted) -> GateReply {
+        let snapshot = self.snapshots.load();
+        let routes = snapshot.services.get(&request.service).map(|it| &it.routes);
+        let (Some(Routes::ByKey(routes)), Some(key_hash)) = (routes, request.key_hash) else {
+            return GateReply::NotOwner { owner: error.owner, route_version: 0 };
+        };
+        let known = || routes.route(key_hash).owner.clone();
+        let owner = error.owner.or_else(known).filter(|it| *it != self.own);
+        GateReply::NotOwner { owner, route_version: routes.route_version }
+    }
+
+    pub(super) fn cancel_upstream(&self, upstream: &Arc<dyn Upstream>, id: RequestId) {
+        let upstream = Arc::clone(upstream);
+        tokio::spawn(async move {
+            if let Ok(Err(error)) = timeout(CANCEL_TIMEOUT, upstream.cancel(id)).await {
+                log::debug!(target: "gate", "{error}.");
+            }
+        });
+    }
+}
+
+impl Passage<'_> {
+    /// Sees to it that a request that is not idempotent runs at most once.
+    async fn once(
+        self,
+        now: Timestamp,
+        admittance: &Admittance,
+        key: RequestKey,
+        caller: &mut Caller,
+    ) -> GateReply {
+        if self.request.idempotent {
+            return self.run(caller).await;
+        }
+        let gate = self.gate;
+        let book = gate.book.get().expect("a bound gate has its records");
+        let running = match book.begin(now, &gate.handle.table, admittance, key) {
+            Begun::Run(running) => running,
+            Begun::Attach(reply) => {
+                let left = self.deadline.since(now);
+                // Not counted as in flight: the first sending is.
+                drop(self);
+                return match timeout(left, reply).await {
+                    Ok(Ok(reply)) => reply,
+                    Ok(Err(_)) => GateReply::unknown(UnknownReason::NoRecord),
+                    Err(_) => GateReply::unknown(UnknownReason::DeadlineExceeded),
+                };
+            }
+            Begun::Replay(answer) => return GateReply::Answered(answer),
+            Begun::Unknown(reason) => return GateReply::unknown(reason),
+            Begun::Full => return GateReply::not_run(NotRunReason::Overloaded),
+        };
+        if gate.may_have_run_elsewhere(self.bound, now, key.age) {
+            let reply = GateReply::not_run(NotRunReason::Cancelled);
+            book.finish(now, running, &reply);
+            return GateReply::unknown(UnknownReason::NoRecord);
+        }
+        // The entry must live until the record has ended: a closing unit waits for it.
+        let (reply, entry) = self.run_keeping(caller).await;
+        book.finish(gate.clock.now(), running, &reply);
+        drop(entry);
+        reply
+    }
+
+    async fn run(self, caller: &mut Caller) -> GateReply {
+        self.run_keeping(caller).await.0
+    }
+
+    async fn run_keeping(self, caller: &mut Caller) -> (GateReply, Option<Entry>) {
+        let reply = match self.queue(caller).await {
+            Ok(permit) => match self.clear() {
+                Ok(clearance) => self.give(permit, clearance, caller).await,
+                Err(reply) => *reply,
+            },
+            Err(reply) => *reply,
+        };
+        (reply, self.entry)
+    }
+
+    /// Waits for a slot of the upstream.
+    async fn queue(&self, caller: &mut Caller) -> Result<Permit, Box<GateReply>> {
+        let place = match self.bound.lane.offer(&self.request.class, self.deadline) {
+            Offer::Go(permit) => return Ok(permit),
+            Offer::Refused { reason, retry_after } => {
+                return Err(Box::new(refused(reason, retry_after)));
+            }
+            Offer::Wait(place) => place,
+        };
+        let mut changes = self.gate.handle.table.changes();
+        let mut wait = pin!(place.wait());
+        loop {
+            tokio::select! {
+                           offer = &mut wait => return match offer {
+                               Offer::Go(permit) => Ok(permit),
+                               Offer::Refused { reason, retry_after } => {
+            Err(Box::new(refused(reason, retry_after))) }
+                               Offer::Wait(_) => unreachable!("a verdict ends the wait"),
+                           },
+                           _ = caller.closed() => {
+                               return Err(Box::new(GateReply::not_run(NotRunReason::Cancelled)));
+                           }
+                           // Whoever waits for a key that has left is sent after it at once.
+                           _ = changes.changed() => drop(self.clear()?),
+                       }
+        }
+    }
+
+    /// The last check before the upstream.
+    fn clear(&self) -> Result<Option<Clearance>, Box<GateReply>> {
+        let now = self.gate.clock.now();
+        if now >= self.deadline {
+            return Err(Box::new(GateReply::not_run(NotRunReason::DeadlineExceeded)));
+        }
+        let Some(entry) = &self.entry else { return Ok(None) };
+        match entry.clear(now) {
+            Ok(clearance) => Ok(Some(clearance)),
+            Err(_) if !self.gate.handle.table.lease_holds(now) => {
+                Err(Box::new(GateReply::not_run(NotRunReason::NoOwner)))
+            }
+            Err(error) => Err(Box::new(self.gate.not_owner(self.request, error))),
+        }
+    }
+
+    /// Until when the upstream may work on the request.
+    fn until(&self, clearance: Option<&Clearance>) -> Timestamp {
+        match (clearance, fence_check(self.bound)) {
+            (Some(it), FenceCheck::Unchecked) => self.deadline.min(it.lease_until - LEASE_MARGIN),
+            _ => self.deadline,
+        }
+    }
+
+    /// Gives the request to the upstream, once.
+    async fn give(
+        &self,
+        mut permit: Permit,
+        clearance: Option<Clearance>,
+        caller: &mut Caller,
+    ) -> GateReply {
+        let gate = self.gate;
+        let started = gate.clock.now();
+        let until = self.until(clearance.as_ref());
+        if let Some(it) = &clearance {
+            assert!(it.checked_at < it.lease_until, "a request passed the gate without a lease");
+        }
+        if started >= until {
+            let reason = match until < self.deadline {
+                true => NotRunReason::NoOwner,
+                false => NotRunReason::DeadlineExceeded,
+            };
+            return GateReply::not_run(reason);
+        }
+        permit.completion = Completion::Cut;
+        let call = self.bound.upstream.call(upstream::Request {
+            method: self.request.method.clone(),
+            path: self.request.path.clone(),
+            headers: self.request.headers.clone(),
+            body: self.request.body.clone(),
+            id: self.request.id,
+            token: clearance.map(|it| it.token),
+            remaining: until.since(started),
+        });
+        let result = self.wait(call, until, caller).await;
+        let ended = gate.clock.now();
+        if let (Some(key_hash), Some(entry)) = (self.request.key_hash, &self.entry) {
+            let slot = entry.slot();
+            let counted = matches!(entry.admittance.unit, RecordUnit::Slot(_)).then_some(slot);
+            gate.handle.load.add(counted, key_hash, ended.since(started));
+        }
+        gate.metrics.upstream(&self.bound.document.team, &self.request.class, ended.since(started));
+        match result {
+            Ended::Answered(answer) => {
+                gate.sign(ended);
+                permit.completion = Completion::Answered;
+                GateReply::Answered(answer)
+            }
+            Ended::Failed(error) => {
+                log::debug!(target: "gate", "{error}.");
+                if !matches!(error, CallError::NotSent { .. } | CallError::Lost { .. }) {
+                    gate.sign(ended);
+                }
+                failed(&mut permit, &error)
+            }
+            Ended::Cut(reason) => {
+                gate.cancel_upstream(&self.bound.upstream, self.request.id);
+                GateReply::unknown(reason)
+            }
+        }
+    }
+
+    async fn wait(
+        &self,
+        mut call: upstream::UpstreamFuture<'_, Result<upstream::Answer, CallError>>,
+        until: Timestamp,
+        caller: &mut Caller,
+    ) -> Ended {
+        let mut changes = self.gate.handle.table.changes();
+        let mut overdue = pin!(sleep_until(self.gate.clock.instant(until)));
+        loop {
+            tokio::select! {
+                biased;
+                result = &mut call => return match result {
+                    Ok(answer) => Ended::Answered(answer),
+                    Err(error) => Ended::Failed(error),
+                },
+                _ = &mut overdue => return Ended::Cut(UnknownReason::DeadlineExceeded),
+                // One that is not idempotent goes on: a resend is to get its answer.
+                _ = caller.closed(), if self.request.idempotent => {
+                    return Ended::Cut(UnknownReason::ConnectionLost);
+                }
+                _ = changes.changed() => {
+                    if self.must_stop() {
+                        return Ended::Cut(UnknownReason::ConnectionLost);
+                    }
+                }
+            }
+        }
+    }
+
+    fn must_stop(&self) -> bool {
+        let Some(entry) = &self.entry else { return false };
+        let dropped = entry.is_dropped() && fence_check(self.bound) == FenceCheck::Unchecked;
+        dropped || entry.is_stopped()
+    }
+}
+
+/// How a call to the upstream ended.
+enum Ended {
+    Answered(upstream::Answer),
+    Failed(CallError),
+    /// This side gave it up.
+    Cut(UnknownReason),
+}
+
+fn fence_check(bound: &Bound) -> FenceCheck {
+    // Both must say so: the document is what the team answers for.
+    match bound.document.upstream.checks_fence && bound.announcement.checks_fence {
+        true => FenceCheck::Checked,
+        false => FenceCheck::Unchecked,
+    }
+}
+
+fn refused(reason: NotRunReason, retry_after: Option<Duration>) -> GateReply {
+    GateReply::Failed { outcome: model::Outcome::NotRun(reason), retry_after }
+}
+
+fn failed(permit: &mut Permit, error: &CallError) -> GateReply {
+    match error {
+        CallError::NotSent { .. } => {
+            permit.completion = Completion::NotGiven;
+            GateReply::not_run(NotRunReason::Unreachable)
+        }
+        CallError::Refused { retry_after, .. } => {
+            permit.completion = Completion::NotGiven;
+            refused(NotRunReason::Refused, *retry_after)
+        }
+        CallError::Lost { .. } => GateReply::unknown(UnknownReason::ConnectionLost),
+        CallError::Broken { .. } => GateReply::unknown(UnknownReason::BrokenAnswer),
+    }
+}
--- a/crates/agent/src/gate/table.rs
+++ b/crates/agent/src/gate/table.rs
@@ -102,8 +102,10 @@
     slots_in_flight: Vec<AtomicU32>,
     /// Requests of each key that has any; of traffic threads only.
     keys_in_flight: Mutex<HashMap<KeyHash, u32>>,
-    /// Grants whose requests must end at once.
-    stopped: Mutex<HashSet<(RecordUnit, Token)>>,
+    /// Units whose requests must end at once.
+    stopped: Mutex<HashSet<RecordUnit>>,
+    /// How often everything was dropped.
+    drops: AtomicU64,
     /// Changes with every command but a lease.
     changes: watch::Sender<u64>,
 }
@@ -115,6 +117,7 @@
     slot: Slot,
     key_hash: KeyHash,
     pub(crate) admittance: Admittance,
+    drops: u64,
 }
 
 impl Drop for Entry {
@@ -127,21 +130,41 @@
 }
 
 impl Entry {
-    /// Still admitted under the same grant, and the lease holds.
-    pub(crate) fn holds(&self, now: Timestamp) -> bool {
-        self.table.lease_holds(now)
-            && self.table.peek(self.slot, self.key_hash).is_ok_and(|it| it == self.admittance)
+    pub(crate) fn slot(&self) -> Slot {
+        self.slot
     }
 
-    /// Must end at once: its grant was given up while it ran too long.
+    /// Checks at the last step before the upstream that the request is still admitted under the
+    /// same grant and that the lease holds.
+    pub(crate) fn clear(&self, now: Timestamp) -> Result<Clearance, NotAdmitted> {
+        let until = self.table.lease_until();
+        let admittance = self.table.peek(self.slot, self.key_hash)?;
+        if now >= until || admittance != self.admittance || self.is_dropped() {
+            return Err(NotAdmitted { owner: None });
+        }
+        Ok(Clearance { token: admittance.grant.token, checked_at: now, lease_until: until })
+    }
+
+    /// Must end at once: its unit is to be closed and it has run too long.
     pub(crate) fn is_stopped(&self) -> bool {
-        let key = (self.admittance.unit, self.admittance.grant.token);
-        let by_key = (RecordUnit::Key(self.key_hash), self.admittance.grant.token);
         let stopped = self.table.stopped.lock().unwrap_or_else(PoisonError::into_inner);
-        stopped.contains(&key) || stopped.contains(&by_key)
+        stopped.contains(&self.admittance.unit) || stopped.contains(&RecordUnit::Key(self.key_hash))
+    }
+
+    /// The gate has dropped everything since.
+    pub(crate) fn is_dropped(&self) -> bool {
+        self.table.drops.load(Ordering::SeqCst) != self.drops
     }
 }
 
+/// Leave to give one request to the upstream; made only by the last check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Clearance {
+    pub(crate) token: Token,
+    pub(crate) checked_at: Timestamp,
+    pub(crate) lease_until: Timestamp,
+}
+
 impl GateTable {
     pub(crate) fn new() -> GateTable {
         GateTable {
@@ -150,6 +173,7 @@
             slots_in_flight: (0..SlotCount::MAX).map(|_| AtomicU32::new(0)).collect(),
             keys_in_flight: Mutex::default(),
             stopped: Mutex::default(),
+            drops: AtomicU64::new(0),
             changes: watch::channel(0).0,
         }
     }
@@ -159,7 +183,10 @@
         for command in commands {
             match command {
                 GateCommand::Lease { until } => self.set_lease(*until),
-                GateCommand::DropAll => self.set_lease(Timestamp::ZERO),
+                GateCommand::DropAll => {
+                    self.set_lease(Timestamp::ZERO);
+                    self.drops.fetch_add(1, Ordering::SeqCst);
+                }
                 _ => {}
             }
         }
@@ -212,6 +239,7 @@
         in_flight.fetch_add(1, Ordering::SeqCst);
         *self.keys().entry(key_hash).or_default() += 1;
         fence(Ordering::SeqCst);
+        let drops = self.drops.load(Ordering::SeqCst);
         let admittance = match self.peek(slot, key_hash) {
             Ok(admittance) => admittance,
             Err(error) => {
@@ -223,7 +251,7 @@
         if matches!(admittance.unit, RecordUnit::Key(_)) {
             in_flight.fetch_sub(1, Ordering::SeqCst);
         }
-        Ok(Entry { table: Arc::clone(self), slot, key_hash, admittance })
+        Ok(Entry { table: Arc::clone(self), slot, key_hash, admittance, drops })
     }
 
     fn keys(&self) -> MutexGuard<'_, HashMap<KeyHash, u32>> {
@@ -253,14 +281,14 @@
         }
     }
 
-    /// Ends what still runs under a grant that was given up.
-    pub(crate) fn stop(&self, unit: RecordUnit, token: Token) {
-        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).insert((unit, token));
+    /// Ends what still runs of a unit that is being closed.
+    pub(crate) fn stop(&self, unit: RecordUnit) {
+        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).insert(unit);
         self.changes.send_modify(|it| *it += 1);
     }
 
-    /// Nothing runs under it any more.
-    pub(crate) fn forget_stop(&self, unit: RecordUnit, token: Token) {
-        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).remove(&(unit, token));
+    /// Nothing of the unit runs any more.
+    pub(crate) fn forget_stop(&self, unit: RecordUnit) {
+        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).remove(&unit);
     }
 }
--- /dev/null
+++ b/crates/agent/src/gate/worker.rs
@@ -0,0 +1,186 @@
+//! Work that control hands to the gate: prepare an upstream, close a unit, tell of a grant.
+
+use std::{sync::Arc, time::Duration};
+
+use model::{Instance, Slot, Timestamp, Token};
+use tokio::{
+    sync::mpsc,
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+use traffic::RecordUnit;
+use wire::traffic::Unit;
+
+use crate::{
+    gate::{Gate, GateTask},
+    links::traffic::Handover,
+    report::Report,
+};
+
+/// How often records and the snapshot are looked after without cause.
+const TICK: Duration = Duration::from_secs(1);
+const PREPARE_TIMEOUT: Duration = Duration::from_secs(10);
+const PREPARE_PAUSE: Duration = Duration::from_millis(100);
+const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often a closing unit is looked at.
+const CLOSE_POLL: Duration = Duration::from_millis(1);
+/// What of the time for a handover is left for the records.
+const RECORDS_TIME: Duration = Duration::from_millis(300);
+/// How often the records are offered to the new owner.
+const RECORDS_TRIES: usize = 2;
+
+pub(super) async fn run(gate: Arc<Gate>, mut tasks: mpsc::UnboundedReceiver<GateTask>) {
+    let mut changes = gate.snapshots.changes();
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    gate.rebind();
+    loop {
+        tokio::select! {
+            task = tasks.recv() => match task {
+                Some(task) => start(&gate, task),
+                None => return,
+            },
+            _ = changes.changed() => gate.rebind(),
+            _ = tick.tick() => if let Some(book) = gate.book.get() {
+                book.tick(gate.clock.now());
+            },
+        }
+    }
+}
+
+fn start(gate: &Arc<Gate>, task: GateTask) {
+    let gate = Arc::clone(gate);
+    match task {
+        GateTask::Prepare { slot, token } => {
+            tokio::spawn(async move { gate.prepare(slot, token).await });
+        }
+        GateTask::Close { unit, token, to } => {
+            tokio::spawn(async move { gate.close(unit, token, to).await });
+        }
+        GateTask::Grant { slot, token } => {
+            tokio::spawn(async move { gate.tell_grant(slot, token).await });
+        }
+    }
+}
+
+impl Gate {
+    /// Asks until the upstream is warm; then says so.
+    async fn prepare(&self, slot: Slot, token: Token) {
+        let asking = async {
+            loop {
+                let bound = self.bound.load_full();
+                let result = match &bound {
+                    Some(bound) => bound.upstream.prepare(slot).await.map_err(|it| it.to_string()),
+                    None => Err("no upstream has announced itself".to_owned()),
+                };
+                match result {
+                    Ok(()) => return,
+                    Err(error) => log::debug!(target: "gate", "Slot {slot}: {error}."),
+                }
+                sleep(PREPARE_PAUSE).await;
+            }
+        };
+        match timeout(PREPARE_TIMEOUT, asking).await {
+            Ok(()) => self.reporter.deliver(Report::Prepared { slot, token }).await,
+            Err(_) => log::warn!(target: "gate", "The upstream did not prepare slot {slot}."),
+        }
+    }
+
+    /// Tells an upstream that checks fence tokens of a grant; requests carry the token anyway.
+    async fn tell_grant(&self, slot: Slot, token: Token) {
+        let Some(bound) = self.bound.load_full() else { return };
+        if !bound.announcement.checks_fence {
+            return;
+        }
+        let remaining = self.handle.table.lease_until().since(self.clock.now());
+        let grant = bound.upstream.grant(slot, token, remaining);
+        if let Ok(Err(error)) = timeout(GRANT_TIMEOUT, grant).await {
+            log::debug!(target: "gate", "{error}.");
+        }
+    }
+
+    /// Waits for what is in flight, hands the records over, and says that the unit is closed.
+    async fn close(&self, unit: RecordUnit, token: Token, to: Option<Instance>) {
+        self.wait_empty(unit).await;
+        if let Some(records) = self.export(unit) {
+            self.hand_over(unit, token, to, records).await;
+        }
+        let report = match unit {
+            RecordUnit::Slot(slot) => Report::Closed { slot, token },
+            RecordUnit::Key(key_hash) => Report::KeyClosed { key_hash, token },
+        };
+        self.reporter.deliver(report).await;
+    }
+
+    async fn wait_empty(&self, unit: RecordUnit) {
+        let table = &self.handle.table;
+        let handover_max = match self.bound.load_full() {
+            Some(bound) => bound.document.ownership.handover_max,
+            None => return,
+        };
+        let empty = async {
+            while table.in_flight(unit) > 0 {
+                sleep(CLOSE_POLL).await;
+            }
+        };
+        let mut empty = std::pin::pin!(empty);
+        let patience = handover_max.saturating_sub(RECORDS_TIME);
+        if timeout(patience, &mut empty).await.is_err() {
+            log::warn!(target: "gate", "{unit:?} is closed with requests in flight; they are cancelled.");
+            table.stop(unit);
+            empty.await;
+            table.forget_stop(unit);
+        }
+    }
+
+    fn export(&self, unit: RecordUnit) -> Option<bytes::Bytes> {
+        let bound = self.bound.load_full()?;
+        let now: Timestamp = self.clock.now();
+        self.book.get()?.export(now, unit, |it| bound.document.slot_count.slot_of(it))
+    }
+
+    async fn hand_over(
+        &self,
+        unit: RecordUnit,
+        token: Token,
+        to: Option<Instance>,
+        records: bytes::Bytes,
+    ) {
+        let (Some(to), Some(links), Some(bound)) = (to, self.links.get(), self.bound.load_full())
+        else {
+            return;
+        };
+        let service = bound.service.clone();
+        let unit = match unit {
+            RecordUnit::Slot(slot) => Unit::Slot(slot),
+            RecordUnit::Key(key_hash) => Unit::Key(key_hash),
+        };
+        let handover = Handover { service, unit, token, records };
+        for _ in 0..RECORDS_TRIES {
+            if links.hand_over(&to, &handover).await {
+                return;
+            }
+        }
+        log::warn!(target: "gate", "{to} did not take the records of {unit:?}: resends will end unknown.");
+    }
+
+    /// Takes over records that another gate hands over.
+    pub(super) fn take_records(&self, from: &Instance, handover: Handover) -> bool {
+        let (Some(book), Some(bound)) = (self.book.get(), self.bound.load_full()) else {
+            return false;
+        };
+        if bound.service != handover.service {
+            return false;
+        }
+        let unit = match handover.unit {
+            Unit::Slot(slot) => RecordUnit::Slot(slot),
+            Unit::Key(key_hash) => RecordUnit::Key(key_hash),
+        };
+        match book.import(self.clock.now(), unit, &handover.records) {
+            Ok(()) => true,
+            Err(error) => {
+                log::warn!(target: "gate", "Records of {unit:?} from {from} are malformed: {error}.");
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/ingress/mod.rs
@@ -0,0 +1,167 @@
+//! Where callers come in: HTTP on the caller address, one path segment for the service.
+
+mod announce;
+mod answer;
+mod parse;
+mod server;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use http::{HeaderMap, Method, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use model::{ClassName, NotRunReason, Outcome, TeamName};
+use tokio::time::timeout;
+use volo_http::{body::Body, request::Request, response::Response};
+
+use crate::{
+    clock::Clock,
+    forward::{Ending, Forwarder},
+    metrics::Metrics,
+    report::{Report, Reporter},
+    request::GateReply,
+    snapshot::{ServiceRoutes, SnapshotCell},
+};
+
+use parse::{Address, Refusal};
+
+pub(crate) use server::serve;
+
+/// How long a first request waits for the routes of a service that this agent has not met.
+const ROUTES_WAIT: Duration = Duration::from_secs(1);
+/// When callers may come back after a refusal that names no time.
+const COME_BACK: Duration = Duration::from_millis(200);
+
+/// What ingress is made from.
+pub(crate) struct IngressParts {
+    pub(crate) clock: Clock,
+    pub(crate) snapshots: Arc<SnapshotCell>,
+    pub(crate) forwarder: Forwarder,
+    pub(crate) reporter: Reporter,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// The callers' side of the agent.
+pub(crate) struct Ingress {
+    parts: IngressParts,
+    in_flight: AtomicUsize,
+    /// The process is about to end: nothing more is taken.
+    closed: AtomicBool,
+}
+
+impl Ingress {
+    pub(crate) fn new(parts: IngressParts) -> Ingress {
+        Ingress { parts, in_flight: AtomicUsize::new(0), closed: AtomicBool::new(false) }
+    }
+
+    /// Requests whose answer has not been handed to the connection.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Refuses everything from now on, as not run.
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Serves one request. Dropping the future cancels it.
+    pub(crate) async fn call(self: &Arc<Ingress>, request: Request) -> Response {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let counted = Counted(Arc::clone(self));
+        let response = self.answer(request).await;
+        answer::counted(response, counted)
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let (parts, body) = request.into_parts();
+        if parts.uri.path().starts_with(announce::PREFIX) {
+            return announce::take(&self.parts.reporter, &parts, body).await;
+        }
+        if self.closed.load(Ordering::SeqCst) {
+            let reply = GateReply::not_run(NotRunReason::Draining);
+            return answer::closing(answer::of(Ending::given_up(reply), None));
+        }
+        let started = self.parts.clock.now();
+        match self.forward(&parts.method, &parts.uri, parts.headers, body).await {
+            Ok(Done { team, class, ending, id }) => {
+                let spent = self.parts.clock.now().since(started);
+                self.parts.metrics.request(&team, &class, ending.reply.outcome(), spent);
+                answer::of(ending, Some(id))
+            }
+            Err(refusal) => answer::refused(&refusal),
+        }
+    }
+
+    async fn forward(
+        &self,
+        method: &Method,
+        uri: &Uri,
+        headers: HeaderMap,
+        body: Body,
+    ) -> Result<Done, Refusal> {
+        let address = Address::parse(uri)?;
+        let Some(routes) = self.routes(&address).await else {
+            return Err(Refusal::NoRoutesYet);
+        };
+        parse::check_size(&headers, uri, routes.document.limits.header_bytes_max)?;
+        let mut request = parse::request(&routes, method, &address, headers)?;
+        request.body = read(body, routes.document.limits.body_bytes_max).await?;
+        let team = routes.document.team.clone();
+        let (class, id) = (request.class.clone(), request.id);
+        drop(routes);
+        let mut ending = self.parts.forwarder.send(request, &team).await;
+        if let (Outcome::NotRun(_), None) = (ending.reply.outcome(), ending.retry_after) {
+            ending.retry_after = Some(COME_BACK);
+        }
+        Ok(Done { team, class, ending, id })
+    }
+
+    /// The service's routes. For one that this agent has not met, control is asked.
+    async fn routes(&self, address: &Address) -> Option<Arc<ServiceRoutes>> {
+        let known = || self.parts.snapshots.load().services.get(&address.service).cloned();
+        if let Some(routes) = known() {
+            return Some(routes);
+        }
+        let mut changes = self.parts.snapshots.changes();
+        self.parts.reporter.hint(Report::UnknownService { service: address.service.clone() });
+        let waiting = async {
+            loop {
+                if let Some(routes) = known() {
+                    return Some(routes);
+                }
+                changes.changed().await.ok()?;
+            }
+        };
+        timeout(ROUTES_WAIT, waiting).await.ok().flatten()
+    }
+}
+
+/// A request that was sent on, with its labels.
+struct Done {
+    team: TeamName,
+    class: ClassName,
+    ending: Ending,
+    id: model::RequestId,
+}
+
+/// Counts a request down when its answer has left, or its caller.
+pub(crate) struct Counted(Arc<Ingress>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn read(body: Body, bytes_max: usize) -> Result<bytes::Bytes, Refusal> {
+    match Limited::new(body, bytes_max).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge { bytes_max }),
+        Err(_) => Err(Refusal::BodyBroken),
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,8 +6,11 @@
 #![allow(dead_code)]
 
 pub mod clock;
+mod forward;
 pub mod gate;
+mod ingress;
 pub mod links;
+mod metrics;
 pub mod report;
 mod request;
 pub mod snapshot;
--- /dev/null
+++ b/crates/agent/src/metrics/mod.rs
@@ -0,0 +1,96 @@
+//! Metrics for operators: histograms by tenant and class, counters by outcome.
+
+mod server;
+
+use std::time::Duration;
+
+use model::{ClassName, Outcome, TeamName};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+pub(crate) use server::serve;
+
+/// Bounds of the histograms, in seconds.
+const BUCKETS_S: [f64; 14] =
+    [0.0005, 0.001, 0.002, 0.004, 0.008, 0.015, 0.03, 0.06, 0.125, 0.25, 0.5, 1.0, 2.0, 5.0];
+
+/// The metrics of one agent.
+pub(crate) struct Metrics {
+    registry: Registry,
+    request_s: HistogramVec,
+    upstream_s: HistogramVec,
+    requests: IntCounterVec,
+    retries: IntCounterVec,
+    running: IntGauge,
+    queued: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new();
+        let labels = ["tenant", "class"];
+        let histogram = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(BUCKETS_S.to_vec());
+            HistogramVec::new(opts, &labels)
+        };
+        let request_s =
+            histogram("pomelohill_request_seconds", "Time from a caller's request to its answer.")?;
+        let upstream_s =
+            histogram("pomelohill_upstream_seconds", "Time a request spent at the upstream.")?;
+        let requests = IntCounterVec::new(
+            Opts::new("pomelohill_requests_total", "Callers' requests by their end."),
+            &["tenant", "class", "outcome"],
+        )?;
+        let retries = IntCounterVec::new(
+            Opts::new("pomelohill_retries_total", "Requests sent on again."),
+            &["tenant", "kind"],
+        )?;
+        let running = IntGauge::new("pomelohill_gate_running", "Requests at the upstream.")?;
+        let queued = IntGauge::new("pomelohill_gate_queued", "Requests that wait for a slot.")?;
+        registry.register(Box::new(request_s.clone()))?;
+        registry.register(Box::new(upstream_s.clone()))?;
+        registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(retries.clone()))?;
+        registry.register(Box::new(running.clone()))?;
+        registry.register(Box::new(queued.clone()))?;
+        Ok(Metrics { registry, request_s, upstream_s, requests, retries, running, queued })
+    }
+
+    /// The end of a caller's request.
+    pub(crate) fn request(
+        &self,
+        team: &TeamName,
+        class: &ClassName,
+        outcome: Outcome,
+        spent: Duration,
+    ) {
+        let labels = [team.as_str(), class.as_str()];
+        self.request_s.with_label_values(&labels).observe(spent.as_secs_f64());
+        let kind = match outcome {
+            Outcome::Answered => "answered",
+            Outcome::NotRun(_) => "not_run",
+            Outcome::Unknown(_) => "unknown",
+        };
+        self.requests.with_label_values(&[team.as_str(), class.as_str(), kind]).inc();
+    }
+
+    pub(crate) fn upstream(&self, team: &TeamName, class: &ClassName, spent: Duration) {
+        let labels = [team.as_str(), class.as_str()];
+        self.upstream_s.with_label_values(&labels).observe(spent.as_secs_f64());
+    }
+
+    /// A request that is sent on again; `kind` is `redirect` or `retry`.
+    pub(crate) fn again(&self, team: &TeamName, kind: &str) {
+        self.retries.with_label_values(&[team.as_str(), kind]).inc();
+    }
+
+    pub(crate) fn gate(&self, running: usize, queued: usize) {
+        self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
+        self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
+    }
+
+    fn text(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
--- /dev/null
+++ b/crates/agent/src/metrics/server.rs
@@ -0,0 +1,39 @@
+//! `/metrics` over HTTP.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use tokio::net::TcpListener;
+use volo::net::incoming::DefaultIncoming;
+use volo_http::{
+    response::Response,
+    server::{IntoResponse, Router, Server, route::get},
+};
+
+use crate::{gate::Gate, metrics::Metrics};
+
+/// Serves the metrics for ever.
+pub(crate) async fn serve(listener: TcpListener, metrics: Arc<Metrics>, gate: Arc<Gate>) {
+    let handler = move || {
+        let (metrics, gate) = (Arc::clone(&metrics), Arc::clone(&gate));
+        async move { answer(&metrics, &gate) }
+    };
+    let server = Server::new(Router::new().route("/metrics", get(handler)))
+        // Signals are none of its business: it ends with the process.
+        .register_shutdown_hook(|| Box::pin(std::future::pending()));
+    if let Err(error) = server.run(DefaultIncoming::from(listener)).await {
+        log::error!(target: "metrics", "The metrics server ended: {error}.");
+    }
+}
+
+fn answer(metrics: &Metrics, gate: &Gate) -> Response {
+    let (running, queued) = gate.load();
+    metrics.gate(running, queued);
+    match metrics.text() {
+        Ok(text) => text.into_response(),
+        Err(error) => {
+            log::warn!(target: "metrics", "Encoding failed: {error}.");
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    }
+}
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -1,9 +1,6 @@
 //! What traffic knows of services and routes: immutable, published whole by the control thread.
 
-use std::{
-    collections::{HashMap, HashSet},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use arc_swap::ArcSwap;
 use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, SlotCount};
@@ -17,8 +14,6 @@
 #[derive(Debug, Default)]
 pub struct Snapshot {
     pub services: HashMap<ServiceName, Arc<ServiceRoutes>>,
-    /// Names that are known not to be services.
-    pub absent: HashSet<ServiceName>,
     /// The upstream beside this agent, once it has announced itself.
     pub local: Option<LocalUpstream>,
 }
