--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -50,13 +50,20 @@
 pub(crate) struct Ingress {
     parts: IngressParts,
     in_flight: AtomicUsize,
+    /// The instance is leaving: callers are asked to connect elsewhere.
+    leaving: AtomicBool,
     /// The process is about to end: nothing more is taken.
     closed: AtomicBool,
 }
 
 impl Ingress {
     pub(crate) fn new(parts: IngressParts) -> Ingress {
-        Ingress { parts, in_flight: AtomicUsize::new(0), closed: AtomicBool::new(false) }
+        Ingress {
+            parts,
+            in_flight: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+        }
     }
 
     /// Requests whose answer has not been handed to the connection.
@@ -64,6 +71,11 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Serves on, and asks callers to connect elsewhere.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Refuses everything from now on, as not run.
     pub(crate) fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
@@ -74,6 +86,10 @@
         self.in_flight.fetch_add(1, Ordering::SeqCst);
         let counted = Counted(Arc::clone(self));
         let response = self.answer(request).await;
+        let response = match self.leaving.load(Ordering::SeqCst) {
+            true => answer::closing(response),
+            false => response,
+        };
         answer::counted(response, counted)
     }
 
@@ -84,7 +100,7 @@
         }
         if self.closed.load(Ordering::SeqCst) {
             let reply = GateReply::not_run(NotRunReason::Draining);
-            return answer::closing(answer::of(Ending::given_up(reply), None));
+            return answer::of(Ending::given_up(reply), None);
         }
         let started = self.parts.clock.now();
         match self.forward(&parts.method, &parts.uri, parts.headers, body).await {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,6 +11,7 @@
 mod ingress;
 pub mod links;
 mod metrics;
+mod plane;
 pub mod report;
 mod request;
 pub mod snapshot;
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,66 @@
+//! `pomelohilld`: the agent beside an upstream.
+
+use std::{fs, path::PathBuf, process::ExitCode};
+
+use agent::ListenError;
+use gumdrop::Options;
+use settings::AgentSettings;
+
+/// Exit codes, after the common `sysexits.h`.
+const EXIT_USAGE: u8 = 64;
+const EXIT_NO_INPUT: u8 = 66;
+const EXIT_UNAVAILABLE: u8 = 69;
+const EXIT_SOFTWARE: u8 = 70;
+const EXIT_CONFIG: u8 = 78;
+
+/// The agent beside an upstream.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// Print this help.
+    help: bool,
+    /// The settings file, JSON with comments.
+    #[options(required, meta = "FILE")]
+    settings: PathBuf,
+}
+
+/// Why the agent ends: one sentence, and the exit code.
+struct Failure {
+    code: u8,
+    sentence: String,
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure { code, sentence }) => {
+            say(&sentence);
+            ExitCode::from(code)
+        }
+    }
+}
+
+#[expect(clippy::print_stderr, reason = "there may be no log yet")]
+fn say(sentence: &str) {
+    eprintln!("pomelohilld: {sentence}");
+}
+
+fn start() -> Result<(), Failure> {
+    let failure = |code, sentence| Failure { code, sentence };
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments = Arguments::parse_args_default(&arguments)
+        .map_err(|error| failure(EXIT_USAGE, format!("{error}; see --help.")))?;
+    if arguments.help {
+        say(&format!("runs the agent beside an upstream.\n\n{}", Arguments::usage()));
+        return Ok(());
+    }
+    let file = arguments.settings.display();
+    let text = fs::read_to_string(&arguments.settings)
+        .map_err(|error| failure(EXIT_NO_INPUT, format!("{file}: {error}.")))?;
+    let settings = AgentSettings::parse(&text)
+        .map_err(|problems| failure(EXIT_CONFIG, format!("{file}: {problems}")))?;
+    env_logger::Builder::new().parse_filters(&settings.log).init();
+    agent::run(settings).map_err(|error| match error.downcast_ref::<ListenError>() {
+        Some(error) => failure(EXIT_UNAVAILABLE, error.to_string()),
+        None => failure(EXIT_SOFTWARE, format!("{error:#}.")),
+    })
+}
--- /dev/null
+++ b/crates/agent/src/plane.rs
@@ -0,0 +1,123 @@
+//! The traffic plane: everything that runs on the traffic threads.
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::Context;
+use model::Instance;
+use tokio::{net::TcpListener, sync::mpsc, sync::oneshot, task::JoinHandle, time::sleep};
+
+use crate::{
+    clock::Clock,
+    forward::{ForwardParts, Forwarder},
+    gate::{Connect, Gate, GateHandle, GateParts, GateTask},
+    ingress::{self, Ingress, IngressParts},
+    links::{LinkKey, traffic::TrafficLinks},
+    metrics::{self, Metrics},
+    report::Reporter,
+    snapshot::SnapshotCell,
+};
+
+/// How often the stop looks whether everything in flight has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
+/// What the traffic plane is made from.
+pub(crate) struct PlaneParts {
+    pub(crate) own: Instance,
+    pub(crate) clock: Clock,
+    pub(crate) key: LinkKey,
+    pub(crate) snapshots: Arc<SnapshotCell>,
+    pub(crate) reporter: Reporter,
+    pub(crate) handle: GateHandle,
+    pub(crate) tasks: mpsc::UnboundedReceiver<GateTask>,
+    pub(crate) connect: Connect,
+    pub(crate) callers: TcpListener,
+    pub(crate) peers: TcpListener,
+    pub(crate) metrics: TcpListener,
+}
+
+/// The running traffic plane.
+pub(crate) struct Plane {
+    gate: Arc<Gate>,
+    ingress: Arc<Ingress>,
+    drained: oneshot::Sender<()>,
+    server: JoinHandle<anyhow::Result<()>>,
+}
+
+impl Plane {
+    /// Starts it on the runtime that calls.
+    pub(crate) fn start(parts: PlaneParts) -> anyhow::Result<Plane> {
+        let metrics = Arc::new(Metrics::new().context("metrics")?);
+        let gate = Gate::start(GateParts {
+            own: parts.own.clone(),
+            handle: parts.handle,
+            tasks: parts.tasks,
+            snapshots: Arc::clone(&parts.snapshots),
+            reporter: parts.reporter.clone(),
+            metrics: Arc::clone(&metrics),
+            connect: parts.connect,
+        });
+        let handler = Arc::new(Arc::clone(&gate));
+        let links = TrafficLinks::start(parts.own.clone(), parts.peers, parts.key, handler);
+        gate.set_links(links.clone());
+        let forwarder = Forwarder::new(ForwardParts {
+            own: parts.own,
+            clock: parts.clock,
+            snapshots: Arc::clone(&parts.snapshots),
+            gate: Arc::clone(&gate),
+            links: links.clone(),
+            reporter: parts.reporter.clone(),
+            metrics: Arc::clone(&metrics),
+        });
+        let ingress = Arc::new(Ingress::new(IngressParts {
+            clock: parts.clock,
+            snapshots: Arc::clone(&parts.snapshots),
+            forwarder,
+            reporter: parts.reporter,
+            metrics: Arc::clone(&metrics),
+        }));
+        let (drained, hook) = oneshot::channel();
+        let server = tokio::spawn(ingress::serve(parts.callers, Arc::clone(&ingress), hook));
+        tokio::spawn(metrics::serve(parts.metrics, metrics, Arc::clone(&gate)));
+        tokio::spawn(warm_links(parts.snapshots, links));
+        Ok(Plane { gate, ingress, drained, server })
+    }
+
+    /// The instance is about to leave: callers are asked to connect elsewhere.
+    pub(crate) fn leave(&self) {
+        self.ingress.leave();
+    }
+
+    /// Waits for what is in flight at the gate, then refuses callers and waits for what ingress
+    /// has in flight. Cuts off nothing.
+    pub(crate) async fn drain(&self) {
+        while self.gate.in_flight() > 0 {
+            sleep(DRAIN_POLL).await;
+        }
+        self.ingress.close();
+        while self.ingress.in_flight() > 0 || self.gate.in_flight() > 0 {
+            sleep(DRAIN_POLL).await;
+        }
+    }
+
+    /// Lets the HTTP server end, which closes its connections after their last answer. The server
+    /// must have seen a signal, for it waits for one.
+    pub(crate) async fn end(self) -> anyhow::Result<()> {
+        // The server may have ended by itself.
+        _ = self.drained.send(());
+        self.server.await.context("the server's task")?
+    }
+}
+
+/// Makes links to owners and members before the first request needs them.
+async fn warm_links(snapshots: Arc<SnapshotCell>, links: TrafficLinks) {
+    let mut changes = snapshots.changes();
+    loop {
+        let snapshot = snapshots.load().clone();
+        for service in snapshot.services.values() {
+            service.routes.instances().for_each(|it| links.warm(it));
+        }
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,228 @@
+//! The process: its addresses, threads and signals, and its graceful stop.
+
+use std::{
+    net::{SocketAddr, TcpListener as StdListener},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use anyhow::Context;
+use model::{Incarnation, Instance};
+use settings::AgentSettings;
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    runtime::{Builder, Runtime},
+    signal::unix::{Signal, SignalKind, signal},
+    sync::{mpsc, oneshot, watch},
+    time::timeout,
+};
+
+use crate::{
+    clock::Clock,
+    control::{self, ControlParts, Phase},
+    gate::{GateHandle, connect_http},
+    links::LinkKey,
+    plane::{Plane, PlaneParts},
+    report::{self, Report},
+    snapshot::SnapshotCell,
+};
+
+/// Connections that may wait to be accepted: all callers arrive in the same second.
+const BACKLOG: u32 = 4096;
+/// How long a leaving instance waits until everything has been handed over.
+const HANDOVER_MAX: Duration = Duration::from_secs(20);
+
+/// Why the process can't start.
+#[derive(Debug, thiserror::Error)]
+#[error("The {name} {address} can't be listened on: {source}.")]
+pub struct ListenError {
+    name: &'static str,
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+/// The listening sockets.
+struct Listeners {
+    callers: StdListener,
+    traffic: StdListener,
+    control: StdListener,
+    metrics: StdListener,
+}
+
+/// Runs an agent until a signal has ended it gracefully.
+pub fn run(settings: AgentSettings) -> anyhow::Result<()> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .context("traffic runtime")?;
+    let signals = runtime.block_on(async { Signals::install() })?;
+    let listeners = runtime.block_on(async { Listeners::bind(&settings) })?;
+    let own = Instance {
+        name: settings.instance.clone(),
+        incarnation: Incarnation(rand::random()),
+        zone: settings.zone.clone(),
+        control: settings.control_address,
+        traffic: settings.traffic_address,
+    };
+    log::info!(target: "agent", "{own} starts for {} in {}.", settings.service, own.zone);
+    let clock = Clock::start();
+    let key = LinkKey::new(settings.link_key.as_bytes());
+    let snapshots: Arc<SnapshotCell> = Arc::default();
+    let (reporter, reports) = report::channel();
+    let (handle, tasks) = GateHandle::new(clock);
+    let (phase, phases) = watch::channel(Phase::Running);
+    let (handed_over, all_handed_over) = oneshot::channel();
+    let setup = ControlSetup {
+        settings: settings.clone(),
+        own: own.clone(),
+        clock,
+        listener: listeners.control,
+        key: key.clone(),
+        gate: handle.clone(),
+        snapshots: Arc::clone(&snapshots),
+        reports,
+        phases,
+        handed_over,
+    };
+    let control = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || setup.run())
+        .context("control thread")?;
+    let plane = async {
+        Plane::start(PlaneParts {
+            own,
+            clock,
+            key,
+            snapshots,
+            reporter,
+            handle,
+            tasks,
+            connect: Box::new(connect_http),
+            callers: TcpListener::from_std(listeners.callers)?,
+            peers: TcpListener::from_std(listeners.traffic)?,
+            metrics: TcpListener::from_std(listeners.metrics)?,
+        })
+    };
+    let plane = runtime.block_on(plane)?;
+    let ended = runtime.block_on(stop(signals, plane, &phase, all_handed_over));
+    phase.send_replace(Phase::Ending);
+    let control = control.join().map_err(|_| anyhow::anyhow!("the control thread panicked"))?;
+    log::info!(target: "agent", "The agent has stopped.");
+    ended.and(control)
+}
+
+/// Waits for a signal, hands over, drains, ends.
+async fn stop(
+    signals: Signals,
+    plane: Plane,
+    phase: &watch::Sender<Phase>,
+    handed_over: oneshot::Receiver<()>,
+) -> anyhow::Result<()> {
+    signals.wait().await;
+    log::info!(target: "agent", "A signal asks to stop: handing over.");
+    phase.send_replace(Phase::Stopping);
+    plane.leave();
+    if timeout(HANDOVER_MAX, handed_over).await.is_err() {
+        log::warn!(target: "agent", "Not everything was handed over in time.");
+    }
+    plane.drain().await;
+    log::info!(target: "agent", "Nothing is in flight any more.");
+    plane.end().await
+}
+
+/// The signals that the process takes.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    /// Taken so that it does not end the process.
+    _hang_up: Signal,
+}
+
+impl Signals {
+    fn install() -> anyhow::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate()).context("SIGTERM")?,
+            interrupt: signal(SignalKind::interrupt()).context("SIGINT")?,
+            _hang_up: signal(SignalKind::hangup()).context("SIGHUP")?,
+        })
+    }
+
+    /// Waits for one that asks to stop.
+    async fn wait(mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+impl Listeners {
+    fn bind(settings: &AgentSettings) -> Result<Listeners, ListenError> {
+        Ok(Listeners {
+            callers: bind("caller address", settings.caller_address)?,
+            traffic: bind("traffic address", settings.traffic_address)?,
+            control: bind("control address", settings.control_address)?,
+            metrics: bind("metrics address", settings.metrics_address)?,
+        })
+    }
+}
+
+fn bind(name: &'static str, address: SocketAddr) -> Result<StdListener, ListenError> {
+    let listen = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4(),
+            SocketAddr::V6(_) => TcpSocket::new_v6(),
+        }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)?.into_std()
+    };
+    listen().map_err(|source| ListenError { name, address, source })
+}
+
+/// What the control thread starts with.
+struct ControlSetup {
+    settings: AgentSettings,
+    own: Instance,
+    clock: Clock,
+    listener: StdListener,
+    key: LinkKey,
+    gate: GateHandle,
+    snapshots: Arc<SnapshotCell>,
+    reports: mpsc::Receiver<Report>,
+    phases: watch::Receiver<Phase>,
+    handed_over: oneshot::Sender<()>,
+}
+
+impl ControlSetup {
+    /// Runs control on a runtime of its own, so that a rush of requests can't delay a lease.
+    fn run(self) -> anyhow::Result<()> {
+        let runtime: Runtime =
+            Builder::new_current_thread().enable_all().build().context("control runtime")?;
+        runtime.block_on(async {
+            let platform = platform::HttpPlatform::new(
+                self.settings.platform_address,
+                platform::Timeouts::default(),
+            )?;
+            control::run(ControlParts {
+                settings: Arc::new(self.settings),
+                own: self.own,
+                clock: self.clock,
+                listener: TcpListener::from_std(self.listener).context("control listener")?,
+                key: self.key,
+                platform: Arc::new(platform),
+                gate: self.gate,
+                snapshots: self.snapshots,
+                reports: self.reports,
+                phase: self.phases,
+                handed_over: self.handed_over,
+                seed: rand::random(),
+            })
+            .await;
+            Ok(())
+        })
+    }
+}
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -46,6 +46,19 @@
     Any(Vec<MemberRoute>),
 }
 
+impl Routes {
+    /// Everyone that requests may be sent to; some may come up more than once.
+    pub(crate) fn instances(&self) -> impl Iterator<Item = &Instance> {
+        let (keyed, any) = match self {
+            Routes::ByKey(routes) => (Some(routes), None),
+            Routes::Any(members) => (None, Some(members)),
+        };
+        let owners = keyed.into_iter().flat_map(|it| it.slots.iter().chain(it.hot_keys.values()));
+        let members = any.into_iter().flatten();
+        owners.filter_map(|it| it.owner.as_ref()).chain(members.map(|it| &it.instance))
+    }
+}
+
 /// Owners of slots and hot keys. May be stale: the owner's gate has the last word.
 #[derive(Debug)]
 pub struct KeyRoutes {
