Traffic plane: failure tests on real sockets

A first sending that ingress holds over a change of owner is told 'not run' instead of 'unknown': found by the test of stale routes, where a redirect to a fresh owner ended unknown. The age that counts at the records is what the caller says plus the time that ingress held the sending. A body that says it is too large is refused before it is sent.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -89,7 +89,6 @@
         let clock = self.parts.clock;
         let started = clock.now();
         let deadline = started + request.remaining;
-        let first_age = request.age;
         let mut attempts = Attempts::default();
         let mut trail = Trail::default();
         let mut fresh = true;
@@ -105,7 +104,7 @@
             request.remaining = deadline.since(now);
             if attempts != Attempts::default() {
                 // The caller may have sent it again elsewhere while it was held here.
-                request.age = first_age + now.since(started);
+                request.held = now.since(started);
             }
             let reply = self.attempt(&state, &routes, &request, &mut trail).await;
             let retry_after = match &reply {
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -34,7 +34,7 @@
 
 impl Gate {
     /// Follows the snapshot: the upstream's address, its document, its draining.
-    pub(super) fn rebind(&self) {
+    pub(crate) fn rebind(&self) {
         let snapshot = self.snapshots.load();
         let Some((service, local)) = local_service(&snapshot) else { return };
         let former = self.bound.load_full();
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -87,7 +87,7 @@
         }
         let admittance = entry.admittance;
         let passage = Passage { gate: self, bound, request, deadline, entry: Some(entry) };
-        let key = RequestKey { key_hash, slot, id: request.id, age: request.age };
+        let key = RequestKey { key_hash, slot, id: request.id, age: known_age(request) };
         passage.once(now, &admittance, key, caller).await
     }
 
@@ -108,7 +108,7 @@
         let grant = Grant { token: Token::default(), since: Timestamp::ZERO };
         let admittance = Admittance { unit: WHOLE_SERVICE, grant, returned: None };
         let key_hash = KeyHash(request.id.0 as u64);
-        let key = RequestKey { key_hash, slot: Slot(0), id: request.id, age: request.age };
+        let key = RequestKey { key_hash, slot: Slot(0), id: request.id, age: known_age(request) };
         let passage = Passage { gate: self, bound, request, deadline, entry: None };
         passage.once(now, &admittance, key, caller).await
     }
@@ -179,13 +179,21 @@
                 };
             }
             Begun::Replay(answer) => return GateReply::Answered(answer),
+            // The owner changed while ingress held a first sending. This sending has not run, and a
+            // caller that still waits for it has made no other.
+            Begun::Unknown(UnknownReason::NoRecord) if self.request.age.is_zero() => {
+                return GateReply::not_run(NotRunReason::NoOwner);
+            }
             Begun::Unknown(reason) => return GateReply::unknown(reason),
             Begun::Full => return GateReply::not_run(NotRunReason::Overloaded),
         };
         if gate.may_have_run_elsewhere(self.bound, now, key.age) {
             let reply = GateReply::not_run(NotRunReason::Cancelled);
             book.finish(now, running, &reply);
-            return GateReply::unknown(UnknownReason::NoRecord);
+            return match self.request.age.is_zero() {
+                true => GateReply::not_run(NotRunReason::NoOwner),
+                false => GateReply::unknown(UnknownReason::NoRecord),
+            };
         }
         // The entry must live until the record has ended: a closing unit waits for it.
         let (reply, entry) = self.run_keeping(caller).await;
@@ -363,6 +371,11 @@
     Cut(UnknownReason),
 }
 
+/// The age that counts for records: what the caller says, and the time in this system.
+fn known_age(request: &GateRequest) -> Duration {
+    request.age + request.held
+}
+
 fn fence_check(bound: &Bound) -> FenceCheck {
     // Both must say so: the document is what the team answers for.
     match bound.document.upstream.checks_fence && bound.announcement.checks_fence {
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -175,6 +175,10 @@
 }
 
 async fn read(body: Body, bytes_max: usize) -> Result<bytes::Bytes, Refusal> {
+    // What says that it is too large is refused before it is sent.
+    if http_body::Body::size_hint(&body).lower() > bytes_max as u64 {
+        return Err(Refusal::BodyTooLarge { bytes_max });
+    }
     match Limited::new(body, bytes_max).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge { bytes_max }),
--- a/crates/agent/src/ingress/parse.rs
+++ b/crates/agent/src/ingress/parse.rs
@@ -115,6 +115,7 @@
         idempotent: route.idempotent,
         remaining,
         age,
+        held: Duration::ZERO,
         config: routes.version,
         method: method.clone(),
         path: address.path.clone(),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -15,3 +15,6 @@
 pub mod report;
 mod request;
 pub mod snapshot;
+
+#[cfg(test)]
+mod tests;
--- a/crates/agent/src/links/mod.rs
+++ b/crates/agent/src/links/mod.rs
@@ -4,7 +4,7 @@
 //! a lease. A link carries opaque messages both ways; whatever is wrong with one ends that link.
 
 mod control;
-mod handshake;
+pub(crate) mod handshake;
 mod key;
 mod socket;
 pub(crate) mod traffic;
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -82,6 +82,18 @@
         Ok(Plane { gate, ingress, drained, server })
     }
 
+    /// Requests that wait for a slot of the local upstream.
+    #[cfg(test)]
+    pub(crate) fn queued(&self) -> usize {
+        self.gate.load().1
+    }
+
+    /// Waits until the gate has followed the snapshot.
+    #[cfg(test)]
+    pub(crate) async fn wait_bound(&self) {
+        self.gate.rebind();
+    }
+
     /// The instance is about to leave: callers are asked to connect elsewhere.
     pub(crate) fn leave(&self) {
         self.ingress.leave();
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -25,8 +25,10 @@
     pub(crate) idempotent: bool,
     /// Time left to answer in.
     pub(crate) remaining: Duration,
-    /// Time since the first sending of this id; zero: this is it.
+    /// Time since the first sending of this id, as its caller says; zero: this is it.
     pub(crate) age: Duration,
+    /// Time that ingress has held this sending; zero: this is the first try to place it.
+    pub(crate) held: Duration,
     /// The ingress's version of the document.
     pub(crate) config: ConfigVersion,
     pub(crate) method: Method,
@@ -111,6 +113,7 @@
             remaining_us: whole_us(self.remaining),
             // A resend must not look like a first sending for its age being short.
             age_us: whole_us(self.age).max(u64::from(!self.age.is_zero())),
+            held_us: whole_us(self.held),
             config: self.config,
             method: self.method.as_str().to_owned(),
             path: self.path.as_str().to_owned(),
@@ -134,6 +137,7 @@
             idempotent: raw.idempotent,
             remaining: Duration::from_micros(raw.remaining_us),
             age: Duration::from_micros(raw.age_us),
+            held: Duration::from_micros(raw.held_us),
             config: raw.config,
             method: Method::from_bytes(raw.method.as_bytes())
                 .map_err(|error| invalid("method", error.to_string()))?,
--- /dev/null
+++ b/crates/agent/src/tests/callers.rs
@@ -0,0 +1,136 @@
+//! What callers are told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use super::fakes::{Call, PATIENCE, TestAgent, check, get, post};
+
+async fn owner() -> TestAgent {
+    let agent = TestAgent::start("a").await;
+    agent.route_to(&agent.own, 1).await;
+    agent.grant_all(1);
+    agent
+}
+
+/// Sends raw bytes and returns the status line of the answer.
+async fn raw(agent: &TestAgent, request: &str) -> String {
+    let mut stream = TcpStream::connect(agent.caller_address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.windows(2).any(|it| it == b"\r\n") {
+        let read = timeout(PATIENCE, stream.read_buf(&mut answer)).await.unwrap().unwrap();
+        assert_ne!(read, 0, "the agent hung up");
+    }
+    String::from_utf8_lossy(&answer).lines().next().unwrap().to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_of_the_local_owner() {
+    let agent = owner().await;
+    let body = Bytes::from_static(b"lap 12");
+    let answer = agent.call(Call { body: body.clone(), ..post("echo", 0xbeef) }).await;
+    check(&answer, 200, "answered");
+    assert_eq!(answer.body, body);
+    assert_eq!(answer.headers.get("x-request-id").unwrap(), "beef");
+    assert_eq!(agent.upstream.tokens.lock().unwrap()[0], Some(super::fakes::token(1)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refuses_what_it_cannot_route() {
+    let agent = owner().await;
+    for (request, status) in [
+        ("GET / HTTP/1.1\r\nhost: x\r\n\r\n", "404"),
+        ("GET /control/health HTTP/1.1\r\nhost: x\r\n\r\n", "404"),
+        ("GET /svc/a/b HTTP/1.1\r\nhost: x\r\nx-key: k\r\n\r\n", "404"),
+        ("GET /svc/echo HTTP/1.1\r\nhost: x\r\n\r\n", "400"),
+        ("GET /svc/echo HTTP/1.1\r\nhost: x\r\nx-key: k\r\nx-request-id: zz\r\n\r\n", "400"),
+        ("GET /svc/echo HTTP/1.1\r\nhost: x\r\nx-key: k\r\nx-deadline-ms: -1\r\n\r\n", "400"),
+        (
+            "POST /svc/echo HTTP/1.1\r\nhost: x\r\nx-key: k\r\ncontent-length: 4194305\r\n\r\n",
+            "413",
+        ),
+    ] {
+        let status_line = raw(&agent, request).await;
+        assert!(status_line.contains(status), "{request:?}: {status_line}");
+    }
+    let long = format!("GET /svc/echo HTTP/1.1\r\nhost: x\r\nx-a: {}\r\n\r\n", "a".repeat(20_000));
+    assert!(raw(&agent, &long).await.contains("431"));
+    assert!(agent.upstream.ran().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn deadline_ends_as_unknown_and_cancels() {
+    let agent = owner().await;
+    let deadline = Duration::from_millis(100);
+    check(
+        &agent.call(Call { deadline, ..get("hold", 1) }).await,
+        504,
+        "unknown; reason=deadline-exceeded",
+    );
+    while agent.upstream.cancelled.lock().unwrap().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    // Its slots are free again.
+    for id in 2..5 {
+        check(&agent.call(get("echo", id)).await, 200, "answered");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_that_hangs_up_frees_its_slot() {
+    let agent = owner().await;
+    for id in 1..3 {
+        let mut stream = TcpStream::connect(agent.caller_address).await.unwrap();
+        let request =
+            format!("GET /svc/hold HTTP/1.1\r\nhost: x\r\nx-key: k\r\nx-request-id: {id}\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        agent.upstream.wait_started().await;
+        drop(stream);
+    }
+    // Both slots of the upstream were taken.
+    check(&agent.call(get("echo", 3)).await, 200, "answered");
+    let mut cancelled = agent.upstream.cancelled.lock().unwrap().clone();
+    cancelled.sort();
+    assert_eq!(cancelled, [model::RequestId(1), model::RequestId(2)]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn overload_is_refused_at_once_with_a_time_to_come_back() {
+    let agent = owner().await;
+    let mut held = Vec::new();
+    for id in 1..3 {
+        let call = agent.caller.clone();
+        let request = agent_request("hold", id);
+        held.push(tokio::spawn(async move { upstream::Upstream::call(&call, request).await }));
+        agent.upstream.wait_started().await;
+    }
+    // Less time than a request of this class has been seen to take.
+    let deadline = Duration::from_millis(5);
+    let answer = agent.call(Call { deadline, ..get("echo", 3) }).await;
+    assert_eq!(answer.status.as_u16(), 503, "{answer:?}");
+    assert!(agent.upstream.ran().len() == 2);
+    agent.upstream.release.add_permits(2);
+    for it in held {
+        assert_eq!(it.await.unwrap().unwrap().status.as_u16(), 200);
+    }
+}
+
+fn agent_request(op: &str, id: u128) -> upstream::Request {
+    let mut headers = http::HeaderMap::new();
+    headers.insert("x-key", http::HeaderValue::from_static("car-7"));
+    upstream::Request {
+        method: http::Method::GET,
+        path: format!("/svc/{op}").try_into().unwrap(),
+        headers,
+        body: Bytes::new(),
+        id: model::RequestId(id),
+        token: None,
+        remaining: PATIENCE / 2,
+    }
+}
--- /dev/null
+++ b/crates/agent/src/tests/fakes.rs
@@ -0,0 +1,341 @@
+//! An upstream in memory, and agents without control.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, StatusCode, uri::PathAndQuery};
+use model::{
+    ConfigVersion, Incarnation, Instance, InstanceName, OUTCOME_HEADER, RequestId, ServiceName,
+    Slot, Term, Timestamp, Token, Zone, key_hash,
+};
+use ownership::{GateCommand, UpstreamState};
+use settings::ServiceDocument;
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, mpsc},
+    time::timeout,
+};
+use upstream::{
+    Answer, CallError, ControlError, Health, HealthState, HttpUpstream, Load, Request, Upstream,
+    UpstreamFuture,
+};
+
+use crate::{
+    clock::Clock,
+    gate::GateHandle,
+    links::LinkKey,
+    plane::{Plane, PlaneParts},
+    report::{self, Announcement, Report},
+    snapshot::{
+        KeyRoutes, LocalUpstream, MemberRoute, OwnerRoute, Routes, ServiceRoutes, Snapshot,
+        SnapshotCell,
+    },
+};
+
+/// Far longer than anything here takes; no test asserts a time.
+pub(super) const PATIENCE: Duration = Duration::from_secs(20);
+pub(super) const SECRET: &[u8] = b"a secret of all agents";
+
+/// An upstream that does what the last segment of the path says.
+pub(super) struct FakeUpstream {
+    /// Requests that ran, in order.
+    pub(super) ran: Mutex<Vec<RequestId>>,
+    pub(super) tokens: Mutex<Vec<Option<Token>>>,
+    pub(super) cancelled: Mutex<Vec<RequestId>>,
+    /// One permit lets one `hold` go on.
+    pub(super) release: Semaphore,
+    /// One permit for each request that has begun to run.
+    pub(super) started: Semaphore,
+    pub(super) frozen: std::sync::atomic::AtomicBool,
+}
+
+impl FakeUpstream {
+    fn new() -> FakeUpstream {
+        FakeUpstream {
+            ran: Mutex::default(),
+            tokens: Mutex::default(),
+            cancelled: Mutex::default(),
+            release: Semaphore::new(0),
+            started: Semaphore::new(0),
+            frozen: std::sync::atomic::AtomicBool::new(false),
+        }
+    }
+
+    pub(super) fn ran(&self) -> Vec<RequestId> {
+        self.ran.lock().unwrap().clone()
+    }
+
+    /// Waits until one more request has begun.
+    pub(super) async fn wait_started(&self) {
+        timeout(PATIENCE, self.started.acquire()).await.unwrap().unwrap().forget();
+    }
+
+    async fn run(&self, request: Request) -> Result<Answer, CallError> {
+        let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+        let op = request.path.path().rsplit('/').next().unwrap_or_default().to_owned();
+        if op == "refuse" {
+            return Err(CallError::Refused { peer, retry_after: None });
+        }
+        self.ran.lock().unwrap().push(request.id);
+        self.tokens.lock().unwrap().push(request.token);
+        self.started.add_permits(1);
+        match op.as_str() {
+            "hold" => self.release.acquire().await.unwrap().forget(),
+            "lost" => {
+                return Err(CallError::Lost { step: "call", peer, reason: "cut".to_owned() });
+            }
+            _ => {}
+        }
+        let mut headers = HeaderMap::new();
+        headers.insert("x-ran", HeaderValue::from_str(&format!("{:x}", request.id.0)).unwrap());
+        let body = match op.as_str() {
+            "big" => big_body(request.id),
+            _ => request.body,
+        };
+        Ok(Answer { status: StatusCode::OK, headers, body })
+    }
+}
+
+/// A body of several chunks that no other request has.
+pub(super) fn big_body(id: RequestId) -> Bytes {
+    let byte = |it: usize| (id.0 as usize).wrapping_mul(31).wrapping_add(it / 7) as u8;
+    (0..700_000 + id.0 as usize % 1000).map(byte).collect::<Vec<u8>>().into()
+}
+
+impl Upstream for FakeUpstream {
+    fn call(&self, request: Request) -> UpstreamFuture<'_, Result<Answer, CallError>> {
+        Box::pin(self.run(request))
+    }
+
+    fn health(&self) -> UpstreamFuture<'_, Result<Health, ControlError>> {
+        Box::pin(async {
+            if self.frozen.load(std::sync::atomic::Ordering::SeqCst) {
+                std::future::pending::<()>().await;
+            }
+            Ok(Health { state: HealthState::Ready, slots: 2 })
+        })
+    }
+
+    fn load(&self) -> UpstreamFuture<'_, Result<Load, ControlError>> {
+        Box::pin(async { Ok(Load { in_flight: 0, queued: 0 }) })
+    }
+
+    fn grant(
+        &self,
+        _: Slot,
+        _: Token,
+        _: Duration,
+    ) -> UpstreamFuture<'_, Result<(), ControlError>> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn prepare(&self, _: Slot) -> UpstreamFuture<'_, Result<(), ControlError>> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn cancel(&self, id: RequestId) -> UpstreamFuture<'_, Result<(), ControlError>> {
+        self.cancelled.lock().unwrap().push(id);
+        Box::pin(async { Ok(()) })
+    }
+}
+
+/// `GET` is idempotent, everything else is not.
+pub(super) fn document(keyed: bool) -> Arc<ServiceDocument> {
+    let text = r#"{
+        "service": "svc", "team": "club", "keyed": KEYED, "slot_count": 4,
+        "upstream": { "slots": 2, "connections_max": 10, "checks_fence": false, "warmup_ms": 0 },
+        "classes": [{ "name": "lap" }],
+        "routes": [
+            { "method": "GET", "path": "/{op}", "class": "lap", "idempotent": true, "deadline_ms": 10000 },
+            { "path": "/{op}", "class": "lap", "idempotent": false, "deadline_ms": 10000 }
+        ],
+        "limits": { "queue_ms_max": 5000, "queue_length_max": 64, "body_bytes_max": 4194304 },
+        "ownership": { "lease_ms": 60000 }
+    }"#;
+    let text = text.replace("KEYED", if keyed { "true" } else { "false" });
+    match ServiceDocument::parse(&text) {
+        Ok(document) => Arc::new(document),
+        Err(problems) => panic!("{problems}"),
+    }
+}
+
+/// One agent: its traffic plane, and the ends that control would hold.
+pub(super) struct TestAgent {
+    pub(super) plane: Plane,
+    pub(super) own: Instance,
+    pub(super) gate: GateHandle,
+    pub(super) snapshots: Arc<SnapshotCell>,
+    pub(super) reports: mpsc::Receiver<Report>,
+    pub(super) upstream: Arc<FakeUpstream>,
+    pub(super) caller: HttpUpstream,
+    pub(super) caller_address: SocketAddr,
+}
+
+impl TestAgent {
+    pub(super) async fn start(name: &str) -> TestAgent {
+        TestAgent::start_with_key(name, SECRET).await
+    }
+
+    pub(super) async fn start_with_key(name: &str, key: &[u8]) -> TestAgent {
+        let listen = || TcpListener::bind("127.0.0.1:0");
+        let (callers, peers, metrics) =
+            (listen().await.unwrap(), listen().await.unwrap(), listen().await.unwrap());
+        let caller_address = callers.local_addr().unwrap();
+        let own = instance(name, peers.local_addr().unwrap());
+        let upstream = Arc::new(FakeUpstream::new());
+        let clock = Clock::start();
+        let (reporter, reports) = report::channel();
+        let (gate, tasks) = GateHandle::new(clock);
+        let snapshots: Arc<SnapshotCell> = Arc::default();
+        let fake: Arc<dyn Upstream> = Arc::clone(&upstream) as Arc<dyn Upstream>;
+        let plane = Plane::start(PlaneParts {
+            own: own.clone(),
+            clock,
+            key: LinkKey::new(key),
+            snapshots: Arc::clone(&snapshots),
+            reporter,
+            handle: gate.clone(),
+            tasks,
+            connect: Box::new(move |_, _| Ok(Arc::clone(&fake))),
+            callers,
+            peers,
+            metrics,
+        })
+        .unwrap();
+        let caller = HttpUpstream::new(caller_address, 1000, 64 << 20).unwrap();
+        TestAgent { plane, own, gate, snapshots, reports, upstream, caller, caller_address }
+    }
+
+    /// Publishes routes in which all slots belong to one instance.
+    pub(super) async fn route_to(&self, owner: &Instance, route_version: u64) {
+        let document = document(true);
+        let slot_count = document.slot_count;
+        let route = OwnerRoute { owner: Some(owner.clone()), successors: Vec::new() };
+        let slots = vec![route; usize::from(slot_count.count())];
+        let hot_keys = HashMap::new();
+        let routes = KeyRoutes { route_version, slot_count, slots, hot_keys };
+        self.publish(document, Routes::ByKey(routes)).await;
+    }
+
+    pub(super) async fn route_to_members(&self, members: &[&Instance]) {
+        let member = |it: &&Instance| MemberRoute {
+            instance: Instance::clone(it),
+            state: UpstreamState::Ready,
+        };
+        let routes = Routes::Any(members.iter().map(member).collect());
+        self.publish(document(false), routes).await;
+    }
+
+    async fn publish(&self, document: Arc<ServiceDocument>, routes: Routes) {
+        let service = ServiceName::new("svc").unwrap();
+        let routes =
+            ServiceRoutes { service: service.clone(), version: ConfigVersion(1), document, routes };
+        let announcement = Announcement {
+            service: service.clone(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            state: UpstreamState::Ready,
+            slots: 2,
+            checks_fence: false,
+        };
+        let local = Some(LocalUpstream { announcement, draining: false });
+        let services = HashMap::from([(service, Arc::new(routes))]);
+        self.snapshots.store(Snapshot { services, local });
+        self.plane.wait_bound().await;
+    }
+
+    /// Grants all slots and lets the grant grow older than the margin of records.
+    pub(super) async fn settle(&self, sequence: u64) {
+        self.grant_all(sequence);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    /// Grants all slots, under a lease that outlasts the test.
+    pub(super) fn grant_all(&self, sequence: u64) {
+        let until = self.gate.clock.now() + PATIENCE * 10;
+        let mut commands = vec![GateCommand::Lease { until }];
+        commands
+            .extend((0..4).map(|it| GateCommand::Admit { slot: Slot(it), token: token(sequence) }));
+        self.gate.apply(&commands);
+    }
+
+    pub(super) fn end_lease(&self) {
+        self.gate.apply(&[GateCommand::Lease { until: Timestamp::ZERO }]);
+    }
+
+    /// Calls like a caller would.
+    pub(super) async fn call(&self, call: Call<'_>) -> Answer {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-key", HeaderValue::from_str(call.key).unwrap());
+        if let Some(age) = call.age {
+            headers.insert("x-first-sent-ms", HeaderValue::from(age.as_millis() as u64));
+        }
+        let answer = self.caller.call(Request {
+            method: call.method,
+            path: PathAndQuery::try_from(format!("/svc/{}", call.op)).unwrap(),
+            headers,
+            body: call.body,
+            id: RequestId(call.id),
+            token: None,
+            remaining: call.deadline,
+        });
+        timeout(PATIENCE, answer).await.expect("an end in time").expect("an answer")
+    }
+
+    /// Waits for a report that `wanted` takes.
+    pub(super) async fn report<T>(&mut self, wanted: impl Fn(&Report) -> Option<T>) -> T {
+        loop {
+            let report = timeout(PATIENCE, self.reports.recv()).await.expect("a report in time");
+            if let Some(it) = wanted(&report.expect("traffic goes on")) {
+                return it;
+            }
+        }
+    }
+}
+
+/// One call.
+#[derive(Debug, Clone)]
+pub(super) struct Call<'a> {
+    pub(super) method: Method,
+    pub(super) op: &'a str,
+    pub(super) key: &'a str,
+    pub(super) id: u128,
+    pub(super) body: Bytes,
+    pub(super) age: Option<Duration>,
+    pub(super) deadline: Duration,
+}
+
+/// An idempotent call.
+pub(super) fn get(op: &str, id: u128) -> Call<'_> {
+    let deadline = PATIENCE / 2;
+    Call { method: Method::GET, op, key: "car-7", id, body: Bytes::new(), age: None, deadline }
+}
+
+/// A call that may run once.
+pub(super) fn post(op: &str, id: u128) -> Call<'_> {
+    Call { method: Method::POST, ..get(op, id) }
+}
+
+pub(super) fn instance(name: &str, address: SocketAddr) -> Instance {
+    Instance {
+        name: InstanceName::new(name).unwrap(),
+        incarnation: Incarnation(key_hash(name.as_bytes()).0),
+        zone: Zone::new("pitlane").unwrap(),
+        control: address,
+        traffic: address,
+    }
+}
+
+pub(super) fn token(sequence: u64) -> Token {
+    Token { term: Term(1), sequence }
+}
+
+#[track_caller]
+pub(super) fn check(answer: &Answer, status: u16, outcome: &str) {
+    let header = answer.headers.get(OUTCOME_HEADER).map(|it| it.to_str().unwrap());
+    assert_eq!((answer.status.as_u16(), header), (status, Some(outcome)), "{answer:?}");
+}
--- /dev/null
+++ b/crates/agent/src/tests/gate.rs
@@ -0,0 +1,176 @@
+//! At most once, lease and fence at the gate.
+
+use std::time::Duration;
+
+use model::RequestId;
+use ownership::{GateCommand, UpstreamState};
+
+use crate::report::Report;
+
+use super::fakes::{Call, TestAgent, check, get, post};
+
+async fn owner() -> TestAgent {
+    let agent = TestAgent::start("a").await;
+    agent.route_to(&agent.own, 1).await;
+    agent.settle(1).await;
+    agent
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_answer_is_unknown_and_never_run_again() {
+    let agent = owner().await;
+    check(&agent.call(post("lost", 1)).await, 502, "unknown; reason=connection-lost");
+    let age = Some(Duration::from_millis(10));
+    check(
+        &agent.call(Call { age, ..post("echo", 1) }).await,
+        502,
+        "unknown; reason=connection-lost",
+    );
+    assert_eq!(agent.upstream.ran(), [RequestId(1)]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resend_gets_the_first_answer() {
+    let agent = owner().await;
+    let first = agent.call(Call { body: "first".into(), ..post("echo", 1) }).await;
+    let again =
+        Call { body: "second".into(), age: Some(Duration::from_millis(5)), ..post("echo", 1) };
+    let second = agent.call(again).await;
+    check(&second, 200, "answered");
+    assert_eq!((first.body, second.headers), ("first".into(), first.headers));
+    assert_eq!(agent.upstream.ran(), [RequestId(1)]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resend_waits_for_the_first_that_runs() {
+    let agent = owner().await;
+    let both = async {
+        tokio::join!(
+            agent.call(post("hold", 1)),
+            async {
+                agent.upstream.wait_started().await;
+                agent.call(Call { age: Some(Duration::from_millis(5)), ..post("hold", 1) }).await
+            },
+            async {
+                // Whichever order the resend arrives in, it must not run.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                agent.upstream.release.add_permits(1);
+            }
+        )
+    };
+    let (first, second, ()) = both.await;
+    check(&first, 200, "answered");
+    check(&second, 200, "answered");
+    assert_eq!(agent.upstream.ran(), [RequestId(1)]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_owner_without_records_does_not_run_resends() {
+    let agent = owner().await;
+    let age = Some(Duration::from_secs(60));
+    check(&agent.call(Call { age, ..post("echo", 1) }).await, 502, "unknown; reason=no-record");
+    check(&agent.call(post("echo", 2)).await, 200, "answered");
+    assert_eq!(agent.upstream.ran(), [RequestId(2)]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn first_sending_held_over_a_change_of_owner_is_not_run() {
+    let agent = owner().await;
+    agent.gate.apply(&[GateCommand::DropAll]);
+    let (answer, ()) = tokio::join!(agent.call(post("echo", 1)), async {
+        // The lease comes back before the grants: ingress tries again meanwhile.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        agent.grant_all(2);
+    });
+    let outcome = answer.headers.get(model::OUTCOME_HEADER).unwrap().to_str().unwrap();
+    assert!(outcome.starts_with("not-run") || outcome == "answered", "{answer:?}");
+    assert_eq!(agent.upstream.ran().len(), usize::from(outcome == "answered"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_by_the_upstream_may_run_later() {
+    let agent = owner().await;
+    check(&agent.call(post("refuse", 1)).await, 503, "not-run; reason=refused");
+    check(&agent.call(post("echo", 1)).await, 200, "answered");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_lease_no_request() {
+    let agent = owner().await;
+    agent.end_lease();
+    check(&agent.call(post("echo", 1)).await, 503, "not-run; reason=no-owner");
+    assert!(agent.upstream.ran().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lease_that_ends_in_the_queue_refuses_at_the_last_step() {
+    let agent = owner().await;
+    let (first, second, waiting, ()) = tokio::join!(
+        agent.call(get("hold", 1)),
+        agent.call(get("hold", 2)),
+        async {
+            agent.upstream.wait_started().await;
+            agent.upstream.wait_started().await;
+            agent.call(post("echo", 3)).await
+        },
+        async {
+            while agent.plane.queued() == 0 {
+                tokio::task::yield_now().await;
+            }
+            agent.end_lease();
+            agent.upstream.release.add_permits(2);
+        }
+    );
+    check(&first, 200, "answered");
+    check(&second, 200, "answered");
+    check(&waiting, 503, "not-run; reason=no-owner");
+    assert_eq!(agent.upstream.ran().len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dropping_everything_cancels_at_an_unchecked_upstream() {
+    let agent = owner().await;
+    let (answer, ()) = tokio::join!(agent.call(post("hold", 1)), async {
+        agent.upstream.wait_started().await;
+        agent.gate.apply(&[GateCommand::DropAll]);
+    });
+    check(&answer, 502, "unknown; reason=connection-lost");
+    assert_eq!(agent.upstream.cancelled.lock().unwrap().as_slice(), [RequestId(1)]);
+    // A new grant starts without the records of the former one.
+    agent.grant_all(2);
+    let age = Some(Duration::from_secs(1));
+    check(&agent.call(Call { age, ..post("echo", 1) }).await, 502, "unknown; reason=no-record");
+    check(&agent.call(post("echo", 2)).await, 200, "answered");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frozen_upstream_is_reported_and_its_return_too() {
+    let mut agent = owner().await;
+    let state = |it: &Report| match it {
+        Report::Upstream(state) => Some(*state),
+        _ => None,
+    };
+    assert_eq!(agent.report(state).await, UpstreamState::Ready);
+    let frozen = |it| agent.upstream.frozen.store(it, std::sync::atomic::Ordering::SeqCst);
+    frozen(true);
+    let mut agent = agent;
+    assert_eq!(agent.report(state).await, UpstreamState::Lost);
+    agent.upstream.frozen.store(false, std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(agent.report(state).await, UpstreamState::Ready);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn members_agree_on_who_runs_a_request_once() {
+    let (a, b) = (TestAgent::start("a").await, TestAgent::start("b").await);
+    for agent in [&a, &b] {
+        agent.route_to_members(&[&a.own, &b.own]).await;
+    }
+    for id in 0..20 {
+        check(&a.call(post("echo", id)).await, 200, "answered");
+        let age = Some(Duration::from_millis(1));
+        check(&b.call(Call { age, ..post("echo", id) }).await, 200, "answered");
+    }
+    let (at_a, at_b) = (a.upstream.ran().len(), b.upstream.ran().len());
+    assert_eq!(at_a + at_b, 20);
+    assert!(at_a > 0 && at_b > 0, "{at_a} and {at_b}");
+}
--- /dev/null
+++ b/crates/agent/src/tests/mod.rs
@@ -0,0 +1,8 @@
+//! The traffic plane on real sockets, with upstreams in memory and control played by the test.
+
+mod callers;
+mod fakes;
+mod forwarding;
+mod gate;
+mod handover;
+mod stop;
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -65,8 +65,10 @@
     pub idempotent: bool,
     /// Time left to answer in.
     pub remaining_us: u64,
-    /// Time since the caller first sent this request id; 0: this is the first sending.
+    /// Time since the caller first sent this request id, as it says; 0: this is the first sending.
     pub age_us: u64,
+    /// Time that the asking agent has held this sending.
+    pub held_us: u64,
     /// The asking agent's version of the service's document.
     pub config: ConfigVersion,
     pub method: String,
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -19,6 +19,7 @@
         idempotent: false,
         remaining_us: 1_000_000,
         age_us: 0,
+        held_us: 0,
         config: ConfigVersion(3),
         method: "POST".to_owned(),
         path: "/standings/lap?x=1".to_owned(),
