--- a/crates/agent/src/links/mod.rs
+++ b/crates/agent/src/links/mod.rs
@@ -9,5 +9,8 @@
 mod socket;
 pub(crate) mod traffic;
 
+#[cfg(test)]
+mod tests;
+
 pub use control::{ControlEvent, ControlLinks};
 pub use key::LinkKey;
