Join control, traffic plane and process

Cause: the parts had been written against their borders only. Conclusion: the whole path can be run on real processes.

--- a/crates/agent/src/control/accept.rs
+++ b/crates/agent/src/control/accept.rs
@@ -83,7 +83,7 @@
             }
             None if self.documents.of(&service).is_none() => {
                 let now = self.now();
-                self.dirty |= self.foreign.set_absent(now, &service);
+                self.foreign.set_absent(now, &service);
             }
             None => {}
         }
--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -16,15 +16,36 @@
 /// The end of a call.
 #[derive(Debug)]
 pub(crate) enum Done {
-    Node { call: CallId, reply: PlatformReply },
-    Accepted { service: ServiceName, result: Result<Option<(ObjectVersion, Accepted)>, PlatformError> },
-    Document { service: ServiceName, result: Result<Option<(ObjectVersion, String)>, PlatformError> },
+    Node {
+        call: CallId,
+        reply: PlatformReply,
+    },
+    Accepted {
+        service: ServiceName,
+        result: Result<Option<(ObjectVersion, Accepted)>, PlatformError>,
+    },
+    Document {
+        result: Result<Option<(ObjectVersion, String)>, PlatformError>,
+    },
     /// An update of `accepted/S`; what it was to become, and the version that it has now.
-    AcceptedUpdated { accepted: Accepted, result: Result<ObjectVersion, PlatformError> },
-    Group { service: ServiceName, result: Result<Option<Plan>, PlatformError> },
-    Watched { prefix: WatchPrefix, result: Result<Changes, PlatformError> },
-    StatusRead { result: Result<Option<ObjectVersion>, PlatformError> },
-    StatusWritten { result: Result<ObjectVersion, PlatformError> },
+    AcceptedUpdated {
+        accepted: Accepted,
+        result: Result<ObjectVersion, PlatformError>,
+    },
+    Group {
+        service: ServiceName,
+        result: Result<Option<Plan>, PlatformError>,
+    },
+    Watched {
+        prefix: WatchPrefix,
+        result: Result<Changes, PlatformError>,
+    },
+    StatusRead {
+        result: Result<Option<ObjectVersion>, PlatformError>,
+    },
+    StatusWritten {
+        result: Result<ObjectVersion, PlatformError>,
+    },
 }
 
 /// What a coordinator watches.
@@ -79,15 +100,18 @@
                 }
                 PlatformRequest::ReadPlan => {
                     let read = read_json::<Plan>(platform, &plan).await;
-                    read.map(|it| PlatformReply::Plan(it.map(|(version, it)| (version, Box::new(it)))))
+                    read.map(|it| {
+                        PlatformReply::Plan(it.map(|(version, it)| (version, Box::new(it))))
+                    })
                 }
                 PlatformRequest::UpdateCoordinator { expected, object } => {
                     let body = json(&object);
                     platform.update(&coordinator, expected, body).await.map(PlatformReply::Updated)
                 }
-                PlatformRequest::UpdatePlan { expected, object } => {
-                    platform.update(&plan, expected, json(&object)).await.map(PlatformReply::Updated)
-                }
+                PlatformRequest::UpdatePlan { expected, object } => platform
+                    .update(&plan, expected, json(&object))
+                    .await
+                    .map(PlatformReply::Updated),
             };
             Done::Node { call, reply: reply.unwrap_or_else(failed) }
         });
@@ -106,7 +130,7 @@
         self.spawn(|platform| async move {
             let result = platform.read(&service_path(&service)).await;
             let result = result.map(|object| object.map(|it| (it.version, text(&it))));
-            Done::Document { service, result }
+            Done::Document { result }
         });
     }
 
--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -45,16 +45,10 @@
 
 impl ForeignRoutes {
     /// The platform has no such service.
-    pub(super) fn set_absent(&mut self, now: Timestamp, service: &ServiceName) -> bool {
-        let Some(foreign) = self.table.get_mut(service) else { return false };
-        let first = foreign.absent_since.is_none();
-        foreign.absent_since.get_or_insert(now);
-        first
-    }
-
-    pub(super) fn absent(&self) -> impl Iterator<Item = &ServiceName> {
-        let absent = self.table.iter().filter(|(_, it)| it.absent_since.is_some());
-        absent.map(|(service, _)| service)
+    pub(super) fn set_absent(&mut self, now: Timestamp, service: &ServiceName) {
+        if let Some(foreign) = self.table.get_mut(service) {
+            foreign.absent_since.get_or_insert(now);
+        }
     }
 
     /// A document has come into force: its routes are due at once.
@@ -112,11 +106,9 @@
     }
 
     pub(super) fn refresh_foreign(&mut self, now: Timestamp) {
-        let before = self.foreign.table.len();
         self.foreign
             .table
             .retain(|_, it| it.absent_since.is_none_or(|since| now.since(since) < ABSENT_FOR));
-        self.dirty |= self.foreign.table.len() != before;
         let due: Vec<ServiceName> = self
             .foreign
             .table
@@ -264,9 +256,8 @@
 
 /// The same version, sent without its owners: those known still hold, for the members as listed.
 fn keep_owners(table: &mut RouteTable, current: &RouteTable) {
-    let mut moved = |index: &u16| {
-        index_of(&mut table.members, &current.members[usize::from(*index)].instance)
-    };
+    let mut moved =
+        |index: &u16| index_of(&mut table.members, &current.members[usize::from(*index)].instance);
     let owners = current.owners.iter().map(|it| RouteOwner {
         slot: it.slot,
         key_hash: it.key_hash,
--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -76,9 +76,11 @@
         let changed = view.route_version != self.view.route_version
             || view.term != self.view.term
             || view.members.len() != self.view.members.len()
-            || view.members.iter().zip(&self.view.members).any(|(new, old)| {
-                new.instance != old.instance || new.state != old.state
-            });
+            || view
+                .members
+                .iter()
+                .zip(&self.view.members)
+                .any(|(new, old)| new.instance != old.instance || new.state != old.state);
         self.view = view;
         changed
     }
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -23,7 +23,9 @@
         let ControlEvent::Message { from, payload } = event;
         match Envelope::decode(&payload) {
             Ok(envelope) => self.envelope(from, envelope),
-            Err(error) => log::warn!(target: "control", "A message of {from} is malformed: {error}."),
+            Err(error) => {
+                log::warn!(target: "control", "A message of {from} is malformed: {error}.")
+            }
         }
     }
 
@@ -122,7 +124,7 @@
         match done {
             Done::Node { call, reply } => self.step(now, Input::Platform { call, reply }),
             Done::Accepted { service, result } => self.accepted_read(service, result),
-            Done::Document { result, .. } => self.document_read(result),
+            Done::Document { result } => self.document_read(result),
             Done::AcceptedUpdated { accepted, result } => self.accepted_updated(accepted, result),
             Done::Group { service, result } => self.group_read(service, result),
             Done::Watched { prefix, result } => self.watched(prefix, result),
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -28,12 +28,11 @@
             let routes = routes_of(in_force, table);
             services.insert(service.clone(), Arc::new(service_routes(service, in_force, routes)));
         }
-        let absent = self.foreign.absent().cloned().collect();
         let local = self.local.announcement.clone().map(|announcement| LocalUpstream {
             draining: self.stopping || announcement.state == UpstreamState::Draining,
             announcement,
         });
-        self.parts.snapshots.store(Snapshot { services, absent, local });
+        self.parts.snapshots.store(Snapshot { services, local });
     }
 
     fn own_service_routes(&self) -> Option<ServiceRoutes> {
@@ -44,8 +43,8 @@
             Routes::ByKey(KeyRoutes::from_view(in_force.document.slot_count, view))
         } else {
             let members = view.members.iter();
-            let members = members
-                .map(|it| MemberRoute { instance: it.instance.clone(), state: it.state });
+            let members =
+                members.map(|it| MemberRoute { instance: it.instance.clone(), state: it.state });
             Routes::Any(members.collect())
         };
         Some(service_routes(service, in_force, routes))
--- a/crates/agent/src/control/status.rs
+++ b/crates/agent/src/control/status.rs
@@ -224,8 +224,9 @@
         && left.upstreams == right.upstreams
         && left.moves == right.moves
         && left.hot_keys.len() == right.hot_keys.len()
-        && left.owners.iter().map(|it| (&it.instance, it.slots)).eq(right
+        && left
             .owners
             .iter()
-            .map(|it| (&it.instance, it.slots)))
+            .map(|it| (&it.instance, it.slots))
+            .eq(right.owners.iter().map(|it| (&it.instance, it.slots)))
 }
--- a/crates/agent/src/control/watch.rs
+++ b/crates/agent/src/control/watch.rs
@@ -56,18 +56,15 @@
         }
     }
 
-    pub(super) fn watched(
-        &mut self,
-        prefix: WatchPrefix,
-        result: Result<Changes, PlatformError>,
-    ) {
+    pub(super) fn watched(&mut self, prefix: WatchPrefix, result: Result<Changes, PlatformError>) {
         let now = self.now();
         let jitter = self.rng.random_range(1.0..2.0);
         let watch = self.watch_of(&prefix);
         watch.running = None;
         match result {
             Ok(changes) => {
-                watch.after = Some(watch.after.map_or(changes.revision, |it| it.max(changes.revision)));
+                watch.after =
+                    Some(watch.after.map_or(changes.revision, |it| it.max(changes.revision)));
                 match prefix {
                     WatchPrefix::Document(service) => self.document_changed(&service, &changes),
                     WatchPrefix::Accepted => self.accepted_changed(&changes),
@@ -98,7 +95,9 @@
         for change in &changes.changes {
             let Some(body) = &change.body else { continue };
             match serde_json::from_slice::<Accepted>(body) {
-                Ok(it) if change.path.strip_prefix(ACCEPTED_PREFIX) == Some(it.service.as_str()) => {
+                Ok(it)
+                    if change.path.strip_prefix(ACCEPTED_PREFIX) == Some(it.service.as_str()) =>
+                {
                     self.offer_document(&it.service, it.version, &it.document);
                     self.announce_version(it.service, it.version);
                 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,12 +3,20 @@
 //! Control runs on one thread, traffic on others. Control publishes [`snapshot`]s and applies gate
 //! commands through [`gate::GateHandle`]; traffic answers with [`report`]s.
 
-#![allow(dead_code)]
-
 pub mod clock;
 pub mod control;
+mod forward;
 pub mod gate;
+mod ingress;
 pub mod links;
+mod metrics;
+mod plane;
 pub mod report;
 mod request;
+mod run;
 pub mod snapshot;
+
+pub use run::{ListenError, run};
+
+#[cfg(test)]
+mod tests;
--- a/crates/agent/src/links/mod.rs
+++ b/crates/agent/src/links/mod.rs
@@ -4,10 +4,13 @@
 //! a lease. A link carries opaque messages both ways; whatever is wrong with one ends that link.
 
 mod control;
-mod handshake;
+pub(crate) mod handshake;
 mod key;
 mod socket;
 pub(crate) mod traffic;
 
+#[cfg(test)]
+mod tests;
+
 pub use control::{ControlEvent, ControlLinks};
 pub use key::LinkKey;
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -1,9 +1,6 @@
 //! What traffic knows of services and routes: immutable, published whole by the control thread.
 
-use std::{
-    collections::{HashMap, HashSet},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use arc_swap::ArcSwap;
 use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, SlotCount};
@@ -17,8 +14,6 @@
 #[derive(Debug, Default)]
 pub struct Snapshot {
     pub services: HashMap<ServiceName, Arc<ServiceRoutes>>,
-    /// Names that are known not to be services.
-    pub absent: HashSet<ServiceName>,
     /// The upstream beside this agent, once it has announced itself.
     pub local: Option<LocalUpstream>,
 }
@@ -51,6 +46,19 @@
     Any(Vec<MemberRoute>),
 }
 
+impl Routes {
+    /// Everyone that requests may be sent to; some may come up more than once.
+    pub(crate) fn instances(&self) -> impl Iterator<Item = &Instance> {
+        let (keyed, any) = match self {
+            Routes::ByKey(routes) => (Some(routes), None),
+            Routes::Any(members) => (None, Some(members)),
+        };
+        let owners = keyed.into_iter().flat_map(|it| it.slots.iter().chain(it.hot_keys.values()));
+        let members = any.into_iter().flatten();
+        owners.filter_map(|it| it.owner.as_ref()).chain(members.map(|it| &it.instance))
+    }
+}
+
 /// Owners of slots and hot keys. May be stale: the owner's gate has the last word.
 #[derive(Debug)]
 pub struct KeyRoutes {
--- a/crates/wire/src/exchange/envelope.rs
+++ b/crates/wire/src/exchange/envelope.rs
@@ -14,15 +14,28 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Envelope {
     /// An encoded `ownership::Message` of one group.
-    Group { service: ServiceName, group: GroupId, payload: Vec<u8> },
+    Group {
+        service: ServiceName,
+        group: GroupId,
+        payload: Vec<u8>,
+    },
     /// Asks for the document in force.
-    FetchDocument { service: ServiceName },
+    FetchDocument {
+        service: ServiceName,
+    },
     /// The document in force, as its team wrote it.
-    Document { service: ServiceName, version: ConfigVersion, text: String },
+    Document {
+        service: ServiceName,
+        version: ConfigVersion,
+        text: String,
+    },
     /// Accepted versions that the sender knows of.
     Versions(Vec<(ServiceName, ConfigVersion)>),
     /// Asks any member of a service for its routes, unless they are those of `known`.
-    FetchRoutes { service: ServiceName, known: u64 },
+    FetchRoutes {
+        service: ServiceName,
+        known: u64,
+    },
     Routes(RouteTable),
 }
 
