--- a/crates/standins/src/bin/standin-caller.rs
+++ b/crates/standins/src/bin/standin-caller.rs
@@ -1,4 +1,4 @@
-//! Callers, for development only.
+//! Callers, for development only. Prints one JSON object at the end.
 
 use std::io::Write;
 
@@ -9,6 +9,6 @@
 async fn main() -> anyhow::Result<()> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     let summary = run(CallerOptions::parse_args_default_or_exit()).await?;
-    writeln!(std::io::stdout(), "{summary}")?;
+    writeln!(std::io::stdout(), "{}", serde_json::to_string(&summary)?)?;
     Ok(())
 }
--- a/crates/standins/src/caller/attempt.rs
+++ b/crates/standins/src/caller/attempt.rs
@@ -11,7 +11,7 @@
     response::Response,
 };
 
-use super::CallRequest;
+use super::{CallRequest, Peer};
 use crate::{
     answer::{ANSWER_BYTES, AnswerFault, KEY, check_answer},
     journal::AttemptResult,
@@ -19,6 +19,7 @@
 
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 const FIRST_SENT: HeaderName = HeaderName::from_static("x-first-sent-ms");
+const NOT_RUN: &str = "x-not-run";
 const RETRY_AFTER: &str = "retry-after";
 const RETRY_AFTER_MS: &str = "retry-after-ms";
 
@@ -50,8 +51,9 @@
         request: &CallRequest,
         age: Option<Duration>,
         patience: Duration,
+        peer: Peer,
     ) -> Ending {
-        match timeout(patience, self.send(target, request, age)).await {
+        match timeout(patience, self.send(target, request, age, peer)).await {
             Ok(ending) => ending,
             Err(_) => Ending { result: AttemptResult::TimedOut, retry_after: None },
         }
@@ -62,6 +64,7 @@
         target: SocketAddr,
         request: &CallRequest,
         age: Option<Duration>,
+        peer: Peer,
     ) -> Ending {
         let mut builder = self
             .client
@@ -75,7 +78,7 @@
             builder = builder.header(FIRST_SENT, age.as_millis().to_string());
         }
         match builder.send().await {
-            Ok(response) => read(response, request).await,
+            Ok(response) => read(response, request, peer).await,
             Err(error) if is_refused(&error) => {
                 Ending { result: AttemptResult::NotConnected, retry_after: None }
             }
@@ -96,13 +99,18 @@
     false
 }
 
-async fn read(response: Response, request: &CallRequest) -> Ending {
+async fn read(response: Response, request: &CallRequest, peer: Peer) -> Ending {
     let (parts, body) = response.into_parts();
     let retry_after = retry_after(&parts.headers);
     let Ok(body) = body.into_bytes().await else {
         return Ending { result: AttemptResult::ConnectionLost, retry_after };
     };
-    let outcome = parts.headers.get(OUTCOME_HEADER).and_then(|it| it.to_str().ok());
+    let outcome = match peer {
+        Peer::Agent => parts.headers.get(OUTCOME_HEADER).and_then(|it| it.to_str().ok()),
+        Peer::Upstream if parts.status == StatusCode::OK => Some("answered"),
+        Peer::Upstream if parts.headers.contains_key(NOT_RUN) => Some("not-run"),
+        Peer::Upstream => Some("unknown"),
+    };
     let result = classify(parts.status, outcome, &body, request);
     Ending { result, retry_after }
 }
--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -30,6 +30,15 @@
     pub body: Bytes,
 }
 
+/// What callers talk to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Peer {
+    /// Whose answers carry an outcome.
+    Agent,
+    /// An upstream without an agent in between, to compare with.
+    Upstream,
+}
+
 /// How callers go about a request that did not succeed.
 #[derive(Debug, Clone)]
 pub struct CallRules {
@@ -41,6 +50,7 @@
     pub resend_after: Duration,
     /// Whether anything is sent more than once.
     pub resend: bool,
+    pub peer: Peer,
 }
 
 impl Default for CallRules {
@@ -50,6 +60,7 @@
             margin: Duration::from_millis(250),
             resend_after: Duration::from_millis(25),
             resend: true,
+            peer: Peer::Agent,
         }
     }
 }
@@ -84,7 +95,7 @@
             let sent_ns = wall_ns();
             let patience = request.deadline + self.rules.margin;
             let Ending { result, retry_after } =
-                self.client.attempt(address, request, age, patience).await;
+                self.client.attempt(address, request, age, patience, self.rules.peer).await;
             let next = next(&result, request.idempotent);
             let ended_ns = wall_ns();
             attempts.push(Attempt { target: address, sent_ns, ended_ns, result });
--- a/crates/standins/src/caller/mod.rs
+++ b/crates/standins/src/caller/mod.rs
@@ -5,11 +5,13 @@
 mod call;
 mod load;
 mod options;
+mod summary;
 
 #[cfg(test)]
 mod tests;
 
 pub use attempt::AgentClient;
-pub use call::{CallRequest, CallRules, Caller};
+pub use call::{CallRequest, CallRules, Caller, Peer};
 pub use load::{Load, LoadReport, Pace, run_load};
 pub use options::{CallerOptions, RouteMix, run};
+pub use summary::{Latency, LoadSummary};
--- a/crates/standins/src/caller/options.rs
+++ b/crates/standins/src/caller/options.rs
@@ -1,12 +1,12 @@
 //! Flags of `standin-caller`.
 
-use std::{collections::BTreeMap, str::FromStr, time::Duration};
+use std::{str::FromStr, time::Duration};
 
 use anyhow::Context;
 use http::Method;
 use tokio::time::Instant;
 
-use super::{CallRules, Load, LoadReport, Pace, run_load};
+use super::{CallRules, Load, LoadSummary, Pace, Peer, run_load};
 
 /// One kind of request within a load.
 #[derive(Debug, Clone, PartialEq)]
@@ -76,6 +76,10 @@
     pub deadline_ms: u64,
     #[options(no_short, help = "time until a caller gives up", default = "10000")]
     pub patience_ms: u64,
+    #[options(no_short, help = "send each request once")]
+    pub no_resend: bool,
+    #[options(no_short, help = "the targets are upstreams")]
+    pub direct: bool,
     #[options(no_short, help = "seed of keys, routes and ids", default = "1")]
     pub seed: u64,
     #[options(no_short, help = "file of the journal; empty: none")]
@@ -103,7 +107,12 @@
             hot_share: options.hot_share,
             answer_bytes: options.answer_bytes,
             deadline: Duration::from_millis(options.deadline_ms),
-            rules: CallRules { patience, ..CallRules::default() },
+            rules: CallRules {
+                patience,
+                resend: !options.no_resend,
+                peer: if options.direct { Peer::Upstream } else { Peer::Agent },
+                ..CallRules::default()
+            },
             seed: options.seed,
             journal: options.journal,
         })
@@ -111,16 +120,7 @@
 }
 
 /// Runs the load and tells how many requests came to which end.
-pub async fn run(options: CallerOptions) -> anyhow::Result<String> {
+pub async fn run(options: CallerOptions) -> anyhow::Result<LoadSummary> {
     let report = run_load(Load::try_from(options)?, Instant::now()).await?;
-    Ok(summary(&report))
-}
-
-fn summary(report: &LoadReport) -> String {
-    let mut outcomes: BTreeMap<String, usize> = BTreeMap::new();
-    for record in &report.records {
-        *outcomes.entry(format!("{:?}", record.outcome)).or_default() += 1;
-    }
-    let sendings: usize = report.records.iter().map(|it| it.attempts.len()).sum();
-    format!("requests {}, sendings {sendings}, {outcomes:?}", report.records.len())
+    LoadSummary::new(&report.records)
 }
