--- /dev/null
+++ b/xtask/src/bench/path/caller.rs
@@ -0,0 +1,59 @@
+//! Callers in a process of their own, so that they are built like what they measure.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::Context;
+use standins::caller::LoadSummary;
+
+use crate::cluster::{Binaries, Process, RunDir};
+
+/// Beyond its duration, how long a load may take to end.
+const END_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A load of `standin-caller`.
+#[derive(Debug, Clone)]
+pub(super) struct CallerLoad {
+    pub(super) targets: Vec<SocketAddr>,
+    pub(super) service: String,
+    pub(super) route: String,
+    pub(super) callers: usize,
+    /// 0: each caller waits for its answer.
+    pub(super) requests_per_s: f64,
+    pub(super) duration: Duration,
+    pub(super) direct: bool,
+    pub(super) seed: u64,
+}
+
+impl CallerLoad {
+    /// Runs the load; each request is sent once.
+    pub(super) async fn run(
+        &self,
+        name: &str,
+        binaries: &Binaries,
+        dir: &RunDir,
+    ) -> anyhow::Result<LoadSummary> {
+        let targets: Vec<String> = self.targets.iter().map(SocketAddr::to_string).collect();
+        let flags = [
+            ("--targets", targets.join(",")),
+            ("--service", self.service.clone()),
+            ("--route", self.route.clone()),
+            ("--callers", self.callers.to_string()),
+            ("--requests-per-s", self.requests_per_s.to_string()),
+            ("--duration-ms", self.duration.as_millis().to_string()),
+            ("--seed", self.seed.to_string()),
+        ];
+        let mut arguments: Vec<String> =
+            flags.into_iter().flat_map(|(name, it)| [name.to_owned(), it]).collect();
+        arguments.push("--no-resend".to_owned());
+        if self.direct {
+            arguments.push("--direct".to_owned());
+        }
+        let process = Process::spawn(name, &binaries.caller, &arguments, dir)?;
+        let status = process.wait(self.duration + END_TIMEOUT).await?;
+        anyhow::ensure!(status.success(), "the callers {name} ended with {status}");
+        let path = dir.file(&format!("{name}.log"));
+        let log = std::fs::read_to_string(path).with_context(|| format!("the log of {name}"))?;
+        let last = log.lines().last().with_context(|| format!("an empty log of {name}"))?;
+        serde_json::from_str(last).with_context(|| format!("the summary of {name}"))
+    }
+}
--- /dev/null
+++ b/xtask/src/bench/spread.rs
@@ -0,0 +1,36 @@
+//! Minimum, median and maximum over repeated runs.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// Figures of one kind over repeated runs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub(crate) struct Spread {
+    pub(crate) min: f64,
+    pub(crate) median: f64,
+    pub(crate) max: f64,
+}
+
+impl Spread {
+    /// The spread of some figures; all zero if there are none.
+    pub(crate) fn new(figures: impl IntoIterator<Item = f64>) -> Spread {
+        let mut figures: Vec<f64> = figures.into_iter().collect();
+        figures.sort_by(f64::total_cmp);
+        let (Some(min), Some(max)) = (figures.first(), figures.last()) else {
+            return Spread::default();
+        };
+        let middle = figures.len() / 2;
+        let median = match figures.len() % 2 {
+            0 => (figures[middle - 1] + figures[middle]) / 2.0,
+            _ => figures[middle],
+        };
+        Spread { min: *min, median, max: *max }
+    }
+}
+
+impl fmt::Display for Spread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.1}/{:.1}/{:.1}", self.min, self.median, self.max)
+    }
+}
--- a/xtask/src/cluster/binaries.rs
+++ b/xtask/src/cluster/binaries.rs
@@ -23,6 +23,7 @@
     pub(crate) agent: PathBuf,
     pub(crate) platform: PathBuf,
     pub(crate) upstream: PathBuf,
+    pub(crate) caller: PathBuf,
 }
 
 impl Binaries {
@@ -47,6 +48,7 @@
             agent: folder.join("pomelohilld"),
             platform: folder.join("standin-platform"),
             upstream: folder.join("standin-upstream"),
+            caller: folder.join("standin-caller"),
         })
     }
 }
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -21,7 +21,10 @@
 use http::Method;
 use standins::caller::{AgentClient, CallRules, Caller};
 use tokio::time::timeout;
-use volo_http::{body::Body, client::Client};
+use volo_http::{
+    body::{Body, BodyConversion},
+    client::Client,
+};
 
 use crate::demo::evidence::UpstreamJournal;
 
@@ -130,15 +133,27 @@
     /// Puts a service's document, whatever its version.
     pub(crate) async fn put_document(&self, service: &str, text: &str) -> anyhow::Result<()> {
         let path = format!("objects/services/{service}");
-        self.platform_call(Method::PUT, &path, text.to_owned()).await
+        self.platform_call(Method::PUT, &path, text.to_owned()).await?;
+        Ok(())
     }
 
     /// Sets switches of the platform, as JSON.
     pub(crate) async fn platform_fault(&self, faults: &str) -> anyhow::Result<()> {
-        self.platform_call(Method::POST, "admin/fault", faults.to_owned()).await
+        self.platform_call(Method::POST, "admin/fault", faults.to_owned()).await?;
+        Ok(())
     }
 
-    async fn platform_call(&self, method: Method, path: &str, body: String) -> anyhow::Result<()> {
+    /// Reads an object as text.
+    pub(crate) async fn read_object(&self, path: &str) -> anyhow::Result<String> {
+        self.platform_call(Method::GET, &format!("objects/{path}"), String::new()).await
+    }
+
+    async fn platform_call(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> anyhow::Result<String> {
         let uri = format!("http://{}/{path}", self.platform_address);
         let step = format!("{method} {uri}");
         let request = self.client.request(method, uri).body(Body::from(body));
@@ -147,7 +162,7 @@
             .with_context(|| step.clone())?
             .map_err(|error| anyhow::anyhow!("{step}: {error}"))?;
         anyhow::ensure!(response.status().is_success(), "{step}: {}", response.status());
-        Ok(())
+        response.into_string().await.map_err(|error| anyhow::anyhow!("{step}: {error}"))
     }
 
     pub(crate) fn service(&self, name: &str) -> Option<&Service> {
--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -52,6 +52,10 @@
         Ok(Process { name: name.to_owned(), pid, child: Mutex::new(child) })
     }
 
+    pub(crate) fn pid(&self) -> i32 {
+        self.pid.as_raw()
+    }
+
     /// Sends a signal, unless the process has been reaped: its id may be another's by then.
     pub(crate) fn signal(&self, signal: Signal) -> anyhow::Result<()> {
         if self.exit_status()?.is_some() {
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -5,7 +5,7 @@
 mod deployments;
 pub(crate) mod evidence;
 mod faults;
-mod load;
+pub(crate) mod load;
 mod report;
 pub(crate) mod verdict;
 
@@ -17,6 +17,8 @@
 use standins::journal::wall_ns;
 use tokio::time::{Instant, sleep_until};
 
+pub(crate) use self::report::line;
+
 use self::{
     config_probe::{Probes, judge},
     evidence::{Evidence, Window},
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Repository chores: the demo and the measurements.
 
+mod bench;
 mod cluster;
 mod demo;
 
@@ -19,6 +20,8 @@
 enum Command {
     #[options(help = "run both deployments with faults and check the invariants")]
     Demo(demo::DemoOptions),
+    #[options(help = "measure")]
+    Bench(bench::BenchOptions),
 }
 
 #[tokio::main]
@@ -30,6 +33,7 @@
     let work = async {
         match command {
             Command::Demo(options) => demo::run(options).await,
+            Command::Bench(options) => bench::run(options).await,
         }
     };
     // Dropping the work ends and reaps all processes that it started.
