Slopes of control, frames and records against their sizes

A small group of real nodes in virtual time, without faults, counts processor time, messages and platform calls; each quantity gets a line with its error.

--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -4,9 +4,10 @@
 mod machine;
 mod path;
 mod process_usage;
+mod slopes;
 mod spread;
 
-use std::process::ExitCode;
+use std::process::{Command, ExitCode};
 
 use anyhow::Context;
 use serde::Serialize;
@@ -42,14 +43,19 @@
     result: &'a serde_json::Value,
 }
 
-/// Runs one measurement.
+/// Runs one measurement. Callers and the cores without I/O run in this process, so it has to be
+/// built like what it measures: an unoptimised one starts an optimised one of itself.
 pub(crate) async fn run(options: BenchOptions) -> anyhow::Result<ExitCode> {
+    if cfg!(debug_assertions) {
+        return run_optimised();
+    }
     let machine = Machine::read()?;
     line(&machine.to_string())?;
     let result = match options.name.as_str() {
         "path" => json!(path::run(&options).await?),
         "faults" => json!(faults::run(&options).await?),
-        other => anyhow::bail!("no measurement {other:?}; there are path and faults"),
+        "slopes" => json!(slopes::run(&options)?),
+        other => anyhow::bail!("no measurement {other:?}; there are path, faults and slopes"),
     };
     if options.save {
         save(&options, &machine, &result)?;
@@ -60,6 +66,17 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn run_optimised() -> anyhow::Result<ExitCode> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let status = Command::new(cargo)
+        .current_dir(repository())
+        .args(["run", "--quiet", "--release", "--package", "xtask", "--"])
+        .args(std::env::args_os().skip(1))
+        .status()
+        .context("starting an optimised xtask")?;
+    Ok(if status.success() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn save(
     options: &BenchOptions,
     machine: &Machine,
--- /dev/null
+++ b/xtask/src/bench/slopes/cases.rs
@@ -0,0 +1,116 @@
+//! The control of ownership, against one size of a group at a time.
+
+use std::time::Duration;
+
+use super::{
+    Slope,
+    fit::Point,
+    group::{Group, GroupSize, NodeCost},
+};
+
+/// Virtual time until a group is at rest, and over which it is measured then.
+const SETTLE: Duration = Duration::from_secs(60);
+const MEASURE: Duration = Duration::from_secs(20);
+
+const USUAL: GroupSize = GroupSize { members: 8, slots: 96, hot_keys: 0 };
+
+/// Groups that differ in one size.
+pub(super) struct Series {
+    pub(super) against: &'static str,
+    sizes: &'static [usize],
+    group: fn(usize) -> GroupSize,
+}
+
+pub(super) const SERIES: &[Series] = &[
+    Series {
+        against: "members",
+        sizes: &[4, 8, 12, 16, 24, 32],
+        group: |members| GroupSize { members, ..USUAL },
+    },
+    Series {
+        against: "slots",
+        sizes: &[64, 128, 256, 512, 1024],
+        group: |slots| GroupSize { slots: slots as u16, ..USUAL },
+    },
+    Series {
+        against: "hot_keys",
+        sizes: &[0, 4, 8, 16, 32],
+        group: |hot_keys| GroupSize { hot_keys, ..USUAL },
+    },
+];
+
+/// One group at rest.
+struct AtRest {
+    coordinator: NodeCost,
+    /// The mean of all others.
+    member: NodeCost,
+    plan_bytes: usize,
+    hot_key_entries: usize,
+}
+
+type Quantity = (&'static str, fn(&AtRest) -> f64);
+
+const QUANTITIES: &[Quantity] = &[
+    ("coordinator_cpu_us_per_s", |it| cpu_us_per_s(&it.coordinator)),
+    ("coordinator_messages_per_s", |it| messages_per_s(&it.coordinator)),
+    ("coordinator_platform_calls_per_s", |it| per_s(it.coordinator.platform_calls)),
+    ("member_cpu_us_per_s", |it| cpu_us_per_s(&it.member)),
+    ("member_messages_per_s", |it| messages_per_s(&it.member)),
+    ("member_platform_calls_per_s", |it| per_s(it.member.platform_calls)),
+    ("plan_bytes", |it| it.plan_bytes as f64),
+    ("hot_key_entries", |it| it.hot_key_entries as f64),
+];
+
+impl Series {
+    pub(super) fn measure(&self, seed: u64) -> Vec<Slope> {
+        let groups: Vec<(usize, AtRest)> =
+            self.sizes.iter().map(|it| (*it, at_rest((self.group)(*it), seed))).collect();
+        QUANTITIES
+            .iter()
+            .map(|(quantity, value)| {
+                let point =
+                    |(size, group): &(usize, AtRest)| Point { x: *size as f64, y: value(group) };
+                Slope::new(self.against, quantity, groups.iter().map(point).collect())
+            })
+            .collect()
+    }
+}
+
+fn at_rest(size: GroupSize, seed: u64) -> AtRest {
+    let mut group = Group::new(size, seed);
+    group.run(SETTLE);
+    group.clear_costs();
+    group.run(MEASURE);
+    let coordinator = group.coordinator().unwrap_or(0);
+    let members: Vec<NodeCost> =
+        (0..size.members).filter(|it| *it != coordinator).map(|it| group.cost(it)).collect();
+    AtRest {
+        coordinator: group.cost(coordinator),
+        member: mean(&members),
+        plan_bytes: group.plan_bytes(),
+        hot_key_entries: group.granted_keys(),
+    }
+}
+
+fn mean(costs: &[NodeCost]) -> NodeCost {
+    let count = costs.len().max(1) as u64;
+    let sum = |value: fn(&NodeCost) -> u64| costs.iter().map(value).sum::<u64>() / count;
+    NodeCost {
+        cpu: costs.iter().map(|it| it.cpu).sum::<Duration>() / count as u32,
+        sent: sum(|it| it.sent),
+        received: sum(|it| it.received),
+        platform_calls: sum(|it| it.platform_calls),
+    }
+}
+
+fn per_s(count: u64) -> f64 {
+    count as f64 / MEASURE.as_secs_f64()
+}
+
+fn cpu_us_per_s(cost: &NodeCost) -> f64 {
+    cost.cpu.as_secs_f64() * 1e6 / MEASURE.as_secs_f64()
+}
+
+fn messages_per_s(cost: &NodeCost) -> f64 {
+    per_s(cost.sent + cost.received)
+}
--- /dev/null
+++ b/xtask/src/bench/slopes/group.rs
@@ -0,0 +1,373 @@
+//! A group of nodes in virtual time, without faults, to count what the control of ownership costs.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use model::{
+    GroupId, Incarnation, Instance, InstanceName, KeyHash, ObjectVersion, ServiceName, Slot,
+    SlotCount, Timestamp, Zone,
+};
+use nix::time::{ClockId, clock_gettime};
+use ownership::{
+    CallId, GateCommand, Input, KeyLoad, Limits, LoadReport, Message, Node, NodeConfig, Output,
+    PlatformReply, PlatformRequest, SlotLoad, UpstreamState,
+};
+
+const TICK: Duration = Duration::from_millis(20);
+const LINK_DELAY: Duration = Duration::from_millis(1);
+const PLATFORM_DELAY: Duration = Duration::from_millis(3);
+const LOAD_EVERY: Duration = Duration::from_millis(250);
+/// Upstream time spent on an ordinary slot, and on a hot key, in a second.
+const SLOT_LOAD_US_PER_S: u64 = 20_000;
+const HOT_KEY_LOAD_US_PER_S: u64 = 200_000;
+/// Reports name at most so many slots and keys.
+const REPORTED_SLOTS_MAX: usize = 64;
+const REPORTED_KEYS_MAX: usize = 16;
+
+/// How large a group is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct GroupSize {
+    pub(crate) members: usize,
+    pub(crate) slots: u16,
+    pub(crate) hot_keys: usize,
+}
+
+/// What one node has cost since the counts were last cleared.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct NodeCost {
+    pub(crate) cpu: Duration,
+    pub(crate) sent: u64,
+    pub(crate) received: u64,
+    pub(crate) platform_calls: u64,
+}
+
+struct Host {
+    instance: Instance,
+    node: Node,
+    slots: HashSet<Slot>,
+    keys: HashSet<KeyHash>,
+    cost: NodeCost,
+}
+
+enum Event {
+    Tick(usize),
+    Load(usize),
+    Deliver { to: usize, from: usize, message: Box<Message> },
+    Input { to: usize, input: Box<Input> },
+    Call { from: usize, call: CallId, request: Box<PlatformRequest> },
+}
+
+/// Objects of the platform, in their JSON form.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    coordinator: Option<(ObjectVersion, Bytes)>,
+    plan: Option<(ObjectVersion, Bytes)>,
+}
+
+/// A group under way.
+pub(crate) struct Group {
+    size: GroupSize,
+    now: Timestamp,
+    events: BTreeMap<(Timestamp, u64), Event>,
+    next_event: u64,
+    hosts: Vec<Host>,
+    hot_keys: Vec<KeyHash>,
+    store: Store,
+    /// What reading the clock twice costs by itself.
+    clock_cost: Duration,
+}
+
+impl Group {
+    pub(crate) fn new(size: GroupSize, seed: u64) -> Group {
+        let now = Timestamp::from_ms(1_000);
+        let hosts = (0..size.members).map(|it| Host::new(it, size, seed, now)).collect();
+        let hot_keys = (0..size.hot_keys as u64)
+            .map(|it| model::key_hash(&(seed ^ it).to_be_bytes()))
+            .collect();
+        let mut group = Group {
+            size,
+            now,
+            events: BTreeMap::new(),
+            next_event: 0,
+            hosts,
+            hot_keys,
+            store: Store::default(),
+            clock_cost: clock_cost(),
+        };
+        for host in 0..size.members {
+            // Nodes of different processes don't tick together.
+            let offset = TICK.mul_f64(host as f64 / size.members as f64);
+            group.schedule(offset, Event::Tick(host));
+            group.schedule(offset + LOAD_EVERY, Event::Load(host));
+            let input = Box::new(Input::Upstream(UpstreamState::Ready));
+            group.schedule(offset, Event::Input { to: host, input });
+        }
+        group
+    }
+
+    /// Goes on for some virtual time.
+    pub(crate) fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while let Some(entry) = self.events.first_entry().filter(|it| it.key().0 < end) {
+            let ((at, _), event) = entry.remove_entry();
+            self.now = at;
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    pub(crate) fn clear_costs(&mut self) {
+        for host in &mut self.hosts {
+            host.cost = NodeCost::default();
+        }
+    }
+
+    pub(crate) fn coordinator(&self) -> Option<usize> {
+        self.hosts.iter().position(|it| {
+            let view = it.node.view();
+            view.is_coordinator && view.settled
+        })
+    }
+
+    pub(crate) fn cost(&self, host: usize) -> NodeCost {
+        self.hosts[host].cost
+    }
+
+    /// How many slots some gate admits.
+    #[cfg(test)]
+    pub(crate) fn granted_slots(&self) -> usize {
+        self.hosts.iter().map(|it| it.slots.len()).sum()
+    }
+
+    /// How many hot keys some gate admits by an entry of their own.
+    pub(crate) fn granted_keys(&self) -> usize {
+        self.hosts.iter().map(|it| it.keys.len()).sum()
+    }
+
+    /// Bytes of the plan as the platform keeps it.
+    pub(crate) fn plan_bytes(&self) -> usize {
+        self.store.plan.as_ref().map_or(0, |(_, body)| body.len())
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.next_event += 1;
+        self.events.insert((self.now + after, self.next_event), event);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Tick(host) => {
+                self.schedule(TICK, Event::Tick(host));
+                self.step(host, Input::Tick);
+            }
+            Event::Load(host) => {
+                self.schedule(LOAD_EVERY, Event::Load(host));
+                let report = self.load_of(host);
+                self.step(host, Input::Load(report));
+            }
+            Event::Deliver { to, from, message } => {
+                let from = self.hosts[from].instance.clone();
+                self.hosts[to].cost.received += 1;
+                self.step(to, Input::Message { from, message: *message });
+            }
+            Event::Input { to, input } => self.step(to, *input),
+            Event::Call { from, call, request } => {
+                let reply = self.store.answer(*request);
+                let input = Box::new(Input::Platform { call, reply });
+                self.schedule(PLATFORM_DELAY, Event::Input { to: from, input });
+            }
+        }
+    }
+
+    fn step(&mut self, host: usize, input: Input) {
+        let mut out = Vec::new();
+        let before = thread_cpu();
+        self.hosts[host].node.step(self.now, input, &mut out);
+        let spent = thread_cpu().saturating_sub(before).saturating_sub(self.clock_cost);
+        self.hosts[host].cost.cpu += spent;
+        for output in out {
+            self.carry_out(host, output);
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, output: Output) {
+        match output {
+            Output::Send { to, message } => self.send(host, &to, message),
+            Output::Platform { call, request } => {
+                self.hosts[host].cost.platform_calls += 1;
+                let request = Box::new(request);
+                self.schedule(PLATFORM_DELAY, Event::Call { from: host, call, request });
+            }
+            Output::Gate(command) => self.obey(host, command),
+            Output::Event(_) | Output::Stopped => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &Instance, message: Message) {
+        self.hosts[from].cost.sent += 1;
+        if let Some(to) = self.hosts.iter().position(|it| it.instance == *to) {
+            let message = Box::new(message);
+            self.schedule(LINK_DELAY, Event::Deliver { to, from, message });
+        }
+    }
+
+    fn obey(&mut self, host: usize, command: GateCommand) {
+        let gate = &mut self.hosts[host];
+        let done = match command {
+            GateCommand::Lease { .. } | GateCommand::ExcludeKey { .. } => None,
+            GateCommand::Prepare { slot, token } => Some(Input::Prepared { slot, token }),
+            GateCommand::Admit { slot, .. } => {
+                gate.slots.insert(slot);
+                None
+            }
+            GateCommand::AdmitKey { key_hash, .. } => {
+                gate.keys.insert(key_hash);
+                None
+            }
+            GateCommand::ForgetKey { key_hash } => {
+                gate.keys.remove(&key_hash);
+                None
+            }
+            GateCommand::Close { slot, token, .. } => {
+                gate.slots.remove(&slot);
+                Some(Input::Closed { slot, token })
+            }
+            GateCommand::CloseKey { key_hash, token, .. } => {
+                gate.keys.remove(&key_hash);
+                Some(Input::KeyClosed { key_hash, token })
+            }
+            GateCommand::DropAll => {
+                gate.slots.clear();
+                gate.keys.clear();
+                None
+            }
+        };
+        if let Some(input) = done {
+            self.schedule(LINK_DELAY, Event::Input { to: host, input: Box::new(input) });
+        }
+    }
+
+    fn load_of(&self, host: usize) -> LoadReport {
+        let share = |us_per_s: u64| us_per_s * LOAD_EVERY.as_millis() as u64 / 1_000;
+        let host = &self.hosts[host];
+        let slot_count = self.size.slot_count();
+        let holds = |key: &&KeyHash| {
+            host.keys.contains(*key) || host.slots.contains(&slot_count.slot_of(**key))
+        };
+        let keys = self
+            .hot_keys
+            .iter()
+            .filter(holds)
+            .map(|it| KeyLoad { key_hash: *it, load_us: share(HOT_KEY_LOAD_US_PER_S) });
+        let keys: Vec<KeyLoad> = keys.take(REPORTED_KEYS_MAX).collect();
+        let mut slots: Vec<Slot> = host.slots.iter().copied().collect();
+        slots.sort_unstable();
+        let total_us = share(SLOT_LOAD_US_PER_S) * slots.len() as u64
+            + keys.iter().map(|it| it.load_us).sum::<u64>();
+        let load = |slot: Slot| SlotLoad { slot, load_us: share(SLOT_LOAD_US_PER_S), in_flight: 1 };
+        LoadReport {
+            period_ms: LOAD_EVERY.as_millis() as u32,
+            total_us,
+            slots: slots.into_iter().take(REPORTED_SLOTS_MAX).map(load).collect(),
+            keys,
+        }
+    }
+}
+
+impl GroupSize {
+    fn slot_count(self) -> SlotCount {
+        SlotCount::new(self.slots).expect("sizes are measured with valid numbers of slots")
+    }
+}
+
+impl Host {
+    fn new(index: usize, size: GroupSize, seed: u64, now: Timestamp) -> Host {
+        let address = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let name = |text: String| InstanceName::new(&text).expect("a valid name");
+        let instance = Instance {
+            name: name(format!("standings-{index}")),
+            incarnation: Incarnation(seed.wrapping_mul(31) + index as u64),
+            zone: Zone::new(["porto-a", "braga-b", "gaia-c"][index % 3]).expect("a valid name"),
+            control: address(20_000 + index as u16),
+            traffic: address(30_000 + index as u16),
+        };
+        let config = NodeConfig {
+            instance: instance.clone(),
+            service: ServiceName::new("standings").expect("a valid name"),
+            group: GroupId(0),
+            slot_count: size.slot_count(),
+            keyed: true,
+            limits: Limits::default(),
+            seed: seed + index as u64,
+            peers: Vec::new(),
+        };
+        Host {
+            instance,
+            node: Node::new(config, now),
+            slots: HashSet::new(),
+            keys: HashSet::new(),
+            cost: NodeCost::default(),
+        }
+    }
+}
+
+impl Store {
+    fn answer(&mut self, request: PlatformRequest) -> PlatformReply {
+        match request {
+            PlatformRequest::ReadCoordinator => {
+                PlatformReply::Coordinator(self.coordinator.as_ref().and_then(read))
+            }
+            PlatformRequest::ReadPlan => PlatformReply::Plan(self.plan.as_ref().and_then(read)),
+            PlatformRequest::UpdateCoordinator { expected, object } => {
+                let body = serde_json::to_vec(&object).unwrap_or_default();
+                update(&mut self.revision, &mut self.coordinator, expected, body)
+            }
+            PlatformRequest::UpdatePlan { expected, object } => {
+                let body = serde_json::to_vec(&object).unwrap_or_default();
+                update(&mut self.revision, &mut self.plan, expected, body)
+            }
+        }
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(
+    stored: &(ObjectVersion, Bytes),
+) -> Option<(ObjectVersion, T)> {
+    Some((stored.0, serde_json::from_slice(&stored.1).ok()?))
+}
+
+fn update(
+    revision: &mut u64,
+    stored: &mut Option<(ObjectVersion, Bytes)>,
+    expected: ObjectVersion,
+    body: Vec<u8>,
+) -> PlatformReply {
+    let current = stored.as_ref().map_or(ObjectVersion(0), |it| it.0);
+    if current != expected {
+        return PlatformReply::Conflict;
+    }
+    *revision += 1;
+    *stored = Some((ObjectVersion(*revision), Bytes::from(body)));
+    PlatformReply::Updated(ObjectVersion(*revision))
+}
+
+/// Processor time of this thread, which other processes on a busy machine don't add to.
+pub(super) fn thread_cpu() -> Duration {
+    clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).map_or(Duration::ZERO, Duration::from)
+}
+
+/// What two readings of the clock cost: the least of many.
+fn clock_cost() -> Duration {
+    (0..1_000)
+        .map(|_| {
+            let before = thread_cpu();
+            thread_cpu().saturating_sub(before)
+        })
+        .min()
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/xtask/src/bench/slopes/mod.rs
@@ -0,0 +1,79 @@
+//! What control and traffic cost against the size of a group, its slots, hot keys and messages: the
+//! slopes behind docs/CAPACITY.md.
+
+mod cases;
+mod fit;
+mod frames;
+mod group;
+mod records;
+mod wire_size;
+
+#[cfg(test)]
+mod tests;
+
+use serde::Serialize;
+
+use self::fit::{Fit, Point};
+use super::BenchOptions;
+use crate::demo::line;
+
+/// All slopes.
+#[derive(Debug, Serialize)]
+pub(crate) struct SlopesReport {
+    /// Added to each message for the headers of its frame and of TCP and IP.
+    header_bytes: u64,
+    slopes: Vec<Slope>,
+}
+
+/// One quantity against one size.
+#[derive(Debug, Serialize)]
+pub(crate) struct Slope {
+    /// What the size counts, for example `members`.
+    against: &'static str,
+    /// What was measured, with its unit.
+    quantity: &'static str,
+    points: Vec<Point>,
+    fit: Option<Fit>,
+}
+
+impl Slope {
+    fn new(against: &'static str, quantity: &'static str, points: Vec<Point>) -> Slope {
+        Slope { against, quantity, fit: Fit::new(&points), points }
+    }
+}
+
+/// Measures all slopes, or those against the size that is asked for.
+pub(crate) fn run(options: &BenchOptions) -> anyhow::Result<SlopesReport> {
+    let wanted = |case: &str| options.case.is_empty() || options.case == case;
+    let mut slopes = Vec::new();
+    for series in cases::SERIES.iter().filter(|it| wanted(it.against)) {
+        slopes.extend(series.measure(options.seed));
+    }
+    if wanted("body_bytes") {
+        slopes.extend(frames::measure());
+    }
+    if wanted("records") {
+        slopes.extend(records::measure()?);
+    }
+    for slope in &slopes {
+        line(&describe(slope))?;
+    }
+    Ok(SlopesReport { header_bytes: wire_size::HEADER_BYTES, slopes })
+}
+
+fn describe(slope: &Slope) -> String {
+    let Slope { against, quantity, points, fit } = slope;
+    let points: Vec<String> = points.iter().map(|it| format!("{}: {:.1}", it.x, it.y)).collect();
+    let fit = match fit {
+        Some(it) => format!(
+            "{:.3} + {:.4} (+-{:.4}) each, r2 {:.3}, worst {:.0}%",
+            it.base,
+            it.slope,
+            it.slope_error,
+            it.r_squared,
+            it.worst_error * 100.0
+        ),
+        None => "no line".to_owned(),
+    };
+    format!("{quantity} against {against}: {fit}; {}", points.join(", "))
+}
