--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -3,11 +3,15 @@
 mod faults;
 mod machine;
 mod path;
+mod plot;
 mod process_usage;
 mod slopes;
 mod spread;
 
-use std::process::{Command, ExitCode};
+use std::{
+    path::PathBuf,
+    process::{Command, ExitCode},
+};
 
 use anyhow::Context;
 use serde::Serialize;
@@ -27,6 +31,8 @@
     json: bool,
     #[options(no_short, help = "keep the result under docs/measurements")]
     save: bool,
+    #[options(no_short, help = "draw slopes under docs/measurements")]
+    plot: bool,
     #[options(no_short, help = "what a measurement draws from", default = "1")]
     seed: u64,
     #[options(no_short, help = "how often each case is repeated", default = "3")]
@@ -54,7 +60,13 @@
     let result = match options.name.as_str() {
         "path" => json!(path::run(&options).await?),
         "faults" => json!(faults::run(&options).await?),
-        "slopes" => json!(slopes::run(&options)?),
+        "slopes" => {
+            let report = slopes::run(&options)?;
+            if options.plot {
+                plot_slopes(&report)?;
+            }
+            json!(report)
+        }
         other => anyhow::bail!("no measurement {other:?}; there are path, faults and slopes"),
     };
     if options.save {
@@ -66,6 +78,24 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Draws what grows with a size; what does not would be a flat line.
+fn plot_slopes(report: &slopes::SlopesReport) -> anyhow::Result<()> {
+    let folder = measurements()?;
+    let grows =
+        |it: &&slopes::Slope| it.fit.is_some_and(|it| it.slope.abs() > 2.0 * it.slope_error);
+    for slope in report.slopes.iter().filter(grows) {
+        let name = format!("{}-against-{}.svg", slope.quantity, slope.against);
+        plot::draw_slope(slope, &folder.join(name))?;
+    }
+    Ok(())
+}
+
+fn measurements() -> anyhow::Result<PathBuf> {
+    let folder = repository().join("docs/measurements");
+    std::fs::create_dir_all(&folder).context("making docs/measurements")?;
+    Ok(folder)
+}
+
 fn run_optimised() -> anyhow::Result<ExitCode> {
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let status = Command::new(cargo)
@@ -82,8 +112,7 @@
     machine: &Machine,
     result: &serde_json::Value,
 ) -> anyhow::Result<()> {
-    let folder = repository().join("docs/measurements");
-    std::fs::create_dir_all(&folder).context("making docs/measurements")?;
+    let folder = measurements()?;
     let name = match options.case.as_str() {
         "" => options.name.clone(),
         case => format!("{}-{case}", options.name),
--- a/xtask/src/bench/slopes/mod.rs
+++ b/xtask/src/bench/slopes/mod.rs
@@ -22,18 +22,18 @@
 pub(crate) struct SlopesReport {
     /// Added to each message for the headers of its frame and of TCP and IP.
     header_bytes: u64,
-    slopes: Vec<Slope>,
+    pub(crate) slopes: Vec<Slope>,
 }
 
 /// One quantity against one size.
 #[derive(Debug, Serialize)]
 pub(crate) struct Slope {
     /// What the size counts, for example `members`.
-    against: &'static str,
+    pub(crate) against: &'static str,
     /// What was measured, with its unit.
-    quantity: &'static str,
-    points: Vec<Point>,
-    fit: Option<Fit>,
+    pub(crate) quantity: &'static str,
+    pub(crate) points: Vec<Point>,
+    pub(crate) fit: Option<Fit>,
 }
 
 impl Slope {
