--- /dev/null
+++ b/xtask/src/bench/mod.rs
@@ -0,0 +1,124 @@
+//! Measurements. Speed is measured here only; tests assert none.
+
+mod faults;
+mod machine;
+mod path;
+mod plot;
+mod process_usage;
+mod slopes;
+mod spread;
+
+use std::{
+    path::PathBuf,
+    process::{Command, ExitCode},
+};
+
+use anyhow::Context;
+use serde::Serialize;
+use serde_json::json;
+
+use self::machine::Machine;
+use crate::{cluster::repository, demo::line};
+
+/// Flags of `cargo xtask bench`.
+#[derive(Debug, gumdrop::Options)]
+pub(crate) struct BenchOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "path, faults, slopes or ownership")]
+    name: String,
+    #[options(no_short, help = "print one JSON object as the last line")]
+    json: bool,
+    #[options(no_short, help = "keep the result under docs/measurements")]
+    save: bool,
+    #[options(no_short, help = "draw slopes under docs/measurements")]
+    plot: bool,
+    #[options(no_short, help = "what a measurement draws from", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "how often each case is repeated", default = "3")]
+    repeats: usize,
+    #[options(no_short, help = "measure this case only")]
+    case: String,
+}
+
+/// A kept result.
+#[derive(Debug, Serialize)]
+struct Kept<'a> {
+    name: &'a str,
+    machine: &'a Machine,
+    result: &'a serde_json::Value,
+}
+
+/// Runs one measurement. Callers and the cores without I/O run in this process, so it has to be
+/// built like what it measures: an unoptimised one starts an optimised one of itself.
+pub(crate) async fn run(options: BenchOptions) -> anyhow::Result<ExitCode> {
+    if cfg!(debug_assertions) {
+        return run_optimised();
+    }
+    let machine = Machine::read()?;
+    line(&machine.to_string())?;
+    let result = match options.name.as_str() {
+        "path" => json!(path::run(&options).await?),
+        "faults" => json!(faults::run(&options).await?),
+        "slopes" => {
+            let report = slopes::run(&options)?;
+            if options.plot {
+                plot_slopes(&report)?;
+            }
+            json!(report)
+        }
+        other => anyhow::bail!("no measurement {other:?}; there are path, faults and slopes"),
+    };
+    if options.save {
+        save(&options, &machine, &result)?;
+    }
+    if options.json {
+        line(&json!({ "machine": machine, "result": result }).to_string())?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Draws what grows with a size; what does not would be a flat line.
+fn plot_slopes(report: &slopes::SlopesReport) -> anyhow::Result<()> {
+    let folder = measurements()?;
+    let grows =
+        |it: &&slopes::Slope| it.fit.is_some_and(|it| it.slope.abs() > 2.0 * it.slope_error);
+    for slope in report.slopes.iter().filter(grows) {
+        let name = format!("{}-against-{}.svg", slope.quantity, slope.against);
+        plot::draw_slope(slope, &folder.join(name))?;
+    }
+    Ok(())
+}
+
+fn measurements() -> anyhow::Result<PathBuf> {
+    let folder = repository().join("docs/measurements");
+    std::fs::create_dir_all(&folder).context("making docs/measurements")?;
+    Ok(folder)
+}
+
+fn run_optimised() -> anyhow::Result<ExitCode> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let status = Command::new(cargo)
+        .current_dir(repository())
+        .args(["run", "--quiet", "--release", "--package", "xtask", "--"])
+        .args(std::env::args_os().skip(1))
+        .status()
+        .context("starting an optimised xtask")?;
+    Ok(if status.success() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn save(
+    options: &BenchOptions,
+    machine: &Machine,
+    result: &serde_json::Value,
+) -> anyhow::Result<()> {
+    let folder = measurements()?;
+    let name = match options.case.as_str() {
+        "" => options.name.clone(),
+        case => format!("{}-{case}", options.name),
+    };
+    let kept = Kept { name: &name, machine, result };
+    let text = serde_json::to_string_pretty(&kept).context("encoding a measurement")?;
+    let path = folder.join(format!("{name}.json"));
+    std::fs::write(&path, text + "\n").with_context(|| format!("writing {name}.json"))
+}
