--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -34,7 +34,7 @@
     },
     Group {
         service: ServiceName,
-        result: Result<Option<Plan>, PlatformError>,
+        result: Result<GroupRead, PlatformError>,
     },
     Watched {
         prefix: WatchPrefix,
@@ -48,6 +48,13 @@
     },
 }
 
+/// What the platform knows of a group. A service that is not divided by key has no plan.
+#[derive(Debug, Default)]
+pub(crate) struct GroupRead {
+    pub(crate) coordinator: Option<Coordinator>,
+    pub(crate) plan: Option<Plan>,
+}
+
 /// What a coordinator watches.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum WatchPrefix {
@@ -89,7 +96,7 @@
         call: CallId,
         request: PlatformRequest,
     ) {
-        let coordinator = format!("coordinators/{service}/{group}");
+        let coordinator = coordinator_path(service, group);
         let plan = plan_path(service, group);
         self.spawn(move |platform| async move {
             let platform = platform.as_ref();
@@ -142,12 +149,12 @@
         });
     }
 
-    /// Reads the plan of another service's group, for its routes.
+    /// Reads what the platform knows of another service's group, for its routes.
     pub(crate) fn read_group(&self, service: &ServiceName, group: GroupId) {
         let service = service.clone();
         self.spawn(move |platform| async move {
-            let read = read_json::<Plan>(platform.as_ref(), &plan_path(&service, group)).await;
-            Done::Group { service, result: read.map(|it| it.map(|(_, plan)| plan)) }
+            let result = read_group(platform.as_ref(), &service, group).await;
+            Done::Group { service, result }
         });
     }
 
@@ -195,6 +202,10 @@
     }
 }
 
+fn coordinator_path(service: &ServiceName, group: GroupId) -> String {
+    format!("coordinators/{service}/{group}")
+}
+
 fn plan_path(service: &ServiceName, group: GroupId) -> String {
     format!("plans/{service}/{group}")
 }
@@ -217,6 +228,16 @@
     String::from_utf8_lossy(&object.body).into_owned()
 }
 
+async fn read_group(
+    platform: &dyn Platform,
+    service: &ServiceName,
+    group: GroupId,
+) -> Result<GroupRead, PlatformError> {
+    let coordinator = read_json(platform, &coordinator_path(service, group)).await?;
+    let plan = read_json(platform, &plan_path(service, group)).await?;
+    Ok(GroupRead { coordinator: coordinator.map(|(_, it)| it), plan: plan.map(|(_, it)| it) })
+}
+
 /// Reads an object of our own kinds. One that can't be understood counts as not read.
 async fn read_json<T: DeserializeOwned>(
     platform: &dyn Platform,
--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -12,7 +12,10 @@
 use rand::{RngExt, seq::IndexedRandom};
 use wire::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
 
-use crate::control::state::{Control, ONLY_GROUP};
+use crate::control::{
+    calls::GroupRead,
+    state::{Control, ONLY_GROUP},
+};
 
 /// How many services' routes are kept; callers could name any number of services.
 const SERVICES_MAX: usize = 1024;
@@ -186,15 +189,14 @@
         self.version_heard(&from, service, config);
     }
 
-    /// The plan of a group, for want of a member that answers.
+    /// What the platform knows of a group, for want of a member that answers.
     pub(super) fn group_read(
         &mut self,
         service: ServiceName,
-        result: Result<Option<Plan>, PlatformError>,
+        result: Result<GroupRead, PlatformError>,
     ) {
-        let plan = match result {
-            Ok(Some(plan)) => plan,
-            Ok(None) => return,
+        let read = match result {
+            Ok(read) => read,
             Err(error) => {
                 log::debug!(target: "control", "{error}.");
                 return;
@@ -205,11 +207,12 @@
         if foreign.routes.is_some() && foreign.unanswered <= UNANSWERED_MAX {
             return;
         }
-        let mut table = planned_routes(plan);
-        table.config = config;
-        foreign.routes = Some(table);
-        self.dirty = true;
-        let targets = self.some_members(&service, ASKED_AT_ONCE);
+        if let Some(plan) = read.plan {
+            foreign.routes = Some(RouteTable { config, ..planned_routes(plan) });
+            self.dirty = true;
+        }
+        let mut targets = self.some_members(&service, ASKED_AT_ONCE);
+        targets.extend(read.coordinator.and_then(|it| it.holder));
         self.fetch_routes(&service, targets);
     }
 
