--- a/crates/client/src/commands/status.rs
+++ b/crates/client/src/commands/status.rs
@@ -30,7 +30,7 @@
         None => ALL_PREFIX.to_owned(),
     };
     let mut statuses = Vec::new();
-    merge(&mut statuses, store.list(&prefix).await?)?;
+    merge(&mut statuses, store.list(&prefix).await?.changes)?;
     statuses.sort_by(|a, b| a.0.cmp(&b.0));
     let groups: Vec<&Status> = statuses.iter().map(|it| &it.1).collect();
     match &args.service {
--- a/crates/client/src/commands/wait.rs
+++ b/crates/client/src/commands/wait.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use model::{ConfigVersion, ObjectVersion, ServiceName};
-use platform::Changes;
+use platform::{Change, PlatformError};
 use settings::{Status, status_prefix};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     args::ApplyArgs,
@@ -14,14 +14,11 @@
     terminal::Terminal,
 };
 
-/// How long one look at the status waits for news.
-const LOOK_WAIT: Duration = Duration::from_secs(1);
-/// The pause after a look that failed.
-const LOOK_PAUSE: Duration = Duration::from_millis(500);
-
 /// How far a version has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Reached {
+    /// The status has not been looked at yet.
+    Unseen,
     /// Nothing is known: no coordinator has written a status.
     NoStatus,
     NotAccepted,
@@ -60,23 +57,29 @@
     terminal: &Terminal,
 ) -> Result<(), Failure> {
     let started = Instant::now();
-    let mut revision = ObjectVersion(0);
-    let mut statuses: Vec<(String, Status)> = Vec::new();
-    let mut shown = None;
+    let mut follower = store.follow(&status_prefix(service));
+    let mut statuses = Vec::new();
+    let mut state = Reached::Unseen;
+    // The first look is taken whatever the limit.
+    let mut news = Ok(follower.next().await);
     loop {
-        let state = match look(store, service, revision).await? {
-            Ok(changes) => {
-                revision = changes.revision.max(revision);
-                merge(&mut statuses, changes)?;
-                reached(statuses.iter().map(|it| &it.1), ConfigVersion(version.0))
+        match news {
+            Ok(Ok(changes)) => merge(&mut statuses, changes)?,
+            Ok(Err(error @ PlatformError::Refused { .. })) => return Err(error.into()),
+            Ok(Err(error)) => {
+                terminal.progress(&format!("{service}: {error}"));
+                news = timeout_at(started + limit, follower.next()).await;
+                continue;
             }
-            Err(reason) => {
-                terminal.progress(&format!("{service}: {reason}"));
-                sleep(LOOK_PAUSE).await;
-                shown.clone().unwrap_or(Reached::NoStatus)
+            Err(_) => {
+                let waited_s = limit.as_secs();
+                return Err(Failure::NotInForce { version, waited_s, state: describe(&state) });
             }
-        };
+        }
+        let former = state;
+        state = reached(statuses.iter().map(|it| &it.1), ConfigVersion(version.0));
         match &state {
+            same if *same == former => {}
             Reached::Refused { reasons } => {
                 return Err(Failure::Refused { version, reasons: reasons.clone() });
             }
@@ -88,35 +91,20 @@
                 ));
                 return Ok(());
             }
-            _ => {}
-        }
-        if shown.as_ref() != Some(&state) {
-            terminal.progress(&format!("{service}: version {version}: {}", describe(&state)));
-            shown = Some(state.clone());
-        }
-        if started.elapsed() >= limit {
-            let waited_s = limit.as_secs();
-            return Err(Failure::NotInForce { version, waited_s, state: describe(&state) });
+            other => {
+                terminal.progress(&format!("{service}: version {version}: {}", describe(other)));
+            }
         }
-    }
-}
-
-/// The statuses that are new; the inner error is a sentence about a platform that is away.
-async fn look(
-    store: &Store,
-    service: &ServiceName,
-    revision: ObjectVersion,
-) -> Result<Result<Changes, String>, Failure> {
-    match store.watch(&status_prefix(service), revision, LOOK_WAIT).await {
-        Ok(changes) => Ok(Ok(changes)),
-        Err(error @ platform::PlatformError::Refused { .. }) => Err(error.into()),
-        Err(error) => Ok(Err(error.to_string())),
+        news = timeout_at(started + limit, follower.next()).await;
     }
 }
 
 /// Takes what has changed into the statuses that are known.
-pub(crate) fn merge(statuses: &mut Vec<(String, Status)>, changes: Changes) -> Result<(), Failure> {
-    for change in changes.changes {
+pub(crate) fn merge(
+    statuses: &mut Vec<(String, Status)>,
+    changes: Vec<Change>,
+) -> Result<(), Failure> {
+    for change in changes {
         statuses.retain(|it| it.0 != change.path);
         if let Some(body) = change.body {
             let status = decode(&change.path, &body)?;
@@ -153,6 +141,7 @@
 
 fn describe(state: &Reached) -> String {
     match state {
+        Reached::Unseen => "the status could not be read".to_owned(),
         Reached::NoStatus => "no coordinator has written a status".to_owned(),
         Reached::NotAccepted => "not accepted yet".to_owned(),
         Reached::Partly { instances, of } => format!("in force on {instances} of {of} instances"),
--- a/crates/client/src/commands/watch.rs
+++ b/crates/client/src/commands/watch.rs
@@ -1,11 +1,7 @@
 //! `watch`: one line for each status that a coordinator writes.
 
-use std::time::Duration;
-
-use model::ObjectVersion;
 use platform::PlatformError;
 use settings::{Status, status_prefix};
-use tokio::time::sleep;
 
 use crate::{
     args::WatchArgs,
@@ -15,37 +11,27 @@
     terminal::Terminal,
 };
 
-/// One waiting call to the platform; it counts as one however long it waits.
-const WAIT: Duration = Duration::from_secs(20);
-const PAUSE: Duration = Duration::from_secs(1);
-
 pub(crate) async fn run(
     store: &Store,
     args: &WatchArgs,
     terminal: &Terminal,
 ) -> Result<(), Failure> {
     let service = service_name(&args.service)?;
-    let prefix = status_prefix(&service);
-    let mut revision = ObjectVersion(0);
-    let mut lines_left = args.count;
-    while lines_left != Some(0) {
-        let changes = match store.watch(&prefix, revision, WAIT).await {
+    let mut follower = store.follow(&status_prefix(&service));
+    let mut lines_left = args.count.unwrap_or(u64::MAX);
+    while lines_left > 0 {
+        let changes = match follower.next().await {
             Ok(changes) => changes,
             Err(error @ PlatformError::Refused { .. }) => return Err(error.into()),
             Err(error) => {
                 terminal.progress(&error.to_string());
-                sleep(PAUSE).await;
                 continue;
             }
         };
-        revision = changes.revision.max(revision);
-        for change in changes.changes {
+        for change in changes.into_iter().take(usize::try_from(lines_left).unwrap_or(usize::MAX)) {
             let Some(body) = change.body else { continue };
-            if lines_left == Some(0) {
-                return Ok(());
-            }
-            terminal.line(&line(&decode::<Status>(&change.path, &body)?));
-            lines_left = lines_left.map(|it| it - 1);
+            terminal.line(&line(&decode(&change.path, &body)?));
+            lines_left -= 1;
         }
     }
     Ok(())
--- a/crates/client/src/retry.rs
+++ b/crates/client/src/retry.rs
@@ -1,10 +1,13 @@
 //! The platform as a person at a terminal wants it: short failures are tried again.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use model::ObjectVersion;
-use platform::{Changes, HttpPlatform, Object, Platform, PlatformError, Timeouts};
+use platform::{
+    Changes, Follower, FollowerTimes, HttpPlatform, Object, Platform, PlatformError,
+    PlatformResult, Timeouts,
+};
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
@@ -16,9 +19,16 @@
 const TIMEOUTS: Timeouts =
     Timeouts { call: Duration::from_secs(2), watch_margin: Duration::from_secs(2) };
 
+const FOLLOWER_TIMES: FollowerTimes = FollowerTimes {
+    wait: Duration::from_secs(20),
+    call_every_min: Duration::from_millis(100),
+    pause: Duration::from_millis(200),
+    pause_max: Duration::from_secs(1),
+};
+
 /// The platform, with retries.
 pub(crate) struct Store {
-    platform: HttpPlatform,
+    platform: Arc<dyn Platform>,
 }
 
 /// The end of a conditional update.
@@ -33,41 +43,20 @@
     pub(crate) fn new(address: SocketAddr) -> Result<Store, Failure> {
         let platform = HttpPlatform::new(address, TIMEOUTS)
             .map_err(|error| Failure::Start(error.to_string()))?;
-        Ok(Store { platform })
+        Ok(Store { platform: Arc::new(platform) })
     }
 
     pub(crate) async fn read(&self, path: &str) -> Result<Option<Object>, Failure> {
-        let mut pause = FIRST_PAUSE;
-        for _ in 1..ATTEMPTS_MAX {
-            match self.platform.read(path).await {
-                Err(PlatformError::Unavailable { .. }) => sleep(pause).await,
-                other => return Ok(other?),
-            }
-            pause *= 2;
-        }
-        Ok(self.platform.read(path).await?)
+        retry(|| self.platform.read(path)).await
     }
 
     pub(crate) async fn list(&self, prefix: &str) -> Result<Changes, Failure> {
-        let mut pause = FIRST_PAUSE;
-        for _ in 1..ATTEMPTS_MAX {
-            match self.platform.list(prefix).await {
-                Err(PlatformError::Unavailable { .. }) => sleep(pause).await,
-                other => return Ok(other?),
-            }
-            pause *= 2;
-        }
-        Ok(self.platform.list(prefix).await?)
+        retry(|| self.platform.list(prefix)).await
     }
 
-    /// One watch; failures are the caller's to wait out.
-    pub(crate) async fn watch(
-        &self,
-        prefix: &str,
-        after: ObjectVersion,
-        wait: Duration,
-    ) -> Result<Changes, PlatformError> {
-        self.platform.watch(prefix, after, wait).await
+    /// Follows what changes under a prefix, from what is there now.
+    pub(crate) fn follow(&self, prefix: &str) -> Follower {
+        Follower::new(Arc::clone(&self.platform), prefix, FOLLOWER_TIMES)
     }
 
     /// Updates on condition of the version. Where an answer is lost, the object is read again: it
@@ -78,22 +67,19 @@
         expected: ObjectVersion,
         body: &Bytes,
     ) -> Result<Updated, Failure> {
-        let mut pause = FIRST_PAUSE;
+        let mut pauses = pauses();
         let mut unsure = false;
-        for attempt in 1..=ATTEMPTS_MAX {
+        loop {
             match self.platform.update(path, expected, body.clone()).await {
                 Ok(version) => return Ok(Updated::Done(version)),
                 Err(PlatformError::Conflict { .. }) if unsure => {
                     return self.settle(path, expected, body).await;
                 }
                 Err(PlatformError::Conflict { .. }) => return Ok(Updated::Conflict),
-                Err(PlatformError::Unavailable { .. }) if attempt < ATTEMPTS_MAX => unsure = true,
-                Err(error) => return Err(error.into()),
+                Err(error) => wait_out(error, &mut pauses).await?,
             }
-            sleep(pause).await;
-            pause *= 2;
+            unsure = true;
         }
-        unreachable!("the last attempt returns")
     }
 
     /// Tells whether the version that is in the way is that of an earlier attempt.
@@ -112,6 +98,32 @@
     }
 }
 
+/// The pauses between the attempts of one call.
+fn pauses() -> impl Iterator<Item = Duration> {
+    (0..ATTEMPTS_MAX - 1).map(|it| FIRST_PAUSE * 2_u32.pow(it))
+}
+
+/// Pauses after a failure that may pass; fails with it if it may not, or if it was the last.
+async fn wait_out(
+    error: PlatformError,
+    pauses: &mut impl Iterator<Item = Duration>,
+) -> Result<(), Failure> {
+    let PlatformError::Unavailable { .. } = error else { return Err(error.into()) };
+    let Some(pause) = pauses.next() else { return Err(error.into()) };
+    sleep(pause).await;
+    Ok(())
+}
+
+async fn retry<'a, T>(call: impl Fn() -> PlatformResult<'a, T>) -> Result<T, Failure> {
+    let mut pauses = pauses();
+    loop {
+        match call().await {
+            Ok(value) => return Ok(value),
+            Err(error) => wait_out(error, &mut pauses).await?,
+        }
+    }
+}
+
 /// Reads the body of an object of the system's own.
 pub(crate) fn decode<T: DeserializeOwned>(path: &str, body: &[u8]) -> Result<T, Failure> {
     serde_json::from_slice(body)
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -96,11 +96,21 @@
             let response = request.body(Body::from(body)).send().await;
             read(response.map_err(|error| error.to_string())?).await
         };
-        let answer = match timeout(limit, exchange).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(reason)) => return Err(self.unavailable(step, reason)),
-            Err(_) => return Err(self.unavailable(step, format!("none within {limit:?}"))),
-        };
+        match timeout(limit, exchange).await {
+            Ok(Ok(answer)) => self.judge(step, answer, absent_is_an_answer),
+            Ok(Err(reason)) => Err(self.unavailable(step, reason)),
+            Err(_) => Err(self.unavailable(step, format!("none within {limit:?}"))),
+        }
+    }
+
+    /// What an answer says of the call's effect.
+    fn judge(
+        &self,
+        step: String,
+        answer: Answer,
+        absent_is_an_answer: bool,
+    ) -> Result<Answer, PlatformError> {
+        let reason = || format!("{} {}", answer.status, excerpt(&answer.body));
         match answer.status {
             status if status.is_success() => Ok(answer),
             StatusCode::NOT_FOUND if absent_is_an_answer => Ok(answer),
@@ -110,10 +120,9 @@
             }
             // The platform says itself that the request is at fault, so nothing was done.
             status if status.is_client_error() => {
-                let reason = format!("{status} {}", excerpt(&answer.body));
-                Err(PlatformError::Refused { step, peer: self.peer, reason })
+                Err(PlatformError::Refused { step, peer: self.peer, reason: reason() })
             }
-            status => Err(self.unavailable(step, format!("{status} {}", excerpt(&answer.body)))),
+            _ => Err(self.unavailable(step, reason())),
         }
     }
 
--- a/crates/settings/src/tests/examples.rs
+++ b/crates/settings/src/tests/examples.rs
@@ -32,19 +32,13 @@
 
 #[test]
 fn the_deployments_are_those_of_the_two_customers() {
-    let keyed = |text| check_name(text).keyed;
-    let keyed: Vec<&str> = DOCUMENTS.iter().filter(|it| keyed(it.1)).map(|it| it.0).collect();
-    assert_eq!(keyed, ["standings", "avaliacao"]);
-    let standings = check("standings", DOCUMENTS[2].1);
-    let avaliacao = check("avaliacao", DOCUMENTS[3].1);
-    let weight = |it: &ServiceDocument| it.ownership.availability_weight;
-    assert!(weight(&standings) > weight(&avaliacao), "the club weighs unavailable time more");
-    let churn = |it: &ServiceDocument| it.ownership.churn_per_minute_max;
-    assert!(churn(&avaliacao) < churn(&standings), "the firm weighs churn more");
-}
-
-fn check_name(text: &str) -> ServiceDocument {
-    ServiceDocument::parse(text).unwrap()
+    let documents = DOCUMENTS.map(|(service, text)| check(service, text));
+    let keyed = documents.iter().filter(|it| it.keyed).map(|it| it.service.as_str());
+    assert_eq!(keyed.collect::<Vec<_>>(), ["standings", "avaliacao"]);
+    let [_, _, standings, avaliacao, ..] = documents.map(|it| it.ownership);
+    let (club, firm) = (standings, avaliacao);
+    assert!(club.availability_weight > firm.availability_weight, "the club fears unavailable time");
+    assert!(club.churn_per_minute_max > firm.churn_per_minute_max, "the firm fears moves of keys");
 }
 
 #[test]
