--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -1,6 +1,6 @@
 //! What an agent is told when it starts.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::LazyLock};
 
 use model::{InstanceName, ServiceName, TeamName, Zone};
 use schemars::JsonSchema;
@@ -14,6 +14,8 @@
 /// The shortest secret that links between agents may rest on, in bytes.
 const LINK_KEY_MIN_BYTES: usize = 16;
 
+static SCHEMA: LazyLock<serde_json::Value> = LazyLock::new(schema_of::<RawAgentSettings>);
+
 /// Checked settings of one agent.
 #[derive(Clone, PartialEq)]
 pub struct AgentSettings {
@@ -103,14 +105,14 @@
     /// Parses and checks settings in JSON with comments; reports all problems at once.
     pub fn parse(text: &str) -> Result<AgentSettings, Problems> {
         let mut problems = Problems::default();
-        let settings =
-            parse::<RawAgentSettings>(text, &mut problems).and_then(|it| check(&it, &mut problems));
+        let settings = parse::<RawAgentSettings>(text, &SCHEMA, &mut problems)
+            .and_then(|it| check(&it, &mut problems));
         problems.or(settings)
     }
 
     /// The JSON schema of the text.
     pub fn json_schema() -> serde_json::Value {
-        schema_of::<RawAgentSettings>()
+        SCHEMA.clone()
     }
 }
 
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -4,7 +4,7 @@
 mod route;
 mod rules;
 
-use std::time::Duration;
+use std::{sync::LazyLock, time::Duration};
 
 use model::{ClassName, ServiceName, SlotCount, TeamName};
 
@@ -17,6 +17,9 @@
 
 pub(crate) use raw::RawDocument;
 
+/// Made once: each agent parses many documents.
+static SCHEMA: LazyLock<serde_json::Value> = LazyLock::new(schema_of::<RawDocument>);
+
 /// A checked service document.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceDocument {
@@ -104,7 +107,7 @@
     /// Parses and checks a document in JSON with comments; reports all problems at once.
     pub fn parse(text: &str) -> Result<ServiceDocument, Problems> {
         let mut problems = Problems::default();
-        let document = parse::<RawDocument>(text, &mut problems)
+        let document = parse::<RawDocument>(text, &SCHEMA, &mut problems)
             .and_then(|it| rules::check(&it, &mut problems));
         problems.or(document)
     }
@@ -113,7 +116,7 @@
     /// may not change under a running service.
     pub fn parse_change(text: &str, former: &ServiceDocument) -> Result<ServiceDocument, Problems> {
         let mut problems = Problems::default();
-        let parsed = parse::<RawDocument>(text, &mut problems);
+        let parsed = parse::<RawDocument>(text, &SCHEMA, &mut problems);
         let document = parsed.as_ref().and_then(|it| {
             rules::check_change(it, former, &mut problems);
             rules::check(it, &mut problems)
@@ -123,7 +126,7 @@
 
     /// The JSON schema of the text.
     pub fn json_schema() -> serde_json::Value {
-        schema_of::<RawDocument>()
+        SCHEMA.clone()
     }
 
     /// Finds the route of a request and its key. `path` is what follows the service's segment,
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -2,6 +2,7 @@
 
 use schemars::{JsonSchema, schema_for};
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use crate::{
     problem::{Position, Problems},
@@ -15,13 +16,15 @@
     pub(crate) source: Source,
 }
 
-/// Parses a text and checks its form; the raw value is missing only if the form is wrong.
-pub(crate) fn parse<T>(text: &str, problems: &mut Problems) -> Option<Parsed<T>>
-where
-    T: JsonSchema + DeserializeOwned,
-{
+/// Parses a text and checks its form against the JSON schema of `T`; the raw value is missing only
+/// if the form is wrong.
+pub(crate) fn parse<T: DeserializeOwned>(
+    text: &str,
+    schema: &Value,
+    problems: &mut Problems,
+) -> Option<Parsed<T>> {
     let source = Source::parse(text, problems)?;
-    schema::check(&source, &schema_of::<T>(), problems);
+    schema::check(&source, schema, problems);
     if !problems.is_empty() {
         return None;
     }
@@ -35,6 +38,6 @@
 }
 
 /// The JSON schema of a type.
-pub(crate) fn schema_of<T: JsonSchema>() -> serde_json::Value {
+pub(crate) fn schema_of<T: JsonSchema>() -> Value {
     schema_for!(T).to_value()
 }
--- a/crates/settings/src/tests/mod.rs
+++ b/crates/settings/src/tests/mod.rs
@@ -8,4 +8,5 @@
 mod problems;
 mod route;
 mod schema;
+mod spread;
 mod versions;
