--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' command-line client.
 //!
 //! It speaks to the platform alone: it writes `services/S` and reads what agents write. Every
-//! command ends with one of the exit codes of [`failure::Failure`].
+//! command ends with one of the exit codes of `failure::Failure`.
 
 mod args;
 mod base;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! Agent settings and service documents: JSON with comments, checked as a whole.
 //!
-//! A text goes through three steps: its values and where they stand ([`source`]), its form against
-//! the JSON schema of its type ([`schema`]), and rules across fields. All problems of a step are
+//! A text goes through three steps: its values and where they stand (`source`), its form against
+//! the JSON schema of its type (`schema`), and rules across fields. All problems of a step are
 //! reported together; a later step runs only where the earlier one found none.
 
 mod agent_settings;
