--- /dev/null
+++ b/crates/settings/src/tests/mod.rs
@@ -0,0 +1,11 @@
+//! Tests of settings and documents.
+
+mod agent_settings;
+mod document;
+mod examples;
+mod fuzz;
+mod objects;
+mod problems;
+mod route;
+mod schema;
+mod versions;
