--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -1,3 +1,5 @@
 //! Runs of many nodes: in order, under random faults, and along recorded traces.
 
 mod order;
+mod random;
+mod sabotage;
