--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod machine;
+mod ownership;
 mod path;
 mod plot;
 mod process_usage;
@@ -60,6 +61,11 @@
     let result = match options.name.as_str() {
         "path" => json!(path::run(&options).await?),
         "faults" => json!(faults::run(&options).await?),
+        "ownership" => {
+            let report = ownership::run(options.seed);
+            report.lines().iter().try_for_each(|it| line(it))?;
+            json!(report)
+        }
         "slopes" => {
             let report = slopes::run(&options)?;
             if options.plot {
@@ -67,7 +73,9 @@
             }
             json!(report)
         }
-        other => anyhow::bail!("no measurement {other:?}; there are path, faults and slopes"),
+        other => {
+            anyhow::bail!("no measurement {other:?}; there are path, faults, slopes and ownership")
+        }
     };
     if options.save {
         save(&options, &machine, &result)?;
--- a/xtask/src/bench/ownership/bound.rs
+++ b/xtask/src/bench/ownership/bound.rs
@@ -28,7 +28,8 @@
 
 /// The share of all keys that must move at the least, so that no member has more than `level`
 /// times its fair load: each overloaded member gives up first what has the most load for its
-/// keys, the last one in part. Where it goes is left open, so no real plan can do with less.
+/// keys, the last one in part. A member's heaviest unit counts only with what its new member
+/// must give up for it; otherwise room is not looked at. No real plan can do with less.
 pub(super) fn least_moved(
     view: &View<'_>,
     level: f64,
@@ -36,25 +37,52 @@
 ) -> f64 {
     let fair = fair(view.members, view.loads_us_per_s);
     let sums = member_loads(view.members.len(), view.owners, view.loads_us_per_s);
+    let excess = |member: usize| sums[member] - level * view.members[member].weight * fair;
     let mut moved = 0.0;
     for member in 0..view.members.len() {
-        let weight = view.members[member].weight;
-        let excess = sums[member] - level * weight * fair;
-        if weight == 0.0 {
+        if view.members[member].weight == 0.0 {
             moved += view.owners.iter().filter(|it| **it == Some(member)).count() as f64;
-        } else if excess > 0.0 {
-            moved += least_off(movable(view, member), excess);
+        } else if excess(member) > 0.0 {
+            let room_for = |load: f64| {
+                let others = view.able().filter(|it| *it != member);
+                let more = |it: usize| {
+                    let movable = movable(view, it);
+                    least_off(&movable, excess(it) + load) - least_off(&movable, excess(it))
+                };
+                others.map(more).fold(f64::INFINITY, f64::min)
+            };
+            moved += least_off_with_room(movable(view, member), excess(member), room_for);
         }
     }
     moved / view.keys.len() as f64
 }
 
+/// The same as [`least_off`], but the heaviest unit either stays, or goes as a whole and needs
+/// room elsewhere.
+fn least_off_with_room(
+    mut movable: Vec<Movable>,
+    excess: f64,
+    room_for: impl Fn(f64) -> f64,
+) -> f64 {
+    let heavier = |a: &(usize, &Movable), b: &(usize, &Movable)| a.1.load.total_cmp(&b.1.load);
+    let Some((index, _)) = movable.iter().enumerate().max_by(heavier) else { return 0.0 };
+    let heaviest = movable.swap_remove(index);
+    let rest: f64 = movable.iter().map(|it| it.load).sum();
+    let goes =
+        heaviest.keys + room_for(heaviest.load) + least_off(&movable, excess - heaviest.load);
+    match rest >= excess {
+        true => least_off(&movable, excess).min(goes),
+        false => goes,
+    }
+}
+
 /// The least number of keys whose load comes to `excess`.
-fn least_off(mut movable: Vec<Movable>, mut excess: f64) -> f64 {
+fn least_off(movable: &[Movable], mut excess: f64) -> f64 {
     let density = |it: &Movable| it.load / it.keys;
-    movable.sort_by(|a, b| density(b).total_cmp(&density(a)));
+    let mut order: Vec<&Movable> = movable.iter().collect();
+    order.sort_by(|a, b| density(b).total_cmp(&density(a)));
     let mut moved = 0.0;
-    for it in movable {
+    for it in order {
         if excess <= 0.0 || it.load <= 0.0 {
             break;
         }
--- a/xtask/src/bench/ownership/policy/bounded.rs
+++ b/xtask/src/bench/ownership/policy/bounded.rs
@@ -31,9 +31,30 @@
         self.ring[from..].iter().chain(&self.ring[..from]).map(|it| it.1)
     }
 
+    fn joined(&self, view: &View<'_>) -> Vec<bool> {
+        let known = self.known.iter().zip(view.members);
+        known.map(|(known, member)| !known && member.weight > 0.0).collect()
+    }
+
+    /// Its member is gone or over the bound, or a member that has just joined comes first.
+    fn must_move(
+        &self,
+        view: &View<'_>,
+        loads: &[f64],
+        fair: f64,
+        joined: &[bool],
+        key: usize,
+        owner: Option<usize>,
+    ) -> bool {
+        let Some(owner) = owner else { return true };
+        let weight = view.members[owner].weight;
+        let is_over = loads[owner] > BOUND * weight * fair;
+        let first = self.walk(view.keys[key]).find(|it| view.members[*it].weight > 0.0);
+        weight == 0.0 || is_over || first.is_some_and(|it| joined[it])
+    }
+
     /// The first member with room; the least loaded if there is none.
-    fn place(&self, view: &View<'_>, loads: &[f64], key: usize) -> Option<usize> {
-        let fair = view.fair();
+    fn place(&self, view: &View<'_>, loads: &[f64], fair: f64, key: usize) -> Option<usize> {
         let load = view.loads_us_per_s[key];
         let has_room = |it: &usize| {
             let weight = view.members[*it].weight;
@@ -63,32 +84,20 @@
     }
 
     fn plan(&mut self, view: &View<'_>) -> Vec<Option<usize>> {
-        let joined: Vec<bool> = (0..self.known.len())
-            .map(|it| view.members[it].weight > 0.0 && !self.known[it])
-            .collect();
-        let mut owners = view.owners.to_vec();
-        let mut loads = view.loads();
+        let joined = self.joined(view);
         let fair = view.fair();
-        for key in 0..owners.len() {
-            let load = view.loads_us_per_s[key];
-            let must_move = match owners[key] {
-                None => true,
-                Some(owner) => {
-                    let weight = view.members[owner].weight;
-                    let is_over = loads[owner] > BOUND * weight * fair;
-                    let first = self.walk(view.keys[key]).find(|it| view.members[*it].weight > 0.0);
-                    weight == 0.0 || is_over || first.is_some_and(|it| joined[it])
-                }
-            };
-            if !must_move {
+        let mut loads = view.loads();
+        let mut owners = view.owners.to_vec();
+        for (key, owner) in owners.iter_mut().enumerate() {
+            if !self.must_move(view, &loads, fair, &joined, key, *owner) {
                 continue;
             }
-            if let Some(owner) = owners[key] {
-                loads[owner] -= load;
+            if let Some(owner) = *owner {
+                loads[owner] -= view.loads_us_per_s[key];
             }
-            owners[key] = self.place(view, &loads, key);
-            if let Some(owner) = owners[key] {
-                loads[owner] += load;
+            *owner = self.place(view, &loads, fair, key);
+            if let Some(owner) = *owner {
+                loads[owner] += view.loads_us_per_s[key];
             }
         }
         for (known, member) in self.known.iter_mut().zip(view.members) {
--- a/xtask/src/bench/ownership/policy/planned.rs
+++ b/xtask/src/bench/ownership/policy/planned.rs
@@ -108,7 +108,7 @@
         }
     }
 
-    fn take(&mut self, view: &View<'_>, keys: &mut Vec<PlannerKey>, it: &Move) {
+    fn take(&mut self, view: &View<'_>, keys: &mut [PlannerKey], it: &Move) {
         let slots = self.slots.len() as f64;
         let cost = match it.unit {
             Unit::Slot(slot) => {
@@ -175,32 +175,6 @@
     fn plan(&mut self, view: &View<'_>) -> Vec<Option<usize>> {
         let input = self.input(view);
         let proposal = propose(&input);
-        if std::env::var("DBG").is_ok() && view.second > 0 && !proposal.moves.is_empty() {
-            let l = view.loads();
-            let f = view.fair();
-            let rel: Vec<String> = l
-                .iter()
-                .zip(view.members)
-                .map(|(l, m)| format!("{:.3}", l / f / m.weight))
-                .collect();
-            eprintln!("{} {:?} churn_left {:.3}", view.second, rel, input.churn_left);
-            for m in &proposal.moves {
-                let load = match m.unit {
-                    Unit::Slot(s) => input.slots[usize::from(s.0)].load_us_per_s,
-                    Unit::Key(k) => {
-                        input.keys.iter().find(|it| it.key_hash == k).unwrap().load_us_per_s
-                    }
-                };
-                eprintln!(
-                    "    {:?} {:?}->{:?} {:?} load {:.3}",
-                    m.unit,
-                    m.from,
-                    m.to,
-                    m.reason,
-                    load / f
-                );
-            }
-        }
         let mut keys = input.keys;
         for it in &proposal.moves {
             self.take(view, &mut keys, it);
--- a/xtask/src/bench/ownership/report.rs
+++ b/xtask/src/bench/ownership/report.rs
@@ -9,6 +9,9 @@
 /// Moves over the least that any plan needs, that is aimed at.
 const CHURN_GOAL: f64 = 1.2;
 
+const HEADER: &str = "  policy                           busiest/mean: mean    p99  <=1.15 | \
+    keys/min: moved   least | unavailable: key-s  longest | entries plans";
+
 /// The whole measurement.
 #[derive(Debug, Serialize)]
 pub(crate) struct Report {
@@ -16,6 +19,19 @@
     pub(crate) workloads: Vec<WorkloadReport>,
 }
 
+impl Report {
+    /// A short table.
+    pub(crate) fn lines(&self) -> Vec<String> {
+        let title =
+            |it: &WorkloadReport| format!("{}, {} s, {} keys", it.workload, it.seconds, it.keys);
+        let workload = |it: &WorkloadReport| {
+            let rows = it.policies.iter().map(Measured::line);
+            [title(it), HEADER.to_owned()].into_iter().chain(rows).collect::<Vec<_>>()
+        };
+        self.workloads.iter().flat_map(workload).collect()
+    }
+}
+
 /// All policies on one workload; the first is the product's own.
 #[derive(Debug, Serialize)]
 pub(crate) struct WorkloadReport {
@@ -122,6 +138,22 @@
         self.unavailable_longest_ms = self.unavailable_longest_ms.max(longest_s * 1000.0);
     }
 
+    fn line(&self) -> String {
+        format!(
+            "  {:<32} {:>18.3} {:>6.3} {:>6.1}% | {:>14.4}% {:>6.4}% | {:>18.2} {:>5.0} ms | {:>7} {:>5}",
+            self.policy,
+            self.imbalance_mean,
+            self.imbalance_p99,
+            self.within_goal_share * 100.0,
+            self.churn_per_minute * 100.0,
+            self.least_churn_per_minute * 100.0,
+            self.unavailable_key_s,
+            self.unavailable_longest_ms,
+            self.entries_max,
+            self.plans_written,
+        )
+    }
+
     /// Turns sums into means.
     pub(super) fn finish(&mut self, seconds: u32) {
         let minutes = f64::from(seconds) / 60.0;
--- a/xtask/src/bench/ownership/workload.rs
+++ b/xtask/src/bench/ownership/workload.rs
@@ -140,7 +140,8 @@
     let mut leader = Workload::new("one car leads a heat", rng, 4, 2000, 96);
     leader.heat(rng, 180, 1, 0.15);
     let mut house = Workload::new("one house all afternoon", rng, 5, 4000, 96);
-    house.heat(rng, RUN_S, 1, 0.30);
+    let keys = vec![rng.random_range(0..house.keys.len())];
+    house.heats.push(Heat { from_s: 60, until_s: RUN_S, keys, share: 0.30 });
     let mut rush = Workload::new("the whole field starts in one second", rng, 4, 2000, 96);
     rush.start_s = 60;
     let mut fleet = Workload::new("servers join and leave", rng, 6, 4000, 96);
@@ -150,13 +151,5 @@
     fleet.members.push(MemberLife::new(4, 480, None));
     let mut hot = Workload::new("the hot set changes in minutes", rng, 24, 20_000, 480);
     hot.heat(rng, 180, 32, 0.40);
-    {
-        let w = std::env::var("W").unwrap_or("01234".into());
-        [leader, house, rush, fleet, hot]
-            .into_iter()
-            .enumerate()
-            .filter(|(i, _)| w.contains(&i.to_string()))
-            .map(|(_, w)| w)
-            .collect()
-    }
+    vec![leader, house, rush, fleet, hot]
 }
