--- a/crates/wire/src/control/mod.rs
+++ b/crates/wire/src/control/mod.rs
@@ -22,11 +22,7 @@
 pub enum WireError {
     #[error("decode: {0} bytes, at most {CONTROL_MESSAGE_MAX_BYTES} are allowed")]
     TooLong(usize),
-<<<<<<< HEAD
-    #[error("decode: no CBOR of a control message: {0}")]
-=======
     #[error("decode: no control message: {0}")]
->>>>>>> ownership
     Syntax(String),
     #[error("decode: {list} has {count} entries, at most {max} are allowed")]
     TooMany { list: &'static str, count: usize, max: usize },
@@ -36,14 +32,7 @@
 
 /// The CBOR of a message.
 pub fn encode(message: &Message) -> Vec<u8> {
-<<<<<<< HEAD
-    let mut bytes = Vec::with_capacity(256);
-    let message = WireMessage::from(message);
-    ciborium::into_writer(&message, &mut bytes).expect("writing to memory cannot fail");
-    bytes
-=======
     crate::codec::encode(&WireMessage::from(message))
->>>>>>> ownership
 }
 
 /// The message that bytes of a peer stand for.
@@ -51,16 +40,7 @@
     if bytes.len() > CONTROL_MESSAGE_MAX_BYTES {
         return Err(WireError::TooLong(bytes.len()));
     }
-<<<<<<< HEAD
-    let mut rest = bytes;
-    let message: WireMessage =
-        ciborium::from_reader(&mut rest).map_err(|it| WireError::Syntax(it.to_string()))?;
-    if !rest.is_empty() {
-        return Err(WireError::Syntax(format!("{} bytes too many", rest.len())));
-    }
-=======
     let message: WireMessage =
         crate::codec::decode(bytes).map_err(|it| WireError::Syntax(it.to_string()))?;
->>>>>>> ownership
     Message::try_from(message)
 }
--- a/xtask/src/bench/slopes/cases.rs
+++ b/xtask/src/bench/slopes/cases.rs
@@ -53,9 +53,13 @@
 const QUANTITIES: &[Quantity] = &[
     ("coordinator_cpu_us_per_s", |it| cpu_us_per_s(&it.coordinator)),
     ("coordinator_messages_per_s", |it| messages_per_s(&it.coordinator)),
+    ("coordinator_bytes_per_s", |it| bytes_per_s(&it.coordinator)),
+    ("coordinator_codec_cpu_us_per_s", |it| codec_cpu_us_per_s(&it.coordinator)),
     ("coordinator_platform_calls_per_s", |it| per_s(it.coordinator.platform_calls)),
     ("member_cpu_us_per_s", |it| cpu_us_per_s(&it.member)),
     ("member_messages_per_s", |it| messages_per_s(&it.member)),
+    ("member_bytes_per_s", |it| bytes_per_s(&it.member)),
+    ("member_codec_cpu_us_per_s", |it| codec_cpu_us_per_s(&it.member)),
     ("member_platform_calls_per_s", |it| per_s(it.member.platform_calls)),
     ("plan_bytes", |it| it.plan_bytes as f64),
     ("hot_key_entries", |it| it.hot_key_entries as f64),
@@ -97,8 +101,11 @@
     let sum = |value: fn(&NodeCost) -> u64| costs.iter().map(value).sum::<u64>() / count;
     NodeCost {
         cpu: costs.iter().map(|it| it.cpu).sum::<Duration>() / count as u32,
+        codec_cpu: costs.iter().map(|it| it.codec_cpu).sum::<Duration>() / count as u32,
         sent: sum(|it| it.sent),
+        sent_bytes: sum(|it| it.sent_bytes),
         received: sum(|it| it.received),
+        received_bytes: sum(|it| it.received_bytes),
         platform_calls: sum(|it| it.platform_calls),
     }
 }
@@ -114,3 +121,11 @@
 fn messages_per_s(cost: &NodeCost) -> f64 {
     per_s(cost.sent + cost.received)
 }
+
+fn bytes_per_s(cost: &NodeCost) -> f64 {
+    per_s(cost.sent_bytes + cost.received_bytes)
+}
+
+fn codec_cpu_us_per_s(cost: &NodeCost) -> f64 {
+    cost.codec_cpu.as_secs_f64() * 1e6 / MEASURE.as_secs_f64()
+}
--- a/xtask/src/bench/slopes/group.rs
+++ b/xtask/src/bench/slopes/group.rs
@@ -28,6 +28,8 @@
 const REPORTED_SLOTS_MAX: usize = 64;
 const REPORTED_KEYS_MAX: usize = 16;
 
+use super::wire_size;
+
 /// How large a group is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct GroupSize {
@@ -41,7 +43,11 @@
 pub(crate) struct NodeCost {
     pub(crate) cpu: Duration,
     pub(crate) sent: u64,
+    pub(crate) sent_bytes: u64,
     pub(crate) received: u64,
+    pub(crate) received_bytes: u64,
+    /// Encoding and decoding of messages.
+    pub(crate) codec_cpu: Duration,
     pub(crate) platform_calls: u64,
 }
 
@@ -56,7 +62,7 @@
 enum Event {
     Tick(usize),
     Load(usize),
-    Deliver { to: usize, from: usize, message: Box<Message> },
+    Deliver { to: usize, from: usize, bytes: Vec<u8> },
     Input { to: usize, input: Box<Input> },
     Call { from: usize, call: CallId, request: Box<PlatformRequest> },
 }
@@ -72,6 +78,7 @@
 /// A group under way.
 pub(crate) struct Group {
     size: GroupSize,
+    service: ServiceName,
     now: Timestamp,
     events: BTreeMap<(Timestamp, u64), Event>,
     next_event: u64,
@@ -91,6 +98,7 @@
             .collect();
         let mut group = Group {
             size,
+            service: ServiceName::new("standings").expect("a valid name"),
             now,
             events: BTreeMap::new(),
             next_event: 0,
@@ -170,11 +178,7 @@
                 let report = self.load_of(host);
                 self.step(host, Input::Load(report));
             }
-            Event::Deliver { to, from, message } => {
-                let from = self.hosts[from].instance.clone();
-                self.hosts[to].cost.received += 1;
-                self.step(to, Input::Message { from, message: *message });
-            }
+            Event::Deliver { to, from, bytes } => self.receive(to, from, &bytes),
             Event::Input { to, input } => self.step(to, *input),
             Event::Call { from, call, request } => {
                 let reply = self.store.answer(*request);
@@ -188,7 +192,7 @@
         let mut out = Vec::new();
         let before = thread_cpu();
         self.hosts[host].node.step(self.now, input, &mut out);
-        let spent = thread_cpu().saturating_sub(before).saturating_sub(self.clock_cost);
+        let spent = self.spent_since(before);
         self.hosts[host].cost.cpu += spent;
         for output in out {
             self.carry_out(host, output);
@@ -209,13 +213,34 @@
     }
 
     fn send(&mut self, from: usize, to: &Instance, message: Message) {
-        self.hosts[from].cost.sent += 1;
+        let before = thread_cpu();
+        let bytes = wire_size::encode(&message, &self.service);
+        let spent = self.spent_since(before);
+        let cost = &mut self.hosts[from].cost;
+        cost.codec_cpu += spent;
+        cost.sent += 1;
+        cost.sent_bytes += wire_size::on_the_way(&bytes);
         if let Some(to) = self.hosts.iter().position(|it| it.instance == *to) {
-            let message = Box::new(message);
-            self.schedule(LINK_DELAY, Event::Deliver { to, from, message });
+            self.schedule(LINK_DELAY, Event::Deliver { to, from, bytes });
         }
     }
 
+    fn receive(&mut self, to: usize, from: usize, bytes: &[u8]) {
+        let before = thread_cpu();
+        let message = wire_size::decode(bytes);
+        let spent = self.spent_since(before);
+        let cost = &mut self.hosts[to].cost;
+        cost.codec_cpu += spent;
+        cost.received += 1;
+        cost.received_bytes += wire_size::on_the_way(bytes);
+        let from = self.hosts[from].instance.clone();
+        self.step(to, Input::Message { from, message });
+    }
+
+    fn spent_since(&self, before: Duration) -> Duration {
+        thread_cpu().saturating_sub(before).saturating_sub(self.clock_cost)
+    }
+
     fn obey(&mut self, host: usize, command: GateCommand) {
         let gate = &mut self.hosts[host];
         let done = match command {
