--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 
 use std::process::ExitCode;
 
+use anyhow::Context;
 use gumdrop::Options;
 
 #[derive(Debug, Options)]
@@ -25,20 +26,24 @@
 }
 
 #[tokio::main]
-async fn main() -> anyhow::Result<ExitCode> {
+async fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn,demo=info"))
         .init();
     let options = XtaskOptions::parse_args_default_or_exit();
-    let command = options.command.ok_or_else(|| anyhow::anyhow!("name a command; try --help"))?;
-    let work = async {
-        match command {
-            Command::Demo(options) => demo::run(options).await,
-            Command::Bench(options) => bench::run(options).await,
-        }
-    };
     // Dropping the work ends and reaps all processes that it started.
-    tokio::select! {
-        code = work => code,
-        _ = tokio::signal::ctrl_c() => anyhow::bail!("interrupted"),
+    let code = tokio::select! {
+        code = run(options) => code,
+        _ = tokio::signal::ctrl_c() => Err(anyhow::anyhow!("interrupted")),
+    };
+    code.unwrap_or_else(|error| {
+        log::error!(target: "xtask", "{error:#}.");
+        ExitCode::FAILURE
+    })
+}
+
+async fn run(options: XtaskOptions) -> anyhow::Result<ExitCode> {
+    match options.command.context("name a command; try --help")? {
+        Command::Demo(options) => demo::run(options).await,
+        Command::Bench(options) => bench::run(options).await,
     }
 }
