Routes of other services come from members first

The demo sometimes had an agent that answered no-owner for a service for ever: agents of one service passed each other a table without members, taken before the group had any, and each such answer ended the silence after which the platform is asked. Tables without members are ignored, and only a member's own word ends a silence.

--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -46,7 +46,54 @@
     absent_since: Option<Timestamp>,
 }
 
+impl Foreign {
+    /// Takes over what a peer says; whether that changed anything. Agents of other services pass on
+    /// what they have heard, so only the word of a member ends a silence or replaces routes of the
+    /// same version. A table without members is of no use, and would go round among such agents
+    /// for ever.
+    fn hear(&mut self, from: &Instance, mut table: RouteTable) -> bool {
+        if table.members.is_empty() {
+            return false;
+        }
+        let current = self.routes.as_ref();
+        let version = current.map_or(0, |it| it.version);
+        let is_newer = current.is_none() || table.version > version;
+        let is_member = table.members.iter().any(|it| it.instance == *from);
+        // After long silence whatever a member says is better than what is known.
+        let is_better = table.version >= version || self.unanswered > UNANSWERED_MAX;
+        if !(is_newer || is_member && is_better) {
+            return false;
+        }
+        let unchanged = table.owners.is_empty() && table.version == version;
+        if let (true, Some(current)) = (unchanged, current) {
+            keep_owners(&mut table, current);
+        }
+        let changed = current != Some(&table);
+        self.routes = Some(table);
+        if is_member {
+            self.unanswered = 0;
+        }
+        changed
+    }
+}
+
 impl ForeignRoutes {
+    /// A service that callers have asked for.
+    #[cfg(test)]
+    pub(super) fn want(&mut self, service: &ServiceName) {
+        self.table.entry(service.clone()).or_default();
+    }
+
+    /// Takes over what a peer says; whether that changed anything.
+    pub(super) fn hear(&mut self, from: &Instance, table: RouteTable) -> bool {
+        self.table.get_mut(&table.service).is_some_and(|it| it.hear(from, table))
+    }
+
+    #[cfg(test)]
+    pub(super) fn member_count(&self, service: &ServiceName) -> Option<usize> {
+        Some(self.table.get(service)?.routes.as_ref()?.members.len())
+    }
+
     /// The platform has no such service.
     pub(super) fn set_absent(&mut self, now: Timestamp, service: &ServiceName) {
         if let Some(foreign) = self.table.get_mut(service) {
@@ -169,23 +216,10 @@
         self.parts.links.send(to, Envelope::Routes(table).encode());
     }
 
-    pub(super) fn routes_heard(&mut self, from: Instance, mut table: RouteTable) {
+    pub(super) fn routes_heard(&mut self, from: Instance, table: RouteTable) {
         let service = table.service.clone();
         let config = table.config;
-        if let Some(foreign) = self.foreign.table.get_mut(&service) {
-            let current = foreign.routes.as_ref();
-            let version = current.map_or(0, |it| it.version);
-            // After long silence whatever a member says is better than what is known.
-            if table.version >= version || foreign.unanswered > UNANSWERED_MAX {
-                let unchanged = table.owners.is_empty() && table.version == version;
-                if let (true, Some(current)) = (unchanged, current) {
-                    keep_owners(&mut table, current);
-                }
-                self.dirty |= current != Some(&table);
-                foreign.routes = Some(table);
-                foreign.unanswered = 0;
-            }
-        }
+        self.dirty |= self.foreign.hear(&from, table);
         self.version_heard(&from, service, config);
     }
 
--- a/crates/agent/src/control/tests.rs
+++ b/crates/agent/src/control/tests.rs
@@ -1,8 +1,12 @@
 //! Tests of the tables of control.
 
-use model::{ConfigVersion, ServiceName};
+use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, SlotCount, Zone};
+use wire::exchange::{RouteMember, RouteTable};
 
-use crate::control::documents::{Documents, Raised};
+use crate::control::{
+    documents::{Documents, Raised},
+    foreign::ForeignRoutes,
+};
 
 const DOCUMENT: &str = r#"{
     "service": "standings", "team": "club", "keyed": true,
@@ -37,3 +41,44 @@
     assert_eq!(documents.raise(&service, ConfigVersion(3), "{"), Raised::Invalid);
     assert_eq!(documents.version(&service), ConfigVersion(1));
 }
+
+fn instance(name: &str) -> Instance {
+    Instance {
+        name: InstanceName::new(name).unwrap(),
+        incarnation: Incarnation(1),
+        zone: Zone::new("pitlane").unwrap(),
+        control: "127.0.0.1:1".parse().unwrap(),
+        traffic: "127.0.0.1:2".parse().unwrap(),
+    }
+}
+
+fn routes(version: u64, members: &[&str]) -> RouteTable {
+    let member = |name: &&str| RouteMember { instance: instance(name), ready: true };
+    RouteTable {
+        service: ServiceName::new("standings").unwrap(),
+        config: ConfigVersion(1),
+        version,
+        slot_count: SlotCount::new(8).unwrap(),
+        members: members.iter().map(member).collect(),
+        owners: Vec::new(),
+    }
+}
+
+#[test]
+fn routes_are_taken_from_members_first() {
+    let service = ServiceName::new("standings").unwrap();
+    let mut foreign = ForeignRoutes::default();
+    foreign.want(&service);
+    let mut check = |from: &str, table, members| {
+        foreign.hear(&instance(from), table);
+        assert_eq!(foreign.member_count(&service), members);
+    };
+    // A group that nobody has joined yet, as passed on by an agent of another service.
+    check("lapboard-1", routes(0, &[]), None);
+    check("lapboard-1", routes(0, &["a"]), Some(1));
+    // The same version from elsewhere is no news, from a member it is.
+    check("lapboard-1", routes(0, &["a", "b"]), Some(1));
+    check("a", routes(0, &["a", "b"]), Some(2));
+    check("lapboard-1", routes(1, &["a", "b", "c"]), Some(3));
+    check("a", routes(0, &["a"]), Some(3));
+}
