One table of documents and one verdict: the agent goes by those of settings

The agent had a table and a judgement of its own beside settings::DocumentTable and settings::judge, which the random runs exercise. The agent's stay as thin layers that write the log. New with it: a text that doesn't hold is fetched once and not with each repetition of versions; a refusal that was overtaken leaves the status; an accepted text that can't be read lets nothing be accepted after it.

--- a/crates/agent/src/control/accept.rs
+++ b/crates/agent/src/control/accept.rs
@@ -8,7 +8,7 @@
 use model::{ConfigVersion, ObjectVersion, ServiceName, Timestamp};
 use platform::PlatformError;
 use rand::RngExt;
-use settings::{Accepted, Refused, ServiceDocument};
+use settings::{Accepted, Judgement, Refused, judge};
 
 use crate::control::{documents::Raised, state::Control};
 
@@ -115,26 +115,21 @@
         let Some(state) = self.acceptor.accepted.clone() else { return };
         let Some((version, text)) = self.acceptor.pending.take() else { return };
         let service = self.service().clone();
-        if ConfigVersion(version.0) <= self.documents.version(&service) {
-            return;
-        }
-        let parsed = match self.documents.of(&service) {
-            Some(former) => ServiceDocument::parse_change(&text, &former.document),
-            None => ServiceDocument::parse(&text),
-        };
-        let reasons = match parsed {
-            Ok(document) if document.service == service => Vec::new(),
-            Ok(document) => vec![format!("the document names the service {}", document.service)],
-            Err(problems) => problems.iter().map(|it| it.to_string()).collect(),
+        let accepted = match judge(&service, state.accepted.as_ref(), version, text.as_bytes()) {
+            Judgement::Keep => {
+                // What was refused has been overtaken.
+                self.acceptor.refused.take_if(|it| it.version <= self.documents.version(&service));
+                return;
+            }
+            Judgement::Refuse(refused) => {
+                let reasons = refused.reasons.join("; ");
+                log::warn!(target: "config", "Refused version {version} of {service}: {reasons}");
+                self.acceptor.refused = Some(refused);
+                return;
+            }
+            Judgement::Raise(accepted) => accepted,
         };
-        if !reasons.is_empty() {
-            log::warn!(target: "config", "Refused version {version} of {service}: {}.", reasons.join("; "));
-            self.acceptor.refused = Some(Refused { version: ConfigVersion(version.0), reasons });
-            return;
-        }
         self.acceptor.refused = None;
-        let raised = Accepted::raised(state.accepted.as_ref(), service, version, text);
-        let Some(accepted) = raised else { return };
         self.acceptor.updating = true;
         self.parts.calls.update_accepted(state.object, accepted);
     }
--- a/crates/agent/src/control/documents.rs
+++ b/crates/agent/src/control/documents.rs
@@ -1,17 +1,10 @@
 //! The table of documents in force: the highest version seen of each, never an older one.
 
-use std::{collections::BTreeMap, sync::Arc};
-
 use model::{ConfigVersion, ServiceName};
-use settings::ServiceDocument;
+use settings::DocumentTable;
 
 /// A document in force on this instance.
-#[derive(Debug, Clone)]
-pub(crate) struct InForce {
-    pub(crate) version: ConfigVersion,
-    pub(crate) text: Arc<str>,
-    pub(crate) document: Arc<ServiceDocument>,
-}
+pub(crate) use settings::VersionedDocument as InForce;
 
 /// What came of an offered document.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,7 +19,7 @@
 
 #[derive(Debug, Default)]
 pub(crate) struct Documents {
-    table: BTreeMap<ServiceName, InForce>,
+    table: DocumentTable,
 }
 
 impl Documents {
@@ -38,34 +31,31 @@
         text: &str,
     ) -> Raised {
         let former = self.version(service);
-        if version <= former {
-            return Raised::Known;
-        }
-        let document = match ServiceDocument::parse(text) {
-            Ok(document) if document.service == *service => document,
-            Ok(document) => {
-                log::error!(target: "config", "Version {version} of {service} names {}.", document.service);
-                return Raised::Invalid;
-            }
+        let raised = match self.table.take(service, version, text) {
+            Ok(true) => Raised::Yes,
+            Ok(false) => return Raised::Known,
             Err(problems) => {
-                log::error!(target: "config", "Version {version} of {service} doesn't hold: {problems}.");
+                log::error!(target: "config", "Version {version} of {service} doesn't hold: {problems}");
                 return Raised::Invalid;
             }
         };
-        let entry = InForce { version, text: Arc::from(text), document: Arc::new(document) };
-        self.table.insert(service.clone(), entry);
         assert!(self.version(service) > former, "a document in force only rises");
         log::info!(target: "config", "Version {version} of {service} is in force.");
-        Raised::Yes
+        raised
+    }
+
+    /// Whether the text of a version that a peer knows of is worth fetching.
+    pub(crate) fn wants(&self, service: &ServiceName, version: ConfigVersion) -> bool {
+        self.table.wants(service, version)
     }
 
     pub(crate) fn of(&self, service: &ServiceName) -> Option<&InForce> {
-        self.table.get(service)
+        self.table.of(service)
     }
 
     /// The version in force; 0 if there is none.
     pub(crate) fn version(&self, service: &ServiceName) -> ConfigVersion {
-        self.of(service).map_or(ConfigVersion(0), |it| it.version)
+        self.table.version(service)
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&ServiceName, &InForce)> {
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -85,7 +85,7 @@
         version: ConfigVersion,
     ) {
         let used = self.documents.of(&service).is_some() || service == *self.service();
-        if used && version > self.documents.version(&service) {
+        if used && self.documents.wants(&service, version) {
             self.parts.links.send(from, Envelope::FetchDocument { service }.encode());
         }
     }
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -112,6 +112,17 @@
         problems.or(document)
     }
 
+    /// Parses and checks a document that stands where that of `service` belongs.
+    pub fn parse_for(service: &ServiceName, text: &str) -> Result<ServiceDocument, Problems> {
+        let mut problems = Problems::default();
+        let parsed = parse::<RawDocument>(text, &SCHEMA, &mut problems);
+        let document = parsed.as_ref().and_then(|it| {
+            rules::check_service(it, service, &mut problems);
+            rules::check(it, &mut problems)
+        });
+        problems.or(document)
+    }
+
     /// Parses and checks a document that is to follow `former`: what lies at the root of ownership
     /// may not change under a running service.
     pub fn parse_change(text: &str, former: &ServiceDocument) -> Result<ServiceDocument, Problems> {
--- a/crates/settings/src/document/rules.rs
+++ b/crates/settings/src/document/rules.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use model::{ClassName, NameError, SlotCount};
+use model::{ClassName, NameError, ServiceName, SlotCount};
 
 use super::{
     Class, DrainLimits, KeySource, Method, OwnershipLimits, Route, ServiceDocument, TrafficLimits,
@@ -25,7 +25,7 @@
     rules.upstream(raw);
     rules.ownership(raw);
     rules.times(raw);
-    let service = rules.name("service", model::ServiceName::new(&raw.service));
+    let service = rules.name("service", ServiceName::new(&raw.service));
     let team = rules.name("team", model::TeamName::new(&raw.team));
     let classes = rules.classes(raw);
     let routes = rules.routes(raw);
@@ -43,17 +43,27 @@
     })
 }
 
+/// Checks that a document is that of the service in whose place it stands.
+pub(super) fn check_service(
+    parsed: &Parsed<RawDocument>,
+    service: &ServiceName,
+    problems: &mut Problems,
+) {
+    let mut rules = Rules { source: &parsed.source, problems };
+    rules.require(parsed.raw.service == service.as_str(), "service", || {
+        format!("the document is that of {service}; another service needs one of its own.")
+    });
+}
+
 /// Checks what a document may not change against the one that it follows.
 pub(super) fn check_change(
     parsed: &Parsed<RawDocument>,
     former: &ServiceDocument,
     problems: &mut Problems,
 ) {
+    check_service(parsed, &former.service, problems);
     let raw = &parsed.raw;
     let mut rules = Rules { source: &parsed.source, problems };
-    rules.require(raw.service == former.service.as_str(), "service", || {
-        format!("the document is that of {}; another service needs one of its own.", former.service)
-    });
     rules.require(raw.keyed == former.keyed, "keyed", || {
         format!("may not change while the service runs; it is {}.", former.keyed)
     });
--- a/crates/settings/src/tests/spread.rs
+++ b/crates/settings/src/tests/spread.rs
@@ -103,20 +103,28 @@
     /// An agent is handed a document by a coordinator's read, by a peer, or starts anew.
     fn spread(&mut self) {
         let (agent, peer) = (self.rng.random_range(0..AGENTS), self.rng.random_range(0..AGENTS));
+        let of_peer = || {
+            let it = self.agents[peer].of(&self.service)?;
+            Some((it.version, it.text.to_string()))
+        };
         let offered = match self.rng.random_range(0..10) {
             0 => {
                 self.agents[agent] = DocumentTable::default();
                 return;
             }
-            1..5 => self.reads.choose(&mut self.rng).unwrap().accepted.1.clone(),
-            _ => self.agents[peer].accepted(&self.service),
+            1..5 => {
+                let read = self.reads.choose(&mut self.rng).unwrap();
+                read.accepted.1.as_ref().map(|it| (it.version, it.document.clone()))
+            }
+            _ => of_peer(),
         };
-        let Some(offered) = offered else { return };
-        let before = self.agents[agent].in_force(&self.service).map(|it| it.version);
-        self.agents[agent].take(&offered).expect("an accepted document can be read");
-        let after = self.agents[agent].accepted(&self.service).expect("a document");
-        assert!(before.is_none_or(|it| it <= after.version), "an agent went back");
-        assert_eq!(self.store.written[&after.version.0], after.document, "text of another version");
+        let Some((version, text)) = offered else { return };
+        let before = self.agents[agent].version(&self.service);
+        let taken = self.agents[agent].take(&self.service, version, &text);
+        assert_eq!(taken, Ok(version > before), "an accepted document can be read");
+        let after = self.agents[agent].of(&self.service).expect("a document");
+        assert_eq!(after.version, before.max(version), "an agent went back");
+        assert_eq!(*self.store.written[&after.version.0], *after.text, "text of another version");
     }
 
     fn step(&mut self) {
@@ -140,7 +148,8 @@
             self.accept();
         }
         let Some(accepted) = self.store.accepted.1.clone() else { return };
-        self.agents.iter_mut().for_each(|it| _ = it.take(&accepted));
+        let Accepted { service, version, document } = accepted;
+        self.agents.iter_mut().for_each(|it| _ = it.take(&service, version, &document));
     }
 
     /// The highest version that is sound.
@@ -158,7 +167,7 @@
     let newest = world.store.written.keys().next_back().copied();
     let refused = newest != world.last_sound();
     for agent in &world.agents {
-        let version = agent.in_force(&world.service).map(|it| it.version.0);
+        let version = agent.of(&world.service).map(|it| it.version.0);
         match refused {
             // What was overwritten before a coordinator read it is never accepted.
             true => assert!(version <= world.last_sound(), "seed {seed}"),
--- a/crates/settings/src/tests/versions.rs
+++ b/crates/settings/src/tests/versions.rs
@@ -24,8 +24,13 @@
     Accepted { service: service(), version: ConfigVersion(version), document: text }
 }
 
+fn take(table: &mut DocumentTable, version: u64) -> Option<bool> {
+    let it = accepted(version);
+    table.take(&it.service, it.version, &it.document).ok()
+}
+
 fn in_force(table: &DocumentTable) -> u64 {
-    let Some(it) = table.in_force(&service()) else { return 0 };
+    let Some(it) = table.of(&service()) else { return 0 };
     assert_eq!(it.document.team.as_str(), format!("team-{}", it.version), "text and version agree");
     it.version.0
 }
@@ -33,19 +38,22 @@
 fn check_order(seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut table = DocumentTable::default();
-    let (mut highest, mut heard) = (0, 0);
+    let (mut highest, mut unreadable) = (0, 0);
     for _ in 0..STEPS {
         let version = rng.random_range(1..=VERSION_MAX);
-        heard = heard.max(version);
-        if rng.random_bool(0.5) {
-            table.hear(&service(), ConfigVersion(version));
-        } else {
-            let taken = table.take(&accepted(version));
-            assert_eq!(taken.is_err(), version % 4 == 3 && version > highest, "seed {seed}");
-            highest = if taken == Ok(true) { version } else { highest };
+        match take(&mut table, version) {
+            Some(taken) => {
+                assert_eq!(taken, version > highest, "seed {seed}");
+                highest = highest.max(version);
+            }
+            None => {
+                assert!(version % 4 == 3 && version > highest, "seed {seed}");
+                unreadable = unreadable.max(version);
+            }
         }
         assert_eq!(in_force(&table), highest, "seed {seed}: a version went back");
-        assert!(table.behind().all(|it| it.1.0 == heard && heard > highest), "seed {seed}");
+        let wanted = table.wants(&service(), ConfigVersion(version + 1));
+        assert_eq!(wanted, version + 1 > highest.max(unreadable), "seed {seed}");
     }
 }
 
@@ -55,17 +63,20 @@
 }
 
 #[test]
-fn a_version_heard_of_is_fetched_until_it_is_there() {
+fn what_cannot_be_read_is_not_fetched_for_ever() {
     let mut table = DocumentTable::default();
-    assert!(table.hear(&service(), ConfigVersion(4)));
-    assert_eq!(table.take(&accepted(2)), Ok(true));
-    assert_eq!(table.behind().collect::<Vec<_>>(), [(&service(), ConfigVersion(4))]);
-    assert_eq!(table.take(&accepted(4)), Ok(true));
-    assert!(!table.hear(&service(), ConfigVersion(4)));
-    assert_eq!(table.accepted(&service()), Some(accepted(4)));
-    assert!(table.take(&accepted(7)).is_err());
-    assert_eq!(table.behind().count(), 0, "a text that can't be read is not fetched for ever");
-    assert_eq!(table.versions().collect::<Vec<_>>(), [(&service(), ConfigVersion(4))]);
+    assert!(table.wants(&service(), ConfigVersion(4)));
+    assert_eq!(take(&mut table, 4), Some(true));
+    assert_eq!(take(&mut table, 7), None);
+    assert!(!table.wants(&service(), ConfigVersion(7)));
+    assert!(table.wants(&service(), ConfigVersion(8)));
+    let versions: Vec<u64> = table.iter().map(|it| it.1.version.0).collect();
+    assert_eq!(versions, [4]);
+    let other = ServiceName::new("lapboard").unwrap();
+    assert!(
+        table.take(&other, ConfigVersion(9), MINIMAL).is_err(),
+        "a document of another service"
+    );
 }
 
 fn check_judge(
@@ -97,7 +108,14 @@
     let keyed = "line 4, column 3: keyed: may not change while the service runs; it is true.";
     check_judge(Some(4), 5, &MINIMAL.replace("true", "false"), Err(keyed));
     let other = MINIMAL.replace("standings", "lapboard");
-    check_judge(None, 5, &other, Err("the document names the service lapboard."));
+    check_judge(
+        None,
+        5,
+        &other,
+        Err(
+            "line 2, column 3: service: the document is that of standings; another service needs one of its own.",
+        ),
+    );
     // Without the accepted text nobody knows whether a service would change under its owners.
     let too_old = "the coordinator's program is too old to read version 3.";
     check_judge(Some(3), 5, MINIMAL, Err(too_old));
--- a/crates/settings/src/versions.rs
+++ b/crates/settings/src/versions.rs
@@ -34,7 +34,7 @@
     let Some(raised) = raised else { return Judgement::Keep };
     let former = accepted.map(|it| (it.version, ServiceDocument::parse(&it.document)));
     let parsed = match &former {
-        None => ServiceDocument::parse(text),
+        None => ServiceDocument::parse_for(service, text),
         Some((_, Ok(former))) => ServiceDocument::parse_change(text, former),
         // A newer program accepted it. What may not change can't be checked, so nothing changes.
         Some((version, Err(_))) => {
@@ -43,9 +43,6 @@
         }
     };
     match parsed {
-        Ok(document) if document.service != *service => {
-            refuse(vec![format!("the document names the service {}.", document.service)])
-        }
         Ok(_) => Judgement::Raise(raised),
         Err(problems) => refuse(problems.iter().map(ToString::to_string).collect()),
     }
@@ -59,7 +56,7 @@
     pub document: Arc<ServiceDocument>,
 }
 
-/// The documents that an agent knows of, each at the highest version seen. Nothing here goes back,
+/// The documents that an agent goes by, each at the highest version seen. Nothing here goes back,
 /// whatever order versions come in.
 #[derive(Debug, Default)]
 pub struct DocumentTable {
@@ -68,76 +65,58 @@
 
 #[derive(Debug, Default)]
 struct Entry {
-    /// The highest version heard of.
-    heard: ConfigVersion,
-    /// The highest version whose text this agent cannot read.
-    unreadable: ConfigVersion,
     in_force: Option<VersionedDocument>,
+    /// The highest version that does not hold for this agent; 0 if there is none.
+    unreadable: ConfigVersion,
 }
 
 impl Entry {
     fn version(&self) -> ConfigVersion {
         self.in_force.as_ref().map_or(ConfigVersion(0), |it| it.version)
     }
-
-    fn is_behind(&self) -> bool {
-        self.heard > self.version().max(self.unreadable)
-    }
 }
 
 impl DocumentTable {
-    /// Notes that a version has been accepted; true if its text is to be fetched.
-    pub fn hear(&mut self, service: &ServiceName, version: ConfigVersion) -> bool {
-        let entry = self.entries.entry(service.clone()).or_default();
-        entry.heard = entry.heard.max(version);
-        entry.is_behind()
-    }
-
-    /// Takes the text of an accepted version; true if it is now in force here. A text that cannot
-    /// be read, by an agent older than it, leaves the former one in force.
-    pub fn take(&mut self, accepted: &Accepted) -> Result<bool, Problems> {
-        let Accepted { service, version, document } = accepted;
-        self.hear(service, *version);
+    /// Takes an accepted version; true if it is in force here from now on. One that does not hold,
+    /// because this agent is older than the program that accepted it, leaves the former in force.
+    pub fn take(
+        &mut self,
+        service: &ServiceName,
+        version: ConfigVersion,
+        text: &str,
+    ) -> Result<bool, Problems> {
         let entry = self.entries.entry(service.clone()).or_default();
-        if *version <= entry.version() {
+        if version <= entry.version() {
             return Ok(false);
         }
-        let parsed = match ServiceDocument::parse(document) {
-            Ok(parsed) => parsed,
+        let document = match ServiceDocument::parse_for(service, text) {
+            Ok(document) => Arc::new(document),
             Err(problems) => {
-                entry.unreadable = entry.unreadable.max(*version);
+                entry.unreadable = entry.unreadable.max(version);
                 return Err(problems);
             }
         };
-        entry.in_force = Some(VersionedDocument {
-            version: *version,
-            text: Arc::from(document.as_str()),
-            document: Arc::new(parsed),
-        });
+        entry.in_force = Some(VersionedDocument { version, text: Arc::from(text), document });
         Ok(true)
     }
 
-    /// The document in force here.
-    pub fn in_force(&self, service: &ServiceName) -> Option<&VersionedDocument> {
-        self.entries.get(service)?.in_force.as_ref()
+    /// Whether the text of a version that a peer knows of is worth fetching.
+    pub fn wants(&self, service: &ServiceName, version: ConfigVersion) -> bool {
+        self.entries.get(service).is_none_or(|it| version > it.version().max(it.unreadable))
     }
 
-    /// What a peer that asks for the text is sent.
-    pub fn accepted(&self, service: &ServiceName) -> Option<Accepted> {
-        let it = self.in_force(service)?;
-        let document = it.text.as_ref().to_owned();
-        Some(Accepted { service: service.clone(), version: it.version, document })
+    /// The document in force here.
+    pub fn of(&self, service: &ServiceName) -> Option<&VersionedDocument> {
+        self.entries.get(service)?.in_force.as_ref()
     }
 
-    /// Services of which a higher version is known than is in force here.
-    pub fn behind(&self) -> impl Iterator<Item = (&ServiceName, ConfigVersion)> {
-        let behind = self.entries.iter().filter(|it| it.1.is_behind());
-        behind.map(|(service, entry)| (service, entry.heard))
+    /// The version in force here; 0 if there is none.
+    pub fn version(&self, service: &ServiceName) -> ConfigVersion {
+        self.entries.get(service).map_or(ConfigVersion(0), Entry::version)
     }
 
-    /// All services with the version in force here; those without one are left out.
-    pub fn versions(&self) -> impl Iterator<Item = (&ServiceName, ConfigVersion)> {
-        let in_force = |entry: &Entry| entry.in_force.as_ref().map(|it| it.version);
-        self.entries.iter().filter_map(move |(service, it)| Some((service, in_force(it)?)))
+    /// All services with a document in force here.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServiceName, &VersionedDocument)> {
+        self.entries.iter().filter_map(|(service, it)| Some((service, it.in_force.as_ref()?)))
     }
 }
