--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -121,12 +121,16 @@
         body: Body,
     ) -> Result<Done, Refusal> {
         let address = Address::parse(uri)?;
-        let Some(routes) = self.routes(&address).await else {
+        let arrived = self.parts.clock.now();
+        let patience = parse::deadline(&headers)?.map_or(ROUTES_WAIT, |it| it.min(ROUTES_WAIT));
+        let Some(routes) = self.routes(&address, patience).await else {
             return Err(Refusal::NoRoutesYet);
         };
         parse::check_size(&headers, uri, routes.document.limits.header_bytes_max)?;
         let mut request = parse::request(&routes, method, &address, headers)?;
         request.body = read(body, routes.document.limits.body_bytes_max).await?;
+        let spent = self.parts.clock.now().since(arrived);
+        request.remaining = request.remaining.saturating_sub(spent);
         let team = routes.document.team.clone();
         let (class, id) = (request.class.clone(), request.id);
         drop(routes);
@@ -137,23 +141,22 @@
         Ok(Done { team, class, ending, id })
     }
 
-    /// The service's routes. For one that this agent has not met, control is asked.
-    async fn routes(&self, address: &Address) -> Option<Arc<ServiceRoutes>> {
+    /// The service's routes. For one that this agent has not met, control is asked; if it learns
+    /// of nobody in time, the routes lead nowhere.
+    async fn routes(&self, address: &Address, patience: Duration) -> Option<Arc<ServiceRoutes>> {
         let known = || self.parts.snapshots.load().services.get(&address.service).cloned();
-        if let Some(routes) = known() {
+        let lead_somewhere = |it: &Arc<ServiceRoutes>| it.routes.instances().next().is_some();
+        if let Some(routes) = known().filter(lead_somewhere) {
             return Some(routes);
         }
         let mut changes = self.parts.snapshots.changes();
         self.parts.reporter.hint(Report::UnknownService { service: address.service.clone() });
         let waiting = async {
-            loop {
-                if let Some(routes) = known() {
-                    return Some(routes);
-                }
-                changes.changed().await.ok()?;
-            }
+            while known().filter(lead_somewhere).is_none() && changes.changed().await.is_ok() {}
         };
-        timeout(ROUTES_WAIT, waiting).await.ok().flatten()
+        // Whatever is known when the time is over has to do.
+        _ = timeout(patience, waiting).await;
+        known()
     }
 }
 
--- a/crates/agent/src/ingress/parse.rs
+++ b/crates/agent/src/ingress/parse.rs
@@ -102,7 +102,7 @@
         None => RequestId(rand::random()),
         Some(text) => parse_id(text)?,
     };
-    let remaining = match parse_ms(&headers, DEADLINE_HEADER)? {
+    let remaining = match deadline(&headers)? {
         Some(named) => named.min(route.deadline),
         None => route.deadline,
     };
@@ -136,6 +136,11 @@
     }
 }
 
+/// The time that the caller leaves, if it says so.
+pub(super) fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    parse_ms(headers, DEADLINE_HEADER)
+}
+
 fn parse_ms(headers: &HeaderMap, header: HeaderName) -> Result<Option<Duration>, Refusal> {
     let Some(value) = headers.get(&header) else { return Ok(None) };
     match value.to_str().ok().and_then(|it| it.trim().parse().ok()) {
