--- a/xtask/src/bench/slopes/frames.rs
+++ b/xtask/src/bench/slopes/frames.rs
@@ -33,7 +33,6 @@
         |name: &str, value: &str| Header(name.to_owned(), Bytes::copy_from_slice(value.as_bytes()));
     let body = Bytes::from(vec![0x5a; body_bytes]);
     Frame::Request(Box::new(Request {
-        held_us: 0,
         id: CorrelationId(u128::MAX / 3),
         service: ServiceName::new("standings").expect("a valid name"),
         key_hash: Some(key_hash(b"car-7")),
