Log events as sentences; measure unowned time over the last minute

Cause: events were logged in their debug form, a line of 300 bytes for each first grant; the unavailable time in the status counted the time before the first grants and never forgot. Change: one short sentence an event, first grants at debug level; ended times without an owner are kept for a minute. Conclusion: logs and status can be read.

--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -103,7 +103,7 @@
     }
 
     fn note(&mut self, event: Event) {
-        log::info!(target: "ownership", "{event:?}.");
+        log_event(&event);
         let Event::Granted { slot, token, to, reason } = event else { return };
         self.moves.push_front(MoveStatus {
             slot,
@@ -116,6 +116,40 @@
     }
 }
 
+fn log_event(event: &Event) {
+    match event {
+        Event::BecameCoordinator { term } => {
+            log::info!(target: "ownership", "This instance coordinates, term {term}.");
+        }
+        Event::LostCoordination { term } => {
+            log::warn!(target: "ownership", "This instance coordinates no more, term {term}.");
+        }
+        Event::SessionOpened => log::info!(target: "ownership", "A session has begun."),
+        Event::SessionEnded { reason } => {
+            log::warn!(target: "ownership", "The session has ended: {reason}.");
+        }
+        Event::MemberJoined { member } => log::info!(target: "ownership", "{member} has joined."),
+        Event::MemberLost { member } => log::warn!(target: "ownership", "{member} is lost."),
+        Event::JoinRefused { member } => {
+            log::error!(target: "ownership", "{member} can't join: the group is full.");
+        }
+        Event::ConfirmationChanged { confirmation, witnesses } => {
+            log::info!(target: "ownership", "Confirmed by {confirmation:?}, {witnesses} witnesses.");
+        }
+        Event::Settled { term } => log::info!(target: "ownership", "Term {term} is settled."),
+        Event::Granted { slot, token, to, reason: MoveReason::First } => {
+            log::debug!(target: "ownership", "Slot {slot} goes to {to}, token {token}.");
+        }
+        Event::Granted { slot, token, to, reason } => {
+            let reason = reason_name(*reason);
+            log::info!(target: "ownership", "Slot {slot} goes to {to}, token {token}: {reason}.");
+        }
+        Event::PlanWritten { version } => {
+            log::info!(target: "ownership", "Plan {version} is written.");
+        }
+    }
+}
+
 fn reason_name(reason: MoveReason) -> &'static str {
     match reason {
         MoveReason::First => "first",
--- a/crates/agent/src/control/status.rs
+++ b/crates/agent/src/control/status.rs
@@ -1,6 +1,9 @@
 //! The status of the group, written by its coordinator: when it changes, and seldom.
 
-use std::time::{Duration, SystemTime};
+use std::{
+    collections::VecDeque,
+    time::{Duration, SystemTime},
+};
 
 use model::{ObjectVersion, Timestamp};
 use ownership::{MemberView, OwnerView, UpstreamState};
@@ -17,7 +20,7 @@
 /// A status that did not change is written again after this, so that a reader sees its age.
 const WRITE_AGAIN_AFTER: Duration = Duration::from_secs(30);
 /// The period over which the measures look back.
-const MEASURED_MS: u64 = 60_000;
+const MEASURED: Duration = Duration::from_secs(60);
 
 #[derive(Debug, Default)]
 pub(crate) struct StatusWriter {
@@ -28,9 +31,37 @@
     written: Option<Status>,
     in_force_since_unix_ms: Option<u64>,
     versions_sent_at: Option<Timestamp>,
-    /// Since when a slot has had no owner.
-    unowned_since: Option<Timestamp>,
-    unavailable_max: Duration,
+    unowned: UnownedTimes,
+}
+
+/// When some slot had no owner, within the measured period; the time before the first grants is
+/// none of these.
+#[derive(Debug, Default)]
+struct UnownedTimes {
+    owned_before: bool,
+    since: Option<Timestamp>,
+    /// When each ended, and how long it had lasted.
+    ended: VecDeque<(Timestamp, Duration)>,
+}
+
+impl UnownedTimes {
+    fn note(&mut self, now: Timestamp, unowned: bool) {
+        self.ended.retain(|(at, _)| now.since(*at) <= MEASURED);
+        match self.since {
+            None if unowned && self.owned_before => self.since = Some(now),
+            Some(since) if !unowned => {
+                self.ended.push_back((now, now.since(since)));
+                self.since = None;
+            }
+            _ => {}
+        }
+        self.owned_before |= !unowned;
+    }
+
+    fn longest(&self, now: Timestamp) -> Duration {
+        let running = self.since.map(|it| now.since(it));
+        self.ended.iter().map(|(_, it)| *it).chain(running).max().unwrap_or_default()
+    }
 }
 
 impl StatusWriter {
@@ -51,17 +82,6 @@
             _ => age >= WRITE_EVERY,
         }
     }
-
-    fn note_unowned(&mut self, now: Timestamp, unowned: bool) {
-        self.unowned_since = match self.unowned_since {
-            _ if !unowned => None,
-            None => Some(now),
-            since => since,
-        };
-        if let Some(since) = self.unowned_since {
-            self.unavailable_max = self.unavailable_max.max(now.since(since));
-        }
-    }
 }
 
 /// Wall-clock milliseconds since 1970, for people to read.
@@ -74,7 +94,7 @@
     pub(super) fn write_status(&mut self, now: Timestamp) {
         let Some(group) = &self.group else { return };
         let unowned = group.view.owners.iter().any(|it| it.owner.is_none());
-        self.status.note_unowned(now, unowned);
+        self.status.unowned.note(now, unowned);
         if !group.view.is_coordinator {
             // Another's writes are unknown here: read before the next one.
             self.status.object = None;
@@ -167,7 +187,7 @@
         let loads: Vec<u64> = group.view.members.iter().map(|it| it.load_us_per_s).collect();
         let mean = loads.iter().sum::<u64>() as f64 / loads.len().max(1) as f64;
         let busiest = loads.iter().max().copied().unwrap_or_default() as f64;
-        let oldest_ms = unix_ms().saturating_sub(MEASURED_MS);
+        let oldest_ms = unix_ms().saturating_sub(MEASURED.as_millis() as u64);
         let moved = group
             .moves
             .iter()
@@ -177,7 +197,7 @@
         Measures {
             imbalance: if mean > 0.0 { busiest / mean } else { 1.0 },
             churn_per_minute: moved as f64 / slots.max(1) as f64,
-            unavailable_ms_max: self.status.unavailable_max.as_millis() as u64,
+            unavailable_ms_max: self.status.unowned.longest(self.now()).as_millis() as u64,
         }
     }
 }
