A refused resend is unknown, not not-run

The same holds for a resend of a drawdown that finds no owner. Change: ingress answers unknown where a resend is refused; x-first-sent-ms is the age of the first sending whose end the caller does not know, and the stand-in caller sends it so, not after a plain refusal. Conclusion: not-run is said of a request id, not of one sending.

--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -15,7 +15,7 @@
 
 use http::{HeaderMap, Method, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use model::{ClassName, NotRunReason, Outcome, TeamName};
+use model::{ClassName, NotRunReason, Outcome, TeamName, UnknownReason};
 use tokio::time::timeout;
 use volo_http::{body::Body, request::Request, response::Response};
 
@@ -99,8 +99,9 @@
             return announce::take(&self.parts.reporter, &parts, body).await;
         }
         if self.closed.load(Ordering::SeqCst) {
-            let reply = GateReply::not_run(NotRunReason::Draining);
-            return answer::of(Ending::given_up(reply), None);
+            let ending = Ending::given_up(GateReply::not_run(NotRunReason::Draining));
+            let resent = parts.headers.contains_key(parse::FIRST_SENT_HEADER);
+            return answer::of(if resent { of_resend(ending) } else { ending }, None);
         }
         let started = self.parts.clock.now();
         match self.forward(&parts.method, &parts.uri, parts.headers, body).await {
@@ -132,12 +133,13 @@
         let spent = self.parts.clock.now().since(arrived);
         request.remaining = request.remaining.saturating_sub(spent);
         let team = routes.document.team.clone();
-        let (class, id) = (request.class.clone(), request.id);
+        let (class, id, age) = (request.class.clone(), request.id, request.age);
         drop(routes);
         let mut ending = self.parts.forwarder.send(request, &team).await;
         if let (Outcome::NotRun(_), None) = (ending.reply.outcome(), ending.retry_after) {
             ending.retry_after = Some(COME_BACK);
         }
+        let ending = if age.is_zero() { ending } else { of_resend(ending) };
         Ok(Done { team, class, ending, id })
     }
 
@@ -160,6 +162,13 @@
     }
 }
 
+/// The end of a request that was sent before, with an end that its caller doesn't know: though
+/// this sending was refused, the earlier one may have run.
+fn of_resend(ending: Ending) -> Ending {
+    let Outcome::NotRun(_) = ending.reply.outcome() else { return ending };
+    Ending { reply: GateReply::unknown(UnknownReason::NoRecord), ..ending }
+}
+
 /// A request that was sent on, with its labels.
 struct Done {
     team: TeamName,
--- a/crates/agent/src/ingress/parse.rs
+++ b/crates/agent/src/ingress/parse.rs
@@ -18,7 +18,8 @@
 
 /// The header that names the time left, in milliseconds.
 pub(super) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
-/// The header that names the time since the first sending of the same id, in milliseconds.
+/// The header that names the time, in milliseconds, since the first sending of the same id whose end
+/// the caller does not know. Sendings that ended as not run don't count.
 pub(super) const FIRST_SENT_HEADER: HeaderName = HeaderName::from_static("x-first-sent-ms");
 /// First segments that mean something else to upstreams or this agent.
 const RESERVED: [&str; 3] = ["control", "upstream", "admin"];
--- a/crates/agent/src/tests/callers.rs
+++ b/crates/agent/src/tests/callers.rs
@@ -121,6 +121,19 @@
     }
 }
 
+#[tokio::test]
+async fn a_refused_resend_is_not_said_not_to_have_run() {
+    let agent = owner().await;
+    agent.end_lease();
+    let deadline = Duration::from_millis(50);
+    let first = agent.call(Call { deadline, ..get("echo", 1) }).await;
+    assert_eq!(first.headers["x-pomelohill-outcome"], "not-run; reason=no-owner");
+    let age = Some(Duration::from_millis(700));
+    let resend = agent.call(Call { deadline, age, ..get("echo", 1) }).await;
+    assert_eq!(resend.headers["x-pomelohill-outcome"], "unknown; reason=no-record");
+    assert!(resend.headers.contains_key("retry-after-ms"));
+}
+
 fn agent_request(op: &str, id: u128) -> upstream::Request {
     let mut headers = http::HeaderMap::new();
     headers.insert("x-key", http::HeaderValue::from_static("car-7"));
--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -89,13 +89,19 @@
         let first_sent = Instant::now();
         let mut target = first_target;
         let mut attempts: Vec<Attempt> = Vec::new();
+        // The first sending that may have run.
+        let mut unsettled: Option<Instant> = None;
         loop {
-            let age = (!attempts.is_empty()).then(|| first_sent.elapsed());
+            let sent = Instant::now();
+            let age = unsettled.map(|it| it.elapsed());
             let address = self.targets[target % self.targets.len()];
             let sent_ns = wall_ns();
             let patience = request.deadline + self.rules.margin;
             let Ending { result, retry_after } =
                 self.client.attempt(address, request, age, patience, self.rules.peer).await;
+            if may_have_run(&result) {
+                unsettled.get_or_insert(sent);
+            }
             let next = next(&result, request.idempotent);
             let ended_ns = wall_ns();
             attempts.push(Attempt { target: address, sent_ns, ended_ns, result });
@@ -133,6 +139,10 @@
     }
 }
 
+fn may_have_run(result: &AttemptResult) -> bool {
+    !matches!(result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
+}
+
 /// The same id makes it safe to ask again after a lost connection; an unknown end of a request that
 /// may not be repeated is left to people.
 pub(crate) fn next(result: &AttemptResult, idempotent: bool) -> Next {
