--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -90,7 +90,8 @@
         let mut target = first_target;
         let mut attempts: Vec<Attempt> = Vec::new();
         loop {
-            let age = (!attempts.is_empty()).then(|| first_sent.elapsed());
+            let age = may_have_run_since_ns(&attempts)
+                .map(|since_ns| Duration::from_nanos(wall_ns().saturating_sub(since_ns)));
             let address = self.targets[target % self.targets.len()];
             let sent_ns = wall_ns();
             let patience = request.deadline + self.rules.margin;
@@ -150,11 +151,18 @@
     }
 }
 
+/// When the first sending was sent that may have run. Those before it provably did not, so that the
+/// next one counts as a first sending.
+pub(crate) fn may_have_run_since_ns(attempts: &[Attempt]) -> Option<u64> {
+    attempts.iter().find(|it| !is_safe(it)).map(|it| it.sent_ns)
+}
+
+fn is_safe(attempt: &Attempt) -> bool {
+    matches!(attempt.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
+}
+
 /// What the caller holds to be true in the end.
 pub(crate) fn final_outcome(attempts: &[Attempt]) -> FinalOutcome {
-    let is_safe = |it: &Attempt| {
-        matches!(it.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
-    };
     match attempts.last().map(|it| &it.result) {
         Some(AttemptResult::Answered | AttemptResult::Crossed) => FinalOutcome::Answered,
         Some(AttemptResult::NotRun { .. }) => FinalOutcome::NotRun,
--- a/xtask/src/bench/faults/scenario.rs
+++ b/xtask/src/bench/faults/scenario.rs
@@ -131,6 +131,7 @@
         let from_ns = wall_ns();
         let load_ns = u64::try_from(load.as_nanos()).unwrap_or(u64::MAX);
         evidence.watched = Window { from_ns, until_ns: from_ns + load_ns };
+        evidence.churn = evidence.watched;
         evidence.quiet = Window { from_ns, until_ns: from_ns + u64::try_from(BEFORE.as_nanos())? };
         let callers = Callers::start(cluster, load, Instant::now(), seed);
         sleep(before).await;
--- a/xtask/src/demo/evidence.rs
+++ b/xtask/src/demo/evidence.rs
@@ -19,6 +19,8 @@
     pub(crate) watched: Window,
     /// A time without faults, for the imbalance.
     pub(crate) quiet: Window,
+    /// The time over which changes of owners are counted: up to the last stops, which move all.
+    pub(crate) churn: Window,
 }
 
 /// Wall-clock nanoseconds from `from_ns` to `until_ns`.
@@ -80,7 +82,7 @@
     pub(crate) end: Option<RunEnd>,
 }
 
-/// A key of a service.
+/// A key of a service; that of a service not divided by key is the same for all requests.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ServiceKey {
     pub(crate) service: String,
@@ -88,6 +90,11 @@
 }
 
 impl Evidence {
+    /// Whether a service is divided by key.
+    pub(crate) fn is_keyed(&self, service: &str) -> bool {
+        self.upstreams.iter().any(|it| it.keyed && it.service == service)
+    }
+
     /// All runs, in the order of their starts.
     pub(crate) fn executions(&self) -> Vec<Execution> {
         let mut executions: Vec<Execution> =
--- a/xtask/src/demo/load.rs
+++ b/xtask/src/demo/load.rs
@@ -18,6 +18,9 @@
 const STEADY_REQUESTS_PER_S: f64 = 400.0;
 const STEADY_REQUESTS_PER_S_WITHOUT_KEY: f64 = 100.0;
 const KEYS: usize = 24;
+/// The rush and a second load go to many keys, as the spread over upstreams needs them.
+const BROAD_KEYS: usize = 600;
+const BROAD_REQUESTS_PER_S: f64 = 200.0;
 /// Share of the requests that is for the hottest key.
 const HOT_SHARE: f64 = 0.1;
 const ANSWER_BYTES: usize = 2_000;
@@ -40,7 +43,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut loads = JoinSet::new();
         for service in &cluster.services {
-            for load in [rush(cluster, service), steady(cluster, service, duration)] {
+            for load in loads_of(cluster, service, duration) {
                 let load = Load { seed: rng.random(), ..load };
                 loads.spawn(async move { Ok(run_load(load, start).await?.records) });
             }
@@ -58,9 +61,19 @@
     }
 }
 
-fn rush(cluster: &Cluster, service: &Service) -> Load {
-    let (callers, duration) = (RUSH_CALLERS, RUSH);
-    Load { callers, duration, pace: Pace::Closed, ..steady(cluster, service, RUSH) }
+fn loads_of(cluster: &Cluster, service: &Service, duration: Duration) -> Vec<Load> {
+    let steady = steady(cluster, service, duration);
+    let broad = Load {
+        pace: Pace::Rate { requests_per_s: BROAD_REQUESTS_PER_S },
+        keys: (0..BROAD_KEYS).map(|it| service.key(it)).collect(),
+        hot_share: 0.0,
+        ..steady.clone()
+    };
+    let rush = Load { callers: RUSH_CALLERS, duration: RUSH, pace: Pace::Closed, ..broad.clone() };
+    match service.document.keyed {
+        true => vec![rush, steady, broad],
+        false => vec![rush, steady],
+    }
 }
 
 fn steady(cluster: &Cluster, service: &Service, duration: Duration) -> Load {
--- a/xtask/src/demo/verdict/availability.rs
+++ b/xtask/src/demo/verdict/availability.rs
@@ -7,6 +7,8 @@
 use super::Finding;
 use crate::demo::evidence::{Evidence, ServiceKey};
 
+const ANY_KEY: &str = "*";
+
 /// A time in which sendings for a key failed and none was answered.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Gap {
@@ -49,7 +51,12 @@
 fn histories(evidence: &Evidence) -> BTreeMap<ServiceKey, KeyHistory> {
     let mut histories: BTreeMap<ServiceKey, KeyHistory> = BTreeMap::new();
     for call in &evidence.calls {
-        let key = ServiceKey { service: call.service.clone(), key: call.key.clone() };
+        let key = match evidence.is_keyed(&call.service) {
+            true => call.key.clone(),
+            // Any upstream may answer, so only the service as a whole can be unavailable.
+            false => ANY_KEY.to_owned(),
+        };
+        let key = ServiceKey { service: call.service.clone(), key };
         let history = histories.entry(key).or_default();
         for attempt in call.attempts.iter().filter(|it| evidence.watched.contains(it.sent_ns)) {
             match () {
--- a/xtask/src/demo/verdict/mod.rs
+++ b/xtask/src/demo/verdict/mod.rs
@@ -114,7 +114,7 @@
             config_reverted: config.map_or(0, |it| it.reverted),
             unavailable_ms_max: unavailable.as_ref().map_or(0, |it| it.gap_ms),
             imbalance: spread::imbalance(evidence, &executions),
-            churn: spread::churn(&executions),
+            churn: spread::churn(evidence, &executions),
             findings,
         };
         if verdict.unavailable_ms_max > UNAVAILABLE_MS_MAX {
--- a/xtask/src/demo/verdict/spread.rs
+++ b/xtask/src/demo/verdict/spread.rs
@@ -27,12 +27,13 @@
 }
 
 /// Changes of owner over the number of keys.
-pub(super) fn churn(executions: &[Execution]) -> f64 {
+pub(super) fn churn(evidence: &Evidence, executions: &[Execution]) -> f64 {
     let keys = by_key(executions);
-    let changes: usize = keys
-        .values()
-        .map(|runs| runs.windows(2).filter(|it| it[0].instance != it[1].instance).count())
-        .sum();
+    let is_change = |it: &[&Execution]| {
+        it[0].instance != it[1].instance && evidence.churn.contains(it[1].from_ns)
+    };
+    let changes: usize =
+        keys.values().map(|runs| runs.windows(2).filter(|it| is_change(it)).count()).sum();
     match keys.len() {
         0 => 0.0,
         count => changes as f64 / count as f64,
--- a/xtask/src/demo/verdict/tests.rs
+++ b/xtask/src/demo/verdict/tests.rs
@@ -22,6 +22,7 @@
         let whole = Window { from_ns: 0, until_ns: 10_000 * MS };
         let mut plot = Plot::default();
         plot.evidence.quiet = whole;
+        plot.evidence.churn = whole;
         for instance in ["a", "b"] {
             plot.evidence.upstreams.push(UpstreamJournal {
                 instance: instance.to_owned(),
@@ -245,6 +246,16 @@
     assert_eq!(verdict.unavailable_ms_max, 0);
 }
 
+#[test]
+fn a_service_not_divided_by_key_is_served_by_any_upstream() {
+    let failed = [(500..510, not_run("draining"))];
+    let mut plot = Plot::new().watched().call(2, FinalOutcome::NotRun, &failed);
+    plot.evidence.upstreams.iter_mut().for_each(|it| it.keyed = false);
+    let mut plot = plot.ran("a", 1, "1.1", 520..525).answered(1, 515..530);
+    plot.evidence.calls[1].key = "another".to_owned();
+    assert_eq!(plot.check(&[]).unavailable_ms_max, 30);
+}
+
 #[test]
 fn a_slow_or_reverted_change_is_found() {
     let check = |config, expected: &[&str]| {
