--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -89,19 +89,14 @@
         let first_sent = Instant::now();
         let mut target = first_target;
         let mut attempts: Vec<Attempt> = Vec::new();
-        // The first sending that may have run.
-        let mut unsettled: Option<Instant> = None;
         loop {
-            let sent = Instant::now();
-            let age = unsettled.map(|it| it.elapsed());
+            let age = may_have_run_since_ns(&attempts)
+                .map(|since_ns| Duration::from_nanos(wall_ns().saturating_sub(since_ns)));
             let address = self.targets[target % self.targets.len()];
             let sent_ns = wall_ns();
             let patience = request.deadline + self.rules.margin;
             let Ending { result, retry_after } =
                 self.client.attempt(address, request, age, patience, self.rules.peer).await;
-            if may_have_run(&result) {
-                unsettled.get_or_insert(sent);
-            }
             let next = next(&result, request.idempotent);
             let ended_ns = wall_ns();
             attempts.push(Attempt { target: address, sent_ns, ended_ns, result });
@@ -139,10 +134,6 @@
     }
 }
 
-fn may_have_run(result: &AttemptResult) -> bool {
-    !matches!(result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
-}
-
 /// The same id makes it safe to ask again after a lost connection; an unknown end of a request that
 /// may not be repeated is left to people.
 pub(crate) fn next(result: &AttemptResult, idempotent: bool) -> Next {
@@ -160,11 +151,18 @@
     }
 }
 
+/// When the first sending was sent that may have run. Those before it provably did not, so that the
+/// next one counts as a first sending.
+pub(crate) fn may_have_run_since_ns(attempts: &[Attempt]) -> Option<u64> {
+    attempts.iter().find(|it| !is_safe(it)).map(|it| it.sent_ns)
+}
+
+fn is_safe(attempt: &Attempt) -> bool {
+    matches!(attempt.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
+}
+
 /// What the caller holds to be true in the end.
 pub(crate) fn final_outcome(attempts: &[Attempt]) -> FinalOutcome {
-    let is_safe = |it: &Attempt| {
-        matches!(it.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
-    };
     match attempts.last().map(|it| &it.result) {
         Some(AttemptResult::Answered | AttemptResult::Crossed) => FinalOutcome::Answered,
         Some(AttemptResult::NotRun { .. }) => FinalOutcome::NotRun,
