Status: paced writes, grants of slots, unowned times of the last minutes

A lost zone gives every group news in the same second; a write a second and group would then have met the platform's limit just when terms and plans need it. News of ownership now wait a drawn delay up to 2 s and longer each time (1 to 8 s), news of documents 0.25 s, and a version on its way up to 0.5 s, so that one write tells that it is everywhere. The status also holds the grant of each slot, so that explain can name owner and token; the longest unowned time no longer counts from the start of the process; a load of hot keys that was always 0 and a state that no coordinator reports are gone.

--- a/crates/agent/src/control/accept.rs
+++ b/crates/agent/src/control/accept.rs
@@ -123,8 +123,10 @@
             }
             Judgement::Refuse(refused) => {
                 let reasons = refused.reasons.join("; ");
-                log::warn!(target: "config", "Refused version {version} of {service}: {reasons}");
-                self.acceptor.refused = Some(refused);
+                if self.acceptor.refused.as_ref() != Some(&refused) {
+                    log::warn!(target: "config", "Refused version {version} of {service}: {reasons}");
+                    self.acceptor.refused = Some(refused);
+                }
                 return;
             }
             Judgement::Raise(accepted) => accepted,
--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod documents;
 mod foreign;
 mod group;
+mod pace;
 mod peers;
 mod publish;
 mod state;
--- a/crates/agent/src/control/status.rs
+++ b/crates/agent/src/control/status.rs
@@ -2,35 +2,61 @@
 
 use std::time::{Duration, SystemTime};
 
-use model::{ObjectVersion, Timestamp};
-use ownership::{MemberView, OwnerView, UpstreamState};
+use model::{Instance, ObjectVersion, Timestamp};
+use ownership::{MemberView, NodeView, OwnerView, UpstreamState};
 use platform::PlatformError;
+use rand::RngExt;
 use settings::{
-    CoordinatorStatus, HotKeyStatus, InForce, Measures, OwnerStatus, Status, UpstreamStateName,
-    UpstreamStatus,
+    CoordinatorStatus, GRANTS_MAX, GrantStatus, HotKeyStatus, InForce, Measures, OwnerStatus,
+    Status, UpstreamStateName, UpstreamStatus,
 };
 
-use crate::control::state::{Control, ONLY_GROUP};
+use crate::control::{
+    pace::Pace,
+    state::{Control, ONLY_GROUP},
+};
 
-/// The shortest time between two writes of a changed status.
-const WRITE_EVERY: Duration = Duration::from_secs(1);
-/// A status that did not change is written again after this, so that a reader sees its age.
-const WRITE_AGAIN_AFTER: Duration = Duration::from_secs(30);
-/// The period over which the measures look back.
+/// The period over which moves are counted.
 const MEASURED_MS: u64 = 60_000;
+/// How long the longest unowned time is remembered at least.
+const UNOWNED_KEPT: Duration = Duration::from_secs(60);
 
 #[derive(Debug, Default)]
 pub(crate) struct StatusWriter {
     /// The object's version; none: to be read first.
     object: Option<ObjectVersion>,
     in_flight: bool,
-    written_at: Option<Timestamp>,
-    written: Option<Status>,
+    pace: Pace,
     in_force_since_unix_ms: Option<u64>,
     versions_sent_at: Option<Timestamp>,
-    /// Since when a slot has had no owner.
-    unowned_since: Option<Timestamp>,
-    unavailable_max: Duration,
+    unowned: Unowned,
+}
+
+/// How long slots have been without an owner.
+#[derive(Debug, Default)]
+struct Unowned {
+    since: Option<Timestamp>,
+    /// The longest time of the current period and of the one before.
+    current: Duration,
+    former: Duration,
+    period_began: Timestamp,
+}
+
+impl Unowned {
+    fn note(&mut self, now: Timestamp, unowned: bool) {
+        if now.since(self.period_began) >= UNOWNED_KEPT {
+            self.period_began = now;
+            self.former = std::mem::take(&mut self.current);
+        }
+        self.since = unowned.then(|| self.since.unwrap_or(now));
+        if let Some(since) = self.since {
+            self.current = self.current.max(now.since(since));
+        }
+    }
+
+    fn longest(&self) -> Duration {
+        self.current.max(self.former)
+    }
 }
 
 impl StatusWriter {
@@ -42,26 +68,6 @@
         }
         due
     }
-
-    fn is_due(&self, now: Timestamp, status: &Status) -> bool {
-        let Some(written_at) = self.written_at else { return true };
-        let age = now.since(written_at);
-        match &self.written {
-            Some(written) if same(written, status) => age >= WRITE_AGAIN_AFTER,
-            _ => age >= WRITE_EVERY,
-        }
-    }
-
-    fn note_unowned(&mut self, now: Timestamp, unowned: bool) {
-        self.unowned_since = match self.unowned_since {
-            _ if !unowned => None,
-            None => Some(now),
-            since => since,
-        };
-        if let Some(since) = self.unowned_since {
-            self.unavailable_max = self.unavailable_max.max(now.since(since));
-        }
-    }
 }
 
 /// Wall-clock milliseconds since 1970, for people to read.
@@ -74,18 +80,18 @@
     pub(super) fn write_status(&mut self, now: Timestamp) {
         let Some(group) = &self.group else { return };
         let unowned = group.view.owners.iter().any(|it| it.owner.is_none());
-        self.status.note_unowned(now, unowned);
+        self.status.unowned.note(now, unowned);
         if !group.view.is_coordinator {
             // Another's writes are unknown here: read before the next one.
             self.status.object = None;
-            self.status.written_at = None;
+            self.status.pace = Pace::default();
             return;
         }
         if self.status.in_flight {
             return;
         }
         let status = self.build_status();
-        if !self.status.is_due(now, &status) {
+        if !self.status.pace.is_due(now, &status) {
             return;
         }
         self.status.in_flight = true;
@@ -93,8 +99,8 @@
             None => self.parts.calls.read_status(&status.service, ONLY_GROUP),
             Some(object) => {
                 self.parts.calls.write_status(object, &status);
-                self.status.written_at = Some(now);
-                self.status.written = Some(status);
+                let jitter = self.rng.random();
+                self.status.pace.written(now, status, jitter);
             }
         }
     }
@@ -118,8 +124,8 @@
     fn status_failed(&mut self, error: &PlatformError) {
         log::debug!(target: "status", "{error}.");
         self.status.object = None;
-        self.status.written = None;
-        self.status.written_at = Some(self.now());
+        let now = self.now();
+        self.status.pace.failed(now);
     }
 
     fn build_status(&mut self) -> Status {
@@ -142,6 +148,7 @@
             },
             owners: view.members.iter().map(|it| owner_status(it, &view.owners)).collect(),
             upstreams: view.members.iter().map(upstream_status).collect(),
+            grants: grants(view),
             hot_keys: view.owners.iter().filter_map(hot_key_status).collect(),
             measures: self.measures(),
             moves: group.moves.iter().cloned().collect(),
@@ -177,7 +184,7 @@
         Measures {
             imbalance: if mean > 0.0 { busiest / mean } else { 1.0 },
             churn_per_minute: moved as f64 / slots.max(1) as f64,
-            unavailable_ms_max: self.status.unavailable_max.as_millis() as u64,
+            unavailable_ms_max: self.status.unowned.longest().as_millis() as u64,
         }
     }
 }
@@ -212,21 +219,19 @@
 fn hot_key_status(owner: &OwnerView) -> Option<HotKeyStatus> {
     let key_hash = owner.key_hash?;
     let name = owner.owner.as_ref().map(|it| it.name.clone());
-    Some(HotKeyStatus { key_hash, owner: name, load_us_per_s: 0 })
+    Some(HotKeyStatus { key_hash, owner: name })
 }
 
-/// Whether two statuses tell the same, loads and times of writing aside.
-fn same(left: &Status, right: &Status) -> bool {
-    left.accepted == right.accepted
-        && left.in_force == right.in_force
-        && left.refused == right.refused
-        && left.coordinator == right.coordinator
-        && left.upstreams == right.upstreams
-        && left.moves == right.moves
-        && left.hot_keys.len() == right.hot_keys.len()
-        && left
-            .owners
-            .iter()
-            .map(|it| (&it.instance, it.slots))
-            .eq(right.owners.iter().map(|it| (&it.instance, it.slots)))
+/// The grants of all slots in order; none if there are too many.
+fn grants(view: &NodeView) -> Vec<GrantStatus> {
+    let slots = || view.owners.iter().filter(|it| it.key_hash.is_none());
+    if slots().count() > GRANTS_MAX {
+        return Vec::new();
+    }
+    let index = |owner: &Instance| view.members.iter().position(|it| it.instance == *owner);
+    let grant = |it: &OwnerView| GrantStatus {
+        owner: it.owner.as_ref().and_then(index).map(|it| it as u16),
+        token: it.token.unwrap_or_default(),
+    };
+    slots().map(grant).collect()
 }
--- a/crates/agent/src/control/tests.rs
+++ b/crates/agent/src/control/tests/documents.rs
@@ -1,4 +1,4 @@
-//! Tests of the tables of control.
+//! The table of documents in force.
 
 use model::{ConfigVersion, ServiceName};
 
--- /dev/null
+++ b/crates/agent/src/control/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of the tables of control.
+
+mod documents;
+mod pace;
--- /dev/null
+++ b/crates/agent/src/control/tests/pace.rs
@@ -0,0 +1,97 @@
+//! How often a status is written.
+
+use model::{ConfigVersion, GroupId, InstanceName, ServiceName, Term, Timestamp, Zone};
+use settings::{CoordinatorStatus, InForce, Measures, MoveStatus, Status};
+
+use crate::control::pace::Pace;
+
+const TICK_MS: u64 = 25;
+
+/// A status of a group of 25.
+fn status(accepted: u64, instances: u32, last_move: u64) -> Status {
+    let name = |it: &str| InstanceName::new(it).unwrap();
+    let moved = MoveStatus {
+        slot: model::Slot(0),
+        token: model::Token { term: Term(1), sequence: last_move },
+        to: name("s-1"),
+        reason: "loss".to_owned(),
+        at_unix_ms: 0,
+    };
+    Status {
+        service: ServiceName::new("standings").unwrap(),
+        group: GroupId(0),
+        written_at_unix_ms: 0,
+        accepted: Some(ConfigVersion(accepted)),
+        in_force: InForce { instances, of: 25, since_unix_ms: None },
+        refused: None,
+        coordinator: CoordinatorStatus {
+            instance: name("s-1"),
+            zone: Zone::new("pitlane").unwrap(),
+            term: Term(1),
+            settled: true,
+        },
+        owners: Vec::new(),
+        upstreams: Vec::new(),
+        grants: Vec::new(),
+        hot_keys: Vec::new(),
+        measures: Measures::default(),
+        moves: vec![moved],
+    }
+}
+
+/// The times in milliseconds at which a status is written, of which there is one each tick.
+fn check(end_ms: u64, jitter: f64, status_at: impl Fn(u64) -> Status, expected: &[u64]) {
+    let mut pace = Pace::default();
+    let mut writes = Vec::new();
+    for at_ms in (0..end_ms).step_by(TICK_MS as usize) {
+        let (now, status) = (Timestamp::from_ms(at_ms), status_at(at_ms));
+        if pace.is_due(now, &status) {
+            pace.written(now, status, jitter);
+            writes.push(at_ms);
+        }
+    }
+    assert_eq!(writes, expected);
+}
+
+#[test]
+fn a_quiet_group_writes_each_half_minute() {
+    check(70_000, 0.5, |_| status(1, 25, 0), &[0, 30_000, 60_000]);
+}
+
+#[test]
+fn a_document_is_told_once_it_is_in_force_everywhere() {
+    let spread = |at_ms: u64| match at_ms {
+        0..2_000 => status(1, 25, 0),
+        2_000..2_300 => status(2, 8, 0),
+        _ => status(2, 25, 0),
+    };
+    check(4_000, 0.5, spread, &[0, 2_300]);
+}
+
+#[test]
+fn a_document_that_stays_behind_is_told_too() {
+    let spread = |at_ms: u64| if at_ms < 2_000 { status(1, 25, 0) } else { status(2, 24, 0) };
+    check(4_000, 0.5, spread, &[0, 2_500]);
+}
+
+#[test]
+fn a_rush_of_moves_is_told_ever_less_often() {
+    let rush = |at_ms: u64| status(1, 25, at_ms);
+    check(45_000, 0.0, rush, &[0, 1_000, 3_000, 7_000, 15_000, 23_000, 31_000, 39_000]);
+}
+
+#[test]
+fn groups_draw_when_they_tell_of_a_lost_zone() {
+    let loss = |at_ms: u64| status(1, 25, u64::from(at_ms >= 10_000));
+    check(20_000, 0.0, loss, &[0, 10_000]);
+    check(20_000, 0.8, loss, &[0, 11_600]);
+}
+
+#[test]
+fn a_failed_write_is_made_up_for_after_a_pause() {
+    let mut pace = Pace::default();
+    pace.written(Timestamp::from_ms(0), status(1, 25, 0), 0.0);
+    pace.failed(Timestamp::from_ms(10));
+    assert!(!pace.is_due(Timestamp::from_ms(1_000), &status(1, 25, 0)));
+    assert!(pace.is_due(Timestamp::from_ms(1_010), &status(1, 25, 0)));
+}
--- a/crates/client/src/commands/explain.rs
+++ b/crates/client/src/commands/explain.rs
@@ -3,7 +3,9 @@
 use model::{Instance, KeyHash, ServiceName, Slot, key_hash};
 use ownership::{Confirmation, Coordinator, Plan};
 use serde::de::DeserializeOwned;
-use settings::{Accepted, MoveStatus, ServiceDocument, Status, accepted_path, status_path};
+use settings::{
+    Accepted, GrantStatus, MoveStatus, ServiceDocument, Status, accepted_path, status_path,
+};
 
 use crate::{
     args::ExplainArgs,
@@ -121,7 +123,8 @@
                 self.service,
                 plan.group
             ),
-            format!("owner        {owner}, by plan {} of term {}", plan.version, plan.term),
+            format!("owner        {}", self.granted().unwrap_or("not known".to_owned())),
+            format!("planned      {owner}, by plan {} of term {}", plan.version, plan.term),
             format!("successors   {}", join_or_none(&successors)),
             format!("lease        {}", self.lease()),
             format!("token        {}", self.token()),
@@ -146,9 +149,25 @@
         self.status.as_ref()?.moves.iter().find(|it| it.slot == self.slot())
     }
 
+    fn grant(&self) -> Option<&GrantStatus> {
+        self.status.as_ref()?.grants.get(usize::from(self.slot().0))
+    }
+
+    /// Who holds the slot, or the hot key, by the status.
+    fn granted(&self) -> Option<String> {
+        let status = self.status.as_ref()?;
+        let hot = status.hot_keys.iter().find(|it| it.key_hash == self.hash);
+        if let Some(owner) = hot.and_then(|it| it.owner.as_ref()) {
+            return Some(owner.to_string());
+        }
+        let Some(owner) = self.grant()?.owner else { return Some("none".to_owned()) };
+        let owner = status.owners.get(usize::from(owner))?;
+        Some(format!("{} ({})", owner.instance, owner.zone))
+    }
+
     fn token(&self) -> String {
-        match self.last_move() {
-            Some(it) => format!("{}, granted to {}", it.token, it.to),
+        match self.grant() {
+            Some(it) => format!("{} of the slot's grant", it.token),
             None => format!("not below {}, by the plan", self.plan.token_floor),
         }
     }
@@ -160,7 +179,7 @@
                 format!("slot {} went to {} {when}: {}", it.slot, it.to, meaning(&it.reason))
             }
             (None, Some(status)) => {
-                format!("not among the last {} moves, so it has stayed", status.moves.len())
+                format!("slot {} is not among the last {} moves", self.slot(), status.moves.len())
             }
             (None, None) => "no coordinator has written a status".to_owned(),
         }
--- a/crates/client/src/commands/status.rs
+++ b/crates/client/src/commands/status.rs
@@ -131,13 +131,12 @@
 }
 
 fn hot_keys(status: &Status) -> String {
-    let mut table = Table::new(&["HOT KEY", "OWNER", "LOAD"]);
+    let mut table = Table::new(&["HOT KEY", "OWNER"]);
     for key in &status.hot_keys {
         let owner = key.owner.as_ref();
         table.row(&[
             format!("{:016x}", key.key_hash.0),
             owner.map_or("that of its slot".to_owned(), |it| it.to_string()),
-            load(key.load_us_per_s),
         ]);
     }
     table.render()
@@ -168,7 +167,6 @@
         UpstreamStateName::Starting => "starting",
         UpstreamStateName::Ready => "ready",
         UpstreamStateName::Draining => "draining",
-        UpstreamStateName::Ejected => "ejected",
         UpstreamStateName::Lost => "lost",
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -22,9 +22,9 @@
     ServiceDocument, TrafficLimits, UpstreamTraits,
 };
 pub use objects::{
-    Accepted, CoordinatorStatus, HotKeyStatus, InForce, Measures, MoveStatus, OwnerStatus, Refused,
-    Status, UpstreamStateName, UpstreamStatus, accepted_path, service_path, status_path,
-    status_prefix,
+    Accepted, CoordinatorStatus, GRANTS_MAX, GrantStatus, HotKeyStatus, InForce, Measures,
+    MoveStatus, OwnerStatus, Refused, Status, UpstreamStateName, UpstreamStatus, accepted_path,
+    service_path, status_path, status_prefix,
 };
 pub use problem::{Position, Problem, Problems};
 pub use versions::{DocumentTable, Judgement, VersionedDocument, judge};
--- a/crates/settings/src/objects.rs
+++ b/crates/settings/src/objects.rs
@@ -72,6 +72,9 @@
     pub coordinator: CoordinatorStatus,
     pub owners: Vec<OwnerStatus>,
     pub upstreams: Vec<UpstreamStatus>,
+    /// One for each slot, in order; empty for services that have none and for groups of more than
+    /// [`GRANTS_MAX`] slots.
+    pub grants: Vec<GrantStatus>,
     pub hot_keys: Vec<HotKeyStatus>,
     pub measures: Measures,
     /// The newest first; at most 32.
@@ -139,19 +142,43 @@
     Ready,
     /// Leaving: no new work.
     Draining,
-    /// Left out for its failures.
-    Ejected,
     /// Hung or gone.
     Lost,
 }
 
+/// The most slots whose grants a status tells one by one.
+pub const GRANTS_MAX: usize = 512;
+
+/// The grant in force of one slot; written as `[owner, term, sequence]`, since there are many.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "RawGrant", into = "RawGrant")]
+pub struct GrantStatus {
+    /// Index into [`Status::owners`]; none while nobody owns the slot.
+    pub owner: Option<u16>,
+    pub token: Token,
+}
+
+type RawGrant = (Option<u16>, Term, u64);
+
+impl From<RawGrant> for GrantStatus {
+    fn from((owner, term, sequence): RawGrant) -> GrantStatus {
+        GrantStatus { owner, token: Token { term, sequence } }
+    }
+}
+
+impl From<GrantStatus> for RawGrant {
+    fn from(grant: GrantStatus) -> RawGrant {
+        (grant.owner, grant.token.term, grant.token.sequence)
+    }
+}
+
 /// A key with an owner of its own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HotKeyStatus {
     pub key_hash: KeyHash,
+    /// None: that of its slot.
     pub owner: Option<InstanceName>,
-    pub load_us_per_s: u64,
 }
 
 /// The three measures of the group.
@@ -160,9 +187,11 @@
 pub struct Measures {
     /// Busiest member's load over the mean; 1.0 is even.
     pub imbalance: f64,
-    /// Share of all keys that changed their owner within the last minute.
+    /// Share of all slots that changed their owner within the last minute; counted over the moves
+    /// that the status keeps.
     pub churn_per_minute: f64,
-    /// Longest time within the last minute that a slot had no owner.
+    /// Longest time within the last one to two minutes that a slot had no owner, as the coordinator
+    /// saw it.
     pub unavailable_ms_max: u64,
 }
 
