--- a/crates/agent/src/control/status.rs
+++ b/crates/agent/src/control/status.rs
@@ -1,6 +1,9 @@
 //! The status of the group, written by its coordinator: when it changes, and seldom.
 
-use std::time::{Duration, SystemTime};
+use std::{
+    collections::VecDeque,
+    time::{Duration, SystemTime},
+};
 
 use model::{Instance, ObjectVersion, Timestamp};
 use ownership::{MemberView, NodeView, OwnerView, UpstreamState};
@@ -16,10 +19,8 @@
     state::{Control, ONLY_GROUP},
 };
 
-/// The period over which moves are counted.
-const MEASURED_MS: u64 = 60_000;
-/// How long the longest unowned time is remembered at least.
-const UNOWNED_KEPT: Duration = Duration::from_secs(60);
+/// The period over which the measures look back.
+const MEASURED: Duration = Duration::from_secs(60);
 
 #[derive(Debug, Default)]
 pub(crate) struct StatusWriter {
@@ -29,33 +30,36 @@
     pace: Pace,
     in_force_since_unix_ms: Option<u64>,
     versions_sent_at: Option<Timestamp>,
-    unowned: Unowned,
+    unowned: UnownedTimes,
 }
 
-/// How long slots have been without an owner.
+/// When some slot had no owner, within the measured period; the time before the first grants is
+/// none of these.
 #[derive(Debug, Default)]
-struct Unowned {
+struct UnownedTimes {
+    owned_before: bool,
     since: Option<Timestamp>,
-    /// The longest time of the current period and of the one before.
-    current: Duration,
-    former: Duration,
-    period_began: Timestamp,
+    /// When each ended, and how long it had lasted.
+    ended: VecDeque<(Timestamp, Duration)>,
 }
 
-impl Unowned {
+impl UnownedTimes {
     fn note(&mut self, now: Timestamp, unowned: bool) {
-        if now.since(self.period_began) >= UNOWNED_KEPT {
-            self.period_began = now;
-            self.former = std::mem::take(&mut self.current);
-        }
-        self.since = unowned.then(|| self.since.unwrap_or(now));
-        if let Some(since) = self.since {
-            self.current = self.current.max(now.since(since));
+        self.ended.retain(|(at, _)| now.since(*at) <= MEASURED);
+        match self.since {
+            None if unowned && self.owned_before => self.since = Some(now),
+            Some(since) if !unowned => {
+                self.ended.push_back((now, now.since(since)));
+                self.since = None;
+            }
+            _ => {}
         }
+        self.owned_before |= !unowned;
     }
 
-    fn longest(&self) -> Duration {
-        self.current.max(self.former)
+    fn longest(&self, now: Timestamp) -> Duration {
+        let running = self.since.map(|it| now.since(it));
+        self.ended.iter().map(|(_, it)| *it).chain(running).max().unwrap_or_default()
     }
 }
 
@@ -174,7 +178,7 @@
         let loads: Vec<u64> = group.view.members.iter().map(|it| it.load_us_per_s).collect();
         let mean = loads.iter().sum::<u64>() as f64 / loads.len().max(1) as f64;
         let busiest = loads.iter().max().copied().unwrap_or_default() as f64;
-        let oldest_ms = unix_ms().saturating_sub(MEASURED_MS);
+        let oldest_ms = unix_ms().saturating_sub(MEASURED.as_millis() as u64);
         let moved = group
             .moves
             .iter()
@@ -184,7 +188,7 @@
         Measures {
             imbalance: if mean > 0.0 { busiest / mean } else { 1.0 },
             churn_per_minute: moved as f64 / slots.max(1) as f64,
-            unavailable_ms_max: self.status.unowned.longest().as_millis() as u64,
+            unavailable_ms_max: self.status.unowned.longest(self.now()).as_millis() as u64,
         }
     }
 }
--- a/crates/settings/src/objects.rs
+++ b/crates/settings/src/objects.rs
@@ -56,9 +56,9 @@
     }
 }
 
-/// What the coordinator of a group reports.
+/// What the coordinator of a group reports. Fields that are not known are passed over, since agents
+/// and the client may be of different versions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Status {
     pub service: ServiceName,
     pub group: GroupId,
@@ -74,6 +74,7 @@
     pub upstreams: Vec<UpstreamStatus>,
     /// One for each slot, in order; empty for services that have none and for groups of more than
     /// [`GRANTS_MAX`] slots.
+    #[serde(default)]
     pub grants: Vec<GrantStatus>,
     pub hot_keys: Vec<HotKeyStatus>,
     pub measures: Measures,
@@ -83,7 +84,6 @@
 
 /// On how many instances of the group the accepted version is in force.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct InForce {
     pub instances: u32,
     pub of: u32,
@@ -93,7 +93,6 @@
 
 /// A document that was not accepted; the former one stays in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Refused {
     /// The object version of `services/S`.
     pub version: ConfigVersion,
@@ -103,7 +102,6 @@
 
 /// Who coordinates the group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct CoordinatorStatus {
     pub instance: InstanceName,
     pub zone: Zone,
@@ -114,7 +112,6 @@
 
 /// One instance with what it owns.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct OwnerStatus {
     pub instance: InstanceName,
     pub zone: Zone,
@@ -126,7 +123,6 @@
 
 /// The upstream beside an instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct UpstreamStatus {
     pub instance: InstanceName,
     pub zone: Zone,
@@ -174,7 +170,6 @@
 
 /// A key with an owner of its own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct HotKeyStatus {
     pub key_hash: KeyHash,
     /// None: that of its slot.
@@ -183,21 +178,19 @@
 
 /// The three measures of the group.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Measures {
     /// Busiest member's load over the mean; 1.0 is even.
     pub imbalance: f64,
     /// Share of all slots that changed their owner within the last minute; counted over the moves
     /// that the status keeps.
     pub churn_per_minute: f64,
-    /// Longest time within the last one to two minutes that a slot had no owner, as the coordinator
-    /// saw it.
+    /// Longest time within the last minute that a slot had no owner, as the coordinator saw it; the
+    /// time before the first grants is left out.
     pub unavailable_ms_max: u64,
 }
 
 /// A change of owner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct MoveStatus {
     pub slot: Slot,
     pub token: Token,
