Status: news of documents do not put off those of ownership

Seen on four processes: after six edits within 6 s a lost instance was not in the status 3.5 s later, since each write doubled the pause. A test holds the sequence.

--- a/crates/agent/src/control/pace.rs
+++ b/crates/agent/src/control/pace.rs
@@ -65,10 +65,14 @@
     /// Notes that a status is being written; `jitter` is drawn from 0 to 1.
     pub(crate) fn written(&mut self, now: Timestamp, status: Status, jitter: f64) {
         let [least, most] = OWNERSHIP_EVERY;
-        let quiet = |at: &Timestamp| now.since(*at) >= WRITE_AGAIN_AFTER;
-        let was_quiet = self.written.as_ref().is_none_or(|(at, _)| quiet(at));
-        self.ownership_every =
-            if was_quiet { least } else { (self.ownership_every * 2).clamp(least, most) };
+        self.ownership_every = match &self.written {
+            Some((at, former)) if now.since(*at) < WRITE_AGAIN_AFTER => match news(former, &status)
+            {
+                News::Ownership => (self.ownership_every * 2).clamp(least, most),
+                News::Document | News::None => self.ownership_every,
+            },
+            _ => least,
+        };
         self.ownership_delay = OWNERSHIP_DELAY_MAX.mul_f64(jitter);
         self.written = Some((now, status));
         self.news_since = None;
--- a/crates/agent/src/control/tests/pace.rs
+++ b/crates/agent/src/control/tests/pace.rs
@@ -80,6 +80,16 @@
     check(45_000, 0.0, rush, &[0, 1_000, 3_000, 7_000, 15_000, 23_000, 31_000, 39_000]);
 }
 
+#[test]
+fn documents_do_not_put_off_news_of_a_loss() {
+    let edits = |at_ms: u64| match at_ms {
+        0..8_000 => status(at_ms / 1_000, 25, 0),
+        _ => status(7, 25, 1),
+    };
+    let expected = [0, 1_000, 2_000, 3_000, 4_000, 5_000, 6_000, 7_000, 8_000];
+    check(10_000, 0.0, edits, &expected);
+}
+
 #[test]
 fn groups_draw_when_they_tell_of_a_lost_zone() {
     let loss = |at_ms: u64| status(1, 25, u64::from(at_ms >= 10_000));
