--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -9,6 +9,7 @@
 };
 
 use model::{Instance, NotRunReason, Outcome, ServiceName, TeamName, Timestamp, UnknownReason};
+use rand::RngExt;
 use tokio::time::{sleep, timeout};
 use traffic::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict};
 
@@ -26,6 +27,9 @@
 
 pub(crate) use selector::home;
 
+/// The shortest time after which a caller comes back to a key that nobody serves, before jitter.
+const COME_BACK_MIN: Duration = Duration::from_millis(30);
+
 /// What a forwarder is made from.
 pub(crate) struct ForwardParts {
     pub(crate) own: Instance,
@@ -92,9 +96,12 @@
         let mut attempts = Attempts::default();
         let mut trail = Trail::default();
         let mut fresh = true;
+        // An earlier try may have run, whatever the later ones say.
+        let mut unknown: Option<UnknownReason> = None;
         loop {
             let Some(routes) = self.routes(&request.service) else {
-                return Ending::given_up(GateReply::not_run(NotRunReason::Unreachable));
+                let reply = GateReply::not_run(NotRunReason::Unreachable);
+                return Ending::given_up(final_reply(reply, unknown));
             };
             let state = self.state(&routes);
             if std::mem::take(&mut fresh) {
@@ -119,6 +126,9 @@
             if ended.outcome == Outcome::Answered {
                 return Ending { reply, retry_after: None };
             }
+            if let Outcome::Unknown(reason) = ended.outcome {
+                unknown = Some(reason);
+            }
             let idempotent = request.idempotent;
             let verdict = state.decide(clock.now(), deadline, idempotent, &mut attempts, &ended);
             match verdict {
@@ -128,8 +138,8 @@
                     sleep(after).await;
                 }
                 RetryVerdict::GiveUp { retry_after } => {
-                    let reply = final_reply(reply);
-                    return Ending { reply, retry_after };
+                    let retry_after = retry_after.map(|it| come_back(it, ended.outcome));
+                    return Ending { reply: final_reply(reply, unknown), retry_after };
                 }
             }
         }
@@ -160,7 +170,13 @@
                 trail.hint = owner.clone().filter(|it| *it != target);
                 self.report_stale(request, owner, *route_version);
             }
-            GateReply::Failed { outcome: Outcome::NotRun(_), .. } => trail.tried.push(target),
+            GateReply::Failed { outcome: Outcome::NotRun(reason), .. } => {
+                if matches!(reason, NotRunReason::Unreachable | NotRunReason::Draining) {
+                    state.selector.avoid(self.parts.clock.now(), &target, *reason);
+                    self.report_stale(request, &None, 0);
+                }
+                trail.tried.push(target);
+            }
             _ => {}
         }
         reply
@@ -179,17 +195,30 @@
     }
 
     fn report_stale(&self, request: &GateRequest, owner: &Option<Instance>, route_version: u64) {
-        let Some(key_hash) = request.key_hash else { return };
+        let key_hash = request.key_hash;
         let (service, owner) = (request.service.clone(), owner.clone());
         self.parts.reporter.hint(Report::StaleRoute { service, key_hash, owner, route_version });
     }
 }
 
-/// A caller has no use for the name of an owner.
-fn final_reply(reply: GateReply) -> GateReply {
-    match reply {
-        GateReply::NotOwner { .. } => GateReply::not_run(NotRunReason::NotOwner),
-        reply => reply,
+/// The worst of all tries. A caller has no use for the name of an owner.
+fn final_reply(reply: GateReply, unknown: Option<UnknownReason>) -> GateReply {
+    match (reply, unknown) {
+        (reply @ GateReply::Answered(_), _) => reply,
+        (_, Some(reason)) => GateReply::unknown(reason),
+        (GateReply::NotOwner { .. }, None) => GateReply::not_run(NotRunReason::NotOwner),
+        (reply, None) => reply,
+    }
+}
+
+/// Where nobody serves a key, coming back within a few milliseconds is of no use to anyone.
+fn come_back(retry_after: Duration, outcome: Outcome) -> Duration {
+    use NotRunReason::{Draining, NoOwner, NotOwner, Unreachable};
+    match outcome {
+        Outcome::NotRun(NoOwner | NotOwner | Unreachable | Draining) => {
+            retry_after.max(rand::rng().random_range(COME_BACK_MIN..=COME_BACK_MIN * 3))
+        }
+        _ => retry_after,
     }
 }
 
--- a/crates/agent/src/forward/selector.rs
+++ b/crates/agent/src/forward/selector.rs
@@ -1,8 +1,12 @@
 //! Which instance a request is sent to.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
-use model::{Instance, InstanceName, KeyHash, Outcome, RequestId, Timestamp};
+use model::{Instance, InstanceName, KeyHash, NotRunReason, Outcome, RequestId, Timestamp};
 use ownership::UpstreamState;
 use traffic::{HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState};
 
@@ -12,10 +16,17 @@
     snapshot::{KeyRoutes, MemberRoute, Routes, ServiceRoutes},
 };
 
+/// How long one that is leaving is avoided: longer than its leaving takes to spread.
+const AVOID_LEAVING: Duration = Duration::from_secs(3);
+/// How long one that can't be reached is avoided.
+const AVOID_UNREACHABLE: Duration = Duration::from_millis(300);
+
 /// The targets of one service.
 pub(super) struct Selector {
     own: Instance,
     selection: Arc<Mutex<Option<Selecting>>>,
+    /// Instances that take no requests for now, and until when, beside what the snapshot says.
+    avoided: Mutex<HashMap<Instance, Timestamp>>,
 }
 
 /// The selection for one list of members.
@@ -34,7 +45,7 @@
 
 impl Selector {
     pub(super) fn new(own: Instance) -> Selector {
-        Selector { own, selection: Arc::default() }
+        Selector { own, selection: Arc::default(), avoided: Mutex::default() }
     }
 
     /// The next target; none: nobody may take the request at the moment.
@@ -52,11 +63,33 @@
             (Routes::Any(members), None) if request.idempotent => {
                 self.pick(now, routes, members, tried)
             }
-            (Routes::Any(members), None) => home(members, request.id),
+            // Whether another member may stand in for the home is for that member to say.
+            (Routes::Any(members), None) => {
+                let avoided = self.avoided(now);
+                home(members.iter().filter(|it| !avoided.contains(&it.instance.name)), request.id)
+                    .or_else(|| home(members, request.id))
+            }
             _ => None,
         }
     }
 
+    /// Sends nothing more to an instance for a while, if there are others.
+    pub(super) fn avoid(&self, now: Timestamp, target: &Instance, reason: NotRunReason) {
+        let time = match reason {
+            NotRunReason::Draining => AVOID_LEAVING,
+            _ => AVOID_UNREACHABLE,
+        };
+        let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        avoided.retain(|_, until| now < *until);
+        avoided.insert(target.clone(), now + time);
+    }
+
+    fn avoided(&self, now: Timestamp) -> Vec<InstanceName> {
+        let avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        let current = avoided.iter().filter(|(_, until)| now < **until);
+        current.map(|(instance, _)| instance.name.clone()).collect()
+    }
+
     /// Two choices among the members. Counted as in flight: [`Selector::start`] must follow.
     fn pick(
         &self,
@@ -77,7 +110,8 @@
             selecting.selection.update(now, &specs);
             selecting.members = members.to_vec();
         }
-        let tried: Vec<InstanceName> = tried.iter().map(|it| it.name.clone()).collect();
+        let mut tried: Vec<InstanceName> = tried.iter().map(|it| it.name.clone()).collect();
+        tried.extend(self.avoided(now));
         selecting.selection.pick(now, &tried, &mut rand::rng())
     }
 
@@ -103,10 +137,10 @@
     pub(super) fn finish(mut self, outcome: Outcome) {
         let result = match outcome {
             Outcome::Answered => TargetResult::Answered,
-            Outcome::NotRun(model::NotRunReason::Unreachable) | Outcome::Unknown(_) => {
+            Outcome::NotRun(NotRunReason::Unreachable) | Outcome::Unknown(_) => {
                 TargetResult::Failed
             }
-            Outcome::NotRun(model::NotRunReason::DeadlineExceeded) => TargetResult::Cancelled,
+            Outcome::NotRun(NotRunReason::DeadlineExceeded) => TargetResult::Cancelled,
             Outcome::NotRun(_) => TargetResult::Shed,
         };
         self.end(result);
@@ -154,7 +188,10 @@
 
 /// The one member that may run a request that is not idempotent: the same for all agents that
 /// know the same members, so that a resend finds the record of its first sending.
-pub(crate) fn home(members: &[MemberRoute], id: RequestId) -> Option<Instance> {
+pub(crate) fn home<'a>(
+    members: impl IntoIterator<Item = &'a MemberRoute>,
+    id: RequestId,
+) -> Option<Instance> {
     let weight = |it: &&MemberRoute| {
         let mut key = Vec::with_capacity(64);
         key.extend_from_slice(&id.0.to_le_bytes());
@@ -162,6 +199,6 @@
         key.extend_from_slice(it.instance.name.as_str().as_bytes());
         model::key_hash(&key)
     };
-    let ready = members.iter().filter(|it| it.state == UpstreamState::Ready);
+    let ready = members.into_iter().filter(|it| it.state == UpstreamState::Ready);
     ready.max_by_key(weight).map(|it| it.instance.clone())
 }
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -26,12 +26,22 @@
     pub(crate) version: ConfigVersion,
     pub(crate) document: Arc<ServiceDocument>,
     pub(crate) announcement: Announcement,
-    pub(crate) draining: bool,
+    /// Since when the instance has been leaving.
+    pub(crate) draining_since: Option<Timestamp>,
     pub(crate) upstream: Arc<dyn Upstream>,
     pub(crate) lane: Arc<Lane>,
     members: Vec<Instance>,
 }
 
+impl Bound {
+    /// No new work may reach the upstream any more. Until half of the document's time has passed
+    /// it still may: the news that this instance is leaving takes a while to spread.
+    pub(crate) fn refuses_work(&self, now: Timestamp) -> bool {
+        let grace = self.document.drain.no_new_work_after / 2;
+        self.draining_since.is_some_and(|since| now >= since + grace)
+    }
+}
+
 impl Gate {
     /// Follows the snapshot: the upstream's address, its document, its draining.
     pub(crate) fn rebind(&self) {
@@ -45,15 +55,14 @@
                 return;
             }
         };
-        let bound = Bound { draining: local.draining, members: members(service), ..bound };
         let now = self.clock.now();
+        let since = || former.as_ref().and_then(|it| it.draining_since).unwrap_or(now);
+        let draining_since = local.draining.then(since);
+        let bound = Bound { draining_since, members: members(service), ..bound };
         if former.as_ref().is_none_or(|it| it.members != bound.members) {
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
         self.book.get_or_init(|| new_book(&bound.document));
-        if bound.draining && !bound.document.keyed {
-            bound.lane.drain();
-        }
         self.bound.store(Some(Arc::new(bound)));
     }
 
@@ -85,7 +94,7 @@
             version: service.version,
             document: Arc::clone(document),
             announcement: announcement.clone(),
-            draining: false,
+            draining_since: None,
             upstream,
             lane,
             members: Vec::new(),
@@ -100,7 +109,7 @@
 
 /// A lane that was drained, or whose upstream was lost, is not used again.
 fn revived(former: &Bound, state: UpstreamState) -> bool {
-    let gone = former.draining || former.announcement.state == UpstreamState::Lost;
+    let gone = former.draining_since.is_some() || former.announcement.state == UpstreamState::Lost;
     gone && state == UpstreamState::Ready
 }
 
--- a/crates/agent/src/gate/lane.rs
+++ b/crates/agent/src/gate/lane.rs
@@ -184,14 +184,6 @@
         self.deliver(now, state);
     }
 
-    /// Refuses what waits and all that comes.
-    pub(crate) fn drain(&self) {
-        let now = self.clock.now();
-        let state = &mut *self.state();
-        state.admission.drain(now, &mut state.rng, &mut state.decisions);
-        self.deliver(now, state);
-    }
-
     fn tick(&self) -> Option<Timestamp> {
         let now = self.clock.now();
         let state = &mut *self.state();
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -111,6 +111,14 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Whether no new work reaches the upstream; so too when there is none.
+    pub(crate) fn refuses_work(&self) -> bool {
+        self.bound
+            .load()
+            .as_ref()
+            .is_none_or(|it| it.document.keyed || it.refuses_work(self.clock.now()))
+    }
+
     /// Requests at the upstream, and requests that wait for a slot of it.
     pub(crate) fn load(&self) -> (usize, usize) {
         self.bound.load().as_ref().map_or((0, 0), |it| it.lane.load())
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -98,7 +98,7 @@
         deadline: Timestamp,
         caller: &mut Caller,
     ) -> GateReply {
-        if bound.draining {
+        if bound.refuses_work(self.clock.now()) {
             return GateReply::not_run(NotRunReason::Draining);
         }
         if let Some(owner) = self.other_home(request) {
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -1,4 +1,8 @@
 //! Where callers come in: HTTP on the caller address, one path segment for the service.
+//!
+//! A caller sends an id again only after the former sending has ended: by its answer, by closing
+//! the connection, or by its deadline. `x-first-sent-ms` is then the time since the first sending
+//! that did not end as not run; if all did, the header is left out.
 
 mod announce;
 mod answer;
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -4,7 +4,12 @@
 
 use anyhow::Context;
 use model::Instance;
-use tokio::{net::TcpListener, sync::mpsc, sync::oneshot, task::JoinHandle, time::sleep};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
+    time::sleep,
+};
 
 use crate::{
     clock::Clock,
@@ -39,6 +44,8 @@
 pub(crate) struct Plane {
     gate: Arc<Gate>,
     ingress: Arc<Ingress>,
+    /// Closes the listener of callers.
+    closing: watch::Sender<bool>,
     drained: oneshot::Sender<()>,
     server: JoinHandle<anyhow::Result<()>>,
 }
@@ -76,10 +83,12 @@
             metrics: Arc::clone(&metrics),
         }));
         let (drained, hook) = oneshot::channel();
-        let server = tokio::spawn(ingress::serve(parts.callers, Arc::clone(&ingress), hook));
+        let (closing, closed) = watch::channel(false);
+        let server = ingress::serve(parts.callers, closed, Arc::clone(&ingress), hook);
+        let server = tokio::spawn(server);
         tokio::spawn(metrics::serve(parts.metrics, metrics, Arc::clone(&gate)));
         tokio::spawn(warm_links(parts.snapshots, links));
-        Ok(Plane { gate, ingress, drained, server })
+        Ok(Plane { gate, ingress, closing, drained, server })
     }
 
     /// Requests that wait for a slot of the local upstream.
@@ -102,10 +111,11 @@
     /// Waits for what is in flight at the gate, then refuses callers and waits for what ingress
     /// has in flight. Cuts off nothing.
     pub(crate) async fn drain(&self) {
-        while self.gate.in_flight() > 0 {
+        while !self.gate.refuses_work() || self.gate.in_flight() > 0 {
             sleep(DRAIN_POLL).await;
         }
         self.ingress.close();
+        self.closing.send_replace(true);
         while self.ingress.in_flight() > 0 || self.gate.in_flight() > 0 {
             sleep(DRAIN_POLL).await;
         }
--- a/crates/agent/src/report/mod.rs
+++ b/crates/agent/src/report/mod.rs
@@ -23,10 +23,11 @@
     Closed { slot: Slot, token: Token },
     /// The same for a closed key.
     KeyClosed { key_hash: KeyHash, token: Token },
-    /// A peer refused a request for it is not the owner.
+    /// A peer refused a request, for it is not the owner or is leaving, or it can't be reached.
     StaleRoute {
         service: ServiceName,
-        key_hash: KeyHash,
+        /// None where the service is not divided by key.
+        key_hash: Option<KeyHash>,
         owner: Option<Instance>,
         route_version: u64,
     },
--- a/crates/agent/src/tests/forwarding.rs
+++ b/crates/agent/src/tests/forwarding.rs
@@ -149,3 +149,34 @@
     };
     check_answer_frames(frames, 200, "answered").await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn try_that_may_have_run_is_not_forgotten() {
+    let a = TestAgent::start("a").await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let own = instance("peer", listener.local_addr().unwrap());
+    a.route_to(&own, 1).await;
+    let identity = LinkIdentity { own, kind: LinkKind::Traffic, key: LinkKey::new(SECRET) };
+    tokio::spawn(async move {
+        // Takes one request, then is gone for ever.
+        let (stream, address) = listener.accept().await.unwrap();
+        let mut socket = identity.accept(address, stream).await.unwrap().socket;
+        drop(listener);
+        socket.next().await.unwrap().unwrap();
+    });
+    // Idempotent, so it is tried again, and can't be placed.
+    check(&a.call(get("echo", 1)).await, 502, "unknown; reason=connection-lost");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn member_that_cannot_be_reached_is_avoided() {
+    let a = TestAgent::start("a").await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let gone = instance("gone", listener.local_addr().unwrap());
+    drop(listener);
+    a.route_to_members(&[&gone, &a.own]).await;
+    for id in 0..100 {
+        check(&a.call(get("echo", id)).await, 200, "answered");
+    }
+    assert_eq!(a.upstream.ran().len(), 100);
+}
--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -87,15 +87,21 @@
     pub async fn call(&self, request: &CallRequest, first_target: usize) -> CallRecord {
         let mut rng = Pcg64Mcg::seed_from_u64(request.id.0 as u64);
         let first_sent = Instant::now();
+        // What ended as not run has left no trace: the next sending counts as the first.
+        let mut first_unsure: Option<Instant> = None;
         let mut target = first_target;
         let mut attempts: Vec<Attempt> = Vec::new();
         loop {
-            let age = (!attempts.is_empty()).then(|| first_sent.elapsed());
+            let sent = Instant::now();
+            let age = first_unsure.map(|it| it.elapsed());
             let address = self.targets[target % self.targets.len()];
             let sent_ns = wall_ns();
             let patience = request.deadline + self.rules.margin;
             let Ending { result, retry_after } =
                 self.client.attempt(address, request, age, patience, self.rules.peer).await;
+            if !matches!(result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected) {
+                first_unsure.get_or_insert(sent);
+            }
             let next = next(&result, request.idempotent);
             let ended_ns = wall_ns();
             attempts.push(Attempt { target: address, sent_ns, ended_ns, result });
