Failure tests of acceptance and spreading, on control threads over loopback

Cause: acceptance, spreading and restarts during an outage ran only in the demo; a restarted agent knew no member to ask for the coordinator while the platform was down. Change: a platform in memory with outages and lost answers, three control threads on real links; routes that peers tell of before the group exists give the node its peers.

--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -219,6 +219,9 @@
     pub(super) fn routes_heard(&mut self, from: Instance, table: RouteTable) {
         let service = table.service.clone();
         let config = table.config;
+        if service == *self.service() && self.group.is_none() {
+            self.met_members = table.members.iter().map(|it| it.instance.clone()).collect();
+        }
         self.dirty |= self.foreign.hear(&from, table);
         self.version_heard(&from, service, config);
     }
--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use model::{ServiceName, Timestamp};
+use model::{Instance, ServiceName, Timestamp};
 use ownership::{Event, Input, MoveReason, Node, NodeConfig, NodeView, Output};
 use settings::{MoveStatus, ServiceDocument};
 use wire::exchange::Envelope;
@@ -27,7 +27,13 @@
 }
 
 impl Group {
-    pub(crate) fn new(now: Timestamp, parts: &Parts, document: &ServiceDocument) -> Group {
+    /// `peers` are members to ask for the coordinator where the platform does not answer.
+    pub(crate) fn new(
+        now: Timestamp,
+        parts: &Parts,
+        document: &ServiceDocument,
+        peers: Vec<Instance>,
+    ) -> Group {
         let config = NodeConfig {
             instance: parts.own.clone(),
             service: document.service.clone(),
@@ -36,7 +42,7 @@
             keyed: document.keyed,
             limits: limits(document),
             seed: parts.seed,
-            peers: Vec::new(),
+            peers,
         };
         let node = Node::new(config, now);
         let view = node.view();
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -93,10 +93,11 @@
     /// Asks the peers of the settings, while the platform may be down.
     pub(super) fn ask_peers(&mut self, service: &ServiceName) {
         for address in &self.parts.settings.peers {
-            let document = Envelope::FetchDocument { service: service.clone() };
-            self.parts.links.send_to_address(*address, document.encode());
+            // The routes first: with the document comes the group, and its members are to be known.
             let routes = Envelope::FetchRoutes { service: service.clone(), known: 0 };
             self.parts.links.send_to_address(*address, routes.encode());
+            let document = Envelope::FetchDocument { service: service.clone() };
+            self.parts.links.send_to_address(*address, document.encode());
         }
     }
 
--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -42,6 +42,8 @@
     pub(super) documents: Documents,
     /// None until the own service's document is known.
     pub(super) group: Option<Group>,
+    /// Members of the own group that peers told of before this instance was one.
+    pub(super) met_members: Vec<Instance>,
     pub(super) foreign: ForeignRoutes,
     pub(super) acceptor: Acceptor,
     pub(super) watches: Watches,
@@ -59,6 +61,7 @@
             rng: Pcg64Mcg::seed_from_u64(parts.seed),
             documents: Documents::default(),
             group: None,
+            met_members: Vec::new(),
             foreign: ForeignRoutes::default(),
             acceptor: Acceptor::default(),
             watches: Watches::default(),
@@ -123,7 +126,8 @@
         let Some(in_force) = self.documents.of(&service).cloned() else { return };
         self.dirty = true;
         if self.group.is_none() {
-            let group = Group::new(now, &self.parts, &in_force.document);
+            let peers = std::mem::take(&mut self.met_members);
+            let group = Group::new(now, &self.parts, &in_force.document, peers);
             self.group = Some(group);
             let state = self.local.state();
             self.step(now, Input::Upstream(state));
--- a/crates/agent/src/control/tests/documents.rs
+++ b/crates/agent/src/control/tests/documents.rs
@@ -8,7 +8,7 @@
     foreign::ForeignRoutes,
 };
 
-const DOCUMENT: &str = r#"{
+pub(super) const DOCUMENT: &str = r#"{
     "service": "standings", "team": "club", "keyed": true,
     "routes": [{ "path": "/*", "class": "lap", "idempotent": true }],
     "classes": [{ "name": "lap", "weight": 1 }]
--- /dev/null
+++ b/crates/agent/src/control/tests/fleet.rs
@@ -0,0 +1,191 @@
+//! Control threads of several instances on loopback, with a gate that has no traffic.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Zone};
+use ownership::UpstreamState;
+use settings::AgentSettings;
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+use traffic::RecordUnit;
+
+use crate::{
+    clock::Clock,
+    control::{ControlParts, Phase, run, tests::platform::FakePlatform},
+    gate::{GateHandle, GateTask},
+    links::LinkKey,
+    report::{Announcement, Report, Reporter},
+    snapshot::{Routes, SnapshotCell},
+};
+
+/// Far above what any step takes; no test passes by waiting this long.
+const PATIENCE: Duration = Duration::from_secs(30);
+const KEY: &str = "a key for loopback only";
+
+/// One instance's control thread, as a task.
+pub(super) struct Agent {
+    pub(super) own: Instance,
+    snapshots: Arc<SnapshotCell>,
+    phase: watch::Sender<Phase>,
+    handed_over: oneshot::Receiver<()>,
+    control: JoinHandle<()>,
+    /// All versions that were ever published, in order.
+    versions: JoinHandle<Vec<ConfigVersion>>,
+}
+
+pub(super) fn service() -> ServiceName {
+    ServiceName::new("standings").unwrap()
+}
+
+impl Agent {
+    pub(super) async fn start(
+        name: &str,
+        platform: &Arc<FakePlatform>,
+        peers: &[SocketAddr],
+    ) -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let control = listener.local_addr().unwrap();
+        let own = Instance {
+            name: InstanceName::new(name).unwrap(),
+            incarnation: Incarnation(u64::from(control.port())),
+            zone: Zone::new("pitlane").unwrap(),
+            control,
+            traffic: SocketAddr::from(([127, 0, 0, 1], 2)),
+        };
+        let clock = Clock::start();
+        let snapshots: Arc<SnapshotCell> = Arc::default();
+        let (reporter, reports) = crate::report::channel();
+        let (gate, tasks) = GateHandle::new(clock);
+        let (phase, phases) = watch::channel(Phase::Running);
+        let (sender, handed_over) = oneshot::channel();
+        let task = tokio::spawn(run(ControlParts {
+            settings: Arc::new(settings(name, control, peers)),
+            own: own.clone(),
+            clock,
+            listener,
+            key: LinkKey::new(KEY.as_bytes()),
+            platform: Arc::clone(platform) as Arc<dyn platform::Platform>,
+            gate,
+            snapshots: Arc::clone(&snapshots),
+            reports,
+            phase: phases,
+            handed_over: sender,
+            seed: u64::from(control.port()),
+        }));
+        tokio::spawn(serve_gate(reporter, tasks));
+        let versions = tokio::spawn(record_versions(Arc::clone(&snapshots)));
+        Agent { own, snapshots, phase, handed_over, control: task, versions }
+    }
+
+    pub(super) fn version(&self) -> ConfigVersion {
+        self.snapshots.load().services.get(&service()).map_or(ConfigVersion(0), |it| it.version)
+    }
+
+    /// How many slots have an owner, as this instance sees it.
+    fn owned_slots(&self) -> usize {
+        let snapshot = self.snapshots.load();
+        match snapshot.services.get(&service()).map(|it| &it.routes) {
+            Some(Routes::ByKey(routes)) => {
+                routes.slots.iter().filter(|it| it.owner.is_some()).count()
+            }
+            _ => 0,
+        }
+    }
+
+    pub(super) async fn wait_version(&self, version: ConfigVersion) {
+        wait("the version in force", || self.version() >= version).await;
+    }
+
+    pub(super) async fn wait_owned(&self, slots: usize) {
+        wait("owners of all slots", || self.owned_slots() == slots).await;
+    }
+
+    /// Stops gracefully.
+    pub(super) async fn stop(self) -> Vec<ConfigVersion> {
+        self.phase.send_replace(Phase::Stopping);
+        timeout(PATIENCE, self.handed_over).await.expect("a handover in time").unwrap();
+        self.phase.send_replace(Phase::Ending);
+        self.control.await.unwrap();
+        self.versions.abort();
+        self.versions.await.unwrap_or_default()
+    }
+
+    /// Ends at once, as a killed process does.
+    pub(super) fn kill(self) {
+        self.control.abort();
+        self.versions.abort();
+    }
+}
+
+/// Waits for a condition that must come about.
+pub(super) async fn wait(what: &str, condition: impl Fn() -> bool) {
+    let waiting = async {
+        while !condition() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, waiting).await.unwrap_or_else(|_| panic!("waited in vain for {what}"));
+}
+
+fn settings(name: &str, control: SocketAddr, peers: &[SocketAddr]) -> AgentSettings {
+    let peers: Vec<String> = peers.iter().map(|it| format!("{:?}", it.to_string())).collect();
+    let text = format!(
+        r#"{{
+            "instance": "{name}", "zone": "pitlane", "team": "club", "service": "standings",
+            "caller_address": "127.0.0.1:1", "traffic_address": "127.0.0.1:2",
+            "control_address": "{control}", "metrics_address": "127.0.0.1:3",
+            "platform_address": "127.0.0.1:4", "link_key": "{KEY}", "peers": [{}]
+        }}"#,
+        peers.join(","),
+    );
+    AgentSettings::parse(&text).unwrap()
+}
+
+/// An upstream that is ready at once, and a gate with nothing in flight.
+async fn serve_gate(reporter: Reporter, mut tasks: mpsc::UnboundedReceiver<GateTask>) {
+    let announcement = Announcement {
+        service: service(),
+        address: SocketAddr::from(([127, 0, 0, 1], 5)),
+        state: UpstreamState::Ready,
+        slots: 12,
+        checks_fence: true,
+    };
+    let mut announcing = tokio::time::interval(Duration::from_secs(1));
+    loop {
+        let report = tokio::select! {
+            _ = announcing.tick() => Report::Announcement(announcement.clone()),
+            task = tasks.recv() => match task {
+                None => return,
+                Some(GateTask::Prepare { slot, token }) => Report::Prepared { slot, token },
+                Some(GateTask::Close { unit: RecordUnit::Slot(slot), token, .. }) => {
+                    Report::Closed { slot, token }
+                }
+                Some(GateTask::Close { unit: RecordUnit::Key(key_hash), token, .. }) => {
+                    Report::KeyClosed { key_hash, token }
+                }
+                Some(GateTask::Grant { .. }) => continue,
+            },
+        };
+        reporter.deliver(report).await;
+    }
+}
+
+/// Records each version that is published; a fall is found at once.
+async fn record_versions(snapshots: Arc<SnapshotCell>) -> Vec<ConfigVersion> {
+    let mut changes = snapshots.changes();
+    let mut versions = Vec::new();
+    while changes.changed().await.is_ok() {
+        let snapshot = snapshots.load();
+        let Some(routes) = snapshot.services.get(&service()) else { continue };
+        let last = versions.last().copied().unwrap_or_default();
+        assert!(routes.version >= last, "version {} after {last}", routes.version);
+        if routes.version > last {
+            versions.push(routes.version);
+        }
+    }
+    versions
+}
--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -1,4 +1,7 @@
 //! Tests of the tables of control.
 
+mod config;
 mod documents;
+mod fleet;
 mod pace;
+mod platform;
--- /dev/null
+++ b/crates/agent/src/control/tests/platform.rs
@@ -0,0 +1,156 @@
+//! A platform in memory, with the faults of the real one.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use model::ObjectVersion;
+use platform::{Change, Changes, Object, Platform, PlatformError, PlatformResult};
+use tokio::{sync::watch, time::timeout};
+
+/// Objects with their versions; one counter for all.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    objects: BTreeMap<String, Object>,
+}
+
+pub(super) struct FakePlatform {
+    store: Mutex<Store>,
+    changed: watch::Sender<()>,
+    pub(super) down: AtomicBool,
+    /// So many updates of `accepted/` take effect and then lose their answer.
+    pub(super) lost_answers: AtomicU32,
+}
+
+impl FakePlatform {
+    pub(super) fn new() -> FakePlatform {
+        FakePlatform {
+            store: Mutex::default(),
+            changed: watch::Sender::new(()),
+            down: AtomicBool::new(false),
+            lost_answers: AtomicU32::new(0),
+        }
+    }
+
+    /// Writes whatever the version, as an operator without care would.
+    pub(super) fn put(&self, path: &str, body: &str) -> ObjectVersion {
+        let version = self.store.lock().unwrap().put(path, Bytes::from(body.to_owned()));
+        self.changed.send_replace(());
+        version
+    }
+
+    pub(super) fn text(&self, path: &str) -> Option<String> {
+        let store = self.store.lock().unwrap();
+        store.objects.get(path).map(|it| String::from_utf8(it.body.to_vec()).unwrap())
+    }
+
+    fn check(&self, step: &str) -> Result<(), PlatformError> {
+        match self.down.load(Ordering::SeqCst) {
+            true => Err(unavailable(step)),
+            false => Ok(()),
+        }
+    }
+
+    fn changes(&self, prefix: &str, after: ObjectVersion) -> Changes {
+        let store = self.store.lock().unwrap();
+        let under = store.objects.iter().filter(|(path, _)| path.starts_with(prefix));
+        let newer = under.filter(|(_, it)| it.version > after);
+        let changes = newer.map(|(path, it)| Change {
+            path: path.clone(),
+            version: it.version,
+            body: Some(it.body.clone()),
+        });
+        Changes { revision: ObjectVersion(store.revision), changes: changes.collect() }
+    }
+
+    /// Whether the answer of an update that has taken effect gets lost.
+    fn loses_answer(&self, path: &str) -> bool {
+        let left = &self.lost_answers;
+        path.starts_with("accepted/")
+            && left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |it| it.checked_sub(1)).is_ok()
+    }
+}
+
+impl Store {
+    fn put(&mut self, path: &str, body: Bytes) -> ObjectVersion {
+        self.revision += 1;
+        let version = ObjectVersion(self.revision);
+        self.objects.insert(path.to_owned(), Object { version, body });
+        version
+    }
+}
+
+fn unavailable(step: &str) -> PlatformError {
+    let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+    PlatformError::Unavailable { step: step.to_owned(), peer, reason: "an outage".to_owned() }
+}
+
+impl Platform for FakePlatform {
+    fn read(&self, path: &str) -> PlatformResult<'_, Option<Object>> {
+        let path = path.to_owned();
+        Box::pin(async move {
+            self.check("read")?;
+            Ok(self.store.lock().unwrap().objects.get(&path).cloned())
+        })
+    }
+
+    fn update(
+        &self,
+        path: &str,
+        expected: ObjectVersion,
+        body: Bytes,
+    ) -> PlatformResult<'_, ObjectVersion> {
+        let path = path.to_owned();
+        Box::pin(async move {
+            self.check("update")?;
+            let mut store = self.store.lock().unwrap();
+            let current = store.objects.get(&path).map_or(ObjectVersion(0), |it| it.version);
+            if current != expected {
+                return Err(PlatformError::Conflict { step: "update".to_owned(), current });
+            }
+            let version = store.put(&path, body);
+            self.changed.send_replace(());
+            match self.loses_answer(&path) {
+                true => Err(unavailable("update")),
+                false => Ok(version),
+            }
+        })
+    }
+
+    fn list(&self, prefix: &str) -> PlatformResult<'_, Changes> {
+        let prefix = prefix.to_owned();
+        Box::pin(async move {
+            self.check("list")?;
+            Ok(self.changes(&prefix, ObjectVersion(0)))
+        })
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> PlatformResult<'_, Changes> {
+        let prefix = prefix.to_owned();
+        Box::pin(async move {
+            let mut changed = self.changed.subscribe();
+            let waiting = async {
+                while self.changes(&prefix, after).changes.is_empty() {
+                    _ = changed.changed().await;
+                }
+            };
+            // An end of the wait without a change is an empty answer.
+            _ = timeout(wait, waiting).await;
+            self.check("watch")?;
+            Ok(self.changes(&prefix, after))
+        })
+    }
+}
