--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use model::{ServiceName, Timestamp};
+use model::{Instance, ServiceName, Timestamp};
 use ownership::{Event, Input, MoveReason, Node, NodeConfig, NodeView, Output};
 use settings::{MoveStatus, ServiceDocument};
 use wire::exchange::Envelope;
@@ -27,7 +27,13 @@
 }
 
 impl Group {
-    pub(crate) fn new(now: Timestamp, parts: &Parts, document: &ServiceDocument) -> Group {
+    /// `peers` are members to ask for the coordinator where the platform does not answer.
+    pub(crate) fn new(
+        now: Timestamp,
+        parts: &Parts,
+        document: &ServiceDocument,
+        peers: Vec<Instance>,
+    ) -> Group {
         let config = NodeConfig {
             instance: parts.own.clone(),
             service: document.service.clone(),
@@ -36,7 +42,7 @@
             keyed: document.keyed,
             limits: limits(document),
             seed: parts.seed,
-            peers: Vec::new(),
+            peers,
         };
         let node = Node::new(config, now);
         let view = node.view();
@@ -103,7 +109,7 @@
     }
 
     fn note(&mut self, event: Event) {
-        log::info!(target: "ownership", "{event:?}.");
+        log_event(&event);
         let Event::Granted { slot, token, to, reason } = event else { return };
         self.moves.push_front(MoveStatus {
             slot,
@@ -116,6 +122,40 @@
     }
 }
 
+fn log_event(event: &Event) {
+    match event {
+        Event::BecameCoordinator { term } => {
+            log::info!(target: "ownership", "This instance coordinates, term {term}.");
+        }
+        Event::LostCoordination { term } => {
+            log::warn!(target: "ownership", "This instance coordinates no more, term {term}.");
+        }
+        Event::SessionOpened => log::info!(target: "ownership", "A session has begun."),
+        Event::SessionEnded { reason } => {
+            log::warn!(target: "ownership", "The session has ended: {reason}.");
+        }
+        Event::MemberJoined { member } => log::info!(target: "ownership", "{member} has joined."),
+        Event::MemberLost { member } => log::warn!(target: "ownership", "{member} is lost."),
+        Event::JoinRefused { member } => {
+            log::error!(target: "ownership", "{member} can't join: the group is full.");
+        }
+        Event::ConfirmationChanged { confirmation, witnesses } => {
+            log::info!(target: "ownership", "Confirmed by {confirmation:?}, {witnesses} witnesses.");
+        }
+        Event::Settled { term } => log::info!(target: "ownership", "Term {term} is settled."),
+        Event::Granted { slot, token, to, reason: MoveReason::First } => {
+            log::debug!(target: "ownership", "Slot {slot} goes to {to}, token {token}.");
+        }
+        Event::Granted { slot, token, to, reason } => {
+            let reason = reason_name(*reason);
+            log::info!(target: "ownership", "Slot {slot} goes to {to}, token {token}: {reason}.");
+        }
+        Event::PlanWritten { version } => {
+            log::info!(target: "ownership", "Plan {version} is written.");
+        }
+    }
+}
+
 fn reason_name(reason: MoveReason) -> &'static str {
     match reason {
         MoveReason::First => "first",
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -1,4 +1,8 @@
 //! Where callers come in: HTTP on the caller address, one path segment for the service.
+//!
+//! A caller sends an id again only after the former sending has ended: by its answer, by closing
+//! the connection, or by its deadline. `x-first-sent-ms` is then the time since the first sending
+//! that did not end as not run; if all did, the header is left out.
 
 mod announce;
 mod answer;
@@ -15,7 +19,7 @@
 
 use http::{HeaderMap, Method, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use model::{ClassName, NotRunReason, Outcome, TeamName};
+use model::{ClassName, NotRunReason, Outcome, TeamName, UnknownReason};
 use tokio::time::timeout;
 use volo_http::{body::Body, request::Request, response::Response};
 
@@ -99,8 +103,9 @@
             return announce::take(&self.parts.reporter, &parts, body).await;
         }
         if self.closed.load(Ordering::SeqCst) {
-            let reply = GateReply::not_run(NotRunReason::Draining);
-            return answer::of(Ending::given_up(reply), None);
+            let ending = Ending::given_up(GateReply::not_run(NotRunReason::Draining));
+            let resent = parts.headers.contains_key(parse::FIRST_SENT_HEADER);
+            return answer::of(if resent { of_resend(ending) } else { ending }, None);
         }
         let started = self.parts.clock.now();
         match self.forward(&parts.method, &parts.uri, parts.headers, body).await {
@@ -121,42 +126,53 @@
         body: Body,
     ) -> Result<Done, Refusal> {
         let address = Address::parse(uri)?;
-        let Some(routes) = self.routes(&address).await else {
+        let arrived = self.parts.clock.now();
+        let patience = parse::deadline(&headers)?.map_or(ROUTES_WAIT, |it| it.min(ROUTES_WAIT));
+        let Some(routes) = self.routes(&address, patience).await else {
             return Err(Refusal::NoRoutesYet);
         };
         parse::check_size(&headers, uri, routes.document.limits.header_bytes_max)?;
         let mut request = parse::request(&routes, method, &address, headers)?;
         request.body = read(body, routes.document.limits.body_bytes_max).await?;
+        let spent = self.parts.clock.now().since(arrived);
+        request.remaining = request.remaining.saturating_sub(spent);
         let team = routes.document.team.clone();
-        let (class, id) = (request.class.clone(), request.id);
+        let (class, id, age) = (request.class.clone(), request.id, request.age);
         drop(routes);
         let mut ending = self.parts.forwarder.send(request, &team).await;
         if let (Outcome::NotRun(_), None) = (ending.reply.outcome(), ending.retry_after) {
             ending.retry_after = Some(COME_BACK);
         }
+        let ending = if age.is_zero() { ending } else { of_resend(ending) };
         Ok(Done { team, class, ending, id })
     }
 
-    /// The service's routes. For one that this agent has not met, control is asked.
-    async fn routes(&self, address: &Address) -> Option<Arc<ServiceRoutes>> {
+    /// The service's routes. For one that this agent has not met, control is asked; if it learns
+    /// of nobody in time, the routes lead nowhere.
+    async fn routes(&self, address: &Address, patience: Duration) -> Option<Arc<ServiceRoutes>> {
         let known = || self.parts.snapshots.load().services.get(&address.service).cloned();
-        if let Some(routes) = known() {
+        let lead_somewhere = |it: &Arc<ServiceRoutes>| it.routes.instances().next().is_some();
+        if let Some(routes) = known().filter(lead_somewhere) {
             return Some(routes);
         }
         let mut changes = self.parts.snapshots.changes();
         self.parts.reporter.hint(Report::UnknownService { service: address.service.clone() });
         let waiting = async {
-            loop {
-                if let Some(routes) = known() {
-                    return Some(routes);
-                }
-                changes.changed().await.ok()?;
-            }
+            while known().filter(lead_somewhere).is_none() && changes.changed().await.is_ok() {}
         };
-        timeout(ROUTES_WAIT, waiting).await.ok().flatten()
+        // Whatever is known when the time is over has to do.
+        _ = timeout(patience, waiting).await;
+        known()
     }
 }
 
+/// The end of a request that was sent before, with an end that its caller doesn't know: though
+/// this sending was refused, the earlier one may have run.
+fn of_resend(ending: Ending) -> Ending {
+    let Outcome::NotRun(_) = ending.reply.outcome() else { return ending };
+    Ending { reply: GateReply::unknown(UnknownReason::NoRecord), ..ending }
+}
+
 /// A request that was sent on, with its labels.
 struct Done {
     team: TeamName,
--- a/crates/agent/src/ingress/parse.rs
+++ b/crates/agent/src/ingress/parse.rs
@@ -18,7 +18,8 @@
 
 /// The header that names the time left, in milliseconds.
 pub(super) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
-/// The header that names the time since the first sending of the same id, in milliseconds.
+/// The header that names the time, in milliseconds, since the first sending of the same id whose end
+/// the caller does not know. Sendings that ended as not run don't count.
 pub(super) const FIRST_SENT_HEADER: HeaderName = HeaderName::from_static("x-first-sent-ms");
 /// First segments that mean something else to upstreams or this agent.
 const RESERVED: [&str; 3] = ["control", "upstream", "admin"];
@@ -102,7 +103,7 @@
         None => RequestId(rand::random()),
         Some(text) => parse_id(text)?,
     };
-    let remaining = match parse_ms(&headers, DEADLINE_HEADER)? {
+    let remaining = match deadline(&headers)? {
         Some(named) => named.min(route.deadline),
         None => route.deadline,
     };
@@ -136,6 +137,11 @@
     }
 }
 
+/// The time that the caller leaves, if it says so.
+pub(super) fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    parse_ms(headers, DEADLINE_HEADER)
+}
+
 fn parse_ms(headers: &HeaderMap, header: HeaderName) -> Result<Option<Duration>, Refusal> {
     let Some(value) = headers.get(&header) else { return Ok(None) };
     match value.to_str().ok().and_then(|it| it.trim().parse().ok()) {
