--- a/xtask/src/demo/evidence.rs
+++ b/xtask/src/demo/evidence.rs
@@ -50,6 +50,8 @@
     pub(crate) entries: Vec<RunEntry>,
     /// When the process had ended; runs without an end count as open until then.
     pub(crate) gone_ns: u64,
+    /// When the process was stopped by a signal.
+    pub(crate) frozen: Vec<Window>,
 }
 
 /// An instance told to leave.
@@ -126,7 +128,7 @@
                 }
                 RunEntry::Ended { at_ns, run, end } => {
                     if let Some(index) = open.remove(run) {
-                        executions[index].until_ns = *at_ns;
+                        executions[index].until_ns = self.last_work_ns(*at_ns, *end);
                         executions[index].end = Some(*end);
                     }
                 }
@@ -135,6 +137,16 @@
         }
         executions
     }
+
+    /// When a run last did something. One whose deadline passed while its process was frozen did
+    /// nothing from the freeze on: the upstream looks at the deadline first when it goes on.
+    fn last_work_ns(&self, ended_ns: u64, end: RunEnd) -> u64 {
+        let frozen = self.frozen.iter().find(|it| it.contains(ended_ns));
+        match frozen {
+            Some(frozen) if end == RunEnd::DeadlineExceeded => frozen.from_ns,
+            _ => ended_ns,
+        }
+    }
 }
 
 /// Executions by key, each in the order of their starts.
--- a/xtask/src/demo/verdict/tests.rs
+++ b/xtask/src/demo/verdict/tests.rs
@@ -30,6 +30,7 @@
                 keyed: true,
                 entries: Vec::new(),
                 gone_ns: 20_000 * MS,
+                frozen: Vec::new(),
             });
         }
         plot
@@ -154,6 +155,21 @@
     Plot::new().ran("a", 1, "1.1", 10..30).ran("a", 2, "1.1", 11..20).check(&[]);
 }
 
+#[test]
+fn a_frozen_process_does_nothing() {
+    let check = |end, until_ms, expected: &[&str]| {
+        let mut plot = Plot::new().run("a", 1, "1.1", 10..until_ms, Some(end));
+        let frozen = Window { from_ns: 20 * MS, until_ns: 500 * MS };
+        plot.evidence.upstreams[0].frozen.push(frozen);
+        plot.ran("b", 2, "1.2", 300..310).check(expected);
+    };
+    // Its deadline passed meanwhile, and it stopped at once when it went on.
+    check(RunEnd::DeadlineExceeded, 400, &[]);
+    // It went on.
+    check(RunEnd::DeadlineExceeded, 600, &["double_owned"]);
+    check(RunEnd::Ran, 501, &["double_owned"]);
+}
+
 #[test]
 fn a_token_that_goes_back_is_found() {
     Plot::new().ran("a", 1, "1.2", 10..20).ran("b", 2, "1.1", 30..40).check(&["double_owned"]);
