--- a/xtask/src/cluster/instance.rs
+++ b/xtask/src/cluster/instance.rs
@@ -35,6 +35,7 @@
     agent: Option<Process>,
     upstream: Option<Process>,
     gone_ns: Option<u64>,
+    frozen: Vec<Window>,
 }
 
 impl Instance {
@@ -71,6 +72,7 @@
             agent: None,
             upstream: None,
             gone_ns: None,
+            frozen: Vec::new(),
         })
     }
 
@@ -162,19 +164,32 @@
         Ok(self.sick(from_ns, u64::MAX))
     }
 
-    /// Freezes both parts.
+    /// Freezes both parts. The signals have reached both when this returns; a process of several
+    /// threads stops a moment later.
     pub(crate) fn freeze(&self) -> anyhow::Result<u64> {
-        let from_ns = wall_ns();
         self.signal(Signal::SIGSTOP)?;
-        Ok(from_ns)
+        Ok(wall_ns())
     }
 
     /// Lets both parts go on.
-    pub(crate) fn thaw(&self, frozen_ns: u64) -> anyhow::Result<SickIngress> {
+    pub(crate) fn thaw(&mut self, frozen_ns: u64) -> anyhow::Result<SickIngress> {
+        self.frozen.push(Window { from_ns: frozen_ns, until_ns: wall_ns() });
         self.signal(Signal::SIGCONT)?;
         Ok(self.sick(frozen_ns, wall_ns()))
     }
 
+    /// Freezes the agent alone.
+    pub(crate) fn pause_agent(&self) -> anyhow::Result<u64> {
+        self.agent()?.signal(Signal::SIGSTOP)?;
+        Ok(wall_ns())
+    }
+
+    /// Lets the agent go on.
+    pub(crate) fn resume_agent(&self, paused_ns: u64) -> anyhow::Result<SickIngress> {
+        self.agent()?.signal(Signal::SIGCONT)?;
+        Ok(self.sick(paused_ns, wall_ns()))
+    }
+
     fn sick(&self, from_ns: u64, until_ns: u64) -> SickIngress {
         SickIngress { caller_address: self.caller, window: Window { from_ns, until_ns } }
     }
@@ -202,6 +217,7 @@
             keyed,
             entries: read_journal(&self.journal_file(dir))?,
             gone_ns: self.gone_ns.unwrap_or_else(wall_ns),
+            frozen: self.frozen.clone(),
         })
     }
 }
