--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -1,14 +1,18 @@
 //! Metrics for operators: histograms by tenant and class, counters by outcome.
 
+mod platform_calls;
 mod server;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use model::{ClassName, Outcome, TeamName};
+use platform::CallCounts;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
+use self::platform_calls::PlatformCalls;
+
 pub(crate) use server::serve;
 
 /// Bounds of the histograms, in seconds.
@@ -27,7 +31,7 @@
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Result<Metrics, prometheus::Error> {
+    pub(crate) fn new(platform_calls: Arc<CallCounts>) -> Result<Metrics, prometheus::Error> {
         let registry = Registry::new();
         let labels = ["tenant", "class"];
         let histogram = |name: &str, help: &str| {
@@ -54,6 +58,7 @@
         registry.register(Box::new(retries.clone()))?;
         registry.register(Box::new(running.clone()))?;
         registry.register(Box::new(queued.clone()))?;
+        registry.register(Box::new(PlatformCalls::new(platform_calls)?))?;
         Ok(Metrics { registry, request_s, upstream_s, requests, retries, running, queued })
     }
 
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use model::Instance;
+use platform::CallCounts;
 use tokio::{net::TcpListener, sync::mpsc, sync::oneshot, task::JoinHandle, time::sleep};
 
 use crate::{
@@ -33,6 +34,8 @@
     pub(crate) callers: TcpListener,
     pub(crate) peers: TcpListener,
     pub(crate) metrics: TcpListener,
+    /// What control asks of the platform, for the metrics.
+    pub(crate) platform_calls: Arc<CallCounts>,
 }
 
 /// The running traffic plane.
@@ -46,7 +49,7 @@
 impl Plane {
     /// Starts it on the runtime that calls.
     pub(crate) fn start(parts: PlaneParts) -> anyhow::Result<Plane> {
-        let metrics = Arc::new(Metrics::new().context("metrics")?);
+        let metrics = Arc::new(Metrics::new(parts.platform_calls).context("metrics")?);
         let gate = Gate::start(GateParts {
             own: parts.own.clone(),
             handle: parts.handle,
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -9,6 +9,7 @@
 
 use anyhow::Context;
 use model::{Incarnation, Instance};
+use platform::{CallCounts, CountedPlatform};
 use settings::AgentSettings;
 use tokio::{
     net::{TcpListener, TcpSocket},
@@ -73,6 +74,7 @@
     let snapshots: Arc<SnapshotCell> = Arc::default();
     let (reporter, reports) = report::channel();
     let (handle, tasks) = GateHandle::new(clock);
+    let platform_calls: Arc<CallCounts> = Arc::default();
     let (phase, phases) = watch::channel(Phase::Running);
     let (handed_over, all_handed_over) = oneshot::channel();
     let setup = ControlSetup {
@@ -86,6 +88,7 @@
         reports,
         phases,
         handed_over,
+        platform_calls: Arc::clone(&platform_calls),
     };
     let control = thread::Builder::new()
         .name("control".to_owned())
@@ -104,6 +107,7 @@
             callers: TcpListener::from_std(listeners.callers)?,
             peers: TcpListener::from_std(listeners.traffic)?,
             metrics: TcpListener::from_std(listeners.metrics)?,
+            platform_calls,
         })
     };
     let plane = runtime.block_on(plane)?;
@@ -195,6 +199,7 @@
     reports: mpsc::Receiver<Report>,
     phases: watch::Receiver<Phase>,
     handed_over: oneshot::Sender<()>,
+    platform_calls: Arc<CallCounts>,
 }
 
 impl ControlSetup {
@@ -213,7 +218,7 @@
                 clock: self.clock,
                 listener: TcpListener::from_std(self.listener).context("control listener")?,
                 key: self.key,
-                platform: Arc::new(platform),
+                platform: Arc::new(CountedPlatform::new(Arc::new(platform), self.platform_calls)),
                 gate: self.gate,
                 snapshots: self.snapshots,
                 reports: self.reports,
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -205,6 +205,7 @@
             callers,
             peers,
             metrics,
+            platform_calls: Arc::default(),
         })
         .unwrap();
         let caller = HttpUpstream::new(caller_address, 1000, 64 << 20).unwrap();
--- a/crates/platform/src/counted.rs
+++ b/crates/platform/src/counted.rs
@@ -37,24 +37,29 @@
     }
 }
 
+/// How many calls of each kind were made since the start, failed ones too.
+#[derive(Debug, Default)]
+pub struct CallCounts([AtomicU64; CallKind::ALL.len()]);
+
+impl CallCounts {
+    pub fn of(&self, kind: CallKind) -> u64 {
+        self.0[kind as usize].load(Ordering::Relaxed)
+    }
+}
+
 /// A platform whose calls are counted.
 pub struct CountedPlatform {
     inner: Arc<dyn Platform>,
-    calls: [AtomicU64; CallKind::ALL.len()],
+    counts: Arc<CallCounts>,
 }
 
 impl CountedPlatform {
-    pub fn new(inner: Arc<dyn Platform>) -> CountedPlatform {
-        CountedPlatform { inner, calls: Default::default() }
-    }
-
-    /// Calls made since the start, failed ones too.
-    pub fn calls(&self, kind: CallKind) -> u64 {
-        self.calls[kind as usize].load(Ordering::Relaxed)
+    pub fn new(inner: Arc<dyn Platform>, counts: Arc<CallCounts>) -> CountedPlatform {
+        CountedPlatform { inner, counts }
     }
 
     fn count(&self, kind: CallKind) -> &dyn Platform {
-        self.calls[kind as usize].fetch_add(1, Ordering::Relaxed);
+        self.counts.0[kind as usize].fetch_add(1, Ordering::Relaxed);
         self.inner.as_ref()
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,6 +21,6 @@
 mod tests;
 
 pub use api::{Change, Changes, Object, Platform, PlatformError, PlatformResult};
-pub use counted::{CallKind, CountedPlatform};
+pub use counted::{CallCounts, CallKind, CountedPlatform};
 pub use follower::{Follower, FollowerTimes};
 pub use http::{HttpPlatform, Timeouts};
--- a/crates/platform/src/tests/follower.rs
+++ b/crates/platform/src/tests/follower.rs
@@ -12,8 +12,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    CallKind, Change, Changes, CountedPlatform, Follower, FollowerTimes, Object, Platform,
-    PlatformError, PlatformResult,
+    CallCounts, CallKind, Change, Changes, CountedPlatform, Follower, FollowerTimes, Object,
+    Platform, PlatformError, PlatformResult,
 };
 
 /// What the platform says to one list or watch.
@@ -139,12 +139,13 @@
 
 /// The calls of a follower in a minute of a platform that never has news.
 async fn calls_a_minute(script: &[Say], waits: bool) -> u64 {
-    let platform = Arc::new(CountedPlatform::new(scripted(script, waits)));
-    let mut follower = Follower::new(platform.clone(), "accepted/", FollowerTimes::default());
+    let counts: Arc<CallCounts> = Arc::default();
+    let platform = CountedPlatform::new(scripted(script, waits), Arc::clone(&counts));
+    let mut follower = Follower::new(Arc::new(platform), "accepted/", FollowerTimes::default());
     let end = Instant::now() + Duration::from_secs(60);
     while tokio::time::timeout_at(end, follower.next()).await.is_ok() {}
-    assert_eq!(platform.calls(CallKind::Read) + platform.calls(CallKind::Update), 0);
-    platform.calls(CallKind::List) + platform.calls(CallKind::Watch)
+    assert_eq!(counts.of(CallKind::Read) + counts.of(CallKind::Update), 0);
+    counts.of(CallKind::List) + counts.of(CallKind::Watch)
 }
 
 #[tokio::test(start_paused = true)]
