Coordinators' watches cost a bounded number of calls

A platform that ends each watch at once was asked again each tick of 25 ms by every coordinator, and in an outage each coordinator called about 1.3 times a second and watch. Now 10 a second and watch at the most, and a pause of up to 4 s in an outage. A test counts the watches of a minute for a platform that answers, ends at once, fails and is silent.

--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -2,3 +2,4 @@
 
 mod documents;
 mod pace;
+mod watch;
--- a/crates/agent/src/control/watch.rs
+++ b/crates/agent/src/control/watch.rs
@@ -15,8 +15,11 @@
     state::Control,
 };
 
-/// After a failed watch, the next one starts after one to two of these.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// After a failed watch, the next one starts after one to two of the first; the pause doubles with
+/// each further failure up to the second, so that an outage is no rush.
+const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(2)];
+/// The least time between the starts of two watches, even if the platform ends each at once.
+const WATCH_EVERY_MIN: Duration = Duration::from_millis(100);
 /// A watch that is silent for this much longer than it may wait is given up and renewed.
 const SILENCE_MARGIN: Duration = Duration::from_secs(5);
 
@@ -26,13 +29,44 @@
     accepted: Watch,
 }
 
+/// One watch after another of one prefix.
 #[derive(Debug, Default)]
-struct Watch {
+pub(super) struct Watch {
     /// What the platform last said; none: list first.
     after: Option<ObjectVersion>,
     /// Waiting since.
     running: Option<Timestamp>,
     not_before: Timestamp,
+    /// The pause after the next failure.
+    pause: Duration,
+}
+
+impl Watch {
+    /// Whether a call is to be made now; notes that it is.
+    pub(super) fn begin(&mut self, now: Timestamp) -> bool {
+        let silent = |it: &Timestamp| now.since(*it) > WATCH_WAIT + SILENCE_MARGIN;
+        if self.running.is_some_and(|it| !silent(&it)) || now < self.not_before {
+            return false;
+        }
+        self.running = Some(now);
+        self.not_before = now + WATCH_EVERY_MIN;
+        true
+    }
+
+    pub(super) fn answered(&mut self, revision: ObjectVersion) {
+        self.running = None;
+        self.after = Some(self.after.map_or(revision, |it| it.max(revision)));
+        self.pause = RETRY_AFTER[0];
+    }
+
+    /// `jitter` is drawn from 1 to 2.
+    pub(super) fn failed(&mut self, now: Timestamp, jitter: f64) {
+        self.running = None;
+        let [least, most] = RETRY_AFTER;
+        let pause = self.pause.clamp(least, most);
+        self.not_before = now + pause.mul_f64(jitter);
+        self.pause = pause * 2;
+    }
 }
 
 impl Control {
@@ -43,12 +77,9 @@
         }
         for prefix in [WatchPrefix::Document(self.service().clone()), WatchPrefix::Accepted] {
             let watch = self.watch_of(&prefix);
-            let silent =
-                watch.running.is_some_and(|it| now.since(it) > WATCH_WAIT + SILENCE_MARGIN);
-            if (watch.running.is_some() && !silent) || now < watch.not_before {
+            if !watch.begin(now) {
                 continue;
             }
-            watch.running = Some(now);
             match watch.after {
                 Some(after) => self.parts.calls.watch(prefix, after),
                 None => self.parts.calls.list(prefix),
@@ -60,11 +91,9 @@
         let now = self.now();
         let jitter = self.rng.random_range(1.0..2.0);
         let watch = self.watch_of(&prefix);
-        watch.running = None;
         match result {
             Ok(changes) => {
-                watch.after =
-                    Some(watch.after.map_or(changes.revision, |it| it.max(changes.revision)));
+                watch.answered(changes.revision);
                 match prefix {
                     WatchPrefix::Document(service) => self.document_changed(&service, &changes),
                     WatchPrefix::Accepted => self.accepted_changed(&changes),
@@ -72,7 +101,7 @@
             }
             Err(error) => {
                 log::debug!(target: "config", "{error}.");
-                watch.not_before = now + RETRY_AFTER.mul_f64(jitter);
+                watch.failed(now, jitter);
             }
         }
     }
