--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -5,3 +5,4 @@
 mod fleet;
 mod pace;
 mod platform;
+mod watch;
