A resend is never told 'not run'; an upstream's own giving up is unknown; linger at the stop

Change: where an earlier sending may have run the end is unknown with retry-after, and the stand-in caller asks again then; a 504 at the deadline given is unknown; 250 ms between closing the listener and the end.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -96,8 +96,10 @@
         let mut attempts = Attempts::default();
         let mut trail = Trail::default();
         let mut fresh = true;
-        // An earlier try may have run, whatever the later ones say.
-        let mut unknown: Option<UnknownReason> = None;
+        // An earlier try, or an earlier sending of the caller's, may have run, whatever the later
+        // ones say.
+        let earlier = (!request.age.is_zero()).then_some(UnknownReason::NoRecord);
+        let mut unknown: Option<UnknownReason> = earlier;
         loop {
             let Some(routes) = self.routes(&request.service) else {
                 let reply = GateReply::not_run(NotRunReason::Unreachable);
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -2,6 +2,7 @@
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
+use http::StatusCode;
 use model::{Instance, KeyHash, NotRunReason, RequestId, Slot, Timestamp, Token, UnknownReason};
 use ownership::FenceCheck;
 use tokio::{
@@ -29,6 +30,8 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(5);
 /// How long the members of a service may differ about who they are.
 const MEMBERS_LAG_MAX: Duration = Duration::from_secs(1);
+/// How much earlier than it was told an upstream may give up: it counts in whole milliseconds.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(5);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 /// The unit of records of a service that is not divided by key.
 const WHOLE_SERVICE: RecordUnit = RecordUnit::Slot(Slot(0));
@@ -308,6 +311,11 @@
         }
         gate.metrics.upstream(&self.bound.document.team, &self.request.class, ended.since(started));
         match result {
+            // The deadline that it gave up at may be that of the lease, not the caller's.
+            Ended::Answered(answer) if gave_up(&answer, ended, until) => {
+                gate.sign(ended);
+                GateReply::unknown(UnknownReason::DeadlineExceeded)
+            }
             Ended::Answered(answer) => {
                 gate.sign(ended);
                 permit.completion = Completion::Answered;
@@ -376,6 +384,11 @@
     request.age + request.held
 }
 
+/// The upstream says that it gave up, at its deadline.
+fn gave_up(answer: &upstream::Answer, ended: Timestamp, until: Timestamp) -> bool {
+    answer.status == StatusCode::GATEWAY_TIMEOUT && ended + GIVE_UP_MARGIN >= until
+}
+
 fn fence_check(bound: &Bound) -> FenceCheck {
     // Both must say so: the document is what the team answers for.
     match bound.document.upstream.checks_fence && bound.announcement.checks_fence {
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -25,6 +25,9 @@
 /// How often the stop looks whether everything in flight has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 
+/// How long after closing the listener requests are still taken, to be refused.
+const LINGER: Duration = Duration::from_millis(250);
+
 /// What the traffic plane is made from.
 pub(crate) struct PlaneParts {
     pub(crate) own: Instance,
@@ -116,6 +119,8 @@
         }
         self.ingress.close();
         self.closing.send_replace(true);
+        // A request may be on its way on a connection that has just been accepted.
+        sleep(LINGER).await;
         while self.ingress.in_flight() > 0 || self.gate.in_flight() > 0 {
             sleep(DRAIN_POLL).await;
         }
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -86,6 +86,11 @@
         self.started.add_permits(1);
         match op.as_str() {
             "hold" => self.release.acquire().await.unwrap().forget(),
+            "give-up" => {
+                tokio::time::sleep(request.remaining).await;
+                let status = StatusCode::GATEWAY_TIMEOUT;
+                return Ok(Answer { status, headers: HeaderMap::new(), body: Bytes::new() });
+            }
             "lost" => {
                 return Err(CallError::Lost { step: "call", peer, reason: "cut".to_owned() });
             }
--- a/crates/agent/src/tests/gate.rs
+++ b/crates/agent/src/tests/gate.rs
@@ -87,6 +87,24 @@
     assert_eq!(agent.upstream.ran().len(), usize::from(outcome == "answered"));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstream_that_gives_up_at_its_deadline_is_unknown() {
+    let agent = owner().await;
+    let deadline = Duration::from_millis(100);
+    let answer = agent.call(Call { deadline, ..post("give-up", 1) }).await;
+    check(&answer, 504, "unknown; reason=deadline-exceeded");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resend_that_is_refused_is_not_told_not_run() {
+    let agent = owner().await;
+    check(&agent.call(get("lost", 1)).await, 502, "unknown; reason=connection-lost");
+    let age = Some(Duration::from_millis(5));
+    let answer = agent.call(Call { age, ..get("refuse", 1) }).await;
+    check(&answer, 502, "unknown; reason=no-record");
+    assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn refused_by_the_upstream_may_run_later() {
     let agent = owner().await;
--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -102,7 +102,11 @@
             if !matches!(result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected) {
                 first_unsure.get_or_insert(sent);
             }
-            let next = next(&result, request.idempotent);
+            let next = match (&result, retry_after) {
+                // The agent asks for the same id again: it may have the first answer then.
+                (AttemptResult::Unknown { .. }, Some(_)) => Next::Same,
+                _ => next(&result, request.idempotent),
+            };
             let ended_ns = wall_ns();
             attempts.push(Attempt { target: address, sent_ns, ended_ns, result });
             if next == Next::Done || !self.rules.resend {
