--- a/crates/client/src/commands/status.rs
+++ b/crates/client/src/commands/status.rs
@@ -30,7 +30,7 @@
         None => ALL_PREFIX.to_owned(),
     };
     let mut statuses = Vec::new();
-    merge(&mut statuses, store.list(&prefix).await?)?;
+    merge(&mut statuses, store.list(&prefix).await?.changes)?;
     statuses.sort_by(|a, b| a.0.cmp(&b.0));
     let groups: Vec<&Status> = statuses.iter().map(|it| &it.1).collect();
     match &args.service {
@@ -131,13 +131,12 @@
 }
 
 fn hot_keys(status: &Status) -> String {
-    let mut table = Table::new(&["HOT KEY", "OWNER", "LOAD"]);
+    let mut table = Table::new(&["HOT KEY", "OWNER"]);
     for key in &status.hot_keys {
         let owner = key.owner.as_ref();
         table.row(&[
             format!("{:016x}", key.key_hash.0),
             owner.map_or("that of its slot".to_owned(), |it| it.to_string()),
-            load(key.load_us_per_s),
         ]);
     }
     table.render()
@@ -168,7 +167,6 @@
         UpstreamStateName::Starting => "starting",
         UpstreamStateName::Ready => "ready",
         UpstreamStateName::Draining => "draining",
-        UpstreamStateName::Ejected => "ejected",
         UpstreamStateName::Lost => "lost",
     }
 }
--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -87,21 +87,16 @@
     pub async fn call(&self, request: &CallRequest, first_target: usize) -> CallRecord {
         let mut rng = Pcg64Mcg::seed_from_u64(request.id.0 as u64);
         let first_sent = Instant::now();
-        // What ended as not run has left no trace: the next sending counts as the first.
-        let mut first_unsure: Option<Instant> = None;
         let mut target = first_target;
         let mut attempts: Vec<Attempt> = Vec::new();
         loop {
-            let sent = Instant::now();
-            let age = first_unsure.map(|it| it.elapsed());
+            let age = may_have_run_since_ns(&attempts)
+                .map(|since_ns| Duration::from_nanos(wall_ns().saturating_sub(since_ns)));
             let address = self.targets[target % self.targets.len()];
             let sent_ns = wall_ns();
             let patience = request.deadline + self.rules.margin;
             let Ending { result, retry_after } =
                 self.client.attempt(address, request, age, patience, self.rules.peer).await;
-            if !matches!(result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected) {
-                first_unsure.get_or_insert(sent);
-            }
             let next = match (&result, retry_after) {
                 // The agent asks for the same id again: it may have the first answer then.
                 (AttemptResult::Unknown { .. }, Some(_)) => Next::Same,
@@ -160,11 +155,18 @@
     }
 }
 
+/// When the first sending was sent that may have run. Those before it provably did not, so that the
+/// next one counts as a first sending.
+pub(crate) fn may_have_run_since_ns(attempts: &[Attempt]) -> Option<u64> {
+    attempts.iter().find(|it| !is_safe(it)).map(|it| it.sent_ns)
+}
+
+fn is_safe(attempt: &Attempt) -> bool {
+    matches!(attempt.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
+}
+
 /// What the caller holds to be true in the end.
 pub(crate) fn final_outcome(attempts: &[Attempt]) -> FinalOutcome {
-    let is_safe = |it: &Attempt| {
-        matches!(it.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
-    };
     match attempts.last().map(|it| &it.result) {
         Some(AttemptResult::Answered | AttemptResult::Crossed) => FinalOutcome::Answered,
         Some(AttemptResult::NotRun { .. }) => FinalOutcome::NotRun,
