--- a/crates/agent/src/gate/records.rs
+++ b/crates/agent/src/gate/records.rs
@@ -35,8 +35,8 @@
 enum Opened {
     /// Handed over by a former owner, and not used yet.
     Imported { at: Timestamp },
-    /// In use under this grant.
-    Granted { token: Token, epoch: u64 },
+    /// In use since a grant of this token.
+    Granted { lineage: Token, epoch: u64 },
 }
 
 #[derive(Debug)]
@@ -217,11 +217,11 @@
         key: &RequestKey,
         import_max: Duration,
     ) -> u64 {
-        let Admittance { unit, grant, returned } = *admittance;
+        let Admittance { unit, grant, returned, .. } = *admittance;
         let epoch = match self.units.get(&unit) {
-            Some(Opened::Granted { token, epoch }) if *token == grant.token => *epoch,
+            Some(Opened::Granted { lineage, epoch }) if *lineage == grant.lineage => *epoch,
             Some(Opened::Imported { at }) if grant.since.since(*at) <= import_max => {
-                self.opened(unit, grant.token)
+                self.opened(unit, grant.lineage)
             }
             _ => {
                 self.records.export(now, unit);
@@ -229,7 +229,7 @@
                     Some(slot) => self.split(now, unit, slot, key.key_hash),
                     None => self.records.open(grant.since, unit),
                 }
-                self.opened(unit, grant.token)
+                self.opened(unit, grant.lineage)
             }
         };
         if let (RecordUnit::Slot(_), Some(returned)) = (unit, returned) {
@@ -238,9 +238,9 @@
         epoch
     }
 
-    fn opened(&mut self, unit: RecordUnit, token: Token) -> u64 {
+    fn opened(&mut self, unit: RecordUnit, lineage: Token) -> u64 {
         self.epoch += 1;
-        self.units.insert(unit, Opened::Granted { token, epoch: self.epoch });
+        self.units.insert(unit, Opened::Granted { lineage, epoch: self.epoch });
         self.epoch
     }
 
@@ -248,7 +248,7 @@
     fn own_slot(&self, table: &GateTable, unit: RecordUnit, slot: Slot) -> Option<RecordUnit> {
         let RecordUnit::Key(_) = unit else { return None };
         match self.units.get(&RecordUnit::Slot(slot)) {
-            Some(Opened::Granted { token, .. }) if table.holds_slot(slot, *token) => {
+            Some(Opened::Granted { lineage, .. }) if table.holds_slot(slot, *lineage) => {
                 Some(RecordUnit::Slot(slot))
             }
             _ => None,
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -108,8 +108,9 @@
             return GateReply::NotOwner { owner: Some(owner), route_version: 0 };
         }
         let now = self.clock.now();
-        let grant = Grant { token: Token::default(), since: Timestamp::ZERO };
-        let admittance = Admittance { unit: WHOLE_SERVICE, grant, returned: None };
+        let fence = Token::default();
+        let grant = Grant { token: fence, lineage: fence, since: Timestamp::ZERO };
+        let admittance = Admittance { unit: WHOLE_SERVICE, grant, fence, returned: None };
         let key_hash = KeyHash(request.id.0 as u64);
         let key = RequestKey { key_hash, slot: Slot(0), id: request.id, age: known_age(request) };
         let passage = Passage { gate: self, bound, request, deadline, entry: None };
--- a/crates/agent/src/gate/table.rs
+++ b/crates/agent/src/gate/table.rs
@@ -18,14 +18,28 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Grant {
     pub(crate) token: Token,
+    /// The first token since when it has been held without a gap.
+    pub(crate) lineage: Token,
     pub(crate) since: Timestamp,
 }
 
+impl Grant {
+    /// A grant of what is held already goes on with it.
+    fn next(former: Option<Grant>, token: Token, now: Timestamp) -> Grant {
+        match former {
+            Some(former) => Grant { token, ..former },
+            None => Grant { token, lineage: token, since: now },
+        }
+    }
+}
+
 /// What a request is admitted under.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Admittance {
     pub(crate) unit: RecordUnit,
     pub(crate) grant: Grant,
+    /// What the upstream is given: never lower than it has seen for this key.
+    pub(crate) fence: Token,
     /// When the key came back to its slot after it was owned apart.
     pub(crate) returned: Option<Timestamp>,
 }
@@ -38,6 +52,8 @@
     /// Keys refused though their slot may be admitted, and who owns them.
     excluded: HashMap<KeyHash, Option<Instance>>,
     returned: HashMap<KeyHash, Timestamp>,
+    /// The highest tokens of keys that were owned apart from their slot.
+    floors: HashMap<KeyHash, Token>,
 }
 
 /// Why a key is not admitted.
@@ -49,15 +65,18 @@
 
 impl Admitted {
     fn admittance(&self, slot: Slot, key_hash: KeyHash) -> Result<Admittance, NotAdmitted> {
+        let floor = self.floors.get(&key_hash).copied().unwrap_or_default();
         match (self.keys.get(&key_hash), self.excluded.get(&key_hash), self.slots.get(&slot)) {
             (Some(grant), _, _) => {
                 let unit = RecordUnit::Key(key_hash);
-                Ok(Admittance { unit, grant: *grant, returned: None })
+                let fence = grant.token.max(floor);
+                Ok(Admittance { unit, grant: *grant, fence, returned: None })
             }
             (None, Some(owner), _) => Err(NotAdmitted { owner: owner.clone() }),
             (None, None, Some(grant)) => Ok(Admittance {
                 unit: RecordUnit::Slot(slot),
                 grant: *grant,
+                fence: grant.token.max(floor),
                 returned: self.returned.get(&key_hash).copied(),
             }),
             (None, None, None) => Err(NotAdmitted { owner: None }),
@@ -65,20 +84,25 @@
     }
 
     fn change(&mut self, now: Timestamp, command: &GateCommand) {
-        let grant = |token: &Token| Grant { token: *token, since: now };
         match command {
             GateCommand::Lease { .. } | GateCommand::Prepare { .. } => {}
-            GateCommand::Admit { slot, token } => drop(self.slots.insert(*slot, grant(token))),
+            GateCommand::Admit { slot, token } => {
+                let former = self.slots.get(slot).copied();
+                self.slots.insert(*slot, Grant::next(former, *token, now));
+            }
             GateCommand::AdmitKey { key_hash, token } => {
                 self.excluded.remove(key_hash);
-                self.keys.insert(*key_hash, grant(token));
+                let former = self.keys.get(key_hash).copied();
+                self.keys.insert(*key_hash, Grant::next(former, *token, now));
+                self.raise_floor(*key_hash, *token);
             }
             GateCommand::ExcludeKey { key_hash, owner } => {
                 self.keys.remove(key_hash);
                 self.excluded.insert(*key_hash, Some(owner.clone()));
             }
-            GateCommand::CloseKey { key_hash, to, .. } => {
+            GateCommand::CloseKey { key_hash, token, to } => {
                 self.keys.remove(key_hash);
+                self.raise_floor(*key_hash, *token);
                 self.excluded.insert(*key_hash, to.clone());
             }
             GateCommand::ForgetKey { key_hash } => {
@@ -90,6 +114,11 @@
             GateCommand::DropAll => *self = Admitted::default(),
         }
     }
+
+    fn raise_floor(&mut self, key_hash: KeyHash, token: Token) {
+        let floor = self.floors.entry(key_hash).or_default();
+        *floor = token.max(*floor);
+    }
 }
 
 /// The admitted set, the lease over it and what is in flight.
@@ -138,11 +167,13 @@
     /// same grant and that the lease holds.
     pub(crate) fn clear(&self, now: Timestamp) -> Result<Clearance, NotAdmitted> {
         let until = self.table.lease_until();
-        let admittance = self.table.peek(self.slot, self.key_hash)?;
-        if now >= until || admittance != self.admittance || self.is_dropped() {
+        let now_admitted = self.table.peek(self.slot, self.key_hash)?;
+        let same = now_admitted.unit == self.admittance.unit
+            && now_admitted.grant.lineage == self.admittance.grant.lineage;
+        if now >= until || !same || self.is_dropped() {
             return Err(NotAdmitted { owner: None });
         }
-        Ok(Clearance { token: admittance.grant.token, checked_at: now, lease_until: until })
+        Ok(Clearance { token: now_admitted.fence, checked_at: now, lease_until: until })
     }
 
     /// Must end at once: its unit is to be closed and it has run too long.
@@ -224,9 +255,9 @@
         self.admitted.load().admittance(slot, key_hash)
     }
 
-    /// Whether a slot is held under this token.
-    pub(crate) fn holds_slot(&self, slot: Slot, token: Token) -> bool {
-        self.admitted.load().slots.get(&slot).is_some_and(|it| it.token == token)
+    /// Whether a slot has been held without a gap since this token.
+    pub(crate) fn holds_slot(&self, slot: Slot, lineage: Token) -> bool {
+        self.admitted.load().slots.get(&slot).is_some_and(|it| it.lineage == lineage)
     }
 
     /// Counts a request as in flight if its key is admitted.
--- a/crates/agent/src/tests/gate.rs
+++ b/crates/agent/src/tests/gate.rs
@@ -192,3 +192,24 @@
     assert_eq!(at_a + at_b, 20);
     assert!(at_a > 0 && at_b > 0, "{at_a} and {at_b}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hot_key_that_comes_and_goes_keeps_its_records_and_rising_tokens() {
+    let agent = owner().await;
+    let key_hash = model::key_hash(b"car-7");
+    check(&agent.call(post("echo", 1)).await, 200, "answered");
+    agent.gate.apply(&[GateCommand::AdmitKey { key_hash, token: super::fakes::token(9) }]);
+    check(&agent.call(post("echo", 2)).await, 200, "answered");
+    agent.gate.apply(&[GateCommand::ForgetKey { key_hash }]);
+    check(&agent.call(post("echo", 3)).await, 200, "answered");
+    // The slot is granted anew without a gap.
+    agent.grant_all(12);
+    let age = Some(Duration::from_millis(5));
+    for id in 1..4 {
+        check(&agent.call(Call { age, ..post("echo", id) }).await, 200, "answered");
+    }
+    check(&agent.call(post("echo", 4)).await, 200, "answered");
+    assert_eq!(agent.upstream.ran(), [1, 2, 3, 4].map(RequestId));
+    let tokens = agent.upstream.tokens.lock().unwrap().clone();
+    assert_eq!(tokens, [1, 9, 9, 12].map(|it| Some(super::fakes::token(it))));
+}
