--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -2,6 +2,7 @@
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
+use http::StatusCode;
 use model::{Instance, KeyHash, NotRunReason, RequestId, Slot, Timestamp, Token, UnknownReason};
 use ownership::FenceCheck;
 use tokio::{
@@ -29,6 +30,8 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(5);
 /// How long the members of a service may differ about who they are.
 const MEMBERS_LAG_MAX: Duration = Duration::from_secs(1);
+/// How much earlier than it was told an upstream may give up: it counts in whole milliseconds.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(5);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 /// The unit of records of a service that is not divided by key.
 const WHOLE_SERVICE: RecordUnit = RecordUnit::Slot(Slot(0));
@@ -105,8 +108,9 @@
             return GateReply::NotOwner { owner: Some(owner), route_version: 0 };
         }
         let now = self.clock.now();
-        let grant = Grant { token: Token::default(), since: Timestamp::ZERO };
-        let admittance = Admittance { unit: WHOLE_SERVICE, grant, returned: None };
+        let fence = Token::default();
+        let grant = Grant { token: fence, lineage: fence, since: Timestamp::ZERO };
+        let admittance = Admittance { unit: WHOLE_SERVICE, grant, fence, returned: None };
         let key_hash = KeyHash(request.id.0 as u64);
         let key = RequestKey { key_hash, slot: Slot(0), id: request.id, age: known_age(request) };
         let passage = Passage { gate: self, bound, request, deadline, entry: None };
@@ -308,6 +312,11 @@
         }
         gate.metrics.upstream(&self.bound.document.team, &self.request.class, ended.since(started));
         match result {
+            // The deadline that it gave up at may be that of the lease, not the caller's.
+            Ended::Answered(answer) if gave_up(&answer, ended, until) => {
+                gate.sign(ended);
+                GateReply::unknown(UnknownReason::DeadlineExceeded)
+            }
             Ended::Answered(answer) => {
                 gate.sign(ended);
                 permit.completion = Completion::Answered;
@@ -376,6 +385,11 @@
     request.age + request.held
 }
 
+/// The upstream says that it gave up, at its deadline.
+fn gave_up(answer: &upstream::Answer, ended: Timestamp, until: Timestamp) -> bool {
+    answer.status == StatusCode::GATEWAY_TIMEOUT && ended + GIVE_UP_MARGIN >= until
+}
+
 fn fence_check(bound: &Bound) -> FenceCheck {
     // Both must say so: the document is what the team answers for.
     match bound.document.upstream.checks_fence && bound.announcement.checks_fence {
--- a/crates/agent/src/tests/gate.rs
+++ b/crates/agent/src/tests/gate.rs
@@ -87,6 +87,24 @@
     assert_eq!(agent.upstream.ran().len(), usize::from(outcome == "answered"));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstream_that_gives_up_at_its_deadline_is_unknown() {
+    let agent = owner().await;
+    let deadline = Duration::from_millis(100);
+    let answer = agent.call(Call { deadline, ..post("give-up", 1) }).await;
+    check(&answer, 504, "unknown; reason=deadline-exceeded");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resend_that_is_refused_is_not_told_not_run() {
+    let agent = owner().await;
+    check(&agent.call(get("lost", 1)).await, 502, "unknown; reason=connection-lost");
+    let age = Some(Duration::from_millis(5));
+    let answer = agent.call(Call { age, ..get("refuse", 1) }).await;
+    check(&answer, 502, "unknown; reason=no-record");
+    assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn refused_by_the_upstream_may_run_later() {
     let agent = owner().await;
@@ -174,3 +192,24 @@
     assert_eq!(at_a + at_b, 20);
     assert!(at_a > 0 && at_b > 0, "{at_a} and {at_b}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hot_key_that_comes_and_goes_keeps_its_records_and_rising_tokens() {
+    let agent = owner().await;
+    let key_hash = model::key_hash(b"car-7");
+    check(&agent.call(post("echo", 1)).await, 200, "answered");
+    agent.gate.apply(&[GateCommand::AdmitKey { key_hash, token: super::fakes::token(9) }]);
+    check(&agent.call(post("echo", 2)).await, 200, "answered");
+    agent.gate.apply(&[GateCommand::ForgetKey { key_hash }]);
+    check(&agent.call(post("echo", 3)).await, 200, "answered");
+    // The slot is granted anew without a gap.
+    agent.grant_all(12);
+    let age = Some(Duration::from_millis(5));
+    for id in 1..4 {
+        check(&agent.call(Call { age, ..post("echo", id) }).await, 200, "answered");
+    }
+    check(&agent.call(post("echo", 4)).await, 200, "answered");
+    assert_eq!(agent.upstream.ran(), [1, 2, 3, 4].map(RequestId));
+    let tokens = agent.upstream.tokens.lock().unwrap().clone();
+    assert_eq!(tokens, [1, 9, 9, 12].map(|it| Some(super::fakes::token(it))));
+}
