Failures of a service are told apart from broken answers

Such answers now name their request too and are checked like all others; the request counts as unknown.

--- a/crates/standins/src/caller/attempt.rs
+++ b/crates/standins/src/caller/attempt.rs
@@ -115,7 +115,8 @@
     Ending { result, retry_after }
 }
 
-/// What an answer means. A service's own errors count as answers too, but the stand-in has none.
+/// What an answer means. One that tells of a failure in the service is checked as well; the request
+/// may have run in part.
 pub(crate) fn classify(
     status: StatusCode,
     outcome: Option<&str>,
@@ -125,9 +126,11 @@
     let outcome = outcome.unwrap_or_default();
     let (kind, reason) = outcome.split_once("; reason=").unwrap_or((outcome, ""));
     let reason = reason.to_owned();
+    let filler_bytes = if status.is_success() { request.answer_bytes } else { 0 };
     match kind {
-        "answered" => match check_answer(body, request.id, &request.key, request.answer_bytes) {
-            Ok(()) => AttemptResult::Answered,
+        "answered" => match check_answer(body, request.id, &request.key, filler_bytes) {
+            Ok(()) if status.is_success() => AttemptResult::Answered,
+            Ok(()) => AttemptResult::Unknown { reason: format!("service-{}", status.as_u16()) },
             Err(AnswerFault::Crossed) => AttemptResult::Crossed,
             Err(AnswerFault::Broken) => AttemptResult::Broken,
         },
--- a/crates/standins/src/caller/tests.rs
+++ b/crates/standins/src/caller/tests.rs
@@ -1,9 +1,19 @@
 //! Tests of what callers make of the ends of their sendings.
 
-use crate::journal::{Attempt, AttemptResult, FinalOutcome};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use model::RequestId;
+
+use crate::{
+    answer::encode_answer,
+    journal::{Attempt, AttemptResult, FinalOutcome},
+};
 
 use super::{
-    RouteMix,
+    CallRequest, RouteMix,
+    attempt::classify,
     call::{Next, final_outcome, may_have_run_since_ns, next},
 };
 
@@ -67,3 +77,34 @@
     assert_eq!((route.class(), route.idempotent), ("penalty", false));
     assert!("POST:/racecontrol".parse::<RouteMix>().is_err());
 }
+
+#[test]
+fn answers_are_checked_whatever_their_status() {
+    let request = CallRequest {
+        id: RequestId(7),
+        method: Method::GET,
+        service: "s".to_owned(),
+        path: "/s/lap".to_owned(),
+        key: "car-7".to_owned(),
+        class: "lap".to_owned(),
+        idempotent: true,
+        deadline: Duration::from_secs(1),
+        answer_bytes: 5,
+        body: Bytes::new(),
+    };
+    let check = |status: u16, outcome, body: &[u8], expected| {
+        let status = StatusCode::from_u16(status).unwrap();
+        assert_eq!(classify(status, outcome, body, &request), expected);
+    };
+    let whole = encode_answer(RequestId(7), "car-7", 5);
+    let failed = encode_answer(RequestId(7), "car-7", 0);
+    let other = encode_answer(RequestId(8), "car-7", 5);
+    check(200, Some("answered"), &whole, AttemptResult::Answered);
+    check(200, Some("answered"), &failed, AttemptResult::Broken);
+    check(200, Some("answered"), &other, AttemptResult::Crossed);
+    check(200, None, &whole, AttemptResult::NoOutcome { status: 200 });
+    let service = AttemptResult::Unknown { reason: "service-504".to_owned() };
+    check(504, Some("answered"), &failed, service);
+    check(504, Some("answered"), b"cut", AttemptResult::Broken);
+    check(503, Some("not-run; reason=no-owner"), b"", not_run("no-owner"));
+}
--- a/crates/standins/src/upstream/execution.rs
+++ b/crates/standins/src/upstream/execution.rs
@@ -136,15 +136,13 @@
             _ => wall_ns(),
         };
         self.end(at_ns, end);
-        match end {
-            RunEnd::Ran => {
-                let body = encode_answer(call.id, &call.key, call.answer_bytes);
-                let response = answer(StatusCode::OK, body);
-                with_header(response, KEY, &call.key)
-            }
-            RunEnd::Cancelled => answer(StatusCode::INTERNAL_SERVER_ERROR, "cancelled"),
-            RunEnd::DeadlineExceeded => answer(StatusCode::GATEWAY_TIMEOUT, "deadline exceeded"),
-        }
+        let (status, answer_bytes) = match end {
+            RunEnd::Ran => (StatusCode::OK, call.answer_bytes),
+            RunEnd::Cancelled => (StatusCode::INTERNAL_SERVER_ERROR, 0),
+            RunEnd::DeadlineExceeded => (StatusCode::GATEWAY_TIMEOUT, 0),
+        };
+        let response = answer(status, encode_answer(call.id, &call.key, answer_bytes));
+        with_header(response, KEY, &call.key)
     }
 
     /// The deadline is looked at first: a process that was frozen past it does nothing more.
