--- a/crates/standins/src/caller/load.rs
+++ b/crates/standins/src/caller/load.rs
@@ -57,7 +57,6 @@
 
 struct Shared {
     load: Load,
-    caller: Caller,
     journal: JournalWriter,
     records: Mutex<Vec<CallRecord>>,
 }
@@ -66,9 +65,7 @@
 pub async fn run_load(load: Load, start: Instant) -> anyhow::Result<LoadReport> {
     anyhow::ensure!(!load.targets.is_empty(), "a load needs an agent to call");
     anyhow::ensure!(!load.keys.is_empty() && !load.routes.is_empty(), "a load needs keys, routes");
-    let client = AgentClient::new()?;
     let shared = Arc::new(Shared {
-        caller: Caller { client, targets: load.targets.clone(), rules: load.rules.clone() },
         journal: JournalWriter::open(&load.journal)?,
         records: Mutex::default(),
         load,
@@ -86,6 +83,12 @@
 
 async fn run_caller(shared: Arc<Shared>, index: usize, start: Instant) -> anyhow::Result<()> {
     let load = &shared.load;
+    // Callers are apart from each other, so each has connections of its own.
+    let caller = Arc::new(Caller {
+        client: AgentClient::new()?,
+        targets: load.targets.clone(),
+        rules: load.rules.clone(),
+    });
     let mut rng = Pcg64Mcg::seed_from_u64(load.seed ^ ((index as u64) << 32));
     let end = start + load.duration;
     sleep_until(start).await;
@@ -93,7 +96,7 @@
         Pace::Closed => {
             while Instant::now() < end {
                 let request = load.draw(&mut rng);
-                shared.send(request, index).await?;
+                shared.send(&caller, request, index).await?;
             }
         }
         Pace::Rate { requests_per_s } => {
@@ -105,8 +108,8 @@
             while due < end {
                 sleep_until(due).await;
                 let request = load.draw(&mut rng);
-                let shared = Arc::clone(&shared);
-                calls.spawn(async move { shared.send(request, index).await });
+                let (shared, caller) = (Arc::clone(&shared), Arc::clone(&caller));
+                calls.spawn(async move { shared.send(&caller, request, index).await });
                 due += interval;
                 while let Some(ended) = calls.try_join_next() {
                     ended.context("a call broke off")??;
@@ -121,8 +124,13 @@
 }
 
 impl Shared {
-    async fn send(&self, request: CallRequest, first_target: usize) -> anyhow::Result<()> {
-        let record = self.caller.call(&request, first_target).await;
+    async fn send(
+        &self,
+        caller: &Caller,
+        request: CallRequest,
+        first_target: usize,
+    ) -> anyhow::Result<()> {
+        let record = caller.call(&request, first_target).await;
         self.journal.append(&record)?;
         self.lock_records().push(record);
         Ok(())
--- a/xtask/src/bench/faults/mod.rs
+++ b/xtask/src/bench/faults/mod.rs
@@ -35,7 +35,8 @@
 /// Runs all scenarios, or the one that is asked for.
 pub(crate) async fn run(options: &BenchOptions) -> anyhow::Result<FaultsReport> {
     let binaries = Binaries::build(Profile::Release)?;
-    let wanted = |it: &&Scenario| options.case.is_empty() || options.case == it.name;
+    let cases: Vec<&str> = options.case.split(',').collect();
+    let wanted = |it: &&Scenario| options.case.is_empty() || cases.contains(&it.name);
     let mut scenarios = Vec::new();
     for scenario in SCENARIOS.iter().filter(wanted) {
         scenarios.push(repeat(scenario, &binaries, options).await?);
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -38,7 +38,7 @@
     seed: u64,
     #[options(no_short, help = "how often each case is repeated", default = "3")]
     repeats: usize,
-    #[options(no_short, help = "measure this case only")]
+    #[options(no_short, help = "measure this case only; of faults also several, with commas")]
     case: String,
 }
 
@@ -121,10 +121,7 @@
     result: &serde_json::Value,
 ) -> anyhow::Result<()> {
     let folder = measurements()?;
-    let name = match options.case.as_str() {
-        "" => options.name.clone(),
-        case => format!("{}-{case}", options.name),
-    };
+    let name = options.name.clone();
     let kept = Kept { name: &name, machine, result };
     let text = serde_json::to_string_pretty(&kept).context("encoding a measurement")?;
     let path = folder.join(format!("{name}.json"));
--- a/xtask/src/bench/path/cases.rs
+++ b/xtask/src/bench/path/cases.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 use standins::caller::{Latency, LoadSummary};
+use tokio::time::sleep;
 
 use super::caller::CallerLoad;
 use crate::{
@@ -15,6 +16,7 @@
 const STEADY_REQUESTS_PER_S: f64 = 2_100.0;
 const STEADY_CALLERS: usize = 50;
 const STEADY: Duration = Duration::from_secs(5);
+const WARM_MARGIN: Duration = Duration::from_millis(500);
 const PEAK: Duration = Duration::from_secs(3);
 const PEAK_CALLERS: [usize; 4] = [16, 32, 64, 100];
 const OPEN_CALLERS: usize = 1_000;
@@ -63,6 +65,8 @@
         let specs = [spec(instances, service_ms)];
         let cluster = Cluster::start(&specs, binaries, options.seed).await?;
         cluster.wait_serving().await?;
+        // New upstreams are given their full share after a while only.
+        sleep(cluster.services[0].document.upstream.warmup + WARM_MARGIN).await;
         Ok(Bench { cluster, binaries, seed: options.seed })
     }
 
