--- a/crates/agent/src/gate/lane.rs
+++ b/crates/agent/src/gate/lane.rs
@@ -16,8 +16,8 @@
     time::sleep_until,
 };
 use traffic::{
-    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, Ticket,
-    Verdict,
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
+    Ticket, Verdict,
 };
 
 use crate::clock::Clock;
@@ -25,7 +25,7 @@
 /// What a request is expected to take until some have been measured.
 const SERVICE_GUESS: Duration = Duration::from_millis(10);
 /// How many mean deviations above the mean a request is given room to run.
-const CERTAINTY: f64 = 1.0;
+const CERTAINTY: f64 = 4.0;
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 
 /// Admission, shared by the requests of the traffic threads.
@@ -118,7 +118,12 @@
     }
 
     /// Takes a request in, or refuses it at once.
-    pub(crate) fn offer(self: &Arc<Lane>, class: &ClassName, deadline: Timestamp) -> Offer {
+    pub(crate) fn offer(
+        self: &Arc<Lane>,
+        class: &ClassName,
+        route: Option<RouteIndex>,
+        deadline: Timestamp,
+    ) -> Offer {
         // An ingress with another version of the document may know other classes.
         let class = self.classes.get(class).copied().unwrap_or(ClassIndex(0));
         let now = self.clock.now();
@@ -126,7 +131,7 @@
         let state = &mut *lock;
         let ticket = state.admission.offer(
             now,
-            Arrival { class, deadline },
+            Arrival { class, route, deadline },
             &mut state.rng,
             &mut state.decisions,
         );
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -9,7 +9,7 @@
     sync::oneshot,
     time::{sleep_until, timeout},
 };
-use traffic::{Completion, RecordUnit};
+use traffic::{Completion, RecordUnit, RouteIndex};
 use upstream::{CallError, Upstream};
 
 use crate::{
@@ -221,9 +221,22 @@
         (reply, self.entry)
     }
 
+    /// The rule of the document that the request falls under, for what it is expected to take.
+    fn route(&self) -> Option<RouteIndex> {
+        let request = &self.request;
+        let path = request.path.path().strip_prefix('/')?;
+        let rest = match path.strip_prefix(request.service.as_str())? {
+            "" => "/",
+            rest => rest,
+        };
+        let header = |name: &str| request.headers.get(name).and_then(|it| it.to_str().ok());
+        let found = self.bound.document.route(request.method.as_str(), rest, header).ok()?;
+        Some(RouteIndex(found.index))
+    }
+
     /// Waits for a slot of the upstream.
     async fn queue(&self, caller: &mut Caller) -> Result<Permit, Box<GateReply>> {
-        let place = match self.bound.lane.offer(&self.request.class, self.deadline) {
+        let place = match self.bound.lane.offer(&self.request.class, self.route(), self.deadline) {
             Offer::Go(permit) => return Ok(permit),
             Offer::Refused { reason, retry_after } => {
                 return Err(Box::new(refused(reason, retry_after)));
--- a/crates/traffic/src/admission/class.rs
+++ b/crates/traffic/src/admission/class.rs
@@ -1,15 +1,15 @@
-//! The queue of one class: earliest deadline first, with the class's smoothed service time.
+//! The queue of one class: earliest deadline first, with what its requests are expected to take.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use model::Timestamp;
 
-use super::{ClassConfig, Completion, Ticket};
-use crate::Smoothed;
+use super::{ClassConfig, Completion, RouteIndex, Ticket, costs::Costs};
 
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Queued {
     pub(super) ticket: Ticket,
+    pub(super) route: Option<RouteIndex>,
     pub(super) deadline: Timestamp,
     /// What was left to the deadline on arrival.
     pub(super) budget: Duration,
@@ -18,18 +18,18 @@
 #[derive(Debug)]
 pub(super) struct Class {
     pub(super) weight: f64,
-    pub(super) estimate: Smoothed,
+    pub(super) costs: Costs,
     /// Service time received, over the weight; starts of a class that was idle count from the
     /// virtual time of the others.
     pub(super) virtual_s: f64,
-    queue: BTreeMap<(Timestamp, Ticket), Duration>,
+    queue: BTreeMap<(Timestamp, Ticket), Waiting>,
 }
 
 impl Class {
     pub(super) fn new(config: &ClassConfig) -> Class {
         Class {
             weight: config.weight,
-            estimate: Smoothed::new(config.service_guess),
+            costs: Costs::new(config.service_guess),
             virtual_s: 0.0,
             queue: BTreeMap::new(),
         }
@@ -43,7 +43,8 @@
         if self.queue.is_empty() {
             self.virtual_s = self.virtual_s.max(virtual_s);
         }
-        self.queue.insert((it.deadline, it.ticket), it.budget);
+        let waiting = Waiting { route: it.route, budget: it.budget };
+        self.queue.insert((it.deadline, it.ticket), waiting);
     }
 
     pub(super) fn remove(&mut self, deadline: Timestamp, ticket: Ticket) -> bool {
@@ -59,17 +60,25 @@
     }
 
     /// Charges one start to the class; the cost in virtual seconds.
-    pub(super) fn charge(&mut self, virtual_s: f64) -> f64 {
-        let cost_s = self.estimate.mean().as_secs_f64() / self.weight;
+    pub(super) fn charge(&mut self, virtual_s: f64, route: Option<RouteIndex>) -> f64 {
+        let cost_s = self.costs.expected(route).mean().as_secs_f64() / self.weight;
         self.virtual_s = self.virtual_s.max(virtual_s) + cost_s;
         cost_s
     }
 
     /// Corrects the charge by what a request took, and learns from it.
-    pub(super) fn end(&mut self, taken: Duration, cost_s: f64, completion: Completion) {
+    pub(super) fn end(
+        &mut self,
+        taken: Duration,
+        cost_s: f64,
+        route: Option<RouteIndex>,
+        completion: Completion,
+    ) {
         match completion {
-            Completion::Answered => self.estimate.add(taken),
-            Completion::Cut if taken > self.estimate.mean() => self.estimate.add(taken),
+            Completion::Answered => self.costs.add(route, taken),
+            Completion::Cut if taken > self.costs.expected(route).mean() => {
+                self.costs.add(route, taken);
+            }
             Completion::Cut => (),
             Completion::NotGiven => {
                 self.virtual_s -= cost_s;
@@ -81,13 +90,13 @@
 
     /// Whether a request, started now, is expected to end before its deadline.
     pub(super) fn can_finish(&self, now: Timestamp, it: Queued, certainty: f64) -> bool {
-        now + self.need(certainty).of(it.budget) <= it.deadline
+        now + self.need(it, certainty) <= it.deadline
     }
 
     /// When the first request of the queue has to be refused.
     pub(super) fn drop_at(&self, certainty: f64) -> Option<Timestamp> {
         let it = self.first()?;
-        Some(it.deadline - self.need(certainty).of(it.budget) + Duration::from_nanos(1))
+        Some(it.deadline - self.need(it, certainty) + Duration::from_nanos(1))
     }
 
     /// The waiting requests that are not expected to finish if one starts each `step`.
@@ -99,11 +108,10 @@
         certainty: f64,
     ) -> Vec<Queued> {
         let mut doomed = Vec::new();
-        let need = self.need(certainty);
         let start_max = now + queue_time_max;
         let mut start = now;
         for it in self.queue.iter().map(queued) {
-            let late = start + need.of(it.budget) > it.deadline;
+            let late = start + self.need(it, certainty) > it.deadline;
             match late || start > start_max {
                 true => doomed.push(it),
                 false => start = start + step,
@@ -112,25 +120,21 @@
         doomed
     }
 
-    fn need(&self, certainty: f64) -> Need {
-        Need { mean: self.estimate.mean(), bound: self.estimate.bound(certainty) }
+    /// The time that a request is given to run: what few of its kind exceed, but no more than
+    /// half of its budget unless even the mean is longer.
+    fn need(&self, it: Queued, certainty: f64) -> Duration {
+        let expected = self.costs.expected(it.route);
+        expected.bound(certainty).min(expected.mean().max(it.budget / 2))
     }
 }
 
-/// The time that a request is given to run.
+/// What the queue keeps of a request beside its deadline and ticket.
 #[derive(Debug, Clone, Copy)]
-struct Need {
-    mean: Duration,
-    bound: Duration,
-}
-
-impl Need {
-    /// What few exceed, but no more than half of the budget unless even the mean is longer.
-    fn of(self, budget: Duration) -> Duration {
-        self.bound.min(self.mean.max(budget / 2))
-    }
+struct Waiting {
+    route: Option<RouteIndex>,
+    budget: Duration,
 }
 
-fn queued((&(deadline, ticket), &budget): (&(Timestamp, Ticket), &Duration)) -> Queued {
-    Queued { ticket, deadline, budget }
+fn queued((&(deadline, ticket), &it): (&(Timestamp, Ticket), &Waiting)) -> Queued {
+    Queued { ticket, route: it.route, deadline, budget: it.budget }
 }
--- /dev/null
+++ b/crates/traffic/src/admission/costs.rs
@@ -0,0 +1,41 @@
+//! What requests of a class are expected to take: by route where one has been measured, else by
+//! class, else the class's guess. Each with its spread.
+
+use std::time::Duration;
+
+use super::RouteIndex;
+use crate::Smoothed;
+
+/// Routes that are kept apart; those beyond count as their class.
+const ROUTES_MAX: usize = 256;
+
+#[derive(Debug)]
+pub(super) struct Costs {
+    class: Smoothed,
+    /// By the route's index.
+    routes: Vec<Option<Smoothed>>,
+}
+
+impl Costs {
+    pub(super) fn new(guess: Duration) -> Costs {
+        Costs { class: Smoothed::new(guess), routes: Vec::new() }
+    }
+
+    /// All requests of the class, as they come.
+    pub(super) fn class(&self) -> &Smoothed {
+        &self.class
+    }
+
+    pub(super) fn expected(&self, route: Option<RouteIndex>) -> &Smoothed {
+        route.and_then(|it| self.routes.get(it.0)?.as_ref()).unwrap_or(&self.class)
+    }
+
+    pub(super) fn add(&mut self, route: Option<RouteIndex>, taken: Duration) {
+        self.class.add(taken);
+        let Some(RouteIndex(index @ ..ROUTES_MAX)) = route else { return };
+        if self.routes.len() <= index {
+            self.routes.resize(index + 1, None);
+        }
+        self.routes[index].get_or_insert_with(|| Smoothed::new(taken)).add(taken);
+    }
+}
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! What can no longer finish is refused at once, never held until its deadline.
 
 mod class;
+mod costs;
 
 #[cfg(test)]
 mod tests;
@@ -48,6 +49,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassIndex(pub usize);
 
+/// Requests that are expected to cost alike, such as those of one rule of the document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RouteIndex(pub usize);
+
 /// Names a request within one [`Admission`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -56,6 +61,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Arrival {
     pub class: ClassIndex,
+    /// None: its cost is taken to be that of its class.
+    pub route: Option<RouteIndex>,
     pub deadline: Timestamp,
 }
 
@@ -91,6 +98,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Running {
     class: ClassIndex,
+    route: Option<RouteIndex>,
     since: Timestamp,
     cost_s: f64,
 }
@@ -158,7 +166,7 @@
         }
         if self.queued == 0 && self.running < self.slots_at(now) {
             // A free upstream is tried even if the estimate says no: estimates heal only by use.
-            self.start(now, ticket, arrival.class, out);
+            self.start(now, ticket, arrival.class, arrival.route, out);
             return ticket;
         }
         self.enqueue(now, ticket, arrival);
@@ -184,7 +192,7 @@
         self.running -= 1;
         let taken = now.since(it.since);
         let class = &mut self.classes[it.class.0];
-        class.end(taken, it.cost_s, completion);
+        class.end(taken, it.cost_s, it.route, completion);
         self.fill(now, rng, out);
         self.check();
     }
@@ -276,19 +284,20 @@
         now: Timestamp,
         ticket: Ticket,
         class: ClassIndex,
+        route: Option<RouteIndex>,
         out: &mut Vec<Decision>,
     ) {
-        let cost_s = self.classes[class.0].charge(self.virtual_s);
+        let cost_s = self.classes[class.0].charge(self.virtual_s, route);
         self.virtual_s = self.virtual_s.max(self.classes[class.0].virtual_s - cost_s);
-        self.entries.insert(ticket, Entry::Running(Running { class, since: now, cost_s }));
+        self.entries.insert(ticket, Entry::Running(Running { class, route, since: now, cost_s }));
         self.running += 1;
         out.push(Decision { ticket, verdict: Verdict::Start });
     }
 
     fn enqueue(&mut self, now: Timestamp, ticket: Ticket, arrival: Arrival) {
-        let Arrival { class, deadline } = arrival;
+        let Arrival { class, route, deadline } = arrival;
         let budget = deadline.since(now);
-        self.classes[class.0].push(Queued { ticket, deadline, budget }, self.virtual_s);
+        self.classes[class.0].push(Queued { ticket, route, deadline, budget }, self.virtual_s);
         self.entries.insert(ticket, Entry::Queued { class, deadline });
         self.queued += 1;
     }
@@ -347,9 +356,9 @@
             match self.classes[class.0].can_finish(now, it, self.config.certainty) {
                 // An idle upstream is tried all the same: see `offer`.
                 _ if self.running == 0 && it.deadline > now => {
-                    self.start(now, it.ticket, class, out);
+                    self.start(now, it.ticket, class, it.route, out);
                 }
-                true => self.start(now, it.ticket, class, out),
+                true => self.start(now, it.ticket, class, it.route, out),
                 false => self.refuse(now, class, it, rng, out),
             }
         }
@@ -391,7 +400,7 @@
         let others = others.filter(|(index, other)| *index != class.0 && other.len() > 0);
         let weights: f64 = it.weight + others.map(|(_, other)| other.weight).sum::<f64>();
         let slots = self.slots_at(now) as f64 * it.weight / weights;
-        it.estimate.mean().div_f64(slots)
+        it.costs.class().mean().div_f64(slots)
     }
 
     fn check(&self) {
--- a/crates/traffic/src/admission/tests/mod.rs
+++ b/crates/traffic/src/admission/tests/mod.rs
@@ -50,7 +50,7 @@
     }
 
     fn offer(&mut self, class: usize, left: Duration) -> Ticket {
-        let arrival = Arrival { class: ClassIndex(class), deadline: self.now + left };
+        let arrival = Arrival { class: ClassIndex(class), route: None, deadline: self.now + left };
         self.admission.offer(self.now, arrival, &mut self.rng, &mut self.out)
     }
 
--- a/crates/traffic/src/admission/tests/overload.rs
+++ b/crates/traffic/src/admission/tests/overload.rs
@@ -9,10 +9,11 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{config, ms};
-use crate::{Admission, AdmissionConfig, Arrival, ClassIndex, Completion, Ticket, Verdict};
+use crate::{
+    Admission, AdmissionConfig, Arrival, ClassIndex, Completion, RouteIndex, Ticket, Verdict,
+};
 
 const SLOTS: usize = 12;
-const SERVICE_MS: f64 = 20.0;
 const RUN: Duration = Duration::from_secs(10);
 
 #[derive(Debug, Clone, Copy)]
@@ -22,6 +23,24 @@
     deadline: Duration,
     /// Exponential service times; else equal ones.
     is_spread: bool,
+    /// Each with its share of the requests and its mean service time.
+    routes: &'static [(f64, f64)],
+    /// Whether the admission is told of routes.
+    is_told: bool,
+}
+
+const ONE_ROUTE: &[(f64, f64)] = &[(1.0, 20.0)];
+/// Nine in ten take 5 ms, the others 100 ms.
+const TWO_ROUTES: &[(f64, f64)] = &[(0.9, 5.0), (0.1, 100.0)];
+
+impl Load {
+    fn new(factors: [f64; 2], deadline: Duration, is_spread: bool) -> Load {
+        Load { factors, deadline, is_spread, routes: ONE_ROUTE, is_told: false }
+    }
+
+    fn mean_s(&self) -> f64 {
+        self.routes.iter().map(|(share, mean_ms)| share * mean_ms / 1000.0).sum()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -37,11 +56,18 @@
     Duration::from_secs_f64(-mean_s * (1.0 - rng.random_range(0.0..1.0_f64)).ln())
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Arrived {
+    at: Timestamp,
+    class: usize,
+    mean_s: f64,
+}
+
 struct Run {
     load: Load,
     rng: Pcg64Mcg,
     admission: Admission,
-    arrivals: Vec<(Timestamp, usize)>,
+    arrivals: Vec<Arrived>,
     ends: BinaryHeap<Reverse<(Timestamp, Ticket)>>,
     seen: Seen,
 }
@@ -62,7 +88,7 @@
         let mut out = Vec::new();
         event(self, &mut out);
         for it in out.iter().filter(|it| it.verdict == Verdict::Start) {
-            let mean_s = SERVICE_MS / 1000.0;
+            let mean_s = self.arrivals[it.ticket.0 as usize].mean_s;
             let service = match self.load.is_spread {
                 true => exponential(&mut self.rng, mean_s),
                 false => Duration::from_secs_f64(mean_s),
@@ -73,18 +99,34 @@
 
     fn arrive(&mut self, now: Timestamp, class: usize) {
         self.seen.offered[class] += 1;
+        let route = self.draw_route();
+        let mean_s = self.load.routes[route].1 / 1000.0;
         // Tickets count up from 0, one for each arrival.
-        self.arrivals.push((now, class));
-        let arrival = Arrival { class: ClassIndex(class), deadline: now + self.load.deadline };
+        self.arrivals.push(Arrived { at: now, class, mean_s });
+        let arrival = Arrival {
+            class: ClassIndex(class),
+            route: self.load.is_told.then_some(RouteIndex(route)),
+            deadline: now + self.load.deadline,
+        };
         self.step(now, |it, out| {
             it.admission.offer(now, arrival, &mut it.rng, out);
         });
     }
 
+    fn draw_route(&mut self) -> usize {
+        let mut left = self.rng.random_range(0.0..1.0);
+        let routes = self.load.routes.iter();
+        let past = routes.take_while(|(share, _)| {
+            left -= share;
+            left >= 0.0
+        });
+        past.count().min(self.load.routes.len() - 1)
+    }
+
     fn end(&mut self, now: Timestamp, ticket: Ticket) {
-        let (arrived, class) = self.arrivals[ticket.0 as usize];
+        let Arrived { at, class, .. } = self.arrivals[ticket.0 as usize];
         self.seen.answered += 1;
-        match now <= arrived + self.load.deadline {
+        match now <= at + self.load.deadline {
             true => self.seen.good[class] += 1,
             false => self.seen.late += 1,
         }
@@ -94,7 +136,7 @@
     }
 
     fn run(mut self) -> Seen {
-        let capacity = SLOTS as f64 / (SERVICE_MS / 1000.0);
+        let capacity = SLOTS as f64 / self.load.mean_s();
         let mut next = [Timestamp::ZERO; 2];
         let mut now = Timestamp::ZERO;
         while now.since(Timestamp::ZERO) < RUN {
@@ -125,7 +167,7 @@
 fn check(deadline: Duration, is_spread: bool) {
     let at = |factor: f64| {
         let factors = [factor / 2.0, factor / 2.0];
-        run(Load { factors, deadline, is_spread }, 7)
+        run(Load::new(factors, deadline, is_spread), 7)
     };
     let goodput = |it: &Seen| it.good[0] + it.good[1];
     let peak = [0.9, 1.0, 1.2, 2.0].map(|it| goodput(&at(it))).into_iter().max().unwrap();
@@ -139,19 +181,34 @@
 #[test]
 fn goodput_holds_at_three_times_capacity() {
     check(ms(250), false);
+    check(ms(150), true);
     check(ms(500), true);
     check(ms(1000), true);
 }
 
 #[test]
 fn no_class_starves_another() {
-    let load = Load { factors: [3.0, 0.4], deadline: ms(500), is_spread: true };
+    let load = Load::new([3.0, 0.4], ms(500), true);
     let seen = run(load, 8);
     let share = seen.good[1] as f64 / seen.offered[1] as f64;
     assert!(share >= 0.95, "a class within its share got only {share} of what it asked");
-    let load = Load { factors: [3.0, 3.0], deadline: ms(500), is_spread: true };
+    let load = Load::new([3.0, 3.0], ms(500), true);
     let admission = config(SLOTS, &[1.0, 3.0]);
     let seen = Run::new(load, admission, 9).run();
     let ratio = seen.good[1] as f64 / seen.good[0] as f64;
     assert!((2.5..3.5).contains(&ratio), "shares of 1 and 3 came out as 1 and {ratio}");
 }
+
+/// Where a class mixes cheap and dear routes, knowing them apart lets more requests through.
+#[test]
+fn costs_by_route_answer_more_requests() {
+    for is_spread in [false, true] {
+        let good = |is_told| {
+            let load = Load::new([1.5, 1.5], ms(500), is_spread);
+            let seen = run(Load { routes: TWO_ROUTES, is_told, ..load }, 10);
+            (seen.good[0] + seen.good[1]) as f64
+        };
+        let gain = good(true) / good(false);
+        assert!(gain >= 1.2, "spread {is_spread}: only {gain} times as many");
+    }
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -14,8 +14,8 @@
 mod tests;
 
 pub use admission::{
-    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, Ticket,
-    Verdict,
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
+    Ticket, Verdict,
 };
 pub use records::{
     Answer, Begin, EndedRecord, Record, RecordUnit, Records, RecordsConfig, SlotRecords,
