--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! The control thread: membership, leases, documents, routes and the status.
 //!
 //! All state of control lives here, on one thread, in tables that systems run over each tick.
-//! Platform calls run as tasks of the same thread's runtime and come back as [`calls::Done`].
+//! Platform calls run as tasks of the same thread's runtime and come back as `calls::Done`.
 
 mod accept;
 mod calls;
