--- a/crates/client/src/commands/apply.rs
+++ b/crates/client/src/commands/apply.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use model::ObjectVersion;
-use platform::Object;
+use platform::{Object, PlatformError};
 use settings::{Accepted, ServiceDocument, accepted_path, service_path};
 
 use crate::{
@@ -105,9 +105,13 @@
     async fn write(&self, store: &Store) -> Result<ObjectVersion, Failure> {
         let path = service_path(&self.document.service);
         let body = Bytes::copy_from_slice(self.text.as_bytes());
-        match store.update(&path, self.base, &body).await? {
-            Updated::Done(version) => Ok(version),
-            Updated::Conflict => {
+        match store.update(&path, self.base, &body).await {
+            Ok(Updated::Done(version)) => Ok(version),
+            Err(Failure::Platform(error @ PlatformError::Unavailable { .. })) => {
+                Err(Failure::Unsure(error))
+            }
+            Err(failure) => Err(failure),
+            Ok(Updated::Conflict) => {
                 let current = store.read(&path).await?;
                 let late = Edit {
                     current,
--- a/crates/client/src/commands/status.rs
+++ b/crates/client/src/commands/status.rs
@@ -12,6 +12,9 @@
     terminal::Terminal,
 };
 
+/// How many moves a table shows; `--json` prints all that the status holds.
+const MOVES_SHOWN: usize = 10;
+
 const ALL_PREFIX: &str = "status/";
 
 /// What `--json` prints.
@@ -145,7 +148,7 @@
 fn moves(status: &Status) -> String {
     let mut table = Table::new(&["MOVED", "SLOT", "TO", "TOKEN", "WHY"]);
     let now = now_unix_ms();
-    for it in &status.moves {
+    for it in status.moves.iter().take(MOVES_SHOWN) {
         table.row(&[
             ago(it.at_unix_ms, now),
             it.slot.to_string(),
--- a/crates/client/src/failure.rs
+++ b/crates/client/src/failure.rs
@@ -19,6 +19,8 @@
     Conflict(String),
     #[error("{0}")]
     Platform(#[from] PlatformError),
+    #[error("{0}; the document may or may not be written: apply it again to find out")]
+    Unsure(PlatformError),
     #[error("version {version} is written, but not in force after {waited_s} s: {state}")]
     NotInForce { version: ObjectVersion, waited_s: u64, state: String },
     #[error("{0}")]
@@ -38,7 +40,10 @@
             Failure::Problems { .. } | Failure::Refused { .. } => 1,
             Failure::Usage(_) => 2,
             Failure::Conflict(_) => 3,
-            Failure::Platform(_) | Failure::BadObject { .. } | Failure::Start(_) => 4,
+            Failure::Platform(_)
+            | Failure::Unsure(_)
+            | Failure::BadObject { .. }
+            | Failure::Start(_) => 4,
             Failure::NotInForce { .. } => 5,
             Failure::NotFound(_) => 6,
             Failure::File { .. } => 7,
--- a/crates/client/tests/cli/apply.rs
+++ b/crates/client/tests/cli/apply.rs
@@ -157,6 +157,19 @@
     assert_eq!(desk.text(), format!("{DOCUMENT}// pomelohill: standings version 1\n"));
 }
 
+#[test]
+fn an_effect_that_stays_unknown_is_said_so() {
+    let desk = Desk::new("unsure");
+    desk.write(DOCUMENT);
+    desk.platform.fail_next(Fault::Down);
+    let expected = [
+        "update services/standings: no answer from platform",
+        "the document may or may not be written: apply it again to find out",
+    ];
+    desk.check(&["apply", "--no-wait", "file.jsonc"], (4, &[], &expected));
+    assert_eq!(desk.text(), DOCUMENT, "the file stays as it was");
+}
+
 #[test]
 fn a_file_without_a_base_overwrites_nothing() {
     let desk = Desk::new("no-base");
--- a/crates/client/tests/cli/fake_platform.rs
+++ b/crates/client/tests/cli/fake_platform.rs
@@ -35,6 +35,8 @@
     LostAnswer,
     /// Someone else's text is written just before.
     Overtaken(String),
+    /// This update and every later one fail, with no word of their effect.
+    Down,
 }
 
 /// Makes the objects that follow on a document of this version.
@@ -99,6 +101,10 @@
     /// The answer to an update; none if it is lost.
     fn update(&mut self, path: &str, condition: Option<u64>, body: &str) -> Option<String> {
         let fault = self.fault.take();
+        if let Some(Fault::Down) = fault {
+            self.fault = fault;
+            return Some(response("503 Service Unavailable", "", "down"));
+        }
         if let Some(Fault::Overtaken(text)) = &fault {
             self.put(path, text);
         }
