--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -151,11 +151,6 @@
     ) -> Result<RouteMatch<'_>, RouteError> {
         route::find(&self.routes, method, path, header)
     }
-
-    /// The longest deadline of all routes.
-    pub fn deadline_max(&self) -> Duration {
-        self.routes.iter().map(|it| it.deadline).max().unwrap_or_default()
-    }
 }
 
 impl Default for OwnershipLimits {
