--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -1,4 +1,8 @@
 //! Tests of the tables of control.
 
+mod config;
 mod documents;
+mod fleet;
 mod pace;
+mod platform;
+mod watch;
--- a/xtask/src/bench/faults/scenario.rs
+++ b/xtask/src/bench/faults/scenario.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use standins::journal::wall_ns;
@@ -13,7 +12,7 @@
     cluster::{Binaries, Cluster, ServiceSpec},
     demo::{
         evidence::{Evidence, Window},
-        load::Callers,
+        load::{Callers, probed_keys},
         verdict::Verdict,
     },
 };
@@ -132,6 +131,7 @@
         let load_ns = u64::try_from(load.as_nanos()).unwrap_or(u64::MAX);
         evidence.watched = Window { from_ns, until_ns: from_ns + load_ns };
         evidence.churn = evidence.watched;
+        evidence.probed_keys = probed_keys().collect();
         evidence.quiet = Window { from_ns, until_ns: from_ns + u64::try_from(BEFORE.as_nanos())? };
         let callers = Callers::start(cluster, load, Instant::now(), seed);
         sleep(before).await;
@@ -220,13 +220,11 @@
                 }
             }
             Strike::PauseAgent => {
-                for victim in victims {
-                    cluster.instances[*victim].agent()?.signal(Signal::SIGSTOP)?;
-                }
-                let from_ns = wall_ns();
+                let paused = victims.iter().map(|it| cluster.instances[*it].pause_agent());
+                let paused_ns = paused.collect::<anyhow::Result<Vec<u64>>>()?;
                 sleep(PAUSE).await;
-                for victim in victims {
-                    evidence.sick.push(cluster.instances[*victim].thaw(from_ns)?);
+                for (victim, paused_ns) in victims.iter().zip(paused_ns) {
+                    evidence.sick.push(cluster.instances[*victim].resume_agent(paused_ns)?);
                 }
             }
             Strike::Leave => {
--- a/xtask/src/demo/evidence.rs
+++ b/xtask/src/demo/evidence.rs
@@ -1,7 +1,7 @@
 //! What callers and upstreams wrote down in one run, and what was done to the processes.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
 };
 
@@ -17,6 +17,8 @@
     pub(crate) sick: Vec<SickIngress>,
     /// The time in which each key should be served.
     pub(crate) watched: Window,
+    /// Keys that are asked for all the time. How long another one is not served can't be told.
+    pub(crate) probed_keys: HashSet<String>,
     /// A time without faults, for the imbalance.
     pub(crate) quiet: Window,
     /// The time over which changes of owners are counted: up to the last stops, which move all.
@@ -50,6 +52,8 @@
     pub(crate) entries: Vec<RunEntry>,
     /// When the process had ended; runs without an end count as open until then.
     pub(crate) gone_ns: u64,
+    /// When the process was stopped by a signal.
+    pub(crate) frozen: Vec<Window>,
 }
 
 /// An instance told to leave.
@@ -126,7 +130,7 @@
                 }
                 RunEntry::Ended { at_ns, run, end } => {
                     if let Some(index) = open.remove(run) {
-                        executions[index].until_ns = *at_ns;
+                        executions[index].until_ns = self.last_work_ns(*at_ns, *end);
                         executions[index].end = Some(*end);
                     }
                 }
@@ -135,6 +139,16 @@
         }
         executions
     }
+
+    /// When a run last did something. One whose deadline passed while its process was frozen did
+    /// nothing from the freeze on: the upstream looks at the deadline first when it goes on.
+    fn last_work_ns(&self, ended_ns: u64, end: RunEnd) -> u64 {
+        let frozen = self.frozen.iter().find(|it| it.contains(ended_ns));
+        match frozen {
+            Some(frozen) if end == RunEnd::DeadlineExceeded => frozen.from_ns,
+            _ => ended_ns,
+        }
+    }
 }
 
 /// Executions by key, each in the order of their starts.
