--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -39,6 +39,11 @@
     }
 }
 
+#[expect(clippy::print_stdout, reason = "this is what was asked for")]
+fn print_help() {
+    println!("Usage: pomelohilld --settings FILE\n\n{}", Arguments::usage());
+}
+
 #[expect(clippy::print_stderr, reason = "there may be no log yet")]
 fn say(sentence: &str) {
     eprintln!("pomelohilld: {sentence}");
@@ -50,7 +55,7 @@
     let arguments = Arguments::parse_args_default(&arguments)
         .map_err(|error| failure(EXIT_USAGE, format!("{error}; see --help.")))?;
     if arguments.help {
-        say(&format!("runs the agent beside an upstream.\n\n{}", Arguments::usage()));
+        print_help();
         return Ok(());
     }
     let file = arguments.settings.display();
