Bounds of a request on the upstream's own clock

Change: upstreams may announce clock_ms; requests then carry x-start-before-ms (the lease's end) and x-end-before-ms on that clock. The stand-in refuses what it reads later as not run. Ruled out: a lease call to the upstream each renewal, for it may itself be read late; cancelling on return, for that is a race. Conclusion: the window of a frozen upstream is closed where it has a clock.

--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -11,6 +11,7 @@
 mod records;
 mod run;
 mod table;
+mod upstream_clock;
 mod worker;
 
 use std::{
@@ -39,6 +40,8 @@
 use bound::Bound;
 use records::Book;
 
+pub(crate) use upstream_clock::UpstreamClock;
+
 pub use handle::GateHandle;
 pub(crate) use handle::GateTask;
 
@@ -54,6 +57,7 @@
     pub(crate) snapshots: Arc<SnapshotCell>,
     pub(crate) reporter: Reporter,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) upstream_clock: Arc<UpstreamClock>,
     pub(crate) connect: Connect,
 }
 
@@ -65,6 +69,7 @@
     snapshots: Arc<SnapshotCell>,
     reporter: Reporter,
     metrics: Arc<Metrics>,
+    upstream_clock: Arc<UpstreamClock>,
     connect: Connect,
     bound: ArcSwapOption<Bound>,
     book: OnceLock<Book>,
@@ -88,6 +93,7 @@
             snapshots: parts.snapshots,
             reporter: parts.reporter,
             metrics: parts.metrics,
+            upstream_clock: parts.upstream_clock,
             connect: parts.connect,
             bound: ArcSwapOption::empty(),
             book: OnceLock::new(),
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -10,7 +10,7 @@
     time::{sleep_until, timeout},
 };
 use traffic::{Completion, RecordUnit, RouteIndex};
-use upstream::{CallError, Upstream};
+use upstream::{CallError, ClockBounds, Upstream};
 
 use crate::{
     forward::home,
@@ -286,6 +286,17 @@
         }
     }
 
+    /// The same on the upstream's own clock, where it announces one: a request that it reads after
+    /// a freeze does not run.
+    fn bounds(&self, clearance: Option<&Clearance>, until: Timestamp) -> Option<ClockBounds> {
+        let clock = &self.gate.upstream_clock;
+        let start_before = clearance.map_or(until, |it| it.lease_until.min(until));
+        Some(ClockBounds {
+            start_before_ms: clock.point_ms(start_before)?,
+            end_before_ms: clock.point_ms(until)?,
+        })
+    }
+
     /// Gives the request to the upstream, once.
     async fn give(
         &self,
@@ -315,6 +326,7 @@
             id: self.request.id,
             token: clearance.map(|it| it.token),
             remaining: until.since(started),
+            bounds: self.bounds(clearance.as_ref(), until),
         });
         let result = self.wait(call, until, caller).await;
         let ended = gate.clock.now();
--- a/crates/agent/src/ingress/announce.rs
+++ b/crates/agent/src/ingress/announce.rs
@@ -6,8 +6,8 @@
 use volo_http::{body::Body, response::Response};
 
 use crate::{
-    ingress::read,
-    report::{Announcement, Report, Reporter},
+    ingress::{IngressParts, read},
+    report::{Announcement, Report},
 };
 
 /// Paths that are the upstream's own.
@@ -16,15 +16,16 @@
 const BYTES_MAX: usize = 4096;
 
 /// Takes an announcement and passes it on to control.
-pub(super) async fn take(reporter: &Reporter, parts: &Parts, body: Body) -> Response {
+pub(super) async fn take(ingress: &IngressParts, parts: &Parts, body: Body) -> Response {
     let (status, text) = match () {
         _ if parts.uri.path() != PATH => (StatusCode::NOT_FOUND, "no such call".to_owned()),
         _ if parts.method != Method::POST => {
             (StatusCode::METHOD_NOT_ALLOWED, "an announcement is a POST".to_owned())
         }
         _ => match parse(body).await {
-            Ok(announcement) => {
-                reporter.hint(Report::Announcement(announcement));
+            Ok(announced) => {
+                ingress.upstream_clock.heard(announced.clock_ms, ingress.clock.now());
+                ingress.reporter.hint(Report::Announcement(announced.into()));
                 (StatusCode::OK, String::new())
             }
             Err(error) => (StatusCode::BAD_REQUEST, error),
@@ -35,10 +36,9 @@
     response
 }
 
-async fn parse(body: Body) -> Result<Announcement, String> {
+async fn parse(body: Body) -> Result<Announced, String> {
     let body = read(body, BYTES_MAX).await.map_err(|error| error.to_string())?;
-    let announced: Announced = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
-    Ok(announced.into())
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
 
 impl From<Announced> for Announcement {
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -26,6 +26,7 @@
 use crate::{
     clock::Clock,
     forward::{Ending, Forwarder},
+    gate::UpstreamClock,
     metrics::Metrics,
     report::{Report, Reporter},
     request::GateReply,
@@ -47,6 +48,7 @@
     pub(crate) snapshots: Arc<SnapshotCell>,
     pub(crate) forwarder: Forwarder,
     pub(crate) reporter: Reporter,
+    pub(crate) upstream_clock: Arc<UpstreamClock>,
     pub(crate) metrics: Arc<Metrics>,
 }
 
@@ -100,7 +102,7 @@
     async fn answer(&self, request: Request) -> Response {
         let (parts, body) = request.into_parts();
         if parts.uri.path().starts_with(announce::PREFIX) {
-            return announce::take(&self.parts.reporter, &parts, body).await;
+            return announce::take(&self.parts, &parts, body).await;
         }
         if self.closed.load(Ordering::SeqCst) {
             let ending = Ending::given_up(GateReply::not_run(NotRunReason::Draining));
--- a/crates/agent/src/ingress/parse.rs
+++ b/crates/agent/src/ingress/parse.rs
@@ -177,7 +177,9 @@
     ] {
         headers.remove(name);
     }
-    for name in ["keep-alive", REQUEST_ID_HEADER, TOKEN_HEADER] {
+    for name in
+        ["keep-alive", "x-start-before-ms", "x-end-before-ms", REQUEST_ID_HEADER, TOKEN_HEADER]
+    {
         headers.remove(name);
     }
 }
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock::Clock,
     forward::{ForwardParts, Forwarder},
-    gate::{Connect, Gate, GateHandle, GateParts, GateTask},
+    gate::{Connect, Gate, GateHandle, GateParts, GateTask, UpstreamClock},
     ingress::{self, Ingress, IngressParts},
     links::{LinkKey, traffic::TrafficLinks},
     metrics::{self, Metrics},
@@ -60,7 +60,9 @@
     /// Starts it on the runtime that calls.
     pub(crate) fn start(parts: PlaneParts) -> anyhow::Result<Plane> {
         let metrics = Arc::new(Metrics::new(parts.platform_calls).context("metrics")?);
+        let upstream_clock: Arc<UpstreamClock> = Arc::default();
         let gate = Gate::start(GateParts {
+            upstream_clock: Arc::clone(&upstream_clock),
             own: parts.own.clone(),
             handle: parts.handle,
             tasks: parts.tasks,
@@ -82,6 +84,7 @@
             metrics: Arc::clone(&metrics),
         });
         let ingress = Arc::new(Ingress::new(IngressParts {
+            upstream_clock,
             clock: parts.clock,
             snapshots: Arc::clone(&parts.snapshots),
             forwarder,
--- a/crates/agent/src/tests/callers.rs
+++ b/crates/agent/src/tests/callers.rs
@@ -145,5 +145,6 @@
         id: model::RequestId(id),
         token: None,
         remaining: PATIENCE / 2,
+        bounds: None,
     }
 }
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -288,6 +288,7 @@
             id: RequestId(call.id),
             token: None,
             remaining: call.deadline,
+            bounds: None,
         });
         timeout(PATIENCE, answer).await.expect("an end in time").expect("an answer")
     }
--- a/crates/agent/src/tests/handover.rs
+++ b/crates/agent/src/tests/handover.rs
@@ -68,6 +68,7 @@
         id: RequestId(1),
         token: None,
         remaining: Duration::from_secs(9),
+        bounds: None,
     };
     let held = tokio::spawn(async move { upstream::Upstream::call(&caller, request).await });
     upstream.wait_started().await;
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -6,3 +6,4 @@
 mod gate;
 mod handover;
 mod stop;
+mod upstream_clock;
--- a/crates/standins/src/journal/run.rs
+++ b/crates/standins/src/journal/run.rs
@@ -55,4 +55,5 @@
     Connections,
     DeadlineExceeded,
     Fenced,
+    GrantEnded,
 }
--- a/crates/standins/src/upstream/announce.rs
+++ b/crates/standins/src/upstream/announce.rs
@@ -20,6 +20,7 @@
     state: Stage,
     slots: u16,
     checks_fence: bool,
+    clock_ms: u64,
 }
 
 /// Announces the upstream for ever, at once whenever its stage changes.
@@ -59,6 +60,7 @@
         state,
         slots: upstream.config.slots,
         checks_fence: upstream.config.checks_fence,
+        clock_ms: upstream.clock_ms(),
     };
     let Ok(body) = serde_json::to_vec(&announcement) else { return false };
     let request = client
--- a/crates/standins/src/upstream/execution.rs
+++ b/crates/standins/src/upstream/execution.rs
@@ -18,6 +18,8 @@
 };
 
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const START_BEFORE: HeaderName = HeaderName::from_static("x-start-before-ms");
+const END_BEFORE: HeaderName = HeaderName::from_static("x-end-before-ms");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 /// The deadline of a request that names none.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
@@ -30,6 +32,8 @@
     class: String,
     token: Option<Token>,
     deadline: Instant,
+    /// None: no bound but the deadline.
+    start_before: Option<Instant>,
     answer_bytes: usize,
 }
 
@@ -43,7 +47,7 @@
 }
 
 pub(crate) async fn execute(upstream: &Upstream, uri: &Uri, headers: &HeaderMap) -> Response {
-    let Some(call) = Call::parse(uri, headers) else {
+    let Some(call) = Call::parse(upstream, uri, headers) else {
         return answer(StatusCode::BAD_REQUEST, "a request needs x-request-id and x-key");
     };
     upstream.thaw().await;
@@ -55,6 +59,9 @@
         return refuse(upstream, &call, RefusedReason::DeadlineExceeded);
     };
     match () {
+        _ if call.start_before.is_some_and(|it| it <= Instant::now()) => {
+            refuse(upstream, &call, RefusedReason::GrantEnded)
+        }
         _ if call.token.is_some_and(|it| !upstream.passes_fence(&call.key, it)) => {
             refuse(upstream, &call, RefusedReason::Fenced)
         }
@@ -85,19 +92,25 @@
 }
 
 impl Call {
-    fn parse(uri: &Uri, headers: &HeaderMap) -> Option<Call> {
+    fn parse(upstream: &Upstream, uri: &Uri, headers: &HeaderMap) -> Option<Call> {
         let text = |name: &str| headers.get(name)?.to_str().ok();
         let id = RequestId(u128::from_str_radix(text(REQUEST_ID_HEADER)?, 16).ok()?);
         let deadline = match text(DEADLINE.as_str()) {
             Some(ms) => Duration::from_millis(ms.parse().ok()?),
             None => DEADLINE_DEFAULT,
         };
+        let point = |name: &HeaderName| {
+            let ms = text(name.as_str())?.parse().ok()?;
+            Some(upstream.instant(ms))
+        };
+        let deadline = Instant::now() + deadline;
         Some(Call {
             id,
             key: text(KEY.as_str())?.to_owned(),
             class: uri.path().rsplit('/').next().unwrap_or_default().to_owned(),
             token: text(TOKEN_HEADER).and_then(parse_token),
-            deadline: Instant::now() + deadline,
+            deadline: point(&END_BEFORE).map_or(deadline, |it| it.min(deadline)),
+            start_before: point(&START_BEFORE),
             answer_bytes: text(ANSWER_BYTES.as_str()).and_then(|it| it.parse().ok()).unwrap_or(0),
         })
     }
--- a/crates/standins/src/upstream/state.rs
+++ b/crates/standins/src/upstream/state.rs
@@ -111,6 +111,16 @@
         })
     }
 
+    /// What its monotonic clock shows, in milliseconds from its start.
+    pub(crate) fn clock_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// A point on that clock.
+    pub(crate) fn instant(&self, clock_ms: u64) -> Instant {
+        self.started + Duration::from_millis(clock_ms)
+    }
+
     /// No holder panics half-way through a change, so a poisoned lock is sound.
     fn inner(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/standins/src/upstream/tests.rs
+++ b/crates/standins/src/upstream/tests.rs
@@ -80,6 +80,12 @@
         RunEntry::Ended { end: RunEnd::DeadlineExceeded, .. } => "deadline".to_owned(),
         RunEntry::Refused { id, reason: RefusedReason::Shed, .. } => format!("shed {}", id.0),
         RunEntry::Refused { id, reason: RefusedReason::Fenced, .. } => format!("fenced {}", id.0),
+        RunEntry::Refused { id, reason: RefusedReason::GrantEnded, .. } => {
+            format!("grant ended {}", id.0)
+        }
+        RunEntry::Refused { id, reason: RefusedReason::DeadlineExceeded, .. } => {
+            format!("late {}", id.0)
+        }
         other => format!("{other:?}"),
     }
 }
@@ -116,6 +122,20 @@
     fixture.check_journal(&["started 1", "deadline"]);
 }
 
+#[tokio::test]
+async fn what_is_read_after_its_bounds_does_not_run() {
+    // As after a freeze: the remaining time begins when the request is read, the bounds do not.
+    let fixture = Fixture::start("bounds", "--service-ms 0").await;
+    let far = "3600000";
+    let bounds = [("x-start-before-ms", "0"), ("x-end-before-ms", far), ("x-deadline-ms", far)];
+    fixture.call(1, &bounds).await;
+    let bounds = [("x-start-before-ms", far), ("x-end-before-ms", "0"), ("x-deadline-ms", far)];
+    fixture.call(2, &bounds).await;
+    let bounds = [("x-start-before-ms", far), ("x-end-before-ms", far), ("x-deadline-ms", far)];
+    fixture.call(3, &bounds).await;
+    fixture.check_journal(&["grant ended 1", "late 2", "started 3", "ran"]);
+}
+
 #[tokio::test]
 async fn a_run_can_be_cancelled() {
     let fixture = Fixture::start("cancel", "--service-ms 60000").await;
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -27,6 +27,9 @@
 
 /// The header that carries the time left to an upstream, in milliseconds.
 const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// The headers that carry bounds as points on the upstream's clock, in milliseconds.
+const START_BEFORE_HEADER: HeaderName = HeaderName::from_static("x-start-before-ms");
+const END_BEFORE_HEADER: HeaderName = HeaderName::from_static("x-end-before-ms");
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Below the keep-alive of common servers, so that a reused connection is rarely closed already.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -97,6 +100,10 @@
         let mut headers = request.headers;
         headers.insert(REQUEST_ID_HEADER, hex_value(request.id));
         headers.insert(DEADLINE_HEADER, ms_value(request.remaining));
+        if let Some(bounds) = request.bounds {
+            headers.insert(START_BEFORE_HEADER, HeaderValue::from(bounds.start_before_ms));
+            headers.insert(END_BEFORE_HEADER, HeaderValue::from(bounds.end_before_ms));
+        }
         if let Some(token) = request.token {
             let value = HeaderValue::from_str(&token.to_string()).expect("digits and a dot");
             headers.insert(TOKEN_HEADER, value);
--- a/crates/upstream/src/control.rs
+++ b/crates/upstream/src/control.rs
@@ -36,6 +36,9 @@
     pub state: HealthState,
     pub slots: u16,
     pub checks_fence: bool,
+    /// What its monotonic clock shows, in milliseconds from an origin of its own.
+    #[serde(default)]
+    pub clock_ms: Option<u64>,
 }
 
 /// Body of `/control/grant`.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,11 +8,13 @@
 //! - `POST /control/prepare` `{"slot"}`: answers once it is warm for the slot.
 //! - `POST /control/cancel` `{"request_id"}`: ends a running request.
 //! - Everything else is a request: headers `x-request-id` (hexadecimal), `x-fence-token` (`T.S`),
-//!   `x-deadline-ms` (remaining). It answers 503 with `x-not-run: 1` when it provably did not run.
+//!   `x-deadline-ms` (remaining); `x-start-before-ms` and `x-end-before-ms`, points on the clock that
+//!   the upstream announces. It answers 503 with `x-not-run: 1` when it provably did not run.
 //!
 //! An upstream announces itself to the agent beside it: `POST /upstream/announce`
-//! `{"service", "address", "state", "slots", "checks_fence"}` at the agent's caller port, at start
-//! and every second; the agent's silence or the upstream's ends the pairing after some seconds.
+//! `{"service", "address", "state", "slots", "checks_fence", "clock_ms"}` at the agent's caller port,
+//! at start and every second; the agent's silence or the upstream's ends the pairing after some
+//! seconds. `clock_ms` is optional: what its monotonic clock shows, from an origin of its own.
 
 mod client;
 mod control;
@@ -23,4 +25,6 @@
 
 pub use client::HttpUpstream;
 pub use control::{Announced, ControlError, Health, HealthState, Load};
-pub use request::{Answer, CallError, NOT_RUN_HEADER, Request, Upstream, UpstreamFuture};
+pub use request::{
+    Answer, CallError, ClockBounds, NOT_RUN_HEADER, Request, Upstream, UpstreamFuture,
+};
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -14,6 +14,15 @@
 /// What a call to an upstream resolves to.
 pub type UpstreamFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
+/// Bounds of a request as points on the clock that the upstream announces, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClockBounds {
+    /// It may not start at this point or after it: the grant has ended by then.
+    pub start_before_ms: u64,
+    /// It must have ended by this point.
+    pub end_before_ms: u64,
+}
+
 /// A request as the upstream is given it.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -26,6 +35,8 @@
     pub token: Option<Token>,
     /// Time left to answer in.
     pub remaining: Duration,
+    /// None where the upstream announces no clock.
+    pub bounds: Option<ClockBounds>,
 }
 
 /// A whole answer.
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -37,6 +37,7 @@
         id: RequestId(0xabc),
         token: Some(Token { term: Term(3), sequence: 7 }),
         remaining: Duration::from_millis(1500),
+        bounds: None,
     }
 }
 
