One demo or measurement at a time on a machine

Change: a run waits for a file lock; the lock ends with the process. Conclusion: results can be compared.

--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -26,7 +26,10 @@
     load::Callers,
     verdict::Verdict,
 };
-use crate::cluster::{Binaries, Cluster, Profile};
+use crate::{
+    cluster::{Binaries, Cluster, Profile},
+    turn,
+};
 
 /// The first second belongs to the rush; the next ones show the spread without faults.
 const QUIET_FROM: Duration = Duration::from_secs(1);
@@ -55,6 +58,7 @@
 pub(crate) async fn run(options: DemoOptions) -> anyhow::Result<ExitCode> {
     // The run of the tests' profile keeps its checks on, and a fresh clone builds it but once.
     let binaries = Binaries::build(Profile::Dev)?;
+    let _turn = turn::wait().await?;
     let seed = options.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
     report::line(&format!("seed {seed}"))?;
     let mut cluster = Cluster::start(deployments::SERVICES, &binaries, seed).await?;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod cluster;
 mod demo;
+mod turn;
 
 use std::process::ExitCode;
 
