--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -9,8 +9,8 @@
     sync::oneshot,
     time::{sleep_until, timeout},
 };
-use traffic::{Completion, RecordUnit};
-use upstream::{CallError, Upstream};
+use traffic::{Completion, RecordUnit, RouteIndex};
+use upstream::{CallError, ClockBounds, Upstream};
 
 use crate::{
     forward::home,
@@ -221,9 +221,22 @@
         (reply, self.entry)
     }
 
+    /// The rule of the document that the request falls under, for what it is expected to take.
+    fn route(&self) -> Option<RouteIndex> {
+        let request = &self.request;
+        let path = request.path.path().strip_prefix('/')?;
+        let rest = match path.strip_prefix(request.service.as_str())? {
+            "" => "/",
+            rest => rest,
+        };
+        let header = |name: &str| request.headers.get(name).and_then(|it| it.to_str().ok());
+        let found = self.bound.document.route(request.method.as_str(), rest, header).ok()?;
+        Some(RouteIndex(found.index))
+    }
+
     /// Waits for a slot of the upstream.
     async fn queue(&self, caller: &mut Caller) -> Result<Permit, Box<GateReply>> {
-        let place = match self.bound.lane.offer(&self.request.class, self.deadline) {
+        let place = match self.bound.lane.offer(&self.request.class, self.route(), self.deadline) {
             Offer::Go(permit) => return Ok(permit),
             Offer::Refused { reason, retry_after } => {
                 return Err(Box::new(refused(reason, retry_after)));
@@ -273,6 +286,17 @@
         }
     }
 
+    /// The same on the upstream's own clock, where it announces one: a request that it reads after
+    /// a freeze does not run.
+    fn bounds(&self, clearance: Option<&Clearance>, until: Timestamp) -> Option<ClockBounds> {
+        let clock = &self.gate.upstream_clock;
+        let start_before = clearance.map_or(until, |it| it.lease_until.min(until));
+        Some(ClockBounds {
+            start_before_ms: clock.point_ms(start_before)?,
+            end_before_ms: clock.point_ms(until)?,
+        })
+    }
+
     /// Gives the request to the upstream, once.
     async fn give(
         &self,
@@ -302,6 +326,7 @@
             id: self.request.id,
             token: clearance.map(|it| it.token),
             remaining: until.since(started),
+            bounds: self.bounds(clearance.as_ref(), until),
         });
         let result = self.wait(call, until, caller).await;
         let ended = gate.clock.now();
