--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -19,7 +19,7 @@
 use serde_json::json;
 
 use self::machine::Machine;
-use crate::{cluster::repository, demo::line, turn};
+use crate::{cluster::repository, demo::line};
 
 /// Flags of `cargo xtask bench`.
 #[derive(Debug, gumdrop::Options)]
@@ -56,7 +56,6 @@
     if cfg!(debug_assertions) {
         return run_optimised();
     }
-    let _turn = turn::wait().await?;
     let machine = Machine::read()?;
     line(&machine.to_string())?;
     let result = match options.name.as_str() {
--- a/xtask/src/bench/path/mod.rs
+++ b/xtask/src/bench/path/mod.rs
@@ -10,6 +10,7 @@
 use crate::{
     cluster::{Binaries, Profile},
     demo::line,
+    turn,
 };
 
 /// All figures of the request path.
@@ -25,6 +26,7 @@
 /// Runs all cases, or the one that is asked for.
 pub(crate) async fn run(options: &BenchOptions) -> anyhow::Result<PathReport> {
     let binaries = Binaries::build(Profile::Release)?;
+    let _turn = turn::wait().await?;
     let wanted = |case: &str| options.case.is_empty() || options.case == case;
     let mut report = PathReport {
         latency: None,
