--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -86,12 +86,19 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Draws what grows with a size; what does not would be a flat line.
+/// What people would rather look at.
+const PLOTTED: &[(&str, &str)] = &[
+    ("coordinator_bytes_per_s", "members"),
+    ("coordinator_cpu_us_per_s", "members"),
+    ("coordinator_cpu_us_per_s", "slots"),
+    ("plan_bytes", "slots"),
+    ("resident_bytes_with_256_byte_answers", "records"),
+];
+
 fn plot_slopes(report: &slopes::SlopesReport) -> anyhow::Result<()> {
     let folder = measurements()?;
-    let grows =
-        |it: &&slopes::Slope| it.fit.is_some_and(|it| it.slope.abs() > 2.0 * it.slope_error);
-    for slope in report.slopes.iter().filter(grows) {
+    let is_plotted = |it: &&slopes::Slope| PLOTTED.contains(&(it.quantity, it.against));
+    for slope in report.slopes.iter().filter(is_plotted) {
         let name = format!("{}-against-{}.svg", slope.quantity, slope.against);
         plot::draw_slope(slope, &folder.join(name))?;
     }
