--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,7 @@
 
 use anyhow::Context;
 use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
 
 #[derive(Debug, Options)]
 struct XtaskOptions {
@@ -34,7 +35,7 @@
     // Dropping the work ends and reaps all processes that it started.
     let code = tokio::select! {
         code = run(options) => code,
-        _ = tokio::signal::ctrl_c() => Err(anyhow::anyhow!("interrupted")),
+        signal = stop_signal() => signal.and_then(|()| anyhow::bail!("interrupted")),
     };
     code.unwrap_or_else(|error| {
         log::error!(target: "xtask", "{error:#}.");
@@ -42,6 +43,14 @@
     })
 }
 
+async fn stop_signal() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("taking SIGTERM")?;
+    tokio::select! {
+        interrupted = tokio::signal::ctrl_c() => interrupted.context("taking SIGINT"),
+        _ = terminate.recv() => Ok(()),
+    }
+}
+
 async fn run(options: XtaskOptions) -> anyhow::Result<ExitCode> {
     match options.command.context("name a command; try --help")? {
         Command::Demo(options) => demo::run(options).await,
