--- a/xtask/src/bench/faults/mod.rs
+++ b/xtask/src/bench/faults/mod.rs
@@ -9,6 +9,7 @@
 use crate::{
     cluster::{Binaries, Profile},
     demo::{line, verdict::Verdict},
+    turn,
 };
 
 /// All scenarios that were measured.
@@ -50,6 +51,8 @@
     binaries: &Binaries,
     options: &BenchOptions,
 ) -> anyhow::Result<ScenarioReport> {
+    // Others may have their turn between two scenarios.
+    let _turn = turn::wait().await?;
     let seeds: Vec<u64> = (0..options.repeats as u64).map(|it| options.seed + it).collect();
     let mut verdicts = Vec::new();
     for seed in &seeds {
--- a/xtask/src/bench/faults/scenario.rs
+++ b/xtask/src/bench/faults/scenario.rs
@@ -15,7 +15,6 @@
         load::{Callers, probed_keys},
         verdict::Verdict,
     },
-    turn,
 };
 
 const SERVICE: ServiceSpec = ServiceSpec {
@@ -117,8 +116,6 @@
 impl Scenario {
     /// Runs the scenario once on a cluster of its own.
     pub(super) async fn run(&self, binaries: &Binaries, seed: u64) -> anyhow::Result<Verdict> {
-        // Others may have their turn between two runs.
-        let _turn = turn::wait().await?;
         let mut cluster = Cluster::start(&[SERVICE], binaries, seed).await?;
         let played = self.play(&mut cluster, seed).await;
         played.with_context(|| format!("scenario {} with seed {seed}", self.name))
