Ownership: traces, targeted faults, hot keys under faults; faults found and mended

Traces in plain text (crates/ownership/traces) are replayed with stated outcomes; random runs now strike the coordinator more often, mute or deafen hosts, move much, and give some keys much load. What they and the measurement of losses found, each mended here: - A read on its way while the object was updated cost the coordinator its term. - The isolated side of a partition that reached the platform took the term back and forth, so that nobody ever settled. A holder never heard in person is left alone for 1.5 s, doubling; without a majority of witnesses in reach for 10 s.

--- a/crates/ownership/src/coordinator/confirm.rs
+++ b/crates/ownership/src/coordinator/confirm.rs
@@ -203,6 +203,21 @@
         }
     }
 
+    /// An agent is there in the place of an earlier one: a witness that has ended confirms no lower
+    /// term either. Two processes are never bound to one address, so the earlier one has ended.
+    pub(crate) fn replaced(&mut self, now: Timestamp, by_agent: &Instance, by: &ConfirmBy<'_>) {
+        for witness in by.witness_sets.iter().copied().flatten() {
+            let here = witness.name == by_agent.name && witness.control == by_agent.control;
+            let id = MemberId::from(witness);
+            if here && !is_same(witness, by_agent) && !self.promised.contains(&id) {
+                self.promised.push(id);
+            }
+        }
+        if self.promised_at.is_none() && is_majority(&self.promised, by) {
+            self.promised_at = Some(now);
+        }
+    }
+
     /// Whether `call` is a read of this part; `shown` says whether it showed this term.
     pub(crate) fn read(
         &mut self,
--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -89,7 +89,7 @@
         for (key_hash, row) in self.table.keys_of(slot) {
             let owner = match &row.holder {
                 KeyHolder::Slot => continue,
-                KeyHolder::Entry(Holder::Member(it)) if it.member == *to => continue,
+                KeyHolder::Entry(Holder::Member(it)) if it.member == *to && !it.closing => continue,
                 KeyHolder::Entry(Holder::Member(it)) | KeyHolder::LeavingSlot(it) => {
                     Some(it.member.clone())
                 }
@@ -102,6 +102,7 @@
         let Some(member) = self.members.rows.get_mut(to) else { return };
         for (key_hash, owner) in commands {
             let owner = owner.unwrap_or_else(|| member.instance.clone());
+            member.excluded.insert(key_hash);
             member.command(Command::ExcludeKey { key_hash, owner });
         }
     }
--- a/crates/ownership/src/coordinator/handover.rs
+++ b/crates/ownership/src/coordinator/handover.rs
@@ -51,7 +51,7 @@
 
     fn next_step(&self, ctx: &Ctx<'_>, slot: Slot) -> Option<Next> {
         let row = &self.table.slots[usize::from(slot.0)];
-        let grant = row.holder.grant().filter(|it| !it.closing)?;
+        let grant = row.holder.grant().filter(|it| !it.closing && self.members.is_current(it))?;
         let holder = self.members.rows.get(&grant.member);
         let must_give_up = holder.is_some_and(|it| it.must_give_up());
         match &row.handover {
--- a/crates/ownership/src/coordinator/keys.rs
+++ b/crates/ownership/src/coordinator/keys.rs
@@ -110,9 +110,12 @@
                 let to = planned.filter(able)?;
                 let grant = slot.holder.grant().filter(|it| !it.closing && it.member != to)?;
                 let still = slot.handover.is_none() && self.is_settled();
+                let still = still && self.members.is_current(grant);
                 still.then(|| Next::LeaveSlot(grant.clone(), to))
             }
-            KeyHolder::Entry(Holder::Member(grant)) if !grant.closing => {
+            KeyHolder::Entry(Holder::Member(grant))
+                if !grant.closing && self.members.is_current(grant) =>
+            {
                 let row = self.members.rows.get(&grant.member);
                 let must_give_up = row.is_some_and(|it| it.must_give_up());
                 let to = match planned {
@@ -126,8 +129,8 @@
                 (!stays || must_give_up).then(|| Next::Close(grant.clone(), to))
             }
             KeyHolder::Entry(holder) if holder.is_free(self.confirm.proved_at()) => {
-                let names = self.plan.key_names(key_hash);
-                let to = planned.into_iter().chain(names).find(able);
+                let names = planned.iter().flat_map(|_| self.plan.key_names(key_hash));
+                let to = planned.clone().into_iter().chain(names).find(able);
                 match (to, &slot.holder) {
                     (_, Holder::Unknown) => None,
                     (Some(to), holder) if holder.grant().is_none_or(|it| it.member != to) => {
@@ -135,6 +138,7 @@
                     }
                     (_, Holder::Nobody { .. }) => Some(Next::Return(None)),
                     (_, Holder::Member(it)) if it.closing || slot.handover.is_some() => None,
+                    (_, Holder::Member(it)) if !self.members.is_current(it) => None,
                     (_, Holder::Member(it)) => Some(Next::Return(Some(it.clone()))),
                 }
             }
@@ -188,6 +192,7 @@
         let Some(holder) = holder else { return };
         let Some(member) = self.members.rows.get_mut(&holder.member) else { return };
         member.command(Command::Admit { slot, token });
+        member.excluded.remove(&key_hash);
         member.command(Command::ForgetKey { key_hash });
         let row = &mut self.table.slots[usize::from(slot.0)];
         row.holder = Holder::Member(Grant { token, ..holder });
--- a/crates/ownership/src/coordinator/loads.rs
+++ b/crates/ownership/src/coordinator/loads.rs
@@ -1,15 +1,18 @@
 //! Loads of slots and of the hottest keys, as the members report them.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use model::{KeyHash, Slot};
+use model::{KeyHash, Slot, Timestamp};
 
 use crate::{LoadReport, ctx::MemberId};
 
-use super::Coordination;
+use super::{Coordination, members::MemberRow};
 
 /// The weight of the newest report in a smoothed load.
 const LOAD_WEIGHT: f64 = 0.3;
+/// So many reports of each member make loads comparable, or so much time.
+const REPORTS_MIN: u32 = 3;
+const REPORTS_WAIT: Duration = Duration::from_secs(5);
 /// Keys whose load is kept, over all members.
 const HOT_KEYS_MAX: usize = 256;
 /// A key's load loses this share with each proposal in which nobody has reported it.
@@ -32,7 +35,7 @@
 impl HotKeys {
     fn report(&mut self, key_hash: KeyHash, us_per_s: f64) {
         if let Some(it) = self.loads.get_mut(&key_hash) {
-            smooth(&mut it.us_per_s, us_per_s);
+            it.us_per_s += LOAD_WEIGHT * (us_per_s - it.us_per_s);
             it.reported = true;
             return;
         }
@@ -72,11 +75,23 @@
     }
 }
 
-fn smooth(load: &mut f64, us_per_s: f64) {
+/// The first report counts in full.
+fn smooth(load: &mut Option<f64>, us_per_s: f64) {
+    let load = load.get_or_insert(us_per_s);
     *load += LOAD_WEIGHT * (us_per_s - *load);
 }
 
 impl Coordination {
+    /// Whether the members' loads can be compared: a new coordinator hears of them one by one.
+    pub(super) fn loads_are_known(&self, now: Timestamp) -> bool {
+        let known = |row: &MemberRow| {
+            !row.is_eligible()
+                || row.load_reports >= REPORTS_MIN
+                || now.since(row.joined_at) > REPORTS_WAIT
+        };
+        self.members.rows.values().all(known)
+    }
+
     pub(super) fn take_loads(&mut self, id: &MemberId, report: &LoadReport) {
         if report.period_ms == 0 {
             return;
@@ -102,7 +117,7 @@
     /// Slots too light to be reported share what is left of their owner's load.
     fn share_rest(&mut self, id: &MemberId, reported: &[Slot], rest_us_per_s: f64) {
         let slots = self.table.slot_count.iter().zip(&mut self.table.slots);
-        let mut others: Vec<&mut f64> = slots
+        let mut others: Vec<&mut Option<f64>> = slots
             .filter(|(slot, row)| {
                 row.holder.grant().is_some_and(|it| it.member == *id) && !reported.contains(slot)
             })
--- a/crates/ownership/src/coordinator/maintain.rs
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -119,18 +119,19 @@
     if count.is_multiple_of(2) { count.saturating_sub(1) } else { count }
 }
 
-/// Spreads the witnesses over the zones. Those that are witnesses already stay, and the
-/// coordinator itself comes last, so that its loss does not cost a witness as well.
+/// Spreads the witnesses over the zones. The coordinator itself comes last, and its zone counts as
+/// fuller by one, so that its loss does not cost a witness as well: while it lives it can do
+/// without them. Those that are witnesses already stay where that makes no difference.
 fn choose_witnesses(me: &Instance, able: &[&Instance], former: &[Instance]) -> Vec<Instance> {
     let count = WITNESSES_MAX.min(odd(able.len()));
-    let mut of_zone: BTreeMap<&Zone, usize> = BTreeMap::new();
+    let mut of_zone: BTreeMap<&Zone, usize> = BTreeMap::from([(&me.zone, 1)]);
     let mut chosen: Vec<Instance> = Vec::new();
     let mut left: Vec<&Instance> = able.to_vec();
     while chosen.len() < count {
         let cost = |it: &&Instance| {
             let crowd = of_zone.get(&it.zone).copied().unwrap_or(0);
             let new = !former.iter().any(|known| is_same(known, it));
-            (crowd, is_same(it, me), new)
+            (is_same(it, me), crowd, new)
         };
         let Some(at) = (0..left.len()).min_by_key(|it| cost(&left[*it])) else { break };
         let it = left.remove(at);
--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -6,6 +6,8 @@
 
 use crate::{Command, LoadReport, Renew, Report, SessionId, UpstreamState, ctx::MemberId};
 
+use super::slots::Grant;
+
 /// The most members of one group.
 pub const GROUP_MEMBERS_MAX: usize = 32;
 /// The weight of the newest report in a member's smoothed load.
@@ -25,6 +27,7 @@
     pub(crate) leaving: bool,
     pub(crate) config: ConfigVersion,
     pub(crate) load_us_per_s: f64,
+    pub(crate) load_reports: u32,
     /// Commands not yet heard to be applied; the first has the number `first_command`.
     pub(crate) commands: VecDeque<Command>,
     pub(crate) first_command: u64,
@@ -34,7 +37,7 @@
     pub(crate) route_version: u64,
     /// The version of routes up to which it has been sent some.
     pub(crate) routes_sent: u64,
-    /// Hot keys that the session kept out of its slots when this term found it.
+    /// Hot keys that the session keeps out of its slots, or has been told to.
     pub(crate) excluded: BTreeSet<KeyHash>,
     /// A renewal waits for its answer.
     pub(crate) answer_due: bool,
@@ -54,6 +57,7 @@
             leaving: renew.leaving,
             config: renew.config,
             load_us_per_s: 0.0,
+            load_reports: 0,
             commands: VecDeque::new(),
             first_command: 1,
             heard: 0,
@@ -113,6 +117,7 @@
             return;
         }
         let per_s = load.total_us as f64 * 1000.0 / f64::from(load.period_ms);
+        self.load_reports = self.load_reports.saturating_add(1);
         self.load_us_per_s += LOAD_WEIGHT * (per_s - self.load_us_per_s);
     }
 }
@@ -199,6 +204,12 @@
         gone
     }
 
+    /// Whether a grant is one of its member's current session. One of an earlier session only runs
+    /// out: commands would reach the newer one.
+    pub(crate) fn is_current(&self, grant: &Grant) -> bool {
+        self.rows.get(&grant.member).is_some_and(|it| it.session == grant.session)
+    }
+
     pub(crate) fn eligible(&self, id: &MemberId) -> bool {
         self.rows.get(id).is_some_and(MemberRow::is_eligible)
     }
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -184,6 +184,8 @@
         match message {
             Message::Renew(renew) => {
                 self.heard_at = ctx.now;
+                let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
+                self.confirm.replaced(ctx.now, from, &by);
                 self.renew(ctx, from, renew);
             }
             Message::Answer { term, number } if *term == self.term => {
@@ -331,20 +333,10 @@
         self.next_proposal = self.next_proposal.min(now + propose::GATHER_FOR);
     }
 
-    /// Whether this node's own part and nobody else is left to serve the group, or to lead it.
-    pub(crate) fn others(&self, me: &Instance) -> Others {
-        let id = MemberId::from(me);
-        let mut others = Others::None;
-        for (other, row) in &self.members.rows {
-            if *other == id {
-                continue;
-            }
-            if !row.leaving {
-                return Others::Staying;
-            }
-            others = Others::Leaving;
-        }
-        others
+    /// Whether others than this node are about to leave.
+    pub(crate) fn others_leave(&self, me: &Instance) -> bool {
+        let me = MemberId::from(me);
+        self.members.rows.iter().any(|(id, row)| *id != me && row.leaving)
     }
 
     /// Gives the term up, by an update after which this node renews nothing.
@@ -362,12 +354,3 @@
         self.members.rows.values().map(|it| &it.instance)
     }
 }
-
-/// Who else is in the group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Others {
-    None,
-    /// All of them are leaving too.
-    Leaving,
-    Staying,
-}
--- a/crates/ownership/src/coordinator/object.rs
+++ b/crates/ownership/src/coordinator/object.rs
@@ -152,10 +152,8 @@
         Decided::Updated { sent_at: pending.sent_at }
     }
 
-    /// Whether an object read from the platform is this coordinator's, as acknowledged or pending.
+    /// Whether an object read from the platform is of this term, which nobody else writes.
     pub(crate) fn is_own(&self, object: &Coordinator) -> bool {
-        let pending = self.pending.as_ref().map(|it| it.object.nonce);
         object.term == self.acked.term
-            && (object.nonce == self.acked.nonce || Some(object.nonce) == pending)
     }
 }
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -7,7 +7,6 @@
 use crate::{
     CallId, Plan, PlatformReply, PlatformRequest,
     ctx::{Ctx, MemberId},
-    rules::{self, Rule},
 };
 
 const RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -199,10 +198,6 @@
         self.doubtful = None;
         self.step = None;
         let plan = first(ctx, found.map(|it| it.1.as_ref()));
-        if found.is_some() && !rules::holds(Rule::FencePlans) {
-            self.doubtful = found.map(|it| Named::new(it.1.as_ref().clone()));
-            return self.taken_effect(self.version);
-        }
         self.write(ctx, plan);
         PlanReply::Nothing
     }
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -81,22 +81,35 @@
     /// Writes a new plan where the planner has a better one.
     pub(super) fn propose(&mut self, ctx: &mut Ctx<'_>) {
         let ready = self.is_settled() && self.plan.is_idle() && self.may_renew(ctx);
-        if !ready || self.next_proposal > ctx.now {
+        // What the plan in force can still repair is repaired first.
+        if !ready || self.next_proposal > ctx.now || self.any_grant_waits() {
             return;
         }
-        self.next_proposal = ctx.now + PROPOSE_EVERY;
         let members = self.planned_members();
         let input = self.planner_input(ctx, &members);
         let proposal = propose(&input);
         let Some(acked) = self.plan.acked() else { return };
         let plan = self.next_plan(acked, &members, &input, &proposal);
         self.hot_keys.fade();
-        if !is_same_plan(acked, &plan) {
+        if is_same_plan(acked, &plan) {
+            self.next_proposal = ctx.now + PROPOSE_EVERY;
+        } else if !self.confirm.platform_is_reachable(ctx.now) {
+            // A plan in doubt would only narrow whom a loss can be repaired with.
+            self.confirm.read_soon(ctx.now);
+        } else {
+            self.next_proposal = ctx.now + PROPOSE_EVERY;
             let plan = Plan { nonce: ctx.nonce(), ..plan };
             self.plan.write(ctx, plan);
         }
     }
 
+    fn any_grant_waits(&self) -> bool {
+        self.table.iter().any(|(slot, row)| {
+            matches!(row.holder, Holder::Nobody { .. })
+                && row.names.iter().any(|it| self.may_grant(slot, it))
+        })
+    }
+
     fn planned_members(&self) -> Members {
         let rows = self.members.rows.iter();
         let weight = |row: &MemberRow| if row.is_eligible() { 1.0 } else { 0.0 };
@@ -122,7 +135,10 @@
             members: instances.map(member).collect(),
             slots: slots.map(|(slot, row)| self.planner_slot(slot, row, members)).collect(),
             keys: self.planner_keys(members),
-            churn_left: (ctx.limits().churn_per_minute_max - moved).max(0.0),
+            churn_left: match self.loads_are_known(ctx.now) {
+                true => (ctx.limits().churn_per_minute_max - moved).max(0.0),
+                false => 0.0,
+            },
             limits: ctx.limits().clone(),
         }
     }
@@ -138,7 +154,7 @@
             slot,
             owner: owner.and_then(|it| members.index(it)),
             successors: names.iter().skip(1).filter_map(|it| members.index(it)).collect(),
-            load_us_per_s: row.load_us_per_s,
+            load_us_per_s: row.load_us_per_s.unwrap_or(0.0),
             settled_until: row.moved_at.map(|it| it + SETTLED_FOR).unwrap_or_default(),
         }
     }
@@ -192,6 +208,7 @@
             let holder = row.holder.grant().and_then(|it| members.index(&it.member));
             let next = row.handover.as_ref().and_then(|it| members.index(&it.to));
             name_too(&mut successors, owner, [holder, next]);
+            self.keep_a_name(&mut successors, owner, &row.names, members);
             plan.slots.push(PlanSlot { slot: slot.slot, owner, successors });
         }
         for key in &input.keys {
@@ -204,6 +221,23 @@
         plan
     }
 
+    /// Until a plan is acknowledged, a loss is repaired with those that it and the one before both
+    /// name: somebody besides the owner must be.
+    fn keep_a_name(
+        &self,
+        successors: &mut Vec<u16>,
+        owner: Option<u16>,
+        former: &[MemberId],
+        members: &Members,
+    ) {
+        let able = |it: &MemberId| members.index(it).filter(|_| self.members.eligible(it));
+        let mut former = former.iter().filter_map(able).filter(|it| Some(*it) != owner);
+        let kept = former.clone().any(|it| successors.contains(&it));
+        if let (false, Some(it)) = (kept, former.next()) {
+            successors.push(it);
+        }
+    }
+
     /// A key keeps its entry until it follows its slot again.
     fn next_key(
         &self,
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -1,6 +1,6 @@
 //! Renewals of members: joining, adopting live sessions, reports; and sessions that lapse.
 
-use model::{Instance, Token};
+use model::{Instance, Slot, Token};
 
 use crate::{
     Event, HeldKey, HeldSlot, Holding, Message, Renew, Report, SessionId,
@@ -66,6 +66,10 @@
         for held in &holding.keys {
             self.adopt_key(id, session, held);
         }
+        // A key kept out although no plan has an entry for it was about to follow its slot again.
+        for key_hash in &holding.excluded {
+            self.table.keys.entry(*key_hash).or_insert_with(KeyRow::unknown);
+        }
         if let Some(row) = self.members.rows.get_mut(id) {
             row.excluded = holding.excluded.iter().copied().collect();
         }
@@ -145,6 +149,7 @@
                     && row.holder.grant().is_some_and(|it| it.token == token && it.closing)
                 {
                     row.holder = Holder::Nobody { lapsed_at: None };
+                    self.forget_excluded(id, slot);
                 }
             }
             Report::KeyClosed { key_hash, token } => {
@@ -156,11 +161,22 @@
                 let closing = grant.closing && grant.token == token;
                 if closing && grant.member == *id && grant.session == session {
                     row.holder = KeyHolder::Entry(Holder::Nobody { lapsed_at: None });
+                    if let Some(member) = self.members.rows.get_mut(id) {
+                        member.excluded.insert(key_hash);
+                    }
                 }
             }
         }
     }
 
+    /// A slot that is given up keeps no keys out any more.
+    fn forget_excluded(&mut self, id: &MemberId, slot: Slot) {
+        let slot_count = self.table.slot_count;
+        if let Some(member) = self.members.rows.get_mut(id) {
+            member.excluded.retain(|it| slot_count.slot_of(*it) != slot);
+        }
+    }
+
     /// Ends the sessions whose leases have run out. Their grants end with them.
     pub(super) fn expire(&mut self, ctx: &mut Ctx<'_>) {
         for (id, session, row) in self.members.expire(ctx.now) {
--- a/crates/ownership/src/coordinator/slots.rs
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -81,7 +81,8 @@
     pub(crate) handover: Option<Handover>,
     /// The highest token ever granted for it, as far as it is known.
     pub(crate) last_token: Token,
-    pub(crate) load_us_per_s: f64,
+    /// None until it is first reported.
+    pub(crate) load_us_per_s: Option<f64>,
     pub(crate) moved_at: Option<Timestamp>,
     /// Who is named for it by the plan in force, in order.
     pub(crate) names: Vec<MemberId>,
@@ -131,7 +132,7 @@
             holder: holder.clone(),
             handover: None,
             last_token: Token::default(),
-            load_us_per_s: 0.0,
+            load_us_per_s: None,
             moved_at: None,
             names: Vec::new(),
             changed_in: base + 1 + u64::from(slot.0),
--- a/crates/ownership/src/member/holdings.rs
+++ b/crates/ownership/src/member/holdings.rs
@@ -151,7 +151,7 @@
         self.keys.remove(&key_hash);
         if self.slots.contains_key(&ctx.config.slot_count.slot_of(key_hash)) {
             self.excluded.insert(key_hash);
-        } else {
+        } else if !self.excluded.contains(&key_hash) {
             ctx.gate(GateCommand::ForgetKey { key_hash });
         }
         Some(Report::KeyClosed { key_hash, token })
--- a/crates/ownership/src/member/mod.rs
+++ b/crates/ownership/src/member/mod.rs
@@ -180,8 +180,7 @@
         answer: &Renewed,
         own_until: Option<Timestamp>,
     ) {
-        let other = answer.session != self.session && rules::holds(Rule::SessionsDiffer);
-        if other || !self.extend(ctx, answer, own_until) {
+        if answer.session != self.session || !self.extend(ctx, answer, own_until) {
             return;
         }
         self.adopted = true;
--- a/crates/ownership/src/node/messages.rs
+++ b/crates/ownership/src/node/messages.rs
@@ -19,9 +19,13 @@
 impl Node {
     pub(super) fn message(&mut self, ctx: &mut Ctx<'_>, from: &Instance, message: Message) {
         self.learn_from(ctx, from, &message);
+        self.heard(ctx, from);
         let known = self.known.term;
         let earlier = message.term() < known && !rules::holds(Rule::RefuseEarlierTerms);
         let of_coordinator = earlier || (message.term() == known && self.is_coordinator(from));
+        if of_coordinator {
+            self.known.in_person = true;
+        }
         match message {
             Message::WhoCoordinates { .. } => self.tell_coordinator(ctx, from),
             Message::Coordinates { term, silent_ms, coordinator } if term == known => {
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -84,10 +84,18 @@
     coordinator: Option<Instance>,
     /// The holder has given the term up, or is not who it was taken for.
     vacant: bool,
+    /// The holder itself has been heard in this term, not only of it.
+    in_person: bool,
     /// When the coordinator was last known to be at work.
     heard_at: Timestamp,
 }
 
+impl Known {
+    fn new(term: Term, coordinator: Option<Instance>, now: Timestamp) -> Known {
+        Known { term, coordinator, vacant: false, in_person: false, heard_at: now }
+    }
+}
+
 /// The state machine of one agent in one group.
 pub struct Node {
     config: Arc<NodeConfig>,
@@ -104,7 +112,7 @@
 impl Node {
     pub fn new(config: NodeConfig, now: Timestamp) -> Node {
         let rng = Pcg64Mcg::seed_from_u64(config.seed);
-        let known = Known { term: Term(0), coordinator: None, vacant: false, heard_at: now };
+        let known = Known::new(Term(0), None, now);
         Node {
             config: Arc::new(config),
             rng,
@@ -240,7 +248,7 @@
         let known = members.chain(self.known.coordinator.clone()).collect();
         self.lose_term(ctx);
         let coordinator = Some(ctx.me().clone());
-        self.known = Known { term, coordinator, vacant: false, heard_at: ctx.now };
+        self.known = Known::new(term, coordinator, ctx.now);
         self.member.follow_term(ctx.now);
         self.coordination = Some(Coordination::new(ctx, acquired, known));
     }
@@ -260,7 +268,7 @@
     fn learn(&mut self, ctx: &mut Ctx<'_>, term: Term, coordinator: Option<&Instance>) {
         let coordinator = coordinator.filter(|it| !is_same(it, ctx.me())).cloned();
         if term > self.known.term {
-            self.known = Known { term, coordinator, vacant: false, heard_at: ctx.now };
+            self.known = Known::new(term, coordinator, ctx.now);
             if self.coordination.as_ref().is_some_and(|it| it.term() < term) {
                 self.lose_term(ctx);
             }
--- a/crates/ownership/src/node/stop.rs
+++ b/crates/ownership/src/node/stop.rs
@@ -4,7 +4,7 @@
 
 use model::Timestamp;
 
-use crate::{Message, Output, coordinator::Others, ctx::Ctx};
+use crate::{Message, Output, ctx::Ctx};
 
 use super::Node;
 
@@ -56,12 +56,12 @@
         }
     }
 
-    /// The term is given up when this node holds nothing, and nobody is left who is leaving too.
+    /// The term is given up when this node holds nothing, and all others who leave have left.
     fn stop_coordinating(&mut self, ctx: &mut Ctx<'_>, gave_up: bool) {
         let Some(coordination) = &mut self.coordination else { return };
         let own_part_done =
             self.member.holdings.is_empty() && (self.member.dismissed || !self.member.has_lease());
-        let others_done = coordination.others(ctx.me()) != Others::Leaving;
+        let others_done = !coordination.others_leave(ctx.me());
         let ready = own_part_done && others_done;
         if !ready && !gave_up {
             return;
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -21,6 +21,17 @@
 /// Waits after calls that failed: the first, and the longest.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(1);
+/// A holder that this node has never heard itself is left alone for this long at first, then for
+/// twice as long each time: it may well be at work for others. The first is more than a term takes
+/// to settle.
+const HOLD_BACK: Duration = Duration::from_millis(1500);
+/// The same where no majority of the witnesses can be reached: the term would be of no use before
+/// the longest absence from the platform is over.
+const HOLD_BACK_ALONE: Duration = Duration::from_secs(10);
+const HOLD_BACK_DOUBLINGS_MAX: u32 = 5;
+/// Who was heard within this time can be reached.
+const HEARD_WITHIN: Duration = Duration::from_secs(1);
+const HEARD_MAX: usize = 64;
 /// Attempts whose answer was lost and that are remembered.
 const ATTEMPTS_MAX: usize = 16;
 
@@ -52,6 +63,14 @@
     next_ask: Timestamp,
     /// Others have heard the coordinator lately, so that it is not lost before this time.
     refrain_until: Timestamp,
+    /// Who was heard last when.
+    heard: Vec<(Instance, Timestamp)>,
+    /// The witnesses that the object named when it was last read.
+    witnesses: Vec<Instance>,
+    /// Since when no majority of them has been reached.
+    alone_since: Option<Timestamp>,
+    /// How often a term was taken from a holder that may have been at work.
+    doublings: u32,
 }
 
 impl Takeover {
@@ -63,6 +82,10 @@
             next_try: now,
             next_ask: now,
             refrain_until: now,
+            heard: Vec::new(),
+            witnesses: Vec::new(),
+            alone_since: None,
+            doublings: 0,
         }
     }
 
@@ -92,7 +115,10 @@
             None if self.known.vacant => silent >= rank / 2,
             None => true,
             Some(_) => {
-                let after = ctx.limits().takeover_after + rank;
+                let after = match self.known.in_person {
+                    true => ctx.limits().takeover_after + rank,
+                    false => HOLD_BACK * (1 << self.takeover.doublings) + rank,
+                };
                 silent >= after && ctx.now >= self.takeover.refrain_until
             }
         }
@@ -121,7 +147,7 @@
         let me = ctx.me();
         let members = self.member.routes.members.iter().map(|it| &it.instance);
         let mut asked: Vec<&Instance> = vec![me];
-        for it in members.chain(&ctx.config.peers) {
+        for it in members.chain(&ctx.config.peers).chain(&self.takeover.witnesses) {
             if !asked.iter().any(|known| is_same(known, it)) {
                 asked.push(it);
                 ctx.send(it, Message::WhoCoordinates { term: self.known.term });
@@ -129,6 +155,60 @@
         }
     }
 
+    /// Any message shows that its sender can be reached.
+    pub(super) fn heard(&mut self, ctx: &Ctx<'_>, from: &Instance) {
+        if self.coordination.is_some() {
+            return;
+        }
+        if self.is_coordinator(from) {
+            self.takeover.doublings = 0;
+        }
+        let heard = &mut self.takeover.heard;
+        match heard.iter_mut().find(|it| is_same(&it.0, from)) {
+            Some(it) => it.1 = ctx.now,
+            None => {
+                heard.retain(|it| ctx.now.since(it.1) < HEARD_WITHIN);
+                heard.truncate(HEARD_MAX - 1);
+                heard.push((from.clone(), ctx.now));
+            }
+        }
+    }
+
+    /// Whether a majority of the witnesses can be reached, or has been replaced.
+    fn reaches_majority(&self, ctx: &Ctx<'_>, witnesses: &[Instance]) -> bool {
+        let reached = |witness: &&Instance| {
+            let here = |it: &Instance| it.name == witness.name && it.control == witness.control;
+            let mut heard = self.takeover.heard.iter();
+            is_same(witness, ctx.me())
+                || here(ctx.me())
+                || heard.any(|it| here(&it.0) && ctx.now.since(it.1) < HEARD_WITHIN)
+        };
+        2 * witnesses.iter().filter(reached).count() > witnesses.len()
+    }
+
+    /// Whether the term would be of use: it has to be confirmed, and earlier ones have to end.
+    fn is_worth_taking(&mut self, ctx: &Ctx<'_>, object: &Coordinator) -> bool {
+        self.takeover.witnesses = object.witnesses.clone();
+        let by_witnesses = object.confirmation == Confirmation::Witnesses;
+        if !by_witnesses || self.reaches_majority(ctx, &object.witnesses) {
+            self.takeover.alone_since = None;
+            return true;
+        }
+        let Some(since) = self.takeover.alone_since else {
+            self.takeover.alone_since = Some(ctx.now);
+            self.takeover.next_ask = ctx.now;
+            self.takeover.next_try = ctx.now + RETRY_MIN / 2;
+            return false;
+        };
+        if ctx.now.since(since) >= HOLD_BACK_ALONE * (1 << self.takeover.doublings) {
+            self.takeover.alone_since = None;
+            return true;
+        }
+        let alone_for = ctx.now.since(since);
+        self.takeover.next_try = ctx.now + alone_for.clamp(RETRY_MIN, RETRY_MAX);
+        false
+    }
+
     /// Another member has heard the coordinator later than this node: that sets the time by which
     /// its silence counts.
     pub(super) fn coordinator_heard_by_other(
@@ -211,6 +291,13 @@
         if object.term < self.known.term || !self.is_time_to_take_over(ctx) {
             return;
         }
+        if !self.is_worth_taking(ctx, object) {
+            return;
+        }
+        if self.known.coordinator.is_some() && !self.known.in_person {
+            let doublings = self.takeover.doublings + 1;
+            self.takeover.doublings = doublings.min(HOLD_BACK_DOUBLINGS_MAX);
+        }
         let attempt = Coordinator {
             term: Term(object.term.0 + 1),
             holder: Some(ctx.me().clone()),
--- a/crates/ownership/src/rules.rs
+++ b/crates/ownership/src/rules.rs
@@ -17,16 +17,12 @@
     LeaseFromSending,
     /// A member follows no earlier term than the highest it has heard of.
     RefuseEarlierTerms,
-    /// A member's own session and no other takes commands.
-    SessionsDiffer,
     /// A coordinator's own lease is shortened before witnesses confirm it.
     CapOwnLease,
     /// A coordinator renews only while it is confirmed.
     RenewConfirmed,
     /// The new owner is granted a slot when the old one has closed it.
     WaitForClose,
-    /// A term's first plan is written before it grants.
-    FencePlans,
 }
 
 #[cfg(test)]
--- a/crates/ownership/src/sim/fault.rs
+++ b/crates/ownership/src/sim/fault.rs
@@ -37,6 +37,9 @@
     },
     /// Messages between these hosts and all others are lost, both ways.
     Isolate(Vec<usize>),
+    /// All that a host sends to others is lost, or all that is sent to it.
+    Mute(usize),
+    Deafen(usize),
     CutFromPlatform(usize),
     /// The platform answers nobody.
     PlatformDown,
@@ -92,6 +95,12 @@
                 self.links.cut.insert((from, to));
             }
             Fault::Isolate(hosts) => self.isolate(&hosts),
+            Fault::Mute(host) => {
+                self.links.cut.extend((0..self.hosts.len()).map(|it| (host, it)));
+            }
+            Fault::Deafen(host) => {
+                self.links.cut.extend((0..self.hosts.len()).map(|it| (it, host)));
+            }
             Fault::CutFromPlatform(host) => {
                 self.links.cut_from_platform.insert(host);
             }
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -257,6 +257,10 @@
         self.truth.handovers
     }
 
+    pub fn key_grants(&self) -> u64 {
+        self.truth.key_grants
+    }
+
     /// How many keys have entries of their own now.
     pub fn key_entries(&self) -> usize {
         self.hosts.iter().map(|it| it.gate.keys.len()).sum()
--- a/crates/ownership/src/sim/random.rs
+++ b/crates/ownership/src/sim/random.rs
@@ -36,6 +36,8 @@
     pub settled_terms: u64,
     pub grants: u64,
     pub handovers: u64,
+    /// Admissions of hot keys by entries of their own.
+    pub key_grants: u64,
     pub messages: u64,
 }
 
@@ -44,6 +46,9 @@
 /// After the last fault all must be served again within this time: the longest absence, a takeover,
 /// and the sessions and plans that follow.
 const RECOVERY_MAX: Duration = Duration::from_secs(15);
+const KEY_LOAD_MAX: u64 = 8_000;
+const SLOT_LOAD_MAX: u64 = 6_000;
+const RESTART_EVERY: Duration = Duration::from_millis(500);
 const FAULT_GAP_MIN: Duration = Duration::from_millis(100);
 
 /// Runs one shape to its end.
@@ -57,7 +62,12 @@
 }
 
 fn run(shape: &Shape, log: bool) -> (RunReport, Vec<String>) {
-    let limits = Limits { platform_absence_max: ABSENCE_MAX, ..Limits::default() };
+    // Much may move, so that handovers meet faults.
+    let limits = Limits {
+        platform_absence_max: ABSENCE_MAX,
+        churn_per_minute_max: 20.0,
+        ..Limits::default()
+    };
     // Two clocks differ by at most the margin in one lease.
     let drift = limits.drift_margin.as_secs_f64() / limits.lease.as_secs_f64() / 2.1;
     let mut sim = Sim::new(SimConfig {
@@ -72,12 +82,17 @@
         sim.keep_log();
     }
     let mut rng = Pcg64Mcg::seed_from_u64(shape.seed ^ 0x5eed);
+    for key in 0..shape.watched_keys {
+        let us_per_s = rng.random_range(0..KEY_LOAD_MAX);
+        sim.apply(Fault::KeyLoad { key, us_per_s });
+    }
     sim.start_all();
     sim.run_for(Duration::from_millis(rng.random_range(500..4000)));
     let mut faults = 0;
     let end = sim.now() + shape.duration;
     while sim.now() < end && sim.violation().is_none() {
-        for fault in draw(&mut rng, shape) {
+        let coordinator = sim.coordinator();
+        for fault in draw(&mut rng, shape, coordinator) {
             sim.apply(fault);
             faults += 1;
         }
@@ -86,7 +101,14 @@
     }
     let healed_at = sim.now();
     sim.heal();
-    sim.run_until(RECOVERY_MAX, |it| it.unowned() == 0 && it.unowned_keys() == 0);
+    let served = |it: &Sim| it.unowned() == 0 && it.unowned_keys() == 0;
+    while sim.now().since(healed_at) < RECOVERY_MAX && sim.violation().is_none() {
+        if sim.run_until(RESTART_EVERY, served) {
+            break;
+        }
+        // Hosts that were stopping end and come back.
+        sim.start_all();
+    }
     let count = |word: &str| sim.events().get(word).copied().unwrap_or(0);
     let report = RunReport {
         violation: sim.violation().cloned(),
@@ -98,18 +120,21 @@
         settled_terms: count("Settled"),
         grants: count("Granted"),
         handovers: sim.handovers(),
+        key_grants: sim.key_grants(),
         messages: sim.messages,
     };
     let log = sim.log().to_vec();
     (report, log)
 }
 
-fn draw(rng: &mut Pcg64Mcg, shape: &Shape) -> Vec<Fault> {
-    let host = rng.random_range(0..shape.hosts);
+/// The coordinator is struck more often than others.
+fn draw(rng: &mut Pcg64Mcg, shape: &Shape, coordinator: Option<usize>) -> Vec<Fault> {
+    let anybody = rng.random_range(0..shape.hosts);
+    let host = coordinator.filter(|_| rng.random_bool(0.4)).unwrap_or(anybody);
     let other = rng.random_range(0..shape.hosts);
     let short_ms = rng.random_range(20..1000);
     let long_ms = rng.random_range(300..4000);
-    match rng.random_range(0..32) {
+    match rng.random_range(0..36) {
         0..=2 => vec![Fault::Pause { host, for_ms: short_ms }],
         3 => vec![Fault::Pause { host, for_ms: long_ms }],
         4..=6 => vec![Fault::PauseInStep { host, for_ms: long_ms }],
@@ -134,15 +159,19 @@
         }],
         26 => vec![Fault::Stop(host)],
         27 => vec![Fault::Stop(host), Fault::Stop(other)],
-        28 => vec![Fault::Upstream { host, state: UpstreamState::Lost }],
+        31 => vec![Fault::Upstream { host, state: UpstreamState::Lost }],
         29 => vec![Fault::Upstream { host, state: UpstreamState::Ready }],
-        30 if shape.watched_keys > 0 => vec![Fault::KeyLoad {
+        28 | 30 if shape.watched_keys > 0 => vec![Fault::KeyLoad {
             key: rng.random_range(0..shape.watched_keys),
-            us_per_s: rng.random_range(0..400_000),
+            us_per_s: rng.random_range(0..KEY_LOAD_MAX),
         }],
+        32 => vec![Fault::Mute(host)],
+        33 => vec![Fault::Deafen(host)],
+        34 => vec![Fault::Mute(host), Fault::Stop(other)],
+        35 => vec![Fault::Isolate(vec![host, other]), Fault::CutFromPlatform(host)],
         _ => vec![Fault::SlotLoad {
             slot: rng.random_range(0..usize::from(shape.slots)),
-            us_per_s: rng.random_range(0..100_000),
+            us_per_s: rng.random_range(0..SLOT_LOAD_MAX),
         }],
     }
 }
--- a/crates/ownership/src/sim/truth.rs
+++ b/crates/ownership/src/sim/truth.rs
@@ -67,6 +67,7 @@
     pub(super) violation: Option<Violation>,
     pub(super) events: BTreeMap<String, u64>,
     pub(super) handovers: u64,
+    pub(super) key_grants: u64,
 }
 
 impl Truth {
@@ -78,6 +79,7 @@
             violation: None,
             events: BTreeMap::new(),
             handovers: 0,
+            key_grants: 0,
         }
     }
 
@@ -123,7 +125,11 @@
                     self.check_key(host, key_hash);
                 }
             }
-            GateCommand::AdmitKey { key_hash, .. } | GateCommand::ForgetKey { key_hash } => {
+            GateCommand::AdmitKey { key_hash, .. } => {
+                self.truth.key_grants += 1;
+                self.check_key(host, *key_hash);
+            }
+            GateCommand::ForgetKey { key_hash } => {
                 self.check_key(host, *key_hash);
             }
             GateCommand::Lease { .. } if !had_lease => {
--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Runs of many nodes: in order, under random faults, and along recorded traces.
 
 mod order;
+
 mod random;
 mod sabotage;
+mod trace;
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -10,12 +10,12 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
-fn shape(seed: u64) -> Shape {
+pub(super) fn shape(seed: u64) -> Shape {
     Shape {
         seed,
         hosts: 3 + (seed % 5) as usize,
-        slots: 8,
-        watched_keys: (seed % 3) as usize,
+        slots: 8 + (seed % 4) as u16 * 8,
+        watched_keys: 4 * (seed % 3) as usize,
         duration: Duration::from_secs(20 + seed % 20),
         fault_gap_max: Duration::from_millis(400 + seed * 31 % 3600),
     }
