--- /dev/null
+++ b/crates/agent/src/control/status.rs
@@ -0,0 +1,241 @@
+//! The status of the group, written by its coordinator: when it changes, and seldom.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, SystemTime},
+};
+
+use model::{Instance, ObjectVersion, Timestamp};
+use ownership::{MemberView, NodeView, OwnerView, UpstreamState};
+use platform::PlatformError;
+use rand::RngExt;
+use settings::{
+    CoordinatorStatus, GRANTS_MAX, GrantStatus, HotKeyStatus, InForce, Measures, OwnerStatus,
+    Status, UpstreamStateName, UpstreamStatus,
+};
+
+use crate::control::{
+    pace::Pace,
+    state::{Control, ONLY_GROUP},
+};
+
+/// The period over which the measures look back.
+const MEASURED: Duration = Duration::from_secs(60);
+
+#[derive(Debug, Default)]
+pub(crate) struct StatusWriter {
+    /// The object's version; none: to be read first.
+    object: Option<ObjectVersion>,
+    in_flight: bool,
+    pace: Pace,
+    in_force_since_unix_ms: Option<u64>,
+    versions_sent_at: Option<Timestamp>,
+    unowned: UnownedTimes,
+}
+
+/// When some slot had no owner, within the measured period; the time before the first grants is
+/// none of these.
+#[derive(Debug, Default)]
+struct UnownedTimes {
+    owned_before: bool,
+    since: Option<Timestamp>,
+    /// When each ended, and how long it had lasted.
+    ended: VecDeque<(Timestamp, Duration)>,
+}
+
+impl UnownedTimes {
+    fn note(&mut self, now: Timestamp, unowned: bool) {
+        self.ended.retain(|(at, _)| now.since(*at) <= MEASURED);
+        match self.since {
+            None if unowned && self.owned_before => self.since = Some(now),
+            Some(since) if !unowned => {
+                self.ended.push_back((now, now.since(since)));
+                self.since = None;
+            }
+            _ => {}
+        }
+        self.owned_before |= !unowned;
+    }
+
+    fn longest(&self, now: Timestamp) -> Duration {
+        let running = self.since.map(|it| now.since(it));
+        self.ended.iter().map(|(_, it)| *it).chain(running).max().unwrap_or_default()
+    }
+}
+
+impl StatusWriter {
+    /// Whether versions are due to be spread again; notes that they are.
+    pub(super) fn versions_due(&mut self, now: Timestamp, every: Duration) -> bool {
+        let due = self.versions_sent_at.is_none_or(|it| now.since(it) >= every);
+        if due {
+            self.versions_sent_at = Some(now);
+        }
+        due
+    }
+}
+
+/// Wall-clock milliseconds since 1970, for people to read.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis() as u64)
+}
+
+impl Control {
+    pub(super) fn write_status(&mut self, now: Timestamp) {
+        let Some(group) = &self.group else { return };
+        let unowned = group.view.owners.iter().any(|it| it.owner.is_none());
+        self.status.unowned.note(now, unowned);
+        if !group.view.is_coordinator {
+            // Another's writes are unknown here: read before the next one.
+            self.status.object = None;
+            self.status.pace = Pace::default();
+            return;
+        }
+        if self.status.in_flight {
+            return;
+        }
+        let status = self.build_status();
+        if !self.status.pace.is_due(now, &status) {
+            return;
+        }
+        self.status.in_flight = true;
+        match self.status.object {
+            None => self.parts.calls.read_status(&status.service, ONLY_GROUP),
+            Some(object) => {
+                self.parts.calls.write_status(object, &status);
+                let jitter = self.rng.random();
+                self.status.pace.written(now, status, jitter);
+            }
+        }
+    }
+
+    pub(super) fn status_read(&mut self, result: Result<Option<ObjectVersion>, PlatformError>) {
+        self.status.in_flight = false;
+        match result {
+            Ok(version) => self.status.object = Some(version.unwrap_or_default()),
+            Err(error) => self.status_failed(&error),
+        }
+    }
+
+    pub(super) fn status_written(&mut self, result: Result<ObjectVersion, PlatformError>) {
+        self.status.in_flight = false;
+        match result {
+            Ok(version) => self.status.object = Some(version),
+            Err(error) => self.status_failed(&error),
+        }
+    }
+
+    fn status_failed(&mut self, error: &PlatformError) {
+        log::debug!(target: "status", "{error}.");
+        self.status.object = None;
+        let now = self.now();
+        self.status.pace.failed(now);
+    }
+
+    fn build_status(&mut self) -> Status {
+        let in_force = self.in_force();
+        let Some(group) = &self.group else { unreachable!("a coordinator has a group") };
+        let view = &group.view;
+        let accepted = self.documents.version(self.service());
+        Status {
+            service: self.service().clone(),
+            group: ONLY_GROUP,
+            written_at_unix_ms: unix_ms(),
+            accepted: (accepted.0 > 0).then_some(accepted),
+            in_force,
+            refused: self.acceptor.refused.clone(),
+            coordinator: CoordinatorStatus {
+                instance: self.parts.own.name.clone(),
+                zone: self.parts.own.zone.clone(),
+                term: view.term,
+                settled: view.settled,
+            },
+            owners: view.members.iter().map(|it| owner_status(it, &view.owners)).collect(),
+            upstreams: view.members.iter().map(upstream_status).collect(),
+            grants: grants(view),
+            hot_keys: view.owners.iter().filter_map(hot_key_status).collect(),
+            measures: self.measures(),
+            moves: group.moves.iter().cloned().collect(),
+        }
+    }
+
+    fn in_force(&mut self) -> InForce {
+        let accepted = self.documents.version(self.service());
+        let members = self.group.as_ref().map_or(&[][..], |it| &it.view.members);
+        let instances = members.iter().filter(|it| it.config >= accepted).count() as u32;
+        let of = members.len() as u32;
+        let since = &mut self.status.in_force_since_unix_ms;
+        if instances < of {
+            *since = None;
+        } else if since.is_none() {
+            *since = Some(unix_ms());
+        }
+        InForce { instances, of, since_unix_ms: *since }
+    }
+
+    fn measures(&self) -> Measures {
+        let Some(group) = &self.group else { return Measures::default() };
+        let loads: Vec<u64> = group.view.members.iter().map(|it| it.load_us_per_s).collect();
+        let mean = loads.iter().sum::<u64>() as f64 / loads.len().max(1) as f64;
+        let busiest = loads.iter().max().copied().unwrap_or_default() as f64;
+        let oldest_ms = unix_ms().saturating_sub(MEASURED.as_millis() as u64);
+        let moved = group
+            .moves
+            .iter()
+            .filter(|it| it.at_unix_ms >= oldest_ms && it.reason != "first")
+            .count();
+        let slots = group.view.owners.iter().filter(|it| it.key_hash.is_none()).count();
+        Measures {
+            imbalance: if mean > 0.0 { busiest / mean } else { 1.0 },
+            churn_per_minute: moved as f64 / slots.max(1) as f64,
+            unavailable_ms_max: self.status.unowned.longest(self.now()).as_millis() as u64,
+        }
+    }
+}
+
+fn owner_status(member: &MemberView, owners: &[OwnerView]) -> OwnerStatus {
+    let slots = owners
+        .iter()
+        .filter(|it| it.key_hash.is_none() && it.owner.as_ref() == Some(&member.instance));
+    OwnerStatus {
+        instance: member.instance.name.clone(),
+        zone: member.instance.zone.clone(),
+        slots: slots.count() as u32,
+        load_us_per_s: member.load_us_per_s,
+        config: member.config,
+    }
+}
+
+fn upstream_status(member: &MemberView) -> UpstreamStatus {
+    let state = match member.state {
+        UpstreamState::Starting => UpstreamStateName::Starting,
+        UpstreamState::Ready => UpstreamStateName::Ready,
+        UpstreamState::Draining => UpstreamStateName::Draining,
+        UpstreamState::Lost => UpstreamStateName::Lost,
+    };
+    UpstreamStatus {
+        instance: member.instance.name.clone(),
+        zone: member.instance.zone.clone(),
+        state,
+    }
+}
+
+fn hot_key_status(owner: &OwnerView) -> Option<HotKeyStatus> {
+    let key_hash = owner.key_hash?;
+    let name = owner.owner.as_ref().map(|it| it.name.clone());
+    Some(HotKeyStatus { key_hash, owner: name })
+}
+
+/// The grants of all slots in order; none if there are too many.
+fn grants(view: &NodeView) -> Vec<GrantStatus> {
+    let slots = || view.owners.iter().filter(|it| it.key_hash.is_none());
+    if slots().count() > GRANTS_MAX {
+        return Vec::new();
+    }
+    let index = |owner: &Instance| view.members.iter().position(|it| it.instance == *owner);
+    let grant = |it: &OwnerView| GrantStatus {
+        owner: it.owner.as_ref().and_then(index).map(|it| it as u16),
+        token: it.token.unwrap_or_default(),
+    };
+    slots().map(grant).collect()
+}
--- a/crates/agent/src/gate/table.rs
+++ b/crates/agent/src/gate/table.rs
@@ -18,14 +18,28 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Grant {
     pub(crate) token: Token,
+    /// The first token since when it has been held without a gap.
+    pub(crate) lineage: Token,
     pub(crate) since: Timestamp,
 }
 
+impl Grant {
+    /// A grant of what is held already goes on with it.
+    fn next(former: Option<Grant>, token: Token, now: Timestamp) -> Grant {
+        match former {
+            Some(former) => Grant { token, ..former },
+            None => Grant { token, lineage: token, since: now },
+        }
+    }
+}
+
 /// What a request is admitted under.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Admittance {
     pub(crate) unit: RecordUnit,
     pub(crate) grant: Grant,
+    /// What the upstream is given: never lower than it has seen for this key.
+    pub(crate) fence: Token,
     /// When the key came back to its slot after it was owned apart.
     pub(crate) returned: Option<Timestamp>,
 }
@@ -38,6 +52,8 @@
     /// Keys refused though their slot may be admitted, and who owns them.
     excluded: HashMap<KeyHash, Option<Instance>>,
     returned: HashMap<KeyHash, Timestamp>,
+    /// The highest tokens of keys that were owned apart from their slot.
+    floors: HashMap<KeyHash, Token>,
 }
 
 /// Why a key is not admitted.
@@ -49,15 +65,18 @@
 
 impl Admitted {
     fn admittance(&self, slot: Slot, key_hash: KeyHash) -> Result<Admittance, NotAdmitted> {
+        let floor = self.floors.get(&key_hash).copied().unwrap_or_default();
         match (self.keys.get(&key_hash), self.excluded.get(&key_hash), self.slots.get(&slot)) {
             (Some(grant), _, _) => {
                 let unit = RecordUnit::Key(key_hash);
-                Ok(Admittance { unit, grant: *grant, returned: None })
+                let fence = grant.token.max(floor);
+                Ok(Admittance { unit, grant: *grant, fence, returned: None })
             }
             (None, Some(owner), _) => Err(NotAdmitted { owner: owner.clone() }),
             (None, None, Some(grant)) => Ok(Admittance {
                 unit: RecordUnit::Slot(slot),
                 grant: *grant,
+                fence: grant.token.max(floor),
                 returned: self.returned.get(&key_hash).copied(),
             }),
             (None, None, None) => Err(NotAdmitted { owner: None }),
@@ -65,20 +84,25 @@
     }
 
     fn change(&mut self, now: Timestamp, command: &GateCommand) {
-        let grant = |token: &Token| Grant { token: *token, since: now };
         match command {
             GateCommand::Lease { .. } | GateCommand::Prepare { .. } => {}
-            GateCommand::Admit { slot, token } => drop(self.slots.insert(*slot, grant(token))),
+            GateCommand::Admit { slot, token } => {
+                let former = self.slots.get(slot).copied();
+                self.slots.insert(*slot, Grant::next(former, *token, now));
+            }
             GateCommand::AdmitKey { key_hash, token } => {
                 self.excluded.remove(key_hash);
-                self.keys.insert(*key_hash, grant(token));
+                let former = self.keys.get(key_hash).copied();
+                self.keys.insert(*key_hash, Grant::next(former, *token, now));
+                self.raise_floor(*key_hash, *token);
             }
             GateCommand::ExcludeKey { key_hash, owner } => {
                 self.keys.remove(key_hash);
                 self.excluded.insert(*key_hash, Some(owner.clone()));
             }
-            GateCommand::CloseKey { key_hash, to, .. } => {
+            GateCommand::CloseKey { key_hash, token, to } => {
                 self.keys.remove(key_hash);
+                self.raise_floor(*key_hash, *token);
                 self.excluded.insert(*key_hash, to.clone());
             }
             GateCommand::ForgetKey { key_hash } => {
@@ -90,6 +114,11 @@
             GateCommand::DropAll => *self = Admitted::default(),
         }
     }
+
+    fn raise_floor(&mut self, key_hash: KeyHash, token: Token) {
+        let floor = self.floors.entry(key_hash).or_default();
+        *floor = token.max(*floor);
+    }
 }
 
 /// The admitted set, the lease over it and what is in flight.
@@ -102,8 +131,10 @@
     slots_in_flight: Vec<AtomicU32>,
     /// Requests of each key that has any; of traffic threads only.
     keys_in_flight: Mutex<HashMap<KeyHash, u32>>,
-    /// Grants whose requests must end at once.
-    stopped: Mutex<HashSet<(RecordUnit, Token)>>,
+    /// Units whose requests must end at once.
+    stopped: Mutex<HashSet<RecordUnit>>,
+    /// How often everything was dropped.
+    drops: AtomicU64,
     /// Changes with every command but a lease.
     changes: watch::Sender<u64>,
 }
@@ -115,6 +146,7 @@
     slot: Slot,
     key_hash: KeyHash,
     pub(crate) admittance: Admittance,
+    drops: u64,
 }
 
 impl Drop for Entry {
@@ -127,21 +159,43 @@
 }
 
 impl Entry {
-    /// Still admitted under the same grant, and the lease holds.
-    pub(crate) fn holds(&self, now: Timestamp) -> bool {
-        self.table.lease_holds(now)
-            && self.table.peek(self.slot, self.key_hash).is_ok_and(|it| it == self.admittance)
+    pub(crate) fn slot(&self) -> Slot {
+        self.slot
+    }
+
+    /// Checks at the last step before the upstream that the request is still admitted under the
+    /// same grant and that the lease holds.
+    pub(crate) fn clear(&self, now: Timestamp) -> Result<Clearance, NotAdmitted> {
+        let until = self.table.lease_until();
+        let now_admitted = self.table.peek(self.slot, self.key_hash)?;
+        let same = now_admitted.unit == self.admittance.unit
+            && now_admitted.grant.lineage == self.admittance.grant.lineage;
+        if now >= until || !same || self.is_dropped() {
+            return Err(NotAdmitted { owner: None });
+        }
+        Ok(Clearance { token: now_admitted.fence, checked_at: now, lease_until: until })
     }
 
-    /// Must end at once: its grant was given up while it ran too long.
+    /// Must end at once: its unit is to be closed and it has run too long.
     pub(crate) fn is_stopped(&self) -> bool {
-        let key = (self.admittance.unit, self.admittance.grant.token);
-        let by_key = (RecordUnit::Key(self.key_hash), self.admittance.grant.token);
         let stopped = self.table.stopped.lock().unwrap_or_else(PoisonError::into_inner);
-        stopped.contains(&key) || stopped.contains(&by_key)
+        stopped.contains(&self.admittance.unit) || stopped.contains(&RecordUnit::Key(self.key_hash))
+    }
+
+    /// The gate has dropped everything since.
+    pub(crate) fn is_dropped(&self) -> bool {
+        self.table.drops.load(Ordering::SeqCst) != self.drops
     }
 }
 
+/// Leave to give one request to the upstream; made only by the last check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Clearance {
+    pub(crate) token: Token,
+    pub(crate) checked_at: Timestamp,
+    pub(crate) lease_until: Timestamp,
+}
+
 impl GateTable {
     pub(crate) fn new() -> GateTable {
         GateTable {
@@ -150,6 +204,7 @@
             slots_in_flight: (0..SlotCount::MAX).map(|_| AtomicU32::new(0)).collect(),
             keys_in_flight: Mutex::default(),
             stopped: Mutex::default(),
+            drops: AtomicU64::new(0),
             changes: watch::channel(0).0,
         }
     }
@@ -159,7 +214,10 @@
         for command in commands {
             match command {
                 GateCommand::Lease { until } => self.set_lease(*until),
-                GateCommand::DropAll => self.set_lease(Timestamp::ZERO),
+                GateCommand::DropAll => {
+                    self.set_lease(Timestamp::ZERO);
+                    self.drops.fetch_add(1, Ordering::SeqCst);
+                }
                 _ => {}
             }
         }
@@ -197,9 +255,9 @@
         self.admitted.load().admittance(slot, key_hash)
     }
 
-    /// Whether a slot is held under this token.
-    pub(crate) fn holds_slot(&self, slot: Slot, token: Token) -> bool {
-        self.admitted.load().slots.get(&slot).is_some_and(|it| it.token == token)
+    /// Whether a slot has been held without a gap since this token.
+    pub(crate) fn holds_slot(&self, slot: Slot, lineage: Token) -> bool {
+        self.admitted.load().slots.get(&slot).is_some_and(|it| it.lineage == lineage)
     }
 
     /// Counts a request as in flight if its key is admitted.
@@ -212,6 +270,7 @@
         in_flight.fetch_add(1, Ordering::SeqCst);
         *self.keys().entry(key_hash).or_default() += 1;
         fence(Ordering::SeqCst);
+        let drops = self.drops.load(Ordering::SeqCst);
         let admittance = match self.peek(slot, key_hash) {
             Ok(admittance) => admittance,
             Err(error) => {
@@ -223,7 +282,7 @@
         if matches!(admittance.unit, RecordUnit::Key(_)) {
             in_flight.fetch_sub(1, Ordering::SeqCst);
         }
-        Ok(Entry { table: Arc::clone(self), slot, key_hash, admittance })
+        Ok(Entry { table: Arc::clone(self), slot, key_hash, admittance, drops })
     }
 
     fn keys(&self) -> MutexGuard<'_, HashMap<KeyHash, u32>> {
@@ -253,14 +312,14 @@
         }
     }
 
-    /// Ends what still runs under a grant that was given up.
-    pub(crate) fn stop(&self, unit: RecordUnit, token: Token) {
-        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).insert((unit, token));
+    /// Ends what still runs of a unit that is being closed.
+    pub(crate) fn stop(&self, unit: RecordUnit) {
+        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).insert(unit);
         self.changes.send_modify(|it| *it += 1);
     }
 
-    /// Nothing runs under it any more.
-    pub(crate) fn forget_stop(&self, unit: RecordUnit, token: Token) {
-        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).remove(&(unit, token));
+    /// Nothing of the unit runs any more.
+    pub(crate) fn forget_stop(&self, unit: RecordUnit) {
+        self.stopped.lock().unwrap_or_else(PoisonError::into_inner).remove(&unit);
     }
 }
--- /dev/null
+++ b/crates/agent/src/tests/mod.rs
@@ -0,0 +1,9 @@
+//! The traffic plane on real sockets, with upstreams in memory and control played by the test.
+
+mod callers;
+mod fakes;
+mod forwarding;
+mod gate;
+mod handover;
+mod stop;
+mod upstream_clock;
--- a/crates/client/src/commands/status.rs
+++ b/crates/client/src/commands/status.rs
@@ -12,6 +12,9 @@
     terminal::Terminal,
 };
 
+/// How many moves a table shows; `--json` prints all that the status holds.
+const MOVES_SHOWN: usize = 10;
+
 const ALL_PREFIX: &str = "status/";
 
 /// What `--json` prints.
@@ -30,7 +33,7 @@
         None => ALL_PREFIX.to_owned(),
     };
     let mut statuses = Vec::new();
-    merge(&mut statuses, store.list(&prefix).await?)?;
+    merge(&mut statuses, store.list(&prefix).await?.changes)?;
     statuses.sort_by(|a, b| a.0.cmp(&b.0));
     let groups: Vec<&Status> = statuses.iter().map(|it| &it.1).collect();
     match &args.service {
@@ -131,13 +134,12 @@
 }
 
 fn hot_keys(status: &Status) -> String {
-    let mut table = Table::new(&["HOT KEY", "OWNER", "LOAD"]);
+    let mut table = Table::new(&["HOT KEY", "OWNER"]);
     for key in &status.hot_keys {
         let owner = key.owner.as_ref();
         table.row(&[
             format!("{:016x}", key.key_hash.0),
             owner.map_or("that of its slot".to_owned(), |it| it.to_string()),
-            load(key.load_us_per_s),
         ]);
     }
     table.render()
@@ -146,7 +148,7 @@
 fn moves(status: &Status) -> String {
     let mut table = Table::new(&["MOVED", "SLOT", "TO", "TOKEN", "WHY"]);
     let now = now_unix_ms();
-    for it in &status.moves {
+    for it in status.moves.iter().take(MOVES_SHOWN) {
         table.row(&[
             ago(it.at_unix_ms, now),
             it.slot.to_string(),
@@ -168,7 +170,6 @@
         UpstreamStateName::Starting => "starting",
         UpstreamStateName::Ready => "ready",
         UpstreamStateName::Draining => "draining",
-        UpstreamStateName::Ejected => "ejected",
         UpstreamStateName::Lost => "lost",
     }
 }
--- a/crates/client/tests/cli/apply.rs
+++ b/crates/client/tests/cli/apply.rs
@@ -57,7 +57,8 @@
             { "instance": "s-1", "zone": "pitlane", "state": "ready" },
             { "instance": "s-2", "zone": "scoring-hall", "state": "lost" },
         ],
-        "hot_keys": [{ "key_hash": 7, "owner": "s-1", "load_us_per_s": 900_000 }],
+        "grants": [[0, 3, 101], [0, 3, 102], [null, 0, 0], [0, 3, 104], [0, 3, 105], [0, 3, 118]],
+        "hot_keys": [{ "key_hash": 7, "owner": "s-1" }],
         "measures": { "imbalance": 1.25, "churn_per_minute": 0.02, "unavailable_ms_max": 812 },
         "moves": [{ "slot": 5, "token": { "term": 3, "sequence": 118 }, "to": "s-1", "reason": "loss", "at_unix_ms": 1_000 }],
     })
@@ -156,6 +157,19 @@
     assert_eq!(desk.text(), format!("{DOCUMENT}// pomelohill: standings version 1\n"));
 }
 
+#[test]
+fn an_effect_that_stays_unknown_is_said_so() {
+    let desk = Desk::new("unsure");
+    desk.write(DOCUMENT);
+    desk.platform.fail_next(Fault::Down);
+    let expected = [
+        "update services/standings: no answer from platform",
+        "the document may or may not be written: apply it again to find out",
+    ];
+    desk.check(&["apply", "--no-wait", "file.jsonc"], (4, &[], &expected));
+    assert_eq!(desk.text(), DOCUMENT, "the file stays as it was");
+}
+
 #[test]
 fn a_file_without_a_base_overwrites_nothing() {
     let desk = Desk::new("no-base");
--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -30,6 +30,15 @@
     pub body: Bytes,
 }
 
+/// What callers talk to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Peer {
+    /// Whose answers carry an outcome.
+    Agent,
+    /// An upstream without an agent in between, to compare with.
+    Upstream,
+}
+
 /// How callers go about a request that did not succeed.
 #[derive(Debug, Clone)]
 pub struct CallRules {
@@ -41,6 +50,7 @@
     pub resend_after: Duration,
     /// Whether anything is sent more than once.
     pub resend: bool,
+    pub peer: Peer,
 }
 
 impl Default for CallRules {
@@ -50,6 +60,7 @@
             margin: Duration::from_millis(250),
             resend_after: Duration::from_millis(25),
             resend: true,
+            peer: Peer::Agent,
         }
     }
 }
@@ -79,13 +90,18 @@
         let mut target = first_target;
         let mut attempts: Vec<Attempt> = Vec::new();
         loop {
-            let age = (!attempts.is_empty()).then(|| first_sent.elapsed());
+            let age = may_have_run_since_ns(&attempts)
+                .map(|since_ns| Duration::from_nanos(wall_ns().saturating_sub(since_ns)));
             let address = self.targets[target % self.targets.len()];
             let sent_ns = wall_ns();
             let patience = request.deadline + self.rules.margin;
             let Ending { result, retry_after } =
-                self.client.attempt(address, request, age, patience).await;
-            let next = next(&result, request.idempotent);
+                self.client.attempt(address, request, age, patience, self.rules.peer).await;
+            let next = match (&result, retry_after) {
+                // The agent asks for the same id again: it may have the first answer then.
+                (AttemptResult::Unknown { .. }, Some(_)) => Next::Same,
+                _ => next(&result, request.idempotent),
+            };
             let ended_ns = wall_ns();
             attempts.push(Attempt { target: address, sent_ns, ended_ns, result });
             if next == Next::Done || !self.rules.resend {
@@ -139,11 +155,18 @@
     }
 }
 
+/// When the first sending was sent that may have run. Those before it provably did not, so that the
+/// next one counts as a first sending.
+pub(crate) fn may_have_run_since_ns(attempts: &[Attempt]) -> Option<u64> {
+    attempts.iter().find(|it| !is_safe(it)).map(|it| it.sent_ns)
+}
+
+fn is_safe(attempt: &Attempt) -> bool {
+    matches!(attempt.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
+}
+
 /// What the caller holds to be true in the end.
 pub(crate) fn final_outcome(attempts: &[Attempt]) -> FinalOutcome {
-    let is_safe = |it: &Attempt| {
-        matches!(it.result, AttemptResult::NotRun { .. } | AttemptResult::NotConnected)
-    };
     match attempts.last().map(|it| &it.result) {
         Some(AttemptResult::Answered | AttemptResult::Crossed) => FinalOutcome::Answered,
         Some(AttemptResult::NotRun { .. }) => FinalOutcome::NotRun,
--- a/crates/standins/src/caller/tests.rs
+++ b/crates/standins/src/caller/tests.rs
@@ -1,10 +1,20 @@
 //! Tests of what callers make of the ends of their sendings.
 
-use crate::journal::{Attempt, AttemptResult, FinalOutcome};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use model::RequestId;
+
+use crate::{
+    answer::encode_answer,
+    journal::{Attempt, AttemptResult, FinalOutcome},
+};
 
 use super::{
-    RouteMix,
-    call::{Next, final_outcome, next},
+    CallRequest, RouteMix,
+    attempt::classify,
+    call::{Next, final_outcome, may_have_run_since_ns, next},
 };
 
 fn not_run(reason: &str) -> AttemptResult {
@@ -15,6 +25,27 @@
     AttemptResult::Unknown { reason: "no-record".to_owned() }
 }
 
+/// Sendings at 0, 1, 2, ... ns.
+fn attempts(results: &[AttemptResult]) -> Vec<Attempt> {
+    let attempt = |(at_ns, result): (usize, &AttemptResult)| Attempt {
+        target: "127.0.0.1:1".parse().unwrap(),
+        sent_ns: at_ns as u64,
+        ended_ns: at_ns as u64,
+        result: result.clone(),
+    };
+    results.iter().enumerate().map(attempt).collect()
+}
+
+#[test]
+fn a_sending_that_did_not_run_leaves_the_next_one_the_first() {
+    let check = |results: &[AttemptResult], expected| {
+        assert_eq!(may_have_run_since_ns(&attempts(results)), expected, "{results:?}");
+    };
+    check(&[], None);
+    check(&[not_run("no-owner"), AttemptResult::NotConnected], None);
+    check(&[not_run("no-owner"), AttemptResult::ConnectionLost, not_run("draining")], Some(1));
+}
+
 #[test]
 fn what_is_sent_again() {
     let check = |result: AttemptResult, idempotent, expected| {
@@ -31,14 +62,7 @@
 #[test]
 fn what_a_caller_holds_to_be_true() {
     let check = |results: &[AttemptResult], expected| {
-        let attempt = |result: &AttemptResult| Attempt {
-            target: "127.0.0.1:1".parse().unwrap(),
-            sent_ns: 0,
-            ended_ns: 0,
-            result: result.clone(),
-        };
-        let attempts: Vec<Attempt> = results.iter().map(attempt).collect();
-        assert_eq!(final_outcome(&attempts), expected, "{results:?}");
+        assert_eq!(final_outcome(&attempts(results)), expected, "{results:?}");
     };
     check(&[not_run("no-owner"), AttemptResult::Answered], FinalOutcome::Answered);
     check(&[not_run("no-owner"), AttemptResult::NotConnected], FinalOutcome::NotRun);
@@ -53,3 +77,34 @@
     assert_eq!((route.class(), route.idempotent), ("penalty", false));
     assert!("POST:/racecontrol".parse::<RouteMix>().is_err());
 }
+
+#[test]
+fn answers_are_checked_whatever_their_status() {
+    let request = CallRequest {
+        id: RequestId(7),
+        method: Method::GET,
+        service: "s".to_owned(),
+        path: "/s/lap".to_owned(),
+        key: "car-7".to_owned(),
+        class: "lap".to_owned(),
+        idempotent: true,
+        deadline: Duration::from_secs(1),
+        answer_bytes: 5,
+        body: Bytes::new(),
+    };
+    let check = |status: u16, outcome, body: &[u8], expected| {
+        let status = StatusCode::from_u16(status).unwrap();
+        assert_eq!(classify(status, outcome, body, &request), expected);
+    };
+    let whole = encode_answer(RequestId(7), "car-7", 5);
+    let failed = encode_answer(RequestId(7), "car-7", 0);
+    let other = encode_answer(RequestId(8), "car-7", 5);
+    check(200, Some("answered"), &whole, AttemptResult::Answered);
+    check(200, Some("answered"), &failed, AttemptResult::Broken);
+    check(200, Some("answered"), &other, AttemptResult::Crossed);
+    check(200, None, &whole, AttemptResult::NoOutcome { status: 200 });
+    let service = AttemptResult::Unknown { reason: "service-504".to_owned() };
+    check(504, Some("answered"), &failed, service);
+    check(504, Some("answered"), b"cut", AttemptResult::Broken);
+    check(503, Some("not-run; reason=no-owner"), b"", not_run("no-owner"));
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 pub mod control;
+pub mod exchange;
 pub mod link;
 pub mod traffic;
 
--- a/xtask/src/demo/load.rs
+++ b/xtask/src/demo/load.rs
@@ -8,7 +8,7 @@
 use standins::journal::CallRecord;
 use tokio::{task::JoinSet, time::Instant};
 
-use crate::cluster::{Cluster, Service};
+use crate::cluster::{Cluster, Service, key};
 
 /// Callers of each service in the first second.
 const RUSH_CALLERS: usize = 100;
@@ -18,6 +18,9 @@
 const STEADY_REQUESTS_PER_S: f64 = 400.0;
 const STEADY_REQUESTS_PER_S_WITHOUT_KEY: f64 = 100.0;
 const KEYS: usize = 24;
+/// The rush and a second load go to many keys, as the spread over upstreams needs them.
+const BROAD_KEYS: usize = 600;
+const BROAD_REQUESTS_PER_S: f64 = 200.0;
 /// Share of the requests that is for the hottest key.
 const HOT_SHARE: f64 = 0.1;
 const ANSWER_BYTES: usize = 2_000;
@@ -40,7 +43,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut loads = JoinSet::new();
         for service in &cluster.services {
-            for load in [rush(cluster, service), steady(cluster, service, duration)] {
+            for load in loads_of(cluster, service, duration) {
                 let load = Load { seed: rng.random(), ..load };
                 loads.spawn(async move { Ok(run_load(load, start).await?.records) });
             }
@@ -58,9 +61,24 @@
     }
 }
 
-fn rush(cluster: &Cluster, service: &Service) -> Load {
-    let (callers, duration) = (RUSH_CALLERS, RUSH);
-    Load { callers, duration, pace: Pace::Closed, ..steady(cluster, service, RUSH) }
+/// The keys that the steady load asks for.
+pub(crate) fn probed_keys() -> impl Iterator<Item = String> {
+    (0..KEYS).map(key)
+}
+
+fn loads_of(cluster: &Cluster, service: &Service, duration: Duration) -> Vec<Load> {
+    let steady = steady(cluster, service, duration);
+    let broad = Load {
+        pace: Pace::Rate { requests_per_s: BROAD_REQUESTS_PER_S },
+        keys: (0..BROAD_KEYS).map(key).collect(),
+        hot_share: 0.0,
+        ..steady.clone()
+    };
+    let rush = Load { callers: RUSH_CALLERS, duration: RUSH, pace: Pace::Closed, ..broad.clone() };
+    match service.document.keyed {
+        true => vec![rush, steady, broad],
+        false => vec![rush, steady],
+    }
 }
 
 fn steady(cluster: &Cluster, service: &Service, duration: Duration) -> Load {
@@ -75,7 +93,7 @@
         pace: Pace::Rate { requests_per_s },
         duration,
         routes: service.routes.clone(),
-        keys: (0..KEYS).map(|it| service.key(it)).collect(),
+        keys: probed_keys().collect(),
         hot_share: HOT_SHARE,
         answer_bytes: ANSWER_BYTES,
         deadline: DEADLINE,
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -5,7 +5,7 @@
 mod deployments;
 pub(crate) mod evidence;
 mod faults;
-mod load;
+pub(crate) mod load;
 mod report;
 pub(crate) mod verdict;
 
@@ -17,6 +17,8 @@
 use standins::journal::wall_ns;
 use tokio::time::{Instant, sleep_until};
 
+pub(crate) use self::report::line;
+
 use self::{
     config_probe::{Probes, judge},
     evidence::{Evidence, Window},
@@ -24,7 +26,10 @@
     load::Callers,
     verdict::Verdict,
 };
-use crate::cluster::{Binaries, Cluster, Profile};
+use crate::{
+    cluster::{Binaries, Cluster, Profile},
+    turn,
+};
 
 /// The first second belongs to the rush; the next ones show the spread without faults.
 const QUIET_FROM: Duration = Duration::from_secs(1);
@@ -53,6 +58,7 @@
 pub(crate) async fn run(options: DemoOptions) -> anyhow::Result<ExitCode> {
     // The run of the tests' profile keeps its checks on, and a fresh clone builds it but once.
     let binaries = Binaries::build(Profile::Dev)?;
+    let _turn = turn::wait().await?;
     let seed = options.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
     report::line(&format!("seed {seed}"))?;
     let mut cluster = Cluster::start(deployments::SERVICES, &binaries, seed).await?;
@@ -88,7 +94,9 @@
     let start = Instant::now() + Duration::from_millis(100);
     let start_ns = wall_ns() + 100_000_000;
     let at = |after: Duration| start_ns + u64::try_from(after.as_nanos()).unwrap_or(u64::MAX);
+    evidence.probed_keys = load::probed_keys().collect();
     evidence.quiet = Window { from_ns: at(QUIET_FROM), until_ns: at(FIRST_FAULT) };
+    evidence.churn = Window { from_ns: start_ns, until_ns: at(FAULTS_END) };
     evidence.watched = Window { from_ns: start_ns, until_ns: at(load) };
 
     let callers = Callers::start(cluster, load, start, seed);
--- a/xtask/src/demo/verdict/tests.rs
+++ b/xtask/src/demo/verdict/tests.rs
@@ -22,6 +22,8 @@
         let whole = Window { from_ns: 0, until_ns: 10_000 * MS };
         let mut plot = Plot::default();
         plot.evidence.quiet = whole;
+        plot.evidence.churn = whole;
+        plot.evidence.probed_keys.insert("k".to_owned());
         for instance in ["a", "b"] {
             plot.evidence.upstreams.push(UpstreamJournal {
                 instance: instance.to_owned(),
@@ -29,6 +31,7 @@
                 keyed: true,
                 entries: Vec::new(),
                 gone_ns: 20_000 * MS,
+                frozen: Vec::new(),
             });
         }
         plot
@@ -153,6 +156,21 @@
     Plot::new().ran("a", 1, "1.1", 10..30).ran("a", 2, "1.1", 11..20).check(&[]);
 }
 
+#[test]
+fn a_frozen_process_does_nothing() {
+    let check = |end, until_ms, expected: &[&str]| {
+        let mut plot = Plot::new().run("a", 1, "1.1", 10..until_ms, Some(end));
+        let frozen = Window { from_ns: 20 * MS, until_ns: 500 * MS };
+        plot.evidence.upstreams[0].frozen.push(frozen);
+        plot.ran("b", 2, "1.2", 300..310).check(expected);
+    };
+    // Its deadline passed meanwhile, and it stopped at once when it went on.
+    check(RunEnd::DeadlineExceeded, 400, &[]);
+    // It went on.
+    check(RunEnd::DeadlineExceeded, 600, &["double_owned"]);
+    check(RunEnd::Ran, 501, &["double_owned"]);
+}
+
 #[test]
 fn a_token_that_goes_back_is_found() {
     Plot::new().ran("a", 1, "1.2", 10..20).ran("b", 2, "1.1", 30..40).check(&["double_owned"]);
@@ -245,6 +263,16 @@
     assert_eq!(verdict.unavailable_ms_max, 0);
 }
 
+#[test]
+fn a_service_not_divided_by_key_is_served_by_any_upstream() {
+    let failed = [(500..510, not_run("draining"))];
+    let mut plot = Plot::new().watched().call(2, FinalOutcome::NotRun, &failed);
+    plot.evidence.upstreams.iter_mut().for_each(|it| it.keyed = false);
+    let mut plot = plot.ran("a", 1, "1.1", 520..525).answered(1, 515..530);
+    plot.evidence.calls[1].key = "another".to_owned();
+    assert_eq!(plot.check(&[]).unavailable_ms_max, 30);
+}
+
 #[test]
 fn a_slow_or_reverted_change_is_found() {
     let check = |config, expected: &[&str]| {
