--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -211,6 +211,19 @@
         self.truth.violation.as_ref()
     }
 
+    /// What a host's node knows.
+    pub fn view(&self, host: usize) -> Option<crate::NodeView> {
+        self.hosts[host].node.as_ref().map(crate::Node::view)
+    }
+
+    /// Gives all nodes other limits.
+    pub fn change_limits(&mut self, limits: Limits) {
+        self.config.limits = limits.clone();
+        for host in 0..self.hosts.len() {
+            self.input(host, Input::Limits(Box::new(limits.clone())));
+        }
+    }
+
     /// Who coordinates, in the latest term that any host holds.
     pub fn coordinator(&self) -> Option<usize> {
         let terms = self.hosts.iter().enumerate().filter_map(|(at, it)| Some((it.term()?, at)));
--- a/crates/ownership/src/tests/order.rs
+++ b/crates/ownership/src/tests/order.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use crate::sim::{Fault, Sim, SimConfig};
+use model::SlotCount;
+
+use crate::{
+    GROUP_MEMBERS_MAX, Limits,
+    sim::{Fault, Sim, SimConfig},
+};
 
 fn started(seed: u64) -> Sim {
     let mut sim = Sim::new(SimConfig::new(seed));
@@ -47,3 +52,112 @@
     check(&sim);
     assert_ne!(sim.coordinator(), Some(lost));
 }
+
+#[test]
+fn a_lone_host_serves_all_and_stops() {
+    let mut sim = Sim::new(SimConfig { hosts: 1, ..SimConfig::new(4) });
+    sim.start_all();
+    assert!(sim.run_until(Duration::from_secs(5), |it| it.unowned() == 0));
+    sim.apply(Fault::Stop(0));
+    assert!(sim.run_until(Duration::from_secs(5), |it| it.has_stopped(0)));
+    sim.start_all();
+    assert!(sim.run_until(Duration::from_secs(5), |it| it.unowned() == 0));
+    check(&sim);
+}
+
+#[test]
+fn a_lone_host_stops_without_the_platform() {
+    let mut sim = Sim::new(SimConfig { hosts: 1, ..SimConfig::new(5) });
+    sim.start_all();
+    assert!(sim.run_until(Duration::from_secs(5), |it| it.unowned() == 0));
+    sim.apply(Fault::PlatformDown);
+    sim.apply(Fault::Stop(0));
+    assert!(sim.run_until(Duration::from_secs(20), |it| it.has_stopped(0)));
+}
+
+#[test]
+fn the_whole_group_stops_at_once() {
+    let mut sim = started(6);
+    sim.run_for(Duration::from_secs(4));
+    for host in 0..sim.host_count() {
+        sim.apply(Fault::Stop(host));
+    }
+    let stopped = |it: &Sim| (0..it.host_count()).all(|host| it.has_stopped(host));
+    assert!(sim.run_until(Duration::from_secs(25), stopped), "{:?}", sim.events());
+    assert_eq!(sim.violation(), None);
+}
+
+#[test]
+fn the_whole_group_is_lost_and_comes_back() {
+    let mut sim = started(7);
+    sim.run_for(Duration::from_secs(5));
+    for host in 0..sim.host_count() {
+        sim.apply(Fault::Crash(host));
+    }
+    sim.run_for(Duration::from_secs(1));
+    sim.start_all();
+    // The longest absence from the platform is half an hour here: it is not waited for.
+    let served = sim.run_until(Duration::from_secs(15), |it| it.unowned() == 0);
+    assert!(served, "{:?}", sim.events());
+    check(&sim);
+}
+
+#[test]
+fn a_service_not_divided_by_key_has_members_only() {
+    let mut sim = Sim::new(SimConfig { hosts: 3, keyed: false, ..SimConfig::new(8) });
+    sim.start_all();
+    sim.run_for(Duration::from_secs(5));
+    let members = |it: &Sim, host: usize| it.view(host).map_or(0, |it| it.members.len());
+    assert_eq!((0..3).map(|it| members(&sim, it)).collect::<Vec<_>>(), [3, 3, 3]);
+    assert_eq!(sim.unowned(), 8);
+    sim.apply(Fault::Crash(2));
+    sim.run_for(Duration::from_secs(2));
+    assert_eq!((0..2).map(|it| members(&sim, it)).collect::<Vec<_>>(), [2, 2]);
+    sim.apply(Fault::Stop(0));
+    sim.apply(Fault::Stop(1));
+    let stopped = |it: &Sim| it.has_stopped(0) && it.has_stopped(1);
+    assert!(sim.run_until(Duration::from_secs(10), stopped), "{:?}", sim.events());
+}
+
+#[test]
+fn a_group_takes_in_no_more_than_its_limit() {
+    let hosts = GROUP_MEMBERS_MAX + 1;
+    let slot_count = SlotCount::new(64).unwrap();
+    let mut sim = Sim::new(SimConfig { hosts, slot_count, ..SimConfig::new(9) });
+    sim.start_all();
+    sim.run_for(Duration::from_secs(8));
+    assert!(sim.events()["JoinRefused"] > 0);
+    let coordinator = sim.coordinator().unwrap();
+    assert_eq!(sim.view(coordinator).unwrap().members.len(), GROUP_MEMBERS_MAX);
+    check(&sim);
+}
+
+#[test]
+fn times_change_without_a_gap() {
+    let mut sim = started(10);
+    sim.run_for(Duration::from_secs(4));
+    for lease_ms in [2000, 750] {
+        let lease = Duration::from_millis(lease_ms);
+        sim.change_limits(Limits { lease, ..Limits::default() });
+        let gaps = sim.longest_gaps(Duration::from_secs(6));
+        assert!(gaps.iter().all(|it| *it < Duration::from_millis(100)), "{gaps:?}");
+        let times = sim.coordinator_object().unwrap().times;
+        assert_eq!(u64::from(times.lease_ms), lease_ms);
+    }
+    check(&sim);
+}
+
+#[test]
+fn a_leaving_upstream_gives_its_slots_up() {
+    let mut sim = started(11);
+    sim.run_for(Duration::from_secs(4));
+    let host = (sim.coordinator().unwrap() + 1) % sim.host_count();
+    for state in [crate::UpstreamState::Draining, crate::UpstreamState::Lost] {
+        sim.apply(Fault::Upstream { host, state: crate::UpstreamState::Ready });
+        sim.run_for(Duration::from_secs(3));
+        sim.apply(Fault::Upstream { host, state });
+        sim.run_for(Duration::from_secs(4));
+        assert_eq!(sim.owned_by(host), []);
+        check(&sim);
+    }
+}
