Ownership: a coordinator's own slots come back at once when its witnesses return or are replaced

A coordinator that lost its majority for a moment waited out its own former session like that of a stranger, though it knows when that one's lease ended.

--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -169,14 +169,15 @@
         }
     }
 
-    /// Puts a new session in the place of an older one, which ends when its lease does.
-    pub(crate) fn insert(&mut self, id: MemberId, row: MemberRow) {
+    /// Puts a new session in the place of an older one, which ends when its lease does: at
+    /// `ends_at` where that is known.
+    pub(crate) fn insert(&mut self, id: MemberId, row: MemberRow, ends_at: Option<Timestamp>) {
         let Some(former) = self.rows.insert(id.clone(), row) else { return };
         self.end(id.clone(), former.session);
         self.lapsing.push(LapsingSession {
             member: id,
             session: former.session,
-            until: former.lease_until,
+            until: ends_at.unwrap_or(former.lease_until).min(former.lease_until),
         });
     }
 
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -92,6 +92,8 @@
     times_differ_since: Option<Timestamp>,
     /// The path of confirmation and the witnesses, as last acknowledged.
     confirmed_by: (Confirmation, Vec<MemberId>),
+    /// The latest time until which this node's own lease was ever extended by this term.
+    own_until: Timestamp,
     /// Since when this node's own lease is kept as short as witnesses would keep it.
     own_capped_since: Option<Timestamp>,
     /// When any member was last heard.
@@ -123,7 +125,7 @@
             members: MemberTable::default(),
             table: SlotTable::new(slots, &holder, base),
             hot_keys: HotKeys::default(),
-            plan: PlanKeeper::new(ctx.now),
+            plan: PlanKeeper::new(ctx.now, slots),
             sequence: 0,
             route_version: base + u64::from(slots.count()),
             members_changed_in: base,
@@ -135,6 +137,7 @@
             moved: VecDeque::new(),
             times_differ_since: None,
             confirmed_by,
+            own_until: ctx.now,
             own_capped_since: None,
             heard_at: ctx.now,
             releasing: false,
@@ -154,14 +157,18 @@
     }
 
     /// Until when this node may hold what it has granted itself.
-    pub(crate) fn own_lease_until(&self, ctx: &Ctx<'_>) -> Option<Timestamp> {
+    pub(crate) fn own_lease_until(&mut self, ctx: &Ctx<'_>) -> Option<Timestamp> {
         let until = self.confirm.until();
         let by_witnesses = self.confirm.proved_at() + self.times(ctx).confirmation();
         let until = match self.own_capped_since {
             Some(_) if rules::holds(Rule::CapOwnLease) => until.min(by_witnesses),
             _ => until,
         };
-        self.may_renew(ctx).then_some(until)
+        if !self.may_renew(ctx) {
+            return None;
+        }
+        self.own_until = self.own_until.max(until);
+        Some(until)
     }
 
     /// The times in force: those that a successor will wait by, or shorter ones.
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::{KeyHash, ObjectVersion, Slot, Timestamp};
+use model::{KeyHash, ObjectVersion, Slot, SlotCount, Timestamp};
 
 use crate::{
     CallId, Plan, PlatformReply, PlatformRequest,
@@ -10,6 +10,8 @@
 };
 
 const RETRY_AFTER: Duration = Duration::from_millis(100);
+/// A group whose plan has another number of slots is left alone; this is how often it is looked at.
+const OTHER_SLOTS_RETRY: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
 enum Step {
@@ -63,6 +65,7 @@
 /// its first write also keeps any write of an earlier term from taking effect.
 #[derive(Debug)]
 pub(crate) struct PlanKeeper {
+    slot_count: SlotCount,
     version: ObjectVersion,
     /// The newest plan that this term has seen acknowledged.
     acked: Option<Named>,
@@ -74,8 +77,9 @@
 }
 
 impl PlanKeeper {
-    pub(crate) fn new(now: Timestamp) -> PlanKeeper {
+    pub(crate) fn new(now: Timestamp, slot_count: SlotCount) -> PlanKeeper {
         PlanKeeper {
+            slot_count,
             version: ObjectVersion(0),
             acked: None,
             doubtful: None,
@@ -191,6 +195,12 @@
             Some((version, _)) if own => return self.taken_effect(*version),
             // What this term has seen acknowledged was replaced.
             _ if self.acked.is_some() => return PlanReply::Deposed,
+            // Slots of another size: what they name says nothing about the slots of this document.
+            Some((_, plan)) if plan.slot_count != self.slot_count => {
+                self.step = Some(Step::Read);
+                self.retry_at = ctx.now + OTHER_SLOTS_RETRY;
+                return PlanReply::Nothing;
+            }
             _ => {}
         }
         // An earlier term wrote meanwhile: the first write of this term goes on top of that.
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Event, HeldKey, HeldSlot, Holding, Message, Renew, Report, SessionId,
-    ctx::{Ctx, MemberId},
+    ctx::{Ctx, MemberId, is_same},
 };
 
 use super::{
@@ -48,7 +48,11 @@
         let mut row = MemberRow::new(from, renew, ctx.now);
         let times = self.object.acked().times;
         row.lease_until = ctx.now + times.elsewhere(times.lease());
-        self.members.insert(id.clone(), row);
+        // Of its own former session a coordinator knows that it is over: it ends with its lease. An
+        // earlier term may have given that too, but not any more once this one is settled.
+        let own = is_same(from, ctx.me()) && self.is_settled();
+        let ends_at = own.then(|| self.own_until.max(ctx.now));
+        self.members.insert(id.clone(), row, ends_at);
         self.adopt(&id, renew.session, holding);
         if !holding.recently_lapsed {
             self.succession.answered(id.clone());
--- a/crates/ownership/src/node/messages.rs
+++ b/crates/ownership/src/node/messages.rs
@@ -58,7 +58,7 @@
             Message::Released { .. } => self.vacate(),
             Message::Renewed(answer) => {
                 self.known.heard_at = ctx.now;
-                let own = self.coordination.as_ref().and_then(|it| it.own_lease_until(ctx));
+                let own = self.coordination.as_mut().and_then(|it| it.own_lease_until(ctx));
                 self.member.renewed(ctx, &answer, own);
             }
             Message::SessionEnded { session, .. } => self.member.session_ended(ctx, session),
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -231,7 +231,7 @@
     }
 
     fn extend_own_lease(&mut self, ctx: &mut Ctx<'_>) {
-        let until = self.coordination.as_ref().and_then(|it| it.own_lease_until(ctx));
+        let until = self.coordination.as_mut().and_then(|it| it.own_lease_until(ctx));
         if let Some(until) = until {
             self.member.extend_own(ctx, until);
         }
