Planner: the availability weight acts earlier instead of moving light slots

Cause: the weight took a slot's load for its unavailable time, so 'sparing time' moved many light slots. While a unit moves, all its keys wait for its longest request in flight, which grows with the logarithm of their number; few heavy units are best for both weights. What the weight can buy is time under overload: it now moves the trigger from the target (0) to nine tenths of the band (1).

--- a/crates/ownership/src/planner/rebalance.rs
+++ b/crates/ownership/src/planner/rebalance.rs
@@ -1,7 +1,7 @@
 //! Moves that even out the load: as few as bring every member under the target.
 //!
 //! A member above the trigger is relieved until it is below the settle level. The cost of a move
-//! weighs churn (each slot alike) against unavailable time (busy slots more). A hot key may go
+//! weighs churn (each slot alike) against unavailable time (what waits, how long). A hot key may go
 //! alone, which moves next to no keys; but one hotter than a fair share stays, and its member is
 //! relieved of others.
 
@@ -12,9 +12,13 @@
 };
 use crate::MoveReason;
 
-/// Where in the band from 1 to the target a member starts to be relieved, and where it ends.
-const TRIGGER: f64 = 0.95;
-const SETTLE: f64 = 0.9;
+/// Where in the band from 1 to the target a member starts to be relieved: at the target itself if
+/// churn is spared above all, earlier the more unavailable time weighs, since an overloaded
+/// member makes all its keys wait.
+const TRIGGER_MAX: f64 = 1.0;
+const TRIGGER_MIN: f64 = 0.9;
+/// How much lower in the band relief ends.
+const HYSTERESIS: f64 = 0.05;
 /// A key with an entry is cold below this share of a member's fair load.
 const KEY_COLD_SHARE: f64 = 0.001;
 /// Entries of cold keys that are kept, since dropping one moves its key. The coldest go first.
@@ -28,10 +32,12 @@
     }
     let target = board.input.limits.imbalance_target.max(1.0);
     let at = |share: f64| 1.0 + (target - 1.0) * share;
-    let levels = Levels { settle: at(SETTLE), target };
+    let availability = board.input.limits.availability_weight.clamp(0.0, 1.0);
+    let trigger = TRIGGER_MAX + (TRIGGER_MIN - TRIGGER_MAX) * availability;
+    let levels = Levels { settle: at(trigger - HYSTERESIS), target };
     let mut churn_left = board.input.churn_left;
     let mut overloaded: Vec<u16> =
-        board.able().filter(|it| board.relative(*it, 0.0) > at(TRIGGER)).collect();
+        board.able().filter(|it| board.relative(*it, 0.0) > at(trigger)).collect();
     let relative = |it: &u16| board.relative(*it, 0.0);
     overloaded.sort_by(|a, b| relative(b).total_cmp(&relative(a)).then(a.cmp(b)));
     for member in overloaded {
--- a/crates/ownership/src/planner/relief.rs
+++ b/crates/ownership/src/planner/relief.rs
@@ -1,5 +1,7 @@
 //! Which units to take off one overloaded member, and where to.
 
+use std::f64::consts::LN_2;
+
 use model::Slot;
 
 use super::{
@@ -11,6 +13,7 @@
 const KEY_HOT_SHARE: f64 = 0.005;
 /// What moving one hot key costs, next to a slot.
 const KEY_COST: f64 = 0.05;
+const US_PER_S: f64 = 1e6;
 /// A unit is not worth a move below this share of its member's excess.
 const RELIEF_MIN: f64 = 0.02;
 /// How much lower the busier of two members must end up, over a fair share, when the target is
@@ -66,13 +69,14 @@
         }
     }
 
-    /// Weighs churn against unavailable time: a busy slot makes its keys wait for as long as its
-    /// requests in flight take, so its load stands for the time.
+    /// Weighs churn against unavailable time, next to a slot with one request in flight. While a
+    /// unit moves, all its keys wait for the longest of its requests in flight; that grows with
+    /// the logarithm of their number, so few heavy units cost less than many light ones.
     fn cost(self, board: &Board<'_>) -> f64 {
         let availability = board.input.limits.availability_weight.clamp(0.0, 1.0);
-        let weights: f64 = board.members.iter().map(|it| it.weight).sum();
-        let mean = board.fair * weights / board.slots.len() as f64;
-        let slot = (1.0 - availability) + availability * self.load(board) / mean;
+        let in_flight = self.load(board) / US_PER_S;
+        let wait = in_flight.ln_1p() / LN_2;
+        let slot = (1.0 - availability) + availability * wait;
         match self {
             Item::Slot(_) => slot,
             Item::Key(_) => slot * KEY_COST,
--- a/xtask/src/bench/ownership/policy/mod.rs
+++ b/xtask/src/bench/ownership/policy/mod.rs
@@ -39,14 +39,20 @@
     }
 }
 
+/// How many of the policies, after the first, are baselines.
+pub(super) const BASELINES: usize = 3;
 /// A conditional update of the platform, on which a policy without successors waits.
 const PLATFORM_WRITE_S: f64 = 0.01;
 
+/// The product's own policy as it is set by default, the baselines, then the own policy at both
+/// ends of its weight.
 pub(super) fn all(workload: &Workload) -> Vec<Box<dyn Policy>> {
     vec![
-        Box::new(planned::Planned::new(workload)),
+        Box::new(planned::Planned::new(workload, "pomelohill", 0.5)),
         Box::new(rendezvous::Rendezvous::new(workload)),
         Box::new(bounded::BoundedLoad::new(workload)),
         Box::new(eager::Eager::new(workload)),
+        Box::new(planned::Planned::new(workload, "pomelohill, sparing churn", 0.0)),
+        Box::new(planned::Planned::new(workload, "pomelohill, sparing time", 1.0)),
     ]
 }
