Load reports: a reported key's load is not in its slot's as well

A key that follows its slot was counted in SlotLoad and in KeyLoad, and the planner takes slots without the keys named beside them: a key of 0.6 fair loads made its member look twice as much above the mean as it was. The report now takes the named keys out of their slots; its test fails before the change (slots and keys came to more than the total).

--- a/crates/agent/src/gate/load.rs
+++ b/crates/agent/src/gate/load.rs
@@ -22,7 +22,8 @@
     since: Timestamp,
     total_us: u64,
     slots: HashMap<Slot, u64>,
-    keys: Sketch<KeyHash>,
+    /// Each with the slot that it follows, if it does.
+    keys: Sketch<(KeyHash, Option<Slot>)>,
 }
 
 /// Load of the local upstream; bounded in size whatever the number of keys.
@@ -44,7 +45,7 @@
         if let Some(slot) = slot {
             *loads.slots.entry(slot).or_default() += load_us;
         }
-        loads.keys.add(key_hash, load_us);
+        loads.keys.add((key_hash, slot), load_us);
     }
 
     /// The load since the last call, heaviest first.
@@ -63,7 +64,8 @@
         Loads { since, total_us: 0, slots: HashMap::new(), keys }
     }
 
-    fn report(self, now: Timestamp, in_flight: impl Fn(Slot) -> u32) -> LoadReport {
+    fn report(mut self, now: Timestamp, in_flight: impl Fn(Slot) -> u32) -> LoadReport {
+        let keys = self.take_heaviest_keys();
         let mut slots: Vec<SlotLoad> = self
             .slots
             .into_iter()
@@ -74,16 +76,24 @@
             .collect();
         slots.sort_by_key(|it| (std::cmp::Reverse(it.load_us), it.slot));
         slots.truncate(SLOTS_MAX);
+        let period_ms = u32::try_from(now.since(self.since).as_millis()).unwrap_or(u32::MAX);
+        LoadReport { period_ms, total_us: self.total_us, slots, keys }
+    }
+
+    /// The heaviest keys, whose load is taken out of that of their slots: whoever places slots
+    /// and keys must not count it twice.
+    fn take_heaviest_keys(&mut self) -> Vec<KeyLoad> {
         // What is certain of each: the sketch may have counted others' load with it.
-        let certain = |it: traffic::Heavy<KeyHash>| KeyLoad {
-            key_hash: it.key,
-            load_us: it.weight - it.error,
-        };
         let heaviest = self.keys.heaviest(KEYS_TRACKED_MAX);
-        let mut keys: Vec<KeyLoad> = heaviest.into_iter().map(certain).collect();
-        keys.sort_by_key(|it| (std::cmp::Reverse(it.load_us), it.key_hash));
+        let mut keys: Vec<_> =
+            heaviest.into_iter().map(|it| (it.key, it.weight - it.error)).collect();
+        keys.sort_by_key(|((key_hash, _), load_us)| (std::cmp::Reverse(*load_us), *key_hash));
         keys.truncate(KEYS_MAX);
-        let period_ms = u32::try_from(now.since(self.since).as_millis()).unwrap_or(u32::MAX);
-        LoadReport { period_ms, total_us: self.total_us, slots, keys }
+        for ((_, slot), load_us) in &keys {
+            if let Some(of_slot) = slot.and_then(|it| self.slots.get_mut(&it)) {
+                *of_slot = of_slot.saturating_sub(*load_us);
+            }
+        }
+        keys.into_iter().map(|((key_hash, _), load_us)| KeyLoad { key_hash, load_us }).collect()
     }
 }
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -7,7 +7,7 @@
 mod handle;
 mod health;
 mod lane;
-mod load;
+pub(crate) mod load;
 mod records;
 mod run;
 mod table;
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -5,5 +5,6 @@
 mod forwarding;
 mod gate;
 mod handover;
+mod load;
 mod stop;
 mod upstream_clock;
--- a/crates/ownership/src/input.rs
+++ b/crates/ownership/src/input.rs
@@ -69,7 +69,7 @@
     pub keys: Vec<KeyLoad>,
 }
 
-/// Load of one slot, keys with an entry of their own left out.
+/// Load of one slot, keys with an entry of their own and those named in the report left out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SlotLoad {
     pub slot: Slot,
