Planner: chance moves nothing; a quiet service is spread by number

At a light load the reports of a second or two are mostly chance, and the planner moved slots after them up to its budget. It now acts on what lies three standard deviations above the mean, taken from the requests in flight; below a twentieth of a request in flight for a mean member it places slots by number.

--- a/crates/ownership/src/planner/board.rs
+++ b/crates/ownership/src/planner/board.rs
@@ -8,9 +8,19 @@
 /// A slot without measured load counts as this share of the mean slot, so that idle slots are
 /// spread too and a member that gets only idle ones fills up at last.
 const IDLE_SHARE: f64 = 0.02;
-/// What a slot counts as while there is no load at all; any figure does.
+/// What a slot counts as while slots are placed by number; any figure does.
 const IDLE_LOAD: f64 = 1.0;
 
+/// Below this many requests in flight for a mean member, slots are placed by number: a load that
+/// small is mostly chance, and what comes next may be the start of an event.
+const QUIET_IN_FLIGHT: f64 = 0.05;
+const US_PER_S: f64 = 1e6;
+/// The standard deviation of a smoothed load, as a share of it, with one request in flight: some
+/// 100 requests a second, smoothed over a few seconds.
+const NOISE: f64 = 0.06;
+/// How many standard deviations from the mean are no chance.
+const SIGNIFICANT: f64 = 3.0;
+
 /// A member's load at one moment.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct MemberLoad {
@@ -52,6 +62,7 @@
     pub(super) keys: Vec<KeyPlace>,
     /// The load that a member of weight 1 has when all are even.
     pub(super) fair: f64,
+    is_quiet: bool,
 }
 
 impl<'a> Board<'a> {
@@ -62,16 +73,19 @@
         assert!(input.slots.iter().enumerate().all(in_order), "the planner needs slots in order");
         let measured: f64 = input.slots.iter().map(|it| it.load_us_per_s).sum();
         let keys_load: f64 = input.keys.iter().map(|it| it.load_us_per_s).sum();
-        let idle = match measured + keys_load {
-            0.0 => IDLE_LOAD,
-            total => total * IDLE_SHARE / slot_count as f64,
+        let able = input.members.iter().filter(|it| it.weight > 0.0).count();
+        let is_quiet = measured + keys_load < QUIET_IN_FLIGHT * US_PER_S * able as f64;
+        let idle = match is_quiet {
+            true => IDLE_LOAD,
+            false => (measured + keys_load) * IDLE_SHARE / slot_count as f64,
         };
+        let seen = |load_us_per_s: f64| if is_quiet { 0.0 } else { load_us_per_s.max(0.0) };
         let mut slots: Vec<SlotPlace> = input
             .slots
             .iter()
             .map(|it| SlotPlace {
                 owner: it.owner,
-                load: it.load_us_per_s.max(0.0) + idle,
+                load: seen(it.load_us_per_s) + idle,
                 keys_load: 0.0,
                 key_load_max: 0.0,
                 is_settled: it.settled_until <= input.now,
@@ -80,7 +94,7 @@
         let key = |it: &super::PlannerKey| KeyPlace {
             owner: it.owner,
             slot: usize::from(input.slot_count.slot_of(it.key_hash).0),
-            load: it.load_us_per_s.max(0.0),
+            load: seen(it.load_us_per_s),
         };
         let keys: Vec<KeyPlace> = input.keys.iter().map(key).collect();
         for key in keys.iter().filter(|it| it.owner.is_none()) {
@@ -104,7 +118,15 @@
         let total = slots.iter().map(SlotPlace::whole_load).sum::<f64>()
             + keys.iter().filter(|it| it.owner.is_some()).map(|it| it.load).sum::<f64>();
         let fair = if weights > 0.0 { total / weights } else { 0.0 };
-        Board { input, members, slots, keys, fair }
+        Board { input, members, slots, keys, fair, is_quiet }
+    }
+
+    /// How far above its fair load a member of weight 1 must be for that to be no chance.
+    pub(super) fn significant(&self) -> f64 {
+        match self.is_quiet {
+            true => 1.0,
+            false => 1.0 + SIGNIFICANT * NOISE / (self.fair / US_PER_S).sqrt(),
+        }
     }
 
     /// Members that may own anything.
--- a/crates/ownership/src/planner/rebalance.rs
+++ b/crates/ownership/src/planner/rebalance.rs
@@ -19,6 +19,8 @@
 const TRIGGER_MIN: f64 = 0.9;
 /// How much lower in the band relief ends.
 const HYSTERESIS: f64 = 0.05;
+/// Where relief ends, as a share of what is no chance, when the load is light.
+const SETTLE_SIGNIFICANT: f64 = 0.8;
 /// A key with an entry is cold below this share of a member's fair load.
 const KEY_COLD_SHARE: f64 = 0.001;
 /// Entries of cold keys that are kept, since dropping one moves its key. The coldest go first.
@@ -34,10 +36,13 @@
     let at = |share: f64| 1.0 + (target - 1.0) * share;
     let availability = board.input.limits.availability_weight.clamp(0.0, 1.0);
     let trigger = TRIGGER_MAX + (TRIGGER_MIN - TRIGGER_MAX) * availability;
-    let levels = Levels { settle: at(trigger - HYSTERESIS), target };
+    let significant = board.significant();
+    let settle = at(trigger - HYSTERESIS).max(1.0 + (significant - 1.0) * SETTLE_SIGNIFICANT);
+    let trigger = at(trigger).max(significant);
+    let levels = Levels { settle, target: target.max(settle) };
     let mut churn_left = board.input.churn_left;
     let mut overloaded: Vec<u16> =
-        board.able().filter(|it| board.relative(*it, 0.0) > at(trigger)).collect();
+        board.able().filter(|it| board.relative(*it, 0.0) > trigger).collect();
     let relative = |it: &u16| board.relative(*it, 0.0);
     overloaded.sort_by(|a, b| relative(b).total_cmp(&relative(a)).then(a.cmp(b)));
     for member in overloaded {
--- a/crates/ownership/src/planner/tests.rs
+++ b/crates/ownership/src/planner/tests.rs
@@ -10,6 +10,8 @@
 use super::{Move, PlannerInput, PlannerKey, PlannerMember, PlannerSlot, Proposal, Unit, propose};
 use crate::{Limits, MoveReason};
 
+/// Loads in these tests are in hundredths of a request in flight.
+const LOAD_US_PER_S: f64 = 1e4;
 const ZONES: [&str; 3] = ["pitlane", "drivers-stand", "scoring-hall"];
 
 fn member(index: usize, weight: f64) -> PlannerMember {
@@ -21,7 +23,7 @@
         slot: Slot(index as u16),
         owner: owner(index),
         successors: Vec::new(),
-        load_us_per_s: *load,
+        load_us_per_s: *load * LOAD_US_PER_S,
         settled_until: Timestamp::ZERO,
     };
     PlannerInput {
@@ -67,11 +69,11 @@
 fn loads(input: &PlannerInput) -> Vec<f64> {
     let mut loads = vec![0.0; input.members.len()];
     for slot in &input.slots {
-        loads[usize::from(slot.owner.unwrap())] += slot.load_us_per_s;
+        loads[usize::from(slot.owner.unwrap())] += slot.load_us_per_s / LOAD_US_PER_S;
     }
     for key in &input.keys {
         let home = input.slots[usize::from(input.slot_count.slot_of(key.key_hash).0)].owner;
-        loads[usize::from(key.owner.or(home).unwrap())] += key.load_us_per_s;
+        loads[usize::from(key.owner.or(home).unwrap())] += key.load_us_per_s / LOAD_US_PER_S;
     }
     loads
 }
@@ -164,7 +166,7 @@
 fn the_member_of_a_very_hot_key_is_relieved_of_other_slots() {
     let mut it = input(4, &[100.0; 96], |it| Some((it % 4) as u16));
     let key_hash = key_in(96, 0);
-    let load_us_per_s = 6000.0;
+    let load_us_per_s = 6000.0 * LOAD_US_PER_S;
     it.keys.push(PlannerKey { key_hash, owner: None, successors: Vec::new(), load_us_per_s });
     let proposal = propose(&it);
     assert!(proposal.moves.iter().all(|it| it.from == Some(0) && it.unit != Unit::Key(key_hash)));
@@ -178,11 +180,11 @@
 #[test]
 fn a_hot_key_gets_an_entry_only_where_that_is_cheaper() {
     let mut it = input(4, &[100.0; 96], |it| Some((it % 4) as u16));
-    let key = |slot, load_us_per_s| PlannerKey {
+    let key = |slot, load| PlannerKey {
         key_hash: key_in(96, slot),
         owner: None,
         successors: Vec::new(),
-        load_us_per_s,
+        load_us_per_s: load * LOAD_US_PER_S,
     };
     it.keys = vec![key(0, 500.0), key(4, 500.0), key(1, 20.0)];
     let proposal = propose(&it);
@@ -196,17 +198,17 @@
 #[test]
 fn entries_are_dropped_at_home_and_when_too_many_are_cold() {
     let mut it = input(4, &[100.0; 96], |it| Some((it % 4) as u16));
-    let entry = |slot: usize, owner, load_us_per_s| PlannerKey {
+    let entry = |slot: usize, owner, load| PlannerKey {
         key_hash: key_in(96, slot),
         owner: Some(owner),
         successors: Vec::new(),
-        load_us_per_s,
+        load_us_per_s: load * LOAD_US_PER_S,
     };
     // Each away from its slot's owner; one is not cold.
     it.keys = (0..67)
         .map(|slot| entry(slot, ((slot + 1) % 4) as u16, 0.1 + slot as f64 / 100.0))
         .collect();
-    it.keys[5].load_us_per_s = 20.0;
+    it.keys[5].load_us_per_s = 20.0 * LOAD_US_PER_S;
     it.keys.push(entry(70, 2, 20.0));
     let proposal = propose(&it);
     let dropped = [70, 1, 0].map(|slot| Unit::Key(key_in(96, slot)));
@@ -217,8 +219,8 @@
 
 /// What is moved off member 0, whose slot 4 has `more` than its share.
 fn moved(availability_weight: f64, more: f64, owner: impl Fn(usize) -> u16) -> Vec<f64> {
-    let mut loads = [20e3; 84];
-    loads[..4].fill(320e3);
+    let mut loads = [20.0; 84];
+    loads[..4].fill(320.0);
     loads[4] += more;
     let mut it = input(4, &loads, |it| Some(owner(it)));
     it.limits.availability_weight = availability_weight;
@@ -233,18 +235,41 @@
 fn availability_acts_earlier_and_churn_only_at_the_target() {
     let even = |it| (it % 4) as u16;
     // 1.142 of the mean.
-    assert_eq!(moved(0.0, 143e3, even), [0.0; 0]);
-    assert!(!moved(1.0, 143e3, even).is_empty());
+    assert_eq!(moved(0.0, 143.0, even), [0.0; 0]);
+    assert!(!moved(1.0, 143.0, even).is_empty());
 }
 
 #[test]
 fn one_heavy_slot_is_moved_rather_than_many_light_ones() {
     let uneven = |it| if it == 1 { 0 } else { (it % 4) as u16 };
     for availability_weight in [0.0, 0.5, 1.0] {
-        assert_eq!(moved(availability_weight, 0.0, uneven), [320e3]);
+        assert_eq!(moved(availability_weight, 0.0, uneven), [320.0]);
     }
 }
 
+#[test]
+fn chance_at_a_light_load_moves_nothing() {
+    // A member at 1.3 times the mean, with a fifth of a request in flight: that may be chance.
+    let mut loads = [0.8; 96];
+    loads.iter_mut().step_by(4).for_each(|it| *it *= 1.3);
+    let it = input(4, &loads, |it| Some((it % 4) as u16));
+    assert_eq!(propose(&it).moves, []);
+    let loads = loads.map(|it| it * 100.0);
+    let it = input(4, &loads, |it| Some((it % 4) as u16));
+    assert!(!propose(&it).moves.is_empty());
+}
+
+#[test]
+fn a_quiet_service_is_spread_by_number() {
+    let mut loads = [0.0; 96];
+    loads[0] = 1.0;
+    let it = input(4, &loads, |it| Some((it % 3) as u16));
+    let proposal = propose(&it);
+    // Three have 32 slots each; 27 is the most that lies below the settle level.
+    assert_eq!(proposal.moves.len(), 15);
+    assert_eq!(propose(&apply(&it, &proposal)).moves, []);
+}
+
 #[test]
 fn a_loss_adds_little_to_each() {
     let it = input(6, &[100.0; 120], |it| Some((it % 6) as u16));
@@ -281,7 +306,7 @@
             continue;
         }
         let owner = rng.random_bool(0.5).then(|| rng.random_range(0..members) as u16);
-        let load_us_per_s = rng.random_range(0.0..3000.0);
+        let load_us_per_s = rng.random_range(0.0..3000.0) * LOAD_US_PER_S;
         it.keys.push(PlannerKey { key_hash, owner, successors: Vec::new(), load_us_per_s });
     }
     it.limits.availability_weight = rng.random_range(0.0..1.0);
--- a/xtask/src/bench/ownership/measure.rs
+++ b/xtask/src/bench/ownership/measure.rs
@@ -15,8 +15,6 @@
 
 /// Share of a second's sample in the smoothed load.
 const SMOOTHING: f64 = 0.25;
-/// How far one second's sample lies off the true load, at the most.
-const NOISE: f64 = 0.2;
 /// Mean service time, which a busy unit's hand-over waits for.
 const SERVICE_S: f64 = 0.01;
 /// From a member's loss to the end of its lease: the same for all policies.
@@ -89,7 +87,7 @@
 
     fn observe(&mut self, loads: &[f64]) {
         for (smoothed, load) in self.smoothed.iter_mut().zip(loads) {
-            let sample = load * (1.0 + self.noise_rng.random_range(-NOISE..NOISE));
+            let sample = second_of(&mut self.noise_rng, *load);
             *smoothed += SMOOTHING * (sample - *smoothed);
         }
     }
@@ -189,6 +187,15 @@
     (0..from.len()).filter(|it| from[*it] != to[*it]).collect()
 }
 
+/// What one second shows of a load: requests come at random and take random times, so their sum
+/// has twice the variance of their number.
+fn second_of(rng: &mut impl Rng, load_us_per_s: f64) -> f64 {
+    let requests = load_us_per_s / (SERVICE_S * 1e6);
+    // A sum of twelve draws is close enough to a normal distribution.
+    let normal = (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0;
+    (requests + normal * (2.0 * requests).sqrt()).max(0.0) * SERVICE_S * 1e6
+}
+
 fn exponential(rng: &mut impl Rng, mean: f64) -> f64 {
     -mean * (1.0 - rng.random_range(0.0..1.0_f64)).ln()
 }
