Idempotent requests pass the gate in the task of whoever asks

Cause: each request took a task and a channel of its own at the gate and woke another thread. Change: only one that is not idempotent gets a task, for it must outlive its caller; headers are shared between tries. The test of a caller that hangs up waits for both cancellations before it asks whether the slots are free: it raced with the second.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -10,7 +10,7 @@
 
 use model::{Instance, NotRunReason, Outcome, ServiceName, TeamName, Timestamp, UnknownReason};
 use rand::RngExt;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use traffic::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict};
 
 use crate::{
@@ -188,12 +188,8 @@
         if *target != self.parts.own {
             return self.parts.links.ask(target, request).await;
         }
-        let reply = self.parts.gate.submit(request.clone());
-        match timeout(request.remaining, reply).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(_)) => GateReply::unknown(UnknownReason::ConnectionLost),
-            Err(_) => GateReply::unknown(UnknownReason::DeadlineExceeded),
-        }
+        // The gate keeps to the deadline itself.
+        self.parts.gate.call(request.clone()).await
     }
 
     fn report_stale(&self, request: &GateRequest, owner: &Option<Instance>, route_version: u64) {
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -22,14 +22,14 @@
 };
 
 use arc_swap::ArcSwapOption;
-use model::{Instance, Timestamp};
+use model::{Instance, Timestamp, UnknownReason};
 use settings::ServiceDocument;
 use tokio::sync::{mpsc, oneshot};
 use upstream::{HttpUpstream, Upstream};
 
 use crate::{
     clock::Clock,
-    links::traffic::{Handler, Handover, TrafficLinks},
+    links::traffic::{Handler, Handover, Serving, TrafficLinks},
     metrics::Metrics,
     report::Reporter,
     request::{GateReply, GateRequest},
@@ -132,33 +132,38 @@
         Timestamp { ns: self.last_sign_ns.load(Ordering::Relaxed) }
     }
 
-    /// Takes a request; dropping the receiver cancels it.
-    pub(crate) fn submit(self: &Arc<Gate>, request: GateRequest) -> oneshot::Receiver<GateReply> {
-        let (mut sender, receiver) = oneshot::channel();
-        let gate = Arc::clone(self);
-        gate.in_flight.fetch_add(1, Ordering::SeqCst);
+    /// Takes a request to its end. Dropping the future cancels it; one that is not idempotent and
+    /// runs already goes on, so that a resend gets its answer.
+    pub(crate) async fn call(self: &Arc<Gate>, request: GateRequest) -> GateReply {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let counted = Counted(Arc::clone(self));
+        let (mut caller, reply) = oneshot::channel();
+        if request.idempotent {
+            // In the task of whoever asks: nothing has to outlive it.
+            return self.handle(request, &mut caller).await;
+        }
         tokio::spawn(async move {
-            let _counted = Counted(&gate.in_flight);
-            let reply = gate.handle(request, &mut sender).await;
+            let reply = counted.0.handle(request, &mut caller).await;
             // The caller may have hung up.
-            _ = sender.send(reply);
+            _ = caller.send(reply);
         });
-        receiver
+        reply.await.unwrap_or(GateReply::unknown(UnknownReason::ConnectionLost))
     }
 }
 
 /// Counts a request down when it ends in whatever way.
-struct Counted<'a>(&'a AtomicUsize);
+struct Counted(Arc<Gate>);
 
-impl Drop for Counted<'_> {
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 impl Handler for Arc<Gate> {
-    fn request(&self, request: GateRequest) -> oneshot::Receiver<GateReply> {
-        self.submit(request)
+    fn request(&self, request: GateRequest) -> Serving {
+        let gate = Arc::clone(self);
+        Box::pin(async move { gate.call(request).await })
     }
 
     fn records(&self, from: &Instance, handover: Handover) -> bool {
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -2,7 +2,7 @@
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use model::{Instance, KeyHash, NotRunReason, RequestId, Slot, Timestamp, Token, UnknownReason};
 use ownership::FenceCheck;
 use tokio::{
@@ -213,7 +213,7 @@
     async fn run_keeping(self, caller: &mut Caller) -> (GateReply, Option<Entry>) {
         let reply = match self.queue(caller).await {
             Ok(permit) => match self.clear() {
-                Ok(clearance) => self.give(permit, clearance, caller).await,
+                Ok(clearance) => self.give(permit, clearance).await,
                 Err(reply) => *reply,
             },
             Err(reply) => *reply,
@@ -274,12 +274,7 @@
     }
 
     /// Gives the request to the upstream, once.
-    async fn give(
-        &self,
-        mut permit: Permit,
-        clearance: Option<Clearance>,
-        caller: &mut Caller,
-    ) -> GateReply {
+    async fn give(&self, mut permit: Permit, clearance: Option<Clearance>) -> GateReply {
         let gate = self.gate;
         let started = gate.clock.now();
         let until = self.until(clearance.as_ref());
@@ -297,13 +292,15 @@
         let call = self.bound.upstream.call(upstream::Request {
             method: self.request.method.clone(),
             path: self.request.path.clone(),
-            headers: self.request.headers.clone(),
+            headers: HeaderMap::clone(&self.request.headers),
             body: self.request.body.clone(),
             id: self.request.id,
             token: clearance.map(|it| it.token),
             remaining: until.since(started),
         });
-        let result = self.wait(call, until, caller).await;
+        let cut_off = CutOff { passage: self, armed: true };
+        let result = self.wait(call, until).await;
+        cut_off.disarm();
         let ended = gate.clock.now();
         if let (Some(key_hash), Some(entry)) = (self.request.key_hash, &self.entry) {
             let slot = entry.slot();
@@ -340,7 +337,6 @@
         &self,
         mut call: upstream::UpstreamFuture<'_, Result<upstream::Answer, CallError>>,
         until: Timestamp,
-        caller: &mut Caller,
     ) -> Ended {
         let mut changes = self.gate.handle.table.changes();
         let mut overdue = pin!(sleep_until(self.gate.clock.instant(until)));
@@ -352,10 +348,6 @@
                     Err(error) => Ended::Failed(error),
                 },
                 _ = &mut overdue => return Ended::Cut(UnknownReason::DeadlineExceeded),
-                // One that is not idempotent goes on: a resend is to get its answer.
-                _ = caller.closed(), if self.request.idempotent => {
-                    return Ended::Cut(UnknownReason::ConnectionLost);
-                }
                 _ = changes.changed() => {
                     if self.must_stop() {
                         return Ended::Cut(UnknownReason::ConnectionLost);
@@ -372,6 +364,27 @@
     }
 }
 
+/// Cancels a request at the upstream when its caller is gone with the task that waits for it.
+struct CutOff<'a> {
+    passage: &'a Passage<'a>,
+    armed: bool,
+}
+
+impl CutOff<'_> {
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for CutOff<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            let Passage { gate, bound, request, .. } = self.passage;
+            gate.cancel_upstream(&bound.upstream, request.id);
+        }
+    }
+}
+
 /// How a call to the upstream ended.
 enum Ended {
     Answered(upstream::Answer),
--- a/crates/agent/src/ingress/parse.rs
+++ b/crates/agent/src/ingress/parse.rs
@@ -1,6 +1,6 @@
 //! What a caller asks for.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{
@@ -120,11 +120,11 @@
         config: routes.version,
         method: method.clone(),
         path: address.path.clone(),
-        headers: HeaderMap::new(),
+        headers: Arc::default(),
         body: Bytes::new(),
     };
     strip(&mut headers);
-    Ok(GateRequest { headers, ..request })
+    Ok(GateRequest { headers: Arc::new(headers), ..request })
 }
 
 fn parse_id(text: &str) -> Result<RequestId, Refusal> {
--- a/crates/agent/src/links/traffic/inbox.rs
+++ b/crates/agent/src/links/traffic/inbox.rs
@@ -14,7 +14,7 @@
             Handler,
             assembly::{Assembly, Handover, Head, Progress},
             link::{Link, Waiting},
-            serve::Serving,
+            serve::Served,
         },
     },
     request::{GateReply, GateRequest, answer_from_parts},
@@ -28,7 +28,7 @@
 pub(super) struct TrafficInbox {
     link: Arc<Link>,
     handler: Arc<dyn Handler>,
-    serving: Arc<Serving>,
+    served: Arc<Served>,
     assembling: HashMap<CorrelationId, Assembly>,
     assembling_bytes: usize,
 }
@@ -38,7 +38,7 @@
         TrafficInbox {
             link,
             handler,
-            serving: Arc::default(),
+            served: Arc::default(),
             assembling: HashMap::new(),
             assembling_bytes: 0,
         }
@@ -71,7 +71,7 @@
             }
             Frame::Cancel(id) => {
                 self.forget(id);
-                self.serving.cancel(id);
+                self.served.cancel(id);
                 Ok(())
             }
             Frame::RecordsTaken(it) => {
@@ -119,7 +119,7 @@
             Progress::Broken(_) => anyhow::bail!("a body is broken"),
             Progress::Whole(Head::Request(it)) => {
                 let request = GateRequest::try_from(*it).context("request")?;
-                self.serving.start(&self.link, id, self.handler.request(request));
+                self.served.start(&self.link, id, self.handler.request(request));
                 Ok(())
             }
             Progress::Whole(Head::Answer(it)) => {
--- a/crates/agent/src/links/traffic/mod.rs
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -9,6 +9,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
+    pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -16,7 +17,7 @@
 use model::{Instance, NotRunReason};
 use tokio::{
     net::TcpListener,
-    sync::{oneshot, watch},
+    sync::watch,
     time::{Instant, sleep},
 };
 use wire::link::LinkKind;
@@ -39,10 +40,13 @@
 const DIAL_PAUSE: Duration = Duration::from_millis(100);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(500);
 
+/// A request of a peer on its way to its reply.
+pub(crate) type Serving = Pin<Box<dyn Future<Output = GateReply> + Send>>;
+
 /// Takes what peers send.
 pub(crate) trait Handler: Send + Sync {
-    /// Takes a request; dropping the receiver cancels it.
-    fn request(&self, request: GateRequest) -> oneshot::Receiver<GateReply>;
+    /// Takes a request to its end; dropping the future cancels it.
+    fn request(&self, request: GateRequest) -> Serving;
     /// Takes over records; false: they can't be used.
     fn records(&self, from: &Instance, handover: Handover) -> bool;
 }
--- a/crates/agent/src/links/traffic/serve.rs
+++ b/crates/agent/src/links/traffic/serve.rs
@@ -6,37 +6,34 @@
 };
 
 use bytes::Bytes;
-use model::{Outcome, UnknownReason};
-use tokio::{sync::oneshot, task::AbortHandle};
+use model::Outcome;
+use tokio::task::AbortHandle;
 use wire::traffic::{Answer, CorrelationId, Failed, Frame, NotOwner, Reason};
 
 use crate::{
-    links::traffic::link::{Link, first_len},
+    links::traffic::{
+        Serving,
+        link::{Link, first_len},
+    },
     request::{GateReply, headers_to_wire},
 };
 
 /// Running requests of one link.
 #[derive(Debug, Default)]
-pub(super) struct Serving(Mutex<HashMap<CorrelationId, AbortHandle>>);
+pub(super) struct Served(Mutex<HashMap<CorrelationId, AbortHandle>>);
 
-impl Serving {
+impl Served {
     fn table(&self) -> MutexGuard<'_, HashMap<CorrelationId, AbortHandle>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends the reply when it comes. Cancelling drops the receiver, which the gate notices.
-    pub(super) fn start(
-        self: &Arc<Serving>,
-        link: &Arc<Link>,
-        id: CorrelationId,
-        reply: oneshot::Receiver<GateReply>,
-    ) {
-        let (serving, link) = (Arc::clone(self), Arc::clone(link));
+    /// Sends the reply when it comes. Cancelling drops the request on its way.
+    pub(super) fn start(self: &Arc<Served>, link: &Arc<Link>, id: CorrelationId, serving: Serving) {
+        let (served, link) = (Arc::clone(self), Arc::clone(link));
         let mut table = self.table();
         let task = tokio::spawn(async move {
-            let reply = reply.await.unwrap_or(GateReply::unknown(UnknownReason::ConnectionLost));
-            send(&link, id, reply).await;
-            serving.table().remove(&id);
+            send(&link, id, serving.await).await;
+            served.table().remove(&id);
         });
         table.insert(id, task.abort_handle());
     }
@@ -48,7 +45,7 @@
     }
 }
 
-impl Drop for Serving {
+impl Drop for Served {
     fn drop(&mut self) {
         for task in self.table().values() {
             task.abort();
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -1,6 +1,6 @@
 //! A request and its reply, as ingress, links and the gate pass them on.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, uri::PathAndQuery};
@@ -33,7 +33,8 @@
     pub(crate) config: ConfigVersion,
     pub(crate) method: Method,
     pub(crate) path: PathAndQuery,
-    pub(crate) headers: HeaderMap,
+    /// Shared: a request is cloned for each try.
+    pub(crate) headers: Arc<HeaderMap>,
     pub(crate) body: Bytes,
 }
 
@@ -143,7 +144,7 @@
                 .map_err(|error| invalid("method", error.to_string()))?,
             path: PathAndQuery::from_maybe_shared(raw.path)
                 .map_err(|error| invalid("path", error.to_string()))?,
-            headers: headers_from_wire(&raw.headers)?,
+            headers: Arc::new(headers_from_wire(&raw.headers)?),
             body: raw.body,
         })
     }
--- a/crates/agent/src/tests/callers.rs
+++ b/crates/agent/src/tests/callers.rs
@@ -93,11 +93,15 @@
         agent.upstream.wait_started().await;
         drop(stream);
     }
-    // Both slots of the upstream were taken.
-    check(&agent.call(get("echo", 3)).await, 200, "answered");
-    let mut cancelled = agent.upstream.cancelled.lock().unwrap().clone();
+    let cancelled = || agent.upstream.cancelled.lock().unwrap().clone();
+    while cancelled().len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    let mut cancelled = cancelled();
     cancelled.sort();
     assert_eq!(cancelled, [model::RequestId(1), model::RequestId(2)]);
+    // Both slots of the upstream were taken.
+    check(&agent.call(get("echo", 3)).await, 200, "answered");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
