A stopping agent serves callers until they have left

Idle connections were closed while a request was on its way; and the runtime had not heard of all that waited in the accept queue, so closing reset it. Change: after the listener is closed requests are served until none has come for a second, 3 s at the most, each answer closing its connection; the queue is asked directly until it is empty before the socket is closed.

--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -12,15 +12,15 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
 use http::{HeaderMap, Method, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use model::{ClassName, NotRunReason, Outcome, TeamName, UnknownReason};
-use tokio::time::timeout;
+use model::{ClassName, NotRunReason, Outcome, TeamName, Timestamp, UnknownReason};
+use tokio::time::{sleep_until, timeout};
 use volo_http::{body::Body, request::Request, response::Response};
 
 use crate::{
@@ -57,6 +57,8 @@
     parts: IngressParts,
     in_flight: AtomicUsize,
     /// The instance is leaving: callers are asked to connect elsewhere.
+    /// When the last request came; on the process's clock.
+    last_request_ns: AtomicU64,
     leaving: AtomicBool,
     /// The process is about to end: nothing more is taken.
     closed: AtomicBool,
@@ -67,6 +69,7 @@
         Ingress {
             parts,
             in_flight: AtomicUsize::new(0),
+            last_request_ns: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         }
@@ -77,6 +80,20 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Waits until no request has come for `quiet`, but no longer than `max`.
+    pub(crate) async fn wait_quiet(&self, quiet: Duration, max: Duration) {
+        let clock = self.parts.clock;
+        let began = clock.now();
+        loop {
+            let last = Timestamp { ns: self.last_request_ns.load(Ordering::Relaxed) };
+            let until = (last.max(began) + quiet).min(began + max);
+            if clock.now() >= until {
+                return;
+            }
+            sleep_until(clock.instant(until)).await;
+        }
+    }
+
     /// Serves on, and asks callers to connect elsewhere.
     pub(crate) fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
@@ -90,6 +107,7 @@
     /// Serves one request. Dropping the future cancels it.
     pub(crate) async fn call(self: &Arc<Ingress>, request: Request) -> Response {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
+        self.last_request_ns.store(self.parts.clock.now().ns, Ordering::Relaxed);
         let counted = Counted(Arc::clone(self));
         let response = self.answer(request).await;
         let response = match self.leaving.load(Ordering::SeqCst) {
--- a/crates/agent/src/ingress/server.rs
+++ b/crates/agent/src/ingress/server.rs
@@ -1,9 +1,11 @@
 //! The HTTP server for callers.
 
-use std::{convert::Infallible, fmt, io, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, fmt, io, net::TcpListener as StdListener, sync::Arc, time::Duration,
+};
 
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     sync::{oneshot, watch},
     time::sleep,
 };
@@ -39,14 +41,21 @@
 /// Accepts connections until it is told to close. Then it takes those that the system has made
 /// already, for closing the socket would reset them, and closes it.
 struct CallerIncoming {
-    /// None once it is closed.
-    listener: Option<TcpListener>,
+    socket: Socket,
     closing: watch::Receiver<bool>,
 }
 
+#[derive(Debug)]
+enum Socket {
+    Open(TcpListener),
+    /// Asked directly what is still in its queue: the runtime may not have heard of all of it.
+    Closing(StdListener),
+    Closed,
+}
+
 impl fmt::Debug for CallerIncoming {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?}", self.listener)
+        write!(f, "{:?}", self.socket)
     }
 }
 
@@ -60,31 +69,54 @@
 
 impl Incoming for CallerIncoming {
     async fn accept(&mut self) -> io::Result<Option<Conn>> {
-        let Some(listener) = &self.listener else { return std::future::pending().await };
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => Some(accepted),
-            // The error means that nobody will tell any more: close then too.
-            _ = self.closing.wait_for(|it| *it) => None,
+        let accepted = match &self.socket {
+            Socket::Open(listener) => tokio::select! {
+                biased;
+                accepted = listener.accept() => Some(accepted.map(|(stream, _)| stream)),
+                // The error means that nobody will tell any more: close then too.
+                _ = self.closing.wait_for(|it| *it) => None,
+            },
+            Socket::Closing(listener) => match listener.accept() {
+                Ok((stream, _)) => Some(from_std(stream)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
+                Err(error) => Some(Err(error)),
+            },
+            Socket::Closed => std::future::pending().await,
+        };
+        let Some(accepted) = accepted else {
+            self.close()?;
+            return Ok(None);
         };
         match accepted {
-            Some(Ok((stream, _))) => {
+            Ok(stream) => {
                 stream.set_nodelay(true)?;
                 Ok(Some(Conn::from(stream)))
             }
-            Some(Err(error)) => {
+            Err(error) => {
                 log::warn!(target: "ingress", "Accepting a caller failed: {error}.");
                 sleep(ACCEPT_PAUSE).await;
                 Ok(None)
             }
-            None => {
-                self.listener = None;
-                Ok(None)
-            }
         }
     }
 }
 
+impl CallerIncoming {
+    /// The next step towards closing.
+    fn close(&mut self) -> io::Result<()> {
+        self.socket = match std::mem::replace(&mut self.socket, Socket::Closed) {
+            Socket::Open(listener) => Socket::Closing(listener.into_std()?),
+            Socket::Closing(_) | Socket::Closed => Socket::Closed,
+        };
+        Ok(())
+    }
+}
+
+fn from_std(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
 /// Serves callers until `drained` resolves after a signal. The library takes SIGHUP for a reason
 /// to stop as well; waiting for `drained` in its shutdown hook keeps it serving.
 pub(crate) async fn serve(
@@ -100,7 +132,7 @@
                 _ = drained.await;
             })
         })
-        .run(CallerIncoming { listener: Some(listener), closing })
+        .run(CallerIncoming { socket: Socket::Open(listener), closing })
         .await
         .map_err(|error| anyhow::anyhow!("serving callers: {error}"))
 }
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -26,8 +26,13 @@
 /// How often the stop looks whether everything in flight has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 
-/// How long after closing the listener requests are still taken, to be refused.
-const LINGER: Duration = Duration::from_millis(250);
+/// Once no request has come for this long, callers are taken to have left.
+const QUIET: Duration = Duration::from_secs(1);
+/// The longest wait for that. Each answer meanwhile closes its connection, so that the server's end
+/// finds none on which a request could just be on its way.
+const LINGER_MAX: Duration = Duration::from_secs(3);
+/// How long requests are refused before the server ends.
+const REFUSE_FOR: Duration = Duration::from_millis(100);
 
 /// What the traffic plane is made from.
 pub(crate) struct PlaneParts {
@@ -117,16 +122,16 @@
         self.ingress.leave();
     }
 
-    /// Waits for what is in flight at the gate, then refuses callers and waits for what ingress
-    /// has in flight. Cuts off nothing.
+    /// Waits for what is in flight at the gate, takes no more connections, serves those there are
+    /// until their callers have left, and waits for what ingress has in flight. Cuts off nothing.
     pub(crate) async fn drain(&self) {
         while !self.gate.refuses_work() || self.gate.in_flight() > 0 {
             sleep(DRAIN_POLL).await;
         }
-        self.ingress.close();
         self.closing.send_replace(true);
-        // A request may be on its way on a connection that has just been accepted.
-        sleep(LINGER).await;
+        self.ingress.wait_quiet(QUIET, LINGER_MAX).await;
+        self.ingress.close();
+        sleep(REFUSE_FOR).await;
         while self.ingress.in_flight() > 0 || self.gate.in_flight() > 0 {
             sleep(DRAIN_POLL).await;
         }
