--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -32,7 +32,7 @@
     clock::Clock,
     links::traffic::{Handler, Handover, Serving, TrafficLinks},
     metrics::Metrics,
-    report::Reporter,
+    report::{Report, Reporter},
     request::{GateReply, GateRequest},
     snapshot::SnapshotCell,
 };
@@ -130,6 +130,16 @@
         self.bound.load().as_ref().map_or((0, 0), |it| it.lane.load())
     }
 
+    /// A peer with a later document than this agent's is where to get it.
+    fn compare_config(&self, from: &Instance, request: &GateRequest) {
+        let bound = self.bound.load();
+        let known = bound.as_ref().filter(|it| it.service == request.service);
+        if known.is_some_and(|it| it.version < request.config) {
+            let (service, version) = (request.service.clone(), request.config);
+            self.reporter.hint(Report::Config { service, version, from: from.clone() });
+        }
+    }
+
     fn sign(&self, now: Timestamp) {
         self.last_sign_ns.fetch_max(now.ns, Ordering::Relaxed);
     }
@@ -167,7 +177,8 @@
 }
 
 impl Handler for Arc<Gate> {
-    fn request(&self, request: GateRequest) -> Serving {
+    fn request(&self, from: &Instance, request: GateRequest) -> Serving {
+        self.compare_config(from, &request);
         let gate = Arc::clone(self);
         Box::pin(async move { gate.call(request).await })
     }
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -21,7 +21,6 @@
         records::{Begun, RequestKey},
         table::{Admittance, Clearance, Entry, Grant, NotAdmitted},
     },
-    report::Report,
     request::{GateReply, GateRequest},
     snapshot::Routes,
 };
@@ -57,11 +56,6 @@
         if bound.service != request.service {
             return GateReply::NotOwner { owner: None, route_version: 0 };
         }
-        if request.config > bound.version {
-            let (service, version) = (request.service.clone(), request.config);
-            let from = self.own.clone();
-            self.reporter.hint(Report::Config { service, version, from });
-        }
         match request.key_hash {
             Some(key_hash) if bound.document.keyed => {
                 self.keyed(&bound, &request, key_hash, deadline, caller).await
--- a/crates/agent/src/links/traffic/inbox.rs
+++ b/crates/agent/src/links/traffic/inbox.rs
@@ -119,7 +119,7 @@
             Progress::Broken(_) => anyhow::bail!("a body is broken"),
             Progress::Whole(Head::Request(it)) => {
                 let request = GateRequest::try_from(*it).context("request")?;
-                self.served.start(&self.link, id, self.handler.request(request));
+                self.served.start(&self.link, id, self.handler.request(&self.link.peer, request));
                 Ok(())
             }
             Progress::Whole(Head::Answer(it)) => {
--- a/crates/agent/src/links/traffic/mod.rs
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -6,6 +6,9 @@
 mod outbox;
 mod serve;
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -46,7 +49,7 @@
 /// Takes what peers send.
 pub(crate) trait Handler: Send + Sync {
     /// Takes a request to its end; dropping the future cancels it.
-    fn request(&self, request: GateRequest) -> Serving;
+    fn request(&self, from: &Instance, request: GateRequest) -> Serving;
     /// Takes over records; false: they can't be used.
     fn records(&self, from: &Instance, handover: Handover) -> bool;
 }
--- /dev/null
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -0,0 +1,89 @@
+use bytes::Bytes;
+use wire::traffic::{Answer, Chunk, CorrelationId, Frame};
+
+use super::{
+    assembly::{Assembly, Head, Progress, chunks},
+    outbox::{Outgoing, channel},
+};
+use crate::links::socket::Outbox;
+
+const ID: CorrelationId = CorrelationId(7);
+
+fn outgoing(text: &str) -> Outgoing {
+    Outgoing { bytes: Bytes::copy_from_slice(text.as_bytes()), written: None }
+}
+
+#[test]
+fn large_messages_neither_starve_nor_are_starved() {
+    let (senders, mut outbox) = channel();
+    for _ in 0..100 {
+        senders.small.try_send(outgoing("s")).unwrap();
+    }
+    for _ in 0..4 {
+        senders.large.try_send(outgoing("L")).unwrap();
+    }
+    assert!(senders.large.try_send(outgoing("L")).is_err(), "large messages wait for room");
+    let order: Vec<Bytes> = std::iter::from_fn(|| outbox.try_next()).collect();
+    let order = String::from_utf8(order.concat()).unwrap();
+    let runs: Vec<usize> = order.split('L').map(str::len).collect();
+    assert_eq!(runs, [16, 16, 16, 16, 36], "{order}");
+}
+
+fn answer(body_len: u64, first: &'static [u8]) -> Progress {
+    let body = Bytes::from_static(first);
+    Head::Answer(Answer { id: ID, status: 200, headers: Vec::new(), body_len, body }).start()
+}
+
+fn assembly(progress: Progress) -> Assembly {
+    match progress {
+        Progress::More(assembly) => assembly,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Adds parts to the head of a body of eight bytes whose first four have come.
+fn check_parts(parts: &[(u64, &'static [u8])], expected: Option<&[u8]>) {
+    let mut progress = answer(8, b"1234");
+    for (offset, data) in parts {
+        let chunk = Chunk { id: ID, offset: *offset, data: Bytes::from_static(data) };
+        progress = match progress {
+            Progress::More(assembly) => assembly.add(&chunk),
+            ended => ended,
+        };
+    }
+    match (progress, expected) {
+        (Progress::Whole(Head::Answer(answer)), Some(body)) => assert_eq!(answer.body, body),
+        (Progress::Broken(_), None) => {}
+        (other, _) => panic!("{parts:?}: {other:?}"),
+    }
+}
+
+#[test]
+fn parts_make_a_whole_in_order_only() {
+    check_parts(&[(4, b"56"), (6, b"78")], Some(b"12345678"));
+    check_parts(&[(4, b"5678")], Some(b"12345678"));
+    check_parts(&[(6, b"78"), (4, b"56")], None);
+    check_parts(&[(4, b"56"), (4, b"56")], None);
+    check_parts(&[(4, b"56789")], None);
+    check_parts(&[(0, b"12")], None);
+}
+
+#[test]
+fn body_survives_being_cut_up() {
+    let body: Bytes = (0..200_000_u32).map(|it| (it / 3) as u8).collect::<Vec<u8>>().into();
+    let first_len = 65_536;
+    let head = Answer {
+        id: ID,
+        status: 200,
+        headers: Vec::new(),
+        body_len: body.len() as u64,
+        body: body.slice(..first_len),
+    };
+    let mut progress = Progress::More(assembly(Head::Answer(head).start()));
+    for frame in chunks(ID, &body, first_len) {
+        let Frame::Chunk(chunk) = frame else { panic!("{frame:?}") };
+        progress = assembly(progress).add(&chunk);
+    }
+    let Progress::Whole(Head::Answer(answer)) = progress else { panic!("{progress:?}") };
+    assert!(answer.body == body);
+}
--- a/crates/wire/src/link/mod.rs
+++ b/crates/wire/src/link/mod.rs
@@ -4,6 +4,9 @@
 //! dialling side ends with [`Proof`]. Each proves that it has the key, over both nonces, both
 //! instances, the kind of link and its own side, so that no proof serves twice or elsewhere.
 
+#[cfg(test)]
+mod tests;
+
 use model::Instance;
 use serde::{Deserialize, Serialize};
 
