Ownership: slots at rest are not looked through for each message

With 4,096 slots every renewal walked through all of them. They are looked through when something has happened that may move them, while anything is on its way, and once a second. 56 tests pass in 11.8 s (13.9 s before); the cost at 4,096 slots was not measured.

--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -40,6 +40,8 @@
 
 /// How often members that have not answered are told of the term.
 const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
+/// How long slots at rest are not looked through.
+const IDLE_FOR: Duration = Duration::from_secs(1);
 /// A new coordinator that no member answers for this long stops announcing itself.
 const DEAF_AFTER: Duration = Duration::from_secs(1);
 /// A first plan waits this long, so that all who start together are in it.
@@ -94,6 +96,8 @@
     confirmed_by: (Confirmation, Vec<MemberId>),
     /// The latest time until which this node's own lease was ever extended by this term.
     own_until: Timestamp,
+    /// All is granted and at rest: until then slots are not looked through, unless woken.
+    idle_until: Timestamp,
     /// Since when this node's own lease is kept as short as witnesses would keep it.
     own_capped_since: Option<Timestamp>,
     /// When any member was last heard.
@@ -138,6 +142,7 @@
             times_differ_since: None,
             confirmed_by,
             own_until: ctx.now,
+            idle_until: ctx.now,
             own_capped_since: None,
             heard_at: ctx.now,
             releasing: false,
@@ -208,9 +213,13 @@
         self.expire(ctx);
         if self.succession.settle(ctx.now, &self.confirm) {
             ctx.event(Event::Settled { term: self.term.0 });
+            self.wake();
+            self.resolve_unknown(ctx);
         }
         if ctx.config.keyed {
-            self.resolve_unknown(ctx);
+            if !self.is_settled() {
+                self.resolve_unknown(ctx);
+            }
             self.plan.tick(ctx);
         }
         let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
@@ -228,11 +237,14 @@
 
     /// The systems that follow from any event at once.
     fn run(&mut self, ctx: &mut Ctx<'_>) {
-        if ctx.config.keyed {
+        if ctx.config.keyed && self.idle_until <= ctx.now {
             self.resolve_unknown(ctx);
             self.grant_free(ctx);
             self.advance_handovers(ctx);
             self.advance_keys(ctx);
+            if self.table.is_at_rest() {
+                self.idle_until = ctx.now + IDLE_FOR;
+            }
         }
         self.answer_all(ctx);
     }
@@ -261,6 +273,7 @@
             PlanReply::Acknowledged(version) => {
                 ctx.event(Event::PlanWritten { version });
                 self.plan_acknowledged();
+                self.wake();
                 self.run(ctx);
             }
             PlanReply::NotMine | PlanReply::Nothing => {}
@@ -325,6 +338,11 @@
         Token { term: self.term, sequence: self.sequence }
     }
 
+    /// Something has happened that may let slots or keys move on.
+    fn wake(&mut self) {
+        self.idle_until = Timestamp::ZERO;
+    }
+
     fn bump_routes(&mut self) -> u64 {
         self.route_version += 1;
         self.route_version
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -57,6 +57,7 @@
         if !holding.recently_lapsed {
             self.succession.answered(id.clone());
         }
+        self.wake();
         ctx.event(Event::MemberJoined { member: from.clone() });
         self.members_changed();
         self.propose_soon(ctx.now);
@@ -128,6 +129,9 @@
         if let Some(load) = &renew.load {
             self.take_loads(&id, load);
         }
+        if changed || !reports.is_empty() {
+            self.wake();
+        }
         for report in reports {
             self.report(ctx, &id, renew.session, report);
         }
@@ -201,6 +205,7 @@
                 self.bump_routes();
                 self.confirm.prove_soon(ctx.now);
             }
+            self.wake();
             self.propose_soon(ctx.now);
         }
     }
--- a/crates/ownership/src/coordinator/slots.rs
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -182,6 +182,18 @@
         ended
     }
 
+    /// Whether everything is granted, and nothing is on its way.
+    pub(crate) fn is_at_rest(&self) -> bool {
+        let held = |it: &Holder| it.grant().is_some_and(|it| !it.closing);
+        let slots = self.slots.iter().all(|row| row.handover.is_none() && held(&row.holder));
+        let at_rest = |it: &KeyHolder| match it {
+            KeyHolder::Slot => true,
+            KeyHolder::LeavingSlot(_) => false,
+            KeyHolder::Entry(it) => held(it),
+        };
+        slots && self.keys.values().all(|row| at_rest(&row.holder))
+    }
+
     /// Whether a session holds anything or is about to.
     pub(crate) fn concerns(&self, member: &MemberId) -> bool {
         let of = |it: Option<&Grant>| it.is_some_and(|it| it.member == *member);
