--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -68,10 +68,10 @@
         let is_free = row.holder.is_free(self.confirm.proved_at());
         assert!(is_free, "slot {slot} is granted while {:?}", row.holder);
         assert!(token > row.last_token, "token {token} of slot {slot} after {}", row.last_token);
-        let handed_over = row.handover.take().is_some_and(|it| it.to == to);
-        let reason = match row.last_token {
-            it if it == Token::default() => MoveReason::First,
-            _ if handed_over => MoveReason::Rebalance,
+        let handover = row.handover.take();
+        let reason = match (&row.holder, handover) {
+            _ if row.last_token == Token::default() => MoveReason::First,
+            (Holder::Nobody { lapsed_at: None }, Some(it)) => it.reason,
             _ => MoveReason::Loss,
         };
         let Some(member) = self.members.rows.get_mut(&to) else { return };
--- a/crates/ownership/src/coordinator/handover.rs
+++ b/crates/ownership/src/coordinator/handover.rs
@@ -5,7 +5,7 @@
 use model::Slot;
 
 use crate::{
-    Command, UpstreamState,
+    Command, MoveReason, UpstreamState,
     ctx::{Ctx, MemberId},
     rules::{self, Rule},
 };
@@ -100,7 +100,8 @@
             member.command(Command::Prepare { slot, token });
         }
         let step = HandoverStep::Preparing { since: ctx.now };
-        row.handover = Some(Handover { to, token, step });
+        let reason = if planned { MoveReason::Rebalance } else { MoveReason::Leave };
+        row.handover = Some(Handover { to, token, step, reason });
     }
 
     /// Tells the old owner to give the slot up.
--- a/crates/ownership/src/coordinator/slots.rs
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -5,7 +5,7 @@
 use model::{KeyHash, Slot, SlotCount, Timestamp, Token};
 
 use crate::{
-    SessionId,
+    MoveReason, SessionId,
     ctx::MemberId,
     rules::{self, Rule},
 };
@@ -73,6 +73,7 @@
     /// The token for the new owner.
     pub(crate) token: Token,
     pub(crate) step: HandoverStep,
+    pub(crate) reason: MoveReason,
 }
 
 #[derive(Debug)]
