A service goes on for 90 minutes without the platform by default; rest measured

Cause: regions lose each other for an hour now and then, and a group whose platform is in the other region stopped after half an hour. Four seeds that had shown a fault were dropped from the random runs' list when its loads changed. Change: platform_absence_max_s is 5,400 by default, in the core, the settings and the schema; the seeds are back in the list; cargo xtask bench rest reads what agents cost when nobody calls. Conclusion: the outage the design names is outlasted.

--- a/crates/ownership/src/limits.rs
+++ b/crates/ownership/src/limits.rs
@@ -49,7 +49,7 @@
             confirmation: Duration::from_millis(300),
             platform_confirmation: Duration::from_millis(600),
             takeover_after: Duration::from_millis(400),
-            platform_absence_max: Duration::from_secs(1800),
+            platform_absence_max: Duration::from_secs(5400),
             pause_max: Duration::from_millis(250),
             handover_max: Duration::from_millis(2000),
             imbalance_target: 1.15,
--- a/crates/ownership/src/tests/order.rs
+++ b/crates/ownership/src/tests/order.rs
@@ -96,7 +96,7 @@
     }
     sim.run_for(Duration::from_secs(1));
     sim.start_all();
-    // The longest absence from the platform is half an hour here: it is not waited for.
+    // The longest absence from the platform is an hour and a half here: it is not waited for.
     let served = sim.run_until(Duration::from_secs(15), |it| it.unowned() == 0);
     assert!(served, "{:?}", sim.events());
     check(&sim);
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -10,7 +10,8 @@
 /// Runs of each part. The parts run side by side.
 const RUNS: u64 = 600;
 /// Seeds that have shown a fault.
-const FAULTS_SHOWN: [u64; 10] = [14, 254, 368, 2293, 4634, 4933, 7483, 7781, 39_674, 47_822];
+const FAULTS_SHOWN: [u64; 14] =
+    [14, 82, 111, 254, 368, 2293, 4634, 4933, 7483, 7781, 9125, 10_406, 39_674, 47_822];
 const SHAPES_SEED: u64 = 2026;
 
 fn setting(name: &str) -> Option<u64> {
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -225,7 +225,7 @@
             confirmation_ms: 300,
             platform_confirmation_ms: 600,
             takeover_after_ms: 400,
-            platform_absence_max_s: 1_800,
+            platform_absence_max_s: 5_400,
             pause_max_ms: 250,
             handover_max_ms: 2_000,
             imbalance_target: 1.15,
--- a/crates/standins/src/caller/attempt.rs
+++ b/crates/standins/src/caller/attempt.rs
@@ -8,6 +8,7 @@
 use volo_http::{
     body::{Body, BodyConversion},
     client::Client,
+    hyper,
     response::Response,
 };
 
@@ -79,7 +80,7 @@
         }
         match builder.send().await {
             Ok(response) => read(response, request, peer).await,
-            Err(error) if is_refused(&error) => {
+            Err(error) if is_not_sent(&error) => {
                 Ending { result: AttemptResult::NotConnected, retry_after: None }
             }
             Err(_) => Ending { result: AttemptResult::ConnectionLost, retry_after: None },
@@ -87,14 +88,20 @@
     }
 }
 
-/// Whether no connection was made, so that nothing was sent.
-fn is_refused(error: &(dyn Error + 'static)) -> bool {
+/// Whether no connection was made, or it ended before anything was written to it: then nothing was
+/// sent, and nothing was cut off.
+fn is_not_sent(error: &(dyn Error + 'static)) -> bool {
     let mut next = Some(error);
     while let Some(error) = next {
-        match error.downcast_ref::<io::Error>() {
-            Some(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
-            _ => next = error.source(),
+        let refused = error
+            .downcast_ref::<io::Error>()
+            .is_some_and(|it| it.kind() == io::ErrorKind::ConnectionRefused);
+        // hyper's word for a request that it never began to write.
+        let unwritten = error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled);
+        if refused || unwritten {
+            return true;
         }
+        next = error.source();
     }
     false
 }
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod path;
 mod plot;
 mod process_usage;
+mod rest;
 mod slopes;
 mod spread;
 
@@ -26,7 +27,7 @@
 pub(crate) struct BenchOptions {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "path, faults, slopes or ownership")]
+    #[options(free, help = "path, faults, slopes, rest or ownership")]
     name: String,
     #[options(no_short, help = "print one JSON object as the last line")]
     json: bool,
@@ -66,6 +67,7 @@
             report.lines().iter().try_for_each(|it| line(it))?;
             json!(report)
         }
+        "rest" => json!(rest::run(options.seed).await?),
         "slopes" => {
             let report = slopes::run(&options)?;
             if options.plot {
@@ -74,7 +76,9 @@
             json!(report)
         }
         other => {
-            anyhow::bail!("no measurement {other:?}; there are path, faults, slopes and ownership")
+            anyhow::bail!(
+                "no measurement {other:?}; there are path, faults, slopes, rest and ownership"
+            )
         }
     };
     if options.save {
--- /dev/null
+++ b/xtask/src/bench/rest.rs
@@ -0,0 +1,104 @@
+//! What agents cost when nobody calls: processor time, memory, and calls to the platform.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use anyhow::Context;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use super::{process_usage::Usage, spread::Spread};
+use crate::{
+    cluster::{Binaries, Cluster, Instance, Profile},
+    demo::{SERVICES, line},
+};
+
+/// Time for plans, witnesses and statuses to come to rest.
+const SETTLE: Duration = Duration::from_secs(8);
+const MEASURED: Duration = Duration::from_secs(20);
+
+/// One kind of agent at rest.
+#[derive(Debug, Serialize)]
+pub(crate) struct RestRow {
+    role: &'static str,
+    agents: usize,
+    /// Processor time of the whole process, in microseconds a second.
+    cpu_us_per_s: Spread,
+    memory_kb: Spread,
+}
+
+/// Both deployments at rest.
+#[derive(Debug, Serialize)]
+pub(crate) struct RestReport {
+    roles: Vec<RestRow>,
+    /// Of the whole fleet, by kind.
+    platform_calls_per_s: BTreeMap<String, f64>,
+    watches_waiting: f64,
+    groups: usize,
+}
+
+struct Reading {
+    role: &'static str,
+    cpu_us_per_s: f64,
+    memory_kb: f64,
+}
+
+/// Runs both deployments without callers.
+pub(crate) async fn run(seed: u64) -> anyhow::Result<RestReport> {
+    let binaries = Binaries::build(Profile::Release)?;
+    let cluster = Cluster::start(SERVICES, &binaries, seed).await?;
+    cluster.wait_serving().await?;
+    sleep(SETTLE).await;
+    let usages: Vec<Usage> = cluster.instances.iter().map(usage).collect::<Result<_, _>>()?;
+    let counts = cluster.platform_counts().await?;
+    sleep(MEASURED).await;
+    let after = cluster.platform_counts().await?;
+    let mut readings = Vec::new();
+    for (instance, before) in cluster.instances.iter().zip(usages) {
+        let now = usage(instance)?;
+        readings.push(Reading {
+            role: role(&cluster, instance).await?,
+            cpu_us_per_s: now.cpu_us_each_since(before, 1) / MEASURED.as_secs_f64(),
+            memory_kb: now.memory_kb as f64,
+        });
+    }
+    let report = RestReport {
+        roles: ["coordinator", "member"].map(|it| row(it, &readings)).into(),
+        platform_calls_per_s: rates(&counts, &after),
+        watches_waiting: after.get("watches_waiting").copied().unwrap_or_default(),
+        groups: cluster.services.len(),
+    };
+    for it in &report.roles {
+        line(&format!("{:12} cpu {} us/s, memory {} kB", it.role, it.cpu_us_per_s, it.memory_kb))?;
+    }
+    Ok(report)
+}
+
+fn usage(instance: &Instance) -> anyhow::Result<Usage> {
+    Usage::read(instance.agent()?.pid())
+}
+
+async fn role(cluster: &Cluster, instance: &Instance) -> anyhow::Result<&'static str> {
+    let object = cluster.read_object(&format!("coordinators/{}/0", instance.service)).await?;
+    let object: serde_json::Value = serde_json::from_str(&object).context("a coordinator")?;
+    let holds = object["holder"]["name"] == instance.name.as_str();
+    Ok(if holds { "coordinator" } else { "member" })
+}
+
+fn row(role: &'static str, readings: &[Reading]) -> RestRow {
+    let own = || readings.iter().filter(|it| it.role == role);
+    RestRow {
+        role,
+        agents: own().count(),
+        cpu_us_per_s: Spread::new(own().map(|it| it.cpu_us_per_s)),
+        memory_kb: Spread::new(own().map(|it| it.memory_kb)),
+    }
+}
+
+fn rates(before: &BTreeMap<String, f64>, after: &BTreeMap<String, f64>) -> BTreeMap<String, f64> {
+    let counted = after.iter().filter(|(kind, _)| *kind != "watches_waiting");
+    let rate = |(kind, count): (&String, &f64)| {
+        let former = before.get(kind).copied().unwrap_or_default();
+        (kind.clone(), (count - former) / MEASURED.as_secs_f64())
+    };
+    counted.map(rate).collect()
+}
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use run_dir::RunDir;
 pub(crate) use service::{Service, ServiceSpec, key};
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use anyhow::Context;
 use futures_util::future::try_join_all;
@@ -148,6 +148,12 @@
         self.platform_call(Method::GET, &format!("objects/{path}"), String::new()).await
     }
 
+    /// What the platform has counted, by kind of call.
+    pub(crate) async fn platform_counts(&self) -> anyhow::Result<BTreeMap<String, f64>> {
+        let text = self.platform_call(Method::GET, "admin/counts", String::new()).await?;
+        serde_json::from_str(&text).context("the platform's counts")
+    }
+
     async fn platform_call(
         &self,
         method: Method,
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -17,7 +17,7 @@
 use standins::journal::wall_ns;
 use tokio::time::{Instant, sleep_until};
 
-pub(crate) use self::report::line;
+pub(crate) use self::{deployments::SERVICES, report::line};
 
 use self::{
     config_probe::{Probes, judge},
