--- a/crates/agent/src/links/traffic/link.rs
+++ b/crates/agent/src/links/traffic/link.rs
@@ -25,8 +25,11 @@
     request::{GateReply, GateRequest},
 };
 
-/// How much earlier than the asking side the gate gives up, so that its word arrives in time.
-const DEADLINE_SLACK: Duration = Duration::from_millis(5);
+/// How much earlier than the asking side the gate gives up, so that its word arrives in time: it
+/// knows whether the request has run, the asking side does not.
+const DEADLINE_SLACK: Duration = Duration::from_millis(20);
+/// The part of a short deadline that this may take up.
+const DEADLINE_SLACK_PART: u32 = 20;
 /// How long a peer may take to take over records.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -85,7 +88,7 @@
         let written = Arc::clone(&pending.written);
         let first_len = first_len(&request.body);
         let mut head = request.to_wire(id, first_len);
-        let slack = DEADLINE_SLACK.min(request.remaining / 10);
+        let slack = DEADLINE_SLACK.min(request.remaining / DEADLINE_SLACK_PART);
         head.remaining_us -= u64::try_from(slack.as_micros()).unwrap_or(0);
         let head = Frame::Request(Box::new(head));
         let exchange = async {
