--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use model::{Instance, ServiceName, Timestamp};
+use model::{ConfigVersion, Instance, ServiceName, Timestamp};
 use ownership::{Plan, UpstreamState};
 use platform::PlatformError;
 use rand::{RngExt, seq::IndexedRandom};
@@ -51,7 +51,7 @@
     /// what they have heard, so only the word of a member ends a silence or replaces routes of the
     /// same version. A table without members is of no use, and would go round among such agents
     /// for ever.
-    fn hear(&mut self, from: &Instance, mut table: RouteTable) -> bool {
+    fn hear(&mut self, from: &Instance, table: RouteTable) -> bool {
         if table.members.is_empty() {
             return false;
         }
@@ -64,10 +64,6 @@
         if !(is_newer || is_member && is_better) {
             return false;
         }
-        let unchanged = table.owners.is_empty() && table.version == version;
-        if let (true, Some(current)) = (unchanged, current) {
-            keep_owners(&mut table, current);
-        }
         let changed = current != Some(&table);
         self.routes = Some(table);
         if is_member {
@@ -75,6 +71,15 @@
         }
         changed
     }
+
+    /// Notes that a member knows of nothing newer.
+    fn hear_unchanged(&mut self, from: &Instance, version: u64) {
+        let Some(routes) = &self.routes else { return };
+        let is_member = routes.members.iter().any(|it| it.instance == *from);
+        if is_member && routes.version == version {
+            self.unanswered = 0;
+        }
+    }
 }
 
 impl ForeignRoutes {
@@ -208,12 +213,26 @@
     pub(super) fn send_routes(&self, to: &Instance, service: &ServiceName, known: u64) {
         let own = (service == self.service()).then(|| self.own_routes()).flatten();
         let cached = || self.foreign.table.get(service).and_then(|it| it.routes.clone());
-        let Some(mut table) = own.or_else(cached) else { return };
-        if table.version == known {
-            // Nothing but the members can have changed.
-            table.owners.clear();
+        let Some(table) = own.or_else(cached) else { return };
+        let RouteTable { version, config, .. } = table;
+        let answer = match version == known {
+            true => Envelope::RoutesUnchanged { service: service.clone(), version, config },
+            false => Envelope::Routes(table),
+        };
+        self.parts.links.send(to, answer.encode());
+    }
+
+    pub(super) fn routes_unchanged(
+        &mut self,
+        from: &Instance,
+        service: ServiceName,
+        version: u64,
+        config: ConfigVersion,
+    ) {
+        if let Some(foreign) = self.foreign.table.get_mut(&service) {
+            foreign.hear_unchanged(from, version);
         }
-        self.parts.links.send(to, Envelope::Routes(table).encode());
+        self.version_heard(from, service, config);
     }
 
     pub(super) fn routes_heard(&mut self, from: Instance, table: RouteTable) {
@@ -294,19 +313,6 @@
     index as u16
 }
 
-/// The same version, sent without its owners: those known still hold, for the members as listed.
-fn keep_owners(table: &mut RouteTable, current: &RouteTable) {
-    let mut moved =
-        |index: &u16| index_of(&mut table.members, &current.members[usize::from(*index)].instance);
-    let owners = current.owners.iter().map(|it| RouteOwner {
-        slot: it.slot,
-        key_hash: it.key_hash,
-        owner: it.owner.as_ref().map(&mut moved),
-        successors: it.successors.iter().map(&mut moved).collect(),
-    });
-    table.owners = owners.collect();
-}
-
 /// What the plan says; its version is not one of routes, so any member's word replaces it.
 fn planned_routes(plan: Plan) -> RouteTable {
     let slots = plan.slots.into_iter().map(|it| RouteOwner {
@@ -323,7 +329,7 @@
     });
     RouteTable {
         service: plan.service,
-        config: model::ConfigVersion(0),
+        config: ConfigVersion(0),
         version: 0,
         slot_count: plan.slot_count,
         owners: slots.chain(keys).collect(),
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -50,6 +50,9 @@
             }
             Envelope::FetchRoutes { service, known } => self.send_routes(&from, &service, known),
             Envelope::Routes(table) => self.routes_heard(from, table),
+            Envelope::RoutesUnchanged { service, version, config } => {
+                self.routes_unchanged(&from, service, version, config);
+            }
         }
     }
 
--- a/crates/wire/src/exchange/envelope.rs
+++ b/crates/wire/src/exchange/envelope.rs
@@ -37,6 +37,12 @@
         known: u64,
     },
     Routes(RouteTable),
+    /// The routes are those of this version still.
+    RoutesUnchanged {
+        service: ServiceName,
+        version: u64,
+        config: ConfigVersion,
+    },
 }
 
 impl Envelope {
@@ -73,6 +79,8 @@
     FetchRoutes { service: ServiceName, known: u64 },
     #[serde(rename = "r")]
     Routes { table: RouteTable },
+    #[serde(rename = "ru")]
+    RoutesUnchanged { service: ServiceName, version: u64, config: ConfigVersion },
 }
 
 impl From<Envelope> for Wire {
@@ -86,6 +94,9 @@
             Envelope::Versions(versions) => Wire::Versions { versions },
             Envelope::FetchRoutes { service, known } => Wire::FetchRoutes { service, known },
             Envelope::Routes(table) => Wire::Routes { table },
+            Envelope::RoutesUnchanged { service, version, config } => {
+                Wire::RoutesUnchanged { service, version, config }
+            }
         }
     }
 }
@@ -110,6 +121,9 @@
             }
             Wire::Versions { versions } => Ok(Envelope::Versions(versions)),
             Wire::FetchRoutes { service, known } => Ok(Envelope::FetchRoutes { service, known }),
+            Wire::RoutesUnchanged { service, version, config } => {
+                Ok(Envelope::RoutesUnchanged { service, version, config })
+            }
             Wire::Routes { table } => {
                 table.check().map_err(|reason| invalid("table", reason))?;
                 Ok(Envelope::Routes(table))
--- a/crates/wire/src/exchange/tests.rs
+++ b/crates/wire/src/exchange/tests.rs
@@ -44,6 +44,7 @@
         Envelope::Versions(vec![(service(), ConfigVersion(2))]),
         Envelope::FetchRoutes { service: service(), known: 4 },
         Envelope::Routes(table(0)),
+        Envelope::RoutesUnchanged { service: service(), version: 9, config: ConfigVersion(3) },
     ]
 }
 
--- a/xtask/src/bench/slopes/mod.rs
+++ b/xtask/src/bench/slopes/mod.rs
@@ -6,6 +6,7 @@
 mod frames;
 mod group;
 mod records;
+mod routes;
 mod wire_size;
 
 #[cfg(test)]
@@ -55,6 +56,9 @@
     if wanted("records") {
         slopes.extend(records::measure()?);
     }
+    if wanted("routes") {
+        slopes.extend(routes::measure());
+    }
     for slope in &slopes {
         line(&describe(slope))?;
     }
--- /dev/null
+++ b/xtask/src/bench/slopes/routes.rs
@@ -0,0 +1,76 @@
+//! What an agent spends on the routes of a service that it is no member of.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use model::{
+    ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Slot, SlotCount, Zone,
+};
+use wire::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
+
+use super::{Slope, fit::Point, wire_size::on_the_way};
+
+const MEMBERS: [u16; 5] = [4, 8, 16, 24, 32];
+const SLOTS: [u16; 5] = [64, 128, 256, 512, 1024];
+const USUAL_MEMBERS: u16 = 8;
+const USUAL_SLOTS: u16 = 96;
+
+/// A refresh is one question and its answer; nothing has changed, or all has.
+pub(super) fn measure() -> Vec<Slope> {
+    let against = |name, quantity, sizes: [u16; 5], bytes: fn(u16) -> u64| {
+        let point = |size: u16| Point { x: f64::from(size), y: bytes(size) as f64 };
+        Slope::new(name, quantity, sizes.map(point).to_vec())
+    };
+    vec![
+        against("members", "route_refresh_unchanged_bytes", MEMBERS, |_| refresh_unchanged()),
+        against("members", "route_refresh_all_bytes", MEMBERS, |it| refresh_all(it, USUAL_SLOTS)),
+        against("slots", "route_refresh_all_bytes", SLOTS, |it| refresh_all(USUAL_MEMBERS, it)),
+    ]
+}
+
+fn refresh_all(members: u16, slots: u16) -> u64 {
+    refresh(Envelope::Routes(table(members, slots)))
+}
+
+fn refresh_unchanged() -> u64 {
+    let RouteTable { service, version, config, .. } = table(USUAL_MEMBERS, USUAL_SLOTS);
+    refresh(Envelope::RoutesUnchanged { service, version, config })
+}
+
+/// Bytes of the question and the answer with all headers.
+fn refresh(answer: Envelope) -> u64 {
+    let question = Envelope::FetchRoutes { service: service(), known: 1 << 20 };
+    on_the_way(&question.encode()) + on_the_way(&answer.encode())
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("standings").expect("a valid name")
+}
+
+fn table(members: u16, slots: u16) -> RouteTable {
+    let owner = |slot: u16| RouteOwner {
+        slot: Slot(slot),
+        key_hash: None,
+        owner: Some(slot % members),
+        successors: (1..=3).map(|it| (slot + it) % members).collect(),
+    };
+    RouteTable {
+        service: service(),
+        config: ConfigVersion(1 << 16),
+        version: 1 << 20,
+        slot_count: SlotCount::new(USUAL_SLOTS.max(slots)).expect("a valid count"),
+        members: (0..members).map(member).collect(),
+        owners: (0..slots).map(owner).collect(),
+    }
+}
+
+fn member(number: u16) -> RouteMember {
+    let address = |port| SocketAddr::from((Ipv4Addr::new(10, 0, 0, number as u8), port));
+    let instance = Instance {
+        name: InstanceName::new(&format!("standings-{number}")).expect("a valid name"),
+        incarnation: Incarnation(u64::MAX / 3),
+        zone: Zone::new("drivers-stand").expect("a valid name"),
+        control: address(7001),
+        traffic: address(7002),
+    };
+    RouteMember { instance, ready: true }
+}
