A sending that hangs counts as time without service from its start

Time without service was looked for after a failed sending had ended. One that hangs at a frozen owner ends after its deadline, when the new owner has long been answering others, so most of the gap was missed. Now each time between two answers that the sending falls into counts. Stricter than before.

--- a/xtask/src/demo/verdict/availability.rs
+++ b/xtask/src/demo/verdict/availability.rs
@@ -93,14 +93,24 @@
 
 fn longest_gap_of(key: ServiceKey, mut history: KeyHistory, until_ns: u64) -> Option<Gap> {
     history.answered_ns.sort_unstable();
-    let answered = &history.answered_ns;
-    let gap = |failure: &Failure| {
-        let after = answered.partition_point(|it| *it <= failure.ended_ns);
-        let before_ns = after.checked_sub(1).map_or(0, |it| answered[it]);
-        let after_ns = answered.get(after).copied().unwrap_or(until_ns.max(failure.ended_ns));
-        let from_ns = failure.sent_ns.max(before_ns);
-        (after_ns.saturating_sub(from_ns), from_ns)
-    };
-    let (gap_ns, from_ns) = history.failed.iter().map(gap).max()?;
+    let gaps = history.failed.iter().flat_map(|it| gaps_of(&history.answered_ns, it, until_ns));
+    let (gap_ns, from_ns) = gaps.max()?;
     Some(Gap { key, from_ns, gap_ms: gap_ns / 1_000_000 })
 }
+
+/// The times without an answer, with their starts, that a failed sending falls into: from when it
+/// was sent, over answers that came while it hung, to the first answer after its end.
+fn gaps_of(
+    answered_ns: &[u64],
+    failure: &Failure,
+    until_ns: u64,
+) -> impl Iterator<Item = (u64, u64)> {
+    let Failure { sent_ns, ended_ns } = *failure;
+    let first = answered_ns.partition_point(|it| *it <= sent_ns);
+    let last = answered_ns.partition_point(|it| *it <= ended_ns);
+    (first..=last).map(move |next| {
+        let from_ns = if next == first { sent_ns } else { answered_ns[next - 1] };
+        let to_ns = answered_ns.get(next).copied().unwrap_or(until_ns.max(ended_ns));
+        (to_ns.saturating_sub(from_ns), from_ns)
+    })
+}
--- a/xtask/src/demo/verdict/tests.rs
+++ b/xtask/src/demo/verdict/tests.rs
@@ -263,6 +263,17 @@
     assert_eq!(verdict.unavailable_ms_max, 0);
 }
 
+#[test]
+fn a_sending_that_hangs_counts_from_its_start() {
+    let hung = [(100..1100, AttemptResult::TimedOut)];
+    let plot = Plot::new().watched().call(2, FinalOutcome::Unknown, &hung);
+    let plot = plot.ran("a", 1, "1.1", 80..85).answered(1, 75..90);
+    let plot = plot.ran("b", 3, "1.2", 890..895).answered(3, 850..900);
+    let plot = plot.ran("b", 4, "1.2", 990..995).answered(4, 950..1000);
+    let plot = plot.ran("b", 5, "1.2", 1190..1195).answered(5, 1150..1200);
+    assert_eq!(plot.check(&[]).unavailable_ms_max, 800);
+}
+
 #[test]
 fn a_service_not_divided_by_key_is_served_by_any_upstream() {
     let failed = [(500..510, not_run("draining"))];
