Bench ownership: noise without bias, and a bound that survives rounding

Requests are now drawn one by one up to 30 a second.

A member had given up all but its hot key, and the sum in another order came out a last digit short. A tolerance of 1e-9 mends it; the case is kept as a test and fails without it.

--- a/xtask/src/bench/ownership/bound.rs
+++ b/xtask/src/bench/ownership/bound.rs
@@ -70,7 +70,8 @@
     let rest: f64 = movable.iter().map(|it| it.load).sum();
     let goes =
         heaviest.keys + room_for(heaviest.load) + least_off(&movable, excess - heaviest.load);
-    match rest >= excess {
+    // Sums in another order differ in their last digits.
+    match rest >= excess * (1.0 - 1e-9) {
         true => least_off(&movable, excess).min(goes),
         false => goes,
     }
--- a/xtask/src/bench/ownership/measure.rs
+++ b/xtask/src/bench/ownership/measure.rs
@@ -187,13 +187,20 @@
     (0..from.len()).filter(|it| from[*it] != to[*it]).collect()
 }
 
+/// Requests a second up to which they are drawn one by one.
+const DRAWN_MAX: f64 = 30.0;
+
 /// What one second shows of a load: requests come at random and take random times, so their sum
-/// has twice the variance of their number.
+/// has twice the variance of their number. On average it shows the load, also of idle keys.
 fn second_of(rng: &mut impl Rng, load_us_per_s: f64) -> f64 {
     let requests = load_us_per_s / (SERVICE_S * 1e6);
+    if requests <= DRAWN_MAX {
+        let count = poisson(rng, requests);
+        return (0..count).map(|_| exponential(rng, SERVICE_S * 1e6)).sum();
+    }
     // A sum of twelve draws is close enough to a normal distribution.
     let normal = (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0;
-    (requests + normal * (2.0 * requests).sqrt()).max(0.0) * SERVICE_S * 1e6
+    (requests + normal * (2.0 * requests).sqrt()) * SERVICE_S * 1e6
 }
 
 fn exponential(rng: &mut impl Rng, mean: f64) -> f64 {
--- a/xtask/src/bench/ownership/tests.rs
+++ b/xtask/src/bench/ownership/tests.rs
@@ -62,3 +62,14 @@
         assert!(it.moved_per_loss > 0.1, "{it:?}");
     }
 }
+
+/// Seed 1 as it was found: a member gave up all but its hot key, and the bound, summing in another
+/// order, took that for not enough.
+#[test]
+fn the_bound_holds_where_only_a_hot_key_stays() {
+    let mut workload = workload::all(1).swap_remove(1);
+    workload.seconds = 200;
+    for policy in policy::all(&workload).into_iter().skip(1).take(2) {
+        Run::new(&workload, policy, 1).run();
+    }
+}
