--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -59,17 +59,19 @@
     }
 
     fn grant(&mut self, ctx: &mut Ctx<'_>, slot: Slot, to: MemberId, token: Option<Token>) {
-        let token = token.unwrap_or_else(|| self.next_token());
+        let last = self.table.slots[usize::from(slot.0)].last_token;
+        // A key that came back to the slot meanwhile may have a later token than was prepared.
+        let token = token.filter(|it| *it > last).unwrap_or_else(|| self.next_token());
         let version = self.bump_routes();
         self.exclude_keys(slot, &to);
         let row = &mut self.table.slots[usize::from(slot.0)];
         let is_free = row.holder.is_free(self.confirm.proved_at());
         assert!(is_free, "slot {slot} is granted while {:?}", row.holder);
         assert!(token > row.last_token, "token {token} of slot {slot} after {}", row.last_token);
-        let handed_over = row.handover.take().is_some_and(|it| it.to == to);
-        let reason = match row.last_token {
-            it if it == Token::default() => MoveReason::First,
-            _ if handed_over => MoveReason::Rebalance,
+        let handover = row.handover.take();
+        let reason = match (&row.holder, handover) {
+            _ if row.last_token == Token::default() => MoveReason::First,
+            (Holder::Nobody { lapsed_at: None }, Some(it)) => it.reason,
             _ => MoveReason::Loss,
         };
         let Some(member) = self.members.rows.get_mut(&to) else { return };
@@ -89,7 +91,7 @@
         for (key_hash, row) in self.table.keys_of(slot) {
             let owner = match &row.holder {
                 KeyHolder::Slot => continue,
-                KeyHolder::Entry(Holder::Member(it)) if it.member == *to => continue,
+                KeyHolder::Entry(Holder::Member(it)) if it.member == *to && !it.closing => continue,
                 KeyHolder::Entry(Holder::Member(it)) | KeyHolder::LeavingSlot(it) => {
                     Some(it.member.clone())
                 }
@@ -102,6 +104,7 @@
         let Some(member) = self.members.rows.get_mut(to) else { return };
         for (key_hash, owner) in commands {
             let owner = owner.unwrap_or_else(|| member.instance.clone());
+            member.excluded.insert(key_hash);
             member.command(Command::ExcludeKey { key_hash, owner });
         }
     }
--- a/crates/ownership/src/coordinator/handover.rs
+++ b/crates/ownership/src/coordinator/handover.rs
@@ -5,7 +5,7 @@
 use model::Slot;
 
 use crate::{
-    Command, UpstreamState,
+    Command, MoveReason, UpstreamState,
     ctx::{Ctx, MemberId},
     rules::{self, Rule},
 };
@@ -51,7 +51,7 @@
 
     fn next_step(&self, ctx: &Ctx<'_>, slot: Slot) -> Option<Next> {
         let row = &self.table.slots[usize::from(slot.0)];
-        let grant = row.holder.grant().filter(|it| !it.closing)?;
+        let grant = row.holder.grant().filter(|it| !it.closing && self.members.is_current(it))?;
         let holder = self.members.rows.get(&grant.member);
         let must_give_up = holder.is_some_and(|it| it.must_give_up());
         match &row.handover {
@@ -100,7 +100,8 @@
             member.command(Command::Prepare { slot, token });
         }
         let step = HandoverStep::Preparing { since: ctx.now };
-        row.handover = Some(Handover { to, token, step });
+        let reason = if planned { MoveReason::Rebalance } else { MoveReason::Leave };
+        row.handover = Some(Handover { to, token, step, reason });
     }
 
     /// Tells the old owner to give the slot up.
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -40,6 +40,8 @@
 
 /// How often members that have not answered are told of the term.
 const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
+/// How long slots at rest are not looked through.
+const IDLE_FOR: Duration = Duration::from_secs(1);
 /// A new coordinator that no member answers for this long stops announcing itself.
 const DEAF_AFTER: Duration = Duration::from_secs(1);
 /// A first plan waits this long, so that all who start together are in it.
@@ -92,6 +94,10 @@
     times_differ_since: Option<Timestamp>,
     /// The path of confirmation and the witnesses, as last acknowledged.
     confirmed_by: (Confirmation, Vec<MemberId>),
+    /// The latest time until which this node's own lease was ever extended by this term.
+    own_until: Timestamp,
+    /// All is granted and at rest: until then slots are not looked through, unless woken.
+    idle_until: Timestamp,
     /// Since when this node's own lease is kept as short as witnesses would keep it.
     own_capped_since: Option<Timestamp>,
     /// When any member was last heard.
@@ -123,7 +129,7 @@
             members: MemberTable::default(),
             table: SlotTable::new(slots, &holder, base),
             hot_keys: HotKeys::default(),
-            plan: PlanKeeper::new(ctx.now),
+            plan: PlanKeeper::new(ctx.now, slots),
             sequence: 0,
             route_version: base + u64::from(slots.count()),
             members_changed_in: base,
@@ -135,6 +141,8 @@
             moved: VecDeque::new(),
             times_differ_since: None,
             confirmed_by,
+            own_until: ctx.now,
+            idle_until: ctx.now,
             own_capped_since: None,
             heard_at: ctx.now,
             releasing: false,
@@ -154,14 +162,18 @@
     }
 
     /// Until when this node may hold what it has granted itself.
-    pub(crate) fn own_lease_until(&self, ctx: &Ctx<'_>) -> Option<Timestamp> {
+    pub(crate) fn own_lease_until(&mut self, ctx: &Ctx<'_>) -> Option<Timestamp> {
         let until = self.confirm.until();
         let by_witnesses = self.confirm.proved_at() + self.times(ctx).confirmation();
         let until = match self.own_capped_since {
             Some(_) if rules::holds(Rule::CapOwnLease) => until.min(by_witnesses),
             _ => until,
         };
-        self.may_renew(ctx).then_some(until)
+        if !self.may_renew(ctx) {
+            return None;
+        }
+        self.own_until = self.own_until.max(until);
+        Some(until)
     }
 
     /// The times in force: those that a successor will wait by, or shorter ones.
@@ -184,6 +196,8 @@
         match message {
             Message::Renew(renew) => {
                 self.heard_at = ctx.now;
+                let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
+                self.confirm.replaced(ctx.now, from, &by);
                 self.renew(ctx, from, renew);
             }
             Message::Answer { term, number } if *term == self.term => {
@@ -199,9 +213,13 @@
         self.expire(ctx);
         if self.succession.settle(ctx.now, &self.confirm) {
             ctx.event(Event::Settled { term: self.term.0 });
+            self.wake();
+            self.resolve_unknown(ctx);
         }
         if ctx.config.keyed {
-            self.resolve_unknown(ctx);
+            if !self.is_settled() {
+                self.resolve_unknown(ctx);
+            }
             self.plan.tick(ctx);
         }
         let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
@@ -219,11 +237,14 @@
 
     /// The systems that follow from any event at once.
     fn run(&mut self, ctx: &mut Ctx<'_>) {
-        if ctx.config.keyed {
+        if ctx.config.keyed && self.idle_until <= ctx.now {
             self.resolve_unknown(ctx);
             self.grant_free(ctx);
             self.advance_handovers(ctx);
             self.advance_keys(ctx);
+            if self.table.is_at_rest() {
+                self.idle_until = ctx.now + IDLE_FOR;
+            }
         }
         self.answer_all(ctx);
     }
@@ -252,6 +273,7 @@
             PlanReply::Acknowledged(version) => {
                 ctx.event(Event::PlanWritten { version });
                 self.plan_acknowledged();
+                self.wake();
                 self.run(ctx);
             }
             PlanReply::NotMine | PlanReply::Nothing => {}
@@ -316,6 +338,11 @@
         Token { term: self.term, sequence: self.sequence }
     }
 
+    /// Something has happened that may let slots or keys move on.
+    fn wake(&mut self) {
+        self.idle_until = Timestamp::ZERO;
+    }
+
     fn bump_routes(&mut self) -> u64 {
         self.route_version += 1;
         self.route_version
@@ -331,20 +358,10 @@
         self.next_proposal = self.next_proposal.min(now + propose::GATHER_FOR);
     }
 
-    /// Whether this node's own part and nobody else is left to serve the group, or to lead it.
-    pub(crate) fn others(&self, me: &Instance) -> Others {
-        let id = MemberId::from(me);
-        let mut others = Others::None;
-        for (other, row) in &self.members.rows {
-            if *other == id {
-                continue;
-            }
-            if !row.leaving {
-                return Others::Staying;
-            }
-            others = Others::Leaving;
-        }
-        others
+    /// Whether others than this node are about to leave.
+    pub(crate) fn others_leave(&self, me: &Instance) -> bool {
+        let me = MemberId::from(me);
+        self.members.rows.iter().any(|(id, row)| *id != me && row.leaving)
     }
 
     /// Gives the term up, by an update after which this node renews nothing.
@@ -362,12 +379,3 @@
         self.members.rows.values().map(|it| &it.instance)
     }
 }
-
-/// Who else is in the group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Others {
-    None,
-    /// All of them are leaving too.
-    Leaving,
-    Staying,
-}
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -1,10 +1,10 @@
 //! Renewals of members: joining, adopting live sessions, reports; and sessions that lapse.
 
-use model::{Instance, Token};
+use model::{Instance, Slot, Token};
 
 use crate::{
     Event, HeldKey, HeldSlot, Holding, Message, Renew, Report, SessionId,
-    ctx::{Ctx, MemberId},
+    ctx::{Ctx, MemberId, is_same},
 };
 
 use super::{
@@ -48,11 +48,16 @@
         let mut row = MemberRow::new(from, renew, ctx.now);
         let times = self.object.acked().times;
         row.lease_until = ctx.now + times.elsewhere(times.lease());
-        self.members.insert(id.clone(), row);
+        // Of its own former session a coordinator knows that it is over: it ends with its lease. An
+        // earlier term may have given that too, but not any more once this one is settled.
+        let own = is_same(from, ctx.me()) && self.is_settled();
+        let ends_at = own.then(|| self.own_until.max(ctx.now));
+        self.members.insert(id.clone(), row, ends_at);
         self.adopt(&id, renew.session, holding);
         if !holding.recently_lapsed {
             self.succession.answered(id.clone());
         }
+        self.wake();
         ctx.event(Event::MemberJoined { member: from.clone() });
         self.members_changed();
         self.propose_soon(ctx.now);
@@ -66,6 +71,10 @@
         for held in &holding.keys {
             self.adopt_key(id, session, held);
         }
+        // A key kept out although no plan has an entry for it was about to follow its slot again.
+        for key_hash in &holding.excluded {
+            self.table.keys.entry(*key_hash).or_insert_with(KeyRow::unknown);
+        }
         if let Some(row) = self.members.rows.get_mut(id) {
             row.excluded = holding.excluded.iter().copied().collect();
         }
@@ -120,6 +129,9 @@
         if let Some(load) = &renew.load {
             self.take_loads(&id, load);
         }
+        if changed || !reports.is_empty() {
+            self.wake();
+        }
         for report in reports {
             self.report(ctx, &id, renew.session, report);
         }
@@ -145,6 +157,7 @@
                     && row.holder.grant().is_some_and(|it| it.token == token && it.closing)
                 {
                     row.holder = Holder::Nobody { lapsed_at: None };
+                    self.forget_excluded(id, slot);
                 }
             }
             Report::KeyClosed { key_hash, token } => {
@@ -156,11 +169,22 @@
                 let closing = grant.closing && grant.token == token;
                 if closing && grant.member == *id && grant.session == session {
                     row.holder = KeyHolder::Entry(Holder::Nobody { lapsed_at: None });
+                    if let Some(member) = self.members.rows.get_mut(id) {
+                        member.excluded.insert(key_hash);
+                    }
                 }
             }
         }
     }
 
+    /// A slot that is given up keeps no keys out any more.
+    fn forget_excluded(&mut self, id: &MemberId, slot: Slot) {
+        let slot_count = self.table.slot_count;
+        if let Some(member) = self.members.rows.get_mut(id) {
+            member.excluded.retain(|it| slot_count.slot_of(*it) != slot);
+        }
+    }
+
     /// Ends the sessions whose leases have run out. Their grants end with them.
     pub(super) fn expire(&mut self, ctx: &mut Ctx<'_>) {
         for (id, session, row) in self.members.expire(ctx.now) {
@@ -181,6 +205,7 @@
                 self.bump_routes();
                 self.confirm.prove_soon(ctx.now);
             }
+            self.wake();
             self.propose_soon(ctx.now);
         }
     }
--- a/crates/ownership/src/coordinator/slots.rs
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -5,7 +5,7 @@
 use model::{KeyHash, Slot, SlotCount, Timestamp, Token};
 
 use crate::{
-    SessionId,
+    MoveReason, SessionId,
     ctx::MemberId,
     rules::{self, Rule},
 };
@@ -73,6 +73,7 @@
     /// The token for the new owner.
     pub(crate) token: Token,
     pub(crate) step: HandoverStep,
+    pub(crate) reason: MoveReason,
 }
 
 #[derive(Debug)]
@@ -81,7 +82,8 @@
     pub(crate) handover: Option<Handover>,
     /// The highest token ever granted for it, as far as it is known.
     pub(crate) last_token: Token,
-    pub(crate) load_us_per_s: f64,
+    /// None until it is first reported.
+    pub(crate) load_us_per_s: Option<f64>,
     pub(crate) moved_at: Option<Timestamp>,
     /// Who is named for it by the plan in force, in order.
     pub(crate) names: Vec<MemberId>,
@@ -131,7 +133,7 @@
             holder: holder.clone(),
             handover: None,
             last_token: Token::default(),
-            load_us_per_s: 0.0,
+            load_us_per_s: None,
             moved_at: None,
             names: Vec::new(),
             changed_in: base + 1 + u64::from(slot.0),
@@ -181,6 +183,18 @@
         ended
     }
 
+    /// Whether everything is granted, and nothing is on its way.
+    pub(crate) fn is_at_rest(&self) -> bool {
+        let held = |it: &Holder| it.grant().is_some_and(|it| !it.closing);
+        let slots = self.slots.iter().all(|row| row.handover.is_none() && held(&row.holder));
+        let at_rest = |it: &KeyHolder| match it {
+            KeyHolder::Slot => true,
+            KeyHolder::LeavingSlot(_) => false,
+            KeyHolder::Entry(it) => held(it),
+        };
+        slots && self.keys.values().all(|row| at_rest(&row.holder))
+    }
+
     /// Whether a session holds anything or is about to.
     pub(crate) fn concerns(&self, member: &MemberId) -> bool {
         let of = |it: Option<&Grant>| it.is_some_and(|it| it.member == *member);
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -22,7 +22,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{CallId, Event, Input, Limits, Message, Output, PlatformReply, PlatformRequest};
+use crate::{
+    CallId, Event, Input, Limits, Message, MoveReason, Output, PlatformReply, PlatformRequest,
+};
 
 pub use self::{
     fault::Fault,
@@ -100,6 +102,8 @@
 
 /// How long a caller waits for the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_millis(250);
+/// A few requests in flight for each host, so that the planner takes the loads for no chance.
+const SLOT_LOAD_US_PER_S: u64 = 500_000;
 const TICK_EVERY: Duration = Duration::from_millis(20);
 
 /// Something that happens at a set time.
@@ -181,7 +185,7 @@
             store: Store::default(),
             truth: Truth::new(slot_count),
             keys,
-            slot_loads: vec![1000; usize::from(slot_count.count())],
+            slot_loads: vec![SLOT_LOAD_US_PER_S; usize::from(slot_count.count())],
             key_loads: BTreeMap::new(),
             log: None,
             messages: 0,
@@ -211,6 +215,19 @@
         self.truth.violation.as_ref()
     }
 
+    /// What a host's node knows.
+    pub fn view(&self, host: usize) -> Option<crate::NodeView> {
+        self.hosts[host].node.as_ref().map(crate::Node::view)
+    }
+
+    /// Gives all nodes other limits.
+    pub fn change_limits(&mut self, limits: Limits) {
+        self.config.limits = limits.clone();
+        for host in 0..self.hosts.len() {
+            self.input(host, Input::Limits(Box::new(limits.clone())));
+        }
+    }
+
     /// Who coordinates, in the latest term that any host holds.
     pub fn coordinator(&self) -> Option<usize> {
         let terms = self.hosts.iter().enumerate().filter_map(|(at, it)| Some((it.term()?, at)));
@@ -257,6 +274,10 @@
         self.truth.handovers
     }
 
+    pub fn key_grants(&self) -> u64 {
+        self.truth.key_grants
+    }
+
     /// How many keys have entries of their own now.
     pub fn key_entries(&self) -> usize {
         self.hosts.iter().map(|it| it.gate.keys.len()).sum()
@@ -345,7 +366,8 @@
     fn count_event(&mut self, event: &Event) {
         let form = format!("{event:?}");
         let word = form.split(|it: char| !it.is_alphanumeric()).next().unwrap_or_default();
-        if matches!(event, Event::Granted { reason: crate::MoveReason::Rebalance, .. }) {
+        let handed_over = [MoveReason::Rebalance, MoveReason::Leave];
+        if matches!(event, Event::Granted { reason, .. } if handed_over.contains(reason)) {
             self.truth.handovers += 1;
         }
         *self.truth.events.entry(word.to_owned()).or_default() += 1;
--- a/xtask/src/bench/faults/mod.rs
+++ b/xtask/src/bench/faults/mod.rs
@@ -9,6 +9,7 @@
 use crate::{
     cluster::{Binaries, Profile},
     demo::{line, verdict::Verdict},
+    turn,
 };
 
 /// All scenarios that were measured.
@@ -35,7 +36,8 @@
 /// Runs all scenarios, or the one that is asked for.
 pub(crate) async fn run(options: &BenchOptions) -> anyhow::Result<FaultsReport> {
     let binaries = Binaries::build(Profile::Release)?;
-    let wanted = |it: &&Scenario| options.case.is_empty() || options.case == it.name;
+    let cases: Vec<&str> = options.case.split(',').collect();
+    let wanted = |it: &&Scenario| options.case.is_empty() || cases.contains(&it.name);
     let mut scenarios = Vec::new();
     for scenario in SCENARIOS.iter().filter(wanted) {
         scenarios.push(repeat(scenario, &binaries, options).await?);
@@ -49,6 +51,8 @@
     binaries: &Binaries,
     options: &BenchOptions,
 ) -> anyhow::Result<ScenarioReport> {
+    // Others may have their turn between two scenarios.
+    let _turn = turn::wait().await?;
     let seeds: Vec<u64> = (0..options.repeats as u64).map(|it| options.seed + it).collect();
     let mut verdicts = Vec::new();
     for seed in &seeds {
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod path;
 mod plot;
 mod process_usage;
+mod rest;
 mod slopes;
 mod spread;
 
@@ -19,14 +20,14 @@
 use serde_json::json;
 
 use self::machine::Machine;
-use crate::{cluster::repository, demo::line, turn};
+use crate::{cluster::repository, demo::line};
 
 /// Flags of `cargo xtask bench`.
 #[derive(Debug, gumdrop::Options)]
 pub(crate) struct BenchOptions {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "path, faults, slopes or ownership")]
+    #[options(free, help = "path, faults, slopes, rest or ownership")]
     name: String,
     #[options(no_short, help = "print one JSON object as the last line")]
     json: bool,
@@ -38,7 +39,7 @@
     seed: u64,
     #[options(no_short, help = "how often each case is repeated", default = "3")]
     repeats: usize,
-    #[options(no_short, help = "measure this case only")]
+    #[options(no_short, help = "measure this case only; of faults also several, with commas")]
     case: String,
 }
 
@@ -56,7 +57,6 @@
     if cfg!(debug_assertions) {
         return run_optimised();
     }
-    let _turn = turn::wait().await?;
     let machine = Machine::read()?;
     line(&machine.to_string())?;
     let result = match options.name.as_str() {
@@ -67,6 +67,7 @@
             report.lines().iter().try_for_each(|it| line(it))?;
             json!(report)
         }
+        "rest" => json!(rest::run(options.seed).await?),
         "slopes" => {
             let report = slopes::run(&options)?;
             if options.plot {
@@ -75,7 +76,9 @@
             json!(report)
         }
         other => {
-            anyhow::bail!("no measurement {other:?}; there are path, faults, slopes and ownership")
+            anyhow::bail!(
+                "no measurement {other:?}; there are path, faults, slopes, rest and ownership"
+            )
         }
     };
     if options.save {
@@ -87,12 +90,19 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Draws what grows with a size; what does not would be a flat line.
+/// What people would rather look at.
+const PLOTTED: &[(&str, &str)] = &[
+    ("coordinator_bytes_per_s", "members"),
+    ("coordinator_cpu_us_per_s", "members"),
+    ("coordinator_cpu_us_per_s", "slots"),
+    ("plan_bytes", "slots"),
+    ("resident_bytes_with_256_byte_answers", "records"),
+];
+
 fn plot_slopes(report: &slopes::SlopesReport) -> anyhow::Result<()> {
     let folder = measurements()?;
-    let grows =
-        |it: &&slopes::Slope| it.fit.is_some_and(|it| it.slope.abs() > 2.0 * it.slope_error);
-    for slope in report.slopes.iter().filter(grows) {
+    let is_plotted = |it: &&slopes::Slope| PLOTTED.contains(&(it.quantity, it.against));
+    for slope in report.slopes.iter().filter(is_plotted) {
         let name = format!("{}-against-{}.svg", slope.quantity, slope.against);
         plot::draw_slope(slope, &folder.join(name))?;
     }
@@ -122,10 +132,7 @@
     result: &serde_json::Value,
 ) -> anyhow::Result<()> {
     let folder = measurements()?;
-    let name = match options.case.as_str() {
-        "" => options.name.clone(),
-        case => format!("{}-{case}", options.name),
-    };
+    let name = options.name.clone();
     let kept = Kept { name: &name, machine, result };
     let text = serde_json::to_string_pretty(&kept).context("encoding a measurement")?;
     let path = folder.join(format!("{name}.json"));
