Gate: one place turns a verdict into a permit

Cause: the queue's select was beyond the formatter's reach and held the same match twice. Change: into_permit; no behaviour. Conclusion: reads in order.

--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -231,28 +231,20 @@
     /// Waits for a slot of the upstream.
     async fn queue(&self, caller: &mut Caller) -> Result<Permit, Box<GateReply>> {
         let place = match self.bound.lane.offer(&self.request.class, self.route(), self.deadline) {
-            Offer::Go(permit) => return Ok(permit),
-            Offer::Refused { reason, retry_after } => {
-                return Err(Box::new(refused(reason, retry_after)));
-            }
             Offer::Wait(place) => place,
+            verdict => return into_permit(verdict),
         };
         let mut changes = self.gate.handle.table.changes();
         let mut wait = pin!(place.wait());
         loop {
             tokio::select! {
-                           offer = &mut wait => return match offer {
-                               Offer::Go(permit) => Ok(permit),
-                               Offer::Refused { reason, retry_after } => {
-            Err(Box::new(refused(reason, retry_after))) }
-                               Offer::Wait(_) => unreachable!("a verdict ends the wait"),
-                           },
-                           _ = caller.closed() => {
-                               return Err(Box::new(GateReply::not_run(NotRunReason::Cancelled)));
-                           }
-                           // Whoever waits for a key that has left is sent after it at once.
-                           _ = changes.changed() => drop(self.clear()?),
-                       }
+                verdict = &mut wait => return into_permit(verdict),
+                _ = caller.closed() => {
+                    return Err(Box::new(GateReply::not_run(NotRunReason::Cancelled)));
+                }
+                // Whoever waits for a key that has left is sent after it at once.
+                _ = changes.changed() => drop(self.clear()?),
+            }
         }
     }
 
@@ -422,6 +414,14 @@
     answer.status == StatusCode::GATEWAY_TIMEOUT && ended + GIVE_UP_MARGIN >= until
 }
 
+fn into_permit(verdict: Offer) -> Result<Permit, Box<GateReply>> {
+    match verdict {
+        Offer::Go(permit) => Ok(permit),
+        Offer::Refused { reason, retry_after } => Err(Box::new(refused(reason, retry_after))),
+        Offer::Wait(_) => unreachable!("a verdict ends the wait"),
+    }
+}
+
 fn fence_check(bound: &Bound) -> FenceCheck {
     // Both must say so: the document is what the team answers for.
     match bound.document.upstream.checks_fence && bound.announcement.checks_fence {
