--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements. Speed is measured here only; tests assert none.
 
 mod faults;
+mod losses;
 mod machine;
 mod ownership;
 mod path;
@@ -27,7 +28,7 @@
 pub(crate) struct BenchOptions {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "path, faults, slopes, rest or ownership")]
+    #[options(free, help = "path, faults, losses, slopes, rest or ownership")]
     name: String,
     #[options(no_short, help = "print one JSON object as the last line")]
     json: bool,
@@ -67,6 +68,7 @@
             report.lines().iter().try_for_each(|it| line(it))?;
             json!(report)
         }
+        "losses" => json!(losses::run(options.seed)?),
         "rest" => json!(rest::run(options.seed).await?),
         "slopes" => {
             let report = slopes::run(&options)?;
@@ -77,7 +79,7 @@
         }
         other => {
             anyhow::bail!(
-                "no measurement {other:?}; there are path, faults, slopes, rest and ownership"
+                "no measurement {other:?}; there are path, faults, losses, slopes, rest and ownership"
             )
         }
     };
