--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -1,4 +1,4 @@
-//! A deterministic run of many real [`Node`]s in virtual time, with faults, and a ground truth that
+//! A deterministic run of many real [`crate::Node`]s in virtual time, with faults, and a ground truth that
 //! is checked from outside of them.
 //!
 //! Only the driver's side is modelled, as small fakes: the links between nodes, the platform's two
