Time until a document is in force as a measurement of its own

Cause: the demo measures one change in a run; nothing gave a p99, nor the calls to the platform while documents change. Change: cargo xtask bench config: 20 changes at rest, 20 in a rush, 5 with the platform down from 20 ms after the change for 3 s; in force on each agent of the team as its callers see it; calls a second by kind. Conclusion: to be run on a quiet machine.

--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements. Speed is measured here only; tests assert none.
 
+mod config;
 mod faults;
 mod losses;
 mod machine;
@@ -28,7 +29,7 @@
 pub(crate) struct BenchOptions {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "path, faults, losses, slopes, rest or ownership")]
+    #[options(free, help = "config, path, faults, losses, slopes, rest or ownership")]
     name: String,
     #[options(no_short, help = "print one JSON object as the last line")]
     json: bool,
@@ -68,6 +69,7 @@
             report.lines().iter().try_for_each(|it| line(it))?;
             json!(report)
         }
+        "config" => json!(config::run(options.seed).await?),
         "losses" => json!(losses::run(options.seed)?),
         "rest" => json!(rest::run(options.seed).await?),
         "slopes" => {
@@ -79,7 +81,7 @@
         }
         other => {
             anyhow::bail!(
-                "no measurement {other:?}; there are path, faults, losses, slopes, rest and ownership"
+                "no measurement {other:?}; there are config, path, faults, losses, slopes, rest and ownership"
             )
         }
     };
--- a/xtask/src/bench/process_usage.rs
+++ b/xtask/src/bench/process_usage.rs
@@ -1,6 +1,7 @@
-//! Processor time and memory of a process, from the system's own accounts.
+//! Processor time and memory of a process, from the system's own accounts; rates of what the
+//! platform counts.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use anyhow::Context;
 
@@ -41,3 +42,17 @@
     let system: u32 = fields.next()?.parse().ok()?;
     Some(user + system)
 }
+
+/// Calls of the platform's counts a second, by kind.
+pub(crate) fn rates(
+    before: &BTreeMap<String, f64>,
+    after: &BTreeMap<String, f64>,
+    passed: Duration,
+) -> BTreeMap<String, f64> {
+    let counted = after.iter().filter(|(kind, _)| *kind != "watches_waiting");
+    let rate = |(kind, count): (&String, &f64)| {
+        let former = before.get(kind).copied().unwrap_or_default();
+        (kind.clone(), (count - former) / passed.as_secs_f64())
+    };
+    counted.map(rate).collect()
+}
--- a/xtask/src/bench/rest.rs
+++ b/xtask/src/bench/rest.rs
@@ -6,7 +6,10 @@
 use serde::Serialize;
 use tokio::time::sleep;
 
-use super::{process_usage::Usage, spread::Spread};
+use super::{
+    process_usage::{Usage, rates},
+    spread::Spread,
+};
 use crate::{
     cluster::{Binaries, Cluster, Instance, Profile},
     demo::{SERVICES, line},
@@ -63,7 +66,7 @@
     }
     let report = RestReport {
         roles: ["coordinator", "member"].map(|it| row(it, &readings)).into(),
-        platform_calls_per_s: rates(&counts, &after),
+        platform_calls_per_s: rates(&counts, &after, MEASURED),
         watches_waiting: after.get("watches_waiting").copied().unwrap_or_default(),
         groups: cluster.services.len(),
     };
@@ -93,12 +96,3 @@
         memory_kb: Spread::new(own().map(|it| it.memory_kb)),
     }
 }
-
-fn rates(before: &BTreeMap<String, f64>, after: &BTreeMap<String, f64>) -> BTreeMap<String, f64> {
-    let counted = after.iter().filter(|(kind, _)| *kind != "watches_waiting");
-    let rate = |(kind, count): (&String, &f64)| {
-        let former = before.get(kind).copied().unwrap_or_default();
-        (kind.clone(), (count - former) / MEASURED.as_secs_f64())
-    };
-    counted.map(rate).collect()
-}
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -17,13 +17,14 @@
 use standins::journal::wall_ns;
 use tokio::time::{Instant, sleep_until};
 
-pub(crate) use self::{deployments::SERVICES, report::line};
+pub(crate) use self::{
+    config_probe::PROBE_PATH, deployments::SERVICES, load::Callers, report::line,
+};
 
 use self::{
     config_probe::{Probes, judge},
     evidence::{Evidence, Window},
     faults::{Candidate, Fault, PlannedFault},
-    load::Callers,
     verdict::Verdict,
 };
 use crate::{
