--- a/crates/agent/src/ingress/parse.rs
+++ b/crates/agent/src/ingress/parse.rs
@@ -25,7 +25,8 @@
 const RESERVED: [&str; 3] = ["control", "upstream", "admin"];
 
 /// Why a request goes nowhere.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(super) enum Refusal {
     #[error("the path's first segment names no service")]
     NoService,
--- a/crates/agent/src/links/handshake.rs
+++ b/crates/agent/src/links/handshake.rs
@@ -44,7 +44,8 @@
 }
 
 /// Why no link came about.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum HandshakeError {
     #[error("connect to {peer}: {source}")]
     Connect { peer: SocketAddr, source: std::io::Error },
--- a/crates/agent/src/links/socket.rs
+++ b/crates/agent/src/links/socket.rs
@@ -33,7 +33,8 @@
 }
 
 /// Why a link has ended.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum LinkError {
     #[error("{0}")]
     Socket(#[from] Box<tungstenite::Error>),
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -14,7 +14,8 @@
 const EXIT_CONFIG: u8 = 78;
 
 /// The agent beside an upstream.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Arguments {
     /// Print this help.
     help: bool,
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -35,7 +35,8 @@
 const HANDOVER_MAX: Duration = Duration::from_secs(20);
 
 /// Why the process can't start.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("The {name} {address} can't be listened on: {source}.")]
 pub struct ListenError {
     name: &'static str,
--- a/crates/client/src/args.rs
+++ b/crates/client/src/args.rs
@@ -19,7 +19,8 @@
 The platform's address is taken from POMELOHILL_PLATFORM if --platform is not given.";
 
 /// Drives pomelohill by the documents of its services.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct Args {
     #[options(help = "show this help")]
     pub(crate) help: bool,
@@ -29,7 +30,8 @@
     pub(crate) command: Option<Command>,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) enum Command {
     #[options(help = "check a document without the platform")]
     Check(CheckArgs),
@@ -46,7 +48,8 @@
 }
 
 /// Checks a document, or an agent's settings, as a whole and without the platform.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct CheckArgs {
     #[options(help = "show this help")]
     pub(crate) help: bool,
@@ -57,7 +60,8 @@
 }
 
 /// Writes a document on condition that nobody else has changed it, and waits until it is in force.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct ApplyArgs {
     #[options(help = "show this help")]
     pub(crate) help: bool,
@@ -78,7 +82,8 @@
 }
 
 /// Prints a service's document, and in its last line the version that an edit is based on.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct ServiceArgs {
     #[options(help = "show this help")]
     pub(crate) help: bool,
@@ -87,7 +92,8 @@
 }
 
 /// Shows what is in force, who owns what, and how it goes.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct StatusArgs {
     #[options(help = "show this help")]
     pub(crate) help: bool,
@@ -98,7 +104,8 @@
 }
 
 /// Prints a line for each status that a coordinator writes, until it is interrupted.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct WatchArgs {
     #[options(help = "show this help")]
     pub(crate) help: bool,
@@ -109,7 +116,8 @@
 }
 
 /// Says who owns a key, who follows, and why.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct ExplainArgs {
     #[options(help = "show this help")]
     pub(crate) help: bool,
--- a/crates/client/src/failure.rs
+++ b/crates/client/src/failure.rs
@@ -7,7 +7,8 @@
 use settings::Problems;
 
 /// Why a command has not done what was asked; shown as one message.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum Failure {
     #[error("{}", describe(.file, .problems))]
     Problems { file: String, problems: Problems },
--- a/crates/model/src/identity.rs
+++ b/crates/model/src/identity.rs
@@ -38,9 +38,8 @@
 }
 
 /// A fence token: rises with each grant of a slot, first by term, then by sequence.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Token {
     pub term: Term,
     pub sequence: u64,
@@ -53,7 +52,8 @@
 }
 
 /// One life of an agent, with the addresses at which its peers reach it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Instance {
     pub name: InstanceName,
     pub incarnation: Incarnation,
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -9,7 +9,8 @@
 const KEY_HASH_SEED: u64 = 0x706f_6d65_6c6f;
 
 /// The hash of a key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(pub u64);
 
@@ -19,9 +20,8 @@
 }
 
 /// A share of a service's keys that is owned as a whole.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Slot(pub u16);
 
@@ -32,12 +32,14 @@
 }
 
 /// How many slots the keys of one group are spread over: 1 to 4096.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "u16", into = "u16")]
 pub struct SlotCount(u16);
 
 /// A number of slots out of range.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("the number of slots is 1 to {max}, not {0}", max = SlotCount::MAX)]
 pub struct SlotCountError(u16);
 
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -8,7 +8,8 @@
 const NAME_MAX_BYTES: usize = 63;
 
 /// Why a text is no name.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum NameError {
     #[error("a name may not be empty")]
     Empty,
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -13,7 +13,8 @@
 pub const TOKEN_HEADER: &str = "x-fence-token";
 
 /// The end of a request, as the caller is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// The upstream's whole answer.
     Answered,
@@ -24,7 +25,8 @@
 }
 
 /// Why a request was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum NotRunReason {
     /// The request itself is at fault: no route, no key, a bad id, too large.
     BadRequest,
@@ -47,7 +49,8 @@
 }
 
 /// Why the end of a request is not known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum UnknownReason {
     /// The connection broke after the request was handed on.
     ConnectionLost,
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -8,9 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Nanoseconds since an origin of the process's own choosing. Never sent to another process.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Timestamp {
     pub ns: u64,
--- a/crates/ownership/src/object.rs
+++ b/crates/ownership/src/object.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// How a coordinator confirms that its term has not ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Confirmation {
     Witnesses,
@@ -12,7 +13,8 @@
 }
 
 /// `coordinators/S/G`: who holds the term of a group.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Coordinator {
     pub service: ServiceName,
@@ -30,7 +32,8 @@
 
 /// The longest times that this term, and every earlier one still at work, goes by. A successor
 /// that waits for an earlier term to end goes by these and not by its own document.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TermTimes {
     pub lease_ms: u32,
@@ -41,7 +44,8 @@
 }
 
 /// One slot of a [`Plan`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlanSlot {
     pub slot: Slot,
@@ -52,7 +56,8 @@
 }
 
 /// A key hot enough for an owner of its own, apart from its slot.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HotKey {
     pub key_hash: KeyHash,
@@ -61,7 +66,8 @@
 }
 
 /// `plans/S/G`: for each slot the planned owner and its successors.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     pub service: ServiceName,
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -32,7 +32,8 @@
 }
 
 /// Why a call has no result. Each names the step and the peer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum PlatformError {
     /// Known not to have taken effect.
     #[error("{step}: the object has version {current}, not the expected one")]
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -52,7 +52,8 @@
 }
 
 /// The settings as they are written.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawAgentSettings {
     /// The JSON schema of these settings, for editors.
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a service is and how it should be reached.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawDocument {
     /// The JSON schema of this document, for editors.
@@ -43,7 +44,8 @@
 }
 
 /// What each upstream of the service can do.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawUpstream {
     /// How many requests it runs at once.
@@ -66,7 +68,8 @@
 }
 
 /// A class of requests.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawClass {
     #[schemars(regex(pattern = "^[a-z0-9._-]{1,63}$"))]
@@ -82,7 +85,8 @@
 }
 
 /// One kind of request.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawRoute {
     /// The HTTP method; any, if left out.
@@ -110,7 +114,8 @@
 }
 
 /// An HTTP method.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "UPPERCASE")]
 pub(crate) enum RawMethod {
     Get,
@@ -122,7 +127,8 @@
 }
 
 /// Where a request carries its key: one of the two.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawKey {
     /// The name of a header.
@@ -134,7 +140,8 @@
 }
 
 /// What a gate takes on.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawLimits {
     /// The longest time that a request waits for a free slot of the target.
@@ -175,7 +182,8 @@
 }
 
 /// Times and targets of ownership.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawOwnership {
     /// How long a member's lease lasts.
@@ -236,7 +244,8 @@
 }
 
 /// How an instance leaves.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawDrain {
     /// When, after the announcement, no new work may reach the upstream any more.
--- a/crates/settings/src/document/route.rs
+++ b/crates/settings/src/document/route.rs
@@ -65,7 +65,8 @@
 }
 
 /// Why a request has no route.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum RouteError {
     #[error("no route fits {method} {path}")]
     NoRoute { method: String, path: String },
--- a/crates/settings/src/objects.rs
+++ b/crates/settings/src/objects.rs
@@ -31,7 +31,8 @@
 }
 
 /// The document that is in force, or on its way to be.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Accepted {
     pub service: ServiceName,
@@ -58,7 +59,8 @@
 
 /// What the coordinator of a group reports. Fields that are not known are passed over, since agents
 /// and the client may be of different versions.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Status {
     pub service: ServiceName,
     pub group: GroupId,
@@ -83,7 +85,8 @@
 }
 
 /// On how many instances of the group the accepted version is in force.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InForce {
     pub instances: u32,
     pub of: u32,
@@ -92,7 +95,8 @@
 }
 
 /// A document that was not accepted; the former one stays in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refused {
     /// The object version of `services/S`.
     pub version: ConfigVersion,
@@ -101,7 +105,8 @@
 }
 
 /// Who coordinates the group.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CoordinatorStatus {
     pub instance: InstanceName,
     pub zone: Zone,
@@ -111,7 +116,8 @@
 }
 
 /// One instance with what it owns.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnerStatus {
     pub instance: InstanceName,
     pub zone: Zone,
@@ -122,7 +128,8 @@
 }
 
 /// The upstream beside an instance.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamStatus {
     pub instance: InstanceName,
     pub zone: Zone,
@@ -130,7 +137,8 @@
 }
 
 /// The state of an upstream, as the status names it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum UpstreamStateName {
     /// Up, but not ready for work.
@@ -146,7 +154,8 @@
 pub const GRANTS_MAX: usize = 512;
 
 /// The grant in force of one slot; written as `[owner, term, sequence]`, since there are many.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(from = "RawGrant", into = "RawGrant")]
 pub struct GrantStatus {
     /// Index into [`Status::owners`]; none while nobody owns the slot.
@@ -169,7 +178,8 @@
 }
 
 /// A key with an owner of its own.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HotKeyStatus {
     pub key_hash: KeyHash,
     /// None: that of its slot.
@@ -177,7 +187,8 @@
 }
 
 /// The three measures of the group.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Measures {
     /// Busiest member's load over the mean; 1.0 is even.
     pub imbalance: f64,
@@ -190,7 +201,8 @@
 }
 
 /// A change of owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MoveStatus {
     pub slot: Slot,
     pub token: Token,
--- a/crates/standins/src/answer.rs
+++ b/crates/standins/src/answer.rs
@@ -10,7 +10,8 @@
 pub(crate) const KEY: HeaderName = HeaderName::from_static("x-key");
 
 /// The first line of a body; the filler follows.
-#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Head {
     id: String,
     key: String,
@@ -20,7 +21,8 @@
 }
 
 /// What is wrong with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(crate) enum AnswerFault {
     #[error("the answer belongs to another request")]
     Crossed,
--- a/crates/standins/src/caller/options.rs
+++ b/crates/standins/src/caller/options.rs
@@ -50,7 +50,8 @@
 }
 
 /// Flags of `standin-caller`.
-#[derive(Debug, gumdrop::Options)]
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
 pub struct CallerOptions {
     #[options(help = "print this help")]
     pub help: bool,
--- a/crates/standins/src/caller/summary.rs
+++ b/crates/standins/src/caller/summary.rs
@@ -9,7 +9,8 @@
 const LATENCY_MAX_US: u64 = 60_000_000;
 
 /// Counts of the ends of requests, and how long the answered ones took.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadSummary {
     pub requests: usize,
     pub sendings: usize,
@@ -25,7 +26,8 @@
 }
 
 /// From the first sending to the answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Latency {
     pub p50_us: u64,
     pub p90_us: u64,
--- a/crates/standins/src/journal/call.rs
+++ b/crates/standins/src/journal/call.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One line of a caller's journal: a request with all its sendings.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CallRecord {
     #[serde(with = "super::hex_id")]
     pub id: RequestId,
@@ -31,7 +32,8 @@
 }
 
 /// One sending of a request through one agent.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Attempt {
     /// The agent's caller address.
     pub target: SocketAddr,
@@ -41,7 +43,8 @@
 }
 
 /// How one sending ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub enum AttemptResult {
     /// The caller's own answer, whole.
@@ -69,7 +72,8 @@
 }
 
 /// What the caller holds to be true of its request in the end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FinalOutcome {
     Answered,
--- a/crates/standins/src/journal/run.rs
+++ b/crates/standins/src/journal/run.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One line of an upstream's journal.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum RunEntry {
     /// A request began to run. From here on it counts as run, whatever its end.
@@ -34,7 +35,8 @@
 }
 
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunEnd {
     /// To its end.
@@ -46,7 +48,8 @@
 }
 
 /// Why an upstream refused a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusedReason {
     Starting,
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What is wrong with the platform. `POST /admin/fault` sets the fields that it names.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Connections are accepted and closed without an answer; waiting watches too.
@@ -15,7 +16,8 @@
 }
 
 /// Calls since the start. `GET /admin/counts` answers with them.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     pub reads: u64,
     pub writes: u64,
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -40,7 +40,8 @@
 const WATCH_MAX: Duration = Duration::from_secs(300);
 
 /// Flags of `standin-platform`.
-#[derive(Debug, gumdrop::Options)]
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
 pub struct PlatformOptions {
     #[options(help = "print this help")]
     pub help: bool,
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -5,7 +5,8 @@
 use serde::Serialize;
 
 /// One entry of a list or watch; a deleted object has no body.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct Entry {
     pub(crate) path: String,
     pub(crate) version: u64,
--- a/crates/standins/src/upstream/options.rs
+++ b/crates/standins/src/upstream/options.rs
@@ -5,7 +5,8 @@
 use anyhow::Context;
 
 /// Flags of `standin-upstream`.
-#[derive(Debug, gumdrop::Options)]
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
 pub struct UpstreamOptions {
     #[options(help = "print this help")]
     pub help: bool,
--- a/crates/standins/src/upstream/state.rs
+++ b/crates/standins/src/upstream/state.rs
@@ -25,7 +25,8 @@
 const JITTER: std::ops::Range<f64> = 0.5..1.5;
 
 /// What `GET /control/health` and the announcements say.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub(crate) enum Stage {
     Starting,
@@ -34,7 +35,8 @@
 }
 
 /// `POST /admin/fault`: each call replaces all of it.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(crate) struct FaultRequest {
     /// Nothing goes on for this long: no answers, no health, no progress.
--- a/crates/traffic/src/records/handover.rs
+++ b/crates/traffic/src/records/handover.rs
@@ -6,14 +6,16 @@
 use serde::{Deserialize, Serialize};
 
 /// The end of a recorded request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum EndedRecord<A> {
     Answered(A),
     Unknown(UnknownReason),
 }
 
 /// One record.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record<A> {
     pub id: RequestId,
     pub key_hash: KeyHash,
@@ -25,7 +27,8 @@
 }
 
 /// The records of a slot or hot key, for its next owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotRecords<A> {
     /// Every request first sent within this age is in `records` if it was begun.
     pub complete_age: Duration,
--- a/crates/upstream/src/control.rs
+++ b/crates/upstream/src/control.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What an upstream can do at the moment, as it says itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HealthState {
     Starting,
@@ -15,21 +16,24 @@
 }
 
 /// Answer of `/control/health`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Health {
     pub state: HealthState,
     pub slots: u16,
 }
 
 /// Answer of `/control/load`; may lag or lie.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     pub in_flight: u32,
     pub queued: u32,
 }
 
 /// Body of `/upstream/announce`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Announced {
     pub service: ServiceName,
     pub address: SocketAddr,
@@ -42,7 +46,8 @@
 }
 
 /// Body of `/control/grant`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Grant {
     slot: Slot,
     token: String,
@@ -56,13 +61,15 @@
 }
 
 /// Body of `/control/prepare`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Prepare {
     pub(crate) slot: Slot,
 }
 
 /// Body of `/control/cancel`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Cancel {
     /// Hexadecimal, as in the request's header.
     pub(crate) request_id: String,
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -48,7 +48,8 @@
 }
 
 /// Why there is no answer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum CallError {
     /// Provably not run: no byte of it left this process.
     #[error("{step}: upstream {peer} not reached: {reason}")]
--- a/crates/wire/src/codec/mod.rs
+++ b/crates/wire/src/codec/mod.rs
@@ -6,7 +6,8 @@
 const DEPTH_MAX: usize = 16;
 
 /// Why bytes are no message.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum CodecError {
     #[error("malformed CBOR: {0}")]
     Malformed(String),
--- a/crates/wire/src/control/mod.rs
+++ b/crates/wire/src/control/mod.rs
@@ -18,7 +18,8 @@
 pub const CONTROL_MESSAGE_MAX_BYTES: usize = 256 * 1024;
 
 /// Why bytes are no control message.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum WireError {
     #[error("decode: {0} bytes, at most {CONTROL_MESSAGE_MAX_BYTES} are allowed")]
     TooLong(usize),
--- a/crates/wire/src/control/types.rs
+++ b/crates/wire/src/control/types.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Name, incarnation, availability zone, control address, traffic address.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireInstance(
     pub(super) String,
     pub(super) u64,
@@ -15,10 +16,12 @@
 );
 
 /// Term and sequence.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireToken(pub(super) u64, pub(super) u64);
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) enum WireMessage {
     #[serde(rename = "w")]
     WhoCoordinates(u64),
@@ -47,7 +50,8 @@
     JoinRefused(u64),
 }
 
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 pub(super) enum WireUpstream {
     #[serde(rename = "s")]
     Starting,
@@ -59,7 +63,8 @@
     Lost,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct WireRenew {
     #[serde(rename = "t")]
@@ -89,7 +94,8 @@
 }
 
 /// Recently lapsed, slots, keys, excluded keys.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireHolding(
     pub(super) bool,
     pub(super) Vec<WireHeldSlot>,
@@ -98,15 +104,18 @@
 );
 
 /// Slot, token, closing.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireHeldSlot(pub(super) u16, pub(super) WireToken, pub(super) bool);
 
 /// Key hash, token, closing.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireHeldKey(pub(super) u64, pub(super) WireToken, pub(super) bool);
 
 /// Period, total, slots, keys.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireLoad(
     pub(super) u32,
     pub(super) u64,
@@ -115,14 +124,17 @@
 );
 
 /// Slot, load, requests in flight.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireSlotLoad(pub(super) u16, pub(super) u64, pub(super) u16);
 
 /// Key hash, load.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireKeyLoad(pub(super) u64, pub(super) u64);
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) enum WireReport {
     #[serde(rename = "p")]
     Prepared(u16, WireToken),
@@ -132,7 +144,8 @@
     KeyClosed(u64, WireToken),
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct WireRenewed {
     #[serde(rename = "t")]
@@ -157,7 +170,8 @@
     pub(super) dismissed: bool,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) enum WireCommand {
     #[serde(rename = "p")]
     Prepare(u16, WireToken),
@@ -176,7 +190,8 @@
 }
 
 /// Since, version, members, slots, keys.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireRoutes(
     pub(super) u64,
     pub(super) u64,
@@ -186,7 +201,8 @@
 );
 
 /// Instance, state, load, version of the document.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireRouteMember(
     pub(super) WireInstance,
     pub(super) WireUpstream,
@@ -195,7 +211,8 @@
 );
 
 /// Slot, owner, token, successors.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireRouteSlot(
     pub(super) u16,
     pub(super) Option<u16>,
@@ -204,7 +221,8 @@
 );
 
 /// Key hash, owner, token.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct WireRouteKey(pub(super) u64, pub(super) Option<u16>, pub(super) WireToken);
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
--- a/crates/wire/src/exchange/routes.rs
+++ b/crates/wire/src/exchange/routes.rs
@@ -9,7 +9,8 @@
 const HOT_KEYS_MAX: usize = 1024;
 
 /// Owners and members of one group. Indexes point into `members`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteTable {
     pub service: ServiceName,
@@ -23,7 +24,8 @@
 }
 
 /// A member and whether it takes work.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteMember {
     pub instance: Instance,
@@ -31,7 +33,8 @@
 }
 
 /// The owner of a slot or hot key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteOwner {
     #[serde(rename = "s")]
--- a/crates/wire/src/link/mod.rs
+++ b/crates/wire/src/link/mod.rs
@@ -16,7 +16,8 @@
 pub const HANDSHAKE_BYTES_MAX: usize = 1024;
 
 /// What a link is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LinkKind {
     /// Messages of control; ends at the control thread.
@@ -26,7 +27,8 @@
 }
 
 /// First message, from the dialling side.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Hello {
     pub version: u16,
@@ -36,7 +38,8 @@
 }
 
 /// Second message, from the listening side.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Welcome {
     pub from: Instance,
@@ -45,14 +48,16 @@
 }
 
 /// Last message, from the dialling side.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Proof {
     pub proof: [u8; 32],
 }
 
 /// The side whose proof it is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Side {
     Dialling,
@@ -60,7 +65,8 @@
 }
 
 /// What a proof is computed over, in its CBOR form.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Transcript<'a> {
     pub side: Side,
     pub hello: &'a Hello,
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -24,16 +24,19 @@
 pub const BODY_BYTES_MAX: u64 = 64 << 20;
 
 /// Pairs an answer with its request on one link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct CorrelationId(pub u128);
 
 /// One header of HTTP.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Header(pub String, pub Bytes);
 
 /// One frame.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Frame {
     /// To an owner's gate.
     Request(Box<Request>),
@@ -54,7 +57,8 @@
 }
 
 /// Head of a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Request {
     pub id: CorrelationId,
     pub service: ServiceName,
@@ -79,7 +83,8 @@
 }
 
 /// Head of an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     pub id: CorrelationId,
     pub status: u16,
@@ -89,14 +94,16 @@
 }
 
 /// Why a request has no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Reason {
     NotRun(NotRunReason),
     Unknown(UnknownReason),
 }
 
 /// The end of a request without an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Failed {
     pub id: CorrelationId,
     pub reason: Reason,
@@ -104,7 +111,8 @@
 }
 
 /// A request that came to the wrong gate.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct NotOwner {
     pub id: CorrelationId,
     /// Who owns the key, as far as this gate knows.
@@ -114,7 +122,8 @@
 }
 
 /// Part of a body after the head's.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Chunk {
     pub id: CorrelationId,
     /// Where in the body it belongs.
@@ -123,14 +132,16 @@
 }
 
 /// What records belong to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Unit {
     Slot(Slot),
     Key(KeyHash),
 }
 
 /// Head of a message whose body is the CBOR form of a unit's records.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Records {
     pub id: CorrelationId,
     pub service: ServiceName,
@@ -142,7 +153,8 @@
 }
 
 /// The end of a handover of records.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RecordsTaken {
     pub id: CorrelationId,
     pub taken: bool,
@@ -203,7 +215,8 @@
 }
 
 /// An answer as it is kept in records.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeptAnswer {
     pub status: u16,
     pub headers: Vec<Header>,
--- a/xtask/src/bench/config.rs
+++ b/xtask/src/bench/config.rs
@@ -32,7 +32,8 @@
 const OUTAGE: Duration = Duration::from_secs(3);
 
 /// One phase of the measurement.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct ConfigRow {
     phase: &'static str,
     changes: usize,
--- a/xtask/src/bench/faults/mod.rs
+++ b/xtask/src/bench/faults/mod.rs
@@ -13,13 +13,15 @@
 };
 
 /// All scenarios that were measured.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct FaultsReport {
     scenarios: Vec<ScenarioReport>,
 }
 
 /// One scenario over its repeated runs.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ScenarioReport {
     name: &'static str,
     runs: usize,
--- a/xtask/src/bench/losses.rs
+++ b/xtask/src/bench/losses.rs
@@ -12,7 +12,8 @@
 const RUNS: u64 = 40;
 
 /// One kind of loss in groups of one size.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct LossRow {
     hosts: usize,
     lost: &'static str,
--- a/xtask/src/bench/machine.rs
+++ b/xtask/src/bench/machine.rs
@@ -8,7 +8,8 @@
 use crate::cluster::repository;
 
 /// Size and state of the machine, and the commit that was measured.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct Machine {
     cores: usize,
     memory_mb: u64,
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -25,7 +25,8 @@
 use crate::{cluster::repository, demo::line};
 
 /// Flags of `cargo xtask bench`.
-#[derive(Debug, gumdrop::Options)]
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
 pub(crate) struct BenchOptions {
     #[options(help = "print this help")]
     help: bool,
@@ -46,7 +47,8 @@
 }
 
 /// A kept result.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Kept<'a> {
     name: &'a str,
     machine: &'a Machine,
--- a/xtask/src/bench/ownership/report.rs
+++ b/xtask/src/bench/ownership/report.rs
@@ -13,7 +13,8 @@
     keys/min: moved   least | unavailable: key-s  longest | entries plans";
 
 /// The whole measurement.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Report {
     pub(crate) seed: u64,
     pub(crate) workloads: Vec<WorkloadReport>,
@@ -33,7 +34,8 @@
 }
 
 /// All policies on one workload; the first is the product's own.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct WorkloadReport {
     pub(crate) workload: &'static str,
     pub(crate) seconds: u32,
@@ -46,7 +48,8 @@
 }
 
 /// What the product's own policy reached.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Goals {
     /// Share of the seconds with an imbalance of at most 1.15.
     pub(crate) imbalance_share: f64,
@@ -56,7 +59,8 @@
 }
 
 /// The product's policy against one baseline.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Comparison {
     pub(crate) baseline: &'static str,
     pub(crate) imbalance: bool,
@@ -65,7 +69,8 @@
 }
 
 /// One policy on one workload.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Measured {
     pub(crate) policy: &'static str,
     pub(crate) imbalance_mean: f64,
--- a/xtask/src/bench/path/cases.rs
+++ b/xtask/src/bench/path/cases.rs
@@ -46,7 +46,8 @@
 }
 
 /// What one load came to, and what it cost the agent that took it.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(super) struct Measured {
     summary: LoadSummary,
     answered_per_s: f64,
@@ -106,7 +107,8 @@
 }
 
 /// Direct calls and calls through the agent at the same rate, taking turns.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct Latencies {
     requests_per_s: f64,
     direct: Vec<Latency>,
@@ -164,7 +166,8 @@
 }
 
 /// The most that goes through one agent, and directly to the upstream.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct Peak {
     direct: Vec<PeakPoint>,
     agent: Vec<PeakPoint>,
@@ -172,7 +175,8 @@
     agent_max_per_s: f64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct PeakPoint {
     callers: usize,
     #[serde(flatten)]
@@ -197,7 +201,8 @@
 }
 
 /// What many callers that stay connected cost an agent.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct Members {
     callers: usize,
     memory_before_kb: u64,
@@ -220,7 +225,8 @@
 }
 
 /// The same rate through one agent in front of more and more upstreams.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct Scaling {
     upstreams: usize,
     measured: Measured,
@@ -242,7 +248,8 @@
 }
 
 /// All callers at one instant, at a multiple of what the upstream can do.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct Rush {
     factor: f64,
     capacity_per_s: f64,
--- a/xtask/src/bench/path/mod.rs
+++ b/xtask/src/bench/path/mod.rs
@@ -14,7 +14,8 @@
 };
 
 /// All figures of the request path.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct PathReport {
     latency: Option<Latencies>,
     peak: Option<Peak>,
--- a/xtask/src/bench/rest.rs
+++ b/xtask/src/bench/rest.rs
@@ -20,7 +20,8 @@
 const MEASURED: Duration = Duration::from_secs(20);
 
 /// One kind of agent at rest.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct RestRow {
     role: &'static str,
     agents: usize,
@@ -30,7 +31,8 @@
 }
 
 /// Both deployments at rest.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct RestReport {
     roles: Vec<RestRow>,
     /// Of the whole fleet, by kind.
--- a/xtask/src/bench/slopes/fit.rs
+++ b/xtask/src/bench/slopes/fit.rs
@@ -3,14 +3,16 @@
 use serde::Serialize;
 
 /// One measured point.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
 pub(crate) struct Point {
     pub(crate) x: f64,
     pub(crate) y: f64,
 }
 
 /// `y = base + slope * x`.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
 pub(crate) struct Fit {
     pub(crate) base: f64,
     pub(crate) slope: f64,
--- a/xtask/src/bench/slopes/mod.rs
+++ b/xtask/src/bench/slopes/mod.rs
@@ -19,7 +19,8 @@
 use crate::demo::line;
 
 /// All slopes.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct SlopesReport {
     /// Added to each message for the headers of its frame and of TCP and IP.
     header_bytes: u64,
@@ -27,7 +28,8 @@
 }
 
 /// One quantity against one size.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Slope {
     /// What the size counts, for example `members`.
     pub(crate) against: &'static str,
--- a/xtask/src/bench/spread.rs
+++ b/xtask/src/bench/spread.rs
@@ -5,7 +5,8 @@
 use serde::Serialize;
 
 /// Figures of one kind over repeated runs.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize)]
 pub(crate) struct Spread {
     pub(crate) min: f64,
     pub(crate) median: f64,
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -41,7 +41,8 @@
 const LOAD_WITHOUT_FAULTS: Duration = Duration::from_secs(8);
 
 /// Flags of `cargo xtask demo`.
-#[derive(Debug, gumdrop::Options)]
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
 pub(crate) struct DemoOptions {
     #[options(help = "print this help")]
     help: bool,
--- a/xtask/src/demo/verdict/mod.rs
+++ b/xtask/src/demo/verdict/mod.rs
@@ -21,7 +21,8 @@
 const CONFIG_IN_FORCE_MS_MAX: u64 = 5_000;
 
 /// The figures of one run.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize)]
 pub(crate) struct Verdict {
     pub(crate) requests: usize,
     pub(crate) answered: usize,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -11,7 +11,8 @@
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct XtaskOptions {
     #[options(help = "print this help")]
     help: bool,
@@ -19,7 +20,8 @@
     command: Option<Command>,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 enum Command {
     #[options(help = "run both deployments with faults and check the invariants")]
     Demo(demo::DemoOptions),
