Stale routes reach the platform even while requests report them all the time

A report of a stale route put the regular refresh off, and only that one ever asked the platform: at ten reports a second the dead members were asked for ever. Change: both go one way; the platform is asked once members have left three questions unanswered, at most once a second.

--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -9,7 +9,7 @@
 use model::{ConfigVersion, Instance, ServiceName, Timestamp};
 use ownership::{Plan, UpstreamState};
 use platform::PlatformError;
-use rand::{RngExt, seq::IndexedRandom};
+use rand::seq::IndexedRandom;
 use wire::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
 
 use crate::control::{
@@ -42,11 +42,34 @@
     routes: Option<RouteTable>,
     asked_at: Timestamp,
     unanswered: u32,
+    /// When the platform was last asked.
+    platform_asked_at: Option<Timestamp>,
     /// Since when the platform has been known to have no such service.
     absent_since: Option<Timestamp>,
 }
 
+/// Who is asked for routes this time.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct Question {
+    pub(super) members: usize,
+    pub(super) platform: bool,
+}
+
 impl Foreign {
+    /// Notes one more question. The platform is asked once members have been silent for a while,
+    /// however often routes turn out stale meanwhile.
+    fn ask(&mut self, now: Timestamp) -> Question {
+        self.asked_at = now;
+        self.unanswered += 1;
+        let silent = self.unanswered > UNANSWERED_MAX || self.routes.is_none();
+        let due = self.platform_asked_at.is_none_or(|it| now.since(it) >= REFRESH_EVERY);
+        let platform = silent && due;
+        if platform {
+            self.platform_asked_at = Some(now);
+        }
+        Question { members: if silent { ASKED_AT_ONCE } else { 1 }, platform }
+    }
+
     /// Takes over what a peer says; whether that changed anything. Agents of other services pass on
     /// what they have heard, so only the word of a member ends a silence or replaces routes of the
     /// same version. A table without members is of no use, and would go round among such agents
@@ -89,6 +112,12 @@
         self.table.entry(service.clone()).or_default();
     }
 
+    /// Asks once for the routes of a wanted service.
+    #[cfg(test)]
+    pub(super) fn ask(&mut self, now: Timestamp, service: &ServiceName) -> Option<Question> {
+        self.table.get_mut(service).map(|it| it.ask(now))
+    }
+
     /// Takes over what a peer says; whether that changed anything.
     pub(super) fn hear(&mut self, from: &Instance, table: RouteTable) -> bool {
         self.table.get_mut(&table.service).is_some_and(|it| it.hear(from, table))
@@ -151,13 +180,7 @@
         if now.since(foreign.asked_at) < ASK_AGAIN_AFTER {
             return;
         }
-        foreign.asked_at = now;
-        foreign.unanswered += 1;
-        let targets = match owner {
-            Some(owner) => vec![owner],
-            None => self.some_members(service, ASKED_AT_ONCE),
-        };
-        self.fetch_routes(service, targets);
+        self.ask_for_routes(now, service, owner);
     }
 
     pub(super) fn refresh_foreign(&mut self, now: Timestamp) {
@@ -173,23 +196,21 @@
             .map(|(service, _)| service.clone())
             .collect();
         for service in due {
-            self.refresh_one(now, &service);
+            self.ask_for_routes(now, &service, None);
         }
     }
 
-    fn refresh_one(&mut self, now: Timestamp, service: &ServiceName) {
-        let jitter = Duration::from_millis(self.rng.random_range(0..100));
+    /// Asks a few members, and the platform where they stay silent.
+    fn ask_for_routes(&mut self, now: Timestamp, service: &ServiceName, hint: Option<Instance>) {
         let Some(foreign) = self.foreign.table.get_mut(service) else { return };
-        foreign.asked_at = now + jitter;
-        foreign.unanswered += 1;
-        let silent = foreign.unanswered > UNANSWERED_MAX || foreign.routes.is_none();
-        if silent {
+        let question = foreign.ask(now);
+        if question.platform {
             self.parts.calls.read_accepted(service);
             self.parts.calls.read_group(service, ONLY_GROUP);
             self.ask_peers(service);
         }
-        let asked = if silent { ASKED_AT_ONCE } else { 1 };
-        let targets = self.some_members(service, asked);
+        let mut targets = self.some_members(service, question.members);
+        targets.extend(hint);
         self.fetch_routes(service, targets);
     }
 
--- a/crates/agent/src/control/tests/documents.rs
+++ b/crates/agent/src/control/tests/documents.rs
@@ -1,6 +1,8 @@
 //! The table of documents in force.
 
-use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, SlotCount, Zone};
+use model::{
+    ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, SlotCount, Timestamp, Zone,
+};
 use wire::exchange::{RouteMember, RouteTable};
 
 use crate::control::{
@@ -82,3 +84,18 @@
     check("lapboard-1", routes(1, &["a", "b", "c"]), Some(3));
     check("a", routes(0, &["a"]), Some(3));
 }
+
+#[test]
+fn the_platform_is_asked_while_routes_turn_out_stale_all_the_time() {
+    let service = ServiceName::new("standings").unwrap();
+    let mut foreign = ForeignRoutes::default();
+    foreign.want(&service);
+    foreign.hear(&instance("a"), routes(1, &["a"]));
+    // All members that are known have gone, and each tenth of a second a request says so.
+    let asked = (0..30).map(|it| Timestamp::from_ms(1_000 + it * 100));
+    let platform: Vec<u64> = asked
+        .filter(|it| foreign.ask(*it, &service).is_some_and(|it| it.platform))
+        .map(|it| it.ns / 1_000_000)
+        .collect();
+    assert_eq!(platform, [1_300, 2_300, 3_300]);
+}
