The object API's crate is called object-store

Cause: the word platform is to stand for one thing only, the folder that adapts pomelohill to its users' platform; the crate of the product's own object API had the same name. Only names change; the HTTP form and the documents stay. Checked: cargo check of the workspace with all targets.

--- a/crates/agent/src/control/accept.rs
+++ b/crates/agent/src/control/accept.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use model::{ConfigVersion, ObjectVersion, ServiceName, Timestamp};
-use platform::PlatformError;
+use object_store::StoreError;
 use rand::RngExt;
 use settings::{Accepted, Judgement, Refused, judge};
 
@@ -68,7 +68,7 @@
     pub(super) fn accepted_read(
         &mut self,
         service: ServiceName,
-        result: Result<Option<(ObjectVersion, Accepted)>, PlatformError>,
+        result: Result<Option<(ObjectVersion, Accepted)>, StoreError>,
     ) {
         let read = match result {
             Ok(read) => read,
@@ -97,7 +97,7 @@
 
     pub(super) fn document_read(
         &mut self,
-        result: Result<Option<(ObjectVersion, String)>, PlatformError>,
+        result: Result<Option<(ObjectVersion, String)>, StoreError>,
     ) {
         match result {
             Ok(Some(read)) => self.acceptor.pending = Some(read),
@@ -139,7 +139,7 @@
     pub(super) fn accepted_updated(
         &mut self,
         accepted: Accepted,
-        result: Result<ObjectVersion, PlatformError>,
+        result: Result<ObjectVersion, StoreError>,
     ) {
         self.acceptor.updating = false;
         match result {
--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use model::{GroupId, ObjectVersion, ServiceName};
+use object_store::{Changes, Object, ObjectStore, StoreError};
 use ownership::{CallId, Coordinator, Plan, PlatformReply, PlatformRequest};
-use platform::{Changes, Object, Platform, PlatformError};
 use serde::{Serialize, de::DeserializeOwned};
 use settings::{Accepted, Status, accepted_path, service_path, status_path};
 use tokio::sync::mpsc;
@@ -22,29 +22,29 @@
     },
     Accepted {
         service: ServiceName,
-        result: Result<Option<(ObjectVersion, Accepted)>, PlatformError>,
+        result: Result<Option<(ObjectVersion, Accepted)>, StoreError>,
     },
     Document {
-        result: Result<Option<(ObjectVersion, String)>, PlatformError>,
+        result: Result<Option<(ObjectVersion, String)>, StoreError>,
     },
     /// An update of `accepted/S`; what it was to become, and the version that it has now.
     AcceptedUpdated {
         accepted: Accepted,
-        result: Result<ObjectVersion, PlatformError>,
+        result: Result<ObjectVersion, StoreError>,
     },
     Group {
         service: ServiceName,
-        result: Result<GroupRead, PlatformError>,
+        result: Result<GroupRead, StoreError>,
     },
     Watched {
         prefix: WatchPrefix,
-        result: Result<Changes, PlatformError>,
+        result: Result<Changes, StoreError>,
     },
     StatusRead {
-        result: Result<Option<ObjectVersion>, PlatformError>,
+        result: Result<Option<ObjectVersion>, StoreError>,
     },
     StatusWritten {
-        result: Result<ObjectVersion, PlatformError>,
+        result: Result<ObjectVersion, StoreError>,
     },
 }
 
@@ -79,12 +79,12 @@
 /// Starts calls on the runtime of the control thread.
 #[derive(Clone)]
 pub(crate) struct Calls {
-    platform: Arc<dyn Platform>,
+    platform: Arc<dyn ObjectStore>,
     done: mpsc::UnboundedSender<Done>,
 }
 
 impl Calls {
-    pub(crate) fn new(platform: Arc<dyn Platform>, done: mpsc::UnboundedSender<Done>) -> Calls {
+    pub(crate) fn new(platform: Arc<dyn ObjectStore>, done: mpsc::UnboundedSender<Done>) -> Calls {
         Calls { platform, done }
     }
 
@@ -189,7 +189,7 @@
         });
     }
 
-    fn spawn<F>(&self, call: impl FnOnce(Arc<dyn Platform>) -> F)
+    fn spawn<F>(&self, call: impl FnOnce(Arc<dyn ObjectStore>) -> F)
     where
         F: Future<Output = Done> + Send + 'static,
     {
@@ -210,10 +210,10 @@
     format!("plans/{service}/{group}")
 }
 
-fn failed(error: PlatformError) -> PlatformReply {
+fn failed(error: StoreError) -> PlatformReply {
     match error {
-        PlatformError::Conflict { .. } => PlatformReply::Conflict,
-        PlatformError::Refused { .. } | PlatformError::Unavailable { .. } => {
+        StoreError::Conflict { .. } => PlatformReply::Conflict,
+        StoreError::Refused { .. } | StoreError::Unavailable { .. } => {
             log::debug!(target: "platform", "{error}.");
             PlatformReply::Failed
         }
@@ -229,10 +229,10 @@
 }
 
 async fn read_group(
-    platform: &dyn Platform,
+    platform: &dyn ObjectStore,
     service: &ServiceName,
     group: GroupId,
-) -> Result<GroupRead, PlatformError> {
+) -> Result<GroupRead, StoreError> {
     let coordinator = read_json(platform, &coordinator_path(service, group)).await?;
     let plan = read_json(platform, &plan_path(service, group)).await?;
     Ok(GroupRead { coordinator: coordinator.map(|(_, it)| it), plan: plan.map(|(_, it)| it) })
@@ -240,15 +240,15 @@
 
 /// Reads an object of our own kinds. One that can't be understood counts as not read.
 async fn read_json<T: DeserializeOwned>(
-    platform: &dyn Platform,
+    platform: &dyn ObjectStore,
     path: &str,
-) -> Result<Option<(ObjectVersion, T)>, PlatformError> {
+) -> Result<Option<(ObjectVersion, T)>, StoreError> {
     let Some(object) = platform.read(path).await? else { return Ok(None) };
     match serde_json::from_slice(&object.body) {
         Ok(value) => Ok(Some((object.version, value))),
         Err(error) => {
             log::error!(target: "platform", "The object {path} can't be understood: {error}.");
-            Err(PlatformError::Refused {
+            Err(StoreError::Refused {
                 step: format!("reading {path}"),
                 peer: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
                 reason: error.to_string(),
--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -7,8 +7,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use model::{ConfigVersion, Instance, ServiceName, Timestamp};
+use object_store::StoreError;
 use ownership::{Plan, UpstreamState};
-use platform::PlatformError;
 use rand::seq::IndexedRandom;
 use wire::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
 
@@ -270,7 +270,7 @@
     pub(super) fn group_read(
         &mut self,
         service: ServiceName,
-        result: Result<GroupRead, PlatformError>,
+        result: Result<GroupRead, StoreError>,
     ) {
         let read = match result {
             Ok(read) => read,
--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! The control thread: membership, leases, documents, routes and the status.
 //!
 //! All state of control lives here, on one thread, in tables that systems run over each tick.
-//! Platform calls run as tasks of the same thread's runtime and come back as `calls::Done`.
+//! Calls to the object store run as tasks of the same thread's runtime and come back as `calls::Done`.
 
 mod accept;
 mod calls;
@@ -22,7 +22,7 @@
 use std::{sync::Arc, time::Duration};
 
 use model::Instance;
-use platform::Platform;
+use object_store::ObjectStore;
 use settings::AgentSettings;
 use tokio::{
     net::TcpListener,
@@ -60,7 +60,7 @@
     pub clock: Clock,
     pub listener: TcpListener,
     pub key: LinkKey,
-    pub platform: Arc<dyn Platform>,
+    pub platform: Arc<dyn ObjectStore>,
     pub gate: GateHandle,
     pub snapshots: Arc<SnapshotCell>,
     pub reports: mpsc::Receiver<Report>,
--- a/crates/agent/src/control/status.rs
+++ b/crates/agent/src/control/status.rs
@@ -6,8 +6,8 @@
 };
 
 use model::{Instance, ObjectVersion, Timestamp};
+use object_store::StoreError;
 use ownership::{MemberView, NodeView, OwnerView, UpstreamState};
-use platform::PlatformError;
 use rand::RngExt;
 use settings::{
     CoordinatorStatus, GRANTS_MAX, GrantStatus, HotKeyStatus, InForce, Measures, OwnerStatus,
@@ -109,7 +109,7 @@
         }
     }
 
-    pub(super) fn status_read(&mut self, result: Result<Option<ObjectVersion>, PlatformError>) {
+    pub(super) fn status_read(&mut self, result: Result<Option<ObjectVersion>, StoreError>) {
         self.status.in_flight = false;
         match result {
             Ok(version) => self.status.object = Some(version.unwrap_or_default()),
@@ -117,7 +117,7 @@
         }
     }
 
-    pub(super) fn status_written(&mut self, result: Result<ObjectVersion, PlatformError>) {
+    pub(super) fn status_written(&mut self, result: Result<ObjectVersion, StoreError>) {
         self.status.in_flight = false;
         match result {
             Ok(version) => self.status.object = Some(version),
@@ -125,7 +125,7 @@
         }
     }
 
-    fn status_failed(&mut self, error: &PlatformError) {
+    fn status_failed(&mut self, error: &StoreError) {
         log::debug!(target: "status", "{error}.");
         self.status.object = None;
         let now = self.now();
--- a/crates/agent/src/control/tests/config.rs
+++ b/crates/agent/src/control/tests/config.rs
@@ -8,7 +8,7 @@
 use crate::control::tests::{
     documents::DOCUMENT,
     fleet::{Agent, wait},
-    platform::FakePlatform,
+    platform::FakeStore,
 };
 
 const SLOTS: usize = 8;
@@ -21,14 +21,14 @@
 }
 
 struct Fleet {
-    platform: Arc<FakePlatform>,
+    platform: Arc<FakeStore>,
     agents: Vec<Agent>,
 }
 
 impl Fleet {
     /// Three agents with the first document in force and all slots owned.
     async fn start() -> Fleet {
-        let platform = Arc::new(FakePlatform::new());
+        let platform = Arc::new(FakeStore::new());
         let version = platform.put("services/standings", &document(1));
         let mut agents = Vec::new();
         for name in ["standings-1", "standings-2", "standings-3"] {
--- a/crates/agent/src/control/tests/fleet.rs
+++ b/crates/agent/src/control/tests/fleet.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     clock::Clock,
-    control::{ControlParts, Phase, run, tests::platform::FakePlatform},
+    control::{ControlParts, Phase, run, tests::platform::FakeStore},
     gate::{GateHandle, GateTask},
     links::LinkKey,
     report::{Announcement, Report, Reporter},
@@ -44,7 +44,7 @@
 impl Agent {
     pub(super) async fn start(
         name: &str,
-        platform: &Arc<FakePlatform>,
+        platform: &Arc<FakeStore>,
         peers: &[SocketAddr],
     ) -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -68,7 +68,7 @@
             clock,
             listener,
             key: LinkKey::new(KEY.as_bytes()),
-            platform: Arc::clone(platform) as Arc<dyn platform::Platform>,
+            platform: Arc::clone(platform) as Arc<dyn object_store::ObjectStore>,
             gate,
             snapshots: Arc::clone(&snapshots),
             reports,
--- a/crates/agent/src/control/tests/platform.rs
+++ b/crates/agent/src/control/tests/platform.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use model::ObjectVersion;
-use platform::{Change, Changes, Object, Platform, PlatformError, PlatformResult};
+use object_store::{Change, Changes, Object, ObjectStore, StoreError, StoreResult};
 use tokio::{sync::watch, time::timeout};
 
 /// Objects with their versions; one counter for all.
@@ -22,7 +22,7 @@
     objects: BTreeMap<String, Object>,
 }
 
-pub(super) struct FakePlatform {
+pub(super) struct FakeStore {
     store: Mutex<Store>,
     changed: watch::Sender<()>,
     pub(super) down: AtomicBool,
@@ -30,9 +30,9 @@
     pub(super) lost_answers: AtomicU32,
 }
 
-impl FakePlatform {
-    pub(super) fn new() -> FakePlatform {
-        FakePlatform {
+impl FakeStore {
+    pub(super) fn new() -> FakeStore {
+        FakeStore {
             store: Mutex::default(),
             changed: watch::Sender::new(()),
             down: AtomicBool::new(false),
@@ -52,7 +52,7 @@
         store.objects.get(path).map(|it| String::from_utf8(it.body.to_vec()).unwrap())
     }
 
-    fn check(&self, step: &str) -> Result<(), PlatformError> {
+    fn check(&self, step: &str) -> Result<(), StoreError> {
         match self.down.load(Ordering::SeqCst) {
             true => Err(unavailable(step)),
             false => Ok(()),
@@ -88,13 +88,13 @@
     }
 }
 
-fn unavailable(step: &str) -> PlatformError {
+fn unavailable(step: &str) -> StoreError {
     let peer = SocketAddr::from(([127, 0, 0, 1], 1));
-    PlatformError::Unavailable { step: step.to_owned(), peer, reason: "an outage".to_owned() }
+    StoreError::Unavailable { step: step.to_owned(), peer, reason: "an outage".to_owned() }
 }
 
-impl Platform for FakePlatform {
-    fn read(&self, path: &str) -> PlatformResult<'_, Option<Object>> {
+impl ObjectStore for FakeStore {
+    fn read(&self, path: &str) -> StoreResult<'_, Option<Object>> {
         let path = path.to_owned();
         Box::pin(async move {
             self.check("read")?;
@@ -107,14 +107,14 @@
         path: &str,
         expected: ObjectVersion,
         body: Bytes,
-    ) -> PlatformResult<'_, ObjectVersion> {
+    ) -> StoreResult<'_, ObjectVersion> {
         let path = path.to_owned();
         Box::pin(async move {
             self.check("update")?;
             let mut store = self.store.lock().unwrap();
             let current = store.objects.get(&path).map_or(ObjectVersion(0), |it| it.version);
             if current != expected {
-                return Err(PlatformError::Conflict { step: "update".to_owned(), current });
+                return Err(StoreError::Conflict { step: "update".to_owned(), current });
             }
             let version = store.put(&path, body);
             self.changed.send_replace(());
@@ -125,7 +125,7 @@
         })
     }
 
-    fn list(&self, prefix: &str) -> PlatformResult<'_, Changes> {
+    fn list(&self, prefix: &str) -> StoreResult<'_, Changes> {
         let prefix = prefix.to_owned();
         Box::pin(async move {
             self.check("list")?;
@@ -138,7 +138,7 @@
         prefix: &str,
         after: ObjectVersion,
         wait: Duration,
-    ) -> PlatformResult<'_, Changes> {
+    ) -> StoreResult<'_, Changes> {
         let prefix = prefix.to_owned();
         Box::pin(async move {
             let mut changed = self.changed.subscribe();
--- a/crates/agent/src/control/watch.rs
+++ b/crates/agent/src/control/watch.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use model::{ConfigVersion, ObjectVersion, ServiceName, Timestamp};
-use platform::{Changes, PlatformError};
+use object_store::{Changes, StoreError};
 use rand::RngExt;
 use settings::{Accepted, service_path};
 
@@ -87,7 +87,7 @@
         }
     }
 
-    pub(super) fn watched(&mut self, prefix: WatchPrefix, result: Result<Changes, PlatformError>) {
+    pub(super) fn watched(&mut self, prefix: WatchPrefix, result: Result<Changes, StoreError>) {
         let now = self.now();
         let jitter = self.rng.random_range(1.0..2.0);
         let watch = self.watch_of(&prefix);
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use model::{ClassName, Outcome, TeamName};
-use platform::CallCounts;
+use object_store::CallCounts;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
--- a/crates/agent/src/metrics/platform_calls.rs
+++ b/crates/agent/src/metrics/platform_calls.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::{CallCounts, CallKind};
+use object_store::{CallCounts, CallKind};
 use prometheus::{
     IntCounterVec, Opts,
     core::{Collector, Desc},
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use model::Instance;
-use platform::CallCounts;
+use object_store::CallCounts;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -9,7 +9,7 @@
 
 use anyhow::Context;
 use model::{Incarnation, Instance};
-use platform::{CallCounts, CountedPlatform};
+use object_store::{CallCounts, CountedStore};
 use settings::AgentSettings;
 use tokio::{
     net::{TcpListener, TcpSocket},
@@ -209,9 +209,9 @@
         let runtime: Runtime =
             Builder::new_current_thread().enable_all().build().context("control runtime")?;
         runtime.block_on(async {
-            let platform = platform::HttpPlatform::new(
+            let platform = object_store::HttpObjectStore::new(
                 self.settings.platform_address,
-                platform::Timeouts::default(),
+                object_store::Timeouts::default(),
             )?;
             control::run(ControlParts {
                 settings: Arc::new(self.settings),
@@ -219,7 +219,7 @@
                 clock: self.clock,
                 listener: TcpListener::from_std(self.listener).context("control listener")?,
                 key: self.key,
-                platform: Arc::new(CountedPlatform::new(Arc::new(platform), self.platform_calls)),
+                platform: Arc::new(CountedStore::new(Arc::new(platform), self.platform_calls)),
                 gate: self.gate,
                 snapshots: self.snapshots,
                 reports: self.reports,
--- a/crates/client/src/commands/apply.rs
+++ b/crates/client/src/commands/apply.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use model::ObjectVersion;
-use platform::{Object, PlatformError};
+use object_store::{Object, StoreError};
 use settings::{Accepted, ServiceDocument, accepted_path, service_path};
 
 use crate::{
@@ -107,7 +107,7 @@
         let body = Bytes::copy_from_slice(self.text.as_bytes());
         match store.update(&path, self.base, &body).await {
             Ok(Updated::Done(version)) => Ok(version),
-            Err(Failure::Platform(error @ PlatformError::Unavailable { .. })) => {
+            Err(Failure::Platform(error @ StoreError::Unavailable { .. })) => {
                 Err(Failure::Unsure(error))
             }
             Err(failure) => Err(failure),
--- a/crates/client/src/commands/wait.rs
+++ b/crates/client/src/commands/wait.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::{ConfigVersion, ObjectVersion, ServiceName};
-use platform::{Change, PlatformError};
+use object_store::{Change, StoreError};
 use settings::{Status, status_prefix};
 use tokio::time::{Instant, timeout_at};
 
@@ -65,7 +65,7 @@
     loop {
         match news {
             Ok(Ok(changes)) => merge(&mut statuses, changes)?,
-            Ok(Err(error @ PlatformError::Refused { .. })) => return Err(error.into()),
+            Ok(Err(error @ StoreError::Refused { .. })) => return Err(error.into()),
             Ok(Err(error)) => {
                 terminal.progress(&format!("{service}: {error}"));
                 news = timeout_at(started + limit, follower.next()).await;
--- a/crates/client/src/commands/watch.rs
+++ b/crates/client/src/commands/watch.rs
@@ -1,6 +1,6 @@
 //! `watch`: one line for each status that a coordinator writes.
 
-use platform::PlatformError;
+use object_store::StoreError;
 use settings::{Status, status_prefix};
 
 use crate::{
@@ -22,7 +22,7 @@
     while lines_left > 0 {
         let changes = match follower.next().await {
             Ok(changes) => changes,
-            Err(error @ PlatformError::Refused { .. }) => return Err(error.into()),
+            Err(error @ StoreError::Refused { .. }) => return Err(error.into()),
             Err(error) => {
                 terminal.progress(&error.to_string());
                 continue;
--- a/crates/client/src/failure.rs
+++ b/crates/client/src/failure.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use model::ObjectVersion;
-use platform::PlatformError;
+use object_store::StoreError;
 use settings::Problems;
 
 /// Why a command has not done what was asked; shown as one message.
@@ -19,9 +19,9 @@
     #[error("{0}")]
     Conflict(String),
     #[error("{0}")]
-    Platform(#[from] PlatformError),
+    Platform(#[from] StoreError),
     #[error("{0}; the document may or may not be written: apply it again to find out")]
-    Unsure(PlatformError),
+    Unsure(StoreError),
     #[error("version {version} is written, but not in force after {waited_s} s: {state}")]
     NotInForce { version: ObjectVersion, waited_s: u64, state: String },
     #[error("{0}")]
--- a/crates/client/src/retry.rs
+++ b/crates/client/src/retry.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use model::ObjectVersion;
-use platform::{
-    Changes, Follower, FollowerTimes, HttpPlatform, Object, Platform, PlatformError,
-    PlatformResult, Timeouts,
+use object_store::{
+    Changes, Follower, FollowerTimes, HttpObjectStore, Object, ObjectStore, StoreError,
+    StoreResult, Timeouts,
 };
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
@@ -28,7 +28,7 @@
 
 /// The platform, with retries.
 pub(crate) struct Store {
-    platform: Arc<dyn Platform>,
+    platform: Arc<dyn ObjectStore>,
 }
 
 /// The end of a conditional update.
@@ -41,7 +41,7 @@
 
 impl Store {
     pub(crate) fn new(address: SocketAddr) -> Result<Store, Failure> {
-        let platform = HttpPlatform::new(address, TIMEOUTS)
+        let platform = HttpObjectStore::new(address, TIMEOUTS)
             .map_err(|error| Failure::Start(error.to_string()))?;
         Ok(Store { platform: Arc::new(platform) })
     }
@@ -72,10 +72,10 @@
         loop {
             match self.platform.update(path, expected, body.clone()).await {
                 Ok(version) => return Ok(Updated::Done(version)),
-                Err(PlatformError::Conflict { .. }) if unsure => {
+                Err(StoreError::Conflict { .. }) if unsure => {
                     return self.settle(path, expected, body).await;
                 }
-                Err(PlatformError::Conflict { .. }) => return Ok(Updated::Conflict),
+                Err(StoreError::Conflict { .. }) => return Ok(Updated::Conflict),
                 Err(error) => wait_out(error, &mut pauses).await?,
             }
             unsure = true;
@@ -105,16 +105,16 @@
 
 /// Pauses after a failure that may pass; fails with it if it may not, or if it was the last.
 async fn wait_out(
-    error: PlatformError,
+    error: StoreError,
     pauses: &mut impl Iterator<Item = Duration>,
 ) -> Result<(), Failure> {
-    let PlatformError::Unavailable { .. } = error else { return Err(error.into()) };
+    let StoreError::Unavailable { .. } = error else { return Err(error.into()) };
     let Some(pause) = pauses.next() else { return Err(error.into()) };
     sleep(pause).await;
     Ok(())
 }
 
-async fn retry<'a, T>(call: impl Fn() -> PlatformResult<'a, T>) -> Result<T, Failure> {
+async fn retry<'a, T>(call: impl Fn() -> StoreResult<'a, T>) -> Result<T, Failure> {
     let mut pauses = pauses();
     loop {
         match call().await {
--- a/crates/platform/src/api.rs
+++ b/crates/object-store/src/api.rs
@@ -6,8 +6,7 @@
 use model::ObjectVersion;
 
 /// What a call to the platform resolves to.
-pub type PlatformResult<'a, T> =
-    Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
+pub type StoreResult<'a, T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send + 'a>>;
 
 /// An object as read.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,7 +33,7 @@
 /// Why a call has no result. Each names the step and the peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
-pub enum PlatformError {
+pub enum StoreError {
     /// Known not to have taken effect.
     #[error("{step}: the object has version {current}, not the expected one")]
     Conflict { step: String, current: ObjectVersion },
@@ -47,22 +46,18 @@
 }
 
 /// The platform's object API. All calls end within the client's timeout.
-pub trait Platform: Send + Sync {
+pub trait ObjectStore: Send + Sync {
     /// Reads the latest acknowledged state of an object.
-    fn read(&self, path: &str) -> PlatformResult<'_, Option<Object>>;
+    fn read(&self, path: &str) -> StoreResult<'_, Option<Object>>;
     /// Updates on condition of the version; `ObjectVersion(0)`: that it does not exist.
     fn update(
         &self,
         path: &str,
         expected: ObjectVersion,
         body: Bytes,
-    ) -> PlatformResult<'_, ObjectVersion>;
-    fn list(&self, prefix: &str) -> PlatformResult<'_, Changes>;
+    ) -> StoreResult<'_, ObjectVersion>;
+    fn list(&self, prefix: &str) -> StoreResult<'_, Changes>;
     /// Waits at most `wait` for changes after a revision; an empty answer means none came.
-    fn watch(
-        &self,
-        prefix: &str,
-        after: ObjectVersion,
-        wait: Duration,
-    ) -> PlatformResult<'_, Changes>;
+    fn watch(&self, prefix: &str, after: ObjectVersion, wait: Duration)
+    -> StoreResult<'_, Changes>;
 }
--- a/crates/platform/src/counted.rs
+++ b/crates/object-store/src/counted.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use model::ObjectVersion;
 
-use crate::{Changes, Object, Platform, PlatformResult};
+use crate::{Changes, Object, ObjectStore, StoreResult};
 
 /// What a call asks for; the platform counts each as one, however long a watch waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -48,24 +48,24 @@
 }
 
 /// A platform whose calls are counted.
-pub struct CountedPlatform {
-    inner: Arc<dyn Platform>,
+pub struct CountedStore {
+    inner: Arc<dyn ObjectStore>,
     counts: Arc<CallCounts>,
 }
 
-impl CountedPlatform {
-    pub fn new(inner: Arc<dyn Platform>, counts: Arc<CallCounts>) -> CountedPlatform {
-        CountedPlatform { inner, counts }
+impl CountedStore {
+    pub fn new(inner: Arc<dyn ObjectStore>, counts: Arc<CallCounts>) -> CountedStore {
+        CountedStore { inner, counts }
     }
 
-    fn count(&self, kind: CallKind) -> &dyn Platform {
+    fn count(&self, kind: CallKind) -> &dyn ObjectStore {
         self.counts.0[kind as usize].fetch_add(1, Ordering::Relaxed);
         self.inner.as_ref()
     }
 }
 
-impl Platform for CountedPlatform {
-    fn read(&self, path: &str) -> PlatformResult<'_, Option<Object>> {
+impl ObjectStore for CountedStore {
+    fn read(&self, path: &str) -> StoreResult<'_, Option<Object>> {
         self.count(CallKind::Read).read(path)
     }
 
@@ -74,11 +74,11 @@
         path: &str,
         expected: ObjectVersion,
         body: Bytes,
-    ) -> PlatformResult<'_, ObjectVersion> {
+    ) -> StoreResult<'_, ObjectVersion> {
         self.count(CallKind::Update).update(path, expected, body)
     }
 
-    fn list(&self, prefix: &str) -> PlatformResult<'_, Changes> {
+    fn list(&self, prefix: &str) -> StoreResult<'_, Changes> {
         self.count(CallKind::List).list(prefix)
     }
 
@@ -87,7 +87,7 @@
         prefix: &str,
         after: ObjectVersion,
         wait: Duration,
-    ) -> PlatformResult<'_, Changes> {
+    ) -> StoreResult<'_, Changes> {
         self.count(CallKind::Watch).watch(prefix, after, wait)
     }
 }
--- a/crates/platform/src/follower.rs
+++ b/crates/object-store/src/follower.rs
@@ -5,7 +5,7 @@
 use model::ObjectVersion;
 use tokio::time::{Instant, sleep_until};
 
-use crate::{Change, Changes, Platform, PlatformError};
+use crate::{Change, Changes, ObjectStore, StoreError};
 
 /// How often and how long a follower calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,7 +33,7 @@
 /// Yields every object under a prefix and then every change, none twice and none older than one
 /// that it has yielded.
 pub struct Follower {
-    platform: Arc<dyn Platform>,
+    platform: Arc<dyn ObjectStore>,
     prefix: String,
     times: FollowerTimes,
     /// None until the first list has been answered.
@@ -44,7 +44,7 @@
 
 impl Follower {
     pub fn new(
-        platform: Arc<dyn Platform>,
+        platform: Arc<dyn ObjectStore>,
         prefix: impl Into<String>,
         times: FollowerTimes,
     ) -> Follower {
@@ -60,7 +60,7 @@
 
     /// The next changes; at first all objects, perhaps none. An error is for the log and the
     /// status: the next call goes on from where this one was, after a pause.
-    pub async fn next(&mut self) -> Result<Vec<Change>, PlatformError> {
+    pub async fn next(&mut self) -> Result<Vec<Change>, StoreError> {
         loop {
             if let Some(at) = self.next_call {
                 sleep_until(at).await;
@@ -84,7 +84,7 @@
         }
     }
 
-    async fn call(&self) -> Result<Changes, PlatformError> {
+    async fn call(&self) -> Result<Changes, StoreError> {
         match self.revision {
             None => self.platform.list(&self.prefix).await,
             Some(after) => self.platform.watch(&self.prefix, after, self.times.wait).await,
--- a/crates/platform/src/http.rs
+++ b/crates/object-store/src/http.rs
@@ -15,7 +15,7 @@
     response::Response,
 };
 
-use crate::{Change, Changes, Object, Platform, PlatformError, PlatformResult};
+use crate::{Change, Changes, Object, ObjectStore, StoreError, StoreResult};
 
 const VERSION_HEADER: &str = "x-object-version";
 const CONDITION_HEADER: &str = "if-object-version";
@@ -40,9 +40,9 @@
     }
 }
 
-/// [`Platform`] over HTTP.
+/// [`ObjectStore`] over HTTP.
 #[derive(Clone)]
-pub struct HttpPlatform {
+pub struct HttpObjectStore {
     client: Client,
     peer: SocketAddr,
     timeouts: Timeouts,
@@ -73,19 +73,19 @@
     body: Option<String>,
 }
 
-impl HttpPlatform {
+impl HttpObjectStore {
     /// Connects lazily, with the first call.
-    pub fn new(peer: SocketAddr, timeouts: Timeouts) -> anyhow::Result<HttpPlatform> {
+    pub fn new(peer: SocketAddr, timeouts: Timeouts) -> anyhow::Result<HttpObjectStore> {
         // Calls name their address, so nothing is ever discovered or balanced.
         let builder =
             ClientBuilder::new().load_balance(WeightedRandomBalance::new()).discover(DummyDiscover);
         let client = builder
             .build()
             .map_err(|error| anyhow::anyhow!("platform client for {peer}: {error}"))?;
-        Ok(HttpPlatform { client, peer, timeouts })
+        Ok(HttpObjectStore { client, peer, timeouts })
     }
 
-    async fn send(&self, call: Call) -> Result<Answer, PlatformError> {
+    async fn send(&self, call: Call) -> Result<Answer, StoreError> {
         let Call { step, method, target, expected, body, limit } = call;
         let absent_is_an_answer = method == Method::GET;
         let exchange = async {
@@ -109,25 +109,25 @@
         step: String,
         answer: Answer,
         absent_is_an_answer: bool,
-    ) -> Result<Answer, PlatformError> {
+    ) -> Result<Answer, StoreError> {
         let reason = || format!("{} {}", answer.status, excerpt(&answer.body));
         match answer.status {
             status if status.is_success() => Ok(answer),
             StatusCode::NOT_FOUND if absent_is_an_answer => Ok(answer),
             StatusCode::CONFLICT => {
                 let current = self.number(&step, &answer, VERSION_HEADER)?;
-                Err(PlatformError::Conflict { step, current })
+                Err(StoreError::Conflict { step, current })
             }
             // The platform says itself that the request is at fault, so nothing was done.
             status if status.is_client_error() => {
-                Err(PlatformError::Refused { step, peer: self.peer, reason: reason() })
+                Err(StoreError::Refused { step, peer: self.peer, reason: reason() })
             }
             _ => Err(self.unavailable(step, reason())),
         }
     }
 
-    fn unavailable(&self, step: impl Into<String>, reason: impl Into<String>) -> PlatformError {
-        PlatformError::Unavailable { step: step.into(), peer: self.peer, reason: reason.into() }
+    fn unavailable(&self, step: impl Into<String>, reason: impl Into<String>) -> StoreError {
+        StoreError::Unavailable { step: step.into(), peer: self.peer, reason: reason.into() }
     }
 
     fn number(
@@ -135,7 +135,7 @@
         step: &str,
         answer: &Answer,
         header: &str,
-    ) -> Result<ObjectVersion, PlatformError> {
+    ) -> Result<ObjectVersion, StoreError> {
         let text = answer.headers.get(header).and_then(|it| it.to_str().ok());
         match text.and_then(|it| it.parse().ok()) {
             Some(number) => Ok(ObjectVersion(number)),
@@ -143,7 +143,7 @@
         }
     }
 
-    fn changes(&self, step: &str, answer: &Answer) -> Result<Changes, PlatformError> {
+    fn changes(&self, step: &str, answer: &Answer) -> Result<Changes, StoreError> {
         let raw: Vec<RawChange> = serde_json::from_slice(&answer.body)
             .map_err(|error| self.unavailable(step, format!("the answer is no list: {error}")))?;
         let changes = raw.into_iter().map(Change::from).collect();
@@ -172,8 +172,8 @@
     String::from_utf8_lossy(body).trim().chars().take(REASON_CHARS_MAX).collect()
 }
 
-impl Platform for HttpPlatform {
-    fn read(&self, path: &str) -> PlatformResult<'_, Option<Object>> {
+impl ObjectStore for HttpObjectStore {
+    fn read(&self, path: &str) -> StoreResult<'_, Option<Object>> {
         let step = format!("read {path}");
         let call = self.get(step.clone(), format!("/objects/{path}"), self.timeouts.call);
         Box::pin(async move {
@@ -191,7 +191,7 @@
         path: &str,
         expected: ObjectVersion,
         body: Bytes,
-    ) -> PlatformResult<'_, ObjectVersion> {
+    ) -> StoreResult<'_, ObjectVersion> {
         let step = format!("update {path}");
         let call = Call {
             step: step.clone(),
@@ -207,7 +207,7 @@
         })
     }
 
-    fn list(&self, prefix: &str) -> PlatformResult<'_, Changes> {
+    fn list(&self, prefix: &str) -> StoreResult<'_, Changes> {
         let step = format!("list {prefix}");
         let call = self.get(step.clone(), format!("/list/{prefix}"), self.timeouts.call);
         Box::pin(async move {
@@ -221,7 +221,7 @@
         prefix: &str,
         after: ObjectVersion,
         wait: Duration,
-    ) -> PlatformResult<'_, Changes> {
+    ) -> StoreResult<'_, Changes> {
         let step = format!("watch {prefix}");
         let target = format!("/watch/{prefix}?after={after}&wait_ms={}", wait.as_millis());
         let call = self.get(step.clone(), target, wait + self.timeouts.watch_margin);
--- a/crates/platform/src/lib.rs
+++ b/crates/object-store/src/lib.rs
@@ -20,7 +20,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use api::{Change, Changes, Object, Platform, PlatformError, PlatformResult};
-pub use counted::{CallCounts, CallKind, CountedPlatform};
+pub use api::{Change, Changes, Object, ObjectStore, StoreError, StoreResult};
+pub use counted::{CallCounts, CallKind, CountedStore};
 pub use follower::{Follower, FollowerTimes};
-pub use http::{HttpPlatform, Timeouts};
+pub use http::{HttpObjectStore, Timeouts};
--- a/crates/platform/src/tests/follower.rs
+++ b/crates/object-store/src/tests/follower.rs
@@ -12,8 +12,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    CallCounts, CallKind, Change, Changes, CountedPlatform, Follower, FollowerTimes, Object,
-    Platform, PlatformError, PlatformResult,
+    CallCounts, CallKind, Change, Changes, CountedStore, Follower, FollowerTimes, Object,
+    ObjectStore, StoreError, StoreResult,
 };
 
 /// What the platform says to one list or watch.
@@ -33,7 +33,7 @@
 }
 
 impl Scripted {
-    fn answer(&self, after: Option<u64>, wait: Duration) -> PlatformResult<'_, Changes> {
+    fn answer(&self, after: Option<u64>, wait: Duration) -> StoreResult<'_, Changes> {
         self.calls.lock().unwrap().push(after);
         let say = self.script.lock().unwrap().pop_front();
         Box::pin(async move {
@@ -56,13 +56,13 @@
     }
 }
 
-fn down() -> PlatformError {
+fn down() -> StoreError {
     let peer = SocketAddr::from(([127, 0, 0, 1], 1));
-    PlatformError::Unavailable { step: "watch".to_owned(), peer, reason: "down".to_owned() }
+    StoreError::Unavailable { step: "watch".to_owned(), peer, reason: "down".to_owned() }
 }
 
-impl Platform for Scripted {
-    fn read(&self, _path: &str) -> PlatformResult<'_, Option<Object>> {
+impl ObjectStore for Scripted {
+    fn read(&self, _path: &str) -> StoreResult<'_, Option<Object>> {
         Box::pin(async { Ok(None) })
     }
 
@@ -71,11 +71,11 @@
         _path: &str,
         _expected: ObjectVersion,
         _body: Bytes,
-    ) -> PlatformResult<'_, ObjectVersion> {
+    ) -> StoreResult<'_, ObjectVersion> {
         Box::pin(async { Err(down()) })
     }
 
-    fn list(&self, _prefix: &str) -> PlatformResult<'_, Changes> {
+    fn list(&self, _prefix: &str) -> StoreResult<'_, Changes> {
         self.answer(None, Duration::ZERO)
     }
 
@@ -84,7 +84,7 @@
         _prefix: &str,
         after: ObjectVersion,
         wait: Duration,
-    ) -> PlatformResult<'_, Changes> {
+    ) -> StoreResult<'_, Changes> {
         self.answer(Some(after.0), wait)
     }
 }
@@ -140,7 +140,7 @@
 /// The calls of a follower in a minute of a platform that never has news.
 async fn calls_a_minute(script: &[Say], waits: bool) -> u64 {
     let counts: Arc<CallCounts> = Arc::default();
-    let platform = CountedPlatform::new(scripted(script, waits), Arc::clone(&counts));
+    let platform = CountedStore::new(scripted(script, waits), Arc::clone(&counts));
     let mut follower = Follower::new(Arc::new(platform), "accepted/", FollowerTimes::default());
     let end = Instant::now() + Duration::from_secs(60);
     while tokio::time::timeout_at(end, follower.next()).await.is_ok() {}
--- a/crates/platform/src/tests/http.rs
+++ b/crates/object-store/src/tests/http.rs
@@ -14,7 +14,7 @@
     net::{TcpListener, TcpStream},
 };
 
-use crate::{Change, Changes, HttpPlatform, Object, Platform, PlatformError, Timeouts};
+use crate::{Change, Changes, HttpObjectStore, Object, ObjectStore, StoreError, Timeouts};
 
 /// What a server does with one request.
 #[derive(Clone)]
@@ -77,19 +77,19 @@
     }
 
     /// A client whose timeout passes only where the script is silent.
-    fn platform(&self) -> HttpPlatform {
+    fn platform(&self) -> HttpObjectStore {
         let silent = matches!(self.script.lock().unwrap()[0], Reply::Silence);
         let call = Duration::from_millis(if silent { 50 } else { 30_000 });
-        HttpPlatform::new(self.address, Timeouts { call, watch_margin: call }).unwrap()
+        HttpObjectStore::new(self.address, Timeouts { call, watch_margin: call }).unwrap()
     }
 
     /// The kind of an error, which must name its step and its peer.
-    fn kind(&self, error: &PlatformError, step: &str) -> &'static str {
+    fn kind(&self, error: &StoreError, step: &str) -> &'static str {
         assert!(error.to_string().starts_with(step), "{error}");
         match error {
-            PlatformError::Conflict { .. } => "conflict",
-            PlatformError::Refused { peer, .. } if *peer == self.address => "refused",
-            PlatformError::Unavailable { peer, .. } if *peer == self.address => "unavailable",
+            StoreError::Conflict { .. } => "conflict",
+            StoreError::Refused { peer, .. } if *peer == self.address => "refused",
+            StoreError::Unavailable { peer, .. } if *peer == self.address => "unavailable",
             _ => "of another peer",
         }
     }
@@ -201,7 +201,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
-    let platform = HttpPlatform::new(address, Timeouts::default()).unwrap();
+    let platform = HttpObjectStore::new(address, Timeouts::default()).unwrap();
     let error = platform.read("services/s").await.unwrap_err();
-    assert!(matches!(error, PlatformError::Unavailable { peer, .. } if peer == address));
+    assert!(matches!(error, StoreError::Unavailable { peer, .. } if peer == address));
 }
