Ordered keys, host routes, and retries that count what reaches upstreams

Cause: the users' platform has keys that are whole numbers with busy neighbours, routes by host and prefix, a number of upstreams that one request may be given to, and a retry budget that counts arrivals at upstreams. The product had hashed keys only, one path segment for the service, and a budget over all sendings. Change: OrderedKeys in the model; ordered_keys, resends, enforces_leases, retry_burst, retry_count, unowned_wait_ms in service documents; FleetConfig with a RoutingTable; a planner that places runs of neighbouring slots, gives each leaving member's slots away at once and lets what is granted together share a token. Checked: cargo test of model, settings, traffic, ownership.

--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -40,6 +40,7 @@
             group: ONLY_GROUP,
             slot_count: document.slot_count,
             keyed: document.keyed,
+            ordered: document.ordered_keys.is_some(),
             limits: limits(document),
             seed: parts.seed,
             peers,
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -19,6 +19,45 @@
     KeyHash(xxh3_64_with_seed(key, KEY_HASH_SEED))
 }
 
+/// How many keys a service has whose keys are whole numbers from 0, in an order that means
+/// something: neighbours are busy together. At least one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct OrderedKeys(u32);
+
+/// Neighbouring keys, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct KeyRange {
+    pub first: u32,
+    pub last: u32,
+}
+
+impl OrderedKeys {
+    /// None for no keys at all.
+    pub fn new(count: u32) -> Option<OrderedKeys> {
+        (count > 0).then_some(OrderedKeys(count))
+    }
+
+    pub fn count(self) -> u32 {
+        self.0
+    }
+
+    /// The place of a key among all hashes, such that the order of keys is that of their places.
+    /// None: there is no such key.
+    pub fn place(self, key: u32) -> Option<KeyHash> {
+        let place = (u128::from(key) << 64).div_ceil(u128::from(self.0));
+        (key < self.0).then_some(KeyHash(place as u64))
+    }
+
+    /// The keys of neighbouring slots, of which there are no more than keys.
+    pub fn of_slots(self, slot_count: SlotCount, first: Slot, last: Slot) -> KeyRange {
+        let begin =
+            |slot: u64| (slot * u64::from(self.0)).div_ceil(u64::from(slot_count.count())) as u32;
+        KeyRange { first: begin(first.0.into()), last: begin(u64::from(last.0) + 1) - 1 }
+    }
+}
+
 /// A share of a service's keys that is owned as a whole.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,7 +14,7 @@
 pub use identity::{
     ConfigVersion, GroupId, Incarnation, Instance, ObjectVersion, RequestId, Term, Token,
 };
-pub use key::{KeyHash, Slot, SlotCount, SlotCountError, key_hash};
+pub use key::{KeyHash, KeyRange, OrderedKeys, Slot, SlotCount, SlotCountError, key_hash};
 pub use name::{ClassName, InstanceName, NameError, ServiceName, TeamName, Zone};
 pub use outcome::{
     NotRunReason, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, TOKEN_HEADER, UnknownReason,
--- a/crates/model/src/tests.rs
+++ b/crates/model/src/tests.rs
@@ -35,3 +35,22 @@
     assert!(token(2, 0) > token(1, 9));
     assert!(token(2, 1) > token(2, 0));
 }
+
+#[test]
+fn ordered_keys_lie_in_the_slots_that_name_them() {
+    for (keys, slots) in [(65_536, 1024), (65_536, 96), (1000, 7), (5, 5), (1, 1)] {
+        let keys = crate::OrderedKeys::new(keys).unwrap();
+        let slots = SlotCount::new(slots).unwrap();
+        let mut next = 0;
+        for slot in slots.iter() {
+            let range = keys.of_slots(slots, slot, slot);
+            assert_eq!(range.first, next, "{slots:?} leave no gap");
+            for key in range.first..=range.last {
+                assert_eq!(slots.slot_of(keys.place(key).unwrap()), slot, "key {key}");
+            }
+            next = range.last + 1;
+        }
+        assert_eq!(next, keys.count());
+        assert_eq!(keys.place(next), None);
+    }
+}
--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -12,6 +12,12 @@
     slots::{Grant, Holder, KeyHolder},
 };
 
+/// The tokens of grants that are given in one go.
+#[derive(Debug, Default)]
+pub(super) struct Batch {
+    tokens: Vec<(MemberId, Token)>,
+}
+
 impl Coordination {
     /// Finds out which slots of earlier terms nobody can hold any more.
     pub(super) fn resolve_unknown(&mut self, ctx: &Ctx<'_>) {
@@ -34,6 +40,7 @@
         if !self.may_renew(ctx) || self.plan.acked().is_none() {
             return;
         }
+        let mut batch = Batch::default();
         for slot in self.table.slot_count.iter() {
             let row = &self.table.slots[usize::from(slot.0)];
             if !row.holder.is_free(self.confirm.proved_at()) {
@@ -47,13 +54,27 @@
                 _ => {
                     let names = self.plan.slot_names(slot);
                     if let Some(to) = names.into_iter().find(|it| self.may_grant(slot, it)) {
-                        self.grant(ctx, slot, to, None);
+                        let token = self.batch_token(ctx, &mut batch, &to);
+                        self.grant(ctx, slot, to, Some(token));
                     }
                 }
             }
         }
     }
 
+    /// A new token; where the order of slots means something, one for all that a member is granted
+    /// at a time, so that a run of slots is one grant at its upstream.
+    pub(super) fn batch_token(&mut self, ctx: &Ctx<'_>, batch: &mut Batch, to: &MemberId) -> Token {
+        match batch.tokens.iter().find(|it| it.0 == *to) {
+            Some((_, token)) if ctx.config.ordered => *token,
+            _ => {
+                let token = self.next_token();
+                batch.tokens.push((to.clone(), token));
+                token
+            }
+        }
+    }
+
     pub(super) fn may_grant(&self, slot: Slot, to: &MemberId) -> bool {
         self.members.eligible(to) && self.plan.names_slot(slot, to)
     }
--- a/crates/ownership/src/coordinator/handover.rs
+++ b/crates/ownership/src/coordinator/handover.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::Slot;
+use model::{Slot, Token};
 
 use crate::{
     Command, MoveReason, UpstreamState,
@@ -12,10 +12,12 @@
 
 use super::{
     Coordination,
+    grants::Batch,
     slots::{Handover, HandoverStep, Holder, KeyHolder},
 };
 
-/// Handovers of a group that may be under way at once.
+/// Handovers of a group that may be under way at once to even out the load. What a leaving member
+/// holds is handed over all at once: its time is short, and its slots wait at the same time.
 const HANDOVERS_MAX: usize = 8;
 /// A new owner that has not said that it is prepared is taken to be after this long.
 const PREPARE_MAX: Duration = Duration::from_secs(2);
@@ -33,11 +35,16 @@
             return;
         }
         let mut running = self.table.slots.iter().filter(|it| it.handover.is_some()).count();
+        let mut batch = Batch::default();
         for slot in self.table.slot_count.iter() {
             match self.next_step(ctx, slot) {
-                Some(Next::Start(to)) if running < HANDOVERS_MAX => {
+                // Ordered slots go by runs, and their planner bounds how many of these move.
+                Some(Next::Start(to))
+                    if running < HANDOVERS_MAX || ctx.config.ordered || self.is_urgent(slot) =>
+                {
                     running += 1;
-                    self.start_handover(ctx, slot, to);
+                    let token = self.batch_token(ctx, &mut batch, &to);
+                    self.start_handover(ctx, slot, to, token);
                 }
                 Some(Next::Close) => self.close_for_handover(ctx, slot),
                 Some(Next::Cancel) => {
@@ -49,6 +56,12 @@
         }
     }
 
+    fn is_urgent(&self, slot: Slot) -> bool {
+        let grant = self.table.slots[usize::from(slot.0)].holder.grant();
+        let holder = grant.and_then(|it| self.members.rows.get(&it.member));
+        holder.is_some_and(|it| it.must_give_up())
+    }
+
     fn next_step(&self, ctx: &Ctx<'_>, slot: Slot) -> Option<Next> {
         let row = &self.table.slots[usize::from(slot.0)];
         let grant = row.holder.grant().filter(|it| !it.closing && self.members.is_current(it))?;
@@ -87,8 +100,7 @@
         self.table.keys_of(slot).any(|(_, row)| matches!(row.holder, KeyHolder::LeavingSlot(_)))
     }
 
-    fn start_handover(&mut self, ctx: &mut Ctx<'_>, slot: Slot, to: MemberId) {
-        let token = self.next_token();
+    fn start_handover(&mut self, ctx: &mut Ctx<'_>, slot: Slot, to: MemberId, token: Token) {
         let row = &mut self.table.slots[usize::from(slot.0)];
         let holder = row.holder.grant().map(|it| it.member.clone());
         let planned = holder
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -132,6 +132,7 @@
         PlannerInput {
             now: ctx.now,
             slot_count: self.table.slot_count,
+            ordered: ctx.config.ordered,
             members: instances.map(member).collect(),
             slots: slots.map(|(slot, row)| self.planner_slot(slot, row, members)).collect(),
             keys: self.planner_keys(members),
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -32,6 +32,8 @@
     /// Whether the service is divided by key. If not, nothing is granted, and the members in the
     /// view are the product.
     pub keyed: bool,
+    /// Whether the order of slots means something: neighbours are granted together then.
+    pub ordered: bool,
     pub limits: Limits,
     /// Seeds the node's own generator (nonces, jitter).
     pub seed: u64,
--- a/crates/ownership/src/planner/mod.rs
+++ b/crates/ownership/src/planner/mod.rs
@@ -5,6 +5,7 @@
 
 mod board;
 mod forced;
+mod ranges;
 mod rebalance;
 mod relief;
 mod successors;
@@ -53,6 +54,8 @@
 pub struct PlannerInput {
     pub now: Timestamp,
     pub slot_count: SlotCount,
+    /// Whether the order of slots means something: see [`ranges`].
+    pub ordered: bool,
     pub members: Vec<PlannerMember>,
     /// One for each slot, in order.
     pub slots: Vec<PlannerSlot>,
@@ -99,6 +102,9 @@
 /// Panics if a slot is missing from the input or an index names no member: both are faults of the
 /// caller.
 pub fn propose(input: &PlannerInput) -> Proposal {
+    if input.ordered {
+        return ranges::propose(input);
+    }
     let mut board = Board::new(input);
     let mut moves = forced::moves(&mut board);
     rebalance::relieve(&mut board, &mut moves);
--- a/crates/ownership/src/planner/tests.rs
+++ b/crates/ownership/src/planner/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the planner: seeded random fleets, and the cases that it exists for.
 
+mod ranges;
+
 use std::{collections::HashSet, time::Duration};
 
 use model::{KeyHash, Slot, SlotCount, Timestamp, Zone};
@@ -29,6 +31,7 @@
     PlannerInput {
         now: Timestamp::from_ms(1000),
         slot_count: SlotCount::new(loads.len() as u16).unwrap(),
+        ordered: false,
         members: (0..members).map(|it| member(it, 1.0)).collect(),
         slots: loads.iter().enumerate().map(slot).collect(),
         keys: Vec::new(),
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -1,12 +1,13 @@
 //! What an agent is told when it starts.
 
-use std::{net::SocketAddr, sync::LazyLock};
+use std::{net::SocketAddr, sync::LazyLock, time::Duration};
 
 use model::{InstanceName, ServiceName, TeamName, Zone};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    fleet::{DocumentDefaults, RawDocumentDefaults},
     parse::{Parsed, parse, schema_of},
     problem::Problems,
 };
@@ -35,7 +36,17 @@
     pub link_key: String,
     /// Control addresses of other agents, asked while the platform is down.
     pub peers: Vec<SocketAddr>,
+    /// Where the agent says whether it serves callers; none: nobody asks.
+    pub ready_address: Option<SocketAddr>,
+    /// Where the local upstream announces itself, if not at the caller address.
+    pub announce_address: Option<SocketAddr>,
+    /// Where the local upstream listens, if it is known before it announces itself.
+    pub upstream_address: Option<SocketAddr>,
     pub traffic_threads: usize,
+    /// How long a graceful stop may take until what still runs is cut off.
+    pub stop_max: Duration,
+    /// What the service documents of a fleet's configuration have in common.
+    pub document_defaults: DocumentDefaults,
     /// A filter for log lines, such as `info` or `info,gate=debug`.
     pub log: String,
 }
@@ -86,6 +97,23 @@
     #[serde(default)]
     #[schemars(length(max = 64))]
     peers: Vec<String>,
+    /// `IP:PORT` for the question whether the agent serves callers.
+    #[serde(default)]
+    ready_address: Option<String>,
+    /// `IP:PORT` for announcements of the local upstream, if not the caller address.
+    #[serde(default)]
+    announce_address: Option<String>,
+    /// `IP:PORT` of the local upstream, where it is known beforehand.
+    #[serde(default)]
+    upstream_address: Option<String>,
+    /// How long a graceful stop may take.
+    #[serde(default = "default_stop_ms_max")]
+    #[schemars(range(min = 500, max = 600_000))]
+    stop_ms_max: u64,
+    /// What the service documents have in common where they are made from a configuration of the
+    /// whole fleet.
+    #[serde(default)]
+    document_defaults: RawDocumentDefaults,
     #[serde(default = "default_traffic_threads")]
     #[schemars(range(min = 1, max = 64))]
     traffic_threads: usize,
@@ -98,6 +126,10 @@
     2
 }
 
+fn default_stop_ms_max() -> u64 {
+    30_000
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
@@ -130,12 +162,18 @@
     let control = rules.address("control_address", &raw.control_address);
     let metrics = rules.address("metrics_address", &raw.metrics_address);
     let platform = rules.address("platform_address", &raw.platform_address);
+    let ready = rules.optional_address("ready_address", &raw.ready_address);
+    let announce = rules.optional_address("announce_address", &raw.announce_address);
+    let upstream = rules.optional_address("upstream_address", &raw.upstream_address);
     rules.distinct(&[
         ("caller_address", caller),
         ("traffic_address", traffic),
         ("control_address", control),
         ("metrics_address", metrics),
         ("platform_address", platform),
+        ("ready_address", ready.flatten()),
+        ("announce_address", announce.flatten()),
+        ("upstream_address", upstream.flatten()),
     ]);
     let peers = raw.peers.iter().enumerate();
     let peers: Vec<Option<SocketAddr>> =
@@ -152,7 +190,12 @@
         platform_address: platform?,
         link_key: raw.link_key.clone(),
         peers: peers.into_iter().collect::<Option<Vec<_>>>()?,
+        ready_address: ready?,
+        announce_address: announce?,
+        upstream_address: upstream?,
         traffic_threads: raw.traffic_threads,
+        stop_max: Duration::from_millis(raw.stop_ms_max),
+        document_defaults: raw.document_defaults.clone().into(),
         log: raw.log.clone(),
     })
 }
@@ -198,6 +241,18 @@
         }
     }
 
+    /// None: there is one, and it is wrong.
+    fn optional_address(
+        &mut self,
+        field: &str,
+        text: &Option<String>,
+    ) -> Option<Option<SocketAddr>> {
+        match text {
+            None => Some(None),
+            Some(text) => self.address(field, text).map(Some),
+        }
+    }
+
     fn distinct(&mut self, addresses: &[(&str, Option<SocketAddr>)]) {
         for (index, (field, address)) in addresses.iter().enumerate() {
             let same = addresses[..index].iter().find(|it| address.is_some() && it.1 == *address);
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::LazyLock, time::Duration};
 
-use model::{ClassName, ServiceName, SlotCount, TeamName};
+use model::{ClassName, OrderedKeys, ServiceName, SlotCount, TeamName};
 
 use crate::{
     parse::{parse, schema_of},
@@ -15,7 +15,10 @@
 
 pub use route::{KeySource, Method, Route, RouteError, RouteMatch};
 
-pub(crate) use raw::RawDocument;
+pub(crate) use raw::{
+    RawClass, RawDocument, RawDrain, RawKey, RawLimits, RawOwnership, RawRoute, RawUpstream,
+    default_slot_count,
+};
 
 /// Made once: each agent parses many documents.
 static SCHEMA: LazyLock<serde_json::Value> = LazyLock::new(schema_of::<RawDocument>);
@@ -29,6 +32,10 @@
     pub keyed: bool,
     /// How many slots the keys of one group are spread over.
     pub slot_count: SlotCount,
+    /// Set where keys are whole numbers and slots are ranges of them.
+    pub ordered_keys: Option<OrderedKeys>,
+    /// Whether a request may come again under the id of its first sending.
+    pub resends: bool,
     pub upstream: UpstreamTraits,
     pub classes: Vec<Class>,
     /// In the order in which they are tried.
@@ -46,6 +53,8 @@
     pub connections_max: u32,
     /// Whether it refuses requests whose fence token is older than one it has seen.
     pub checks_fence: bool,
+    /// Whether it runs requests only for ranges of keys that it holds a grant of.
+    pub enforces_leases: bool,
     /// How long a new upstream takes to reach its full share of the load.
     pub warmup: Duration,
 }
@@ -66,6 +75,12 @@
     pub queue_length_max: u32,
     /// Retries as a share of fresh requests, 0.0 to 1.0.
     pub retry_share: f64,
+    /// Retries of one agent that may be saved up.
+    pub retry_burst: u32,
+    /// Whether a retry counts only after a sending that may have reached an upstream.
+    pub retries_count_after_upstream: bool,
+    /// How long a request waits for a key that nobody owns.
+    pub unowned_wait: Duration,
     pub body_bytes_max: usize,
     pub header_bytes_max: usize,
     /// What kept answers to requests that are not idempotent may take up in memory.
@@ -165,6 +180,7 @@
             slots: raw.slots,
             connections_max: raw.connections_max,
             checks_fence: raw.checks_fence,
+            enforces_leases: raw.enforces_leases,
             warmup: Duration::from_millis(raw.warmup_ms),
         }
     }
@@ -176,6 +192,9 @@
             queue_wait_max: Duration::from_millis(raw.queue_ms_max),
             queue_length_max: raw.queue_length_max,
             retry_share: raw.retry_share,
+            retry_burst: raw.retry_burst,
+            retries_count_after_upstream: raw.retry_count == raw::RawRetryCount::AfterUpstream,
+            unowned_wait: Duration::from_millis(raw.unowned_wait_ms),
             body_bytes_max: raw.body_bytes_max as usize,
             header_bytes_max: raw.header_bytes_max as usize,
             records_bytes_max: raw.records_bytes_max as usize,
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -23,6 +23,16 @@
     #[serde(default = "default_slot_count")]
     #[schemars(range(min = 1, max = 4096))]
     pub(crate) slot_count: u16,
+    /// How many keys there are, where keys are whole numbers from 0 and busy ones are neighbours: a
+    /// slot is a range of them then. Keys are any text and hashed, if left out. May not change while
+    /// the service runs.
+    #[serde(default)]
+    #[schemars(range(min = 1, max = 4_294_967_295_u64))]
+    pub(crate) ordered_keys: Option<u32>,
+    /// Whether callers send a request that is not idempotent again under the id of its first sending.
+    /// If not, no records of answers are kept.
+    #[serde(default = "default_resends")]
+    pub(crate) resends: bool,
     #[serde(default)]
     pub(crate) upstream: RawUpstream,
     /// The classes of requests.
@@ -39,10 +49,14 @@
     pub(crate) drain: RawDrain,
 }
 
-fn default_slot_count() -> u16 {
+pub(crate) fn default_slot_count() -> u16 {
     96
 }
 
+fn default_resends() -> bool {
+    true
+}
+
 /// What each upstream of the service can do.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize, JsonSchema)]
@@ -56,6 +70,9 @@
     pub(crate) connections_max: u32,
     /// Whether it refuses requests whose fence token is older than one it has seen.
     pub(crate) checks_fence: bool,
+    /// Whether it runs requests only for ranges of keys that it has been granted, until their time is
+    /// over; for ordered keys only.
+    pub(crate) enforces_leases: bool,
     /// How long a new upstream takes to reach its full share of the load.
     #[schemars(range(max = 600_000))]
     pub(crate) warmup_ms: u64,
@@ -63,7 +80,13 @@
 
 impl Default for RawUpstream {
     fn default() -> RawUpstream {
-        RawUpstream { slots: 12, connections_max: 85, checks_fence: false, warmup_ms: 2_000 }
+        RawUpstream {
+            slots: 12,
+            connections_max: 85,
+            checks_fence: false,
+            enforces_leases: false,
+            warmup_ms: 2_000,
+        }
     }
 }
 
@@ -139,6 +162,15 @@
     pub(crate) segment: Option<String>,
 }
 
+/// Which retries count towards the share of fresh requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum RawRetryCount {
+    All,
+    AfterUpstream,
+}
+
 /// What a gate takes on.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize, JsonSchema)]
@@ -153,6 +185,15 @@
     /// Retries as a share of fresh requests.
     #[schemars(range(min = 0.0, max = 1.0))]
     pub(crate) retry_share: f64,
+    /// Retries of one agent that may be saved up while there is nothing to retry.
+    #[schemars(range(max = 1_000))]
+    pub(crate) retry_burst: u32,
+    /// Whether retries are counted each, or only those after a sending that may have reached an
+    /// upstream.
+    pub(crate) retry_count: RawRetryCount,
+    /// How long a request waits for a key that nobody owns at the moment.
+    #[schemars(range(max = 10_000))]
+    pub(crate) unowned_wait_ms: u64,
     /// The longest body of a request or an answer.
     #[schemars(range(min = 1024, max = 67_108_864))]
     pub(crate) body_bytes_max: u64,
@@ -173,6 +214,9 @@
             queue_ms_max: 500,
             queue_length_max: 256,
             retry_share: 0.1,
+            retry_burst: 20,
+            retry_count: RawRetryCount::All,
+            unowned_wait_ms: 0,
             body_bytes_max: 1_048_576,
             header_bytes_max: 16_384,
             records_bytes_max: 8_388_608,
--- a/crates/settings/src/document/rules.rs
+++ b/crates/settings/src/document/rules.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use model::{ClassName, NameError, ServiceName, SlotCount};
+use model::{ClassName, NameError, OrderedKeys, ServiceName, SlotCount};
 
 use super::{
     Class, DrainLimits, KeySource, Method, OwnershipLimits, Route, ServiceDocument, TrafficLimits,
@@ -23,6 +23,7 @@
     let raw = &parsed.raw;
     let mut rules = Rules { source: &parsed.source, problems };
     rules.upstream(raw);
+    rules.ordered_keys(raw);
     rules.ownership(raw);
     rules.times(raw);
     let service = rules.name("service", ServiceName::new(&raw.service));
@@ -34,6 +35,8 @@
         team: team?,
         keyed: raw.keyed,
         slot_count: SlotCount::new(raw.slot_count).ok()?,
+        ordered_keys: raw.ordered_keys.and_then(OrderedKeys::new),
+        resends: raw.resends,
         upstream: UpstreamTraits::from(&raw.upstream),
         classes: classes?,
         routes: routes?,
@@ -71,6 +74,11 @@
     rules.require(raw.slot_count == slot_count, "slot_count", || {
         format!("may not change while the service runs; it is {slot_count}.")
     });
+    let ordered_keys = former.ordered_keys.map(OrderedKeys::count);
+    rules.require(raw.ordered_keys == ordered_keys, "ordered_keys", || match ordered_keys {
+        Some(count) => format!("may not change while the service runs; it is {count}."),
+        None => "may not be set while the service runs.".to_owned(),
+    });
 }
 
 struct Rules<'a> {
@@ -113,6 +121,21 @@
         );
     }
 
+    fn ordered_keys(&mut self, raw: &RawDocument) {
+        let leases = raw.upstream.enforces_leases;
+        let ordered = raw.ordered_keys;
+        self.require(!leases || ordered.is_some(), "upstream.enforces_leases", || {
+            "grants are ranges of keys, so the service needs ordered_keys.".to_owned()
+        });
+        self.require(ordered.is_none() || raw.keyed, "ordered_keys", || {
+            "the service is not divided by key.".to_owned()
+        });
+        let enough = ordered.is_none_or(|it| it >= u32::from(raw.slot_count));
+        self.require(enough, "ordered_keys", || {
+            format!("{} slots need as many keys at least.", raw.slot_count)
+        });
+    }
+
     fn ownership(&mut self, raw: &RawDocument) {
         let it = &raw.ownership;
         let lease = it.lease_ms;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod agent_settings;
 mod document;
+mod fleet;
 mod objects;
 mod parse;
 mod problem;
@@ -21,6 +22,7 @@
     Class, DrainLimits, KeySource, Method, OwnershipLimits, Route, RouteError, RouteMatch,
     ServiceDocument, TrafficLimits, UpstreamTraits,
 };
+pub use fleet::{Backend, DocumentDefaults, FleetConfig, FleetService, HostRoute, RoutingTable};
 pub use objects::{
     Accepted, CoordinatorStatus, GRANTS_MAX, GrantStatus, HotKeyStatus, InForce, Measures,
     MoveStatus, OwnerStatus, Refused, Status, UpstreamStateName, UpstreamStatus, accepted_path,
--- /dev/null
+++ b/crates/settings/src/tests/fleet.rs
@@ -0,0 +1,104 @@
+//! Configurations of a whole fleet.
+
+use std::{sync::Arc, time::Duration};
+
+use model::{ClassName, OrderedKeys, ServiceName, TeamName};
+
+use crate::{AgentSettings, Backend, FleetService, HostRoute, RoutingTable, ServiceDocument};
+
+fn route(name: &str, prefix: &str) -> HostRoute {
+    HostRoute {
+        name: Arc::from(name),
+        prefix: Arc::from(prefix),
+        backends: vec![Backend { service: ServiceName::new("standings").unwrap(), weight: 1 }],
+        class: ClassName::new("rank-1").unwrap(),
+        idempotent: true,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(600),
+        attempts: 2,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RoutingTable::new([
+        (Arc::from("a.example"), route("short", "/x/")),
+        (Arc::from("a.example"), route("long", "/x/y/")),
+        (Arc::from("B.example"), route("other", "/")),
+    ]);
+    let check = |host, path, expected: Option<&str>| {
+        let found = table.find(host, path).map(|it| it.name.to_string());
+        assert_eq!(found.as_deref(), expected, "{host} {path}");
+    };
+    check("a.example", "/x/y/z", Some("long"));
+    check("A.Example:8080", "/x/y/", Some("long"));
+    check("a.example", "/x/y", Some("short"));
+    check("a.example", "/x", None);
+    check("a.example", "/z/", None);
+    check("b.example", "/x/y/z", Some("other"));
+    check("c.example", "/x/y/z", None);
+}
+
+const SETTINGS: &str = r#"{
+  "instance": "standings-1", "zone": "pitlane", "team": "karerang", "service": "standings",
+  "caller_address": "127.0.0.1:7001", "traffic_address": "127.0.0.1:7002",
+  "control_address": "127.0.0.1:7003", "metrics_address": "127.0.0.1:7004",
+  "platform_address": "127.0.0.1:7000", "ready_address": "127.0.0.1:7005",
+  "link_key": "0123456789abcdef",
+  "document_defaults": { "slot_count": 1024, "ownership": { "lease_ms": 1500 } },
+}"#;
+
+#[test]
+fn documents_are_made_from_the_defaults_and_pass_the_check() {
+    let settings = AgentSettings::parse(SETTINGS).unwrap();
+    assert_eq!(settings.ready_address, Some("127.0.0.1:7005".parse().unwrap()));
+    let service = FleetService {
+        service: ServiceName::new("standings").unwrap(),
+        team: TeamName::new("karerang").unwrap(),
+        keys: OrderedKeys::new(65_536),
+        key_header: "x-place",
+        classes: vec![(ClassName::new("rank-1").unwrap(), 4)],
+        connections_max: 120,
+        header_bytes_max: 16_384,
+        body_bytes_max: 1 << 20,
+    };
+    let text = settings.document_defaults.document(&service);
+    let document = ServiceDocument::parse_for(&service.service, &text).unwrap();
+    assert!(document.keyed && document.upstream.enforces_leases && !document.resends);
+    assert_eq!(document.slot_count.count(), 1024);
+    assert_eq!(document.ownership.lease, Duration::from_millis(1500));
+    let header = |name: &str| (name == "x-place").then_some("17");
+    let found = document.route("GET", "/any/path", header).unwrap();
+    assert_eq!(found.key.as_deref(), Some(&b"17"[..]));
+}
+
+#[test]
+fn a_fault_in_the_defaults_is_told_with_its_place() {
+    let text = SETTINGS.replace("\"lease_ms\": 1500", "\"lease_ms\": \"long\"");
+    let problems = AgentSettings::parse(&text).unwrap_err();
+    let first = problems.iter().next().unwrap().to_string();
+    assert!(first.starts_with("line 7, column"), "{first}");
+    assert!(first.contains("document_defaults.ownership.lease_ms"), "{first}");
+}
+
+#[test]
+fn ordered_keys_are_checked() {
+    let check = |keyed: &str, keys: u32, leases: &str, expected: &str| {
+        let text = format!(
+            r#"{{ "service": "s", "team": "t", "keyed": {keyed}, "ordered_keys": {keys},
+                  "upstream": {{ "enforces_leases": {leases} }}, "classes": [{{ "name": "c" }}],
+                  "routes": [{{ "path": "/*", "class": "c", "idempotent": true }}] }}"#
+        );
+        let problems = match ServiceDocument::parse(&text) {
+            Ok(_) => String::new(),
+            Err(problems) => problems.to_string(),
+        };
+        assert!(
+            problems.contains(expected) && problems.is_empty() == expected.is_empty(),
+            "{problems}"
+        );
+    };
+    check("true", 96, "true", "");
+    check("true", 95, "true", "96 slots need as many keys at least");
+    check("false", 96, "false", "the service is not divided by key");
+}
--- a/crates/settings/src/tests/mod.rs
+++ b/crates/settings/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod agent_settings;
 mod document;
 mod examples;
+mod fleet;
 mod fuzz;
 mod objects;
 mod problems;
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -20,7 +20,7 @@
 pub use records::{
     Answer, Begin, EndedRecord, Record, RecordUnit, Records, RecordsConfig, SlotRecords,
 };
-pub use retry::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict};
+pub use retry::{Attempt, Attempts, Charge, Retries, RetryConfig, RetryVerdict};
 pub use selection::{
     HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState, TargetView,
 };
--- a/crates/traffic/src/retry/mod.rs
+++ b/crates/traffic/src/retry/mod.rs
@@ -11,6 +11,20 @@
 use model::{NotRunReason, Outcome, Timestamp, UnknownReason};
 use rand::{Rng, RngExt};
 
+/// How long a request for a key that nobody owns waits between two tries, at the least; at the most
+/// twice as long. A handover takes some tens of milliseconds, so a shorter wait asks in vain.
+const UNOWNED_PAUSE: Duration = Duration::from_millis(40);
+
+/// Which retries the budget pays for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Charge {
+    /// Each one, whoever refused the sending before it.
+    EveryRetry,
+    /// Only those after a sending that may have reached an upstream: what a gate refuses by itself
+    /// costs the upstreams nothing.
+    AfterUpstream,
+}
+
 /// Bounds on retries.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RetryConfig {
@@ -25,6 +39,9 @@
     pub retries_max: u8,
     /// Stale routes that one request follows.
     pub hops_max: u8,
+    pub charge: Charge,
+    /// How long a request waits in all for a key that nobody owns; without charge.
+    pub unowned_wait: Duration,
 }
 
 impl Default for RetryConfig {
@@ -36,15 +53,35 @@
             backoff_max: Duration::from_millis(500),
             retries_max: 3,
             hops_max: 3,
+            charge: Charge::EveryRetry,
+            unowned_wait: Duration::ZERO,
         }
     }
 }
 
 /// What one request has used up so far.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempts {
     pub retries: u8,
     pub hops: u8,
+    /// Sendings that may have reached an upstream, and the most of them.
+    pub given: u8,
+    pub given_max: u8,
+    /// Time spent waiting for an owner of the key.
+    pub waited: Duration,
+}
+
+impl Attempts {
+    /// A request that may be given to so many upstreams.
+    pub fn new(given_max: u8) -> Attempts {
+        Attempts { retries: 0, hops: 0, given: 0, given_max, waited: Duration::ZERO }
+    }
+}
+
+impl Default for Attempts {
+    fn default() -> Attempts {
+        Attempts::new(u8::MAX)
+    }
 }
 
 /// How one sending ended.
@@ -98,24 +135,50 @@
         rng: &mut impl Rng,
     ) -> RetryVerdict {
         let left = deadline.since(now);
+        let reached = may_have_reached_upstream(ended.outcome);
+        attempts.given = attempts.given.saturating_add(u8::from(reached));
         if ended.other_owner && attempts.hops < self.config.hops_max && left > Duration::ZERO {
             attempts.hops += 1;
             return RetryVerdict::Follow;
         }
+        if let Some(after) = self.wait_for_owner(ended.outcome, attempts, left, rng) {
+            return RetryVerdict::Retry { after };
+        }
         let backoff = self.backoff(attempts.retries, rng);
         let after = ended.retry_after.map_or(backoff, |it| it + backoff);
         let give_up = RetryVerdict::GiveUp { retry_after: self.come_back(ended, after) };
         let allowed = may_retry(ended.outcome, idempotent)
             && attempts.retries < self.config.retries_max
+            && attempts.given < attempts.given_max
             && after < left;
-        if !allowed || self.budget < 1.0 {
+        let charge = match self.config.charge {
+            Charge::AfterUpstream if !reached => 0.0,
+            Charge::AfterUpstream | Charge::EveryRetry => 1.0,
+        };
+        if !allowed || self.budget < charge {
             return give_up;
         }
-        self.budget -= 1.0;
+        self.budget -= charge;
         attempts.retries += 1;
         RetryVerdict::Retry { after }
     }
 
+    /// The pause until a key that nobody owns is asked for again, if there is time for it.
+    fn wait_for_owner(
+        &self,
+        outcome: Outcome,
+        attempts: &mut Attempts,
+        left: Duration,
+        rng: &mut impl Rng,
+    ) -> Option<Duration> {
+        let unowned =
+            matches!(outcome, Outcome::NotRun(NotRunReason::NoOwner | NotRunReason::NotOwner));
+        let pause = UNOWNED_PAUSE.mul_f64(rng.random_range(1.0..2.0));
+        let in_time = attempts.waited + pause <= self.config.unowned_wait && pause < left;
+        (unowned && in_time).then(|| attempts.waited += pause)?;
+        Some(pause)
+    }
+
     /// Retries that the budget still holds.
     pub fn budget(&self) -> f64 {
         self.budget
@@ -136,6 +199,14 @@
     }
 }
 
+/// Whether the upstream may have seen the request.
+fn may_have_reached_upstream(outcome: Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::Answered | Outcome::Unknown(_) | Outcome::NotRun(NotRunReason::Refused)
+    )
+}
+
 /// Whether sending a request again after this outcome is safe and makes sense.
 fn may_retry(outcome: Outcome, idempotent: bool) -> bool {
     match outcome {
--- a/crates/traffic/src/retry/tests.rs
+++ b/crates/traffic/src/retry/tests.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict, tests::seeded};
+use crate::{Attempt, Attempts, Charge, Retries, RetryConfig, RetryVerdict, tests::seeded};
 
 const SHED: Outcome = Outcome::NotRun(NotRunReason::Overloaded);
 const LOST: Outcome = Outcome::Unknown(UnknownReason::ConnectionLost);
@@ -112,3 +112,55 @@
     }
     seeded(property as fn(u64) -> bool);
 }
+
+const REFUSED: Outcome = Outcome::NotRun(NotRunReason::Refused);
+
+/// Tries again until it is told to give up; gives the number of retries.
+fn retries_of(config: &RetryConfig, outcome: Outcome, attempts: Attempts) -> u32 {
+    let mut retries = Retries::new(config.clone());
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut attempts = attempts;
+    let mut now = Timestamp::ZERO;
+    let mut count = 0;
+    loop {
+        let deadline = Timestamp::from_ms(60_000);
+        let ended = attempt(outcome);
+        match retries.decide(now, deadline, true, &mut attempts, &ended, &mut rng) {
+            RetryVerdict::Retry { after } => now = now + after,
+            RetryVerdict::Follow | RetryVerdict::GiveUp { .. } => return count,
+        }
+        count += 1;
+    }
+}
+
+#[test]
+fn a_request_is_given_to_no_more_upstreams_than_its_route_allows() {
+    let config = RetryConfig { retries_max: 10, ..RetryConfig::default() };
+    assert_eq!(retries_of(&config, REFUSED, Attempts::new(2)), 1);
+    assert_eq!(retries_of(&config, LOST, Attempts::new(3)), 2);
+    // A gate that refuses has not given it to its upstream.
+    assert_eq!(retries_of(&config, SHED, Attempts::new(1)), 10);
+}
+
+#[test]
+fn refusals_of_gates_are_free_where_only_upstreams_count() {
+    let config =
+        RetryConfig { budget_max: 0.0, charge: Charge::AfterUpstream, ..RetryConfig::default() };
+    assert_eq!(retries_of(&config, SHED, Attempts::default()), 3);
+    assert_eq!(retries_of(&config, REFUSED, Attempts::default()), 0);
+}
+
+#[test]
+fn a_key_that_moves_is_waited_for_but_not_for_ever() {
+    let unowned = Outcome::NotRun(NotRunReason::NoOwner);
+    let wait = Duration::from_millis(1500);
+    let config = RetryConfig {
+        budget_max: 0.0,
+        charge: Charge::AfterUpstream,
+        retries_max: 0,
+        unowned_wait: wait,
+        ..RetryConfig::default()
+    };
+    let count = retries_of(&config, unowned, Attempts::default());
+    assert!((1500 / 80..=1500 / 40).contains(&count), "{count}");
+}
--- a/xtask/src/bench/ownership/policy/planned.rs
+++ b/xtask/src/bench/ownership/policy/planned.rs
@@ -106,6 +106,7 @@
         PlannerInput {
             now: now(view),
             slot_count: self.slot_count,
+            ordered: false,
             members: view.members.iter().map(member).collect(),
             slots,
             keys,
--- a/xtask/src/bench/slopes/group.rs
+++ b/xtask/src/bench/slopes/group.rs
@@ -327,6 +327,7 @@
             group: GroupId(0),
             slot_count: size.slot_count(),
             keyed: true,
+            ordered: false,
             limits: Limits::default(),
             seed: seed + index as u64,
             peers: Vec::new(),
