--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -14,7 +14,7 @@
 
 use crate::control::{
     calls::GroupRead,
-    state::{Control, ONLY_GROUP},
+    state::{Control, DocumentSource, ONLY_GROUP},
 };
 
 /// How many services' routes are kept; callers could name any number of services.
@@ -163,7 +163,7 @@
             return;
         }
         foreign.asked_at = now;
-        self.parts.calls.read_accepted(&service);
+        self.read_accepted(&service);
         self.parts.calls.read_group(&service, ONLY_GROUP);
         self.ask_peers(&service);
         // The document may be known already, from a watch.
@@ -200,12 +200,18 @@
         }
     }
 
+    fn read_accepted(&self, service: &ServiceName) {
+        if self.parts.documents_from == DocumentSource::Teams {
+            self.parts.calls.read_accepted(service);
+        }
+    }
+
     /// Asks a few members, and the platform where they stay silent.
     fn ask_for_routes(&mut self, now: Timestamp, service: &ServiceName, hint: Option<Instance>) {
         let Some(foreign) = self.foreign.table.get_mut(service) else { return };
         let question = foreign.ask(now);
         if question.platform {
-            self.parts.calls.read_accepted(service);
+            self.read_accepted(service);
             self.parts.calls.read_group(service, ONLY_GROUP);
             self.ask_peers(service);
         }
--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod accept;
 mod calls;
 mod documents;
+mod fleet;
 mod foreign;
 mod group;
 mod pace;
@@ -23,7 +24,7 @@
 
 use model::Instance;
 use object_store::ObjectStore;
-use settings::AgentSettings;
+use settings::{AgentSettings, FleetConfig};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch as watch_channel},
@@ -38,6 +39,8 @@
     snapshot::SnapshotCell,
 };
 
+pub(crate) use self::state::DocumentSource;
+
 use self::state::Control;
 
 /// How often the systems run over the tables.
@@ -69,11 +72,16 @@
     pub handed_over: oneshot::Sender<()>,
     /// Seeds nonces and jitter.
     pub seed: u64,
+    /// Configurations of the whole fleet; none: teams write documents of their own.
+    pub fleet: Option<FleetSource>,
 }
 
+/// The newest configuration of the whole fleet; none until the first is known.
+pub type FleetSource = watch_channel::Receiver<Option<Arc<FleetConfig>>>;
+
 /// Runs control until [`Phase::Ending`]. To be called on a current-thread runtime of its own.
 pub async fn run(parts: ControlParts) {
-    let ControlParts { listener, key, mut reports, mut phase, handed_over, .. } = parts;
+    let ControlParts { listener, key, mut reports, mut phase, handed_over, mut fleet, .. } = parts;
     let (links, mut events) = ControlLinks::start(parts.own.clone(), listener, key);
     let (done_sender, mut done) = mpsc::unbounded_channel();
     let calls = calls::Calls::new(parts.platform, done_sender);
@@ -86,6 +94,10 @@
         gate: parts.gate,
         snapshots: parts.snapshots,
         seed: parts.seed,
+        documents_from: match fleet {
+            Some(_) => DocumentSource::Fleet,
+            None => DocumentSource::Teams,
+        },
     });
     let mut handed_over = Some(handed_over);
     let mut ticks = interval(TICK);
@@ -96,6 +108,7 @@
             _ = ticks.tick() => control.tick(),
             Some(event) = events.recv() => control.peer_event(event),
             Some(it) = done.recv() => control.call_done(it),
+            Some(it) = next_config(&mut fleet) => control.fleet_changed(&it),
             Some(report) = reports.recv() => control.report(report),
             changed = phase.changed() => match *phase.borrow() {
                 _ if changed.is_err() => return,
@@ -113,3 +126,14 @@
         }
     }
 }
+
+/// The next configuration of the whole fleet.
+async fn next_config(fleet: &mut Option<FleetSource>) -> Option<Arc<FleetConfig>> {
+    let Some(source) = fleet else { return std::future::pending().await };
+    if source.changed().await.is_err() {
+        log::error!(target: "config", "Nobody tells of configurations any more.");
+        *fleet = None;
+        return None;
+    }
+    source.borrow_and_update().clone()
+}
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -9,7 +9,7 @@
 use crate::{
     control::{
         calls::Done,
-        state::{Control, ONLY_GROUP},
+        state::{Control, DocumentSource, ONLY_GROUP},
     },
     links::ControlEvent,
     report::Report,
@@ -40,6 +40,8 @@
                 log::debug!(target: "control", "{from} took this for a member of {service}.");
             }
             Envelope::FetchDocument { service } => self.send_document(&from, service),
+            // What comes as a whole is not taken apart again.
+            Envelope::Document { .. } if self.parts.documents_from == DocumentSource::Fleet => {}
             Envelope::Document { service, version, text } => {
                 self.offer_document(&service, version, &text);
             }
@@ -88,7 +90,8 @@
         version: ConfigVersion,
     ) {
         let used = self.documents.of(&service).is_some() || service == *self.service();
-        if used && self.documents.wants(&service, version) {
+        let fetched = self.parts.documents_from == DocumentSource::Teams;
+        if fetched && used && self.documents.wants(&service, version) {
             self.parts.links.send(from, Envelope::FetchDocument { service }.encode());
         }
     }
@@ -141,6 +144,8 @@
         let now = self.now();
         match report {
             Report::Announcement(announcement) => self.announced(announcement),
+            Report::UpstreamLeaves { upstream_id } => self.upstream_leaves(&upstream_id),
+            Report::GrantOutdated { token } => self.grant_outdated(now, token),
             Report::Upstream(state) => self.seen_by_gate(state),
             Report::Prepared { slot, token } => self.step(now, Input::Prepared { slot, token }),
             Report::Closed { slot, token } => self.step(now, Input::Closed { slot, token }),
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -32,7 +32,7 @@
             draining: self.stopping || announcement.state == UpstreamState::Draining,
             announcement,
         });
-        self.parts.snapshots.store(Snapshot { services, local });
+        self.parts.snapshots.store(Snapshot { services, routing: self.routing.clone(), local });
     }
 
     fn own_service_routes(&self) -> Option<ServiceRoutes> {
--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -6,7 +6,7 @@
 use ownership::{FenceCheck, Input, Limits};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use settings::{AgentSettings, ServiceDocument};
+use settings::{AgentSettings, RoutingTable, ServiceDocument};
 
 use crate::{
     clock::Clock,
@@ -33,6 +33,17 @@
     pub(crate) gate: GateHandle,
     pub(crate) snapshots: Arc<SnapshotCell>,
     pub(crate) seed: u64,
+    /// Where documents come from.
+    pub(crate) documents_from: DocumentSource,
+}
+
+/// Where the documents in force come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DocumentSource {
+    /// From the object store, where coordinators accept what teams write.
+    Teams,
+    /// From one configuration of the whole fleet, which is accepted already.
+    Fleet,
 }
 
 /// All state of the control thread.
@@ -49,6 +60,8 @@
     pub(super) watches: Watches,
     pub(super) status: StatusWriter,
     pub(super) local: LocalState,
+    /// Routes by host, where there is a configuration of the whole fleet.
+    pub(super) routing: Option<Arc<RoutingTable>>,
     /// Something that traffic should see has changed.
     pub(super) dirty: bool,
     pub(super) stopping: bool,
@@ -67,6 +80,7 @@
             watches: Watches::default(),
             status: StatusWriter::default(),
             local: LocalState::default(),
+            routing: None,
             dirty: true,
             stopping: false,
             parts,
@@ -88,12 +102,14 @@
         self.step(now, Input::Tick);
         self.watch_upstream(now);
         self.report_load(now);
-        self.seek_document(now);
-        self.accept(now);
-        self.watch_platform(now);
         self.refresh_foreign(now);
-        self.spread_versions(now);
-        self.write_status(now);
+        if self.parts.documents_from == DocumentSource::Teams {
+            self.seek_document(now);
+            self.accept(now);
+            self.watch_platform(now);
+            self.spread_versions(now);
+            self.write_status(now);
+        }
     }
 
     /// Begins the graceful stop.
--- a/crates/agent/src/control/tests/fleet.rs
+++ b/crates/agent/src/control/tests/fleet.rs
@@ -75,6 +75,7 @@
             phase: phases,
             handed_over: sender,
             seed: u64::from(control.port()),
+            fleet: None,
         }));
         tokio::spawn(serve_gate(reporter, tasks));
         let versions = tokio::spawn(record_versions(Arc::clone(&snapshots)));
@@ -153,6 +154,8 @@
         state: UpstreamState::Ready,
         slots: 12,
         checks_fence: true,
+        upstream_id: None,
+        sequence: 0,
     };
     let mut announcing = tokio::time::interval(Duration::from_secs(1));
     loop {
@@ -167,7 +170,7 @@
                 Some(GateTask::Close { unit: RecordUnit::Key(key_hash), token, .. }) => {
                     Report::KeyClosed { key_hash, token }
                 }
-                Some(GateTask::Grant { .. }) => continue,
+                Some(GateTask::Grant { .. } | GateTask::DropAll) => continue,
             },
         };
         reporter.deliver(report).await;
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -2,13 +2,19 @@
 
 use std::time::Duration;
 
-use model::Timestamp;
+use model::{Timestamp, Token};
 use ownership::{Input, UpstreamState};
 
-use crate::{control::state::Control, report::Announcement};
+use crate::{
+    control::state::Control,
+    report::{Announcement, UpstreamId},
+};
 
 /// Silence after which an upstream that announced itself each second counts as lost.
 const SILENCE_MAX: Duration = Duration::from_secs(4);
+/// An upstream that has been silent for this many of its announcements may have been followed by
+/// another at its address; one that announces itself goes on within one and some jitter.
+const ANOTHER_LIFE_AFTER: f64 = 1.5;
 /// How often the load goes to the coordinator.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
 
@@ -21,6 +27,17 @@
     seen_by_gate: Option<UpstreamState>,
     told: Option<UpstreamState>,
     load_reported_at: Timestamp,
+    /// The upstream has said that it leaves for good.
+    is_leaving: bool,
+}
+
+/// How an announcement stands to what is known of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    Same,
+    NewLife,
+    /// It has been on the way for so long that it says nothing about now.
+    Late,
 }
 
 impl LocalState {
@@ -34,6 +51,32 @@
     }
 }
 
+impl LocalState {
+    fn place_of(&self, now: Timestamp, every: Duration, announcement: &Announcement) -> Place {
+        let Some(known) = &self.announcement else { return Place::Same };
+        let alive = now.since(self.heard_at) < every.mul_f64(ANOTHER_LIFE_AFTER)
+            && self.seen_by_gate != Some(UpstreamState::Lost);
+        match () {
+            _ if known.upstream_id == announcement.upstream_id => {
+                let numbered = announcement.sequence > 0;
+                let late = numbered && announcement.sequence <= known.sequence;
+                if late { Place::Late } else { Place::Same }
+            }
+            // Of two lives at one address the one that goes on announcing itself is there.
+            () if alive => Place::Late,
+            () => Place::NewLife,
+        }
+    }
+
+    /// One that has said that it leaves for good does not come back in the same life.
+    fn as_it_leaves(&self, announcement: Announcement) -> Announcement {
+        match self.is_leaving {
+            true => Announcement { state: UpstreamState::Draining, ..announcement },
+            false => announcement,
+        }
+    }
+}
+
 impl Control {
     pub(super) fn announced(&mut self, announcement: Announcement) {
         if announcement.service != *self.service() {
@@ -44,18 +87,59 @@
             );
             return;
         }
-        self.local.heard_at = self.now();
-        if self.local.announcement.as_ref() != Some(&announcement) {
+        let now = self.now();
+        match self.local.place_of(now, self.parts.settings.announced_every, &announcement) {
+            Place::Late => {
+                log::debug!(target: "control", "An announcement of the upstream came late.");
+                return;
+            }
+            Place::NewLife => {
+                log::info!(
+                    target: "control",
+                    "Another life of the upstream, {:?}, is at {}.",
+                    announcement.upstream_id, announcement.address,
+                );
+                self.local.is_leaving = false;
+                self.step(now, Input::DropSession { reason: "upstream replaced" });
+            }
+            Place::Same => {}
+        }
+        let announcement = self.local.as_it_leaves(announcement);
+        self.local.heard_at = now;
+        // It lives, whatever became of a connection.
+        self.local.seen_by_gate.take_if(|_| announcement.upstream_id.is_some());
+        let news = self.local.announcement.as_ref().is_none_or(|it| !it.is_like(&announcement));
+        if news {
             log::info!(
                 target: "control",
                 "The upstream at {} is {:?}.", announcement.address, announcement.state,
             );
-            self.local.announcement = Some(announcement);
             self.dirty = true;
         }
+        self.local.announcement = Some(announcement);
+        self.tell_upstream_state();
+    }
+
+    /// The upstream has said that it leaves for good.
+    pub(super) fn upstream_leaves(&mut self, upstream_id: &UpstreamId) {
+        let Some(announcement) = &mut self.local.announcement else { return };
+        if announcement.upstream_id.as_ref() != Some(upstream_id) {
+            return;
+        }
+        log::info!(target: "control", "The upstream {upstream_id} leaves.");
+        announcement.state = UpstreamState::Draining;
+        self.local.is_leaving = true;
+        self.dirty = true;
         self.tell_upstream_state();
     }
 
+    /// The upstream has seen a higher token than one it was granted under: another coordinator has
+    /// been at work, or this one's tokens are not the newest. A new session gets new ones.
+    pub(super) fn grant_outdated(&mut self, now: Timestamp, token: Token) {
+        log::warn!(target: "control", "The upstream refuses grants of token {token}.");
+        self.step(now, Input::DropSession { reason: "token outdated" });
+    }
+
     pub(super) fn seen_by_gate(&mut self, state: UpstreamState) {
         if self.local.seen_by_gate != Some(state) {
             log::info!(target: "control", "The gate sees its upstream as {state:?}.");
--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -10,8 +10,9 @@
 
 use model::{Instance, NotRunReason, Outcome, ServiceName, TeamName, Timestamp, UnknownReason};
 use rand::RngExt;
+use settings::TrafficLimits;
 use tokio::time::sleep;
-use traffic::{Attempt, Attempts, Retries, RetryConfig, RetryVerdict};
+use traffic::{Attempt, Attempts, Charge, Retries, RetryConfig, RetryVerdict};
 
 use crate::{
     clock::Clock,
@@ -55,10 +56,10 @@
 
 /// The final answer for a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Ending {
-    pub(crate) reply: GateReply,
+pub struct Ending {
+    pub reply: GateReply,
     /// When the caller may come back.
-    pub(crate) retry_after: Option<Duration>,
+    pub retry_after: Option<Duration>,
 }
 
 /// Where to send a request next, beside the snapshot's routes.
@@ -78,8 +79,7 @@
     fn state(&self, routes: &ServiceRoutes) -> Arc<ServiceState> {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         let new = || {
-            let budget_share = routes.document.limits.retry_share;
-            let config = RetryConfig { budget_share, ..RetryConfig::default() };
+            let config = retry_config(&routes.document.limits);
             Arc::new(ServiceState {
                 retries: Mutex::new(Retries::new(config)),
                 selector: Selector::new(self.parts.own.clone()),
@@ -93,9 +93,10 @@
         let clock = self.parts.clock;
         let started = clock.now();
         let deadline = started + request.remaining;
-        let mut attempts = Attempts::default();
+        let mut attempts = Attempts::new(request.attempts);
         let mut trail = Trail::default();
         let mut fresh = true;
+        let mut sent_before = false;
         // An earlier try, or an earlier sending of the caller's, may have run, whatever the later
         // ones say.
         let earlier = (!request.age.is_zero()).then_some(UnknownReason::NoRecord);
@@ -111,7 +112,7 @@
             }
             let now = clock.now();
             request.remaining = deadline.since(now);
-            if attempts != Attempts::default() {
+            if std::mem::replace(&mut sent_before, true) {
                 // The caller may have sent it again elsewhere while it was held here.
                 request.held = now.since(started);
             }
@@ -199,6 +200,19 @@
     }
 }
 
+fn retry_config(limits: &TrafficLimits) -> RetryConfig {
+    RetryConfig {
+        budget_share: limits.retry_share,
+        budget_max: f64::from(limits.retry_burst),
+        charge: match limits.retries_count_after_upstream {
+            true => Charge::AfterUpstream,
+            false => Charge::EveryRetry,
+        },
+        unowned_wait: limits.unowned_wait,
+        ..RetryConfig::default()
+    }
+}
+
 /// The worst of all tries. A caller has no use for the name of an owner.
 fn final_reply(reply: GateReply, unknown: Option<UnknownReason>) -> GateReply {
     match (reply, unknown) {
--- a/crates/agent/src/forward/selector.rs
+++ b/crates/agent/src/forward/selector.rs
@@ -60,7 +60,7 @@
         match (&routes.routes, request.key_hash) {
             _ if hint.is_some() => hint,
             (Routes::ByKey(routes), Some(key_hash)) => by_key(routes, key_hash, tried),
-            (Routes::Any(members), None) if request.idempotent => {
+            (Routes::Any(members), None) if request.idempotent || !routes.document.resends => {
                 self.pick(now, routes, members, tried)
             }
             // Whether another member may stand in for the home is for that member to say.
@@ -123,7 +123,8 @@
         routes: &ServiceRoutes,
         request: &GateRequest,
     ) -> Asking {
-        let picked = matches!(routes.routes, Routes::Any(_)) && request.idempotent;
+        let free = request.idempotent || !routes.document.resends;
+        let picked = matches!(routes.routes, Routes::Any(_)) && free;
         Asking {
             selection: picked.then(|| Arc::clone(&self.selection)),
             clock,
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -34,6 +34,12 @@
 }
 
 impl Bound {
+    /// Whether this leads to the life of the upstream that announced itself.
+    fn is_of(&self, announcement: &Announcement) -> bool {
+        self.announcement.address == announcement.address
+            && self.announcement.upstream_id == announcement.upstream_id
+    }
+
     /// No new work may reach the upstream any more. Until half of the document's time has passed
     /// it still may: the news that this instance is leaving takes a while to spread.
     pub(crate) fn refuses_work(&self, now: Timestamp) -> bool {
@@ -73,13 +79,13 @@
         announcement: &Announcement,
     ) -> anyhow::Result<Bound> {
         let document = &service.document;
-        let same_address = former.filter(|it| it.announcement.address == announcement.address);
+        let same_upstream = former.filter(|it| it.is_of(announcement));
         // A version may change limits of the client: connections are cheap to make anew.
-        let upstream = match same_address.filter(|it| it.version == service.version) {
+        let upstream = match same_upstream.filter(|it| it.version == service.version) {
             Some(former) => Arc::clone(&former.upstream),
-            None => (self.connect)(announcement.address, document)?,
+            None => (self.connect)(announcement, document)?,
         };
-        let lane = match same_address {
+        let lane = match same_upstream {
             Some(it)
                 if it.version == service.version
                     && it.announcement.slots == announcement.slots
--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -24,6 +24,8 @@
         token: Token,
         to: Option<Instance>,
     },
+    /// Everything that the upstream was granted runs out.
+    DropAll,
     /// Tell the upstream of a grant.
     Grant {
         slot: Slot,
@@ -68,6 +70,7 @@
                 GateCommand::Admit { slot, token } => {
                     GateTask::Grant { slot: *slot, token: *token }
                 }
+                GateCommand::DropAll => GateTask::DropAll,
                 _ => continue,
             };
             if self.tasks.send(task).is_err() {
--- a/crates/agent/src/gate/health.rs
+++ b/crates/agent/src/gate/health.rs
@@ -21,6 +21,9 @@
     loop {
         tick.tick().await;
         let Some(bound) = gate.bound.load_full() else { continue };
+        if !bound.upstream.is_asked_for_health() {
+            continue;
+        }
         let asked = gate.clock.now();
         let health = timeout(ASK_TIMEOUT, bound.upstream.health()).await;
         let now = gate.clock.now();
--- /dev/null
+++ b/crates/agent/src/gate/leases/book.rs
@@ -0,0 +1,304 @@
+//! What the upstream has been granted, slot by slot. No I/O: calls to the upstream are returned and
+//! their ends told.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use model::{Instance, Slot, Timestamp, Token};
+use upstream::HandoverToken;
+
+/// How much longer than it was told an upstream may hold a key, since its clock may be slow: 2% is
+/// what the platform states.
+const SLOW_CLOCK: f64 = 1.02;
+/// What the way of a call to the upstream on the same instance may take.
+const CALL_MARGIN: Duration = Duration::from_millis(20);
+/// A grant for a shorter time is of no use.
+const HOLD_MIN: Duration = Duration::from_millis(100);
+/// A renewal must gain this much: a fifth of a lease of 1.5 s, so three calls a second and run.
+const RENEWAL_GAIN: Duration = Duration::from_millis(300);
+/// The pause after a call that failed.
+const RETRY_AFTER: Duration = Duration::from_millis(50);
+/// How long a release may take, for the handover token's sake; a shorter rest of the lease does not
+/// cut it short. Keys that come without it are slow at their new owner for some seconds.
+const RELEASE_MAX: Duration = Duration::from_millis(1_800);
+/// How long a handover token waits for its grant.
+const HANDOVER_KEPT: Duration = Duration::from_secs(5);
+const HANDOVERS_MAX: usize = 256;
+
+/// Neighbouring slots that are treated alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Run {
+    pub(super) first: Slot,
+    pub(super) last: Slot,
+    pub(super) token: Token,
+}
+
+/// A call to the upstream that is due.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Call {
+    Grant {
+        run: Run,
+        hold: Duration,
+        handover: Option<HandoverToken>,
+    },
+    /// `to` takes the keys over.
+    Release {
+        run: Run,
+        to: Option<Instance>,
+        wait: Duration,
+    },
+}
+
+/// How a grant ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum GrantEnd {
+    Taken,
+    /// The upstream has seen a higher token.
+    Outdated,
+    /// It may or may not take effect.
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Closing {
+    to: Option<Instance>,
+    until: Timestamp,
+    releasing: bool,
+}
+
+#[derive(Debug)]
+struct SlotLease {
+    token: Token,
+    handover: Option<HandoverToken>,
+    /// Requests may be given until then: the upstream has acknowledged the grant.
+    usable_until: Timestamp,
+    /// The upstream may hold the slot until then, whatever was lost on the way.
+    held_until: Timestamp,
+    /// Set while a grant is on its way: until when the upstream would hold the slot by it.
+    calling: Option<Timestamp>,
+    /// The same of grants that got no answer: these may take effect after a later release.
+    doubtful_until: Timestamp,
+    next_call: Timestamp,
+    closing: Option<Closing>,
+}
+
+#[derive(Debug)]
+struct Handover {
+    first: Slot,
+    last: Slot,
+    text: HandoverToken,
+    at: Timestamp,
+}
+
+/// All slots that the upstream is to hold, holds, or is giving up.
+#[derive(Debug, Default)]
+pub(super) struct LeaseBook {
+    slots: BTreeMap<Slot, SlotLease>,
+    handovers: Vec<Handover>,
+}
+
+impl LeaseBook {
+    /// Control admits a slot.
+    pub(super) fn admit(&mut self, now: Timestamp, slot: Slot, token: Token) {
+        let handover = self.handover_of(now, slot);
+        let former = self.slots.get(&slot);
+        let held_until = former.map_or(now, |it| it.held_until);
+        let doubtful_until = former.map_or(now, SlotLease::doubtful_until);
+        let lease = SlotLease {
+            token,
+            handover,
+            usable_until: Timestamp::ZERO,
+            held_until,
+            calling: None,
+            doubtful_until,
+            next_call: now,
+            closing: None,
+        };
+        self.slots.insert(slot, lease);
+    }
+
+    /// Control takes a slot back. False: it is not held under this token.
+    pub(super) fn close(
+        &mut self,
+        now: Timestamp,
+        slot: Slot,
+        token: Token,
+        to: Option<Instance>,
+    ) -> bool {
+        let Some(lease) = self.slots.get_mut(&slot).filter(|it| it.token == token) else {
+            return false;
+        };
+        let until = lease.held_until.max(now + RELEASE_MAX);
+        lease.closing = Some(Closing { to, until, releasing: false });
+        true
+    }
+
+    /// The lease is gone: what the upstream holds runs out with it.
+    pub(super) fn drop_all(&mut self) {
+        self.slots.clear();
+    }
+
+    /// Another life of the upstream: it holds nothing.
+    pub(super) fn upstream_replaced(&mut self, now: Timestamp) {
+        for lease in self.slots.values_mut() {
+            lease.usable_until = Timestamp::ZERO;
+            lease.held_until = now;
+            lease.doubtful_until = now;
+            lease.handover = None;
+        }
+    }
+
+    /// The former owner's gate hands a token over.
+    pub(super) fn take_handover(
+        &mut self,
+        now: Timestamp,
+        first: Slot,
+        last: Slot,
+        text: HandoverToken,
+    ) {
+        self.handovers.retain(|it| now.since(it.at) < HANDOVER_KEPT);
+        if self.handovers.len() < HANDOVERS_MAX {
+            self.handovers.push(Handover { first, last, text, at: now });
+        }
+    }
+
+    fn handover_of(&self, now: Timestamp, slot: Slot) -> Option<HandoverToken> {
+        let fits = |it: &&Handover| {
+            (it.first..=it.last).contains(&slot) && now.since(it.at) < HANDOVER_KEPT
+        };
+        self.handovers.iter().rev().find(fits).map(|it| Arc::clone(&it.text))
+    }
+
+    /// Whether requests for a slot may be given to the upstream.
+    pub(super) fn is_usable(&self, now: Timestamp, slot: Slot) -> bool {
+        let lease = self.slots.get(&slot);
+        lease.is_some_and(|it| it.closing.is_none() && now < it.usable_until)
+    }
+
+    /// The calls that are due. `lease_until` is the end of the lease that this agent has itself: no
+    /// grant outlasts it.
+    pub(super) fn calls(&mut self, now: Timestamp, lease_until: Timestamp) -> Vec<Call> {
+        let hold = lease_until.since(now).saturating_sub(CALL_MARGIN).div_f64(SLOW_CLOCK);
+        let mut calls: Vec<Call> = Vec::new();
+        for (slot, lease) in &mut self.slots {
+            let wants_grant = lease.wants_grant(now, hold);
+            let call = match &mut lease.closing {
+                Some(closing) if !closing.releasing && now < closing.until => {
+                    closing.releasing = true;
+                    let run = Run { first: *slot, last: *slot, token: lease.token };
+                    let wait = closing.until.since(now);
+                    Call::Release { run, to: closing.to.clone(), wait }
+                }
+                Some(_) => continue,
+                None if wants_grant => {
+                    // The time counts from when the call arrives, on a clock that may be slow.
+                    let ends = now + hold.mul_f64(SLOW_CLOCK) + CALL_MARGIN;
+                    lease.held_until = lease.held_until.max(ends);
+                    lease.calling = Some(ends);
+                    let run = Run { first: *slot, last: *slot, token: lease.token };
+                    Call::Grant { run, hold, handover: lease.handover.clone() }
+                }
+                None => continue,
+            };
+            if !calls.last_mut().is_some_and(|it| it.takes(&call)) {
+                calls.push(call);
+            }
+        }
+        calls
+    }
+
+    /// A grant that was sent at `sent_at` has ended.
+    pub(super) fn grant_ended(
+        &mut self,
+        now: Timestamp,
+        run: Run,
+        sent_at: Timestamp,
+        hold: Duration,
+        end: GrantEnd,
+    ) {
+        for (_, lease) in self.slots.range_mut(run.first..=run.last) {
+            if lease.token != run.token {
+                continue;
+            }
+            let ends = lease.calling.take().unwrap_or_default();
+            match end {
+                GrantEnd::Taken => {
+                    lease.usable_until = lease.usable_until.max(sent_at + hold);
+                    // It is warm from now on.
+                    lease.handover = None;
+                }
+                GrantEnd::Outdated | GrantEnd::Unknown => {
+                    lease.doubtful_until = lease.doubtful_until.max(ends);
+                    lease.next_call = now + RETRY_AFTER;
+                }
+            }
+        }
+    }
+
+    /// A release has ended: with an answer, or without. Returns the slots that are closed.
+    pub(super) fn release_ended(
+        &mut self,
+        now: Timestamp,
+        run: Run,
+        is_answered: bool,
+    ) -> Vec<(Slot, Token)> {
+        for (_, lease) in self.slots.range_mut(run.first..=run.last) {
+            let doubtful_until = lease.doubtful_until();
+            let Some(closing) = lease.closing.as_mut().filter(|_| lease.token == run.token) else {
+                continue;
+            };
+            closing.releasing = false;
+            if is_answered {
+                closing.until = now;
+                lease.held_until = doubtful_until.max(now);
+            }
+        }
+        self.take_closed(now)
+    }
+
+    /// Slots that the upstream cannot hold any more.
+    pub(super) fn take_closed(&mut self, now: Timestamp) -> Vec<(Slot, Token)> {
+        let is_closed = |it: &SlotLease| {
+            let over = it.closing.as_ref().is_some_and(|it| it.until <= now && !it.releasing);
+            over && it.held_until <= now
+        };
+        let closed = self.slots.extract_if(.., |_, it| is_closed(it));
+        closed.map(|(slot, it)| (slot, it.token)).collect()
+    }
+}
+
+impl SlotLease {
+    /// Until when grants that have no answer may make the upstream hold the slot.
+    fn doubtful_until(&self) -> Timestamp {
+        self.doubtful_until.max(self.calling.unwrap_or_default())
+    }
+
+    fn wants_grant(&self, now: Timestamp, hold: Duration) -> bool {
+        self.calling.is_none()
+            && self.next_call <= now
+            && hold >= HOLD_MIN
+            && now + hold >= self.usable_until + RENEWAL_GAIN
+    }
+}
+
+impl Call {
+    /// Extends this call by the next slot's, if they are alike.
+    fn takes(&mut self, next: &Call) -> bool {
+        let (run, next_run) = match (&mut *self, next) {
+            (
+                Call::Grant { run, handover, .. },
+                Call::Grant { run: next, handover: next_handover, .. },
+            ) if handover == next_handover => (run, next),
+            (Call::Release { run, to, .. }, Call::Release { run: next, to: next_to, .. })
+                if to == next_to =>
+            {
+                (run, next)
+            }
+            _ => return false,
+        };
+        let follows = run.last.0 + 1 == next_run.first.0 && run.token == next_run.token;
+        if follows {
+            run.last = next_run.last;
+        }
+        follows
+    }
+}
--- /dev/null
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -0,0 +1,161 @@
+//! Carries out what the book of leases says is due.
+
+use std::{sync::Arc, time::Duration};
+
+use model::{KeyRange, OrderedKeys, Slot, SlotCount, Token};
+use tokio::time::{sleep, timeout};
+use upstream::{GrantError, GrantedKeys, HandoverToken, LeasedUpstream};
+use wire::traffic::Unit;
+
+use crate::{
+    gate::{
+        Gate,
+        bound::Bound,
+        leases::book::{Call, GrantEnd, Run},
+    },
+    links::traffic::Handover,
+    report::{Report, UpstreamId},
+};
+
+/// How often the end of the agent's own lease is looked at: often enough that a lease of 1.5 s that is
+/// renewed each 0.4 s is passed on without delay.
+const TICK: Duration = Duration::from_millis(100);
+/// What control admits or takes back in one step is gathered for this long.
+const GATHER_FOR: Duration = Duration::from_millis(2);
+/// An upstream on the same instance answers within a few milliseconds or not at all.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Runs for as long as the gate does.
+pub(crate) async fn run(gate: Arc<Gate>) {
+    let mut known: Option<UpstreamId> = None;
+    loop {
+        let due = timeout(TICK, gate.leases.due.notified()).await;
+        if due.is_ok() {
+            sleep(GATHER_FOR).await;
+        }
+        let Some(bound) = gate.bound.load_full() else { continue };
+        if bound.upstream.leases().is_none() {
+            continue;
+        }
+        if bound.announcement.upstream_id != known {
+            known.clone_from(&bound.announcement.upstream_id);
+            gate.leases.book().upstream_replaced(gate.clock.now());
+        }
+        step(&gate, &bound).await;
+    }
+}
+
+async fn step(gate: &Arc<Gate>, bound: &Arc<Bound>) {
+    let now = gate.clock.now();
+    let lease_until = gate.handle.table.lease_until();
+    let (calls, closed) = {
+        let mut book = gate.leases.book();
+        (book.calls(now, lease_until), book.take_closed(now))
+    };
+    report_closed(gate, closed).await;
+    for call in calls {
+        let (gate, bound) = (Arc::clone(gate), Arc::clone(bound));
+        tokio::spawn(async move {
+            match call {
+                Call::Grant { run, hold, handover } => {
+                    grant(&gate, &bound, run, hold, handover).await
+                }
+                Call::Release { run, to, wait } => {
+                    let handover = release(&gate, &bound, run, wait).await;
+                    if let (Some(text), Some(to), Some(links)) = (&handover, to, gate.links.get()) {
+                        let handover = handover_of(&bound, run, text);
+                        if !links.hand_over(&to, &handover).await {
+                            log::warn!(target: "gate", "{to} did not take the handover token of slots {} to {}: their keys start cold.", run.first, run.last);
+                        }
+                    }
+                    let closed = {
+                        let mut book = gate.leases.book();
+                        book.release_ended(gate.clock.now(), run, handover.is_some())
+                    };
+                    report_closed(&gate, closed).await;
+                }
+            }
+        });
+    }
+}
+
+async fn grant(
+    gate: &Gate,
+    bound: &Bound,
+    run: Run,
+    hold: Duration,
+    handover: Option<HandoverToken>,
+) {
+    let sent_at = gate.clock.now();
+    let Some((leases, granted)) = leased(bound, run) else { return };
+    let result = timeout(GRANT_TIMEOUT, leases.grant_keys(granted, hold, handover)).await;
+    let end = match result {
+        Ok(Ok(())) => GrantEnd::Taken,
+        Ok(Err(GrantError::Outdated { peer })) => {
+            log::warn!(target: "gate", "The upstream {peer} has seen a higher token than {} for keys {} to {}.", run.token, granted.keys.first, granted.keys.last);
+            gate.reporter.hint(Report::GrantOutdated { token: run.token });
+            GrantEnd::Outdated
+        }
+        Ok(Err(error)) => {
+            log::debug!(target: "gate", "{error}.");
+            GrantEnd::Unknown
+        }
+        Err(_) => {
+            log::debug!(target: "gate", "A grant of keys {} to {} got no answer.", granted.keys.first, granted.keys.last);
+            GrantEnd::Unknown
+        }
+    };
+    gate.leases.book().grant_ended(gate.clock.now(), run, sent_at, hold, end);
+    if end == GrantEnd::Taken {
+        gate.sign(gate.clock.now());
+        gate.leases.usable.send_replace(());
+    }
+}
+
+/// The upstream's handover token; none: it did not answer, or has none. An answer without a token
+/// counts as one with an empty token.
+async fn release(gate: &Gate, bound: &Bound, run: Run, wait: Duration) -> Option<HandoverToken> {
+    let (leases, granted) = leased(bound, run)?;
+    let result = timeout(wait, leases.release_keys(granted)).await;
+    match result {
+        Ok(Ok(handover)) => {
+            gate.sign(gate.clock.now());
+            Some(handover.unwrap_or_default())
+        }
+        Ok(Err(error)) => {
+            log::info!(target: "gate", "{error}.");
+            // Not at once again: the upstream may be gone.
+            sleep(wait.min(GRANT_TIMEOUT)).await;
+            None
+        }
+        Err(_) => {
+            log::info!(target: "gate", "A release of keys {} to {} got no answer within {wait:?}.", granted.keys.first, granted.keys.last);
+            None
+        }
+    }
+}
+
+fn leased(bound: &Bound, run: Run) -> Option<(&dyn LeasedUpstream, GrantedKeys)> {
+    let keys = bound.document.ordered_keys?;
+    let keys = keys_of(keys, bound.document.slot_count, run);
+    Some((bound.upstream.leases()?, GrantedKeys { keys, token: run.token }))
+}
+
+fn keys_of(keys: OrderedKeys, slot_count: SlotCount, run: Run) -> KeyRange {
+    keys.of_slots(slot_count, run.first, run.last)
+}
+
+fn handover_of(bound: &Bound, run: Run, text: &HandoverToken) -> Handover {
+    Handover {
+        service: bound.service.clone(),
+        unit: Unit::Slots { first: run.first, last: run.last },
+        token: run.token,
+        records: bytes::Bytes::copy_from_slice(text.as_bytes()),
+    }
+}
+
+async fn report_closed(gate: &Gate, closed: Vec<(Slot, Token)>) {
+    for (slot, token) in closed {
+        gate.reporter.deliver(Report::Closed { slot, token }).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/src/gate/leases/mod.rs
@@ -0,0 +1,100 @@
+//! Keeps the leases of an upstream that enforces them itself in line with what control admits.
+//!
+//! Invariants: no grant outlasts the agent's own lease; a request is given to the upstream only under
+//! a grant that it has acknowledged; a slot is reported closed only when the upstream has released it
+//! or cannot hold it any more.
+
+mod book;
+mod keeper;
+
+#[cfg(test)]
+mod tests;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use model::{Instance, Slot, Timestamp, Token};
+use tokio::{
+    sync::{Notify, watch},
+    time::{Instant, timeout_at},
+};
+use upstream::HandoverToken;
+
+use self::book::LeaseBook;
+
+pub(super) use self::keeper::run;
+
+/// The leases of the upstream beside this agent.
+#[derive(Debug)]
+pub(super) struct Leases {
+    book: Mutex<LeaseBook>,
+    /// Something is to be done.
+    due: Notify,
+    /// Changes when a slot becomes usable.
+    usable: watch::Sender<()>,
+}
+
+impl Default for Leases {
+    fn default() -> Leases {
+        Leases { book: Mutex::default(), due: Notify::new(), usable: watch::channel(()).0 }
+    }
+}
+
+impl Leases {
+    fn book(&self) -> MutexGuard<'_, LeaseBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn admit(&self, now: Timestamp, slot: Slot, token: Token) {
+        self.book().admit(now, slot, token);
+        self.due.notify_one();
+    }
+
+    /// False: the upstream has not been granted the slot under this token.
+    pub(super) fn close(
+        &self,
+        now: Timestamp,
+        slot: Slot,
+        token: Token,
+        to: Option<Instance>,
+    ) -> bool {
+        let closing = self.book().close(now, slot, token, to);
+        self.due.notify_one();
+        closing
+    }
+
+    pub(super) fn drop_all(&self) {
+        self.book().drop_all();
+    }
+
+    pub(super) fn take_handover(
+        &self,
+        now: Timestamp,
+        (first, last): (Slot, Slot),
+        text: HandoverToken,
+    ) {
+        self.book().take_handover(now, first, last, text);
+    }
+
+    pub(super) fn is_usable(&self, now: Timestamp, slot: Slot) -> bool {
+        self.book().is_usable(now, slot)
+    }
+
+    /// Waits until a slot is usable, at most until `until`. `now` reads the clock.
+    pub(super) async fn wait_usable(
+        self: &Arc<Leases>,
+        slot: Slot,
+        until: Instant,
+        now: impl Fn() -> Timestamp,
+    ) -> bool {
+        let mut changes = self.usable.subscribe();
+        loop {
+            if self.is_usable(now(), slot) {
+                return true;
+            }
+            match timeout_at(until, changes.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) | Err(_) => return false,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/gate/leases/tests/mod.rs
@@ -0,0 +1,251 @@
+//! Tests of the book of leases.
+
+use std::{sync::Arc, time::Duration};
+
+use model::{Slot, Term, Timestamp, Token};
+use quickcheck::{Gen, QuickCheck};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::book::{Call, GrantEnd, LeaseBook, Run};
+use crate::tests::fakes::instance;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn token(sequence: u64) -> Token {
+    Token { term: Term(1), sequence }
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_ms(ms)
+}
+
+fn run(first: u16, last: u16, sequence: u64) -> Run {
+    Run { first: Slot(first), last: Slot(last), token: token(sequence) }
+}
+
+fn grants(calls: &[Call]) -> Vec<Run> {
+    let run = |it: &Call| match it {
+        Call::Grant { run, .. } => Some(*run),
+        Call::Release { .. } => None,
+    };
+    calls.iter().filter_map(run).collect()
+}
+
+fn releases(calls: &[Call]) -> Vec<Run> {
+    let run = |it: &Call| match it {
+        Call::Release { run, .. } => Some(*run),
+        Call::Grant { .. } => None,
+    };
+    calls.iter().filter_map(run).collect()
+}
+
+/// Admits slots and has the upstream take their grants at once.
+fn granted(book: &mut LeaseBook, now: Timestamp, lease_until: Timestamp) {
+    for call in book.calls(now, lease_until) {
+        let Call::Grant { run, hold, .. } = call else { continue };
+        book.grant_ended(now, run, now, hold, GrantEnd::Taken);
+    }
+}
+
+#[test]
+fn neighbours_under_one_token_are_one_grant() {
+    let mut book = LeaseBook::default();
+    for slot in [1, 2, 3, 7] {
+        book.admit(at(0), Slot(slot), token(1));
+    }
+    book.admit(at(0), Slot(4), token(2));
+    let calls = book.calls(at(0), at(1500));
+    assert_eq!(grants(&calls), [run(1, 3, 1), run(4, 4, 2), run(7, 7, 1)]);
+    assert!(book.calls(at(0), at(1500)).is_empty(), "they are on their way");
+}
+
+#[test]
+fn a_slot_is_usable_once_the_upstream_has_taken_its_grant_and_while_it_lasts() {
+    let mut book = LeaseBook::default();
+    book.admit(at(0), Slot(1), token(1));
+    assert!(!book.is_usable(at(0), Slot(1)));
+    let calls = book.calls(at(0), at(1500));
+    assert!(!book.is_usable(at(0), Slot(1)), "no answer yet");
+    let Call::Grant { run, hold, .. } = &calls[0] else { panic!("{calls:?}") };
+    assert!(hold.mul_f64(1.02) < 1500 * MS, "a slow clock must not outlast the lease");
+    book.grant_ended(at(5), *run, at(0), *hold, GrantEnd::Taken);
+    assert!(book.is_usable(at(1400), Slot(1)));
+    assert!(!book.is_usable(at(1500), Slot(1)));
+}
+
+#[test]
+fn renewals_follow_the_lease_but_not_each_step_of_it() {
+    let mut book = LeaseBook::default();
+    book.admit(at(0), Slot(1), token(1));
+    granted(&mut book, at(0), at(1500));
+    assert!(book.calls(at(100), at(1600)).is_empty());
+    assert_eq!(grants(&book.calls(at(400), at(1900))), [run(1, 1, 1)]);
+}
+
+#[test]
+fn without_a_lease_nothing_is_granted() {
+    let mut book = LeaseBook::default();
+    book.admit(at(1000), Slot(1), token(1));
+    assert!(book.calls(at(1000), at(0)).is_empty());
+    assert!(book.calls(at(1000), at(1050)).is_empty(), "too short to be of use");
+}
+
+#[test]
+fn a_closing_slot_is_not_used_and_is_closed_by_the_upstreams_answer() {
+    let mut book = LeaseBook::default();
+    for slot in 1..=4 {
+        book.admit(at(0), Slot(slot), token(1));
+    }
+    granted(&mut book, at(0), at(1500));
+    let to = instance("other", "127.0.0.1:1".parse().unwrap());
+    assert!(book.close(at(10), Slot(2), token(1), Some(to.clone())));
+    assert!(book.close(at(10), Slot(3), token(1), Some(to)));
+    assert!(!book.close(at(10), Slot(3), token(9), None), "another token");
+    assert!(!book.is_usable(at(10), Slot(2)));
+    assert!(book.is_usable(at(10), Slot(1)));
+    let calls = book.calls(at(10), at(1500));
+    assert_eq!(releases(&calls), [run(2, 3, 1)]);
+    assert!(book.take_closed(at(20)).is_empty());
+    let closed = book.release_ended(at(20), run(2, 3, 1), true);
+    assert_eq!(closed, [(Slot(2), token(1)), (Slot(3), token(1))]);
+}
+
+/// The upstream never answers a release: the slot is closed once it cannot hold it any more.
+#[test]
+fn a_lost_release_delays_the_close_until_the_grant_has_run_out() {
+    let mut book = LeaseBook::default();
+    book.admit(at(0), Slot(1), token(1));
+    granted(&mut book, at(0), at(3000));
+    book.close(at(0), Slot(1), token(1), None);
+    assert_eq!(releases(&book.calls(at(0), at(3000))), [run(1, 1, 1)]);
+    assert!(book.release_ended(at(1800), run(1, 1, 1), false).is_empty());
+    assert_eq!(releases(&book.calls(at(1800), at(4000))), [run(1, 1, 1)], "asked again");
+    assert!(book.release_ended(at(2900), run(1, 1, 1), false).is_empty());
+    let closed = book.take_closed(at(3100));
+    assert_eq!(closed, [(Slot(1), token(1))]);
+}
+
+#[test]
+fn a_handover_token_goes_with_the_grant_that_follows_it() {
+    let mut book = LeaseBook::default();
+    book.take_handover(at(0), Slot(2), Slot(3), Arc::from("warm"));
+    for slot in 1..=3 {
+        book.admit(at(10), Slot(slot), token(1));
+    }
+    let calls = book.calls(at(10), at(1500));
+    assert_eq!(grants(&calls), [run(1, 1, 1), run(2, 3, 1)]);
+    let Call::Grant { handover, .. } = &calls[1] else { panic!("{calls:?}") };
+    assert_eq!(handover.as_deref(), Some("warm"));
+    granted(&mut book, at(10), at(1500));
+    book.admit(at(60_000), Slot(2), token(2));
+    let calls = book.calls(at(60_000), at(61_500));
+    let Some(Call::Grant { handover: None, .. }) = calls.first() else { panic!("{calls:?}") };
+}
+
+#[test]
+fn another_life_of_the_upstream_holds_nothing() {
+    let mut book = LeaseBook::default();
+    book.admit(at(0), Slot(1), token(1));
+    granted(&mut book, at(0), at(1500));
+    book.upstream_replaced(at(100));
+    assert!(!book.is_usable(at(100), Slot(1)));
+}
+
+/// An upstream as the platform describes it: grants may be applied late, and then count from when they
+/// arrived; its clock may be 2% slow; releases may be lost. Whatever comes, it holds no slot after the
+/// book has said that the slot is closed, nor after the lease, and is not asked for a slot it does not
+/// hold.
+#[test]
+fn random_upstreams() {
+    fn play(seed: u64) {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut book = LeaseBook::default();
+        let mut lease_until = at(0);
+        // What the upstream may hold: slot, token, until when in true time.
+        let mut held: Vec<(u16, u64, Timestamp)> = Vec::new();
+        let mut sequence = 0;
+        let mut current: Vec<Option<u64>> = vec![None; 8];
+        let mut waiting: Vec<(Timestamp, Timestamp, Call, bool)> = Vec::new();
+        // Grants without an answer that are still to be applied, and when.
+        let mut late: Vec<(Timestamp, (u16, u64, Timestamp))> = Vec::new();
+        for step in 0..400 {
+            let now = at(step * 25);
+            for (_, grant) in late.extract_if(.., |it| it.0 <= now) {
+                held.push(grant);
+            }
+            if rng.random_bool(0.2) {
+                lease_until = now + rng.random_range(500..1500) * MS;
+            }
+            let slot = rng.random_range(0..8_u16);
+            match (rng.random_range(0..10), current[usize::from(slot)]) {
+                (0..=3, None) => {
+                    sequence += 1;
+                    current[usize::from(slot)] = Some(sequence);
+                    book.admit(now, Slot(slot), token(sequence));
+                }
+                (0, Some(held)) => {
+                    book.close(now, Slot(slot), token(held), None);
+                }
+                _ => {}
+            }
+            for call in book.calls(now, lease_until) {
+                let answered = rng.random_bool(0.8);
+                let ends = now + rng.random_range(0..200) * MS;
+                if let Call::Grant { run, hold, .. } = &call {
+                    // It arrives at once, even if it is applied later.
+                    let is_late = !answered && rng.random_bool(0.5);
+                    let applied_at = now + rng.random_range(0..1000) * MS;
+                    let until = now + hold.mul_f64(1.02);
+                    assert!(until <= lease_until, "seed {seed}: a grant outlasts the lease");
+                    for slot in run.first.0..=run.last.0 {
+                        let grant = (slot, run.token.sequence, until);
+                        match is_late {
+                            true => late.push((applied_at, grant)),
+                            false => held.push(grant),
+                        }
+                    }
+                }
+                waiting.push((now, ends, call, answered));
+            }
+            let mut closed = book.take_closed(now);
+            for (sent_at, _, call, answered) in waiting.extract_if(.., |it| it.1 <= now) {
+                match call {
+                    Call::Grant { run, hold, .. } => {
+                        let end = if answered { GrantEnd::Taken } else { GrantEnd::Unknown };
+                        book.grant_ended(now, run, sent_at, hold, end);
+                    }
+                    Call::Release { run, .. } => {
+                        if answered {
+                            held.retain(|it| {
+                                !(run.first.0..=run.last.0).contains(&it.0)
+                                    || it.1 != run.token.sequence
+                            });
+                        }
+                        closed.extend(book.release_ended(now, run, answered));
+                    }
+                }
+            }
+            for (slot, token) in closed {
+                let holds = |it: &&(u16, u64, Timestamp)| {
+                    it.0 == slot.0 && it.1 == token.sequence && now < it.2
+                };
+                assert!(!held.iter().any(|it| holds(&it)), "seed {seed}: closed {slot} is held");
+                if current[usize::from(slot.0)] == Some(token.sequence) {
+                    current[usize::from(slot.0)] = None;
+                }
+            }
+            for slot in (0..8).filter(|it| book.is_usable(now, Slot(*it))) {
+                let holds = held.iter().any(|it| it.0 == slot && now < it.2);
+                assert!(holds, "seed {seed}: {slot} is used but not held");
+            }
+        }
+    }
+    fn property(seed: u64) {
+        play(seed);
+    }
+    QuickCheck::new()
+        .tests(300)
+        .rng(Gen::from_size_and_seed(100, 5))
+        .quickcheck(property as fn(u64));
+}
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -7,6 +7,7 @@
 mod handle;
 mod health;
 mod lane;
+mod leases;
 pub(crate) mod load;
 mod records;
 mod run;
@@ -14,12 +15,9 @@
 mod upstream_clock;
 mod worker;
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc, OnceLock,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
-    },
+use std::sync::{
+    Arc, OnceLock,
+    atomic::{AtomicU64, AtomicUsize, Ordering},
 };
 
 use arc_swap::ArcSwapOption;
@@ -32,12 +30,13 @@
     clock::Clock,
     links::traffic::{Handler, Handover, Serving, TrafficLinks},
     metrics::Metrics,
-    report::{Report, Reporter},
+    report::{Announcement, Report, Reporter},
     request::{GateReply, GateRequest},
     snapshot::SnapshotCell,
 };
 
 use bound::Bound;
+use leases::Leases;
 use records::Book;
 
 pub(crate) use upstream_clock::UpstreamClock;
@@ -46,8 +45,8 @@
 pub(crate) use handle::GateTask;
 
 /// Makes the client of an upstream.
-pub(crate) type Connect =
-    Box<dyn Fn(SocketAddr, &ServiceDocument) -> anyhow::Result<Arc<dyn Upstream>> + Send + Sync>;
+pub type Connect =
+    Box<dyn Fn(&Announcement, &ServiceDocument) -> anyhow::Result<Arc<dyn Upstream>> + Send + Sync>;
 
 /// What a gate is made from.
 pub(crate) struct GateParts {
@@ -73,6 +72,7 @@
     connect: Connect,
     bound: ArcSwapOption<Bound>,
     book: OnceLock<Book>,
+    leases: Arc<Leases>,
     links: OnceLock<TrafficLinks>,
     /// When the upstream last answered, on the process's clock.
     last_sign_ns: AtomicU64,
@@ -97,6 +97,7 @@
             connect: parts.connect,
             bound: ArcSwapOption::empty(),
             book: OnceLock::new(),
+            leases: Arc::default(),
             links: OnceLock::new(),
             last_sign_ns: AtomicU64::new(now.ns),
             members_changed_ns: AtomicU64::new(now.ns),
@@ -104,6 +105,7 @@
         });
         tokio::spawn(worker::run(Arc::clone(&gate), parts.tasks));
         tokio::spawn(health::run(Arc::clone(&gate)));
+        tokio::spawn(leases::run(Arc::clone(&gate)));
         gate
     }
 
@@ -190,12 +192,13 @@
 
 /// The client of an upstream over HTTP.
 pub(crate) fn connect_http(
-    address: SocketAddr,
+    announcement: &Announcement,
     document: &ServiceDocument,
 ) -> anyhow::Result<Arc<dyn Upstream>> {
     // One connection for each slot, a few for control calls, and never more than the cap.
     let unused_max =
         (document.upstream.slots as usize).min(document.upstream.connections_max as usize);
-    let upstream = HttpUpstream::new(address, unused_max, document.limits.body_bytes_max)?;
+    let upstream =
+        HttpUpstream::new(announcement.address, unused_max, document.limits.body_bytes_max)?;
     Ok(Arc::new(upstream))
 }
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, StatusCode};
 use model::{Instance, KeyHash, NotRunReason, RequestId, Slot, Timestamp, Token, UnknownReason};
-use ownership::FenceCheck;
+use ownership::{FenceCheck, UpstreamState};
 use tokio::{
     sync::oneshot,
     time::{sleep_until, timeout},
@@ -21,6 +21,7 @@
         records::{Begun, RequestKey},
         table::{Admittance, Clearance, Entry, Grant, NotAdmitted},
     },
+    report::Report,
     request::{GateReply, GateRequest},
     snapshot::Routes,
 };
@@ -32,6 +33,8 @@
 /// How much earlier than it was told an upstream may give up: it counts in whole milliseconds.
 const GIVE_UP_MARGIN: Duration = Duration::from_millis(5);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a request waits for a grant that is on its way to the upstream.
+const GRANT_WAIT: Duration = Duration::from_millis(500);
 /// The unit of records of a service that is not divided by key.
 const WHOLE_SERVICE: RecordUnit = RecordUnit::Slot(Slot(0));
 
@@ -82,6 +85,14 @@
         if !self.handle.table.lease_holds(now) {
             return GateReply::not_run(NotRunReason::NoOwner);
         }
+        if bound.upstream.leases().is_some() {
+            if bound.refuses_work(now) {
+                return GateReply::not_run(NotRunReason::Draining);
+            }
+            if !self.wait_for_grant(slot, deadline).await {
+                return GateReply::not_run(NotRunReason::NoOwner);
+            }
+        }
         let admittance = entry.admittance;
         let passage = Passage { gate: self, bound, request, deadline, entry: Some(entry) };
         let key = RequestKey { key_hash, slot, id: request.id, age: known_age(request) };
@@ -98,7 +109,7 @@
         if bound.refuses_work(self.clock.now()) {
             return GateReply::not_run(NotRunReason::Draining);
         }
-        if let Some(owner) = self.other_home(request) {
+        if let Some(owner) = self.other_home(bound, request) {
             return GateReply::NotOwner { owner: Some(owner), route_version: 0 };
         }
         let now = self.clock.now();
@@ -118,8 +129,8 @@
     }
 
     /// The member that keeps the record of a request that is not idempotent, if not this one.
-    fn other_home(&self, request: &GateRequest) -> Option<Instance> {
-        if request.idempotent {
+    fn other_home(&self, bound: &Bound, request: &GateRequest) -> Option<Instance> {
+        if request.idempotent || !bound.document.resends {
             return None;
         }
         let snapshot = self.snapshots.load();
@@ -129,6 +140,13 @@
         }
     }
 
+    /// Waits until the upstream has taken the grant of a slot that control has admitted.
+    async fn wait_for_grant(&self, slot: Slot, deadline: Timestamp) -> bool {
+        let until = deadline.min(self.clock.now() + GRANT_WAIT);
+        let now = || self.clock.now();
+        self.leases.wait_usable(slot, self.clock.instant(until), now).await
+    }
+
     fn not_owner(&self, request: &GateRequest, error: NotAdmitted) -> GateReply {
         let snapshot = self.snapshots.load();
         let routes = snapshot.services.get(&request.service).map(|it| &it.routes);
@@ -140,6 +158,15 @@
         GateReply::NotOwner { owner, route_version: routes.route_version }
     }
 
+    /// An upstream that is not asked for its health is lost when it takes no connection, until it
+    /// announces itself again.
+    fn note_unreachable(&self, bound: &Bound, error: &CallError) {
+        let unreachable = matches!(error, CallError::NotSent { .. });
+        if unreachable && !bound.upstream.is_asked_for_health() {
+            self.reporter.hint(Report::Upstream(UpstreamState::Lost));
+        }
+    }
+
     pub(super) fn cancel_upstream(&self, upstream: &Arc<dyn Upstream>, id: RequestId) {
         let upstream = Arc::clone(upstream);
         tokio::spawn(async move {
@@ -159,7 +186,8 @@
         key: RequestKey,
         caller: &mut Caller,
     ) -> GateReply {
-        if self.request.idempotent {
+        // Without resends there is nothing to know a request again by.
+        if self.request.idempotent || !self.bound.document.resends {
             return self.run(caller).await;
         }
         let gate = self.gate;
@@ -255,6 +283,10 @@
             return Err(Box::new(GateReply::not_run(NotRunReason::DeadlineExceeded)));
         }
         let Some(entry) = &self.entry else { return Ok(None) };
+        let leased = self.bound.upstream.leases().is_some();
+        if leased && !self.gate.leases.is_usable(now, entry.slot()) {
+            return Err(Box::new(GateReply::not_run(NotRunReason::NoOwner)));
+        }
         match entry.clear(now) {
             Ok(clearance) => Ok(Some(clearance)),
             Err(_) if !self.gate.handle.table.lease_holds(now) => {
@@ -332,6 +364,7 @@
             }
             Ended::Failed(error) => {
                 log::debug!(target: "gate", "{error}.");
+                gate.note_unreachable(self.bound, &error);
                 if !matches!(error, CallError::NotSent { .. } | CallError::Lost { .. }) {
                     gate.sign(ended);
                 }
@@ -423,6 +456,10 @@
 }
 
 fn fence_check(bound: &Bound) -> FenceCheck {
+    // An upstream that enforces leases ends by itself what outlasts them.
+    if bound.upstream.leases().is_some() {
+        return FenceCheck::Checked;
+    }
     // Both must say so: the document is what the team answers for.
     match bound.document.upstream.checks_fence && bound.announcement.checks_fence {
         true => FenceCheck::Checked,
--- a/crates/agent/src/gate/worker.rs
+++ b/crates/agent/src/gate/worker.rs
@@ -49,7 +49,23 @@
 
 fn start(gate: &Arc<Gate>, task: GateTask) {
     let gate = Arc::clone(gate);
+    let leased = gate.bound.load().as_ref().is_some_and(|it| it.upstream.leases().is_some());
+    let now = gate.clock.now();
     match task {
+        GateTask::Prepare { slot, token } if leased => {
+            tokio::spawn(async move {
+                gate.reporter.deliver(Report::Prepared { slot, token }).await;
+            });
+        }
+        GateTask::Close { unit: RecordUnit::Slot(slot), token, to } if leased => {
+            if !gate.leases.close(now, slot, token, to) {
+                tokio::spawn(async move {
+                    gate.reporter.deliver(Report::Closed { slot, token }).await;
+                });
+            }
+        }
+        GateTask::Grant { slot, token } if leased => gate.leases.admit(now, slot, token),
+        GateTask::DropAll => gate.leases.drop_all(),
         GateTask::Prepare { slot, token } => {
             tokio::spawn(async move { gate.prepare(slot, token).await });
         }
@@ -172,6 +188,11 @@
             return false;
         }
         let unit = match handover.unit {
+            Unit::Slots { first, last } => {
+                let text = String::from_utf8_lossy(&handover.records).as_ref().into();
+                self.leases.take_handover(self.clock.now(), (first, last), text);
+                return true;
+            }
             Unit::Slot(slot) => RecordUnit::Slot(slot),
             Unit::Key(key_hash) => RecordUnit::Key(key_hash),
         };
--- a/crates/agent/src/ingress/announce.rs
+++ b/crates/agent/src/ingress/announce.rs
@@ -1,44 +1,155 @@
 //! Announcements of the local upstream.
 
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
 use http::{Method, StatusCode, request::Parts};
 use ownership::UpstreamState;
+use tokio::net::TcpListener;
 use upstream::{Announced, HealthState};
-use volo_http::{body::Body, response::Response};
+use volo::{Service, net::incoming::DefaultIncoming};
+use volo_http::{
+    body::Body, context::ServerContext, request::Request, response::Response, server::Server,
+};
 
 use crate::{
-    ingress::{IngressParts, read},
-    report::{Announcement, Report},
+    clock::Clock,
+    gate::UpstreamClock,
+    ingress::read,
+    report::{Announcement, Report, Reporter, UpstreamId},
 };
 
-/// Paths that are the upstream's own.
-pub(super) const PREFIX: &str = "/upstream/";
-const PATH: &str = "/upstream/announce";
+/// The largest announcement, in bytes.
 const BYTES_MAX: usize = 4096;
 
-/// Takes an announcement and passes it on to control.
-pub(super) async fn take(ingress: &IngressParts, parts: &Parts, body: Body) -> Response {
-    let (status, text) = match () {
-        _ if parts.uri.path() != PATH => (StatusCode::NOT_FOUND, "no such call".to_owned()),
-        _ if parts.method != Method::POST => {
-            (StatusCode::METHOD_NOT_ALLOWED, "an announcement is a POST".to_owned())
+/// What an upstream says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Heard {
+    Announced {
+        announcement: Announcement,
+        /// What its monotonic clock shows, in milliseconds, if it says so.
+        clock_ms: Option<u64>,
+    },
+    /// It leaves for good.
+    Leaves { upstream_id: UpstreamId },
+}
+
+/// How the local upstream announces itself.
+pub trait AnnounceForm: Send + Sync {
+    /// Whether a request at the caller address is an announcement and not a caller's.
+    fn is_announcement(&self, head: &Parts) -> bool;
+    /// Reads an announcement; the error is what the upstream is told, and its status.
+    fn read(&self, head: &Parts, body: &[u8]) -> Result<Heard, (StatusCode, String)>;
+    /// The response to one that has been taken.
+    fn acknowledge(&self) -> Response;
+}
+
+/// Takes announcements to control.
+#[derive(Clone)]
+pub(crate) struct Announcements {
+    pub(crate) form: Arc<dyn AnnounceForm>,
+    pub(crate) clock: Clock,
+    pub(crate) upstream_clock: Arc<UpstreamClock>,
+    pub(crate) reporter: Reporter,
+}
+
+impl Announcements {
+    pub(super) fn is_announcement(&self, head: &Parts) -> bool {
+        self.form.is_announcement(head)
+    }
+
+    /// Takes an announcement and passes it on to control.
+    pub(super) async fn take(&self, head: &Parts, body: Body) -> Response {
+        let body: Result<Bytes, _> = read(body, BYTES_MAX).await;
+        let heard = match body {
+            Ok(body) => self.form.read(head, &body),
+            Err(error) => Err((StatusCode::BAD_REQUEST, error.to_string())),
+        };
+        match heard {
+            Ok(heard) => {
+                self.pass_on(heard);
+                self.form.acknowledge()
+            }
+            Err((status, text)) => {
+                log::warn!(target: "ingress", "Refused an announcement: {text}.");
+                let mut response = Response::new(Body::from(text));
+                *response.status_mut() = status;
+                response
+            }
         }
-        _ => match parse(body).await {
-            Ok(announced) => {
-                ingress.upstream_clock.heard(announced.clock_ms, ingress.clock.now());
-                ingress.reporter.hint(Report::Announcement(announced.into()));
-                (StatusCode::OK, String::new())
+    }
+
+    fn pass_on(&self, heard: Heard) {
+        match heard {
+            Heard::Announced { announcement, clock_ms } => {
+                self.upstream_clock.heard(clock_ms, self.clock.now());
+                self.reporter.hint(Report::Announcement(announcement));
             }
-            Err(error) => (StatusCode::BAD_REQUEST, error),
-        },
-    };
-    let mut response = Response::new(Body::from(text));
-    *response.status_mut() = status;
-    response
+            Heard::Leaves { upstream_id } => {
+                self.reporter.hint(Report::UpstreamLeaves { upstream_id });
+            }
+        }
+    }
 }
 
-async fn parse(body: Body) -> Result<Announced, String> {
-    let body = read(body, BYTES_MAX).await.map_err(|error| error.to_string())?;
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+impl Service<ServerContext, Request> for Announcements {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _cx: &mut ServerContext,
+        request: Request,
+    ) -> Result<Response, Infallible> {
+        let (head, body) = request.into_parts();
+        Ok(self.take(&head, body).await)
+    }
+}
+
+/// Serves an address that is for announcements alone, for ever.
+pub(crate) async fn serve_announcements(listener: TcpListener, announcements: Announcements) {
+    let server = Server::new(announcements)
+        // Signals are none of its business: it ends with the process.
+        .register_shutdown_hook(|| Box::pin(std::future::pending()));
+    if let Err(error) = server.run(DefaultIncoming::from(listener)).await {
+        log::error!(target: "ingress", "The server for announcements ended: {error}.");
+    }
+}
+
+/// The product's own form.
+#[derive(Debug)]
+pub(crate) struct OwnAnnounceForm;
+
+impl OwnAnnounceForm {
+    /// Paths that are the upstream's own.
+    const PREFIX: &str = "/upstream/";
+    const PATH: &str = "/upstream/announce";
+}
+
+impl AnnounceForm for OwnAnnounceForm {
+    fn is_announcement(&self, head: &Parts) -> bool {
+        head.uri.path().starts_with(Self::PREFIX)
+    }
+
+    fn read(&self, head: &Parts, body: &[u8]) -> Result<Heard, (StatusCode, String)> {
+        let refuse = |status, text: &str| Err((status, text.to_owned()));
+        match () {
+            _ if head.uri.path() != Self::PATH => refuse(StatusCode::NOT_FOUND, "no such call"),
+            _ if head.method != Method::POST => {
+                refuse(StatusCode::METHOD_NOT_ALLOWED, "an announcement is a POST")
+            }
+            _ => {
+                let announced: Announced = serde_json::from_slice(body)
+                    .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()))?;
+                let clock_ms = announced.clock_ms;
+                Ok(Heard::Announced { announcement: announced.into(), clock_ms })
+            }
+        }
+    }
+
+    fn acknowledge(&self) -> Response {
+        Response::new(Body::from(String::new()))
+    }
 }
 
 impl From<Announced> for Announcement {
@@ -53,6 +164,8 @@
             },
             slots: announced.slots,
             checks_fence: announced.checks_fence,
+            upstream_id: None,
+            sequence: 0,
         }
     }
 }
--- /dev/null
+++ b/crates/agent/src/ingress/form.rs
@@ -0,0 +1,44 @@
+//! The form of callers' requests, and of what they are answered, as a trait.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{HeaderMap, HeaderValue, request::Parts};
+use model::RequestId;
+use volo_http::response::Response;
+
+use crate::{forward::Ending, ingress::refusal::Refusal};
+
+/// What the head of a request says, apart from its method and path.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallHead {
+    /// Selects the route, together with the path. None: the first segment of the path names the
+    /// service.
+    pub host: Option<Arc<str>>,
+    /// None: the caller has given the request no name.
+    pub id: Option<RequestId>,
+    /// The name as the caller wrote it, to be given back.
+    pub id_text: Option<HeaderValue>,
+    /// How long the caller waits, if it says so.
+    pub deadline: Option<Duration>,
+    /// Time since the first sending of this id whose end the caller does not know; zero: this is it.
+    pub age: Duration,
+    /// What the upstream is given of the headers.
+    pub headers: HeaderMap,
+}
+
+/// How callers speak.
+pub trait CallerForm: Send + Sync {
+    /// Reads the head of a request.
+    fn read(&self, head: &Parts) -> Result<CallHead, Refusal>;
+    /// The response for the end of a request.
+    fn answer(&self, ending: Ending, id: &CallId) -> Response;
+    /// The response to a request that goes nowhere.
+    fn refuse(&self, refusal: &Refusal) -> Response;
+}
+
+/// The name of a request: as it is known in here, and as its caller wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallId {
+    pub id: RequestId,
+    pub text: Option<HeaderValue>,
+}
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -1,12 +1,11 @@
-//! Where callers come in: HTTP on the caller address, one path segment for the service.
-//!
-//! A caller sends an id again only after the former sending has ended: by its answer, by closing
-//! the connection, or by its deadline. `x-first-sent-ms` is then the time since the first sending
-//! that did not end as not run; if all did, the header is left out.
+//! Where callers come in: HTTP on the caller address, in the form that [`CallerForm`] reads.
 
 mod announce;
 mod answer;
-mod parse;
+mod destination;
+mod form;
+mod own_form;
+mod refusal;
 mod server;
 
 use std::{
@@ -17,24 +16,38 @@
     time::Duration,
 };
 
-use http::{HeaderMap, Method, Uri};
+use http::{
+    HeaderMap, HeaderName, Uri,
+    header::{
+        CONNECTION, CONTENT_LENGTH, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
+    },
+    request::Parts,
+};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use model::{ClassName, NotRunReason, Outcome, TeamName, Timestamp, UnknownReason};
+use model::{
+    ClassName, NotRunReason, Outcome, RequestId, ServiceName, TeamName, Timestamp, UnknownReason,
+};
 use tokio::time::{sleep_until, timeout};
 use volo_http::{body::Body, request::Request, response::Response};
 
 use crate::{
     clock::Clock,
     forward::{Ending, Forwarder},
-    gate::UpstreamClock,
     metrics::Metrics,
     report::{Report, Reporter},
-    request::GateReply,
+    request::{GateReply, GateRequest},
     snapshot::{ServiceRoutes, SnapshotCell},
 };
 
-use parse::{Address, Refusal};
+use destination::Destinations;
 
+pub use announce::{AnnounceForm, Heard};
+pub use form::{CallHead, CallId, CallerForm};
+pub use refusal::Refusal;
+
+pub(crate) use announce::{Announcements, OwnAnnounceForm, serve_announcements};
+pub(crate) use own_form::OwnForm;
 pub(crate) use server::serve;
 
 /// How long a first request waits for the routes of a service that this agent has not met.
@@ -48,17 +61,20 @@
     pub(crate) snapshots: Arc<SnapshotCell>,
     pub(crate) forwarder: Forwarder,
     pub(crate) reporter: Reporter,
-    pub(crate) upstream_clock: Arc<UpstreamClock>,
+    /// None where the upstream announces itself at an address of its own.
+    pub(crate) announcements: Option<Announcements>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) form: Arc<dyn CallerForm>,
 }
 
 /// The callers' side of the agent.
 pub(crate) struct Ingress {
     parts: IngressParts,
+    destinations: Destinations,
     in_flight: AtomicUsize,
-    /// The instance is leaving: callers are asked to connect elsewhere.
     /// When the last request came; on the process's clock.
     last_request_ns: AtomicU64,
+    /// The instance is leaving: callers are asked to connect elsewhere.
     leaving: AtomicBool,
     /// The process is about to end: nothing more is taken.
     closed: AtomicBool,
@@ -68,6 +84,7 @@
     pub(crate) fn new(parts: IngressParts) -> Ingress {
         Ingress {
             parts,
+            destinations: Destinations::default(),
             in_flight: AtomicUsize::new(0),
             last_request_ns: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -119,64 +136,83 @@
 
     async fn answer(&self, request: Request) -> Response {
         let (parts, body) = request.into_parts();
-        if parts.uri.path().starts_with(announce::PREFIX) {
-            return announce::take(&self.parts, &parts, body).await;
+        if let Some(announcements) =
+            self.parts.announcements.as_ref().filter(|it| it.is_announcement(&parts))
+        {
+            return announcements.take(&parts, body).await;
         }
+        let head = match self.parts.form.read(&parts) {
+            Ok(head) => head,
+            Err(refusal) => return self.refuse(&refusal),
+        };
+        let id = head.id.unwrap_or_else(|| RequestId(rand::random()));
+        let id = CallId { id, text: head.id_text.clone() };
         if self.closed.load(Ordering::SeqCst) {
             let ending = Ending::given_up(GateReply::not_run(NotRunReason::Draining));
-            let resent = parts.headers.contains_key(parse::FIRST_SENT_HEADER);
-            return answer::of(if resent { of_resend(ending) } else { ending }, None);
+            let resent = parts.headers.contains_key(own_form::FIRST_SENT_HEADER);
+            return self.parts.form.answer(if resent { of_resend(ending) } else { ending }, &id);
         }
         let started = self.parts.clock.now();
-        match self.forward(&parts.method, &parts.uri, parts.headers, body).await {
-            Ok(Done { team, class, ending, id }) => {
+        match self.forward(&parts, head, id.id, body).await {
+            Ok(Done { team, class, ending }) => {
                 let spent = self.parts.clock.now().since(started);
                 self.parts.metrics.request(&team, &class, ending.reply.outcome(), spent);
-                answer::of(ending, Some(id))
+                self.parts.form.answer(ending, &id)
             }
-            Err(refusal) => answer::refused(&refusal),
+            Err(refusal) => self.refuse(&refusal),
         }
     }
 
+    fn refuse(&self, refusal: &Refusal) -> Response {
+        log::debug!(target: "ingress", "Refused a request: {refusal}.");
+        self.parts.form.refuse(refusal)
+    }
+
     async fn forward(
         &self,
-        method: &Method,
-        uri: &Uri,
-        headers: HeaderMap,
+        parts: &Parts,
+        head: CallHead,
+        id: RequestId,
         body: Body,
     ) -> Result<Done, Refusal> {
-        let address = Address::parse(uri)?;
         let arrived = self.parts.clock.now();
-        let patience = parse::deadline(&headers)?.map_or(ROUTES_WAIT, |it| it.min(ROUTES_WAIT));
-        let Some(routes) = self.routes(&address, patience).await else {
+        let destination =
+            self.destinations.find(&head, &parts.uri, &self.parts.snapshots.load())?;
+        let patience = head.deadline.map_or(ROUTES_WAIT, |it| it.min(ROUTES_WAIT));
+        let Some(routes) = self.routes(&destination.service, patience).await else {
             return Err(Refusal::NoRoutesYet);
         };
-        parse::check_size(&headers, uri, routes.document.limits.header_bytes_max)?;
-        let mut request = parse::request(&routes, method, &address, headers)?;
-        request.body = read(body, routes.document.limits.body_bytes_max).await?;
+        let limits = &routes.document.limits;
+        check_size(&parts.headers, &parts.uri, limits.header_bytes_max)?;
+        let mut request = gate_request(&routes, &destination, parts, head, id)?;
+        request.body = read(body, limits.body_bytes_max).await?;
         let spent = self.parts.clock.now().since(arrived);
         request.remaining = request.remaining.saturating_sub(spent);
         let team = routes.document.team.clone();
-        let (class, id, age) = (request.class.clone(), request.id, request.age);
+        let (class, age) = (request.class.clone(), request.age);
         drop(routes);
         let mut ending = self.parts.forwarder.send(request, &team).await;
         if let (Outcome::NotRun(_), None) = (ending.reply.outcome(), ending.retry_after) {
             ending.retry_after = Some(COME_BACK);
         }
         let ending = if age.is_zero() { ending } else { of_resend(ending) };
-        Ok(Done { team, class, ending, id })
+        Ok(Done { team, class, ending })
     }
 
     /// The service's routes. For one that this agent has not met, control is asked; if it learns
     /// of nobody in time, the routes lead nowhere.
-    async fn routes(&self, address: &Address, patience: Duration) -> Option<Arc<ServiceRoutes>> {
-        let known = || self.parts.snapshots.load().services.get(&address.service).cloned();
+    async fn routes(
+        &self,
+        service: &ServiceName,
+        patience: Duration,
+    ) -> Option<Arc<ServiceRoutes>> {
+        let known = || self.parts.snapshots.load().services.get(service).cloned();
         let lead_somewhere = |it: &Arc<ServiceRoutes>| it.routes.instances().next().is_some();
         if let Some(routes) = known().filter(lead_somewhere) {
             return Some(routes);
         }
         let mut changes = self.parts.snapshots.changes();
-        self.parts.reporter.hint(Report::UnknownService { service: address.service.clone() });
+        self.parts.reporter.hint(Report::UnknownService { service: service.clone() });
         let waiting = async {
             while known().filter(lead_somewhere).is_none() && changes.changed().await.is_ok() {}
         };
@@ -198,7 +234,6 @@
     team: TeamName,
     class: ClassName,
     ending: Ending,
-    id: model::RequestId,
 }
 
 /// Counts a request down when its answer has left, or its caller.
@@ -210,6 +245,76 @@
     }
 }
 
+/// The request for the gate; its body is still to come.
+fn gate_request(
+    routes: &ServiceRoutes,
+    destination: &destination::Destination,
+    parts: &Parts,
+    head: CallHead,
+    id: RequestId,
+) -> Result<GateRequest, Refusal> {
+    let method = parts.method.as_str();
+    let path = destination.document_path(&parts.uri);
+    let (found, key_hash) = destination::route_and_key(routes, method, path, &head)?;
+    let path = parts.uri.path_and_query().ok_or(Refusal::NoService)?;
+    let (class, idempotent, timeout, attempts) = match &destination.route {
+        Some(it) => (&it.class, it.idempotent, it.timeout, it.attempts),
+        None => (&found.route.class, found.route.idempotent, found.route.deadline, u8::MAX),
+    };
+    Ok(GateRequest {
+        service: destination.service.clone(),
+        key_hash,
+        id,
+        class: class.clone(),
+        idempotent,
+        remaining: head.deadline.map_or(timeout, |named| named.min(timeout)),
+        age: head.age,
+        held: Duration::ZERO,
+        attempts,
+        config: routes.version,
+        method: parts.method.clone(),
+        path: path.clone(),
+        headers: Arc::new(head.headers),
+        body: bytes::Bytes::new(),
+    })
+}
+
+fn check_size(headers: &HeaderMap, uri: &Uri, bytes_max: usize) -> Result<(), Refusal> {
+    let all = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+    let uri = uri.path_and_query().map_or(0, |it| it.as_str().len());
+    match all.sum::<usize>() + uri {
+        sum if sum > bytes_max => Err(Refusal::HeadersTooLarge { bytes_max }),
+        _ => Ok(()),
+    }
+}
+
+/// Takes out what is about one connection only.
+pub fn strip_connection(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .filter_map(|it| HeaderName::from_bytes(it.trim().as_bytes()).ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        CONNECTION,
+        CONTENT_LENGTH,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
 async fn read(body: Body, bytes_max: usize) -> Result<bytes::Bytes, Refusal> {
     // What says that it is too large is refused before it is sent.
     if http_body::Body::size_hint(&body).lower() > bytes_max as u64 {
--- /dev/null
+++ b/crates/agent/src/ingress/refusal.rs
@@ -0,0 +1,48 @@
+//! Why a request goes nowhere.
+
+use http::{HeaderName, StatusCode};
+use settings::RouteError;
+
+/// Why a request goes nowhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum Refusal {
+    #[error("the path's first segment names no service")]
+    NoService,
+    #[error("no route leads on from this host and path")]
+    NoHostRoute,
+    #[error("the routes of this service are not known here yet")]
+    NoRoutesYet,
+    #[error("{0}")]
+    NoRoute(RouteError),
+    #[error("{0}")]
+    NoKey(RouteError),
+    #[error("the key is no whole number, or too large a one")]
+    KeyOutOfRange,
+    #[error("{header}: {reason}")]
+    Header { header: HeaderName, reason: &'static str },
+    #[error("the headers have more than {bytes_max} bytes")]
+    HeadersTooLarge { bytes_max: usize },
+    #[error("the body has more than {bytes_max} bytes")]
+    BodyTooLarge { bytes_max: usize },
+    #[error("the body broke off")]
+    BodyBroken,
+}
+
+impl Refusal {
+    /// The status that says so in HTTP.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Refusal::NoService | Refusal::NoHostRoute | Refusal::NoRoute(_) => {
+                StatusCode::NOT_FOUND
+            }
+            Refusal::NoRoutesYet => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NoKey(_)
+            | Refusal::KeyOutOfRange
+            | Refusal::Header { .. }
+            | Refusal::BodyBroken => StatusCode::BAD_REQUEST,
+            Refusal::HeadersTooLarge { .. } => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Refusal::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        }
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,12 +11,19 @@
 pub mod links;
 mod metrics;
 mod plane;
+mod port;
+mod ready;
 pub mod report;
 mod request;
 mod run;
 pub mod snapshot;
 
-pub use run::{ListenError, run};
+pub use forward::Ending;
+pub use gate::Connect;
+pub use ingress::{AnnounceForm, CallHead, CallId, CallerForm, Heard, Refusal, strip_connection};
+pub use port::Ports;
+pub use request::GateReply;
+pub use run::{ListenError, run, run_with};
 
 #[cfg(test)]
 mod tests;
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -1,6 +1,12 @@
 //! The traffic plane: everything that runs on the traffic threads.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use anyhow::Context;
 use model::Instance;
@@ -14,11 +20,13 @@
 
 use crate::{
     clock::Clock,
+    control::DocumentSource,
     forward::{ForwardParts, Forwarder},
     gate::{Connect, Gate, GateHandle, GateParts, GateTask, UpstreamClock},
-    ingress::{self, Ingress, IngressParts},
+    ingress::{self, AnnounceForm, Announcements, CallerForm, Ingress, IngressParts},
     links::{LinkKey, traffic::TrafficLinks},
     metrics::{self, Metrics},
+    ready::{self, Readiness},
     report::Reporter,
     snapshot::SnapshotCell,
 };
@@ -49,12 +57,19 @@
     pub(crate) metrics: TcpListener,
     /// What control asks of the platform, for the metrics.
     pub(crate) platform_calls: Arc<CallCounts>,
+    pub(crate) form: Arc<dyn CallerForm>,
+    pub(crate) announce_form: Arc<dyn AnnounceForm>,
+    /// Where the upstream announces itself, if not at the callers' address.
+    pub(crate) announcements: Option<TcpListener>,
+    pub(crate) ready: Option<TcpListener>,
+    pub(crate) documents_from: DocumentSource,
 }
 
 /// The running traffic plane.
 pub(crate) struct Plane {
     gate: Arc<Gate>,
     ingress: Arc<Ingress>,
+    readiness: Arc<Readiness>,
     /// Closes the listener of callers.
     closing: watch::Sender<bool>,
     drained: oneshot::Sender<()>,
@@ -88,8 +103,30 @@
             reporter: parts.reporter.clone(),
             metrics: Arc::clone(&metrics),
         });
-        let ingress = Arc::new(Ingress::new(IngressParts {
+        let announcements = Announcements {
+            form: parts.announce_form,
+            clock: parts.clock,
             upstream_clock,
+            reporter: parts.reporter.clone(),
+        };
+        let announced_here = match parts.announcements {
+            None => Some(announcements),
+            Some(listener) => {
+                tokio::spawn(ingress::serve_announcements(listener, announcements));
+                None
+            }
+        };
+        let readiness = Arc::new(Readiness {
+            snapshots: Arc::clone(&parts.snapshots),
+            documents_from: parts.documents_from,
+            is_leaving: AtomicBool::new(false),
+        });
+        if let Some(listener) = parts.ready {
+            tokio::spawn(ready::serve(listener, Arc::clone(&readiness)));
+        }
+        let ingress = Arc::new(Ingress::new(IngressParts {
+            announcements: announced_here,
+            form: parts.form,
             clock: parts.clock,
             snapshots: Arc::clone(&parts.snapshots),
             forwarder,
@@ -102,7 +139,7 @@
         let server = tokio::spawn(server);
         tokio::spawn(metrics::serve(parts.metrics, metrics, Arc::clone(&gate)));
         tokio::spawn(warm_links(parts.snapshots, links));
-        Ok(Plane { gate, ingress, closing, drained, server })
+        Ok(Plane { gate, ingress, readiness, closing, drained, server })
     }
 
     /// Requests that wait for a slot of the local upstream.
@@ -119,6 +156,7 @@
 
     /// The instance is about to leave: callers are asked to connect elsewhere.
     pub(crate) fn leave(&self) {
+        self.readiness.is_leaving.store(true, Ordering::SeqCst);
         self.ingress.leave();
     }
 
--- a/crates/agent/src/report/mod.rs
+++ b/crates/agent/src/report/mod.rs
@@ -1,6 +1,6 @@
 //! What traffic tells the control thread, over one bounded channel.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, Token};
 use ownership::UpstreamState;
@@ -15,6 +15,10 @@
 pub enum Report {
     /// The upstream beside this agent said what it is; repeated about each second.
     Announcement(Announcement),
+    /// The upstream beside this agent has said that it leaves, for good.
+    UpstreamLeaves { upstream_id: UpstreamId },
+    /// The upstream has seen a higher token for a grant than the one it was given.
+    GrantOutdated { token: Token },
     /// The upstream's state as the gate sees it: hung or gone, or answering again.
     Upstream(UpstreamState),
     /// The upstream is warm for a slot.
@@ -46,8 +50,23 @@
     /// How many requests it runs at once.
     pub slots: u16,
     pub checks_fence: bool,
+    /// Which life of the upstream this is, if it says so.
+    pub upstream_id: Option<UpstreamId>,
+    /// Rises with each announcement of one life; 0 where they are not numbered.
+    pub sequence: u64,
 }
 
+impl Announcement {
+    /// Whether both say the same, apart from their number.
+    pub(crate) fn is_like(&self, other: &Announcement) -> bool {
+        Announcement { sequence: 0, ..self.clone() }
+            == Announcement { sequence: 0, ..other.clone() }
+    }
+}
+
+/// Names one life of an upstream.
+pub type UpstreamId = Arc<str>;
+
 /// The sending end; clones share the channel.
 #[derive(Debug, Clone)]
 pub struct Reporter(mpsc::Sender<Report>);
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -29,6 +29,8 @@
     pub(crate) age: Duration,
     /// Time that ingress has held this sending; zero: this is the first try to place it.
     pub(crate) held: Duration,
+    /// The most upstreams that it may be given to; the ingress sees to that.
+    pub(crate) attempts: u8,
     /// The ingress's version of the document.
     pub(crate) config: ConfigVersion,
     pub(crate) method: Method,
@@ -40,18 +42,13 @@
 
 /// What a gate says to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum GateReply {
+pub enum GateReply {
+    /// The upstream's whole answer.
     Answered(Answer),
-    /// [`Outcome::Answered`] never stands here.
-    Failed {
-        outcome: Outcome,
-        retry_after: Option<Duration>,
-    },
+    /// The upstream gave no answer; [`Outcome::Answered`] never stands here.
+    Failed { outcome: Outcome, retry_after: Option<Duration> },
     /// Not run: the key belongs elsewhere.
-    NotOwner {
-        owner: Option<Instance>,
-        route_version: u64,
-    },
+    NotOwner { owner: Option<Instance>, route_version: u64 },
 }
 
 impl GateReply {
@@ -63,7 +60,8 @@
         GateReply::Failed { outcome: Outcome::Unknown(reason), retry_after: None }
     }
 
-    pub(crate) fn outcome(&self) -> Outcome {
+    /// The end that the reply stands for.
+    pub fn outcome(&self) -> Outcome {
         match self {
             GateReply::Answered(_) => Outcome::Answered,
             GateReply::Failed { outcome, .. } => *outcome,
@@ -139,6 +137,7 @@
             remaining: Duration::from_micros(raw.remaining_us),
             age: Duration::from_micros(raw.age_us),
             held: Duration::from_micros(raw.held_us),
+            attempts: 1,
             config: raw.config,
             method: Method::from_bytes(raw.method.as_bytes())
                 .map_err(|error| invalid("method", error.to_string()))?,
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -9,7 +9,7 @@
 
 use anyhow::Context;
 use model::{Incarnation, Instance};
-use object_store::{CallCounts, CountedStore};
+use object_store::{CallCounts, CountedStore, ObjectStore};
 use settings::AgentSettings;
 use tokio::{
     net::{TcpListener, TcpSocket},
@@ -21,10 +21,11 @@
 
 use crate::{
     clock::Clock,
-    control::{self, ControlParts, Phase},
-    gate::{GateHandle, connect_http},
+    control::{self, ControlParts, DocumentSource, FleetSource, Phase},
+    gate::GateHandle,
     links::LinkKey,
     plane::{Plane, PlaneParts},
+    port::Ports,
     report::{self, Report},
     snapshot::SnapshotCell,
 };
@@ -50,10 +51,21 @@
     traffic: StdListener,
     control: StdListener,
     metrics: StdListener,
+    announcements: Option<StdListener>,
+    ready: Option<StdListener>,
 }
 
-/// Runs an agent until a signal has ended it gracefully.
+/// Runs an agent that speaks the product's own forms, until a signal has ended it gracefully.
 pub fn run(settings: AgentSettings) -> anyhow::Result<()> {
+    run_with(settings, Ports::own)
+}
+
+/// Runs an agent with other adapters, until a signal has ended it gracefully. They are made on the
+/// runtime of the traffic threads.
+pub fn run_with(
+    settings: AgentSettings,
+    ports: impl FnOnce(&AgentSettings) -> anyhow::Result<Ports>,
+) -> anyhow::Result<()> {
     let runtime = Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .thread_name("traffic")
@@ -62,6 +74,12 @@
         .context("traffic runtime")?;
     let signals = runtime.block_on(async { Signals::install() })?;
     let listeners = runtime.block_on(async { Listeners::bind(&settings) })?;
+    let Ports { store, callers, announcements, connect, fleet } =
+        runtime.block_on(async { ports(&settings) }).context("adapters")?;
+    let documents_from = match fleet {
+        Some(_) => DocumentSource::Fleet,
+        None => DocumentSource::Teams,
+    };
     let own = Instance {
         name: settings.instance.clone(),
         incarnation: Incarnation(rand::random()),
@@ -89,7 +107,8 @@
         reports,
         phases,
         handed_over,
-        platform_calls: Arc::clone(&platform_calls),
+        store: Arc::new(CountedStore::new(store, Arc::clone(&platform_calls))),
+        fleet,
     };
     let control = thread::Builder::new()
         .name("control".to_owned())
@@ -104,7 +123,12 @@
             reporter,
             handle,
             tasks,
-            connect: Box::new(connect_http),
+            connect,
+            form: callers,
+            announce_form: announcements,
+            announcements: listeners.announcements.map(TcpListener::from_std).transpose()?,
+            ready: listeners.ready.map(TcpListener::from_std).transpose()?,
+            documents_from,
             callers: TcpListener::from_std(listeners.callers)?,
             peers: TcpListener::from_std(listeners.traffic)?,
             metrics: TcpListener::from_std(listeners.metrics)?,
@@ -171,10 +195,19 @@
             traffic: bind("traffic address", settings.traffic_address)?,
             control: bind("control address", settings.control_address)?,
             metrics: bind("metrics address", settings.metrics_address)?,
+            announcements: optional("announce address", settings.announce_address)?,
+            ready: optional("ready address", settings.ready_address)?,
         })
     }
 }
 
+fn optional(
+    name: &'static str,
+    address: Option<SocketAddr>,
+) -> Result<Option<StdListener>, ListenError> {
+    address.map(|it| bind(name, it)).transpose()
+}
+
 fn bind(name: &'static str, address: SocketAddr) -> Result<StdListener, ListenError> {
     let listen = || {
         let socket = match address {
@@ -200,7 +233,8 @@
     reports: mpsc::Receiver<Report>,
     phases: watch::Receiver<Phase>,
     handed_over: oneshot::Sender<()>,
-    platform_calls: Arc<CallCounts>,
+    store: Arc<dyn ObjectStore>,
+    fleet: Option<FleetSource>,
 }
 
 impl ControlSetup {
@@ -209,23 +243,20 @@
         let runtime: Runtime =
             Builder::new_current_thread().enable_all().build().context("control runtime")?;
         runtime.block_on(async {
-            let platform = object_store::HttpObjectStore::new(
-                self.settings.platform_address,
-                object_store::Timeouts::default(),
-            )?;
             control::run(ControlParts {
                 settings: Arc::new(self.settings),
                 own: self.own,
                 clock: self.clock,
                 listener: TcpListener::from_std(self.listener).context("control listener")?,
                 key: self.key,
-                platform: Arc::new(CountedStore::new(Arc::new(platform), self.platform_calls)),
+                platform: self.store,
                 gate: self.gate,
                 snapshots: self.snapshots,
                 reports: self.reports,
                 phase: self.phases,
                 handed_over: self.handed_over,
                 seed: rand::random(),
+                fleet: self.fleet,
             })
             .await;
             Ok(())
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, SlotCount};
 use ownership::{NodeView, UpstreamState};
-use settings::ServiceDocument;
+use settings::{RoutingTable, ServiceDocument};
 use tokio::sync::watch;
 
 use crate::report::Announcement;
@@ -14,6 +14,8 @@
 #[derive(Debug, Default)]
 pub struct Snapshot {
     pub services: HashMap<ServiceName, Arc<ServiceRoutes>>,
+    /// Routes by host; none: no configuration of the whole fleet is known, or there is none.
+    pub routing: Option<Arc<RoutingTable>>,
     /// The upstream beside this agent, once it has announced itself.
     pub local: Option<LocalUpstream>,
 }
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -27,7 +27,9 @@
 
 use crate::{
     clock::Clock,
+    control::DocumentSource,
     gate::GateHandle,
+    ingress::{OwnAnnounceForm, OwnForm},
     links::LinkKey,
     plane::{Plane, PlaneParts},
     report::{self, Announcement, Report},
@@ -211,6 +213,11 @@
             peers,
             metrics,
             platform_calls: Arc::default(),
+            form: Arc::new(OwnForm),
+            announce_form: Arc::new(OwnAnnounceForm),
+            announcements: None,
+            ready: None,
+            documents_from: DocumentSource::Teams,
         })
         .unwrap();
         let caller = HttpUpstream::new(caller_address, 1000, 64 << 20).unwrap();
@@ -247,10 +254,12 @@
             state: UpstreamState::Ready,
             slots: 2,
             checks_fence: false,
+            upstream_id: None,
+            sequence: 0,
         };
         let local = Some(LocalUpstream { announcement, draining: false });
         let services = HashMap::from([(service, Arc::new(routes))]);
-        self.snapshots.store(Snapshot { services, local });
+        self.snapshots.store(Snapshot { services, routing: None, local });
         self.plane.wait_bound().await;
     }
 
@@ -327,7 +336,7 @@
     Call { method: Method::POST, ..get(op, id) }
 }
 
-pub(super) fn instance(name: &str, address: SocketAddr) -> Instance {
+pub(crate) fn instance(name: &str, address: SocketAddr) -> Instance {
     Instance {
         name: InstanceName::new(name).unwrap(),
         incarnation: Incarnation(key_hash(name.as_bytes()).0),
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -1,7 +1,7 @@
 //! The traffic plane on real sockets, with upstreams in memory and control played by the test.
 
 mod callers;
-mod fakes;
+pub(crate) mod fakes;
 mod forwarding;
 mod gate;
 mod handover;
--- a/crates/ownership/src/input.rs
+++ b/crates/ownership/src/input.rs
@@ -28,6 +28,9 @@
     Limits(Box<Limits>),
     /// The highest accepted version of the service's document that this agent has in force.
     Config(ConfigVersion),
+    /// What the upstream held is gone, or refused: give up the session with all that it holds, and
+    /// start one that holds nothing.
+    DropSession { reason: &'static str },
     /// Leave gracefully: hand over all slots and the term, then say [`crate::Output::Stopped`].
     Stop,
 }
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -43,6 +43,8 @@
     /// Where the local upstream listens, if it is known before it announces itself.
     pub upstream_address: Option<SocketAddr>,
     pub traffic_threads: usize,
+    /// How often the local upstream announces itself.
+    pub announced_every: Duration,
     /// How long a graceful stop may take until what still runs is cut off.
     pub stop_max: Duration,
     /// What the service documents of a fleet's configuration have in common.
@@ -106,6 +108,10 @@
     /// `IP:PORT` of the local upstream, where it is known beforehand.
     #[serde(default)]
     upstream_address: Option<String>,
+    /// How often the local upstream announces itself.
+    #[serde(default = "default_announced_every_ms")]
+    #[schemars(range(min = 50, max = 60_000))]
+    announced_every_ms: u64,
     /// How long a graceful stop may take.
     #[serde(default = "default_stop_ms_max")]
     #[schemars(range(min = 500, max = 600_000))]
@@ -126,6 +132,10 @@
     2
 }
 
+fn default_announced_every_ms() -> u64 {
+    1_000
+}
+
 fn default_stop_ms_max() -> u64 {
     30_000
 }
@@ -194,6 +204,7 @@
         announce_address: announce?,
         upstream_address: upstream?,
         traffic_threads: raw.traffic_threads,
+        announced_every: Duration::from_millis(raw.announced_every_ms),
         stop_max: Duration::from_millis(raw.stop_ms_max),
         document_defaults: raw.document_defaults.clone().into(),
         log: raw.log.clone(),
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -9,6 +9,7 @@
 mod selection;
 mod sketch;
 mod smoothed;
+mod split;
 
 #[cfg(test)]
 mod tests;
@@ -26,3 +27,4 @@
 };
 pub use sketch::{Heavy, Sketch};
 pub use smoothed::Smoothed;
+pub use split::Turns;
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -1,10 +1,10 @@
 //! The border to an upstream, as a trait.
 
-use std::{future::Future, net::SocketAddr, pin::Pin, time::Duration};
+use std::{future::Future, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, uri::PathAndQuery};
-use model::{RequestId, Slot, Token};
+use model::{KeyRange, RequestId, Slot, Token};
 
 use crate::{ControlError, Health, Load};
 
@@ -80,6 +80,54 @@
     ) -> UpstreamFuture<'_, Result<(), ControlError>>;
     /// Resolves once it is warm for a slot.
     fn prepare(&self, slot: Slot) -> UpstreamFuture<'_, Result<(), ControlError>>;
+    /// Set where the upstream runs requests only for keys that it has been granted.
+    fn leases(&self) -> Option<&dyn LeasedUpstream> {
+        None
+    }
+    /// Whether it is to be asked for its health all the time; if not, its announcements and the ends
+    /// of requests have to do.
+    fn is_asked_for_health(&self) -> bool {
+        true
+    }
     /// Ends a running request.
     fn cancel(&self, id: RequestId) -> UpstreamFuture<'_, Result<(), ControlError>>;
 }
+
+/// Neighbouring keys, and the token under which they are granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GrantedKeys {
+    pub keys: KeyRange,
+    pub token: Token,
+}
+
+/// What an upstream hands out with keys that it gives up; whoever is granted them with it finds them
+/// warm.
+pub type HandoverToken = Arc<str>;
+
+/// Why a grant was not taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum GrantError {
+    /// It has seen a higher token for one of the keys.
+    #[error("upstream {peer} has seen a higher token")]
+    Outdated { peer: SocketAddr },
+    /// It may or may not take effect, at once or later; its time counts from when it arrived.
+    #[error("upstream {peer}: no answer to a grant: {reason}")]
+    Unknown { peer: SocketAddr, reason: String },
+}
+
+/// An upstream that enforces leases of keys itself.
+pub trait LeasedUpstream: Send + Sync {
+    /// Grants keys for a time that begins when the call arrives. The same call again renews it.
+    fn grant_keys(
+        &self,
+        granted: GrantedKeys,
+        hold: Duration,
+        handover: Option<HandoverToken>,
+    ) -> UpstreamFuture<'_, Result<(), GrantError>>;
+    /// Stops new work on the keys; resolves when the work that ran on them has ended.
+    fn release_keys(
+        &self,
+        granted: GrantedKeys,
+    ) -> UpstreamFuture<'_, Result<Option<HandoverToken>, ControlError>>;
+}
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -135,6 +135,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub enum Unit {
+    /// Neighbouring slots whose upstream keeps the leases; the body is its handover token.
+    Slots {
+        first: Slot,
+        last: Slot,
+    },
     Slot(Slot),
     Key(KeyHash),
 }
