--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -213,7 +213,9 @@
 fn failed(error: StoreError) -> PlatformReply {
     match error {
         StoreError::Conflict { .. } => PlatformReply::Conflict,
-        StoreError::Refused { .. } | StoreError::Unavailable { .. } => {
+        StoreError::Refused { .. }
+        | StoreError::HistoryGone { .. }
+        | StoreError::Unavailable { .. } => {
             log::debug!(target: "platform", "{error}.");
             PlatformReply::Failed
         }
--- /dev/null
+++ b/crates/http-pool/src/pool.rs
@@ -0,0 +1,222 @@
+//! The pool.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, Request, Response, Version,
+    header::{CONNECTION, HeaderName},
+    response::Parts,
+};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout},
+};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// A connection is let go of this much before its peer would close it: whatever is sent at that very
+/// moment is lost. A peer names whole seconds.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Probes without an answer after which a connection is given up.
+const PROBES: u32 = 2;
+/// How long a connection that has just given its answer may take to be ready for the next request.
+const READY_MAX: Duration = Duration::from_millis(5);
+
+/// How connections are kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolConfig {
+    pub connect_timeout: Duration,
+    /// How long a connection is kept unused, if its peer does not name a shorter time.
+    pub unused_for: Duration,
+    /// How many connections are kept unused.
+    pub unused_max: usize,
+    /// A connection whose peer shows no sign of life for three times this long is given up, also while
+    /// it waits for an answer.
+    pub probe_every: Option<Duration>,
+}
+
+/// Connections to one address.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    config: PoolConfig,
+    unused: Mutex<Vec<Unused>>,
+    opened: AtomicU64,
+}
+
+#[derive(Debug)]
+struct Unused {
+    sender: SendRequest<Full<Bytes>>,
+    until: Instant,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Reply {
+    pub parts: Parts,
+    pub body: Bytes,
+}
+
+/// Why there is no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum ExchangeError {
+    /// No byte of the request has left this process.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request may have arrived.
+    #[error("no answer: {0}")]
+    Lost(String),
+    /// The answer began, and broke off or is too large.
+    #[error("broken answer: {0}")]
+    Broken(String),
+}
+
+impl Pool {
+    /// Connects with the first request.
+    pub fn new(address: SocketAddr, config: PoolConfig) -> Pool {
+        Pool { address, config, unused: Mutex::default(), opened: AtomicU64::new(0) }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections opened since the start.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Sends a request and reads the whole answer. The connection is used again only if `is_sound`
+    /// says so of the answer. Dropping the future closes the connection.
+    pub async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        bytes_max: usize,
+        is_sound: impl FnOnce(&Parts) -> bool,
+    ) -> Result<Reply, ExchangeError> {
+        let mut sender = match self.take().await {
+            Some(sender) => sender,
+            None => self.connect().await?,
+        };
+        let response = sender.send_request(request).await.map_err(|error| not_answered(&error))?;
+        let (parts, body) = response.into_parts();
+        let body = read(body, bytes_max).await?;
+        if is_sound(&parts) {
+            self.keep(sender, &parts);
+        }
+        Ok(Reply { parts, body })
+    }
+
+    fn unused(&self) -> MutexGuard<'_, Vec<Unused>> {
+        self.unused.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The connection that was used last, if it is still open.
+    async fn take(&self) -> Option<SendRequest<Full<Bytes>>> {
+        loop {
+            let Unused { mut sender, until } = self.unused().pop()?;
+            if sender.is_closed() || until <= Instant::now() {
+                continue;
+            }
+            if sender.is_ready() || matches!(timeout(READY_MAX, sender.ready()).await, Ok(Ok(()))) {
+                return Some(sender);
+            }
+        }
+    }
+
+    fn keep(&self, sender: SendRequest<Full<Bytes>>, parts: &Parts) {
+        let kept_for = match keep_alive(&parts.headers) {
+            Some(named) => named.saturating_sub(KEEP_ALIVE_MARGIN).min(self.config.unused_for),
+            None => self.config.unused_for,
+        };
+        if closes(parts) || sender.is_closed() || kept_for.is_zero() {
+            return;
+        }
+        let now = Instant::now();
+        let mut unused = self.unused();
+        unused.retain(|it| now < it.until && !it.sender.is_closed());
+        if unused.len() < self.config.unused_max {
+            unused.push(Unused { sender, until: now + kept_for });
+        }
+    }
+
+    fn prepare(&self, stream: &TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let Some(every) = self.config.probe_every else { return Ok(()) };
+        let probes = TcpKeepalive::new().with_time(every).with_interval(every).with_retries(PROBES);
+        let socket = SockRef::from(stream);
+        socket.set_tcp_keepalive(&probes)?;
+        socket.set_tcp_user_timeout(Some(every * (PROBES + 1)))
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+        let not_sent = |reason: String| ExchangeError::NotSent(reason);
+        let stream = timeout(self.config.connect_timeout, TcpStream::connect(self.address))
+            .await
+            .map_err(|_| not_sent(format!("no connection in {:?}", self.config.connect_timeout)))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        self.prepare(&stream).map_err(|error| not_sent(error.to_string()))?;
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        let address = self.address;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(target: "http", "A connection to {address} ended: {error}.");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+async fn read(body: Incoming, bytes_max: usize) -> Result<Bytes, ExchangeError> {
+    match Limited::new(body, bytes_max).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(ExchangeError::Broken(format!("it has more than {bytes_max} bytes")))
+        }
+        Err(error) => Err(ExchangeError::Broken(error.to_string())),
+    }
+}
+
+fn not_answered(error: &hyper::Error) -> ExchangeError {
+    match error.is_canceled() {
+        // hyper's word for a request that it never began to write.
+        true => ExchangeError::NotSent(error.to_string()),
+        false => ExchangeError::Lost(error.to_string()),
+    }
+}
+
+/// Whether the peer closes the connection behind this answer.
+fn closes(parts: &Parts) -> bool {
+    let named = parts.headers.get_all(CONNECTION).iter().filter_map(|it| it.to_str().ok());
+    let close =
+        named.flat_map(|it| it.split(',')).any(|it| it.trim().eq_ignore_ascii_case("close"));
+    close || parts.version != Version::HTTP_11
+}
+
+/// How long the peer keeps an unused connection open, if it says so.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let named = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let timeout = named.split(',').find_map(|it| it.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(timeout.trim().parse().ok()?))
+}
+
+impl From<Reply> for Response<Bytes> {
+    fn from(reply: Reply) -> Response<Bytes> {
+        Response::from_parts(reply.parts, reply.body)
+    }
+}
--- a/crates/object-store/src/api.rs
+++ b/crates/object-store/src/api.rs
@@ -40,6 +40,9 @@
     /// Known not to have taken effect.
     #[error("{step}: platform {peer} refused: {reason}")]
     Refused { step: String, peer: SocketAddr, reason: String },
+    /// What came after the revision of a watch is not known any more: list anew.
+    #[error("{step}: the history has been dropped")]
+    HistoryGone { step: String },
     /// An update may or may not have taken effect.
     #[error("{step}: no answer from platform {peer}: {reason}")]
     Unavailable { step: String, peer: SocketAddr, reason: String },
--- a/crates/object-store/src/follower.rs
+++ b/crates/object-store/src/follower.rs
@@ -38,6 +38,8 @@
     times: FollowerTimes,
     /// None until the first list has been answered.
     revision: Option<ObjectVersion>,
+    /// Changes may have been missed: list before the next watch.
+    lists: bool,
     pause: Duration,
     next_call: Option<Instant>,
 }
@@ -53,6 +55,7 @@
             prefix: prefix.into(),
             times,
             revision: None,
+            lists: true,
             pause: times.pause,
             next_call: None,
         }
@@ -76,6 +79,7 @@
                     }
                 }
                 Err(error) => {
+                    self.lists |= matches!(error, StoreError::HistoryGone { .. });
                     self.next_call = Some(Instant::now() + self.pause);
                     self.pause = (self.pause * 2).min(self.times.pause_max);
                     return Err(error);
@@ -85,7 +89,7 @@
     }
 
     async fn call(&self) -> Result<Changes, StoreError> {
-        match self.revision {
+        match self.revision.filter(|_| !self.lists) {
             None => self.platform.list(&self.prefix).await,
             Some(after) => self.platform.watch(&self.prefix, after, self.times.wait).await,
         }
@@ -93,6 +97,7 @@
 
     /// An answer that was made before one that came earlier moves nothing back.
     fn advance(&mut self, changes: Changes) -> Vec<Change> {
+        self.lists = false;
         let known = self.revision;
         let is_newer = |it: &Change| known.is_none_or(|known| it.version > known);
         let mut newer: Vec<Change> = changes.changes.into_iter().filter(is_newer).collect();
--- a/crates/object-store/src/tests/follower.rs
+++ b/crates/object-store/src/tests/follower.rs
@@ -22,6 +22,7 @@
     /// A revision, and the objects that have changed, each named by its version.
     Changes(u64, &'static [u64]),
     Down,
+    HistoryGone,
 }
 
 /// Answers from a script, then with nothing new for ever; a watch without news waits.
@@ -39,6 +40,9 @@
         Box::pin(async move {
             let (revision, versions) = match say {
                 Some(Say::Down) => return Err(down()),
+                Some(Say::HistoryGone) => {
+                    return Err(StoreError::HistoryGone { step: "watch".to_owned() });
+                }
                 Some(Say::Changes(revision, versions)) => (revision, versions),
                 None => {
                     sleep(if self.waits { wait } else { Duration::ZERO }).await;
@@ -137,6 +141,17 @@
     .await;
 }
 
+/// What was missed is in the list; what was yielded before is not yielded again.
+#[tokio::test(start_paused = true)]
+async fn a_dropped_history_is_made_up_for_by_a_list() {
+    check(
+        &[Say::Changes(7, &[3, 7]), Say::HistoryGone, Say::Changes(12, &[3, 7, 11])],
+        &[Some(&[3, 7]), None, Some(&[11])],
+        &[None, Some(7), None],
+    )
+    .await;
+}
+
 /// The calls of a follower in a minute of a platform that never has news.
 async fn calls_a_minute(script: &[Say], waits: bool) -> u64 {
     let counts: Arc<CallCounts> = Arc::default();
