--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use model::{Instance, ServiceName, Timestamp};
+use model::{Instance, ServiceName, Slot, Timestamp, Token};
 use ownership::{Event, Input, MoveReason, Node, NodeConfig, NodeView, Output};
 use settings::{MoveStatus, ServiceDocument};
 use wire::exchange::Envelope;
@@ -24,6 +24,8 @@
     /// The newest first.
     pub(crate) moves: VecDeque<MoveStatus>,
     pub(crate) stopped: bool,
+    /// Grants of the step that runs, for the log.
+    granted: Vec<GrantedRun>,
 }
 
 impl Group {
@@ -54,6 +56,7 @@
             view,
             moves: VecDeque::new(),
             stopped: false,
+            granted: Vec::new(),
         }
     }
 
@@ -75,6 +78,7 @@
         }
         parts.gate.apply(&gate);
         self.outputs = outputs;
+        self.log_grants();
         self.refresh_view()
     }
 
@@ -112,6 +116,16 @@
     fn note(&mut self, event: Event) {
         log_event(&event);
         let Event::Granted { slot, token, to, reason } = event else { return };
+        match self.granted.last_mut() {
+            Some(run) if run.goes_on_with(slot, token, &to, reason) => run.last = slot,
+            _ => self.granted.push(GrantedRun {
+                first: slot,
+                last: slot,
+                token,
+                to: to.clone(),
+                reason,
+            }),
+        }
         self.moves.push_front(MoveStatus {
             slot,
             token,
@@ -121,6 +135,29 @@
         });
         self.moves.truncate(MOVES_MAX);
     }
+
+    /// One line for each run of neighbouring slots: a move can be of a thousand.
+    fn log_grants(&mut self) {
+        for GrantedRun { first, last, token, to, reason } in self.granted.drain(..) {
+            let reason = reason_name(reason);
+            log::info!(target: "ownership", "Slots {first} to {last} go to {to}, token {token}: {reason}.");
+        }
+    }
+}
+
+/// Neighbouring slots that were granted in one step.
+struct GrantedRun {
+    first: Slot,
+    last: Slot,
+    token: Token,
+    to: Instance,
+    reason: MoveReason,
+}
+
+impl GrantedRun {
+    fn goes_on_with(&self, slot: Slot, token: Token, to: &Instance, reason: MoveReason) -> bool {
+        self.last.0 + 1 == slot.0 && self.token == token && self.to == *to && self.reason == reason
+    }
 }
 
 fn log_event(event: &Event) {
@@ -144,13 +181,7 @@
             log::info!(target: "ownership", "Confirmed by {confirmation:?}, {witnesses} witnesses.");
         }
         Event::Settled { term } => log::info!(target: "ownership", "Term {term} is settled."),
-        Event::Granted { slot, token, to, reason: MoveReason::First } => {
-            log::debug!(target: "ownership", "Slot {slot} goes to {to}, token {token}.");
-        }
-        Event::Granted { slot, token, to, reason } => {
-            let reason = reason_name(*reason);
-            log::info!(target: "ownership", "Slot {slot} goes to {to}, token {token}: {reason}.");
-        }
+        Event::Granted { .. } => {}
         Event::PlanWritten { version } => {
             log::info!(target: "ownership", "Plan {version} is written.");
         }
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -40,6 +40,19 @@
             && self.announcement.upstream_id == announcement.upstream_id
     }
 
+    /// Whether a client made for the other document is the same.
+    fn has_same_client(&self, document: &ServiceDocument) -> bool {
+        self.document.upstream == document.upstream
+            && self.document.limits.body_bytes_max == document.limits.body_bytes_max
+    }
+
+    /// Whether requests queue alike under the other document: what runs is counted on then.
+    fn has_same_lane(&self, document: &ServiceDocument) -> bool {
+        self.document.upstream == document.upstream
+            && self.document.limits == document.limits
+            && self.document.classes == document.classes
+    }
+
     /// No new work may reach the upstream any more. Until half of the document's time has passed
     /// it still may: the news that this instance is leaving takes a while to spread.
     pub(crate) fn refuses_work(&self, now: Timestamp) -> bool {
@@ -81,13 +94,13 @@
         let document = &service.document;
         let same_upstream = former.filter(|it| it.is_of(announcement));
         // A version may change limits of the client: connections are cheap to make anew.
-        let upstream = match same_upstream.filter(|it| it.version == service.version) {
+        let upstream = match same_upstream.filter(|it| it.has_same_client(document)) {
             Some(former) => Arc::clone(&former.upstream),
             None => (self.connect)(announcement, document)?,
         };
         let lane = match same_upstream {
             Some(it)
-                if it.version == service.version
+                if it.has_same_lane(document)
                     && it.announcement.slots == announcement.slots
                     && !revived(it, announcement.state) =>
             {
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -20,7 +20,7 @@
 use model::{ConfigVersion, Instance, ObjectVersion, Term, Timestamp, Token};
 
 use crate::{
-    CallId, Confirmation, Coordinator, Event, Message, PlatformReply, TermTimes,
+    CallId, Confirmation, Coordinator, Event, Message, OwnLease, PlatformReply, TermTimes,
     ctx::{Ctx, MemberId, is_same},
     member::first_version,
     rules::{self, Rule},
@@ -88,6 +88,8 @@
     known: Vec<Instance>,
     next_announcement: Timestamp,
     next_proposal: Timestamp,
+    /// Since when some member could be granted something, while nothing has ever been.
+    first_ready_at: Option<Timestamp>,
     /// When slots were moved to even out the load, within the last minute.
     moved: VecDeque<Timestamp>,
     /// Since when the document has asked for other times than the object holds.
@@ -113,7 +115,8 @@
         let object = ObjectKeeper::new(object, version);
         let times = object.acked().times.min(ctx.limits().into());
         let confirm = Confirm::new(ctx.now, sent_at, &object.confirm_by(times));
-        let succession = Succession::new(ctx.now, former.as_ref());
+        let own_lease = ctx.limits().own_lease;
+        let succession = Succession::new(ctx.now, former.as_ref(), own_lease);
         let holder = if first_term { Holder::Nobody { lapsed_at: None } } else { Holder::Unknown };
         let witnesses = object.acked().witnesses.iter().map(MemberId::from).collect();
         let confirmed_by = (object.acked().confirmation, witnesses);
@@ -138,6 +141,7 @@
             known,
             next_announcement: ctx.now,
             next_proposal: ctx.now + delay,
+            first_ready_at: None,
             moved: VecDeque::new(),
             times_differ_since: None,
             confirmed_by,
@@ -163,19 +167,28 @@
 
     /// Until when this node may hold what it has granted itself.
     pub(crate) fn own_lease_until(&mut self, ctx: &Ctx<'_>) -> Option<Timestamp> {
-        let until = self.confirm.until();
-        let by_witnesses = self.confirm.proved_at() + self.times(ctx).confirmation();
-        let until = match self.own_capped_since {
-            Some(_) if rules::holds(Rule::CapOwnLease) => until.min(by_witnesses),
-            _ => until,
-        };
         if !self.may_renew(ctx) {
             return None;
         }
+        let until = match ctx.limits().own_lease {
+            OwnLease::Confirmation => self.confirmed_until(ctx),
+            OwnLease::Whole => ctx.now + self.times(ctx).lease(),
+        };
         self.own_until = self.own_until.max(until);
         Some(until)
     }
 
+    /// The end of the confirmation, as early as witnesses would have it while these are about to
+    /// take over.
+    fn confirmed_until(&self, ctx: &Ctx<'_>) -> Timestamp {
+        let until = self.confirm.until();
+        let by_witnesses = self.confirm.proved_at() + self.times(ctx).confirmation();
+        match self.own_capped_since {
+            Some(_) if rules::holds(Rule::CapOwnLease) => until.min(by_witnesses),
+            _ => until,
+        }
+    }
+
     /// The times in force: those that a successor will wait by, or shorter ones.
     fn times(&self, ctx: &Ctx<'_>) -> TermTimes {
         self.object.acked().times.min(ctx.limits().into())
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use model::{Instance, KeyHash, Slot, SlotCount, Term, Token};
+use model::{Instance, KeyHash, Slot, SlotCount, Term, Timestamp, Token};
 
 use crate::{
-    HotKey, NodeConfig, Plan, PlanSlot,
+    HotKey, NodeConfig, Plan, PlanSlot, UpstreamState,
     ctx::{Ctx, MemberId},
     planner::{PlannerInput, PlannerKey, PlannerMember, PlannerSlot, Proposal, Unit, propose},
 };
@@ -18,6 +18,10 @@
 
 /// Joins and losses that come within this time are planned for together.
 pub(super) const GATHER_FOR: Duration = Duration::from_millis(100);
+/// Slots that nobody has ever held wait this long for members whose upstreams are still starting, once
+/// the first is ready: upstreams that start together announce themselves within 1.5 s of each other,
+/// and what the first is granted alone has to be moved again.
+const FIRST_GRANTS_WAIT: Duration = Duration::from_millis(1_600);
 /// How often a new plan is thought of.
 const PROPOSE_EVERY: Duration = Duration::from_secs(1);
 /// A slot that was moved stays for this long.
@@ -85,6 +89,9 @@
         if !ready || self.next_proposal > ctx.now || self.any_grant_waits() {
             return;
         }
+        if self.waits_for_upstreams(ctx.now) {
+            return;
+        }
         let members = self.planned_members();
         let input = self.planner_input(ctx, &members);
         let proposal = propose(&input);
@@ -103,6 +110,18 @@
         }
     }
 
+    /// Whether nothing was ever granted and some member may soon be ready for its share.
+    fn waits_for_upstreams(&mut self, now: Timestamp) -> bool {
+        let granted = |row: &SlotRow| row.last_token != Token::default();
+        if !self.members.any_eligible() || self.table.slots.iter().any(granted) {
+            self.first_ready_at = None;
+            return false;
+        }
+        let since = *self.first_ready_at.get_or_insert(now);
+        let starting = |row: &MemberRow| row.upstream == UpstreamState::Starting && !row.leaving;
+        self.members.rows.values().any(starting) && now.since(since) < FIRST_GRANTS_WAIT
+    }
+
     fn any_grant_waits(&self) -> bool {
         self.table.iter().any(|(slot, row)| {
             matches!(row.holder, Holder::Nobody { .. })
--- a/crates/ownership/src/coordinator/succession.rs
+++ b/crates/ownership/src/coordinator/succession.rs
@@ -1,11 +1,11 @@
 //! What a new coordinator must wait for before earlier terms can do no more harm.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use model::Timestamp;
 
 use crate::{
-    Confirmation, Coordinator, TermTimes,
+    Confirmation, Coordinator, OwnLease, TermTimes,
     ctx::MemberId,
     rules::{self, Rule},
 };
@@ -21,6 +21,8 @@
     /// Members that have said, following this term, what they hold.
     answered: BTreeSet<MemberId>,
     settled: bool,
+    /// How long the earlier coordinator may have held its own.
+    own_lease: OwnLease,
 }
 
 #[derive(Debug)]
@@ -33,7 +35,11 @@
 }
 
 impl Succession {
-    pub(crate) fn new(now: Timestamp, former: Option<&Coordinator>) -> Succession {
+    pub(crate) fn new(
+        now: Timestamp,
+        former: Option<&Coordinator>,
+        own_lease: OwnLease,
+    ) -> Succession {
         let predecessor = former.map(|it| Predecessor {
             holder: it.holder.as_ref().map(MemberId::from),
             settled: it.settled,
@@ -41,7 +47,7 @@
             times: it.times,
         });
         let settled = predecessor.is_none();
-        Succession { acquired_at: now, predecessor, answered: BTreeSet::new(), settled }
+        Succession { acquired_at: now, predecessor, answered: BTreeSet::new(), settled, own_lease }
     }
 
     /// No earlier term can renew or grant any more, and its leases have ended or been adopted.
@@ -84,12 +90,18 @@
         })
     }
 
-    /// The lost coordinator held its own slots only while it was confirmed.
+    /// The lost coordinator held its own slots only while it was confirmed, or for a lease more.
     fn holder_ended(&self, now: Timestamp, confirm: &Confirm) -> bool {
         let Some(former) = &self.predecessor else { return true };
         let times = former.times;
-        self.silenced(confirm, former, times.confirmation(), times.platform_confirmation())
-            .is_some_and(|it| now >= it)
+        let lease = match self.own_lease {
+            OwnLease::Confirmation => Duration::ZERO,
+            OwnLease::Whole if rules::holds(Rule::WaitForOwnLease) => times.lease(),
+            OwnLease::Whole => Duration::ZERO,
+        };
+        let by_witnesses = times.confirmation() + lease;
+        let by_platform = times.platform_confirmation() + lease;
+        self.silenced(confirm, former, by_witnesses, by_platform).is_some_and(|it| now >= it)
     }
 
     /// When the last lease of any earlier term has ended.
@@ -111,8 +123,8 @@
         &self,
         confirm: &Confirm,
         former: &Predecessor,
-        by_witnesses: std::time::Duration,
-        by_platform: std::time::Duration,
+        by_witnesses: Duration,
+        by_platform: Duration,
     ) -> Option<Timestamp> {
         let times = former.times;
         match (former.confirmation, confirm.promised_at()) {
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use coordinator::GROUP_MEMBERS_MAX;
 pub use input::{Input, KeyLoad, LoadReport, PlatformReply, SlotLoad, UpstreamState};
-pub use limits::{FenceCheck, Limits};
+pub use limits::{FenceCheck, Limits, OwnLease};
 pub use message::{
     Command, HeldKey, HeldSlot, Holding, Message, Renew, Renewed, Report, RouteKey, RouteMember,
     RouteSlot, Routes, SessionId,
--- a/crates/ownership/src/limits.rs
+++ b/crates/ownership/src/limits.rs
@@ -10,6 +10,16 @@
     Unchecked,
 }
 
+/// How long a coordinator may hold what it has granted itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnLease {
+    /// While it is confirmed: its slots are free again as soon as it can't be any more.
+    Confirmation,
+    /// A lease from when it is confirmed, like any other member: for upstreams that end what outlasts
+    /// the grant under which it began.
+    Whole,
+}
+
 /// What the document allows. The settings check them against each other.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
@@ -38,6 +48,7 @@
     /// 0 spares churn above all, 1 spares unavailable time above all.
     pub availability_weight: f64,
     pub fence: FenceCheck,
+    pub own_lease: OwnLease,
 }
 
 impl Default for Limits {
@@ -56,6 +67,7 @@
             churn_per_minute_max: 0.10,
             availability_weight: 0.5,
             fence: FenceCheck::Unchecked,
+            own_lease: OwnLease::Confirmation,
         }
     }
 }
--- a/crates/ownership/src/planner/ranges.rs
+++ b/crates/ownership/src/planner/ranges.rs
@@ -23,6 +23,8 @@
 /// Relief goes on until the busiest member is below this share of the way from even to the trigger.
 const SETTLE_SHARE: f64 = 0.5;
 const US_PER_S: f64 = 1e6;
+/// Below this load of the whole service its slots count alike: a hundredth of a request in flight.
+const IDLE_US_PER_S: f64 = 1e4;
 
 /// The proposal for a service with ordered keys.
 pub(super) fn propose(input: &PlannerInput) -> Proposal {
@@ -64,6 +66,8 @@
     fair: f64,
     /// Slots that were moved to even out the load.
     relieved: Vec<bool>,
+    /// No load has been measured: slots are evened out by their number.
+    is_idle: bool,
 }
 
 impl<'a> Line<'a> {
@@ -72,12 +76,13 @@
         let able: Vec<u16> =
             (0..input.members.len() as u16).filter(|it| weight(*it) > 0.0).collect();
         let measured: f64 = input.slots.iter().map(|it| it.load_us_per_s.max(0.0)).sum();
-        let idle = match measured > 0.0 {
-            true => measured * IDLE_SHARE / input.slots.len() as f64,
-            false => 1.0,
+        let is_idle = measured < IDLE_US_PER_S;
+        let idle = match is_idle {
+            true => US_PER_S,
+            false => measured * IDLE_SHARE / input.slots.len() as f64,
         };
-        let costs: Vec<f64> =
-            input.slots.iter().map(|it| it.load_us_per_s.max(0.0) + idle).collect();
+        let seen = |it: f64| if is_idle { 0.0 } else { it.max(0.0) };
+        let costs: Vec<f64> = input.slots.iter().map(|it| seen(it.load_us_per_s) + idle).collect();
         let is_able = |it: &u16| able.contains(it);
         let owners: Vec<Option<u16>> =
             input.slots.iter().map(|it| it.owner.filter(is_able)).collect();
@@ -90,7 +95,7 @@
         let weights: f64 = able.iter().map(|it| weight(*it)).sum();
         let fair = costs.iter().sum::<f64>() / weights.max(f64::MIN_POSITIVE);
         let relieved = vec![false; owners.len()];
-        Line { input, owners, costs, carried, able, fair, relieved }
+        Line { input, owners, costs, carried, able, fair, relieved, is_idle }
     }
 
     fn weight(&self, member: u16) -> f64 {
@@ -197,6 +202,9 @@
     /// From which relative load on a member is relieved: above the document's target, and above what
     /// chance shows of a load of this size.
     fn trigger(&self) -> f64 {
+        if self.is_idle {
+            return self.input.limits.imbalance_target;
+        }
         let in_flight = (self.fair / US_PER_S).max(f64::MIN_POSITIVE);
         let chance = 1.0 + NOISE / in_flight.sqrt();
         self.input.limits.imbalance_target.max(chance)
@@ -206,7 +214,9 @@
     fn relieve(&mut self) {
         let trigger = self.trigger();
         let settle = 1.0 + (trigger - 1.0) * SETTLE_SHARE;
-        let mut churn_left = (self.input.churn_left * self.owners.len() as f64) as usize;
+        // What nobody asks for may move freely: nobody waits for it.
+        let churn = if self.is_idle { 1.0 } else { self.input.churn_left };
+        let mut churn_left = (churn * self.owners.len() as f64) as usize;
         for _ in 0..MOVES_MAX {
             let by_load = |a: &u16, b: &u16| self.relative(*a).total_cmp(&self.relative(*b));
             let Some(busiest) = self.able.iter().copied().max_by(by_load) else { return };
--- a/crates/ownership/src/rules.rs
+++ b/crates/ownership/src/rules.rs
@@ -19,6 +19,8 @@
     RefuseEarlierTerms,
     /// A coordinator's own lease is shortened before witnesses confirm it.
     CapOwnLease,
+    /// A successor waits for a lost coordinator's own lease where that outlasts its confirmation.
+    WaitForOwnLease,
     /// A coordinator renews only while it is confirmed.
     RenewConfirmed,
     /// The new owner is granted a slot when the old one has closed it.
--- a/crates/ownership/src/sim/host.rs
+++ b/crates/ownership/src/sim/host.rs
@@ -103,7 +103,7 @@
             group: GroupId(0),
             slot_count: config.slot_count,
             keyed: config.keyed,
-            ordered: false,
+            ordered: config.ordered,
             limits: config.limits.clone(),
             seed,
             peers,
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -43,6 +43,7 @@
     pub zones: usize,
     pub slot_count: SlotCount,
     pub keyed: bool,
+    pub ordered: bool,
     pub limits: Limits,
     /// Clocks run at most this much too fast or too slow.
     pub drift: f64,
@@ -59,6 +60,7 @@
             zones: 3,
             slot_count: SlotCount::new(8).expect("8 is a number of slots"),
             keyed: true,
+            ordered: false,
             limits: Limits::default(),
             drift: 0.0,
             watched_keys: 0,
--- a/crates/ownership/src/sim/random.rs
+++ b/crates/ownership/src/sim/random.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{Limits, UpstreamState};
+use crate::{Limits, OwnLease, UpstreamState};
 
 use super::{Fault, Sim, SimConfig, Violation};
 
@@ -20,6 +20,9 @@
     pub duration: Duration,
     /// The longest time from one fault to the next.
     pub fault_gap_max: Duration,
+    /// Ordered slots, longer leases, and a coordinator that holds its own slots for as long as others:
+    /// as where upstreams enforce leases.
+    pub ordered: bool,
 }
 
 /// How a run ended.
@@ -61,12 +64,29 @@
     run(shape, true)
 }
 
+fn limits(ordered: bool) -> Limits {
+    if !ordered {
+        return Limits::default();
+    }
+    Limits {
+        lease: Duration::from_millis(1500),
+        renew_every: Duration::from_millis(400),
+        drift_margin: Duration::from_millis(40),
+        confirmation: Duration::from_millis(500),
+        platform_confirmation: Duration::from_millis(1000),
+        takeover_after: Duration::from_millis(700),
+        pause_max: Duration::from_millis(400),
+        own_lease: OwnLease::Whole,
+        ..Limits::default()
+    }
+}
+
 fn run(shape: &Shape, log: bool) -> (RunReport, Vec<String>) {
     // Much may move, so that handovers meet faults.
     let limits = Limits {
         platform_absence_max: ABSENCE_MAX,
         churn_per_minute_max: 20.0,
-        ..Limits::default()
+        ..limits(shape.ordered)
     };
     // Two clocks differ by at most the margin in one lease.
     let drift = limits.drift_margin.as_secs_f64() / limits.lease.as_secs_f64() / 2.1;
@@ -76,6 +96,7 @@
         watched_keys: shape.watched_keys,
         limits,
         drift,
+        ordered: shape.ordered,
         ..SimConfig::new(shape.seed)
     });
     if log {
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -30,6 +30,7 @@
         watched_keys: 4 * (seed % 3) as usize,
         duration: Duration::from_secs(20 + seed % 20),
         fault_gap_max: Duration::from_millis(400 + seed * 31 % 3600),
+        ordered: false,
     }
 }
 
@@ -64,6 +65,15 @@
     check_part(2);
 }
 
+/// The same seeds as upstreams that enforce leases would have them.
+#[test]
+fn seeds_with_ordered_slots() {
+    let first = setting("OWNERSHIP_SEED").unwrap_or(1);
+    for seed in first..first + runs() {
+        check(&Shape { ordered: true, ..shape(seed) });
+    }
+}
+
 #[test]
 fn seeds_that_have_shown_a_fault() {
     for seed in FAULTS_SHOWN {
@@ -80,6 +90,7 @@
             watched_keys: usize::arbitrary(g) % 10,
             duration: Duration::from_secs(10 + u64::arbitrary(g) % 40),
             fault_gap_max: Duration::from_millis(150 + u64::arbitrary(g) % 4000),
+            ordered: false,
         }
     }
 
--- a/crates/settings/src/fleet/defaults.rs
+++ b/crates/settings/src/fleet/defaults.rs
@@ -1,5 +1,7 @@
 //! Service documents that are made from a fleet's configuration and an agent's defaults.
 
+use std::time::Duration;
+
 use model::{ClassName, OrderedKeys, ServiceName, TeamName};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -11,6 +13,12 @@
 /// How long a request may take at most: as long as documents allow. The routes of hosts say less.
 const DEADLINE_MS_MAX: u64 = 60_000;
 
+/// By how much a lease outlasts the longest request: two renewals of 0.4 s, and a little.
+const RENEWALS_MS: u64 = 900;
+const LEASE_STEP_MS: u64 = 500;
+/// Whoever is lost for good is waited for as long as its lease.
+const LEASE_MS_MAX: u64 = 6_000;
+
 /// What the documents of a fleet's services have in common.
 #[derive(Debug, Clone, Default)]
 #[derive(Serialize, Deserialize, JsonSchema)]
@@ -53,10 +61,24 @@
     /// With their weights; at least one.
     pub classes: Vec<(ClassName, u32)>,
     pub connections_max: u32,
+    /// The longest time that any route to the service gives a request.
+    pub request_max: Duration,
     pub header_bytes_max: u64,
     pub body_bytes_max: u64,
 }
 
+/// An upstream that enforces leases ends a request with the grant under which it began, also when the
+/// grant was renewed meanwhile. So a lease lasts as long as the longest request and two renewals, in
+/// whole steps: a small change of a route leaves the leases as they are.
+fn lease_ms(default_ms: u64, service: &FleetService) -> u64 {
+    if service.keys.is_none() {
+        return default_ms;
+    }
+    let longest_ms = u64::try_from(service.request_max.as_millis()).unwrap_or(u64::MAX);
+    let needed_ms = longest_ms.saturating_add(RENEWALS_MS).next_multiple_of(LEASE_STEP_MS);
+    needed_ms.clamp(default_ms, LEASE_MS_MAX)
+}
+
 impl DocumentDefaults {
     /// The document of a service, as text.
     pub fn document(&self, service: &FleetService) -> String {
@@ -95,7 +117,10 @@
                 header_bytes_max: service.header_bytes_max,
                 ..defaults.limits
             },
-            ownership: defaults.ownership,
+            ownership: RawOwnership {
+                lease_ms: lease_ms(defaults.ownership.lease_ms, service),
+                ..defaults.ownership
+            },
             drain: defaults.drain,
         };
         serde_json::to_string(&document).expect("a document has a JSON form")
