Restart of everything: witnesses are asked at their addresses, a replaced holder is no holder; slots reported in batches

And each slot that closed was a step of the coordinator of about 5 ms, one after the other. Change: questions go to whichever life is at the address; a later life counts as a witness once it has read the platform since its start (trace witness-that-has-forgotten, seen if the rule is broken); a holder whose place another life has taken is followed at once; closed and prepared slots come in batches; a stop is bounded by stop_ms_max.

--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use model::{Instance, ServiceName, Slot, Timestamp, Token};
-use ownership::{Event, Input, MoveReason, Node, NodeConfig, NodeView, Output};
+use ownership::{Event, Input, Message, MoveReason, Node, NodeConfig, NodeView, Output};
 use settings::{MoveStatus, ServiceDocument};
 use wire::exchange::Envelope;
 
@@ -99,10 +99,10 @@
     fn carry_out(&mut self, output: Output, parts: &Parts) {
         match output {
             Output::Send { to, message } => {
-                let payload = wire::control::encode(&message);
-                let service = self.service.clone();
-                let envelope = Envelope::Group { service, group: ONLY_GROUP, payload };
-                parts.links.send(&to, envelope.encode());
+                parts.links.send(&to, self.envelope(&message).encode());
+            }
+            Output::SendToAddress { to, message } => {
+                parts.links.send_to_address(to.control, self.envelope(&message).encode());
             }
             Output::Platform { call, request } => {
                 parts.calls.node(&self.service, ONLY_GROUP, call, request);
@@ -113,6 +113,11 @@
         }
     }
 
+    fn envelope(&self, message: &Message) -> Envelope {
+        let payload = wire::control::encode(message);
+        Envelope::Group { service: self.service.clone(), group: ONLY_GROUP, payload }
+    }
+
     fn note(&mut self, event: Event) {
         log_event(&event);
         let Event::Granted { slot, token, to, reason } = event else { return };
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -149,6 +149,8 @@
             Report::Upstream(state) => self.seen_by_gate(state),
             Report::Prepared { slot, token } => self.step(now, Input::Prepared { slot, token }),
             Report::Closed { slot, token } => self.step(now, Input::Closed { slot, token }),
+            Report::ClosedSlots(slots) => self.step(now, Input::ClosedSlots(slots)),
+            Report::PreparedSlots(slots) => self.step(now, Input::PreparedSlots(slots)),
             Report::KeyClosed { key_hash, token } => {
                 self.step(now, Input::KeyClosed { key_hash, token });
             }
--- a/crates/agent/src/gate/leases/keeper.rs
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -155,7 +155,7 @@
 }
 
 async fn report_closed(gate: &Gate, closed: Vec<(Slot, Token)>) {
-    for (slot, token) in closed {
-        gate.reporter.deliver(Report::Closed { slot, token }).await;
+    if !closed.is_empty() {
+        gate.reporter.deliver(Report::ClosedSlots(closed)).await;
     }
 }
--- a/crates/agent/src/gate/worker.rs
+++ b/crates/agent/src/gate/worker.rs
@@ -21,6 +21,8 @@
 const PREPARE_TIMEOUT: Duration = Duration::from_secs(10);
 const PREPARE_PAUSE: Duration = Duration::from_millis(100);
 const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How many tasks are started in one go.
+const BATCH_MAX: usize = 4096;
 /// How often a closing unit is looked at.
 const CLOSE_POLL: Duration = Duration::from_millis(1);
 /// What of the time for a handover is left for the records.
@@ -33,12 +35,15 @@
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     gate.rebind();
+    let mut batch = Vec::new();
     loop {
         tokio::select! {
-            task = tasks.recv() => match task {
-                Some(task) => start(&gate, task),
-                None => return,
-            },
+            count = tasks.recv_many(&mut batch, BATCH_MAX) => {
+                if count == 0 {
+                    return;
+                }
+                start_all(&gate, batch.drain(..)).await;
+            }
             _ = changes.changed() => gate.rebind(),
             _ = tick.tick() => if let Some(book) = gate.book.get() {
                 book.tick(gate.clock.now());
@@ -47,25 +52,36 @@
     }
 }
 
-fn start(gate: &Arc<Gate>, task: GateTask) {
-    let gate = Arc::clone(gate);
-    let leased = gate.bound.load().as_ref().is_some_and(|it| it.upstream.leases().is_some());
+/// Starts tasks; what needs no work is answered in one go.
+async fn start_all(gate: &Arc<Gate>, tasks: impl Iterator<Item = GateTask>) {
+    let (mut prepared, mut closed) = (Vec::new(), Vec::new());
     let now = gate.clock.now();
-    match task {
-        GateTask::Prepare { slot, token } if leased => {
-            tokio::spawn(async move {
-                gate.reporter.deliver(Report::Prepared { slot, token }).await;
-            });
-        }
-        GateTask::Close { unit: RecordUnit::Slot(slot), token, to } if leased => {
-            if !gate.leases.close(now, slot, token, to) {
-                tokio::spawn(async move {
-                    gate.reporter.deliver(Report::Closed { slot, token }).await;
-                });
+    let leased = gate.bound.load().as_ref().is_some_and(|it| it.upstream.leases().is_some());
+    for task in tasks {
+        match task {
+            GateTask::Prepare { slot, token } if leased => prepared.push((slot, token)),
+            GateTask::Close { unit: RecordUnit::Slot(slot), token, to } if leased => {
+                if !gate.leases.close(now, slot, token, to) {
+                    closed.push((slot, token));
+                }
             }
+            GateTask::Grant { slot, token } if leased => gate.leases.admit(now, slot, token),
+            GateTask::DropAll => gate.leases.drop_all(),
+            task => start(gate, task),
         }
-        GateTask::Grant { slot, token } if leased => gate.leases.admit(now, slot, token),
-        GateTask::DropAll => gate.leases.drop_all(),
+    }
+    if !prepared.is_empty() {
+        gate.reporter.deliver(Report::PreparedSlots(prepared)).await;
+    }
+    if !closed.is_empty() {
+        gate.reporter.deliver(Report::ClosedSlots(closed)).await;
+    }
+}
+
+fn start(gate: &Arc<Gate>, task: GateTask) {
+    let gate = Arc::clone(gate);
+    match task {
+        GateTask::DropAll => {}
         GateTask::Prepare { slot, token } => {
             tokio::spawn(async move { gate.prepare(slot, token).await });
         }
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Requests that callers wait for.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.ingress.in_flight()
+    }
+
     /// Lets the HTTP server end, which closes its connections after their last answer. The server
     /// must have seen a signal, for it waits for one.
     pub(crate) async fn end(self) -> anyhow::Result<()> {
--- a/crates/agent/src/report/mod.rs
+++ b/crates/agent/src/report/mod.rs
@@ -25,6 +25,10 @@
     Prepared { slot: Slot, token: Token },
     /// A closed slot is empty and its records have been handed over or given up.
     Closed { slot: Slot, token: Token },
+    /// Several slots at once, as an upstream that enforces leases gives them up.
+    ClosedSlots(Vec<(Slot, Token)>),
+    /// Several slots that need no preparing.
+    PreparedSlots(Vec<(Slot, Token)>),
     /// The same for a closed key.
     KeyClosed { key_hash: KeyHash, token: Token },
     /// A peer refused a request, for it is not the owner or is leaving, or it can't be reached.
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -16,7 +16,7 @@
     runtime::{Builder, Runtime},
     signal::unix::{Signal, SignalKind, signal},
     sync::{mpsc, oneshot, watch},
-    time::timeout,
+    time::{Instant, timeout_at},
 };
 
 use crate::{
@@ -32,8 +32,10 @@
 
 /// Connections that may wait to be accepted: all callers arrive in the same second.
 const BACKLOG: u32 = 4096;
-/// How long a leaving instance waits until everything has been handed over.
-const HANDOVER_MAX: Duration = Duration::from_secs(20);
+/// The share of the time for a stop within which everything is to have been handed over.
+const HANDOVER_SHARE: f64 = 0.6;
+/// What is left of it for the end of the callers' connections.
+const END_SHARE: f64 = 0.1;
 
 /// Why the process can't start.
 #[derive(Debug)]
@@ -89,6 +91,7 @@
     };
     log::info!(target: "agent", "{own} starts for {} in {}.", settings.service, own.zone);
     let clock = Clock::start();
+    let stop_max = settings.stop_max;
     let key = LinkKey::new(settings.link_key.as_bytes());
     let snapshots: Arc<SnapshotCell> = Arc::default();
     let (reporter, reports) = report::channel();
@@ -136,7 +139,7 @@
         })
     };
     let plane = runtime.block_on(plane)?;
-    let ended = runtime.block_on(stop(signals, plane, &phase, all_handed_over));
+    let ended = runtime.block_on(stop(signals, plane, &phase, all_handed_over, stop_max));
     phase.send_replace(Phase::Ending);
     let control = control.join().map_err(|_| anyhow::anyhow!("the control thread panicked"))?;
     log::info!(target: "agent", "The agent has stopped.");
@@ -149,17 +152,29 @@
     plane: Plane,
     phase: &watch::Sender<Phase>,
     handed_over: oneshot::Receiver<()>,
+    stop_max: Duration,
 ) -> anyhow::Result<()> {
     signals.wait().await;
+    let began = Instant::now();
     log::info!(target: "agent", "A signal asks to stop: handing over.");
     phase.send_replace(Phase::Stopping);
     plane.leave();
-    if timeout(HANDOVER_MAX, handed_over).await.is_err() {
+    if timeout_at(began + stop_max.mul_f64(HANDOVER_SHARE), handed_over).await.is_err() {
         log::warn!(target: "agent", "Not everything was handed over in time.");
     }
-    plane.drain().await;
-    log::info!(target: "agent", "Nothing is in flight any more.");
-    plane.end().await
+    match timeout_at(began + stop_max.mul_f64(1.0 - END_SHARE), plane.drain()).await {
+        Ok(()) => log::info!(target: "agent", "Nothing is in flight any more."),
+        Err(_) => {
+            log::warn!(target: "agent", "The time for the stop is over: {} requests are cut off.", plane.in_flight())
+        }
+    }
+    match timeout_at(began + stop_max, plane.end()).await {
+        Ok(ended) => ended,
+        Err(_) => {
+            log::info!(target: "agent", "Some callers keep their connections to the end.");
+            Ok(())
+        }
+    }
 }
 
 /// The signals that the process takes.
--- a/crates/ownership/src/coordinator/confirm.rs
+++ b/crates/ownership/src/coordinator/confirm.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     CallId, Confirmation, Message, PlatformRequest, TermTimes,
-    ctx::{Ctx, MemberId, is_same},
+    ctx::{Ctx, MemberId, is_same, is_same_seat},
+    rules::{self, Rule},
 };
 
 /// Questions whose answers may still come.
@@ -172,21 +173,32 @@
             }
         }
         for witness in asked {
-            ctx.send(witness, Message::Question { term, number });
+            ctx.send_to_seat(witness, Message::Question { term, number });
         }
     }
 
-    /// A witness has heard of no higher term when it answered.
+    /// A witness has heard of no higher term when it answered. A later life of it counts as well if it
+    /// has read the platform since it started: each term that the earlier life has confirmed stood
+    /// there before.
     pub(crate) fn answered(
         &mut self,
         now: Timestamp,
         from: &Instance,
         number: u64,
+        has_read: bool,
         by: &ConfirmBy<'_>,
     ) {
-        let id = MemberId::from(from);
-        if !self.promised.contains(&id) {
-            self.promised.push(id.clone());
+        let stands_for = |it: &&Instance| {
+            is_same(it, from)
+                || (is_same_seat(it, from)
+                    && (has_read || !rules::holds(Rule::ReadBeforeWitnessing)))
+        };
+        let witnesses = by.witness_sets.iter().copied().flatten().filter(stands_for);
+        let ids: Vec<MemberId> = witnesses.map(MemberId::from).collect();
+        for id in &ids {
+            if !self.promised.contains(id) {
+                self.promised.push(id.clone());
+            }
         }
         if self.promised_at.is_none() && is_majority(&self.promised, by) {
             self.promised_at = Some(now);
@@ -194,8 +206,10 @@
         let Some(question) = self.questions.iter_mut().find(|it| it.number == number) else {
             return;
         };
-        if !question.answered.contains(&id) {
-            question.answered.push(id);
+        for id in ids {
+            if !question.answered.contains(&id) {
+                question.answered.push(id);
+            }
         }
         if by.path == Some(Confirmation::Witnesses) && is_majority(&question.answered, by) {
             self.until = self.until.max(question.sent_at + by.times.confirmation());
@@ -207,9 +221,11 @@
     /// term either. Two processes are never bound to one address, so the earlier one has ended.
     pub(crate) fn replaced(&mut self, now: Timestamp, by_agent: &Instance, by: &ConfirmBy<'_>) {
         for witness in by.witness_sets.iter().copied().flatten() {
-            let here = witness.name == by_agent.name && witness.control == by_agent.control;
             let id = MemberId::from(witness);
-            if here && !is_same(witness, by_agent) && !self.promised.contains(&id) {
+            if is_same_seat(witness, by_agent)
+                && !is_same(witness, by_agent)
+                && !self.promised.contains(&id)
+            {
                 self.promised.push(id);
             }
         }
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -217,9 +217,9 @@
                 self.confirm.replaced(ctx.now, from, &by);
                 self.renew(ctx, from, renew);
             }
-            Message::Answer { term, number } if *term == self.term => {
+            Message::Answer { term, number, has_read } if *term == self.term => {
                 let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
-                self.confirm.answered(ctx.now, from, *number, &by);
+                self.confirm.answered(ctx.now, from, *number, *has_read, &by);
             }
             _ => return,
         }
--- a/crates/ownership/src/ctx.rs
+++ b/crates/ownership/src/ctx.rs
@@ -26,6 +26,12 @@
     a.incarnation == b.incarnation && a.name == b.name
 }
 
+/// Whether two values name lives of one agent, perhaps different ones: two processes are never bound to
+/// one address at a time, so the earlier life has ended.
+pub(crate) fn is_same_seat(a: &Instance, b: &Instance) -> bool {
+    a.name == b.name && a.control == b.control
+}
+
 /// The surroundings of one step.
 pub(crate) struct Ctx<'a> {
     pub(crate) now: Timestamp,
@@ -54,6 +60,15 @@
         }
     }
 
+    /// Sends to whichever life of the peer is there by now.
+    pub(crate) fn send_to_seat(&mut self, to: &Instance, message: Message) {
+        if is_same_seat(to, self.me()) {
+            self.local.push_back(message);
+        } else {
+            self.out.push(Output::SendToAddress { to: to.clone(), message });
+        }
+    }
+
     pub(crate) fn event(&mut self, event: Event) {
         self.out.push(Output::Event(event));
     }
--- a/crates/ownership/src/input.rs
+++ b/crates/ownership/src/input.rs
@@ -10,18 +10,36 @@
     /// Time has passed; to be given at least every 50 ms.
     Tick,
     /// A message of a peer, over an authenticated link.
-    Message { from: Instance, message: Message },
+    Message {
+        from: Instance,
+        message: Message,
+    },
     /// The end of a call asked for by [`crate::Output::Platform`].
-    Platform { call: CallId, reply: PlatformReply },
+    Platform {
+        call: CallId,
+        reply: PlatformReply,
+    },
     /// What the upstream beside this agent says of itself.
     Upstream(UpstreamState),
     /// The upstream is ready for a slot that [`crate::GateCommand::Prepare`] named.
-    Prepared { slot: Slot, token: Token },
+    Prepared {
+        slot: Slot,
+        token: Token,
+    },
     /// Nothing of a slot closed by [`crate::GateCommand::Close`] is in flight any more, and its
     /// records have been handed over or given up.
-    Closed { slot: Slot, token: Token },
+    Closed {
+        slot: Slot,
+        token: Token,
+    },
+    /// Several slots at once, as they come from an upstream that gives up or takes whole ranges.
+    ClosedSlots(Vec<(Slot, Token)>),
+    PreparedSlots(Vec<(Slot, Token)>),
     /// The same for one key closed by [`crate::GateCommand::CloseKey`].
-    KeyClosed { key_hash: KeyHash, token: Token },
+    KeyClosed {
+        key_hash: KeyHash,
+        token: Token,
+    },
     /// The load since the last report.
     Load(LoadReport),
     /// The service's document has changed.
@@ -30,7 +48,9 @@
     Config(ConfigVersion),
     /// What the upstream held is gone, or refused: give up the session with all that it holds, and
     /// start one that holds nothing.
-    DropSession { reason: &'static str },
+    DropSession {
+        reason: &'static str,
+    },
     /// Leave gracefully: hand over all slots and the term, then say [`crate::Output::Stopped`].
     Stop,
 }
--- a/crates/ownership/src/message/mod.rs
+++ b/crates/ownership/src/message/mod.rs
@@ -42,6 +42,9 @@
     Answer {
         term: Term,
         number: u64,
+        /// Whether it has read the platform's object since it started, and so knows of every term that
+        /// an earlier life of it has confirmed.
+        has_read: bool,
     },
     Renew(Box<Renew>),
     Renewed(Box<Renewed>),
--- a/crates/ownership/src/node/messages.rs
+++ b/crates/ownership/src/node/messages.rs
@@ -33,7 +33,8 @@
             }
             Message::Coordinates { .. } => {}
             Message::Question { number, .. } => {
-                ctx.send(from, Message::Answer { term: known, number });
+                let has_read = self.takeover.has_read();
+                ctx.send(from, Message::Answer { term: known, number, has_read });
             }
             Message::Renew(_) if self.coordination.is_none() => {
                 let coordinator = self.known.coordinator.clone();
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -13,7 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    CallId, Event, Input, Limits, Output, PlatformReply,
+    CallId, Event, Input, Limits, Output, PlatformReply, Report,
     coordinator::{Acquired, Coordination, TermState},
     ctx::{Ctx, is_same},
     member::Member,
@@ -172,7 +172,7 @@
     }
 
     fn input(&mut self, ctx: &mut Ctx<'_>, input: Input) {
-        let report = match input {
+        let report: Option<Report> = match input {
             Input::Tick => return self.tick(ctx),
             Input::Message { from, message } => return self.message(ctx, &from, message),
             Input::Platform { call, reply } => return self.platform(ctx, call, &reply),
@@ -196,16 +196,35 @@
                 self.member.leaving = true;
                 return self.renew_now(ctx);
             }
+            Input::ClosedSlots(slots) => {
+                let holdings = &mut self.member.holdings;
+                let reports = slots.into_iter().filter_map(|it| holdings.closed(ctx, it.0, it.1));
+                let reports: Vec<Report> = reports.collect();
+                return self.report_all(ctx, reports);
+            }
+            Input::PreparedSlots(slots) => {
+                let holdings = &mut self.member.holdings;
+                let reports = slots.into_iter().filter_map(|it| holdings.prepared(it.0, it.1));
+                let reports: Vec<Report> = reports.collect();
+                return self.report_all(ctx, reports);
+            }
             Input::Prepared { slot, token } => self.member.holdings.prepared(slot, token),
             Input::Closed { slot, token } => self.member.holdings.closed(ctx, slot, token),
             Input::KeyClosed { key_hash, token } => {
                 self.member.holdings.key_closed(ctx, key_hash, token)
             }
         };
-        if let Some(report) = report {
+        self.report_all(ctx, report.into_iter().collect());
+    }
+
+    fn report_all(&mut self, ctx: &mut Ctx<'_>, reports: Vec<Report>) {
+        if reports.is_empty() {
+            return;
+        }
+        for report in reports {
             self.member.report(report);
-            self.renew_now(ctx);
         }
+        self.renew_now(ctx);
     }
 
     fn renew_now(&mut self, ctx: &mut Ctx<'_>) {
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -7,7 +7,7 @@
 use crate::{
     CallId, Confirmation, Coordinator, Message, Plan, PlatformReply, PlatformRequest, TermTimes,
     coordinator::Acquired,
-    ctx::{Ctx, MemberId, is_same},
+    ctx::{Ctx, MemberId, is_same, is_same_seat},
 };
 
 use super::Node;
@@ -69,6 +69,8 @@
     witnesses: Vec<Instance>,
     /// Since when no majority of them has been reached.
     alone_since: Option<Timestamp>,
+    /// The platform's object has been read since this node started.
+    has_read: bool,
     /// How often a term was taken from a holder that may have been at work.
     doublings: u32,
 }
@@ -86,9 +88,14 @@
             witnesses: Vec::new(),
             alone_since: None,
             doublings: 0,
+            has_read: false,
         }
     }
 
+    pub(super) fn has_read(&self) -> bool {
+        self.has_read
+    }
+
     fn failed(&mut self, ctx: &mut Ctx<'_>) {
         self.step = Step::Idle;
         self.next_try = ctx.now + ctx.jittered(self.retry);
@@ -114,6 +121,8 @@
         match &self.known.coordinator {
             None if self.known.vacant => silent >= rank / 2,
             None => true,
+            // Its process has ended, whatever it held runs out by itself.
+            Some(it) if self.is_replaced(ctx, it) => silent >= rank,
             Some(_) => {
                 let after = match self.known.in_person {
                     true => ctx.limits().takeover_after + rank,
@@ -124,6 +133,13 @@
         }
     }
 
+    /// Whether another life of an agent is known to be there in its place.
+    fn is_replaced(&self, ctx: &Ctx<'_>, former: &Instance) -> bool {
+        let heard = self.takeover.heard.iter().map(|it| &it.0);
+        let mut lives = heard.chain([ctx.me()]);
+        lives.any(|it| is_same_seat(it, former) && !is_same(it, former))
+    }
+
     /// The order in which members try.
     fn rank(&self, ctx: &Ctx<'_>) -> u32 {
         let me = MemberId::from(ctx.me());
@@ -147,10 +163,11 @@
         let me = ctx.me();
         let members = self.member.routes.members.iter().map(|it| &it.instance);
         let mut asked: Vec<&Instance> = vec![me];
-        for it in members.chain(&ctx.config.peers).chain(&self.takeover.witnesses) {
-            if !asked.iter().any(|known| is_same(known, it)) {
+        let others = members.chain(&ctx.config.peers).chain(&self.takeover.witnesses);
+        for it in others.chain(&self.known.coordinator) {
+            if !asked.iter().any(|known| is_same_seat(known, it)) {
                 asked.push(it);
-                ctx.send(it, Message::WhoCoordinates { term: self.known.term });
+                ctx.send_to_seat(it, Message::WhoCoordinates { term: self.known.term });
             }
         }
     }
@@ -177,7 +194,7 @@
     /// Whether a majority of the witnesses can be reached, or has been replaced.
     fn reaches_majority(&self, ctx: &Ctx<'_>, witnesses: &[Instance]) -> bool {
         let reached = |witness: &&Instance| {
-            let here = |it: &Instance| it.name == witness.name && it.control == witness.control;
+            let here = |it: &Instance| is_same_seat(it, witness);
             let mut heard = self.takeover.heard.iter();
             is_same(witness, ctx.me())
                 || here(ctx.me())
@@ -239,7 +256,10 @@
         if !own {
             return false;
         }
-        match (std::mem::replace(&mut self.takeover.step, Step::Idle), reply) {
+        let step = std::mem::replace(&mut self.takeover.step, Step::Idle);
+        self.takeover.has_read |=
+            matches!((&step, reply), (Step::Reading(_), PlatformReply::Coordinator(_)));
+        match (step, reply) {
             (Step::Reading(_), PlatformReply::Coordinator(Some((version, object)))) => {
                 self.takeover.retry = RETRY_MIN;
                 self.coordinator_read(ctx, *version, object);
--- a/crates/ownership/src/output.rs
+++ b/crates/ownership/src/output.rs
@@ -13,6 +13,8 @@
 pub enum Output {
     /// Send to a peer; may be lost, late, doubled or out of order.
     Send { to: Instance, message: Message },
+    /// The same to whichever life of the peer is at its address by now.
+    SendToAddress { to: Instance, message: Message },
     /// Call the platform and give its reply as [`crate::Input::Platform`].
     Platform { call: CallId, request: PlatformRequest },
     /// Change what the local gate admits.
--- a/crates/ownership/src/rules.rs
+++ b/crates/ownership/src/rules.rs
@@ -21,6 +21,8 @@
     CapOwnLease,
     /// A successor waits for a lost coordinator's own lease where that outlasts its confirmation.
     WaitForOwnLease,
+    /// A later life of a witness counts only once it has read the platform.
+    ReadBeforeWitnessing,
     /// A coordinator renews only while it is confirmed.
     RenewConfirmed,
     /// The new owner is granted a slot when the old one has closed it.
--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::{Instance, KeyHash};
+use model::KeyHash;
 use rand::RngExt;
 
 use crate::{
@@ -139,7 +139,14 @@
         for output in out {
             self.note_output(host, &output);
             match output {
-                Output::Send { to, message } => self.send(host, &to, message),
+                Output::Send { to, message } => {
+                    let at = self.hosts.iter().position(|it| is_same(&it.instance, &to));
+                    self.send(host, at, message);
+                }
+                Output::SendToAddress { to, message } => {
+                    let at = self.hosts.iter().position(|it| it.instance.name == to.name);
+                    self.send(host, at, message);
+                }
                 Output::Platform { call, request } => {
                     self.call(host, life, call, request);
                 }
@@ -157,9 +164,9 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: &Instance, message: Message) {
+    fn send(&mut self, from: usize, at: Option<usize>, message: Message) {
         self.messages += 1;
-        let Some(at) = self.hosts.iter().position(|it| is_same(&it.instance, to)) else { return };
+        let Some(at) = at else { return };
         let cut = self.links.cut.contains(&(from, at));
         if cut || self.rng.random_bool(self.links.loss) {
             return;
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -361,7 +361,7 @@
                 }
                 _ => {}
             },
-            Output::Send { .. } => {}
+            Output::Send { .. } | Output::SendToAddress { .. } => {}
         }
     }
 
--- a/crates/ownership/src/tests/sabotage.rs
+++ b/crates/ownership/src/tests/sabotage.rs
@@ -104,3 +104,9 @@
     let trace = include_str!("../../traces/witnesses-at-the-moment-of-a-loss.trace");
     check_trace(Rule::CapOwnLease, trace, 50..=100);
 }
+
+#[test]
+fn a_witness_that_has_forgotten_its_word_is_seen() {
+    let trace = include_str!("../../traces/witness-that-has-forgotten.trace");
+    check_trace(Rule::ReadBeforeWitnessing, trace, 1..=20);
+}
--- a/crates/ownership/src/tests/trace.rs
+++ b/crates/ownership/src/tests/trace.rs
@@ -253,4 +253,5 @@
     all_stop_one_after_another: "all-stop-one-after-another";
     hot_key: "hot-key";
     witnesses_at_the_moment_of_a_loss: "witnesses-at-the-moment-of-a-loss";
+    witness_that_has_forgotten: "witness-that-has-forgotten";
 }
--- a/crates/wire/src/control/convert.rs
+++ b/crates/wire/src/control/convert.rs
@@ -119,7 +119,9 @@
             Message::Announce { term } => WireMessage::Announce(term.0),
             Message::Released { term } => WireMessage::Released(term.0),
             Message::Question { term, number } => WireMessage::Question(term.0, *number),
-            Message::Answer { term, number } => WireMessage::Answer(term.0, *number),
+            Message::Answer { term, number, has_read } => {
+                WireMessage::Answer(term.0, *number, *has_read)
+            }
             Message::Renew(it) => WireMessage::Renew(Box::new(it.as_ref().into())),
             Message::Renewed(it) => WireMessage::Renewed(Box::new(it.as_ref().into())),
             Message::SessionEnded { term, session } => WireMessage::SessionEnded(term.0, session.0),
@@ -145,7 +147,9 @@
             WireMessage::Announce(term) => Message::Announce { term: Term(term) },
             WireMessage::Released(term) => Message::Released { term: Term(term) },
             WireMessage::Question(term, number) => Message::Question { term: Term(term), number },
-            WireMessage::Answer(term, number) => Message::Answer { term: Term(term), number },
+            WireMessage::Answer(term, number, has_read) => {
+                Message::Answer { term: Term(term), number, has_read }
+            }
             WireMessage::Renew(it) => Message::Renew(Box::new((*it).try_into()?)),
             WireMessage::Renewed(it) => Message::Renewed(Box::new((*it).try_into()?)),
             WireMessage::SessionEnded(term, session) => {
--- a/crates/wire/src/control/tests.rs
+++ b/crates/wire/src/control/tests.rs
@@ -160,7 +160,7 @@
         2 => Message::Announce { term },
         3 => Message::Released { term },
         4 => Message::Question { term, number },
-        5 => Message::Answer { term, number },
+        5 => Message::Answer { term, number, has_read: number.is_multiple_of(2) },
         6 => Message::Renew(Box::new(renew(rng))),
         7 => Message::Renewed(Box::new(renewed(rng))),
         8 => Message::SessionEnded { term, session: SessionId(rng.random()) },
--- a/crates/wire/src/control/types.rs
+++ b/crates/wire/src/control/types.rs
@@ -36,7 +36,7 @@
     #[serde(rename = "q")]
     Question(u64, u64),
     #[serde(rename = "y")]
-    Answer(u64, u64),
+    Answer(u64, u64, bool),
     #[serde(rename = "r")]
     Renew(Box<WireRenew>),
     #[serde(rename = "l")]
--- a/xtask/src/bench/slopes/group.rs
+++ b/xtask/src/bench/slopes/group.rs
@@ -201,7 +201,9 @@
 
     fn carry_out(&mut self, host: usize, output: Output) {
         match output {
-            Output::Send { to, message } => self.send(host, &to, message),
+            Output::Send { to, message } | Output::SendToAddress { to, message } => {
+                self.send(host, &to, message);
+            }
             Output::Platform { call, request } => {
                 self.hosts[host].cost.platform_calls += 1;
                 let request = Box::new(request);
