Groups without keys need no confirmation; the longest absence from the store is 14 s

Change: where nothing is granted a coordinator renews without confirmation and waits for nobody; where keys are, the longest absence is 14 s, above the longest outage of 12 s that is to be borne, and the object is read often enough for that.

--- a/crates/ownership/src/coordinator/confirm.rs
+++ b/crates/ownership/src/coordinator/confirm.rs
@@ -17,6 +17,8 @@
 const ASKED_PER_CONFIRMATION: u32 = 3;
 /// How often a coordinator that its witnesses confirm reads its object all the same.
 const READ_EVERY: Duration = Duration::from_secs(10);
+/// How many reads fit into the longest absence.
+const READS_PER_ABSENCE: u32 = 7;
 /// How long to wait after a read that failed.
 const READ_RETRY: Duration = Duration::from_millis(100);
 /// How fresh contact with the platform must be before the path of confirmation is changed.
@@ -46,6 +48,7 @@
     next_question: Timestamp,
     read: Option<(CallId, Timestamp)>,
     next_read: Timestamp,
+    next_unkeyed_read: Timestamp,
     until: Timestamp,
     /// When the question or read was sent that last proved that there was no later term.
     proved_at: Timestamp,
@@ -71,6 +74,7 @@
             next_question: now,
             read: None,
             next_read: now,
+            next_unkeyed_read: now + READ_EVERY,
             until,
             proved_at: Timestamp::ZERO,
             reset_at: now,
@@ -158,6 +162,16 @@
         }
     }
 
+    /// Where nothing is granted, the object is only read now and then: a later term that no message has
+    /// told of shows there.
+    pub(crate) fn tick_unkeyed(&mut self, ctx: &mut Ctx<'_>) {
+        if self.read.is_none() && self.next_unkeyed_read <= ctx.now {
+            let call = ctx.call(PlatformRequest::ReadCoordinator);
+            self.read = Some((call, ctx.now));
+            self.next_unkeyed_read = ctx.now + READ_EVERY;
+        }
+    }
+
     fn ask(&mut self, ctx: &mut Ctx<'_>, term: Term, by: &ConfirmBy<'_>) {
         self.last_number += 1;
         let number = self.last_number;
@@ -256,7 +270,11 @@
                 let next = sent_at + good_for / ASKED_PER_CONFIRMATION;
                 self.next_read = self.next_read.min(next);
             }
-            _ => self.next_read = self.next_read.min(now + READ_EVERY),
+            // Often enough that the longest absence is not reached by missing a few.
+            _ => {
+                let every = READ_EVERY.min(by.times.platform_absence_max() / READS_PER_ABSENCE);
+                self.next_read = self.next_read.min(now + every);
+            }
         }
         true
     }
--- a/crates/ownership/src/coordinator/maintain.rs
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -27,7 +27,9 @@
         }
         let acked = self.object.acked();
         let mut wanted = Coordinator { settled: true, ..acked.clone() };
-        self.choose_confirmation(ctx, &mut wanted);
+        if ctx.config.keyed {
+            self.choose_confirmation(ctx, &mut wanted);
+        }
         self.choose_times(ctx, &mut wanted);
         if wanted != *self.object.acked() {
             self.object.update(ctx, wanted);
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -116,6 +116,8 @@
         let times = object.acked().times.min(ctx.limits().into());
         let confirm = Confirm::new(ctx.now, sent_at, &object.confirm_by(times));
         let own_lease = ctx.limits().own_lease;
+        let nothing_to_wait_for = !ctx.config.keyed;
+        let former = former.filter(|_| !nothing_to_wait_for);
         let succession = Succession::new(ctx.now, former.as_ref(), own_lease);
         let holder = if first_term { Holder::Nobody { lapsed_at: None } } else { Holder::Unknown };
         let witnesses = object.acked().witnesses.iter().map(MemberId::from).collect();
@@ -199,9 +201,15 @@
     }
 
     fn may_renew(&self, ctx: &Ctx<'_>) -> bool {
+        if self.releasing {
+            return false;
+        }
+        // Where nothing is granted, two coordinators at a time do no harm.
+        if !ctx.config.keyed {
+            return true;
+        }
         let by = self.object.confirm_by(self.times(ctx));
-        let confirmed = self.confirm.holds(ctx.now, &by) || !rules::holds(Rule::RenewConfirmed);
-        !self.releasing && confirmed
+        self.confirm.holds(ctx.now, &by) || !rules::holds(Rule::RenewConfirmed)
     }
 
     /// After a pause nothing that was proved before holds.
@@ -239,8 +247,12 @@
             }
             self.plan.tick(ctx);
         }
-        let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
-        self.confirm.tick(ctx, self.term, &by);
+        if ctx.config.keyed {
+            let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
+            self.confirm.tick(ctx, self.term, &by);
+        } else {
+            self.confirm.tick_unkeyed(ctx);
+        }
         self.object.tick(ctx);
         self.announce(ctx);
         self.run(ctx);
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -249,7 +249,7 @@
     #[schemars(range(min = 50, max = 60_000))]
     pub(crate) takeover_after_ms: u64,
     /// The longest time that a coordinator goes on without reaching the platform.
-    #[schemars(range(min = 60, max = 86_400))]
+    #[schemars(range(min = 5, max = 86_400))]
     pub(crate) platform_absence_max_s: u64,
     /// A gap between ticks above this counts as a pause and drops the lease.
     #[schemars(range(min = 60, max = 30_000))]
