A stop serves callers for 2.75 s, then refuses them at once

Change: callers are served while the instance hands over, until they are quiet for 1 s or 2.75 s have passed; later requests are refused as not run, with a time to come back.

--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -52,6 +52,9 @@
 
 /// How long a first request waits for the routes of a service that this agent has not met.
 const ROUTES_WAIT: Duration = Duration::from_secs(1);
+/// When callers may come back to an instance that is stopping: a stop that is near its end and the
+/// start that may follow it take about this long.
+const COME_BACK_AFTER_STOP: Duration = Duration::from_millis(1_500);
 /// When callers may come back after a refusal that names no time.
 const COME_BACK: Duration = Duration::from_millis(200);
 
@@ -148,7 +151,8 @@
         let id = head.id.unwrap_or_else(|| RequestId(rand::random()));
         let id = CallId { id, text: head.id_text.clone() };
         if self.closed.load(Ordering::SeqCst) {
-            let ending = Ending::given_up(GateReply::not_run(NotRunReason::Draining));
+            let reply = GateReply::not_run(NotRunReason::Draining);
+            let ending = Ending { reply, retry_after: Some(COME_BACK_AFTER_STOP) };
             let resent = parts.headers.contains_key(own_form::FIRST_SENT_HEADER);
             return self.parts.form.answer(if resent { of_resend(ending) } else { ending }, &id);
         }
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -36,9 +36,11 @@
 
 /// Once no request has come for this long, callers are taken to have left.
 const QUIET: Duration = Duration::from_secs(1);
-/// The longest wait for that. Each answer meanwhile closes its connection, so that the server's end
-/// finds none on which a request could just be on its way.
-const LINGER_MAX: Duration = Duration::from_secs(3);
+/// The longest wait for that: whoever sends callers here learns within 2 s that the instance is not
+/// ready, and a request that is taken later might not end before the process does. Each answer
+/// meanwhile closes its connection, so that the server's end finds none on which a request could just
+/// be on its way.
+const LINGER_MAX: Duration = Duration::from_millis(2_750);
 /// How long requests are refused before the server ends.
 const REFUSE_FOR: Duration = Duration::from_millis(100);
 
@@ -160,17 +162,15 @@
         self.ingress.leave();
     }
 
-    /// Waits for what is in flight at the gate, takes no more connections, serves those there are
-    /// until their callers have left, and waits for what ingress has in flight. Cuts off nothing.
+    /// Serves callers until they have left, takes no more connections then, and waits for what is in
+    /// flight at the gate and at ingress. Cuts off nothing.
     pub(crate) async fn drain(&self) {
-        while !self.gate.refuses_work() || self.gate.in_flight() > 0 {
-            sleep(DRAIN_POLL).await;
-        }
-        self.closing.send_replace(true);
         self.ingress.wait_quiet(QUIET, LINGER_MAX).await;
+        self.closing.send_replace(true);
         self.ingress.close();
         sleep(REFUSE_FOR).await;
-        while self.ingress.in_flight() > 0 || self.gate.in_flight() > 0 {
+        while !self.gate.refuses_work() || self.ingress.in_flight() > 0 || self.gate.in_flight() > 0
+        {
             sleep(DRAIN_POLL).await;
         }
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -35,7 +35,7 @@
 /// The share of the time for a stop within which everything is to have been handed over.
 const HANDOVER_SHARE: f64 = 0.6;
 /// What is left of it for the end of the callers' connections.
-const END_SHARE: f64 = 0.1;
+const END_SHARE: f64 = 0.05;
 
 /// Why the process can't start.
 #[derive(Debug)]
@@ -159,13 +159,18 @@
     log::info!(target: "agent", "A signal asks to stop: handing over.");
     phase.send_replace(Phase::Stopping);
     plane.leave();
-    if timeout_at(began + stop_max.mul_f64(HANDOVER_SHARE), handed_over).await.is_err() {
-        log::warn!(target: "agent", "Not everything was handed over in time.");
-    }
-    match timeout_at(began + stop_max.mul_f64(1.0 - END_SHARE), plane.drain()).await {
-        Ok(()) => log::info!(target: "agent", "Nothing is in flight any more."),
+    let handed_over = async {
+        if timeout_at(began + stop_max.mul_f64(HANDOVER_SHARE), handed_over).await.is_err() {
+            log::warn!(target: "agent", "Not everything was handed over in time.");
+        }
+    };
+    // Callers are served meanwhile.
+    let drained = async { tokio::join!(handed_over, plane.drain()) };
+    match timeout_at(began + stop_max.mul_f64(1.0 - END_SHARE), drained).await {
+        Ok(_) => log::info!(target: "agent", "Nothing is in flight any more."),
         Err(_) => {
-            log::warn!(target: "agent", "The time for the stop is over: {} requests are cut off.", plane.in_flight())
+            let left = plane.in_flight();
+            log::warn!(target: "agent", "The time for the stop is over: {left} requests are cut off.");
         }
     }
     match timeout_at(began + stop_max, plane.end()).await {
