Requests queue no longer than an answer is of full use; a full target is followed by others at once

Change: a class may say that its requests wait for a slot only while their answer can still be of full use; calls of upstreams wait for as long as they can. Where only upstreams count towards the budget, the next member is asked at once, two at the most, and then the caller is told when to come back.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -9,6 +9,7 @@
 };
 
 use model::{Instance, NotRunReason, Outcome, ServiceName, TeamName, Timestamp, UnknownReason};
+use ownership::UpstreamState;
 use rand::RngExt;
 use settings::TrafficLimits;
 use tokio::time::sleep;
@@ -21,7 +22,7 @@
     metrics::Metrics,
     report::{Report, Reporter},
     request::{GateReply, GateRequest},
-    snapshot::{ServiceRoutes, SnapshotCell},
+    snapshot::{MemberRoute, Routes, ServiceRoutes, SnapshotCell},
 };
 
 use selector::Selector;
@@ -93,6 +94,7 @@
         let clock = self.parts.clock;
         let started = clock.now();
         let deadline = started + request.remaining;
+        let useful_until = request.objective.map(|it| started + it);
         let mut attempts = Attempts::new(request.attempts);
         let mut trail = Trail::default();
         let mut fresh = true;
@@ -112,6 +114,7 @@
             }
             let now = clock.now();
             request.remaining = deadline.since(now);
+            request.objective = useful_until.map(|it| it.since(now));
             if std::mem::replace(&mut sent_before, true) {
                 // The caller may have sent it again elsewhere while it was held here.
                 request.held = now.since(started);
@@ -125,6 +128,7 @@
                 outcome: reply.outcome(),
                 retry_after,
                 other_owner: trail.hint.is_some(),
+                others_left: others_left(&routes, &trail),
             };
             if ended.outcome == Outcome::Answered {
                 return Ending { reply, retry_after: None };
@@ -200,6 +204,13 @@
     }
 }
 
+/// Whether a member may take the request that has not been asked yet.
+fn others_left(routes: &ServiceRoutes, trail: &Trail) -> bool {
+    let Routes::Any(members) = &routes.routes else { return false };
+    let fresh = |it: &&MemberRoute| !trail.tried.contains(&it.instance);
+    members.iter().filter(|it| it.state == UpstreamState::Ready).any(|it| fresh(&it))
+}
+
 fn retry_config(limits: &TrafficLimits) -> RetryConfig {
     RetryConfig {
         budget_share: limits.retry_share,
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -256,12 +256,26 @@
         Some(RouteIndex(found.index))
     }
 
+    /// Until when it is worth its while to wait for a slot. One whose answer can't be of full use any
+    /// more, as after a first try elsewhere, waits behind those that can, up to its deadline.
+    fn queue_until(&self) -> Timestamp {
+        let class = self.bound.document.classes.iter().find(|it| it.name == self.request.class);
+        let bounded = class.is_some_and(|it| !it.queues_past_objective);
+        match self.request.objective {
+            Some(objective) if bounded && !objective.is_zero() => {
+                self.deadline.min(self.gate.clock.now() + objective)
+            }
+            _ => self.deadline,
+        }
+    }
+
     /// Waits for a slot of the upstream.
     async fn queue(&self, caller: &mut Caller) -> Result<Permit, Box<GateReply>> {
-        let place = match self.bound.lane.offer(&self.request.class, self.route(), self.deadline) {
-            Offer::Wait(place) => place,
-            verdict => return into_permit(verdict),
-        };
+        let place =
+            match self.bound.lane.offer(&self.request.class, self.route(), self.queue_until()) {
+                Offer::Wait(place) => place,
+                verdict => return into_permit(verdict),
+            };
         let mut changes = self.gate.handle.table.changes();
         let mut wait = pin!(place.wait());
         loop {
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -192,6 +192,7 @@
         request.body = read(body, limits.body_bytes_max).await?;
         let spent = self.parts.clock.now().since(arrived);
         request.remaining = request.remaining.saturating_sub(spent);
+        request.objective = request.objective.map(|it| it.saturating_sub(spent));
         let team = routes.document.team.clone();
         let (class, age) = (request.class.clone(), request.age);
         drop(routes);
@@ -261,7 +262,8 @@
     let path = destination.document_path(&parts.uri);
     let (found, key_hash) = destination::route_and_key(routes, method, path, &head)?;
     let path = parts.uri.path_and_query().ok_or(Refusal::NoService)?;
-    let (class, idempotent, timeout, attempts) = match &destination.route {
+    let host_route = destination.route.as_deref();
+    let (class, idempotent, timeout, attempts) = match host_route {
         Some(it) => (&it.class, it.idempotent, it.timeout, it.attempts),
         None => (&found.route.class, found.route.idempotent, found.route.deadline, u8::MAX),
     };
@@ -275,6 +277,7 @@
         age: head.age,
         held: Duration::ZERO,
         attempts,
+        objective: host_route.map(|it| it.objective),
         config: routes.version,
         method: parts.method.clone(),
         path: path.clone(),
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -29,6 +29,8 @@
     pub(crate) age: Duration,
     /// Time that ingress has held this sending; zero: this is the first try to place it.
     pub(crate) held: Duration,
+    /// Time left in which an answer is of full use to the caller; none: all of it.
+    pub(crate) objective: Option<Duration>,
     /// The most upstreams that it may be given to; the ingress sees to that.
     pub(crate) attempts: u8,
     /// The ingress's version of the document.
@@ -113,6 +115,7 @@
             // A resend must not look like a first sending for its age being short.
             age_us: whole_us(self.age).max(u64::from(!self.age.is_zero())),
             held_us: whole_us(self.held),
+            objective_us: self.objective.map(whole_us),
             config: self.config,
             method: self.method.as_str().to_owned(),
             path: self.path.as_str().to_owned(),
@@ -138,6 +141,7 @@
             age: Duration::from_micros(raw.age_us),
             held: Duration::from_micros(raw.held_us),
             attempts: 1,
+            objective: raw.objective_us.map(Duration::from_micros),
             config: raw.config,
             method: Method::from_bytes(raw.method.as_bytes())
                 .map_err(|error| invalid("method", error.to_string()))?,
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -60,11 +60,13 @@
 }
 
 /// A class of requests.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Class {
     pub name: ClassName,
     /// Its share of a full target against the other classes; at least 1.
     pub weight: u32,
+    /// Whether its requests wait beyond the time in which an answer is of full use.
+    pub queues_past_objective: bool,
 }
 
 /// What a gate takes on.
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -101,6 +101,14 @@
     #[serde(default = "default_weight")]
     #[schemars(range(min = 1, max = 1000))]
     pub(crate) weight: u32,
+    /// Whether its requests wait for a free slot beyond the time in which an answer is of full use. If
+    /// not, one that is not expected to make that is refused at once and told when to come back.
+    #[serde(default = "default_queues_past_objective")]
+    pub(crate) queues_past_objective: bool,
+}
+
+fn default_queues_past_objective() -> bool {
+    true
 }
 
 fn default_weight() -> u32 {
--- a/crates/settings/src/document/rules.rs
+++ b/crates/settings/src/document/rules.rs
@@ -196,7 +196,12 @@
                 self.report(&field, format!("the class is the same as classes[{first}]."));
             }
             let name = self.name(&field, ClassName::new(&class.name));
-            classes.push(name.map(|name| Class { name, weight: class.weight }));
+            let queues_past_objective = class.queues_past_objective;
+            classes.push(name.map(|name| Class {
+                name,
+                weight: class.weight,
+                queues_past_objective,
+            }));
         }
         classes.into_iter().collect()
     }
--- a/crates/settings/src/fleet/defaults.rs
+++ b/crates/settings/src/fleet/defaults.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use model::{ClassName, OrderedKeys, ServiceName, TeamName};
+use model::{OrderedKeys, ServiceName, TeamName};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::document::{
-    RawClass, RawDocument, RawDrain, RawKey, RawLimits, RawOwnership, RawRoute, RawUpstream,
+    Class, RawClass, RawDocument, RawDrain, RawKey, RawLimits, RawOwnership, RawRoute, RawUpstream,
 };
 
 /// How long a request may take at most: as long as documents allow. The routes of hosts say less.
@@ -58,8 +58,8 @@
     pub keys: Option<OrderedKeys>,
     /// The header that carries the key, in lower case.
     pub key_header: &'static str,
-    /// With their weights; at least one.
-    pub classes: Vec<(ClassName, u32)>,
+    /// At least one.
+    pub classes: Vec<Class>,
     pub connections_max: u32,
     /// The longest time that any route to the service gives a request.
     pub request_max: Duration,
@@ -83,9 +83,10 @@
     /// The document of a service, as text.
     pub fn document(&self, service: &FleetService) -> String {
         let defaults = self.0.clone();
-        let class = |(name, weight): &(ClassName, u32)| RawClass {
-            name: name.as_str().to_owned(),
-            weight: *weight,
+        let class = |it: &Class| RawClass {
+            name: it.name.as_str().to_owned(),
+            weight: it.weight,
+            queues_past_objective: it.queues_past_objective,
         };
         let route = RawRoute {
             method: None,
@@ -93,7 +94,7 @@
             key: service
                 .keys
                 .map(|_| RawKey { header: Some(service.key_header.to_owned()), segment: None }),
-            class: service.classes.first().map_or("", |it| it.0.as_str()).to_owned(),
+            class: service.classes.first().map_or("", |it| it.name.as_str()).to_owned(),
             idempotent: false,
             deadline_ms: DEADLINE_MS_MAX,
         };
--- a/crates/settings/src/tests/fleet.rs
+++ b/crates/settings/src/tests/fleet.rs
@@ -4,7 +4,9 @@
 
 use model::{ClassName, OrderedKeys, ServiceName, TeamName};
 
-use crate::{AgentSettings, Backend, FleetService, HostRoute, RoutingTable, ServiceDocument};
+use crate::{
+    AgentSettings, Backend, Class, FleetService, HostRoute, RoutingTable, ServiceDocument,
+};
 
 fn route(name: &str, prefix: &str) -> HostRoute {
     HostRoute {
@@ -57,7 +59,11 @@
         team: TeamName::new("karerang").unwrap(),
         keys: OrderedKeys::new(65_536),
         key_header: "x-place",
-        classes: vec![(ClassName::new("rank-1").unwrap(), 4)],
+        classes: vec![Class {
+            name: ClassName::new("rank-1").unwrap(),
+            weight: 4,
+            queues_past_objective: false,
+        }],
         connections_max: 120,
         request_max: Duration::from_millis(2_900),
         header_bytes_max: 16_384,
--- a/crates/traffic/src/retry/mod.rs
+++ b/crates/traffic/src/retry/mod.rs
@@ -15,6 +15,10 @@
 /// twice as long. A handover takes some tens of milliseconds, so a shorter wait asks in vain.
 const UNOWNED_PAUSE: Duration = Duration::from_millis(40);
 
+/// How many more targets are asked when one has no room: what they say of their load is a little old,
+/// so one may have room after all; more would only spread the rush.
+const ELSEWHERE_MAX: u8 = 2;
+
 /// Which retries the budget pays for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Charge {
@@ -64,6 +68,8 @@
 pub struct Attempts {
     pub retries: u8,
     pub hops: u8,
+    /// Targets that were asked after others had refused the request without giving it to an upstream.
+    pub elsewhere: u8,
     /// Sendings that may have reached an upstream, and the most of them.
     pub given: u8,
     pub given_max: u8,
@@ -74,7 +80,7 @@
 impl Attempts {
     /// A request that may be given to so many upstreams.
     pub fn new(given_max: u8) -> Attempts {
-        Attempts { retries: 0, hops: 0, given: 0, given_max, waited: Duration::ZERO }
+        Attempts { retries: 0, hops: 0, elsewhere: 0, given: 0, given_max, waited: Duration::ZERO }
     }
 }
 
@@ -92,6 +98,8 @@
     pub retry_after: Option<Duration>,
     /// The peer named another owner for the key than the one that was asked.
     pub other_owner: bool,
+    /// There is a target that has not been asked yet and may take it.
+    pub others_left: bool,
 }
 
 /// What to do next.
@@ -144,6 +152,9 @@
         if let Some(after) = self.wait_for_owner(ended.outcome, attempts, left, rng) {
             return RetryVerdict::Retry { after };
         }
+        if let Some(verdict) = self.elsewhere(ended, reached, attempts, left) {
+            return verdict;
+        }
         let backoff = self.backoff(attempts.retries, rng);
         let after = ended.retry_after.map_or(backoff, |it| it + backoff);
         let give_up = RetryVerdict::GiveUp { retry_after: self.come_back(ended, after) };
@@ -163,6 +174,28 @@
         RetryVerdict::Retry { after }
     }
 
+    /// Where only upstreams count, a gate's refusal costs nobody else anything: the next target is asked
+    /// at once, and when all have refused for want of room the caller is told so, and when to come back,
+    /// in place of being held.
+    fn elsewhere(
+        &self,
+        ended: &Attempt,
+        reached: bool,
+        attempts: &mut Attempts,
+        left: Duration,
+    ) -> Option<RetryVerdict> {
+        let Outcome::NotRun(reason) = ended.outcome else { return None };
+        if self.config.charge != Charge::AfterUpstream || reached || !is_transient(reason) {
+            return None;
+        }
+        if ended.others_left && attempts.elsewhere < ELSEWHERE_MAX && left > Duration::ZERO {
+            attempts.elsewhere += 1;
+            return Some(RetryVerdict::Retry { after: Duration::ZERO });
+        }
+        let full = reason == NotRunReason::Overloaded;
+        full.then_some(RetryVerdict::GiveUp { retry_after: ended.retry_after })
+    }
+
     /// The pause until a key that nobody owns is asked for again, if there is time for it.
     fn wait_for_owner(
         &self,
--- a/crates/traffic/src/retry/tests.rs
+++ b/crates/traffic/src/retry/tests.rs
@@ -12,7 +12,7 @@
 const LOST: Outcome = Outcome::Unknown(UnknownReason::ConnectionLost);
 
 fn attempt(outcome: Outcome) -> Attempt {
-    Attempt { outcome, retry_after: None, other_owner: false }
+    Attempt { outcome, retry_after: None, other_owner: false, others_left: false }
 }
 
 fn decide(outcome: Outcome, idempotent: bool, left_ms: u64) -> RetryVerdict {
@@ -146,7 +146,8 @@
 fn refusals_of_gates_are_free_where_only_upstreams_count() {
     let config =
         RetryConfig { budget_max: 0.0, charge: Charge::AfterUpstream, ..RetryConfig::default() };
-    assert_eq!(retries_of(&config, SHED, Attempts::default()), 3);
+    let unreachable = Outcome::NotRun(NotRunReason::Unreachable);
+    assert_eq!(retries_of(&config, unreachable, Attempts::default()), 3);
     assert_eq!(retries_of(&config, REFUSED, Attempts::default()), 0);
 }
 
@@ -164,3 +165,24 @@
     let count = retries_of(&config, unowned, Attempts::default());
     assert!((1500 / 80..=1500 / 40).contains(&count), "{count}");
 }
+
+/// A service that is full holds nobody: others are asked at once, a few, and then the caller is told
+/// when to come back.
+#[test]
+fn a_full_target_is_followed_by_others_at_once() {
+    let config = RetryConfig { charge: Charge::AfterUpstream, ..RetryConfig::default() };
+    let mut retries = Retries::new(config);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut attempts = Attempts::default();
+    let back = Some(Duration::from_millis(300));
+    let mut decide = |others_left| {
+        let ended = Attempt { retry_after: back, others_left, ..attempt(SHED) };
+        let deadline = Timestamp::from_ms(1000);
+        retries.decide(Timestamp::ZERO, deadline, true, &mut attempts, &ended, &mut rng)
+    };
+    let at_once = RetryVerdict::Retry { after: Duration::ZERO };
+    assert_eq!(decide(true), at_once);
+    assert_eq!(decide(true), at_once);
+    assert_eq!(decide(true), RetryVerdict::GiveUp { retry_after: back });
+    assert_eq!(decide(false), RetryVerdict::GiveUp { retry_after: back });
+}
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -73,6 +73,8 @@
     pub age_us: u64,
     /// Time that the asking agent has held this sending.
     pub held_us: u64,
+    /// Time left in which an answer is of full use to the caller.
+    pub objective_us: Option<u64>,
     /// The asking agent's version of the service's document.
     pub config: ConfigVersion,
     pub method: String,
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -20,6 +20,7 @@
         remaining_us: 1_000_000,
         age_us: 0,
         held_us: 0,
+        objective_us: None,
         config: ConfigVersion(3),
         method: "POST".to_owned(),
         path: "/standings/lap?x=1".to_owned(),
--- a/xtask/src/bench/slopes/frames.rs
+++ b/xtask/src/bench/slopes/frames.rs
@@ -42,6 +42,7 @@
         remaining_us: 1_000_000,
         age_us: 0,
         held_us: 0,
+        objective_us: None,
         config: ConfigVersion(42),
         method: "POST".to_owned(),
         path: "/standings/cars/car-7/penalties".to_owned(),
