--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -21,7 +21,7 @@
     links::traffic::TrafficLinks,
     metrics::Metrics,
     report::{Report, Reporter},
-    request::{GateReply, GateRequest},
+    request::{GateReply, GateRequest, Replied},
     snapshot::{MemberRoute, Routes, ServiceRoutes, SnapshotCell},
 };
 
@@ -170,7 +170,10 @@
             return GateReply::not_run(NotRunReason::NoOwner);
         };
         let asking = state.selector.start(now, self.parts.clock, &target, routes, request);
-        let reply = self.ask(&target, request).await;
+        let Replied { reply, load } = self.ask(&target, request).await;
+        if let Some(load) = load {
+            state.selector.report(self.parts.clock.now(), &target, load);
+        }
         asking.finish(reply.outcome());
         match &reply {
             GateReply::NotOwner { owner, route_version } => {
@@ -189,12 +192,13 @@
         reply
     }
 
-    async fn ask(&self, target: &Instance, request: &GateRequest) -> GateReply {
+    async fn ask(&self, target: &Instance, request: &GateRequest) -> Replied {
         if *target != self.parts.own {
             return self.parts.links.ask(target, request).await;
         }
         // The gate keeps to the deadline itself.
-        self.parts.gate.call(request.clone()).await
+        let reply = self.parts.gate.call(request.clone()).await;
+        Replied { reply, load: self.parts.gate.gate_load() }
     }
 
     fn report_stale(&self, request: &GateRequest, owner: &Option<Instance>, route_version: u64) {
--- a/crates/agent/src/forward/selector.rs
+++ b/crates/agent/src/forward/selector.rs
@@ -8,7 +8,10 @@
 
 use model::{Instance, InstanceName, KeyHash, NotRunReason, Outcome, RequestId, Timestamp};
 use ownership::UpstreamState;
-use traffic::{HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState};
+use traffic::{
+    GateReport, HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState,
+};
+use wire::traffic::GateLoad;
 
 use crate::{
     clock::Clock,
@@ -101,7 +104,8 @@
         let mut lock = lock(&self.selection);
         let selecting = lock.get_or_insert_with(|| {
             let slow_start = routes.document.upstream.warmup;
-            let config = SelectionConfig { slow_start, ..SelectionConfig::default() };
+            let zone_penalty = routes.document.limits.zone_penalty;
+            let config = SelectionConfig { slow_start, zone_penalty, ..SelectionConfig::default() };
             let selection = Selection::new(config, self.own.zone.clone());
             Selecting { selection, members: Vec::new() }
         });
@@ -115,6 +119,18 @@
         selecting.selection.pick(now, &tried, &mut rand::rng())
     }
 
+    /// Takes in what a gate says of its load.
+    pub(super) fn report(&self, now: Timestamp, target: &Instance, load: GateLoad) {
+        let report = GateReport {
+            backlog: load.running.saturating_add(load.queued),
+            slots: load.slots,
+            service: Duration::from_micros(load.service_us),
+        };
+        if let Some(selecting) = &mut *lock(&self.selection) {
+            selecting.selection.report(now, target, report);
+        }
+    }
+
     pub(super) fn start(
         &self,
         now: Timestamp,
--- a/crates/agent/src/gate/lane.rs
+++ b/crates/agent/src/gate/lane.rs
@@ -20,6 +20,8 @@
     Ticket, Verdict,
 };
 
+use wire::traffic::GateLoad;
+
 use crate::clock::Clock;
 
 /// What a request is expected to take until some have been measured.
@@ -197,6 +199,18 @@
         state.admission.next_wakeup(now)
     }
 
+    pub(crate) fn gate_load(&self) -> GateLoad {
+        let now = self.clock.now();
+        let admission = &self.state().admission;
+        let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
+        GateLoad {
+            running: count(admission.running()),
+            queued: count(admission.queued()),
+            slots: count(admission.slots_at(now)),
+            service_us: u64::try_from(admission.service_mean().as_micros()).unwrap_or(u64::MAX),
+        }
+    }
+
     /// Requests that run, and requests that wait.
     pub(crate) fn load(&self) -> (usize, usize) {
         let state = self.state();
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -25,6 +25,7 @@
 use settings::ServiceDocument;
 use tokio::sync::{mpsc, oneshot};
 use upstream::{HttpUpstream, Upstream};
+use wire::traffic::GateLoad;
 
 use crate::{
     clock::Clock,
@@ -127,6 +128,11 @@
             .is_none_or(|it| it.document.keyed || it.refuses_work(self.clock.now()))
     }
 
+    /// How busy the gate is, for those that choose between it and others.
+    pub(crate) fn gate_load(&self) -> Option<GateLoad> {
+        self.bound.load().as_ref().map(|it| it.lane.gate_load())
+    }
+
     /// Requests at the upstream, and requests that wait for a slot of it.
     pub(crate) fn load(&self) -> (usize, usize) {
         self.bound.load().as_ref().map_or((0, 0), |it| it.lane.load())
@@ -179,6 +185,10 @@
 }
 
 impl Handler for Arc<Gate> {
+    fn load(&self) -> Option<GateLoad> {
+        self.gate_load()
+    }
+
     fn request(&self, from: &Instance, request: GateRequest) -> Serving {
         self.compare_config(from, &request);
         let gate = Arc::clone(self);
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -35,6 +35,10 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a request waits for a grant that is on its way to the upstream.
 const GRANT_WAIT: Duration = Duration::from_millis(500);
+/// A request waits for a slot at least for this share of the time that it has, also if its answer is of
+/// full use for a shorter time only: such short times are those of calls that an upstream makes while
+/// it works on a request, and to refuse one fails work that is done in part.
+const PATIENCE_SHARE: f64 = 0.5;
 /// The unit of records of a service that is not divided by key.
 const WHOLE_SERVICE: RecordUnit = RecordUnit::Slot(Slot(0));
 
@@ -245,6 +249,9 @@
 
     /// The rule of the document that the request falls under, for what it is expected to take.
     fn route(&self) -> Option<RouteIndex> {
+        if let Some(kind) = self.request.kind {
+            return Some(RouteIndex(kind.into()));
+        }
         let request = &self.request;
         let path = request.path.path().strip_prefix('/')?;
         let rest = match path.strip_prefix(request.service.as_str())? {
@@ -263,7 +270,9 @@
         let bounded = class.is_some_and(|it| !it.queues_past_objective);
         match self.request.objective {
             Some(objective) if bounded && !objective.is_zero() => {
-                self.deadline.min(self.gate.clock.now() + objective)
+                let now = self.gate.clock.now();
+                let left = self.deadline.since(now);
+                self.deadline.min(now + objective.max(left.mul_f64(PATIENCE_SHARE)))
             }
             _ => self.deadline,
         }
@@ -373,7 +382,11 @@
             }
             Ended::Answered(answer) => {
                 gate.sign(ended);
-                permit.completion = Completion::Answered;
+                // An upstream that fails fast must not look like one that works fast.
+                permit.completion = match answer.status.is_server_error() {
+                    true => Completion::Cut,
+                    false => Completion::Answered,
+                };
                 GateReply::Answered(answer)
             }
             Ended::Failed(error) => {
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -27,7 +27,9 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use model::{
     ClassName, NotRunReason, Outcome, RequestId, ServiceName, TeamName, Timestamp, UnknownReason,
+    key_hash,
 };
+use settings::HostRoute;
 use tokio::time::{sleep_until, timeout};
 use volo_http::{body::Body, request::Request, response::Response};
 
@@ -250,6 +252,11 @@
     }
 }
 
+/// Requests of one host route are of one kind. There are more routes than kinds, so some share theirs.
+fn kind_of(route: &HostRoute) -> u8 {
+    key_hash(route.name.as_bytes()).0 as u8
+}
+
 /// The request for the gate; its body is still to come.
 fn gate_request(
     routes: &ServiceRoutes,
@@ -277,6 +284,7 @@
         age: head.age,
         held: Duration::ZERO,
         attempts,
+        kind: host_route.map(kind_of),
         objective: host_route.map(|it| it.objective),
         config: routes.version,
         method: parts.method.clone(),
--- a/crates/agent/src/links/traffic/inbox.rs
+++ b/crates/agent/src/links/traffic/inbox.rs
@@ -17,7 +17,7 @@
             serve::Served,
         },
     },
-    request::{GateReply, GateRequest, answer_from_parts},
+    request::{GateReply, GateRequest, Replied, answer_from_parts},
 };
 
 /// How many bytes of unfinished bodies a link may hold.
@@ -60,13 +60,14 @@
             }
             Frame::Chunk(chunk) => self.chunk(&chunk).await,
             Frame::Failed(it) => {
-                self.reply(it.id, it.into());
+                let load = it.load;
+                self.reply(it.id, Replied { load, reply: it.into() });
                 Ok(())
             }
             Frame::NotOwner(it) => {
                 let reply =
                     GateReply::NotOwner { owner: it.owner, route_version: it.route_version };
-                self.reply(it.id, reply);
+                self.reply(it.id, reply.into());
                 Ok(())
             }
             Frame::Cancel(id) => {
@@ -113,22 +114,24 @@
                 Ok(())
             }
             Progress::Broken(Head::Answer(_)) => {
-                self.reply(id, GateReply::unknown(UnknownReason::BrokenAnswer));
+                self.reply(id, GateReply::unknown(UnknownReason::BrokenAnswer).into());
                 Ok(())
             }
             Progress::Broken(_) => anyhow::bail!("a body is broken"),
             Progress::Whole(Head::Request(it)) => {
                 let request = GateRequest::try_from(*it).context("request")?;
-                self.served.start(&self.link, id, self.handler.request(&self.link.peer, request));
+                let serving = self.handler.request(&self.link.peer, request);
+                self.served.start(&self.link, &self.handler, id, serving);
                 Ok(())
             }
             Progress::Whole(Head::Answer(it)) => {
+                let load = it.load;
                 let answer = answer_from_parts(it.status, &it.headers, it.body);
                 let reply = match answer {
                     Ok(answer) => GateReply::Answered(answer),
                     Err(_) => GateReply::unknown(UnknownReason::BrokenAnswer),
                 };
-                self.reply(id, reply);
+                self.reply(id, Replied { reply, load });
                 Ok(())
             }
             Progress::Whole(Head::Records(it)) => self.records(it).await,
@@ -144,10 +147,10 @@
     }
 
     /// An answer nobody waits for is late, doubled or made up, and goes nowhere else.
-    fn reply(&self, id: CorrelationId, reply: GateReply) {
+    fn reply(&self, id: CorrelationId, replied: Replied) {
         if let Some(Waiting::Reply(sender)) = self.link.take(id) {
             // Whoever waited may have given up.
-            drop(sender.send(reply));
+            drop(sender.send(replied));
         }
     }
 }
--- a/crates/agent/src/links/traffic/link.rs
+++ b/crates/agent/src/links/traffic/link.rs
@@ -22,7 +22,7 @@
         assembly::{Handover, chunks},
         outbox::{Outgoing, Senders, TrafficOutbox, channel},
     },
-    request::{GateReply, GateRequest},
+    request::{GateReply, GateRequest, Replied},
 };
 
 /// How much earlier than the asking side the gate gives up, so that its word arrives in time: it
@@ -36,7 +36,7 @@
 /// Who waits for a message with this correlation id.
 #[derive(Debug)]
 pub(super) enum Waiting {
-    Reply(oneshot::Sender<GateReply>),
+    Reply(oneshot::Sender<Replied>),
     Taken(oneshot::Sender<bool>),
 }
 
@@ -81,7 +81,7 @@
     }
 
     /// Sends a request, once, and waits for its answer.
-    pub(super) async fn ask(self: &Arc<Link>, request: &GateRequest) -> GateReply {
+    pub(super) async fn ask(self: &Arc<Link>, request: &GateRequest) -> Replied {
         let id = CorrelationId(rand::random());
         let (sender, receiver) = oneshot::channel();
         let mut pending = Pending::new(Arc::clone(self), id, Waiting::Reply(sender));
@@ -98,14 +98,14 @@
         let result = timeout(request.remaining, exchange).await;
         let may_have_run = written.load(Ordering::SeqCst);
         match result {
-            Ok(Some(reply)) => {
+            Ok(Some(replied)) => {
                 pending.done = true;
-                reply
+                replied
             }
-            Ok(None) if may_have_run => GateReply::unknown(UnknownReason::ConnectionLost),
-            Ok(None) => GateReply::not_run(NotRunReason::Unreachable),
-            Err(_) if may_have_run => GateReply::unknown(UnknownReason::DeadlineExceeded),
-            Err(_) => GateReply::not_run(NotRunReason::DeadlineExceeded),
+            Ok(None) if may_have_run => GateReply::unknown(UnknownReason::ConnectionLost).into(),
+            Ok(None) => GateReply::not_run(NotRunReason::Unreachable).into(),
+            Err(_) if may_have_run => GateReply::unknown(UnknownReason::DeadlineExceeded).into(),
+            Err(_) => GateReply::not_run(NotRunReason::DeadlineExceeded).into(),
         }
     }
 
--- a/crates/agent/src/links/traffic/mod.rs
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -23,7 +23,7 @@
     sync::watch,
     time::{Instant, sleep},
 };
-use wire::link::LinkKind;
+use wire::{link::LinkKind, traffic::GateLoad};
 
 use crate::{
     links::{
@@ -31,7 +31,7 @@
         handshake::{Established, LinkIdentity},
         socket,
     },
-    request::{GateReply, GateRequest},
+    request::{GateReply, GateRequest, Replied},
 };
 
 use inbox::TrafficInbox;
@@ -50,6 +50,8 @@
 pub(crate) trait Handler: Send + Sync {
     /// Takes a request to its end; dropping the future cancels it.
     fn request(&self, from: &Instance, request: GateRequest) -> Serving;
+    /// How busy the gate is, for whoever asks.
+    fn load(&self) -> Option<GateLoad>;
     /// Takes over records; false: they can't be used.
     fn records(&self, from: &Instance, handover: Handover) -> bool;
 }
@@ -98,10 +100,10 @@
 
     /// Asks a peer's gate. Resolves by the end of the request's remaining time; dropping the
     /// future cancels the request there.
-    pub(crate) async fn ask(&self, peer: &Instance, request: &GateRequest) -> GateReply {
+    pub(crate) async fn ask(&self, peer: &Instance, request: &GateRequest) -> Replied {
         match self.link(peer).await {
             Some(link) => link.ask(request).await,
-            None => GateReply::not_run(NotRunReason::Unreachable),
+            None => GateReply::not_run(NotRunReason::Unreachable).into(),
         }
     }
 
--- a/crates/agent/src/links/traffic/serve.rs
+++ b/crates/agent/src/links/traffic/serve.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use model::Outcome;
 use tokio::task::AbortHandle;
-use wire::traffic::{Answer, CorrelationId, Failed, Frame, NotOwner, Reason};
+use wire::traffic::{Answer, CorrelationId, Failed, Frame, GateLoad, NotOwner, Reason};
 
 use crate::{
     links::traffic::{
-        Serving,
+        Handler, Serving,
         link::{Link, first_len},
     },
     request::{GateReply, headers_to_wire},
@@ -28,11 +28,18 @@
     }
 
     /// Sends the reply when it comes. Cancelling drops the request on its way.
-    pub(super) fn start(self: &Arc<Served>, link: &Arc<Link>, id: CorrelationId, serving: Serving) {
-        let (served, link) = (Arc::clone(self), Arc::clone(link));
+    pub(super) fn start(
+        self: &Arc<Served>,
+        link: &Arc<Link>,
+        handler: &Arc<dyn Handler>,
+        id: CorrelationId,
+        serving: Serving,
+    ) {
+        let (served, link, handler) = (Arc::clone(self), Arc::clone(link), Arc::clone(handler));
         let mut table = self.table();
         let task = tokio::spawn(async move {
-            send(&link, id, serving.await).await;
+            let reply = serving.await;
+            send(&link, id, reply, handler.load()).await;
             served.table().remove(&id);
         });
         table.insert(id, task.abort_handle());
@@ -53,11 +60,12 @@
     }
 }
 
-async fn send(link: &Link, id: CorrelationId, reply: GateReply) {
+async fn send(link: &Link, id: CorrelationId, reply: GateReply, load: Option<GateLoad>) {
     let (head, body) = match reply {
         GateReply::Answered(answer) => {
             let head = Frame::Answer(Answer {
                 id,
+                load,
                 status: answer.status.as_u16(),
                 headers: headers_to_wire(&answer.headers),
                 body_len: answer.body.len() as u64,
@@ -73,7 +81,7 @@
             };
             let retry_after_ms =
                 retry_after.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
-            (Frame::Failed(Failed { id, reason, retry_after_ms }), Bytes::new())
+            (Frame::Failed(Failed { id, reason, retry_after_ms, load }), Bytes::new())
         }
         GateReply::NotOwner { owner, route_version } => {
             (Frame::NotOwner(NotOwner { id, owner, route_version }), Bytes::new())
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -31,7 +31,8 @@
 
 fn answer(body_len: u64, first: &'static [u8]) -> Progress {
     let body = Bytes::from_static(first);
-    Head::Answer(Answer { id: ID, status: 200, headers: Vec::new(), body_len, body }).start()
+    Head::Answer(Answer { id: ID, load: None, status: 200, headers: Vec::new(), body_len, body })
+        .start()
 }
 
 fn assembly(progress: Progress) -> Assembly {
@@ -74,6 +75,7 @@
     let first_len = 65_536;
     let head = Answer {
         id: ID,
+        load: None,
         status: 200,
         headers: Vec::new(),
         body_len: body.len() as u64,
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -11,7 +11,7 @@
 use upstream::Answer;
 use wire::{
     CodecError,
-    traffic::{self as frames, CorrelationId, Header, Reason},
+    traffic::{self as frames, CorrelationId, GateLoad, Header, Reason},
 };
 
 /// A request on its way to a gate.
@@ -29,6 +29,8 @@
     pub(crate) age: Duration,
     /// Time that ingress has held this sending; zero: this is the first try to place it.
     pub(crate) held: Duration,
+    /// Requests of one kind are expected to take alike; none: as the document's route says.
+    pub(crate) kind: Option<u8>,
     /// Time left in which an answer is of full use to the caller; none: all of it.
     pub(crate) objective: Option<Duration>,
     /// The most upstreams that it may be given to; the ingress sees to that.
@@ -72,6 +74,20 @@
     }
 }
 
+/// What comes back from a gate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Replied {
+    pub(crate) reply: GateReply,
+    /// How busy the gate is, if it says so.
+    pub(crate) load: Option<GateLoad>,
+}
+
+impl From<GateReply> for Replied {
+    fn from(reply: GateReply) -> Replied {
+        Replied { reply, load: None }
+    }
+}
+
 /// Headers in wire form.
 pub(crate) fn headers_to_wire(headers: &HeaderMap) -> Vec<Header> {
     let header = |(name, value): (&HeaderName, &HeaderValue)| {
@@ -115,6 +131,7 @@
             // A resend must not look like a first sending for its age being short.
             age_us: whole_us(self.age).max(u64::from(!self.age.is_zero())),
             held_us: whole_us(self.held),
+            kind: self.kind,
             objective_us: self.objective.map(whole_us),
             config: self.config,
             method: self.method.as_str().to_owned(),
@@ -141,6 +158,7 @@
             age: Duration::from_micros(raw.age_us),
             held: Duration::from_micros(raw.held_us),
             attempts: 1,
+            kind: raw.kind,
             objective: raw.objective_us.map(Duration::from_micros),
             config: raw.config,
             method: Method::from_bytes(raw.method.as_bytes())
--- a/crates/agent/src/tests/forwarding.rs
+++ b/crates/agent/src/tests/forwarding.rs
@@ -120,7 +120,7 @@
 
 fn answer_head(id: wire::traffic::CorrelationId, body_len: u64) -> Frame {
     let body = bytes::Bytes::from_static(b"1234");
-    Frame::Answer(Answer { id, status: 200, headers: Vec::new(), body_len, body })
+    Frame::Answer(Answer { id, load: None, status: 200, headers: Vec::new(), body_len, body })
 }
 
 /// An answer of eight bytes of which four have come, then this part.
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -83,6 +83,8 @@
     pub retries_count_after_upstream: bool,
     /// How long a request waits for a key that nobody owns.
     pub unowned_wait: Duration,
+    /// How much longer a request may take in the own availability zone before another is preferred.
+    pub zone_penalty: Duration,
     pub body_bytes_max: usize,
     pub header_bytes_max: usize,
     /// What kept answers to requests that are not idempotent may take up in memory.
@@ -197,6 +199,7 @@
             retry_burst: raw.retry_burst,
             retries_count_after_upstream: raw.retry_count == raw::RawRetryCount::AfterUpstream,
             unowned_wait: Duration::from_millis(raw.unowned_wait_ms),
+            zone_penalty: Duration::from_millis(raw.zone_penalty_ms),
             body_bytes_max: raw.body_bytes_max as usize,
             header_bytes_max: raw.header_bytes_max as usize,
             records_bytes_max: raw.records_bytes_max as usize,
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -202,6 +202,10 @@
     /// How long a request waits for a key that nobody owns at the moment.
     #[schemars(range(max = 10_000))]
     pub(crate) unowned_wait_ms: u64,
+    /// How much longer a request may take in the own availability zone before another one is preferred:
+    /// what the way there takes, and what its bytes are held to cost.
+    #[schemars(range(max = 10_000))]
+    pub(crate) zone_penalty_ms: u64,
     /// The longest body of a request or an answer.
     #[schemars(range(min = 1024, max = 67_108_864))]
     pub(crate) body_bytes_max: u64,
@@ -225,6 +229,7 @@
             retry_burst: 20,
             retry_count: RawRetryCount::All,
             unowned_wait_ms: 0,
+            zone_penalty_ms: 2,
             body_bytes_max: 1_048_576,
             header_bytes_max: 16_384,
             records_bytes_max: 8_388_608,
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -14,6 +14,8 @@
 use model::{ClassName, NotRunReason, Timestamp};
 use rand::{Rng, RngExt};
 
+use crate::Smoothed;
+
 use class::{Class, Queued};
 
 /// A class of requests and its share of a busy upstream.
@@ -122,6 +124,8 @@
     virtual_s: f64,
     ramp_since: Timestamp,
     draining: bool,
+    /// What requests of all classes take.
+    service: Smoothed,
 }
 
 impl Admission {
@@ -131,6 +135,7 @@
         assert!(!config.classes.is_empty(), "there is at least one class");
         assert!(config.classes.iter().all(|it| it.weight > 0.0), "weights are above 0");
         let classes = config.classes.iter().map(Class::new).collect();
+        let service = Smoothed::new(config.classes[0].service_guess);
         Admission {
             config,
             classes,
@@ -141,6 +146,7 @@
             virtual_s: 0.0,
             ramp_since: now,
             draining: false,
+            service,
         }
     }
 
@@ -191,6 +197,9 @@
         };
         self.running -= 1;
         let taken = now.since(it.since);
+        if completion == Completion::Answered {
+            self.service.add(taken);
+        }
         let class = &mut self.classes[it.class.0];
         class.end(taken, it.cost_s, it.route, completion);
         self.fill(now, rng, out);
@@ -247,6 +256,11 @@
         self.ramp_since = now;
     }
 
+    /// What a request takes, on average over all classes as they come.
+    pub fn service_mean(&self) -> Duration {
+        self.service.mean()
+    }
+
     /// Requests that run.
     pub fn running(&self) -> usize {
         self.running
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -23,7 +23,8 @@
 };
 pub use retry::{Attempt, Attempts, Charge, Retries, RetryConfig, RetryVerdict};
 pub use selection::{
-    HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState, TargetView,
+    GateReport, HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState,
+    TargetView,
 };
 pub use sketch::{Heavy, Sketch};
 pub use smoothed::Smoothed;
--- a/crates/traffic/src/selection/mod.rs
+++ b/crates/traffic/src/selection/mod.rs
@@ -16,10 +16,14 @@
 
 use target::Target;
 
-pub use target::{HealthHint, TargetResult, TargetSpec, TargetState, TargetView};
+pub use target::{GateReport, HealthHint, TargetResult, TargetSpec, TargetState, TargetView};
 
 /// Costs within this factor count as equal: chance decides, so that both are measured.
 const TIE: f64 = 1.05;
+/// Up to so many targets are compared at a time.
+const DRAWN_MAX: usize = 6;
+/// By how much the expected times that gates report are blurred.
+const REPORT_NOISE: f64 = 0.03;
 
 /// Bounds on selection.
 #[derive(Debug, Clone, PartialEq)]
@@ -114,6 +118,13 @@
         Some(target.instance.clone())
     }
 
+    /// Takes in what a target's gate says of its load.
+    pub fn report(&mut self, now: Timestamp, instance: &Instance, report: GateReport) {
+        if let Some(target) = self.targets.iter_mut().find(|it| it.instance == *instance) {
+            target.report(now, report);
+        }
+    }
+
     /// Ends a request given to a target.
     pub fn finish(
         &mut self,
@@ -141,6 +152,9 @@
     }
 
     fn choose(&self, now: Timestamp, able: &[usize], rng: &mut impl Rng) -> Option<usize> {
+        if let Some(best) = self.by_reports(now, able, rng) {
+            return Some(best);
+        }
         let is_near = |it: &usize| self.targets[*it].instance.zone == self.zone;
         let near: Vec<usize> = able.iter().copied().filter(is_near).collect();
         let far: Vec<usize> = able.iter().copied().filter(|it| !is_near(it)).collect();
@@ -155,6 +169,31 @@
         }
     }
 
+    /// The target with the shortest expected time, the way to another zone included; of many, the best of
+    /// a few drawn at random and of those in the own zone. One that has said nothing lately goes by what
+    /// its requests in flight show. None where gates do not report.
+    fn by_reports(&self, now: Timestamp, able: &[usize], rng: &mut impl Rng) -> Option<usize> {
+        let reported = |it: usize| self.targets[it].reported_s(now);
+        let best_s = able.iter().filter_map(|it| reported(*it)).min_by(f64::total_cmp)?;
+        let is_near = |it: usize| self.targets[it].instance.zone == self.zone;
+        let drawn: Vec<usize> = match able.len() {
+            ..=DRAWN_MAX => able.to_vec(),
+            _ => (0..DRAWN_MAX).map(|_| able[rng.random_range(0..able.len())]).collect(),
+        };
+        let near = able.iter().copied().filter(|it| is_near(*it) && able.len() > DRAWN_MAX);
+        let cost = |it: usize, rng: &mut dyn FnMut() -> f64| {
+            let way_s = if is_near(it) { 0.0 } else { self.config.zone_penalty.as_secs_f64() };
+            let target = &self.targets[it];
+            let silent_s = || target.cost_s(&self.config, now, best_s).max(best_s);
+            let own_s = reported(it).unwrap_or_else(silent_s) * target.failure_factor();
+            // Agents that have heard the same must not all go to the same target.
+            own_s * (1.0 + REPORT_NOISE * rng()) + way_s
+        };
+        let mut noise = || rng.random_range(-1.0..1.0);
+        let costs = drawn.into_iter().chain(near).map(|it| (it, cost(it, &mut noise)));
+        costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|it| it.0)
+    }
+
     fn two_choices(&self, now: Timestamp, among: &[usize], rng: &mut impl Rng) -> Option<usize> {
         if among.len() < 2 {
             return among.first().copied();
--- a/crates/traffic/src/selection/target.rs
+++ b/crates/traffic/src/selection/target.rs
@@ -15,6 +15,10 @@
 const HINT_ILL_WEIGHT: f64 = 1.0;
 /// How fast a measured latency loses its weight when nothing new is measured.
 const LATENCY_FADE: Duration = Duration::from_secs(10);
+/// How long a gate's report is gone by: its backlog is another one by then.
+const REPORT_KEPT: Duration = Duration::from_secs(3);
+/// Silence for this many times the usual latency is none: long requests just take long.
+const SILENT_LATENCIES: u32 = 4;
 /// Ejections in a row that lengthen the next one.
 const EJECTIONS_MAX: u32 = 6;
 
@@ -42,6 +46,26 @@
     pub hint: HealthHint,
 }
 
+/// What a target's gate says of itself with each reply: counted there, so it neither lags by more than a
+/// reply nor misleads.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GateReport {
+    /// Requests at the upstream, and those that wait for a slot of it.
+    pub backlog: u32,
+    pub slots: u32,
+    /// What a request takes there.
+    pub service: Duration,
+}
+
+/// A gate's report, and what has become of it since.
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    report: GateReport,
+    at: Timestamp,
+    /// Requests sent to it since.
+    sent: u32,
+}
+
 /// How a request ended at a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetResult {
@@ -72,6 +96,7 @@
     since: Timestamp,
     in_flight: u32,
     latency: Smoothed,
+    reported: Option<Reported>,
     /// The last answer or refusal, or the first request given since it had none in flight.
     last_sign: Timestamp,
     failures_in_row: u32,
@@ -88,6 +113,7 @@
             since: now,
             in_flight: 0,
             latency: Smoothed::new(latency_guess),
+            reported: None,
             last_sign: now,
             failures_in_row: 0,
             ejections_in_row: 0,
@@ -106,7 +132,8 @@
     /// Requests in flight and no sign of life. Deadlines and cancellations end what is in flight,
     /// and with it the state: then one request at a time finds out whether it is back.
     pub(super) fn is_frozen(&self, config: &SelectionConfig, now: Timestamp) -> bool {
-        self.in_flight > 0 && now.since(self.last_sign) > config.frozen_after
+        let silence_max = config.frozen_after.max(self.latency.mean() * SILENT_LATENCIES);
+        self.in_flight > 0 && now.since(self.last_sign) > silence_max
     }
 
     pub(super) fn is_busy(&self) -> bool {
@@ -118,6 +145,30 @@
             self.last_sign = now;
         }
         self.in_flight += 1;
+        if let Some(reported) = &mut self.reported {
+            reported.sent += 1;
+        }
+    }
+
+    pub(super) fn report(&mut self, now: Timestamp, report: GateReport) {
+        self.reported = Some(Reported { report, at: now, sent: 0 });
+    }
+
+    /// The time until a request that is sent now has its answer, by what the gate last said: its backlog
+    /// then, what was sent since, less what has been worked off meanwhile. None: it has said nothing
+    /// lately.
+    pub(super) fn reported_s(&self, now: Timestamp) -> Option<f64> {
+        let Reported { report, at, sent } = self.reported?;
+        let age = now.since(at);
+        if age > REPORT_KEPT || report.slots == 0 {
+            return None;
+        }
+        let service_s = report.service.as_secs_f64();
+        let slots = f64::from(report.slots);
+        let ended = age.as_secs_f64() * slots / service_s.max(f64::MIN_POSITIVE);
+        let backlog = (f64::from(report.backlog) - ended).max(0.0) + f64::from(sent);
+        let waiting = (backlog + 1.0 - slots).max(0.0);
+        Some(service_s * (1.0 + waiting / slots))
     }
 
     pub(super) fn finish(
@@ -161,6 +212,12 @@
         (self.in_flight_share(config, now) + 1.0) * self.latency_s(now, best_s) * hint
     }
 
+    /// How much worse a target counts whose last requests have failed: what it says of its load tells
+    /// nothing of its answers.
+    pub(super) fn failure_factor(&self) -> f64 {
+        f64::from(1 + self.failures_in_row)
+    }
+
     /// The latency measured, if there is any.
     pub(super) fn measured_s(&self) -> Option<f64> {
         (self.latency.samples() > 0).then(|| self.latency.mean().as_secs_f64())
--- a/crates/traffic/src/selection/tests.rs
+++ b/crates/traffic/src/selection/tests.rs
@@ -196,3 +196,49 @@
     }
     seeded(property as fn(u64) -> bool);
 }
+
+/// One agent of many sends to targets of different speeds, whose gates report their load with each
+/// answer; the speeds are those of the platform's services, the load is nine tenths of what all can run.
+#[test]
+fn reports_of_gates_spread_the_load_by_speed() {
+    use crate::GateReport;
+    const SLOTS: u32 = 12;
+    let service_ms: [u32; 4] = [440, 220, 220, 147];
+    let capacity_per_s: f64 =
+        service_ms.iter().map(|it| f64::from(SLOTS) * 1e3 / f64::from(*it)).sum();
+    let mut it = Fixture::new(&["a", "a", "b", "b"]);
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    // Ends of what runs or waits at each target.
+    let mut ends: Vec<Vec<Timestamp>> = vec![Vec::new(); 4];
+    let mut running: Vec<(Timestamp, usize)> = Vec::new();
+    let (mut late, mut sent) = (0, 0);
+    let step = Duration::from_secs_f64(1.0 / (0.9 * capacity_per_s));
+    for _ in 0..8000 {
+        it.now = it.now + step;
+        let now = it.now;
+        running.sort();
+        for (_, at) in running.extract_if(.., |it| it.0 <= now) {
+            let instance = it.specs[at].instance.clone();
+            it.selection.finish(now, &instance, ms(100), TargetResult::Answered);
+            ends[at].retain(|it| *it > now);
+            let backlog = ends[at].len() as u32;
+            let service = ms(service_ms[at].into());
+            it.selection.report(now, &instance, GateReport { backlog, slots: SLOTS, service });
+        }
+        let Some(instance) = it.pick() else { continue };
+        let at = it.specs.iter().position(|it| it.instance == instance).unwrap();
+        ends[at].retain(|it| *it > now);
+        ends[at].sort();
+        let free_at = match ends[at].len().checked_sub(SLOTS as usize) {
+            Some(ahead) => ends[at][ahead],
+            None => now,
+        };
+        let spread = rng.random_range(0.7..1.3);
+        let end = free_at + ms(service_ms[at].into()).mul_f64(spread);
+        ends[at].push(end);
+        running.push((end, at));
+        sent += 1;
+        late += u32::from(end.since(now) > ms(600));
+    }
+    assert!(f64::from(late) <= 0.05 * f64::from(sent), "{late} of {sent} took more than 600 ms");
+}
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -73,6 +73,8 @@
     pub age_us: u64,
     /// Time that the asking agent has held this sending.
     pub held_us: u64,
+    /// Requests of one kind are expected to take alike.
+    pub kind: Option<u8>,
     /// Time left in which an answer is of full use to the caller.
     pub objective_us: Option<u64>,
     /// The asking agent's version of the service's document.
@@ -84,11 +86,26 @@
     pub body: Bytes,
 }
 
+/// How busy the gate is that replies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct GateLoad {
+    /// Requests at the upstream.
+    pub running: u32,
+    /// Requests that wait for a slot of it.
+    pub queued: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// What a request takes there, on average.
+    pub service_us: u64,
+}
+
 /// Head of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Answer {
     pub id: CorrelationId,
+    pub load: Option<GateLoad>,
     pub status: u16,
     pub headers: Vec<Header>,
     pub body_len: u64,
@@ -110,6 +127,7 @@
     pub id: CorrelationId,
     pub reason: Reason,
     pub retry_after_ms: Option<u64>,
+    pub load: Option<GateLoad>,
 }
 
 /// A request that came to the wrong gate.
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -20,6 +20,7 @@
         remaining_us: 1_000_000,
         age_us: 0,
         held_us: 0,
+        kind: None,
         objective_us: None,
         config: ConfigVersion(3),
         method: "POST".to_owned(),
@@ -32,7 +33,14 @@
 
 fn answer(body_len: u64, body: Vec<u8>) -> Frame {
     let id = CorrelationId(1);
-    Frame::Answer(Answer { id, status: 200, headers: Vec::new(), body_len, body: body.into() })
+    Frame::Answer(Answer {
+        id,
+        load: None,
+        status: 200,
+        headers: Vec::new(),
+        body_len,
+        body: body.into(),
+    })
 }
 
 fn check_refused(frame: &Frame) {
--- a/xtask/src/bench/slopes/frames.rs
+++ b/xtask/src/bench/slopes/frames.rs
@@ -42,6 +42,7 @@
         remaining_us: 1_000_000,
         age_us: 0,
         held_us: 0,
+        kind: None,
         objective_us: None,
         config: ConfigVersion(42),
         method: "POST".to_owned(),
