Route tables by runs of slots; a view made anew only if routes have changed

Cause: each agent fetches the routes of other services each second while they change, and a table named 1,024 slots one by one, some 30 KB; the control thread made 1,024 owners with their successors anew at each step.

--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -313,12 +313,16 @@
             .collect();
         let mut owners = Vec::with_capacity(view.owners.len());
         for owner in &view.owners {
-            owners.push(RouteOwner {
+            let next = RouteOwner {
                 slot: owner.slot,
+                last: None,
                 key_hash: owner.key_hash,
                 owner: owner.owner.as_ref().map(|it| index_of(&mut members, it)),
                 successors: owner.successors.iter().map(|it| index_of(&mut members, it)).collect(),
-            });
+            };
+            if !owners.last_mut().is_some_and(|it: &mut RouteOwner| it.extend(&next)) {
+                owners.push(next);
+            }
         }
         Some(RouteTable {
             service: self.service().clone(),
@@ -344,12 +348,14 @@
 fn planned_routes(plan: Plan) -> RouteTable {
     let slots = plan.slots.into_iter().map(|it| RouteOwner {
         slot: it.slot,
+        last: None,
         key_hash: None,
         owner: it.owner,
         successors: it.successors,
     });
     let keys = plan.hot_keys.into_iter().map(|it| RouteOwner {
         slot: plan.slot_count.slot_of(it.key_hash),
+        last: None,
         key_hash: Some(it.key_hash),
         owner: it.owner,
         successors: it.successors,
--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -82,18 +82,11 @@
         self.refresh_view()
     }
 
+    /// Whether the routes have changed.
     fn refresh_view(&mut self) -> bool {
-        let view = self.node.view();
-        let changed = view.route_version != self.view.route_version
-            || view.term != self.view.term
-            || view.members.len() != self.view.members.len()
-            || view
-                .members
-                .iter()
-                .zip(&self.view.members)
-                .any(|(new, old)| new.instance != old.instance || new.state != old.state);
-        self.view = view;
-        changed
+        let (route_version, term) = (self.view.route_version, self.view.term);
+        self.node.refresh(&mut self.view);
+        self.view.route_version != route_version || self.view.term != term
     }
 
     fn carry_out(&mut self, output: Output, parts: &Parts) {
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -86,9 +86,10 @@
             owner: owner.owner.and_then(|it| instance(members, it)),
             successors: owner.successors.iter().filter_map(|it| instance(members, *it)).collect(),
         };
-        match (owner.key_hash, slots.get_mut(usize::from(owner.slot.0))) {
+        let run = usize::from(owner.slot.0)..=usize::from(owner.last().0);
+        match (owner.key_hash, slots.get_mut(run)) {
             (Some(key_hash), _) => drop(hot_keys.insert(key_hash, route)),
-            (None, Some(slot)) => *slot = route,
+            (None, Some(slots)) => slots.fill(route),
             (None, None) => {}
         }
     }
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -313,10 +313,22 @@
         self.known.coordinator.as_ref().is_some_and(|it| is_same(it, instance))
     }
 
-    /// The current view; cheap enough for once a tick.
-    pub fn view(&self) -> NodeView {
-        let slot_count = self.config.slot_count;
+    /// Brings a view up to date; owners and members are made anew only if they have changed.
+    pub fn refresh(&self, view: &mut NodeView) {
+        if self.member.routes.version != view.route_version {
+            *view = self.view();
+            return;
+        }
         let coordination = self.coordination.as_ref();
+        *view = NodeView {
+            owners: std::mem::take(&mut view.owners),
+            members: std::mem::take(&mut view.members),
+            ..self.light_view(coordination)
+        };
+    }
+
+    /// What changes often.
+    fn light_view(&self, coordination: Option<&Coordination>) -> NodeView {
         NodeView {
             term: self.known.term,
             coordinator: self.known.coordinator.clone(),
@@ -324,9 +336,19 @@
             settled: coordination.is_some_and(Coordination::is_settled),
             plan_version: coordination.map_or(0, Coordination::plan_version),
             route_version: self.member.routes.version,
+            owners: Vec::new(),
+            members: Vec::new(),
+            config: self.member.config.max(self.member.group_config),
+        }
+    }
+
+    /// The current view, made anew.
+    pub fn view(&self) -> NodeView {
+        let slot_count = self.config.slot_count;
+        NodeView {
             owners: self.member.routes.owners(|it| slot_count.slot_of(it)),
             members: self.member.routes.member_views(),
-            config: self.member.config.max(self.member.group_config),
+            ..self.light_view(self.coordination.as_ref())
         }
     }
 }
--- a/crates/wire/src/exchange/routes.rs
+++ b/crates/wire/src/exchange/routes.rs
@@ -32,13 +32,16 @@
     pub ready: bool,
 }
 
-/// The owner of a slot or hot key.
+/// The owner of neighbouring slots or of a hot key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteOwner {
     #[serde(rename = "s")]
     pub slot: Slot,
+    /// The last of the neighbouring slots that this is about; none: just the one.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub last: Option<Slot>,
     /// Set where the entry is that of one hot key.
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub key_hash: Option<KeyHash>,
@@ -48,6 +51,26 @@
     pub successors: Vec<u16>,
 }
 
+impl RouteOwner {
+    /// The last slot that this is about.
+    pub fn last(&self) -> Slot {
+        self.last.unwrap_or(self.slot)
+    }
+
+    /// Takes the next slot in if all is the same there; says whether it did.
+    pub fn extend(&mut self, next: &RouteOwner) -> bool {
+        let alike = self.key_hash.is_none()
+            && next.key_hash.is_none()
+            && self.owner == next.owner
+            && self.successors == next.successors
+            && self.last().0.checked_add(1) == Some(next.slot.0);
+        if alike {
+            self.last = Some(next.last());
+        }
+        alike
+    }
+}
+
 impl RouteTable {
     /// Checks sizes and indexes; says what is wrong.
     pub(super) fn check(&self) -> Result<(), String> {
@@ -65,6 +88,7 @@
     fn holds(&self, owner: &RouteOwner) -> bool {
         let mut indexes = owner.owner.iter().chain(&owner.successors);
         indexes.all(|it| usize::from(*it) < self.members.len())
-            && owner.slot.0 < self.slot_count.count()
+            && owner.slot <= owner.last()
+            && owner.last().0 < self.slot_count.count()
     }
 }
--- a/crates/wire/src/exchange/tests.rs
+++ b/crates/wire/src/exchange/tests.rs
@@ -29,6 +29,7 @@
         members: vec![RouteMember { instance, ready: true }],
         owners: vec![RouteOwner {
             slot: Slot(7),
+            last: None,
             key_hash: Some(KeyHash(1)),
             owner: Some(owner),
             successors: vec![],
--- a/xtask/src/bench/slopes/routes.rs
+++ b/xtask/src/bench/slopes/routes.rs
@@ -49,6 +49,7 @@
 fn table(members: u16, slots: u16) -> RouteTable {
     let owner = |slot: u16| RouteOwner {
         slot: Slot(slot),
+        last: None,
         key_hash: None,
         owner: Some(slot % members),
         successors: (1..=3).map(|it| (slot + it) % members).collect(),
