Requests are given room for their mean and 0.7 deviations

Cause: where half of the time for a request is less than its mean, it was given room for the mean only, so half of those at the end of the queue came late and took slots from others.

--- a/crates/traffic/src/admission/class.rs
+++ b/crates/traffic/src/admission/class.rs
@@ -124,7 +124,7 @@
     /// half of its budget unless even the mean is longer.
     fn need(&self, it: Queued, certainty: f64) -> Duration {
         let expected = self.costs.expected(it.route);
-        expected.bound(certainty).min(expected.mean().max(it.budget / 2))
+        expected.bound(certainty).min(expected.bound(0.7).max(it.budget / 2))
     }
 }
 
