A suspended instance drops what it held

Cause: the steady clock does not count the time for which a whole machine is suspended, so an agent that woke up went by a lease that had ended for all others. Change: each tick compares the clock that counts suspension with the one that does not; a difference counts as a pause. Test: only_time_that_one_clock_has_not_counted_is_suspension.

--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod publish;
 mod state;
 mod status;
+mod suspension;
 mod upstream;
 mod watch;
 
--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -12,7 +12,7 @@
     clock::Clock,
     control::{
         accept::Acceptor, calls::Calls, documents::Documents, foreign::ForeignRoutes, group::Group,
-        status::StatusWriter, upstream::LocalState, watch::Watches,
+        status::StatusWriter, suspension::Suspension, upstream::LocalState, watch::Watches,
     },
     gate::GateHandle,
     links::ControlLinks,
@@ -62,6 +62,7 @@
     pub(super) local: LocalState,
     /// Routes by host, where there is a configuration of the whole fleet.
     pub(super) routing: Option<Arc<RoutingTable>>,
+    suspension: Suspension,
     /// Something that traffic should see has changed.
     pub(super) dirty: bool,
     pub(super) stopping: bool,
@@ -81,6 +82,7 @@
             status: StatusWriter::default(),
             local: LocalState::default(),
             routing: None,
+            suspension: Suspension::default(),
             dirty: true,
             stopping: false,
             parts,
@@ -98,6 +100,10 @@
     /// Runs every system once.
     pub(crate) fn tick(&mut self) {
         let now = self.now();
+        if let Some(slept) = self.suspension.slept() {
+            log::warn!(target: "control", "The instance was suspended for {slept:?}.");
+            self.step(now, Input::Suspended);
+        }
         // First of all: after a pause the node drops the lease before anything else runs.
         self.step(now, Input::Tick);
         self.watch_upstream(now);
--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -5,4 +5,5 @@
 mod fleet;
 mod pace;
 mod platform;
+mod suspension;
 mod watch;
--- a/crates/ownership/src/input.rs
+++ b/crates/ownership/src/input.rs
@@ -51,6 +51,9 @@
     DropSession {
         reason: &'static str,
     },
+    /// The whole instance was suspended, and the clock stood still meanwhile: what was held or proved
+    /// before counts no more.
+    Suspended,
     /// Leave gracefully: hand over all slots and the term, then say [`crate::Output::Stopped`].
     Stop,
 }
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -187,6 +187,10 @@
                 self.member.upstream = state;
                 return self.renew_now(ctx);
             }
+            Input::Suspended => {
+                self.paused(ctx);
+                return self.renew_now(ctx);
+            }
             Input::DropSession { reason } => {
                 self.member.end_session(ctx, reason);
                 return self.renew_now(ctx);
