--- a/crates/ownership/src/planner/mod.rs
+++ b/crates/ownership/src/planner/mod.rs
@@ -54,7 +54,7 @@
 pub struct PlannerInput {
     pub now: Timestamp,
     pub slot_count: SlotCount,
-    /// Whether the order of slots means something: see [`ranges`].
+    /// Whether the order of slots means something: see `planner::ranges`.
     pub ordered: bool,
     pub members: Vec<PlannerMember>,
     /// One for each slot, in order.
