A line for each request that ended badly, in JSON on standard output

Cause: after a complaint there were only lines about members, leases and versions; nothing told of a request. The log also went through a blocking write, so that a pipe that nobody reads would have stopped the process.

Now all lines are JSON objects on standard output, written by a thread behind a bounded channel; what did not fit is counted and told. An ingress writes a line for each request that failed, came late or lost its caller, a gate one for each that it refused or lost, both with the id, the versions it was placed by, the gate's load and the time to come back. At most 20 a second of each kind and 100 in a burst, with the number left out. Other requests are told at debug.

Not told yet: each placement with the loads it weighed, and the control side in fields instead of sentences.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -22,6 +22,7 @@
     metrics::Metrics,
     report::{Report, Reporter},
     request::{GateReply, GateRequest, Replied},
+    request_log::{Placing, RequestLog, Underway},
     snapshot::{MemberRoute, Routes, ServiceRoutes, SnapshotCell},
 };
 
@@ -41,6 +42,7 @@
     pub(crate) links: TrafficLinks,
     pub(crate) reporter: Reporter,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Arc<RequestLog>,
 }
 
 /// Sends requests of callers on.
@@ -90,11 +92,19 @@
     }
 
     /// Sends a request until it has its end. Dropping the future cancels it.
-    pub(crate) async fn send(&self, mut request: GateRequest, team: &TeamName) -> Ending {
+    pub(crate) async fn send(&self, request: GateRequest, team: &TeamName) -> Ending {
+        let mut underway = self.parts.log.start(request);
+        let ending = self.place(&mut underway, team).await;
+        underway.end(&ending);
+        ending
+    }
+
+    async fn place(&self, underway: &mut Underway<'_>, team: &TeamName) -> Ending {
+        let useful_until = underway.useful_until;
+        let Underway { request, placing, .. } = underway;
         let clock = self.parts.clock;
         let started = clock.now();
         let deadline = started + request.remaining;
-        let useful_until = request.objective.map(|it| started + it);
         let mut attempts = Attempts::new(request.attempts);
         let mut trail = Trail::default();
         let mut fresh = true;
@@ -119,7 +129,9 @@
                 // The caller may have sent it again elsewhere while it was held here.
                 request.held = now.since(started);
             }
-            let reply = self.attempt(&state, &routes, &request, &mut trail).await;
+            placing.config = Some(routes.version);
+            placing.route_version = routes.routes.version();
+            let reply = self.attempt(&state, &routes, request, placing, &mut trail).await;
             let retry_after = match &reply {
                 GateReply::Failed { retry_after, .. } => *retry_after,
                 _ => None,
@@ -161,6 +173,7 @@
         state: &ServiceState,
         routes: &ServiceRoutes,
         request: &GateRequest,
+        placing: &mut Placing,
         trail: &mut Trail,
     ) -> GateReply {
         let now = self.parts.clock.now();
@@ -169,6 +182,8 @@
             trail.tried.clear();
             return GateReply::not_run(NotRunReason::NoOwner);
         };
+        placing.tries += 1;
+        placing.sent_to = Some(target.clone());
         let asking = state.selector.start(now, self.parts.clock, &target, routes, request);
         let Replied { reply, load } = self.ask(&target, request).await;
         if let Some(load) = load {
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -33,12 +33,14 @@
     metrics::Metrics,
     report::{Announcement, Report, Reporter},
     request::{GateReply, GateRequest},
+    request_log::{GateState, RequestLog},
     snapshot::SnapshotCell,
 };
 
 use bound::Bound;
 use leases::Leases;
 use records::Book;
+use run::Caller;
 
 pub(crate) use upstream_clock::UpstreamClock;
 
@@ -57,6 +59,7 @@
     pub(crate) snapshots: Arc<SnapshotCell>,
     pub(crate) reporter: Reporter,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Arc<RequestLog>,
     pub(crate) upstream_clock: Arc<UpstreamClock>,
     pub(crate) connect: Connect,
 }
@@ -69,6 +72,7 @@
     snapshots: Arc<SnapshotCell>,
     reporter: Reporter,
     metrics: Arc<Metrics>,
+    log: Arc<RequestLog>,
     upstream_clock: Arc<UpstreamClock>,
     connect: Connect,
     bound: ArcSwapOption<Bound>,
@@ -94,6 +98,7 @@
             snapshots: parts.snapshots,
             reporter: parts.reporter,
             metrics: parts.metrics,
+            log: parts.log,
             upstream_clock: parts.upstream_clock,
             connect: parts.connect,
             bound: ArcSwapOption::empty(),
@@ -164,15 +169,28 @@
         let (mut caller, reply) = oneshot::channel();
         if request.idempotent {
             // In the task of whoever asks: nothing has to outlive it.
-            return self.handle(request, &mut caller).await;
+            return self.handle_logged(&request, &mut caller).await;
         }
         tokio::spawn(async move {
-            let reply = counted.0.handle(request, &mut caller).await;
+            let reply = counted.0.handle_logged(&request, &mut caller).await;
             // The caller may have hung up.
             _ = caller.send(reply);
         });
         reply.await.unwrap_or(GateReply::unknown(UnknownReason::ConnectionLost))
     }
+
+    async fn handle_logged(&self, request: &GateRequest, caller: &mut Caller) -> GateReply {
+        let came_at = self.clock.now();
+        let reply = self.handle(request, caller).await;
+        self.log.at_gate(request, came_at, &reply, self.state());
+        reply
+    }
+
+    fn state(&self) -> GateState {
+        let bound = self.bound.load();
+        let (running, queued) = bound.as_ref().map_or((0, 0), |it| it.lane.load());
+        GateState { config: bound.as_ref().map(|it| it.version), running, queued }
+    }
 }
 
 /// Counts a request down when it ends in whatever way.
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -42,7 +42,7 @@
 /// The unit of records of a service that is not divided by key.
 const WHOLE_SERVICE: RecordUnit = RecordUnit::Slot(Slot(0));
 
-type Caller = oneshot::Sender<GateReply>;
+pub(super) type Caller = oneshot::Sender<GateReply>;
 
 /// One request with what it needs on its way.
 struct Passage<'a> {
@@ -55,7 +55,7 @@
 }
 
 impl Gate {
-    pub(super) async fn handle(&self, request: GateRequest, caller: &mut Caller) -> GateReply {
+    pub(super) async fn handle(&self, request: &GateRequest, caller: &mut Caller) -> GateReply {
         let deadline = self.clock.now() + request.remaining;
         let Some(bound) = self.bound.load_full() else {
             return GateReply::not_run(NotRunReason::Unreachable);
@@ -65,9 +65,9 @@
         }
         match request.key_hash {
             Some(key_hash) if bound.document.keyed => {
-                self.keyed(&bound, &request, key_hash, deadline, caller).await
+                self.keyed(&bound, request, key_hash, deadline, caller).await
             }
-            None if !bound.document.keyed => self.unkeyed(&bound, &request, deadline, caller).await,
+            None if !bound.document.keyed => self.unkeyed(&bound, request, deadline, caller).await,
             _ => GateReply::not_run(NotRunReason::BadRequest),
         }
     }
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -39,6 +39,7 @@
     metrics::Metrics,
     report::{Report, Reporter},
     request::{GateReply, GateRequest},
+    request_log::RequestLog,
     snapshot::{ServiceRoutes, SnapshotCell},
 };
 
@@ -69,6 +70,7 @@
     /// None where the upstream announces itself at an address of its own.
     pub(crate) announcements: Option<Announcements>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Arc<RequestLog>,
     pub(crate) form: Arc<dyn CallerForm>,
 }
 
@@ -148,7 +150,7 @@
         }
         let head = match self.parts.form.read(&parts) {
             Ok(head) => head,
-            Err(refusal) => return self.refuse(&refusal),
+            Err(refusal) => return self.refuse(&refusal, None),
         };
         let id = head.id.unwrap_or_else(|| RequestId(rand::random()));
         let id = CallId { id, text: head.id_text.clone() };
@@ -165,12 +167,12 @@
                 self.parts.metrics.request(&team, &class, ending.reply.outcome(), spent);
                 self.parts.form.answer(ending, &id)
             }
-            Err(refusal) => self.refuse(&refusal),
+            Err(refusal) => self.refuse(&refusal, Some(id.id)),
         }
     }
 
-    fn refuse(&self, refusal: &Refusal) -> Response {
-        log::debug!(target: "ingress", "Refused a request: {refusal}.");
+    fn refuse(&self, refusal: &Refusal, id: Option<RequestId>) -> Response {
+        self.parts.log.refused(id, refusal);
         self.parts.form.refuse(refusal)
     }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod ready;
 pub mod report;
 mod request;
+mod request_log;
 mod run;
 pub mod snapshot;
 
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -64,7 +64,7 @@
         .map_err(|error| failure(EXIT_NO_INPUT, format!("{file}: {error}.")))?;
     let settings = AgentSettings::parse(&text)
         .map_err(|problems| failure(EXIT_CONFIG, format!("{file}: {problems}")))?;
-    env_logger::Builder::new().parse_filters(&settings.log).init();
+    let _logging = logging::init(&settings.log);
     agent::run(settings).map_err(|error| match error.downcast_ref::<ListenError>() {
         Some(error) => failure(EXIT_UNAVAILABLE, error.to_string()),
         None => failure(EXIT_SOFTWARE, format!("{error:#}.")),
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -28,6 +28,7 @@
     metrics::{self, Metrics},
     ready::{self, Readiness},
     report::Reporter,
+    request_log::RequestLog,
     snapshot::SnapshotCell,
 };
 
@@ -83,6 +84,7 @@
     pub(crate) fn start(parts: PlaneParts) -> anyhow::Result<Plane> {
         let metrics = Arc::new(Metrics::new(parts.platform_calls).context("metrics")?);
         let upstream_clock: Arc<UpstreamClock> = Arc::default();
+        let log = Arc::new(RequestLog::new(parts.clock));
         let gate = Gate::start(GateParts {
             upstream_clock: Arc::clone(&upstream_clock),
             own: parts.own.clone(),
@@ -91,6 +93,7 @@
             snapshots: Arc::clone(&parts.snapshots),
             reporter: parts.reporter.clone(),
             metrics: Arc::clone(&metrics),
+            log: Arc::clone(&log),
             connect: parts.connect,
         });
         let handler = Arc::new(Arc::clone(&gate));
@@ -104,6 +107,7 @@
             links: links.clone(),
             reporter: parts.reporter.clone(),
             metrics: Arc::clone(&metrics),
+            log: Arc::clone(&log),
         });
         let announcements = Announcements {
             form: parts.announce_form,
@@ -134,6 +138,7 @@
             forwarder,
             reporter: parts.reporter,
             metrics: Arc::clone(&metrics),
+            log,
         }));
         let (drained, hook) = oneshot::channel();
         let (closing, closed) = watch::channel(false);
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -49,6 +49,14 @@
 }
 
 impl Routes {
+    /// Rises whenever an owner changes; zero where there are no owners.
+    pub(crate) fn version(&self) -> u64 {
+        match self {
+            Routes::ByKey(routes) => routes.route_version,
+            Routes::Any(_) => 0,
+        }
+    }
+
     /// Everyone that requests may be sent to; some may come up more than once.
     pub(crate) fn instances(&self) -> impl Iterator<Item = &Instance> {
         let (keyed, any) = match self {
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -6,5 +6,6 @@
 mod gate;
 mod handover;
 mod load;
+mod request_log;
 mod stop;
 mod upstream_clock;
--- /dev/null
+++ b/crates/logging/src/rate.rs
@@ -0,0 +1,42 @@
+//! A bound on lines of one kind, so that a flood of requests is no flood of lines.
+
+use std::sync::{Mutex, PoisonError};
+
+use model::Timestamp;
+
+/// A token bucket that counts what it turns away.
+#[derive(Debug)]
+pub struct LineRate {
+    lines_per_s: f64,
+    at_once: f64,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    tokens: f64,
+    refilled_at: Timestamp,
+    left_out: u64,
+}
+
+impl LineRate {
+    /// At most `lines_per_s` in the long run, and `at_once` in one go.
+    pub fn new(lines_per_s: f64, at_once: f64) -> LineRate {
+        let state = State { tokens: at_once, refilled_at: Timestamp::ZERO, left_out: 0 };
+        LineRate { lines_per_s, at_once, state: Mutex::new(state) }
+    }
+
+    /// Whether a line may be written now. If so: how many were left out since the last one.
+    pub fn take(&self, now: Timestamp) -> Option<u64> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let passed = now.since(state.refilled_at).as_secs_f64();
+        state.tokens = (state.tokens + passed * self.lines_per_s).min(self.at_once);
+        state.refilled_at = state.refilled_at.max(now);
+        if state.tokens < 1.0 {
+            state.left_out += 1;
+            return None;
+        }
+        state.tokens -= 1.0;
+        Some(std::mem::take(&mut state.left_out))
+    }
+}
