Requests refused for want of room count in the load that placing goes by

Cause: the planner saw what ran.

Now a refused request counts as half of the mean of those that ran; half, for its caller comes back and is counted again.

--- a/crates/agent/src/gate/load.rs
+++ b/crates/agent/src/gate/load.rs
@@ -1,8 +1,9 @@
-//! How much upstream time the slots and the heaviest keys took since the last report.
+//! How much upstream time the slots and the heaviest keys took since the last report, or would have
+//! taken if there had been room.
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -17,10 +18,19 @@
 /// How many keys are counted at a time.
 const KEYS_TRACKED_MAX: usize = 128;
 
+/// A request refused for want of room counts as this share of what those that ran took on average. The
+/// load that this answers: busy neighbouring keys ask for several times what their upstream can do. What
+/// runs never shows more than a full upstream, beside others that may be nearly as full. Not the whole,
+/// for the caller comes back and is counted again.
+const REFUSED_SHARE: f64 = 0.5;
+
 #[derive(Debug)]
 struct Loads {
     since: Timestamp,
     total_us: u64,
+    /// Requests that ran, and what they took.
+    ran: u64,
+    ran_us: u64,
     slots: HashMap<Slot, u64>,
     /// Each with the slot that it follows, if it does.
     keys: Sketch<(KeyHash, Option<Slot>)>,
@@ -40,18 +50,28 @@
     /// Adds the upstream time of one request. `slot` is none for a key owned apart from its slot.
     pub(crate) fn add(&self, slot: Option<Slot>, key_hash: KeyHash, spent: Duration) {
         let load_us = u64::try_from(spent.as_micros()).unwrap_or(u64::MAX);
-        let mut loads = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        loads.total_us = loads.total_us.saturating_add(load_us);
-        if let Some(slot) = slot {
-            *loads.slots.entry(slot).or_default() += load_us;
-        }
-        loads.keys.add((key_hash, slot), load_us);
+        let mut loads = self.lock();
+        loads.ran += 1;
+        loads.ran_us = loads.ran_us.saturating_add(load_us);
+        loads.add(slot, key_hash, load_us);
+    }
+
+    /// Adds a request that was refused for want of room.
+    pub(crate) fn add_refused(&self, slot: Option<Slot>, key_hash: KeyHash) {
+        let mut loads = self.lock();
+        // Without any that ran there is nothing to judge it by.
+        let Some(mean_us) = loads.ran_us.checked_div(loads.ran) else { return };
+        loads.add(slot, key_hash, (mean_us as f64 * REFUSED_SHARE) as u64);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Loads> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The load since the last call, heaviest first.
     pub(crate) fn take(&self, now: Timestamp, in_flight: impl Fn(Slot) -> u32) -> LoadReport {
         let fresh = Loads::new(now);
-        let mut lock = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut lock = self.lock();
         let loads = std::mem::replace(&mut *lock, fresh);
         drop(lock);
         loads.report(now, in_flight)
@@ -61,7 +81,15 @@
 impl Loads {
     fn new(since: Timestamp) -> Loads {
         let keys = Sketch::new(KEYS_TRACKED_MAX);
-        Loads { since, total_us: 0, slots: HashMap::new(), keys }
+        Loads { since, total_us: 0, ran: 0, ran_us: 0, slots: HashMap::new(), keys }
+    }
+
+    fn add(&mut self, slot: Option<Slot>, key_hash: KeyHash, load_us: u64) {
+        self.total_us = self.total_us.saturating_add(load_us);
+        if let Some(slot) = slot {
+            *self.slots.entry(slot).or_default() += load_us;
+        }
+        self.keys.add((key_hash, slot), load_us);
     }
 
     fn report(mut self, now: Timestamp, in_flight: impl Fn(Slot) -> u32) -> LoadReport {
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -3,7 +3,9 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use http::{HeaderMap, StatusCode};
-use model::{Instance, KeyHash, NotRunReason, RequestId, Slot, Timestamp, Token, UnknownReason};
+use model::{
+    Instance, KeyHash, NotRunReason, Outcome, RequestId, Slot, Timestamp, Token, UnknownReason,
+};
 use ownership::{FenceCheck, UpstreamState};
 use tokio::{
     sync::oneshot,
@@ -242,7 +244,10 @@
                 Ok(clearance) => self.give(permit, clearance).await,
                 Err(reply) => *reply,
             },
-            Err(reply) => *reply,
+            Err(reply) => {
+                self.count_refused(&reply);
+                *reply
+            }
         };
         (reply, self.entry)
     }
@@ -338,6 +343,22 @@
         })
     }
 
+    /// The slot and key that the request counts for; no slot where the key is owned apart from it.
+    fn counts_for(&self) -> Option<(Option<Slot>, KeyHash)> {
+        let (key_hash, entry) = (self.request.key_hash?, self.entry.as_ref()?);
+        let in_slot = matches!(entry.admittance.unit, RecordUnit::Slot(_));
+        Some((in_slot.then(|| entry.slot()), key_hash))
+    }
+
+    fn count_refused(&self, reply: &GateReply) {
+        if reply.outcome() != Outcome::NotRun(NotRunReason::Overloaded) {
+            return;
+        }
+        if let Some((slot, key_hash)) = self.counts_for() {
+            self.gate.handle.load.add_refused(slot, key_hash);
+        }
+    }
+
     /// Gives the request to the upstream, once.
     async fn give(&self, mut permit: Permit, clearance: Option<Clearance>) -> GateReply {
         let gate = self.gate;
@@ -368,10 +389,8 @@
         let result = self.wait(call, until).await;
         cut_off.disarm();
         let ended = gate.clock.now();
-        if let (Some(key_hash), Some(entry)) = (self.request.key_hash, &self.entry) {
-            let slot = entry.slot();
-            let counted = matches!(entry.admittance.unit, RecordUnit::Slot(_)).then_some(slot);
-            gate.handle.load.add(counted, key_hash, ended.since(started));
+        if let Some((slot, key_hash)) = self.counts_for() {
+            gate.handle.load.add(slot, key_hash, ended.since(started));
         }
         gate.metrics.upstream(&self.bound.document.team, &self.request.class, ended.since(started));
         match result {
@@ -495,7 +514,7 @@
 }
 
 fn refused(reason: NotRunReason, retry_after: Option<Duration>) -> GateReply {
-    GateReply::Failed { outcome: model::Outcome::NotRun(reason), retry_after }
+    GateReply::Failed { outcome: Outcome::NotRun(reason), retry_after }
 }
 
 fn failed(permit: &mut Permit, error: &CallError) -> GateReply {
--- a/crates/agent/src/tests/load.rs
+++ b/crates/agent/src/tests/load.rs
@@ -26,3 +26,19 @@
     let keys: u64 = report.keys.iter().map(|it| it.load_us).sum();
     assert_eq!(slots + keys, report.total_us);
 }
+
+/// A slot whose upstream is full refuses five requests for each two that run. What it reports is more
+/// than what ran, so that it can be told from a slot that is merely full.
+#[test]
+fn refused_requests_count_as_half_of_one_that_ran() {
+    let table = LoadTable::default();
+    table.add_refused(Some(Slot(1)), KeyHash(1));
+    for key in 0..20 {
+        table.add(Some(Slot(1)), KeyHash(key), Duration::from_millis(100));
+    }
+    for key in 20..70 {
+        table.add_refused(Some(Slot(1)), KeyHash(key));
+    }
+    let report = table.take(Timestamp::from_ms(1000), |_| 0);
+    assert_eq!(report.total_us, 2_000_000 + 2_500_000);
+}
