--- a/crates/agent/src/ingress/form.rs
+++ b/crates/agent/src/ingress/form.rs
@@ -4,9 +4,13 @@
 
 use http::{HeaderMap, HeaderValue, request::Parts};
 use model::RequestId;
-use volo_http::response::Response;
+use upstream::Answer;
+use volo_http::{body::Body, response::Response};
 
-use crate::{forward::Ending, ingress::refusal::Refusal};
+use crate::{
+    forward::Ending,
+    ingress::{refusal::Refusal, strip_connection},
+};
 
 /// What the head of a request says, apart from its method and path.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,3 +46,12 @@
     pub id: RequestId,
     pub text: Option<HeaderValue>,
 }
+
+/// An upstream's whole answer as the response to its caller: all but what is about one connection.
+pub fn answered(answer: Answer) -> Response {
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    strip_connection(response.headers_mut());
+    response
+}
--- a/crates/agent/src/ingress/own_form.rs
+++ b/crates/agent/src/ingress/own_form.rs
@@ -21,7 +21,7 @@
     forward::Ending,
     ingress::{
         COME_BACK,
-        form::{CallHead, CallId, CallerForm},
+        form::{CallHead, CallId, CallerForm, answered},
         refusal::Refusal,
         strip_connection,
     },
@@ -55,13 +55,7 @@
     fn answer(&self, ending: Ending, id: &CallId) -> Response {
         let outcome = ending.reply.outcome();
         let mut response = match ending.reply {
-            GateReply::Answered(answer) => {
-                let mut response = Response::new(Body::from(answer.body));
-                *response.status_mut() = answer.status;
-                *response.headers_mut() = answer.headers;
-                strip_connection(response.headers_mut());
-                response
-            }
+            GateReply::Answered(answer) => answered(answer),
             GateReply::Failed { .. } | GateReply::NotOwner { .. } => {
                 let mut response = Response::new(Body::from(format!("{outcome}\n")));
                 *response.status_mut() = status(outcome);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -21,7 +21,9 @@
 
 pub use forward::Ending;
 pub use gate::Connect;
-pub use ingress::{AnnounceForm, CallHead, CallId, CallerForm, Heard, Refusal, strip_connection};
+pub use ingress::{
+    AnnounceForm, CallHead, CallId, CallerForm, Heard, Refusal, answered, strip_connection,
+};
 pub use port::Ports;
 pub use request::GateReply;
 pub use run::{ListenError, run, run_with};
