--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,6 +13,7 @@
 mod plane;
 mod port;
 mod ready;
+mod reload;
 pub mod report;
 mod request;
 mod request_log;
@@ -25,6 +26,7 @@
     AnnounceForm, CallHead, CallId, CallerForm, Heard, Refusal, answered, strip_connection,
 };
 pub use port::Ports;
+pub use reload::SettingsFile;
 pub use request::GateReply;
 pub use run::{ListenError, run, run_with};
 
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::PathBuf, process::ExitCode};
 
-use agent::ListenError;
+use agent::{ListenError, SettingsFile};
 use gumdrop::Options;
 use settings::AgentSettings;
 
@@ -65,7 +65,8 @@
     let settings = AgentSettings::parse(&text)
         .map_err(|problems| failure(EXIT_CONFIG, format!("{file}: {problems}")))?;
     let _logging = logging::init(&settings.log);
-    agent::run(settings).map_err(|error| match error.downcast_ref::<ListenError>() {
+    let file = SettingsFile { path: arguments.settings.clone(), settings };
+    agent::run(file).map_err(|error| match error.downcast_ref::<ListenError>() {
         Some(error) => failure(EXIT_UNAVAILABLE, error.to_string()),
         None => failure(EXIT_SOFTWARE, format!("{error:#}.")),
     })
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -26,6 +26,7 @@
     links::LinkKey,
     plane::{Plane, PlaneParts},
     port::Ports,
+    reload::SettingsFile,
     report::{self, Report},
     snapshot::SnapshotCell,
 };
@@ -58,16 +59,17 @@
 }
 
 /// Runs an agent that speaks the product's own forms, until a signal has ended it gracefully.
-pub fn run(settings: AgentSettings) -> anyhow::Result<()> {
-    run_with(settings, Ports::own)
+pub fn run(file: SettingsFile) -> anyhow::Result<()> {
+    run_with(file, Ports::own)
 }
 
 /// Runs an agent with other adapters, until a signal has ended it gracefully. They are made on the
 /// runtime of the traffic threads.
 pub fn run_with(
-    settings: AgentSettings,
+    file: SettingsFile,
     ports: impl FnOnce(&AgentSettings) -> anyhow::Result<Ports>,
 ) -> anyhow::Result<()> {
+    let settings = file.settings.clone();
     let runtime = Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .thread_name("traffic")
@@ -75,6 +77,8 @@
         .build()
         .context("traffic runtime")?;
     let signals = runtime.block_on(async { Signals::install() })?;
+    let hang_up = runtime.block_on(async { signal(SignalKind::hangup()) }).context("SIGHUP")?;
+    runtime.spawn(file.watch(hang_up));
     let listeners = runtime.block_on(async { Listeners::bind(&settings) })?;
     let Ports { store, callers, announcements, connect, fleet } =
         runtime.block_on(async { ports(&settings) }).context("adapters")?;
@@ -182,12 +186,10 @@
     }
 }
 
-/// The signals that the process takes.
+/// The signals that ask to stop.
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
-    /// Taken so that it does not end the process.
-    _hang_up: Signal,
 }
 
 impl Signals {
@@ -195,7 +197,6 @@
         Ok(Signals {
             terminate: signal(SignalKind::terminate()).context("SIGTERM")?,
             interrupt: signal(SignalKind::interrupt()).context("SIGINT")?,
-            _hang_up: signal(SignalKind::hangup()).context("SIGHUP")?,
         })
     }
 
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -6,6 +6,7 @@
 mod gate;
 mod handover;
 mod load;
+mod reload;
 mod request_log;
 mod stop;
 mod upstream_clock;
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -153,6 +153,32 @@
         problems.or(settings)
     }
 
+    /// The fields in which other settings differ, by their names in the text.
+    pub fn differences(&self, other: &AgentSettings) -> Vec<&'static str> {
+        let fields = [
+            ("instance", self.instance == other.instance),
+            ("zone", self.zone == other.zone),
+            ("team", self.team == other.team),
+            ("service", self.service == other.service),
+            ("caller_address", self.caller_address == other.caller_address),
+            ("traffic_address", self.traffic_address == other.traffic_address),
+            ("control_address", self.control_address == other.control_address),
+            ("metrics_address", self.metrics_address == other.metrics_address),
+            ("platform_address", self.platform_address == other.platform_address),
+            ("link_key", self.link_key == other.link_key),
+            ("peers", self.peers == other.peers),
+            ("ready_address", self.ready_address == other.ready_address),
+            ("announce_address", self.announce_address == other.announce_address),
+            ("upstream_address", self.upstream_address == other.upstream_address),
+            ("traffic_threads", self.traffic_threads == other.traffic_threads),
+            ("announced_every_ms", self.announced_every == other.announced_every),
+            ("stop_ms_max", self.stop_max == other.stop_max),
+            ("document_defaults", self.document_defaults == other.document_defaults),
+            ("log", self.log == other.log),
+        ];
+        fields.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
+    }
+
     /// The JSON schema of the text.
     pub fn json_schema() -> serde_json::Value {
         SCHEMA.clone()
--- a/crates/settings/src/tests/agent_settings.rs
+++ b/crates/settings/src/tests/agent_settings.rs
@@ -54,3 +54,46 @@
     let settings = AgentSettings::parse(SETTINGS).unwrap();
     assert!(!format!("{settings:?}").contains("0123456789abcdef"));
 }
+
+/// Each field that the text gives shows up by its own name when it alone has another value.
+#[test]
+fn differences_are_named_as_in_the_text() {
+    let settings = AgentSettings::parse(SETTINGS).unwrap();
+    assert!(settings.differences(&settings).is_empty());
+    for (from, to, name) in [
+        ("standings-1", "standings-2", "instance"),
+        ("pitlane", "drivers-stand", "zone"),
+        ("karerang", "vasconcelos", "team"),
+        ("\"service\": \"standings\"", "\"service\": \"lapboard\"", "service"),
+        (":7001", ":7101", "caller_address"),
+        (":7002", ":7102", "traffic_address"),
+        (":7003", ":7103", "control_address"),
+        (":7004", ":7104", "metrics_address"),
+        (":7000", ":7100", "platform_address"),
+        ("0123456789abcdef", "0123456789abcdeg", "link_key"),
+        ("\"link_key\"", "\"peers\": [\"127.0.0.1:7203\"], \"link_key\"", "peers"),
+        ("\"link_key\"", "\"ready_address\": \"127.0.0.1:7205\", \"link_key\"", "ready_address"),
+        (
+            "\"link_key\"",
+            "\"announce_address\": \"127.0.0.1:7206\", \"link_key\"",
+            "announce_address",
+        ),
+        (
+            "\"link_key\"",
+            "\"upstream_address\": \"127.0.0.1:7207\", \"link_key\"",
+            "upstream_address",
+        ),
+        ("\"link_key\"", "\"traffic_threads\": 3, \"link_key\"", "traffic_threads"),
+        ("\"link_key\"", "\"announced_every_ms\": 1500, \"link_key\"", "announced_every_ms"),
+        ("\"link_key\"", "\"stop_ms_max\": 5500, \"link_key\"", "stop_ms_max"),
+        (
+            "\"link_key\"",
+            "\"document_defaults\": {\"slot_count\": 512}, \"link_key\"",
+            "document_defaults",
+        ),
+        ("\"link_key\"", "\"log\": \"warn\", \"link_key\"", "log"),
+    ] {
+        let other = AgentSettings::parse(&SETTINGS.replacen(from, to, 1)).unwrap();
+        assert_eq!(settings.differences(&other), [name]);
+    }
+}
