--- a/crates/agent/src/gate/leases/book.rs
+++ b/crates/agent/src/gate/leases/book.rs
@@ -6,8 +6,8 @@
 use model::{Instance, Slot, Timestamp, Token};
 use upstream::HandoverToken;
 
-/// How much longer than it was told an upstream may hold a key, since its clock may be slow: 2% is
-/// what the platform states.
+/// How much longer than it was told an upstream may hold a key, since its clock may be slow: those that
+/// enforce leases may be off by 2%.
 const SLOW_CLOCK: f64 = 1.02;
 /// What the way of a call to the upstream on the same instance may take.
 const CALL_MARGIN: Duration = Duration::from_millis(20);
--- a/crates/agent/src/gate/leases/keeper.rs
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use model::{KeyRange, OrderedKeys, Slot, SlotCount, Token};
+use model::{Instance, KeyRange, OrderedKeys, Slot, SlotCount, Token};
 use tokio::time::{sleep, timeout};
 use upstream::{GrantError, GrantedKeys, HandoverToken, LeasedUpstream};
 use wire::traffic::Unit;
@@ -60,25 +60,27 @@
                 Call::Grant { run, hold, handover } => {
                     grant(&gate, &bound, run, hold, handover).await
                 }
-                Call::Release { run, to, wait } => {
-                    let handover = release(&gate, &bound, run, wait).await;
-                    if let (Some(text), Some(to), Some(links)) = (&handover, to, gate.links.get()) {
-                        let handover = handover_of(&bound, run, text);
-                        if !links.hand_over(&to, &handover).await {
-                            log::warn!(target: "gate", "{to} did not take the handover token of slots {} to {}: their keys start cold.", run.first, run.last);
-                        }
-                    }
-                    let closed = {
-                        let mut book = gate.leases.book();
-                        book.release_ended(gate.clock.now(), run, handover.is_some())
-                    };
-                    report_closed(&gate, closed).await;
-                }
+                Call::Release { run, to, wait } => give_up(&gate, &bound, run, to, wait).await,
             }
         });
     }
 }
 
+/// Releases a run, and hands its token to the gate of the next owner before the slots count as closed.
+async fn give_up(gate: &Gate, bound: &Bound, run: Run, to: Option<Instance>, wait: Duration) {
+    let handover = release(gate, bound, run, wait).await;
+    if let (Some(text), Some(to), Some(links)) = (&handover, to, gate.links.get())
+        && !links.hand_over(&to, &handover_of(bound, run, text)).await
+    {
+        log::warn!(target: "gate", "{to} did not take the handover token of slots {} to {}: their keys start cold.", run.first, run.last);
+    }
+    let closed = {
+        let mut book = gate.leases.book();
+        book.release_ended(gate.clock.now(), run, handover.is_some())
+    };
+    report_closed(gate, closed).await;
+}
+
 async fn grant(
     gate: &Gate,
     bound: &Bound,
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -58,7 +58,7 @@
 }
 
 /// What each upstream of the service can do.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawUpstream {
@@ -180,7 +180,7 @@
 }
 
 /// What a gate takes on.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawLimits {
@@ -239,7 +239,7 @@
 }
 
 /// Times and targets of ownership.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawOwnership {
@@ -301,7 +301,7 @@
 }
 
 /// How an instance leaves.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawDrain {
--- a/crates/settings/src/fleet/defaults.rs
+++ b/crates/settings/src/fleet/defaults.rs
@@ -20,7 +20,7 @@
 const LEASE_MS_MAX: u64 = 6_000;
 
 /// What the documents of a fleet's services have in common.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 #[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawDocumentDefaults {
@@ -34,15 +34,9 @@
 }
 
 /// What the documents of a fleet's services have in common.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct DocumentDefaults(RawDocumentDefaults);
 
-impl PartialEq for DocumentDefaults {
-    fn eq(&self, other: &DocumentDefaults) -> bool {
-        format!("{self:?}") == format!("{other:?}")
-    }
-}
-
 impl From<RawDocumentDefaults> for DocumentDefaults {
     fn from(raw: RawDocumentDefaults) -> DocumentDefaults {
         DocumentDefaults(raw)
