An instance that has left its group answers no question for its routes

The one that left last, then alone, went on answering agents of other services with the group as it had last seen it: itself. They took its word as a member's, and sent it up to 370 requests a second for 5 s, all refused as draining, while another was ready.

Now it is silent there, so they ask the object store and find the others. The test has an instance leave, another start and a third ask the first: it waits in vain without the change.

--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -236,9 +236,13 @@
         }
     }
 
-    /// Answers a question for routes: of the own group, or of another as last heard.
+    /// Answers a question for routes: of the own group, or of another as last heard. Once this instance
+    /// has left its group it hears of no change there: its silence sends those who ask to the others. With
+    /// an answer, callers of a service that was restarted one instance after another were sent to the one
+    /// that had left last until its process ended, for up to 5 s.
     pub(super) fn send_routes(&self, to: &Instance, service: &ServiceName, known: u64) {
-        let own = (service == self.service()).then(|| self.own_routes()).flatten();
+        let is_member = service == self.service() && !self.is_handed_over();
+        let own = is_member.then(|| self.own_routes()).flatten();
         let cached = || self.foreign.table.get(service).and_then(|it| it.routes.clone());
         let Some(table) = own.or_else(cached) else { return };
         let RouteTable { version, config, .. } = table;
--- a/crates/agent/src/control/tests/fleet.rs
+++ b/crates/agent/src/control/tests/fleet.rs
@@ -30,6 +30,7 @@
 pub(super) struct Agent {
     pub(super) own: Instance,
     snapshots: Arc<SnapshotCell>,
+    reporter: Reporter,
     phase: watch::Sender<Phase>,
     handed_over: oneshot::Receiver<()>,
     control: JoinHandle<()>,
@@ -46,6 +47,16 @@
         name: &str,
         platform: &Arc<FakeStore>,
         peers: &[SocketAddr],
+    ) -> Agent {
+        Agent::start_of("standings", name, platform, peers).await
+    }
+
+    /// An instance of another service than the one that these tests are about, or of that one.
+    pub(super) async fn start_of(
+        service_name: &str,
+        name: &str,
+        platform: &Arc<FakeStore>,
+        peers: &[SocketAddr],
     ) -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let control = listener.local_addr().unwrap();
@@ -63,7 +74,7 @@
         let (phase, phases) = watch::channel(Phase::Running);
         let (sender, handed_over) = oneshot::channel();
         let task = tokio::spawn(run(ControlParts {
-            settings: Arc::new(settings(name, control, peers)),
+            settings: Arc::new(settings(service_name, name, control, peers)),
             own: own.clone(),
             clock,
             listener,
@@ -77,9 +88,9 @@
             seed: u64::from(control.port()),
             fleet: None,
         }));
-        tokio::spawn(serve_gate(reporter, tasks));
+        tokio::spawn(serve_gate(reporter.clone(), tasks));
         let versions = tokio::spawn(record_versions(Arc::clone(&snapshots)));
-        Agent { own, snapshots, phase, handed_over, control: task, versions }
+        Agent { own, snapshots, reporter, phase, handed_over, control: task, versions }
     }
 
     pub(super) fn version(&self) -> ConfigVersion {
@@ -97,6 +108,27 @@
         }
     }
 
+    /// A caller asks for the service here.
+    pub(super) fn want_service(&self) {
+        self.reporter.hint(Report::UnknownService { service: service() });
+    }
+
+    /// Waits until requests for the service may be sent to an instance.
+    pub(super) async fn wait_routes_to(&self, instance: &Instance) {
+        wait("routes to an instance", || {
+            let snapshot = self.snapshots.load();
+            let routes = snapshot.services.get(&service()).map(|it| &it.routes);
+            routes.is_some_and(|it| it.instances().any(|it| it == instance))
+        })
+        .await;
+    }
+
+    /// Leaves its group, and goes on as a process that drains.
+    pub(super) async fn leave(&mut self) {
+        self.phase.send_replace(Phase::Stopping);
+        timeout(PATIENCE, &mut self.handed_over).await.expect("a handover in time").unwrap();
+    }
+
     pub(super) async fn wait_version(&self, version: ConfigVersion) {
         wait("the version in force", || self.version() >= version).await;
     }
@@ -132,11 +164,11 @@
     timeout(PATIENCE, waiting).await.unwrap_or_else(|_| panic!("waited in vain for {what}"));
 }
 
-fn settings(name: &str, control: SocketAddr, peers: &[SocketAddr]) -> AgentSettings {
+fn settings(service: &str, name: &str, control: SocketAddr, peers: &[SocketAddr]) -> AgentSettings {
     let peers: Vec<String> = peers.iter().map(|it| format!("{:?}", it.to_string())).collect();
     let text = format!(
         r#"{{
-            "instance": "{name}", "zone": "pitlane", "team": "club", "service": "standings",
+            "instance": "{name}", "zone": "pitlane", "team": "club", "service": "{service}",
             "caller_address": "127.0.0.1:1", "traffic_address": "127.0.0.1:2",
             "control_address": "{control}", "metrics_address": "127.0.0.1:3",
             "platform_address": "127.0.0.1:4", "link_key": "{KEY}", "peers": [{}]
--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod documents;
 mod fleet;
+mod leaving;
 mod pace;
 mod platform;
 mod suspension;
