--- a/crates/agent/src/links/control.rs
+++ b/crates/agent/src/links/control.rs
@@ -114,8 +114,10 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The next message for this life of a peer; those for other lives are dropped.
-    fn pop(&self, peer: &Instance) -> Option<Bytes> {
+    /// The next message for this life of a peer; those for other lives are dropped. That there are any
+    /// may mean that this life has gone without hanging up, and that another listens at its address:
+    /// a link on which nothing is written would not notice, and drop all that is meant for that one.
+    fn pop(&self, peer: &Instance, doubt: &Notify) -> Option<Bytes> {
         let mut peers = self.peers();
         let entry = peers.get_mut(&peer.control)?;
         while let Some(queued) = entry.queue.pop_front() {
@@ -123,6 +125,7 @@
                 return Some(queued.payload);
             }
             entry.dropped += 1;
+            doubt.notify_one();
         }
         None
     }
@@ -136,9 +139,15 @@
             entry.writers += 1;
             Arc::clone(&entry.added)
         });
-        let outbox = ControlOutbox { shared: Arc::clone(self), peer: peer.clone(), added };
+        let doubt = Arc::new(Notify::new());
+        let outbox = ControlOutbox {
+            shared: Arc::clone(self),
+            peer: peer.clone(),
+            added,
+            doubt: Arc::clone(&doubt),
+        };
         let inbox = ControlInbox { shared: Arc::clone(self), from: peer.clone() };
-        match socket::run(socket, outbox, inbox).await {
+        match socket::run(socket, outbox, inbox, &doubt).await {
             Ok(()) => log::debug!(target: "links", "Control link with {peer} has ended."),
             Err(error) => log::warn!(target: "links", "Control link with {peer} ended: {error}."),
         }
@@ -203,13 +212,15 @@
     peer: Instance,
     /// None: this link only reads, for another one writes.
     added: Option<Arc<Notify>>,
+    /// Makes the peer show that it is still there.
+    doubt: Arc<Notify>,
 }
 
 impl Outbox for ControlOutbox {
     async fn next(&mut self) -> Option<Bytes> {
         let Some(added) = &self.added else { return std::future::pending().await };
         loop {
-            if let Some(payload) = self.shared.pop(&self.peer) {
+            if let Some(payload) = self.shared.pop(&self.peer, &self.doubt) {
                 return Some(payload);
             }
             if timeout(IDLE_MAX, added.notified()).await.is_err() {
@@ -219,7 +230,7 @@
     }
 
     fn try_next(&mut self) -> Option<Bytes> {
-        self.added.as_ref().and_then(|_| self.shared.pop(&self.peer))
+        self.added.as_ref().and_then(|_| self.shared.pop(&self.peer, &self.doubt))
     }
 }
 
--- a/crates/agent/src/links/socket.rs
+++ b/crates/agent/src/links/socket.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt, stream::SplitSink, stream::SplitStream};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use tokio::{
+    sync::Notify,
+    time::{Instant, MissedTickBehavior, interval, timeout},
+};
 use tokio_tungstenite::tungstenite::{self, Message};
 
 use crate::links::handshake::Socket;
@@ -46,17 +49,19 @@
     Message(anyhow::Error),
 }
 
-/// Runs a link until either side closes it or something is wrong.
+/// Runs a link until either side closes it or something is wrong. A notice of `doubt` makes the peer show
+/// that it is still there, though nothing is to be written.
 pub(crate) async fn run(
     socket: Socket,
     mut outbox: impl Outbox,
     mut inbox: impl Inbox,
+    doubt: &Notify,
 ) -> Result<(), LinkError> {
     let (mut sink, mut stream) = socket.split();
     let heard = std::sync::Mutex::new(Instant::now());
     tokio::select! {
         result = read(&mut stream, &mut inbox, &heard) => result,
-        result = write(&mut sink, &mut outbox, &heard) => result,
+        result = write(&mut sink, &mut outbox, &heard, doubt) => result,
     }
 }
 
@@ -87,6 +92,7 @@
     sink: &mut SplitSink<Socket, Message>,
     outbox: &mut impl Outbox,
     heard: &Heard,
+    doubt: &Notify,
 ) -> Result<(), LinkError> {
     let mut check = interval(CHECK_EVERY);
     check.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -103,6 +109,10 @@
                     .await
                     .unwrap_or(Err(LinkError::Silent))?;
             }
+            () = doubt.notified(), if pinged.is_none() => {
+                pinged = Some(Instant::now());
+                sink.send(Message::Ping(Bytes::new())).await.map_err(boxed)?;
+            }
             _ = check.tick() => {
                 let heard_at = *heard.lock().expect("no panic while held");
                 written = written.filter(|at| *at > heard_at);
--- a/crates/agent/src/links/tests.rs
+++ b/crates/agent/src/links/tests.rs
@@ -1,5 +1,6 @@
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use model::{Incarnation, Instance, InstanceName, Zone};
 use tokio::{
@@ -76,6 +77,39 @@
     b.hears(&a.own, b"for this one").await;
 }
 
+/// A process goes silent without hanging up, and another life listens at its address. What is sent to that
+/// one must not be swallowed by the link to the silent one, on which nothing is ever written.
+#[tokio::test]
+async fn another_life_at_the_address_of_a_silent_one_is_reached() {
+    let mut a = Node::start("a", SECRET).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let silent = instance("b", 1, address);
+    let identity =
+        LinkIdentity { own: silent.clone(), kind: LinkKind::Control, key: LinkKey::new(SECRET) };
+    a.links.send(&silent, b"before".to_vec());
+    let (stream, peer) = timeout(PATIENCE, listener.accept()).await.unwrap().unwrap();
+    let mut held = identity.accept(peer, stream).await.unwrap().socket;
+    timeout(PATIENCE, held.next()).await.unwrap().unwrap().unwrap();
+    // It answers what it has got, so nothing is owed. Then it is held open and never read again.
+    held.send(Message::Binary(Bytes::from_static(b"still here"))).await.unwrap();
+    a.hears(&silent, b"still here").await;
+    let own = instance("c", 2, address);
+    let (links, events) = ControlLinks::start(own.clone(), listener, LinkKey::new(SECRET));
+    let mut later = Node { own, links, events };
+    let resend = async {
+        loop {
+            a.links.send(&later.own, b"for the later one".to_vec());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let heard = timeout(PATIENCE, later.events.recv());
+    tokio::select! {
+        () = resend => unreachable!("it goes on for ever"),
+        event = heard => assert!(event.expect("nothing came").is_some()),
+    }
+}
+
 #[tokio::test]
 async fn peer_without_the_key_gets_no_link() {
     let (a, mut b) = (Node::start("a", b"some other secret").await, Node::start("b", SECRET).await);
--- a/crates/agent/src/links/traffic/link.rs
+++ b/crates/agent/src/links/traffic/link.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use model::{Instance, NotRunReason, UnknownReason};
 use tokio::{
-    sync::{oneshot, watch},
+    sync::{Notify, oneshot, watch},
     time::timeout,
 };
 use wire::traffic::{CHUNK_BYTES_MAX, CorrelationId, Frame, Records};
@@ -48,6 +48,8 @@
     waiting: Mutex<HashMap<CorrelationId, Waiting>>,
     /// Becomes true when the link has ended.
     down: watch::Sender<bool>,
+    /// Makes the peer show that it is still there.
+    doubt: Notify,
 }
 
 /// The link has ended, or ended before the message was queued.
@@ -58,7 +60,13 @@
     pub(super) fn new(peer: Instance) -> (Arc<Link>, TrafficOutbox) {
         let (senders, outbox) = channel();
         let (down, _) = watch::channel(false);
-        (Arc::new(Link { peer, senders, waiting: Mutex::default(), down }), outbox)
+        let doubt = Notify::new();
+        let link = Link { peer, senders, waiting: Mutex::default(), down, doubt };
+        (Arc::new(link), outbox)
+    }
+
+    pub(super) fn doubt(&self) -> &Notify {
+        &self.doubt
     }
 
     pub(super) fn is_down(&self) -> bool {
--- a/crates/agent/src/links/traffic/mod.rs
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -155,8 +155,12 @@
     fn next(&self, peer: &Instance) -> Next {
         let mut peers = self.peers();
         match peers.get(&peer.traffic) {
-            // Another life of the peer is there: this one is gone.
-            Some(Peer::Up(link)) if !link.is_down() && link.peer != *peer => Next::Refuse,
+            // Another life of the peer is there, so the one that is asked for is gone. Or it is the other
+            // way round, and that one has gone without hanging up: then it does not answer.
+            Some(Peer::Up(link)) if !link.is_down() && link.peer != *peer => {
+                link.doubt().notify_one();
+                Next::Refuse
+            }
             Some(Peer::Up(link)) if !link.is_down() => Next::Use(Arc::clone(link)),
             Some(Peer::Dialling(ended)) => Next::Wait(ended.clone()),
             Some(Peer::Down { since }) if since.elapsed() < DIAL_PAUSE => Next::Refuse,
@@ -183,7 +187,7 @@
         let inbox = TrafficInbox::new(Arc::clone(&link), Arc::clone(&self.handler));
         let shared = Arc::clone(self);
         tokio::spawn(async move {
-            match socket::run(socket, outbox, inbox).await {
+            match socket::run(socket, outbox, inbox, link.doubt()).await {
                 Ok(()) => log::debug!(target: "links", "Traffic link with {peer} has ended."),
                 Err(error) => {
                     log::warn!(target: "links", "Traffic link with {peer} ended: {error}.");
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -1,11 +1,22 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
 use bytes::Bytes;
-use wire::traffic::{Answer, Chunk, CorrelationId, Frame};
+use model::{Incarnation, Instance, InstanceName, Zone};
+use tokio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+};
+use wire::{
+    link::LinkKind,
+    traffic::{Answer, Chunk, CorrelationId, Frame, GateLoad},
+};
 
 use super::{
+    Handler, Handover, LinkIdentity, LinkKey, Serving, TrafficLinks,
     assembly::{Assembly, Head, Progress, chunks},
     outbox::{Outgoing, channel},
 };
-use crate::links::socket::Outbox;
+use crate::{links::socket::Outbox, request::GateRequest};
 
 const ID: CorrelationId = CorrelationId(7);
 
@@ -89,3 +100,63 @@
     let Progress::Whole(Head::Answer(answer)) = progress else { panic!("{progress:?}") };
     assert!(answer.body == body);
 }
+
+/// Nobody is asked anything here.
+struct Unasked;
+
+impl Handler for Unasked {
+    fn request(&self, _from: &Instance, _request: GateRequest) -> Serving {
+        unreachable!("no request is sent")
+    }
+
+    fn load(&self) -> Option<GateLoad> {
+        None
+    }
+
+    fn records(&self, _from: &Instance, _handover: Handover) -> bool {
+        false
+    }
+}
+
+fn instance(name: &str, incarnation: u64, traffic: SocketAddr) -> Instance {
+    Instance {
+        name: InstanceName::new(name).unwrap(),
+        incarnation: Incarnation(incarnation),
+        zone: Zone::new("pitlane").unwrap(),
+        control: traffic,
+        traffic,
+    }
+}
+
+/// A process goes silent without hanging up while nothing is asked of it, and another life listens at
+/// its address. That one must be reached, though the link to the silent one still stands.
+#[tokio::test]
+async fn another_life_at_the_address_of_a_silent_one_is_reached() {
+    let key = || LinkKey::new(b"a secret of all agents");
+    let bind = || TcpListener::bind("127.0.0.1:0");
+    let own_listener = bind().await.unwrap();
+    let own = instance("a", 1, own_listener.local_addr().unwrap());
+    let links = TrafficLinks::start(own, own_listener, key(), Arc::new(Unasked));
+    let listener = bind().await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let silent = instance("b", 1, address);
+    let identity = LinkIdentity { own: silent.clone(), kind: LinkKind::Traffic, key: key() };
+    let (accepted, link) = tokio::join!(
+        async {
+            let (stream, peer) = listener.accept().await.unwrap();
+            identity.accept(peer, stream).await.unwrap()
+        },
+        links.link(&silent)
+    );
+    assert!(link.is_some());
+    // Held open, and never read again.
+    let _held = accepted.socket;
+    let later = instance("c", 2, address);
+    let _later_links = TrafficLinks::start(later.clone(), listener, key(), Arc::new(Unasked));
+    let reached = async {
+        while links.link(&later).await.is_none() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(20), reached).await.expect("the later life is not reached");
+}
