The coordinator of a group without keys keeps its own session

Now its lease there is that of any member. The test, four losses and returns of a member under one coordinator, sees 4 members in place of 3 without the change.

--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -173,8 +173,9 @@
             return None;
         }
         let until = match ctx.limits().own_lease {
-            OwnLease::Confirmation => self.confirmed_until(ctx),
-            OwnLease::Whole => ctx.now + self.times(ctx).lease(),
+            OwnLease::Confirmation if ctx.config.keyed => self.confirmed_until(ctx),
+            // Without keys nothing confirms it, and nothing is held by it.
+            OwnLease::Confirmation | OwnLease::Whole => ctx.now + self.times(ctx).lease(),
         };
         self.own_until = self.own_until.max(until);
         // It is extended between renewals too: its own session lapses no earlier than it.
--- a/crates/ownership/src/tests/order.rs
+++ b/crates/ownership/src/tests/order.rs
@@ -119,6 +119,28 @@
     assert!(sim.run_until(Duration::from_secs(10), stopped), "{:?}", sim.events());
 }
 
+/// Nothing confirms the coordinator of a group without keys, for nothing rests on that. Its own view, by
+/// which it answers others, has to follow its members all the same, at any time.
+#[test]
+fn the_coordinator_of_a_group_without_keys_sees_members_come_and_go() {
+    let mut sim = Sim::new(SimConfig { hosts: 4, keyed: false, ..SimConfig::new(11) });
+    sim.start_all();
+    sim.run_for(Duration::from_secs(3));
+    let coordinator = sim.coordinator().unwrap();
+    let members = |it: &Sim| it.view(coordinator).map_or(0, |it| it.members.len());
+    let lost = (coordinator + 1) % sim.host_count();
+    for _ in 0..4 {
+        assert_eq!(members(&sim), 4);
+        sim.apply(Fault::Crash(lost));
+        sim.run_for(Duration::from_secs(3));
+        assert_eq!(members(&sim), 3);
+        sim.start_all();
+        sim.run_for(Duration::from_secs(3));
+    }
+    assert_eq!(sim.coordinator(), Some(coordinator));
+    assert!(!sim.events().contains_key("SessionEnded"), "{:?}", sim.events());
+}
+
 #[test]
 fn a_group_takes_in_no_more_than_its_limit() {
     let hosts = GROUP_MEMBERS_MAX + 1;
