--- a/crates/agent/src/ingress/form.rs
+++ b/crates/agent/src/ingress/form.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{HeaderMap, HeaderValue, request::Parts};
-use model::RequestId;
+use http::{HeaderMap, HeaderValue, StatusCode, request::Parts};
+use model::{NotRunReason, Outcome, RequestId, UnknownReason};
 use upstream::Answer;
 use volo_http::{body::Body, response::Response};
 
@@ -55,3 +55,14 @@
     strip_connection(response.headers_mut());
     response
 }
+
+/// The status for an outcome: 503 promises that the request has not run; 502 and 504 promise nothing.
+pub fn status_of(outcome: Outcome) -> StatusCode {
+    match outcome {
+        Outcome::Answered => StatusCode::OK,
+        Outcome::NotRun(NotRunReason::BadRequest) => StatusCode::BAD_REQUEST,
+        Outcome::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Unknown(UnknownReason::DeadlineExceeded) => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::Unknown(_) => StatusCode::BAD_GATEWAY,
+    }
+}
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -46,7 +46,7 @@
 use destination::Destinations;
 
 pub use announce::{AnnounceForm, Heard};
-pub use form::{CallHead, CallId, CallerForm, answered};
+pub use form::{CallHead, CallId, CallerForm, answered, status_of};
 pub use refusal::Refusal;
 
 pub(crate) use announce::{Announcements, OwnAnnounceForm, serve_announcements};
--- a/crates/agent/src/ingress/own_form.rs
+++ b/crates/agent/src/ingress/own_form.rs
@@ -7,21 +7,18 @@
 use std::time::Duration;
 
 use http::{
-    HeaderMap, HeaderName, HeaderValue, StatusCode,
+    HeaderMap, HeaderName, HeaderValue,
     header::{HOST, RETRY_AFTER},
     request::Parts,
 };
-use model::{
-    NotRunReason, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, RequestId, TOKEN_HEADER,
-    UnknownReason,
-};
+use model::{NotRunReason, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, RequestId, TOKEN_HEADER};
 use volo_http::{body::Body, response::Response};
 
 use crate::{
     forward::Ending,
     ingress::{
         COME_BACK,
-        form::{CallHead, CallId, CallerForm, answered},
+        form::{CallHead, CallId, CallerForm, answered, status_of},
         refusal::Refusal,
         strip_connection,
     },
@@ -58,7 +55,7 @@
             GateReply::Answered(answer) => answered(answer),
             GateReply::Failed { .. } | GateReply::NotOwner { .. } => {
                 let mut response = Response::new(Body::from(format!("{outcome}\n")));
-                *response.status_mut() = status(outcome);
+                *response.status_mut() = status_of(outcome);
                 response
             }
         };
@@ -88,16 +85,6 @@
     }
 }
 
-fn status(outcome: Outcome) -> StatusCode {
-    match outcome {
-        Outcome::Answered => StatusCode::OK,
-        Outcome::NotRun(NotRunReason::BadRequest) => StatusCode::BAD_REQUEST,
-        Outcome::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
-        Outcome::Unknown(UnknownReason::DeadlineExceeded) => StatusCode::GATEWAY_TIMEOUT,
-        Outcome::Unknown(_) => StatusCode::BAD_GATEWAY,
-    }
-}
-
 fn outcome_value(outcome: Outcome) -> HeaderValue {
     match outcome {
         Outcome::Answered => HeaderValue::from_static("answered"),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,7 +23,8 @@
 pub use forward::Ending;
 pub use gate::Connect;
 pub use ingress::{
-    AnnounceForm, CallHead, CallId, CallerForm, Heard, Refusal, answered, strip_connection,
+    AnnounceForm, CallHead, CallId, CallerForm, Heard, Refusal, answered, status_of,
+    strip_connection,
 };
 pub use port::Ports;
 pub use reload::SettingsFile;
--- a/crates/ownership/src/tests/order.rs
+++ b/crates/ownership/src/tests/order.rs
@@ -1,8 +1,8 @@
 //! A group without faults: starting, joining, leaving.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
-use model::SlotCount;
+use model::{Slot, SlotCount};
 
 use crate::{
     GROUP_MEMBERS_MAX, Limits,
@@ -28,7 +28,7 @@
     sim.run_for(Duration::from_secs(5));
     check(&sim);
     assert!(sim.is_settled());
-    let owners: std::collections::BTreeSet<_> = sim.slot_owners().into_iter().collect();
+    let owners: BTreeSet<_> = sim.slot_owners().into_iter().collect();
     assert!(owners.len() >= 6, "{owners:?}");
 }
 
@@ -119,6 +119,32 @@
     assert!(sim.run_until(Duration::from_secs(10), stopped), "{:?}", sim.events());
 }
 
+/// A stretch of busy neighbours, 1 s after all slots were granted for the first time: what was granted
+/// without a look at its load need not rest for 10 s before it is shared out.
+#[test]
+fn busy_neighbours_are_shared_out_soon_after_the_first_grants() {
+    let limits = Limits { churn_per_minute_max: 1.0, ..Limits::default() };
+    let slot_count = SlotCount::new(64).unwrap();
+    let config = SimConfig { hosts: 4, ordered: true, slot_count, limits, ..SimConfig::new(12) };
+    let mut sim = Sim::new(config);
+    sim.start_all();
+    assert!(sim.run_until(Duration::from_secs(5), |it| it.unowned() == 0));
+    sim.run_for(Duration::from_secs(1));
+    let first = sim.owned_by(0)[0].0;
+    let stretch: Vec<Slot> = (first..first + 4).map(Slot).collect();
+    for slot in &stretch {
+        let us_per_s = 3_000_000;
+        sim.apply(Fault::SlotLoad { slot: usize::from(slot.0), us_per_s });
+    }
+    let owners = |it: &Sim| {
+        let owners: BTreeSet<_> = stretch.iter().map(|slot| it.owner(*slot)).collect();
+        owners.len()
+    };
+    assert_eq!(owners(&sim), 1);
+    assert!(sim.run_until(Duration::from_secs(6), |it| owners(it) > 1), "{:?}", sim.events());
+    assert_eq!(sim.violation(), None);
+}
+
 /// Nothing confirms the coordinator of a group without keys, for nothing rests on that. Its own view, by
 /// which it answers others, has to follow its members all the same, at any time.
 #[test]
