--- a/crates/ownership/src/coordinator/answer.rs
+++ b/crates/ownership/src/coordinator/answer.rs
@@ -2,21 +2,22 @@
 
 use std::time::Duration;
 
-use model::{Instance, KeyHash};
+use model::{Instance, KeyHash, Slot};
 
 use crate::{
-    Message, Renewed, RouteKey, RouteMember, RouteSlot, Routes,
+    Message, Renewed, RouteKey, RouteMember, RouteRun, Routes,
     ctx::{Ctx, MemberId},
 };
 
 use super::{
     Coordination,
     members::MemberRow,
-    slots::{Holder, KeyHolder},
+    slots::{Holder, KeyHolder, SlotRow},
 };
 
-/// The most slots in one message; what is left over comes with the next one.
-const ROUTE_SLOTS_MAX: usize = 256;
+/// The most runs of slots in one message, of about 20 bytes each; what is left over comes with the next one,
+/// a renewal later.
+const ROUTE_RUNS_MAX: usize = 1024;
 /// The most commands in one message.
 const COMMANDS_MAX: usize = 256;
 /// How often, for each member, the loads of members are told where routing goes by them.
@@ -74,26 +75,30 @@
         let index = |id: &MemberId| ids.binary_search(&id).ok().map(|it| it as u16);
         let mut changed: Vec<_> =
             self.table.iter().filter(|(_, row)| row.changed_in > since).collect();
-        changed.sort_by_key(|(_, row)| row.changed_in);
-        let left_over = changed.len() > ROUTE_SLOTS_MAX;
-        changed.truncate(ROUTE_SLOTS_MAX);
-        let version = match changed.last() {
-            Some((_, row)) if left_over => row.changed_in,
-            _ => self.route_version,
-        };
-        let slots = changed.into_iter().map(|(slot, row)| RouteSlot {
-            slot,
+        let run = |(slot, row): &(Slot, &SlotRow)| RouteRun {
+            first: *slot,
+            last: *slot,
             owner: row.holder.grant().and_then(|it| index(&it.member)),
             token: row.last_token,
-            successors: self.plan.slot_names(slot).iter().filter_map(index).collect(),
-        });
+            successors: row.names.iter().filter_map(index).collect(),
+        };
+        let mut slots = joined(changed.iter().map(run));
+        let mut version = self.route_version;
+        if slots.len() > ROUTE_RUNS_MAX {
+            // The oldest changes first, so that the receiver has all up to one version.
+            changed.sort_by_key(|(_, row)| row.changed_in);
+            changed.truncate(ROUTE_RUNS_MAX);
+            version = changed.last().map_or(version, |(_, row)| row.changed_in);
+            changed.sort_by_key(|(slot, _)| *slot);
+            slots = joined(changed.iter().map(run));
+        }
         let keys = self.table.keys.iter().filter(|(_, row)| row.changed_in > since);
         let keys = keys.map(|(key_hash, row)| self.route_key(*key_hash, &row.holder, index));
         Routes {
             since,
             version,
             members: (self.members_changed_in > since).then(|| self.route_members()),
-            slots: slots.collect(),
+            slots,
             keys: keys.collect(),
         }
     }
@@ -138,3 +143,14 @@
         self.members_changed();
     }
 }
+
+/// Neighbours that are alike, as one run each.
+fn joined(slots: impl Iterator<Item = RouteRun>) -> Vec<RouteRun> {
+    let mut runs: Vec<RouteRun> = Vec::new();
+    for next in slots {
+        if !runs.last_mut().is_some_and(|it| it.extend(&next)) {
+            runs.push(next);
+        }
+    }
+    runs
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -28,7 +28,7 @@
 pub use limits::{FenceCheck, Limits, OwnLease};
 pub use message::{
     Command, HeldKey, HeldSlot, Holding, Message, Renew, Renewed, Report, RouteKey, RouteMember,
-    RouteSlot, Routes, SessionId,
+    RouteRun, Routes, SessionId,
 };
 pub use node::{MemberView, Node, NodeConfig, NodeView, OwnerView};
 pub use object::{Confirmation, Coordinator, HotKey, Plan, PlanSlot, TermTimes};
--- a/crates/ownership/src/member/routes.rs
+++ b/crates/ownership/src/member/routes.rs
@@ -49,7 +49,9 @@
                 token: it.token,
                 successors: it.successors.iter().copied().filter_map(instance).collect(),
             };
-            self.slots.insert(it.slot, owner);
+            for slot in it.first.0..=it.last.0 {
+                self.slots.insert(Slot(slot), owner.clone());
+            }
         }
         for it in &routes.keys {
             let Some(owner) = it.owner.and_then(instance) else {
--- a/crates/ownership/src/message/mod.rs
+++ b/crates/ownership/src/message/mod.rs
@@ -228,7 +228,7 @@
     pub version: u64,
     /// All members, if any has changed; others refer to these by index.
     pub members: Option<Vec<RouteMember>>,
-    pub slots: Vec<RouteSlot>,
+    pub slots: Vec<RouteRun>,
     pub keys: Vec<RouteKey>,
 }
 
@@ -241,15 +241,31 @@
     pub config: ConfigVersion,
 }
 
-/// Who owns a slot.
+/// Who owns neighbouring slots.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RouteSlot {
-    pub slot: Slot,
+pub struct RouteRun {
+    pub first: Slot,
+    pub last: Slot,
     pub owner: Option<u16>,
     pub token: Token,
     pub successors: Vec<u16>,
 }
 
+impl RouteRun {
+    /// Takes the next run in if it goes on where this one ends and all else is the same; says whether it
+    /// did.
+    pub(crate) fn extend(&mut self, next: &RouteRun) -> bool {
+        let alike = self.last.0.checked_add(1) == Some(next.first.0)
+            && self.owner == next.owner
+            && self.token == next.token
+            && self.successors == next.successors;
+        if alike {
+            self.last = next.last;
+        }
+        alike
+    }
+}
+
 /// Who owns a hot key; none: it follows its slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteKey {
--- a/crates/ownership/src/planner/ranges.rs
+++ b/crates/ownership/src/planner/ranges.rs
@@ -18,8 +18,17 @@
 /// The standard deviation of a load of one request in flight, as a share of it, as reports of about
 /// a second show it; it falls with the root of the load.
 const NOISE: f64 = 0.3;
-/// The most runs that one proposal moves for balance: each is a handover during which its keys wait.
+/// Over so many others the slots of an owner that is lost are spread: each takes an eighth more than it had.
+/// More would cut the routes into more runs, one for each of them.
+const HEIRS_MAX: usize = 8;
+/// The most runs that one proposal moves for balance, each a handover during which its keys wait: so many
+/// at least, and in large services one for two members. A stretch with two fifths of the load of 41 members
+/// has to go to 16 of them.
 const MOVES_MAX: usize = 6;
+const MEMBERS_PER_MOVE: usize = 2;
+/// A member with this many times its fair load gives away also what was moved of late: no chance looks like
+/// that, and what was moved as a whole to one that could not carry it has to be cut again.
+const OVERRUN: f64 = 3.0;
 /// Relief goes on until the busiest member is below this share of the way from even to the trigger.
 const SETTLE_SHARE: f64 = 0.5;
 const US_PER_S: f64 = 1e6;
@@ -217,9 +226,14 @@
         // What nobody asks for may move freely: nobody waits for it.
         let churn = if self.is_idle { 1.0 } else { self.input.churn_left };
         let mut churn_left = (churn * self.owners.len() as f64) as usize;
-        for _ in 0..MOVES_MAX {
+        // Those that nothing can be taken from, such as the owner of one slot that is too much for anybody.
+        let mut stuck: Vec<u16> = Vec::new();
+        let moves_max = MOVES_MAX.max(self.able.len() / MEMBERS_PER_MOVE);
+        let mut moves = 0;
+        while moves < moves_max {
             let by_load = |a: &u16, b: &u16| self.relative(*a).total_cmp(&self.relative(*b));
-            let Some(busiest) = self.able.iter().copied().max_by(by_load) else { return };
+            let movable = self.able.iter().copied().filter(|it| !stuck.contains(it));
+            let Some(busiest) = movable.max_by(by_load) else { return };
             let Some(idlest) = self.able.iter().copied().min_by(by_load) else { return };
             if self.relative(busiest) <= trigger || busiest == idlest {
                 return;
@@ -227,8 +241,10 @@
             let excess = self.carries(busiest) - settle * self.fair * self.weight(busiest);
             let room = self.fair * self.weight(idlest) - self.carries(idlest);
             let Some(run) = self.window(busiest, idlest, excess.min(room), churn_left) else {
-                return;
+                stuck.push(busiest);
+                continue;
             };
+            moves += 1;
             churn_left -= run.len();
             self.relieved[run.first..run.end].fill(true);
             self.give(run, idlest);
@@ -239,6 +255,7 @@
     /// that leaves fewer runs behind.
     fn window(&self, from: u16, to: u16, wanted: f64, len_max: usize) -> Option<Run> {
         let mut best: Option<(usize, usize, Run)> = None;
+        let overrun = self.relative(from) > OVERRUN;
         for run in self.runs(Some(from)) {
             for first in run.first..run.end {
                 let Some(end) = self.grow(first, run.end, wanted) else { break };
@@ -246,7 +263,7 @@
                 // It must make things better, not only turn them round.
                 let carried = self.cost(candidate);
                 let better = self.carries(to) + carried < self.carries(from);
-                let free = (first..end).all(|it| self.is_free(it));
+                let free = (first..end).all(|it| self.is_free(it, overrun));
                 if !better || !free || candidate.len() > len_max {
                     continue;
                 }
@@ -274,8 +291,9 @@
         None
     }
 
-    fn is_free(&self, slot: usize) -> bool {
-        !self.relieved[slot] && self.input.slots[slot].settled_until <= self.input.now
+    fn is_free(&self, slot: usize, overrun: bool) -> bool {
+        let rests = self.input.slots[slot].settled_until > self.input.now;
+        !self.relieved[slot] && (overrun || !rests)
     }
 
     /// How many new runs come about when `part` of `run` goes to `to`.
@@ -305,9 +323,9 @@
             .collect()
     }
 
-    /// An owner's slots are cut into as many equal parts as there are others, and each part is
-    /// followed by others in another order: so a loss gives each of them one run, or few. They go by
-    /// numbers and not by loads, so that loads do not rewrite the plan.
+    /// An owner's slots are cut into as many equal parts as there are heirs, and each part is followed by
+    /// them in another order: so a loss gives each of them one run, or few. They go by numbers and not by
+    /// loads, so that loads do not rewrite the plan.
     fn successors(&self) -> Vec<Vec<u16>> {
         let mut successors = vec![Vec::new(); self.owners.len()];
         for owner in &self.able {
@@ -324,10 +342,10 @@
         successors
     }
 
-    /// All others, beginning behind the owner, so that not all lean on the same one.
+    /// The others behind the owner, so that not all lean on the same ones.
     fn heirs(&self, owner: u16) -> Vec<u16> {
         let at = self.able.iter().position(|it| *it == owner).unwrap_or(0);
         let behind = self.able[at + 1..].iter();
-        behind.chain(&self.able[..at]).copied().collect()
+        behind.chain(&self.able[..at]).take(HEIRS_MAX).copied().collect()
     }
 }
--- a/crates/ownership/src/planner/tests/ranges.rs
+++ b/crates/ownership/src/planner/tests/ranges.rs
@@ -110,6 +110,55 @@
     }
 }
 
+/// 41 members with 99 slots each; a stretch of 13 slots carries two fifths of the load.
+fn large_with_a_hot_stretch() -> PlannerInput {
+    let slots = 41 * 99;
+    let hot = 1204..1217;
+    let load = |it: usize| if hot.contains(&it) { 500_000.0 } else { 2_400.0 };
+    let loads: Vec<f64> = (0..slots).map(load).collect();
+    ordered(41, &loads, |it| Some((it / 99) as u16))
+}
+
+fn owners_of_the_stretch(input: &PlannerInput) -> usize {
+    let owners: std::collections::BTreeSet<_> =
+        input.slots[1204..1217].iter().map(|it| it.owner).collect();
+    owners.len()
+}
+
+#[test]
+fn a_hot_stretch_of_a_large_service_is_shared_out_by_one_proposal() {
+    let (next, _) = step(&large_with_a_hot_stretch());
+    assert!(owners_of_the_stretch(&next) >= 12, "{} owners", owners_of_the_stretch(&next));
+    // One slot of the stretch is 1.3 fair loads.
+    assert!(imbalance(&next) < 2.5, "{}", imbalance(&next));
+}
+
+#[test]
+fn a_hot_stretch_that_was_moved_as_a_whole_is_cut_all_the_same() {
+    let mut fleet = large_with_a_hot_stretch();
+    for slot in &mut fleet.slots[1204..1217] {
+        slot.settled_until = fleet.now + std::time::Duration::from_secs(10);
+    }
+    let (next, _) = step(&fleet);
+    assert!(owners_of_the_stretch(&next) >= 12, "{} owners", owners_of_the_stretch(&next));
+}
+
+#[test]
+fn a_member_that_cannot_be_relieved_keeps_no_other_waiting() {
+    // The first has one slot that carries more than anybody should; the second can give some away.
+    let loads: Vec<f64> = (0..80)
+        .map(|it| match it {
+            0 => 9_000_000.0,
+            10..20 => 400_000.0,
+            _ => 50_000.0,
+        })
+        .collect();
+    let (next, proposal) = step(&ordered(8, &loads, |it| Some((it / 10) as u16)));
+    assert!(!proposal.moves.is_empty());
+    let second = next.slots[10..20].iter().filter(|it| it.owner == Some(1)).count();
+    assert!(second < 10, "{second} slots");
+}
+
 /// Whatever comes: no slot is left with nobody or with one that may own nothing, no proposal makes the
 /// busiest member busier by more than what idle slots count as (5% of the load), and moves for balance keep to the churn.
 #[test]
--- a/crates/wire/src/control/convert.rs
+++ b/crates/wire/src/control/convert.rs
@@ -5,7 +5,7 @@
 };
 use ownership::{
     Command, GROUP_MEMBERS_MAX, HeldKey, HeldSlot, Holding, KeyLoad, LoadReport, Message, Renew,
-    Renewed, Report, RouteKey, RouteMember, RouteSlot, Routes, SessionId, SlotLoad, UpstreamState,
+    Renewed, Report, RouteKey, RouteMember, RouteRun, Routes, SessionId, SlotLoad, UpstreamState,
 };
 
 use super::{
@@ -13,7 +13,7 @@
     types::{
         WireCommand, WireHeldKey, WireHeldSlot, WireHolding, WireInstance, WireKeyLoad, WireLoad,
         WireMessage, WireRenew, WireRenewed, WireReport, WireRouteKey, WireRouteMember,
-        WireRouteSlot, WireRoutes, WireSlotLoad, WireToken, WireUpstream,
+        WireRouteRun, WireRoutes, WireSlotLoad, WireToken, WireUpstream,
     },
 };
 
@@ -410,15 +410,16 @@
             let instance = WireInstance::from(&it.instance);
             WireRouteMember(instance, it.state.into(), it.load_us_per_s, it.config.0)
         };
-        let slot = |it: &RouteSlot| {
-            WireRouteSlot(it.slot.0, it.owner, it.token.into(), it.successors.clone())
+        let run = |it: &RouteRun| {
+            let (token, successors) = (it.token.into(), it.successors.clone());
+            WireRouteRun(it.first.0, it.last.0, it.owner, token, successors)
         };
         let key = |it: &RouteKey| WireRouteKey(it.key_hash.0, it.owner, it.token.into());
         WireRoutes(
             it.since,
             it.version,
             it.members.as_ref().map(|it| it.iter().map(member).collect()),
-            it.slots.iter().map(slot).collect(),
+            it.slots.iter().map(run).collect(),
             it.keys.iter().map(key).collect(),
         )
     }
@@ -438,13 +439,18 @@
     }
 }
 
-impl TryFrom<WireRouteSlot> for RouteSlot {
+impl TryFrom<WireRouteRun> for RouteRun {
     type Error = WireError;
 
-    fn try_from(it: WireRouteSlot) -> Result<RouteSlot, WireError> {
-        let WireRouteSlot(slot, owner, token, successors) = it;
+    fn try_from(it: WireRouteRun) -> Result<RouteRun, WireError> {
+        let WireRouteRun(first, last, owner, token, successors) = it;
+        if last < first || last >= SlotCount::MAX {
+            let reason = format!("slots {first} to {last}");
+            return Err(WireError::Value { field: "routes of slots", reason });
+        }
         let successors = list("successors", GROUP_MEMBERS_MAX, successors)?;
-        Ok(RouteSlot { slot: Slot(slot), owner, token: token.into(), successors })
+        let (first, last) = (Slot(first), Slot(last));
+        Ok(RouteRun { first, last, owner, token: token.into(), successors })
     }
 }
 
--- a/crates/wire/src/control/tests.rs
+++ b/crates/wire/src/control/tests.rs
@@ -3,7 +3,7 @@
 use model::{ConfigVersion, Incarnation, Instance, KeyHash, Slot, Term, Token};
 use ownership::{
     Command, HeldKey, HeldSlot, Holding, KeyLoad, LoadReport, Message, Renew, Renewed, Report,
-    RouteKey, RouteMember, RouteSlot, Routes, SessionId, SlotLoad, UpstreamState,
+    RouteKey, RouteMember, RouteRun, Routes, SessionId, SlotLoad, UpstreamState,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand::{RngExt, SeedableRng};
@@ -125,11 +125,15 @@
                 config: ConfigVersion(rng.random()),
             })
         }),
-        slots: some(rng, 20, |rng| RouteSlot {
-            slot: Slot(rng.random()),
-            owner: rng.random_bool(0.8).then(|| index(rng)),
-            token: token(rng),
-            successors: some(rng, 3, index),
+        slots: some(rng, 20, |rng| {
+            let first = rng.random_range(0..4096);
+            RouteRun {
+                first: Slot(first),
+                last: Slot(rng.random_range(first..4096)),
+                owner: rng.random_bool(0.8).then(|| index(rng)),
+                token: token(rng),
+                successors: some(rng, 3, index),
+            }
         }),
         keys: some(rng, 3, |rng| RouteKey {
             key_hash: KeyHash(rng.random()),
@@ -257,3 +261,19 @@
     let renewed = encode(&Message::Renewed(Box::new(renewed))).len();
     assert!(renew <= 50 && renewed <= 50, "{renew} and {renewed} bytes");
 }
+
+#[test]
+fn a_run_of_slots_that_ends_before_it_begins_is_refused() {
+    for (first, last) in [(5, 4), (0, 4096)] {
+        let run = RouteRun {
+            first: Slot(first),
+            last: Slot(last),
+            owner: None,
+            token: Token::default(),
+            successors: Vec::new(),
+        };
+        let routes = Some(Box::new(Routes { slots: vec![run], ..Routes::default() }));
+        let renewed = Renewed { routes, ..renewed(&mut Pcg64Mcg::seed_from_u64(1)) };
+        assert!(decode(&encode(&Message::Renewed(Box::new(renewed)))).is_err());
+    }
+}
--- a/crates/wire/src/control/types.rs
+++ b/crates/wire/src/control/types.rs
@@ -200,7 +200,7 @@
     pub(super) u64,
     pub(super) u64,
     pub(super) Option<Vec<WireRouteMember>>,
-    pub(super) Vec<WireRouteSlot>,
+    pub(super) Vec<WireRouteRun>,
     pub(super) Vec<WireRouteKey>,
 );
 
@@ -214,10 +214,11 @@
     pub(super) u64,
 );
 
-/// Slot, owner, token, successors.
+/// First and last slot, owner, token, successors.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-pub(super) struct WireRouteSlot(
+pub(super) struct WireRouteRun(
+    pub(super) u16,
     pub(super) u16,
     pub(super) Option<u16>,
     pub(super) WireToken,
