explain-request: from a request's id to its cause by the logs alone; placements tell what they were weighed by

On call, the story of a request had to be put together by grep, and no line told why a gate had been chosen.

`pomelohill explain-request ID FILE...` reads the logs of several instances, prints the lines of one request in order, says its cause in a sentence, and shows what the instances concerned decided about the same time. The line `Ended.` tells how many gates were weighed, what the chosen one was expected to take, how old its word was, and the second best.

Not told yet: the retries before the last one, other than by the gates' own lines.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -178,12 +178,14 @@
     ) -> GateReply {
         let now = self.parts.clock.now();
         let hint = trail.hint.take();
-        let Some(target) = state.selector.target(now, routes, request, hint, &trail.tried) else {
+        let Some(picked) = state.selector.target(now, routes, request, hint, &trail.tried) else {
             trail.tried.clear();
             return GateReply::not_run(NotRunReason::NoOwner);
         };
+        let target = picked.instance;
         placing.tries += 1;
         placing.sent_to = Some(target.clone());
+        placing.weighed = picked.weighed;
         let asking = state.selector.start(now, self.parts.clock, &target, routes, request);
         let Replied { reply, load } = self.ask(&target, request).await;
         if let Some(load) = load {
--- a/crates/agent/src/forward/selector.rs
+++ b/crates/agent/src/forward/selector.rs
@@ -9,7 +9,8 @@
 use model::{Instance, InstanceName, KeyHash, NotRunReason, Outcome, RequestId, Timestamp};
 use ownership::UpstreamState;
 use traffic::{
-    GateReport, HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState,
+    GateReport, HealthHint, Picked, Selection, SelectionConfig, TargetResult, TargetSpec,
+    TargetState,
 };
 use wire::traffic::GateLoad;
 
@@ -51,7 +52,8 @@
         Selector { own, selection: Arc::default(), avoided: Mutex::default() }
     }
 
-    /// The next target; none: nobody may take the request at the moment.
+    /// The next target, and what it was weighed by where there was a choice; none: nobody may take the
+    /// request at the moment.
     pub(super) fn target(
         &self,
         now: Timestamp,
@@ -59,10 +61,11 @@
         request: &GateRequest,
         hint: Option<Instance>,
         tried: &[Instance],
-    ) -> Option<Instance> {
+    ) -> Option<Picked> {
+        let only = |instance| Picked { instance, weighed: None };
         match (&routes.routes, request.key_hash) {
-            _ if hint.is_some() => hint,
-            (Routes::ByKey(routes), Some(key_hash)) => by_key(routes, key_hash, tried),
+            _ if hint.is_some() => hint.map(only),
+            (Routes::ByKey(routes), Some(key_hash)) => by_key(routes, key_hash, tried).map(only),
             (Routes::Any(members), None) if request.idempotent || !routes.document.resends => {
                 self.pick(now, routes, members, tried)
             }
@@ -71,6 +74,7 @@
                 let avoided = self.avoided(now);
                 home(members.iter().filter(|it| !avoided.contains(&it.instance.name)), request.id)
                     .or_else(|| home(members, request.id))
+                    .map(only)
             }
             _ => None,
         }
@@ -100,7 +104,7 @@
         routes: &ServiceRoutes,
         members: &[MemberRoute],
         tried: &[Instance],
-    ) -> Option<Instance> {
+    ) -> Option<Picked> {
         let mut lock = lock(&self.selection);
         let selecting = lock.get_or_insert_with(|| {
             let slow_start = routes.document.upstream.warmup;
--- a/crates/agent/src/request_log/mod.rs
+++ b/crates/agent/src/request_log/mod.rs
@@ -9,6 +9,7 @@
 use log::Level;
 use logging::LineRate;
 use model::{ConfigVersion, Instance, RequestId, Timestamp};
+use traffic::Weighed;
 
 use crate::{
     clock::Clock,
@@ -52,6 +53,8 @@
     pub(crate) tries: u64,
     /// The last of them.
     pub(crate) sent_to: Option<Instance>,
+    /// What that one was weighed by; none: there was no choice, or gates do not tell their loads.
+    pub(crate) weighed: Option<Weighed>,
     /// Of the service's document that it was placed by.
     pub(crate) config: Option<ConfigVersion>,
     /// Of the routes that it was placed by; zero where any member may take it.
@@ -118,6 +121,10 @@
             status:% = Status(&ending.reply),
             sent_to:% = Named(placing.sent_to.as_ref()),
             tries = placing.tries,
+            weighed = placing.weighed.as_ref().map_or(0, |it| it.targets),
+            expected_ms = whole_ms(placing.weighed.as_ref().map_or(Duration::ZERO, |it| it.expected)),
+            load_age_ms:% = LoadAge(placing.weighed.as_ref()),
+            next_best:% = NextBest(placing.weighed.as_ref()),
             spent_ms = whole_ms(now.since(underway.started)),
             is_late,
             come_back_ms = whole_ms(ending.retry_after.unwrap_or_default()),
@@ -240,6 +247,30 @@
     }
 }
 
+/// How old the word of the chosen gate was, in milliseconds.
+struct LoadAge<'a>(Option<&'a Weighed>);
+
+impl fmt::Display for LoadAge<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0.and_then(|it| it.load_age) {
+            Some(age) => write!(f, "{}", whole_ms(age)),
+            None => f.write_str("none"),
+        }
+    }
+}
+
+/// The second best target, and what it was expected to take.
+struct NextBest<'a>(Option<&'a Weighed>);
+
+impl fmt::Display for NextBest<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0.and_then(|it| it.next_best.as_ref()) {
+            Some((instance, expected)) => write!(f, "{instance} in {} ms", whole_ms(*expected)),
+            None => f.write_str("nobody"),
+        }
+    }
+}
+
 struct Status<'a>(&'a GateReply);
 
 impl fmt::Display for Status<'_> {
--- a/crates/client/src/args.rs
+++ b/crates/client/src/args.rs
@@ -9,6 +9,7 @@
   pomelohill apply standings.jsonc
   pomelohill status standings
   pomelohill explain standings car-7
+  pomelohill explain-request a28de7bb21e91d88 logs/*.log
 
 Exit codes:
   0  done                       4  the platform gave no answer
@@ -45,6 +46,8 @@
     Watch(WatchArgs),
     #[options(help = "say who owns a key, and why")]
     Explain(ExplainArgs),
+    #[options(help = "tell from logs what became of a request, and why")]
+    ExplainRequest(ExplainRequestArgs),
 }
 
 /// Checks a document, or an agent's settings, as a whole and without the platform.
@@ -127,6 +130,25 @@
     pub(crate) key: String,
 }
 
+/// Tells from the logs of several instances what became of a request.
+#[derive(Debug)]
+#[derive(Options)]
+pub(crate) struct ExplainRequestArgs {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(free, required, help = "the request's id, in hexadecimal digits")]
+    pub(crate) id: String,
+    #[options(free, help = "logs, a file for each instance, named after it")]
+    pub(crate) files: Vec<String>,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "2",
+        help = "show what the instances decided up to so many seconds before and after"
+    )]
+    pub(crate) around_s: u64,
+}
+
 /// The help of the program, or of the command that was asked about.
 pub(crate) fn help(args: &Args) -> String {
     let Some(command) = &args.command else {
@@ -147,5 +169,6 @@
         Command::Status(_) => "status [--json] [SERVICE]",
         Command::Watch(_) => "watch [--count N] SERVICE",
         Command::Explain(_) => "explain SERVICE KEY",
+        Command::ExplainRequest(_) => "explain-request [--around-s N] ID FILE...",
     }
 }
--- a/crates/client/src/commands/mod.rs
+++ b/crates/client/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod explain;
+mod explain_request;
 mod get;
 mod status;
 mod wait;
@@ -29,6 +30,7 @@
         Command::Status(args) => status::run(&store(platform)?, &args, terminal).await,
         Command::Watch(args) => watch::run(&store(platform)?, &args, terminal).await,
         Command::Explain(args) => explain::run(&store(platform)?, &args, terminal).await,
+        Command::ExplainRequest(args) => explain_request::run(&args, terminal),
     }
 }
 
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,13 +1,14 @@
 //! The operators' command-line client.
 //!
-//! It speaks to the platform alone: it writes `services/S` and reads what agents write. Every
-//! command ends with one of the exit codes of `failure::Failure`.
+//! It speaks to the platform alone: it writes `services/S` and reads what agents write; only
+//! `explain-request` reads logs instead. Every command ends with one of the exit codes of `failure::Failure`.
 
 mod args;
 mod base;
 mod commands;
 mod conflict;
 mod failure;
+mod log_lines;
 mod retry;
 mod table;
 mod terminal;
--- a/crates/client/tests/cli/main.rs
+++ b/crates/client/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod explain_request;
 mod fake_platform;
 mod look;
 
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -23,8 +23,8 @@
 };
 pub use retry::{Attempt, Attempts, Charge, Retries, RetryConfig, RetryVerdict};
 pub use selection::{
-    GateReport, HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState,
-    TargetView,
+    GateReport, HealthHint, Picked, Selection, SelectionConfig, TargetResult, TargetSpec,
+    TargetState, TargetView, Weighed,
 };
 pub use sketch::{Heavy, Sketch};
 pub use smoothed::Smoothed;
--- a/crates/traffic/src/selection/mod.rs
+++ b/crates/traffic/src/selection/mod.rs
@@ -62,6 +62,34 @@
     }
 }
 
+/// A target that was picked, and what it was weighed by.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Picked {
+    pub instance: Instance,
+    /// None: gates do not report their loads, and chance and requests in flight decided.
+    pub weighed: Option<Weighed>,
+}
+
+/// What targets were expected to take, way included, by what their gates had last said.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Weighed {
+    /// How many were compared.
+    pub targets: usize,
+    pub expected: Duration,
+    /// How old the word of the picked target's gate was; none: it had said nothing lately.
+    pub load_age: Option<Duration>,
+    /// The second best.
+    pub next_best: Option<(Instance, Duration)>,
+}
+
+/// The two best of the targets that were compared, by index and expected seconds.
+#[derive(Debug, Clone, Copy)]
+struct Ranking {
+    targets: usize,
+    best: (usize, f64),
+    next_best: Option<(usize, f64)>,
+}
+
 /// The targets of one service, as one agent sees them.
 #[derive(Debug)]
 pub struct Selection {
@@ -107,15 +135,32 @@
         now: Timestamp,
         tried: &[InstanceName],
         rng: &mut impl Rng,
-    ) -> Option<Instance> {
+    ) -> Option<Picked> {
         let fit = |it: &&Target| it.takes_work(&self.config, now);
         let fresh = |it: &&Target| !tried.contains(&it.instance.name);
         let able: Vec<usize> = self.indexes(|it| fit(&it) && fresh(&it));
         let able = if able.is_empty() { self.indexes(|it| fit(&it)) } else { able };
-        let index = self.choose(now, &able, rng)?;
+        let ranking = self.by_reports(now, &able, rng);
+        let index = match &ranking {
+            Some(it) => it.best.0,
+            None => self.choose(now, &able, rng)?,
+        };
+        let weighed = ranking.map(|it| self.weighed(now, it));
         let target = &mut self.targets[index];
         target.start(now);
-        Some(target.instance.clone())
+        Some(Picked { instance: target.instance.clone(), weighed })
+    }
+
+    fn weighed(&self, now: Timestamp, ranking: Ranking) -> Weighed {
+        let expected = |s: f64| Duration::try_from_secs_f64(s).unwrap_or(Duration::MAX);
+        let (index, expected_s) = ranking.best;
+        let next_best = ranking.next_best;
+        Weighed {
+            targets: ranking.targets,
+            expected: expected(expected_s),
+            load_age: self.targets[index].load_age(now),
+            next_best: next_best.map(|it| (self.targets[it.0].instance.clone(), expected(it.1))),
+        }
     }
 
     /// Takes in what a target's gate says of its load.
@@ -152,9 +197,6 @@
     }
 
     fn choose(&self, now: Timestamp, able: &[usize], rng: &mut impl Rng) -> Option<usize> {
-        if let Some(best) = self.by_reports(now, able, rng) {
-            return Some(best);
-        }
         let is_near = |it: &usize| self.targets[*it].instance.zone == self.zone;
         let near: Vec<usize> = able.iter().copied().filter(is_near).collect();
         let far: Vec<usize> = able.iter().copied().filter(|it| !is_near(it)).collect();
@@ -172,7 +214,7 @@
     /// The target with the shortest expected time, the way to another zone included; of many, the best of
     /// a few drawn at random and of those in the own zone. One that has said nothing lately goes by what
     /// its requests in flight show. None where gates do not report.
-    fn by_reports(&self, now: Timestamp, able: &[usize], rng: &mut impl Rng) -> Option<usize> {
+    fn by_reports(&self, now: Timestamp, able: &[usize], rng: &mut impl Rng) -> Option<Ranking> {
         let reported = |it: usize| self.targets[it].reported_s(now);
         let best_s = able.iter().filter_map(|it| reported(*it)).min_by(f64::total_cmp)?;
         let is_near = |it: usize| self.targets[it].instance.zone == self.zone;
@@ -191,7 +233,7 @@
         };
         let mut noise = || rng.random_range(-1.0..1.0);
         let costs = drawn.into_iter().chain(near).map(|it| (it, cost(it, &mut noise)));
-        costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|it| it.0)
+        ranking(costs)
     }
 
     fn two_choices(&self, now: Timestamp, among: &[usize], rng: &mut impl Rng) -> Option<usize> {
@@ -218,3 +260,25 @@
         measured.min_by(f64::total_cmp).unwrap_or(guess_s)
     }
 }
+
+fn ranking(costs: impl Iterator<Item = (usize, f64)>) -> Option<Ranking> {
+    let mut found: Option<Ranking> = None;
+    for (index, cost_s) in costs {
+        let Some(it) = &mut found else {
+            found = Some(Ranking { targets: 1, best: (index, cost_s), next_best: None });
+            continue;
+        };
+        it.targets += 1;
+        match () {
+            () if cost_s < it.best.1 => {
+                it.next_best = Some(std::mem::replace(&mut it.best, (index, cost_s)))
+            }
+            () if index == it.best.0 => {}
+            () if it.next_best.is_none_or(|next| cost_s < next.1) => {
+                it.next_best = Some((index, cost_s))
+            }
+            () => {}
+        }
+    }
+    found
+}
--- a/crates/traffic/src/selection/target.rs
+++ b/crates/traffic/src/selection/target.rs
@@ -171,6 +171,11 @@
         Some(service_s * (1.0 + waiting / slots))
     }
 
+    /// How old what the gate last said is, if it still counts.
+    pub(super) fn load_age(&self, now: Timestamp) -> Option<Duration> {
+        self.reported.map(|it| now.since(it.at)).filter(|it| *it <= REPORT_KEPT)
+    }
+
     pub(super) fn finish(
         &mut self,
         config: &SelectionConfig,
--- a/crates/traffic/src/selection/tests.rs
+++ b/crates/traffic/src/selection/tests.rs
@@ -44,7 +44,7 @@
     }
 
     fn pick(&mut self) -> Option<Instance> {
-        self.selection.pick(self.now, &[], &mut self.rng)
+        self.selection.pick(self.now, &[], &mut self.rng).map(|it| it.instance)
     }
 
     fn finish(&mut self, instance: &Instance, result: TargetResult) {
@@ -242,3 +242,23 @@
     }
     assert!(f64::from(late) <= 0.05 * f64::from(sent), "{late} of {sent} took more than 600 ms");
 }
+
+#[test]
+fn a_pick_tells_what_it_was_weighed_by() {
+    use crate::GateReport;
+    let mut it = Fixture::new(&["a", "a", "a"]);
+    let picked = it.selection.pick(it.now, &[], &mut it.rng).unwrap();
+    assert_eq!(picked.weighed, None, "no gate has told its load");
+    let specs = it.specs.clone();
+    for (spec, backlog) in specs.iter().zip([24, 0, 36]) {
+        let report = GateReport { backlog, slots: 12, service: ms(100) };
+        it.selection.report(it.now, &spec.instance, report);
+    }
+    it.now = it.now + ms(10);
+    let picked = it.selection.pick(it.now, &[], &mut it.rng).unwrap();
+    assert_eq!(picked.instance, specs[1].instance);
+    let weighed = picked.weighed.unwrap();
+    assert_eq!((weighed.targets, weighed.load_age), (3, Some(ms(10))));
+    assert_eq!(weighed.next_best.unwrap().0, specs[0].instance);
+    assert!(weighed.expected < ms(110), "{:?}", weighed.expected);
+}
