Heirs are looked for only while something is free

Each renewal that a coordinator takes in while anything is on the move compared all members with all that the plan names: 1,681 comparisons a renewal with 41 members, 65,536 with 256, and found nothing to grant.

Nothing is looked for unless a slot is free. The decisions are the same; the tests of ownership hold.

--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -47,11 +47,16 @@
         if !self.may_renew(ctx) || self.plan.acked().is_none() {
             return;
         }
+        let proved_at = self.confirm.proved_at();
+        // Heirs are looked for among all members; most of the time nothing is free.
+        if !self.table.slots.iter().any(|it| it.holder.is_free(proved_at)) {
+            return;
+        }
         let mut batch = Batch::default();
         let heirs = self.heirs();
         for slot in self.table.slot_count.iter() {
             let row = &self.table.slots[usize::from(slot.0)];
-            if !row.holder.is_free(self.confirm.proved_at()) {
+            if !row.holder.is_free(proved_at) {
                 continue;
             }
             let prepared = row.handover.as_ref().map(|it| (it.to.clone(), it.token));
