Members whose sessions have ended clear their upstreams too, and wait for no lease

Every member that joins with nothing is asked to clear its upstream, not only new lives; its word counts as its answer, and its own earlier sessions end with it. So a freeze, after which a session is dropped, needs no wait either. In the random runs an upstream that enforces leases goes on holding what its gate has dropped, and what several earlier lives have left.

Counting a lapse by time alone as an answer: a session also ends by a pause or by the coordinator's word, while its upstream still holds what it was granted.

--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -13,16 +13,17 @@
 /// The weight of the newest report in a member's smoothed load.
 const LOAD_WEIGHT: f64 = 0.3;
 
-/// Whether the upstream beside a member may still hold what earlier lives of the member granted it.
+/// Whether the upstream beside a member may still hold what it was granted in earlier sessions, of this life of
+/// the member or of one before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum EarlierLives {
-    /// Nothing is known; the member can be asked to clear its upstream.
+pub(crate) enum EarlierSessions {
+    /// It may; the member can be asked to clear its upstream.
     Unknown,
     /// It has been asked to.
     Clearing,
-    /// The upstream holds nothing of theirs.
+    /// It holds nothing of them.
     Cleared,
-    /// The member has been through more than its first session: what it held ends with its own leases.
+    /// The member goes on with what it holds.
     NotAsked,
 }
 
@@ -52,7 +53,7 @@
     pub(crate) routes_sent: u64,
     /// Hot keys that the session keeps out of its slots, or has been told to.
     pub(crate) excluded: BTreeSet<KeyHash>,
-    pub(crate) earlier_lives: EarlierLives,
+    pub(crate) earlier_sessions: EarlierSessions,
     /// A renewal waits for its answer.
     pub(crate) answer_due: bool,
     /// There is something new to tell.
@@ -78,11 +79,9 @@
             route_version: 0,
             routes_sent: 0,
             excluded: BTreeSet::new(),
-            earlier_lives: match &renew.holding {
-                Some(it) if renew.session == SessionId::FIRST && it.slots.is_empty() => {
-                    EarlierLives::Unknown
-                }
-                _ => EarlierLives::NotAsked,
+            earlier_sessions: match &renew.holding {
+                Some(it) if it.slots.is_empty() => EarlierSessions::Unknown,
+                _ => EarlierSessions::NotAsked,
             },
             answer_due: true,
             push_due: false,
@@ -96,7 +95,7 @@
 
     /// Whether slots of its earlier lives may be granted to it.
     pub(crate) fn is_heir(&self) -> bool {
-        self.earlier_lives == EarlierLives::Cleared && self.is_eligible()
+        self.earlier_sessions == EarlierSessions::Cleared && self.is_eligible()
     }
 
     /// Whether it is to give up all it holds.
--- a/crates/ownership/src/coordinator/seats.rs
+++ b/crates/ownership/src/coordinator/seats.rs
@@ -17,7 +17,7 @@
 
 use super::{
     Coordination,
-    members::{EarlierLives, MemberRow},
+    members::{EarlierSessions, MemberRow},
 };
 
 /// For planned owners that have ended, the new life of the same agent.
@@ -35,7 +35,8 @@
 }
 
 impl Coordination {
-    /// Asks new lives of agents to have their upstreams cleared.
+    /// Asks members that come with nothing to have their upstreams cleared: new lives of agents, and those whose
+    /// session has ended.
     ///
     /// They are asked no earlier than the first plan of this term is acknowledged: whoever answers was
     /// alive after the plan of the earlier terms was read, so every life that this names came before it.
@@ -44,13 +45,13 @@
         if !enforced || self.plan.acked().is_none() {
             return;
         }
-        let waits = |it: EarlierLives| it == EarlierLives::Unknown;
-        let ids = self.members.rows.iter().filter(|(_, row)| waits(row.earlier_lives));
+        let waits = |it: EarlierSessions| it == EarlierSessions::Unknown;
+        let ids = self.members.rows.iter().filter(|(_, row)| waits(row.earlier_sessions));
         let ids: Vec<MemberId> = ids.map(|(id, _)| id.clone()).collect();
         for id in ids {
             let token = self.next_token();
             if let Some(row) = self.members.rows.get_mut(&id) {
-                row.earlier_lives = EarlierLives::Clearing;
+                row.earlier_sessions = EarlierSessions::Clearing;
                 row.command(Command::Clear { token });
             }
             if !rules::holds(Rule::ClearEarlierLives) {
@@ -59,16 +60,22 @@
         }
     }
 
-    /// The upstream beside a member holds nothing of the member's earlier lives: their sessions end now.
+    /// The upstream beside a member holds nothing of the member's earlier sessions: those of earlier lives end
+    /// now, and of its own life nothing is left that had to be waited for.
     pub(super) fn earlier_lives_cleared(&mut self, now: Timestamp, id: &MemberId) {
         let Some(row) = self.members.rows.get_mut(id) else { return };
-        row.earlier_lives = EarlierLives::Cleared;
-        let (instance, joined_at) = (row.instance.clone(), row.joined_at);
+        row.earlier_sessions = EarlierSessions::Cleared;
+        let (instance, joined_at, session) = (row.instance.clone(), row.joined_at, row.session);
+        let own = self.members.lapsing.iter_mut().filter(|it| it.member == *id);
+        for it in own.filter(|it| it.session < session) {
+            it.until = it.until.min(now);
+        }
         // One that joined later is a later life, and this one's word has been long on the way.
         let ended = self.members.rows.values_mut().filter(|it| it.joined_at < joined_at);
         for row in ended.filter(|it| is_earlier_life(&it.instance, &instance)) {
             row.lease_until = row.lease_until.min(now);
         }
+        self.succession.answered(id.clone());
         let planned = self.plan.acked().map_or(&[][..], |it| it.members.as_slice());
         let earlier = planned.iter().filter(|it| is_earlier_life(it, &instance));
         for it in earlier {
--- a/crates/ownership/src/sim/host.rs
+++ b/crates/ownership/src/sim/host.rs
@@ -118,8 +118,15 @@
 
     /// The agent is lost, and the upstream beside it lives on.
     pub(super) fn crash_agent(&mut self) {
-        let left_over = std::mem::take(&mut self.gate);
+        self.leave_over();
+        let left_over = std::mem::take(&mut self.left_over);
         self.crash();
+        self.left_over = left_over;
+    }
+
+    /// The gate lets go of what it holds; an upstream that enforces leases goes on holding it.
+    pub(super) fn leave_over(&mut self) {
+        let left_over = std::mem::take(&mut self.gate);
         self.left_over.push(left_over);
     }
 
--- a/crates/ownership/src/sim/truth.rs
+++ b/crates/ownership/src/sim/truth.rs
@@ -4,7 +4,7 @@
 
 use model::{KeyHash, Slot, SlotCount, Timestamp, Token};
 
-use crate::GateCommand;
+use crate::{GateCommand, OwnLease};
 
 use super::{Sim, host::Host};
 
@@ -114,6 +114,10 @@
             let it = &self.hosts[host];
             it.clock(now) < it.gate.lease_until
         };
+        let enforced = self.config.limits.own_lease == OwnLease::Whole;
+        if enforced && *command == GateCommand::DropAll {
+            self.hosts[host].leave_over();
+        }
         self.hosts[host].gate.apply(command);
         match command {
             GateCommand::Admit { slot, token } => {
--- a/crates/ownership/src/tests/order.rs
+++ b/crates/ownership/src/tests/order.rs
@@ -251,6 +251,24 @@
     }
 }
 
+#[test]
+fn members_whose_sessions_have_lapsed_wait_for_no_lease() {
+    for seed in 70..80 {
+        let mut sim = with_long_leases(seed);
+        let coordinator = sim.coordinator().unwrap();
+        sim.apply(Fault::PlatformDown);
+        sim.apply(Fault::CrashAgent(coordinator));
+        // No term begins without the platform, and all sessions lapse.
+        sim.run_for(Duration::from_secs(7));
+        sim.apply(Fault::Start(coordinator));
+        sim.apply(Fault::PlatformUp);
+        let served = sim.run_until(Duration::from_secs(3), |it| it.unowned() == 0);
+        assert!(served, "seed {seed}: {} slots, {:?}", sim.unowned(), sim.events());
+        sim.run_for(Duration::from_secs(8));
+        check(&sim);
+    }
+}
+
 #[test]
 fn an_agent_restarted_beside_its_upstream_gets_its_slots_back() {
     for seed in 40..60 {
