--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -26,7 +26,7 @@
     },
     /// Everything that the upstream was granted runs out.
     DropAll,
-    /// Have the upstream give up what earlier lives of this agent granted it.
+    /// Have the upstream give up what earlier sessions or lives of this agent granted it.
     Clear {
         token: Token,
     },
--- a/crates/agent/src/gate/leases/book.rs
+++ b/crates/agent/src/gate/leases/book.rs
@@ -101,8 +101,8 @@
     clearing: Option<Clearing>,
 }
 
-/// Nothing is granted until the upstream has given up what earlier lives of this agent granted it: a
-/// release that arrives after a grant could undo it.
+/// Nothing is granted until the upstream has given up what earlier sessions or lives of this agent
+/// granted it: a release that arrives after a grant could undo it.
 #[derive(Debug)]
 struct Clearing {
     token: Token,
--- a/crates/agent/src/gate/leases/keeper.rs
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -25,8 +25,8 @@
 /// An upstream on the same instance answers within a few milliseconds or not at all.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How long the upstream may take to give up what earlier lives of this agent granted it: work that they
-/// began has to end first. After that its grants are waited for, as after any loss.
+/// How long the upstream may take to give up what earlier sessions or lives of this agent granted it:
+/// work that they began has to end first. After that its grants are waited for, as after any loss.
 const CLEAR_MAX: Duration = Duration::from_millis(1_500);
 
 /// Runs for as long as the gate does.
@@ -86,8 +86,8 @@
     report_closed(gate, closed).await;
 }
 
-/// Has the upstream give up all that earlier lives of this agent granted it. Its handover token is kept for
-/// what is granted it again.
+/// Has the upstream give up all that earlier sessions or lives of this agent granted it. Its handover
+/// token is kept for what is granted it again.
 async fn clear(gate: &Gate, bound: &Bound, token: Token) {
     let run = Run { first: Slot(0), last: Slot(bound.document.slot_count.count() - 1), token };
     let handover = release(gate, bound, run, CLEAR_MAX).await;
@@ -103,7 +103,7 @@
     match handover {
         Some(_) => gate.reporter.deliver(Report::Cleared { token }).await,
         None => {
-            log::warn!(target: "gate", "What earlier lives of this agent granted the upstream runs out by itself.")
+            log::warn!(target: "gate", "What earlier sessions or lives of this agent granted the upstream runs out by itself.")
         }
     }
 }
--- a/crates/agent/src/gate/leases/mod.rs
+++ b/crates/agent/src/gate/leases/mod.rs
@@ -62,7 +62,8 @@
         closing
     }
 
-    /// What earlier lives of this agent granted the upstream is to be given up, before anything is granted.
+    /// What earlier sessions or lives of this agent granted the upstream is to be given up, before
+    /// anything is granted.
     pub(super) fn clear(&self, token: Token) {
         self.book().clear(token);
         self.due.notify_one();
--- a/crates/agent/src/report/mod.rs
+++ b/crates/agent/src/report/mod.rs
@@ -29,7 +29,7 @@
     ClosedSlots(Vec<(Slot, Token)>),
     /// Several slots that need no preparing.
     PreparedSlots(Vec<(Slot, Token)>),
-    /// The upstream holds nothing of what earlier lives of this agent granted it.
+    /// The upstream holds nothing of what earlier sessions or lives of this agent granted it.
     Cleared { token: Token },
     /// The same for a closed key.
     KeyClosed { key_hash: KeyHash, token: Token },
--- a/crates/ownership/src/message/mod.rs
+++ b/crates/ownership/src/message/mod.rs
@@ -212,7 +212,7 @@
         token: Token,
         to: Option<Instance>,
     },
-    /// Have the upstream give up what earlier lives of the member granted it, all of it under tokens up
+    /// Have the upstream give up what earlier sessions or lives of the member granted it, all of it under tokens up
     /// to this one.
     Clear {
         token: Token,
--- a/crates/ownership/src/output.rs
+++ b/crates/ownership/src/output.rs
@@ -65,8 +65,8 @@
     /// Admit no more requests of this slot, finish what is in flight, hand its records to `to`,
     /// then give [`crate::Input::Closed`].
     Close { slot: Slot, token: Token, to: Option<Instance> },
-    /// Have the upstream give up what it was granted under tokens up to this one by earlier lives of this
-    /// agent, then give [`crate::Input::Cleared`]. What is admitted later waits for that.
+    /// Have the upstream give up what it was granted under tokens up to this one, by earlier sessions or
+    /// lives of this agent, then give [`crate::Input::Cleared`]. What is admitted later waits for that.
     Clear { token: Token },
     /// The lease is gone: admit nothing from this moment on; cancel what is in flight if the
     /// upstream does not check fence tokens. Later admissions carry new tokens.
