Keys granted through heartbeats: the answer says all that an upstream is to hold

Change: the upstream port says how keys are granted (KeyLeases); the lease book, coordinator and planner stay one. Lives are told apart by name and start (born); announcements of another writer are refused or held to be late.

--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -144,7 +144,9 @@
         let now = self.now();
         match report {
             Report::Announcement(announcement) => self.announced(announcement),
-            Report::UpstreamLeaves { upstream_id } => self.upstream_leaves(&upstream_id),
+            Report::UpstreamLeaves { upstream_id, born_ms } => {
+                self.upstream_leaves(&upstream_id, born_ms);
+            }
             Report::GrantOutdated { token } => self.grant_outdated(now, token),
             Report::Upstream(state) => self.seen_by_gate(state),
             Report::Prepared { slot, token } => self.step(now, Input::Prepared { slot, token }),
--- a/crates/agent/src/control/tests/fleet.rs
+++ b/crates/agent/src/control/tests/fleet.rs
@@ -187,6 +187,7 @@
         slots: 12,
         checks_fence: true,
         upstream_id: None,
+        born_ms: None,
         sequence: 0,
     };
     let mut announcing = tokio::time::interval(Duration::from_secs(1));
--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -7,4 +7,5 @@
 mod pace;
 mod platform;
 mod suspension;
+mod upstream;
 mod watch;
--- /dev/null
+++ b/crates/agent/src/control/tests/upstream.rs
@@ -0,0 +1,67 @@
+//! Which life of the upstream an announcement comes from.
+
+use std::{net::SocketAddr, time::Duration};
+
+use model::{ServiceName, Timestamp};
+use ownership::UpstreamState;
+
+use crate::{
+    control::upstream::{LocalState, Place},
+    report::Announcement,
+};
+
+const EVERY: Duration = Duration::from_secs(1);
+
+fn announcement(id: &str, born_ms: Option<u64>, sequence: u64) -> Announcement {
+    Announcement {
+        service: ServiceName::new("standings").unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 5)),
+        state: UpstreamState::Ready,
+        slots: 12,
+        checks_fence: true,
+        upstream_id: Some(id.into()),
+        born_ms,
+        sequence,
+    }
+}
+
+/// One that was heard at 10 s, and said that it began at 5,000.
+fn known() -> LocalState {
+    let mut state = LocalState::default();
+    state.announcement = Some(announcement("i-1", Some(5_000), 7));
+    state.heard_at = Timestamp::from_ms(10_000);
+    state
+}
+
+fn place_at(now_ms: u64, announcement: &Announcement) -> Place {
+    known().place_of(Timestamp::from_ms(now_ms), EVERY, announcement)
+}
+
+#[test]
+fn an_upstream_that_starts_again_under_its_name_is_another_life() {
+    assert_eq!(place_at(10_100, &announcement("i-1", Some(5_000), 8)), Place::Same);
+    assert_eq!(place_at(10_100, &announcement("i-1", Some(9_900), 1)), Place::NewLife);
+}
+
+#[test]
+fn late_announcements_change_nothing() {
+    assert_eq!(place_at(10_100, &announcement("i-1", Some(5_000), 7)), Place::Late);
+    assert_eq!(
+        place_at(10_100, &announcement("i-1", Some(1_000), 90)),
+        Place::Late,
+        "earlier life"
+    );
+    assert_eq!(place_at(10_100, &announcement("i-0", Some(1_000), 90)), Place::Late);
+}
+
+/// Its time of day may have been put back between two lives.
+#[test]
+fn after_silence_whoever_announces_itself_is_there() {
+    assert_eq!(place_at(12_000, &announcement("i-2", Some(1_000), 1)), Place::NewLife);
+}
+
+#[test]
+fn one_that_does_not_say_when_it_began_is_of_another_writer() {
+    assert_eq!(place_at(12_000, &announcement("i-1", None, 8)), Place::Late);
+    assert_eq!(place_at(12_000, &announcement("i-2", None, 1)), Place::Late);
+}
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -22,7 +22,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct LocalState {
     pub(crate) announcement: Option<Announcement>,
-    heard_at: Timestamp,
+    pub(super) heard_at: Timestamp,
     /// What the gate last said; it knows of hangs that the upstream itself can't tell.
     seen_by_gate: Option<UpstreamState>,
     told: Option<UpstreamState>,
@@ -33,7 +33,7 @@
 
 /// How an announcement stands to what is known of the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Place {
+pub(super) enum Place {
     Same,
     NewLife,
     /// It has been on the way for so long that it says nothing about now.
@@ -52,19 +52,27 @@
 }
 
 impl LocalState {
-    fn place_of(&self, now: Timestamp, every: Duration, announcement: &Announcement) -> Place {
+    pub(super) fn place_of(
+        &self,
+        now: Timestamp,
+        every: Duration,
+        announcement: &Announcement,
+    ) -> Place {
         let Some(known) = &self.announcement else { return Place::Same };
         let alive = now.since(self.heard_at) < every.mul_f64(ANOTHER_LIFE_AFTER)
             && self.seen_by_gate != Some(UpstreamState::Lost);
-        match () {
-            _ if known.upstream_id == announcement.upstream_id => {
+        match (known.born_ms, announcement.born_ms) {
+            _ if known.is_of_same_life(announcement) => {
                 let numbered = announcement.sequence > 0;
                 let late = numbered && announcement.sequence <= known.sequence;
                 if late { Place::Late } else { Place::Same }
             }
+            // The upstream says when it began, so one that does not is of another writer.
+            (Some(_), None) => Place::Late,
+            (Some(known), Some(born)) if born > known => Place::NewLife,
             // Of two lives at one address the one that goes on announcing itself is there.
-            () if alive => Place::Late,
-            () => Place::NewLife,
+            _ if alive => Place::Late,
+            _ => Place::NewLife,
         }
     }
 
@@ -121,9 +129,10 @@
     }
 
     /// The upstream has said that it leaves for good.
-    pub(super) fn upstream_leaves(&mut self, upstream_id: &UpstreamId) {
+    pub(super) fn upstream_leaves(&mut self, upstream_id: &UpstreamId, born_ms: Option<u64>) {
         let Some(announcement) = &mut self.local.announcement else { return };
-        if announcement.upstream_id.as_ref() != Some(upstream_id) {
+        let other_life = born_ms.is_some() && born_ms != announcement.born_ms;
+        if announcement.upstream_id.as_ref() != Some(upstream_id) || other_life {
             return;
         }
         log::info!(target: "control", "The upstream {upstream_id} leaves.");
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -9,7 +9,7 @@
 use upstream::Upstream;
 
 use crate::{
-    gate::{Gate, lane::Lane, records::Book},
+    gate::{Gate, lane::Lane, leases::Life, records::Book},
     report::Announcement,
     snapshot::{Routes, ServiceRoutes, Snapshot},
 };
@@ -37,7 +37,12 @@
     /// Whether this leads to the life of the upstream that announced itself.
     fn is_of(&self, announcement: &Announcement) -> bool {
         self.announcement.address == announcement.address
-            && self.announcement.upstream_id == announcement.upstream_id
+            && self.announcement.is_of_same_life(announcement)
+    }
+
+    /// The life of the upstream that this leads to.
+    pub(super) fn life(&self) -> Life {
+        (self.announcement.upstream_id.clone(), self.announcement.born_ms)
     }
 
     /// Whether a client made for the other document is the same.
--- a/crates/agent/src/gate/leases/book.rs
+++ b/crates/agent/src/gate/leases/book.rs
@@ -6,13 +6,16 @@
 use model::{Instance, Slot, Timestamp, Token};
 use upstream::HandoverToken;
 
+use super::announced::{Exchange, Told};
+use crate::report::UpstreamId;
+
 /// How much longer than it was told an upstream may hold a key, since its clock may be slow: those that
 /// enforce leases may be off by 2%.
-const SLOW_CLOCK: f64 = 1.02;
+pub(super) const SLOW_CLOCK: f64 = 1.02;
 /// What the way of a call to the upstream on the same instance may take.
-const CALL_MARGIN: Duration = Duration::from_millis(20);
+pub(super) const CALL_MARGIN: Duration = Duration::from_millis(20);
 /// A grant for a shorter time is of no use.
-const HOLD_MIN: Duration = Duration::from_millis(100);
+pub(super) const HOLD_MIN: Duration = Duration::from_millis(100);
 /// A renewal must gain this much: a fifth of a lease of 1.5 s, so three calls a second and run.
 const RENEWAL_GAIN: Duration = Duration::from_millis(300);
 /// The pause after a call that failed.
@@ -63,26 +66,28 @@
 }
 
 #[derive(Debug)]
-struct Closing {
-    to: Option<Instance>,
-    until: Timestamp,
-    releasing: bool,
+pub(super) struct Closing {
+    pub(super) to: Option<Instance>,
+    pub(super) until: Timestamp,
+    pub(super) releasing: bool,
 }
 
 #[derive(Debug)]
-struct SlotLease {
-    token: Token,
-    handover: Option<HandoverToken>,
+pub(super) struct SlotLease {
+    pub(super) token: Token,
+    pub(super) handover: Option<HandoverToken>,
     /// Requests may be given until then: the upstream has acknowledged the grant.
-    usable_until: Timestamp,
+    pub(super) usable_until: Timestamp,
     /// The upstream may hold the slot until then, whatever was lost on the way.
-    held_until: Timestamp,
+    pub(super) held_until: Timestamp,
     /// Set while a grant is on its way: until when the upstream would hold the slot by it.
     calling: Option<Timestamp>,
     /// The same of grants that got no answer: these may take effect after a later release.
     doubtful_until: Timestamp,
     next_call: Timestamp,
-    closing: Option<Closing>,
+    pub(super) closing: Option<Closing>,
+    /// What is known of it where the upstream is granted keys by its announcements.
+    pub(super) told: Told,
 }
 
 #[derive(Debug)]
@@ -96,17 +101,22 @@
 /// All slots that the upstream is to hold, holds, or is giving up.
 #[derive(Debug, Default)]
 pub(super) struct LeaseBook {
-    slots: BTreeMap<Slot, SlotLease>,
+    pub(super) slots: BTreeMap<Slot, SlotLease>,
     handovers: Vec<Handover>,
-    clearing: Option<Clearing>,
+    pub(super) clearing: Option<Clearing>,
+    pub(super) exchange: Exchange,
+    life: Option<Life>,
 }
 
+/// One life of an upstream: its name, and when it began in milliseconds of its time of day.
+pub(in crate::gate) type Life = (Option<UpstreamId>, Option<u64>);
+
 /// Nothing is granted until the upstream has given up what earlier sessions or lives of this agent
 /// granted it: a release that arrives after a grant could undo it.
 #[derive(Debug)]
-struct Clearing {
-    token: Token,
-    is_sent: bool,
+pub(super) struct Clearing {
+    pub(super) token: Token,
+    pub(super) is_sent: bool,
 }
 
 impl LeaseBook {
@@ -125,6 +135,7 @@
             doubtful_until,
             next_call: now,
             closing: None,
+            told: Told::default(),
         };
         self.slots.insert(slot, lease);
     }
@@ -140,7 +151,11 @@
         let Some(lease) = self.slots.get_mut(&slot).filter(|it| it.token == token) else {
             return false;
         };
-        let until = lease.held_until.max(now + RELEASE_MAX);
+        // What the upstream cannot hold needs no release.
+        let until = match lease.held_until > now {
+            true => lease.held_until.max(now + RELEASE_MAX),
+            false => now,
+        };
         lease.closing = Some(Closing { to, until, releasing: false });
         true
     }
@@ -157,9 +172,18 @@
 
     /// The lease is gone: what the upstream holds runs out with it.
     pub(super) fn drop_all(&mut self) {
+        self.exchange.gives_up |= !self.slots.is_empty();
         self.slots.clear();
     }
 
+    /// The upstream that is there; another life than the one before holds nothing.
+    pub(super) fn follow_life(&mut self, now: Timestamp, life: &Life) {
+        match self.life.replace(life.clone()) {
+            Some(known) if known != *life => self.upstream_replaced(now),
+            _ => {}
+        }
+    }
+
     /// Another life of the upstream: it holds nothing.
     pub(super) fn upstream_replaced(&mut self, now: Timestamp) {
         for lease in self.slots.values_mut() {
@@ -167,7 +191,9 @@
             lease.held_until = now;
             lease.doubtful_until = now;
             lease.handover = None;
+            lease.told = Told::default();
         }
+        self.exchange = Exchange::of_new_life();
     }
 
     /// The former owner's gate hands a token over: for slots that are admitted later, or that have been but
@@ -200,7 +226,9 @@
     /// Whether requests for a slot may be given to the upstream.
     pub(super) fn is_usable(&self, now: Timestamp, slot: Slot) -> bool {
         let lease = self.slots.get(&slot);
-        lease.is_some_and(|it| it.closing.is_none() && now < it.usable_until)
+        lease.is_some_and(|it| {
+            it.closing.is_none() && now < it.usable_until && it.is_announced_usable(now)
+        })
     }
 
     /// The calls that are due. `lease_until` is the end of the lease that this agent has itself: no
--- a/crates/agent/src/gate/leases/keeper.rs
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -4,17 +4,20 @@
 
 use model::{Instance, KeyRange, OrderedKeys, Slot, SlotCount, Token};
 use tokio::time::{sleep, timeout};
-use upstream::{GrantError, GrantedKeys, HandoverToken, LeasedUpstream};
+use upstream::{GrantError, GrantedKeys, HandoverToken, KeyLeases, LeasedUpstream};
 use wire::traffic::Unit;
 
 use crate::{
     gate::{
         Gate,
         bound::Bound,
-        leases::book::{Call, GrantEnd, Run},
+        leases::{
+            announced::GivenUp,
+            book::{Call, GrantEnd, Run},
+        },
     },
     links::traffic::Handover,
-    report::{Report, UpstreamId},
+    report::Report,
 };
 
 /// How often the end of the agent's own lease is looked at: often enough that a lease of 1.5 s that is
@@ -31,21 +34,31 @@
 
 /// Runs for as long as the gate does.
 pub(crate) async fn run(gate: Arc<Gate>) {
-    let mut known: Option<UpstreamId> = None;
     loop {
         let due = timeout(TICK, gate.leases.due.notified()).await;
         if due.is_ok() {
             sleep(GATHER_FOR).await;
         }
         let Some(bound) = gate.bound.load_full() else { continue };
-        if bound.upstream.leases().is_none() {
-            continue;
+        match bound.upstream.key_leases() {
+            KeyLeases::NotEnforced => {}
+            KeyLeases::ByCall(_) => step(&gate, &bound).await,
+            KeyLeases::ByAnnouncement => report_ended(&gate, &bound).await,
         }
-        if bound.announcement.upstream_id != known {
-            known.clone_from(&bound.announcement.upstream_id);
-            gate.leases.book().upstream_replaced(gate.clock.now());
-        }
-        step(&gate, &bound).await;
+    }
+}
+
+/// What an upstream that is granted keys by its announcements gives up without one.
+async fn report_ended(gate: &Gate, bound: &Bound) {
+    let now = gate.clock.now();
+    let (closed, cleared) = {
+        let mut book = gate.leases.book();
+        book.follow_life(now, &bound.life());
+        (book.take_closed(now), book.take_cleared())
+    };
+    report_closed(gate, closed).await;
+    if let Some(token) = cleared {
+        gate.reporter.deliver(Report::Cleared { token }).await;
     }
 }
 
@@ -54,6 +67,7 @@
     let lease_until = gate.handle.table.lease_until();
     let (calls, closed) = {
         let mut book = gate.leases.book();
+        book.follow_life(now, &bound.life());
         (book.calls(now, lease_until), book.take_closed(now))
     };
     report_closed(gate, closed).await;
@@ -74,6 +88,14 @@
 /// Releases a run, and hands its token to the gate of the next owner before the slots count as closed.
 async fn give_up(gate: &Gate, bound: &Bound, run: Run, to: Option<Instance>, wait: Duration) {
     let handover = release(gate, bound, run, wait).await;
+    let is_answered = handover.is_some();
+    pass_on(gate, bound, GivenUp { run, to, handover }, is_answered).await;
+}
+
+/// Hands the token of a run that the upstream has given up to the gate of the next owner, and says then that
+/// its slots are closed.
+pub(super) async fn pass_on(gate: &Gate, bound: &Bound, given_up: GivenUp, is_answered: bool) {
+    let GivenUp { run, to, handover } = given_up;
     if let (Some(text), Some(to), Some(links)) = (&handover, to, gate.links.get())
         && !links.hand_over(&to, &handover_of(bound, run, text)).await
     {
@@ -81,7 +103,7 @@
     }
     let closed = {
         let mut book = gate.leases.book();
-        book.release_ended(gate.clock.now(), run, handover.is_some())
+        book.release_ended(gate.clock.now(), run, is_answered)
     };
     report_closed(gate, closed).await;
 }
@@ -167,7 +189,10 @@
 fn leased(bound: &Bound, run: Run) -> Option<(&dyn LeasedUpstream, GrantedKeys)> {
     let keys = bound.document.ordered_keys?;
     let keys = keys_of(keys, bound.document.slot_count, run);
-    Some((bound.upstream.leases()?, GrantedKeys { keys, token: run.token }))
+    match bound.upstream.key_leases() {
+        KeyLeases::ByCall(leases) => Some((leases, GrantedKeys { keys, token: run.token })),
+        KeyLeases::NotEnforced | KeyLeases::ByAnnouncement => None,
+    }
 }
 
 fn keys_of(keys: OrderedKeys, slot_count: SlotCount, run: Run) -> KeyRange {
--- a/crates/agent/src/gate/leases/mod.rs
+++ b/crates/agent/src/gate/leases/mod.rs
@@ -4,6 +4,8 @@
 //! a grant that it has acknowledged; a slot is reported closed only when the upstream has released it
 //! or cannot hold it any more.
 
+mod announced;
+mod answers;
 mod book;
 mod keeper;
 
@@ -15,13 +17,13 @@
 use model::{Instance, Slot, Timestamp, Token};
 use tokio::{
     sync::{Notify, watch},
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 use upstream::HandoverToken;
 
-use self::book::LeaseBook;
+use self::{announced::TAKEN_AFTER, book::LeaseBook};
 
-pub(super) use self::keeper::run;
+pub(super) use self::{book::Life, keeper::run};
 
 /// The leases of the upstream beside this agent.
 #[derive(Debug)]
@@ -31,11 +33,21 @@
     due: Notify,
     /// Changes when a slot becomes usable.
     usable: watch::Sender<()>,
+    /// Changes when there may be something new to tell an upstream whose announcement is unanswered.
+    news: watch::Sender<()>,
+    /// The number of the last announcement that was taken in.
+    newest: watch::Sender<u64>,
 }
 
 impl Default for Leases {
     fn default() -> Leases {
-        Leases { book: Mutex::default(), due: Notify::new(), usable: watch::channel(()).0 }
+        Leases {
+            book: Mutex::default(),
+            due: Notify::new(),
+            usable: watch::channel(()).0,
+            news: watch::channel(()).0,
+            newest: watch::channel(0).0,
+        }
     }
 }
 
@@ -46,7 +58,7 @@
 
     pub(super) fn admit(&self, now: Timestamp, slot: Slot, token: Token) {
         self.book().admit(now, slot, token);
-        self.due.notify_one();
+        self.wake();
     }
 
     /// False: the upstream has not been granted the slot under this token.
@@ -58,7 +70,7 @@
         to: Option<Instance>,
     ) -> bool {
         let closing = self.book().close(now, slot, token, to);
-        self.due.notify_one();
+        self.wake();
         closing
     }
 
@@ -66,11 +78,27 @@
     /// anything is granted.
     pub(super) fn clear(&self, token: Token) {
         self.book().clear(token);
-        self.due.notify_one();
+        self.wake();
     }
 
     pub(super) fn drop_all(&self) {
         self.book().drop_all();
+        self.wake();
+    }
+
+    /// Whoever waits for a slot looks again once the upstream has read the answer that grants it.
+    fn wake_when_taken(self: &Arc<Leases>) {
+        let leases = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(TAKEN_AFTER).await;
+            leases.usable.send_replace(());
+        });
+    }
+
+    /// Something is to be done, or to be told.
+    fn wake(&self) {
+        self.due.notify_one();
+        self.news.send_replace(());
     }
 
     pub(super) fn take_handover(
--- a/crates/agent/src/gate/leases/tests/mod.rs
+++ b/crates/agent/src/gate/leases/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the book of leases.
 
+mod announced;
+
 use std::{sync::Arc, time::Duration};
 
 use model::{Slot, Term, Timestamp, Token};
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -15,20 +15,24 @@
 mod upstream_clock;
 mod worker;
 
-use std::sync::{
-    Arc, OnceLock,
-    atomic::{AtomicU64, AtomicUsize, Ordering},
+use std::{
+    pin::Pin,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
 };
 
 use arc_swap::ArcSwapOption;
 use model::{Instance, Timestamp, UnknownReason};
 use settings::ServiceDocument;
 use tokio::sync::{mpsc, oneshot};
-use upstream::{HttpUpstream, Upstream};
+use upstream::{HeldKeys, HttpUpstream, KeysToHold, Upstream};
 use wire::traffic::GateLoad;
 
 use crate::{
     clock::Clock,
+    ingress::KeyGranter,
     links::traffic::{Handler, Handover, Serving, TrafficLinks},
     metrics::Metrics,
     report::{Announcement, Report, Reporter},
@@ -218,6 +222,17 @@
     }
 }
 
+impl KeyGranter for Arc<Gate> {
+    fn keys_to_hold(
+        &self,
+        announcement: Announcement,
+        held: HeldKeys,
+        runs_max: usize,
+    ) -> Pin<Box<dyn Future<Output = Option<KeysToHold>> + Send + '_>> {
+        Box::pin(async move { Gate::keys_to_hold(self, &announcement, &held, runs_max).await })
+    }
+}
+
 /// The client of an upstream over HTTP.
 pub(crate) fn connect_http(
     announcement: &Announcement,
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -91,7 +91,7 @@
         if !self.handle.table.lease_holds(now) {
             return GateReply::not_run(NotRunReason::NoOwner);
         }
-        if bound.upstream.leases().is_some() {
+        if bound.upstream.key_leases().are_enforced() {
             if bound.refuses_work(now) {
                 return GateReply::not_run(NotRunReason::Draining);
             }
@@ -311,7 +311,7 @@
             return Err(Box::new(GateReply::not_run(NotRunReason::DeadlineExceeded)));
         }
         let Some(entry) = &self.entry else { return Ok(None) };
-        let leased = self.bound.upstream.leases().is_some();
+        let leased = self.bound.upstream.key_leases().are_enforced();
         if leased && !self.gate.leases.is_usable(now, entry.slot()) {
             return Err(Box::new(GateReply::not_run(NotRunReason::NoOwner)));
         }
@@ -503,7 +503,7 @@
 
 fn fence_check(bound: &Bound) -> FenceCheck {
     // An upstream that enforces leases ends by itself what outlasts them.
-    if bound.upstream.leases().is_some() {
+    if bound.upstream.key_leases().are_enforced() {
         return FenceCheck::Checked;
     }
     // Both must say so: the document is what the team answers for.
--- a/crates/agent/src/gate/worker.rs
+++ b/crates/agent/src/gate/worker.rs
@@ -56,7 +56,8 @@
 async fn start_all(gate: &Arc<Gate>, tasks: impl Iterator<Item = GateTask>) {
     let (mut prepared, mut closed) = (Vec::new(), Vec::new());
     let now = gate.clock.now();
-    let leased = gate.bound.load().as_ref().is_some_and(|it| it.upstream.leases().is_some());
+    let leased =
+        gate.bound.load().as_ref().is_some_and(|it| it.upstream.key_leases().are_enforced());
     for task in tasks {
         match task {
             GateTask::Prepare { slot, token } if leased => prepared.push((slot, token)),
--- a/crates/agent/src/ingress/announce.rs
+++ b/crates/agent/src/ingress/announce.rs
@@ -1,12 +1,12 @@
 //! Announcements of the local upstream.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, pin::Pin, sync::Arc};
 
 use bytes::Bytes;
 use http::{Method, StatusCode, request::Parts};
 use ownership::UpstreamState;
 use tokio::net::TcpListener;
-use upstream::{Announced, HealthState};
+use upstream::{Announced, HealthState, HeldKeys, KeysToHold};
 use volo::{Service, net::incoming::DefaultIncoming};
 use volo_http::{
     body::Body, context::ServerContext, request::Request, response::Response, server::Server,
@@ -19,8 +19,9 @@
     report::{Announcement, Report, Reporter, UpstreamId},
 };
 
-/// The largest announcement, in bytes.
-const BYTES_MAX: usize = 4096;
+/// The largest announcement, in bytes: one that names 300 ranges of keys with the tokens of as many more
+/// has about 30 KB.
+const BYTES_MAX: usize = 64 << 10;
 
 /// What an upstream says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,9 +30,27 @@
         announcement: Announcement,
         /// What its monotonic clock shows, in milliseconds, if it says so.
         clock_ms: Option<u64>,
+        /// What it says of its keys, where it is granted them by its announcements.
+        keys: Option<HeldKeys>,
     },
     /// It leaves for good.
-    Leaves { upstream_id: UpstreamId },
+    Leaves {
+        upstream_id: UpstreamId,
+        /// When this life of it began, in milliseconds of its time of day, if it says so.
+        born_ms: Option<u64>,
+    },
+}
+
+/// Who knows what the upstream is to hold.
+pub(crate) trait KeyGranter: Send + Sync {
+    /// Takes in what the upstream says of its keys, and resolves to what it is to be told, within a second.
+    /// None: nothing.
+    fn keys_to_hold(
+        &self,
+        announcement: Announcement,
+        held: HeldKeys,
+        runs_max: usize,
+    ) -> Pin<Box<dyn Future<Output = Option<KeysToHold>> + Send + '_>>;
 }
 
 /// How the local upstream announces itself.
@@ -40,8 +59,11 @@
     fn is_announcement(&self, head: &Parts) -> bool;
     /// Reads an announcement; the error is what the upstream is told, and its status.
     fn read(&self, head: &Parts, body: &[u8]) -> Result<Heard, (StatusCode, String)>;
-    /// The response to one that has been taken.
-    fn acknowledge(&self) -> Response;
+    /// The response to one that has been taken; with what the upstream is to hold, if there is something
+    /// to say about that.
+    fn acknowledge(&self, keys: Option<&KeysToHold>) -> Response;
+    /// The most runs of keys that fit into a response.
+    fn runs_max(&self) -> usize;
 }
 
 /// Takes announcements to control.
@@ -51,6 +73,7 @@
     pub(crate) clock: Clock,
     pub(crate) upstream_clock: Arc<UpstreamClock>,
     pub(crate) reporter: Reporter,
+    pub(crate) granter: Arc<dyn KeyGranter>,
 }
 
 impl Announcements {
@@ -67,8 +90,8 @@
         };
         match heard {
             Ok(heard) => {
-                self.pass_on(heard);
-                self.form.acknowledge()
+                let keys = self.pass_on(heard).await;
+                self.form.acknowledge(keys.as_ref())
             }
             Err((status, text)) => {
                 log::warn!(target: "ingress", "Refused an announcement: {text}.");
@@ -79,14 +102,18 @@
         }
     }
 
-    fn pass_on(&self, heard: Heard) {
+    /// Resolves to what the upstream is to hold, if there is something to say about that.
+    async fn pass_on(&self, heard: Heard) -> Option<KeysToHold> {
         match heard {
-            Heard::Announced { announcement, clock_ms } => {
+            Heard::Announced { announcement, clock_ms, keys } => {
                 self.upstream_clock.heard(clock_ms, self.clock.now());
-                self.reporter.hint(Report::Announcement(announcement));
+                self.reporter.hint(Report::Announcement(announcement.clone()));
+                let runs_max = self.form.runs_max();
+                self.granter.keys_to_hold(announcement, keys?, runs_max).await
             }
-            Heard::Leaves { upstream_id } => {
-                self.reporter.hint(Report::UpstreamLeaves { upstream_id });
+            Heard::Leaves { upstream_id, born_ms } => {
+                self.reporter.hint(Report::UpstreamLeaves { upstream_id, born_ms });
+                None
             }
         }
     }
@@ -142,14 +169,19 @@
                 let announced: Announced = serde_json::from_slice(body)
                     .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()))?;
                 let clock_ms = announced.clock_ms;
-                Ok(Heard::Announced { announcement: announced.into(), clock_ms })
+                Ok(Heard::Announced { announcement: announced.into(), clock_ms, keys: None })
             }
         }
     }
 
-    fn acknowledge(&self) -> Response {
+    fn acknowledge(&self, _keys: Option<&KeysToHold>) -> Response {
         Response::new(Body::from(String::new()))
     }
+
+    /// Its upstreams are told of grants by calls.
+    fn runs_max(&self) -> usize {
+        0
+    }
 }
 
 impl From<Announced> for Announcement {
@@ -165,6 +197,7 @@
             slots: announced.slots,
             checks_fence: announced.checks_fence,
             upstream_id: None,
+            born_ms: None,
             sequence: 0,
         }
     }
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -49,7 +49,7 @@
 pub use form::{CallHead, CallId, CallerForm, answered, status_of};
 pub use refusal::Refusal;
 
-pub(crate) use announce::{Announcements, OwnAnnounceForm, serve_announcements};
+pub(crate) use announce::{Announcements, KeyGranter, OwnAnnounceForm, serve_announcements};
 pub(crate) use own_form::OwnForm;
 pub(crate) use server::serve;
 
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -114,6 +114,7 @@
             clock: parts.clock,
             upstream_clock,
             reporter: parts.reporter.clone(),
+            granter: Arc::new(Arc::clone(&gate)),
         };
         let announced_here = match parts.announcements {
             None => Some(announcements),
--- a/crates/agent/src/report/mod.rs
+++ b/crates/agent/src/report/mod.rs
@@ -16,7 +16,7 @@
     /// The upstream beside this agent said what it is; repeated about each second.
     Announcement(Announcement),
     /// The upstream beside this agent has said that it leaves, for good.
-    UpstreamLeaves { upstream_id: UpstreamId },
+    UpstreamLeaves { upstream_id: UpstreamId, born_ms: Option<u64> },
     /// The upstream has seen a higher token for a grant than the one it was given.
     GrantOutdated { token: Token },
     /// The upstream's state as the gate sees it: hung or gone, or answering again.
@@ -56,13 +56,20 @@
     /// How many requests it runs at once.
     pub slots: u16,
     pub checks_fence: bool,
-    /// Which life of the upstream this is, if it says so.
+    /// How the upstream names itself, if it does; a later life may have the same name.
     pub upstream_id: Option<UpstreamId>,
+    /// When this life of it began, in milliseconds of its time of day, if it says so.
+    pub born_ms: Option<u64>,
     /// Rises with each announcement of one life; 0 where they are not numbered.
     pub sequence: u64,
 }
 
 impl Announcement {
+    /// Whether both come from one life of an upstream.
+    pub(crate) fn is_of_same_life(&self, other: &Announcement) -> bool {
+        self.upstream_id == other.upstream_id && self.born_ms == other.born_ms
+    }
+
     /// Whether both say the same, apart from their number.
     pub(crate) fn is_like(&self, other: &Announcement) -> bool {
         Announcement { sequence: 0, ..self.clone() }
@@ -70,7 +77,7 @@
     }
 }
 
-/// Names one life of an upstream.
+/// How an upstream names itself.
 pub type UpstreamId = Arc<str>;
 
 /// The sending end; clones share the channel.
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -22,7 +22,7 @@
 };
 use upstream::{
     Answer, CallError, ControlError, GrantError, GrantedKeys, HandoverToken, Health, HealthState,
-    HttpUpstream, LeasedUpstream, Load, Request, Upstream, UpstreamFuture,
+    HttpUpstream, KeyLeases, LeasedUpstream, Load, Request, Upstream, UpstreamFuture,
 };
 
 use crate::{
@@ -163,8 +163,11 @@
         Box::pin(async { Ok(()) })
     }
 
-    fn leases(&self) -> Option<&dyn LeasedUpstream> {
-        self.enforces_leases.then_some(self)
+    fn key_leases(&self) -> KeyLeases<'_> {
+        match self.enforces_leases {
+            true => KeyLeases::ByCall(self),
+            false => KeyLeases::NotEnforced,
+        }
     }
 }
 
@@ -323,6 +326,7 @@
             slots: 2,
             checks_fence: false,
             upstream_id: None,
+            born_ms: None,
             sequence: 0,
         };
         let local = Some(LocalUpstream { announcement, draining: false });
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -13,6 +13,7 @@
     problem::Problems,
 };
 
+pub use raw::KeyGrants;
 pub use route::{KeySource, Method, Route, RouteError, RouteMatch};
 
 pub(crate) use raw::{
@@ -55,6 +56,8 @@
     pub checks_fence: bool,
     /// Whether it runs requests only for ranges of keys that it holds a grant of.
     pub enforces_leases: bool,
+    /// How it is granted keys, if it enforces leases.
+    pub key_grants: KeyGrants,
     /// How long a new upstream takes to reach its full share of the load.
     pub warmup: Duration,
 }
@@ -185,6 +188,7 @@
             connections_max: raw.connections_max,
             checks_fence: raw.checks_fence,
             enforces_leases: raw.enforces_leases,
+            key_grants: raw.key_grants,
             warmup: Duration::from_millis(raw.warmup_ms),
         }
     }
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -73,6 +73,8 @@
     /// Whether it runs requests only for ranges of keys that it has been granted, until their time is
     /// over; for ordered keys only.
     pub(crate) enforces_leases: bool,
+    /// How it is granted keys, if it enforces leases.
+    pub(crate) key_grants: KeyGrants,
     /// How long a new upstream takes to reach its full share of the load.
     #[schemars(range(max = 600_000))]
     pub(crate) warmup_ms: u64,
@@ -85,11 +87,23 @@
             connections_max: 85,
             checks_fence: false,
             enforces_leases: false,
+            key_grants: KeyGrants::Calls,
             warmup_ms: 2_000,
         }
     }
 }
 
+/// How an upstream that enforces leases is granted keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyGrants {
+    /// By calls to it.
+    Calls,
+    /// By the answers to its announcements, in which it says what it holds.
+    Announcements,
+}
+
 /// A class of requests.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize, JsonSchema)]
--- a/crates/settings/src/document/rules.rs
+++ b/crates/settings/src/document/rules.rs
@@ -5,8 +5,8 @@
 use model::{ClassName, NameError, OrderedKeys, ServiceName, SlotCount};
 
 use super::{
-    Class, DrainLimits, KeySource, Method, OwnershipLimits, Route, ServiceDocument, TrafficLimits,
-    UpstreamTraits,
+    Class, DrainLimits, KeyGrants, KeySource, Method, OwnershipLimits, Route, ServiceDocument,
+    TrafficLimits, UpstreamTraits,
     raw::{RawDocument, RawMethod, RawRoute},
     route::PathPattern,
 };
@@ -127,6 +127,10 @@
         self.require(!leases || ordered.is_some(), "upstream.enforces_leases", || {
             "grants are ranges of keys, so the service needs ordered_keys.".to_owned()
         });
+        let by_calls = raw.upstream.key_grants == KeyGrants::Calls;
+        self.require(leases || by_calls, "upstream.key_grants", || {
+            "the upstream takes no grants, so enforces_leases is needed.".to_owned()
+        });
         self.require(ordered.is_none() || raw.keyed, "ordered_keys", || {
             "the service is not divided by key.".to_owned()
         });
--- a/crates/settings/src/fleet/defaults.rs
+++ b/crates/settings/src/fleet/defaults.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::{
-    Class, RawClass, RawDocument, RawDrain, RawKey, RawLimits, RawOwnership, RawRoute, RawUpstream,
+    Class, KeyGrants, RawClass, RawDocument, RawDrain, RawKey, RawLimits, RawOwnership, RawRoute,
+    RawUpstream,
 };
 
 /// How long a request may take at most: as long as documents allow. The routes of hosts say less.
@@ -50,6 +51,8 @@
     pub team: TeamName,
     /// Set where each key is owned by one instance alone, which its upstream enforces.
     pub keys: Option<OrderedKeys>,
+    /// How upstreams are granted keys, if the service has any.
+    pub key_grants: KeyGrants,
     /// The header that carries the key, in lower case.
     pub key_header: &'static str,
     /// At least one.
@@ -103,6 +106,10 @@
             upstream: RawUpstream {
                 connections_max: service.connections_max,
                 enforces_leases: service.keys.is_some(),
+                key_grants: match service.keys {
+                    Some(_) => service.key_grants,
+                    None => KeyGrants::Calls,
+                },
                 ..defaults.upstream
             },
             classes: service.classes.iter().map(class).collect(),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,8 +19,8 @@
 
 pub use agent_settings::AgentSettings;
 pub use document::{
-    Class, DrainLimits, KeySource, Method, OwnershipLimits, Route, RouteError, RouteMatch,
-    ServiceDocument, TrafficLimits, UpstreamTraits,
+    Class, DrainLimits, KeyGrants, KeySource, Method, OwnershipLimits, Route, RouteError,
+    RouteMatch, ServiceDocument, TrafficLimits, UpstreamTraits,
 };
 pub use fleet::{Backend, DocumentDefaults, FleetConfig, FleetService, HostRoute, RoutingTable};
 pub use objects::{
--- a/crates/settings/src/tests/fleet.rs
+++ b/crates/settings/src/tests/fleet.rs
@@ -5,7 +5,8 @@
 use model::{ClassName, OrderedKeys, ServiceName, TeamName};
 
 use crate::{
-    AgentSettings, Backend, Class, FleetService, HostRoute, RoutingTable, ServiceDocument,
+    AgentSettings, Backend, Class, FleetService, HostRoute, KeyGrants, RoutingTable,
+    ServiceDocument,
 };
 
 fn route(name: &str, prefix: &str) -> HostRoute {
@@ -58,6 +59,7 @@
         service: ServiceName::new("standings").unwrap(),
         team: TeamName::new("karerang").unwrap(),
         keys: OrderedKeys::new(65_536),
+        key_grants: KeyGrants::Announcements,
         key_header: "x-place",
         classes: vec![Class {
             name: ClassName::new("rank-1").unwrap(),
@@ -72,6 +74,7 @@
     let text = settings.document_defaults.document(&service);
     let document = ServiceDocument::parse_for(&service.service, &text).unwrap();
     assert!(document.keyed && document.upstream.enforces_leases && !document.resends);
+    assert_eq!(document.upstream.key_grants, KeyGrants::Announcements);
     assert_eq!(document.slot_count.count(), 1024);
     // 2.9 s of the longest request and 0.9 s for renewals, up to the next half second.
     assert_eq!(document.ownership.lease, Duration::from_millis(4000));
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -26,6 +26,7 @@
 pub use client::HttpUpstream;
 pub use control::{Announced, ControlError, Health, HealthState, Load};
 pub use request::{
-    Answer, CallError, ClockBounds, GrantError, GrantedKeys, HandoverToken, LeasedUpstream,
-    NOT_RUN_HEADER, Request, Upstream, UpstreamFuture,
+    Answer, CallError, ClockBounds, GrantError, GrantedKeys, HandoverToken, HeldKeys, KeyGrant,
+    KeyLeases, KeysToHold, LeasedUpstream, NOT_RUN_HEADER, ReleasedKeys, Request, Upstream,
+    UpstreamFuture,
 };
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -80,9 +80,9 @@
     ) -> UpstreamFuture<'_, Result<(), ControlError>>;
     /// Resolves once it is warm for a slot.
     fn prepare(&self, slot: Slot) -> UpstreamFuture<'_, Result<(), ControlError>>;
-    /// Set where the upstream runs requests only for keys that it has been granted.
-    fn leases(&self) -> Option<&dyn LeasedUpstream> {
-        None
+    /// How it is granted keys, where it runs requests only for keys that it holds.
+    fn key_leases(&self) -> KeyLeases<'_> {
+        KeyLeases::NotEnforced
     }
     /// Whether it is to be asked for its health all the time; if not, its announcements and the ends
     /// of requests have to do.
@@ -93,6 +93,24 @@
     fn cancel(&self, id: RequestId) -> UpstreamFuture<'_, Result<(), ControlError>>;
 }
 
+/// How an upstream is granted keys.
+#[derive(Clone, Copy)]
+pub enum KeyLeases<'a> {
+    /// It runs requests for any key.
+    NotEnforced,
+    /// Each grant and each release is a call to it.
+    ByCall(&'a dyn LeasedUpstream),
+    /// It announces what it holds, and the answer says what it is to hold from then on.
+    ByAnnouncement,
+}
+
+impl KeyLeases<'_> {
+    /// Whether it runs requests only for keys that it holds.
+    pub fn are_enforced(&self) -> bool {
+        !matches!(self, KeyLeases::NotEnforced)
+    }
+}
+
 /// Neighbouring keys, and the token under which they are granted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GrantedKeys {
@@ -104,6 +122,37 @@
 /// warm.
 pub type HandoverToken = Arc<str>;
 
+/// What an upstream that is granted keys by its announcements says of them.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct HeldKeys {
+    /// What it holds or still works on.
+    pub held: Vec<GrantedKeys>,
+    /// What it has given up since the last announcement that it knows to have been taken.
+    pub released: Vec<ReleasedKeys>,
+}
+
+/// Keys that an upstream has given up, after the work on them has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReleasedKeys {
+    pub keys: KeyRange,
+    pub handover: HandoverToken,
+}
+
+/// All that an upstream is to hold from now on; it gives up the rest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeysToHold {
+    pub grants: Vec<KeyGrant>,
+    /// Counted from when the upstream sent its announcement.
+    pub hold: Duration,
+}
+
+/// Keys that are granted, with the token of their last holder if they are new to this one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyGrant {
+    pub granted: GrantedKeys,
+    pub handover: Option<HandoverToken>,
+}
+
 /// Why a grant was not taken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
