Reads that a caller sends behind another are started at once

Change: the server for callers is hyper's, whose connections are read ahead (ingress/ahead.rs): heads of further requests that may be repeated start at once, at most eight a connection, and their answers are taken in turn. What may not be repeated, and all behind it, waits for its turn. A caller that hangs up cancels all that it asked.

--- a/crates/agent/src/ingress/destination.rs
+++ b/crates/agent/src/ingress/destination.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
-use http::Uri;
+use http::{Uri, request::Parts};
 use model::{KeyHash, OrderedKeys, ServiceName, key_hash};
 use settings::{HostRoute, RouteError, RouteMatch, RoutingTable, ServiceDocument};
 use traffic::Turns;
@@ -49,6 +49,22 @@
         }
     }
 
+    /// Whether the route of a request says that it may be repeated; false where there is none.
+    pub(super) fn is_idempotent(
+        &self,
+        head: &CallHead,
+        parts: &Parts,
+        snapshot: &Snapshot,
+    ) -> bool {
+        match (&head.host, &snapshot.routing) {
+            (Some(host), Some(table)) => {
+                table.find(host, parts.uri.path()).is_some_and(|it| it.idempotent)
+            }
+            (Some(_), None) => false,
+            (None, _) => is_idempotent_by_segment(head, parts, snapshot).unwrap_or(false),
+        }
+    }
+
     fn by_host(&self, host: &str, uri: &Uri, table: &RoutingTable) -> Result<Destination, Refusal> {
         let route = table.find(host, uri.path()).ok_or(Refusal::NoHostRoute)?;
         let backend = match route.backends.as_slice() {
@@ -86,6 +102,15 @@
     }
 }
 
+/// The same as [`Destinations::is_idempotent`], where the first segment of the path names the service.
+fn is_idempotent_by_segment(head: &CallHead, parts: &Parts, snapshot: &Snapshot) -> Option<bool> {
+    let destination = by_segment(&parts.uri).ok()?;
+    let routes = snapshot.services.get(&destination.service)?;
+    let path = destination.document_path(&parts.uri);
+    let (found, _) = route_and_key(routes, parts.method.as_str(), path, head).ok()?;
+    Some(found.route.idempotent)
+}
+
 impl Destination {
     /// The path that the routes of the service's document are about.
     pub(super) fn document_path<'a>(&self, uri: &'a Uri) -> &'a str {
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! Where callers come in: HTTP on the caller address, in the form that [`CallerForm`] reads.
 
+mod ahead;
 mod announce;
 mod answer;
 mod destination;
@@ -8,6 +9,9 @@
 mod refusal;
 mod server;
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     sync::{
         Arc,
@@ -134,13 +138,24 @@
         self.last_request_ns.store(self.parts.clock.now().ns, Ordering::Relaxed);
         let counted = Counted(Arc::clone(self));
         let response = self.answer(request).await;
-        let response = match self.leaving.load(Ordering::SeqCst) {
-            true => answer::closing(response),
-            false => response,
-        };
         answer::counted(response, counted)
     }
 
+    /// Whether callers are asked to connect elsewhere.
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Whether a request may be started before it is its turn: it may be repeated, in case that its answer
+    /// does not reach the caller.
+    fn may_start_ahead(&self, parts: &Parts) -> bool {
+        if self.is_leaving() {
+            return false;
+        }
+        let Ok(head) = self.parts.form.read(parts) else { return false };
+        self.destinations.is_idempotent(&head, parts, &self.parts.snapshots.load())
+    }
+
     async fn answer(&self, request: Request) -> Response {
         let (parts, body) = request.into_parts();
         if let Some(announcements) =
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -6,6 +6,7 @@
 mod gate;
 mod handover;
 mod load;
+mod pipelining;
 mod reload;
 mod restart;
 mod request_log;
