Heads of messages between agents are compressed against earlier ones

Change: a link keeps the last 4 KB of heads for each direction, and a head is compressed against them (wire/heads, lz4). Bodies are sent as they are, and no link holds more than 8 KB for it. Weighed: a deflate stream for each link, which takes 300 KB a direction and so 46 MB on 77 machines.

--- a/crates/agent/src/links/control.rs
+++ b/crates/agent/src/links/control.rs
@@ -20,7 +20,7 @@
 use crate::links::{
     LinkKey,
     handshake::{Established, LinkIdentity},
-    socket::{self, Inbox, Outbox},
+    socket::{self, Inbox, Outbound, Outbox},
 };
 
 /// How many messages wait for one peer; the oldest give way.
@@ -217,11 +217,11 @@
 }
 
 impl Outbox for ControlOutbox {
-    async fn next(&mut self) -> Option<Bytes> {
+    async fn next(&mut self) -> Option<Outbound> {
         let Some(added) = &self.added else { return std::future::pending().await };
         loop {
             if let Some(payload) = self.shared.pop(&self.peer, &self.doubt) {
-                return Some(payload);
+                return Some(Outbound::head(payload));
             }
             if timeout(IDLE_MAX, added.notified()).await.is_err() {
                 return None;
@@ -229,8 +229,9 @@
         }
     }
 
-    fn try_next(&mut self) -> Option<Bytes> {
-        self.added.as_ref().and_then(|_| self.shared.pop(&self.peer, &self.doubt))
+    fn try_next(&mut self) -> Option<Outbound> {
+        let payload = self.added.as_ref().and_then(|_| self.shared.pop(&self.peer, &self.doubt));
+        payload.map(Outbound::head)
     }
 }
 
--- a/crates/agent/src/links/socket.rs
+++ b/crates/agent/src/links/socket.rs
@@ -9,6 +9,7 @@
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
 use tokio_tungstenite::tungstenite::{self, Message};
+use wire::{HeadDecoder, HeadEncoder};
 
 use crate::links::handshake::Socket;
 
@@ -21,12 +22,26 @@
 /// How many messages are written before a flush.
 const BATCH_MAX: usize = 64;
 
+/// A message to be written: a head, and what is not worth compressing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Outbound {
+    pub(crate) bytes: Bytes,
+    pub(crate) head_len: usize,
+}
+
+impl Outbound {
+    /// A message without a body.
+    pub(crate) fn head(bytes: Bytes) -> Outbound {
+        Outbound { head_len: bytes.len(), bytes }
+    }
+}
+
 /// Where a link takes its messages from.
 pub(crate) trait Outbox: Send {
     /// Waits for a message; none: the link is to be closed.
-    fn next(&mut self) -> impl Future<Output = Option<Bytes>> + Send;
+    fn next(&mut self) -> impl Future<Output = Option<Outbound>> + Send;
     /// A message that needs no waiting for.
-    fn try_next(&mut self) -> Option<Bytes>;
+    fn try_next(&mut self) -> Option<Outbound>;
 }
 
 /// Where a link gives its messages to.
@@ -76,10 +91,15 @@
     inbox: &mut impl Inbox,
     heard: &Heard,
 ) -> Result<(), LinkError> {
+    let mut decoder = HeadDecoder::default();
     while let Some(message) = stream.next().await {
         *heard.lock().expect("no panic while held") = Instant::now();
         match message.map_err(boxed)? {
-            Message::Binary(bytes) => inbox.take(bytes).await.map_err(LinkError::Message)?,
+            Message::Binary(bytes) => {
+                let message = decoder.decode(&bytes).map_err(anyhow::Error::from);
+                let message = message.map_err(LinkError::Message)?;
+                inbox.take(message.into()).await.map_err(LinkError::Message)?;
+            }
             Message::Ping(_) | Message::Pong(_) => {}
             Message::Close(_) => return Ok(()),
             Message::Text(_) | Message::Frame(_) => return Err(LinkError::UnknownKind),
@@ -96,6 +116,7 @@
 ) -> Result<(), LinkError> {
     let mut check = interval(CHECK_EVERY);
     check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut encoder = HeadEncoder::default();
     let mut pinged: Option<Instant> = None;
     let mut written: Option<Instant> = None;
     loop {
@@ -105,7 +126,7 @@
                     return sink.close().await.map_err(boxed);
                 };
                 written = written.or_else(|| Some(Instant::now()));
-                timeout(WRITE_MAX, feed_batch(sink, message, outbox))
+                timeout(WRITE_MAX, feed_batch(sink, &mut encoder, message, outbox))
                     .await
                     .unwrap_or(Err(LinkError::Silent))?;
             }
@@ -132,13 +153,15 @@
 
 async fn feed_batch(
     sink: &mut SplitSink<Socket, Message>,
-    first: Bytes,
+    encoder: &mut HeadEncoder,
+    first: Outbound,
     outbox: &mut impl Outbox,
 ) -> Result<(), LinkError> {
-    sink.feed(Message::Binary(first)).await.map_err(boxed)?;
+    let mut encoded = |it: Outbound| Message::Binary(encoder.encode(&it.bytes, it.head_len).into());
+    sink.feed(encoded(first)).await.map_err(boxed)?;
     for _ in 1..BATCH_MAX {
         let Some(message) = outbox.try_next() else { break };
-        sink.feed(Message::Binary(message)).await.map_err(boxed)?;
+        sink.feed(encoded(message)).await.map_err(boxed)?;
     }
     sink.flush().await.map_err(boxed)
 }
--- a/crates/agent/src/links/tests.rs
+++ b/crates/agent/src/links/tests.rs
@@ -1,6 +1,5 @@
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use model::{Incarnation, Instance, InstanceName, Zone};
 use tokio::{
@@ -9,7 +8,7 @@
     time::timeout,
 };
 use tokio_tungstenite::tungstenite::Message;
-use wire::link::LinkKind;
+use wire::{HeadEncoder, link::LinkKind};
 
 use crate::links::{
     ControlEvent, ControlLinks, LinkKey,
@@ -92,7 +91,8 @@
     let mut held = identity.accept(peer, stream).await.unwrap().socket;
     timeout(PATIENCE, held.next()).await.unwrap().unwrap().unwrap();
     // It answers what it has got, so nothing is owed. Then it is held open and never read again.
-    held.send(Message::Binary(Bytes::from_static(b"still here"))).await.unwrap();
+    let answer = HeadEncoder::default().encode(b"still here", 10);
+    held.send(Message::Binary(answer.into())).await.unwrap();
     a.hears(&silent, b"still here").await;
     let own = instance("c", 2, address);
     let (links, events) = ControlLinks::start(own.clone(), listener, LinkKey::new(SECRET));
--- a/crates/agent/src/links/traffic/link.rs
+++ b/crates/agent/src/links/traffic/link.rs
@@ -148,13 +148,13 @@
         first_len: usize,
         written: Option<Arc<AtomicBool>>,
     ) -> Result<(), Down> {
-        let head = Outgoing { bytes: head.to_bytes().into(), written };
+        let head = Outgoing::new(&head, written);
         if first_len == body.len() {
             return self.senders.small.send(head).await.map_err(|_| Down);
         }
         self.senders.large.send(head).await.map_err(|_| Down)?;
         for chunk in chunks(id, body, first_len) {
-            let part = Outgoing { bytes: chunk.to_bytes().into(), written: None };
+            let part = Outgoing::new(&chunk, None);
             self.senders.large.send(part).await.map_err(|_| Down)?;
         }
         Ok(())
@@ -162,7 +162,7 @@
 
     /// Queues a message without a body.
     pub(super) async fn send_small(&self, frame: &Frame) -> Result<(), Down> {
-        let outgoing = Outgoing { bytes: frame.to_bytes().into(), written: None };
+        let outgoing = Outgoing::new(frame, None);
         self.senders.small.send(outgoing).await.map_err(|_| Down)
     }
 }
@@ -199,8 +199,8 @@
             return;
         }
         self.link.take(self.id);
-        let bytes = Frame::Cancel(self.id).to_bytes().into();
+        let cancel = Outgoing::new(&Frame::Cancel(self.id), None);
         // If the queue is full the peer's own deadline ends the request.
-        drop(self.link.senders.small.try_send(Outgoing { bytes, written: None }));
+        drop(self.link.senders.small.try_send(cancel));
     }
 }
--- a/crates/agent/src/links/traffic/outbox.rs
+++ b/crates/agent/src/links/traffic/outbox.rs
@@ -5,10 +5,10 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use bytes::Bytes;
 use tokio::sync::mpsc;
+use wire::traffic::Frame;
 
-use crate::links::socket::Outbox;
+use crate::links::socket::{Outbound, Outbox};
 
 /// How many small messages wait.
 const SMALL_MAX: usize = 1024;
@@ -20,11 +20,19 @@
 /// One frame to be written.
 #[derive(Debug)]
 pub(super) struct Outgoing {
-    pub(super) bytes: Bytes,
+    pub(super) message: Outbound,
     /// Set when the frame is taken to be written: from then on it may have reached the peer.
     pub(super) written: Option<Arc<AtomicBool>>,
 }
 
+impl Outgoing {
+    pub(super) fn new(frame: &Frame, written: Option<Arc<AtomicBool>>) -> Outgoing {
+        let bytes = frame.to_bytes();
+        let head_len = bytes.len() - frame.body_part_len();
+        Outgoing { message: Outbound { bytes: bytes.into(), head_len }, written }
+    }
+}
+
 /// The sending ends. Messages in one frame and those in many go apart, each in order.
 #[derive(Debug)]
 pub(super) struct Senders {
@@ -47,15 +55,15 @@
     (Senders { small, large }, outbox)
 }
 
-fn take(outgoing: Outgoing) -> Bytes {
+fn take(outgoing: Outgoing) -> Outbound {
     if let Some(written) = outgoing.written {
         written.store(true, Ordering::SeqCst);
     }
-    outgoing.bytes
+    outgoing.message
 }
 
 impl Outbox for TrafficOutbox {
-    async fn next(&mut self) -> Option<Bytes> {
+    async fn next(&mut self) -> Option<Outbound> {
         if let Some(bytes) = self.try_next() {
             return Some(bytes);
         }
@@ -66,7 +74,7 @@
         }
     }
 
-    fn try_next(&mut self) -> Option<Bytes> {
+    fn try_next(&mut self) -> Option<Outbound> {
         if self.small_in_row < SMALL_PER_LARGE
             && let Ok(outgoing) = self.small.try_recv()
         {
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -16,12 +16,16 @@
     assembly::{Assembly, Head, Progress, chunks},
     outbox::{Outgoing, channel},
 };
-use crate::{links::socket::Outbox, request::GateRequest};
+use crate::{
+    links::socket::{Outbound, Outbox},
+    request::GateRequest,
+};
 
 const ID: CorrelationId = CorrelationId(7);
 
 fn outgoing(text: &str) -> Outgoing {
-    Outgoing { bytes: Bytes::copy_from_slice(text.as_bytes()), written: None }
+    let message = Outbound::head(Bytes::copy_from_slice(text.as_bytes()));
+    Outgoing { message, written: None }
 }
 
 #[test]
@@ -34,7 +38,7 @@
         senders.large.try_send(outgoing("L")).unwrap();
     }
     assert!(senders.large.try_send(outgoing("L")).is_err(), "large messages wait for room");
-    let order: Vec<Bytes> = std::iter::from_fn(|| outbox.try_next()).collect();
+    let order: Vec<Bytes> = std::iter::from_fn(|| outbox.try_next().map(|it| it.bytes)).collect();
     let order = String::from_utf8(order.concat()).unwrap();
     let runs: Vec<usize> = order.split('L').map(str::len).collect();
     assert_eq!(runs, [16, 16, 16, 16, 36], "{order}");
--- a/crates/agent/src/tests/forwarding.rs
+++ b/crates/agent/src/tests/forwarding.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpListener;
 use tokio_tungstenite::tungstenite::Message;
 use wire::{
+    HeadDecoder, HeadEncoder,
     link::LinkKind,
     traffic::{Answer, Chunk, Frame},
 };
@@ -107,11 +108,15 @@
     tokio::spawn(async move {
         let (stream, address) = listener.accept().await.unwrap();
         let mut socket = identity.accept(address, stream).await.unwrap().socket;
+        let (mut encoder, mut decoder) = (HeadEncoder::default(), HeadDecoder::default());
         while let Some(Ok(message)) = socket.next().await {
             let Message::Binary(bytes) = message else { continue };
-            let Ok(Frame::Request(request)) = Frame::parse(&bytes) else { continue };
+            let message = decoder.decode(&bytes).unwrap();
+            let Ok(Frame::Request(request)) = Frame::parse(&message) else { continue };
             for frame in frames(request.id) {
-                socket.send(Message::Binary(frame.to_bytes().into())).await.unwrap();
+                let bytes = frame.to_bytes();
+                let encoded = encoder.encode(&bytes, bytes.len());
+                socket.send(Message::Binary(encoded.into())).await.unwrap();
             }
         }
     });
--- /dev/null
+++ b/crates/wire/src/heads/tests.rs
@@ -0,0 +1,65 @@
+//! Tests of compressed heads.
+
+use quickcheck::{Gen, QuickCheck};
+
+use super::{HeadDecoder, HeadEncoder, RECENT_BYTES_MAX};
+
+/// Heads of any length, some of them alike, and bodies.
+#[test]
+fn messages_come_out_as_they_went_in() {
+    fn property(messages: Vec<(Vec<u8>, Vec<u8>, u8)>) -> bool {
+        let (mut encoder, mut decoder) = (HeadEncoder::default(), HeadDecoder::default());
+        messages.into_iter().all(|(head, body, times)| {
+            let head = head.repeat(usize::from(times));
+            let message = [head.as_slice(), &body].concat();
+            let encoded = encoder.encode(&message, head.len());
+            decoder.decode(&encoded).unwrap() == message
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 11))
+        .quickcheck(property as fn(Vec<(Vec<u8>, Vec<u8>, u8)>) -> bool);
+}
+
+#[test]
+fn a_head_like_the_one_before_takes_few_bytes() {
+    let head =
+        |number: u32| format!("{{\"service\":\"standings\",\"path\":\"/heat\",\"id\":{number}}}");
+    let mut encoder = HeadEncoder::default();
+    let sizes: Vec<usize> =
+        (1000..1010).map(|it| encoder.encode(head(it).as_bytes(), head(it).len()).len()).collect();
+    assert!(sizes[0] > 40, "{sizes:?}");
+    assert!(sizes[1..].iter().all(|it| *it < 20), "{sizes:?}");
+}
+
+#[test]
+fn what_is_kept_is_bounded() {
+    let mut encoder = HeadEncoder::default();
+    for byte in 0..=255 {
+        encoder.encode(&[byte; 1000], 1000);
+        assert!(encoder.0.0.len() <= RECENT_BYTES_MAX);
+    }
+    encoder.encode(&[7; 100_000], 100_000);
+    assert_eq!(encoder.0.0.len(), RECENT_BYTES_MAX);
+}
+
+#[test]
+fn other_bytes_are_refused_or_decoded_within_bounds() {
+    fn property(bytes: Vec<u8>) -> bool {
+        HeadDecoder::default().decode(&bytes).is_ok_and(|it| it.len() <= 1 << 20)
+            || bytes.len() < 100
+    }
+    QuickCheck::new()
+        .tests(2000)
+        .rng(Gen::from_size_and_seed(60, 13))
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+    let refused =
+        |bytes: &[u8]| assert!(HeadDecoder::default().decode(bytes).is_err(), "{bytes:?}");
+    refused(&[]);
+    refused(&[0xff, 0xff, 0xff, 0xff]);
+    refused(&[5, 9, 1, 2]);
+    let mut encoder = HeadEncoder::default();
+    encoder.encode(b"lap lap lap lap", 15);
+    let second = encoder.encode(b"lap lap lap lap", 15);
+    refused(&second);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,7 +3,9 @@
 mod codec;
 pub mod control;
 pub mod exchange;
+mod heads;
 pub mod link;
 pub mod traffic;
 
 pub use codec::{CodecError, decode, encode};
+pub use heads::{HeadDecoder, HeadEncoder};
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -190,6 +190,17 @@
         encode(self)
     }
 
+    /// How many of the last bytes of the encoded frame are those of a body.
+    pub fn body_part_len(&self) -> usize {
+        match self {
+            Frame::Request(it) => it.body.len(),
+            Frame::Answer(it) => it.body.len(),
+            Frame::Records(it) => it.body.len(),
+            Frame::Chunk(it) => it.data.len(),
+            Frame::Failed(_) | Frame::NotOwner(_) | Frame::Cancel(_) | Frame::RecordsTaken(_) => 0,
+        }
+    }
+
     /// Decodes and checks a frame.
     pub fn parse(bytes: &[u8]) -> Result<Frame, CodecError> {
         if bytes.len() > FRAME_BYTES_MAX {
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -59,6 +59,21 @@
     }
 }
 
+/// Links compress what comes before the body.
+#[test]
+fn the_body_is_what_a_frame_ends_with() {
+    let data = Bytes::from_static(b"rest");
+    for (frame, body) in [
+        (Frame::Request(Box::new(request())), b"body".as_slice()),
+        (answer(9, b"part".to_vec()), b"part"),
+        (Frame::Chunk(Chunk { id: CorrelationId(2), offset: 4, data }), b"rest"),
+        (Frame::Cancel(CorrelationId(0)), b""),
+    ] {
+        assert_eq!(frame.body_part_len(), body.len());
+        assert!(frame.to_bytes().ends_with(body), "{frame:?}");
+    }
+}
+
 #[test]
 fn refuses_wrong_lengths() {
     check_refused(&answer(3, b"four".to_vec()));
