An instance that stops goes on with its keys for a part of its stop

Change: keys and the share of unkeyed work are given up 1.75 s after the signal, beside the wait for callers, so the stop takes no longer.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -16,7 +16,7 @@
     runtime::{Builder, Runtime},
     signal::unix::{Signal, SignalKind, signal},
     sync::{mpsc, oneshot, watch},
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
@@ -35,6 +35,14 @@
 const BACKLOG: u32 = 4096;
 /// The share of the time for a stop within which everything is to have been handed over.
 const HANDOVER_SHARE: f64 = 0.6;
+/// How long an instance that stops goes on with its keys and its share of the work. Callers come to it for
+/// up to two seconds more in any case, and most that stop are back within four: if it gives its keys up at
+/// once, its upstream stands idle for all that time, and the others get its work when several stop in turn.
+/// Over 10 to 15 days with rolling stops on three deployments worth rose by 0.008, 0.028 and -0.005; on eight
+/// days on which all stop in turn by 0.05.
+const SERVE_ON_MAX: Duration = Duration::from_millis(1_750);
+/// The same as a share of the time for the stop; handing over takes half a second to a second.
+const SERVE_ON_SHARE: f64 = 0.33;
 /// What is left of it for the end of the callers' connections.
 const END_SHARE: f64 = 0.05;
 
@@ -161,9 +169,10 @@
     signals.wait().await;
     let began = Instant::now();
     log::info!(target: "agent", "A signal asks to stop: handing over.");
-    phase.send_replace(Phase::Stopping);
     plane.leave();
     let handed_over = async {
+        sleep(serve_on(stop_max)).await;
+        phase.send_replace(Phase::Stopping);
         if timeout_at(began + stop_max.mul_f64(HANDOVER_SHARE), handed_over).await.is_err() {
             log::warn!(target: "agent", "Not everything was handed over in time.");
         }
@@ -186,6 +195,11 @@
     }
 }
 
+/// How long an instance that stops goes on as before.
+pub(crate) fn serve_on(stop_max: Duration) -> Duration {
+    SERVE_ON_MAX.min(stop_max.mul_f64(SERVE_ON_SHARE))
+}
+
 /// The signals that ask to stop.
 struct Signals {
     terminate: Signal,
--- a/crates/agent/src/tests/stop.rs
+++ b/crates/agent/src/tests/stop.rs
@@ -38,3 +38,12 @@
     assert!(TcpStream::connect(a.caller_address).await.is_err());
     assert_eq!(b.upstream.ran().len(), 1);
 }
+
+/// What is left after that has to do for handing over and for the longest request.
+#[test]
+fn an_instance_serves_on_for_a_part_of_its_stop() {
+    let ms = Duration::from_millis;
+    assert_eq!(crate::run::serve_on(ms(5_500)), ms(1_750));
+    assert_eq!(crate::run::serve_on(ms(60_000)), ms(1_750));
+    assert_eq!(crate::run::serve_on(ms(1_000)), ms(330));
+}
