Runs of keys that have to wait for room in an answer are told of

Cause: where more runs are admitted than fit into the answer to an announcement, new ones wait; nothing said so, and their keys would have been refused without a reason in the log.

Change: one warning for each such answer, with how many wait.

--- a/crates/agent/src/gate/leases/announced.rs
+++ b/crates/agent/src/gate/leases/announced.rs
@@ -96,12 +96,17 @@
     pub(super) is_giving_up: bool,
 }
 
+/// Neighbouring slots that are granted alike, and the token of their last holder if they are new to this one.
+pub(super) type KeyRun = (Run, Option<HandoverToken>);
+
 /// All that the upstream is to hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct ToHold {
-    pub(super) grants: Vec<(Run, Option<HandoverToken>)>,
+    pub(super) grants: Vec<KeyRun>,
     /// Counted from when the announcement was sent.
     pub(super) hold: Duration,
+    /// How many runs wait for a later answer, for there is no room.
+    pub(super) put_off: usize,
 }
 
 impl Shown {
@@ -189,9 +194,9 @@
         if let Some(clearing) = &mut self.clearing {
             clearing.is_sent = true;
         }
-        let grants = match self.clearing.is_none() && hold >= HOLD_MIN {
+        let (grants, put_off) = match self.clearing.is_none() && hold >= HOLD_MIN {
             true => self.runs(runs_max),
-            false => Vec::new(),
+            false => Default::default(),
         };
         self.exchange.granted_nothing = grants.is_empty();
         self.exchange.holds_nothing &= grants.is_empty();
@@ -211,24 +216,27 @@
         for (slot, lease) in self.slots.iter_mut().filter(|it| it.1.closing.is_some()) {
             lease.told.is_left_out = !granted(*slot);
         }
-        ToHold { grants, hold: hold.max(HOLD_MIN) }
+        ToHold { grants, hold: hold.max(HOLD_MIN), put_off }
     }
 
     /// The runs of an answer. Where they are too many, some of those that were never granted wait for a later
     /// answer, and slots that are to be given up are granted on: the upstream would give up whatever is
     /// left out.
-    fn runs(&self, runs_max: usize) -> Vec<(Run, Option<HandoverToken>)> {
+    fn runs(&self, runs_max: usize) -> (Vec<KeyRun>, usize) {
         let mut runs = self.runs_of(|it| it.closing.is_none());
         let new_max = runs_max - runs_max / ROOM_FOR_CUTS;
+        let mut put_off = 0;
         while runs.len() > new_max
             && let Some(at) = runs.iter().rposition(|it| self.is_new(it.0))
         {
             runs.remove(at);
+            put_off += 1;
         }
         if runs.len() > runs_max {
+            put_off += runs.len() - runs_max;
             runs = self.runs_of(|it| it.told.is_granted && !it.told.is_left_out);
         }
-        runs
+        (runs, put_off)
     }
 
     /// Whether no answer has granted any of these slots.
@@ -236,8 +244,8 @@
         !self.slots.range(run.first..=run.last).any(|it| it.1.told.is_granted)
     }
 
-    fn runs_of(&self, is_in: impl Fn(&SlotLease) -> bool) -> Vec<(Run, Option<HandoverToken>)> {
-        let mut runs: Vec<(Run, Option<HandoverToken>)> = Vec::new();
+    fn runs_of(&self, is_in: impl Fn(&SlotLease) -> bool) -> Vec<KeyRun> {
+        let mut runs: Vec<KeyRun> = Vec::new();
         for (slot, lease) in self.slots.iter().filter(|it| is_in(it.1)) {
             let handover = lease.handover.as_ref().filter(|it| !it.is_empty());
             match runs.last_mut() {
--- a/crates/agent/src/gate/leases/answers.rs
+++ b/crates/agent/src/gate/leases/answers.rs
@@ -16,7 +16,7 @@
         Gate,
         bound::Bound,
         leases::{
-            announced::{Heard, ReleasedRun, Shown, ToHold},
+            announced::{Heard, KeyRun, ReleasedRun, Shown, ToHold},
             book::Run,
             keeper::pass_on,
         },
@@ -88,6 +88,9 @@
             let mut book = self.leases.book();
             book.to_hold(self.clock.now(), heard_at, lease_until, runs_max)
         };
+        if to_hold.put_off > 0 {
+            log::warn!(target: "gate", "{} runs of slots wait for a later answer: no more than {runs_max} fit.", to_hold.put_off);
+        }
         self.leases.wake_when_taken();
         Some(keys_of(to_hold, keys, slot_count))
     }
@@ -150,7 +153,7 @@
 }
 
 fn keys_of(to_hold: ToHold, keys: OrderedKeys, slot_count: SlotCount) -> KeysToHold {
-    let grant = |(run, handover): (Run, Option<upstream::HandoverToken>)| KeyGrant {
+    let grant = |(run, handover): KeyRun| KeyGrant {
         granted: GrantedKeys {
             keys: keys.of_slots(slot_count, run.first, run.last),
             token: run.token,
--- a/crates/agent/src/gate/leases/tests/announced.rs
+++ b/crates/agent/src/gate/leases/tests/announced.rs
@@ -192,6 +192,7 @@
     }
     let first = answer(&mut book, 0, 2500);
     assert_eq!(first.grants.len(), RUNS_MAX * 3 / 4, "there is room left for cuts");
+    assert_eq!(first.put_off, 100 - RUNS_MAX * 3 / 4);
     book.heard(at(870), &shown(&runs(&first)));
     assert_eq!(runs(&answer(&mut book, 870, 3370)), runs(&first));
 }
