Upstreams that are granted keys by announcements are lost after 2.25 s of silence

Cause: what such an upstream holds runs out without its announcements, about 2.1 s after the last one; it counted as lost only after 4 s, and until then nobody else was granted its keys.

--- a/crates/agent/src/control/tests/upstream.rs
+++ b/crates/agent/src/control/tests/upstream.rs
@@ -4,9 +4,10 @@
 
 use model::{ServiceName, Timestamp};
 use ownership::UpstreamState;
+use settings::KeyGrants;
 
 use crate::{
-    control::upstream::{LocalState, Place},
+    control::upstream::{LocalState, Place, silence_max},
     report::Announcement,
 };
 
@@ -65,3 +66,12 @@
     assert_eq!(place_at(12_000, &announcement("i-1", None, 8)), Place::Late);
     assert_eq!(place_at(12_000, &announcement("i-2", None, 1)), Place::Late);
 }
+
+/// Its keys run out without announcements, so nobody waits for it longer than for them.
+#[test]
+fn an_upstream_that_is_granted_keys_by_announcements_is_lost_sooner() {
+    let every = Duration::from_millis(1_500);
+    assert_eq!(silence_max(KeyGrants::Calls, every), Duration::from_secs(4));
+    assert_eq!(silence_max(KeyGrants::Announcements, every), Duration::from_millis(2_250));
+    assert_eq!(silence_max(KeyGrants::Announcements, every * 10), Duration::from_secs(4));
+}
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -4,6 +4,7 @@
 
 use model::{Timestamp, Token};
 use ownership::{Input, UpstreamState};
+use settings::KeyGrants;
 
 use crate::{
     control::state::Control,
@@ -12,6 +13,9 @@
 
 /// Silence after which an upstream that announced itself each second counts as lost.
 const SILENCE_MAX: Duration = Duration::from_secs(4);
+/// The same in announcements, where these grant it its keys: what it holds runs out without them, within 2.5 s
+/// where requests take up to 1.5 s, and until it counts as lost nobody else is granted its keys.
+const SILENCE_MAX_ANNOUNCEMENTS: f64 = 1.5;
 /// An upstream that has been silent for this many of its announcements may have been followed by
 /// another at its address; one that announces itself goes on within one and some jitter.
 const ANOTHER_LIFE_AFTER: f64 = 1.5;
@@ -85,6 +89,16 @@
     }
 }
 
+/// Silence after which an upstream counts as lost.
+pub(super) fn silence_max(key_grants: KeyGrants, announced_every: Duration) -> Duration {
+    match key_grants {
+        KeyGrants::Calls => SILENCE_MAX,
+        KeyGrants::Announcements => {
+            SILENCE_MAX.min(announced_every.mul_f64(SILENCE_MAX_ANNOUNCEMENTS))
+        }
+    }
+}
+
 impl Control {
     pub(super) fn announced(&mut self, announcement: Announcement) {
         if announcement.service != *self.service() {
@@ -159,7 +173,10 @@
 
     /// An upstream that has gone silent is lost.
     pub(super) fn watch_upstream(&mut self, now: Timestamp) {
-        let silent = now.since(self.local.heard_at) > SILENCE_MAX;
+        let document = self.documents.of(self.service()).map(|it| &it.document.upstream);
+        let key_grants = document.map_or(KeyGrants::Calls, |it| it.key_grants);
+        let silence_max = silence_max(key_grants, self.parts.settings.announced_every);
+        let silent = now.since(self.local.heard_at) > silence_max;
         match &mut self.local.announcement {
             Some(announcement) if silent && announcement.state != UpstreamState::Lost => {
                 log::warn!(target: "control", "The upstream has gone silent.");
