An agent beside an upstream that is granted keys by announcements, over sockets

The book was tested alone; this plays the way from the announcement to the answer and back to control: grants, a slot given up, its report, and late and doubled announcements. No change of the program.

--- /dev/null
+++ b/crates/agent/src/tests/announcements.rs
@@ -0,0 +1,146 @@
+//! An upstream that is granted keys by the answers to its announcements.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{StatusCode, request::Parts};
+use model::{KeyRange, Slot};
+use ownership::{GateCommand, UpstreamState};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinHandle,
+    time::timeout,
+};
+use upstream::{GrantedKeys, HeldKeys, KeysToHold, ReleasedKeys};
+use volo_http::{body::Body, response::Response};
+
+use super::fakes::{Call, PATIENCE, TestAgent, check, get, token};
+use crate::{
+    ingress::{AnnounceForm, Heard},
+    report::{Announcement, Report},
+};
+
+/// Ranges of keys with the sequence of their token, or with their handover token.
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
+struct Said {
+    sequence: u64,
+    held: Vec<(u32, u32, u64)>,
+    released: Vec<(u32, u32, String)>,
+}
+
+/// Announcements at the callers' address, as JSON.
+struct TestForm;
+
+impl AnnounceForm for TestForm {
+    fn is_announcement(&self, head: &Parts) -> bool {
+        head.uri.path() == "/announce"
+    }
+
+    fn read(&self, _head: &Parts, body: &[u8]) -> Result<Heard, (StatusCode, String)> {
+        let said: Said = serde_json::from_slice(body)
+            .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()))?;
+        let announcement = Announcement {
+            service: model::ServiceName::new("svc").unwrap(),
+            address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+            state: UpstreamState::Ready,
+            slots: 2,
+            checks_fence: false,
+            upstream_id: None,
+            born_ms: None,
+            sequence: said.sequence,
+        };
+        let held = said.held.into_iter().map(|(first, last, sequence)| GrantedKeys {
+            keys: KeyRange { first, last },
+            token: token(sequence),
+        });
+        let released = said.released.into_iter().map(|(first, last, handover)| ReleasedKeys {
+            keys: KeyRange { first, last },
+            handover: handover.into(),
+        });
+        let keys = HeldKeys { held: held.collect(), released: released.collect() };
+        Ok(Heard::Announced { announcement, clock_ms: None, keys: Some(keys) })
+    }
+
+    fn acknowledge(&self, keys: Option<&KeysToHold>) -> Response {
+        let rows = keys.map(|keys| {
+            let row = |it: &upstream::KeyGrant| {
+                let KeyRange { first, last } = it.granted.keys;
+                (first, last, it.granted.token.sequence)
+            };
+            keys.grants.iter().map(row).collect::<Vec<_>>()
+        });
+        Response::new(Body::from(serde_json::to_string(&rows).unwrap()))
+    }
+
+    fn runs_max(&self) -> usize {
+        20
+    }
+}
+
+type Rows = Vec<(u32, u32, u64)>;
+
+/// Announces, and resolves to what is to be held; none: nothing was said of keys.
+fn announce(agent: &TestAgent, said: Said) -> JoinHandle<Option<Rows>> {
+    let address = agent.caller_address;
+    tokio::spawn(async move {
+        let body = serde_json::to_string(&said).unwrap();
+        let head = "POST /announce HTTP/1.1\r\nhost: x\r\nconnection: close";
+        let request = format!("{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        timeout(PATIENCE, stream.read_to_string(&mut answer)).await.unwrap().unwrap();
+        let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+        serde_json::from_str(body).unwrap()
+    })
+}
+
+fn said(sequence: u64, held: Rows) -> Said {
+    Said { sequence, held, ..Said::default() }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_come_and_go_with_the_answers_to_announcements() {
+    let mut agent = TestAgent::start_announced("a", Arc::new(TestForm)).await;
+    agent.route_to(&agent.own, 1).await;
+    agent.grant_all(4);
+    let granted = announce(&agent, said(1, Vec::new())).await.unwrap();
+    assert_eq!(granted, Some(vec![(0, 63, 4)]));
+    let call = Call { key: "40", ..get("echo", 1) };
+    check(&agent.call(call).await, 200, "answered");
+
+    // Left open until there is something to say, but not for ever.
+    let open = announce(&agent, said(2, vec![(0, 63, 4)]));
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    agent.gate.apply(&[GateCommand::Close { slot: Slot(0), token: token(4), to: None }]);
+    let mut told = open.await.unwrap();
+    if told == Some(vec![(0, 63, 4)]) {
+        told = announce(&agent, said(3, vec![(0, 63, 4)])).await.unwrap();
+    }
+    assert_eq!(told, Some(vec![(16, 63, 4)]));
+
+    let released = vec![(0, 15, "warm".to_owned())];
+    let shown = Said { sequence: 4, held: vec![(16, 63, 4)], released };
+    let answered = announce(&agent, shown);
+    let closed = agent.report(|it| match it {
+        Report::ClosedSlots(closed) => Some(closed.clone()),
+        _ => None,
+    });
+    assert_eq!(closed.await, [(Slot(0), token(4))]);
+    assert_eq!(answered.await.unwrap(), Some(vec![(16, 63, 4)]), "renewed at the latest");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_announcement_that_comes_late_or_is_followed_is_told_nothing_of_keys() {
+    let agent = TestAgent::start_announced("a", Arc::new(TestForm)).await;
+    agent.route_to(&agent.own, 1).await;
+    agent.grant_all(4);
+    announce(&agent, said(5, Vec::new())).await.unwrap();
+    assert_eq!(announce(&agent, said(5, Vec::new())).await.unwrap(), None, "it came twice");
+    assert_eq!(announce(&agent, said(4, Vec::new())).await.unwrap(), None, "it came late");
+    // One that shows nothing is answered at once, as its grants are without effect.
+    let again = announce(&agent, said(6, Vec::new())).await.unwrap();
+    assert_eq!(again, Some(vec![(0, 63, 4)]));
+}
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -14,7 +14,7 @@
     Slot, Term, Timestamp, Token, Zone, key_hash,
 };
 use ownership::{GateCommand, UpstreamState};
-use settings::ServiceDocument;
+use settings::{KeyGrants, ServiceDocument};
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, mpsc},
@@ -29,7 +29,7 @@
     clock::Clock,
     control::DocumentSource,
     gate::GateHandle,
-    ingress::{OwnAnnounceForm, OwnForm},
+    ingress::{AnnounceForm, OwnAnnounceForm, OwnForm},
     links::LinkKey,
     plane::{Plane, PlaneParts},
     report::{self, Announcement, Report},
@@ -54,8 +54,8 @@
     /// One permit for each request that has begun to run.
     pub(super) started: Semaphore,
     pub(super) frozen: std::sync::atomic::AtomicBool,
-    /// Whether it runs requests only for keys that it was granted.
-    enforces_leases: bool,
+    /// Set where it runs requests only for keys that it was granted.
+    key_grants: Option<KeyGrants>,
     /// Calls about keys, in order.
     pub(super) key_calls: Mutex<Vec<KeyCall>>,
 }
@@ -68,7 +68,7 @@
 }
 
 impl FakeUpstream {
-    fn new(enforces_leases: bool) -> FakeUpstream {
+    fn new(key_grants: Option<KeyGrants>) -> FakeUpstream {
         FakeUpstream {
             ran: Mutex::default(),
             tokens: Mutex::default(),
@@ -76,7 +76,7 @@
             release: Semaphore::new(0),
             started: Semaphore::new(0),
             frozen: std::sync::atomic::AtomicBool::new(false),
-            enforces_leases,
+            key_grants,
             key_calls: Mutex::default(),
         }
     }
@@ -164,9 +164,10 @@
     }
 
     fn key_leases(&self) -> KeyLeases<'_> {
-        match self.enforces_leases {
-            true => KeyLeases::ByCall(self),
-            false => KeyLeases::NotEnforced,
+        match self.key_grants {
+            None => KeyLeases::NotEnforced,
+            Some(KeyGrants::Calls) => KeyLeases::ByCall(self),
+            Some(KeyGrants::Announcements) => KeyLeases::ByAnnouncement,
         }
     }
 }
@@ -197,7 +198,7 @@
 }
 
 /// The same for upstreams that run requests only for keys that they were granted: 64 keys, 16 a slot.
-pub(super) fn leased_document() -> Arc<ServiceDocument> {
+fn leased_document(key_grants: KeyGrants) -> Arc<ServiceDocument> {
     let text = document_text(true);
     let text = text.replace(
         r#""slot_count": 4,"#,
@@ -205,7 +206,13 @@
     );
     let text = text
         .replace(r#""checks_fence": false"#, r#""checks_fence": true, "enforces_leases": true"#);
-    parsed(&text)
+    parsed(&match key_grants {
+        KeyGrants::Calls => text,
+        KeyGrants::Announcements => text.replace(
+            r#""enforces_leases": true"#,
+            r#""enforces_leases": true, "key_grants": "announcements""#,
+        ),
+    })
 }
 
 fn document_text(keyed: bool) -> String {
@@ -248,15 +255,27 @@
     }
 
     pub(super) async fn start_with_key(name: &str, key: &[u8]) -> TestAgent {
-        TestAgent::start_with(name, key, FakeUpstream::new(false)).await
+        TestAgent::start_with(name, key, FakeUpstream::new(None), Arc::new(OwnAnnounceForm)).await
     }
 
     /// Beside an upstream that runs requests only for keys that it was granted.
     pub(super) async fn start_leased(name: &str) -> TestAgent {
-        TestAgent::start_with(name, SECRET, FakeUpstream::new(true)).await
+        let upstream = FakeUpstream::new(Some(KeyGrants::Calls));
+        TestAgent::start_with(name, SECRET, upstream, Arc::new(OwnAnnounceForm)).await
     }
 
-    async fn start_with(name: &str, key: &[u8], upstream: FakeUpstream) -> TestAgent {
+    /// Beside one that is granted keys by the answers to its announcements.
+    pub(super) async fn start_announced(name: &str, form: Arc<dyn AnnounceForm>) -> TestAgent {
+        let upstream = FakeUpstream::new(Some(KeyGrants::Announcements));
+        TestAgent::start_with(name, SECRET, upstream, form).await
+    }
+
+    async fn start_with(
+        name: &str,
+        key: &[u8],
+        upstream: FakeUpstream,
+        announce_form: Arc<dyn AnnounceForm>,
+    ) -> TestAgent {
         let listen = || TcpListener::bind("127.0.0.1:0");
         let (callers, peers, metrics) =
             (listen().await.unwrap(), listen().await.unwrap(), listen().await.unwrap());
@@ -282,7 +301,7 @@
             metrics,
             platform_calls: Arc::default(),
             form: Arc::new(OwnForm),
-            announce_form: Arc::new(OwnAnnounceForm),
+            announce_form,
             announcements: None,
             ready: None,
             documents_from: DocumentSource::Teams,
@@ -294,9 +313,9 @@
 
     /// Publishes routes in which all slots belong to one instance.
     pub(super) async fn route_to(&self, owner: &Instance, route_version: u64) {
-        let document = match self.upstream.enforces_leases {
-            true => leased_document(),
-            false => document(true),
+        let document = match self.upstream.key_grants {
+            Some(key_grants) => leased_document(key_grants),
+            None => document(true),
         };
         let slot_count = document.slot_count;
         let route = OwnerRoute { owner: Some(owner.clone()), successors: Vec::new() };
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! The traffic plane on real sockets, with upstreams in memory and control played by the test.
 
+mod announcements;
 mod callers;
 pub(crate) mod fakes;
 mod forwarding;
