--- a/crates/ownership/src/coordinator/answer.rs
+++ b/crates/ownership/src/coordinator/answer.rs
@@ -1,12 +1,14 @@
 //! Answers to renewals, with commands and changed routes.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use model::{Instance, KeyHash, Slot};
+use model::{KeyHash, Slot};
 
 use crate::{
-    Message, Renewed, RouteKey, RouteMember, RouteRun, Routes,
+    MemberNumber, Message, Renewed, RouteKey, RouteMember, RouteMemberChange, RouteRun, Routes,
     ctx::{Ctx, MemberId},
+    member::first_version,
+    work,
 };
 
 use super::{
@@ -18,6 +20,10 @@
 /// The most runs of slots in one message, of about 20 bytes each; what is left over comes with the next one,
 /// a renewal later.
 const ROUTE_RUNS_MAX: usize = 1024;
+/// The most members with which routes name successors. A request whose owner can't be reached tries them; without,
+/// its caller waits for the next owner. With more members routes would be 900 runs and 20 KB long, told to each
+/// of them with each plan.
+const SUCCESSORS_TOLD_MAX: usize = 32;
 /// The most commands in one message.
 const COMMANDS_MAX: usize = 256;
 /// How often, for each member, the loads of members are told where routing goes by them.
@@ -30,6 +36,7 @@
             return;
         }
         let due = |row: &MemberRow| row.answer_due || row.push_due;
+        work::note(self.members.rows.len() / 8);
         let due: Vec<MemberId> =
             self.members.rows.iter().filter(|it| due(it.1)).map(|it| it.0.clone()).collect();
         for id in due {
@@ -45,7 +52,9 @@
             true => row.route_version,
             false => row.route_version.max(row.routes_sent),
         };
-        let routes = (since < self.route_version).then(|| Box::new(self.routes(since)));
+        let is_news = since < self.route_version;
+        let routes = is_news.then(|| self.routes_since(since));
+        let Some(row) = self.members.rows.get(id) else { return };
         let dismissed = row.leaving && !self.table.concerns(id) && row.commands.is_empty();
         let Some(row) = self.members.rows.get_mut(id) else { return };
         if let Some(routes) = &routes {
@@ -69,19 +78,38 @@
         ctx.send(&row.instance, Message::Renewed(Box::new(renewed)));
     }
 
-    /// What has changed since a version.
+    /// What has changed since a version, which many members are told at a time.
+    fn routes_since(&mut self, since: u64) -> Arc<Routes> {
+        let told = self.routes_told.as_ref().filter(|it| it.since == since);
+        if let Some(told) = told.filter(|_| self.routes_made_in == self.route_version) {
+            return Arc::clone(told);
+        }
+        let routes = Arc::new(self.routes(since));
+        self.routes_made_in = self.route_version;
+        self.routes_told = Some(Arc::clone(&routes));
+        routes
+    }
+
     fn routes(&self, since: u64) -> Routes {
-        let ids: Vec<&MemberId> = self.members.rows.keys().collect();
-        let index = |id: &MemberId| ids.binary_search(&id).ok().map(|it| it as u16);
+        let is_whole = since < first_version(self.term);
+        let gone = if is_whole { Some(Vec::new()) } else { self.members.gone_since(since) };
+        let Some(gone) = gone else { return self.routes(0) };
+        let number = |id: &MemberId| self.members.rows.get(id).map(|it| it.number);
+        let names_told = self.tells_successors();
+        work::note(self.members.rows.len() + self.table.slots.len());
         let mut changed: Vec<_> =
             self.table.iter().filter(|(_, row)| row.changed_in > since).collect();
         let run = |(slot, row): &(Slot, &SlotRow)| RouteRun {
             first: *slot,
             last: *slot,
-            owner: row.holder.grant().and_then(|it| index(&it.member)),
+            owner: row.holder.grant().and_then(|it| number(&it.member)),
             token: row.last_token,
-            successors: row.names.iter().filter_map(index).collect(),
+            successors: match names_told {
+                true => row.names.iter().filter_map(number).collect(),
+                false => Vec::new(),
+            },
         };
+        work::note(4 * changed.len());
         let mut slots = joined(changed.iter().map(run));
         let mut version = self.route_version;
         if slots.len() > ROUTE_RUNS_MAX {
@@ -93,21 +121,32 @@
             slots = joined(changed.iter().map(run));
         }
         let keys = self.table.keys.iter().filter(|(_, row)| row.changed_in > since);
-        let keys = keys.map(|(key_hash, row)| self.route_key(*key_hash, &row.holder, index));
+        let keys = keys.map(|(key_hash, row)| self.route_key(*key_hash, &row.holder, number));
+        let rows = self.members.rows.values();
+        let joined = rows.clone().filter(|it| it.joined_in > since);
+        let changed = rows.filter(|it| it.joined_in <= since && it.changed_in > since);
         Routes {
             since,
             version,
-            members: (self.members_changed_in > since).then(|| self.route_members()),
+            gone,
+            joined: joined.map(route_member).collect(),
+            changed: changed.map(route_member_change).collect(),
             slots,
             keys: keys.collect(),
         }
     }
 
+    /// Successors are told while that keeps the routes short: they cut the slots of each owner into up to
+    /// eight runs.
+    pub(super) fn tells_successors(&self) -> bool {
+        self.members.rows.len() <= SUCCESSORS_TOLD_MAX
+    }
+
     fn route_key(
         &self,
         key_hash: KeyHash,
         holder: &KeyHolder,
-        index: impl Fn(&MemberId) -> Option<u16>,
+        number: impl Fn(&MemberId) -> Option<MemberNumber>,
     ) -> RouteKey {
         let grant = match holder {
             KeyHolder::Entry(Holder::Member(it)) => Some(it),
@@ -115,24 +154,11 @@
         };
         RouteKey {
             key_hash,
-            owner: grant.and_then(|it| index(&it.member)),
+            owner: grant.and_then(|it| number(&it.member)),
             token: grant.map(|it| it.token).unwrap_or_default(),
         }
     }
 
-    fn route_members(&self) -> Vec<RouteMember> {
-        let member = |row: &MemberRow| RouteMember {
-            instance: Instance::clone(&row.instance),
-            state: match row.leaving {
-                true => crate::UpstreamState::Draining,
-                false => row.upstream,
-            },
-            load_us_per_s: row.load_us_per_s as u64,
-            config: row.config,
-        };
-        self.members.rows.values().map(member).collect()
-    }
-
     /// Where routing goes by load, loads are told now and then; the more members, the less often.
     pub(super) fn refresh_member_loads(&mut self, ctx: &Ctx<'_>) {
         if ctx.config.keyed || self.next_member_loads > ctx.now {
@@ -140,10 +166,19 @@
         }
         let members = self.members.rows.len().max(3) as u32;
         self.next_member_loads = ctx.now + MEMBER_LOADS_EVERY * members;
-        self.members_changed();
+        let version = self.bump_routes();
+        self.members.rows.values_mut().for_each(|it| it.changed_in = version);
     }
 }
 
+fn route_member(row: &MemberRow) -> RouteMember {
+    RouteMember { number: row.number, instance: row.instance.clone(), standing: row.standing() }
+}
+
+fn route_member_change(row: &MemberRow) -> RouteMemberChange {
+    RouteMemberChange { number: row.number, standing: row.standing() }
+}
+
 /// Neighbours that are alike, as one run each.
 fn joined(slots: impl Iterator<Item = RouteRun>) -> Vec<RouteRun> {
     let mut runs: Vec<RouteRun> = Vec::new();
--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -7,6 +7,7 @@
 use crate::{
     Command, Event, MoveReason,
     ctx::{Ctx, MemberId},
+    work,
 };
 
 use super::{
@@ -31,9 +32,10 @@
         if self.plan.acked().is_none() {
             return;
         }
+        work::note(self.table.slots.len());
         for (slot, row) in self.table.slot_count.iter().zip(&mut self.table.slots) {
             if row.holder == Holder::Unknown
-                && self.succession.is_clear(ctx.now, &self.confirm, &self.plan.slot_names(slot))
+                && self.succession.is_clear(ctx.now, &self.confirm, self.plan.slot_names(slot))
             {
                 row.holder = Holder::lapsed(ctx.now);
                 self.confirm.prove_soon(ctx.now);
@@ -44,34 +46,49 @@
 
     /// Grants what is free to the first member that the plan names and that can take it.
     pub(super) fn grant_free(&mut self, ctx: &mut Ctx<'_>) {
-        if !self.may_renew(ctx) || self.plan.acked().is_none() {
-            return;
-        }
         let proved_at = self.confirm.proved_at();
-        // Heirs are looked for among all members; most of the time nothing is free.
-        if !self.table.slots.iter().any(|it| it.holder.is_free(proved_at)) {
+        work::note(self.table.slots.len() / 4);
+        let free = self.table.iter().filter(|(_, row)| row.holder.is_free(proved_at));
+        let free: Vec<Slot> = free.map(|it| it.0).collect();
+        self.grant_all(ctx, &free);
+    }
+
+    /// The same for slots that their holders have just given up: a planned move waits for no tick.
+    pub(super) fn grant_given_up(&mut self, ctx: &mut Ctx<'_>) {
+        let slots = std::mem::take(&mut self.given_up);
+        self.grant_all(ctx, &slots);
+    }
+
+    fn grant_all(&mut self, ctx: &mut Ctx<'_>, slots: &[Slot]) {
+        if slots.is_empty() || !self.may_renew(ctx) || self.plan.acked().is_none() {
             return;
         }
         let mut batch = Batch::default();
+        // Heirs are looked for among all members; most of the time nothing is free.
         let heirs = self.heirs();
-        for slot in self.table.slot_count.iter() {
-            let row = &self.table.slots[usize::from(slot.0)];
-            if !row.holder.is_free(proved_at) {
-                continue;
+        work::note(4 * slots.len());
+        for slot in slots {
+            self.grant_if_free(ctx, *slot, &heirs, &mut batch);
+        }
+    }
+
+    fn grant_if_free(&mut self, ctx: &mut Ctx<'_>, slot: Slot, heirs: &Heirs, batch: &mut Batch) {
+        let row = &self.table.slots[usize::from(slot.0)];
+        if !row.holder.is_free(self.confirm.proved_at()) {
+            return;
+        }
+        let prepared = row.handover.as_ref().map(|it| (it.to.clone(), it.token));
+        match prepared {
+            Some((to, token)) if self.may_grant(slot, &to) => {
+                self.grant(ctx, slot, to, Some(token))
             }
-            let prepared = row.handover.as_ref().map(|it| (it.to.clone(), it.token));
-            match prepared {
-                Some((to, token)) if self.may_grant(slot, &to) => {
+            _ if self.waits_for_heir(ctx.now, slot, heirs) => {}
+            _ => {
+                let to = self.plan.slot_names(slot).find(|it| self.may_grant(slot, it)).cloned();
+                if let Some(to) = to {
+                    let token = self.batch_token(ctx, batch, &to);
                     self.grant(ctx, slot, to, Some(token));
                 }
-                _ if self.waits_for_heir(ctx.now, slot, &heirs) => {}
-                _ => {
-                    let names = self.plan.slot_names(slot);
-                    if let Some(to) = names.into_iter().find(|it| self.may_grant(slot, it)) {
-                        let token = self.batch_token(ctx, &mut batch, &to);
-                        self.grant(ctx, slot, to, Some(token));
-                    }
-                }
             }
         }
     }
@@ -85,7 +102,7 @@
             return false;
         };
         let owner = self.plan.planned_owner(slot);
-        owner.is_some_and(|it| heirs.of(&it).is_some()) && now.since(lapsed_at) < HEIR_WAIT
+        owner.is_some_and(|it| heirs.of(it).is_some()) && now.since(lapsed_at) < HEIR_WAIT
     }
 
     /// A new token; where the order of slots means something, one for all that a member is granted
@@ -147,7 +164,7 @@
                 KeyHolder::Entry(Holder::Member(it)) | KeyHolder::LeavingSlot(it) => {
                     Some(it.member.clone())
                 }
-                KeyHolder::Entry(_) => self.plan.planned_key_owner(key_hash),
+                KeyHolder::Entry(_) => self.plan.planned_key_owner(key_hash).cloned(),
             };
             let owner = owner.and_then(|it| self.members.rows.get(&it));
             let owner = owner.map(|it| it.instance.clone());
--- a/crates/ownership/src/coordinator/handover.rs
+++ b/crates/ownership/src/coordinator/handover.rs
@@ -8,6 +8,7 @@
     Command, MoveReason, UpstreamState,
     ctx::{Ctx, MemberId},
     rules::{self, Rule},
+    work,
 };
 
 use super::{
@@ -36,6 +37,7 @@
         }
         let mut running = self.table.slots.iter().filter(|it| it.handover.is_some()).count();
         let mut batch = Batch::default();
+        work::note(4 * self.table.slots.len());
         for slot in self.table.slot_count.iter() {
             match self.next_step(ctx, slot) {
                 // Ordered slots go by runs, and their planner bounds how many of these move.
@@ -83,8 +85,8 @@
             },
             None if self.is_settled() && self.plan.is_idle() => {
                 let planned = self.plan.planned_owner(slot)?;
-                let moves = planned != grant.member && self.may_grant(slot, &planned);
-                moves.then_some(Next::Start(planned))
+                let moves = *planned != grant.member && self.may_grant(slot, planned);
+                moves.then(|| Next::Start(planned.clone()))
             }
             None => None,
         }
@@ -92,8 +94,8 @@
 
     /// Who takes over a slot whose owner is leaving: the planned owner, or the first successor.
     fn heir(&self, slot: Slot, holder: &MemberId) -> Option<MemberId> {
-        let names = self.plan.slot_names(slot);
-        names.into_iter().find(|it| it != holder && self.may_grant(slot, it))
+        let mut names = self.plan.slot_names(slot);
+        names.find(|it| *it != holder && self.may_grant(slot, it)).cloned()
     }
 
     fn a_key_leaves(&self, slot: Slot) -> bool {
--- a/crates/ownership/src/coordinator/keys.rs
+++ b/crates/ownership/src/coordinator/keys.rs
@@ -63,7 +63,7 @@
             let slot = &self.table.slots[usize::from(slot.0)].holder;
             if row.holder != KeyHolder::Entry(Holder::Unknown)
                 || *slot == Holder::Unknown
-                || !self.succession.is_clear(ctx.now, &self.confirm, &names)
+                || !self.succession.is_clear(ctx.now, &self.confirm, names)
             {
                 continue;
             }
@@ -103,7 +103,7 @@
 
     fn next_key_step(&self, key_hash: KeyHash) -> Option<Next> {
         let slot = &self.table.slots[usize::from(self.table.slot_of(key_hash).0)];
-        let planned = self.plan.planned_key_owner(key_hash);
+        let planned = self.plan.planned_key_owner(key_hash).cloned();
         let able = |it: &MemberId| self.members.eligible(it) && self.plan.names_key(key_hash, it);
         match &self.table.keys.get(&key_hash)?.holder {
             KeyHolder::Slot => {
@@ -129,7 +129,7 @@
                 (!stays || must_give_up).then(|| Next::Close(grant.clone(), to))
             }
             KeyHolder::Entry(holder) if holder.is_free(self.confirm.proved_at()) => {
-                let names = planned.iter().flat_map(|_| self.plan.key_names(key_hash));
+                let names = planned.iter().flat_map(|_| self.plan.key_names(key_hash)).cloned();
                 let to = planned.clone().into_iter().chain(names).find(able);
                 match (to, &slot.holder) {
                     (_, Holder::Unknown) => None,
--- a/crates/ownership/src/coordinator/loads.rs
+++ b/crates/ownership/src/coordinator/loads.rs
@@ -4,7 +4,7 @@
 
 use model::{KeyHash, Slot, Timestamp};
 
-use crate::{LoadReport, ctx::MemberId};
+use crate::{LoadReport, ctx::MemberId, work};
 
 use super::{Coordination, members::MemberRow};
 
@@ -116,6 +116,7 @@
 
     /// Slots too light to be reported share what is left of their owner's load.
     fn share_rest(&mut self, id: &MemberId, reported: &[Slot], rest_us_per_s: f64) {
+        work::note(self.table.slots.len() / 2);
         let slots = self.table.slot_count.iter().zip(&mut self.table.slots);
         let mut others: Vec<&mut Option<f64>> = slots
             .filter(|(slot, row)| {
--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -4,12 +4,17 @@
 
 use model::{ConfigVersion, Instance, KeyHash, Timestamp};
 
-use crate::{Command, LoadReport, Renew, Report, SessionId, UpstreamState, ctx::MemberId};
+use crate::{
+    Command, LoadReport, MemberNumber, MemberStanding, Renew, Report, SessionId, UpstreamState,
+    ctx::MemberId,
+};
 
 use super::slots::Grant;
 
 /// The most members of one group.
 pub const GROUP_MEMBERS_MAX: usize = 256;
+/// How many numbers of members that are gone are remembered; who has heard nothing for so long is told all.
+const GONE_MAX: usize = 2 * GROUP_MEMBERS_MAX;
 /// The weight of the newest report in a member's smoothed load.
 const LOAD_WEIGHT: f64 = 0.3;
 
@@ -31,6 +36,11 @@
 #[derive(Debug)]
 pub(crate) struct MemberRow {
     pub(crate) instance: Instance,
+    pub(crate) number: MemberNumber,
+    /// The route version in which the number was given, and that in which what others are told of it changed
+    /// last.
+    pub(crate) joined_in: u64,
+    pub(crate) changed_in: u64,
     pub(crate) session: SessionId,
     /// The newest renewal taken in.
     pub(crate) sequence: u64,
@@ -64,6 +74,9 @@
     pub(crate) fn new(from: &Instance, renew: &Renew, now: Timestamp) -> MemberRow {
         MemberRow {
             instance: from.clone(),
+            number: MemberNumber(0),
+            joined_in: 0,
+            changed_in: 0,
             session: renew.session,
             sequence: renew.sequence,
             lease_until: now,
@@ -88,6 +101,18 @@
         }
     }
 
+    /// What others are told of it.
+    pub(crate) fn standing(&self) -> MemberStanding {
+        MemberStanding {
+            state: match self.leaving {
+                true => UpstreamState::Draining,
+                false => self.upstream,
+            },
+            load_us_per_s: self.load_us_per_s as u64,
+            config: self.config,
+        }
+    }
+
     /// Whether slots may be granted to it.
     pub(crate) fn is_eligible(&self) -> bool {
         self.upstream == UpstreamState::Ready && !self.leaving
@@ -161,6 +186,37 @@
     pub(crate) lapsing: Vec<LapsingSession>,
     /// For each member, the newest session that has ended in this term.
     ended: BTreeMap<MemberId, SessionId>,
+    numbers: Numbers,
+}
+
+/// Which numbers name members, and which named some that are gone.
+#[derive(Debug, Default)]
+struct Numbers {
+    given: u16,
+    free: BTreeSet<MemberNumber>,
+    /// The last that became free, and the route version in which they did.
+    gone: VecDeque<(u64, MemberNumber)>,
+    /// What became free up to this version is not remembered any more.
+    forgotten_in: u64,
+}
+
+impl Numbers {
+    fn give(&mut self) -> MemberNumber {
+        self.free.pop_first().unwrap_or_else(|| {
+            self.given += 1;
+            MemberNumber(self.given - 1)
+        })
+    }
+
+    fn take_back(&mut self, number: MemberNumber, version: u64) {
+        self.free.insert(number);
+        self.gone.push_back((version, number));
+        if self.gone.len() > GONE_MAX
+            && let Some((version, _)) = self.gone.pop_front()
+        {
+            self.forgotten_in = version;
+        }
+    }
 }
 
 /// What a renewal is to the table.
@@ -195,7 +251,17 @@
 
     /// Puts a new session in the place of an older one, which ends when its lease does: at
     /// `ends_at` where that is known.
-    pub(crate) fn insert(&mut self, id: MemberId, row: MemberRow, ends_at: Option<Timestamp>) {
+    pub(crate) fn insert(
+        &mut self,
+        id: MemberId,
+        mut row: MemberRow,
+        ends_at: Option<Timestamp>,
+        version: u64,
+    ) {
+        let former = self.rows.get(&id);
+        row.number = former.map_or_else(|| self.numbers.give(), |it| it.number);
+        row.joined_in = version;
+        row.changed_in = version;
         let Some(former) = self.rows.insert(id.clone(), row) else { return };
         self.end(id.clone(), former.session);
         self.lapsing.push(LapsingSession {
@@ -229,6 +295,17 @@
         gone
     }
 
+    /// The number of a member that is gone names nobody, from this route version on.
+    pub(crate) fn take_number_back(&mut self, row: &MemberRow, version: u64) {
+        self.numbers.take_back(row.number, version);
+    }
+
+    /// Numbers that have become free since a route version; none: that is not known any more.
+    pub(crate) fn gone_since(&self, since: u64) -> Option<Vec<MemberNumber>> {
+        let gone = self.numbers.gone.iter().filter(|it| it.0 > since);
+        (since >= self.numbers.forgotten_in).then(|| gone.map(|it| it.1).collect())
+    }
+
     /// Whether a grant is one of its member's current session. One of an earlier session only runs
     /// out: commands would reach the newer one.
     pub(crate) fn is_current(&self, grant: &Grant) -> bool {
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -16,12 +16,12 @@
 mod slots;
 mod succession;
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use model::{ConfigVersion, Instance, ObjectVersion, Term, Timestamp, Token};
+use model::{ConfigVersion, Instance, ObjectVersion, Slot, Term, Timestamp, Token};
 
 use crate::{
-    CallId, Confirmation, Coordinator, Event, Message, OwnLease, PlatformReply, TermTimes,
+    CallId, Confirmation, Coordinator, Event, Message, OwnLease, PlatformReply, Routes, TermTimes,
     ctx::{Ctx, MemberId, is_same},
     member::first_version,
     rules::{self, Rule},
@@ -82,7 +82,10 @@
     /// The sequence of the newest token.
     sequence: u64,
     route_version: u64,
-    members_changed_in: u64,
+    /// The routes that were told last: many are told the same.
+    routes_told: Option<Arc<Routes>>,
+    /// The version in which these were made.
+    routes_made_in: u64,
     next_member_loads: Timestamp,
     config: ConfigVersion,
     /// Others to tell of the term, besides those that the plan names.
@@ -101,6 +104,8 @@
     own_until: Timestamp,
     /// All is granted and at rest: until then slots are not looked through, unless woken.
     idle_until: Timestamp,
+    /// Slots that have been given up and may be granted at once.
+    given_up: Vec<Slot>,
     /// Since when this node's own lease is kept as short as witnesses would keep it.
     own_capped_since: Option<Timestamp>,
     /// When any member was last heard.
@@ -138,7 +143,8 @@
             plan: PlanKeeper::new(ctx.now, slots),
             sequence: 0,
             route_version: base + u64::from(slots.count()),
-            members_changed_in: base,
+            routes_told: None,
+            routes_made_in: 0,
             next_member_loads: ctx.now,
             config: ConfigVersion(0),
             known,
@@ -150,6 +156,7 @@
             confirmed_by,
             own_until: ctx.now,
             idle_until: ctx.now,
+            given_up: Vec::new(),
             own_capped_since: None,
             heard_at: ctx.now,
             releasing: false,
@@ -226,14 +233,19 @@
                 let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
                 self.confirm.replaced(ctx.now, from, &by);
                 self.renew(ctx, from, renew);
+                self.grant_given_up(ctx);
             }
             Message::Answer { term, number, has_read } if *term == self.term => {
                 let by = self.object.confirm_by(self.object.acked().times.min(ctx.limits().into()));
+                let proved_at = self.confirm.proved_at();
                 self.confirm.answered(ctx.now, from, *number, *has_read, &by);
+                if self.confirm.proved_at() > proved_at {
+                    self.advance(ctx);
+                }
             }
             _ => return,
         }
-        self.run(ctx);
+        self.answer_all(ctx);
     }
 
     pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>) {
@@ -258,7 +270,7 @@
         }
         self.object.tick(ctx);
         self.announce(ctx);
-        self.run(ctx);
+        self.advance(ctx);
         if ctx.config.keyed {
             self.propose(ctx);
         }
@@ -267,18 +279,20 @@
         self.answer_all(ctx);
     }
 
-    /// The systems that follow from any event at once.
-    fn run(&mut self, ctx: &mut Ctx<'_>) {
-        if ctx.config.keyed && self.idle_until <= ctx.now {
-            self.resolve_unknown(ctx);
-            self.grant_free(ctx);
-            self.advance_handovers(ctx);
-            self.advance_keys(ctx);
-            if self.table.is_at_rest() {
-                self.idle_until = ctx.now + IDLE_FOR;
-            }
+    /// Looks through all slots and keys for what can go on: with each tick, with a plan and with new proof,
+    /// and not with each message. Where 112 members renew it would be 280 times a second, each a
+    /// millisecond of one core while something is on its way, on a machine that has a tenth of one.
+    fn advance(&mut self, ctx: &mut Ctx<'_>) {
+        if !ctx.config.keyed || self.idle_until > ctx.now {
+            return;
+        }
+        self.resolve_unknown(ctx);
+        self.grant_free(ctx);
+        self.advance_handovers(ctx);
+        self.advance_keys(ctx);
+        if self.table.is_at_rest() {
+            self.idle_until = ctx.now + IDLE_FOR;
         }
-        self.answer_all(ctx);
     }
 
     /// The end of a platform call that this part may have made.
@@ -307,7 +321,8 @@
                 self.plan_acknowledged();
                 self.ask_to_clear(ctx);
                 self.wake();
-                self.run(ctx);
+                self.advance(ctx);
+                self.answer_all(ctx);
             }
             PlanReply::NotMine | PlanReply::Nothing => {}
         }
@@ -328,7 +343,8 @@
         };
         self.confirm.read(ctx.now, call, shown, &by);
         if shown {
-            self.run(ctx);
+            self.advance(ctx);
+            self.answer_all(ctx);
         }
         TermState::Held
     }
@@ -381,9 +397,12 @@
         self.route_version
     }
 
-    /// Others are told of a change of the members.
-    fn members_changed(&mut self) {
-        self.members_changed_in = self.bump_routes();
+    /// Others are told of a change of a member.
+    fn member_changed(&mut self, id: &MemberId) {
+        let version = self.bump_routes();
+        if let Some(row) = self.members.rows.get_mut(id) {
+            row.changed_in = version;
+        }
     }
 
     /// A new plan is due soon; joins that come together are taken together.
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -34,19 +34,19 @@
         Named { plan, ids }
     }
 
-    fn slot(&self, slot: Slot) -> Vec<&MemberId> {
+    fn slot(&self, slot: Slot) -> impl Iterator<Item = &MemberId> {
         let entry = self.plan.slots.get(usize::from(slot.0));
-        entry.map_or_else(Vec::new, |it| self.resolve(it.owner, &it.successors))
+        entry.into_iter().flat_map(|it| self.resolve(it.owner, &it.successors))
     }
 
-    fn key(&self, key_hash: KeyHash) -> Vec<&MemberId> {
+    fn key(&self, key_hash: KeyHash) -> impl Iterator<Item = &MemberId> {
         let entry = self.plan.hot_keys.iter().find(|it| it.key_hash == key_hash);
-        entry.map_or_else(Vec::new, |it| self.resolve(it.owner, &it.successors))
+        entry.into_iter().flat_map(|it| self.resolve(it.owner, &it.successors))
     }
 
-    fn resolve(&self, owner: Option<u16>, successors: &[u16]) -> Vec<&MemberId> {
-        let indexes = owner.iter().chain(successors);
-        indexes.filter_map(|it| self.ids.get(usize::from(*it))).collect()
+    fn resolve(&self, owner: Option<u16>, successors: &[u16]) -> impl Iterator<Item = &MemberId> {
+        let indexes = owner.into_iter().chain(successors.iter().copied());
+        indexes.filter_map(|it| self.ids.get(usize::from(it)))
     }
 }
 
@@ -100,23 +100,23 @@
     }
 
     /// All that may hold a slot by the plan in force.
-    pub(crate) fn slot_names(&self, slot: Slot) -> Vec<MemberId> {
-        self.acked.iter().flat_map(|it| it.slot(slot)).cloned().collect()
+    pub(crate) fn slot_names(&self, slot: Slot) -> impl Iterator<Item = &MemberId> {
+        self.acked.iter().flat_map(move |it| it.slot(slot))
     }
 
-    pub(crate) fn key_names(&self, key_hash: KeyHash) -> Vec<MemberId> {
-        self.acked.iter().flat_map(|it| it.key(key_hash)).cloned().collect()
+    pub(crate) fn key_names(&self, key_hash: KeyHash) -> impl Iterator<Item = &MemberId> {
+        self.acked.iter().flat_map(move |it| it.key(key_hash))
     }
 
     /// Whether each plan that may be in force names the member for the slot.
     pub(crate) fn names_slot(&self, slot: Slot, member: &MemberId) -> bool {
-        self.acked.as_ref().is_some_and(|it| it.slot(slot).contains(&member))
-            && self.doubtful.as_ref().is_none_or(|it| it.slot(slot).contains(&member))
+        let names = |it: &Named| it.slot(slot).any(|it| it == member);
+        self.acked.as_ref().is_some_and(names) && self.doubtful.as_ref().is_none_or(names)
     }
 
     pub(crate) fn names_key(&self, key_hash: KeyHash, member: &MemberId) -> bool {
-        self.acked.as_ref().is_some_and(|it| it.key(key_hash).contains(&member))
-            && self.doubtful.as_ref().is_none_or(|it| it.key(key_hash).contains(&member))
+        let names = |it: &Named| it.key(key_hash).any(|it| it == member);
+        self.acked.as_ref().is_some_and(names) && self.doubtful.as_ref().is_none_or(names)
     }
 
     /// The planned owners of all slots, as often as each has one.
@@ -127,17 +127,17 @@
     }
 
     /// The planned owner of a slot.
-    pub(crate) fn planned_owner(&self, slot: Slot) -> Option<MemberId> {
+    pub(crate) fn planned_owner(&self, slot: Slot) -> Option<&MemberId> {
         let acked = self.acked.as_ref()?;
         let owner = acked.plan.slots.get(usize::from(slot.0))?.owner?;
-        acked.ids.get(usize::from(owner)).cloned()
+        acked.ids.get(usize::from(owner))
     }
 
     /// The planned owner of a hot key's entry; none: the key is to follow its slot.
-    pub(crate) fn planned_key_owner(&self, key_hash: KeyHash) -> Option<MemberId> {
+    pub(crate) fn planned_key_owner(&self, key_hash: KeyHash) -> Option<&MemberId> {
         let acked = self.acked.as_ref()?;
         let owner = acked.plan.hot_keys.iter().find(|it| it.key_hash == key_hash)?.owner?;
-        acked.ids.get(usize::from(owner)).cloned()
+        acked.ids.get(usize::from(owner))
     }
 
     /// Starts to write a plan; its version and nonce are set here.
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -1,6 +1,6 @@
 //! The next plan: what the planner proposes from members, loads and grants as they stand.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use model::{Instance, KeyHash, Slot, SlotCount, Term, Timestamp, Token};
 
@@ -8,6 +8,7 @@
     HotKey, NodeConfig, Plan, PlanSlot, UpstreamState,
     ctx::{Ctx, MemberId},
     planner::{PlannerInput, PlannerKey, PlannerMember, PlannerSlot, Proposal, Unit, propose},
+    work,
 };
 
 use super::{
@@ -57,7 +58,7 @@
     }
 }
 
-/// The members that a proposal is about, by index: live ones first.
+/// The members that a proposal is about, by index, in the order of their ids.
 struct Members {
     instances: Vec<Instance>,
     ids: Vec<MemberId>,
@@ -66,17 +67,21 @@
 
 impl Members {
     fn index(&self, id: &MemberId) -> Option<u16> {
-        self.ids.iter().position(|it| it == id).map(|it| it as u16)
+        self.ids.binary_search(id).ok().map(|it| it as u16)
     }
 }
 
 impl Coordination {
     pub(super) fn plan_acknowledged(&mut self) {
         self.take_planned_keys();
+        let told = self.tells_successors();
+        work::note(8 * self.table.slots.len());
         for (slot, row) in self.table.slot_count.iter().zip(&mut self.table.slots) {
-            let names = self.plan.slot_names(slot);
-            if row.names != names {
-                row.names = names;
+            if self.plan.slot_names(slot).eq(&row.names) {
+                continue;
+            }
+            row.names = self.plan.slot_names(slot).cloned().collect();
+            if told {
                 self.route_version += 1;
                 row.changed_in = self.route_version;
             }
@@ -129,6 +134,7 @@
 
     fn any_grant_waits(&self, now: Timestamp) -> bool {
         let heirs = self.heirs();
+        work::note(self.table.slots.len());
         self.table.iter().any(|(slot, row)| {
             matches!(row.holder, Holder::Nobody { .. })
                 && !self.waits_for_heir(now, slot, &heirs)
@@ -149,6 +155,7 @@
     fn planner_input(&mut self, ctx: &Ctx<'_>, members: &Members) -> PlannerInput {
         self.moved.retain(|it| ctx.now.since(*it) < MINUTE);
         let moved = self.moved.len() as f64 / f64::from(self.table.slot_count.count());
+        work::note(16 * self.table.slots.len());
         let instances = members.instances.iter().zip(&members.weights);
         let member = |(it, weight): (&Instance, &f64)| PlannerMember {
             zone: it.zone.clone(),
@@ -184,13 +191,13 @@
         let owner = match (&row.handover, row.holder.grant()) {
             (Some(it), _) => Some(&it.to),
             (None, Some(grant)) => Some(&grant.member),
-            (None, None) => planned.as_ref().and_then(|it| heirs.of(it)),
+            (None, None) => planned.and_then(|it| heirs.of(it)),
         };
         let names = self.plan.slot_names(slot);
         PlannerSlot {
             slot,
             owner: owner.and_then(|it| members.index(it)),
-            successors: names.iter().skip(1).filter_map(|it| members.index(it)).collect(),
+            successors: names.skip(1).filter_map(|it| members.index(it)).collect(),
             load_us_per_s: row.load_us_per_s.unwrap_or(0.0),
             settled_until: row.moved_at.map(|it| it + SETTLED_FOR).unwrap_or_default(),
         }
@@ -200,13 +207,13 @@
         let rows = self.table.keys.iter().map(|(key_hash, row)| {
             let owner = match &row.holder {
                 KeyHolder::Entry(Holder::Member(it)) => members.index(&it.member),
-                _ => self.plan.planned_key_owner(*key_hash).and_then(|it| members.index(&it)),
+                _ => self.plan.planned_key_owner(*key_hash).and_then(|it| members.index(it)),
             };
             let names = self.plan.key_names(*key_hash);
             PlannerKey {
                 key_hash: *key_hash,
                 owner,
-                successors: names.iter().skip(1).filter_map(|it| members.index(it)).collect(),
+                successors: names.skip(1).filter_map(|it| members.index(it)).collect(),
                 load_us_per_s: self.hot_keys.load(*key_hash),
             }
         });
@@ -237,9 +244,11 @@
             token_floor: Token { term: self.term, sequence: self.sequence },
             ..acked.clone()
         };
+        work::note(16 * input.slots.len());
+        let moves: BTreeMap<Unit, Option<u16>> =
+            proposal.moves.iter().rev().map(|it| (it.unit, it.to)).collect();
         for (at, slot) in input.slots.iter().enumerate() {
-            let moved = proposal.moves.iter().find(|it| it.unit == Unit::Slot(slot.slot));
-            let owner = moved.map_or(slot.owner, |it| it.to);
+            let owner = moves.get(&Unit::Slot(slot.slot)).copied().unwrap_or(slot.owner);
             let mut successors = proposal.successors.get(at).cloned().unwrap_or_default();
             let row = &self.table.slots[at];
             let holder = row.holder.grant().and_then(|it| members.index(&it.member));
@@ -249,8 +258,7 @@
             plan.slots.push(PlanSlot { slot: slot.slot, owner, successors });
         }
         for key in &input.keys {
-            let moved = proposal.moves.iter().find(|it| it.unit == Unit::Key(key.key_hash));
-            let owner = moved.map_or(key.owner, |it| it.to);
+            let owner = moves.get(&Unit::Key(key.key_hash)).copied().unwrap_or(key.owner);
             let entry = self.next_key(key.key_hash, owner, members, proposal);
             plan.hot_keys.extend(entry);
         }
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -52,14 +52,14 @@
         // earlier term may have given that too, but not any more once its leases have run out.
         let own = is_same(from, ctx.me()) && self.succession.is_outlasted();
         let ends_at = own.then(|| self.own_until.max(ctx.now));
-        self.members.insert(id.clone(), row, ends_at);
+        let version = self.bump_routes();
+        self.members.insert(id.clone(), row, ends_at, version);
         self.adopt(&id, renew.session, holding);
         if !holding.recently_lapsed {
             self.succession.answered(id.clone());
         }
         self.wake();
         ctx.event(Event::MemberJoined { member: from.clone() });
-        self.members_changed();
         self.propose_soon(ctx.now);
         self.ask_to_clear(ctx);
         self.take_in(ctx, id, renew);
@@ -140,7 +140,7 @@
             self.report(ctx, &id, renew.session, report);
         }
         if changed {
-            self.members_changed();
+            self.member_changed(&id);
             self.propose_soon(ctx.now);
         }
     }
@@ -162,6 +162,7 @@
                 {
                     row.holder = Holder::Nobody { lapsed_at: None };
                     self.forget_excluded(id, slot);
+                    self.given_up.push(slot);
                 }
             }
             Report::Cleared { .. } => self.earlier_lives_cleared(ctx.now, id),
@@ -203,8 +204,9 @@
                 }
             });
             if let Some(row) = row {
+                let version = self.bump_routes();
+                self.members.take_number_back(&row, version);
                 ctx.event(Event::MemberLost { member: row.instance });
-                self.members_changed();
             }
             if ended > 0 {
                 self.bump_routes();
--- a/crates/ownership/src/coordinator/seats.rs
+++ b/crates/ownership/src/coordinator/seats.rs
@@ -13,6 +13,7 @@
     Command, OwnLease,
     ctx::{Ctx, MemberId, is_same, is_same_seat},
     rules::{self, Rule},
+    work,
 };
 
 use super::{
@@ -94,6 +95,7 @@
     pub(super) fn heirs(&self) -> Heirs {
         let cleared = self.members.rows.iter().filter(|(_, row)| row.is_heir());
         let planned = self.plan.acked().map_or(&[][..], |it| it.members.as_slice());
+        work::note(cleared.clone().count() * planned.len() / 4);
         let pairs = cleared.flat_map(|(id, row)| {
             let earlier = planned.iter().filter(|it| is_earlier_life(it, &row.instance));
             earlier.map(|it| (MemberId::from(it), id.clone()))
--- a/crates/ownership/src/coordinator/slots.rs
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -8,6 +8,7 @@
     MoveReason, SessionId,
     ctx::MemberId,
     rules::{self, Rule},
+    work,
 };
 
 /// A grant that may live.
@@ -169,6 +170,7 @@
         then: impl Fn(&Grant) -> Holder,
     ) -> usize {
         let of = |it: &Grant| it.member == *member && it.session == session;
+        work::note(self.slots.len());
         let mut ended = 0;
         for row in &mut self.slots {
             let Some(grant) = row.holder.grant().filter(|it| of(it)) else { continue };
@@ -186,6 +188,7 @@
     /// Whether everything is granted, and nothing is on its way.
     pub(crate) fn is_at_rest(&self) -> bool {
         let held = |it: &Holder| it.grant().is_some_and(|it| !it.closing);
+        work::note(self.slots.len() / 4);
         let slots = self.slots.iter().all(|row| row.handover.is_none() && held(&row.holder));
         let at_rest = |it: &KeyHolder| match it {
             KeyHolder::Slot => true,
@@ -198,6 +201,7 @@
     /// Whether a session holds anything or is about to.
     pub(crate) fn concerns(&self, member: &MemberId) -> bool {
         let of = |it: Option<&Grant>| it.is_some_and(|it| it.member == *member);
+        work::note(self.slots.len());
         let slots = self.slots.iter().any(|row| {
             of(row.holder.grant()) || row.handover.as_ref().is_some_and(|it| it.to == *member)
         });
--- a/crates/ownership/src/coordinator/succession.rs
+++ b/crates/ownership/src/coordinator/succession.rs
@@ -104,7 +104,12 @@
 
     /// Whether none of those that an earlier plan names for something can hold it any more.
     /// The plan must be one that this term has written itself.
-    pub(crate) fn is_clear(&self, now: Timestamp, confirm: &Confirm, named: &[MemberId]) -> bool {
+    pub(crate) fn is_clear<'a>(
+        &self,
+        now: Timestamp,
+        confirm: &Confirm,
+        named: impl IntoIterator<Item = &'a MemberId>,
+    ) -> bool {
         if self.settled {
             return true;
         }
@@ -112,7 +117,7 @@
         // A term that had not settled may have left even earlier ones at work: what its holder has may be
         // from those, and lasts longer than its own confirmation tells.
         let knows_holder = former.settled || !rules::holds(Rule::HeedSettled);
-        named.iter().all(|it| {
+        named.into_iter().all(|it| {
             let was_holder = knows_holder && former.holder.as_ref() == Some(it);
             self.answered.contains(it) || (was_holder && self.holder_ended(now, confirm))
         })
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -19,6 +19,7 @@
 #[cfg(any(test, feature = "sim"))]
 pub mod sim;
 mod times;
+mod work;
 
 #[cfg(test)]
 mod tests;
@@ -27,8 +28,8 @@
 pub use input::{Input, KeyLoad, LoadReport, PlatformReply, SlotLoad, UpstreamState};
 pub use limits::{FenceCheck, Limits, OwnLease};
 pub use message::{
-    Command, HeldKey, HeldSlot, Holding, Message, Renew, Renewed, Report, RouteKey, RouteMember,
-    RouteRun, Routes, SessionId,
+    Command, HeldKey, HeldSlot, Holding, MemberNumber, MemberStanding, Message, Renew, Renewed,
+    Report, RouteKey, RouteMember, RouteMemberChange, RouteRun, Routes, SessionId,
 };
 pub use node::{MemberView, Node, NodeConfig, NodeView, OwnerView};
 pub use object::{Confirmation, Coordinator, HotKey, Plan, PlanSlot, TermTimes};
--- a/crates/ownership/src/member/routes.rs
+++ b/crates/ownership/src/member/routes.rs
@@ -4,7 +4,7 @@
 
 use model::{Instance, KeyHash, Slot, Term, Token};
 
-use crate::{MemberView, OwnerView, RouteMember, Routes};
+use crate::{MemberNumber, MemberStanding, MemberView, OwnerView, Routes, work};
 
 #[derive(Debug, Clone)]
 struct Owner {
@@ -17,7 +17,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RouteTable {
     pub(crate) version: u64,
-    pub(crate) members: Vec<RouteMember>,
+    members: BTreeMap<MemberNumber, MemberView>,
     slots: BTreeMap<Slot, Owner>,
     keys: BTreeMap<KeyHash, Owner>,
 }
@@ -38,12 +38,11 @@
         if self.version < first_version(term) {
             self.keys.clear();
         }
-        if let Some(members) = &routes.members {
-            self.members = members.clone();
-        }
+        self.apply_members(whole, routes);
         let members = &self.members;
-        let instance = |it: u16| members.get(usize::from(it)).map(|it| it.instance.clone());
+        let instance = |it: MemberNumber| members.get(&it).map(|it| it.instance.clone());
         for it in &routes.slots {
+            work::note(usize::from(it.last.0 - it.first.0) + 1 + it.successors.len());
             let owner = Owner {
                 owner: it.owner.and_then(instance),
                 token: it.token,
@@ -64,6 +63,31 @@
         self.version = routes.version;
     }
 
+    fn apply_members(&mut self, whole: bool, routes: &Routes) {
+        if whole {
+            self.members.clear();
+        }
+        for number in &routes.gone {
+            self.members.remove(number);
+        }
+        for it in &routes.joined {
+            let MemberStanding { state, load_us_per_s, config } = it.standing;
+            let instance = it.instance.clone();
+            let view = MemberView { instance, state, load_us_per_s, config };
+            self.members.insert(it.number, view);
+        }
+        for it in &routes.changed {
+            let Some(view) = self.members.get_mut(&it.number) else { continue };
+            let MemberStanding { state, load_us_per_s, config } = it.standing;
+            *view = MemberView { state, load_us_per_s, config, instance: view.instance.clone() };
+        }
+    }
+
+    /// All members, in the order in which their coordinator has numbered them.
+    pub(crate) fn members(&self) -> impl Iterator<Item = &MemberView> {
+        self.members.values()
+    }
+
     pub(crate) fn owners(&self, slot_of: impl Fn(KeyHash) -> Slot) -> Vec<OwnerView> {
         let view = |slot: Slot, key_hash: Option<KeyHash>, it: &Owner| OwnerView {
             slot,
@@ -72,18 +96,13 @@
             token: it.owner.is_some().then_some(it.token),
             successors: it.successors.clone(),
         };
+        work::note(4 * self.slots.len());
         let slots = self.slots.iter().map(|(slot, it)| view(*slot, None, it));
         let keys = self.keys.iter().map(|(key, it)| view(slot_of(*key), Some(*key), it));
         slots.chain(keys).collect()
     }
 
     pub(crate) fn member_views(&self) -> Vec<MemberView> {
-        let view = |it: &RouteMember| MemberView {
-            instance: it.instance.clone(),
-            state: it.state,
-            load_us_per_s: it.load_us_per_s,
-            config: it.config,
-        };
-        self.members.iter().map(view).collect()
+        self.members.values().cloned().collect()
     }
 }
--- a/crates/ownership/src/message/mod.rs
+++ b/crates/ownership/src/message/mod.rs
@@ -4,6 +4,8 @@
 //! and term, repeated until heard, applied in order. So loss, delay, reordering and duplication
 //! of messages cannot change what a stream says.
 
+use std::sync::Arc;
+
 use model::{ConfigVersion, Instance, KeyHash, Slot, Term, Token};
 
 use crate::{LoadReport, UpstreamState};
@@ -173,7 +175,8 @@
     /// The number of the first of `commands`.
     pub first_command: u64,
     pub commands: Vec<Command>,
-    pub routes: Option<Box<Routes>>,
+    /// Shared by all that are told the same.
+    pub routes: Option<Arc<Routes>>,
     /// The highest version of the document that any member has in force.
     pub config: ConfigVersion,
     /// The member holds nothing and will be given nothing.
@@ -220,22 +223,46 @@
 }
 
 /// Changes of the group's table of owners since the receiver's version.
+///
+/// A coordinator numbers its members, and all else names them by these numbers: what a change costs follows
+/// what has changed, and not how many members there are.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Routes {
     /// The version that these are changes of; below the first one of the term: all.
     pub since: u64,
     /// The receiver's version once these have been taken in.
     pub version: u64,
-    /// All members, if any has changed; others refer to these by index.
-    pub members: Option<Vec<RouteMember>>,
+    /// Numbers that name nobody any more; taken in before all else, for a later member may have one of them.
+    pub gone: Vec<MemberNumber>,
+    pub joined: Vec<RouteMember>,
+    /// Members that have joined before, and have changed.
+    pub changed: Vec<RouteMemberChange>,
     pub slots: Vec<RouteRun>,
     pub keys: Vec<RouteKey>,
 }
 
+/// Names a member in the routes of one term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberNumber(pub u16);
+
 /// A member, as its coordinator last heard of it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RouteMember {
+    pub number: MemberNumber,
     pub instance: Instance,
+    pub standing: MemberStanding,
+}
+
+/// A member that the receiver knows, as its coordinator last heard of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteMemberChange {
+    pub number: MemberNumber,
+    pub standing: MemberStanding,
+}
+
+/// What may change of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberStanding {
     pub state: UpstreamState,
     pub load_us_per_s: u64,
     pub config: ConfigVersion,
@@ -246,9 +273,10 @@
 pub struct RouteRun {
     pub first: Slot,
     pub last: Slot,
-    pub owner: Option<u16>,
+    pub owner: Option<MemberNumber>,
     pub token: Token,
-    pub successors: Vec<u16>,
+    /// Empty where so many members make the routes too long.
+    pub successors: Vec<MemberNumber>,
 }
 
 impl RouteRun {
@@ -270,6 +298,6 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteKey {
     pub key_hash: KeyHash,
-    pub owner: Option<u16>,
+    pub owner: Option<MemberNumber>,
     pub token: Token,
 }
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -274,7 +274,7 @@
         if !newer && (term < self.known.term || self.known.coordinator.is_some()) {
             return;
         }
-        let members = self.member.routes.members.iter().map(|it| it.instance.clone());
+        let members = self.member.routes.members().map(|it| it.instance.clone());
         let known = members.chain(self.known.coordinator.clone()).collect();
         self.lose_term(ctx);
         let coordinator = Some(ctx.me().clone());
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -18,6 +18,9 @@
 const LATE_RANKS: u32 = 8;
 /// How often others are asked who coordinates, while that is not clear.
 const ASK_EVERY: Duration = Duration::from_millis(200);
+/// The most members that are asked besides the witnesses, each member others: when a coordinator of 112 is lost
+/// all would ask all, 12,000 messages at a time, and the first in rank came to its turn a second late.
+const ASKED_MAX: usize = 8;
 /// Waits after calls that failed: the first, and the longest.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(1);
@@ -143,7 +146,7 @@
     /// The order in which members try.
     fn rank(&self, ctx: &Ctx<'_>) -> u32 {
         let me = MemberId::from(ctx.me());
-        let others = self.member.routes.members.iter().map(|it| &it.instance);
+        let others = self.member.routes.members().map(|it| &it.instance);
         let others = others.filter(|it| !self.is_coordinator(it));
         let mut ids: Vec<MemberId> = others.map(MemberId::from).collect();
         ids.sort();
@@ -161,7 +164,10 @@
         }
         self.takeover.next_ask = ctx.now + ASK_EVERY;
         let me = ctx.me();
-        let members = self.member.routes.members.iter().map(|it| &it.instance);
+        let members: Vec<&Instance> = self.member.routes.members().map(|it| &it.instance).collect();
+        let own_place = members.iter().position(|it| is_same(it, me)).unwrap_or(0);
+        let behind = members.iter().cycle().skip(own_place + 1);
+        let members = behind.take(members.len().min(ASKED_MAX)).copied();
         let mut asked: Vec<&Instance> = vec![me];
         let others = members.chain(&ctx.config.peers).chain(&self.takeover.witnesses);
         for it in others.chain(&self.known.coordinator) {
--- a/crates/ownership/src/planner/ranges.rs
+++ b/crates/ownership/src/planner/ranges.rs
@@ -7,7 +7,7 @@
 use model::Slot;
 
 use super::{Move, PlannerInput, Proposal, SUCCESSOR_COUNT, Unit};
-use crate::MoveReason;
+use crate::{MoveReason, work};
 
 /// A slot counts as this share of the mean slot besides its load, so that idle slots are shared out
 /// too and the first placement gives each member as many.
@@ -136,6 +136,7 @@
     /// Runs of slots that belong to `owner`.
     fn runs(&self, owner: Option<u16>) -> Vec<Run> {
         let mut runs: Vec<Run> = Vec::new();
+        work::note(self.owners.len() / 8);
         for slot in (0..self.owners.len()).filter(|it| self.owners[*it] == owner) {
             match runs.last_mut() {
                 Some(run) if run.end == slot => run.end += 1,
@@ -346,6 +347,7 @@
         let mut successors = vec![Vec::new(); self.owners.len()];
         for owner in &self.able {
             let others = self.heirs(*owner);
+            work::note(self.owners.len() / 8);
             let slots: Vec<usize> =
                 (0..self.owners.len()).filter(|it| self.owners[*it] == Some(*owner)).collect();
             for (at, slot) in slots.iter().enumerate() {
--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use model::KeyHash;
+use model::{KeyHash, Timestamp};
 use rand::RngExt;
 
 use crate::{
     GateCommand, Input, KeyLoad, LoadReport, Message, Output, PlatformReply, PlatformRequest,
-    SlotLoad, UpstreamState, ctx::is_same,
+    SlotLoad, UpstreamState, ctx::is_same, work,
 };
 
-use super::{Happening, PLATFORM_TIMEOUT, Sim, TICK_EVERY};
+use super::{Happening, PLATFORM_TIMEOUT, Sim, TICK_EVERY, costs};
 
 const LOAD_EVERY_TICKS: u64 = 12;
 
@@ -37,6 +37,10 @@
             Happening::Local { .. } => {}
             Happening::Resume { host, life } if self.hosts[host].life == life => self.resume(host),
             Happening::Resume { .. } => {}
+            Happening::Done { host, life, out } if self.hosts[host].life == life => {
+                self.step_done(host, out);
+            }
+            Happening::Done { .. } => {}
             Happening::Fault(fault) => self.apply(fault),
         }
     }
@@ -94,14 +98,20 @@
     }
 
     pub(super) fn input(&mut self, host: usize, input: Input) {
-        if self.hosts[host].is_paused {
-            self.hosts[host].mailbox.push(input);
+        if self.hosts[host].is_paused || self.hosts[host].is_busy {
+            self.hosts[host].mailbox.push_back(input);
             return;
         }
         let clock = self.hosts[host].clock(self.now);
         let Some(node) = &mut self.hosts[host].node else { return };
         let mut out = Vec::new();
+        let bytes = costs::input_bytes(&input);
+        work::take();
         node.step(clock, input, &mut out);
+        if let Some(machine) = self.config.machine {
+            let took = machine.step(bytes, work::take(), &out);
+            return self.keep_busy(host, took, out);
+        }
         match self.hosts[host].pause_next_step_ms.take_if(|_| !out.is_empty()) {
             Some(ms) => {
                 self.hosts[host].held_back = out;
@@ -111,6 +121,27 @@
         }
     }
 
+    /// The outputs of a step are carried out at its end.
+    fn keep_busy(&mut self, host: usize, took: Duration, out: Vec<Output>) {
+        self.longest_step = self.longest_step.max(took);
+        self.hosts[host].is_busy = true;
+        let life = self.hosts[host].life;
+        self.schedule(self.now + took, Happening::Done { host, life, out });
+    }
+
+    fn step_done(&mut self, host: usize, out: Vec<Output>) {
+        self.hosts[host].is_busy = false;
+        self.carry_out(host, out);
+        // A timer goes before messages, and is set anew only once it has been heard.
+        let waiting = &mut self.hosts[host].mailbox;
+        let tick = waiting.iter().position(|it| matches!(it, Input::Tick));
+        let next = tick.and_then(|at| waiting.remove(at)).or_else(|| waiting.pop_front());
+        waiting.retain(|it| !matches!(it, Input::Tick));
+        if let Some(input) = next {
+            self.input(host, input);
+        }
+    }
+
     pub(super) fn pause(&mut self, host: usize, duration: Duration) {
         if !self.hosts[host].is_running() {
             return;
@@ -178,11 +209,21 @@
         for _ in 0..copies {
             let message = Box::new(message.clone());
             let delay = self.link_delay();
+            let sent_at = self.on_link(from, &message);
             let deliver = Happening::Deliver { to: at, life, from: sender.clone(), message };
-            self.schedule(self.now + delay, deliver);
+            self.schedule(sent_at + delay, deliver);
         }
     }
 
+    /// When a message has left its host, after all that this one sent before.
+    fn on_link(&mut self, from: usize, message: &Message) -> Timestamp {
+        let Some(machine) = self.config.machine else { return self.now };
+        let takes = machine.on_link(costs::message_bytes(message));
+        let host = &mut self.hosts[from];
+        host.link_busy_until = host.link_busy_until.max(self.now) + takes;
+        host.link_busy_until
+    }
+
     fn link_delay(&mut self) -> Duration {
         let usual = Duration::from_micros(self.rng.random_range(300..2000));
         if !self.rng.random_bool(self.links.late) {
--- a/crates/ownership/src/sim/host.rs
+++ b/crates/ownership/src/sim/host.rs
@@ -1,6 +1,9 @@
 //! One host: a node, its clock, its gate and its upstream.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::{
+    collections::VecDeque,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+};
 
 use model::{
     GroupId, Incarnation, Instance, InstanceName, KeyHash, ServiceName, Slot, Term, Timestamp, Zone,
@@ -25,11 +28,15 @@
     pub(super) left_over: Vec<Gate>,
     pub(super) upstream: UpstreamState,
     pub(super) is_paused: bool,
-    /// Inputs that wait for the end of a pause.
-    pub(super) mailbox: Vec<Input>,
+    /// Inputs that wait for the end of a pause, or of the step that is being carried through.
+    pub(super) mailbox: VecDeque<Input>,
     /// Outputs of the step in which the pause began.
     pub(super) held_back: Vec<Output>,
     pub(super) pause_next_step_ms: Option<u64>,
+    /// A step is being carried through.
+    pub(super) is_busy: bool,
+    /// Until when what was sent keeps the link.
+    pub(super) link_busy_until: Timestamp,
     pub(super) is_stopping: bool,
     pub(super) has_stopped: bool,
 }
@@ -55,9 +62,11 @@
             left_over: Vec::new(),
             upstream: UpstreamState::Starting,
             is_paused: false,
-            mailbox: Vec::new(),
+            mailbox: VecDeque::new(),
             held_back: Vec::new(),
             pause_next_step_ms: None,
+            is_busy: false,
+            link_busy_until: Timestamp::ZERO,
             is_stopping: false,
             has_stopped: false,
         }
@@ -100,6 +109,7 @@
         self.is_paused = false;
         self.mailbox.clear();
         self.held_back.clear();
+        self.is_busy = false;
         self.is_stopping = false;
         self.has_stopped = false;
         let node = NodeConfig {
@@ -151,6 +161,7 @@
         self.life += 1;
         self.gate = Gate::default();
         self.is_paused = false;
+        self.is_busy = false;
         self.mailbox.clear();
         self.held_back.clear();
     }
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -4,6 +4,7 @@
 //! Only the driver's side is modelled, as small fakes: the links between nodes, the platform's two
 //! objects, gates that do what they are told, upstreams that take time. One seed gives one run.
 
+mod costs;
 mod drive;
 mod fault;
 mod gate;
@@ -27,6 +28,7 @@
 };
 
 pub use self::{
+    costs::Machine,
     fault::Fault,
     measure::{LossKind, LossReport, measure_losses},
     random::{RunReport, Shape, logged_run, random_run},
@@ -49,6 +51,8 @@
     pub drift: f64,
     /// Keys that the truth watches one by one; at times they are made hot.
     pub watched_keys: usize,
+    /// What each host may use; none: steps take no time, and links have any width.
+    pub machine: Option<Machine>,
 }
 
 impl SimConfig {
@@ -64,6 +68,7 @@
             limits: Limits::default(),
             drift: 0.0,
             watched_keys: 0,
+            machine: None,
         }
     }
 }
@@ -144,6 +149,12 @@
         host: usize,
         life: u64,
     },
+    /// A host has carried its step through.
+    Done {
+        host: usize,
+        life: u64,
+        out: Vec<Output>,
+    },
     Fault(Fault),
 }
 
@@ -167,6 +178,8 @@
     log: Option<Vec<String>>,
     /// Messages sent so far.
     pub messages: u64,
+    /// The longest time that one step has kept a host, where steps take time.
+    pub longest_step: Duration,
 }
 
 impl Sim {
@@ -191,6 +204,7 @@
             key_loads: BTreeMap::new(),
             log: None,
             messages: 0,
+            longest_step: Duration::ZERO,
             config,
         }
     }
--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod loads;
 mod order;
 
+mod size;
 mod random;
 mod sabotage;
 mod trace;
--- a/crates/wire/src/control/convert.rs
+++ b/crates/wire/src/control/convert.rs
@@ -1,19 +1,23 @@
 //! From typed messages to their wire types and back, with the bounds checked.
 
+use std::sync::Arc;
+
 use model::{
     ConfigVersion, Incarnation, Instance, InstanceName, KeyHash, Slot, SlotCount, Term, Token, Zone,
 };
 use ownership::{
-    Command, GROUP_MEMBERS_MAX, HeldKey, HeldSlot, Holding, KeyLoad, LoadReport, Message, Renew,
-    Renewed, Report, RouteKey, RouteMember, RouteRun, Routes, SessionId, SlotLoad, UpstreamState,
+    Command, GROUP_MEMBERS_MAX, HeldKey, HeldSlot, Holding, KeyLoad, LoadReport, MemberNumber,
+    MemberStanding, Message, Renew, Renewed, Report, RouteKey, RouteMember, RouteMemberChange,
+    RouteRun, Routes, SessionId, SlotLoad, UpstreamState,
 };
 
 use super::{
     WireError,
     types::{
         WireCommand, WireHeldKey, WireHeldSlot, WireHolding, WireInstance, WireKeyLoad, WireLoad,
-        WireMessage, WireRenew, WireRenewed, WireReport, WireRouteKey, WireRouteMember,
-        WireRouteRun, WireRoutes, WireSlotLoad, WireToken, WireUpstream,
+        WireMemberStanding, WireMessage, WireRenew, WireRenewed, WireReport, WireRouteKey,
+        WireRouteMember, WireRouteMemberChange, WireRouteRun, WireRoutes, WireSlotLoad, WireToken,
+        WireUpstream,
     },
 };
 
@@ -23,6 +27,8 @@
 const KEYS_MAX: usize = 1024;
 /// Reports or commands that wait to be heard.
 const STREAM_MAX: usize = SLOTS_MAX + KEYS_MAX;
+/// Members that may have gone since a receiver's version.
+const GONE_MAX: usize = 2 * GROUP_MEMBERS_MAX;
 const LOAD_SLOTS_MAX: usize = 64;
 const LOAD_KEYS_MAX: usize = 16;
 
@@ -342,7 +348,7 @@
             heard: it.heard,
             first_command: it.first_command,
             commands: list("commands", STREAM_MAX, it.commands)?,
-            routes: routes.map(Box::new),
+            routes: routes.map(Arc::new),
             config: ConfigVersion(it.config),
             dismissed: it.dismissed,
         })
@@ -407,18 +413,23 @@
 impl From<&Routes> for WireRoutes {
     fn from(it: &Routes) -> WireRoutes {
         let member = |it: &RouteMember| {
-            let instance = WireInstance::from(&it.instance);
-            WireRouteMember(instance, it.state.into(), it.load_us_per_s, it.config.0)
+            WireRouteMember(it.number.0, (&it.instance).into(), it.standing.into())
         };
+        let change =
+            |it: &RouteMemberChange| WireRouteMemberChange(it.number.0, it.standing.into());
         let run = |it: &RouteRun| {
-            let (token, successors) = (it.token.into(), it.successors.clone());
-            WireRouteRun(it.first.0, it.last.0, it.owner, token, successors)
+            let successors = it.successors.iter().map(|it| it.0).collect();
+            let owner = it.owner.map(|it| it.0);
+            WireRouteRun(it.first.0, it.last.0, owner, it.token.into(), successors)
         };
-        let key = |it: &RouteKey| WireRouteKey(it.key_hash.0, it.owner, it.token.into());
+        let key =
+            |it: &RouteKey| WireRouteKey(it.key_hash.0, it.owner.map(|it| it.0), it.token.into());
         WireRoutes(
             it.since,
             it.version,
-            it.members.as_ref().map(|it| it.iter().map(member).collect()),
+            it.gone.iter().map(|it| it.0).collect(),
+            it.joined.iter().map(member).collect(),
+            it.changed.iter().map(change).collect(),
             it.slots.iter().map(run).collect(),
             it.keys.iter().map(key).collect(),
         )
@@ -429,16 +440,36 @@
     type Error = WireError;
 
     fn try_from(it: WireRouteMember) -> Result<RouteMember, WireError> {
-        let WireRouteMember(instance, state, load_us_per_s, config) = it;
+        let WireRouteMember(number, instance, standing) = it;
         Ok(RouteMember {
+            number: MemberNumber(number),
             instance: instance.try_into()?,
-            state: state.into(),
-            load_us_per_s,
-            config: ConfigVersion(config),
+            standing: standing.into(),
         })
     }
 }
 
+impl From<WireRouteMemberChange> for RouteMemberChange {
+    fn from(WireRouteMemberChange(number, standing): WireRouteMemberChange) -> RouteMemberChange {
+        RouteMemberChange { number: MemberNumber(number), standing: standing.into() }
+    }
+}
+
+impl From<MemberStanding> for WireMemberStanding {
+    fn from(it: MemberStanding) -> WireMemberStanding {
+        WireMemberStanding(it.state.into(), it.load_us_per_s, it.config.0)
+    }
+}
+
+impl From<WireMemberStanding> for MemberStanding {
+    fn from(
+        WireMemberStanding(state, load_us_per_s, config): WireMemberStanding,
+    ) -> MemberStanding {
+        let config = ConfigVersion(config);
+        MemberStanding { state: state.into(), load_us_per_s, config }
+    }
+}
+
 impl TryFrom<WireRouteRun> for RouteRun {
     type Error = WireError;
 
@@ -448,7 +479,9 @@
             let reason = format!("slots {first} to {last}");
             return Err(WireError::Value { field: "routes of slots", reason });
         }
-        let successors = list("successors", GROUP_MEMBERS_MAX, successors)?;
+        let successors: Vec<u16> = list("successors", GROUP_MEMBERS_MAX, successors)?;
+        let successors = successors.into_iter().map(MemberNumber).collect();
+        let owner = owner.map(MemberNumber);
         let (first, last) = (Slot(first), Slot(last));
         Ok(RouteRun { first, last, owner, token: token.into(), successors })
     }
@@ -456,6 +489,7 @@
 
 impl From<WireRouteKey> for RouteKey {
     fn from(WireRouteKey(key_hash, owner, token): WireRouteKey) -> RouteKey {
+        let owner = owner.map(MemberNumber);
         RouteKey { key_hash: KeyHash(key_hash), owner, token: token.into() }
     }
 }
@@ -464,12 +498,14 @@
     type Error = WireError;
 
     fn try_from(it: WireRoutes) -> Result<Routes, WireError> {
-        let WireRoutes(since, version, members, slots, keys) = it;
-        let members = members.map(|it| list("members", GROUP_MEMBERS_MAX, it));
+        let WireRoutes(since, version, gone, joined, changed, slots, keys) = it;
+        let gone: Vec<u16> = list("members that are gone", GONE_MAX, gone)?;
         Ok(Routes {
             since,
             version,
-            members: members.transpose()?,
+            gone: gone.into_iter().map(MemberNumber).collect(),
+            joined: list("members", GROUP_MEMBERS_MAX, joined)?,
+            changed: list("changed members", GROUP_MEMBERS_MAX, changed)?,
             slots: list("routes of slots", SLOTS_MAX, slots)?,
             keys: list("routes of keys", KEYS_MAX, keys)?,
         })
--- a/crates/wire/src/control/tests.rs
+++ b/crates/wire/src/control/tests.rs
@@ -1,9 +1,12 @@
 //! Round trips, sizes and hostile bytes.
 
+use std::sync::Arc;
+
 use model::{ConfigVersion, Incarnation, Instance, KeyHash, Slot, Term, Token};
 use ownership::{
-    Command, HeldKey, HeldSlot, Holding, KeyLoad, LoadReport, Message, Renew, Renewed, Report,
-    RouteKey, RouteMember, RouteRun, Routes, SessionId, SlotLoad, UpstreamState,
+    Command, HeldKey, HeldSlot, Holding, KeyLoad, LoadReport, MemberNumber, MemberStanding,
+    Message, Renew, Renewed, Report, RouteKey, RouteMember, RouteMemberChange, RouteRun, Routes,
+    SessionId, SlotLoad, UpstreamState,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand::{RngExt, SeedableRng};
@@ -113,17 +116,24 @@
 }
 
 fn routes(rng: &mut Pcg64Mcg) -> Routes {
-    let index = |rng: &mut Pcg64Mcg| rng.random_range(0..32);
+    let index = |rng: &mut Pcg64Mcg| MemberNumber(rng.random_range(0..32));
+    let standing = |rng: &mut Pcg64Mcg| MemberStanding {
+        state: state(rng),
+        load_us_per_s: rng.random(),
+        config: ConfigVersion(rng.random()),
+    };
     Routes {
         since: rng.random(),
         version: rng.random(),
-        members: rng.random_bool(0.5).then(|| {
-            some(rng, 32, |rng| RouteMember {
-                instance: instance(rng),
-                state: state(rng),
-                load_us_per_s: rng.random(),
-                config: ConfigVersion(rng.random()),
-            })
+        gone: some(rng, 4, index),
+        joined: some(rng, 32, |rng| RouteMember {
+            number: index(rng),
+            instance: instance(rng),
+            standing: standing(rng),
+        }),
+        changed: some(rng, 8, |rng| RouteMemberChange {
+            number: index(rng),
+            standing: standing(rng),
         }),
         slots: some(rng, 20, |rng| {
             let first = rng.random_range(0..4096);
@@ -152,7 +162,7 @@
         heard: rng.random(),
         first_command: rng.random(),
         commands: some(rng, 6, command),
-        routes: rng.random_bool(0.5).then(|| Box::new(routes(rng))),
+        routes: rng.random_bool(0.5).then(|| Arc::new(routes(rng))),
         config: ConfigVersion(rng.random()),
         dismissed: rng.random(),
     }
@@ -272,7 +282,7 @@
             token: Token::default(),
             successors: Vec::new(),
         };
-        let routes = Some(Box::new(Routes { slots: vec![run], ..Routes::default() }));
+        let routes = Some(Arc::new(Routes { slots: vec![run], ..Routes::default() }));
         let renewed = Renewed { routes, ..renewed(&mut Pcg64Mcg::seed_from_u64(1)) };
         assert!(decode(&encode(&Message::Renewed(Box::new(renewed)))).is_err());
     }
--- a/crates/wire/src/control/types.rs
+++ b/crates/wire/src/control/types.rs
@@ -193,27 +193,38 @@
     Clear(WireToken),
 }
 
-/// Since, version, members, slots, keys.
+/// Since, version, members that are gone, joined and changed, slots, keys.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 pub(super) struct WireRoutes(
     pub(super) u64,
     pub(super) u64,
-    pub(super) Option<Vec<WireRouteMember>>,
+    pub(super) Vec<u16>,
+    pub(super) Vec<WireRouteMember>,
+    pub(super) Vec<WireRouteMemberChange>,
     pub(super) Vec<WireRouteRun>,
     pub(super) Vec<WireRouteKey>,
 );
 
-/// Instance, state, load, version of the document.
+/// Number, instance, standing.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 pub(super) struct WireRouteMember(
+    pub(super) u16,
     pub(super) WireInstance,
-    pub(super) WireUpstream,
-    pub(super) u64,
-    pub(super) u64,
+    pub(super) WireMemberStanding,
 );
 
+/// Number, standing.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireRouteMemberChange(pub(super) u16, pub(super) WireMemberStanding);
+
+/// State, load, version of the document.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireMemberStanding(pub(super) WireUpstream, pub(super) u64, pub(super) u64);
+
 /// First and last slot, owner, token, successors.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
