Joins of a hundred members are told of once; other services' groups are asked for less; a soak

Large groups. Change: who knows no routes of the term is answered with the next tick, all alike; slots are looked through only if one has changed; routes are not sent again within a second; proposals pause for 5 ms a member; a first plan waits for joins as long as they come, for a second at most.

Cause: each configuration named all services again, and each process read coordinator and plan of each of them (2 calls a service and configuration), and once a second while a group was not there yet. Change: no read while members answer; repeats read by age, where the store has a cheaper way (ObjectStore::read_aged); routes are asked of whoever listens at an address, for a store may name an earlier life. Counted as aged_read.

Ruled out: spreading the first update of a new group over 0.3 s.

Soak: cargo xtask soak [--seed N] [--minutes M] [--json]: real programs, three lanes of overlapping faults, a proxy on each way to the store, restarts beside living upstreams; promises checked from the journals of callers and upstreams.

--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -55,6 +55,14 @@
     pub(crate) plan: Option<Plan>,
 }
 
+/// Which state of an object is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Age {
+    Latest,
+    /// Perhaps seconds old, and cheaper.
+    Any,
+}
+
 /// What a coordinator watches.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum WatchPrefix {
@@ -150,10 +158,10 @@
     }
 
     /// Reads what the platform knows of another service's group, for its routes.
-    pub(crate) fn read_group(&self, service: &ServiceName, group: GroupId) {
+    pub(crate) fn read_group(&self, service: &ServiceName, group: GroupId, age: Age) {
         let service = service.clone();
         self.spawn(move |platform| async move {
-            let result = read_group(platform.as_ref(), &service, group).await;
+            let result = read_group(platform.as_ref(), &service, group, age).await;
             Done::Group { service, result }
         });
     }
@@ -234,9 +242,10 @@
     platform: &dyn ObjectStore,
     service: &ServiceName,
     group: GroupId,
+    age: Age,
 ) -> Result<GroupRead, StoreError> {
-    let coordinator = read_json(platform, &coordinator_path(service, group)).await?;
-    let plan = read_json(platform, &plan_path(service, group)).await?;
+    let coordinator = read_json_of(platform, &coordinator_path(service, group), age).await?;
+    let plan = read_json_of(platform, &plan_path(service, group), age).await?;
     Ok(GroupRead { coordinator: coordinator.map(|(_, it)| it), plan: plan.map(|(_, it)| it) })
 }
 
@@ -245,7 +254,19 @@
     platform: &dyn ObjectStore,
     path: &str,
 ) -> Result<Option<(ObjectVersion, T)>, StoreError> {
-    let Some(object) = platform.read(path).await? else { return Ok(None) };
+    read_json_of(platform, path, Age::Latest).await
+}
+
+async fn read_json_of<T: DeserializeOwned>(
+    platform: &dyn ObjectStore,
+    path: &str,
+    age: Age,
+) -> Result<Option<(ObjectVersion, T)>, StoreError> {
+    let read = match age {
+        Age::Latest => platform.read(path),
+        Age::Any => platform.read_aged(path),
+    };
+    let Some(object) = read.await? else { return Ok(None) };
     match serde_json::from_slice(&object.body) {
         Ok(value) => Ok(Some((object.version, value))),
         Err(error) => {
--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -13,7 +13,7 @@
 use wire::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
 
 use crate::control::{
-    calls::GroupRead,
+    calls::{Age, GroupRead},
     state::{Control, DocumentSource, ONLY_GROUP},
 };
 
@@ -56,6 +56,11 @@
 }
 
 impl Foreign {
+    /// Whether its members tell of their routes.
+    fn is_heard(&self) -> bool {
+        self.routes.is_some() && self.unanswered <= UNANSWERED_MAX
+    }
+
     /// Notes one more question. The platform is asked once members have been silent for a while,
     /// however often routes turn out stale meanwhile.
     fn ask(&mut self, now: Timestamp) -> Question {
@@ -163,9 +168,14 @@
             return;
         }
         foreign.asked_at = now;
+        let heard = foreign.is_heard();
         self.read_accepted(&service);
-        self.parts.calls.read_group(&service, ONLY_GROUP);
-        self.ask_peers(&service);
+        // Members that answer know it better: each new configuration names all services again, and two reads for
+        // each in each process were a third of all calls.
+        if !heard {
+            self.parts.calls.read_group(&service, ONLY_GROUP, Age::Latest);
+            self.ask_peers(&service);
+        }
         // The document may be known already, from a watch.
         self.dirty = true;
     }
@@ -211,8 +221,9 @@
         let Some(foreign) = self.foreign.table.get_mut(service) else { return };
         let question = foreign.ask(now);
         if question.platform {
+            let age = if foreign.routes.is_some() { Age::Latest } else { Age::Any };
             self.read_accepted(service);
-            self.parts.calls.read_group(service, ONLY_GROUP);
+            self.parts.calls.read_group(service, ONLY_GROUP, age);
             self.ask_peers(service);
         }
         let mut targets = self.some_members(service, question.members);
@@ -232,7 +243,8 @@
         let known = routes.map_or(0, |it| it.version);
         for target in targets {
             let envelope = Envelope::FetchRoutes { service: service.clone(), known };
-            self.parts.links.send(&target, envelope.encode());
+            // Whichever life of it is there by now: the store may name the one before.
+            self.parts.links.send_to_address(target.control, envelope.encode());
         }
     }
 
@@ -291,7 +303,7 @@
         };
         let config = self.documents.version(&service);
         let Some(foreign) = self.foreign.table.get_mut(&service) else { return };
-        if foreign.routes.is_some() && foreign.unanswered <= UNANSWERED_MAX {
+        if foreign.is_heard() {
             return;
         }
         if let Some(plan) = read.plan {
--- a/crates/object-store/src/api.rs
+++ b/crates/object-store/src/api.rs
@@ -52,6 +52,10 @@
 pub trait ObjectStore: Send + Sync {
     /// Reads the latest acknowledged state of an object.
     fn read(&self, path: &str) -> StoreResult<'_, Option<Object>>;
+    /// Reads some acknowledged state of an object, perhaps seconds old, where a store has a cheaper way for that.
+    fn read_aged(&self, path: &str) -> StoreResult<'_, Option<Object>> {
+        self.read(path)
+    }
     /// Updates on condition of the version; `ObjectVersion(0)`: that it does not exist.
     fn update(
         &self,
--- a/crates/object-store/src/counted.rs
+++ b/crates/object-store/src/counted.rs
@@ -17,19 +17,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum CallKind {
     Read,
+    /// A read that may show an older state.
+    AgedRead,
     Update,
     List,
     Watch,
 }
 
 impl CallKind {
-    pub const ALL: [CallKind; 4] =
-        [CallKind::Read, CallKind::Update, CallKind::List, CallKind::Watch];
+    pub const ALL: [CallKind; 5] =
+        [CallKind::Read, CallKind::AgedRead, CallKind::Update, CallKind::List, CallKind::Watch];
 
     /// The value of the `kind` label in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
             CallKind::Read => "read",
+            CallKind::AgedRead => "aged_read",
             CallKind::Update => "update",
             CallKind::List => "list",
             CallKind::Watch => "watch",
@@ -69,6 +72,10 @@
         self.count(CallKind::Read).read(path)
     }
 
+    fn read_aged(&self, path: &str) -> StoreResult<'_, Option<Object>> {
+        self.count(CallKind::AgedRead).read_aged(path)
+    }
+
     fn update(
         &self,
         path: &str,
--- a/crates/ownership/src/coordinator/answer.rs
+++ b/crates/ownership/src/coordinator/answer.rs
@@ -29,13 +29,27 @@
 /// How often, for each member, the loads of members are told where routing goes by them.
 const MEMBER_LOADS_EVERY: Duration = Duration::from_millis(300);
 
+/// Who is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Whom {
+    /// Members that know routes of this term.
+    Following,
+    /// Also those that have to be told all of them. This waits for a tick: all that join between two of them are
+    /// told the same, which is made once, and not for each of a hundred that join together.
+    All,
+}
+
 impl Coordination {
-    /// Answers all that wait, if this term is confirmed.
-    pub(super) fn answer_all(&mut self, ctx: &mut Ctx<'_>) {
+    /// Answers those that wait, if this term is confirmed.
+    pub(super) fn answer_all(&mut self, ctx: &mut Ctx<'_>, whom: Whom) {
         if !self.may_renew(ctx) {
             return;
         }
-        let due = |row: &MemberRow| row.answer_due || row.push_due;
+        let first = first_version(self.term);
+        let due = |row: &MemberRow| {
+            let follows = row.route_version.max(row.routes_sent) >= first;
+            (row.answer_due || row.push_due) && (follows || whom == Whom::All)
+        };
         work::note(self.members.rows.len() / 8);
         let due: Vec<MemberId> =
             self.members.rows.iter().filter(|it| due(it.1)).map(|it| it.0.clone()).collect();
@@ -48,10 +62,7 @@
         assert!(self.may_renew(ctx), "renewal without confirmation");
         let times = self.times(ctx);
         let Some(row) = self.members.rows.get(id) else { return };
-        let since = match row.answer_due {
-            true => row.route_version,
-            false => row.route_version.max(row.routes_sent),
-        };
+        let since = row.routes_known(ctx.now);
         let is_news = since < self.route_version;
         let routes = is_news.then(|| self.routes_since(since));
         let Some(row) = self.members.rows.get(id) else { return };
@@ -59,6 +70,7 @@
         let Some(row) = self.members.rows.get_mut(id) else { return };
         if let Some(routes) = &routes {
             row.routes_sent = routes.version;
+            row.routes_sent_at = ctx.now;
         }
         row.answer_due = false;
         row.push_due = false;
@@ -96,9 +108,8 @@
         let Some(gone) = gone else { return self.routes(0) };
         let number = |id: &MemberId| self.members.rows.get(id).map(|it| it.number);
         let names_told = self.tells_successors();
-        work::note(self.members.rows.len() + self.table.slots.len());
-        let mut changed: Vec<_> =
-            self.table.iter().filter(|(_, row)| row.changed_in > since).collect();
+        work::note(self.members.rows.len() / 8);
+        let mut changed = self.slots_changed_since(since);
         let run = |(slot, row): &(Slot, &SlotRow)| RouteRun {
             first: *slot,
             last: *slot,
@@ -136,6 +147,15 @@
         }
     }
 
+    fn slots_changed_since(&self, since: u64) -> Vec<(Slot, &SlotRow)> {
+        // Most of what members are told is about other members.
+        if since >= self.slots_changed_in {
+            return Vec::new();
+        }
+        work::note(self.table.slots.len());
+        self.table.iter().filter(|(_, row)| row.changed_in > since).collect()
+    }
+
     /// Successors are told while that keeps the routes short: they cut the slots of each owner into up to
     /// eight runs.
     pub(super) fn tells_successors(&self) -> bool {
--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -126,7 +126,7 @@
         let last = self.table.slots[usize::from(slot.0)].last_token;
         // A key that came back to the slot meanwhile may have a later token than was prepared.
         let token = token.filter(|it| *it > last).unwrap_or_else(|| self.next_token());
-        let version = self.bump_routes();
+        let version = self.bump_slot_routes();
         self.exclude_keys(slot, &to);
         let row = &mut self.table.slots[usize::from(slot.0)];
         let is_free = row.holder.is_free(self.confirm.proved_at());
--- a/crates/ownership/src/coordinator/keys.rs
+++ b/crates/ownership/src/coordinator/keys.rs
@@ -183,7 +183,7 @@
     /// The slot is granted anew to whoever holds it, so that the key's token rises too.
     fn return_key(&mut self, key_hash: KeyHash, holder: Option<Grant>) {
         let token = self.next_token();
-        let version = self.bump_routes();
+        let version = self.bump_slot_routes();
         let slot = self.table.slot_of(key_hash);
         let Some(row) = self.table.keys.get_mut(&key_hash) else { return };
         assert!(row.is_free(self.confirm.proved_at()), "key returned while {:?}", row.holder);
--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -1,6 +1,9 @@
 //! The coordinator's table of members and their sessions.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use model::{ConfigVersion, Instance, KeyHash, Timestamp};
 
@@ -13,6 +16,8 @@
 
 /// The most members of one group.
 pub const GROUP_MEMBERS_MAX: usize = 256;
+/// Routes that a member does not say it has are sent again after this: two renewals, and a slow link.
+const ROUTES_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// How many numbers of members that are gone are remembered; who has heard nothing for so long is told all.
 const GONE_MAX: usize = 2 * GROUP_MEMBERS_MAX;
 /// The weight of the newest report in a member's smoothed load.
@@ -61,6 +66,7 @@
     pub(crate) route_version: u64,
     /// The version of routes up to which it has been sent some.
     pub(crate) routes_sent: u64,
+    pub(crate) routes_sent_at: Timestamp,
     /// Hot keys that the session keeps out of its slots, or has been told to.
     pub(crate) excluded: BTreeSet<KeyHash>,
     pub(crate) earlier_sessions: EarlierSessions,
@@ -91,6 +97,7 @@
             heard: 0,
             route_version: 0,
             routes_sent: 0,
+            routes_sent_at: now,
             excluded: BTreeSet::new(),
             earlier_sessions: match &renew.holding {
                 Some(it) if it.slots.is_empty() => EarlierSessions::Unknown,
@@ -101,6 +108,15 @@
         }
     }
 
+    /// The version of routes that it need not be told again: what was sent may have been lost, but not if the
+    /// answer to it can't be here yet.
+    pub(crate) fn routes_known(&self, now: Timestamp) -> u64 {
+        match now.since(self.routes_sent_at) < ROUTES_AGAIN_AFTER {
+            true => self.route_version.max(self.routes_sent),
+            false => self.route_version,
+        }
+    }
+
     /// What others are told of it.
     pub(crate) fn standing(&self) -> MemberStanding {
         MemberStanding {
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -30,6 +30,7 @@
 pub use self::members::GROUP_MEMBERS_MAX;
 
 use self::{
+    answer::Whom,
     confirm::{Confirm, ConfirmBy},
     loads::HotKeys,
     members::MemberTable,
@@ -82,6 +83,8 @@
     /// The sequence of the newest token.
     sequence: u64,
     route_version: u64,
+    /// The version in which a slot changed last.
+    slots_changed_in: u64,
     /// The routes that were told last: many are told the same.
     routes_told: Option<Arc<Routes>>,
     /// The version in which these were made.
@@ -92,6 +95,9 @@
     known: Vec<Instance>,
     next_announcement: Timestamp,
     next_proposal: Timestamp,
+    proposed_at: Timestamp,
+    /// A first plan waits for joins, as long as they come, up to this time.
+    first_plan_by: Timestamp,
     /// Since when some member could be granted something, while nothing has ever been.
     first_ready_at: Option<Timestamp>,
     /// When slots were moved to even out the load, within the last minute.
@@ -143,6 +149,7 @@
             plan: PlanKeeper::new(ctx.now, slots),
             sequence: 0,
             route_version: base + u64::from(slots.count()),
+            slots_changed_in: base + u64::from(slots.count()),
             routes_told: None,
             routes_made_in: 0,
             next_member_loads: ctx.now,
@@ -150,6 +157,8 @@
             known,
             next_announcement: ctx.now,
             next_proposal: ctx.now + delay,
+            proposed_at: Timestamp::ZERO,
+            first_plan_by: ctx.now + delay,
             first_ready_at: None,
             moved: VecDeque::new(),
             times_differ_since: None,
@@ -245,7 +254,7 @@
             }
             _ => return,
         }
-        self.answer_all(ctx);
+        self.answer_all(ctx, Whom::Following);
     }
 
     pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>) {
@@ -276,7 +285,7 @@
         }
         self.maintain(ctx);
         self.refresh_member_loads(ctx);
-        self.answer_all(ctx);
+        self.answer_all(ctx, Whom::All);
     }
 
     /// Looks through all slots and keys for what can go on: with each tick, with a plan and with new proof,
@@ -322,7 +331,7 @@
                 self.ask_to_clear(ctx);
                 self.wake();
                 self.advance(ctx);
-                self.answer_all(ctx);
+                self.answer_all(ctx, Whom::Following);
             }
             PlanReply::NotMine | PlanReply::Nothing => {}
         }
@@ -344,7 +353,7 @@
         self.confirm.read(ctx.now, call, shown, &by);
         if shown {
             self.advance(ctx);
-            self.answer_all(ctx);
+            self.answer_all(ctx, Whom::Following);
         }
         TermState::Held
     }
@@ -397,6 +406,12 @@
         self.route_version
     }
 
+    /// The version of a change of a slot.
+    fn bump_slot_routes(&mut self) -> u64 {
+        self.slots_changed_in = self.bump_routes();
+        self.slots_changed_in
+    }
+
     /// Others are told of a change of a member.
     fn member_changed(&mut self, id: &MemberId) {
         let version = self.bump_routes();
@@ -407,7 +422,11 @@
 
     /// A new plan is due soon; joins that come together are taken together.
     fn propose_soon(&mut self, now: Timestamp) {
-        self.next_proposal = self.next_proposal.min(now + propose::GATHER_FOR);
+        let soon = now + propose::GATHER_FOR;
+        self.next_proposal = match now < self.first_plan_by {
+            true => soon.min(self.first_plan_by),
+            false => self.next_proposal.min(soon),
+        };
     }
 
     /// Whether others than this node are about to leave.
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -26,6 +26,9 @@
 const FIRST_GRANTS_WAIT: Duration = Duration::from_millis(1_600);
 /// How often a new plan is thought of.
 const PROPOSE_EVERY: Duration = Duration::from_secs(1);
+/// A proposal for 112 members, its plan and the routes that follow take up to 15 ms of a core, which is 150 ms of the
+/// clock on a tenth of one: so a quarter of the machine's time at most goes to proposals.
+const PAUSE_PER_MEMBER: Duration = Duration::from_millis(5);
 /// A slot that was moved stays for this long.
 const SETTLED_FOR: Duration = Duration::from_secs(10);
 const MINUTE: Duration = Duration::from_secs(60);
@@ -84,6 +87,7 @@
             if told {
                 self.route_version += 1;
                 row.changed_in = self.route_version;
+                self.slots_changed_in = self.route_version;
             }
         }
     }
@@ -92,12 +96,15 @@
     pub(super) fn propose(&mut self, ctx: &mut Ctx<'_>) {
         let ready = self.is_settled() && self.plan.is_idle() && self.may_renew(ctx);
         // What the plan in force can still repair is repaired first.
-        if !ready || self.next_proposal > ctx.now || self.any_grant_waits(ctx.now) {
+        let rested_at = self.proposed_at + self.proposal_pause();
+        let due_at = self.next_proposal.max(rested_at);
+        if !ready || due_at > ctx.now || self.any_grant_waits(ctx.now) {
             return;
         }
         if self.waits_for_upstreams(ctx.now) {
             return;
         }
+        self.proposed_at = ctx.now;
         let members = self.planned_members();
         let input = self.planner_input(ctx, &members);
         let proposal = propose(&input);
@@ -116,6 +123,11 @@
         }
     }
 
+    /// The least time from one proposal to the next.
+    fn proposal_pause(&self) -> Duration {
+        PAUSE_PER_MEMBER * self.members.rows.len() as u32
+    }
+
     /// Whether nothing was granted in this term and some member may soon be ready for its share. Where an
     /// earlier term planned owners, only new lives of these are waited for.
     fn waits_for_upstreams(&mut self, now: Timestamp) -> bool {
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -105,7 +105,7 @@
     }
 
     fn adopt_slot(&mut self, id: &MemberId, session: SessionId, held: &HeldSlot) {
-        let version = self.bump_routes();
+        let version = self.bump_slot_routes();
         let Some(row) = self.table.row(held.slot) else { return };
         let (member, token, closing) = (id.clone(), held.token, held.closing);
         row.holder = Holder::Member(Grant { member, session, token, closing });
--- a/xtask/src/cluster/instance.rs
+++ b/xtask/src/cluster/instance.rs
@@ -36,6 +36,17 @@
     upstream: Option<Process>,
     gone_ns: Option<u64>,
     frozen: Vec<Window>,
+    /// Counts the lives of the upstream; each writes a journal of its own.
+    life: u32,
+    past: Vec<PastLife>,
+}
+
+/// A life of an upstream that has ended, with its journal.
+#[derive(Debug)]
+struct PastLife {
+    life: u32,
+    gone_ns: u64,
+    frozen: Vec<Window>,
 }
 
 impl Instance {
@@ -73,6 +84,8 @@
             upstream: None,
             gone_ns: None,
             frozen: Vec::new(),
+            life: 1,
+            past: Vec::new(),
         })
     }
 
@@ -84,15 +97,12 @@
         peers: &[SocketAddr],
         seed: u64,
     ) -> anyhow::Result<()> {
-        let settings = self.write_settings(dir, platform, peers)?;
-        let arguments = ["--settings".to_owned(), settings.display().to_string()];
-        let name = format!("{}-agent", self.name);
-        self.agent = Some(Process::spawn(&name, &binaries.agent, &arguments, dir)?);
+        self.start_agent(binaries, dir, platform, peers)?;
         let mut arguments = self.upstream_flags.clone();
         let flags = [
             ("--listen", self.upstream_address.to_string()),
             ("--agent", self.caller.to_string()),
-            ("--journal", self.journal_file(dir).display().to_string()),
+            ("--journal", self.journal_file(dir, self.life).display().to_string()),
             ("--seed", seed.to_string()),
         ];
         arguments.extend(flags.into_iter().flat_map(|(name, it)| [name.to_owned(), it]));
@@ -101,6 +111,37 @@
         Ok(())
     }
 
+    /// Starts the agent alone, beside an upstream that lives on or is started next.
+    pub(crate) fn start_agent(
+        &mut self,
+        binaries: &Binaries,
+        dir: &RunDir,
+        platform: SocketAddr,
+        peers: &[SocketAddr],
+    ) -> anyhow::Result<()> {
+        let settings = self.write_settings(dir, platform, peers)?;
+        let arguments = ["--settings".to_owned(), settings.display().to_string()];
+        let name = format!("{}-agent", self.name);
+        self.agent = Some(Process::spawn(&name, &binaries.agent, &arguments, dir)?);
+        Ok(())
+    }
+
+    /// Starts both parts again at their addresses, once both have ended.
+    pub(crate) fn start_again(
+        &mut self,
+        binaries: &Binaries,
+        dir: &RunDir,
+        platform: SocketAddr,
+        peers: &[SocketAddr],
+        seed: u64,
+    ) -> anyhow::Result<()> {
+        let gone_ns = self.gone_ns.take().with_context(|| format!("{} is up", self.name))?;
+        let frozen = std::mem::take(&mut self.frozen);
+        self.past.push(PastLife { life: self.life, gone_ns, frozen });
+        self.life += 1;
+        self.start(binaries, dir, platform, peers, seed)
+    }
+
     fn write_settings(
         &self,
         dir: &RunDir,
@@ -127,8 +168,8 @@
         Ok(path)
     }
 
-    fn journal_file(&self, dir: &RunDir) -> PathBuf {
-        dir.file(&format!("{}.jsonl", self.name))
+    fn journal_file(&self, dir: &RunDir, life: u32) -> PathBuf {
+        dir.file(&format!("{}-{}.jsonl", self.name, life))
     }
 
     pub(crate) async fn wait_listening(&self) -> anyhow::Result<()> {
@@ -164,6 +205,14 @@
         Ok(self.sick(from_ns, u64::MAX))
     }
 
+    /// Kills the agent alone; the upstream lives on.
+    pub(crate) async fn kill_agent(&mut self) -> anyhow::Result<SickIngress> {
+        let from_ns = wall_ns();
+        self.agent()?.signal(Signal::SIGKILL)?;
+        self.agent()?.wait(STOP_TIMEOUT).await?;
+        Ok(self.sick(from_ns, u64::MAX))
+    }
+
     /// Freezes both parts. The signals have reached both when this returns; a process of several
     /// threads stops a moment later.
     pub(crate) fn freeze(&self) -> anyhow::Result<u64> {
@@ -210,14 +259,31 @@
         Ok(PlannedStop { instance, caller_address: self.caller, window })
     }
 
-    pub(crate) fn journal(&self, dir: &RunDir, keyed: bool) -> anyhow::Result<UpstreamJournal> {
+    /// The journals of all lives of the upstream.
+    pub(crate) fn journals(
+        &self,
+        dir: &RunDir,
+        keyed: bool,
+    ) -> anyhow::Result<Vec<UpstreamJournal>> {
+        let gone_ns = self.gone_ns.unwrap_or_else(wall_ns);
+        let last = PastLife { life: self.life, gone_ns, frozen: self.frozen.clone() };
+        let lives = self.past.iter().chain([&last]);
+        lives.map(|it| self.journal_of(it, dir, keyed)).collect()
+    }
+
+    fn journal_of(
+        &self,
+        life: &PastLife,
+        dir: &RunDir,
+        keyed: bool,
+    ) -> anyhow::Result<UpstreamJournal> {
         Ok(UpstreamJournal {
             instance: self.name.clone(),
             service: self.service.clone(),
             keyed,
-            entries: read_journal(&self.journal_file(dir))?,
-            gone_ns: self.gone_ns.unwrap_or_else(wall_ns),
-            frozen: self.frozen.clone(),
+            entries: read_journal(&self.journal_file(dir, life.life))?,
+            gone_ns: life.gone_ns,
+            frozen: life.frozen.clone(),
         })
     }
 }
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -49,8 +49,21 @@
         binaries: &Binaries,
         seed: u64,
     ) -> anyhow::Result<Cluster> {
-        let dir = RunDir::new(seed)?;
         let mut ports = Ports::new();
+        let mut cluster = Cluster::prepare(specs, binaries, &mut ports, seed).await?;
+        let platform_address = cluster.platform_address;
+        cluster.start_instances(binaries, seed, |_| platform_address).await?;
+        Ok(cluster)
+    }
+
+    /// Starts the platform, puts the documents into it and plans the instances.
+    pub(crate) async fn prepare(
+        specs: &[ServiceSpec],
+        binaries: &Binaries,
+        ports: &mut Ports,
+        seed: u64,
+    ) -> anyhow::Result<Cluster> {
+        let dir = RunDir::new(seed)?;
         let services = specs.iter().map(Service::load).collect::<anyhow::Result<Vec<Service>>>()?;
         let platform_address = ports.next()?;
         let listen = ["--listen".to_owned(), platform_address.to_string()];
@@ -68,7 +81,11 @@
             client,
         };
         cluster.put_documents().await?;
-        cluster.start_instances(binaries, &mut ports, seed).await?;
+        for service in &cluster.services {
+            for number in 1..=service.spec.instances {
+                cluster.instances.push(Instance::plan(service, number, ports)?);
+            }
+        }
         Ok(cluster)
     }
 
@@ -79,29 +96,30 @@
         Ok(())
     }
 
-    async fn start_instances(
+    /// Starts all instances; `platform` says at which address each reaches the platform.
+    pub(crate) async fn start_instances(
         &mut self,
         binaries: &Binaries,
-        ports: &mut Ports,
         seed: u64,
+        platform: impl Fn(usize) -> SocketAddr,
     ) -> anyhow::Result<()> {
-        for service in &self.services {
-            for number in 1..=service.spec.instances {
-                self.instances.push(Instance::plan(service, number, ports)?);
-            }
-        }
         for index in 0..self.instances.len() {
-            let service = self.instances[index].service.clone();
-            let peers = self.instances.iter().filter(|it| it.service == service);
-            let peers: Vec<SocketAddr> = peers.map(|it| it.control).collect();
+            let peers = self.peers(index);
             let instance = &mut self.instances[index];
-            instance.start(binaries, &self.dir, self.platform_address, &peers, seed)?;
+            instance.start(binaries, &self.dir, platform(index), &peers, seed)?;
         }
         let waits = self.instances.iter().map(Instance::wait_listening);
         try_join_all(waits).await?;
         Ok(())
     }
 
+    /// Control addresses of the instances of the same service.
+    pub(crate) fn peers(&self, index: usize) -> Vec<SocketAddr> {
+        let service = &self.instances[index].service;
+        let peers = self.instances.iter().filter(|it| it.service == *service);
+        peers.map(|it| it.control).collect()
+    }
+
     /// Waits until each agent answers for each service of its team.
     pub(crate) async fn wait_serving(&self) -> anyhow::Result<()> {
         let client = AgentClient::new()?;
@@ -186,8 +204,9 @@
             .iter()
             .map(|instance| {
                 let service = self.service(&instance.service).context("a service without name")?;
-                instance.journal(&self.dir, service.document.keyed)
+                instance.journals(&self.dir, service.document.keyed)
             })
-            .collect()
+            .collect::<anyhow::Result<Vec<_>>>()
+            .map(|it| it.into_iter().flatten().collect())
     }
 }
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep_until};
 
 pub(crate) use self::{
-    config_probe::PROBE_PATH, deployments::SERVICES, load::Callers, report::line,
+    config_probe::PROBE_PATH, deployments::SERVICES, faults::stop_rest, load::Callers, report::line,
 };
 
 use self::{
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod cluster;
 mod demo;
+mod soak;
 mod turn;
 
 use std::process::ExitCode;
@@ -27,6 +28,8 @@
     Demo(demo::DemoOptions),
     #[options(help = "measure")]
     Bench(bench::BenchOptions),
+    #[options(help = "strike with overlapping faults for minutes and check the promises")]
+    Soak(soak::SoakOptions),
 }
 
 #[tokio::main]
@@ -57,5 +60,6 @@
     match options.command.context("name a command; try --help")? {
         Command::Demo(options) => demo::run(options).await,
         Command::Bench(options) => bench::run(options).await,
+        Command::Soak(options) => soak::run(options).await,
     }
 }
--- /dev/null
+++ b/xtask/src/soak/proxy.rs
@@ -0,0 +1,122 @@
+//! A proxy on loopback that does to connections what networks do: delay, silence, cuts of one direction, resets.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    task::JoinSet,
+    time::sleep,
+};
+
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// What happens to all connections of a proxy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LinkState {
+    Passing,
+    /// Each chunk is held back for this long.
+    Slow(Duration),
+    /// Nothing arrives at the server.
+    CutToServer,
+    /// Nothing arrives at the client.
+    CutToClient,
+    /// Nothing arrives anywhere, and nobody is told.
+    Silent,
+    /// Connections are closed, new ones at once.
+    Closed,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Direction {
+    ToServer,
+    ToClient,
+}
+
+impl LinkState {
+    fn drops(self, direction: Direction) -> bool {
+        match direction {
+            Direction::ToServer => matches!(self, LinkState::CutToServer | LinkState::Silent),
+            Direction::ToClient => matches!(self, LinkState::CutToClient | LinkState::Silent),
+        }
+    }
+}
+
+/// One proxy in front of one server. Its connections end when it is dropped.
+pub(super) struct Proxy {
+    pub(super) address: SocketAddr,
+    state: watch::Sender<LinkState>,
+    _connections: JoinSet<()>,
+}
+
+impl Proxy {
+    pub(super) async fn start(listen: SocketAddr, server: SocketAddr) -> anyhow::Result<Proxy> {
+        let listener = TcpListener::bind(listen).await.context("binding a proxy")?;
+        let (state, watched) = watch::channel(LinkState::Passing);
+        let mut connections = JoinSet::new();
+        connections.spawn(accept(listener, server, watched));
+        Ok(Proxy { address: listen, state, _connections: connections })
+    }
+
+    pub(super) fn set(&self, state: LinkState) {
+        self.state.send_replace(state);
+    }
+}
+
+async fn accept(listener: TcpListener, server: SocketAddr, state: watch::Receiver<LinkState>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((client, _)) = listener.accept().await else { continue };
+        while connections.try_join_next().is_some() {}
+        if *state.borrow() != LinkState::Closed {
+            connections.spawn(connect(client, server, state.clone()));
+        }
+    }
+}
+
+async fn connect(client: TcpStream, server: SocketAddr, mut state: watch::Receiver<LinkState>) {
+    // Who can't be reached is seen by the client as a connection that ends.
+    let Ok(server) = TcpStream::connect(server).await else { return };
+    let (client_reader, client_writer) = client.into_split();
+    let (server_reader, server_writer) = server.into_split();
+    let there = copy(client_reader, server_writer, Arc::new(state.clone()), Direction::ToServer);
+    let back = copy(server_reader, client_writer, Arc::new(state.clone()), Direction::ToClient);
+    tokio::select! {
+        _ = there => {}
+        _ = back => {}
+        // The proxy itself has ended, or closes what it has.
+        _ = state.wait_for(|it| *it == LinkState::Closed) => {}
+    }
+}
+
+/// Passes bytes on until either side ends. What a cut has dropped leaves a gap, so the connection ends with
+/// the cut.
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    state: Arc<watch::Receiver<LinkState>>,
+    direction: Direction,
+) -> std::io::Result<()> {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    let mut has_gap = false;
+    loop {
+        let length = from.read(&mut chunk).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        let now = *state.borrow();
+        if let LinkState::Slow(delay) = now {
+            sleep(delay).await;
+        }
+        match now.drops(direction) {
+            true => has_gap = true,
+            false if has_gap => return Ok(()),
+            false => to.write_all(&chunk[..length]).await?,
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/soak/verdict.rs
@@ -0,0 +1,46 @@
+//! Which promises were broken, by the journals of callers and upstreams alone.
+
+use std::collections::BTreeSet;
+
+use standins::journal::FinalOutcome;
+
+use crate::demo::{
+    evidence::{Evidence, Window},
+    verdict::{Finding, Verdict},
+};
+
+pub(super) type Violation = Finding;
+
+/// Promises of the demo that hold however many faults overlap. How long a key goes unserved, and that a
+/// request is answered at all, is promised for single faults only.
+const PROMISES: [&str; 6] = [
+    "ran_twice",
+    "not_run_but_ran",
+    "double_owned",
+    "crossed_answers",
+    "broken_answers",
+    "cut_off",
+];
+
+/// All violations; in `checked` each probed key has to be served again.
+pub(super) fn violations(evidence: &Evidence, checked: Window) -> Vec<Violation> {
+    let verdict = Verdict::new(evidence, None);
+    let mut violations: Vec<Violation> =
+        verdict.findings.into_iter().filter(|it| PROMISES.contains(&it.invariant)).collect();
+    violations.extend(unserved(evidence, checked));
+    violations
+}
+
+fn unserved(evidence: &Evidence, checked: Window) -> impl Iterator<Item = Violation> {
+    let of_key = |service: &str, key: &str| format!("{service}/{key}");
+    let in_time = evidence.calls.iter().filter(move |it| checked.contains(it.first_sent_ns()));
+    let asked: BTreeSet<String> = in_time.clone().map(|it| of_key(&it.service, &it.key)).collect();
+    let answered = in_time.filter(|it| it.outcome == FinalOutcome::Answered);
+    let answered: BTreeSet<String> = answered.map(|it| of_key(&it.service, &it.key)).collect();
+    let probed: Vec<String> = asked
+        .difference(&answered)
+        .filter(|it| evidence.probed_keys.iter().any(|key| it.ends_with(&format!("/{key}"))))
+        .cloned()
+        .collect();
+    probed.into_iter().map(|it| Finding { invariant: "unserved", detail: it })
+}
