--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -52,7 +52,8 @@
 #[derive(Debug, PartialEq, Eq)]
 pub(super) struct Question {
     pub(super) members: usize,
-    pub(super) platform: bool,
+    /// None: the platform is not asked.
+    pub(super) platform: Option<Age>,
 }
 
 impl Foreign {
@@ -68,8 +69,10 @@
         self.unanswered += 1;
         let silent = self.unanswered > UNANSWERED_MAX || self.routes.is_none();
         let due = self.platform_asked_at.is_none_or(|it| now.since(it) >= REFRESH_EVERY);
-        let platform = silent && due;
-        if platform {
+        // While there is no group yet, which lasts for seconds, an older state does as well.
+        let age = if self.routes.is_some() { Age::Latest } else { Age::Any };
+        let platform = (silent && due).then_some(age);
+        if platform.is_some() {
             self.platform_asked_at = Some(now);
         }
         Question { members: if silent { ASKED_AT_ONCE } else { 1 }, platform }
@@ -128,6 +131,12 @@
         self.table.get_mut(&table.service).is_some_and(|it| it.hear(from, table))
     }
 
+    /// Whether members of a service tell of its routes.
+    #[cfg(test)]
+    pub(super) fn is_heard(&self, service: &ServiceName) -> bool {
+        self.table.get(service).is_some_and(Foreign::is_heard)
+    }
+
     #[cfg(test)]
     pub(super) fn member_count(&self, service: &ServiceName) -> Option<usize> {
         Some(self.table.get(service)?.routes.as_ref()?.members.len())
@@ -220,8 +229,7 @@
     fn ask_for_routes(&mut self, now: Timestamp, service: &ServiceName, hint: Option<Instance>) {
         let Some(foreign) = self.foreign.table.get_mut(service) else { return };
         let question = foreign.ask(now);
-        if question.platform {
-            let age = if foreign.routes.is_some() { Age::Latest } else { Age::Any };
+        if let Some(age) = question.platform {
             self.read_accepted(service);
             self.parts.calls.read_group(service, ONLY_GROUP, age);
             self.ask_peers(service);
--- a/crates/agent/src/control/tests/documents.rs
+++ b/crates/agent/src/control/tests/documents.rs
@@ -6,6 +6,7 @@
 use wire::exchange::{RouteMember, RouteTable};
 
 use crate::control::{
+    calls::Age,
     documents::{Documents, Raised},
     foreign::ForeignRoutes,
 };
@@ -94,8 +95,27 @@
     // All members that are known have gone, and each tenth of a second a request says so.
     let asked = (0..30).map(|it| Timestamp::from_ms(1_000 + it * 100));
     let platform: Vec<u64> = asked
-        .filter(|it| foreign.ask(*it, &service).is_some_and(|it| it.platform))
+        .filter(|it| foreign.ask(*it, &service).is_some_and(|it| it.platform.is_some()))
         .map(|it| it.ns / 1_000_000)
         .collect();
     assert_eq!(platform, [1_300, 2_300, 3_300]);
 }
+
+#[test]
+fn the_platform_is_asked_by_age_until_there_is_a_group() {
+    let service = ServiceName::new("standings").unwrap();
+    let mut foreign = ForeignRoutes::default();
+    foreign.want(&service);
+    let ask = |foreign: &mut ForeignRoutes, s: u64| {
+        foreign.ask(Timestamp::from_ms(1_000 * s), &service).and_then(|it| it.platform)
+    };
+    assert_eq!(ask(&mut foreign, 1), Some(Age::Any));
+    assert!(!foreign.is_heard(&service));
+    foreign.hear(&instance("a"), routes(1, &["a"]));
+    assert!(foreign.is_heard(&service));
+    assert_eq!(ask(&mut foreign, 3), None);
+    // Its members have fallen silent: what is known is from before a loss, and an older state would name it again.
+    let later: Vec<_> = (4..9).filter_map(|it| ask(&mut foreign, it)).collect();
+    assert_eq!(later.first(), Some(&Age::Latest));
+    assert!(!foreign.is_heard(&service));
+}
--- a/crates/ownership/src/coordinator/answer.rs
+++ b/crates/ownership/src/coordinator/answer.rs
@@ -92,6 +92,8 @@
 
     /// What has changed since a version, which many members are told at a time.
     fn routes_since(&mut self, since: u64) -> Arc<Routes> {
+        // What is known of earlier terms makes no difference.
+        let since = if since < first_version(self.term) { 0 } else { since };
         let told = self.routes_told.as_ref().filter(|it| it.since == since);
         if let Some(told) = told.filter(|_| self.routes_made_in == self.route_version) {
             return Arc::clone(told);
--- a/crates/ownership/src/member/mod.rs
+++ b/crates/ownership/src/member/mod.rs
@@ -13,9 +13,9 @@
     rules::{self, Rule},
 };
 
-use self::{holdings::Holdings, routes::RouteTable};
+use self::holdings::Holdings;
 
-pub(crate) use self::routes::first_version;
+pub(crate) use self::routes::{RouteTable, first_version};
 
 /// Renewals whose answer may still come.
 const SENT_MAX: usize = 64;
--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod loads;
 mod order;
 
+mod routes;
 mod size;
 mod random;
 mod sabotage;
--- /dev/null
+++ b/crates/ownership/src/tests/routes.rs
@@ -0,0 +1,119 @@
+//! What a member makes of the routes that it is told.
+
+use model::{
+    ConfigVersion, Incarnation, Instance, InstanceName, KeyHash, Slot, SlotCount, Term, Token, Zone,
+};
+
+use crate::{
+    MemberNumber, MemberStanding, RouteMember, RouteMemberChange, RouteRun, Routes, UpstreamState,
+    member::{RouteTable, first_version},
+};
+
+const TERM: Term = Term(3);
+const FIRST: MemberNumber = MemberNumber(0);
+const SECOND: MemberNumber = MemberNumber(1);
+
+fn instance(name: &str) -> Instance {
+    Instance {
+        name: InstanceName::new(name).unwrap(),
+        incarnation: Incarnation(1),
+        zone: Zone::new("pitlane").unwrap(),
+        control: "127.0.0.1:1".parse().unwrap(),
+        traffic: "127.0.0.1:2".parse().unwrap(),
+    }
+}
+
+fn standing(state: UpstreamState) -> MemberStanding {
+    MemberStanding { state, load_us_per_s: 0, config: ConfigVersion(1) }
+}
+
+fn joined(number: MemberNumber, name: &str) -> RouteMember {
+    RouteMember { number, instance: instance(name), standing: standing(UpstreamState::Ready) }
+}
+
+fn run(first: u16, last: u16, owner: MemberNumber) -> RouteRun {
+    RouteRun {
+        first: Slot(first),
+        last: Slot(last),
+        owner: Some(owner),
+        token: Token { term: TERM, sequence: 1 },
+        successors: Vec::new(),
+    }
+}
+
+/// Two members, with a slot each.
+fn table() -> RouteTable {
+    let mut table = RouteTable::default();
+    let whole = Routes {
+        version: first_version(TERM) + 1,
+        joined: vec![joined(FIRST, "a"), joined(SECOND, "b")],
+        slots: vec![run(0, 0, FIRST), run(1, 1, SECOND)],
+        ..Routes::default()
+    };
+    table.apply(TERM, &whole);
+    table
+}
+
+fn names(table: &RouteTable) -> Vec<String> {
+    table.members().map(|it| it.instance.name.as_str().to_owned()).collect()
+}
+
+fn owners(table: &RouteTable) -> Vec<String> {
+    let slots = SlotCount::new(2).unwrap();
+    let owners = table.owners(|it: KeyHash| slots.slot_of(it));
+    owners.into_iter().filter_map(|it| it.owner).map(|it| it.name.as_str().to_owned()).collect()
+}
+
+#[test]
+fn a_number_that_has_become_free_names_a_later_member() {
+    let mut table = table();
+    let version = table.version;
+    let changes = Routes {
+        since: version,
+        version: version + 2,
+        gone: vec![SECOND],
+        joined: vec![joined(SECOND, "c")],
+        slots: vec![run(1, 1, SECOND)],
+        ..Routes::default()
+    };
+    table.apply(TERM, &changes);
+    assert_eq!(names(&table), ["a", "c"]);
+    assert_eq!(owners(&table), ["a", "c"]);
+}
+
+#[test]
+fn a_change_keeps_who_a_member_is() {
+    let mut table = table();
+    let version = table.version;
+    let change = RouteMemberChange { number: FIRST, standing: standing(UpstreamState::Draining) };
+    let changes =
+        Routes { since: version, version: version + 1, changed: vec![change], ..Routes::default() };
+    table.apply(TERM, &changes);
+    let states: Vec<_> = table.members().map(|it| it.state).collect();
+    assert_eq!(states, [UpstreamState::Draining, UpstreamState::Ready]);
+    assert_eq!(names(&table), ["a", "b"]);
+}
+
+#[test]
+fn changes_with_some_missing_before_them_are_not_taken_in() {
+    let mut table = table();
+    let version = table.version;
+    let changes =
+        Routes { since: version + 1, version: version + 2, gone: vec![FIRST], ..Routes::default() };
+    table.apply(TERM, &changes);
+    assert_eq!((names(&table).len(), table.version), (2, version));
+}
+
+#[test]
+fn the_whole_table_of_a_later_term_forgets_the_members_of_the_one_before() {
+    let mut table = table();
+    let whole = Routes {
+        version: first_version(Term(4)) + 1,
+        joined: vec![joined(FIRST, "d")],
+        slots: vec![run(0, 1, FIRST)],
+        ..Routes::default()
+    };
+    table.apply(Term(4), &whole);
+    assert_eq!(names(&table), ["d"]);
+    assert_eq!(owners(&table), ["d", "d"]);
+}
