--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -7,9 +7,19 @@
 
 use super::proxy::LinkState;
 
-/// One fault, and for how long.
+/// One fault, by what it strikes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Fault {
+    /// The processes of one instance.
+    Instance(InstanceFault),
+    /// The connections between one agent and the store.
+    StoreLink(LinkState),
+    /// The store, for all.
+    Store(StoreFault),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum InstanceFault {
     /// The agent and its upstream get no processor time.
     Freeze,
     /// The agent alone gets none.
@@ -20,27 +30,29 @@
     KillAgent,
     /// Both leave in order, and are started again.
     Leave,
-    /// The connections between the agent and the store.
-    StoreLink(LinkState),
-    /// The store serves nobody.
-    StoreDown,
-    StoreSlow,
-    /// The store carries some updates out, and their answers are lost.
-    StoreLosesAnswers,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StoreFault {
+    /// It serves nobody.
+    Down,
+    Slow,
+    /// It carries some updates out, and their answers are lost.
+    LosesAnswers,
 }
 
 impl Fault {
     pub(super) fn name(self) -> &'static str {
         match self {
-            Fault::Freeze => "freeze",
-            Fault::PauseAgent => "pause_agent",
-            Fault::Kill => "kill",
-            Fault::KillAgent => "kill_agent",
-            Fault::Leave => "leave",
+            Fault::Instance(InstanceFault::Freeze) => "freeze",
+            Fault::Instance(InstanceFault::PauseAgent) => "pause_agent",
+            Fault::Instance(InstanceFault::Kill) => "kill",
+            Fault::Instance(InstanceFault::KillAgent) => "kill_agent",
+            Fault::Instance(InstanceFault::Leave) => "leave",
             Fault::StoreLink(_) => "store_link",
-            Fault::StoreDown => "store_down",
-            Fault::StoreSlow => "store_slow",
-            Fault::StoreLosesAnswers => "store_loses_answers",
+            Fault::Store(StoreFault::Down) => "store_down",
+            Fault::Store(StoreFault::Slow) => "store_slow",
+            Fault::Store(StoreFault::LosesAnswers) => "store_loses_answers",
         }
     }
 }
@@ -50,7 +62,7 @@
 pub(super) struct PlannedFault {
     pub(super) after: Duration,
     pub(super) lasts: Duration,
-    /// The instance that it strikes; the store's own faults strike all.
+    /// Which of the lane's instances it strikes; a fault of the store strikes all.
     pub(super) instance: usize,
     pub(super) fault: Fault,
 }
@@ -77,14 +89,14 @@
 
 fn draw(rng: &mut Pcg64Mcg) -> Fault {
     match rng.random_range(0..16) {
-        0..=1 => Fault::Freeze,
-        2..=3 => Fault::PauseAgent,
-        4..=5 => Fault::Kill,
-        6..=7 => Fault::KillAgent,
-        8..=9 => Fault::Leave,
-        10 => Fault::StoreDown,
-        11 => Fault::StoreSlow,
-        12 => Fault::StoreLosesAnswers,
+        0..=1 => Fault::Instance(InstanceFault::Freeze),
+        2..=3 => Fault::Instance(InstanceFault::PauseAgent),
+        4..=5 => Fault::Instance(InstanceFault::Kill),
+        6..=7 => Fault::Instance(InstanceFault::KillAgent),
+        8..=9 => Fault::Instance(InstanceFault::Leave),
+        10 => Fault::Store(StoreFault::Down),
+        11 => Fault::Store(StoreFault::Slow),
+        12 => Fault::Store(StoreFault::LosesAnswers),
         13 => Fault::StoreLink(LinkState::Silent),
         14 => Fault::StoreLink(LinkState::CutToClient),
         _ => Fault::StoreLink(draw_link(rng)),
--- a/xtask/src/soak/lane.rs
+++ b/xtask/src/soak/lane.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{
-    faults::{self, Fault, PlannedFault},
+    faults::{self, Fault, InstanceFault, PlannedFault, StoreFault},
     proxy::{LinkState, Proxy},
 };
 use crate::{
@@ -20,6 +20,13 @@
     pub(super) stops: Vec<PlannedStop>,
 }
 
+/// What processes are started again with.
+struct Restart<'a> {
+    binaries: &'a Binaries,
+    dir: &'a RunDir,
+    seed: u64,
+}
+
 /// An instance with its way to the store.
 struct Member {
     instance: Instance,
@@ -80,26 +87,27 @@
             log::info!(target: "soak", "{it:?}.");
             let member = &mut self.members[it.instance];
             match it.fault {
-                Fault::StoreDown | Fault::StoreSlow | Fault::StoreLosesAnswers => {
-                    strike_store(cluster, it.fault, it.lasts).await?;
-                }
+                Fault::Store(fault) => strike_store(cluster, fault, it.lasts).await?,
                 Fault::StoreLink(state) => {
                     member.proxy.set(state);
                     sleep(it.lasts).await;
                     member.proxy.set(LinkState::Passing);
                 }
-                _ => member.strike(&it, binaries, &cluster.dir, self.seed, &mut struck).await?,
+                Fault::Instance(fault) => {
+                    let restart = Restart { binaries, dir: &cluster.dir, seed: self.seed };
+                    member.strike(fault, it.lasts, &restart, &mut struck).await?;
+                }
             }
         }
         Ok(struck)
     }
 }
 
-async fn strike_store(cluster: &Cluster, fault: Fault, lasts: Duration) -> anyhow::Result<()> {
+async fn strike_store(cluster: &Cluster, fault: StoreFault, lasts: Duration) -> anyhow::Result<()> {
     let (on, off) = match fault {
-        Fault::StoreDown => (r#"{"down": true}"#, r#"{"down": false}"#),
-        Fault::StoreSlow => (r#"{"slow_ms": 150}"#, r#"{"slow_ms": 0}"#),
-        _ => (r#"{"lose_answers": 2}"#, r#"{"lose_answers": 0}"#),
+        StoreFault::Down => (r#"{"down": true}"#, r#"{"down": false}"#),
+        StoreFault::Slow => (r#"{"slow_ms": 150}"#, r#"{"slow_ms": 0}"#),
+        StoreFault::LosesAnswers => (r#"{"lose_answers": 2}"#, r#"{"lose_answers": 0}"#),
     };
     cluster.platform_fault(on).await?;
     sleep(lasts).await;
@@ -109,43 +117,39 @@
 impl Member {
     async fn strike(
         &mut self,
-        planned: &PlannedFault,
-        binaries: &Binaries,
-        dir: &RunDir,
-        seed: u64,
+        fault: InstanceFault,
+        lasts: Duration,
+        restart: &Restart<'_>,
         struck: &mut Struck,
     ) -> anyhow::Result<()> {
+        let Restart { binaries, dir, seed } = *restart;
         let store = self.proxy.address;
-        match planned.fault {
-            Fault::Freeze => {
+        match fault {
+            InstanceFault::Freeze => {
                 let frozen_ns = self.instance.freeze()?;
-                sleep(planned.lasts).await;
+                sleep(lasts).await;
                 struck.sick.push(self.instance.thaw(frozen_ns)?);
             }
-            Fault::PauseAgent => {
+            InstanceFault::PauseAgent => {
                 let paused_ns = self.instance.pause_agent()?;
-                sleep(planned.lasts).await;
+                sleep(lasts).await;
                 struck.sick.push(self.instance.resume_agent(paused_ns)?);
             }
-            Fault::KillAgent => {
+            InstanceFault::KillAgent => {
                 struck.sick.push(self.instance.kill_agent().await?);
-                sleep(planned.lasts).await;
+                sleep(lasts).await;
                 self.instance.start_agent(binaries, dir, store, &self.peers)?;
             }
-            Fault::Kill => {
+            InstanceFault::Kill => {
                 struck.sick.push(self.instance.kill().await?);
-                sleep(planned.lasts).await;
+                sleep(lasts).await;
                 self.instance.start_again(binaries, dir, store, &self.peers, seed)?;
             }
-            Fault::Leave => {
+            InstanceFault::Leave => {
                 struck.stops.push(self.instance.leave().await?);
-                sleep(planned.lasts).await;
+                sleep(lasts).await;
                 self.instance.start_again(binaries, dir, store, &self.peers, seed)?;
             }
-            Fault::StoreDown
-            | Fault::StoreSlow
-            | Fault::StoreLosesAnswers
-            | Fault::StoreLink(_) => {}
         }
         Ok(())
     }
--- a/xtask/src/soak/proxy.rs
+++ b/xtask/src/soak/proxy.rs
@@ -1,6 +1,6 @@
 //! A proxy on loopback that does to connections what networks do: delay, silence, cuts of one direction, resets.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use anyhow::Context;
 use tokio::{
@@ -71,7 +71,13 @@
 async fn accept(listener: TcpListener, server: SocketAddr, state: watch::Receiver<LinkState>) {
     let mut connections = JoinSet::new();
     loop {
-        let Ok((client, _)) = listener.accept().await else { continue };
+        let client = match listener.accept().await {
+            Ok((client, _)) => client,
+            Err(error) => {
+                log::warn!(target: "soak", "A proxy could not take a connection: {error}.");
+                continue;
+            }
+        };
         while connections.try_join_next().is_some() {}
         if *state.borrow() != LinkState::Closed {
             connections.spawn(connect(client, server, state.clone()));
@@ -84,9 +90,10 @@
     let Ok(server) = TcpStream::connect(server).await else { return };
     let (client_reader, client_writer) = client.into_split();
     let (server_reader, server_writer) = server.into_split();
-    let there = copy(client_reader, server_writer, Arc::new(state.clone()), Direction::ToServer);
-    let back = copy(server_reader, client_writer, Arc::new(state.clone()), Direction::ToClient);
+    let there = copy(client_reader, server_writer, state.clone(), Direction::ToServer);
+    let back = copy(server_reader, client_writer, state.clone(), Direction::ToClient);
     tokio::select! {
+        // An error on either side ends the connection like its end does: that is all the other side sees.
         _ = there => {}
         _ = back => {}
         // The proxy itself has ended, or closes what it has.
@@ -99,7 +106,7 @@
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    state: Arc<watch::Receiver<LinkState>>,
+    state: watch::Receiver<LinkState>,
     direction: Direction,
 ) -> std::io::Result<()> {
     let mut chunk = vec![0; CHUNK_BYTES];
