--- a/xtask/src/cluster/instance.rs
+++ b/xtask/src/cluster/instance.rs
@@ -277,11 +277,14 @@
         dir: &RunDir,
         keyed: bool,
     ) -> anyhow::Result<UpstreamJournal> {
+        let file = self.journal_file(dir, life.life);
+        // An upstream opens its journal before it serves: one that was killed earlier has run nothing.
+        let entries = if file.exists() { read_journal(&file)? } else { Vec::new() };
         Ok(UpstreamJournal {
             instance: self.name.clone(),
             service: self.service.clone(),
             keyed,
-            entries: read_journal(&self.journal_file(dir, life.life))?,
+            entries,
             gone_ns: life.gone_ns,
             frozen: life.frozen.clone(),
         })
