--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -289,8 +289,8 @@
     }
 
     /// Looks through all slots and keys for what can go on: with each tick, with a plan and with new proof,
-    /// and not with each message. Where 112 members renew it would be 280 times a second, each a
-    /// millisecond of one core while something is on its way, on a machine that has a tenth of one.
+    /// and not with each message. 112 members renew 280 times a second; with a look at 2,048 slots for each, a
+    /// coordinator on a tenth of a core was simulated to lose its term before its first grants.
     fn advance(&mut self, ctx: &mut Ctx<'_>) {
         if !ctx.config.keyed || self.idle_until > ctx.now {
             return;
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -26,8 +26,8 @@
 const FIRST_GRANTS_WAIT: Duration = Duration::from_millis(1_600);
 /// How often a new plan is thought of.
 const PROPOSE_EVERY: Duration = Duration::from_secs(1);
-/// A proposal for 112 members, its plan and the routes that follow take up to 15 ms of a core, which is 150 ms of the
-/// clock on a tenth of one: so a quarter of the machine's time at most goes to proposals.
+/// A proposal for 112 members and its plan were simulated to keep a tenth of a core busy for 70 to 190 ms: with this
+/// pause between them, proposals take a third of such a machine at most.
 const PAUSE_PER_MEMBER: Duration = Duration::from_millis(5);
 /// A slot that was moved stays for this long.
 const SETTLED_FOR: Duration = Duration::from_secs(10);
--- a/crates/ownership/src/sim/costs.rs
+++ b/crates/ownership/src/sim/costs.rs
@@ -1,8 +1,7 @@
 //! What a step costs its host: time on its processor, and time on its link.
 //!
-//! The prices were fitted to the real programs: a renewal with its answer takes a coordinator about 60 us of one
-//! core, sockets included, and a look at 2,048 slots with their names about 0.3 ms. Only their size matters
-//! here: what a step costs on a tenth of a core is ten times as much of the clock.
+//! The prices are estimates, not taken from a profile. Only their size matters here: they show which work grows
+//! with slots times members, and what a step costs on a tenth of a core is ten times as much of the clock.
 
 use std::time::Duration;
 
