A cold upstream is given no more than it bears, whoever asks

Cause: upstreams that have just started name a rate that they bear (warmup_per_s of the configuration) and say for how long (warmup_left_s of a heartbeat); neither was read. All callers reach an upstream through the agent beside it, so a limit in its admission is exact for the sum over all machines, without an agreement.

The starts of one upstream are counted over all its queues, warm or cold, in windows that divide a second (12 a second: two in each sixth). One whose agent knows nothing of it yet counts as cold, with its first window full: what was given before a restart of the agent is unknown. Admission, its estimates, its Retry-After and the load that the gate reports go by the time between two starts.

Ruled out: a token bucket (its burst and its rate add up within one second); waiting with a slot in hand (slots would be held for nobody, and the estimate would not know).

Played in virtual time (admission/tests/cold.rs): 36 requests a second for an upstream that bears 12, no second with more than 12, at least 85 in 100 of what it bears answered in time, none late, none held to its deadline. A window of a sixth of a second in whole nanoseconds let 14 through; found by that test, the window is rounded up.

--- a/crates/agent/src/control/tests/fleet.rs
+++ b/crates/agent/src/control/tests/fleet.rs
@@ -189,6 +189,7 @@
         upstream_id: None,
         born_ms: None,
         sequence: 0,
+        cold_for: Duration::ZERO,
     };
     let mut announcing = tokio::time::interval(Duration::from_secs(1));
     loop {
--- a/crates/agent/src/control/tests/upstream.rs
+++ b/crates/agent/src/control/tests/upstream.rs
@@ -23,6 +23,7 @@
         upstream_id: Some(id.into()),
         born_ms,
         sequence,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -127,6 +127,7 @@
             Place::Same => {}
         }
         let announcement = self.local.as_it_leaves(announcement);
+        self.parts.gate.announced_cold_for(announcement.cold_for);
         self.local.heard_at = now;
         // It lives, whatever became of a connection.
         self.local.seen_by_gate.take_if(|_| announcement.upstream_id.is_some());
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -97,6 +97,7 @@
         announcement: &Announcement,
     ) -> anyhow::Result<Bound> {
         let document = &service.document;
+        self.handle.warmup.with(|it| it.limit(document.upstream.cold_requests_per_s));
         let same_upstream = former.filter(|it| it.is_of(announcement));
         // A version may change limits of the client: connections are cheap to make anew.
         let upstream = match same_upstream.filter(|it| it.has_same_client(document)) {
@@ -111,7 +112,11 @@
             {
                 Arc::clone(&it.lane)
             }
-            _ => Lane::start(self.clock, document, announcement.slots, self.own.incarnation.0),
+            _ => {
+                let warmup = self.handle.warmup.clone();
+                let seed = self.own.incarnation.0;
+                Lane::start(self.clock, document, announcement.slots, warmup, seed)
+            }
         };
         Ok(Bound {
             service: service.service.clone(),
--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -1,11 +1,11 @@
 //! The control thread's hold on the gate.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use model::{Instance, Slot, Token};
 use ownership::{GateCommand, LoadReport};
 use tokio::sync::mpsc;
-use traffic::RecordUnit;
+use traffic::{RecordUnit, SharedWarmup};
 
 use crate::{
     clock::Clock,
@@ -43,6 +43,9 @@
     pub(crate) clock: Clock,
     pub(crate) table: Arc<GateTable>,
     pub(crate) load: Arc<LoadTable>,
+    /// What the upstream is given while it is cold; of the lives of it that follow each other the later one
+    /// is taken to have been given what the earlier was.
+    pub(crate) warmup: SharedWarmup,
     tasks: mpsc::UnboundedSender<GateTask>,
 }
 
@@ -51,7 +54,8 @@
     pub(crate) fn new(clock: Clock) -> (GateHandle, mpsc::UnboundedReceiver<GateTask>) {
         let (tasks, receiver) = mpsc::unbounded_channel();
         let table = Arc::new(GateTable::new());
-        (GateHandle { clock, table, load: Arc::default(), tasks }, receiver)
+        let warmup = SharedWarmup::new(clock.now());
+        (GateHandle { clock, table, load: Arc::default(), warmup, tasks }, receiver)
     }
 
     /// Applies the gate commands of one step, in order. Admissions, refusals and the lease hold as
@@ -84,6 +88,11 @@
         }
     }
 
+    /// The upstream has said for how much longer it is cold.
+    pub fn announced_cold_for(&self, cold_for: Duration) {
+        self.warmup.with(|it| it.heard(self.clock.now(), cold_for));
+    }
+
     /// The load since the last call, for [`ownership::Input::Load`].
     pub fn take_load(&self) -> LoadReport {
         self.load.take(self.clock.now(), |slot| self.table.slot_in_flight(slot))
--- a/crates/agent/src/gate/lane.rs
+++ b/crates/agent/src/gate/lane.rs
@@ -17,7 +17,7 @@
 };
 use traffic::{
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
-    Ticket, Use, Verdict,
+    SharedWarmup, Ticket, Use, Verdict,
 };
 
 use wire::traffic::GateLoad;
@@ -81,6 +81,7 @@
         clock: Clock,
         document: &ServiceDocument,
         slots: u16,
+        warmup: SharedWarmup,
         seed: u64,
     ) -> Arc<Lane> {
         let class = |it: &settings::Class| ClassConfig {
@@ -102,7 +103,7 @@
             clock,
             classes: names.map(|(index, it)| (it.name.clone(), ClassIndex(index))).collect(),
             state: Mutex::new(LaneState {
-                admission: Admission::new(config, clock.now()),
+                admission: Admission::new(config, clock.now()).with_warmup(warmup),
                 waiting: HashMap::new(),
                 rng: Pcg64Mcg::seed_from_u64(seed),
                 decisions: Vec::new(),
@@ -213,11 +214,16 @@
         let now = self.clock.now();
         let admission = &self.state().admission;
         let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
+        // One that is cold works off its queue as a single slot would that takes the time between two starts.
+        let (slots, service) = match admission.cold_step(now) {
+            Some(step) => (1, step),
+            None => (admission.slots_at(now), admission.service_mean()),
+        };
         GateLoad {
             running: count(admission.running()),
             queued: count(admission.queued()),
-            slots: count(admission.slots_at(now)),
-            service_us: u64::try_from(admission.service_mean().as_micros()).unwrap_or(u64::MAX),
+            slots: count(slots),
+            service_us: u64::try_from(service.as_micros()).unwrap_or(u64::MAX),
         }
     }
 
--- a/crates/agent/src/ingress/announce.rs
+++ b/crates/agent/src/ingress/announce.rs
@@ -1,6 +1,6 @@
 //! Announcements of the local upstream.
 
-use std::{convert::Infallible, pin::Pin, sync::Arc};
+use std::{convert::Infallible, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, StatusCode, request::Parts};
@@ -199,6 +199,7 @@
             upstream_id: None,
             born_ms: None,
             sequence: 0,
+            cold_for: Duration::ZERO,
         }
     }
 }
--- a/crates/agent/src/report/mod.rs
+++ b/crates/agent/src/report/mod.rs
@@ -1,6 +1,6 @@
 //! What traffic tells the control thread, over one bounded channel.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, Token};
 use ownership::UpstreamState;
@@ -62,6 +62,8 @@
     pub born_ms: Option<u64>,
     /// Rises with each announcement of one life; 0 where they are not numbered.
     pub sequence: u64,
+    /// For how much longer it is cold, and bears only what the document says; zero: it is warm.
+    pub cold_for: Duration,
 }
 
 impl Announcement {
@@ -70,10 +72,14 @@
         self.upstream_id == other.upstream_id && self.born_ms == other.born_ms
     }
 
-    /// Whether both say the same, apart from their number.
+    /// Whether both say the same, apart from their number and the time that runs down.
     pub(crate) fn is_like(&self, other: &Announcement) -> bool {
-        Announcement { sequence: 0, ..self.clone() }
-            == Announcement { sequence: 0, ..other.clone() }
+        let lasting = |it: &Announcement| Announcement {
+            sequence: 0,
+            cold_for: Duration::ZERO,
+            ..it.clone()
+        };
+        lasting(self) == lasting(other)
     }
 }
 
--- a/crates/agent/src/tests/announcements.rs
+++ b/crates/agent/src/tests/announcements.rs
@@ -50,6 +50,7 @@
             upstream_id: None,
             born_ms: None,
             sequence: said.sequence,
+            cold_for: Duration::ZERO,
         };
         let held = said.held.into_iter().map(|(first, last, sequence)| GrantedKeys {
             keys: KeyRange { first, last },
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -347,6 +347,7 @@
             upstream_id: None,
             born_ms: None,
             sequence: 0,
+            cold_for: Duration::ZERO,
         };
         let local = Some(LocalUpstream { announcement, draining: false });
         let services = HashMap::from([(service, Arc::new(routes))]);
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -60,6 +60,8 @@
     pub key_grants: KeyGrants,
     /// How long a new upstream takes to reach its full share of the load.
     pub warmup: Duration,
+    /// How many requests a second it bears while it says that it is cold; none: as many as its slots take.
+    pub cold_requests_per_s: Option<f64>,
 }
 
 /// A class of requests.
@@ -190,6 +192,7 @@
             enforces_leases: raw.enforces_leases,
             key_grants: raw.key_grants,
             warmup: Duration::from_millis(raw.warmup_ms),
+            cold_requests_per_s: raw.cold_requests_per_s,
         }
     }
 }
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -78,6 +78,9 @@
     /// How long a new upstream takes to reach its full share of the load.
     #[schemars(range(max = 600_000))]
     pub(crate) warmup_ms: u64,
+    /// How many requests a second it bears while it says that it is cold; none: as many as its slots take.
+    #[schemars(range(min = 0.001, max = 1_000_000.0))]
+    pub(crate) cold_requests_per_s: Option<f64>,
 }
 
 impl Default for RawUpstream {
@@ -89,6 +92,7 @@
             enforces_leases: false,
             key_grants: KeyGrants::Calls,
             warmup_ms: 2_000,
+            cold_requests_per_s: None,
         }
     }
 }
--- a/crates/settings/src/fleet/defaults.rs
+++ b/crates/settings/src/fleet/defaults.rs
@@ -45,7 +45,7 @@
 }
 
 /// What a fleet's configuration says of one service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct FleetService {
     pub service: ServiceName,
     pub team: TeamName,
@@ -58,6 +58,8 @@
     /// At least one.
     pub classes: Vec<Class>,
     pub connections_max: u32,
+    /// How many requests a second an upstream bears while it is cold; none: as many as its slots take.
+    pub cold_requests_per_s: Option<f64>,
     /// The longest time that any route to the service gives a request.
     pub request_max: Duration,
     pub header_bytes_max: u64,
@@ -105,6 +107,7 @@
             resends: false,
             upstream: RawUpstream {
                 connections_max: service.connections_max,
+                cold_requests_per_s: service.cold_requests_per_s,
                 enforces_leases: service.keys.is_some(),
                 key_grants: match service.keys {
                     Some(_) => service.key_grants,
--- a/crates/settings/src/tests/fleet.rs
+++ b/crates/settings/src/tests/fleet.rs
@@ -66,6 +66,7 @@
             weight: 4,
             queues_past_objective: false,
         }],
+        cold_requests_per_s: Some(12.0),
         connections_max: 120,
         request_max: Duration::from_millis(2_900),
         header_bytes_max: 16_384,
@@ -76,6 +77,7 @@
     assert!(document.keyed && document.upstream.enforces_leases && !document.resends);
     assert_eq!(document.upstream.key_grants, KeyGrants::Announcements);
     assert_eq!(document.slot_count.count(), 1024);
+    assert_eq!(document.upstream.cold_requests_per_s, Some(12.0));
     // 2.9 s of the longest request and 0.9 s for renewals, up to the next half second.
     assert_eq!(document.ownership.lease, Duration::from_millis(4000));
     let header = |name: &str| (name == "x-place").then_some("17");
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -14,7 +14,7 @@
 use model::{ClassName, NotRunReason, Timestamp};
 use rand::{Rng, RngExt};
 
-use crate::Smoothed;
+use crate::{SharedWarmup, Smoothed};
 
 use class::{Class, Place, Queued};
 
@@ -137,6 +137,8 @@
     draining: bool,
     /// What requests of all classes take.
     service: Smoothed,
+    /// What the upstream is given while it is cold; none: nothing but its slots limits that.
+    warmup: Option<SharedWarmup>,
 }
 
 impl Admission {
@@ -158,9 +160,15 @@
             ramp_since: now,
             draining: false,
             service,
+            warmup: None,
         }
     }
 
+    /// Keeps to what the upstream bears while it is cold.
+    pub fn with_warmup(self, warmup: SharedWarmup) -> Admission {
+        Admission { warmup: Some(warmup), ..self }
+    }
+
     /// Takes a request in. Its own verdict may follow in `out` at once, with those of others that
     /// it displaces; else it waits.
     pub fn offer(
@@ -181,7 +189,7 @@
             out.push(Decision { ticket, verdict: Verdict::Expired });
             return ticket;
         }
-        if self.queued == 0 && self.running < self.slots_at(now) {
+        if self.queued == 0 && self.may_start(now) {
             // A free upstream is tried even if the estimate says no: estimates heal only by use.
             self.start(now, ticket, arrival.class, arrival.route, out);
             return ticket;
@@ -244,7 +252,7 @@
             return None;
         }
         let drops = self.classes.iter().filter_map(|it| it.drop_at(self.config.certainty));
-        drops.chain(self.next_ramp_step(now)).min()
+        drops.chain(self.next_ramp_step(now)).chain(self.next_cold_start(now)).min()
     }
 
     /// No new work from now on: refuses what waits; what runs goes on.
@@ -298,6 +306,21 @@
         (1 + ((all - 1) as f64 * share) as usize).min(all)
     }
 
+    /// Whether the upstream may be given a request now.
+    fn may_start(&self, now: Timestamp) -> bool {
+        self.running < self.slots_at(now) && self.next_cold_start(now).is_none()
+    }
+
+    /// When a cold upstream may be given the next request, if not at once.
+    fn next_cold_start(&self, now: Timestamp) -> Option<Timestamp> {
+        self.warmup.as_ref()?.with(|it| it.next_start(now))
+    }
+
+    /// The time between two starts at a cold upstream.
+    pub fn cold_step(&self, now: Timestamp) -> Option<Duration> {
+        self.warmup.as_ref()?.with(|it| it.step(now))
+    }
+
     fn next_ramp_step(&self, now: Timestamp) -> Option<Timestamp> {
         let open = self.slots_at(now);
         if open == self.config.slots {
@@ -317,6 +340,9 @@
         route: Option<RouteIndex>,
         out: &mut Vec<Decision>,
     ) {
+        if let Some(warmup) = &self.warmup {
+            warmup.with(|it| it.start(now));
+        }
         let cost_s = self.classes[class.0].charge(self.virtual_s, route);
         self.virtual_s = self.virtual_s.max(self.classes[class.0].virtual_s - cost_s);
         self.entries.insert(ticket, Entry::Running(Running { class, route, since: now, cost_s }));
@@ -377,7 +403,7 @@
 
     /// Starts waiting requests while slots are free: the class with the least virtual time first.
     fn fill(&mut self, now: Timestamp, rng: &mut impl Rng, out: &mut Vec<Decision>) {
-        while self.running < self.slots_at(now) && self.queued > 0 {
+        while self.queued > 0 && self.may_start(now) {
             let waiting = (0..self.classes.len()).filter(|it| self.classes[*it].len() > 0);
             let virtual_s = |it: &usize| self.classes[*it].virtual_s;
             let class = waiting.min_by(|a, b| virtual_s(a).total_cmp(&virtual_s(b)));
@@ -430,8 +456,12 @@
         let others = self.classes.iter().enumerate();
         let others = others.filter(|(index, other)| *index != class.0 && other.len() > 0);
         let weights: f64 = it.weight + others.map(|(_, other)| other.weight).sum::<f64>();
-        let slots = self.slots_at(now) as f64 * it.weight / weights;
-        it.costs.class().mean().div_f64(slots)
+        let share = it.weight / weights;
+        let slot_step = it.costs.class().mean().div_f64(self.slots_at(now) as f64 * share);
+        match self.cold_step(now) {
+            Some(step) => slot_step.max(step.div_f64(share)),
+            None => slot_step,
+        }
     }
 
     fn check(&self) {
--- a/crates/traffic/src/admission/tests/mod.rs
+++ b/crates/traffic/src/admission/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of admission, in virtual time.
 
+mod cold;
 mod coming_back;
 mod overload;
 
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -11,6 +11,7 @@
 mod smoothed;
 mod split;
 mod waits;
+mod warmup;
 
 #[cfg(test)]
 mod tests;
@@ -31,3 +32,4 @@
 pub use smoothed::Smoothed;
 pub use split::Turns;
 pub use waits::UsualWait;
+pub use warmup::{SharedWarmup, Warmup};
