Closed zones: each agent follows them, and its upstream gets nothing more until its zone is open

Each agent follows the closed zones by itself and acts for the one upstream that it is the way to: the upstream counts as draining, so its keys go to others with handover, routes leave it out, and its gate refuses new work half of drain.zone_no_new_work_ms (5 s) after that. Opened again, it counts as cold until it has said twice that it is not. The product's own form are the objects zones/Z. Follower tells of what a list shows to be deleted, which it passed over until now.

Ruled out: news through coordinators or with the configuration's object (a zone must empty also where coordinators or their links fail; there is one watch a kind).

--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -19,7 +19,7 @@
 mod watch;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::{sync::Arc, time::Duration};
 
@@ -38,6 +38,7 @@
     links::{ControlLinks, LinkKey},
     report::Report,
     snapshot::SnapshotCell,
+    zones::{ClosedZones, ClosedZonesSource},
 };
 
 pub(crate) use self::state::DocumentSource;
@@ -75,6 +76,7 @@
     pub seed: u64,
     /// Configurations of the whole fleet; none: teams write documents of their own.
     pub fleet: Option<FleetSource>,
+    pub closed_zones: ClosedZonesSource,
 }
 
 /// The newest configuration of the whole fleet; none until the first is known.
@@ -83,6 +85,7 @@
 /// Runs control until [`Phase::Ending`]. To be called on a current-thread runtime of its own.
 pub async fn run(parts: ControlParts) {
     let ControlParts { listener, key, mut reports, mut phase, handed_over, mut fleet, .. } = parts;
+    let mut closed_zones = Some(parts.closed_zones);
     let (links, mut events) = ControlLinks::start(parts.own.clone(), listener, key);
     let (done_sender, mut done) = mpsc::unbounded_channel();
     let calls = calls::Calls::new(parts.platform, done_sender);
@@ -110,6 +113,7 @@
             Some(event) = events.recv() => control.peer_event(event),
             Some(it) = done.recv() => control.call_done(it),
             Some(it) = next_config(&mut fleet) => control.fleet_changed(&it),
+            Some(it) = next_closed_zones(&mut closed_zones) => control.closed_zones_changed(&it),
             Some(report) = reports.recv() => control.report(report),
             changed = phase.changed() => match *phase.borrow() {
                 _ if changed.is_err() => return,
@@ -138,3 +142,14 @@
     }
     source.borrow_and_update().clone()
 }
+
+/// The zones that are closed once these have changed.
+async fn next_closed_zones(zones: &mut Option<ClosedZonesSource>) -> Option<ClosedZones> {
+    let Some(source) = zones else { return std::future::pending().await };
+    if source.changed().await.is_err() {
+        log::error!(target: "zones", "Nobody tells of closed zones any more.");
+        *zones = None;
+        return None;
+    }
+    Some(Arc::clone(&source.borrow_and_update()))
+}
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -9,7 +9,7 @@
 use crate::{
     control::{documents::InForce, state::Control},
     snapshot::{
-        KeyRoutes, LocalUpstream, MemberRoute, OwnerRoute, Routes, ServiceRoutes, Snapshot,
+        KeyRoutes, Leaving, LocalUpstream, MemberRoute, OwnerRoute, Routes, ServiceRoutes, Snapshot,
     },
 };
 
@@ -29,7 +29,10 @@
             services.insert(service.clone(), Arc::new(service_routes(service, in_force, routes)));
         }
         let local = self.local.announcement.clone().map(|announcement| LocalUpstream {
-            draining: self.stopping || announcement.state == UpstreamState::Draining,
+            leaving: match self.stopping {
+                true => Some(Leaving::ForGood),
+                false => self.local.leaving(),
+            },
             announcement,
         });
         self.parts.snapshots.store(Snapshot { services, routing: self.routing.clone(), local });
--- a/crates/agent/src/control/tests/fleet.rs
+++ b/crates/agent/src/control/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Control threads of several instances on loopback, with a gate that has no traffic.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Zone};
 use ownership::UpstreamState;
@@ -20,6 +20,7 @@
     links::LinkKey,
     report::{Announcement, Report, Reporter},
     snapshot::{Routes, SnapshotCell},
+    zones::{ClosedZones, follow_own_zones},
 };
 
 /// Far above what any step takes; no test passes by waiting this long.
@@ -57,13 +58,33 @@
         name: &str,
         platform: &Arc<FakeStore>,
         peers: &[SocketAddr],
+    ) -> Agent {
+        Agent::start_with(service_name, "pitlane", name, platform, peers).await
+    }
+
+    /// An instance in another zone.
+    pub(super) async fn start_in(
+        zone: &str,
+        name: &str,
+        platform: &Arc<FakeStore>,
+        peers: &[SocketAddr],
+    ) -> Agent {
+        Agent::start_with("standings", zone, name, platform, peers).await
+    }
+
+    async fn start_with(
+        service_name: &str,
+        zone: &str,
+        name: &str,
+        platform: &Arc<FakeStore>,
+        peers: &[SocketAddr],
     ) -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let control = listener.local_addr().unwrap();
         let own = Instance {
             name: InstanceName::new(name).unwrap(),
             incarnation: Incarnation(u64::from(control.port())),
-            zone: Zone::new("pitlane").unwrap(),
+            zone: Zone::new(zone).unwrap(),
             control,
             traffic: SocketAddr::from(([127, 0, 0, 1], 2)),
         };
@@ -73,6 +94,9 @@
         let (gate, tasks) = GateHandle::new(clock);
         let (phase, phases) = watch::channel(Phase::Running);
         let (sender, handed_over) = oneshot::channel();
+        let (closed, closed_zones) = watch::channel(ClosedZones::default());
+        let store = Arc::clone(platform) as Arc<dyn object_store::ObjectStore>;
+        tokio::spawn(follow_own_zones(store, closed));
         let task = tokio::spawn(run(ControlParts {
             settings: Arc::new(settings(service_name, name, control, peers)),
             own: own.clone(),
@@ -87,6 +111,7 @@
             handed_over: sender,
             seed: u64::from(control.port()),
             fleet: None,
+            closed_zones,
         }));
         tokio::spawn(serve_gate(reporter.clone(), tasks));
         let versions = tokio::spawn(record_versions(Arc::clone(&snapshots)));
@@ -108,6 +133,18 @@
         }
     }
 
+    /// Who owns slots, as this instance sees it.
+    pub(super) fn owners_of_slots(&self) -> BTreeSet<InstanceName> {
+        let snapshot = self.snapshots.load();
+        match snapshot.services.get(&service()).map(|it| &it.routes) {
+            Some(Routes::ByKey(routes)) => {
+                let owners = routes.slots.iter().filter_map(|it| it.owner.as_ref());
+                owners.map(|it| it.name.clone()).collect()
+            }
+            _ => BTreeSet::new(),
+        }
+    }
+
     /// A caller asks for the service here.
     pub(super) fn want_service(&self) {
         self.reporter.hint(Report::UnknownService { service: service() });
--- a/crates/agent/src/control/tests/platform.rs
+++ b/crates/agent/src/control/tests/platform.rs
@@ -22,16 +22,16 @@
     objects: BTreeMap<String, Object>,
 }
 
-pub(super) struct FakeStore {
+pub(crate) struct FakeStore {
     store: Mutex<Store>,
     changed: watch::Sender<()>,
-    pub(super) down: AtomicBool,
+    pub(crate) down: AtomicBool,
     /// So many updates of `accepted/` take effect and then lose their answer.
     pub(super) lost_answers: AtomicU32,
 }
 
 impl FakeStore {
-    pub(super) fn new() -> FakeStore {
+    pub(crate) fn new() -> FakeStore {
         FakeStore {
             store: Mutex::default(),
             changed: watch::Sender::new(()),
@@ -41,7 +41,7 @@
     }
 
     /// Writes whatever the version, as an operator without care would.
-    pub(super) fn put(&self, path: &str, body: &str) -> ObjectVersion {
+    pub(crate) fn put(&self, path: &str, body: &str) -> ObjectVersion {
         let version = self.store.lock().unwrap().put(path, Bytes::from(body.to_owned()));
         self.changed.send_replace(());
         version
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -9,6 +9,8 @@
 use crate::{
     control::state::Control,
     report::{Announcement, UpstreamId},
+    snapshot::Leaving,
+    zones::ClosedZones,
 };
 
 /// Silence after which an upstream that announced itself each second counts as lost.
@@ -33,6 +35,8 @@
     load_reported_at: Timestamp,
     /// The upstream has said that it leaves for good.
     is_leaving: bool,
+    /// The own availability zone is closed.
+    zone_is_closed: bool,
 }
 
 /// How an announcement stands to what is known of the upstream.
@@ -45,10 +49,14 @@
 }
 
 impl LocalState {
-    /// The worse of the two views.
+    /// The worse of the two views. One in a closed zone is not leaving, but gives up all that it has as one
+    /// that is.
     pub(crate) fn state(&self) -> UpstreamState {
         match (&self.announcement, self.seen_by_gate) {
             (_, Some(UpstreamState::Lost)) => UpstreamState::Lost,
+            (Some(it), _) if it.state == UpstreamState::Ready && self.zone_is_closed => {
+                UpstreamState::Draining
+            }
             (Some(announcement), _) => announcement.state,
             (None, _) => UpstreamState::Starting,
         }
@@ -80,6 +88,15 @@
         }
     }
 
+    /// Why the upstream is to get no new work.
+    pub(super) fn leaving(&self) -> Option<Leaving> {
+        match &self.announcement {
+            Some(it) if it.state == UpstreamState::Draining => Some(Leaving::ForGood),
+            Some(_) if self.zone_is_closed => Some(Leaving::ZoneClosed),
+            _ => None,
+        }
+    }
+
     /// One that has said that it leaves for good does not come back in the same life.
     fn as_it_leaves(&self, announcement: Announcement) -> Announcement {
         match self.is_leaving {
@@ -157,6 +174,24 @@
         self.tell_upstream_state();
     }
 
+    /// The operators have closed or opened zones.
+    pub(super) fn closed_zones_changed(&mut self, closed: &ClosedZones) {
+        let is_closed = closed.contains(&self.parts.own.zone);
+        if std::mem::replace(&mut self.local.zone_is_closed, is_closed) == is_closed {
+            return;
+        }
+        let zone = &self.parts.own.zone;
+        match is_closed {
+            true => log::info!(target: "control", "Zone {zone} is closed: giving up all keys."),
+            false => {
+                log::info!(target: "control", "Zone {zone} is open again.");
+                self.parts.gate.doubt_warmth();
+            }
+        }
+        self.dirty = true;
+        self.tell_upstream_state();
+    }
+
     /// The upstream has seen a higher token than one it was granted under: another coordinator has
     /// been at work, or this one's tokens are not the newest. A new session gets new ones.
     pub(super) fn grant_outdated(&mut self, now: Timestamp, token: Token) {
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -11,7 +11,7 @@
 use crate::{
     gate::{Gate, lane::Lane, leases::Life, records::Book},
     report::Announcement,
-    snapshot::{Routes, ServiceRoutes, Snapshot},
+    snapshot::{Leaving, LocalUpstream, Routes, ServiceRoutes, Snapshot},
 };
 
 /// Each unit gets a share of the memory for records as if this share of all units were here.
@@ -26,8 +26,8 @@
     pub(crate) version: ConfigVersion,
     pub(crate) document: Arc<ServiceDocument>,
     pub(crate) announcement: Announcement,
-    /// Since when the instance has been leaving.
-    pub(crate) draining_since: Option<Timestamp>,
+    /// Since when the upstream is to get no new work, and why.
+    pub(crate) leaving: Option<(Leaving, Timestamp)>,
     pub(crate) upstream: Arc<dyn Upstream>,
     pub(crate) lane: Arc<Lane>,
     members: Vec<Instance>,
@@ -61,8 +61,14 @@
     /// No new work may reach the upstream any more. Until half of the document's time has passed
     /// it still may: the news that this instance is leaving takes a while to spread.
     pub(crate) fn refuses_work(&self, now: Timestamp) -> bool {
-        let grace = self.document.drain.no_new_work_after / 2;
-        self.draining_since.is_some_and(|since| now >= since + grace)
+        let drain = &self.document.drain;
+        self.leaving.is_some_and(|(why, since)| {
+            let time = match why {
+                Leaving::ForGood => drain.no_new_work_after,
+                Leaving::ZoneClosed => drain.zone_no_new_work_after,
+            };
+            now >= since + time / 2
+        })
     }
 }
 
@@ -72,7 +78,7 @@
         let snapshot = self.snapshots.load();
         let Some((service, local)) = local_service(&snapshot) else { return };
         let former = self.bound.load_full();
-        let bound = match self.next_bound(former.as_deref(), service, &local.announcement) {
+        let bound = match self.next_bound(former.as_deref(), service, local) {
             Ok(bound) => bound,
             Err(error) => {
                 log::error!(target: "gate", "No client of the upstream: {error:#}.");
@@ -80,9 +86,12 @@
             }
         };
         let now = self.clock.now();
-        let since = || former.as_ref().and_then(|it| it.draining_since).unwrap_or(now);
-        let draining_since = local.draining.then(since);
-        let bound = Bound { draining_since, members: members(service), ..bound };
+        let former_leaving = former.as_ref().and_then(|it| it.leaving);
+        let leaving = local.leaving.map(|why| match former_leaving {
+            Some((former, since)) if former == why => (why, since),
+            _ => (why, now),
+        });
+        let bound = Bound { leaving, members: members(service), ..bound };
         if former.as_ref().is_none_or(|it| it.members != bound.members) {
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
@@ -94,8 +103,9 @@
         &self,
         former: Option<&Bound>,
         service: &ServiceRoutes,
-        announcement: &Announcement,
+        local: &LocalUpstream,
     ) -> anyhow::Result<Bound> {
+        let announcement = &local.announcement;
         let document = &service.document;
         self.handle.warmup.with(|it| it.limit(document.upstream.cold_requests_per_s));
         let same_upstream = former.filter(|it| it.is_of(announcement));
@@ -108,7 +118,7 @@
             Some(it)
                 if it.has_same_lane(document)
                     && it.announcement.slots == announcement.slots
-                    && !revived(it, announcement.state) =>
+                    && !revived(it, local) =>
             {
                 Arc::clone(&it.lane)
             }
@@ -123,7 +133,7 @@
             version: service.version,
             document: Arc::clone(document),
             announcement: announcement.clone(),
-            draining_since: None,
+            leaving: None,
             upstream,
             lane,
             members: Vec::new(),
@@ -137,12 +147,12 @@
 }
 
 /// A lane that was drained, or whose upstream was lost, is not used again.
-fn revived(former: &Bound, state: UpstreamState) -> bool {
-    let gone = former.draining_since.is_some() || former.announcement.state == UpstreamState::Lost;
-    gone && state == UpstreamState::Ready
+fn revived(former: &Bound, local: &LocalUpstream) -> bool {
+    let gone = former.leaving.is_some() || former.announcement.state == UpstreamState::Lost;
+    gone && local.leaving.is_none() && local.announcement.state == UpstreamState::Ready
 }
 
-fn local_service(snapshot: &Snapshot) -> Option<(&ServiceRoutes, &crate::snapshot::LocalUpstream)> {
+fn local_service(snapshot: &Snapshot) -> Option<(&ServiceRoutes, &LocalUpstream)> {
     let local = snapshot.local.as_ref()?;
     let service = snapshot.services.get(&local.announcement.service)?;
     Some((service, local))
--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -93,6 +93,11 @@
         self.warmup.with(|it| it.heard(self.clock.now(), cold_for));
     }
 
+    /// The upstream may have turned cold since it was last heard.
+    pub fn doubt_warmth(&self) {
+        self.warmup.with(|it| it.doubt());
+    }
+
     /// The load since the last call, for [`ownership::Input::Load`].
     pub fn take_load(&self) -> LoadReport {
         self.load.take(self.clock.now(), |slot| self.table.slot_in_flight(slot))
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -19,6 +19,7 @@
 mod request_log;
 mod run;
 pub mod snapshot;
+mod zones;
 
 pub use forward::Ending;
 pub use gate::Connect;
@@ -30,6 +31,7 @@
 pub use reload::SettingsFile;
 pub use request::GateReply;
 pub use run::{ListenError, run, run_with};
+pub use zones::{ClosedZones, ClosedZonesSource, ZoneNews, follow_zones};
 
 #[cfg(test)]
 mod tests;
--- a/crates/agent/src/port.rs
+++ b/crates/agent/src/port.rs
@@ -4,11 +4,13 @@
 
 use object_store::{HttpObjectStore, ObjectStore, Timeouts};
 use settings::AgentSettings;
+use tokio::sync::watch;
 
 use crate::{
     control::FleetSource,
     gate::{Connect, connect_http},
     ingress::{AnnounceForm, CallerForm, OwnAnnounceForm, OwnForm},
+    zones::{ClosedZones, ClosedZonesSource, follow_own_zones},
 };
 
 /// One set of adapters.
@@ -19,18 +21,22 @@
     pub connect: Connect,
     /// Configurations of the whole fleet; none: teams write documents of their own.
     pub fleet: Option<FleetSource>,
+    pub closed_zones: ClosedZonesSource,
 }
 
 impl Ports {
-    /// The product's own forms.
+    /// The product's own forms. To be called on a runtime.
     pub(crate) fn own(settings: &AgentSettings) -> anyhow::Result<Ports> {
-        let store = HttpObjectStore::new(settings.platform_address, Timeouts::default())?;
+        let store = || HttpObjectStore::new(settings.platform_address, Timeouts::default());
+        let (closed, closed_zones) = watch::channel(ClosedZones::default());
+        tokio::spawn(follow_own_zones(Arc::new(store()?), closed));
         Ok(Ports {
-            store: Arc::new(store),
+            store: Arc::new(store()?),
             callers: Arc::new(OwnForm),
             announcements: Arc::new(OwnAnnounceForm),
             connect: Box::new(connect_http),
             fleet: None,
+            closed_zones,
         })
     }
 }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -29,6 +29,7 @@
     reload::SettingsFile,
     report::{self, Report},
     snapshot::SnapshotCell,
+    zones::ClosedZonesSource,
 };
 
 /// Connections that may wait to be accepted: all callers arrive in the same second.
@@ -88,7 +89,7 @@
     let hang_up = runtime.block_on(async { signal(SignalKind::hangup()) }).context("SIGHUP")?;
     runtime.spawn(file.watch(hang_up));
     let listeners = runtime.block_on(async { Listeners::bind(&settings) })?;
-    let Ports { store, callers, announcements, connect, fleet } =
+    let Ports { store, callers, announcements, connect, fleet, closed_zones } =
         runtime.block_on(async { ports(&settings) }).context("adapters")?;
     let documents_from = match fleet {
         Some(_) => DocumentSource::Fleet,
@@ -124,6 +125,7 @@
         handed_over,
         store: Arc::new(CountedStore::new(store, Arc::clone(&platform_calls))),
         fleet,
+        closed_zones,
     };
     let control = thread::Builder::new()
         .name("control".to_owned())
@@ -270,6 +272,7 @@
     handed_over: oneshot::Sender<()>,
     store: Arc<dyn ObjectStore>,
     fleet: Option<FleetSource>,
+    closed_zones: ClosedZonesSource,
 }
 
 impl ControlSetup {
@@ -292,6 +295,7 @@
                 handed_over: self.handed_over,
                 seed: rand::random(),
                 fleet: self.fleet,
+                closed_zones: self.closed_zones,
             })
             .await;
             Ok(())
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -25,8 +25,17 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LocalUpstream {
     pub announcement: Announcement,
-    /// The instance is leaving: no new work from callers that could go elsewhere.
-    pub draining: bool,
+    /// Set while no new work is to come from callers that could go elsewhere.
+    pub leaving: Option<Leaving>,
+}
+
+/// Why an upstream is to get no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leaving {
+    /// It, or the agent beside it, is about to stop.
+    ForGood,
+    /// An operator has closed its availability zone.
+    ZoneClosed,
 }
 
 /// One service: its document in force and its routes.
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -34,8 +34,8 @@
     plane::{Plane, PlaneParts},
     report::{self, Announcement, Report},
     snapshot::{
-        KeyRoutes, LocalUpstream, MemberRoute, OwnerRoute, Routes, ServiceRoutes, Snapshot,
-        SnapshotCell,
+        KeyRoutes, Leaving, LocalUpstream, MemberRoute, OwnerRoute, Routes, ServiceRoutes,
+        Snapshot, SnapshotCell,
     },
 };
 
@@ -225,7 +225,8 @@
             { "path": "/{op}", "class": "lap", "idempotent": false, "deadline_ms": 10000 }
         ],
         "limits": { "queue_ms_max": 5000, "queue_length_max": 64, "body_bytes_max": 4194304 },
-        "ownership": { "lease_ms": 60000 }
+        "ownership": { "lease_ms": 60000 },
+        "drain": { "zone_no_new_work_ms": 0 }
     }"#;
     text.replace("KEYED", if keyed { "true" } else { "false" })
 }
@@ -334,6 +335,18 @@
         self.publish(document(false), routes).await;
     }
 
+    /// The same with the own zone closed, or opened.
+    pub(super) async fn close_zone(&self, is_closed: bool) {
+        let former = self.snapshots.load();
+        let local = former
+            .local
+            .clone()
+            .map(|it| LocalUpstream { leaving: is_closed.then_some(Leaving::ZoneClosed), ..it });
+        let services = former.services.clone();
+        self.snapshots.store(Snapshot { services, routing: None, local });
+        self.plane.wait_bound().await;
+    }
+
     async fn publish(&self, document: Arc<ServiceDocument>, routes: Routes) {
         let service = ServiceName::new("svc").unwrap();
         let routes =
@@ -349,7 +362,7 @@
             sequence: 0,
             cold_for: Duration::ZERO,
         };
-        let local = Some(LocalUpstream { announcement, draining: false });
+        let local = Some(LocalUpstream { announcement, leaving: None });
         let services = HashMap::from([(service, Arc::new(routes))]);
         self.snapshots.store(Snapshot { services, routing: None, local });
         self.plane.wait_bound().await;
--- a/crates/agent/src/tests/gate.rs
+++ b/crates/agent/src/tests/gate.rs
@@ -213,3 +213,16 @@
     let tokens = agent.upstream.tokens.lock().unwrap().clone();
     assert_eq!(tokens, [1, 9, 9, 12].map(|it| Some(super::fakes::token(it))));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_new_goes_to_an_upstream_whose_zone_is_closed() {
+    let agent = TestAgent::start("a").await;
+    agent.route_to_members(&[&agent.own]).await;
+    check(&agent.call(get("echo", 1)).await, 200, "answered");
+    agent.close_zone(true).await;
+    let refused = Call { deadline: Duration::from_millis(300), ..get("echo", 2) };
+    check(&agent.call(refused).await, 503, "not-run; reason=draining");
+    agent.close_zone(false).await;
+    check(&agent.call(get("echo", 3)).await, 200, "answered");
+    assert_eq!(agent.upstream.ran(), [RequestId(1), RequestId(3)]);
+}
--- /dev/null
+++ b/crates/agent/src/zones/mod.rs
@@ -0,0 +1,90 @@
+//! Which availability zones are closed: an operator asks that nothing more be sent to their upstreams.
+//!
+//! Each agent follows this by itself, for it is the one way to its upstream: no other has to be heard for
+//! the zone to be emptied, and an outage of the store or of a coordinator delays it by its own length.
+
+#[cfg(test)]
+mod tests;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use model::Zone;
+use object_store::{Change, Follower, FollowerTimes, ObjectStore};
+use settings::{ZONES_PREFIX, ZoneObject, zone_of_path};
+use tokio::sync::watch;
+
+/// Zones whose upstreams are to be given nothing.
+pub type ClosedZones = Arc<BTreeSet<Zone>>;
+
+/// The zones that are closed now, as far as is known.
+pub type ClosedZonesSource = watch::Receiver<ClosedZones>;
+
+/// Zones are closed a few times a year, so that most watches end without news: they are long. A closing has to
+/// act within seconds, also when the store has just come back, so the pauses after failures are short.
+const FOLLOWER_TIMES: FollowerTimes = FollowerTimes {
+    wait: Duration::from_secs(29),
+    call_every_min: Duration::from_millis(50),
+    pause: Duration::from_millis(100),
+    pause_max: Duration::from_millis(1_000),
+};
+
+/// What a change of the store says of a zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ZoneNews {
+    Closed(Zone),
+    Open(Zone),
+}
+
+/// Follows for ever the objects below a prefix that close zones.
+pub async fn follow_zones(
+    store: Arc<dyn ObjectStore>,
+    prefix: &str,
+    read: impl Fn(&Change) -> Option<ZoneNews>,
+    closed: watch::Sender<ClosedZones>,
+) {
+    let mut follower = Follower::new(store, prefix, FOLLOWER_TIMES).from_an_aged_list();
+    let mut in_reach = true;
+    loop {
+        match follower.next().await {
+            Ok(changes) => {
+                if !std::mem::replace(&mut in_reach, true) {
+                    log::info!(target: "zones", "Which zones are closed can be read again.");
+                }
+                changes.iter().filter_map(&read).for_each(|it| take(it, &closed));
+            }
+            Err(error) => {
+                if std::mem::replace(&mut in_reach, false) {
+                    log::warn!(target: "zones", "Which zones are closed can't be read: {error}.");
+                }
+            }
+        }
+    }
+}
+
+fn take(news: ZoneNews, closed: &watch::Sender<ClosedZones>) {
+    closed.send_if_modified(|known| match news {
+        ZoneNews::Closed(zone) => Arc::make_mut(known).insert(zone),
+        ZoneNews::Open(zone) => Arc::make_mut(known).remove(&zone),
+    });
+}
+
+/// Follows the product's own objects, which `pomelohill zone` writes.
+pub(crate) async fn follow_own_zones(
+    store: Arc<dyn ObjectStore>,
+    closed: watch::Sender<ClosedZones>,
+) {
+    follow_zones(store, ZONES_PREFIX, read_own, closed).await;
+}
+
+fn read_own(change: &Change) -> Option<ZoneNews> {
+    let zone = zone_of_path(&change.path)?;
+    let Some(body) = &change.body else { return Some(ZoneNews::Open(zone)) };
+    match serde_json::from_slice(body) {
+        Ok(ZoneObject { closed: true }) => Some(ZoneNews::Closed(zone)),
+        Ok(ZoneObject { closed: false }) => Some(ZoneNews::Open(zone)),
+        Err(error) => {
+            log::error!(target: "zones", "{} is passed over: {error}.", change.path);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/zones/tests.rs
@@ -0,0 +1,63 @@
+//! What is read of zones.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use model::{ObjectVersion, Zone};
+use object_store::Change;
+use tokio::{sync::watch, time::timeout};
+
+use super::{ClosedZones, ClosedZonesSource, ZoneNews, follow_own_zones, read_own};
+use crate::control::tests::platform::FakeStore;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn zone(name: &str) -> Zone {
+    Zone::new(name).unwrap()
+}
+
+fn change(path: &str, body: Option<&'static str>) -> Change {
+    let body = body.map(|it| Bytes::from_static(it.as_bytes()));
+    Change { path: path.to_owned(), version: ObjectVersion(1), body }
+}
+
+async fn wait_for(source: &mut ClosedZonesSource, zones: &[&str]) {
+    let expected: ClosedZones = Arc::new(zones.iter().map(|it| zone(it)).collect());
+    let waiting = source.wait_for(|it| *it == expected);
+    timeout(PATIENCE, waiting).await.expect("the zones in time").unwrap();
+}
+
+#[test]
+fn what_is_no_zone_changes_nothing() {
+    let closed = change("zones/pitlane", Some(r#"{"closed": true}"#));
+    assert_eq!(read_own(&closed), Some(ZoneNews::Closed(zone("pitlane"))));
+    let open = change("zones/pitlane", Some(r#"{"closed": false}"#));
+    assert_eq!(read_own(&open), Some(ZoneNews::Open(zone("pitlane"))));
+    assert_eq!(read_own(&change("zones/pitlane", None)), Some(ZoneNews::Open(zone("pitlane"))));
+    for (path, body) in [
+        ("zones/pitlane", "{}"),
+        ("zones/pitlane", "nonsense"),
+        ("zones/", r#"{"closed": true}"#),
+        ("zones/a/b", r#"{"closed": true}"#),
+        ("services/pitlane", r#"{"closed": true}"#),
+    ] {
+        assert_eq!(read_own(&change(path, Some(body))), None, "{path} {body}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn zones_are_closed_and_opened_through_outages() {
+    let store = Arc::new(FakeStore::new());
+    store.put("zones/pitlane", r#"{"closed": true}"#);
+    let (sender, mut source) = watch::channel(ClosedZones::default());
+    let following = tokio::spawn(follow_own_zones(Arc::clone(&store) as _, sender));
+    wait_for(&mut source, &["pitlane"]).await;
+    store.down.store(true, std::sync::atomic::Ordering::SeqCst);
+    store.put("zones/drivers-stand", r#"{"closed": true}"#);
+    store.put("zones/pitlane", r#"{"closed": false}"#);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(source.borrow().len(), 1, "an outage opens nothing");
+    store.down.store(false, std::sync::atomic::Ordering::SeqCst);
+    wait_for(&mut source, &["drivers-stand"]).await;
+    following.abort();
+}
--- a/crates/object-store/src/api.rs
+++ b/crates/object-store/src/api.rs
@@ -64,6 +64,11 @@
         body: Bytes,
     ) -> StoreResult<'_, ObjectVersion>;
     fn list(&self, prefix: &str) -> StoreResult<'_, Changes>;
+    /// Lists some acknowledged state, perhaps seconds old, where a store has a cheaper way for that. A watch from
+    /// its revision makes up for the rest.
+    fn list_aged(&self, prefix: &str) -> StoreResult<'_, Changes> {
+        self.list(prefix)
+    }
     /// Waits at most `wait` for changes after a revision; an empty answer means none came.
     fn watch(&self, prefix: &str, after: ObjectVersion, wait: Duration)
     -> StoreResult<'_, Changes>;
--- a/crates/object-store/src/counted.rs
+++ b/crates/object-store/src/counted.rs
@@ -89,6 +89,10 @@
         self.count(CallKind::List).list(prefix)
     }
 
+    fn list_aged(&self, prefix: &str) -> StoreResult<'_, Changes> {
+        self.count(CallKind::AgedRead).list_aged(prefix)
+    }
+
     fn watch(
         &self,
         prefix: &str,
--- a/crates/object-store/src/follower.rs
+++ b/crates/object-store/src/follower.rs
@@ -1,6 +1,6 @@
 //! Follows a prefix: one list, then one watch after another, through outages of the platform.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use model::ObjectVersion;
 use tokio::time::{Instant, sleep_until};
@@ -31,7 +31,7 @@
 }
 
 /// Yields every object under a prefix and then every change, none twice and none older than one
-/// that it has yielded.
+/// that it has yielded. What was deleted while it could not watch is told by the next list.
 pub struct Follower {
     platform: Arc<dyn ObjectStore>,
     prefix: String,
@@ -40,6 +40,10 @@
     revision: Option<ObjectVersion>,
     /// Changes may have been missed: list before the next watch.
     lists: bool,
+    /// The first list may show an older state: the watch that follows tells what is newer.
+    aged_first: bool,
+    /// The objects that there are, as far as it has yielded.
+    known: BTreeSet<String>,
     pause: Duration,
     next_call: Option<Instant>,
 }
@@ -56,11 +60,18 @@
             times,
             revision: None,
             lists: true,
+            aged_first: false,
+            known: BTreeSet::new(),
             pause: times.pause,
             next_call: None,
         }
     }
 
+    /// Begins with a list that may be seconds old, which some stores answer at a lower price.
+    pub fn from_an_aged_list(self) -> Follower {
+        Follower { aged_first: true, ..self }
+    }
+
     /// The next changes; at first all objects, perhaps none. An error is for the log and the
     /// status: the next call goes on from where this one was, after a pause.
     pub async fn next(&mut self) -> Result<Vec<Change>, StoreError> {
@@ -90,6 +101,9 @@
 
     async fn call(&self) -> Result<Changes, StoreError> {
         match self.revision.filter(|_| !self.lists) {
+            None if self.aged_first && self.revision.is_none() => {
+                self.platform.list_aged(&self.prefix).await
+            }
             None => self.platform.list(&self.prefix).await,
             Some(after) => self.platform.watch(&self.prefix, after, self.times.wait).await,
         }
@@ -97,12 +111,30 @@
 
     /// An answer that was made before one that came earlier moves nothing back.
     fn advance(&mut self, changes: Changes) -> Vec<Change> {
-        self.lists = false;
+        let listed = std::mem::take(&mut self.lists);
         let known = self.revision;
+        let is_later = known.is_none_or(|known| changes.revision > known);
+        let gone = if listed && is_later { self.gone_from(&changes) } else { Vec::new() };
         let is_newer = |it: &Change| known.is_none_or(|known| it.version > known);
         let mut newer: Vec<Change> = changes.changes.into_iter().filter(is_newer).collect();
+        newer.extend(gone);
         newer.sort_by_key(|it| it.version);
+        for it in &newer {
+            match it.body {
+                Some(_) => self.known.insert(it.path.clone()),
+                None => self.known.remove(&it.path),
+            };
+        }
         self.revision = Some(known.unwrap_or_default().max(changes.revision));
         newer
     }
+
+    /// What was there and is not in a list that is newer.
+    fn gone_from(&self, list: &Changes) -> Vec<Change> {
+        let listed: BTreeSet<&str> = list.changes.iter().map(|it| it.path.as_str()).collect();
+        let gone = self.known.iter().filter(|it| !listed.contains(it.as_str()));
+        let deleted =
+            |path: &String| Change { path: path.clone(), version: list.revision, body: None };
+        gone.map(deleted).collect()
+    }
 }
--- a/crates/object-store/src/tests/follower.rs
+++ b/crates/object-store/src/tests/follower.rs
@@ -152,6 +152,32 @@
     .await;
 }
 
+/// A list shows what is there; what is not was deleted while nobody watched.
+#[tokio::test(start_paused = true)]
+async fn what_is_missing_in_a_later_list_has_been_deleted() {
+    let script = [Say::Changes(7, &[3, 7]), Say::HistoryGone, Say::Changes(12, &[7])];
+    let mut follower =
+        Follower::new(scripted(&script, true), "accepted/", FollowerTimes::default());
+    assert_eq!(follower.next().await.unwrap().len(), 2);
+    assert!(follower.next().await.is_err());
+    let deleted =
+        |path: &str| Change { path: path.to_owned(), version: ObjectVersion(12), body: None };
+    assert_eq!(follower.next().await.unwrap(), [deleted("accepted/3")]);
+}
+
+/// A list that was made before the last answer proves nothing of what came since.
+#[tokio::test(start_paused = true)]
+async fn a_stale_list_deletes_nothing() {
+    let script =
+        [Say::Changes(7, &[3, 7]), Say::HistoryGone, Say::Changes(5, &[3]), Say::Changes(9, &[9])];
+    let mut follower =
+        Follower::new(scripted(&script, true), "accepted/", FollowerTimes::default());
+    assert_eq!(follower.next().await.unwrap().len(), 2);
+    assert!(follower.next().await.is_err());
+    let versions: Vec<u64> = follower.next().await.unwrap().iter().map(|it| it.version.0).collect();
+    assert_eq!(versions, [9]);
+}
+
 /// The calls of a follower in a minute of a platform that never has news.
 async fn calls_a_minute(script: &[Say], waits: bool) -> u64 {
     let counts: Arc<CallCounts> = Arc::default();
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -123,6 +123,8 @@
 pub struct DrainLimits {
     /// When, after the announcement, no new work may reach the upstream; 3 s at the most.
     pub no_new_work_after: Duration,
+    /// The same after the availability zone of the upstream was closed.
+    pub zone_no_new_work_after: Duration,
     /// How long the instance waits for what is in flight.
     pub in_flight_max: Duration,
 }
@@ -238,6 +240,7 @@
     fn from(raw: &raw::RawDrain) -> DrainLimits {
         DrainLimits {
             no_new_work_after: Duration::from_millis(raw.no_new_work_ms),
+            zone_no_new_work_after: Duration::from_millis(raw.zone_no_new_work_ms),
             in_flight_max: Duration::from_millis(raw.in_flight_ms_max),
         }
     }
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -326,6 +326,9 @@
     /// When, after the announcement, no new work may reach the upstream any more.
     #[schemars(range(max = 3_000))]
     pub(crate) no_new_work_ms: u64,
+    /// When, after its availability zone was closed, no new work may reach the upstream any more.
+    #[schemars(range(max = 60_000))]
+    pub(crate) zone_no_new_work_ms: u64,
     /// How long the instance waits for what is in flight.
     #[schemars(range(min = 100, max = 600_000))]
     pub(crate) in_flight_ms_max: u64,
@@ -333,6 +336,6 @@
 
 impl Default for RawDrain {
     fn default() -> RawDrain {
-        RawDrain { no_new_work_ms: 2_000, in_flight_ms_max: 60_000 }
+        RawDrain { no_new_work_ms: 2_000, zone_no_new_work_ms: 5_000, in_flight_ms_max: 60_000 }
     }
 }
--- a/crates/settings/src/objects.rs
+++ b/crates/settings/src/objects.rs
@@ -3,6 +3,7 @@
 //! - `services/S`: the document as its team wrote it, the text as it is.
 //! - `accepted/S`: [`Accepted`], the version in force; only rises.
 //! - `status/S/G`: [`Status`] of one group, written by its coordinator.
+//! - `zones/Z`: [`ZoneObject`], whether an operator has closed an availability zone.
 
 use model::{
     ConfigVersion, GroupId, InstanceName, KeyHash, ObjectVersion, ServiceName, Slot, Term, Token,
@@ -30,6 +31,27 @@
     format!("status/{service}/")
 }
 
+/// What the objects of availability zones begin with.
+pub const ZONES_PREFIX: &str = "zones/";
+
+/// Where it is said whether a zone is closed.
+pub fn zone_path(zone: &Zone) -> String {
+    format!("{ZONES_PREFIX}{zone}")
+}
+
+/// The zone that an object is about.
+pub fn zone_of_path(path: &str) -> Option<Zone> {
+    Zone::new(path.strip_prefix(ZONES_PREFIX)?).ok()
+}
+
+/// Whether the upstreams of an availability zone are to be given nothing. A zone without one is open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneObject {
+    pub closed: bool,
+}
+
 /// The document that is in force, or on its way to be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
