An instance is chosen by what requests of that kind take there, and by its usual backlog

Gates reported one mean over all requests, so the upstream that was asked for the short calls (30 ms beside reads of 300) looked fastest and got more of them; and an agent hears of each gate every few seconds, by when it took the backlog for worked off.

Now replies carry what the kind that was asked for takes there, and a backlog fades to the one that the gate usually reports, not to none.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -189,7 +189,7 @@
         let asking = state.selector.start(now, self.parts.clock, &target, routes, request);
         let Replied { reply, load } = self.ask(&target, request).await;
         if let Some(load) = load {
-            state.selector.report(self.parts.clock.now(), &target, load);
+            state.selector.report(self.parts.clock.now(), &target, request.kind, load);
         }
         asking.finish(reply.outcome());
         match &reply {
@@ -214,8 +214,7 @@
             return self.parts.links.ask(target, request).await;
         }
         // The gate keeps to the deadline itself.
-        let reply = self.parts.gate.call(request.clone()).await;
-        Replied { reply, load: self.parts.gate.gate_load() }
+        self.parts.gate.serve(request.clone()).await
     }
 
     fn report_stale(&self, request: &GateRequest, owner: &Option<Instance>, route_version: u64) {
--- a/crates/agent/src/forward/selector.rs
+++ b/crates/agent/src/forward/selector.rs
@@ -67,7 +67,7 @@
             _ if hint.is_some() => hint.map(only),
             (Routes::ByKey(routes), Some(key_hash)) => by_key(routes, key_hash, tried).map(only),
             (Routes::Any(members), None) if request.idempotent || !routes.document.resends => {
-                self.pick(now, routes, members, tried)
+                self.pick(now, routes, request.kind, members, tried)
             }
             // Whether another member may stand in for the home is for that member to say.
             (Routes::Any(members), None) => {
@@ -102,6 +102,7 @@
         &self,
         now: Timestamp,
         routes: &ServiceRoutes,
+        kind: Option<u8>,
         members: &[MemberRoute],
         tried: &[Instance],
     ) -> Option<Picked> {
@@ -120,15 +121,22 @@
         }
         let mut tried: Vec<InstanceName> = tried.iter().map(|it| it.name.clone()).collect();
         tried.extend(self.avoided(now));
-        selecting.selection.pick(now, &tried, &mut rand::rng())
+        selecting.selection.pick(now, kind, &tried, &mut rand::rng())
     }
 
     /// Takes in what a gate says of its load.
-    pub(super) fn report(&self, now: Timestamp, target: &Instance, load: GateLoad) {
+    pub(super) fn report(
+        &self,
+        now: Timestamp,
+        target: &Instance,
+        kind: Option<u8>,
+        load: GateLoad,
+    ) {
         let report = GateReport {
             backlog: load.running.saturating_add(load.queued),
             slots: load.slots,
             service: Duration::from_micros(load.service_us),
+            kind: kind.zip(load.kind_us.map(Duration::from_micros)),
         };
         if let Some(selecting) = &mut *lock(&self.selection) {
             selecting.selection.report(now, target, report);
--- a/crates/agent/src/gate/lane.rs
+++ b/crates/agent/src/gate/lane.rs
@@ -22,7 +22,7 @@
 
 use wire::traffic::GateLoad;
 
-use crate::clock::Clock;
+use crate::{clock::Clock, request::whole_us};
 
 /// What a request is expected to take until some have been measured.
 const SERVICE_GUESS: Duration = Duration::from_millis(10);
@@ -210,9 +210,12 @@
         state.admission.next_wakeup(now)
     }
 
-    pub(crate) fn gate_load(&self) -> GateLoad {
+    /// How busy the lane is, and what requests of a class and kind take.
+    pub(crate) fn gate_load(&self, class: &ClassName, kind: Option<u8>) -> GateLoad {
         let now = self.clock.now();
         let admission = &self.state().admission;
+        let route = kind.map(|it| RouteIndex(it.into()));
+        let of_kind = admission.measured(self.class(class), route);
         let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
         // One that is cold works off its queue as a single slot would that takes the time between two starts.
         let (slots, service) = match admission.cold_step(now) {
@@ -223,7 +226,8 @@
             running: count(admission.running()),
             queued: count(admission.queued()),
             slots: count(slots),
-            service_us: u64::try_from(service.as_micros()).unwrap_or(u64::MAX),
+            service_us: whole_us(service),
+            kind_us: of_kind.map(whole_us),
         }
     }
 
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -24,7 +24,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use model::{Instance, Timestamp, UnknownReason};
+use model::{ClassName, Instance, Timestamp, UnknownReason};
 use settings::ServiceDocument;
 use tokio::sync::{mpsc, oneshot};
 use upstream::{HeldKeys, HttpUpstream, KeysToHold, Upstream};
@@ -36,7 +36,7 @@
     links::traffic::{Handler, Handover, Serving, TrafficLinks},
     metrics::Metrics,
     report::{Announcement, Report, Reporter},
-    request::{GateReply, GateRequest},
+    request::{GateReply, GateRequest, Replied},
     request_log::{GateState, RequestLog},
     snapshot::SnapshotCell,
 };
@@ -137,9 +137,9 @@
             .is_none_or(|it| it.document.keyed || it.refuses_work(self.clock.now()))
     }
 
-    /// How busy the gate is, for those that choose between it and others.
-    pub(crate) fn gate_load(&self) -> Option<GateLoad> {
-        self.bound.load().as_ref().map(|it| it.lane.gate_load())
+    /// How busy the gate is, for whoever has asked it for a request of a class and kind.
+    fn gate_load(&self, class: &ClassName, kind: Option<u8>) -> Option<GateLoad> {
+        self.bound.load().as_ref().map(|it| it.lane.gate_load(class, kind))
     }
 
     /// Requests at the upstream, and requests that wait for a slot of it.
@@ -183,6 +183,13 @@
         reply.await.unwrap_or(GateReply::unknown(UnknownReason::ConnectionLost))
     }
 
+    /// The same, with how busy the gate is by then.
+    pub(crate) async fn serve(self: &Arc<Gate>, request: GateRequest) -> Replied {
+        let (class, kind) = (request.class.clone(), request.kind);
+        let reply = self.call(request).await;
+        Replied { reply, load: self.gate_load(&class, kind) }
+    }
+
     async fn handle_logged(&self, request: &GateRequest, caller: &mut Caller) -> GateReply {
         let came_at = self.clock.now();
         let reply = self.handle(request, caller).await;
@@ -207,14 +214,10 @@
 }
 
 impl Handler for Arc<Gate> {
-    fn load(&self) -> Option<GateLoad> {
-        self.gate_load()
-    }
-
     fn request(&self, from: &Instance, request: GateRequest) -> Serving {
         self.compare_config(from, &request);
         let gate = Arc::clone(self);
-        Box::pin(async move { gate.call(request).await })
+        Box::pin(async move { gate.serve(request).await })
     }
 
     fn records(&self, from: &Instance, handover: Handover) -> bool {
--- a/crates/agent/src/links/traffic/inbox.rs
+++ b/crates/agent/src/links/traffic/inbox.rs
@@ -121,7 +121,7 @@
             Progress::Whole(Head::Request(it)) => {
                 let request = GateRequest::try_from(*it).context("request")?;
                 let serving = self.handler.request(&self.link.peer, request);
-                self.served.start(&self.link, &self.handler, id, serving);
+                self.served.start(&self.link, id, serving);
                 Ok(())
             }
             Progress::Whole(Head::Answer(it)) => {
--- a/crates/agent/src/links/traffic/mod.rs
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -23,7 +23,7 @@
     sync::watch,
     time::{Instant, sleep},
 };
-use wire::{link::LinkKind, traffic::GateLoad};
+use wire::link::LinkKind;
 
 use crate::{
     links::{
@@ -44,14 +44,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(500);
 
 /// A request of a peer on its way to its reply.
-pub(crate) type Serving = Pin<Box<dyn Future<Output = GateReply> + Send>>;
+pub(crate) type Serving = Pin<Box<dyn Future<Output = Replied> + Send>>;
 
 /// Takes what peers send.
 pub(crate) trait Handler: Send + Sync {
     /// Takes a request to its end; dropping the future cancels it.
     fn request(&self, from: &Instance, request: GateRequest) -> Serving;
-    /// How busy the gate is, for whoever asks.
-    fn load(&self) -> Option<GateLoad>;
     /// Takes over records; false: they can't be used.
     fn records(&self, from: &Instance, handover: Handover) -> bool;
 }
--- a/crates/agent/src/links/traffic/serve.rs
+++ b/crates/agent/src/links/traffic/serve.rs
@@ -12,10 +12,10 @@
 
 use crate::{
     links::traffic::{
-        Handler, Serving,
+        Serving,
         link::{Link, first_len},
     },
-    request::{GateReply, headers_to_wire},
+    request::{GateReply, Replied, headers_to_wire},
 };
 
 /// Running requests of one link.
@@ -28,18 +28,12 @@
     }
 
     /// Sends the reply when it comes. Cancelling drops the request on its way.
-    pub(super) fn start(
-        self: &Arc<Served>,
-        link: &Arc<Link>,
-        handler: &Arc<dyn Handler>,
-        id: CorrelationId,
-        serving: Serving,
-    ) {
-        let (served, link, handler) = (Arc::clone(self), Arc::clone(link), Arc::clone(handler));
+    pub(super) fn start(self: &Arc<Served>, link: &Arc<Link>, id: CorrelationId, serving: Serving) {
+        let (served, link) = (Arc::clone(self), Arc::clone(link));
         let mut table = self.table();
         let task = tokio::spawn(async move {
-            let reply = serving.await;
-            send(&link, id, reply, handler.load()).await;
+            let Replied { reply, load } = serving.await;
+            send(&link, id, reply, load).await;
             served.table().remove(&id);
         });
         table.insert(id, task.abort_handle());
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -8,7 +8,7 @@
 };
 use wire::{
     link::LinkKind,
-    traffic::{Answer, Chunk, CorrelationId, Frame, GateLoad},
+    traffic::{Answer, Chunk, CorrelationId, Frame},
 };
 
 use super::{
@@ -113,10 +113,6 @@
         unreachable!("no request is sent")
     }
 
-    fn load(&self) -> Option<GateLoad> {
-        None
-    }
-
     fn records(&self, _from: &Instance, _handover: Handover) -> bool {
         false
     }
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -115,7 +115,7 @@
     CodecError::Invalid { field, reason }
 }
 
-fn whole_us(duration: Duration) -> u64 {
+pub(crate) fn whole_us(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
--- a/crates/traffic/src/admission/costs.rs
+++ b/crates/traffic/src/admission/costs.rs
@@ -27,7 +27,11 @@
     }
 
     pub(super) fn expected(&self, route: Option<RouteIndex>) -> &Smoothed {
-        route.and_then(|it| self.routes.get(it.0)?.as_ref()).unwrap_or(&self.class)
+        route.and_then(|it| self.measured(it)).unwrap_or(&self.class)
+    }
+
+    pub(super) fn measured(&self, route: RouteIndex) -> Option<&Smoothed> {
+        self.routes.get(route.0)?.as_ref()
     }
 
     pub(super) fn add(&mut self, route: Option<RouteIndex>, taken: Duration) {
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -285,6 +285,11 @@
         self.classes[class.0].costs.expected(route).mean()
     }
 
+    /// What requests of a route were measured to take, on average; none: there were none.
+    pub fn measured(&self, class: ClassIndex, route: Option<RouteIndex>) -> Option<Duration> {
+        self.classes[class.0].costs.measured(route?).map(Smoothed::mean)
+    }
+
     /// Requests that run.
     pub fn running(&self) -> usize {
         self.running
--- a/crates/traffic/src/selection/mod.rs
+++ b/crates/traffic/src/selection/mod.rs
@@ -128,11 +128,12 @@
     }
 
     /// Picks a target and counts the request as in flight there; [`Selection::finish`] must
-    /// follow. `tried` are those that this request has been refused by. None: no target may get
-    /// new work.
+    /// follow. Requests of one kind are expected to take alike. `tried` are those that this request has been
+    /// refused by. None: no target may get new work.
     pub fn pick(
         &mut self,
         now: Timestamp,
+        kind: Option<u8>,
         tried: &[InstanceName],
         rng: &mut impl Rng,
     ) -> Option<Picked> {
@@ -140,7 +141,7 @@
         let fresh = |it: &&Target| !tried.contains(&it.instance.name);
         let able: Vec<usize> = self.indexes(|it| fit(&it) && fresh(&it));
         let able = if able.is_empty() { self.indexes(|it| fit(&it)) } else { able };
-        let ranking = self.by_reports(now, &able, rng);
+        let ranking = self.by_reports(now, kind, &able, rng);
         let index = match &ranking {
             Some(it) => it.best.0,
             None => self.choose(now, &able, rng)?,
@@ -212,11 +213,15 @@
     }
 
     /// The target with the shortest expected time, the way to another zone included; of many, the best of
-    /// a few drawn at random and of those in the own zone. One that has said nothing lately goes by what
-    /// its requests in flight show. None where gates do not report.
-    fn by_reports(&self, now: Timestamp, able: &[usize], rng: &mut impl Rng) -> Option<Ranking> {
-        let reported = |it: usize| self.targets[it].reported_s(now);
-        let best_s = able.iter().filter_map(|it| reported(*it)).min_by(f64::total_cmp)?;
+    /// a few drawn at random and of those in the own zone. None where gates do not report.
+    fn by_reports(
+        &self,
+        now: Timestamp,
+        kind: Option<u8>,
+        able: &[usize],
+        rng: &mut impl Rng,
+    ) -> Option<Ranking> {
+        let usual_s = self.usual_s(now, kind, able)?;
         let is_near = |it: usize| self.targets[it].instance.zone == self.zone;
         let drawn: Vec<usize> = match able.len() {
             ..=DRAWN_MAX => able.to_vec(),
@@ -225,9 +230,7 @@
         let near = able.iter().copied().filter(|it| is_near(*it) && able.len() > DRAWN_MAX);
         let cost = |it: usize, rng: &mut dyn FnMut() -> f64| {
             let way_s = if is_near(it) { 0.0 } else { self.config.zone_penalty.as_secs_f64() };
-            let target = &self.targets[it];
-            let silent_s = || target.cost_s(&self.config, now, best_s).max(best_s);
-            let own_s = reported(it).unwrap_or_else(silent_s) * target.failure_factor();
+            let own_s = self.expected_s(now, it, kind, usual_s);
             // Agents that have heard the same must not all go to the same target.
             own_s * (1.0 + REPORT_NOISE * rng()) + way_s
         };
@@ -236,6 +239,30 @@
         ranking(costs)
     }
 
+    /// What a request of the kind takes at the targets on average, or any request where no gate has said so.
+    fn usual_s(&self, now: Timestamp, kind: Option<u8>, able: &[usize]) -> Option<f64> {
+        let targets = || able.iter().map(|it| &self.targets[*it]);
+        let of_kind = kind.and_then(|kind| mean(targets().filter_map(|it| it.kind_s(now, kind))));
+        of_kind.or_else(|| mean(targets().filter_map(|it| it.service_s(now))))
+    }
+
+    /// The time until a request that is sent now has its answer: its own, by its kind, since a target that is
+    /// asked for short requests would look fast by the mean of all, and the wait for those before it.
+    fn expected_s(&self, now: Timestamp, target: usize, kind: Option<u8>, usual_s: f64) -> f64 {
+        let target = &self.targets[target];
+        let of_kind = kind.map(|it| target.kind_s(now, it));
+        let own_s = match of_kind {
+            Some(of_kind) => of_kind.unwrap_or(usual_s),
+            None => target.service_s(now).unwrap_or(usual_s),
+        };
+        let expected_s = match target.wait_s(now) {
+            Some(wait_s) => own_s + wait_s,
+            // Nothing is known but what it was sent and has not answered.
+            None => own_s * (1.0 + target.in_flight_share(&self.config, now)),
+        };
+        expected_s * target.failure_factor()
+    }
+
     fn two_choices(&self, now: Timestamp, among: &[usize], rng: &mut impl Rng) -> Option<usize> {
         if among.len() < 2 {
             return among.first().copied();
@@ -261,6 +288,11 @@
     }
 }
 
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0_u32), |(sum, count), it| (sum + it, count + 1));
+    (count > 0).then(|| sum / f64::from(count))
+}
+
 fn ranking(costs: impl Iterator<Item = (usize, f64)>) -> Option<Ranking> {
     let mut found: Option<Ranking> = None;
     for (index, cost_s) in costs {
--- a/crates/traffic/src/selection/target.rs
+++ b/crates/traffic/src/selection/target.rs
@@ -1,6 +1,6 @@
 //! One target of a service, as callers have found it.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use model::{Instance, Timestamp};
 
@@ -15,8 +15,11 @@
 const HINT_ILL_WEIGHT: f64 = 1.0;
 /// How fast a measured latency loses its weight when nothing new is measured.
 const LATENCY_FADE: Duration = Duration::from_secs(10);
-/// How long a gate's report is gone by: its backlog is another one by then.
-const REPORT_KEPT: Duration = Duration::from_secs(3);
+/// The share of a new report in the usual backlog.
+const BACKLOG_GAIN: f64 = 0.25;
+/// How long a gate is gone by: how fast its machine is and how much it is asked for usually stay what they
+/// are for longer, but one that was slow or full once has to be tried again.
+const HEARD_FOR: Duration = Duration::from_secs(30);
 /// Silence for this many times the usual latency is none: long requests just take long.
 const SILENT_LATENCIES: u32 = 4;
 /// Ejections in a row that lengthen the next one.
@@ -53,8 +56,10 @@
     /// Requests at the upstream, and those that wait for a slot of it.
     pub backlog: u32,
     pub slots: u32,
-    /// What a request takes there.
+    /// What a request takes there, on average over all kinds as they come.
     pub service: Duration,
+    /// What one of the kind that was asked for takes there, if any has been measured.
+    pub kind: Option<(u8, Duration)>,
 }
 
 /// A gate's report, and what has become of it since.
@@ -64,6 +69,8 @@
     at: Timestamp,
     /// Requests sent to it since.
     sent: u32,
+    /// The backlogs that it has reported, smoothed.
+    usual_backlog: f64,
 }
 
 /// How a request ended at a target.
@@ -97,6 +104,8 @@
     in_flight: u32,
     latency: Smoothed,
     reported: Option<Reported>,
+    /// What requests of each kind take there, as its gate last said.
+    kinds: HashMap<u8, (Duration, Timestamp)>,
     /// The last answer or refusal, or the first request given since it had none in flight.
     last_sign: Timestamp,
     failures_in_row: u32,
@@ -114,6 +123,7 @@
             in_flight: 0,
             latency: Smoothed::new(latency_guess),
             reported: None,
+            kinds: HashMap::new(),
             last_sign: now,
             failures_in_row: 0,
             ejections_in_row: 0,
@@ -151,29 +161,46 @@
     }
 
     pub(super) fn report(&mut self, now: Timestamp, report: GateReport) {
-        self.reported = Some(Reported { report, at: now, sent: 0 });
+        if let Some((kind, takes)) = report.kind {
+            self.kinds.insert(kind, (takes, now));
+        }
+        let backlog = f64::from(report.backlog);
+        let usual = self.heard(now).map_or(backlog, |it| it.usual_backlog);
+        let usual_backlog = usual + BACKLOG_GAIN * (backlog - usual);
+        self.reported = Some(Reported { report, at: now, sent: 0, usual_backlog });
     }
 
-    /// The time until a request that is sent now has its answer, by what the gate last said: its backlog
-    /// then, what was sent since, less what has been worked off meanwhile. None: it has said nothing
-    /// lately.
-    pub(super) fn reported_s(&self, now: Timestamp) -> Option<f64> {
-        let Reported { report, at, sent } = self.reported?;
-        let age = now.since(at);
-        if age > REPORT_KEPT || report.slots == 0 {
-            return None;
-        }
+    /// What a request takes here, on average over all kinds; none: the gate has said nothing for long.
+    pub(super) fn service_s(&self, now: Timestamp) -> Option<f64> {
+        Some(self.heard(now)?.report.service.as_secs_f64())
+    }
+
+    /// What a request of a kind takes here by itself.
+    pub(super) fn kind_s(&self, now: Timestamp, kind: u8) -> Option<f64> {
+        let (takes, _) = self.kinds.get(&kind).filter(|it| now.since(it.1) <= HEARD_FOR)?;
+        Some(takes.as_secs_f64())
+    }
+
+    /// How long a request that is sent now waits here for a slot. What the gate last said of its backlog fades
+    /// to what it usually says within the time of a request: an agent hears of each of many gates every few
+    /// seconds, and one that is busy at all times has worked nothing off meanwhile.
+    pub(super) fn wait_s(&self, now: Timestamp) -> Option<f64> {
+        let Reported { report, at, sent, usual_backlog } = self.heard(now)?;
+        let slots = f64::from(report.slots.max(1));
         let service_s = report.service.as_secs_f64();
-        let slots = f64::from(report.slots);
-        let ended = age.as_secs_f64() * slots / service_s.max(f64::MIN_POSITIVE);
-        let backlog = (f64::from(report.backlog) - ended).max(0.0) + f64::from(sent);
-        let waiting = (backlog + 1.0 - slots).max(0.0);
-        Some(service_s * (1.0 + waiting / slots))
+        let left = (-now.since(at).as_secs_f64() / service_s.max(f64::MIN_POSITIVE)).exp();
+        let told = f64::from(report.backlog) + f64::from(sent);
+        let backlog = usual_backlog + (told - usual_backlog) * left;
+        Some(service_s * (backlog + 1.0 - slots).max(0.0) / slots)
+    }
+
+    fn heard(&self, now: Timestamp) -> Option<Reported> {
+        self.reported.filter(|it| now.since(it.at) <= HEARD_FOR)
     }
 
     /// How old what the gate last said is, if it still counts.
     pub(super) fn load_age(&self, now: Timestamp) -> Option<Duration> {
-        self.reported.map(|it| now.since(it.at)).filter(|it| *it <= REPORT_KEPT)
+        self.heard(now).map(|it| now.since(it.at))
     }
 
     pub(super) fn finish(
--- a/crates/traffic/src/selection/tests.rs
+++ b/crates/traffic/src/selection/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of selection.
 
+mod many;
+
 use std::time::Duration;
 
 use model::{Incarnation, Instance, InstanceName, Timestamp, Zone};
@@ -44,7 +46,7 @@
     }
 
     fn pick(&mut self) -> Option<Instance> {
-        self.selection.pick(self.now, &[], &mut self.rng).map(|it| it.instance)
+        self.selection.pick(self.now, None, &[], &mut self.rng).map(|it| it.instance)
     }
 
     fn finish(&mut self, instance: &Instance, result: TargetResult) {
@@ -223,7 +225,11 @@
             ends[at].retain(|it| *it > now);
             let backlog = ends[at].len() as u32;
             let service = ms(service_ms[at].into());
-            it.selection.report(now, &instance, GateReport { backlog, slots: SLOTS, service });
+            it.selection.report(
+                now,
+                &instance,
+                GateReport { backlog, slots: SLOTS, service, kind: None },
+            );
         }
         let Some(instance) = it.pick() else { continue };
         let at = it.specs.iter().position(|it| it.instance == instance).unwrap();
@@ -247,15 +253,15 @@
 fn a_pick_tells_what_it_was_weighed_by() {
     use crate::GateReport;
     let mut it = Fixture::new(&["a", "a", "a"]);
-    let picked = it.selection.pick(it.now, &[], &mut it.rng).unwrap();
+    let picked = it.selection.pick(it.now, None, &[], &mut it.rng).unwrap();
     assert_eq!(picked.weighed, None, "no gate has told its load");
     let specs = it.specs.clone();
     for (spec, backlog) in specs.iter().zip([24, 0, 36]) {
-        let report = GateReport { backlog, slots: 12, service: ms(100) };
+        let report = GateReport { backlog, slots: 12, service: ms(100), kind: None };
         it.selection.report(it.now, &spec.instance, report);
     }
     it.now = it.now + ms(10);
-    let picked = it.selection.pick(it.now, &[], &mut it.rng).unwrap();
+    let picked = it.selection.pick(it.now, None, &[], &mut it.rng).unwrap();
     assert_eq!(picked.instance, specs[1].instance);
     let weighed = picked.weighed.unwrap();
     assert_eq!((weighed.targets, weighed.load_age), (3, Some(ms(10))));
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -98,8 +98,11 @@
     pub queued: u32,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// What a request takes there, on average.
+    /// What a request takes there, on average over all kinds as they come.
     pub service_us: u64,
+    /// What one of the kind that was asked for takes there, if any has been measured.
+    #[serde(default)]
+    pub kind_us: Option<u64>,
 }
 
 /// Head of an answer.
