--- a/crates/client/src/args.rs
+++ b/crates/client/src/args.rs
@@ -9,6 +9,7 @@
   pomelohill apply standings.jsonc
   pomelohill status standings
   pomelohill explain standings car-7
+  pomelohill zone --close pitlane
   pomelohill explain-request a28de7bb21e91d88 logs/*.log
 
 Exit codes:
@@ -46,6 +47,8 @@
     Watch(WatchArgs),
     #[options(help = "say who owns a key, and why")]
     Explain(ExplainArgs),
+    #[options(help = "show which availability zones are closed; close or open one")]
+    Zone(ZoneArgs),
     #[options(help = "tell from logs what became of a request, and why")]
     ExplainRequest(ExplainRequestArgs),
 }
@@ -130,6 +133,21 @@
     pub(crate) key: String,
 }
 
+/// Shows which availability zones are closed. The upstreams of a closed zone get nothing new, and their keys
+/// go to others; the zone's agents go on serving callers.
+#[derive(Debug)]
+#[derive(Options)]
+pub(crate) struct ZoneArgs {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "the zone; all that are closed, if left out")]
+    pub(crate) zone: Option<String>,
+    #[options(no_short, help = "close it")]
+    pub(crate) close: bool,
+    #[options(no_short, help = "open it again")]
+    pub(crate) open: bool,
+}
+
 /// Tells from the logs of several instances what became of a request.
 #[derive(Debug)]
 #[derive(Options)]
@@ -169,6 +187,7 @@
         Command::Status(_) => "status [--json] [SERVICE]",
         Command::Watch(_) => "watch [--count N] SERVICE",
         Command::Explain(_) => "explain SERVICE KEY",
+        Command::Zone(_) => "zone [--close|--open] [ZONE]",
         Command::ExplainRequest(_) => "explain-request [--around-s N] ID FILE...",
     }
 }
--- a/crates/client/src/commands/mod.rs
+++ b/crates/client/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod status;
 mod wait;
 mod watch;
+mod zone;
 
 use std::{env, net::SocketAddr};
 
@@ -30,6 +31,7 @@
         Command::Status(args) => status::run(&store(platform)?, &args, terminal).await,
         Command::Watch(args) => watch::run(&store(platform)?, &args, terminal).await,
         Command::Explain(args) => explain::run(&store(platform)?, &args, terminal).await,
+        Command::Zone(args) => zone::run(&store(platform)?, &args, terminal).await,
         Command::ExplainRequest(args) => explain_request::run(&args, terminal),
     }
 }
--- a/crates/client/tests/cli/main.rs
+++ b/crates/client/tests/cli/main.rs
@@ -5,6 +5,7 @@
 mod explain_request;
 mod fake_platform;
 mod look;
+mod zone;
 
 use std::{
     fs,
