The way to another zone counts for a quarter of the objective at the most

Cause: 150 ms were weighed for objectives of 600 ms and more. Calls of 30 ms with an objective of 120 waited at home for up to 150 ms while other zones had free slots; their callers, posts that may not be repeated, held a slot meanwhile and failed.

--- a/crates/agent/src/forward/selector.rs
+++ b/crates/agent/src/forward/selector.rs
@@ -9,7 +9,7 @@
 use model::{Instance, InstanceName, KeyHash, NotRunReason, Outcome, RequestId, Timestamp};
 use ownership::UpstreamState;
 use traffic::{
-    GateReport, HealthHint, Picked, Selection, SelectionConfig, TargetResult, TargetSpec,
+    GateReport, HealthHint, Picked, Selection, SelectionConfig, Sending, TargetResult, TargetSpec,
     TargetState,
 };
 use wire::traffic::GateLoad;
@@ -67,7 +67,7 @@
             _ if hint.is_some() => hint.map(only),
             (Routes::ByKey(routes), Some(key_hash)) => by_key(routes, key_hash, tried).map(only),
             (Routes::Any(members), None) if request.idempotent || !routes.document.resends => {
-                self.pick(now, routes, request.kind, members, tried)
+                self.pick(now, routes, request, members, tried)
             }
             // Whether another member may stand in for the home is for that member to say.
             (Routes::Any(members), None) => {
@@ -102,7 +102,7 @@
         &self,
         now: Timestamp,
         routes: &ServiceRoutes,
-        kind: Option<u8>,
+        request: &GateRequest,
         members: &[MemberRoute],
         tried: &[Instance],
     ) -> Option<Picked> {
@@ -121,7 +121,8 @@
         }
         let mut tried: Vec<InstanceName> = tried.iter().map(|it| it.name.clone()).collect();
         tried.extend(self.avoided(now));
-        selecting.selection.pick(now, kind, &tried, &mut rand::rng())
+        let sending = Sending { kind: request.kind, objective: request.objective };
+        selecting.selection.pick(now, sending, &tried, &mut rand::rng())
     }
 
     /// Takes in what a gate says of its load.
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -25,7 +25,7 @@
 };
 pub use retry::{Attempt, Attempts, Charge, Retries, RetryConfig, RetryVerdict};
 pub use selection::{
-    GateReport, HealthHint, Picked, Selection, SelectionConfig, TargetResult, TargetSpec,
+    GateReport, HealthHint, Picked, Selection, SelectionConfig, Sending, TargetResult, TargetSpec,
     TargetState, TargetView, Weighed,
 };
 pub use sketch::{Heavy, Sketch};
--- a/crates/traffic/src/selection/mod.rs
+++ b/crates/traffic/src/selection/mod.rs
@@ -22,6 +22,9 @@
 const TIE: f64 = 1.05;
 /// Up to so many targets are compared at a time.
 const DRAWN_MAX: usize = 6;
+/// The way to another zone counts for no more than this part of the time in which an answer is of full use: a
+/// short call that waits at home for as long as the way costs a long one has missed its time.
+const WAY_SHARE_MAX: f64 = 0.25;
 /// By how much the expected times that gates report are blurred.
 const REPORT_NOISE: f64 = 0.03;
 
@@ -62,6 +65,15 @@
     }
 }
 
+/// What is to be sent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sending {
+    /// Requests of one kind are expected to take alike; none: as all do.
+    pub kind: Option<u8>,
+    /// The time left in which an answer is of full use; none: not known.
+    pub objective: Option<Duration>,
+}
+
 /// A target that was picked, and what it was weighed by.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Picked {
@@ -128,12 +140,12 @@
     }
 
     /// Picks a target and counts the request as in flight there; [`Selection::finish`] must
-    /// follow. Requests of one kind are expected to take alike. `tried` are those that this request has been
-    /// refused by. None: no target may get new work.
+    /// follow. `tried` are those that this request has been refused by. None: no target may get
+    /// new work.
     pub fn pick(
         &mut self,
         now: Timestamp,
-        kind: Option<u8>,
+        sending: Sending,
         tried: &[InstanceName],
         rng: &mut impl Rng,
     ) -> Option<Picked> {
@@ -141,7 +153,7 @@
         let fresh = |it: &&Target| !tried.contains(&it.instance.name);
         let able: Vec<usize> = self.indexes(|it| fit(&it) && fresh(&it));
         let able = if able.is_empty() { self.indexes(|it| fit(&it)) } else { able };
-        let ranking = self.by_reports(now, kind, &able, rng);
+        let ranking = self.by_reports(now, sending, &able, rng);
         let index = match &ranking {
             Some(it) => it.best.0,
             None => self.choose(now, &able, rng)?,
@@ -217,11 +229,15 @@
     fn by_reports(
         &self,
         now: Timestamp,
-        kind: Option<u8>,
+        sending: Sending,
         able: &[usize],
         rng: &mut impl Rng,
     ) -> Option<Ranking> {
+        let Sending { kind, objective } = sending;
         let usual_s = self.usual_s(now, kind, able)?;
+        let ahead = objective.filter(|it| !it.is_zero());
+        let way_max = ahead.map_or(Duration::MAX, |it| it.mul_f64(WAY_SHARE_MAX));
+        let way_far_s = self.config.zone_penalty.min(way_max).as_secs_f64();
         let is_near = |it: usize| self.targets[it].instance.zone == self.zone;
         let drawn: Vec<usize> = match able.len() {
             ..=DRAWN_MAX => able.to_vec(),
@@ -229,7 +245,7 @@
         };
         let near = able.iter().copied().filter(|it| is_near(*it) && able.len() > DRAWN_MAX);
         let cost = |it: usize, rng: &mut dyn FnMut() -> f64| {
-            let way_s = if is_near(it) { 0.0 } else { self.config.zone_penalty.as_secs_f64() };
+            let way_s = if is_near(it) { 0.0 } else { way_far_s };
             let own_s = self.expected_s(now, it, kind, usual_s);
             // Agents that have heard the same must not all go to the same target.
             own_s * (1.0 + REPORT_NOISE * rng()) + way_s
--- a/crates/traffic/src/selection/tests/many.rs
+++ b/crates/traffic/src/selection/tests/many.rs
@@ -11,7 +11,8 @@
 use super::{ms, spec};
 use crate::{
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, GateReport,
-    RouteIndex, Selection, SelectionConfig, TargetResult, TargetSpec, Ticket, Use, Verdict,
+    RouteIndex, Selection, SelectionConfig, Sending, TargetResult, TargetSpec, Ticket, Use,
+    Verdict,
 };
 
 const SLOTS: usize = 9;
@@ -215,8 +216,9 @@
         let Request { agent, kind, ref tried, .. } = self.requests[request];
         let tried: Vec<_> = tried.iter().map(|it| it.name.clone()).collect();
         let (selection, zone) = &mut self.agents[agent];
-        let kind = Some(kind as u8);
-        let Some(picked) = selection.pick(now, kind, &tried, &mut self.rng) else {
+        let objective = Some(KINDS[kind].objective);
+        let sending = Sending { kind: Some(kind as u8), objective };
+        let Some(picked) = selection.pick(now, sending, &tried, &mut self.rng) else {
             self.seen.refused[self.requests[request].kind] += 1;
             return;
         };
--- a/crates/traffic/src/selection/tests/mod.rs
+++ b/crates/traffic/src/selection/tests/mod.rs
@@ -9,7 +9,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    HealthHint, Selection, SelectionConfig, TargetResult, TargetSpec, TargetState, tests::seeded,
+    HealthHint, Selection, SelectionConfig, Sending, TargetResult, TargetSpec, TargetState,
+    tests::seeded,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -46,7 +47,7 @@
     }
 
     fn pick(&mut self) -> Option<Instance> {
-        self.selection.pick(self.now, None, &[], &mut self.rng).map(|it| it.instance)
+        self.selection.pick(self.now, Sending::default(), &[], &mut self.rng).map(|it| it.instance)
     }
 
     fn finish(&mut self, instance: &Instance, result: TargetResult) {
@@ -253,7 +254,7 @@
 fn a_pick_tells_what_it_was_weighed_by() {
     use crate::GateReport;
     let mut it = Fixture::new(&["a", "a", "a"]);
-    let picked = it.selection.pick(it.now, None, &[], &mut it.rng).unwrap();
+    let picked = it.selection.pick(it.now, Sending::default(), &[], &mut it.rng).unwrap();
     assert_eq!(picked.weighed, None, "no gate has told its load");
     let specs = it.specs.clone();
     for (spec, backlog) in specs.iter().zip([24, 0, 36]) {
@@ -261,10 +262,31 @@
         it.selection.report(it.now, &spec.instance, report);
     }
     it.now = it.now + ms(10);
-    let picked = it.selection.pick(it.now, None, &[], &mut it.rng).unwrap();
+    let picked = it.selection.pick(it.now, Sending::default(), &[], &mut it.rng).unwrap();
     assert_eq!(picked.instance, specs[1].instance);
     let weighed = picked.weighed.unwrap();
     assert_eq!((weighed.targets, weighed.load_age), (3, Some(ms(10))));
     assert_eq!(weighed.next_best.unwrap().0, specs[0].instance);
     assert!(weighed.expected < ms(110), "{:?}", weighed.expected);
 }
+
+/// The own zone's target has 40 ms of waiting, the other zone is 150 ms away.
+#[test]
+fn a_short_call_crosses_zones_sooner_than_a_long_request() {
+    use crate::GateReport;
+    let mut it = Fixture::new(&["a", "b"]);
+    it.selection.config.zone_penalty = ms(150);
+    let specs = it.specs.clone();
+    for (spec, backlog) in specs.iter().zip([36, 0]) {
+        let report = GateReport { backlog, slots: 9, service: ms(30), kind: Some((1, ms(30))) };
+        it.selection.report(it.now, &spec.instance, report);
+    }
+    let mut pick = |objective: u64| {
+        let sending = Sending { kind: Some(1), objective: Some(ms(objective)) };
+        let picked = it.selection.pick(it.now, sending, &[], &mut it.rng).unwrap().instance;
+        it.selection.finish(it.now, &picked, ms(30), TargetResult::Cancelled);
+        picked
+    };
+    assert_eq!(pick(120), specs[1].instance);
+    assert_eq!(pick(800), specs[0].instance);
+}
