Configurations of other writers: bounds of documents are kept to, huge times no longer wrap

Slots are now bounded by connections, values clamped to what documents take, times to the longest lease before they are rounded. Rates of cold upstreams beyond 10,000 a second are no limit, tiny ones are kept to at 0.001.

--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -17,8 +17,8 @@
 pub use route::{KeySource, Method, Route, RouteError, RouteMatch};
 
 pub(crate) use raw::{
-    RawClass, RawDocument, RawDrain, RawKey, RawLimits, RawOwnership, RawRoute, RawUpstream,
-    default_slot_count,
+    BODY_BYTES, COLD_RATES, CONNECTIONS, HEADER_BYTES, RawClass, RawDocument, RawDrain, RawKey,
+    RawLimits, RawOwnership, RawRoute, RawUpstream, default_slot_count,
 };
 
 /// Made once: each agent parses many documents.
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -1,5 +1,7 @@
 //! The document as it is written: the source of its JSON schema.
 
+use std::ops::RangeInclusive;
+
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -57,6 +59,17 @@
     true
 }
 
+// What the schema below says of some fields, for documents that are made from a fleet's configuration.
+
+/// The rates that a cold upstream may be said to bear, in requests a second.
+pub(crate) const COLD_RATES: RangeInclusive<f64> = 0.001..=10_000.0;
+/// Connections that an upstream takes.
+pub(crate) const CONNECTIONS: RangeInclusive<u64> = 1..=65_536;
+/// The longest body, in bytes.
+pub(crate) const BODY_BYTES: RangeInclusive<u64> = 1_024..=67_108_864;
+/// All headers together, in bytes.
+pub(crate) const HEADER_BYTES: RangeInclusive<u64> = 1_024..=262_144;
+
 /// What each upstream of the service can do.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
@@ -79,7 +92,7 @@
     #[schemars(range(max = 600_000))]
     pub(crate) warmup_ms: u64,
     /// How many requests a second it bears while it says that it is cold; none: as many as its slots take.
-    #[schemars(range(min = 0.001, max = 1_000_000.0))]
+    #[schemars(range(min = 0.001, max = 10_000.0))]
     pub(crate) cold_requests_per_s: Option<f64>,
 }
 
--- a/crates/settings/src/document/rules.rs
+++ b/crates/settings/src/document/rules.rs
@@ -109,10 +109,6 @@
 
     fn upstream(&mut self, raw: &RawDocument) {
         let upstream = &raw.upstream;
-        let bears_some = upstream.cold_requests_per_s.is_none_or(|it| it.is_finite() && it > 0.0);
-        self.require(bears_some, "upstream.cold_requests_per_s", || {
-            "is above 0; an upstream that bears nothing is not ready.".to_owned()
-        });
         self.require(
             upstream.connections_max >= upstream.slots,
             "upstream.connections_max",
--- a/crates/settings/src/fleet/defaults.rs
+++ b/crates/settings/src/fleet/defaults.rs
@@ -1,14 +1,14 @@
 //! Service documents that are made from a fleet's configuration and an agent's defaults.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use model::{OrderedKeys, ServiceName, TeamName};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::document::{
-    Class, KeyGrants, RawClass, RawDocument, RawDrain, RawKey, RawLimits, RawOwnership, RawRoute,
-    RawUpstream,
+    BODY_BYTES, COLD_RATES, CONNECTIONS, Class, HEADER_BYTES, KeyGrants, RawClass, RawDocument,
+    RawDrain, RawKey, RawLimits, RawOwnership, RawRoute, RawUpstream,
 };
 
 /// How long a request may take at most: as long as documents allow. The routes of hosts say less.
@@ -74,10 +74,22 @@
         return default_ms;
     }
     let longest_ms = u64::try_from(service.request_max.as_millis()).unwrap_or(u64::MAX);
-    let needed_ms = longest_ms.saturating_add(RENEWALS_MS).next_multiple_of(LEASE_STEP_MS);
+    let needed_ms = longest_ms.min(LEASE_MS_MAX) + RENEWALS_MS;
+    let needed_ms = needed_ms.next_multiple_of(LEASE_STEP_MS);
     needed_ms.clamp(default_ms, LEASE_MS_MAX)
 }
 
+/// A fleet may name any bound; documents keep to theirs.
+fn bounded(value: u64, range: RangeInclusive<u64>) -> u64 {
+    value.clamp(*range.start(), *range.end())
+}
+
+/// A fleet may say any rate; one above what documents take is no limit.
+fn cold_rate(per_s: f64) -> Option<f64> {
+    let in_reach = per_s > 0.0 && per_s <= *COLD_RATES.end();
+    in_reach.then(|| per_s.max(*COLD_RATES.start()))
+}
+
 impl DocumentDefaults {
     /// The document of a service, as text.
     pub fn document(&self, service: &FleetService) -> String {
@@ -97,6 +109,7 @@
             idempotent: false,
             deadline_ms: DEADLINE_MS_MAX,
         };
+        let connections_max = bounded(service.connections_max.into(), CONNECTIONS) as u32;
         let document = RawDocument {
             schema: None,
             service: service.service.as_str().to_owned(),
@@ -106,8 +119,9 @@
             ordered_keys: service.keys.map(OrderedKeys::count),
             resends: false,
             upstream: RawUpstream {
-                connections_max: service.connections_max,
-                cold_requests_per_s: service.cold_requests_per_s,
+                slots: defaults.upstream.slots.min(connections_max),
+                connections_max,
+                cold_requests_per_s: service.cold_requests_per_s.and_then(cold_rate),
                 enforces_leases: service.keys.is_some(),
                 key_grants: match service.keys {
                     Some(_) => service.key_grants,
@@ -118,8 +132,8 @@
             classes: service.classes.iter().map(class).collect(),
             routes: vec![route],
             limits: RawLimits {
-                body_bytes_max: service.body_bytes_max,
-                header_bytes_max: service.header_bytes_max,
+                body_bytes_max: bounded(service.body_bytes_max, BODY_BYTES),
+                header_bytes_max: bounded(service.header_bytes_max, HEADER_BYTES),
                 ..defaults.limits
             },
             ownership: RawOwnership {
--- a/crates/traffic/src/warmup/mod.rs
+++ b/crates/traffic/src/warmup/mod.rs
@@ -19,6 +19,10 @@
 /// of a second would make all that come after it wait for the next one.
 const WINDOWS_PER_S: std::ops::RangeInclusive<u32> = 3..=8;
 
+/// Rates between these are kept to, in requests a second; a higher one is none that slots would allow.
+const RATE_MIN: f64 = 0.001;
+const RATE_MAX: f64 = 10_000.0;
+
 /// The starts that one upstream is given, over all its queues and connections.
 #[derive(Debug)]
 pub struct Warmup {
@@ -55,7 +59,8 @@
 
     /// Sets how many requests a second it bears while it is cold; none: there is no limit.
     pub fn limit(&mut self, per_s: Option<f64>) {
-        let limit = per_s.filter(|it| it.is_finite() && *it > 0.0).map(Limit::new);
+        let kept_to = per_s.filter(|it| *it > 0.0 && *it <= RATE_MAX);
+        let limit = kept_to.map(|it| Limit::new(it.max(RATE_MIN)));
         if let (Some(limit), Some(last)) = (limit, self.starts.back().copied()) {
             // Only as many were kept as the former limit needed.
             self.starts.resize(limit.starts.max(self.starts.len()), last);
--- a/crates/traffic/src/warmup/tests.rs
+++ b/crates/traffic/src/warmup/tests.rs
@@ -62,12 +62,20 @@
 #[test]
 fn without_a_rate_there_is_no_limit() {
     let mut warmup = Warmup::new(at(0));
-    for rate in [None, Some(0.0), Some(f64::NAN)] {
+    for rate in [None, Some(0.0), Some(-1.0), Some(f64::NAN), Some(f64::INFINITY), Some(1e12)] {
         warmup.limit(rate);
         assert_eq!(warmup.next_start(at(0)), None);
     }
 }
 
+#[test]
+fn the_smallest_rate_is_a_rate() {
+    let mut warmup = Warmup::new(at(0));
+    warmup.limit(Some(f64::MIN_POSITIVE));
+    warmup.heard(at(0), SECOND * 60);
+    assert!(warmup.next_start(at(500)).is_some());
+}
+
 #[test]
 fn what_was_given_while_warm_counts_once_it_is_cold() {
     let mut warmup = Warmup::new(at(0));
