What has waited does not reach an upstream that is closed; leaving for good gives a closed zone no more time

Found on rereading: a request that was taken in before its zone was closed could wait for its slot beyond the time (up to 3 s more), and an upstream or agent that began to leave in a closed zone was given another half second from then on. The last check before the upstream now looks at what is bound by then, and of two reasons the sooner time counts. The default for zones is 4 s, for the news takes a while. Ruled out: refusing what waits after half of the time, when it can still be served.

Test, failing before: agent::tests::gate, a request that waits while its zone is closed.

--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -4,7 +4,7 @@
 
 use model::{ConfigVersion, Instance, ServiceName, Timestamp};
 use ownership::UpstreamState;
-use settings::ServiceDocument;
+use settings::{DrainLimits, ServiceDocument};
 use traffic::RecordsConfig;
 use upstream::Upstream;
 
@@ -20,14 +20,39 @@
 /// How much older than it says a resend may be.
 const AGE_MARGIN: std::time::Duration = std::time::Duration::from_millis(50);
 
+/// From when on an upstream gets no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Closing {
+    refuses_at: Timestamp,
+    closed_at: Timestamp,
+}
+
+impl Closing {
+    fn new(now: Timestamp, why: Leaving, drain: &DrainLimits) -> Closing {
+        let time = match why {
+            Leaving::ForGood => drain.no_new_work_after,
+            Leaving::ZoneClosed => drain.zone_no_new_work_after,
+        };
+        Closing { refuses_at: now + time / 2, closed_at: now + time }
+    }
+
+    /// One that is to leave for good while its zone is closed gets no more time by that.
+    fn sooner(self, other: Closing) -> Closing {
+        Closing {
+            refuses_at: self.refuses_at.min(other.refuses_at),
+            closed_at: self.closed_at.min(other.closed_at),
+        }
+    }
+}
+
 /// One upstream under one version of its document.
 pub(crate) struct Bound {
     pub(crate) service: ServiceName,
     pub(crate) version: ConfigVersion,
     pub(crate) document: Arc<ServiceDocument>,
     pub(crate) announcement: Announcement,
-    /// Since when the upstream is to get no new work, and why.
-    pub(crate) leaving: Option<(Leaving, Timestamp)>,
+    /// Set while the upstream is to get no new work.
+    pub(crate) closing: Option<Closing>,
     pub(crate) upstream: Arc<dyn Upstream>,
     pub(crate) lane: Arc<Lane>,
     members: Vec<Instance>,
@@ -58,17 +83,15 @@
             && self.document.classes == document.classes
     }
 
-    /// No new work may reach the upstream any more. Until half of the document's time has passed
-    /// it still may: the news that this instance is leaving takes a while to spread.
+    /// Nothing more is taken in. Until half of the document's time has passed it still is: the news that
+    /// this instance is leaving takes a while to spread.
     pub(crate) fn refuses_work(&self, now: Timestamp) -> bool {
-        let drain = &self.document.drain;
-        self.leaving.is_some_and(|(why, since)| {
-            let time = match why {
-                Leaving::ForGood => drain.no_new_work_after,
-                Leaving::ZoneClosed => drain.zone_no_new_work_after,
-            };
-            now >= since + time / 2
-        })
+        self.closing.is_some_and(|it| now >= it.refuses_at)
+    }
+
+    /// Nothing may reach the upstream any more, not even what has waited since before.
+    pub(crate) fn is_closed(&self, now: Timestamp) -> bool {
+        self.closing.is_some_and(|it| now >= it.closed_at)
     }
 }
 
@@ -86,12 +109,12 @@
             }
         };
         let now = self.clock.now();
-        let former_leaving = former.as_ref().and_then(|it| it.leaving);
-        let leaving = local.leaving.map(|why| match former_leaving {
-            Some((former, since)) if former == why => (why, since),
-            _ => (why, now),
+        let former_closing = former.as_ref().and_then(|it| it.closing);
+        let closing = local.leaving.map(|why| {
+            let closing = Closing::new(now, why, &bound.document.drain);
+            former_closing.map_or(closing, |it| it.sooner(closing))
         });
-        let bound = Bound { leaving, members: members(service), ..bound };
+        let bound = Bound { closing, members: members(service), ..bound };
         if former.as_ref().is_none_or(|it| it.members != bound.members) {
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
@@ -133,7 +156,7 @@
             version: service.version,
             document: Arc::clone(document),
             announcement: announcement.clone(),
-            leaving: None,
+            closing: None,
             upstream,
             lane,
             members: Vec::new(),
@@ -148,7 +171,7 @@
 
 /// A lane that was drained, or whose upstream was lost, is not used again.
 fn revived(former: &Bound, local: &LocalUpstream) -> bool {
-    let gone = former.leaving.is_some() || former.announcement.state == UpstreamState::Lost;
+    let gone = former.closing.is_some() || former.announcement.state == UpstreamState::Lost;
     gone && local.leaving.is_none() && local.announcement.state == UpstreamState::Ready
 }
 
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -319,6 +319,10 @@
         if now >= self.deadline {
             return Err(Box::new(GateReply::not_run(NotRunReason::DeadlineExceeded)));
         }
+        // By now another state may be bound than the one that the request came under.
+        if self.gate.bound.load().as_ref().is_some_and(|it| it.is_closed(now)) {
+            return Err(Box::new(GateReply::not_run(NotRunReason::Draining)));
+        }
         let Some(entry) = &self.entry else { return Ok(None) };
         let leased = self.bound.upstream.key_leases().are_enforced();
         if leased && !self.gate.leases.is_usable(now, entry.slot()) {
--- a/crates/agent/src/tests/gate.rs
+++ b/crates/agent/src/tests/gate.rs
@@ -226,3 +226,28 @@
     check(&agent.call(get("echo", 3)).await, 200, "answered");
     assert_eq!(agent.upstream.ran(), [RequestId(1), RequestId(3)]);
 }
+
+/// It had come before the zone was closed, and gets its slot after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_has_waited_does_not_reach_an_upstream_whose_zone_was_closed() {
+    let agent = TestAgent::start("a").await;
+    agent.route_to_members(&[&agent.own]).await;
+    let holding = async { tokio::join!(agent.call(get("hold", 1)), agent.call(get("hold", 2))) };
+    let waiting = async {
+        agent.upstream.wait_started().await;
+        agent.upstream.wait_started().await;
+        let deadline = Duration::from_millis(1_500);
+        let waited = agent.call(Call { deadline, ..get("echo", 3) });
+        let closing = async {
+            while agent.plane.queued() == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            agent.close_zone(true).await;
+            agent.upstream.release.add_permits(2);
+        };
+        tokio::join!(waited, closing).0
+    };
+    let (_, refused) = tokio::join!(holding, waiting);
+    check(&refused, 503, "not-run; reason=draining");
+    assert_eq!(agent.upstream.ran().len(), 2);
+}
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -349,6 +349,6 @@
 
 impl Default for RawDrain {
     fn default() -> RawDrain {
-        RawDrain { no_new_work_ms: 2_000, zone_no_new_work_ms: 5_000, in_flight_ms_max: 60_000 }
+        RawDrain { no_new_work_ms: 2_000, zone_no_new_work_ms: 4_000, in_flight_ms_max: 60_000 }
     }
 }
