--- a/crates/agent/src/control/tests/documents.rs
+++ b/crates/agent/src/control/tests/documents.rs
@@ -1,14 +1,15 @@
 //! The table of documents in force.
 
-use model::{
-    ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, SlotCount, Timestamp, Zone,
-};
+use model::{ConfigVersion, Instance, ServiceName, SlotCount, Timestamp};
 use wire::exchange::{RouteMember, RouteTable};
 
-use crate::control::{
-    calls::Age,
-    documents::{Documents, Raised},
-    foreign::ForeignRoutes,
+use crate::{
+    control::{
+        calls::Age,
+        documents::{Documents, Raised},
+        foreign::ForeignRoutes,
+    },
+    tests::fakes,
 };
 
 pub(super) const DOCUMENT: &str = r#"{
@@ -46,13 +47,7 @@
 }
 
 fn instance(name: &str) -> Instance {
-    Instance {
-        name: InstanceName::new(name).unwrap(),
-        incarnation: Incarnation(1),
-        zone: Zone::new("pitlane").unwrap(),
-        control: "127.0.0.1:1".parse().unwrap(),
-        traffic: "127.0.0.1:2".parse().unwrap(),
-    }
+    fakes::instance(name, "127.0.0.1:1".parse().unwrap())
 }
 
 fn routes(version: u64, members: &[&str]) -> RouteTable {
--- a/crates/agent/src/port.rs
+++ b/crates/agent/src/port.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use object_store::{HttpObjectStore, ObjectStore, Timeouts};
+use object_store::{CallCounts, CountedStore, HttpObjectStore, ObjectStore, Timeouts};
 use settings::AgentSettings;
 use tokio::sync::watch;
 
@@ -26,10 +26,11 @@
 
 impl Ports {
     /// The product's own forms. To be called on a runtime.
-    pub(crate) fn own(settings: &AgentSettings) -> anyhow::Result<Ports> {
+    pub(crate) fn own(settings: &AgentSettings, calls: &Arc<CallCounts>) -> anyhow::Result<Ports> {
         let store = || HttpObjectStore::new(settings.platform_address, Timeouts::default());
         let (closed, closed_zones) = watch::channel(ClosedZones::default());
-        tokio::spawn(follow_own_zones(Arc::new(store()?), closed));
+        let followed = CountedStore::new(Arc::new(store()?), Arc::clone(calls));
+        tokio::spawn(follow_own_zones(Arc::new(followed), closed));
         Ok(Ports {
             store: Arc::new(store()?),
             callers: Arc::new(OwnForm),
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -76,7 +76,7 @@
 /// runtime of the traffic threads.
 pub fn run_with(
     file: SettingsFile,
-    ports: impl FnOnce(&AgentSettings) -> anyhow::Result<Ports>,
+    ports: impl FnOnce(&AgentSettings, &Arc<CallCounts>) -> anyhow::Result<Ports>,
 ) -> anyhow::Result<()> {
     let settings = file.settings.clone();
     let runtime = Builder::new_multi_thread()
@@ -89,8 +89,9 @@
     let hang_up = runtime.block_on(async { signal(SignalKind::hangup()) }).context("SIGHUP")?;
     runtime.spawn(file.watch(hang_up));
     let listeners = runtime.block_on(async { Listeners::bind(&settings) })?;
+    let platform_calls: Arc<CallCounts> = Arc::default();
     let Ports { store, callers, announcements, connect, fleet, closed_zones } =
-        runtime.block_on(async { ports(&settings) }).context("adapters")?;
+        runtime.block_on(async { ports(&settings, &platform_calls) }).context("adapters")?;
     let documents_from = match fleet {
         Some(_) => DocumentSource::Fleet,
         None => DocumentSource::Teams,
@@ -109,7 +110,6 @@
     let snapshots: Arc<SnapshotCell> = Arc::default();
     let (reporter, reports) = report::channel();
     let (handle, tasks) = GateHandle::new(clock);
-    let platform_calls: Arc<CallCounts> = Arc::default();
     let (phase, phases) = watch::channel(Phase::Running);
     let (handed_over, all_handed_over) = oneshot::channel();
     let setup = ControlSetup {
--- a/crates/agent/src/zones/mod.rs
+++ b/crates/agent/src/zones/mod.rs
@@ -43,21 +43,9 @@
     closed: watch::Sender<ClosedZones>,
 ) {
     let mut follower = Follower::new(store, prefix, FOLLOWER_TIMES).from_an_aged_list();
-    let mut in_reach = true;
     loop {
-        match follower.next().await {
-            Ok(changes) => {
-                if !std::mem::replace(&mut in_reach, true) {
-                    log::info!(target: "zones", "Which zones are closed can be read again.");
-                }
-                changes.iter().filter_map(&read).for_each(|it| take(it, &closed));
-            }
-            Err(error) => {
-                if std::mem::replace(&mut in_reach, false) {
-                    log::warn!(target: "zones", "Which zones are closed can't be read: {error}.");
-                }
-            }
-        }
+        let changes = follower.next_after_failures("Which zones are closed").await;
+        changes.iter().filter_map(&read).for_each(|it| take(it, &closed));
     }
 }
 
--- a/crates/object-store/src/follower.rs
+++ b/crates/object-store/src/follower.rs
@@ -46,6 +46,8 @@
     known: BTreeSet<String>,
     pause: Duration,
     next_call: Option<Instant>,
+    /// The last call was answered, as far as the log says.
+    is_in_reach: bool,
 }
 
 impl Follower {
@@ -64,6 +66,7 @@
             known: BTreeSet::new(),
             pause: times.pause,
             next_call: None,
+            is_in_reach: true,
         }
     }
 
@@ -99,6 +102,25 @@
         }
     }
 
+    /// The next changes, however many calls fail before. `what` is followed, and begins a sentence: the log tells
+    /// of the first failure in a row, and of its end.
+    pub async fn next_after_failures(&mut self, what: &str) -> Vec<Change> {
+        loop {
+            match self.next().await {
+                Ok(changes) => {
+                    if !std::mem::replace(&mut self.is_in_reach, true) {
+                        log::info!(target: "follower", "{what} can be read again.");
+                    }
+                    return changes;
+                }
+                Err(error) if std::mem::replace(&mut self.is_in_reach, false) => {
+                    log::warn!(target: "follower", "{what} can't be read: {error}.");
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
     async fn call(&self) -> Result<Changes, StoreError> {
         match self.revision.filter(|_| !self.lists) {
             None if self.aged_first && self.revision.is_none() => {
--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -19,7 +19,7 @@
 /// Routes that a member does not say it has are sent again after this: two renewals, and a slow link.
 const ROUTES_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// How many numbers of members that are gone are remembered; who has heard nothing for so long is told all.
-const GONE_MAX: usize = 2 * GROUP_MEMBERS_MAX;
+pub(crate) const GONE_MAX: usize = 2 * GROUP_MEMBERS_MAX;
 /// The weight of the newest report in a member's smoothed load.
 const LOAD_WEIGHT: f64 = 0.3;
 
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -16,6 +16,9 @@
 mod slots;
 mod succession;
 
+#[cfg(test)]
+mod tests;
+
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use model::{ConfigVersion, Instance, ObjectVersion, Slot, Term, Timestamp, Token};
--- a/xtask/src/cluster/instance.rs
+++ b/xtask/src/cluster/instance.rs
@@ -41,6 +41,18 @@
     past: Vec<PastLife>,
 }
 
+/// What an instance is started with.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StartWith<'a> {
+    pub(crate) binaries: &'a Binaries,
+    pub(crate) dir: &'a RunDir,
+    /// Where it reaches the platform.
+    pub(crate) platform: SocketAddr,
+    /// Control addresses of the instances of its service.
+    pub(crate) peers: &'a [SocketAddr],
+    pub(crate) seed: u64,
+}
+
 /// A life of an upstream that has ended, with its journal.
 #[derive(Debug)]
 struct PastLife {
@@ -89,57 +101,39 @@
         })
     }
 
-    pub(crate) fn start(
-        &mut self,
-        binaries: &Binaries,
-        dir: &RunDir,
-        platform: SocketAddr,
-        peers: &[SocketAddr],
-        seed: u64,
-    ) -> anyhow::Result<()> {
-        self.start_agent(binaries, dir, platform, peers)?;
+    pub(crate) fn start(&mut self, with: &StartWith<'_>) -> anyhow::Result<()> {
+        self.start_agent(with)?;
         let mut arguments = self.upstream_flags.clone();
         let flags = [
             ("--listen", self.upstream_address.to_string()),
             ("--agent", self.caller.to_string()),
-            ("--journal", self.journal_file(dir, self.life).display().to_string()),
-            ("--seed", seed.to_string()),
+            ("--journal", self.journal_file(with.dir, self.life).display().to_string()),
+            ("--seed", with.seed.to_string()),
         ];
         arguments.extend(flags.into_iter().flat_map(|(name, it)| [name.to_owned(), it]));
         let name = format!("{}-upstream", self.name);
-        self.upstream = Some(Process::spawn(&name, &binaries.upstream, &arguments, dir)?);
+        let program = &with.binaries.upstream;
+        self.upstream = Some(Process::spawn(&name, program, &arguments, with.dir)?);
         Ok(())
     }
 
     /// Starts the agent alone, beside an upstream that lives on or is started next.
-    pub(crate) fn start_agent(
-        &mut self,
-        binaries: &Binaries,
-        dir: &RunDir,
-        platform: SocketAddr,
-        peers: &[SocketAddr],
-    ) -> anyhow::Result<()> {
-        let settings = self.write_settings(dir, platform, peers)?;
+    pub(crate) fn start_agent(&mut self, with: &StartWith<'_>) -> anyhow::Result<()> {
+        let settings = self.write_settings(with.dir, with.platform, with.peers)?;
         let arguments = ["--settings".to_owned(), settings.display().to_string()];
         let name = format!("{}-agent", self.name);
-        self.agent = Some(Process::spawn(&name, &binaries.agent, &arguments, dir)?);
+        let program = &with.binaries.agent;
+        self.agent = Some(Process::spawn(&name, program, &arguments, with.dir)?);
         Ok(())
     }
 
     /// Starts both parts again at their addresses, once both have ended.
-    pub(crate) fn start_again(
-        &mut self,
-        binaries: &Binaries,
-        dir: &RunDir,
-        platform: SocketAddr,
-        peers: &[SocketAddr],
-        seed: u64,
-    ) -> anyhow::Result<()> {
+    pub(crate) fn start_again(&mut self, with: &StartWith<'_>) -> anyhow::Result<()> {
         let gone_ns = self.gone_ns.take().with_context(|| format!("{} is up", self.name))?;
         let frozen = std::mem::take(&mut self.frozen);
         self.past.push(PastLife { life: self.life, gone_ns, frozen });
         self.life += 1;
-        self.start(binaries, dir, platform, peers, seed)
+        self.start(with)
     }
 
     fn write_settings(
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -8,7 +8,7 @@
 mod service;
 
 pub(crate) use binaries::{Binaries, Profile, repository};
-pub(crate) use instance::Instance;
+pub(crate) use instance::{Instance, StartWith};
 pub(crate) use ports::Ports;
 pub(crate) use process::Process;
 pub(crate) use run_dir::RunDir;
@@ -106,7 +106,8 @@
         for index in 0..self.instances.len() {
             let peers = self.peers(index);
             let instance = &mut self.instances[index];
-            instance.start(binaries, &self.dir, platform(index), &peers, seed)?;
+            let (dir, platform, peers) = (&self.dir, platform(index), peers.as_slice());
+            instance.start(&StartWith { binaries, dir, platform, peers, seed })?;
         }
         let waits = self.instances.iter().map(Instance::wait_listening);
         try_join_all(waits).await?;
--- a/xtask/src/soak/lane.rs
+++ b/xtask/src/soak/lane.rs
@@ -9,7 +9,7 @@
     proxy::{LinkState, Proxy},
 };
 use crate::{
-    cluster::{Binaries, Cluster, Instance, RunDir},
+    cluster::{Binaries, Cluster, Instance, StartWith},
     demo::evidence::{PlannedStop, SickIngress},
 };
 
@@ -20,13 +20,6 @@
     pub(super) stops: Vec<PlannedStop>,
 }
 
-/// What processes are started again with.
-struct Restart<'a> {
-    binaries: &'a Binaries,
-    dir: &'a RunDir,
-    seed: u64,
-}
-
 /// An instance with its way to the store.
 struct Member {
     instance: Instance,
@@ -85,17 +78,18 @@
         for it in std::mem::take(&mut self.planned) {
             sleep_until(start + it.after).await;
             log::info!(target: "soak", "{it:?}.");
-            let member = &mut self.members[it.instance];
+            let Member { instance, proxy, peers } = &mut self.members[it.instance];
             match it.fault {
                 Fault::Store(fault) => strike_store(cluster, fault, it.lasts).await?,
                 Fault::StoreLink(state) => {
-                    member.proxy.set(state);
+                    proxy.set(state);
                     sleep(it.lasts).await;
-                    member.proxy.set(LinkState::Passing);
+                    proxy.set(LinkState::Passing);
                 }
                 Fault::Instance(fault) => {
-                    let restart = Restart { binaries, dir: &cluster.dir, seed: self.seed };
-                    member.strike(fault, it.lasts, &restart, &mut struck).await?;
+                    let (dir, platform, seed) = (&cluster.dir, proxy.address, self.seed);
+                    let with = StartWith { binaries, dir, platform, peers, seed };
+                    strike_instance(instance, fault, it.lasts, &with, &mut struck).await?;
                 }
             }
         }
@@ -114,43 +108,39 @@
     cluster.platform_fault(off).await
 }
 
-impl Member {
-    async fn strike(
-        &mut self,
-        fault: InstanceFault,
-        lasts: Duration,
-        restart: &Restart<'_>,
-        struck: &mut Struck,
-    ) -> anyhow::Result<()> {
-        let Restart { binaries, dir, seed } = *restart;
-        let store = self.proxy.address;
-        match fault {
-            InstanceFault::Freeze => {
-                let frozen_ns = self.instance.freeze()?;
-                sleep(lasts).await;
-                struck.sick.push(self.instance.thaw(frozen_ns)?);
-            }
-            InstanceFault::PauseAgent => {
-                let paused_ns = self.instance.pause_agent()?;
-                sleep(lasts).await;
-                struck.sick.push(self.instance.resume_agent(paused_ns)?);
-            }
-            InstanceFault::KillAgent => {
-                struck.sick.push(self.instance.kill_agent().await?);
-                sleep(lasts).await;
-                self.instance.start_agent(binaries, dir, store, &self.peers)?;
-            }
-            InstanceFault::Kill => {
-                struck.sick.push(self.instance.kill().await?);
-                sleep(lasts).await;
-                self.instance.start_again(binaries, dir, store, &self.peers, seed)?;
-            }
-            InstanceFault::Leave => {
-                struck.stops.push(self.instance.leave().await?);
-                sleep(lasts).await;
-                self.instance.start_again(binaries, dir, store, &self.peers, seed)?;
-            }
+async fn strike_instance(
+    instance: &mut Instance,
+    fault: InstanceFault,
+    lasts: Duration,
+    with: &StartWith<'_>,
+    struck: &mut Struck,
+) -> anyhow::Result<()> {
+    match fault {
+        InstanceFault::Freeze => {
+            let frozen_ns = instance.freeze()?;
+            sleep(lasts).await;
+            struck.sick.push(instance.thaw(frozen_ns)?);
+        }
+        InstanceFault::PauseAgent => {
+            let paused_ns = instance.pause_agent()?;
+            sleep(lasts).await;
+            struck.sick.push(instance.resume_agent(paused_ns)?);
+        }
+        InstanceFault::KillAgent => {
+            struck.sick.push(instance.kill_agent().await?);
+            sleep(lasts).await;
+            instance.start_agent(with)?;
+        }
+        InstanceFault::Kill => {
+            struck.sick.push(instance.kill().await?);
+            sleep(lasts).await;
+            instance.start_again(with)?;
+        }
+        InstanceFault::Leave => {
+            struck.stops.push(instance.leave().await?);
+            sleep(lasts).await;
+            instance.start_again(with)?;
         }
-        Ok(())
     }
+    Ok(())
 }
