Log of each release: how long its answer took, and which runs ended without one

The hypotheses about two upstreams at work on one key could not be told apart: no line said when a release was sent again, how long its answer took, or that runs on the slots had been cut off and may go on at the upstream. The gate now keeps account of runs without an answer for each slot, until their deadline, and says so with each release. Nothing is decided by it yet.

--- a/crates/agent/src/gate/leases/keeper.rs
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use model::{Instance, KeyRange, OrderedKeys, Slot, SlotCount, Token};
+use model::{Instance, KeyRange, OrderedKeys, Slot, SlotCount, Timestamp, Token};
 use tokio::time::{sleep, timeout};
 use upstream::{GrantError, GrantedKeys, HandoverToken, KeyLeases, LeasedUpstream};
 use wire::traffic::Unit;
@@ -167,7 +167,9 @@
 /// counts as one with an empty token.
 async fn release(gate: &Gate, bound: &Bound, run: Run, wait: Duration) -> Option<HandoverToken> {
     let (leases, granted) = leased(bound, run)?;
+    let sent_at = gate.clock.now();
     let result = timeout(wait, leases.release_keys(granted)).await;
+    log_release(gate, run, sent_at, matches!(result, Ok(Ok(_))));
     match result {
         Ok(Ok(handover)) => {
             gate.sign(gate.clock.now());
@@ -186,6 +188,18 @@
     }
 }
 
+/// What shows whether the work on the slots has ended: how long the answer took, and what ended without one.
+fn log_release(gate: &Gate, run: Run, sent_at: Timestamp, is_answered: bool) {
+    let now = gate.clock.now();
+    let unanswered = gate.unanswered.of(now, run.first, run.last);
+    let end = if is_answered { "answered" } else { "failed" };
+    log::info!(
+        target: "gate",
+        "Release of slots {} to {}, token {}: {end} after {} ms; {} runs ended without an answer, the last may go on for {} ms.",
+        run.first, run.last, run.token, now.since(sent_at).as_millis(), unanswered.runs, unanswered.until.since(now).as_millis(),
+    );
+}
+
 fn leased(bound: &Bound, run: Run) -> Option<(&dyn LeasedUpstream, GrantedKeys)> {
     let keys = bound.document.ordered_keys?;
     let keys = keys_of(keys, bound.document.slot_count, run);
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod records;
 mod run;
 mod table;
+mod unanswered;
 mod upstream_clock;
 mod worker;
 
@@ -45,6 +46,7 @@
 use leases::Leases;
 use records::Book;
 use run::Caller;
+use unanswered::UnansweredRuns;
 
 pub(crate) use upstream_clock::UpstreamClock;
 
@@ -82,6 +84,7 @@
     bound: ArcSwapOption<Bound>,
     book: OnceLock<Book>,
     leases: Arc<Leases>,
+    unanswered: UnansweredRuns,
     links: OnceLock<TrafficLinks>,
     /// When the upstream last answered, on the process's clock.
     last_sign_ns: AtomicU64,
@@ -108,6 +111,7 @@
             bound: ArcSwapOption::empty(),
             book: OnceLock::new(),
             leases: Arc::default(),
+            unanswered: UnansweredRuns::default(),
             links: OnceLock::new(),
             last_sign_ns: AtomicU64::new(now.ns),
             members_changed_ns: AtomicU64::new(now.ns),
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -388,6 +388,7 @@
             return GateReply::not_run(reason);
         }
         permit.completion = Completion::Cut;
+        let run = gate.unanswered.begin(self.entry.as_ref().map(Entry::slot), until);
         let call = self.bound.upstream.call(upstream::Request {
             method: self.request.method.clone(),
             path: self.request.path.clone(),
@@ -401,6 +402,9 @@
         let cut_off = CutOff { passage: self, armed: true };
         let result = self.wait(call, until).await;
         cut_off.disarm();
+        if result.is_known() {
+            run.ended();
+        }
         let ended = gate.clock.now();
         if let Some((slot, key_hash)) = self.counts_for() {
             gate.handle.load.add(slot, key_hash, ended.since(started));
@@ -496,6 +500,19 @@
     Cut(UnknownReason),
 }
 
+impl Ended {
+    /// Whether the upstream does not work on it any more.
+    fn is_known(&self) -> bool {
+        match self {
+            Ended::Answered(_)
+            | Ended::Failed(CallError::NotSent { .. } | CallError::Refused { .. }) => true,
+            Ended::Failed(CallError::Lost { .. } | CallError::Broken { .. }) | Ended::Cut(_) => {
+                false
+            }
+        }
+    }
+}
+
 /// The age that counts for records: what the caller says, and the time in this system.
 fn known_age(request: &GateRequest) -> Duration {
     request.age + request.held
--- a/crates/agent/src/gate/worker.rs
+++ b/crates/agent/src/gate/worker.rs
@@ -63,6 +63,7 @@
             GateTask::Prepare { slot, token } if leased => prepared.push((slot, token)),
             GateTask::Close { unit: RecordUnit::Slot(slot), token, to } if leased => {
                 if !gate.leases.close(now, slot, token, to) {
+                    log::info!(target: "gate", "Slot {slot} of {token} counts as closed: the upstream was not granted it.");
                     closed.push((slot, token));
                 }
             }
