A slot counts as closed only when no run of it can go on at its upstream

Cause: the answer to a release was taken for the end of all work on the slot. It only waits for runs whose connection is there: some upstreams go on with a run after its connection has ended, and neither their answer nor the agent, which counted the run as over, kept account of that.

Now the gate keeps account of each run given to the upstream (upstream_runs). Only an answer, or proof that it never arrived, ends one; all others last until their deadline. A released slot is reported closed when none of its runs can go on, or when the hold under which they began would have run out by itself, whichever comes first. The same holds where keys are granted by announcements. Runs of an earlier life of the agent are unknown, so after a Clear every slot counts as worked on until the lease of that life is over.

The tests of the book are given the end of a release and the closed slots in two steps; what they assert has not changed.

--- a/crates/agent/src/gate/leases/announced.rs
+++ b/crates/agent/src/gate/leases/announced.rs
@@ -13,7 +13,7 @@
 use model::{Instance, Slot, Timestamp, Token};
 use upstream::HandoverToken;
 
-use super::book::{CALL_MARGIN, HOLD_MIN, LeaseBook, Run, SLOW_CLOCK, SlotLease};
+use super::book::{CALL_MARGIN, HOLD_MIN, LeaseBook, Release, Run, SLOW_CLOCK, SlotLease};
 
 /// How long after its announcement an answer can take effect: one second by the upstream's clock, which may
 /// be 2% slow, and the way of the announcement.
@@ -148,7 +148,7 @@
                 continue;
             }
             let Some(closing) = &mut lease.closing else { continue };
-            closing.releasing = true;
+            closing.release = Release::Pending;
             let run = Run { first: *slot, last: *slot, token: lease.token };
             let handover = shown.handover_of(*slot).cloned();
             let next = GivenUp { run, to: closing.to.clone(), handover };
@@ -300,7 +300,7 @@
     fn is_given_up(&self, now: Timestamp) -> bool {
         let is_told = self.told.is_left_out || self.held_until <= now;
         let settled = self.told.is_shown || self.told.effective_until <= now;
-        let waits = self.closing.as_ref().is_some_and(|it| !it.releasing);
+        let waits = self.closing.as_ref().is_some_and(|it| it.release == Release::Due);
         waits && is_told && settled
     }
 }
--- a/crates/agent/src/gate/leases/answers.rs
+++ b/crates/agent/src/gate/leases/answers.rs
@@ -127,6 +127,7 @@
         }
         let cleared = self.leases.book().take_cleared();
         if let Some(token) = cleared {
+            self.doubt_earlier_lives(bound);
             self.reporter.deliver(Report::Cleared { token }).await;
         }
     }
--- a/crates/agent/src/gate/leases/book.rs
+++ b/crates/agent/src/gate/leases/book.rs
@@ -11,9 +11,9 @@
 
 /// How much longer than it was told an upstream may hold a key, since its clock may be slow: those that
 /// enforce leases may be off by 2%.
-pub(super) const SLOW_CLOCK: f64 = 1.02;
+pub(in crate::gate) const SLOW_CLOCK: f64 = 1.02;
 /// What the way of a call to the upstream on the same instance may take.
-pub(super) const CALL_MARGIN: Duration = Duration::from_millis(20);
+pub(in crate::gate) const CALL_MARGIN: Duration = Duration::from_millis(20);
 /// A grant for a shorter time is of no use.
 pub(super) const HOLD_MIN: Duration = Duration::from_millis(100);
 /// A renewal must gain this much: a fifth of a lease of 1.5 s, so three calls a second and run.
@@ -69,7 +69,16 @@
 pub(super) struct Closing {
     pub(super) to: Option<Instance>,
     pub(super) until: Timestamp,
-    pub(super) releasing: bool,
+    pub(super) release: Release,
+}
+
+/// How far the release of a closing slot has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Release {
+    Due,
+    Pending,
+    /// The upstream holds the slot no more; it may still work on it.
+    Answered,
 }
 
 #[derive(Debug)]
@@ -156,7 +165,7 @@
             true => lease.held_until.max(now + RELEASE_MAX),
             false => now,
         };
-        lease.closing = Some(Closing { to, until, releasing: false });
+        lease.closing = Some(Closing { to, until, release: Release::Due });
         true
     }
 
@@ -245,8 +254,10 @@
             // A grant that is on its way might arrive after a release and undo it.
             let is_quiet = lease.calling.is_none();
             let call = match &mut lease.closing {
-                Some(closing) if !closing.releasing && is_quiet && now < closing.until => {
-                    closing.releasing = true;
+                Some(closing)
+                    if closing.release == Release::Due && is_quiet && now < closing.until =>
+                {
+                    closing.release = Release::Pending;
                     let run = Run { first: *slot, last: *slot, token: lease.token };
                     let wait = closing.until.since(now);
                     Call::Release { run, to: closing.to.clone(), wait }
@@ -297,34 +308,42 @@
         }
     }
 
-    /// A release has ended: with an answer, or without. Returns the slots that are closed.
-    pub(super) fn release_ended(
-        &mut self,
-        now: Timestamp,
-        run: Run,
-        is_answered: bool,
-    ) -> Vec<(Slot, Token)> {
+    /// A release has ended: with an answer, or without.
+    pub(super) fn release_ended(&mut self, now: Timestamp, run: Run, is_answered: bool) {
         for (_, lease) in self.slots.range_mut(run.first..=run.last) {
             let doubtful_until = lease.doubtful_until();
             let Some(closing) = lease.closing.as_mut().filter(|_| lease.token == run.token) else {
                 continue;
             };
-            closing.releasing = false;
+            closing.release = match is_answered {
+                true => Release::Answered,
+                false => Release::Due,
+            };
             if is_answered {
-                closing.until = now;
+                // Work does not outlast the hold under which it began.
+                closing.until = lease.held_until;
                 lease.held_until = doubtful_until.max(now);
             }
         }
-        self.take_closed(now)
     }
 
-    /// Slots that the upstream cannot hold any more.
-    pub(super) fn take_closed(&mut self, now: Timestamp) -> Vec<(Slot, Token)> {
-        let is_closed = |it: &SlotLease| {
-            let over = it.closing.as_ref().is_some_and(|it| it.until <= now && !it.releasing);
-            over && it.held_until <= now
+    /// Slots that the upstream cannot hold any more and does not work on. `works_until` says until when it may
+    /// work on a slot, whatever it holds.
+    pub(super) fn take_closed(
+        &mut self,
+        now: Timestamp,
+        works_until: impl Fn(Slot) -> Timestamp,
+    ) -> Vec<(Slot, Token)> {
+        let is_closed = |slot: &Slot, it: &SlotLease| {
+            let Some(closing) = &it.closing else { return false };
+            let may_be_at_work_until = match closing.release {
+                Release::Pending => return false,
+                Release::Due => closing.until,
+                Release::Answered => closing.until.min(works_until(*slot)),
+            };
+            may_be_at_work_until <= now && it.held_until <= now
         };
-        let closed = self.slots.extract_if(.., |_, it| is_closed(it));
+        let closed = self.slots.extract_if(.., |slot, it| is_closed(slot, it));
         closed.map(|(slot, it)| (slot, it.token)).collect()
     }
 }
--- a/crates/agent/src/gate/leases/keeper.rs
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -13,7 +13,7 @@
         bound::Bound,
         leases::{
             announced::GivenUp,
-            book::{Call, GrantEnd, Run},
+            book::{CALL_MARGIN, Call, GrantEnd, Run, SLOW_CLOCK},
         },
     },
     links::traffic::Handover,
@@ -28,10 +28,24 @@
 /// An upstream on the same instance answers within a few milliseconds or not at all.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long the answers of runs may come after that of the release that has waited for them, and how often
+/// they are looked for. What comes later is found with the next tick.
+const ANSWERS_WAIT: Duration = Duration::from_millis(20);
+const ANSWERS_POLL: Duration = Duration::from_millis(1);
+
 /// How long the upstream may take to give up what earlier sessions or lives of this agent granted it:
 /// work that they began has to end first. After that its grants are waited for, as after any loss.
 const CLEAR_MAX: Duration = Duration::from_millis(1_500);
 
+impl Gate {
+    /// What an earlier life of this agent began may go on until its lease has run out, of which nothing is known
+    /// but that it was over when this process started.
+    pub(super) fn doubt_earlier_lives(&self, bound: &Bound) {
+        let lease = bound.document.ownership.lease.mul_f64(SLOW_CLOCK);
+        self.upstream_runs.doubt_earlier_lives(Timestamp::ZERO + lease + CALL_MARGIN);
+    }
+}
+
 /// Runs for as long as the gate does.
 pub(crate) async fn run(gate: Arc<Gate>) {
     loop {
@@ -51,13 +65,14 @@
 /// What an upstream that is granted keys by its announcements gives up without one.
 async fn report_ended(gate: &Gate, bound: &Bound) {
     let now = gate.clock.now();
-    let (closed, cleared) = {
+    let cleared = {
         let mut book = gate.leases.book();
         book.follow_life(now, &bound.life());
-        (book.take_closed(now), book.take_cleared())
+        book.take_cleared()
     };
-    report_closed(gate, closed).await;
+    report_closed(gate).await;
     if let Some(token) = cleared {
+        gate.doubt_earlier_lives(bound);
         gate.reporter.deliver(Report::Cleared { token }).await;
     }
 }
@@ -65,12 +80,12 @@
 async fn step(gate: &Arc<Gate>, bound: &Arc<Bound>) {
     let now = gate.clock.now();
     let lease_until = gate.handle.table.lease_until();
-    let (calls, closed) = {
+    let calls = {
         let mut book = gate.leases.book();
         book.follow_life(now, &bound.life());
-        (book.calls(now, lease_until), book.take_closed(now))
+        book.calls(now, lease_until)
     };
-    report_closed(gate, closed).await;
+    report_closed(gate).await;
     for call in calls {
         let (gate, bound) = (Arc::clone(gate), Arc::clone(bound));
         tokio::spawn(async move {
@@ -101,11 +116,19 @@
     {
         log::warn!(target: "gate", "{to} did not take the handover token of slots {} to {}: their keys start cold.", run.first, run.last);
     }
-    let closed = {
-        let mut book = gate.leases.book();
-        book.release_ended(gate.clock.now(), run, is_answered)
-    };
-    report_closed(gate, closed).await;
+    wait_for_answers(gate, run).await;
+    gate.leases.book().release_ended(gate.clock.now(), run, is_answered);
+    report_closed(gate).await;
+}
+
+/// The answers of runs that a release has waited for come with its own, on other connections.
+async fn wait_for_answers(gate: &Gate, run: Run) {
+    let until = gate.clock.now() + ANSWERS_WAIT;
+    let mut now = gate.clock.now();
+    while now < until && gate.upstream_runs.unended(now, run.first, run.last).running > 0 {
+        sleep(ANSWERS_POLL).await;
+        now = gate.clock.now();
+    }
 }
 
 /// Has the upstream give up all that earlier sessions or lives of this agent granted it. Its handover
@@ -113,6 +136,7 @@
 async fn clear(gate: &Gate, bound: &Bound, token: Token) {
     let run = Run { first: Slot(0), last: Slot(bound.document.slot_count.count() - 1), token };
     let handover = release(gate, bound, run, CLEAR_MAX).await;
+    gate.doubt_earlier_lives(bound);
     let now = gate.clock.now();
     {
         let mut book = gate.leases.book();
@@ -191,12 +215,13 @@
 /// What shows whether the work on the slots has ended: how long the answer took, and what ended without one.
 fn log_release(gate: &Gate, run: Run, sent_at: Timestamp, is_answered: bool) {
     let now = gate.clock.now();
-    let unanswered = gate.unanswered.of(now, run.first, run.last);
+    let unended = gate.upstream_runs.unended(now, run.first, run.last);
     let end = if is_answered { "answered" } else { "failed" };
     log::info!(
         target: "gate",
-        "Release of slots {} to {}, token {}: {end} after {} ms; {} runs ended without an answer, the last may go on for {} ms.",
-        run.first, run.last, run.token, now.since(sent_at).as_millis(), unanswered.runs, unanswered.until.since(now).as_millis(),
+        "Release of slots {} to {}, token {}: {end} after {} ms; {} runs without an answer yet, {} cut off, the last may go on for {} ms.",
+        run.first, run.last, run.token, now.since(sent_at).as_millis(),
+        unended.running, unended.unanswered, unended.until.since(now).as_millis(),
     );
 }
 
@@ -222,7 +247,11 @@
     }
 }
 
-async fn report_closed(gate: &Gate, closed: Vec<(Slot, Token)>) {
+/// Says which slots the upstream neither holds nor works on any more.
+async fn report_closed(gate: &Gate) {
+    let now = gate.clock.now();
+    let works_until = |slot| gate.upstream_runs.unended(now, slot, slot).until;
+    let closed = gate.leases.book().take_closed(now, works_until);
     if !closed.is_empty() {
         gate.reporter.deliver(Report::ClosedSlots(closed)).await;
     }
--- a/crates/agent/src/gate/leases/mod.rs
+++ b/crates/agent/src/gate/leases/mod.rs
@@ -23,7 +23,10 @@
 
 use self::{announced::TAKEN_AFTER, book::LeaseBook};
 
-pub(super) use self::{book::Life, keeper::run};
+pub(super) use self::{
+    book::{CALL_MARGIN, Life, SLOW_CLOCK},
+    keeper::run,
+};
 
 /// The leases of the upstream beside this agent.
 #[derive(Debug)]
--- a/crates/agent/src/gate/leases/tests/announced.rs
+++ b/crates/agent/src/gate/leases/tests/announced.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{MS, at, run, token};
+use super::{MS, at, release_ended, run, take_closed, token};
 use crate::{
     gate::leases::{
         announced::{GivenUp, ReleasedRun, Shown, ToHold},
@@ -78,8 +78,11 @@
     let heard = book.heard(at(1100), &next);
     let given_up = GivenUp { run: run(2, 2, 1), to: Some(to), handover: Some("warm".into()) };
     assert_eq!(heard.given_up, [given_up]);
-    assert!(book.take_closed(at(1100)).is_empty(), "its token is on the way to the next owner");
-    assert_eq!(book.release_ended(at(1101), run(2, 2, 1), true), [(Slot(2), token(1))]);
+    assert!(
+        take_closed(&mut book, at(1100)).is_empty(),
+        "its token is on the way to the next owner"
+    );
+    assert_eq!(release_ended(&mut book, at(1101), run(2, 2, 1), true), [(Slot(2), token(1))]);
 }
 
 /// The answer that grants it may be read after the announcement was sent that does not show it.
@@ -91,7 +94,7 @@
     book.close(at(10), Slot(1), token(1), None);
     answer(&mut book, 100, 2600);
     assert!(book.heard(at(200), &shown(&[])).given_up.is_empty());
-    assert!(book.take_closed(at(200)).is_empty());
+    assert!(take_closed(&mut book, at(200)).is_empty());
     assert_eq!(book.heard(at(1200), &shown(&[])).given_up.len(), 1);
 }
 
@@ -109,15 +112,15 @@
     let mut book = LeaseBook::default();
     book.admit(at(0), Slot(1), token(1));
     assert!(book.close(at(10), Slot(1), token(1), None));
-    assert_eq!(book.take_closed(at(10)), [(Slot(1), token(1))]);
+    assert_eq!(take_closed(&mut book, at(10)), [(Slot(1), token(1))]);
 }
 
 #[test]
 fn without_announcements_a_slot_is_closed_when_its_time_is_over() {
     let mut book = granted();
     book.close(at(900), Slot(1), token(1), None);
-    assert!(book.take_closed(at(2400)).is_empty());
-    assert_eq!(book.take_closed(at(2700)), [(Slot(1), token(1))]);
+    assert!(take_closed(&mut book, at(2400)).is_empty());
+    assert_eq!(take_closed(&mut book, at(2700)), [(Slot(1), token(1))]);
 }
 
 #[test]
@@ -343,9 +346,9 @@
                     upstream.takes(&mut rng, now, it.sent_at, &it.answer);
                 }
             }
-            let mut closed = book.take_closed(now);
+            let mut closed = take_closed(&mut book, now);
             for (_, run) in passing_on.extract_if(.., |it| it.0 <= now) {
-                closed.extend(book.release_ended(now, run, true));
+                closed.extend(release_ended(&mut book, now, run, true));
             }
             for (slot, token) in closed {
                 let held = upstream.held.get(&slot.0);
--- a/crates/agent/src/gate/leases/tests/mod.rs
+++ b/crates/agent/src/gate/leases/tests/mod.rs
@@ -50,6 +50,22 @@
     }
 }
 
+/// Slots that are closed at an upstream which works on nothing.
+fn take_closed(book: &mut LeaseBook, now: Timestamp) -> Vec<(Slot, Token)> {
+    book.take_closed(now, |_| Timestamp::ZERO)
+}
+
+/// The same after the end of a release.
+fn release_ended(
+    book: &mut LeaseBook,
+    now: Timestamp,
+    run: Run,
+    is_answered: bool,
+) -> Vec<(Slot, Token)> {
+    book.release_ended(now, run, is_answered);
+    take_closed(book, now)
+}
+
 #[test]
 fn neighbours_under_one_token_are_one_grant() {
     let mut book = LeaseBook::default();
@@ -121,8 +137,8 @@
     assert!(book.is_usable(at(10), Slot(1)));
     let calls = book.calls(at(10), at(1500));
     assert_eq!(releases(&calls), [run(2, 3, 1)]);
-    assert!(book.take_closed(at(20)).is_empty());
-    let closed = book.release_ended(at(20), run(2, 3, 1), true);
+    assert!(take_closed(&mut book, at(20)).is_empty());
+    let closed = release_ended(&mut book, at(20), run(2, 3, 1), true);
     assert_eq!(closed, [(Slot(2), token(1)), (Slot(3), token(1))]);
 }
 
@@ -134,13 +150,42 @@
     granted(&mut book, at(0), at(3000));
     book.close(at(0), Slot(1), token(1), None);
     assert_eq!(releases(&book.calls(at(0), at(3000))), [run(1, 1, 1)]);
-    assert!(book.release_ended(at(1800), run(1, 1, 1), false).is_empty());
+    assert!(release_ended(&mut book, at(1800), run(1, 1, 1), false).is_empty());
     assert_eq!(releases(&book.calls(at(1800), at(4000))), [run(1, 1, 1)], "asked again");
-    assert!(book.release_ended(at(2900), run(1, 1, 1), false).is_empty());
-    let closed = book.take_closed(at(3100));
+    assert!(release_ended(&mut book, at(2900), run(1, 1, 1), false).is_empty());
+    let closed = take_closed(&mut book, at(3100));
     assert_eq!(closed, [(Slot(1), token(1))]);
 }
 
+#[test]
+fn a_released_slot_is_closed_when_the_work_on_it_has_ended() {
+    let mut book = LeaseBook::default();
+    book.admit(at(0), Slot(1), token(1));
+    book.admit(at(0), Slot(2), token(1));
+    granted(&mut book, at(0), at(1500));
+    book.close(at(10), Slot(1), token(1), None);
+    book.close(at(10), Slot(2), token(1), None);
+    assert_eq!(releases(&book.calls(at(10), at(1500))), [run(1, 2, 1)]);
+    book.release_ended(at(20), run(1, 2, 1), true);
+    let works_until = |slot: Slot| if slot == Slot(2) { at(700) } else { at(0) };
+    assert_eq!(book.take_closed(at(20), works_until), [(Slot(1), token(1))]);
+    assert!(book.calls(at(30), at(1500)).is_empty(), "it is not released again");
+    assert!(book.take_closed(at(699), works_until).is_empty());
+    assert_eq!(book.take_closed(at(700), works_until), [(Slot(2), token(1))]);
+}
+
+#[test]
+fn a_released_slot_waits_for_work_no_longer_than_it_would_have_been_held() {
+    let mut book = LeaseBook::default();
+    book.admit(at(0), Slot(1), token(1));
+    granted(&mut book, at(0), at(1500));
+    book.close(at(10), Slot(1), token(1), None);
+    book.calls(at(10), at(1500));
+    book.release_ended(at(20), run(1, 1, 1), true);
+    assert!(book.take_closed(at(1400), |_| at(6000)).is_empty());
+    assert_eq!(book.take_closed(at(1501), |_| at(6000)), [(Slot(1), token(1))]);
+}
+
 #[test]
 fn a_handover_token_goes_with_the_grant_that_follows_it() {
     let mut book = LeaseBook::default();
@@ -277,7 +322,7 @@
             for it in waiting.iter_mut().filter(|it| !it.has_arrived && it.arrives_at <= now) {
                 arrive(&mut rng, it, &mut held, &mut late);
             }
-            let mut closed = book.take_closed(now);
+            let mut closed = take_closed(&mut book, now);
             for it in waiting.extract_if(.., |it| it.ends_at <= now) {
                 match it.call {
                     Call::Grant { run, hold, .. } => {
@@ -285,7 +330,7 @@
                         book.grant_ended(now, run, it.sent_at, hold, end);
                     }
                     Call::Release { run, .. } => {
-                        closed.extend(book.release_ended(now, run, it.is_answered));
+                        closed.extend(release_ended(&mut book, now, run, it.is_answered));
                     }
                     Call::Clear { token } => book.clear_ended(token),
                 }
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -12,8 +12,8 @@
 mod records;
 mod run;
 mod table;
-mod unanswered;
 mod upstream_clock;
+mod upstream_runs;
 mod worker;
 
 use std::{
@@ -46,7 +46,7 @@
 use leases::Leases;
 use records::Book;
 use run::Caller;
-use unanswered::UnansweredRuns;
+use upstream_runs::UpstreamRuns;
 
 pub(crate) use upstream_clock::UpstreamClock;
 
@@ -84,7 +84,7 @@
     bound: ArcSwapOption<Bound>,
     book: OnceLock<Book>,
     leases: Arc<Leases>,
-    unanswered: UnansweredRuns,
+    upstream_runs: UpstreamRuns,
     links: OnceLock<TrafficLinks>,
     /// When the upstream last answered, on the process's clock.
     last_sign_ns: AtomicU64,
@@ -111,7 +111,7 @@
             bound: ArcSwapOption::empty(),
             book: OnceLock::new(),
             leases: Arc::default(),
-            unanswered: UnansweredRuns::default(),
+            upstream_runs: UpstreamRuns::default(),
             links: OnceLock::new(),
             last_sign_ns: AtomicU64::new(now.ns),
             members_changed_ns: AtomicU64::new(now.ns),
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -388,7 +388,9 @@
             return GateReply::not_run(reason);
         }
         permit.completion = Completion::Cut;
-        let run = gate.unanswered.begin(self.entry.as_ref().map(Entry::slot), until);
+        let remaining = until.since(started);
+        let run =
+            gate.upstream_runs.begin(started, self.entry.as_ref().map(Entry::slot), remaining);
         let call = self.bound.upstream.call(upstream::Request {
             method: self.request.method.clone(),
             path: self.request.path.clone(),
@@ -396,14 +398,14 @@
             body: self.request.body.clone(),
             id: self.request.id,
             token: clearance.map(|it| it.token),
-            remaining: until.since(started),
+            remaining,
             bounds: self.bounds(clearance.as_ref(), until),
         });
         let cut_off = CutOff { passage: self, armed: true };
         let result = self.wait(call, until).await;
         cut_off.disarm();
-        if result.is_known() {
-            run.ended();
+        if result.is_end_of_run() {
+            run.is_over();
         }
         let ended = gate.clock.now();
         if let Some((slot, key_hash)) = self.counts_for() {
@@ -501,8 +503,8 @@
 }
 
 impl Ended {
-    /// Whether the upstream does not work on it any more.
-    fn is_known(&self) -> bool {
+    /// Whether the upstream does not work on it any more, as far as that is known.
+    fn is_end_of_run(&self) -> bool {
         match self {
             Ended::Answered(_)
             | Ended::Failed(CallError::NotSent { .. } | CallError::Refused { .. }) => true,
--- /dev/null
+++ b/crates/agent/src/gate/upstream_runs/mod.rs
@@ -0,0 +1,130 @@
+//! Runs that the upstream may still work on.
+//!
+//! Only its answer proves that a run has ended. Most upstreams drop a request when its connection ends, but some
+//! go on, and their answer to a release does not wait for that.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use model::{Slot, Timestamp};
+
+use super::leases::{CALL_MARGIN, SLOW_CLOCK};
+
+/// The runs of each slot.
+#[derive(Debug, Default)]
+pub(super) struct UpstreamRuns(Mutex<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    slots: BTreeMap<Slot, SlotRuns>,
+    /// Until when runs may go on that earlier lives of this agent began.
+    earlier_lives_until: Timestamp,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct SlotRuns {
+    /// Runs whose end is not known yet, and until when the last of them may go on.
+    running: u32,
+    running_until: Timestamp,
+    /// The same of those whose connection has ended without an answer.
+    unanswered: u32,
+    unanswered_until: Timestamp,
+}
+
+/// What may still go on of some slots.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Unended {
+    pub(super) running: u32,
+    pub(super) unanswered: u32,
+    /// Zero: nothing goes on.
+    pub(super) until: Timestamp,
+}
+
+/// A run at the upstream. Dropped before its end is known, it may go on until its deadline.
+#[derive(Debug)]
+pub(super) struct Run<'a> {
+    runs: &'a UpstreamRuns,
+    slot: Option<Slot>,
+    until: Timestamp,
+    is_answered: bool,
+}
+
+impl UpstreamRuns {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A run begins that the upstream is given this long for. `slot`: none where nothing is granted.
+    pub(super) fn begin(&self, now: Timestamp, slot: Option<Slot>, remaining: Duration) -> Run<'_> {
+        let until = now + remaining.mul_f64(SLOW_CLOCK) + CALL_MARGIN;
+        if let Some(slot) = slot {
+            let mut state = self.state();
+            let it = state.slots.entry(slot).or_default();
+            it.running += 1;
+            it.running_until = it.running_until.max(until);
+        }
+        Run { runs: self, slot, until, is_answered: false }
+    }
+
+    /// Runs of earlier lives of this agent, of which nothing is known, may go on until then.
+    pub(super) fn doubt_earlier_lives(&self, until: Timestamp) {
+        let mut state = self.state();
+        state.earlier_lives_until = state.earlier_lives_until.max(until);
+    }
+
+    /// What may go on of the slots from `first` to `last`.
+    pub(super) fn unended(&self, now: Timestamp, first: Slot, last: Slot) -> Unended {
+        let mut state = self.state();
+        state.slots.retain(|_, it| it.running > 0 || now < it.unanswered_until);
+        let earlier_lives = Unended {
+            until: Some(state.earlier_lives_until).filter(|it| now < *it).unwrap_or_default(),
+            ..Unended::default()
+        };
+        state.slots.range(first..=last).fold(earlier_lives, |sum, (_, it)| sum.and(now, it))
+    }
+
+    fn ended(&self, run: &Run<'_>) {
+        let Some(slot) = run.slot else { return };
+        let mut state = self.state();
+        let it = state.slots.entry(slot).or_default();
+        it.running = it.running.saturating_sub(1);
+        if it.running == 0 {
+            it.running_until = Timestamp::ZERO;
+        }
+        if !run.is_answered {
+            it.unanswered += 1;
+            it.unanswered_until = it.unanswered_until.max(run.until);
+        }
+    }
+}
+
+impl Unended {
+    fn and(self, now: Timestamp, runs: &SlotRuns) -> Unended {
+        let is_cut = now < runs.unanswered_until;
+        let cut_until = if is_cut { runs.unanswered_until } else { Timestamp::ZERO };
+        Unended {
+            running: self.running + runs.running,
+            unanswered: self.unanswered + if is_cut { runs.unanswered } else { 0 },
+            until: self.until.max(runs.running_until).max(cut_until),
+        }
+    }
+}
+
+impl Run<'_> {
+    /// The upstream does not work on it any more.
+    pub(super) fn is_over(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.runs.ended(self);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/gate/upstream_runs/tests.rs
@@ -0,0 +1,47 @@
+//! Tests of what the upstream may still work on.
+
+use std::time::Duration;
+
+use model::{Slot, Timestamp};
+
+use super::{Unended, UpstreamRuns};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_ms(ms)
+}
+
+fn ends(runs: &UpstreamRuns, now_ms: u64, slot: u16) -> Timestamp {
+    runs.unended(at(now_ms), Slot(slot), Slot(slot)).until
+}
+
+#[test]
+fn an_answered_run_is_over_and_one_that_was_cut_off_lasts_until_its_deadline() {
+    let runs = UpstreamRuns::default();
+    let second = Duration::from_secs(1);
+    let answered = runs.begin(at(0), Some(Slot(1)), second);
+    let cut = runs.begin(at(0), Some(Slot(2)), second);
+    assert!(ends(&runs, 10, 1) > at(1000), "its clock may be slow");
+    answered.is_over();
+    drop(cut);
+    assert_eq!(runs.unended(at(10), Slot(0), Slot(1)), Unended::default());
+    let unended = runs.unended(at(10), Slot(0), Slot(9));
+    assert_eq!((unended.running, unended.unanswered), (0, 1));
+    assert!(unended.until > at(1000));
+    assert_eq!(runs.unended(unended.until, Slot(0), Slot(9)), Unended::default());
+}
+
+#[test]
+fn a_run_that_follows_one_that_was_cut_off_does_not_shorten_its_time() {
+    let runs = UpstreamRuns::default();
+    drop(runs.begin(at(0), Some(Slot(1)), Duration::from_secs(2)));
+    runs.begin(at(10), Some(Slot(1)), Duration::from_secs(1)).is_over();
+    assert!(ends(&runs, 20, 1) > at(2000));
+}
+
+#[test]
+fn runs_of_an_earlier_life_of_the_agent_may_go_on_in_every_slot() {
+    let runs = UpstreamRuns::default();
+    runs.doubt_earlier_lives(at(1500));
+    assert_eq!(ends(&runs, 1499, 7), at(1500));
+    assert_eq!(ends(&runs, 1500, 7), Timestamp::ZERO);
+}
