A slot that is closed twice waits for its release and its work all the same

Cause: `Close` of a slot that was closing already (an agent that stops closes all it holds, and the coordinator asks once more) began anew: the release that was on its way was forgotten and sent again, and a slot that had been released but was still worked on counted as closed at once.

A second Close now only names who takes over.

--- a/crates/agent/src/gate/leases/book.rs
+++ b/crates/agent/src/gate/leases/book.rs
@@ -149,7 +149,7 @@
         self.slots.insert(slot, lease);
     }
 
-    /// Control takes a slot back. False: it is not held under this token.
+    /// Control takes a slot back; asked again, it goes on. False: it is not held under this token.
     pub(super) fn close(
         &mut self,
         now: Timestamp,
@@ -160,6 +160,10 @@
         let Some(lease) = self.slots.get_mut(&slot).filter(|it| it.token == token) else {
             return false;
         };
+        if let Some(closing) = &mut lease.closing {
+            closing.to = to.or_else(|| closing.to.take());
+            return true;
+        }
         // What the upstream cannot hold needs no release.
         let until = match lease.held_until > now {
             true => lease.held_until.max(now + RELEASE_MAX),
--- a/crates/agent/src/gate/leases/tests/mod.rs
+++ b/crates/agent/src/gate/leases/tests/mod.rs
@@ -174,6 +174,21 @@
     assert_eq!(book.take_closed(at(700), works_until), [(Slot(2), token(1))]);
 }
 
+#[test]
+fn a_slot_that_is_closed_twice_waits_for_its_work_all_the_same() {
+    let mut book = LeaseBook::default();
+    book.admit(at(0), Slot(1), token(1));
+    granted(&mut book, at(0), at(1500));
+    book.close(at(10), Slot(1), token(1), None);
+    book.calls(at(10), at(1500));
+    assert!(book.close(at(15), Slot(1), token(1), None));
+    assert!(book.calls(at(15), at(1500)).is_empty(), "the release is on its way");
+    book.release_ended(at(20), run(1, 1, 1), true);
+    assert!(book.close(at(25), Slot(1), token(1), None));
+    assert!(book.take_closed(at(30), |_| at(700)).is_empty());
+    assert_eq!(book.take_closed(at(700), |_| at(700)), [(Slot(1), token(1))]);
+}
+
 #[test]
 fn a_released_slot_waits_for_work_no_longer_than_it_would_have_been_held() {
     let mut book = LeaseBook::default();
@@ -268,9 +283,9 @@
 }
 
 /// An upstream as the platform describes it: calls arrive in any order; grants may be applied late,
-/// and then count from when they arrived; its clock may be 2% slow; answers may be lost. Whatever
-/// comes, it holds no slot after the book has said that the slot is closed, nor after the lease, and
-/// is not asked for a slot it does not hold.
+/// and then count from when they arrived; its clock may be 2% slow; answers may be lost; it works on slots that
+/// it has released. Whatever comes, it holds no slot after the book has said that the slot is closed, nor after
+/// the lease, nor works on it under a hold that would last, and is not asked for a slot it does not hold.
 #[test]
 fn random_upstreams() {
     fn play(seed: u64) {
@@ -283,6 +298,10 @@
         let mut waiting: Vec<OnItsWay> = Vec::new();
         // Grants without an answer that are still to be applied, and when.
         let mut late: Vec<(Timestamp, (u16, u64, Timestamp))> = Vec::new();
+        // Until when it works on each slot, and would hold it if nothing was released.
+        let mut works_until = [Timestamp::ZERO; 8];
+        let mut would_hold_until = [Timestamp::ZERO; 8];
+        let mut work_rng = Pcg64Mcg::seed_from_u64(!seed);
         for step in 0..2000 {
             let now = at(step * 5);
             for (_, grant) in late.extract_if(.., |it| it.0 <= now) {
@@ -322,7 +341,12 @@
             for it in waiting.iter_mut().filter(|it| !it.has_arrived && it.arrives_at <= now) {
                 arrive(&mut rng, it, &mut held, &mut late);
             }
-            let mut closed = take_closed(&mut book, now);
+            for (slot, _, until) in &held {
+                let would_hold = &mut would_hold_until[usize::from(*slot)];
+                *would_hold = (*would_hold).max(*until);
+            }
+            let works = |slot: Slot| works_until[usize::from(slot.0)];
+            let mut closed = book.take_closed(now, works);
             for it in waiting.extract_if(.., |it| it.ends_at <= now) {
                 match it.call {
                     Call::Grant { run, hold, .. } => {
@@ -330,7 +354,8 @@
                         book.grant_ended(now, run, it.sent_at, hold, end);
                     }
                     Call::Release { run, .. } => {
-                        closed.extend(release_ended(&mut book, now, run, it.is_answered));
+                        book.release_ended(now, run, it.is_answered);
+                        closed.extend(book.take_closed(now, works));
                     }
                     Call::Clear { token } => book.clear_ended(token),
                 }
@@ -340,6 +365,8 @@
                     it.0 == slot.0 && it.1 == token.sequence && now < it.2
                 };
                 assert!(!held.iter().any(holds), "seed {seed}: closed {slot} is held");
+                let at_work_until = works(slot).min(would_hold_until[usize::from(slot.0)]);
+                assert!(at_work_until <= now, "seed {seed}: closed {slot} is worked on");
                 if current[usize::from(slot.0)] == Some(token.sequence) {
                     current[usize::from(slot.0)] = None;
                 }
@@ -347,6 +374,10 @@
             for slot in (0..8).filter(|it| book.is_usable(now, Slot(*it))) {
                 let holds = held.iter().any(|it| it.0 == slot && now < it.2);
                 assert!(holds, "seed {seed}: {slot} is used but not held");
+                if work_rng.random_bool(0.02) {
+                    let work = &mut works_until[usize::from(slot)];
+                    *work = (*work).max(now + work_rng.random_range(1..3000) * MS);
+                }
             }
         }
     }
