A release does not directly follow another one on a connection

What callers saw: where an upstream answers a release twice, the second answer counted as that of the next release on the connection, with its handover token, while work on those keys went on. Cause: the answers to two releases can't be told apart, and the pool gave the next release the connection used last. Change: the pool knows kinds of calls whose answers look alike (`CallKind`), and gives a call of a kind no connection whose last answer was to one of that kind. An answer that shows what it answers (a request's, by its id) makes the connection fit again: an extra answer comes in place of the next one, so it would have come there. Weighed: a fresh connection for each release, or one that never carries a call about keys again; both cost connections to upstreams, which are priced, and guard against nothing more as long as extra answers come where the next one is expected. Grants may follow a release: its answer bears the handover token, which a grant's answer doesn't.

--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -55,10 +55,17 @@
     opened: AtomicU64,
 }
 
+/// Calls whose answers can't be told apart. A peer may send an answer twice, the second one in place of the
+/// next answer, so a call of a kind does not directly follow another one on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallKind(pub &'static str);
+
 #[derive(Debug)]
 struct Unused {
     sender: SendRequest<Full<Bytes>>,
     until: Instant,
+    /// What its last answer was to.
+    last: Option<CallKind>,
 }
 
 /// A whole answer.
@@ -106,7 +113,28 @@
         bytes_max: usize,
         is_sound: impl FnOnce(&Parts) -> bool,
     ) -> Result<Reply, ExchangeError> {
-        let mut sender = match self.take().await {
+        self.carry(None, request, bytes_max, is_sound).await
+    }
+
+    /// As [`Pool::exchange`], for a call of a kind.
+    pub async fn exchange_of_kind(
+        &self,
+        kind: CallKind,
+        request: Request<Full<Bytes>>,
+        bytes_max: usize,
+        is_sound: impl FnOnce(&Parts) -> bool,
+    ) -> Result<Reply, ExchangeError> {
+        self.carry(Some(kind), request, bytes_max, is_sound).await
+    }
+
+    async fn carry(
+        &self,
+        kind: Option<CallKind>,
+        request: Request<Full<Bytes>>,
+        bytes_max: usize,
+        is_sound: impl FnOnce(&Parts) -> bool,
+    ) -> Result<Reply, ExchangeError> {
+        let mut sender = match self.take(kind).await {
             Some(sender) => sender,
             None => self.connect().await?,
         };
@@ -114,7 +142,7 @@
         let (parts, body) = response.into_parts();
         let body = read(body, bytes_max).await?;
         if is_sound(&parts) {
-            self.keep(sender, &parts);
+            self.keep(sender, kind, &parts);
         }
         Ok(Reply { parts, body })
     }
@@ -123,10 +151,10 @@
         self.unused.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The connection that was used last, if it is still open.
-    async fn take(&self) -> Option<SendRequest<Full<Bytes>>> {
+    /// The connection that was used last of those that are open and may carry the call.
+    async fn take(&self, kind: Option<CallKind>) -> Option<SendRequest<Full<Bytes>>> {
         loop {
-            let Unused { mut sender, until } = self.unused().pop()?;
+            let Unused { mut sender, until, .. } = self.pop(kind)?;
             if sender.is_closed() || until <= Instant::now() {
                 continue;
             }
@@ -136,7 +164,14 @@
         }
     }
 
-    fn keep(&self, sender: SendRequest<Full<Bytes>>, parts: &Parts) {
+    fn pop(&self, kind: Option<CallKind>) -> Option<Unused> {
+        let mut unused = self.unused();
+        let may_carry = |it: &Unused| kind.is_none() || it.last != kind;
+        let place = unused.iter().rposition(may_carry)?;
+        Some(unused.remove(place))
+    }
+
+    fn keep(&self, sender: SendRequest<Full<Bytes>>, last: Option<CallKind>, parts: &Parts) {
         let kept_for = match keep_alive(&parts.headers) {
             Some(named) => named.saturating_sub(KEEP_ALIVE_MARGIN).min(self.config.unused_for),
             None => self.config.unused_for,
@@ -148,7 +183,7 @@
         let mut unused = self.unused();
         unused.retain(|it| now < it.until && !it.sender.is_closed());
         if unused.len() < self.config.unused_max {
-            unused.push(Unused { sender, until: now + kept_for });
+            unused.push(Unused { sender, until: now + kept_for, last });
         }
     }
 
--- a/crates/http-pool/src/tests/mod.rs
+++ b/crates/http-pool/src/tests/mod.rs
@@ -10,7 +10,7 @@
     net::TcpListener,
 };
 
-use crate::{ExchangeError, Pool, PoolConfig};
+use crate::{CallKind, ExchangeError, Pool, PoolConfig};
 
 const CONFIG: PoolConfig = PoolConfig {
     connect_timeout: Duration::from_secs(5),
@@ -44,6 +44,12 @@
     Ok(String::from_utf8(reply.body.to_vec()).unwrap())
 }
 
+async fn ask_of_kind(pool: &Pool, kind: CallKind) -> Result<String, ExchangeError> {
+    let request = Request::get("/x").header("host", "a.example").body(Full::new(Bytes::new()));
+    let reply = pool.exchange_of_kind(kind, request.unwrap(), 1000, |_| true).await?;
+    Ok(String::from_utf8(reply.body.to_vec()).unwrap())
+}
+
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 #[tokio::test]
@@ -66,6 +72,20 @@
     assert_eq!(pool.opened(), 3);
 }
 
+#[tokio::test]
+async fn a_call_of_a_kind_does_not_directly_follow_another() {
+    const KIND: CallKind = CallKind("one");
+    let pool = peer(&[&[OK, OK, OK, OK, OK], &[OK]]).await;
+    ask_of_kind(&pool, KIND).await.unwrap();
+    ask_of_kind(&pool, CallKind("other")).await.unwrap();
+    ask_of_kind(&pool, KIND).await.unwrap();
+    ask(&pool).await.unwrap();
+    assert_eq!(pool.opened(), 1, "something else came between");
+    ask_of_kind(&pool, KIND).await.unwrap();
+    ask_of_kind(&pool, KIND).await.unwrap();
+    assert_eq!(pool.opened(), 2);
+}
+
 #[tokio::test]
 async fn bytes_behind_an_answer_belong_to_no_request() {
     const TWICE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\
