A request that finds its kept connection reset goes on; "not sent" says that no connection could be made

What callers saw: requests ended as unreachable, and the gate took its upstream for lost and gave all its keys away, though the upstream was there and only its kept connections had been reset. Cause: the pool ended a request that hyper had cancelled on a kept connection as `NotSent`, and the gate takes that for an upstream that can't be reached. An upstream that takes a new connection and resets it, as a full one does, was `NotSent` too. Change: a request that was never written goes on with the next kept connection, and at last with a new one. hyper hands such a request back (`try_send_request`), so nothing is kept that could be sent twice; all else stays `Lost`. Not covered: a first write that fails with a reset has sent nothing either, but hyper doesn't hand it back: it stays `Lost`.

--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -1,6 +1,7 @@
 //! The pool.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
@@ -16,7 +17,10 @@
     response::Parts,
 };
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::{TrySendError, http1::SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -46,6 +50,8 @@
     pub probe_every: Option<Duration>,
 }
 
+type Sender = SendRequest<Full<Bytes>>;
+
 /// Connections to one address.
 #[derive(Debug)]
 pub struct Pool {
@@ -62,7 +68,7 @@
 
 #[derive(Debug)]
 struct Unused {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     until: Instant,
     /// What its last answer was to.
     last: Option<CallKind>,
@@ -79,9 +85,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum ExchangeError {
-    /// No byte of the request has left this process.
+    /// No connection could be made, so no byte of the request has left this process.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The peer took a new connection and closed it before any byte of the request was written.
+    #[error("closed before the request was sent: {0}")]
+    Closed(String),
     /// The request may have arrived.
     #[error("no answer: {0}")]
     Lost(String),
@@ -134,11 +143,7 @@
         bytes_max: usize,
         is_sound: impl FnOnce(&Parts) -> bool,
     ) -> Result<Reply, ExchangeError> {
-        let mut sender = match self.take(kind).await {
-            Some(sender) => sender,
-            None => self.connect().await?,
-        };
-        let response = sender.send_request(request).await.map_err(|error| not_answered(&error))?;
+        let (sender, response) = self.send(kind, request).await?;
         let (parts, body) = response.into_parts();
         let body = read(body, bytes_max).await?;
         if is_sound(&parts) {
@@ -147,12 +152,42 @@
         Ok(Reply { parts, body })
     }
 
+    /// The answer's head, and the connection it came on. What was never written goes on with the next kept
+    /// connection, and at last with a new one.
+    async fn send(
+        &self,
+        kind: Option<CallKind>,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Sender, Response<Incoming>), ExchangeError> {
+        while let Some(mut sender) = self.take(kind).await {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok((sender, response)),
+                Err(mut error) => match unwritten(&mut error) {
+                    Some(unwritten) => request = unwritten,
+                    None => return Err(ExchangeError::Lost(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut sender = self.connect().await?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok((sender, response)),
+            Err(mut error) => {
+                let is_unwritten = unwritten(&mut error).is_some();
+                let reason = error.into_error().to_string();
+                Err(match is_unwritten {
+                    true => ExchangeError::Closed(reason),
+                    false => ExchangeError::Lost(reason),
+                })
+            }
+        }
+    }
+
     fn unused(&self) -> MutexGuard<'_, Vec<Unused>> {
         self.unused.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The connection that was used last of those that are open and may carry the call.
-    async fn take(&self, kind: Option<CallKind>) -> Option<SendRequest<Full<Bytes>>> {
+    async fn take(&self, kind: Option<CallKind>) -> Option<Sender> {
         loop {
             let Unused { mut sender, until, .. } = self.pop(kind)?;
             if sender.is_closed() || until <= Instant::now() {
@@ -171,7 +206,7 @@
         Some(unused.remove(place))
     }
 
-    fn keep(&self, sender: SendRequest<Full<Bytes>>, last: Option<CallKind>, parts: &Parts) {
+    fn keep(&self, sender: Sender, last: Option<CallKind>, parts: &Parts) {
         let kept_for = match keep_alive(&parts.headers) {
             Some(named) => named.saturating_sub(KEEP_ALIVE_MARGIN).min(self.config.unused_for),
             None => self.config.unused_for,
@@ -187,7 +222,7 @@
         }
     }
 
-    fn prepare(&self, stream: &TcpStream) -> std::io::Result<()> {
+    fn prepare(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let Some(every) = self.config.probe_every else { return Ok(()) };
         let probes = TcpKeepalive::new().with_time(every).with_interval(every).with_retries(PROBES);
@@ -196,17 +231,20 @@
         socket.set_tcp_user_timeout(Some(every * (PROBES + 1)))
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
-        let not_sent = |reason: String| ExchangeError::NotSent(reason);
+    async fn connect(&self) -> Result<Sender, ExchangeError> {
+        let closed = |reason: String| ExchangeError::Closed(reason);
         let stream = timeout(self.config.connect_timeout, TcpStream::connect(self.address))
             .await
-            .map_err(|_| not_sent(format!("no connection in {:?}", self.config.connect_timeout)))?
-            .map_err(|error| not_sent(error.to_string()))?;
-        self.prepare(&stream).map_err(|error| not_sent(error.to_string()))?;
+            .map_err(|_| {
+                let limit = self.config.connect_timeout;
+                ExchangeError::NotSent(format!("no connection in {limit:?}"))
+            })?
+            .map_err(|error| not_connected(&error))?;
         self.opened.fetch_add(1, Ordering::Relaxed);
+        self.prepare(&stream).map_err(|error| closed(error.to_string()))?;
         let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| not_sent(error.to_string()))?;
+            .map_err(|error| closed(error.to_string()))?;
         let address = self.address;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -227,11 +265,19 @@
     }
 }
 
-fn not_answered(error: &hyper::Error) -> ExchangeError {
-    match error.is_canceled() {
-        // hyper's word for a request that it never began to write.
-        true => ExchangeError::NotSent(error.to_string()),
-        false => ExchangeError::Lost(error.to_string()),
+/// The request, if hyper never began to write it.
+fn unwritten(error: &mut TrySendError<Request<Full<Bytes>>>) -> Option<Request<Full<Bytes>>> {
+    if !error.error().is_canceled() {
+        return None;
+    }
+    error.take_message()
+}
+
+fn not_connected(error: &io::Error) -> ExchangeError {
+    match error.kind() {
+        // It is refused where nobody listens, and reset once it has been taken.
+        io::ErrorKind::ConnectionReset => ExchangeError::Closed(error.to_string()),
+        _ => ExchangeError::NotSent(error.to_string()),
     }
 }
 
--- a/crates/http-pool/src/tests/mod.rs
+++ b/crates/http-pool/src/tests/mod.rs
@@ -1,13 +1,22 @@
 //! The pool against a peer that answers as each test writes it.
 
-use std::time::Duration;
+use std::{
+    io::{Read, Write},
+    net::TcpListener as BlockingListener,
+    sync::mpsc,
+    thread,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
+    task::yield_now,
+    time::timeout,
 };
 
 use crate::{CallKind, ExchangeError, Pool, PoolConfig};
@@ -126,6 +135,103 @@
     assert!(matches!(ask(&pool).await, Err(ExchangeError::Lost(_))));
 }
 
+/// Closes a connection so that its peer is told of a reset.
+fn reset(stream: std::net::TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+#[tokio::test]
+async fn a_request_that_finds_kept_connections_reset_goes_on_with_a_new_one() {
+    let listener = BlockingListener::bind("127.0.0.1:0").unwrap();
+    let pool = Pool::new(listener.local_addr().unwrap(), CONFIG);
+    let (resets, reset_now) = mpsc::channel::<()>();
+    let (are_reset, done) = mpsc::channel();
+    let peer = thread::spawn(move || {
+        let answer = |listener: &BlockingListener| {
+            let (mut stream, _) = listener.accept().unwrap();
+            assert_ne!(stream.read(&mut [0; 4096]).unwrap(), 0);
+            stream.write_all(OK.as_bytes()).unwrap();
+            stream
+        };
+        let kept = [answer(&listener), answer(&listener)];
+        reset_now.recv().unwrap();
+        kept.into_iter().for_each(reset);
+        are_reset.send(()).unwrap();
+        drop(answer(&listener));
+    });
+    let (one, other) = tokio::join!(ask(&pool), ask(&pool));
+    one.and(other).unwrap();
+    resets.send(()).unwrap();
+    // Blocks the runtime, so that the connections are still thought to be open.
+    done.recv().unwrap();
+    // The resets are seen only by this, and what they wake runs later.
+    yield_now().await;
+    assert_eq!(ask(&pool).await.as_deref(), Ok("ok"));
+    assert_eq!(pool.opened(), 3);
+    peer.join().unwrap();
+}
+
+#[tokio::test]
+async fn a_request_that_may_have_been_written_is_not_sent_again() {
+    let listener = BlockingListener::bind("127.0.0.1:0").unwrap();
+    let pool = Pool::new(listener.local_addr().unwrap(), CONFIG);
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert_ne!(stream.read(&mut [0; 4096]).unwrap(), 0);
+        stream.write_all(OK.as_bytes()).unwrap();
+        assert_ne!(stream.read(&mut [0; 4096]).unwrap(), 0);
+        reset(stream);
+        listener.set_nonblocking(true).unwrap();
+        listener
+    });
+    ask(&pool).await.unwrap();
+    let answer = timeout(CONFIG.connect_timeout, ask(&pool)).await;
+    assert!(matches!(answer, Ok(Err(ExchangeError::Lost(_)))), "{answer:?}");
+    let listener = peer.join().unwrap();
+    assert!(listener.accept().is_err(), "no other connection");
+    assert_eq!(pool.opened(), 1);
+}
+
+#[tokio::test]
+async fn a_request_whose_write_fails_is_not_sent_again() {
+    let listener = BlockingListener::bind("127.0.0.1:0").unwrap();
+    let pool = Pool::new(listener.local_addr().unwrap(), CONFIG);
+    let (resets, reset_now) = mpsc::channel::<()>();
+    let (is_reset, done) = mpsc::channel();
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert_ne!(stream.read(&mut [0; 4096]).unwrap(), 0);
+        stream.write_all(OK.as_bytes()).unwrap();
+        reset_now.recv().unwrap();
+        reset(stream);
+        is_reset.send(()).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        listener
+    });
+    ask(&pool).await.unwrap();
+    resets.send(()).unwrap();
+    done.recv().unwrap();
+    let answer = timeout(CONFIG.connect_timeout, ask(&pool)).await;
+    assert!(matches!(answer, Ok(Err(ExchangeError::Lost(_)))), "{answer:?}");
+    assert!(peer.join().unwrap().accept().is_err(), "no other connection");
+    assert_eq!(pool.opened(), 1);
+}
+
+#[tokio::test]
+async fn a_peer_that_resets_new_connections_can_be_reached() {
+    let listener = BlockingListener::bind("127.0.0.1:0").unwrap();
+    let pool = Pool::new(listener.local_addr().unwrap(), CONFIG);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            reset(stream.unwrap());
+        }
+    });
+    for _ in 0..200 {
+        let answer = ask(&pool).await;
+        assert!(!matches!(answer, Err(ExchangeError::NotSent(_))), "{answer:?}");
+    }
+}
+
 #[tokio::test]
 async fn an_answer_may_be_too_large() {
     const LARGE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 1001\r\n\r\n";
