A release resolves to a handover token, or fails

With an optional token an answer that bore none counted as an answered release with an empty token, one call away from the check that refuses such an answer. The type says it now; an upstream that has no state to hand over gives an empty one.

--- a/crates/agent/src/gate/leases/keeper.rs
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -187,8 +187,7 @@
     }
 }
 
-/// The upstream's handover token; none: it did not answer, or has none. An answer without a token
-/// counts as one with an empty token.
+/// The upstream's handover token; none: it did not answer.
 async fn release(gate: &Gate, bound: &Bound, run: Run, wait: Duration) -> Option<HandoverToken> {
     let (leases, granted) = leased(bound, run)?;
     let sent_at = gate.clock.now();
@@ -197,7 +196,7 @@
     match result {
         Ok(Ok(handover)) => {
             gate.sign(gate.clock.now());
-            Some(handover.unwrap_or_default())
+            Some(handover)
         }
         Ok(Err(error)) => {
             log::info!(target: "gate", "{error}.");
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -186,9 +186,9 @@
     fn release_keys(
         &self,
         granted: GrantedKeys,
-    ) -> UpstreamFuture<'_, Result<Option<HandoverToken>, ControlError>> {
+    ) -> UpstreamFuture<'_, Result<HandoverToken, ControlError>> {
         self.key_calls.lock().unwrap().push(KeyCall::Release(granted));
-        Box::pin(async { Ok(Some("warm".into())) })
+        Box::pin(async { Ok("warm".into()) })
     }
 }
 
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -174,9 +174,10 @@
         hold: Duration,
         handover: Option<HandoverToken>,
     ) -> UpstreamFuture<'_, Result<(), GrantError>>;
-    /// Stops new work on the keys; resolves when the work that ran on them has ended.
+    /// Stops new work on the keys; resolves to the handover token, which may be empty, when the work that ran on
+    /// them has ended. Runs whose connection has ended may go on nevertheless.
     fn release_keys(
         &self,
         granted: GrantedKeys,
-    ) -> UpstreamFuture<'_, Result<Option<HandoverToken>, ControlError>>;
+    ) -> UpstreamFuture<'_, Result<HandoverToken, ControlError>>;
 }
