A late answer to the Clear of an earlier session or term ends no lease any more

Callers saw: a slot could be granted anew while the upstream beside its former holder still held it and worked on it.

Cause: the answer of a gate to a Clear was passed on by whatever session, and to whatever term, was current when it came, and the coordinator took it in without a look at its token. The answer to the Clear of session 1 that came in session 2 ended session 1 at once, with all that it had been granted after that Clear; one that came in a later term counted as that term's answer, also before its first plan was acknowledged.

Fix: a member remembers the token that its current session and term have asked for, and passes on only the answer to that; the coordinator keeps the token of the Clear that it sent to a session with that session's row, and takes in no other.

--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use model::{ConfigVersion, Instance, KeyHash, Timestamp};
+use model::{ConfigVersion, Instance, KeyHash, Timestamp, Token};
 
 use crate::{
     Command, LoadReport, MemberNumber, MemberStanding, Renew, Report, SessionId, UpstreamState,
@@ -29,8 +29,8 @@
 pub(crate) enum EarlierSessions {
     /// It may; the member can be asked to clear its upstream.
     Unknown,
-    /// It has been asked to.
-    Clearing,
+    /// It has been asked to, up to this token.
+    Clearing { token: Token },
     /// It holds nothing of them.
     Cleared,
     /// The member goes on with what it holds.
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -165,7 +165,7 @@
                     self.given_up.push(slot);
                 }
             }
-            Report::Cleared { .. } => self.earlier_lives_cleared(ctx.now, id),
+            Report::Cleared { token } => self.cleared(ctx.now, id, token),
             Report::KeyClosed { key_hash, token } => {
                 let Some(row) = self.table.keys.get_mut(&key_hash) else { return };
                 let grant = match &row.holder {
--- a/crates/ownership/src/coordinator/seats.rs
+++ b/crates/ownership/src/coordinator/seats.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use model::{Instance, Timestamp};
+use model::{Instance, Timestamp, Token};
 
 use crate::{
     Command, OwnLease,
@@ -52,7 +52,7 @@
         for id in ids {
             let token = self.next_token();
             if let Some(row) = self.members.rows.get_mut(&id) {
-                row.earlier_sessions = EarlierSessions::Clearing;
+                row.earlier_sessions = EarlierSessions::Clearing { token };
                 row.command(Command::Clear { token });
             }
             if !rules::holds(Rule::ClearEarlierLives) {
@@ -61,9 +61,17 @@
         }
     }
 
+    /// A member says that its upstream is cleared: it counts only for what this term has asked this session.
+    pub(super) fn cleared(&mut self, now: Timestamp, id: &MemberId, token: Token) {
+        let asked = self.members.rows.get(id).map(|it| it.earlier_sessions);
+        if asked == Some(EarlierSessions::Clearing { token }) {
+            self.earlier_lives_cleared(now, id);
+        }
+    }
+
     /// The upstream beside a member holds nothing of the member's earlier sessions: those of earlier lives end
     /// now, and of its own life nothing is left that had to be waited for.
-    pub(super) fn earlier_lives_cleared(&mut self, now: Timestamp, id: &MemberId) {
+    fn earlier_lives_cleared(&mut self, now: Timestamp, id: &MemberId) {
         let Some(row) = self.members.rows.get_mut(id) else { return };
         row.earlier_sessions = EarlierSessions::Cleared;
         let (instance, joined_at, session) = (row.instance.clone(), row.joined_at, row.session);
--- a/crates/ownership/src/member/holdings.rs
+++ b/crates/ownership/src/member/holdings.rs
@@ -28,6 +28,7 @@
     keys: BTreeMap<KeyHash, Held>,
     excluded: BTreeSet<KeyHash>,
     preparing: BTreeMap<Slot, Token>,
+    clearing: Option<Token>,
 }
 
 impl Holdings {
@@ -35,8 +36,10 @@
         self.slots.is_empty() && self.keys.is_empty()
     }
 
-    pub(crate) fn forget_preparing(&mut self) {
+    /// What the gate is still to answer was asked for by an earlier term.
+    pub(crate) fn forget_asked(&mut self) {
         self.preparing.clear();
+        self.clearing = None;
     }
 
     pub(crate) fn closing_longer_than(&self, max: Duration, now: Timestamp) -> bool {
@@ -112,6 +115,7 @@
                 None
             }
             Command::Clear { token } => {
+                self.clearing = Some(*token);
                 ctx.gate(GateCommand::Clear { token: *token });
                 None
             }
@@ -125,6 +129,13 @@
         Some(Report::Prepared { slot, token })
     }
 
+    /// The upstream has been cleared. One that an earlier session or term has asked for says nothing of
+    /// what was granted since.
+    pub(crate) fn cleared(&mut self, token: Token) -> Option<Report> {
+        self.clearing.take_if(|it| *it == token)?;
+        Some(Report::Cleared { token })
+    }
+
     /// The gate has closed a slot: hot keys kept out of it need no entry any more.
     pub(crate) fn closed(&mut self, ctx: &mut Ctx<'_>, slot: Slot, token: Token) -> Option<Report> {
         let held = self.slots.get(&slot)?;
--- a/crates/ownership/src/member/mod.rs
+++ b/crates/ownership/src/member/mod.rs
@@ -104,7 +104,7 @@
 
     /// Turns to the coordinator of a new term; what is held stays held.
     pub(crate) fn follow_term(&mut self, now: Timestamp) {
-        self.holdings.forget_preparing();
+        self.holdings.forget_asked();
         self.restart_streams(now);
     }
 
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -212,7 +212,7 @@
                 let reports: Vec<Report> = reports.collect();
                 return self.report_all(ctx, reports);
             }
-            Input::Cleared { token } => Some(Report::Cleared { token }),
+            Input::Cleared { token } => self.member.holdings.cleared(token),
             Input::Prepared { slot, token } => self.member.holdings.prepared(slot, token),
             Input::Closed { slot, token } => self.member.holdings.closed(ctx, slot, token),
             Input::KeyClosed { key_hash, token } => {
--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Runs of many nodes: in order, under random faults, and along recorded traces.
 
+mod clear;
 mod loads;
 mod order;
 
