The simulator's upstreams are at work: no slot is granted while another works on it

Change: where upstreams enforce leases, random runs can let them be at work: runs of 2 ms to 2.5 s begin while a slot is admitted, about half of them go on when their agent is lost or drops its lease, and each ends with the lease under which it began. A Close is answered when the runs of the slot have ended, a Clear when all runs have that began under tokens up to its own, or never after 1.5 s. Upstreams are also taken for lost for a while, and go on. A Clear takes back only what has its token or a lower one; before, it took back all.

New violation SlotWorkedOn: a host is granted a slot while the upstream of another has a run of it that has not ended, under a lease that is not over by its own clock.

--- a/crates/ownership/src/rules.rs
+++ b/crates/ownership/src/rules.rs
@@ -29,6 +29,9 @@
     ClearEarlierLives,
     /// The new owner is granted a slot when the old one has closed it.
     WaitForClose,
+    /// An upstream has given a slot up, or is cleared, only when its runs have ended.
+    #[cfg(any(test, feature = "sim"))]
+    WaitForWork,
 }
 
 #[cfg(test)]
--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -31,10 +31,11 @@
                 self.input(host, Input::Platform { call, reply: *reply });
             }
             Happening::Answer { .. } => {}
-            Happening::Local { host, life, input } if self.hosts[host].life == life => {
-                self.local(host, *input);
+            Happening::Local { host, life, input, until } if self.hosts[host].life == life => {
+                self.local(host, *input, until);
             }
             Happening::Local { .. } => {}
+            Happening::BeginWork => self.begin_work(),
             Happening::Resume { host, life } if self.hosts[host].life == life => self.resume(host),
             Happening::Resume { .. } => {}
             Happening::Done { host, life, out } if self.hosts[host].life == life => {
@@ -85,13 +86,16 @@
 
     /// What the gate and the upstream do in their own time also goes on in a pause of the agent's
     /// control thread, but the node hears of it later.
-    fn local(&mut self, host: usize, input: Input) {
+    fn local(&mut self, host: usize, input: Input, until: Timestamp) {
+        if self.is_delayed(host, &input, until) {
+            return;
+        }
         match &input {
             Input::Closed { slot, token } => self.hosts[host].gate.closed(*slot, *token),
             Input::KeyClosed { key_hash, token } => {
                 self.hosts[host].gate.key_closed(*key_hash, *token);
             }
-            Input::Cleared { .. } => self.hosts[host].left_over.clear(),
+            Input::Cleared { token } => self.hosts[host].clear(*token),
             _ => {}
         }
         self.input(host, input);
@@ -298,6 +302,7 @@
         let max_ms = if hung { 1500 } else { 30 };
         let delay = Duration::from_millis(self.rng.random_range(0..max_ms));
         let input = Box::new(input);
-        self.schedule(self.now + delay, Happening::Local { host, life, input });
+        let until = self.waits_until(command);
+        self.schedule(self.now + delay, Happening::Local { host, life, input, until });
     }
 }
--- a/crates/ownership/src/sim/fault.rs
+++ b/crates/ownership/src/sim/fault.rs
@@ -82,7 +82,10 @@
         match fault {
             Fault::Start(host) => self.start(host),
             Fault::Crash(host) => self.hosts[host].crash(),
-            Fault::CrashAgent(host) => self.hosts[host].crash_agent(),
+            Fault::CrashAgent(host) => {
+                self.cut_work(host);
+                self.hosts[host].crash_agent();
+            }
             Fault::Pause { host, for_ms } => self.pause(host, Duration::from_millis(for_ms)),
             Fault::PauseInStep { host, for_ms } => {
                 self.hosts[host].pause_next_step_ms = Some(for_ms);
--- a/crates/ownership/src/sim/gate.rs
+++ b/crates/ownership/src/sim/gate.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// What was granted under tokens up to this one is given up.
+    pub(super) fn clear(&mut self, token: Token) {
+        self.slots.retain(|_, it| it.token > token);
+        self.keys.retain(|_, it| it.token > token);
+    }
+
     /// Whether requests of the slot may run here at this time of the host's clock.
     pub(super) fn holds(&self, now: Timestamp, slot: Slot) -> bool {
         now < self.lease_until && self.slots.contains_key(&slot)
--- a/crates/ownership/src/sim/host.rs
+++ b/crates/ownership/src/sim/host.rs
@@ -6,14 +6,15 @@
 };
 
 use model::{
-    GroupId, Incarnation, Instance, InstanceName, KeyHash, ServiceName, Slot, Term, Timestamp, Zone,
+    GroupId, Incarnation, Instance, InstanceName, KeyHash, ServiceName, Slot, Term, Timestamp,
+    Token, Zone,
 };
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
 use crate::{Input, Node, NodeConfig, Output, UpstreamState};
 
-use super::{SimConfig, gate::Gate};
+use super::{SimConfig, gate::Gate, upstream::Run};
 
 /// The entities of a run, by index.
 pub(super) struct Host {
@@ -26,6 +27,8 @@
     pub(super) gate: Gate,
     /// What the upstream still holds that earlier lives of the agent granted it.
     pub(super) left_over: Vec<Gate>,
+    /// What the upstream is at work on.
+    pub(super) runs: Vec<Run>,
     pub(super) upstream: UpstreamState,
     pub(super) is_paused: bool,
     /// Inputs that wait for the end of a pause, or of the step that is being carried through.
@@ -60,6 +63,7 @@
             clock_rate: 1.0 + config.drift * rng.random_range(-1.0..=1.0),
             gate: Gate::default(),
             left_over: Vec::new(),
+            runs: Vec::new(),
             upstream: UpstreamState::Starting,
             is_paused: false,
             mailbox: VecDeque::new(),
@@ -130,8 +134,10 @@
     pub(super) fn crash_agent(&mut self) {
         self.leave_over();
         let left_over = std::mem::take(&mut self.left_over);
+        let runs = std::mem::take(&mut self.runs);
         self.crash();
         self.left_over = left_over;
+        self.runs = runs;
     }
 
     /// The gate lets go of what it holds; an upstream that enforces leases goes on holding it.
@@ -140,6 +146,11 @@
         self.left_over.push(left_over);
     }
 
+    /// The upstream has given up what it was granted under tokens up to this one.
+    pub(super) fn clear(&mut self, token: Token) {
+        self.left_over.iter_mut().for_each(|it| it.clear(token));
+    }
+
     /// Whether requests of a slot may run here.
     pub(super) fn holds(&self, now: Timestamp, slot: Slot) -> bool {
         let clock = self.clock(now);
@@ -157,6 +168,7 @@
     /// The agent and the upstream beside it are lost.
     pub(super) fn crash(&mut self) {
         self.left_over.clear();
+        self.runs.clear();
         self.node = None;
         self.life += 1;
         self.gate = Gate::default();
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod random;
 mod truth;
+mod upstream;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -51,6 +52,8 @@
     pub drift: f64,
     /// Keys that the truth watches one by one; at times they are made hot.
     pub watched_keys: usize,
+    /// Upstreams are at work, and what they do may outlast their agents: where they enforce leases.
+    pub works: bool,
     /// What each host may use; none: steps take no time, and links have any width.
     pub machine: Option<Machine>,
 }
@@ -68,6 +71,7 @@
             limits: Limits::default(),
             drift: 0.0,
             watched_keys: 0,
+            works: false,
             machine: None,
         }
     }
@@ -144,7 +148,10 @@
         host: usize,
         life: u64,
         input: Box<Input>,
+        /// The gate waits no longer for its upstream.
+        until: Timestamp,
     },
+    BeginWork,
     Resume {
         host: usize,
         life: u64,
@@ -162,6 +169,8 @@
 pub struct Sim {
     config: SimConfig,
     rng: Pcg64Mcg,
+    /// Of its own, so that a seed without work gives the same run.
+    work_rng: Pcg64Mcg,
     now: Timestamp,
     queue: BTreeMap<(Timestamp, u64), Happening>,
     next_entry: u64,
@@ -189,8 +198,10 @@
         let hosts = (0..config.hosts).map(|it| Host::new(it, &config, &mut rng)).collect();
         let keys = (0..config.watched_keys).map(|_| KeyHash(rng.random())).collect();
         let slot_count = config.slot_count;
-        Sim {
+        let work_rng = Pcg64Mcg::seed_from_u64(config.seed ^ 0x3042);
+        let mut sim = Sim {
             rng,
+            work_rng,
             now: Timestamp::from_ms(1000),
             queue: BTreeMap::new(),
             next_entry: 0,
@@ -206,7 +217,11 @@
             messages: 0,
             longest_step: Duration::ZERO,
             config,
+        };
+        if sim.config.works {
+            sim.schedule(sim.now, Happening::BeginWork);
         }
+        sim
     }
 
     /// Keeps a line for each event from now on.
--- a/crates/ownership/src/sim/random.rs
+++ b/crates/ownership/src/sim/random.rs
@@ -1,6 +1,6 @@
 //! Runs under faults drawn at random, and what they came to.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use model::SlotCount;
 use rand::{RngExt, SeedableRng};
@@ -25,6 +25,8 @@
     pub ordered: bool,
     /// Agents are lost and restarted beside upstreams that live on.
     pub agents_restart: bool,
+    /// Upstreams are at work, and what they do may outlast their agents.
+    pub works: bool,
 }
 
 /// How a run ended.
@@ -54,6 +56,9 @@
 const KEY_LOAD_MAX: u64 = 4_000_000;
 const SLOT_LOAD_MAX: u64 = 3_000_000;
 const RESTART_EVERY: Duration = Duration::from_millis(500);
+/// Upstreams at work that are taken for lost: how often, with each fault, and for how long.
+const MISTAKEN_SHARE: f64 = 0.2;
+const MISTAKEN_MS: Range<u64> = 50..1500;
 const FAULT_GAP_MIN: Duration = Duration::from_millis(100);
 
 /// Runs one shape to its end.
@@ -99,6 +104,7 @@
         limits,
         drift,
         ordered: shape.ordered,
+        works: shape.works,
         ..SimConfig::new(shape.seed)
     });
     if log {
@@ -109,6 +115,7 @@
         let us_per_s = rng.random_range(0..KEY_LOAD_MAX);
         sim.apply(Fault::KeyLoad { key, us_per_s });
     }
+    let mut work_rng = Pcg64Mcg::seed_from_u64(shape.seed ^ 0x3043);
     sim.start_all();
     sim.run_for(Duration::from_millis(rng.random_range(500..4000)));
     let mut faults = 0;
@@ -123,6 +130,12 @@
             sim.apply(fault);
             faults += 1;
         }
+        if shape.works && work_rng.random_bool(MISTAKEN_SHARE) {
+            let host = work_rng.random_range(0..shape.hosts);
+            let for_ms = Duration::from_millis(work_rng.random_range(MISTAKEN_MS));
+            sim.apply(Fault::Upstream { host, state: UpstreamState::Lost });
+            sim.fault_in(for_ms, Fault::Upstream { host, state: UpstreamState::Ready });
+        }
         let gap = rng.random_range(FAULT_GAP_MIN..shape.fault_gap_max);
         sim.run_for(gap);
     }
--- a/crates/ownership/src/sim/truth.rs
+++ b/crates/ownership/src/sim/truth.rs
@@ -17,6 +17,13 @@
         hosts: (usize, usize),
         at: Timestamp,
     },
+    /// A host is granted a slot while the upstream of another has a run of it that has not ended, under a lease
+    /// that is not over by its own clock.
+    SlotWorkedOn {
+        slot: Slot,
+        hosts: (usize, usize),
+        at: Timestamp,
+    },
     /// Two hosts may run requests of one key.
     KeyHeldTwice {
         key_hash: KeyHash,
@@ -44,6 +51,10 @@
             Violation::SlotHeldTwice { slot, hosts, at } => {
                 write!(f, "{} ms: slot {slot} is held by {hosts:?}", at.ns / 1_000_000)
             }
+            Violation::SlotWorkedOn { slot, hosts: (works, granted), at } => {
+                let ms = at.ns / 1_000_000;
+                write!(f, "{ms} ms: {granted} is granted slot {slot}, {works} is at work on it")
+            }
             Violation::KeyHeldTwice { key_hash, hosts, at } => {
                 write!(f, "{} ms: key {:x} is held by {hosts:?}", at.ns / 1_000_000, key_hash.0)
             }
@@ -117,8 +128,12 @@
         let enforced = self.config.limits.own_lease == OwnLease::Whole;
         if enforced && *command == GateCommand::DropAll {
             self.hosts[host].leave_over();
+            self.cut_work(host);
         }
         self.hosts[host].gate.apply(command);
+        if let GateCommand::Lease { .. } = command {
+            self.hosts[host].renew_runs();
+        }
         match command {
             GateCommand::Admit { slot, token } => {
                 // A command that a pause has held back past the lease's end admits nothing.
@@ -166,6 +181,11 @@
             let hosts = (other, host);
             self.truth.found(Violation::SlotHeldTwice { slot, hosts, at: now });
         }
+        let works = |it: &usize| *it != host && self.hosts[*it].works_on(now, slot);
+        if let Some(other) = (0..self.hosts.len()).find(works) {
+            let hosts = (other, host);
+            self.truth.found(Violation::SlotWorkedOn { slot, hosts, at: now });
+        }
         true
     }
 
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -40,6 +40,7 @@
         fault_gap_max: Duration::from_millis(400 + seed * 31 % 3600),
         ordered: false,
         agents_restart: false,
+        works: false,
     }
 }
 
@@ -92,6 +93,17 @@
     }
 }
 
+/// The same, where upstreams are at work: what they are to give up they go on with for a while, with or without
+/// their agents.
+#[test]
+fn seeds_with_upstreams_at_work() {
+    let first = setting("OWNERSHIP_SEED").unwrap_or(1);
+    for seed in first..first + runs() {
+        let agents_restart = seed % 2 == 0;
+        check(&Shape { ordered: true, agents_restart, works: true, ..shape(seed) });
+    }
+}
+
 #[test]
 fn seeds_that_have_shown_a_fault() {
     for seed in FAULTS_SHOWN {
@@ -113,6 +125,7 @@
             fault_gap_max: Duration::from_millis(150 + u64::arbitrary(g) % 4000),
             ordered: false,
             agents_restart: false,
+            works: false,
         }
     }
 
--- a/crates/ownership/src/tests/sabotage.rs
+++ b/crates/ownership/src/tests/sabotage.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     rules::{Rule, break_rule},
-    sim::{Shape, random_run},
+    sim::{RunReport, Shape, Violation, random_run},
 };
 
 use super::trace::replay;
@@ -19,6 +19,7 @@
         fault_gap_max: Duration::from_millis(600 + seed * 131 % 2500),
         ordered: false,
         agents_restart: false,
+        works: false,
     }
 }
 
@@ -59,6 +60,16 @@
     check(Rule::WaitForClose, 10);
 }
 
+#[test]
+fn no_wait_for_running_work_is_seen() {
+    let working = |seed| Shape { ordered: true, works: true, ..shape(seed) };
+    break_rule(Some(Rule::WaitForWork));
+    let reports: Vec<RunReport> = (1..=10).map(|it| random_run(&working(it))).collect();
+    break_rule(None);
+    let seen = |it: &RunReport| matches!(it.violation, Some(Violation::SlotWorkedOn { .. }));
+    assert!(reports.iter().any(seen), "the rule was broken in 10 runs, and nothing was seen");
+}
+
 #[test]
 fn no_proof_after_a_lapse_is_seen() {
     check(Rule::ProofAfterLapse, 1000);
