Slots of a cleared upstream go to others only when the earlier lease has ended

Callers saw: an upstream was granted a key while another was still at work on it, before that one's hold would have run out. Cause: the answer to a release says nothing of a run whose connection has ended. When an agent is restarted, or drops its session, its runs are cut, and some go on at the upstream until the lease under which they began runs out. After Cleared the coordinator took the earlier sessions for ended and granted their slots to anyone whom the plan names. What earlier terms granted may go on beside those named that have not vouched: with a live session, none lapsed of late. Where that is one seat, it is granted the slot at once, else the leases of earlier terms are waited for.

--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -5,13 +5,14 @@
 use model::{Slot, Timestamp, Token};
 
 use crate::{
-    Command, Event, MoveReason,
+    Command, Event, MoveReason, OwnLease,
     ctx::{Ctx, MemberId},
     work,
 };
 
 use super::{
     Coordination,
+    runs::EarlierRuns,
     seats::Heirs,
     slots::{Grant, Holder, KeyHolder},
 };
@@ -32,12 +33,19 @@
         if self.plan.acked().is_none() {
             return;
         }
+        let upstreams_enforce = ctx.limits().own_lease == OwnLease::Whole;
         work::note(self.table.slots.len());
         for (slot, row) in self.table.slot_count.iter().zip(&mut self.table.slots) {
             if row.holder == Holder::Unknown
                 && self.succession.is_clear(ctx.now, &self.confirm, self.plan.slot_names(slot))
             {
                 row.holder = Holder::lapsed(ctx.now);
+                if upstreams_enforce && !self.succession.is_outlasted() {
+                    let lives = self.plan.slot_lives(slot);
+                    let lost =
+                        lives.filter(|it| !self.succession.has_vouched(&MemberId::from(*it)));
+                    row.runs.add_all(&EarlierRuns::of_earlier_terms(lost));
+                }
                 self.confirm.prove_soon(ctx.now);
             }
         }
@@ -79,12 +87,13 @@
         }
         let prepared = row.handover.as_ref().map(|it| (it.to.clone(), it.token));
         match prepared {
-            Some((to, token)) if self.may_grant(slot, &to) => {
+            Some((to, token)) if self.may_take(ctx.now, slot, &to) => {
                 self.grant(ctx, slot, to, Some(token))
             }
             _ if self.waits_for_heir(ctx.now, slot, heirs) => {}
             _ => {
-                let to = self.plan.slot_names(slot).find(|it| self.may_grant(slot, it)).cloned();
+                let able = |it: &&MemberId| self.may_take(ctx.now, slot, it);
+                let to = self.plan.slot_names(slot).find(able).cloned();
                 if let Some(to) = to {
                     let token = self.batch_token(ctx, batch, &to);
                     self.grant(ctx, slot, to, Some(token));
@@ -122,11 +131,19 @@
         self.members.eligible(to) && self.plan.names_slot(slot, to)
     }
 
+    /// The same, and no run of an earlier grant may go on at another upstream.
+    pub(super) fn may_take(&self, now: Timestamp, slot: Slot, to: &MemberId) -> bool {
+        let runs = &self.table.slots[usize::from(slot.0)].runs;
+        let row = self.members.rows.get(to);
+        self.may_grant(slot, to) && row.is_some_and(|it| !runs.any_elsewhere(now, &it.instance))
+    }
+
     fn grant(&mut self, ctx: &mut Ctx<'_>, slot: Slot, to: MemberId, token: Option<Token>) {
         let last = self.table.slots[usize::from(slot.0)].last_token;
         // A key that came back to the slot meanwhile may have a later token than was prepared.
         let token = token.filter(|it| *it > last).unwrap_or_else(|| self.next_token());
         let version = self.bump_slot_routes();
+        assert!(self.may_take(ctx.now, slot, &to), "slot {slot} is granted while runs may go on");
         self.exclude_keys(slot, &to);
         let row = &mut self.table.slots[usize::from(slot.0)];
         let is_free = row.holder.is_free(self.confirm.proved_at());
--- a/crates/ownership/src/coordinator/handover.rs
+++ b/crates/ownership/src/coordinator/handover.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::{Slot, Token};
+use model::{Slot, Timestamp, Token};
 
 use crate::{
     Command, MoveReason, UpstreamState,
@@ -78,24 +78,31 @@
             }
             Some(Handover { step: HandoverStep::Closing, .. }) => None,
             None if self.a_key_leaves(slot) => None,
-            None if must_give_up => match self.heir(slot, &grant.member) {
+            None if must_give_up => match self.heir(ctx.now, slot, &grant.member) {
                 Some(heir) => Some(Next::Start(heir)),
                 None if self.members.any_eligible() => None,
                 None => Some(Next::Close),
             },
             None if self.is_settled() && self.plan.is_idle() => {
                 let planned = self.plan.planned_owner(slot)?;
-                let moves = *planned != grant.member && self.may_grant(slot, planned);
+                let moves = *planned != grant.member && self.may_take(ctx.now, slot, planned);
                 moves.then(|| Next::Start(planned.clone()))
             }
             None => None,
         }
     }
 
-    /// Who takes over a slot whose owner is leaving: the planned owner, or the first successor.
-    fn heir(&self, slot: Slot, holder: &MemberId) -> Option<MemberId> {
+    /// Who takes over a slot whose owner is leaving: the planned owner, or the first successor. While none of
+    /// them could be granted it, an owner that can still serve keeps it.
+    fn heir(&self, now: Timestamp, slot: Slot, holder: &MemberId) -> Option<MemberId> {
+        let row = self.members.rows.get(holder);
+        let serves = row.is_some_and(|it| it.upstream != UpstreamState::Lost);
+        let able = |it: &MemberId| match serves {
+            true => self.may_take(now, slot, it),
+            false => self.may_grant(slot, it),
+        };
         let mut names = self.plan.slot_names(slot);
-        names.find(|it| *it != holder && self.may_grant(slot, it)).cloned()
+        names.find(|it| *it != holder && able(it)).cloned()
     }
 
     fn a_key_leaves(&self, slot: Slot) -> bool {
--- a/crates/ownership/src/coordinator/keys.rs
+++ b/crates/ownership/src/coordinator/keys.rs
@@ -1,14 +1,15 @@
 //! Hot keys with an owner of their own, apart from that of their slot.
 
-use model::{KeyHash, Timestamp, Token};
+use model::{Instance, KeyHash, Timestamp, Token};
 
 use crate::{
-    Command,
+    Command, OwnLease, UpstreamState,
     ctx::{Ctx, MemberId},
 };
 
 use super::{
     Coordination,
+    runs::EarlierRuns,
     slots::{Grant, Holder, KeyHolder, KeyRow},
 };
 
@@ -17,6 +18,7 @@
     pub(super) fn unknown() -> KeyRow {
         KeyRow {
             holder: KeyHolder::Entry(Holder::Unknown),
+            runs: EarlierRuns::default(),
             last_token: Token::default(),
             changed_in: 0,
         }
@@ -69,15 +71,37 @@
             }
             let owner = slot.grant().and_then(|it| self.members.rows.get(&it.member));
             let excluded = owner.is_some_and(|it| it.excluded.contains(key_hash));
-            found.push((*key_hash, excluded));
+            let mut runs = row.runs.clone();
+            // Whoever holds the slot and doesn't keep the key out serves it.
+            if excluded || owner.is_none() {
+                runs.add_all(&self.runs_of_earlier_terms(ctx, *key_hash));
+            }
+            let apart = excluded || (owner.is_none() && runs.any(ctx.now));
+            found.push((*key_hash, apart, runs));
         }
-        for (key_hash, excluded) in found {
+        for (key_hash, apart, runs) in found {
             let Some(row) = self.table.keys.get_mut(&key_hash) else { continue };
-            row.holder = match excluded {
-                true => KeyHolder::Entry(Holder::lapsed(ctx.now)),
-                false => KeyHolder::Slot,
-            };
+            if apart {
+                row.runs = runs;
+                row.holder = KeyHolder::Entry(Holder::lapsed(ctx.now));
+                continue;
+            }
+            row.runs = EarlierRuns::default();
+            row.holder = KeyHolder::Slot;
+            let slot = self.table.slot_of(key_hash);
+            self.table.slots[usize::from(slot.0)].runs.add_all(&runs);
+        }
+    }
+
+    /// Where runs of a key may go on that some earlier term has granted, with its slot or by an entry.
+    fn runs_of_earlier_terms(&self, ctx: &Ctx<'_>, key_hash: KeyHash) -> EarlierRuns {
+        if ctx.limits().own_lease != OwnLease::Whole || self.succession.is_outlasted() {
+            return EarlierRuns::default();
         }
+        let by_slot = self.plan.slot_lives(self.table.slot_of(key_hash));
+        let lives = self.plan.key_lives(key_hash).chain(by_slot);
+        let lost = |it: &&Instance| !self.succession.has_vouched(&MemberId::from(*it));
+        EarlierRuns::of_earlier_terms(lives.filter(lost))
     }
 
     /// Brings each hot key nearer to the owner that the plan gives it.
@@ -87,7 +111,7 @@
         }
         let keys: Vec<KeyHash> = self.table.keys.keys().copied().collect();
         for key_hash in keys {
-            match self.next_key_step(key_hash) {
+            match self.next_key_step(ctx.now, key_hash) {
                 Some(Next::LeaveSlot(grant, to)) => {
                     self.close_key(key_hash, &grant, Some(&to), true)
                 }
@@ -101,15 +125,21 @@
         }
     }
 
-    fn next_key_step(&self, key_hash: KeyHash) -> Option<Next> {
+    fn next_key_step(&self, now: Timestamp, key_hash: KeyHash) -> Option<Next> {
         let slot = &self.table.slots[usize::from(self.table.slot_of(key_hash).0)];
         let planned = self.plan.planned_key_owner(key_hash).cloned();
         let able = |it: &MemberId| self.members.eligible(it) && self.plan.names_key(key_hash, it);
+        let runs = &self.table.keys.get(&key_hash)?.runs;
+        // Whether no run of the key may go on beside others than this member.
+        let may_take = |it: &MemberId| {
+            let row = self.members.rows.get(it);
+            row.is_some_and(|it| !runs.any_elsewhere(now, &it.instance))
+        };
         match &self.table.keys.get(&key_hash)?.holder {
             KeyHolder::Slot => {
                 let to = planned.filter(able)?;
                 let grant = slot.holder.grant().filter(|it| !it.closing && it.member != to)?;
-                let still = slot.handover.is_none() && self.is_settled();
+                let still = slot.handover.is_none() && self.is_settled() && !slot.runs.any(now);
                 let still = still && self.members.is_current(grant);
                 still.then(|| Next::LeaveSlot(grant.clone(), to))
             }
@@ -118,6 +148,10 @@
             {
                 let row = self.members.rows.get(&grant.member);
                 let must_give_up = row.is_some_and(|it| it.must_give_up());
+                let serves = row.is_some_and(|it| it.upstream != UpstreamState::Lost);
+                if runs.any(now) && serves {
+                    return None;
+                }
                 let to = match planned {
                     Some(it) if it == grant.member => None,
                     Some(it) if able(&it) => Some(it),
@@ -130,15 +164,17 @@
             }
             KeyHolder::Entry(holder) if holder.is_free(self.confirm.proved_at()) => {
                 let names = planned.iter().flat_map(|_| self.plan.key_names(key_hash)).cloned();
-                let to = planned.clone().into_iter().chain(names).find(able);
+                let to = planned.clone().into_iter().chain(names);
+                let to = to.filter(|it| may_take(it)).find(able);
                 match (to, &slot.holder) {
                     (_, Holder::Unknown) => None,
                     (Some(to), holder) if holder.grant().is_none_or(|it| it.member != to) => {
                         Some(Next::Grant(to))
                     }
-                    (_, Holder::Nobody { .. }) => Some(Next::Return(None)),
+                    (_, Holder::Nobody { .. }) => (!runs.any(now)).then_some(Next::Return(None)),
                     (_, Holder::Member(it)) if it.closing || slot.handover.is_some() => None,
                     (_, Holder::Member(it)) if !self.members.is_current(it) => None,
+                    (_, Holder::Member(it)) if !may_take(&it.member) => None,
                     (_, Holder::Member(it)) => Some(Next::Return(Some(it.clone()))),
                 }
             }
@@ -189,9 +225,11 @@
         assert!(row.is_free(self.confirm.proved_at()), "key returned while {:?}", row.holder);
         row.holder = KeyHolder::Slot;
         row.changed_in = version;
+        let runs = std::mem::take(&mut row.runs);
         // The slot's next token is above all that the key was ever served under.
         let slot_row = &mut self.table.slots[usize::from(slot.0)];
         slot_row.last_token = slot_row.last_token.max(row.last_token);
+        slot_row.runs.add_all(&runs);
         let Some(holder) = holder else { return };
         let Some(member) = self.members.rows.get_mut(&holder.member) else { return };
         member.command(Command::Admit { slot, token });
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod propose;
 mod renewals;
+mod runs;
 mod seats;
 mod slots;
 mod succession;
@@ -263,11 +264,16 @@
     pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>) {
         self.expire(ctx);
         let planned = self.plan.acked().map(|it| it.members.as_slice());
+        let was_outlasted = self.succession.is_outlasted();
         if self.succession.settle(ctx.now, &self.confirm, planned) {
             ctx.event(Event::Settled { term: self.term.0 });
             self.wake();
             self.resolve_unknown(ctx);
         }
+        if self.succession.is_outlasted() && !was_outlasted {
+            self.table.outlast_earlier_terms();
+            self.wake();
+        }
         if ctx.config.keyed {
             if !self.is_settled() {
                 self.resolve_unknown(ctx);
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -44,6 +44,10 @@
         entry.into_iter().flat_map(|it| self.resolve(it.owner, &it.successors))
     }
 
+    fn instance(&self, id: &MemberId) -> Option<&Instance> {
+        self.plan.members.iter().find(|it| MemberId::from(*it) == *id)
+    }
+
     fn resolve(&self, owner: Option<u16>, successors: &[u16]) -> impl Iterator<Item = &MemberId> {
         let indexes = owner.into_iter().chain(successors.iter().copied());
         indexes.filter_map(|it| self.ids.get(usize::from(it)))
@@ -104,6 +108,15 @@
         self.acked.iter().flat_map(move |it| it.slot(slot))
     }
 
+    /// The same, with their addresses.
+    pub(crate) fn slot_lives(&self, slot: Slot) -> impl Iterator<Item = &Instance> {
+        self.acked.iter().flat_map(move |it| it.slot(slot).filter_map(|id| it.instance(id)))
+    }
+
+    pub(crate) fn key_lives(&self, key_hash: KeyHash) -> impl Iterator<Item = &Instance> {
+        self.acked.iter().flat_map(move |it| it.key(key_hash).filter_map(|id| it.instance(id)))
+    }
+
     pub(crate) fn key_names(&self, key_hash: KeyHash) -> impl Iterator<Item = &MemberId> {
         self.acked.iter().flat_map(move |it| it.key(key_hash))
     }
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -150,7 +150,7 @@
         self.table.iter().any(|(slot, row)| {
             matches!(row.holder, Holder::Nobody { .. })
                 && !self.waits_for_heir(now, slot, &heirs)
-                && row.names.iter().any(|it| self.may_grant(slot, it))
+                && row.names.iter().any(|it| self.may_take(now, slot, it))
         })
     }
 
@@ -180,7 +180,9 @@
             slot_count: self.table.slot_count,
             ordered: ctx.config.ordered,
             members: instances.map(member).collect(),
-            slots: slots.map(|(slot, row)| self.planner_slot(slot, row, members, &heirs)).collect(),
+            slots: slots
+                .map(|(slot, row)| self.planner_slot(ctx.now, slot, row, members, &heirs))
+                .collect(),
             keys: self.planner_keys(members),
             churn_left: match self.loads_are_known(ctx.now) {
                 true => (ctx.limits().churn_per_minute_max - moved).max(0.0),
@@ -190,10 +192,11 @@
         }
     }
 
-    /// A slot on its way counts as that of its next owner, one that nobody holds as that of the new life
-    /// of its planned owner.
+    /// A slot on its way counts as that of its next owner, one that nobody holds as that of the member that
+    /// alone can take it at once, or else of the new life of its planned owner.
     fn planner_slot(
         &self,
+        now: Timestamp,
         slot: Slot,
         row: &SlotRow,
         members: &Members,
@@ -203,7 +206,10 @@
         let owner = match (&row.handover, row.holder.grant()) {
             (Some(it), _) => Some(&it.to),
             (None, Some(grant)) => Some(&grant.member),
-            (None, None) => planned.and_then(|it| heirs.of(it)),
+            (None, None) => {
+                let next = self.next_to_runs(now, row);
+                next.or_else(|| planned.and_then(|it| heirs.of(it)))
+            }
         };
         let names = self.plan.slot_names(slot);
         PlannerSlot {
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -56,7 +56,7 @@
         self.members.insert(id.clone(), row, ends_at, version);
         self.adopt(&id, renew.session, holding);
         if !holding.recently_lapsed {
-            self.succession.answered(id.clone());
+            self.succession.vouched(id.clone());
         }
         self.wake();
         ctx.event(Event::MemberJoined { member: from.clone() });
--- /dev/null
+++ b/crates/ownership/src/coordinator/runs.rs
@@ -0,0 +1,68 @@
+//! Runs that may go on at an upstream although the grant under which they began has ended.
+//!
+//! An upstream that has released its keys may still work for callers that nobody waits for: those of an
+//! earlier life of its agent, or of an earlier session. It ends them when the lease under which they began
+//! runs out.
+
+use model::{Instance, Timestamp};
+
+use crate::{
+    ctx::is_same_seat,
+    rules::{self, Rule},
+};
+
+/// Runs of one slot or hot key at the upstream beside one life of an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Run {
+    life: Instance,
+    /// None: until the leases of earlier terms have run out.
+    until: Option<Timestamp>,
+}
+
+/// Where runs of one slot or hot key may go on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct EarlierRuns(Vec<Run>);
+
+impl EarlierRuns {
+    /// Runs that may go on until the leases of earlier terms have run out.
+    pub(crate) fn of_earlier_terms<'a>(
+        lives: impl IntoIterator<Item = &'a Instance>,
+    ) -> EarlierRuns {
+        let run = |life: &Instance| Run { life: life.clone(), until: None };
+        EarlierRuns(lives.into_iter().map(run).collect())
+    }
+
+    pub(crate) fn add(&mut self, now: Timestamp, life: &Instance, until: Timestamp) {
+        let is_over = |it: Timestamp| it <= now;
+        self.0.retain(|it| !it.until.is_some_and(is_over));
+        if !is_over(until) {
+            self.0.push(Run { life: life.clone(), until: Some(until) });
+        }
+    }
+
+    pub(crate) fn add_all(&mut self, other: &EarlierRuns) {
+        let new = other.0.iter().filter(|it| !self.0.contains(it)).cloned();
+        let new: Vec<Run> = new.collect();
+        self.0.extend(new);
+    }
+
+    /// The leases of earlier terms have run out.
+    pub(crate) fn outlast_earlier_terms(&mut self) {
+        self.0.retain(|it| it.until.is_some());
+    }
+
+    /// The lives at whose upstreams runs may go on.
+    pub(crate) fn lives(&self, now: Timestamp) -> impl Iterator<Item = &Instance> {
+        let goes_on = move |it: &&Run| it.until.is_none_or(|until| now < until);
+        self.0.iter().filter(goes_on).map(|it| &it.life)
+    }
+
+    pub(crate) fn any(&self, now: Timestamp) -> bool {
+        self.lives(now).next().is_some() && rules::holds(Rule::ClearEarlierLives)
+    }
+
+    /// Whether some may go on at another upstream than the one beside this instance.
+    pub(crate) fn any_elsewhere(&self, now: Timestamp, than: &Instance) -> bool {
+        self.lives(now).any(|it| !is_same_seat(it, than)) && rules::holds(Rule::ClearEarlierLives)
+    }
+}
--- a/crates/ownership/src/coordinator/seats.rs
+++ b/crates/ownership/src/coordinator/seats.rs
@@ -2,8 +2,9 @@
 //!
 //! Such an upstream goes on holding what the earlier life of its agent granted it, for up to a lease. Only
 //! the agent beside it grants it anything, so once the new life has had the upstream give all of that up,
-//! nothing of the earlier life is left and nobody has to wait for its lease: 5 s where requests may take
-//! that long. The slots go back to the same instance, whose upstream still has their keys warm.
+//! nothing of the earlier life is granted any more. Runs that it began may go on (see [`super::runs`]), so
+//! the slots go back to the same instance at once, whose upstream also has their keys warm, and to others
+//! when the lease has ended: up to 5 s where requests may take that long.
 
 use std::collections::BTreeMap;
 
@@ -19,6 +20,7 @@
 use super::{
     Coordination,
     members::{EarlierSessions, MemberRow},
+    slots::SlotRow,
 };
 
 /// For planned owners that have ended, the new life of the same agent.
@@ -69,11 +71,13 @@
         let (instance, joined_at, session) = (row.instance.clone(), row.joined_at, row.session);
         let own = self.members.lapsing.iter_mut().filter(|it| it.member == *id);
         for it in own.filter(|it| it.session < session) {
+            self.table.keep_runs(now, &instance, it.session, it.until);
             it.until = it.until.min(now);
         }
         // One that joined later is a later life, and this one's word has been long on the way.
         let ended = self.members.rows.values_mut().filter(|it| it.joined_at < joined_at);
         for row in ended.filter(|it| is_earlier_life(&it.instance, &instance)) {
+            self.table.keep_runs(now, &row.instance, row.session, row.lease_until);
             row.lease_until = row.lease_until.min(now);
         }
         self.succession.answered(id.clone());
@@ -86,6 +90,14 @@
         self.propose_soon(now);
     }
 
+    /// The member beside whose upstream alone runs of a slot may go on.
+    pub(super) fn next_to_runs(&self, now: Timestamp, row: &SlotRow) -> Option<&MemberId> {
+        let life = row.runs.lives(now).next()?;
+        let mut able = self.members.rows.iter().filter(|(_, it)| it.is_eligible());
+        let (id, member) = able.find(|(_, it)| is_same_seat(&it.instance, life))?;
+        (!row.runs.any_elsewhere(now, &member.instance)).then_some(id)
+    }
+
     /// Whether the plan in force gives slots to an earlier life of a member.
     pub(super) fn has_heritage(&self, row: &MemberRow) -> bool {
         self.plan.owners().any(|it| is_earlier_life(it, &row.instance))
--- a/crates/ownership/src/coordinator/slots.rs
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use model::{KeyHash, Slot, SlotCount, Timestamp, Token};
+use model::{Instance, KeyHash, Slot, SlotCount, Timestamp, Token};
 
 use crate::{
     MoveReason, SessionId,
@@ -11,6 +11,8 @@
     work,
 };
 
+use super::runs::EarlierRuns;
+
 /// A grant that may live.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Grant {
@@ -81,6 +83,8 @@
 pub(crate) struct SlotRow {
     pub(crate) holder: Holder,
     pub(crate) handover: Option<Handover>,
+    /// What keeps it from being granted to others, whoever holds it now.
+    pub(crate) runs: EarlierRuns,
     /// The highest token ever granted for it, as far as it is known.
     pub(crate) last_token: Token,
     /// None until it is first reported.
@@ -115,6 +119,7 @@
 #[derive(Debug)]
 pub(crate) struct KeyRow {
     pub(crate) holder: KeyHolder,
+    pub(crate) runs: EarlierRuns,
     pub(crate) last_token: Token,
     pub(crate) changed_in: u64,
 }
@@ -133,6 +138,7 @@
         let row = |slot: Slot| SlotRow {
             holder: holder.clone(),
             handover: None,
+            runs: EarlierRuns::default(),
             last_token: Token::default(),
             load_us_per_s: None,
             moved_at: None,
@@ -185,6 +191,31 @@
         ended
     }
 
+    /// A session's grants end before its lease does, which is at `until`.
+    pub(crate) fn keep_runs(
+        &mut self,
+        now: Timestamp,
+        member: &Instance,
+        session: SessionId,
+        until: Timestamp,
+    ) {
+        let id = MemberId::from(member);
+        let of = |it: Option<&Grant>| it.is_some_and(|it| it.member == id && it.session == session);
+        work::note(self.slots.len());
+        for row in self.slots.iter_mut().filter(|it| of(it.holder.grant())) {
+            row.runs.add(now, member, until);
+        }
+        for row in self.keys.values_mut().filter(|it| of(it.holder.grant())) {
+            row.runs.add(now, member, until);
+        }
+    }
+
+    pub(crate) fn outlast_earlier_terms(&mut self) {
+        work::note(self.slots.len() / 4);
+        self.slots.iter_mut().for_each(|it| it.runs.outlast_earlier_terms());
+        self.keys.values_mut().for_each(|it| it.runs.outlast_earlier_terms());
+    }
+
     /// Whether everything is granted, and nothing is on its way.
     pub(crate) fn is_at_rest(&self) -> bool {
         let held = |it: &Holder| it.grant().is_some_and(|it| !it.closing);
--- a/crates/ownership/src/coordinator/succession.rs
+++ b/crates/ownership/src/coordinator/succession.rs
@@ -20,6 +20,8 @@
     predecessor: Option<Predecessor>,
     /// Members that have said, following this term, what they hold.
     answered: BTreeSet<MemberId>,
+    /// Those of them that have closed, or still hold, all that they were granted within a lease.
+    vouched: BTreeSet<MemberId>,
     settled: bool,
     /// The time of all leases that earlier terms gave has passed.
     outlasted: bool,
@@ -53,6 +55,7 @@
             acquired_at: now,
             predecessor,
             answered: BTreeSet::new(),
+            vouched: BTreeSet::new(),
             settled,
             outlasted: settled,
             own_lease,
@@ -98,6 +101,17 @@
         self.answered.insert(member);
     }
 
+    /// A member has said what it holds, and no session of its life has ended of late.
+    pub(crate) fn vouched(&mut self, member: MemberId) {
+        self.vouched.insert(member.clone());
+        self.answered.insert(member);
+    }
+
+    /// Whether no run of a grant that has ended can go on at the upstream beside this life of a member.
+    pub(crate) fn has_vouched(&self, member: &MemberId) -> bool {
+        self.vouched.contains(member)
+    }
+
     pub(crate) fn has_answered(&self, member: &MemberId) -> bool {
         self.answered.contains(member)
     }
--- a/crates/ownership/src/rules.rs
+++ b/crates/ownership/src/rules.rs
@@ -25,7 +25,8 @@
     ReadBeforeWitnessing,
     /// A coordinator renews only while it is confirmed.
     RenewConfirmed,
-    /// Earlier lives of an agent count as ended only once the upstream beside it has been cleared.
+    /// Earlier lives of an agent count as ended only once the upstream beside it has been cleared, and for
+    /// others only when their leases have run out.
     ClearEarlierLives,
     /// The new owner is granted a slot when the old one has closed it.
     WaitForClose,
