Plans name lives beside whose upstreams runs may go on, so that a later term waits for them too

An agent is restarted, and the coordinator lost within a lease of that: the next term granted the slots of the earlier life to others before that life's lease had ended. Cause: what keeps a slot was known to the coordinator alone. The next one takes those that the plan names and that have not vouched for where runs may go on; a plan written after the restart named the new life, or others, and no longer the life that had ended. Where the new life held the slot, it was adopted, and nothing kept it from being handed over. What a term adopts from an earlier one is kept beside its holder's upstream where the plan names a life of the same seat that has not vouched. Cost: one more plan is written when that lease has ended, so one more write for each restart beside a living upstream. A term that begins within that lease settles when the leases of earlier terms have run out, unless the named life is cleared; it grants before that, but plans nothing new.

--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -7,6 +7,7 @@
 use crate::{
     Command, Event, MoveReason, OwnLease,
     ctx::{Ctx, MemberId},
+    rules::{self, Rule},
     work,
 };
 
@@ -33,14 +34,16 @@
         if self.plan.acked().is_none() {
             return;
         }
-        let upstreams_enforce = ctx.limits().own_lease == OwnLease::Whole;
+        let waits = ctx.limits().own_lease == OwnLease::Whole
+            && !self.succession.is_outlasted()
+            && rules::holds(Rule::WaitForOwnLease);
         work::note(self.table.slots.len());
         for (slot, row) in self.table.slot_count.iter().zip(&mut self.table.slots) {
             if row.holder == Holder::Unknown
                 && self.succession.is_clear(ctx.now, &self.confirm, self.plan.slot_names(slot))
             {
                 row.holder = Holder::lapsed(ctx.now);
-                if upstreams_enforce && !self.succession.is_outlasted() {
+                if waits {
                     let lives = self.plan.slot_lives(slot);
                     let lost =
                         lives.filter(|it| !self.succession.has_vouched(&MemberId::from(*it)));
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -337,6 +337,8 @@
             PlanReply::Acknowledged(version) => {
                 ctx.event(Event::PlanWritten { version });
                 self.plan_acknowledged();
+                let slots: Vec<Slot> = self.table.slot_count.iter().collect();
+                self.keep_runs_beside_holders(ctx, &slots);
                 self.ask_to_clear(ctx);
                 self.wake();
                 self.advance(ctx);
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -35,25 +35,36 @@
     }
 
     fn slot(&self, slot: Slot) -> impl Iterator<Item = &MemberId> {
-        let entry = self.plan.slots.get(usize::from(slot.0));
-        entry.into_iter().flat_map(|it| self.resolve(it.owner, &it.successors))
+        self.slot_indexes(slot).filter_map(|it| self.ids.get(it))
+    }
+
+    fn slot_lives(&self, slot: Slot) -> impl Iterator<Item = &Instance> {
+        self.slot_indexes(slot).filter_map(|it| self.plan.members.get(it))
     }
 
     fn key(&self, key_hash: KeyHash) -> impl Iterator<Item = &MemberId> {
-        let entry = self.plan.hot_keys.iter().find(|it| it.key_hash == key_hash);
-        entry.into_iter().flat_map(|it| self.resolve(it.owner, &it.successors))
+        self.key_indexes(key_hash).filter_map(|it| self.ids.get(it))
+    }
+
+    fn key_lives(&self, key_hash: KeyHash) -> impl Iterator<Item = &Instance> {
+        self.key_indexes(key_hash).filter_map(|it| self.plan.members.get(it))
     }
 
-    fn instance(&self, id: &MemberId) -> Option<&Instance> {
-        self.plan.members.iter().find(|it| MemberId::from(*it) == *id)
+    fn slot_indexes(&self, slot: Slot) -> impl Iterator<Item = usize> {
+        let entry = self.plan.slots.get(usize::from(slot.0));
+        entry.into_iter().flat_map(|it| indexes(it.owner, &it.successors))
     }
 
-    fn resolve(&self, owner: Option<u16>, successors: &[u16]) -> impl Iterator<Item = &MemberId> {
-        let indexes = owner.into_iter().chain(successors.iter().copied());
-        indexes.filter_map(|it| self.ids.get(usize::from(it)))
+    fn key_indexes(&self, key_hash: KeyHash) -> impl Iterator<Item = usize> {
+        let entry = self.plan.hot_keys.iter().find(|it| it.key_hash == key_hash);
+        entry.into_iter().flat_map(|it| indexes(it.owner, &it.successors))
     }
 }
 
+fn indexes(owner: Option<u16>, successors: &[u16]) -> impl Iterator<Item = usize> {
+    owner.into_iter().chain(successors.iter().copied()).map(usize::from)
+}
+
 /// What has become of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PlanReply {
@@ -110,11 +121,11 @@
 
     /// The same, with their addresses.
     pub(crate) fn slot_lives(&self, slot: Slot) -> impl Iterator<Item = &Instance> {
-        self.acked.iter().flat_map(move |it| it.slot(slot).filter_map(|id| it.instance(id)))
+        self.acked.iter().flat_map(move |it| it.slot_lives(slot))
     }
 
     pub(crate) fn key_lives(&self, key_hash: KeyHash) -> impl Iterator<Item = &Instance> {
-        self.acked.iter().flat_map(move |it| it.key(key_hash).filter_map(|id| it.instance(id)))
+        self.acked.iter().flat_map(move |it| it.key_lives(key_hash))
     }
 
     pub(crate) fn key_names(&self, key_hash: KeyHash) -> impl Iterator<Item = &MemberId> {
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     HotKey, NodeConfig, Plan, PlanSlot, UpstreamState,
-    ctx::{Ctx, MemberId},
+    ctx::{Ctx, MemberId, is_same},
     planner::{PlannerInput, PlannerKey, PlannerMember, PlannerSlot, Proposal, Unit, propose},
     work,
 };
@@ -245,7 +245,8 @@
         rows.chain(new).collect()
     }
 
-    /// The proposal as a plan. Whoever holds something now, or is about to, stays named for it.
+    /// The proposal as a plan. Whoever holds something now, or is about to, stays named for it, and so does
+    /// each life beside whose upstream runs of it may go on.
     fn next_plan(
         &self,
         acked: &Plan,
@@ -273,12 +274,19 @@
             let next = row.handover.as_ref().and_then(|it| members.index(&it.to));
             name_too(&mut successors, owner, [holder, next]);
             self.keep_a_name(&mut successors, owner, &row.names, members);
+            name_lives(&mut plan.members, &mut successors, owner, row.runs.lives(input.now));
             plan.slots.push(PlanSlot { slot: slot.slot, owner, successors });
         }
         for key in &input.keys {
             let owner = moves.get(&Unit::Key(key.key_hash)).copied().unwrap_or(key.owner);
-            let entry = self.next_key(key.key_hash, owner, members, proposal);
-            plan.hot_keys.extend(entry);
+            let Some(mut entry) = self.next_key(key.key_hash, owner, members, proposal) else {
+                continue;
+            };
+            if let Some(row) = self.table.keys.get(&key.key_hash) {
+                let lives = row.runs.lives(input.now);
+                name_lives(&mut plan.members, &mut entry.successors, owner, lives);
+            }
+            plan.hot_keys.push(entry);
         }
         plan.hot_keys.truncate(PLANNED_KEYS_MAX);
         plan
@@ -334,6 +342,24 @@
     }
 }
 
+/// Names lives that have ended too, behind the members: a later term has to know at whose upstreams runs may go
+/// on.
+fn name_lives<'a>(
+    members: &mut Vec<Instance>,
+    successors: &mut Vec<u16>,
+    owner: Option<u16>,
+    lives: impl Iterator<Item = &'a Instance>,
+) {
+    for life in lives {
+        let known = members.iter().position(|it| is_same(it, life));
+        let at = known.unwrap_or_else(|| {
+            members.push(life.clone());
+            members.len() - 1
+        });
+        name_too(successors, owner, [Some(at as u16), None]);
+    }
+}
+
 fn is_same_plan(a: &Plan, b: &Plan) -> bool {
     a.members == b.members && a.slots == b.slots && a.hot_keys == b.hot_keys
 }
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -55,6 +55,8 @@
         let version = self.bump_routes();
         self.members.insert(id.clone(), row, ends_at, version);
         self.adopt(&id, renew.session, holding);
+        let adopted: Vec<Slot> = holding.slots.iter().map(|it| it.slot).collect();
+        self.keep_runs_beside_holders(ctx, &adopted);
         if !holding.recently_lapsed {
             self.succession.vouched(id.clone());
         }
--- a/crates/ownership/src/coordinator/seats.rs
+++ b/crates/ownership/src/coordinator/seats.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use model::{Instance, Timestamp};
+use model::{Instance, Slot, Timestamp};
 
 use crate::{
     Command, OwnLease,
@@ -20,7 +20,8 @@
 use super::{
     Coordination,
     members::{EarlierSessions, MemberRow},
-    slots::SlotRow,
+    runs::EarlierRuns,
+    slots::{Grant, SlotRow},
 };
 
 /// For planned owners that have ended, the new life of the same agent.
@@ -90,6 +91,37 @@
         self.propose_soon(now);
     }
 
+    /// What an earlier term has granted to a member may also be at work from earlier lives of that member, or
+    /// from earlier sessions, where the plan that was found names them.
+    pub(super) fn keep_runs_beside_holders(&mut self, ctx: &Ctx<'_>, slots: &[Slot]) {
+        let enforced = ctx.limits().own_lease == OwnLease::Whole;
+        if !enforced || self.succession.is_outlasted() || self.plan.acked().is_none() {
+            return;
+        }
+        work::note(slots.len());
+        let holder = |it: &Grant| self.members.rows.get(&it.member).map(|it| &it.instance);
+        let earlier = |it: &&Grant| it.token.term != self.term;
+        let lost = |it: &Instance| !self.succession.has_vouched(&MemberId::from(it));
+        for slot in slots {
+            let Some(row) = self.table.slots.get_mut(usize::from(slot.0)) else { continue };
+            let Some(holder) = row.holder.grant().filter(earlier).and_then(holder) else {
+                continue;
+            };
+            let lives = self.plan.slot_lives(*slot);
+            let beside = lives.filter(|it| is_same_seat(it, holder) && lost(it));
+            row.runs.add_all(&EarlierRuns::of_earlier_terms(beside));
+        }
+        for (key_hash, row) in &mut self.table.keys {
+            let Some(holder) = row.holder.grant().filter(earlier).and_then(holder) else {
+                continue;
+            };
+            let by_slot = self.plan.slot_lives(self.table.slot_count.slot_of(*key_hash));
+            let lives = self.plan.key_lives(*key_hash).chain(by_slot);
+            let beside = lives.filter(|it| is_same_seat(it, holder) && lost(it));
+            row.runs.add_all(&EarlierRuns::of_earlier_terms(beside));
+        }
+    }
+
     /// The member beside whose upstream alone runs of a slot may go on.
     pub(super) fn next_to_runs(&self, now: Timestamp, row: &SlotRow) -> Option<&MemberId> {
         let life = row.runs.lives(now).next()?;
--- a/crates/ownership/src/tests/order.rs
+++ b/crates/ownership/src/tests/order.rs
@@ -430,3 +430,48 @@
         check(&sim);
     }
 }
+
+#[test]
+fn runs_of_an_earlier_life_may_go_on_when_a_later_term_takes_over_after_its_restart() {
+    for seed in 110..120 {
+        let mut sim = with_long_leases(seed);
+        let coordinator = sim.coordinator().unwrap();
+        let host = (coordinator + 1) % sim.host_count();
+        let slots = sim.owned_by(host);
+        sim.apply(Fault::CrashAgent(host));
+        sim.apply(Fault::Start(host));
+        sim.apply(Fault::Upstream { host, state: crate::UpstreamState::Starting });
+        // Long enough for a plan that names the upstream's slots for others.
+        sim.run_for(Duration::from_millis(1_500));
+        sim.apply(Fault::Crash(coordinator));
+        let taken = |it: &Sim| !owned_elsewhere(it, &slots, host).is_empty();
+        let early = EARLIER_LEASE - Duration::from_millis(1_500);
+        assert!(!sim.run_until(early, taken), "seed {seed}: {:?}", sim.events());
+        let served = sim.run_until(Duration::from_secs(6), |it| it.unowned() == 0);
+        assert!(served, "seed {seed}: {} slots, {:?}", sim.unowned(), sim.events());
+        check(&sim);
+    }
+}
+
+#[test]
+fn runs_of_an_earlier_life_may_go_on_when_a_later_term_hands_its_slots_over() {
+    for seed in 120..130 {
+        let mut sim = with_long_leases(seed);
+        let coordinator = sim.coordinator().unwrap();
+        let host = (coordinator + 1) % sim.host_count();
+        let slots = sim.owned_by(host);
+        sim.apply(Fault::CrashAgent(host));
+        sim.apply(Fault::Start(host));
+        sim.run_for(Duration::from_millis(500));
+        assert_eq!(sim.owned_by(host), slots, "seed {seed}: {:?}", sim.events());
+        sim.apply(Fault::Crash(coordinator));
+        sim.run_for(Duration::from_millis(1_500));
+        sim.apply(Fault::Stop(host));
+        let taken = |it: &Sim| !owned_elsewhere(it, &slots, host).is_empty();
+        let early = EARLIER_LEASE - Duration::from_secs(2);
+        assert!(!sim.run_until(early, taken), "seed {seed}: {:?}", sim.events());
+        let served = sim.run_until(Duration::from_secs(6), |it| it.unowned() == 0);
+        assert!(served, "seed {seed}: {} slots, {:?}", sim.unowned(), sim.events());
+        check(&sim);
+    }
+}
