A coordinator without a plan of its own doesn't write over the plan of a later term

Callers saw: nothing yet; a random run with a fresh base found it: two members served one hot key. Cause: a coordinator whose first plan was in doubt for a second read the plan anew after a conflict, and took whatever it found for that of an earlier term. It was that of the next one. Its own went on top, twice, and the later term was told that it had ended. The term after that repeated a plan that did not name what the later one had granted.

--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -150,7 +150,7 @@
             members: MemberTable::default(),
             table: SlotTable::new(slots, &holder, base),
             hot_keys: HotKeys::default(),
-            plan: PlanKeeper::new(ctx.now, slots),
+            plan: PlanKeeper::new(ctx.now, term, slots),
             sequence: 0,
             route_version: base + u64::from(slots.count()),
             slots_changed_in: base + u64::from(slots.count()),
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::{Instance, KeyHash, ObjectVersion, Slot, SlotCount, Timestamp};
+use model::{Instance, KeyHash, ObjectVersion, Slot, SlotCount, Term, Timestamp};
 
 use crate::{
     CallId, Plan, PlatformReply, PlatformRequest,
@@ -80,6 +80,7 @@
 /// its first write also keeps any write of an earlier term from taking effect.
 #[derive(Debug)]
 pub(crate) struct PlanKeeper {
+    term: Term,
     slot_count: SlotCount,
     version: ObjectVersion,
     /// The newest plan that this term has seen acknowledged.
@@ -92,8 +93,9 @@
 }
 
 impl PlanKeeper {
-    pub(crate) fn new(now: Timestamp, slot_count: SlotCount) -> PlanKeeper {
+    pub(crate) fn new(now: Timestamp, term: Term, slot_count: SlotCount) -> PlanKeeper {
         PlanKeeper {
+            term,
             slot_count,
             version: ObjectVersion(0),
             acked: None,
@@ -224,6 +226,7 @@
         let own = self.doubtful.as_ref().is_some_and(|it| Some(it.plan.nonce) == nonce);
         match found {
             Some((version, _)) if own => return self.taken_effect(*version),
+            Some((_, plan)) if plan.term > self.term => return PlanReply::Deposed,
             // What this term has seen acknowledged was replaced.
             _ if self.acked.is_some() => return PlanReply::Deposed,
             // Slots of another size: what they name says nothing about the slots of this document.
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -12,10 +12,11 @@
 /// Seeds that have shown a fault. 407938: a member came back in a new session and was granted the slot of
 /// a hot key that it had held in the old one; the key was not kept out, and went to another member too.
 /// 516725, 907334: a term counted as settled once all members had said what they held; of a session that
-/// lapsed after that, the earlier coordinator had given a hot key back to its slot.
-const FAULTS_SHOWN: [u64; 17] = [
+/// lapsed after that, the earlier coordinator had given a hot key back to its slot. 12351053: a coordinator
+/// without a plan of its own wrote its first one over that of a later term.
+const FAULTS_SHOWN: [u64; 18] = [
     14, 82, 111, 254, 368, 2293, 4634, 4933, 7483, 7781, 9125, 10_406, 39_674, 47_822, 407_938,
-    516_725, 907_334,
+    516_725, 907_334, 12_351_053,
 ];
 /// Seeds that have shown a fault with ordered slots. 100050: a coordinator saw its own session lapse
 /// before the lease that it had extended by itself.
