--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod propose;
 mod renewals;
+mod runs;
 mod seats;
 mod slots;
 mod succession;
@@ -133,7 +134,8 @@
         let own_lease = ctx.limits().own_lease;
         let nothing_to_wait_for = !ctx.config.keyed;
         let former = former.filter(|_| !nothing_to_wait_for);
-        let succession = Succession::new(ctx.now, former.as_ref(), own_lease);
+        let mut succession = Succession::new(ctx.now, former.as_ref(), own_lease);
+        succession.follows(ctx.now, ctx.me());
         let holder = if first_term { Holder::Nobody { lapsed_at: None } } else { Holder::Unknown };
         let witnesses = object.acked().witnesses.iter().map(MemberId::from).collect();
         let confirmed_by = (object.acked().confirmation, witnesses);
@@ -149,7 +151,7 @@
             members: MemberTable::default(),
             table: SlotTable::new(slots, &holder, base),
             hot_keys: HotKeys::default(),
-            plan: PlanKeeper::new(ctx.now, slots),
+            plan: PlanKeeper::new(ctx.now, term, slots),
             sequence: 0,
             route_version: base + u64::from(slots.count()),
             slots_changed_in: base + u64::from(slots.count()),
@@ -263,11 +265,16 @@
     pub(crate) fn tick(&mut self, ctx: &mut Ctx<'_>) {
         self.expire(ctx);
         let planned = self.plan.acked().map(|it| it.members.as_slice());
+        let was_outlasted = self.succession.is_outlasted();
         if self.succession.settle(ctx.now, &self.confirm, planned) {
             ctx.event(Event::Settled { term: self.term.0 });
             self.wake();
             self.resolve_unknown(ctx);
         }
+        if self.succession.is_outlasted() && !was_outlasted {
+            self.table.outlast_earlier_terms();
+            self.wake();
+        }
         if ctx.config.keyed {
             if !self.is_settled() {
                 self.resolve_unknown(ctx);
@@ -331,6 +338,8 @@
             PlanReply::Acknowledged(version) => {
                 ctx.event(Event::PlanWritten { version });
                 self.plan_acknowledged();
+                let slots: Vec<Slot> = self.table.slot_count.iter().collect();
+                self.keep_runs_beside_holders(ctx, &slots);
                 self.ask_to_clear(ctx);
                 self.wake();
                 self.advance(ctx);
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::{Instance, KeyHash, ObjectVersion, Slot, SlotCount, Timestamp};
+use model::{Instance, KeyHash, ObjectVersion, Slot, SlotCount, Term, Timestamp};
 
 use crate::{
     CallId, Plan, PlatformReply, PlatformRequest,
@@ -35,21 +35,36 @@
     }
 
     fn slot(&self, slot: Slot) -> impl Iterator<Item = &MemberId> {
-        let entry = self.plan.slots.get(usize::from(slot.0));
-        entry.into_iter().flat_map(|it| self.resolve(it.owner, &it.successors))
+        self.slot_indexes(slot).filter_map(|it| self.ids.get(it))
+    }
+
+    fn slot_lives(&self, slot: Slot) -> impl Iterator<Item = &Instance> {
+        self.slot_indexes(slot).filter_map(|it| self.plan.members.get(it))
     }
 
     fn key(&self, key_hash: KeyHash) -> impl Iterator<Item = &MemberId> {
-        let entry = self.plan.hot_keys.iter().find(|it| it.key_hash == key_hash);
-        entry.into_iter().flat_map(|it| self.resolve(it.owner, &it.successors))
+        self.key_indexes(key_hash).filter_map(|it| self.ids.get(it))
+    }
+
+    fn key_lives(&self, key_hash: KeyHash) -> impl Iterator<Item = &Instance> {
+        self.key_indexes(key_hash).filter_map(|it| self.plan.members.get(it))
+    }
+
+    fn slot_indexes(&self, slot: Slot) -> impl Iterator<Item = usize> {
+        let entry = self.plan.slots.get(usize::from(slot.0));
+        entry.into_iter().flat_map(|it| indexes(it.owner, &it.successors))
     }
 
-    fn resolve(&self, owner: Option<u16>, successors: &[u16]) -> impl Iterator<Item = &MemberId> {
-        let indexes = owner.into_iter().chain(successors.iter().copied());
-        indexes.filter_map(|it| self.ids.get(usize::from(it)))
+    fn key_indexes(&self, key_hash: KeyHash) -> impl Iterator<Item = usize> {
+        let entry = self.plan.hot_keys.iter().find(|it| it.key_hash == key_hash);
+        entry.into_iter().flat_map(|it| indexes(it.owner, &it.successors))
     }
 }
 
+fn indexes(owner: Option<u16>, successors: &[u16]) -> impl Iterator<Item = usize> {
+    owner.into_iter().chain(successors.iter().copied()).map(usize::from)
+}
+
 /// What has become of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PlanReply {
@@ -65,6 +80,7 @@
 /// its first write also keeps any write of an earlier term from taking effect.
 #[derive(Debug)]
 pub(crate) struct PlanKeeper {
+    term: Term,
     slot_count: SlotCount,
     version: ObjectVersion,
     /// The newest plan that this term has seen acknowledged.
@@ -77,8 +93,9 @@
 }
 
 impl PlanKeeper {
-    pub(crate) fn new(now: Timestamp, slot_count: SlotCount) -> PlanKeeper {
+    pub(crate) fn new(now: Timestamp, term: Term, slot_count: SlotCount) -> PlanKeeper {
         PlanKeeper {
+            term,
             slot_count,
             version: ObjectVersion(0),
             acked: None,
@@ -104,6 +121,15 @@
         self.acked.iter().flat_map(move |it| it.slot(slot))
     }
 
+    /// The same, with their addresses.
+    pub(crate) fn slot_lives(&self, slot: Slot) -> impl Iterator<Item = &Instance> {
+        self.acked.iter().flat_map(move |it| it.slot_lives(slot))
+    }
+
+    pub(crate) fn key_lives(&self, key_hash: KeyHash) -> impl Iterator<Item = &Instance> {
+        self.acked.iter().flat_map(move |it| it.key_lives(key_hash))
+    }
+
     pub(crate) fn key_names(&self, key_hash: KeyHash) -> impl Iterator<Item = &MemberId> {
         self.acked.iter().flat_map(move |it| it.key(key_hash))
     }
@@ -200,6 +226,7 @@
         let own = self.doubtful.as_ref().is_some_and(|it| Some(it.plan.nonce) == nonce);
         match found {
             Some((version, _)) if own => return self.taken_effect(*version),
+            Some((_, plan)) if plan.term > self.term => return PlanReply::Deposed,
             // What this term has seen acknowledged was replaced.
             _ if self.acked.is_some() => return PlanReply::Deposed,
             // Slots of another size: what they name says nothing about the slots of this document.
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -18,6 +18,7 @@
         if renew.term != self.term {
             return ctx.send(from, Message::Announce { term: self.term });
         }
+        self.succession.follows(ctx.now, from);
         let id = MemberId::from(from);
         match self.members.standing(&id, renew) {
             Standing::Stale => {}
@@ -55,8 +56,10 @@
         let version = self.bump_routes();
         self.members.insert(id.clone(), row, ends_at, version);
         self.adopt(&id, renew.session, holding);
+        let adopted: Vec<Slot> = holding.slots.iter().map(|it| it.slot).collect();
+        self.keep_runs_beside_holders(ctx, &adopted);
         if !holding.recently_lapsed {
-            self.succession.answered(id.clone());
+            self.succession.vouched(id.clone());
         }
         self.wake();
         ctx.event(Event::MemberJoined { member: from.clone() });
