Slots of cleared upstreams go to others a lease after the join, not when all leases of earlier terms are over

An upstream that has been cleared was granted nothing from the start of the session that was asked, so the last hold of earlier lives and sessions there ends a lease after its join. That needs no word of the earlier terms and is sooner by their confirmation. Where the earlier term had not settled, its times say nothing of the terms before, and the longer wait stays.

--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::{Slot, Timestamp, Token};
+use model::{Instance, Slot, Timestamp, Token};
 
 use crate::{
     Command, Event, MoveReason, OwnLease,
@@ -47,7 +47,8 @@
                     let lives = self.plan.slot_lives(slot);
                     let lost =
                         lives.filter(|it| !self.succession.has_vouched(&MemberId::from(*it)));
-                    row.runs.add_all(&EarlierRuns::of_earlier_terms(lost));
+                    let end = |it: &Instance| self.succession.runs_end(it);
+                    row.runs.add_all(&EarlierRuns::of_earlier_terms(lost, end));
                 }
                 self.confirm.prove_soon(ctx.now);
             }
--- a/crates/ownership/src/coordinator/keys.rs
+++ b/crates/ownership/src/coordinator/keys.rs
@@ -101,7 +101,7 @@
         let by_slot = self.plan.slot_lives(self.table.slot_of(key_hash));
         let lives = self.plan.key_lives(key_hash).chain(by_slot);
         let lost = |it: &&Instance| !self.succession.has_vouched(&MemberId::from(*it));
-        EarlierRuns::of_earlier_terms(lives.filter(lost))
+        EarlierRuns::of_earlier_terms(lives.filter(lost), |it| self.succession.runs_end(it))
     }
 
     /// Brings each hot key nearer to the owner that the plan gives it.
--- a/crates/ownership/src/coordinator/runs.rs
+++ b/crates/ownership/src/coordinator/runs.rs
@@ -15,8 +15,10 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Run {
     life: Instance,
-    /// None: until the leases of earlier terms have run out.
+    /// None: not before the leases of earlier terms have run out.
     until: Option<Timestamp>,
+    /// An earlier term has granted what they began under, so they end with its leases at the latest.
+    of_earlier_term: bool,
 }
 
 /// Where runs of one slot or hot key may go on.
@@ -24,11 +26,13 @@
 pub(crate) struct EarlierRuns(Vec<Run>);
 
 impl EarlierRuns {
-    /// Runs that may go on until the leases of earlier terms have run out.
+    /// Runs that may go on until `end` says, or else until the leases of earlier terms have run out.
     pub(crate) fn of_earlier_terms<'a>(
         lives: impl IntoIterator<Item = &'a Instance>,
+        end: impl Fn(&Instance) -> Option<Timestamp>,
     ) -> EarlierRuns {
-        let run = |life: &Instance| Run { life: life.clone(), until: None };
+        let run =
+            |life: &Instance| Run { life: life.clone(), until: end(life), of_earlier_term: true };
         EarlierRuns(lives.into_iter().map(run).collect())
     }
 
@@ -36,7 +40,7 @@
         let is_over = |it: Timestamp| it <= now;
         self.0.retain(|it| !it.until.is_some_and(is_over));
         if !is_over(until) {
-            self.0.push(Run { life: life.clone(), until: Some(until) });
+            self.0.push(Run { life: life.clone(), until: Some(until), of_earlier_term: false });
         }
     }
 
@@ -48,7 +52,7 @@
 
     /// The leases of earlier terms have run out.
     pub(crate) fn outlast_earlier_terms(&mut self) {
-        self.0.retain(|it| it.until.is_some());
+        self.0.retain(|it| !it.of_earlier_term);
     }
 
     /// The lives at whose upstreams runs may go on.
--- a/crates/ownership/src/coordinator/seats.rs
+++ b/crates/ownership/src/coordinator/seats.rs
@@ -89,11 +89,12 @@
             self.table.keep_runs(now, &row.instance, row.session, row.lease_until);
             row.lease_until = row.lease_until.min(now);
         }
-        self.succession.answered(id.clone());
+        let times = self.object.acked().times;
+        self.succession.cleared(id.clone(), joined_at, times);
         let planned = self.plan.acked().map_or(&[][..], |it| it.members.as_slice());
         let earlier = planned.iter().filter(|it| is_earlier_life(it, &instance));
         for it in earlier {
-            self.succession.answered(it.into());
+            self.succession.cleared(it.into(), joined_at, times);
         }
         self.wake();
         self.propose_soon(now);
@@ -110,6 +111,7 @@
         let holder = |it: &Grant| self.members.rows.get(&it.member).map(|it| &it.instance);
         let earlier = |it: &&Grant| it.token.term != self.term;
         let lost = |it: &Instance| !self.succession.has_vouched(&MemberId::from(it));
+        let end = |it: &Instance| self.succession.runs_end(it);
         for slot in slots {
             let Some(row) = self.table.slots.get_mut(usize::from(slot.0)) else { continue };
             let Some(holder) = row.holder.grant().filter(earlier).and_then(holder) else {
@@ -117,7 +119,7 @@
             };
             let lives = self.plan.slot_lives(*slot);
             let beside = lives.filter(|it| is_same_seat(it, holder) && lost(it));
-            row.runs.add_all(&EarlierRuns::of_earlier_terms(beside));
+            row.runs.add_all(&EarlierRuns::of_earlier_terms(beside, end));
         }
         for (key_hash, row) in &mut self.table.keys {
             let Some(holder) = row.holder.grant().filter(earlier).and_then(holder) else {
@@ -126,7 +128,7 @@
             let by_slot = self.plan.slot_lives(self.table.slot_count.slot_of(*key_hash));
             let lives = self.plan.key_lives(*key_hash).chain(by_slot);
             let beside = lives.filter(|it| is_same_seat(it, holder) && lost(it));
-            row.runs.add_all(&EarlierRuns::of_earlier_terms(beside));
+            row.runs.add_all(&EarlierRuns::of_earlier_terms(beside, end));
         }
     }
 
--- a/crates/ownership/src/coordinator/succession.rs
+++ b/crates/ownership/src/coordinator/succession.rs
@@ -1,6 +1,9 @@
 //! What a new coordinator must wait for before earlier terms can do no more harm.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use model::{Instance, Timestamp};
 
@@ -22,6 +25,8 @@
     answered: BTreeSet<MemberId>,
     /// Those of them that have closed, or still hold, all that they were granted within a lease.
     vouched: BTreeSet<MemberId>,
+    /// When runs end that were begun for those of them whose upstreams have been cleared.
+    runs_end: BTreeMap<MemberId, Timestamp>,
     settled: bool,
     /// The time of all leases that earlier terms gave has passed.
     outlasted: bool,
@@ -58,6 +63,7 @@
             predecessor,
             answered: BTreeSet::new(),
             vouched: BTreeSet::new(),
+            runs_end: BTreeMap::new(),
             settled,
             outlasted: settled,
             own_lease,
@@ -110,10 +116,25 @@
         self.settled
     }
 
-    pub(crate) fn answered(&mut self, member: MemberId) {
+    /// The upstream beside a member, or beside the later life of one, has been cleared. Nothing was granted there
+    /// from the start of the session that joined at `joined_at` until then, so no earlier hold is left a lease after.
+    pub(crate) fn cleared(&mut self, member: MemberId, joined_at: Timestamp, times: TermTimes) {
+        let knows_times = self.predecessor.as_ref().is_none_or(|it| it.settled);
+        if knows_times {
+            let earlier = self.predecessor.as_ref().map(|it| it.times);
+            let ends = earlier.into_iter().chain([times]).map(|it| it.elsewhere(it.lease()));
+            let end = joined_at + ends.max().unwrap_or_default();
+            self.runs_end.insert(member.clone(), end);
+        }
         self.answered.insert(member);
     }
 
+    /// When runs end that an earlier term's grant to this life began. None: when the leases of earlier terms have
+    /// run out.
+    pub(crate) fn runs_end(&self, life: &Instance) -> Option<Timestamp> {
+        self.runs_end.get(&MemberId::from(life)).copied()
+    }
+
     /// A member has said what it holds, and no session of its life has ended of late.
     pub(crate) fn vouched(&mut self, member: MemberId) {
         self.vouched.insert(member.clone());
