A session does not end because an upstream works on a slot for as long as it was granted

A slot that closes may now wait until the grant has run out, and a session ended after handover_max and a second of that, which drops all that the member holds. With a lease above 3 s a single run that was cut off could have cost all its slots. The bound is now the longer of handover_max and the lease where upstreams enforce leases. Found by a review.

a_session_does_not_end_because_a_slot_is_worked_on_for_as_long_as_it_was_granted failed before: "the session has ended".

--- a/crates/ownership/src/member/mod.rs
+++ b/crates/ownership/src/member/mod.rs
@@ -8,7 +8,8 @@
 use model::{ConfigVersion, Instance, Term, Timestamp};
 
 use crate::{
-    Event, GateCommand, LoadReport, Message, Renew, Renewed, Report, SessionId, UpstreamState,
+    Event, GateCommand, LoadReport, Message, OwnLease, Renew, Renewed, Report, SessionId,
+    UpstreamState,
     ctx::Ctx,
     rules::{self, Rule},
 };
@@ -82,7 +83,12 @@
         if self.lease_until.is_some_and(|until| until <= ctx.now) {
             return self.end_session(ctx, "lapsed");
         }
-        let close_max = ctx.limits().handover_max + CLOSE_GRACE;
+        // Where upstreams enforce leases, a slot is closed at the latest when its grant has run out.
+        let limits = ctx.limits();
+        let close_max = match limits.own_lease {
+            OwnLease::Whole => limits.handover_max.max(limits.lease) + CLOSE_GRACE,
+            OwnLease::Confirmation => limits.handover_max + CLOSE_GRACE,
+        };
         if self.holdings.closing_longer_than(close_max, ctx.now) {
             self.end_session(ctx, "handover timed out");
         }
--- a/crates/ownership/src/tests/clear.rs
+++ b/crates/ownership/src/tests/clear.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use model::{
-    ConfigVersion, GroupId, Incarnation, Instance, InstanceName, ObjectVersion, ServiceName,
+    ConfigVersion, GroupId, Incarnation, Instance, InstanceName, ObjectVersion, ServiceName, Slot,
     SlotCount, Term, Timestamp, Token, Zone,
 };
 
@@ -13,6 +13,7 @@
 };
 
 const TICK: Duration = Duration::from_millis(20);
+const LEASE: Duration = Duration::from_secs(10);
 /// Enough for a term, its first plan and the first grants, and less than the lease.
 const FIRST_GRANTS: Duration = Duration::from_secs(4);
 const ONE_MORE_PLAN: Duration = Duration::from_millis(500);
@@ -50,11 +51,7 @@
 
 impl Harness {
     fn new(instance: Instance) -> Harness {
-        let limits = Limits {
-            lease: Duration::from_secs(10),
-            own_lease: OwnLease::Whole,
-            ..Limits::default()
-        };
+        let limits = Limits { lease: LEASE, own_lease: OwnLease::Whole, ..Limits::default() };
         let config = NodeConfig {
             instance,
             service: ServiceName::new("service").unwrap(),
@@ -190,26 +187,32 @@
 
 /// A member that has been asked to clear its upstream in term 1, and the token of that.
 fn asked_to_clear() -> (Harness, Token) {
-    let mut member = Harness::new(member());
     let token = Token { term: Term(1), sequence: 1 };
+    let member = told(vec![Command::Clear { token }]);
+    let is_asked = |it: &Output| matches!(it, Output::Gate(GateCommand::Clear { .. }));
+    assert!(member.outputs.iter().any(is_asked));
+    (member, token)
+}
+
+/// A member whose first renewal in term 1 is answered by commands.
+fn told(commands: Vec<Command>) -> Harness {
+    let mut member = Harness::new(member());
     member.hear(leader(), Message::Announce { term: Term(1) });
     let renewal = member.renewal();
     let answer = Renewed {
         term: Term(1),
         session: renewal.session,
         sequence: renewal.sequence,
-        lease_ms: 10_000,
+        lease_ms: LEASE.as_millis() as u32,
         heard: 0,
         first_command: 1,
-        commands: vec![Command::Clear { token }],
+        commands,
         routes: None,
         config: ConfigVersion(1),
         dismissed: false,
     };
     member.hear(leader(), Message::Renewed(Box::new(answer)));
-    let is_asked = |it: &Output| matches!(it, Output::Gate(GateCommand::Clear { .. }));
-    assert!(member.outputs.iter().any(is_asked));
-    (member, token)
+    member
 }
 
 #[test]
@@ -235,3 +238,18 @@
     assert_eq!(member.renewal().term, Term(2));
     assert_eq!(member.renewal().reports, []);
 }
+
+/// The gate waits for work of its upstream until the grant has run out.
+#[test]
+fn a_session_does_not_end_because_a_slot_is_worked_on_for_as_long_as_it_was_granted() {
+    let (slot, token) = (Slot(0), Token { term: Term(1), sequence: 1 });
+    let commands = vec![Command::Admit { slot, token }, Command::Close { slot, token, to: None }];
+    let mut member = told(commands);
+    let end = member.now + LEASE / 2;
+    while member.now < end {
+        member.pass(10 * TICK);
+        member.hear(leader(), Message::Announce { term: Term(1) });
+    }
+    let ends = |it: &Output| matches!(it, Output::Gate(GateCommand::DropAll));
+    assert!(!member.outputs.iter().any(ends), "the session has ended");
+}
