Account of runs: the time until a request arrives counts, and one look at it for all slots that close

A request's time counts from its arrival, and a connection may take half a second to be made, so a run may last that much longer than the account said. The account was also read and pruned once for each slot that closes; now once for all.

--- a/crates/agent/src/gate/leases/keeper.rs
+++ b/crates/agent/src/gate/leases/keeper.rs
@@ -33,8 +33,8 @@
 const ANSWERS_WAIT: Duration = Duration::from_millis(20);
 const ANSWERS_POLL: Duration = Duration::from_millis(1);
 
-/// How long the upstream may take to give up what earlier sessions or lives of this agent granted it:
-/// work that they began has to end first. After that its grants are waited for, as after any loss.
+/// How long the upstream may take to give up what earlier sessions or lives of this agent granted it: work whose
+/// connections are still there has to end first. After that its grants are waited for, as after any loss.
 const CLEAR_MAX: Duration = Duration::from_millis(1_500);
 
 impl Gate {
@@ -249,7 +249,7 @@
 /// Says which slots the upstream neither holds nor works on any more.
 async fn report_closed(gate: &Gate) {
     let now = gate.clock.now();
-    let works_until = |slot| gate.upstream_runs.unended(now, slot, slot).until;
+    let works_until = gate.upstream_runs.ends(now);
     let closed = gate.leases.book().take_closed(now, works_until);
     if !closed.is_empty() {
         gate.reporter.deliver(Report::ClosedSlots(closed)).await;
--- a/crates/agent/src/gate/leases/mod.rs
+++ b/crates/agent/src/gate/leases/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariants: no grant outlasts the agent's own lease; a request is given to the upstream only under
 //! a grant that it has acknowledged; a slot is reported closed only when the upstream has released it
-//! or cannot hold it any more.
+//! and works on it no more, or when its grant has run out.
 
 mod announced;
 mod answers;
@@ -24,7 +24,7 @@
 use self::{announced::TAKEN_AFTER, book::LeaseBook};
 
 pub(super) use self::{
-    book::{CALL_MARGIN, Life, SLOW_CLOCK},
+    book::{Life, SLOW_CLOCK},
     keeper::run,
 };
 
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -405,7 +405,7 @@
         let result = self.wait(call, until).await;
         cut_off.disarm();
         if result.is_end_of_run() {
-            run.is_over();
+            run.finish();
         }
         let ended = gate.clock.now();
         if let Some((slot, key_hash)) = self.counts_for() {
--- a/crates/agent/src/gate/upstream_runs/mod.rs
+++ b/crates/agent/src/gate/upstream_runs/mod.rs
@@ -14,7 +14,10 @@
 
 use model::{Slot, Timestamp};
 
-use super::leases::{CALL_MARGIN, SLOW_CLOCK};
+use super::leases::SLOW_CLOCK;
+
+/// What the way to the upstream may take where a connection has to be made: its time counts from the arrival.
+const ARRIVES_WITHIN: Duration = Duration::from_millis(500);
 
 /// The runs of each slot.
 #[derive(Debug, Default)]
@@ -62,7 +65,7 @@
 
     /// A run begins that the upstream is given this long for. `slot`: none where nothing is granted.
     pub(super) fn begin(&self, now: Timestamp, slot: Option<Slot>, remaining: Duration) -> Run<'_> {
-        let until = now + remaining.mul_f64(SLOW_CLOCK) + CALL_MARGIN;
+        let until = now + remaining.mul_f64(SLOW_CLOCK) + ARRIVES_WITHIN;
         if let Some(slot) = slot {
             let mut state = self.state();
             let it = state.slots.entry(slot).or_default();
@@ -78,10 +81,20 @@
         state.earlier_lives_until = state.earlier_lives_until.max(until);
     }
 
-    /// What may go on of the slots from `first` to `last`.
-    pub(super) fn unended(&self, now: Timestamp, first: Slot, last: Slot) -> Unended {
+    /// Until when runs of each slot may go on.
+    pub(super) fn ends(&self, now: Timestamp) -> impl Fn(Slot) -> Timestamp + use<> {
         let mut state = self.state();
         state.slots.retain(|_, it| it.running > 0 || now < it.unanswered_until);
+        let nothing = Unended::default();
+        let slots = state.slots.iter().map(|(slot, it)| (*slot, nothing.and(now, it).until));
+        let slots: BTreeMap<Slot, Timestamp> = slots.collect();
+        let earlier_lives_until = state.earlier_lives_until;
+        move |slot| slots.get(&slot).copied().unwrap_or_default().max(earlier_lives_until)
+    }
+
+    /// What may go on of the slots from `first` to `last`.
+    pub(super) fn unended(&self, now: Timestamp, first: Slot, last: Slot) -> Unended {
+        let state = self.state();
         let earlier_lives = Unended {
             until: Some(state.earlier_lives_until).filter(|it| now < *it).unwrap_or_default(),
             ..Unended::default()
@@ -118,7 +131,7 @@
 
 impl Run<'_> {
     /// The upstream does not work on it any more.
-    pub(super) fn is_over(mut self) {
+    pub(super) fn finish(mut self) {
         self.is_answered = true;
     }
 }
--- a/crates/agent/src/gate/upstream_runs/tests.rs
+++ b/crates/agent/src/gate/upstream_runs/tests.rs
@@ -21,12 +21,14 @@
     let answered = runs.begin(at(0), Some(Slot(1)), second);
     let cut = runs.begin(at(0), Some(Slot(2)), second);
     assert!(ends(&runs, 10, 1) > at(1000), "its clock may be slow");
-    answered.is_over();
+    answered.finish();
     drop(cut);
     assert_eq!(runs.unended(at(10), Slot(0), Slot(1)), Unended::default());
     let unended = runs.unended(at(10), Slot(0), Slot(9));
     assert_eq!((unended.running, unended.unanswered), (0, 1));
     assert!(unended.until > at(1000));
+    let ends = runs.ends(at(10));
+    assert_eq!((ends(Slot(1)), ends(Slot(2))), (Timestamp::ZERO, unended.until));
     assert_eq!(runs.unended(unended.until, Slot(0), Slot(9)), Unended::default());
 }
 
@@ -34,7 +36,7 @@
 fn a_run_that_follows_one_that_was_cut_off_does_not_shorten_its_time() {
     let runs = UpstreamRuns::default();
     drop(runs.begin(at(0), Some(Slot(1)), Duration::from_secs(2)));
-    runs.begin(at(10), Some(Slot(1)), Duration::from_secs(1)).is_over();
+    runs.begin(at(10), Some(Slot(1)), Duration::from_secs(1)).finish();
     assert!(ends(&runs, 20, 1) > at(2000));
 }
 
@@ -44,4 +46,5 @@
     runs.doubt_earlier_lives(at(1500));
     assert_eq!(ends(&runs, 1499, 7), at(1500));
     assert_eq!(ends(&runs, 1500, 7), Timestamp::ZERO);
+    assert_eq!(runs.ends(at(0))(Slot(7)), at(1500));
 }
