Tests of runs of earlier lives: one check in place of five copies, and it can't pass on a host that had nothing

Each of the five tests asserts that nobody else is granted what a host had; with no slots that could not fail. The shared check asserts first that there were some.

--- a/crates/ownership/src/tests/order.rs
+++ b/crates/ownership/src/tests/order.rs
@@ -372,6 +372,20 @@
     slots.iter().copied().filter(elsewhere).collect()
 }
 
+/// Nobody else is granted what a host had before so much time has passed.
+#[track_caller]
+fn kept_from_others(sim: &mut Sim, host: usize, slots: &[Slot], early: Duration) {
+    assert!(!slots.is_empty(), "the host had nothing");
+    let taken = |it: &Sim| !owned_elsewhere(it, slots, host).is_empty();
+    assert!(!sim.run_until(early, taken), "{:?}", sim.events());
+}
+
+#[track_caller]
+fn served_within(sim: &mut Sim, max: Duration) {
+    let served = sim.run_until(max, |it| it.unowned() == 0);
+    assert!(served, "{} slots, {:?}", sim.unowned(), sim.events());
+}
+
 #[test]
 fn runs_of_an_earlier_life_may_go_on_when_another_member_is_granted_its_slots() {
     for seed in 80..90 {
@@ -381,10 +395,8 @@
         sim.apply(Fault::CrashAgent(host));
         sim.apply(Fault::Start(host));
         sim.apply(Fault::Upstream { host, state: crate::UpstreamState::Starting });
-        let taken = |it: &Sim| !owned_elsewhere(it, &slots, host).is_empty();
-        assert!(!sim.run_until(EARLIER_LEASE, taken), "seed {seed}: {:?}", sim.events());
-        let served = sim.run_until(Duration::from_secs(2), |it| it.unowned() == 0);
-        assert!(served, "seed {seed}: {} slots, {:?}", sim.unowned(), sim.events());
+        kept_from_others(&mut sim, host, &slots, EARLIER_LEASE);
+        served_within(&mut sim, Duration::from_secs(2));
         sim.run_for(Duration::from_secs(8));
         check(&sim);
     }
@@ -401,11 +413,9 @@
         sim.run_for(Duration::from_secs(1));
         assert_eq!(sim.owned_by(host), slots, "seed {seed}: {:?}", sim.events());
         sim.apply(Fault::Stop(host));
-        let taken = |it: &Sim| !owned_elsewhere(it, &slots, host).is_empty();
         let early = EARLIER_LEASE - Duration::from_secs(1);
-        assert!(!sim.run_until(early, taken), "seed {seed}: {:?}", sim.events());
-        let served = sim.run_until(Duration::from_secs(2), |it| it.unowned() == 0);
-        assert!(served, "seed {seed}: {} slots, {:?}", sim.unowned(), sim.events());
+        kept_from_others(&mut sim, host, &slots, early);
+        served_within(&mut sim, Duration::from_secs(2));
         check(&sim);
     }
 }
@@ -422,10 +432,8 @@
         sim.apply(Fault::Start(coordinator));
         sim.apply(Fault::Start(host));
         sim.apply(Fault::Upstream { host, state: crate::UpstreamState::Starting });
-        let taken = |it: &Sim| !owned_elsewhere(it, &slots, host).is_empty();
-        assert!(!sim.run_until(EARLIER_LEASE, taken), "seed {seed}: {:?}", sim.events());
-        let served = sim.run_until(Duration::from_secs(4), |it| it.unowned() == 0);
-        assert!(served, "seed {seed}: {} slots, {:?}", sim.unowned(), sim.events());
+        kept_from_others(&mut sim, host, &slots, EARLIER_LEASE);
+        served_within(&mut sim, Duration::from_secs(4));
         sim.run_for(Duration::from_secs(8));
         check(&sim);
     }
@@ -444,11 +452,9 @@
         // Long enough for a plan that names the upstream's slots for others.
         sim.run_for(Duration::from_millis(1_500));
         sim.apply(Fault::Crash(coordinator));
-        let taken = |it: &Sim| !owned_elsewhere(it, &slots, host).is_empty();
         let early = EARLIER_LEASE - Duration::from_millis(1_500);
-        assert!(!sim.run_until(early, taken), "seed {seed}: {:?}", sim.events());
-        let served = sim.run_until(Duration::from_secs(6), |it| it.unowned() == 0);
-        assert!(served, "seed {seed}: {} slots, {:?}", sim.unowned(), sim.events());
+        kept_from_others(&mut sim, host, &slots, early);
+        served_within(&mut sim, Duration::from_secs(6));
         check(&sim);
     }
 }
@@ -467,11 +473,9 @@
         sim.apply(Fault::Crash(coordinator));
         sim.run_for(Duration::from_millis(1_500));
         sim.apply(Fault::Stop(host));
-        let taken = |it: &Sim| !owned_elsewhere(it, &slots, host).is_empty();
         let early = EARLIER_LEASE - Duration::from_secs(2);
-        assert!(!sim.run_until(early, taken), "seed {seed}: {:?}", sim.events());
-        let served = sim.run_until(Duration::from_secs(6), |it| it.unowned() == 0);
-        assert!(served, "seed {seed}: {} slots, {:?}", sim.unowned(), sim.events());
+        kept_from_others(&mut sim, host, &slots, early);
+        served_within(&mut sim, Duration::from_secs(6));
         check(&sim);
     }
 }
