Logs: what a request asks for, and what an upstream had at work when it ended

The lines of a request carried the id of one attempt only, so nobody could tell that different attempts at different agents asked for the same, and no line said that an upstream had ended, or on what it had been at work. Requests are named by a hash of method, host, path, key and body; the gate keeps the runs without an answer and, once the upstream is known to have ended (nobody listens at its address, or another life announces itself), tells them. Nothing is decided by it.

--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -101,6 +101,9 @@
         let snapshot = self.snapshots.load();
         let Some((service, local)) = local_service(&snapshot) else { return };
         let former = self.bound.load_full();
+        if former.as_ref().is_some_and(|it| !it.announcement.is_of_same_life(&local.announcement)) {
+            self.upstream_ended("another life of it is there");
+        }
         let bound = match self.next_bound(former.as_deref(), service, local) {
             Ok(bound) => bound,
             Err(error) => {
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -4,6 +4,7 @@
 //! slot of the upstream, a last check of grant and lease, the upstream.
 
 mod bound;
+mod ends;
 mod handle;
 mod health;
 mod lane;
@@ -43,6 +44,7 @@
 };
 
 use bound::Bound;
+use ends::UnansweredRuns;
 use leases::Leases;
 use records::Book;
 use run::Caller;
@@ -85,6 +87,7 @@
     book: OnceLock<Book>,
     leases: Arc<Leases>,
     upstream_runs: UpstreamRuns,
+    unanswered: UnansweredRuns,
     links: OnceLock<TrafficLinks>,
     /// When the upstream last answered, on the process's clock.
     last_sign_ns: AtomicU64,
@@ -112,6 +115,7 @@
             book: OnceLock::new(),
             leases: Arc::default(),
             upstream_runs: UpstreamRuns::default(),
+            unanswered: UnansweredRuns::default(),
             links: OnceLock::new(),
             last_sign_ns: AtomicU64::new(now.ns),
             members_changed_ns: AtomicU64::new(now.ns),
@@ -120,6 +124,7 @@
         tokio::spawn(worker::run(Arc::clone(&gate), parts.tasks));
         tokio::spawn(health::run(Arc::clone(&gate)));
         tokio::spawn(leases::run(Arc::clone(&gate)));
+        tokio::spawn(ends::run(Arc::clone(&gate)));
         gate
     }
 
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -19,6 +19,7 @@
     gate::{
         Gate,
         bound::Bound,
+        ends::RunEnd,
         lane::{Offer, Permit},
         records::{Begun, RequestKey},
         table::{Admittance, Clearance, Entry, Grant, NotAdmitted},
@@ -391,6 +392,7 @@
         let remaining = until.since(started);
         let run =
             gate.upstream_runs.begin(started, self.entry.as_ref().map(Entry::slot), remaining);
+        let watched = gate.unanswered.begin(gate.clock, self.request.fingerprint());
         let call = self.bound.upstream.call(upstream::Request {
             method: self.request.method.clone(),
             path: self.request.path.clone(),
@@ -407,6 +409,7 @@
         if result.is_end_of_run() {
             run.finish();
         }
+        watched.end(result.run_end());
         let ended = gate.clock.now();
         if let Some((slot, key_hash)) = self.counts_for() {
             gate.handle.load.add(slot, key_hash, ended.since(started));
@@ -503,6 +506,15 @@
 }
 
 impl Ended {
+    fn run_end(&self) -> RunEnd {
+        match self {
+            Ended::Answered(_) => RunEnd::Answered,
+            Ended::Failed(CallError::NotSent { .. } | CallError::Refused { .. }) => RunEnd::NotRun,
+            Ended::Failed(CallError::Lost { .. } | CallError::Broken { .. }) => RunEnd::Lost,
+            Ended::Cut(_) => RunEnd::GivenUp,
+        }
+    }
+
     /// Whether the upstream does not work on it any more, as far as that is known.
     fn is_end_of_run(&self) -> bool {
         match self {
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -3,10 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, uri::PathAndQuery};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header::HOST, uri::PathAndQuery,
+};
 use model::{
-    ClassName, ConfigVersion, Instance, KeyHash, NotRunReason, Outcome, RequestId, ServiceName,
-    UnknownReason,
+    ClassName, ConfigVersion, Fingerprint, Instance, KeyHash, NotRunReason, Outcome, RequestId,
+    ServiceName, UnknownReason,
 };
 use upstream::Answer;
 use wire::{
@@ -120,6 +122,18 @@
 }
 
 impl GateRequest {
+    /// Its content. Of the headers only the host counts and what says its key: attempts differ in the others.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let host = self.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
+        Fingerprint::of([
+            self.method.as_str().as_bytes(),
+            host,
+            self.path.as_str().as_bytes(),
+            &self.key_hash.map_or(0, |it| it.0).to_le_bytes(),
+            &self.body,
+        ])
+    }
+
     /// The head frame, with at most `first_len` bytes of the body.
     pub(crate) fn to_wire(&self, id: CorrelationId, first_len: usize) -> frames::Request {
         frames::Request {
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -163,6 +163,10 @@
         Box::pin(async { Ok(()) })
     }
 
+    fn is_gone(&self) -> UpstreamFuture<'_, bool> {
+        Box::pin(async { false })
+    }
+
     fn key_leases(&self) -> KeyLeases<'_> {
         match self.key_grants {
             None => KeyLeases::NotEnforced,
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -114,6 +114,20 @@
         self.opened.load(Ordering::Relaxed)
     }
 
+    /// Whether nobody listens at the address. A connection that is made for this is kept for the next request.
+    pub async fn is_refused(&self) -> bool {
+        match self.open().await {
+            Ok(stream) => {
+                if let Ok(sender) = self.prepared(stream).await {
+                    let until = Instant::now() + self.config.unused_for;
+                    self.keep_until(until, sender, None);
+                }
+                false
+            }
+            Err(error) => error.is_some_and(|it| it.kind() == io::ErrorKind::ConnectionRefused),
+        }
+    }
+
     /// Sends a request and reads the whole answer. The connection is used again only if `is_sound`
     /// says so of the answer. Dropping the future closes the connection.
     pub async fn exchange(
@@ -214,11 +228,15 @@
         if closes(parts) || sender.is_closed() || kept_for.is_zero() {
             return;
         }
+        self.keep_until(Instant::now() + kept_for, sender, last);
+    }
+
+    fn keep_until(&self, until: Instant, sender: Sender, last: Option<CallKind>) {
         let now = Instant::now();
         let mut unused = self.unused();
         unused.retain(|it| now < it.until && !it.sender.is_closed());
         if unused.len() < self.config.unused_max {
-            unused.push(Unused { sender, until: now + kept_for, last });
+            unused.push(Unused { sender, until, last });
         }
     }
 
@@ -232,14 +250,26 @@
     }
 
     async fn connect(&self) -> Result<Sender, ExchangeError> {
-        let closed = |reason: String| ExchangeError::Closed(reason);
-        let stream = timeout(self.config.connect_timeout, TcpStream::connect(self.address))
-            .await
-            .map_err(|_| {
+        let stream = self.open().await.map_err(|error| match error {
+            Some(error) => not_connected(&error),
+            None => {
                 let limit = self.config.connect_timeout;
                 ExchangeError::NotSent(format!("no connection in {limit:?}"))
-            })?
-            .map_err(|error| not_connected(&error))?;
+            }
+        })?;
+        self.prepared(stream).await
+    }
+
+    /// A new connection; an error of none: it took too long.
+    async fn open(&self) -> Result<TcpStream, Option<io::Error>> {
+        match timeout(self.config.connect_timeout, TcpStream::connect(self.address)).await {
+            Ok(opened) => opened.map_err(Some),
+            Err(_) => Err(None),
+        }
+    }
+
+    async fn prepared(&self, stream: TcpStream) -> Result<Sender, ExchangeError> {
+        let closed = |reason: String| ExchangeError::Closed(reason);
         self.opened.fetch_add(1, Ordering::Relaxed);
         self.prepare(&stream).map_err(|error| closed(error.to_string()))?;
         let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O, reads a clock or draws random numbers.
 
+mod fingerprint;
 mod identity;
 mod key;
 mod name;
@@ -11,6 +12,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use fingerprint::Fingerprint;
 pub use identity::{
     ConfigVersion, GroupId, Incarnation, Instance, ObjectVersion, RequestId, Term, Token,
 };
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use model::{REQUEST_ID_HEADER, RequestId, Slot, TOKEN_HEADER, Token};
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::TcpStream;
 use volo::{layer::Identity, loadbalance::MkLbLayer, net::Address};
 use volo_http::{
     body::Body,
@@ -202,6 +203,13 @@
         Box::pin(async move { self.tell("/control/prepare", &Prepare { slot }).await })
     }
 
+    fn is_gone(&self) -> UpstreamFuture<'_, bool> {
+        Box::pin(async {
+            let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+            TcpStream::connect(self.address).await.is_err_and(refused)
+        })
+    }
+
     fn cancel(&self, id: RequestId) -> UpstreamFuture<'_, Result<(), ControlError>> {
         let cancel = Cancel { request_id: format!("{:x}", id.0) };
         Box::pin(async move { self.tell("/control/cancel", &cancel).await })
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -89,6 +89,8 @@
     fn is_asked_for_health(&self) -> bool {
         true
     }
+    /// Whether nobody listens at its address: its process has ended.
+    fn is_gone(&self) -> UpstreamFuture<'_, bool>;
     /// Ends a running request.
     fn cancel(&self, id: RequestId) -> UpstreamFuture<'_, Result<(), ControlError>>;
 }
