A request under which two upstreams have ended is given to none any more

What callers saw: a service of three upstreams lost all of them within 0.3 s, and their next lives as fast, as long as one request was sent again; its own callers got 502, those of everybody else 503 or 502.

Cause: nobody kept account of what a request does to upstreams. Bounds on retries are those of one attempt, and the next attempt of the caller is a fresh request at whatever agent it comes to. The class: a failure that belongs to the request was counted against the upstream alone.

Now the gate beside an upstream that has ended (nobody listens at its address after a lost connection, or another life announces itself) writes down what was at work, in one object of its instance; all agents follow these objects. After one end a request is a suspect, and a gate runs one suspect at a time, so that the second end names the right one; then it is quarantined: refused as not run at once, by ingress and gates, without a time to come back. A request that any upstream has answered is cleared, so that what many ask for is not suspected for having been at work. A retry after a lost connection waits at least 50 ms, which is more than word of the end takes.

--- a/crates/agent/src/control/tests/platform.rs
+++ b/crates/agent/src/control/tests/platform.rs
@@ -47,7 +47,7 @@
         version
     }
 
-    pub(super) fn text(&self, path: &str) -> Option<String> {
+    pub(crate) fn text(&self, path: &str) -> Option<String> {
         let store = self.store.lock().unwrap();
         store.objects.get(path).map(|it| String::from_utf8(it.body.to_vec()).unwrap())
     }
--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -20,6 +20,7 @@
     gate::Gate,
     links::traffic::TrafficLinks,
     metrics::Metrics,
+    quarantine::SharedQuarantine,
     report::{Report, Reporter},
     request::{GateReply, GateRequest, Replied},
     request_log::{Placing, RequestLog, Underway},
@@ -43,6 +44,7 @@
     pub(crate) reporter: Reporter,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log: Arc<RequestLog>,
+    pub(crate) quarantine: Arc<SharedQuarantine>,
 }
 
 /// Sends requests of callers on.
@@ -113,7 +115,12 @@
         // ones say.
         let earlier = (!request.age.is_zero()).then_some(UnknownReason::NoRecord);
         let mut unknown: Option<UnknownReason> = earlier;
+        let content = request.fingerprint();
         loop {
+            if self.parts.quarantine.is_quarantined(content) {
+                let reply = GateReply::not_run(NotRunReason::Quarantined);
+                return Ending::given_up(final_reply(reply, unknown));
+            }
             let Some(routes) = self.routes(&request.service) else {
                 let reply = GateReply::not_run(NotRunReason::Unreachable);
                 return Ending::given_up(final_reply(reply, unknown));
@@ -143,6 +150,7 @@
                 others_left: others_left(&routes, &trail),
             };
             if ended.outcome == Outcome::Answered {
+                self.parts.quarantine.answered(content);
                 return Ending { reply, retry_after: None };
             }
             if let Outcome::Unknown(reason) = ended.outcome {
--- a/crates/agent/src/gate/ends/mod.rs
+++ b/crates/agent/src/gate/ends/mod.rs
@@ -94,6 +94,7 @@
             target: "gate",
             "The upstream has ended ({why}), at work on {}.", listed.join(" "),
         );
+        self.quarantine.upstream_ended(at_work);
     }
 }
 
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -28,7 +28,7 @@
 use arc_swap::ArcSwapOption;
 use model::{ClassName, Instance, Timestamp, UnknownReason};
 use settings::ServiceDocument;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use upstream::{HeldKeys, HttpUpstream, KeysToHold, Upstream};
 use wire::traffic::GateLoad;
 
@@ -37,6 +37,7 @@
     ingress::KeyGranter,
     links::traffic::{Handler, Handover, Serving, TrafficLinks},
     metrics::Metrics,
+    quarantine::SharedQuarantine,
     report::{Announcement, Report, Reporter},
     request::{GateReply, GateRequest, Replied},
     request_log::{GateState, RequestLog},
@@ -70,6 +71,7 @@
     pub(crate) log: Arc<RequestLog>,
     pub(crate) upstream_clock: Arc<UpstreamClock>,
     pub(crate) connect: Connect,
+    pub(crate) quarantine: Arc<SharedQuarantine>,
 }
 
 /// The traffic threads' side of the gate.
@@ -88,6 +90,9 @@
     leases: Arc<Leases>,
     upstream_runs: UpstreamRuns,
     unanswered: UnansweredRuns,
+    quarantine: Arc<SharedQuarantine>,
+    /// One suspect runs at a time: if the upstream ends, that was it.
+    suspects: Semaphore,
     links: OnceLock<TrafficLinks>,
     /// When the upstream last answered, on the process's clock.
     last_sign_ns: AtomicU64,
@@ -116,6 +121,8 @@
             leases: Arc::default(),
             upstream_runs: UpstreamRuns::default(),
             unanswered: UnansweredRuns::default(),
+            quarantine: parts.quarantine,
+            suspects: Semaphore::new(1),
             links: OnceLock::new(),
             last_sign_ns: AtomicU64::new(now.ns),
             members_changed_ns: AtomicU64::new(now.ns),
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -4,14 +4,15 @@
 
 use http::{HeaderMap, StatusCode};
 use model::{
-    Instance, KeyHash, NotRunReason, Outcome, RequestId, Slot, Timestamp, Token, UnknownReason,
+    Fingerprint, Instance, KeyHash, NotRunReason, Outcome, RequestId, Slot, Timestamp, Token,
+    UnknownReason,
 };
 use ownership::{FenceCheck, UpstreamState};
 use tokio::{
-    sync::oneshot,
-    time::{sleep_until, timeout},
+    sync::{SemaphorePermit, oneshot},
+    time::{sleep_until, timeout, timeout_at},
 };
-use traffic::{Completion, RecordUnit, RouteIndex, Use};
+use traffic::{Completion, RecordUnit, RouteIndex, Standing, Use};
 use upstream::{CallError, ClockBounds, Upstream};
 
 use crate::{
@@ -54,6 +55,7 @@
     gate: &'a Gate,
     bound: &'a Bound,
     request: &'a GateRequest,
+    content: Fingerprint,
     deadline: Timestamp,
     /// None where the service is not divided by key.
     entry: Option<Entry>,
@@ -103,7 +105,9 @@
             }
         }
         let admittance = entry.admittance;
-        let passage = Passage { gate: self, bound, request, deadline, entry: Some(entry) };
+        let content = request.fingerprint();
+        let entry = Some(entry);
+        let passage = Passage { gate: self, bound, request, content, deadline, entry };
         let key = RequestKey { key_hash, slot, id: request.id, age: known_age(request) };
         passage.once(now, &admittance, key, caller).await
     }
@@ -127,7 +131,8 @@
         let admittance = Admittance { unit: WHOLE_SERVICE, grant, fence, returned: None };
         let key_hash = KeyHash(request.id.0 as u64);
         let key = RequestKey { key_hash, slot: Slot(0), id: request.id, age: known_age(request) };
-        let passage = Passage { gate: self, bound, request, deadline, entry: None };
+        let content = request.fingerprint();
+        let passage = Passage { gate: self, bound, request, content, deadline, entry: None };
         passage.once(now, &admittance, key, caller).await
     }
 
@@ -242,19 +247,36 @@
     }
 
     async fn run_keeping(self, caller: &mut Caller) -> (GateReply, Option<Entry>) {
-        let reply = match self.queue(caller).await {
-            Ok(permit) => match self.clear() {
-                Ok(clearance) => self.give(permit, clearance).await,
-                Err(reply) => *reply,
-            },
-            Err(reply) => {
-                self.count_refused(&reply);
-                *reply
-            }
-        };
+        let reply = self.pass(caller).await.unwrap_or_else(|reply| *reply);
         (reply, self.entry)
     }
 
+    /// To the upstream, or back with the reason why not.
+    async fn pass(&self, caller: &mut Caller) -> Result<GateReply, Box<GateReply>> {
+        let _alone = self.be_alone(caller).await.inspect_err(|it| self.count_refused(it))?;
+        let permit = self.queue(caller).await.inspect_err(|it| self.count_refused(it))?;
+        let clearance = self.clear()?;
+        Ok(self.give(permit, clearance).await)
+    }
+
+    /// A request under which an upstream may have ended waits until no other such request is here.
+    async fn be_alone(
+        &self,
+        caller: &mut Caller,
+    ) -> Result<Option<SemaphorePermit<'_>>, Box<GateReply>> {
+        match self.gate.quarantine.standing(self.content) {
+            Standing::Clear => return Ok(None),
+            Standing::Suspect => {}
+            Standing::Quarantined => return Err(quarantined()),
+        }
+        let until = self.gate.clock.instant(self.queue_until().0);
+        let alone = timeout_at(until, self.gate.suspects.acquire());
+        match self.wait_here(alone, caller).await? {
+            Ok(permit) => Ok(permit.ok()),
+            Err(_) => Err(Box::new(GateReply::not_run(NotRunReason::Overloaded))),
+        }
+    }
+
     /// The rule of the document that the request falls under, for what it is expected to take.
     fn route(&self) -> Option<RouteIndex> {
         if let Some(kind) = self.request.kind {
@@ -300,11 +322,20 @@
             Offer::Wait(place) => place,
             verdict => return into_permit(verdict),
         };
+        into_permit(self.wait_here(place.wait(), caller).await?)
+    }
+
+    /// Waits for something as long as the caller is there and the key has not left.
+    async fn wait_here<T>(
+        &self,
+        wait: impl Future<Output = T>,
+        caller: &mut Caller,
+    ) -> Result<T, Box<GateReply>> {
         let mut changes = self.gate.handle.table.changes();
-        let mut wait = pin!(place.wait());
+        let mut wait = pin!(wait);
         loop {
             tokio::select! {
-                verdict = &mut wait => return into_permit(verdict),
+                it = &mut wait => return Ok(it),
                 _ = caller.closed() => {
                     return Err(Box::new(GateReply::not_run(NotRunReason::Cancelled)));
                 }
@@ -320,6 +351,9 @@
         if now >= self.deadline {
             return Err(Box::new(GateReply::not_run(NotRunReason::DeadlineExceeded)));
         }
+        if self.gate.quarantine.is_quarantined(self.content) {
+            return Err(quarantined());
+        }
         // By now another state may be bound than the one that the request came under.
         if self.gate.bound.load().as_ref().is_some_and(|it| it.is_closed(now)) {
             return Err(Box::new(GateReply::not_run(NotRunReason::Draining)));
@@ -392,7 +426,7 @@
         let remaining = until.since(started);
         let run =
             gate.upstream_runs.begin(started, self.entry.as_ref().map(Entry::slot), remaining);
-        let watched = gate.unanswered.begin(gate.clock, self.request.fingerprint());
+        let watched = gate.unanswered.begin(gate.clock, self.content);
         let call = self.bound.upstream.call(upstream::Request {
             method: self.request.method.clone(),
             path: self.request.path.clone(),
@@ -423,6 +457,7 @@
             }
             Ended::Answered(answer) => {
                 gate.sign(ended);
+                gate.quarantine.answered(self.content);
                 // An upstream that fails fast must not look like one that works fast.
                 permit.completion = match answer.status.is_server_error() {
                     true => Completion::Cut,
@@ -557,6 +592,10 @@
     }
 }
 
+fn quarantined() -> Box<GateReply> {
+    Box::new(GateReply::not_run(NotRunReason::Quarantined))
+}
+
 fn refused(reason: NotRunReason, retry_after: Option<Duration>) -> GateReply {
     GateReply::Failed { outcome: Outcome::NotRun(reason), retry_after }
 }
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -227,8 +227,11 @@
         let (class, age) = (request.class.clone(), request.age);
         drop(routes);
         let mut ending = self.parts.forwarder.send(request, &team).await;
-        if let (Outcome::NotRun(_), None) = (ending.reply.outcome(), ending.retry_after) {
-            ending.retry_after = Some(COME_BACK);
+        match ending.reply.outcome() {
+            // Coming back is of no use.
+            Outcome::NotRun(NotRunReason::Quarantined) => {}
+            Outcome::NotRun(_) => drop(ending.retry_after.get_or_insert(COME_BACK)),
+            Outcome::Answered | Outcome::Unknown(_) => {}
         }
         let ending = if age.is_zero() { ending } else { of_resend(ending) };
         Ok(Done { team, class, ending })
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod plane;
 mod port;
+mod quarantine;
 mod ready;
 mod reload;
 pub mod report;
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -10,7 +10,7 @@
 
 use anyhow::Context;
 use model::Instance;
-use object_store::CallCounts;
+use object_store::{CallCounts, ObjectStore};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
@@ -26,6 +26,7 @@
     ingress::{self, AnnounceForm, Announcements, CallerForm, Ingress, IngressParts},
     links::{LinkKey, traffic::TrafficLinks},
     metrics::{self, Metrics},
+    quarantine::SharedQuarantine,
     ready::{self, Readiness},
     report::Reporter,
     request_log::RequestLog,
@@ -66,6 +67,8 @@
     pub(crate) announcements: Option<TcpListener>,
     pub(crate) ready: Option<TcpListener>,
     pub(crate) documents_from: DocumentSource,
+    /// For what traffic itself keeps there; its connections live on the traffic threads.
+    pub(crate) store: Arc<dyn ObjectStore>,
 }
 
 /// The running traffic plane.
@@ -85,7 +88,9 @@
         let metrics = Arc::new(Metrics::new(parts.platform_calls).context("metrics")?);
         let upstream_clock: Arc<UpstreamClock> = Arc::default();
         let log = Arc::new(RequestLog::new(parts.clock));
+        let quarantine = SharedQuarantine::start(parts.store, parts.own.name.clone());
         let gate = Gate::start(GateParts {
+            quarantine: Arc::clone(&quarantine),
             upstream_clock: Arc::clone(&upstream_clock),
             own: parts.own.clone(),
             handle: parts.handle,
@@ -108,6 +113,7 @@
             reporter: parts.reporter.clone(),
             metrics: Arc::clone(&metrics),
             log: Arc::clone(&log),
+            quarantine,
         });
         let announcements = Announcements {
             form: parts.announce_form,
--- a/crates/agent/src/port.rs
+++ b/crates/agent/src/port.rs
@@ -16,6 +16,8 @@
 /// One set of adapters.
 pub struct Ports {
     pub store: Arc<dyn ObjectStore>,
+    /// The same store, for the traffic threads: a client's connections live on the threads that made them.
+    pub traffic_store: Arc<dyn ObjectStore>,
     pub callers: Arc<dyn CallerForm>,
     pub announcements: Arc<dyn AnnounceForm>,
     pub connect: Connect,
@@ -29,10 +31,14 @@
     pub(crate) fn own(settings: &AgentSettings, calls: &Arc<CallCounts>) -> anyhow::Result<Ports> {
         let store = || HttpObjectStore::new(settings.platform_address, Timeouts::default());
         let (closed, closed_zones) = watch::channel(ClosedZones::default());
-        let followed = CountedStore::new(Arc::new(store()?), Arc::clone(calls));
-        tokio::spawn(follow_own_zones(Arc::new(followed), closed));
+        let followed = || {
+            let counted = CountedStore::new(Arc::new(store()?), Arc::clone(calls));
+            anyhow::Ok(Arc::new(counted))
+        };
+        tokio::spawn(follow_own_zones(followed()?, closed));
         Ok(Ports {
             store: Arc::new(store()?),
+            traffic_store: followed()?,
             callers: Arc::new(OwnForm),
             announcements: Arc::new(OwnAnnounceForm),
             connect: Box::new(connect_http),
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -90,8 +90,9 @@
     runtime.spawn(file.watch(hang_up));
     let listeners = runtime.block_on(async { Listeners::bind(&settings) })?;
     let platform_calls: Arc<CallCounts> = Arc::default();
-    let Ports { store, callers, announcements, connect, fleet, closed_zones } =
-        runtime.block_on(async { ports(&settings, &platform_calls) }).context("adapters")?;
+    let ports = runtime.block_on(async { ports(&settings, &platform_calls) });
+    let Ports { store, traffic_store, callers, announcements, connect, fleet, closed_zones } =
+        ports.context("adapters")?;
     let documents_from = match fleet {
         Some(_) => DocumentSource::Fleet,
         None => DocumentSource::Teams,
@@ -146,6 +147,7 @@
             announcements: listeners.announcements.map(TcpListener::from_std).transpose()?,
             ready: listeners.ready.map(TcpListener::from_std).transpose()?,
             documents_from,
+            store: traffic_store,
             callers: TcpListener::from_std(listeners.callers)?,
             peers: TcpListener::from_std(listeners.traffic)?,
             metrics: TcpListener::from_std(listeners.metrics)?,
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     clock::Clock,
-    control::DocumentSource,
+    control::{DocumentSource, tests::platform::FakeStore},
     gate::GateHandle,
     ingress::{AnnounceForm, OwnAnnounceForm, OwnForm},
     links::LinkKey,
@@ -295,9 +295,12 @@
 
     /// Agents of one service that is not divided by key, which know each other.
     pub(super) async fn start_fleet(count: usize) -> Vec<TestAgent> {
+        let store = Arc::new(FakeStore::new());
         let mut agents = Vec::new();
         for it in 0..count {
-            agents.push(TestAgent::start(&format!("a{it}")).await);
+            let (upstream, form) = (FakeUpstream::new(None), Arc::new(OwnAnnounceForm));
+            let (name, store) = (format!("a{it}"), Arc::clone(&store));
+            agents.push(TestAgent::start_at(&name, SECRET, upstream, form, store).await);
         }
         let members: Vec<Instance> = agents.iter().map(|it| it.own.clone()).collect();
         for agent in &agents {
@@ -327,6 +330,17 @@
         key: &[u8],
         upstream: FakeUpstream,
         announce_form: Arc<dyn AnnounceForm>,
+    ) -> TestAgent {
+        let store = Arc::new(FakeStore::new());
+        TestAgent::start_at(name, key, upstream, announce_form, store).await
+    }
+
+    async fn start_at(
+        name: &str,
+        key: &[u8],
+        upstream: FakeUpstream,
+        announce_form: Arc<dyn AnnounceForm>,
+        store: Arc<FakeStore>,
     ) -> TestAgent {
         let listen = || TcpListener::bind("127.0.0.1:0");
         let (callers, peers, metrics) =
@@ -357,6 +371,7 @@
             announcements: None,
             ready: None,
             documents_from: DocumentSource::Teams,
+            store,
         })
         .unwrap();
         let caller = HttpUpstream::new(caller_address, 1000, 64 << 20).unwrap();
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -46,6 +46,8 @@
     Refused,
     /// The caller took it back before it ran.
     Cancelled,
+    /// Several upstreams have ended while they ran the same: it is given to none any more.
+    Quarantined,
 }
 
 /// Why the end of a request is not known.
@@ -84,6 +86,7 @@
             NotRunReason::Draining => "draining",
             NotRunReason::Refused => "refused",
             NotRunReason::Cancelled => "cancelled",
+            NotRunReason::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/settings/src/objects.rs
+++ b/crates/settings/src/objects.rs
@@ -3,11 +3,14 @@
 //! - `services/S`: the document as its team wrote it, the text as it is.
 //! - `accepted/S`: [`Accepted`], the version in force; only rises.
 //! - `status/S/G`: [`Status`] of one group, written by its coordinator.
+//! - `ends/I`: [`EndsObject`], under which requests the upstream beside an instance has ended.
 //! - `zones/Z`: [`ZoneObject`], whether an operator has closed an availability zone.
 
+use std::num::ParseIntError;
+
 use model::{
-    ConfigVersion, GroupId, InstanceName, KeyHash, ObjectVersion, ServiceName, Slot, Term, Token,
-    Zone,
+    ConfigVersion, Fingerprint, GroupId, InstanceName, KeyHash, ObjectVersion, ServiceName, Slot,
+    Term, Token, Zone,
 };
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +55,57 @@
     pub closed: bool,
 }
 
+/// What the objects begin with that tell of ended upstreams.
+pub const ENDS_PREFIX: &str = "ends/";
+
+/// Where it is said when the upstreams beside an instance have ended.
+pub fn ends_path(instance: &InstanceName) -> String {
+    format!("{ENDS_PREFIX}{instance}")
+}
+
+/// The ends of upstreams beside one instance, the latest last.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndsObject {
+    pub ends: Vec<EndRecord>,
+}
+
+/// One end of an upstream, and what it had at work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(try_from = "WireEnd", into = "WireEnd")]
+pub struct EndRecord {
+    /// Drawn at random; tells one end from another.
+    pub id: u64,
+    pub requests: Vec<Fingerprint>,
+}
+
+/// In hexadecimal digits: not every store keeps whole numbers of 64 bits.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WireEnd {
+    id: String,
+    requests: Vec<String>,
+}
+
+impl From<EndRecord> for WireEnd {
+    fn from(end: EndRecord) -> WireEnd {
+        let requests = end.requests.iter().map(ToString::to_string).collect();
+        WireEnd { id: format!("{:016x}", end.id), requests }
+    }
+}
+
+impl TryFrom<WireEnd> for EndRecord {
+    type Error = ParseIntError;
+
+    fn try_from(wire: WireEnd) -> Result<EndRecord, ParseIntError> {
+        let number = |text: &String| u64::from_str_radix(text, 16);
+        let requests = wire.requests.iter().map(|it| number(it).map(Fingerprint));
+        Ok(EndRecord { id: number(&wire.id)?, requests: requests.collect::<Result<_, _>>()? })
+    }
+}
+
 /// The document that is in force, or on its way to be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,6 +4,7 @@
 //! table that takes the time and, where it draws lots, the caller's seeded generator.
 
 mod admission;
+mod quarantine;
 mod records;
 mod retry;
 mod selection;
@@ -20,6 +21,7 @@
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
     Ticket, Use, Verdict,
 };
+pub use quarantine::{EndId, Quarantine, Standing};
 pub use records::{
     Answer, Begin, EndedRecord, Record, RecordUnit, Records, RecordsConfig, SlotRecords,
 };
--- a/crates/traffic/src/retry/mod.rs
+++ b/crates/traffic/src/retry/mod.rs
@@ -15,6 +15,10 @@
 /// twice as long. A handover takes some tens of milliseconds, so a shorter wait asks in vain.
 const UNOWNED_PAUSE: Duration = Duration::from_millis(40);
 
+/// How long a request waits at the least whose connection was lost: if its upstream has ended under it, word of that
+/// is here by then.
+const LOST_PAUSE: Duration = Duration::from_millis(50);
+
 /// A sending with less time than this is of no use: the shortest requests run for half of it, and the rest is
 /// the way there and back. It would end unknown where the caller can be told that nothing has run.
 const USEFUL_MIN: Duration = Duration::from_millis(100);
@@ -160,6 +164,10 @@
             return verdict;
         }
         let backoff = self.backoff(attempts.retries, rng);
+        let backoff = match ended.outcome {
+            Outcome::Unknown(UnknownReason::ConnectionLost) => backoff.max(LOST_PAUSE),
+            _ => backoff,
+        };
         let after = ended.retry_after.map_or(backoff, |it| it + backoff);
         let give_up = RetryVerdict::GiveUp { retry_after: self.come_back(ended, after) };
         let allowed = may_retry(ended.outcome, idempotent)
@@ -264,8 +272,9 @@
         | NotRunReason::Unreachable
         | NotRunReason::Draining
         | NotRunReason::Refused => true,
-        NotRunReason::BadRequest | NotRunReason::DeadlineExceeded | NotRunReason::Cancelled => {
-            false
-        }
+        NotRunReason::BadRequest
+        | NotRunReason::DeadlineExceeded
+        | NotRunReason::Cancelled
+        | NotRunReason::Quarantined => false,
     }
 }
