What a request asks for is said by the form of its callers

In the product's own form a service that is not divided by key may still be told by headers what is asked for: requests to one path counted as the same, so an answer to any of them cleared one under which upstreams ended. The form of the callers now says which headers count: in the own form all but those of a single attempt, on the platform the host and the key. The hash travels with the request, so that gates do not make it again.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -115,7 +115,7 @@
         // ones say.
         let earlier = (!request.age.is_zero()).then_some(UnknownReason::NoRecord);
         let mut unknown: Option<UnknownReason> = earlier;
-        let content = request.fingerprint();
+        let content = request.content;
         loop {
             if self.parts.quarantine.is_quarantined(content) {
                 let reply = GateReply::not_run(NotRunReason::Quarantined);
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -4,8 +4,7 @@
 
 use http::{HeaderMap, StatusCode};
 use model::{
-    Fingerprint, Instance, KeyHash, NotRunReason, Outcome, RequestId, Slot, Timestamp, Token,
-    UnknownReason,
+    Instance, KeyHash, NotRunReason, Outcome, RequestId, Slot, Timestamp, Token, UnknownReason,
 };
 use ownership::{FenceCheck, UpstreamState};
 use tokio::{
@@ -55,7 +54,6 @@
     gate: &'a Gate,
     bound: &'a Bound,
     request: &'a GateRequest,
-    content: Fingerprint,
     deadline: Timestamp,
     /// None where the service is not divided by key.
     entry: Option<Entry>,
@@ -105,9 +103,7 @@
             }
         }
         let admittance = entry.admittance;
-        let content = request.fingerprint();
-        let entry = Some(entry);
-        let passage = Passage { gate: self, bound, request, content, deadline, entry };
+        let passage = Passage { gate: self, bound, request, deadline, entry: Some(entry) };
         let key = RequestKey { key_hash, slot, id: request.id, age: known_age(request) };
         passage.once(now, &admittance, key, caller).await
     }
@@ -131,8 +127,7 @@
         let admittance = Admittance { unit: WHOLE_SERVICE, grant, fence, returned: None };
         let key_hash = KeyHash(request.id.0 as u64);
         let key = RequestKey { key_hash, slot: Slot(0), id: request.id, age: known_age(request) };
-        let content = request.fingerprint();
-        let passage = Passage { gate: self, bound, request, content, deadline, entry: None };
+        let passage = Passage { gate: self, bound, request, deadline, entry: None };
         passage.once(now, &admittance, key, caller).await
     }
 
@@ -264,7 +259,7 @@
         &self,
         caller: &mut Caller,
     ) -> Result<Option<SemaphorePermit<'_>>, Box<GateReply>> {
-        match self.gate.quarantine.standing(self.content) {
+        match self.gate.quarantine.standing(self.request.content) {
             Standing::Clear => return Ok(None),
             Standing::Suspect => {}
             Standing::Quarantined => return Err(quarantined()),
@@ -351,7 +346,7 @@
         if now >= self.deadline {
             return Err(Box::new(GateReply::not_run(NotRunReason::DeadlineExceeded)));
         }
-        if self.gate.quarantine.is_quarantined(self.content) {
+        if self.gate.quarantine.is_quarantined(self.request.content) {
             return Err(quarantined());
         }
         // By now another state may be bound than the one that the request came under.
@@ -426,7 +421,7 @@
         let remaining = until.since(started);
         let run =
             gate.upstream_runs.begin(started, self.entry.as_ref().map(Entry::slot), remaining);
-        let watched = gate.unanswered.begin(gate.clock, self.content);
+        let watched = gate.unanswered.begin(gate.clock, self.request.content);
         let call = self.bound.upstream.call(upstream::Request {
             method: self.request.method.clone(),
             path: self.request.path.clone(),
@@ -457,7 +452,7 @@
             }
             Ended::Answered(answer) => {
                 gate.sign(ended);
-                gate.quarantine.answered(self.content);
+                gate.quarantine.answered(self.request.content);
                 // An upstream that fails fast must not look like one that works fast.
                 permit.completion = match answer.status.is_server_error() {
                     true => Completion::Cut,
--- a/crates/agent/src/ingress/form.rs
+++ b/crates/agent/src/ingress/form.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http::{HeaderMap, HeaderValue, StatusCode, request::Parts};
-use model::{NotRunReason, Outcome, RequestId, UnknownReason};
+use model::{Fingerprint, NotRunReason, Outcome, RequestId, UnknownReason};
 use upstream::Answer;
 use volo_http::{body::Body, response::Response};
 
@@ -26,6 +26,8 @@
     pub deadline: Option<Duration>,
     /// Time since the first sending of this id whose end the caller does not know; zero: this is it.
     pub age: Duration,
+    /// Of the headers that count for what is asked for: attempts of the same request agree in them.
+    pub content: Fingerprint,
     /// What the upstream is given of the headers.
     pub headers: HeaderMap,
 }
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -31,8 +31,8 @@
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use model::{
-    ClassName, NotRunReason, Outcome, RequestId, ServiceName, TeamName, Timestamp, UnknownReason,
-    key_hash,
+    ClassName, Fingerprint, NotRunReason, Outcome, RequestId, ServiceName, TeamName, Timestamp,
+    UnknownReason, key_hash,
 };
 use settings::HostRoute;
 use tokio::time::{sleep_until, timeout};
@@ -214,6 +214,7 @@
         let left = head.deadline;
         let mut request = gate_request(&routes, &destination, parts, head, id)?;
         request.body = read(body, limits.body_bytes_max).await?;
+        request.content = content(&request);
         if let (Some(route), Some(left)) = (&destination.route, left) {
             let waited = self.waits.waited(route, left);
             request.has_come_back = waited.is_some();
@@ -309,6 +310,7 @@
         service: destination.service.clone(),
         key_hash,
         id,
+        content: head.content,
         class: class.clone(),
         idempotent,
         remaining: head.deadline.map_or(timeout, |named| named.min(timeout)),
@@ -326,6 +328,16 @@
     })
 }
 
+/// What a request asks for, once its body is there.
+fn content(request: &GateRequest) -> Fingerprint {
+    Fingerprint::of([
+        &request.content.0.to_le_bytes()[..],
+        request.method.as_str().as_bytes(),
+        request.path.as_str().as_bytes(),
+        &request.body,
+    ])
+}
+
 fn check_size(headers: &HeaderMap, uri: &Uri, bytes_max: usize) -> Result<(), Refusal> {
     let all = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
     let uri = uri.path_and_query().map_or(0, |it| it.as_str().len());
--- a/crates/agent/src/ingress/own_form.rs
+++ b/crates/agent/src/ingress/own_form.rs
@@ -8,10 +8,12 @@
 
 use http::{
     HeaderMap, HeaderName, HeaderValue,
-    header::{HOST, RETRY_AFTER},
+    header::{DATE, HOST, RETRY_AFTER, USER_AGENT},
     request::Parts,
 };
-use model::{NotRunReason, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, RequestId, TOKEN_HEADER};
+use model::{
+    Fingerprint, NotRunReason, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, RequestId, TOKEN_HEADER,
+};
 use volo_http::{body::Body, response::Response};
 
 use crate::{
@@ -30,6 +32,13 @@
 /// The header that names the time, in milliseconds, since the first sending of the same id whose end
 /// the caller does not know. Sendings that ended as not run don't count.
 pub(super) const FIRST_SENT_HEADER: HeaderName = HeaderName::from_static("x-first-sent-ms");
+/// Headers in which attempts of the same request may differ, beside those above.
+const OF_ONE_ATTEMPT: [HeaderName; 4] = [
+    DATE,
+    USER_AGENT,
+    HeaderName::from_static("traceparent"),
+    HeaderName::from_static("tracestate"),
+];
 const OUTCOME: HeaderName = HeaderName::from_static(OUTCOME_HEADER);
 /// The time of `retry-after` to the millisecond.
 const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
@@ -46,7 +55,8 @@
         let age = parse_ms(&head.headers, FIRST_SENT_HEADER)?.unwrap_or_default();
         let mut headers = head.headers.clone();
         strip(&mut headers);
-        Ok(CallHead { host: None, id, id_text: None, deadline, age, headers })
+        let content = content(&headers);
+        Ok(CallHead { host: None, id, id_text: None, deadline, age, content, headers })
     }
 
     fn answer(&self, ending: Ending, id: &CallId) -> Response {
@@ -85,6 +95,12 @@
     }
 }
 
+/// Of all that the upstream is given but for what traces a single attempt.
+fn content(headers: &HeaderMap) -> Fingerprint {
+    let counted = headers.iter().filter(|(name, _)| !OF_ONE_ATTEMPT.contains(name));
+    Fingerprint::of(counted.flat_map(|(name, value)| [name.as_str().as_bytes(), value.as_bytes()]))
+}
+
 fn outcome_value(outcome: Outcome) -> HeaderValue {
     match outcome {
         Outcome::Answered => HeaderValue::from_static("answered"),
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -3,9 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header::HOST, uri::PathAndQuery,
-};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, uri::PathAndQuery};
 use model::{
     ClassName, ConfigVersion, Fingerprint, Instance, KeyHash, NotRunReason, Outcome, RequestId,
     ServiceName, UnknownReason,
@@ -23,6 +21,8 @@
     /// None where the service is not divided by key.
     pub(crate) key_hash: Option<KeyHash>,
     pub(crate) id: RequestId,
+    /// What it asks for: the same for all attempts, whoever takes them in.
+    pub(crate) content: Fingerprint,
     pub(crate) class: ClassName,
     pub(crate) idempotent: bool,
     /// Time left to answer in.
@@ -122,18 +122,6 @@
 }
 
 impl GateRequest {
-    /// Its content. Of the headers only the host counts and what says its key: attempts differ in the others.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        let host = self.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
-        Fingerprint::of([
-            self.method.as_str().as_bytes(),
-            host,
-            self.path.as_str().as_bytes(),
-            &self.key_hash.map_or(0, |it| it.0).to_le_bytes(),
-            &self.body,
-        ])
-    }
-
     /// The head frame, with at most `first_len` bytes of the body.
     pub(crate) fn to_wire(&self, id: CorrelationId, first_len: usize) -> frames::Request {
         frames::Request {
@@ -141,6 +129,7 @@
             service: self.service.clone(),
             key_hash: self.key_hash,
             request_id: self.id,
+            content: self.content,
             class: self.class.clone(),
             idempotent: self.idempotent,
             remaining_us: whole_us(self.remaining),
@@ -169,6 +158,7 @@
             service: raw.service,
             key_hash: raw.key_hash,
             id: raw.request_id,
+            content: raw.content,
             class: raw.class,
             idempotent: raw.idempotent,
             remaining: Duration::from_micros(raw.remaining_us),
--- a/crates/standins/src/journal/run.rs
+++ b/crates/standins/src/journal/run.rs
@@ -30,6 +30,8 @@
         key: String,
         reason: RefusedReason,
     },
+    /// The process ends under a run.
+    EndsUnder { at_ns: u64, run: u64 },
     /// The upstream began to leave.
     Draining { at_ns: u64 },
 }
--- a/crates/standins/src/upstream/execution.rs
+++ b/crates/standins/src/upstream/execution.rs
@@ -21,6 +21,8 @@
 const START_BEFORE: HeaderName = HeaderName::from_static("x-start-before-ms");
 const END_BEFORE: HeaderName = HeaderName::from_static("x-end-before-ms");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+/// How the process exits when a request has ended it.
+pub const ENDED_UNDER_A_RUN: i32 = 70;
 /// The deadline of a request that names none.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
 
@@ -140,6 +142,10 @@
         let started_ns = wall_ns();
         let started = Instant::now();
         let end = self.work(call.deadline).await;
+        if self.upstream.config.ends_on.as_ref() == Some(&call.key) {
+            self.upstream.record(&RunEntry::EndsUnder { at_ns: wall_ns(), run: self.run });
+            std::process::exit(ENDED_UNDER_A_RUN);
+        }
         // After a freeze nothing more takes effect, so the run ended at its deadline.
         let at_ns = match end {
             RunEnd::DeadlineExceeded => {
--- a/crates/standins/src/upstream/options.rs
+++ b/crates/standins/src/upstream/options.rs
@@ -34,6 +34,11 @@
     pub drain_ms: u64,
     #[options(no_short, help = "seed of its service times", default = "1")]
     pub seed: u64,
+    #[options(
+        no_short,
+        help = "the process ends when it runs a request for this key; empty: none"
+    )]
+    pub ends_on: String,
     #[options(no_short, help = "file of the journal; empty: none")]
     pub journal: String,
 }
@@ -53,6 +58,8 @@
     pub(crate) health_lag: Duration,
     pub(crate) drain: Duration,
     pub(crate) seed: u64,
+    /// None: no request ends it.
+    pub(crate) ends_on: Option<String>,
     pub(crate) journal: String,
 }
 
@@ -84,6 +91,7 @@
             health_lag: Duration::from_millis(options.health_lag_ms),
             drain: Duration::from_millis(options.drain_ms),
             seed: options.seed,
+            ends_on: Some(options.ends_on).filter(|it| !it.is_empty()),
             journal: options.journal,
         })
     }
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use model::{
-    ClassName, ConfigVersion, Instance, KeyHash, NotRunReason, RequestId, ServiceName, Slot, Token,
-    UnknownReason,
+    ClassName, ConfigVersion, Fingerprint, Instance, KeyHash, NotRunReason, RequestId, ServiceName,
+    Slot, Token, UnknownReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -65,6 +65,8 @@
     /// None where the service is not divided by key.
     pub key_hash: Option<KeyHash>,
     pub request_id: RequestId,
+    /// What it asks for: the same for all attempts.
+    pub content: Fingerprint,
     pub class: ClassName,
     pub idempotent: bool,
     /// Time left to answer in.
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use model::{ClassName, ConfigVersion, KeyHash, RequestId, ServiceName};
+use model::{ClassName, ConfigVersion, Fingerprint, KeyHash, RequestId, ServiceName};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -15,6 +15,7 @@
         service: ServiceName::new("standings").unwrap(),
         key_hash: Some(KeyHash(u64::MAX)),
         request_id: RequestId(7),
+        content: Fingerprint(u64::MAX),
         class: ClassName::new("lap").unwrap(),
         idempotent: false,
         remaining_us: 1_000_000,
--- a/xtask/src/bench/slopes/frames.rs
+++ b/xtask/src/bench/slopes/frames.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 
 use bytes::Bytes;
-use model::{ClassName, ConfigVersion, RequestId, ServiceName, key_hash};
+use model::{ClassName, ConfigVersion, Fingerprint, RequestId, ServiceName, key_hash};
 use wire::traffic::{CorrelationId, Frame, Header, Request};
 
 use super::{Slope, fit::Point, group::thread_cpu, wire_size::HEADER_BYTES};
@@ -37,6 +37,7 @@
         service: ServiceName::new("standings").expect("a valid name"),
         key_hash: Some(key_hash(b"car-7")),
         request_id: RequestId(u128::MAX / 7),
+        content: Fingerprint(1),
         class: ClassName::new("penalty").expect("a valid name"),
         idempotent: false,
         remaining_us: 1_000_000,
