Soak: a request under which upstreams end, sent again at any instance

Upstreams of the soak end when they run a request for one key, and come back after a time drawn from the seed; callers of each service send it at any agent at a drawn rate. No service may be seen to run it more than three times later than 3 s after its third end, but for runs at an instance that was struck, or while the store was, in the 3 s before.

--- a/xtask/src/cluster/instance.rs
+++ b/xtask/src/cluster/instance.rs
@@ -9,7 +9,10 @@
 use anyhow::Context;
 use nix::sys::signal::Signal;
 use serde_json::json;
-use standins::journal::{read_journal, wall_ns};
+use standins::{
+    journal::{read_journal, wall_ns},
+    upstream::ENDED_UNDER_A_RUN,
+};
 
 use super::{Binaries, Ports, Process, RunDir, Service};
 use crate::demo::evidence::{PlannedStop, SickIngress, UpstreamJournal, Window};
@@ -103,6 +106,10 @@
 
     pub(crate) fn start(&mut self, with: &StartWith<'_>) -> anyhow::Result<()> {
         self.start_agent(with)?;
+        self.start_upstream(with)
+    }
+
+    fn start_upstream(&mut self, with: &StartWith<'_>) -> anyhow::Result<()> {
         let mut arguments = self.upstream_flags.clone();
         let flags = [
             ("--listen", self.upstream_address.to_string()),
@@ -136,6 +143,25 @@
         self.start(with)
     }
 
+    /// From its next start on, a request for this key ends its upstream.
+    pub(crate) fn ends_on(&mut self, key: &str) {
+        self.upstream_flags.extend(["--ends-on".to_owned(), key.to_owned()]);
+    }
+
+    /// Whether a request has ended the upstream.
+    pub(crate) fn has_ended_under_a_run(&self) -> anyhow::Result<bool> {
+        let status = self.upstream()?.exit_status()?;
+        Ok(status.is_some_and(|it| it.code() == Some(ENDED_UNDER_A_RUN)))
+    }
+
+    /// Starts the upstream again, which has ended by itself beside a live agent.
+    pub(crate) fn start_upstream_again(&mut self, with: &StartWith<'_>) -> anyhow::Result<()> {
+        let frozen = std::mem::take(&mut self.frozen);
+        self.past.push(PastLife { life: self.life, gone_ns: wall_ns(), frozen });
+        self.life += 1;
+        self.start_upstream(with)
+    }
+
     fn write_settings(
         &self,
         dir: &RunDir,
@@ -244,7 +270,8 @@
         self.signal(Signal::SIGTERM)?;
         for process in [self.agent()?, self.upstream()?] {
             let status = process.wait(STOP_TIMEOUT).await?;
-            anyhow::ensure!(status.success(), "{} ended with {status} when told to", self.name);
+            let in_order = status.success() || status.code() == Some(ENDED_UNDER_A_RUN);
+            anyhow::ensure!(in_order, "{} ended with {status} when told to", self.name);
         }
         log::info!(target: "demo", "{} left within {:?}.", self.name, began.elapsed());
         self.gone_ns = Some(wall_ns());
--- a/xtask/src/demo/evidence.rs
+++ b/xtask/src/demo/evidence.rs
@@ -134,6 +134,11 @@
                         executions[index].end = Some(*end);
                     }
                 }
+                RunEntry::EndsUnder { at_ns, .. } => {
+                    for index in open.drain().map(|(_, index)| index) {
+                        executions[index].until_ns = *at_ns;
+                    }
+                }
                 RunEntry::Refused { .. } | RunEntry::Draining { .. } => {}
             }
         }
--- a/xtask/src/demo/load.rs
+++ b/xtask/src/demo/load.rs
@@ -51,6 +51,11 @@
         Callers { loads }
     }
 
+    /// Starts more callers.
+    pub(crate) fn add(&mut self, load: Load, start: Instant) {
+        self.loads.spawn(async move { Ok(run_load(load, start).await?.records) });
+    }
+
     /// Waits until each request has come to its end.
     pub(crate) async fn finish(mut self) -> anyhow::Result<Vec<CallRecord>> {
         let mut calls = Vec::new();
@@ -81,7 +86,8 @@
     }
 }
 
-fn steady(cluster: &Cluster, service: &Service, duration: Duration) -> Load {
+/// A steady load on the probed keys of a service.
+pub(crate) fn steady(cluster: &Cluster, service: &Service, duration: Duration) -> Load {
     let requests_per_s = match service.document.keyed {
         true => STEADY_REQUESTS_PER_S,
         false => STEADY_REQUESTS_PER_S_WITHOUT_KEY,
--- a/xtask/src/soak/lane.rs
+++ b/xtask/src/soak/lane.rs
@@ -2,22 +2,28 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use standins::journal::wall_ns;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{
     faults::{self, Fault, InstanceFault, PlannedFault, StoreFault},
+    harmful::{self, Disturbed},
     proxy::{LinkState, Proxy},
 };
 use crate::{
     cluster::{Binaries, Cluster, Instance, StartWith},
-    demo::evidence::{PlannedStop, SickIngress},
+    demo::evidence::{PlannedStop, SickIngress, Window},
 };
 
+/// How often a lane looks for upstreams that have ended by themselves.
+const REVIVE_EVERY: Duration = Duration::from_millis(100);
+
 /// What was done to processes, for the verdict.
 #[derive(Debug, Default)]
 pub(super) struct Struck {
     pub(super) sick: Vec<SickIngress>,
     pub(super) stops: Vec<PlannedStop>,
+    pub(super) disturbed: Vec<Disturbed>,
 }
 
 /// An instance with its way to the store.
@@ -25,11 +31,14 @@
     instance: Instance,
     proxy: Proxy,
     peers: Vec<SocketAddr>,
+    /// When its upstream was found to have ended under a request.
+    ended_at: Option<Instant>,
 }
 
 pub(super) struct Lane {
     members: Vec<Member>,
     pub(super) planned: Vec<PlannedFault>,
+    until: Duration,
     seed: u64,
 }
 
@@ -43,13 +52,14 @@
 ) -> Vec<Lane> {
     let peers: Vec<Vec<SocketAddr>> =
         (0..cluster.instances.len()).map(|it| cluster.peers(it)).collect();
-    let mut lanes: Vec<Lane> =
-        (0..count).map(|_| Lane { members: Vec::new(), planned: Vec::new(), seed }).collect();
+    let mut lanes: Vec<Lane> = (0..count)
+        .map(|_| Lane { members: Vec::new(), planned: Vec::new(), until, seed })
+        .collect();
     let instances = std::mem::take(&mut cluster.instances);
     for (at, ((instance, proxy), peers)) in
         instances.into_iter().zip(proxies).zip(peers).enumerate()
     {
-        lanes[at % count].members.push(Member { instance, proxy, peers });
+        lanes[at % count].members.push(Member { instance, proxy, peers, ended_at: None });
     }
     for (at, lane) in lanes.iter_mut().enumerate() {
         let own: Vec<usize> = (0..lane.members.len()).collect();
@@ -66,6 +76,28 @@
     proxies
 }
 
+impl Member {
+    /// Starts the upstream again if a request has ended it and it has been away for long enough.
+    fn revive(
+        &mut self,
+        away: Duration,
+        cluster: &Cluster,
+        binaries: &Binaries,
+        seed: u64,
+    ) -> anyhow::Result<()> {
+        let Member { instance, proxy, peers, ended_at } = self;
+        if !instance.is_up() || !instance.has_ended_under_a_run()? {
+            *ended_at = None;
+            return Ok(());
+        }
+        if ended_at.get_or_insert_with(Instant::now).elapsed() < away {
+            return Ok(());
+        }
+        let (dir, platform) = (&cluster.dir, proxy.address);
+        instance.start_upstream_again(&StartWith { binaries, dir, platform, peers, seed })
+    }
+}
+
 impl Lane {
     /// Brings the faults about, each at its time, and undoes them.
     pub(super) async fn strike(
@@ -76,9 +108,10 @@
     ) -> anyhow::Result<Struck> {
         let mut struck = Struck::default();
         for it in std::mem::take(&mut self.planned) {
-            sleep_until(start + it.after).await;
+            self.revive_until(start + it.after, cluster, binaries).await?;
             log::info!(target: "soak", "{it:?}.");
-            let Member { instance, proxy, peers } = &mut self.members[it.instance];
+            let from_ns = wall_ns();
+            let Member { instance, proxy, peers, .. } = &mut self.members[it.instance];
             match it.fault {
                 Fault::Store(fault) => strike_store(cluster, fault, it.lasts).await?,
                 Fault::StoreLink(state) => {
@@ -92,9 +125,32 @@
                     strike_instance(instance, fault, it.lasts, &with, &mut struck).await?;
                 }
             }
+            let is_for_all = matches!(it.fault, Fault::Store(_));
+            let window = Window { from_ns, until_ns: wall_ns() };
+            let instance = (!is_for_all).then(|| instance.name.clone());
+            struck.disturbed.push(Disturbed { instance, window });
         }
+        let away = harmful::stays_away(self.seed);
+        self.revive_until(start + self.until + away + REVIVE_EVERY, cluster, binaries).await?;
         Ok(struck)
     }
+
+    /// Waits, and starts the upstreams again meanwhile that a request has ended.
+    async fn revive_until(
+        &mut self,
+        until: Instant,
+        cluster: &Cluster,
+        binaries: &Binaries,
+    ) -> anyhow::Result<()> {
+        let away = harmful::stays_away(self.seed);
+        while Instant::now() < until {
+            for it in &mut self.members {
+                it.revive(away, cluster, binaries, self.seed)?;
+            }
+            sleep_until(until.min(Instant::now() + REVIVE_EVERY)).await;
+        }
+        Ok(())
+    }
 }
 
 async fn strike_store(cluster: &Cluster, fault: StoreFault, lasts: Duration) -> anyhow::Result<()> {
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -6,6 +6,7 @@
 //! faults are over each key is served again.
 
 mod faults;
+mod harmful;
 mod lane;
 mod proxy;
 mod verdict;
@@ -25,7 +26,7 @@
     turn,
 };
 
-use self::{proxy::Proxy, verdict::Violation};
+use self::{harmful::HARMFUL_KEY, proxy::Proxy, verdict::Violation};
 
 /// Faults that strike at a time.
 const LANES: usize = 3;
@@ -115,20 +116,24 @@
     for _ in 0..cluster.instances.len() {
         proxies.push(Proxy::start(ports.next()?, cluster.platform_address).await?);
     }
+    cluster.instances.iter_mut().for_each(|it| it.ends_on(HARMFUL_KEY));
     cluster.start_instances(binaries, seed, |it| proxies[it].address).await?;
     cluster.wait_serving().await?;
     let struck = Duration::from_secs_f64(options.minutes * 60.0);
     let start = Instant::now() + Duration::from_millis(100);
     let load = FIRST_FAULT + struck + RECOVERY + CHECKED;
-    let callers = Callers::start(cluster, load, start, seed);
+    let mut callers = Callers::start(cluster, load, start, seed);
+    harmful::add_callers(&mut callers, cluster, FIRST_FAULT + struck, start, seed);
     let mut evidence = Evidence { probed_keys: probed_keys().collect(), ..Evidence::default() };
     let mut lanes = lane::split(cluster, proxies, LANES, seed, struck);
     let faults = faults::counts(lanes.iter().flat_map(|it| &it.planned));
     let strikes = lanes.iter_mut().map(|it| it.strike(cluster, binaries, start + FIRST_FAULT));
+    let mut disturbed = Vec::new();
     let struck_lanes = futures_util::future::try_join_all(strikes).await?;
     for it in struck_lanes {
         evidence.sick.extend(it.sick);
         evidence.stops.extend(it.stops);
+        disturbed.extend(it.disturbed);
     }
     let proxies = lane::merge(cluster, lanes);
     sleep_until(start + FIRST_FAULT + struck + RECOVERY).await;
@@ -141,7 +146,8 @@
     evidence.upstreams = cluster.journals()?;
     let checked =
         crate::demo::evidence::Window { from_ns: checked_from_ns, until_ns: checked_until_ns };
-    let violations = verdict::violations(&evidence, checked);
+    let mut violations = verdict::violations(&evidence, checked);
+    violations.extend(harmful::violations(&evidence, &disturbed));
     let answered = |it: &&standins::journal::CallRecord| {
         it.outcome == standins::journal::FinalOutcome::Answered
     };
--- a/xtask/src/soak/tests.rs
+++ b/xtask/src/soak/tests.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use model::RequestId;
-use standins::journal::{Attempt, AttemptResult, CallRecord, FinalOutcome};
+use standins::journal::{Attempt, AttemptResult, CallRecord, FinalOutcome, RunEntry};
 
-use crate::demo::evidence::{Evidence, Window};
+use crate::demo::evidence::{Evidence, UpstreamJournal, Window};
 
-use super::{faults, verdict::violations};
+use super::{
+    faults,
+    harmful::{self, Disturbed, HARMFUL_KEY},
+    verdict::violations,
+};
 
 const MINUTE: Duration = Duration::from_secs(60);
 
@@ -61,3 +65,35 @@
     let count = |invariant: &str| seen.iter().filter(|it| it.invariant == invariant).count();
     assert_eq!((count("crossed_answers"), count("unserved")), (3, 1), "{seen:?}");
 }
+
+fn harmful_runs(at_s: &[u64]) -> Evidence {
+    let entries = at_s.iter().map(|it| RunEntry::Started {
+        at_ns: it * 1_000_000_000,
+        run: *it,
+        id: RequestId(u128::from(*it)),
+        key: HARMFUL_KEY.to_owned(),
+        class: "read".to_owned(),
+        token: None,
+    });
+    let upstream = UpstreamJournal {
+        instance: "standings-1".to_owned(),
+        service: "standings".to_owned(),
+        keyed: true,
+        entries: entries.collect(),
+        gone_ns: u64::MAX,
+        frozen: Vec::new(),
+    };
+    Evidence { upstreams: vec![upstream], ..Evidence::default() }
+}
+
+#[test]
+fn a_harmful_request_that_is_sent_on_is_seen_unless_word_of_it_was_kept_back() {
+    let few = harmful_runs(&[1, 2, 3, 5, 10, 20, 30]);
+    assert_eq!(harmful::violations(&few, &[]), []);
+    let many = harmful_runs(&[1, 2, 3, 10, 20, 30, 40]);
+    assert_eq!(harmful::violations(&many, &[]).len(), 1);
+    let window = Window { from_ns: 38_000_000_000, until_ns: 39_000_000_000 };
+    let other = Disturbed { instance: Some("standings-2".to_owned()), window };
+    assert_eq!(harmful::violations(&many, std::slice::from_ref(&other)).len(), 1);
+    assert_eq!(harmful::violations(&many, &[Disturbed { instance: None, ..other }]), []);
+}
