--- a/crates/object-store/src/follower.rs
+++ b/crates/object-store/src/follower.rs
@@ -7,6 +7,9 @@
 
 use crate::{Change, Changes, ObjectStore, StoreError};
 
+/// So many lists in a row, each followed by a lost history, are told of.
+const LISTS_TOLD: u32 = 3;
+
 /// How often and how long a follower calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowerTimes {
@@ -44,6 +47,8 @@
     aged_first: bool,
     /// The objects that there are, as far as it has yielded.
     known: BTreeSet<String>,
+    /// Lists since a watch was last answered.
+    lists_in_a_row: u32,
     pause: Duration,
     next_call: Option<Instant>,
     /// The last call was answered, as far as the log says.
@@ -64,6 +69,7 @@
             lists: true,
             aged_first: false,
             known: BTreeSet::new(),
+            lists_in_a_row: 0,
             pause: times.pause,
             next_call: None,
             is_in_reach: true,
@@ -93,7 +99,9 @@
                     }
                 }
                 Err(error) => {
-                    self.lists |= matches!(error, StoreError::HistoryGone { .. });
+                    if matches!(error, StoreError::HistoryGone { .. }) {
+                        self.history_is_gone();
+                    }
                     self.next_call = Some(Instant::now() + self.pause);
                     self.pause = (self.pause * 2).min(self.times.pause_max);
                     return Err(error);
@@ -131,10 +139,26 @@
         }
     }
 
+    fn history_is_gone(&mut self) {
+        let after = self.revision.unwrap_or_default();
+        let path = &self.prefix;
+        match self.lists_in_a_row {
+            0 => {
+                log::info!(target: "follower", "{path}: the history after revision {after} is gone; listing anew.");
+            }
+            LISTS_TOLD => {
+                log::warn!(target: "follower", "{path}: the history after revision {after} is gone again, after {LISTS_TOLD} lists in a row.");
+            }
+            _ => {}
+        }
+        self.lists = true;
+    }
+
     /// An answer that was made before one that came earlier moves nothing back.
     fn advance(&mut self, changes: Changes) -> Vec<Change> {
         let listed = std::mem::take(&mut self.lists);
         let known = self.revision;
+        self.note_list(listed, &changes);
         let is_later = known.is_none_or(|known| changes.revision > known);
         let gone = if listed && is_later { self.gone_from(&changes) } else { Vec::new() };
         let is_newer = |it: &Change| known.is_none_or(|known| it.version > known);
@@ -151,6 +175,19 @@
         newer
     }
 
+    /// Tells of the first list in a row after the history has gone.
+    fn note_list(&mut self, listed: bool, changes: &Changes) {
+        let Some(known) = self.revision.filter(|_| listed) else {
+            self.lists_in_a_row = 0;
+            return;
+        };
+        if self.lists_in_a_row == 0 {
+            let (path, found) = (&self.prefix, changes.changes.len());
+            log::info!(target: "follower", "{path}: listed {found} objects at revision {}, known so far up to {known}.", changes.revision);
+        }
+        self.lists_in_a_row += 1;
+    }
+
     /// What was there and is not in a list that is newer.
     fn gone_from(&self, list: &Changes) -> Vec<Change> {
         let listed: BTreeSet<&str> = list.changes.iter().map(|it| it.path.as_str()).collect();
