Failing test: a store that comes back from an older copy is not followed

A model of a store in virtual time that is copied, comes back from a copy with lower revisions, gives them out again and answers a watch from one that it does not have as history gone. On this code a follower is not told within 60 s what was written after the copy, and ends with something else than is there for copy, write, restore.

--- a/crates/object-store/src/tests/mod.rs
+++ b/crates/object-store/src/tests/mod.rs
@@ -2,3 +2,4 @@
 
 mod follower;
 mod http;
+mod restored;
