Versions of objects rise over the store's eras, so that a store that comes back from an older copy is followed

Cause: revisions were taken for a clock that only rises. A follower goes on from the highest it has seen; the watch from there is answered 410, the list that follows is of a lower revision and moved nothing, and the next watch asked from the old one again. What was written meanwhile had lower revisions and was passed over as old. The class: a number of the store's was compared over a loss of its history. Elsewhere: a condition on a revision that was given out again for something else would have held; and the watch of documents that teams write never listed anew after a lost history.

A version now is the store's era, then its revision. Clients name a revision only in the era that it is of: as a condition it is a conflict at once, a watch from it lists anew, and an update whose answer is of a later era is unknown. The product's own object API names its era in x-store-era.

A change of a document after the store came back is in force on all agents.

--- a/crates/agent/src/control/tests/config.rs
+++ b/crates/agent/src/control/tests/config.rs
@@ -158,3 +158,15 @@
     second.wait_owned(SLOTS).await;
     tokio::join!(second.stop(), third.stop());
 }
+
+#[tokio::test]
+async fn a_change_after_the_store_came_back_from_an_older_copy_is_in_force_on_all() {
+    let fleet = Fleet::start().await;
+    fleet.platform.keep_copy();
+    for weight in 2..5 {
+        fleet.change(weight).await;
+    }
+    fleet.platform.come_back_from_copy();
+    let version = fleet.change(9).await;
+    assert_eq!(fleet.accepted().version, version);
+}
--- a/crates/agent/src/control/tests/platform.rs
+++ b/crates/agent/src/control/tests/platform.rs
@@ -16,14 +16,16 @@
 use tokio::{sync::watch, time::timeout};
 
 /// Objects with their versions; one counter for all.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Store {
+    era: u64,
     revision: u64,
     objects: BTreeMap<String, Object>,
 }
 
 pub(crate) struct FakeStore {
     store: Mutex<Store>,
+    copy: Mutex<Store>,
     changed: watch::Sender<()>,
     pub(crate) down: AtomicBool,
     /// So many updates of `accepted/` take effect and then lose their answer.
@@ -34,12 +36,30 @@
     pub(crate) fn new() -> FakeStore {
         FakeStore {
             store: Mutex::default(),
+            copy: Mutex::default(),
             changed: watch::Sender::new(()),
             down: AtomicBool::new(false),
             lost_answers: AtomicU32::new(0),
         }
     }
 
+    /// Keeps a copy of all that there is now.
+    pub(crate) fn keep_copy(&self) {
+        *self.copy.lock().unwrap() = self.store.lock().unwrap().clone();
+    }
+
+    /// Comes back from the copy: revisions since are given out again, in the next era.
+    pub(crate) fn come_back_from_copy(&self) {
+        let mut store = self.store.lock().unwrap();
+        let era = store.era + 1;
+        *store = Store { era, ..self.copy.lock().unwrap().clone() };
+        for object in store.objects.values_mut() {
+            object.version = ObjectVersion::of(era, object.version.revision());
+        }
+        drop(store);
+        self.changed.send_replace(());
+    }
+
     /// Writes whatever the version, as an operator without care would.
     pub(crate) fn put(&self, path: &str, body: &str) -> ObjectVersion {
         let version = self.store.lock().unwrap().put(path, Bytes::from(body.to_owned()));
@@ -68,7 +88,14 @@
             version: it.version,
             body: Some(it.body.clone()),
         });
-        Changes { revision: ObjectVersion(store.revision), changes: changes.collect() }
+        let revision = ObjectVersion::of(store.era, store.revision);
+        Changes { revision, changes: changes.collect() }
+    }
+
+    /// Whether what came after this is known.
+    fn has_history(&self, after: ObjectVersion) -> bool {
+        let store = self.store.lock().unwrap();
+        after.era() == store.era && after.revision() <= store.revision
     }
 
     /// Whether the answer of an update that has taken effect gets lost.
@@ -82,7 +109,7 @@
 impl Store {
     fn put(&mut self, path: &str, body: Bytes) -> ObjectVersion {
         self.revision += 1;
-        let version = ObjectVersion(self.revision);
+        let version = ObjectVersion::of(self.era, self.revision);
         self.objects.insert(path.to_owned(), Object { version, body });
         version
     }
@@ -143,13 +170,16 @@
         Box::pin(async move {
             let mut changed = self.changed.subscribe();
             let waiting = async {
-                while self.changes(&prefix, after).changes.is_empty() {
+                while self.has_history(after) && self.changes(&prefix, after).changes.is_empty() {
                     _ = changed.changed().await;
                 }
             };
             // An end of the wait without a change is an empty answer.
             _ = timeout(wait, waiting).await;
             self.check("watch")?;
+            if !self.has_history(after) {
+                return Err(StoreError::HistoryGone { step: "watch".to_owned() });
+            }
             Ok(self.changes(&prefix, after))
         })
     }
--- a/crates/agent/src/control/watch.rs
+++ b/crates/agent/src/control/watch.rs
@@ -59,6 +59,11 @@
         self.pause = RETRY_AFTER[0];
     }
 
+    /// Changes may have been missed.
+    pub(super) fn lists_next(&mut self) {
+        self.after = None;
+    }
+
     /// `jitter` is drawn from 1 to 2.
     pub(super) fn failed(&mut self, now: Timestamp, jitter: f64) {
         self.running = None;
@@ -102,6 +107,9 @@
             Err(error) => {
                 log::debug!(target: "config", "{error}.");
                 watch.failed(now, jitter);
+                if matches!(error, StoreError::HistoryGone { .. }) {
+                    watch.lists_next();
+                }
             }
         }
     }
--- a/crates/model/src/identity.rs
+++ b/crates/model/src/identity.rs
@@ -6,6 +6,10 @@
 
 use crate::{InstanceName, Zone};
 
+/// The bits of a version below its era: enough for 80 years at 400 changes a second.
+const REVISION_BITS: u32 = 40;
+const REVISION_MAX: u64 = (1 << REVISION_BITS) - 1;
+
 macro_rules! numbers {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
@@ -27,7 +31,7 @@
     Incarnation(u64);
     /// A coordinator's term in one group; rises with each change of coordinator.
     Term(u64);
-    /// The version that the platform gives an object; 0 means "does not exist".
+    /// The version that the platform gives an object, above all that it gave before; 0 means "does not exist".
     ObjectVersion(u64);
     /// The accepted version of a service document; only rises.
     ConfigVersion(u64);
@@ -37,6 +41,23 @@
     RequestId(u128);
 }
 
+impl ObjectVersion {
+    /// A store that comes back from an older copy gives revisions out again, in a later era.
+    pub fn of(era: u64, revision: u64) -> ObjectVersion {
+        ObjectVersion(era << REVISION_BITS | revision & REVISION_MAX)
+    }
+
+    /// How often the store had come back from an older copy.
+    pub fn era(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// The store's own number.
+    pub fn revision(self) -> u64 {
+        self.0 & REVISION_MAX
+    }
+}
+
 /// A fence token: rises with each grant of a slot, first by term, then by sequence.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/crates/object-store/src/follower.rs
+++ b/crates/object-store/src/follower.rs
@@ -34,7 +34,8 @@
 }
 
 /// Yields every object under a prefix and then every change, none twice and none older than one
-/// that it has yielded. What was deleted while it could not watch is told by the next list.
+/// that it has yielded. What was deleted while it could not watch is told by the next list. When the store has
+/// come back from an older copy, all is yielded again, perhaps as it was before.
 pub struct Follower {
     platform: Arc<dyn ObjectStore>,
     prefix: String,
@@ -90,11 +91,12 @@
             }
             self.next_call = Some(Instant::now() + self.times.call_every_min);
             let first = self.revision.is_none();
+            let era = self.era();
             match self.call().await {
                 Ok(changes) => {
                     self.pause = self.times.pause;
                     let newer = self.advance(changes);
-                    if first || !newer.is_empty() {
+                    if first || era != self.era() || !newer.is_empty() {
                         return Ok(newer);
                     }
                 }
@@ -129,6 +131,11 @@
         }
     }
 
+    /// How often the store had come back from an older copy, by its last answer.
+    pub fn era(&self) -> u64 {
+        self.revision.unwrap_or_default().era()
+    }
+
     async fn call(&self) -> Result<Changes, StoreError> {
         match self.revision.filter(|_| !self.lists) {
             None if self.aged_first && self.revision.is_none() => {
--- a/crates/object-store/src/http.rs
+++ b/crates/object-store/src/http.rs
@@ -1,6 +1,6 @@
 //! The object API over HTTP/1.1, to one address, with connections kept alive.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
@@ -15,11 +15,12 @@
     response::Response,
 };
 
-use crate::{Change, Changes, Object, ObjectStore, StoreError, StoreResult};
+use crate::{Change, Changes, Eras, Object, ObjectStore, StoreError, StoreResult};
 
 const VERSION_HEADER: &str = "x-object-version";
 const CONDITION_HEADER: &str = "if-object-version";
 const REVISION_HEADER: &str = "x-revision";
+const ERA_HEADER: &str = "x-store-era";
 
 /// The longest answer that is read, in bytes: a list of many objects, each up to a megabyte.
 const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
@@ -46,6 +47,7 @@
     client: Client,
     peer: SocketAddr,
     timeouts: Timeouts,
+    eras: Arc<Eras>,
 }
 
 /// One call, before it is sent.
@@ -53,7 +55,8 @@
     step: String,
     method: Method,
     target: String,
-    expected: Option<ObjectVersion>,
+    /// A revision.
+    expected: Option<u64>,
     body: Bytes,
     limit: Duration,
 }
@@ -69,7 +72,7 @@
 #[derive(Deserialize)]
 struct RawChange {
     path: String,
-    version: ObjectVersion,
+    version: u64,
     body: Option<String>,
 }
 
@@ -82,7 +85,7 @@
         let client = builder
             .build()
             .map_err(|error| anyhow::anyhow!("platform client for {peer}: {error}"))?;
-        Ok(HttpObjectStore { client, peer, timeouts })
+        Ok(HttpObjectStore { client, peer, timeouts, eras: Arc::default() })
     }
 
     async fn send(&self, call: Call) -> Result<Answer, StoreError> {
@@ -91,13 +94,16 @@
         let exchange = async {
             let mut request = self.client.request(method, target).address(self.peer);
             if let Some(expected) = expected {
-                request = request.header(CONDITION_HEADER, expected.0);
+                request = request.header(CONDITION_HEADER, expected);
             }
             let response = request.body(Body::from(body)).send().await;
             read(response.map_err(|error| error.to_string())?).await
         };
         match timeout(limit, exchange).await {
-            Ok(Ok(answer)) => self.judge(step, answer, absent_is_an_answer),
+            Ok(Ok(answer)) => {
+                self.eras.hear(era(&answer));
+                self.judge(step, answer, absent_is_an_answer)
+            }
             Ok(Err(reason)) => Err(self.unavailable(step, reason)),
             Err(_) => Err(self.unavailable(step, format!("none within {limit:?}"))),
         }
@@ -118,6 +124,7 @@
                 let current = self.number(&step, &answer, VERSION_HEADER)?;
                 Err(StoreError::Conflict { step, current })
             }
+            StatusCode::GONE => Err(StoreError::HistoryGone { step }),
             // The platform says itself that the request is at fault, so nothing was done.
             status if status.is_client_error() => {
                 Err(StoreError::Refused { step, peer: self.peer, reason: reason() })
@@ -138,7 +145,7 @@
     ) -> Result<ObjectVersion, StoreError> {
         let text = answer.headers.get(header).and_then(|it| it.to_str().ok());
         match text.and_then(|it| it.parse().ok()) {
-            Some(number) => Ok(ObjectVersion(number)),
+            Some(number) => Ok(ObjectVersion::of(era(answer), number)),
             None => Err(self.unavailable(step, format!("the answer has no number in {header}"))),
         }
     }
@@ -146,7 +153,8 @@
     fn changes(&self, step: &str, answer: &Answer) -> Result<Changes, StoreError> {
         let raw: Vec<RawChange> = serde_json::from_slice(&answer.body)
             .map_err(|error| self.unavailable(step, format!("the answer is no list: {error}")))?;
-        let changes = raw.into_iter().map(Change::from).collect();
+        let era = era(answer);
+        let changes = raw.into_iter().map(|it| it.into_change(era)).collect();
         Ok(Changes { revision: self.number(step, answer, REVISION_HEADER)?, changes })
     }
 
@@ -155,12 +163,19 @@
     }
 }
 
-impl From<RawChange> for Change {
-    fn from(raw: RawChange) -> Change {
-        Change { path: raw.path, version: raw.version, body: raw.body.map(Bytes::from) }
+impl RawChange {
+    fn into_change(self, era: u64) -> Change {
+        let version = ObjectVersion::of(era, self.version);
+        Change { path: self.path, version, body: self.body.map(Bytes::from) }
     }
 }
 
+/// How often the store has come back from an older copy.
+fn era(answer: &Answer) -> u64 {
+    let named = answer.headers.get(ERA_HEADER);
+    named.and_then(|it| it.to_str().ok()?.parse().ok()).unwrap_or(0)
+}
+
 async fn read(response: Response) -> Result<Answer, String> {
     let (parts, body) = response.into_parts();
     let whole = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
@@ -193,17 +208,20 @@
         body: Bytes,
     ) -> StoreResult<'_, ObjectVersion> {
         let step = format!("update {path}");
-        let call = Call {
-            step: step.clone(),
-            method: Method::PUT,
-            target: format!("/objects/{path}"),
-            expected: Some(expected),
-            body,
-            limit: self.timeouts.call,
-        };
+        let target = format!("/objects/{path}");
         Box::pin(async move {
+            let revision = self.eras.condition(&step, expected)?;
+            let call = Call {
+                step: step.clone(),
+                method: Method::PUT,
+                target,
+                expected: Some(revision),
+                body,
+                limit: self.timeouts.call,
+            };
             let answer = self.send(call).await?;
-            self.number(&step, &answer, VERSION_HEADER)
+            let version = self.number(&step, &answer, VERSION_HEADER)?;
+            self.eras.updated(step, self.peer, expected, version)
         })
     }
 
@@ -223,10 +241,15 @@
         wait: Duration,
     ) -> StoreResult<'_, Changes> {
         let step = format!("watch {prefix}");
-        let target = format!("/watch/{prefix}?after={after}&wait_ms={}", wait.as_millis());
-        let call = self.get(step.clone(), target, wait + self.timeouts.watch_margin);
+        let prefix = prefix.to_owned();
         Box::pin(async move {
+            let revision = self.eras.watched_from(&step, after)?;
+            let target = format!("/watch/{prefix}?after={revision}&wait_ms={}", wait.as_millis());
+            let call = self.get(step.clone(), target, wait + self.timeouts.watch_margin);
             let answer = self.send(call).await?;
+            if era(&answer) != after.era() {
+                return Err(StoreError::HistoryGone { step });
+            }
             match answer.status {
                 StatusCode::NO_CONTENT => Ok(Changes { revision: after, changes: Vec::new() }),
                 _ => self.changes(&step, &answer),
--- a/crates/object-store/src/lib.rs
+++ b/crates/object-store/src/lib.rs
@@ -10,10 +10,13 @@
 //!   revision above `after`, then answers like `list` with the changed objects only; 204 when
 //!   `wait_ms` passed without one. A deleted object has `"body": null`.
 //!
-//! Object versions are revisions: one counter for the whole store, so they only rise.
+//! Object versions are revisions: one counter for the whole store. A store that comes back from an older copy goes on
+//! from the revision of the copy, and names in `x-store-era` of all its answers how often that was; absent: never. A
+//! watch from a revision that it does not have is answered 410.
 
 mod api;
 mod counted;
+mod eras;
 mod follower;
 mod http;
 
@@ -22,5 +25,6 @@
 
 pub use api::{Change, Changes, Object, ObjectStore, StoreError, StoreResult};
 pub use counted::{CallCounts, CallKind, CountedStore};
+pub use eras::Eras;
 pub use follower::{Follower, FollowerTimes};
 pub use http::{HttpObjectStore, Timeouts};
--- a/crates/object-store/src/tests/restored.rs
+++ b/crates/object-store/src/tests/restored.rs
@@ -95,10 +95,13 @@
         let newer = self.now.objects.iter().filter(|it| it.1.0 > after);
         let change = |(path, (revision, body)): (&String, &(u64, Option<u8>))| Change {
             path: path.clone(),
-            version: ObjectVersion(*revision),
+            version: ObjectVersion::of(self.era, *revision),
             body: body.map(|it| Bytes::from(vec![it])),
         };
-        Changes { revision: ObjectVersion(self.now.revision), changes: newer.map(change).collect() }
+        Changes {
+            revision: ObjectVersion::of(self.era, self.now.revision),
+            changes: newer.map(change).collect(),
+        }
     }
 
     fn check(&self) -> Result<(), StoreError> {
@@ -111,10 +114,14 @@
     fn watched(&self, after: ObjectVersion) -> Option<Result<Changes, StoreError>> {
         match self.check() {
             Err(error) => Some(Err(error)),
-            Ok(()) if after.0 > self.now.revision => {
+            // A client sees to the era, which a store is not asked for.
+            Ok(()) if after.revision() > self.now.revision || after.era() != self.era => {
                 Some(Err(StoreError::HistoryGone { step: "watch".into() }))
             }
-            Ok(()) => Some(Ok(self.changes(after.0))).filter(|_| self.now.revision > after.0),
+            Ok(()) if self.now.revision > after.revision() => {
+                Some(Ok(self.changes(after.revision())))
+            }
+            Ok(()) => None,
         }
     }
 }
