Ends of upstreams that a store has lost are written down again

A store that comes back from an older copy has lost what was written since; an agent that starts then knew nothing of it and sent a harmful request on. Each agent writes its own ends again once it sees the store's next era.

--- a/crates/agent/src/quarantine/mod.rs
+++ b/crates/agent/src/quarantine/mod.rs
@@ -16,10 +16,7 @@
 use model::{Fingerprint, InstanceName, ObjectVersion};
 use object_store::{Change, Follower, FollowerTimes, ObjectStore, StoreError};
 use settings::{ENDS_PREFIX, EndRecord, EndsObject, ends_path};
-use tokio::{
-    sync::mpsc,
-    time::{sleep, timeout},
-};
+use tokio::{sync::mpsc, time::sleep};
 use traffic::{EndId, Quarantine, Standing};
 
 /// Upstreams end rarely, so that most watches end without news. Word of an end is to be there before the request
@@ -41,16 +38,25 @@
 #[derive(Debug)]
 pub(crate) struct SharedQuarantine {
     table: Mutex<Quarantine>,
-    ends: mpsc::UnboundedSender<EndRecord>,
+    to_write: mpsc::UnboundedSender<ToWrite>,
+}
+
+/// Why there is something to write down.
+#[derive(Debug)]
+enum ToWrite {
+    End(EndRecord),
+    /// The store has come back from an older copy, in which some of it may be missing.
+    AllAgain,
 }
 
 impl SharedQuarantine {
     /// Follows the store and writes to it, on the runtime that calls.
     pub(crate) fn start(store: Arc<dyn ObjectStore>, own: InstanceName) -> Arc<SharedQuarantine> {
-        let (ends, written) = mpsc::unbounded_channel();
-        let quarantine = Arc::new(SharedQuarantine { table: Mutex::default(), ends });
-        let writer = Writer { store: Arc::clone(&store), path: ends_path(&own), known: None };
-        tokio::spawn(writer.run(written));
+        let (to_write, news) = mpsc::unbounded_channel();
+        let quarantine = Arc::new(SharedQuarantine { table: Mutex::default(), to_write });
+        let (path, known) = (ends_path(&own), None);
+        let writer = Writer { store: Arc::clone(&store), path, known, kept: Vec::new() };
+        tokio::spawn(writer.run(news));
         tokio::spawn(follow(store, Arc::downgrade(&quarantine)));
         quarantine
     }
@@ -84,7 +90,11 @@
         }
         let end = EndRecord { id: rand::random(), requests };
         self.take(&end);
-        if self.ends.send(end).is_err() {
+        self.write(ToWrite::End(end));
+    }
+
+    fn write(&self, what: ToWrite) {
+        if self.to_write.send(what).is_err() {
             log::error!(target: "quarantine", "Nobody writes down any more what ends upstreams.");
         }
     }
@@ -99,9 +109,13 @@
 
 async fn follow(store: Arc<dyn ObjectStore>, quarantine: std::sync::Weak<SharedQuarantine>) {
     let mut follower = Follower::new(store, ENDS_PREFIX, FOLLOWER_TIMES).from_an_aged_list();
+    let mut era = None;
     loop {
         let changes = follower.next_after_failures("What ended upstreams").await;
         let Some(quarantine) = quarantine.upgrade() else { return };
+        if era.replace(follower.era()).is_some_and(|it| it != follower.era()) {
+            quarantine.write(ToWrite::AllAgain);
+        }
         for end in changes.iter().filter_map(read).flat_map(|it| it.ends) {
             quarantine.take(&end);
         }
@@ -124,40 +138,54 @@
     path: String,
     /// None: it has to be read first.
     known: Option<(ObjectVersion, EndsObject)>,
+    /// What the object is to hold, as far as this life of the agent knows.
+    kept: Vec<EndRecord>,
 }
 
 impl Writer {
-    async fn run(mut self, mut ends: mpsc::UnboundedReceiver<EndRecord>) {
-        while let Some(end) = ends.recv().await {
-            let mut news = vec![end];
+    async fn run(mut self, mut news: mpsc::UnboundedReceiver<ToWrite>) {
+        while let Some(what) = news.recv().await {
+            self.keep(what);
             let mut pause = WRITE_PAUSE;
-            while let Err(error) = self.write(&news).await {
+            while let Err(error) = self.write().await {
                 log::info!(target: "quarantine", "{error}; trying again.");
                 self.known = None;
-                // More may come meanwhile.
-                if let Ok(Some(end)) = timeout(pause, ends.recv()).await {
-                    news.push(end);
-                    sleep(WRITE_PAUSE).await;
-                }
+                sleep(pause).await;
                 pause = (pause * 2).min(WRITE_PAUSE_MAX);
+                // What has come meanwhile goes along.
+                while let Ok(what) = news.try_recv() {
+                    self.keep(what);
+                }
             }
         }
     }
 
-    async fn write(&mut self, news: &[EndRecord]) -> Result<(), StoreError> {
+    fn keep(&mut self, what: ToWrite) {
+        match what {
+            ToWrite::End(end) => self.kept.push(end),
+            ToWrite::AllAgain => self.known = None,
+        }
+        let surplus = self.kept.len().saturating_sub(ENDS_KEPT);
+        self.kept.drain(..surplus);
+    }
+
+    async fn write(&mut self) -> Result<(), StoreError> {
         let (version, mut object) = match self.known.take() {
             Some(known) => known,
             None => self.read().await?,
         };
-        for end in news {
-            if !object.ends.contains(end) {
-                object.ends.push(end.clone());
-            }
+        let missing: Vec<EndRecord> =
+            self.kept.iter().filter(|it| !object.ends.contains(it)).cloned().collect();
+        if missing.is_empty() {
+            self.known = Some((version, object));
+            return Ok(());
         }
+        object.ends.extend(missing);
         let surplus = object.ends.len().saturating_sub(ENDS_KEPT);
         object.ends.drain(..surplus);
         let body = serde_json::to_vec(&object).expect("a wire type has a JSON form");
         let version = self.store.update(&self.path, version, Bytes::from(body)).await?;
+        self.kept.clone_from(&object.ends);
         self.known = Some((version, object));
         Ok(())
     }
--- a/crates/agent/src/quarantine/tests.rs
+++ b/crates/agent/src/quarantine/tests.rs
@@ -70,3 +70,19 @@
     assert_eq!(object.ends.len(), ENDS_KEPT);
     assert_eq!(object.ends.last().unwrap().requests, [Fingerprint(3 * ENDS_KEPT as u64 - 1)]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn ends_that_a_store_has_lost_are_written_down_again() {
+    let store = Arc::new(FakeStore::new());
+    let (a, b) = (start(&store, "a"), start(&store, "b"));
+    b.upstream_ended(vec![HARMFUL]);
+    sleep(Duration::from_secs(1)).await;
+    store.keep_copy();
+    a.upstream_ended(vec![HARMFUL]);
+    sleep(Duration::from_secs(1)).await;
+    store.come_back_from_copy();
+    assert_eq!(store.text("ends/a"), None);
+    // An agent that starts later hears of both.
+    sleep(Duration::from_secs(1)).await;
+    wait_quarantined(&start(&store, "c")).await;
+}
