Failing test: the simulator's platform comes back from older copies

Drawn by seed: the platform is away for up to 2 s and comes back as it was up to 8 s before, in its next era, with revisions given out again; a client that has not heard of it makes what object_store::Eras makes of the answer.

--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -281,7 +281,7 @@
             }
             return;
         }
-        let reply = Box::new(self.store.call(request));
+        let reply = Box::new(self.store.call(self.now, request));
         if answered {
             self.schedule(self.now + back, Happening::Answer { host, life, call, reply });
         }
--- a/crates/ownership/src/sim/fault.rs
+++ b/crates/ownership/src/sim/fault.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use model::Timestamp;
 use rand::RngExt;
 
 use crate::{Input, UpstreamState};
@@ -47,6 +48,10 @@
     /// The platform answers nobody.
     PlatformDown,
     PlatformUp,
+    /// The platform has lost what was written in this time.
+    PlatformComesBack {
+        behind_ms: u64,
+    },
     /// Shares of messages that are lost, doubled, late; in percent.
     Lossy {
         loss: u32,
@@ -113,6 +118,12 @@
             }
             Fault::PlatformDown => self.links.platform_down = true,
             Fault::PlatformUp => self.links.platform_down = false,
+            Fault::PlatformComesBack { behind_ms } => {
+                let behind_ns = behind_ms * 1_000_000;
+                let ns = self.now.ns.saturating_sub(behind_ns);
+                self.store.come_back_as_of(Timestamp { ns });
+                self.links.platform_down = false;
+            }
             Fault::Lossy { loss, doubled, late } => {
                 self.links.loss = share(loss);
                 self.links.doubled = share(doubled);
--- a/crates/ownership/src/sim/random.rs
+++ b/crates/ownership/src/sim/random.rs
@@ -27,6 +27,8 @@
     pub agents_restart: bool,
     /// Upstreams are at work, and what they do may outlast their agents.
     pub works: bool,
+    /// The platform comes back from older copies.
+    pub forgets: bool,
 }
 
 /// How a run ended.
@@ -56,6 +58,11 @@
 const KEY_LOAD_MAX: u64 = 4_000_000;
 const SLOT_LOAD_MAX: u64 = 3_000_000;
 const RESTART_EVERY: Duration = Duration::from_millis(500);
+/// The share of steps at which the platform is away for a moment and comes back from a copy, for how long it is
+/// away, and how old the copy is.
+const FORGETS_SHARE: f64 = 0.08;
+const FORGETS_AWAY_MS: Range<u64> = 0..2_000;
+const FORGETS_MS: Range<u64> = 100..8_000;
 /// Upstreams at work that are taken for lost: how often, with each fault, and for how long.
 const MISTAKEN_SHARE: f64 = 0.2;
 const MISTAKEN_MS: Range<u64> = 50..1500;
@@ -115,6 +122,7 @@
         let us_per_s = rng.random_range(0..KEY_LOAD_MAX);
         sim.apply(Fault::KeyLoad { key, us_per_s });
     }
+    let mut forgets_rng = Pcg64Mcg::seed_from_u64(shape.seed ^ 0xf0e7);
     let mut work_rng = Pcg64Mcg::seed_from_u64(shape.seed ^ 0x3043);
     sim.start_all();
     sim.run_for(Duration::from_millis(rng.random_range(500..4000)));
@@ -136,6 +144,12 @@
             sim.apply(Fault::Upstream { host, state: UpstreamState::Lost });
             sim.fault_in(for_ms, Fault::Upstream { host, state: UpstreamState::Ready });
         }
+        if shape.forgets && forgets_rng.random_bool(FORGETS_SHARE) {
+            let away = Duration::from_millis(forgets_rng.random_range(FORGETS_AWAY_MS));
+            let behind_ms = forgets_rng.random_range(FORGETS_MS);
+            sim.apply(Fault::PlatformDown);
+            sim.fault_in(away, Fault::PlatformComesBack { behind_ms });
+        }
         let gap = rng.random_range(FAULT_GAP_MIN..shape.fault_gap_max);
         sim.run_for(gap);
     }
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -46,6 +46,7 @@
         ordered: false,
         agents_restart: false,
         works: false,
+        forgets: false,
     }
 }
 
@@ -108,6 +109,20 @@
     }
 }
 
+/// The same, where the platform comes back from older copies: it has lost what was written since.
+#[test]
+fn seeds_with_a_platform_that_forgets() {
+    let first = setting("OWNERSHIP_SEED").unwrap_or(1);
+    for seed in first..first + runs() {
+        check(&forgetting(seed));
+    }
+}
+
+fn forgetting(seed: u64) -> Shape {
+    let ordered = seed.is_multiple_of(2);
+    Shape { ordered, agents_restart: ordered, works: ordered, forgets: true, ..shape(seed) }
+}
+
 fn working(seed: u64) -> Shape {
     Shape { ordered: true, agents_restart: seed.is_multiple_of(2), works: true, ..shape(seed) }
 }
@@ -137,6 +152,7 @@
             ordered: false,
             agents_restart: false,
             works: false,
+            forgets: false,
         }
     }
 
