A coordinator whose term the platform has forgotten goes on until it has the next one

A lost answer in between, or a term that the platform and not witnesses confirmed, as in the second after each settlement, was enough to make it wait for a coordinator that did not exist.

So the coordinator renews on while it reads and writes, and carries its object and plan into the next term if it is confirmed when it has won that.

--- a/crates/ownership/src/coordinator/maintain.rs
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -22,7 +22,8 @@
 impl Coordination {
     /// Only a settled coordinator changes its object.
     pub(super) fn maintain(&mut self, ctx: &mut Ctx<'_>) {
-        if !self.is_settled() || self.object.is_pending() || self.releasing {
+        let is_forgotten = self.forgotten_at.is_some();
+        if !self.is_settled() || self.object.is_pending() || self.releasing || is_forgotten {
             return;
         }
         let acked = self.object.acked();
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -74,8 +74,17 @@
 pub(crate) struct Carried {
     pub(crate) object: Coordinator,
     pub(crate) plan: Option<Plan>,
-    /// Until then no other term can have been settled.
-    pub(crate) until: Timestamp,
+}
+
+/// The way into the next term.
+#[derive(Debug, Clone)]
+pub(crate) enum NextTerm {
+    /// There is no reason, or it is not known yet.
+    NotYet,
+    /// No other term has been settled: with this.
+    Carries(Box<Carried>),
+    /// Another may have been.
+    Uncertain,
 }
 
 /// Whether the term goes on.
@@ -346,11 +355,7 @@
         reply: &PlatformReply,
     ) -> TermState {
         if reply.era().is_some_and(|it| it > self.object.era()) {
-            if self.forgotten_at.is_none() {
-                self.forgotten_at = Some(ctx.now);
-                // Whether another term has come between is shown by who confirms this one from now on.
-                self.confirm.reset(ctx.now);
-            }
+            self.forgotten_at.get_or_insert(ctx.now);
             return TermState::Forgotten;
         }
         match self.object.reply(ctx, call, reply) {
@@ -483,19 +488,21 @@
         self.members.rows.iter().any(|(id, row)| *id != me && row.leaving)
     }
 
-    /// Once it is known whether another term may have come between: what to take along into the next one, if none has.
-    pub(crate) fn next_term(&self, ctx: &Ctx<'_>) -> Option<Option<Carried>> {
-        let forgotten_at = self.forgotten_at?;
-        let witnessed = self.object.acked().confirmation == Confirmation::Witnesses
-            && !self.object.is_pending()
-            && ctx.config.keyed;
-        if witnessed && self.confirm.proved_at() > forgotten_at {
-            let object = self.object.acked().clone();
-            let plan = self.plan.acked().cloned();
-            return Some(Some(Carried { object, plan, until: self.confirm.until() }));
+    /// How this node is to take the term anew, once the platform has come back from an older copy. While it is confirmed
+    /// no other term can have been settled; the platform does not confirm it any more, witnesses go on to.
+    pub(crate) fn next_term(&self, ctx: &Ctx<'_>) -> NextTerm {
+        let Some(forgotten_at) = self.forgotten_at else { return NextTerm::NotYet };
+        if ctx.config.keyed && self.may_renew(ctx) {
+            return NextTerm::Carries(Box::new(Carried {
+                object: self.object.acked().clone(),
+                plan: self.plan.acked().cloned(),
+            }));
+        }
+        let witnessed = self.object.acked().confirmation == Confirmation::Witnesses;
+        match witnessed && ctx.now.since(forgotten_at) <= REAFFIRMED_WITHIN {
+            true => NextTerm::NotYet,
+            false => NextTerm::Uncertain,
         }
-        let is_over = !witnessed || ctx.now.since(forgotten_at) > REAFFIRMED_WITHIN;
-        is_over.then_some(None)
     }
 
     /// Gives the term up, by an update after which this node renews nothing.
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     CallId, Event, Input, Limits, Output, PlatformReply, Report,
-    coordinator::{Acquired, Coordination, TermState},
+    coordinator::{Acquired, Coordination, NextTerm, TermState},
     ctx::{Ctx, is_same},
     member::Member,
 };
@@ -239,9 +239,14 @@
     }
 
     fn tick(&mut self, ctx: &mut Ctx<'_>) {
-        if let Some(carried) = self.coordination.as_ref().and_then(|it| it.next_term(ctx)) {
-            self.lose_term(ctx);
-            self.takeover.take_again(ctx.now, carried);
+        match self.coordination.as_ref().map(|it| it.next_term(ctx)) {
+            None | Some(NextTerm::NotYet) => {}
+            // It goes on with this one until it has the next.
+            Some(NextTerm::Carries(_)) => self.takeover.take_again(ctx.now),
+            Some(NextTerm::Uncertain) => {
+                self.lose_term(ctx);
+                self.takeover.take_again(ctx.now);
+            }
         }
         if let Some(coordination) = &mut self.coordination {
             coordination.tick(ctx);
@@ -310,6 +315,7 @@
         let coordinator = coordinator.filter(|it| !is_same(it, ctx.me())).cloned();
         if term > self.known.term {
             self.known = Known::new(term, coordinator, ctx.now);
+            self.takeover.again = false;
             if self.coordination.as_ref().is_some_and(|it| it.term() < term) {
                 self.lose_term(ctx);
             }
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     CallId, Confirmation, Coordinator, Message, Plan, PlatformReply, PlatformRequest, TermTimes,
-    coordinator::{Acquired, Carried},
+    coordinator::{Acquired, Carried, NextTerm},
     ctx::{Ctx, MemberId, is_same, is_same_seat},
 };
 
@@ -46,7 +46,8 @@
 struct Attempt {
     object: Coordinator,
     former: Option<Coordinator>,
-    carried: Option<Carried>,
+    /// It was to go on with what this node held; none: `former` is what the platform showed.
+    found: Option<Coordinator>,
     sent_at: Timestamp,
 }
 
@@ -80,15 +81,8 @@
     has_read: bool,
     /// How often a term was taken from a holder that may have been at work.
     doublings: u32,
-    /// The term that this node held until the platform forgot it is to be taken anew.
-    again: Option<Again>,
-}
-
-/// What a node goes on with that takes the term anew.
-#[derive(Debug)]
-struct Again {
-    /// None: another term may have come between.
-    carried: Option<Carried>,
+    /// The term that this node held when the platform forgot it is to be taken anew.
+    pub(super) again: bool,
 }
 
 impl Takeover {
@@ -105,14 +99,15 @@
             alone_since: None,
             doublings: 0,
             has_read: false,
-            again: None,
+            again: false,
         }
     }
 
-    /// The platform has forgotten the term that this node held.
-    pub(super) fn take_again(&mut self, now: Timestamp, carried: Option<Carried>) {
-        self.again = Some(Again { carried });
-        self.next_try = now;
+    /// The platform has forgotten the term that this node holds, or has held until now.
+    pub(super) fn take_again(&mut self, now: Timestamp) {
+        if !std::mem::replace(&mut self.again, true) {
+            self.next_try = now;
+        }
     }
 
     pub(super) fn has_read(&self) -> bool {
@@ -128,10 +123,11 @@
 
 impl Node {
     pub(super) fn tick_takeover(&mut self, ctx: &mut Ctx<'_>) {
-        if self.coordination.is_some() {
-            return;
+        match self.coordination {
+            Some(_) if !self.takeover.again => return,
+            Some(_) => {}
+            None => self.ask_who_coordinates(ctx),
         }
-        self.ask_who_coordinates(ctx);
         let idle = matches!(self.takeover.step, Step::Idle);
         if idle && self.takeover.next_try <= ctx.now && self.is_time_to_take_over(ctx) {
             self.takeover.step = Step::Reading(ctx.call(PlatformRequest::ReadCoordinator));
@@ -139,7 +135,7 @@
     }
 
     fn is_time_to_take_over(&self, ctx: &Ctx<'_>) -> bool {
-        if self.takeover.again.is_some() && self.known.coordinator.is_none() {
+        if self.takeover.again {
             return true;
         }
         let silent = ctx.now.since(self.known.heard_at);
@@ -344,8 +340,7 @@
         if (is_overtaken && version.era() == 0) || !self.is_time_to_take_over(ctx) {
             return;
         }
-        let again = self.takeover.again.take();
-        if again.is_none() && !self.is_worth_taking(ctx, object) {
+        if !self.takeover.again && !self.is_worth_taking(ctx, object) {
             return;
         }
         if self.known.coordinator.is_some() && !self.known.in_person {
@@ -353,10 +348,9 @@
             self.takeover.doublings = doublings.min(HOLD_BACK_DOUBLINGS_MAX);
         }
         let forgets = rolled_back || is_overtaken || object.forgets;
-        let carried = again.and_then(|it| it.carried);
-        let carried = carried.filter(|it| rolled_back && object.term <= it.object.term);
         let found = Coordinator { forgets, ..object.clone() };
-        let former = carried.as_ref().map_or(found, |it| it.object.clone());
+        let carried = self.carried(ctx).filter(|it| rolled_back && object.term <= it.object.term);
+        let former = carried.as_ref().map_or(&found, |it| &it.object).clone();
         let lost = LOST_TERMS * (version.era() - object.era.min(version.era()));
         let attempt = Coordinator {
             term: Term(object.term.max(self.known.term).0 + 1 + lost),
@@ -367,7 +361,16 @@
             forgets,
             ..former.clone()
         };
-        self.attempt(ctx, version, attempt, Some(former), carried);
+        let found = carried.is_some().then_some(found);
+        self.attempt(ctx, version, attempt, Some(former), found);
+    }
+
+    /// What this node takes along from the term that it holds still, if the platform has forgotten it.
+    fn carried(&self, ctx: &Ctx<'_>) -> Option<Carried> {
+        match self.coordination.as_ref()?.next_term(ctx) {
+            NextTerm::Carries(carried) => Some(*carried),
+            NextTerm::NotYet | NextTerm::Uncertain => None,
+        }
     }
 
     /// The first term; or the first after the object was removed, above all that the plan knows.
@@ -401,21 +404,22 @@
         expected: ObjectVersion,
         object: Coordinator,
         former: Option<Coordinator>,
-        carried: Option<Carried>,
+        found: Option<Coordinator>,
     ) {
         let request = PlatformRequest::UpdateCoordinator { expected, object: object.clone() };
-        let attempt = Attempt { object, former, carried, sent_at: ctx.now };
+        let attempt = Attempt { object, former, found, sent_at: ctx.now };
         self.takeover.step = Step::Updating(ctx.call(request), Box::new(attempt));
     }
 
     fn won(&mut self, ctx: &mut Ctx<'_>, attempt: Attempt, version: ObjectVersion) {
-        let Attempt { object, former, carried, sent_at } = attempt;
+        let Attempt { object, former, found, sent_at } = attempt;
         self.takeover.doubtful.clear();
+        self.takeover.again = false;
         let object = Coordinator { era: version.era(), ..object };
-        // Too late: another term may have been settled meanwhile.
-        let in_time = carried.as_ref().is_none_or(|it| ctx.now < it.until);
-        let former = former.map(|it| Coordinator { forgets: it.forgets || !in_time, ..it });
-        let carried = carried.filter(|_| in_time).and_then(|it| it.plan);
+        let carried = self.carried(ctx).filter(|_| found.is_some());
+        // Too late to go on with what this node held: another term may have been settled meanwhile.
+        let former = if carried.is_some() { former } else { found.or(former) };
+        let carried = carried.and_then(|it| it.plan);
         self.become_coordinator(ctx, Acquired { object, version, former, sent_at, carried });
     }
 }
