Soak: a store that comes back from an older copy

The stand-in platform keeps a copy, comes back from it with its revisions given out again in the next era, and answers a watch from one that it does not have with 410. The soak has it away for 0.3 s and back as it was when the fault began, beside the other faults.

--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{
-    HeaderMap, Method, StatusCode,
+    HeaderMap, Method, StatusCode, Uri,
     header::{CONTENT_TYPE, HeaderName},
     request::Parts,
 };
@@ -34,6 +34,7 @@
 const VERSION: HeaderName = HeaderName::from_static("x-object-version");
 const EXPECTED_VERSION: HeaderName = HeaderName::from_static("if-object-version");
 const REVISION: HeaderName = HeaderName::from_static("x-revision");
+const ERA: HeaderName = HeaderName::from_static("x-store-era");
 /// The largest value of an object.
 const BODY_MAX_BYTES: usize = 1 << 20;
 /// The longest that a watch waits.
@@ -131,18 +132,43 @@
         let path = uri.path().trim_start_matches('/');
         match path {
             "admin/fault" if method == Method::POST => return self.set_faults(&body),
+            "admin/keep-copy" if method == Method::POST => {
+                self.state().store.keep_copy();
+                return answer(StatusCode::OK, "");
+            }
+            "admin/come-back" if method == Method::POST => {
+                let revision = {
+                    let store = &mut self.state().store;
+                    store.come_back();
+                    store.revision()
+                };
+                self.revision.send_replace(revision);
+                return answer(StatusCode::OK, "");
+            }
             "admin/counts" => return json(&self.state().counts),
             _ => {}
         }
         self.fail_or_delay().await;
+        let era = self.state().store.era();
+        let response = self.object_call(path, method, &uri, &headers, body).await;
+        // An answer that was made before the store came back is of the era before.
+        if era == 0 { response } else { with_header(response, ERA, era) }
+    }
+
+    async fn object_call(
+        &self,
+        path: &str,
+        method: Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Response {
         match path.split_once('/') {
             Some(("objects", path)) if method == Method::GET => self.read(path),
             Some(("objects", path)) if method == Method::PUT => {
-                self.update(path, &headers, Some(body))
-            }
-            Some(("objects", path)) if method == Method::DELETE => {
-                self.update(path, &headers, None)
+                self.update(path, headers, Some(body))
             }
+            Some(("objects", path)) if method == Method::DELETE => self.update(path, headers, None),
             Some(("list", prefix)) if method == Method::GET => self.list(prefix),
             Some(("watch", prefix)) if method == Method::GET => {
                 self.watch(prefix, uri.query().unwrap_or("")).await
@@ -247,8 +273,12 @@
         let deadline = Instant::now() + Duration::from_millis(query.wait_ms).min(WATCH_MAX);
         let mut revision = self.revision.subscribe();
         let mut faults = self.faults.subscribe();
+        let era = self.state().store.era();
         loop {
             revision.mark_unchanged();
+            if !self.has_history(era, query.after) {
+                return answer(StatusCode::GONE, "the history has been lost");
+            }
             if let Some(found) = self.changed(prefix, query.after) {
                 return found;
             }
@@ -264,6 +294,12 @@
         }
     }
 
+    /// Whether a watch of this era can go on from the revision.
+    fn has_history(&self, era: u64, after: u64) -> bool {
+        let state = self.state();
+        state.store.era() == era && after <= state.store.revision()
+    }
+
     fn changed(&self, prefix: &str, after: u64) -> Option<Response> {
         let state = self.state();
         let changed = state.store.changed(prefix, after);
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -21,24 +21,47 @@
 
 #[derive(Debug, Default)]
 pub(crate) struct Store {
+    /// How often it has come back from an older copy.
+    era: u64,
+    now: State,
+    copy: State,
+}
+
+#[derive(Debug, Clone, Default)]
+struct State {
     revision: u64,
     objects: BTreeMap<String, Stored>,
 }
 
 /// A deleted object is kept without its body, so that watches see the deletion.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Stored {
     version: u64,
     body: Option<String>,
 }
 
 impl Store {
+    pub(crate) fn era(&self) -> u64 {
+        self.era
+    }
+
     pub(crate) fn revision(&self) -> u64 {
-        self.revision
+        self.now.revision
+    }
+
+    /// Keeps a copy of all that there is.
+    pub(crate) fn keep_copy(&mut self) {
+        self.copy = self.now.clone();
+    }
+
+    /// Comes back from the copy: what was written since is lost, and its revisions are given out again.
+    pub(crate) fn come_back(&mut self) {
+        self.now = self.copy.clone();
+        self.era += 1;
     }
 
     pub(crate) fn read(&self, path: &str) -> Option<(u64, String)> {
-        let stored = self.objects.get(path)?;
+        let stored = self.now.objects.get(path)?;
         Some((stored.version, stored.body.clone()?))
     }
 
@@ -54,10 +77,10 @@
         if expected.is_some_and(|it| it != current) {
             return Err(Conflict { current });
         }
-        self.revision += 1;
-        let stored = Stored { version: self.revision, body };
-        self.objects.insert(path.to_owned(), stored);
-        Ok(self.revision)
+        self.now.revision += 1;
+        let stored = Stored { version: self.now.revision, body };
+        self.now.objects.insert(path.to_owned(), stored);
+        Ok(self.now.revision)
     }
 
     pub(crate) fn list(&self, prefix: &str) -> Vec<Entry> {
@@ -69,7 +92,8 @@
     }
 
     fn under(&self, prefix: &str) -> impl Iterator<Item = Entry> {
-        self.objects
+        self.now
+            .objects
             .range(prefix.to_owned()..)
             .take_while(move |(path, _)| path.starts_with(prefix))
             .map(|(path, it)| Entry {
--- a/crates/standins/src/platform/tests.rs
+++ b/crates/standins/src/platform/tests.rs
@@ -38,6 +38,17 @@
     assert_eq!(store.write("a/b", Some(0), Some("y".to_owned())), Ok(3));
 }
 
+#[test]
+fn a_store_that_comes_back_from_its_copy_gives_revisions_out_again() {
+    let mut store = Store::default();
+    store.write("a/b", None, Some("x".to_owned())).unwrap();
+    store.keep_copy();
+    store.write("a/b", None, Some("y".to_owned())).unwrap();
+    store.come_back();
+    assert_eq!((store.era(), store.revision(), store.read("a/b")), (1, 1, Some((1, "x".into()))));
+    assert_eq!(store.write("a/c", Some(0), Some("z".to_owned())), Ok(2));
+}
+
 async fn start() -> (SocketAddr, Client) {
     let (listener, address) = crate::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     tokio::spawn(serve(listener));
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -162,6 +162,18 @@
         Ok(())
     }
 
+    /// Has the platform keep a copy of itself.
+    pub(crate) async fn platform_keeps_copy(&self) -> anyhow::Result<()> {
+        self.platform_call(Method::POST, "admin/keep-copy", String::new()).await?;
+        Ok(())
+    }
+
+    /// Has the platform come back from its copy.
+    pub(crate) async fn platform_comes_back(&self) -> anyhow::Result<()> {
+        self.platform_call(Method::POST, "admin/come-back", String::new()).await?;
+        Ok(())
+    }
+
     /// Reads an object as text.
     pub(crate) async fn read_object(&self, path: &str) -> anyhow::Result<String> {
         self.platform_call(Method::GET, &format!("objects/{path}"), String::new()).await
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -39,6 +39,8 @@
     Slow,
     /// It carries some updates out, and their answers are lost.
     LosesAnswers,
+    /// It is away for a moment and comes back as it was when the fault began.
+    ComesBack,
 }
 
 impl Fault {
@@ -53,6 +55,7 @@
             Fault::Store(StoreFault::Down) => "store_down",
             Fault::Store(StoreFault::Slow) => "store_slow",
             Fault::Store(StoreFault::LosesAnswers) => "store_loses_answers",
+            Fault::Store(StoreFault::ComesBack) => "store_comes_back",
         }
     }
 }
@@ -88,7 +91,7 @@
 }
 
 fn draw(rng: &mut Pcg64Mcg) -> Fault {
-    match rng.random_range(0..16) {
+    match rng.random_range(0..18) {
         0..=1 => Fault::Instance(InstanceFault::Freeze),
         2..=3 => Fault::Instance(InstanceFault::PauseAgent),
         4..=5 => Fault::Instance(InstanceFault::Kill),
@@ -99,6 +102,7 @@
         12 => Fault::Store(StoreFault::LosesAnswers),
         13 => Fault::StoreLink(LinkState::Silent),
         14 => Fault::StoreLink(LinkState::CutToClient),
+        15..=16 => Fault::Store(StoreFault::ComesBack),
         _ => Fault::StoreLink(draw_link(rng)),
     }
 }
--- a/xtask/src/soak/lane.rs
+++ b/xtask/src/soak/lane.rs
@@ -15,6 +15,8 @@
     demo::evidence::{PlannedStop, SickIngress, Window},
 };
 
+/// How long the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(300);
 /// How often a lane looks for upstreams that have ended by themselves.
 const REVIVE_EVERY: Duration = Duration::from_millis(100);
 
@@ -155,6 +157,7 @@
 
 async fn strike_store(cluster: &Cluster, fault: StoreFault, lasts: Duration) -> anyhow::Result<()> {
     let (on, off) = match fault {
+        StoreFault::ComesBack => return forget(cluster, lasts).await,
         StoreFault::Down => (r#"{"down": true}"#, r#"{"down": false}"#),
         StoreFault::Slow => (r#"{"slow_ms": 150}"#, r#"{"slow_ms": 0}"#),
         StoreFault::LosesAnswers => (r#"{"lose_answers": 2}"#, r#"{"lose_answers": 0}"#),
@@ -164,6 +167,16 @@
     cluster.platform_fault(off).await
 }
 
+/// The store loses what is written from now on, and is away for a moment in the end.
+async fn forget(cluster: &Cluster, lasts: Duration) -> anyhow::Result<()> {
+    cluster.platform_keeps_copy().await?;
+    sleep(lasts).await;
+    cluster.platform_fault(r#"{"down": true}"#).await?;
+    sleep(AWAY).await;
+    cluster.platform_comes_back().await?;
+    cluster.platform_fault(r#"{"down": false}"#).await
+}
+
 async fn strike_instance(
     instance: &mut Instance,
     fault: InstanceFault,
--- a/xtask/src/soak/tests.rs
+++ b/xtask/src/soak/tests.rs
@@ -32,7 +32,7 @@
 #[test]
 fn every_kind_of_fault_is_drawn() {
     let planned: Vec<_> = (0..50).flat_map(|it| faults::plan(it, &[0], MINUTE)).collect();
-    assert_eq!(faults::counts(&planned).len(), 9, "{:?}", faults::counts(&planned));
+    assert_eq!(faults::counts(&planned).len(), 10, "{:?}", faults::counts(&planned));
 }
 
 fn call(key: &str, sent_ns: u64, outcome: FinalOutcome) -> CallRecord {
