Protocol version 3: requests between agents carry what makes them the same

An agent of the version before would have failed to decode a request in the middle of a link, and all that was under way on it with that; now the handshake refuses it and says why.

--- a/crates/wire/src/link/mod.rs
+++ b/crates/wire/src/link/mod.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol between agents; both sides must have the same.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 /// The largest message of the handshake.
 pub const HANDSHAKE_BYTES_MAX: usize = 1024;
 
