--- a/crates/agent/src/control/tests/config.rs
+++ b/crates/agent/src/control/tests/config.rs
@@ -166,7 +166,7 @@
     for weight in 2..5 {
         fleet.change(weight).await;
     }
-    fleet.platform.come_back_from_copy();
+    fleet.platform.roll_back();
     let version = fleet.change(9).await;
     assert_eq!(fleet.accepted().version, version);
 }
--- a/crates/agent/src/control/tests/platform.rs
+++ b/crates/agent/src/control/tests/platform.rs
@@ -49,7 +49,7 @@
     }
 
     /// Comes back from the copy: revisions since are given out again, in the next era.
-    pub(crate) fn come_back_from_copy(&self) {
+    pub(crate) fn roll_back(&self) {
         let mut store = self.store.lock().unwrap();
         let era = store.era + 1;
         *store = Store { era, ..self.copy.lock().unwrap().clone() };
--- a/crates/agent/src/quarantine/tests.rs
+++ b/crates/agent/src/quarantine/tests.rs
@@ -80,7 +80,7 @@
     store.keep_copy();
     a.upstream_ended(vec![HARMFUL]);
     sleep(Duration::from_secs(1)).await;
-    store.come_back_from_copy();
+    store.roll_back();
     assert_eq!(store.text("ends/a"), None);
     // An agent that starts later hears of both.
     sleep(Duration::from_secs(1)).await;
--- a/crates/ownership/src/coordinator/maintain.rs
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -22,12 +22,12 @@
 impl Coordination {
     /// Only a settled coordinator changes its object.
     pub(super) fn maintain(&mut self, ctx: &mut Ctx<'_>) {
-        let is_forgotten = self.forgotten_at.is_some();
-        if !self.is_settled() || self.object.is_pending() || self.releasing || is_forgotten {
+        let is_rolled_back = self.rolled_back_at.is_some();
+        if !self.is_settled() || self.object.is_pending() || self.releasing || is_rolled_back {
             return;
         }
         let acked = self.object.acked();
-        let mut wanted = Coordinator { settled: true, forgets: false, ..acked.clone() };
+        let mut wanted = Coordinator { settled: true, history_lost: false, ..acked.clone() };
         if ctx.config.keyed {
             self.choose_confirmation(ctx, &mut wanted);
         }
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -51,7 +51,7 @@
 const IDLE_FOR: Duration = Duration::from_secs(1);
 /// A new coordinator that no member answers for this long stops announcing itself.
 const DEAF_AFTER: Duration = Duration::from_secs(1);
-/// How long witnesses may take to confirm a term that the platform has forgotten.
+/// How long witnesses may take to confirm a term whose record the platform has lost.
 const REAFFIRMED_WITHIN: Duration = Duration::from_millis(300);
 /// A first plan waits this long, so that all who start together are in it.
 const FIRST_PLAN_DELAY: Duration = Duration::from_millis(1000);
@@ -98,7 +98,7 @@
     /// Given up by this node's own update.
     Released,
     /// The platform has come back from an older copy: the term has to be taken anew.
-    Forgotten,
+    RolledBack,
 }
 
 /// All that a coordinator knows and does.
@@ -149,7 +149,7 @@
     heard_at: Timestamp,
     releasing: bool,
     /// When the platform was found to have come back from an older copy.
-    forgotten_at: Option<Timestamp>,
+    rolled_back_at: Option<Timestamp>,
 }
 
 impl Coordination {
@@ -203,7 +203,7 @@
             own_capped_since: None,
             heard_at: ctx.now,
             releasing: false,
-            forgotten_at: None,
+            rolled_back_at: None,
         }
     }
 
@@ -355,8 +355,8 @@
         reply: &PlatformReply,
     ) -> TermState {
         if reply.era().is_some_and(|it| it > self.object.era()) {
-            self.forgotten_at.get_or_insert(ctx.now);
-            return TermState::Forgotten;
+            self.rolled_back_at.get_or_insert(ctx.now);
+            return TermState::RolledBack;
         }
         match self.object.reply(ctx, call, reply) {
             Decided::No => {}
@@ -385,8 +385,8 @@
             }
             PlanReply::NotMine | PlanReply::Nothing => {}
         }
-        if self.plan.forgets() {
-            self.succession.forget();
+        if self.plan.history_lost() {
+            self.succession.lose_history();
         }
         TermState::Held
     }
@@ -491,7 +491,7 @@
     /// How this node is to take the term anew, once the platform has come back from an older copy. While it is confirmed
     /// no other term can have been settled; the platform does not confirm it any more, witnesses go on to.
     pub(crate) fn next_term(&self, ctx: &Ctx<'_>) -> NextTerm {
-        let Some(forgotten_at) = self.forgotten_at else { return NextTerm::NotYet };
+        let Some(rolled_back_at) = self.rolled_back_at else { return NextTerm::NotYet };
         if ctx.config.keyed && self.may_renew(ctx) {
             return NextTerm::Carries(Box::new(Carried {
                 object: self.object.acked().clone(),
@@ -499,7 +499,7 @@
             }));
         }
         let witnessed = self.object.acked().confirmation == Confirmation::Witnesses;
-        match witnessed && ctx.now.since(forgotten_at) <= REAFFIRMED_WITHIN {
+        match witnessed && ctx.now.since(rolled_back_at) <= REAFFIRMED_WITHIN {
             true => NextTerm::NotYet,
             false => NextTerm::Uncertain,
         }
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -95,7 +95,7 @@
     /// The last plan of this node's own earlier term, in place of one that the platform has come back with.
     carried: Option<Plan>,
     /// The first plan rests on one that may have been followed by others.
-    forgets: bool,
+    history_lost: bool,
 }
 
 impl PlanKeeper {
@@ -115,7 +115,7 @@
             call: None,
             retry_at: now,
             carried,
-            forgets: false,
+            history_lost: false,
         }
     }
 
@@ -125,8 +125,8 @@
     }
 
     /// Whether later plans than the one that this term went on from may have been lost.
-    pub(crate) fn forgets(&self) -> bool {
-        self.forgets
+    pub(crate) fn history_lost(&self) -> bool {
+        self.history_lost
     }
 
     /// Whether no read or write is under way.
@@ -269,7 +269,7 @@
         // One that this node never saw acknowledged may be there.
         let newest = found.map_or(0, |it| it.version);
         let carried = carried.map(|it| Plan { version: it.version.max(newest), ..it });
-        self.forgets |= rolled_back && carried.is_none();
+        self.history_lost |= rolled_back && carried.is_none();
         let plan = first(ctx, carried.as_ref().or(found));
         self.write(ctx, plan);
         PlanReply::Nothing
--- a/crates/ownership/src/coordinator/succession.rs
+++ b/crates/ownership/src/coordinator/succession.rs
@@ -45,7 +45,7 @@
     times: TermTimes,
     /// Later terms than this one may have been lost with the platform's latest: who held what under them, and who
     /// confirmed them, is not known.
-    forgets: bool,
+    history_lost: bool,
 }
 
 impl Predecessor {
@@ -68,7 +68,7 @@
             settled: it.settled,
             confirmation: it.confirmation,
             times: it.times,
-            forgets: it.forgets,
+            history_lost: it.history_lost,
         });
         let settled = predecessor.is_none();
         Succession {
@@ -85,27 +85,27 @@
     }
 
     /// What the platform shows of earlier terms is not all that there was.
-    pub(crate) fn forget(&mut self) {
+    pub(crate) fn lose_history(&mut self) {
         if let Some(predecessor) = &mut self.predecessor {
-            predecessor.forgets = true;
+            predecessor.history_lost = true;
         }
     }
 
     /// Whether a coordinator that is not known may still renew and grant: until then this one renews nothing, for what
     /// a member goes on with the other may have granted anew.
     pub(crate) fn may_be_contested(&self, now: Timestamp) -> bool {
-        let former = self.predecessor.as_ref().filter(|it| it.forgets);
+        let former = self.predecessor.as_ref().filter(|it| it.history_lost);
         former.is_some_and(|it| now < self.acquired_at + it.times.elsewhere(it.unknown_ends()))
     }
 
-    fn forgets(&self) -> bool {
-        self.predecessor.as_ref().is_some_and(|it| it.forgets)
+    fn history_lost(&self) -> bool {
+        self.predecessor.as_ref().is_some_and(|it| it.history_lost)
     }
 
     /// An agent follows this term, or holds it. Where it is a later life of the one that held the term before,
     /// that one renews nothing any more.
     pub(crate) fn follows(&mut self, now: Timestamp, agent: &Instance) {
-        let former = self.predecessor.as_ref().filter(|it| it.settled && !it.forgets);
+        let former = self.predecessor.as_ref().filter(|it| it.settled && !it.history_lost);
         let Some(holder) = former.and_then(|it| it.holder.as_ref()) else { return };
         if is_same_seat(holder, agent) && !is_same(holder, agent) {
             self.replaced_at.get_or_insert(now);
@@ -139,7 +139,7 @@
         if self.settled {
             return false;
         }
-        let all_clear = planned.filter(|_| !self.forgets()).is_some_and(|it| {
+        let all_clear = planned.filter(|_| !self.history_lost()).is_some_and(|it| {
             let ids: Vec<MemberId> = it.iter().map(MemberId::from).collect();
             self.is_clear(now, confirm, &ids)
         });
@@ -150,7 +150,7 @@
     /// The upstream beside a member, or beside the later life of one, has been cleared. Nothing was granted there
     /// from the start of the session that joined at `joined_at` until then, so no earlier hold is left a lease after.
     pub(crate) fn cleared(&mut self, member: MemberId, joined_at: Timestamp, times: TermTimes) {
-        let knows_times = self.predecessor.as_ref().is_none_or(|it| it.settled && !it.forgets);
+        let knows_times = self.predecessor.as_ref().is_none_or(|it| it.settled && !it.history_lost);
         if knows_times {
             let earlier = self.predecessor.as_ref().map(|it| it.times);
             let ends = earlier.into_iter().chain([times]).map(|it| it.elsewhere(it.lease()));
@@ -192,7 +192,7 @@
         if self.settled {
             return true;
         }
-        let Some(former) = self.predecessor.as_ref().filter(|it| !it.forgets) else {
+        let Some(former) = self.predecessor.as_ref().filter(|it| !it.history_lost) else {
             return self.predecessor.is_none();
         };
         // A term that had not settled may have left even earlier ones at work: what its holder has may be
@@ -224,7 +224,7 @@
         let Some(former) = &self.predecessor else { return Some(self.acquired_at) };
         let times = former.times;
         let lease = times.lease();
-        if former.forgets {
+        if former.history_lost {
             return Some(self.acquired_at + times.elsewhere(former.unknown_ends() + lease));
         }
         let earlier_ended = former.settled || !rules::holds(Rule::HeedSettled);
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -272,7 +272,7 @@
             }
             TermState::Released => self.released(ctx),
             // The tick sees to it, once it is known what to take along.
-            TermState::Forgotten => {}
+            TermState::RolledBack => {}
         }
     }
 
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -81,7 +81,7 @@
     has_read: bool,
     /// How often a term was taken from a holder that may have been at work.
     doublings: u32,
-    /// The term that this node held when the platform forgot it is to be taken anew.
+    /// The term that this node held when the platform lost its record is to be taken anew.
     pub(super) again: bool,
 }
 
@@ -103,7 +103,7 @@
         }
     }
 
-    /// The platform has forgotten the term that this node holds, or has held until now.
+    /// The platform has lost the record of the term that this node holds, or has held until now.
     pub(super) fn take_again(&mut self, now: Timestamp) {
         if !std::mem::replace(&mut self.again, true) {
             self.next_try = now;
@@ -347,8 +347,8 @@
             let doublings = self.takeover.doublings + 1;
             self.takeover.doublings = doublings.min(HOLD_BACK_DOUBLINGS_MAX);
         }
-        let forgets = rolled_back || is_overtaken || object.forgets;
-        let found = Coordinator { forgets, ..object.clone() };
+        let history_lost = rolled_back || is_overtaken || object.history_lost;
+        let found = Coordinator { history_lost, ..object.clone() };
         let carried = self.carried(ctx).filter(|it| rolled_back && object.term <= it.object.term);
         let former = carried.as_ref().map_or(&found, |it| &it.object).clone();
         let lost = LOST_TERMS * (version.era() - object.era.min(version.era()));
@@ -358,14 +358,14 @@
             nonce: ctx.nonce(),
             settled: false,
             era: version.era(),
-            forgets,
+            history_lost,
             ..former.clone()
         };
         let found = carried.is_some().then_some(found);
         self.attempt(ctx, version, attempt, Some(former), found);
     }
 
-    /// What this node takes along from the term that it holds still, if the platform has forgotten it.
+    /// What this node takes along from the term that it holds still, if the platform has lost its record.
     fn carried(&self, ctx: &Ctx<'_>) -> Option<Carried> {
         match self.coordination.as_ref()?.next_term(ctx) {
             NextTerm::Carries(carried) => Some(*carried),
@@ -379,7 +379,7 @@
         // A platform that has come back from an older copy may have lost the object of earlier terms.
         let lost = Term(LOST_TERMS * version.era());
         let term = planned.max(self.known.term).max(lost);
-        let forgets = self.known.term > Term(0);
+        let history_lost = self.known.term > Term(0);
         let object = Coordinator {
             service: ctx.config.service.clone(),
             group: ctx.config.group,
@@ -388,13 +388,13 @@
             nonce: ctx.nonce(),
             witnesses: Vec::new(),
             confirmation: Confirmation::Platform,
-            settled: !forgets,
+            settled: !history_lost,
             times: TermTimes::from(ctx.limits()),
             era: version.era(),
-            forgets,
+            history_lost,
         };
         let former = Coordinator { term, holder: None, ..object.clone() };
-        let former = forgets.then_some(former);
+        let former = history_lost.then_some(former);
         self.attempt(ctx, version, object, former, None);
     }
 
--- a/crates/ownership/src/object.rs
+++ b/crates/ownership/src/object.rs
@@ -33,7 +33,7 @@
     pub era: u64,
     /// The platform has lost what earlier terms wrote last, and some of them may be at work that no object names.
     #[serde(default, skip_serializing_if = "is_false")]
-    pub forgets: bool,
+    pub history_lost: bool,
 }
 
 impl Coordinator {
--- a/crates/ownership/src/sim/fault.rs
+++ b/crates/ownership/src/sim/fault.rs
@@ -49,7 +49,7 @@
     PlatformDown,
     PlatformUp,
     /// The platform has lost what was written in this time.
-    PlatformComesBack {
+    PlatformRollsBack {
         behind_ms: u64,
     },
     /// Shares of messages that are lost, doubled, late; in percent.
@@ -118,10 +118,10 @@
             }
             Fault::PlatformDown => self.links.platform_down = true,
             Fault::PlatformUp => self.links.platform_down = false,
-            Fault::PlatformComesBack { behind_ms } => {
+            Fault::PlatformRollsBack { behind_ms } => {
                 let behind_ns = behind_ms * 1_000_000;
                 let ns = self.now.ns.saturating_sub(behind_ns);
-                self.store.come_back_as_of(Timestamp { ns });
+                self.store.roll_back_to(Timestamp { ns });
                 self.links.platform_down = false;
             }
             Fault::Lossy { loss, doubled, late } => {
--- a/crates/ownership/src/sim/platform.rs
+++ b/crates/ownership/src/sim/platform.rs
@@ -79,7 +79,7 @@
     }
 
     /// Comes back as it was at a time, or as far back as copies go.
-    pub(super) fn come_back_as_of(&mut self, at: Timestamp) {
+    pub(super) fn roll_back_to(&mut self, at: Timestamp) {
         let copy = self.copies.iter().position(|(until, _)| *until > at);
         if let Some(copy) = copy {
             self.now = self.copies[copy].1.clone();
--- a/crates/ownership/src/sim/random.rs
+++ b/crates/ownership/src/sim/random.rs
@@ -28,7 +28,7 @@
     /// Upstreams are at work, and what they do may outlast their agents.
     pub works: bool,
     /// The platform comes back from older copies.
-    pub forgets: bool,
+    pub rolls_back: bool,
 }
 
 /// How a run ended.
@@ -55,17 +55,17 @@
 /// After the last fault all must be served again within this time: the longest absence, a takeover,
 /// and the sessions and plans that follow.
 const RECOVERY_MAX: Duration = Duration::from_secs(15);
-/// The same where the platform forgets: a term that waits for the longest absence may be lost to an update on a
+/// The same where the platform rolls back: a term that waits for the longest absence may be lost to an update on a
 /// condition of an earlier era, and the next one waits as long.
-const RECOVERY_MAX_FORGETS: Duration = Duration::from_secs(30);
+const RECOVERY_MAX_ROLLBACK: Duration = Duration::from_secs(30);
 const KEY_LOAD_MAX: u64 = 4_000_000;
 const SLOT_LOAD_MAX: u64 = 3_000_000;
 const RESTART_EVERY: Duration = Duration::from_millis(500);
 /// The share of steps at which the platform is away for a moment and comes back from a copy, for how long it is
 /// away, and how old the copy is.
-const FORGETS_SHARE: f64 = 0.08;
-const FORGETS_AWAY_MS: Range<u64> = 0..2_000;
-const FORGETS_MS: Range<u64> = 100..8_000;
+const ROLLBACK_SHARE: f64 = 0.08;
+const ROLLBACK_AWAY_MS: Range<u64> = 0..2_000;
+const ROLLBACK_MS: Range<u64> = 100..8_000;
 /// Upstreams at work that are taken for lost: how often, with each fault, and for how long.
 const MISTAKEN_SHARE: f64 = 0.2;
 const MISTAKEN_MS: Range<u64> = 50..1500;
@@ -125,7 +125,7 @@
         let us_per_s = rng.random_range(0..KEY_LOAD_MAX);
         sim.apply(Fault::KeyLoad { key, us_per_s });
     }
-    let mut forgets_rng = Pcg64Mcg::seed_from_u64(shape.seed ^ 0xf0e7);
+    let mut rollback_rng = Pcg64Mcg::seed_from_u64(shape.seed ^ 0xf0e7);
     let mut work_rng = Pcg64Mcg::seed_from_u64(shape.seed ^ 0x3043);
     sim.start_all();
     sim.run_for(Duration::from_millis(rng.random_range(500..4000)));
@@ -147,11 +147,11 @@
             sim.apply(Fault::Upstream { host, state: UpstreamState::Lost });
             sim.fault_in(for_ms, Fault::Upstream { host, state: UpstreamState::Ready });
         }
-        if shape.forgets && forgets_rng.random_bool(FORGETS_SHARE) {
-            let away = Duration::from_millis(forgets_rng.random_range(FORGETS_AWAY_MS));
-            let behind_ms = forgets_rng.random_range(FORGETS_MS);
+        if shape.rolls_back && rollback_rng.random_bool(ROLLBACK_SHARE) {
+            let away = Duration::from_millis(rollback_rng.random_range(ROLLBACK_AWAY_MS));
+            let behind_ms = rollback_rng.random_range(ROLLBACK_MS);
             sim.apply(Fault::PlatformDown);
-            sim.fault_in(away, Fault::PlatformComesBack { behind_ms });
+            sim.fault_in(away, Fault::PlatformRollsBack { behind_ms });
         }
         let gap = rng.random_range(FAULT_GAP_MIN..shape.fault_gap_max);
         sim.run_for(gap);
@@ -159,7 +159,7 @@
     let healed_at = sim.now();
     sim.heal();
     let served = |it: &Sim| it.unowned() == 0 && it.unowned_keys() == 0;
-    let recovery_max = if shape.forgets { RECOVERY_MAX_FORGETS } else { RECOVERY_MAX };
+    let recovery_max = if shape.rolls_back { RECOVERY_MAX_ROLLBACK } else { RECOVERY_MAX };
     while sim.now().since(healed_at) < recovery_max && sim.violation().is_none() {
         if sim.run_until(RESTART_EVERY, served) {
             break;
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -25,10 +25,10 @@
 /// not settled counted as free, and the earlier term had seen the member's session lapse and granted it. 31300085:
 /// what an upstream was cleared of was granted to another while it went on with a run.
 const WORKING_FAULTS_SHOWN: [u64; 2] = [11_700_177, 31_300_085];
-/// Seeds that have shown a fault where the platform forgets. 1330: a coordinator that took a forgotten term went on with
+/// Seeds that have shown a fault where the platform rolls back. 1330: a coordinator that took a term whose record was lost went on with
 /// what it held itself while the earlier one granted it anew. 2184: the same for a member. 2605, 2447: terms above the
 /// one in the object, or in the plan, kept everybody from taking it. 179: a plan that was never seen acknowledged.
-const FORGETTING_FAULTS_SHOWN: [u64; 6] = [6, 179, 1330, 2184, 2447, 2605];
+const ROLLBACK_FAULTS_SHOWN: [u64; 6] = [6, 179, 1330, 2184, 2447, 2605];
 const SHAPES_SEED: u64 = 2026;
 
 fn setting(name: &str) -> Option<u64> {
@@ -50,7 +50,7 @@
         ordered: false,
         agents_restart: false,
         works: false,
-        forgets: false,
+        rolls_back: false,
     }
 }
 
@@ -115,16 +115,16 @@
 
 /// The same, where the platform comes back from older copies: it has lost what was written since.
 #[test]
-fn seeds_with_a_platform_that_forgets() {
+fn seeds_with_a_platform_that_rolls_back() {
     let first = setting("OWNERSHIP_SEED").unwrap_or(1);
     for seed in first..first + runs() {
-        check(&forgetting(seed));
+        check(&rolling_back(seed));
     }
 }
 
-fn forgetting(seed: u64) -> Shape {
+fn rolling_back(seed: u64) -> Shape {
     let ordered = seed.is_multiple_of(2);
-    Shape { ordered, agents_restart: ordered, works: ordered, forgets: true, ..shape(seed) }
+    Shape { ordered, agents_restart: ordered, works: ordered, rolls_back: true, ..shape(seed) }
 }
 
 fn working(seed: u64) -> Shape {
@@ -142,8 +142,8 @@
     for seed in WORKING_FAULTS_SHOWN {
         check(&working(seed));
     }
-    for seed in FORGETTING_FAULTS_SHOWN {
-        check(&forgetting(seed));
+    for seed in ROLLBACK_FAULTS_SHOWN {
+        check(&rolling_back(seed));
     }
 }
 
@@ -159,7 +159,7 @@
             ordered: false,
             agents_restart: false,
             works: false,
-            forgets: false,
+            rolls_back: false,
         }
     }
 
--- a/crates/ownership/src/tests/sabotage.rs
+++ b/crates/ownership/src/tests/sabotage.rs
@@ -20,7 +20,7 @@
         ordered: false,
         agents_restart: false,
         works: false,
-        forgets: false,
+        rolls_back: false,
     }
 }
 
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -136,10 +136,10 @@
                 self.state().store.keep_copy();
                 return answer(StatusCode::OK, "");
             }
-            "admin/come-back" if method == Method::POST => {
+            "admin/roll-back" if method == Method::POST => {
                 let revision = {
                     let store = &mut self.state().store;
-                    store.come_back();
+                    store.roll_back();
                     store.revision()
                 };
                 self.revision.send_replace(revision);
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -55,7 +55,7 @@
     }
 
     /// Comes back from the copy: what was written since is lost, and its revisions are given out again.
-    pub(crate) fn come_back(&mut self) {
+    pub(crate) fn roll_back(&mut self) {
         self.now = self.copy.clone();
         self.era += 1;
     }
--- a/crates/standins/src/platform/tests.rs
+++ b/crates/standins/src/platform/tests.rs
@@ -44,7 +44,7 @@
     store.write("a/b", None, Some("x".to_owned())).unwrap();
     store.keep_copy();
     store.write("a/b", None, Some("y".to_owned())).unwrap();
-    store.come_back();
+    store.roll_back();
     assert_eq!((store.era(), store.revision(), store.read("a/b")), (1, 1, Some((1, "x".into()))));
     assert_eq!(store.write("a/c", Some(0), Some("z".to_owned())), Ok(2));
 }
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -169,8 +169,8 @@
     }
 
     /// Has the platform come back from its copy.
-    pub(crate) async fn platform_comes_back(&self) -> anyhow::Result<()> {
-        self.platform_call(Method::POST, "admin/come-back", String::new()).await?;
+    pub(crate) async fn platform_rolls_back(&self) -> anyhow::Result<()> {
+        self.platform_call(Method::POST, "admin/roll-back", String::new()).await?;
         Ok(())
     }
 
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -40,7 +40,7 @@
     /// It carries some updates out, and their answers are lost.
     LosesAnswers,
     /// It is away for a moment and comes back as it was when the fault began.
-    ComesBack,
+    RollsBack,
 }
 
 impl Fault {
@@ -55,7 +55,7 @@
             Fault::Store(StoreFault::Down) => "store_down",
             Fault::Store(StoreFault::Slow) => "store_slow",
             Fault::Store(StoreFault::LosesAnswers) => "store_loses_answers",
-            Fault::Store(StoreFault::ComesBack) => "store_comes_back",
+            Fault::Store(StoreFault::RollsBack) => "store_rolls_back",
         }
     }
 }
@@ -102,7 +102,7 @@
         12 => Fault::Store(StoreFault::LosesAnswers),
         13 => Fault::StoreLink(LinkState::Silent),
         14 => Fault::StoreLink(LinkState::CutToClient),
-        15..=16 => Fault::Store(StoreFault::ComesBack),
+        15..=16 => Fault::Store(StoreFault::RollsBack),
         _ => Fault::StoreLink(draw_link(rng)),
     }
 }
--- a/xtask/src/soak/lane.rs
+++ b/xtask/src/soak/lane.rs
@@ -157,7 +157,7 @@
 
 async fn strike_store(cluster: &Cluster, fault: StoreFault, lasts: Duration) -> anyhow::Result<()> {
     let (on, off) = match fault {
-        StoreFault::ComesBack => return forget(cluster, lasts).await,
+        StoreFault::RollsBack => return roll_back(cluster, lasts).await,
         StoreFault::Down => (r#"{"down": true}"#, r#"{"down": false}"#),
         StoreFault::Slow => (r#"{"slow_ms": 150}"#, r#"{"slow_ms": 0}"#),
         StoreFault::LosesAnswers => (r#"{"lose_answers": 2}"#, r#"{"lose_answers": 0}"#),
@@ -168,12 +168,12 @@
 }
 
 /// The store loses what is written from now on, and is away for a moment in the end.
-async fn forget(cluster: &Cluster, lasts: Duration) -> anyhow::Result<()> {
+async fn roll_back(cluster: &Cluster, lasts: Duration) -> anyhow::Result<()> {
     cluster.platform_keeps_copy().await?;
     sleep(lasts).await;
     cluster.platform_fault(r#"{"down": true}"#).await?;
     sleep(AWAY).await;
-    cluster.platform_comes_back().await?;
+    cluster.platform_rolls_back().await?;
     cluster.platform_fault(r#"{"down": false}"#).await
 }
 
