--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -98,6 +98,11 @@
         *self.ended.borrow()
     }
 
+    /// Ends its process.
+    pub(super) fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
     /// Starts its process again.
     pub(super) fn restart(&self) {
         self.ended.send_replace(false);
--- a/crates/agent/src/tests/poison.rs
+++ b/crates/agent/src/tests/poison.rs
@@ -9,7 +9,7 @@
 use tokio::{runtime::Runtime, time::sleep};
 use upstream::Answer;
 
-use super::fakes::{Call, TestAgent, get};
+use super::fakes::{Call, TestAgent, check, get};
 
 const AGENTS: usize = 3;
 const SEEDS: u64 = 8;
@@ -73,6 +73,50 @@
     assert!(more <= MORE_RUNS_MAX, "{more} more runs after {before} upstreams had ended");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_quarantined_request_is_refused_as_not_run_and_not_asked_to_come_back() {
+    let mut fleet = Fleet::start().await;
+    for at in 0..AGENTS {
+        fleet.call_harmful(at).await;
+        sleep(WORD_SPREADS).await;
+        fleet.restart_all();
+    }
+    for at in 0..AGENTS {
+        let answer = fleet.call_harmful(at).await;
+        check(&answer, 503, "not-run; reason=quarantined");
+        assert!(!answer.headers.contains_key("retry-after"), "{answer:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_two_suspects_one_runs_at_a_time() {
+    let fleet = TestAgent::start_fleet(1).await;
+    let agent = &fleet[0];
+    let held = |id, body: &'static str| Call { body: body.into(), ..get("hold", id) };
+    let at_work = async {
+        agent.upstream.wait_started().await;
+        agent.upstream.wait_started().await;
+        agent.upstream.end();
+        sleep(WORD_SPREADS).await;
+        agent.upstream.restart();
+    };
+    let deadline = Duration::from_millis(300);
+    let first = |id, body| agent.call(Call { deadline, ..held(id, body) });
+    tokio::join!(first(1, "a"), first(2, "b"), at_work);
+    let ran_before = agent.upstream.ran().len();
+    let one_by_one = async {
+        for suspects in 1..=2 {
+            agent.upstream.wait_started().await;
+            sleep(WORD_SPREADS).await;
+            assert_eq!(agent.upstream.ran().len(), ran_before + suspects);
+            agent.upstream.release.add_permits(1);
+        }
+    };
+    let (a, b, ()) = tokio::join!(agent.call(held(3, "a")), agent.call(held(4, "b")), one_by_one);
+    check(&a, 200, "answered");
+    check(&b, 200, "answered");
+}
+
 /// Requests of all kinds come to any agent, also while upstreams are down; those that end none are served again.
 async fn harmful_is_bounded_and_others_are_served(seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/traffic/src/retry/tests.rs
+++ b/crates/traffic/src/retry/tests.rs
@@ -6,6 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::LOST_PAUSE;
 use crate::{Attempt, Attempts, Charge, Retries, RetryConfig, RetryVerdict, tests::seeded};
 
 const SHED: Outcome = Outcome::NotRun(NotRunReason::Overloaded);
@@ -44,6 +45,17 @@
     check(Outcome::Unknown(UnknownReason::NoRecord), false, false);
 }
 
+#[test]
+fn a_retry_after_a_lost_connection_waits_for_word_of_an_ended_upstream() {
+    for left_ms in [500, 5_000] {
+        let RetryVerdict::Retry { after } = decide(LOST, true, left_ms) else {
+            panic!("it may be sent again");
+        };
+        assert!(after >= LOST_PAUSE, "{after:?}");
+    }
+    check(Outcome::NotRun(NotRunReason::Quarantined), true, false);
+}
+
 #[test]
 fn a_refusal_is_final_at_once_when_no_retry_fits_the_deadline() {
     let RetryVerdict::GiveUp { retry_after: Some(_) } = decide(SHED, true, 0) else {
