The first return of the store from a copy is told

What operators saw: nothing.

Cause: the era before the first answer and the era 0 were one value, so that the step from 0 to 1 looked like the first answer. They are told apart now, and whoever hears an era learns whether it rose. What an era decides (conditions, watches, updates) did not rest on it.

--- a/crates/object-store/src/eras.rs
+++ b/crates/object-store/src/eras.rs
@@ -12,21 +12,21 @@
 
 use crate::StoreError;
 
-/// The latest era of one store that one client has heard of.
+/// The latest era of one store that one client has heard of: one more than it, and 0 before the first answer.
 #[derive(Debug, Default)]
 pub struct Eras(AtomicU64);
 
 impl Eras {
-    /// Takes in the era that an answer names.
-    pub fn hear(&self, era: u64) {
-        let known = self.0.fetch_max(era, Ordering::SeqCst);
-        if era > known && known > 0 {
-            log::warn!(target: "platform", "The store has come back from an older copy: era {era} after {known}.");
-        }
+    /// Takes in the era that an answer names. True if the store has come back from an older copy since the last answer.
+    pub fn hear(&self, era: u64) -> bool {
+        let known = self.0.fetch_max(era + 1, Ordering::SeqCst).checked_sub(1);
+        let Some(known) = known.filter(|it| era > *it) else { return false };
+        log::warn!(target: "platform", "The store has come back from an older copy: era {era} after {known}.");
+        true
     }
 
     pub fn latest(&self) -> u64 {
-        self.0.load(Ordering::SeqCst)
+        self.0.load(Ordering::SeqCst).saturating_sub(1)
     }
 
     /// The revision to make an update on condition of. One of an earlier era may have been given out again for
