Traffic links: only to peers with requests, retired when idle

At 985 machines that is up to a thousand links in a process, and the memory of a process grew with the deployment.

Change: links are opened beforehand only while there are at most 64 peers. A link that neither side has used for 15 s is retired, beyond 64 links; above 512 the longest idle ones at once. Retiring takes two steps, since either side may send: one side stops to start exchanges and says so, the other closes once its own have ended. So no request is in transit on a link that closes, and a request that meets a retired link is sent over another one.

Ruled out: closing from one side, because a request of the other side that crosses the close may have run.

Result: tests for each order of the two steps, and 400 requests in both directions while both sides keep retiring: all answered by the handler.

Frame::id had no callers and is removed.

--- a/crates/agent/src/links/traffic/inbox.rs
+++ b/crates/agent/src/links/traffic/inbox.rs
@@ -91,6 +91,10 @@
                 }
                 Ok(())
             }
+            Frame::Retire => {
+                self.link.retire_by_peer();
+                Ok(())
+            }
         }
     }
 
--- a/crates/agent/src/links/traffic/link.rs
+++ b/crates/agent/src/links/traffic/link.rs
@@ -13,7 +13,7 @@
 use model::{Instance, NotRunReason, UnknownReason};
 use tokio::{
     sync::{Notify, oneshot, watch},
-    time::timeout,
+    time::{Instant, timeout},
 };
 use wire::traffic::{CHUNK_BYTES_MAX, CorrelationId, Frame, Records};
 
@@ -40,12 +40,24 @@
     HandoverResult(oneshot::Sender<bool>),
 }
 
+/// The exchanges that this side has started on a link: requests and handovers.
+#[derive(Debug)]
+struct Exchanges {
+    pending: HashMap<CorrelationId, PendingReply>,
+    /// When the last exchange began or ended.
+    last_used_at: Instant,
+    /// Whether this side starts no further exchange.
+    is_retired: bool,
+    /// Whether the peer starts no further exchange, so that the link may be closed once none is pending here.
+    is_retired_by_peer: bool,
+}
+
 /// One established link.
 #[derive(Debug)]
 pub(super) struct Link {
     pub(super) peer: Instance,
     senders: Senders,
-    pending: Mutex<HashMap<CorrelationId, PendingReply>>,
+    exchanges: Mutex<Exchanges>,
     /// Set to true when the link is closed.
     closed_sender: watch::Sender<bool>,
     /// Makes the link send a ping.
@@ -61,7 +73,13 @@
         let (senders, outbox) = channel();
         let (closed_sender, _) = watch::channel(false);
         let ping_request = Notify::new();
-        let link = Link { peer, senders, pending: Mutex::default(), closed_sender, ping_request };
+        let exchanges = Mutex::new(Exchanges {
+            pending: HashMap::new(),
+            last_used_at: Instant::now(),
+            is_retired: false,
+            is_retired_by_peer: false,
+        });
+        let link = Link { peer, senders, exchanges, closed_sender, ping_request };
         (Arc::new(link), outbox)
     }
 
@@ -76,23 +94,70 @@
     /// Marks the link as closed and fails all requests that await a reply on it.
     pub(super) fn close(&self) {
         self.closed_sender.send_replace(true);
-        self.pending().clear();
+        self.exchanges().pending.clear();
     }
 
-    fn pending(&self) -> MutexGuard<'_, HashMap<CorrelationId, PendingReply>> {
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    fn exchanges(&self) -> MutexGuard<'_, Exchanges> {
+        self.exchanges.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Removes and returns the entry for a reply. Returns `None` if the reply is late, duplicate or made up.
     pub(super) fn take_pending(&self, id: CorrelationId) -> Option<PendingReply> {
-        self.pending().remove(&id)
+        let mut exchanges = self.exchanges();
+        let reply = exchanges.pending.remove(&id);
+        exchanges.last_used_at = Instant::now();
+        self.close_if_retired_by_both(&exchanges);
+        reply
+    }
+
+    /// Returns whether this side may start exchanges on the link.
+    pub(super) fn is_usable(&self) -> bool {
+        !self.is_closed() && !self.exchanges().is_retired
     }
 
-    /// Sends a request once and waits for its reply.
-    pub(super) async fn send_request(self: &Arc<Link>, request: &GateRequest) -> ReplyWithLoad {
+    /// Returns since when this side has not used the link, or `None` if it is in use or retired.
+    pub(super) fn idle_since(&self) -> Option<Instant> {
+        let exchanges = self.exchanges();
+        let is_idle = exchanges.pending.is_empty() && !exchanges.is_retired;
+        is_idle.then_some(exchanges.last_used_at)
+    }
+
+    /// Starts no further exchange on the link if none is pending, and makes the peer close it as soon as the
+    /// peer's exchanges have ended too. A link is never closed under an exchange: its request could have been run
+    /// without the sender knowing.
+    pub(super) fn retire_if_idle(&self) {
+        let mut exchanges = self.exchanges();
+        if !exchanges.pending.is_empty() || exchanges.is_retired {
+            return;
+        }
+        let retire = QueuedFrame::new(&Frame::Retire, None);
+        // With a full queue the link is in use by the peer.
+        exchanges.is_retired = self.senders.small.try_send(retire).is_ok();
+    }
+
+    /// Records that the peer starts no further exchange, and retires the link on this side too.
+    pub(super) fn retire_by_peer(&self) {
+        let mut exchanges = self.exchanges();
+        exchanges.is_retired = true;
+        exchanges.is_retired_by_peer = true;
+        self.close_if_retired_by_both(&exchanges);
+    }
+
+    fn close_if_retired_by_both(&self, exchanges: &Exchanges) {
+        if exchanges.is_retired_by_peer && exchanges.pending.is_empty() {
+            self.senders.close_request.notify_one();
+        }
+    }
+
+    /// Sends a request once and waits for its reply. Returns `None` if the link has been retired meanwhile; then
+    /// the request has not been sent.
+    pub(super) async fn send_request(
+        self: &Arc<Link>,
+        request: &GateRequest,
+    ) -> Option<ReplyWithLoad> {
         let id = CorrelationId(rand::random());
         let (sender, receiver) = oneshot::channel();
-        let mut guard = PendingGuard::new(Arc::clone(self), id, PendingReply::Reply(sender));
+        let mut guard = PendingGuard::new(Arc::clone(self), id, PendingReply::Reply(sender))?;
         let written = Arc::clone(&guard.written);
         let first_len = first_len(&request.body);
         let mut head = request.to_wire(id, first_len);
@@ -105,7 +170,7 @@
         };
         let result = timeout(request.remaining, exchange).await;
         let may_have_run = written.load(Ordering::SeqCst);
-        match result {
+        Some(match result {
             Ok(Some(reply)) => {
                 guard.is_done = true;
                 reply
@@ -114,15 +179,16 @@
             Ok(None) => GateReply::not_run(NotRunReason::Unreachable).into(),
             Err(_) if may_have_run => GateReply::unknown(UnknownReason::DeadlineExceeded).into(),
             Err(_) => GateReply::not_run(NotRunReason::DeadlineExceeded).into(),
-        }
+        })
     }
 
-    /// Sends the records of a handover. Returns whether the peer has imported them.
-    pub(super) async fn hand_over(self: &Arc<Link>, handover: &Handover) -> bool {
+    /// Sends the records of a handover. Returns whether the peer has imported them, or `None` if the link has been
+    /// retired meanwhile; then nothing has been sent.
+    pub(super) async fn hand_over(self: &Arc<Link>, handover: &Handover) -> Option<bool> {
         let id = CorrelationId(rand::random());
         let (sender, receiver) = oneshot::channel();
         let mut guard =
-            PendingGuard::new(Arc::clone(self), id, PendingReply::HandoverResult(sender));
+            PendingGuard::new(Arc::clone(self), id, PendingReply::HandoverResult(sender))?;
         let first_len = first_len(&handover.records);
         let head = Frame::Records(Records {
             id,
@@ -138,7 +204,7 @@
         };
         let taken = timeout(HANDOVER_TIMEOUT, exchange).await.ok().flatten();
         guard.is_done = taken.is_some();
-        taken == Some(true)
+        Some(taken == Some(true))
     }
 
     /// Queues a whole message: its head, then the rest of its body.
@@ -184,15 +250,20 @@
 }
 
 impl PendingGuard {
-    fn new(link: Arc<Link>, id: CorrelationId, pending: PendingReply) -> PendingGuard {
+    /// Adds an exchange to the table, or returns `None` if the link is retired.
+    fn new(link: Arc<Link>, id: CorrelationId, pending: PendingReply) -> Option<PendingGuard> {
         {
-            let mut table = link.pending();
+            let mut exchanges = link.exchanges();
+            if exchanges.is_retired {
+                return None;
+            }
+            exchanges.last_used_at = Instant::now();
             // Checked under the lock, since `close` marks the link as closed before it clears the table.
             if !link.is_closed() {
-                table.insert(id, pending);
+                exchanges.pending.insert(id, pending);
             }
         }
-        PendingGuard { link, id, written: Arc::default(), is_done: false }
+        Some(PendingGuard { link, id, written: Arc::default(), is_done: false })
     }
 }
 
@@ -201,9 +272,10 @@
         if self.is_done {
             return;
         }
-        self.link.take_pending(self.id);
         let cancel = QueuedFrame::new(&Frame::Cancel(self.id), None);
         // If the queue is full, the deadline at the peer ends the request.
         drop(self.link.senders.small.try_send(cancel));
+        // Last, because it may let the link be closed.
+        self.link.take_pending(self.id);
     }
 }
--- a/crates/agent/src/links/traffic/mod.rs
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Links between traffic threads: multiplexed requests, one link for each pair of peers.
 
 mod assembly;
+mod idle;
 mod inbox;
 mod link;
 mod outbox;
@@ -65,6 +66,8 @@
     identity: LinkIdentity,
     handler: Arc<dyn Handler>,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
+    /// All open links, also those that requests do not use because there is another one with the same peer.
+    links: Mutex<Vec<Arc<Link>>>,
 }
 
 /// The state of the link with a peer.
@@ -94,8 +97,14 @@
         handler: Arc<dyn Handler>,
     ) -> TrafficLinks {
         let identity = LinkIdentity { own, kind: LinkKind::Traffic, key };
-        let shared = Arc::new(Shared { identity, handler, peers: Mutex::default() });
+        let shared = Arc::new(Shared {
+            identity,
+            handler,
+            peers: Mutex::default(),
+            links: Mutex::default(),
+        });
         tokio::spawn(listen(Arc::clone(&shared), listener));
+        tokio::spawn(idle::retire_idle_links(Arc::downgrade(&shared)));
         TrafficLinks { shared }
     }
 
@@ -106,24 +115,28 @@
         peer: &Instance,
         request: &GateRequest,
     ) -> ReplyWithLoad {
-        match self.link(peer).await {
-            Some(link) => link.send_request(request).await,
-            None => GateReply::not_run(NotRunReason::Unreachable).into(),
+        while let Some(link) = self.link(peer).await {
+            if let Some(reply) = link.send_request(request).await {
+                return reply;
+            }
         }
+        GateReply::not_run(NotRunReason::Unreachable).into()
     }
 
     /// Hands records over to a peer. Returns whether the peer has imported them.
     pub(crate) async fn hand_over(&self, peer: &Instance, handover: &Handover) -> bool {
-        match self.link(peer).await {
-            Some(link) => link.hand_over(handover).await,
-            None => false,
+        while let Some(link) = self.link(peer).await {
+            if let Some(is_imported) = link.hand_over(handover).await {
+                return is_imported;
+            }
         }
+        false
     }
 
     /// Establishes a link with a peer before the first request needs it.
     pub(crate) fn preconnect(&self, peer: &Instance) {
         if peer.traffic == self.shared.identity.own.traffic
-            || matches!(self.shared.peers().get(&peer.traffic), Some(Peer::Connected(_)))
+            || matches!(self.shared.peers().get(&peer.traffic), Some(Peer::Connected(it)) if it.is_usable())
         {
             return;
         }
@@ -158,16 +171,20 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn links(&self) -> MutexGuard<'_, Vec<Arc<Link>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn next_step(&self, peer: &Instance) -> NextStep {
         let mut peers = self.peers();
         match peers.get(&peer.traffic) {
             // The link is with another incarnation, so the requested one has probably ended. Or the linked
             // one has ended without closing the connection, which the ping detects.
-            Some(Peer::Connected(link)) if !link.is_closed() && link.peer != *peer => {
+            Some(Peer::Connected(link)) if link.is_usable() && link.peer != *peer => {
                 link.ping_request().notify_one();
                 NextStep::Fail
             }
-            Some(Peer::Connected(link)) if !link.is_closed() => NextStep::UseLink(Arc::clone(link)),
+            Some(Peer::Connected(link)) if link.is_usable() => NextStep::UseLink(Arc::clone(link)),
             Some(Peer::Dialling(dial_ended)) => NextStep::WaitForDial(dial_ended.clone()),
             Some(Peer::Unreachable { since }) if since.elapsed() < REDIAL_PAUSE => NextStep::Fail,
             Some(Peer::Connected(_) | Peer::Unreachable { .. }) | None => {
@@ -185,10 +202,11 @@
         {
             let mut peers = self.peers();
             match peers.get(&peer.traffic) {
-                Some(Peer::Connected(it)) if !it.is_closed() && it.peer == peer => {}
+                Some(Peer::Connected(it)) if it.is_usable() && it.peer == peer => {}
                 _ => drop(peers.insert(peer.traffic, Peer::Connected(Arc::clone(&link)))),
             }
         }
+        self.links().push(Arc::clone(&link));
         log::debug!(target: "links", "Established a traffic link with {peer}.");
         let inbox = TrafficInbox::new(Arc::clone(&link), Arc::clone(&self.handler));
         let shared = Arc::clone(self);
@@ -200,6 +218,7 @@
                 }
             }
             link.close();
+            shared.links().retain(|it| !Arc::ptr_eq(it, &link));
             let mut peers = shared.peers();
             match peers.get(&peer.traffic) {
                 Some(Peer::Connected(it)) if Arc::ptr_eq(it, &link) => {
--- a/crates/agent/src/links/traffic/outbox.rs
+++ b/crates/agent/src/links/traffic/outbox.rs
@@ -5,7 +5,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use wire::traffic::Frame;
 
 use crate::links::socket::{OutboundMessage, Outbox};
@@ -39,6 +39,8 @@
 pub(super) struct Senders {
     pub(super) small: mpsc::Sender<QueuedFrame>,
     pub(super) large: mpsc::Sender<QueuedFrame>,
+    /// Makes the link's writer close the link.
+    pub(super) close_request: Arc<Notify>,
 }
 
 /// The receiving ends of the queues, from which a link's writer takes frames.
@@ -46,15 +48,21 @@
 pub(crate) struct TrafficOutbox {
     small: mpsc::Receiver<QueuedFrame>,
     large: mpsc::Receiver<QueuedFrame>,
+    close_request: Arc<Notify>,
     consecutive_small: u32,
 }
 
 pub(super) fn channel() -> (Senders, TrafficOutbox) {
     let (small, small_receiver) = mpsc::channel(SMALL_QUEUE_MAX);
     let (large, large_receiver) = mpsc::channel(LARGE_QUEUE_MAX);
-    let outbox =
-        TrafficOutbox { small: small_receiver, large: large_receiver, consecutive_small: 0 };
-    (Senders { small, large }, outbox)
+    let close_request = Arc::new(Notify::new());
+    let outbox = TrafficOutbox {
+        small: small_receiver,
+        large: large_receiver,
+        close_request: Arc::clone(&close_request),
+        consecutive_small: 0,
+    };
+    (Senders { small, large, close_request }, outbox)
 }
 
 /// Marks a frame as written and returns its message.
@@ -73,6 +81,7 @@
         tokio::select! {
             Some(queued) = self.small.recv() => Some(mark_written(queued)),
             Some(queued) = self.large.recv() => Some(mark_written(queued)),
+            () = self.close_request.notified() => None,
             else => None,
         }
     }
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -1,10 +1,15 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use model::{Incarnation, Instance, InstanceName, Zone};
+use http::{HeaderMap, Method, uri::PathAndQuery};
+use model::{
+    ClassName, ConfigVersion, Fingerprint, Incarnation, Instance, InstanceName, NotRunReason,
+    RequestId, ServiceName, Zone,
+};
 use tokio::{
     net::TcpListener,
-    time::{sleep, timeout},
+    sync::Semaphore,
+    time::{Instant, sleep, timeout},
 };
 use wire::{
     link::LinkKind,
@@ -12,13 +17,14 @@
 };
 
 use super::{
-    Handler, Handover, LinkIdentity, LinkKey, ReplyFuture, TrafficLinks,
+    Handler, Handover, Link, LinkIdentity, LinkKey, ReplyFuture, TrafficLinks,
     assembly::{Assembly, Head, Progress, chunks},
+    idle::{IDLE_LINKS_KEPT, surplus},
     outbox::{QueuedFrame, channel},
 };
 use crate::{
     links::socket::{OutboundMessage, Outbox},
-    request::GateRequest,
+    request::{GateReply, GateRequest},
 };
 
 const ID: CorrelationId = CorrelationId(7);
@@ -166,3 +172,189 @@
         .await
         .expect("the new incarnation was not reached in time");
 }
+
+/// A handler that replies once a permit is available, with a reply that no link gives by itself.
+struct HoldingHandler(Arc<Semaphore>);
+
+impl Handler for HoldingHandler {
+    fn handle_request(&self, _from: &Instance, _request: GateRequest) -> ReplyFuture {
+        let permits = Arc::clone(&self.0);
+        Box::pin(async move {
+            permits.acquire().await.unwrap().forget();
+            GateReply::not_run(NotRunReason::Quarantined).into()
+        })
+    }
+
+    fn import_records(&self, _from: &Instance, _handover: Handover) -> bool {
+        true
+    }
+}
+
+/// The links of one process, and the permits of its handler.
+struct Process {
+    own: Instance,
+    links: TrafficLinks,
+    permits: Arc<Semaphore>,
+}
+
+impl Process {
+    async fn start(name: &str) -> Process {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let own = instance(name, 1, listener.local_addr().unwrap());
+        let permits = Arc::new(Semaphore::new(0));
+        let handler = Arc::new(HoldingHandler(Arc::clone(&permits)));
+        let key = LinkKey::new(b"a secret of all agents");
+        let links = TrafficLinks::start(own.clone(), listener, key, handler);
+        Process { own, links, permits }
+    }
+
+    async fn connect(&self, peer: &Process) -> Arc<Link> {
+        self.links.link(&peer.own).await.unwrap()
+    }
+
+    /// Sends a request, which the peer's handler holds until it gets a permit.
+    async fn request(&self, peer: &Process) -> GateReply {
+        self.links.send_request(&peer.own, &request()).await.reply
+    }
+
+    async fn wait_for_links(&self, count: usize) {
+        let reached = async {
+            while self.links.shared.links().len() != count {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(Duration::from_secs(20), reached).await.expect("the links were not closed in time");
+    }
+}
+
+fn request() -> GateRequest {
+    GateRequest {
+        service: ServiceName::new("lapboard").unwrap(),
+        key_hash: None,
+        id: RequestId(1),
+        fingerprint: Fingerprint(1),
+        class: ClassName::new("lap").unwrap(),
+        idempotent: false,
+        remaining: Duration::from_secs(20),
+        age: Duration::ZERO,
+        time_at_ingress: Duration::ZERO,
+        kind: None,
+        objective: None,
+        is_retry_after_refusal: false,
+        upstream_attempts_max: 1,
+        config_version: ConfigVersion(1),
+        method: Method::POST,
+        path: PathAndQuery::from_static("/lap"),
+        headers: Arc::new(HeaderMap::new()),
+        body: Bytes::new(),
+    }
+}
+
+fn replied() -> GateReply {
+    GateReply::not_run(NotRunReason::Quarantined)
+}
+
+#[tokio::test]
+async fn a_retired_link_is_closed_and_the_next_request_opens_another() {
+    let (a, b) = (Process::start("a").await, Process::start("b").await);
+    let link = a.connect(&b).await;
+    link.retire_if_idle();
+    a.wait_for_links(0).await;
+    b.wait_for_links(0).await;
+    b.permits.add_permits(1);
+    assert_eq!(a.request(&b).await, replied());
+    assert!(link.send_request(&request()).await.is_none());
+}
+
+#[tokio::test]
+async fn a_link_with_a_pending_request_is_not_retired() {
+    let (a, b) = (Process::start("a").await, Process::start("b").await);
+    let link = a.connect(&b).await;
+    let check = async {
+        while link.idle_since().is_some() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        link.retire_if_idle();
+        assert!(link.is_usable());
+        b.permits.add_permits(1);
+    };
+    assert_eq!(tokio::join!(a.request(&b), check).0, replied());
+}
+
+/// The peer's request may cross the retirement, so the link stays open until it has been answered.
+#[tokio::test]
+async fn a_link_that_one_side_retires_stays_open_for_a_request_of_the_other_side() {
+    let (a, b) = (Process::start("a").await, Process::start("b").await);
+    let link = a.connect(&b).await;
+    b.wait_for_links(1).await;
+    let peer_link = Arc::clone(&b.links.shared.links()[0]);
+    let check = async {
+        while peer_link.idle_since().is_some() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        link.retire_if_idle();
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(a.links.shared.links().len(), 1, "closed under a request");
+        a.permits.add_permits(1);
+    };
+    assert_eq!(tokio::join!(b.request(&a), check).0, replied());
+    a.wait_for_links(0).await;
+    b.wait_for_links(0).await;
+}
+
+#[tokio::test]
+async fn links_that_both_sides_retire_at_once_are_closed() {
+    let (a, b) = (Process::start("a").await, Process::start("b").await);
+    let link = a.connect(&b).await;
+    b.wait_for_links(1).await;
+    let peer_link = Arc::clone(&b.links.shared.links()[0]);
+    link.retire_if_idle();
+    peer_link.retire_if_idle();
+    a.wait_for_links(0).await;
+    b.wait_for_links(0).await;
+}
+
+/// Requests in both directions while both sides keep retiring their links: each must be answered by the handler.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_answered_while_links_are_retired() {
+    let (a, b) = (Arc::new(Process::start("a").await), Arc::new(Process::start("b").await));
+    a.permits.add_permits(200);
+    b.permits.add_permits(200);
+    let retire = |process: &Arc<Process>| {
+        let process = Arc::clone(process);
+        tokio::spawn(async move {
+            loop {
+                process.links.shared.links().iter().for_each(|it| it.retire_if_idle());
+                tokio::task::yield_now().await;
+            }
+        })
+    };
+    let retiring = [retire(&a), retire(&b)];
+    for _ in 0..200 {
+        let (to_b, to_a) = tokio::join!(a.request(&b), b.request(&a));
+        assert_eq!((to_b, to_a), (replied(), replied()));
+    }
+    retiring.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
+/// Checks how many of the links are retired, given for how many seconds each has been idle.
+fn check_surplus(idle_s: impl IntoIterator<Item = Option<u64>>, expected: usize) {
+    let now = Instant::now() + Duration::from_secs(3_600);
+    let idle_since: Vec<Option<Instant>> =
+        idle_s.into_iter().map(|it| it.map(|s| now - Duration::from_secs(s))).collect();
+    let retired = surplus(now, &idle_since);
+    assert_eq!(retired.len(), expected);
+    let kept = (0..idle_since.len()).filter(|it| !retired.contains(it));
+    let longest_kept = kept.filter_map(|it| idle_since[it]).min();
+    assert!(retired.iter().all(|it| longest_kept.is_none_or(|kept| idle_since[*it] <= Some(kept))));
+}
+
+#[test]
+fn links_are_retired_that_are_idle_for_long_or_too_many() {
+    let few = IDLE_LINKS_KEPT;
+    check_surplus((0..few).map(|_| Some(1_000)), 0);
+    check_surplus((0..few + 10).map(|_| Some(1_000)), 10);
+    check_surplus((0..few + 10).map(|it| Some(it as u64 % 15)), 0);
+    check_surplus((0..700).map(|it| Some(it % 2)), 700 - 512);
+    check_surplus((0..700).map(|_| None), 0);
+}
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -1,6 +1,7 @@
 //! The traffic plane: all tasks that run on the traffic threads.
 
 use std::{
+    collections::HashSet,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -30,7 +31,7 @@
     ready::{self, Readiness},
     report::Reporter,
     request_log::RequestLog,
-    snapshot::SnapshotCell,
+    snapshot::{Snapshot, SnapshotCell},
 };
 
 /// Interval at which a drain checks whether all requests in flight have ended.
@@ -42,6 +43,8 @@
 /// request accepted later might not end before the process does. Each response sent meanwhile closes its
 /// connection, so that no request is in transit on a connection when the server ends.
 const QUIET_WAIT_MAX: Duration = Duration::from_millis(2_750);
+/// Largest number of peers that are connected to before the first request needs a link.
+const PRECONNECTED_MAX: usize = 64;
 /// Time for which requests are refused before the server ends.
 const REFUSE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -201,16 +204,21 @@
     }
 }
 
-/// Connects to the owners and members in each new snapshot before the first request needs a link.
+/// Connects to the owners and members in each new snapshot before the first request needs a link, unless they are
+/// too many. Links to all of them would then cost more memory than an agent has, and most would not be used.
 async fn preconnect_links(snapshots: Arc<SnapshotCell>, links: TrafficLinks) {
     let mut changes = snapshots.changes();
     loop {
         let snapshot = snapshots.load().clone();
-        for service in snapshot.services.values() {
-            service.routes.instances().for_each(|it| links.preconnect(it));
-        }
+        preconnected(&snapshot).into_iter().for_each(|it| links.preconnect(it));
         if changes.changed().await.is_err() {
             return;
         }
     }
 }
+
+fn preconnected(snapshot: &Snapshot) -> HashSet<&Instance> {
+    let services = snapshot.services.values();
+    let peers: HashSet<&Instance> = services.flat_map(|it| it.routes.instances()).collect();
+    if peers.len() <= PRECONNECTED_MAX { peers } else { HashSet::new() }
+}
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -54,6 +54,9 @@
     Records(Records),
     /// Reply to `Records`: whether the new owner has imported them.
     RecordsTaken(RecordsTaken),
+    /// The sender starts no further exchange on this link, and none of its own is pending. The receiver closes the
+    /// link once its own exchanges have ended.
+    Retire,
 }
 
 /// Head of a request.
@@ -210,7 +213,11 @@
             Frame::Answer(it) => it.body.len(),
             Frame::Records(it) => it.body.len(),
             Frame::Chunk(it) => it.data.len(),
-            Frame::Failed(_) | Frame::NotOwner(_) | Frame::Cancel(_) | Frame::RecordsTaken(_) => 0,
+            Frame::Failed(_)
+            | Frame::NotOwner(_)
+            | Frame::Cancel(_)
+            | Frame::RecordsTaken(_)
+            | Frame::Retire => 0,
         }
     }
 
@@ -231,20 +238,6 @@
         }
         Ok(frame)
     }
-
-    /// Returns the correlation id of the frame.
-    pub fn id(&self) -> CorrelationId {
-        match self {
-            Frame::Request(it) => it.id,
-            Frame::Answer(it) => it.id,
-            Frame::Failed(it) => it.id,
-            Frame::NotOwner(it) => it.id,
-            Frame::Chunk(it) => it.id,
-            Frame::Cancel(it) => *it,
-            Frame::Records(it) => it.id,
-            Frame::RecordsTaken(it) => it.id,
-        }
-    }
 }
 
 fn check_body(body_len: u64, first: &Bytes) -> Result<(), CodecError> {
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -55,6 +55,7 @@
         Frame::Request(Box::new(request())),
         answer(9, b"part".to_vec()),
         Frame::Cancel(CorrelationId(0)),
+        Frame::Retire,
         Frame::Chunk(Chunk { id: CorrelationId(2), offset: 4, data: vec![1; 5].into() }),
     ] {
         assert_eq!(Frame::parse(&frame.to_bytes()).unwrap(), frame);
