Routes of a service come from one of its members for a while, of the own zone if possible

Cause: an agent queried another random member of each service it uses every second, and a control link is kept for 60 s of idleness: about 180 links at any size above that, with whole route tables crossing zones.

Change: a member is queried for 10 s, then another; at once if it has not answered. Members of the own availability zone come first. Idle control links are closed after 15 s.

Result: three members queried in 30 s out of 200, four if one of them does not answer (test); 30 before.

--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -1,16 +1,17 @@
 //! Routes of foreign services: services that this instance forwards requests to without being a
 //! member of their group.
 //!
-//! Routes are fetched on the first request of a caller and refreshed from one random member at a
-//! time. The platform is only read while no member answers, and the coordinator is not preferred
-//! over other members. A stale route costs one redirect.
+//! Routes are fetched on the first request of a caller and refreshed from one member, which is
+//! replaced by another one after a while, or at once if it does not answer. Members of the own
+//! availability zone are preferred. The platform is only read while no member answers, and the
+//! coordinator is not preferred over other members. A stale route costs one redirect.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use model::{ConfigVersion, Instance, ServiceName, Timestamp};
+use model::{ConfigVersion, Instance, ServiceName, Timestamp, Zone};
 use object_store::StoreError;
 use ownership::{Plan, UpstreamState};
-use rand::seq::IndexedRandom;
+use rand::{Rng, seq::IndexedRandom};
 use wire::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
 
 use crate::control::{
@@ -32,6 +33,9 @@
 const UNANSWERED_MAX: u32 = 3;
 /// The number of members that are queried at the same time while queries stay unanswered.
 const PARALLEL_QUERIES: usize = 2;
+/// How long the same member is queried. Each member that is queried costs a control link, and one
+/// that is cut off from its coordinator supplies stale routes.
+const SOURCE_KEPT_FOR: Duration = Duration::from_secs(10);
 
 /// The routes of all foreign services that callers have requested.
 #[derive(Debug, Default)]
@@ -45,6 +49,8 @@
     /// The newest known routes, `None` until a member or the platform has supplied some.
     routes: Option<RouteTable>,
     queried_at: Timestamp,
+    /// The member that is queried, and since when.
+    source: Option<(Instance, Timestamp)>,
     /// The number of queries since a member last answered.
     unanswered: u32,
     /// When the platform was last read for this service's group.
@@ -86,6 +92,38 @@
         RouteQuery { members: if is_unresponsive { PARALLEL_QUERIES } else { 1 }, platform }
     }
 
+    /// Returns the members to query: the former one if it has answered, or else random ones, of
+    /// the zone `near` if the service has members there.
+    fn sources(
+        &mut self,
+        now: Timestamp,
+        count: usize,
+        near: &Zone,
+        rng: &mut impl Rng,
+    ) -> Vec<Instance> {
+        let Some(routes) = &self.routes else { return Vec::new() };
+        let is_member = |it: &Instance| routes.members.iter().any(|member| member.instance == *it);
+        match &self.source {
+            Some((source, since))
+                if self.unanswered <= 1
+                    && now.since(*since) < SOURCE_KEPT_FOR
+                    && is_member(source) =>
+            {
+                return vec![source.clone()];
+            }
+            _ => {}
+        }
+        let is_near = |it: &&RouteMember| it.instance.zone == *near;
+        let near: Vec<&RouteMember> = routes.members.iter().filter(is_near).collect();
+        let all: Vec<&RouteMember> = routes.members.iter().collect();
+        // After an unanswered query, the whole zone may be unavailable.
+        let candidates = if near.is_empty() || self.unanswered > 1 { all } else { near };
+        let sampled: Vec<Instance> =
+            candidates.sample(rng, count).map(|it| it.instance.clone()).collect();
+        self.source = sampled.first().map(|it| (it.clone(), now));
+        sampled
+    }
+
     /// Updates the routes from a peer's table and returns whether they changed. Agents of other
     /// services forward tables that they have received, so only a table from a member resets the
     /// count of unanswered queries or replaces routes of the same version. A table without members
@@ -138,6 +176,18 @@
         self.table.get_mut(service).map(|it| it.begin_query(now))
     }
 
+    /// Returns the member to query for a service's routes.
+    #[cfg(test)]
+    pub(super) fn sources(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        near: &Zone,
+        rng: &mut impl Rng,
+    ) -> Vec<Instance> {
+        self.table.get_mut(service).map_or_else(Vec::new, |it| it.sources(now, 1, near, rng))
+    }
+
     /// Updates a service's routes from a peer's table and returns whether they changed.
     pub(super) fn update(&mut self, from: &Instance, table: RouteTable) -> bool {
         self.table.get_mut(&table.service).is_some_and(|it| it.update(from, table))
@@ -254,16 +304,20 @@
             self.parts.calls.read_group(service, ONLY_GROUP, consistency);
             self.query_peers(service);
         }
-        let mut targets = self.sample_members(service, query.members);
+        let mut targets = self.route_sources(now, service, query.members);
         targets.extend(hint);
         self.fetch_routes(service, targets);
     }
 
-    fn sample_members(&mut self, service: &ServiceName, count: usize) -> Vec<Instance> {
-        let routes = self.foreign.table.get(service).and_then(|it| it.routes.as_ref());
-        let Some(routes) = routes else { return Vec::new() };
-        let picked = routes.members.sample(&mut self.rng, count);
-        picked.map(|it| it.instance.clone()).collect()
+    fn route_sources(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        count: usize,
+    ) -> Vec<Instance> {
+        let zone = &self.parts.own.zone;
+        let foreign = self.foreign.table.get_mut(service);
+        foreign.map_or_else(Vec::new, |it| it.sources(now, count, zone, &mut self.rng))
     }
 
     fn fetch_routes(&self, service: &ServiceName, targets: Vec<Instance>) {
@@ -331,6 +385,7 @@
                 return;
             }
         };
+        let now = self.now();
         let config = self.documents.version(&service);
         let Some(foreign) = self.foreign.table.get_mut(&service) else { return };
         if foreign.has_responsive_members() {
@@ -340,7 +395,7 @@
             foreign.routes = Some(RouteTable { config, ..routes_from_plan(plan) });
             self.is_dirty = true;
         }
-        let mut targets = self.sample_members(&service, PARALLEL_QUERIES);
+        let mut targets = self.route_sources(now, &service, PARALLEL_QUERIES);
         targets.extend(read.coordinator.and_then(|it| it.holder));
         self.fetch_routes(&service, targets);
     }
--- a/crates/agent/src/control/tests/documents.rs
+++ b/crates/agent/src/control/tests/documents.rs
@@ -1,6 +1,8 @@
 //! The table of documents in force and the routes of foreign services.
 
 use model::{ConfigVersion, Instance, ServiceName, SlotCount, Timestamp};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use wire::exchange::{RouteMember, RouteTable};
 
 use crate::{
@@ -116,3 +118,37 @@
     assert_eq!(later.first(), Some(&Consistency::Latest));
     assert!(!foreign.has_responsive_members(&service));
 }
+
+/// Returns the members that are queried in consecutive seconds. `answers` says whether the one queried in a second
+/// answers.
+fn queried_members(members: &[&str], answers: impl Fn(u64) -> bool) -> Vec<String> {
+    let service = ServiceName::new("standings").unwrap();
+    let zone = instance("caller").zone;
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut foreign = ForeignRoutes::default();
+    foreign.add(&service);
+    foreign.update(&instance(members[0]), routes(1, members));
+    let mut queried = Vec::new();
+    for s in 1..=30 {
+        let now = Timestamp::from_ms(1_000 * s);
+        foreign.begin_query(now, &service).unwrap();
+        let sources = foreign.sources(now, &service, &zone, &mut rng);
+        queried.push(sources[0].name.as_str().to_owned());
+        if answers(s) {
+            foreign.update(&sources[0], routes(1, members));
+        }
+    }
+    queried
+}
+
+#[test]
+fn routes_are_queried_from_few_members_while_they_answer() {
+    let names: Vec<String> = (0..200).map(|it| format!("standings-{it}")).collect();
+    let members: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut queried = queried_members(&members, |_| true);
+    queried.dedup();
+    assert_eq!(queried.len(), 3, "each member is queried for ten seconds: {queried:?}");
+    let mut queried = queried_members(&members, |s| s != 5);
+    queried.dedup();
+    assert_eq!(queried.len(), 4, "a member that does not answer is replaced: {queried:?}");
+}
--- a/crates/agent/src/links/control.rs
+++ b/crates/agent/src/links/control.rs
@@ -29,7 +29,7 @@
 /// Largest number of events queued for the control thread.
 const EVENTS_MAX: usize = 4096;
 /// Time after which an unused link is closed.
-const IDLE_MAX: Duration = Duration::from_secs(60);
+const IDLE_MAX: Duration = Duration::from_secs(15);
 const BACKOFF_MIN: Duration = Duration::from_millis(25);
 const BACKOFF_MAX: Duration = Duration::from_millis(500);
 
