Links: buffers of 4 KiB that grow for larger messages

Cause: each link held 16 KiB for reading and as much for writing at the least. A process of a large deployment has hundreds of links, and most messages have a few hundred bytes.

--- a/crates/agent/src/links/handshake.rs
+++ b/crates/agent/src/links/handshake.rs
@@ -24,7 +24,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Size limit of a message on a link.
 pub(crate) const MESSAGE_BYTES_MAX: usize = 2 << 20;
-const BUFFER_BYTES: usize = 16 << 10;
+/// Size of the buffers of a link, which grow for larger messages. Most messages are smaller, and a process in a large
+/// deployment has hundreds of links.
+const BUFFER_BYTES: usize = 4 << 10;
 
 pub(crate) type Socket = WebSocketStream<TcpStream>;
 
