--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -20,8 +20,8 @@
     snapshot::SnapshotCell,
 };
 
-/// The only group of a service. Services are limited to one group of 32 members; the join of the
-/// 33rd member is refused.
+/// The only group of a service. It has a largest number of members; an instance beyond it gets no
+/// slots or requests, and routes the requests of its callers as to a foreign service.
 pub(crate) const ONLY_GROUP: GroupId = GroupId(0);
 
 /// The settings and handles that the control thread uses.
@@ -177,6 +177,7 @@
         platform_absence_max: it.platform_absence_max,
         pause_max: it.pause_max,
         handover_max: it.handover_max,
+        members_max: it.members_max,
         imbalance_target: it.imbalance_target,
         churn_per_minute_max: it.churn_per_minute_max,
         availability_weight: it.availability_weight,
--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -261,8 +261,8 @@
 }
 
 impl MemberTable {
-    /// Classifies a renewal of a member.
-    pub(crate) fn classify(&self, id: &MemberId, renew: &Renew) -> RenewalKind {
+    /// Classifies a renewal of a member of a group that may have `members_max` members.
+    pub(crate) fn classify(&self, id: &MemberId, renew: &Renew, members_max: usize) -> RenewalKind {
         if self.ended.get(id).is_some_and(|it| renew.session <= *it) {
             return RenewalKind::Ended;
         }
@@ -271,7 +271,7 @@
             Some(row) if renew.session > row.session => RenewalKind::NewSession,
             Some(row) if renew.sequence <= row.sequence => RenewalKind::Stale,
             Some(_) => RenewalKind::Current,
-            None if self.rows.len() >= GROUP_MEMBERS_MAX => RenewalKind::Full,
+            None if self.rows.len() >= members_max.min(GROUP_MEMBERS_MAX) => RenewalKind::Full,
             None => RenewalKind::NewSession,
         }
     }
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -23,7 +23,7 @@
         }
         self.succession.record_follower(ctx.now, from);
         let id = MemberId::from(from);
-        match self.members.classify(&id, renew) {
+        match self.members.classify(&id, renew, ctx.limits().members_max) {
             RenewalKind::Stale => {}
             RenewalKind::Ended => self.refuse_session(ctx, from, renew.session),
             RenewalKind::Full => {
--- a/crates/ownership/src/limits.rs
+++ b/crates/ownership/src/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::GROUP_MEMBERS_MAX;
+
 /// Whether the service's upstreams check fence tokens themselves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FenceCheck {
@@ -41,6 +43,8 @@
     pub pause_max: Duration,
     /// How long the old owner of a slot may take to finish its requests in flight.
     pub handover_max: Duration,
+    /// The most members of the group, at most [`GROUP_MEMBERS_MAX`].
+    pub members_max: usize,
     /// Target for the busiest member's load divided by the mean load, for example 1.15.
     pub imbalance_target: f64,
     /// Largest share of all keys that rebalancing may move per minute.
@@ -63,6 +67,7 @@
             platform_absence_max: Duration::from_secs(5400),
             pause_max: Duration::from_millis(250),
             handover_max: Duration::from_millis(2000),
+            members_max: GROUP_MEMBERS_MAX,
             imbalance_target: 1.15,
             churn_per_minute_max: 0.10,
             availability_weight: 0.5,
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -118,6 +118,8 @@
     pub platform_absence_max: Duration,
     pub pause_max: Duration,
     pub handover_max: Duration,
+    /// Largest number of members of a group.
+    pub members_max: usize,
     /// Target for the ratio of the busiest member's load to the mean load.
     pub imbalance_target: f64,
     /// Largest share of all keys that rebalancing moves per minute, from 0.0 to 1.0.
@@ -244,6 +246,7 @@
             platform_absence_max: Duration::from_secs(raw.platform_absence_max_s),
             pause_max: Duration::from_millis(raw.pause_max_ms),
             handover_max: Duration::from_millis(raw.handover_max_ms),
+            members_max: usize::from(raw.members_max),
             imbalance_target: raw.imbalance_target,
             churn_per_minute_max: raw.churn_per_minute_max,
             availability_weight: raw.availability_weight,
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -314,6 +314,10 @@
     /// flight.
     #[schemars(range(min = 100, max = 60_000))]
     pub(crate) handover_max_ms: u64,
+    /// Largest number of members of a group. An instance that finds its group full receives no
+    /// requests, but still forwards those of its callers.
+    #[schemars(range(min = 1, max = 256))]
+    pub(crate) members_max: u16,
     /// Target for the ratio of the busiest member's load to the mean load.
     #[schemars(range(min = 1.01, max = 10.0))]
     pub(crate) imbalance_target: f64,
@@ -338,6 +342,7 @@
             platform_absence_max_s: 5_400,
             pause_max_ms: 250,
             handover_max_ms: 2_000,
+            members_max: 256,
             imbalance_target: 1.15,
             churn_per_minute_max: 0.10,
             availability_weight: 0.5,
