A refused node does not take its coordinator's silence for a loss

Cause: a node that a full group refuses asks again after 5 s and hears nothing in between. After 0.5 s it queried the coordinator and all witnesses five times a second, and where a reply came late it read the platform and took the term, although it is not a member: at 372 instances of a service that is 116 such nodes, and coordinators fell and were replaced.

Change: until its next attempt to join, a refused node expects no message. The attempts are spread by jitter.

A refused node still takes the place of a lost member.

--- a/crates/ownership/src/node/messages.rs
+++ b/crates/ownership/src/node/messages.rs
@@ -7,13 +7,12 @@
 use crate::{
     Event, Message,
     ctx::Ctx,
-    member::Member,
     rules::{self, Rule},
 };
 
 use super::Node;
 
-/// Delay before a member retries to join a group that was full.
+/// Delay before a member retries to join a group that was full, before jitter.
 const JOIN_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 impl Node {
@@ -67,7 +66,9 @@
             Message::SessionEnded { session, .. } => self.member.handle_session_ended(ctx, session),
             Message::JoinRefused { .. } => {
                 self.known.last_contact_at = ctx.now;
-                Member::retry_join_at(&mut self.member, ctx.now + JOIN_RETRY_DELAY);
+                let retry_at = ctx.now + ctx.jittered(JOIN_RETRY_DELAY);
+                self.member.retry_join_at(retry_at);
+                self.takeover.expect_quiet_until(retry_at);
                 ctx.emit(Event::JoinRefused { member: ctx.own_instance().clone() });
             }
         }
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -73,6 +73,9 @@
     next_query_at: Timestamp,
     /// Earliest time of a takeover, because another member has recently received messages from the coordinator.
     takeover_not_before: Timestamp,
+    /// Time until which the coordinator has no reason to send anything, because it has refused this node and has not
+    /// been asked again.
+    quiet_until: Timestamp,
     /// Instances that have sent messages, with the time of the last one.
     contacts: Vec<(Instance, Timestamp)>,
     /// Witnesses that the coordinator object listed when it was last read.
@@ -96,6 +99,7 @@
             next_attempt_at: now,
             next_query_at: now,
             takeover_not_before: now,
+            quiet_until: now,
             contacts: Vec::new(),
             witnesses: Vec::new(),
             no_majority_since: None,
@@ -117,6 +121,11 @@
         self.has_read
     }
 
+    /// Expects no message of the coordinator before this time.
+    pub(super) fn expect_quiet_until(&mut self, time: Timestamp) {
+        self.quiet_until = time;
+    }
+
     fn schedule_retry(&mut self, ctx: &mut Ctx<'_>) {
         self.step = TakeoverStep::Idle;
         self.next_attempt_at = ctx.now + ctx.jittered(self.retry_delay);
@@ -142,7 +151,7 @@
         if self.takeover.reacquire {
             return true;
         }
-        let silence = ctx.now.since(self.known.last_contact_at);
+        let silence = self.unexpected_silence(ctx);
         let delay = RANK_DELAY * self.rank(ctx);
         match &self.known.coordinator {
             None if self.known.vacant => silence >= delay / 2,
@@ -159,6 +168,11 @@
         }
     }
 
+    /// Returns for how long the coordinator has been silent although this node expects messages of it.
+    fn unexpected_silence(&self, ctx: &Ctx<'_>) -> Duration {
+        ctx.now.since(self.known.last_contact_at.max(self.takeover.quiet_until))
+    }
+
     /// Returns whether another incarnation of the agent has sent a message, or is this node.
     fn is_agent_restarted(&self, ctx: &Ctx<'_>, previous: &Instance) -> bool {
         let contacts = self.takeover.contacts.iter().map(|it| &it.0);
@@ -179,7 +193,7 @@
     }
 
     fn query_coordinator(&mut self, ctx: &mut Ctx<'_>) {
-        let silence = ctx.now.since(self.known.last_contact_at);
+        let silence = self.unexpected_silence(ctx);
         let is_doubtful =
             self.known.coordinator.is_none() || silence * 4 >= ctx.limits().takeover_after * 3;
         if !is_doubtful || self.takeover.next_query_at > ctx.now {
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -344,6 +344,11 @@
         self.store.calls
     }
 
+    /// Returns the number of messages that hosts have sent.
+    pub fn messages(&self) -> u64 {
+        self.messages
+    }
+
     /// Processes events for a period of virtual time; stops processing at a violation.
     pub fn run_for(&mut self, duration: Duration) {
         let end = self.now + duration;
--- a/crates/ownership/src/tests/lifecycle.rs
+++ b/crates/ownership/src/tests/lifecycle.rs
@@ -182,6 +182,50 @@
     assert_served(&sim);
 }
 
+/// Starts as many nodes and returns the messages and platform calls of 30 s in which nothing happens.
+fn quiet_traffic(hosts: usize, members_max: usize) -> (u64, u64) {
+    let limits = Limits { members_max, ..Limits::default() };
+    let mut sim = Sim::new(SimConfig { hosts, limits, ..SimConfig::new(9) });
+    sim.start_all();
+    sim.run_for(Duration::from_secs(10));
+    let (messages, calls) = (sim.messages(), sim.platform_calls());
+    sim.run_for(Duration::from_secs(30));
+    assert_eq!(sim.events()["BecameCoordinator"], 1);
+    assert_served(&sim);
+    (sim.messages() - messages, sim.platform_calls() - calls)
+}
+
+/// Refused nodes hear nothing of the coordinator between two attempts to join. They must not take this for its loss,
+/// and query its witnesses or read the platform.
+#[test]
+fn refused_nodes_leave_the_group_and_the_platform_alone() {
+    let (messages_alone, calls_alone) = quiet_traffic(4, 4);
+    let (messages, calls) = quiet_traffic(24, 4);
+    assert!(
+        calls <= calls_alone + 5,
+        "{calls} platform calls, {calls_alone} without refused nodes"
+    );
+    // At most one attempt to join and its refusal each 2.5 s.
+    let of_refused = (messages - messages_alone) / 20;
+    assert!(of_refused <= 24, "{of_refused} messages for each refused node");
+}
+
+#[test]
+fn a_refused_node_takes_the_place_of_a_lost_member() {
+    let limits = Limits { members_max: 4, ..Limits::default() };
+    let mut sim = Sim::new(SimConfig { hosts: 6, limits, ..SimConfig::new(9) });
+    sim.start_all();
+    sim.run_for(Duration::from_secs(10));
+    for _ in 0..2 {
+        let lost = sim.coordinator().unwrap();
+        sim.apply(Fault::Crash(lost));
+        sim.run_for(Duration::from_secs(15));
+        let coordinator = sim.coordinator().unwrap();
+        assert_eq!(sim.view(coordinator).unwrap().members.len(), 4);
+        assert_served(&sim);
+    }
+}
+
 #[test]
 fn a_group_of_48_recovers_from_the_loss_of_its_coordinator_and_a_member() {
     let slot_count = SlotCount::new(512).unwrap();
