An instance whose group is full routes its callers' requests to the members

Cause: an agent takes the routes of its own service from its session with the coordinator alone.

Change: while it is refused, its own service is listed as any other service, with the first routes from the coordinator that refused it. It is told once why it is refused and what follows; before, both sides logged an error each time.

Result: a test plays a full group of two whose refused third instance routes to both, follows a change, and becomes a member once there is room.

--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -5,6 +5,9 @@
 //! replaced by another one after a while, or at once if it does not answer. Members of the own
 //! availability zone are preferred. The platform is only read while no member answers, and the
 //! coordinator is not preferred over other members. A stale route costs one redirect.
+//!
+//! An instance whose own group is full is not a member of it, and handles its own service in the same
+//! way.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -269,9 +272,34 @@
         self.query_routes(now, service, owner);
     }
 
+    /// Lists the own service while its group refuses this instance, so that its callers are served.
+    /// The first routes come from the coordinator, which has sent the refusal.
+    fn list_own_service_if_refused(&mut self, now: Timestamp) {
+        let service = self.service().clone();
+        let refusing = self.group.as_ref().filter(|it| it.is_refused);
+        match (refusing, self.foreign.table.contains_key(&service)) {
+            (None, false) => {}
+            (None, true) => {
+                self.foreign.table.remove(&service);
+                self.is_dirty = true;
+            }
+            (Some(group), is_listed) => {
+                let coordinator = group.view.coordinator.clone();
+                let initial =
+                    || ForeignService { platform_queried_at: Some(now), ..Default::default() };
+                let foreign = self.foreign.table.entry(service.clone()).or_insert_with(initial);
+                let is_due = now.since(foreign.queried_at) >= REFRESH_INTERVAL;
+                if !is_listed || foreign.routes.is_none() && is_due {
+                    self.query_routes(now, &service, coordinator);
+                }
+            }
+        }
+    }
+
     /// Queries the routes that are due for a refresh, and drops services that have been absent for
     /// [`ABSENT_TTL`].
     pub(super) fn refresh_foreign_routes(&mut self, now: Timestamp) {
+        self.list_own_service_if_refused(now);
         self.foreign
             .table
             .retain(|_, it| it.absent_since.is_none_or(|since| now.since(since) < ABSENT_TTL));
@@ -337,6 +365,8 @@
     pub(super) fn send_routes(&self, to: &Instance, service: &ServiceName, known: u64) {
         let is_member = service == self.service() && !self.is_handed_over();
         let own = is_member.then(|| self.own_routes()).flatten();
+        // Without a session there are no members to name; see `list_own_service_if_refused`.
+        let own = own.filter(|it| !it.members.is_empty());
         let cached = || self.foreign.table.get(service).and_then(|it| it.routes.clone());
         let Some(table) = own.or_else(cached) else { return };
         let RouteTable { version, config, .. } = table;
--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -18,6 +18,7 @@
 /// The group's node, its last view, and the moves listed in the status.
 pub(crate) struct Group {
     node: Node,
+    own: Instance,
     service: ServiceName,
     outputs: Vec<Output>,
     pub(crate) view: NodeView,
@@ -25,6 +26,8 @@
     pub(crate) moves: VecDeque<MoveStatus>,
     /// Whether the node has stopped and holds no slots or leases.
     pub(crate) has_stopped: bool,
+    /// Whether the coordinator has refused this instance because the group is full.
+    pub(crate) is_refused: bool,
     /// Slot ranges granted by the current step, for the log.
     granted_ranges: Vec<GrantedRange>,
 }
@@ -53,11 +56,13 @@
         let view = node.view();
         Group {
             node,
+            own: parts.own.clone(),
             service: document.service.clone(),
             outputs: Vec::new(),
             view,
             moves: VecDeque::new(),
             has_stopped: false,
+            is_refused: false,
             granted_ranges: Vec::new(),
         }
     }
@@ -117,6 +122,15 @@
     /// Logs an event. Grants are collected, for the log and for the moves in the status.
     fn record_event(&mut self, event: Event) {
         log_event(&event);
+        match &event {
+            Event::JoinRefused { member } if *member == self.own => {
+                if !std::mem::replace(&mut self.is_refused, true) {
+                    log::warn!(target: "ownership", "The group has the maximum number of members: this instance gets no slots or requests, forwards the requests of its callers to the members, and keeps asking to join.");
+                }
+            }
+            Event::SessionOpened => self.is_refused = false,
+            _ => {}
+        }
         let Event::Granted { slot, token, to, reason } = event else { return };
         match self.granted_ranges.last_mut() {
             Some(range) if range.is_extended_by(slot, token, &to, reason) => range.last = slot,
@@ -181,8 +195,9 @@
             log::info!(target: "ownership", "Member {member} joined the group.")
         }
         Event::MemberLost { member } => log::warn!(target: "ownership", "Member {member} is lost."),
+        // Repeated for as long as the group is full; the refused instance logs the first one.
         Event::JoinRefused { member } => {
-            log::error!(target: "ownership", "Refused {member}: the group has the maximum number of members.");
+            log::debug!(target: "ownership", "Refused {member}: the group has the maximum number of members.");
         }
         Event::ConfirmationChanged { confirmation, witnesses } => {
             log::info!(target: "ownership", "The term is now confirmed by {confirmation:?} with {witnesses} witnesses.");
--- a/crates/agent/src/control/tests/agent.rs
+++ b/crates/agent/src/control/tests/agent.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Returns whether this instance holds slots according to its own snapshot.
+    pub(super) fn owns_slots(&self) -> bool {
+        self.owners_of_slots().contains(&self.own.name)
+    }
+
     /// Reports a caller's request for the tested service.
     pub(super) fn request_service(&self) {
         self.reporter.try_report(Report::UnknownService { service: service() });
--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod documents;
+mod full_group;
 mod agent;
 mod leaving;
 mod status_schedule;
