Fewer store calls of each agent: shorter watches, stale first reads of foreign groups

Cause: idle watches of crash records and of closed zones (29 s) outlast the store's history (20 s), so that each took three calls: the watch, a list, the next watch. The first read of a foreign group asked for the latest state, though its members supply newer routes and the following reads may be stale anyway.

Change: these watches wait for 18 s; the first read may be stale until routes are known.

--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -77,6 +77,12 @@
         self.routes.is_some() && self.unanswered <= UNANSWERED_MAX
     }
 
+    /// Returns the consistency of a platform read. Until the first routes are known, a stale read is good enough: the
+    /// members that it lists supply newer ones, and a group takes seconds to form.
+    fn consistency(&self) -> Consistency {
+        if self.routes.is_some() { Consistency::Latest } else { Consistency::Stale }
+    }
+
     /// Records one more query and returns its recipients. The platform is included if no routes are
     /// known or more than [`UNANSWERED_MAX`] queries are unanswered. It is read at most once per
     /// [`REFRESH_INTERVAL`], however often stale routes are reported.
@@ -85,10 +91,7 @@
         self.unanswered += 1;
         let is_unresponsive = self.unanswered > UNANSWERED_MAX || self.routes.is_none();
         let due = self.platform_queried_at.is_none_or(|it| now.since(it) >= REFRESH_INTERVAL);
-        // A group takes seconds to form; until then a stale read is good enough.
-        let consistency =
-            if self.routes.is_some() { Consistency::Latest } else { Consistency::Stale };
-        let platform = (is_unresponsive && due).then_some(consistency);
+        let platform = (is_unresponsive && due).then(|| self.consistency());
         if platform.is_some() {
             self.platform_queried_at = Some(now);
         }
@@ -245,12 +248,13 @@
         }
         foreign.queried_at = now;
         let is_responsive = foreign.has_responsive_members();
+        let consistency = foreign.consistency();
         self.read_accepted(&service);
         // Responsive members supply newer routes than the platform. Each central configuration looks
         // up all services again; without this condition, the two reads of the group for each service
         // in each process were a third of all platform calls.
         if !is_responsive {
-            self.parts.calls.read_group(&service, ONLY_GROUP, Consistency::Latest);
+            self.parts.calls.read_group(&service, ONLY_GROUP, consistency);
             self.query_peers(&service);
         }
         // The document may already be in force, from a watch.
--- a/crates/agent/src/quarantine/mod.rs
+++ b/crates/agent/src/quarantine/mod.rs
@@ -19,11 +19,11 @@
 use tokio::{sync::mpsc, time::sleep};
 use traffic::{CrashId, Quarantine, QuarantineStatus};
 
-/// Times of the follower of crash records. Crashes are rare, so most watches return nothing. A
-/// crash must be known to all agents before the request is sent again, so delays after failures are
+/// Times of the follower of crash records. Crashes are rare, so most watches return nothing; they
+/// are as long as the history of the store allows without a list after each. A crash must be known to all agents before the request is sent again, so delays after failures are
 /// short.
 const FOLLOWER_TIMES: FollowerTimes = FollowerTimes {
-    watch_wait: Duration::from_secs(29),
+    watch_wait: Duration::from_secs(18),
     call_interval_min: Duration::from_millis(10),
     retry_delay_min: Duration::from_millis(100),
     retry_delay_max: Duration::from_millis(1_000),
--- a/crates/agent/src/zones/mod.rs
+++ b/crates/agent/src/zones/mod.rs
@@ -21,10 +21,10 @@
 /// A receiver of the zones that are closed according to the last read.
 pub type ClosedZonesSource = watch::Receiver<ClosedZones>;
 
-/// Zones are closed a few times a year, so most watches end without a change, and they are long. A closed zone
-/// must take effect within seconds even after an outage of the store, so the pauses after failures are short.
+/// Zones are closed a few times a year, so most watches end without a change, and they are as long as the
+/// history of the store allows without a list after each. A closed zone must take effect within seconds even after an outage of the store, so the pauses after failures are short.
 const FOLLOWER_TIMES: FollowerTimes = FollowerTimes {
-    watch_wait: Duration::from_secs(29),
+    watch_wait: Duration::from_secs(18),
     call_interval_min: Duration::from_millis(50),
     retry_delay_min: Duration::from_millis(100),
     retry_delay_max: Duration::from_millis(1_000),
