--- a/crates/object-store/src/follower.rs
+++ b/crates/object-store/src/follower.rs
@@ -123,6 +123,8 @@
                     }
                     return changes;
                 }
+                // The next call is a list, which shows whether the store can be reached.
+                Err(StoreError::HistoryGone { .. }) => {}
                 Err(error) if std::mem::replace(&mut self.is_reachable, false) => {
                     log::warn!(target: "follower", "{subject} can't be read, retrying: {error}.");
                 }
