Agents learn of changes in the store from a few readers

Change: one agent in 16 is a reader, which follows from its name alone. It watches the store as before and keeps the recent changes. Each other agent follows two readers, of its own zone if there are any: it asks them every 0.7 s, and they answer at once when something changes. Each answer says when the store last answered the reader, which probes it with a read by age if nothing else does. An agent that has no such proof younger than 2 s from any reader watches the store itself; so does each agent where the configuration must be in force within less than 3 s (a new setting, config_delay_max_s), since a reader that is cut off is relied on for 2 s. A reader serves 64 agents at the most. Lists always go to the store.

Ruled out: watches that may be seconds old, at a tenth of the price; a closed zone or a harmful request would then be known too late. One reader instead of two: its loss would cost all its followers a call and 2 s.

--- a/crates/agent/src/adapters.rs
+++ b/crates/agent/src/adapters.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use object_store::{CallCounts, CountedStore, HttpObjectStore, ObjectStore, Timeouts};
+use object_store::{HttpObjectStore, ObjectStore, Timeouts};
 use settings::AgentSettings;
 use tokio::sync::watch;
 
@@ -10,6 +10,7 @@
     control::CentralConfigSource,
     gate::{Connect, connect_http},
     ingress::{AnnounceProtocol, CallerProtocol, DefaultAnnounceProtocol, DefaultCallerProtocol},
+    store_relay::FollowedStores,
     zones::{ClosedZones, ClosedZonesSource, follow_stored_zones},
 };
 
@@ -32,18 +33,16 @@
     /// on a runtime.
     pub(crate) fn from_settings(
         settings: &AgentSettings,
-        calls: &Arc<CallCounts>,
+        followed: &FollowedStores,
     ) -> anyhow::Result<Adapters> {
         let store = || HttpObjectStore::new(settings.platform_address, Timeouts::default());
         let (closed_sender, closed_zones) = watch::channel(ClosedZones::default());
-        let counted_store = || {
-            let counted = CountedStore::new(Arc::new(store()?), Arc::clone(calls));
-            anyhow::Ok(Arc::new(counted))
-        };
-        tokio::spawn(follow_stored_zones(counted_store()?, closed_sender));
+        let followed_store = || anyhow::Ok(followed.wrap(Arc::new(store()?)));
+        tokio::spawn(follow_stored_zones(followed_store()?, closed_sender));
+        followed.start_probes(Arc::new(store()?));
         Ok(Adapters {
             store: Arc::new(store()?),
-            traffic_store: counted_store()?,
+            traffic_store: followed_store()?,
             callers: Arc::new(DefaultCallerProtocol),
             announcements: Arc::new(DefaultAnnounceProtocol),
             connect: Box::new(connect_http),
--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -38,6 +38,7 @@
     links::{ControlLinks, LinkKey},
     report::Report,
     snapshot::SnapshotCell,
+    store_relay::Relay,
     zones::{ClosedZones, ClosedZonesSource},
 };
 
@@ -77,6 +78,8 @@
     /// Central configurations, or `None` if teams write a document for each service.
     pub central_config: Option<CentralConfigSource>,
     pub closed_zones: ClosedZonesSource,
+    /// The watches of the store that are shared with other agents.
+    pub(crate) relay: Arc<Relay>,
 }
 
 /// The newest central configuration, or `None` until the first is received.
@@ -88,6 +91,7 @@
         listener, key, mut reports, mut phase, handed_over, mut central_config, ..
     } = parts;
     let mut closed_zones = Some(parts.closed_zones);
+    let relay = Arc::clone(&parts.relay);
     let (links, mut events) = ControlLinks::start(parts.own.clone(), listener, key);
     let (result_sender, mut call_results) = mpsc::unbounded_channel();
     let calls = calls::PlatformCalls::new(parts.platform, result_sender);
@@ -100,6 +104,7 @@
         gate: parts.gate,
         snapshots: parts.snapshots,
         seed: parts.seed,
+        relay: parts.relay,
         documents_from: match central_config {
             Some(_) => DocumentSource::CentralConfig,
             None => DocumentSource::ObjectStore,
@@ -117,6 +122,7 @@
             Some(it) = next_central_config(&mut central_config) => control.on_central_config(&it),
             Some(it) = next_closed_zones(&mut closed_zones) => control.on_closed_zones(&it),
             Some(report) = reports.recv() => control.on_report(report),
+            () = relay.wait_for_messages() => control.send_relay_messages(),
             changed = phase.changed() => match *phase.borrow() {
                 _ if changed.is_err() => return,
                 Phase::Running => {}
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -59,6 +59,21 @@
             Envelope::RoutesUnchanged { service, version, config } => {
                 self.on_routes_unchanged(&from, service, version, config);
             }
+            Envelope::WatchStore { watches } => {
+                let answer = self.parts.relay.handle_watches(&from, watches);
+                self.parts.links.send(&from, answer.encode());
+            }
+            Envelope::StoreNews { age_ms, news } => {
+                self.parts.relay.handle_news(&from, age_ms, news);
+            }
+            Envelope::StoreWatchRefused => self.parts.relay.handle_refusal(&from),
+        }
+    }
+
+    /// Sends the due messages about changes in the store.
+    pub(super) fn send_relay_messages(&mut self) {
+        for (to, message) in self.parts.relay.take_messages() {
+            self.parts.links.send(&to, message.encode());
         }
     }
 
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -37,6 +37,9 @@
             },
             announcement,
         });
+        let members = self.group.iter().flat_map(|it| &it.view.members).map(|it| &it.instance);
+        let foreign = self.foreign.iter().filter_map(|(_, it)| it).flat_map(|it| &it.members);
+        self.parts.relay.set_instances(members.chain(foreign.map(|it| &it.instance)));
         self.parts.snapshots.store(Snapshot { services, routing: self.routing.clone(), local });
     }
 
--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -18,6 +18,7 @@
     gate::GateHandle,
     links::ControlLinks,
     snapshot::SnapshotCell,
+    store_relay::Relay,
 };
 
 /// The only group of a service. It has a largest number of members; an instance beyond it gets no
@@ -34,6 +35,7 @@
     pub(crate) gate: GateHandle,
     pub(crate) snapshots: Arc<SnapshotCell>,
     pub(crate) seed: u64,
+    pub(crate) relay: Arc<Relay>,
     pub(crate) documents_from: DocumentSource,
 }
 
@@ -110,6 +112,7 @@
         self.check_upstream_timeout(now);
         self.report_load(now);
         self.refresh_foreign_routes(now);
+        self.send_relay_messages();
         if self.parts.documents_from == DocumentSource::ObjectStore {
             self.look_up_document(now);
             self.reread_accepted(now);
--- a/crates/agent/src/control/tests/agent.rs
+++ b/crates/agent/src/control/tests/agent.rs
@@ -20,6 +20,7 @@
     links::LinkKey,
     report::{Announcement, Report, Reporter},
     snapshot::{Routes, SnapshotCell},
+    store_relay::Relay,
     zones::{ClosedZones, follow_stored_zones},
 };
 
@@ -97,8 +98,11 @@
         let (closed, closed_zones) = watch::channel(ClosedZones::default());
         let store = Arc::clone(platform) as Arc<dyn object_store::ObjectStore>;
         tokio::spawn(follow_stored_zones(store, closed));
+        let settings = settings(service_name, name, control, peers);
+        let relay = Relay::new(&settings);
         let task = tokio::spawn(run(ControlParts {
-            settings: Arc::new(settings(service_name, name, control, peers)),
+            settings: Arc::new(settings),
+            relay,
             own: own.clone(),
             clock,
             listener,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,6 +20,7 @@
 mod request_log;
 mod run;
 pub mod snapshot;
+mod store_relay;
 mod zones;
 
 pub use adapters::Adapters;
@@ -32,6 +33,7 @@
 pub use reload::SettingsFile;
 pub use request::GateReply;
 pub use run::{ListenError, run, run_with};
+pub use store_relay::FollowedStores;
 pub use zones::{ClosedZones, ClosedZonesSource, ZoneChange, follow_zones};
 
 #[cfg(test)]
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -29,6 +29,7 @@
     reload::SettingsFile,
     report::{self, Report},
     snapshot::SnapshotCell,
+    store_relay::{FollowedStores, Relay},
     zones::ClosedZonesSource,
 };
 
@@ -75,7 +76,7 @@
 /// `create_adapters` is called on the runtime of the traffic threads.
 pub fn run_with(
     file: SettingsFile,
-    create_adapters: impl FnOnce(&AgentSettings, &Arc<CallCounts>) -> anyhow::Result<Adapters>,
+    create_adapters: impl FnOnce(&AgentSettings, &FollowedStores) -> anyhow::Result<Adapters>,
 ) -> anyhow::Result<()> {
     let settings = file.settings.clone();
     let runtime = Builder::new_multi_thread()
@@ -91,7 +92,9 @@
     runtime.spawn(file.watch(hang_up));
     let listeners = runtime.block_on(async { Listeners::bind(&settings) })?;
     let platform_calls: Arc<CallCounts> = Arc::default();
-    let adapters = runtime.block_on(async { create_adapters(&settings, &platform_calls) });
+    let relay = Relay::new(&settings);
+    let followed_stores = FollowedStores::new(Arc::clone(&platform_calls), Arc::clone(&relay));
+    let adapters = runtime.block_on(async { create_adapters(&settings, &followed_stores) });
     let Adapters {
         store,
         traffic_store,
@@ -135,6 +138,7 @@
         store: Arc::new(CountedStore::new(store, Arc::clone(&platform_calls))),
         central_config,
         closed_zones,
+        relay,
     };
     let control = thread::Builder::new()
         .name("control".to_owned())
@@ -287,6 +291,7 @@
     store: Arc<dyn ObjectStore>,
     central_config: Option<CentralConfigSource>,
     closed_zones: ClosedZonesSource,
+    relay: Arc<Relay>,
 }
 
 impl ControlSetup {
@@ -313,6 +318,7 @@
                 seed: rand::random(),
                 central_config: self.central_config,
                 closed_zones: self.closed_zones,
+                relay: self.relay,
             })
             .await;
             Ok(())
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -50,6 +50,9 @@
     /// Longest duration of a graceful stop, after which requests that are still running are
     /// aborted.
     pub stop_duration_max: Duration,
+    /// Longest time until an accepted configuration must be in force. It determines whether agents may learn of changes
+    /// in the store from each other.
+    pub config_delay_max: Duration,
     /// Common defaults of the service documents that are built from a central configuration.
     pub document_defaults: DocumentDefaults,
     /// A filter for log lines, such as `info` or `info,gate=debug`.
@@ -122,6 +125,11 @@
     #[serde(default = "default_stop_ms_max")]
     #[schemars(range(min = 500, max = 600_000))]
     stop_ms_max: u64,
+    /// Longest time in seconds until a configuration must be in force after the store has accepted it. From 3 s on, a
+    /// few agents watch the store for the others, which makes far fewer calls.
+    #[serde(default = "default_config_delay_max_s")]
+    #[schemars(range(min = 0.5, max = 3_600.0))]
+    config_delay_max_s: f64,
     /// Common defaults of the service documents that are built from a central configuration.
     #[serde(default)]
     document_defaults: RawDocumentDefaults,
@@ -142,6 +150,10 @@
     1_000
 }
 
+fn default_config_delay_max_s() -> f64 {
+    2.0
+}
+
 fn default_stop_ms_max() -> u64 {
     30_000
 }
@@ -179,6 +191,7 @@
             ("traffic_threads", self.traffic_threads == other.traffic_threads),
             ("announced_every_ms", self.announce_interval == other.announce_interval),
             ("stop_ms_max", self.stop_duration_max == other.stop_duration_max),
+            ("config_delay_max_s", self.config_delay_max == other.config_delay_max),
             ("document_defaults", self.document_defaults == other.document_defaults),
             ("log", self.log == other.log),
         ];
@@ -238,6 +251,7 @@
         traffic_threads: raw.traffic_threads,
         announce_interval: Duration::from_millis(raw.announced_every_ms),
         stop_duration_max: Duration::from_millis(raw.stop_ms_max),
+        config_delay_max: Duration::from_secs_f64(raw.config_delay_max_s),
         document_defaults: raw.document_defaults.clone().into(),
         log: raw.log.clone(),
     })
--- a/crates/wire/src/exchange/envelope.rs
+++ b/crates/wire/src/exchange/envelope.rs
@@ -3,7 +3,13 @@
 use model::{ConfigVersion, GroupId, ServiceName};
 use serde::{Deserialize, Serialize};
 
-use crate::{CodecError, decode, encode, exchange::RouteTable};
+use crate::{
+    CodecError, decode, encode,
+    exchange::{
+        RouteTable, StoreNews, StoreWatch,
+        store::{check_news, check_watches},
+    },
+};
 
 /// Longest document that is accepted. The platform stores values of up to a megabyte.
 const DOCUMENT_BYTES_MAX: usize = 1 << 20;
@@ -28,6 +34,12 @@
     Routes(RouteTable),
     /// Reply to `FetchRoutes`: the routes still have this version.
     RoutesUnchanged { service: ServiceName, version: u64, config: ConfigVersion },
+    /// Replaces the watches of the sender that the receiver answers. Repeated while the sender relies on the receiver.
+    WatchStore { watches: Vec<StoreWatch> },
+    /// Reply to `WatchStore`, and any later change. The sender's store last answered `age_ms` ago.
+    StoreNews { age_ms: u32, news: Vec<StoreNews> },
+    /// Reply to `WatchStore`: the sender does not answer the receiver's watches.
+    StoreWatchRefused,
 }
 
 impl Envelope {
@@ -71,6 +83,16 @@
     Routes { table: RouteTable },
     #[serde(rename = "ru")]
     RoutesUnchanged { service: ServiceName, version: u64, config: ConfigVersion },
+    #[serde(rename = "ws")]
+    WatchStore { watches: Vec<StoreWatch> },
+    #[serde(rename = "sn")]
+    StoreNews {
+        #[serde(rename = "age")]
+        age_ms: u32,
+        news: Vec<StoreNews>,
+    },
+    #[serde(rename = "wr")]
+    StoreWatchRefused,
 }
 
 impl From<Envelope> for WireEnvelope {
@@ -91,6 +113,9 @@
             Envelope::RoutesUnchanged { service, version, config } => {
                 WireEnvelope::RoutesUnchanged { service, version, config }
             }
+            Envelope::WatchStore { watches } => WireEnvelope::WatchStore { watches },
+            Envelope::StoreNews { age_ms, news } => WireEnvelope::StoreNews { age_ms, news },
+            Envelope::StoreWatchRefused => WireEnvelope::StoreWatchRefused,
         }
     }
 }
@@ -124,6 +149,15 @@
                 table.check().map_err(|reason| invalid("table", reason))?;
                 Ok(Envelope::Routes(table))
             }
+            WireEnvelope::WatchStore { watches } => {
+                check_watches(&watches).map_err(|reason| invalid("watches", reason))?;
+                Ok(Envelope::WatchStore { watches })
+            }
+            WireEnvelope::StoreNews { age_ms, news } => {
+                check_news(&news).map_err(|reason| invalid("news", reason))?;
+                Ok(Envelope::StoreNews { age_ms, news })
+            }
+            WireEnvelope::StoreWatchRefused => Ok(Envelope::StoreWatchRefused),
         }
     }
 }
--- a/crates/wire/src/exchange/tests.rs
+++ b/crates/wire/src/exchange/tests.rs
@@ -1,13 +1,16 @@
 //! Round trips and malformed messages of the exchange between control threads.
 
+use bytes::Bytes;
 use model::{
-    ConfigVersion, GroupId, Incarnation, Instance, InstanceName, KeyHash, ServiceName, Slot,
-    SlotCount, Zone,
+    ConfigVersion, GroupId, Incarnation, Instance, InstanceName, KeyHash, ObjectVersion,
+    ServiceName, Slot, SlotCount, Zone,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
+use crate::exchange::{
+    Envelope, RouteMember, RouteOwner, RouteTable, StoreChange, StoreNews, StoreWatch,
+};
 
 fn service() -> ServiceName {
     ServiceName::new("standings").unwrap()
@@ -46,9 +49,27 @@
         Envelope::FetchRoutes { service: service(), known_version: 4 },
         Envelope::Routes(table(0)),
         Envelope::RoutesUnchanged { service: service(), version: 9, config: ConfigVersion(3) },
+        Envelope::WatchStore { watches: vec![watch("config/")] },
+        Envelope::StoreNews { age_ms: 20, news: vec![news(2)] },
+        Envelope::StoreWatchRefused,
     ]
 }
 
+fn watch(prefix: &str) -> StoreWatch {
+    StoreWatch { prefix: prefix.to_owned(), after: ObjectVersion::of(1, 12) }
+}
+
+fn news(changes: usize) -> StoreNews {
+    let version = ObjectVersion::of(1, 13);
+    let change = StoreChange {
+        path: "config/main".to_owned(),
+        version,
+        body: Some(Bytes::from_static(b"{}")),
+    };
+    let changes = Some(vec![change; changes]);
+    StoreNews { prefix: "config/".to_owned(), revision: version, changes }
+}
+
 fn check(envelope: Envelope) {
     assert_eq!(Envelope::decode(&envelope.clone().encode()), Ok(envelope));
 }
@@ -63,6 +84,18 @@
     assert!(Envelope::decode(&Envelope::Routes(table(1)).encode()).is_err());
 }
 
+#[test]
+fn watches_and_news_of_the_store_beyond_their_bounds_are_refused() {
+    for envelope in [
+        Envelope::WatchStore { watches: vec![watch("config/"); 17] },
+        Envelope::WatchStore { watches: vec![watch(&"x".repeat(300))] },
+        Envelope::StoreNews { age_ms: 0, news: vec![news(1); 17] },
+        Envelope::StoreNews { age_ms: 0, news: vec![news(257)] },
+    ] {
+        assert!(Envelope::decode(&envelope.clone().encode()).is_err(), "{envelope:?}");
+    }
+}
+
 #[test]
 fn mutated_messages_never_panic() {
     let mut rng = Pcg64Mcg::seed_from_u64(11);
