Readers that start anew make nobody list; store calls in the log at debug level

A reader knows the changes since its own first list. Its followers now rely on their other reader until they have reached that revision, which news without changes advance, so a restarted reader costs its followers no list. Each call to the store is logged at debug level with its kind and path, to see what causes it.

--- a/crates/agent/src/store_relay/follower.rs
+++ b/crates/agent/src/store_relay/follower.rs
@@ -48,6 +48,12 @@
     asked_at: Option<Instant>,
 }
 
+impl FollowedReader {
+    fn is_reliable(&self, now: Instant) -> bool {
+        self.reliable_until.is_some_and(|until| until > now)
+    }
+}
+
 #[derive(Debug)]
 struct Watch {
     after: ObjectVersion,
@@ -89,20 +95,30 @@
             reader.reliable_until = reader.reliable_until.max(Some(now + left));
         }
         for news in all_news {
-            self.end_watch(news);
+            self.apply(now, from, news);
         }
     }
 
-    fn end_watch(&mut self, news: StoreNews) {
-        let Some(watch) = self.watches.get(&news.prefix) else { return };
+    /// Ends the watch that the news are for, or advances it if there are no changes.
+    fn apply(&mut self, now: Instant, from: &Instance, news: StoreNews) {
+        let Some(watch) = self.watches.get_mut(&news.prefix) else { return };
         let changes = news.changes.map(|it| it.into_iter().map(change).collect::<Vec<Change>>());
+        let is_other_reliable =
+            self.followed.iter().any(|it| it.instance != *from && it.is_reliable(now));
         let end = match changes {
             // Such a reader has not seen the latest rollback of the store yet.
             _ if news.revision.era() < watch.after.era() => return,
             Some(changes) if changes.iter().any(|it| it.version > watch.after) => {
                 WatchEnd::Changed(Changes { revision: news.revision, changes })
             }
-            Some(_) => return,
+            Some(_) => {
+                watch.after = watch.after.max(news.revision);
+                return;
+            }
+            // A reader that has started a short time ago knows less than the other one.
+            None if is_other_reliable && news.revision.era() == watch.after.era() => {
+                return self.avoid(now, |it| it.instance == *from);
+            }
             None => WatchEnd::HistoryGone,
         };
         if let Some(watch) = self.watches.remove(&news.prefix) {
@@ -111,6 +127,11 @@
         }
     }
 
+    /// Ends a watch whose time limit has passed, and returns the revision up to which there were no changes.
+    pub(super) fn end_without_change(&mut self, prefix: &str) -> Option<ObjectVersion> {
+        self.watches.remove(prefix).map(|it| it.after)
+    }
+
     pub(super) fn handle_refusal(&mut self, now: Instant, from: &Instance) {
         self.avoid(now, |it| it.instance == *from);
     }
@@ -147,7 +168,7 @@
     }
 
     fn has_reader(&self, now: Instant) -> bool {
-        self.followed.iter().any(|it| it.reliable_until.is_some_and(|until| until > now))
+        self.followed.iter().any(|it| it.is_reliable(now))
     }
 
     fn avoid(&mut self, now: Instant, is_avoided: impl Fn(&FollowedReader) -> bool) {
--- a/crates/agent/src/store_relay/mod.rs
+++ b/crates/agent/src/store_relay/mod.rs
@@ -233,7 +233,11 @@
                 Some(Err(StoreError::HistoryGone { step: format!("watch {prefix}") }))
             }
             Ok(Ok(WatchEnd::NoReader) | Err(_)) => None,
-            Err(_) => Some(Ok(Changes { revision: after, changes: Vec::new() })),
+            Err(_) => {
+                let unchanged_until = self.relay.state().follower.end_without_change(prefix);
+                let revision = unchanged_until.unwrap_or(after);
+                Some(Ok(Changes { revision, changes: Vec::new() }))
+            }
         }
     }
 }
--- a/crates/agent/src/store_relay/reader.rs
+++ b/crates/agent/src/store_relay/reader.rs
@@ -21,6 +21,8 @@
     /// When the store last answered any call.
     answered_at: Option<Instant>,
     followers: BTreeMap<InstanceName, FollowerRow>,
+    /// Whether a list or watch has been answered since the followers were last told.
+    has_changed: bool,
 }
 
 #[derive(Debug)]
@@ -37,11 +39,13 @@
 
     pub(super) fn add_list(&mut self, prefix: &str, list: &Changes) {
         self.histories.entry(prefix.to_owned()).or_default().add_list(list);
+        self.has_changed = true;
     }
 
     pub(super) fn add_watch(&mut self, prefix: &str, after: ObjectVersion, answer: &Changes) {
         if let Some(history) = self.histories.get_mut(prefix) {
             history.add_watch(after, answer);
+            self.has_changed = true;
         }
     }
 
@@ -73,6 +77,9 @@
 
     /// Returns the messages for all agents that wait for changes which are known now.
     pub(super) fn pending_news(&mut self, now: Instant) -> Vec<(Instance, Envelope)> {
+        if !std::mem::take(&mut self.has_changed) {
+            return Vec::new();
+        }
         let names: Vec<InstanceName> = self.followers.keys().cloned().collect();
         let mut messages = Vec::new();
         for name in names {
@@ -91,17 +98,18 @@
         history.is_some_and(|it| watch.after.era() <= it.revision().era())
     }
 
-    /// Returns the news for an agent and advances its watches past them.
+    /// Returns the news for an agent and advances its watches past them. News without changes say up to which revision
+    /// there were none.
     fn take_news(&mut self, name: &InstanceName) -> Vec<StoreNews> {
         let Some(row) = self.followers.get_mut(name) else { return Vec::new() };
         let mut all_news = Vec::new();
         row.watches.retain_mut(|watch| {
             let Some(history) = self.histories.get(&watch.prefix) else { return true };
+            let revision = history.revision();
             let changes = history.after(watch.after);
-            if changes.as_ref().is_some_and(|it| it.changes.is_empty()) {
+            if changes.as_ref().is_some_and(|it| it.changes.is_empty()) && revision <= watch.after {
                 return true;
             }
-            let revision = history.revision();
             let is_known = changes.is_some();
             let changes = changes.map(|it| it.changes.into_iter().map(store_change).collect());
             all_news.push(StoreNews { prefix: watch.prefix.clone(), revision, changes });
--- a/crates/agent/src/store_relay/tests.rs
+++ b/crates/agent/src/store_relay/tests.rs
@@ -217,6 +217,22 @@
         cluster
     }
 
+    /// Replaces an agent by a new one of the same name.
+    async fn restart(&mut self, name: &str) {
+        self.pump.abort();
+        sleep(Duration::from_millis(1)).await;
+        let mut agents = std::mem::take(&mut self.agents);
+        agents = Arc::new(Arc::try_unwrap(agents).map_or_else(
+            |_| panic!("the agents are in use"),
+            |mut it| {
+                it.insert(name.to_owned(), Agent::start(name, &self.store));
+                it
+            },
+        ));
+        self.pump = tokio::spawn(deliver_messages(Arc::clone(&agents)));
+        self.agents = agents;
+    }
+
     fn readers(&self) -> impl Iterator<Item = &Agent> {
         self.agents.values().filter(|it| it.relay.is_reader)
     }
@@ -325,6 +341,31 @@
     assert_eq!(cluster.watch_calls_of_followers(), calls);
 }
 
+/// A reader that starts anew knows the changes since its start only. Its followers rely on the other one until they
+/// have advanced to that, and list nothing.
+#[tokio::test(start_paused = true)]
+async fn a_reader_that_starts_anew_makes_nobody_list() {
+    let mut cluster = Cluster::start().await;
+    let lists = |it: &Cluster| it.followers().map(|it| it.calls.of(CallKind::List)).sum::<u64>();
+    let before = (lists(&cluster), cluster.watch_calls_of_followers());
+    // Other objects raise the revision of the store.
+    cluster.store.put("plans/standings/0", "{}");
+    let name = cluster.readers().next().unwrap().instance.name.as_str().to_owned();
+    cluster.restart(&name).await;
+    sleep(Duration::from_secs(60)).await;
+    cluster.store.put(PATH, "second");
+    sleep(Duration::from_millis(300)).await;
+    cluster.check_all_know("second");
+    assert_eq!((lists(&cluster), cluster.watch_calls_of_followers()), before);
+    // Both are followed again.
+    let reader = cluster.readers().find(|it| it.instance.name.as_str() != name).unwrap();
+    reader.is_cut_from_agents.store(true, Ordering::SeqCst);
+    cluster.store.put(PATH, "third");
+    sleep(Duration::from_millis(300)).await;
+    cluster.check_all_know("third");
+    assert_eq!((lists(&cluster), cluster.watch_calls_of_followers()), before);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_rollback_of_the_store_reaches_all_agents() {
     let cluster = Cluster::start().await;
--- a/crates/object-store/src/counted.rs
+++ b/crates/object-store/src/counted.rs
@@ -66,19 +66,20 @@
         CountedStore { inner, counts }
     }
 
-    fn count(&self, kind: CallKind) -> &dyn ObjectStore {
+    fn count(&self, kind: CallKind, path: &str) -> &dyn ObjectStore {
         self.counts.0[kind as usize].fetch_add(1, Ordering::Relaxed);
+        log::debug!(target: "store_calls", "Calling the store: {} {path}.", kind.as_str());
         self.inner.as_ref()
     }
 }
 
 impl ObjectStore for CountedStore {
     fn read(&self, path: &str) -> StoreResult<'_, Option<Object>> {
-        self.count(CallKind::Read).read(path)
+        self.count(CallKind::Read, path).read(path)
     }
 
     fn read_maybe_stale(&self, path: &str) -> StoreResult<'_, Option<Object>> {
-        self.count(CallKind::MaybeStaleRead).read_maybe_stale(path)
+        self.count(CallKind::MaybeStaleRead, path).read_maybe_stale(path)
     }
 
     fn update(
@@ -87,7 +88,7 @@
         expected: ObjectVersion,
         body: Bytes,
     ) -> StoreResult<'_, ObjectVersion> {
-        self.count(CallKind::Update).update(path, expected, body)
+        self.count(CallKind::Update, path).update(path, expected, body)
     }
 
     fn era(&self) -> u64 {
@@ -95,11 +96,11 @@
     }
 
     fn list(&self, prefix: &str) -> StoreResult<'_, Changes> {
-        self.count(CallKind::List).list(prefix)
+        self.count(CallKind::List, prefix).list(prefix)
     }
 
     fn list_maybe_stale(&self, prefix: &str) -> StoreResult<'_, Changes> {
-        self.count(CallKind::MaybeStaleRead).list_maybe_stale(prefix)
+        self.count(CallKind::MaybeStaleRead, prefix).list_maybe_stale(prefix)
     }
 
     fn watch(
@@ -108,6 +109,6 @@
         after: ObjectVersion,
         wait: Duration,
     ) -> StoreResult<'_, Changes> {
-        self.count(CallKind::Watch).watch(prefix, after, wait)
+        self.count(CallKind::Watch, prefix).watch(prefix, after, wait)
     }
 }
