Services that are not sharded by key have several groups

Change: an instance that a full group refuses joins the next one, if the service is not sharded by key; such groups grant nothing, so no key can have two owners, and each coordinator counts its own members only. Routes are asked for by group. Who uses a service asks for the group after each that is at least seven eighths full, each 5 s while there is none, and chooses among the members of all. Paths, messages and tokens had a group number already; messages of the first group are the same bytes as before.

Services that are sharded by key keep one group: the ranges of docs/design/fleet.md are not built.

Result: a test with groups of two forms three groups of five instances, each of which gets requests from all others and from another service.

--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -34,9 +34,10 @@
         accepted: AcceptedDocument,
         result: Result<ObjectVersion, StoreError>,
     },
-    /// The stored state of another service's group.
+    /// The stored state of a group that this instance is not a member of.
     GroupRead {
         service: ServiceName,
+        group: GroupId,
         result: Result<StoredGroup, StoreError>,
     },
     /// The changes that a watch or a list returned.
@@ -169,7 +170,7 @@
         });
     }
 
-    /// Reads the stored state of another service's group, for its routes.
+    /// Reads the stored state of a group that this instance is not a member of, for its routes.
     pub(crate) fn read_group(
         &self,
         service: &ServiceName,
@@ -179,7 +180,7 @@
         let service = service.clone();
         self.spawn(move |platform| async move {
             let result = read_group(platform.as_ref(), &service, group, consistency).await;
-            CallResult::GroupRead { service, result }
+            CallResult::GroupRead { service, group, result }
         });
     }
 
--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -6,12 +6,13 @@
 //! availability zone are preferred. The platform is only read while no member answers, and the
 //! coordinator is not preferred over other members. A stale route costs one redirect.
 //!
-//! An instance whose own group is full is not a member of it, and handles its own service in the same
-//! way.
+//! A service that is not sharded by key has further groups once the first is full; their routes are
+//! fetched as well. Groups of the own service that this instance is not a member of are handled in the
+//! same way, in particular a full group that has refused it.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use model::{ConfigVersion, Instance, ServiceName, Timestamp, Zone};
+use model::{ConfigVersion, GroupId, Instance, ServiceName, Timestamp, Zone};
 use object_store::StoreError;
 use ownership::{Plan, UpstreamState};
 use rand::{Rng, seq::IndexedRandom};
@@ -19,7 +20,8 @@
 
 use crate::control::{
     calls::{Consistency, StoredGroup},
-    state::{Control, DocumentSource, ONLY_GROUP},
+    group::Group,
+    state::{Control, DocumentSource, GROUPS_MAX},
 };
 
 /// The most services whose routes are kept, since callers can name any number of services.
@@ -40,15 +42,23 @@
 /// that is cut off from its coordinator supplies stale routes.
 const SOURCE_KEPT_FOR: Duration = Duration::from_secs(10);
 
-/// The routes of all foreign services that callers have requested.
+/// How long a group after the first that has no members counts as absent before it is queried again.
+const ABSENT_GROUP_INTERVAL: Duration = Duration::from_secs(5);
+/// A group after which there may be another one has at least this share of its largest number of members.
+const NEARLY_FULL_SHARE: f64 = 0.875;
+
+/// A group of a service.
+pub(super) type GroupKey = (ServiceName, GroupId);
+
+/// The routes of all foreign groups of the services that callers have requested.
 #[derive(Debug, Default)]
 pub(crate) struct ForeignRoutes {
-    table: BTreeMap<ServiceName, ForeignService>,
+    table: BTreeMap<GroupKey, ForeignGroup>,
 }
 
-/// One foreign service: its routes and the state of the queries for them.
+/// One foreign group: its routes and the state of the queries for them.
 #[derive(Debug, Default)]
-struct ForeignService {
+struct ForeignGroup {
     /// The newest known routes, `None` until a member or the platform has supplied some.
     routes: Option<RouteTable>,
     queried_at: Timestamp,
@@ -56,7 +66,7 @@
     source: Option<(Instance, Timestamp)>,
     /// The number of queries since a member last answered.
     unanswered: u32,
-    /// When the platform was last read for this service's group.
+    /// When the platform was last read for this group.
     platform_queried_at: Option<Timestamp>,
     /// When a read of the platform first found no such service.
     absent_since: Option<Timestamp>,
@@ -71,7 +81,7 @@
     pub(super) platform: Option<Consistency>,
 }
 
-impl ForeignService {
+impl ForeignGroup {
     /// Returns whether members of the service answer queries for its routes.
     fn has_responsive_members(&self) -> bool {
         self.routes.is_some() && self.unanswered <= UNANSWERED_MAX
@@ -169,7 +179,7 @@
     /// Adds a service that callers have requested.
     #[cfg(test)]
     pub(super) fn add(&mut self, service: &ServiceName) {
-        self.table.entry(service.clone()).or_default();
+        self.table.entry(first_group(service)).or_default();
     }
 
     /// Begins a query for the routes of a service, or returns `None` if the service is not listed.
@@ -179,7 +189,7 @@
         now: Timestamp,
         service: &ServiceName,
     ) -> Option<RouteQuery> {
-        self.table.get_mut(service).map(|it| it.begin_query(now))
+        self.table.get_mut(&first_group(service)).map(|it| it.begin_query(now))
     }
 
     /// Returns the member to query for a service's routes.
@@ -191,57 +201,79 @@
         near: &Zone,
         rng: &mut impl Rng,
     ) -> Vec<Instance> {
-        self.table.get_mut(service).map_or_else(Vec::new, |it| it.sources(now, 1, near, rng))
+        let group = self.table.get_mut(&first_group(service));
+        group.map_or_else(Vec::new, |it| it.sources(now, 1, near, rng))
     }
 
-    /// Updates a service's routes from a peer's table and returns whether they changed.
+    /// Updates a group's routes from a peer's table and returns whether they changed.
     pub(super) fn update(&mut self, from: &Instance, table: RouteTable) -> bool {
-        self.table.get_mut(&table.service).is_some_and(|it| it.update(from, table))
+        let key = (table.service.clone(), table.group);
+        self.table.get_mut(&key).is_some_and(|it| it.update(from, table))
     }
 
     /// Returns whether members of a service answer queries for its routes.
     #[cfg(test)]
     pub(super) fn has_responsive_members(&self, service: &ServiceName) -> bool {
-        self.table.get(service).is_some_and(ForeignService::has_responsive_members)
+        let group = self.table.get(&first_group(service));
+        group.is_some_and(ForeignGroup::has_responsive_members)
     }
 
     #[cfg(test)]
     pub(super) fn member_count(&self, service: &ServiceName) -> Option<usize> {
-        Some(self.table.get(service)?.routes.as_ref()?.members.len())
+        Some(self.table.get(&first_group(service))?.routes.as_ref()?.members.len())
     }
 
     /// Marks a service as absent, since the platform has no accepted document of it.
     pub(super) fn mark_absent(&mut self, now: Timestamp, service: &ServiceName) {
-        if let Some(foreign) = self.table.get_mut(service) {
+        for foreign in self.groups_of_mut(service) {
             foreign.absent_since.get_or_insert(now);
         }
     }
 
     /// Makes a refresh of a service's routes due at once, since its document has come into force.
     pub(super) fn mark_due(&mut self, service: &ServiceName) {
-        if let Some(foreign) = self.table.get_mut(service) {
+        for foreign in self.groups_of_mut(service) {
             foreign.queried_at = Timestamp::ZERO;
             foreign.absent_since = None;
         }
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&ServiceName, Option<&RouteTable>)> {
-        self.table.iter().map(|(service, it)| (service, it.routes.as_ref()))
+    /// Returns the listed services with the known routes of their groups.
+    pub(super) fn services(&self) -> BTreeMap<&ServiceName, Vec<&RouteTable>> {
+        let mut services: BTreeMap<&ServiceName, Vec<&RouteTable>> = BTreeMap::new();
+        for ((service, _), foreign) in &self.table {
+            services.entry(service).or_default().extend(&foreign.routes);
+        }
+        services
+    }
+
+    /// Returns the known routes of all groups.
+    pub(super) fn tables(&self) -> impl Iterator<Item = &RouteTable> + Clone {
+        self.table.values().filter_map(|it| it.routes.as_ref())
+    }
+
+    fn groups_of_mut(&mut self, service: &ServiceName) -> impl Iterator<Item = &mut ForeignGroup> {
+        self.table.iter_mut().filter(move |(key, _)| key.0 == *service).map(|(_, it)| it)
     }
 }
 
+fn first_group(service: &ServiceName) -> GroupKey {
+    (service.clone(), GroupId::FIRST)
+}
+
 impl Control {
     /// Looks up the document and the routes of a service, unless it is this instance's own, was
     /// queried recently, or would exceed the limits on listed and looked-up services.
     pub(super) fn look_up_service(&mut self, now: Timestamp, service: ServiceName) {
         let is_full = self.foreign.table.len() >= SERVICES_MAX;
-        let is_known = self.foreign.table.contains_key(&service);
-        let lookups =
-            self.foreign.table.keys().filter(|it| self.documents.in_force(it).is_none()).count();
+        let key = first_group(&service);
+        let is_known = self.foreign.table.contains_key(&key);
+        let listed = self.foreign.table.keys();
+        let lookups = listed.filter(|it| self.documents.in_force(&it.0).is_none()).count();
         if service == *self.service() || (!is_known && (is_full || lookups >= LOOKUPS_MAX)) {
             return;
         }
-        let foreign = self.foreign.table.entry(service.clone()).or_default();
+        let foreign = self.foreign.table.entry(key).or_default();
         let was_queried = foreign.queried_at != Timestamp::ZERO;
         if was_queried && now.since(foreign.queried_at) < REFRESH_INTERVAL {
             return;
@@ -254,7 +286,7 @@
         // up all services again; without this condition, the two reads of the group for each service
         // in each process were a third of all platform calls.
         if !is_responsive {
-            self.parts.calls.read_group(&service, ONLY_GROUP, consistency);
+            self.parts.calls.read_group(&service, GroupId::FIRST, consistency);
             self.query_peers(&service);
         }
         // The document may already be in force, from a watch.
@@ -269,54 +301,86 @@
         service: &ServiceName,
         owner: Option<Instance>,
     ) {
-        let Some(foreign) = self.foreign.table.get_mut(service) else { return };
-        if now.since(foreign.queried_at) < QUERY_INTERVAL_MIN {
-            return;
+        let groups = self.foreign.table.iter().filter(|(key, _)| key.0 == *service);
+        let due = groups.filter(|(_, it)| now.since(it.queried_at) >= QUERY_INTERVAL_MIN);
+        let due: Vec<GroupKey> = due.map(|(key, _)| key.clone()).collect();
+        for key in due {
+            self.query_routes(now, &key, owner.clone());
         }
-        self.query_routes(now, service, owner);
-    }
-
-    /// Lists the own service while its group refuses this instance, so that its callers are served.
-    /// The first routes come from the coordinator, which has sent the refusal.
-    fn list_own_service_if_refused(&mut self, now: Timestamp) {
-        let service = self.service().clone();
-        let refusing = self.group.as_ref().filter(|it| it.is_refused);
-        match (refusing, self.foreign.table.contains_key(&service)) {
-            (None, false) => {}
-            (None, true) => {
-                self.foreign.table.remove(&service);
-                self.is_dirty = true;
-            }
-            (Some(group), is_listed) => {
-                let coordinator = group.view.coordinator.clone();
-                let initial =
-                    || ForeignService { platform_queried_at: Some(now), ..Default::default() };
-                let foreign = self.foreign.table.entry(service.clone()).or_insert_with(initial);
-                let is_due = now.since(foreign.queried_at) >= REFRESH_INTERVAL;
-                if !is_listed || foreign.routes.is_none() && is_due {
-                    self.query_routes(now, &service, coordinator);
-                }
+    }
+
+    /// Lists the groups that may exist besides the known ones: those of the own service that this instance is not a
+    /// member of, and the group after each that is nearly full.
+    fn list_groups(&mut self, now: Timestamp) {
+        let mut wanted: Vec<GroupKey> = Vec::new();
+        if let Some(group) = &self.group {
+            let service = self.service().clone();
+            if group.is_refused || !group.id.is_first() {
+                wanted.push(first_group(&service));
             }
+            wanted.extend(self.group_after((service, group.id), group.view.members.len()));
+        }
+        for (key, foreign) in &self.foreign.table {
+            let members = foreign.routes.as_ref().map_or(0, |it| it.members.len());
+            wanted.extend(self.group_after(key.clone(), members));
+        }
+        wanted.retain(|it| !self.is_member_of(it) && !self.foreign.table.contains_key(it));
+        for key in wanted {
+            let refused_by = self.group.as_ref().filter(|it| it.is_refused);
+            let hint = refused_by.and_then(|it| it.view.coordinator.clone());
+            // The coordinator that has refused this instance answers; the platform need not be read.
+            let platform_queried_at = hint.is_some().then_some(now);
+            let foreign = ForeignGroup { platform_queried_at, ..ForeignGroup::default() };
+            self.foreign.table.insert(key.clone(), foreign);
+            self.query_routes(now, &key, hint);
+        }
+        self.drop_own_groups();
+    }
+
+    /// Returns the group that may exist after a group with this number of members.
+    fn group_after(&self, (service, group): GroupKey, members: usize) -> Option<GroupKey> {
+        let document = &self.documents.in_force(&service)?.document;
+        let nearly_full = document.ownership.members_max as f64 * NEARLY_FULL_SHARE;
+        let next = group.next();
+        let may_exist = !document.keyed && members as f64 >= nearly_full && next.0 < GROUPS_MAX;
+        may_exist.then_some((service, next))
+    }
+
+    fn is_member_of(&self, (service, group): &GroupKey) -> bool {
+        let is_member = |it: &Group| it.id == *group && it.is_joined();
+        service == self.service() && self.group.as_ref().is_some_and(is_member)
+    }
+
+    /// Drops groups of the own service that this instance has become a member of.
+    fn drop_own_groups(&mut self) {
+        let joined = self.foreign.table.keys().find(|it| self.is_member_of(it)).cloned();
+        if let Some(key) = joined {
+            self.foreign.table.remove(&key);
+            self.is_dirty = true;
         }
     }
 
     /// Queries the routes that are due for a refresh, and drops services that have been absent for
     /// [`ABSENT_TTL`].
     pub(super) fn refresh_foreign_routes(&mut self, now: Timestamp) {
-        self.list_own_service_if_refused(now);
+        self.list_groups(now);
         self.foreign
             .table
             .retain(|_, it| it.absent_since.is_none_or(|since| now.since(since) < ABSENT_TTL));
-        let due: Vec<ServiceName> = self
+        let interval = |(_, group): &GroupKey, it: &ForeignGroup| match &it.routes {
+            None if !group.is_first() => ABSENT_GROUP_INTERVAL,
+            _ => REFRESH_INTERVAL,
+        };
+        let due: Vec<GroupKey> = self
             .foreign
             .table
             .iter()
             .filter(|(_, it)| it.absent_since.is_none())
-            .filter(|(_, it)| now.since(it.queried_at) >= REFRESH_INTERVAL)
-            .map(|(service, _)| service.clone())
+            .filter(|(key, it)| now.since(it.queried_at) >= interval(key, it))
+            .map(|(key, _)| key.clone())
             .collect();
-        for service in due {
-            self.query_routes(now, &service, None);
+        for key in due {
+            self.query_routes(now, &key, None);
         }
     }
 
@@ -326,56 +390,52 @@
         }
     }
 
-    /// Queries the routes of a service from some of its members and from `hint`, and also from the
+    /// Queries the routes of a group from some of its members and from `hint`, and also from the
     /// platform and the configured peers if members do not answer.
-    fn query_routes(&mut self, now: Timestamp, service: &ServiceName, hint: Option<Instance>) {
-        let Some(foreign) = self.foreign.table.get_mut(service) else { return };
+    fn query_routes(&mut self, now: Timestamp, key: &GroupKey, hint: Option<Instance>) {
+        let Some(foreign) = self.foreign.table.get_mut(key) else { return };
         let query = foreign.begin_query(now);
         if let Some(consistency) = query.platform {
+            let (service, group) = key;
             self.read_accepted(service);
-            self.parts.calls.read_group(service, ONLY_GROUP, consistency);
+            self.parts.calls.read_group(service, *group, consistency);
             self.query_peers(service);
         }
-        let mut targets = self.route_sources(now, service, query.members);
+        let mut targets = self.route_sources(now, key, query.members);
         targets.extend(hint);
-        self.fetch_routes(service, targets);
+        self.fetch_routes(key, targets);
     }
 
-    fn route_sources(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceName,
-        count: usize,
-    ) -> Vec<Instance> {
+    fn route_sources(&mut self, now: Timestamp, key: &GroupKey, count: usize) -> Vec<Instance> {
         let zone = &self.parts.own.zone;
-        let foreign = self.foreign.table.get_mut(service);
+        let foreign = self.foreign.table.get_mut(key);
         foreign.map_or_else(Vec::new, |it| it.sources(now, count, zone, &mut self.rng))
     }
 
-    fn fetch_routes(&self, service: &ServiceName, targets: Vec<Instance>) {
-        let routes = self.foreign.table.get(service).and_then(|it| it.routes.as_ref());
-        let known = routes.map_or(0, |it| it.version);
+    fn fetch_routes(&self, key: &GroupKey, targets: Vec<Instance>) {
+        let routes = self.foreign.table.get(key).and_then(|it| it.routes.as_ref());
+        let known_version = routes.map_or(0, |it| it.version);
         for target in targets {
-            let envelope = Envelope::FetchRoutes { service: service.clone(), known_version: known };
+            let (service, group) = key.clone();
+            let envelope = Envelope::FetchRoutes { service, group, known_version };
             // Sent to the address, since the known incarnation may be older than the running one.
             self.parts.links.send_to_address(target.control, envelope.encode());
         }
     }
 
-    /// Answers a query for routes, either of the own group or of a foreign service as last received.
+    /// Answers a query for routes, either of the own group or of a foreign one as last received.
     /// An instance that has left its group no longer receives route changes and does not answer, so
     /// that the peer queries other members. If it answered, a rolling restart would send callers to
     /// the instance that left last until its process ends, for up to 5 s.
-    pub(super) fn send_routes(&self, to: &Instance, service: &ServiceName, known: u64) {
-        let is_member = service == self.service() && !self.is_handed_over();
+    pub(super) fn send_routes(&self, to: &Instance, key: &GroupKey, known: u64) {
+        let is_member = self.is_member_of(key) && !self.is_handed_over();
         let own = is_member.then(|| self.own_routes()).flatten();
-        // Without a session there are no members to name; see `list_own_service_if_refused`.
-        let own = own.filter(|it| !it.members.is_empty());
-        let cached = || self.foreign.table.get(service).and_then(|it| it.routes.clone());
+        let cached = || self.foreign.table.get(key).and_then(|it| it.routes.clone());
         let Some(table) = own.or_else(cached) else { return };
         let RouteTable { version, config, .. } = table;
+        let (service, group) = key.clone();
         let answer = match version == known {
-            true => Envelope::RoutesUnchanged { service: service.clone(), version, config },
+            true => Envelope::RoutesUnchanged { service, group, version, config },
             false => Envelope::Routes(table),
         };
         self.parts.links.send(to, answer.encode());
@@ -385,14 +445,14 @@
     pub(super) fn on_routes_unchanged(
         &mut self,
         from: &Instance,
-        service: ServiceName,
+        key: GroupKey,
         version: u64,
         config: ConfigVersion,
     ) {
-        if let Some(foreign) = self.foreign.table.get_mut(&service) {
+        if let Some(foreign) = self.foreign.table.get_mut(&key) {
             foreign.confirm_unchanged(from, version);
         }
-        self.on_version_announced(from, service, config);
+        self.on_version_announced(from, key.0, config);
     }
 
     /// Handles a route table from a peer.
@@ -407,11 +467,7 @@
     }
 
     /// Handles the stored state of a foreign group, which was read because no member answered.
-    pub(super) fn on_group_read(
-        &mut self,
-        service: ServiceName,
-        result: Result<StoredGroup, StoreError>,
-    ) {
+    pub(super) fn on_group_read(&mut self, key: GroupKey, result: Result<StoredGroup, StoreError>) {
         let read = match result {
             Ok(read) => read,
             Err(error) => {
@@ -420,8 +476,8 @@
             }
         };
         let now = self.now();
-        let config = self.documents.version(&service);
-        let Some(foreign) = self.foreign.table.get_mut(&service) else { return };
+        let config = self.documents.version(&key.0);
+        let Some(foreign) = self.foreign.table.get_mut(&key) else { return };
         if foreign.has_responsive_members() {
             return;
         }
@@ -429,14 +485,15 @@
             foreign.routes = Some(RouteTable { config, ..routes_from_plan(plan) });
             self.is_dirty = true;
         }
-        let mut targets = self.route_sources(now, &service, PARALLEL_QUERIES);
+        let mut targets = self.route_sources(now, &key, PARALLEL_QUERIES);
         targets.extend(read.coordinator.and_then(|it| it.holder));
-        self.fetch_routes(&service, targets);
+        self.fetch_routes(&key, targets);
     }
 
     /// Builds the own group's route table from the node's view.
     fn own_routes(&self) -> Option<RouteTable> {
-        let view = &self.group.as_ref()?.view;
+        let group = self.group.as_ref()?;
+        let view = &group.view;
         let in_force = self.documents.in_force(self.service())?;
         let mut members: Vec<RouteMember> = view
             .members
@@ -465,6 +522,7 @@
         }
         Some(RouteTable {
             service: self.service().clone(),
+            group: group.id,
             config: in_force.version,
             version: view.route_version,
             slot_count: in_force.document.slot_count,
@@ -503,6 +561,7 @@
     });
     RouteTable {
         service: plan.service,
+        group: plan.group,
         config: ConfigVersion(0),
         version: 0,
         slot_count: plan.slot_count,
--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -2,13 +2,13 @@
 
 use std::collections::VecDeque;
 
-use model::{Instance, ServiceName, Slot, Timestamp, Token};
+use model::{GroupId, Instance, ServiceName, Slot, Timestamp, Token};
 use ownership::{Event, Input, Message, MoveReason, Node, NodeConfig, NodeView, Output};
 use settings::{MoveStatus, ServiceDocument};
 use wire::exchange::Envelope;
 
 use crate::control::{
-    state::{ONLY_GROUP, Parts, limits},
+    state::{Parts, limits},
     status::unix_ms,
 };
 
@@ -20,6 +20,7 @@
     node: Node,
     own: Instance,
     service: ServiceName,
+    pub(crate) id: GroupId,
     outputs: Vec<Output>,
     pub(crate) view: NodeView,
     /// The recent moves, the newest first.
@@ -39,12 +40,13 @@
         now: Timestamp,
         parts: &Parts,
         document: &ServiceDocument,
+        id: GroupId,
         peers: Vec<Instance>,
     ) -> Group {
         let config = NodeConfig {
             instance: parts.own.clone(),
             service: document.service.clone(),
-            group: ONLY_GROUP,
+            group: id,
             slot_count: document.slot_count,
             keyed: document.keyed,
             ordered: document.ordered_keys.is_some(),
@@ -58,6 +60,7 @@
             node,
             own: parts.own.clone(),
             service: document.service.clone(),
+            id,
             outputs: Vec::new(),
             view,
             moves: VecDeque::new(),
@@ -67,6 +70,11 @@
         }
     }
 
+    /// Returns whether this instance knows the members of the group and has not been refused by it.
+    pub(crate) fn is_joined(&self) -> bool {
+        !self.is_refused && !self.view.members.is_empty()
+    }
+
     /// Passes one input to the node and executes its outputs in order. Returns whether the routes
     /// changed.
     pub(crate) fn step(&mut self, now: Timestamp, input: Input, parts: &Parts) -> bool {
@@ -106,7 +114,7 @@
                 parts.links.send_to_address(to.control, self.envelope(&message).encode());
             }
             Output::Platform { call, request } => {
-                parts.calls.start_node_call(&self.service, ONLY_GROUP, call, request);
+                parts.calls.start_node_call(&self.service, self.id, call, request);
             }
             Output::Gate(_) => unreachable!("the caller applies gate commands itself"),
             Output::Event(event) => self.record_event(event),
@@ -116,7 +124,7 @@
 
     fn envelope(&self, message: &Message) -> Envelope {
         let payload = wire::control::encode(message);
-        Envelope::Group { service: self.service.clone(), group: ONLY_GROUP, payload }
+        Envelope::Group { service: self.service.clone(), group: self.id, payload }
     }
 
     /// Logs an event. Grants are collected, for the log and for the moves in the status.
@@ -125,7 +133,7 @@
         match &event {
             Event::JoinRefused { member } if *member == self.own => {
                 if !std::mem::replace(&mut self.is_refused, true) {
-                    log::warn!(target: "ownership", "The group has the maximum number of members: this instance gets no slots or requests, forwards the requests of its callers to the members, and keeps asking to join.");
+                    log::info!(target: "ownership", "Group {} has the maximum number of members and has refused this instance.", self.id);
                 }
             }
             Event::SessionOpened => self.is_refused = false,
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use model::{ConfigVersion, Instance, ServiceName, Timestamp};
+use model::{ConfigVersion, GroupId, Instance, ServiceName, Timestamp};
 use ownership::Input;
 use wire::exchange::Envelope;
 
 use crate::{
     control::{
         calls::CallResult,
-        state::{Control, DocumentSource, ONLY_GROUP},
+        state::{Control, DocumentSource},
     },
     links::ControlEvent,
     report::Report,
@@ -33,12 +33,13 @@
     fn on_envelope(&mut self, from: Instance, envelope: Envelope) {
         match envelope {
             Envelope::Group { service, group, payload }
-                if service == *self.service() && group == ONLY_GROUP =>
+                if service == *self.service()
+                    && self.group.as_ref().is_some_and(|it| it.id == group) =>
             {
                 self.on_group_message(from, &payload);
             }
-            Envelope::Group { service, .. } => {
-                log::debug!(target: "control", "Ignored a group message of {from}: this instance is not a member of {service}.");
+            Envelope::Group { service, group, .. } => {
+                log::debug!(target: "control", "Ignored a group message of {from}: this instance does not belong to group {group} of {service}.");
             }
             Envelope::FetchDocument { service } => self.send_document(&from, service),
             // Documents of a central configuration are not replaced one by one.
@@ -52,12 +53,12 @@
                     self.on_version_announced(&from, service, version);
                 });
             }
-            Envelope::FetchRoutes { service, known_version } => {
-                self.send_routes(&from, &service, known_version)
+            Envelope::FetchRoutes { service, group, known_version } => {
+                self.send_routes(&from, &(service, group), known_version)
             }
             Envelope::Routes(table) => self.on_routes(from, table),
-            Envelope::RoutesUnchanged { service, version, config } => {
-                self.on_routes_unchanged(&from, service, version, config);
+            Envelope::RoutesUnchanged { service, group, version, config } => {
+                self.on_routes_unchanged(&from, (service, group), version, config);
             }
             Envelope::WatchStore { watches } => {
                 let answer = self.parts.relay.handle_watches(&from, watches);
@@ -122,7 +123,11 @@
         for address in &self.parts.settings.peers {
             // Routes are queried first: the document creates the group, which needs the members that
             // the routes list.
-            let routes = Envelope::FetchRoutes { service: service.clone(), known_version: 0 };
+            let routes = Envelope::FetchRoutes {
+                service: service.clone(),
+                group: GroupId::FIRST,
+                known_version: 0,
+            };
             self.parts.links.send_to_address(*address, routes.encode());
             let document = Envelope::FetchDocument { service: service.clone() };
             self.parts.links.send_to_address(*address, document.encode());
@@ -161,7 +166,9 @@
             CallResult::AcceptedUpdated { accepted, result } => {
                 self.on_accept_result(accepted, result)
             }
-            CallResult::GroupRead { service, result } => self.on_group_read(service, result),
+            CallResult::GroupRead { service, group, result } => {
+                self.on_group_read((service, group), result);
+            }
             CallResult::WatchEnded { prefix, result } => self.on_watch_result(prefix, result),
             CallResult::StatusRead { result } => self.on_status_read(result),
             CallResult::StatusWritten { result } => self.on_status_written(result),
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -22,14 +22,14 @@
         }
         self.is_dirty = false;
         let mut services = HashMap::new();
-        if let Some(routes) = self.own_service_routes() {
-            services.insert(routes.service.clone(), Arc::new(routes));
-        }
-        for (service, table) in self.foreign.iter() {
+        for (service, tables) in self.foreign.services() {
             let Some(in_force) = self.documents.in_force(service) else { continue };
-            let routes = routes_of(in_force, table);
+            let routes = routes_of(in_force, &tables);
             services.insert(service.clone(), Arc::new(service_routes(service, in_force, routes)));
         }
+        if let Some(routes) = self.own_service_routes() {
+            services.insert(routes.service.clone(), Arc::new(routes));
+        }
         let local = self.upstream.announcement.clone().map(|announcement| LocalUpstream {
             leaving: match self.is_stopping {
                 true => Some(LeaveReason::Stopping),
@@ -38,22 +38,29 @@
             announcement,
         });
         let members = self.group.iter().flat_map(|it| &it.view.members).map(|it| &it.instance);
-        let foreign = self.foreign.iter().filter_map(|(_, it)| it).flat_map(|it| &it.members);
+        let foreign = self.foreign.tables().flat_map(|it| &it.members);
         self.parts.relay.set_instances(members.chain(foreign.map(|it| &it.instance)));
         self.parts.snapshots.store(Snapshot { services, routing: self.routing.clone(), local });
     }
 
+    /// Returns the routes of the own service: those of the own group, and of its other groups if there are any. Returns
+    /// `None` if the own service is only known as a foreign one.
     fn own_service_routes(&self) -> Option<ServiceRoutes> {
-        let view = &self.group.as_ref()?.view;
+        let group = self.group.as_ref()?;
+        let view = &group.view;
         let service = self.service();
         let in_force = self.documents.in_force(service)?;
+        let tables = self.foreign.tables().filter(|it| it.service == *service);
+        if !group.is_joined() && tables.clone().next().is_some() {
+            return None;
+        }
         let routes = if in_force.document.keyed {
             Routes::ByKey(KeyRoutes::from_view(in_force.document.slot_count, view))
         } else {
-            let members = view.members.iter();
-            let members =
-                members.map(|it| MemberRoute { instance: it.instance.clone(), state: it.state });
-            Routes::Any(members.collect())
+            let own = view.members.iter();
+            let own = own.map(|it| MemberRoute { instance: it.instance.clone(), state: it.state });
+            let others = tables.filter(|it| it.group != group.id).flat_map(|it| &it.members);
+            Routes::Any(own.chain(others.map(member_route)).collect())
         };
         Some(service_routes(service, in_force, routes))
     }
@@ -68,12 +75,13 @@
     }
 }
 
-fn routes_of(in_force: &InForce, table: Option<&RouteTable>) -> Routes {
-    match table {
-        table if in_force.document.keyed => Routes::ByKey(key_routes(in_force, table)),
-        Some(table) => Routes::Any(table.members.iter().map(member_route).collect()),
-        None => Routes::Any(Vec::new()),
+/// Returns the routes of a service with these tables of its groups.
+fn routes_of(in_force: &InForce, tables: &[&RouteTable]) -> Routes {
+    if in_force.document.keyed {
+        let first = tables.iter().find(|it| it.group.is_first());
+        return Routes::ByKey(key_routes(in_force, first.copied()));
     }
+    Routes::Any(tables.iter().flat_map(|it| &it.members).map(member_route).collect())
 }
 
 fn member_route(member: &RouteMember) -> MemberRoute {
--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -11,9 +11,15 @@
 use crate::{
     clock::Clock,
     control::{
-        accept::Acceptor, calls::PlatformCalls, documents::Documents, foreign::ForeignRoutes,
-        group::Group, status::StatusWriter, suspension::SuspensionDetector,
-        upstream::UpstreamMonitor, watch::Watches,
+        accept::Acceptor,
+        calls::PlatformCalls,
+        documents::{Documents, InForce},
+        foreign::ForeignRoutes,
+        group::Group,
+        status::StatusWriter,
+        suspension::SuspensionDetector,
+        upstream::UpstreamMonitor,
+        watch::Watches,
     },
     gate::GateHandle,
     links::ControlLinks,
@@ -21,9 +27,8 @@
     store_relay::Relay,
 };
 
-/// The only group of a service. It has a largest number of members; an instance beyond it gets no
-/// slots or requests, and routes the requests of its callers as to a foreign service.
-pub(crate) const ONLY_GROUP: GroupId = GroupId(0);
+/// The most groups of a service. Only services that are not sharded by key have more than one.
+pub(super) const GROUPS_MAX: u16 = 64;
 
 /// The settings and handles that the control thread uses.
 pub(crate) struct Parts {
@@ -142,7 +147,39 @@
     /// Passes one input to the group's node and executes its outputs.
     pub(super) fn step(&mut self, now: Timestamp, input: Input) {
         let Some(group) = &mut self.group else { return };
+        let was_refused = group.is_refused;
         self.is_dirty |= group.step(now, input, &self.parts);
+        if group.is_refused && !was_refused {
+            self.on_refused(now);
+        }
+    }
+
+    /// Handles the refusal by a full group. Members of a service that is not sharded by key grant each other nothing,
+    /// so this instance may join any group, and tries the next one. Keys have owners in the first group only.
+    fn on_refused(&mut self, now: Timestamp) {
+        let Some(group) = &self.group else { return };
+        let in_force = self.documents.in_force(self.service()).cloned();
+        let Some(in_force) = in_force else { return };
+        if in_force.document.keyed || group.id.next().0 >= GROUPS_MAX {
+            log::warn!(target: "ownership", "This instance gets no slots or requests. It forwards the requests of its callers to the members of its service, and keeps asking to join.");
+            return;
+        }
+        let id = group.id.next();
+        self.group = Some(Group::new(now, &self.parts, &in_force.document, id, Vec::new()));
+        self.status = StatusWriter::default();
+        self.begin_group(now, &in_force);
+    }
+
+    /// Passes the current state to the node of a new group.
+    fn begin_group(&mut self, now: Timestamp, in_force: &InForce) {
+        self.is_dirty = true;
+        let state = self.upstream.state();
+        self.step(now, Input::Upstream(state));
+        if self.is_stopping {
+            self.step(now, Input::Stop);
+        }
+        self.step(now, Input::Limits(Box::new(limits(&in_force.document))));
+        self.step(now, Input::Config(in_force.version));
     }
 
     /// Applies the own service's document after its first or a later version came into force. The
@@ -154,13 +191,9 @@
         self.is_dirty = true;
         if self.group.is_none() {
             let peers = std::mem::take(&mut self.reported_members);
-            let group = Group::new(now, &self.parts, &in_force.document, peers);
+            let group = Group::new(now, &self.parts, &in_force.document, GroupId::FIRST, peers);
             self.group = Some(group);
-            let state = self.upstream.state();
-            self.step(now, Input::Upstream(state));
-            if self.is_stopping {
-                self.step(now, Input::Stop);
-            }
+            return self.begin_group(now, &in_force);
         }
         self.step(now, Input::Limits(Box::new(limits(&in_force.document))));
         self.step(now, Input::Config(in_force.version));
--- a/crates/agent/src/control/status.rs
+++ b/crates/agent/src/control/status.rs
@@ -14,10 +14,7 @@
     OwnerStatus, STATUS_GRANTS_MAX, UpstreamStateName, UpstreamStatus,
 };
 
-use crate::control::{
-    state::{Control, ONLY_GROUP},
-    status_schedule::StatusSchedule,
-};
+use crate::control::{state::Control, status_schedule::StatusSchedule};
 
 /// The period that the measures of the status cover.
 const MEASURE_WINDOW: Duration = Duration::from_secs(60);
@@ -108,7 +105,7 @@
         }
         self.status.is_in_flight = true;
         match self.status.object_version {
-            None => self.parts.calls.read_status(&status.service, ONLY_GROUP),
+            None => self.parts.calls.read_status(&status.service, status.group),
             Some(version) => {
                 self.parts.calls.write_status(version, &status);
                 let jitter = self.rng.random();
@@ -151,7 +148,7 @@
         let accepted = self.documents.version(self.service());
         GroupStatus {
             service: self.service().clone(),
-            group: ONLY_GROUP,
+            group: group.id,
             written_at_unix_ms: unix_ms(),
             accepted: (accepted.0 > 0).then_some(accepted),
             in_force,
--- a/crates/agent/src/control/tests/documents.rs
+++ b/crates/agent/src/control/tests/documents.rs
@@ -1,6 +1,6 @@
 //! The table of documents in force and the routes of foreign services.
 
-use model::{ConfigVersion, Instance, ServiceName, SlotCount, Timestamp};
+use model::{ConfigVersion, GroupId, Instance, ServiceName, SlotCount, Timestamp};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use wire::exchange::{RouteMember, RouteTable};
@@ -57,6 +57,7 @@
     let member = |name: &&str| RouteMember { instance: instance(name), ready: true };
     RouteTable {
         service: ServiceName::new("standings").unwrap(),
+        group: GroupId::FIRST,
         config: ConfigVersion(1),
         version,
         slot_count: SlotCount::new(8).unwrap(),
--- a/crates/agent/src/control/tests/full_group.rs
+++ b/crates/agent/src/control/tests/full_group.rs
@@ -43,3 +43,33 @@
     refused.kill();
     second.kill();
 }
+
+const UNKEYED_DOCUMENT: &str = r#"{
+    "service": "standings", "team": "club", "keyed": false,
+    "routes": [{ "path": "/*", "class": "lap", "idempotent": true }],
+    "classes": [{ "name": "lap", "weight": 1 }],
+    "ownership": { "members_max": 2 }
+}"#;
+
+/// Instances of a service that is not sharded by key form further groups, and all of them get requests: of each other's
+/// callers and of those of other services.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instances_beyond_a_full_group_form_another_one() {
+    let platform = Arc::new(FakeStore::new());
+    platform.put("services/standings", UNKEYED_DOCUMENT);
+    let mut members = Vec::new();
+    for name in ["standings-1", "standings-2", "standings-3", "standings-4", "standings-5"] {
+        members.push(Agent::start(name, &platform, &[]).await);
+    }
+    let observer = Agent::start_of("lapboard", "lapboard-1", &platform, &[]).await;
+    for member in &members {
+        for other in &members {
+            member.wait_routes_to(&other.own).await;
+        }
+        observer.request_service();
+        observer.wait_routes_to(&member.own).await;
+    }
+    assert!(platform.text("coordinators/standings/2").is_some(), "three groups of two");
+    members.into_iter().for_each(Agent::kill);
+    observer.kill();
+}
--- a/crates/model/src/identity.rs
+++ b/crates/model/src/identity.rs
@@ -37,12 +37,25 @@
     ObjectVersion(u64);
     /// Accepted version of a service document. It never decreases.
     ConfigVersion(u64);
-    /// Number of a group of at most 32 members within a service.
+    /// Number of a group within a service; the first one is 0.
     GroupId(u16);
     /// Identifier of a request, chosen by its caller and equal for all its attempts.
     RequestId(u128);
 }
 
+impl GroupId {
+    /// The group that exists in each service.
+    pub const FIRST: GroupId = GroupId(0);
+
+    pub fn next(self) -> GroupId {
+        GroupId(self.0.saturating_add(1))
+    }
+
+    pub fn is_first(&self) -> bool {
+        *self == GroupId::FIRST
+    }
+}
+
 impl ObjectVersion {
     /// Combines an era and a revision. A store that was rolled back to an older snapshot assigns the same revisions
     /// again, in a later era.
--- a/crates/wire/src/exchange/envelope.rs
+++ b/crates/wire/src/exchange/envelope.rs
@@ -27,13 +27,13 @@
     Document { service: ServiceName, version: ConfigVersion, text: String },
     /// Announces the newest accepted versions known to the sender.
     Versions(Vec<(ServiceName, ConfigVersion)>),
-    /// Requests the routes of a service from any of its members, unless they still have version
+    /// Requests the routes of a group from any of its members, unless they still have version
     /// `known_version`.
-    FetchRoutes { service: ServiceName, known_version: u64 },
+    FetchRoutes { service: ServiceName, group: GroupId, known_version: u64 },
     /// Reply to `FetchRoutes`, with the routes.
     Routes(RouteTable),
     /// Reply to `FetchRoutes`: the routes still have this version.
-    RoutesUnchanged { service: ServiceName, version: u64, config: ConfigVersion },
+    RoutesUnchanged { service: ServiceName, group: GroupId, version: u64, config: ConfigVersion },
     /// Replaces the watches of the sender that the receiver answers. Repeated while the sender relies on the receiver.
     WatchStore { watches: Vec<StoreWatch> },
     /// Reply to `WatchStore`, and any later change. The sender's store last answered `age_ms` ago.
@@ -76,13 +76,21 @@
     #[serde(rename = "fr")]
     FetchRoutes {
         service: ServiceName,
+        #[serde(default, skip_serializing_if = "GroupId::is_first")]
+        group: GroupId,
         #[serde(rename = "known")]
         known_version: u64,
     },
     #[serde(rename = "r")]
     Routes { table: RouteTable },
     #[serde(rename = "ru")]
-    RoutesUnchanged { service: ServiceName, version: u64, config: ConfigVersion },
+    RoutesUnchanged {
+        service: ServiceName,
+        #[serde(default, skip_serializing_if = "GroupId::is_first")]
+        group: GroupId,
+        version: u64,
+        config: ConfigVersion,
+    },
     #[serde(rename = "ws")]
     WatchStore { watches: Vec<StoreWatch> },
     #[serde(rename = "sn")]
@@ -106,12 +114,12 @@
                 WireEnvelope::Document { service, version, text }
             }
             Envelope::Versions(versions) => WireEnvelope::Versions { versions },
-            Envelope::FetchRoutes { service, known_version } => {
-                WireEnvelope::FetchRoutes { service, known_version }
+            Envelope::FetchRoutes { service, group, known_version } => {
+                WireEnvelope::FetchRoutes { service, group, known_version }
             }
             Envelope::Routes(table) => WireEnvelope::Routes { table },
-            Envelope::RoutesUnchanged { service, version, config } => {
-                WireEnvelope::RoutesUnchanged { service, version, config }
+            Envelope::RoutesUnchanged { service, group, version, config } => {
+                WireEnvelope::RoutesUnchanged { service, group, version, config }
             }
             Envelope::WatchStore { watches } => WireEnvelope::WatchStore { watches },
             Envelope::StoreNews { age_ms, news } => WireEnvelope::StoreNews { age_ms, news },
@@ -139,11 +147,11 @@
                 Err(invalid("versions", format!("{} entries are too many", versions.len())))
             }
             WireEnvelope::Versions { versions } => Ok(Envelope::Versions(versions)),
-            WireEnvelope::FetchRoutes { service, known_version } => {
-                Ok(Envelope::FetchRoutes { service, known_version })
+            WireEnvelope::FetchRoutes { service, group, known_version } => {
+                Ok(Envelope::FetchRoutes { service, group, known_version })
             }
-            WireEnvelope::RoutesUnchanged { service, version, config } => {
-                Ok(Envelope::RoutesUnchanged { service, version, config })
+            WireEnvelope::RoutesUnchanged { service, group, version, config } => {
+                Ok(Envelope::RoutesUnchanged { service, group, version, config })
             }
             WireEnvelope::Routes { table } => {
                 table.check().map_err(|reason| invalid("table", reason))?;
--- a/crates/wire/src/exchange/routes.rs
+++ b/crates/wire/src/exchange/routes.rs
@@ -1,6 +1,6 @@
 //! Routes of a group, which any of its members sends on request.
 
-use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, SlotCount};
+use model::{ConfigVersion, GroupId, Instance, KeyHash, ServiceName, Slot, SlotCount};
 use serde::{Deserialize, Serialize};
 
 /// Largest number of members: those of a group, and as many lost members that slots still refer to.
@@ -14,6 +14,8 @@
 #[serde(deny_unknown_fields)]
 pub struct RouteTable {
     pub service: ServiceName,
+    #[serde(default, skip_serializing_if = "GroupId::is_first")]
+    pub group: GroupId,
     /// Version of the document in force on the sender.
     pub config: ConfigVersion,
     /// Version of the routes, which increases with every change of an owner.
--- a/crates/wire/src/exchange/tests.rs
+++ b/crates/wire/src/exchange/tests.rs
@@ -26,6 +26,7 @@
     };
     RouteTable {
         service: service(),
+        group: GroupId::FIRST,
         config: ConfigVersion(3),
         version: 9,
         slot_count: SlotCount::new(8).unwrap(),
@@ -46,9 +47,16 @@
         Envelope::FetchDocument { service: service() },
         Envelope::Document { service: service(), version: ConfigVersion(2), text: "{}".into() },
         Envelope::Versions(vec![(service(), ConfigVersion(2))]),
-        Envelope::FetchRoutes { service: service(), known_version: 4 },
+        Envelope::FetchRoutes { service: service(), group: GroupId::FIRST, known_version: 4 },
+        Envelope::FetchRoutes { service: service(), group: GroupId(2), known_version: 4 },
         Envelope::Routes(table(0)),
-        Envelope::RoutesUnchanged { service: service(), version: 9, config: ConfigVersion(3) },
+        Envelope::Routes(RouteTable { group: GroupId(2), ..table(0) }),
+        Envelope::RoutesUnchanged {
+            service: service(),
+            group: GroupId(1),
+            version: 9,
+            config: ConfigVersion(3),
+        },
         Envelope::WatchStore { watches: vec![watch("config/")] },
         Envelope::StoreNews { age_ms: 20, news: vec![news(2)] },
         Envelope::StoreWatchRefused,
--- a/xtask/src/bench/slopes/routes.rs
+++ b/xtask/src/bench/slopes/routes.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use model::{
-    ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Slot, SlotCount, Zone,
+    ConfigVersion, GroupId, Incarnation, Instance, InstanceName, ServiceName, Slot, SlotCount, Zone,
 };
 use wire::exchange::{Envelope, RouteMember, RouteOwner, RouteTable};
 
@@ -33,13 +33,15 @@
 }
 
 fn unchanged_bytes() -> u64 {
-    let RouteTable { service, version, config, .. } = route_table(DEFAULT_MEMBERS, DEFAULT_SLOTS);
-    refresh_bytes(Envelope::RoutesUnchanged { service, version, config })
+    let RouteTable { service, group, version, config, .. } =
+        route_table(DEFAULT_MEMBERS, DEFAULT_SLOTS);
+    refresh_bytes(Envelope::RoutesUnchanged { service, group, version, config })
 }
 
 /// Returns the bytes of the query and its response, headers included.
 fn refresh_bytes(answer: Envelope) -> u64 {
-    let query = Envelope::FetchRoutes { service: service(), known_version: 1 << 20 };
+    let query =
+        Envelope::FetchRoutes { service: service(), group: GroupId::FIRST, known_version: 1 << 20 };
     bytes_on_wire(&query.encode()) + bytes_on_wire(&answer.encode())
 }
 
@@ -57,6 +59,7 @@
     };
     RouteTable {
         service: service(),
+        group: GroupId::FIRST,
         config: ConfigVersion(1 << 16),
         version: 1 << 20,
         slot_count: SlotCount::new(DEFAULT_SLOTS.max(slots)).expect("a valid count"),
