Agents that start wait for their first reader

Cause: an agent watched the store for each prefix as soon as it started, and knew its readers within a second or two, while these watches went on to their end: three calls for each start.

Change: within 30 s of its start, a watch waits for the first reader for at most 2 s, which is also how long a lost reader is relied on. A change is delayed no more than by the loss of all readers.

Result: an agent that starts anew in a running deployment makes no watch of its own (test).

--- a/crates/agent/src/store_relay/follower.rs
+++ b/crates/agent/src/store_relay/follower.rs
@@ -167,7 +167,8 @@
         messages
     }
 
-    fn has_reader(&self, now: Instant) -> bool {
+    /// Returns whether any reader can be relied on.
+    pub(super) fn has_reader(&self, now: Instant) -> bool {
         self.followed.iter().any(|it| it.is_reliable(now))
     }
 
--- a/crates/agent/src/store_relay/mod.rs
+++ b/crates/agent/src/store_relay/mod.rs
@@ -28,7 +28,7 @@
 };
 use settings::AgentSettings;
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::{Notify, oneshot, watch},
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
 use wire::exchange::{Envelope, StoreChange, StoreNews, StoreWatch};
@@ -45,6 +45,11 @@
 /// The shortest allowed delay of a configuration with which agents may follow readers: the time for which an
 /// unreachable reader is relied on, and the time of a call.
 const CONFIG_DELAY_MIN: Duration = Duration::from_secs(3);
+/// Time after the start of an agent within which its watches wait for the first reader.
+const START_PERIOD: Duration = Duration::from_secs(30);
+/// Longest wait of a watch for the first reader. As long as an unreachable reader is relied on, so that a change is
+/// delayed no more than by the loss of all readers.
+const FIRST_READER_WAIT: Duration = follower::PROOF_MAX;
 /// Time after the last answer of the store after which a reader asks for another one.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// The object that a reader asks for. It does not exist; the answer shows that the store can be reached.
@@ -57,9 +62,12 @@
     zone: Zone,
     is_enabled: bool,
     is_reader: bool,
+    started_at: Instant,
     state: Mutex<State>,
     /// Notified when there are messages to send before the next tick.
     has_messages: Notify,
+    /// Set once a reader is relied on for the first time.
+    has_had_reader: watch::Sender<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -77,6 +85,8 @@
             is_reader: is_reader(&settings.instance),
             state: Mutex::default(),
             has_messages: Notify::new(),
+            started_at: Instant::now(),
+            has_had_reader: watch::Sender::new(false),
         })
     }
 
@@ -125,7 +135,23 @@
 
     pub(crate) fn handle_news(&self, from: &Instance, age_ms: u32, news: Vec<StoreNews>) {
         let age = Duration::from_millis(age_ms.into());
-        self.state().follower.handle_news(Instant::now(), from, age, news);
+        let now = Instant::now();
+        let mut state = self.state();
+        state.follower.handle_news(now, from, age, news);
+        if state.follower.has_reader(now) {
+            self.has_had_reader.send_if_modified(|it| !std::mem::replace(it, true));
+        }
+    }
+
+    /// Waits for the first reader of an agent that has started a short time ago: most agents know one soon, and a watch
+    /// of the store that has begun before is paid for in full.
+    async fn wait_for_first_reader(&self) {
+        let is_starting = self.started_at.elapsed() < START_PERIOD;
+        if self.is_enabled && !self.is_reader && is_starting {
+            let mut has_had_reader = self.has_had_reader.subscribe();
+            // After the time limit, the store is watched directly.
+            drop(timeout(FIRST_READER_WAIT, has_had_reader.wait_for(|it| *it)).await);
+        }
     }
 
     pub(crate) fn handle_refusal(&self, from: &Instance) {
@@ -226,6 +252,7 @@
         after: ObjectVersion,
         wait: Duration,
     ) -> Option<Result<Changes, StoreError>> {
+        self.relay.wait_for_first_reader().await;
         let receiver = self.relay.watch(prefix, after)?;
         match timeout(wait, receiver).await {
             Ok(Ok(WatchEnd::Changed(changes))) => Some(Ok(changes)),
--- a/crates/agent/src/store_relay/tests.rs
+++ b/crates/agent/src/store_relay/tests.rs
@@ -229,6 +229,7 @@
                 it
             },
         ));
+        agents[name].relay.set_instances(agents.values().map(|it| &it.instance));
         self.pump = tokio::spawn(deliver_messages(Arc::clone(&agents)));
         self.agents = agents;
     }
@@ -299,6 +300,18 @@
     assert_eq!(cluster.watch_calls_of_followers(), calls);
 }
 
+/// An agent that starts anew in a running deployment watches nothing itself.
+#[tokio::test(start_paused = true)]
+async fn an_agent_that_starts_waits_for_its_first_reader() {
+    let mut cluster = Cluster::start().await;
+    let name = cluster.followers().next().unwrap().instance.name.as_str().to_owned();
+    cluster.restart(&name).await;
+    check_in_time(&cluster, "second").await;
+    sleep(Duration::from_secs(60)).await;
+    check_in_time(&cluster, "third").await;
+    assert_eq!(cluster.agents[&name].watch_calls(), 0);
+}
+
 /// Checks that a change is known in time although it is made at the moment at which the fault begins.
 async fn check_in_time(cluster: &Cluster, text: &str) {
     cluster.store.put(PATH, text);
