After a failed call, followers list until the store answers

Cause: a watch that begins while the store is silent is never answered, also after the store is back, and fails only after its wait time and a margin: 20 s.

Change: after a failed call the next one is a list, which fails within the time limit of a call, until one is answered.

--- a/crates/object-store/src/follower.rs
+++ b/crates/object-store/src/follower.rs
@@ -83,7 +83,7 @@
     }
 
     /// Returns the next changes; the first time all objects, possibly none. An error is meant for the log and the
-    /// status only: the next call continues from the same revision after the retry delay.
+    /// status only: after the retry delay, the next call is a list, and no change is lost.
     pub async fn next(&mut self) -> Result<Vec<Change>, StoreError> {
         loop {
             if let Some(at) = self.next_call_at {
@@ -104,6 +104,9 @@
                     if matches!(error, StoreError::HistoryGone { .. }) {
                         self.handle_lost_history();
                     }
+                    // A watch that begins while the store is silent may never be answered, and would take its whole
+                    // wait time to fail. A list fails within the time limit of a call.
+                    self.needs_list = true;
                     self.next_call_at = Some(Instant::now() + self.retry_delay);
                     self.retry_delay = (self.retry_delay * 2).min(self.times.retry_delay_max);
                     return Err(error);
