--- a/crates/agent/src/store_relay/mod.rs
+++ b/crates/agent/src/store_relay/mod.rs
@@ -1,9 +1,9 @@
 //! Shares watches of the object store between agents.
 //!
 //! If each agent watched the store itself, each change and each watch that ends without one would cost a call for each
-//! agent, and the calls would grow with the deployment. Instead, one agent in [`READER_SPACING`] is a reader: it watches
-//! the store as before, and the others learn of changes from two readers. Whether an agent is a reader follows from its
-//! name alone, so no two agents can disagree.
+//! agent, and the calls would grow with the deployment. Instead, one agent in [`READER_SPACING`] is a reader, which
+//! watches the store; the others learn of changes from two readers. Whether an agent is a reader follows from its name
+//! alone, so no two agents can disagree.
 //!
 //! A reader proves with each message that the store answers it. An agent without such a proof from any reader for
 //! [`PROOF_MAX`](follower::PROOF_MAX) watches the store itself, as do all agents of a deployment without readers. Lists
