--- a/crates/agent/src/control/foreign.rs
+++ b/crates/agent/src/control/foreign.rs
@@ -6,9 +6,9 @@
 //! availability zone are preferred. The platform is only read while no member answers, and the
 //! coordinator is not preferred over other members. A stale route costs one redirect.
 //!
-//! A service that is not sharded by key has further groups once the first is full; their routes are
-//! fetched as well. Groups of the own service that this instance is not a member of are handled in the
-//! same way, in particular a full group that has refused it.
+//! A service that is not sharded by key has several groups if it has more instances than one group may
+//! have members. The routes of each group are fetched separately, including those of the own service's
+//! groups that this instance is not a member of.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -41,7 +41,6 @@
 /// How long the same member is queried. Each member that is queried costs a control link, and one
 /// that is cut off from its coordinator supplies stale routes.
 const SOURCE_KEPT_FOR: Duration = Duration::from_secs(10);
-
 /// How long a group after the first that has no members counts as absent before it is queried again.
 const ABSENT_GROUP_INTERVAL: Duration = Duration::from_secs(5);
 /// A group after which there may be another one has at least this share of its largest number of members.
@@ -238,7 +237,7 @@
         }
     }
 
-    /// Returns the listed services with the known routes of their groups.
+    /// Returns the known routes of each service, one table for each group.
     pub(super) fn services(&self) -> BTreeMap<&ServiceName, Vec<&RouteTable>> {
         let mut services: BTreeMap<&ServiceName, Vec<&RouteTable>> = BTreeMap::new();
         for ((service, _), foreign) in &self.table {
--- a/crates/agent/src/control/tests/full_group.rs
+++ b/crates/agent/src/control/tests/full_group.rs
@@ -1,4 +1,4 @@
-//! Instances that are refused because their group is full.
+//! Instances of a service whose first group is full.
 
 use std::sync::Arc;
 
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -173,7 +173,7 @@
         .expect("the new incarnation was not reached in time");
 }
 
-/// A handler that replies once a permit is available, with a reply that no link gives by itself.
+/// A handler that replies when a permit is available. Its reply differs from those of a link that has failed.
 struct HoldingHandler(Arc<Semaphore>);
 
 impl Handler for HoldingHandler {
@@ -314,7 +314,7 @@
     b.wait_for_links(0).await;
 }
 
-/// Requests in both directions while both sides keep retiring their links: each must be answered by the handler.
+/// No request may be lost or fail because either side retires the link at the same time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_are_answered_while_links_are_retired() {
     let (a, b) = (Arc::new(Process::start("a").await), Arc::new(Process::start("b").await));
--- a/crates/agent/src/store_relay/mod.rs
+++ b/crates/agent/src/store_relay/mod.rs
@@ -47,8 +47,8 @@
 const CONFIG_DELAY_MIN: Duration = Duration::from_secs(3);
 /// Time after the start of an agent within which its watches wait for the first reader.
 const START_PERIOD: Duration = Duration::from_secs(30);
-/// Longest wait of a watch for the first reader. As long as an unreachable reader is relied on, so that a change is
-/// delayed no more than by the loss of all readers.
+/// Longest wait of a watch for the first reader. Equal to the time for which an unreachable reader is relied on, so that
+/// both delay a change by the same time at most.
 const FIRST_READER_WAIT: Duration = follower::PROOF_MAX;
 /// Time after the last answer of the store after which a reader asks for another one.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/agent/src/store_relay/reader.rs
+++ b/crates/agent/src/store_relay/reader.rs
@@ -21,7 +21,7 @@
     /// When the store last answered any call.
     answered_at: Option<Instant>,
     followers: BTreeMap<InstanceName, FollowerRow>,
-    /// Whether a list or watch has been answered since the followers were last told.
+    /// Whether a list or watch has been answered since news were last sent to the followers.
     has_changed: bool,
 }
 
--- a/crates/agent/src/store_relay/tests.rs
+++ b/crates/agent/src/store_relay/tests.rs
@@ -180,7 +180,7 @@
     }
 }
 
-/// Readers and their followers, connected by perfect links.
+/// Readers and their followers. Messages between them are delivered at the next tick, unless a test cuts an agent off.
 struct Cluster {
     store: Arc<FakeStore>,
     agents: Arc<BTreeMap<String, Agent>>,
