Gates record and log the limit and the leaving that upstreams state

Gates now keep the condition of the upstream's incarnation: log lines when a limit begins, changes by a fifth or ends, and when the upstream states that it is leaving; gauges pomelohill_upstream_limit_per_s and pomelohill_upstream_leaving; the limit in the gate's line of a request. Nothing acts on the condition yet.

The upstreams' own HTTP interface gets the headers x-requests-per-s-max and x-leaving.

--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -129,6 +129,7 @@
         if former.as_ref().is_none_or(|it| it.members != bound.members) {
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
+        self.condition.follow_incarnation(&bound.incarnation());
         self.records.get_or_init(|| new_request_records(&bound.document));
         self.bound.store(Some(Arc::new(bound)));
     }
--- /dev/null
+++ b/crates/agent/src/gate/condition/mod.rs
@@ -0,0 +1,126 @@
+//! The condition that the upstream states in its answers: a limit on its requests, and that it is leaving.
+//!
+//! Invariant: an incarnation that has stated that it is leaving counts as leaving until it ends.
+
+#[cfg(test)]
+mod tests;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use logging::LineRateLimiter;
+use model::{RequestRate, Timestamp};
+use upstream::StatedCondition;
+
+use crate::gate::leases::UpstreamIncarnation;
+
+/// Long-term rate limit of the log lines: each answer may change the limit.
+const LINES_PER_S: f64 = 1.0;
+const BURST_LINES: f64 = 10.0;
+/// Ratio of two limits from which a change is logged.
+const LOGGED_CHANGE: f64 = 1.2;
+
+/// The condition of the upstream's current incarnation.
+#[derive(Debug)]
+pub(super) struct UpstreamCondition {
+    state: Mutex<State>,
+    lines: LineRateLimiter,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    incarnation: UpstreamIncarnation,
+    limit: Option<RequestRate>,
+    /// When an answer last stated a limit.
+    limit_stated_at: Timestamp,
+    /// The limit in the last log line.
+    logged_limit: Option<RequestRate>,
+    /// Since when the incarnation is known to be leaving.
+    leaving_since: Option<Timestamp>,
+}
+
+/// An answer or a refusal of the upstream that states its condition.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Statement<'a> {
+    /// The incarnation that the request was sent to.
+    pub(super) incarnation: &'a UpstreamIncarnation,
+    pub(super) sent_at: Timestamp,
+    pub(super) received_at: Timestamp,
+    pub(super) condition: StatedCondition,
+    /// Whether the upstream ran the request. A refusal without a limit does not end one.
+    pub(super) has_run: bool,
+}
+
+impl Default for UpstreamCondition {
+    fn default() -> UpstreamCondition {
+        let lines = LineRateLimiter::new(LINES_PER_S, BURST_LINES);
+        UpstreamCondition { state: Mutex::default(), lines }
+    }
+}
+
+impl UpstreamCondition {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forgets the condition if this is another incarnation of the upstream.
+    pub(super) fn follow_incarnation(&self, incarnation: &UpstreamIncarnation) {
+        let mut state = self.state();
+        if state.incarnation != *incarnation {
+            *state = State { incarnation: incarnation.clone(), ..State::default() };
+        }
+    }
+
+    /// Records the condition that the upstream states. A limit ends with an answer without one, if its request
+    /// was sent after the limit was last stated: answers may overtake each other.
+    pub(super) fn record(&self, statement: Statement<'_>) {
+        let Statement { incarnation, sent_at, received_at, condition, has_run } = statement;
+        let mut state = self.state();
+        if state.incarnation != *incarnation {
+            return;
+        }
+        if condition.is_leaving && state.leaving_since.is_none() {
+            state.leaving_since = Some(received_at);
+            log::info!(target: "gate", "The upstream states that it is leaving.");
+        }
+        match condition.limit {
+            Some(limit) => {
+                state.limit = Some(limit);
+                state.limit_stated_at = received_at;
+            }
+            None if has_run && sent_at > state.limit_stated_at => state.limit = None,
+            None => {}
+        }
+        self.log_limit(&mut state, received_at);
+    }
+
+    fn log_limit(&self, state: &mut State, now: Timestamp) {
+        let is_logged = match (state.logged_limit, state.limit) {
+            (None, None) => true,
+            (Some(logged), Some(limit)) => {
+                let ratio = limit.per_s() / logged.per_s();
+                (LOGGED_CHANGE.recip()..LOGGED_CHANGE).contains(&ratio)
+            }
+            _ => false,
+        };
+        if is_logged || self.lines.admit(now).is_none() {
+            return;
+        }
+        state.logged_limit = state.limit;
+        match state.limit {
+            Some(limit) => {
+                log::info!(target: "gate", "The upstream limits its requests to {limit}, over all callers.")
+            }
+            None => log::info!(target: "gate", "The upstream no longer limits its requests."),
+        }
+    }
+
+    /// Returns the limit in force.
+    pub(super) fn limit(&self) -> Option<RequestRate> {
+        self.state().limit
+    }
+
+    /// Returns since when the upstream is known to be leaving. `None` if it has not stated that.
+    pub(super) fn leaving_since(&self) -> Option<Timestamp> {
+        self.state().leaving_since
+    }
+}
--- /dev/null
+++ b/crates/agent/src/gate/condition/tests.rs
@@ -0,0 +1,91 @@
+//! Tests of the condition that an upstream states.
+
+use std::sync::Arc;
+
+use model::{RequestRate, Timestamp};
+use upstream::StatedCondition;
+
+use super::{Statement, UpstreamCondition};
+use crate::gate::leases::UpstreamIncarnation;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_ms(ms)
+}
+
+fn rate(per_s: f64) -> Option<RequestRate> {
+    RequestRate::from_per_s(per_s)
+}
+
+fn incarnation(id: &str) -> UpstreamIncarnation {
+    (Some(Arc::from(id)), Some(1))
+}
+
+/// Records the answer to a request, sent and answered at these times in milliseconds.
+fn answer(condition: &UpstreamCondition, (sent, received): (u64, u64), limit: Option<RequestRate>) {
+    let incarnation = incarnation("i-1");
+    condition.record(Statement {
+        incarnation: &incarnation,
+        sent_at: at(sent),
+        received_at: at(received),
+        condition: StatedCondition { limit, is_leaving: false },
+        has_run: true,
+    });
+}
+
+fn condition() -> UpstreamCondition {
+    let condition = UpstreamCondition::default();
+    condition.follow_incarnation(&incarnation("i-1"));
+    condition
+}
+
+#[test]
+fn limit_holds_until_a_later_request_is_answered_without_one() {
+    let condition = condition();
+    answer(&condition, (0, 100), rate(12.3));
+    answer(&condition, (50, 150), None);
+    assert_eq!(condition.limit(), rate(12.3), "the request was sent before the limit was stated");
+    answer(&condition, (110, 160), rate(7.6));
+    assert_eq!(condition.limit(), rate(7.6));
+    answer(&condition, (155, 170), None);
+    assert_eq!(condition.limit(), rate(7.6));
+    answer(&condition, (165, 180), None);
+    assert_eq!(condition.limit(), None);
+}
+
+#[test]
+fn refusal_without_a_limit_does_not_end_one() {
+    let condition = condition();
+    answer(&condition, (0, 100), rate(5.0));
+    let incarnation = incarnation("i-1");
+    condition.record(Statement {
+        incarnation: &incarnation,
+        sent_at: at(110),
+        received_at: at(120),
+        condition: StatedCondition::default(),
+        has_run: false,
+    });
+    assert_eq!(condition.limit(), rate(5.0));
+}
+
+#[test]
+fn another_incarnation_has_no_condition_of_its_predecessor() {
+    let condition = condition();
+    let leaving = StatedCondition { limit: rate(5.0), is_leaving: true };
+    let state = |id: &str| {
+        let incarnation = incarnation(id);
+        let (sent_at, received_at) = (at(1), at(2));
+        condition.record(Statement {
+            incarnation: &incarnation,
+            sent_at,
+            received_at,
+            condition: leaving,
+            has_run: true,
+        });
+    };
+    state("i-1");
+    condition.follow_incarnation(&incarnation("i-1"));
+    assert_eq!((condition.limit(), condition.leaving_since()), (rate(5.0), Some(at(2))));
+    condition.follow_incarnation(&incarnation("i-2"));
+    state("i-1");
+    assert_eq!((condition.limit(), condition.leaving_since()), (None, None));
+}
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission_queue;
 mod bound;
+mod condition;
 mod crash;
 mod handle;
 mod health;
@@ -26,7 +27,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use model::{ClassName, Instance, Timestamp, UnknownReason};
+use model::{ClassName, Instance, RequestRate, Timestamp, UnknownReason};
 use settings::ServiceDocument;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use upstream::{AnnouncedKeys, AssignedKeys, HttpUpstream, Upstream};
@@ -45,6 +46,7 @@
 };
 
 use bound::BoundUpstream;
+use condition::UpstreamCondition;
 use crash::UnansweredRuns;
 use leases::Leases;
 use records::RequestRecords;
@@ -88,6 +90,8 @@
     bound: ArcSwapOption<BoundUpstream>,
     records: OnceLock<RequestRecords>,
     leases: Arc<Leases>,
+    /// The condition that the upstream states in its answers.
+    condition: UpstreamCondition,
     upstream_runs: UpstreamRuns,
     unanswered_runs: UnansweredRuns,
     quarantine: Arc<SharedQuarantine>,
@@ -121,6 +125,7 @@
             bound: ArcSwapOption::empty(),
             records: OnceLock::new(),
             leases: Arc::default(),
+            condition: UpstreamCondition::default(),
             upstream_runs: UpstreamRuns::default(),
             unanswered_runs: UnansweredRuns::default(),
             quarantine: parts.quarantine,
@@ -166,6 +171,11 @@
         self.bound.load().as_ref().map_or((0, 0), |it| it.queue.load())
     }
 
+    /// Returns the limit on the requests of the upstream, as stated by it, and whether it states that it is leaving.
+    pub(crate) fn stated_condition(&self) -> (Option<RequestRate>, bool) {
+        (self.condition.limit(), self.condition.leaving_since().is_some())
+    }
+
     /// Reports a peer that has a later document than this agent, so that control fetches it.
     fn report_later_config(&self, from: &Instance, request: &GateRequest) {
         let bound = self.bound.load();
@@ -219,7 +229,8 @@
     fn state(&self) -> GateState {
         let bound = self.bound.load();
         let (running, queued) = bound.as_ref().map_or((0, 0), |it| it.queue.load());
-        GateState { config_version: bound.as_ref().map(|it| it.version), running, queued }
+        let config_version = bound.as_ref().map(|it| it.version);
+        GateState { config_version, running, queued, limit: self.condition.limit() }
     }
 }
 
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -20,6 +20,7 @@
         Gate,
         admission_queue::{AdmissionDecision, Permit},
         bound::BoundUpstream,
+        condition::Statement,
         crash::RunEnd,
         records::{RecordLookup, RequestKey},
         table::{Admittance, Clearance, Entry, Grant, NotAdmitted},
@@ -467,6 +468,7 @@
         }
         tracked_run.end(result.run_end());
         let ended_at = gate.clock.now();
+        self.record_condition(started_at, ended_at, &result);
         if let Some((slot, key_hash)) = self.load_key() {
             gate.handle.load.add(slot, key_hash, ended_at.since(started_at));
         }
@@ -506,6 +508,18 @@
         }
     }
 
+    /// Records the condition that the upstream states in its answer or refusal.
+    fn record_condition(&self, sent_at: Timestamp, received_at: Timestamp, result: &CallEnd) {
+        let (condition, has_run) = match result {
+            CallEnd::Answered(it) => (self.bound.upstream.stated_condition(&it.headers), true),
+            CallEnd::Failed(CallError::Refused { condition, .. }) => (*condition, false),
+            CallEnd::Failed(_) | CallEnd::Abandoned(_) => return,
+        };
+        let incarnation = &self.bound.incarnation();
+        let statement = Statement { incarnation, sent_at, received_at, condition, has_run };
+        self.gate.condition.record(statement);
+    }
+
     async fn wait_for_end(
         &self,
         mut call: upstream::UpstreamFuture<'_, Result<upstream::Answer, CallError>>,
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -5,10 +5,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use model::{ClassName, Outcome, TeamName};
+use model::{ClassName, Outcome, RequestRate, TeamName};
 use object_store::CallCounts;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
 use self::platform_calls::PlatformCalls;
@@ -28,6 +28,8 @@
     retries: IntCounterVec,
     running: IntGauge,
     queued: IntGauge,
+    limit_per_s: Gauge,
+    is_leaving: IntGauge,
 }
 
 impl Metrics {
@@ -52,14 +54,34 @@
         )?;
         let running = IntGauge::new("pomelohill_gate_running", "Requests at the upstream.")?;
         let queued = IntGauge::new("pomelohill_gate_queued", "Requests that wait for a slot.")?;
+        let limit_per_s = Gauge::new(
+            "pomelohill_upstream_limit_per_s",
+            "Requests per second that the upstream states as its limit; 0 if it states none.",
+        )?;
+        let is_leaving = IntGauge::new(
+            "pomelohill_upstream_leaving",
+            "1 if the upstream has stated in an answer that it is leaving.",
+        )?;
         registry.register(Box::new(request_s.clone()))?;
         registry.register(Box::new(upstream_s.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(retries.clone()))?;
         registry.register(Box::new(running.clone()))?;
         registry.register(Box::new(queued.clone()))?;
+        registry.register(Box::new(limit_per_s.clone()))?;
+        registry.register(Box::new(is_leaving.clone()))?;
         registry.register(Box::new(PlatformCalls::new(platform_calls)?))?;
-        Ok(Metrics { registry, request_s, upstream_s, requests, retries, running, queued })
+        Ok(Metrics {
+            registry,
+            request_s,
+            upstream_s,
+            requests,
+            retries,
+            running,
+            queued,
+            limit_per_s,
+            is_leaving,
+        })
     }
 
     /// Records the outcome and latency of a caller's request.
@@ -95,6 +117,11 @@
         self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_stated_condition(&self, limit: Option<RequestRate>, is_leaving: bool) {
+        self.limit_per_s.set(limit.map_or(0.0, RequestRate::per_s));
+        self.is_leaving.set(i64::from(is_leaving));
+    }
+
     fn text(&self) -> Result<String, prometheus::Error> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
--- a/crates/agent/src/request_log/mod.rs
+++ b/crates/agent/src/request_log/mod.rs
@@ -8,7 +8,7 @@
 
 use log::Level;
 use logging::LineRateLimiter;
-use model::{ConfigVersion, Instance, RequestId, Timestamp};
+use model::{ConfigVersion, Instance, RequestId, RequestRate, Timestamp};
 use traffic::TargetComparison;
 
 use crate::{
@@ -67,6 +67,8 @@
     pub(crate) config_version: Option<ConfigVersion>,
     pub(crate) running: usize,
     pub(crate) queued: usize,
+    /// The limit that the upstream has stated for its requests.
+    pub(crate) limit: Option<RequestRate>,
 }
 
 impl RequestLog {
@@ -188,6 +190,7 @@
             left_ms = whole_ms(request.remaining.saturating_sub(now.since(arrived_at))),
             running = state.running,
             queued = state.queued,
+            limit_per_s = state.limit.map_or(0.0, RequestRate::per_s),
             config = state.config_version.unwrap_or_default().0,
             sender_config = request.config_version.0,
             left_out;
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -22,7 +22,8 @@
 };
 use upstream::{
     Answer, CallError, ControlError, GrantError, GrantedKeys, HandoverToken, Health, HealthState,
-    HttpUpstream, KeyLeaseMode, LeaseEnforcingUpstream, Load, Request, Upstream, UpstreamFuture,
+    HttpUpstream, KeyLeaseMode, LEAVING_HEADER, LIMIT_HEADER, LeaseEnforcingUpstream, Load,
+    Request, StatedCondition, Upstream, UpstreamFuture,
 };
 
 use crate::{
@@ -60,6 +61,10 @@
     key_grants: Option<KeyGrants>,
     /// Grants and releases of keys, in order.
     pub(super) key_calls: Mutex<Vec<KeyCall>>,
+    /// Condition that its answers state.
+    pub(super) condition: Mutex<StatedCondition>,
+    /// Times at which requests arrived.
+    pub(super) arrivals: Mutex<Vec<Instant>>,
 }
 
 /// A call to grant or release keys at an upstream that enforces leases.
@@ -81,6 +86,8 @@
             exited: watch::Sender::new(false),
             key_grants,
             key_calls: Mutex::default(),
+            condition: Mutex::default(),
+            arrivals: Mutex::default(),
         }
     }
 
@@ -125,9 +132,11 @@
 
     async fn serve(&self, request: Request) -> Result<Answer, CallError> {
         let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+        self.arrivals.lock().unwrap().push(Instant::now());
         let op = request.path.path().rsplit('/').next().unwrap_or_default().to_owned();
         if op == "refuse" {
-            return Err(CallError::Refused { peer, retry_after: None });
+            let condition = *self.condition.lock().unwrap();
+            return Err(CallError::Refused { peer, retry_after: None, condition });
         }
         self.ran.lock().unwrap().push(request.id);
         self.tokens.lock().unwrap().push(request.token);
@@ -155,6 +164,13 @@
             _ => {}
         }
         let mut headers = HeaderMap::new();
+        let condition = *self.condition.lock().unwrap();
+        if let Some(limit) = condition.limit {
+            headers.insert(LIMIT_HEADER, limit.per_s().to_string().parse().unwrap());
+        }
+        if condition.is_leaving {
+            headers.insert(LEAVING_HEADER, HeaderValue::from_static("1"));
+        }
         headers.insert("x-ran", HeaderValue::from_str(&format!("{:x}", request.id.0)).unwrap());
         let body = match op.as_str() {
             "big" => big_body(request.id),
@@ -175,6 +191,10 @@
         Box::pin(self.run(request))
     }
 
+    fn stated_condition(&self, headers: &HeaderMap) -> StatedCondition {
+        StatedCondition::from_headers(headers, LIMIT_HEADER, LEAVING_HEADER)
+    }
+
     fn health(&self) -> UpstreamFuture<'_, Result<Health, ControlError>> {
         Box::pin(async {
             if self.is_frozen.load(std::sync::atomic::Ordering::SeqCst) {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 mod key;
 mod name;
 mod outcome;
+mod rate;
 mod time;
 
 #[cfg(test)]
@@ -21,4 +22,5 @@
 pub use outcome::{
     NotRunReason, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, TOKEN_HEADER, UnknownReason,
 };
+pub use rate::{RequestRate, ZeroRateError};
 pub use time::Timestamp;
--- a/crates/model/src/tests.rs
+++ b/crates/model/src/tests.rs
@@ -1,6 +1,8 @@
-//! Tests of names, tokens, the key hash and ordered keys.
+//! Tests of names, tokens, rates, the key hash and ordered keys.
 
-use crate::{NameError, ServiceName, Slot, SlotCount, Term, Token, key_hash};
+use crate::{
+    NameError, RequestRate, ServiceName, Slot, SlotCount, Term, Token, ZeroRateError, key_hash,
+};
 
 fn check(text: &str, expected: Result<&str, NameError>) {
     let actual = ServiceName::new(text);
@@ -58,3 +60,14 @@
         assert_eq!(keys.hash_of(next), None);
     }
 }
+
+#[test]
+fn request_rate_rounds_down_but_is_never_zero() {
+    let per_s = |it| RequestRate::from_per_s(it).map(RequestRate::per_s);
+    assert_eq!(per_s(12.3456), Some(12.345));
+    assert_eq!(per_s(0.0), Some(0.001));
+    for invalid in [-0.1, f64::NAN, f64::INFINITY] {
+        assert_eq!(per_s(invalid), None);
+    }
+    assert_eq!(RequestRate::try_from(0), Err(ZeroRateError));
+}
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -21,8 +21,8 @@
 };
 
 use crate::{
-    Answer, CallError, ControlError, Health, Load, NOT_RUN_HEADER, Request, Upstream,
-    UpstreamFuture,
+    Answer, CallError, ControlError, Health, LEAVING_HEADER, LIMIT_HEADER, Load, NOT_RUN_HEADER,
+    Request, StatedCondition, Upstream, UpstreamFuture,
     control::{Cancel, Grant, Prepare},
 };
 
@@ -118,7 +118,8 @@
         let (parts, body) = response.into_parts();
         if is_refused(parts.status, &parts.headers) {
             let retry_after = retry_after(&parts.headers);
-            return Err(CallError::Refused { peer: self.address, retry_after });
+            let condition = self.stated_condition(&parts.headers);
+            return Err(CallError::Refused { peer: self.address, retry_after, condition });
         }
         let body = collect(body, self.answer_bytes_max).await.map_err(|reason| {
             CallError::Broken { step: "read answer", peer: self.address, reason }
@@ -184,6 +185,10 @@
         Box::pin(self.request(request))
     }
 
+    fn stated_condition(&self, headers: &HeaderMap) -> StatedCondition {
+        StatedCondition::from_headers(headers, LIMIT_HEADER, LEAVING_HEADER)
+    }
+
     fn health(&self) -> UpstreamFuture<'_, Result<Health, ControlError>> {
         Box::pin(self.get("/control/health"))
     }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,7 +9,9 @@
 //! - `POST /control/cancel` `{"request_id"}`: cancels a running request.
 //! - Every other path is a request, with the headers `x-request-id` (hexadecimal), `x-fence-token` (`T.S`),
 //!   `x-deadline-ms` (remaining time), and `x-start-before-ms` and `x-end-before-ms` (times on the clock that the
-//!   upstream announces). The upstream answers 503 with `x-not-run: 1` if it provably did not run the request.
+//!   upstream announces). The upstream answers 503 with `x-not-run: 1` if it provably did not run the request. Answers
+//!   may state the upstream's condition: `x-requests-per-s-max`, the most requests per second that it takes from all
+//!   callers together, and `x-leaving: 1` if it is leaving for good.
 //!
 //! An upstream announces itself to the agent beside it at start and every second: `POST /upstream/announce`
 //! `{"service", "address", "state", "slots", "checks_fence", "clock_ms"}` at the agent's address for callers. The
@@ -27,6 +29,6 @@
 pub use control::{AnnouncementBody, ControlError, Health, HealthState, Load};
 pub use request::{
     AnnouncedKeys, Answer, AssignedKeys, CallError, ClockBounds, GrantError, GrantedKeys,
-    HandoverToken, KeyGrant, KeyLeaseMode, LeaseEnforcingUpstream, NOT_RUN_HEADER, ReleasedKeys,
-    Request, Upstream, UpstreamFuture,
+    HandoverToken, KeyGrant, KeyLeaseMode, LEAVING_HEADER, LIMIT_HEADER, LeaseEnforcingUpstream,
+    NOT_RUN_HEADER, ReleasedKeys, Request, StatedCondition, Upstream, UpstreamFuture,
 };
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -3,14 +3,20 @@
 use std::{future::Future, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode, uri::PathAndQuery};
-use model::{KeyRange, RequestId, Slot, Token};
+use http::{HeaderMap, Method, StatusCode, header::AsHeaderName, uri::PathAndQuery};
+use model::{KeyRange, RequestId, RequestRate, Slot, Token};
 
 use crate::{ControlError, Health, Load};
 
 /// Header with the value `1` by which an upstream reports that it did not run a request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 
+/// Header by which an upstream states the most requests per second, a decimal number, that it takes from all callers
+/// together. The limit holds until an answer comes without the header.
+pub const LIMIT_HEADER: &str = "x-requests-per-s-max";
+/// Header with the value `1` by which an upstream states that it is leaving for good.
+pub const LEAVING_HEADER: &str = "x-leaving";
+
 /// Future of a call to an upstream.
 pub type UpstreamFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -47,6 +53,29 @@
     pub body: Bytes,
 }
 
+/// State of the upstream itself, as stated in the headers of an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StatedCondition {
+    /// The most requests that the upstream takes from all callers together, or `None` if it states no limit.
+    pub limit: Option<RequestRate>,
+    /// Whether this incarnation of the upstream is leaving for good.
+    pub is_leaving: bool,
+}
+
+impl StatedCondition {
+    /// Reads the condition from the headers with these names. A value that is not valid counts as not stated.
+    pub fn from_headers(
+        headers: &HeaderMap,
+        limit_name: impl AsHeaderName,
+        leaving_name: impl AsHeaderName,
+    ) -> StatedCondition {
+        let limit_per_s =
+            headers.get(limit_name).and_then(|it| it.to_str().ok()?.trim().parse().ok());
+        let is_leaving = headers.get(leaving_name).is_some_and(|it| it.as_bytes() == b"1");
+        StatedCondition { limit: limit_per_s.and_then(RequestRate::from_per_s), is_leaving }
+    }
+}
+
 /// Reason for a call without a complete answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -56,7 +85,12 @@
     NotSent { step: &'static str, peer: SocketAddr, reason: String },
     /// The request was provably not run, as the upstream reported.
     #[error("upstream {peer} refused the request before running it")]
-    Refused { peer: SocketAddr, retry_after: Option<Duration> },
+    Refused {
+        peer: SocketAddr,
+        retry_after: Option<Duration>,
+        /// Condition that the refusal states.
+        condition: StatedCondition,
+    },
     /// No valid answer was received; the request may have run.
     #[error("{step}: no valid answer from upstream {peer}: {reason}")]
     Lost { step: &'static str, peer: SocketAddr, reason: String },
@@ -69,6 +103,8 @@
 pub trait Upstream: Send + Sync {
     /// Sends a request exactly once, without retries. Dropping the future closes the connection.
     fn call(&self, request: Request) -> UpstreamFuture<'_, Result<Answer, CallError>>;
+    /// Returns the condition that an answer states by its headers.
+    fn stated_condition(&self, headers: &HeaderMap) -> StatedCondition;
     fn health(&self) -> UpstreamFuture<'_, Result<Health, ControlError>>;
     fn load(&self) -> UpstreamFuture<'_, Result<Load, ControlError>>;
     /// Notifies the upstream of the grant of a slot and its remaining time.
