--- /dev/null
+++ b/crates/agent/src/tests/condition.rs
@@ -0,0 +1,139 @@
+//! Tests of upstreams that state a limit on their requests, or that they are leaving.
+
+use std::time::{Duration, Instant};
+
+use model::{NotRunReason, RequestRate};
+use upstream::StatedCondition;
+
+use super::fakes::{Call, TestAgent, get};
+
+/// Time over which the requests of an upstream are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Returns the most requests that arrived within any [`WINDOW`].
+fn most_in_window(arrivals: &[Instant]) -> usize {
+    let within = |from: &Instant| {
+        arrivals.iter().filter(|it| **it >= *from && **it < *from + WINDOW).count()
+    };
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+/// Returns the most requests that an upstream with this limit may get within a [`WINDOW`].
+fn allowed(limit_per_s: f64) -> usize {
+    (limit_per_s * WINDOW.as_secs_f64() * 1.5) as usize + 5
+}
+
+/// Starts two members of one service and makes the first one's upstream state a condition.
+async fn members_with(condition: StatedCondition) -> (TestAgent, TestAgent) {
+    let mut agents = TestAgent::start_members(2).await;
+    let (other, stating) = (agents.pop().unwrap(), agents.pop().unwrap());
+    for (agent, id) in [(&stating, "i-1"), (&other, "i-2")] {
+        agent.set_upstream_id(id).await;
+    }
+    *stating.upstream.condition.lock().unwrap() = condition;
+    (stating, other)
+}
+
+/// Sends `count` requests through an agent, a few at a time.
+async fn send(through: &TestAgent, first_id: u128, count: u128) {
+    const CONCURRENT: u128 = 10;
+    for round in 0..count / CONCURRENT {
+        let ids = (0..CONCURRENT).map(|it| first_id + round * CONCURRENT + it);
+        let calls = ids.map(|it| {
+            through.call(Call { deadline: Duration::from_millis(40), ..get("echo", it) })
+        });
+        futures_util::future::join_all(calls).await;
+    }
+}
+
+/// Routes all requests of `ingress` to the upstream beside `target`.
+async fn route_only_to(ingress: &TestAgent, target: &TestAgent) {
+    ingress.route_to_members(&[&target.own]).await;
+}
+
+fn limit(per_s: f64) -> StatedCondition {
+    StatedCondition { limit: RequestRate::from_per_s(per_s), is_leaving: false }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstream_gets_no_more_requests_than_the_limit_it_states() {
+    let (limited, other) = members_with(limit(3.0)).await;
+    for ingress in [&limited, &other] {
+        route_only_to(ingress, &limited).await;
+    }
+    limited.set_upstream_id("i-1").await;
+    tokio::join!(send(&limited, 1_000, 200), send(&other, 2_000, 200));
+    let arrivals = limited.upstream.arrivals.lock().unwrap().clone();
+    let most = most_in_window(&arrivals);
+    assert!(most <= allowed(3.0), "{most} requests in 4 s, {} allowed", allowed(3.0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limit_holds_after_the_agent_beside_the_upstream_has_restarted() {
+    let (limited, other) = members_with(limit(1.0)).await;
+    limited.upstream.release.add_permits(1);
+    route_only_to(&other, &limited).await;
+    let told = other.call(get("echo", 1)).await;
+    assert_eq!(told.status.as_u16(), 200, "{told:?}");
+    for round in 0..8 {
+        let again = limited.restart().await;
+        route_only_to(&again, &again).await;
+        again.set_upstream_id("i-1").await;
+        route_only_to(&other, &again).await;
+        send(&other, 1_000 * (round + 1), 20).await;
+    }
+    let arrivals = limited.upstream.arrivals.lock().unwrap().clone();
+    let most = most_in_window(&arrivals);
+    assert!(most <= allowed(1.0), "{most} requests in 4 s, {} allowed", allowed(1.0));
+}
+
+fn leaving() -> StatedCondition {
+    StatedCondition { limit: None, is_leaving: true }
+}
+
+fn draining() -> String {
+    format!("not-run; reason={}", NotRunReason::Draining.as_str())
+}
+
+#[track_caller]
+fn assert_refused(answer: &upstream::Answer) {
+    let outcome = answer.headers.get(model::OUTCOME_HEADER).unwrap().to_str().unwrap();
+    assert_eq!((answer.status.as_u16(), outcome), (503, draining().as_str()));
+}
+
+/// The document's time until an upstream that is leaving gets no new work.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstream_that_states_it_is_leaving_gets_no_later_request() {
+    let (stating, other) = members_with(leaving()).await;
+    route_only_to(&other, &stating).await;
+    assert_eq!(other.call(get("echo", 1)).await.status.as_u16(), 200);
+    tokio::time::sleep(DRAIN_TIME).await;
+    let deadline = Duration::from_millis(300);
+    assert_refused(&other.call(Call { deadline, ..get("echo", 2) }).await);
+    // An announcement that was sent before does not undo it.
+    route_only_to(&stating, &stating).await;
+    stating.set_upstream_id("i-1").await;
+    assert_refused(&other.call(Call { deadline, ..get("echo", 3) }).await);
+    assert_eq!(stating.upstream.ran().len(), 1);
+    // The next incarnation gets requests again.
+    *stating.upstream.condition.lock().unwrap() = StatedCondition::default();
+    stating.set_upstream_id("i-3").await;
+    assert_eq!(other.call(get("echo", 4)).await.status.as_u16(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_upstream_gets_no_request_through_its_restarted_agent() {
+    let (stating, other) = members_with(leaving()).await;
+    route_only_to(&other, &stating).await;
+    assert_eq!(other.call(get("echo", 1)).await.status.as_u16(), 200);
+    let again = stating.restart().await;
+    route_only_to(&again, &again).await;
+    again.set_upstream_id("i-1").await;
+    route_only_to(&other, &again).await;
+    tokio::time::sleep(DRAIN_TIME).await;
+    let deadline = Duration::from_millis(300);
+    assert_refused(&other.call(Call { deadline, ..get("echo", 2) }).await);
+    assert_eq!(stating.upstream.ran().len(), 1);
+}
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -370,19 +370,36 @@
         TestAgent::start_at(name, key, upstream, announce_protocol, store).await
     }
 
+    /// Starts another incarnation of an agent that has crashed, beside the upstream that it had.
+    pub(super) async fn restart(&self) -> TestAgent {
+        let (store, announce_protocol) =
+            (Arc::new(FakeStore::new()), Arc::new(DefaultAnnounceProtocol));
+        let (name, upstream) = (self.own.name.as_str(), Arc::clone(&self.upstream));
+        TestAgent::start_beside(name, SECRET, upstream, announce_protocol, store).await
+    }
+
     async fn start_at(
         name: &str,
         key: &[u8],
         upstream: FakeUpstream,
         announce_protocol: Arc<dyn AnnounceProtocol>,
         store: Arc<FakeStore>,
+    ) -> TestAgent {
+        TestAgent::start_beside(name, key, Arc::new(upstream), announce_protocol, store).await
+    }
+
+    async fn start_beside(
+        name: &str,
+        key: &[u8],
+        upstream: Arc<FakeUpstream>,
+        announce_protocol: Arc<dyn AnnounceProtocol>,
+        store: Arc<FakeStore>,
     ) -> TestAgent {
         let listen = || TcpListener::bind("127.0.0.1:0");
         let (callers, peers, metrics) =
             (listen().await.unwrap(), listen().await.unwrap(), listen().await.unwrap());
         let caller_address = callers.local_addr().unwrap();
         let own = instance(name, peers.local_addr().unwrap());
-        let upstream = Arc::new(upstream);
         let clock = Clock::start();
         let (reporter, reports) = report::channel();
         let (gate, tasks) = GateHandle::new(clock);
@@ -436,6 +453,18 @@
         self.publish(document(false), routes).await;
     }
 
+    /// Publishes the current snapshot with another incarnation of the upstream.
+    pub(super) async fn set_upstream_id(&self, id: &str) {
+        let previous = self.snapshots.load();
+        let local = previous.local.clone().map(|it| LocalUpstream {
+            announcement: Announcement { upstream_id: Some(Arc::from(id)), ..it.announcement },
+            ..it
+        });
+        let services = previous.services.clone();
+        self.snapshots.store(Snapshot { services, routing: None, local });
+        self.plane.rebind_gate().await;
+    }
+
     /// Publishes the current snapshot with the agent's own zone closed or open.
     pub(super) async fn close_zone(&self, is_closed: bool) {
         let previous = self.snapshots.load();
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod callers;
 mod closing;
+mod condition;
 pub(crate) mod fakes;
 mod forwarding;
 mod gate;
