Gates keep upstreams to the request rate that they state

Cause: nothing read the limit; answers went on to their callers as they were.

The rate limit of cold upstreams at the gate, which all requests to an upstream pass, now has two sources: the configured cold rate and the limit that the upstream states; the lower one is in force, for waiting, feasibility, retry-after and the load that gates report to selection. A limit ends with an answer without one to a request sent after it was last stated. Warmup is renamed to RateLimit.

--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -17,7 +17,7 @@
 };
 use traffic::{
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
-    SharedWarmup, Ticket, Timeliness, Verdict,
+    SharedRateLimit, Ticket, Timeliness, Verdict,
 };
 
 use wire::traffic::GateLoad;
@@ -81,7 +81,7 @@
         clock: Clock,
         document: &ServiceDocument,
         slots: u16,
-        warmup: SharedWarmup,
+        rate_limit: SharedRateLimit,
         seed: u64,
     ) -> Arc<AdmissionQueue> {
         let class = |it: &settings::RequestClass| ClassConfig {
@@ -103,7 +103,7 @@
             clock,
             classes: names.map(|(index, it)| (it.name.clone(), ClassIndex(index))).collect(),
             state: Mutex::new(QueueState {
-                admission: Admission::new(config, clock.now()).with_warmup(warmup),
+                admission: Admission::new(config, clock.now()).with_rate_limit(rate_limit),
                 waiting: HashMap::new(),
                 rng: Pcg64Mcg::seed_from_u64(seed),
                 decisions: Vec::new(),
@@ -236,9 +236,9 @@
         let route = kind.map(|it| RouteIndex(it.into()));
         let kind_service_time = admission.measured_service_time(self.class_index(class), route);
         let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
-        // A cold upstream works off its queue like a single slot whose service time is the interval
-        // between two starts.
-        let (slots, service) = match admission.cold_start_interval(now) {
+        // An upstream with a limited rate works off its queue like a single slot whose service time is
+        // the interval between two starts.
+        let (slots, service) = match admission.limited_start_interval(now) {
             Some(interval) => (1, interval),
             None => (admission.slots_at(now), admission.mean_service_time()),
         };
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -129,7 +129,9 @@
         if former.as_ref().is_none_or(|it| it.members != bound.members) {
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
-        self.condition.follow_incarnation(&bound.incarnation());
+        if self.condition.follow_incarnation(&bound.incarnation()) {
+            self.apply_limit();
+        }
         self.records.get_or_init(|| new_request_records(&bound.document));
         self.bound.store(Some(Arc::new(bound)));
     }
@@ -142,7 +144,7 @@
     ) -> anyhow::Result<BoundUpstream> {
         let announcement = &local.announcement;
         let document = &service.document;
-        self.handle.warmup.with(|it| it.set_limit(document.upstream.cold_requests_per_s));
+        self.handle.rate_limit.with(|it| it.set_cold_rate(document.upstream.cold_requests_per_s));
         let same_upstream = former.filter(|it| it.is_same_upstream(announcement));
         // A version may change limits of the client; connections are cheap to recreate.
         let upstream = match same_upstream.filter(|it| it.has_same_client(document)) {
@@ -158,9 +160,9 @@
                 Arc::clone(&it.queue)
             }
             _ => {
-                let warmup = self.handle.warmup.clone();
+                let rate_limit = self.handle.rate_limit.clone();
                 let seed = self.own.incarnation.0;
-                AdmissionQueue::start(self.clock, document, announcement.slots, warmup, seed)
+                AdmissionQueue::start(self.clock, document, announcement.slots, rate_limit, seed)
             }
         };
         Ok(BoundUpstream {
@@ -175,6 +177,11 @@
         })
     }
 
+    /// Applies the limit that the upstream states to its queue.
+    pub(super) fn apply_limit(&self) {
+        self.handle.rate_limit.with(|it| it.set_stated_rate(self.condition.limit()));
+    }
+
     /// Returns when the membership last changed. Up to then, an ingress with an older membership
     /// may have sent requests to other members.
     pub(super) fn members_changed_at(&self) -> Timestamp {
--- a/crates/agent/src/gate/condition/mod.rs
+++ b/crates/agent/src/gate/condition/mod.rs
@@ -62,26 +62,31 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Forgets the condition if this is another incarnation of the upstream.
-    pub(super) fn follow_incarnation(&self, incarnation: &UpstreamIncarnation) {
+    /// Forgets the condition if this is another incarnation of the upstream. Returns whether the limit has changed.
+    pub(super) fn follow_incarnation(&self, incarnation: &UpstreamIncarnation) -> bool {
         let mut state = self.state();
-        if state.incarnation != *incarnation {
-            *state = State { incarnation: incarnation.clone(), ..State::default() };
+        if state.incarnation == *incarnation {
+            return false;
         }
+        let former = std::mem::take(&mut *state);
+        state.incarnation = incarnation.clone();
+        former.limit.is_some()
     }
 
     /// Records the condition that the upstream states. A limit ends with an answer without one, if its request
-    /// was sent after the limit was last stated: answers may overtake each other.
-    pub(super) fn record(&self, statement: Statement<'_>) {
+    /// was sent after the limit was last stated: answers may overtake each other. Returns whether the limit has
+    /// changed.
+    pub(super) fn record(&self, statement: Statement<'_>) -> bool {
         let Statement { incarnation, sent_at, received_at, condition, has_run } = statement;
         let mut state = self.state();
         if state.incarnation != *incarnation {
-            return;
+            return false;
         }
         if condition.is_leaving && state.leaving_since.is_none() {
             state.leaving_since = Some(received_at);
             log::info!(target: "gate", "The upstream states that it is leaving.");
         }
+        let former_limit = state.limit;
         match condition.limit {
             Some(limit) => {
                 state.limit = Some(limit);
@@ -91,6 +96,7 @@
             None => {}
         }
         self.log_limit(&mut state, received_at);
+        state.limit != former_limit
     }
 
     fn log_limit(&self, state: &mut State, now: Timestamp) {
--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -5,7 +5,7 @@
 use model::{Instance, Slot, Token};
 use ownership::{GateCommand, LoadReport};
 use tokio::sync::mpsc;
-use traffic::{RecordUnit, SharedWarmup};
+use traffic::{RecordUnit, SharedRateLimit};
 
 use crate::{
     clock::Clock,
@@ -43,9 +43,9 @@
     pub(crate) clock: Clock,
     pub(crate) table: Arc<GateTable>,
     pub(crate) load: Arc<LoadTable>,
-    /// Limit on the requests that the upstream gets while it is cold. An incarnation that follows
-    /// another is counted as having received the requests of its predecessor.
-    pub(crate) warmup: SharedWarmup,
+    /// Limit on the rate of requests that the upstream gets. An incarnation that follows another is
+    /// counted as having received the requests of its predecessor.
+    pub(crate) rate_limit: SharedRateLimit,
     tasks: mpsc::UnboundedSender<GateTask>,
 }
 
@@ -55,8 +55,8 @@
     pub(crate) fn new(clock: Clock) -> (GateHandle, mpsc::UnboundedReceiver<GateTask>) {
         let (tasks, receiver) = mpsc::unbounded_channel();
         let table = Arc::new(GateTable::new());
-        let warmup = SharedWarmup::new(clock.now());
-        (GateHandle { clock, table, load: Arc::default(), warmup, tasks }, receiver)
+        let rate_limit = SharedRateLimit::new(clock.now());
+        (GateHandle { clock, table, load: Arc::default(), rate_limit, tasks }, receiver)
     }
 
     /// Applies the gate commands of one step, in order. Admissions, refusals and the lease are in
@@ -91,12 +91,12 @@
 
     /// Sets for how much longer the upstream is cold, as it has announced.
     pub fn update_cold_for(&self, cold_for: Duration) {
-        self.warmup.with(|it| it.set_cold_period(self.clock.now(), cold_for));
+        self.rate_limit.with(|it| it.set_cold_period(self.clock.now(), cold_for));
     }
 
     /// Treats the upstream as cold until its announcements show that it is warm.
     pub fn mark_possibly_cold(&self) {
-        self.warmup.with(|it| it.invalidate());
+        self.rate_limit.with(|it| it.invalidate_cold_state());
     }
 
     /// Returns the load since the last call, for [`ownership::Input::Load`].
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -337,6 +337,7 @@
     async fn wait_for_slot(&self, caller: &mut Caller) -> Result<Permit, Box<GateReply>> {
         let (until, timeliness) = self.queue_until();
         let decision = self.bound.queue.offer(&self.request.class, self.route(), until, timeliness);
+        self.record_limited(&decision);
         let queued = match decision {
             AdmissionDecision::Queued(queued) => queued,
             decision => return into_permit(decision),
@@ -344,6 +345,16 @@
         into_permit(self.wait_while_admitted(queued.wait(), caller).await?)
     }
 
+    fn record_limited(&self, decision: &AdmissionDecision) {
+        let result = match decision {
+            _ if self.gate.condition.limit().is_none() => return,
+            AdmissionDecision::Admitted(_) => return,
+            AdmissionDecision::Queued(_) => "queued",
+            AdmissionDecision::Refused { .. } => "refused",
+        };
+        self.gate.metrics.record_limited(&self.bound.document.team, result);
+    }
+
     /// Waits for `wait` to complete, while the caller is connected and the key is admitted.
     async fn wait_while_admitted<T>(
         &self,
@@ -517,7 +528,9 @@
         };
         let incarnation = &self.bound.incarnation();
         let statement = Statement { incarnation, sent_at, received_at, condition, has_run };
-        self.gate.condition.record(statement);
+        if self.gate.condition.record(statement) {
+            self.gate.apply_limit();
+        }
     }
 
     async fn wait_for_end(
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -28,6 +28,7 @@
     retries: IntCounterVec,
     running: IntGauge,
     queued: IntGauge,
+    limited: IntCounterVec,
     limit_per_s: Gauge,
     is_leaving: IntGauge,
 }
@@ -54,6 +55,13 @@
         )?;
         let running = IntGauge::new("pomelohill_gate_running", "Requests at the upstream.")?;
         let queued = IntGauge::new("pomelohill_gate_queued", "Requests that wait for a slot.")?;
+        let limited = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_limited_total",
+                "Requests that were not sent at once to an upstream that states a limit.",
+            ),
+            &["tenant", "result"],
+        )?;
         let limit_per_s = Gauge::new(
             "pomelohill_upstream_limit_per_s",
             "Requests per second that the upstream states as its limit; 0 if it states none.",
@@ -68,6 +76,7 @@
         registry.register(Box::new(retries.clone()))?;
         registry.register(Box::new(running.clone()))?;
         registry.register(Box::new(queued.clone()))?;
+        registry.register(Box::new(limited.clone()))?;
         registry.register(Box::new(limit_per_s.clone()))?;
         registry.register(Box::new(is_leaving.clone()))?;
         registry.register(Box::new(PlatformCalls::new(platform_calls)?))?;
@@ -79,6 +88,7 @@
             retries,
             running,
             queued,
+            limited,
             limit_per_s,
             is_leaving,
         })
@@ -112,6 +122,12 @@
         self.retries.with_label_values(&[team.as_str(), kind]).inc();
     }
 
+    /// Records a request that was queued or refused while the upstream states a limit; `result` is `queued` or
+    /// `refused`.
+    pub(crate) fn record_limited(&self, team: &TeamName, result: &str) {
+        self.limited.with_label_values(&[team.as_str(), result]).inc();
+    }
+
     pub(crate) fn set_gate_load(&self, running: usize, queued: usize) {
         self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
         self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
--- a/crates/agent/src/tests/condition.rs
+++ b/crates/agent/src/tests/condition.rs
@@ -35,13 +35,12 @@
 }
 
 /// Sends `count` requests through an agent, a few at a time.
-async fn send(through: &TestAgent, first_id: u128, count: u128) {
+async fn send(through: &TestAgent, op: &str, first_id: u128, count: u128) {
     const CONCURRENT: u128 = 10;
     for round in 0..count / CONCURRENT {
         let ids = (0..CONCURRENT).map(|it| first_id + round * CONCURRENT + it);
-        let calls = ids.map(|it| {
-            through.call(Call { deadline: Duration::from_millis(40), ..get("echo", it) })
-        });
+        let calls =
+            ids.map(|it| through.call(Call { deadline: Duration::from_millis(40), ..get(op, it) }));
         futures_util::future::join_all(calls).await;
     }
 }
@@ -62,7 +61,7 @@
         route_only_to(ingress, &limited).await;
     }
     limited.set_upstream_id("i-1").await;
-    tokio::join!(send(&limited, 1_000, 200), send(&other, 2_000, 200));
+    tokio::join!(send(&limited, "echo", 1_000, 200), send(&other, "echo", 2_000, 200));
     let arrivals = limited.upstream.arrivals.lock().unwrap().clone();
     let most = most_in_window(&arrivals);
     assert!(most <= allowed(3.0), "{most} requests in 4 s, {} allowed", allowed(3.0));
@@ -71,16 +70,15 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn limit_holds_after_the_agent_beside_the_upstream_has_restarted() {
     let (limited, other) = members_with(limit(1.0)).await;
-    limited.upstream.release.add_permits(1);
     route_only_to(&other, &limited).await;
     let told = other.call(get("echo", 1)).await;
     assert_eq!(told.status.as_u16(), 200, "{told:?}");
-    for round in 0..8 {
+    for round in 0..12 {
         let again = limited.restart().await;
         route_only_to(&again, &again).await;
         again.set_upstream_id("i-1").await;
         route_only_to(&other, &again).await;
-        send(&other, 1_000 * (round + 1), 20).await;
+        send(&other, "work", 1_000 * (round + 1), 20).await;
     }
     let arrivals = limited.upstream.arrivals.lock().unwrap().clone();
     let most = most_in_window(&arrivals);
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -14,7 +14,7 @@
 use model::{ClassName, NotRunReason, Timestamp};
 use rand::{Rng, RngExt};
 
-use crate::{SharedWarmup, SmoothedDuration};
+use crate::{SharedRateLimit, SmoothedDuration};
 
 use class::{ClassQueue, QueuePosition, QueuedRequest};
 
@@ -140,8 +140,8 @@
     is_draining: bool,
     /// The service time over all classes.
     service_time: SmoothedDuration,
-    /// The limit on starts while the upstream is cold. `None` if only the slots limit them.
-    warmup: Option<SharedWarmup>,
+    /// The limit on the rate of starts. `None` if only the slots limit them.
+    rate_limit: Option<SharedRateLimit>,
 }
 
 impl Admission {
@@ -166,13 +166,13 @@
             ramp_start: now,
             is_draining: false,
             service_time,
-            warmup: None,
+            rate_limit: None,
         }
     }
 
-    /// Limits the rate of starts while the upstream is cold.
-    pub fn with_warmup(self, warmup: SharedWarmup) -> Admission {
-        Admission { warmup: Some(warmup), ..self }
+    /// Limits the rate of starts.
+    pub fn with_rate_limit(self, rate_limit: SharedRateLimit) -> Admission {
+        Admission { rate_limit: Some(rate_limit), ..self }
     }
 
     /// Adds a request. Its verdict is appended to `decisions` unless the request has to wait, together
@@ -254,7 +254,7 @@
     }
 
     /// Returns when the next waiting request has to be refused, or may start because a slot opens or the
-    /// limit of a cold upstream allows it. `None` if no request waits.
+    /// rate limit allows it. `None` if no request waits.
     pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         if self.queued == 0 {
             return None;
@@ -263,7 +263,7 @@
             .classes
             .iter()
             .filter_map(|it| it.next_refusal(self.config.service_time_deviations));
-        refusals.chain(self.next_ramp_step(now)).chain(self.next_cold_start(now)).min()
+        refusals.chain(self.next_ramp_step(now)).chain(self.next_start_in_rate(now)).min()
     }
 
     /// Stops admission: refuses all waiting and all new requests. Running requests continue.
@@ -328,17 +328,17 @@
 
     /// Returns whether a request may be sent to the upstream now.
     fn can_start(&self, now: Timestamp) -> bool {
-        self.running < self.slots_at(now) && self.next_cold_start(now).is_none()
+        self.running < self.slots_at(now) && self.next_start_in_rate(now).is_none()
     }
 
-    /// Returns when the next request may be sent to a cold upstream. `None` if it may be sent now.
-    fn next_cold_start(&self, now: Timestamp) -> Option<Timestamp> {
-        self.warmup.as_ref()?.with(|it| it.next_start(now))
+    /// Returns when the rate limit allows the next start. `None` if it allows one now.
+    fn next_start_in_rate(&self, now: Timestamp) -> Option<Timestamp> {
+        self.rate_limit.as_ref()?.with(|it| it.next_start(now))
     }
 
-    /// Returns the average time between two starts at a cold upstream. `None` if starts are not limited.
-    pub fn cold_start_interval(&self, now: Timestamp) -> Option<Duration> {
-        self.warmup.as_ref()?.with(|it| it.start_interval(now))
+    /// Returns the average time between two starts under the rate limit. `None` if there is no limit.
+    pub fn limited_start_interval(&self, now: Timestamp) -> Option<Duration> {
+        self.rate_limit.as_ref()?.with(|it| it.start_interval(now))
     }
 
     /// Returns when the ramp-up opens the next slot. `None` if all slots are open.
@@ -362,8 +362,8 @@
         route: Option<RouteIndex>,
         decisions: &mut Vec<Decision>,
     ) {
-        if let Some(warmup) = &self.warmup {
-            warmup.with(|it| it.start(now));
+        if let Some(rate_limit) = &self.rate_limit {
+            rate_limit.with(|it| it.start(now));
         }
         let cost_s = self.classes[class.0].charge(self.virtual_time_s, route);
         self.virtual_time_s =
@@ -496,7 +496,7 @@
         let share = own.weight / weights;
         let slot_step =
             own.service_times.class_estimate().mean().div_f64(self.slots_at(now) as f64 * share);
-        match self.cold_start_interval(now) {
+        match self.limited_start_interval(now) {
             Some(step) => slot_step.max(step.div_f64(share)),
             None => slot_step,
         }
--- a/crates/traffic/src/admission/tests/cold.rs
+++ b/crates/traffic/src/admission/tests/cold.rs
@@ -8,7 +8,8 @@
 
 use super::{config, ms};
 use crate::{
-    Admission, Arrival, ClassIndex, Completion, Decision, SharedWarmup, Ticket, Timeliness, Verdict,
+    Admission, Arrival, ClassIndex, Completion, Decision, SharedRateLimit, Ticket, Timeliness,
+    Verdict,
 };
 
 const SLOTS: usize = 9;
@@ -46,9 +47,10 @@
     Tick,
 }
 
-fn simulate(warmup: SharedWarmup) -> Results {
+fn simulate(rate_limit: SharedRateLimit) -> Results {
     let mut rng = Pcg64Mcg::seed_from_u64(3);
-    let mut admission = Admission::new(config(SLOTS, &[1.0]), Timestamp::ZERO).with_warmup(warmup);
+    let mut admission =
+        Admission::new(config(SLOTS, &[1.0]), Timestamp::ZERO).with_rate_limit(rate_limit);
     let mut events = BinaryHeap::new();
     for _ in 0..ARRIVALS_PER_S * SIMULATED_S {
         let at = ms(rng.random_range(0..SIMULATED_S * 1_000));
@@ -94,18 +96,18 @@
     results
 }
 
-fn cold_warmup() -> SharedWarmup {
-    let warmup = SharedWarmup::new(Timestamp::ZERO);
-    warmup.with(|it| {
-        it.set_limit(Some(COLD_PER_S));
+fn cold_rate_limit() -> SharedRateLimit {
+    let rate_limit = SharedRateLimit::new(Timestamp::ZERO);
+    rate_limit.with(|it| {
+        it.set_cold_rate(Some(COLD_PER_S));
         it.set_cold_period(Timestamp::ZERO, Duration::from_secs(3_600));
     });
-    warmup
+    rate_limit
 }
 
 #[test]
 fn a_cold_upstream_gets_its_rate_and_other_requests_are_refused_early() {
-    let results = simulate(cold_warmup());
+    let results = simulate(cold_rate_limit());
     assert!(
         results.starts_per_s_max() as f64 <= COLD_PER_S,
         "{} starts in a second",
@@ -130,12 +132,12 @@
 
 #[test]
 fn a_warm_upstream_is_limited_only_by_its_slots() {
-    let warmup = SharedWarmup::new(Timestamp::ZERO);
-    warmup.with(|it| {
-        it.set_limit(Some(COLD_PER_S));
+    let rate_limit = SharedRateLimit::new(Timestamp::ZERO);
+    rate_limit.with(|it| {
+        it.set_cold_rate(Some(COLD_PER_S));
         it.set_cold_period(Timestamp::ZERO, Duration::ZERO);
     });
-    let results = simulate(warmup);
+    let results = simulate(rate_limit);
     let slot_capacity = SLOTS as f64 / SERVICE.as_secs_f64() * SIMULATED_S as f64;
     assert!(
         f64::from(results.in_time) >= 0.85 * slot_capacity,
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod quarantine;
+mod rate_limit;
 mod records;
 mod retry;
 mod selection;
@@ -12,7 +13,6 @@
 mod smoothed;
 mod weighted_round_robin;
 mod timeout_estimate;
-mod warmup;
 
 #[cfg(test)]
 mod tests;
@@ -22,6 +22,7 @@
     Ticket, Timeliness, Verdict,
 };
 pub use quarantine::{CrashId, Quarantine, QuarantineStatus};
+pub use rate_limit::{RateLimit, SharedRateLimit};
 pub use records::{
     Answer, BeginResult, Record, RecordUnit, RecordedOutcome, Records, RecordsConfig, UnitRecords,
 };
@@ -33,5 +34,4 @@
 pub use sketch::{HeavyHitter, Sketch};
 pub use smoothed::SmoothedDuration;
 pub use timeout_estimate::TimeoutEstimate;
-pub use warmup::{SharedWarmup, Warmup};
 pub use weighted_round_robin::WeightedRoundRobin;
