A limit that an upstream states outlives the agent beside it

Callers saw: after a restart of the agent beside a limited upstream, its new gate sends what the slots allow until the first answer states the limit again. The requests of all other instances count, whatever happened to that agent.

Cause: a bound over all instances was kept in one process's memory. Replies of gates now name the condition of their upstream; each agent keeps the last one by instance and sends it along with its next requests there. A gate whose upstream has not answered it yet takes over the newest that peers know, if it is of the same incarnation. No bytes are sent for upstreams that state nothing.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -1,5 +1,6 @@
 //! Forwards a request to a gate that may run it: selects targets, follows redirects and retries.
 
+mod conditions;
 mod selector;
 
 use std::{
@@ -27,6 +28,7 @@
     snapshot::{MemberRoute, Routes, ServiceRoutes, SnapshotCell},
 };
 
+use conditions::KnownConditions;
 use selector::Selector;
 
 pub(crate) use selector::designated_member;
@@ -51,6 +53,7 @@
 pub(crate) struct Forwarder {
     parts: ForwardParts,
     services: Mutex<HashMap<ServiceName, Arc<ServiceState>>>,
+    conditions: KnownConditions,
 }
 
 /// The state of a service that is shared by its requests.
@@ -78,7 +81,7 @@
 
 impl Forwarder {
     pub(crate) fn new(parts: ForwardParts) -> Forwarder {
-        Forwarder { parts, services: Mutex::default() }
+        Forwarder { parts, services: Mutex::default(), conditions: KnownConditions::default() }
     }
 
     /// Returns the state of a service, which is created on its first request.
@@ -185,7 +188,7 @@
         &self,
         state: &ServiceState,
         routes: &ServiceRoutes,
-        request: &GateRequest,
+        request: &mut GateRequest,
         placement: &mut Placement,
         history: &mut AttemptHistory,
     ) -> GateReply {
@@ -201,10 +204,13 @@
         placement.attempts += 1;
         placement.sent_to = Some(target.clone());
         placement.comparison = picked.comparison;
+        request.known_condition = self.conditions.get(now, &target.name);
         let in_flight = state.selector.track(now, self.parts.clock, &target, routes, request);
         let ReplyWithLoad { reply, load } = self.send_to(&target, request).await;
         if let Some(load) = load {
-            state.selector.record_load(self.parts.clock.now(), &target, request.kind, load);
+            let replied_at = self.parts.clock.now();
+            self.conditions.record(replied_at, &target.name, now, &load);
+            state.selector.record_load(replied_at, &target, request.kind, load);
         }
         in_flight.finish(reply.outcome());
         match &reply {
--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -248,6 +248,7 @@
             slots: count(slots),
             service_us: whole_us(service),
             kind_us: kind_service_time.map(whole_us),
+            condition: None,
         }
     }
 
--- a/crates/agent/src/gate/condition/mod.rs
+++ b/crates/agent/src/gate/condition/mod.rs
@@ -5,11 +5,15 @@
 #[cfg(test)]
 mod tests;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use logging::LineRateLimiter;
-use model::{RequestRate, Timestamp};
+use model::{RequestRate, Timestamp, key_hash};
 use upstream::StatedCondition;
+use wire::traffic::{KnownCondition, UpstreamCondition as WireCondition};
 
 use crate::gate::leases::UpstreamIncarnation;
 
@@ -36,6 +40,8 @@
     logged_limit: Option<RequestRate>,
     /// Since when the incarnation is known to be leaving.
     leaving_since: Option<Timestamp>,
+    /// Whether the incarnation has answered this process. Until then, peers may know more of its condition.
+    has_answered: bool,
 }
 
 /// An answer or a refusal of the upstream that states its condition.
@@ -82,6 +88,7 @@
         if state.incarnation != *incarnation {
             return false;
         }
+        state.has_answered = true;
         if condition.is_leaving && state.leaving_since.is_none() {
             state.leaving_since = Some(received_at);
             log::info!(target: "gate", "The upstream states that it is leaving.");
@@ -99,6 +106,41 @@
         state.limit != former_limit
     }
 
+    /// Takes over the condition that a peer knows, if the upstream has not answered this process yet: the peer
+    /// may know it from an earlier process of this agent. Returns whether the limit has changed.
+    pub(super) fn adopt(
+        &self,
+        now: Timestamp,
+        incarnation: &UpstreamIncarnation,
+        known: &KnownCondition,
+    ) -> bool {
+        let mut state = self.state();
+        let WireCondition { limit, .. } = known.condition;
+        let is_same = state.incarnation == *incarnation
+            && known.condition.incarnation == incarnation_hash(incarnation);
+        if state.has_answered || !is_same {
+            return false;
+        }
+        let stated_at = now - Duration::from_micros(known.age_us);
+        let is_newer = state.limit.is_none() || stated_at > state.limit_stated_at;
+        let former_limit = state.limit;
+        if limit.is_some() && is_newer {
+            state.limit = limit;
+            state.limit_stated_at = stated_at;
+        }
+        self.log_limit(&mut state, now);
+        state.limit != former_limit
+    }
+
+    /// Returns the condition for peers. `None` if the upstream states neither a limit nor that it is leaving.
+    pub(super) fn to_wire(&self, incarnation: &UpstreamIncarnation) -> Option<WireCondition> {
+        let state = self.state();
+        let (limit, is_leaving) = (state.limit, state.leaving_since.is_some());
+        let is_stated = state.incarnation == *incarnation && (limit.is_some() || is_leaving);
+        let incarnation = incarnation_hash(incarnation);
+        is_stated.then_some(WireCondition { incarnation, limit, is_leaving })
+    }
+
     fn log_limit(&self, state: &mut State, now: Timestamp) {
         let is_logged = match (state.logged_limit, state.limit) {
             (None, None) => true,
@@ -130,3 +172,13 @@
         self.state().leaving_since
     }
 }
+
+/// Returns a hash that tells incarnations of one upstream apart. `None` if they announce neither an id nor their start.
+fn incarnation_hash((id, start_ms): &UpstreamIncarnation) -> Option<u64> {
+    if id.is_none() && start_ms.is_none() {
+        return None;
+    }
+    let mut text = id.as_deref().unwrap_or_default().as_bytes().to_vec();
+    text.extend(start_ms.unwrap_or_default().to_le_bytes());
+    Some(key_hash(&text).0)
+}
--- a/crates/agent/src/gate/condition/tests.rs
+++ b/crates/agent/src/gate/condition/tests.rs
@@ -4,6 +4,7 @@
 
 use model::{RequestRate, Timestamp};
 use upstream::StatedCondition;
+use wire::traffic::KnownCondition;
 
 use super::{Statement, UpstreamCondition};
 use crate::gate::leases::UpstreamIncarnation;
@@ -89,3 +90,33 @@
     state("i-1");
     assert_eq!((condition.limit(), condition.leaving_since()), (None, None));
 }
+
+/// Returns what a peer knows after the gate has answered it, `age_ms` ago.
+fn known(limit: Option<RequestRate>, age_ms: u64) -> KnownCondition {
+    let former = condition();
+    answer(&former, (0, 1), limit);
+    let condition = former.to_wire(&incarnation("i-1")).expect("a limit is stated");
+    KnownCondition { condition, age_us: age_ms * 1_000 }
+}
+
+#[test]
+fn peers_tell_a_new_process_the_latest_limit_until_the_upstream_has_answered() {
+    let condition = condition();
+    let now = at(10_000);
+    assert!(condition.adopt(now, &incarnation("i-1"), &known(rate(5.0), 3_000)));
+    assert!(!condition.adopt(now, &incarnation("i-1"), &known(rate(9.0), 4_000)), "it is older");
+    assert!(condition.adopt(now, &incarnation("i-1"), &known(rate(7.0), 2_000)));
+    assert_eq!(condition.limit(), rate(7.0));
+    answer(&condition, (9_999, 10_100), None);
+    assert_eq!(condition.limit(), None, "the answer is later than what peers know");
+    assert!(!condition.adopt(at(10_200), &incarnation("i-1"), &known(rate(7.0), 0)));
+    assert_eq!(condition.limit(), None);
+}
+
+#[test]
+fn condition_that_peers_know_of_another_incarnation_is_ignored() {
+    let condition = condition();
+    condition.follow_incarnation(&incarnation("i-2"));
+    assert!(!condition.adopt(at(10_000), &incarnation("i-2"), &known(rate(5.0), 0)));
+    assert_eq!(condition.limit(), None);
+}
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -163,7 +163,10 @@
     /// Returns the load of the gate, as reported to a peer that has sent a request of this class
     /// and kind.
     fn gate_load(&self, class: &ClassName, kind: Option<u8>) -> Option<GateLoad> {
-        self.bound.load().as_ref().map(|it| it.queue.gate_load(class, kind))
+        let bound = self.bound.load();
+        let bound = bound.as_ref()?;
+        let condition = self.condition.to_wire(&bound.incarnation());
+        Some(GateLoad { condition, ..bound.queue.gate_load(class, kind) })
     }
 
     /// Returns the number of requests at the upstream and the number that wait for a slot.
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -73,6 +73,11 @@
         if bound.service != request.service {
             return GateReply::NotOwner { owner: None, route_version: 0 };
         }
+        if let Some(known) = &request.known_condition
+            && self.condition.adopt(self.clock.now(), &bound.incarnation(), known)
+        {
+            self.apply_limit();
+        }
         match request.key_hash {
             Some(key_hash) if bound.document.keyed => {
                 self.handle_keyed(&bound, request, key_hash, deadline, caller).await
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -330,6 +330,7 @@
         is_retry_after_refusal: false,
         objective: host_route.map(|it| it.objective),
         config_version: routes.version,
+        known_condition: None,
         method: parts.method.clone(),
         path: path.clone(),
         headers: Arc::new(head.headers),
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -243,6 +243,7 @@
         is_retry_after_refusal: false,
         upstream_attempts_max: 1,
         config_version: ConfigVersion(1),
+        known_condition: None,
         method: Method::POST,
         path: PathAndQuery::from_static("/lap"),
         headers: Arc::new(HeaderMap::new()),
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -11,7 +11,7 @@
 use upstream::Answer;
 use wire::{
     CodecError,
-    traffic::{self as frames, CorrelationId, FailureReason, GateLoad, Header},
+    traffic::{self as frames, CorrelationId, FailureReason, GateLoad, Header, KnownCondition},
 };
 
 /// A request to be run at a gate.
@@ -44,6 +44,8 @@
     pub(crate) upstream_attempts_max: u8,
     /// Version of the service's document that ingress used.
     pub(crate) config_version: ConfigVersion,
+    /// The condition that the addressed upstream has last stated to ingress. The gate may have restarted since.
+    pub(crate) known_condition: Option<KnownCondition>,
     pub(crate) method: Method,
     pub(crate) path: PathAndQuery,
     /// Shared because a request is cloned for each attempt.
@@ -143,6 +145,7 @@
             objective_us: self.objective.map(whole_us),
             is_retry_after_refusal: self.is_retry_after_refusal,
             config: self.config_version,
+            known_condition: self.known_condition,
             method: self.method.as_str().to_owned(),
             path: self.path.as_str().to_owned(),
             headers: headers_to_wire(&self.headers),
@@ -172,6 +175,7 @@
             objective: raw.objective_us.map(Duration::from_micros),
             is_retry_after_refusal: raw.is_retry_after_refusal,
             config_version: raw.config,
+            known_condition: raw.known_condition,
             method: Method::from_bytes(raw.method.as_bytes())
                 .map_err(|error| invalid("method", error.to_string()))?,
             path: PathAndQuery::from_maybe_shared(raw.path)
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use model::{
-    ClassName, ConfigVersion, Fingerprint, Instance, KeyHash, NotRunReason, RequestId, ServiceName,
-    Slot, Token, UnknownReason,
+    ClassName, ConfigVersion, Fingerprint, Instance, KeyHash, NotRunReason, RequestId, RequestRate,
+    ServiceName, Slot, Token, UnknownReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -88,6 +88,9 @@
     pub is_retry_after_refusal: bool,
     /// Version of the service document in force on the sending agent.
     pub config: ConfigVersion,
+    /// The condition that the addressed upstream has last stated to the sending agent, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known_condition: Option<KnownCondition>,
     pub method: String,
     pub path: String,
     pub headers: Vec<Header>,
@@ -97,6 +100,27 @@
     pub body: Bytes,
 }
 
+/// Condition that an upstream has stated in its answers. It is only sent if there is a limit or the upstream is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UpstreamCondition {
+    /// Hash that identifies the incarnation of the upstream; `None` if it does not announce what to tell its
+    /// incarnations apart by.
+    pub incarnation: Option<u64>,
+    /// The most requests that the upstream takes from all callers together.
+    pub limit: Option<RequestRate>,
+    pub is_leaving: bool,
+}
+
+/// Condition of an upstream that the sending agent has learned from an earlier reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct KnownCondition {
+    pub condition: UpstreamCondition,
+    /// Time since that reply.
+    pub age_us: u64,
+}
+
 /// Load of the gate that sends the reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -112,6 +136,9 @@
     /// Mean service time of requests of the same kind; `None` if none has been measured.
     #[serde(default)]
     pub kind_us: Option<u64>,
+    /// The condition that the upstream states, if it states a limit or that it is leaving.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub condition: Option<UpstreamCondition>,
 }
 
 /// Head of an answer.
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -1,10 +1,13 @@
 use bytes::Bytes;
-use model::{ClassName, ConfigVersion, Fingerprint, KeyHash, RequestId, ServiceName};
+use model::{ClassName, ConfigVersion, Fingerprint, KeyHash, RequestId, RequestRate, ServiceName};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{Answer, CHUNK_BYTES_MAX, Chunk, CorrelationId, Frame, Header, Request};
-use crate::encode;
+use super::{
+    Answer, CHUNK_BYTES_MAX, Chunk, CorrelationId, Frame, GateLoad, Header, KnownCondition,
+    Request, UpstreamCondition,
+};
+use crate::{decode, encode};
 
 const FUZZ_SEED: u64 = 0x5eed;
 const FUZZ_ROUNDS: usize = 20_000;
@@ -25,6 +28,7 @@
         objective_us: None,
         is_retry_after_refusal: false,
         config: ConfigVersion(3),
+        known_condition: Some(KnownCondition { condition: condition(), age_us: 7 }),
         method: "POST".to_owned(),
         path: "/standings/lap?x=1".to_owned(),
         headers: vec![Header("x-key".to_owned(), Bytes::from_static(b"\xff\x00"))],
@@ -33,6 +37,11 @@
     }
 }
 
+fn condition() -> UpstreamCondition {
+    let limit = RequestRate::from_per_s(12.3);
+    UpstreamCondition { incarnation: Some(u64::MAX), limit, is_leaving: true }
+}
+
 fn answer(body_len: u64, body: Vec<u8>) -> Frame {
     let id = CorrelationId(1);
     Frame::Answer(Answer {
@@ -121,3 +130,24 @@
         drop(Frame::parse(&bytes));
     }
 }
+
+#[test]
+fn conditions_are_sent_only_if_there_is_one() {
+    let with = Frame::Request(Box::new(request())).to_bytes();
+    let without = Request { known_condition: None, ..request() };
+    let without = Frame::Request(Box::new(without)).to_bytes();
+    let contains = |bytes: &[u8]| bytes.windows(15).any(|it| it == b"known_condition");
+    assert!(contains(&with) && !contains(&without));
+    let load = GateLoad {
+        running: 1,
+        queued: 2,
+        slots: 3,
+        service_us: 4,
+        kind_us: None,
+        condition: Some(condition()),
+    };
+    for load in [load, GateLoad { condition: None, ..load }] {
+        let decoded: GateLoad = decode(&encode(&load)).unwrap();
+        assert_eq!(decoded, load);
+    }
+}
