Load reports count a limited upstream by what it takes

Cause: the planner sees the time that requests spend at an upstream. One that states a limit runs fewer requests, so it looked idle, kept its keys and refused their requests; where refusals counted, they counted by a mean service time that says nothing of the limit.

Under a stated limit each request now counts as its share of the limit, in slot time, and refused ones by the same mean, so that a limited upstream at its limit looks as loaded as any other with all slots in use. Tested by the share (9 slots at 12/s: 750 ms instead of 320 ms) and by a simulation of admission at three times a stated limit; cold upstreams report as before.

--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -252,6 +252,11 @@
         }
     }
 
+    /// Returns the capacity of the upstream that a request has used, as time in one slot.
+    pub(crate) fn capacity_used(&self, upstream_time: Duration) -> Duration {
+        self.state().admission.capacity_used(upstream_time)
+    }
+
     /// Returns the number of running and the number of queued requests.
     pub(crate) fn load(&self) -> (usize, usize) {
         let state = self.state();
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -485,7 +485,8 @@
         let ended_at = gate.clock.now();
         self.record_condition(started_at, ended_at, &result);
         if let Some((slot, key_hash)) = self.load_key() {
-            gate.handle.load.add(slot, key_hash, ended_at.since(started_at));
+            let used = self.bound.queue.capacity_used(ended_at.since(started_at));
+            gate.handle.load.add(slot, key_hash, used);
         }
         gate.metrics.record_upstream_time(
             &self.bound.document.team,
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -341,6 +341,15 @@
         self.rate_limit.as_ref()?.with(|it| it.start_interval(now))
     }
 
+    /// Returns the capacity that a request has used, as time in one slot. Under a limit that the upstream states, each
+    /// request uses its share of the limit, so that the load of a limited upstream is relative to what it takes.
+    pub fn capacity_used(&self, upstream_time: Duration) -> Duration {
+        let interval =
+            self.rate_limit.as_ref().and_then(|it| it.with(|it| it.stated_start_interval()));
+        let slots = u32::try_from(self.config.slots).unwrap_or(u32::MAX);
+        interval.map_or(upstream_time, |it| upstream_time.max(it.saturating_mul(slots)))
+    }
+
     /// Returns when the ramp-up opens the next slot. `None` if all slots are open.
     fn next_ramp_step(&self, now: Timestamp) -> Option<Timestamp> {
         let open = self.slots_at(now);
--- a/crates/traffic/src/admission/tests/cold.rs
+++ b/crates/traffic/src/admission/tests/limited_rate.rs
@@ -1,8 +1,8 @@
-//! Simulates a cold upstream under three times its cold rate.
+//! Simulates an upstream under three times the rate that it takes, because it is cold or states a limit.
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use model::{NotRunReason, Timestamp};
+use model::{NotRunReason, RequestRate, Timestamp};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -145,3 +145,38 @@
         results.in_time
     );
 }
+
+fn stated_rate_limit() -> SharedRateLimit {
+    let rate_limit = SharedRateLimit::new(Timestamp::ZERO);
+    rate_limit.with(|it| {
+        it.set_cold_period(Timestamp::ZERO, Duration::ZERO);
+        it.set_stated_rate(RequestRate::from_per_s(COLD_PER_S));
+    });
+    rate_limit
+}
+
+#[test]
+fn an_upstream_that_states_a_limit_gets_its_rate_and_other_requests_are_refused_early() {
+    let results = simulate(stated_rate_limit());
+    let allowed = COLD_PER_S * SIMULATED_S as f64;
+    assert!(results.starts.len() as f64 <= allowed + COLD_PER_S, "{} starts", results.starts.len());
+    assert!(
+        f64::from(results.in_time) >= 0.85 * allowed,
+        "{} of {allowed} requests in time",
+        results.in_time
+    );
+    assert_eq!((results.late, results.expired), (0, 0));
+    let wait_max = results.refused.iter().map(|it| it.0).max().unwrap();
+    assert!(wait_max < OBJECTIVE.mul_f64(0.75), "a request was refused only after {wait_max:?}");
+}
+
+#[test]
+fn a_request_uses_its_share_of_a_stated_limit() {
+    let admission = |it| Admission::new(config(SLOTS, &[1.0]), Timestamp::ZERO).with_rate_limit(it);
+    let limited = admission(stated_rate_limit());
+    let second = Duration::from_secs(1);
+    let share = second.mul_f64(SLOTS as f64 / COLD_PER_S);
+    assert!(limited.capacity_used(SERVICE).abs_diff(share) < Duration::from_millis(1));
+    assert_eq!(limited.capacity_used(second * 5), second * 5);
+    assert_eq!(admission(cold_rate_limit()).capacity_used(SERVICE), SERVICE);
+}
--- a/crates/traffic/src/admission/tests/mod.rs
+++ b/crates/traffic/src/admission/tests/mod.rs
@@ -1,6 +1,6 @@
 //! Tests of admission control, in simulated time.
 
-mod cold;
+mod limited_rate;
 mod late_requests;
 mod overload;
 
