Stand-ins, demo and soak play upstreams that state a limit or that they leave

The stand-in upstream takes POST /admin/condition: a limit that its answers state, and leaving with or without an announcement, after which it exits. Draining upstreams state it too. Their verdicts get two checks, from the journals alone: limit_exceeded (in any 4 s at most 1.5 times the limit and 5, from 3 s after it was first stated; agents with an outage in the last 5 s are excused) and work_after_leaving (2 s after an agent passed on such an answer).

--- a/crates/standins/src/journal/run.rs
+++ b/crates/standins/src/journal/run.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// One line of an upstream's journal.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum RunEntry {
@@ -34,6 +34,8 @@
     EndsUnder { at_ns: u64, run: u64 },
     /// The upstream started to drain.
     Draining { at_ns: u64 },
+    /// From now on, the upstream states this condition in its answers.
+    States { at_ns: u64, limit_per_s: Option<f64>, is_leaving: bool },
 }
 
 /// How a run ended.
--- a/crates/standins/src/upstream/announce.rs
+++ b/crates/standins/src/upstream/announce.rs
@@ -21,6 +21,7 @@
     slots: u16,
     checks_fence: bool,
     clock_ms: u64,
+    started_ms: u64,
 }
 
 /// Announces the upstream in an endless loop: periodically, and at once when its state changes.
@@ -61,6 +62,7 @@
         slots: upstream.config.slots,
         checks_fence: upstream.config.checks_fence,
         clock_ms: upstream.clock_ms(),
+        started_ms: upstream.started_ms,
     };
     let Ok(body) = serde_json::to_vec(&announcement) else { return false };
     let request = client
--- a/crates/standins/src/upstream/control.rs
+++ b/crates/standins/src/upstream/control.rs
@@ -1,5 +1,7 @@
 //! Control calls: health, load, grants, preparation, cancellation and faults.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use model::{RequestId, Slot};
@@ -9,7 +11,8 @@
 
 use super::{
     execution::parse_token,
-    state::{FaultRequest, Upstream, UpstreamState},
+    server,
+    state::{ConditionRequest, FaultRequest, Upstream, UpstreamState},
 };
 use crate::http::{json_response, text_response};
 
@@ -44,7 +47,7 @@
 
 /// Handles a control call. Returns `None` if the path is not that of a control call.
 pub(crate) async fn handle_control_call(
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
     method: &Method,
     path: &str,
     body: &Bytes,
@@ -52,6 +55,9 @@
     if method == Method::POST && path == "/admin/fault" {
         return Some(set_faults(upstream, body));
     }
+    if method == Method::POST && path == "/admin/condition" {
+        return Some(set_condition(upstream, body));
+    }
     let call = path.strip_prefix("/control/")?;
     upstream.wait_while_frozen().await;
     let response = match call {
@@ -81,6 +87,19 @@
     }
 }
 
+fn set_condition(upstream: &Arc<Upstream>, body: &[u8]) -> Response {
+    let request: ConditionRequest = match serde_json::from_slice(body) {
+        Ok(request) => request,
+        Err(error) => return text_response(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    upstream.set_condition(request);
+    if request.leave_after_ms.is_some() {
+        let upstream = Arc::clone(upstream);
+        tokio::spawn(async move { server::leave(&upstream, request.announces).await });
+    }
+    text_response(StatusCode::OK, "")
+}
+
 /// Checks the form of a grant without storing it: fence tokens are checked only in requests that carry them.
 fn handle_grant(body: &[u8]) -> Response {
     match serde_json::from_slice::<Grant>(body) {
--- a/crates/standins/src/upstream/mod.rs
+++ b/crates/standins/src/upstream/mod.rs
@@ -13,4 +13,4 @@
 
 pub use execution::CRASH_EXIT_CODE;
 pub use options::UpstreamOptions;
-pub use server::run;
+pub use server::{LEFT_EXIT_CODE, run};
--- a/crates/standins/src/upstream/server.rs
+++ b/crates/standins/src/upstream/server.rs
@@ -2,12 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::StatusCode;
+use http::{HeaderName, StatusCode};
 use tokio::{net::TcpListener, time::sleep};
 use volo::net::incoming::DefaultIncoming;
 use volo_http::{
     body::BodyConversion,
     request::Request,
+    response::Response,
     server::{Router, Server},
 };
 
@@ -18,9 +19,13 @@
     options::{Config, UpstreamOptions},
     state::Upstream,
 };
-use crate::http::{bind, print_address, text_response};
+use crate::http::{bind, print_address, text_response, with_header};
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Exit code of the process after it has left by itself.
+pub const LEFT_EXIT_CODE: i32 = 71;
+const LIMIT: HeaderName = HeaderName::from_static("x-requests-per-s-max");
+const LEAVING: HeaderName = HeaderName::from_static("x-leaving");
 /// Delay before the process exits, so that the last answers are sent.
 const EXIT_DELAY: Duration = Duration::from_millis(100);
 
@@ -48,7 +53,10 @@
             };
             match handle_control_call(&upstream, &parts.method, parts.uri.path(), &body).await {
                 Some(response) => response,
-                None => execute(&upstream, &parts.uri, &parts.headers).await,
+                None => {
+                    let response = execute(&upstream, &parts.uri, &parts.headers).await;
+                    state_condition(&upstream, response)
+                }
             }
         }
     };
@@ -59,11 +67,33 @@
         .map_err(|error| anyhow::anyhow!("serving: {error}"))
 }
 
+/// Adds the headers of the condition that the upstream states.
+fn state_condition(upstream: &Upstream, response: Response) -> Response {
+    let (limit_per_s, is_leaving) = upstream.stated_condition();
+    let response = match limit_per_s {
+        Some(limit_per_s) => with_header(response, LIMIT, limit_per_s),
+        None => response,
+    };
+    if is_leaving { with_header(response, LEAVING, 1) } else { response }
+}
+
 async fn stop(upstream: &Upstream) {
     upstream.start_drain();
+    exit_when_closed(upstream, 0).await;
+}
+
+/// Exits at the time that the upstream has stated, after its running requests.
+pub(crate) async fn leave(upstream: &Upstream, announces: bool) {
+    if announces {
+        upstream.start_drain();
+    }
+    exit_when_closed(upstream, LEFT_EXIT_CODE).await;
+}
+
+async fn exit_when_closed(upstream: &Upstream, exit_code: i32) {
     while !upstream.is_closed() || upstream.accepted_count() > 0 {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     sleep(EXIT_DELAY).await;
-    std::process::exit(0);
+    std::process::exit(exit_code);
 }
--- a/crates/standins/src/upstream/state.rs
+++ b/crates/standins/src/upstream/state.rs
@@ -47,6 +47,19 @@
     pub(crate) lie: bool,
 }
 
+/// Body of `POST /admin/condition`: the condition that the upstream states in its answers from then on.
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct ConditionRequest {
+    /// The most requests per second that the upstream takes. `None`: it states no limit.
+    pub(crate) limit_per_s: Option<f64>,
+    /// Time after which the upstream exits. Until then it states that it is leaving. `None`: it stays.
+    pub(crate) leave_after_ms: Option<u64>,
+    /// Whether the upstream also announces that it is leaving.
+    pub(crate) announces: bool,
+}
+
 /// Health and load at the time of a measurement.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Report {
@@ -62,6 +75,8 @@
     pub(crate) slots: Semaphore,
     pub(crate) journal: JournalWriter,
     started: Instant,
+    /// Wall-clock time of the start, in milliseconds since the Unix epoch.
+    pub(crate) started_ms: u64,
     /// Number of accepted requests without an answer, including those that wait for a slot.
     accepted_count: AtomicUsize,
     inner: Mutex<Inner>,
@@ -71,6 +86,9 @@
     rng: Pcg64Mcg,
     run_count: u64,
     draining_since: Option<Instant>,
+    limit_per_s: Option<f64>,
+    /// When the upstream stops taking requests, after it has stated that it is leaving.
+    leaves_at: Option<Instant>,
     frozen_until: Instant,
     shed: bool,
     lie: bool,
@@ -96,6 +114,8 @@
             rng: Pcg64Mcg::seed_from_u64(config.seed),
             run_count: 0,
             draining_since: None,
+            limit_per_s: None,
+            leaves_at: None,
             frozen_until: now,
             shed: false,
             lie: false,
@@ -107,6 +127,7 @@
             slots: Semaphore::new(usize::from(config.slots)),
             journal: JournalWriter::open(&config.journal)?,
             started: now,
+            started_ms: wall_clock_ns() / 1_000_000,
             accepted_count: AtomicUsize::new(0),
             inner: Mutex::new(inner),
             config,
@@ -154,9 +175,29 @@
         self.record(&RunEntry::Draining { at_ns: wall_clock_ns() });
     }
 
-    /// Returns whether the drain time is over, so that new requests are refused.
+    /// Returns whether the time to drain or to leave is over, so that new requests are refused.
     pub(crate) fn is_closed(&self) -> bool {
-        self.lock_inner().draining_since.is_some_and(|it| it.elapsed() >= self.config.drain)
+        let inner = self.lock_inner();
+        inner.draining_since.is_some_and(|it| it.elapsed() >= self.config.drain)
+            || inner.leaves_at.is_some_and(|it| Instant::now() >= it)
+    }
+
+    /// Sets the condition that answers state.
+    pub(crate) fn set_condition(&self, request: ConditionRequest) {
+        let mut inner = self.lock_inner();
+        inner.limit_per_s = request.limit_per_s;
+        if let Some(after_ms) = request.leave_after_ms {
+            inner.leaves_at.get_or_insert(Instant::now() + Duration::from_millis(after_ms));
+        }
+        let (limit_per_s, is_leaving) = (inner.limit_per_s, inner.leaves_at.is_some());
+        drop(inner);
+        self.record(&RunEntry::States { at_ns: wall_clock_ns(), limit_per_s, is_leaving });
+    }
+
+    /// Returns the limit that answers state, and whether they state that the upstream is leaving.
+    pub(crate) fn stated_condition(&self) -> (Option<f64>, bool) {
+        let inner = self.lock_inner();
+        (inner.limit_per_s, inner.leaves_at.is_some() || inner.draining_since.is_some())
     }
 
     pub(crate) fn accept(&self) -> AcceptedGuard<'_> {
--- a/crates/standins/src/upstream/tests.rs
+++ b/crates/standins/src/upstream/tests.rs
@@ -149,3 +149,18 @@
     assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
     fixture.check_journal(&["started 1", "cancelled"]);
 }
+
+#[tokio::test]
+async fn answers_state_the_condition_that_was_set() {
+    let fixture = Fixture::start("condition", "--service-ms 0").await;
+    fixture.post("admin/condition", r#"{"limit_per_s": 12.5, "leave_after_ms": 3600000}"#).await;
+    let request = fixture.client.get(format!("http://{}/s/lap", fixture.address));
+    let response = request.header("x-request-id", "1").header("x-key", "k").send().await.unwrap();
+    assert_eq!(response.headers()["x-requests-per-s-max"], "12.5");
+    assert_eq!(response.headers()["x-leaving"], "1");
+    let entries: Vec<RunEntry> = read_journal(&fixture.journal).unwrap();
+    let states = |it: &RunEntry| {
+        matches!(it, RunEntry::States { limit_per_s: Some(12.5), is_leaving: true, .. })
+    };
+    assert!(entries.iter().any(states), "{entries:?}");
+}
--- a/xtask/src/bench/slopes/frames.rs
+++ b/xtask/src/bench/slopes/frames.rs
@@ -48,6 +48,7 @@
         is_retry_after_refusal: false,
         objective_us: None,
         config: ConfigVersion(42),
+        known_condition: None,
         method: "POST".to_owned(),
         path: "/standings/cars/car-7/penalties".to_owned(),
         headers: vec![
--- a/xtask/src/cluster/instance.rs
+++ b/xtask/src/cluster/instance.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
+    process::ExitStatus,
     time::{Duration, Instant},
 };
 
@@ -11,7 +12,7 @@
 use serde_json::json;
 use standins::{
     journal::{read_journal, wall_clock_ns},
-    upstream::CRASH_EXIT_CODE,
+    upstream::{CRASH_EXIT_CODE, LEFT_EXIT_CODE},
 };
 
 use super::{Binaries, PortAllocator, Process, RunDir, Service};
@@ -157,13 +158,12 @@
         self.upstream_flags.extend(["--ends-on".to_owned(), key.to_owned()]);
     }
 
-    /// Returns whether a request has crashed the upstream.
-    pub(crate) fn has_crashed_in_request(&self) -> anyhow::Result<bool> {
-        let status = self.upstream()?.exit_status()?;
-        Ok(status.is_some_and(|it| it.code() == Some(CRASH_EXIT_CODE)))
+    /// Returns whether the upstream has ended by itself: a request has crashed it, or it has left.
+    pub(crate) fn has_ended_by_itself(&self) -> anyhow::Result<bool> {
+        Ok(self.upstream()?.exit_status()?.is_some_and(ended_by_itself))
     }
 
-    /// Restarts the upstream after it has crashed while its agent keeps running.
+    /// Restarts the upstream after it has ended while its agent keeps running.
     pub(crate) fn restart_upstream(
         &mut self,
         start_context: &StartContext<'_>,
@@ -292,7 +292,7 @@
         self.signal(Signal::SIGTERM)?;
         for process in [self.agent()?, self.upstream()?] {
             let status = process.wait(STOP_TIMEOUT).await?;
-            let is_graceful = status.success() || status.code() == Some(CRASH_EXIT_CODE);
+            let is_graceful = status.success() || ended_by_itself(status);
             anyhow::ensure!(is_graceful, "{} exited with {status} after SIGTERM", self.name);
         }
         log::info!(target: "demo", "{} stopped gracefully within {:?}.", self.name, started.elapsed());
@@ -337,3 +337,7 @@
         })
     }
 }
+
+fn ended_by_itself(status: ExitStatus) -> bool {
+    matches!(status.code(), Some(CRASH_EXIT_CODE | LEFT_EXIT_CODE))
+}
--- a/xtask/src/demo/evidence.rs
+++ b/xtask/src/demo/evidence.rs
@@ -141,7 +141,7 @@
                         executions[index].until_ns = *at_ns;
                     }
                 }
-                RunEntry::Refused { .. } | RunEntry::Draining { .. } => {}
+                RunEntry::Refused { .. } | RunEntry::Draining { .. } | RunEntry::States { .. } => {}
             }
         }
         executions
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -1,6 +1,7 @@
 //! Demo on real processes: both example deployments, callers that all start in the same second, and
 //! faults drawn from a seed. The journals show whether the invariants held.
 
+pub(crate) mod conditions;
 mod config_probe;
 mod deployments;
 pub(crate) mod evidence;
@@ -18,8 +19,8 @@
 use tokio::time::{Instant, sleep_until};
 
 pub(crate) use self::{
-    config_probe::PROBE_PATH, deployments::SERVICES, faults::stop_rest, load::Callers,
-    report::print_line,
+    conditions::PlannedCondition, config_probe::PROBE_PATH, deployments::SERVICES,
+    faults::stop_rest, load::Callers, report::print_line,
 };
 
 use self::{
@@ -109,12 +110,18 @@
     let callers = Callers::start(cluster, load, start, seed);
     let probes = start_probes(cluster, &faults)?;
     let mut change = None;
+    let conditions = match with_faults {
+        true => plan_conditions(cluster, seed),
+        false => Vec::new(),
+    };
+    let stating = tokio::spawn(async move { conditions::state_all(&conditions, start).await });
     faults::inject(cluster, &faults, start, &mut change, &mut evidence).await?;
     if with_faults {
         sleep_until(start + FAULTS_END_AFTER).await;
         faults::stop_gracefully(cluster, &mut evidence).await?;
     }
     sleep_until(start + load).await;
+    stating.await??;
     evidence.calls = callers.finish().await?;
     let samples = match probes {
         Some(probes) => probes.finish().await?,
@@ -139,6 +146,17 @@
     faults::plan(&candidates, FIRST_FAULT_AFTER, seed)
 }
 
+/// Draws limits of upstreams whose requests other upstreams can take. An upstream that alone owns keys would leave them
+/// unserved for as long as its limit requires.
+fn plan_conditions(cluster: &Cluster, seed: u64) -> Vec<PlannedCondition> {
+    let is_keyed = |it: &&crate::cluster::Instance| {
+        cluster.service(&it.service).is_some_and(|it| it.document.keyed)
+    };
+    let upstreams = cluster.instances.iter().filter(|it| !is_keyed(it));
+    let upstreams: Vec<_> = upstreams.map(|it| it.upstream_address).collect();
+    conditions::plan(seed, &upstreams, FIRST_FAULT_AFTER..FAULTS_END_AFTER, false)
+}
+
 fn start_probes(cluster: &Cluster, faults: &[PlannedFault]) -> anyhow::Result<Option<Probes>> {
     let changed = faults.iter().find_map(|it| match &it.fault {
         Fault::ChangeDocument(service) => cluster.service(service),
--- a/xtask/src/demo/verdict/mod.rs
+++ b/xtask/src/demo/verdict/mod.rs
@@ -1,6 +1,7 @@
 //! Verdict on the invariants in one run, from journals alone.
 
 mod availability;
+mod condition;
 mod ownership;
 mod requests;
 mod spread;
@@ -38,6 +39,10 @@
     pub(crate) cut_off: usize,
     /// Requests that reached a draining upstream later than it allows.
     pub(crate) late_work: usize,
+    /// Upstreams that got more requests than the limit that they stated allows.
+    pub(crate) limit_exceeded: usize,
+    /// Requests that reached an upstream although it had long stated that it is leaving.
+    pub(crate) work_after_leaving: usize,
     /// Time until the last agent applied a changed document; `None` if some agent never did.
     pub(crate) config_in_force_ms: Option<u64>,
     pub(crate) config_reverted: usize,
@@ -119,6 +124,8 @@
             broken_answers: found(requests::broken_answers(evidence)),
             cut_off: found(stops::cut_off(evidence, &executions)),
             late_work: found(stops::late_work(evidence)),
+            limit_exceeded: found(condition::limit_exceeded(evidence)),
+            work_after_leaving: found(condition::work_after_leaving(evidence)),
             config_in_force_ms: config.and_then(|it| it.in_force_ms),
             config_reverted: config.map_or(0, |it| it.reverted),
             unavailable_ms_max: unavailable.as_ref().map_or(0, |it| it.gap_ms),
--- a/xtask/src/demo/verdict/tests.rs
+++ b/xtask/src/demo/verdict/tests.rs
@@ -111,6 +111,17 @@
         self.call(id, FinalOutcome::Answered, &[(times, AttemptResult::Answered)])
     }
 
+    fn states(mut self, at: u64, limit_per_s: Option<f64>, is_leaving: bool) -> EvidenceBuilder {
+        let states = RunEntry::States { at_ns: at * MS, limit_per_s, is_leaving };
+        self.entries("a").push(states);
+        self
+    }
+
+    /// Adds a request that ran on upstream `a`.
+    fn served(self, id: u128, at: u64) -> EvidenceBuilder {
+        self.ran("a", id, "1.1", at..at + 5).answered(id, at..at + 10)
+    }
+
     fn stop(mut self, instance: &str, times: std::ops::Range<u64>) -> EvidenceBuilder {
         self.evidence.stops.push(PlannedStop {
             instance: instance.to_owned(),
@@ -309,3 +320,42 @@
     check(ConfigProbe { in_force_ms: None, reverted: 0 }, &["config_in_force_ms"]);
     check(ConfigProbe { in_force_ms: Some(10), reverted: 2 }, &["config_reverted"]);
 }
+
+/// Returns evidence of an upstream that states a limit of 2 requests per second for 10 s, and gets a request each
+/// `spacing_ms`.
+fn limited_upstream(spacing_ms: u64) -> EvidenceBuilder {
+    let builder = EvidenceBuilder::new().states(0, Some(2.0), false);
+    let times = (0..10_000).step_by(usize::try_from(spacing_ms).unwrap());
+    let builder =
+        times.enumerate().fold(builder, |builder, (id, at)| builder.served(id as u128, at as u64));
+    builder.states(10_000, None, false)
+}
+
+#[test]
+fn upstream_that_gets_more_than_its_limit_allows_is_reported() {
+    // 17 requests are allowed in 4 s.
+    limited_upstream(240).check(&[]);
+    limited_upstream(220).check(&["limit_exceeded"]);
+    // All requests came from an agent that was just restarted.
+    limited_upstream(220).outage(0..10_000).check(&[]);
+}
+
+#[test]
+fn requests_before_a_limit_binds_or_after_it_has_ended_are_not_counted() {
+    let burst = |at: u64| {
+        let builder = EvidenceBuilder::new().states(0, Some(2.0), false);
+        let builder = (0..30).fold(builder, |it, id| it.served(id, at + id as u64));
+        builder.states(5_000, None, false)
+    };
+    burst(2_000).check(&[]);
+    burst(5_500).check(&[]);
+    burst(3_500).check(&["limit_exceeded"]);
+}
+
+#[test]
+fn request_through_an_agent_that_knew_that_the_upstream_is_leaving_is_reported() {
+    let leaving = || EvidenceBuilder::new().states(0, None, true).served(1, 100);
+    leaving().served(2, 2_000).check(&[]);
+    leaving().served(2, 2_200).check(&["work_after_leaving"]);
+    leaving().served(2, 2_200).outage(500..600).check(&[]);
+}
--- a/xtask/src/soak/injector.rs
+++ b/xtask/src/soak/injector.rs
@@ -18,8 +18,8 @@
 
 /// Time for which the object store is down before it restores a snapshot.
 const ROLLBACK_OUTAGE: Duration = Duration::from_millis(300);
-/// Interval at which an injector looks for crashed upstreams.
-const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which an injector looks for upstreams that have ended.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Injected outages and stops of processes, as evidence for the verdict.
 #[derive(Debug, Default)]
@@ -34,8 +34,8 @@
     instance: Instance,
     proxy: Proxy,
     peers: Vec<SocketAddr>,
-    /// Time at which the upstream was found to have crashed in a request; `None` while it has not.
-    crash_detected_at: Option<Instant>,
+    /// Time at which the upstream was found to have ended by itself; `None` while it has not.
+    end_detected_at: Option<Instant>,
 }
 
 /// Group of instances with the faults that are planned for them.
@@ -68,7 +68,7 @@
             instance,
             proxy,
             peers,
-            crash_detected_at: None,
+            end_detected_at: None,
         });
     }
     for (index, injector) in injectors.iter_mut().enumerate() {
@@ -87,20 +87,20 @@
 }
 
 impl ProxiedInstance {
-    /// Restarts the upstream if a request has crashed it and the restart delay has passed.
-    fn restart_crashed_upstream(
+    /// Restarts the upstream if it has ended by itself and the restart delay has passed.
+    fn restart_ended_upstream(
         &mut self,
         restart_delay: Duration,
         cluster: &Cluster,
         binaries: &Binaries,
         seed: u64,
     ) -> anyhow::Result<()> {
-        let ProxiedInstance { instance, proxy, peers, crash_detected_at } = self;
-        if !instance.is_running() || !instance.has_crashed_in_request()? {
-            *crash_detected_at = None;
+        let ProxiedInstance { instance, proxy, peers, end_detected_at } = self;
+        if !instance.is_running() || !instance.has_ended_by_itself()? {
+            *end_detected_at = None;
             return Ok(());
         }
-        if crash_detected_at.get_or_insert_with(Instant::now).elapsed() < restart_delay {
+        if end_detected_at.get_or_insert_with(Instant::now).elapsed() < restart_delay {
             return Ok(());
         }
         let (dir, platform) = (&cluster.dir, proxy.address);
@@ -109,6 +109,11 @@
 }
 
 impl FaultInjector {
+    /// Returns the addresses of the instances' upstreams.
+    pub(super) fn upstreams(&self) -> impl Iterator<Item = SocketAddr> {
+        self.instances.iter().map(|it| it.instance.upstream_address)
+    }
+
     /// Injects each planned fault at its time and ends it after its duration.
     pub(super) async fn inject(
         &mut self,
@@ -118,7 +123,7 @@
     ) -> anyhow::Result<InjectionRecord> {
         let mut record = InjectionRecord::default();
         for it in std::mem::take(&mut self.planned) {
-            self.restart_crashed_until(start + it.after, cluster, binaries).await?;
+            self.restart_ended_until(start + it.after, cluster, binaries).await?;
             log::info!(target: "soak", "Injecting {it:?}.");
             let from_ns = wall_clock_ns();
             let ProxiedInstance { instance, proxy, peers, .. } = &mut self.instances[it.instance];
@@ -141,8 +146,8 @@
             record.disturbances.push(Disturbance { instance, window });
         }
         let restart_delay = harmful::restart_delay_from_seed(self.seed);
-        self.restart_crashed_until(
-            start + self.until + restart_delay + CRASH_CHECK_INTERVAL,
+        self.restart_ended_until(
+            start + self.until + restart_delay + END_CHECK_INTERVAL,
             cluster,
             binaries,
         )
@@ -150,8 +155,8 @@
         Ok(record)
     }
 
-    /// Waits until the given time and meanwhile restarts upstreams that a request has crashed.
-    async fn restart_crashed_until(
+    /// Waits until the given time and meanwhile restarts upstreams that have ended by themselves.
+    async fn restart_ended_until(
         &mut self,
         until: Instant,
         cluster: &Cluster,
@@ -160,9 +165,9 @@
         let restart_delay = harmful::restart_delay_from_seed(self.seed);
         while Instant::now() < until {
             for it in &mut self.instances {
-                it.restart_crashed_upstream(restart_delay, cluster, binaries, self.seed)?;
+                it.restart_ended_upstream(restart_delay, cluster, binaries, self.seed)?;
             }
-            sleep_until(until.min(Instant::now() + CRASH_CHECK_INTERVAL)).await;
+            sleep_until(until.min(Instant::now() + END_CHECK_INTERVAL)).await;
         }
         Ok(())
     }
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -23,11 +23,11 @@
 
 use crate::{
     cluster::{Binaries, Cluster, PortAllocator, Profile, ServiceSpec},
-    demo::{Callers, SERVICES, evidence::Evidence, load::probed_keys, print_line},
+    demo::{Callers, SERVICES, conditions, evidence::Evidence, load::probed_keys, print_line},
     run_lock,
 };
 
-use self::{harmful::HARMFUL_KEY, proxy::Proxy, verdict::Violation};
+use self::{harmful::HARMFUL_KEY, injector::FaultInjector, proxy::Proxy, verdict::Violation};
 
 /// Number of fault injectors that run concurrently.
 const CONCURRENT_INJECTORS: usize = 3;
@@ -107,6 +107,16 @@
     Ok(if violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Draws the conditions that upstreams state while faults are injected.
+fn plan_conditions(
+    injectors: &[FaultInjector],
+    seed: u64,
+    fault_period: Duration,
+) -> Vec<conditions::PlannedCondition> {
+    let upstreams: Vec<_> = injectors.iter().flat_map(FaultInjector::upstreams).collect();
+    conditions::plan(seed, &upstreams, FIRST_FAULT_AFTER..FIRST_FAULT_AFTER + fault_period, true)
+}
+
 /// Selects a service whose upstreams check fence tokens, one whose upstreams do not, and one that is
 /// not sharded by key.
 fn services() -> Vec<ServiceSpec> {
@@ -137,11 +147,15 @@
     let mut evidence = Evidence { probed_keys: probed_keys().collect(), ..Evidence::default() };
     let mut injectors =
         injector::split_instances(cluster, proxies, CONCURRENT_INJECTORS, seed, fault_period);
-    let faults = faults::counts(injectors.iter().flat_map(|it| &it.planned));
+    let mut faults = faults::counts(injectors.iter().flat_map(|it| &it.planned));
+    let conditions = plan_conditions(&injectors, seed, fault_period);
+    faults.insert("stated_condition", conditions.len());
+    let stating = conditions::state_all(&conditions, start);
     let injections =
         injectors.iter_mut().map(|it| it.inject(cluster, binaries, start + FIRST_FAULT_AFTER));
     let mut disturbances = Vec::new();
-    let records = futures_util::future::try_join_all(injections).await?;
+    let injections = futures_util::future::try_join_all(injections);
+    let (records, ()) = tokio::try_join!(injections, stating)?;
     for it in records {
         evidence.ingress_outages.extend(it.ingress_outages);
         evidence.stops.extend(it.stops);
--- a/xtask/src/soak/verdict.rs
+++ b/xtask/src/soak/verdict.rs
@@ -13,13 +13,15 @@
 
 /// Invariants of the demo that hold under any number of overlapping faults. Bounds on the time that a
 /// key is unavailable, and that no request is lost, hold for single faults only.
-const INVARIANTS: [&str; 6] = [
+const INVARIANTS: [&str; 8] = [
     "ran_twice",
     "not_run_but_ran",
     "double_owned",
     "crossed_answers",
     "broken_answers",
     "cut_off",
+    "limit_exceeded",
+    "work_after_leaving",
 ];
 
 /// Returns all violations; each probed key has to be served again within `check_window`.
