--- a/crates/agent/src/forward/conditions.rs
+++ b/crates/agent/src/forward/conditions.rs
@@ -19,7 +19,7 @@
 
 /// The conditions by instance. An instance keeps its name when its agent restarts.
 #[derive(Debug, Default)]
-pub(super) struct KnownConditions(Mutex<HashMap<InstanceName, Known>>);
+pub(crate) struct KnownConditions(Mutex<HashMap<InstanceName, Known>>);
 
 #[derive(Debug, Clone, Copy)]
 struct Known {
@@ -33,7 +33,7 @@
     }
 
     /// Returns the condition of an instance's upstream. `None` if it has stated none, or not for a long time.
-    pub(super) fn get(&self, now: Timestamp, instance: &InstanceName) -> Option<KnownCondition> {
+    pub(crate) fn get(&self, now: Timestamp, instance: &InstanceName) -> Option<KnownCondition> {
         let known = self.lock().get(instance).copied()?;
         let age = now.since(known.stated_at);
         (age <= RETENTION)
@@ -42,7 +42,7 @@
 
     /// Records the condition in a reply to a request that was sent at `sent_at`. A reply without one ends the
     /// condition, unless the request was sent before the condition was stated.
-    pub(super) fn record(
+    pub(crate) fn record(
         &self,
         now: Timestamp,
         instance: &InstanceName,
--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -28,9 +28,9 @@
     snapshot::{MemberRoute, Routes, ServiceRoutes, SnapshotCell},
 };
 
-use conditions::KnownConditions;
 use selector::Selector;
 
+pub(crate) use conditions::KnownConditions;
 pub(crate) use selector::designated_member;
 
 /// The shortest `retry_after`, before jitter, for a request that no instance could serve.
--- a/crates/agent/src/gate/condition/tests.rs
+++ b/crates/agent/src/gate/condition/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the condition that an upstream states.
 
+mod many_agents;
+
 use std::sync::Arc;
 
 use model::{RequestRate, Timestamp};
