--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -31,6 +31,13 @@
 /// 2605, 2447: terms higher than the one in the coordinator object or in the plan prevented every node from acquiring
 /// the next term. 179: the update of a plan was never acknowledged.
 const ROLLBACK_FAILED_SEEDS: [u64; 6] = [6, 179, 1330, 2184, 2447, 2605];
+/// Seeds with rollbacks that failed earlier, of the next test. In all of them the platform is rolled back to before the
+/// group's first object, and a restarted agent that knows of no term takes a first one as settled, while leases of the
+/// earlier term are still valid.
+const FIRST_TERM_AFTER_ROLLBACK_SEEDS: [u64; 3] = [7_772_406, 20_001_796, 25_000_730];
+/// Seed with a rollback of the platform after which two hosts acquire the same term: an update of the lost term's
+/// coordinator, whose expected revision was assigned again, replaces the object of the later term.
+const TERM_ACQUIRED_TWICE_SEED: u64 = 5_001_855;
 /// Seed of the generator of arbitrary configurations.
 const QUICKCHECK_SEED: u64 = 2026;
 
@@ -166,6 +173,18 @@
     }
 }
 
+#[test]
+fn first_term_after_a_rollback_waits_for_leases_of_lost_terms() {
+    for seed in FIRST_TERM_AFTER_ROLLBACK_SEEDS {
+        check_run(&config_with_rollbacks(seed));
+    }
+}
+
+#[test]
+fn no_term_is_acquired_twice_after_a_rollback() {
+    check_run(&config_with_rollbacks(TERM_ACQUIRED_TWICE_SEED));
+}
+
 impl Arbitrary for RandomRunConfig {
     fn arbitrary(g: &mut Gen) -> RandomRunConfig {
         RandomRunConfig {
