--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -66,6 +66,8 @@
     answered: usize,
     faults: BTreeMap<&'static str, usize>,
     violations: usize,
+    /// Number of violations by invariant.
+    violated: BTreeMap<&'static str, usize>,
 }
 
 /// Runs the soak test; the exit code is a success if no invariant was violated.
@@ -107,6 +109,14 @@
     Ok(if violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+fn counts_by_invariant(violations: &[Violation]) -> BTreeMap<&'static str, usize> {
+    let mut counts = BTreeMap::new();
+    for it in violations {
+        *counts.entry(it.invariant).or_default() += 1;
+    }
+    counts
+}
+
 /// Draws the conditions that upstreams state while faults are injected.
 fn plan_conditions(
     injectors: &[FaultInjector],
@@ -185,6 +195,7 @@
         answered: evidence.calls.iter().filter(answered).count(),
         faults,
         violations: violations.len(),
+        violated: counts_by_invariant(&violations),
     };
     Ok((report, violations))
 }
