A first term after a rollback waits for the leases of lost terms

Cause: a missing coordinator object was taken for proof that there had been no term. That holds only in era 0. Above it, a first term now starts as one whose history is lost, and waits as any other after a rollback. So a service that is new in a later era waits for the longest absence from the platform too.

--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -411,7 +411,8 @@
         // A platform that was rolled back may have lost the coordinator object of earlier terms.
         let skipped = Term(TERMS_SKIPPED_PER_ERA * version.era());
         let term = planned.max(self.known.term).max(skipped);
-        let history_lost = self.known.term > Term(0);
+        // Only a platform that was never rolled back proves by a missing object that there was no term.
+        let history_lost = self.known.term > Term(0) || version.era() > 0;
         let object = Coordinator {
             service: ctx.config.service.clone(),
             group: ctx.config.group,
