--- a/crates/agent/src/tests/condition.rs
+++ b/crates/agent/src/tests/condition.rs
@@ -85,6 +85,22 @@
     assert!(most <= allowed(1.0), "{most} requests in 4 s, {} allowed", allowed(1.0));
 }
 
+/// An upstream that was drained gets a new queue.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limit_holds_over_new_queues_of_the_upstream() {
+    let (limited, _other) = members_with(limit(1.0)).await;
+    route_only_to(&limited, &limited).await;
+    limited.set_upstream_id("i-1").await;
+    for round in 0..12 {
+        send(&limited, "work", 1_000 * (round + 1), 20).await;
+        limited.close_zone(true).await;
+        limited.close_zone(false).await;
+    }
+    let arrivals = limited.upstream.arrivals.lock().unwrap().clone();
+    let most = most_in_window(&arrivals);
+    assert!(most <= allowed(1.0), "{most} requests in 4 s, {} allowed", allowed(1.0));
+}
+
 fn leaving() -> StatedCondition {
     StatedCondition { limit: None, is_leaving: true }
 }
