A request reported as not run no longer stays queued on its link

Callers saw: 503 not-run (deadline-exceeded) for requests that ran a moment later, and that ran twice when they were sent again.

Cause: while a peer does not read, frames of requests wait in the link's queue. A request whose time was over was reported as not run if its frame had not been dequeued yet, but the frame stayed queued and was sent once the peer read again. The same for a request whose caller had left.

Writer and sender now claim a queued frame; the first one gets it, so a frame that its sender has given up is skipped. The test found both requests on the wire before and finds none now.

--- a/crates/agent/src/links/traffic/link.rs
+++ b/crates/agent/src/links/traffic/link.rs
@@ -2,10 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -20,7 +17,7 @@
 use crate::{
     links::traffic::{
         assembly::{Handover, chunks},
-        outbox::{QueuedFrame, Senders, TrafficOutbox, channel},
+        outbox::{FrameClaim, QueuedFrame, Senders, TrafficOutbox, channel},
     },
     request::{GateReply, GateRequest, ReplyWithLoad},
 };
@@ -158,25 +155,25 @@
         let id = CorrelationId(rand::random());
         let (sender, receiver) = oneshot::channel();
         let mut guard = PendingGuard::new(Arc::clone(self), id, PendingReply::Reply(sender))?;
-        let written = Arc::clone(&guard.written);
+        let claim = Arc::clone(&guard.claim);
         let first_len = first_len(&request.body);
         let mut head = request.to_wire(id, first_len);
         let margin = DEADLINE_MARGIN.min(request.remaining / DEADLINE_MARGIN_DIVISOR);
         head.remaining_us -= u64::try_from(margin.as_micros()).unwrap_or(0);
         let head = Frame::Request(Box::new(head));
         let exchange = async {
-            self.send(head, id, &request.body, first_len, Some(Arc::clone(&written))).await.ok()?;
+            self.send(head, id, &request.body, first_len, Some(Arc::clone(&claim))).await.ok()?;
             receiver.await.ok()
         };
         let result = timeout(request.remaining, exchange).await;
-        let may_have_run = written.load(Ordering::SeqCst);
+        if let Ok(Some(reply)) = result {
+            guard.is_done = true;
+            return Some(reply);
+        }
+        let may_have_run = !claim.claim();
         Some(match result {
-            Ok(Some(reply)) => {
-                guard.is_done = true;
-                reply
-            }
-            Ok(None) if may_have_run => GateReply::unknown(UnknownReason::ConnectionLost).into(),
-            Ok(None) => GateReply::not_run(NotRunReason::Unreachable).into(),
+            Ok(_) if may_have_run => GateReply::unknown(UnknownReason::ConnectionLost).into(),
+            Ok(_) => GateReply::not_run(NotRunReason::Unreachable).into(),
             Err(_) if may_have_run => GateReply::unknown(UnknownReason::DeadlineExceeded).into(),
             Err(_) => GateReply::not_run(NotRunReason::DeadlineExceeded).into(),
         })
@@ -214,9 +211,9 @@
         id: CorrelationId,
         body: &Bytes,
         first_len: usize,
-        written: Option<Arc<AtomicBool>>,
+        claim: Option<Arc<FrameClaim>>,
     ) -> Result<(), LinkClosed> {
-        let head = QueuedFrame::new(&head, written);
+        let head = QueuedFrame::new(&head, claim);
         if first_len == body.len() {
             return self.senders.small.send(head).await.map_err(|_| LinkClosed);
         }
@@ -245,7 +242,7 @@
 struct PendingGuard {
     link: Arc<Link>,
     id: CorrelationId,
-    written: Arc<AtomicBool>,
+    claim: Arc<FrameClaim>,
     is_done: bool,
 }
 
@@ -263,7 +260,7 @@
                 exchanges.pending.insert(id, pending);
             }
         }
-        Some(PendingGuard { link, id, written: Arc::default(), is_done: false })
+        Some(PendingGuard { link, id, claim: Arc::default(), is_done: false })
     }
 }
 
@@ -272,6 +269,8 @@
         if self.is_done {
             return;
         }
+        // A request that is still queued is not sent.
+        self.claim.claim();
         let cancel = QueuedFrame::new(&Frame::Cancel(self.id), None);
         // If the queue is full, the deadline at the peer ends the request.
         drop(self.link.senders.small.try_send(cancel));
--- a/crates/agent/src/links/traffic/outbox.rs
+++ b/crates/agent/src/links/traffic/outbox.rs
@@ -21,15 +21,34 @@
 #[derive(Debug)]
 pub(super) struct QueuedFrame {
     pub(super) message: OutboundMessage,
-    /// Set when the frame is dequeued for writing. From then on it may have reached the peer.
-    pub(super) written: Option<Arc<AtomicBool>>,
+    /// `None` if the frame is written in any case.
+    pub(super) claim: Option<Arc<FrameClaim>>,
+}
+
+/// Decides between the writer of a queued frame and the sender that gives it up: only the first one to claim the frame
+/// gets it. So a frame that the sender has claimed is not written later, however long it stays queued.
+#[derive(Debug, Default)]
+pub(super) struct FrameClaim(AtomicBool);
+
+impl FrameClaim {
+    /// Returns whether the frame had not been claimed before.
+    pub(super) fn claim(&self) -> bool {
+        !self.0.swap(true, Ordering::SeqCst)
+    }
 }
 
 impl QueuedFrame {
-    pub(super) fn new(frame: &Frame, written: Option<Arc<AtomicBool>>) -> QueuedFrame {
+    pub(super) fn new(frame: &Frame, claim: Option<Arc<FrameClaim>>) -> QueuedFrame {
         let bytes = frame.to_bytes();
         let head_len = bytes.len() - frame.body_part_len();
-        QueuedFrame { message: OutboundMessage { bytes: bytes.into(), head_len }, written }
+        QueuedFrame { message: OutboundMessage { bytes: bytes.into(), head_len }, claim }
+    }
+
+    /// Returns the message to be written, or `None` if the sender has given it up. From then on it may have reached
+    /// the peer.
+    fn into_message(self) -> Option<OutboundMessage> {
+        let is_claimed = self.claim.is_none_or(|it| it.claim());
+        is_claimed.then_some(self.message)
     }
 }
 
@@ -65,36 +84,43 @@
     (Senders { small, large, close_request }, outbox)
 }
 
-/// Marks a frame as written and returns its message.
-fn mark_written(queued: QueuedFrame) -> OutboundMessage {
-    if let Some(written) = queued.written {
-        written.store(true, Ordering::SeqCst);
+impl TrafficOutbox {
+    /// Takes the next frame without waiting, including one that its sender has given up.
+    fn try_next_queued(&mut self) -> Option<QueuedFrame> {
+        if self.consecutive_small < SMALL_FRAMES_PER_LARGE
+            && let Ok(queued) = self.small.try_recv()
+        {
+            self.consecutive_small += 1;
+            return Some(queued);
+        }
+        self.consecutive_small = 0;
+        self.large.try_recv().or_else(|_| self.small.try_recv()).ok()
     }
-    queued.message
 }
 
 impl Outbox for TrafficOutbox {
     async fn next(&mut self) -> Option<OutboundMessage> {
-        if let Some(bytes) = self.try_next() {
-            return Some(bytes);
-        }
-        tokio::select! {
-            Some(queued) = self.small.recv() => Some(mark_written(queued)),
-            Some(queued) = self.large.recv() => Some(mark_written(queued)),
-            () = self.close_request.notified() => None,
-            else => None,
+        loop {
+            if let Some(message) = self.try_next() {
+                return Some(message);
+            }
+            let queued = tokio::select! {
+                Some(queued) = self.small.recv() => queued,
+                Some(queued) = self.large.recv() => queued,
+                () = self.close_request.notified() => return None,
+                else => return None,
+            };
+            if let Some(message) = queued.into_message() {
+                return Some(message);
+            }
         }
     }
 
     fn try_next(&mut self) -> Option<OutboundMessage> {
-        if self.consecutive_small < SMALL_FRAMES_PER_LARGE
-            && let Ok(queued) = self.small.try_recv()
-        {
-            self.consecutive_small += 1;
-            return Some(mark_written(queued));
+        loop {
+            if let Some(message) = self.try_next_queued()?.into_message() {
+                return Some(message);
+            }
         }
-        self.consecutive_small = 0;
-        let queued = self.large.try_recv().or_else(|_| self.small.try_recv()).ok()?;
-        Some(mark_written(queued))
     }
 }
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -31,7 +31,7 @@
 
 fn queued_frame(text: &str) -> QueuedFrame {
     let message = OutboundMessage::head(Bytes::copy_from_slice(text.as_bytes()));
-    QueuedFrame { message, written: None }
+    QueuedFrame { message, claim: None }
 }
 
 #[test]
@@ -359,3 +359,17 @@
     check_surplus((0..700).map(|it| Some(it % 2)), 700 - 512);
     check_surplus((0..700).map(|_| None), 0);
 }
+
+/// The peer reads nothing meanwhile, so the link's writer takes no frames.
+#[tokio::test]
+async fn request_reported_as_not_run_is_not_sent_later() {
+    let (link, mut outbox) = Link::new(instance("b", 1, ([127, 0, 0, 1], 1).into()));
+    let short = GateRequest { remaining: Duration::from_millis(20), ..request() };
+    let reply = link.send_request(&short).await.unwrap().reply;
+    assert_eq!(reply, GateReply::not_run(NotRunReason::DeadlineExceeded));
+    let abandoned = GateRequest { remaining: Duration::from_secs(20), ..request() };
+    assert!(timeout(Duration::from_millis(20), link.send_request(&abandoned)).await.is_err());
+    let frames = std::iter::from_fn(|| outbox.try_next());
+    let frames: Vec<Frame> = frames.map(|it| Frame::parse(&it.bytes).unwrap()).collect();
+    assert!(frames.iter().all(|it| matches!(it, Frame::Cancel(_))), "{frames:?}");
+}
