Only served requests end a stated limit or outweigh what peers know

An answer with a server error, or a new connection that the upstream resets, says nothing of a limit: an upstream in need that fails now and then would have lifted its limit for the time of one request each time, and a reset after a restart would have kept the gate from taking over what peers know. Read in the code, not seen.

--- a/crates/agent/src/gate/condition/mod.rs
+++ b/crates/agent/src/gate/condition/mod.rs
@@ -41,8 +41,8 @@
     logged_limit: Option<RequestRate>,
     /// Since when the incarnation is known to be leaving.
     leaving_since: Option<Timestamp>,
-    /// Whether the incarnation has answered this process. Until then, peers may know more of its condition.
-    has_answered: bool,
+    /// Whether the incarnation has served a request of this process. Until then, peers may know more of its condition.
+    has_served: bool,
 }
 
 /// The parts of the condition that have changed.
@@ -61,8 +61,8 @@
     pub(super) sent_at: Timestamp,
     pub(super) received_at: Timestamp,
     pub(super) condition: StatedCondition,
-    /// Whether the upstream ran the request. A refusal without a limit does not end one.
-    pub(super) has_run: bool,
+    /// Whether the upstream served the request. A refusal or a failure without a limit does not end one.
+    pub(super) is_served: bool,
 }
 
 impl Default for UpstreamCondition {
@@ -91,12 +91,12 @@
     /// Records the condition that the upstream states. A limit ends with an answer without one, if its request
     /// was sent after the limit was last stated: answers may overtake each other.
     pub(super) fn record(&self, statement: Statement<'_>) -> ConditionChange {
-        let Statement { incarnation, sent_at, received_at, condition, has_run } = statement;
+        let Statement { incarnation, sent_at, received_at, condition, is_served } = statement;
         let mut state = self.state();
         if state.incarnation != *incarnation {
             return ConditionChange::default();
         }
-        state.has_answered = true;
+        state.has_served |= is_served;
         let is_leaving = condition.is_leaving && state.begin_leaving(received_at);
         if is_leaving {
             log::info!(target: "gate", "The upstream states that it is leaving; it gets no new work.");
@@ -107,15 +107,15 @@
                 state.limit = Some(limit);
                 state.limit_stated_at = received_at;
             }
-            None if has_run && sent_at > state.limit_stated_at => state.limit = None,
+            None if is_served && sent_at > state.limit_stated_at => state.limit = None,
             None => {}
         }
         self.log_limit(&mut state, received_at);
         ConditionChange { limit: state.limit != former_limit, is_leaving }
     }
 
-    /// Takes over the condition that a peer knows, if the upstream has not answered this process yet: the peer
-    /// may know it from an earlier process of this agent.
+    /// Takes over the condition that a peer knows, if the upstream has not served a request of this process yet: the
+    /// peer may know it from an earlier process of this agent.
     pub(super) fn adopt(
         &self,
         now: Timestamp,
@@ -126,7 +126,7 @@
         let WireCondition { limit, is_leaving, .. } = known.condition;
         let is_same = state.incarnation == *incarnation
             && known.condition.incarnation == incarnation_hash(incarnation);
-        if state.has_answered || !is_same {
+        if state.has_served || !is_same {
             return ConditionChange::default();
         }
         let stated_at = now - Duration::from_micros(known.age_us);
--- a/crates/agent/src/gate/condition/tests/many_agents.rs
+++ b/crates/agent/src/gate/condition/tests/many_agents.rs
@@ -165,7 +165,7 @@
         sent_at,
         received_at,
         condition: StatedCondition { limit, is_leaving: false },
-        has_run: true,
+        is_served: true,
     });
     target.rate_limit.set_stated_rate(target.condition.limit());
 }
--- a/crates/agent/src/gate/condition/tests/mod.rs
+++ b/crates/agent/src/gate/condition/tests/mod.rs
@@ -31,7 +31,7 @@
         sent_at: at(sent),
         received_at: at(received),
         condition: StatedCondition { limit, is_leaving: false },
-        has_run: true,
+        is_served: true,
     });
 }
 
@@ -56,7 +56,7 @@
 }
 
 #[test]
-fn refusal_without_a_limit_does_not_end_one() {
+fn refusal_or_failure_without_a_limit_does_not_end_one() {
     let condition = condition();
     answer(&condition, (0, 100), rate(5.0));
     let incarnation = incarnation("i-1");
@@ -65,7 +65,7 @@
         sent_at: at(110),
         received_at: at(120),
         condition: StatedCondition::default(),
-        has_run: false,
+        is_served: false,
     });
     assert_eq!(condition.limit(), rate(5.0));
 }
@@ -82,7 +82,7 @@
             sent_at,
             received_at,
             condition: leaving,
-            has_run: true,
+            is_served: true,
         });
     };
     state("i-1");
@@ -102,7 +102,7 @@
 }
 
 #[test]
-fn peers_tell_a_new_process_the_latest_limit_until_the_upstream_has_answered() {
+fn peers_tell_a_new_process_the_latest_limit_until_the_upstream_has_served() {
     let condition = condition();
     let now = at(10_000);
     assert!(condition.adopt(now, &incarnation("i-1"), &known(rate(5.0), 3_000)).limit);
@@ -134,7 +134,7 @@
             sent_at: at(0),
             received_at: at(received_ms),
             condition: StatedCondition { limit: None, is_leaving },
-            has_run: true,
+            is_served: true,
         })
     };
     assert!(record(10, true).is_leaving);
@@ -151,7 +151,7 @@
         sent_at: at(0),
         received_at: at(10),
         condition: StatedCondition { limit: None, is_leaving: true },
-        has_run: true,
+        is_served: true,
     });
     assert_eq!((change, condition.leaving_since()), (ConditionChange::default(), None));
 }
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -526,13 +526,16 @@
 
     /// Records the condition that the upstream states in its answer or refusal.
     fn record_condition(&self, sent_at: Timestamp, received_at: Timestamp, result: &CallEnd) {
-        let (condition, has_run) = match result {
-            CallEnd::Answered(it) => (self.bound.upstream.stated_condition(&it.headers), true),
+        let (condition, is_served) = match result {
+            CallEnd::Answered(it) => {
+                let condition = self.bound.upstream.stated_condition(&it.headers);
+                (condition, !it.status.is_server_error())
+            }
             CallEnd::Failed(CallError::Refused { condition, .. }) => (*condition, false),
             CallEnd::Failed(_) | CallEnd::Abandoned(_) => return,
         };
         let incarnation = &self.bound.incarnation();
-        let statement = Statement { incarnation, sent_at, received_at, condition, has_run };
+        let statement = Statement { incarnation, sent_at, received_at, condition, is_served };
         self.gate.apply(self.gate.condition.record(statement));
     }
 
