Model: a term has one holder

Two incarnations of agents that acquire the same term are a violation by itself, whatever the tokens do.

--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -6,8 +6,8 @@
 use rand::RngExt;
 
 use crate::{
-    GateCommand, Input, KeyLoad, LoadReport, Message, Output, PlatformReply, PlatformRequest,
-    SlotLoad, UpstreamState, ctx::is_same_incarnation, work,
+    Event, GateCommand, Input, KeyLoad, LoadReport, Message, Output, PlatformReply,
+    PlatformRequest, SlotLoad, UpstreamState, ctx::is_same_incarnation, work,
 };
 
 use super::{PLATFORM_TIMEOUT, ScheduledEvent, Sim, TICK_INTERVAL, costs};
@@ -219,7 +219,12 @@
                     self.apply_gate_command(host, &command);
                     self.schedule_gate_reply(host, generation, &command);
                 }
-                Output::Event(event) => self.count_event(&event),
+                Output::Event(event) => {
+                    if let Event::BecameCoordinator { term } = event {
+                        self.checker.check_term(term, host, generation, self.now);
+                    }
+                    self.count_event(&event);
+                }
                 Output::Stopped => {
                     self.hosts[host].has_stopped = true;
                     self.hosts[host].crash();
--- a/crates/ownership/src/sim/invariants.rs
+++ b/crates/ownership/src/sim/invariants.rs
@@ -20,6 +20,8 @@
     KeyHeldTwice { key_hash: KeyHash, hosts: (usize, usize), at: Timestamp },
     /// A slot was admitted under a token that is not higher than all its earlier tokens.
     TokenNotIncreasing { slot: Slot, token: Token, last: Token, at: Timestamp },
+    /// Two incarnations of agents have acquired the same term.
+    TermAcquiredTwice { term: u64, hosts: (usize, usize), at: Timestamp },
     /// A key was admitted under a token that is lower than an earlier one.
     KeyTokenDecreased { key_hash: KeyHash, token: Token, last: Token, at: Timestamp },
 }
@@ -52,6 +54,9 @@
                     at.ns / 1_000_000
                 )
             }
+            Violation::TermAcquiredTwice { term, hosts, at } => {
+                write!(f, "{} ms: hosts {hosts:?} have acquired term {term}", at.ns / 1_000_000)
+            }
             Violation::KeyTokenDecreased { key_hash, token, last, at } => {
                 let ms = at.ns / 1_000_000;
                 write!(
@@ -71,6 +76,8 @@
     /// Highest token of each slot and key so far.
     slot_tokens: BTreeMap<Slot, Token>,
     key_tokens: BTreeMap<KeyHash, Token>,
+    /// The host that acquired each term, and the generation of its agent.
+    term_holders: BTreeMap<u64, (usize, u64)>,
     /// First violation.
     pub(super) violation: Option<Violation>,
     /// Number of emitted events by variant name.
@@ -87,6 +94,7 @@
             slot_count,
             slot_tokens: BTreeMap::new(),
             key_tokens: BTreeMap::new(),
+            term_holders: BTreeMap::new(),
             violation: None,
             events: BTreeMap::new(),
             handovers: 0,
@@ -109,6 +117,15 @@
         *last = token;
     }
 
+    /// Checks that no other incarnation of an agent has acquired the term.
+    pub(super) fn check_term(&mut self, term: u64, host: usize, generation: u64, at: Timestamp) {
+        let holder = *self.term_holders.entry(term).or_insert((host, generation));
+        if holder != (host, generation) {
+            let hosts = (holder.0, host);
+            self.record_violation(Violation::TermAcquiredTwice { term, hosts, at });
+        }
+    }
+
     /// Checks that a key's token is not lower than an earlier one.
     fn check_key_token(&mut self, key_hash: KeyHash, token: Token, at: Timestamp) {
         let last = self.key_tokens.entry(key_hash).or_default();
