--- a/xtask/src/demo/conditions.rs
+++ b/xtask/src/demo/conditions.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 use volo_http::{body::Body, client::Client};
 
-/// Random stream of the conditions, apart from that of the faults.
+/// Number that makes the random stream of the conditions differ from that of the faults.
 const CONDITION_STREAM: u64 = 1 << 62;
 const PAUSE_RANGE_MS: std::ops::Range<u64> = 500..4_000;
 /// Duration of a limit. The check begins some seconds after a limit is first stated.
@@ -38,7 +38,7 @@
     Leaving { announces: bool },
 }
 
-/// Draws conditions that begin after `from` and end before `until`, one after another for each of some random streams.
+/// Draws conditions within a period. An upstream states one condition at a time.
 pub(crate) fn plan(
     seed: u64,
     upstreams: &[SocketAddr],
