--- a/crates/agent/src/gate/condition/mod.rs
+++ b/crates/agent/src/gate/condition/mod.rs
@@ -1,7 +1,8 @@
 //! The condition that the upstream states in its answers: a limit on its requests, and that it is leaving.
 //!
-//! Invariant: an incarnation that has stated that it is leaving counts as leaving until it ends. An upstream that does
-//! not announce what to tell its incarnations apart by can't be held to that, so its statement is not used.
+//! Invariant: an incarnation that has stated that it is leaving counts as leaving until it ends. This requires that the
+//! upstream announces an id or its start time; otherwise the statement is ignored, since it would also apply to the next
+//! incarnation.
 
 #[cfg(test)]
 mod tests;
@@ -186,8 +187,8 @@
 }
 
 impl State {
-    /// Marks the incarnation as leaving since then. Returns false if it is already known to be leaving, or can't be
-    /// told apart from the next one.
+    /// Marks the incarnation as leaving since then. Returns false if it is already marked, or if the upstream announces
+    /// neither an id nor its start time.
     fn begin_leaving(&mut self, since: Timestamp) -> bool {
         if self.leaving_since.is_some() || incarnation_hash(&self.incarnation).is_none() {
             return false;
@@ -197,7 +198,8 @@
     }
 }
 
-/// Returns a hash that tells incarnations of one upstream apart. `None` if they announce neither an id nor their start.
+/// Returns a hash that identifies an incarnation among those of one upstream. `None` if the upstream announces neither
+/// an id nor its start time.
 fn incarnation_hash((id, start_ms): &UpstreamIncarnation) -> Option<u64> {
     if id.is_none() && start_ms.is_none() {
         return None;
--- a/crates/agent/src/links/traffic/outbox.rs
+++ b/crates/agent/src/links/traffic/outbox.rs
@@ -21,12 +21,12 @@
 #[derive(Debug)]
 pub(super) struct QueuedFrame {
     pub(super) message: OutboundMessage,
-    /// `None` if the frame is written in any case.
+    /// `None` if the sender can't take the frame back.
     pub(super) claim: Option<Arc<FrameClaim>>,
 }
 
-/// Decides between the writer of a queued frame and the sender that gives it up: only the first one to claim the frame
-/// gets it. So a frame that the sender has claimed is not written later, however long it stays queued.
+/// Ownership of a queued frame, which passes to the first one to claim it: to the writer, which sends the frame, or to
+/// the sender, whose request has timed out or was cancelled. A frame that the sender has claimed is never written.
 #[derive(Debug, Default)]
 pub(super) struct FrameClaim(AtomicBool);
 
@@ -44,8 +44,8 @@
         QueuedFrame { message: OutboundMessage { bytes: bytes.into(), head_len }, claim }
     }
 
-    /// Returns the message to be written, or `None` if the sender has given it up. From then on it may have reached
-    /// the peer.
+    /// Claims the frame for writing and returns its message. `None` if the sender has claimed it. A claimed message may
+    /// reach the peer.
     fn into_message(self) -> Option<OutboundMessage> {
         let is_claimed = self.claim.is_none_or(|it| it.claim());
         is_claimed.then_some(self.message)
@@ -85,7 +85,7 @@
 }
 
 impl TrafficOutbox {
-    /// Takes the next frame without waiting, including one that its sender has given up.
+    /// Takes the next frame without waiting. Its sender may have claimed it.
     fn try_next_queued(&mut self) -> Option<QueuedFrame> {
         if self.consecutive_small < SMALL_FRAMES_PER_LARGE
             && let Ok(queued) = self.small.try_recv()
--- a/crates/standins/src/upstream/server.rs
+++ b/crates/standins/src/upstream/server.rs
@@ -22,7 +22,7 @@
 use crate::http::{bind, print_address, text_response, with_header};
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Exit code of the process after it has left by itself.
+/// Exit code of the process after `POST /admin/condition` has made it leave.
 pub const LEFT_EXIT_CODE: i32 = 71;
 const LIMIT: HeaderName = HeaderName::from_static("x-requests-per-s-max");
 const LEAVING: HeaderName = HeaderName::from_static("x-leaving");
--- a/crates/traffic/src/rate_limit/mod.rs
+++ b/crates/traffic/src/rate_limit/mod.rs
@@ -1,9 +1,8 @@
-//! The limit on the request rate of an upstream: of a cold one, and of one that states a limit itself.
+//! The limit on the request rate of an upstream, which applies while it is cold or requests a limit itself.
 //!
 //! An upstream that has just started, or whose zone has just been reopened, handles a fraction of its usual
-//! rate and fails beyond that. An upstream in need states in its answers how many requests it takes. All
-//! callers reach an upstream through the gate on its own instance, so a limit at that gate holds for all
-//! callers together.
+//! rate and fails beyond that. An overloaded upstream states a limit in its answers. All callers reach an
+//! upstream through the gate on its own instance, so a limit at that gate holds for all callers together.
 
 #[cfg(test)]
 mod tests;
@@ -25,8 +24,8 @@
 /// The highest rate, in requests per second. A higher one is no limit, since the slots allow less.
 const RATE_MAX_PER_S: f64 = 10_000.0;
 
-/// The time for which a stated limit allows starts at once, in seconds. With a shorter time, requests that arrive
-/// together would wait for each other even if the upstream has been idle.
+/// The window of a stated limit, in seconds. All starts that it allows may happen at once, so that requests that reach
+/// an idle upstream together do not wait for each other.
 const STATED_WINDOW_S: f64 = 0.25;
 /// The lowest stated rate that is applied, in requests per second. Only the answer to a request can end a limit.
 const STATED_RATE_MIN_PER_S: f64 = 0.5;
@@ -34,7 +33,7 @@
 const STARTS_REMEMBERED_MIN: usize = 64;
 
 /// The rate limit of one upstream, over all its queues and connections: the lower of the limit for cold upstreams
-/// and the one that the upstream states.
+/// and the limit that the upstream states in its answers.
 #[derive(Debug)]
 pub struct RateLimit {
     warmup: Warmup,
--- a/crates/upstream/src/control.rs
+++ b/crates/upstream/src/control.rs
@@ -47,8 +47,8 @@
     /// announces no clock.
     #[serde(default)]
     pub clock_ms: Option<u64>,
-    /// Start of this incarnation of the upstream, in milliseconds since the Unix epoch. Without it, incarnations can't be
-    /// told apart, and a statement that the upstream is leaving is not used.
+    /// Start time of this incarnation of the upstream, in milliseconds since the Unix epoch. It identifies the
+    /// incarnation; the header [`crate::LEAVING_HEADER`] has no effect without it.
     #[serde(default)]
     pub started_ms: Option<u64>,
 }
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -104,8 +104,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct UpstreamCondition {
-    /// Hash that identifies the incarnation of the upstream; `None` if it does not announce what to tell its
-    /// incarnations apart by.
+    /// Hash that identifies the incarnation of the upstream; `None` if the upstream announces neither an id nor its
+    /// start time.
     pub incarnation: Option<u64>,
     /// The most requests that the upstream takes from all callers together.
     pub limit: Option<RequestRate>,
--- a/xtask/src/cluster/instance.rs
+++ b/xtask/src/cluster/instance.rs
@@ -158,7 +158,7 @@
         self.upstream_flags.extend(["--ends-on".to_owned(), key.to_owned()]);
     }
 
-    /// Returns whether the upstream has ended by itself: a request has crashed it, or it has left.
+    /// Returns whether the upstream has exited without a signal: a request has crashed it, or it has left.
     pub(crate) fn has_ended_by_itself(&self) -> anyhow::Result<bool> {
         Ok(self.upstream()?.exit_status()?.is_some_and(ended_by_itself))
     }
--- a/xtask/src/demo/conditions.rs
+++ b/xtask/src/demo/conditions.rs
@@ -1,4 +1,4 @@
-//! Upstreams that state a limit on their requests, or that they are leaving, at times drawn from a seed.
+//! Schedule, drawn from a seed, of the conditions that upstreams state: limits on their request rate, and leaving.
 
 use std::{net::SocketAddr, time::Duration};
 
