A request's wait for its link counts towards its age and its deadline

Cause, by reading and by the test: a sending told the gate how long its ingress had held it and how much time was left as of when it was queued. Time spent waiting for the link or in its queue, up to the whole deadline, was not counted. Records promise at most once only for ages that fall short by less than 50 ms, and upstreams were given time that callers no longer had.

The test saw an age of 0 after 400 ms in the queue and sees 400 ms now.

--- a/crates/agent/src/links/traffic/link.rs
+++ b/crates/agent/src/links/traffic/link.rs
@@ -10,7 +10,7 @@
 use model::{Instance, NotRunReason, UnknownReason};
 use tokio::{
     sync::{Notify, oneshot, watch},
-    time::{Instant, timeout},
+    time::{Instant, timeout, timeout_at},
 };
 use wire::traffic::{CHUNK_BYTES_MAX, CorrelationId, Frame, Records};
 
@@ -127,7 +127,7 @@
         if !exchanges.pending.is_empty() || exchanges.is_retired {
             return;
         }
-        let retire = QueuedFrame::new(&Frame::Retire, None);
+        let retire = QueuedFrame::new(&Frame::Retire);
         // With a full queue the link is in use by the peer.
         exchanges.is_retired = self.senders.small.try_send(retire).is_ok();
     }
@@ -146,11 +146,12 @@
         }
     }
 
-    /// Sends a request once and waits for its reply. Returns `None` if the link has been retired meanwhile; then
-    /// the request has not been sent.
+    /// Sends a request, which has waited for the link since `since`, once and waits for its reply. Returns `None` if
+    /// the link has been retired meanwhile; then the request has not been sent.
     pub(super) async fn send_request(
         self: &Arc<Link>,
         request: &GateRequest,
+        since: Instant,
     ) -> Option<ReplyWithLoad> {
         let id = CorrelationId(rand::random());
         let (sender, receiver) = oneshot::channel();
@@ -160,12 +161,12 @@
         let mut head = request.to_wire(id, first_len);
         let margin = DEADLINE_MARGIN.min(request.remaining / DEADLINE_MARGIN_DIVISOR);
         head.remaining_us -= u64::try_from(margin.as_micros()).unwrap_or(0);
-        let head = Frame::Request(Box::new(head));
+        let head = QueuedFrame::request(Box::new(head), since, Arc::clone(&claim));
         let exchange = async {
-            self.send(head, id, &request.body, first_len, Some(Arc::clone(&claim))).await.ok()?;
+            self.send(head, id, &request.body, first_len).await.ok()?;
             receiver.await.ok()
         };
-        let result = timeout(request.remaining, exchange).await;
+        let result = timeout_at(since + request.remaining, exchange).await;
         if let Ok(Some(reply)) = result {
             guard.is_done = true;
             return Some(reply);
@@ -196,7 +197,8 @@
             body: handover.records.slice(..first_len),
         });
         let exchange = async {
-            self.send(head, id, &handover.records, first_len, None).await.ok()?;
+            let head = QueuedFrame::new(&head);
+            self.send(head, id, &handover.records, first_len).await.ok()?;
             receiver.await.ok()
         };
         let taken = timeout(HANDOVER_TIMEOUT, exchange).await.ok().flatten();
@@ -207,19 +209,17 @@
     /// Queues a whole message: its head, then the rest of its body.
     pub(super) async fn send(
         &self,
-        head: Frame,
+        head: QueuedFrame,
         id: CorrelationId,
         body: &Bytes,
         first_len: usize,
-        claim: Option<Arc<FrameClaim>>,
     ) -> Result<(), LinkClosed> {
-        let head = QueuedFrame::new(&head, claim);
         if first_len == body.len() {
             return self.senders.small.send(head).await.map_err(|_| LinkClosed);
         }
         self.senders.large.send(head).await.map_err(|_| LinkClosed)?;
         for chunk in chunks(id, body, first_len) {
-            let part = QueuedFrame::new(&chunk, None);
+            let part = QueuedFrame::new(&chunk);
             self.senders.large.send(part).await.map_err(|_| LinkClosed)?;
         }
         Ok(())
@@ -227,7 +227,7 @@
 
     /// Queues a message without a body.
     pub(super) async fn send_small(&self, frame: &Frame) -> Result<(), LinkClosed> {
-        let queued = QueuedFrame::new(frame, None);
+        let queued = QueuedFrame::new(frame);
         self.senders.small.send(queued).await.map_err(|_| LinkClosed)
     }
 }
@@ -271,7 +271,7 @@
         }
         // A request that is still queued is not sent.
         self.claim.claim();
-        let cancel = QueuedFrame::new(&Frame::Cancel(self.id), None);
+        let cancel = QueuedFrame::new(&Frame::Cancel(self.id));
         // If the queue is full, the deadline at the peer ends the request.
         drop(self.link.senders.small.try_send(cancel));
         // Last, because it may let the link be closed.
--- a/crates/agent/src/links/traffic/mod.rs
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -115,8 +115,9 @@
         peer: &Instance,
         request: &GateRequest,
     ) -> ReplyWithLoad {
+        let since = Instant::now();
         while let Some(link) = self.link(peer).await {
-            if let Some(reply) = link.send_request(request).await {
+            if let Some(reply) = link.send_request(request, since).await {
                 return reply;
             }
         }
--- a/crates/agent/src/links/traffic/outbox.rs
+++ b/crates/agent/src/links/traffic/outbox.rs
@@ -1,14 +1,23 @@
 //! The queues of frames to be written on a traffic link.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
-use tokio::sync::{Notify, mpsc};
-use wire::traffic::Frame;
+use tokio::{
+    sync::{Notify, mpsc},
+    time::Instant,
+};
+use wire::traffic::{Frame, Request};
 
-use crate::links::socket::{OutboundMessage, Outbox};
+use crate::{
+    links::socket::{OutboundMessage, Outbox},
+    request::whole_us,
+};
 
 /// Largest number of queued frames of small messages.
 const SMALL_QUEUE_MAX: usize = 1024;
@@ -17,14 +26,26 @@
 /// Number of small messages written for each queued frame of a large one.
 const SMALL_FRAMES_PER_LARGE: u32 = 16;
 
+/// Longest delay of a request that is not added to its age. Records allow for more than this.
+const UNCOUNTED_DELAY_MAX: Duration = Duration::from_millis(20);
+
 /// A frame to be written.
 #[derive(Debug)]
 pub(super) struct QueuedFrame {
-    pub(super) message: OutboundMessage,
+    pub(super) content: QueuedContent,
     /// `None` if the sender can't take the frame back.
     pub(super) claim: Option<Arc<FrameClaim>>,
 }
 
+/// Content of a queued frame.
+#[derive(Debug)]
+pub(super) enum QueuedContent {
+    Encoded(OutboundMessage),
+    /// A request whose sender has waited since that time, for the link or in the queue. It is encoded when it is
+    /// written, so that its times include the wait.
+    Request(Box<Request>, Instant),
+}
+
 /// Ownership of a queued frame, which passes to the first one to claim it: to the writer, which sends the frame, or to
 /// the sender, whose request has timed out or was cancelled. A frame that the sender has claimed is never written.
 #[derive(Debug, Default)]
@@ -38,20 +59,49 @@
 }
 
 impl QueuedFrame {
-    pub(super) fn new(frame: &Frame, claim: Option<Arc<FrameClaim>>) -> QueuedFrame {
-        let bytes = frame.to_bytes();
-        let head_len = bytes.len() - frame.body_part_len();
-        QueuedFrame { message: OutboundMessage { bytes: bytes.into(), head_len }, claim }
+    pub(super) fn new(frame: &Frame) -> QueuedFrame {
+        QueuedFrame { content: QueuedContent::Encoded(encode(frame)), claim: None }
+    }
+
+    /// Creates the frame of a request that has waited since `since`.
+    pub(super) fn request(
+        head: Box<Request>,
+        since: Instant,
+        claim: Arc<FrameClaim>,
+    ) -> QueuedFrame {
+        QueuedFrame { content: QueuedContent::Request(head, since), claim: Some(claim) }
     }
 
     /// Claims the frame for writing and returns its message. `None` if the sender has claimed it. A claimed message may
     /// reach the peer.
     fn into_message(self) -> Option<OutboundMessage> {
         let is_claimed = self.claim.is_none_or(|it| it.claim());
-        is_claimed.then_some(self.message)
+        is_claimed.then(|| match self.content {
+            QueuedContent::Encoded(message) => message,
+            QueuedContent::Request(head, since) => {
+                encode(&Frame::Request(delayed(head, since.elapsed())))
+            }
+        })
     }
 }
 
+/// Adds a delay to the times of a request.
+fn delayed(mut head: Box<Request>, delay: Duration) -> Box<Request> {
+    let delay_us = whole_us(delay);
+    head.remaining_us = head.remaining_us.saturating_sub(delay_us);
+    head.objective_us = head.objective_us.map(|it| it.saturating_sub(delay_us));
+    if delay > UNCOUNTED_DELAY_MAX {
+        head.held_us = head.held_us.saturating_add(delay_us);
+    }
+    head
+}
+
+fn encode(frame: &Frame) -> OutboundMessage {
+    let bytes = frame.to_bytes();
+    let head_len = bytes.len() - frame.body_part_len();
+    OutboundMessage { bytes: bytes.into(), head_len }
+}
+
 /// The sending ends of the queues. Messages of one frame and those of several are queued separately, each in
 /// order.
 #[derive(Debug)]
--- a/crates/agent/src/links/traffic/serve.rs
+++ b/crates/agent/src/links/traffic/serve.rs
@@ -14,6 +14,7 @@
     links::traffic::{
         ReplyFuture,
         link::{Link, first_len},
+        outbox::QueuedFrame,
     },
     request::{GateReply, ReplyWithLoad, headers_to_wire},
 };
@@ -87,5 +88,5 @@
         }
     };
     // If the link is closed, the peer fails the request by itself.
-    drop(link.send(head, id, &body, first_len(&body), None).await);
+    drop(link.send(QueuedFrame::new(&head), id, &body, first_len(&body)).await);
 }
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -20,7 +20,7 @@
     Handler, Handover, Link, LinkIdentity, LinkKey, ReplyFuture, TrafficLinks,
     assembly::{Assembly, Head, Progress, chunks},
     idle::{IDLE_LINKS_KEPT, surplus},
-    outbox::{QueuedFrame, channel},
+    outbox::{QueuedContent, QueuedFrame, channel},
 };
 use crate::{
     links::socket::{OutboundMessage, Outbox},
@@ -31,7 +31,7 @@
 
 fn queued_frame(text: &str) -> QueuedFrame {
     let message = OutboundMessage::head(Bytes::copy_from_slice(text.as_bytes()));
-    QueuedFrame { message, claim: None }
+    QueuedFrame { content: QueuedContent::Encoded(message), claim: None }
 }
 
 #[test]
@@ -264,7 +264,7 @@
     b.wait_for_links(0).await;
     b.permits.add_permits(1);
     assert_eq!(a.request(&b).await, replied());
-    assert!(link.send_request(&request()).await.is_none());
+    assert!(link.send_request(&request(), Instant::now()).await.is_none());
 }
 
 #[tokio::test]
@@ -365,11 +365,32 @@
 async fn request_reported_as_not_run_is_not_sent_later() {
     let (link, mut outbox) = Link::new(instance("b", 1, ([127, 0, 0, 1], 1).into()));
     let short = GateRequest { remaining: Duration::from_millis(20), ..request() };
-    let reply = link.send_request(&short).await.unwrap().reply;
+    let reply = link.send_request(&short, Instant::now()).await.unwrap().reply;
     assert_eq!(reply, GateReply::not_run(NotRunReason::DeadlineExceeded));
     let abandoned = GateRequest { remaining: Duration::from_secs(20), ..request() };
-    assert!(timeout(Duration::from_millis(20), link.send_request(&abandoned)).await.is_err());
+    assert!(
+        timeout(Duration::from_millis(20), link.send_request(&abandoned, Instant::now()))
+            .await
+            .is_err()
+    );
     let frames = std::iter::from_fn(|| outbox.try_next());
     let frames: Vec<Frame> = frames.map(|it| Frame::parse(&it.bytes).unwrap()).collect();
     assert!(frames.iter().all(|it| matches!(it, Frame::Cancel(_))), "{frames:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn time_in_the_queue_counts_towards_the_age_and_the_deadline() {
+    let waited = Duration::from_millis(400);
+    let (link, mut outbox) = Link::new(instance("b", 1, ([127, 0, 0, 1], 1).into()));
+    let sender = Arc::clone(&link);
+    let sending =
+        tokio::spawn(async move { sender.send_request(&request(), Instant::now()).await });
+    sleep(waited).await;
+    let Frame::Request(head) = Frame::parse(&outbox.try_next().unwrap().bytes).unwrap() else {
+        panic!("expected a request");
+    };
+    assert!(head.held_us >= 400_000, "held for {} us", head.held_us);
+    let remaining = Duration::from_micros(head.remaining_us);
+    assert!(remaining <= request().remaining - waited, "{remaining:?} remaining");
+    sending.abort();
+}
