The gate's sending of a request gets a module of its own

Change: gate/send.rs takes the sending, the wait for its end and what the end states; moved, nothing rewritten. run.rs keeps the path until the request is admitted.

--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod load;
 mod records;
 mod run;
+mod send;
 mod table;
 mod upstream_clock;
 mod upstream_runs;
