A test that an upstream's statement of leaving binds its incarnation

Change: two control threads on loopback; one reports the statement of an earlier incarnation, of the running one, an announcement of it as ready, and the next incarnation. The fake upstream announces a start time.

--- a/crates/agent/src/control/tests/agent.rs
+++ b/crates/agent/src/control/tests/agent.rs
@@ -19,7 +19,7 @@
     gate::{GateHandle, GateTask},
     links::LinkKey,
     report::{Announcement, Report, Reporter},
-    snapshot::{Routes, SnapshotCell},
+    snapshot::{LeaveReason, Routes, SnapshotCell},
     store_relay::Relay,
     zones::{ClosedZones, follow_stored_zones},
 };
@@ -27,6 +27,8 @@
 /// The time limit of each wait, far above the duration of any step. Tests fail when it expires.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 const KEY: &str = "a key for loopback only";
+/// Start time that the fake upstream announces.
+pub(super) const UPSTREAM_START_MS: u64 = 5_000;
 
 /// One instance's control thread, which runs as a task.
 pub(super) struct Agent {
@@ -159,6 +161,28 @@
         self.reporter.try_report(Report::UnknownService { service: service() });
     }
 
+    /// Reports that an upstream without an id, with the given start time, states that it is leaving.
+    pub(super) fn report_leaving(&self, started_ms: u64) {
+        let incarnation_start_ms = Some(started_ms);
+        self.reporter
+            .try_report(Report::UpstreamLeaving { upstream_id: None, incarnation_start_ms });
+    }
+
+    /// Reports the announcement until it is published. Its number of slots must differ from the last one's.
+    pub(super) async fn announce(&self, announcement: &Announcement) {
+        wait_until("the announcement", || {
+            self.reporter.try_report(Report::Announcement(announcement.clone()));
+            let snapshot = self.snapshots.load();
+            snapshot.local.as_ref().is_some_and(|it| it.announcement.slots == announcement.slots)
+        })
+        .await;
+    }
+
+    /// Returns the published reason for sending the upstream no new work.
+    pub(super) fn leaving(&self) -> Option<LeaveReason> {
+        self.snapshots.load().local.as_ref().and_then(|it| it.leaving)
+    }
+
     /// Waits until this instance's routes of the tested service contain an instance.
     pub(super) async fn wait_routes_to(&self, instance: &Instance) {
         wait_until("routes to an instance", || {
@@ -224,19 +248,24 @@
     AgentSettings::parse(&text).unwrap()
 }
 
-/// Runs a gate with nothing in flight, whose upstream is ready at once.
-async fn run_fake_gate(reporter: Reporter, mut tasks: mpsc::UnboundedReceiver<GateTask>) {
-    let announcement = Announcement {
+/// Returns the announcement of the fake upstream.
+pub(super) fn announcement() -> Announcement {
+    Announcement {
         service: service(),
         address: SocketAddr::from(([127, 0, 0, 1], 5)),
         state: UpstreamState::Ready,
         slots: 12,
         checks_fence: true,
         upstream_id: None,
-        incarnation_start_ms: None,
+        incarnation_start_ms: Some(UPSTREAM_START_MS),
         sequence: 0,
         cold_for: Duration::ZERO,
-    };
+    }
+}
+
+/// Runs a gate with nothing in flight, whose upstream is ready at once.
+async fn run_fake_gate(reporter: Reporter, mut tasks: mpsc::UnboundedReceiver<GateTask>) {
+    let announcement = announcement();
     let mut announcing = tokio::time::interval(Duration::from_secs(1));
     loop {
         let report = tokio::select! {
--- a/crates/agent/src/control/tests/leaving.rs
+++ b/crates/agent/src/control/tests/leaving.rs
@@ -1,8 +1,16 @@
-//! Queries for routes to an instance that has left its group.
+//! Instances that have left their group, and upstreams that state that they are leaving.
 
 use std::sync::Arc;
 
-use crate::control::tests::{agent::Agent, documents::DOCUMENT, platform::FakeStore};
+use crate::{
+    control::tests::{
+        agent::{Agent, UPSTREAM_START_MS, announcement, wait_until},
+        documents::DOCUMENT,
+        platform::FakeStore,
+    },
+    report::Announcement,
+    snapshot::LeaveReason,
+};
 
 /// The only instance of a service leaves its group while its process still drains, and another
 /// instance starts. An agent of another service, which only knows the first instance, must find
@@ -23,3 +31,35 @@
     second.kill();
     observer.kill();
 }
+
+/// The statement binds one incarnation: it outlasts announcements of the same one as ready, and
+/// ends with the next one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_states_that_it_is_leaving_gives_up_its_keys_for_good() {
+    let platform = Arc::new(FakeStore::new());
+    platform.put("services/standings", DOCUMENT);
+    let first = Agent::start("standings-1", &platform, &[]).await;
+    let second = Agent::start("standings-2", &platform, &[]).await;
+    wait_until("keys of both", || first.owns_slots() && second.owns_slots()).await;
+    let changed = |slots| Announcement { slots, ..announcement() };
+
+    first.report_leaving(UPSTREAM_START_MS - 1);
+    first.announce(&changed(11)).await;
+    assert_eq!(first.leaving(), None, "the statement of an earlier incarnation");
+
+    first.report_leaving(UPSTREAM_START_MS);
+    wait_until("keys of the other only", || {
+        let owners = second.owners_of_slots();
+        owners.contains(&second.own.name) && !owners.contains(&first.own.name)
+    })
+    .await;
+    first.announce(&changed(10)).await;
+    assert_eq!(first.leaving(), Some(LeaveReason::Stopping), "after it announced itself as ready");
+
+    let started_ms = Some(UPSTREAM_START_MS + 1);
+    first.announce(&Announcement { incarnation_start_ms: started_ms, ..changed(9) }).await;
+    assert_eq!(first.leaving(), None, "the next incarnation");
+    wait_until("keys of both", || first.owns_slots() && second.owns_slots()).await;
+    first.kill();
+    second.kill();
+}
