--- a/xtask/src/demo/verdict/condition.rs
+++ b/xtask/src/demo/verdict/condition.rs
@@ -22,7 +22,8 @@
 /// Time from an answer that states that the upstream is leaving until the agent that has passed it on must send no
 /// later request there.
 const LEAVING_AFTER_NS: u64 = 2 * SECOND_NS;
-/// Time for which an agent that was killed or suspended is excused: it may not know of the condition again.
+/// Time after the end of an agent's outage or stop for which its requests are not counted, since it must first learn the
+/// condition.
 const EXCUSED_AFTER_OUTAGE_NS: u64 = 5 * SECOND_NS;
 
 /// A request that reached an upstream.
