Settings of the parts for hard load, all off by default

A central configuration has no fields for them, so the agents' defaults name the objective up to which a route is tight; one tight route switches them on for all services. No part reads its field yet.

--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -217,6 +217,7 @@
         imbalance_target: it.imbalance_target,
         churn_per_minute_max: it.churn_per_minute_max,
         availability_weight: it.availability_weight,
+        weighs_capacity: it.weighs_capacity,
         fence: if document.upstream.checks_fence {
             FenceCheck::Checked
         } else {
--- a/crates/ownership/src/limits.rs
+++ b/crates/ownership/src/limits.rs
@@ -51,6 +51,8 @@
     pub churn_per_minute_max: f64,
     /// Trade-off for rebalancing: 0 minimizes churn, 1 minimizes unavailable time.
     pub availability_weight: f64,
+    /// Whether members get load in proportion to the measured capacity of their upstreams.
+    pub weighs_capacity: bool,
     pub fence: FenceCheck,
     pub coordinator_lease: CoordinatorLease,
 }
@@ -71,6 +73,7 @@
             imbalance_target: 1.15,
             churn_per_minute_max: 0.10,
             availability_weight: 0.5,
+            weighs_capacity: false,
             fence: FenceCheck::Unchecked,
             coordinator_lease: CoordinatorLease::Confirmation,
         }
--- a/crates/settings/src/central/defaults.rs
+++ b/crates/settings/src/central/defaults.rs
@@ -30,6 +30,12 @@
     /// Number of slots that the keys of a service are distributed over.
     #[schemars(range(min = 1, max = 4096))]
     slot_count: Option<u16>,
+    /// Latency objective in milliseconds up to which a route is tight. If a central configuration
+    /// has a tight route, `express_objective_ms_max` of all its services has this value, and
+    /// `refuses_failing_runs`, `promises_returns`, `learns_concurrency` and `weighs_capacity` are
+    /// true. If omitted, no route is tight.
+    #[schemars(range(min = 1, max = 10_000))]
+    tight_objective_ms_max: Option<u64>,
     limits: RawLimits,
     ownership: RawOwnership,
     drain: RawDrain,
@@ -65,6 +71,9 @@
     pub cold_requests_per_s: Option<f64>,
     /// Longest timeout of the routes to the service.
     pub timeout_max: Duration,
+    /// Shortest latency objective of all routes of the configuration, also those to other services;
+    /// `None` if it has no routes.
+    pub objective_min: Option<Duration>,
     pub header_bytes_max: u64,
     pub body_bytes_max: u64,
 }
@@ -96,9 +105,33 @@
 }
 
 impl DocumentDefaults {
+    /// Returns the defaults for a service, with the features for tight objectives if the
+    /// configuration has one.
+    fn for_service(&self, service: &CentralServiceConfig) -> RawDocumentDefaults {
+        let defaults = self.0.clone();
+        let is_tight = |max_ms: &u64| {
+            service.objective_min.is_some_and(|it| it <= Duration::from_millis(*max_ms))
+        };
+        let Some(express_objective_ms_max) = defaults.tight_objective_ms_max.filter(is_tight)
+        else {
+            return defaults;
+        };
+        RawDocumentDefaults {
+            limits: RawLimits {
+                express_objective_ms_max,
+                refuses_failing_runs: true,
+                promises_returns: true,
+                ..defaults.limits
+            },
+            ownership: RawOwnership { weighs_capacity: true, ..defaults.ownership },
+            upstream: RawUpstream { learns_concurrency: true, ..defaults.upstream },
+            ..defaults
+        }
+    }
+
     /// Builds the text of the document of a service.
     pub fn build_document(&self, service: &CentralServiceConfig) -> String {
-        let defaults = self.0.clone();
+        let defaults = self.for_service(service);
         let class = |it: &RequestClass| RawClass {
             name: it.name.as_str().to_owned(),
             weight: it.weight,
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -64,6 +64,8 @@
     /// Requests per second that the upstream can process while it reports that it is cold; `None`
     /// if only `slots` limits it.
     pub cold_requests_per_s: Option<f64>,
+    /// Whether the number of concurrent requests is lowered while more of them slow the upstream down.
+    pub learns_concurrency: bool,
 }
 
 /// Class of requests that share a queue and a weight.
@@ -103,6 +105,13 @@
     pub records_bytes_max: usize,
     /// Time for which an answer is recorded.
     pub records_retention: Duration,
+    /// Latency objective up to which the requests of a route are express; zero if there are none.
+    pub express_objective_max: Duration,
+    /// Whether a request is refused before it runs while most requests of its kind fail because
+    /// express requests that they make fail.
+    pub refuses_failing_runs: bool,
+    /// Whether a refused caller gets a time at which there is room for its request.
+    pub promises_returns: bool,
 }
 
 /// Timing of leases and targets of rebalancing, with the same fields as `Limits` of the `ownership`
@@ -127,6 +136,8 @@
     /// Balance between two goals: 0 minimises moves of keys, 1 minimises the time in which keys are
     /// unavailable.
     pub availability_weight: f64,
+    /// Whether members get load in proportion to the measured capacity of their upstreams.
+    pub weighs_capacity: bool,
 }
 
 /// Timing of the drain of an instance.
@@ -212,6 +223,7 @@
             key_grants: raw.key_grants,
             warmup: Duration::from_millis(raw.warmup_ms),
             cold_requests_per_s: raw.cold_requests_per_s,
+            learns_concurrency: raw.learns_concurrency,
         }
     }
 }
@@ -230,6 +242,9 @@
             header_bytes_max: raw.header_bytes_max as usize,
             records_bytes_max: raw.records_bytes_max as usize,
             records_retention: Duration::from_millis(raw.records_ms),
+            express_objective_max: Duration::from_millis(raw.express_objective_ms_max),
+            refuses_failing_runs: raw.refuses_failing_runs,
+            promises_returns: raw.promises_returns,
         }
     }
 }
@@ -250,6 +265,7 @@
             imbalance_target: raw.imbalance_target,
             churn_per_minute_max: raw.churn_per_minute_max,
             availability_weight: raw.availability_weight,
+            weighs_capacity: raw.weighs_capacity,
         }
     }
 }
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -101,6 +101,9 @@
     /// omitted, only `slots` limits it.
     #[schemars(range(min = 0.001, max = 10_000.0))]
     pub(crate) cold_requests_per_s: Option<f64>,
+    /// Whether the number of requests that the upstream runs concurrently is lowered, to half of
+    /// `slots` at the least, while more of them slow it down.
+    pub(crate) learns_concurrency: bool,
 }
 
 impl Default for RawUpstream {
@@ -113,6 +116,7 @@
             key_grants: KeyGrants::Calls,
             warmup_ms: 2_000,
             cold_requests_per_s: None,
+            learns_concurrency: false,
         }
     }
 }
@@ -259,6 +263,16 @@
     /// the request.
     #[schemars(range(min = 1_000, max = 3_600_000))]
     pub(crate) records_ms: u64,
+    /// Latency objective in milliseconds up to which the requests of a route are express: they do
+    /// not wait behind the longer requests of other routes. 0 for no such requests.
+    #[schemars(range(max = 10_000))]
+    pub(crate) express_objective_ms_max: u64,
+    /// Whether a request is refused before it runs while most requests of its kind fail because
+    /// express requests that they make fail.
+    pub(crate) refuses_failing_runs: bool,
+    /// Whether a refused caller gets a time at which there is room for its request, and is served
+    /// before new requests if it returns at that time.
+    pub(crate) promises_returns: bool,
 }
 
 impl Default for RawLimits {
@@ -275,6 +289,9 @@
             header_bytes_max: 16_384,
             records_bytes_max: 8_388_608,
             records_ms: 120_000,
+            express_objective_ms_max: 0,
+            refuses_failing_runs: false,
+            promises_returns: false,
         }
     }
 }
@@ -328,6 +345,9 @@
     /// unavailable.
     #[schemars(range(min = 0.0, max = 1.0))]
     pub(crate) availability_weight: f64,
+    /// Whether members get load in proportion to the capacity that is measured at their upstreams.
+    /// If false, all members get the same load.
+    pub(crate) weighs_capacity: bool,
 }
 
 impl Default for RawOwnership {
@@ -346,6 +366,7 @@
             imbalance_target: 1.15,
             churn_per_minute_max: 0.10,
             availability_weight: 0.5,
+            weighs_capacity: false,
         }
     }
 }
--- a/crates/settings/src/tests/central.rs
+++ b/crates/settings/src/tests/central.rs
@@ -51,11 +51,8 @@
   "document_defaults": { "slot_count": 1024, "ownership": { "lease_ms": 1500 } },
 }"#;
 
-#[test]
-fn documents_built_from_the_defaults_are_valid() {
-    let settings = AgentSettings::parse(SETTINGS).unwrap();
-    assert_eq!(settings.ready_address, Some("127.0.0.1:7005".parse().unwrap()));
-    let service = CentralServiceConfig {
+fn keyed_service() -> CentralServiceConfig {
+    CentralServiceConfig {
         service: ServiceName::new("standings").unwrap(),
         team: TeamName::new("karerang").unwrap(),
         keys: OrderedKeys::new(65_536),
@@ -69,9 +66,44 @@
         cold_requests_per_s: Some(12.0),
         connections_max: 120,
         timeout_max: Duration::from_millis(2_900),
+        objective_min: Some(Duration::from_millis(600)),
         header_bytes_max: 16_384,
         body_bytes_max: 1 << 20,
+    }
+}
+
+#[test]
+fn features_for_tight_objectives_are_on_only_with_a_tight_route() {
+    let check = |setting: &str, objective_ms: Option<u64>, expected: bool| {
+        let defaults = format!("\"document_defaults\": {{ {setting} ");
+        let text = SETTINGS.replace("\"document_defaults\": { ", &defaults);
+        let settings = AgentSettings::parse(&text).unwrap();
+        let objective_min = objective_ms.map(Duration::from_millis);
+        let service = CentralServiceConfig { objective_min, ..keyed_service() };
+        let text = settings.document_defaults.build_document(&service);
+        let document = ServiceDocument::parse_for(&service.service, &text).unwrap();
+        let express_max = document.limits.express_objective_max;
+        assert_eq!(express_max, Duration::from_millis(if expected { 150 } else { 0 }));
+        let features = [
+            document.limits.refuses_failing_runs,
+            document.limits.promises_returns,
+            document.upstream.learns_concurrency,
+            document.ownership.weighs_capacity,
+        ];
+        assert_eq!(features, [expected; 4], "{setting} {objective_ms:?}");
     };
+    let setting = "\"tight_objective_ms_max\": 150,";
+    check(setting, Some(150), true);
+    check(setting, Some(151), false);
+    check(setting, None, false);
+    check("", Some(1), false);
+}
+
+#[test]
+fn documents_built_from_the_defaults_are_valid() {
+    let settings = AgentSettings::parse(SETTINGS).unwrap();
+    assert_eq!(settings.ready_address, Some("127.0.0.1:7005".parse().unwrap()));
+    let service = keyed_service();
     let text = settings.document_defaults.build_document(&service);
     let document = ServiceDocument::parse_for(&service.service, &text).unwrap();
     assert!(document.keyed && document.upstream.enforces_leases && !document.resends);
--- a/crates/settings/src/tests/document.rs
+++ b/crates/settings/src/tests/document.rs
@@ -65,6 +65,7 @@
     assert_eq!(actual.imbalance_target, expected.imbalance_target);
     assert_eq!(actual.churn_per_minute_max, expected.churn_per_minute_max);
     assert_eq!(actual.availability_weight, expected.availability_weight);
+    assert_eq!(actual.weighs_capacity, expected.weighs_capacity);
     assert!(!document.upstream.checks_fence && expected.fence == ownership::FenceCheck::Unchecked);
 }
 
