Model of the decisions under overload

60 uneven upstreams, runs that call other services and callers that return once, in virtual time, with the types of the product. No part is wired yet.

--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod losses;
 mod machine;
+mod overload;
 mod ownership;
 mod path;
 mod plot;
@@ -30,7 +31,7 @@
 pub(crate) struct BenchOptions {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "config, path, faults, losses, slopes, rest or ownership")]
+    #[options(free, help = "config, path, faults, losses, slopes, rest, overload or ownership")]
     name: String,
     #[options(no_short, help = "print one JSON object as the last line")]
     json: bool,
@@ -71,6 +72,11 @@
             report.lines().iter().try_for_each(|it| print_line(it))?;
             json!(report)
         }
+        "overload" => {
+            let report = overload::run(options.seed);
+            report.lines().iter().try_for_each(|it| print_line(it))?;
+            json!(report)
+        }
         "config" => json!(config::run(options.seed).await?),
         "losses" => json!(losses::run(options.seed)?),
         "rest" => json!(rest::run(options.seed).await?),
@@ -83,7 +89,7 @@
         }
         other => {
             anyhow::bail!(
-                "unknown measurement {other:?}; expected config, path, faults, losses, slopes, rest or ownership"
+                "unknown measurement {other:?}; expected config, path, faults, losses, slopes, rest, overload or ownership"
             )
         }
     };
