Decision on runs whose calls fail

Cause: nothing holds back runs whose calls are currently refused; each occupies a slot and takes calls from runs that could succeed.

--- /dev/null
+++ b/crates/traffic/src/call_failures/window.rs
@@ -0,0 +1,66 @@
+//! Counts of the runs that ended within a sliding window.
+
+use std::time::Duration;
+
+use model::Timestamp;
+
+use super::WINDOW;
+
+/// The number of steps that the window is divided into. Ends expire a step at a time.
+const STEPS: usize = 20;
+const STEP: Duration = Duration::from_millis(WINDOW.as_millis() as u64 / STEPS as u64);
+
+/// The runs that ended within the window, without those that failed for other reasons than a call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EndCounts {
+    pub ended: u32,
+    pub served: u32,
+}
+
+/// The ends of one kind within the last [`WINDOW`]. The latest step is incomplete, so that ends are counted for at most
+/// the window, and for at least all of its other steps.
+#[derive(Debug, Default)]
+pub(super) struct EndWindow {
+    /// The number of the latest step since the time zero.
+    last_step: u64,
+    /// The counts of each step, at its number modulo [`STEPS`].
+    steps: [StepCounts; STEPS],
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct StepCounts {
+    ended: u16,
+    served: u16,
+}
+
+impl EndWindow {
+    pub(super) fn add(&mut self, now: Timestamp, is_served: bool) {
+        self.advance(now);
+        let counts = &mut self.steps[index_of(self.last_step)];
+        counts.ended = counts.ended.saturating_add(1);
+        counts.served = counts.served.saturating_add(u16::from(is_served));
+    }
+
+    pub(super) fn counts(&mut self, now: Timestamp) -> EndCounts {
+        self.advance(now);
+        self.steps.iter().fold(EndCounts::default(), |sum, it| EndCounts {
+            ended: sum.ended + u32::from(it.ended),
+            served: sum.served + u32::from(it.served),
+        })
+    }
+
+    /// Removes the steps that have left the window. A time before the latest step counts as being in it, since threads
+    /// read the clock before they have access to the window.
+    fn advance(&mut self, now: Timestamp) {
+        let step = now.ns / STEP.as_nanos() as u64;
+        let passed = step.saturating_sub(self.last_step).min(STEPS as u64);
+        for number in 1..=passed {
+            self.steps[index_of(self.last_step + number)] = StepCounts::default();
+        }
+        self.last_step = self.last_step.max(step);
+    }
+}
+
+fn index_of(step: u64) -> usize {
+    (step % STEPS as u64) as usize
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,6 +4,7 @@
 //! gets the current time and, for random choices, a seeded generator from its caller.
 
 mod admission;
+mod call_failures;
 mod quarantine;
 mod rate_limit;
 mod records;
@@ -21,6 +22,9 @@
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
     Ticket, Timeliness, Verdict,
 };
+pub use call_failures::{
+    CallFailures, EndCounts, RunResult, StartRefusal, StartVerdict, UnservedRequests,
+};
 pub use quarantine::{CrashId, Quarantine, QuarantineStatus};
 pub use rate_limit::{RateLimit, SharedRateLimit};
 pub use records::{
