The gate refuses runs whose calls fail

Cause: the decision of `traffic::CallFailures` had no user. Change: ingress records express requests that end unserved (no answer, an answer with 5xx, or a caller that left); the gate attributes a 5xx of its upstream to them at the end of a run, and refuses runs before they wait for a slot. Counter, gauge, a field of the gate's log lines, and a line for refusals. Off unless the document sets `limits.refuses_failing_runs`.

--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission_queue;
 mod bound;
+mod call_failures;
 mod condition;
 mod crash;
 mod handle;
@@ -47,6 +48,7 @@
 };
 
 use bound::BoundUpstream;
+use call_failures::RunFailures;
 use condition::UpstreamCondition;
 use crash::UnansweredRuns;
 use leases::Leases;
@@ -54,6 +56,7 @@
 use run::Caller;
 use upstream_runs::UpstreamRuns;
 
+pub(crate) use call_failures::SharedUnservedRequests;
 pub(crate) use upstream_clock::UpstreamClock;
 
 pub use handle::GateHandle;
@@ -75,6 +78,7 @@
     pub(crate) upstream_clock: Arc<UpstreamClock>,
     pub(crate) connect: Connect,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) unserved: Arc<SharedUnservedRequests>,
 }
 
 /// The gate as the traffic threads use it.
@@ -95,6 +99,7 @@
     condition: UpstreamCondition,
     upstream_runs: UpstreamRuns,
     unanswered_runs: UnansweredRuns,
+    run_failures: RunFailures,
     quarantine: Arc<SharedQuarantine>,
     /// Permit for running a suspect request. There is only one, so that a crash of the upstream can
     /// be attributed to that request.
@@ -129,6 +134,7 @@
             condition: UpstreamCondition::default(),
             upstream_runs: UpstreamRuns::default(),
             unanswered_runs: UnansweredRuns::default(),
+            run_failures: RunFailures::new(parts.unserved),
             quarantine: parts.quarantine,
             suspect_permit: Semaphore::new(1),
             links: OnceLock::new(),
@@ -180,6 +186,16 @@
         (self.condition.limit(), self.condition.leaving_since().is_some())
     }
 
+    /// Returns the highest probability with which runs of a kind are refused because of their calls.
+    pub(crate) fn run_refusal_probability(&self) -> f64 {
+        let bound = self.bound.load();
+        let is_enabled = bound.as_ref().is_some_and(|it| it.document.limits.refuses_failing_runs);
+        match is_enabled {
+            true => self.run_failures.refusal_probability_max(self.clock.now()),
+            false => 0.0,
+        }
+    }
+
     /// Reports a peer that has a later document than this agent, so that control fetches it.
     fn report_later_config(&self, from: &Instance, request: &GateRequest) {
         let bound = self.bound.load();
@@ -234,7 +250,9 @@
         let bound = self.bound.load();
         let (running, queued) = bound.as_ref().map_or((0, 0), |it| it.queue.load());
         let config_version = bound.as_ref().map(|it| it.version);
-        GateState { config_version, running, queued, limit: self.condition.limit() }
+        let limit = self.condition.limit();
+        let run_refusal_probability = self.run_refusal_probability();
+        GateState { config_version, running, queued, limit, run_refusal_probability }
     }
 }
 
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -233,6 +233,7 @@
 
     /// Sends the request to the upstream, or returns the reply that states why it was not sent.
     async fn admit_and_send(&self, caller: &mut Caller) -> Result<GateReply, Box<GateReply>> {
+        self.refuse_failing_run()?;
         let _suspect_permit = self
             .acquire_suspect_permit(caller)
             .await
--- a/crates/agent/src/gate/send.rs
+++ b/crates/agent/src/gate/send.rs
@@ -94,6 +94,7 @@
         tracked_run.end(result.run_end());
         let ended_at = gate.clock.now();
         self.record_condition(started_at, ended_at, &result);
+        self.record_run_result(started_at, ended_at, result.status());
         if let Some((slot, key_hash)) = self.load_key() {
             let used = self.bound.queue.capacity_used(ended_at.since(started_at));
             gate.handle.load.add(slot, key_hash, used);
@@ -230,6 +231,14 @@
 }
 
 impl CallEnd {
+    /// Returns the status of the upstream's answer, if it gave one.
+    fn status(&self) -> Option<StatusCode> {
+        match self {
+            CallEnd::Answered(answer) => Some(answer.status),
+            CallEnd::Failed(_) | CallEnd::Abandoned(_) => None,
+        }
+    }
+
     fn run_end(&self) -> RunEnd {
         match self {
             CallEnd::Answered(_) => RunEnd::Answered,
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -41,6 +41,7 @@
 use crate::{
     clock::Clock,
     forward::{FinalReply, Forwarder},
+    gate::SharedUnservedRequests,
     metrics::Metrics,
     report::{Report, Reporter},
     request::{GateReply, GateRequest},
@@ -79,6 +80,8 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log: Arc<RequestLog>,
     pub(crate) protocol: Arc<dyn CallerProtocol>,
+    /// Record of the express requests that ended unserved.
+    pub(crate) unserved: Arc<SharedUnservedRequests>,
 }
 
 /// The callers' side of the agent.
@@ -221,6 +224,7 @@
         let limits = &routes.document.limits;
         check_header_size(&parts.headers, &parts.uri, limits.header_bytes_max)?;
         let timeout_left = head.deadline;
+        let is_express = is_express(&routes, &destination, parts, &head);
         let mut request = gate_request(&routes, &destination, parts, head, id)?;
         request.body = read_body(body, limits.body_bytes_max).await?;
         request.fingerprint = request_fingerprint(&request);
@@ -236,7 +240,11 @@
         let team = routes.document.team.clone();
         let (class, age) = (request.class.clone(), request.age);
         drop(routes);
+        let express = is_express.then(|| self.parts.unserved.track());
         let mut final_reply = self.parts.forwarder.send(request, &team).await;
+        if let Some(express) = express {
+            express.end(&final_reply.reply);
+        }
         match final_reply.reply.outcome() {
             // A retry would be refused as well.
             Outcome::NotRun(NotRunReason::Quarantined) => {}
@@ -298,6 +306,26 @@
     key_hash(route.name.as_bytes()).0 as u8
 }
 
+/// Returns whether a request is express: whether the objective of its host route, or its deadline if no host route
+/// selected it, is at most the limit of the service that it is sent to.
+fn is_express(
+    routes: &ServiceRoutes,
+    destination: &destination::Destination,
+    parts: &Parts,
+    head: &CallHead,
+) -> bool {
+    let objective_max = routes.document.limits.express_objective_max;
+    if objective_max.is_zero() {
+        return false;
+    }
+    if let Some(route) = &destination.route {
+        return route.objective <= objective_max;
+    }
+    let path = destination.document_path(&parts.uri);
+    let found = destination::route_and_key(routes, parts.method.as_str(), path, head);
+    found.is_ok_and(|(found, _)| found.route.deadline <= objective_max)
+}
+
 /// Builds the request for the gate, without its body.
 fn gate_request(
     routes: &ServiceRoutes,
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -31,6 +31,8 @@
     limited: IntCounterVec,
     limit_per_s: Gauge,
     is_leaving: IntGauge,
+    call_failures: IntCounterVec,
+    run_refusal_probability: Gauge,
 }
 
 impl Metrics {
@@ -70,6 +72,17 @@
             "pomelohill_upstream_leaving",
             "1 if the upstream has stated in an answer that it is leaving.",
         )?;
+        let call_failures = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_call_failures_total",
+                "Runs that failed because of the calls that they made, and runs refused for that.",
+            ),
+            &["tenant", "result"],
+        )?;
+        let run_refusal_probability = Gauge::new(
+            "pomelohill_run_refusal_probability",
+            "Highest probability with which runs of a kind are refused because of their calls.",
+        )?;
         registry.register(Box::new(request_s.clone()))?;
         registry.register(Box::new(upstream_s.clone()))?;
         registry.register(Box::new(requests.clone()))?;
@@ -79,6 +92,8 @@
         registry.register(Box::new(limited.clone()))?;
         registry.register(Box::new(limit_per_s.clone()))?;
         registry.register(Box::new(is_leaving.clone()))?;
+        registry.register(Box::new(call_failures.clone()))?;
+        registry.register(Box::new(run_refusal_probability.clone()))?;
         registry.register(Box::new(PlatformCalls::new(platform_calls)?))?;
         Ok(Metrics {
             registry,
@@ -91,6 +106,8 @@
             limited,
             limit_per_s,
             is_leaving,
+            call_failures,
+            run_refusal_probability,
         })
     }
 
@@ -128,6 +145,16 @@
         self.limited.with_label_values(&[team.as_str(), result]).inc();
     }
 
+    /// Records a run that failed because of a call or was refused for the failures of others; `result` is `failed` or
+    /// `refused`.
+    pub(crate) fn record_call_failure(&self, team: &TeamName, result: &str) {
+        self.call_failures.with_label_values(&[team.as_str(), result]).inc();
+    }
+
+    pub(crate) fn set_run_refusal_probability(&self, probability: f64) {
+        self.run_refusal_probability.set(probability);
+    }
+
     pub(crate) fn set_gate_load(&self, running: usize, queued: usize) {
         self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
         self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -23,7 +23,7 @@
     clock::Clock,
     control::DocumentSource,
     forward::{ForwardParts, Forwarder},
-    gate::{Connect, Gate, GateHandle, GateParts, GateTask, UpstreamClock},
+    gate::{Connect, Gate, GateHandle, GateParts, GateTask, SharedUnservedRequests, UpstreamClock},
     ingress::{self, AnnounceProtocol, Announcements, CallerProtocol, Ingress, IngressParts},
     links::{LinkKey, traffic::TrafficLinks},
     metrics::{self, Metrics},
@@ -93,7 +93,9 @@
         let upstream_clock: Arc<UpstreamClock> = Arc::default();
         let log = Arc::new(RequestLog::new(parts.clock));
         let quarantine = SharedQuarantine::start(parts.store, parts.own.name.clone());
+        let unserved = Arc::new(SharedUnservedRequests::new(parts.clock));
         let gate = Gate::start(GateParts {
+            unserved: Arc::clone(&unserved),
             quarantine: Arc::clone(&quarantine),
             upstream_clock: Arc::clone(&upstream_clock),
             own: parts.own.clone(),
@@ -150,6 +152,7 @@
             reporter: parts.reporter,
             metrics: Arc::clone(&metrics),
             log,
+            unserved,
         }));
         let (drained, drained_receiver) = oneshot::channel();
         let (closing, closed) = watch::channel(false);
@@ -166,6 +169,12 @@
         self.gate.load().1
     }
 
+    /// Returns the gate, to send it requests as links do.
+    #[cfg(test)]
+    pub(crate) fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
     /// Makes the gate apply the current snapshot.
     #[cfg(test)]
     pub(crate) async fn rebind_gate(&self) {
--- a/crates/agent/src/request_log/mod.rs
+++ b/crates/agent/src/request_log/mod.rs
@@ -69,6 +69,8 @@
     pub(crate) queued: usize,
     /// The limit that the upstream has stated for its requests.
     pub(crate) limit: Option<RequestRate>,
+    /// The highest probability with which the gate refuses runs of a kind because of their calls.
+    pub(crate) run_refusal_probability: f64,
 }
 
 impl RequestLog {
@@ -191,6 +193,7 @@
             running = state.running,
             queued = state.queued,
             limit_per_s = state.limit.map_or(0.0, RequestRate::per_s),
+            run_refusal_probability = state.run_refusal_probability,
             config = state.config_version.unwrap_or_default().0,
             sender_config = request.config_version.0,
             left_out;
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -142,7 +142,7 @@
         self.tokens.lock().unwrap().push(request.token);
         self.started.add_permits(1);
         match op.as_str() {
-            "hold" => self.release.acquire().await.unwrap().forget(),
+            "hold" | "hold-fail" => self.release.acquire().await.unwrap().forget(),
             "time-out" => {
                 tokio::time::sleep(request.remaining).await;
                 let status = StatusCode::GATEWAY_TIMEOUT;
@@ -176,7 +176,11 @@
             "big" => big_body(request.id),
             _ => request.body,
         };
-        Ok(Answer { status: StatusCode::OK, headers, body })
+        let status = match op.as_str() {
+            "hold-fail" => StatusCode::INTERNAL_SERVER_ERROR,
+            _ => StatusCode::OK,
+        };
+        Ok(Answer { status, headers, body })
     }
 }
 
@@ -282,6 +286,12 @@
     })
 }
 
+/// A document of a service that is not sharded by key, with these fields added to its limits.
+pub(super) fn document_with_limits(fields: &str) -> Arc<ServiceDocument> {
+    let limits = format!(r#""limits": {{ {fields}, "#);
+    parsed(&document_text(false).replace(r#""limits": { "#, &limits))
+}
+
 fn document_text(keyed: bool) -> String {
     let text = r#"{
         "service": "svc", "team": "club", "keyed": KEYED, "slot_count": 4,
@@ -477,7 +487,7 @@
         self.plane.rebind_gate().await;
     }
 
-    async fn publish(&self, document: Arc<ServiceDocument>, routes: Routes) {
+    pub(super) async fn publish(&self, document: Arc<ServiceDocument>, routes: Routes) {
         let service = ServiceName::new("svc").unwrap();
         let routes =
             ServiceRoutes { service: service.clone(), version: ConfigVersion(1), document, routes };
