The retry budget of a restarted agent starts empty where failing runs are refused

Cause: `Retries::new` starts half full whatever its predecessor has spent, so agents that restart in turn each add half a budget of retries to a full service. Change: `RetryConfig::starts_empty`, set by `limits.refuses_failing_runs`; without it the budget starts half full as before. Tested: five restarts with 100 requests each that are refused at upstreams: at most 50 retries, the share of the requests, against at least 95 with the option off.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -268,6 +268,7 @@
     RetryConfig {
         budget_share: limits.retry_share,
         budget_max: f64::from(limits.retry_burst),
+        starts_empty: limits.refuses_failing_runs,
         charge: match limits.retries_count_after_upstream {
             true => ChargePolicy::AfterUpstream,
             false => ChargePolicy::EveryRetry,
--- a/crates/traffic/src/retry/mod.rs
+++ b/crates/traffic/src/retry/mod.rs
@@ -46,6 +46,10 @@
     pub budget_share: f64,
     /// The largest number of retries that the budget can hold.
     pub budget_max: f64,
+    /// Whether the budget of an agent that has just started is empty instead of half full. The budget that its
+    /// predecessor spent is not known, so agents that restart in turn would otherwise each add half a budget of
+    /// retries to the load of a service that is already full.
+    pub starts_empty: bool,
     /// The upper bound of the backoff before the first retry; it doubles with each retry.
     pub backoff_base: Duration,
     pub backoff_max: Duration,
@@ -63,6 +67,7 @@
         RetryConfig {
             budget_share: 0.1,
             budget_max: 20.0,
+            starts_empty: false,
             backoff_base: Duration::from_millis(10),
             backoff_max: Duration::from_millis(500),
             retries_max: 3,
@@ -140,9 +145,9 @@
 }
 
 impl Retries {
-    /// Creates a budget that is half full.
+    /// Creates a budget that is half full, or empty if the configuration says so.
     pub fn new(config: RetryConfig) -> Retries {
-        let budget = config.budget_max / 2.0;
+        let budget = if config.starts_empty { 0.0 } else { config.budget_max / 2.0 };
         Retries { config, budget }
     }
 
--- a/crates/traffic/src/retry/tests.rs
+++ b/crates/traffic/src/retry/tests.rs
@@ -132,6 +132,38 @@
     check_seeded(property as fn(u64) -> bool);
 }
 
+/// Agents that restart in turn must not add more retries to a full service than their new requests allow.
+#[test]
+fn restarts_add_no_retries_if_the_budget_starts_empty() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let deadline = Timestamp::from_ms(60_000);
+    let mut retries_of_restarts = |starts_empty| {
+        let config = RetryConfig { starts_empty, ..RetryConfig::default() };
+        let mut retries_sent = 0;
+        for _restart in 0..5 {
+            let mut retries = Retries::new(config.clone());
+            for _request in 0..100 {
+                retries.add_request();
+                let mut attempts = Attempts::default();
+                let mut decide = || {
+                    let ended = attempt(REFUSED);
+                    retries.decide(Timestamp::ZERO, deadline, true, &mut attempts, &ended, &mut rng)
+                };
+                while let RetryVerdict::Retry { .. } = decide() {
+                    retries_sent += 1;
+                }
+            }
+        }
+        retries_sent
+    };
+    // The share of the new requests is one in ten. Without the option, each restart adds half a budget of 10.
+    let (of_requests, of_restarts) = (5 * 100 / 10, 5 * 10);
+    let sent = retries_of_restarts(true);
+    assert!((of_requests - 5..=of_requests).contains(&sent), "{sent} retries");
+    let sent = retries_of_restarts(false);
+    assert!(sent >= of_requests + of_restarts - 5, "{sent} retries");
+}
+
 const REFUSED: Outcome = Outcome::NotRun(NotRunReason::Refused);
 
 /// Retries until the verdict is to give up. Returns the number of retries.
