Counts of a kind's ended runs are kept as a running sum

Cause: each decision and each reply of the gate summed 20 steps, and the reply did so for all kinds. Change: the window keeps the sum and subtracts steps that expire. Tested: `cargo test -p traffic`, 89 passed.

--- a/crates/traffic/src/call_failures/mod.rs
+++ b/crates/traffic/src/call_failures/mod.rs
@@ -21,7 +21,7 @@
 
 /// The time over which the ends of runs are counted. All runs start again this long after calls no longer fail.
 const WINDOW: Duration = Duration::from_secs(2);
-/// The number of kinds that are tracked. At about 100 bytes a kind, a full table takes less than 8 KB.
+/// The number of kinds that are tracked. Each takes about 100 bytes, and as much again if the table has just grown.
 const KINDS_MAX: usize = 64;
 /// Below this number of ends in the window, the share of failures says too little about the next run.
 const ENDS_MIN: u32 = 5;
--- a/crates/traffic/src/call_failures/window.rs
+++ b/crates/traffic/src/call_failures/window.rs
@@ -25,6 +25,8 @@
     last_step: u64,
     /// The counts of each step, at its number modulo [`STEPS`].
     steps: [StepCounts; STEPS],
+    /// The sum of the steps.
+    sum: EndCounts,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -36,17 +38,18 @@
 impl EndWindow {
     pub(super) fn add(&mut self, now: Timestamp, is_served: bool) {
         self.advance(now);
-        let counts = &mut self.steps[index_of(self.last_step)];
-        counts.ended = counts.ended.saturating_add(1);
-        counts.served = counts.served.saturating_add(u16::from(is_served));
+        let step = &mut self.steps[index_of(self.last_step)];
+        // A full step already shows the share of the failures.
+        let Some(ended) = step.ended.checked_add(1) else { return };
+        step.ended = ended;
+        step.served += u16::from(is_served);
+        self.sum.ended += 1;
+        self.sum.served += u32::from(is_served);
     }
 
     pub(super) fn counts(&mut self, now: Timestamp) -> EndCounts {
         self.advance(now);
-        self.steps.iter().fold(EndCounts::default(), |sum, it| EndCounts {
-            ended: sum.ended + u32::from(it.ended),
-            served: sum.served + u32::from(it.served),
-        })
+        self.sum
     }
 
     /// Removes the steps that have left the window. A time before the latest step counts as being in it, since threads
@@ -55,7 +58,9 @@
         let step = now.ns / STEP.as_nanos() as u64;
         let passed = step.saturating_sub(self.last_step).min(STEPS as u64);
         for number in 1..=passed {
-            self.steps[index_of(self.last_step + number)] = StepCounts::default();
+            let expired = std::mem::take(&mut self.steps[index_of(self.last_step + number)]);
+            self.sum.ended -= u32::from(expired.ended);
+            self.sum.served -= u32::from(expired.served);
         }
         self.last_step = self.last_step.max(step);
     }
