A test of which ends of express requests count as unserved

Cause: only the lost connection was tested, by the tests of the agent. Change: the test covers answers with and without a server error, refusals, unknown outcomes, and callers that leave. Tested: `cargo test -p agent`, 189 passed.

--- a/crates/agent/src/gate/call_failures/mod.rs
+++ b/crates/agent/src/gate/call_failures/mod.rs
@@ -4,6 +4,9 @@
 //! upstream answers with a server error is therefore attributed to a call if an express request that began at this
 //! agent ended unserved during the run.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::StatusCode;
