--- a/crates/agent/src/gate/call_failures/mod.rs
+++ b/crates/agent/src/gate/call_failures/mod.rs
@@ -168,6 +168,7 @@
             kind,
             ended = refusal.counts.ended,
             served = refusal.counts.served,
+            refused = refusal.counts.refused,
             probability = refusal.probability,
             retry_after_ms = refusal.retry_after.as_millis() as u64,
             left_out;
--- a/crates/traffic/src/call_failures/mod.rs
+++ b/crates/traffic/src/call_failures/mod.rs
@@ -62,7 +62,7 @@
 }
 
 /// The ends of the runs at one gate, by the kind of the request.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct CallFailures {
     /// Kinds with a run that failed by a call.
     kinds: HashMap<u8, EndWindow>,
@@ -91,10 +91,11 @@
     pub fn may_start(&mut self, now: Timestamp, kind: u8, rng: &mut impl Rng) -> StartVerdict {
         let Some(window) = self.kinds.get_mut(&kind) else { return StartVerdict::Start };
         let counts = window.counts(now);
-        let probability = refusal_probability(counts);
+        let probability = refusal_probability(window, now);
         if probability == 0.0 || !rng.random_bool(probability) {
             return StartVerdict::Start;
         }
+        window.add_refused(now);
         let jitter = RETRY_AFTER_JITTER.mul_f64(rng.random_range(0.0..1.0));
         let retry_after = RETRY_AFTER_MIN + jitter;
         StartVerdict::Refuse(StartRefusal { retry_after, probability, counts })
@@ -102,7 +103,7 @@
 
     /// Returns the highest probability with which runs of any kind are refused.
     pub fn refusal_probability_max(&mut self, now: Timestamp) -> f64 {
-        let probabilities = self.kinds.values_mut().map(|it| refusal_probability(it.counts(now)));
+        let probabilities = self.kinds.values_mut().map(|it| refusal_probability(it, now));
         probabilities.fold(0.0, f64::max)
     }
 
@@ -115,11 +116,16 @@
     }
 }
 
-fn refusal_probability(counts: EndCounts) -> f64 {
+/// Returns the probability with which a run is refused: the share of the runs that are not served, beyond the tolerated
+/// one. Refused runs count as not served until the others are served again; otherwise a refusal of some runs would need
+/// a larger share of the others to fail.
+fn refusal_probability(window: &mut EndWindow, now: Timestamp) -> f64 {
+    let counts = window.counts(now);
     if counts.ended < ENDS_MIN {
         return 0.0;
     }
-    let ended = f64::from(counts.ended);
-    let excess = ended - ENDS_PER_SERVED * f64::from(counts.served);
-    (excess / (ended + 1.0)).clamp(0.0, REFUSAL_PROBABILITY_MAX)
+    let refused = if window.has_recovered(now) { 0 } else { counts.refused };
+    let asked = f64::from(counts.ended + refused);
+    let excess = asked - ENDS_PER_SERVED * f64::from(counts.served);
+    (excess / (asked + 1.0)).clamp(0.0, REFUSAL_PROBABILITY_MAX)
 }
--- a/crates/traffic/src/call_failures/tests.rs
+++ b/crates/traffic/src/call_failures/tests.rs
@@ -16,10 +16,11 @@
     (0..count).for_each(|_| failures.record_end(now, kind, end));
 }
 
-/// Returns how many of 1,000 runs are refused.
+/// Returns how many of 1,000 runs would be refused if each were the next one.
 fn count_refused(failures: &mut CallFailures, now: Timestamp, kind: u8) -> usize {
     let mut rng = Pcg64Mcg::seed_from_u64(3);
-    let mut is_refused = || failures.may_start(now, kind, &mut rng) != StartVerdict::Start;
+    failures.refusal_probability_max(now);
+    let mut is_refused = || failures.clone().may_start(now, kind, &mut rng) != StartVerdict::Start;
     (0..1_000).filter(|_| is_refused()).count()
 }
 
