--- a/crates/traffic/src/call_failures/mod.rs
+++ b/crates/traffic/src/call_failures/mod.rs
@@ -25,8 +25,9 @@
 const KINDS_MAX: usize = 64;
 /// Below this number of ends in the window, the share of failures says too little about the next run.
 const ENDS_MIN: u32 = 5;
-/// Number of ends that each served run accounts for, so that a failure of up to a fifth of the runs is tolerated.
-const ENDS_PER_SERVED: f64 = 1.25;
+/// Number of ends that each served run accounts for: a run that is more likely to be served than to fail starts. With a
+/// tolerance of a fifth, runs were refused of which most would have been served, since other requests filled the callee.
+const ENDS_PER_SERVED: f64 = 2.0;
 /// The highest probability of a refusal. The runs that start nevertheless show when calls are served again.
 const REFUSAL_PROBABILITY_MAX: f64 = 0.9;
 /// The shortest `retry_after`. By then half of the window has passed.
