Express requests at the gate: decisions

Short calls that an upstream makes while it runs a request wait behind long requests and are refused, which fails the run. Admission starts them before all classes up to half of the open slots, reserves slots for them while the expected wait is too long for their objective, and refuses them only when their deadline is out of reach. Without express requests nothing changes.

The debt of a class from starts out of turn is limited to 1 s of its virtual time, so that its other requests don't starve.

every_ticket_gets_one_decision also draws express requests, which makes it stricter.

--- /dev/null
+++ b/crates/traffic/src/admission/express.rs
@@ -0,0 +1,419 @@
+//! Express requests: short requests that must not wait behind long ones, such as calls that another upstream makes
+//! while it runs a request. Refusing one wastes the run that made it.
+//!
+//! They start before all classes, up to half of the open slots, and may have a reserve of slots that other requests do
+//! not take. Without express requests, none of this changes a decision.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{NotRunReason, Timestamp};
+use rand::Rng;
+
+use super::{
+    Admission, Arrival, ClassIndex, Completion, Decision, Entry, RouteIndex, RunningRequest,
+    Ticket, Timeliness, Verdict, class::QueuePosition,
+};
+use crate::SmoothedDuration;
+
+/// The time after the last express arrival for which slots are reserved, and for which long waits are remembered. A
+/// reserve that only follows the current wait is gone when the next burst fills all slots.
+const RESERVE_TIME: Duration = Duration::from_secs(5);
+/// The time constant of the measured arrival rate: long enough to hold several arrivals of a load that needs a whole
+/// slot, short enough to follow a burst of seconds.
+const RATE_TIME_CONSTANT_S: f64 = 1.0;
+/// The interval at which waiting requests are offered the reserved slots again, since the reserve also changes without
+/// an event.
+const RESERVE_REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+/// The most virtual time by which express requests put their class behind the others. Express requests start out of
+/// turn, so an unbounded debt would starve the other requests of the class.
+const DEBT_MAX_S: f64 = 1.0;
+
+/// The express requests of an upstream, and the measurements that the reserve depends on.
+#[derive(Debug)]
+pub(super) struct ExpressRequests {
+    /// The waiting requests of each class, by deadline.
+    queues: Vec<BTreeMap<QueuePosition, Option<RouteIndex>>>,
+    queued: usize,
+    running: usize,
+    service_time: SmoothedDuration,
+    arrivals: ArrivalRate,
+    shortest_objective: RecentExtreme,
+    /// The longest mean age of the running requests.
+    longest_age: RecentExtreme,
+    /// The start times of all running requests.
+    starts: StartTimes,
+}
+
+/// The express load of an upstream, and the number of slots reserved for it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ExpressLoad {
+    pub running: usize,
+    pub queued: usize,
+    /// The slots that other requests may not take.
+    pub reserved_slots: usize,
+    pub arrivals_per_s: f64,
+    /// The mean service time of express requests.
+    pub service_time: Duration,
+    /// The expected wait for a free slot without a reserve: the mean service time of all requests, or the mean age of
+    /// the running ones where that is or recently was greater, over the open slots.
+    pub expected_wait: Duration,
+    /// The expected wait up to which no slot is reserved. `None` if no objective has been measured.
+    pub acceptable_wait: Option<Duration>,
+}
+
+impl ExpressRequests {
+    pub(super) fn new(classes: usize, initial_service_time: Duration) -> ExpressRequests {
+        ExpressRequests {
+            queues: vec![BTreeMap::new(); classes],
+            queued: 0,
+            running: 0,
+            service_time: SmoothedDuration::new(initial_service_time),
+            arrivals: ArrivalRate::default(),
+            shortest_objective: RecentExtreme::new(Duration::min),
+            longest_age: RecentExtreme::new(Duration::max),
+            starts: StartTimes::default(),
+        }
+    }
+
+    pub(super) fn record_arrival(&mut self, now: Timestamp, objective: Option<Duration>) {
+        self.arrivals.add(now);
+        if let Some(objective) = objective {
+            self.shortest_objective.add(now, objective);
+        }
+    }
+
+    pub(super) fn record_start(&mut self, now: Timestamp, is_express: bool) {
+        self.starts.add(now);
+        self.running += usize::from(is_express);
+    }
+
+    pub(super) fn record_end(
+        &mut self,
+        it: &RunningRequest,
+        elapsed: Duration,
+        completion: Completion,
+    ) {
+        let now = it.started + elapsed;
+        self.longest_age.add(now, self.starts.mean_age(now));
+        self.starts.remove(it.started);
+        if !it.is_express {
+            return;
+        }
+        self.running -= 1;
+        match completion {
+            Completion::Answered => self.service_time.add(elapsed),
+            Completion::Aborted if elapsed > self.service_time.mean() => {
+                self.service_time.add(elapsed);
+            }
+            Completion::Aborted | Completion::NotSent => {}
+        }
+    }
+
+    pub(super) fn remove(&mut self, class: ClassIndex, position: QueuePosition) -> bool {
+        let is_removed = self.queues[class.0].remove(&position).is_some();
+        self.queued -= usize::from(is_removed);
+        is_removed
+    }
+
+    fn push(&mut self, class: ClassIndex, position: QueuePosition, route: Option<RouteIndex>) {
+        self.queues[class.0].insert(position, route);
+        self.queued += 1;
+    }
+
+    fn first_of(&self, class: ClassIndex) -> Option<QueuedExpress> {
+        let (&position, &route) = self.queues[class.0].first_key_value()?;
+        Some(QueuedExpress { class, position, route })
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = QueuedExpress> {
+        self.queues.iter().enumerate().flat_map(|(class, queue)| {
+            let class = ClassIndex(class);
+            queue.iter().map(move |(&position, &route)| QueuedExpress { class, position, route })
+        })
+    }
+
+    /// Returns the waiting request with the earliest deadline.
+    fn first(&self) -> Option<QueuedExpress> {
+        let classes = (0..self.queues.len()).map(ClassIndex);
+        classes.filter_map(|it| self.first_of(it)).min_by_key(|it| it.position)
+    }
+
+    /// Returns the waiting request with the latest deadline.
+    fn last(&self) -> Option<QueuedExpress> {
+        self.waiting().max_by_key(|it| it.position)
+    }
+
+    /// Returns the load with the reserve for this number of open slots. `mean_service_time` is that of all requests.
+    fn load(&self, now: Timestamp, open_slots: usize, mean_service_time: Duration) -> ExpressLoad {
+        let service_time = self.service_time.mean();
+        let objective = self.shortest_objective.get(now);
+        let mut load = ExpressLoad {
+            running: self.running,
+            queued: self.queued,
+            reserved_slots: 0,
+            arrivals_per_s: self.arrivals.per_s(now),
+            service_time,
+            // Upstreams that call each other, both full of runs that wait for their calls, complete nothing. Only the
+            // age of the runs shows that they make no progress.
+            expected_wait: mean_service_time
+                .max(self.starts.mean_age(now))
+                .max(self.longest_age.get(now).unwrap_or_default())
+                .div_f64(open_slots as f64),
+            acceptable_wait: objective.map(|it| it.saturating_sub(service_time) / 2),
+        };
+        let is_needed = self.arrivals.is_recent(now)
+            && open_slots > 1
+            && load.acceptable_wait.is_some_and(|it| load.expected_wait > it);
+        if is_needed {
+            let needed_slots = load.arrivals_per_s * service_time.as_secs_f64();
+            load.reserved_slots = (needed_slots.ceil() as usize).clamp(1, open_slots / 2);
+        }
+        load
+    }
+}
+
+/// A waiting express request.
+#[derive(Debug, Clone, Copy)]
+struct QueuedExpress {
+    class: ClassIndex,
+    position: QueuePosition,
+    route: Option<RouteIndex>,
+}
+
+impl Admission {
+    /// Returns the load of express requests, and the slots reserved for them.
+    pub fn express_load(&self, now: Timestamp) -> ExpressLoad {
+        self.express.load(now, self.slots_at(now), self.service_time.mean())
+    }
+
+    /// Returns the number of open slots that requests other than express requests may take.
+    pub(super) fn unreserved_slots_at(&self, now: Timestamp) -> usize {
+        self.slots_at(now) - self.express_load(now).reserved_slots
+    }
+
+    /// Returns whether the reserve leaves a slot for a request that is not express.
+    pub(super) fn has_unreserved_slot(&self, now: Timestamp) -> bool {
+        self.running - self.express.running < self.unreserved_slots_at(now)
+    }
+
+    /// Adds an express request to the queue.
+    pub(super) fn enqueue_express(&mut self, ticket: Ticket, arrival: Arrival) {
+        let Arrival { class, route, deadline, .. } = arrival;
+        let position = QueuePosition { timeliness: Timeliness::InTime, deadline, ticket };
+        self.express.push(class, position, route);
+        self.entries.insert(ticket, Entry::Queued { class, position, is_express: true });
+        self.queued += 1;
+    }
+
+    /// Starts the next waiting express request if it is its turn; one that can no longer finish is refused instead.
+    /// Returns false if it is the turn of another request.
+    pub(super) fn start_express(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let others_wait = self.queued > self.express.queued;
+        let slots_max = (self.slots_at(now) / 2).max(1);
+        let is_first = !others_wait || self.express.running < slots_max;
+        let next = match is_first {
+            true => self.express.first(),
+            false => self.express_in_turn(),
+        };
+        let Some(it) = next else { return false };
+        let can_finish = now <= self.latest_express_start(&it);
+        self.remove_express(&it);
+        match can_finish {
+            // An idle upstream gets the request even if it is not expected to finish: see `offer`.
+            _ if self.running == 0 && it.position.deadline > now => {}
+            true => {}
+            false => {
+                self.refuse_express(now, &it, rng, decisions);
+                return true;
+            }
+        }
+        let virtual_time_s = self.virtual_time_s;
+        self.start(now, it.position.ticket, it.class, it.route, true, decisions);
+        if is_first && others_wait {
+            // A start out of turn doesn't advance the time from which idle classes start.
+            self.virtual_time_s = virtual_time_s;
+            let class = &mut self.classes[it.class.0];
+            class.virtual_time_s = class.virtual_time_s.min(virtual_time_s + DEBT_MAX_S);
+        }
+        true
+    }
+
+    /// Returns the next express request if it is the turn of its class and it is the first of that.
+    fn express_in_turn(&self) -> Option<QueuedExpress> {
+        let virtual_time_s = |it: &ClassIndex| match &self.classes[it.0] {
+            // A class without other waiting requests may have been idle.
+            class if class.len() == 0 => class.virtual_time_s.max(self.virtual_time_s),
+            class => class.virtual_time_s,
+        };
+        let class = (0..self.classes.len())
+            .map(ClassIndex)
+            .filter(|it| self.classes[it.0].len() > 0 || self.express.first_of(*it).is_some())
+            .min_by(|a, b| virtual_time_s(a).total_cmp(&virtual_time_s(b)))?;
+        let first = self.express.first_of(class)?;
+        let other = self.classes[class.0].first();
+        other.is_none_or(|it| first.position < it.position).then_some(first)
+    }
+
+    /// Returns the latest time at which the request is expected to finish by its deadline if it starts then. Unlike for
+    /// other requests, no deviations are reserved, since a refusal wastes the run that made the request.
+    fn latest_express_start(&self, it: &QueuedExpress) -> Timestamp {
+        let service_times = &self.classes[it.class.0].service_times;
+        it.position.deadline - service_times.expected_for(it.route).mean()
+    }
+
+    /// Refuses the waiting express requests that can no longer finish by their deadline.
+    pub(super) fn refuse_infeasible_express(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let waiting = self.express.waiting();
+        let infeasible: Vec<_> = waiting.filter(|it| now > self.latest_express_start(it)).collect();
+        for it in infeasible {
+            self.remove_express(&it);
+            self.refuse_express(now, &it, rng, decisions);
+        }
+    }
+
+    /// While the queue is too long although only express requests wait, refuses those with the latest deadlines.
+    pub(super) fn enforce_express_queue_limit(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        decisions: &mut Vec<Decision>,
+    ) {
+        while self.express.queued > self.config.queue_len_max {
+            let it = self.express.last().expect("express requests are waiting");
+            self.remove_express(&it);
+            self.refuse_express(now, &it, rng, decisions);
+        }
+    }
+
+    /// Returns when the next express request has to be refused, or the reserve has to be looked at again.
+    pub(super) fn next_express_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
+        let refusal = self.express.waiting().map(|it| self.latest_express_start(&it)).min();
+        let refusal = refusal.map(|it| it + Duration::from_nanos(1));
+        let has_reserve = self.queued > self.express.queued && self.express.arrivals.is_recent(now);
+        let review = has_reserve.then(|| now + RESERVE_REVIEW_INTERVAL);
+        refusal.into_iter().chain(review).min()
+    }
+
+    /// Refuses all waiting express requests because the upstream is draining.
+    pub(super) fn drain_express(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        decisions: &mut Vec<Decision>,
+    ) {
+        while let Some(it) = self.express.first() {
+            self.remove_express(&it);
+            let verdict = self.shed_verdict(now, it.class, NotRunReason::Draining, rng);
+            decisions.push(Decision { ticket: it.position.ticket, verdict });
+        }
+    }
+
+    fn remove_express(&mut self, it: &QueuedExpress) {
+        self.dequeue(it.class, it.position, true);
+        self.entries.remove(&it.position.ticket);
+    }
+
+    fn refuse_express(
+        &self,
+        now: Timestamp,
+        it: &QueuedExpress,
+        rng: &mut impl Rng,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let verdict = match it.position.deadline <= now {
+            true => Verdict::Expired,
+            false => self.shed_verdict(now, it.class, NotRunReason::Overloaded, rng),
+        };
+        decisions.push(Decision { ticket: it.position.ticket, verdict });
+    }
+}
+
+/// The exponentially weighted rate of arrivals.
+#[derive(Debug, Default)]
+struct ArrivalRate {
+    per_s: f64,
+    /// `None` before the first arrival.
+    last: Option<Timestamp>,
+}
+
+impl ArrivalRate {
+    fn add(&mut self, now: Timestamp) {
+        self.per_s = self.per_s(now) + RATE_TIME_CONSTANT_S.recip();
+        self.last = Some(now);
+    }
+
+    fn per_s(&self, now: Timestamp) -> f64 {
+        let Some(last) = self.last else { return 0.0 };
+        self.per_s * (-now.since(last).as_secs_f64() / RATE_TIME_CONSTANT_S).exp()
+    }
+
+    fn is_recent(&self, now: Timestamp) -> bool {
+        self.last.is_some_and(|it| now.since(it) < RESERVE_TIME)
+    }
+}
+
+/// The least or the greatest of the values of the last [`RESERVE_TIME`], or up to twice that.
+#[derive(Debug)]
+struct RecentExtreme {
+    extreme_of: fn(Duration, Duration) -> Duration,
+    period_start: Timestamp,
+    current: Option<Duration>,
+    previous: Option<Duration>,
+}
+
+impl RecentExtreme {
+    fn new(extreme_of: fn(Duration, Duration) -> Duration) -> RecentExtreme {
+        RecentExtreme { extreme_of, period_start: Timestamp::ZERO, current: None, previous: None }
+    }
+
+    fn add(&mut self, now: Timestamp, value: Duration) {
+        let passed = now.since(self.period_start);
+        if passed >= RESERVE_TIME {
+            self.previous = self.current.take().filter(|_| passed < RESERVE_TIME * 2);
+            self.period_start = now;
+        }
+        self.current = Some(self.current.map_or(value, |it| (self.extreme_of)(it, value)));
+    }
+
+    fn get(&self, now: Timestamp) -> Option<Duration> {
+        let is_recent = now.since(self.period_start) < RESERVE_TIME * 2;
+        let both = self.current.into_iter().chain(self.previous);
+        both.reduce(self.extreme_of).filter(|_| is_recent)
+    }
+}
+
+/// The start times of the running requests, as their number and sum.
+#[derive(Debug, Default)]
+struct StartTimes {
+    count: usize,
+    sum_ns: u128,
+}
+
+impl StartTimes {
+    fn add(&mut self, start: Timestamp) {
+        self.count += 1;
+        self.sum_ns += u128::from(start.ns);
+    }
+
+    fn remove(&mut self, start: Timestamp) {
+        self.count -= 1;
+        self.sum_ns -= u128::from(start.ns);
+    }
+
+    fn mean_age(&self, now: Timestamp) -> Duration {
+        let Some(mean_ns) = self.sum_ns.checked_div(self.count as u128) else {
+            return Duration::ZERO;
+        };
+        now.since(Timestamp { ns: u64::try_from(mean_ns).unwrap_or(u64::MAX) })
+    }
+}
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! A request that can no longer finish in time is refused at once, not held until its deadline.
 
 mod class;
+mod express;
 mod service_times;
 
 #[cfg(test)]
@@ -17,6 +18,9 @@
 use crate::{SharedRateLimit, SmoothedDuration};
 
 use class::{ClassQueue, QueuePosition, QueuedRequest};
+use express::ExpressRequests;
+
+pub use express::ExpressLoad;
 
 /// A class of requests, and its share of the upstream under load.
 #[derive(Debug, Clone, PartialEq)]
@@ -68,6 +72,11 @@
     pub deadline: Timestamp,
     /// Whether the answer can still be in time.
     pub timeliness: Timeliness,
+    /// Whether the request is too short to wait behind long ones.
+    pub is_express: bool,
+    /// The whole time in which an answer is of full use to the caller. `None` if it is unknown, as after an attempt
+    /// elsewhere.
+    pub objective: Option<Duration>,
 }
 
 /// Whether an answer can reach its caller in time. When slots are scarce, requests that can be in time start
@@ -116,11 +125,12 @@
     started: Timestamp,
     /// The virtual time charged to the class at the start, in seconds.
     cost_s: f64,
+    is_express: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
 enum Entry {
-    Queued { class: ClassIndex, position: QueuePosition },
+    Queued { class: ClassIndex, position: QueuePosition, is_express: bool },
     Running(RunningRequest),
 }
 
@@ -129,6 +139,7 @@
 pub struct Admission {
     config: AdmissionConfig,
     classes: Vec<ClassQueue>,
+    express: ExpressRequests,
     entries: HashMap<Ticket, Entry>,
     running: usize,
     queued: usize,
@@ -154,10 +165,13 @@
             "the weight of a class must be above 0"
         );
         let classes = config.classes.iter().map(ClassQueue::new).collect();
-        let service_time = SmoothedDuration::new(config.classes[0].initial_service_time);
+        let initial_service_time = config.classes[0].initial_service_time;
+        let service_time = SmoothedDuration::new(initial_service_time);
+        let express = ExpressRequests::new(config.classes.len(), initial_service_time);
         Admission {
             config,
             classes,
+            express,
             entries: HashMap::new(),
             running: 0,
             queued: 0,
@@ -195,14 +209,20 @@
             decisions.push(Decision { ticket, verdict: Verdict::Expired });
             return ticket;
         }
-        if self.queued == 0 && self.can_start(now) {
+        if arrival.is_express {
+            self.express.record_arrival(now, arrival.objective);
+        }
+        let is_in_reserve = !arrival.is_express && !self.has_unreserved_slot(now);
+        if self.queued == 0 && self.can_start(now) && !is_in_reserve {
             // Starts even if the estimated service time exceeds the deadline: an estimate that is too
             // high is corrected only by measuring further requests.
-            self.start(now, ticket, arrival.class, arrival.route, decisions);
+            let Arrival { class, route, is_express, .. } = arrival;
+            self.start(now, ticket, class, route, is_express, decisions);
             return ticket;
         }
         self.enqueue(now, ticket, arrival);
         self.refuse_infeasible(now, arrival.class, rng, decisions);
+        self.refuse_infeasible_express(now, rng, decisions);
         self.enforce_queue_limit(now, rng, decisions);
         self.start_queued(now, rng, decisions);
         self.check_invariants();
@@ -223,6 +243,7 @@
         };
         self.running -= 1;
         let elapsed = now.since(it.started);
+        self.express.record_end(&it, elapsed, completion);
         if completion == Completion::Answered {
             self.service_time.add(elapsed);
         }
@@ -235,11 +256,13 @@
     /// Cancels a waiting request and removes it from the queue. Returns false if the request is not
     /// waiting; a running request keeps its slot until [`Admission::finish`].
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        let Some(Entry::Queued { class, position }) = self.entries.get(&ticket).copied() else {
+        let Some(Entry::Queued { class, position, is_express }) =
+            self.entries.get(&ticket).copied()
+        else {
             return false;
         };
         self.entries.remove(&ticket);
-        self.dequeue(class, position);
+        self.dequeue(class, position, is_express);
         true
     }
 
@@ -249,6 +272,7 @@
         for class in 0..self.classes.len() {
             self.refuse_infeasible(now, ClassIndex(class), rng, decisions);
         }
+        self.refuse_infeasible_express(now, rng, decisions);
         self.start_queued(now, rng, decisions);
         self.check_invariants();
     }
@@ -263,12 +287,14 @@
             .classes
             .iter()
             .filter_map(|it| it.next_refusal(self.config.service_time_deviations));
+        let refusals = refusals.chain(self.next_express_wakeup(now));
         refusals.chain(self.next_ramp_step(now)).chain(self.next_start_in_rate(now)).min()
     }
 
     /// Stops admission: refuses all waiting and all new requests. Running requests continue.
     pub fn drain(&mut self, now: Timestamp, rng: &mut impl Rng, decisions: &mut Vec<Decision>) {
         self.is_draining = true;
+        self.drain_express(now, rng, decisions);
         for class in 0..self.classes.len() {
             let class = ClassIndex(class);
             while let Some(it) = self.classes[class.0].last() {
@@ -369,6 +395,7 @@
         ticket: Ticket,
         class: ClassIndex,
         route: Option<RouteIndex>,
+        is_express: bool,
         decisions: &mut Vec<Decision>,
     ) {
         if let Some(rate_limit) = &self.rate_limit {
@@ -377,29 +404,36 @@
         let cost_s = self.classes[class.0].charge(self.virtual_time_s, route);
         self.virtual_time_s =
             self.virtual_time_s.max(self.classes[class.0].virtual_time_s - cost_s);
-        self.entries
-            .insert(ticket, Entry::Running(RunningRequest { class, route, started: now, cost_s }));
+        let running = RunningRequest { class, route, started: now, cost_s, is_express };
+        self.entries.insert(ticket, Entry::Running(running));
+        self.express.record_start(now, is_express);
         self.running += 1;
         decisions.push(Decision { ticket, verdict: Verdict::Start });
     }
 
     fn enqueue(&mut self, now: Timestamp, ticket: Ticket, arrival: Arrival) {
-        let Arrival { class, route, deadline, timeliness } = arrival;
+        if arrival.is_express {
+            return self.enqueue_express(ticket, arrival);
+        }
+        let Arrival { class, route, deadline, timeliness, .. } = arrival;
         let budget = deadline.since(now);
         let position = QueuePosition { timeliness, deadline, ticket };
         self.classes[class.0].push(QueuedRequest { position, route, budget }, self.virtual_time_s);
-        self.entries.insert(ticket, Entry::Queued { class, position });
+        self.entries.insert(ticket, Entry::Queued { class, position, is_express: false });
         self.queued += 1;
     }
 
-    fn dequeue(&mut self, class: ClassIndex, position: QueuePosition) {
-        let removed = self.classes[class.0].remove(position);
+    fn dequeue(&mut self, class: ClassIndex, position: QueuePosition, is_express: bool) {
+        let removed = match is_express {
+            true => self.express.remove(class, position),
+            false => self.classes[class.0].remove(position),
+        };
         assert!(removed, "{:?} has the state queued, but is in no queue", position.ticket);
         self.queued -= 1;
     }
 
     fn remove_queued(&mut self, class: ClassIndex, it: QueuedRequest) {
-        self.dequeue(class, it.position);
+        self.dequeue(class, it.position, false);
         self.entries.remove(&it.position.ticket);
     }
 
@@ -433,6 +467,7 @@
         rng: &mut impl Rng,
         decisions: &mut Vec<Decision>,
     ) {
+        self.enforce_express_queue_limit(now, rng, decisions);
         while self.queued > self.config.queue_len_max {
             let relative_len =
                 |it: &usize| self.classes[*it].len() as f64 / self.classes[*it].weight;
@@ -450,6 +485,12 @@
     /// Starts waiting requests while slots are free, from the class with the least virtual time first.
     fn start_queued(&mut self, now: Timestamp, rng: &mut impl Rng, decisions: &mut Vec<Decision>) {
         while self.queued > 0 && self.can_start(now) {
+            if self.start_express(now, rng, decisions) {
+                continue;
+            }
+            if !self.has_unreserved_slot(now) {
+                return;
+            }
             let waiting = (0..self.classes.len()).filter(|it| self.classes[*it].len() > 0);
             let virtual_time_s = |it: &usize| self.classes[*it].virtual_time_s;
             let class = waiting.min_by(|a, b| virtual_time_s(a).total_cmp(&virtual_time_s(b)));
@@ -459,9 +500,9 @@
             match self.classes[class.0].can_finish(now, it, self.config.service_time_deviations) {
                 // An idle upstream gets the request even if it is not expected to finish: see `offer`.
                 _ if self.running == 0 && it.position.deadline > now => {
-                    self.start(now, it.position.ticket, class, it.route, decisions);
+                    self.start(now, it.position.ticket, class, it.route, false, decisions);
                 }
-                true => self.start(now, it.position.ticket, class, it.route, decisions),
+                true => self.start(now, it.position.ticket, class, it.route, false, decisions),
                 false => self.refuse(now, class, it, rng, decisions),
             }
         }
@@ -503,8 +544,11 @@
         let others = others.filter(|(index, other)| *index != class.0 && other.len() > 0);
         let weights: f64 = own.weight + others.map(|(_, other)| other.weight).sum::<f64>();
         let share = own.weight / weights;
-        let slot_step =
-            own.service_times.class_estimate().mean().div_f64(self.slots_at(now) as f64 * share);
+        let slot_step = own
+            .service_times
+            .class_estimate()
+            .mean()
+            .div_f64(self.unreserved_slots_at(now) as f64 * share);
         match self.limited_start_interval(now) {
             Some(step) => slot_step.max(step.div_f64(share)),
             None => slot_step,
--- a/crates/traffic/src/admission/tests/late_requests.rs
+++ b/crates/traffic/src/admission/tests/late_requests.rs
@@ -14,8 +14,14 @@
 impl Fixture {
     fn offer_late(&mut self, time_to_deadline: Duration) -> Ticket {
         let deadline = self.now + time_to_deadline;
-        let arrival =
-            Arrival { class: ClassIndex(0), route: None, deadline, timeliness: Timeliness::Late };
+        let arrival = Arrival {
+            class: ClassIndex(0),
+            route: None,
+            deadline,
+            timeliness: Timeliness::Late,
+            is_express: false,
+            objective: None,
+        };
         self.admission.offer(self.now, arrival, &mut self.rng, &mut self.decisions)
     }
 }
@@ -113,7 +119,14 @@
                     (false, false) => (OBJECTIVE, Timeliness::InTime),
                 };
                 let (class, route) = (ClassIndex(0), Some(RouteIndex(0)));
-                let arrival = Arrival { class, route, deadline: now + queue_time_max, timeliness };
+                let arrival = Arrival {
+                    class,
+                    route,
+                    deadline: now + queue_time_max,
+                    timeliness,
+                    is_express: false,
+                    objective: None,
+                };
                 let ticket = admission.offer(now, arrival, &mut rng, &mut decisions);
                 callers.insert(ticket, (first_attempt, has_been_refused));
             }
--- a/crates/traffic/src/admission/tests/limited_rate.rs
+++ b/crates/traffic/src/admission/tests/limited_rate.rs
@@ -63,7 +63,14 @@
         match event {
             Event::Arrives => {
                 let (deadline, timeliness) = (now + OBJECTIVE, Timeliness::InTime);
-                let arrival = Arrival { class: ClassIndex(0), route: None, deadline, timeliness };
+                let arrival = Arrival {
+                    class: ClassIndex(0),
+                    route: None,
+                    deadline,
+                    timeliness,
+                    is_express: false,
+                    objective: None,
+                };
                 let ticket = admission.offer(now, arrival, &mut rng, &mut decisions);
                 arrived_at.insert(ticket, now);
             }
--- a/crates/traffic/src/admission/tests/mod.rs
+++ b/crates/traffic/src/admission/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of admission control, in simulated time.
 
+mod express;
 mod limited_rate;
 mod late_requests;
 mod overload;
@@ -52,11 +53,26 @@
     }
 
     fn offer(&mut self, class: usize, time_to_deadline: Duration) -> Ticket {
+        self.offer_if_express(class, time_to_deadline, false)
+    }
+
+    fn offer_express(&mut self, class: usize, time_to_deadline: Duration) -> Ticket {
+        self.offer_if_express(class, time_to_deadline, true)
+    }
+
+    fn offer_if_express(
+        &mut self,
+        class: usize,
+        time_to_deadline: Duration,
+        is_express: bool,
+    ) -> Ticket {
         let arrival = Arrival {
             class: ClassIndex(class),
             route: None,
             deadline: self.now + time_to_deadline,
             timeliness: Timeliness::InTime,
+            is_express,
+            objective: is_express.then_some(ms(60)),
         };
         self.admission.offer(self.now, arrival, &mut self.rng, &mut self.decisions)
     }
@@ -186,7 +202,10 @@
         for _ in 0..200 {
             it.now = it.now + ms(rng.random_range(0..20));
             match rng.random_range(0..8) {
-                0..4 => open.push(it.offer(rng.random_range(0..2), ms(rng.random_range(0..200)))),
+                0..4 => {
+                    let (class, deadline) = (rng.random_range(0..2), ms(rng.random_range(0..200)));
+                    open.push(it.offer_if_express(class, deadline, rng.random_bool(0.3)));
+                }
                 4..6 => {
                     let running = |ticket: &Ticket| it.verdict(*ticket) == Some(Verdict::Start);
                     if let Some(index) = open.iter().position(running) {
--- a/crates/traffic/src/admission/tests/overload.rs
+++ b/crates/traffic/src/admission/tests/overload.rs
@@ -112,6 +112,8 @@
             route: self.load.knows_routes.then_some(RouteIndex(route)),
             deadline: now + self.load.deadline,
             timeliness: Timeliness::InTime,
+            is_express: false,
+            objective: None,
         };
         self.step(now, |it, decisions| {
             it.admission.offer(now, arrival, &mut it.rng, decisions);
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -18,8 +18,8 @@
 mod tests;
 
 pub use admission::{
-    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
-    Ticket, Timeliness, Verdict,
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision,
+    ExpressLoad, RouteIndex, Ticket, Timeliness, Verdict,
 };
 pub use quarantine::{CrashId, Quarantine, QuarantineStatus};
 pub use rate_limit::{RateLimit, SharedRateLimit};
--- a/crates/traffic/src/selection/tests/many_agents.rs
+++ b/crates/traffic/src/selection/tests/many_agents.rs
@@ -300,6 +300,8 @@
                     route: Some(RouteIndex(kind)),
                     deadline,
                     timeliness: Timeliness::InTime,
+                    is_express: false,
+                    objective: None,
                 };
                 let ticket = self.gates[target].offer(now, arrival, &mut self.rng, &mut decisions);
                 self.requests_by_ticket[target].insert(ticket, request);
