Express requests: the queue knows the latest start of each request

The scan for express requests that can no longer finish took a time that grew with the queue, which may hold 100,000 requests. They are now kept by their latest start as well.

--- a/crates/traffic/src/admission/express.rs
+++ b/crates/traffic/src/admission/express.rs
@@ -4,7 +4,10 @@
 //! They start before all classes, up to half of the open slots, and may have a reserve of slots that other requests do
 //! not take. Without express requests, none of this changes a decision.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use model::{NotRunReason, Timestamp};
 use rand::Rng;
@@ -32,8 +35,9 @@
 #[derive(Debug)]
 pub(super) struct ExpressRequests {
     /// The waiting requests of each class, by deadline.
-    queues: Vec<BTreeMap<QueuePosition, Option<RouteIndex>>>,
-    queued: usize,
+    queues: Vec<BTreeMap<QueuePosition, QueueEntry>>,
+    /// The waiting requests by the latest time at which they can start.
+    latest_starts: BTreeSet<(Timestamp, ClassIndex, QueuePosition)>,
     running: usize,
     service_time: SmoothedDuration,
     arrivals: ArrivalRate,
@@ -65,7 +69,7 @@
     pub(super) fn new(classes: usize, initial_service_time: Duration) -> ExpressRequests {
         ExpressRequests {
             queues: vec![BTreeMap::new(); classes],
-            queued: 0,
+            latest_starts: BTreeSet::new(),
             running: 0,
             service_time: SmoothedDuration::new(initial_service_time),
             arrivals: ArrivalRate::default(),
@@ -109,38 +113,50 @@
         }
     }
 
-    pub(super) fn remove(&mut self, class: ClassIndex, position: QueuePosition) -> bool {
-        let is_removed = self.queues[class.0].remove(&position).is_some();
-        self.queued -= usize::from(is_removed);
-        is_removed
+    fn queued(&self) -> usize {
+        self.latest_starts.len()
     }
 
-    fn push(&mut self, class: ClassIndex, position: QueuePosition, route: Option<RouteIndex>) {
-        self.queues[class.0].insert(position, route);
-        self.queued += 1;
+    fn push(&mut self, it: QueuedExpress) {
+        let QueuedExpress { class, position, entry } = it;
+        self.queues[class.0].insert(position, entry);
+        self.latest_starts.insert((entry.latest_start, class, position));
+    }
+
+    pub(super) fn remove(&mut self, class: ClassIndex, position: QueuePosition) -> bool {
+        let Some(entry) = self.queues[class.0].remove(&position) else { return false };
+        self.latest_starts.remove(&(entry.latest_start, class, position))
     }
 
     fn first_of(&self, class: ClassIndex) -> Option<QueuedExpress> {
-        let (&position, &route) = self.queues[class.0].first_key_value()?;
-        Some(QueuedExpress { class, position, route })
+        let (&position, &entry) = self.queues[class.0].first_key_value()?;
+        Some(QueuedExpress { class, position, entry })
+    }
+
+    fn last_of(&self, class: ClassIndex) -> Option<QueuedExpress> {
+        let (&position, &entry) = self.queues[class.0].last_key_value()?;
+        Some(QueuedExpress { class, position, entry })
     }
 
-    fn waiting(&self) -> impl Iterator<Item = QueuedExpress> {
-        self.queues.iter().enumerate().flat_map(|(class, queue)| {
-            let class = ClassIndex(class);
-            queue.iter().map(move |(&position, &route)| QueuedExpress { class, position, route })
-        })
+    fn classes(&self) -> impl Iterator<Item = ClassIndex> + use<> {
+        (0..self.queues.len()).map(ClassIndex)
     }
 
     /// Returns the waiting request with the earliest deadline.
     fn first(&self) -> Option<QueuedExpress> {
-        let classes = (0..self.queues.len()).map(ClassIndex);
-        classes.filter_map(|it| self.first_of(it)).min_by_key(|it| it.position)
+        self.classes().filter_map(|it| self.first_of(it)).min_by_key(|it| it.position)
     }
 
     /// Returns the waiting request with the latest deadline.
     fn last(&self) -> Option<QueuedExpress> {
-        self.waiting().max_by_key(|it| it.position)
+        self.classes().filter_map(|it| self.last_of(it)).max_by_key(|it| it.position)
+    }
+
+    /// Returns the next waiting request that can no longer finish by its deadline, if there is one.
+    fn first_infeasible(&self, now: Timestamp) -> Option<QueuedExpress> {
+        let &(latest_start, class, position) = self.latest_starts.first()?;
+        let entry = self.queues[class.0].get(&position)?;
+        (now > latest_start).then_some(QueuedExpress { class, position, entry: *entry })
     }
 
     /// Returns the load with the reserve for this number of open slots. `mean_service_time` is that of all requests.
@@ -149,7 +165,7 @@
         let objective = self.shortest_objective.get(now);
         let mut load = ExpressLoad {
             running: self.running,
-            queued: self.queued,
+            queued: self.queued(),
             reserved_slots: 0,
             arrivals_per_s: self.arrivals.per_s(now),
             service_time,
@@ -177,7 +193,15 @@
 struct QueuedExpress {
     class: ClassIndex,
     position: QueuePosition,
+    entry: QueueEntry,
+}
+
+/// The properties of a waiting express request other than its position.
+#[derive(Debug, Clone, Copy)]
+struct QueueEntry {
     route: Option<RouteIndex>,
+    /// The latest time at which the request is expected to finish by its deadline if it starts then.
+    latest_start: Timestamp,
 }
 
 impl Admission {
@@ -196,11 +220,14 @@
         self.running - self.express.running < self.unreserved_slots_at(now)
     }
 
-    /// Adds an express request to the queue.
+    /// Adds an express request to the queue. Unlike for other requests, no deviations of the service time are reserved
+    /// before its deadline, since a refusal wastes the run that made the request.
     pub(super) fn enqueue_express(&mut self, ticket: Ticket, arrival: Arrival) {
         let Arrival { class, route, deadline, .. } = arrival;
         let position = QueuePosition { timeliness: Timeliness::InTime, deadline, ticket };
-        self.express.push(class, position, route);
+        let service_time = self.classes[class.0].service_times.expected_for(route).mean();
+        let entry = QueueEntry { route, latest_start: deadline - service_time };
+        self.express.push(QueuedExpress { class, position, entry });
         self.entries.insert(ticket, Entry::Queued { class, position, is_express: true });
         self.queued += 1;
     }
@@ -213,7 +240,7 @@
         rng: &mut impl Rng,
         decisions: &mut Vec<Decision>,
     ) -> bool {
-        let others_wait = self.queued > self.express.queued;
+        let others_wait = self.queued > self.express.queued();
         let slots_max = (self.slots_at(now) / 2).max(1);
         let is_first = !others_wait || self.express.running < slots_max;
         let next = match is_first {
@@ -221,7 +248,7 @@
             false => self.express_in_turn(),
         };
         let Some(it) = next else { return false };
-        let can_finish = now <= self.latest_express_start(&it);
+        let can_finish = now <= it.entry.latest_start;
         self.remove_express(&it);
         match can_finish {
             // An idle upstream gets the request even if it is not expected to finish: see `offer`.
@@ -233,7 +260,7 @@
             }
         }
         let virtual_time_s = self.virtual_time_s;
-        self.start(now, it.position.ticket, it.class, it.route, true, decisions);
+        self.start(now, it.position.ticket, it.class, it.entry.route, true, decisions);
         if is_first && others_wait {
             // A start out of turn doesn't advance the time from which idle classes start.
             self.virtual_time_s = virtual_time_s;
@@ -250,8 +277,9 @@
             class if class.len() == 0 => class.virtual_time_s.max(self.virtual_time_s),
             class => class.virtual_time_s,
         };
-        let class = (0..self.classes.len())
-            .map(ClassIndex)
+        let class = self
+            .express
+            .classes()
             .filter(|it| self.classes[it.0].len() > 0 || self.express.first_of(*it).is_some())
             .min_by(|a, b| virtual_time_s(a).total_cmp(&virtual_time_s(b)))?;
         let first = self.express.first_of(class)?;
@@ -259,13 +287,6 @@
         other.is_none_or(|it| first.position < it.position).then_some(first)
     }
 
-    /// Returns the latest time at which the request is expected to finish by its deadline if it starts then. Unlike for
-    /// other requests, no deviations are reserved, since a refusal wastes the run that made the request.
-    fn latest_express_start(&self, it: &QueuedExpress) -> Timestamp {
-        let service_times = &self.classes[it.class.0].service_times;
-        it.position.deadline - service_times.expected_for(it.route).mean()
-    }
-
     /// Refuses the waiting express requests that can no longer finish by their deadline.
     pub(super) fn refuse_infeasible_express(
         &mut self,
@@ -273,9 +294,7 @@
         rng: &mut impl Rng,
         decisions: &mut Vec<Decision>,
     ) {
-        let waiting = self.express.waiting();
-        let infeasible: Vec<_> = waiting.filter(|it| now > self.latest_express_start(it)).collect();
-        for it in infeasible {
+        while let Some(it) = self.express.first_infeasible(now) {
             self.remove_express(&it);
             self.refuse_express(now, &it, rng, decisions);
         }
@@ -288,7 +307,7 @@
         rng: &mut impl Rng,
         decisions: &mut Vec<Decision>,
     ) {
-        while self.express.queued > self.config.queue_len_max {
+        while self.express.queued() > self.config.queue_len_max {
             let it = self.express.last().expect("express requests are waiting");
             self.remove_express(&it);
             self.refuse_express(now, &it, rng, decisions);
@@ -297,9 +316,10 @@
 
     /// Returns when the next express request has to be refused, or the reserve has to be looked at again.
     pub(super) fn next_express_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
-        let refusal = self.express.waiting().map(|it| self.latest_express_start(&it)).min();
-        let refusal = refusal.map(|it| it + Duration::from_nanos(1));
-        let has_reserve = self.queued > self.express.queued && self.express.arrivals.is_recent(now);
+        let refusal = self.express.latest_starts.first();
+        let refusal = refusal.map(|(latest_start, ..)| *latest_start + Duration::from_nanos(1));
+        let has_reserve =
+            self.queued > self.express.queued() && self.express.arrivals.is_recent(now);
         let review = has_reserve.then(|| now + RESERVE_REVIEW_INTERVAL);
         refusal.into_iter().chain(review).min()
     }
