Express requests are tried at four further members that are full

A refusal fails the run that made the request, so the members that it may be tried at are worth more than for other requests. The limit on upstreams, the budget and all other reasons are as before.

--- a/crates/traffic/src/retry/mod.rs
+++ b/crates/traffic/src/retry/mod.rs
@@ -29,6 +29,10 @@
 /// slightly out of date, so another one may have room; more tries would only spread the overload.
 const IMMEDIATE_RETRIES_MAX: u8 = 2;
 
+/// The same for an express request after an overloaded target. Refusing it fails the run that made it, which costs more
+/// than the further tries of a short request.
+const IMMEDIATE_EXPRESS_RETRIES_MAX: u8 = 4;
+
 /// Which retries are charged to the budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChargePolicy {
@@ -86,6 +90,8 @@
     pub upstream_attempts_max: u8,
     /// Time spent waiting for the key to get an owner.
     pub owner_wait: Duration,
+    /// Whether the request is express, so that it is tried at more targets that are overloaded.
+    pub is_express: bool,
 }
 
 impl Attempts {
@@ -98,6 +104,7 @@
             upstream_attempts: 0,
             upstream_attempts_max,
             owner_wait: Duration::ZERO,
+            is_express: false,
         }
     }
 }
@@ -221,8 +228,12 @@
         {
             return None;
         }
+        let retries_max = match reason {
+            NotRunReason::Overloaded if attempts.is_express => IMMEDIATE_EXPRESS_RETRIES_MAX,
+            _ => IMMEDIATE_RETRIES_MAX,
+        };
         if ended.has_untried_target
-            && attempts.immediate_retries < IMMEDIATE_RETRIES_MAX
+            && attempts.immediate_retries < retries_max
             && remaining > Duration::ZERO
         {
             attempts.immediate_retries += 1;
--- a/crates/traffic/src/retry/tests.rs
+++ b/crates/traffic/src/retry/tests.rs
@@ -209,3 +209,29 @@
     assert_eq!(decide(true), RetryVerdict::GiveUp { retry_after: peer_retry_after });
     assert_eq!(decide(false), RetryVerdict::GiveUp { retry_after: peer_retry_after });
 }
+
+/// Guards against runs that fail because two further members were full. The limits on upstreams and on other reasons are
+/// those of all requests.
+#[test]
+fn an_express_request_is_tried_at_four_further_full_targets() {
+    let config = RetryConfig {
+        budget_max: 0.0,
+        charge: ChargePolicy::AfterUpstream,
+        ..RetryConfig::default()
+    };
+    let count = |outcome, is_express| {
+        let mut retries = Retries::new(config.clone());
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let mut attempts = Attempts { is_express, ..Attempts::new(1) };
+        let ended = EndedAttempt { has_untried_target: true, ..attempt(outcome) };
+        let deadline = Timestamp::from_ms(1000);
+        let at_once = RetryVerdict::Retry { after: Duration::ZERO };
+        let mut decide =
+            || retries.decide(Timestamp::ZERO, deadline, true, &mut attempts, &ended, &mut rng);
+        (0..10).take_while(|_| decide() == at_once).count()
+    };
+    assert_eq!((count(SHED, false), count(SHED, true)), (2, 4));
+    let draining = Outcome::NotRun(NotRunReason::Draining);
+    assert_eq!(count(draining, true), 2);
+    assert_eq!(count(REFUSED, true), 0);
+}
