Express requests are marked where they begin, and on the wire

The agent where a request begins knows the objective of its route. It marks the request if the document of the called service enables express requests and the objective, or the deadline of the document's route, is within the bound. The mark is omitted on the wire if it is not set, so that nothing changes with the part off; a test covers that and a frame without the mark.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -112,7 +112,10 @@
         let clock = self.parts.clock;
         let started = clock.now();
         let deadline = started + request.remaining;
-        let mut attempts = Attempts::new(request.upstream_attempts_max);
+        let mut attempts = Attempts {
+            is_express: request.is_express,
+            ..Attempts::new(request.upstream_attempts_max)
+        };
         let mut history = AttemptHistory::default();
         let mut is_first_attempt = true;
         let mut was_sent = false;
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -34,7 +34,7 @@
     ClassName, Fingerprint, NotRunReason, Outcome, RequestId, ServiceName, TeamName, Timestamp,
     UnknownReason, key_hash,
 };
-use settings::HostRoute;
+use settings::{HostRoute, TrafficLimits};
 use tokio::time::{sleep_until, timeout};
 use volo_http::{body::Body, request::Request, response::Response};
 
@@ -298,6 +298,11 @@
     key_hash(route.name.as_bytes()).0 as u8
 }
 
+/// Returns whether the requests of a route with this objective are express.
+fn is_express(limits: &TrafficLimits, objective: Duration) -> bool {
+    !limits.express_objective_max.is_zero() && objective <= limits.express_objective_max
+}
+
 /// Builds the request for the gate, without its body.
 fn gate_request(
     routes: &ServiceRoutes,
@@ -315,6 +320,7 @@
         Some(it) => (&it.class, it.idempotent, it.timeout, it.attempts_max),
         None => (&found.route.class, found.route.idempotent, found.route.deadline, u8::MAX),
     };
+    let objective = host_route.map_or(found.route.deadline, |it| it.objective);
     Ok(GateRequest {
         service: destination.service.clone(),
         key_hash,
@@ -328,6 +334,7 @@
         upstream_attempts_max: attempts,
         kind: host_route.map(kind_of),
         is_retry_after_refusal: false,
+        is_express: is_express(&routes.document.limits, objective),
         objective: host_route.map(|it| it.objective),
         config_version: routes.version,
         known_condition: None,
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -241,6 +241,7 @@
         kind: None,
         objective: None,
         is_retry_after_refusal: false,
+        is_express: false,
         upstream_attempts_max: 1,
         config_version: ConfigVersion(1),
         known_condition: None,
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -86,6 +86,9 @@
     /// Whether the caller sends the request again after a refusal.
     #[serde(rename = "has_come_back")]
     pub is_retry_after_refusal: bool,
+    /// Whether the request is too short to wait behind long ones.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_express: bool,
     /// Version of the service document in force on the sending agent.
     pub config: ConfigVersion,
     /// The condition that the addressed upstream has last stated to the sending agent, if any.
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -27,6 +27,7 @@
         kind: None,
         objective_us: None,
         is_retry_after_refusal: false,
+        is_express: true,
         config: ConfigVersion(3),
         known_condition: Some(KnownCondition { condition: condition(), age_us: 7 }),
         method: "POST".to_owned(),
@@ -131,6 +132,18 @@
     }
 }
 
+/// Guards against agents of an earlier version, which neither send the mark of an express request nor know it.
+#[test]
+fn mark_of_express_requests_is_sent_only_if_it_is_set() {
+    let with = Frame::Request(Box::new(request())).to_bytes();
+    let without = Request { is_express: false, ..request() };
+    let without = Frame::Request(Box::new(without)).to_bytes();
+    let contains = |bytes: &[u8]| bytes.windows(10).any(|it| it == b"is_express");
+    assert!(contains(&with) && !contains(&without));
+    let Frame::Request(parsed) = Frame::parse(&without).unwrap() else { panic!("not a request") };
+    assert!(!parsed.is_express);
+}
+
 #[test]
 fn conditions_are_sent_only_if_there_is_one() {
     let with = Frame::Request(Box::new(request())).to_bytes();
