Express requests at the gate: wiring, metrics, status and log lines

The gate takes the mark into account if its own document enables the part. An express request waits until its deadline instead of its objective. The whole objective, which the reserve depends on, is taken from first attempts only, since later ones bring what is left of it. The counter pomelohill_express_total and the gauge pomelohill_express_reserved_slots, the reserve in the gate's state that is logged with each reply, and a rate-limited line on each change of the reserve state what the part does.

--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -22,7 +22,11 @@
 
 use wire::traffic::GateLoad;
 
-use crate::{clock::Clock, request::whole_us};
+use crate::{
+    clock::Clock,
+    gate::express::{Express, ReserveLog},
+    request::whole_us,
+};
 
 /// Expected service time of a request until some have been measured.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(10);
@@ -38,6 +42,7 @@
     state: Mutex<QueueState>,
     /// Notification of the expiry task that a request has been queued.
     queued: Arc<Notify>,
+    reserve_log: ReserveLog,
     expiry_task: Mutex<Option<AbortHandle>>,
 }
 
@@ -109,6 +114,7 @@
                 decisions: Vec::new(),
             }),
             queued: Arc::default(),
+            reserve_log: ReserveLog::default(),
             expiry_task: Mutex::default(),
         });
         let task =
@@ -123,12 +129,13 @@
     }
 
     /// Admits, queues or refuses a request.
-    pub(crate) fn offer(
+    pub(super) fn offer(
         self: &Arc<AdmissionQueue>,
         class: &ClassName,
         route: Option<RouteIndex>,
         deadline: Timestamp,
         timeliness: Timeliness,
+        express: Option<Express>,
     ) -> AdmissionDecision {
         let class = self.class_index(class);
         let now = self.clock.now();
@@ -136,10 +143,18 @@
         let state = &mut *lock;
         let ticket = state.admission.offer(
             now,
-            Arrival { class, route, deadline, timeliness },
+            Arrival {
+                class,
+                route,
+                deadline,
+                timeliness,
+                is_express: express.is_some(),
+                objective: express.and_then(|it| it.objective),
+            },
             &mut state.rng,
             &mut state.decisions,
         );
+        self.reserve_log.update(now, &state.admission.express_load(now));
         let own_verdict = state.decisions.iter().position(|it| it.ticket == ticket);
         let own_verdict = own_verdict.map(|it| state.decisions.swap_remove(it).verdict);
         self.deliver(now, state);
@@ -257,6 +272,11 @@
         self.state().admission.capacity_used(upstream_time)
     }
 
+    /// Returns the number of slots that are reserved for express requests.
+    pub(crate) fn reserved_slots(&self) -> usize {
+        self.state().admission.express_load(self.clock.now()).reserved_slots
+    }
+
     /// Returns the number of running and the number of queued requests.
     pub(crate) fn load(&self) -> (usize, usize) {
         let state = self.state();
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -7,6 +7,7 @@
 mod bound;
 mod condition;
 mod crash;
+mod express;
 mod handle;
 mod health;
 mod leases;
@@ -175,6 +176,11 @@
         self.bound.load().as_ref().map_or((0, 0), |it| it.queue.load())
     }
 
+    /// Returns the number of slots that are reserved for express requests.
+    pub(crate) fn reserved_slots(&self) -> usize {
+        self.bound.load().as_ref().map_or(0, |it| it.queue.reserved_slots())
+    }
+
     /// Returns the limit on the requests of the upstream, as stated by it, and whether it states that it is leaving.
     pub(crate) fn stated_condition(&self) -> (Option<RequestRate>, bool) {
         (self.condition.limit(), self.condition.leaving_since().is_some())
@@ -234,7 +240,8 @@
         let bound = self.bound.load();
         let (running, queued) = bound.as_ref().map_or((0, 0), |it| it.queue.load());
         let config_version = bound.as_ref().map(|it| it.version);
-        GateState { config_version, running, queued, limit: self.condition.limit() }
+        let (reserved_slots, limit) = (self.reserved_slots(), self.condition.limit());
+        GateState { config_version, running, queued, reserved_slots, limit }
     }
 }
 
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -283,6 +283,9 @@
     /// meet the objective by then. A request that can no longer meet it, as after a first attempt
     /// elsewhere or a refusal, only gets capacity that timely requests leave unused.
     fn queue_until(&self) -> (Timestamp, Timeliness) {
+        if self.is_express() {
+            return (self.deadline, Timeliness::InTime);
+        }
         let class = self.bound.document.classes.iter().find(|it| it.name == self.request.class);
         let is_bounded = class.is_some_and(|it| !it.queues_past_objective);
         let Some(objective) = self.request.objective.filter(|_| is_bounded) else {
@@ -307,13 +310,19 @@
     /// Waits for a slot of the upstream.
     async fn wait_for_slot(&self, caller: &mut Caller) -> Result<Permit, Box<GateReply>> {
         let (until, timeliness) = self.queue_until();
-        let decision = self.bound.queue.offer(&self.request.class, self.route(), until, timeliness);
+        let route = self.route();
+        let express = self.express(route);
+        let decision =
+            self.bound.queue.offer(&self.request.class, route, until, timeliness, express);
         self.record_limited(&decision);
+        self.record_express(&decision, false);
         let queued = match decision {
             AdmissionDecision::Queued(queued) => queued,
             decision => return into_permit(decision),
         };
-        into_permit(self.wait_while_admitted(queued.wait(), caller).await?)
+        let decision = self.wait_while_admitted(queued.wait(), caller).await?;
+        self.record_express(&decision, true);
+        into_permit(decision)
     }
 
     fn record_limited(&self, decision: &AdmissionDecision) {
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -31,6 +31,8 @@
     limited: IntCounterVec,
     limit_per_s: Gauge,
     is_leaving: IntGauge,
+    express: IntCounterVec,
+    express_reserved_slots: IntGauge,
 }
 
 impl Metrics {
@@ -70,6 +72,17 @@
             "pomelohill_upstream_leaving",
             "1 if the upstream has stated in an answer that it is leaving.",
         )?;
+        let express = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_express_total",
+                "Express requests by how they got a slot of the upstream.",
+            ),
+            &["tenant", "result"],
+        )?;
+        let express_reserved_slots = IntGauge::new(
+            "pomelohill_express_reserved_slots",
+            "Slots of the upstream that only express requests may take.",
+        )?;
         registry.register(Box::new(request_s.clone()))?;
         registry.register(Box::new(upstream_s.clone()))?;
         registry.register(Box::new(requests.clone()))?;
@@ -79,6 +92,8 @@
         registry.register(Box::new(limited.clone()))?;
         registry.register(Box::new(limit_per_s.clone()))?;
         registry.register(Box::new(is_leaving.clone()))?;
+        registry.register(Box::new(express.clone()))?;
+        registry.register(Box::new(express_reserved_slots.clone()))?;
         registry.register(Box::new(PlatformCalls::new(platform_calls)?))?;
         Ok(Metrics {
             registry,
@@ -91,6 +106,8 @@
             limited,
             limit_per_s,
             is_leaving,
+            express,
+            express_reserved_slots,
         })
     }
 
@@ -128,6 +145,15 @@
         self.limited.with_label_values(&[team.as_str(), result]).inc();
     }
 
+    /// Records an express request at the gate; `result` is `at_once`, `waited` or `refused`.
+    pub(crate) fn record_express(&self, team: &TeamName, result: &str) {
+        self.express.with_label_values(&[team.as_str(), result]).inc();
+    }
+
+    pub(crate) fn set_express_reserved_slots(&self, slots: usize) {
+        self.express_reserved_slots.set(i64::try_from(slots).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn set_gate_load(&self, running: usize, queued: usize) {
         self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
         self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -282,6 +282,22 @@
     })
 }
 
+/// A document with a queue of one request, without retries, and with a second class, whose requests are express if the part is on.
+pub(super) fn express_document(is_on: bool) -> Arc<ServiceDocument> {
+    let text = document_text(true)
+        .replace(r#"[{ "name": "lap" }]"#, r#"[{ "name": "lap" }, { "name": "call" }]"#)
+        .replace(
+            r#""routes": ["#,
+            r#""routes": [
+            { "path": "/echo", "class": "call", "idempotent": true, "deadline_ms": 5000 },"#,
+        )
+        .replace(r#""queue_length_max": 64"#, r#""queue_length_max": 1, "retry_burst": 0"#);
+    parsed(&match is_on {
+        true => text.replace(r#""limits": {"#, r#""limits": { "express_objective_ms_max": 5000,"#),
+        false => text,
+    })
+}
+
 fn document_text(keyed: bool) -> String {
     let text = r#"{
         "service": "svc", "team": "club", "keyed": KEYED, "slot_count": 4,
@@ -436,6 +452,16 @@
             Some(key_grants) => leased_document(key_grants),
             None => document(true),
         };
+        self.route_to_with(owner, route_version, document).await;
+    }
+
+    /// Publishes routes in which one instance owns all slots, with another document.
+    pub(super) async fn route_to_with(
+        &self,
+        owner: &Instance,
+        route_version: u64,
+        document: Arc<ServiceDocument>,
+    ) {
         let slot_count = document.slot_count;
         let route = OwnerRoute { owner: Some(owner.clone()), successors: Vec::new() };
         let slots = vec![route; usize::from(slot_count.count())];
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod closing;
 mod condition;
+mod express;
 pub(crate) mod fakes;
 mod forwarding;
 mod gate;
