--- a/crates/agent/src/gate/call_failures/mod.rs
+++ b/crates/agent/src/gate/call_failures/mod.rs
@@ -148,15 +148,7 @@
     /// Returns the kind under which the ends of the run are counted. `None` if it is never refused.
     fn failing_kind(&self) -> Option<u8> {
         let is_enabled = self.bound.document.limits.refuses_failing_runs;
-        self.request.kind.filter(|_| is_enabled && !self.is_express())
-    }
-
-    /// Returns whether the request is express. Judged by what is left of its objective, so that a longer objective that
-    /// has almost passed counts as express too.
-    fn is_express(&self) -> bool {
-        let objective_max = self.bound.document.limits.express_objective_max;
-        let has_express_objective = self.request.objective.is_some_and(|it| it <= objective_max);
-        has_express_objective && !objective_max.is_zero()
+        self.request.kind.filter(|_| is_enabled && !self.request.is_express)
     }
 
     fn log_refused_run(&self, now: Timestamp, kind: u8, refusal: &StartRefusal) {
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -8,6 +8,7 @@
 mod call_failures;
 mod condition;
 mod crash;
+mod express;
 mod handle;
 mod health;
 mod leases;
@@ -181,6 +182,11 @@
         self.bound.load().as_ref().map_or((0, 0), |it| it.queue.load())
     }
 
+    /// Returns the number of slots that are reserved for express requests.
+    pub(crate) fn reserved_slots(&self) -> usize {
+        self.bound.load().as_ref().map_or(0, |it| it.queue.reserved_slots())
+    }
+
     /// Returns the limit on the requests of the upstream, as stated by it, and whether it states that it is leaving.
     pub(crate) fn stated_condition(&self) -> (Option<RequestRate>, bool) {
         (self.condition.limit(), self.condition.leaving_since().is_some())
@@ -250,9 +256,14 @@
         let bound = self.bound.load();
         let (running, queued) = bound.as_ref().map_or((0, 0), |it| it.queue.load());
         let config_version = bound.as_ref().map(|it| it.version);
-        let limit = self.condition.limit();
-        let run_refusal_probability = self.run_refusal_probability();
-        GateState { config_version, running, queued, limit, run_refusal_probability }
+        GateState {
+            config_version,
+            running,
+            queued,
+            reserved_slots: self.reserved_slots(),
+            limit: self.condition.limit(),
+            run_refusal_probability: self.run_refusal_probability(),
+        }
     }
 }
 
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -34,7 +34,7 @@
     ClassName, Fingerprint, NotRunReason, Outcome, RequestId, ServiceName, TeamName, Timestamp,
     UnknownReason, key_hash,
 };
-use settings::HostRoute;
+use settings::{HostRoute, TrafficLimits};
 use tokio::time::{sleep_until, timeout};
 use volo_http::{body::Body, request::Request, response::Response};
 
@@ -224,7 +224,6 @@
         let limits = &routes.document.limits;
         check_header_size(&parts.headers, &parts.uri, limits.header_bytes_max)?;
         let timeout_left = head.deadline;
-        let is_express = is_express(&routes, &destination, parts, &head);
         let mut request = gate_request(&routes, &destination, parts, head, id)?;
         request.body = read_body(body, limits.body_bytes_max).await?;
         request.fingerprint = request_fingerprint(&request);
@@ -240,7 +239,7 @@
         let team = routes.document.team.clone();
         let (class, age) = (request.class.clone(), request.age);
         drop(routes);
-        let express = is_express.then(|| self.parts.unserved.track());
+        let express = request.is_express.then(|| self.parts.unserved.track());
         let mut final_reply = self.parts.forwarder.send(request, &team).await;
         if let Some(express) = express {
             express.end(&final_reply.reply);
@@ -306,24 +305,9 @@
     key_hash(route.name.as_bytes()).0 as u8
 }
 
-/// Returns whether a request is express: whether the objective of its host route, or its deadline if no host route
-/// selected it, is at most the limit of the service that it is sent to.
-fn is_express(
-    routes: &ServiceRoutes,
-    destination: &destination::Destination,
-    parts: &Parts,
-    head: &CallHead,
-) -> bool {
-    let objective_max = routes.document.limits.express_objective_max;
-    if objective_max.is_zero() {
-        return false;
-    }
-    if let Some(route) = &destination.route {
-        return route.objective <= objective_max;
-    }
-    let path = destination.document_path(&parts.uri);
-    let found = destination::route_and_key(routes, parts.method.as_str(), path, head);
-    found.is_ok_and(|(found, _)| found.route.deadline <= objective_max)
+/// Returns whether the requests of a route with this objective are express.
+fn is_express(limits: &TrafficLimits, objective: Duration) -> bool {
+    !limits.express_objective_max.is_zero() && objective <= limits.express_objective_max
 }
 
 /// Builds the request for the gate, without its body.
@@ -343,6 +327,7 @@
         Some(it) => (&it.class, it.idempotent, it.timeout, it.attempts_max),
         None => (&found.route.class, found.route.idempotent, found.route.deadline, u8::MAX),
     };
+    let objective = host_route.map_or(found.route.deadline, |it| it.objective);
     Ok(GateRequest {
         service: destination.service.clone(),
         key_hash,
@@ -356,6 +341,7 @@
         upstream_attempts_max: attempts,
         kind: host_route.map(kind_of),
         is_retry_after_refusal: false,
+        is_express: is_express(&routes.document.limits, objective),
         objective: host_route.map(|it| it.objective),
         config_version: routes.version,
         known_condition: None,
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -33,6 +33,8 @@
     is_leaving: IntGauge,
     call_failures: IntCounterVec,
     run_refusal_probability: Gauge,
+    express: IntCounterVec,
+    express_reserved_slots: IntGauge,
 }
 
 impl Metrics {
@@ -83,6 +85,17 @@
             "pomelohill_run_refusal_probability",
             "Highest probability with which runs of a kind are refused because of their calls.",
         )?;
+        let express = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_express_total",
+                "Express requests by how they got a slot of the upstream.",
+            ),
+            &["tenant", "result"],
+        )?;
+        let express_reserved_slots = IntGauge::new(
+            "pomelohill_express_reserved_slots",
+            "Slots of the upstream that only express requests may take.",
+        )?;
         registry.register(Box::new(request_s.clone()))?;
         registry.register(Box::new(upstream_s.clone()))?;
         registry.register(Box::new(requests.clone()))?;
@@ -94,6 +107,8 @@
         registry.register(Box::new(is_leaving.clone()))?;
         registry.register(Box::new(call_failures.clone()))?;
         registry.register(Box::new(run_refusal_probability.clone()))?;
+        registry.register(Box::new(express.clone()))?;
+        registry.register(Box::new(express_reserved_slots.clone()))?;
         registry.register(Box::new(PlatformCalls::new(platform_calls)?))?;
         Ok(Metrics {
             registry,
@@ -108,6 +123,8 @@
             is_leaving,
             call_failures,
             run_refusal_probability,
+            express,
+            express_reserved_slots,
         })
     }
 
@@ -155,6 +172,15 @@
         self.run_refusal_probability.set(probability);
     }
 
+    /// Records an express request at the gate; `result` is `at_once`, `waited` or `refused`.
+    pub(crate) fn record_express(&self, team: &TeamName, result: &str) {
+        self.express.with_label_values(&[team.as_str(), result]).inc();
+    }
+
+    pub(crate) fn set_express_reserved_slots(&self, slots: usize) {
+        self.express_reserved_slots.set(i64::try_from(slots).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn set_gate_load(&self, running: usize, queued: usize) {
         self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
         self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
--- a/crates/agent/src/tests/call_failures.rs
+++ b/crates/agent/src/tests/call_failures.rs
@@ -42,6 +42,7 @@
         age: Duration::ZERO,
         time_at_ingress: Duration::ZERO,
         kind: Some(7),
+        is_express: objective.is_some(),
         objective,
         is_retry_after_refusal: false,
         upstream_attempts_max: 1,
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod closing;
 mod condition;
+mod express;
 pub(crate) mod fakes;
 mod forwarding;
 mod gate;
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -19,8 +19,8 @@
 mod tests;
 
 pub use admission::{
-    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
-    Ticket, Timeliness, Verdict,
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision,
+    ExpressLoad, RouteIndex, Ticket, Timeliness, Verdict,
 };
 pub use call_failures::{
     CallFailures, EndCounts, RunResult, StartRefusal, StartVerdict, UnservedRequests,
--- a/xtask/src/bench/overload/workload.rs
+++ b/xtask/src/bench/overload/workload.rs
@@ -10,6 +10,8 @@
 pub(super) const SLOWDOWN: (usize, f64) = (5, 0.15);
 /// A fifth of the upstreams is slower by this factor, drawn anew in each period.
 pub(super) const NOISE: (Duration, f64) = (Duration::from_millis(400), 3.0);
+/// Objective up to which requests are express, as in the settings of the platform's deployments.
+pub(super) const EXPRESS_OBJECTIVE_MAX: Duration = Duration::from_millis(150);
 /// Latency between instances, one way.
 pub(super) const HOP: Duration = Duration::from_millis(1);
 /// Weights of the classes, the most urgent first, in the ratio that the adapter of the platform uses.
--- a/xtask/src/bench/overload/world.rs
+++ b/xtask/src/bench/overload/world.rs
@@ -16,7 +16,9 @@
 
 use super::{
     Case, KindResult,
-    workload::{CLASS_WEIGHTS, HOP, KINDS, NOISE, SERVICES, SLOTS, SLOWDOWN, SPEEDS},
+    workload::{
+        CLASS_WEIGHTS, EXPRESS_OBJECTIVE_MAX, HOP, KINDS, NOISE, SERVICES, SLOTS, SLOWDOWN, SPEEDS,
+    },
 };
 
 /// Share of callers that repeat a refused request at once.
@@ -238,10 +240,18 @@
         let remaining = it.deadline.since(self.now);
         let queue_time = objective.since(self.now).max(remaining / 2);
         let deadline = it.deadline;
+        let whole_objective = Duration::from_millis(kind.objective_ms);
+        let is_express = self.case.parts.express && whole_objective <= EXPRESS_OBJECTIVE_MAX;
+        let waits_until_deadline = kind.rank == 0 || is_express;
         let arrival = Arrival {
+            is_express,
+            objective: Some(whole_objective).filter(|_| !it.is_return),
             class: ClassIndex(kind.rank),
             route: Some(RouteIndex(it.kind)),
-            deadline: if kind.rank == 0 { deadline } else { deadline.min(self.now + queue_time) },
+            deadline: match waits_until_deadline {
+                true => deadline,
+                false => deadline.min(self.now + queue_time),
+            },
             timeliness: if objective > self.now { Timeliness::InTime } else { Timeliness::Late },
         };
         let mut decisions = Vec::new();
