Admission learns how many requests its upstream runs best

Cause: the gate trusts the announced slots, also where an upstream slows down when it is nearly full. Change: the module capacity compares the completion rates of adjacent periods in which the gate itself sets the number in flight: the limit, one fewer, the limit again. It pools trials until the result exceeds its standard error; a trial during which the upstream changed its speed is discarded. Admission opens the lowest of the ramp-up and the learned limit. No caller enables it yet.

--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -14,7 +14,9 @@
 use model::{ClassName, NotRunReason, Timestamp};
 use rand::{Rng, RngExt};
 
-use crate::{SharedRateLimit, SmoothedDuration};
+use crate::{
+    ConcurrencyLimit, LimitChange, SharedRateLimit, SmoothedDuration, capacity::MeasuredRequest,
+};
 
 use class::{ClassQueue, QueuePosition, QueuedRequest};
 
@@ -114,6 +116,8 @@
     class: ClassIndex,
     route: Option<RouteIndex>,
     started: Timestamp,
+    /// The number of running requests at the start, with this one.
+    in_flight: usize,
     /// The virtual time charged to the class at the start, in seconds.
     cost_s: f64,
 }
@@ -142,6 +146,8 @@
     service_time: SmoothedDuration,
     /// The limit on the rate of starts. `None` if only the slots limit them.
     rate_limit: Option<SharedRateLimit>,
+    /// The learned limit on the running requests. `None` if only the announced slots limit them.
+    concurrency_limit: Option<ConcurrencyLimit>,
 }
 
 impl Admission {
@@ -167,6 +173,7 @@
             is_draining: false,
             service_time,
             rate_limit: None,
+            concurrency_limit: None,
         }
     }
 
@@ -175,6 +182,11 @@
         Admission { rate_limit: Some(rate_limit), ..self }
     }
 
+    /// Limits the running requests to a number that is learned, where that is lower than the slots.
+    pub fn with_concurrency_limit(self, limit: impl Into<Option<ConcurrencyLimit>>) -> Admission {
+        Admission { concurrency_limit: limit.into(), ..self }
+    }
+
     /// Adds a request. Its verdict is appended to `decisions` unless the request has to wait, together
     /// with the verdicts of other requests that it displaces from the queue.
     pub fn offer(
@@ -225,6 +237,10 @@
         let elapsed = now.since(it.started);
         if completion == Completion::Answered {
             self.service_time.add(elapsed);
+            if let Some(limit) = &mut self.concurrency_limit {
+                let RunningRequest { route, started, in_flight, .. } = it;
+                limit.record(now, MeasuredRequest { route, started, in_flight });
+            }
         }
         let class = &mut self.classes[it.class.0];
         class.settle(elapsed, it.cost_s, it.route, completion);
@@ -232,6 +248,14 @@
         self.check_invariants();
     }
 
+    /// Records the number of requests that wait in the upstream, as the answer to a running request states.
+    pub fn record_waiting(&mut self, ticket: Ticket, waiting: u16) {
+        let Some(Entry::Running(it)) = self.entries.get(&ticket) else { return };
+        if let Some(limit) = &mut self.concurrency_limit {
+            limit.record_waiting(it.in_flight, waiting);
+        }
+    }
+
     /// Cancels a waiting request and removes it from the queue. Returns false if the request is not
     /// waiting; a running request keeps its slot until [`Admission::finish`].
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
@@ -315,8 +339,26 @@
         self.queued
     }
 
-    /// Returns the number of slots that may be in use at `now`: fewer than all during the ramp-up.
+    /// Returns the learned limit on the running requests. `None` if it is not learned.
+    pub fn concurrency_limit(&self) -> Option<&ConcurrencyLimit> {
+        self.concurrency_limit.as_ref()
+    }
+
+    /// Returns the last change of the learned limit since the previous call.
+    pub fn take_limit_change(&mut self) -> Option<LimitChange> {
+        self.concurrency_limit.as_mut()?.take_change()
+    }
+
+    /// Returns the number of slots that may be in use at `now`: fewer than all during the ramp-up, and where more have
+    /// been learned to slow the upstream down.
     pub fn slots_at(&self, now: Timestamp) -> usize {
+        let learned = self.concurrency_limit.as_ref().map(|it| it.open_slots(now));
+        let ramped = self.ramped_slots_at(now);
+        learned.map_or(ramped, |it| it.min(ramped))
+    }
+
+    /// Returns the number of slots that the ramp-up has opened.
+    fn ramped_slots_at(&self, now: Timestamp) -> usize {
         let all = self.config.slots;
         let passed = now.since(self.ramp_start);
         if passed >= self.config.slow_start {
@@ -352,7 +394,7 @@
 
     /// Returns when the ramp-up opens the next slot. `None` if all slots are open.
     fn next_ramp_step(&self, now: Timestamp) -> Option<Timestamp> {
-        let open = self.slots_at(now);
+        let open = self.ramped_slots_at(now);
         if open == self.config.slots {
             return None;
         }
@@ -377,9 +419,10 @@
         let cost_s = self.classes[class.0].charge(self.virtual_time_s, route);
         self.virtual_time_s =
             self.virtual_time_s.max(self.classes[class.0].virtual_time_s - cost_s);
-        self.entries
-            .insert(ticket, Entry::Running(RunningRequest { class, route, started: now, cost_s }));
         self.running += 1;
+        let in_flight = self.running;
+        let running = RunningRequest { class, route, started: now, in_flight, cost_s };
+        self.entries.insert(ticket, Entry::Running(running));
         decisions.push(Decision { ticket, verdict: Verdict::Start });
     }
 
--- a/crates/traffic/src/admission/tests/mod.rs
+++ b/crates/traffic/src/admission/tests/mod.rs
@@ -3,6 +3,7 @@
 mod limited_rate;
 mod late_requests;
 mod overload;
+mod slowing_upstream;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/traffic/src/admission/tests/slowing_upstream.rs
@@ -0,0 +1,231 @@
+//! Plays overload of an upstream whose requests slow each other down, with the limit learned and without it.
+//!
+//! Each running request advances at a speed that depends on the number in flight at that moment. Requests are of two
+//! kinds with unlike service times, and their mix shifts half-way.
+
+use std::time::Duration;
+
+use model::Timestamp;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{config, ms};
+use crate::{
+    Admission, AdmissionConfig, Arrival, ClassIndex, Completion, ConcurrencyLimit, Decision,
+    RouteIndex, Ticket, Timeliness, Verdict,
+};
+
+const SLOTS: usize = 7;
+const KIND_MS: [f64; 2] = [60.0, 150.0];
+/// The share of the first kind in the first and in the second half.
+const FIRST_KIND_SHARES: [f64; 2] = [0.8, 0.3];
+/// The load that is offered, relative to what the upstream can take.
+const LOAD: f64 = 1.3;
+/// The least share of its completions that an upstream that does not slow down keeps with the part on.
+const KEPT_MIN: f64 = 0.98;
+const SEEDS: std::ops::Range<u64> = 1..4;
+const PLAYED: Duration = Duration::from_secs(90);
+const DEADLINE: Duration = Duration::from_millis(600);
+
+/// The slowdown with 1 to 7 requests in flight.
+type Slowdowns = [f64; SLOTS];
+const STEEP: Slowdowns = [1.0, 1.0, 1.0, 1.0, 1.5, 2.2, 3.0];
+const FLAT: Slowdowns = [1.0; SLOTS];
+
+/// How an upstream behaves, and what it states.
+#[derive(Clone, Copy)]
+struct Upstream {
+    slowdowns: Slowdowns,
+    /// Whether it is three times slower for 0.4 s of each 3 s, whatever its load.
+    has_slow_phases: bool,
+    /// The waiting requests that it states.
+    waiting: Option<u16>,
+    /// Whether the work of a request is exponentially distributed, rather than uniformly around its mean.
+    is_exponential: bool,
+}
+
+const UPSTREAM: Upstream =
+    Upstream { slowdowns: FLAT, has_slow_phases: false, waiting: None, is_exponential: false };
+
+impl Upstream {
+    fn slowdown(&self, now: Timestamp, in_flight: usize) -> f64 {
+        let is_slow = self.has_slow_phases && now.since(Timestamp::ZERO).as_millis() % 3000 < 400;
+        let phase = if is_slow { 3.0 } else { 1.0 };
+        phase * self.slowdowns[in_flight.clamp(1, SLOTS) - 1]
+    }
+
+    /// Returns the most work that it does at a time, in requests.
+    fn capacity(&self) -> f64 {
+        let rates = (1..=SLOTS).map(|it| it as f64 / self.slowdowns[it - 1]);
+        rates.fold(0.0, f64::max)
+    }
+}
+
+struct Running {
+    ticket: Ticket,
+    arrived: Timestamp,
+    work_left_s: f64,
+}
+
+struct Play {
+    upstream: Upstream,
+    admission: Admission,
+    rng: Pcg64Mcg,
+    jitter: Pcg64Mcg,
+    now: Timestamp,
+    /// The arrivals by time, with the seconds of work of each.
+    arrived: Vec<(Timestamp, f64)>,
+    running: Vec<Running>,
+    in_time: u32,
+}
+
+impl Play {
+    fn new(upstream: Upstream, slots: usize, is_learned: bool, seed: u64) -> Play {
+        let config = AdmissionConfig { slow_start: ms(2000), ..config(slots, &[1.0]) };
+        let limit = is_learned.then(|| ConcurrencyLimit::new(slots));
+        Play {
+            upstream,
+            admission: Admission::new(config, Timestamp::ZERO).with_concurrency_limit(limit),
+            // The admission draws its jitter from another one, so that each play has the same arrivals.
+            jitter: Pcg64Mcg::seed_from_u64(seed),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: Timestamp::ZERO,
+            arrived: Vec::new(),
+            running: Vec::new(),
+            in_time: 0,
+        }
+    }
+
+    fn step(&mut self, event: impl FnOnce(&mut Play, &mut Vec<Decision>)) {
+        let mut decisions = Vec::new();
+        event(self, &mut decisions);
+        for it in decisions.iter().filter(|it| it.verdict == Verdict::Start) {
+            // Tickets are numbered from 0, so they are indexes into `arrived`.
+            let (arrived, work_left_s) = self.arrived[it.ticket.0 as usize];
+            self.running.push(Running { ticket: it.ticket, arrived, work_left_s });
+        }
+    }
+
+    /// Advances all running requests, and ends one that has no work left by then.
+    fn advance(&mut self, at: Timestamp) {
+        let slowdown = self.upstream.slowdown(self.now, self.running.len());
+        let passed_s = at.since(self.now).as_secs_f64() / slowdown;
+        self.running.iter_mut().for_each(|it| it.work_left_s -= passed_s);
+        self.now = at;
+        let Some(index) = self.running.iter().position(|it| it.work_left_s <= 1e-9) else { return };
+        let it = self.running.swap_remove(index);
+        self.in_time += u32::from(at.since(it.arrived) <= DEADLINE);
+        self.step(|play, decisions| {
+            if let Some(waiting) = play.upstream.waiting {
+                play.admission.record_waiting(it.ticket, waiting);
+            }
+            let completion = Completion::Answered;
+            play.admission.finish(at, it.ticket, completion, &mut play.jitter, decisions);
+        });
+    }
+
+    fn next_end(&self) -> Option<Timestamp> {
+        let left = self.running.iter().map(|it| it.work_left_s.max(0.0));
+        let left_s = left.min_by(f64::total_cmp)?;
+        let slowdown = self.upstream.slowdown(self.now, self.running.len());
+        Some(self.now + Duration::from_secs_f64(left_s * slowdown))
+    }
+
+    fn arrive(&mut self, kind: usize) {
+        let spread = match self.upstream.is_exponential {
+            true => -self.rng.random_range(f64::EPSILON..1.0).ln(),
+            false => self.rng.random_range(0.5..1.5),
+        };
+        self.arrived.push((self.now, KIND_MS[kind] / 1000.0 * spread));
+        let open_slots = self.admission.slots_at(self.now);
+        assert!(open_slots <= SLOTS, "{open_slots} of {SLOTS} slots are open");
+        let arrival = Arrival {
+            class: ClassIndex(0),
+            route: Some(RouteIndex(kind)),
+            deadline: self.now + DEADLINE,
+            timeliness: Timeliness::InTime,
+        };
+        self.step(|play, decisions| {
+            play.admission.offer(play.now, arrival, &mut play.jitter, decisions);
+        });
+    }
+
+    /// Plays the load, and returns the completions in time.
+    fn run(mut self) -> u32 {
+        let mut next_arrival = self.now;
+        let (start, end) = (self.now, self.now + PLAYED);
+        while self.now < end {
+            // Slow phases begin and end at whole steps of 20 ms.
+            let step = Timestamp { ns: (self.now.ns / 20_000_000 + 1) * 20_000_000 };
+            let wakeup = self.admission.next_wakeup(self.now).unwrap_or(step).max(self.now);
+            let next_end = self.next_end().unwrap_or(step);
+            self.advance(step.min(wakeup).min(next_end).min(next_arrival));
+            self.step(|play, decisions| play.admission.tick(play.now, &mut play.jitter, decisions));
+            if self.now < next_arrival {
+                continue;
+            }
+            let half = usize::from(self.now.since(start) > PLAYED / 2);
+            let share = FIRST_KIND_SHARES[half];
+            let mean_s = (share * KIND_MS[0] + (1.0 - share) * KIND_MS[1]) / 1000.0;
+            let gap_s = mean_s / (LOAD * self.upstream.capacity());
+            next_arrival =
+                self.now + Duration::from_secs_f64(gap_s * self.rng.random_range(0.0..2.0));
+            let kind = usize::from(!self.rng.random_bool(share));
+            self.arrive(kind);
+        }
+        self.in_time
+    }
+}
+
+/// Returns the completions in time over all seeds.
+fn completions(upstream: Upstream, slots: usize, is_learned: bool) -> f64 {
+    SEEDS.map(|seed| f64::from(Play::new(upstream, slots, is_learned, seed).run())).sum()
+}
+
+/// Asserts that an upstream that is best with 4 in flight completes nearly as many as if it had announced 4 slots.
+#[track_caller]
+fn assert_learns(upstream: Upstream) {
+    let off = completions(upstream, SLOTS, false);
+    let on = completions(upstream, SLOTS, true);
+    let best = completions(upstream, 4, false);
+    assert!(on >= 0.85 * best, "{on} in time, {best} with the best number of slots");
+    assert!(on >= 1.2 * off, "{on} in time, {off} without learning");
+}
+
+#[track_caller]
+fn assert_keeps_capacity(upstream: Upstream) {
+    let off = completions(upstream, SLOTS, false);
+    let on = completions(upstream, SLOTS, true);
+    assert!(on >= KEPT_MIN * off, "{on} in time, {off} without learning");
+}
+
+/// Guards against a gate that keeps a full upstream in a state in which it completes little more than half.
+#[test]
+fn upstream_that_slows_down_completes_more() {
+    let steep = Upstream { slowdowns: STEEP, ..UPSTREAM };
+    assert_learns(steep);
+    assert_learns(Upstream { waiting: Some(3), ..steep });
+    assert_learns(Upstream { has_slow_phases: true, ..steep });
+}
+
+/// A statement that nothing waits must not keep more in flight than the measurements show to be best.
+#[test]
+fn upstream_that_falsely_states_room_completes_more() {
+    assert_learns(Upstream { slowdowns: STEEP, waiting: Some(0), ..UPSTREAM });
+}
+
+/// Guards against a limit that follows noise, or slowdowns that have another cause than the number in flight.
+#[test]
+fn upstream_that_does_not_slow_down_keeps_its_capacity() {
+    assert_keeps_capacity(UPSTREAM);
+    assert_keeps_capacity(Upstream { is_exponential: true, ..UPSTREAM });
+    assert_keeps_capacity(Upstream { has_slow_phases: true, ..UPSTREAM });
+}
+
+/// A statement that requests wait must not take slots that the upstream uses.
+#[test]
+fn upstream_that_falsely_states_waiting_keeps_its_capacity() {
+    let stating = Upstream { waiting: Some(u16::MAX), ..UPSTREAM };
+    assert_keeps_capacity(stating);
+    assert_keeps_capacity(Upstream { is_exponential: true, ..stating });
+}
--- /dev/null
+++ b/crates/traffic/src/capacity/tests.rs
@@ -0,0 +1,120 @@
+//! Tests of the learned limit with service times that the test chooses.
+
+use std::time::Duration;
+
+use model::Timestamp;
+
+use super::{ConcurrencyLimit, MeasuredRequest};
+
+const SLOTS: usize = 7;
+
+/// A saturated upstream: as many requests as slots are open run at a time.
+struct Fixture {
+    limit: ConcurrencyLimit,
+    now: Timestamp,
+    service_ms: fn(usize) -> u64,
+}
+
+impl Fixture {
+    fn new(service_ms: fn(usize) -> u64) -> Fixture {
+        Fixture { limit: ConcurrencyLimit::new(SLOTS), now: Timestamp::from_ms(1000), service_ms }
+    }
+
+    /// Runs full rounds of requests, each of which states this number of waiting requests. Returns the most open slots.
+    fn run(&mut self, rounds: usize, waiting: u16) -> usize {
+        let round = |it: &mut Fixture| {
+            let (started, in_flight) = (it.now, it.limit.open_slots(it.now));
+            it.now = it.now + Duration::from_millis((it.service_ms)(in_flight));
+            for _ in 0..in_flight {
+                it.limit.record_waiting(in_flight, waiting);
+                it.limit.record(it.now, MeasuredRequest { route: None, started, in_flight });
+            }
+            in_flight
+        };
+        (0..rounds).map(|_| round(self)).max().unwrap_or(0)
+    }
+}
+
+/// Each request beyond 4 makes all others slower than it is worth.
+fn steep_ms(in_flight: usize) -> u64 {
+    50 * [1, 1, 1, 1, 2, 3, 4, 5][in_flight - 1]
+}
+
+fn flat_ms(_in_flight: usize) -> u64 {
+    50
+}
+
+#[test]
+fn limit_stays_within_half_of_the_slots_and_all() {
+    let mut it = Fixture::new(|in_flight| 10 << in_flight);
+    it.run(600, 9);
+    assert_eq!(it.limit.limit(), 4);
+    it.service_ms = flat_ms;
+    let most = it.run(2_000, 0);
+    assert_eq!((it.limit.limit(), most), (SLOTS, SLOTS));
+}
+
+/// Without a postponed trial, a full upstream is slowed down each 5 s; without any, a false statement is believed for ever.
+#[test]
+fn stated_waiting_postpones_a_raise_once() {
+    let raised_after = |waiting| {
+        let mut it = Fixture::new(steep_ms);
+        it.run(300, 0);
+        assert_eq!(it.limit.limit(), 4);
+        while it.run(1, waiting) > 4 {}
+        while it.run(1, waiting) <= 4 {}
+        let start = it.now;
+        while it.run(1, waiting) > 4 {}
+        while it.run(1, waiting) <= 4 {}
+        it.now.since(start)
+    };
+    assert!((5..7).contains(&raised_after(0).as_secs()));
+    assert!((10..12).contains(&raised_after(1).as_secs()));
+}
+
+/// A trial with one more in flight may make requests wait in the upstream, which says nothing of the limit.
+#[test]
+fn statements_during_a_raise_are_not_counted() {
+    let mut it = Fixture::new(steep_ms);
+    it.run(300, 0);
+    for _ in 0..20 {
+        it.limit.record_waiting(5, 3);
+    }
+    assert!(!it.limit.states_waiting());
+    for _ in 0..5 {
+        it.limit.record_waiting(4, 3);
+    }
+    assert!(it.limit.states_waiting());
+}
+
+/// A suspension of the process gives all running requests long times, which say nothing of the upstream.
+#[test]
+fn suspension_leaves_the_limit() {
+    let mut it = Fixture::new(flat_ms);
+    for round in 0..40 {
+        it.run(17 + round, 0);
+        let (started, in_flight) = (it.now, it.limit.open_slots(it.now));
+        it.now = it.now + Duration::from_secs(10);
+        for _ in 0..in_flight {
+            it.limit.record(it.now, MeasuredRequest { route: None, started, in_flight });
+        }
+        assert_eq!(it.limit.limit(), SLOTS);
+    }
+}
+
+/// A changed document gives a new queue; the upstream is the same.
+#[test]
+fn new_queue_keeps_the_limit_within_its_slots() {
+    let mut it = Fixture::new(steep_ms);
+    let slots = |limit: &ConcurrencyLimit, announced| {
+        limit.for_new_queue(Timestamp::ZERO, announced).limit()
+    };
+    assert_eq!(slots(&it.limit, 9), 9, "nothing was learned");
+    it.run(300, 0);
+    assert_eq!([3, 5, 7, 12].map(|announced| slots(&it.limit, announced)), [3, 4, 4, 6]);
+    assert_eq!(
+        ConcurrencyLimit::new(SLOTS).limit(),
+        SLOTS,
+        "a new incarnation begins with all slots"
+    );
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,6 +4,7 @@
 //! gets the current time and, for random choices, a seeded generator from its caller.
 
 mod admission;
+mod capacity;
 mod quarantine;
 mod rate_limit;
 mod records;
@@ -21,6 +22,7 @@
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
     Ticket, Timeliness, Verdict,
 };
+pub use capacity::{ConcurrencyLimit, LimitChange, LimitChanges};
 pub use quarantine::{CrashId, Quarantine, QuarantineStatus};
 pub use rate_limit::{RateLimit, SharedRateLimit};
 pub use records::{
