References of service times stay as they are during a trial

Cause: requests that start while few run, in a burst, take as long as the burst makes them. They moved the references between the periods of a trial, and the trial was discarded as drift: a limit of 6 slots stayed at 5 where 3 are best. Change: references are measured between trials only, and again for a new queue. The counts of changes are left to the metrics.

--- a/crates/traffic/src/capacity/mod.rs
+++ b/crates/traffic/src/capacity/mod.rs
@@ -60,13 +60,6 @@
     pub states_waiting: bool,
 }
 
-/// The number of changes of a limit since its creation.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct LimitChanges {
-    pub lowered: u64,
-    pub raised: u64,
-}
-
 /// The learned limit on the requests that one incarnation of an upstream runs at a time.
 #[derive(Debug, Clone)]
 pub struct ConcurrencyLimit {
@@ -88,7 +81,6 @@
     is_raise_postponed: bool,
     /// The number of consecutive answers that state waiting requests.
     waiting_statements: u32,
-    changes: LimitChanges,
     unreported: Option<LimitChange>,
 }
 
@@ -122,18 +114,19 @@
             next_lower: Timestamp::ZERO,
             is_raise_postponed: false,
             waiting_statements: 0,
-            changes: LimitChanges::default(),
             unreported: None,
         }
     }
 
-    /// Returns what was learned, for a new queue of the same incarnation. All slots stay open if all were.
+    /// Returns what was learned, for a new queue of the same incarnation. All slots stay open if all were. The
+    /// references are measured again, since a changed document may number its routes differently.
     pub fn for_new_queue(&self, now: Timestamp, announced: usize) -> ConcurrencyLimit {
         let limit = match self.limit == self.announced {
             true => announced,
             false => self.limit.clamp(limit_min(announced), announced),
         };
-        let mut next = ConcurrencyLimit { announced, limit, unreported: None, ..self.clone() };
+        let references = References::default();
+        let mut next = ConcurrencyLimit { announced, limit, references, ..self.clone() };
         next.begin(now, Period::Steady);
         next
     }
@@ -151,10 +144,6 @@
         self.limit
     }
 
-    pub fn changes(&self) -> LimitChanges {
-        self.changes
-    }
-
     /// Returns the last change since the previous call.
     pub fn take_change(&mut self) -> Option<LimitChange> {
         self.unreported.take()
@@ -172,7 +161,9 @@
 
     /// Records an answered request and adjusts the limit.
     pub(crate) fn record(&mut self, now: Timestamp, it: MeasuredRequest) {
-        let is_low = it.in_flight * 2 <= self.announced;
+        // The references stay as they are during a trial, so that its periods are measured on the same scale.
+        let is_steady = matches!(self.period, Period::Steady);
+        let is_low = is_steady && it.in_flight * 2 <= self.announced;
         let measured = self.references.measure(it.route, now.since(it.started), is_low);
         let Some(measured) = measured else { return };
         if self.is_overdue(now) {
@@ -252,7 +243,6 @@
             Judgement::Acceptable => self.wait_to_lower(now),
             Judgement::Uncertain => self.next_lower = now,
             Judgement::TooHigh => {
-                self.changes.lowered += 1;
                 self.apply(change);
                 self.next_raise = now + RAISE_INTERVAL;
                 self.begin(now, Period::Steady);
@@ -269,7 +259,6 @@
         if judge(&change) == Judgement::TooHigh {
             return self.begin(now, Period::Steady);
         }
-        self.changes.raised += 1;
         self.apply(change);
         self.period = Period::Steady;
     }
--- a/crates/traffic/src/capacity/tests.rs
+++ b/crates/traffic/src/capacity/tests.rs
@@ -91,10 +91,10 @@
 #[test]
 fn suspension_leaves_the_limit() {
     let mut it = Fixture::new(flat_ms);
-    for round in 0..40 {
+    for round in 0..80 {
         it.run(17 + round, 0);
         let (started, in_flight) = (it.now, it.limit.open_slots(it.now));
-        it.now = it.now + Duration::from_secs(10);
+        it.now = it.now + Duration::from_secs([1, 10][round % 2]);
         for _ in 0..in_flight {
             it.limit.record(it.now, MeasuredRequest { route: None, started, in_flight });
         }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -22,7 +22,7 @@
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
     Ticket, Timeliness, Verdict,
 };
-pub use capacity::{ConcurrencyLimit, LimitChange, LimitChanges};
+pub use capacity::{ConcurrencyLimit, LimitChange};
 pub use quarantine::{CrashId, Quarantine, QuarantineStatus};
 pub use rate_limit::{RateLimit, SharedRateLimit};
 pub use records::{
