--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -76,6 +76,31 @@
     }
 }
 
+/// Load of the upstream itself, as stated in the headers of an answer. It may be outdated or wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StatedLoad {
+    /// Requests that the upstream runs.
+    pub running: u16,
+    /// Requests that wait in the upstream.
+    pub waiting: u16,
+    /// Requests that the upstream can run at a time.
+    pub slots: u16,
+}
+
+impl StatedLoad {
+    /// Parses the numbers of running and waiting requests and of slots, separated by commas. Returns `None` for any
+    /// other text, and for numbers above 65,535.
+    pub fn parse(text: &str) -> Option<StatedLoad> {
+        let mut numbers = text.split(',').map(|it| it.trim().parse().ok());
+        let load = StatedLoad {
+            running: numbers.next()??,
+            waiting: numbers.next()??,
+            slots: numbers.next()??,
+        };
+        numbers.next().is_none().then_some(load)
+    }
+}
+
 /// Reason for a call without a complete answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -105,6 +130,10 @@
     fn call(&self, request: Request) -> UpstreamFuture<'_, Result<Answer, CallError>>;
     /// Returns the condition that an answer states by its headers.
     fn stated_condition(&self, headers: &HeaderMap) -> StatedCondition;
+    /// Returns the load that an answer states by its headers; `None` if it states none that is valid.
+    fn stated_load(&self, _headers: &HeaderMap) -> Option<StatedLoad> {
+        None
+    }
     fn health(&self) -> UpstreamFuture<'_, Result<Health, ControlError>>;
     fn load(&self) -> UpstreamFuture<'_, Result<Load, ControlError>>;
     /// Notifies the upstream of the grant of a slot and its remaining time.
