The gate learns how many requests its upstream runs best

Cause: the announced slots were trusted, also where an upstream slows down when it is nearly full. Change: with upstream.learns_concurrency the queue limits the requests at the upstream to what is learned, from its service times and from the waiting requests that its answers state. A new queue of the same incarnation keeps the limit. Tested: cargo test -p agent, all pass; new tests in simulated time, with the part on and off, and on sockets for a changed document, a new incarnation and a restarted agent.

--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -16,13 +16,13 @@
     time::sleep_until,
 };
 use traffic::{
-    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
-    SharedRateLimit, Ticket, Timeliness, Verdict,
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, ConcurrencyLimit,
+    Decision, RouteIndex, SharedRateLimit, Ticket, Timeliness, Verdict,
 };
 
 use wire::traffic::GateLoad;
 
-use crate::{clock::Clock, request::whole_us};
+use crate::{clock::Clock, gate::learned_limit::LimitReporter, request::whole_us};
 
 /// Expected service time of a request until some have been measured.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(10);
@@ -39,6 +39,7 @@
     /// Notification of the expiry task that a request has been queued.
     queued: Arc<Notify>,
     expiry_task: Mutex<Option<AbortHandle>>,
+    limit_reporter: LimitReporter,
 }
 
 #[derive(Debug)]
@@ -64,6 +65,8 @@
     ticket: Ticket,
     /// How the request ended; `NotSent` unless it was sent to the upstream.
     pub(crate) completion: Completion,
+    /// Number of requests that wait in the upstream, as its answer states.
+    pub(crate) stated_waiting: Option<u16>,
 }
 
 /// A queued request. Dropping it removes the request from the queue.
@@ -76,13 +79,16 @@
 }
 
 impl AdmissionQueue {
-    /// Creates the queue of an upstream and spawns its expiry task on the current runtime.
+    /// Creates the queue of an upstream and spawns its expiry task on the current runtime. `former` is the former
+    /// queue of the same incarnation.
     pub(crate) fn start(
         clock: Clock,
         document: &ServiceDocument,
         slots: u16,
         rate_limit: SharedRateLimit,
         seed: u64,
+        former: Option<&AdmissionQueue>,
+        limit_reporter: LimitReporter,
     ) -> Arc<AdmissionQueue> {
         let class = |it: &settings::RequestClass| ClassConfig {
             name: it.name.clone(),
@@ -98,18 +104,27 @@
             retry_after_min: RETRY_AFTER_MIN,
             classes: document.classes.iter().map(class).collect(),
         };
+        let now = clock.now();
+        let concurrency_limit = document.upstream.learns_concurrency.then(|| {
+            let learned = former.and_then(|it| it.learned_for_new_queue(now, config.slots));
+            learned.unwrap_or_else(|| ConcurrencyLimit::new(config.slots))
+        });
+        let admission = Admission::new(config, now)
+            .with_rate_limit(rate_limit)
+            .with_concurrency_limit(concurrency_limit);
         let names = document.classes.iter().enumerate();
         let queue = Arc::new(AdmissionQueue {
             clock,
             classes: names.map(|(index, it)| (it.name.clone(), ClassIndex(index))).collect(),
             state: Mutex::new(QueueState {
-                admission: Admission::new(config, clock.now()).with_rate_limit(rate_limit),
+                admission,
                 waiting: HashMap::new(),
                 rng: Pcg64Mcg::seed_from_u64(seed),
                 decisions: Vec::new(),
             }),
             queued: Arc::default(),
             expiry_task: Mutex::default(),
+            limit_reporter,
         });
         let task =
             tokio::spawn(expire_queued(Arc::downgrade(&queue), Arc::clone(&queue.queued), clock));
@@ -185,6 +200,7 @@
                 queue: Arc::clone(self),
                 ticket,
                 completion: Completion::NotSent,
+                stated_waiting: None,
             }),
             Verdict::Shed { reason, retry_after } => {
                 AdmissionDecision::Refused { reason, retry_after: Some(retry_after) }
@@ -214,11 +230,20 @@
         }
     }
 
-    fn finish(&self, ticket: Ticket, completion: Completion) {
+    fn finish(&self, ticket: Ticket, completion: Completion, stated_waiting: Option<u16>) {
         let now = self.clock.now();
-        let state = &mut *self.state();
+        let mut lock = self.state();
+        let state = &mut *lock;
+        if let Some(waiting) = stated_waiting {
+            state.admission.record_waiting(ticket, waiting);
+        }
         state.admission.finish(now, ticket, completion, &mut state.rng, &mut state.decisions);
         self.deliver(now, state);
+        let limit_change = state.admission.take_limit_change();
+        drop(lock);
+        if let Some(change) = limit_change {
+            self.limit_reporter.report(now, &change);
+        }
     }
 
     fn tick(&self) -> Option<Timestamp> {
@@ -257,6 +282,15 @@
         self.state().admission.capacity_used(upstream_time)
     }
 
+    /// Returns the learned limit on the running requests. `None` if it is not learned.
+    pub(crate) fn learned_limit(&self) -> Option<usize> {
+        self.state().admission.concurrency_limit().map(ConcurrencyLimit::limit)
+    }
+
+    fn learned_for_new_queue(&self, now: Timestamp, slots: usize) -> Option<ConcurrencyLimit> {
+        Some(self.state().admission.concurrency_limit()?.for_new_queue(now, slots))
+    }
+
     /// Returns the number of running and the number of queued requests.
     pub(crate) fn load(&self) -> (usize, usize) {
         let state = self.state();
@@ -314,13 +348,13 @@
         drop(state);
         // The verdict may have been sent at the same moment.
         if let Ok(Verdict::Start) = self.verdict.try_recv() {
-            self.queue.finish(self.ticket, Completion::NotSent);
+            self.queue.finish(self.ticket, Completion::NotSent, None);
         }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.queue.finish(self.ticket, self.completion);
+        self.queue.finish(self.ticket, self.completion, self.stated_waiting);
     }
 }
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -11,7 +11,7 @@
 use crate::{
     gate::{
         Gate, admission_queue::AdmissionQueue, condition::ConditionChange,
-        leases::UpstreamIncarnation, records::RequestRecords,
+        learned_limit::LimitReporter, leases::UpstreamIncarnation, records::RequestRecords,
     },
     report::{Announcement, Report},
     snapshot::{LeaveReason, LocalUpstream, Routes, ServiceRoutes, Snapshot},
@@ -150,7 +150,12 @@
             _ => {
                 let rate_limit = self.handle.rate_limit.clone();
                 let seed = self.own.incarnation.0;
-                AdmissionQueue::start(self.clock, document, announcement.slots, rate_limit, seed)
+                let former = same_upstream.map(|it| it.queue.as_ref());
+                let reporter = LimitReporter::new(Arc::clone(&self.metrics), &document.team);
+                let slots = announcement.slots;
+                AdmissionQueue::start(
+                    self.clock, document, slots, rate_limit, seed, former, reporter,
+                )
             }
         };
         Ok(BoundUpstream {
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod handle;
 mod health;
+mod learned_limit;
 mod leases;
 pub(crate) mod load;
 mod records;
@@ -175,6 +176,11 @@
         self.bound.load().as_ref().map_or((0, 0), |it| it.queue.load())
     }
 
+    /// Returns the learned limit on the requests at the upstream. `None` if it is not learned.
+    pub(crate) fn learned_limit(&self) -> Option<usize> {
+        self.bound.load().as_ref().and_then(|it| it.queue.learned_limit())
+    }
+
     /// Returns the limit on the requests of the upstream, as stated by it, and whether it states that it is leaving.
     pub(crate) fn stated_condition(&self) -> (Option<RequestRate>, bool) {
         (self.condition.limit(), self.condition.leaving_since().is_some())
@@ -234,7 +240,8 @@
         let bound = self.bound.load();
         let (running, queued) = bound.as_ref().map_or((0, 0), |it| it.queue.load());
         let config_version = bound.as_ref().map(|it| it.version);
-        GateState { config_version, running, queued, limit: self.condition.limit() }
+        let learned_limit = bound.as_ref().and_then(|it| it.queue.learned_limit());
+        GateState { config_version, running, queued, limit: self.condition.limit(), learned_limit }
     }
 }
 
--- a/crates/agent/src/gate/send.rs
+++ b/crates/agent/src/gate/send.rs
@@ -94,6 +94,7 @@
         tracked_run.end(result.run_end());
         let ended_at = gate.clock.now();
         self.record_condition(started_at, ended_at, &result);
+        permit.stated_waiting = self.stated_waiting(&result);
         if let Some((slot, key_hash)) = self.load_key() {
             let used = self.bound.queue.capacity_used(ended_at.since(started_at));
             gate.handle.load.add(slot, key_hash, used);
@@ -149,6 +150,17 @@
         self.gate.apply(self.gate.condition.record(statement));
     }
 
+    /// Returns the number of requests that wait in the upstream, as its answer states. `None` also if the limit on
+    /// its requests is not learned.
+    fn stated_waiting(&self, result: &CallEnd) -> Option<u16> {
+        match result {
+            CallEnd::Answered(it) if self.bound.document.upstream.learns_concurrency => {
+                self.bound.upstream.stated_load(&it.headers).map(|it| it.waiting)
+            }
+            CallEnd::Answered(_) | CallEnd::Failed(_) | CallEnd::Abandoned(_) => None,
+        }
+    }
+
     async fn wait_for_end(
         &self,
         mut call: upstream::UpstreamFuture<'_, Result<upstream::Answer, CallError>>,
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -10,6 +10,7 @@
 use prometheus::{
     Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
+use traffic::LimitChange;
 
 use self::platform_calls::PlatformCalls;
 
@@ -31,6 +32,8 @@
     limited: IntCounterVec,
     limit_per_s: Gauge,
     is_leaving: IntGauge,
+    learned_limit: IntGauge,
+    limit_changes: IntCounterVec,
 }
 
 impl Metrics {
@@ -70,6 +73,17 @@
             "pomelohill_upstream_leaving",
             "1 if the upstream has stated in an answer that it is leaving.",
         )?;
+        let learned_limit = IntGauge::new(
+            "pomelohill_gate_learned_limit",
+            "Requests at the upstream at a time, as learned; 0 if it is not learned.",
+        )?;
+        let limit_changes = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_gate_learned_limit_changes_total",
+                "Changes of the learned limit.",
+            ),
+            &["tenant", "direction"],
+        )?;
         registry.register(Box::new(request_s.clone()))?;
         registry.register(Box::new(upstream_s.clone()))?;
         registry.register(Box::new(requests.clone()))?;
@@ -79,6 +93,8 @@
         registry.register(Box::new(limited.clone()))?;
         registry.register(Box::new(limit_per_s.clone()))?;
         registry.register(Box::new(is_leaving.clone()))?;
+        registry.register(Box::new(learned_limit.clone()))?;
+        registry.register(Box::new(limit_changes.clone()))?;
         registry.register(Box::new(PlatformCalls::new(platform_calls)?))?;
         Ok(Metrics {
             registry,
@@ -91,6 +107,8 @@
             limited,
             limit_per_s,
             is_leaving,
+            learned_limit,
+            limit_changes,
         })
     }
 
@@ -138,6 +156,15 @@
         self.is_leaving.set(i64::from(is_leaving));
     }
 
+    pub(crate) fn record_limit_change(&self, team: &TeamName, change: &LimitChange) {
+        let direction = if change.to < change.from { "lowered" } else { "raised" };
+        self.limit_changes.with_label_values(&[team.as_str(), direction]).inc();
+    }
+
+    pub(crate) fn set_learned_limit(&self, limit: Option<usize>) {
+        self.learned_limit.set(limit.map_or(0, |it| i64::try_from(it).unwrap_or(i64::MAX)));
+    }
+
     fn text(&self) -> Result<String, prometheus::Error> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -172,6 +172,12 @@
         self.gate.rebind();
     }
 
+    /// Returns the learned limit on the requests at the upstream.
+    #[cfg(test)]
+    pub(crate) fn learned_limit(&self) -> Option<usize> {
+        self.gate.learned_limit()
+    }
+
     /// Reports the instance as not ready and asks callers to connect elsewhere.
     pub(crate) fn leave(&self) {
         self.readiness.is_leaving.store(true, Ordering::SeqCst);
--- a/crates/agent/src/request_log/mod.rs
+++ b/crates/agent/src/request_log/mod.rs
@@ -69,6 +69,8 @@
     pub(crate) queued: usize,
     /// The limit that the upstream has stated for its requests.
     pub(crate) limit: Option<RequestRate>,
+    /// The learned limit on the requests at the upstream.
+    pub(crate) learned_limit: Option<usize>,
 }
 
 impl RequestLog {
@@ -191,6 +193,7 @@
             running = state.running,
             queued = state.queued,
             limit_per_s = state.limit.map_or(0.0, RequestRate::per_s),
+            learned_limit = state.learned_limit.unwrap_or(0),
             config = state.config_version.unwrap_or_default().0,
             sender_config = request.config_version.0,
             left_out;
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -65,6 +68,8 @@
     pub(super) condition: Mutex<StatedCondition>,
     /// Times at which requests arrived.
     pub(super) arrivals: Mutex<Vec<Instant>>,
+    /// Number of running `crowded` requests.
+    crowd: AtomicUsize,
 }
 
 /// A call to grant or release keys at an upstream that enforces leases.
@@ -88,6 +93,7 @@
             key_calls: Mutex::default(),
             condition: Mutex::default(),
             arrivals: Mutex::default(),
+            crowd: AtomicUsize::new(0),
         }
     }
 
@@ -149,6 +155,13 @@
                 return Ok(Answer { status, headers: HeaderMap::new(), body: Bytes::new() });
             }
             "work" => tokio::time::sleep(Duration::from_millis(20)).await,
+            // One at a time takes 2 ms, several take 20 ms each.
+            "crowded" => {
+                let service_ms =
+                    if self.crowd.fetch_add(1, Ordering::SeqCst) == 0 { 2 } else { 20 };
+                tokio::time::sleep(Duration::from_millis(service_ms)).await;
+                self.crowd.fetch_sub(1, Ordering::SeqCst);
+            }
             "end" => {
                 tokio::time::sleep(Duration::from_millis(5)).await;
                 self.exited.send_replace(true);
@@ -282,7 +295,7 @@
     })
 }
 
-fn document_text(keyed: bool) -> String {
+pub(super) fn document_text(keyed: bool) -> String {
     let text = r#"{
         "service": "svc", "team": "club", "keyed": KEYED, "slot_count": 4,
         "upstream": { "slots": 2, "connections_max": 10, "checks_fence": false, "warmup_ms": 0 },
@@ -298,7 +311,7 @@
     text.replace("KEYED", if keyed { "true" } else { "false" })
 }
 
-fn parsed(text: &str) -> Arc<ServiceDocument> {
+pub(super) fn parsed(text: &str) -> Arc<ServiceDocument> {
     match ServiceDocument::parse(text) {
         Ok(document) => Arc::new(document),
         Err(problems) => panic!("{problems}"),
@@ -477,7 +490,7 @@
         self.plane.rebind_gate().await;
     }
 
-    async fn publish(&self, document: Arc<ServiceDocument>, routes: Routes) {
+    pub(super) async fn publish(&self, document: Arc<ServiceDocument>, routes: Routes) {
         let service = ServiceName::new("svc").unwrap();
         let routes =
             ServiceRoutes { service: service.clone(), version: ConfigVersion(1), document, routes };
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -8,6 +8,7 @@
 mod forwarding;
 mod gate;
 mod handover;
+mod learned_limit;
 mod load;
 mod pipelining;
 mod poison;
