A stated queue closes slots that raise the completion rate by less than 1%

Cause: an upstream that runs 5 at a time and queues the others completes exactly as many with 6; rounding of the comparison decided whether the slot stayed. Change: where the upstream states waiting requests, a rate within 1% counts as not higher. Tested: cargo test -p traffic, 90 passed, with a test of such an upstream that failed before.

--- a/crates/traffic/src/capacity/mod.rs
+++ b/crates/traffic/src/capacity/mod.rs
@@ -29,6 +29,9 @@
 const PERIOD_MAX: Duration = Duration::from_secs(5);
 /// The share of the completion rate that one more request in flight may cost.
 const RATE_LOSS_MAX: f64 = 0.05;
+/// The share by which one more request in flight has to raise the completion rate of an upstream that states waiting
+/// requests. A smaller difference can't be told from an equal rate.
+const STATED_RATE_GAIN_MIN: f64 = 0.01;
 /// The highest standard error with which the limit is lowered on a statement of the upstream. The loss of a full slot
 /// of 7 is twice that.
 const STATED_ERROR_MAX: f64 = 0.07;
@@ -325,7 +328,10 @@
 /// Judges a comparison. An upstream that states waiting requests runs no more at a time than with the lower number,
 /// unless the rate shows that it does.
 fn judge(it: &LimitChange) -> Judgement {
-    let rate_min = 1.0 - if it.states_waiting { 0.0 } else { RATE_LOSS_MAX };
+    let rate_min = match it.states_waiting {
+        true => 1.0 + STATED_RATE_GAIN_MIN,
+        false => 1.0 - RATE_LOSS_MAX,
+    };
     match it.relative_rate {
         rate if rate * (1.0 - it.standard_error) >= rate_min => Judgement::Acceptable,
         rate if rate * (1.0 + it.standard_error) < rate_min => Judgement::TooHigh,
--- a/crates/traffic/src/capacity/tests.rs
+++ b/crates/traffic/src/capacity/tests.rs
@@ -54,6 +54,21 @@
     assert_eq!((it.limit.limit(), most), (SLOTS, SLOTS));
 }
 
+/// Runs 5 at a time; the others wait in it, so that it completes no more with them and no fewer.
+fn queueing_ms(in_flight: usize) -> u64 {
+    10 * in_flight.max(5) as u64
+}
+
+/// Requests that wait in the upstream are better off in the gate's queue, which knows their deadlines and classes.
+#[test]
+fn slots_that_only_wait_in_the_upstream_are_closed_if_it_says_so() {
+    let mut it = Fixture::new(queueing_ms);
+    it.run(300, 0);
+    assert_eq!(it.limit.limit(), SLOTS, "service times alone show no loss");
+    it.run(600, 2);
+    assert_eq!(it.limit.limit(), 5);
+}
+
 /// Without a postponed trial, a full upstream is slowed down each 5 s; without any, a false statement is believed for ever.
 #[test]
 fn stated_waiting_postpones_a_raise_once() {
