--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -11,6 +11,7 @@
 mod express;
 mod handle;
 mod health;
+mod learned_limit;
 mod leases;
 pub(crate) mod load;
 mod records;
@@ -187,6 +188,11 @@
         self.bound.load().as_ref().map_or(0, |it| it.queue.reserved_slots())
     }
 
+    /// Returns the learned limit on the requests at the upstream. `None` if it is not learned.
+    pub(crate) fn learned_limit(&self) -> Option<usize> {
+        self.bound.load().as_ref().and_then(|it| it.queue.learned_limit())
+    }
+
     /// Returns the limit on the requests of the upstream, as stated by it, and whether it states that it is leaving.
     pub(crate) fn stated_condition(&self) -> (Option<RequestRate>, bool) {
         (self.condition.limit(), self.condition.leaving_since().is_some())
@@ -263,6 +269,7 @@
             reserved_slots: self.reserved_slots(),
             limit: self.condition.limit(),
             run_refusal_probability: self.run_refusal_probability(),
+            learned_limit: self.learned_limit(),
         }
     }
 }
--- a/crates/agent/src/request_log/mod.rs
+++ b/crates/agent/src/request_log/mod.rs
@@ -73,6 +73,8 @@
     pub(crate) limit: Option<RequestRate>,
     /// The highest probability with which the gate refuses runs of a kind because of their calls.
     pub(crate) run_refusal_probability: f64,
+    /// The learned limit on the requests at the upstream.
+    pub(crate) learned_limit: Option<usize>,
 }
 
 impl RequestLog {
@@ -198,6 +200,7 @@
             reserved_slots = state.reserved_slots,
             limit_per_s = state.limit.map_or(0.0, RequestRate::per_s),
             run_refusal_probability = state.run_refusal_probability,
+            learned_limit = state.learned_limit.unwrap_or(0),
             config = state.config_version.unwrap_or_default().0,
             sender_config = request.config_version.0,
             left_out;
--- a/crates/traffic/src/admission/tests/mod.rs
+++ b/crates/traffic/src/admission/tests/mod.rs
@@ -4,6 +4,7 @@
 mod limited_rate;
 mod late_requests;
 mod overload;
+mod slowing_upstream;
 
 use std::time::Duration;
 
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod call_failures;
+mod capacity;
 mod quarantine;
 mod rate_limit;
 mod records;
@@ -25,6 +26,7 @@
 pub use call_failures::{
     CallFailures, EndCounts, RunResult, StartRefusal, StartVerdict, UnservedRequests,
 };
+pub use capacity::{ConcurrencyLimit, LimitChange};
 pub use quarantine::{CrashId, Quarantine, QuarantineStatus};
 pub use rate_limit::{RateLimit, SharedRateLimit};
 pub use records::{
--- a/xtask/src/bench/overload/world.rs
+++ b/xtask/src/bench/overload/world.rs
@@ -11,11 +11,11 @@
 use rand_pcg::Pcg64Mcg;
 use traffic::{
     Admission, AdmissionConfig, Arrival, CallFailures, ClassConfig, ClassIndex, Completion,
-    Decision, RouteIndex, RunResult, StartVerdict, Ticket, Timeliness, Verdict,
+    ConcurrencyLimit, Decision, RouteIndex, RunResult, StartVerdict, Ticket, Timeliness, Verdict,
 };
 
 use super::{
-    Case, KindResult,
+    Case, KindResult, Parts,
     workload::{
         CLASS_WEIGHTS, EXPRESS_OBJECTIVE_MAX, HOP, KINDS, NOISE, SERVICES, SLOTS, SLOWDOWN, SPEEDS,
     },
@@ -113,7 +113,7 @@
         let mut services = Vec::new();
         for it in &SERVICES {
             let first = upstreams.len();
-            let state = |index: usize| UpstreamState::new(SPEEDS[index % SPEEDS.len()]);
+            let state = |index: usize| UpstreamState::new(SPEEDS[index % SPEEDS.len()], case.parts);
             upstreams.extend((0..it.upstreams).map(state));
             services.push((first..upstreams.len()).collect());
         }
@@ -437,7 +437,7 @@
 }
 
 impl UpstreamState {
-    fn new(speed: f64) -> UpstreamState {
+    fn new(speed: f64, parts: Parts) -> UpstreamState {
         let class = |(index, weight): (usize, &f64)| ClassConfig {
             name: ClassName::new(&format!("rank-{index}")).expect("a valid name"),
             weight: *weight,
@@ -452,9 +452,13 @@
             retry_after_min: Duration::from_millis(50),
             classes: CLASS_WEIGHTS.iter().enumerate().map(class).collect(),
         };
+        let admission = Admission::new(config, Timestamp::ZERO);
         UpstreamState {
             speed,
-            admission: Admission::new(config, Timestamp::ZERO),
+            admission: match parts.concurrency {
+                true => admission.with_concurrency_limit(ConcurrencyLimit::new(SLOTS)),
+                false => admission,
+            },
             tickets: HashMap::new(),
             call_failures: CallFailures::default(),
             wake_at: None,
