The planner compares members of unequal weight by their use

A move from a busy member of low weight to an idle one of high weight was refused if the latter had more load, successors of ordered slots were shared evenly, and a hot key above the fair load of its owner stayed there although a member of higher weight could carry it. Use decides now; with equal weights all results are the same.

--- a/crates/ownership/src/planner/mod.rs
+++ b/crates/ownership/src/planner/mod.rs
@@ -23,8 +23,8 @@
 #[derive(Debug, Clone)]
 pub struct PlannerMember {
     pub zone: Zone,
-    /// Relative share of load that the member should get: 1.0 for a warm upstream, less during its warm-up, 0.0 for a
-    /// member that must release all its slots.
+    /// Relative share of load that the member should get: its capacity relative to the mean member, 0.0 for a member that
+    /// must release all its slots.
     pub weight: f64,
 }
 
--- a/crates/ownership/src/planner/ranges.rs
+++ b/crates/ownership/src/planner/ranges.rs
@@ -271,9 +271,10 @@
             for first in range.first..range.end {
                 let Some(end) = self.subrange_end(first, range.end, wanted) else { break };
                 let candidate = SlotRange { first, end };
-                // The move must reduce the higher load of the two members, not only swap their roles.
+                // The move must reduce the higher relative load of the two members, not only swap their roles.
                 let load = self.cost(candidate);
-                let improves = self.load_of(to) + load < self.load_of(from);
+                let improves = (self.load_of(to) + load) / self.weight(to)
+                    < self.load_of(from) / self.weight(from);
                 let all_movable = (first..end).all(|it| self.may_move(it, is_overloaded));
                 if !improves || !all_movable || candidate.len() > len_max {
                     continue;
@@ -347,9 +348,9 @@
             .collect()
     }
 
-    /// Returns the successors of each slot. Splits an owner's slots into as many parts of equal length as there are
-    /// candidates, and rotates the candidates from part to part, so that the loss of the owner gives each candidate one
-    /// range or few. Uses numbers of slots and not loads, so that changes of load do not rewrite the plan.
+    /// Returns the successors of each slot. Splits an owner's slots into one part for each candidate, of a length in
+    /// proportion to its weight, and rotates the candidates from part to part, so that the loss of the owner gives each
+    /// candidate one range or few. Uses numbers of slots and not loads, so that changes of load do not rewrite the plan.
     fn successors(&self) -> Vec<Vec<u16>> {
         let mut successors = vec![Vec::new(); self.owners.len()];
         for owner in &self.eligible {
@@ -357,8 +358,11 @@
             work::add_entries(self.owners.len() / 8);
             let slots: Vec<usize> =
                 (0..self.owners.len()).filter(|it| self.owners[*it] == Some(*owner)).collect();
+            let part_ends = self.part_ends(&candidates);
+            let total = part_ends.last().copied().unwrap_or(0);
             for (at, slot) in slots.iter().enumerate() {
-                let Some(part) = (at * candidates.len()).checked_div(slots.len()) else { continue };
+                let Some(position) = (at * total).checked_div(slots.len()) else { continue };
+                let part = part_ends.partition_point(|it| *it <= position);
                 let count = SUCCESSOR_COUNT.min(candidates.len());
                 let chosen = (0..count).map(|it| candidates[(part + it) % candidates.len()]);
                 successors[*slot] = chosen.collect();
@@ -367,6 +371,18 @@
         successors
     }
 
+    /// Returns the end of each candidate's part of the slots of an owner, in hundredths of a weight of 1.
+    fn part_ends(&self, candidates: &[u16]) -> Vec<usize> {
+        let lengths = candidates.iter().map(|it| (self.weight(*it) * 100.0).round().max(1.0));
+        let mut end = 0;
+        lengths
+            .map(|it| {
+                end += it as usize;
+                end
+            })
+            .collect()
+    }
+
     /// Returns the members that follow the owner in the list, so that owners have different successors.
     fn successor_candidates(&self, owner: u16) -> Vec<u16> {
         let at = self.eligible.iter().position(|it| *it == owner).unwrap_or(0);
--- a/crates/ownership/src/planner/rebalance.rs
+++ b/crates/ownership/src/planner/rebalance.rs
@@ -2,7 +2,7 @@
 //!
 //! A member above the trigger is relieved until it is below the settle level. The cost of a move weighs churn, which
 //! is the same for each slot, against unavailable time, which depends on the requests in flight. A hot key may move
-//! without its slot, which causes almost no churn. A key with more than a member's fair load stays, and its member is
+//! without its slot, which causes almost no churn. A key with more than any member's fair load stays, and its member is
 //! relieved of other slots and keys.
 
 use super::{
--- a/crates/ownership/src/planner/relief.rs
+++ b/crates/ownership/src/planner/relief.rs
@@ -135,9 +135,10 @@
     }
 }
 
-/// Returns the slots and keys of a member that may move.
+/// Returns the slots and keys of a member that may move. A key with more than the fair load of any member stays.
 fn movable_candidates(plan: &WorkingPlan<'_>, member: u16, moves: &[Move]) -> Vec<Candidate> {
-    let fair_load = plan.fair_load * plan.weight(member);
+    let weight_max = plan.eligible().map(|it| plan.weight(it)).fold(0.0, f64::max);
+    let fair_load = plan.fair_load * weight_max;
     let is_movable =
         |it: &SlotState| it.owner == Some(member) && it.may_move && it.key_load_max <= fair_load;
     let slots = plan.slots.iter().enumerate().filter(|(_, it)| is_movable(it));
--- a/crates/ownership/src/planner/tests/mod.rs
+++ b/crates/ownership/src/planner/tests/mod.rs
@@ -141,6 +141,18 @@
     assert!(proposal.moves.iter().all(|it| it.to == Some(4)));
 }
 
+/// A hot key with more than the fair load of its slow owner fits a fast member.
+#[test]
+fn a_hot_key_moves_to_a_member_with_enough_weight() {
+    let mut it = input(4, &[100.0; 96], |it| Some((it / 24) as u16));
+    it.members.iter_mut().zip([0.4, 0.4, 0.4, 2.8]).for_each(|(it, weight)| it.weight = weight);
+    let key_hash = key_in(96, 0);
+    let load_us_per_s = 3000.0 * LOAD_US_PER_S;
+    it.keys.push(PlannerKey { key_hash, owner: None, successors: Vec::new(), load_us_per_s });
+    let next = apply(&it, &propose(&it));
+    assert_eq!(next.keys[0].owner.or(next.slots[0].owner), Some(3));
+}
+
 #[test]
 fn a_member_with_a_low_weight_gets_little_load() {
     let mut it = input(5, &[100.0; 100], |it| Some((it % 4) as u16));
--- a/crates/ownership/src/planner/tests/ranges.rs
+++ b/crates/ownership/src/planner/tests/ranges.rs
@@ -223,3 +223,33 @@
         .rng(Gen::from_size_and_seed(100, 1))
         .quickcheck(property as fn(u64));
 }
+
+/// Guards against a comparison of loads, instead of uses, that keeps a busy slow member from giving slots to a fast one
+/// with more load, and against successors that inherit more than their share.
+#[test]
+fn slots_and_successors_are_shared_in_proportion_to_the_weights() {
+    let weights = [0.5, 0.5, 2.0];
+    let mut it = ordered(3, &[100.0; SLOTS], |_| None);
+    it.members.iter_mut().zip(weights).for_each(|(it, weight)| it.weight = weight);
+    let (placed, _) = step(&it);
+    let uses = |it: &PlannerInput| -> Vec<f64> {
+        loads(it).iter().zip(weights).map(|(load, weight)| load / weight).collect()
+    };
+    let mean = 100.0 * SLOTS as f64 / 3.0;
+    assert!(
+        uses(&placed).iter().all(|it| (0.9..=1.1).contains(&(it / mean))),
+        "{:?}",
+        uses(&placed)
+    );
+    let inherited = |successor| {
+        let of_first = placed.slots.iter().filter(|it| it.owner == Some(0));
+        of_first.filter(|it| it.successors.first() == Some(&successor)).count()
+    };
+    assert!(inherited(2) >= 3 * inherited(1), "{} and {}", inherited(1), inherited(2));
+    let mut busy = placed.clone();
+    for slot in busy.slots.iter_mut().filter(|it| it.owner == Some(0)) {
+        slot.load_us_per_s *= 2.0;
+    }
+    let (relieved, _) = step(&busy);
+    assert!(uses(&relieved)[0] < 0.8 * uses(&busy)[0], "{:?}", uses(&relieved));
+}
