Load reports carry the measured capacity of the upstream

A load report gets the slots of the upstream and the times of up to four kinds of requests. On the wire it is a field of the renewal that is left out if there is none. Coordinators of an earlier version refuse unknown fields, so a member sends a capacity with every report only after the coordinator of the term has answered a renewal with one. Until then it probes every 5 s with a renewal that carries nothing else that would be lost.

--- a/crates/agent/src/gate/load.rs
+++ b/crates/agent/src/gate/load.rs
@@ -107,7 +107,7 @@
         slots.sort_by_key(|it| (std::cmp::Reverse(it.load_us), it.slot));
         slots.truncate(SLOTS_MAX);
         let period_ms = u32::try_from(now.since(self.since).as_millis()).unwrap_or(u32::MAX);
-        LoadReport { period_ms, total_us: self.total_us, slots, keys }
+        LoadReport { period_ms, total_us: self.total_us, slots, keys, capacity: None }
     }
 
     /// Takes the heaviest keys and subtracts their load from that of their slots, so that placement
--- a/crates/ownership/src/coordinator/tests.rs
+++ b/crates/ownership/src/coordinator/tests.rs
@@ -26,6 +26,7 @@
         reports: Vec::new(),
         holding: None,
         load: None,
+        capacity: None,
         route_version: 0,
     };
     MemberRow::new(&instance, &renew, Timestamp::ZERO)
--- a/crates/ownership/src/input.rs
+++ b/crates/ownership/src/input.rs
@@ -93,6 +93,26 @@
     pub slots: Vec<SlotLoad>,
     /// Up to 16 keys with the highest load.
     pub keys: Vec<KeyLoad>,
+    /// Measured capacity of the upstream; `None` if it answered no request, or if the service does not weigh capacity.
+    /// A renewal carries it apart from the rest, as [`crate::Renew::capacity`].
+    pub capacity: Option<CapacityReport>,
+}
+
+/// Capacity of one upstream, as measured at its gate over a period.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CapacityReport {
+    /// Number of requests that the upstream runs at a time.
+    pub slots: u16,
+    /// Up to four kinds of requests, those with the most time.
+    pub kinds: Vec<KindTime>,
+}
+
+/// Answered requests of one kind, and their time at the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KindTime {
+    pub kind: u8,
+    pub count: u32,
+    pub total_us: u64,
 }
 
 /// Load of one slot without the hot keys that have their own entry and without the keys of the report.
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -25,7 +25,9 @@
 mod tests;
 
 pub use coordinator::GROUP_MEMBERS_MAX;
-pub use input::{Input, KeyLoad, LoadReport, PlatformReply, SlotLoad, UpstreamState};
+pub use input::{
+    CapacityReport, Input, KeyLoad, KindTime, LoadReport, PlatformReply, SlotLoad, UpstreamState,
+};
 pub use limits::{CoordinatorLease, FenceCheck, Limits};
 pub use message::{
     Command, HeldKey, HeldSlot, Holding, MemberNumber, MemberStatus, Message, Renew, Renewed,
--- a/crates/ownership/src/load.rs
+++ b/crates/ownership/src/load.rs
@@ -4,12 +4,14 @@
 
 use model::SlotCount;
 
-use crate::{KeyLoad, LoadReport, SlotLoad};
+use crate::{CapacityReport, KeyLoad, KindTime, LoadReport, SlotLoad};
 
 /// Maximum number of slots in one report.
 pub(crate) const REPORT_SLOTS_MAX: usize = 64;
 /// Maximum number of keys in one report.
 pub(crate) const REPORT_KEYS_MAX: usize = 16;
+/// Maximum number of kinds of requests in one report.
+const REPORT_KINDS_MAX: usize = 4;
 
 impl LoadReport {
     /// Adds a later report to this one, as reports accumulate until the next renewal.
@@ -31,6 +33,7 @@
             total_us: self.total_us.saturating_add(later.total_us),
             slots: slots.into_values().collect(),
             keys: keys.into_values().collect(),
+            capacity: CapacityReport::merge_pending(self.capacity, later.capacity),
         }
         .keep_heaviest()
     }
@@ -54,6 +57,39 @@
         self.slots.truncate(REPORT_SLOTS_MAX);
         self.keys.sort_by_key(|it| std::cmp::Reverse(it.load_us));
         self.keys.truncate(REPORT_KEYS_MAX);
+        self.capacity = self.capacity.map(CapacityReport::keep_heaviest);
+        self
+    }
+}
+
+impl CapacityReport {
+    /// Adds a later report, if there is one, to a pending one.
+    pub(crate) fn merge_pending(
+        pending: Option<CapacityReport>,
+        later: Option<CapacityReport>,
+    ) -> Option<CapacityReport> {
+        match (pending, later) {
+            (Some(pending), Some(later)) => Some(pending.merge(&later)),
+            (pending, later) => later.or(pending),
+        }
+    }
+
+    /// Adds a later report to this one. The later number of slots applies.
+    fn merge(self, later: &CapacityReport) -> CapacityReport {
+        let mut kinds: BTreeMap<u8, KindTime> =
+            self.kinds.iter().map(|it| (it.kind, *it)).collect();
+        for it in &later.kinds {
+            let sum = kinds.entry(it.kind).or_insert(KindTime { count: 0, total_us: 0, ..*it });
+            sum.count = sum.count.saturating_add(it.count);
+            sum.total_us = sum.total_us.saturating_add(it.total_us);
+        }
+        CapacityReport { slots: later.slots, kinds: kinds.into_values().collect() }.keep_heaviest()
+    }
+
+    /// Truncates the report to the kinds with the most time.
+    pub fn keep_heaviest(mut self) -> CapacityReport {
+        self.kinds.sort_by_key(|it| (std::cmp::Reverse(it.total_us), it.kind));
+        self.kinds.truncate(REPORT_KINDS_MAX);
         self
     }
 }
--- a/crates/ownership/src/member/mod.rs
+++ b/crates/ownership/src/member/mod.rs
@@ -8,8 +8,8 @@
 use model::{ConfigVersion, Instance, Term, Timestamp};
 
 use crate::{
-    CoordinatorLease, Event, GateCommand, LoadReport, Message, Renew, Renewed, Report, SessionId,
-    UpstreamState,
+    CapacityReport, CoordinatorLease, Event, GateCommand, LoadReport, Message, Renew, Renewed,
+    Report, SessionId, UpstreamState,
     ctx::Ctx,
     rules::{self, Rule},
 };
@@ -23,12 +23,50 @@
 /// Time that the gate may take to close a slot beyond the document's `handover_max`.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Time from one renewal that carries a capacity to the next while the coordinator has not answered one. Coordinators
+/// of an earlier version ignore such a renewal, so at most one in twelve is lost.
+const CAPACITY_PROBE_INTERVAL: Duration = Duration::from_secs(5);
+
 #[derive(Debug, Clone, Copy)]
 struct SentRenewal {
     sequence: u64,
     at: Timestamp,
 }
 
+/// Capacity that the next renewals report, and whether the coordinator of the current term accepts it.
+#[derive(Debug, Default)]
+struct PendingCapacity {
+    report: Option<CapacityReport>,
+    /// Sequence number and time of the last renewal that carried a capacity in this session and term.
+    last_sent: Option<(u64, Timestamp)>,
+    is_accepted: bool,
+}
+
+impl PendingCapacity {
+    /// Forgets what is known of the coordinator, but keeps the report.
+    fn restart(&mut self) {
+        *self = PendingCapacity { report: self.report.take(), ..PendingCapacity::default() };
+    }
+
+    /// Returns whether a renewal that the coordinator may ignore is due, to learn whether it accepts capacities.
+    fn is_probe_due(&self, now: Timestamp) -> bool {
+        let is_recent = |it: (u64, Timestamp)| now.since(it.1) < CAPACITY_PROBE_INTERVAL;
+        self.report.is_some() && !self.is_accepted && !self.last_sent.is_some_and(is_recent)
+    }
+
+    /// Takes the report for the renewal with this sequence number, which may carry one.
+    fn take(&mut self, now: Timestamp, sequence: u64) -> Option<CapacityReport> {
+        let report = self.report.take()?;
+        self.last_sent = Some((sequence, now));
+        Some(report)
+    }
+
+    /// Handles the answer to the renewal with this sequence number.
+    fn record_answer(&mut self, sequence: u64) {
+        self.is_accepted |= self.last_sent.is_some_and(|it| it.0 == sequence);
+    }
+}
+
 /// Member role of a node.
 pub(crate) struct Member {
     session: SessionId,
@@ -49,6 +87,7 @@
     pub(crate) config: ConfigVersion,
     pub(crate) group_config: ConfigVersion,
     load: Option<LoadReport>,
+    capacity: PendingCapacity,
     pub(crate) leaving: bool,
     pub(crate) can_stop: bool,
     pub(crate) routes: RouteTable,
@@ -72,6 +111,7 @@
             config: ConfigVersion(0),
             group_config: ConfigVersion(0),
             load: None,
+            capacity: PendingCapacity::default(),
             leaving: false,
             can_stop: false,
             routes: RouteTable::default(),
@@ -120,6 +160,7 @@
         self.reports.clear();
         self.acknowledged = false;
         self.next_renewal = now;
+        self.capacity.restart();
     }
 
     pub(crate) fn has_lease(&self) -> bool {
@@ -156,6 +197,16 @@
         }
         let every = ctx.limits().renew_every;
         self.next_renewal = ctx.now + if self.acknowledged { every } else { every / 2 };
+        if !ctx.limits().weighs_capacity {
+            self.capacity.report = None;
+        }
+        // The renewal of a probe may be ignored, so it carries nothing else that would be lost or delayed by that.
+        let may_probe = self.acknowledged && self.reports.is_empty();
+        let is_probe = may_probe && self.capacity.is_probe_due(ctx.now);
+        let capacity = match is_probe || self.capacity.is_accepted {
+            true => self.capacity.take(ctx.now, self.sequence),
+            false => None,
+        };
         let renew = Renew {
             term,
             session: self.session,
@@ -168,7 +219,8 @@
             reports: self.reports.iter().copied().collect(),
             holding: (!self.acknowledged)
                 .then(|| self.holdings.to_message(self.has_recently_lapsed(ctx))),
-            load: self.load.take(),
+            load: if is_probe { None } else { self.load.take() },
+            capacity,
             route_version: self.routes.version,
         };
         ctx.send(coordinator, Message::Renew(Box::new(renew)));
@@ -191,6 +243,7 @@
             return;
         }
         self.acknowledged = true;
+        self.capacity.record_answer(reply.sequence);
         self.group_config = self.group_config.max(reply.config);
         while self.first_report <= reply.last_report && self.reports.pop_front().is_some() {
             self.first_report += 1;
@@ -255,7 +308,9 @@
     }
 
     /// Adds a load report to the one that the next renewal will carry.
-    pub(crate) fn add_load(&mut self, report: LoadReport) {
+    pub(crate) fn add_load(&mut self, mut report: LoadReport) {
+        let pending = self.capacity.report.take();
+        self.capacity.report = CapacityReport::merge_pending(pending, report.capacity.take());
         self.load = Some(match self.load.take() {
             Some(pending) => pending.merge(report),
             None => report,
--- a/crates/ownership/src/message/mod.rs
+++ b/crates/ownership/src/message/mod.rs
@@ -8,7 +8,7 @@
 
 use model::{ConfigVersion, Instance, KeyHash, Slot, Term, Token};
 
-use crate::{LoadReport, UpstreamState};
+use crate::{CapacityReport, LoadReport, UpstreamState};
 
 /// Number of a session within one incarnation of a member; it only rises.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -112,6 +112,8 @@
     /// Everything the member holds; sent until the coordinator of this term has replied for the first time.
     pub holding: Option<Holding>,
     pub load: Option<LoadReport>,
+    /// Measured capacity of the upstream. Coordinators of an earlier version ignore a renewal that carries it.
+    pub capacity: Option<CapacityReport>,
     pub route_version: u64,
 }
 
--- a/crates/ownership/src/sim/costs.rs
+++ b/crates/ownership/src/sim/costs.rs
@@ -94,7 +94,8 @@
             Message::Renew(it) => {
                 let holding = it.holding.as_ref().map_or(0, |it| it.slots.len() + it.keys.len());
                 let load = it.load.as_ref().map_or(0, |it| it.slots.len() + it.keys.len());
-                (it.reports.len() + holding + load) as u64 * COMMAND_BYTES
+                let kinds = it.capacity.as_ref().map_or(0, |it| it.kinds.len());
+                (it.reports.len() + holding + load + kinds) as u64 * COMMAND_BYTES
             }
             Message::Renewed(it) => {
                 let commands = it.commands.iter().map(command_bytes).sum::<u64>();
--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -103,7 +103,7 @@
             keys.map(|it| KeyLoad { key_hash: *it.0, load_us: share(*it.1) }).collect();
         let total = slots.iter().map(|it| it.load_us).sum::<u64>()
             + keys.iter().map(|it| it.load_us).sum::<u64>();
-        LoadReport { period_ms, total_us: total, slots, keys }.keep_heaviest()
+        LoadReport { period_ms, total_us: total, slots, keys, capacity: None }.keep_heaviest()
     }
 
     /// Applies the completion of a command by the gate or the upstream. A pause of the agent's control thread does not
--- a/crates/ownership/src/tests/loads.rs
+++ b/crates/ownership/src/tests/loads.rs
@@ -26,6 +26,7 @@
             SlotLoad { slot: Slot(500), load_us: 10_000, in_flight: 1 },
         ],
         keys: keys.collect(),
+        capacity: None,
     };
     let by_slot = report.attribute_keys_to_slots(slot_count);
     let load = |slot: u16| {
--- a/crates/ownership/src/tests/upstream_clearing.rs
+++ b/crates/ownership/src/tests/upstream_clearing.rs
@@ -169,6 +169,7 @@
         reports,
         holding: Some(Holding { recently_lapsed, ..Holding::default() }),
         load: None,
+        capacity: None,
         route_version: 0,
     }))
 }
--- a/crates/wire/src/control/convert.rs
+++ b/crates/wire/src/control/convert.rs
@@ -7,18 +7,18 @@
     ConfigVersion, Incarnation, Instance, InstanceName, KeyHash, Slot, SlotCount, Term, Token, Zone,
 };
 use ownership::{
-    Command, GROUP_MEMBERS_MAX, HeldKey, HeldSlot, Holding, KeyLoad, LoadReport, MemberNumber,
-    MemberStatus, Message, Renew, Renewed, Report, RouteKey, RouteMember, RouteMemberChange,
-    RouteRange, Routes, SessionId, SlotLoad, UpstreamState,
+    CapacityReport, Command, GROUP_MEMBERS_MAX, HeldKey, HeldSlot, Holding, KeyLoad, KindTime,
+    LoadReport, MemberNumber, MemberStatus, Message, Renew, Renewed, Report, RouteKey, RouteMember,
+    RouteMemberChange, RouteRange, Routes, SessionId, SlotLoad, UpstreamState,
 };
 
 use super::{
     WireError,
     types::{
-        WireCommand, WireHeldKey, WireHeldSlot, WireHolding, WireInstance, WireKeyLoad, WireLoad,
-        WireMemberStatus, WireMessage, WireRenew, WireRenewed, WireReport, WireRouteKey,
-        WireRouteMember, WireRouteMemberChange, WireRouteRange, WireRoutes, WireSlotLoad,
-        WireToken, WireUpstream,
+        WireCapacity, WireCommand, WireHeldKey, WireHeldSlot, WireHolding, WireInstance,
+        WireKeyLoad, WireKindTime, WireLoad, WireMemberStatus, WireMessage, WireRenew, WireRenewed,
+        WireReport, WireRouteKey, WireRouteMember, WireRouteMemberChange, WireRouteRange,
+        WireRoutes, WireSlotLoad, WireToken, WireUpstream,
     },
 };
 
@@ -34,6 +34,8 @@
 const LOAD_SLOTS_MAX: usize = 64;
 /// Largest number of keys in a load report.
 const LOAD_KEYS_MAX: usize = 16;
+/// Largest number of kinds of requests in a report of capacity.
+const CAPACITY_KINDS_MAX: usize = 4;
 
 /// Converts the entries of a list after checking their number.
 fn convert_list<W, T>(list: &'static str, max: usize, items: Vec<W>) -> Result<Vec<T>, WireError>
@@ -193,6 +195,7 @@
             holding: it.holding.as_ref().map(WireHolding::from),
             load: it.load.as_ref().map(WireLoad::from),
             route_version: it.route_version,
+            capacity: it.capacity.as_ref().map(WireCapacity::from),
         }
     }
 }
@@ -214,6 +217,7 @@
             holding: it.holding.map(Holding::try_from).transpose()?,
             load: it.load.map(LoadReport::try_from).transpose()?,
             route_version: it.route_version,
+            capacity: it.capacity.map(CapacityReport::try_from).transpose()?,
         })
     }
 }
@@ -293,10 +297,33 @@
             total_us,
             slots: convert_list("loads of slots", LOAD_SLOTS_MAX, slots)?,
             keys: convert_list("loads of keys", LOAD_KEYS_MAX, keys)?,
+            capacity: None,
         })
     }
 }
 
+impl From<&CapacityReport> for WireCapacity {
+    fn from(it: &CapacityReport) -> WireCapacity {
+        let kind = |it: &KindTime| WireKindTime(it.kind, it.count, it.total_us);
+        WireCapacity(it.slots, it.kinds.iter().map(kind).collect())
+    }
+}
+
+impl From<WireKindTime> for KindTime {
+    fn from(WireKindTime(kind, count, total_us): WireKindTime) -> KindTime {
+        KindTime { kind, count, total_us }
+    }
+}
+
+impl TryFrom<WireCapacity> for CapacityReport {
+    type Error = WireError;
+
+    fn try_from(WireCapacity(slots, kinds): WireCapacity) -> Result<CapacityReport, WireError> {
+        let kinds = convert_list("kinds of requests", CAPACITY_KINDS_MAX, kinds)?;
+        Ok(CapacityReport { slots, kinds })
+    }
+}
+
 impl From<&Report> for WireReport {
     fn from(it: &Report) -> WireReport {
         match it {
--- a/crates/wire/src/control/tests.rs
+++ b/crates/wire/src/control/tests.rs
@@ -4,9 +4,9 @@
 
 use model::{ConfigVersion, Incarnation, Instance, KeyHash, Slot, Term, Token};
 use ownership::{
-    Command, HeldKey, HeldSlot, Holding, KeyLoad, LoadReport, MemberNumber, MemberStatus, Message,
-    Renew, Renewed, Report, RouteKey, RouteMember, RouteMemberChange, RouteRange, Routes,
-    SessionId, SlotLoad, UpstreamState,
+    CapacityReport, Command, HeldKey, HeldSlot, Holding, KeyLoad, KindTime, LoadReport,
+    MemberNumber, MemberStatus, Message, Renew, Renewed, Report, RouteKey, RouteMember,
+    RouteMemberChange, RouteRange, Routes, SessionId, SlotLoad, UpstreamState,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand::{RngExt, SeedableRng};
@@ -78,6 +78,18 @@
             key_hash: KeyHash(rng.random()),
             load_us: rng.random(),
         }),
+        capacity: None,
+    }
+}
+
+fn capacity(rng: &mut Pcg64Mcg) -> CapacityReport {
+    CapacityReport {
+        slots: rng.random(),
+        kinds: random_list(rng, 4, |rng| KindTime {
+            kind: rng.random(),
+            count: rng.random(),
+            total_us: rng.random(),
+        }),
     }
 }
 
@@ -111,6 +123,7 @@
         reports: random_list(rng, 5, report),
         holding: rng.random_bool(0.5).then(|| holding(rng)),
         load: rng.random_bool(0.5).then(|| load(rng)),
+        capacity: rng.random_bool(0.5).then(|| capacity(rng)),
         route_version: rng.random(),
     }
 }
@@ -239,6 +252,61 @@
     assert_eq!(decode(&encode(&Message::Renew(Box::new(renew)))), Err(too_many));
 }
 
+#[test]
+fn capacities_with_too_many_kinds_are_refused() {
+    let kinds = vec![KindTime { kind: 1, count: 1, total_us: 1 }; 5];
+    let capacity = Some(CapacityReport { slots: 7, kinds });
+    let renew = Renew { capacity, ..renew(&mut Pcg64Mcg::seed_from_u64(1)) };
+    let too_many = WireError::TooMany { list: "kinds of requests", count: 5, max: 4 };
+    assert_eq!(decode(&encode(&Message::Renew(Box::new(renew)))), Err(too_many));
+}
+
+/// Renewal of the version before capacities were reported, without lists.
+#[derive(Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EarlierRenew {
+    t: u64,
+    s: u32,
+    q: u64,
+    u: String,
+    #[serde(default)]
+    l: bool,
+    #[serde(default)]
+    c: u64,
+    #[serde(default)]
+    a: u64,
+    #[serde(default)]
+    f: u64,
+    #[serde(default)]
+    v: u64,
+}
+
+#[derive(Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
+enum EarlierMessage {
+    #[serde(rename = "r")]
+    Renew(EarlierRenew),
+}
+
+/// Guards against a renewal without a capacity that agents of an earlier version refuse, and against one of theirs that
+/// this version refuses. They refuse unknown fields, so a member sends them capacities only as probes.
+#[test]
+fn renewals_without_a_capacity_are_those_of_an_earlier_version() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let plain =
+        Renew { reports: Vec::new(), holding: None, load: None, capacity: None, ..renew(&mut rng) };
+    let bytes = encode(&Message::Renew(Box::new(plain.clone())));
+    let earlier: EarlierMessage = crate::codec::decode(&bytes).unwrap();
+    assert_eq!(
+        decode(&crate::codec::encode(&earlier)),
+        Ok(Message::Renew(Box::new(plain.clone())))
+    );
+    let weighed = Renew { capacity: Some(capacity(&mut rng)), ..plain };
+    let bytes = encode(&Message::Renew(Box::new(weighed)));
+    assert!(crate::codec::decode::<EarlierMessage>(&bytes).is_err());
+}
+
 #[test]
 fn a_usual_renewal_is_small() {
     let renew = Renew {
@@ -253,6 +321,7 @@
         reports: Vec::new(),
         holding: None,
         load: None,
+        capacity: None,
         route_version: 7 << 32,
     };
     let renewed = Renewed {
--- a/crates/wire/src/control/types.rs
+++ b/crates/wire/src/control/types.rs
@@ -98,6 +98,8 @@
     pub(super) load: Option<WireLoad>,
     #[serde(rename = "v", default, skip_serializing_if = "is_default")]
     pub(super) route_version: u64,
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub(super) capacity: Option<WireCapacity>,
 }
 
 /// Grants held by a member: whether a session ended recently, slots, keys, excluded keys.
@@ -140,6 +142,16 @@
 #[derive(Serialize, Deserialize)]
 pub(super) struct WireKeyLoad(pub(super) u64, pub(super) u64);
 
+/// Capacity of an upstream: slots, times of kinds of requests.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireCapacity(pub(super) u16, pub(super) Vec<WireKindTime>);
+
+/// Time of a kind of request: kind, number of requests, total time in microseconds.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireKindTime(pub(super) u8, pub(super) u32, pub(super) u64);
+
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 pub(super) enum WireReport {
--- a/xtask/src/bench/slopes/group.rs
+++ b/xtask/src/bench/slopes/group.rs
@@ -305,6 +305,7 @@
             total_us,
             slots: slots.into_iter().take(REPORTED_SLOTS_MAX).map(load).collect(),
             keys,
+            capacity: None,
         }
     }
 }
