The coordinator weighs members by the measured capacity of their upstreams

The planner took all upstreams as equal. With ownership.weighs_capacity the coordinator keeps the times of each member by kind, takes the median over the members, and derives speeds and weights, which change only by more than measurements vary. Loads are kept as time at an upstream of speed 1 and are converted when a speed changes. Out-of-range values are replaced by their bounds, and no report moves the mean by more than four times the median.

After a restart of the whole group the second proposal placed all slots anew, and loads from before the first requests counted as comparable. A group that weighs capacity keeps its placement until all slots are granted and 8 s have passed.

--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -2,8 +2,11 @@
 
 use std::collections::VecDeque;
 
+use logging::LineRateLimiter;
 use model::{GroupId, Instance, ServiceName, Slot, Timestamp, Token};
-use ownership::{Event, Input, Message, MoveReason, Node, NodeConfig, NodeView, Output};
+use ownership::{
+    Event, Input, MemberCapacity, Message, MoveReason, Node, NodeConfig, NodeView, Output,
+};
 use settings::{MoveStatus, ServiceDocument};
 use wire::exchange::Envelope;
 
@@ -15,6 +18,11 @@
 /// The number of recent moves that the status lists.
 const MOVES_MAX: usize = 32;
 
+/// Long-term rate limit of the log lines about capacities. A group of 256 members may weigh all of
+/// them at once.
+const CAPACITY_LINES_PER_S: f64 = 0.5;
+const CAPACITY_BURST_LINES: f64 = 10.0;
+
 /// The group's node, its last view, and the moves listed in the status.
 pub(crate) struct Group {
     node: Node,
@@ -31,6 +39,7 @@
     pub(crate) is_refused: bool,
     /// Slot ranges granted by the current step, for the log.
     granted_ranges: Vec<GrantedRange>,
+    capacity_lines: LineRateLimiter,
 }
 
 impl Group {
@@ -67,6 +76,7 @@
             has_stopped: false,
             is_refused: false,
             granted_ranges: Vec::new(),
+            capacity_lines: LineRateLimiter::new(CAPACITY_LINES_PER_S, CAPACITY_BURST_LINES),
         }
     }
 
@@ -75,6 +85,12 @@
         !self.is_refused && !self.view.members.is_empty()
     }
 
+    /// Returns the capacities of the members whose speeds are known, while this instance is the
+    /// coordinator.
+    pub(crate) fn capacities(&self) -> Vec<MemberCapacity> {
+        self.node.capacities()
+    }
+
     /// Passes one input to the node and executes its outputs in order. Returns whether the routes
     /// changed.
     pub(crate) fn step(&mut self, now: Timestamp, input: Input, parts: &Parts) -> bool {
@@ -84,6 +100,8 @@
         for output in outputs.drain(..) {
             match output {
                 Output::Gate(command) => gate.push(command),
+                Output::Event(Event::MemberWeighed(_) | Event::CapacityOutOfRange { .. })
+                    if self.capacity_lines.admit(now).is_none() => {}
                 other => {
                     // Earlier gate commands take effect before any later output is sent to a peer.
                     parts.gate.apply(&gate);
@@ -214,6 +232,13 @@
             log::info!(target: "ownership", "Term {term} is settled: no earlier term can renew or grant leases.")
         }
         Event::Granted { .. } => {}
+        Event::MemberWeighed(it) => {
+            let MemberCapacity { member, slots, speed, weight } = it;
+            log::info!(target: "ownership", "Planned {weight:.1} of the mean load for {member}: it runs {slots:.1} requests at a time, at {speed:.2} of the median speed.");
+        }
+        Event::CapacityOutOfRange { member } => {
+            log::warn!(target: "ownership", "Member {member} reported a capacity that is out of range; it counts as the bound.");
+        }
         Event::PlanWritten { version } => {
             log::info!(target: "ownership", "Wrote version {version} of the plan to the platform.");
         }
--- a/crates/ownership/src/coordinator/loads.rs
+++ b/crates/ownership/src/coordinator/loads.rs
@@ -14,6 +14,9 @@
 const REPORTS_MIN: u32 = 3;
 /// The time after a member's join after which its load is compared even with fewer reports.
 const REPORTS_WAIT: Duration = Duration::from_secs(5);
+/// The time for which the placement of an earlier term is kept after all slots were granted again.
+/// Smoothed loads that begin with the first requests then reach nine tenths of their final values.
+const KEPT_PLACEMENT_MIN: Duration = Duration::from_secs(8);
 /// The most keys whose load is kept, over all members.
 const HOT_KEYS_MAX: usize = 256;
 /// The share of its load that a key loses at a proposal if no member has reported it since the
@@ -28,7 +31,7 @@
     loads: BTreeMap<KeyHash, HotKeyLoad>,
 }
 
-/// The smoothed load of one key.
+/// The smoothed load of one key, as time at an upstream of speed 1.
 #[derive(Debug)]
 struct HotKeyLoad {
     us_per_s: f64,
@@ -73,6 +76,13 @@
         self.loads.retain(|_, it| it.us_per_s >= LOAD_MIN_US_PER_S);
     }
 
+    /// Multiplies the load of each key by a factor.
+    pub(super) fn scale(&mut self, factor: impl Fn(KeyHash) -> f64) {
+        for (key_hash, it) in &mut self.loads {
+            it.us_per_s *= factor(*key_hash);
+        }
+    }
+
     /// Returns the load of a key in microseconds per second, or 0 if it is not kept.
     pub(crate) fn load(&self, key_hash: KeyHash) -> f64 {
         self.loads.get(&key_hash).map_or(0.0, |it| it.us_per_s)
@@ -92,22 +102,36 @@
 
 impl Coordination {
     /// Returns whether the loads of all members can be compared. A new coordinator receives their
-    /// reports one by one.
-    pub(super) fn has_comparable_loads(&self, now: Timestamp) -> bool {
+    /// reports one by one, and loads can be compared only once the speeds of the upstreams at which
+    /// they were measured are known. While the placement of an earlier term is kept, reports from
+    /// before the slots were granted again show no load and do not count.
+    pub(super) fn has_comparable_loads(&self, now: Timestamp, keeps_placement: bool) -> bool {
+        let counted_since = match keeps_placement {
+            true => self.served_since,
+            false => Some(Timestamp::ZERO),
+        };
+        let Some(counted_since) = counted_since else { return false };
+        if keeps_placement && now.since(counted_since) < KEPT_PLACEMENT_MIN {
+            return false;
+        }
         let is_comparable = |row: &MemberRow| {
+            let is_reported = row.joined_at >= counted_since && row.load_reports >= REPORTS_MIN;
             !row.is_eligible()
-                || row.load_reports >= REPORTS_MIN
-                || now.since(row.joined_at) > REPORTS_WAIT
+                || row.speed.is_known()
+                || (is_reported && !row.speed.is_pending())
+                || now.since(row.joined_at.max(counted_since)) > REPORTS_WAIT
         };
         self.members.rows.values().all(is_comparable)
     }
 
-    /// Applies a member's load report to the loads of its slots and hot keys.
+    /// Applies a member's load report to the loads of its slots and hot keys, which are kept as time at
+    /// an upstream of speed 1.
     pub(super) fn apply_load_report(&mut self, id: &MemberId, report: &LoadReport) {
         if report.period_ms == 0 {
             return;
         }
-        let per_s = |load_us: u64| load_us as f64 * 1000.0 / f64::from(report.period_ms);
+        let speed = self.members.rows.get(id).map_or(1.0, |it| it.speed.speed);
+        let per_s = |load_us: u64| load_us as f64 * speed * 1000.0 / f64::from(report.period_ms);
         let mut keys_us = 0_u64;
         for it in &report.keys {
             keys_us = keys_us.saturating_add(it.load_us);
--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -12,7 +12,7 @@
     ctx::MemberId,
 };
 
-use super::slots::Grant;
+use super::{slots::Grant, speeds::SpeedRow};
 
 /// The most members of one group.
 pub const GROUP_MEMBERS_MAX: usize = 256;
@@ -59,6 +59,8 @@
     pub(crate) config: ConfigVersion,
     pub(crate) load_us_per_s: f64,
     pub(crate) load_reports: u32,
+    /// Measured speed of the upstream in this session.
+    pub(crate) speed: SpeedRow,
     /// Commands that the member has not yet acknowledged, in order.
     pub(crate) commands: VecDeque<Command>,
     /// The number of the first of `commands`.
@@ -95,6 +97,7 @@
             config: renew.config,
             load_us_per_s: 0.0,
             load_reports: 0,
+            speed: SpeedRow::default(),
             commands: VecDeque::new(),
             first_command: 1,
             last_report: 0,
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -18,6 +18,7 @@
 mod renewals;
 mod runs;
 mod slots;
+mod speeds;
 mod succession;
 
 #[cfg(test)]
@@ -35,7 +36,7 @@
     rules::{self, Rule},
 };
 
-pub use self::members::GROUP_MEMBERS_MAX;
+pub use self::{members::GROUP_MEMBERS_MAX, speeds::MemberCapacity};
 
 use self::{
     answer::Recipients,
@@ -137,6 +138,11 @@
     proposed_at: Timestamp,
     /// The latest time of a group's first plan, which each further join postpones up to this time.
     first_plan_deadline: Timestamp,
+    /// Whether most slots had planned owners, but no holders, at the first proposal of this term: all members have
+    /// restarted. Recorded only if capacity is weighed, and so is the next field.
+    is_restarted: Option<bool>,
+    /// When all slots first had holders in this term.
+    served_since: Option<Timestamp>,
     /// Since when some member has been ready for grants, while this term has granted nothing.
     first_ready_at: Option<Timestamp>,
     /// The moves of slots within the last minute that served to even out the load.
@@ -208,6 +214,8 @@
             next_proposal_at: ctx.now + delay,
             proposed_at: Timestamp::ZERO,
             first_plan_deadline: ctx.now + delay,
+            is_restarted: None,
+            served_since: None,
             first_ready_at: None,
             recent_moves: VecDeque::new(),
             times_differ_since: None,
--- a/crates/ownership/src/coordinator/propose.rs
+++ b/crates/ownership/src/coordinator/propose.rs
@@ -69,7 +69,8 @@
 struct Members {
     instances: Vec<Instance>,
     ids: Vec<MemberId>,
-    /// The weight of each member: 1 if slots may be granted to it, and 0 otherwise.
+    /// The weight of each member: its capacity relative to the mean member if slots may be granted
+    /// to it, and 0 otherwise.
     weights: Vec<f64>,
 }
 
@@ -108,10 +109,12 @@
         if !is_ready || due_at > ctx.now || self.has_pending_grant(ctx.now) {
             return;
         }
+        self.record_restart(ctx);
         if self.is_delayed_for_upstreams(ctx.now) {
             return;
         }
         self.proposed_at = ctx.now;
+        self.update_speeds(ctx);
         let members = self.planned_members();
         let input = self.planner_input(ctx, &members);
         let proposal = propose(&input);
@@ -131,6 +134,19 @@
         }
     }
 
+    /// Records whether the group has restarted as a whole, and when all of its slots first had holders.
+    fn record_restart(&mut self, ctx: &Ctx<'_>) {
+        if !ctx.limits().weighs_capacity || self.served_since.is_some() {
+            return;
+        }
+        let slots = &self.slot_table.slots;
+        work::add_entries(slots.len() / 8);
+        let held = slots.iter().filter(|it| it.holder.grant().is_some()).count();
+        let has_owners = self.plan.owners().next().is_some();
+        self.is_restarted.get_or_insert(has_owners && 2 * held < slots.len());
+        self.served_since = (held == slots.len()).then_some(ctx.now);
+    }
+
     /// Returns the least time from one proposal to the next.
     fn proposal_pause(&self) -> Duration {
         PROPOSAL_PAUSE_PER_MEMBER * self.members.rows.len() as u32
@@ -168,11 +184,10 @@
     /// Returns all members in the order of their ids.
     fn planned_members(&self) -> Members {
         let rows = self.members.rows.iter();
-        let weight = |row: &MemberRow| if row.is_eligible() { 1.0 } else { 0.0 };
         Members {
             instances: rows.clone().map(|it| it.1.instance.clone()).collect(),
             ids: rows.clone().map(|it| it.0.clone()).collect(),
-            weights: rows.map(|it| weight(it.1)).collect(),
+            weights: rows.map(|it| it.1.planner_weight()).collect(),
         }
     }
 
@@ -188,19 +203,27 @@
         };
         let slots = self.slot_table.iter();
         let incarnations = self.successor_incarnations();
+        let keeps_placement = ctx.limits().weighs_capacity && self.is_restarted == Some(true);
+        let has_comparable_loads = self.has_comparable_loads(ctx.now, keeps_placement);
         PlannerInput {
             now: ctx.now,
             slot_count: self.slot_table.slot_count,
             ordered: ctx.config.ordered,
             members: instances.map(member).collect(),
             slots: slots
-                .map(|(slot, row)| self.planner_slot(ctx.now, slot, row, members, &incarnations))
+                .map(|(slot, row)| {
+                    let it = self.planner_slot(ctx.now, slot, row, members, &incarnations);
+                    let kept = || self.eligible_planned_owner(slot, members);
+                    let owner = it.owner.or_else(|| keeps_placement.then(kept).flatten());
+                    PlannerSlot { owner, ..it }
+                })
                 .collect(),
             keys: self.planner_keys(members),
-            churn_left: match self.has_comparable_loads(ctx.now) {
+            churn_left: match has_comparable_loads {
                 true => (ctx.limits().churn_per_minute_max - moved).max(0.0),
                 false => 0.0,
             },
+            may_move_idle: has_comparable_loads || !keeps_placement,
             limits: ctx.limits().clone(),
         }
     }
@@ -235,6 +258,14 @@
         }
     }
 
+    /// Returns the planned owner of a slot if slots may be granted to it. After a restart of the whole
+    /// group, slots have no holder until all earlier leases have ended. Their planned owners are kept
+    /// meanwhile, because a new placement without known loads would undo the balance.
+    fn eligible_planned_owner(&self, slot: Slot, members: &Members) -> Option<u16> {
+        let planned = self.plan.planned_owner(slot).filter(|it| self.members.is_eligible(it))?;
+        members.index(planned)
+    }
+
     /// Returns the hot keys as the planner sees them: those in the table, and those reported by
     /// members.
     fn planner_keys(&self, members: &Members) -> Vec<PlannerKey> {
--- a/crates/ownership/src/coordinator/renewals.rs
+++ b/crates/ownership/src/coordinator/renewals.rs
@@ -140,6 +140,10 @@
     fn apply_renewal(&mut self, ctx: &mut Ctx<'_>, id: MemberId, renew: &Renew) {
         let Some(row) = self.members.rows.get_mut(&id) else { return };
         let (reports, changed) = row.apply_renewal(renew);
+        let capacity = renew.capacity.as_ref().filter(|_| ctx.limits().weighs_capacity);
+        if capacity.is_some_and(|it| row.speed.record(it)) {
+            ctx.emit(Event::CapacityOutOfRange { member: row.instance.clone() });
+        }
         self.config = self.config.max(renew.config);
         if let Some(load) = &renew.load {
             match ctx.config.ordered {
--- a/crates/ownership/src/coordinator/slots.rs
+++ b/crates/ownership/src/coordinator/slots.rs
@@ -94,7 +94,7 @@
     pub(crate) runs: EarlierRuns,
     /// The highest known token under which it was ever granted.
     pub(crate) last_token: Token,
-    /// The smoothed load; `None` until a member first reports it.
+    /// The smoothed load, as time at an upstream of speed 1; `None` until a member first reports it.
     pub(crate) load_us_per_s: Option<f64>,
     /// When the slot was last moved to even out the load.
     pub(crate) moved_at: Option<Timestamp>,
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -24,7 +24,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use coordinator::GROUP_MEMBERS_MAX;
+pub use coordinator::{GROUP_MEMBERS_MAX, MemberCapacity};
 pub use input::{
     CapacityReport, Input, KeyLoad, KindTime, LoadReport, PlatformReply, SlotLoad, UpstreamState,
 };
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -13,7 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    CallId, Event, Input, Limits, Output, PlatformReply, Report,
+    CallId, Event, Input, Limits, MemberCapacity, Output, PlatformReply, Report,
     coordinator::{AcquiredTerm, Coordination, Reacquisition, TermState},
     ctx::{Ctx, is_same_incarnation},
     member::Member,
@@ -372,6 +372,11 @@
         }
     }
 
+    /// Returns the capacities of the members whose speeds are known, while this node is the coordinator.
+    pub fn capacities(&self) -> Vec<MemberCapacity> {
+        self.coordination.iter().flat_map(Coordination::capacities).collect()
+    }
+
     /// Builds the current view.
     pub fn view(&self) -> NodeView {
         let slot_count = self.config.slot_count;
--- a/crates/ownership/src/output.rs
+++ b/crates/ownership/src/output.rs
@@ -2,7 +2,7 @@
 
 use model::{Instance, KeyHash, ObjectVersion, Slot, Timestamp, Token};
 
-use crate::{Confirmation, Coordinator, Message, Plan};
+use crate::{Confirmation, Coordinator, MemberCapacity, Message, Plan};
 
 /// Identifier of a platform call, unique within one node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -116,6 +116,12 @@
     PlanWritten {
         version: u64,
     },
+    /// The weight of a member in the planner has changed.
+    MemberWeighed(MemberCapacity),
+    /// A member has reported a capacity that is out of range, and was replaced by its bound.
+    CapacityOutOfRange {
+        member: Instance,
+    },
 }
 
 /// Reason why a slot was granted to its owner.
--- a/crates/ownership/src/planner/mod.rs
+++ b/crates/ownership/src/planner/mod.rs
@@ -64,6 +64,9 @@
     /// Share of all keys that rebalancing may still move in this minute. First grants and moves away from lost or
     /// leaving members do not count.
     pub churn_left: f64,
+    /// Whether slots with ordered keys may move without limit while the service has no load. A new coordinator has
+    /// received no loads yet, so to it a busy service looks idle.
+    pub may_move_idle: bool,
     pub limits: Limits,
 }
 
--- a/crates/ownership/src/planner/ranges.rs
+++ b/crates/ownership/src/planner/ranges.rs
@@ -231,7 +231,8 @@
         let trigger = self.relief_trigger();
         let settle = 1.0 + (trigger - 1.0) * SETTLE_SHARE;
         // Slots without requests may move without limit, because no request waits for them.
-        let churn = if self.is_idle { 1.0 } else { self.input.churn_left };
+        let is_unlimited = self.is_idle && self.input.may_move_idle;
+        let churn = if is_unlimited { 1.0 } else { self.input.churn_left };
         let mut churn_left = (churn * self.owners.len() as f64) as usize;
         // Members that cannot be relieved, such as the owner of a single slot that exceeds any member's capacity.
         let mut unrelievable: Vec<u16> = Vec::new();
--- a/crates/ownership/src/planner/tests/mod.rs
+++ b/crates/ownership/src/planner/tests/mod.rs
@@ -38,6 +38,7 @@
         slots: loads.iter().enumerate().map(slot).collect(),
         keys: Vec::new(),
         churn_left: 1.0,
+        may_move_idle: true,
         limits: Limits::default(),
     }
 }
--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -22,6 +22,9 @@
             ScheduledEvent::Tick { host, generation } => self.tick(host, generation),
             ScheduledEvent::Deliver { to, generation, from, message } => {
                 let own = self.hosts[to].instance.clone();
+                if self.is_refused_by_version(to, &message) {
+                    return;
+                }
                 if self.hosts[to].generation == generation
                     && is_same_incarnation(&own, &self.hosts[to].instance)
                 {
@@ -77,7 +80,9 @@
         if self.hosts[host].is_paused {
             return;
         }
-        if self.rng.random_range(0..TICKS_PER_LOAD_REPORT) == 0 {
+        if self.has_speeds() {
+            self.report_measured_load(host);
+        } else if self.rng.random_range(0..TICKS_PER_LOAD_REPORT) == 0 {
             let report = self.load_report(host);
             self.pass_input(host, Input::Load(report));
         }
@@ -85,7 +90,7 @@
     }
 
     /// Returns the load report of a host, from the slots and hot keys that its gate holds.
-    fn load_report(&self, host: usize) -> LoadReport {
+    pub(super) fn load_report(&self, host: usize) -> LoadReport {
         let gate = &self.hosts[host].gate;
         let period_ms = 250;
         let share = |us_per_s: u64| us_per_s * u64::from(period_ms) / 1000;
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -13,6 +13,7 @@
 mod measure;
 mod platform;
 mod random;
+mod speeds;
 mod upstream;
 
 use std::{
@@ -25,7 +26,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    CallId, Event, Input, Limits, Message, MoveReason, Output, PlatformReply, PlatformRequest,
+    CallId, CapacityReport, Event, Input, Limits, Message, MoveReason, Output, PlatformReply,
+    PlatformRequest,
 };
 
 pub use self::{
@@ -56,6 +58,8 @@
     pub simulates_requests: bool,
     /// Processor and link capacity of each host. With `None`, steps take no time and bandwidth is unlimited.
     pub machine: Option<Machine>,
+    /// Speed of the upstream of each host. If empty, all speeds are 1, and no capacities are reported.
+    pub speeds: Vec<f64>,
 }
 
 impl SimConfig {
@@ -73,6 +77,7 @@
             tracked_keys: 0,
             simulates_requests: false,
             machine: None,
+            speeds: Vec::new(),
         }
     }
 }
@@ -195,6 +200,10 @@
     slot_loads: Vec<u64>,
     /// Load of each tracked key, in microseconds of upstream time per second.
     key_loads: BTreeMap<KeyHash, u64>,
+    /// Capacities that hosts report instead of the measured ones.
+    pub(crate) false_capacities: BTreeMap<usize, CapacityReport>,
+    /// Hosts of an earlier version, which refuses renewals that carry a capacity.
+    pub(crate) earlier_versions: BTreeSet<usize>,
     /// Log of commands, events and faults, if enabled.
     log: Option<Vec<String>>,
     /// Number of messages that hosts have sent, including lost ones.
@@ -225,6 +234,8 @@
             keys,
             slot_loads: vec![SLOT_LOAD_US_PER_S; usize::from(slot_count.count())],
             key_loads: BTreeMap::new(),
+            false_capacities: BTreeMap::new(),
+            earlier_versions: BTreeSet::new(),
             log: None,
             messages: 0,
             longest_step: Duration::ZERO,
--- a/crates/ownership/src/sim/random.rs
+++ b/crates/ownership/src/sim/random.rs
@@ -29,6 +29,8 @@
     pub simulates_requests: bool,
     /// Restores the platform from older snapshots at times.
     pub platform_rolls_back: bool,
+    /// Gives upstreams different speeds, by which the group weighs its members.
+    pub weighs_capacity: bool,
 }
 
 /// Result of a random run.
@@ -77,6 +79,8 @@
 const FALSE_LOSS_PROBABILITY: f64 = 0.2;
 /// Duration of a false report of a lost upstream.
 const FALSE_LOSS_MS: Range<u64> = 50..1500;
+/// Speeds of the upstreams if they differ.
+const SPEEDS: [f64; 3] = [0.7, 0.7, 1.6];
 /// Shortest time from one round of faults to the next.
 const FAULT_GAP_MIN: Duration = Duration::from_millis(100);
 
@@ -114,6 +118,7 @@
     let limits = Limits {
         platform_absence_max: PLATFORM_ABSENCE_MAX,
         churn_per_minute_max: 20.0,
+        weighs_capacity: config.weighs_capacity,
         ..limits(config.ordered)
     };
     // Two clocks drift apart by less than the drift margin within one lease.
@@ -126,6 +131,10 @@
         drift_max,
         ordered: config.ordered,
         simulates_requests: config.simulates_requests,
+        speeds: match config.weighs_capacity {
+            true => (0..config.hosts).map(|it| SPEEDS[it % SPEEDS.len()]).collect(),
+            false => Vec::new(),
+        },
         ..SimConfig::new(config.seed)
     });
     if log {
--- a/crates/ownership/src/tests/disabled_rules.rs
+++ b/crates/ownership/src/tests/disabled_rules.rs
@@ -21,6 +21,7 @@
         agents_restart: false,
         simulates_requests: false,
         platform_rolls_back: false,
+        weighs_capacity: false,
     }
 }
 
--- a/crates/ownership/src/tests/large_groups.rs
+++ b/crates/ownership/src/tests/large_groups.rs
@@ -56,6 +56,24 @@
     sim
 }
 
+/// Guards against steps of a coordinator that weighs capacity that delay the renewals of its members.
+#[test]
+fn a_group_of_112_that_weighs_capacity_keeps_its_coordinator() {
+    let base = config(112, 1);
+    let limits = Limits { weighs_capacity: true, ..base.limits.clone() };
+    let speeds = (0..112).map(|it| [0.7, 0.7, 1.6][it % 3]).collect();
+    let mut sim = Sim::new(SimConfig { limits, speeds, ..base });
+    sim.start_all();
+    assert!(sim.run_until(FIRST_GRANTS_MAX, |it| it.unowned_slots() == 0));
+    sim.run_for(Duration::from_secs(12));
+    assert_eq!(sim.violation(), None);
+    assert_eq!(terms_started(&sim), 1, "{:?}", sim.events());
+    assert!(!sim.events().contains_key("SessionEnded"), "{:?}", sim.events());
+    assert!(sim.events().contains_key("MemberWeighed"));
+    let pause_max = config(112, 1).limits.pause_max;
+    assert!(sim.longest_step < pause_max, "a step took {:?}", sim.longest_step);
+}
+
 /// Asserts that without faults the first term continues, no session ends, and every step is shorter than `pause_max`,
 /// so that renewals are in time.
 fn assert_group_is_stable(hosts: usize) {
--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod lifecycle;
 
 mod routes;
+mod speeds;
 mod large_groups;
 mod random;
 mod disabled_rules;
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -62,6 +62,7 @@
         agents_restart: false,
         simulates_requests: false,
         platform_rolls_back: false,
+        weighs_capacity: false,
     }
 }
 
@@ -137,6 +138,17 @@
     }
 }
 
+/// Same as [`seeds`], half of them with ordered slots, but the upstreams have different speeds, by which the group
+/// weighs its members.
+#[test]
+fn seeds_with_weighed_capacity() {
+    let first = env_number("OWNERSHIP_SEED").unwrap_or(1);
+    for seed in first..first + runs_per_part() / 4 {
+        let ordered = seed.is_multiple_of(2);
+        check_run(&RandomRunConfig { ordered, weighs_capacity: true, ..run_config(seed) });
+    }
+}
+
 fn config_with_rollbacks(seed: u64) -> RandomRunConfig {
     let ordered = seed.is_multiple_of(2);
     RandomRunConfig {
@@ -198,6 +210,7 @@
             agents_restart: false,
             simulates_requests: false,
             platform_rolls_back: false,
+            weighs_capacity: false,
         }
     }
 
--- a/xtask/src/bench/ownership/policy/planned.rs
+++ b/xtask/src/bench/ownership/policy/planned.rs
@@ -111,6 +111,7 @@
             slots,
             keys,
             churn_left: (self.limits.churn_per_minute_max - spent).max(0.0),
+            may_move_idle: true,
             limits: self.limits.clone(),
         }
     }
