Gates measure answered requests by kind, and capacities are shown to operators

The gate adds the time of each answered request without a server error to its load report, if the document weighs capacity. The number of slots is the one after the ramp-up, which lasts only seconds.

--- a/crates/agent/src/control/status.rs
+++ b/crates/agent/src/control/status.rs
@@ -7,11 +7,11 @@
 
 use model::{Instance, ObjectVersion, Timestamp};
 use object_store::StoreError;
-use ownership::{MemberView, NodeView, OwnerView, UpstreamState};
+use ownership::{MemberCapacity, MemberView, NodeView, OwnerView, UpstreamState};
 use rand::RngExt;
 use settings::{
-    CoordinatorStatus, GrantStatus, GroupStatus, HotKeyStatus, InForceStatus, Measures,
-    OwnerStatus, STATUS_GRANTS_MAX, UpstreamStateName, UpstreamStatus,
+    CapacityStatus, CoordinatorStatus, GrantStatus, GroupStatus, HotKeyStatus, InForceStatus,
+    Measures, OwnerStatus, STATUS_GRANTS_MAX, UpstreamStateName, UpstreamStatus,
 };
 
 use crate::control::{state::Control, status_schedule::StatusSchedule};
@@ -145,6 +145,7 @@
             unreachable!("only a member of a group is its coordinator")
         };
         let view = &group.view;
+        let capacities = group.capacities();
         let accepted = self.documents.version(self.service());
         GroupStatus {
             service: self.service().clone(),
@@ -159,7 +160,11 @@
                 term: view.term,
                 settled: view.settled,
             },
-            owners: view.members.iter().map(|it| owner_status(it, &view.owners)).collect(),
+            owners: view
+                .members
+                .iter()
+                .map(|it| owner_status(it, &view.owners, &capacities))
+                .collect(),
             upstreams: view.members.iter().map(upstream_status).collect(),
             grants: grant_statuses(view),
             hot_keys: view.owners.iter().filter_map(hot_key_status).collect(),
@@ -205,7 +210,11 @@
     }
 }
 
-fn owner_status(member: &MemberView, owners: &[OwnerView]) -> OwnerStatus {
+fn owner_status(
+    member: &MemberView,
+    owners: &[OwnerView],
+    capacities: &[MemberCapacity],
+) -> OwnerStatus {
     let slots = owners
         .iter()
         .filter(|it| it.key_hash.is_none() && it.owner.as_ref() == Some(&member.instance));
@@ -215,6 +224,16 @@
         slots: slots.count() as u32,
         load_us_per_s: member.load_us_per_s,
         config: member.config,
+        capacity: capacities.iter().find(|it| it.member == member.instance).map(capacity_status),
+    }
+}
+
+fn capacity_status(it: &MemberCapacity) -> CapacityStatus {
+    let percent = |it: f64| (it * 100.0).round() as u32;
+    CapacityStatus {
+        slots: it.slots.round() as u32,
+        speed_percent: percent(it.speed),
+        weight_percent: percent(it.weight),
     }
 }
 
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -7,7 +7,7 @@
 use settings::KeyGrants;
 
 use crate::{
-    control::state::Control,
+    control::{group::Group, state::Control},
     report::{Announcement, UpstreamId},
     snapshot::LeaveReason,
     zones::ClosedZones,
@@ -266,5 +266,7 @@
         self.upstream.load_reported_at = now;
         let load = self.parts.gate.take_load();
         self.step(now, Input::Load(load));
+        let capacities = self.group.as_ref().map(Group::capacities);
+        self.parts.gate.set_capacities(capacities.unwrap_or_default());
     }
 }
--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -257,6 +257,12 @@
         self.state().admission.capacity_used(upstream_time)
     }
 
+    /// Returns the number of slots that are open once the ramp-up has ended. A ramp-up lasts a few
+    /// seconds, so the placement of keys does not go by it.
+    pub(crate) fn slots_when_ramped_up(&self) -> usize {
+        self.state().admission.slots_when_ramped_up(self.clock.now())
+    }
+
     /// Returns the number of running and the number of queued requests.
     pub(crate) fn load(&self) -> (usize, usize) {
         let state = self.state();
--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -2,8 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use arc_swap::ArcSwap;
 use model::{Instance, Slot, Token};
-use ownership::{GateCommand, LoadReport};
+use ownership::{GateCommand, LoadReport, MemberCapacity};
 use tokio::sync::mpsc;
 use traffic::{RecordUnit, SharedRateLimit};
 
@@ -46,6 +47,8 @@
     /// Limit on the rate of requests that the upstream gets. An incarnation that follows another is
     /// counted as having received the requests of its predecessor.
     pub(crate) rate_limit: SharedRateLimit,
+    /// Capacities of the members while this agent is the coordinator, for the metrics.
+    pub(crate) capacities: Arc<ArcSwap<Vec<MemberCapacity>>>,
     tasks: mpsc::UnboundedSender<GateTask>,
 }
 
@@ -56,7 +59,8 @@
         let (tasks, receiver) = mpsc::unbounded_channel();
         let table = Arc::new(GateTable::new());
         let rate_limit = SharedRateLimit::new(clock.now());
-        (GateHandle { clock, table, load: Arc::default(), rate_limit, tasks }, receiver)
+        let (load, capacities) = (Arc::default(), Arc::default());
+        (GateHandle { clock, table, load, rate_limit, capacities, tasks }, receiver)
     }
 
     /// Applies the gate commands of one step, in order. Admissions, refusals and the lease are in
@@ -99,6 +103,11 @@
         self.rate_limit.with(|it| it.invalidate_cold_state());
     }
 
+    /// Sets the capacities of the members for the metrics; none unless this agent is the coordinator.
+    pub(crate) fn set_capacities(&self, capacities: Vec<MemberCapacity>) {
+        self.capacities.store(Arc::new(capacities));
+    }
+
     /// Returns the load since the last call, for [`ownership::Input::Load`].
     pub fn take_load(&self) -> LoadReport {
         self.load.take(self.clock.now(), |slot| self.table.slot_in_flight(slot))
--- a/crates/agent/src/gate/load.rs
+++ b/crates/agent/src/gate/load.rs
@@ -1,5 +1,6 @@
 //! Upstream time that the slots and the heaviest keys have used since the last report, including
-//! the estimated time of requests refused for lack of capacity.
+//! the estimated time of requests refused for lack of capacity; and the upstream time of answered
+//! requests by kind, by which the coordinator compares the speeds of upstreams.
 
 use std::{
     collections::HashMap,
@@ -8,7 +9,7 @@
 };
 
 use model::{KeyHash, Slot, Timestamp};
-use ownership::{KeyLoad, LoadReport, SlotLoad};
+use ownership::{CapacityReport, KeyLoad, KindTime, LoadReport, SlotLoad};
 use traffic::Sketch;
 
 /// Number of slots in a report.
@@ -35,6 +36,10 @@
     slots: HashMap<Slot, u64>,
     /// The heaviest keys, each with the slot that it follows, if it follows one.
     keys: Sketch<(KeyHash, Option<Slot>)>,
+    /// Answered requests of each kind, and their total time in microseconds.
+    kinds: HashMap<u8, (u32, u64)>,
+    /// Slots of the upstream when it last answered.
+    upstream_slots: u16,
 }
 
 /// Load of the local upstream. Its size is bounded regardless of the number of keys.
@@ -66,6 +71,17 @@
         loads.add(slot, key_hash, (mean_us as f64 * REFUSED_WEIGHT) as u64);
     }
 
+    /// Adds an answered request of a kind. `slots` is the number of requests that the upstream runs at
+    /// a time.
+    pub(crate) fn add_answered(&self, kind: u8, upstream_time: Duration, slots: usize) {
+        let time_us = u64::try_from(upstream_time.as_micros()).unwrap_or(u64::MAX);
+        let mut loads = self.lock();
+        loads.upstream_slots = u16::try_from(slots).unwrap_or(u16::MAX);
+        let (count, total_us) = loads.kinds.entry(kind).or_default();
+        *count = count.saturating_add(1);
+        *total_us = total_us.saturating_add(time_us);
+    }
+
     fn lock(&self) -> MutexGuard<'_, Loads> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -83,7 +99,16 @@
 impl Loads {
     fn new(since: Timestamp) -> Loads {
         let keys = Sketch::new(KEYS_TRACKED_MAX);
-        Loads { since, total_us: 0, ran: 0, ran_us: 0, slots: HashMap::new(), keys }
+        Loads {
+            since,
+            total_us: 0,
+            ran: 0,
+            ran_us: 0,
+            slots: HashMap::new(),
+            keys,
+            kinds: HashMap::new(),
+            upstream_slots: 0,
+        }
     }
 
     fn add(&mut self, slot: Option<Slot>, key_hash: KeyHash, load_us: u64) {
@@ -96,6 +121,7 @@
 
     fn report(mut self, now: Timestamp, in_flight: impl Fn(Slot) -> u32) -> LoadReport {
         let keys = self.take_heaviest_keys();
+        let capacity = self.capacity();
         let mut slots: Vec<SlotLoad> = self
             .slots
             .into_iter()
@@ -107,7 +133,22 @@
         slots.sort_by_key(|it| (std::cmp::Reverse(it.load_us), it.slot));
         slots.truncate(SLOTS_MAX);
         let period_ms = u32::try_from(now.since(self.since).as_millis()).unwrap_or(u32::MAX);
-        LoadReport { period_ms, total_us: self.total_us, slots, keys, capacity: None }
+        LoadReport { period_ms, total_us: self.total_us, slots, keys, capacity }
+    }
+
+    /// Returns the measured capacity, unless no request was answered.
+    fn capacity(&self) -> Option<CapacityReport> {
+        if self.kinds.is_empty() {
+            return None;
+        }
+        let kinds = self.kinds.iter();
+        let kinds = kinds.map(|(kind, (count, total_us))| KindTime {
+            kind: *kind,
+            count: *count,
+            total_us: *total_us,
+        });
+        let report = CapacityReport { slots: self.upstream_slots, kinds: kinds.collect() };
+        Some(report.keep_heaviest())
     }
 
     /// Takes the heaviest keys and subtracts their load from that of their slots, so that placement
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -29,6 +29,7 @@
 
 use arc_swap::ArcSwapOption;
 use model::{ClassName, Instance, RequestRate, Timestamp, UnknownReason};
+use ownership::MemberCapacity;
 use settings::ServiceDocument;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use upstream::{AnnouncedKeys, AssignedKeys, HttpUpstream, Upstream};
@@ -180,6 +181,11 @@
         (self.condition.limit(), self.condition.leaving_since().is_some())
     }
 
+    /// Returns the capacities of the members of the group, if this agent is its coordinator.
+    pub(crate) fn capacities(&self) -> Arc<Vec<MemberCapacity>> {
+        self.handle.capacities.load_full()
+    }
+
     /// Reports a peer that has a later document than this agent, so that control fetches it.
     fn report_later_config(&self, from: &Instance, request: &GateRequest) {
         let bound = self.bound.load();
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -264,7 +264,7 @@
 
     /// Returns the route of the document that matches the request; it selects the expected service
     /// time.
-    fn route(&self) -> Option<RouteIndex> {
+    pub(super) fn route(&self) -> Option<RouteIndex> {
         if let Some(kind) = self.request.kind {
             return Some(RouteIndex(kind.into()));
         }
--- a/crates/agent/src/gate/send.rs
+++ b/crates/agent/src/gate/send.rs
@@ -117,6 +117,9 @@
                     true => Completion::Aborted,
                     false => Completion::Answered,
                 };
+                if permit.completion == Completion::Answered {
+                    self.record_answer_time(ended_at.since(started_at));
+                }
                 GateReply::Answered(answer)
             }
             CallEnd::Failed(error) => {
@@ -134,6 +137,21 @@
         }
     }
 
+    /// Records the time of an answered request, by which the group weighs its members.
+    fn record_answer_time(&self, upstream_time: Duration) {
+        if !self.bound.document.ownership.weighs_capacity || self.entry.is_none() {
+            return;
+        }
+        // A kind of the document beyond the range of the reports is left out: speeds are measured
+        // with the other kinds.
+        let kind = self.route().and_then(|it| u8::try_from(it.0).ok());
+        if let Some(kind) = kind {
+            let slots = self.bound.queue.slots_when_ramped_up();
+            self.gate.handle.load.add_answered(kind, upstream_time, slots);
+            self.gate.metrics.record_measured_answer();
+        }
+    }
+
     /// Records the condition that the upstream states in its answer or refusal.
     fn record_condition(&self, sent_at: Timestamp, received_at: Timestamp, result: &CallEnd) {
         let (condition, is_served) = match result {
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -7,8 +7,10 @@
 
 use model::{ClassName, Outcome, RequestRate, TeamName};
 use object_store::CallCounts;
+use ownership::MemberCapacity;
 use prometheus::{
-    Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use self::platform_calls::PlatformCalls;
@@ -31,6 +33,8 @@
     limited: IntCounterVec,
     limit_per_s: Gauge,
     is_leaving: IntGauge,
+    measured_answers: IntCounter,
+    member_weight: GaugeVec,
 }
 
 impl Metrics {
@@ -70,6 +74,19 @@
             "pomelohill_upstream_leaving",
             "1 if the upstream has stated in an answer that it is leaving.",
         )?;
+        let measured_answers = IntCounter::new(
+            "pomelohill_measured_answers_total",
+            "Answers of the upstream by which its speed was measured.",
+        )?;
+        let member_weight = GaugeVec::new(
+            Opts::new(
+                "pomelohill_member_weight",
+                "Share of the load that the coordinator plans for an instance, relative to the mean instance.",
+            ),
+            &["instance"],
+        )?;
+        registry.register(Box::new(measured_answers.clone()))?;
+        registry.register(Box::new(member_weight.clone()))?;
         registry.register(Box::new(request_s.clone()))?;
         registry.register(Box::new(upstream_s.clone()))?;
         registry.register(Box::new(requests.clone()))?;
@@ -91,6 +108,8 @@
             limited,
             limit_per_s,
             is_leaving,
+            measured_answers,
+            member_weight,
         })
     }
 
@@ -138,6 +157,19 @@
         self.is_leaving.set(i64::from(is_leaving));
     }
 
+    /// Records an answer by which the speed of the upstream was measured.
+    pub(crate) fn record_measured_answer(&self) {
+        self.measured_answers.inc();
+    }
+
+    /// Sets the weights of the members; none unless this agent is the coordinator.
+    pub(crate) fn set_capacities(&self, capacities: &[MemberCapacity]) {
+        self.member_weight.reset();
+        for it in capacities {
+            self.member_weight.with_label_values(&[it.member.name.as_str()]).set(it.weight);
+        }
+    }
+
     fn text(&self) -> Result<String, prometheus::Error> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
--- a/crates/agent/src/metrics/server.rs
+++ b/crates/agent/src/metrics/server.rs
@@ -31,6 +31,7 @@
     metrics.set_gate_load(running, queued);
     let (limit, is_leaving) = gate.stated_condition();
     metrics.set_stated_condition(limit, is_leaving);
+    metrics.set_capacities(&gate.capacities());
     match metrics.text() {
         Ok(text) => text.into_response(),
         Err(error) => {
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -148,6 +148,10 @@
                 let status = StatusCode::GATEWAY_TIMEOUT;
                 return Ok(Answer { status, headers: HeaderMap::new(), body: Bytes::new() });
             }
+            "fail" => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                return Ok(Answer { status, headers: HeaderMap::new(), body: Bytes::new() });
+            }
             "work" => tokio::time::sleep(Duration::from_millis(20)).await,
             "end" => {
                 tokio::time::sleep(Duration::from_millis(5)).await;
@@ -436,6 +440,17 @@
             Some(key_grants) => leased_document(key_grants),
             None => document(true),
         };
+        self.route_by(document, owner, route_version).await;
+    }
+
+    /// Publishes routes in which one instance owns all slots of a group that weighs its members.
+    pub(super) async fn route_weighed_to(&self, owner: &Instance, route_version: u64) {
+        let mut document = ServiceDocument::clone(&document(true));
+        document.ownership.weighs_capacity = true;
+        self.route_by(Arc::new(document), owner, route_version).await;
+    }
+
+    async fn route_by(&self, document: Arc<ServiceDocument>, owner: &Instance, route_version: u64) {
         let slot_count = document.slot_count;
         let route = OwnerRoute { owner: Some(owner.clone()), successors: Vec::new() };
         let slots = vec![route; usize::from(slot_count.count())];
--- a/crates/client/src/commands/status.rs
+++ b/crates/client/src/commands/status.rs
@@ -120,17 +120,28 @@
 }
 
 fn instances_table(status: &GroupStatus) -> String {
-    let mut table = Table::new(&["INSTANCE", "ZONE", "UPSTREAM", "SLOTS", "LOAD", "VERSION"]);
+    let mut columns = vec!["INSTANCE", "ZONE", "UPSTREAM", "SLOTS", "LOAD", "VERSION"];
+    let is_weighed = status.owners.iter().any(|it| it.capacity.is_some());
+    if is_weighed {
+        columns.extend(["SPEED", "WEIGHT"]);
+    }
+    let mut table = Table::new(&columns);
     for upstream in &status.upstreams {
         let owner = status.owners.iter().find(|it| it.instance == upstream.instance);
-        table.add_row(&[
+        let mut row = vec![
             upstream.instance.to_string(),
             upstream.zone.to_string(),
             state_name(upstream.state).to_owned(),
             owner.map_or("-".to_owned(), |it| it.slots.to_string()),
             owner.map_or("-".to_owned(), |it| format_load(it.load_us_per_s)),
             owner.map_or("-".to_owned(), |it| it.config.to_string()),
-        ]);
+        ];
+        if is_weighed {
+            let capacity = owner.and_then(|it| it.capacity);
+            row.push(format_share(capacity.map(|it| it.speed_percent)));
+            row.push(format_share(capacity.map(|it| it.weight_percent)));
+        }
+        table.add_row(&row);
     }
     table.render()
 }
@@ -162,6 +173,11 @@
     table.render()
 }
 
+/// Formats a share in percent relative to 1.
+fn format_share(percent: Option<u32>) -> String {
+    percent.map_or("-".to_owned(), |it| format!("{:.2}", f64::from(it) / 100.0))
+}
+
 /// Formats a load as the mean number of busy upstream slots: 1,000,000 µs per second is one slot.
 fn format_load(us_per_s: u64) -> String {
     format!("{:.2}", us_per_s as f64 / 1e6)
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -27,10 +27,11 @@
     RouteMatch, ServiceDocument, TrafficLimits, UpstreamProperties,
 };
 pub use objects::{
-    AcceptedDocument, CRASHES_PREFIX, CoordinatorStatus, CrashRecord, CrashesObject, GrantStatus,
-    GroupStatus, HotKeyStatus, InForceStatus, Measures, MoveStatus, OwnerStatus, RefusedDocument,
-    STATUS_GRANTS_MAX, UpstreamStateName, UpstreamStatus, ZONES_PREFIX, ZoneObject, accepted_path,
-    crashes_path, service_path, status_path, status_prefix, zone_of_path, zone_path,
+    AcceptedDocument, CRASHES_PREFIX, CapacityStatus, CoordinatorStatus, CrashRecord,
+    CrashesObject, GrantStatus, GroupStatus, HotKeyStatus, InForceStatus, Measures, MoveStatus,
+    OwnerStatus, RefusedDocument, STATUS_GRANTS_MAX, UpstreamStateName, UpstreamStatus,
+    ZONES_PREFIX, ZoneObject, accepted_path, crashes_path, service_path, status_path,
+    status_prefix, zone_of_path, zone_path,
 };
 pub use problem::{Position, Problem, Problems};
 pub use versions::{DocumentDecision, DocumentTable, VersionedDocument, decide_document};
--- a/crates/settings/src/objects.rs
+++ b/crates/settings/src/objects.rs
@@ -210,6 +210,21 @@
     pub load_us_per_s: u64,
     /// Version of the document in force on the instance.
     pub config: ConfigVersion,
+    /// Measured capacity, by which the coordinator plans the load of the instance, if the service weighs capacity.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<CapacityStatus>,
+}
+
+/// Measured capacity of the upstream beside an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CapacityStatus {
+    /// Number of requests that it runs at a time.
+    pub slots: u32,
+    /// Speed relative to the median upstream, in percent.
+    pub speed_percent: u32,
+    /// Planned load relative to the mean instance, in percent.
+    pub weight_percent: u32,
 }
 
 /// State of the upstream beside an instance.
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -326,6 +326,11 @@
         (1 + ((all - 1) as f64 * share) as usize).min(all)
     }
 
+    /// Returns the number of slots that may be in use at `now`, or at the end of the ramp-up if that is later.
+    pub fn slots_when_ramped_up(&self, now: Timestamp) -> usize {
+        self.slots_at(now.max(self.ramp_start + self.config.slow_start))
+    }
+
     /// Returns whether a request may be sent to the upstream now.
     fn can_start(&self, now: Timestamp) -> bool {
         self.running < self.slots_at(now) && self.next_start_in_rate(now).is_none()
