--- a/crates/ownership/src/tests/speeds.rs
+++ b/crates/ownership/src/tests/speeds.rs
@@ -234,3 +234,32 @@
     assert_eq!(event_count(&sim, "SessionEnded"), ended);
     assert!(sim.capacity(2).is_some_and(|it| it.weight > 1.3));
 }
+
+/// Guards against speeds that outlast the session in which they were measured, or are lost with less than a session.
+#[test]
+fn speeds_last_as_long_as_the_session() {
+    let mut sim = balanced_group(7);
+    let host = (0..HOSTS).find(|it| it % 3 == 2 && sim.coordinator() != Some(*it)).unwrap();
+    let before = sim.capacity(host).unwrap();
+    let moves = sim.handovers();
+    sim.apply(Fault::Isolate(vec![host]));
+    sim.run_for(Duration::from_secs(2));
+    sim.apply(Fault::HealLinks);
+    sim.apply(Fault::PlatformDown);
+    sim.run_for(Duration::from_secs(20));
+    assert!((sim.capacity(host).unwrap().speed / before.speed - 1.0).abs() < 0.2);
+    assert_eq!(sim.handovers(), moves, "moves without the store");
+    sim.apply(Fault::PlatformUp);
+    sim.apply(Fault::CrashAgent(host));
+    sim.apply(Fault::Start(host));
+    sim.run_for(Duration::from_secs(1));
+    assert_eq!(sim.capacity(host), None, "the restarted agent has a new session");
+    sim.run_for(SETTLE_MAX);
+    assert!(sim.capacity(host).is_some_and(|it| it.weight > 1.3), "{:?}", sim.capacity(host));
+    assert_balanced(&sim);
+    sim.apply(Fault::Pause { host, duration_ms: 5_000 });
+    sim.run_for(Duration::from_secs(6));
+    assert_eq!(sim.capacity(host), None, "the session has ended during the suspension");
+    sim.run_for(SETTLE_MAX);
+    assert_balanced(&sim);
+}
