--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -7,8 +7,10 @@
 
 use model::{ClassName, Outcome, RequestRate, TeamName};
 use object_store::CallCounts;
+use ownership::MemberCapacity;
 use prometheus::{
-    Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use traffic::LimitChange;
 
@@ -38,6 +40,8 @@
     express_reserved_slots: IntGauge,
     learned_limit: IntGauge,
     limit_changes: IntCounterVec,
+    measured_answers: IntCounter,
+    member_weight: GaugeVec,
 }
 
 impl Metrics {
@@ -110,6 +114,19 @@
             ),
             &["tenant", "direction"],
         )?;
+        let measured_answers = IntCounter::new(
+            "pomelohill_measured_answers_total",
+            "Answers of the upstream by which its speed was measured.",
+        )?;
+        let member_weight = GaugeVec::new(
+            Opts::new(
+                "pomelohill_member_weight",
+                "Share of the load that the coordinator plans for an instance, relative to the mean instance.",
+            ),
+            &["instance"],
+        )?;
+        registry.register(Box::new(measured_answers.clone()))?;
+        registry.register(Box::new(member_weight.clone()))?;
         registry.register(Box::new(request_s.clone()))?;
         registry.register(Box::new(upstream_s.clone()))?;
         registry.register(Box::new(requests.clone()))?;
@@ -143,6 +160,8 @@
             express_reserved_slots,
             learned_limit,
             limit_changes,
+            measured_answers,
+            member_weight,
         })
     }
 
@@ -218,6 +237,19 @@
         self.learned_limit.set(limit.map_or(0, |it| i64::try_from(it).unwrap_or(i64::MAX)));
     }
 
+    /// Records an answer by which the speed of the upstream was measured.
+    pub(crate) fn record_measured_answer(&self) {
+        self.measured_answers.inc();
+    }
+
+    /// Sets the weights of the members; none unless this agent is the coordinator.
+    pub(crate) fn set_capacities(&self, capacities: &[MemberCapacity]) {
+        self.member_weight.reset();
+        for it in capacities {
+            self.member_weight.with_label_values(&[it.member.name.as_str()]).set(it.weight);
+        }
+    }
+
     fn text(&self) -> Result<String, prometheus::Error> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
--- a/crates/agent/src/metrics/server.rs
+++ b/crates/agent/src/metrics/server.rs
@@ -34,6 +34,7 @@
     metrics.set_stated_condition(limit, is_leaving);
     metrics.set_run_refusal_probability(gate.run_refusal_probability());
     metrics.set_learned_limit(gate.learned_limit());
+    metrics.set_capacities(&gate.capacities());
     match metrics.text() {
         Ok(text) => text.into_response(),
         Err(error) => {
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -154,6 +154,10 @@
                 let status = StatusCode::GATEWAY_TIMEOUT;
                 return Ok(Answer { status, headers: HeaderMap::new(), body: Bytes::new() });
             }
+            "fail" => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                return Ok(Answer { status, headers: HeaderMap::new(), body: Bytes::new() });
+            }
             "work" => tokio::time::sleep(Duration::from_millis(20)).await,
             // One at a time takes 2 ms, several take 20 ms each.
             "crowded" => {
@@ -493,6 +497,13 @@
         self.publish(document, Routes::ByKey(routes)).await;
     }
 
+    /// Publishes routes in which one instance owns all slots of a group that weighs its members.
+    pub(super) async fn route_weighed_to(&self, owner: &Instance, route_version: u64) {
+        let mut document = ServiceDocument::clone(&document(true));
+        document.ownership.weighs_capacity = true;
+        self.route_to_with(owner, route_version, Arc::new(document)).await;
+    }
+
     pub(super) async fn route_to_members(&self, members: &[&Instance]) {
         let member = |it: &&Instance| MemberRoute {
             instance: Instance::clone(it),
--- a/xtask/src/bench/overload/world.rs
+++ b/xtask/src/bench/overload/world.rs
@@ -222,10 +222,19 @@
         if cost(second) < cost(first) { second } else { first }
     }
 
-    /// Returns the owner of a key: members own equal shares.
+    /// Returns the owner of a key: members own equal shares, or shares in proportion to their speed.
     fn owner_of(&self, service: usize, key: f64) -> usize {
         let members = &self.services[service];
-        members[((key * members.len() as f64) as usize).min(members.len() - 1)]
+        let weight = |it: usize| match self.case.parts.capacity {
+            true => self.upstreams[it].speed,
+            false => 1.0,
+        };
+        let mut rest = key * members.iter().map(|it| weight(*it)).sum::<f64>();
+        let owner = members.iter().find(|it| {
+            rest -= weight(**it);
+            rest < 0.0
+        });
+        *owner.unwrap_or(&members[members.len() - 1])
     }
 
     fn arrive(&mut self, request: RequestIndex) {
