Return times: a book of the times that refused callers were told

Callers that return as told were refused once more, since nothing recorded which time was given to whom; callers that ignored their time were served instead, because their deadline puts them first in the queue. ReturnBook gives out times at which there is room and recognizes returns.

--- a/crates/traffic/src/admission/class.rs
+++ b/crates/traffic/src/admission/class.rs
@@ -1,5 +1,5 @@
-//! The queue of one class, with the expected service times of its requests. Requests that can be in time
-//! come first, then late requests; both are ordered by deadline.
+//! The queue of one class, with the expected service times of its requests. Requests with a
+//! promised return come first, then those that can be in time, then late requests; each ordered by deadline.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -102,18 +102,16 @@
         now + self.service_time_bound(it, deviations) <= it.position.deadline
     }
 
-    /// Returns when the next waiting request has to be refused: the first one that can be in time, or the first late
-    /// one.
+    /// Returns when the next waiting request has to be refused: the first one of each timeliness.
     pub(super) fn next_refusal(&self, deviations: f64) -> Option<Timestamp> {
-        let first_late = QueuePosition {
-            timeliness: Timeliness::Late,
-            deadline: Timestamp::ZERO,
-            ticket: Ticket(0),
+        let first_of = |timeliness| {
+            let first = QueuePosition { timeliness, deadline: Timestamp::ZERO, ticket: Ticket(0) };
+            self.queue.range(first..).next().map(queued_request)
         };
-        let late = self.queue.range(first_late..).next().map(queued_request);
         let latest_start =
             |it: QueuedRequest| it.position.deadline - self.service_time_bound(it, deviations);
-        let earliest = self.first().into_iter().chain(late).map(latest_start).min()?;
+        let firsts = [Timeliness::Promised, Timeliness::InTime, Timeliness::Late].map(first_of);
+        let earliest = firsts.into_iter().flatten().map(latest_start).min()?;
         Some(earliest + Duration::from_nanos(1))
     }
 
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -74,6 +74,8 @@
 /// first, so that a slot serves one caller in time rather than another one late.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Timeliness {
+    /// The request was refused before and returns at the time that it was promised.
+    Promised,
     InTime,
     /// The answer will be late even if the request starts now.
     Late,
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -8,6 +8,7 @@
 mod rate_limit;
 mod records;
 mod retry;
+mod returns;
 mod selection;
 mod sketch;
 mod smoothed;
@@ -27,6 +28,9 @@
     Answer, BeginResult, Record, RecordUnit, RecordedOutcome, Records, RecordsConfig, UnitRecords,
 };
 pub use retry::{Attempts, ChargePolicy, EndedAttempt, Retries, RetryConfig, RetryVerdict};
+pub use returns::{
+    PromiseState, RETURN_HORIZON, RETURN_LATENESS_MAX, ReturnBook, ReturnRequest, ReturnTime,
+};
 pub use selection::{
     GateReport, HealthHint, PickedTarget, RequestProfile, Selection, SelectionConfig,
     TargetComparison, TargetResult, TargetSpec, TargetState, TargetView,
