Return times: an early return is recognized by its deadline

The agent marks a sending as a retry only if its remaining time is clearly shorter than usual, so a caller that returns at once is not marked. Its deadline is that of its refused sending, and a first sending of the same content by another caller has another one. The remembered times are a type of their own, since ingress will keep them too.

--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -29,7 +29,7 @@
 };
 pub use retry::{Attempts, ChargePolicy, EndedAttempt, Retries, RetryConfig, RetryVerdict};
 pub use returns::{
-    PromiseState, RETURN_HORIZON, RETURN_LATENESS_MAX, ReturnBook, ReturnRequest, ReturnTime,
+    GivenTime, GivenTimes, PromiseState, Return, ReturnBook, ReturnRequest, ReturnTime, Sending,
 };
 pub use selection::{
     GateReport, HealthHint, PickedTarget, RequestProfile, Selection, SelectionConfig,
--- a/crates/traffic/src/returns/mod.rs
+++ b/crates/traffic/src/returns/mod.rs
@@ -5,6 +5,7 @@
 //! is expected to have. The book is kept beside an [`Admission`] and reads it through its public methods only.
 
 mod demand;
+mod given;
 mod room;
 
 #[cfg(test)]
@@ -17,18 +18,10 @@
 use crate::{Admission, ClassIndex, RouteIndex};
 
 use demand::Demand;
-use room::Room;
-
-pub use room::RETURN_HORIZON;
-
-/// The most times that are remembered. Further callers get no promise.
-const GIVEN_MAX: usize = 1024;
-/// The number of remembered times up to which those without a promise are added, so that they leave space for promises.
-const UNPROMISED_MAX: usize = GIVEN_MAX / 2;
-/// How long after its time a promise is kept: callers return later by the network's round trips and their own timers.
-pub const RETURN_LATENESS_MAX: Duration = Duration::from_millis(100);
-/// How long before its time a promise is honored. Timers and times in whole milliseconds make callers early by less.
-const EARLINESS_MAX: Duration = Duration::from_millis(10);
+use room::{RETURN_HORIZON, Room};
+
+pub use given::{GivenTime, GivenTimes, Return, Sending};
+
 /// The least time to its deadline with which a request gets a promise. With less, it can't return and be served.
 const REMAINING_MIN: Duration = Duration::from_millis(10);
 /// The longest that a caller waits before it returns, as a share of its remaining time: one in this many.
@@ -39,19 +32,11 @@
 pub struct ReturnBook {
     demand: Demand,
     room: Room,
-    given: Vec<GivenTime>,
+    given: GivenTimes<()>,
     /// When the book was last used.
     used_at: Timestamp,
 }
 
-/// The time that the caller of a refused request was told to return at.
-#[derive(Debug, Clone, Copy)]
-struct GivenTime {
-    fingerprint: Fingerprint,
-    at: Timestamp,
-    is_promised: bool,
-}
-
 /// A request that arrives at the gate or is refused there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReturnRequest {
@@ -68,9 +53,9 @@
 pub enum PromiseState {
     /// It has no promise.
     Unpromised,
-    /// It arrives at its time. The promise is used up.
+    /// It arrives at the promised time. The promise is used up.
     Due,
-    /// It arrives before its time. The promise is lost.
+    /// It arrives before the time that its caller was told. A promise is lost.
     Early,
 }
 
@@ -94,28 +79,30 @@
         ReturnBook {
             demand: Demand::new(now, weights),
             room: Room::new(now),
-            given: Vec::new(),
+            given: GivenTimes::default(),
             used_at: now,
         }
     }
 
-    /// Checks whether an arriving request was promised a return, and adds it to the measured demand if not.
-    /// `may_be_first` states that the request may be the first sending of another caller. It then uses up a
-    /// promise that is due, but loses none that is not.
+    /// Checks whether an arriving request was promised a return, and adds it to the measured demand if it was told no
+    /// time. `is_retry` states that its caller appears to have been refused before.
     pub fn arrive(
         &mut self,
         now: Timestamp,
         admission: &Admission,
         request: ReturnRequest,
-        may_be_first: bool,
+        is_retry: bool,
     ) -> PromiseState {
         self.advance(now);
-        let state = self.take_given(now, request.fingerprint, may_be_first);
-        if state == PromiseState::Unpromised {
-            let service_time = admission.expected_service_time(request.class, request.route);
-            self.demand.add(now, request.class, service_time);
+        let ReturnRequest { fingerprint, deadline, class, route } = request;
+        match self.given.take(now, Sending { fingerprint, deadline, is_retry }) {
+            Some(it) if it.is_early => return PromiseState::Early,
+            Some(it) if it.given.is_promised => return PromiseState::Due,
+            _ => {}
         }
-        state
+        let service_time = admission.expected_service_time(class, route);
+        self.demand.add(now, class, service_time);
+        PromiseState::Unpromised
     }
 
     /// Returns when the caller of a refused request is to return, and keeps the promise if there is room by then.
@@ -139,23 +126,20 @@
         let service_time = admission.expected_service_time(request.class, request.route);
         let latest = (now + after).min(request.deadline - service_time);
         let free_slots = supply_slots - demand_slots;
-        let promised = self
-            .has_space(now, GIVEN_MAX)
+        let promised_at = self
+            .given
+            .has_space(now)
             .then(|| self.room.take_first(now, latest, free_slots, waiting, service_time));
-        let fingerprint = request.fingerprint;
-        if let Some(at) = promised.flatten() {
-            self.given.push(GivenTime { fingerprint, at, is_promised: true });
-            return ReturnTime { after: at.since(now), is_promised: true, ..unpromised };
-        }
-        if self.has_space(now, UNPROMISED_MAX) {
-            self.given.push(GivenTime { fingerprint, at: now + after, is_promised: false });
-        }
-        unpromised
+        let promised_at = promised_at.flatten();
+        let ReturnRequest { fingerprint, deadline, .. } = request;
+        let (at, is_promised) = (promised_at.unwrap_or(now + after), promised_at.is_some());
+        self.given.add(now, GivenTime { fingerprint, deadline, at, is_promised, value: () });
+        ReturnTime { after: at.since(now), is_promised, ..unpromised }
     }
 
     /// Returns the number of promises whose time has not passed.
     pub fn promised(&self, now: Timestamp) -> usize {
-        self.given.iter().filter(|it| it.is_promised && !it.has_expired(now)).count()
+        self.given.promised(now)
     }
 
     /// Forgets what lies in the past. After a pause longer than the horizon, as when the process was suspended,
@@ -169,54 +153,6 @@
         self.used_at = self.used_at.max(now);
         self.room.advance(now);
     }
-
-    fn has_space(&mut self, now: Timestamp, len_max: usize) -> bool {
-        if self.given.len() >= len_max {
-            self.given.retain(|it| !it.has_expired(now));
-        }
-        self.given.len() < len_max
-    }
-
-    /// Uses up the earliest time given to this content that has come, or loses the latest one that has not.
-    fn take_given(
-        &mut self,
-        now: Timestamp,
-        fingerprint: Fingerprint,
-        may_be_first: bool,
-    ) -> PromiseState {
-        let given = || {
-            let given = self.given.iter().enumerate();
-            given.filter(|(_, it)| it.fingerprint == fingerprint && !it.has_expired(now))
-        };
-        // A promise comes before a time without one, since the caller that has it can't be told apart.
-        let due = given()
-            .filter(|(_, it)| it.is_due(now))
-            .min_by_key(|(_, it)| (!it.is_promised, it.at))
-            .map(|(index, _)| index);
-        let early = given().filter(|(_, it)| !it.is_due(now)).max_by_key(|(_, it)| it.at);
-        let early = early.map(|(index, _)| index);
-        match (due, early) {
-            (Some(index), _) => match self.given.swap_remove(index).is_promised {
-                true => PromiseState::Due,
-                false => PromiseState::Unpromised,
-            },
-            (None, Some(index)) if !may_be_first => {
-                self.given.swap_remove(index);
-                PromiseState::Early
-            }
-            _ => PromiseState::Unpromised,
-        }
-    }
-}
-
-impl GivenTime {
-    fn is_due(&self, now: Timestamp) -> bool {
-        now + EARLINESS_MAX >= self.at && !self.has_expired(now)
-    }
-
-    fn has_expired(&self, now: Timestamp) -> bool {
-        now > self.at + RETURN_LATENESS_MAX
-    }
 }
 
 /// Returns the slots that the upstream offers, on average over time: the open ones, or those that the starts within
--- a/crates/traffic/src/returns/room.rs
+++ b/crates/traffic/src/returns/room.rs
@@ -5,7 +5,7 @@
 use model::Timestamp;
 
 /// The time for which returns are promised.
-pub const RETURN_HORIZON: Duration = Duration::from_secs(2);
+pub(super) const RETURN_HORIZON: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(10);
 const STEPS: usize = (RETURN_HORIZON.as_millis() / STEP.as_millis()) as usize;
 const STEP_NS: u64 = STEP.as_nanos() as u64;
--- a/crates/traffic/src/returns/tests/load.rs
+++ b/crates/traffic/src/returns/tests/load.rs
@@ -140,11 +140,12 @@
     fn offer(&mut self, now: Timestamp, caller: usize) {
         let request = self.request(caller);
         let Caller { arrived, refusals, .. } = self.callers[caller];
-        let is_return = refusals > 0;
+        let remaining = request.deadline.since(now);
+        // The agent tells a retry by a remaining time that is clearly shorter than usual.
+        let is_return = refusals > 0 && remaining < self.burst.deadline.mul_f64(0.88);
         let state = self.book.as_mut().map_or(PromiseState::Unpromised, |it| {
-            it.arrive(now, &self.admission, request, !is_return)
+            it.arrive(now, &self.admission, request, is_return)
         });
-        let remaining = request.deadline.since(now);
         let objective = (arrived + OBJECTIVE).since(now);
         let expected = self.admission.expected_service_time(CLASS, None);
         let (wait, timeliness) = match state {
--- a/crates/traffic/src/returns/tests/mod.rs
+++ b/crates/traffic/src/returns/tests/mod.rs
@@ -76,7 +76,7 @@
     fn arrive(&mut self, at: Timestamp, content: u64) -> PromiseState {
         self.now = at;
         let request = self.request(content, 0, ms(500));
-        self.book.arrive(at, &self.admission, request, false)
+        self.book.arrive(at, &self.admission, request, true)
     }
 }
 
@@ -127,14 +127,27 @@
 fn equal_requests_of_two_callers_have_a_promise_each() {
     let mut it = Fixture::new();
     let (first, second) = (it.refuse(1).unwrap(), it.refuse(1).unwrap());
-    let sending = it.request(1, 0, ms(900));
-    let state = it.book.arrive(it.now, &it.admission, sending, true);
+    let sending = it.request(1, 0, ms(950));
+    let state = it.book.arrive(it.now, &it.admission, sending, false);
     assert_eq!(state, PromiseState::Unpromised);
     assert_eq!(it.arrive(first, 1), PromiseState::Due);
     assert_eq!(it.arrive(second, 1), PromiseState::Due);
     assert_eq!(it.arrive(second, 1), PromiseState::Unpromised);
 }
 
+/// A caller that returns at once is not marked as a retry, since its remaining time is about that of a first sending.
+#[test]
+fn an_early_return_is_recognized_by_its_deadline_and_loses_no_other_promise() {
+    let mut it = Fixture::new();
+    let first = it.refuse(1).unwrap();
+    it.now = it.now + ms(60);
+    let hasty = it.request(1, 0, ms(900));
+    it.refuse(1).unwrap();
+    it.now = it.now + ms(60);
+    assert_eq!(it.book.arrive(it.now, &it.admission, hasty, false), PromiseState::Early);
+    assert_eq!(it.arrive(first, 1), PromiseState::Due);
+}
+
 /// A caller that got no promise must gain nothing by returning at once either.
 #[test]
 fn a_return_before_the_time_of_a_refusal_without_promise_is_early() {
@@ -171,7 +184,7 @@
         for step in 0..20 {
             let at = it.now + ms(100 * step);
             let request = it.request(step, arriving, ms(900));
-            it.book.arrive(at, &it.admission, request, true);
+            it.book.arrive(at, &it.admission, request, false);
         }
         it.now = it.now + ms(2000);
         let request = it.request(99, refused, ms(900));
@@ -201,7 +214,7 @@
     it.book = ReturnBook::new(it.now, [1.0]);
     for step in 0..5 {
         let request = it.request(10 + step, 0, ms(900));
-        it.book.arrive(it.now + ms(50 * step), &it.admission, request, true);
+        it.book.arrive(it.now + ms(50 * step), &it.admission, request, false);
     }
     assert_eq!(it.arrive(at, 1), PromiseState::Unpromised);
     it.now = it.now + ms(200);
