Requests carry whether their caller is told of a refusal

A request to a service without keys is refused by up to three gates before its caller is told, and only the last refusal may promise a return. The field is left out on the wire if it is false; a test holds that, and that its absence reads as false.

--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -328,6 +328,7 @@
         upstream_attempts_max: attempts,
         kind: host_route.map(kind_of),
         is_retry_after_refusal: false,
+        wants_return: false,
         objective: host_route.map(|it| it.objective),
         config_version: routes.version,
         known_condition: None,
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -241,6 +241,7 @@
         kind: None,
         objective: None,
         is_retry_after_refusal: false,
+        wants_return: false,
         upstream_attempts_max: 1,
         config_version: ConfigVersion(1),
         known_condition: None,
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -40,6 +40,8 @@
     pub(crate) objective: Option<Duration>,
     /// Whether the caller appears to send the request again after a refusal.
     pub(crate) is_retry_after_refusal: bool,
+    /// Whether the caller is told of a refusal for overload, because no further gate is tried.
+    pub(crate) wants_return: bool,
     /// The largest number of upstreams that the request may be sent to; enforced at ingress.
     pub(crate) upstream_attempts_max: u8,
     /// Version of the service's document that ingress used.
@@ -144,6 +146,7 @@
             kind: self.kind,
             objective_us: self.objective.map(whole_us),
             is_retry_after_refusal: self.is_retry_after_refusal,
+            wants_return: self.wants_return,
             config: self.config_version,
             known_condition: self.known_condition,
             method: self.method.as_str().to_owned(),
@@ -174,6 +177,7 @@
             kind: raw.kind,
             objective: raw.objective_us.map(Duration::from_micros),
             is_retry_after_refusal: raw.is_retry_after_refusal,
+            wants_return: raw.wants_return,
             config_version: raw.config,
             known_condition: raw.known_condition,
             method: Method::from_bytes(raw.method.as_bytes())
--- a/crates/wire/src/traffic/mod.rs
+++ b/crates/wire/src/traffic/mod.rs
@@ -88,6 +88,9 @@
     pub is_retry_after_refusal: bool,
     /// Version of the service document in force on the sending agent.
     pub config: ConfigVersion,
+    /// Whether the caller is told of a refusal for overload, because no further gate is tried.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub wants_return: bool,
     /// The condition that the addressed upstream has last stated to the sending agent, if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub known_condition: Option<KnownCondition>,
--- a/crates/wire/src/traffic/tests.rs
+++ b/crates/wire/src/traffic/tests.rs
@@ -27,6 +27,7 @@
         kind: None,
         objective_us: None,
         is_retry_after_refusal: false,
+        wants_return: true,
         config: ConfigVersion(3),
         known_condition: Some(KnownCondition { condition: condition(), age_us: 7 }),
         method: "POST".to_owned(),
@@ -71,6 +72,16 @@
     }
 }
 
+/// Agents of an earlier version neither send the field nor expect it.
+#[test]
+fn a_request_that_wants_no_return_is_encoded_without_the_field() {
+    let name = b"wants_return";
+    let request = Request { wants_return: false, ..request() };
+    let bytes = encode(&request);
+    assert!(!bytes.windows(name.len()).any(|it| it == name));
+    assert_eq!(decode::<Request>(&bytes).unwrap(), request);
+}
+
 /// Links compress the part of a frame before the body.
 #[test]
 fn encoded_frames_end_with_the_body() {
--- a/xtask/src/bench/slopes/frames.rs
+++ b/xtask/src/bench/slopes/frames.rs
@@ -46,6 +46,7 @@
         held_us: 0,
         kind: None,
         is_retry_after_refusal: false,
+        wants_return: false,
         objective_us: None,
         config: ConfigVersion(42),
         known_condition: None,
