Last attempts, a picked instance, and demand that outlasts a pause

Retries tells whether a refusal for overload is the last; Selection can pick a certain instance and counts the request there. The return book keeps its measured demand over a pause: it decays anyway, and measuring anew made the first requests after two idle seconds look like a full upstream, so that none of them was promised a return.

Tested: no other target is tried at once after a last attempt, under both ways of charging retries.

--- a/crates/traffic/src/retry/mod.rs
+++ b/crates/traffic/src/retry/mod.rs
@@ -203,6 +203,18 @@
         RetryVerdict::Retry { after }
     }
 
+    /// Returns whether the caller is told of a refusal for overload, or the agent waits for the time that the gate
+    /// gives, instead of trying another target soon. `has_other_target` states whether there is one.
+    pub fn is_last_attempt(&self, attempts: &Attempts, has_other_target: bool) -> bool {
+        match self.config.charge {
+            _ if !has_other_target => true,
+            ChargePolicy::AfterUpstream => attempts.immediate_retries >= IMMEDIATE_RETRIES_MAX,
+            ChargePolicy::EveryRetry => {
+                attempts.retries >= self.config.retries_max || self.budget < 1.0
+            }
+        }
+    }
+
     /// Decides on a request that a gate refused, where only attempts at upstreams are charged. Such a
     /// refusal costs the upstreams nothing, so the next target is tried at once. When all have refused
     /// because they are overloaded, the caller gets that outcome and a retry-after time at once instead
--- a/crates/traffic/src/retry/tests.rs
+++ b/crates/traffic/src/retry/tests.rs
@@ -209,3 +209,27 @@
     assert_eq!(decide(true), RetryVerdict::GiveUp { retry_after: peer_retry_after });
     assert_eq!(decide(false), RetryVerdict::GiveUp { retry_after: peer_retry_after });
 }
+
+/// A gate that promised a return to a request which is sent on to another target would keep room in vain.
+#[test]
+fn no_other_target_is_tried_at_once_after_the_last_attempt() {
+    for charge in [ChargePolicy::AfterUpstream, ChargePolicy::EveryRetry] {
+        let mut retries = Retries::new(RetryConfig { charge, ..RetryConfig::default() });
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let mut attempts = Attempts::default();
+        let deadline = Timestamp::from_ms(1000);
+        assert!(retries.is_last_attempt(&attempts, false));
+        let ended = EndedAttempt { has_untried_target: true, ..attempt(SHED) };
+        let mut tried = 0;
+        while !retries.is_last_attempt(&attempts, true) {
+            tried += 1;
+            let verdict =
+                retries.decide(Timestamp::ZERO, deadline, true, &mut attempts, &ended, &mut rng);
+            assert!(matches!(verdict, RetryVerdict::Retry { .. }), "{charge:?}: {verdict:?}");
+        }
+        let verdict =
+            retries.decide(Timestamp::ZERO, deadline, true, &mut attempts, &ended, &mut rng);
+        assert!(matches!(verdict, RetryVerdict::GiveUp { .. }), "{charge:?}: {verdict:?}");
+        assert!((2..=3).contains(&tried), "{charge:?}: {tried}");
+    }
+}
--- a/crates/traffic/src/returns/demand.rs
+++ b/crates/traffic/src/returns/demand.rs
@@ -33,11 +33,6 @@
         Demand { classes: weights.into_iter().map(class).collect(), since: now }
     }
 
-    /// Forgets all arrivals.
-    pub(super) fn reset(&mut self, now: Timestamp) {
-        *self = Demand::new(now, self.classes.iter().map(|it| it.weight));
-    }
-
     pub(super) fn add(&mut self, now: Timestamp, class: ClassIndex, service_time: Duration) {
         let class = &mut self.classes[class.0];
         class.service_s = class.service_s_at(now) + service_time.as_secs_f64();
--- a/crates/traffic/src/returns/mod.rs
+++ b/crates/traffic/src/returns/mod.rs
@@ -142,12 +142,11 @@
         self.given.promised(now)
     }
 
-    /// Forgets what lies in the past. After a pause longer than the horizon, as when the process was suspended,
-    /// nothing holds any longer that was measured or promised before.
+    /// Forgets what lies in the past. After a pause longer than the horizon, as when the process was suspended, nothing
+    /// holds any longer that was promised before.
     fn advance(&mut self, now: Timestamp) {
         if now.since(self.used_at) > RETURN_HORIZON {
             self.given.clear();
-            self.demand.reset(now);
             self.room = Room::new(now);
         }
         self.used_at = self.used_at.max(now);
--- a/crates/traffic/src/selection/mod.rs
+++ b/crates/traffic/src/selection/mod.rs
@@ -172,6 +172,13 @@
         Some(PickedTarget { instance: target.instance.clone(), comparison })
     }
 
+    /// Picks a certain target, like [`Selection::pick`], if it accepts requests.
+    pub fn pick_instance(&mut self, now: Timestamp, instance: &Instance) -> Option<PickedTarget> {
+        let target = self.targets.iter_mut().find(|it| it.instance == *instance)?;
+        target.accepts_requests(&self.config, now).then(|| target.start(now))?;
+        Some(PickedTarget { instance: target.instance.clone(), comparison: None })
+    }
+
     fn comparison(&self, now: Timestamp, ranking: Ranking) -> TargetComparison {
         let duration = |s: f64| Duration::try_from_secs_f64(s).unwrap_or(Duration::MAX);
         let (index, expected_latency_s) = ranking.best;
