The gate tells refused callers when to return, and serves those that do first

With limits.promises_returns, a gate keeps a return book beside its admission queue, with the same life: a new incarnation of the upstream or a change of its limits starts with an empty one. A refusal for overload gets its time there, and a request that returns as promised waits ahead of new ones; one that returns before waits behind them. Counter pomelohill_returns_total, gauge pomelohill_promised_returns, promised_returns in the gate's log lines, and a line on refusals, at most one a second.

--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use model::{ClassName, NotRunReason, Timestamp};
+use model::{ClassName, Fingerprint, NotRunReason, Timestamp};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use settings::ServiceDocument;
@@ -16,8 +16,9 @@
     time::sleep_until,
 };
 use traffic::{
-    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision, RouteIndex,
-    SharedRateLimit, Ticket, Timeliness, Verdict,
+    Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, Decision,
+    PromiseState, ReturnBook, ReturnRequest, ReturnTime, RouteIndex, SharedRateLimit, Ticket,
+    Timeliness, Verdict,
 };
 
 use wire::traffic::GateLoad;
@@ -36,6 +37,8 @@
     clock: Clock,
     classes: HashMap<ClassName, ClassIndex>,
     state: Mutex<QueueState>,
+    /// The times at which refused callers are to return. `None` if the document does not enable them.
+    returns: Option<Mutex<ReturnBook>>,
     /// Notification of the expiry task that a request has been queued.
     queued: Arc<Notify>,
     expiry_task: Mutex<Option<AbortHandle>>,
@@ -57,6 +60,17 @@
     Refused { reason: NotRunReason, retry_after: Option<Duration> },
 }
 
+/// A request that may return, or whose caller is to return.
+#[derive(Debug)]
+pub(crate) struct ReturningRequest<'a> {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) class: &'a ClassName,
+    pub(crate) route: Option<RouteIndex>,
+    pub(crate) deadline: Timestamp,
+    /// Whether its caller appears to have been refused before.
+    pub(crate) is_retry: bool,
+}
+
 /// One of the upstream's slots. Dropping it passes the slot to the next request.
 #[derive(Debug)]
 pub(crate) struct Permit {
@@ -98,6 +112,11 @@
             retry_after_min: RETRY_AFTER_MIN,
             classes: document.classes.iter().map(class).collect(),
         };
+        let weights = config.classes.iter().map(|it| it.weight);
+        let returns = document
+            .limits
+            .promises_returns
+            .then(|| Mutex::new(ReturnBook::new(clock.now(), weights)));
         let names = document.classes.iter().enumerate();
         let queue = Arc::new(AdmissionQueue {
             clock,
@@ -108,6 +127,7 @@
                 rng: Pcg64Mcg::seed_from_u64(seed),
                 decisions: Vec::new(),
             }),
+            returns,
             queued: Arc::default(),
             expiry_task: Mutex::default(),
         });
@@ -160,6 +180,39 @@
         }
     }
 
+    /// Checks whether an arriving request was promised a return.
+    pub(crate) fn check_return(&self, request: &ReturningRequest<'_>) -> PromiseState {
+        let Some(returns) = &self.returns else { return PromiseState::Unpromised };
+        let now = self.clock.now();
+        let admission = &self.state().admission;
+        let mut returns = returns.lock().unwrap_or_else(PoisonError::into_inner);
+        returns.arrive(now, admission, self.return_request(request), request.is_retry)
+    }
+
+    /// Returns when the caller of a refused request is to return. `None` if the document does not enable return times.
+    pub(crate) fn return_time(&self, request: &ReturningRequest<'_>) -> Option<ReturnTime> {
+        let returns = self.returns.as_ref()?;
+        let now = self.clock.now();
+        let admission = &self.state().admission;
+        let mut returns = returns.lock().unwrap_or_else(PoisonError::into_inner);
+        Some(returns.refuse(now, admission, self.return_request(request)))
+    }
+
+    /// Returns the number of promised returns whose time has not passed.
+    pub(crate) fn promised_returns(&self) -> usize {
+        let Some(returns) = &self.returns else { return 0 };
+        returns.lock().unwrap_or_else(PoisonError::into_inner).promised(self.clock.now())
+    }
+
+    fn return_request(&self, request: &ReturningRequest<'_>) -> ReturnRequest {
+        ReturnRequest {
+            fingerprint: request.fingerprint,
+            class: self.class_index(request.class),
+            route: request.route,
+            deadline: request.deadline,
+        }
+    }
+
     /// Returns the expected service time of a request.
     pub(crate) fn expected_service_time(
         &self,
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod leases;
 pub(crate) mod load;
 mod records;
+mod returns;
 mod run;
 mod send;
 mod table;
@@ -51,6 +52,7 @@
 use crash::UnansweredRuns;
 use leases::Leases;
 use records::RequestRecords;
+use returns::ReturnLog;
 use run::Caller;
 use upstream_runs::UpstreamRuns;
 
@@ -95,6 +97,7 @@
     condition: UpstreamCondition,
     upstream_runs: UpstreamRuns,
     unanswered_runs: UnansweredRuns,
+    return_log: ReturnLog,
     quarantine: Arc<SharedQuarantine>,
     /// Permit for running a suspect request. There is only one, so that a crash of the upstream can
     /// be attributed to that request.
@@ -129,6 +132,7 @@
             condition: UpstreamCondition::default(),
             upstream_runs: UpstreamRuns::default(),
             unanswered_runs: UnansweredRuns::default(),
+            return_log: ReturnLog::default(),
             quarantine: parts.quarantine,
             suspect_permit: Semaphore::new(1),
             links: OnceLock::new(),
@@ -175,6 +179,11 @@
         self.bound.load().as_ref().map_or((0, 0), |it| it.queue.load())
     }
 
+    /// Returns the number of promised returns whose time has not passed.
+    pub(crate) fn promised_returns(&self) -> usize {
+        self.bound.load().as_ref().map_or(0, |it| it.queue.promised_returns())
+    }
+
     /// Returns the limit on the requests of the upstream, as stated by it, and whether it states that it is leaving.
     pub(crate) fn stated_condition(&self) -> (Option<RequestRate>, bool) {
         (self.condition.limit(), self.condition.leaving_since().is_some())
@@ -234,7 +243,14 @@
         let bound = self.bound.load();
         let (running, queued) = bound.as_ref().map_or((0, 0), |it| it.queue.load());
         let config_version = bound.as_ref().map(|it| it.version);
-        GateState { config_version, running, queued, limit: self.condition.limit() }
+        let promised_returns = bound.as_ref().map_or(0, |it| it.queue.promised_returns());
+        GateState {
+            config_version,
+            running,
+            queued,
+            promised_returns,
+            limit: self.condition.limit(),
+        }
     }
 }
 
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -29,10 +29,10 @@
 /// Least share of its remaining time for which a request waits for a slot, even if its objective is
 /// shorter. Short objectives come from calls that an upstream makes while it handles a request;
 /// refusing such a call fails work that is already partly done.
-const QUEUE_TIME_SHARE_MIN: f64 = 0.5;
+pub(super) const QUEUE_TIME_SHARE_MIN: f64 = 0.5;
 /// Share of its remaining time for which a request waits for a slot if its answer will miss the
 /// objective in any case.
-const LATE_QUEUE_TIME_SHARE: f64 = 0.25;
+pub(super) const LATE_QUEUE_TIME_SHARE: f64 = 0.25;
 /// The record unit of a service that is not sharded by key.
 const WHOLE_SERVICE: RecordUnit = RecordUnit::Slot(Slot(0));
 
@@ -264,7 +264,7 @@
 
     /// Returns the route of the document that matches the request; it selects the expected service
     /// time.
-    fn route(&self) -> Option<RouteIndex> {
+    pub(super) fn route(&self) -> Option<RouteIndex> {
         if let Some(kind) = self.request.kind {
             return Some(RouteIndex(kind.into()));
         }
@@ -307,13 +307,16 @@
     /// Waits for a slot of the upstream.
     async fn wait_for_slot(&self, caller: &mut Caller) -> Result<Permit, Box<GateReply>> {
         let (until, timeliness) = self.queue_until();
+        let (until, timeliness) = self.apply_promise(until, timeliness);
         let decision = self.bound.queue.offer(&self.request.class, self.route(), until, timeliness);
         self.record_limited(&decision);
-        let queued = match decision {
-            AdmissionDecision::Queued(queued) => queued,
-            decision => return into_permit(decision),
+        let decision = match decision {
+            AdmissionDecision::Queued(queued) => {
+                self.wait_while_admitted(queued.wait(), caller).await?
+            }
+            decision => decision,
         };
-        into_permit(self.wait_while_admitted(queued.wait(), caller).await?)
+        into_permit(self.set_return_time(decision))
     }
 
     fn record_limited(&self, decision: &AdmissionDecision) {
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -29,6 +29,8 @@
     running: IntGauge,
     queued: IntGauge,
     limited: IntCounterVec,
+    returns: IntCounterVec,
+    promised_returns: IntGauge,
     limit_per_s: Gauge,
     is_leaving: IntGauge,
 }
@@ -62,6 +64,17 @@
             ),
             &["tenant", "result"],
         )?;
+        let returns = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_returns_total",
+                "Refused callers by what they were told, and their returns.",
+            ),
+            &["tenant", "result"],
+        )?;
+        let promised_returns = IntGauge::new(
+            "pomelohill_promised_returns",
+            "Promised returns whose time has not passed.",
+        )?;
         let limit_per_s = Gauge::new(
             "pomelohill_upstream_limit_per_s",
             "Requests per second that the upstream states as its limit; 0 if it states none.",
@@ -77,6 +90,8 @@
         registry.register(Box::new(running.clone()))?;
         registry.register(Box::new(queued.clone()))?;
         registry.register(Box::new(limited.clone()))?;
+        registry.register(Box::new(returns.clone()))?;
+        registry.register(Box::new(promised_returns.clone()))?;
         registry.register(Box::new(limit_per_s.clone()))?;
         registry.register(Box::new(is_leaving.clone()))?;
         registry.register(Box::new(PlatformCalls::new(platform_calls)?))?;
@@ -89,6 +104,8 @@
             running,
             queued,
             limited,
+            returns,
+            promised_returns,
             limit_per_s,
             is_leaving,
         })
@@ -128,6 +145,15 @@
         self.limited.with_label_values(&[team.as_str(), result]).inc();
     }
 
+    /// Records the time that a refused caller was told (`promised`, `unpromised`), or its return (`on_time`, `early`).
+    pub(crate) fn record_return(&self, team: &TeamName, result: &str) {
+        self.returns.with_label_values(&[team.as_str(), result]).inc();
+    }
+
+    pub(crate) fn set_promised_returns(&self, promised: usize) {
+        self.promised_returns.set(i64::try_from(promised).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn set_gate_load(&self, running: usize, queued: usize) {
         self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
         self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
--- a/crates/agent/src/metrics/server.rs
+++ b/crates/agent/src/metrics/server.rs
@@ -29,6 +29,7 @@
 fn answer(metrics: &Metrics, gate: &Gate) -> Response {
     let (running, queued) = gate.load();
     metrics.set_gate_load(running, queued);
+    metrics.set_promised_returns(gate.promised_returns());
     let (limit, is_leaving) = gate.stated_condition();
     metrics.set_stated_condition(limit, is_leaving);
     match metrics.text() {
--- a/crates/agent/src/request_log/mod.rs
+++ b/crates/agent/src/request_log/mod.rs
@@ -67,6 +67,8 @@
     pub(crate) config_version: Option<ConfigVersion>,
     pub(crate) running: usize,
     pub(crate) queued: usize,
+    /// The number of promised returns whose time has not passed.
+    pub(crate) promised_returns: usize,
     /// The limit that the upstream has stated for its requests.
     pub(crate) limit: Option<RequestRate>,
 }
@@ -190,6 +192,7 @@
             left_ms = whole_ms(request.remaining.saturating_sub(now.since(arrived_at))),
             running = state.running,
             queued = state.queued,
+            promised_returns = state.promised_returns,
             limit_per_s = state.limit.map_or(0.0, RequestRate::per_s),
             config = state.config_version.unwrap_or_default().0,
             sender_config = request.config_version.0,
