Returns to a service without keys go to the gate that promised them

Only that gate knows the promise. Ingress remembers the instance of the last refusal by the request's content, in the same bounded table as the gates, and sends a return there first; an early one to no other gate, at which it would be new and gain by ignoring its time. Requests bound to a designated member are promised nothing: under its new id, a return belongs to another member.

Tested on sockets: the promising instance gets the return (fails if ingress forgets it), an early return stays there (fails if further gates are tried), a lost upstream, a restarted gate or a lost instance voids the promise and the return is served as a new request, and a service without the part is refused as before.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwards a request to a gate that may run it: selects targets, follows redirects and retries.
 
 mod conditions;
+mod return_targets;
 mod selector;
 
 use std::{
@@ -14,7 +15,7 @@
 use rand::RngExt;
 use settings::TrafficLimits;
 use tokio::time::sleep;
-use traffic::{Attempts, ChargePolicy, EndedAttempt, Retries, RetryConfig, RetryVerdict};
+use traffic::{Attempts, ChargePolicy, EndedAttempt, Retries, RetryConfig, RetryVerdict, Sending};
 
 use crate::{
     clock::Clock,
@@ -28,6 +29,7 @@
     snapshot::{MemberRoute, Routes, ServiceRoutes, SnapshotCell},
 };
 
+use return_targets::ReturnTargets;
 use selector::Selector;
 
 pub(crate) use conditions::KnownConditions;
@@ -54,6 +56,7 @@
     parts: ForwardParts,
     services: Mutex<HashMap<ServiceName, Arc<ServiceState>>>,
     conditions: KnownConditions,
+    return_targets: ReturnTargets,
 }
 
 /// The state of a service that is shared by its requests.
@@ -77,11 +80,20 @@
     owner_hint: Option<Instance>,
     /// Instances that did not run the request.
     tried: Vec<Instance>,
+    /// The instance that gave the request its time to return and gets the next attempt.
+    returns_to: Option<Instance>,
+    /// Whether the request returns before that time, so that no other instance is tried.
+    is_early: bool,
 }
 
 impl Forwarder {
     pub(crate) fn new(parts: ForwardParts) -> Forwarder {
-        Forwarder { parts, services: Mutex::default(), conditions: KnownConditions::default() }
+        Forwarder {
+            parts,
+            services: Mutex::default(),
+            conditions: KnownConditions::default(),
+            return_targets: ReturnTargets::default(),
+        }
     }
 
     /// Returns the state of a service, which is created on its first request.
@@ -121,6 +133,11 @@
         let earlier_unknown = (!request.age.is_zero()).then_some(UnknownReason::NoRecord);
         let mut unknown_reason: Option<UnknownReason> = earlier_unknown;
         let fingerprint = request.fingerprint;
+        let sending = Sending { fingerprint, deadline, is_retry: request.is_retry_after_refusal };
+        if let Some(it) = self.return_targets.take(started, sending) {
+            history.is_early = it.is_early;
+            history.returns_to = Some(it.given.value);
+        }
         loop {
             if self.parts.quarantine.is_quarantined(fingerprint) {
                 let reply = GateReply::not_run(NotRunReason::Quarantined);
@@ -141,6 +158,9 @@
                 // The caller may have resent the request to another agent in the meantime.
                 request.time_at_ingress = now.since(started);
             }
+            let has_other_target = !history.is_early && untried_targets(&routes, &history) > 1;
+            request.wants_return = return_targets::allows_promise(&routes, request)
+                && state.retries().is_last_attempt(&attempts, has_other_target);
             placement.config_version = Some(routes.version);
             placement.route_version = routes.routes.version();
             let reply = self.attempt(&state, &routes, request, placement, &mut history).await;
@@ -152,7 +172,7 @@
                 outcome: reply.outcome(),
                 retry_after,
                 is_redirect: history.owner_hint.is_some(),
-                has_untried_target: has_untried_target(&routes, &history),
+                has_untried_target: !history.is_early && untried_targets(&routes, &history) > 0,
             };
             if attempt.outcome == Outcome::Answered {
                 self.parts.quarantine.record_answer(fingerprint);
@@ -161,6 +181,9 @@
             if let Outcome::Unknown(reason) = attempt.outcome {
                 unknown_reason = Some(reason);
             }
+            let sent_to = placement.sent_to.as_ref();
+            let given =
+                return_targets::given_time(clock.now(), &routes, request, sending, sent_to, &reply);
             let idempotent = request.idempotent;
             let verdict =
                 state.decide_retry(clock.now(), deadline, idempotent, &mut attempts, &attempt);
@@ -168,9 +191,13 @@
                 RetryVerdict::FollowRedirect => self.parts.metrics.record_retry(team, "redirect"),
                 RetryVerdict::Retry { after } => {
                     self.parts.metrics.record_retry(team, "retry");
+                    history.returns_to = given.filter(|it| it.is_promised).map(|it| it.value);
                     sleep(after).await;
                 }
                 RetryVerdict::GiveUp { retry_after } => {
+                    if let Some(given) = given {
+                        self.return_targets.add(clock.now(), given);
+                    }
                     let retry_after =
                         retry_after.map(|it| unserved_retry_after(it, attempt.outcome));
                     return FinalReply { reply: overall_reply(reply, unknown_reason), retry_after };
@@ -194,9 +221,16 @@
     ) -> GateReply {
         let now = self.parts.clock.now();
         let owner_hint = history.owner_hint.take();
-        let Some(picked) =
-            state.selector.select_target(now, routes, request, owner_hint, &history.tried)
-        else {
+        let returns_to = history
+            .returns_to
+            .take()
+            .filter(|_| owner_hint.is_none() && return_targets::allows_promise(routes, request));
+        let promised_by =
+            returns_to.and_then(|it| state.selector.select_instance(now, routes, &it));
+        history.is_early &= promised_by.is_some();
+        let select =
+            || state.selector.select_target(now, routes, request, owner_hint, &history.tried);
+        let Some(picked) = promised_by.or_else(select) else {
             history.tried.clear();
             return GateReply::not_run(NotRunReason::NoOwner);
         };
@@ -256,12 +290,13 @@
     }
 }
 
-/// Returns whether a ready member has not been tried yet. Only services that are not sharded by key
-/// have a choice of members.
-fn has_untried_target(routes: &ServiceRoutes, history: &AttemptHistory) -> bool {
-    let Routes::Any(members) = &routes.routes else { return false };
+/// Returns the number of ready members that have not been tried yet. Only services that are not sharded
+/// by key have a choice of members.
+fn untried_targets(routes: &ServiceRoutes, history: &AttemptHistory) -> usize {
+    let Routes::Any(members) = &routes.routes else { return 0 };
     let is_untried = |it: &&MemberRoute| !history.tried.contains(&it.instance);
-    members.iter().filter(|it| it.state == UpstreamState::Ready).any(|it| is_untried(&it))
+    let ready = members.iter().filter(|it| it.state == UpstreamState::Ready);
+    ready.filter(is_untried).count()
 }
 
 fn retry_config(limits: &TrafficLimits) -> RetryConfig {
--- a/crates/agent/src/forward/selector.rs
+++ b/crates/agent/src/forward/selector.rs
@@ -90,6 +90,21 @@
         }
     }
 
+    /// Returns an instance as the target if it is a member that accepts requests.
+    pub(super) fn select_instance(
+        &self,
+        now: Timestamp,
+        routes: &ServiceRoutes,
+        instance: &Instance,
+    ) -> Option<PickedTarget> {
+        let Routes::Any(members) = &routes.routes else { return None };
+        if self.avoided_names(now).contains(&instance.name) {
+            return None;
+        }
+        let mut guard = lock_selection(&self.selection);
+        self.updated_selection(&mut guard, now, routes, members).pick_instance(now, instance)
+    }
+
     /// Avoids an instance for a while if other instances can be picked.
     pub(super) fn avoid(&self, now: Timestamp, target: &Instance, reason: NotRunReason) {
         let time = match reason {
@@ -117,8 +132,23 @@
         members: &[MemberRoute],
         tried: &[Instance],
     ) -> Option<PickedTarget> {
+        let mut tried: Vec<InstanceName> = tried.iter().map(|it| it.name.clone()).collect();
+        tried.extend(self.avoided_names(now));
+        let profile = RequestProfile { kind: request.kind, objective: request.objective };
         let mut guard = lock_selection(&self.selection);
-        let state = guard.get_or_insert_with(|| {
+        let selection = self.updated_selection(&mut guard, now, routes, members);
+        selection.pick(now, profile, &tried, &mut rand::rng())
+    }
+
+    /// Returns the selection, updated with the members of the service.
+    fn updated_selection<'a>(
+        &self,
+        selection: &'a mut Option<MemberSelection>,
+        now: Timestamp,
+        routes: &ServiceRoutes,
+        members: &[MemberRoute],
+    ) -> &'a mut Selection {
+        let state = selection.get_or_insert_with(|| {
             let slow_start = routes.document.upstream.warmup;
             let zone_penalty = routes.document.limits.zone_penalty;
             let config = SelectionConfig { slow_start, zone_penalty, ..SelectionConfig::default() };
@@ -130,10 +160,7 @@
             state.selection.update(now, &specs);
             state.members = members.to_vec();
         }
-        let mut tried: Vec<InstanceName> = tried.iter().map(|it| it.name.clone()).collect();
-        tried.extend(self.avoided_names(now));
-        let profile = RequestProfile { kind: request.kind, objective: request.objective };
-        state.selection.pick(now, profile, &tried, &mut rand::rng())
+        &mut state.selection
     }
 
     /// Records the load that a gate reported with its reply.
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -166,6 +166,12 @@
         self.gate.load().1
     }
 
+    /// Returns how many returns the gate has promised.
+    #[cfg(test)]
+    pub(crate) fn promised_returns(&self) -> usize {
+        self.gate.promised_returns()
+    }
+
     /// Makes the gate apply the current snapshot.
     #[cfg(test)]
     pub(crate) async fn rebind_gate(&self) {
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -282,6 +282,14 @@
     })
 }
 
+/// A document of a service that is not sharded by key and whose queues take one request.
+pub(super) fn promising_document(promises_returns: bool) -> Arc<ServiceDocument> {
+    let limits = format!(
+        r#""retry_count": "after_upstream", "promises_returns": {promises_returns}, "queue_length_max": 1"#
+    );
+    parsed(&document_text(false).replace(r#""queue_length_max": 64"#, &limits))
+}
+
 fn document_text(keyed: bool) -> String {
     let text = r#"{
         "service": "svc", "team": "club", "keyed": KEYED, "slot_count": 4,
@@ -445,12 +453,20 @@
     }
 
     pub(super) async fn route_to_members(&self, members: &[&Instance]) {
+        self.route_to_members_under(document(false), members).await;
+    }
+
+    pub(super) async fn route_to_members_under(
+        &self,
+        document: Arc<ServiceDocument>,
+        members: &[&Instance],
+    ) {
         let member = |it: &&Instance| MemberRoute {
             instance: Instance::clone(it),
             state: UpstreamState::Ready,
         };
         let routes = Routes::Any(members.iter().map(member).collect());
-        self.publish(document(false), routes).await;
+        self.publish(document, routes).await;
     }
 
     /// Publishes the current snapshot with another incarnation of the upstream.
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -13,6 +13,7 @@
 mod poison;
 mod reload;
 mod restart;
+mod returns;
 mod request_log;
 mod stop;
 mod upstream_clock;
--- /dev/null
+++ b/crates/agent/src/tests/returns.rs
@@ -0,0 +1,208 @@
+//! Tests of return times: refused callers, and what becomes of their promises when agents or upstreams are lost.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::RequestId;
+use tokio::{task::JoinHandle, time::sleep};
+use upstream::Answer;
+
+use super::fakes::{Call, TestAgent, check, get, promising_document};
+
+/// Requests of one upstream that leave no room for another: two that run, one that waits.
+const FULL: u128 = 3;
+/// The time after the promised one within which a return is surely recognized.
+const RETURN_TIME: Duration = Duration::from_millis(80);
+/// The number of rounds on a machine so slow that some returns come too late.
+const ROUNDS_MAX: u128 = 40;
+/// The least time that a gate without return times gives.
+const RETRY_AFTER_MIN_MS: u64 = 50;
+
+/// Requests that fill an upstream until they are released.
+struct Held(Arc<TestAgent>, Vec<JoinHandle<()>>);
+
+impl Held {
+    async fn fill(agent: &Arc<TestAgent>, first_id: u128) -> Held {
+        let mut calls = Vec::new();
+        for id in first_id..first_id + FULL {
+            let caller = Arc::clone(agent);
+            calls.push(tokio::spawn(async move {
+                // Earlier than the deadlines of requests that arrive later, which are refused therefore.
+                let deadline = Duration::from_secs(8);
+                let answer = caller.call(Call { deadline, ..get("hold", id) }).await;
+                check(&answer, 200, "answered");
+            }));
+            match id == first_id + FULL - 1 {
+                false => agent.upstream.wait_started().await,
+                true => {
+                    while agent.plane.queued() == 0 {
+                        sleep(ms(1)).await;
+                    }
+                }
+            }
+        }
+        Held(Arc::clone(agent), calls)
+    }
+
+    async fn release(self) {
+        let Held(agent, calls) = self;
+        agent.upstream.release.add_permits(FULL as usize);
+        for it in calls {
+            it.await.unwrap();
+        }
+        agent.upstream.wait_started().await;
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn retry_after(answer: &Answer) -> Duration {
+    check(answer, 503, "not-run; reason=overloaded");
+    let after = answer.headers.get("retry-after-ms").expect("no time to return");
+    Duration::from_millis(after.to_str().unwrap().parse().unwrap())
+}
+
+/// Starts an agent whose callers are sent to its own upstream only.
+async fn start_alone(promises_returns: bool) -> Arc<TestAgent> {
+    let agent = TestAgent::start("a").await;
+    agent.route_to_members_under(promising_document(promises_returns), &[&agent.own]).await;
+    Arc::new(agent)
+}
+
+/// Starts an agent for callers, and two whose upstreams it sends their requests to.
+async fn start_two_targets() -> (TestAgent, [Arc<TestAgent>; 2]) {
+    let ingress = TestAgent::start("ingress").await;
+    let targets = [TestAgent::start("a").await, TestAgent::start("b").await].map(Arc::new);
+    for it in &targets {
+        it.route_to_members_under(promising_document(true), &[&it.own]).await;
+    }
+    let members = [&targets[0].own, &targets[1].own];
+    ingress.route_to_members_under(promising_document(true), &members).await;
+    (ingress, targets)
+}
+
+/// A gate that did not promise the return would take it for a new request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_return_goes_to_the_instance_that_promised_it() {
+    let (ingress, targets) = start_two_targets().await;
+    // With two targets, a return that goes anywhere would find the right one in some rounds.
+    let (mut round, mut conclusive) = (0, 0);
+    while conclusive < 6 {
+        round += 1;
+        assert!(round <= ROUNDS_MAX, "the machine is too slow for returns in time");
+        let first_id = 100 * round;
+        let held =
+            [Held::fill(&targets[0], first_id).await, Held::fill(&targets[1], first_id + 10).await];
+        let after = retry_after(&ingress.call(get("echo", first_id + 20)).await);
+        let refused_at = Instant::now();
+        let promises: Vec<_> = targets.iter().map(|it| it.plane.promised_returns()).collect();
+        for it in held {
+            it.release().await;
+        }
+        sleep(after.saturating_sub(refused_at.elapsed())).await;
+        check(&ingress.call(get("echo", first_id + 21)).await, 200, "answered");
+        if refused_at.elapsed() > after + RETURN_TIME {
+            continue;
+        }
+        conclusive += 1;
+        assert_eq!(promises.iter().sum::<usize>(), 1, "only the last gate promises: {promises:?}");
+        let promising = &targets[usize::from(promises[1] == 1)];
+        let ran = promising.upstream.ran();
+        assert_eq!(ran.last(), Some(&RequestId(first_id + 21)), "round {round}");
+        assert_eq!(promising.plane.promised_returns(), 0, "the promise was not used");
+    }
+}
+
+/// Starts two targets, of which the first has promised a return in a few hundred milliseconds and is full, and the
+/// second is idle. Also returns the requests that fill the first, and when the refused request was sent.
+async fn start_promising_and_idle() -> (TestAgent, [Arc<TestAgent>; 2], Held, Instant) {
+    let (ingress, targets) = start_two_targets().await;
+    // The measured service time determines when there is room.
+    for (it, first_id) in targets.iter().zip([1, 11]) {
+        let held = Held::fill(it, first_id).await;
+        sleep(ms(150)).await;
+        held.release().await;
+    }
+    // Requests of the first fraction of a second look like a load that leaves no room.
+    sleep(ms(1200)).await;
+    let [a, b] = targets;
+    let held = [Held::fill(&a, 21).await, Held::fill(&b, 31).await];
+    let sent_at = Instant::now();
+    let after = retry_after(&ingress.call(get("echo", 41)).await);
+    assert!((ms(100)..ms(2000)).contains(&after), "{after:?}");
+    let [held_a, held_b] = held;
+    match (a.plane.promised_returns(), b.plane.promised_returns()) {
+        (1, 0) => {
+            held_b.release().await;
+            (ingress, [a, b], held_a, sent_at)
+        }
+        (0, 1) => {
+            held_a.release().await;
+            (ingress, [b, a], held_b, sent_at)
+        }
+        promised => panic!("one gate has to promise: {promised:?}"),
+    }
+}
+
+/// Otherwise a caller would gain by ignoring its time: at another gate it would be a new request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_early_return_is_sent_to_no_other_instance() {
+    let (ingress, [promising, idle], held, sent_at) = start_promising_and_idle().await;
+    let call = get("echo", 42);
+    let deadline = call.deadline - sent_at.elapsed();
+    retry_after(&ingress.call(Call { deadline, ..call }).await);
+    assert!(!idle.upstream.ran().contains(&RequestId(42)));
+    held.release().await;
+    assert!(!promising.upstream.ran().contains(&RequestId(42)));
+}
+
+/// As after a loss of the instance, or of the link to it as seen by control.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_return_is_served_elsewhere_if_the_promising_instance_is_gone() {
+    let (ingress, [_promising, idle], held, _) = start_promising_and_idle().await;
+    ingress.route_to_members_under(promising_document(true), &[&idle.own]).await;
+    check(&ingress.call(get("echo", 42)).await, 200, "answered");
+    assert!(idle.upstream.ran().contains(&RequestId(42)));
+    held.release().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_promise_ends_with_the_upstream_and_the_return_is_served_as_a_new_request() {
+    let agent = start_alone(true).await;
+    let held = Held::fill(&agent, 1).await;
+    retry_after(&agent.call(get("echo", 10)).await);
+    assert_eq!(agent.plane.promised_returns(), 1);
+    agent.set_upstream_id("the next incarnation").await;
+    assert_eq!(agent.plane.promised_returns(), 0);
+    check(&agent.call(get("echo", 11)).await, 200, "answered");
+    held.release().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_gate_has_no_promises_and_serves_the_return_as_a_new_request() {
+    let agent = start_alone(true).await;
+    let held = Held::fill(&agent, 1).await;
+    retry_after(&agent.call(get("echo", 10)).await);
+    let restarted = agent.restart().await;
+    restarted.route_to_members_under(promising_document(true), &[&restarted.own]).await;
+    assert_eq!(restarted.plane.promised_returns(), 0);
+    check(&restarted.call(get("echo", 11)).await, 200, "answered");
+    held.release().await;
+}
+
+/// Without the part, the time is drawn between the expected wait and twice that, and nothing is remembered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_service_without_return_times_is_refused_as_before() {
+    let agent = start_alone(false).await;
+    let held = Held::fill(&agent, 1).await;
+    for id in 10..30 {
+        let after_ms = retry_after(&agent.call(get("echo", id)).await).as_millis() as u64;
+        assert!((RETRY_AFTER_MIN_MS..=2 * RETRY_AFTER_MIN_MS).contains(&after_ms), "{after_ms} ms");
+    }
+    assert_eq!(agent.plane.promised_returns(), 0);
+    held.release().await;
+}
