--- a/crates/agent/src/tests/returns.rs
+++ b/crates/agent/src/tests/returns.rs
@@ -1,15 +1,24 @@
 //! Tests of return times: refused callers, and what becomes of their promises when agents or upstreams are lost.
 
 use std::{
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
-use model::RequestId;
-use tokio::{task::JoinHandle, time::sleep};
+use futures_util::{SinkExt, StreamExt};
+use model::{Instance, NotRunReason, RequestId};
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use tokio_tungstenite::tungstenite::Message;
 use upstream::Answer;
+use wire::{
+    HeadDecoder, HeadEncoder,
+    link::LinkKind,
+    traffic::{Failed, FailureReason, Frame},
+};
+
+use crate::links::{LinkKey, handshake::LinkIdentity};
 
-use super::fakes::{Call, TestAgent, check, get, promising_document};
+use super::fakes::{Call, SECRET, TestAgent, check, get, instance, post, promising_document};
 
 /// Requests of one upstream that leave no room for another: two that run, one that waits.
 const FULL: u128 = 3;
@@ -206,3 +215,50 @@
     assert_eq!(agent.plane.promised_returns(), 0);
     held.release().await;
 }
+
+/// A peer that refuses each request for overload and records whether it wants a return.
+async fn start_refusing_peer(name: &str) -> (Instance, Arc<Mutex<Vec<bool>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let own = instance(name, listener.local_addr().unwrap());
+    let identity =
+        LinkIdentity { own: own.clone(), kind: LinkKind::Traffic, key: LinkKey::new(SECRET) };
+    let wanted: Arc<Mutex<Vec<bool>>> = Arc::default();
+    let recorded = Arc::clone(&wanted);
+    tokio::spawn(async move {
+        let (stream, address) = listener.accept().await.unwrap();
+        let mut socket = identity.accept(address, stream).await.unwrap().socket;
+        let (mut encoder, mut decoder) = (HeadEncoder::default(), HeadDecoder::default());
+        while let Some(Ok(message)) = socket.next().await {
+            let Message::Binary(bytes) = message else { continue };
+            let message = decoder.decode(&bytes).unwrap();
+            let Ok(Frame::Request(request)) = Frame::parse(&message) else { continue };
+            recorded.lock().unwrap().push(request.wants_return);
+            let reason = FailureReason::NotRun(NotRunReason::Overloaded);
+            let failed = Failed { id: request.id, reason, retry_after_ms: Some(200), load: None };
+            let bytes = Frame::Failed(failed).to_bytes();
+            let encoded = encoder.encode(&bytes, bytes.len());
+            socket.send(Message::Binary(encoded.into())).await.unwrap();
+        }
+    });
+    (own, wanted)
+}
+
+/// Earlier refusals are not told to the caller, so a promise would keep room in vain; under its new id, a return of a
+/// request that only one member may run goes to another.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_the_last_attempt_of_a_request_that_any_member_may_run_wants_a_return() {
+    for (promises_returns, call, expected) in
+        [(true, get("echo", 1), 1), (true, post("echo", 1), 0), (false, get("echo", 1), 0)]
+    {
+        let ingress = TestAgent::start("ingress").await;
+        let (a, wanted_of_a) = start_refusing_peer("a").await;
+        let (b, wanted_of_b) = start_refusing_peer("b").await;
+        ingress.route_to_members_under(promising_document(promises_returns), &[&a, &b]).await;
+        assert_eq!(retry_after(&ingress.call(call).await), ms(200));
+        let mut wanted = wanted_of_a.lock().unwrap().clone();
+        wanted.extend(wanted_of_b.lock().unwrap().iter());
+        assert!(wanted.len() >= 2, "both members, or the designated one twice: {wanted:?}");
+        let returns = wanted.iter().filter(|it| **it).count();
+        assert_eq!(returns, expected, "promises_returns: {promises_returns}");
+    }
+}
