Return times: callers that send the same request at once are told apart

Two first sendings of the same content within 10 ms had deadlines close enough for the second to be taken for an early return of the first, which cost the first its promise. A deadline may now be at most 1 ms later than that of the refused request, and what arrives within 1 ms of the refusal is from another caller. Callers state whole milliseconds and lose time on the way, so up to 10 ms earlier still fits.

Tested with a second caller 0, 0.5, 1.5 and 5 ms after the refusal of the first.

--- a/crates/agent/src/forward/return_targets.rs
+++ b/crates/agent/src/forward/return_targets.rs
@@ -70,7 +70,8 @@
             let is_promised =
                 *after + UNPROMISED_TOLERANCE < deadline.since(now) / UNPROMISED_DIVISOR;
             let value = instance.clone();
-            Some(GivenTime { fingerprint, deadline, at: now + *after, is_promised, value })
+            let (given_at, at) = (now, now + *after);
+            Some(GivenTime { fingerprint, deadline, given_at, at, is_promised, value })
         }
         _ => None,
     }
--- a/crates/traffic/src/returns/given.rs
+++ b/crates/traffic/src/returns/given.rs
@@ -13,9 +13,15 @@
 const LATENESS_MAX: Duration = Duration::from_millis(100);
 /// How long before its time a return is in time. Timers and times in whole milliseconds make callers early by less.
 const EARLINESS_MAX: Duration = Duration::from_millis(10);
-/// The difference of the deadlines up to which two requests with the same content are taken to be from one caller.
-/// Callers state their remaining time in whole milliseconds, and it takes a network trip to arrive.
-const DEADLINE_TOLERANCE: Duration = Duration::from_millis(10);
+/// How much earlier the deadline of a return may appear than that of the refused request: callers state their remaining
+/// time in whole milliseconds, some before they connect.
+const DEADLINE_EARLINESS_MAX: Duration = Duration::from_millis(10);
+/// How much later it may appear, because of the network. Requests of several callers with the same timeout that arrive
+/// one after the other have deadlines as far apart, so this is short.
+const DEADLINE_LATENESS_MAX: Duration = Duration::from_millis(1);
+/// The least time between a refusal and the return: a caller has to receive the one and send the other. What arrives
+/// sooner is from another caller, also if its deadline is the same.
+const RETURN_TIME_MIN: Duration = Duration::from_millis(1);
 
 /// The times given to callers, each with a value such as the instance that gave it.
 #[derive(Debug)]
@@ -29,6 +35,8 @@
     /// Equal for all sendings of a request, and for requests of other callers with the same content.
     pub fingerprint: Fingerprint,
     pub deadline: Timestamp,
+    /// When the time was given.
+    pub given_at: Timestamp,
     pub at: Timestamp,
     /// Whether a place is kept for the return.
     pub is_promised: bool,
@@ -82,7 +90,7 @@
             let times = self.times.iter().enumerate();
             times.filter(|(_, it)| it.fingerprint == sending.fingerprint && !it.has_expired(now))
         };
-        let own = candidates().find(|(_, it)| it.has_deadline(sending.deadline));
+        let own = candidates().find(|(_, it)| it.may_be_of(now, sending.deadline));
         let due = || {
             let due = candidates().filter(|(_, it)| !it.is_early(now));
             due.min_by_key(|(_, it)| (!it.is_promised, it.at))
@@ -120,7 +128,10 @@
         now > self.at + LATENESS_MAX
     }
 
-    fn has_deadline(&self, deadline: Timestamp) -> bool {
-        self.deadline.ns.abs_diff(deadline.ns) <= DEADLINE_TOLERANCE.as_nanos() as u64
+    /// Returns whether a request with this deadline that arrives now may be of the same caller.
+    fn may_be_of(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        let deadlines =
+            self.deadline - DEADLINE_EARLINESS_MAX..=self.deadline + DEADLINE_LATENESS_MAX;
+        deadlines.contains(&deadline) && now >= self.given_at + RETURN_TIME_MIN
     }
 }
--- a/crates/traffic/src/returns/mod.rs
+++ b/crates/traffic/src/returns/mod.rs
@@ -133,7 +133,9 @@
         let promised_at = promised_at.flatten();
         let ReturnRequest { fingerprint, deadline, .. } = request;
         let (at, is_promised) = (promised_at.unwrap_or(now + after), promised_at.is_some());
-        self.given.add(now, GivenTime { fingerprint, deadline, at, is_promised, value: () });
+        let given_at = now;
+        self.given
+            .add(now, GivenTime { fingerprint, deadline, given_at, at, is_promised, value: () });
         ReturnTime { after: at.since(now), is_promised, ..unpromised }
     }
 
--- a/crates/traffic/src/returns/tests/mod.rs
+++ b/crates/traffic/src/returns/tests/mod.rs
@@ -126,10 +126,17 @@
 #[test]
 fn equal_requests_of_two_callers_have_a_promise_each() {
     let mut it = Fixture::new();
-    let (first, second) = (it.refuse(1).unwrap(), it.refuse(1).unwrap());
-    let sending = it.request(1, 0, ms(950));
-    let state = it.book.arrive(it.now, &it.admission, sending, false);
-    assert_eq!(state, PromiseState::Unpromised);
+    // Room for the promises beside the new requests.
+    it.admission = Admission::new(config(20, ms(500), [1.0]), it.now);
+    let first = it.refuse(1).unwrap();
+    let refused_at = it.now;
+    for after_us in [0, 500, 1500, 5000] {
+        it.now = refused_at + Duration::from_micros(after_us);
+        let sending = it.request(1, 0, ms(900));
+        let state = it.book.arrive(it.now, &it.admission, sending, false);
+        assert_eq!(state, PromiseState::Unpromised, "{after_us} us after the first refusal");
+    }
+    let second = it.refuse(1).unwrap();
     assert_eq!(it.arrive(first, 1), PromiseState::Due);
     assert_eq!(it.arrive(second, 1), PromiseState::Due);
     assert_eq!(it.arrive(second, 1), PromiseState::Unpromised);
