--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -166,6 +166,13 @@
         self.gate.load().1
     }
 
+    /// Returns how many requests run at the local upstream or are queued for it.
+    #[cfg(test)]
+    pub(crate) fn admitted(&self) -> usize {
+        let (running, queued) = self.gate.load();
+        running + queued
+    }
+
     /// Returns how many returns the gate has promised.
     #[cfg(test)]
     pub(crate) fn promised_returns(&self) -> usize {
