--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use model::{ClassName, NotRunReason, Timestamp};
+use model::{ClassName, Fingerprint, NotRunReason, Timestamp};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use settings::ServiceDocument;
@@ -17,7 +17,8 @@
 };
 use traffic::{
     Admission, AdmissionConfig, Arrival, ClassConfig, ClassIndex, Completion, ConcurrencyLimit,
-    Decision, RouteIndex, SharedRateLimit, Ticket, Timeliness, Verdict,
+    Decision, PromiseState, ReturnBook, ReturnRequest, ReturnTime, RouteIndex, SharedRateLimit,
+    Ticket, Timeliness, Verdict,
 };
 
 use wire::traffic::GateLoad;
@@ -43,6 +44,8 @@
     clock: Clock,
     classes: HashMap<ClassName, ClassIndex>,
     state: Mutex<QueueState>,
+    /// The times at which refused callers are to return. `None` if the document does not enable them.
+    returns: Option<Mutex<ReturnBook>>,
     /// Notification of the expiry task that a request has been queued.
     queued: Arc<Notify>,
     reserve_log: ReserveLog,
@@ -66,6 +69,17 @@
     Refused { reason: NotRunReason, retry_after: Option<Duration> },
 }
 
+/// A request that may return, or whose caller is to return.
+#[derive(Debug)]
+pub(crate) struct ReturningRequest<'a> {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) class: &'a ClassName,
+    pub(crate) route: Option<RouteIndex>,
+    pub(crate) deadline: Timestamp,
+    /// Whether its caller appears to have been refused before.
+    pub(crate) is_retry: bool,
+}
+
 /// One of the upstream's slots. Dropping it passes the slot to the next request.
 #[derive(Debug)]
 pub(crate) struct Permit {
@@ -113,6 +127,9 @@
             classes: document.classes.iter().map(class).collect(),
         };
         let now = clock.now();
+        let weights = config.classes.iter().map(|it| it.weight);
+        let returns =
+            document.limits.promises_returns.then(|| Mutex::new(ReturnBook::new(now, weights)));
         let concurrency_limit = document.upstream.learns_concurrency.then(|| {
             let learned = former.and_then(|it| it.learned_for_new_queue(now, config.slots));
             learned.unwrap_or_else(|| ConcurrencyLimit::new(config.slots))
@@ -130,6 +147,7 @@
                 rng: Pcg64Mcg::seed_from_u64(seed),
                 decisions: Vec::new(),
             }),
+            returns,
             queued: Arc::default(),
             reserve_log: ReserveLog::default(),
             expiry_task: Mutex::default(),
@@ -193,6 +211,39 @@
         }
     }
 
+    /// Checks whether an arriving request was promised a return.
+    pub(crate) fn check_return(&self, request: &ReturningRequest<'_>) -> PromiseState {
+        let Some(returns) = &self.returns else { return PromiseState::Unpromised };
+        let now = self.clock.now();
+        let admission = &self.state().admission;
+        let mut returns = returns.lock().unwrap_or_else(PoisonError::into_inner);
+        returns.arrive(now, admission, self.return_request(request), request.is_retry)
+    }
+
+    /// Returns when the caller of a refused request is to return. `None` if the document does not enable return times.
+    pub(crate) fn return_time(&self, request: &ReturningRequest<'_>) -> Option<ReturnTime> {
+        let returns = self.returns.as_ref()?;
+        let now = self.clock.now();
+        let admission = &self.state().admission;
+        let mut returns = returns.lock().unwrap_or_else(PoisonError::into_inner);
+        Some(returns.refuse(now, admission, self.return_request(request)))
+    }
+
+    /// Returns the number of promised returns whose time has not passed.
+    pub(crate) fn promised_returns(&self) -> usize {
+        let Some(returns) = &self.returns else { return 0 };
+        returns.lock().unwrap_or_else(PoisonError::into_inner).promised(self.clock.now())
+    }
+
+    fn return_request(&self, request: &ReturningRequest<'_>) -> ReturnRequest {
+        ReturnRequest {
+            fingerprint: request.fingerprint,
+            class: self.class_index(request.class),
+            route: request.route,
+            deadline: request.deadline,
+        }
+    }
+
     /// Returns the expected service time of a request.
     pub(crate) fn expected_service_time(
         &self,
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -15,6 +15,7 @@
 mod leases;
 pub(crate) mod load;
 mod records;
+mod returns;
 mod run;
 mod send;
 mod table;
@@ -56,6 +57,7 @@
 use crash::UnansweredRuns;
 use leases::Leases;
 use records::RequestRecords;
+use returns::ReturnLog;
 use run::Caller;
 use upstream_runs::UpstreamRuns;
 
@@ -103,6 +105,7 @@
     upstream_runs: UpstreamRuns,
     unanswered_runs: UnansweredRuns,
     run_failures: RunFailures,
+    return_log: ReturnLog,
     quarantine: Arc<SharedQuarantine>,
     /// Permit for running a suspect request. There is only one, so that a crash of the upstream can
     /// be attributed to that request.
@@ -138,6 +141,7 @@
             upstream_runs: UpstreamRuns::default(),
             unanswered_runs: UnansweredRuns::default(),
             run_failures: RunFailures::new(parts.unserved),
+            return_log: ReturnLog::default(),
             quarantine: parts.quarantine,
             suspect_permit: Semaphore::new(1),
             links: OnceLock::new(),
@@ -194,6 +198,11 @@
         self.bound.load().as_ref().and_then(|it| it.queue.learned_limit())
     }
 
+    /// Returns the number of promised returns whose time has not passed.
+    pub(crate) fn promised_returns(&self) -> usize {
+        self.bound.load().as_ref().map_or(0, |it| it.queue.promised_returns())
+    }
+
     /// Returns the limit on the requests of the upstream, as stated by it, and whether it states that it is leaving.
     pub(crate) fn stated_condition(&self) -> (Option<RequestRate>, bool) {
         (self.condition.limit(), self.condition.leaving_since().is_some())
@@ -273,6 +282,7 @@
             running,
             queued,
             reserved_slots: self.reserved_slots(),
+            promised_returns: self.promised_returns(),
             limit: self.condition.limit(),
             run_refusal_probability: self.run_refusal_probability(),
             learned_limit: self.learned_limit(),
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -342,6 +342,7 @@
         kind: host_route.map(kind_of),
         is_retry_after_refusal: false,
         is_express: is_express(&routes.document.limits, objective),
+        wants_return: false,
         objective: host_route.map(|it| it.objective),
         config_version: routes.version,
         known_condition: None,
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -242,6 +242,7 @@
         objective: None,
         is_retry_after_refusal: false,
         is_express: false,
+        wants_return: false,
         upstream_attempts_max: 1,
         config_version: ConfigVersion(1),
         known_condition: None,
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -175,6 +175,19 @@
         &self.gate
     }
 
+    /// Returns how many requests run at the local upstream or are queued for it.
+    #[cfg(test)]
+    pub(crate) fn admitted(&self) -> usize {
+        let (running, queued) = self.gate.load();
+        running + queued
+    }
+
+    /// Returns how many returns the gate has promised.
+    #[cfg(test)]
+    pub(crate) fn promised_returns(&self) -> usize {
+        self.gate.promised_returns()
+    }
+
     /// Makes the gate apply the current snapshot.
     #[cfg(test)]
     pub(crate) async fn rebind_gate(&self) {
--- a/crates/agent/src/request_log/mod.rs
+++ b/crates/agent/src/request_log/mod.rs
@@ -69,6 +69,8 @@
     pub(crate) queued: usize,
     /// The slots that are reserved for express requests.
     pub(crate) reserved_slots: usize,
+    /// The number of promised returns whose time has not passed.
+    pub(crate) promised_returns: usize,
     /// The limit that the upstream has stated for its requests.
     pub(crate) limit: Option<RequestRate>,
     /// The highest probability with which the gate refuses runs of a kind because of their calls.
@@ -198,6 +200,7 @@
             queued = state.queued,
             express = request.is_express,
             reserved_slots = state.reserved_slots,
+            promised_returns = state.promised_returns,
             limit_per_s = state.limit.map_or(0.0, RequestRate::per_s),
             run_refusal_probability = state.run_refusal_probability,
             learned_limit = state.learned_limit.unwrap_or(0),
--- a/crates/agent/src/tests/call_failures.rs
+++ b/crates/agent/src/tests/call_failures.rs
@@ -43,6 +43,7 @@
         time_at_ingress: Duration::ZERO,
         kind: Some(7),
         is_express: objective.is_some(),
+        wants_return: false,
         objective,
         is_retry_after_refusal: false,
         upstream_attempts_max: 1,
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -10,6 +10,7 @@
 mod rate_limit;
 mod records;
 mod retry;
+mod returns;
 mod selection;
 mod sketch;
 mod smoothed;
@@ -33,6 +34,9 @@
     Answer, BeginResult, Record, RecordUnit, RecordedOutcome, Records, RecordsConfig, UnitRecords,
 };
 pub use retry::{Attempts, ChargePolicy, EndedAttempt, Retries, RetryConfig, RetryVerdict};
+pub use returns::{
+    GivenTime, GivenTimes, PromiseState, Return, ReturnBook, ReturnRequest, ReturnTime, Sending,
+};
 pub use selection::{
     GateReport, HealthHint, PickedTarget, RequestProfile, Selection, SelectionConfig,
     TargetComparison, TargetResult, TargetSpec, TargetState, TargetView,
--- a/xtask/src/bench/slopes/frames.rs
+++ b/xtask/src/bench/slopes/frames.rs
@@ -47,6 +47,7 @@
         kind: None,
         is_retry_after_refusal: false,
         is_express: false,
+        wants_return: false,
         objective_us: None,
         config: ConfigVersion(42),
         known_condition: None,
