The gate replaces its bound upstream by one thread at a time

A test (request_that_cannot_meet_its_deadline_is_refused) failed 4 times in 1,200 runs beside load: the gate's task and another thread replaced the bound upstream at once, each without a former one, so the second queue took the place of the first with the requests that ran under it, and the upstream got more requests than it has slots. Each now waits for the other; the new test counted 2 clients before.

--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -1,6 +1,6 @@
 //! The upstream that the gate sends requests to, and the document that applies to it.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::sync::{Arc, PoisonError, atomic::Ordering};
 
 use model::{ConfigVersion, Instance, ServiceName, Timestamp};
 use ownership::UpstreamState;
@@ -93,6 +93,7 @@
     /// Updates the bound upstream from the snapshot: its address, its document and whether it
     /// drains.
     pub(crate) fn rebind(&self) {
+        let _rebinding = self.rebinding.lock().unwrap_or_else(PoisonError::into_inner);
         let snapshot = self.snapshots.load();
         let Some((service, local)) = local_service(&snapshot) else { return };
         let former = self.bound.load_full();
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -26,7 +26,7 @@
 use std::{
     pin::Pin,
     sync::{
-        Arc, OnceLock,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
 };
@@ -98,6 +98,8 @@
     upstream_clock: Arc<UpstreamClock>,
     connect: Connect,
     bound: ArcSwapOption<BoundUpstream>,
+    /// Held while the bound upstream is replaced, since each replacement starts from the former one.
+    rebinding: Mutex<()>,
     records: OnceLock<RequestRecords>,
     leases: Arc<Leases>,
     /// The condition that the upstream states in its answers.
@@ -135,6 +137,7 @@
             upstream_clock: parts.upstream_clock,
             connect: parts.connect,
             bound: ArcSwapOption::empty(),
+            rebinding: Mutex::default(),
             records: OnceLock::new(),
             leases: Arc::default(),
             condition: UpstreamCondition::default(),
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -70,6 +70,10 @@
     pub(super) arrivals: Mutex<Vec<Instant>>,
     /// Number of running `crowded` requests.
     crowd: AtomicUsize,
+    /// Number of clients that the gate has created for it.
+    pub(super) clients: AtomicUsize,
+    /// Time that the creation of a client takes, in milliseconds.
+    pub(super) client_creation_ms: AtomicU64,
 }
 
 /// A call to grant or release keys at an upstream that enforces leases.
@@ -94,6 +98,8 @@
             condition: Mutex::default(),
             arrivals: Mutex::default(),
             crowd: AtomicUsize::new(0),
+            clients: AtomicUsize::new(0),
+            client_creation_ms: AtomicU64::new(0),
         }
     }
 
@@ -455,7 +461,7 @@
         let (reporter, reports) = report::channel();
         let (gate, tasks) = GateHandle::new(clock);
         let snapshots: Arc<SnapshotCell> = Arc::default();
-        let fake: Arc<dyn Upstream> = Arc::clone(&upstream) as Arc<dyn Upstream>;
+        let fake = Arc::clone(&upstream);
         let plane = Plane::start(PlaneParts {
             own: own.clone(),
             clock,
@@ -464,7 +470,12 @@
             reporter,
             handle: gate.clone(),
             tasks,
-            connect: Box::new(move |_, _| Ok(Arc::clone(&fake))),
+            connect: Box::new(move |_, _| {
+                let creation_ms = fake.client_creation_ms.load(Ordering::SeqCst);
+                std::thread::sleep(Duration::from_millis(creation_ms));
+                fake.clients.fetch_add(1, Ordering::SeqCst);
+                Ok(Arc::clone(&fake) as Arc<dyn Upstream>)
+            }),
             callers,
             peers,
             metrics,
--- a/crates/agent/src/tests/gate.rs
+++ b/crates/agent/src/tests/gate.rs
@@ -1,6 +1,6 @@
 //! Tests of at-most-once execution, leases and fence tokens at the gate.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use model::RequestId;
 use ownership::{GateCommand, UpstreamState};
@@ -251,3 +251,14 @@
     check(&refused, 503, "not-run; reason=draining");
     assert_eq!(agent.upstream.ran().len(), 2);
 }
+
+/// Two queues for one upstream would give it twice as many requests as it has slots.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn concurrent_updates_of_the_gate_create_one_client_and_queue() {
+    let agent = TestAgent::start("a").await;
+    agent.upstream.client_creation_ms.store(50, Ordering::SeqCst);
+    // The gate's own task and the test both apply the snapshot.
+    agent.route_to_members(&[&agent.own]).await;
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    assert_eq!(agent.upstream.clients.load(Ordering::SeqCst), 1);
+}
