Express requests take a free slot at once while others wait

Cause: an express request that arrived while others waited was queued even if a reserved slot was free, and refused if the measured service time exceeded its deadline. After a suspension, during which express requests ran, all were refused for as long as others waited, and the reserved slots stayed empty. An express arrival that started at once could also displace a waiting request from a full queue.

Change: an express request starts at once if no other one waits, a slot is free, and express requests hold fewer slots than their limit or no other request waits. It is charged like other starts out of turn.

Tested: express_requests_are_served_again_after_a_suspension (0 of 20 served with the former condition); the tests of the crate traffic.

--- a/crates/traffic/src/admission/express.rs
+++ b/crates/traffic/src/admission/express.rs
@@ -240,9 +240,7 @@
         rng: &mut impl Rng,
         decisions: &mut Vec<Decision>,
     ) -> bool {
-        let others_wait = self.queued > self.express.queued();
-        let slots_max = (self.slots_at(now) / 2).max(1);
-        let is_first = !others_wait || self.express.running < slots_max;
+        let is_first = self.express_is_first(now);
         let next = match is_first {
             true => self.express.first(),
             false => self.express_in_turn(),
@@ -259,15 +257,53 @@
                 return true;
             }
         }
+        let QueuedExpress { class, position, entry } = it;
+        match is_first {
+            true => self.start_express_first(now, position.ticket, class, entry.route, decisions),
+            false => self.start(now, position.ticket, class, entry.route, true, decisions),
+        }
+        true
+    }
+
+    /// Returns whether an express request that arrives now may start without a wait if a slot is free. While others
+    /// wait, a free slot is a reserved one.
+    pub(super) fn may_start_express_at_once(&self, now: Timestamp) -> bool {
+        self.express.queued() == 0 && self.express_is_first(now)
+    }
+
+    /// Returns whether express requests start before all classes.
+    fn express_is_first(&self, now: Timestamp) -> bool {
+        !self.others_wait() || self.express.running < self.express_slots_max(now)
+    }
+
+    /// Returns whether requests other than express requests wait.
+    fn others_wait(&self) -> bool {
+        self.queued > self.express.queued()
+    }
+
+    /// Returns the number of slots up to which express requests start before all classes.
+    fn express_slots_max(&self, now: Timestamp) -> usize {
+        (self.slots_at(now) / 2).max(1)
+    }
+
+    /// Starts an express request before all classes.
+    pub(super) fn start_express_first(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        class: ClassIndex,
+        route: Option<RouteIndex>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let is_out_of_turn = self.others_wait();
         let virtual_time_s = self.virtual_time_s;
-        self.start(now, it.position.ticket, it.class, it.entry.route, true, decisions);
-        if is_first && others_wait {
+        self.start(now, ticket, class, route, true, decisions);
+        if is_out_of_turn {
             // A start out of turn doesn't advance the time from which idle classes start.
             self.virtual_time_s = virtual_time_s;
-            let class = &mut self.classes[it.class.0];
+            let class = &mut self.classes[class.0];
             class.virtual_time_s = class.virtual_time_s.min(virtual_time_s + DEBT_MAX_S);
         }
-        true
     }
 
     /// Returns the next express request if it is the turn of its class and it is the first of that.
@@ -318,8 +354,7 @@
     pub(super) fn next_express_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let refusal = self.express.latest_starts.first();
         let refusal = refusal.map(|(latest_start, ..)| *latest_start + Duration::from_nanos(1));
-        let has_reserve =
-            self.queued > self.express.queued() && self.express.arrivals.is_recent(now);
+        let has_reserve = self.others_wait() && self.express.arrivals.is_recent(now);
         let review = has_reserve.then(|| now + RESERVE_REVIEW_INTERVAL);
         refusal.into_iter().chain(review).min()
     }
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -226,12 +226,19 @@
         if arrival.is_express {
             self.express.record_arrival(now, arrival.objective);
         }
-        let is_in_reserve = !arrival.is_express && !self.has_unreserved_slot(now);
-        if self.queued == 0 && self.can_start(now) && !is_in_reserve {
+        let may_start = match arrival.is_express {
+            true => self.may_start_express_at_once(now),
+            false => self.queued == 0 && self.has_unreserved_slot(now),
+        };
+        if may_start && self.can_start(now) {
             // Starts even if the estimated service time exceeds the deadline: an estimate that is too
             // high is corrected only by measuring further requests.
             let Arrival { class, route, is_express, .. } = arrival;
-            self.start(now, ticket, class, route, is_express, decisions);
+            match is_express {
+                true => self.start_express_first(now, ticket, class, route, decisions),
+                false => self.start(now, ticket, class, route, false, decisions),
+            }
+            self.check_invariants();
             return ticket;
         }
         self.enqueue(now, ticket, arrival);
--- a/crates/traffic/src/admission/tests/express.rs
+++ b/crates/traffic/src/admission/tests/express.rs
@@ -364,3 +364,38 @@
     it.finish(running);
     assert_eq!(it.verdict(earlier), Some(Verdict::Start), "it waits until its deadline is near");
 }
+
+/// Guards against an estimate that is too high, as after a suspension, and refuses all express requests for as long as
+/// others wait, which keeps it from being corrected.
+#[test]
+fn express_requests_are_served_again_after_a_suspension() {
+    let queue_time_max = ms(60_000);
+    let mut it = Fixture::new(AdmissionConfig { queue_time_max, ..config(4, &[1.0, 1.0]) });
+    let suspended = [(); 3].map(|()| it.offer_express(0, ms(200)));
+    let mut others: Vec<_> = (0..20).map(|_| (it.offer(1, ms(60_000)), None)).collect();
+    it.now = it.now + ms(10_000);
+    suspended.into_iter().for_each(|ticket| it.finish(ticket));
+    let mut express = Vec::new();
+    for _ in 0..40 {
+        express.push(it.offer_express(0, ms(200)));
+        others.push((it.offer(1, ms(60_000)), None));
+        it.now = it.now + ms(15);
+        if it.verdict(express[express.len() - 1]) == Some(Verdict::Start) {
+            it.finish(express[express.len() - 1]);
+        }
+        it.now = it.now + ms(35);
+        let now = it.now;
+        for (ticket, end) in &mut others {
+            if it.verdict(*ticket) == Some(Verdict::Start) {
+                end.get_or_insert(now + ms(300));
+            }
+        }
+        let (ended, left) = others.drain(..).partition(|(_, end)| end.is_some_and(|it| it <= now));
+        others = left;
+        ended.into_iter().for_each(|(ticket, _): (Ticket, _)| it.finish(ticket));
+    }
+    assert!(it.admission.queued() > 0, "others must wait");
+    let served = express.split_off(20);
+    let served = served.iter().filter(|ticket| it.verdict(**ticket) == Some(Verdict::Start));
+    assert_eq!(served.count(), 20, "from a second after the suspension on, all are served");
+}
