Express requests that are not expected to start in time are refused at once

Cause: nothing estimated the wait of express requests. Above their share they were held until the last moment: the refused ones had no time for another member, and some started too late.

Change: at each arrival and tick, a walk through the waiting express requests in the order of deadlines predicts their starts, one per express service time over the slots up to which they start first, and refuses those that would start too late. If no other request waits, all open slots count, so that the prediction is not too late.

--- a/crates/traffic/src/admission/express.rs
+++ b/crates/traffic/src/admission/express.rs
@@ -133,6 +133,11 @@
         Some(QueuedExpress { class, position, entry })
     }
 
+    fn all_of(&self, class: ClassIndex) -> impl Iterator<Item = QueuedExpress> {
+        let queue = self.queues[class.0].iter();
+        queue.map(move |(&position, &entry)| QueuedExpress { class, position, entry })
+    }
+
     fn last_of(&self, class: ClassIndex) -> Option<QueuedExpress> {
         let (&position, &entry) = self.queues[class.0].last_key_value()?;
         Some(QueuedExpress { class, position, entry })
@@ -152,11 +157,18 @@
         self.classes().filter_map(|it| self.last_of(it)).max_by_key(|it| it.position)
     }
 
-    /// Returns the next waiting request that can no longer finish by its deadline, if there is one.
-    fn first_infeasible(&self, now: Timestamp) -> Option<QueuedExpress> {
-        let &(latest_start, class, position) = self.latest_starts.first()?;
-        let entry = self.queues[class.0].get(&position)?;
-        (now > latest_start).then_some(QueuedExpress { class, position, entry: *entry })
+    /// Returns the waiting requests that are not expected to finish by their deadline if one request starts per
+    /// `start_interval`.
+    fn infeasible(&self, now: Timestamp, start_interval: Duration) -> Vec<QueuedExpress> {
+        let mut waiting: Vec<_> = self.classes().flat_map(|it| self.all_of(it)).collect();
+        waiting.sort_by_key(|it| it.position);
+        let mut start = now;
+        let is_infeasible = |it: &QueuedExpress| {
+            let is_late = start > it.entry.latest_start;
+            start = if is_late { start } else { start + start_interval };
+            is_late
+        };
+        waiting.into_iter().filter(is_infeasible).collect()
     }
 
     /// Returns the load with the reserve for this number of open slots. `mean_service_time` is that of all requests.
@@ -286,6 +298,17 @@
         (self.slots_at(now) / 2).max(1)
     }
 
+    /// Returns the expected time between two starts of express requests. They may use more slots than those in which
+    /// they start before all classes, but only in the turn of their class.
+    fn express_start_interval(&self, now: Timestamp) -> Duration {
+        let slots = match self.others_wait() {
+            true => self.express_slots_max(now),
+            false => self.slots_at(now),
+        };
+        let slot_interval = self.express.service_time.mean().div_f64(slots as f64);
+        self.limited_start_interval(now).map_or(slot_interval, |it| it.max(slot_interval))
+    }
+
     /// Starts an express request before all classes.
     pub(super) fn start_express_first(
         &mut self,
@@ -323,14 +346,14 @@
         other.is_none_or(|it| first.position < it.position).then_some(first)
     }
 
-    /// Refuses the waiting express requests that can no longer finish by their deadline.
+    /// Refuses the waiting express requests that are not expected to finish by their deadline.
     pub(super) fn refuse_infeasible_express(
         &mut self,
         now: Timestamp,
         rng: &mut impl Rng,
         decisions: &mut Vec<Decision>,
     ) {
-        while let Some(it) = self.express.first_infeasible(now) {
+        for it in self.express.infeasible(now, self.express_start_interval(now)) {
             self.remove_express(&it);
             self.refuse_express(now, &it, rng, decisions);
         }
--- a/crates/traffic/src/admission/tests/express.rs
+++ b/crates/traffic/src/admission/tests/express.rs
@@ -230,6 +230,28 @@
     assert!(on.served(LONG_OF_SAME_CLASS) >= off.served(LONG_OF_SAME_CLASS) / 2);
 }
 
+/// Guards against express requests above their share that are held until they can't be tried elsewhere, or start too late
+/// to finish.
+#[test]
+fn express_requests_above_their_share_are_refused_early() {
+    let mut it = Simulation::new(1, true);
+    let express_slots = (SLOTS / 2) as f64;
+    let (express_per_s, long_per_s) = (1.5 * express_slots / 0.015, 1.5 * SLOTS as f64 / 0.150);
+    for _ in 0..SIMULATED_MS {
+        it.arrive_at_random(EXPRESS, express_per_s);
+        it.arrive_at_random(LONG, long_per_s);
+        it.step(1.0);
+    }
+    let (started, refused) = it.of(EXPRESS).partition::<Vec<_>, _>(|it| it.was_started);
+    let in_time = started.iter().filter(|it| it.state == State::Served).count() as f64;
+    let in_time = in_time / started.len() as f64;
+    let share_left = |it: &&Request| it.deadline.since(it.ended).as_secs_f64() / 0.2;
+    let mut left: Vec<_> = refused.iter().map(share_left).collect();
+    left.sort_by(f64::total_cmp);
+    assert!(in_time >= 0.95, "{in_time} of those that start are in time");
+    assert!(left[left.len() / 20] >= 0.5, "{} of the time is left", left[left.len() / 20]);
+}
+
 #[test]
 fn without_the_part_nothing_is_reserved() {
     let off = mixed_load(false);
