A refused express request is not sent to its designated member again at once

Cause: a request that only its designated member may run counted the other members as untried targets.

Change: an express request that only its designated member may run has no untried target after a refusal for overload. Other requests are sent as before, since nothing may change with the part off.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -30,7 +30,7 @@
 };
 
 use return_targets::ReturnTargets;
-use selector::Selector;
+use selector::{Selector, has_designated_member};
 
 pub(crate) use conditions::KnownConditions;
 pub(crate) use selector::designated_member;
@@ -171,11 +171,13 @@
                 GateReply::Failed { retry_after, .. } => *retry_after,
                 _ => None,
             };
+            let outcome = reply.outcome();
+            let may_try_another = !history.is_early && !is_final_refusal(&routes, request, outcome);
             let attempt = EndedAttempt {
-                outcome: reply.outcome(),
+                outcome,
                 retry_after,
                 is_redirect: history.owner_hint.is_some(),
-                has_untried_target: !history.is_early && untried_targets(&routes, &history) > 0,
+                has_untried_target: may_try_another && untried_targets(&routes, &history) > 0,
             };
             if attempt.outcome == Outcome::Answered {
                 self.parts.quarantine.record_answer(fingerprint);
@@ -293,6 +295,14 @@
     }
 }
 
+/// Returns whether no other member may run an express request that was refused for overload. The designated member
+/// refuses it only if it cannot be in time, so that further tries there are in vain.
+fn is_final_refusal(routes: &ServiceRoutes, request: &GateRequest, outcome: Outcome) -> bool {
+    request.is_express
+        && outcome == Outcome::NotRun(NotRunReason::Overloaded)
+        && has_designated_member(routes, request)
+}
+
 /// Returns the number of ready members that have not been tried yet. Only services that are not sharded
 /// by key have a choice of members.
 fn untried_targets(routes: &ServiceRoutes, history: &AttemptHistory) -> usize {
--- a/crates/agent/src/forward/return_targets.rs
+++ b/crates/agent/src/forward/return_targets.rs
@@ -11,6 +11,7 @@
 use model::{Instance, NotRunReason, Outcome, Timestamp};
 use traffic::{GivenTime, GivenTimes, Return, Sending};
 
+use super::selector::has_designated_member;
 use crate::{
     request::{GateReply, GateRequest},
     snapshot::{Routes, ServiceRoutes},
@@ -43,9 +44,7 @@
 /// Returns whether a gate may promise a return to this request. A request that only its designated member may run has
 /// another one when it returns, under a new id. An express request is made by a run, which fails when it is refused.
 pub(super) fn allows_promise(routes: &ServiceRoutes, request: &GateRequest) -> bool {
-    let has_designated_member =
-        matches!(routes.routes, Routes::Any(_)) && !request.idempotent && routes.document.resends;
-    let may_return = !has_designated_member && !request.is_express;
+    let may_return = !has_designated_member(routes, request) && !request.is_express;
     routes.document.limits.promises_returns && may_return
 }
 
--- a/crates/agent/src/forward/selector.rs
+++ b/crates/agent/src/forward/selector.rs
@@ -264,6 +264,11 @@
     candidates.find(|it| !tried.contains(it)).or(route.owner.as_ref()).cloned()
 }
 
+/// Returns whether only the designated member may run a request, which keeps the record of it.
+pub(super) fn has_designated_member(routes: &ServiceRoutes, request: &GateRequest) -> bool {
+    matches!(routes.routes, Routes::Any(_)) && !request.idempotent && routes.document.resends
+}
+
 /// Returns the only member that may run a non-idempotent request. Agents with the same list of
 /// members choose the same one, so that a resend finds the record of the first sending there.
 pub(crate) fn designated_member<'a>(
--- a/crates/agent/src/tests/express.rs
+++ b/crates/agent/src/tests/express.rs
@@ -4,7 +4,10 @@
 
 use tokio::sync::Notify;
 
-use super::fakes::{TestAgent, check, express_document, get};
+use super::{
+    fakes::{TestAgent, check, document_with_limits, express_document, get, post},
+    returns::start_refusing_peer,
+};
 
 /// Sends a request for `echo` through another agent to a full upstream whose queue holds one request for `hold`.
 /// Returns whether it is served instead of that.
@@ -60,3 +63,22 @@
     assert!(!is_preferred(false, true).await);
     assert!(!is_preferred(true, false).await);
 }
+
+/// Guards against hopeless tries at the only member that may run a request, without a pause and with the express limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refused_express_request_returns_to_no_designated_member() {
+    // The routes have a deadline of 10 s. With the part off, two further tries are made as before.
+    for (express_ms, call, expected) in
+        [(10_000, post("echo", 1), 1), (10_000, get("echo", 1), 2), (0, post("echo", 1), 3)]
+    {
+        let ingress = TestAgent::start("ingress").await;
+        let (a, sent_to_a) = start_refusing_peer("a").await;
+        let (b, sent_to_b) = start_refusing_peer("b").await;
+        let limits =
+            format!(r#""retry_count": "after_upstream", "express_objective_ms_max": {express_ms}"#);
+        ingress.route_to_members_under(document_with_limits(&limits), &[&a, &b]).await;
+        check(&ingress.call(call).await, 503, "not-run; reason=overloaded");
+        let sent = sent_to_a.lock().unwrap().len() + sent_to_b.lock().unwrap().len();
+        assert_eq!(sent, expected, "express_objective_ms_max: {express_ms}");
+    }
+}
--- a/crates/agent/src/tests/returns.rs
+++ b/crates/agent/src/tests/returns.rs
@@ -242,7 +242,7 @@
 }
 
 /// A peer that refuses each request for overload and records whether it wants a return.
-async fn start_refusing_peer(name: &str) -> (Instance, Arc<Mutex<Vec<bool>>>) {
+pub(super) async fn start_refusing_peer(name: &str) -> (Instance, Arc<Mutex<Vec<bool>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let own = instance(name, listener.local_addr().unwrap());
     let identity =
