Express requests leave the debt of the other requests of their class

Cause: a start of an express request out of turn lowered the virtual time of its class to 1 s behind the others, also where ordinary requests had made a greater debt. If the request was not sent, a cost was returned that had not been charged.

Change: the limit applies to what express requests add, and the cost of a running request is what was charged. Since the rest would then be added at its end, the same limit applies there; without that, the class starves (the test of that fails).

Tested: express_requests_leave_the_debt_of_the_others_of_their_class (fails without either change).

--- a/crates/traffic/src/admission/express.rs
+++ b/crates/traffic/src/admission/express.rs
@@ -320,15 +320,28 @@
     ) {
         let is_out_of_turn = self.others_wait();
         let virtual_time_s = self.virtual_time_s;
+        let before_s = self.classes[class.0].virtual_time_s;
         self.start(now, ticket, class, route, true, decisions);
         if is_out_of_turn {
             // A start out of turn doesn't advance the time from which idle classes start.
             self.virtual_time_s = virtual_time_s;
-            let class = &mut self.classes[class.0];
-            class.virtual_time_s = class.virtual_time_s.min(virtual_time_s + DEBT_MAX_S);
+            let remitted_s = self.limit_express_debt(class, before_s);
+            if let Some(Entry::Running(it)) = self.entries.get_mut(&ticket) {
+                it.cost_s -= remitted_s;
+            }
         }
     }
 
+    /// Limits the debt of a class after an express request has raised its virtual time from `before_s`. A debt that was
+    /// there before stays. Returns by how much the virtual time was lowered.
+    pub(super) fn limit_express_debt(&mut self, class: ClassIndex, before_s: f64) -> f64 {
+        let limit_s = before_s.max(self.virtual_time_s + DEBT_MAX_S);
+        let class = &mut self.classes[class.0];
+        let charged_s = class.virtual_time_s;
+        class.virtual_time_s = charged_s.min(limit_s);
+        charged_s - class.virtual_time_s
+    }
+
     /// Returns the next express request if it is the turn of its class and it is the first of that.
     fn express_in_turn(&self) -> Option<QueuedExpress> {
         let virtual_time_s = |it: &ClassIndex| match &self.classes[it.0] {
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -273,7 +273,11 @@
             }
         }
         let class = &mut self.classes[it.class.0];
+        let before_s = class.virtual_time_s;
         class.settle(elapsed, it.cost_s, it.route, completion);
+        if it.is_express {
+            self.limit_express_debt(it.class, before_s);
+        }
         self.start_queued(now, rng, decisions);
         self.check_invariants();
     }
--- a/crates/traffic/src/admission/tests/express.rs
+++ b/crates/traffic/src/admission/tests/express.rs
@@ -348,6 +348,34 @@
     assert_eq!(it.verdict(other), Some(Verdict::Start), "it has not started after 3 s");
 }
 
+/// Guards against a class that gets more than its share because an express request clears the debt of its others.
+#[test]
+fn express_requests_leave_the_debt_of_the_others_of_their_class() {
+    for completion in [Completion::Answered, Completion::NotSent] {
+        let queue_time_max = ms(60_000);
+        let config = AdmissionConfig { queue_time_max, ..config(2, &[0.1, 1.0]) };
+        let mut it = Fixture::new(config);
+        let running = [it.offer(0, ms(90_000)), it.offer(1, ms(90_000))];
+        let [first, second, third] = [(); 3].map(|()| it.offer(1, ms(90_000)));
+        let indebted = it.offer(0, ms(90_000));
+        it.now = it.now + ms(10_000);
+        // The class has used 100 s of its virtual time now, the other one 10 s, and 15 s at the end.
+        running.into_iter().for_each(|ticket| it.finish(ticket));
+        assert_eq!(it.verdict(second), Some(Verdict::Start));
+        it.now = it.now + ms(5000);
+        let express = it.offer_express(0, ms(60_000));
+        it.finish(second);
+        assert_eq!((it.verdict(express), it.verdict(third)), (Some(Verdict::Start), None));
+        it.now = it.now + ms(15);
+        let (rng, decisions) = (&mut it.rng, &mut it.decisions);
+        it.admission.finish(it.now, express, completion, rng, decisions);
+        // The other slot stays reserved.
+        it.finish(first);
+        let started = (it.verdict(third), it.verdict(indebted));
+        assert_eq!(started, (Some(Verdict::Start), None), "{completion:?}");
+    }
+}
+
 /// Guards against a slot that stays reserved, or that other requests never learn of, when the express requests end.
 #[test]
 fn a_slot_is_reserved_while_express_requests_arrive() {
