Objectives that are used up do not reserve slots for express requests

Cause: the objective of a request is reduced by the wait for routes and for the body where it began. One slow first request made the shortest objective 0, and a slot stayed reserved for up to 10 s.

Change: objectives that are not above the express service time are left out if a longer one was recorded in that time. If none was, the service time may be estimated too high, and the slots stay reserved.

Tested: an_objective_that_is_used_up_reserves_no_slot (fails if all objectives count).

--- a/crates/traffic/src/admission/express.rs
+++ b/crates/traffic/src/admission/express.rs
@@ -42,6 +42,9 @@
     service_time: SmoothedDuration,
     arrivals: ArrivalRate,
     shortest_objective: RecentExtreme,
+    /// The shortest objective above the express service time. Shorter ones have been used up by a wait for routes or
+    /// for the body where the request began, and state nothing of other requests.
+    shortest_feasible_objective: RecentExtreme,
     /// The longest mean age of the running requests.
     longest_age: RecentExtreme,
     /// The start times of all running requests.
@@ -74,6 +77,7 @@
             service_time: SmoothedDuration::new(initial_service_time),
             arrivals: ArrivalRate::default(),
             shortest_objective: RecentExtreme::new(Duration::min),
+            shortest_feasible_objective: RecentExtreme::new(Duration::min),
             longest_age: RecentExtreme::new(Duration::max),
             starts: StartTimes::default(),
         }
@@ -81,8 +85,10 @@
 
     pub(super) fn record_arrival(&mut self, now: Timestamp, objective: Option<Duration>) {
         self.arrivals.add(now);
-        if let Some(objective) = objective {
-            self.shortest_objective.add(now, objective);
+        let Some(objective) = objective else { return };
+        self.shortest_objective.add(now, objective);
+        if objective > self.service_time.mean() {
+            self.shortest_feasible_objective.add(now, objective);
         }
     }
 
@@ -174,7 +180,9 @@
     /// Returns the load with the reserve for this number of open slots. `mean_service_time` is that of all requests.
     fn load(&self, now: Timestamp, open_slots: usize, mean_service_time: Duration) -> ExpressLoad {
         let service_time = self.service_time.mean();
-        let objective = self.shortest_objective.get(now);
+        // If none is feasible, the estimated service time may be too high: the slots stay reserved.
+        let feasible = self.shortest_feasible_objective.get(now);
+        let objective = feasible.or_else(|| self.shortest_objective.get(now));
         let mut load = ExpressLoad {
             running: self.running,
             queued: self.queued(),
--- a/crates/traffic/src/admission/tests/express.rs
+++ b/crates/traffic/src/admission/tests/express.rs
@@ -399,6 +399,31 @@
     assert_eq!(reserved(&it), 0);
 }
 
+/// Guards against a slot that is reserved for 10 s because one request waited for its routes or its body.
+#[test]
+fn an_objective_that_is_used_up_reserves_no_slot() {
+    let mut it = Fixture::new(config(2, &[1.0, 1.0]));
+    let mut offer = |objective| {
+        let arrival = Arrival {
+            class: ClassIndex(0),
+            route: None,
+            deadline: it.now + ms(200),
+            timeliness: Timeliness::InTime,
+            is_express: true,
+            objective: Some(objective),
+        };
+        let ticket = it.admission.offer(it.now, arrival, &mut it.rng, &mut it.decisions);
+        it.now = it.now + ms(10);
+        it.finish(ticket);
+        it.admission.express_load(it.now).acceptable_wait
+    };
+    assert_eq!(offer(ms(0)), Some(ms(0)), "no other objective is known");
+    assert_eq!(offer(ms(60)), Some(ms(25)));
+    assert_eq!(offer(ms(5)), Some(ms(25)));
+    assert_eq!(offer(ms(40)), Some(ms(15)));
+    assert_eq!(reserved(&it), 0, "the expected wait is 5 ms");
+}
+
 /// Guards against refusals of express requests in favour of others, which would fail the runs that made them.
 #[test]
 fn a_full_queue_refuses_other_requests_first() {
