Short objectives and long waits of express requests count for at most 10 s

Cause: the period of RecentExtreme began with a value instead of with the end of the former period, so that a value counted for up to almost 20 s, and the former period until the end of the next one.

Change: periods follow each other without a gap unless more than one has passed, and the former one counts for one period. A name in next_express_wakeup says that there may be a reserve, which is all that is known there.

Tested: an_objective_counts_for_5_to_10_s (fails with periods that begin with a value).

--- a/crates/traffic/src/admission/express.rs
+++ b/crates/traffic/src/admission/express.rs
@@ -398,8 +398,8 @@
     pub(super) fn next_express_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let refusal = self.express.latest_starts.first();
         let refusal = refusal.map(|(latest_start, ..)| *latest_start + Duration::from_nanos(1));
-        let has_reserve = self.others_wait() && self.express.arrivals.is_recent(now);
-        let review = has_reserve.then(|| now + RESERVE_REVIEW_INTERVAL);
+        let may_have_reserve = self.others_wait() && self.express.arrivals.is_recent(now);
+        let review = may_have_reserve.then(|| now + RESERVE_REVIEW_INTERVAL);
         refusal.into_iter().chain(review).min()
     }
 
@@ -476,18 +476,26 @@
     }
 
     fn add(&mut self, now: Timestamp, value: Duration) {
-        let passed = now.since(self.period_start);
-        if passed >= RESERVE_TIME {
-            self.previous = self.current.take().filter(|_| passed < RESERVE_TIME * 2);
-            self.period_start = now;
+        match now.since(self.period_start) {
+            passed if passed < RESERVE_TIME => {}
+            passed if passed < RESERVE_TIME * 2 => {
+                self.previous = self.current.take();
+                // Not `now`: the previous period must end twice the time after it began.
+                self.period_start = self.period_start + RESERVE_TIME;
+            }
+            _ => {
+                (self.previous, self.current) = (None, None);
+                self.period_start = now;
+            }
         }
         self.current = Some(self.current.map_or(value, |it| (self.extreme_of)(it, value)));
     }
 
     fn get(&self, now: Timestamp) -> Option<Duration> {
-        let is_recent = now.since(self.period_start) < RESERVE_TIME * 2;
-        let both = self.current.into_iter().chain(self.previous);
-        both.reduce(self.extreme_of).filter(|_| is_recent)
+        let passed = now.since(self.period_start);
+        let current = self.current.filter(|_| passed < RESERVE_TIME * 2);
+        let previous = self.previous.filter(|_| passed < RESERVE_TIME);
+        current.into_iter().chain(previous).reduce(self.extreme_of)
     }
 }
 
--- a/crates/traffic/src/admission/tests/express.rs
+++ b/crates/traffic/src/admission/tests/express.rs
@@ -1,6 +1,6 @@
 //! Simulates upstreams that are full of long requests and get express requests as well, also as calls of their runs.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use model::Timestamp;
 use rand::{RngExt, SeedableRng};
@@ -399,31 +399,56 @@
     assert_eq!(reserved(&it), 0);
 }
 
+/// Serves an express request with this objective for 10 ms, and returns the wait that is acceptable then.
+fn acceptable_wait_after(it: &mut Fixture, objective: Duration) -> Option<Duration> {
+    let arrival = Arrival {
+        class: ClassIndex(0),
+        route: None,
+        deadline: it.now + ms(200),
+        timeliness: Timeliness::InTime,
+        is_express: true,
+        objective: Some(objective),
+    };
+    let ticket = it.admission.offer(it.now, arrival, &mut it.rng, &mut it.decisions);
+    it.now = it.now + ms(10);
+    it.finish(ticket);
+    it.admission.express_load(it.now).acceptable_wait
+}
+
 /// Guards against a slot that is reserved for 10 s because one request waited for its routes or its body.
 #[test]
 fn an_objective_that_is_used_up_reserves_no_slot() {
     let mut it = Fixture::new(config(2, &[1.0, 1.0]));
-    let mut offer = |objective| {
-        let arrival = Arrival {
-            class: ClassIndex(0),
-            route: None,
-            deadline: it.now + ms(200),
-            timeliness: Timeliness::InTime,
-            is_express: true,
-            objective: Some(objective),
-        };
-        let ticket = it.admission.offer(it.now, arrival, &mut it.rng, &mut it.decisions);
-        it.now = it.now + ms(10);
-        it.finish(ticket);
-        it.admission.express_load(it.now).acceptable_wait
-    };
-    assert_eq!(offer(ms(0)), Some(ms(0)), "no other objective is known");
-    assert_eq!(offer(ms(60)), Some(ms(25)));
-    assert_eq!(offer(ms(5)), Some(ms(25)));
-    assert_eq!(offer(ms(40)), Some(ms(15)));
+    assert_eq!(acceptable_wait_after(&mut it, ms(0)), Some(ms(0)), "no other objective is known");
+    assert_eq!(acceptable_wait_after(&mut it, ms(60)), Some(ms(25)));
+    assert_eq!(acceptable_wait_after(&mut it, ms(5)), Some(ms(25)));
+    assert_eq!(acceptable_wait_after(&mut it, ms(40)), Some(ms(15)));
     assert_eq!(reserved(&it), 0, "the expected wait is 5 ms");
 }
 
+/// Guards against a short objective that reserves slots for longer than the documented 5 to 10 s.
+#[test]
+fn an_objective_counts_for_5_to_10_s() {
+    for (age_ms, short_counts) in [(4900, true), (10_100, false)] {
+        // A request in between may end the period that began with the short objective.
+        for last_ms in [4000, 5100, 9900] {
+            let mut it = Fixture::new(config(2, &[1.0, 1.0]));
+            // The first value after a pause starts a period.
+            it.now = it.now + ms(20_000);
+            acceptable_wait_after(&mut it, ms(30));
+            let start = it.now;
+            let at = |at_ms| start + ms(at_ms);
+            if last_ms < age_ms {
+                it.now = at(last_ms);
+                acceptable_wait_after(&mut it, ms(60));
+            }
+            it.now = at(age_ms);
+            let expected = if short_counts { ms(10) } else { ms(25) };
+            assert_eq!(acceptable_wait_after(&mut it, ms(60)), Some(expected), "{last_ms} ms");
+        }
+    }
+}
+
 /// Guards against refusals of express requests in favour of others, which would fail the runs that made them.
 #[test]
 fn a_full_queue_refuses_other_requests_first() {
