Suspect express requests wait for their turn no longer than others

Cause: a request that may have crashed an upstream runs alone. An express one waited for its turn until its deadline, and no time was left for another member.

Change: the wait for the turn has the limit of requests that are not express.

Tested: a_suspect_express_request_waits_no_longer_than_others (waited for 4.0 s of 4 s with the former limit).

--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -255,7 +255,9 @@
             QuarantineStatus::Suspect => {}
             QuarantineStatus::Quarantined => return Err(quarantined_reply()),
         }
-        let until = self.gate.clock.instant(self.queue_until().0);
+        // The limit holds for express requests too: after a wait until the deadline, no time is left for another
+        // member, which may run no suspect.
+        let until = self.gate.clock.instant(self.ordinary_queue_until().0);
         let acquired = timeout_at(until, self.gate.suspect_permit.acquire());
         match self.wait_while_admitted(acquired, caller).await? {
             Ok(permit) => Ok(permit.ok()),
@@ -287,6 +289,11 @@
         if self.is_express() {
             return (self.deadline, Timeliness::InTime);
         }
+        self.ordinary_queue_until()
+    }
+
+    /// Returns the same for a request that is not express.
+    fn ordinary_queue_until(&self) -> (Timestamp, Timeliness) {
         let class = self.bound.document.classes.iter().find(|it| it.name == self.request.class);
         let is_bounded = class.is_some_and(|it| !it.queues_past_objective);
         let Some(objective) = self.request.objective.filter(|_| is_bounded) else {
--- a/crates/agent/src/tests/call_failures.rs
+++ b/crates/agent/src/tests/call_failures.rs
@@ -30,7 +30,7 @@
 }
 
 /// A request whose run fails once it is released.
-fn failing_run(id: u128, objective: Option<Duration>) -> GateRequest {
+pub(super) fn failing_run(id: u128, objective: Option<Duration>) -> GateRequest {
     GateRequest {
         service: ServiceName::new("svc").unwrap(),
         key_hash: None,
--- a/crates/agent/src/tests/express.rs
+++ b/crates/agent/src/tests/express.rs
@@ -1,11 +1,17 @@
 //! Tests of express requests on their way from ingress over a link to the gate.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use tokio::sync::Notify;
+use model::{NotRunReason, Outcome};
+use tokio::{sync::Notify, time::sleep};
+
+use crate::request::{GateReply, GateRequest};
 
 use super::{
-    fakes::{TestAgent, check, document_with_limits, express_document, get, post},
+    call_failures::failing_run,
+    fakes::{
+        TestAgent, check, document_text, document_with_limits, express_document, get, parsed, post,
+    },
     returns::start_refusing_peer,
 };
 
@@ -82,3 +88,39 @@
         assert_eq!(sent, expected, "express_objective_ms_max: {express_ms}");
     }
 }
+
+/// Guards against express requests that wait for their turn as suspects until no time is left for another member.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspect_express_request_waits_no_longer_than_others() {
+    let agent = TestAgent::start("a").await;
+    let text = document_text(false)
+        .replace(r#""name": "lap""#, r#""name": "lap", "queues_past_objective": false"#)
+        .replace(r#""limits": {"#, r#""limits": { "express_objective_ms_max": 10000,"#);
+    agent.route_to_members_under(parsed(&text), &[&agent.own]).await;
+    let gate = agent.plane.gate();
+    let request = |id, remaining_ms| GateRequest {
+        remaining: Duration::from_millis(remaining_ms),
+        ..failing_run(id, Some(Duration::from_millis(100)))
+    };
+    let crash = async {
+        agent.upstream.wait_started().await;
+        agent.upstream.wait_started().await;
+        agent.upstream.crash();
+        // Until the gate knows of the crash, as in the tests of the quarantine.
+        sleep(Duration::from_millis(400)).await;
+        agent.upstream.restart();
+    };
+    tokio::join!(gate.call(request(1, 5000)), gate.call(request(2, 5000)), crash);
+    let second = async {
+        agent.upstream.wait_started().await;
+        let started = Instant::now();
+        let reply = gate.call(request(2, 4000)).await;
+        agent.upstream.release.add_permits(1);
+        (reply, started.elapsed())
+    };
+    let (_, (reply, waited)) = tokio::join!(gate.call(request(1, 10_000)), second);
+    let outcome = Outcome::NotRun(NotRunReason::Overloaded);
+    assert!(matches!(reply, GateReply::Failed { outcome: it, .. } if it == outcome), "{reply:?}");
+    // The limit of others is half of the time left.
+    assert!(waited < Duration::from_millis(3000), "{waited:?}");
+}
