--- a/crates/agent/src/tests/express.rs
+++ b/crates/agent/src/tests/express.rs
@@ -1,10 +1,19 @@
 //! Tests of express requests on their way from ingress over a link to the gate.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use tokio::sync::Notify;
+use model::{NotRunReason, Outcome};
+use tokio::{sync::Notify, time::sleep};
 
-use super::fakes::{TestAgent, check, express_document, get};
+use crate::request::{GateReply, GateRequest};
+
+use super::{
+    call_failures::failing_run,
+    fakes::{
+        TestAgent, check, document_text, document_with_limits, express_document, get, parsed, post,
+    },
+    returns::start_refusing_peer,
+};
 
 /// Sends a request for `echo` through another agent to a full upstream whose queue holds one request for `hold`.
 /// Returns whether it is served instead of that.
@@ -60,3 +69,58 @@
     assert!(!is_preferred(false, true).await);
     assert!(!is_preferred(true, false).await);
 }
+
+/// Guards against hopeless tries at the only member that may run a request, without a pause and with the express limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refused_express_request_returns_to_no_designated_member() {
+    // The routes have a deadline of 10 s. With the part off, two further tries are made as before.
+    for (express_ms, call, expected) in
+        [(10_000, post("echo", 1), 1), (10_000, get("echo", 1), 2), (0, post("echo", 1), 3)]
+    {
+        let ingress = TestAgent::start("ingress").await;
+        let (a, sent_to_a) = start_refusing_peer("a").await;
+        let (b, sent_to_b) = start_refusing_peer("b").await;
+        let limits =
+            format!(r#""retry_count": "after_upstream", "express_objective_ms_max": {express_ms}"#);
+        ingress.route_to_members_under(document_with_limits(&limits), &[&a, &b]).await;
+        check(&ingress.call(call).await, 503, "not-run; reason=overloaded");
+        let sent = sent_to_a.lock().unwrap().len() + sent_to_b.lock().unwrap().len();
+        assert_eq!(sent, expected, "express_objective_ms_max: {express_ms}");
+    }
+}
+
+/// Guards against express requests that wait for their turn as suspects until no time is left for another member.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspect_express_request_waits_no_longer_than_others() {
+    let agent = TestAgent::start("a").await;
+    let text = document_text(false)
+        .replace(r#""name": "lap""#, r#""name": "lap", "queues_past_objective": false"#)
+        .replace(r#""limits": {"#, r#""limits": { "express_objective_ms_max": 10000,"#);
+    agent.route_to_members_under(parsed(&text), &[&agent.own]).await;
+    let gate = agent.plane.gate();
+    let request = |id, remaining_ms| GateRequest {
+        remaining: Duration::from_millis(remaining_ms),
+        ..failing_run(id, Some(Duration::from_millis(100)))
+    };
+    let crash = async {
+        agent.upstream.wait_started().await;
+        agent.upstream.wait_started().await;
+        agent.upstream.crash();
+        // Until the gate knows of the crash, as in the tests of the quarantine.
+        sleep(Duration::from_millis(400)).await;
+        agent.upstream.restart();
+    };
+    tokio::join!(gate.call(request(1, 5000)), gate.call(request(2, 5000)), crash);
+    let second = async {
+        agent.upstream.wait_started().await;
+        let started = Instant::now();
+        let reply = gate.call(request(2, 4000)).await;
+        agent.upstream.release.add_permits(1);
+        (reply, started.elapsed())
+    };
+    let (_, (reply, waited)) = tokio::join!(gate.call(request(1, 10_000)), second);
+    let outcome = Outcome::NotRun(NotRunReason::Overloaded);
+    assert!(matches!(reply, GateReply::Failed { outcome: it, .. } if it == outcome), "{reply:?}");
+    // The limit of others is half of the time left.
+    assert!(waited < Duration::from_millis(3000), "{waited:?}");
+}
--- a/crates/traffic/src/admission/express.rs
+++ b/crates/traffic/src/admission/express.rs
@@ -42,6 +42,9 @@
     service_time: SmoothedDuration,
     arrivals: ArrivalRate,
     shortest_objective: RecentExtreme,
+    /// The shortest objective above the express service time. Shorter ones have been used up by a wait for routes or
+    /// for the body where the request began, and state nothing of other requests.
+    shortest_feasible_objective: RecentExtreme,
     /// The longest mean age of the running requests.
     longest_age: RecentExtreme,
     /// The start times of all running requests.
@@ -74,6 +77,7 @@
             service_time: SmoothedDuration::new(initial_service_time),
             arrivals: ArrivalRate::default(),
             shortest_objective: RecentExtreme::new(Duration::min),
+            shortest_feasible_objective: RecentExtreme::new(Duration::min),
             longest_age: RecentExtreme::new(Duration::max),
             starts: StartTimes::default(),
         }
@@ -81,8 +85,10 @@
 
     pub(super) fn record_arrival(&mut self, now: Timestamp, objective: Option<Duration>) {
         self.arrivals.add(now);
-        if let Some(objective) = objective {
-            self.shortest_objective.add(now, objective);
+        let Some(objective) = objective else { return };
+        self.shortest_objective.add(now, objective);
+        if objective > self.service_time.mean() {
+            self.shortest_feasible_objective.add(now, objective);
         }
     }
 
@@ -133,6 +139,11 @@
         Some(QueuedExpress { class, position, entry })
     }
 
+    fn all_of(&self, class: ClassIndex) -> impl Iterator<Item = QueuedExpress> {
+        let queue = self.queues[class.0].iter();
+        queue.map(move |(&position, &entry)| QueuedExpress { class, position, entry })
+    }
+
     fn last_of(&self, class: ClassIndex) -> Option<QueuedExpress> {
         let (&position, &entry) = self.queues[class.0].last_key_value()?;
         Some(QueuedExpress { class, position, entry })
@@ -152,17 +163,26 @@
         self.classes().filter_map(|it| self.last_of(it)).max_by_key(|it| it.position)
     }
 
-    /// Returns the next waiting request that can no longer finish by its deadline, if there is one.
-    fn first_infeasible(&self, now: Timestamp) -> Option<QueuedExpress> {
-        let &(latest_start, class, position) = self.latest_starts.first()?;
-        let entry = self.queues[class.0].get(&position)?;
-        (now > latest_start).then_some(QueuedExpress { class, position, entry: *entry })
+    /// Returns the waiting requests that are not expected to finish by their deadline if one request starts per
+    /// `start_interval`.
+    fn infeasible(&self, now: Timestamp, start_interval: Duration) -> Vec<QueuedExpress> {
+        let mut waiting: Vec<_> = self.classes().flat_map(|it| self.all_of(it)).collect();
+        waiting.sort_by_key(|it| it.position);
+        let mut start = now;
+        let is_infeasible = |it: &QueuedExpress| {
+            let is_late = start > it.entry.latest_start;
+            start = if is_late { start } else { start + start_interval };
+            is_late
+        };
+        waiting.into_iter().filter(is_infeasible).collect()
     }
 
     /// Returns the load with the reserve for this number of open slots. `mean_service_time` is that of all requests.
     fn load(&self, now: Timestamp, open_slots: usize, mean_service_time: Duration) -> ExpressLoad {
         let service_time = self.service_time.mean();
-        let objective = self.shortest_objective.get(now);
+        // If none is feasible, the estimated service time may be too high: the slots stay reserved.
+        let feasible = self.shortest_feasible_objective.get(now);
+        let objective = feasible.or_else(|| self.shortest_objective.get(now));
         let mut load = ExpressLoad {
             running: self.running,
             queued: self.queued(),
@@ -240,9 +260,7 @@
         rng: &mut impl Rng,
         decisions: &mut Vec<Decision>,
     ) -> bool {
-        let others_wait = self.queued > self.express.queued();
-        let slots_max = (self.slots_at(now) / 2).max(1);
-        let is_first = !others_wait || self.express.running < slots_max;
+        let is_first = self.express_is_first(now);
         let next = match is_first {
             true => self.express.first(),
             false => self.express_in_turn(),
@@ -259,15 +277,77 @@
                 return true;
             }
         }
+        let QueuedExpress { class, position, entry } = it;
+        match is_first {
+            true => self.start_express_first(now, position.ticket, class, entry.route, decisions),
+            false => self.start(now, position.ticket, class, entry.route, true, decisions),
+        }
+        true
+    }
+
+    /// Returns whether an express request that arrives now may start without a wait if a slot is free. While others
+    /// wait, a free slot is a reserved one.
+    pub(super) fn may_start_express_at_once(&self, now: Timestamp) -> bool {
+        self.express.queued() == 0 && self.express_is_first(now)
+    }
+
+    /// Returns whether express requests start before all classes.
+    fn express_is_first(&self, now: Timestamp) -> bool {
+        !self.others_wait() || self.express.running < self.express_slots_max(now)
+    }
+
+    /// Returns whether requests other than express requests wait.
+    fn others_wait(&self) -> bool {
+        self.queued > self.express.queued()
+    }
+
+    /// Returns the number of slots up to which express requests start before all classes.
+    fn express_slots_max(&self, now: Timestamp) -> usize {
+        (self.slots_at(now) / 2).max(1)
+    }
+
+    /// Returns the expected time between two starts of express requests. They may use more slots than those in which
+    /// they start before all classes, but only in the turn of their class.
+    fn express_start_interval(&self, now: Timestamp) -> Duration {
+        let slots = match self.others_wait() {
+            true => self.express_slots_max(now),
+            false => self.slots_at(now),
+        };
+        let slot_interval = self.express.service_time.mean().div_f64(slots as f64);
+        self.limited_start_interval(now).map_or(slot_interval, |it| it.max(slot_interval))
+    }
+
+    /// Starts an express request before all classes.
+    pub(super) fn start_express_first(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        class: ClassIndex,
+        route: Option<RouteIndex>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let is_out_of_turn = self.others_wait();
         let virtual_time_s = self.virtual_time_s;
-        self.start(now, it.position.ticket, it.class, it.entry.route, true, decisions);
-        if is_first && others_wait {
+        let before_s = self.classes[class.0].virtual_time_s;
+        self.start(now, ticket, class, route, true, decisions);
+        if is_out_of_turn {
             // A start out of turn doesn't advance the time from which idle classes start.
             self.virtual_time_s = virtual_time_s;
-            let class = &mut self.classes[it.class.0];
-            class.virtual_time_s = class.virtual_time_s.min(virtual_time_s + DEBT_MAX_S);
+            let remitted_s = self.limit_express_debt(class, before_s);
+            if let Some(Entry::Running(it)) = self.entries.get_mut(&ticket) {
+                it.cost_s -= remitted_s;
+            }
         }
-        true
+    }
+
+    /// Limits the debt of a class after an express request has raised its virtual time from `before_s`. A debt that was
+    /// there before stays. Returns by how much the virtual time was lowered.
+    pub(super) fn limit_express_debt(&mut self, class: ClassIndex, before_s: f64) -> f64 {
+        let limit_s = before_s.max(self.virtual_time_s + DEBT_MAX_S);
+        let class = &mut self.classes[class.0];
+        let charged_s = class.virtual_time_s;
+        class.virtual_time_s = charged_s.min(limit_s);
+        charged_s - class.virtual_time_s
     }
 
     /// Returns the next express request if it is the turn of its class and it is the first of that.
@@ -287,14 +367,14 @@
         other.is_none_or(|it| first.position < it.position).then_some(first)
     }
 
-    /// Refuses the waiting express requests that can no longer finish by their deadline.
+    /// Refuses the waiting express requests that are not expected to finish by their deadline.
     pub(super) fn refuse_infeasible_express(
         &mut self,
         now: Timestamp,
         rng: &mut impl Rng,
         decisions: &mut Vec<Decision>,
     ) {
-        while let Some(it) = self.express.first_infeasible(now) {
+        for it in self.express.infeasible(now, self.express_start_interval(now)) {
             self.remove_express(&it);
             self.refuse_express(now, &it, rng, decisions);
         }
@@ -318,9 +398,8 @@
     pub(super) fn next_express_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let refusal = self.express.latest_starts.first();
         let refusal = refusal.map(|(latest_start, ..)| *latest_start + Duration::from_nanos(1));
-        let has_reserve =
-            self.queued > self.express.queued() && self.express.arrivals.is_recent(now);
-        let review = has_reserve.then(|| now + RESERVE_REVIEW_INTERVAL);
+        let may_have_reserve = self.others_wait() && self.express.arrivals.is_recent(now);
+        let review = may_have_reserve.then(|| now + RESERVE_REVIEW_INTERVAL);
         refusal.into_iter().chain(review).min()
     }
 
@@ -397,18 +476,26 @@
     }
 
     fn add(&mut self, now: Timestamp, value: Duration) {
-        let passed = now.since(self.period_start);
-        if passed >= RESERVE_TIME {
-            self.previous = self.current.take().filter(|_| passed < RESERVE_TIME * 2);
-            self.period_start = now;
+        match now.since(self.period_start) {
+            passed if passed < RESERVE_TIME => {}
+            passed if passed < RESERVE_TIME * 2 => {
+                self.previous = self.current.take();
+                // Not `now`: the previous period must end twice the time after it began.
+                self.period_start = self.period_start + RESERVE_TIME;
+            }
+            _ => {
+                (self.previous, self.current) = (None, None);
+                self.period_start = now;
+            }
         }
         self.current = Some(self.current.map_or(value, |it| (self.extreme_of)(it, value)));
     }
 
     fn get(&self, now: Timestamp) -> Option<Duration> {
-        let is_recent = now.since(self.period_start) < RESERVE_TIME * 2;
-        let both = self.current.into_iter().chain(self.previous);
-        both.reduce(self.extreme_of).filter(|_| is_recent)
+        let passed = now.since(self.period_start);
+        let current = self.current.filter(|_| passed < RESERVE_TIME * 2);
+        let previous = self.previous.filter(|_| passed < RESERVE_TIME);
+        current.into_iter().chain(previous).reduce(self.extreme_of)
     }
 }
 
--- a/crates/traffic/src/admission/tests/express.rs
+++ b/crates/traffic/src/admission/tests/express.rs
@@ -1,6 +1,6 @@
 //! Simulates upstreams that are full of long requests and get express requests as well, also as calls of their runs.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use model::Timestamp;
 use rand::{RngExt, SeedableRng};
@@ -230,6 +230,28 @@
     assert!(on.served(LONG_OF_SAME_CLASS) >= off.served(LONG_OF_SAME_CLASS) / 2);
 }
 
+/// Guards against express requests above their share that are held until they can't be tried elsewhere, or start too late
+/// to finish.
+#[test]
+fn express_requests_above_their_share_are_refused_early() {
+    let mut it = Simulation::new(1, true);
+    let express_slots = (SLOTS / 2) as f64;
+    let (express_per_s, long_per_s) = (1.5 * express_slots / 0.015, 1.5 * SLOTS as f64 / 0.150);
+    for _ in 0..SIMULATED_MS {
+        it.arrive_at_random(EXPRESS, express_per_s);
+        it.arrive_at_random(LONG, long_per_s);
+        it.step(1.0);
+    }
+    let (started, refused) = it.of(EXPRESS).partition::<Vec<_>, _>(|it| it.was_started);
+    let in_time = started.iter().filter(|it| it.state == State::Served).count() as f64;
+    let in_time = in_time / started.len() as f64;
+    let share_left = |it: &&Request| it.deadline.since(it.ended).as_secs_f64() / 0.2;
+    let mut left: Vec<_> = refused.iter().map(share_left).collect();
+    left.sort_by(f64::total_cmp);
+    assert!(in_time >= 0.95, "{in_time} of those that start are in time");
+    assert!(left[left.len() / 20] >= 0.5, "{} of the time is left", left[left.len() / 20]);
+}
+
 #[test]
 fn without_the_part_nothing_is_reserved() {
     let off = mixed_load(false);
@@ -326,6 +348,34 @@
     assert_eq!(it.verdict(other), Some(Verdict::Start), "it has not started after 3 s");
 }
 
+/// Guards against a class that gets more than its share because an express request clears the debt of its others.
+#[test]
+fn express_requests_leave_the_debt_of_the_others_of_their_class() {
+    for completion in [Completion::Answered, Completion::NotSent] {
+        let queue_time_max = ms(60_000);
+        let config = AdmissionConfig { queue_time_max, ..config(2, &[0.1, 1.0]) };
+        let mut it = Fixture::new(config);
+        let running = [it.offer(0, ms(90_000)), it.offer(1, ms(90_000))];
+        let [first, second, third] = [(); 3].map(|()| it.offer(1, ms(90_000)));
+        let indebted = it.offer(0, ms(90_000));
+        it.now = it.now + ms(10_000);
+        // The class has used 100 s of its virtual time now, the other one 10 s, and 15 s at the end.
+        running.into_iter().for_each(|ticket| it.finish(ticket));
+        assert_eq!(it.verdict(second), Some(Verdict::Start));
+        it.now = it.now + ms(5000);
+        let express = it.offer_express(0, ms(60_000));
+        it.finish(second);
+        assert_eq!((it.verdict(express), it.verdict(third)), (Some(Verdict::Start), None));
+        it.now = it.now + ms(15);
+        let (rng, decisions) = (&mut it.rng, &mut it.decisions);
+        it.admission.finish(it.now, express, completion, rng, decisions);
+        // The other slot stays reserved.
+        it.finish(first);
+        let started = (it.verdict(third), it.verdict(indebted));
+        assert_eq!(started, (Some(Verdict::Start), None), "{completion:?}");
+    }
+}
+
 /// Guards against a slot that stays reserved, or that other requests never learn of, when the express requests end.
 #[test]
 fn a_slot_is_reserved_while_express_requests_arrive() {
@@ -349,6 +399,56 @@
     assert_eq!(reserved(&it), 0);
 }
 
+/// Serves an express request with this objective for 10 ms, and returns the wait that is acceptable then.
+fn acceptable_wait_after(it: &mut Fixture, objective: Duration) -> Option<Duration> {
+    let arrival = Arrival {
+        class: ClassIndex(0),
+        route: None,
+        deadline: it.now + ms(200),
+        timeliness: Timeliness::InTime,
+        is_express: true,
+        objective: Some(objective),
+    };
+    let ticket = it.admission.offer(it.now, arrival, &mut it.rng, &mut it.decisions);
+    it.now = it.now + ms(10);
+    it.finish(ticket);
+    it.admission.express_load(it.now).acceptable_wait
+}
+
+/// Guards against a slot that is reserved for 10 s because one request waited for its routes or its body.
+#[test]
+fn an_objective_that_is_used_up_reserves_no_slot() {
+    let mut it = Fixture::new(config(2, &[1.0, 1.0]));
+    assert_eq!(acceptable_wait_after(&mut it, ms(0)), Some(ms(0)), "no other objective is known");
+    assert_eq!(acceptable_wait_after(&mut it, ms(60)), Some(ms(25)));
+    assert_eq!(acceptable_wait_after(&mut it, ms(5)), Some(ms(25)));
+    assert_eq!(acceptable_wait_after(&mut it, ms(40)), Some(ms(15)));
+    assert_eq!(reserved(&it), 0, "the expected wait is 5 ms");
+}
+
+/// Guards against a short objective that reserves slots for longer than the documented 5 to 10 s.
+#[test]
+fn an_objective_counts_for_5_to_10_s() {
+    for (age_ms, short_counts) in [(4900, true), (10_100, false)] {
+        // A request in between may end the period that began with the short objective.
+        for last_ms in [4000, 5100, 9900] {
+            let mut it = Fixture::new(config(2, &[1.0, 1.0]));
+            // The first value after a pause starts a period.
+            it.now = it.now + ms(20_000);
+            acceptable_wait_after(&mut it, ms(30));
+            let start = it.now;
+            let at = |at_ms| start + ms(at_ms);
+            if last_ms < age_ms {
+                it.now = at(last_ms);
+                acceptable_wait_after(&mut it, ms(60));
+            }
+            it.now = at(age_ms);
+            let expected = if short_counts { ms(10) } else { ms(25) };
+            assert_eq!(acceptable_wait_after(&mut it, ms(60)), Some(expected), "{last_ms} ms");
+        }
+    }
+}
+
 /// Guards against refusals of express requests in favour of others, which would fail the runs that made them.
 #[test]
 fn a_full_queue_refuses_other_requests_first() {
@@ -364,3 +464,38 @@
     it.finish(running);
     assert_eq!(it.verdict(earlier), Some(Verdict::Start), "it waits until its deadline is near");
 }
+
+/// Guards against an estimate that is too high, as after a suspension, and refuses all express requests for as long as
+/// others wait, which keeps it from being corrected.
+#[test]
+fn express_requests_are_served_again_after_a_suspension() {
+    let queue_time_max = ms(60_000);
+    let mut it = Fixture::new(AdmissionConfig { queue_time_max, ..config(4, &[1.0, 1.0]) });
+    let suspended = [(); 3].map(|()| it.offer_express(0, ms(200)));
+    let mut others: Vec<_> = (0..20).map(|_| (it.offer(1, ms(60_000)), None)).collect();
+    it.now = it.now + ms(10_000);
+    suspended.into_iter().for_each(|ticket| it.finish(ticket));
+    let mut express = Vec::new();
+    for _ in 0..40 {
+        express.push(it.offer_express(0, ms(200)));
+        others.push((it.offer(1, ms(60_000)), None));
+        it.now = it.now + ms(15);
+        if it.verdict(express[express.len() - 1]) == Some(Verdict::Start) {
+            it.finish(express[express.len() - 1]);
+        }
+        it.now = it.now + ms(35);
+        let now = it.now;
+        for (ticket, end) in &mut others {
+            if it.verdict(*ticket) == Some(Verdict::Start) {
+                end.get_or_insert(now + ms(300));
+            }
+        }
+        let (ended, left) = others.drain(..).partition(|(_, end)| end.is_some_and(|it| it <= now));
+        others = left;
+        ended.into_iter().for_each(|(ticket, _): (Ticket, _)| it.finish(ticket));
+    }
+    assert!(it.admission.queued() > 0, "others must wait");
+    let served = express.split_off(20);
+    let served = served.iter().filter(|ticket| it.verdict(**ticket) == Some(Verdict::Start));
+    assert_eq!(served.count(), 20, "from a second after the suspension on, all are served");
+}
