Statements of waiting requests close no useful slots of an upstream with many

Both thresholds are now shares of that gain. A trial less precise than that counts only by the rule of 5%, as without a statement.

--- a/crates/traffic/src/admission/tests/slowing_upstream.rs
+++ b/crates/traffic/src/admission/tests/slowing_upstream.rs
@@ -16,6 +16,8 @@
 };
 
 const SLOTS: usize = 7;
+/// The slots of an upstream of which one slot is a small share.
+const MANY_SLOTS: usize = 32;
 const KIND_MS: [f64; 2] = [60.0, 150.0];
 /// The share of the first kind in the first and in the second half.
 const FIRST_KIND_SHARES: [f64; 2] = [0.8, 0.3];
@@ -27,7 +29,7 @@
 const PLAYED: Duration = Duration::from_secs(90);
 const DEADLINE: Duration = Duration::from_millis(600);
 
-/// The slowdown with 1 to 7 requests in flight.
+/// The slowdown with 1 to 7 sevenths of the slots in use; in between it is interpolated.
 type Slowdowns = [f64; SLOTS];
 const STEEP: Slowdowns = [1.0, 1.0, 1.0, 1.0, 1.5, 2.2, 3.0];
 const FLAT: Slowdowns = [1.0; SLOTS];
@@ -35,6 +37,8 @@
 /// How an upstream behaves, and what it states.
 #[derive(Clone, Copy)]
 struct Upstream {
+    /// The slots that it announces.
+    slots: usize,
     slowdowns: Slowdowns,
     /// Whether it is three times slower for 0.4 s of each 3 s, whatever its load.
     has_slow_phases: bool,
@@ -44,19 +48,32 @@
     is_exponential: bool,
 }
 
-const UPSTREAM: Upstream =
-    Upstream { slowdowns: FLAT, has_slow_phases: false, waiting: None, is_exponential: false };
+const UPSTREAM: Upstream = Upstream {
+    slots: SLOTS,
+    slowdowns: FLAT,
+    has_slow_phases: false,
+    waiting: None,
+    is_exponential: false,
+};
 
 impl Upstream {
     fn slowdown(&self, now: Timestamp, in_flight: usize) -> f64 {
         let is_slow = self.has_slow_phases && now.since(Timestamp::ZERO).as_millis() % 3000 < 400;
         let phase = if is_slow { 3.0 } else { 1.0 };
-        phase * self.slowdowns[in_flight.clamp(1, SLOTS) - 1]
+        phase * self.slowdown_by_load(in_flight)
+    }
+
+    fn slowdown_by_load(&self, in_flight: usize) -> f64 {
+        let in_use = in_flight as f64 * SLOTS as f64 / self.slots as f64;
+        let in_use = in_use.clamp(1.0, SLOTS as f64);
+        let (lower, higher) = (in_use.floor() as usize - 1, in_use.ceil() as usize - 1);
+        let [lower, higher] = [lower, higher].map(|it| self.slowdowns[it]);
+        lower + (higher - lower) * in_use.fract()
     }
 
     /// Returns the most work that it does at a time, in requests.
     fn capacity(&self) -> f64 {
-        let rates = (1..=SLOTS).map(|it| it as f64 / self.slowdowns[it - 1]);
+        let rates = (1..=self.slots).map(|it| it as f64 / self.slowdown_by_load(it));
         rates.fold(0.0, f64::max)
     }
 }
@@ -138,7 +155,8 @@
         };
         self.arrived.push((self.now, KIND_MS[kind] / 1000.0 * spread));
         let open_slots = self.admission.slots_at(self.now);
-        assert!(open_slots <= SLOTS, "{open_slots} of {SLOTS} slots are open");
+        let slots = self.upstream.slots;
+        assert!(open_slots <= slots, "{open_slots} of {slots} slots are open");
         let arrival = Arrival {
             is_express: false,
             objective: None,
@@ -187,8 +205,8 @@
 /// Asserts that an upstream that is best with 4 in flight completes nearly as many as if it had announced 4 slots.
 #[track_caller]
 fn assert_learns(upstream: Upstream) {
-    let off = completions(upstream, SLOTS, false);
-    let on = completions(upstream, SLOTS, true);
+    let off = completions(upstream, upstream.slots, false);
+    let on = completions(upstream, upstream.slots, true);
     let best = completions(upstream, 4, false);
     assert!(on >= 0.85 * best, "{on} in time, {best} with the best number of slots");
     assert!(on >= 1.2 * off, "{on} in time, {off} without learning");
@@ -196,8 +214,8 @@
 
 #[track_caller]
 fn assert_keeps_capacity(upstream: Upstream) {
-    let off = completions(upstream, SLOTS, false);
-    let on = completions(upstream, SLOTS, true);
+    let off = completions(upstream, upstream.slots, false);
+    let on = completions(upstream, upstream.slots, true);
     assert!(on >= KEPT_MIN * off, "{on} in time, {off} without learning");
 }
 
@@ -231,3 +249,9 @@
     assert_keeps_capacity(stating);
     assert_keeps_capacity(Upstream { is_exponential: true, ..stating });
 }
+
+/// One of many slots adds less to the completion rate than the error of a trial.
+#[test]
+fn upstream_with_many_slots_that_falsely_states_waiting_keeps_its_capacity() {
+    assert_keeps_capacity(Upstream { slots: MANY_SLOTS, waiting: Some(3), ..UPSTREAM });
+}
--- a/crates/traffic/src/capacity/mod.rs
+++ b/crates/traffic/src/capacity/mod.rs
@@ -29,12 +29,13 @@
 const PERIOD_MAX: Duration = Duration::from_secs(5);
 /// The share of the completion rate that one more request in flight may cost.
 const RATE_LOSS_MAX: f64 = 0.05;
-/// The share by which one more request in flight has to raise the completion rate of an upstream that states waiting
-/// requests. A smaller difference can't be told from an equal rate.
-const STATED_RATE_GAIN_MIN: f64 = 0.01;
-/// The highest standard error with which the limit is lowered on a statement of the upstream. The loss of a full slot
-/// of 7 is twice that.
-const STATED_ERROR_MAX: f64 = 0.07;
+/// The share of a full gain, that of an upstream that does not slow down, by which the higher number in flight has to
+/// raise the completion rate of an upstream that states waiting requests. A smaller difference can't be told from an
+/// equal rate.
+const STATED_GAIN_SHARE_MIN: f64 = 0.07;
+/// The highest standard error with which the limit is lowered on a statement of the upstream, as a share of a full gain.
+/// A full gain is then more than two standard errors above the least one.
+const STATED_ERROR_SHARE_MAX: f64 = 0.42;
 /// The number of consecutive answers with waiting requests after which the upstream counts as full.
 const WAITING_STATEMENTS_MIN: u32 = 5;
 
@@ -63,6 +64,13 @@
     pub states_waiting: bool,
 }
 
+impl LimitChange {
+    /// Returns by how much the relative rate is above 1 if the upstream does not slow down.
+    fn full_gain(&self) -> f64 {
+        self.from.max(self.to) as f64 / self.from.min(self.to) as f64 - 1.0
+    }
+}
+
 /// The learned limit on the requests that one incarnation of an upstream runs at a time.
 #[derive(Debug, Clone)]
 pub struct ConcurrencyLimit {
@@ -328,19 +336,23 @@
 /// Judges a comparison. An upstream that states waiting requests runs no more at a time than with the lower number,
 /// unless the rate shows that it does.
 fn judge(it: &LimitChange) -> Judgement {
-    let rate_min = match it.states_waiting {
-        true => 1.0 + STATED_RATE_GAIN_MIN,
-        false => 1.0 - RATE_LOSS_MAX,
-    };
+    let [lowest, highest] = [1.0 - it.standard_error, 1.0 + it.standard_error];
+    if it.relative_rate * highest < 1.0 - RATE_LOSS_MAX {
+        return Judgement::TooHigh;
+    }
+    if !it.states_waiting {
+        return match it.relative_rate * lowest >= 1.0 - RATE_LOSS_MAX {
+            true => Judgement::Acceptable,
+            false => Judgement::Uncertain,
+        };
+    }
+    let full_gain = it.full_gain();
+    let rate_min = 1.0 + STATED_GAIN_SHARE_MIN * full_gain;
+    let is_precise = it.standard_error <= STATED_ERROR_SHARE_MAX * full_gain;
     match it.relative_rate {
-        rate if rate * (1.0 - it.standard_error) >= rate_min => Judgement::Acceptable,
-        rate if rate * (1.0 + it.standard_error) < rate_min => Judgement::TooHigh,
-        rate if it.states_waiting && it.standard_error <= STATED_ERROR_MAX => {
-            match rate <= rate_min {
-                true => Judgement::TooHigh,
-                false => Judgement::Acceptable,
-            }
-        }
+        rate if rate * lowest >= rate_min => Judgement::Acceptable,
+        rate if is_precise && rate <= rate_min => Judgement::TooHigh,
+        _ if is_precise => Judgement::Acceptable,
         _ => Judgement::Uncertain,
     }
 }
