Trials of the learned limit move an eighth of the slots

A trial moved one slot, and a slot of many costs less than the 5% from which the limit is lowered, so without a statement the part did nothing for an upstream with many slots. A trial now moves an eighth of the limit, rounded down, at least one; up to 15 slots nothing changes. The pause that bounds the cost counts the slots that are held back.

--- a/crates/traffic/src/admission/tests/slowing_upstream.rs
+++ b/crates/traffic/src/admission/tests/slowing_upstream.rs
@@ -202,12 +202,13 @@
     SEEDS.map(|seed| f64::from(Play::new(upstream, slots, is_learned, seed).run())).sum()
 }
 
-/// Asserts that an upstream that is best with 4 in flight completes nearly as many as if it had announced 4 slots.
+/// Asserts that an upstream that is best with four sevenths of its slots completes nearly as many as if it had announced
+/// only these.
 #[track_caller]
 fn assert_learns(upstream: Upstream) {
     let off = completions(upstream, upstream.slots, false);
     let on = completions(upstream, upstream.slots, true);
-    let best = completions(upstream, 4, false);
+    let best = completions(upstream, upstream.slots * 4 / SLOTS, false);
     assert!(on >= 0.85 * best, "{on} in time, {best} with the best number of slots");
     assert!(on >= 1.2 * off, "{on} in time, {off} without learning");
 }
@@ -228,6 +229,12 @@
     assert_learns(Upstream { has_slow_phases: true, ..steep });
 }
 
+/// With one slot in a trial, each loss of many slots is below the 5% from which the limit is lowered.
+#[test]
+fn upstream_with_many_slots_that_slows_down_completes_more() {
+    assert_learns(Upstream { slots: MANY_SLOTS, slowdowns: STEEP, ..UPSTREAM });
+}
+
 /// A statement that nothing waits must not keep more in flight than the measurements show to be best.
 #[test]
 fn upstream_that_falsely_states_room_completes_more() {
--- a/crates/traffic/src/capacity/mod.rs
+++ b/crates/traffic/src/capacity/mod.rs
@@ -19,15 +19,18 @@
 
 use ratio::{Evidence, MeanRatio, References};
 
-/// The time between two trials with one more request in flight.
+/// The least part of the slots that a trial opens or holds back, rounded down, if that is more than one slot. One of many
+/// slots changes the completion rate less than a trial can measure.
+const TRIAL_PART: usize = 8;
+/// The time between two trials with more requests in flight.
 const RAISE_INTERVAL: Duration = Duration::from_secs(5);
-/// The least time between two trials with one fewer request in flight that do not lower the limit.
+/// The least time between two trials with fewer requests in flight that do not lower the limit.
 const LOWER_INTERVAL_MIN: Duration = Duration::from_secs(5);
-/// The most of the slots' time that the trials with one fewer request in flight may take.
+/// The most of the slots' time that the trials with fewer requests in flight may take.
 const LOWER_COST_MAX: f64 = 0.01;
 /// The longest period of a trial. An upstream with too little load to be measured in this time needs no limit.
 const PERIOD_MAX: Duration = Duration::from_secs(5);
-/// The share of the completion rate that one more request in flight may cost.
+/// The share of the completion rate that the slots of a trial may cost.
 const RATE_LOSS_MAX: f64 = 0.05;
 /// The share of a full gain, that of an upstream that does not slow down, by which the higher number in flight has to
 /// raise the completion rate of an upstream that states waiting requests. A smaller difference can't be told from an
@@ -82,13 +85,13 @@
     /// The measurements of the period with all open slots in use.
     current: MeanRatio,
     references: References,
-    /// The completion rate at the limit relative to that with one fewer in flight, from repeated trials.
+    /// The completion rate at the limit relative to that below it, from repeated trials.
     evidence: Evidence,
-    /// The time with one slot fewer in the trials since the last pause between them.
+    /// The time with fewer slots in the trials since the last pause between them.
     below_time: Duration,
     next_raise: Timestamp,
     next_lower: Timestamp,
-    /// Whether the next trial with one more request was postponed.
+    /// Whether the next trial with more requests was postponed.
     is_raise_postponed: bool,
     /// The number of consecutive answers that state waiting requests.
     waiting_statements: u32,
@@ -100,11 +103,11 @@
 enum Period {
     /// No trial is under way.
     Steady,
-    /// One slot fewer than the limit is open.
+    /// Fewer slots than the limit are open.
     Below { before: MeanRatio },
     /// All slots of the limit are open again. Its measurements show whether the upstream changed during the trial.
     AfterBelow { before: MeanRatio, below: MeanRatio },
-    /// One slot more than the limit is open.
+    /// More slots than the limit are open.
     Above { before: MeanRatio },
 }
 
@@ -195,11 +198,21 @@
     fn slots_of_period(&self) -> usize {
         match self.period {
             Period::Steady | Period::AfterBelow { .. } => self.limit,
-            Period::Below { .. } => self.limit - 1,
-            Period::Above { .. } => self.limit + 1,
+            Period::Below { .. } => self.lower_limit(),
+            Period::Above { .. } => self.higher_limit(),
         }
     }
 
+    /// Returns the limit that the next trial with fewer slots tries.
+    fn lower_limit(&self) -> usize {
+        (self.limit - trial_slots(self.limit)).max(limit_min(self.announced)).min(self.limit)
+    }
+
+    /// Returns the limit that the next trial with more slots tries.
+    fn higher_limit(&self) -> usize {
+        (self.limit + trial_slots(self.limit)).min(self.announced)
+    }
+
     fn is_overdue(&self, now: Timestamp) -> bool {
         !matches!(self.period, Period::Steady) && now.since(self.period_start) > PERIOD_MAX
     }
@@ -248,8 +261,9 @@
         if before.has_drifted(after) {
             return self.wait_to_lower(now);
         }
-        self.evidence.add(self.limit, below, before.average(after));
-        let change = self.change(self.limit, self.limit - 1, self.evidence);
+        let lower_limit = self.lower_limit();
+        self.evidence.add([lower_limit, self.limit], [below, before.average(after)]);
+        let change = self.change(self.limit, lower_limit, self.evidence);
         match judge(&change) {
             Judgement::Acceptable => self.wait_to_lower(now),
             Judgement::Uncertain => self.next_lower = now,
@@ -257,7 +271,7 @@
                 self.apply(change);
                 self.next_raise = now + RAISE_INTERVAL;
                 self.begin(now, Period::Steady);
-                // The period with one fewer is the one before the next trial.
+                // The period with fewer slots is the one before the next trial.
                 self.current = below;
             }
         }
@@ -265,8 +279,9 @@
 
     fn end_raise_trial(&mut self, now: Timestamp, before: MeanRatio) {
         let mut evidence = Evidence::default();
-        evidence.add(self.limit + 1, before, self.current);
-        let change = self.change(self.limit, self.limit + 1, evidence);
+        let higher_limit = self.higher_limit();
+        evidence.add([self.limit, higher_limit], [before, self.current]);
+        let change = self.change(self.limit, higher_limit, evidence);
         if judge(&change) == Judgement::TooHigh {
             return self.begin(now, Period::Steady);
         }
@@ -274,8 +289,7 @@
         self.period = Period::Steady;
     }
 
-    /// Changes the limit. A trial with one slot fewer follows at once: after lowering, since one fewer may be better
-    /// still, and after raising, since the trial was short.
+    /// Changes the limit. A trial with fewer slots follows at once: after lowering, since fewer may be better still, and after raising, since the trial was short.
     fn apply(&mut self, change: LimitChange) {
         self.limit = change.to;
         self.unreported = Some(change);
@@ -283,10 +297,11 @@
         self.next_lower = Timestamp::ZERO;
     }
 
-    /// Ends the trials with one slot fewer until the next one is due by their cost.
+    /// Ends the trials with fewer slots until the next one is due by their cost.
     fn wait_to_lower(&mut self, now: Timestamp) {
         self.evidence = self.evidence.aged();
-        let cost_interval = self.below_time.div_f64(self.limit as f64 * LOWER_COST_MAX);
+        let held_share = (self.limit - self.lower_limit()) as f64 / self.limit as f64;
+        let cost_interval = self.below_time.mul_f64(held_share / LOWER_COST_MAX);
         self.next_lower = now + cost_interval.max(LOWER_INTERVAL_MIN);
         self.below_time = Duration::ZERO;
     }
@@ -320,6 +335,11 @@
     }
 }
 
+/// Returns the number of slots by which a trial differs from the limit.
+fn trial_slots(limit: usize) -> usize {
+    (limit / TRIAL_PART).max(1)
+}
+
 fn limit_min(announced: usize) -> usize {
     announced.div_ceil(2)
 }
--- a/crates/traffic/src/capacity/ratio.rs
+++ b/crates/traffic/src/capacity/ratio.rs
@@ -82,7 +82,7 @@
     }
 }
 
-/// The completion rate of one number in flight relative to that of one fewer, pooled over trials.
+/// The completion rate of one number in flight relative to that of a lower one, pooled over trials.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(super) struct Evidence {
     trials: u32,
@@ -93,11 +93,12 @@
 }
 
 impl Evidence {
-    /// Adds a trial that measured `lower` with one request fewer than `slots` in flight, and `higher` with `slots`.
-    pub(super) fn add(&mut self, slots: usize, lower: MeanRatio, higher: MeanRatio) {
+    /// Adds a trial that measured two numbers in flight, the lower one first.
+    pub(super) fn add(&mut self, slots: [usize; 2], measured: [MeanRatio; 2]) {
         // With n in flight, each taking `ratio` times its reference, the completion rate is proportional to n / ratio.
         let rate = |slots: usize, it: MeanRatio| slots as f64 / it.mean;
-        let relative_rate = rate(slots, higher) / rate(slots - 1, lower);
+        let [lower, higher] = measured;
+        let relative_rate = rate(slots[1], higher) / rate(slots[0], lower);
         let error = lower.standard_error().hypot(higher.standard_error()).max(ERROR_MIN);
         let precision = error.powi(-2);
         self.trials += 1;
