The learned limit compares no requests by routes or trials of another document

A kind is an index into the routes, but a change of only the routes kept the queue with its references. They are now reset, and requests that started before are not measured. For a new queue, the pooled trials were kept although they belong to a pair of limits; they are dropped if the pair differs.

Tests: routes that swap their service times (failed with 6 of 7 slots without the reset, and also without the rule on former requests), and a new queue with more slots.

--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -361,6 +361,11 @@
         self.state().admission.concurrency_limit().map(ConcurrencyLimit::limit)
     }
 
+    /// States that the document numbers its routes differently from now on.
+    pub(super) fn renumber_routes(&self) {
+        self.state().admission.renumber_routes(self.clock.now());
+    }
+
     fn learned_for_new_queue(&self, now: Timestamp, slots: usize) -> Option<ConcurrencyLimit> {
         Some(self.state().admission.concurrency_limit()?.for_new_queue(now, slots))
     }
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -145,6 +145,9 @@
                     && it.announcement.slots == announcement.slots
                     && !needs_new_queue(it, local) =>
             {
+                if it.document.routes != document.routes {
+                    it.queue.renumber_routes();
+                }
                 Arc::clone(&it.queue)
             }
             _ => {
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -372,6 +372,14 @@
         self.concurrency_limit.as_ref()
     }
 
+    /// States that the routes are numbered differently from `now` on. What was measured by route for the learned limit is
+    /// measured again.
+    pub fn renumber_routes(&mut self, now: Timestamp) {
+        if let Some(limit) = &mut self.concurrency_limit {
+            limit.renumber_routes(now);
+        }
+    }
+
     /// Returns the last change of the learned limit since the previous call.
     pub fn take_limit_change(&mut self) -> Option<LimitChange> {
         self.concurrency_limit.as_mut()?.take_change()
--- a/crates/traffic/src/capacity/mod.rs
+++ b/crates/traffic/src/capacity/mod.rs
@@ -85,6 +85,8 @@
     /// The measurements of the period with all open slots in use.
     current: MeanRatio,
     references: References,
+    /// Since when the routes are numbered as they are. Requests that started before have no known kind.
+    routes_since: Timestamp,
     /// The completion rate at the limit relative to that below it, from repeated trials.
     evidence: Evidence,
     /// The time with fewer slots in the trials since the last pause between them.
@@ -122,6 +124,7 @@
             period_start: Timestamp::ZERO,
             current: MeanRatio::default(),
             references: References::default(),
+            routes_since: Timestamp::ZERO,
             evidence: Evidence::default(),
             below_time: Duration::ZERO,
             next_raise: Timestamp::ZERO,
@@ -139,12 +142,22 @@
             true => announced,
             false => self.limit.clamp(limit_min(announced), announced),
         };
-        let references = References::default();
-        let mut next = ConcurrencyLimit { announced, limit, references, ..self.clone() };
-        next.begin(now, Period::Steady);
+        let mut next = ConcurrencyLimit { announced, limit, ..self.clone() };
+        let is_comparable = next.limit == self.limit && next.lower_limit() == self.lower_limit();
+        if !is_comparable {
+            next.evidence = Evidence::default();
+        }
+        next.renumber_routes(now);
         next
     }
 
+    /// Measures the references again, since the routes are numbered differently from `now` on.
+    pub(crate) fn renumber_routes(&mut self, now: Timestamp) {
+        self.references = References::default();
+        self.routes_since = now;
+        self.begin(now, Period::Steady);
+    }
+
     /// Returns the number of requests that the upstream may run at `now`, including a trial.
     pub fn open_slots(&self, now: Timestamp) -> usize {
         match self.is_overdue(now) {
@@ -175,6 +188,9 @@
 
     /// Records an answered request and adjusts the limit.
     pub(crate) fn record(&mut self, now: Timestamp, it: MeasuredRequest) {
+        if it.started < self.routes_since {
+            return;
+        }
         // The references stay as they are during a trial, so that its periods are measured on the same scale.
         let is_steady = matches!(self.period, Period::Steady);
         let is_low = is_steady && it.in_flight * 2 <= self.announced;
--- a/crates/traffic/src/capacity/tests.rs
+++ b/crates/traffic/src/capacity/tests.rs
@@ -5,6 +5,7 @@
 use model::Timestamp;
 
 use super::{ConcurrencyLimit, MeasuredRequest};
+use crate::RouteIndex;
 
 const SLOTS: usize = 7;
 
@@ -117,6 +118,46 @@
     }
 }
 
+/// Requests of one route must not be compared with the reference of another one.
+#[test]
+fn changed_routes_are_measured_again() {
+    // The mix depends on the open slots, which only references of the right kinds can tell from a slowdown.
+    let run = |it: &mut Fixture, route_ms: [u64; 2]| {
+        for _ in 0..2_000 {
+            let (started, in_flight) = (it.now, it.limit.open_slots(it.now));
+            let route = usize::from(in_flight < SLOTS);
+            it.now = it.now + Duration::from_millis(route_ms[route]);
+            let route = Some(RouteIndex(route));
+            for _ in 0..in_flight {
+                it.limit.record(it.now, MeasuredRequest { route, started, in_flight });
+            }
+        }
+    };
+    let mut it = Fixture::new(flat_ms);
+    run(&mut it, [50, 100]);
+    assert_eq!(it.limit.limit(), SLOTS);
+    let started = it.now;
+    it.now = it.now + Duration::from_millis(100);
+    it.limit.renumber_routes(it.now);
+    // A request that started before has an index of the former routes.
+    for _ in 0..20 {
+        let former = MeasuredRequest { route: Some(RouteIndex(1)), started, in_flight: SLOTS };
+        it.limit.record(it.now, former);
+    }
+    run(&mut it, [100, 50]);
+    assert_eq!(it.limit.limit(), SLOTS);
+}
+
+/// What was measured of one pair of limits says nothing of another pair.
+#[test]
+fn new_queue_with_another_limit_forgets_the_trials() {
+    let mut it = Fixture::new(flat_ms);
+    it.run(300, 0);
+    let trials = |announced| it.limit.for_new_queue(it.now, announced).evidence.trials();
+    assert!(trials(SLOTS) > 0);
+    assert_eq!(trials(SLOTS + 2), 0);
+}
+
 /// A changed document gives a new queue; the upstream is the same.
 #[test]
 fn new_queue_keeps_the_limit_within_its_slots() {
