A slot that an overdue trial held back is given out at once

A trial that isn't measured within 5 s no longer counts for the open slots, but the next wake-up didn't list that time: a waiting request started only at the next event. The new test got no wake-up before the deadline of the waiting request without the change.

--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -314,7 +314,9 @@
             .iter()
             .filter_map(|it| it.next_refusal(self.config.service_time_deviations));
         let refusals = refusals.chain(self.next_express_wakeup(now));
-        refusals.chain(self.next_ramp_step(now)).chain(self.next_start_in_rate(now)).min()
+        let reopening = self.concurrency_limit.as_ref().and_then(|it| it.next_reopening(now));
+        let starts = [self.next_ramp_step(now), self.next_start_in_rate(now), reopening];
+        refusals.chain(starts.into_iter().flatten()).min()
     }
 
     /// Stops admission: refuses all waiting and all new requests. Running requests continue.
--- a/crates/traffic/src/admission/tests/slowing_upstream.rs
+++ b/crates/traffic/src/admission/tests/slowing_upstream.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{config, ms};
+use super::{Fixture, config, ms};
 use crate::{
     Admission, AdmissionConfig, Arrival, ClassIndex, Completion, ConcurrencyLimit, Decision,
     RouteIndex, Ticket, Timeliness, Verdict,
@@ -262,3 +262,22 @@
 fn upstream_with_many_slots_that_falsely_states_waiting_keeps_its_capacity() {
     assert_keeps_capacity(Upstream { slots: MANY_SLOTS, waiting: Some(3), ..UPSTREAM });
 }
+
+/// Without a wake-up at the end of an overdue trial, a request waits although a slot is free.
+#[test]
+fn slot_that_an_overdue_trial_held_back_is_given_to_a_waiting_request() {
+    let mut it = Fixture::new(config(2, &[1.0]));
+    it.admission = it.admission.with_concurrency_limit(ConcurrencyLimit::new(2));
+    while it.admission.slots_at(it.now) == 2 {
+        let both = [it.offer(0, ms(900)), it.offer(0, ms(900))];
+        it.now = it.now + ms(10);
+        both.into_iter().for_each(|ticket| it.finish(ticket));
+    }
+    it.offer(0, ms(20_000));
+    let waiting = it.offer(0, ms(20_000));
+    let wakeup = it.admission.next_wakeup(it.now).unwrap();
+    assert!(wakeup.since(it.now) <= ms(5_001), "{:?}", wakeup.since(it.now));
+    it.now = wakeup;
+    it.tick();
+    assert_eq!(it.verdict(waiting), Some(Verdict::Start));
+}
--- a/crates/traffic/src/capacity/mod.rs
+++ b/crates/traffic/src/capacity/mod.rs
@@ -166,6 +166,14 @@
         }
     }
 
+    /// Returns when the slots that a trial holds back open again if the trial does not end before. `None` if none are
+    /// held back.
+    pub(crate) fn next_reopening(&self, now: Timestamp) -> Option<Timestamp> {
+        let holds_back = matches!(self.period, Period::Below { .. }) && !self.is_overdue(now);
+        // One nanosecond after the last time at which the trial is not overdue.
+        holds_back.then(|| self.period_start + PERIOD_MAX + Duration::from_nanos(1))
+    }
+
     /// Returns the limit without trials.
     pub fn limit(&self) -> usize {
         self.limit
