The expiry task learns when slots are held back

The task of a queue computes its next time when a request is queued. If a request waited already when a trial began, the task didn't wake up at the end of an overdue trial. It is notified when slots are held back.

The new test has an upstream that hangs during a trial while a request waits: without the notification it was still waiting after 5.1 s.

--- a/crates/agent/src/gate/admission_queue.rs
+++ b/crates/agent/src/gate/admission_queue.rs
@@ -306,8 +306,13 @@
         if let Some(waiting) = stated_waiting {
             state.admission.record_waiting(ticket, waiting);
         }
+        let reopening = state.admission.next_reopening(now);
         state.admission.finish(now, ticket, completion, &mut state.rng, &mut state.decisions);
         self.deliver(now, state);
+        if state.admission.next_reopening(now) > reopening {
+            // The expiry task sleeps until a later time if a request waited already.
+            self.queued.notify_one();
+        }
         let limit_change = state.admission.take_limit_change();
         drop(lock);
         if let Some(change) = limit_change {
--- a/crates/agent/src/gate/learned_limit/tests.rs
+++ b/crates/agent/src/gate/learned_limit/tests.rs
@@ -1,10 +1,10 @@
 //! Tests of the queue of an upstream that slows down, in simulated time.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use model::{ClassName, Timestamp};
 use settings::ServiceDocument;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use traffic::{Completion, RouteIndex, SharedRateLimit, Timeliness};
 
 use super::LimitReporter;
@@ -86,3 +86,40 @@
     assert_eq!(queue.gate_load(&class, Some(0)).slots, u32::from(SLOTS));
     assert!(clock.now() > Timestamp::ZERO + Duration::from_secs(10));
 }
+
+/// A request that waits when slots are held back must not wait longer than they are, whatever the running ones do.
+#[tokio::test(start_paused = true)]
+async fn slots_held_back_on_a_hung_upstream_are_given_out_again() {
+    let clock = Clock::start();
+    let queue = start(clock, true, None);
+    let class = ClassName::new("lap").unwrap();
+    let offer = || {
+        let deadline = clock.now() + Duration::from_secs(60);
+        queue.offer(&class, Some(RouteIndex(0)), deadline, Timeliness::InTime, None)
+    };
+    let mut running = VecDeque::new();
+    let waiting = loop {
+        let queued = match offer() {
+            AdmissionDecision::Admitted(permit) => {
+                running.push_back(permit);
+                continue;
+            }
+            AdmissionDecision::Queued(queued) => queued,
+            it => panic!("a request with a deadline of 60 s was refused: {it:?}"),
+        };
+        // Lets the expiry task compute its next time before slots are held back.
+        sleep(Duration::from_millis(10)).await;
+        let mut oldest = running.pop_front().unwrap();
+        oldest.completion = Completion::Answered;
+        drop(oldest);
+        if queue.gate_load(&class, Some(0)).slots < u32::from(SLOTS) {
+            break queued;
+        }
+        let AdmissionDecision::Admitted(permit) = queued.wait().await else {
+            panic!("a free slot was not given out");
+        };
+        running.push_back(permit);
+    };
+    let decision = timeout(Duration::from_millis(5_100), waiting.wait()).await;
+    assert!(matches!(decision, Ok(AdmissionDecision::Admitted(_))), "{decision:?}");
+}
--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -314,7 +314,7 @@
             .iter()
             .filter_map(|it| it.next_refusal(self.config.service_time_deviations));
         let refusals = refusals.chain(self.next_express_wakeup(now));
-        let reopening = self.concurrency_limit.as_ref().and_then(|it| it.next_reopening(now));
+        let reopening = self.next_reopening(now);
         let starts = [self.next_ramp_step(now), self.next_start_in_rate(now), reopening];
         refusals.chain(starts.into_iter().flatten()).min()
     }
@@ -387,6 +387,11 @@
         self.concurrency_limit.as_mut()?.take_change()
     }
 
+    /// Returns when slots open again that are held back to learn the limit. `None` if none are held back.
+    pub fn next_reopening(&self, now: Timestamp) -> Option<Timestamp> {
+        self.concurrency_limit.as_ref()?.next_reopening(now)
+    }
+
     /// Returns the number of slots that may be in use at `now`: fewer than all during the ramp-up, and where more have
     /// been learned to slow the upstream down.
     pub fn slots_at(&self, now: Timestamp) -> usize {
