--- a/crates/traffic/src/admission/mod.rs
+++ b/crates/traffic/src/admission/mod.rs
@@ -325,7 +325,9 @@
             .iter()
             .filter_map(|it| it.next_refusal(self.config.service_time_deviations));
         let refusals = refusals.chain(self.next_express_wakeup(now));
-        refusals.chain(self.next_ramp_step(now)).chain(self.next_start_in_rate(now)).min()
+        let reopening = self.next_reopening(now);
+        let starts = [self.next_ramp_step(now), self.next_start_in_rate(now), reopening];
+        refusals.chain(starts.into_iter().flatten()).min()
     }
 
     /// Stops admission: refuses all waiting and all new requests. Running requests continue.
@@ -383,11 +385,24 @@
         self.concurrency_limit.as_ref()
     }
 
+    /// States that the routes are numbered differently from `now` on. What was measured by route for the learned limit is
+    /// measured again.
+    pub fn renumber_routes(&mut self, now: Timestamp) {
+        if let Some(limit) = &mut self.concurrency_limit {
+            limit.renumber_routes(now);
+        }
+    }
+
     /// Returns the last change of the learned limit since the previous call.
     pub fn take_limit_change(&mut self) -> Option<LimitChange> {
         self.concurrency_limit.as_mut()?.take_change()
     }
 
+    /// Returns when slots open again that are held back to learn the limit. `None` if none are held back.
+    pub fn next_reopening(&self, now: Timestamp) -> Option<Timestamp> {
+        self.concurrency_limit.as_ref()?.next_reopening(now)
+    }
+
     /// Returns the number of slots that may be in use at `now`: fewer than all during the ramp-up, and where more have
     /// been learned to slow the upstream down.
     pub fn slots_at(&self, now: Timestamp) -> usize {
--- a/crates/traffic/src/capacity/mod.rs
+++ b/crates/traffic/src/capacity/mod.rs
@@ -19,22 +19,29 @@
 
 use ratio::{Evidence, MeanRatio, References};
 
-/// The time between two trials with one more request in flight.
+/// The least part of the slots that a trial opens or holds back, rounded down, if that is more than one slot. One of many
+/// slots changes the completion rate less than a trial can measure.
+const TRIAL_PART: usize = 8;
+/// The time between two trials with more requests in flight.
 const RAISE_INTERVAL: Duration = Duration::from_secs(5);
-/// The least time between two trials with one fewer request in flight that do not lower the limit.
+/// The least time between two trials with fewer requests in flight that do not lower the limit.
 const LOWER_INTERVAL_MIN: Duration = Duration::from_secs(5);
-/// The most of the slots' time that the trials with one fewer request in flight may take.
+/// The most of the slots' time that the trials with fewer requests in flight may take.
 const LOWER_COST_MAX: f64 = 0.01;
+/// The most uncertain trials that follow each other without a pause. With the error of 80 exponentially distributed
+/// service times, this many give a standard error of 5%.
+const TRIALS_IN_ROW_MAX: u32 = 8;
 /// The longest period of a trial. An upstream with too little load to be measured in this time needs no limit.
 const PERIOD_MAX: Duration = Duration::from_secs(5);
-/// The share of the completion rate that one more request in flight may cost.
+/// The share of the completion rate that the slots of a trial may cost.
 const RATE_LOSS_MAX: f64 = 0.05;
-/// The share by which one more request in flight has to raise the completion rate of an upstream that states waiting
-/// requests. A smaller difference can't be told from an equal rate.
-const STATED_RATE_GAIN_MIN: f64 = 0.01;
-/// The highest standard error with which the limit is lowered on a statement of the upstream. The loss of a full slot
-/// of 7 is twice that.
-const STATED_ERROR_MAX: f64 = 0.07;
+/// The share of a full gain, that of an upstream that does not slow down, by which the higher number in flight has to
+/// raise the completion rate of an upstream that states waiting requests. A smaller difference can't be told from an
+/// equal rate.
+const STATED_GAIN_SHARE_MIN: f64 = 0.07;
+/// The highest standard error with which the limit is lowered on a statement of the upstream, as a share of a full gain.
+/// A full gain is then more than two standard errors above the least one.
+const STATED_ERROR_SHARE_MAX: f64 = 0.42;
 /// The number of consecutive answers with waiting requests after which the upstream counts as full.
 const WAITING_STATEMENTS_MIN: u32 = 5;
 
@@ -63,6 +70,13 @@
     pub states_waiting: bool,
 }
 
+impl LimitChange {
+    /// Returns by how much the relative rate is above 1 if the upstream does not slow down.
+    fn full_gain(&self) -> f64 {
+        self.from.max(self.to) as f64 / self.from.min(self.to) as f64 - 1.0
+    }
+}
+
 /// The learned limit on the requests that one incarnation of an upstream runs at a time.
 #[derive(Debug, Clone)]
 pub struct ConcurrencyLimit {
@@ -74,13 +88,17 @@
     /// The measurements of the period with all open slots in use.
     current: MeanRatio,
     references: References,
-    /// The completion rate at the limit relative to that with one fewer in flight, from repeated trials.
+    /// Since when the routes are numbered as they are. Requests that started before have no known kind.
+    routes_since: Timestamp,
+    /// The completion rate at the limit relative to that below it, from repeated trials.
     evidence: Evidence,
-    /// The time with one slot fewer in the trials since the last pause between them.
+    /// The number of trials with fewer slots since the last pause or change.
+    trials_in_row: u32,
+    /// The time with fewer slots in the trials since the last pause between them.
     below_time: Duration,
     next_raise: Timestamp,
     next_lower: Timestamp,
-    /// Whether the next trial with one more request was postponed.
+    /// Whether the next trial with more requests was postponed.
     is_raise_postponed: bool,
     /// The number of consecutive answers that state waiting requests.
     waiting_statements: u32,
@@ -92,11 +110,11 @@
 enum Period {
     /// No trial is under way.
     Steady,
-    /// One slot fewer than the limit is open.
+    /// Fewer slots than the limit are open.
     Below { before: MeanRatio },
     /// All slots of the limit are open again. Its measurements show whether the upstream changed during the trial.
     AfterBelow { before: MeanRatio, below: MeanRatio },
-    /// One slot more than the limit is open.
+    /// More slots than the limit are open.
     Above { before: MeanRatio },
 }
 
@@ -111,7 +129,9 @@
             period_start: Timestamp::ZERO,
             current: MeanRatio::default(),
             references: References::default(),
+            routes_since: Timestamp::ZERO,
             evidence: Evidence::default(),
+            trials_in_row: 0,
             below_time: Duration::ZERO,
             next_raise: Timestamp::ZERO,
             next_lower: Timestamp::ZERO,
@@ -128,12 +148,22 @@
             true => announced,
             false => self.limit.clamp(limit_min(announced), announced),
         };
-        let references = References::default();
-        let mut next = ConcurrencyLimit { announced, limit, references, ..self.clone() };
-        next.begin(now, Period::Steady);
+        let mut next = ConcurrencyLimit { announced, limit, ..self.clone() };
+        let is_comparable = next.limit == self.limit && next.lower_limit() == self.lower_limit();
+        if !is_comparable {
+            next.evidence = Evidence::default();
+        }
+        next.renumber_routes(now);
         next
     }
 
+    /// Measures the references again, since the routes are numbered differently from `now` on.
+    pub(crate) fn renumber_routes(&mut self, now: Timestamp) {
+        self.references = References::default();
+        self.routes_since = now;
+        self.begin(now, Period::Steady);
+    }
+
     /// Returns the number of requests that the upstream may run at `now`, including a trial.
     pub fn open_slots(&self, now: Timestamp) -> usize {
         match self.is_overdue(now) {
@@ -142,6 +172,14 @@
         }
     }
 
+    /// Returns when the slots that a trial holds back open again if the trial does not end before. `None` if none are
+    /// held back.
+    pub(crate) fn next_reopening(&self, now: Timestamp) -> Option<Timestamp> {
+        let holds_back = matches!(self.period, Period::Below { .. }) && !self.is_overdue(now);
+        // One nanosecond after the last time at which the trial is not overdue.
+        holds_back.then(|| self.period_start + PERIOD_MAX + Duration::from_nanos(1))
+    }
+
     /// Returns the limit without trials.
     pub fn limit(&self) -> usize {
         self.limit
@@ -164,6 +202,9 @@
 
     /// Records an answered request and adjusts the limit.
     pub(crate) fn record(&mut self, now: Timestamp, it: MeasuredRequest) {
+        if it.started < self.routes_since {
+            return;
+        }
         // The references stay as they are during a trial, so that its periods are measured on the same scale.
         let is_steady = matches!(self.period, Period::Steady);
         let is_low = is_steady && it.in_flight * 2 <= self.announced;
@@ -187,11 +228,21 @@
     fn slots_of_period(&self) -> usize {
         match self.period {
             Period::Steady | Period::AfterBelow { .. } => self.limit,
-            Period::Below { .. } => self.limit - 1,
-            Period::Above { .. } => self.limit + 1,
+            Period::Below { .. } => self.lower_limit(),
+            Period::Above { .. } => self.higher_limit(),
         }
     }
 
+    /// Returns the limit that the next trial with fewer slots tries.
+    fn lower_limit(&self) -> usize {
+        (self.limit - trial_slots(self.limit)).max(limit_min(self.announced)).min(self.limit)
+    }
+
+    /// Returns the limit that the next trial with more slots tries.
+    fn higher_limit(&self) -> usize {
+        (self.limit + trial_slots(self.limit)).min(self.announced)
+    }
+
     fn is_overdue(&self, now: Timestamp) -> bool {
         !matches!(self.period, Period::Steady) && now.since(self.period_start) > PERIOD_MAX
     }
@@ -240,16 +291,21 @@
         if before.has_drifted(after) {
             return self.wait_to_lower(now);
         }
-        self.evidence.add(self.limit, below, before.average(after));
-        let change = self.change(self.limit, self.limit - 1, self.evidence);
+        let lower_limit = self.lower_limit();
+        self.evidence.add([lower_limit, self.limit], [below, before.average(after)]);
+        let change = self.change(self.limit, lower_limit, self.evidence);
+        self.trials_in_row += 1;
         match judge(&change) {
             Judgement::Acceptable => self.wait_to_lower(now),
+            Judgement::Uncertain if self.trials_in_row >= TRIALS_IN_ROW_MAX => {
+                self.wait_to_lower(now);
+            }
             Judgement::Uncertain => self.next_lower = now,
             Judgement::TooHigh => {
                 self.apply(change);
                 self.next_raise = now + RAISE_INTERVAL;
                 self.begin(now, Period::Steady);
-                // The period with one fewer is the one before the next trial.
+                // The period with fewer slots is the one before the next trial.
                 self.current = below;
             }
         }
@@ -257,8 +313,9 @@
 
     fn end_raise_trial(&mut self, now: Timestamp, before: MeanRatio) {
         let mut evidence = Evidence::default();
-        evidence.add(self.limit + 1, before, self.current);
-        let change = self.change(self.limit, self.limit + 1, evidence);
+        let higher_limit = self.higher_limit();
+        evidence.add([self.limit, higher_limit], [before, self.current]);
+        let change = self.change(self.limit, higher_limit, evidence);
         if judge(&change) == Judgement::TooHigh {
             return self.begin(now, Period::Steady);
         }
@@ -266,21 +323,23 @@
         self.period = Period::Steady;
     }
 
-    /// Changes the limit. A trial with one slot fewer follows at once: after lowering, since one fewer may be better
-    /// still, and after raising, since the trial was short.
+    /// Changes the limit. A trial with fewer slots follows at once: after lowering, since fewer may be better still, and after raising, since the trial was short.
     fn apply(&mut self, change: LimitChange) {
         self.limit = change.to;
         self.unreported = Some(change);
         self.evidence = Evidence::default();
+        self.trials_in_row = 0;
         self.next_lower = Timestamp::ZERO;
     }
 
-    /// Ends the trials with one slot fewer until the next one is due by their cost.
+    /// Ends the trials with fewer slots until the next one is due by their cost.
     fn wait_to_lower(&mut self, now: Timestamp) {
         self.evidence = self.evidence.aged();
-        let cost_interval = self.below_time.div_f64(self.limit as f64 * LOWER_COST_MAX);
+        let held_share = (self.limit - self.lower_limit()) as f64 / self.limit as f64;
+        let cost_interval = self.below_time.mul_f64(held_share / LOWER_COST_MAX);
         self.next_lower = now + cost_interval.max(LOWER_INTERVAL_MIN);
         self.below_time = Duration::ZERO;
+        self.trials_in_row = 0;
     }
 
     /// Ends a trial that was not measured in time.
@@ -312,6 +371,11 @@
     }
 }
 
+/// Returns the number of slots by which a trial differs from the limit.
+fn trial_slots(limit: usize) -> usize {
+    (limit / TRIAL_PART).max(1)
+}
+
 fn limit_min(announced: usize) -> usize {
     announced.div_ceil(2)
 }
@@ -328,19 +392,23 @@
 /// Judges a comparison. An upstream that states waiting requests runs no more at a time than with the lower number,
 /// unless the rate shows that it does.
 fn judge(it: &LimitChange) -> Judgement {
-    let rate_min = match it.states_waiting {
-        true => 1.0 + STATED_RATE_GAIN_MIN,
-        false => 1.0 - RATE_LOSS_MAX,
-    };
+    let [lowest, highest] = [1.0 - it.standard_error, 1.0 + it.standard_error];
+    if it.relative_rate * highest < 1.0 - RATE_LOSS_MAX {
+        return Judgement::TooHigh;
+    }
+    if !it.states_waiting {
+        return match it.relative_rate * lowest >= 1.0 - RATE_LOSS_MAX {
+            true => Judgement::Acceptable,
+            false => Judgement::Uncertain,
+        };
+    }
+    let full_gain = it.full_gain();
+    let rate_min = 1.0 + STATED_GAIN_SHARE_MIN * full_gain;
+    let is_precise = it.standard_error <= STATED_ERROR_SHARE_MAX * full_gain;
     match it.relative_rate {
-        rate if rate * (1.0 - it.standard_error) >= rate_min => Judgement::Acceptable,
-        rate if rate * (1.0 + it.standard_error) < rate_min => Judgement::TooHigh,
-        rate if it.states_waiting && it.standard_error <= STATED_ERROR_MAX => {
-            match rate <= rate_min {
-                true => Judgement::TooHigh,
-                false => Judgement::Acceptable,
-            }
-        }
+        rate if rate * lowest >= rate_min => Judgement::Acceptable,
+        rate if is_precise && rate <= rate_min => Judgement::TooHigh,
+        _ if is_precise => Judgement::Acceptable,
         _ => Judgement::Uncertain,
     }
 }
