Capacity probes are sent in addition to due renewals

A coordinator of an earlier version ignores a renewal that carries a capacity. Members sent such a probe in place of the due renewal every 5 s. With renewals of 374 ms and a lease of 750 ms, one ignored renewal ends the lease; with renewals of 5 s or more, every renewal was a probe. Urgent renewals could be probes as well.

A probe is now an additional renewal, directly after the due one, and carries no load. The time between two probes of a term starts at 5 s and doubles, up to 320 s.

--- a/crates/ownership/src/member/mod.rs
+++ b/crates/ownership/src/member/mod.rs
@@ -2,6 +2,8 @@
 
 mod holdings;
 mod routes;
+#[cfg(test)]
+mod tests;
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -23,9 +25,11 @@
 /// Time that the gate may take to close a slot beyond the document's `handover_max`.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Time from one renewal that carries a capacity to the next while the coordinator has not answered one. Coordinators
-/// of an earlier version ignore such a renewal, so at most one in twelve is lost.
-const CAPACITY_PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time from the first probe of a term to the second; the time doubles with each further one. Probes are needed again
+/// only if one is lost, and each leaves a log line at a coordinator of an earlier version.
+const PROBE_INTERVAL_MIN: Duration = Duration::from_secs(5);
+/// Longest time between two probes of a term.
+const PROBE_INTERVAL_MAX: Duration = Duration::from_secs(320);
 
 #[derive(Debug, Clone, Copy)]
 struct SentRenewal {
@@ -34,12 +38,30 @@
 }
 
 /// Capacity that the next renewals report, and whether the coordinator of the current term accepts it.
-#[derive(Debug, Default)]
+///
+/// Coordinators of an earlier version ignore a renewal that carries a capacity. Until the coordinator has answered one,
+/// capacities are sent only in probes: additional renewals, directly after those that are due, whose loss costs nothing.
+#[derive(Debug)]
 struct PendingCapacity {
     report: Option<CapacityReport>,
-    /// Sequence number and time of the last renewal that carried a capacity in this session and term.
-    last_sent: Option<(u64, Timestamp)>,
+    /// Sequence number of the last renewal that carried a capacity in this session and term.
+    last_sequence: Option<u64>,
     is_accepted: bool,
+    next_probe_at: Timestamp,
+    /// Time from the next probe to the one after it.
+    probe_interval: Duration,
+}
+
+impl Default for PendingCapacity {
+    fn default() -> PendingCapacity {
+        PendingCapacity {
+            report: None,
+            last_sequence: None,
+            is_accepted: false,
+            next_probe_at: Timestamp::ZERO,
+            probe_interval: PROBE_INTERVAL_MIN,
+        }
+    }
 }
 
 impl PendingCapacity {
@@ -48,22 +70,25 @@
         *self = PendingCapacity { report: self.report.take(), ..PendingCapacity::default() };
     }
 
-    /// Returns whether a renewal that the coordinator may ignore is due, to learn whether it accepts capacities.
-    fn is_probe_due(&self, now: Timestamp) -> bool {
-        let is_recent = |it: (u64, Timestamp)| now.since(it.1) < CAPACITY_PROBE_INTERVAL;
-        self.report.is_some() && !self.is_accepted && !self.last_sent.is_some_and(is_recent)
+    /// Takes the report for the due renewal, which carries one only if that cannot make the coordinator ignore it.
+    fn take_if_accepted(&mut self) -> Option<CapacityReport> {
+        self.report.take_if(|_| self.is_accepted)
     }
 
-    /// Takes the report for the renewal with this sequence number, which may carry one.
-    fn take(&mut self, now: Timestamp, sequence: u64) -> Option<CapacityReport> {
+    /// Takes the report for a probe, if one is due.
+    fn take_for_probe(&mut self, now: Timestamp) -> Option<CapacityReport> {
+        if self.is_accepted || now < self.next_probe_at {
+            return None;
+        }
         let report = self.report.take()?;
-        self.last_sent = Some((sequence, now));
+        self.next_probe_at = now + self.probe_interval;
+        self.probe_interval = (self.probe_interval * 2).min(PROBE_INTERVAL_MAX);
         Some(report)
     }
 
     /// Handles the answer to the renewal with this sequence number.
     fn record_answer(&mut self, sequence: u64) {
-        self.is_accepted |= self.last_sent.is_some_and(|it| it.0 == sequence);
+        self.is_accepted |= self.last_sequence == Some(sequence);
     }
 }
 
@@ -188,25 +213,38 @@
         }
     }
 
-    /// Sends a renewal at once, with the pending reports and load.
+    /// Sends a renewal at once, with the pending reports and load, and a probe after it if one is due.
     pub(crate) fn renew(&mut self, ctx: &mut Ctx<'_>, term: Term, coordinator: &Instance) {
+        let every = ctx.limits().renew_every;
+        self.next_renewal = ctx.now + if self.acknowledged { every } else { every / 2 };
+        if !ctx.limits().weighs_capacity {
+            self.capacity.report = None;
+        }
+        let (load, capacity) = (self.load.take(), self.capacity.take_if_accepted());
+        self.send_renewal(ctx, term, coordinator, load, capacity);
+        if self.acknowledged
+            && let Some(capacity) = self.capacity.take_for_probe(ctx.now)
+        {
+            self.send_renewal(ctx, term, coordinator, None, Some(capacity));
+        }
+    }
+
+    fn send_renewal(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        term: Term,
+        coordinator: &Instance,
+        load: Option<LoadReport>,
+        capacity: Option<CapacityReport>,
+    ) {
         self.sequence += 1;
         self.sent.push_back(SentRenewal { sequence: self.sequence, at: ctx.now });
         if self.sent.len() > UNANSWERED_RENEWALS_MAX {
             self.sent.pop_front();
         }
-        let every = ctx.limits().renew_every;
-        self.next_renewal = ctx.now + if self.acknowledged { every } else { every / 2 };
-        if !ctx.limits().weighs_capacity {
-            self.capacity.report = None;
+        if capacity.is_some() {
+            self.capacity.last_sequence = Some(self.sequence);
         }
-        // The renewal of a probe may be ignored, so it carries nothing else that would be lost or delayed by that.
-        let may_probe = self.acknowledged && self.reports.is_empty();
-        let is_probe = may_probe && self.capacity.is_probe_due(ctx.now);
-        let capacity = match is_probe || self.capacity.is_accepted {
-            true => self.capacity.take(ctx.now, self.sequence),
-            false => None,
-        };
         let renew = Renew {
             term,
             session: self.session,
@@ -219,7 +257,7 @@
             reports: self.reports.iter().copied().collect(),
             holding: (!self.acknowledged)
                 .then(|| self.holdings.to_message(self.has_recently_lapsed(ctx))),
-            load: if is_probe { None } else { self.load.take() },
+            load,
             capacity,
             route_version: self.routes.version,
         };
