The test beside an earlier coordinator counts sessions lost to probes

The test read the number of ended sessions only after the 60 s beside the earlier coordinator, so sessions that ended there were not noticed. It now reads the number once the term has settled and asserts that it is the same after 60 s, with renewals of 400 of 3,500 ms, 250 and 374 of 750 ms, and 6 s. Instead of changing its version within a term, which no process does, the earlier coordinator is lost and one of the new version takes over.

--- a/crates/ownership/src/tests/speeds.rs
+++ b/crates/ownership/src/tests/speeds.rs
@@ -44,17 +44,23 @@
 
 /// Starts a group with three speeds and three busy ranges of neighbouring keys, each with a tenth of the load.
 fn start_group(seed: u64, weighs_capacity: bool) -> Sim {
+    let mut sim = new_group(seed, limits(weighs_capacity));
+    sim.start_all();
+    assert!(sim.run_until(Duration::from_secs(4), |it| it.unowned_slots() == 0));
+    sim
+}
+
+/// Creates such a group without starting it.
+fn new_group(seed: u64, limits: Limits) -> Sim {
     let mut sim = Sim::new(SimConfig {
         hosts: HOSTS,
         slot_count: SlotCount::new(SLOTS).unwrap(),
         ordered: true,
-        limits: limits(weighs_capacity),
+        limits,
         speeds: (0..HOSTS).map(|it| SPEEDS[it % 3]).collect(),
         ..SimConfig::new(seed)
     });
     sim.set_loads(LOAD_SHARE, |slot| if slot % 256 < 12 { 9.0 } else { 1.0 });
-    sim.start_all();
-    assert!(sim.run_until(Duration::from_secs(4), |it| it.unowned_slots() == 0));
     sim
 }
 
@@ -217,22 +223,48 @@
     assert!(sim.handovers() - moves <= MOVES_MAX, "{} moves", sim.handovers() - moves);
 }
 
-/// A coordinator of an earlier version refuses renewals that carry a capacity. Guards against members that lose their
+/// Limits with renewals at these intervals. A lease of 750 ms ends with one lost renewal of 374 ms, and of 6 s each
+/// renewal is further from the last one than the first probes are.
+fn limits_with_renewals(renew_ms: u64) -> Limits {
+    let defaults = Limits { weighs_capacity: true, ..Limits::default() };
+    let renew_every = Duration::from_millis(renew_ms);
+    let takeover_after = defaults.takeover_after.max(renew_every + Duration::from_millis(100));
+    match renew_ms {
+        400 => limits(true),
+        0..400 => Limits { renew_every, takeover_after, ..defaults },
+        _ => Limits {
+            renew_every,
+            takeover_after,
+            lease: renew_every * 2 + renew_every / 4,
+            ..defaults
+        },
+    }
+}
+
+/// A coordinator of an earlier version ignores renewals that carry a capacity. Guards against members that lose their
 /// sessions or load reports because of that, and against a new coordinator that gets no capacities afterwards.
 #[test]
 fn members_work_beside_a_coordinator_of_an_earlier_version() {
-    let mut sim = start_group(6, true);
-    let earlier = sim.coordinator().unwrap();
-    sim.apply(Fault::Crash(earlier));
-    sim.earlier_versions.extend(0..HOSTS);
-    sim.run_for(SETTLE_MAX);
-    let ended = event_count(&sim, "SessionEnded");
-    assert_eq!(sim.unowned_slots(), 0);
-    assert!(sim.handovers() > 0, "loads are balanced without capacities");
-    sim.earlier_versions.clear();
-    sim.run_for(SETTLE_MAX);
-    assert_eq!(event_count(&sim, "SessionEnded"), ended);
-    assert!(sim.capacity(2).is_some_and(|it| it.weight > 1.3));
+    for renew_ms in [400, 250, 374, 6_000] {
+        let mut sim = new_group(6, limits_with_renewals(renew_ms));
+        sim.earlier_versions.extend(0..HOSTS);
+        sim.start_all();
+        let is_started = |it: &Sim| it.is_settled() && it.unowned_slots() == 0;
+        assert!(sim.run_until(SETTLE_MAX, is_started), "renewals of {renew_ms} ms");
+        let earlier = sim.coordinator();
+        let ended = event_count(&sim, "SessionEnded");
+        sim.run_for(SETTLE_MAX);
+        assert_eq!(event_count(&sim, "SessionEnded"), ended, "renewals of {renew_ms} ms");
+        assert_eq!((sim.coordinator(), sim.unowned_slots()), (earlier, 0));
+        assert!(sim.handovers() > 0, "loads are balanced without capacities");
+        sim.earlier_versions.clear();
+        sim.apply(Fault::Crash(earlier.unwrap()));
+        sim.run_for(SETTLE_MAX);
+        assert_eq!(sim.violation(), None);
+        let fast = (0..HOSTS).find(|it| it % 3 == 2 && Some(*it) != earlier).unwrap();
+        let weight = sim.capacity(fast).map(|it| it.weight);
+        assert!(weight.is_some_and(|it| it > 1.3), "{weight:?}, renewals of {renew_ms} ms");
+    }
 }
 
 /// Guards against speeds that outlast the session in which they were measured, or are lost with less than a session.
