Kinds of different document versions are not compared

The number of a kind is the one of a route, so a document that inserts or moves a route changes its meaning. Means of old and new kinds were mixed in the medians, and members with the new document seemed slow.

When a member's version rises, its measured kinds are cleared, the next two reports left out, and a known speed is kept for 20 reports. Members that are not on the newest version keep their speeds and are not in the medians; if fewer than half of the known members are compared, all speeds are kept.

The new test gives one of 24 members, then a third, then all, a document in which the measured kind takes four times as long.

--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -165,7 +165,10 @@
         self.sequence = renew.sequence;
         self.upstream = renew.upstream;
         self.leaving = renew.leaving;
-        self.config = self.config.max(renew.config);
+        if renew.config > self.config {
+            self.config = renew.config;
+            self.speed.clear_kinds();
+        }
         self.route_version = renew.route_version;
         self.is_answer_due = true;
         while self.first_command <= renew.applied && self.commands.pop_front().is_some() {
--- a/crates/ownership/src/coordinator/speeds.rs
+++ b/crates/ownership/src/coordinator/speeds.rs
@@ -22,6 +22,12 @@
 const KIND_COUNT_MIN: f64 = 20.0;
 /// The most kinds whose times are kept for a member.
 const KINDS_MAX: usize = 8;
+/// The number of reports after a change of the service's document that are left out. Kinds are numbers of routes in the
+/// document, and a report covers a second, which may have begun before the change.
+const REPORTS_LEFT_OUT: u32 = 2;
+/// The number of reports after a change of the document for which a known speed is kept: the time over which a mean is
+/// measured. A mean of a few requests would change speeds at random.
+const REPORTS_KEPT: u32 = 20;
 /// The smallest and the largest speed and weight. They bound the load that a member with wrong measurements attracts or
 /// repels.
 const FACTOR_MIN: f64 = 0.25;
@@ -68,6 +74,9 @@
     reports: u32,
     slots: f64,
     kinds: Vec<KindMeasurement>,
+    /// The number of next reports that are left out, and for which the speed is kept.
+    left_out: u32,
+    kept: u32,
     /// The speed that loads are converted with.
     pub(super) speed: f64,
     /// The weight in the planner while the member may own slots; `None` until it is first computed.
@@ -76,7 +85,15 @@
 
 impl Default for SpeedRow {
     fn default() -> SpeedRow {
-        SpeedRow { reports: 0, slots: 0.0, kinds: Vec::new(), speed: 1.0, weight: None }
+        SpeedRow {
+            reports: 0,
+            slots: 0.0,
+            kinds: Vec::new(),
+            left_out: 0,
+            kept: 0,
+            speed: 1.0,
+            weight: None,
+        }
     }
 }
 
@@ -87,6 +104,11 @@
         if report.kinds.is_empty() {
             return is_clamped;
         }
+        self.kept = self.kept.saturating_sub(1);
+        if self.left_out > 0 {
+            self.left_out -= 1;
+            return is_clamped;
+        }
         let slots = f64::from(report.slots);
         self.slots = match self.reports {
             0 => slots,
@@ -105,6 +127,13 @@
         is_clamped
     }
 
+    /// Forgets the measured kinds, whose numbers have another meaning in a new document, and keeps the speed.
+    pub(super) fn clear_kinds(&mut self) {
+        self.kinds.clear();
+        self.left_out = REPORTS_LEFT_OUT;
+        self.kept = if self.is_known() { REPORTS_KEPT } else { 0 };
+    }
+
     fn add(&mut self, time: &KindTime) {
         let (count, total_us) = (f64::from(time.count), time.total_us as f64);
         match self.kinds.iter_mut().find(|it| it.kind == time.kind) {
@@ -196,6 +225,25 @@
     means.into_iter().map(|(kind, mut values)| (kind, median(&mut values))).collect()
 }
 
+/// Returns the next speed of each member. Members with an older version of the document than others, and those whose
+/// version has just risen, keep their speed and do not count in the medians, since their kinds are not comparable. All
+/// keep their speeds while these are more than half, because the rest may be a single member.
+fn next_speeds(rows: &[&MemberRow]) -> Vec<f64> {
+    let known = || rows.iter().filter(|it| it.speed.is_known());
+    let newest = known().map(|it| it.config).max().unwrap_or_default();
+    let is_compared = |it: &MemberRow| it.config == newest && it.speed.kept == 0;
+    let compared = || known().filter(|it| is_compared(it));
+    if 2 * compared().count() < known().count() {
+        return rows.iter().map(|it| it.speed.speed).collect();
+    }
+    let medians = medians(compared().map(|it| &it.speed));
+    let next = |it: &&MemberRow| match is_compared(it) {
+        true => it.speed.next_speed(&medians),
+        false => it.speed.speed,
+    };
+    rows.iter().map(next).collect()
+}
+
 impl Coordination {
     /// Updates the speeds and weights of all members from their reports, and converts the loads measured at members
     /// whose speed has changed. Without the weighing of capacity all are 1.
@@ -204,9 +252,7 @@
             return self.reset_speeds();
         }
         work::add_entries(2 * KINDS_MAX * self.members.rows.len());
-        let medians = medians(self.members.rows.values().map(|it| &it.speed));
-        let next = self.members.rows.values().map(|it| it.speed.next_speed(&medians));
-        self.apply_speeds(next.collect());
+        self.apply_speeds(next_speeds(&self.members.rows.values().collect::<Vec<_>>()));
         self.update_weights(ctx);
     }
 
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -204,6 +204,8 @@
     pub(crate) false_capacities: BTreeMap<usize, CapacityReport>,
     /// Hosts of an earlier version, which refuses renewals that carry a capacity.
     pub(crate) earlier_versions: BTreeSet<usize>,
+    /// Hosts whose document numbers its routes in another way.
+    changed_documents: BTreeSet<usize>,
     /// Log of commands, events and faults, if enabled.
     log: Option<Vec<String>>,
     /// Number of messages that hosts have sent, including lost ones.
@@ -236,6 +238,7 @@
             key_loads: BTreeMap::new(),
             false_capacities: BTreeMap::new(),
             earlier_versions: BTreeSet::new(),
+            changed_documents: BTreeSet::new(),
             log: None,
             messages: 0,
             longest_step: Duration::ZERO,
--- a/crates/ownership/src/sim/speeds.rs
+++ b/crates/ownership/src/sim/speeds.rs
@@ -24,6 +24,8 @@
 const SLOWDOWN: f64 = 1.8;
 /// Weight of refused requests in a load report, as in the agent.
 const REFUSED_WEIGHT: f64 = 0.5;
+/// Factor on the time of a request of the measured kind in the changed document.
+const CHANGED_KIND_FACTOR: f64 = 4.0;
 
 impl Sim {
     /// Returns whether upstreams have speeds of their own.
@@ -74,9 +76,11 @@
         let run_share = f64::min(1.0, capacity_us / f64::max(total_us, 1.0));
         let counted_share = run_share + (1.0 - run_share) * REFUSED_WEIGHT;
         slots.iter_mut().for_each(|it| it.load_us = (it.load_us as f64 * counted_share) as u64);
+        let has_changed = self.changed_documents.contains(&host);
+        let requests_share = if has_changed { run_share / CHANGED_KIND_FACTOR } else { run_share };
         let time = KindTime {
             kind: 3,
-            count: (count * run_share) as u32,
+            count: (count * requests_share) as u32,
             total_us: (total_us * run_share) as u64,
         };
         let measured = CapacityReport { slots: SLOTS, kinds: vec![time] };
@@ -119,6 +123,12 @@
         }
     }
 
+    /// Gives a host a version of the document in which the measured kind is another one, with longer requests.
+    pub(crate) fn change_document(&mut self, host: usize) {
+        self.changed_documents.insert(host);
+        self.pass_input(host, Input::Config(model::ConfigVersion(2)));
+    }
+
     /// Returns the capacity that the coordinator plans with for a host, if it knows one.
     pub(crate) fn capacity(&self, host: usize) -> Option<crate::MemberCapacity> {
         let node = self.hosts[self.coordinator()?].node.as_ref()?;
--- a/crates/ownership/src/tests/speeds.rs
+++ b/crates/ownership/src/tests/speeds.rs
@@ -259,7 +259,10 @@
         assert!(sim.handovers() > 0, "loads are balanced without capacities");
         sim.earlier_versions.clear();
         sim.apply(Fault::Crash(earlier.unwrap()));
+        assert!(sim.run_until(SETTLE_MAX, |it| it.coordinator() != earlier && is_started(it)));
+        let ended = event_count(&sim, "SessionEnded");
         sim.run_for(SETTLE_MAX);
+        assert_eq!(event_count(&sim, "SessionEnded"), ended, "renewals of {renew_ms} ms");
         assert_eq!(sim.violation(), None);
         let fast = (0..HOSTS).find(|it| it % 3 == 2 && Some(*it) != earlier).unwrap();
         let weight = sim.capacity(fast).map(|it| it.weight);
@@ -267,6 +270,28 @@
     }
 }
 
+/// Guards against kinds of different documents that are compared: the number of a kind is the one of a route, so members
+/// with a new document seem slower, or all seem equally fast while few members have it.
+#[test]
+fn a_document_that_renumbers_routes_changes_no_speeds() {
+    let mut sim = balanced_group(8);
+    let before: Vec<_> = (0..HOSTS).map(|it| sim.capacity(it).unwrap()).collect();
+    let moves = sim.handovers();
+    // The document reaches one member first, then a third, and the rest a minute later.
+    for hosts in [vec![4], (0..HOSTS / 3).collect(), (0..HOSTS).collect()] {
+        hosts.into_iter().for_each(|it| sim.change_document(it));
+        for _ in 0..SETTLE_MAX.as_secs() {
+            sim.run_for(Duration::from_secs(1));
+            for (host, before) in before.iter().enumerate() {
+                let change = sim.capacity(host).unwrap().speed / before.speed;
+                assert!((0.75..=1.33).contains(&change), "host {host}: speed times {change:.2}");
+            }
+        }
+        assert_balanced(&sim);
+    }
+    assert!(sim.handovers() - moves <= 2 * MOVES_MAX, "{} moves", sim.handovers() - moves);
+}
+
 /// Guards against speeds that outlast the session in which they were measured, or are lost with less than a session.
 #[test]
 fn speeds_last_as_long_as_the_session() {
