--- a/xtask/src/bench/overload/tests.rs
+++ b/xtask/src/bench/overload/tests.rs
@@ -16,12 +16,10 @@
 /// that help one kind of request at the cost of all.
 #[test]
 fn with_all_parts_few_runs_fail_by_a_call_and_more_requests_are_in_time() {
-    for factor in [1.3] {
-        let [off, on] = [Parts::default(), Parts::ALL].map(|parts| {
-            Case { seed: 1, factor, burst_s: BURST_S, duration_s: DURATION_S, parts }.play()
-        });
-        let advance = on.kind("advance");
-        assert!(advance.failed_by_call * 100 <= advance.asked * 3, "{advance:?}");
-        assert!(on.in_time_of_callers() > off.in_time_of_callers(), "{off:?}, {on:?}");
-    }
+    let [off, on] = [Parts::default(), Parts::ALL].map(|parts| {
+        Case { seed: 1, factor: 1.3, burst_s: BURST_S, duration_s: DURATION_S, parts }.play()
+    });
+    let advance = on.kind("advance");
+    assert!(advance.failed_by_call * 100 <= advance.asked * 3, "{advance:?}");
+    assert!(on.in_time_of_callers() > off.in_time_of_callers(), "{off:?}, {on:?}");
 }
