--- a/crates/agent/src/gate/returns.rs
+++ b/crates/agent/src/gate/returns.rs
@@ -62,9 +62,6 @@
                     let queue_time = remaining.mul_f64(QUEUE_TIME_SHARE_MIN);
                     ("on_time", until.max(now + queue_time), Timeliness::Promised)
                 }
-                // Its caller did as it was told and does not return again, so it may use capacity that others leave
-                // until its deadline.
-                PromiseState::Waited => ("waited", self.deadline, timeliness),
                 PromiseState::Early => {
                     let queue_time = remaining.mul_f64(LATE_QUEUE_TIME_SHARE);
                     ("early", until.min(now + queue_time), Timeliness::Late)
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -235,8 +235,7 @@
         self.express_reserved_slots.set(i64::try_from(slots).unwrap_or(i64::MAX));
     }
 
-    /// Records the time that a refused caller was told (`promised`, `unpromised`), or its return (`on_time`, `waited`,
-    /// `early`).
+    /// Records the time that a refused caller was told (`promised`, `unpromised`), or its return (`on_time`, `early`).
     pub(crate) fn record_return(&self, team: &TeamName, result: &str) {
         self.returns.with_label_values(&[team.as_str(), result]).inc();
     }
--- a/crates/traffic/src/returns/mod.rs
+++ b/crates/traffic/src/returns/mod.rs
@@ -55,8 +55,6 @@
     Unpromised,
     /// It arrives at the promised time. The promise is used up.
     Due,
-    /// It was promised nothing, and arrives at the time that its caller was told.
-    Waited,
     /// It arrives before the time that its caller was told. A promise is lost.
     Early,
 }
@@ -100,8 +98,7 @@
         let state = match self.given.take(now, Sending { fingerprint, deadline, is_retry }) {
             Some(it) if it.is_early => return PromiseState::Early,
             Some(it) if it.given.is_promised => return PromiseState::Due,
-            Some(_) => PromiseState::Waited,
-            None => PromiseState::Unpromised,
+            Some(_) | None => PromiseState::Unpromised,
         };
         let service_time = admission.expected_service_time(class, route);
         self.demand.add(now, class, service_time);
