--- a/crates/settings/src/central/defaults.rs
+++ b/crates/settings/src/central/defaults.rs
@@ -32,8 +32,7 @@
     slot_count: Option<u16>,
     /// Latency objective in milliseconds up to which a route is tight. If a central configuration
     /// has a tight route, `express_objective_ms_max` of all its services has this value, and
-    /// `refuses_failing_runs`, `promises_returns`, `learns_concurrency` and `weighs_capacity` are
-    /// true. If omitted, no route is tight.
+    /// `refuses_failing_runs` is true. If omitted, no route is tight.
     #[schemars(range(min = 1, max = 10_000))]
     tight_objective_ms_max: Option<u64>,
     limits: RawLimits,
@@ -120,11 +119,8 @@
             limits: RawLimits {
                 express_objective_ms_max,
                 refuses_failing_runs: true,
-                promises_returns: true,
                 ..defaults.limits
             },
-            ownership: RawOwnership { weighs_capacity: true, ..defaults.ownership },
-            upstream: RawUpstream { learns_concurrency: true, ..defaults.upstream },
             ..defaults
         }
     }
