--- a/crates/ownership/src/coordinator/speeds.rs
+++ b/crates/ownership/src/coordinator/speeds.rs
@@ -1,7 +1,7 @@
 //! Measured speeds of upstreams, and the weights that they give to members in the planner.
 //!
-//! Members report how long their upstreams take for each kind of request. A member's speed is its time for a kind
-//! relative to the median over all members, so it does not depend on the mix of requests that its keys get. Speeds and
+//! Members report how long their upstreams take for each kind of request. A member's speed is the median time of a kind
+//! over all members relative to its own, so it does not depend on the mix of requests that its keys get. Speeds and
 //! weights change only by more than the variation of measurements, because each change may move slots.
 
 use std::collections::BTreeMap;
