Records of a late handover no longer replace those in use

Cause: the task that closes a slot and hands its records over goes on after the session has ended ("handover timed out") and the slot has been granted on. Its handover arrives seconds later and replaced the records that the new owner had in use. The same task, delayed until its own gate had the slot again, took the records of the new grant away.

Change: a handover is taken only if its sender's token is not below one that this gate has held or been handed the unit under, and is used only if it came before the grant; a close exports only the records of its own grant.

--- a/crates/agent/src/gate/records/mod.rs
+++ b/crates/agent/src/gate/records/mod.rs
@@ -1,6 +1,9 @@
 //! At-most-once records of the requests that the gate has admitted, with a table for each granted
 //! slot or key.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -36,10 +39,24 @@
 /// Origin of the records of a unit.
 #[derive(Debug, Clone, Copy)]
 enum TableOrigin {
-    /// Handed over by a former owner and not used yet.
-    Imported { imported_at: Timestamp },
+    /// Handed over by a former owner, which held the unit under this token, and not used yet.
+    Imported { imported_at: Timestamp, token: Token },
     /// In use since a grant under this token.
     Granted { first_token: Token, epoch: u64 },
+    /// Handed over to the next owner. This gate held the unit under this token last.
+    Closed { token: Token },
+}
+
+impl TableOrigin {
+    /// Returns whether records of a former owner, which held the unit under `token`, are older than these. Each owner
+    /// gets a higher token than those before it.
+    fn is_later_than(&self, token: Token) -> bool {
+        match self {
+            TableOrigin::Imported { token: imported, .. } => *imported > token,
+            TableOrigin::Granted { first_token, .. } => *first_token > token,
+            TableOrigin::Closed { token: closed } => *closed >= token,
+        }
+    }
 }
 
 /// The tables of all units, with the replies that resends wait for.
@@ -155,22 +172,33 @@
         }
     }
 
-    /// Closes a unit and returns its records in wire form. The records of a key that follows its
-    /// slot are taken out of the slot's table.
+    /// Closes a unit, which this gate has held under `token`, and returns its records in wire form. The records of a key
+    /// that follows its slot are taken out of the slot's table. Returns `None` if this gate has been granted the unit
+    /// again since: the records in use are not those of the grant that ends.
     pub(crate) fn export(
         &self,
         now: Timestamp,
         unit: RecordUnit,
+        token: Token,
         slot_of: impl Fn(KeyHash) -> Slot,
     ) -> Option<Bytes> {
         let tables = &mut *self.tables();
+        if tables.origin_of_records(unit, &slot_of).is_some_and(|it| it.is_later_than(token)) {
+            return None;
+        }
         let origin = tables.units.remove(&unit);
+        // Keys that were hot once are not kept, since there is no bound on their number.
+        if let (RecordUnit::Slot(_), Some(_)) = (unit, origin) {
+            tables.units.insert(unit, TableOrigin::Closed { token });
+        }
         let records = match (origin, unit) {
-            (Some(_), _) => tables.records.export(now, unit),
-            (None, RecordUnit::Key(key_hash)) => {
+            (Some(TableOrigin::Imported { .. } | TableOrigin::Granted { .. }), _) => {
+                tables.records.export(now, unit)
+            }
+            (_, RecordUnit::Key(key_hash)) => {
                 tables.records.export_key(now, RecordUnit::Slot(slot_of(key_hash)), key_hash)
             }
-            (None, RecordUnit::Slot(_)) => None,
+            (_, RecordUnit::Slot(_)) => None,
         }?;
         let records = map_answers(records, |SharedAnswer(answer)| {
             Ok(RecordedAnswer {
@@ -182,25 +210,31 @@
         Some(wire::encode(&records.ok()?).into())
     }
 
-    /// Takes over the records of a former owner. They are used if the grant follows soon enough.
+    /// Takes over the records of a former owner, which held the unit under `token`. They are used if the grant follows
+    /// soon enough. Returns whether they were taken: a handover that arrives late or again must not replace records
+    /// that are in use, since requests that have begun meanwhile would be run again.
     pub(crate) fn import(
         &self,
         now: Timestamp,
         unit: RecordUnit,
+        token: Token,
         records: &[u8],
-    ) -> Result<(), CodecError> {
+    ) -> Result<bool, CodecError> {
         let records: UnitRecords<RecordedAnswer> = wire::decode(records)?;
         let records = map_answers(records, |it| {
             let answer = answer_from_parts(it.status, &it.headers, it.body)?;
             Ok(SharedAnswer(Arc::new(answer)))
         })?;
         let tables = &mut *self.tables();
+        if tables.units.get(&unit).is_some_and(|it| it.is_later_than(token)) {
+            return Ok(false);
+        }
         if tables.units.remove(&unit).is_some() {
             tables.records.export(now, unit);
         }
         tables.records.import(now, unit, records);
-        tables.units.insert(unit, TableOrigin::Imported { imported_at: now });
-        Ok(())
+        tables.units.insert(unit, TableOrigin::Imported { imported_at: now, token });
+        Ok(true)
     }
 
     /// Removes records that have been kept long enough.
@@ -219,6 +253,20 @@
 }
 
 impl RecordTables {
+    /// Returns the origin of the table that holds the records of a unit: for a key without a table of its own, that of
+    /// its slot.
+    fn origin_of_records(
+        &self,
+        unit: RecordUnit,
+        slot_of: impl Fn(KeyHash) -> Slot,
+    ) -> Option<TableOrigin> {
+        let of_slot = || match unit {
+            RecordUnit::Key(key_hash) => self.units.get(&RecordUnit::Slot(slot_of(key_hash))),
+            RecordUnit::Slot(_) => None,
+        };
+        self.units.get(&unit).or_else(of_slot).copied()
+    }
+
     /// Ensures that the unit's table belongs to the grant, and returns its epoch.
     fn prepare_table(
         &mut self,
@@ -235,8 +283,10 @@
             {
                 *epoch
             }
-            Some(TableOrigin::Imported { imported_at })
-                if grant.since.since(*imported_at) <= import_age_max =>
+            // Records that arrive after the grant are not those of the last owner: it hands them over before.
+            Some(TableOrigin::Imported { imported_at, .. })
+                if *imported_at <= grant.since
+                    && grant.since.since(*imported_at) <= import_age_max =>
             {
                 self.mark_granted(unit, grant.first_token)
             }
@@ -300,11 +350,11 @@
         }
         let unit = RecordUnit::Key(key_hash);
         let is_usable = match self.units.remove(&unit) {
-            Some(TableOrigin::Imported { imported_at }) => {
+            Some(TableOrigin::Imported { imported_at, .. }) => {
                 returned_at.since(imported_at) <= import_age_max
             }
             Some(TableOrigin::Granted { .. }) => true,
-            None => false,
+            Some(TableOrigin::Closed { .. }) | None => false,
         };
         let records = self.records.export(now, unit).filter(|_| is_usable);
         let no_records =
--- a/crates/agent/src/gate/worker.rs
+++ b/crates/agent/src/gate/worker.rs
@@ -149,8 +149,11 @@
     /// Waits for the requests in flight, hands the records over and reports the unit as closed.
     async fn close(&self, unit: RecordUnit, token: Token, successor: Option<Instance>) {
         self.wait_until_idle(unit).await;
-        if let Some(records) = self.export_records(unit) {
-            self.hand_over_records(unit, token, successor, records).await;
+        match self.export_records(unit, token) {
+            Some(records) => self.hand_over_records(unit, token, successor, records).await,
+            None => {
+                log::debug!(target: "gate", "Closing {unit:?} under token {token} without records to hand over.")
+            }
         }
         let report = match unit {
             RecordUnit::Slot(slot) => Report::Closed { slot, token },
@@ -180,10 +183,10 @@
         }
     }
 
-    fn export_records(&self, unit: RecordUnit) -> Option<bytes::Bytes> {
+    fn export_records(&self, unit: RecordUnit, token: Token) -> Option<bytes::Bytes> {
         let bound = self.bound.load_full()?;
         let now: Timestamp = self.clock.now();
-        self.records.get()?.export(now, unit, |it| bound.document.slot_count.slot_of(it))
+        self.records.get()?.export(now, unit, token, |it| bound.document.slot_count.slot_of(it))
     }
 
     async fn hand_over_records(
@@ -229,8 +232,12 @@
             TransferUnit::Slot(slot) => RecordUnit::Slot(slot),
             TransferUnit::Key(key_hash) => RecordUnit::Key(key_hash),
         };
-        match records.import(self.clock.now(), unit, &handover.records) {
-            Ok(()) => true,
+        match records.import(self.clock.now(), unit, handover.token, &handover.records) {
+            Ok(true) => true,
+            Ok(false) => {
+                log::info!(target: "gate", "Ignored records of {unit:?} under token {} from {from}: those here are later.", handover.token);
+                false
+            }
             Err(error) => {
                 log::warn!(target: "gate", "Rejected malformed records of {unit:?} from {from}: {error}.");
                 false
