Soak: prints the first violations of each invariant and the count of all

Twenty `unserved` lines hid everything else that a play had found. Requests that ran twice are printed with the time, token and end of each run, which tell the causes apart.

--- a/xtask/src/demo/verdict/requests.rs
+++ b/xtask/src/demo/verdict/requests.rs
@@ -42,8 +42,8 @@
         .iter()
         .filter(ran_again)
         .map(|it| {
-            let instances: Vec<&str> = runs[&it.id].iter().map(|it| it.instance.as_str()).collect();
-            let detail = format!("{} ran on {instances:?}", describe(it));
+            let runs: Vec<String> = runs[&it.id].iter().map(|run| describe_run(it, run)).collect();
+            let detail = format!("{} ran on {}", describe(it), runs.join(", "));
             Finding { invariant: "ran_twice", detail }
         })
         .collect()
@@ -98,6 +98,13 @@
     Finding { invariant, detail: describe(call) }
 }
 
+/// Formats a run of a request; its start is in milliseconds from the first attempt.
+fn describe_run(call: &CallRecord, run: &Execution) -> String {
+    let token = run.token.map_or("none".to_owned(), |it| it.to_string());
+    let after_ms = run.from_ns.saturating_sub(call.first_sent_ns()) / 1_000_000;
+    format!("{} at {after_ms} with token {token}, ended as {:?}", run.instance, run.end)
+}
+
 /// Formats a request with its attempts, whose times are in milliseconds from the first attempt.
 pub(super) fn describe(call: &CallRecord) -> String {
     let first_ns = call.first_sent_ns();
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -38,7 +38,8 @@
 const RECOVERY_PERIOD: Duration = Duration::from_secs(10);
 /// Time after the recovery in which each key is requested and has to be served.
 const CHECK_PERIOD: Duration = Duration::from_secs(5);
-const VIOLATIONS_SHOWN: usize = 20;
+/// Number of violations of each invariant that are printed, so that a frequent one does not hide the others.
+const SHOWN_PER_INVARIANT: usize = 8;
 
 /// Flags of `cargo xtask soak`.
 #[derive(Debug)]
@@ -92,9 +93,7 @@
                 return Err(error.context(format!("seed {seed}")));
             }
         };
-    for it in violations.iter().take(VIOLATIONS_SHOWN) {
-        print_line(&format!("violated: {it}"))?;
-    }
+    print_violations(&violations)?;
     if !violations.is_empty() {
         cluster.dir.keep();
         print_line(&format!(
@@ -109,6 +108,27 @@
     Ok(if violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Prints the first violations of each invariant and the number of all.
+fn print_violations(violations: &[Violation]) -> anyhow::Result<()> {
+    for it in shown(violations) {
+        print_line(&format!("violated: {it}"))?;
+    }
+    for (invariant, count) in counts_by_invariant(violations) {
+        print_line(&format!("{invariant}: {count} violations"))?;
+    }
+    Ok(())
+}
+
+/// Returns the first violations of each invariant, in the given order.
+fn shown(violations: &[Violation]) -> impl Iterator<Item = &Violation> {
+    let mut shown_counts: BTreeMap<&str, usize> = BTreeMap::new();
+    violations.iter().filter(move |it| {
+        let count = shown_counts.entry(it.invariant).or_default();
+        *count += 1;
+        *count <= SHOWN_PER_INVARIANT
+    })
+}
+
 fn counts_by_invariant(violations: &[Violation]) -> BTreeMap<&'static str, usize> {
     let mut counts = BTreeMap::new();
     for it in violations {
