A first sending that waited unread counts as old

What callers saw: a request that is not idempotent, given up and sent again through another agent, could run a second time when the first agent resumed from a freeze: it reads what has waited in its sockets and passed it on with an age of zero, so an owner without the record of the resend ran it.

Cause: the age of a request began when ingress read it. Time that it waited for routes or its body before the first attempt did not count either.

Change: ingress detects stalls of the process of 100 ms or more, once there are requests that are recorded. Bytes that are read after one count as received when it began, unless their connection, or the accept queue that it came from, was found empty since; the end of a stall wakes all of them.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -131,6 +131,7 @@
         let mut history = AttemptHistory::default();
         let mut is_first_attempt = true;
         let mut was_sent = false;
+        let time_before = request.time_at_ingress;
         // An earlier attempt, or an earlier sending by the caller, may have run the request. Replies
         // of later attempts cannot rule that out.
         let earlier_unknown = (!request.age.is_zero()).then_some(UnknownReason::NoRecord);
@@ -159,7 +160,7 @@
             request.objective = useful_until.map(|it| it.since(now));
             if std::mem::replace(&mut was_sent, true) {
                 // The caller may have resent the request to another agent in the meantime.
-                request.time_at_ingress = now.since(started);
+                request.time_at_ingress = time_before + now.since(started);
             }
             let has_other_target = !history.is_early && untried_targets(&routes, &history) > 1;
             request.wants_return = return_targets::allows_promise(&routes, request)
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 mod default_protocol;
 mod refusal;
 mod server;
+mod stalls;
 mod caller_timeouts;
 
 #[cfg(test)]
@@ -51,6 +52,8 @@
 
 use caller_timeouts::CallerTimeouts;
 use destination::Destinations;
+use server::LongestWait;
+use stalls::StallDetector;
 
 pub use announce::{AnnounceProtocol, UpstreamMessage};
 pub use protocol::{CallHead, CallId, CallerProtocol, answer_response, status_of};
@@ -69,6 +72,9 @@
 /// Retry-after time for refusals that specify none.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(200);
 
+/// Longest time of a request at ingress that is not added to its age. Records allow for more than this.
+const UNCOUNTED_WAIT_MAX: Duration = Duration::from_millis(20);
+
 /// Parts from which ingress is built.
 pub(crate) struct IngressParts {
     pub(crate) clock: Clock,
@@ -89,6 +95,7 @@
     parts: IngressParts,
     destinations: Destinations,
     caller_timeouts: CallerTimeouts,
+    stalls: Arc<StallDetector>,
     in_flight: AtomicUsize,
     /// Arrival time of the last request on the process's clock, in nanoseconds.
     last_request_ns: AtomicU64,
@@ -100,8 +107,10 @@
 
 impl Ingress {
     pub(crate) fn new(parts: IngressParts) -> Ingress {
+        let stalls = Arc::new(StallDetector::new(parts.clock));
         Ingress {
             parts,
+            stalls,
             destinations: Destinations::default(),
             caller_timeouts: CallerTimeouts::default(),
             in_flight: AtomicUsize::new(0),
@@ -111,6 +120,11 @@
         }
     }
 
+    /// Returns the stalls of the process, by which the age of requests is determined.
+    fn stalls(&self) -> &Arc<StallDetector> {
+        &self.stalls
+    }
+
     /// Returns the number of requests whose responses have not been passed to the connection in full.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
@@ -234,6 +248,10 @@
             request.objective = request.objective.map(|it| it.saturating_sub(waited_before));
         }
         let spent = self.parts.clock.now().since(arrived_at);
+        if !request.idempotent && routes.document.resends {
+            self.stalls.enable();
+            request.time_at_ingress = time_before_first_attempt(parts, spent);
+        }
         request.remaining = request.remaining.saturating_sub(spent);
         request.objective = request.objective.map(|it| it.saturating_sub(spent));
         let team = routes.document.team.clone();
@@ -277,6 +295,13 @@
     }
 }
 
+/// Returns how long before its first attempt the request may have arrived, if it is longer than records allow for.
+/// Meanwhile the caller may have given it up and sent it again to another agent. `spent` is the time since it was read.
+fn time_before_first_attempt(parts: &Parts, spent: Duration) -> Duration {
+    let unread = parts.extensions.get::<LongestWait>().map_or(Duration::ZERO, |it| it.0);
+    Some(unread + spent).filter(|it| *it > UNCOUNTED_WAIT_MAX).unwrap_or_default()
+}
+
 /// Replaces a not-run outcome by an unknown one, for a request that its caller sent before without learning
 /// the outcome: this sending was refused, but the earlier one may have run.
 fn as_resend_reply(final_reply: FinalReply) -> FinalReply {
--- a/crates/agent/src/ingress/read_ahead.rs
+++ b/crates/agent/src/ingress/read_ahead.rs
@@ -14,7 +14,8 @@
     io,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::{Buf, BytesMut};
@@ -27,7 +28,7 @@
 use tokio::{io::AsyncWrite, net::TcpStream, task::JoinHandle};
 use volo_http::{body::Body, response::Response};
 
-use crate::ingress::Ingress;
+use crate::ingress::{Ingress, stalls::is_readable};
 
 /// Limit of bytes read before the server asks for them: some hundred heads, or a part of a body.
 const READ_AHEAD_BYTES_MAX: usize = 64 << 10;
@@ -55,6 +56,10 @@
 
 struct Shared {
     stream: TcpStream,
+    /// Number of stalls of the process after which the connection was last found empty.
+    empty_after_stalls: u64,
+    /// Longest time for which the bytes read last may have waited unread.
+    longest_wait: Duration,
     /// Bytes read from the caller but not yet by the server.
     unread: BytesMut,
     is_at_end: bool,
@@ -104,9 +109,17 @@
 }
 
 impl ReadAheadStream {
-    pub(super) fn new(stream: TcpStream, ingress: Arc<Ingress>) -> ReadAheadStream {
+    /// `empty_after_stalls` is the number of stalls of the process after which the connection had certainly not been
+    /// opened yet.
+    pub(super) fn new(
+        stream: TcpStream,
+        empty_after_stalls: u64,
+        ingress: Arc<Ingress>,
+    ) -> ReadAheadStream {
         let shared = Shared {
             stream,
+            empty_after_stalls,
+            longest_wait: Duration::ZERO,
             unread: BytesMut::new(),
             is_at_end: false,
             scanner: HeadScanner::default(),
@@ -136,6 +149,11 @@
         is_same.then_some(early)
     }
 
+    /// Returns the longest time for which the request that the server begins to serve may have waited unread.
+    pub(super) fn longest_wait(&self) -> Duration {
+        self.shared().longest_wait
+    }
+
     /// Records that the server has the response to a request. Returns whether later requests have been started.
     pub(super) fn record_answer(&self) -> bool {
         let mut shared = self.shared();
@@ -159,12 +177,23 @@
     /// Reads the available bytes, up to [`READ_AHEAD_BYTES_MAX`].
     fn poll_fill(&mut self, cx: &mut Context<'_>, ingress: &Arc<Ingress>) -> Poll<io::Result<()>> {
         while !self.is_at_end && self.unread.len() < READ_AHEAD_BYTES_MAX {
-            ready!(self.stream.poll_read_ready(cx))?;
+            // Taken before, since a stall may begin after the connection was found empty.
+            let stall_count = ingress.stalls().count();
+            let Poll::Ready(is_ready) = self.stream.poll_read_ready(cx) else {
+                if self.empty_after_stalls != stall_count && !is_readable(&self.stream) {
+                    self.empty_after_stalls = stall_count;
+                }
+                return Poll::Pending;
+            };
+            is_ready?;
             let scanned_len = self.unread.len();
             self.unread.reserve(4096);
             match self.stream.try_read_buf(&mut self.unread) {
                 Ok(0) => self.is_at_end = true,
-                Ok(_) => self.start_early_requests(scanned_len, ingress),
+                Ok(_) => {
+                    self.longest_wait = ingress.stalls().longest_wait(self.empty_after_stalls);
+                    self.start_early_requests(scanned_len, ingress);
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => {
                     self.is_at_end = true;
--- a/crates/agent/src/ingress/server.rs
+++ b/crates/agent/src/ingress/server.rs
@@ -20,11 +20,16 @@
 use crate::ingress::{
     Ingress, answer,
     read_ahead::{PeerState, ReadAheadStream},
+    stalls::is_readable,
 };
 
 /// Pause after a failure to accept a connection, for instance when too many files are open.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Extension of a request: the longest time for which it may have waited unread.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LongestWait(pub(super) Duration);
+
 /// Serves callers until `drained` resolves, then closes each connection after its last response. Once
 /// `closing` becomes true, only connections that are already in the accept queue are accepted, since closing
 /// the socket would reset them.
@@ -37,14 +42,19 @@
     let (end_connections, server_end) = watch::channel(false);
     let mut connections = JoinSet::new();
     let mut socket = Socket::Open(listener);
+    let mut stall_ends = ingress.stalls().subscribe();
+    // Number of stalls after which the accept queue was last found empty.
+    let mut empty_after_stalls = 0;
     loop {
         let stream = tokio::select! {
             // An error means that the sender was dropped, which ends the server as well.
             _ = &mut drained => break,
-            stream = socket.accept(&mut closing) => stream?,
+            stream = socket.accept(&mut closing, &ingress, &mut empty_after_stalls) => stream?,
             Some(_) = connections.join_next() => continue,
+            Ok(()) = stall_ends.changed() => continue,
         };
         if let Some(stream) = stream {
+            let stream = ReadAheadStream::new(stream, empty_after_stalls, Arc::clone(&ingress));
             connections.spawn(serve_connection(stream, Arc::clone(&ingress), server_end.clone()));
         }
     }
@@ -67,11 +77,23 @@
     async fn accept(
         &mut self,
         closing: &mut watch::Receiver<bool>,
+        ingress: &Ingress,
+        empty_after_stalls: &mut u64,
     ) -> anyhow::Result<Option<TcpStream>> {
         let accepted = match self {
             Socket::Open(listener) => tokio::select! {
                 biased;
-                accepted = listener.accept() => Some(accepted.map(|(stream, _)| stream)),
+                accepted = poll_fn(|cx| {
+                    let stall_count = ingress.stalls().count();
+                    let accepted = listener.poll_accept(cx);
+                    if *empty_after_stalls != stall_count
+                        && accepted.is_pending()
+                        && !is_readable(&*listener)
+                    {
+                        *empty_after_stalls = stall_count;
+                    }
+                    accepted
+                }) => Some(accepted.map(|(stream, _)| stream)),
                 // An error means that the sender was dropped, which closes the socket as well.
                 _ = closing.wait_for(|it| *it) => None,
             },
@@ -111,15 +133,16 @@
 
 /// Serves one connection. Cancels its requests when the caller closes the connection.
 async fn serve_connection(
-    stream: TcpStream,
+    caller_stream: ReadAheadStream,
     ingress: Arc<Ingress>,
     mut server_end: watch::Receiver<bool>,
 ) {
-    let caller_stream = ReadAheadStream::new(stream, Arc::clone(&ingress));
+    let mut stall_ends = ingress.stalls().subscribe();
     let service = service_fn(|request: http::Request<hyper::body::Incoming>| {
         let (caller_stream, ingress) = (caller_stream.clone(), Arc::clone(&ingress));
         async move {
-            let (head, body) = request.into_parts();
+            let (mut head, body) = request.into_parts();
+            head.extensions.insert(LongestWait(caller_stream.longest_wait()));
             let response = match caller_stream.take_early(&head) {
                 Some(early) => early.answer().await,
                 None => None,
@@ -140,17 +163,21 @@
     });
     let mut connection =
         pin!(http1::Builder::new().serve_connection(caller_stream.clone(), service));
-    let served = poll_fn(|cx| match caller_stream.poll_read_ahead(cx) {
-        PeerState::Disconnected => Poll::Ready(Ok(())),
-        PeerState::Connected => connection.as_mut().poll(cx),
-    });
-    let server_ends = async {
+    let mut server_ends = pin!(async {
         // An error means that the server has ended.
         _ = server_end.wait_for(|it| *it).await;
-    };
-    let result = tokio::select! {
-        result = served => Some(result),
-        () = server_ends => None,
+    });
+    let result = loop {
+        let served = poll_fn(|cx| match caller_stream.poll_read_ahead(cx) {
+            PeerState::Disconnected => Poll::Ready(Ok(())),
+            PeerState::Connected => connection.as_mut().poll(cx),
+        });
+        tokio::select! {
+            result = served => break Some(result),
+            () = &mut server_ends => break None,
+            // Reads the bytes that may have arrived during the stall.
+            Ok(()) = stall_ends.changed() => {}
+        }
     };
     let result = match result {
         Some(result) => result,
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -30,7 +30,7 @@
     pub(crate) remaining: Duration,
     /// Time since the caller first sent this id, as the caller states it; zero for the first sending.
     pub(crate) age: Duration,
-    /// Time that this sending has spent at ingress; zero for the first attempt.
+    /// Time that this sending has spent at ingress; zero for the first attempt, unless it may have waited before.
     pub(crate) time_at_ingress: Duration,
     /// Requests of one kind are expected to have similar service times. `None` for a request that no host
     /// route selected.
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -18,5 +18,6 @@
 mod restart;
 mod returns;
 mod request_log;
+mod stalls;
 mod stop;
 mod upstream_clock;
