Resends in services without keys run only where the list of members is proved

Cause: a gate ran a resend without a record if its own list of members had not changed for a second. A member that was frozen gets back the list that it had; one that has not been told of a change yet has an old one; one without a lease ran requests all the same; and the coordinator of such a group, which confirms no term, went on with its session after a freeze in which it was replaced.

Change: such requests run only under the member's lease. A resend without a record waits for a renewal sent after it arrived, and runs if lease, term, list and own upstream are unchanged since one lease before its first sending. After a pause the coordinator of such a group proves its term before it renews.

--- a/crates/agent/src/control/group.rs
+++ b/crates/agent/src/control/group.rs
@@ -58,6 +58,7 @@
             group: id,
             slot_count: document.slot_count,
             keyed: document.keyed,
+            designates_members: document.resends,
             ordered: document.ordered_keys.is_some(),
             limits: limits(document),
             seed: parts.seed,
--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -131,6 +131,7 @@
             },
         }
         control.publish();
+        control.confirm_members();
         if control.is_handed_over() {
             if let Some(sender) = handed_over.take() {
                 // The receiver is closed if the wait for the handover timed out.
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -43,6 +43,19 @@
         self.parts.snapshots.store(Snapshot { services, routing: self.routing.clone(), local });
     }
 
+    /// Confirms the published list of members of the own service, if they are all in the own group: the leases of this
+    /// agent say nothing of other groups.
+    pub(crate) fn confirm_members(&self) {
+        let Some(group) = &self.group else { return };
+        if !self.parts.gate.has_unconfirmed_lease(group.view.term) {
+            return;
+        }
+        let mut other_tables = self.foreign.tables().filter(|it| it.service == *self.service());
+        if other_tables.all(|it| it.group == group.id) {
+            self.parts.gate.confirm_members(group.view.term);
+        }
+    }
+
     /// Returns the routes of the own service: those of the own group, and of its other groups if there are any. Returns
     /// `None` if the own service is only known as a foreign one.
     fn own_service_routes(&self) -> Option<ServiceRoutes> {
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -117,7 +117,11 @@
             former_drain.map_or(drain, |it| it.earliest(drain))
         });
         let bound = BoundUpstream { drain, members: ready_members(service), ..bound };
-        if former.as_ref().is_none_or(|it| it.members != bound.members) {
+        // While this upstream was not ready, the other members designated others in its place.
+        let has_same_members = |it: &Arc<BoundUpstream>| {
+            it.members == bound.members && it.announcement.state == bound.announcement.state
+        };
+        if !former.as_ref().is_some_and(has_same_members) {
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
         self.apply(self.condition.follow_incarnation(&bound.incarnation()));
--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -3,14 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
-use model::{Instance, Slot, Token};
+use model::{Instance, Slot, Term, Token};
 use ownership::{GateCommand, LoadReport, MemberCapacity};
 use tokio::sync::mpsc;
 use traffic::{RecordUnit, SharedRateLimit};
 
 use crate::{
     clock::Clock,
-    gate::{load::LoadTable, table::GateTable},
+    gate::{load::LoadTable, membership::MembershipLease, table::GateTable},
 };
 
 /// Work of the gate that is carried out outside the control thread.
@@ -44,6 +44,7 @@
     pub(crate) clock: Clock,
     pub(crate) table: Arc<GateTable>,
     pub(crate) load: Arc<LoadTable>,
+    pub(crate) membership: Arc<MembershipLease>,
     /// Limit on the rate of requests that the upstream gets. An incarnation that follows another is
     /// counted as having received the requests of its predecessor.
     pub(crate) rate_limit: SharedRateLimit,
@@ -59,8 +60,16 @@
         let (tasks, receiver) = mpsc::unbounded_channel();
         let table = Arc::new(GateTable::new());
         let rate_limit = SharedRateLimit::new(clock.now());
-        let (load, capacities) = (Arc::default(), Arc::default());
-        (GateHandle { clock, table, load, rate_limit, capacities, tasks }, receiver)
+        let handle = GateHandle {
+            clock,
+            table,
+            load: Arc::default(),
+            membership: Arc::default(),
+            rate_limit,
+            capacities: Arc::default(),
+            tasks,
+        };
+        (handle, receiver)
     }
 
     /// Applies the gate commands of one step, in order. Admissions, refusals and the lease are in
@@ -93,6 +102,16 @@
         }
     }
 
+    /// Returns whether the lease or the term has changed since the published list of members was last confirmed.
+    pub(crate) fn has_unconfirmed_lease(&self, term: Term) -> bool {
+        !self.membership.is_confirmed(term, self.table.lease_until())
+    }
+
+    /// Records that the published list of members includes all changes that came with the current lease in this term.
+    pub(crate) fn confirm_members(&self, term: Term) {
+        self.membership.confirm(self.clock.now(), term, self.table.lease_until());
+    }
+
     /// Sets for how much longer the upstream is cold, as it has announced.
     pub fn update_cold_for(&self, cold_for: Duration) {
         self.rate_limit.with(|it| it.set_cold_period(self.clock.now(), cold_for));
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -14,6 +14,7 @@
 mod learned_limit;
 mod leases;
 pub(crate) mod load;
+mod membership;
 mod records;
 mod returns;
 mod run;
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -22,8 +22,6 @@
     snapshot::Routes,
 };
 
-/// Longest time for which members of a service may hold different views of its membership.
-const MEMBERS_SKEW_MAX: Duration = Duration::from_secs(1);
 /// Longest time for which a request waits until a grant of its slot has reached the upstream.
 const GRANT_WAIT: Duration = Duration::from_millis(500);
 /// Least share of its remaining time for which a request waits for a slot, even if its objective is
@@ -118,6 +116,10 @@
             return GateReply::NotOwner { owner: Some(owner), route_version: 0 };
         }
         let now = self.clock.now();
+        // Without a lease, the other members may designate another one for the request.
+        if is_recorded(bound, request) && !self.handle.table.lease_holds(now) {
+            return GateReply::not_run(NotRunReason::NoOwner);
+        }
         let fence = Token::default();
         let grant = Grant { token: fence, first_token: fence, since: Timestamp::ZERO };
         let admittance = Admittance { unit: WHOLE_SERVICE, grant, fence, returned_at: None };
@@ -127,10 +129,28 @@
         context.run_at_most_once(now, &admittance, key, caller).await
     }
 
-    /// Returns whether a resend may have run before, at a member that has since left the service.
-    fn may_have_run_elsewhere(&self, bound: &BoundUpstream, now: Timestamp, age: Duration) -> bool {
-        let settled_at = self.members_changed_at() + MEMBERS_SKEW_MAX;
-        !bound.document.keyed && !age.is_zero() && now - age < settled_at
+    /// Returns whether this member has been the designated one of a request since it was first sent, on the lists of
+    /// all members. Waits until the list is confirmed by a renewal sent after `arrived_at`.
+    async fn was_designated_since(
+        &self,
+        bound: &BoundUpstream,
+        request: &GateRequest,
+        first_sent_at: Timestamp,
+        arrived_at: Timestamp,
+        deadline: Timestamp,
+    ) -> bool {
+        let ownership = &bound.document.ownership;
+        let membership = &self.handle.membership;
+        let deadline = self.clock.instant(deadline);
+        if !membership.wait_until_confirmed(arrived_at, ownership.lease, deadline).await {
+            return false;
+        }
+        // The list that was confirmed may not have been bound yet.
+        self.rebind();
+        let changed_at = self.members_changed_at().max(membership.since());
+        // Members that have not received a change have no lease by then.
+        let settled_at = changed_at + ownership.lease + ownership.drift_margin;
+        first_sent_at >= settled_at && self.other_designated_member(bound, request).is_none()
     }
 
     /// Returns the member that keeps the record of a non-idempotent request, if it is not this one.
@@ -139,7 +159,7 @@
         bound: &BoundUpstream,
         request: &GateRequest,
     ) -> Option<Instance> {
-        if request.idempotent || !bound.document.resends {
+        if !is_recorded(bound, request) {
             return None;
         }
         let snapshot = self.snapshots.load();
@@ -179,8 +199,7 @@
         key: RequestKey,
         caller: &mut Caller,
     ) -> GateReply {
-        // Without resends there is no id by which a repeated request could be recognized.
-        if self.request.idempotent || !self.bound.document.resends {
+        if !is_recorded(self.bound, self.request) {
             return self.run_unrecorded(caller).await;
         }
         let gate = self.gate;
@@ -206,9 +225,9 @@
             RecordLookup::Unknown(reason) => return GateReply::unknown(reason),
             RecordLookup::Full => return GateReply::not_run(NotRunReason::Overloaded),
         };
-        if gate.may_have_run_elsewhere(self.bound, now, key.age) {
+        if self.may_have_run_elsewhere(now, key.age).await {
             let reply = GateReply::not_run(NotRunReason::Cancelled);
-            records.finish(now, running, &reply);
+            records.finish(gate.clock.now(), running, &reply);
             return match self.request.age.is_zero() {
                 true => GateReply::not_run(NotRunReason::NoOwner),
                 false => GateReply::unknown(UnknownReason::NoRecord),
@@ -222,6 +241,17 @@
         reply
     }
 
+    /// Returns whether a request that was first sent before may have run at another member of a service that is not
+    /// sharded by key. This member has no record of it.
+    async fn may_have_run_elsewhere(&self, arrived_at: Timestamp, age: Duration) -> bool {
+        if self.bound.document.keyed || age.is_zero() {
+            return false;
+        }
+        let first_sent_at = arrived_at - age;
+        let (gate, bound, request) = (self.gate, self.bound, self.request);
+        !gate.was_designated_since(bound, request, first_sent_at, arrived_at, self.deadline).await
+    }
+
     async fn run_unrecorded(self, caller: &mut Caller) -> GateReply {
         self.run_and_keep_entry(caller).await.0
     }
@@ -411,6 +441,12 @@
     }
 }
 
+/// Returns whether the request is recorded, so that it runs at most once. Without resends there is no id by which a
+/// repeated request could be recognized.
+fn is_recorded(bound: &BoundUpstream, request: &GateRequest) -> bool {
+    !request.idempotent && bound.document.resends
+}
+
 /// Returns the age of the request for its record: the age that the caller states, plus the time
 /// spent in this system.
 fn record_age(request: &GateRequest) -> Duration {
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -540,6 +540,13 @@
         self.publish(document, routes).await;
     }
 
+    /// Extends the lease of the agent, with which the coordinator confirms the published list of members.
+    pub(super) fn renew_membership(&self, lease: Duration) {
+        let until = self.gate.clock.now() + lease;
+        self.gate.apply(&[GateCommand::Lease { until }]);
+        self.gate.confirm_members(Term(1));
+    }
+
     /// Publishes the current snapshot with another incarnation of the upstream.
     pub(super) async fn set_upstream_id(&self, id: &str) {
         let previous = self.snapshots.load();
@@ -564,7 +571,9 @@
         self.plane.rebind_gate().await;
     }
 
+    /// Publishes routes. If the service is not sharded by key, also under a lease that outlasts the test.
     pub(super) async fn publish(&self, document: Arc<ServiceDocument>, routes: Routes) {
+        let has_members = matches!(routes, Routes::Any(_));
         let service = ServiceName::new("svc").unwrap();
         let routes =
             ServiceRoutes { service: service.clone(), version: ConfigVersion(1), document, routes };
@@ -583,6 +592,9 @@
         let services = HashMap::from([(service, Arc::new(routes))]);
         self.snapshots.store(Snapshot { services, routing: None, local });
         self.plane.rebind_gate().await;
+        if has_members {
+            self.renew_membership(WAIT_TIMEOUT * 10);
+        }
     }
 
     /// Grants all slots, and waits until the grant is older than the time margin of records.
@@ -602,6 +614,7 @@
 
     pub(super) fn end_lease(&self) {
         self.gate.apply(&[GateCommand::Lease { until: Timestamp::ZERO }]);
+        self.gate.confirm_members(Term(1));
     }
 
     /// Sends a request as a caller does.
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod learned_limit;
 mod load;
+mod membership;
 mod pipelining;
 mod poison;
 mod reload;
--- a/crates/ownership/src/coordinator/confirm.rs
+++ b/crates/ownership/src/coordinator/confirm.rs
@@ -60,6 +60,8 @@
     proved_at: Timestamp,
     /// When the confirmation was last discarded.
     reset_at: Timestamp,
+    /// Whether the confirmation was discarded, and no read sent since has shown this term.
+    awaits_proof: bool,
     /// When the newest read or update was sent that showed this term in the platform.
     reached_platform_at: Timestamp,
     /// Witnesses that have replied for this term, or have ended: they confirm no lower term.
@@ -89,6 +91,7 @@
             valid_until,
             proved_at: Timestamp::ZERO,
             reset_at: now,
+            awaits_proof: false,
             reached_platform_at: sent_at,
             promised: Vec::new(),
             promised_at: None,
@@ -139,8 +142,15 @@
         self.valid_until = Timestamp::ZERO;
         self.proved_at = Timestamp::ZERO;
         self.reset_at = now;
+        self.awaits_proof = true;
         self.next_query_at = now;
         self.next_read_at = now;
+        self.next_unkeyed_read_at = now;
+    }
+
+    /// Returns whether the confirmation was discarded, and no read sent since has shown this term.
+    pub(crate) fn awaits_proof(&self) -> bool {
+        self.awaits_proof
     }
 
     /// Returns whether the platform has shown this term within the last second.
@@ -281,8 +291,12 @@
         let Some((_, sent_at)) = self.pending_read.take_if(|it| it.0 == call) else { return false };
         if !shows_term {
             self.next_read_at = self.next_read_at.min(now + READ_RETRY);
+            if self.awaits_proof {
+                self.next_unkeyed_read_at = self.next_unkeyed_read_at.min(now + READ_RETRY);
+            }
             return true;
         }
+        self.awaits_proof &= sent_at < self.reset_at;
         self.reached_platform_at = self.reached_platform_at.max(sent_at);
         let valid_for = policy.times.platform_confirmation();
         match policy.method {
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -286,9 +286,12 @@
         if self.is_releasing {
             return false;
         }
-        // Without keys nothing is granted, so two coordinators at a time do no harm.
+        // Without keys nothing is granted. But a coordinator that was replaced during a pause would have its members
+        // designate others than those of the later term.
         if !ctx.config.keyed {
-            return true;
+            let needs_proof =
+                ctx.config.designates_members && rules::is_enforced(Rule::ProveTermAfterPause);
+            return !(needs_proof && self.confirmation.awaits_proof());
         }
         if self.succession.may_be_contested(ctx.now) {
             return false;
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -32,6 +32,9 @@
     /// Whether the service is sharded by key. Otherwise nothing is granted, and the node only maintains the list of
     /// members in its view.
     pub keyed: bool,
+    /// Whether each request has a designated member, which keeps the record of it. In a group without keys, the
+    /// coordinator then proves its term after a pause before it renews sessions.
+    pub designates_members: bool,
     /// Whether the keys have an order that the slots follow; neighbouring slots are then granted together.
     pub ordered: bool,
     pub limits: Limits,
--- a/crates/ownership/src/rules.rs
+++ b/crates/ownership/src/rules.rs
@@ -13,6 +13,8 @@
     AssumeUnansweredUpdateApplied,
     /// A lapsed grant is reissued only after a confirmation, requested after the lapse, that no later term exists.
     ProveTermAfterLapse,
+    /// After a pause, the coordinator of a group without keys renews sessions only once it has read that its term holds.
+    ProveTermAfterPause,
     /// A member's lease starts when the member sent the renewal, not when the reply arrived.
     LeaseFromSendTime,
     /// A member follows no term lower than the highest that it has seen.
--- a/crates/ownership/src/sim/host.rs
+++ b/crates/ownership/src/sim/host.rs
@@ -133,6 +133,7 @@
             group: GroupId(0),
             slot_count: config.slot_count,
             keyed: config.keyed,
+            designates_members: true,
             ordered: config.ordered,
             limits: config.limits.clone(),
             seed,
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -318,6 +318,13 @@
         self.config.slot_count.iter().filter(|it| self.owner(*it) == Some(host)).collect()
     }
 
+    /// Returns whether the gate of a host has a lease, by the clock of that host.
+    #[cfg(test)]
+    pub(crate) fn has_lease(&self, host: usize) -> bool {
+        let it = &self.hosts[host];
+        it.clock(self.now) < it.gate.lease_until
+    }
+
     /// Returns whether the host has completed a graceful stop and has not restarted since.
     pub fn has_stopped(&self, host: usize) -> bool {
         self.hosts[host].has_stopped
--- a/crates/ownership/src/tests/lifecycle.rs
+++ b/crates/ownership/src/tests/lifecycle.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     CoordinatorLease, GROUP_MEMBERS_MAX, Limits,
+    rules::{Rule, disable_rule},
     sim::{Fault, Sim, SimConfig},
 };
 
@@ -169,6 +170,48 @@
     assert!(!sim.events().contains_key("SessionEnded"), "{:?}", sim.events());
 }
 
+/// Pauses the coordinator of a group without keys until another one has taken over, and resumes it while neither
+/// messages nor the platform reach it. Returns whether it then renews its own session in its earlier term.
+fn renews_after_a_pause(seed: u64) -> bool {
+    let mut sim = Sim::new(SimConfig { hosts: 4, keyed: false, ..SimConfig::new(seed) });
+    sim.start_all();
+    sim.run_for(Duration::from_secs(3));
+    let paused = sim.coordinator().unwrap();
+    let term = sim.view(paused).unwrap().term;
+    sim.apply(Fault::Pause { host: paused, duration_ms: 3000 });
+    sim.apply(Fault::DropIncoming(paused));
+    sim.apply(Fault::CutFromPlatform(paused));
+    sim.run_for(Duration::from_millis(2900));
+    let is_coordinator = |it: usize| sim.view(it).is_some_and(|it| it.is_coordinator);
+    assert!((0..4).any(|it| it != paused && is_coordinator(it)));
+    let is_in_term = |it: &Sim| it.view(paused).is_some_and(|it| it.term == term);
+    sim.run_until(Duration::from_secs(1), |it| it.has_lease(paused) && is_in_term(it))
+}
+
+/// Guards against a coordinator that was replaced during a pause and whose member runs requests by an outdated list.
+#[test]
+fn after_a_pause_the_coordinator_of_a_group_without_keys_proves_its_term_before_it_renews() {
+    for seed in 1..=5 {
+        assert!(!renews_after_a_pause(seed), "seed {seed}");
+        disable_rule(Some(Rule::ProveTermAfterPause));
+        assert!(renews_after_a_pause(seed), "seed {seed}: nothing to guard against");
+        disable_rule(None);
+    }
+}
+
+/// Guards against a group without keys that stays without sessions after a pause of its coordinator.
+#[test]
+fn after_a_short_pause_the_coordinator_of_a_group_without_keys_renews_again() {
+    let mut sim = Sim::new(SimConfig { hosts: 4, keyed: false, ..SimConfig::new(5) });
+    sim.start_all();
+    sim.run_for(Duration::from_secs(3));
+    let paused = sim.coordinator().unwrap();
+    sim.apply(Fault::Pause { host: paused, duration_ms: 350 });
+    sim.run_for(Duration::from_secs(2));
+    assert_eq!(sim.coordinator(), Some(paused));
+    assert!((0..4).all(|it| sim.has_lease(it)), "{:?}", sim.events());
+}
+
 #[test]
 fn a_group_refuses_members_beyond_its_limit() {
     let hosts = GROUP_MEMBERS_MAX + 1;
--- a/crates/ownership/src/tests/upstream_clearing.rs
+++ b/crates/ownership/src/tests/upstream_clearing.rs
@@ -64,6 +64,7 @@
             group: GroupId(0),
             slot_count: SlotCount::new(8).unwrap(),
             keyed: true,
+            designates_members: true,
             ordered: true,
             limits,
             seed: 1,
--- a/xtask/src/bench/slopes/group.rs
+++ b/xtask/src/bench/slopes/group.rs
@@ -333,6 +333,7 @@
             group: GroupId(0),
             slot_count: size.slot_count(),
             keyed: true,
+            designates_members: true,
             ordered: false,
             limits: Limits::default(),
             seed: seed + index as u64,
