A rollback soon after a confirmation by the platform costs a lease

Cause: a coordinator whose confirmation by the platform, 0.6 s, had ended before it could acquire its next term took the worst case: lost terms with unknown witnesses, so nothing is renewed for the longest absence, 90 minutes.

Change: if the rollback is detected less than 1 s after its last read was sent, no lost term can have chosen witnesses. The coordinator carries its state, renews nothing for one confirmation by the platform, and settles a lease later.

--- a/crates/ownership/src/coordinator/confirm.rs
+++ b/crates/ownership/src/coordinator/confirm.rs
@@ -158,6 +158,11 @@
         now.since(self.reached_platform_at) < CONTACT_AGE_MAX
     }
 
+    /// Returns when the newest read or update was sent that showed this term in the platform.
+    pub(crate) fn reached_platform_at(&self) -> Timestamp {
+        self.reached_platform_at
+    }
+
     /// Schedules a read soon, to check whether the platform is reachable.
     pub(crate) fn schedule_read(&mut self, now: Timestamp) {
         self.next_read_at = self.next_read_at.min(now + READ_RETRY);
--- a/crates/ownership/src/coordinator/maintain.rs
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -17,7 +17,7 @@
 /// The fewest witnesses of a term; with fewer candidates the platform confirms it.
 const WITNESSES_MIN: usize = 3;
 /// The time that a member has to be in the group before it can become a witness.
-const WITNESS_AGE_MIN: Duration = Duration::from_secs(1);
+pub(super) const WITNESS_AGE_MIN: Duration = Duration::from_secs(1);
 /// How long a term may be without confirmation by witnesses before the method is changed to the
 /// platform.
 const MAJORITY_MISSING_MAX: Duration = Duration::from_millis(100);
@@ -26,7 +26,7 @@
     /// Updates the coordinator object if it differs from what it should be. Only a settled
     /// coordinator does so.
     pub(super) fn maintain(&mut self, ctx: &mut Ctx<'_>) {
-        let is_rolled_back = self.rolled_back_at.is_some();
+        let is_rolled_back = self.rolled_back.is_some();
         if !self.is_settled() || self.object.is_pending() || self.is_releasing || is_rolled_back {
             return;
         }
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -49,6 +49,8 @@
     succession::Succession,
 };
 
+pub(crate) use self::succession::LostHistory;
+
 /// The interval of announcements to members that have not yet reported their holdings to this term.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time without a scan of all slots and keys while none of them is changing.
@@ -69,7 +71,9 @@
     pub(crate) previous: Option<Coordinator>,
     /// A lower bound of when the update was sent.
     pub(crate) sent_at: Timestamp,
-    /// The last plan of this node's previous term, if no other term can have begun since.
+    /// Whether the platform has lost records of terms since `previous`.
+    pub(crate) lost_history: LostHistory,
+    /// The last plan of this node's previous term, if it is known which terms can have begun since.
     pub(crate) carried_plan: Option<Plan>,
 }
 
@@ -79,6 +83,10 @@
 pub(crate) struct CarriedState {
     pub(crate) object: Coordinator,
     pub(crate) plan: Option<Plan>,
+    /// Terms that may have begun since, and whose records the platform has lost.
+    pub(crate) lost_history: LostHistory,
+    /// The era of the platform after the rollback.
+    pub(crate) era: u64,
 }
 
 /// Whether and how a coordinator has to acquire a new term because the platform was rolled back.
@@ -88,6 +96,9 @@
     NotDue,
     /// No other term can have settled, so the next term continues with this state.
     WithState(Box<CarriedState>),
+    /// Another term may have settled, but none that witnesses could confirm. The next term continues
+    /// with this state once such a term has ended.
+    WithUnconfirmedState(Box<CarriedState>),
     /// Another term may have settled, so the next term continues with the stored state.
     WithoutState,
 }
@@ -163,8 +174,8 @@
     last_renewal_at: Timestamp,
     /// Whether the release of the term has begun.
     is_releasing: bool,
-    /// When the rollback of the platform to an older snapshot was detected.
-    rolled_back_at: Option<Timestamp>,
+    /// When the rollback of the platform to an older snapshot was detected, and the era that it began.
+    rolled_back: Option<(Timestamp, u64)>,
 }
 
 impl Coordination {
@@ -173,7 +184,8 @@
         acquired: AcquiredTerm,
         known_instances: Vec<Instance>,
     ) -> Coordination {
-        let AcquiredTerm { object, version, previous, sent_at, carried_plan } = acquired;
+        let AcquiredTerm { object, version, previous, sent_at, lost_history, carried_plan } =
+            acquired;
         let term = object.term;
         let is_first_term = previous.is_none();
         let object = CoordinatorWriter::new(object, version);
@@ -183,7 +195,8 @@
         let coordinator_lease = ctx.limits().coordinator_lease;
         let has_no_grants = !ctx.config.keyed;
         let previous = previous.filter(|_| !has_no_grants);
-        let mut succession = Succession::new(ctx.now, previous.as_ref(), coordinator_lease);
+        let mut succession =
+            Succession::new(ctx.now, previous.as_ref(), lost_history, coordinator_lease);
         succession.record_follower(ctx.now, ctx.own_instance());
         let holder =
             if is_first_term { Holder::Vacant { lapsed_at: None } } else { Holder::Unknown };
@@ -226,7 +239,7 @@
             coordinator_lease_capped_since: None,
             last_renewal_at: ctx.now,
             is_releasing: false,
-            rolled_back_at: None,
+            rolled_back: None,
         }
     }
 
@@ -398,8 +411,8 @@
         call: CallId,
         reply: &PlatformReply,
     ) -> TermState {
-        if reply.era().is_some_and(|it| it > self.object.era()) {
-            self.rolled_back_at.get_or_insert(ctx.now);
+        if let Some(era) = reply.era().filter(|it| *it > self.object.era()) {
+            self.rolled_back.get_or_insert((ctx.now, era));
             return TermState::RolledBack;
         }
         match self.object.handle_reply(ctx, call, reply) {
@@ -546,20 +559,44 @@
     /// platform. While the term is confirmed, no other one can have been settled. After a rollback
     /// only witnesses can confirm it, not the platform.
     pub(crate) fn reacquisition(&self, ctx: &Ctx<'_>) -> Reacquisition {
-        let Some(rolled_back_at) = self.rolled_back_at else { return Reacquisition::NotDue };
-        if ctx.config.keyed && self.may_renew(ctx) {
-            return Reacquisition::WithState(Box::new(CarriedState {
+        let Some((rolled_back_at, era)) = self.rolled_back else { return Reacquisition::NotDue };
+        let carried = |lost_history| {
+            Box::new(CarriedState {
                 object: self.object.acked().clone(),
                 plan: self.plan.acked().cloned(),
-            }));
+                lost_history,
+                era,
+            })
+        };
+        if ctx.config.keyed && self.may_renew(ctx) {
+            return Reacquisition::WithState(carried(LostHistory::None));
         }
         let uses_witnesses = self.object.acked().confirmation == Confirmation::Witnesses;
-        match uses_witnesses && ctx.now.since(rolled_back_at) <= RECONFIRMATION_MAX {
-            true => Reacquisition::NotDue,
-            false => Reacquisition::WithoutState,
+        match () {
+            _ if uses_witnesses && ctx.now.since(rolled_back_at) <= RECONFIRMATION_MAX => {
+                Reacquisition::NotDue
+            }
+            _ if ctx.config.keyed && self.no_later_term_has_witnesses(ctx, rolled_back_at) => {
+                Reacquisition::WithUnconfirmedState(carried(LostHistory::ConfirmedByPlatform))
+            }
+            _ => Reacquisition::WithoutState,
         }
     }
 
+    /// Returns whether no term that began between the last proof of this one and the rollback can have been confirmed
+    /// by witnesses. Such a term began with the state of this one, which the platform confirms, and a coordinator
+    /// chooses witnesses only among members of some age.
+    fn no_later_term_has_witnesses(&self, ctx: &Ctx<'_>, rolled_back_at: Timestamp) -> bool {
+        let acked = self.object.acked();
+        let times = acked.times;
+        let unproved = rolled_back_at.since(self.confirmation.reached_platform_at());
+        acked.confirmation == Confirmation::Platform
+            && !self.object.is_pending()
+            && times == TermTimes::from(ctx.limits())
+            && self.succession.has_no_unknown_witnesses()
+            && times.with_drift_margin(unproved) < maintain::WITNESS_AGE_MIN
+    }
+
     /// Releases the term by an update of the coordinator object. From now on this node renews no
     /// lease.
     pub(crate) fn release_term(&mut self, ctx: &mut Ctx<'_>) {
--- a/crates/ownership/src/coordinator/succession.rs
+++ b/crates/ownership/src/coordinator/succession.rs
@@ -51,18 +51,35 @@
     settled: bool,
     confirmation: Confirmation,
     times: TermTimes,
-    /// Whether later terms may have existed whose records the platform has lost. Their holders,
-    /// grants and witnesses are unknown.
-    history_lost: bool,
+    lost_history: LostHistory,
+}
+
+/// Whether later terms than the previous one may have existed whose records the platform has lost. Their holders and
+/// grants are unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LostHistory {
+    None,
+    /// They began so late that none of them can have been confirmed by witnesses.
+    ConfirmedByPlatform,
+    /// Their witnesses are unknown, too.
+    Unknown,
 }
 
 impl Predecessor {
+    fn is_history_lost(&self) -> bool {
+        self.lost_history != LostHistory::None
+    }
+
     /// Returns how long after the acquisition of this term an unrecorded coordinator may still be
     /// active.
     fn unrecorded_max(&self) -> Duration {
         let times = self.times;
         let confirmation = times.confirmation().max(times.platform_confirmation());
-        times.platform_absence_max() + confirmation
+        match self.lost_history {
+            LostHistory::None => Duration::ZERO,
+            LostHistory::ConfirmedByPlatform => times.platform_confirmation(),
+            LostHistory::Unknown => times.platform_absence_max() + confirmation,
+        }
     }
 }
 
@@ -70,6 +87,7 @@
     pub(crate) fn new(
         now: Timestamp,
         previous: Option<&Coordinator>,
+        lost_history: LostHistory,
         coordinator_lease: CoordinatorLease,
     ) -> Succession {
         let predecessor = previous.map(|it| Predecessor {
@@ -77,7 +95,7 @@
             settled: it.settled,
             confirmation: it.confirmation,
             times: it.times,
-            history_lost: it.history_lost,
+            lost_history,
         });
         let settled = predecessor.is_none();
         Succession {
@@ -96,14 +114,14 @@
     /// Records that the platform has lost records of earlier terms.
     pub(crate) fn set_history_lost(&mut self) {
         if let Some(predecessor) = &mut self.predecessor {
-            predecessor.history_lost = true;
+            predecessor.lost_history = LostHistory::Unknown;
         }
     }
 
     /// Returns whether an unrecorded coordinator may still renew and grant. Meanwhile this one must
     /// not renew any lease, because the other may have granted the same slots to another member.
     pub(crate) fn may_be_contested(&self, now: Timestamp) -> bool {
-        let previous = self.predecessor.as_ref().filter(|it| it.history_lost);
+        let previous = self.predecessor.as_ref().filter(|it| it.is_history_lost());
         previous.is_some_and(|it| {
             now < self.acquired_at + it.times.with_drift_margin(it.unrecorded_max())
         })
@@ -111,13 +129,19 @@
 
     /// Returns whether the platform has lost records of earlier terms.
     fn is_history_lost(&self) -> bool {
-        self.predecessor.as_ref().is_some_and(|it| it.history_lost)
+        self.predecessor.as_ref().is_some_and(Predecessor::is_history_lost)
+    }
+
+    /// Returns whether all earlier terms that may still be active are recorded, or were confirmed by the platform only.
+    pub(crate) fn has_no_unknown_witnesses(&self) -> bool {
+        let by_platform = |it: &Predecessor| it.lost_history == LostHistory::ConfirmedByPlatform;
+        self.settled || self.predecessor.as_ref().is_some_and(by_platform)
     }
 
     /// Records that an agent follows or holds this term. If it is a later incarnation of the
     /// previous coordinator, that coordinator has ended and can no longer renew leases.
     pub(crate) fn record_follower(&mut self, now: Timestamp, agent: &Instance) {
-        let previous = self.predecessor.as_ref().filter(|it| it.settled && !it.history_lost);
+        let previous = self.predecessor.as_ref().filter(|it| it.settled && !it.is_history_lost());
         let Some(holder) = previous.and_then(|it| it.holder.as_ref()) else { return };
         if is_same_agent(holder, agent) && !is_same_incarnation(holder, agent) {
             self.replaced_at.get_or_insert(now);
@@ -172,7 +196,7 @@
         times: TermTimes,
     ) {
         let is_history_known =
-            self.predecessor.as_ref().is_none_or(|it| it.settled && !it.history_lost);
+            self.predecessor.as_ref().is_none_or(|it| it.settled && !it.is_history_lost());
         if is_history_known {
             let earlier = self.predecessor.as_ref().map(|it| it.times);
             let ends =
@@ -220,7 +244,7 @@
         if self.settled {
             return true;
         }
-        let Some(previous) = self.predecessor.as_ref().filter(|it| !it.history_lost) else {
+        let Some(previous) = self.predecessor.as_ref().filter(|it| !it.is_history_lost()) else {
             return self.predecessor.is_none();
         };
         // If the previous term had not settled, even earlier ones may still be active. Its holder
@@ -258,7 +282,7 @@
         let Some(previous) = &self.predecessor else { return Some(self.acquired_at) };
         let times = previous.times;
         let lease = times.lease();
-        if previous.history_lost {
+        if previous.is_history_lost() {
             return Some(
                 self.acquired_at + times.with_drift_margin(previous.unrecorded_max() + lease),
             );
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -253,6 +253,11 @@
             None | Some(Reacquisition::NotDue) => {}
             // The coordinator continues with this term until it has acquired the next one.
             Some(Reacquisition::WithState(_)) => self.takeover.schedule_reacquisition(ctx.now),
+            Some(Reacquisition::WithUnconfirmedState(carried)) => {
+                self.lose_term(ctx);
+                self.takeover.carried = Some(*carried);
+                self.takeover.schedule_reacquisition(ctx.now);
+            }
             Some(Reacquisition::WithoutState) => {
                 self.lose_term(ctx);
                 self.takeover.schedule_reacquisition(ctx.now);
@@ -327,6 +332,7 @@
         if term > self.known.term {
             self.known = KnownTerm::new(term, coordinator, ctx.now);
             self.takeover.reacquire = false;
+            self.takeover.carried = None;
             if self.coordination.as_ref().is_some_and(|it| it.term() < term) {
                 self.lose_term(ctx);
             }
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     CallId, Confirmation, Coordinator, Message, Plan, PlatformReply, PlatformRequest, TermTimes,
-    coordinator::{AcquiredTerm, CarriedState, Reacquisition},
+    coordinator::{AcquiredTerm, CarriedState, LostHistory, Reacquisition},
     ctx::{Ctx, MemberId, is_same_agent, is_same_incarnation},
 };
 
@@ -88,6 +88,8 @@
     hold_back_doublings: u32,
     /// Whether this node has to acquire the term anew because the platform lost the record of the term it held.
     pub(super) reacquire: bool,
+    /// State of the term that this node held until its confirmation ended, to be carried over into the next one.
+    pub(super) carried: Option<CarriedState>,
 }
 
 impl Takeover {
@@ -106,6 +108,7 @@
             hold_back_doublings: 0,
             has_read: false,
             reacquire: false,
+            carried: None,
         }
     }
 
@@ -373,8 +376,9 @@
         }
         let history_lost = rolled_back || is_overtaken || object.history_lost;
         let stored = Coordinator { history_lost, ..object.clone() };
-        let carried =
-            self.carried_state(ctx).filter(|it| rolled_back && object.term <= it.object.term);
+        let carried = self
+            .carried_state(ctx)
+            .filter(|it| rolled_back && object.term <= it.object.term && it.era == version.era());
         let previous = carried.as_ref().map_or(&stored, |it| &it.object).clone();
         let nonce = ctx.draw_nonce();
         let eras_passed = version.era() - object.era.min(version.era());
@@ -392,12 +396,15 @@
         self.start_attempt(ctx, version, attempt, Some(previous), stored);
     }
 
-    /// Returns the state of the term that this node still holds, if the platform has lost its record and the state is
-    /// safe to carry over.
+    /// Returns the state of the term that this node holds or has just held, if the platform has lost its record and the
+    /// state is safe to carry over.
     fn carried_state(&self, ctx: &Ctx<'_>) -> Option<CarriedState> {
-        match self.coordination.as_ref()?.reacquisition(ctx) {
-            Reacquisition::WithState(carried) => Some(*carried),
-            Reacquisition::NotDue | Reacquisition::WithoutState => None,
+        match self.coordination.as_ref().map(|it| it.reacquisition(ctx)) {
+            None => self.takeover.carried.clone(),
+            Some(
+                Reacquisition::WithState(carried) | Reacquisition::WithUnconfirmedState(carried),
+            ) => Some(*carried),
+            Some(Reacquisition::NotDue | Reacquisition::WithoutState) => None,
         }
     }
 
@@ -452,12 +459,18 @@
         self.takeover.reacquire = false;
         let object = Coordinator { era: version.era(), ..object };
         let carried = self.carried_state(ctx).filter(|_| stored.is_some());
+        self.takeover.carried = None;
         // Without carried state, another term may have settled meanwhile: the stored object is the predecessor.
         let previous = if carried.is_some() { previous } else { stored.or(previous) };
-        let carried = carried.and_then(|it| it.plan);
+        let lost_history = match (&carried, &previous) {
+            (Some(carried), _) => carried.lost_history,
+            (None, Some(previous)) if previous.history_lost => LostHistory::Unknown,
+            (None, _) => LostHistory::None,
+        };
+        let carried_plan = carried.and_then(|it| it.plan);
         self.become_coordinator(
             ctx,
-            AcquiredTerm { object, version, previous, sent_at, carried_plan: carried },
+            AcquiredTerm { object, version, previous, sent_at, lost_history, carried_plan },
         );
     }
 }
--- a/crates/ownership/src/tests/lifecycle.rs
+++ b/crates/ownership/src/tests/lifecycle.rs
@@ -170,6 +170,25 @@
     assert!(!sim.events().contains_key("SessionEnded"), "{:?}", sim.events());
 }
 
+/// Guards against a group that is not served for the longest absence from the platform, 90 minutes, because a rollback
+/// came while the platform confirmed the term, and the outage before it outlasted that confirmation.
+#[test]
+fn a_rollback_while_the_platform_confirms_the_term_costs_a_lease_and_not_the_longest_absence() {
+    for seed in 1..=20 {
+        let mut sim = Sim::new(SimConfig { hosts: 2, ..SimConfig::new(seed) });
+        sim.start_all();
+        sim.run_for(Duration::from_secs(4));
+        assert_served(&sim);
+        sim.apply(Fault::PlatformDown);
+        sim.run_for(Duration::from_millis(600));
+        sim.apply(Fault::PlatformRollsBack { snapshot_age_ms: 1_000 });
+        let served = sim.run_until(Duration::from_secs(4), |it| it.unowned_slots() == 0);
+        assert!(served, "seed {seed}: {:?}", sim.events());
+        sim.run_for(Duration::from_secs(4));
+        assert_served(&sim);
+    }
+}
+
 /// Pauses the coordinator of a group without keys until another one has taken over, and resumes it while neither
 /// messages nor the platform reach it. Returns whether it then renews its own session in its earlier term.
 fn renews_after_a_pause(seed: u64) -> bool {
