Soak: a planned stop waits until the processes handle signals

Cause: an instance was restarted and stopped again at once. Its server handles signals only a moment after it listens, besides.

Change: a stop waits until both processes listen, and the stand-in handles the signal before it listens.

--- a/crates/standins/src/upstream/server.rs
+++ b/crates/standins/src/upstream/server.rs
@@ -3,7 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use http::{HeaderName, StatusCode};
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
 use volo::net::incoming::DefaultIncoming;
 use volo_http::{
     body::BodyConversion,
@@ -33,6 +37,8 @@
 /// accepts requests for the drain time, completes requests in flight and exits.
 pub async fn run(options: UpstreamOptions) -> anyhow::Result<()> {
     let config = Config::try_from(options)?;
+    // Before the upstream listens: the server handles signals only a moment after.
+    let mut terminate = signal(SignalKind::terminate())?;
     let (listener, address) = bind(config.listen).await?;
     let upstream = Arc::new(Upstream::new(config)?);
     print_address(address)?;
@@ -40,6 +46,12 @@
         let upstream = Arc::clone(&upstream);
         tokio::spawn(async move { announce(&upstream, agent, address).await });
     }
+    let stopping = Arc::clone(&upstream);
+    tokio::spawn(async move {
+        if terminate.recv().await.is_some() {
+            stop(&stopping).await;
+        }
+    });
     serve(listener, upstream).await
 }
 
--- a/crates/standins/src/upstream/state.rs
+++ b/crates/standins/src/upstream/state.rs
@@ -171,8 +171,13 @@
 
     /// Starts to drain: reports the state `Draining` and still accepts requests for the drain time.
     pub(crate) fn start_drain(&self) {
-        self.lock_inner().draining_since.get_or_insert_with(Instant::now);
-        self.record(&RunEntry::Draining { at_ns: wall_clock_ns() });
+        let mut inner = self.lock_inner();
+        let is_first = inner.draining_since.is_none();
+        inner.draining_since.get_or_insert_with(Instant::now);
+        drop(inner);
+        if is_first {
+            self.record(&RunEntry::Draining { at_ns: wall_clock_ns() });
+        }
     }
 
     /// Returns whether the time to drain or to leave is over, so that new requests are refused.
--- a/xtask/src/cluster/instance.rs
+++ b/xtask/src/cluster/instance.rs
@@ -287,6 +287,9 @@
 
     /// Sends SIGTERM to agent and upstream and waits until both have exited.
     pub(crate) async fn leave(&mut self) -> anyhow::Result<PlannedStop> {
+        // A process that was started just now handles no signals yet, and would be ended by this one.
+        self.agent()?.wait_until_listening_or_exited(self.caller).await?;
+        self.upstream()?.wait_until_listening_or_exited(self.upstream_address).await?;
         let from_ns = wall_clock_ns();
         let started = Instant::now();
         self.signal(Signal::SIGTERM)?;
--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -88,10 +88,23 @@
 
     /// Waits until the process accepts connections at the address.
     pub(crate) async fn wait_until_listening(&self, address: SocketAddr) -> anyhow::Result<()> {
+        match self.wait_until_listening_or_exited(address).await? {
+            None => Ok(()),
+            Some(status) => {
+                anyhow::bail!("{} exited with {status} before it accepted connections", self.name)
+            }
+        }
+    }
+
+    /// Waits until the process accepts connections at the address, or has exited; then the result is its status.
+    pub(crate) async fn wait_until_listening_or_exited(
+        &self,
+        address: SocketAddr,
+    ) -> anyhow::Result<Option<ExitStatus>> {
         let deadline = Instant::now() + LISTEN_TIMEOUT;
         while TcpStream::connect(address).await.is_err() {
             if let Some(status) = self.exit_status()? {
-                anyhow::bail!("{} exited with {status} before it accepted connections", self.name);
+                return Ok(Some(status));
             }
             anyhow::ensure!(
                 Instant::now() < deadline,
@@ -100,7 +113,7 @@
             );
             sleep(POLL_INTERVAL).await;
         }
-        Ok(())
+        Ok(None)
     }
 }
 
