A request that has arrived by the end of a stop gets a response

Cause: at the end of a stop the agent closed each connection without a request in service, also with one that had arrived and was not read yet.

Change: a connection with unread bytes is served until its next response, which closes it.

--- a/crates/agent/src/ingress/read_ahead.rs
+++ b/crates/agent/src/ingress/read_ahead.rs
@@ -149,6 +149,12 @@
         is_same.then_some(early)
     }
 
+    /// Returns whether bytes of the caller, or the end of the connection, have not been passed to the server.
+    pub(super) fn has_unread(&self) -> bool {
+        let shared = self.shared();
+        !shared.unread.is_empty() || is_readable(&shared.stream)
+    }
+
     /// Returns the longest time for which the request that the server begins to serve may have waited unread.
     pub(super) fn longest_wait(&self) -> Duration {
         self.shared().longest_wait
--- a/crates/agent/src/ingress/server.rs
+++ b/crates/agent/src/ingress/server.rs
@@ -181,6 +181,14 @@
     };
     let result = match result {
         Some(result) => result,
+        // A request that has arrived but was not read yet gets a response, which closes the connection.
+        None if ingress.is_leaving() && caller_stream.has_unread() => {
+            let served = poll_fn(|cx| match caller_stream.poll_read_ahead(cx) {
+                PeerState::Disconnected => Poll::Ready(Ok(())),
+                PeerState::Connected => connection.as_mut().poll(cx),
+            });
+            served.await
+        }
         None => {
             connection.as_mut().graceful_shutdown();
             connection.await
