After a rollback the coordinator of a group without keys checks its term

Cause: after a rollback a restarted member took the term that the store showed, while the coordinator whose term was lost went on with the other members for up to 10 s, until its next read. Its agent knew of the rollback after 0.2 s; and the new coordinator announced its term to nobody, since such a group has no plan.

Change: control tells the group of a rollback that any of its calls shows; the coordinator then proves its term before it renews. A new coordinator of such a group announces its term to its peers for a second. Reads for the proof are repeated only where members are designated. The age of a resend counts with the margin of the records.

--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -105,6 +105,11 @@
         PlatformCalls { platform, results }
     }
 
+    /// Returns the number of rollbacks of the platform that its answers have shown.
+    pub(crate) fn era(&self) -> u64 {
+        self.platform.era()
+    }
+
     /// Starts a call that the group's node requested.
     pub(crate) fn start_node_call(
         &self,
--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -70,6 +70,8 @@
     /// Routes by host, if documents come from a central configuration.
     pub(super) routing: Option<Arc<RoutingTable>>,
     suspension: SuspensionDetector,
+    /// Number of rollbacks of the platform that the group has been told of.
+    era: u64,
     /// Whether the snapshot for the traffic threads is outdated.
     pub(super) is_dirty: bool,
     /// Whether the graceful stop has begun.
@@ -91,6 +93,7 @@
             upstream: UpstreamMonitor::default(),
             routing: None,
             suspension: SuspensionDetector::default(),
+            era: 0,
             is_dirty: true,
             is_stopping: false,
             parts,
@@ -112,6 +115,10 @@
             log::warn!(target: "control", "The instance was suspended for {suspended:?}; leases may have expired.");
             self.step(now, Input::Suspended);
         }
+        let era = self.parts.calls.era();
+        if era > std::mem::replace(&mut self.era, era) {
+            self.step(now, Input::PlatformRolledBack);
+        }
         // Runs first, so that after a pause the node drops an expired lease before other tasks run.
         self.step(now, Input::Tick);
         self.check_upstream_timeout(now);
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -21,7 +21,7 @@
 const UNITS_HELD_SHARE: usize = 4;
 const UNIT_RECORDS_BYTES_MIN: usize = 64 << 10;
 /// Amount by which a resend may be older than it states.
-const AGE_MARGIN: std::time::Duration = std::time::Duration::from_millis(50);
+pub(super) const AGE_MARGIN: std::time::Duration = std::time::Duration::from_millis(50);
 
 /// The times at which an upstream that is leaving stops taking new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -118,10 +118,10 @@
         });
         let bound = BoundUpstream { drain, members: ready_members(service), ..bound };
         // While this upstream was not ready, the other members designated others in its place.
-        let has_same_members = |it: &Arc<BoundUpstream>| {
+        let is_unchanged = |it: &Arc<BoundUpstream>| {
             it.members == bound.members && it.announcement.state == bound.announcement.state
         };
-        if !former.as_ref().is_some_and(has_same_members) {
+        if !former.as_ref().is_some_and(is_unchanged) {
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
         self.apply(self.condition.follow_incarnation(&bound.incarnation()));
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -14,7 +14,7 @@
     gate::{
         Gate,
         admission_queue::{AdmissionDecision, Permit},
-        bound::BoundUpstream,
+        bound::{AGE_MARGIN, BoundUpstream},
         records::{RecordLookup, RequestKey},
         table::{Admittance, Clearance, Entry, Grant, NotAdmitted},
     },
@@ -150,7 +150,8 @@
         let changed_at = self.members_changed_at().max(membership.since());
         // Members that have not received a change have no lease by then.
         let settled_at = changed_at + ownership.lease + ownership.drift_margin;
-        first_sent_at >= settled_at && self.other_designated_member(bound, request).is_none()
+        first_sent_at >= settled_at + AGE_MARGIN
+            && self.other_designated_member(bound, request).is_none()
     }
 
     /// Returns the member that keeps the record of a non-idempotent request, if it is not this one.
--- a/crates/agent/src/ingress/server.rs
+++ b/crates/agent/src/ingress/server.rs
@@ -4,8 +4,14 @@
 //! after the other; [`super::read_ahead`] starts the idempotent ones as soon as their heads are received.
 
 use std::{
-    convert::Infallible, future::poll_fn, io, net::TcpListener as StdListener, pin::pin, sync::Arc,
-    task::Poll, time::Duration,
+    convert::Infallible,
+    future::poll_fn,
+    io,
+    net::TcpListener as StdListener,
+    pin::{Pin, pin},
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
 };
 
 use hyper::{server::conn::http1, service::service_fn};
@@ -168,12 +174,10 @@
         _ = server_end.wait_for(|it| *it).await;
     });
     let result = loop {
-        let served = poll_fn(|cx| match caller_stream.poll_read_ahead(cx) {
-            PeerState::Disconnected => Poll::Ready(Ok(())),
-            PeerState::Connected => connection.as_mut().poll(cx),
-        });
         tokio::select! {
-            result = served => break Some(result),
+            result = poll_fn(|cx| poll_connection(cx, &caller_stream, connection.as_mut())) => {
+                break Some(result);
+            }
             () = &mut server_ends => break None,
             // Reads the bytes that may have arrived during the stall.
             Ok(()) = stall_ends.changed() => {}
@@ -183,11 +187,7 @@
         Some(result) => result,
         // A request that has arrived but was not read yet gets a response, which closes the connection.
         None if ingress.is_leaving() && caller_stream.has_unread() => {
-            let served = poll_fn(|cx| match caller_stream.poll_read_ahead(cx) {
-                PeerState::Disconnected => Poll::Ready(Ok(())),
-                PeerState::Connected => connection.as_mut().poll(cx),
-            });
-            served.await
+            poll_fn(|cx| poll_connection(cx, &caller_stream, connection.as_mut())).await
         }
         None => {
             connection.as_mut().graceful_shutdown();
@@ -198,3 +198,15 @@
         log::debug!(target: "ingress", "A caller's connection ended with an error: {error}.");
     }
 }
+
+/// Reads ahead of the server, and lets it serve the connection until the caller has closed it.
+fn poll_connection(
+    cx: &mut Context<'_>,
+    caller_stream: &ReadAheadStream,
+    connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
+) -> Poll<hyper::Result<()>> {
+    match caller_stream.poll_read_ahead(cx) {
+        PeerState::Disconnected => Poll::Ready(Ok(())),
+        PeerState::Connected => connection.poll(cx),
+    }
+}
--- a/crates/ownership/src/coordinator/confirm.rs
+++ b/crates/ownership/src/coordinator/confirm.rs
@@ -145,7 +145,6 @@
         self.awaits_proof = true;
         self.next_query_at = now;
         self.next_read_at = now;
-        self.next_unkeyed_read_at = now;
     }
 
     /// Returns whether the confirmation was discarded, and no read sent since has shown this term.
@@ -192,11 +191,16 @@
     }
 
     /// Sends the read that is due in a group without keys. Nothing is granted there, so the read
-    /// serves only to detect a later term that no message has announced.
+    /// serves only to detect a later term that no message has announced, or as the proof that is
+    /// needed after a pause.
     pub(crate) fn tick_unkeyed(&mut self, ctx: &mut Ctx<'_>) {
-        if self.pending_read.is_none() && self.next_unkeyed_read_at <= ctx.now {
+        let is_proof_due =
+            ctx.config.designates_members && self.awaits_proof && self.next_read_at <= ctx.now;
+        let is_due = is_proof_due || self.next_unkeyed_read_at <= ctx.now;
+        if self.pending_read.is_none() && is_due {
             let call = ctx.call_platform(PlatformRequest::ReadCoordinator);
             self.pending_read = Some((call, ctx.now));
+            self.next_read_at = Timestamp { ns: u64::MAX };
             self.next_unkeyed_read_at = ctx.now + READ_INTERVAL;
         }
     }
@@ -296,9 +300,6 @@
         let Some((_, sent_at)) = self.pending_read.take_if(|it| it.0 == call) else { return false };
         if !shows_term {
             self.next_read_at = self.next_read_at.min(now + READ_RETRY);
-            if self.awaits_proof {
-                self.next_unkeyed_read_at = self.next_unkeyed_read_at.min(now + READ_RETRY);
-            }
             return true;
         }
         self.awaits_proof &= sent_at < self.reset_at;
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -55,6 +55,8 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time without a scan of all slots and keys while none of them is changing.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long the term of a group without keys is announced to the peers of its coordinator.
+const NEW_TERM_ANNOUNCED_FOR: Duration = Duration::from_secs(1);
 /// The longest time without renewals during which a coordinator still announces its term.
 const RENEWAL_SILENCE_MAX: Duration = Duration::from_secs(1);
 /// How long witnesses may take to confirm a term whose record the platform has lost.
@@ -144,6 +146,7 @@
     config: ConfigVersion,
     /// Instances to which the term is announced, besides those that the plan lists.
     known_instances: Vec<Instance>,
+    acquired_at: Timestamp,
     next_announcement_at: Timestamp,
     next_proposal_at: Timestamp,
     proposed_at: Timestamp,
@@ -223,6 +226,7 @@
             next_loads_refresh_at: ctx.now,
             config: ConfigVersion(0),
             known_instances,
+            acquired_at: ctx.now,
             next_announcement_at: ctx.now,
             next_proposal_at: ctx.now + delay,
             proposed_at: Timestamp::ZERO,
@@ -319,6 +323,14 @@
         self.confirmation.reset(now);
     }
 
+    /// Renews no session in a group without keys until a read has shown that its term holds. Another term may have begun
+    /// after a rollback of the platform, and groups without keys read it only rarely.
+    pub(crate) fn doubt_term_without_keys(&mut self, ctx: &Ctx<'_>) {
+        if !ctx.config.keyed {
+            self.confirmation.reset(ctx.now);
+        }
+    }
+
     /// Handles a renewal of a member or a reply of a witness, and answers renewals as far as
     /// possible at once.
     pub(crate) fn handle_message(&mut self, ctx: &mut Ctx<'_>, from: &Instance, message: &Message) {
@@ -485,7 +497,11 @@
     /// Announces the term to all members that may hold something and have not reported it yet,
     /// until the term is settled.
     fn announce(&mut self, ctx: &mut Ctx<'_>) {
-        let has_finished = self.is_settled() && !self.members.rows.is_empty();
+        // In a group without keys no plan lists the members. Peers that follow an earlier term are told of this one.
+        let is_new = ctx.config.designates_members
+            && !ctx.config.keyed
+            && ctx.now.since(self.acquired_at) < NEW_TERM_ANNOUNCED_FOR;
+        let has_finished = self.is_settled() && !self.members.rows.is_empty() && !is_new;
         // A coordinator that receives no renewals leaves the term to nodes that are reachable.
         let is_unreached = ctx.now.since(self.last_renewal_at) > RENEWAL_SILENCE_MAX;
         if has_finished || is_unreached || self.next_announcement_at > ctx.now {
--- a/crates/ownership/src/input.rs
+++ b/crates/ownership/src/input.rs
@@ -40,6 +40,8 @@
     /// The instance was suspended and its clock did not advance meanwhile: earlier leases and confirmations are no
     /// longer valid.
     Suspended,
+    /// The agent has learned by other calls that the platform was rolled back to an older snapshot.
+    PlatformRolledBack,
     /// Leave gracefully: hand over all slots and the term, then emit [`crate::Output::Stopped`].
     Stop,
 }
--- a/crates/ownership/src/node/mod.rs
+++ b/crates/ownership/src/node/mod.rs
@@ -199,6 +199,12 @@
                 self.handle_pause(ctx);
                 return self.renew_now(ctx);
             }
+            Input::PlatformRolledBack => {
+                if let Some(coordination) = &mut self.coordination {
+                    coordination.doubt_term_without_keys(ctx);
+                }
+                return;
+            }
             Input::DropSession { reason } => {
                 self.member.end_session(ctx, reason);
                 return self.renew_now(ctx);
--- a/crates/ownership/src/sim/fault.rs
+++ b/crates/ownership/src/sim/fault.rs
@@ -129,6 +129,12 @@
                 let ns = self.now.ns.saturating_sub(snapshot_age_ns);
                 self.store.roll_back_to(Timestamp { ns });
                 self.links.is_platform_down = false;
+                // Agents watch the platform for documents. Groups with keys learn of the rollback by their own calls.
+                if !self.config.keyed {
+                    for host in 0..self.hosts.len() {
+                        self.pass_input(host, Input::PlatformRolledBack);
+                    }
+                }
             }
             Fault::Lossy { loss_percent, duplicate_percent, late_percent } => {
                 self.links.loss_share = share_from_percent(loss_percent);
--- a/crates/ownership/src/tests/lifecycle.rs
+++ b/crates/ownership/src/tests/lifecycle.rs
@@ -218,6 +218,32 @@
     }
 }
 
+/// Guards against two lists of members for the 10 s between two reads: a restarted member takes the term that the platform
+/// shows after a rollback, and the coordinator whose term was lost goes on with the others.
+#[test]
+fn after_a_rollback_a_group_without_keys_soon_has_one_coordinator() {
+    for seed in 1..=10 {
+        let mut sim = Sim::new(SimConfig { hosts: 3, keyed: false, ..SimConfig::new(seed) });
+        sim.start_all();
+        sim.run_for(Duration::from_secs(3));
+        let first = sim.coordinator().unwrap();
+        sim.apply(Fault::Crash(first));
+        sim.run_for(Duration::from_secs(2));
+        sim.apply(Fault::PlatformRollsBack { snapshot_age_ms: 2_500 });
+        sim.run_for(Duration::from_millis(200));
+        sim.apply(Fault::Start(first));
+        // The restarted member is slow to hear from the others, as while its links are being established.
+        sim.apply(Fault::DropIncoming(first));
+        sim.run_for(Duration::from_secs(2));
+        sim.apply(Fault::HealLinks);
+        sim.run_for(Duration::from_secs(1));
+        let views: Vec<_> = (0..3).filter_map(|it| sim.view(it)).collect();
+        let coordinators = views.iter().filter(|it| it.is_coordinator).count();
+        let members: Vec<usize> = views.iter().map(|it| it.members.len()).collect();
+        assert_eq!((coordinators, members), (1, vec![3, 3, 3]), "seed {seed}");
+    }
+}
+
 /// Guards against a group without keys that stays without sessions after a pause of its coordinator.
 #[test]
 fn after_a_short_pause_the_coordinator_of_a_group_without_keys_renews_again() {
