A pending update does not keep a coordinator from carrying its state over

Cause: the bound on lost terms was not applied while an update of the own object is in doubt. It matters only if that update names witnesses or other times.

Change: each state that may be in force has to be confirmed by the platform, with the times of the document.

--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -603,12 +603,9 @@
     /// by witnesses. Such a term began with the state of this one, which the platform confirms, and a coordinator
     /// chooses witnesses only among members of some age.
     fn no_later_term_has_witnesses(&self, ctx: &Ctx<'_>, rolled_back_at: Timestamp) -> bool {
-        let acked = self.object.acked();
-        let times = acked.times;
+        let times = TermTimes::from(ctx.limits());
         let unproved = rolled_back_at.since(self.confirmation.reached_platform_at());
-        acked.confirmation == Confirmation::Platform
-            && !self.object.is_pending()
-            && times == TermTimes::from(ctx.limits())
+        self.object.is_confirmed_by_platform(times)
             && self.succession.has_no_unknown_witnesses()
             && times.with_drift_margin(unproved) < maintain::WITNESS_AGE_MIN
     }
--- a/crates/ownership/src/coordinator/object.rs
+++ b/crates/ownership/src/coordinator/object.rs
@@ -65,6 +65,13 @@
         self.pending.is_some()
     }
 
+    /// Returns whether each state that may be in force is confirmed by the platform and has these times.
+    pub(crate) fn is_confirmed_by_platform(&self, times: crate::TermTimes) -> bool {
+        let matches =
+            |it: &Coordinator| it.confirmation == Confirmation::Platform && it.times == times;
+        matches(&self.acked) && self.pending.as_ref().is_none_or(|it| matches(&it.object))
+    }
+
     /// Returns the conditions that confirm the term whether or not a pending update has taken
     /// effect.
     pub(crate) fn confirmation_policy(&self, times: crate::TermTimes) -> ConfirmationPolicy<'_> {
