review: case 3, a target that has left gets work again

Claim: DRAIN is broken. An agent that was started again acknowledges that its target leaves (DELETE) but remembers nothing of it, as it knows no heartbeat of this target yet. A heartbeat that was sent before and arrives late then makes the target ready again: it gets entries later than drain_s after the acknowledgement, and those at work when it exits are lost.

How it is shown: review/3/run.sh, three agents and stand-ins of the platform's protocol; one heartbeat is held up for 3.95 s.

The stand-ins also got the events that the exploration uses (late writes, lost heartbeats, crashes of targets).

--- a/review/standins/cases/explore.rs
+++ b/review/standins/cases/explore.rs
@@ -124,6 +124,24 @@
                 deployment.agents[at].kill();
                 deployment.agents[at].spawn().unwrap();
             }
+            "late" => {
+                deployment.store.is_losing.store(true, Ordering::SeqCst);
+                if rng.next(2) == 0 {
+                    deployment.agents[at].kill();
+                    thread::sleep(Duration::from_millis(500));
+                    deployment.agents[at].spawn().unwrap();
+                }
+                thread::sleep(Duration::from_millis(3000 + rng.next(4000)));
+                deployment.store.is_losing.store(false, Ordering::SeqCst);
+            }
+            "unheard" => {
+                let target = &deployment.targets[at];
+                target.is_unheard.store(true, Ordering::SeqCst);
+                thread::sleep(Duration::from_millis(1000 + rng.next(4000)));
+                target.is_unheard.store(false, Ordering::SeqCst);
+            }
+            "foreign" => deployment.targets[at].foreign_beat(),
+            "crash" => deployment.targets[at].restart(),
             "stop" => {
                 deployment.agents[at].signal("STOP");
                 thread::sleep(Duration::from_millis(500 + rng.next(4000)));
--- a/review/standins/cases/left.rs
+++ b/review/standins/cases/left.rs
@@ -20,8 +20,8 @@
 const DRAIN_S: f64 = 2.0;
 const CONTACT_S: f64 = 3.0;
 /// How long the target goes on to serve after `drain_s`.
-const LONGER_S: f64 = 2.0;
-const BEAT_LATE: Duration = Duration::from_millis(4200);
+const LONGER_S: f64 = 1.6;
+const BEAT_LATE: Duration = Duration::from_millis(3950);
 
 pub fn run(setup: &Setup, trouble: bool) -> Result<u8, String> {
     let options = Options::default();
@@ -67,13 +67,14 @@
             record.line(&format!("the beat arrives, answer {answer:?}"));
         })
     };
-    thread::sleep(Duration::from_millis(200));
+    // All this is over before the next beat is due.
+    thread::sleep(Duration::from_millis(100));
     let agent = &mut deployment.agents[1];
     agent.kill();
-    thread::sleep(Duration::from_millis(300));
+    thread::sleep(Duration::from_millis(200));
     agent.spawn().map_err(|it| it.to_string())?;
     let restarted_at = record.now();
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(450));
     if !wait_until(Duration::from_secs(5), || target.leave()) {
         return Err("the leaving of the target was not acknowledged".to_owned());
     }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -67,6 +67,8 @@
     shared: Arc<(Mutex<State>, Condvar)>,
     era: Arc<AtomicU64>,
     is_away: Arc<AtomicBool>,
+    /// Whether some of the writes are done seconds later and not answered.
+    pub is_losing: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -145,6 +147,18 @@
                 return;
             }
             let era = self.era.load(Ordering::SeqCst);
+            if self.is_losing.load(Ordering::SeqCst) && request.first[0] != "GET" && is_unlucky() {
+                let store = self.clone();
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(
+                        1000 + u64::from(request.body.len() as u32 % 5) * 1000,
+                    ));
+                    if era == store.era.load(Ordering::SeqCst) {
+                        store.answer(&request, era);
+                    }
+                });
+                return;
+            }
             let (status, body) = self.answer(&request, era);
             if self.is_away.load(Ordering::SeqCst) {
                 return;
@@ -280,3 +294,9 @@
         }
     }
 }
+
+/// Whether this write is one of the third that is lost.
+fn is_unlucky() -> bool {
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    COUNT.fetch_add(1, Ordering::SeqCst) % 3 == 0
+}
--- a/review/standins/target.rs
+++ b/review/standins/target.rs
@@ -78,7 +78,7 @@
 
 pub struct Inner {
     pub id: String,
-    born: u64,
+    born: AtomicU64,
     machine: Machine,
     options: Options,
     record: Record,
@@ -92,6 +92,8 @@
     released: Mutex<Vec<(u32, u32, String)>>,
     sequence: AtomicU64,
     is_beating: AtomicBool,
+    /// Whether the beats are lost on their way.
+    pub is_unheard: AtomicBool,
     is_leaving: AtomicBool,
     is_gone: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
@@ -114,7 +116,7 @@
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let inner = Inner {
             id: format!("i-{:x}-{}", born & 0xffff_ffff, machine.ip.octets()[3]),
-            born,
+            born: AtomicU64::new(born),
             machine: machine.clone(),
             options,
             record: record.clone(),
@@ -126,6 +128,7 @@
             released: Mutex::default(),
             sequence: AtomicU64::new(0),
             is_beating: AtomicBool::new(true),
+            is_unheard: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
             is_gone: AtomicBool::new(false),
             connections: Mutex::default(),
@@ -165,6 +168,40 @@
         self.line("ends");
     }
 
+    /// The target crashes and starts again under its id. It holds and knows nothing of before.
+    pub fn restart(&self) {
+        for it in self.connections.lock().unwrap().drain(..) {
+            _ = it.shutdown(Shutdown::Both);
+        }
+        self.holds.lock().unwrap().clear();
+        self.closing.lock().unwrap().clear();
+        self.released.lock().unwrap().clear();
+        self.seen.lock().unwrap().fill(0);
+        self.sequence.store(0, Ordering::SeqCst);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        self.born.store(now, Ordering::SeqCst);
+        self.line("crashes and starts again");
+    }
+
+    /// A heartbeat of another writer, in which fields are missing.
+    pub fn foreign_beat(&self) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let body = format!(
+            "{{\"address\":\"{}\",\"born\":{now},\"info\":{{\"service\":\"{}\",\"capacity\":12}},\"status\":{{\"state\":\"ready\",\"sequence\":1}},\"holds\":[],\"released\":[]}}",
+            self.machine.upstream(),
+            self.machine.service,
+        );
+        let host = self.machine.admin().to_string();
+        let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
+        let bytes = http::request_bytes("PUT", "/-/instances/i-foreign", &headers, body.as_bytes());
+        let answer = self.send(&bytes).map(|it| String::from_utf8_lossy(&it.body).into_owned());
+        self.line(&format!("a heartbeat of another writer is answered {answer:?}"));
+    }
+
+    fn born(&self) -> u64 {
+        self.born.load(Ordering::SeqCst)
+    }
+
     pub fn stop_beats(&self) {
         self.is_beating.store(false, Ordering::SeqCst);
     }
@@ -187,7 +224,7 @@
         let mut body = format!(
             "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"{}\",\"capacity\":{}}},\"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\"warmup_left_s\":0}}",
             self.machine.upstream(),
-            self.born,
+            self.born(),
             self.machine.service,
             self.machine.zone,
             self.options.capacity,
@@ -228,9 +265,15 @@
 
     fn beat_forever(&self) {
         while self.is_beating.load(Ordering::SeqCst) {
-            let sent_at = Instant::now();
+            let (sent_at, born) = (Instant::now(), self.born());
             let bytes = self.next_beat();
-            let is_releasing = match self.send(&bytes) {
+            let answer = match self.is_unheard.load(Ordering::SeqCst) {
+                true => None,
+                false => self.send(&bytes),
+            };
+            let is_releasing = match answer {
+                // An answer to an earlier life never reaches this one.
+                Some(_) if born != self.born() => false,
                 Some(answer) => self.apply(sent_at, &answer),
                 None => false,
             };
@@ -248,7 +291,7 @@
     /// Announces that it leaves. Returns whether that is acknowledged.
     pub fn leave(&self) -> bool {
         self.is_leaving.store(true, Ordering::SeqCst);
-        let body = format!("{{\"born\":{}}}", self.born);
+        let body = format!("{{\"born\":{}}}", self.born());
         let is_acknowledged = self.send(&self.call_bytes("DELETE", body.as_bytes())).is_some();
         self.line(&format!("sends DELETE, acknowledged: {is_acknowledged}"));
         is_acknowledged
@@ -351,11 +394,12 @@
             let mut worst = None;
             for key in (it.from..=it.to).filter(|key| key % 32 == 0) {
                 let (fence, holder) = &mut fences[key as usize / 32];
-                if *holder != self.machine.name && *fence >= it.fence && !is_known {
+                let own = format!("{}#{}", self.machine.name, self.born());
+                if *holder != own && *fence >= it.fence && !is_known {
                     worst = worst.max(Some((*fence, key)));
                 }
                 if it.fence > *fence {
-                    (*fence, *holder) = (it.fence, self.machine.name.clone());
+                    (*fence, *holder) = (it.fence, own);
                 }
             }
             if let Some((fence, key)) = worst {
