--- a/review/standins/cases/fence.rs
+++ b/review/standins/cases/fence.rs
@@ -24,7 +24,7 @@
 const COPY_AGE: Duration = Duration::from_millis(2000);
 const BACK_MAX: Duration = Duration::from_secs(45);
 /// The pause between two machines.
-const BETWEEN: Duration = Duration::from_secs(6);
+const BETWEEN: Duration = Duration::from_secs(5);
 const SAMPLES: u32 = 200;
 
 pub fn run(setup: &Setup, trouble: bool) -> Result<u8, String> {
@@ -88,12 +88,13 @@
         let object = Json::parse(deployment.store.object("coordinators")?.as_bytes())?;
         object.get("holder")?.get("name")?.text().map(str::to_owned)
     };
-    // All machines are stopped and started in turn, the one that coordinates as the second.
+    // All machines are stopped and started in turn, two rounds, the one that coordinates as the second.
     let name = coordinator().ok_or("nobody coordinates")?;
     let first = usize::from(deployment.agents[0].machine.name == name);
     let second = deployment.agents.iter().position(|it| it.machine.name == name);
     let second = second.ok_or("the coordinator is unknown")?;
-    for number in [first, second, 3 - first - second] {
+    let round = [first, second, 3 - first - second];
+    for number in round.into_iter().chain(round) {
         let agent = &mut deployment.agents[number];
         agent.stop_and_start().map_err(|it| it.to_string())?;
         thread::sleep(BETWEEN);
--- a/review/standins/mesh.rs
+++ b/review/standins/mesh.rs
@@ -20,13 +20,15 @@
     pub record: Record,
 }
 
-/// The addresses of one machine: a loopback address of its own, so that all ports are free.
+/// The addresses of one machine: a loopback address of its own, with free ports.
 #[derive(Clone)]
 pub struct Machine {
     pub name: String,
     pub zone: String,
     pub service: String,
     pub ip: Ipv4Addr,
+    /// Egress, ingress, ready, admin, target, control.
+    ports: [SocketAddr; 6],
 }
 
 impl Machine {
@@ -34,28 +36,34 @@
         let pid = std::process::id();
         let ip = Ipv4Addr::new(127, 40 + (pid >> 8) as u8 % 80, pid as u8, 10 + number);
         let name = format!("sidecar-{zone}-{number}");
+        let listeners = [(); 6].map(|()| bind_any(ip));
+        let ports = listeners.map(|it| it.local_addr().expect("a bound socket has an address"));
         setup.record.line(&format!("machine {name} at {ip}, service {service}"));
-        Machine { name, zone: zone.to_owned(), service: service.to_owned(), ip }
+        Machine { name, zone: zone.to_owned(), service: service.to_owned(), ip, ports }
     }
 
-    fn at(&self, port: u16) -> SocketAddr {
-        SocketAddr::from((self.ip, port))
+    pub fn egress(&self) -> SocketAddr {
+        self.ports[0]
     }
 
-    pub fn egress(&self) -> SocketAddr {
-        self.at(8141)
+    fn ingress(&self) -> SocketAddr {
+        self.ports[1]
     }
 
-    pub fn upstream(&self) -> SocketAddr {
-        self.at(8147)
+    pub fn ready(&self) -> SocketAddr {
+        self.ports[2]
     }
 
     pub fn admin(&self) -> SocketAddr {
-        self.at(8146)
+        self.ports[3]
     }
 
-    pub fn ready(&self) -> SocketAddr {
-        self.at(8140)
+    pub fn upstream(&self) -> SocketAddr {
+        self.ports[4]
+    }
+
+    fn control(&self) -> SocketAddr {
+        self.ports[5]
     }
 
     fn settings(&self, template: &str, store: SocketAddr) -> String {
@@ -69,10 +77,10 @@
             ("{{listen.egress}}", self.egress().to_string()),
             ("{{listen.admin}}", self.admin().to_string()),
             ("{{listen.ready_addr}}", self.ready().to_string()),
-            ("{{listen.ingress}}", self.at(8145).to_string()),
+            ("{{listen.ingress}}", self.ingress().to_string()),
             ("{{upstream}}", self.upstream().to_string()),
             ("{{ip}}", self.ip.to_string()),
-            ("{{port_range.0}}", "7660".to_owned()),
+            ("{{port_range.0}}", self.control().port().to_string()),
             ("{{platform.address}}", store.to_string()),
         ];
         values.iter().fold(template.to_owned(), |text, (name, value)| text.replace(name, value))
@@ -181,6 +189,9 @@
 
 /// A free port at this address.
 pub fn free_port(ip: Ipv4Addr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a loopback address can be bound");
-    listener.local_addr().expect("a bound socket has an address")
+    bind_any(ip).local_addr().expect("a bound socket has an address")
+}
+
+fn bind_any(ip: Ipv4Addr) -> TcpListener {
+    TcpListener::bind((ip, 0)).expect("a loopback address can be bound")
 }
