--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,4 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" left "$(cd "$(dirname "$0")" && pwd)"
+# Writes what was sent, answered and run to record.txt. TROUBLE=0 leaves the disruption out.
+here=$(cd "$(dirname "$0")" && pwd)
+TROUBLE=${TROUBLE:-1} exec "$here/../run-case.sh" left "$here/record.txt"
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs one case: run-case.sh CASE FOLDER. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
+# Runs one case: run-case.sh CASE RECORD. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 # TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/.."
@@ -19,6 +19,6 @@
 }
 trap end EXIT
 touch "$dir/pids"
-timeout 110 "$standins" "$1" "$program" "$template" "$dir" "$2/record.txt" "${TROUBLE:-1}"
+timeout 110 "$standins" "$1" "$program" "$template" "$dir" "$2" "${TROUBLE:-1}"
 status=$?
 case $status in 0 | 1 | 2) exit $status ;; *) exit 2 ;; esac
