--- a/crates/agent/src/gate/leases/reconcile.rs
+++ b/crates/agent/src/gate/leases/reconcile.rs
@@ -190,14 +190,15 @@
             GrantOutcome::Outdated
         }
         Ok(Err(error)) => {
-            log::debug!(target: "gate", "A grant failed: {error}.");
+            log::info!(target: "gate", "A grant under token {} for keys {} to {} failed and may still take effect: {error}.", range.token, granted.keys.first, granted.keys.last);
             GrantOutcome::Unknown
         }
         Err(_) => {
-            log::debug!(target: "gate", "The upstream did not answer a grant of keys {} to {} in time.", granted.keys.first, granted.keys.last);
+            log::info!(target: "gate", "The upstream did not answer a grant under token {} for keys {} to {} in time; it may still take effect, for {hold:?} from its arrival.", range.token, granted.keys.first, granted.keys.last);
             GrantOutcome::Unknown
         }
     };
+    gate.metrics.record_grant(&bound.document.team, grant_result(end));
     gate.leases.lock().finish_grant(gate.clock.now(), range, sent_at, hold, end);
     if end == GrantOutcome::Accepted {
         gate.record_response(gate.clock.now());
@@ -205,6 +206,15 @@
     }
 }
 
+/// Returns the name of the outcome in metrics.
+fn grant_result(outcome: GrantOutcome) -> &'static str {
+    match outcome {
+        GrantOutcome::Accepted => "accepted",
+        GrantOutcome::Outdated => "outdated",
+        GrantOutcome::Unknown => "unknown",
+    }
+}
+
 /// Sends a release and returns the upstream's handover token, or `None` if the upstream did not
 /// answer.
 async fn send_release(
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -44,6 +44,7 @@
     limit_changes: IntCounterVec,
     measured_answers: IntCounter,
     member_weight: GaugeVec,
+    grants: IntCounterVec,
 }
 
 impl Metrics {
@@ -138,6 +139,14 @@
             ),
             &["instance"],
         )?;
+        let grants = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_key_grants_total",
+                "Grants of keys to the upstream by call; outdated if it has seen a higher fence token.",
+            ),
+            &["tenant", "result"],
+        )?;
+        registry.register(Box::new(grants.clone()))?;
         registry.register(Box::new(measured_answers.clone()))?;
         registry.register(Box::new(member_weight.clone()))?;
         registry.register(Box::new(request_s.clone()))?;
@@ -179,6 +188,7 @@
             limit_changes,
             measured_answers,
             member_weight,
+            grants,
         })
     }
 
@@ -268,6 +278,11 @@
         self.measured_answers.inc();
     }
 
+    /// Records a grant of keys by call; `result` is `accepted`, `outdated` or `unknown`.
+    pub(crate) fn record_grant(&self, team: &TeamName, result: &str) {
+        self.grants.with_label_values(&[team.as_str(), result]).inc();
+    }
+
     /// Sets the weights of the members; none unless this agent is the coordinator.
     pub(crate) fn set_capacities(&self, capacities: &[MemberCapacity]) {
         self.member_weight.reset();
