Rounds of terms after a rollback are drawn from a counter of the era

What callers saw: after rollbacks of the store a later coordinator could have the lower term. Its tokens, and with them the fences of its grants, were below those of the coordinator before it; upstreams that had seen the higher ones refuse their keys.

Cause: a term was `max(terms known) + 1 + 1024 per era`, with a random tie-breaker. (1) Two nodes that derive a term from the same older object get the same round, and the order of their terms is up to the tie-breakers. (2) The rounds of the eras were counted on top of the highest term that a node had *heard* of, but from the era of the object that it had *read*: a node that knew a term of era 2 and read an object of era 0 in era 3 drew 2053 + 1 + 3 * 1024 = 5126, and a node that knew less drew 2 + 1 + 5 * 1024 = 5123 in era 5, and so on up to 5126 again.

Change: in an era above 0 each term gets a round that is drawn from an object of the group and the era, by a conditional update of that object. An update that is conditional on a version of an earlier era can't change it, as its name contains the era, so that a round is drawn once, and later ones are higher. The counter starts above all rounds that may have been lost: 1,024 for each era since the stored term, or since era 0 if nothing is stored; never on top of what was heard. The tie-breaker is 0. Terms of earlier versions of the agent keep their order below terms of later rounds.

Cost: two more calls for a change of the coordinator, in eras above 0 only.

Tests: the test of tie-breakers is replaced. Terms of one round are no longer drawn, which the tests of the counter show; that terms with tie-breakers stay below those of later rounds is still tested.

--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -7,7 +7,7 @@
 use model::{GroupId, ObjectVersion, ServiceName};
 use object_store::{Changes, Object, ObjectStore, StoreError};
 use ownership::{CallId, Coordinator, Plan, PlatformReply, PlatformRequest};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use settings::{AcceptedDocument, GroupStatus, accepted_path, service_path, status_path};
 use tokio::sync::mpsc;
 
@@ -90,6 +90,19 @@
 /// The common path prefix of all accepted documents.
 pub(crate) const ACCEPTED_PREFIX: &str = "accepted/";
 
+/// Number of objects that count the rounds of a group. The counter of an era replaces one of an earlier era, which is so
+/// much older that no update conditional on it is in flight.
+const COUNTERS_MAX: u64 = 16;
+
+/// The last round of a term that was drawn in an era of the platform.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LastRound {
+    era: u64,
+    round: u32,
+}
+
 /// Starts calls to the platform on the runtime of the control thread.
 #[derive(Clone)]
 pub(crate) struct PlatformCalls {
@@ -120,6 +133,7 @@
     ) {
         let coordinator = coordinator_path(service, group);
         let plan = plan_path(service, group);
+        let rounds = rounds_path(service, group);
         self.spawn(move |platform| async move {
             let platform = platform.as_ref();
             let reply = match request {
@@ -145,6 +159,11 @@
                     .update(&plan, expected, to_json(&object))
                     .await
                     .map(PlatformReply::Updated),
+                PlatformRequest::DrawRound { era, above } => {
+                    draw_round(platform, &format!("{rounds}/{}", era % COUNTERS_MAX), era, above)
+                        .await
+                        .map(PlatformReply::RoundDrawn)
+                }
             };
             CallResult::Node { call, reply: reply.unwrap_or_else(reply_for_error) }
         });
@@ -253,6 +272,11 @@
     format!("plans/{service}/{group}")
 }
 
+/// Path prefix of the objects that count the rounds of terms, one for each of the last eras.
+fn rounds_path(service: &ServiceName, group: GroupId) -> String {
+    format!("rounds/{service}/{group}")
+}
+
 fn reply_for_error(error: StoreError) -> PlatformReply {
     match error {
         StoreError::Conflict { .. } => PlatformReply::Conflict,
@@ -273,6 +297,32 @@
     String::from_utf8_lossy(&object.body).into_owned()
 }
 
+/// Draws a round above `above` and above all rounds that the counter at `path` has given out in this era.
+async fn draw_round(
+    platform: &dyn ObjectStore,
+    path: &str,
+    era: u64,
+    above: u32,
+) -> Result<u32, StoreError> {
+    let (expected, last) =
+        version_and_object(platform, read_json::<LastRound>(platform, path).await?);
+    let rolled_back =
+        |current| StoreError::Conflict { step: format!("drawing a round from {path}"), current };
+    if expected.era() != era {
+        return Err(rolled_back(expected));
+    }
+    let last = last.filter(|it| it.era == era).map_or(0, |it| it.round);
+    let Some(round) = last.max(above).checked_add(1) else {
+        log::error!(target: "platform", "No round is left above {above} for the next term; {path} counts them.");
+        return Err(rolled_back(expected));
+    };
+    let updated = platform.update(path, expected, to_json(&LastRound { era, round })).await?;
+    match updated.era() == era {
+        true => Ok(round),
+        false => Err(rolled_back(updated)),
+    }
+}
+
 async fn read_group(
     platform: &dyn ObjectStore,
     service: &ServiceName,
--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the control thread and of its tables.
 
+mod calls;
 mod config;
 mod documents;
 mod full_group;
--- a/crates/model/src/identity.rs
+++ b/crates/model/src/identity.rs
@@ -10,7 +10,7 @@
 /// above hold the era.
 const REVISION_BITS: u32 = 40;
 const REVISION_MAX: u64 = (1 << REVISION_BITS) - 1;
-/// Number of low bits of a term that hold its tie-breaker, if it has one. The bits above hold the round.
+/// Number of low bits of a term drawn after a rollback that hold its tie-breaker. The bits above hold the round.
 const TIE_BREAKER_BITS: u32 = 32;
 
 macro_rules! number_types {
@@ -32,8 +32,9 @@
 number_types! {
     /// Identifier of one execution of an agent process, drawn at random at its start.
     Incarnation(u64);
-    /// Term of a coordinator in one group. It increases with each change of coordinator. A term consists of a round and,
-    /// if the store has been rolled back to an older snapshot, a tie-breaker; it is compared by round first.
+    /// Term of a coordinator in one group. It increases with each change of coordinator. After a rollback of the store to
+    /// an older snapshot it consists of a round and a tie-breaker and is compared by round first; before, it is a plain
+    /// number.
     Term(u64);
     /// Version that the platform assigns to a state of an object, higher than all versions assigned before. 0 means that
     /// the object does not exist.
@@ -66,13 +67,13 @@
         Term(self.0 + 1)
     }
 
-    /// Returns a term that is `rounds` rounds above this one. A rollback of the store may have lost the record of a term
-    /// of the same round; the terms still differ if their tie-breakers do.
-    pub fn later_round(self, rounds: u64, tie_breaker: u32) -> Term {
-        Term((self.round() + rounds) << TIE_BREAKER_BITS | u64::from(tie_breaker))
+    /// Returns the term of a round that was drawn after a rollback of the store. It is above all terms that were drawn
+    /// before the first rollback.
+    pub fn after_rollback(round: u32) -> Term {
+        Term(u64::from(round) << TIE_BREAKER_BITS)
     }
 
-    /// Returns the round of this term. Terms without a tie-breaker are below all others, and are their own round.
+    /// Returns the round of this term. Terms drawn before the first rollback are their own round.
     pub fn round(self) -> u64 {
         match self.0 >> TIE_BREAKER_BITS {
             0 => self.0,
--- a/crates/model/src/tests.rs
+++ b/crates/model/src/tests.rs
@@ -72,23 +72,21 @@
     assert_eq!(RequestRate::try_from(0), Err(ZeroRateError));
 }
 
-/// Guards against equal terms after a rollback of the store has lost the record of one of them.
-#[test]
-fn terms_of_one_round_differ_by_their_tie_breakers() {
-    let lost = Term(3).later_round(1025, 7);
-    let drawn_again = Term(3).later_round(1025, 8);
-    assert_ne!(lost, drawn_again);
-    assert_eq!(lost.round(), drawn_again.round());
-    assert!(drawn_again.max(lost).later_round(1, 0) > lost.max(drawn_again));
-}
-
 /// Guards against a term after a rollback that is below one before it.
 #[test]
-fn terms_with_a_tie_breaker_are_above_all_others_and_ordered_by_round() {
+fn terms_drawn_after_a_rollback_are_above_all_others_and_ordered_by_round() {
     let plain = Term(u64::from(u32::MAX));
-    let first = Term(5).later_round(1, u32::MAX);
+    let first = Term::after_rollback(6);
     assert!(first > plain);
     assert_eq!(first.round(), 6);
-    assert!(first.later_round(1, 0) > first);
+    assert!(Term::after_rollback(7) > first);
     assert!(first.next() > first);
 }
+
+/// Guards against terms that fall or repeat after an update from a version that drew tie-breakers.
+#[test]
+fn terms_of_a_later_round_are_above_those_with_tie_breakers() {
+    let earlier = [Term(1028 << 32 | 7), Term(1028 << 32 | 8), Term(1028 << 32 | 0xffff_ffff)];
+    assert!(earlier.is_sorted_by(|a, b| a < b));
+    assert!(earlier.iter().all(|it| it.round() == 1028 && Term::after_rollback(1029) > *it));
+}
--- a/crates/ownership/src/coordinator/object.rs
+++ b/crates/ownership/src/coordinator/object.rs
@@ -156,7 +156,7 @@
                 self.pending = None;
                 UpdateOutcome::Undecided
             }
-            PlatformReply::Failed | PlatformReply::Plan(..) => {
+            PlatformReply::Failed | PlatformReply::Plan(..) | PlatformReply::RoundDrawn(_) => {
                 pending.retry_at = ctx.now + ctx.jittered(RETRY_DELAY_MAX);
                 UpdateOutcome::Undecided
             }
--- a/crates/ownership/src/coordinator/plan.rs
+++ b/crates/ownership/src/coordinator/plan.rs
@@ -261,7 +261,9 @@
             PlatformReply::Plan(version, stored) => {
                 return self.handle_plan(ctx, *version, stored.as_deref(), first_plan);
             }
-            PlatformReply::Failed | PlatformReply::Coordinator(..) => {
+            PlatformReply::Failed
+            | PlatformReply::Coordinator(..)
+            | PlatformReply::RoundDrawn(_) => {
                 self.retry_at = ctx.now + ctx.jittered(RETRY_DELAY_MAX);
             }
         }
--- a/crates/ownership/src/input.rs
+++ b/crates/ownership/src/input.rs
@@ -67,6 +67,8 @@
     Plan(ObjectVersion, Option<Box<Plan>>),
     /// The conditional update took effect and gave the object this version.
     Updated(ObjectVersion),
+    /// The round that [`crate::PlatformRequest::DrawRound`] has drawn.
+    RoundDrawn(u32),
     /// The conditional update was refused because the object has another version.
     Conflict,
     /// The call failed or its reply was lost: an update may or may not have taken effect.
@@ -80,7 +82,7 @@
             PlatformReply::Coordinator(version, _)
             | PlatformReply::Plan(version, _)
             | PlatformReply::Updated(version) => Some(version.era()),
-            PlatformReply::Conflict | PlatformReply::Failed => None,
+            PlatformReply::RoundDrawn(_) | PlatformReply::Conflict | PlatformReply::Failed => None,
         }
     }
 }
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -36,8 +36,8 @@
 /// A node counts as reachable for this long after its last message.
 const REACHABLE_WITHIN: Duration = Duration::from_secs(1);
 const CONTACTS_MAX: usize = 64;
-/// Number of rounds skipped for each time that the platform was rolled back. More than the number of terms that can
-/// have started in the lost period, so that the new term is above the lost ones.
+/// Number of rounds skipped for each rollback of the platform. More than the number of terms that can have started since
+/// the rollback before it, as far as they are lost.
 const ROUNDS_SKIPPED_PER_ERA: u64 = 1024;
 /// Maximum number of attempts without a reply that a node keeps.
 const UNANSWERED_ATTEMPTS_MAX: usize = 16;
@@ -59,6 +59,8 @@
     Reading(CallId),
     /// Reading the plan, because the coordinator object does not exist: the plan shows which terms have been used.
     ReadingPlan(CallId, ObjectVersion),
+    /// Drawing the round of the attempt's term; the update is then conditional on this version.
+    DrawingRound(CallId, ObjectVersion, Box<Attempt>),
     Updating(CallId, Box<Attempt>),
 }
 
@@ -302,6 +304,7 @@
             TakeoverStep::Idle => false,
             TakeoverStep::Reading(it)
             | TakeoverStep::ReadingPlan(it, _)
+            | TakeoverStep::DrawingRound(it, _, _)
             | TakeoverStep::Updating(it, _) => *it == call,
         };
         if !own {
@@ -322,6 +325,10 @@
             (TakeoverStep::ReadingPlan(_, version), PlatformReply::Plan(_, plan)) => {
                 self.attempt_first_term(ctx, version, plan.as_deref());
             }
+            (
+                TakeoverStep::DrawingRound(_, expected, attempt),
+                PlatformReply::RoundDrawn(round),
+            ) => self.attempt_drawn_term(ctx, expected, *attempt, Term::after_rollback(*round)),
             (TakeoverStep::Updating(_, attempt), PlatformReply::Updated(version)) => {
                 self.takeover.retry_delay = RETRY_DELAY_MIN;
                 self.complete_takeover(ctx, *attempt, *version);
@@ -381,10 +388,10 @@
             .filter(|it| rolled_back && object.term <= it.object.term && it.era == version.era());
         let previous = carried.as_ref().map_or(&stored, |it| &it.object).clone();
         let nonce = ctx.draw_nonce();
-        let eras_passed = version.era() - object.era.min(version.era());
         let latest = object.term.max(self.known.term);
-        let attempt = Coordinator {
-            term: following_term(latest, version, eras_passed, nonce),
+        let lost_max = highest_lost_round(object.term, object.era, version);
+        let object = Coordinator {
+            term: latest,
             holder: Some(ctx.own_instance().clone()),
             nonce,
             settled: false,
@@ -393,7 +400,8 @@
             ..previous.clone()
         };
         let stored = carried.is_some().then_some(stored);
-        self.start_attempt(ctx, version, attempt, Some(previous), stored);
+        let attempt = Attempt { object, previous: Some(previous), stored, sent_at: ctx.now };
+        self.draw_term(ctx, version, attempt, lost_max);
     }
 
     /// Returns the state of the term that this node holds or has just held, if the platform has lost its record and the
@@ -424,8 +432,7 @@
         let object = Coordinator {
             service: ctx.config.service.clone(),
             group: ctx.config.group,
-            // A platform that was rolled back may have lost the coordinator object of earlier terms.
-            term: following_term(latest, version, version.era(), nonce),
+            term: latest,
             holder: Some(ctx.own_instance().clone()),
             nonce,
             witnesses: Vec::new(),
@@ -437,19 +444,61 @@
         };
         let previous = Coordinator { term: latest, holder: None, ..object.clone() };
         let previous = history_lost.then_some(previous);
-        self.start_attempt(ctx, version, object, previous, None);
+        let attempt = Attempt { object, previous, stored: None, sent_at: ctx.now };
+        // The group may be as old as the platform, and each rollback may have lost the objects of later terms.
+        let lost_max = highest_lost_round(Term(0), 0, version)
+            .max(plan.map_or(0, |it| highest_lost_round(planned, it.era, version)));
+        self.draw_term(ctx, version, attempt, lost_max);
+    }
+
+    /// Draws a term above the latest known one, which `attempt` has, and above round `lost_max`, and starts the attempt to
+    /// acquire it.
+    ///
+    /// Conditional updates order terms only in a platform that was never rolled back. Afterwards an update conditional on
+    /// a version of an earlier era may replace the object of a later term, so that nodes would derive the same term from
+    /// it again. A counter of the era, which no such update can change, makes later terms higher.
+    fn draw_term(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        expected: ObjectVersion,
+        attempt: Attempt,
+        lost_max: u64,
+    ) {
+        let latest = attempt.object.term;
+        let era = expected.era();
+        if era == 0 {
+            return self.start_attempt(ctx, expected, attempt, latest.next());
+        }
+        let above = u32::try_from(latest.round().max(lost_max)).unwrap_or(u32::MAX);
+        let call = ctx.call_platform(PlatformRequest::DrawRound { era, above });
+        self.takeover.step = TakeoverStep::DrawingRound(call, expected, Box::new(attempt));
+    }
+
+    /// Starts the attempt to acquire a drawn term, unless a higher one has become known meanwhile.
+    fn attempt_drawn_term(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        expected: ObjectVersion,
+        attempt: Attempt,
+        term: Term,
+    ) {
+        if term <= self.known.term {
+            self.takeover.next_attempt_at = ctx.now;
+            return;
+        }
+        self.start_attempt(ctx, expected, attempt, term);
     }
 
     fn start_attempt(
         &mut self,
         ctx: &mut Ctx<'_>,
         expected: ObjectVersion,
-        object: Coordinator,
-        previous: Option<Coordinator>,
-        stored: Option<Coordinator>,
+        attempt: Attempt,
+        term: Term,
     ) {
+        let object = Coordinator { term, ..attempt.object };
         let request = PlatformRequest::UpdateCoordinator { expected, object: object.clone() };
-        let attempt = Attempt { object, previous, stored, sent_at: ctx.now };
+        let attempt = Attempt { object, sent_at: ctx.now, ..attempt };
         self.takeover.step = TakeoverStep::Updating(ctx.call_platform(request), Box::new(attempt));
     }
 
@@ -475,14 +524,12 @@
     }
 }
 
-/// Returns the term of an update conditional on `expected` that follows `latest`, the latest known term, of an object
-/// that was written `eras_passed` eras earlier.
+/// Returns the highest round that may have been drawn before the era of `version` and lost since, if the latest stored
+/// term was drawn in `era`.
 ///
-/// An update conditional on a version of an earlier era may overwrite the object of a later term, so that nodes may
-/// draw the same round again. The nonce of the update tells their terms apart.
-fn following_term(latest: Term, expected: ObjectVersion, eras_passed: u64, nonce: u64) -> Term {
-    match expected.era() {
-        0 => latest.next(),
-        _ => latest.later_round(1 + ROUNDS_SKIPPED_PER_ERA * eras_passed, nonce as u32),
-    }
+/// This depends on stored terms only. A node that also knew a later term and counted the lost rounds from there would
+/// draw a term that others, which do not know it, can't exceed after the next rollback.
+fn highest_lost_round(stored: Term, era: u64, version: ObjectVersion) -> u64 {
+    let eras_passed = version.era().saturating_sub(era);
+    stored.round().saturating_add(ROUNDS_SKIPPED_PER_ERA.saturating_mul(eras_passed))
 }
--- a/crates/ownership/src/output.rs
+++ b/crates/ownership/src/output.rs
@@ -41,6 +41,12 @@
         expected: ObjectVersion,
         object: Box<Plan>,
     },
+    /// Draw a round for a term after a rollback: above `above` and all rounds drawn before in `era`. Fails if the platform
+    /// is in another era.
+    DrawRound {
+        era: u64,
+        above: u32,
+    },
 }
 
 /// Command to the gate, which admits requests for slots and hot keys under a single lease.
--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -291,7 +291,9 @@
         let to_platform = Duration::from_micros(self.rng.random_range(500..3000));
         let is_update = matches!(
             request,
-            PlatformRequest::UpdateCoordinator { .. } | PlatformRequest::UpdatePlan { .. }
+            PlatformRequest::UpdateCoordinator { .. }
+                | PlatformRequest::UpdatePlan { .. }
+                | PlatformRequest::DrawRound { .. }
         );
         let is_late = is_update && self.rng.random_bool(self.links.late_update_share);
         let is_lost = is_update && self.rng.random_bool(self.links.lost_reply_share);
--- a/crates/ownership/src/sim/platform.rs
+++ b/crates/ownership/src/sim/platform.rs
@@ -4,7 +4,7 @@
 //! reassigned in the next era. A client that has not detected the rollback yet sends expected versions of an earlier
 //! era. Their replies are the ones that a real client gets from `object_store::EraTracker`.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use model::{ObjectVersion, Timestamp};
 
@@ -32,6 +32,8 @@
     revision: u64,
     coordinator: Option<(u64, Coordinator)>,
     plan: Option<(u64, Box<Plan>)>,
+    /// Latest round that was drawn in each era.
+    rounds: BTreeMap<u64, u32>,
 }
 
 impl Store {
@@ -85,6 +87,12 @@
                 objects.plan = Some((objects.revision, object.clone()));
                 self.update_reply(*expected)
             }
+            PlatformRequest::DrawRound { era, .. } if *era != self.era => PlatformReply::Conflict,
+            PlatformRequest::DrawRound { era, above } => {
+                let drawn = self.begin_change(at).rounds.entry(*era).or_default();
+                *drawn = above.max(drawn) + 1;
+                PlatformReply::RoundDrawn(*drawn)
+            }
         }
     }
 
--- a/crates/ownership/src/tests/routes.rs
+++ b/crates/ownership/src/tests/routes.rs
@@ -125,7 +125,7 @@
 /// Guards against changes of one term that are applied to the table of another term of the same round.
 #[test]
 fn after_a_switch_to_another_term_of_the_same_round_only_the_complete_table_applies() {
-    let (term, other_term) = (TERM.later_round(1, 7), TERM.later_round(1, 8));
+    let (term, other_term) = (Term(5 << 32 | 7), Term(5 << 32 | 8));
     let complete = |name| Routes {
         version: first_route_version(term) + 2,
         joined: vec![joined(FIRST, name)],
--- a/crates/ownership/src/tests/upstream_clearing.rs
+++ b/crates/ownership/src/tests/upstream_clearing.rs
@@ -110,6 +110,7 @@
                 self.version += 1;
                 PlatformReply::Updated(ObjectVersion(self.version))
             }
+            PlatformRequest::DrawRound { .. } => PlatformReply::Failed,
         }
     }
 
--- a/xtask/src/bench/slopes/group.rs
+++ b/xtask/src/bench/slopes/group.rs
@@ -368,6 +368,8 @@
                 let body = serde_json::to_vec(&object).unwrap_or_default();
                 update(&mut self.revision, &mut self.plan, expected, body)
             }
+            // This store is never rolled back.
+            PlatformRequest::DrawRound { .. } => PlatformReply::Conflict,
         }
     }
 }
