An update that creates an object is not confirmed in a later era of the store

What callers would see: two coordinators, of which one takes its first term for the group's first, and grants at once.

Cause: the tracker of eras lets updates through that expect version 0, for writers that do not know the era. A node that reads in era 0 that its group has no object, and whose update arrives after a rollback, was told that it had acquired term 1, settled, although the store has lost earlier terms.

Not seen on a deployment.

Change: the calls of a node confirm an update only if the answer is of the era of the version that it expected.

--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -153,12 +153,13 @@
                 }
                 PlatformRequest::UpdateCoordinator { expected, object } => {
                     let body = to_json(&object);
-                    platform.update(&coordinator, expected, body).await.map(PlatformReply::Updated)
+                    let updated = platform.update(&coordinator, expected, body).await;
+                    updated.map(|it| reply_for_update(expected, it))
+                }
+                PlatformRequest::UpdatePlan { expected, object } => {
+                    let updated = platform.update(&plan, expected, to_json(&object)).await;
+                    updated.map(|it| reply_for_update(expected, it))
                 }
-                PlatformRequest::UpdatePlan { expected, object } => platform
-                    .update(&plan, expected, to_json(&object))
-                    .await
-                    .map(PlatformReply::Updated),
                 PlatformRequest::DrawRound { era, above } => {
                     draw_round(platform, &format!("{rounds}/{}", era % COUNTERS_MAX), era, above)
                         .await
@@ -277,6 +278,15 @@
     format!("rounds/{service}/{group}")
 }
 
+/// Confirms an update only if no rollback has come between it and the read of the version that it expected. Otherwise
+/// the state that it replaced is unknown.
+fn reply_for_update(expected: ObjectVersion, updated: ObjectVersion) -> PlatformReply {
+    match updated.era() == expected.era() {
+        true => PlatformReply::Updated(updated),
+        false => PlatformReply::Failed,
+    }
+}
+
 fn reply_for_error(error: StoreError) -> PlatformReply {
     match error {
         StoreError::Conflict { .. } => PlatformReply::Conflict,
--- a/crates/agent/src/control/tests/calls.rs
+++ b/crates/agent/src/control/tests/calls.rs
@@ -2,8 +2,10 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use model::{GroupId, ServiceName};
-use ownership::{CallId, PlatformReply, PlatformRequest};
+use model::{GroupId, ObjectVersion, ServiceName, Term};
+use ownership::{
+    CallId, Confirmation, Coordinator, Limits, PlatformReply, PlatformRequest, TermTimes,
+};
 use tokio::sync::mpsc;
 
 use super::platform::FakeStore;
@@ -75,3 +77,26 @@
     store.roll_back();
     assert_eq!(draw_round(&store, 1, u32::MAX).await, None);
 }
+
+/// Guards against a first term that is taken as acquired although the store has lost earlier ones in a rollback.
+#[tokio::test]
+async fn an_update_that_creates_an_object_after_a_rollback_is_not_confirmed() {
+    let store = Arc::new(FakeStore::new());
+    store.roll_back();
+    let object = Coordinator {
+        service: service(),
+        group: GroupId::FIRST,
+        term: Term(1),
+        holder: None,
+        nonce: 7,
+        witnesses: Vec::new(),
+        confirmation: Confirmation::Platform,
+        settled: true,
+        times: TermTimes::from(&Limits::default()),
+        era: 0,
+        history_lost: false,
+    };
+    let expected = ObjectVersion(0);
+    let reply = reply(&store, PlatformRequest::UpdateCoordinator { expected, object }).await;
+    assert!(matches!(reply, PlatformReply::Failed), "{reply:?}");
+}
