A fence is a checked conversion of the token, with 53 bits

What upstreams saw: keys under fences below those under which other upstreams had them (OWNER). Upstreams that had seen the higher fences refused the lower ones for good, so that their keys were not served.

Cause: `fence_of` shifted the term by 24 in 64 bits. A term drawn after a rollback has its round above bit 32, so that 8 bits of it were left on top of the fence: it fell at each multiple of 256 rounds, and between two eras whose rounds differ by a multiple of 256 the tie-breakers decided. Fences of 57 bits and more are also beyond 2^53, where readers of JSON that take numbers for doubles see neighbours as equal. `token_of` gave another token back, so that agents did not recognise their grants in heartbeats. The class: two numbers packed into one by a shift that loses bits without a sign.

Change: `model::Fence` holds the sequence in 24 bits, the round in 28, and a bit for terms after a rollback, which are above all others. It is ordered like the tokens, below 2^53, and converts back exactly.

The simulator checks that each token under which a slot is admitted has a fence.

--- a/crates/model/src/identity.rs
+++ b/crates/model/src/identity.rs
@@ -80,6 +80,12 @@
             round => round,
         }
     }
+
+    /// Returns the tie-breaker of a term drawn after a rollback, or `None` for any other term. Only earlier versions of
+    /// the agent, whose rounds were not unique, draw one other than 0.
+    pub(crate) fn tie_breaker(self) -> Option<u32> {
+        (self.0 >> TIE_BREAKER_BITS > 0).then_some(self.0 as u32)
+    }
 }
 
 impl ObjectVersion {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate does no I/O, reads no clock and draws no random numbers.
 
+mod fence;
 mod fingerprint;
 mod identity;
 mod key;
@@ -13,6 +14,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use fence::{Fence, FenceError};
 pub use fingerprint::Fingerprint;
 pub use identity::{
     ConfigVersion, GroupId, Incarnation, Instance, ObjectVersion, RequestId, Term, Token,
--- a/crates/model/src/tests.rs
+++ b/crates/model/src/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of names, tokens, rates, the key hash and ordered keys.
 
 use crate::{
-    NameError, RequestRate, ServiceName, Slot, SlotCount, Term, Token, ZeroRateError, key_hash,
+    Fence, FenceError, NameError, RequestRate, ServiceName, Slot, SlotCount, Term, Token,
+    ZeroRateError, key_hash,
 };
 
 fn check(text: &str, expected: Result<&str, NameError>) {
@@ -90,3 +91,47 @@
     assert!(earlier.is_sorted_by(|a, b| a < b));
     assert!(earlier.iter().all(|it| it.round() == 1028 && Term::after_rollback(1029) > *it));
 }
+
+fn token(term: Term, sequence: u64) -> Token {
+    Token { term, sequence }
+}
+
+/// Tokens in ascending order, at the bounds of each part.
+fn fenced_tokens() -> Vec<Token> {
+    let round_max = (1 << 28) - 1;
+    let plain = [1, 2, 253, 1028, 1 << 27, round_max].map(Term);
+    let drawn = [1025, 1026, 1280, 1 << 27, round_max as u32].map(Term::after_rollback);
+    let terms = plain.into_iter().chain(drawn);
+    terms.flat_map(|it| [0, 1, 900_000, Fence::SEQUENCE_MAX].map(|seq| token(it, seq))).collect()
+}
+
+/// Guards against fences in another order than their tokens, and against fences that double-precision numbers round.
+#[test]
+fn fences_are_ordered_like_their_tokens_and_stay_below_2_pow_53() {
+    let tokens = fenced_tokens();
+    let fences: Vec<u64> = tokens.iter().map(|it| Fence::try_from(*it).unwrap().number()).collect();
+    assert!(tokens.is_sorted_by(|a, b| a < b));
+    assert!(fences.is_sorted_by(|a, b| a < b));
+    assert!(fences.iter().all(|it| *it < 1 << 53 && (*it as f64) as u64 == *it));
+}
+
+/// Guards against an announced fence that is taken for another token than the granted one.
+#[test]
+fn a_fence_converts_back_to_its_token() {
+    for token in fenced_tokens() {
+        assert_eq!(Token::with_fence(Fence::try_from(token).unwrap().number()), token);
+    }
+    for number in [1 << 53, 1 << 56, u64::MAX] {
+        assert!(Fence::try_from(Token::with_fence(number)).is_err(), "{number}");
+    }
+}
+
+/// Guards against a conversion that drops bits, after which fences fall.
+#[test]
+fn tokens_that_need_more_bits_have_no_fence() {
+    let part = |it| Fence::try_from(it).map_err(|error: FenceError| error.part);
+    assert_eq!(part(token(Term(1 << 28), 0)), Err("the round of the term"));
+    assert_eq!(part(token(Term::after_rollback(1 << 28), 0)), Err("the round of the term"));
+    assert_eq!(part(token(Term(2), Fence::SEQUENCE_MAX + 1)), Err("the sequence"));
+    assert_eq!(part(token(Term(1025 << 32 | 7), 1)), Err("the tie-breaker of the term"));
+}
--- a/crates/ownership/src/sim/invariants.rs
+++ b/crates/ownership/src/sim/invariants.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use model::{KeyHash, Slot, SlotCount, Timestamp, Token};
+use model::{Fence, KeyHash, Slot, SlotCount, Timestamp, Token};
 
 use crate::{CoordinatorLease, GateCommand};
 
@@ -20,6 +20,8 @@
     KeyHeldTwice { key_hash: KeyHash, hosts: (usize, usize), at: Timestamp },
     /// A slot was admitted under a token that is not higher than all its earlier tokens.
     TokenNotIncreasing { slot: Slot, token: Token, last: Token, at: Timestamp },
+    /// A slot was admitted under a token that has no fence, so that some upstreams could not be granted the slot.
+    TokenWithoutFence { slot: Slot, token: Token, at: Timestamp },
     /// Two incarnations of agents have acquired the same term.
     TermAcquiredTwice { term: u64, hosts: (usize, usize), at: Timestamp },
     /// A key was admitted under a token that is lower than an earlier one.
@@ -54,6 +56,13 @@
                     at.ns / 1_000_000
                 )
             }
+            Violation::TokenWithoutFence { slot, token, at } => {
+                let ms = at.ns / 1_000_000;
+                write!(
+                    f,
+                    "{ms} ms: slot {slot} was admitted under token {token}, which has no fence"
+                )
+            }
             Violation::TermAcquiredTwice { term, hosts, at } => {
                 write!(f, "{} ms: hosts {hosts:?} have acquired term {term}", at.ns / 1_000_000)
             }
@@ -107,8 +116,11 @@
         self.violation.get_or_insert(violation);
     }
 
-    /// Checks that a slot's token is higher than all earlier ones.
+    /// Checks that a slot's token is higher than all earlier ones, and has a fence.
     fn check_slot_token(&mut self, slot: Slot, token: Token, at: Timestamp) {
+        if Fence::try_from(token).is_err() {
+            return self.record_violation(Violation::TokenWithoutFence { slot, token, at });
+        }
         let last = self.slot_tokens.entry(slot).or_default();
         if token <= *last {
             let last = *last;
