A coordinator releases its term long before its tokens outgrow the fence

What upstreams would see: fences that fall within one term. The sequence of a token is never reset in a term, and the conversion to a fence masked it to 24 bits, so after 16.7 million tokens (9 days at 20 grants a second) fences began anew from 0.

Now a coordinator whose term has settled releases the term after half as many tokens (`Limits::tokens_per_term`), and the next term numbers its tokens anew. Releasing a term ends the node only as a part of a stop.

Result: the new test failed while the term was kept; it passes.

--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -220,6 +220,7 @@
         platform_absence_max: it.platform_absence_max,
         pause_max: it.pause_max,
         handover_max: it.handover_max,
+        tokens_per_term: Limits::default().tokens_per_term,
         members_max: it.members_max,
         imbalance_target: it.imbalance_target,
         churn_per_minute_max: it.churn_per_minute_max,
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -395,6 +395,9 @@
         }
         self.maintain(ctx);
         self.refresh_loads(ctx);
+        if self.is_settled() && self.sequence >= ctx.limits().tokens_per_term {
+            self.release_term(ctx);
+        }
         self.send_answers(ctx, Recipients::All);
     }
 
--- a/crates/ownership/src/limits.rs
+++ b/crates/ownership/src/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use model::Fence;
+
 use crate::GROUP_MEMBERS_MAX;
 
 /// Whether the service's upstreams check fence tokens themselves.
@@ -43,6 +45,9 @@
     pub pause_max: Duration,
     /// How long the old owner of a slot may take to finish its requests in flight.
     pub handover_max: Duration,
+    /// Number of tokens after which a coordinator releases its term, so that the next one numbers its tokens anew. Far
+    /// fewer than a fence can count, because tokens are still drawn until the release.
+    pub tokens_per_term: u64,
     /// The most members of the group, at most [`GROUP_MEMBERS_MAX`].
     pub members_max: usize,
     /// Target for the busiest member's load divided by the mean load, for example 1.15.
@@ -69,6 +74,7 @@
             platform_absence_max: Duration::from_secs(5400),
             pause_max: Duration::from_millis(250),
             handover_max: Duration::from_millis(2000),
+            tokens_per_term: Fence::SEQUENCE_MAX / 2,
             members_max: GROUP_MEMBERS_MAX,
             imbalance_target: 1.15,
             churn_per_minute_max: 0.10,
--- a/crates/ownership/src/node/stop.rs
+++ b/crates/ownership/src/node/stop.rs
@@ -71,12 +71,13 @@
         }
         let release_since = *self.stop.release_since.get_or_insert(ctx.now);
         coordination.release_term(ctx);
+        // The stop does not wait longer for the acknowledgement of the release.
         if ctx.now.since(release_since) > RELEASE_TIMEOUT {
             self.finish_release(ctx);
         }
     }
 
-    /// Announces the released term to the members and stops, also if the release has not been confirmed in time.
+    /// Announces the released term to the members. A stop that has released the term is then complete.
     pub(super) fn finish_release(&mut self, ctx: &mut Ctx<'_>) {
         if let Some(coordination) = &self.coordination {
             let term = coordination.term();
@@ -85,7 +86,9 @@
             }
         }
         self.lose_term(ctx);
-        self.finish_stop(ctx);
+        if self.stop.release_since.is_some() {
+            self.finish_stop(ctx);
+        }
     }
 
     fn finish_stop(&mut self, ctx: &mut Ctx<'_>) {
--- a/crates/ownership/src/tests/lifecycle.rs
+++ b/crates/ownership/src/tests/lifecycle.rs
@@ -56,6 +56,28 @@
     assert_ne!(sim.coordinator(), Some(lost));
 }
 
+/// Guards against a sequence of tokens that outgrows the fence.
+#[test]
+fn a_coordinator_releases_its_term_before_its_tokens_run_out() {
+    let tokens_per_term = 6;
+    let limits = Limits { tokens_per_term, ..Limits::default() };
+    let mut sim = Sim::new(SimConfig { limits, ..SimConfig::new(9) });
+    sim.start_all();
+    assert!(sim.run_until(Duration::from_secs(5), |it| it.unowned_slots() == 0));
+    for _ in 0..6 {
+        let lost = (sim.coordinator().unwrap() + 1) % sim.host_count();
+        sim.apply(Fault::Crash(lost));
+        sim.run_for(Duration::from_secs(3));
+        assert_served(&sim);
+        sim.apply(Fault::Start(lost));
+        sim.run_for(Duration::from_secs(5));
+        assert_served(&sim);
+    }
+    let (grants, terms) = (sim.events()["Granted"], sim.events()["BecameCoordinator"]);
+    assert!(terms > 1, "{grants} grants in {terms} terms");
+    assert!(sim.coordinator_object().is_some_and(|it| it.term > model::Term(1)));
+}
+
 #[test]
 fn a_single_host_owns_all_slots_stops_and_restarts() {
     let mut sim = Sim::new(SimConfig { hosts: 1, ..SimConfig::new(4) });
