ownership: random runs list all failing seeds

A random test ended at its first failing run, so that it took one run of the test per seed to learn how many of a base of seeds fail, and with what. A failed assertion inside of a run (as of the simulated store) did not name its seed.

Each random test now plays all of its runs, and then fails with the log of the first failing one and a list of all seeds that failed, each with its violation. A failed assertion inside of a run is one of these. What a seed plays and what counts as a failure stay as they are.

--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -1,7 +1,7 @@
 //! Random runs under faults. `OWNERSHIP_RUNS` sets the number of runs per part, and `OWNERSHIP_SEED` the first seed. In
 //! CI both have their defaults, so that the runs are the same each time.
 
-use std::time::Duration;
+use std::{ops::Range, panic, time::Duration};
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -66,87 +66,100 @@
     }
 }
 
-/// Asserts that a run ends without a violation and with an owner for all slots and keys; prints its last log lines if
-/// it does not.
-fn check_run(run_config: &RandomRunConfig) {
-    let report = random_run(run_config);
-    if report.violation.is_some() || report.unowned_slots > 0 || report.unowned_keys > 0 {
-        let (_, log) = logged_run(run_config);
-        let first_line = log.len().saturating_sub(400);
-        panic!("{run_config:?}\n{}\n{report:?}", log[first_line..].join("\n"));
-    }
-}
-
-/// Checks the runs of one part, whose seeds follow those of the part before.
-fn check_part(part: u64) {
+/// Returns how a run fails: a violation, slots or keys without an owner at its end, or a failed assertion of the crate.
+fn failure(run_config: &RandomRunConfig) -> Option<String> {
+    match panic::catch_unwind(|| random_run(run_config)) {
+        Ok(report) => match &report.violation {
+            Some(violation) => Some(violation.to_string()),
+            None if report.unowned_slots > 0 || report.unowned_keys > 0 => {
+                Some(format!("no recovery: {report:?}"))
+            }
+            None => None,
+        },
+        Err(_) => Some("a failed assertion".to_owned()),
+    }
+}
+
+/// Asserts that no run fails. Lists all failing runs, after the last log lines of the first one.
+fn check_runs(run_configs: impl IntoIterator<Item = RandomRunConfig>) {
+    let mut runs = 0;
+    let mut failures = Vec::new();
+    for run_config in run_configs {
+        runs += 1;
+        failures.extend(failure(&run_config).map(|it| (run_config, it)));
+    }
+    let Some((first, _)) = failures.first() else { return };
+    let log = panic::catch_unwind(|| logged_run(first).1).unwrap_or_default();
+    let first_line = log.len().saturating_sub(400);
+    let list: Vec<String> =
+        failures.iter().map(|(it, failure)| format!("seed {}: {failure}", it.seed)).collect();
+    panic!(
+        "{first:?}\n{}\n{} of {runs} runs failed:\n{}",
+        log[first_line..].join("\n"),
+        failures.len(),
+        list.join("\n")
+    );
+}
+
+/// Returns the seeds of a part; they follow those of the part before.
+fn seeds_of_part(part: u64) -> Range<u64> {
     let first = env_number("OWNERSHIP_SEED").unwrap_or(1) + part * runs_per_part();
-    for seed in first..first + runs_per_part() {
-        check_run(&run_config(seed));
-    }
+    first..first + runs_per_part()
 }
 
 #[test]
 fn seeds() {
-    check_part(0);
+    check_runs(seeds_of_part(0).map(run_config));
 }
 
 #[test]
 fn second_part_of_seeds() {
-    check_part(1);
+    check_runs(seeds_of_part(1).map(run_config));
 }
 
 #[test]
 fn third_part_of_seeds() {
-    check_part(2);
+    check_runs(seeds_of_part(2).map(run_config));
 }
 
 /// Same as [`seeds`] with ordered slots, longer leases and a full coordinator lease, as for upstreams that enforce
 /// leases.
 #[test]
 fn seeds_with_ordered_slots() {
-    let first = env_number("OWNERSHIP_SEED").unwrap_or(1);
-    for seed in first..first + runs_per_part() {
-        check_run(&RandomRunConfig { ordered: true, ..run_config(seed) });
-    }
+    let config = |seed| RandomRunConfig { ordered: true, ..run_config(seed) };
+    check_runs(seeds_of_part(0).map(config));
 }
 
 /// Same as [`seeds_with_ordered_slots`], but most crashed agents leave an upstream behind that keeps its grants.
 #[test]
 fn seeds_with_upstreams_that_outlive_their_agents() {
-    let first = env_number("OWNERSHIP_SEED").unwrap_or(1);
-    for seed in first..first + runs_per_part() {
-        check_run(&RandomRunConfig { ordered: true, agents_restart: true, ..run_config(seed) });
-    }
+    let config = |seed| RandomRunConfig { ordered: true, agents_restart: true, ..run_config(seed) };
+    check_runs(seeds_of_part(0).map(config));
 }
 
 /// Same as [`seeds_with_ordered_slots`], but upstreams have requests in flight, which may outlast the release of their
 /// slot and the agent.
 #[test]
 fn seeds_with_requests_at_upstreams() {
-    let first = env_number("OWNERSHIP_SEED").unwrap_or(1);
-    for seed in first..first + runs_per_part() {
-        check_run(&config_with_requests(seed));
-    }
+    check_runs(seeds_of_part(0).map(config_with_requests));
 }
 
 /// Same as [`seeds`], but the platform is rolled back at times, which loses its later updates.
 #[test]
 fn seeds_with_a_platform_that_rolls_back() {
-    let first = env_number("OWNERSHIP_SEED").unwrap_or(1);
-    for seed in first..first + runs_per_part() {
-        check_run(&config_with_rollbacks(seed));
-    }
+    check_runs(seeds_of_part(0).map(config_with_rollbacks));
 }
 
 /// Same as [`seeds`], half of them with ordered slots, but the upstreams have different speeds, by which the group
 /// weighs its members.
 #[test]
 fn seeds_with_weighed_capacity() {
-    let first = env_number("OWNERSHIP_SEED").unwrap_or(1);
-    for seed in first..first + runs_per_part() / 4 {
-        let ordered = seed.is_multiple_of(2);
-        check_run(&RandomRunConfig { ordered, weighs_capacity: true, ..run_config(seed) });
-    }
+    let config = |seed: u64| RandomRunConfig {
+        ordered: seed.is_multiple_of(2),
+        weighs_capacity: true,
+        ..run_config(seed)
+    };
+    check_runs(seeds_of_part(0).take(runs_per_part() as usize / 4).map(config));
 }
 
 fn config_with_rollbacks(seed: u64) -> RandomRunConfig {
@@ -171,32 +184,21 @@
 
 #[test]
 fn seeds_that_failed_earlier() {
-    for seed in FAILED_SEEDS {
-        check_run(&run_config(seed));
-    }
-    for seed in ORDERED_FAILED_SEEDS {
-        check_run(&RandomRunConfig { ordered: true, ..run_config(seed) });
-    }
-    for seed in REQUESTS_FAILED_SEEDS {
-        check_run(&config_with_requests(seed));
-    }
-    for seed in ROLLBACK_FAILED_SEEDS {
-        check_run(&config_with_rollbacks(seed));
-    }
+    let ordered = |seed| RandomRunConfig { ordered: true, ..run_config(seed) };
+    check_runs(FAILED_SEEDS.map(run_config));
+    check_runs(ORDERED_FAILED_SEEDS.map(ordered));
+    check_runs(REQUESTS_FAILED_SEEDS.map(config_with_requests));
+    check_runs(ROLLBACK_FAILED_SEEDS.map(config_with_rollbacks));
 }
 
 #[test]
 fn first_term_after_a_rollback_waits_for_leases_of_lost_terms() {
-    for seed in FIRST_TERM_AFTER_ROLLBACK_SEEDS {
-        check_run(&config_with_rollbacks(seed));
-    }
+    check_runs(FIRST_TERM_AFTER_ROLLBACK_SEEDS.map(config_with_rollbacks));
 }
 
 #[test]
 fn no_term_is_acquired_twice_after_a_rollback() {
-    for seed in TERM_ACQUIRED_TWICE_SEEDS {
-        check_run(&config_with_rollbacks(seed));
-    }
+    check_runs(TERM_ACQUIRED_TWICE_SEEDS.map(config_with_rollbacks));
 }
 
 impl Arbitrary for RandomRunConfig {
