ownership: the simulator checks that acquired terms increase over rollbacks

What callers saw: upstreams took keys under lower fences than other upstreams had them with, and others refused their keys for good. Fences follow tokens, and tokens are compared by term first. Nothing in the simulator checked the order of terms: two holders of one term were reported, a later holder of a lower term was not.

- `TermNotIncreasing`: an update of the coordinator object that is conditional on a version of the current era, takes effect and brings a new term has to bring one above all such terms before, over all rollbacks.
The store records the term when the update takes effect, so the check includes terms whose holder never learned that it has them.
- `TokenNotIncreasing` did not look at slots that a gate already lists when a new lease begins.
It does now; such a slot may go on under the same token, not under a lower one.

Cause of what it finds: the next term is drawn from the object as read and from what the node itself knows. Where the object is older (lost, or replaced by an update of an earlier era) and the node knows of no later term, the round is lower; where the round comes out equal, the order is that of the tie-breakers, which are random.

The draws of the simulator are untouched, so all seeds play as before.

--- a/crates/ownership/src/sim/drive.rs
+++ b/crates/ownership/src/sim/drive.rs
@@ -336,6 +336,9 @@
             return;
         }
         let reply = Box::new(self.store.handle_call(self.now, request));
+        if let Some(term) = self.store.acquired_term.take() {
+            self.checker.check_acquired_term(term, host, self.now);
+        }
         if is_answered {
             self.schedule(
                 self.now + from_platform,
--- a/crates/ownership/src/sim/invariants.rs
+++ b/crates/ownership/src/sim/invariants.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use model::{KeyHash, Slot, SlotCount, Timestamp, Token};
+use model::{KeyHash, Slot, SlotCount, Term, Timestamp, Token};
 
 use crate::{CoordinatorLease, GateCommand};
 
@@ -22,6 +22,9 @@
     TokenNotIncreasing { slot: Slot, token: Token, last: Token, at: Timestamp },
     /// Two incarnations of agents have acquired the same term.
     TermAcquiredTwice { term: u64, hosts: (usize, usize), at: Timestamp },
+    /// An update of the coordinator object brought a term that is not above all terms acquired before, in whichever era
+    /// of the platform.
+    TermNotIncreasing { term: Term, last: Term, host: usize, at: Timestamp },
     /// A key was admitted under a token that is lower than an earlier one.
     KeyTokenDecreased { key_hash: KeyHash, token: Token, last: Token, at: Timestamp },
 }
@@ -57,6 +60,13 @@
             Violation::TermAcquiredTwice { term, hosts, at } => {
                 write!(f, "{} ms: hosts {hosts:?} have acquired term {term}", at.ns / 1_000_000)
             }
+            Violation::TermNotIncreasing { term, last, host, at } => {
+                let ms = at.ns / 1_000_000;
+                write!(
+                    f,
+                    "{ms} ms: host {host} has acquired term {term}, which is not higher than {last}"
+                )
+            }
             Violation::KeyTokenDecreased { key_hash, token, last, at } => {
                 let ms = at.ns / 1_000_000;
                 write!(
@@ -78,6 +88,8 @@
     key_tokens: BTreeMap<KeyHash, Token>,
     /// The host that acquired each term, and the generation of its agent.
     term_holders: BTreeMap<u64, (usize, u64)>,
+    /// Highest term that an update of the coordinator object has brought.
+    highest_term: Term,
     /// First violation.
     pub(super) violation: Option<Violation>,
     /// Number of emitted events by variant name.
@@ -95,6 +107,7 @@
             slot_tokens: BTreeMap::new(),
             key_tokens: BTreeMap::new(),
             term_holders: BTreeMap::new(),
+            highest_term: Term::default(),
             violation: None,
             events: BTreeMap::new(),
             handovers: 0,
@@ -107,8 +120,8 @@
         self.violation.get_or_insert(violation);
     }
 
-    /// Checks that a slot's token is higher than all earlier ones.
-    fn check_slot_token(&mut self, slot: Slot, token: Token, at: Timestamp) {
+    /// Checks that the token under which a slot is admitted is higher than all earlier ones.
+    pub(super) fn check_slot_token(&mut self, slot: Slot, token: Token, at: Timestamp) {
         let last = self.slot_tokens.entry(slot).or_default();
         if token <= *last {
             let last = *last;
@@ -117,6 +130,13 @@
         *last = token;
     }
 
+    /// Checks that the token of a slot that a new lease admits again is not lower than an earlier one.
+    pub(super) fn check_resumed_slot_token(&mut self, slot: Slot, token: Token, at: Timestamp) {
+        if self.slot_tokens.get(&slot) != Some(&token) {
+            self.check_slot_token(slot, token, at);
+        }
+    }
+
     /// Checks that no other incarnation of an agent has acquired the term.
     pub(super) fn check_term(&mut self, term: u64, host: usize, generation: u64, at: Timestamp) {
         let holder = *self.term_holders.entry(term).or_insert((host, generation));
@@ -126,6 +146,15 @@
         }
     }
 
+    /// Checks that a term brought by an update of the coordinator object is above all terms acquired before.
+    pub(super) fn check_acquired_term(&mut self, term: Term, host: usize, at: Timestamp) {
+        let last = self.highest_term;
+        if term <= last {
+            return self.record_violation(Violation::TermNotIncreasing { term, last, host, at });
+        }
+        self.highest_term = term;
+    }
+
     /// Checks that a key's token is not lower than an earlier one.
     fn check_key_token(&mut self, key_hash: KeyHash, token: Token, at: Timestamp) {
         let last = self.key_tokens.entry(key_hash).or_default();
@@ -177,9 +206,12 @@
                 self.check_key(host, *key_hash);
             }
             GateCommand::Lease { .. } if !had_lease => {
-                let slots: Vec<Slot> = self.hosts[host].gate.slots.keys().copied().collect();
-                for slot in slots {
-                    self.check_slot(host, slot);
+                let slots = self.hosts[host].gate.slots.iter();
+                let slots: Vec<(Slot, Token)> = slots.map(|it| (*it.0, it.1.token)).collect();
+                for (slot, token) in slots {
+                    if self.check_slot(host, slot) {
+                        self.checker.check_resumed_slot_token(slot, token, now);
+                    }
                 }
                 for key_hash in self.keys.clone() {
                     self.check_key(host, key_hash);
--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -14,6 +14,8 @@
 mod platform;
 mod random;
 mod speeds;
+#[cfg(test)]
+mod tests;
 mod upstream;
 
 use std::{
--- a/crates/ownership/src/sim/platform.rs
+++ b/crates/ownership/src/sim/platform.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use model::{ObjectVersion, Timestamp};
+use model::{ObjectVersion, Term, Timestamp};
 
 use crate::{Coordinator, Plan, PlatformReply, PlatformRequest};
 
@@ -23,6 +23,8 @@
     snapshots: VecDeque<(Timestamp, Objects)>,
     /// Number of calls received.
     pub(super) calls: u64,
+    /// Term that the last call acquired, until the invariants have been checked.
+    pub(super) acquired_term: Option<Term>,
 }
 
 /// Objects of the group, each with its revision.
@@ -65,6 +67,9 @@
                     "the coordinator object has term {previous}, and an update lowers it to {}",
                     object.term
                 );
+                // The sender of an update with an expected version of an earlier era does not learn that it took
+                // effect, and never uses its term.
+                self.acquired_term = Some(object.term).filter(|it| is_current && *it != previous);
                 let objects = self.begin_change(at);
                 objects.coordinator = Some((objects.revision, object.clone()));
                 self.update_reply(*expected)
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -38,6 +38,12 @@
 /// Seeds with rollbacks of the platform after which two agents acquired the same term: an update of the lost term's
 /// coordinator, whose expected revision was assigned again, replaces the object of the later term.
 const TERM_ACQUIRED_TWICE_SEEDS: [u64; 4] = [5_001_855, 81_200_101, 730_000_247, 4_400_000_157];
+/// Seeds with rollbacks of the platform after which a term was acquired that is not above all earlier ones. The
+/// coordinator object shows an older term, because the later ones are lost or an update of an earlier era has replaced
+/// it, and the agent that draws the next term knows of no later one either. In the first three seeds the round is
+/// lower, in the others the tie-breaker of the same round.
+const TERM_NOT_INCREASING_SEEDS: [u64; 6] =
+    [1, 5_000_179, 81_200_326, 5_000_076, 81_200_439, 730_000_773];
 /// Seed of the generator of arbitrary configurations.
 const QUICKCHECK_SEED: u64 = 2026;
 
@@ -201,6 +207,12 @@
     check_runs(TERM_ACQUIRED_TWICE_SEEDS.map(config_with_rollbacks));
 }
 
+/// Guards against fence tokens that fall: tokens are compared by their terms first.
+#[test]
+fn terms_increase_over_rollbacks() {
+    check_runs(TERM_NOT_INCREASING_SEEDS.map(config_with_rollbacks));
+}
+
 impl Arbitrary for RandomRunConfig {
     fn arbitrary(g: &mut Gen) -> RandomRunConfig {
         RandomRunConfig {
