traffic: tests of how long a table is complete after an import

Found by changing the code by hand: with `table.complete_since = table.complete_since.max(complete_since)` removed from `Table::import`, all 12 tests of the records passed. A new owner that imports records into a table of its own would then take a request for new although the previous owner had evicted its record, and run it a second time.

Two tests, one for each direction: the imported table is complete for less long than the own one, and the other way round. Product code is unchanged.

--- a/crates/traffic/src/records/tests.rs
+++ b/crates/traffic/src/records/tests.rs
@@ -132,6 +132,28 @@
     assert_eq!(begin(ms(1_800_000)), BeginResult::Run);
 }
 
+/// Guards against a second run of a request whose record the previous owner no longer had: the own table is complete
+/// for longer than the imported one.
+#[test]
+fn an_import_into_a_table_limits_how_long_it_is_complete() {
+    let mut it = records(10_000);
+    let exported = UnitRecords { complete_age: ms(2000), records: Vec::new() };
+    it.import(at(20_000), UNIT, exported);
+    assert_eq!(begin(&mut it, at(20_010), 1, ms(5000)), BeginResult::NoRecord);
+    assert_eq!(begin(&mut it, at(20_010), 2, ms(500)), BeginResult::Run);
+}
+
+/// Guards against a second run of a request whose record this owner never had: the imported table is complete for
+/// longer than its own.
+#[test]
+fn an_import_does_not_extend_how_long_a_table_is_complete() {
+    let mut it = records(10_000);
+    let exported = UnitRecords { complete_age: ms(9000), records: Vec::new() };
+    it.import(at(12_000), UNIT, exported);
+    assert_eq!(begin(&mut it, at(12_010), 1, ms(2500)), BeginResult::NoRecord);
+    assert_eq!(begin(&mut it, at(12_010), 2, ms(500)), BeginResult::Run);
+}
+
 #[test]
 fn records_of_a_hot_key_move_with_it() {
     let mut it = records(10_000);
