ownership: random runs roll the platform back when terms begin

`Rollbacks::AtNewTerms` draws, with the generator of rollbacks alone: a rollback soon after the group's first object, also to before it; two within a second; beside restarts of the coordinator, of it and another agent, or of all agents; during a takeover from a coordinator that is lost, paused or cut off; with late updates, which are conditional on versions of the earlier era. Half of them come without an outage, so that agents do not notice the rollback before their calls do. The new test `seeds_with_rollbacks_at_new_terms` plays it; `Rollbacks::Scattered` is the draw of before.

--- a/crates/ownership/src/sim/mod.rs
+++ b/crates/ownership/src/sim/mod.rs
@@ -37,7 +37,7 @@
     fault::Fault,
     invariants::Violation,
     measure::{LossKind, LossReport, measure_losses},
-    random::{RandomRunConfig, RunReport, logged_run, random_run},
+    random::{RandomRunConfig, Rollbacks, RunReport, logged_run, random_run},
 };
 
 use self::{host::Host, invariants::InvariantChecker, platform::Store};
--- a/crates/ownership/src/sim/random.rs
+++ b/crates/ownership/src/sim/random.rs
@@ -27,12 +27,22 @@
     pub agents_restart: bool,
     /// Simulates requests at the upstreams, which may outlast the agents, and false reports of lost upstreams.
     pub simulates_requests: bool,
-    /// Restores the platform from older snapshots at times.
-    pub platform_rolls_back: bool,
+    pub rollbacks: Rollbacks,
     /// Gives upstreams different speeds, by which the group weighs its members.
     pub weighs_capacity: bool,
 }
 
+/// When the platform is restored from older snapshots during a random run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rollbacks {
+    Never,
+    /// In some rounds of faults, independently of the other faults.
+    Scattered,
+    /// More often, and when terms begin: soon after the first object of the group, twice in quick succession, while
+    /// agents restart, and during takeovers.
+    AtNewTerms,
+}
+
 /// Result of a random run.
 #[derive(Debug, Clone)]
 pub struct RunReport {
@@ -75,6 +85,31 @@
 const OUTAGE_BEFORE_ROLLBACK_MS: Range<u64> = 0..2_000;
 /// Age of the snapshot that a rollback restores.
 const ROLLBACK_AGE_MS: Range<u64> = 100..8_000;
+/// Probability that a run with [`Rollbacks::AtNewTerms`] has a rollback soon after the first object of the group.
+const FIRST_ROLLBACK_PROBABILITY: f64 = 0.5;
+/// Time from the start of the group to that rollback.
+const FIRST_ROLLBACK_MS: Range<u64> = 20..1500;
+/// Age of the snapshot that it restores, which may be older than the first object.
+const FIRST_ROLLBACK_AGE_MS: Range<u64> = 20..2000;
+/// Probability, per round of faults, of a rollback beside faults that lead to a new term.
+const ROLLBACK_AT_NEW_TERM_PROBABILITY: f64 = 0.2;
+/// Age of the snapshot that such a rollback restores.
+const ROLLBACK_AT_NEW_TERM_AGE_MS: Range<u64> = 20..4_000;
+/// Delay of the rollback after these faults. It covers the times at which successors read the object and acquire terms.
+const TAKEOVER_MS: Range<u64> = 0..1500;
+/// Time for which a host that is restarted beside a rollback is down, or for which its coordinator is paused.
+const DOWN_MS: Range<u64> = 10..1200;
+/// Probability that updates are late beside a rollback. A late update is conditional on a version of an earlier era,
+/// and may replace the object of a later term.
+const LATE_UPDATES_PROBABILITY: f64 = 0.3;
+/// Probability that an outage precedes a rollback with [`Rollbacks::AtNewTerms`].
+const SHORT_OUTAGE_PROBABILITY: f64 = 0.5;
+/// Duration of that outage.
+const SHORT_OUTAGE_MS: Range<u64> = 0..400;
+/// Probability that a second rollback follows the first one.
+const SECOND_ROLLBACK_PROBABILITY: f64 = 0.4;
+/// Time from the first rollback to the second one.
+const SECOND_ROLLBACK_MS: Range<u64> = 20..1000;
 /// Probability, per round of faults, that a running upstream is falsely reported as lost.
 const FALSE_LOSS_PROBABILITY: f64 = 0.2;
 /// Duration of a false report of a lost upstream.
@@ -148,6 +183,9 @@
     let mut rollback_rng = Pcg64Mcg::seed_from_u64(config.seed ^ 0xf0e7);
     let mut false_loss_rng = Pcg64Mcg::seed_from_u64(config.seed ^ 0x3043);
     sim.start_all();
+    if config.rollbacks == Rollbacks::AtNewTerms {
+        schedule_first_rollback(&mut sim, &mut rollback_rng);
+    }
     sim.run_for(Duration::from_millis(rng.random_range(500..4000)));
     let mut faults = 0;
     let end = sim.now() + config.duration;
@@ -167,12 +205,18 @@
             sim.apply(Fault::Upstream { host, state: UpstreamState::Lost });
             sim.schedule_fault(duration, Fault::Upstream { host, state: UpstreamState::Ready });
         }
-        if config.platform_rolls_back && rollback_rng.random_bool(ROLLBACK_PROBABILITY) {
-            let outage =
-                Duration::from_millis(rollback_rng.random_range(OUTAGE_BEFORE_ROLLBACK_MS));
-            let snapshot_age_ms = rollback_rng.random_range(ROLLBACK_AGE_MS);
-            sim.apply(Fault::PlatformDown);
-            sim.schedule_fault(outage, Fault::PlatformRollsBack { snapshot_age_ms });
+        match config.rollbacks {
+            Rollbacks::Scattered if rollback_rng.random_bool(ROLLBACK_PROBABILITY) => {
+                let outage =
+                    Duration::from_millis(rollback_rng.random_range(OUTAGE_BEFORE_ROLLBACK_MS));
+                let snapshot_age_ms = rollback_rng.random_range(ROLLBACK_AGE_MS);
+                sim.apply(Fault::PlatformDown);
+                sim.schedule_fault(outage, Fault::PlatformRollsBack { snapshot_age_ms });
+            }
+            Rollbacks::AtNewTerms if rollback_rng.random_bool(ROLLBACK_AT_NEW_TERM_PROBABILITY) => {
+                schedule_rollback_at_new_term(&mut sim, &mut rollback_rng, config);
+            }
+            _ => {}
         }
         let gap = rng.random_range(FAULT_GAP_MIN..config.fault_gap_max);
         sim.run_for(gap);
@@ -181,7 +225,7 @@
     sim.heal();
     let is_served = |it: &Sim| it.unowned_slots() == 0 && it.unowned_keys() == 0;
     let recovery_max =
-        if config.platform_rolls_back { RECOVERY_MAX_ROLLBACK } else { RECOVERY_MAX };
+        if config.rollbacks == Rollbacks::Never { RECOVERY_MAX } else { RECOVERY_MAX_ROLLBACK };
     while sim.now().since(healed_at) < recovery_max && sim.violation().is_none() {
         if sim.run_until(RESTART_INTERVAL, is_served) {
             break;
@@ -207,6 +251,68 @@
     (report, log)
 }
 
+/// Schedules a rollback soon after the first object of the group, in a part of the runs.
+fn schedule_first_rollback(sim: &mut Sim, rng: &mut Pcg64Mcg) {
+    if rng.random_bool(FIRST_ROLLBACK_PROBABILITY) {
+        let delay = Duration::from_millis(rng.random_range(FIRST_ROLLBACK_MS));
+        schedule_rollbacks(sim, rng, delay, FIRST_ROLLBACK_AGE_MS);
+    }
+}
+
+/// Schedules a rollback beside faults that lead to a new term.
+fn schedule_rollback_at_new_term(sim: &mut Sim, rng: &mut Pcg64Mcg, config: &RandomRunConfig) {
+    let any_host = rng.random_range(0..config.hosts);
+    let other = rng.random_range(0..config.hosts);
+    let coordinator = sim.coordinator().unwrap_or(any_host);
+    if rng.random_bool(LATE_UPDATES_PROBABILITY) {
+        sim.apply(Fault::UncertainUpdates {
+            lost_reply_percent: rng.random_range(0..40),
+            late_update_percent: rng.random_range(0..40),
+        });
+    }
+    let restarted = match rng.random_range(0..6) {
+        0 => vec![coordinator],
+        1 => vec![coordinator, other],
+        2 => (0..config.hosts).collect(),
+        3 => {
+            let duration_ms = rng.random_range(DOWN_MS);
+            sim.apply(Fault::Pause { host: coordinator, duration_ms });
+            Vec::new()
+        }
+        4 => {
+            sim.apply(Fault::Isolate(vec![coordinator]));
+            Vec::new()
+        }
+        _ => Vec::new(),
+    };
+    for host in restarted {
+        sim.apply(match config.agents_restart {
+            true => Fault::CrashAgent(host),
+            false => Fault::Crash(host),
+        });
+        let down = Duration::from_millis(rng.random_range(DOWN_MS));
+        sim.schedule_fault(down, Fault::Start(host));
+    }
+    let delay = Duration::from_millis(rng.random_range(TAKEOVER_MS));
+    schedule_rollbacks(sim, rng, delay, ROLLBACK_AT_NEW_TERM_AGE_MS);
+}
+
+/// Schedules one rollback, or two in quick succession, in part of the cases after an outage.
+fn schedule_rollbacks(sim: &mut Sim, rng: &mut Pcg64Mcg, delay: Duration, ages_ms: Range<u64>) {
+    let mut at = delay;
+    if rng.random_bool(SHORT_OUTAGE_PROBABILITY) {
+        sim.schedule_fault(at, Fault::PlatformDown);
+        at += Duration::from_millis(rng.random_range(SHORT_OUTAGE_MS));
+    }
+    let snapshot_age_ms = rng.random_range(ages_ms.clone());
+    sim.schedule_fault(at, Fault::PlatformRollsBack { snapshot_age_ms });
+    if rng.random_bool(SECOND_ROLLBACK_PROBABILITY) {
+        at += Duration::from_millis(rng.random_range(SECOND_ROLLBACK_MS));
+        let snapshot_age_ms = rng.random_range(ages_ms);
+        sim.schedule_fault(at, Fault::PlatformRollsBack { snapshot_age_ms });
+    }
+}
+
 /// Draws the next faults. The coordinator is affected more often than other hosts.
 fn draw_faults(
     rng: &mut Pcg64Mcg,
--- a/crates/ownership/src/tests/disabled_rules.rs
+++ b/crates/ownership/src/tests/disabled_rules.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     rules::{Rule, disable_rule},
-    sim::{RandomRunConfig, RunReport, Violation, random_run},
+    sim::{RandomRunConfig, Rollbacks, RunReport, Violation, random_run},
 };
 
 use super::trace::replay;
@@ -20,7 +20,7 @@
         ordered: false,
         agents_restart: false,
         simulates_requests: false,
-        platform_rolls_back: false,
+        rollbacks: Rollbacks::Never,
         weighs_capacity: false,
     }
 }
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -5,7 +5,7 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-use crate::sim::{RandomRunConfig, logged_run, random_run};
+use crate::sim::{RandomRunConfig, Rollbacks, logged_run, random_run};
 
 /// Number of runs per part, without `OWNERSHIP_RUNS`. The parts are separate tests, which run in parallel.
 const DEFAULT_RUNS_PER_PART: u64 = 600;
@@ -44,6 +44,9 @@
 /// lower, in the others the tie-breaker of the same round.
 const TERM_NOT_INCREASING_SEEDS: [u64; 6] =
     [1, 5_000_179, 81_200_326, 5_000_076, 81_200_439, 730_000_773];
+/// The same with rollbacks at new terms. The round is lower with the first two seeds.
+const TERM_NOT_INCREASING_AT_NEW_TERMS_SEEDS: [u64; 5] =
+    [5_000_003, 4_400_000_013, 20_000_243, 81_202_481, 4_400_001_792];
 /// Seed of the generator of arbitrary configurations.
 const QUICKCHECK_SEED: u64 = 2026;
 
@@ -67,7 +70,7 @@
         ordered: false,
         agents_restart: false,
         simulates_requests: false,
-        platform_rolls_back: false,
+        rollbacks: Rollbacks::Never,
         weighs_capacity: false,
     }
 }
@@ -156,6 +159,12 @@
     check_runs(seeds_of_part(0).map(config_with_rollbacks));
 }
 
+/// Same as [`seeds_with_a_platform_that_rolls_back`], but more often, and when terms begin.
+#[test]
+fn seeds_with_rollbacks_at_new_terms() {
+    check_runs(seeds_of_part(0).map(config_with_rollbacks_at_new_terms));
+}
+
 /// Same as [`seeds`], half of them with ordered slots, but the upstreams have different speeds, by which the group
 /// weighs its members.
 #[test]
@@ -174,11 +183,15 @@
         ordered,
         agents_restart: ordered,
         simulates_requests: ordered,
-        platform_rolls_back: true,
+        rollbacks: Rollbacks::Scattered,
         ..run_config(seed)
     }
 }
 
+fn config_with_rollbacks_at_new_terms(seed: u64) -> RandomRunConfig {
+    RandomRunConfig { rollbacks: Rollbacks::AtNewTerms, ..config_with_rollbacks(seed) }
+}
+
 fn config_with_requests(seed: u64) -> RandomRunConfig {
     RandomRunConfig {
         ordered: true,
@@ -211,6 +224,8 @@
 #[test]
 fn terms_increase_over_rollbacks() {
     check_runs(TERM_NOT_INCREASING_SEEDS.map(config_with_rollbacks));
+    let seeds = TERM_NOT_INCREASING_AT_NEW_TERMS_SEEDS;
+    check_runs(seeds.map(config_with_rollbacks_at_new_terms));
 }
 
 impl Arbitrary for RandomRunConfig {
@@ -225,7 +240,7 @@
             ordered: false,
             agents_restart: false,
             simulates_requests: false,
-            platform_rolls_back: false,
+            rollbacks: Rollbacks::Never,
             weighs_capacity: false,
         }
     }
