Watches check shortly after their start that the store answers

Cause: a store that falls silent as a watch arrives never answers it. The connection lives on, so probes of the connection do not help, and the watch is waited for until its end. Until the watch is sent the store has just answered, and nothing is asked of it while it waits.

Change: half a second after a watch of the store itself has begun, the agent reads an object that does not exist, as readers of the relay do already. If that is not answered, the watch ends as failed and the follower lists, as after any failed call. The same for the watches of documents by the control thread. Watches that go through readers are as before: they have proofs of their own. A silence shorter than that half second is not noticed.

Cost: one stale read more for each watch of the store itself, three in 18 s an agent or reader.

Evidence: the new test has a watch of 18 s that begins as the store falls silent; it ends within 2 s. Tests of object-store, relay and control's watches pass.

--- a/crates/agent/src/control/calls.rs
+++ b/crates/agent/src/control/calls.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use model::{GroupId, ObjectVersion, ServiceName};
-use object_store::{Changes, Object, ObjectStore, StoreError};
+use object_store::{Changes, Object, ObjectStore, StoreError, watch_with_check};
 use ownership::{CallId, Coordinator, Plan, PlatformReply, PlatformRequest};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use settings::{AcceptedDocument, GroupStatus, accepted_path, service_path, status_path};
@@ -212,7 +212,8 @@
     /// Waits for changes under a prefix since the revision `after`.
     pub(crate) fn watch(&self, prefix: WatchPrefix, after: ObjectVersion) {
         self.spawn(move |platform| async move {
-            let result = platform.watch(&prefix.path(), after, WATCH_WAIT).await;
+            let path = prefix.path();
+            let result = watch_with_check(platform.as_ref(), &path, after, WATCH_WAIT).await;
             CallResult::WatchEnded { prefix, result }
         });
     }
--- a/crates/agent/src/store_relay/mod.rs
+++ b/crates/agent/src/store_relay/mod.rs
@@ -24,7 +24,8 @@
 use bytes::Bytes;
 use model::{Instance, InstanceName, ObjectVersion, Zone, key_hash};
 use object_store::{
-    CallCounts, Change, Changes, CountedStore, Object, ObjectStore, StoreError, StoreResult,
+    CallCounts, Change, Changes, CountedStore, Object, ObjectStore, PROBE_PATH, StoreError,
+    StoreResult, watch_with_check,
 };
 use settings::AgentSettings;
 use tokio::{
@@ -52,8 +53,6 @@
 const FIRST_READER_WAIT: Duration = follower::PROOF_MAX;
 /// Time after the last answer of the store after which a reader asks for another one.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// The object that a reader asks for. It does not exist; the answer shows that the store can be reached.
-const PROBE_PATH: &str = "probes/none";
 
 /// The relay of one agent, shared by control and the followers of store prefixes.
 #[derive(Debug)]
@@ -312,7 +311,7 @@
             if let Some(result) = self.watch_through_readers(&prefix, after, wait).await {
                 return result;
             }
-            let result = self.inner.watch(&prefix, after, wait).await;
+            let result = watch_with_check(self.inner.as_ref(), &prefix, after, wait).await;
             if let Ok(answer) = &result {
                 self.relay.record(|it| it.add_watch(&prefix, after, answer));
             }
--- a/crates/object-store/src/lib.rs
+++ b/crates/object-store/src/lib.rs
@@ -15,6 +15,7 @@
 //! rollbacks; without the header there were none. A watch from a revision that the store does not have gets status 410.
 
 mod api;
+mod checked_watch;
 mod counted;
 mod eras;
 mod follower;
@@ -24,6 +25,7 @@
 mod tests;
 
 pub use api::{Change, Changes, Object, ObjectStore, StoreError, StoreResult};
+pub use checked_watch::{PROBE_PATH, watch_with_check};
 pub use counted::{CallCounts, CallKind, CountedStore};
 pub use eras::EraTracker;
 pub use follower::{Follower, FollowerTimes};
