Ingress: a leaving is acknowledged once it is queued for control, and not dropped

What callers saw: nothing yet; found by reading. An upstream that leaves says so once. If the queue to the control thread was full, as after the thread had not run for a while, its call was acknowledged and dropped, and requests went on to it until it exited.

Cause: announcements and leavings were reported by `try_report`, which is for what is repeated or only a hint.

Change: a leaving, and an announcement as draining, waits for room in the queue. Control reads reports in order, so it has both before any later announcement. An upstream that gets no answer in time calls again. Announcements as ready are repeated each second and may still be dropped.

Evidence: `a_leaving_is_acknowledged_only_once_control_is_certain_to_receive_it` fails without the change ("acknowledged while the queue was full") and passes with it. `a_refused_announcement_reaches_neither_control_nor_the_gate` guards the refusals of the adapter; it passes with and without.

--- a/crates/agent/src/ingress/announce.rs
+++ b/crates/agent/src/ingress/announce.rs
@@ -110,14 +110,25 @@
         match message {
             UpstreamMessage::Announced { announcement, clock_ms, keys } => {
                 self.upstream_clock.update(clock_ms, self.clock.now());
-                self.reporter.try_report(Report::Announcement(announcement.clone()));
+                let report = Report::Announcement(announcement.clone());
+                match announcement.state {
+                    // Repeated about once a second.
+                    UpstreamState::Starting | UpstreamState::Ready => {
+                        self.reporter.try_report(report)
+                    }
+                    // Its acknowledgement binds this agent.
+                    UpstreamState::Draining | UpstreamState::Lost => {
+                        self.reporter.report(report).await
+                    }
+                }
                 let ranges_max = self.protocol.ranges_max();
                 self.granter.assign_keys(announcement, keys?, ranges_max).await
             }
             UpstreamMessage::Leaving { upstream_id, incarnation_start_ms } => {
                 let upstream_id = Some(upstream_id);
-                self.reporter
-                    .try_report(Report::UpstreamLeaving { upstream_id, incarnation_start_ms });
+                let report = Report::UpstreamLeaving { upstream_id, incarnation_start_ms };
+                // Sent once, and its acknowledgement binds this agent.
+                self.reporter.report(report).await;
                 None
             }
         }
--- /dev/null
+++ b/crates/agent/src/ingress/tests/announce.rs
@@ -0,0 +1,142 @@
+//! What announcements leave with the control thread once they are answered.
+
+use std::{net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
+
+use http::{Method, Request, StatusCode, request::Parts};
+use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Zone};
+use ownership::UpstreamState;
+use tokio::{sync::mpsc, time::timeout};
+use upstream::{AnnouncedKeys, AssignedKeys};
+use volo_http::{body::Body, response::Response};
+
+use crate::{
+    clock::Clock,
+    gate::UpstreamClock,
+    ingress::{AnnounceProtocol, Announcements, KeyGranter, UpstreamMessage},
+    report::{Announcement, Report, Reporter},
+};
+
+/// Reads each body as the same message. Refuses an empty body.
+struct OneMessage(UpstreamMessage);
+
+impl AnnounceProtocol for OneMessage {
+    fn is_announcement(&self, _head: &Parts) -> bool {
+        true
+    }
+
+    fn read(&self, _head: &Parts, body: &[u8]) -> Result<UpstreamMessage, (StatusCode, String)> {
+        match body {
+            [] => Err((StatusCode::BAD_REQUEST, "missing field `zone`".to_owned())),
+            _ => Ok(self.0.clone()),
+        }
+    }
+
+    fn acknowledge(&self, _keys: Option<&AssignedKeys>) -> Response {
+        Response::new(Body::from(String::new()))
+    }
+
+    fn ranges_max(&self) -> usize {
+        1
+    }
+}
+
+/// Grants keys to no announcement, and fails the test if there is one.
+struct NoKeys;
+
+impl KeyGranter for NoKeys {
+    fn assign_keys(
+        &self,
+        _announcement: Announcement,
+        _announced_keys: AnnouncedKeys,
+        _ranges_max: usize,
+    ) -> Pin<Box<dyn Future<Output = Option<AssignedKeys>> + Send + '_>> {
+        panic!("the announcement lists no keys")
+    }
+}
+
+fn announced(state: UpstreamState) -> UpstreamMessage {
+    let announcement = Announcement {
+        service: ServiceName::new("standings").unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 5)),
+        state,
+        slots: 12,
+        checks_fence: true,
+        upstream_id: Some("i-1".into()),
+        incarnation_start_ms: Some(5_000),
+        sequence: 1,
+        cold_for: Duration::ZERO,
+    };
+    UpstreamMessage::Announced { announcement, clock_ms: None, keys: None }
+}
+
+fn leaving() -> UpstreamMessage {
+    UpstreamMessage::Leaving { upstream_id: "i-1".into(), incarnation_start_ms: Some(5_000) }
+}
+
+fn announcements(message: UpstreamMessage) -> (Announcements, mpsc::Receiver<Report>) {
+    let (reporter, reports) = crate::report::channel();
+    let announcements = Announcements {
+        protocol: Arc::new(OneMessage(message)),
+        clock: Clock::start(),
+        upstream_clock: Arc::new(UpstreamClock::default()),
+        reporter,
+        granter: Arc::new(NoKeys),
+    };
+    (announcements, reports)
+}
+
+/// Fills the queue of reports, as a control thread does that has not run for a while.
+async fn fill(reporter: &Reporter, reports: &mpsc::Receiver<Report>) {
+    while reports.capacity() > 0 {
+        let from = Instance {
+            name: InstanceName::new("standings-2").unwrap(),
+            incarnation: Incarnation(1),
+            zone: Zone::new("pitlane").unwrap(),
+            control: SocketAddr::from(([127, 0, 0, 1], 6)),
+            traffic: SocketAddr::from(([127, 0, 0, 1], 7)),
+        };
+        let service = ServiceName::new("standings").unwrap();
+        reporter.report(Report::Config { service, version: ConfigVersion(1), from }).await;
+    }
+}
+
+async fn answer(announcements: &Announcements, body: &'static str) -> StatusCode {
+    let request = Request::builder().method(Method::PUT).uri("/announce").body(());
+    let (head, ()) = request.unwrap().into_parts();
+    announcements.handle(&head, Body::from(body)).await.status()
+}
+
+/// An acknowledged leaving that control never hears of binds nobody: the upstream sends it once.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_is_acknowledged_only_once_control_is_certain_to_receive_it() {
+    for message in [leaving(), announced(UpstreamState::Draining)] {
+        let (announcements, mut reports) = announcements(message);
+        fill(&announcements.reporter, &reports).await;
+        let answering = answer(&announcements, "leaving");
+        tokio::pin!(answering);
+        let answered = timeout(Duration::from_secs(10), &mut answering).await;
+        assert!(answered.is_err(), "acknowledged while the queue was full");
+        reports.recv().await.expect("a queued report");
+        assert_eq!(answering.await, StatusCode::OK);
+        let mut last = None;
+        while let Ok(report) = reports.try_recv() {
+            last = Some(report);
+        }
+        let is_kept = match &last {
+            Some(Report::UpstreamLeaving { .. }) => true,
+            Some(Report::Announcement(it)) => it.state == UpstreamState::Draining,
+            _ => false,
+        };
+        assert!(is_kept, "{last:?}");
+    }
+}
+
+/// A refused announcement may have another sender than the upstream beside the agent.
+#[tokio::test]
+async fn a_refused_announcement_reaches_neither_control_nor_the_gate() {
+    let (announcements, mut reports) = announcements(announced(UpstreamState::Ready));
+    assert_eq!(answer(&announcements, "").await, StatusCode::BAD_REQUEST);
+    assert!(reports.try_recv().is_err(), "a report of a refused announcement");
+    assert_eq!(answer(&announcements, "valid").await, StatusCode::OK);
+    assert!(matches!(reports.try_recv(), Ok(Report::Announcement(_))));
+}
--- a/crates/agent/src/ingress/tests/mod.rs
+++ b/crates/agent/src/ingress/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the scanner for pipelined requests.
 
+mod announce;
+
 use http::Method;
 use quickcheck::{Gen, QuickCheck};
 
