Control: the leaving of an incarnation is kept, also before its first announcement

What callers saw: an upstream left right after the agent beside it had been started again, and an announcement that it had sent before arrived 3.2 s after the acknowledgement.

Cause: a leaving was related to the known announcement only. A process that knew none, or another incarnation, acknowledged it and remembered nothing, and the first announcement was then taken for that of a running upstream.

Change: `LeftIncarnations` keeps the incarnations that have left, by id and start time. An announcement of one that left before it was known is ignored, as no drain time was counted for it; a known one stays draining, also after another incarnation was there. A later start time is another incarnation and may be ready. A leaving of a later incarnation of the same id ends work for the known one. An announced draining state of an incarnation that isn't the known one, or is replaced, is kept in the same way: it was acknowledged too. `UpstreamMonitor` decides, and `Control` acts and logs, so that the table of cases is tested without a network.

Not covered: a process that acknowledged a leaving and is killed remembers nothing of it.

--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod central_config;
 mod foreign;
 mod group;
+mod left_incarnations;
 mod status_schedule;
 mod peers;
 mod publish;
--- a/crates/agent/src/control/tests/agent.rs
+++ b/crates/agent/src/control/tests/agent.rs
@@ -75,12 +75,30 @@
         Agent::start_with("standings", zone, name, platform, peers).await
     }
 
+    /// Starts an instance whose upstream announces itself only when the test reports it.
+    pub(super) async fn start_unannounced(name: &str, platform: &Arc<FakeStore>) -> Agent {
+        Agent::start_beside("standings", "pitlane", name, platform, &[], None).await
+    }
+
     async fn start_with(
         service_name: &str,
         zone: &str,
         name: &str,
         platform: &Arc<FakeStore>,
         peers: &[SocketAddr],
+    ) -> Agent {
+        let upstream = Some(announcement());
+        Agent::start_beside(service_name, zone, name, platform, peers, upstream).await
+    }
+
+    /// Starts an instance whose upstream repeats the announcement, if there is one.
+    async fn start_beside(
+        service_name: &str,
+        zone: &str,
+        name: &str,
+        platform: &Arc<FakeStore>,
+        peers: &[SocketAddr],
+        upstream: Option<Announcement>,
     ) -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let control = listener.local_addr().unwrap();
@@ -119,7 +137,7 @@
             central_config: None,
             closed_zones,
         }));
-        tokio::spawn(run_fake_gate(reporter.clone(), tasks));
+        tokio::spawn(run_fake_gate(reporter.clone(), tasks, upstream));
         let versions = tokio::spawn(record_versions(Arc::clone(&snapshots)));
         Agent { own, snapshots, reporter, phase, handed_over, control: task, versions }
     }
@@ -168,6 +186,17 @@
             .try_report(Report::UpstreamLeaving { upstream_id: None, incarnation_start_ms });
     }
 
+    /// Reports the announcement once.
+    pub(super) fn announce_once(&self, announcement: Announcement) {
+        self.reporter.try_report(Report::Announcement(announcement));
+    }
+
+    /// Returns the start time of the published upstream.
+    pub(super) fn upstream_started_ms(&self) -> Option<u64> {
+        let snapshot = self.snapshots.load();
+        snapshot.local.as_ref().and_then(|it| it.announcement.incarnation_start_ms)
+    }
+
     /// Reports the announcement until it is published. Its number of slots must differ from the last one's.
     pub(super) async fn announce(&self, announcement: &Announcement) {
         wait_until("the announcement", || {
@@ -263,13 +292,19 @@
     }
 }
 
-/// Runs a gate with nothing in flight, whose upstream is ready at once.
-async fn run_fake_gate(reporter: Reporter, mut tasks: mpsc::UnboundedReceiver<GateTask>) {
-    let announcement = announcement();
+/// Runs a gate with nothing in flight, whose upstream repeats the announcement, if there is one.
+async fn run_fake_gate(
+    reporter: Reporter,
+    mut tasks: mpsc::UnboundedReceiver<GateTask>,
+    announcement: Option<Announcement>,
+) {
     let mut announcing = tokio::time::interval(Duration::from_secs(1));
     loop {
         let report = tokio::select! {
-            _ = announcing.tick() => Report::Announcement(announcement.clone()),
+            _ = announcing.tick() => match &announcement {
+                Some(it) => Report::Announcement(it.clone()),
+                None => continue,
+            },
             task = tasks.recv() => match task {
                 None => return,
                 Some(GateTask::Prepare { slot, token }) => Report::Prepared { slot, token },
--- a/crates/agent/src/control/tests/leaving.rs
+++ b/crates/agent/src/control/tests/leaving.rs
@@ -1,6 +1,6 @@
 //! Instances that have left their group, and upstreams that state that they are leaving.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     control::tests::{
@@ -63,3 +63,26 @@
     first.kill();
     second.kill();
 }
+
+/// An agent that was started again acknowledges a leaving before it has heard the upstream. A late announcement
+/// of this incarnation must not make it ready again, or it is sent requests that are lost when it exits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_left_before_its_first_announcement_is_never_published() {
+    let platform = Arc::new(FakeStore::new());
+    platform.put("services/standings", DOCUMENT);
+    let agent = Agent::start_unannounced("standings-1", &platform).await;
+    agent.report_leaving(UPSTREAM_START_MS);
+    agent.announce_once(announcement());
+    let started_ms = Some(UPSTREAM_START_MS + 1);
+    let published = wait_until("an upstream", || agent.upstream_started_ms().is_some());
+    let next = Announcement { incarnation_start_ms: started_ms, ..announcement() };
+    // The pause gives a control thread with the fault the time to publish the one that left.
+    let announced = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        agent.announce_once(next);
+    };
+    tokio::join!(published, announced);
+    assert_eq!(agent.upstream_started_ms(), started_ms, "the next incarnation only");
+    assert_eq!(agent.leaving(), None, "the next incarnation");
+    agent.kill();
+}
--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -5,6 +5,7 @@
 mod full_group;
 mod agent;
 mod leaving;
+mod left_incarnations;
 mod status_schedule;
 pub(crate) mod platform;
 mod suspension;
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -7,7 +7,7 @@
 use settings::KeyGrants;
 
 use crate::{
-    control::{group::Group, state::Control},
+    control::{group::Group, left_incarnations::LeftIncarnations, state::Control},
     report::{Announcement, UpstreamId},
     snapshot::LeaveReason,
     zones::ClosedZones,
@@ -38,8 +38,10 @@
     /// The state last passed to the group's node.
     reported_state: Option<UpstreamState>,
     load_reported_at: Timestamp,
-    /// Whether this incarnation of the upstream has announced that it leaves for good.
-    is_leaving: bool,
+    /// Whether the known incarnation was draining when it was last heard, even if it counts as lost since.
+    is_draining: bool,
+    /// The incarnations that are known to leave for good, also those that have not announced themselves.
+    left: LeftIncarnations,
     /// Whether the own availability zone is closed.
     zone_is_closed: bool,
 }
@@ -50,10 +52,21 @@
     /// The announcement is the first one or comes from the known incarnation.
     SameIncarnation,
     NewIncarnation,
-    /// The announcement is out of order or comes from another incarnation than the running one.
+    /// The announcement is out of order, or comes from an incarnation that has left or is not the running one.
     Stale,
 }
 
+/// The effect of a leaving on the known upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LeavingKind {
+    /// The known incarnation leaves, or a later one of its id.
+    Known,
+    /// An incarnation leaves that has not announced itself, or is not the running one.
+    Unknown,
+    /// The leaving has been received before.
+    Repeated,
+}
+
 impl UpstreamMonitor {
     /// Returns the worse of the announced state and the gate's. A ready upstream in a closed zone
     /// counts as draining, so that its keys move to other instances.
@@ -78,6 +91,14 @@
         interval: Duration,
         announcement: &Announcement,
     ) -> AnnouncementKind {
+        let is_known =
+            self.announcement.as_ref().is_some_and(|it| it.is_same_incarnation(announcement));
+        // The drain time counts from the leaving, and none runs for an incarnation that left before
+        // it was known. It gets no work at all.
+        if self.left.is_replaced(now, announcement) || !is_known && self.left.contains(announcement)
+        {
+            return AnnouncementKind::Stale;
+        }
         let Some(known) = &self.announcement else { return AnnouncementKind::SameIncarnation };
         let is_alive = now.since(self.announced_at) < interval.mul_f64(REPLACEABLE_AFTER_INTERVALS)
             && self.gate_state != Some(UpstreamState::Lost);
@@ -107,14 +128,78 @@
         }
     }
 
+    /// Keeps that the known incarnation is draining beyond its replacement by another one.
+    fn keep_draining_of_known(&mut self, now: Timestamp) {
+        if let Some(known) = self.announcement.as_ref().filter(|_| self.is_draining) {
+            self.left.insert_announced(now, known);
+        }
+    }
+
+    /// Keeps the draining state of an incarnation that is not the known one: the announcement is ignored, but
+    /// it is acknowledged.
+    fn keep_draining_of_other(&mut self, now: Timestamp, announcement: &Announcement) {
+        let is_known =
+            self.announcement.as_ref().is_some_and(|it| it.is_same_incarnation(announcement));
+        if !is_known && announcement.state == UpstreamState::Draining {
+            self.left.insert_announced(now, announcement);
+        }
+    }
+
     /// Replaces the announced state with draining if this incarnation has announced that it leaves for
     /// good, since it cannot become ready again.
     fn with_leaving_state(&self, announcement: Announcement) -> Announcement {
-        match self.is_leaving {
+        match self.left.contains(&announcement) {
             true => Announcement { state: UpstreamState::Draining, ..announcement },
             false => announcement,
         }
     }
+
+    /// Takes over an announcement unless it is stale. Returns its relation to the last accepted one.
+    pub(super) fn receive(
+        &mut self,
+        now: Timestamp,
+        interval: Duration,
+        announcement: &Announcement,
+    ) -> AnnouncementKind {
+        self.left.resolve_start(now, announcement);
+        let kind = self.classify(now, interval, announcement);
+        match kind {
+            AnnouncementKind::Stale => {
+                self.keep_draining_of_other(now, announcement);
+                return kind;
+            }
+            AnnouncementKind::NewIncarnation => self.keep_draining_of_known(now),
+            AnnouncementKind::SameIncarnation => {}
+        }
+        let announcement = self.with_leaving_state(announcement.clone());
+        self.announced_at = now;
+        // The announcement proves that the upstream runs, even if a connection to it was lost.
+        self.gate_state.take_if(|_| announcement.upstream_id.is_some());
+        self.is_draining = announcement.state == UpstreamState::Draining;
+        self.announcement = Some(announcement);
+        kind
+    }
+
+    /// Keeps the leaving of an incarnation. Returns its effect on the known one.
+    pub(super) fn leave(
+        &mut self,
+        now: Timestamp,
+        upstream_id: Option<&UpstreamId>,
+        incarnation_start_ms: Option<u64>,
+    ) -> LeavingKind {
+        let known = self.announcement.as_ref();
+        if !self.left.insert(now, upstream_id, incarnation_start_ms, known) {
+            return LeavingKind::Repeated;
+        }
+        match &mut self.announcement {
+            Some(known) if self.left.contains(known) || self.left.is_replaced(now, known) => {
+                known.state = UpstreamState::Draining;
+                self.is_draining = true;
+                LeavingKind::Known
+            }
+            _ => LeavingKind::Unknown,
+        }
+    }
 }
 
 /// Returns the time since the last announcement after which an upstream counts as lost.
@@ -139,9 +224,15 @@
             return;
         }
         let now = self.now();
-        match self.upstream.classify(now, self.parts.settings.announce_interval, &announcement) {
+        let interval = self.parts.settings.announce_interval;
+        let former = self.upstream.announcement.clone();
+        match self.upstream.receive(now, interval, &announcement) {
             AnnouncementKind::Stale => {
-                log::debug!(target: "control", "Ignored a stale announcement of the upstream.");
+                log::debug!(
+                    target: "control",
+                    "Ignored a stale announcement of the upstream {:?}, started at {:?} ms, with sequence {}.",
+                    announcement.upstream_id, announcement.incarnation_start_ms, announcement.sequence,
+                );
                 return;
             }
             AnnouncementKind::NewIncarnation => {
@@ -150,49 +241,49 @@
                     "A new incarnation of the upstream, {:?}, runs at {}; starting a new session.",
                     announcement.upstream_id, announcement.address,
                 );
-                self.upstream.is_leaving = false;
                 self.step(now, Input::DropSession { reason: "upstream replaced" });
             }
             AnnouncementKind::SameIncarnation => {}
         }
-        let announcement = self.upstream.with_leaving_state(announcement);
         self.parts.gate.update_cold_for(announcement.cold_for);
-        self.upstream.announced_at = now;
-        // The announcement proves that the upstream runs, even if a connection to it was lost.
-        self.upstream.gate_state.take_if(|_| announcement.upstream_id.is_some());
+        let accepted = self.upstream.announcement.as_ref();
         let is_changed =
-            self.upstream.announcement.as_ref().is_none_or(|it| !it.is_equivalent(&announcement));
-        if is_changed {
+            |it: &&Announcement| former.as_ref().is_none_or(|former| !former.is_equivalent(it));
+        if let Some(accepted) = accepted.filter(is_changed) {
             log::info!(
                 target: "control",
-                "Received a changed announcement of the upstream at {}: its state is {:?}.", announcement.address, announcement.state,
+                "Received a changed announcement of the upstream at {}: its state is {:?}.", accepted.address, accepted.state,
             );
             self.is_dirty = true;
         }
-        self.upstream.announcement = Some(announcement);
         self.report_upstream_state();
     }
 
-    /// Marks the upstream as draining, since it has announced or stated in an answer that it leaves for good.
+    /// Keeps the leaving of an incarnation for good, since it has been acknowledged, and marks the upstream
+    /// as draining if it is this incarnation or an earlier one of the same id.
     pub(super) fn on_upstream_leaving(
         &mut self,
         upstream_id: Option<&UpstreamId>,
         incarnation_start_ms: Option<u64>,
     ) {
-        let Some(announcement) = &mut self.upstream.announcement else { return };
-        let is_other_incarnation = incarnation_start_ms.is_some()
-            && incarnation_start_ms != announcement.incarnation_start_ms;
-        if announcement.upstream_id.as_ref() != upstream_id
-            || is_other_incarnation
-            || self.upstream.is_leaving
-        {
-            return;
+        let now = self.now();
+        match self.upstream.leave(now, upstream_id, incarnation_start_ms) {
+            LeavingKind::Repeated => {}
+            LeavingKind::Known => {
+                log::info!(
+                    target: "control",
+                    "The upstream {upstream_id:?}, started at {incarnation_start_ms:?} ms, is leaving; its state is now draining.",
+                );
+                self.is_dirty = true;
+                self.report_upstream_state();
+            }
+            LeavingKind::Unknown => {
+                log::info!(
+                    target: "control",
+                    "The upstream {upstream_id:?}, started at {incarnation_start_ms:?} ms, is leaving and is not the known one; its announcements are ignored from now on.",
+                );
+            }
         }
-        log::info!(target: "control", "The upstream at {} is leaving; its state is now draining.", announcement.address);
-        announcement.state = UpstreamState::Draining;
-        self.upstream.is_leaving = true;
-        self.is_dirty = true;
-        self.report_upstream_state();
     }
 
     /// Releases all keys if the operators have closed the own zone, and accepts keys again if they
