Control: an upstream that drains is leaving also while it counts as lost

What callers saw: nothing yet; found by reading. An upstream that leaves announces itself no more and counts as lost after a while. If a late announcement of it then arrived, the gate began a second drain time, in whose first half it accepts requests, long after the leaving had been acknowledged.

Cause: the reason for leaving was derived from the announced state, which "lost" replaces. The gate dropped the drain schedule with the reason, and made a new one from the time of the late announcement.

Change: whether the known incarnation was draining when it was last heard is a field of its own, so the gate keeps its first schedule.

Evidence: `a_draining_upstream_is_leaving_also_while_it_counts_as_lost` fails with the line before (no reason for leaving) and passes now.

--- a/crates/agent/src/control/tests/left_incarnations.rs
+++ b/crates/agent/src/control/tests/left_incarnations.rs
@@ -198,3 +198,14 @@
     assert_eq!(receive(&mut monitor, LEFT_MS + 60_000, &earlier), AnnouncementKind::Stale);
     assert_eq!(monitor.leaving(), None);
 }
+
+/// The gate counts the drain time from the first snapshot in which the upstream is leaving. If it were not leaving
+/// while it counts as lost, a late announcement would begin a second drain time, in which it gets requests.
+#[test]
+fn a_draining_upstream_is_leaving_also_while_it_counts_as_lost() {
+    let mut monitor = known_left();
+    monitor.announcement.as_mut().unwrap().state = UpstreamState::Lost;
+    assert_eq!(monitor.leaving(), Some(LeaveReason::Stopping));
+    receive(&mut monitor, LEFT_MS + 6_000, &announcement(START_MS, SEQUENCE + 1));
+    assert_leaving(&monitor);
+}
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -122,7 +122,8 @@
     /// Returns the reason for sending the upstream no new work, if there is one.
     pub(super) fn leaving(&self) -> Option<LeaveReason> {
         match &self.announcement {
-            Some(it) if it.state == UpstreamState::Draining => Some(LeaveReason::Stopping),
+            // Also while it counts as lost: its drain time must not begin anew when it is heard again.
+            Some(_) if self.is_draining => Some(LeaveReason::Stopping),
             Some(_) if self.zone_is_closed => Some(LeaveReason::ZoneClosed),
             _ => None,
         }
