Gate: an announced leaving is told to peers, and by them to the next process of the agent

An agent that had acknowledged a leaving and was then started again took a late announcement of the upstream as ready.

Cause: peers keep that an upstream leaves, and tell it to a new process beside it, only where answers of the upstream state it. A leaving that is announced stayed with the process.

A stopping agent is not meant by it: its upstream stays. No message and no field on the wire is new.

Evidence: `upstream_that_announced_its_leaving_gets_no_request_through_its_restarted_agent` fails without the change (200 where a refusal as draining is due) and passes with it.

Open: if no peer had a reply between the leaving and the end of the process, nothing tells the next one.

--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -35,6 +35,7 @@
                 true => Some(LeaveReason::Stopping),
                 false => self.upstream.leaving(),
             },
+            leaves_for_good: self.upstream.leaves_for_good(),
             announcement,
         });
         let members = self.group.iter().flat_map(|it| &it.view.members).map(|it| &it.instance);
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Returns whether the known incarnation has announced that it leaves for good.
+    pub(super) fn leaves_for_good(&self) -> bool {
+        self.announcement.as_ref().is_some_and(|it| self.left.contains(it))
+    }
+
     /// Keeps that the known incarnation is draining beyond its replacement by another one.
     fn keep_draining_of_known(&mut self, now: Timestamp) {
         if let Some(known) = self.announcement.as_ref().filter(|_| self.is_draining) {
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -125,6 +125,9 @@
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
         self.apply(self.condition.follow_incarnation(&bound.incarnation()));
+        if local.leaves_for_good {
+            self.condition.record_announced_leaving(now, &bound.incarnation());
+        }
         self.records.get_or_init(|| new_request_records(&bound.document));
         self.bound.store(Some(Arc::new(bound)));
     }
--- a/crates/agent/src/gate/condition/mod.rs
+++ b/crates/agent/src/gate/condition/mod.rs
@@ -115,6 +115,19 @@
         ConditionChange { limit: state.limit != former_limit, is_leaving }
     }
 
+    /// Records that the incarnation has announced that it leaves for good. Peers learn it from replies and tell
+    /// it to the next process of this agent, which may hear a late announcement of it as ready.
+    pub(super) fn record_announced_leaving(
+        &self,
+        now: Timestamp,
+        incarnation: &UpstreamIncarnation,
+    ) {
+        let mut state = self.state();
+        if state.incarnation == *incarnation && state.begin_leaving(now) {
+            log::info!(target: "gate", "The upstream has announced that it is leaving; peers are told with replies.");
+        }
+    }
+
     /// Takes over the condition that a peer knows, if the upstream has not served a request of this process yet: the
     /// peer may know it from an earlier process of this agent.
     pub(super) fn adopt(
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -27,6 +27,8 @@
     pub announcement: Announcement,
     /// Set while the upstream must get no new work from callers that can use another instance.
     pub leaving: Option<LeaveReason>,
+    /// Whether this incarnation has announced that it leaves for good.
+    pub leaves_for_good: bool,
 }
 
 /// The reason for which an upstream must get no new work.
--- a/crates/agent/src/tests/condition.rs
+++ b/crates/agent/src/tests/condition.rs
@@ -152,3 +152,21 @@
     assert_refused(&other.call(Call { deadline, ..get("echo", 2) }).await);
     assert_eq!(stating.upstream.ran().len(), 1);
 }
+
+/// The upstream has announced its leaving to a process that has ended since, and its answers do not state it. A
+/// late announcement as ready reaches the next process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstream_that_announced_its_leaving_gets_no_request_through_its_restarted_agent() {
+    let (left, other) = members_with(StatedCondition::default()).await;
+    route_only_to(&other, &left).await;
+    left.announce_leaving().await;
+    assert_eq!(other.call(get("echo", 1)).await.status.as_u16(), 200, "within the drain time");
+    let again = left.restart().await;
+    route_only_to(&again, &again).await;
+    again.set_upstream_id("i-1").await;
+    route_only_to(&other, &again).await;
+    tokio::time::sleep(DRAIN_TIME).await;
+    let deadline = Duration::from_millis(300);
+    assert_refused(&other.call(Call { deadline, ..get("echo", 2) }).await);
+    assert_eq!(left.upstream.ran().len(), 1);
+}
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -559,6 +559,19 @@
         self.plane.rebind_gate().await;
     }
 
+    /// Publishes the current snapshot with the upstream leaving for good, as it has announced.
+    pub(super) async fn announce_leaving(&self) {
+        let previous = self.snapshots.load();
+        let local = previous.local.clone().map(|it| LocalUpstream {
+            leaving: Some(LeaveReason::Stopping),
+            leaves_for_good: true,
+            ..it
+        });
+        let services = previous.services.clone();
+        self.snapshots.store(Snapshot { services, routing: None, local });
+        self.plane.rebind_gate().await;
+    }
+
     /// Publishes the current snapshot with the agent's own zone closed or open.
     pub(super) async fn close_zone(&self, is_closed: bool) {
         let previous = self.snapshots.load();
@@ -588,7 +601,7 @@
             sequence: 0,
             cold_for: Duration::ZERO,
         };
-        let local = Some(LocalUpstream { announcement, leaving: None });
+        let local = Some(LocalUpstream { announcement, leaving: None, leaves_for_good: false });
         let services = HashMap::from([(service, Arc::new(routes))]);
         self.snapshots.store(Snapshot { services, routing: None, local });
         self.plane.rebind_gate().await;
