ownership: the rule for takeovers as a table, with a test for each cell

Who may take a term after a rollback, and for how long earlier terms bind it, followed from several conditions of the takeover, and random runs alone held them. Product code is unchanged.

--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Simulations of many nodes with single faults, under random faults and from recorded traces; tests of single nodes.
 
+mod takeover;
 mod upstream_clearing;
 mod loads;
 mod lifecycle;
