Answers of the store with numbers that versions cannot have are not used

What callers would see: configurations, terms and plans that go back.

Cause: a version packs the era of the store and a revision into 64 bits. A revision of 2^40 and above was masked, an era of 2^24 and above shifted out, and a header that can't be read counted as era 0, all without a sign, so that versions fell.

`ObjectVersion::of`, for numbers that a version has had, panics on others.

--- a/crates/model/src/identity.rs
+++ b/crates/model/src/identity.rs
@@ -10,6 +10,7 @@
 /// above hold the era.
 const REVISION_BITS: u32 = 40;
 const REVISION_MAX: u64 = (1 << REVISION_BITS) - 1;
+const ERA_MAX: u64 = u64::MAX >> REVISION_BITS;
 /// Number of low bits of a term drawn after a rollback that hold its tie-breaker. The bits above hold the round.
 const TIE_BREAKER_BITS: u32 = 32;
 
@@ -91,8 +92,30 @@
 impl ObjectVersion {
     /// Combines an era and a revision. A store that was rolled back to an older snapshot assigns the same revisions
     /// again, in a later era.
+    ///
+    /// # Errors
+    ///
+    /// If one of the numbers, as received from a store, needs more bits than a version has for it.
+    pub fn try_of(era: u64, revision: u64) -> Result<ObjectVersion, VersionError> {
+        match () {
+            () if era > ERA_MAX => Err(VersionError { part: "era", number: era }),
+            () if revision > REVISION_MAX => {
+                Err(VersionError { part: "revision", number: revision })
+            }
+            () => Ok(ObjectVersion(era << REVISION_BITS | revision)),
+        }
+    }
+
+    /// Combines an era and a revision that other versions have had.
+    ///
+    /// # Panics
+    ///
+    /// If one of the numbers needs more bits than a version has for it.
     pub fn of(era: u64, revision: u64) -> ObjectVersion {
-        ObjectVersion(era << REVISION_BITS | revision & REVISION_MAX)
+        match ObjectVersion::try_of(era, revision) {
+            Ok(version) => version,
+            Err(error) => panic!("{error}"),
+        }
     }
 
     /// Returns the number of rollbacks of the store before this version.
@@ -106,6 +129,15 @@
     }
 }
 
+/// A number of a store has no place in a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("the {part} {number} of the store is too large for a version")]
+pub struct VersionError {
+    pub part: &'static str,
+    pub number: u64,
+}
+
 /// Fence token. It increases with each grant of a slot and is compared by term first, then by sequence.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,6 +18,7 @@
 pub use fingerprint::Fingerprint;
 pub use identity::{
     ConfigVersion, GroupId, Incarnation, Instance, ObjectVersion, RequestId, Term, Token,
+    VersionError,
 };
 pub use key::{KeyHash, KeyRange, OrderedKeys, Slot, SlotCount, SlotCountError, key_hash};
 pub use name::{ClassName, InstanceName, NameError, ServiceName, TeamName, Zone};
--- a/crates/model/src/tests.rs
+++ b/crates/model/src/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of names, tokens, rates, the key hash and ordered keys.
 
 use crate::{
-    Fence, FenceError, NameError, RequestRate, ServiceName, Slot, SlotCount, Term, Token,
-    ZeroRateError, key_hash,
+    Fence, FenceError, NameError, ObjectVersion, RequestRate, ServiceName, Slot, SlotCount, Term,
+    Token, ZeroRateError, key_hash,
 };
 
 fn check(text: &str, expected: Result<&str, NameError>) {
@@ -135,3 +135,16 @@
     assert_eq!(part(token(Term(2), Fence::SEQUENCE_MAX + 1)), Err("the sequence"));
     assert_eq!(part(token(Term(1025 << 32 | 7), 1)), Err("the tie-breaker of the term"));
 }
+
+/// Guards against versions that fall because a number of the store loses its highest bits.
+#[test]
+fn versions_are_ordered_by_era_and_too_large_numbers_are_refused() {
+    let (era_max, revision_max) = ((1 << 24) - 1, (1 << 40) - 1);
+    let parts = [(0, 1), (0, revision_max), (1, 0), (1, revision_max), (era_max, revision_max)];
+    let versions = parts.map(|(era, revision)| ObjectVersion::try_of(era, revision).unwrap());
+    assert!(versions.is_sorted_by(|a, b| a < b));
+    assert_eq!(versions.map(|it| (it.era(), it.revision())), parts);
+    let part = |era, revision| ObjectVersion::try_of(era, revision).map_err(|it| it.part);
+    assert_eq!(part(era_max + 1, 0), Err("era"));
+    assert_eq!(part(0, revision_max + 1), Err("revision"));
+}
--- a/crates/object-store/src/eras.rs
+++ b/crates/object-store/src/eras.rs
@@ -8,6 +8,7 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 
+use http::HeaderValue;
 use model::ObjectVersion;
 
 use crate::StoreError;
@@ -16,6 +17,20 @@
 #[derive(Debug, Default)]
 pub struct EraTracker(AtomicU64);
 
+/// Parses the header with the era of an answer. Without one the store was never rolled back.
+///
+/// # Errors
+///
+/// A text for the log, if the value is not an era that versions can have. The answer must not be used then: its versions
+/// would be those of an earlier era.
+pub fn parse_era(header: Option<&HeaderValue>) -> Result<u64, String> {
+    let Some(value) = header else { return Ok(0) };
+    let era = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    let era = era.ok_or_else(|| format!("{value:?} is no era of the store"))?;
+    ObjectVersion::try_of(era, 0).map_err(|error| error.to_string())?;
+    Ok(era)
+}
+
 impl EraTracker {
     /// Records the era of an answer. Returns whether the store was rolled back since the last answer.
     pub fn observe(&self, era: u64) -> bool {
--- a/crates/object-store/src/http.rs
+++ b/crates/object-store/src/http.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use model::ObjectVersion;
+use model::{ObjectVersion, VersionError};
 use serde::Deserialize;
 use tokio::time::timeout;
 use volo::{discovery::DummyDiscover, loadbalance::random::WeightedRandomBalance};
@@ -15,7 +15,7 @@
     response::Response,
 };
 
-use crate::{Change, Changes, EraTracker, Object, ObjectStore, StoreError, StoreResult};
+use crate::{Change, Changes, EraTracker, Object, ObjectStore, StoreError, StoreResult, parse_era};
 
 const VERSION_HEADER: &str = "x-object-version";
 const EXPECTED_VERSION_HEADER: &str = "if-object-version";
@@ -102,7 +102,8 @@
         };
         match timeout(call_timeout, exchange).await {
             Ok(Ok(answer)) => {
-                self.eras.observe(era(&answer));
+                let era = parse_era(answer.headers.get(ERA_HEADER));
+                self.eras.observe(era.map_err(|reason| self.unavailable(&step, reason))?);
                 self.check_status(step, answer, accepts_not_found)
             }
             Ok(Err(reason)) => Err(self.unavailable(step, reason)),
@@ -145,17 +146,19 @@
         header: &str,
     ) -> Result<ObjectVersion, StoreError> {
         let text = answer.headers.get(header).and_then(|it| it.to_str().ok());
-        match text.and_then(|it| it.parse().ok()) {
-            Some(number) => Ok(ObjectVersion::of(era(answer), number)),
-            None => Err(self.unavailable(step, format!("no valid number in the header {header}"))),
-        }
+        let number = text.and_then(|it| it.parse().ok()).ok_or_else(|| {
+            self.unavailable(step, format!("no valid number in the header {header}"))
+        })?;
+        ObjectVersion::try_of(era(answer), number)
+            .map_err(|error| self.unavailable(step, error.to_string()))
     }
 
     fn changes(&self, step: &str, answer: &Answer) -> Result<Changes, StoreError> {
         let raw: Vec<RawChange> = serde_json::from_slice(&answer.body)
             .map_err(|error| self.unavailable(step, format!("invalid list: {error}")))?;
         let era = era(answer);
-        let changes = raw.into_iter().map(|it| it.into_change(era)).collect();
+        let changes = raw.into_iter().map(|it| it.into_change(era)).collect::<Result<_, _>>();
+        let changes = changes.map_err(|error| self.unavailable(step, error.to_string()))?;
         Ok(Changes { revision: self.version_in(step, answer, REVISION_HEADER)?, changes })
     }
 
@@ -165,16 +168,15 @@
 }
 
 impl RawChange {
-    fn into_change(self, era: u64) -> Change {
-        let version = ObjectVersion::of(era, self.version);
-        Change { path: self.path, version, body: self.body.map(Bytes::from) }
+    fn into_change(self, era: u64) -> Result<Change, VersionError> {
+        let version = ObjectVersion::try_of(era, self.version)?;
+        Ok(Change { path: self.path, version, body: self.body.map(Bytes::from) })
     }
 }
 
-/// Returns the number of rollbacks of the store according to an answer, 0 if the header is absent.
+/// Returns the era of an answer, which was checked when it was received.
 fn era(answer: &Answer) -> u64 {
-    let header = answer.headers.get(ERA_HEADER);
-    header.and_then(|it| it.to_str().ok()?.parse().ok()).unwrap_or(0)
+    parse_era(answer.headers.get(ERA_HEADER)).unwrap_or(0)
 }
 
 async fn read(response: Response) -> Result<Answer, String> {
--- a/crates/object-store/src/lib.rs
+++ b/crates/object-store/src/lib.rs
@@ -27,6 +27,6 @@
 pub use api::{Change, Changes, Object, ObjectStore, StoreError, StoreResult};
 pub use checked_watch::{PROBE_PATH, watch_with_check};
 pub use counted::{CallCounts, CallKind, CountedStore};
-pub use eras::EraTracker;
+pub use eras::{EraTracker, parse_era};
 pub use follower::{Follower, FollowerTimes};
 pub use http::{HttpObjectStore, Timeouts};
