Terms: a drawn round is kept for the next attempt, and a used up term waits for the platform

- A term could be below a lost one.
Each refused or unanswered update of the coordinator object used up a round, so that more than the 1,024 that the next era skips could be drawn (2,999 in 300 s of refused updates).
A round that was drawn for a version of the object is now used until that version has changed: no other term can have been acquired meanwhile.
- The release of a term by its tokens ended all leases if the platform was down.
- A group without a stored object drew its first round from the absolute number of rollbacks, so it had no fence from 2^18 on, and no round from 2^22 on.
The eras are counted modulo 2^16 there.
- An answer that names era 0 for an object with a term of a later era gave a term with a tie-breaker, which has no fence.
Such a term is drawn, too.

--- a/crates/model/src/identity.rs
+++ b/crates/model/src/identity.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns whether this term was drawn after a rollback of the store.
+    pub fn is_after_rollback(self) -> bool {
+        self.tie_breaker().is_some()
+    }
+
     /// Returns the tie-breaker of a term drawn after a rollback, or `None` for any other term. Only earlier versions of
     /// the agent, whose rounds were not unique, draw one other than 0.
     pub(crate) fn tie_breaker(self) -> Option<u32> {
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -396,7 +396,7 @@
         self.maintain(ctx);
         self.refresh_loads(ctx);
         if self.is_settled() && self.sequence >= ctx.limits().tokens_per_term {
-            self.release_term(ctx);
+            self.release_used_up_term(ctx);
         }
         self.send_answers(ctx, Recipients::All);
     }
@@ -613,6 +613,15 @@
             && times.with_drift_margin(unproved) < maintain::WITNESS_AGE_MIN
     }
 
+    /// Releases a term that has given out its tokens, while the platform is reachable: without it, the release would end
+    /// all leases and no next term could begin.
+    fn release_used_up_term(&mut self, ctx: &mut Ctx<'_>) {
+        match self.confirmation.is_platform_reachable(ctx.now) {
+            true => self.release_term(ctx),
+            false => self.confirmation.schedule_read(ctx.now),
+        }
+    }
+
     /// Releases the term by an update of the coordinator object. From now on this node renews no
     /// lease.
     pub(crate) fn release_term(&mut self, ctx: &mut Ctx<'_>) {
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -36,13 +36,17 @@
 /// A node counts as reachable for this long after its last message.
 const REACHABLE_WITHIN: Duration = Duration::from_secs(1);
 const CONTACTS_MAX: usize = 64;
-/// Number of rounds skipped for each rollback of the platform. More than the number of terms that can have started since
-/// the rollback before it, as far as they are lost.
+/// Number of rounds skipped for each rollback of the platform, more than can have been drawn of those that are lost: a
+/// node draws one for each version of the object that it tries to replace.
 const ROUNDS_SKIPPED_PER_ERA: u64 = 1024;
+/// Number of eras that are told apart where no object of the group is stored. It bounds the first round of a group, since
+/// the platform may have counted any number of eras before.
+const ERAS_COUNTED_MAX: u64 = 1 << 16;
 /// Maximum number of attempts without a reply that a node keeps.
 const UNANSWERED_ATTEMPTS_MAX: usize = 16;
 
-/// Update of the coordinator object that acquires a term if it succeeds.
+/// Update of the coordinator object that acquires a term if it succeeds. Until the term is drawn, `object` has the latest
+/// known one.
 #[derive(Debug, Clone)]
 struct Attempt {
     object: Coordinator,
@@ -70,6 +74,8 @@
     step: TakeoverStep,
     /// Attempts whose reply was lost and whose update may have taken effect.
     unanswered: Vec<Attempt>,
+    /// Term that was drawn for an update conditional on this version, until an update has taken effect.
+    drawn: Option<(ObjectVersion, Term)>,
     retry_delay: Duration,
     next_attempt_at: Timestamp,
     next_query_at: Timestamp,
@@ -99,6 +105,7 @@
         Takeover {
             step: TakeoverStep::Idle,
             unanswered: Vec::new(),
+            drawn: None,
             retry_delay: RETRY_DELAY_MIN,
             next_attempt_at: now,
             next_query_at: now,
@@ -389,7 +396,7 @@
         let previous = carried.as_ref().map_or(&stored, |it| &it.object).clone();
         let nonce = ctx.draw_nonce();
         let latest = object.term.max(self.known.term);
-        let lost_max = highest_lost_round(object.term, object.era, version);
+        let lost_max = lost_rounds_max(object.term, object.era, version);
         let object = Coordinator {
             term: latest,
             holder: Some(ctx.own_instance().clone()),
@@ -446,8 +453,8 @@
         let previous = history_lost.then_some(previous);
         let attempt = Attempt { object, previous, stored: None, sent_at: ctx.now };
         // The group may be as old as the platform, and each rollback may have lost the objects of later terms.
-        let lost_max = highest_lost_round(Term(0), 0, version)
-            .max(plan.map_or(0, |it| highest_lost_round(planned, it.era, version)));
+        let lost_max = (ROUNDS_SKIPPED_PER_ERA * (version.era() % ERAS_COUNTED_MAX))
+            .max(plan.map_or(0, |it| lost_rounds_max(planned, it.era, version)));
         self.draw_term(ctx, version, attempt, lost_max);
     }
 
@@ -466,10 +473,17 @@
     ) {
         let latest = attempt.object.term;
         let era = expected.era();
-        if era == 0 {
+        if era == 0 && !latest.is_after_rollback() {
             return self.start_attempt(ctx, expected, attempt, latest.next());
         }
-        let above = u32::try_from(latest.round().max(lost_max)).unwrap_or(u32::MAX);
+        let above = latest.round().max(lost_max);
+        // The object has not changed since the term was drawn, so no later one can have been acquired. Drawing again
+        // would use up the rounds that the next era skips.
+        let drawn = self.takeover.drawn.filter(|it| it.0 == expected);
+        if let Some((_, term)) = drawn.filter(|it| it.1 > latest && it.1.round() > above) {
+            return self.start_attempt(ctx, expected, attempt, term);
+        }
+        let above = u32::try_from(above).unwrap_or(u32::MAX);
         let call = ctx.call_platform(PlatformRequest::DrawRound { era, above });
         self.takeover.step = TakeoverStep::DrawingRound(call, expected, Box::new(attempt));
     }
@@ -486,6 +500,7 @@
             self.takeover.next_attempt_at = ctx.now;
             return;
         }
+        self.takeover.drawn = Some((expected, term));
         self.start_attempt(ctx, expected, attempt, term);
     }
 
@@ -505,6 +520,7 @@
     fn complete_takeover(&mut self, ctx: &mut Ctx<'_>, attempt: Attempt, version: ObjectVersion) {
         let Attempt { object, previous, stored, sent_at } = attempt;
         self.takeover.unanswered.clear();
+        self.takeover.drawn = None;
         self.takeover.reacquire = false;
         let object = Coordinator { era: version.era(), ..object };
         let carried = self.carried_state(ctx).filter(|_| stored.is_some());
@@ -524,12 +540,12 @@
     }
 }
 
-/// Returns the highest round that may have been drawn before the era of `version` and lost since, if the latest stored
-/// term was drawn in `era`.
+/// Returns an upper bound of the rounds that may have been drawn before the era of `version` and lost since, if the
+/// latest stored term was drawn in `era`.
 ///
 /// This depends on stored terms only. A node that also knew a later term and counted the lost rounds from there would
 /// draw a term that others, which do not know it, can't exceed after the next rollback.
-fn highest_lost_round(stored: Term, era: u64, version: ObjectVersion) -> u64 {
+fn lost_rounds_max(stored: Term, era: u64, version: ObjectVersion) -> u64 {
     let eras_passed = version.era().saturating_sub(era);
     stored.round().saturating_add(ROUNDS_SKIPPED_PER_ERA.saturating_mul(eras_passed))
 }
--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Simulations of many nodes with single faults, under random faults and from recorded traces; tests of single nodes.
 
 mod takeover;
+mod terms;
 mod upstream_clearing;
 mod loads;
 mod lifecycle;
