Requests: a connection is not used twice for the same id

What callers saw: an upstream refuses a request as not run and runs it when it is sent again.

Cause: a refused request is sent again under the same id, and the pool takes the connection that was used last, which is the one of the refusal. Answers were told apart by the id alone, which both sendings share.

Change: the pool remembers for each connection the ids whose sendings ended without a valid final answer, and the last id. It sends a request on no connection on which a reply to an earlier sending of its id could be outstanding. Other requests go on to use the connection. After 1,024 such ids a connection is closed rather than one of them forgotten.

--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -9,4 +9,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use pool::{CallKind, ExchangeError, Pool, PoolConfig, Reply};
+pub use pool::{CallId, CallKind, ExchangeError, Pool, PoolConfig, Reply, Reuse};
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -34,6 +34,8 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
 /// Number of unanswered TCP keep-alive probes after which a connection is closed.
 const UNANSWERED_PROBES_MAX: u32 = 2;
+/// Number of repeatable ids after which a connection is not kept any more, which bounds its memory to 8 KB.
+const REPEATABLE_IDS_MAX: usize = 1_024;
 /// Longest wait for a connection that has just received a reply to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
@@ -66,12 +68,41 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallKind(pub &'static str);
 
+/// Hash of the id that a call and its replies carry. All sendings of a call have the same id, so a late second copy of
+/// the reply to one sending would be taken for the reply to the next one on that connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallId(pub u64);
+
+/// Use of a connection after a reply to a call with an id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// The connection is closed, since its replies may no longer match its calls.
+    Never,
+    /// The call is complete. The connection is used for all further calls, but not for the same id directly afterwards.
+    Completed,
+    /// The call may be sent again. The connection stays usable for other ids, but is never used for this one again.
+    Repeatable,
+}
+
+/// Property of a call that its reply shares with the replies to some other calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallTag {
+    Kind(CallKind),
+    Id(CallId),
+}
+
+/// Earlier calls on a connection whose late replies could be taken for the reply to a further call.
+#[derive(Debug, Default)]
+struct PastCalls {
+    last: Option<CallTag>,
+    repeatable: Vec<CallId>,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
     expires_at: Instant,
-    /// Kind of the last call on the connection.
-    last_kind: Option<CallKind>,
+    past: PastCalls,
 }
 
 /// A completely received reply.
@@ -99,6 +130,23 @@
     Broken(String),
 }
 
+impl Reuse {
+    fn completed_if(is_reusable: bool) -> Reuse {
+        if is_reusable { Reuse::Completed } else { Reuse::Never }
+    }
+}
+
+impl PastCalls {
+    /// Returns whether the reply to a call with the tag cannot be confused with one to an earlier call.
+    fn allows(&self, tag: Option<CallTag>) -> bool {
+        match tag {
+            None => true,
+            Some(CallTag::Id(id)) if self.repeatable.contains(&id) => false,
+            Some(_) => self.last != tag,
+        }
+    }
+}
+
 impl Pool {
     /// Creates a pool that opens its first connection with the first request.
     pub fn new(address: SocketAddr, config: PoolConfig) -> Pool {
@@ -121,7 +169,7 @@
             Ok(stream) => {
                 if let Ok(sender) = self.handshake(stream).await {
                     let expires_at = Instant::now() + self.config.idle_timeout;
-                    self.keep_until(expires_at, sender, None);
+                    self.keep_until(expires_at, sender, PastCalls::default());
                 }
                 false
             }
@@ -137,7 +185,8 @@
         bytes_max: usize,
         is_reusable: impl FnOnce(&Parts) -> bool,
     ) -> Result<Reply, ExchangeError> {
-        self.exchange_with(None, request, bytes_max, is_reusable).await
+        let reuse = |parts: &Parts| Reuse::completed_if(is_reusable(parts));
+        self.exchange_with(None, request, bytes_max, reuse).await
     }
 
     /// Does the same as [`Pool::exchange`], on a connection whose last call was of another kind.
@@ -148,21 +197,40 @@
         bytes_max: usize,
         is_reusable: impl FnOnce(&Parts) -> bool,
     ) -> Result<Reply, ExchangeError> {
-        self.exchange_with(Some(kind), request, bytes_max, is_reusable).await
+        let reuse = |parts: &Parts| Reuse::completed_if(is_reusable(parts));
+        self.exchange_with(Some(CallTag::Kind(kind)), request, bytes_max, reuse).await
+    }
+
+    /// Does the same as [`Pool::exchange`], on a connection where no reply to an earlier sending of the id can be
+    /// outstanding: neither was the last call a sending of it, nor any call with it [`Reuse::Repeatable`].
+    pub async fn exchange_with_id(
+        &self,
+        id: CallId,
+        request: Request<Full<Bytes>>,
+        bytes_max: usize,
+        reuse: impl FnOnce(&Parts) -> Reuse,
+    ) -> Result<Reply, ExchangeError> {
+        self.exchange_with(Some(CallTag::Id(id)), request, bytes_max, reuse).await
     }
 
     async fn exchange_with(
         &self,
-        kind: Option<CallKind>,
+        tag: Option<CallTag>,
         request: Request<Full<Bytes>>,
         bytes_max: usize,
-        is_reusable: impl FnOnce(&Parts) -> bool,
+        reuse: impl FnOnce(&Parts) -> Reuse,
     ) -> Result<Reply, ExchangeError> {
-        let (sender, response) = self.send(kind, request).await?;
+        let (sender, mut past, response) = self.send(tag, request).await?;
         let (parts, body) = response.into_parts();
         let body = read(body, bytes_max).await?;
-        if is_reusable(&parts) {
-            self.keep(sender, kind, &parts);
+        past.last = tag;
+        match (reuse(&parts), tag) {
+            (Reuse::Never, _) => {}
+            (Reuse::Repeatable, Some(CallTag::Id(id))) => {
+                past.repeatable.push(id);
+                self.keep(sender, past, &parts);
+            }
+            (Reuse::Repeatable | Reuse::Completed, _) => self.keep(sender, past, &parts),
         }
         Ok(Reply { parts, body })
     }
@@ -171,12 +239,12 @@
     /// tried on further idle connections and finally on a new one.
     async fn send(
         &self,
-        kind: Option<CallKind>,
+        tag: Option<CallTag>,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Sender, Response<Incoming>), ExchangeError> {
-        while let Some(mut sender) = self.take(kind).await {
+    ) -> Result<(Sender, PastCalls, Response<Incoming>), ExchangeError> {
+        while let Some((mut sender, past)) = self.take(tag).await {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok((sender, response)),
+                Ok(response) => return Ok((sender, past, response)),
                 Err(mut error) => match unwritten(&mut error) {
                     Some(unwritten) => request = unwritten,
                     None => return Err(ExchangeError::Lost(error.into_error().to_string())),
@@ -185,7 +253,7 @@
         }
         let mut sender = self.connect().await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok((sender, response)),
+            Ok(response) => Ok((sender, PastCalls::default(), response)),
             Err(mut error) => {
                 let is_unwritten = unwritten(&mut error).is_some();
                 let reason = error.into_error().to_string();
@@ -201,45 +269,45 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the most recently used idle connection that is open and usable for a call of the kind.
-    async fn take(&self, kind: Option<CallKind>) -> Option<Sender> {
+    /// Takes the most recently used idle connection that is open and usable for a call with the tag.
+    async fn take(&self, tag: Option<CallTag>) -> Option<(Sender, PastCalls)> {
         loop {
-            let IdleConnection { mut sender, expires_at, .. } = self.pop(kind)?;
+            let IdleConnection { mut sender, expires_at, past } = self.pop(tag)?;
             if sender.is_closed() || expires_at <= Instant::now() {
                 continue;
             }
             if sender.is_ready()
                 || matches!(timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(())))
             {
-                return Some(sender);
+                return Some((sender, past));
             }
         }
     }
 
-    fn pop(&self, kind: Option<CallKind>) -> Option<IdleConnection> {
+    fn pop(&self, tag: Option<CallTag>) -> Option<IdleConnection> {
         let mut idle = self.idle();
-        let is_usable = |it: &IdleConnection| kind.is_none() || it.last_kind != kind;
-        let index = idle.iter().rposition(is_usable)?;
+        let index = idle.iter().rposition(|it| it.past.allows(tag))?;
         Some(idle.remove(index))
     }
 
-    fn keep(&self, sender: Sender, last_kind: Option<CallKind>, parts: &Parts) {
+    fn keep(&self, sender: Sender, past: PastCalls, parts: &Parts) {
         let kept_for = match keep_alive_timeout(&parts.headers) {
             Some(peer) => peer.saturating_sub(KEEP_ALIVE_MARGIN).min(self.config.idle_timeout),
             None => self.config.idle_timeout,
         };
-        if closes_connection(parts) || sender.is_closed() || kept_for.is_zero() {
+        let is_full = past.repeatable.len() >= REPEATABLE_IDS_MAX;
+        if closes_connection(parts) || sender.is_closed() || kept_for.is_zero() || is_full {
             return;
         }
-        self.keep_until(Instant::now() + kept_for, sender, last_kind);
+        self.keep_until(Instant::now() + kept_for, sender, past);
     }
 
-    fn keep_until(&self, expires_at: Instant, sender: Sender, last_kind: Option<CallKind>) {
+    fn keep_until(&self, expires_at: Instant, sender: Sender, past: PastCalls) {
         let now = Instant::now();
         let mut idle = self.idle();
         idle.retain(|it| now < it.expires_at && !it.sender.is_closed());
         if idle.len() < self.config.idle_max {
-            idle.push(IdleConnection { sender, expires_at, last_kind });
+            idle.push(IdleConnection { sender, expires_at, past });
         }
     }
 
--- a/crates/http-pool/src/tests/mod.rs
+++ b/crates/http-pool/src/tests/mod.rs
@@ -19,7 +19,7 @@
     time::timeout,
 };
 
-use crate::{CallKind, ExchangeError, Pool, PoolConfig};
+use crate::{CallId, CallKind, ExchangeError, Pool, PoolConfig, Reuse};
 
 const CONFIG: PoolConfig = PoolConfig {
     connect_timeout: Duration::from_secs(5),
@@ -60,6 +60,11 @@
     Ok(String::from_utf8(reply.body.to_vec()).unwrap())
 }
 
+async fn request_with_id(pool: &Pool, id: u64, reuse: Reuse) {
+    let get = Request::get("/x").header("host", "a.example").body(Full::new(Bytes::new()));
+    pool.exchange_with_id(CallId(id), get.unwrap(), 1000, |_| reuse).await.unwrap();
+}
+
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 #[tokio::test]
@@ -100,6 +105,44 @@
     assert_eq!(pool.connections_opened(), 2);
 }
 
+#[tokio::test]
+async fn a_repeatable_call_does_not_return_to_its_connection() {
+    let pool = pool_of_peer(&[&[OK, OK, OK, OK], &[OK, OK], &[OK]]).await;
+    request_with_id(&pool, 1, Reuse::Repeatable).await;
+    request_with_id(&pool, 2, Reuse::Repeatable).await;
+    request_with_id(&pool, 3, Reuse::Completed).await;
+    request(&pool).await.unwrap();
+    assert_eq!(pool.connections_opened(), 1, "expected one connection for different ids");
+    request_with_id(&pool, 1, Reuse::Repeatable).await;
+    request_with_id(&pool, 2, Reuse::Completed).await;
+    assert_eq!(pool.connections_opened(), 2, "expected another connection for the second sendings");
+    request_with_id(&pool, 1, Reuse::Completed).await;
+    assert_eq!(pool.connections_opened(), 3);
+}
+
+#[tokio::test]
+async fn consecutive_calls_with_an_id_use_different_connections() {
+    let pool = pool_of_peer(&[&[OK, OK, OK], &[OK]]).await;
+    request_with_id(&pool, 1, Reuse::Completed).await;
+    request_with_id(&pool, 2, Reuse::Completed).await;
+    request_with_id(&pool, 1, Reuse::Completed).await;
+    assert_eq!(pool.connections_opened(), 1);
+    request_with_id(&pool, 1, Reuse::Completed).await;
+    assert_eq!(pool.connections_opened(), 2);
+}
+
+/// Guards against memory that grows with the refusals on a connection, and against ids that are forgotten to bound it.
+#[tokio::test]
+async fn a_connection_with_the_most_repeatable_ids_is_replaced() {
+    let pool = pool_of_peer(&[&[OK; 1_025], &[OK]]).await;
+    for id in 0..1_024 {
+        request_with_id(&pool, id, Reuse::Repeatable).await;
+    }
+    assert_eq!(pool.connections_opened(), 1);
+    request_with_id(&pool, 1_024, Reuse::Completed).await;
+    assert_eq!(pool.connections_opened(), 2);
+}
+
 #[tokio::test]
 async fn a_connection_with_bytes_after_a_reply_is_not_reused() {
     const TWICE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\
