--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -153,6 +153,11 @@
         Pool { address, config, idle: Mutex::default(), connections_opened: AtomicU64::new(0) }
     }
 
+    /// Creates an empty pool of connections to the same address, with the same configuration.
+    pub fn separate(&self) -> Pool {
+        Pool::new(self.address, self.config)
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.address
     }
