Upstreams without ids: a connection is not used again after a refusal

What callers saw: nothing known; found by looking for exchanges of the same class. The late second copy of a refusal (503 with `x-not-run`) was taken for the answer to the next request on that connection, whichever it was. Its caller was told "not run" while it ran.

Cause: answers of these upstreams carry no id, and the HTTP client keeps each connection whose answer is complete.

Evidence: the new test failed before (the second request was `Refused`) and passes. The 8 tests of `upstream` and the 219 of `agent` pass, one run each. Soak and demo, whose upstreams use this client, were not run. Connections opened were not measured for this client.

Change: requests go through `http-pool`, which decides by the answer whether a connection is used again; after a refusal it is not. Control calls stay with `volo-http`. A refusal whose body is cut off now ends as unknown, where it counted as refused before its body was read. Other answers of these upstreams still rest on the order of the connection (docs/design/requests.md).

--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -1,15 +1,17 @@
-//! HTTP client of an upstream, based on `volo-http`.
+//! HTTP client of an upstream: requests on an [`http_pool::Pool`], control calls by `volo-http`.
 
-use std::{error::Error, io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context;
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
     header::{HOST, RETRY_AFTER},
+    response::Parts,
     uri::PathAndQuery,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_pool::{ExchangeError, Pool, PoolConfig, Reply};
 use model::{REQUEST_ID_HEADER, RequestId, Slot, TOKEN_HEADER, Token};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::TcpStream;
@@ -17,7 +19,7 @@
 use volo_http::{
     body::Body,
     client::{Client, ClientBuilder},
-    error::{ClientError, client::ErrorKind},
+    error::ClientError,
 };
 
 use crate::{
@@ -42,6 +44,9 @@
 /// [`Upstream`] over HTTP, with connections that are kept and reused.
 #[derive(Clone)]
 pub struct HttpUpstream {
+    /// Connections for requests.
+    requests: Arc<Pool>,
+    /// Client for control calls.
     client: Client,
     address: SocketAddr,
     host: HeaderValue,
@@ -75,7 +80,14 @@
             .build_without_extra_layers()
             .with_context(|| format!("client of upstream {address}"))?;
         let host = HeaderValue::from_str(&address.to_string()).context("host header")?;
-        Ok(HttpUpstream { client, address, host, answer_bytes_max })
+        let config = PoolConfig {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            idle_max: connections_max,
+            probe_interval: None,
+        };
+        let requests = Arc::new(Pool::new(address, config));
+        Ok(HttpUpstream { requests, client, address, host, answer_bytes_max })
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -111,40 +123,34 @@
             let value = HeaderValue::from_str(&token.to_string()).expect("digits and a dot");
             headers.insert(TOKEN_HEADER, value);
         }
-        let response = self
-            .send(request.method, request.path, headers, request.body)
-            .await
-            .map_err(|error| self.call_error(&error))?;
-        let (parts, body) = response.into_parts();
+        headers.insert(HOST, self.host.clone());
+        let mut call = http::Request::new(Full::new(request.body));
+        *call.method_mut() = request.method;
+        *call.uri_mut() = request.path.into();
+        *call.headers_mut() = headers;
+        // A second copy of a refusal would be taken for the answer to the next request on the connection.
+        let is_reusable = |parts: &Parts| !is_refused(parts.status, &parts.headers);
+        let reply = self.requests.exchange(call, self.answer_bytes_max, is_reusable).await;
+        let Reply { parts, body } = reply.map_err(|error| self.call_error(error))?;
         if is_refused(parts.status, &parts.headers) {
             let retry_after = retry_after(&parts.headers);
             let condition = self.stated_condition(&parts.headers);
             return Err(CallError::Refused { peer: self.address, retry_after, condition });
         }
-        let body = collect(body, self.answer_bytes_max).await.map_err(|reason| {
-            CallError::Broken { step: "read answer", peer: self.address, reason }
-        })?;
         Ok(Answer { status: parts.status, headers: parts.headers, body })
     }
 
     /// Distinguishes requests that provably never left this process from requests that may have run.
-    fn call_error(&self, error: &ClientError) -> CallError {
-        let source = error.source();
-        let reason = source.map_or_else(|| error.to_string(), ToString::to_string);
+    fn call_error(&self, error: ExchangeError) -> CallError {
         let peer = self.address;
-        let may_have_run = match source.and_then(|it| it.downcast_ref::<volo_http::hyper::Error>())
-        {
-            // hyper reports a request that it never started to write as canceled.
-            Some(error) => !error.is_canceled(),
-            // A plain I/O error comes from connecting, and so does every error that is not of the kind `Request`.
-            None => {
-                *error.kind() == ErrorKind::Request
-                    && !source.is_some_and(<dyn Error>::is::<io::Error>)
+        match error {
+            ExchangeError::NotSent(reason) | ExchangeError::Closed(reason) => {
+                CallError::NotSent { step: "connect", peer, reason }
+            }
+            ExchangeError::Lost(reason) => CallError::Lost { step: "call", peer, reason },
+            ExchangeError::Broken(reason) => {
+                CallError::Broken { step: "read answer", peer, reason }
             }
-        };
-        match may_have_run {
-            true => CallError::Lost { step: "call", peer, reason },
-            false => CallError::NotSent { step: "connect", peer, reason },
         }
     }
 
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -69,6 +69,39 @@
     .await;
 }
 
+/// Guards against a false "not run": answers carry no id, so the second copy of a refusal would be taken for the answer
+/// to the next request on its connection.
+#[tokio::test]
+async fn a_connection_is_not_reused_after_a_refusal() {
+    const REFUSAL: &str = "HTTP/1.1 503 x\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for answers in [[REFUSAL, REFUSAL], [ANSWER, ANSWER]] {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                for answer in answers {
+                    let mut received = Vec::new();
+                    while !received.ends_with(b"body") {
+                        if stream.read_buf(&mut received).await.unwrap() == 0 {
+                            return;
+                        }
+                    }
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    let upstream = HttpUpstream::new(address, 4, 16).unwrap();
+    let refused = upstream.call(request()).await;
+    assert!(matches!(refused, Err(CallError::Refused { .. })), "{refused:?}");
+    // A third connection is never accepted, so the answers share the second one.
+    for _ in 0..2 {
+        assert_eq!(&upstream.call(request()).await.unwrap().body[..], b"ok");
+    }
+}
+
 #[tokio::test]
 async fn a_503_without_the_not_run_header_is_an_answer() {
     check("HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n", |result, _| {
