A grant after a rejoin is above the token that cleared the upstream

Cause: the token of a planned move is drawn when the move begins. If the new owner rejoins before its end, its upstream releases earlier grants under a later token, and refuses the older one from then on. The grant compared its token with those of the slot alone.

Change: the coordinator keeps the token with which a member's upstream is cleared, and draws a new token for a grant that is not above it. Hot keys draw theirs when they are granted.

Evidence: the simulator now checks that a host is granted slots above the token of its last clearing.

--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -108,6 +108,10 @@
         let next_owner = row.handover.as_ref().map(|it| (it.to.clone(), it.token));
         match next_owner {
             Some((to, token)) if self.may_take(ctx.now, slot, &to) => {
+                // The member may have rejoined since the move began.
+                let is_above_clear =
+                    self.members.rows.get(&to).is_some_and(|it| token > it.clear_token);
+                let token = if is_above_clear { token } else { self.batch_token(ctx, batch, &to) };
                 self.grant(ctx, slot, to, Some(token))
             }
             _ if self.is_reserved_for_successor(ctx.now, slot, incarnations) => {}
--- a/crates/ownership/src/coordinator/incarnations.rs
+++ b/crates/ownership/src/coordinator/incarnations.rs
@@ -62,6 +62,7 @@
             let token = self.next_token();
             if let Some(row) = self.members.rows.get_mut(&id) {
                 row.earlier_sessions = EarlierSessions::Clearing { token };
+                row.clear_token = token;
                 row.enqueue(Command::Clear { token });
             }
             if !rules::is_enforced(Rule::ClearEarlierIncarnations) {
--- a/crates/ownership/src/coordinator/members.rs
+++ b/crates/ownership/src/coordinator/members.rs
@@ -75,6 +75,8 @@
     /// Hot keys that the session excludes from its slots, or has been commanded to exclude.
     pub(crate) excluded: BTreeSet<KeyHash>,
     pub(crate) earlier_sessions: EarlierSessions,
+    /// The token under which the upstream has been or is being cleared. It refuses grants under tokens up to this one.
+    pub(crate) clear_token: Token,
     /// Whether a renewal has not been answered yet.
     pub(crate) is_answer_due: bool,
     /// Whether there are new commands to send.
@@ -109,6 +111,7 @@
                 Some(it) if it.slots.is_empty() => EarlierSessions::Unknown,
                 _ => EarlierSessions::Retained,
             },
+            clear_token: Token::default(),
             is_answer_due: true,
             is_push_due: false,
         }
--- a/crates/ownership/src/sim/invariants.rs
+++ b/crates/ownership/src/sim/invariants.rs
@@ -22,6 +22,9 @@
     TokenNotIncreasing { slot: Slot, token: Token, last: Token, at: Timestamp },
     /// A slot was admitted under a token that has no fence, so that some upstreams could not be granted the slot.
     TokenWithoutFence { slot: Slot, token: Token, at: Timestamp },
+    /// A host was granted a slot under a token that is not above the one under which its upstream released earlier grants,
+    /// so that an upstream that checks fences refuses the grant.
+    TokenNotAboveClear { slot: Slot, token: Token, cleared: Token, host: usize, at: Timestamp },
     /// Two incarnations of agents have acquired the same term.
     TermAcquiredTwice { term: u64, hosts: (usize, usize), at: Timestamp },
     /// An update of the coordinator object brought a term that is not above all terms acquired before, in whichever era
@@ -66,6 +69,13 @@
                     "{ms} ms: slot {slot} was admitted under token {token}, which has no fence"
                 )
             }
+            Violation::TokenNotAboveClear { slot, token, cleared, host, at } => {
+                let ms = at.ns / 1_000_000;
+                write!(
+                    f,
+                    "{ms} ms: host {host} was granted slot {slot} under token {token}, and cleared under {cleared}"
+                )
+            }
             Violation::TermAcquiredTwice { term, hosts, at } => {
                 write!(f, "{} ms: hosts {hosts:?} have acquired term {term}", at.ns / 1_000_000)
             }
@@ -97,6 +107,8 @@
     key_tokens: BTreeMap<KeyHash, Token>,
     /// The host that acquired each term, and the generation of its agent.
     term_holders: BTreeMap<u64, (usize, u64)>,
+    /// Highest token under which the upstream of each host released all earlier grants.
+    cleared_tokens: BTreeMap<usize, Token>,
     /// Highest term that an update of the coordinator object has brought.
     highest_term: Term,
     /// First violation.
@@ -116,6 +128,7 @@
             slot_tokens: BTreeMap::new(),
             key_tokens: BTreeMap::new(),
             term_holders: BTreeMap::new(),
+            cleared_tokens: BTreeMap::new(),
             highest_term: Term::default(),
             violation: None,
             events: BTreeMap::new(),
@@ -142,6 +155,21 @@
         *last = token;
     }
 
+    /// Records that the upstream of a host releases all grants under tokens up to this one.
+    fn record_clear(&mut self, host: usize, token: Token) {
+        let cleared = self.cleared_tokens.entry(host).or_default();
+        *cleared = token.max(*cleared);
+    }
+
+    /// Checks that a host is granted a slot under a token above all under which its upstream released grants.
+    fn check_token_after_clear(&mut self, host: usize, slot: Slot, token: Token, at: Timestamp) {
+        let cleared = self.cleared_tokens.get(&host).copied().unwrap_or_default();
+        if token <= cleared {
+            let violation = Violation::TokenNotAboveClear { slot, token, cleared, host, at };
+            self.record_violation(violation);
+        }
+    }
+
     /// Checks that the token of a slot that a new lease admits again is not lower than an earlier one.
     pub(super) fn check_resumed_slot_token(&mut self, slot: Slot, token: Token, at: Timestamp) {
         if self.slot_tokens.get(&slot) != Some(&token) {
@@ -201,7 +229,9 @@
             self.hosts[host].extend_request_leases();
         }
         match command {
+            GateCommand::Clear { token } => self.checker.record_clear(host, *token),
             GateCommand::Admit { slot, token } => {
+                self.checker.check_token_after_clear(host, *slot, *token, now);
                 // A command that a pause delayed past the end of the lease has no effect.
                 if self.check_slot(host, *slot) {
                     self.checker.check_slot_token(*slot, *token, now);
