agent: a test that the lease bounds a request at an upstream without a fence check

An upstream that checks no fence would run on after the lease, while the slot may be granted to another member.

The fake of the upstream now keeps the time that it was given for each request. Product code is unchanged.

--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -52,6 +52,8 @@
     /// Requests that were run, in order.
     pub(super) ran: Mutex<Vec<RequestId>>,
     pub(super) tokens: Mutex<Vec<Option<Token>>>,
+    /// Times that it was given for the requests that it ran, in order.
+    pub(super) remaining: Mutex<Vec<Duration>>,
     pub(super) cancelled: Mutex<Vec<RequestId>>,
     /// One permit lets one `hold` request continue.
     pub(super) release: Semaphore,
@@ -88,6 +90,7 @@
         FakeUpstream {
             ran: Mutex::default(),
             tokens: Mutex::default(),
+            remaining: Mutex::default(),
             cancelled: Mutex::default(),
             release: Semaphore::new(0),
             started: Semaphore::new(0),
@@ -152,6 +155,7 @@
         }
         self.ran.lock().unwrap().push(request.id);
         self.tokens.lock().unwrap().push(request.token);
+        self.remaining.lock().unwrap().push(request.remaining);
         self.started.add_permits(1);
         match op.as_str() {
             "hold" | "hold-fail" => self.release.acquire().await.unwrap().forget(),
--- a/crates/agent/src/tests/gate.rs
+++ b/crates/agent/src/tests/gate.rs
@@ -120,6 +120,19 @@
     assert!(agent.upstream.ran().is_empty());
 }
 
+/// Guards against a run that outlasts the lease, after which the slot may be granted to another member.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn time_of_a_request_ends_with_the_lease_at_an_upstream_that_checks_no_fence() {
+    let agent = owner().await;
+    let lease = Duration::from_secs(8);
+    agent.gate.apply(&[GateCommand::Lease { until: agent.gate.clock.now() + lease }]);
+    let call = post("echo", 1);
+    assert!(lease < call.deadline);
+    check(&agent.call(call).await, 200, "answered");
+    let remaining = agent.upstream.remaining.lock().unwrap().clone();
+    assert!(matches!(remaining[..], [it] if it < lease), "{remaining:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn queued_request_is_refused_when_the_lease_ends() {
     let agent = owner().await;
