--- a/crates/agent/src/control/tests/leaving.rs
+++ b/crates/agent/src/control/tests/leaving.rs
@@ -76,7 +76,7 @@
     let started_ms = Some(UPSTREAM_START_MS + 1);
     let published = wait_until("an upstream", || agent.upstream_started_ms().is_some());
     let next = Announcement { incarnation_start_ms: started_ms, ..announcement() };
-    // The pause gives a control thread with the fault the time to publish the one that left.
+    // Gives a faulty control thread the time to publish the incarnation that has left.
     let announced = async {
         tokio::time::sleep(Duration::from_millis(300)).await;
         agent.announce_once(next);
--- a/crates/agent/src/ingress/tests/announce.rs
+++ b/crates/agent/src/ingress/tests/announce.rs
@@ -106,7 +106,7 @@
     announcements.handle(&head, Body::from(body)).await.status()
 }
 
-/// An acknowledged leaving that control never hears of binds nobody: the upstream sends it once.
+/// Guards against an acknowledged leaving that control never receives: the upstream sends it once.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_is_acknowledged_only_once_control_is_certain_to_receive_it() {
     for message in [leaving(), announced(UpstreamState::Draining)] {
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -34,7 +34,7 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
 /// Number of unanswered TCP keep-alive probes after which a connection is closed.
 const UNANSWERED_PROBES_MAX: u32 = 2;
-/// Number of repeatable ids after which a connection is not kept any more, which bounds its memory to 8 KB.
+/// Number of repeatable ids at which a connection is closed, which bounds their memory to 8 KB.
 const REPEATABLE_IDS_MAX: usize = 1_024;
 /// Longest wait for a connection that has just received a reply to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
