Releases: a connection carries one release at most

The second copy of the answer to a release that is late by two answers or more was taken for the answer to a later release on that connection. Keys then count as released, and may be granted elsewhere, while requests on them run.

Cause: only the call directly before a release on its connection was ruled out to be a release. Handover tokens do not show which release they answer, since parts of one grant may be released one after the other.

Change: a connection ends with a release, so each answer to one is the first on its connection. Kinds of calls in http-pool served this alone and are removed with their test.

--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -63,11 +63,6 @@
     connections_opened: AtomicU64,
 }
 
-/// Kind of calls whose replies are indistinguishable. A faulty peer may send a reply twice, and the duplicate would be
-/// taken for the reply to the next request, so no two consecutive calls on a connection are of the same kind.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CallKind(pub &'static str);
-
 /// Hash of the id that a call and its replies carry. All sendings of a call have the same id, so a late second copy of
 /// the reply to one sending would be taken for the reply to the next one on that connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,17 +79,10 @@
     Repeatable,
 }
 
-/// Property of a call that its reply shares with the replies to some other calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CallTag {
-    Kind(CallKind),
-    Id(CallId),
-}
-
 /// Earlier calls on a connection whose late replies could be taken for the reply to a further call.
 #[derive(Debug, Default)]
 struct PastCalls {
-    last: Option<CallTag>,
+    last: Option<CallId>,
     repeatable: Vec<CallId>,
 }
 
@@ -137,12 +125,12 @@
 }
 
 impl PastCalls {
-    /// Returns whether the reply to a call with the tag cannot be confused with one to an earlier call.
-    fn allows(&self, tag: Option<CallTag>) -> bool {
-        match tag {
+    /// Returns whether the reply to a call with the id cannot be confused with one to an earlier call.
+    fn allows(&self, id: Option<CallId>) -> bool {
+        match id {
             None => true,
-            Some(CallTag::Id(id)) if self.repeatable.contains(&id) => false,
-            Some(_) => self.last != tag,
+            Some(it) if self.repeatable.contains(&it) => false,
+            Some(_) => self.last != id,
         }
     }
 }
@@ -194,18 +182,6 @@
         self.exchange_with(None, request, bytes_max, reuse).await
     }
 
-    /// Does the same as [`Pool::exchange`], on a connection whose last call was of another kind.
-    pub async fn exchange_of_kind(
-        &self,
-        kind: CallKind,
-        request: Request<Full<Bytes>>,
-        bytes_max: usize,
-        is_reusable: impl FnOnce(&Parts) -> bool,
-    ) -> Result<Reply, ExchangeError> {
-        let reuse = |parts: &Parts| Reuse::completed_if(is_reusable(parts));
-        self.exchange_with(Some(CallTag::Kind(kind)), request, bytes_max, reuse).await
-    }
-
     /// Does the same as [`Pool::exchange`], on a connection where no reply to an earlier sending of the id can be
     /// outstanding: neither was the last call a sending of it, nor any call with it [`Reuse::Repeatable`].
     pub async fn exchange_with_id(
@@ -215,23 +191,23 @@
         bytes_max: usize,
         reuse: impl FnOnce(&Parts) -> Reuse,
     ) -> Result<Reply, ExchangeError> {
-        self.exchange_with(Some(CallTag::Id(id)), request, bytes_max, reuse).await
+        self.exchange_with(Some(id), request, bytes_max, reuse).await
     }
 
     async fn exchange_with(
         &self,
-        tag: Option<CallTag>,
+        id: Option<CallId>,
         request: Request<Full<Bytes>>,
         bytes_max: usize,
         reuse: impl FnOnce(&Parts) -> Reuse,
     ) -> Result<Reply, ExchangeError> {
-        let (sender, mut past, response) = self.send(tag, request).await?;
+        let (sender, mut past, response) = self.send(id, request).await?;
         let (parts, body) = response.into_parts();
         let body = read(body, bytes_max).await?;
-        past.last = tag;
-        match (reuse(&parts), tag) {
+        past.last = id;
+        match (reuse(&parts), id) {
             (Reuse::Never, _) => {}
-            (Reuse::Repeatable, Some(CallTag::Id(id))) => {
+            (Reuse::Repeatable, Some(id)) => {
                 past.repeatable.push(id);
                 self.keep(sender, past, &parts);
             }
@@ -244,10 +220,10 @@
     /// tried on further idle connections and finally on a new one.
     async fn send(
         &self,
-        tag: Option<CallTag>,
+        id: Option<CallId>,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Sender, PastCalls, Response<Incoming>), ExchangeError> {
-        while let Some((mut sender, past)) = self.take(tag).await {
+        while let Some((mut sender, past)) = self.take(id).await {
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok((sender, past, response)),
                 Err(mut error) => match unwritten(&mut error) {
@@ -274,10 +250,10 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the most recently used idle connection that is open and usable for a call with the tag.
-    async fn take(&self, tag: Option<CallTag>) -> Option<(Sender, PastCalls)> {
+    /// Takes the most recently used idle connection that is open and usable for a call with the id.
+    async fn take(&self, id: Option<CallId>) -> Option<(Sender, PastCalls)> {
         loop {
-            let IdleConnection { mut sender, expires_at, past } = self.pop(tag)?;
+            let IdleConnection { mut sender, expires_at, past } = self.pop(id)?;
             if sender.is_closed() || expires_at <= Instant::now() {
                 continue;
             }
@@ -289,9 +265,9 @@
         }
     }
 
-    fn pop(&self, tag: Option<CallTag>) -> Option<IdleConnection> {
+    fn pop(&self, id: Option<CallId>) -> Option<IdleConnection> {
         let mut idle = self.idle();
-        let index = idle.iter().rposition(|it| it.past.allows(tag))?;
+        let index = idle.iter().rposition(|it| it.past.allows(id))?;
         Some(idle.remove(index))
     }
 
--- a/crates/http-pool/src/tests/mod.rs
+++ b/crates/http-pool/src/tests/mod.rs
@@ -19,7 +19,7 @@
     time::timeout,
 };
 
-use crate::{CallId, CallKind, ExchangeError, Pool, PoolConfig, Reuse};
+use crate::{CallId, ExchangeError, Pool, PoolConfig, Reuse};
 
 const CONFIG: PoolConfig = PoolConfig {
     connect_timeout: Duration::from_secs(5),
@@ -56,12 +56,6 @@
     Ok(String::from_utf8(reply.body.to_vec()).unwrap())
 }
 
-async fn request_of_kind(pool: &Pool, kind: CallKind) -> Result<String, ExchangeError> {
-    let get = Request::get("/x").header("host", "a.example").body(Full::new(Bytes::new()));
-    let reply = pool.exchange_of_kind(kind, get.unwrap(), 1000, |_| true).await?;
-    Ok(String::from_utf8(reply.body.to_vec()).unwrap())
-}
-
 async fn request_with_id(pool: &Pool, id: u64, reuse: Reuse) {
     let get = Request::get("/x").header("host", "a.example").body(Full::new(Bytes::new()));
     pool.exchange_with_id(CallId(id), get.unwrap(), 1000, |_| reuse).await.unwrap();
@@ -89,24 +83,6 @@
     assert_eq!(pool.connections_opened(), 3);
 }
 
-#[tokio::test]
-async fn consecutive_calls_of_a_kind_use_different_connections() {
-    const KIND: CallKind = CallKind("one");
-    let pool = pool_of_peer(&[&[OK; 10], &[OK; 10]]).await;
-    request_of_kind(&pool, KIND).await.unwrap();
-    request_of_kind(&pool, CallKind("other")).await.unwrap();
-    request_of_kind(&pool, KIND).await.unwrap();
-    request(&pool).await.unwrap();
-    assert_eq!(
-        pool.connections_opened(),
-        1,
-        "expected one connection, as calls of other kinds came between"
-    );
-    request_of_kind(&pool, KIND).await.unwrap();
-    request_of_kind(&pool, KIND).await.unwrap();
-    assert_eq!(pool.connections_opened(), 2);
-}
-
 /// Guards against a late reply to one sending that is taken for the reply to the next one. The first connections have
 /// replies to spare, so that only the ids rule them out.
 #[tokio::test]
