Ownership: a coordinator carries its state over a rollback that loses the group's first object

What callers saw: when the store comes back from a copy that is older than a group's first object, no key of the group is served for the longest absence from the store (14 s on the users' platform, 90 minutes by default), although the coordinator lives and has its state.

Cause: state was carried over only where the platform still shows an object. Where it is missing, the next term was taken as by a node that knows nothing.

Change: the first term of an era carries the state over as any other does. The plan is lost together with the object. So a coordinator that has no plan of its own term yet counts the history as lost: only the lost plan may name members that hold grants.

--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -588,7 +588,12 @@
             })
         };
         if ctx.config.keyed && self.may_renew(ctx) {
-            return Reacquisition::WithState(carried(LostHistory::None));
+            // Without a plan of this term, only the lost one may name members that hold grants of earlier terms.
+            let lost_history = match self.plan.acked() {
+                Some(_) => LostHistory::None,
+                None => LostHistory::Unknown,
+            };
+            return Reacquisition::WithState(carried(lost_history));
         }
         let uses_witnesses = self.object.acked().confirmation == Confirmation::Witnesses;
         match () {
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -436,11 +436,11 @@
         let nonce = ctx.draw_nonce();
         // Only a platform that was never rolled back proves by a missing object that there was no term.
         let history_lost = self.known.term > Term(0) || version.era() > 0;
-        let object = Coordinator {
+        let missing = Coordinator {
             service: ctx.config.service.clone(),
             group: ctx.config.group,
             term: latest,
-            holder: Some(ctx.own_instance().clone()),
+            holder: None,
             nonce,
             witnesses: Vec::new(),
             confirmation: Confirmation::Platform,
@@ -449,9 +449,23 @@
             era: version.era(),
             history_lost,
         };
-        let previous = Coordinator { term: latest, holder: None, ..object.clone() };
-        let previous = history_lost.then_some(previous);
-        let attempt = Attempt { object, previous, stored: None, sent_at: ctx.now };
+        // The platform may have lost the first object of the group, and with it the term that this node holds.
+        let carried = self.carried_state(ctx).filter(|it| it.era == version.era());
+        let base = carried.as_ref().map_or(&missing, |it| &it.object);
+        let object = Coordinator {
+            term: latest,
+            holder: Some(ctx.own_instance().clone()),
+            nonce,
+            settled: missing.settled,
+            era: version.era(),
+            history_lost,
+            ..base.clone()
+        };
+        let (previous, stored) = match carried {
+            Some(carried) => (Some(carried.object), Some(missing)),
+            None => (history_lost.then_some(missing), None),
+        };
+        let attempt = Attempt { object, previous, stored, sent_at: ctx.now };
         // The group may be as old as the platform, and each rollback may have lost the objects of later terms.
         let lost_max = (ROUNDS_SKIPPED_PER_ERA * (version.era() % ERAS_COUNTED_MAX))
             .max(plan.map_or(0, |it| lost_rounds_max(planned, it.era, version)));
--- a/crates/ownership/src/tests/lifecycle.rs
+++ b/crates/ownership/src/tests/lifecycle.rs
@@ -211,6 +211,23 @@
     }
 }
 
+/// Guards against a group that is not served for the longest absence, because the platform has lost its first object: the
+/// coordinator finds no object and took none of its state into the next term.
+#[test]
+fn a_rollback_to_before_the_first_object_costs_a_lease_and_not_the_longest_absence() {
+    for seed in 1..=20 {
+        let mut sim = Sim::new(SimConfig { hosts: 3, ..SimConfig::new(seed) });
+        sim.start_all();
+        let is_served = |it: &Sim| it.unowned_slots() == 0;
+        assert!(sim.run_until(Duration::from_secs(4), is_served), "seed {seed}");
+        sim.apply(Fault::PlatformRollsBack { snapshot_age_ms: 10_000 });
+        sim.run_for(Duration::from_secs(4));
+        assert!(is_served(&sim), "seed {seed}: {:?}", sim.events());
+        sim.run_for(Duration::from_secs(4));
+        assert_served(&sim);
+    }
+}
+
 /// Pauses the coordinator of a group without keys until another one has taken over, and resumes it while neither
 /// messages nor the platform reach it. Returns whether it then renews its own session in its earlier term.
 fn renews_after_a_pause(seed: u64) -> bool {
--- a/crates/ownership/src/tests/random.rs
+++ b/crates/ownership/src/tests/random.rs
@@ -41,6 +41,11 @@
 /// Seeds with rollbacks of the platform after which two agents acquired the same term: an update of the lost term's
 /// coordinator, whose expected revision was assigned again, replaces the object of the later term.
 const TERM_ACQUIRED_TWICE_SEEDS: [u64; 4] = [5_001_855, 81_200_101, 730_000_247, 4_400_000_157];
+/// Seeds, with rollbacks and with rollbacks at new terms, in which the platform loses the group's first object. The
+/// coordinator carries its state into the next term, but has no plan yet, and settled without the members that only the
+/// lost plan names.
+const LOST_PLAN_SEED: u64 = 52_001_443;
+const LOST_PLAN_AT_NEW_TERMS_SEED: u64 = 52_001_061;
 /// Seeds with rollbacks of the platform after which a term was acquired that is not above all earlier ones. The
 /// coordinator object shows an older term, because the later ones are lost or an update of an earlier era has replaced
 /// it, and the agent that draws the next term knows of no later one either. In the first three seeds the round is
@@ -240,6 +245,13 @@
     check_runs(TERM_ACQUIRED_TWICE_SEEDS.map(config_with_rollbacks));
 }
 
+/// Guards against two owners of a slot: a missing plan proves in era 0 only that there was none.
+#[test]
+fn a_plan_that_was_lost_with_the_first_object_may_have_named_other_members() {
+    check_runs([config_with_rollbacks(LOST_PLAN_SEED)]);
+    check_runs([config_with_rollbacks_at_new_terms(LOST_PLAN_AT_NEW_TERMS_SEED)]);
+}
+
 /// Guards against fence tokens that fall: tokens are compared by their terms first.
 #[test]
 fn terms_increase_over_rollbacks() {
