Ownership: what bounds lost terms is kept for successors, and counts witnesses that are in doubt

What callers saw: keys are not served for the longest absence from the store after a rollback (14 s on the users' platform), if the coordinator that carries its state over is lost before it has settled, or if the rollback comes while it replaces the platform by its first witnesses.

Cause: such a coordinator knows which witnesses lost terms can have, but only terms without any counted, and its object did not say so. So its successor, and it itself while the update to the first witnesses was in doubt, waited for witnesses that nobody can name.

Evidence: the_loss_of_a_coordinator_after_a_rollback_... and a_rollback_while_the_first_witnesses_are_chosen_... failed before; each fails again with its part taken out (trials).

Change: lost terms are bounded by the platform and the witnesses of the carried state. A coordinator settles a lease after both can confirm none of them any more, the witnesses by the promise of a majority. The object says so until the term is settled.

--- a/crates/agent/src/control/tests/calls.rs
+++ b/crates/agent/src/control/tests/calls.rs
@@ -95,6 +95,7 @@
         times: TermTimes::from(&Limits::default()),
         era: 0,
         history_lost: false,
+        lost_has_known_witnesses: false,
     };
     let expected = ObjectVersion(0);
     let reply = reply(&store, PlatformRequest::UpdateCoordinator { expected, object }).await;
--- a/crates/ownership/src/coordinator/maintain.rs
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -31,7 +31,12 @@
             return;
         }
         let acked = self.object.acked();
-        let mut wanted = Coordinator { settled: true, history_lost: false, ..acked.clone() };
+        let mut wanted = Coordinator {
+            settled: true,
+            history_lost: false,
+            lost_has_known_witnesses: false,
+            ..acked.clone()
+        };
         if ctx.config.keyed {
             self.choose_confirmation(ctx, &mut wanted);
         }
@@ -133,12 +138,17 @@
     }
 }
 
-/// Returns the shortest time after which a term that begins with confirmation by the platform can be confirmed by
-/// witnesses. First members reach the age of a witness, then the cap of the coordinator lease is in force for a
-/// confirmation by the platform. A term may change its times meanwhile, but not before a confirmation and a lease have
-/// passed.
-pub(super) fn first_witnesses_after(times: TermTimes) -> Duration {
-    times.platform_confirmation() + WITNESS_AGE_MIN.min(times.lease())
+/// Returns the shortest time after which a term that begins with this confirmation can be confirmed by witnesses that it
+/// has chosen itself. These have to be members of some age. Before they replace the platform, the cap of the coordinator
+/// lease is in force for a confirmation by the platform; a term may change its times meanwhile, but not before a
+/// confirmation and a lease have passed.
+pub(super) fn other_witnesses_after(confirmation: Confirmation, times: TermTimes) -> Duration {
+    match confirmation {
+        Confirmation::Witnesses => WITNESS_AGE_MIN,
+        Confirmation::Platform => {
+            times.platform_confirmation() + WITNESS_AGE_MIN.min(times.lease())
+        }
+    }
 }
 
 /// Returns the largest odd number up to `count`, or 0.
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -87,6 +87,9 @@
     pub(crate) plan: Option<Plan>,
     /// Terms that may have begun since, and whose records the platform has lost.
     pub(crate) lost_history: LostHistory,
+    /// Whether only the platform and the witnesses in `object` can confirm the lost terms. A successor without this state
+    /// waits accordingly.
+    pub(crate) lost_has_known_witnesses: bool,
     /// The era of the platform after the rollback.
     pub(crate) era: u64,
 }
@@ -310,7 +313,7 @@
                 ctx.config.designates_members && rules::is_enforced(Rule::ProveTermAfterPause);
             return !(needs_proof && self.confirmation.awaits_proof());
         }
-        if self.succession.may_be_contested(ctx.now) {
+        if self.succession.may_be_contested(ctx.now, &self.confirmation) {
             return false;
         }
         let policy = self.object.confirmation_policy(self.times(ctx));
@@ -579,42 +582,52 @@
     /// only witnesses can confirm it, not the platform.
     pub(crate) fn reacquisition(&self, ctx: &Ctx<'_>) -> Reacquisition {
         let Some((rolled_back_at, era)) = self.rolled_back else { return Reacquisition::NotDue };
-        let carried = |lost_history| {
+        let bounded = self.state_of_lost_terms(ctx, rolled_back_at);
+        let carried = |object: &Coordinator, lost_history| {
             Box::new(CarriedState {
-                object: self.object.acked().clone(),
+                object: object.clone(),
                 plan: self.plan.acked().cloned(),
                 lost_history,
+                lost_has_known_witnesses: bounded.is_some(),
                 era,
             })
         };
         if ctx.config.keyed && self.may_renew(ctx) {
             // Without a plan of this term, only the lost one may name members that hold grants of earlier terms.
-            let lost_history = match self.plan.acked() {
-                Some(_) => LostHistory::None,
-                None => LostHistory::Unknown,
+            let lost_history = match (self.plan.acked(), bounded) {
+                (Some(_), _) => LostHistory::None,
+                (None, Some(_)) => LostHistory::KnownWitnesses,
+                (None, None) => LostHistory::Unknown,
             };
-            return Reacquisition::WithState(carried(lost_history));
+            return Reacquisition::WithState(carried(self.object.acked(), lost_history));
         }
         let uses_witnesses = self.object.acked().confirmation == Confirmation::Witnesses;
-        match () {
+        match bounded {
             _ if uses_witnesses && ctx.now.since(rolled_back_at) <= RECONFIRMATION_MAX => {
                 Reacquisition::NotDue
             }
-            _ if ctx.config.keyed && self.no_later_term_has_witnesses(ctx, rolled_back_at) => {
-                Reacquisition::WithUnconfirmedState(carried(LostHistory::ConfirmedByPlatform))
+            Some(object) => {
+                Reacquisition::WithUnconfirmedState(carried(object, LostHistory::KnownWitnesses))
             }
-            _ => Reacquisition::WithoutState,
+            None => Reacquisition::WithoutState,
         }
     }
 
-    /// Returns whether no term that began between the last proof of this one and the rollback can have been confirmed
-    /// by witnesses. Such a term began with the state of this one, which the platform confirms.
-    fn no_later_term_has_witnesses(&self, ctx: &Ctx<'_>, rolled_back_at: Timestamp) -> bool {
+    /// Returns the state with which terms can have begun between the last proof of this one and the rollback, if none of
+    /// them can have had other witnesses.
+    fn state_of_lost_terms(
+        &self,
+        ctx: &Ctx<'_>,
+        rolled_back_at: Timestamp,
+    ) -> Option<&Coordinator> {
         let times = TermTimes::from(ctx.limits());
         let unproved = rolled_back_at.since(self.confirmation.reached_platform_at());
-        self.object.is_confirmed_by_platform(times)
-            && self.succession.has_no_unknown_witnesses()
-            && times.with_drift_margin(unproved) < maintain::first_witnesses_after(times)
+        let object = self.object.state_with_witnesses(times)?;
+        let is_bounded = ctx.config.keyed
+            && self.succession.has_known_witnesses()
+            && times.with_drift_margin(unproved)
+                < maintain::other_witnesses_after(object.confirmation, times);
+        is_bounded.then_some(object)
     }
 
     /// Releases a term that has given out its tokens, while the platform is reachable: without it, the release would end
--- a/crates/ownership/src/coordinator/object.rs
+++ b/crates/ownership/src/coordinator/object.rs
@@ -65,11 +65,17 @@
         self.pending.is_some()
     }
 
-    /// Returns whether each state that may be in force is confirmed by the platform and has these times.
-    pub(crate) fn is_confirmed_by_platform(&self, times: crate::TermTimes) -> bool {
-        let matches =
-            |it: &Coordinator| it.confirmation == Confirmation::Platform && it.times == times;
-        matches(&self.acked) && self.pending.as_ref().is_none_or(|it| matches(&it.object))
+    /// Returns the state with the only witnesses with which a following term can have begun, or `None` if that is not
+    /// known, or if a state that may be in force has other times.
+    pub(crate) fn state_with_witnesses(&self, times: crate::TermTimes) -> Option<&Coordinator> {
+        let pending = self.pending.as_ref().map(|it| &it.object);
+        let states = [Some(&self.acked), pending].into_iter().flatten();
+        if self.acked.confirmation != Confirmation::Platform
+            || !states.clone().all(|it| it.times == times)
+        {
+            return None;
+        }
+        states.last()
     }
 
     /// Returns the conditions that confirm the term whether or not a pending update has taken
--- a/crates/ownership/src/coordinator/succession.rs
+++ b/crates/ownership/src/coordinator/succession.rs
@@ -59,28 +59,27 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LostHistory {
     None,
-    /// They began so late that none of them can have been confirmed by witnesses.
-    ConfirmedByPlatform,
+    /// Only the platform and the witnesses of the previous term can confirm them.
+    KnownWitnesses,
     /// Their witnesses are unknown, too.
     Unknown,
 }
 
+impl LostHistory {
+    /// Returns what a coordinator object says of the terms before it.
+    pub(crate) fn of(object: &Coordinator) -> LostHistory {
+        match object {
+            it if !it.history_lost => LostHistory::None,
+            it if it.lost_has_known_witnesses => LostHistory::KnownWitnesses,
+            _ => LostHistory::Unknown,
+        }
+    }
+}
+
 impl Predecessor {
     fn is_history_lost(&self) -> bool {
         self.lost_history != LostHistory::None
     }
-
-    /// Returns how long after the acquisition of this term an unrecorded coordinator may still be
-    /// active.
-    fn unrecorded_max(&self) -> Duration {
-        let times = self.times;
-        let confirmation = times.confirmation().max(times.platform_confirmation());
-        match self.lost_history {
-            LostHistory::None => Duration::ZERO,
-            LostHistory::ConfirmedByPlatform => times.platform_confirmation(),
-            LostHistory::Unknown => times.platform_absence_max() + confirmation,
-        }
-    }
 }
 
 impl Succession {
@@ -113,18 +112,39 @@
 
     /// Records that the platform has lost records of earlier terms.
     pub(crate) fn set_history_lost(&mut self) {
-        if let Some(predecessor) = &mut self.predecessor {
+        if let Some(predecessor) = self.predecessor.as_mut().filter(|it| !it.is_history_lost()) {
             predecessor.lost_history = LostHistory::Unknown;
         }
     }
 
     /// Returns whether an unrecorded coordinator may still renew and grant. Meanwhile this one must
     /// not renew any lease, because the other may have granted the same slots to another member.
-    pub(crate) fn may_be_contested(&self, now: Timestamp) -> bool {
+    pub(crate) fn may_be_contested(&self, now: Timestamp, confirmation: &TermConfirmation) -> bool {
         let previous = self.predecessor.as_ref().filter(|it| it.is_history_lost());
-        previous.is_some_and(|it| {
-            now < self.acquired_at + it.times.with_drift_margin(it.unrecorded_max())
-        })
+        previous.is_some_and(|it| now < self.unrecorded_end(confirmation, it, Duration::ZERO))
+    }
+
+    /// Returns when unrecorded terms have certainly been without confirmation for the given time.
+    fn unrecorded_end(
+        &self,
+        confirmation: &TermConfirmation,
+        previous: &Predecessor,
+        unconfirmed_for: Duration,
+    ) -> Timestamp {
+        let times = previous.times;
+        let by_platform = times.platform_confirmation() + unconfirmed_for;
+        let by_witnesses = times.confirmation() + unconfirmed_for;
+        let after_platform = self.acquired_at + times.with_drift_margin(by_platform);
+        match previous.lost_history {
+            LostHistory::None => self.acquired_at,
+            LostHistory::KnownWitnesses => self
+                .after_confirmation_end(confirmation, previous, by_witnesses, by_platform)
+                .map_or(after_platform, |it| it.max(after_platform)),
+            LostHistory::Unknown => {
+                let absence = times.platform_absence_max() + by_witnesses.max(by_platform);
+                self.acquired_at + times.with_drift_margin(absence)
+            }
+        }
     }
 
     /// Returns whether the platform has lost records of earlier terms.
@@ -132,10 +152,11 @@
         self.predecessor.as_ref().is_some_and(Predecessor::is_history_lost)
     }
 
-    /// Returns whether all earlier terms that may still be active are recorded, or were confirmed by the platform only.
-    pub(crate) fn has_no_unknown_witnesses(&self) -> bool {
-        let by_platform = |it: &Predecessor| it.lost_history == LostHistory::ConfirmedByPlatform;
-        self.settled || self.predecessor.as_ref().is_some_and(by_platform)
+    /// Returns whether all earlier terms that may still be active are recorded, or can be confirmed only by the platform
+    /// and the witnesses of the previous term.
+    pub(crate) fn has_known_witnesses(&self) -> bool {
+        let is_known = |it: &Predecessor| it.lost_history == LostHistory::KnownWitnesses;
+        self.settled || self.predecessor.as_ref().is_some_and(is_known)
     }
 
     /// Records that an agent follows or holds this term. If it is a later incarnation of the
@@ -283,9 +304,7 @@
         let times = previous.times;
         let lease = times.lease();
         if previous.is_history_lost() {
-            return Some(
-                self.acquired_at + times.with_drift_margin(previous.unrecorded_max() + lease),
-            );
+            return Some(self.unrecorded_end(confirmation, previous, lease));
         }
         let earlier_ended = previous.settled || !rules::is_enforced(Rule::AccountForUnsettledTerms);
         if previous.holder.is_none() && earlier_ended {
--- a/crates/ownership/src/node/takeover.rs
+++ b/crates/ownership/src/node/takeover.rs
@@ -388,8 +388,10 @@
             let doublings = self.takeover.hold_back_doublings + 1;
             self.takeover.hold_back_doublings = doublings.min(HOLD_BACK_DOUBLINGS_MAX);
         }
-        let history_lost = rolled_back || is_overtaken || object.history_lost;
-        let stored = Coordinator { history_lost, ..object.clone() };
+        let is_history_unknown = rolled_back || is_overtaken;
+        let history_lost = is_history_unknown || object.history_lost;
+        let lost_has_known_witnesses = !is_history_unknown && object.lost_has_known_witnesses;
+        let stored = Coordinator { history_lost, lost_has_known_witnesses, ..object.clone() };
         let carried = self
             .carried_state(ctx)
             .filter(|it| rolled_back && object.term <= it.object.term && it.era == version.era());
@@ -404,6 +406,9 @@
             settled: false,
             era: version.era(),
             history_lost,
+            lost_has_known_witnesses: carried
+                .as_ref()
+                .map_or(lost_has_known_witnesses, |it| it.lost_has_known_witnesses),
             ..previous.clone()
         };
         let stored = carried.is_some().then_some(stored);
@@ -448,6 +453,7 @@
             times: TermTimes::from(ctx.limits()),
             era: version.era(),
             history_lost,
+            lost_has_known_witnesses: false,
         };
         // The platform may have lost the first object of the group, and with it the term that this node holds.
         let carried = self.carried_state(ctx).filter(|it| it.era == version.era());
@@ -459,6 +465,9 @@
             settled: missing.settled,
             era: version.era(),
             history_lost,
+            lost_has_known_witnesses: carried
+                .as_ref()
+                .is_some_and(|it| it.lost_has_known_witnesses),
             ..base.clone()
         };
         let (previous, stored) = match carried {
@@ -543,8 +552,8 @@
         let previous = if carried.is_some() { previous } else { stored.or(previous) };
         let lost_history = match (&carried, &previous) {
             (Some(carried), _) => carried.lost_history,
-            (None, Some(previous)) if previous.history_lost => LostHistory::Unknown,
-            (None, _) => LostHistory::None,
+            (None, Some(previous)) => LostHistory::of(previous),
+            (None, None) => LostHistory::None,
         };
         let carried_plan = carried.and_then(|it| it.plan);
         self.become_coordinator(
--- a/crates/ownership/src/object.rs
+++ b/crates/ownership/src/object.rs
@@ -36,6 +36,9 @@
     /// names.
     #[serde(default, skip_serializing_if = "is_false")]
     pub history_lost: bool,
+    /// Whether only the platform and `witnesses` can confirm the terms that no object names.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub lost_has_known_witnesses: bool,
 }
 
 impl Coordinator {
--- a/crates/ownership/src/tests/lifecycle.rs
+++ b/crates/ownership/src/tests/lifecycle.rs
@@ -228,6 +228,46 @@
     }
 }
 
+/// Guards against a group that is not served for the longest absence, because the update that replaces the platform by
+/// witnesses was in doubt when the platform was rolled back.
+#[test]
+fn a_rollback_while_the_first_witnesses_are_chosen_costs_a_lease_and_not_the_longest_absence() {
+    for served_for_ms in (0..2_000).step_by(20) {
+        let mut sim = Sim::new(SimConfig { hosts: 3, ..SimConfig::new(served_for_ms) });
+        sim.start_all();
+        let is_served = |it: &Sim| it.unowned_slots() == 0;
+        assert!(sim.run_until(Duration::from_secs(4), is_served));
+        sim.run_for(Duration::from_millis(served_for_ms));
+        sim.apply(Fault::PlatformDown);
+        sim.run_for(Duration::from_millis(500));
+        sim.apply(Fault::PlatformRollsBack { snapshot_age_ms: 600 });
+        sim.run_for(Duration::from_secs(4));
+        assert!(is_served(&sim), "after {served_for_ms} ms: {:?}", sim.events());
+    }
+}
+
+/// Guards against a group that is not served for the longest absence, because the coordinator that could carry its state
+/// over is lost before its next term has settled.
+#[test]
+fn the_loss_of_a_coordinator_after_a_rollback_costs_a_lease_and_not_the_longest_absence() {
+    for seed in 1..=20 {
+        let mut sim = Sim::new(SimConfig { hosts: 2, ..SimConfig::new(seed) });
+        sim.start_all();
+        sim.run_for(Duration::from_secs(4));
+        assert_served(&sim);
+        sim.apply(Fault::PlatformDown);
+        sim.run_for(Duration::from_millis(900));
+        sim.apply(Fault::PlatformRollsBack { snapshot_age_ms: 1_000 });
+        let terms = |it: &Sim| it.events().get("BecameCoordinator").copied().unwrap_or(0);
+        assert!(sim.run_until(Duration::from_secs(1), |it| terms(it) == 2), "seed {seed}");
+        sim.apply(Fault::Crash(sim.coordinator().unwrap()));
+        let served = sim.run_until(Duration::from_secs(4), |it| it.unowned_slots() == 0);
+        assert!(served, "seed {seed}: {:?}", sim.events());
+        sim.run_for(Duration::from_secs(4));
+        assert_eq!(sim.unowned_slots(), 0);
+    }
+}
+
 /// Pauses the coordinator of a group without keys until another one has taken over, and resumes it while neither
 /// messages nor the platform reach it. Returns whether it then renews its own session in its earlier term.
 fn renews_after_a_pause(seed: u64) -> bool {
--- a/crates/ownership/src/tests/takeover.rs
+++ b/crates/ownership/src/tests/takeover.rs
@@ -52,6 +52,7 @@
         times: TermTimes::from(&limits()),
         era,
         history_lost: false,
+        lost_has_known_witnesses: false,
     }
 }
 
