--- a/crates/ownership/src/coordinator/maintain.rs
+++ b/crates/ownership/src/coordinator/maintain.rs
@@ -10,7 +10,11 @@
     ctx::{Ctx, MemberId, is_same_incarnation},
 };
 
-use super::{Coordination, members::MemberRow};
+use super::{
+    Coordination,
+    members::MemberRow,
+    slots::{KeyRow, SlotRow},
+};
 
 /// The most witnesses of a term.
 const WITNESSES_MAX: usize = 5;
@@ -31,7 +35,17 @@
             return;
         }
         let acked = self.object.acked();
-        let mut wanted = Coordinator { settled: true, history_lost: false, ..acked.clone() };
+        // After a loss of the plan, members that have kept grants of it are not yet named. A successor would take the
+        // term for settled and grant these again.
+        if acked.history_lost && !self.plan_names_holders() {
+            return;
+        }
+        let mut wanted = Coordinator {
+            settled: true,
+            history_lost: false,
+            lost_has_known_witnesses: false,
+            ..acked.clone()
+        };
         if ctx.config.keyed {
             self.choose_confirmation(ctx, &mut wanted);
         }
@@ -41,6 +55,18 @@
         }
     }
 
+    /// Returns whether the plan in force names each holder of a slot or key.
+    fn plan_names_holders(&self) -> bool {
+        let Some(plan) = self.plan.acked() else { return false };
+        let planned: Vec<MemberId> = plan.members.iter().map(MemberId::from).collect();
+        let has_slot_named =
+            |row: &SlotRow| row.holder.grant().is_none_or(|it| row.candidates.contains(&it.member));
+        let has_key_named =
+            |row: &KeyRow| row.holder.grant().is_none_or(|it| planned.contains(&it.member));
+        self.slot_table.slots.iter().all(has_slot_named)
+            && self.slot_table.keys.values().all(has_key_named)
+    }
+
     /// Sets the confirmation method and the witnesses in `wanted` as they should be now.
     fn choose_confirmation(&mut self, ctx: &Ctx<'_>, wanted: &mut Coordinator) {
         let candidates = self.witness_candidates(ctx);
@@ -133,6 +159,14 @@
     }
 }
 
+/// Returns the shortest time after which a term that begins with confirmation by the platform can be confirmed by
+/// witnesses. First members reach the age of a witness, then the cap of the coordinator lease is in force for a
+/// confirmation by the platform. A term may change its times meanwhile, but not before a confirmation and a lease have
+/// passed.
+pub(super) fn first_witnesses_after(times: TermTimes) -> Duration {
+    times.platform_confirmation() + WITNESS_AGE_MIN.min(times.lease())
+}
+
 /// Returns the largest odd number up to `count`, or 0.
 fn largest_odd(count: usize) -> usize {
     if count.is_multiple_of(2) { count.saturating_sub(1) } else { count }
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -87,6 +87,9 @@
     pub(crate) plan: Option<Plan>,
     /// Terms that may have begun since, and whose records the platform has lost.
     pub(crate) lost_history: LostHistory,
+    /// Whether only the platform and the witnesses in `object` can confirm the lost terms. A successor without this state
+    /// waits accordingly.
+    pub(crate) lost_has_known_witnesses: bool,
     /// The era of the platform after the rollback.
     pub(crate) era: u64,
 }
@@ -310,7 +313,7 @@
                 ctx.config.designates_members && rules::is_enforced(Rule::ProveTermAfterPause);
             return !(needs_proof && self.confirmation.awaits_proof());
         }
-        if self.succession.may_be_contested(ctx.now) {
+        if self.succession.may_be_contested(ctx.now, &self.confirmation) {
             return false;
         }
         let policy = self.object.confirmation_policy(self.times(ctx));
@@ -579,38 +582,65 @@
     /// only witnesses can confirm it, not the platform.
     pub(crate) fn reacquisition(&self, ctx: &Ctx<'_>) -> Reacquisition {
         let Some((rolled_back_at, era)) = self.rolled_back else { return Reacquisition::NotDue };
-        let carried = |lost_history| {
+        let carried = |object: &Coordinator, lost_history, lost_has_known_witnesses| {
             Box::new(CarriedState {
-                object: self.object.acked().clone(),
+                object: object.clone(),
                 plan: self.plan.acked().cloned(),
                 lost_history,
+                lost_has_known_witnesses,
                 era,
             })
         };
         if ctx.config.keyed && self.may_renew(ctx) {
-            return Reacquisition::WithState(carried(LostHistory::None));
+            // A lost term settles only after this confirmation, and changes its witnesses only once it has settled.
+            let is_bounded =
+                self.succession.has_known_witnesses() && self.object.has_acked_witnesses();
+            // Without a plan of this term, only the lost one may name members that hold grants of earlier terms.
+            let lost_history = match self.plan.acked() {
+                Some(_) => LostHistory::None,
+                None if is_bounded => LostHistory::KnownWitnesses,
+                None => LostHistory::Unknown,
+            };
+            let lost_history = lost_history.max(self.succession.lost_history());
+            return Reacquisition::WithState(carried(
+                self.object.acked(),
+                lost_history,
+                is_bounded,
+            ));
         }
         let uses_witnesses = self.object.acked().confirmation == Confirmation::Witnesses;
-        match () {
+        match self.state_of_lost_terms(ctx, rolled_back_at) {
             _ if uses_witnesses && ctx.now.since(rolled_back_at) <= RECONFIRMATION_MAX => {
                 Reacquisition::NotDue
             }
-            _ if ctx.config.keyed && self.no_later_term_has_witnesses(ctx, rolled_back_at) => {
-                Reacquisition::WithUnconfirmedState(carried(LostHistory::ConfirmedByPlatform))
-            }
-            _ => Reacquisition::WithoutState,
+            Some(object) => Reacquisition::WithUnconfirmedState(carried(
+                object,
+                LostHistory::KnownWitnesses,
+                true,
+            )),
+            None => Reacquisition::WithoutState,
         }
     }
 
-    /// Returns whether no term that began between the last proof of this one and the rollback can have been confirmed
-    /// by witnesses. Such a term began with the state of this one, which the platform confirms, and a coordinator
-    /// chooses witnesses only among members of some age.
-    fn no_later_term_has_witnesses(&self, ctx: &Ctx<'_>, rolled_back_at: Timestamp) -> bool {
+    /// Returns the state with which terms can have begun between the last proof of this one and the rollback, if none of
+    /// them can have had other witnesses.
+    fn state_of_lost_terms(
+        &self,
+        ctx: &Ctx<'_>,
+        rolled_back_at: Timestamp,
+    ) -> Option<&Coordinator> {
         let times = TermTimes::from(ctx.limits());
-        let unproved = rolled_back_at.since(self.confirmation.reached_platform_at());
-        self.object.is_confirmed_by_platform(times)
-            && self.succession.has_no_unknown_witnesses()
-            && times.with_drift_margin(unproved) < maintain::WITNESS_AGE_MIN
+        let (object, may_apply_since) = self.object.state_with_witnesses(times)?;
+        let is_within = |since: Timestamp, limit: Duration| {
+            times.with_drift_margin(rolled_back_at.since(since)) < limit
+        };
+        let reached_at = self.confirmation.reached_platform_at();
+        let is_bounded = ctx.config.keyed
+            && self.succession.has_known_witnesses()
+            && is_within(reached_at, maintain::first_witnesses_after(times))
+            && (object.confirmation == Confirmation::Platform
+                || may_apply_since.is_some_and(|it| is_within(it, maintain::WITNESS_AGE_MIN)));
+        is_bounded.then_some(object)
     }
 
     /// Releases a term that has given out its tokens, while the platform is reachable: without it, the release would end
