Ownership: a test of a coordinator that has missed a term with witnesses

The test cuts the coordinator off until the other side has a term with witnesses, rolls the platform back to before it, and lets only the former coordinator see that. For the wait for the promise of witnesses in doubt no such run was found: a term that follows changes to the platform when it settles, which stops its renewals while that update is in doubt.

--- a/crates/ownership/src/tests/lifecycle.rs
+++ b/crates/ownership/src/tests/lifecycle.rs
@@ -228,6 +228,32 @@
     }
 }
 
+/// Guards against two owners of a slot: a coordinator that was cut off, and is the first to see a rollback, carries its
+/// state over although a term of the other side, which the platform has forgotten, is confirmed by witnesses.
+#[test]
+fn a_coordinator_that_has_missed_a_term_with_witnesses_does_not_carry_its_state_over_a_rollback() {
+    const HOSTS: usize = 5;
+    for seed in 1..=10 {
+        let mut sim = Sim::new(SimConfig { hosts: HOSTS, ..SimConfig::new(seed) });
+        sim.start_all();
+        let is_served = |it: &Sim| it.unowned_slots() == 0;
+        assert!(sim.run_until(Duration::from_secs(4), is_served));
+        let cut_off = sim.coordinator().unwrap();
+        sim.apply(Fault::Isolate(vec![cut_off]));
+        sim.apply(Fault::CutFromPlatform(cut_off));
+        sim.run_for(Duration::from_secs(6));
+        assert_eq!(sim.events().get("ConfirmationChanged"), Some(&1), "seed {seed}");
+        sim.apply(Fault::HealLinks);
+        sim.apply(Fault::Isolate(vec![cut_off]));
+        for other in (0..HOSTS).filter(|it| *it != cut_off) {
+            sim.apply(Fault::CutFromPlatform(other));
+        }
+        sim.apply(Fault::PlatformRollsBack { snapshot_age_ms: 6_200 });
+        sim.run_for(Duration::from_secs(6));
+        assert_eq!(sim.violation(), None, "seed {seed}");
+    }
+}
+
 /// Guards against a group that is not served for the longest absence, because the update that replaces the platform by
 /// witnesses was in doubt when the platform was rolled back.
 #[test]
