--- a/crates/ownership/src/tests/mod.rs
+++ b/crates/ownership/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod upstream_clearing;
 mod loads;
 mod lifecycle;
+mod rollbacks;
 
 mod routes;
 mod speeds;
