An upstream gets requests only after it has answered a probe

What callers saw: an agent acknowledges that its upstream is leaving, is killed and started again, and a heartbeat that was sent before the leaving arrives late. The new process took the upstream for a ready one. Requests were sent to it long after the drain time, and those that ran when it exited ended as 502.

Cause: what an agent acknowledges about its upstream is kept in memory and in replies to peers. A process that was started again knows neither, and an announcement does not tell when it was sent.

Change: the first announcement of each incarnation is followed by a probe, a health check that only this incarnation answers. Until it confirms that it runs and is not leaving, it counts as starting and its gate refuses all requests as not run. The answer is later than the announcement and than all that an earlier process acknowledged, so it needs no store, no disk and no peer. An answer that states the leaving, another id, or a failing health check gives the upstream no work.

The setting `upstream.health_path` names the path; on the platform it comes from the configuration.

--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -183,6 +183,9 @@
             Report::UpstreamLeaving { upstream_id, incarnation_start_ms } => {
                 self.on_upstream_leaving(upstream_id.as_ref(), incarnation_start_ms);
             }
+            Report::UpstreamProbed { upstream_id, incarnation_start_ms, presence } => {
+                self.on_upstream_probed(upstream_id.as_ref(), incarnation_start_ms, presence);
+            }
             Report::GrantOutdated { token } => self.on_grant_outdated(now, token),
             Report::Upstream(state) => self.on_gate_state(state),
             Report::Prepared { slot, token } => self.step(now, Input::Prepared { slot, token }),
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -35,6 +35,7 @@
                 true => Some(LeaveReason::Stopping),
                 false => self.upstream.leaving(),
             },
+            is_confirmed: self.upstream.is_confirmed(),
             leaves_for_good: self.upstream.leaves_for_good(),
             announcement,
         });
--- a/crates/agent/src/control/tests/leaving.rs
+++ b/crates/agent/src/control/tests/leaving.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use upstream::Presence;
+
 use crate::{
     control::tests::{
         agent::{Agent, UPSTREAM_START_MS, announcement, wait_until},
@@ -64,6 +66,30 @@
     second.kill();
 }
 
+/// An agent that was started again does not know what it acknowledged before. A late announcement must not make the
+/// upstream ready unless its answer to a probe shows that it is not leaving.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_answers_its_first_probe_as_leaving_owns_no_keys() {
+    let platform = Arc::new(FakeStore::new());
+    platform.put("services/standings", DOCUMENT);
+    let agent = Agent::start_unannounced("standings-1", &platform).await;
+    agent.wait_version(model::ConfigVersion(1)).await;
+    agent.announce_unprobed(announcement());
+    wait_until("an upstream", || agent.upstream_started_ms().is_some()).await;
+    assert!(!agent.is_upstream_confirmed(), "before its answer");
+    agent.answer_probe(&announcement(), Presence::Leaving);
+    wait_until("the leaving", || agent.leaving() == Some(LeaveReason::Stopping)).await;
+    let start_ms = Some(UPSTREAM_START_MS + 1);
+    let next = Announcement { incarnation_start_ms: start_ms, ..announcement() };
+    agent.announce_unprobed(next.clone());
+    wait_until("the next incarnation", || agent.leaving().is_none()).await;
+    assert!(!agent.owns_slots(), "no incarnation was confirmed");
+    agent.answer_probe(&next, Presence::Present);
+    wait_until("keys", || agent.owns_slots()).await;
+    assert!(agent.is_upstream_confirmed());
+    agent.kill();
+}
+
 /// An agent that was started again acknowledges a leaving before it has heard the upstream. A late announcement
 /// of this incarnation must not make it ready again, or it is sent requests that are lost when it exits.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -5,6 +5,7 @@
 use model::{Timestamp, Token};
 use ownership::{Input, UpstreamState};
 use settings::KeyGrants;
+use upstream::Presence;
 
 use crate::{
     control::{group::Group, left_incarnations::LeftIncarnations, state::Control},
@@ -38,6 +39,8 @@
     /// The state last passed to the group's node.
     reported_state: Option<UpstreamState>,
     load_reported_at: Timestamp,
+    /// What the known incarnation has last answered to a probe; `None` if it has not answered one.
+    presence: Option<Presence>,
     /// Whether the known incarnation was draining when it was last heard, even if it counts as lost since.
     is_draining: bool,
     /// The incarnations that are known to leave for good, also those that have not announced themselves.
@@ -68,11 +71,15 @@
 }
 
 impl UpstreamMonitor {
-    /// Returns the worse of the announced state and the gate's. A ready upstream in a closed zone
-    /// counts as draining, so that its keys move to other instances.
+    /// Returns the worse of the announced state and the gate's. An upstream counts as starting until it has
+    /// confirmed that it runs. A ready upstream in a closed zone counts as draining, so that its keys move to
+    /// other instances.
     pub(crate) fn state(&self) -> UpstreamState {
         match (&self.announcement, self.gate_state) {
             (_, Some(UpstreamState::Lost)) => UpstreamState::Lost,
+            (Some(it), _) if it.state == UpstreamState::Ready && !self.is_confirmed() => {
+                UpstreamState::Starting
+            }
             (Some(it), _) if it.state == UpstreamState::Ready && self.zone_is_closed => {
                 UpstreamState::Draining
             }
@@ -101,7 +108,8 @@
         }
         let Some(known) = &self.announcement else { return AnnouncementKind::SameIncarnation };
         let is_alive = now.since(self.announced_at) < interval.mul_f64(REPLACEABLE_AFTER_INTERVALS)
-            && self.gate_state != Some(UpstreamState::Lost);
+            && self.gate_state != Some(UpstreamState::Lost)
+            && self.presence != Some(Presence::Replaced);
         match (known.incarnation_start_ms, announcement.incarnation_start_ms) {
             _ if known.is_same_incarnation(announcement) => {
                 let is_numbered = announcement.sequence > 0;
@@ -177,6 +185,10 @@
             AnnouncementKind::NewIncarnation => self.keep_draining_of_known(now),
             AnnouncementKind::SameIncarnation => {}
         }
+        let is_same = |it: &Announcement| it.is_same_incarnation(announcement);
+        if !self.announcement.as_ref().is_some_and(is_same) {
+            self.presence = None;
+        }
         let announcement = self.with_leaving_state(announcement.clone());
         self.announced_at = now;
         // The announcement proves that the upstream runs, even if a connection to it was lost.
@@ -186,6 +198,30 @@
         kind
     }
 
+    /// Returns whether the known incarnation has confirmed to this process that it runs and is not leaving.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.presence == Some(Presence::Present)
+    }
+
+    /// Takes over the answer to a probe of an incarnation, unless it is not the known one, or was confirmed or
+    /// found to be leaving before. Returns whether the answer is another one than the last.
+    pub(super) fn record_presence(
+        &mut self,
+        upstream_id: Option<&UpstreamId>,
+        incarnation_start_ms: Option<u64>,
+        presence: Presence,
+    ) -> bool {
+        let is_known = self.announcement.as_ref().is_some_and(|it| {
+            it.upstream_id.as_ref() == upstream_id
+                && it.incarnation_start_ms == incarnation_start_ms
+        });
+        let is_final = matches!(self.presence, Some(Presence::Present | Presence::Leaving));
+        if !is_known || is_final {
+            return false;
+        }
+        self.presence.replace(presence) != Some(presence)
+    }
+
     /// Keeps the leaving of an incarnation. Returns its effect on the known one.
     pub(super) fn leave(
         &mut self,
@@ -292,6 +328,34 @@
         }
     }
 
+    /// Handles the answer of an upstream to a probe. It is later than all that it has announced, also to an
+    /// earlier process of this agent.
+    pub(super) fn on_upstream_probed(
+        &mut self,
+        upstream_id: Option<&UpstreamId>,
+        incarnation_start_ms: Option<u64>,
+        presence: Presence,
+    ) {
+        if !self.upstream.record_presence(upstream_id, incarnation_start_ms, presence) {
+            return;
+        }
+        let upstream = format!("{upstream_id:?}, started at {incarnation_start_ms:?} ms,");
+        match presence {
+            Presence::Present => {
+                log::info!(target: "control", "The upstream {upstream} has confirmed that it runs; it gets requests.");
+                self.is_dirty = true;
+                self.report_upstream_state();
+            }
+            Presence::Leaving => self.on_upstream_leaving(upstream_id, incarnation_start_ms),
+            Presence::Unhealthy => {
+                log::info!(target: "control", "The upstream {upstream} is not healthy; it gets no requests before it is.");
+            }
+            Presence::Replaced => {
+                log::info!(target: "control", "The upstream {upstream} is no longer the one at its address; its announcement was late.");
+            }
+        }
+    }
+
     /// Releases all keys if the operators have closed the own zone, and accepts keys again if they
     /// have opened it.
     pub(super) fn on_closed_zones(&mut self, closed: &ClosedZones) {
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -55,6 +55,9 @@
     pub(crate) version: ConfigVersion,
     pub(crate) document: Arc<ServiceDocument>,
     pub(crate) announcement: Announcement,
+    /// Whether this incarnation has confirmed to this process that it runs and is not leaving. It gets no requests
+    /// before.
+    pub(crate) is_confirmed: bool,
     /// Set while the upstream is to get no new work.
     pub(crate) drain: Option<DrainSchedule>,
     pub(crate) upstream: Arc<dyn Upstream>,
@@ -129,7 +132,14 @@
             self.condition.record_announced_leaving(now, &bound.incarnation());
         }
         self.records.get_or_init(|| new_request_records(&bound.document));
+        let is_probed = |it: &Arc<BoundUpstream>| {
+            it.needs_probe() && it.announcement.is_same_incarnation(&bound.announcement)
+        };
+        let is_unprobed = bound.needs_probe() && !former.as_ref().is_some_and(is_probed);
         self.bound.store(Some(Arc::new(bound)));
+        if is_unprobed {
+            self.unconfirmed_bound.notify_one();
+        }
     }
 
     fn next_bound(
@@ -174,6 +184,7 @@
             version: service.version,
             document: Arc::clone(document),
             announcement: announcement.clone(),
+            is_confirmed: local.is_confirmed,
             drain: None,
             upstream,
             queue,
@@ -211,8 +222,9 @@
     /// Returns whether no request may reach the upstream any longer, including queued ones.
     pub(super) fn is_closed(&self, now: Timestamp) -> bool {
         let bound = self.bound.load();
-        let drain = bound.as_ref().and_then(|it| self.drain_schedule(it));
-        drain.is_some_and(|it| now >= it.closed_at)
+        let Some(bound) = bound.as_ref() else { return false };
+        let is_drained = self.drain_schedule(bound).is_some_and(|it| now >= it.closed_at);
+        is_drained || !bound.is_confirmed
     }
 
     /// Reports an upstream to control that states that it is leaving, until control has published it as such.
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -15,6 +15,7 @@
 mod leases;
 pub(crate) mod load;
 mod membership;
+mod probe;
 mod records;
 mod returns;
 mod run;
@@ -36,7 +37,7 @@
 use model::{ClassName, Instance, RequestRate, Timestamp, UnknownReason};
 use ownership::MemberCapacity;
 use settings::ServiceDocument;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
 use upstream::{AnnouncedKeys, AssignedKeys, HttpUpstream, Upstream};
 use wire::traffic::GateLoad;
 
@@ -101,6 +102,8 @@
     bound: ArcSwapOption<BoundUpstream>,
     /// Held while the bound upstream is replaced, since each replacement starts from the former one.
     rebinding: Mutex<()>,
+    /// Notified when an incarnation is bound that has not confirmed that it runs.
+    unconfirmed_bound: Notify,
     records: OnceLock<RequestRecords>,
     leases: Arc<Leases>,
     /// The condition that the upstream states in its answers.
@@ -139,6 +142,7 @@
             connect: parts.connect,
             bound: ArcSwapOption::empty(),
             rebinding: Mutex::default(),
+            unconfirmed_bound: Notify::new(),
             records: OnceLock::new(),
             leases: Arc::default(),
             condition: UpstreamCondition::default(),
@@ -155,6 +159,7 @@
         });
         tokio::spawn(worker::run(Arc::clone(&gate), parts.tasks));
         tokio::spawn(health::run(Arc::clone(&gate)));
+        tokio::spawn(probe::run(Arc::clone(&gate)));
         tokio::spawn(leases::run(Arc::clone(&gate)));
         tokio::spawn(crash::run(Arc::clone(&gate)));
         gate
@@ -339,5 +344,5 @@
         idle_connections_max,
         document.limits.body_bytes_max,
     )?;
-    Ok(Arc::new(upstream))
+    Ok(Arc::new(upstream.with_health_path(&document.upstream.health_path)?))
 }
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -60,6 +60,9 @@
             let change = self.condition.adopt(self.clock.now(), &bound.incarnation(), known);
             self.apply(change);
         }
+        if !bound.is_confirmed {
+            return GateReply::not_run(NotRunReason::Unreachable);
+        }
         match request.key_hash {
             Some(key_hash) if bound.document.keyed => {
                 self.handle_keyed(&bound, request, key_hash, deadline, caller).await
--- a/crates/agent/src/report/mod.rs
+++ b/crates/agent/src/report/mod.rs
@@ -5,6 +5,7 @@
 use model::{ConfigVersion, Instance, KeyHash, ServiceName, Slot, Token};
 use ownership::UpstreamState;
 use tokio::sync::mpsc;
+use upstream::Presence;
 
 /// Largest number of reports queued for the control thread.
 const REPORT_QUEUE_MAX: usize = 1024;
@@ -17,6 +18,12 @@
     Announcement(Announcement),
     /// The local upstream has announced, or stated in an answer, that it is stopping.
     UpstreamLeaving { upstream_id: Option<UpstreamId>, incarnation_start_ms: Option<u64> },
+    /// The local upstream has answered a probe that was sent after its announcement.
+    UpstreamProbed {
+        upstream_id: Option<UpstreamId>,
+        incarnation_start_ms: Option<u64>,
+        presence: Presence,
+    },
     /// The upstream has seen a higher token for a grant than `token`, which this agent granted.
     GrantOutdated { token: Token },
     /// The upstream's state as the gate observes it: lost, or responding again.
--- a/crates/agent/src/snapshot/mod.rs
+++ b/crates/agent/src/snapshot/mod.rs
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LocalUpstream {
     pub announcement: Announcement,
+    /// Whether this incarnation has confirmed that it runs and is not leaving.
+    pub is_confirmed: bool,
     /// Set while the upstream must get no new work from callers that can use another instance.
     pub leaving: Option<LeaveReason>,
     /// Whether this incarnation has announced that it leaves for good.
--- a/crates/agent/src/tests/condition.rs
+++ b/crates/agent/src/tests/condition.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use model::{NotRunReason, RequestRate};
-use upstream::StatedCondition;
+use upstream::{Presence, StatedCondition};
 
-use super::fakes::{Call, TestAgent, get};
+use super::fakes::{Call, TestAgent, WAIT_TIMEOUT, get, post};
+use crate::report::Report;
 
 /// Time over which the requests of an upstream are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -117,6 +118,12 @@
     assert_eq!((answer.status.as_u16(), outcome), (503, draining().as_str()));
 }
 
+#[track_caller]
+fn assert_unreachable(answer: &upstream::Answer) {
+    let outcome = answer.headers.get(model::OUTCOME_HEADER).unwrap().to_str().unwrap();
+    assert_eq!((answer.status.as_u16(), outcome), (503, "not-run; reason=unreachable"));
+}
+
 /// The document's time until an upstream that is leaving gets no new work.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
@@ -153,6 +160,66 @@
     assert_eq!(stating.upstream.ran().len(), 1);
 }
 
+/// A late announcement has reached an agent that was started again, and nothing shows that the upstream still runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstream_that_has_not_confirmed_that_it_runs_gets_no_request() {
+    for presence in
+        [None, Some(Presence::Leaving), Some(Presence::Unhealthy), Some(Presence::Replaced)]
+    {
+        let mut agents = TestAgent::start_members(1).await;
+        let mut agent = agents.pop().unwrap();
+        *agent.upstream.presence.lock().unwrap() = presence;
+        agent.set_upstream_confirmed("i-1", false).await;
+        let deadline = Duration::from_millis(300);
+        assert_unreachable(&agent.call(Call { deadline, ..get("echo", 1) }).await);
+        if presence.is_some() {
+            assert_eq!(probed(&mut agent).await, presence);
+        }
+        assert!(agent.upstream.ran().is_empty());
+        *agent.upstream.presence.lock().unwrap() = Some(Presence::Present);
+        while probed(&mut agent).await != Some(Presence::Present) {}
+        agent.set_upstream_confirmed("i-1", true).await;
+        assert_eq!(agent.call(get("echo", 2)).await.status.as_u16(), 200);
+    }
+}
+
+/// Requests that were queued for an incarnation must not be sent once another one is bound that is not confirmed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn queued_request_is_refused_once_an_unconfirmed_incarnation_is_bound() {
+    let mut agents = TestAgent::start_members(1).await;
+    let agent = agents.pop().unwrap();
+    agent.set_upstream_confirmed("i-1", true).await;
+    let queued = async {
+        agent.upstream.wait_started().await;
+        agent.upstream.wait_started().await;
+        agent.call(post("echo", 3)).await
+    };
+    let replaced = async {
+        let is_queued = async {
+            while agent.plane.queued() == 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, is_queued).await.expect("no request is queued");
+        agent.set_upstream_confirmed("i-2", false).await;
+        agent.upstream.release.add_permits(2);
+    };
+    let running = [agent.call(post("hold", 1)), agent.call(post("hold", 2))];
+    let [first, second] = running;
+    let (_, _, queued, ()) = tokio::join!(first, second, queued, replaced);
+    assert_unreachable(&queued);
+    assert_eq!(agent.upstream.ran().len(), 2);
+}
+
+/// Returns the next answer to a probe that the gate reports.
+async fn probed(agent: &mut TestAgent) -> Option<Presence> {
+    let presence = agent.report(|it| match it {
+        Report::UpstreamProbed { presence, .. } => Some(*presence),
+        _ => None,
+    });
+    Some(presence.await)
+}
+
 /// The upstream has announced its leaving to a process that has ended since, and its answers do not state it. A
 /// late announcement as ready reaches the next process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/settings/src/central/defaults.rs
+++ b/crates/settings/src/central/defaults.rs
@@ -1,6 +1,6 @@
 //! Construction of service documents from a central configuration and an agent's defaults.
 
-use std::{ops::RangeInclusive, time::Duration};
+use std::{ops::RangeInclusive, sync::Arc, time::Duration};
 
 use model::{OrderedKeys, ServiceName, TeamName};
 use schemars::JsonSchema;
@@ -8,7 +8,7 @@
 
 use crate::document::{
     BODY_BYTES, COLD_RATES, CONNECTIONS, HEADER_BYTES, KeyGrants, RawClass, RawDocument, RawDrain,
-    RawKey, RawLimits, RawOwnership, RawRoute, RawUpstream, RequestClass,
+    RawKey, RawLimits, RawOwnership, RawRoute, RawUpstream, RequestClass, is_health_path,
 };
 
 /// Deadline of the only route of such a document: the largest that documents allow. The routes of
@@ -65,6 +65,8 @@
     /// Request classes, at least one.
     pub classes: Vec<RequestClass>,
     pub connections_max: u32,
+    /// Path of the upstreams' health check; `None` if it is that of the defaults.
+    pub health_path: Option<Arc<str>>,
     /// Requests per second that an upstream can process while it is cold; `None` if only its slots
     /// limit it.
     pub cold_requests_per_s: Option<f64>,
@@ -143,6 +145,7 @@
             idempotent: false,
             deadline_ms: DEADLINE_MS_MAX,
         };
+        let health_path = service.health_path.as_deref().filter(|it| is_health_path(it));
         let connections_max = clamp_to(service.connections_max.into(), CONNECTIONS) as u32;
         let document = RawDocument {
             schema: None,
@@ -161,6 +164,7 @@
                     Some(_) => service.key_grants,
                     None => KeyGrants::Calls,
                 },
+                health_path: health_path.map_or(defaults.upstream.health_path, str::to_owned),
                 ..defaults.upstream
             },
             classes: service.classes.iter().map(class).collect(),
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -4,7 +4,10 @@
 mod route;
 mod rules;
 
-use std::{sync::LazyLock, time::Duration};
+use std::{
+    sync::{Arc, LazyLock},
+    time::Duration,
+};
 
 use model::{ClassName, OrderedKeys, ServiceName, SlotCount, TeamName};
 
@@ -18,7 +21,7 @@
 
 pub(crate) use raw::{
     BODY_BYTES, COLD_RATES, CONNECTIONS, HEADER_BYTES, RawClass, RawDocument, RawDrain, RawKey,
-    RawLimits, RawOwnership, RawRoute, RawUpstream, default_slot_count,
+    RawLimits, RawOwnership, RawRoute, RawUpstream, default_slot_count, is_health_path,
 };
 
 /// Generated once, since each agent parses many documents.
@@ -66,6 +69,8 @@
     pub cold_requests_per_s: Option<f64>,
     /// Whether the number of concurrent requests is lowered while more of them slow the upstream down.
     pub learns_concurrency: bool,
+    /// Path of the upstream's health check.
+    pub health_path: Arc<str>,
 }
 
 /// Class of requests that share a queue and a weight.
@@ -224,6 +229,7 @@
             warmup: Duration::from_millis(raw.warmup_ms),
             cold_requests_per_s: raw.cold_requests_per_s,
             learns_concurrency: raw.learns_concurrency,
+            health_path: Arc::from(raw.health_path.as_str()),
         }
     }
 }
--- a/crates/settings/src/document/raw.rs
+++ b/crates/settings/src/document/raw.rs
@@ -75,6 +75,16 @@
 /// Largest total size of the headers, in bytes.
 pub(crate) const HEADER_BYTES: RangeInclusive<u64> = 1_024..=262_144;
 
+/// Longest path of a health check, in bytes.
+const HEALTH_PATH_BYTES_MAX: usize = 512;
+
+/// Returns whether the path of a health check has the form that the schema below states.
+pub(crate) fn is_health_path(path: &str) -> bool {
+    path.len() <= HEALTH_PATH_BYTES_MAX
+        && path.starts_with('/')
+        && path.bytes().all(|it| it.is_ascii_graphic())
+}
+
 /// Capacity and features of each upstream of the service.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
@@ -104,6 +114,9 @@
     /// Whether the number of requests that the upstream runs concurrently is lowered, to half of
     /// `slots` at the least, while more of them slow it down.
     pub(crate) learns_concurrency: bool,
+    /// Path of the upstream's health check.
+    #[schemars(length(max = 512), regex(pattern = "^/[!-~]*$"))]
+    pub(crate) health_path: String,
 }
 
 impl Default for RawUpstream {
@@ -117,6 +130,7 @@
             warmup_ms: 2_000,
             cold_requests_per_s: None,
             learns_concurrency: false,
+            health_path: "/control/health".to_owned(),
         }
     }
 }
--- a/crates/settings/src/document/rules.rs
+++ b/crates/settings/src/document/rules.rs
@@ -7,7 +7,7 @@
 use super::{
     DrainLimits, KeyGrants, KeySource, Method, OwnershipLimits, RequestClass, Route,
     ServiceDocument, TrafficLimits, UpstreamProperties,
-    raw::{RawDocument, RawMethod, RawRoute},
+    raw::{RawDocument, RawMethod, RawRoute, is_health_path},
     route::PathPattern,
 };
 use crate::{parse::Parsed, problem::Problems, schema::hint, source::Source};
@@ -111,6 +111,13 @@
 
     fn check_upstream(&mut self, raw: &RawDocument) {
         let upstream = &raw.upstream;
+        let has_health_path = is_health_path(&upstream.health_path);
+        self.require(has_health_path, "upstream.health_path", || {
+            format!(
+                "{:?} is not a path: expected a slash and visible ASCII characters, 512 at most.",
+                upstream.health_path
+            )
+        });
         self.require(
             upstream.connections_max >= upstream.slots,
             "upstream.connections_max",
--- a/crates/settings/src/tests/central.rs
+++ b/crates/settings/src/tests/central.rs
@@ -65,6 +65,7 @@
         }],
         cold_requests_per_s: Some(12.0),
         connections_max: 120,
+        health_path: Some(Arc::from("/alive")),
         timeout_max: Duration::from_millis(2_900),
         objective_min: Some(Duration::from_millis(600)),
         header_bytes_max: 16_384,
@@ -104,6 +105,7 @@
     assert_eq!(document.upstream.key_grants, KeyGrants::Announcements);
     assert_eq!(document.slot_count.count(), 1024);
     assert_eq!(document.upstream.cold_requests_per_s, Some(12.0));
+    assert_eq!(&*document.upstream.health_path, "/alive");
     // 2.9 s for the longest request and a margin of 0.9 s, rounded up to a multiple of 0.5 s.
     assert_eq!(document.ownership.lease, Duration::from_millis(4000));
     let header = |name: &str| (name == "x-place").then_some("17");
@@ -111,6 +113,18 @@
     assert_eq!(found.key.as_deref(), Some(&b"17"[..]));
 }
 
+/// A document that is not valid would never come into force.
+#[test]
+fn a_health_path_that_documents_do_not_allow_is_replaced_by_the_default() {
+    let settings = AgentSettings::parse(SETTINGS).unwrap();
+    for path in ["", "alive", "/al ive", "/aliv\u{e9}"] {
+        let service = CentralServiceConfig { health_path: Some(path.into()), ..keyed_service() };
+        let text = settings.document_defaults.build_document(&service);
+        let document = ServiceDocument::parse_for(&service.service, &text).unwrap();
+        assert_eq!(&*document.upstream.health_path, "/control/health", "{path:?}");
+    }
+}
+
 #[test]
 fn problems_in_the_defaults_have_positions() {
     let text = SETTINGS.replace("\"lease_ms\": 1500", "\"lease_ms\": \"long\"");
@@ -120,6 +134,20 @@
     assert!(first.contains("document_defaults.ownership.lease_ms"), "{first}");
 }
 
+#[test]
+fn an_invalid_health_path_is_reported() {
+    let text = DOCUMENT_WITH_HEALTH_PATH.replace("PATH", "al ive");
+    let problems = ServiceDocument::parse(&text).unwrap_err().to_string();
+    assert!(problems.starts_with("line 2, column"), "{problems}");
+    assert!(problems.contains("upstream.health_path"), "{problems}");
+    let document = ServiceDocument::parse(&DOCUMENT_WITH_HEALTH_PATH.replace("PATH", "/alive"));
+    assert_eq!(&*document.unwrap().upstream.health_path, "/alive");
+}
+
+const DOCUMENT_WITH_HEALTH_PATH: &str = r#"{ "service": "s", "team": "t", "keyed": false,
+    "upstream": { "health_path": "PATH" }, "classes": [{ "name": "c" }],
+    "routes": [{ "path": "/*", "class": "c", "idempotent": true }] }"#;
+
 #[test]
 fn invalid_ordered_keys_are_reported() {
     let check = |keyed: &str, keys: u32, leases: &str, expected: &str| {
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -23,8 +23,8 @@
 };
 
 use crate::{
-    Answer, CallError, ControlError, Health, LEAVING_HEADER, LIMIT_HEADER, Load, NOT_RUN_HEADER,
-    Request, StatedCondition, Upstream, UpstreamFuture,
+    Answer, CallError, ControlError, Health, HealthState, LEAVING_HEADER, LIMIT_HEADER, Load,
+    NOT_RUN_HEADER, Presence, Request, StatedCondition, Upstream, UpstreamFuture,
     control::{Cancel, Grant, Prepare},
 };
 
@@ -50,6 +50,7 @@
     client: Client,
     address: SocketAddr,
     host: HeaderValue,
+    health_path: PathAndQuery,
     answer_bytes_max: usize,
 }
 
@@ -87,7 +88,14 @@
             probe_interval: None,
         };
         let requests = Arc::new(Pool::new(address, config));
-        Ok(HttpUpstream { requests, client, address, host, answer_bytes_max })
+        let health_path = PathAndQuery::from_static("/control/health");
+        Ok(HttpUpstream { requests, client, address, host, health_path, answer_bytes_max })
+    }
+
+    /// Sets the path of the upstream's health check.
+    pub fn with_health_path(self, path: &str) -> anyhow::Result<HttpUpstream> {
+        let health_path = PathAndQuery::try_from(path).context("path of the health check")?;
+        Ok(HttpUpstream { health_path, ..self })
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -158,11 +166,12 @@
         &self,
         step: &'static str,
         method: Method,
+        path: PathAndQuery,
         body: Bytes,
     ) -> Result<Bytes, ControlError> {
         let failed = |reason| ControlError { step, peer: self.address, reason };
         let response = self
-            .send(method, PathAndQuery::from_static(step), HeaderMap::new(), body)
+            .send(method, path, HeaderMap::new(), body)
             .await
             .map_err(|error| failed(error.to_string()))?;
         if !response.status().is_success() {
@@ -171,8 +180,12 @@
         collect(response.into_body(), CONTROL_BYTES_MAX).await.map_err(failed)
     }
 
-    async fn get<T: DeserializeOwned>(&self, step: &'static str) -> Result<T, ControlError> {
-        let body = self.control(step, Method::GET, Bytes::new()).await?;
+    async fn get<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        path: PathAndQuery,
+    ) -> Result<T, ControlError> {
+        let body = self.control(step, Method::GET, path, Bytes::new()).await?;
         serde_json::from_slice(&body).map_err(|error| ControlError {
             step,
             peer: self.address,
@@ -182,7 +195,8 @@
 
     async fn post(&self, step: &'static str, body: &impl Serialize) -> Result<(), ControlError> {
         let body = serde_json::to_vec(body).expect("wire types serialize to JSON");
-        self.control(step, Method::POST, body.into()).await.map(drop)
+        let path = PathAndQuery::from_static(step);
+        self.control(step, Method::POST, path, body.into()).await.map(drop)
     }
 }
 
@@ -196,11 +210,23 @@
     }
 
     fn health(&self) -> UpstreamFuture<'_, Result<Health, ControlError>> {
-        Box::pin(self.get("/control/health"))
+        Box::pin(self.get("health", self.health_path.clone()))
+    }
+
+    /// Does not tell incarnations apart, since the health does not identify one. A draining upstream may become ready
+    /// again.
+    fn probe(&self) -> UpstreamFuture<'_, Result<Presence, ControlError>> {
+        Box::pin(async {
+            Ok(match self.health().await?.state {
+                HealthState::Starting | HealthState::Ready => Presence::Present,
+                HealthState::Draining => Presence::Unhealthy,
+            })
+        })
     }
 
     fn load(&self) -> UpstreamFuture<'_, Result<Load, ControlError>> {
-        Box::pin(self.get("/control/load"))
+        let path = "/control/load";
+        Box::pin(self.get(path, PathAndQuery::from_static(path)))
     }
 
     fn grant(
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -31,5 +31,6 @@
 pub use request::{
     AnnouncedKeys, Answer, AssignedKeys, CallError, ClockBounds, GrantError, GrantedKeys,
     HandoverToken, KeyGrant, KeyLeaseMode, LEAVING_HEADER, LIMIT_HEADER, LeaseEnforcingUpstream,
-    NOT_RUN_HEADER, ReleasedKeys, Request, StatedCondition, StatedLoad, Upstream, UpstreamFuture,
+    NOT_RUN_HEADER, Presence, ReleasedKeys, Request, StatedCondition, StatedLoad, Upstream,
+    UpstreamFuture,
 };
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -101,6 +101,19 @@
     }
 }
 
+/// State of an upstream as its own answer to a probe shows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// The expected incarnation runs and is not leaving.
+    Present,
+    /// The upstream is not ready for requests at the moment.
+    Unhealthy,
+    /// The upstream is leaving for good.
+    Leaving,
+    /// Another incarnation than the expected one runs at the address.
+    Replaced,
+}
+
 /// Reason for a call without a complete answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -135,6 +148,8 @@
         None
     }
     fn health(&self) -> UpstreamFuture<'_, Result<Health, ControlError>>;
+    /// Asks the upstream whether the expected incarnation runs and can be given requests.
+    fn probe(&self) -> UpstreamFuture<'_, Result<Presence, ControlError>>;
     fn load(&self) -> UpstreamFuture<'_, Result<Load, ControlError>>;
     /// Notifies the upstream of the grant of a slot and its remaining time.
     fn grant(
