A zone counts as open only once the closed zones have been read

What callers saw: nothing yet; found by reading. An agent that was started again beside an upstream in a closed zone took the zone for open until its first list of closed zones, and that list was allowed to be some seconds old. The operator's call was acknowledged, and the earlier process had acted on it.

Cause: as with the leaving, a process that was started again does not know what was acknowledged before, and took the absence of a record for permission.

Change: with a central configuration, which comes from the same store, the upstream is published only once the closed zones have been read, and the first list is not stale. Where peers hand documents over, a zone counts as open as before while the store is unavailable, since requests are to be served then.

--- a/crates/agent/src/adapters.rs
+++ b/crates/agent/src/adapters.rs
@@ -11,7 +11,7 @@
     gate::{Connect, connect_http},
     ingress::{AnnounceProtocol, CallerProtocol, DefaultAnnounceProtocol, DefaultCallerProtocol},
     store_relay::FollowedStores,
-    zones::{ClosedZones, ClosedZonesSource, follow_stored_zones},
+    zones::{ClosedZonesSource, follow_stored_zones},
 };
 
 /// The adapters of one agent.
@@ -36,7 +36,7 @@
         followed: &FollowedStores,
     ) -> anyhow::Result<Adapters> {
         let store = || HttpObjectStore::new(settings.platform_address, Timeouts::default());
-        let (closed_sender, closed_zones) = watch::channel(ClosedZones::default());
+        let (closed_sender, closed_zones) = watch::channel(None);
         let followed_store = || anyhow::Ok(followed.wrap(Arc::new(store()?)));
         tokio::spawn(follow_stored_zones(followed_store()?, closed_sender));
         followed.start_probes(Arc::new(store()?));
--- a/crates/agent/src/control/mod.rs
+++ b/crates/agent/src/control/mod.rs
@@ -155,7 +155,7 @@
     source.borrow_and_update().clone()
 }
 
-/// Waits for the next change of the closed zones and returns all closed zones.
+/// Waits for the next change of the closed zones and returns all closed zones; `None` if there is none.
 async fn next_closed_zones(zones: &mut Option<ClosedZonesSource>) -> Option<ClosedZones> {
     let Some(source) = zones else { return std::future::pending().await };
     if source.changed().await.is_err() {
@@ -163,5 +163,5 @@
         *zones = None;
         return None;
     }
-    Some(Arc::clone(&source.borrow_and_update()))
+    source.borrow_and_update().clone()
 }
--- a/crates/agent/src/control/publish.rs
+++ b/crates/agent/src/control/publish.rs
@@ -30,7 +30,9 @@
         if let Some(routes) = self.own_service_routes() {
             services.insert(routes.service.clone(), Arc::new(routes));
         }
-        let local = self.upstream.announcement.clone().map(|announcement| LocalUpstream {
+        let announcement = self.upstream.announcement.clone();
+        let announcement = announcement.filter(|_| self.upstream.is_zone_known());
+        let local = announcement.map(|announcement| LocalUpstream {
             leaving: match self.is_stopping {
                 true => Some(LeaveReason::Stopping),
                 false => self.upstream.leaving(),
--- a/crates/agent/src/control/state.rs
+++ b/crates/agent/src/control/state.rs
@@ -81,6 +81,12 @@
 impl Control {
     pub(crate) fn new(parts: Parts) -> Control {
         log::info!(target: "control", "Starting control of instance {} of service {}.", parts.own, parts.settings.service);
+        let upstream = match parts.documents_from {
+            // The closed zones are read from the store that the documents come from.
+            DocumentSource::CentralConfig => UpstreamMonitor::default(),
+            // Peers hand documents over while the store is unavailable, and requests must then be served.
+            DocumentSource::ObjectStore => UpstreamMonitor::in_open_zone(),
+        };
         Control {
             rng: Pcg64Mcg::seed_from_u64(parts.seed),
             documents: Documents::default(),
@@ -90,7 +96,7 @@
             acceptor: Acceptor::default(),
             watches: Watches::default(),
             status: StatusWriter::default(),
-            upstream: UpstreamMonitor::default(),
+            upstream,
             routing: None,
             suspension: SuspensionDetector::default(),
             era: 0,
--- a/crates/agent/src/control/tests/agent.rs
+++ b/crates/agent/src/control/tests/agent.rs
@@ -4,7 +4,7 @@
 
 use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Zone};
 use ownership::UpstreamState;
-use settings::AgentSettings;
+use settings::{AgentSettings, CentralConfig, RoutingTable};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
@@ -22,7 +22,7 @@
     report::{Announcement, Report, Reporter},
     snapshot::{LeaveReason, Routes, SnapshotCell},
     store_relay::Relay,
-    zones::{ClosedZones, follow_stored_zones},
+    zones::follow_stored_zones,
 };
 
 /// The time limit of each wait, far above the duration of any step. Tests fail when it expires.
@@ -78,7 +78,23 @@
 
     /// Starts an instance whose upstream announces itself only when the test reports it.
     pub(super) async fn start_unannounced(name: &str, platform: &Arc<FakeStore>) -> Agent {
-        Agent::start_beside("standings", "pitlane", name, platform, &[], None).await
+        Agent::start_beside("standings", "pitlane", name, platform, &[], None, None).await
+    }
+
+    /// Starts an instance whose documents come from a central configuration.
+    pub(super) async fn start_centrally_configured(
+        name: &str,
+        platform: &Arc<FakeStore>,
+        document: &str,
+    ) -> Agent {
+        let config = CentralConfig {
+            version: ConfigVersion(1),
+            documents: [(service(), Arc::from(document))].into_iter().collect(),
+            routing: Arc::new(RoutingTable::new([])),
+        };
+        let upstream = Some(announcement());
+        let config = Some(config);
+        Agent::start_beside("standings", "pitlane", name, platform, &[], upstream, config).await
     }
 
     async fn start_with(
@@ -89,7 +105,7 @@
         peers: &[SocketAddr],
     ) -> Agent {
         let upstream = Some(announcement());
-        Agent::start_beside(service_name, zone, name, platform, peers, upstream).await
+        Agent::start_beside(service_name, zone, name, platform, peers, upstream, None).await
     }
 
     /// Starts an instance whose upstream repeats the announcement, if there is one.
@@ -100,7 +116,15 @@
         platform: &Arc<FakeStore>,
         peers: &[SocketAddr],
         upstream: Option<Announcement>,
+        config: Option<CentralConfig>,
     ) -> Agent {
+        let central_config = config.map(|it| {
+            let (sender, mut source) = watch::channel(Some(Arc::new(it)));
+            source.mark_changed();
+            // Without its sender, the source would end.
+            tokio::spawn(async move { sender.closed().await });
+            source
+        });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let control = listener.local_addr().unwrap();
         let own = Instance {
@@ -116,7 +140,7 @@
         let (gate, tasks) = GateHandle::new(clock);
         let (phase, phases) = watch::channel(Phase::Running);
         let (sender, handed_over) = oneshot::channel();
-        let (closed, closed_zones) = watch::channel(ClosedZones::default());
+        let (closed, closed_zones) = watch::channel(None);
         let store = Arc::clone(platform) as Arc<dyn object_store::ObjectStore>;
         tokio::spawn(follow_stored_zones(store, closed));
         let settings = settings(service_name, name, control, peers);
@@ -135,7 +159,7 @@
             phase: phases,
             handed_over: sender,
             seed: u64::from(control.port()),
-            central_config: None,
+            central_config,
             closed_zones,
         }));
         tokio::spawn(run_fake_gate(reporter.clone(), tasks, upstream));
--- a/crates/agent/src/control/tests/left_incarnations.rs
+++ b/crates/agent/src/control/tests/left_incarnations.rs
@@ -60,7 +60,7 @@
 
 /// Returns an agent that has heard the upstream and then its leaving.
 fn known_left() -> UpstreamMonitor {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     receive(&mut monitor, LEFT_MS - 500, &announcement(START_MS, SEQUENCE));
     assert_eq!(leave(&mut monitor, LEFT_MS, Some(START_MS)), LeavingKind::Known);
     monitor
@@ -68,14 +68,14 @@
 
 /// Returns an agent that was started again and has heard nothing but the leaving.
 fn unknown_left() -> UpstreamMonitor {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     assert_eq!(leave(&mut monitor, LEFT_MS, Some(START_MS)), LeavingKind::Unknown);
     monitor
 }
 
 /// Returns an agent that knew an earlier incarnation when the upstream left.
 fn earlier_known() -> UpstreamMonitor {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     receive(&mut monitor, LEFT_MS - 500, &announcement(START_MS - 1, SEQUENCE));
     assert_eq!(leave(&mut monitor, LEFT_MS, Some(START_MS)), LeavingKind::Known);
     monitor
@@ -138,7 +138,7 @@
 /// serves a new incarnation.
 #[test]
 fn a_process_that_heard_of_no_leaving_takes_the_first_announcement() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     let next = announcement(START_MS + 1, 1);
     receive_unprobed(&mut monitor, LEFT_MS + 500, &next);
     assert_eq!((monitor.state(), monitor.leaving()), (UpstreamState::Starting, None));
@@ -150,7 +150,7 @@
 /// sent before that.
 #[test]
 fn a_process_that_heard_of_no_leaving_gives_no_work_to_an_upstream_that_states_it() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     let late = announcement(START_MS, SEQUENCE);
     receive_unprobed(&mut monitor, LEFT_MS + 3_400, &late);
     assert!(answer(&mut monitor, &late, Presence::Leaving));
@@ -164,7 +164,7 @@
 /// An upstream whose health check fails may be leaving without stating it.
 #[test]
 fn an_unhealthy_upstream_is_starting_until_it_is_confirmed() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     let first = announcement(START_MS, 1);
     receive_unprobed(&mut monitor, LEFT_MS, &first);
     answer(&mut monitor, &first, Presence::Unhealthy);
@@ -178,7 +178,7 @@
 /// The answer may arrive after another incarnation has announced itself.
 #[test]
 fn a_confirmation_binds_only_the_incarnation_that_gave_it() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     let (first, next) = (announcement(START_MS, SEQUENCE), announcement(START_MS + 1, 1));
     receive_unprobed(&mut monitor, LEFT_MS, &first);
     receive_unprobed(&mut monitor, LEFT_MS + 100, &next);
@@ -193,7 +193,7 @@
 /// A late announcement of an incarnation that has crashed must not keep out its successor, whose wall clock was set back.
 #[test]
 fn an_incarnation_that_was_replaced_gives_way_to_an_earlier_start_time() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     let late = announcement(START_MS, SEQUENCE);
     receive_unprobed(&mut monitor, LEFT_MS, &late);
     let successor = announcement(START_MS - 1, 1);
@@ -216,7 +216,7 @@
 
 #[test]
 fn leaving_of_an_earlier_incarnation_does_not_bind_the_known_one() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     receive(&mut monitor, LEFT_MS - 500, &announcement(START_MS, SEQUENCE));
     assert_eq!(leave(&mut monitor, LEFT_MS, Some(START_MS - 1)), LeavingKind::Unknown);
     assert_eq!((monitor.state(), monitor.leaving()), (UpstreamState::Ready, None));
@@ -234,7 +234,7 @@
 
 #[test]
 fn leaving_without_a_start_time_binds_the_first_incarnation_that_is_announced() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     assert_eq!(leave(&mut monitor, LEFT_MS, None), LeavingKind::Unknown);
     for sequence in [1, 2] {
         let kind = receive(&mut monitor, LEFT_MS + 100, &announcement(START_MS, sequence));
@@ -248,7 +248,7 @@
 /// The upstream may have started again under its id, and its announcements would be ignored for good.
 #[test]
 fn leaving_without_a_start_time_does_not_bind_an_incarnation_announced_much_later() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     leave(&mut monitor, LEFT_MS, None);
     receive(&mut monitor, LEFT_MS + 10_100, &announcement(START_MS, 1));
     assert_eq!((monitor.state(), monitor.leaving()), (UpstreamState::Ready, None));
@@ -257,7 +257,7 @@
 /// The known incarnation is replaced and heard again after its successor has been silent.
 #[test]
 fn announced_draining_outlasts_another_incarnation() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     let draining =
         Announcement { state: UpstreamState::Draining, ..announcement(START_MS, SEQUENCE) };
     receive(&mut monitor, LEFT_MS, &draining);
@@ -269,7 +269,7 @@
 /// An ignored announcement is acknowledged all the same, so its draining state has to be kept.
 #[test]
 fn announced_draining_of_an_unknown_incarnation_is_kept() {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     receive(&mut monitor, LEFT_MS - 500, &announcement(START_MS, SEQUENCE));
     let earlier = announcement(START_MS - 1, 90);
     let draining = Announcement { state: UpstreamState::Draining, ..earlier.clone() };
--- a/crates/agent/src/control/tests/platform.rs
+++ b/crates/agent/src/control/tests/platform.rs
@@ -32,6 +32,8 @@
     pub(crate) is_down: AtomicBool,
     /// The number of next updates under `accepted/` that take effect but whose answer is lost.
     pub(super) lost_answers: AtomicU32,
+    /// Whether lists that may be stale show the store as it was before its first object.
+    pub(crate) lists_nothing_stale: AtomicBool,
 }
 
 impl FakeStore {
@@ -42,6 +44,7 @@
             changed: watch::Sender::new(()),
             is_down: AtomicBool::new(false),
             lost_answers: AtomicU32::new(0),
+            lists_nothing_stale: AtomicBool::new(false),
         }
     }
 
@@ -167,6 +170,15 @@
         })
     }
 
+    fn list_maybe_stale(&self, prefix: &str) -> StoreResult<'_, Changes> {
+        match self.lists_nothing_stale.load(Ordering::SeqCst) {
+            true => {
+                Box::pin(async { Ok(Changes { revision: ObjectVersion(0), changes: Vec::new() }) })
+            }
+            false => self.list(prefix),
+        }
+    }
+
     fn watch(
         &self,
         prefix: &str,
--- a/crates/agent/src/control/tests/upstream.rs
+++ b/crates/agent/src/control/tests/upstream.rs
@@ -29,7 +29,7 @@
 
 /// Returns a monitor whose upstream started at 5,000 ms and announced itself at 10 s.
 fn monitor() -> UpstreamMonitor {
-    let mut monitor = UpstreamMonitor::default();
+    let mut monitor = UpstreamMonitor::in_open_zone();
     monitor.announcement = Some(announcement("i-1", Some(5_000), 7));
     monitor.announced_at = Timestamp::from_ms(10_000);
     monitor
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -45,8 +45,17 @@
     is_draining: bool,
     /// The incarnations that are known to leave for good, also those that have not announced themselves.
     left: LeftIncarnations,
-    /// Whether the own availability zone is closed.
-    zone_is_closed: bool,
+    zone: ZoneState,
+}
+
+/// The state of the own availability zone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum ZoneState {
+    /// The closed zones have not been read yet.
+    #[default]
+    Unknown,
+    Open,
+    Closed,
 }
 
 /// The relation of an announcement to the last accepted one.
@@ -71,16 +80,21 @@
 }
 
 impl UpstreamMonitor {
+    /// Creates the monitor of an instance whose zone counts as open until the closed zones have been read.
+    pub(super) fn in_open_zone() -> UpstreamMonitor {
+        UpstreamMonitor { zone: ZoneState::Open, ..UpstreamMonitor::default() }
+    }
+
     /// Returns the worse of the announced state and the gate's. An upstream counts as starting until it has
-    /// confirmed that it runs. A ready upstream in a closed zone counts as draining, so that its keys move to
+    /// confirmed that it runs and its zone is known to be open or closed. A ready upstream in a closed zone counts as draining, so that its keys move to
     /// other instances.
     pub(crate) fn state(&self) -> UpstreamState {
         match (&self.announcement, self.gate_state) {
             (_, Some(UpstreamState::Lost)) => UpstreamState::Lost,
-            (Some(it), _) if it.state == UpstreamState::Ready && !self.is_confirmed() => {
+            (Some(it), _) if it.state == UpstreamState::Ready && !self.can_get_requests() => {
                 UpstreamState::Starting
             }
-            (Some(it), _) if it.state == UpstreamState::Ready && self.zone_is_closed => {
+            (Some(it), _) if it.state == UpstreamState::Ready && self.zone == ZoneState::Closed => {
                 UpstreamState::Draining
             }
             (Some(announcement), _) => announcement.state,
@@ -132,7 +146,7 @@
         match &self.announcement {
             // Also while it counts as lost: its drain time must not begin anew when it is heard again.
             Some(_) if self.is_draining => Some(LeaveReason::Stopping),
-            Some(_) if self.zone_is_closed => Some(LeaveReason::ZoneClosed),
+            Some(_) if self.zone == ZoneState::Closed => Some(LeaveReason::ZoneClosed),
             _ => None,
         }
     }
@@ -203,6 +217,16 @@
         self.presence == Some(Presence::Present)
     }
 
+    /// Returns whether all that may forbid requests to the known incarnation has been read. An earlier process of
+    /// this agent may have known of it.
+    pub(super) fn can_get_requests(&self) -> bool {
+        self.is_confirmed() && self.is_zone_known()
+    }
+
+    pub(super) fn is_zone_known(&self) -> bool {
+        self.zone != ZoneState::Unknown
+    }
+
     /// Takes over the answer to a probe of an incarnation, unless it is not the known one, or was confirmed or
     /// found to be leaving before. Returns whether the answer is another one than the last.
     pub(super) fn record_presence(
@@ -359,14 +383,23 @@
     /// Releases all keys if the operators have closed the own zone, and accepts keys again if they
     /// have opened it.
     pub(super) fn on_closed_zones(&mut self, closed: &ClosedZones) {
-        let is_closed = closed.contains(&self.parts.own.zone);
-        if std::mem::replace(&mut self.upstream.zone_is_closed, is_closed) == is_closed {
+        let state = match closed.contains(&self.parts.own.zone) {
+            true => ZoneState::Closed,
+            false => ZoneState::Open,
+        };
+        let former = std::mem::replace(&mut self.upstream.zone, state);
+        if former == state {
             return;
         }
         let zone = &self.parts.own.zone;
-        match is_closed {
-            true => log::info!(target: "control", "Zone {zone} is closed; releasing all keys."),
-            false => {
+        match (former, state) {
+            (_, ZoneState::Closed) => {
+                log::info!(target: "control", "Zone {zone} is closed; releasing all keys.");
+            }
+            (ZoneState::Unknown, _) => {
+                log::info!(target: "control", "The closed zones have been read; zone {zone} is open.");
+            }
+            _ => {
                 log::info!(target: "control", "Zone {zone} is open again; accepting keys.");
                 self.parts.gate.mark_possibly_cold();
             }
--- a/crates/agent/src/zones/mod.rs
+++ b/crates/agent/src/zones/mod.rs
@@ -18,8 +18,8 @@
 /// Zones whose upstreams must get no new requests.
 pub type ClosedZones = Arc<BTreeSet<Zone>>;
 
-/// A receiver of the zones that are closed according to the last read.
-pub type ClosedZonesSource = watch::Receiver<ClosedZones>;
+/// A receiver of the zones that are closed according to the last read; `None` until the first one.
+pub type ClosedZonesSource = watch::Receiver<Option<ClosedZones>>;
 
 /// Zones are closed a few times a year, so most watches end without a change, and they are as long as the
 /// history of the store allows without a list after each. A closed zone must take effect within seconds even after an outage of the store, so the pauses after failures are short.
@@ -42,26 +42,34 @@
     store: Arc<dyn ObjectStore>,
     prefix: &str,
     read: impl Fn(&Change) -> Option<ZoneChange>,
-    closed: watch::Sender<ClosedZones>,
+    closed: watch::Sender<Option<ClosedZones>>,
 ) {
-    let mut follower = Follower::new(store, prefix, FOLLOWER_TIMES).with_maybe_stale_first_list();
+    // The first list is not stale: an earlier process may have acted on a zone that it would show as open.
+    let mut follower = Follower::new(store, prefix, FOLLOWER_TIMES);
     loop {
         let changes = follower.next_with_retries("The list of closed zones").await;
-        changes.iter().filter_map(&read).for_each(|it| apply(it, &closed));
+        let changes: Vec<ZoneChange> = changes.iter().filter_map(&read).collect();
+        closed.send_if_modified(|known| {
+            let is_first = known.is_none();
+            let zones = Arc::make_mut(known.get_or_insert_default());
+            let applied = changes.into_iter().filter(|it| apply(it, zones)).count();
+            is_first || applied > 0
+        });
     }
 }
 
-fn apply(change: ZoneChange, closed: &watch::Sender<ClosedZones>) {
-    closed.send_if_modified(|known| match change {
-        ZoneChange::Closed(zone) => Arc::make_mut(known).insert(zone),
-        ZoneChange::Open(zone) => Arc::make_mut(known).remove(&zone),
-    });
+/// Returns whether the zones have changed.
+fn apply(change: &ZoneChange, closed: &mut BTreeSet<Zone>) -> bool {
+    match change {
+        ZoneChange::Closed(zone) => closed.insert(zone.clone()),
+        ZoneChange::Open(zone) => closed.remove(zone),
+    }
 }
 
 /// Follows the zone objects that `pomelohill zone` writes. Never returns.
 pub(crate) async fn follow_stored_zones(
     store: Arc<dyn ObjectStore>,
-    closed: watch::Sender<ClosedZones>,
+    closed: watch::Sender<Option<ClosedZones>>,
 ) {
     follow_zones(store, ZONES_PREFIX, read_zone_change, closed).await;
 }
--- a/crates/agent/src/zones/tests.rs
+++ b/crates/agent/src/zones/tests.rs
@@ -23,7 +23,7 @@
 
 async fn wait_for(source: &mut ClosedZonesSource, zones: &[&str]) {
     let expected: ClosedZones = Arc::new(zones.iter().map(|it| zone(it)).collect());
-    let waiting = source.wait_for(|it| *it == expected);
+    let waiting = source.wait_for(|it| it.as_ref() == Some(&expected));
     timeout(WAIT_TIMEOUT, waiting).await.expect("the closed zones did not change in time").unwrap();
 }
 
@@ -52,15 +52,47 @@
 async fn changes_during_a_store_outage_take_effect_after_it() {
     let store = Arc::new(FakeStore::new());
     store.put("zones/pitlane", r#"{"closed": true}"#);
-    let (sender, mut source) = watch::channel(ClosedZones::default());
+    let (sender, mut source) = watch::channel(None);
     let following = tokio::spawn(follow_stored_zones(Arc::clone(&store) as _, sender));
     wait_for(&mut source, &["pitlane"]).await;
     store.is_down.store(true, std::sync::atomic::Ordering::SeqCst);
     store.put("zones/drivers-stand", r#"{"closed": true}"#);
     store.put("zones/pitlane", r#"{"closed": false}"#);
     tokio::time::sleep(Duration::from_secs(3)).await;
-    assert_eq!(source.borrow().len(), 1, "the zone stays closed during the outage");
+    assert_eq!(
+        source.borrow().as_ref().unwrap().len(),
+        1,
+        "the zone stays closed during the outage"
+    );
     store.is_down.store(false, std::sync::atomic::Ordering::SeqCst);
     wait_for(&mut source, &["drivers-stand"]).await;
     following.abort();
 }
+
+/// An agent that was started again must not take a zone for open before it has read that it is.
+#[tokio::test(start_paused = true)]
+async fn zones_are_unknown_until_the_first_list_and_known_after_an_empty_one() {
+    let store = Arc::new(FakeStore::new());
+    store.is_down.store(true, std::sync::atomic::Ordering::SeqCst);
+    let (sender, mut source) = watch::channel(None);
+    let following = tokio::spawn(follow_stored_zones(Arc::clone(&store) as _, sender));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(*source.borrow_and_update(), None);
+    store.is_down.store(false, std::sync::atomic::Ordering::SeqCst);
+    wait_for(&mut source, &[]).await;
+    following.abort();
+}
+
+/// A list that may be stale could show a zone as open that an earlier process of the agent had acted on as closed.
+#[tokio::test(start_paused = true)]
+async fn the_first_list_of_closed_zones_is_not_stale() {
+    let store = Arc::new(FakeStore::new());
+    store.put("zones/pitlane", r#"{"closed": true}"#);
+    store.lists_nothing_stale.store(true, std::sync::atomic::Ordering::SeqCst);
+    let (sender, mut source) = watch::channel(None);
+    let following = tokio::spawn(follow_stored_zones(Arc::clone(&store) as _, sender));
+    source.changed().await.unwrap();
+    let expected: ClosedZones = Arc::new([zone("pitlane")].into());
+    assert_eq!(*source.borrow(), Some(expected));
+    following.abort();
+}
