Postmortem of DRAIN; which acknowledgement is known after a restart

docs/design/announcements.md had four open cells. Two are closed by the probe, those of a leaving that an earlier process acknowledged; a closed zone is read first; an announced draining state is followed by a probe or gets no work.

--- a/crates/agent/src/control/tests/left_incarnations.rs
+++ b/crates/agent/src/control/tests/left_incarnations.rs
@@ -175,6 +175,16 @@
     assert_eq!(monitor.state(), UpstreamState::Ready);
 }
 
+/// Its drain time began with an earlier process of the agent, and must not begin anew.
+#[test]
+fn an_incarnation_first_heard_as_draining_is_not_confirmed() {
+    let mut monitor = UpstreamMonitor::in_open_zone();
+    let first = Announcement { state: UpstreamState::Draining, ..announcement(START_MS, SEQUENCE) };
+    receive_unprobed(&mut monitor, LEFT_MS + 500, &first);
+    assert_leaving(&monitor);
+    assert!(!monitor.can_get_requests());
+}
+
 /// The answer may arrive after another incarnation has announced itself.
 #[test]
 fn a_confirmation_binds_only_the_incarnation_that_gave_it() {
