--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -86,8 +86,8 @@
     }
 
     /// Returns the worse of the announced state and the gate's. An upstream counts as starting until it has
-    /// confirmed that it runs and its zone is known to be open or closed. A ready upstream in a closed zone counts as draining, so that its keys move to
-    /// other instances.
+    /// confirmed that it runs and its zone is known to be open or closed. A ready upstream in a closed zone
+    /// counts as draining, so that its keys move to other instances.
     pub(crate) fn state(&self) -> UpstreamState {
         match (&self.announcement, self.gate_state) {
             (_, Some(UpstreamState::Lost)) => UpstreamState::Lost,
