--- a/crates/agent/src/tests/condition.rs
+++ b/crates/agent/src/tests/condition.rs
@@ -169,7 +169,7 @@
         let mut agents = TestAgent::start_members(1).await;
         let mut agent = agents.pop().unwrap();
         *agent.upstream.presence.lock().unwrap() = presence;
-        agent.set_upstream_confirmed("i-1", false).await;
+        agent.set_upstream("i-1", false).await;
         let deadline = Duration::from_millis(300);
         assert_unreachable(&agent.call(Call { deadline, ..get("echo", 1) }).await);
         if presence.is_some() {
@@ -178,7 +178,7 @@
         assert!(agent.upstream.ran().is_empty());
         *agent.upstream.presence.lock().unwrap() = Some(Presence::Present);
         while probed(&mut agent).await != Some(Presence::Present) {}
-        agent.set_upstream_confirmed("i-1", true).await;
+        agent.set_upstream("i-1", true).await;
         assert_eq!(agent.call(get("echo", 2)).await.status.as_u16(), 200);
     }
 }
@@ -188,7 +188,7 @@
 async fn queued_request_is_refused_once_an_unconfirmed_incarnation_is_bound() {
     let mut agents = TestAgent::start_members(1).await;
     let agent = agents.pop().unwrap();
-    agent.set_upstream_confirmed("i-1", true).await;
+    agent.set_upstream("i-1", true).await;
     let queued = async {
         agent.upstream.wait_started().await;
         agent.upstream.wait_started().await;
@@ -201,7 +201,7 @@
             }
         };
         tokio::time::timeout(WAIT_TIMEOUT, is_queued).await.expect("no request is queued");
-        agent.set_upstream_confirmed("i-2", false).await;
+        agent.set_upstream("i-2", false).await;
         agent.upstream.release.add_permits(2);
     };
     let running = [agent.call(post("hold", 1)), agent.call(post("hold", 2))];
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -564,16 +564,9 @@
         self.gate.confirm_members(Term(1));
     }
 
-    /// Publishes the current snapshot with another incarnation of the upstream.
+    /// Publishes the current snapshot with another incarnation of the upstream, which is confirmed.
     pub(super) async fn set_upstream_id(&self, id: &str) {
-        let previous = self.snapshots.load();
-        let local = previous.local.clone().map(|it| LocalUpstream {
-            announcement: Announcement { upstream_id: Some(Arc::from(id)), ..it.announcement },
-            ..it
-        });
-        let services = previous.services.clone();
-        self.snapshots.store(Snapshot { services, routing: None, local });
-        self.plane.rebind_gate().await;
+        self.set_upstream(id, true).await;
     }
 
     /// Publishes the current snapshot with the upstream leaving for good, as it has announced.
@@ -590,7 +583,7 @@
     }
 
     /// Publishes the current snapshot with another incarnation of the upstream, which is confirmed or not.
-    pub(super) async fn set_upstream_confirmed(&self, id: &str, is_confirmed: bool) {
+    pub(super) async fn set_upstream(&self, id: &str, is_confirmed: bool) {
         let previous = self.snapshots.load();
         let local = previous.local.clone().map(|it| LocalUpstream {
             announcement: Announcement { upstream_id: Some(Arc::from(id)), ..it.announcement },
