--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -217,8 +217,7 @@
         self.presence == Some(Presence::Present)
     }
 
-    /// Returns whether all that may forbid requests to the known incarnation has been read. An earlier process of
-    /// this agent may have known of it.
+    /// Returns whether the known incarnation is confirmed and the state of its zone is known.
     pub(super) fn can_get_requests(&self) -> bool {
         self.is_confirmed() && self.is_zone_known()
     }
@@ -352,8 +351,7 @@
         }
     }
 
-    /// Handles the answer of an upstream to a probe. It is later than all that it has announced, also to an
-    /// earlier process of this agent.
+    /// Handles the answer of an upstream to a probe.
     pub(super) fn on_upstream_probed(
         &mut self,
         upstream_id: Option<&UpstreamId>,
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -213,8 +213,8 @@
         Box::pin(self.get("health", self.health_path.clone()))
     }
 
-    /// Does not tell incarnations apart, since the health does not identify one. A draining upstream may become ready
-    /// again.
+    /// Never returns [`Presence::Replaced`], since the health does not identify an incarnation. Draining counts as
+    /// unhealthy, since the upstream may become ready again.
     fn probe(&self) -> UpstreamFuture<'_, Result<Presence, ControlError>> {
         Box::pin(async {
             Ok(match self.health().await?.state {
