Review: stand-ins draw distinct addresses

Claim: a stand-in deployment could give two listeners of one machine the same port, so that an agent did not start.

Shown by one start of case 5, which ended with 2 (the case could not run).

--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -58,9 +58,16 @@
     }
 }
 
-/// A free port of an address.
-fn free_port(ip: Ipv4Addr) -> Result<u16, std::io::Error> {
-    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+/// An address with a free port that is not among `used`.
+fn free_address(ip: Ipv4Addr, used: &mut Vec<SocketAddr>) -> Result<SocketAddr, String> {
+    loop {
+        let listener = TcpListener::bind((ip, 0)).map_err(|it| format!("{ip}: {it}"))?;
+        let address = listener.local_addr().map_err(|it| it.to_string())?;
+        if !used.contains(&address) && address.port() != METRICS_PORT {
+            used.push(address);
+            return Ok(address);
+        }
+    }
 }
 
 impl World {
@@ -76,9 +83,8 @@
         let net = |host: usize| {
             Ipv4Addr::new(127, 64 + (pid % 64) as u8, (pid / 64 % 250) as u8, host as u8)
         };
-        let address = |ip: Ipv4Addr| -> Result<SocketAddr, String> {
-            Ok(SocketAddr::from((ip, free_port(ip).map_err(|it| format!("{ip}: {it}"))?)))
-        };
+        let mut used = Vec::new();
+        let mut address = |ip: Ipv4Addr| free_address(ip, &mut used);
         let store = address(net(1))?;
         let store_process = spawn_self(&["store", "--listen", &store.to_string()])?;
         let template =
