--- a/review/standins-2/case_memory.rs
+++ b/review/standins-2/case_memory.rs
@@ -30,8 +30,8 @@
 const SMALL: usize = 64_000;
 const REQUEST: &str = "POST /penalty/2f";
 
-pub fn run(case: &Path, has_trouble: bool) -> Result<bool, String> {
-    let mut world = World::start(case, CONFIG, &["racecontrol"; 3])?;
+pub fn run(record: &Path, has_trouble: bool) -> Result<bool, String> {
+    let mut world = World::start(record, CONFIG, &["racecontrol"; 3])?;
     let mut targets = Vec::new();
     for index in 0..3 {
         let id = format!("i-{index}a");
--- a/review/standins-2/case_owner.rs
+++ b/review/standins-2/case_owner.rs
@@ -17,9 +17,9 @@
     fence: u64,
 }
 
-pub fn run(case: &Path, has_trouble: bool) -> Result<bool, String> {
+pub fn run(record: &Path, has_trouble: bool) -> Result<bool, String> {
     let services = ["standings"; 3];
-    let mut world = World::start(case, CONFIG, &services)?;
+    let mut world = World::start(record, CONFIG, &services)?;
     let mut targets = Vec::new();
     for index in 0..services.len() {
         targets.push(Some(world.start_target(
--- a/review/standins-2/case_quarantine.rs
+++ b/review/standins-2/case_quarantine.rs
@@ -36,8 +36,8 @@
 /// The times at which requests were sent, and whether they were served.
 type Results = Arc<Mutex<Vec<(u64, bool)>>>;
 
-pub fn run(case: &Path, has_trouble: bool) -> Result<bool, String> {
-    let mut world = World::start(case, CONFIG, &["lapboard"; MACHINES])?;
+pub fn run(record: &Path, has_trouble: bool) -> Result<bool, String> {
+    let mut world = World::start(record, CONFIG, &["lapboard"; MACHINES])?;
     let mut targets = Vec::new();
     for index in 0..MACHINES {
         let id = format!("i-{index}a");
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -49,7 +49,7 @@
         "memory" => case_memory::run,
         _ => return ExitCode::from(2),
     };
-    match case(Path::new(option("case")), has_trouble) {
+    match case(Path::new(option("record")), has_trouble) {
         Ok(true) => {
             println!("the rule held");
             ExitCode::SUCCESS
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -72,13 +72,12 @@
 
 impl World {
     /// Starts the store and writes the first configuration. `services` are those of the machines.
-    pub fn start(case: &Path, config: &str, services: &[&str]) -> Result<World, String> {
+    pub fn start(record: &Path, config: &str, services: &[&str]) -> Result<World, String> {
         let root = PathBuf::from(".").canonicalize().map_err(|it| it.to_string())?;
         let pid = std::process::id();
         let dir = std::env::temp_dir().join(format!("pomelohill-review-{pid}"));
         fs::create_dir_all(&dir).map_err(|it| it.to_string())?;
-        let record_path = case.join("record.txt");
-        let _ = fs::remove_file(&record_path);
+        let record_path = record.to_owned();
         let record = Record::open(&record_path);
         let net = |host: usize| {
             Ipv4Addr::new(127, 64 + (pid % 64) as u8, (pid / 64 % 250) as u8, host as u8)
