--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -98,6 +98,8 @@
 pub struct Reply {
     pub parts: Parts,
     pub body: Bytes,
+    /// Whether the connection was opened for this exchange.
+    pub is_first_on_connection: bool,
 }
 
 /// Reason for an exchange without a complete reply.
@@ -201,7 +203,9 @@
         bytes_max: usize,
         reuse: impl FnOnce(&Parts) -> Reuse,
     ) -> Result<Reply, ExchangeError> {
-        let (sender, mut past, response) = self.send(id, request).await?;
+        let (sender, past, response) = self.send(id, request).await?;
+        let is_first_on_connection = past.is_none();
+        let mut past = past.unwrap_or_default();
         let (parts, body) = response.into_parts();
         let body = read(body, bytes_max).await?;
         past.last = id;
@@ -213,19 +217,19 @@
             }
             (Reuse::Repeatable | Reuse::Completed, _) => self.keep(sender, past, &parts),
         }
-        Ok(Reply { parts, body })
+        Ok(Reply { parts, body, is_first_on_connection })
     }
 
-    /// Sends a request and returns the head of the reply with its connection. A request that was never written is
-    /// tried on further idle connections and finally on a new one.
+    /// Sends a request and returns the head of the reply with its connection, and the earlier calls on it unless it is
+    /// new. A request that was never written is tried on further idle connections and finally on a new one.
     async fn send(
         &self,
         id: Option<CallId>,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Sender, PastCalls, Response<Incoming>), ExchangeError> {
+    ) -> Result<(Sender, Option<PastCalls>, Response<Incoming>), ExchangeError> {
         while let Some((mut sender, past)) = self.take(id).await {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok((sender, past, response)),
+                Ok(response) => return Ok((sender, Some(past), response)),
                 Err(mut error) => match unwritten(&mut error) {
                     Some(unwritten) => request = unwritten,
                     None => return Err(ExchangeError::Lost(error.into_error().to_string())),
@@ -234,7 +238,7 @@
         }
         let mut sender = self.connect().await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok((sender, PastCalls::default(), response)),
+            Ok(response) => Ok((sender, None, response)),
             Err(mut error) => {
                 let is_unwritten = unwritten(&mut error).is_some();
                 let reason = error.into_error().to_string();
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -139,7 +139,7 @@
         // A second copy of a refusal would be taken for the answer to the next request on the connection.
         let is_reusable = |parts: &Parts| !is_refused(parts.status, &parts.headers);
         let reply = self.requests.exchange(call, self.answer_bytes_max, is_reusable).await;
-        let Reply { parts, body } = reply.map_err(|error| self.call_error(error))?;
+        let Reply { parts, body, .. } = reply.map_err(|error| self.call_error(error))?;
         if is_refused(parts.status, &parts.headers) {
             let retry_after = retry_after(&parts.headers);
             let condition = self.stated_condition(&parts.headers);
