Grants are sent only on connections whose receiver is known

What callers saw: two upstreams had the same keys under one fence (OWNER). An upstream that crashes and is started again at its address was granted the keys of its predecessor, with the predecessor's fence, until its heartbeats were believed.

Cause: a grant was a call to an address. Its meaning depends on who receives it, and whoever listened there took it.

Change: a grant needs a KeyConnection, and there is none without proof of who is at its other end. A new connection is identified by a health check that states the expected id. A connection does not outlive the process at its other end, so what holds for its first exchange holds for all. Where upstreams state the time of their start, a successor may have the id of its predecessor: there a new connection also has to be shown to end at the same process as an earlier one, which answers after the new one was opened; if none is left, only tokens above all earlier ones are granted, which starts a new session. The answer of another incarnation ends the session at once and voids its leases, so that no slot of the former incarnation is granted to the next one under its token, nor counts as usable by a late answer. Releases stay calls to the address: the answer of a successor is true, since its predecessor has ended.

--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -91,6 +91,7 @@
     pub(crate) fn state(&self) -> UpstreamState {
         match (&self.announcement, self.gate_state) {
             (_, Some(UpstreamState::Lost)) => UpstreamState::Lost,
+            (Some(_), _) if self.presence == Some(Presence::Replaced) => UpstreamState::Lost,
             (Some(it), _) if it.state == UpstreamState::Ready && !self.can_get_requests() => {
                 UpstreamState::Starting
             }
@@ -226,8 +227,9 @@
         self.zone != ZoneState::Unknown
     }
 
-    /// Takes over the answer to a probe of an incarnation, unless it is not the known one, or was confirmed or
-    /// found to be leaving before. Returns whether the answer is another one than the last.
+    /// Takes over the answer to a probe of an incarnation, unless it is not the known one. A confirmed incarnation can
+    /// only be found to be leaving or replaced, and a leaving one stays so. Returns whether the answer is another one than
+    /// the last.
     pub(super) fn record_presence(
         &mut self,
         upstream_id: Option<&UpstreamId>,
@@ -238,7 +240,12 @@
             it.upstream_id.as_ref() == upstream_id
                 && it.incarnation_start_ms == incarnation_start_ms
         });
-        let is_final = matches!(self.presence, Some(Presence::Present | Presence::Leaving));
+        let is_final = match (self.presence, presence) {
+            (Some(Presence::Leaving), _) => true,
+            (Some(Presence::Present), Presence::Leaving | Presence::Replaced) => false,
+            (Some(Presence::Present), _) => true,
+            _ => false,
+        };
         if !is_known || is_final {
             return false;
         }
@@ -373,7 +380,10 @@
                 log::info!(target: "control", "The upstream {upstream} is not healthy; it gets no requests before it is.");
             }
             Presence::Replaced => {
-                log::info!(target: "control", "The upstream {upstream} is no longer the one at its address; its announcement was late.");
+                log::info!(target: "control", "The upstream {upstream} is no longer the one at its address: it has ended, and counts as lost until another one announces itself.");
+                self.is_dirty = true;
+                self.report_upstream_state();
+                self.step(self.now(), Input::DropSession { reason: "upstream replaced" });
             }
         }
     }
--- a/crates/agent/src/gate/bound.rs
+++ b/crates/agent/src/gate/bound.rs
@@ -128,6 +128,7 @@
             self.members_changed_ns.store(now.ns, Ordering::SeqCst);
         }
         self.apply(self.condition.follow_incarnation(&bound.incarnation()));
+        self.leases.follow_incarnation(now, &bound.incarnation());
         if local.leaves_for_good {
             self.condition.record_announced_leaving(now, &bound.incarnation());
         }
--- a/crates/agent/src/gate/leases/answers.rs
+++ b/crates/agent/src/gate/leases/answers.rs
@@ -58,7 +58,6 @@
         let mut latest_sequence = self.leases.latest_sequence.subscribe();
         let effects = {
             let mut leases = self.leases.lock();
-            leases.follow_incarnation(received_at, &bound.incarnation());
             if !leases.accept_sequence(announcement.sequence) {
                 log::debug!(target: "gate", "Ignored an announcement of keys that is older than the last one.");
                 return None;
--- a/crates/agent/src/gate/leases/exchange.rs
+++ b/crates/agent/src/gate/leases/exchange.rs
@@ -200,7 +200,7 @@
         let may_grant = lease_until.since(now) >= 2 * HOLD_MIN;
         let is_pending = |it: &SlotLease| match it.closing {
             Some(_) => !it.answer_state.is_omitted && it.held_until > now,
-            None => may_grant && !it.answer_state.is_granted,
+            None => may_grant && !it.is_void && !it.answer_state.is_granted,
         };
         self.exchange.must_revoke || self.slots.values().any(is_pending)
     }
@@ -251,7 +251,7 @@
     /// that were never granted are deferred first. If that is not enough, slots that are to be
     /// released remain granted, because the upstream releases every range that the answer omits.
     fn ranges_to_grant(&self, ranges_max: usize) -> (Vec<RangeGrant>, usize) {
-        let mut ranges = self.ranges_where(|it| it.closing.is_none());
+        let mut ranges = self.ranges_where(|it| it.closing.is_none() && !it.is_void);
         let new_ranges_max = ranges_max - ranges_max / SPLIT_RESERVE_DIVISOR;
         let mut deferred = 0;
         while ranges.len() > new_ranges_max
--- a/crates/agent/src/gate/leases/mod.rs
+++ b/crates/agent/src/gate/leases/mod.rs
@@ -86,6 +86,10 @@
         self.wake();
     }
 
+    pub(super) fn follow_incarnation(&self, now: Timestamp, incarnation: &UpstreamIncarnation) {
+        self.lock().follow_incarnation(now, incarnation);
+    }
+
     pub(super) fn drop_all(&self) {
         self.lock().drop_all();
         self.wake();
--- a/crates/agent/src/gate/leases/reconcile.rs
+++ b/crates/agent/src/gate/leases/reconcile.rs
@@ -3,8 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use model::{Instance, KeyRange, OrderedKeys, Slot, SlotCount, Timestamp, Token};
+use ownership::UpstreamState;
 use tokio::time::{sleep, timeout};
-use upstream::{GrantError, GrantedKeys, HandoverToken, KeyLeaseMode, LeaseEnforcingUpstream};
+use upstream::{
+    GrantError, GrantedKeys, HandoverToken, KeyConnection, KeyConnectionError, KeyLeaseMode,
+    LeaseEnforcingUpstream, Presence,
+};
 use wire::traffic::TransferUnit;
 
 use crate::{
@@ -28,6 +32,9 @@
 /// Timeout of a grant call: an upstream on the same instance answers within a few milliseconds or
 /// not at all.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for a connection for a grant. An upstream may answer the identity check only once a
+/// slot is free.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time by which the answers of requests may arrive after the answer to a release that waited for
 /// them, and the interval at which they are polled. The next pass handles later ones.
@@ -67,12 +74,7 @@
 /// Reports slots whose holds have expired without an announcement, for an upstream that is granted
 /// keys in the answers to its announcements.
 async fn reconcile_announced(gate: &Gate, bound: &BoundUpstream) {
-    let now = gate.clock.now();
-    let cleared = {
-        let mut leases = gate.leases.lock();
-        leases.follow_incarnation(now, &bound.incarnation());
-        leases.take_cleared()
-    };
+    let cleared = gate.leases.lock().take_cleared();
     report_closed(gate).await;
     if let Some(token) = cleared {
         gate.assume_earlier_runs(bound);
@@ -83,11 +85,7 @@
 async fn reconcile_by_calls(gate: &Arc<Gate>, bound: &Arc<BoundUpstream>) {
     let now = gate.clock.now();
     let lease_until = gate.handle.table.lease_until();
-    let calls = {
-        let mut leases = gate.leases.lock();
-        leases.follow_incarnation(now, &bound.incarnation());
-        leases.due_calls(now, lease_until)
-    };
+    let calls = gate.leases.lock().due_calls(now, lease_until);
     report_closed(gate).await;
     for call in calls {
         let (gate, bound) = (Arc::clone(gate), Arc::clone(bound));
@@ -181,22 +179,12 @@
 ) {
     let sent_at = gate.clock.now();
     let Some((upstream, granted)) = leased_keys(bound, range) else { return };
-    let result = timeout(GRANT_TIMEOUT, upstream.grant_keys(granted, hold, handover)).await;
-    let end = match result {
-        Ok(Ok(())) => GrantOutcome::Accepted,
-        Ok(Err(GrantError::Outdated { peer })) => {
-            log::warn!(target: "gate", "Upstream {peer} refused a grant under token {} for keys {} to {}: it has seen a higher token.", range.token, granted.keys.first, granted.keys.last);
-            gate.reporter.try_report(Report::GrantOutdated { token: range.token });
-            GrantOutcome::Outdated
-        }
-        Ok(Err(error)) => {
-            log::info!(target: "gate", "A grant under token {} for keys {} to {} failed and may still take effect: {error}.", range.token, granted.keys.first, granted.keys.last);
-            GrantOutcome::Unknown
-        }
-        Err(_) => {
-            log::info!(target: "gate", "The upstream did not answer a grant under token {} for keys {} to {} in time; it may still take effect, for {hold:?} from its arrival.", range.token, granted.keys.first, granted.keys.last);
-            GrantOutcome::Unknown
+    let end = match key_connection(gate, bound, upstream).await {
+        Some(connection) => {
+            let result = timeout(GRANT_TIMEOUT, connection.grant_keys(granted, hold, handover));
+            grant_outcome(gate, range, granted, hold, result.await.ok())
         }
+        None => GrantOutcome::NotSent,
     };
     gate.metrics.record_grant(&bound.document.team, grant_result(end));
     gate.leases.lock().finish_grant(gate.clock.now(), range, sent_at, hold, end);
@@ -206,11 +194,79 @@
     }
 }
 
+/// Returns a connection for a grant to this incarnation of the upstream, or `None` if there is none.
+async fn key_connection(
+    gate: &Gate,
+    bound: &BoundUpstream,
+    upstream: &dyn LeaseEnforcingUpstream,
+) -> Option<Box<dyn KeyConnection>> {
+    match timeout(CONNECTION_TIMEOUT, upstream.key_connection()).await {
+        Ok(Ok(connection)) => Some(connection),
+        Ok(Err(error)) => {
+            log::info!(target: "gate", "No connection for a grant: {error}.");
+            match error {
+                KeyConnectionError::Unconfirmed { .. } => {}
+                KeyConnectionError::Unreachable { .. } => {
+                    gate.reporter.try_report(Report::Upstream(UpstreamState::Lost));
+                }
+                KeyConnectionError::Replaced { .. } => end_incarnation(gate, bound).await,
+            }
+            None
+        }
+        Err(_) => {
+            log::info!(target: "gate", "No connection for a grant: the upstream did not show within {CONNECTION_TIMEOUT:?} which incarnation it is.");
+            None
+        }
+    }
+}
+
+/// Records that another incarnation has answered at the address, so the bound one has ended.
+async fn end_incarnation(gate: &Gate, bound: &BoundUpstream) {
+    let (upstream_id, incarnation_start_ms) = bound.incarnation();
+    gate.leases.lock().end_incarnation(gate.clock.now(), &bound.incarnation());
+    report_closed(gate).await;
+    let presence = Presence::Replaced;
+    let report = Report::UpstreamProbed { upstream_id, incarnation_start_ms, presence };
+    gate.reporter.report(report).await;
+}
+
+/// Returns the outcome of a grant with this result; `None` if there was no answer in time.
+fn grant_outcome(
+    gate: &Gate,
+    range: SlotRange,
+    granted: GrantedKeys,
+    hold: Duration,
+    result: Option<Result<(), GrantError>>,
+) -> GrantOutcome {
+    let KeyRange { first, last } = granted.keys;
+    match result {
+        Some(Ok(())) => GrantOutcome::Accepted,
+        Some(Err(GrantError::Outdated { peer })) => {
+            log::warn!(target: "gate", "A grant under token {} for keys {first} to {last} is outdated at upstream {peer}.", range.token);
+            gate.reporter.try_report(Report::GrantOutdated { token: range.token });
+            GrantOutcome::Outdated
+        }
+        Some(Err(error @ GrantError::NotSent { .. })) => {
+            log::info!(target: "gate", "A grant under token {} for keys {first} to {last} was not sent: {error}.", range.token);
+            GrantOutcome::NotSent
+        }
+        Some(Err(error @ GrantError::Unknown { .. })) => {
+            log::info!(target: "gate", "A grant under token {} for keys {first} to {last} failed and may still take effect: {error}.", range.token);
+            GrantOutcome::Unknown
+        }
+        None => {
+            log::info!(target: "gate", "The upstream did not answer a grant under token {} for keys {first} to {last} in time; it may still take effect, for {hold:?} from its arrival.", range.token);
+            GrantOutcome::Unknown
+        }
+    }
+}
+
 /// Returns the name of the outcome in metrics.
 fn grant_result(outcome: GrantOutcome) -> &'static str {
     match outcome {
         GrantOutcome::Accepted => "accepted",
         GrantOutcome::Outdated => "outdated",
+        GrantOutcome::NotSent => "not_sent",
         GrantOutcome::Unknown => "unknown",
     }
 }
--- a/crates/agent/src/gate/leases/slot_leases.rs
+++ b/crates/agent/src/gate/leases/slot_leases.rs
@@ -63,6 +63,8 @@
     Accepted,
     /// The upstream refused the grant because it has seen a higher token.
     Outdated,
+    /// The grant has not reached the upstream and never takes effect.
+    NotSent,
     /// The call failed or timed out; the grant may still take effect.
     Unknown,
 }
@@ -98,11 +100,16 @@
     pub(super) held_until: Timestamp,
     /// End of the hold that the grant in flight would give the upstream, if one is in flight.
     grant_in_flight_until: Option<Timestamp>,
+    /// The value of `held_until` before the grant in flight was sent.
+    held_until_before_grant: Timestamp,
     /// Latest end of the holds of unanswered grants, which may take effect even after a later
     /// release.
     unanswered_until: Timestamp,
     next_grant_at: Timestamp,
     pub(super) closing: Option<Closing>,
+    /// Whether the slot was admitted for an incarnation of the upstream that has ended. It is not granted to the next
+    /// one under the same token.
+    pub(super) is_void: bool,
     /// Effect of the answers to announcements, for upstreams that are granted keys in these
     /// answers.
     pub(super) answer_state: AnswerState,
@@ -152,9 +159,11 @@
             usable_until: Timestamp::ZERO,
             held_until,
             grant_in_flight_until: None,
+            held_until_before_grant: held_until,
             unanswered_until,
             next_grant_at: now,
             closing: None,
+            is_void: false,
             answer_state: AnswerState::default(),
         };
         self.slots.insert(slot, lease);
@@ -202,7 +211,8 @@
         self.slots.clear();
     }
 
-    /// Records the upstream's incarnation. A new incarnation holds no slots.
+    /// Records the upstream's incarnation. A new incarnation holds no slots. Must be called before slots are admitted for
+    /// it.
     pub(super) fn follow_incarnation(&mut self, now: Timestamp, incarnation: &UpstreamIncarnation) {
         match self.incarnation.replace(incarnation.clone()) {
             Some(former) if former != *incarnation => self.reset_for_new_incarnation(now),
@@ -210,13 +220,23 @@
         }
     }
 
-    /// Resets all leases, since a new incarnation of the upstream holds no slots.
+    /// Records that this incarnation has ended, unless it is no longer the recorded one.
+    pub(super) fn end_incarnation(&mut self, now: Timestamp, incarnation: &UpstreamIncarnation) {
+        if self.incarnation.as_ref() == Some(incarnation) {
+            self.reset_for_new_incarnation(now);
+        }
+    }
+
+    /// Voids all leases: the incarnation that held the slots has ended, and the next one may hold them only under a
+    /// higher token.
     pub(super) fn reset_for_new_incarnation(&mut self, now: Timestamp) {
         for lease in self.slots.values_mut() {
             lease.usable_until = Timestamp::ZERO;
             lease.held_until = now;
+            lease.grant_in_flight_until = None;
             lease.unanswered_until = now;
             lease.handover = None;
+            lease.is_void = true;
             lease.answer_state = AnswerState::default();
         }
         self.exchange = Exchange::for_new_incarnation();
@@ -272,6 +292,7 @@
             // A grant in flight might arrive after the release and undo it.
             let no_grant_in_flight = lease.grant_in_flight_until.is_none();
             let call = match &mut lease.closing {
+                _ if lease.is_void => continue,
                 Some(closing)
                     if closing.release == ReleaseState::Due
                         && no_grant_in_flight
@@ -286,6 +307,7 @@
                 None if needs_grant => {
                     // The hold counts from the arrival of the call, on a clock that may be slow.
                     let hold_end = now + hold.mul_f64(SLOW_CLOCK_FACTOR) + CALL_LATENCY_MARGIN;
+                    lease.held_until_before_grant = lease.held_until;
                     lease.held_until = lease.held_until.max(hold_end);
                     lease.grant_in_flight_until = Some(hold_end);
                     let range = SlotRange { first: *slot, last: *slot, token: lease.token };
@@ -310,7 +332,7 @@
         outcome: GrantOutcome,
     ) {
         for (_, lease) in self.slots.range_mut(range.first..=range.last) {
-            if lease.token != range.token {
+            if lease.token != range.token || lease.is_void {
                 continue;
             }
             let hold_end = lease.grant_in_flight_until.take().unwrap_or_default();
@@ -320,6 +342,10 @@
                     // The keys are warm from now on.
                     lease.handover = None;
                 }
+                GrantOutcome::NotSent => {
+                    lease.held_until = lease.held_until_before_grant;
+                    lease.next_grant_at = now + GRANT_RETRY_DELAY;
+                }
                 GrantOutcome::Outdated | GrantOutcome::Unknown => {
                     lease.unanswered_until = lease.unanswered_until.max(hold_end);
                     lease.next_grant_at = now + GRANT_RETRY_DELAY;
@@ -359,6 +385,7 @@
         let is_closed = |slot: &Slot, it: &SlotLease| {
             let Some(closing) = &it.closing else { return false };
             let may_run_until = match closing.release {
+                _ if it.is_void => closing.until.min(runs_until(*slot)),
                 ReleaseState::InFlight => return false,
                 ReleaseState::Due => closing.until,
                 ReleaseState::Answered => closing.until.min(runs_until(*slot)),
--- a/crates/agent/src/gate/worker.rs
+++ b/crates/agent/src/gate/worker.rs
@@ -39,13 +39,16 @@
     let mut batch = Vec::new();
     loop {
         tokio::select! {
+            biased;
+            // Control publishes a new incarnation of the upstream before it admits slots for it. The slots of the former
+            // one are voided when the new one is bound, so that must come first.
+            _ = changes.changed() => gate.rebind(),
             count = tasks.recv_many(&mut batch, BATCH_MAX) => {
                 if count == 0 {
                     return;
                 }
                 start_all(&gate, batch.drain(..)).await;
             }
-            _ = changes.changed() => gate.rebind(),
             _ = tick.tick() => {
                 if let Some(records) = gate.records.get() {
                     records.remove_expired(gate.clock.now());
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -25,8 +25,8 @@
 };
 use upstream::{
     Answer, CallError, ControlError, GrantError, GrantedKeys, HandoverToken, Health, HealthState,
-    HttpUpstream, KeyLeaseMode, LEAVING_HEADER, LIMIT_HEADER, LeaseEnforcingUpstream, Load,
-    Presence, Request, StatedCondition, Upstream, UpstreamFuture,
+    HttpUpstream, KeyConnection, KeyConnectionError, KeyLeaseMode, LEAVING_HEADER, LIMIT_HEADER,
+    LeaseEnforcingUpstream, Load, Presence, Request, StatedCondition, Upstream, UpstreamFuture,
 };
 
 use crate::{
@@ -65,7 +65,7 @@
     /// Set if it runs requests only for keys that it was granted.
     key_grants: Option<KeyGrants>,
     /// Grants and releases of keys, in order.
-    pub(super) key_calls: Mutex<Vec<KeyCall>>,
+    pub(super) key_calls: Arc<Mutex<Vec<KeyCall>>>,
     /// Condition that its answers state.
     pub(super) condition: Mutex<StatedCondition>,
     /// Its answer to a probe; `None` if it does not answer.
@@ -99,7 +99,7 @@
             is_frozen: std::sync::atomic::AtomicBool::new(false),
             exited: watch::Sender::new(false),
             key_grants,
-            key_calls: Mutex::default(),
+            key_calls: Arc::default(),
             condition: Mutex::default(),
             presence: Mutex::new(Some(Presence::Present)),
             arrivals: Mutex::default(),
@@ -283,16 +283,28 @@
     }
 }
 
-impl LeaseEnforcingUpstream for FakeUpstream {
+/// Connection on which all grants are accepted and recorded.
+struct FakeKeyConnection(Arc<Mutex<Vec<KeyCall>>>);
+
+impl KeyConnection for FakeKeyConnection {
     fn grant_keys(
-        &self,
+        self: Box<Self>,
         granted: GrantedKeys,
         _: Duration,
         handover: Option<HandoverToken>,
-    ) -> UpstreamFuture<'_, Result<(), GrantError>> {
-        self.key_calls.lock().unwrap().push(KeyCall::Grant { granted, handover });
+    ) -> UpstreamFuture<'static, Result<(), GrantError>> {
+        self.0.lock().unwrap().push(KeyCall::Grant { granted, handover });
         Box::pin(async { Ok(()) })
     }
+}
+
+impl LeaseEnforcingUpstream for FakeUpstream {
+    fn key_connection(
+        &self,
+    ) -> UpstreamFuture<'_, Result<Box<dyn KeyConnection>, KeyConnectionError>> {
+        let connection = FakeKeyConnection(Arc::clone(&self.key_calls));
+        Box::pin(async { Ok(Box::new(connection) as Box<dyn KeyConnection>) })
+    }
 
     fn release_keys(
         &self,
--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -9,4 +9,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use pool::{CallId, ExchangeError, Pool, PoolConfig, Reply, Reuse};
+pub use pool::{CallId, Connection, ExchangeError, Pool, PoolConfig, Reply, Reuse};
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -120,6 +120,46 @@
     Broken(String),
 }
 
+/// One connection for exchanges one after the other. All of them reach the process that has accepted the connection.
+#[derive(Debug)]
+pub struct Connection {
+    sender: Sender,
+    config: PoolConfig,
+    expires_at: Instant,
+}
+
+impl Connection {
+    /// Returns whether neither side has closed the connection and it has not been idle for too long.
+    pub fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && Instant::now() < self.expires_at
+    }
+
+    /// Sends a request and reads the complete reply. Returns the connection with it, unless the peer closes it after
+    /// this reply. Dropping the future closes the connection.
+    pub async fn exchange(
+        mut self,
+        request: Request<Full<Bytes>>,
+        bytes_max: usize,
+    ) -> Result<(Reply, Option<Connection>), ExchangeError> {
+        // The reply that the connection last received may still be in the process of being completed.
+        _ = timeout(READY_TIMEOUT, self.sender.ready()).await;
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(error) => return Err(send_error(error)),
+        };
+        let (parts, body) = response.into_parts();
+        let body = read(body, bytes_max).await?;
+        let connection = match idle_time(&self.config, &parts) {
+            Some(idle_time) if !self.sender.is_closed() => {
+                self.expires_at = Instant::now() + idle_time;
+                Some(self)
+            }
+            _ => None,
+        };
+        Ok((Reply { parts, body, is_first_on_connection: false }, connection))
+    }
+}
+
 impl Reuse {
     fn completed_if(is_reusable: bool) -> Reuse {
         if is_reusable { Reuse::Completed } else { Reuse::Never }
@@ -157,6 +197,13 @@
         self.connections_opened.load(Ordering::Relaxed)
     }
 
+    /// Opens a connection that is not part of the pool.
+    pub async fn open_connection(&self) -> Result<Connection, ExchangeError> {
+        let sender = self.connect().await?;
+        let expires_at = Instant::now() + self.config.idle_timeout;
+        Ok(Connection { sender, config: self.config, expires_at })
+    }
+
     /// Returns whether the address refuses connections, that is, no process listens there. A connection opened by the
     /// check is kept for the next request.
     pub async fn refuses_connections(&self) -> bool {
@@ -239,14 +286,7 @@
         let mut sender = self.connect().await?;
         match sender.try_send_request(request).await {
             Ok(response) => Ok((sender, None, response)),
-            Err(mut error) => {
-                let is_unwritten = unwritten(&mut error).is_some();
-                let reason = error.into_error().to_string();
-                Err(match is_unwritten {
-                    true => ExchangeError::Closed(reason),
-                    false => ExchangeError::Lost(reason),
-                })
-            }
+            Err(error) => Err(send_error(error)),
         }
     }
 
@@ -276,15 +316,13 @@
     }
 
     fn keep(&self, sender: Sender, past: PastCalls, parts: &Parts) {
-        let kept_for = match keep_alive_timeout(&parts.headers) {
-            Some(peer) => peer.saturating_sub(KEEP_ALIVE_MARGIN).min(self.config.idle_timeout),
-            None => self.config.idle_timeout,
-        };
         let is_full = past.repeatable.len() >= REPEATABLE_IDS_MAX;
-        if closes_connection(parts) || sender.is_closed() || kept_for.is_zero() || is_full {
-            return;
+        match idle_time(&self.config, parts) {
+            Some(idle_time) if !is_full && !sender.is_closed() => {
+                self.keep_until(Instant::now() + idle_time, sender, past);
+            }
+            _ => {}
         }
-        self.keep_until(Instant::now() + kept_for, sender, past);
     }
 
     fn keep_until(&self, expires_at: Instant, sender: Sender, past: PastCalls) {
@@ -370,6 +408,25 @@
     }
 }
 
+/// Returns the error of a request on a connection that was not closed before, as far as was known.
+fn send_error(mut error: TrySendError<Request<Full<Bytes>>>) -> ExchangeError {
+    let is_unwritten = unwritten(&mut error).is_some();
+    let reason = error.into_error().to_string();
+    match is_unwritten {
+        true => ExchangeError::Closed(reason),
+        false => ExchangeError::Lost(reason),
+    }
+}
+
+/// Returns how long a connection can be kept idle after this reply; `None` if it cannot be used again.
+fn idle_time(config: &PoolConfig, parts: &Parts) -> Option<Duration> {
+    let idle_time = match keep_alive_timeout(&parts.headers) {
+        Some(peer) => peer.saturating_sub(KEEP_ALIVE_MARGIN).min(config.idle_timeout),
+        None => config.idle_timeout,
+    };
+    (!closes_connection(parts) && !idle_time.is_zero()).then_some(idle_time)
+}
+
 /// Returns whether the peer closes the connection after this reply.
 fn closes_connection(parts: &Parts) -> bool {
     let options = parts.headers.get_all(CONNECTION).iter().filter_map(|it| it.to_str().ok());
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod client;
 mod control;
+mod key_connections;
 mod request;
 
 #[cfg(test)]
@@ -28,9 +29,12 @@
 
 pub use client::HttpUpstream;
 pub use control::{AnnouncementBody, ControlError, Health, HealthState, Load};
+pub use key_connections::{
+    GrantConnection, GrantHistory, IdentityCheck, KeyConnections, Responder,
+};
 pub use request::{
     AnnouncedKeys, Answer, AssignedKeys, CallError, ClockBounds, GrantError, GrantedKeys,
-    HandoverToken, KeyGrant, KeyLeaseMode, LEAVING_HEADER, LIMIT_HEADER, LeaseEnforcingUpstream,
-    NOT_RUN_HEADER, Presence, ReleasedKeys, Request, StatedCondition, StatedLoad, Upstream,
-    UpstreamFuture,
+    HandoverToken, KeyConnection, KeyConnectionError, KeyGrant, KeyLeaseMode, LEAVING_HEADER,
+    LIMIT_HEADER, LeaseEnforcingUpstream, NOT_RUN_HEADER, Presence, ReleasedKeys, Request,
+    StatedCondition, StatedLoad, Upstream, UpstreamFuture,
 };
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -239,25 +239,55 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum GrantError {
-    /// The upstream has received a higher fence token for one of the keys.
-    #[error("upstream {peer} has already received a higher fence token for these keys")]
+    /// The upstream has received a higher fence token for one of the keys, or it cannot be ruled out that another
+    /// incarnation than the one that is granted the keys now was granted keys under a token as high as this one.
+    #[error("the fence token of these keys is outdated at upstream {peer}")]
     Outdated { peer: SocketAddr },
+    /// The grant has not reached the upstream and never takes effect.
+    #[error("a grant of keys was not sent to upstream {peer}: {reason}")]
+    NotSent { peer: SocketAddr, reason: String },
     /// The grant may or may not take effect, immediately or later. Its duration counts from its arrival.
     #[error("upstream {peer} did not confirm a grant of keys: {reason}")]
     Unknown { peer: SocketAddr, reason: String },
 }
 
-/// Calls to an upstream that runs requests only for keys of which it holds a lease.
-pub trait LeaseEnforcingUpstream: Send + Sync {
-    /// Grants keys for the duration `hold`, counted from the arrival of the call. Repeating the call renews the grant.
+/// Reason why there is no connection for a grant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum KeyConnectionError {
+    /// No connection could be opened, as if no process listened at the address.
+    #[error("could not connect to upstream {peer}: {reason}")]
+    Unreachable { peer: SocketAddr, reason: String },
+    /// The upstream did not show which incarnation it is.
+    #[error("upstream {peer} did not show that it is the expected incarnation: {reason}")]
+    Unconfirmed { peer: SocketAddr, reason: String },
+    /// Another incarnation runs at the address, so the expected one has ended.
+    #[error("another incarnation than the expected one runs at {peer}")]
+    Replaced { peer: SocketAddr },
+}
+
+/// Connection for one grant, whose other end has shown on this connection that it is the expected incarnation of the
+/// upstream. A connection does not outlive the process at its other end, so the grant reaches no other incarnation.
+pub trait KeyConnection: Send {
+    /// Grants keys for the duration `hold`, counted from the arrival of the call. Repeating the grant renews it.
     fn grant_keys(
-        &self,
+        self: Box<Self>,
         granted: GrantedKeys,
         hold: Duration,
         handover: Option<HandoverToken>,
-    ) -> UpstreamFuture<'_, Result<(), GrantError>>;
+    ) -> UpstreamFuture<'static, Result<(), GrantError>>;
+}
+
+/// Calls to an upstream that runs requests only for keys of which it holds a lease.
+pub trait LeaseEnforcingUpstream: Send + Sync {
+    /// Returns a connection for a grant. An upstream that is started at the address of a crashed one listens there, but
+    /// must not take the keys of its predecessor under the same token.
+    fn key_connection(
+        &self,
+    ) -> UpstreamFuture<'_, Result<Box<dyn KeyConnection>, KeyConnectionError>>;
     /// Stops the upstream from starting requests for the keys; resolves to the handover token, which may be empty, once
-    /// the running requests for them have ended. Requests whose connection was closed may still be running.
+    /// the running requests for them have ended. Requests whose connection was closed may still be running. The answer
+    /// of a successor is as good: its predecessor has ended, with all its requests.
     fn release_keys(
         &self,
         granted: GrantedKeys,
