An announcement of another incarnation has the known one probed

What callers saw: keys of an upstream that crashed and came back within two heartbeats were not served for up to 2.25 s, and requests for a service without keys were refused by the new incarnation for as long, since announcements of another incarnation were ignored while the known one counted as alive.

Change: such an announcement has the gate ask at the address who runs there. If another incarnation answers, or the address refuses connections, the known one counts as ended and the announcement is taken at once. An announcement that is late costs one health check and changes nothing.

Tests: control/tests/successors.rs.

--- a/crates/agent/src/control/tests/agent.rs
+++ b/crates/agent/src/control/tests/agent.rs
@@ -19,7 +19,7 @@
     control::{ControlParts, Phase, run, tests::platform::FakeStore},
     gate::{GateHandle, GateTask},
     links::LinkKey,
-    report::{Announcement, Report, Reporter},
+    report::{Announcement, Report, Reporter, UpstreamId},
     snapshot::{LeaveReason, Routes, SnapshotCell},
     store_relay::Relay,
     zones::follow_stored_zones,
@@ -233,6 +233,11 @@
         self.snapshots.load().local.as_ref().is_some_and(|it| it.is_confirmed)
     }
 
+    /// Returns the id of the published upstream.
+    pub(super) fn upstream_id(&self) -> Option<UpstreamId> {
+        self.snapshots.load().local.as_ref().and_then(|it| it.announcement.upstream_id.clone())
+    }
+
     /// Returns the start time of the published upstream.
     pub(super) fn upstream_started_ms(&self) -> Option<u64> {
         let snapshot = self.snapshots.load();
--- a/crates/agent/src/control/tests/mod.rs
+++ b/crates/agent/src/control/tests/mod.rs
@@ -9,6 +9,7 @@
 mod left_incarnations;
 mod status_schedule;
 pub(crate) mod platform;
+mod successors;
 mod suspension;
 mod upstream;
 mod watch;
--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -43,6 +43,8 @@
     presence: Option<Presence>,
     /// Whether the known incarnation was draining when it was last heard, even if it counts as lost since.
     is_draining: bool,
+    /// The last announcement of another incarnation, with its time, while the known one counts as alive.
+    rival: Option<(Timestamp, Announcement)>,
     /// The incarnations that are known to leave for good, also those that have not announced themselves.
     left: LeftIncarnations,
     zone: ZoneState,
@@ -64,6 +66,8 @@
     /// The announcement is the first one or comes from the known incarnation.
     SameIncarnation,
     NewIncarnation,
+    /// The announcement comes from another incarnation, while the known one counts as alive. One of them has ended.
+    Rival,
     /// The announcement is out of order, or comes from an incarnation that has left or is not the running one.
     Stale,
 }
@@ -137,6 +141,7 @@
             (Some(known), Some(born)) if born > known => AnnouncementKind::NewIncarnation,
             // While the known incarnation keeps announcing itself, another one at its address is
             // not the running one.
+            (None, None) if is_alive => AnnouncementKind::Rival,
             _ if is_alive => AnnouncementKind::Stale,
             _ => AnnouncementKind::NewIncarnation,
         }
@@ -193,8 +198,11 @@
         self.left.resolve_start(now, announcement);
         let kind = self.classify(now, interval, announcement);
         match kind {
-            AnnouncementKind::Stale => {
+            AnnouncementKind::Stale | AnnouncementKind::Rival => {
                 self.keep_draining_of_other(now, announcement);
+                if kind == AnnouncementKind::Rival {
+                    self.rival = Some((now, announcement.clone()));
+                }
                 return kind;
             }
             AnnouncementKind::NewIncarnation => self.keep_draining_of_known(now),
@@ -203,6 +211,7 @@
         let is_same = |it: &Announcement| it.is_same_incarnation(announcement);
         if !self.announcement.as_ref().is_some_and(is_same) {
             self.presence = None;
+            self.rival = None;
         }
         let announcement = self.with_leaving_state(announcement.clone());
         self.announced_at = now;
@@ -213,6 +222,13 @@
         kind
     }
 
+    /// Takes the last announcement of another incarnation, unless the next one is overdue.
+    fn take_rival(&mut self, now: Timestamp, interval: Duration) -> Option<Announcement> {
+        let lifetime = interval.mul_f64(REPLACEABLE_AFTER_INTERVALS);
+        let (received_at, rival) = self.rival.take()?;
+        (now.since(received_at) < lifetime).then_some(rival)
+    }
+
     /// Returns whether the known incarnation has confirmed to this process that it runs and is not leaving.
     pub(super) fn is_confirmed(&self) -> bool {
         self.presence == Some(Presence::Present)
@@ -307,6 +323,15 @@
                 );
                 return;
             }
+            AnnouncementKind::Rival => {
+                log::info!(
+                    target: "control",
+                    "The upstream {:?} has announced itself at {} while {:?} counts as alive; probing which one runs.",
+                    announcement.upstream_id, announcement.address, former.and_then(|it| it.upstream_id),
+                );
+                self.parts.gate.probe_upstream();
+                return;
+            }
             AnnouncementKind::NewIncarnation => {
                 log::info!(
                     target: "control",
@@ -384,6 +409,7 @@
                 self.is_dirty = true;
                 self.report_upstream_state();
                 self.step(self.now(), Input::DropSession { reason: "upstream replaced" });
+                self.accept_rival();
             }
         }
     }
@@ -431,6 +457,17 @@
         }
         self.upstream.gate_state = Some(state);
         self.report_upstream_state();
+        if state == UpstreamState::Lost {
+            self.accept_rival();
+        }
+    }
+
+    /// Handles the announcement of another incarnation again, now that the known one does not count as alive.
+    fn accept_rival(&mut self) {
+        let interval = self.parts.settings.announce_interval;
+        if let Some(rival) = self.upstream.take_rival(self.now(), interval) {
+            self.on_announcement(rival);
+        }
     }
 
     /// Marks the upstream as lost if it has not announced itself within the timeout.
--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use model::{Instance, Slot, Term, Token};
 use ownership::{GateCommand, LoadReport, MemberCapacity};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use traffic::{RecordUnit, SharedRateLimit};
 
 use crate::{
@@ -50,6 +50,8 @@
     pub(crate) rate_limit: SharedRateLimit,
     /// Capacities of the members while this agent is the coordinator, for the metrics.
     pub(crate) capacities: Arc<ArcSwap<Vec<MemberCapacity>>>,
+    /// Notified when another incarnation than the known one has announced itself at the upstream's address.
+    pub(crate) rival_announced: Arc<Notify>,
     tasks: mpsc::UnboundedSender<GateTask>,
 }
 
@@ -67,6 +69,7 @@
             membership: Arc::default(),
             rate_limit,
             capacities: Arc::default(),
+            rival_announced: Arc::default(),
             tasks,
         };
         (handle, receiver)
@@ -127,6 +130,11 @@
         self.capacities.store(Arc::new(capacities));
     }
 
+    /// Has the gate probe the bound upstream: another incarnation has announced itself at its address.
+    pub(crate) fn probe_upstream(&self) {
+        self.rival_announced.notify_one();
+    }
+
     /// Returns the load since the last call, for [`ownership::Input::Load`].
     pub fn take_load(&self) -> LoadReport {
         self.load.take(self.clock.now(), |slot| self.table.slot_in_flight(slot))
--- a/crates/agent/src/gate/probe.rs
+++ b/crates/agent/src/gate/probe.rs
@@ -19,10 +19,17 @@
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(50);
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
 
-/// Probes each incarnation that is not confirmed until it is, and reports the results to control.
+/// Probes each incarnation that is not confirmed until it is, and a confirmed one when another incarnation announces itself
+/// at its address. Reports the results to control.
 pub(super) async fn run(gate: Arc<Gate>) {
     loop {
-        gate.unconfirmed_bound.notified().await;
+        tokio::select! {
+            () = gate.unconfirmed_bound.notified() => {}
+            () = gate.handle.rival_announced.notified() => {
+                gate.probe_bound().await;
+                continue;
+            }
+        }
         tokio::select! {
             () = gate.probe_until_confirmed() => {}
             // Another incarnation is bound; it is probed at once.
@@ -34,16 +41,20 @@
 impl Gate {
     async fn probe_until_confirmed(&self) {
         let mut retry_delay = RETRY_DELAY_MIN;
-        while let Some(bound) = self.bound.load_full().filter(|it| it.needs_probe()) {
-            if let Some(presence) = probe(&bound).await {
-                let (upstream_id, incarnation_start_ms) = bound.incarnation();
-                let report = Report::UpstreamProbed { upstream_id, incarnation_start_ms, presence };
-                self.reporter.report(report).await;
-            }
+        while self.bound.load().as_ref().is_some_and(|it| it.needs_probe()) {
+            self.probe_bound().await;
             sleep(retry_delay).await;
             retry_delay = (retry_delay * 2).min(RETRY_DELAY_MAX);
         }
     }
+
+    async fn probe_bound(&self) {
+        let Some(bound) = self.bound.load_full() else { return };
+        let Some(presence) = probe(&bound).await else { return };
+        let (upstream_id, incarnation_start_ms) = bound.incarnation();
+        let report = Report::UpstreamProbed { upstream_id, incarnation_start_ms, presence };
+        self.reporter.report(report).await;
+    }
 }
 
 impl BoundUpstream {
