--- a/crates/agent/src/tests/condition.rs
+++ b/crates/agent/src/tests/condition.rs
@@ -183,6 +183,19 @@
     }
 }
 
+/// Guards against an upstream that counts as alive although another one has been started in its place.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn confirmed_upstream_is_probed_when_another_one_announces_itself() {
+    let mut agents = TestAgent::start_members(1).await;
+    let mut agent = agents.pop().unwrap();
+    agent.set_upstream("i-1", true).await;
+    for presence in [Presence::Present, Presence::Replaced] {
+        *agent.upstream.presence.lock().unwrap() = Some(presence);
+        agent.gate.probe_upstream();
+        assert_eq!(probed(&mut agent).await, Some(presence));
+    }
+}
+
 /// Requests that were queued for an incarnation must not be sent once another one is bound that is not confirmed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn queued_request_is_refused_once_an_unconfirmed_incarnation_is_bound() {
