--- a/crates/agent/src/gate/leases/tests/exchange.rs
+++ b/crates/agent/src/gate/leases/tests/exchange.rs
@@ -122,6 +122,17 @@
     assert_eq!(take_closed(&mut leases, at(10)), [(Slot(1), token(1))]);
 }
 
+/// Guards against the next incarnation that is granted the keys of an ended one under the same token.
+#[test]
+fn an_answer_to_the_next_incarnation_grants_nothing_of_the_one_before() {
+    let mut leases = granted_leases();
+    leases.reset_for_new_incarnation(at(500));
+    assert!(!leases.has_pending_changes(at(500), at(3000)));
+    assert_eq!(ranges(&answer(&mut leases, 500, 3000)), []);
+    leases.admit(at(600), Slot(1), token(2));
+    assert_eq!(ranges(&answer(&mut leases, 600, 3100)), [range(1, 1, 2)]);
+}
+
 #[test]
 fn without_announcements_a_slot_is_closed_when_its_hold_has_expired() {
     let mut leases = granted_leases();
--- a/crates/agent/src/gate/leases/tests/mod.rs
+++ b/crates/agent/src/gate/leases/tests/mod.rs
@@ -246,6 +246,91 @@
     assert!(!leases.is_usable(at(100), Slot(1)));
 }
 
+/// Guards against the next incarnation that takes the keys of an ended one under the same token.
+#[test]
+fn slots_of_an_ended_incarnation_are_granted_again_only_under_a_new_token() {
+    let mut leases = SlotLeases::default();
+    leases.admit(at(0), Slot(1), token(1));
+    accept_due_grants(&mut leases, at(0), at(1500));
+    leases.reset_for_new_incarnation(at(100));
+    assert!(leases.due_calls(at(600), at(2100)).is_empty());
+    leases.admit(at(700), Slot(1), token(2));
+    assert_eq!(grants(&leases.due_calls(at(700), at(2200))), [range(1, 1, 2)]);
+}
+
+/// Guards against requests that the next incarnation has to refuse.
+#[test]
+fn a_late_answer_of_an_ended_incarnation_makes_no_slot_usable() {
+    let mut leases = SlotLeases::default();
+    leases.admit(at(0), Slot(1), token(1));
+    let calls = leases.due_calls(at(0), at(1500));
+    let Call::Grant { range, hold, .. } = &calls[0] else { panic!("{calls:?}") };
+    leases.reset_for_new_incarnation(at(100));
+    leases.finish_grant(at(110), *range, at(0), *hold, GrantOutcome::Accepted);
+    assert!(!leases.is_usable(at(110), Slot(1)));
+}
+
+/// Guards against keys that stay with an ended incarnation until its grants have expired.
+#[test]
+fn a_closing_slot_of_an_ended_incarnation_is_closed_at_once() {
+    for is_release_sent in [false, true] {
+        let mut leases = SlotLeases::default();
+        leases.admit(at(0), Slot(1), token(1));
+        accept_due_grants(&mut leases, at(0), at(3000));
+        leases.close(at(10), Slot(1), token(1), None);
+        if is_release_sent {
+            assert_eq!(releases(&leases.due_calls(at(10), at(3000))), [range(1, 1, 1)]);
+        }
+        leases.reset_for_new_incarnation(at(100));
+        assert!(leases.due_calls(at(100), at(3000)).is_empty(), "nobody is left to release it");
+        assert_eq!(take_closed(&mut leases, at(100)), [(Slot(1), token(1))]);
+    }
+}
+
+/// Another incarnation may have been bound since the one that has ended.
+#[test]
+fn the_end_of_another_incarnation_changes_no_lease() {
+    let (ended, running) = ((Some("i-1".into()), None), (Some("i-2".into()), None));
+    let mut leases = SlotLeases::default();
+    leases.follow_incarnation(at(0), &running);
+    leases.admit(at(0), Slot(1), token(1));
+    accept_due_grants(&mut leases, at(0), at(1500));
+    leases.end_incarnation(at(100), &ended);
+    assert!(leases.is_usable(at(100), Slot(1)));
+    leases.end_incarnation(at(100), &running);
+    assert!(!leases.is_usable(at(100), Slot(1)));
+}
+
+/// Guards against a slot that is closed late although the upstream never got the grant.
+#[test]
+fn a_grant_that_was_not_sent_extends_no_hold() {
+    let mut leases = SlotLeases::default();
+    leases.admit(at(0), Slot(1), token(1));
+    let calls = leases.due_calls(at(0), at(1500));
+    let Call::Grant { range: granted, hold, .. } = &calls[0] else { panic!("{calls:?}") };
+    leases.finish_grant(at(5), *granted, at(0), *hold, GrantOutcome::NotSent);
+    assert!(!leases.is_usable(at(5), Slot(1)));
+    assert!(leases.due_calls(at(5), at(1500)).is_empty(), "the next attempt has a delay");
+    leases.close(at(10), Slot(1), token(1), None);
+    assert!(leases.due_calls(at(10), at(1500)).is_empty(), "there is nothing to release");
+    assert_eq!(take_closed(&mut leases, at(10)), [(Slot(1), token(1))]);
+}
+
+#[test]
+fn a_renewal_that_was_not_sent_leaves_the_hold_of_the_grant_before() {
+    let mut leases = SlotLeases::default();
+    leases.admit(at(0), Slot(1), token(1));
+    accept_due_grants(&mut leases, at(0), at(1500));
+    let calls = leases.due_calls(at(400), at(1900));
+    let Call::Grant { range: granted, hold, .. } = &calls[0] else { panic!("{calls:?}") };
+    leases.finish_grant(at(405), *granted, at(400), *hold, GrantOutcome::NotSent);
+    assert!(leases.is_usable(at(1400), Slot(1)));
+    leases.close(at(1400), Slot(1), token(1), None);
+    assert_eq!(releases(&leases.due_calls(at(1400), at(1900))), [range(1, 1, 1)]);
+    assert!(finish_release(&mut leases, at(1450), range(1, 1, 1), false).is_empty());
+    assert!(take_closed(&mut leases, at(1499)).is_empty(), "the first grant still holds");
+}
+
 /// The upstream may process the two calls in either order.
 #[test]
 fn a_release_waits_for_a_grant_in_flight() {
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -66,6 +66,8 @@
     key_grants: Option<KeyGrants>,
     /// Grants and releases of keys, in order.
     pub(super) key_calls: Arc<Mutex<Vec<KeyCall>>>,
+    /// Reason why it has no connection for a grant, if it has none.
+    pub(super) key_connection_error: Mutex<Option<KeyConnectionError>>,
     /// Condition that its answers state.
     pub(super) condition: Mutex<StatedCondition>,
     /// Its answer to a probe; `None` if it does not answer.
@@ -100,6 +102,7 @@
             exited: watch::Sender::new(false),
             key_grants,
             key_calls: Arc::default(),
+            key_connection_error: Mutex::default(),
             condition: Mutex::default(),
             presence: Mutex::new(Some(Presence::Present)),
             arrivals: Mutex::default(),
@@ -302,8 +305,14 @@
     fn key_connection(
         &self,
     ) -> UpstreamFuture<'_, Result<Box<dyn KeyConnection>, KeyConnectionError>> {
+        let error = self.key_connection_error.lock().unwrap().clone();
         let connection = FakeKeyConnection(Arc::clone(&self.key_calls));
-        Box::pin(async { Ok(Box::new(connection) as Box<dyn KeyConnection>) })
+        Box::pin(async {
+            match error {
+                Some(error) => Err(error),
+                None => Ok(Box::new(connection) as Box<dyn KeyConnection>),
+            }
+        })
     }
 
     fn release_keys(
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -10,6 +10,7 @@
 mod forwarding;
 mod gate;
 mod handover;
+mod key_connections;
 mod learned_limit;
 mod load;
 mod membership;
