A grant that waited for its connection has a hold shorter by that time

A hold counts from the arrival of the grant and must not outlast the lease of the agent. The identity check of a new connection may wait for a free slot of the upstream, up to a second, and the hold was computed before it. With the rule taken out the new test sees a hold of 1.937 s on a lease of 2 s, 200 ms after its begin.

--- a/crates/agent/src/gate/leases/reconcile.rs
+++ b/crates/agent/src/gate/leases/reconcile.rs
@@ -17,7 +17,9 @@
         bound::BoundUpstream,
         leases::{
             exchange::SlotTransfer,
-            slot_leases::{CALL_LATENCY_MARGIN, Call, GrantOutcome, SLOW_CLOCK_FACTOR, SlotRange},
+            slot_leases::{
+                CALL_LATENCY_MARGIN, Call, GrantOutcome, HOLD_MIN, SLOW_CLOCK_FACTOR, SlotRange,
+            },
         },
     },
     links::traffic::Handover,
@@ -179,10 +181,14 @@
 ) {
     let sent_at = gate.clock.now();
     let Some((upstream, granted)) = leased_keys(bound, range) else { return };
-    let end = match key_connection(gate, bound, upstream).await {
+    let connection = key_connection(gate, bound, upstream).await;
+    // The hold counts from the arrival of the grant and must not outlast the agent's own lease.
+    let remaining_hold = hold.saturating_sub(gate.clock.now().since(sent_at));
+    let end = match connection.filter(|_| remaining_hold >= HOLD_MIN) {
         Some(connection) => {
-            let result = timeout(GRANT_TIMEOUT, connection.grant_keys(granted, hold, handover));
-            grant_outcome(gate, range, granted, hold, result.await.ok())
+            let call = connection.grant_keys(granted, remaining_hold, handover);
+            let result = timeout(GRANT_TIMEOUT, call).await;
+            grant_outcome(gate, range, granted, remaining_hold, result.ok())
         }
         None => GrantOutcome::NotSent,
     };
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -21,7 +21,7 @@
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, mpsc, watch},
-    time::timeout,
+    time::{sleep, timeout},
 };
 use upstream::{
     Answer, CallError, ControlError, GrantError, GrantedKeys, HandoverToken, Health, HealthState,
@@ -66,6 +66,10 @@
     key_grants: Option<KeyGrants>,
     /// Grants and releases of keys, in order.
     pub(super) key_calls: Arc<Mutex<Vec<KeyCall>>>,
+    /// Durations of the grants, in order.
+    pub(super) holds: Arc<Mutex<Vec<Duration>>>,
+    /// Time that it takes to show which incarnation it is.
+    pub(super) key_connection_delay: Mutex<Duration>,
     /// Reason why it has no connection for a grant, if it has none.
     pub(super) key_connection_error: Mutex<Option<KeyConnectionError>>,
     /// Condition that its answers state.
@@ -102,6 +106,8 @@
             exited: watch::Sender::new(false),
             key_grants,
             key_calls: Arc::default(),
+            holds: Arc::default(),
+            key_connection_delay: Mutex::default(),
             key_connection_error: Mutex::default(),
             condition: Mutex::default(),
             presence: Mutex::new(Some(Presence::Present)),
@@ -287,16 +293,20 @@
 }
 
 /// Connection on which all grants are accepted and recorded.
-struct FakeKeyConnection(Arc<Mutex<Vec<KeyCall>>>);
+struct FakeKeyConnection {
+    key_calls: Arc<Mutex<Vec<KeyCall>>>,
+    holds: Arc<Mutex<Vec<Duration>>>,
+}
 
 impl KeyConnection for FakeKeyConnection {
     fn grant_keys(
         self: Box<Self>,
         granted: GrantedKeys,
-        _: Duration,
+        hold: Duration,
         handover: Option<HandoverToken>,
     ) -> UpstreamFuture<'static, Result<(), GrantError>> {
-        self.0.lock().unwrap().push(KeyCall::Grant { granted, handover });
+        self.holds.lock().unwrap().push(hold);
+        self.key_calls.lock().unwrap().push(KeyCall::Grant { granted, handover });
         Box::pin(async { Ok(()) })
     }
 }
@@ -306,8 +316,13 @@
         &self,
     ) -> UpstreamFuture<'_, Result<Box<dyn KeyConnection>, KeyConnectionError>> {
         let error = self.key_connection_error.lock().unwrap().clone();
-        let connection = FakeKeyConnection(Arc::clone(&self.key_calls));
-        Box::pin(async {
+        let delay = *self.key_connection_delay.lock().unwrap();
+        let connection = FakeKeyConnection {
+            key_calls: Arc::clone(&self.key_calls),
+            holds: Arc::clone(&self.holds),
+        };
+        Box::pin(async move {
+            sleep(delay).await;
             match error {
                 Some(error) => Err(error),
                 None => Ok(Box::new(connection) as Box<dyn KeyConnection>),
--- a/crates/agent/src/tests/key_connections.rs
+++ b/crates/agent/src/tests/key_connections.rs
@@ -2,11 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use ownership::UpstreamState;
+use model::Slot;
+use ownership::{GateCommand, UpstreamState};
 use tokio::time::{sleep, timeout};
 use upstream::{KeyConnectionError, Presence};
 
-use super::fakes::{Call, KeyCall, TestAgent, WAIT_TIMEOUT, get};
+use super::fakes::{Call, KeyCall, TestAgent, WAIT_TIMEOUT, get, token};
 use crate::report::Report;
 
 fn peer() -> SocketAddr {
@@ -68,3 +69,25 @@
     let call = Call { key: "7", ..get("echo", 1) };
     assert_eq!(agent.call(call).await.status.as_u16(), 200);
 }
+
+/// Guards against a hold that counts from the arrival of a delayed grant and outlasts the lease of the agent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_grant_that_waited_for_its_connection_is_shorter_by_that_time() {
+    let agent = TestAgent::start_leased("a").await;
+    agent.route_to(&agent.own, 1).await;
+    let delay = Duration::from_millis(200);
+    *agent.upstream.key_connection_delay.lock().unwrap() = delay;
+    let lease_until = agent.gate.clock.now() + Duration::from_secs(2);
+    let admit = GateCommand::Admit { slot: Slot(0), token: token(4) };
+    agent.gate.apply(&[GateCommand::Lease { until: lease_until }, admit]);
+    let is_granted = async {
+        while grants(&agent) == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(WAIT_TIMEOUT, is_granted).await.expect("nothing was granted");
+    let granted_by = agent.gate.clock.now();
+    let hold = agent.upstream.holds.lock().unwrap()[0];
+    // The grant arrived before this time.
+    assert!(granted_by + hold < lease_until, "a hold of {hold:?} after {delay:?}");
+}
