--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -66,6 +66,10 @@
     key_grants: Option<KeyGrants>,
     /// Grants and releases of keys, in order.
     pub(super) key_calls: Arc<Mutex<Vec<KeyCall>>>,
+    /// Latest end of a hold that it was granted, counted from the arrival of the grant.
+    pub(super) held_until: Arc<Mutex<Option<Instant>>>,
+    /// Time until it shows on a new connection for grants which incarnation it is, in milliseconds.
+    pub(super) identification_ms: AtomicU64,
     /// Condition that its answers state.
     pub(super) condition: Mutex<StatedCondition>,
     /// Its answer to a probe; `None` if it does not answer.
@@ -100,6 +104,8 @@
             exited: watch::Sender::new(false),
             key_grants,
             key_calls: Arc::default(),
+            held_until: Arc::default(),
+            identification_ms: AtomicU64::new(0),
             condition: Mutex::default(),
             presence: Mutex::new(Some(Presence::Present)),
             arrivals: Mutex::default(),
@@ -284,16 +290,21 @@
 }
 
 /// Connection on which all grants are accepted and recorded.
-struct FakeKeyConnection(Arc<Mutex<Vec<KeyCall>>>);
+struct FakeKeyConnection {
+    key_calls: Arc<Mutex<Vec<KeyCall>>>,
+    held_until: Arc<Mutex<Option<Instant>>>,
+}
 
 impl KeyConnection for FakeKeyConnection {
     fn grant_keys(
         self: Box<Self>,
         granted: GrantedKeys,
-        _: Duration,
+        hold: Duration,
         handover: Option<HandoverToken>,
     ) -> UpstreamFuture<'static, Result<(), GrantError>> {
-        self.0.lock().unwrap().push(KeyCall::Grant { granted, handover });
+        self.key_calls.lock().unwrap().push(KeyCall::Grant { granted, handover });
+        let mut held_until = self.held_until.lock().unwrap();
+        *held_until = (*held_until).max(Some(Instant::now() + hold));
         Box::pin(async { Ok(()) })
     }
 }
@@ -302,8 +313,15 @@
     fn key_connection(
         &self,
     ) -> UpstreamFuture<'_, Result<Box<dyn KeyConnection>, KeyConnectionError>> {
-        let connection = FakeKeyConnection(Arc::clone(&self.key_calls));
-        Box::pin(async { Ok(Box::new(connection) as Box<dyn KeyConnection>) })
+        let identification = Duration::from_millis(self.identification_ms.load(Ordering::SeqCst));
+        let connection = FakeKeyConnection {
+            key_calls: Arc::clone(&self.key_calls),
+            held_until: Arc::clone(&self.held_until),
+        };
+        Box::pin(async move {
+            tokio::time::sleep(identification).await;
+            Ok(Box::new(connection) as Box<dyn KeyConnection>)
+        })
     }
 
     fn release_keys(
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod fakes;
 mod forwarding;
 mod gate;
+mod grants;
 mod handover;
 mod learned_limit;
 mod load;
