--- a/crates/agent/src/control/tests/agent.rs
+++ b/crates/agent/src/control/tests/agent.rs
@@ -1,8 +1,16 @@
 //! The control thread of an instance on loopback, with a fake gate and upstream.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
-use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Zone};
+use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Token, Zone};
 use ownership::UpstreamState;
 use settings::{AgentSettings, CentralConfig, RoutingTable};
 use tokio::{
@@ -39,6 +47,8 @@
     phase: watch::Sender<Phase>,
     handed_over: oneshot::Receiver<()>,
     control: JoinHandle<()>,
+    /// Number of times that the gate was told to drop all that it was granted.
+    ended_sessions: Arc<AtomicUsize>,
     /// All versions of the document that were published, in order.
     versions: JoinHandle<Vec<ConfigVersion>>,
 }
@@ -162,9 +172,12 @@
             central_config,
             closed_zones,
         }));
-        tokio::spawn(run_fake_gate(reporter.clone(), tasks, upstream));
+        let ended_sessions = Arc::<AtomicUsize>::default();
+        let gate = run_fake_gate(reporter.clone(), tasks, upstream, Arc::clone(&ended_sessions));
+        tokio::spawn(gate);
         let versions = tokio::spawn(record_versions(Arc::clone(&snapshots)));
-        Agent { own, snapshots, reporter, phase, handed_over, control: task, versions }
+        let control = task;
+        Agent { own, snapshots, reporter, phase, handed_over, control, ended_sessions, versions }
     }
 
     pub(super) fn version(&self) -> ConfigVersion {
@@ -211,6 +224,16 @@
             .try_report(Report::UpstreamLeaving { upstream_id: None, incarnation_start_ms });
     }
 
+    /// Reports that the upstream takes a token for outdated.
+    pub(super) fn report_outdated(&self, token: Token) {
+        self.reporter.try_report(Report::GrantOutdated { token });
+    }
+
+    /// Returns the number of sessions that have ended.
+    pub(super) fn ended_sessions(&self) -> usize {
+        self.ended_sessions.load(Ordering::SeqCst)
+    }
+
     /// Reports the announcement once, and the answer of the upstream to a probe after it.
     pub(super) fn announce_once(&self, announcement: Announcement) {
         let answer = probe_answer(&announcement, Presence::Present);
@@ -347,6 +370,7 @@
     reporter: Reporter,
     mut tasks: mpsc::UnboundedReceiver<GateTask>,
     announcement: Option<Announcement>,
+    ended_sessions: Arc<AtomicUsize>,
 ) {
     let mut announcing = tokio::time::interval(Duration::from_secs(1));
     loop {
@@ -368,7 +392,11 @@
                     Report::KeyClosed { key_hash, token }
                 }
                 Some(GateTask::Clear { token }) => Report::Cleared { token },
-                Some(GateTask::Grant { .. } | GateTask::DropAll) => continue,
+                Some(GateTask::DropAll) => {
+                    ended_sessions.fetch_add(1, Ordering::SeqCst);
+                    continue;
+                }
+                Some(GateTask::Grant { .. }) => continue,
             },
         };
         reporter.report(report).await;
--- a/crates/agent/src/control/tests/upstream.rs
+++ b/crates/agent/src/control/tests/upstream.rs
@@ -1,13 +1,20 @@
 //! The classification of announcements by incarnation, and the announcement timeout.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use model::{ServiceName, Timestamp};
+use model::{ServiceName, Term, Timestamp, Token};
 use ownership::UpstreamState;
 use settings::KeyGrants;
 
 use crate::{
-    control::upstream::{AnnouncementKind, UpstreamMonitor, announcement_timeout},
+    control::{
+        tests::{
+            agent::{Agent, wait_until},
+            documents::DOCUMENT,
+            platform::FakeStore,
+        },
+        upstream::{AnnouncementKind, UpstreamMonitor, announcement_timeout},
+    },
     report::Announcement,
 };
 
@@ -91,3 +98,19 @@
         Duration::from_secs(4)
     );
 }
+
+/// Guards against the end of a session by the outcome of a grant that was sent in an earlier one. A grant may wait for its
+/// connection and its answer for over a second.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outdated_token_of_an_earlier_session_does_not_end_the_current_one() {
+    let platform = Arc::new(FakeStore::new());
+    platform.put("services/standings", DOCUMENT);
+    let agent = Agent::start("standings-1", &platform, &[]).await;
+    wait_until("keys", || agent.owns_slots()).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let ended = agent.ended_sessions();
+    agent.report_outdated(Token { term: Term(0), sequence: 1 });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(agent.ended_sessions(), ended, "the session has ended");
+    agent.kill();
+}
