An outdated grant of an earlier session does not end the current one

A grant may wait over a second for its connection and its answer, and each range reports its outcome. Reports of a session that had ended dropped the session after it. A report now counts only if its token may be of the current session.

--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -446,6 +446,11 @@
     /// another coordinator has granted keys, or this group's tokens are outdated. A new session
     /// gets new tokens.
     pub(super) fn on_grant_outdated(&mut self, now: Timestamp, token: Token) {
+        // A grant may have waited for its connection or its answer while the session ended.
+        if !self.parts.gate.is_of_current_session(token) {
+            log::debug!(target: "control", "Ignored an outdated grant with token {token} of an earlier session.");
+            return;
+        }
         log::warn!(target: "control", "The upstream refused grants with token {token} as outdated; starting a new session.");
         self.step(now, Input::DropSession { reason: "token outdated" });
     }
--- a/crates/agent/src/gate/handle.rs
+++ b/crates/agent/src/gate/handle.rs
@@ -1,6 +1,9 @@
 //! The control thread's handle of the gate.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 use model::{Instance, Slot, Term, Token};
@@ -52,6 +55,8 @@
     pub(crate) capacities: Arc<ArcSwap<Vec<MemberCapacity>>>,
     /// Notified when another incarnation than the known one has announced itself at the upstream's address.
     pub(crate) rival_announced: Arc<Notify>,
+    /// The lowest token of the slots that were admitted since all were last dropped.
+    session_token_min: Arc<Mutex<Option<Token>>>,
     tasks: mpsc::UnboundedSender<GateTask>,
 }
 
@@ -70,6 +75,7 @@
             rate_limit,
             capacities: Arc::default(),
             rival_announced: Arc::default(),
+            session_token_min: Arc::default(),
             tasks,
         };
         (handle, receiver)
@@ -80,6 +86,7 @@
     pub fn apply(&self, commands: &[GateCommand]) {
         self.table.apply(self.clock.now(), commands);
         for command in commands {
+            self.record_session_token(command);
             let task = match command {
                 GateCommand::Prepare { slot, token } => {
                     GateTask::Prepare { slot: *slot, token: *token }
@@ -105,6 +112,23 @@
         }
     }
 
+    fn record_session_token(&self, command: &GateCommand) {
+        let mut token_min = self.session_token_min.lock().unwrap_or_else(PoisonError::into_inner);
+        match command {
+            GateCommand::DropAll => *token_min = None,
+            GateCommand::Admit { token, .. } => {
+                *token_min = Some(token_min.map_or(*token, |it| it.min(*token)));
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether a slot may have been admitted under this token in the current session.
+    pub(crate) fn is_of_current_session(&self, token: Token) -> bool {
+        let token_min = *self.session_token_min.lock().unwrap_or_else(PoisonError::into_inner);
+        token_min.is_some_and(|it| it <= token)
+    }
+
     /// Returns whether the lease or the term has changed since the published list of members was last confirmed.
     pub(crate) fn has_unconfirmed_lease(&self, term: Term) -> bool {
         !self.membership.is_confirmed(term, self.table.lease_until())
