What a grant grants is decided once it has its connection

A grant was fixed when it was due and then waited up to a second for its connection. It was sent although the lease or the session had ended meanwhile, and a release waited for it: an upstream could take a key after another one had been granted it under a higher fence.

Change: the connection comes first. Then lease, session, closing and incarnation are looked at again under one lock, the hold is computed, and only then is the grant in flight.

--- a/crates/agent/src/gate/leases/reconcile.rs
+++ b/crates/agent/src/gate/leases/reconcile.rs
@@ -18,7 +18,7 @@
         leases::{
             exchange::SlotTransfer,
             slot_leases::{
-                CALL_LATENCY_MARGIN, Call, GrantOutcome, HOLD_MIN, SLOW_CLOCK_FACTOR, SlotRange,
+                CALL_LATENCY_MARGIN, Call, GrantOutcome, SLOW_CLOCK_FACTOR, SlotRange, StartedGrant,
             },
         },
     },
@@ -93,9 +93,7 @@
         let (gate, bound) = (Arc::clone(gate), Arc::clone(bound));
         tokio::spawn(async move {
             match call {
-                Call::Grant { range, hold, handover } => {
-                    send_grant(&gate, &bound, range, hold, handover).await
-                }
+                Call::Grant { range } => send_grant(&gate, &bound, range).await,
                 Call::Release { range, successor, wait_max } => {
                     release_range(&gate, &bound, range, successor, wait_max).await
                 }
@@ -172,26 +170,22 @@
     }
 }
 
-async fn send_grant(
-    gate: &Gate,
-    bound: &BoundUpstream,
-    range: SlotRange,
-    hold: Duration,
-    handover: Option<HandoverToken>,
-) {
-    let sent_at = gate.clock.now();
-    let Some((upstream, granted)) = leased_keys(bound, range) else { return };
-    let connection = key_connection(gate, bound, upstream).await;
-    // The hold counts from the arrival of the grant and must not outlast the agent's own lease.
-    let remaining_hold = hold.saturating_sub(gate.clock.now().since(sent_at));
-    let end = match connection.filter(|_| remaining_hold >= HOLD_MIN) {
-        Some(connection) => {
-            let call = connection.grant_keys(granted, remaining_hold, handover);
-            let result = timeout(GRANT_TIMEOUT, call).await;
-            grant_outcome(gate, range, granted, remaining_hold, result.ok())
-        }
-        None => GrantOutcome::NotSent,
+/// Opens a connection for a grant, and then sends what is to be granted at that time: lease, session or owner may have
+/// changed meanwhile.
+async fn send_grant(gate: &Gate, bound: &BoundUpstream, range: SlotRange) {
+    let KeyLeaseMode::ByCall(upstream) = bound.upstream.key_lease_mode() else { return };
+    let Some(connection) = key_connection(gate, bound, upstream).await else {
+        gate.leases.lock().abandon_grant(gate.clock.now(), range);
+        gate.metrics.record_grant(&bound.document.team, grant_result(GrantOutcome::NotSent));
+        return;
     };
+    let sent_at = gate.clock.now();
+    let lease_until = gate.handle.table.lease_until();
+    let started = gate.leases.lock().start_grant(sent_at, lease_until, range);
+    let Some(StartedGrant { range, hold, handover }) = started else { return };
+    let Some((_, granted)) = leased_keys(bound, range) else { return };
+    let result = timeout(GRANT_TIMEOUT, connection.grant_keys(granted, hold, handover)).await;
+    let end = grant_outcome(gate, range, granted, hold, result.ok());
     gate.metrics.record_grant(&bound.document.team, grant_result(end));
     gate.leases.lock().finish_grant(gate.clock.now(), range, sent_at, hold, end);
     if end == GrantOutcome::Accepted {
--- a/crates/agent/src/gate/leases/slot_leases.rs
+++ b/crates/agent/src/gate/leases/slot_leases.rs
@@ -40,21 +40,20 @@
 /// A call that is due to the upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Call {
-    Grant {
-        range: SlotRange,
-        hold: Duration,
-        handover: Option<HandoverToken>,
-    },
+    /// A grant, which is started by [`SlotLeases::start_grant`] once there is a connection for it.
+    Grant { range: SlotRange },
     /// Release of the keys of a range; `successor` takes them over, if there is one.
-    Release {
-        range: SlotRange,
-        successor: Option<Instance>,
-        wait_max: Duration,
-    },
+    Release { range: SlotRange, successor: Option<Instance>, wait_max: Duration },
     /// Release of all keys granted under tokens up to and including this one.
-    Clear {
-        token: Token,
-    },
+    Clear { token: Token },
+}
+
+/// A grant that is sent at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct StartedGrant {
+    pub(super) range: SlotRange,
+    pub(super) hold: Duration,
+    pub(super) handover: Option<HandoverToken>,
 }
 
 /// The outcome of a grant call.
@@ -98,6 +97,8 @@
     pub(super) usable_until: Timestamp,
     /// Latest time until which the upstream may hold the slot, whichever messages were lost.
     pub(super) held_until: Timestamp,
+    /// Whether a grant waits for its connection.
+    is_connecting: bool,
     /// End of the hold that the grant in flight would give the upstream, if one is in flight.
     grant_in_flight_until: Option<Timestamp>,
     /// The value of `held_until` before the grant in flight was sent.
@@ -158,6 +159,7 @@
             handover,
             usable_until: Timestamp::ZERO,
             held_until,
+            is_connecting: false,
             grant_in_flight_until: None,
             held_until_before_grant: held_until,
             unanswered_until,
@@ -233,6 +235,7 @@
         for lease in self.slots.values_mut() {
             lease.usable_until = Timestamp::ZERO;
             lease.held_until = now;
+            lease.is_connecting = false;
             lease.grant_in_flight_until = None;
             lease.unanswered_until = now;
             lease.handover = None;
@@ -284,8 +287,7 @@
             let is_due = !std::mem::replace(&mut clearing.is_sent, true);
             return is_due.then_some(Call::Clear { token: clearing.token }).into_iter().collect();
         }
-        let hold =
-            lease_until.since(now).saturating_sub(CALL_LATENCY_MARGIN).div_f64(SLOW_CLOCK_FACTOR);
+        let hold = hold_within(now, lease_until);
         let mut calls: Vec<Call> = Vec::new();
         for (slot, lease) in &mut self.slots {
             let needs_grant = lease.needs_grant(now, hold);
@@ -305,13 +307,9 @@
                 }
                 Some(_) => continue,
                 None if needs_grant => {
-                    // The hold counts from the arrival of the call, on a clock that may be slow.
-                    let hold_end = now + hold.mul_f64(SLOW_CLOCK_FACTOR) + CALL_LATENCY_MARGIN;
-                    lease.held_until_before_grant = lease.held_until;
-                    lease.held_until = lease.held_until.max(hold_end);
-                    lease.grant_in_flight_until = Some(hold_end);
+                    lease.is_connecting = true;
                     let range = SlotRange { first: *slot, last: *slot, token: lease.token };
-                    Call::Grant { range, hold, handover: lease.handover.clone() }
+                    Call::Grant { range }
                 }
                 None => continue,
             };
@@ -322,6 +320,48 @@
         calls
     }
 
+    /// Starts a grant for which there is a connection now. Returns `None` if none of the slots may be granted any more, and
+    /// otherwise the first of them that can be granted together; the others become due again.
+    pub(super) fn start_grant(
+        &mut self,
+        now: Timestamp,
+        lease_until: Timestamp,
+        range: SlotRange,
+    ) -> Option<StartedGrant> {
+        let hold = hold_within(now, lease_until);
+        // The hold counts from the arrival of the call, on a clock that may be slow.
+        let hold_end = now + hold.mul_f64(SLOW_CLOCK_FACTOR) + CALL_LATENCY_MARGIN;
+        let may_grant = self.clearing.is_none() && hold >= HOLD_MIN;
+        let mut started: Option<StartedGrant> = None;
+        for (slot, lease) in self.slots.range_mut(range.first..=range.last) {
+            if lease.token != range.token || !std::mem::take(&mut lease.is_connecting) {
+                continue;
+            }
+            let is_next = started
+                .as_ref()
+                .is_none_or(|it| it.range.last.0 + 1 == slot.0 && it.handover == lease.handover);
+            if !may_grant || lease.closing.is_some() || lease.is_void || !is_next {
+                continue;
+            }
+            lease.held_until_before_grant = lease.held_until;
+            lease.held_until = lease.held_until.max(hold_end);
+            lease.grant_in_flight_until = Some(hold_end);
+            let first = started.as_ref().map_or(*slot, |it| it.range.first);
+            let range = SlotRange { first, last: *slot, token: range.token };
+            started = Some(StartedGrant { range, hold, handover: lease.handover.clone() });
+        }
+        started
+    }
+
+    /// Records that there is no connection for a grant.
+    pub(super) fn abandon_grant(&mut self, now: Timestamp, range: SlotRange) {
+        for (_, lease) in self.slots.range_mut(range.first..=range.last) {
+            if lease.token == range.token && std::mem::take(&mut lease.is_connecting) {
+                lease.next_grant_at = now + GRANT_RETRY_DELAY;
+            }
+        }
+    }
+
     /// Records the outcome of a grant call that was sent at `sent_at`.
     pub(super) fn finish_grant(
         &mut self,
@@ -397,6 +437,12 @@
     }
 }
 
+/// Returns the longest hold that a grant sent now may have: it counts from the arrival of the call, on a clock that may be
+/// slow, and must not outlast the lease.
+fn hold_within(now: Timestamp, lease_until: Timestamp) -> Duration {
+    lease_until.since(now).saturating_sub(CALL_LATENCY_MARGIN).div_f64(SLOW_CLOCK_FACTOR)
+}
+
 impl SlotLease {
     /// Returns the latest time until which unanswered grants, including the one in flight, may make
     /// the upstream hold the slot.
@@ -411,6 +457,7 @@
 
     fn needs_grant(&self, now: Timestamp, hold: Duration) -> bool {
         self.grant_in_flight_until.is_none()
+            && !self.is_connecting
             && self.next_grant_at <= now
             && hold >= HOLD_MIN
             && now + hold >= self.usable_until + RENEWAL_GAIN_MIN
@@ -422,10 +469,7 @@
     /// slots. Returns whether it did.
     fn try_extend(&mut self, next: &Call) -> bool {
         let (range, next_range) = match (&mut *self, next) {
-            (
-                Call::Grant { range, handover, .. },
-                Call::Grant { range: next, handover: next_handover, .. },
-            ) if handover == next_handover => (range, next),
+            (Call::Grant { range }, Call::Grant { range: next }) => (range, next),
             (
                 Call::Release { range, successor, .. },
                 Call::Release { range: next, successor: next_successor, .. },
--- a/crates/agent/src/gate/leases/tests/mod.rs
+++ b/crates/agent/src/gate/leases/tests/mod.rs
@@ -9,7 +9,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::slot_leases::{Call, GrantOutcome, SlotLeases, SlotRange};
+use model::Instance;
+use upstream::HandoverToken;
+
+use super::slot_leases::{self, GrantOutcome, SlotLeases, SlotRange, StartedGrant};
 use crate::tests::fakes::instance;
 
 const MS: Duration = Duration::from_millis(1);
@@ -26,6 +29,48 @@
     SlotRange { first: Slot(first), last: Slot(last), token: token(sequence) }
 }
 
+/// A call that has been sent; a grant had its connection at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Call {
+    Grant { range: SlotRange, hold: Duration, handover: Option<HandoverToken> },
+    Release { range: SlotRange, successor: Option<Instance>, wait_max: Duration },
+    Clear { token: Token },
+}
+
+/// Sends the calls that are due.
+fn due_calls(leases: &mut SlotLeases, now: Timestamp, lease_until: Timestamp) -> Vec<Call> {
+    let mut calls = Vec::new();
+    // Slots that are not granted together become due again.
+    loop {
+        let due = leases.due_calls(now, lease_until);
+        if due.is_empty() {
+            return calls;
+        }
+        for call in due {
+            calls.extend(start(leases, now, lease_until, call));
+        }
+    }
+}
+
+fn start(
+    leases: &mut SlotLeases,
+    now: Timestamp,
+    lease_until: Timestamp,
+    call: slot_leases::Call,
+) -> Option<Call> {
+    Some(match call {
+        slot_leases::Call::Grant { range } => {
+            let started = leases.start_grant(now, lease_until, range)?;
+            let StartedGrant { range, hold, handover } = started;
+            Call::Grant { range, hold, handover }
+        }
+        slot_leases::Call::Release { range, successor, wait_max } => {
+            Call::Release { range, successor, wait_max }
+        }
+        slot_leases::Call::Clear { token } => Call::Clear { token },
+    })
+}
+
 fn grants(calls: &[Call]) -> Vec<SlotRange> {
     let range = |it: &Call| match it {
         Call::Grant { range, .. } => Some(*range),
@@ -44,7 +89,7 @@
 
 /// Sends the due grants and has the upstream accept them at once.
 fn accept_due_grants(leases: &mut SlotLeases, now: Timestamp, lease_until: Timestamp) {
-    for call in leases.due_calls(now, lease_until) {
+    for call in due_calls(leases, now, lease_until) {
         let Call::Grant { range, hold, .. } = call else { continue };
         leases.finish_grant(now, range, now, hold, GrantOutcome::Accepted);
     }
@@ -73,9 +118,9 @@
         leases.admit(at(0), Slot(slot), token(1));
     }
     leases.admit(at(0), Slot(4), token(2));
-    let calls = leases.due_calls(at(0), at(1500));
+    let calls = due_calls(&mut leases, at(0), at(1500));
     assert_eq!(grants(&calls), [range(1, 3, 1), range(4, 4, 2), range(7, 7, 1)]);
-    assert!(leases.due_calls(at(0), at(1500)).is_empty(), "the grants are in flight");
+    assert!(due_calls(&mut leases, at(0), at(1500)).is_empty(), "the grants are in flight");
 }
 
 #[test]
@@ -83,7 +128,7 @@
     let mut leases = SlotLeases::default();
     leases.admit(at(0), Slot(1), token(1));
     assert!(!leases.is_usable(at(0), Slot(1)));
-    let calls = leases.due_calls(at(0), at(1500));
+    let calls = due_calls(&mut leases, at(0), at(1500));
     assert!(!leases.is_usable(at(0), Slot(1)), "the grant has not been answered");
     let Call::Grant { range, hold, .. } = &calls[0] else { panic!("{calls:?}") };
     assert!(
@@ -100,15 +145,15 @@
     let mut leases = SlotLeases::default();
     leases.clear(token(1));
     leases.admit(at(0), Slot(1), token(2));
-    assert_eq!(leases.due_calls(at(0), at(1500)), [Call::Clear { token: token(1) }]);
-    assert!(leases.due_calls(at(100), at(1500)).is_empty(), "the upstream has not answered");
+    assert_eq!(due_calls(&mut leases, at(0), at(1500)), [Call::Clear { token: token(1) }]);
+    assert!(due_calls(&mut leases, at(100), at(1500)).is_empty(), "the upstream has not answered");
     leases.finish_clear(token(9));
     assert!(
-        leases.due_calls(at(100), at(1500)).is_empty(),
+        due_calls(&mut leases, at(100), at(1500)).is_empty(),
         "the end of another revocation must not end this one"
     );
     leases.finish_clear(token(1));
-    assert_eq!(grants(&leases.due_calls(at(200), at(1500))), [range(1, 1, 2)]);
+    assert_eq!(grants(&due_calls(&mut leases, at(200), at(1500))), [range(1, 1, 2)]);
 }
 
 #[test]
@@ -116,17 +161,17 @@
     let mut leases = SlotLeases::default();
     leases.admit(at(0), Slot(1), token(1));
     accept_due_grants(&mut leases, at(0), at(1500));
-    assert!(leases.due_calls(at(100), at(1600)).is_empty());
-    assert_eq!(grants(&leases.due_calls(at(400), at(1900))), [range(1, 1, 1)]);
+    assert!(due_calls(&mut leases, at(100), at(1600)).is_empty());
+    assert_eq!(grants(&due_calls(&mut leases, at(400), at(1900))), [range(1, 1, 1)]);
 }
 
 #[test]
 fn nothing_is_granted_without_a_lease() {
     let mut leases = SlotLeases::default();
     leases.admit(at(1000), Slot(1), token(1));
-    assert!(leases.due_calls(at(1000), at(0)).is_empty());
+    assert!(due_calls(&mut leases, at(1000), at(0)).is_empty());
     assert!(
-        leases.due_calls(at(1000), at(1050)).is_empty(),
+        due_calls(&mut leases, at(1000), at(1050)).is_empty(),
         "a hold this short must not be granted"
     );
 }
@@ -147,7 +192,7 @@
     );
     assert!(!leases.is_usable(at(10), Slot(2)));
     assert!(leases.is_usable(at(10), Slot(1)));
-    let calls = leases.due_calls(at(10), at(1500));
+    let calls = due_calls(&mut leases, at(10), at(1500));
     assert_eq!(releases(&calls), [range(2, 3, 1)]);
     assert!(take_closed(&mut leases, at(20)).is_empty());
     let closed = finish_release(&mut leases, at(20), range(2, 3, 1), true);
@@ -161,10 +206,10 @@
     leases.admit(at(0), Slot(1), token(1));
     accept_due_grants(&mut leases, at(0), at(3000));
     leases.close(at(0), Slot(1), token(1), None);
-    assert_eq!(releases(&leases.due_calls(at(0), at(3000))), [range(1, 1, 1)]);
+    assert_eq!(releases(&due_calls(&mut leases, at(0), at(3000))), [range(1, 1, 1)]);
     assert!(finish_release(&mut leases, at(1800), range(1, 1, 1), false).is_empty());
     assert_eq!(
-        releases(&leases.due_calls(at(1800), at(4000))),
+        releases(&due_calls(&mut leases, at(1800), at(4000))),
         [range(1, 1, 1)],
         "the release must be retried"
     );
@@ -181,12 +226,12 @@
     accept_due_grants(&mut leases, at(0), at(1500));
     leases.close(at(10), Slot(1), token(1), None);
     leases.close(at(10), Slot(2), token(1), None);
-    assert_eq!(releases(&leases.due_calls(at(10), at(1500))), [range(1, 2, 1)]);
+    assert_eq!(releases(&due_calls(&mut leases, at(10), at(1500))), [range(1, 2, 1)]);
     leases.finish_release(at(20), range(1, 2, 1), true);
     let runs_until = |slot: Slot| if slot == Slot(2) { at(700) } else { at(0) };
     assert_eq!(leases.take_closed(at(20), runs_until), [(Slot(1), token(1))]);
     assert!(
-        leases.due_calls(at(30), at(1500)).is_empty(),
+        due_calls(&mut leases, at(30), at(1500)).is_empty(),
         "an answered release must not be repeated"
     );
     assert!(leases.take_closed(at(699), runs_until).is_empty());
@@ -199,9 +244,9 @@
     leases.admit(at(0), Slot(1), token(1));
     accept_due_grants(&mut leases, at(0), at(1500));
     leases.close(at(10), Slot(1), token(1), None);
-    leases.due_calls(at(10), at(1500));
+    due_calls(&mut leases, at(10), at(1500));
     assert!(leases.close(at(15), Slot(1), token(1), None));
-    assert!(leases.due_calls(at(15), at(1500)).is_empty(), "the release is in flight");
+    assert!(due_calls(&mut leases, at(15), at(1500)).is_empty(), "the release is in flight");
     leases.finish_release(at(20), range(1, 1, 1), true);
     assert!(leases.close(at(25), Slot(1), token(1), None));
     assert!(leases.take_closed(at(30), |_| at(700)).is_empty());
@@ -214,7 +259,7 @@
     leases.admit(at(0), Slot(1), token(1));
     accept_due_grants(&mut leases, at(0), at(1500));
     leases.close(at(10), Slot(1), token(1), None);
-    leases.due_calls(at(10), at(1500));
+    due_calls(&mut leases, at(10), at(1500));
     leases.finish_release(at(20), range(1, 1, 1), true);
     assert!(leases.take_closed(at(1400), |_| at(6000)).is_empty());
     assert_eq!(leases.take_closed(at(1501), |_| at(6000)), [(Slot(1), token(1))]);
@@ -227,13 +272,13 @@
     for slot in 1..=3 {
         leases.admit(at(10), Slot(slot), token(1));
     }
-    let calls = leases.due_calls(at(10), at(1500));
+    let calls = due_calls(&mut leases, at(10), at(1500));
     assert_eq!(grants(&calls), [range(1, 1, 1), range(2, 3, 1)]);
     let Call::Grant { handover, .. } = &calls[1] else { panic!("{calls:?}") };
     assert_eq!(handover.as_deref(), Some("warm"));
     accept_due_grants(&mut leases, at(10), at(1500));
     leases.admit(at(60_000), Slot(2), token(2));
-    let calls = leases.due_calls(at(60_000), at(61_500));
+    let calls = due_calls(&mut leases, at(60_000), at(61_500));
     let Some(Call::Grant { handover: None, .. }) = calls.first() else { panic!("{calls:?}") };
 }
 
@@ -253,9 +298,9 @@
     leases.admit(at(0), Slot(1), token(1));
     accept_due_grants(&mut leases, at(0), at(1500));
     leases.reset_for_new_incarnation(at(100));
-    assert!(leases.due_calls(at(600), at(2100)).is_empty());
+    assert!(due_calls(&mut leases, at(600), at(2100)).is_empty());
     leases.admit(at(700), Slot(1), token(2));
-    assert_eq!(grants(&leases.due_calls(at(700), at(2200))), [range(1, 1, 2)]);
+    assert_eq!(grants(&due_calls(&mut leases, at(700), at(2200))), [range(1, 1, 2)]);
 }
 
 /// Guards against requests that the next incarnation has to refuse.
@@ -263,7 +308,7 @@
 fn a_late_answer_of_an_ended_incarnation_makes_no_slot_usable() {
     let mut leases = SlotLeases::default();
     leases.admit(at(0), Slot(1), token(1));
-    let calls = leases.due_calls(at(0), at(1500));
+    let calls = due_calls(&mut leases, at(0), at(1500));
     let Call::Grant { range, hold, .. } = &calls[0] else { panic!("{calls:?}") };
     leases.reset_for_new_incarnation(at(100));
     leases.finish_grant(at(110), *range, at(0), *hold, GrantOutcome::Accepted);
@@ -279,10 +324,13 @@
         accept_due_grants(&mut leases, at(0), at(3000));
         leases.close(at(10), Slot(1), token(1), None);
         if is_release_sent {
-            assert_eq!(releases(&leases.due_calls(at(10), at(3000))), [range(1, 1, 1)]);
+            assert_eq!(releases(&due_calls(&mut leases, at(10), at(3000))), [range(1, 1, 1)]);
         }
         leases.reset_for_new_incarnation(at(100));
-        assert!(leases.due_calls(at(100), at(3000)).is_empty(), "nobody is left to release it");
+        assert!(
+            due_calls(&mut leases, at(100), at(3000)).is_empty(),
+            "nobody is left to release it"
+        );
         assert_eq!(take_closed(&mut leases, at(100)), [(Slot(1), token(1))]);
     }
 }
@@ -306,13 +354,13 @@
 fn a_grant_that_was_not_sent_extends_no_hold() {
     let mut leases = SlotLeases::default();
     leases.admit(at(0), Slot(1), token(1));
-    let calls = leases.due_calls(at(0), at(1500));
+    let calls = due_calls(&mut leases, at(0), at(1500));
     let Call::Grant { range: granted, hold, .. } = &calls[0] else { panic!("{calls:?}") };
     leases.finish_grant(at(5), *granted, at(0), *hold, GrantOutcome::NotSent);
     assert!(!leases.is_usable(at(5), Slot(1)));
-    assert!(leases.due_calls(at(5), at(1500)).is_empty(), "the next attempt has a delay");
+    assert!(due_calls(&mut leases, at(5), at(1500)).is_empty(), "the next attempt has a delay");
     leases.close(at(10), Slot(1), token(1), None);
-    assert!(leases.due_calls(at(10), at(1500)).is_empty(), "there is nothing to release");
+    assert!(due_calls(&mut leases, at(10), at(1500)).is_empty(), "there is nothing to release");
     assert_eq!(take_closed(&mut leases, at(10)), [(Slot(1), token(1))]);
 }
 
@@ -321,12 +369,12 @@
     let mut leases = SlotLeases::default();
     leases.admit(at(0), Slot(1), token(1));
     accept_due_grants(&mut leases, at(0), at(1500));
-    let calls = leases.due_calls(at(400), at(1900));
+    let calls = due_calls(&mut leases, at(400), at(1900));
     let Call::Grant { range: granted, hold, .. } = &calls[0] else { panic!("{calls:?}") };
     leases.finish_grant(at(405), *granted, at(400), *hold, GrantOutcome::NotSent);
     assert!(leases.is_usable(at(1400), Slot(1)));
     leases.close(at(1400), Slot(1), token(1), None);
-    assert_eq!(releases(&leases.due_calls(at(1400), at(1900))), [range(1, 1, 1)]);
+    assert_eq!(releases(&due_calls(&mut leases, at(1400), at(1900))), [range(1, 1, 1)]);
     assert!(finish_release(&mut leases, at(1450), range(1, 1, 1), false).is_empty());
     assert!(take_closed(&mut leases, at(1499)).is_empty(), "the first grant still holds");
 }
@@ -336,12 +384,15 @@
 fn a_release_waits_for_a_grant_in_flight() {
     let mut leases = SlotLeases::default();
     leases.admit(at(0), Slot(1), token(1));
-    let calls = leases.due_calls(at(0), at(1500));
+    let calls = due_calls(&mut leases, at(0), at(1500));
     let Call::Grant { range: granted, hold, .. } = &calls[0] else { panic!("{calls:?}") };
     leases.close(at(1), Slot(1), token(1), None);
-    assert!(leases.due_calls(at(1), at(1500)).is_empty(), "the grant may arrive after the release");
+    assert!(
+        due_calls(&mut leases, at(1), at(1500)).is_empty(),
+        "the grant may arrive after the release"
+    );
     leases.finish_grant(at(5), *granted, at(0), *hold, GrantOutcome::Accepted);
-    assert_eq!(releases(&leases.due_calls(at(5), at(1500))), [range(1, 1, 1)]);
+    assert_eq!(releases(&due_calls(&mut leases, at(5), at(1500))), [range(1, 1, 1)]);
 }
 
 /// A call in flight to the upstream of the randomized test.
@@ -427,7 +478,7 @@
                 }
                 _ => {}
             }
-            for call in leases.due_calls(now, lease_until) {
+            for call in due_calls(&mut leases, now, lease_until) {
                 if let Call::Grant { hold, .. } = &call {
                     let until = now + hold.mul_f64(1.02);
                     assert!(until <= lease_until, "seed {seed}: a grant outlasts the lease");
