Connections for grants are given back, waited for, and kept for a second

A connection that was taken and not used was closed; a grant began a new lineage, and with it a new session, while the connection that shows that the process is the same was only in use; and an upstream that keeps idle connections for one second was granted nothing, since the margin of a second left none of it.

Change: a connection that is dropped unused is idle again; a grant waits for connections in use before it begins a lineage; the margin of connections for grants is 200 ms, since a lost grant is sent again; attempts that take too long count as failed.

--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -32,6 +32,8 @@
 /// Margin by which an idle connection is dropped before its peer closes it, since a request sent at the moment of
 /// closing is lost. The peer announces its time-out in whole seconds.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
+/// The same margin for a [`Connection`], whose user can tell a lost request from a refused one.
+const CONNECTION_KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(200);
 /// Number of unanswered TCP keep-alive probes after which a connection is closed.
 const UNANSWERED_PROBES_MAX: u32 = 2;
 /// Number of repeatable ids at which a connection is closed, which bounds their memory to 8 KB.
@@ -149,7 +151,7 @@
         };
         let (parts, body) = response.into_parts();
         let body = read(body, bytes_max).await?;
-        let connection = match idle_time(&self.config, &parts) {
+        let connection = match idle_time(&self.config, CONNECTION_KEEP_ALIVE_MARGIN, &parts) {
             Some(idle_time) if !self.sender.is_closed() => {
                 self.expires_at = Instant::now() + idle_time;
                 Some(self)
@@ -317,8 +319,8 @@
 
     fn keep(&self, sender: Sender, past: PastCalls, parts: &Parts) {
         let is_full = past.repeatable.len() >= REPEATABLE_IDS_MAX;
-        match idle_time(&self.config, parts) {
-            Some(idle_time) if !is_full && !sender.is_closed() => {
+        match idle_time(&self.config, KEEP_ALIVE_MARGIN, parts) {
+            Some(idle_time) if !is_full && !idle_time.is_zero() && !sender.is_closed() => {
                 self.keep_until(Instant::now() + idle_time, sender, past);
             }
             _ => {}
@@ -418,13 +420,14 @@
     }
 }
 
-/// Returns how long a connection can be kept idle after this reply; `None` if it cannot be used again.
-fn idle_time(config: &PoolConfig, parts: &Parts) -> Option<Duration> {
+/// Returns how long a connection can be kept idle after this reply, with a margin before the peer closes it; `None` if it
+/// cannot be used again.
+fn idle_time(config: &PoolConfig, margin: Duration, parts: &Parts) -> Option<Duration> {
     let idle_time = match keep_alive_timeout(&parts.headers) {
-        Some(peer) => peer.saturating_sub(KEEP_ALIVE_MARGIN).min(config.idle_timeout),
+        Some(peer) => peer.saturating_sub(margin).min(config.idle_timeout),
         None => config.idle_timeout,
     };
-    (!closes_connection(parts) && !idle_time.is_zero()).then_some(idle_time)
+    (!closes_connection(parts)).then_some(idle_time)
 }
 
 /// Returns whether the peer closes the connection after this reply.
--- a/crates/upstream/src/key_connections.rs
+++ b/crates/upstream/src/key_connections.rs
@@ -18,7 +18,10 @@
 use http_body_util::Full;
 use http_pool::{Connection, ExchangeError, Pool, Reply};
 use model::Token;
-use tokio::time::{Instant, timeout};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout},
+};
 
 use crate::{GrantError, KeyConnectionError};
 
@@ -66,12 +69,16 @@
     state: Mutex<State>,
     /// Held while a connection is taken that has to be shown to end at the same process as an earlier one.
     extension: tokio::sync::Mutex<()>,
+    /// Notified when a connection is no longer in use.
+    returned: Notify,
 }
 
 #[derive(Debug)]
 struct State {
-    /// Connections that end at the same process.
+    /// Connections of the current lineage.
     idle: VecDeque<Connection>,
+    /// Number of connections of the current lineage that are in use.
+    in_use: usize,
     /// Number of the set of connections that are known to end at the same process.
     lineage: u64,
     /// Only tokens above this one are granted on connections of this lineage.
@@ -80,11 +87,12 @@
     retry_at: Option<Instant>,
 }
 
-/// Identified connection that is used for one grant.
+/// Identified connection that is used for one grant. Dropping it makes it idle, unless a call is in flight on it.
 #[derive(Debug)]
 pub struct GrantConnection {
     connections: Arc<KeyConnections>,
-    connection: Connection,
+    /// `None` while a call is in flight, and once the connection is closed.
+    connection: Option<Connection>,
     lineage: u64,
 }
 
@@ -105,6 +113,7 @@
     pub fn new(pool: Pool, may_share_id: bool, history: Arc<GrantHistory>) -> KeyConnections {
         let state = State {
             idle: VecDeque::new(),
+            in_use: 0,
             lineage: 0,
             granted_before: history.highest(),
             retry_delay: RETRY_DELAY_MIN,
@@ -116,6 +125,7 @@
             history,
             state: Mutex::new(state),
             extension: tokio::sync::Mutex::default(),
+            returned: Notify::new(),
         }
     }
 
@@ -128,76 +138,91 @@
         self: &Arc<KeyConnections>,
         check: &dyn IdentityCheck,
     ) -> Result<GrantConnection, KeyConnectionError> {
-        let (connection, lineage) = match self.may_share_id {
-            true => self.take_of_lineage(check).await?,
-            false => match self.pop_idle() {
-                Some(it) => it,
-                None => (self.open(check).await?, self.state().lineage),
-            },
-        };
-        Ok(GrantConnection { connections: Arc::clone(self), connection, lineage })
+        if self.may_share_id {
+            return self.take_of_lineage(check).await;
+        }
+        match self.pop_idle() {
+            Some(it) => Ok(it),
+            None => {
+                let connection = self.open(check).await?;
+                Ok(self.in_use(connection))
+            }
+        }
     }
 
     /// Returns a connection of the current lineage, and leaves another one idle if possible, which shows for further
     /// connections that they end at the same process.
     async fn take_of_lineage(
-        &self,
+        self: &Arc<KeyConnections>,
         check: &dyn IdentityCheck,
-    ) -> Result<(Connection, u64), KeyConnectionError> {
+    ) -> Result<GrantConnection, KeyConnectionError> {
         let _extension = self.extension.lock().await;
-        while let Some((connection, lineage)) = self.pop_idle() {
-            if self.state().has_idle() {
-                return Ok((connection, lineage));
+        loop {
+            while let Some(connection) = self.pop_idle() {
+                if self.state().has_idle() {
+                    return Ok(connection);
+                }
+                if let Some(connection) = self.extend_lineage(check, connection).await {
+                    return Ok(connection);
+                }
             }
-            if let Some(connection) = self.extend_lineage(check, connection).await {
-                return Ok((connection, lineage));
+            if self.state().in_use == 0 {
+                return self.begin_lineage(check).await;
             }
+            self.returned.notified().await;
         }
-        self.begin_lineage(check).await
     }
 
     /// Opens an additional connection that ends at the same process as `connection`. Returns `None` if `connection` is
     /// lost before that is shown.
     async fn extend_lineage(
-        &self,
+        self: &Arc<KeyConnections>,
         check: &dyn IdentityCheck,
-        connection: Connection,
-    ) -> Option<Connection> {
+        mut connection: GrantConnection,
+    ) -> Option<GrantConnection> {
         let additional = match timeout(EXTENSION_TIMEOUT, self.open(check)).await {
             Ok(Ok(it)) => it,
             // A grant may still be sent on the only connection.
-            Ok(Err(_)) | Err(_) => return Some(connection),
+            Ok(Err(_)) => return Some(connection),
+            Err(_) => {
+                self.state().record_attempt(false);
+                return Some(connection);
+            }
         };
-        match timeout(EXTENSION_TIMEOUT, self.identify(check, connection)).await {
-            Ok(Ok(Some(connection))) => {
-                self.state().idle.push_back(additional);
+        let earlier = connection.connection.take()?;
+        match timeout(EXTENSION_TIMEOUT, self.identify(check, earlier)).await {
+            Ok(Ok(Some(earlier))) => {
+                connection.connection = Some(earlier);
+                self.state().keep(additional, connection.lineage);
                 Some(connection)
             }
             // The upstream closes the connection after its answer, which came from the same process.
-            Ok(Ok(None)) => Some(additional),
+            Ok(Ok(None)) => {
+                connection.connection = Some(additional);
+                Some(connection)
+            }
             Ok(Err(_)) | Err(_) => None,
         }
     }
 
     async fn begin_lineage(
-        &self,
+        self: &Arc<KeyConnections>,
         check: &dyn IdentityCheck,
-    ) -> Result<(Connection, u64), KeyConnectionError> {
+    ) -> Result<GrantConnection, KeyConnectionError> {
         let connection = self.open(check).await?;
-        let lineage = {
+        {
             let mut state = self.state();
             state.idle.clear();
             state.lineage += 1;
+            state.in_use = 0;
             state.granted_before = self.history.highest();
             if let Some(token) = state.granted_before {
                 log::info!(target: "upstream", "No connection shows whether upstream {} is the process that was granted keys before; only tokens above {token} are granted to it.", self.address());
             }
-            state.lineage
-        };
-        match self.extend_lineage(check, connection).await {
-            Some(connection) => Ok((connection, lineage)),
-            None => Err(self.unconfirmed("a new connection was lost".to_owned())),
         }
+        let connection = self.in_use(connection);
+        let is_lost = || self.unconfirmed("a new connection was lost".to_owned());
+        self.extend_lineage(check, connection).await.ok_or_else(is_lost)
     }
 
     /// Opens a connection and identifies its other end.
@@ -249,12 +274,21 @@
         }
     }
 
-    fn pop_idle(&self) -> Option<(Connection, u64)> {
+    fn pop_idle(self: &Arc<KeyConnections>) -> Option<GrantConnection> {
+        let connection = {
+            let mut state = self.state();
+            state.idle.retain(Connection::is_usable);
+            // The connection that was idle for longest is used next, so that none is closed for being idle.
+            state.idle.pop_front()?
+        };
+        Some(self.in_use(connection))
+    }
+
+    fn in_use(self: &Arc<KeyConnections>, connection: Connection) -> GrantConnection {
         let mut state = self.state();
-        state.idle.retain(Connection::is_usable);
-        // The connection that was idle for longest is used next, so that none is closed for being idle.
-        let connection = state.idle.pop_front()?;
-        Some((connection, state.lineage))
+        state.in_use += 1;
+        let lineage = state.lineage;
+        GrantConnection { connections: Arc::clone(self), connection: Some(connection), lineage }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -275,6 +309,12 @@
         self.idle.iter().any(Connection::is_usable)
     }
 
+    fn keep(&mut self, connection: Connection, lineage: u64) {
+        if lineage == self.lineage && self.idle.len() < IDLE_MAX {
+            self.idle.push_back(connection);
+        }
+    }
+
     fn record_attempt(&mut self, is_successful: bool) {
         match is_successful {
             true => (self.retry_at, self.retry_delay) = (None, RETRY_DELAY_MIN),
@@ -298,44 +338,50 @@
     ///
     /// If the token is not above those of earlier lineages, or there is no complete reply.
     pub async fn send(
-        self,
+        mut self,
         token: Token,
         request: Request<Full<Bytes>>,
         is_reusable: impl Fn(&Reply) -> bool,
     ) -> Result<Reply, GrantError> {
-        let GrantConnection { connections, connection, lineage } = self;
-        let peer = connections.address();
+        let peer = self.address();
+        let not_sent = |reason: String| GrantError::NotSent { peer, reason };
         {
-            let mut state = connections.state();
+            let state = self.connections.state();
             if state.granted_before >= Some(token) {
-                state.keep(connection, lineage);
                 return Err(GrantError::Outdated { peer });
             }
-            if state.lineage != lineage {
-                let reason = "its connection is outdated".to_owned();
-                return Err(GrantError::NotSent { peer, reason });
+            if state.lineage != self.lineage {
+                return Err(not_sent("its connection is outdated".to_owned()));
             }
-            connections.history.record(token);
+            self.connections.history.record(token);
         }
+        let connection = self.connection.take();
+        let connection =
+            connection.ok_or_else(|| not_sent("its connection is closed".to_owned()))?;
         match connection.exchange(request, BODY_BYTES_MAX).await {
             Ok((reply, connection)) => {
-                if let Some(it) = connection.filter(|_| is_reusable(&reply)) {
-                    connections.state().keep(it, lineage);
-                }
+                self.connection = connection.filter(|_| is_reusable(&reply));
                 Ok(reply)
             }
             Err(ExchangeError::NotSent(reason) | ExchangeError::Closed(reason)) => {
-                Err(GrantError::NotSent { peer, reason })
+                Err(not_sent(reason))
             }
             Err(error) => Err(GrantError::Unknown { peer, reason: error.to_string() }),
         }
     }
 }
 
-impl State {
-    fn keep(&mut self, connection: Connection, lineage: u64) {
-        if lineage == self.lineage && self.idle.len() < IDLE_MAX {
-            self.idle.push_back(connection);
+impl Drop for GrantConnection {
+    fn drop(&mut self) {
+        {
+            let mut state = self.connections.state();
+            if state.lineage == self.lineage {
+                state.in_use -= 1;
+            }
+            if let Some(connection) = self.connection.take() {
+                state.keep(connection, self.lineage);
+            }
         }
+        self.connections.returned.notify_one();
     }
 }
