A request that was in flight in crashes by chance is served again

Cause: being in flight in two crashes was taken for being the cause. The crashes are shared and outlive the agents, while answers were known only to the agents that saw them, and a quarantined request was sent to no upstream that could have answered it.

Now an answer to a request that was in flight in a crash is written to the store, in one object of all agents under the prefix that they watch already, and clears the request everywhere. A quarantined request gets up to three trials, one at a time in the deployment, claimed by a conditional update. A claim counts as a crash until its end is known, so restarts add no trials, and a request that crashes each upstream reaches upstreams in at most three trials after its third crash. An answer of 5xx clears nothing.

The new tests fail with each rule taken out; tests of the quarantine and tests::poison pass unchanged.

--- a/crates/agent/src/forward/mod.rs
+++ b/crates/agent/src/forward/mod.rs
@@ -143,7 +143,7 @@
             history.returns_to = Some(it.given.value);
         }
         loop {
-            if self.parts.quarantine.is_quarantined(fingerprint) {
+            if self.parts.quarantine.refuses_at_ingress(fingerprint) {
                 let reply = GateReply::not_run(NotRunReason::Quarantined);
                 return FinalReply::without_retry_after(overall_reply(reply, unknown_reason));
             }
@@ -181,7 +181,11 @@
                 has_untried_target: may_try_another && untried_targets(&routes, &history) > 0,
             };
             if attempt.outcome == Outcome::Answered {
-                self.parts.quarantine.record_answer(fingerprint);
+                let is_server_error =
+                    matches!(&reply, GateReply::Answered(it) if it.status.is_server_error());
+                if !is_server_error {
+                    self.parts.quarantine.record_answer(fingerprint);
+                }
                 return FinalReply { reply, retry_after: None };
             }
             if let Outcome::Unknown(reason) = attempt.outcome {
--- a/crates/agent/src/gate/run.rs
+++ b/crates/agent/src/gate/run.rs
@@ -7,7 +7,7 @@
     sync::{SemaphorePermit, oneshot},
     time::{timeout, timeout_at},
 };
-use traffic::{QuarantineStatus, RecordUnit, RouteIndex, Timeliness};
+use traffic::{QuarantineStatus, RecordUnit, RouteIndex, Timeliness, TrialEnd};
 
 use crate::{
     forward::designated_member,
@@ -18,6 +18,7 @@
         records::{RecordLookup, RequestKey},
         table::{Admittance, Clearance, Entry, Grant, NotAdmitted},
     },
+    quarantine::Trial,
     request::{GateReply, GateRequest},
     snapshot::Routes,
 };
@@ -31,6 +32,10 @@
 /// Share of its remaining time for which a request waits for a slot if its answer will miss the
 /// objective in any case.
 pub(super) const LATE_QUEUE_TIME_SHARE: f64 = 0.25;
+/// Longest time for which a quarantined request waits until the store has confirmed its trial.
+const TRIAL_CLAIM_TIME: Duration = Duration::from_millis(500);
+/// Largest share of its remaining time for which it waits, so that time for the run is left.
+const TRIAL_CLAIM_TIME_SHARE: f64 = 0.25;
 /// The record unit of a service that is not sharded by key.
 const WHOLE_SERVICE: RecordUnit = RecordUnit::Slot(Slot(0));
 
@@ -274,8 +279,63 @@
         self.refuse_failing_run()?;
         let permit =
             self.wait_for_slot(caller).await.inspect_err(|it| self.record_refused_load(it))?;
-        let clearance = self.check_clearance()?;
-        Ok(self.send(permit, clearance).await)
+        let trial = self.claim_trial().await?;
+        let clearance = match self.check_clearance() {
+            Ok(clearance) => clearance,
+            Err(reply) => {
+                trial.into_iter().for_each(|it| it.end(TrialEnd::NotSent));
+                return Err(reply);
+            }
+        };
+        let reply = self.send(permit, clearance).await;
+        if let Some(trial) = trial {
+            self.end_trial(trial, &reply);
+        }
+        Ok(reply)
+    }
+
+    /// Claims a trial if the request is quarantined. Called last, since a claim counts as a crash until its end is
+    /// known.
+    async fn claim_trial(&self) -> Result<Option<Trial>, Box<GateReply>> {
+        let (quarantine, request) = (&self.gate.quarantine, self.request.fingerprint);
+        if !quarantine.is_quarantined(request) {
+            return Ok(None);
+        }
+        if !quarantine.may_claim_trial(request) {
+            return Err(quarantined_reply());
+        }
+        let remaining = self.deadline.since(self.gate.clock.now());
+        let claim_time = TRIAL_CLAIM_TIME.min(remaining.mul_f64(TRIAL_CLAIM_TIME_SHARE));
+        let claimed = quarantine.claim_trial(request, remaining, claim_time).await;
+        let result = if claimed.is_some() { "claimed" } else { "not_claimed" };
+        self.gate.metrics.record_trial(&self.bound.document.team, result);
+        if claimed.is_none() && quarantine.is_quarantined(request) {
+            return Err(quarantined_reply());
+        }
+        Ok(claimed)
+    }
+
+    fn end_trial(&self, trial: Trial, reply: &GateReply) {
+        let result = match reply.outcome() {
+            Outcome::Answered => {
+                trial.end_answered();
+                "answered"
+            }
+            Outcome::Unknown(UnknownReason::ConnectionLost | UnknownReason::BrokenAnswer) => {
+                trial.end(TrialEnd::Lost);
+                "lost"
+            }
+            // The refusal of an upstream shows that the request has reached it.
+            Outcome::NotRun(reason) if reason != NotRunReason::Refused => {
+                trial.end(TrialEnd::NotSent);
+                "not_sent"
+            }
+            Outcome::NotRun(_) | Outcome::Unknown(_) => {
+                trial.end(TrialEnd::Survived);
+                "survived"
+            }
+        };
+        self.gate.metrics.record_trial(&self.bound.document.team, result);
     }
 
     /// Waits until no other suspect request is running, if an upstream may have crashed on this
@@ -287,7 +347,11 @@
         match self.gate.quarantine.status(self.request.fingerprint) {
             QuarantineStatus::Clear => return Ok(None),
             QuarantineStatus::Suspect => {}
-            QuarantineStatus::Quarantined => return Err(quarantined_reply()),
+            // A trial does not wait: of many callers of one request, only one is needed.
+            QuarantineStatus::Quarantined => {
+                let permit = self.gate.suspect_permit.try_acquire();
+                return permit.map(Some).map_err(|_| quarantined_reply());
+            }
         }
         // The limit holds for express requests too: after a wait until the deadline, no time is left for another
         // member, which may run no suspect.
@@ -406,9 +470,6 @@
         if now >= self.deadline {
             return Err(Box::new(GateReply::not_run(NotRunReason::DeadlineExceeded)));
         }
-        if self.gate.quarantine.is_quarantined(self.request.fingerprint) {
-            return Err(quarantined_reply());
-        }
         // The gate may have bound another state since the request arrived.
         if self.gate.is_closed(now) {
             return Err(Box::new(GateReply::not_run(NotRunReason::Draining)));
--- a/crates/agent/src/gate/send.rs
+++ b/crates/agent/src/gate/send.rs
@@ -113,7 +113,10 @@
             }
             CallEnd::Answered(answer) => {
                 gate.record_response(ended_at);
-                gate.quarantine.record_answer(self.request.fingerprint);
+                // An upstream that fails may answer without having begun the request.
+                if !answer.status.is_server_error() {
+                    gate.quarantine.share_answer(self.request.fingerprint);
+                }
                 // An upstream that fails fast must not be measured as one that works fast.
                 permit.completion = match answer.status.is_server_error() {
                     true => Completion::Aborted,
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -32,6 +32,7 @@
     running: IntGauge,
     queued: IntGauge,
     limited: IntCounterVec,
+    trials: IntCounterVec,
     returns: IntCounterVec,
     promised_returns: IntGauge,
     limit_per_s: Gauge,
@@ -76,6 +77,13 @@
             ),
             &["tenant", "result"],
         )?;
+        let trials = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_quarantine_trials_total",
+                "Trials of quarantined requests that the gate claimed or failed to claim, and their ends.",
+            ),
+            &["tenant", "result"],
+        )?;
         let returns = IntCounterVec::new(
             Opts::new(
                 "pomelohill_returns_total",
@@ -156,6 +164,7 @@
         registry.register(Box::new(running.clone()))?;
         registry.register(Box::new(queued.clone()))?;
         registry.register(Box::new(limited.clone()))?;
+        registry.register(Box::new(trials.clone()))?;
         registry.register(Box::new(returns.clone()))?;
         registry.register(Box::new(promised_returns.clone()))?;
         registry.register(Box::new(limit_per_s.clone()))?;
@@ -176,6 +185,7 @@
             running,
             queued,
             limited,
+            trials,
             returns,
             promised_returns,
             limit_per_s,
@@ -226,6 +236,12 @@
         self.limited.with_label_values(&[team.as_str(), result]).inc();
     }
 
+    /// Records a step of the trial of a quarantined request; `result` is `claimed`, `not_claimed`, `not_sent`,
+    /// `answered`, `lost` or `survived`.
+    pub(crate) fn record_trial(&self, team: &TeamName, result: &str) {
+        self.trials.with_label_values(&[team.as_str(), result]).inc();
+    }
+
     /// Records a run that failed because of a call or was refused for the failures of others; `result` is `failed` or
     /// `refused`.
     pub(crate) fn record_call_failure(&self, team: &TeamName, result: &str) {
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -21,4 +21,5 @@
 mod request_log;
 mod stalls;
 mod stop;
+mod trials;
 mod upstream_clock;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -29,9 +29,9 @@
 pub use objects::{
     AcceptedDocument, CRASHES_PREFIX, CapacityStatus, CoordinatorStatus, CrashRecord,
     CrashesObject, GrantStatus, GroupStatus, HotKeyStatus, InForceStatus, Measures, MoveStatus,
-    OwnerStatus, RefusedDocument, STATUS_GRANTS_MAX, UpstreamStateName, UpstreamStatus,
-    ZONES_PREFIX, ZoneObject, accepted_path, crashes_path, service_path, status_path,
-    status_prefix, zone_of_path, zone_path,
+    OwnerStatus, RefusedDocument, STATUS_GRANTS_MAX, TRIALS_PATH, TrialClaim, TrialEntry,
+    TrialsObject, UpstreamStateName, UpstreamStatus, ZONES_PREFIX, ZoneObject, accepted_path,
+    crashes_path, service_path, status_path, status_prefix, zone_of_path, zone_path,
 };
 pub use problem::{Position, Problem, Problems};
 pub use versions::{DocumentDecision, DocumentTable, VersionedDocument, decide_document};
--- a/crates/settings/src/objects.rs
+++ b/crates/settings/src/objects.rs
@@ -6,6 +6,8 @@
 //!   group.
 //! - `ends/I`: [`CrashesObject`], the crashes of upstreams beside instance I with the requests they
 //!   were running.
+//! - `ends/quarantine.trials`: [`TrialsObject`], the trials of quarantined requests and the requests that were
+//!   answered after a crash.
 //! - `zones/Z`: [`ZoneObject`], whether an operator has closed availability zone Z.
 
 use std::num::ParseIntError;
@@ -66,6 +68,70 @@
     format!("{CRASHES_PREFIX}{instance}")
 }
 
+/// The path of the trials of quarantined requests. It has the prefix of the crash records, so that one watch follows
+/// both. It is an object of its own because agents of earlier versions skip crash records with unknown fields.
+pub const TRIALS_PATH: &str = "ends/quarantine.trials";
+
+/// The requests that were tried or answered after a crash, the latest last. Written by all agents.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TrialsObject {
+    #[serde(default)]
+    pub requests: Vec<TrialEntry>,
+}
+
+/// What all agents together know of one request that was in flight in crashes. Its counters only increase, and an
+/// answer is not withdrawn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TrialEntry {
+    /// The request, in hexadecimal digits.
+    #[serde(with = "hex_fingerprint")]
+    pub request: Fingerprint,
+    /// Number of trials that agents have claimed.
+    #[serde(default)]
+    pub begun: u32,
+    /// Number of the claimed trials that the upstream survived without an answer, or that did not run.
+    #[serde(default)]
+    pub survived: u32,
+    /// Whether an upstream has answered the request.
+    #[serde(default)]
+    pub answered: bool,
+    /// The trial that was claimed last, unless it is known to have ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub claim: Option<TrialClaim>,
+}
+
+/// The exclusive right of one agent to try a quarantined request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TrialClaim {
+    /// Random hexadecimal digits that identify the claim.
+    pub id: String,
+    /// The time in milliseconds, counted from the claim, by which the trial has ended.
+    pub ends_within_ms: u64,
+}
+
+/// Serialization of a fingerprint as hexadecimal digits, since some stores do not preserve 64-bit integers.
+mod hex_fingerprint {
+    use model::Fingerprint;
+    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+
+    pub(super) fn serialize<S: Serializer>(
+        request: &Fingerprint,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(request)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Fingerprint, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        u64::from_str_radix(&text, 16).map(Fingerprint).map_err(D::Error::custom)
+    }
+}
+
 /// Crashes of the upstreams beside one instance, the latest last.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -28,7 +28,7 @@
     CallFailures, EndCounts, RunResult, StartRefusal, StartVerdict, UnservedRequests,
 };
 pub use capacity::{ConcurrencyLimit, LimitChange};
-pub use quarantine::{CrashId, Quarantine, QuarantineStatus};
+pub use quarantine::{CrashId, Quarantine, QuarantineStatus, TRIALS_MAX, TrialCounts, TrialEnd};
 pub use rate_limit::{RateLimit, SharedRateLimit};
 pub use records::{
     Answer, BeginResult, Record, RecordUnit, RecordedOutcome, Records, RecordsConfig, UnitRecords,
