--- a/crates/upstream/src/key_connections.rs
+++ b/crates/upstream/src/key_connections.rs
@@ -30,6 +30,9 @@
 
 /// Idle connections that are kept. Several ranges of keys are granted at a time.
 const IDLE_MAX: usize = 6;
+/// Idle connections that are left for further grants where a new connection has to be shown to end at the same process. A
+/// lineage ends only if all are lost before the next grant.
+const SPARES_MIN: usize = 2;
 /// Number of connections that are opened for one grant if the upstream closes them after the identity check.
 const OPEN_ATTEMPTS_MAX: usize = 3;
 /// Longest wait for the identity checks that show that an additional connection ends at the same process.
@@ -150,8 +153,8 @@
         }
     }
 
-    /// Returns a connection of the current lineage, and leaves another one idle if possible, which shows for further
-    /// connections that they end at the same process.
+    /// Returns a connection of the current lineage, and leaves others idle if possible, which show for further connections
+    /// that they end at the same process.
     async fn take_of_lineage(
         self: &Arc<KeyConnections>,
         check: &dyn IdentityCheck,
@@ -159,7 +162,7 @@
         let _extension = self.extension.lock().await;
         loop {
             while let Some(connection) = self.pop_idle() {
-                if self.state().has_idle() {
+                if self.state().idle_count() >= SPARES_MIN {
                     return Ok(connection);
                 }
                 if let Some(connection) = self.extend_lineage(check, connection).await {
@@ -305,8 +308,8 @@
 }
 
 impl State {
-    fn has_idle(&self) -> bool {
-        self.idle.iter().any(Connection::is_usable)
+    fn idle_count(&self) -> usize {
+        self.idle.iter().filter(|it| it.is_usable()).count()
     }
 
     fn keep(&mut self, connection: Connection, lineage: u64) {
