--- a/crates/agent/src/control/upstream.rs
+++ b/crates/agent/src/control/upstream.rs
@@ -43,6 +43,8 @@
     presence: Option<Presence>,
     /// Whether the known incarnation was draining when it was last heard, even if it counts as lost since.
     is_draining: bool,
+    /// The last announcement of another incarnation, with its time, while the known one counts as alive.
+    rival: Option<(Timestamp, Announcement)>,
     /// The incarnations that are known to leave for good, also those that have not announced themselves.
     left: LeftIncarnations,
     zone: ZoneState,
@@ -64,6 +66,8 @@
     /// The announcement is the first one or comes from the known incarnation.
     SameIncarnation,
     NewIncarnation,
+    /// The announcement comes from another incarnation, while the known one counts as alive. One of them has ended.
+    Rival,
     /// The announcement is out of order, or comes from an incarnation that has left or is not the running one.
     Stale,
 }
@@ -91,6 +95,7 @@
     pub(crate) fn state(&self) -> UpstreamState {
         match (&self.announcement, self.gate_state) {
             (_, Some(UpstreamState::Lost)) => UpstreamState::Lost,
+            (Some(_), _) if self.presence == Some(Presence::Replaced) => UpstreamState::Lost,
             (Some(it), _) if it.state == UpstreamState::Ready && !self.can_get_requests() => {
                 UpstreamState::Starting
             }
@@ -136,6 +141,7 @@
             (Some(known), Some(born)) if born > known => AnnouncementKind::NewIncarnation,
             // While the known incarnation keeps announcing itself, another one at its address is
             // not the running one.
+            (None, None) if is_alive => AnnouncementKind::Rival,
             _ if is_alive => AnnouncementKind::Stale,
             _ => AnnouncementKind::NewIncarnation,
         }
@@ -192,8 +198,11 @@
         self.left.resolve_start(now, announcement);
         let kind = self.classify(now, interval, announcement);
         match kind {
-            AnnouncementKind::Stale => {
+            AnnouncementKind::Stale | AnnouncementKind::Rival => {
                 self.keep_draining_of_other(now, announcement);
+                if kind == AnnouncementKind::Rival {
+                    self.rival = Some((now, announcement.clone()));
+                }
                 return kind;
             }
             AnnouncementKind::NewIncarnation => self.keep_draining_of_known(now),
@@ -202,6 +211,7 @@
         let is_same = |it: &Announcement| it.is_same_incarnation(announcement);
         if !self.announcement.as_ref().is_some_and(is_same) {
             self.presence = None;
+            self.rival = None;
         }
         let announcement = self.with_leaving_state(announcement.clone());
         self.announced_at = now;
@@ -212,6 +222,13 @@
         kind
     }
 
+    /// Takes the last announcement of another incarnation, unless the next one is overdue.
+    fn take_rival(&mut self, now: Timestamp, interval: Duration) -> Option<Announcement> {
+        let lifetime = interval.mul_f64(REPLACEABLE_AFTER_INTERVALS);
+        let (received_at, rival) = self.rival.take()?;
+        (now.since(received_at) < lifetime).then_some(rival)
+    }
+
     /// Returns whether the known incarnation has confirmed to this process that it runs and is not leaving.
     pub(super) fn is_confirmed(&self) -> bool {
         self.presence == Some(Presence::Present)
@@ -226,8 +243,9 @@
         self.zone != ZoneState::Unknown
     }
 
-    /// Takes over the answer to a probe of an incarnation, unless it is not the known one, or was confirmed or
-    /// found to be leaving before. Returns whether the answer is another one than the last.
+    /// Takes over the answer to a probe of an incarnation, unless it is not the known one. A confirmed incarnation can
+    /// only be found to be leaving or replaced, and a leaving one stays so. Returns whether the answer is another one than
+    /// the last.
     pub(super) fn record_presence(
         &mut self,
         upstream_id: Option<&UpstreamId>,
@@ -238,7 +256,12 @@
             it.upstream_id.as_ref() == upstream_id
                 && it.incarnation_start_ms == incarnation_start_ms
         });
-        let is_final = matches!(self.presence, Some(Presence::Present | Presence::Leaving));
+        let is_final = match (self.presence, presence) {
+            (Some(Presence::Leaving), _) => true,
+            (Some(Presence::Present), Presence::Leaving | Presence::Replaced) => false,
+            (Some(Presence::Present), _) => true,
+            _ => false,
+        };
         if !is_known || is_final {
             return false;
         }
@@ -300,6 +323,15 @@
                 );
                 return;
             }
+            AnnouncementKind::Rival => {
+                log::info!(
+                    target: "control",
+                    "The upstream {:?} has announced itself at {} while {:?} counts as alive; probing which one runs.",
+                    announcement.upstream_id, announcement.address, former.and_then(|it| it.upstream_id),
+                );
+                self.parts.gate.probe_upstream();
+                return;
+            }
             AnnouncementKind::NewIncarnation => {
                 log::info!(
                     target: "control",
@@ -373,7 +405,11 @@
                 log::info!(target: "control", "The upstream {upstream} is not healthy; it gets no requests before it is.");
             }
             Presence::Replaced => {
-                log::info!(target: "control", "The upstream {upstream} is no longer the one at its address; its announcement was late.");
+                log::info!(target: "control", "The upstream {upstream} is no longer the one at its address: it has ended, and counts as lost until another one announces itself.");
+                self.is_dirty = true;
+                self.report_upstream_state();
+                self.step(self.now(), Input::DropSession { reason: "upstream replaced" });
+                self.accept_rival();
             }
         }
     }
@@ -421,6 +457,17 @@
         }
         self.upstream.gate_state = Some(state);
         self.report_upstream_state();
+        if state == UpstreamState::Lost {
+            self.accept_rival();
+        }
+    }
+
+    /// Handles the announcement of another incarnation again, now that the known one does not count as alive.
+    fn accept_rival(&mut self) {
+        let interval = self.parts.settings.announce_interval;
+        if let Some(rival) = self.upstream.take_rival(self.now(), interval) {
+            self.on_announcement(rival);
+        }
     }
 
     /// Marks the upstream as lost if it has not announced itself within the timeout.
