--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -66,10 +66,10 @@
     key_grants: Option<KeyGrants>,
     /// Grants and releases of keys, in order.
     pub(super) key_calls: Arc<Mutex<Vec<KeyCall>>>,
-    /// Durations of the grants, in order.
-    pub(super) holds: Arc<Mutex<Vec<Duration>>>,
-    /// Time that it takes to show which incarnation it is.
-    pub(super) key_connection_delay: Mutex<Duration>,
+    /// Latest end of a hold that it was granted, counted from the arrival of the grant.
+    pub(super) held_until: Arc<Mutex<Option<Instant>>>,
+    /// Time until it shows on a new connection for grants which incarnation it is, in milliseconds.
+    pub(super) identification_ms: AtomicU64,
     /// Reason why it has no connection for a grant, if it has none.
     pub(super) key_connection_error: Mutex<Option<KeyConnectionError>>,
     /// Condition that its answers state.
@@ -106,8 +106,8 @@
             exited: watch::Sender::new(false),
             key_grants,
             key_calls: Arc::default(),
-            holds: Arc::default(),
-            key_connection_delay: Mutex::default(),
+            held_until: Arc::default(),
+            identification_ms: AtomicU64::new(0),
             key_connection_error: Mutex::default(),
             condition: Mutex::default(),
             presence: Mutex::new(Some(Presence::Present)),
@@ -295,7 +295,7 @@
 /// Connection on which all grants are accepted and recorded.
 struct FakeKeyConnection {
     key_calls: Arc<Mutex<Vec<KeyCall>>>,
-    holds: Arc<Mutex<Vec<Duration>>>,
+    held_until: Arc<Mutex<Option<Instant>>>,
 }
 
 impl KeyConnection for FakeKeyConnection {
@@ -305,8 +305,9 @@
         hold: Duration,
         handover: Option<HandoverToken>,
     ) -> UpstreamFuture<'static, Result<(), GrantError>> {
-        self.holds.lock().unwrap().push(hold);
         self.key_calls.lock().unwrap().push(KeyCall::Grant { granted, handover });
+        let mut held_until = self.held_until.lock().unwrap();
+        *held_until = (*held_until).max(Some(Instant::now() + hold));
         Box::pin(async { Ok(()) })
     }
 }
@@ -316,13 +317,13 @@
         &self,
     ) -> UpstreamFuture<'_, Result<Box<dyn KeyConnection>, KeyConnectionError>> {
         let error = self.key_connection_error.lock().unwrap().clone();
-        let delay = *self.key_connection_delay.lock().unwrap();
+        let identification = Duration::from_millis(self.identification_ms.load(Ordering::SeqCst));
         let connection = FakeKeyConnection {
             key_calls: Arc::clone(&self.key_calls),
-            holds: Arc::clone(&self.holds),
+            held_until: Arc::clone(&self.held_until),
         };
         Box::pin(async move {
-            sleep(delay).await;
+            sleep(identification).await;
             match error {
                 Some(error) => Err(error),
                 None => Ok(Box::new(connection) as Box<dyn KeyConnection>),
