All bodies of a process share one budget, and requests beyond it are refused as not run

Each body was collected whole and copied once more, and nothing bounded what all requests hold together.

Bodies of callers, of peers, and answers of upstreams and peers now reserve room in one budget before their bytes are read, and copies are made into a buffer of the announced length. The room is released by the owner of the bytes, so clones, resends and slices on links count once. What does not fit is refused at once with 503 and a time to come back; the rest of the body is discarded, since closing with unread bytes resets the connection and loses the answer. A body that would not fit into an idle process either gets 503 without that time: a 4xx would deny a request that the limits allow. An upstream's answer waits for room until the request's deadline and is not read meanwhile. A body that is not sent by the deadline is given up.

--- a/crates/agent/src/adapters.rs
+++ b/crates/agent/src/adapters.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use body_budget::BodyBudget;
 use object_store::{HttpObjectStore, ObjectStore, Timeouts};
 use settings::AgentSettings;
 use tokio::sync::watch;
@@ -34,8 +35,10 @@
     pub(crate) fn from_settings(
         settings: &AgentSettings,
         followed: &FollowedStores,
+        bodies: &BodyBudget,
     ) -> anyhow::Result<Adapters> {
         let store = || HttpObjectStore::new(settings.platform_address, Timeouts::default());
+        let bodies = bodies.clone();
         let (closed_sender, closed_zones) = watch::channel(None);
         let followed_store = || anyhow::Ok(followed.wrap(Arc::new(store()?)));
         tokio::spawn(follow_stored_zones(followed_store()?, closed_sender));
@@ -45,7 +48,9 @@
             traffic_store: followed_store()?,
             callers: Arc::new(DefaultCallerProtocol),
             announcements: Arc::new(DefaultAnnounceProtocol),
-            connect: Box::new(connect_http),
+            connect: Box::new(move |announcement, document| {
+                connect_http(announcement, document, bodies.clone())
+            }),
             central_config: None,
             closed_zones,
         })
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -34,6 +34,7 @@
 };
 
 use arc_swap::ArcSwapOption;
+use body_budget::BodyBudget;
 use model::{ClassName, Instance, RequestRate, Timestamp, UnknownReason};
 use ownership::MemberCapacity;
 use settings::ServiceDocument;
@@ -335,6 +336,7 @@
 pub(crate) fn connect_http(
     announcement: &Announcement,
     document: &ServiceDocument,
+    bodies: BodyBudget,
 ) -> anyhow::Result<Arc<dyn Upstream>> {
     // One connection for each slot and a few for control calls, up to the configured limit.
     let idle_connections_max =
@@ -343,6 +345,7 @@
         announcement.address,
         idle_connections_max,
         document.limits.body_bytes_max,
-    )?;
+    )?
+    .with_body_budget(bodies);
     Ok(Arc::new(upstream.with_health_path(&document.upstream.health_path)?))
 }
--- a/crates/agent/src/ingress/announce.rs
+++ b/crates/agent/src/ingress/announce.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, pin::Pin, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use body_budget::{BodyBudget, BodyKind, collect};
 use http::{Method, StatusCode, request::Parts};
 use ownership::UpstreamState;
 use tokio::net::TcpListener;
@@ -15,7 +15,6 @@
 use crate::{
     clock::Clock,
     gate::UpstreamClock,
-    ingress::read_body,
     report::{Announcement, Report, Reporter, UpstreamId},
 };
 
@@ -85,7 +84,9 @@
 
     /// Reads an announcement, passes it on to control and builds the response.
     pub(super) async fn handle(&self, head: &Parts, body: Body) -> Response {
-        let body: Result<Bytes, _> = read_body(body, ANNOUNCEMENT_BYTES_MAX).await;
+        // Outside of the process's budget, since requests must not keep out announcements.
+        let budget = BodyBudget::unlimited();
+        let body = collect(body, ANNOUNCEMENT_BYTES_MAX, &budget, BodyKind::Request).await;
         let message = match body {
             Ok(body) => self.protocol.read(head, &body),
             Err(error) => Err((StatusCode::BAD_REQUEST, error.to_string())),
--- a/crates/agent/src/ingress/mod.rs
+++ b/crates/agent/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 mod read_ahead;
 mod announce;
 mod answer;
+mod body;
 mod destination;
 mod protocol;
 mod default_protocol;
@@ -22,6 +23,7 @@
     time::Duration,
 };
 
+use body_budget::BodyBudget;
 use http::{
     HeaderMap, HeaderName, Uri,
     header::{
@@ -30,7 +32,6 @@
     },
     request::Parts,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use model::{
     ClassName, Fingerprint, NotRunReason, Outcome, RequestId, ServiceName, TeamName, Timestamp,
     UnknownReason, key_hash,
@@ -50,6 +51,7 @@
     snapshot::{ServiceRoutes, SnapshotCell},
 };
 
+use body::{BodyFailure, read_body};
 use caller_timeouts::CallerTimeouts;
 use destination::Destinations;
 use server::LongestWait;
@@ -62,6 +64,7 @@
 pub(crate) use announce::{
     Announcements, DefaultAnnounceProtocol, KeyGranter, serve_announcements,
 };
+pub(crate) use body::retry_after as body_retry_after;
 pub(crate) use default_protocol::DefaultCallerProtocol;
 pub(crate) use server::serve;
 
@@ -88,6 +91,8 @@
     pub(crate) protocol: Arc<dyn CallerProtocol>,
     /// Record of the express requests that ended unserved.
     pub(crate) unserved: Arc<SharedUnservedRequests>,
+    /// Room for the bodies of requests.
+    pub(crate) bodies: BodyBudget,
 }
 
 /// The callers' side of the agent.
@@ -239,7 +244,18 @@
         check_header_size(&parts.headers, &parts.uri, limits.header_bytes_max)?;
         let timeout_left = head.deadline;
         let mut request = gate_request(&routes, &destination, parts, head, id)?;
-        request.body = read_body(body, limits.body_bytes_max).await?;
+        let reading = read_body(&parts.headers, body, limits.body_bytes_max, &self.parts.bodies);
+        let body = timeout(request.remaining, reading).await.unwrap_or(Err(BodyFailure::TooLate));
+        request.body = match body {
+            Ok(body) => body,
+            Err(failure) => {
+                let final_reply = failure.into_reply()?;
+                let is_first = request.age.is_zero();
+                let final_reply = if is_first { final_reply } else { as_resend_reply(final_reply) };
+                let (team, class) = (routes.document.team.clone(), request.class);
+                return Ok(ForwardedRequest { team, class, final_reply });
+            }
+        };
         request.fingerprint = request_fingerprint(&request);
         if let (Some(route), Some(left)) = (&destination.route, timeout_left) {
             let waited_before = self.caller_timeouts.time_waited_before(route, left);
@@ -423,15 +439,3 @@
     }
     headers.remove("keep-alive");
 }
-
-async fn read_body(body: Body, bytes_max: usize) -> Result<bytes::Bytes, Refusal> {
-    // A body whose announced length is too large is refused before it is received.
-    if http_body::Body::size_hint(&body).lower() > bytes_max as u64 {
-        return Err(Refusal::BodyTooLarge { bytes_max });
-    }
-    match Limited::new(body, bytes_max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge { bytes_max }),
-        Err(_) => Err(Refusal::BodyBroken),
-    }
-}
--- a/crates/agent/src/links/traffic/assembly.rs
+++ b/crates/agent/src/links/traffic/assembly.rs
@@ -1,6 +1,7 @@
 //! Assembles bodies that arrive in several frames.
 
-use bytes::{Bytes, BytesMut};
+use body_budget::{BodyBudget, BodyBuffer, BodyKind, BudgetExceeded, Reservation, held};
+use bytes::Bytes;
 use model::{ServiceName, Token};
 use wire::traffic::{Answer, Chunk, Frame, Records, Request, TransferUnit};
 
@@ -26,7 +27,7 @@
 #[derive(Debug)]
 pub(super) struct Assembly {
     head: Head,
-    body: BytesMut,
+    body: BodyBuffer,
 }
 
 /// The state of a message after a frame was received.
@@ -35,6 +36,8 @@
     /// The head contains the whole body.
     Complete(Head),
     Partial(Assembly),
+    /// There is no room for the body.
+    NoRoom(Head, BudgetExceeded),
     /// A chunk is missing, repeated, out of order or too long.
     Broken(Head),
 }
@@ -56,21 +59,48 @@
         }
     }
 
+    fn body_kind(&self) -> BodyKind {
+        match self {
+            Head::Request(_) => BodyKind::Request,
+            Head::Answer(_) | Head::Records(_) => BodyKind::Answer,
+        }
+    }
+
     /// Starts the assembly with the part of the body in the head frame.
-    pub(super) fn start(mut self) -> Progress {
-        let body_len = self.body_len();
+    pub(super) fn start(mut self, bodies: &BodyBudget) -> Progress {
+        let (body_len, kind) = (self.body_len(), self.body_kind());
         let body = self.body();
-        match body.len() as u64 {
-            len if len == body_len => Progress::Complete(self),
-            _ => {
-                let body = BytesMut::from(std::mem::take(body));
-                Progress::Partial(Assembly { head: self, body })
+        if body_len == 0 && body.is_empty() {
+            return Progress::Complete(self);
+        }
+        if body.len() as u64 > body_len {
+            return Progress::Broken(self);
+        }
+        let is_complete = body.len() as u64 == body_len;
+        let reservation = match (is_complete, kind) {
+            // A whole answer is in memory already and must not be lost.
+            (true, BodyKind::Answer) => Ok(bodies.hold(kind, body.len())),
+            _ => bodies.reserve(kind, usize::try_from(body_len).unwrap_or(usize::MAX)),
+        };
+        let body = std::mem::take(body);
+        match reservation {
+            Ok(reservation) if is_complete => {
+                *self.body() = held(body, reservation);
+                Progress::Complete(self)
             }
+            Ok(reservation) => Progress::Partial(Assembly::new(self, &body, reservation)),
+            Err(exceeded) => Progress::NoRoom(self, exceeded),
         }
     }
 }
 
 impl Assembly {
+    fn new(head: Head, first: &Bytes, reservation: Reservation) -> Assembly {
+        let mut body = BodyBuffer::new(reservation);
+        body.extend(first);
+        Assembly { head, body }
+    }
+
     /// Returns the number of bytes received.
     pub(super) fn len(&self) -> usize {
         self.body.len()
@@ -84,7 +114,7 @@
                 Progress::Broken(self.head)
             }
             len => {
-                self.body.extend_from_slice(&chunk.data);
+                self.body.extend(&chunk.data);
                 if end < len {
                     return Progress::Partial(self);
                 }
--- a/crates/agent/src/links/traffic/inbox.rs
+++ b/crates/agent/src/links/traffic/inbox.rs
@@ -3,11 +3,13 @@
 use std::{collections::HashMap, sync::Arc};
 
 use anyhow::{Context, ensure};
+use body_budget::BodyBudget;
 use bytes::Bytes;
-use model::UnknownReason;
-use wire::traffic::{Chunk, CorrelationId, Frame, Records, RecordsTaken};
+use model::{NotRunReason, UnknownReason};
+use wire::traffic::{Chunk, CorrelationId, Failed, FailureReason, Frame, Records, RecordsTaken};
 
 use crate::{
+    ingress::body_retry_after,
     links::{
         socket::Inbox,
         traffic::{
@@ -31,16 +33,22 @@
     running: Arc<RunningRequests>,
     assemblies: HashMap<CorrelationId, Assembly>,
     assembly_bytes: usize,
+    bodies: BodyBudget,
 }
 
 impl TrafficInbox {
-    pub(super) fn new(link: Arc<Link>, handler: Arc<dyn Handler>) -> TrafficInbox {
+    pub(super) fn new(
+        link: Arc<Link>,
+        handler: Arc<dyn Handler>,
+        bodies: BodyBudget,
+    ) -> TrafficInbox {
         TrafficInbox {
             link,
             handler,
             running: Arc::default(),
             assemblies: HashMap::new(),
             assembly_bytes: 0,
+            bodies,
         }
     }
 
@@ -51,21 +59,21 @@
                     !self.assemblies.contains_key(&it.id),
                     "received a request frame whose id is in use"
                 );
-                self.handle_progress(it.id, Head::Request(it).start()).await
+                self.handle_progress(it.id, Head::Request(it).start(&self.bodies)).await
             }
             Frame::Answer(it) => {
                 ensure!(
                     !self.assemblies.contains_key(&it.id),
                     "received an answer frame whose id is in use"
                 );
-                self.handle_progress(it.id, Head::Answer(it).start()).await
+                self.handle_progress(it.id, Head::Answer(it).start(&self.bodies)).await
             }
             Frame::Records(it) => {
                 ensure!(
                     !self.assemblies.contains_key(&it.id),
                     "received a records frame whose id is in use"
                 );
-                self.handle_progress(it.id, Head::Records(it).start()).await
+                self.handle_progress(it.id, Head::Records(it).start(&self.bodies)).await
             }
             Frame::Chunk(chunk) => self.handle_chunk(&chunk).await,
             Frame::Failed(it) => {
@@ -129,6 +137,21 @@
                 );
                 Ok(())
             }
+            Progress::NoRoom(Head::Request(_), exceeded) => {
+                let retry_after_ms = (!exceeded.is_permanent)
+                    .then(|| u64::try_from(body_retry_after().as_millis()).unwrap_or(u64::MAX));
+                let reason = FailureReason::NotRun(NotRunReason::Overloaded);
+                let failed = Frame::Failed(Failed { id, reason, retry_after_ms, load: None });
+                self.send_small(&failed).await
+            }
+            // The request has run, and the link cannot wait: other messages are behind the body.
+            Progress::NoRoom(Head::Answer(_), _) => {
+                self.deliver_reply(id, GateReply::unknown(UnknownReason::BrokenAnswer).into());
+                Ok(())
+            }
+            Progress::NoRoom(Head::Records(_), _) => {
+                self.send_small(&Frame::RecordsTaken(RecordsTaken { id, taken: false })).await
+            }
             Progress::Broken(Head::Answer(_)) => {
                 self.deliver_reply(id, GateReply::unknown(UnknownReason::BrokenAnswer).into());
                 Ok(())
@@ -160,11 +183,12 @@
         let Records { id, service, unit, token, body, .. } = records;
         let handover = Handover { service, unit, token, records: body };
         let taken = self.handler.import_records(&self.link.peer, handover);
-        let frame = Frame::RecordsTaken(RecordsTaken { id, taken });
-        self.link
-            .send_small(&frame)
-            .await
-            .map_err(|_| anyhow::anyhow!("the link's writer has ended"))
+        self.send_small(&Frame::RecordsTaken(RecordsTaken { id, taken })).await
+    }
+
+    async fn send_small(&self, frame: &Frame) -> Result<(), anyhow::Error> {
+        let sent = self.link.send_small(frame).await;
+        sent.map_err(|_| anyhow::anyhow!("the link's writer has ended"))
     }
 
     /// Passes a reply to the request that awaits it. Drops a reply that is late, duplicate or made up.
--- a/crates/agent/src/links/traffic/link.rs
+++ b/crates/agent/src/links/traffic/link.rs
@@ -154,7 +154,7 @@
         since: Instant,
     ) -> Option<ReplyWithLoad> {
         let id = CorrelationId(rand::random());
-        let (sender, receiver) = oneshot::channel();
+        let (sender, mut receiver) = oneshot::channel();
         let mut guard = PendingGuard::new(Arc::clone(self), id, PendingReply::Reply(sender))?;
         let claim = Arc::clone(&guard.claim);
         let first_len = first_len(&request.body);
@@ -163,7 +163,12 @@
         head.remaining_us -= u64::try_from(margin.as_micros()).unwrap_or(0);
         let head = QueuedFrame::request(Box::new(head), since, Arc::clone(&claim));
         let exchange = async {
-            self.send(head, id, &request.body, first_len).await.ok()?;
+            // A peer that refuses the request does so before it has the whole body.
+            tokio::select! {
+                biased;
+                reply = &mut receiver => return reply.ok(),
+                sent = self.send(head, id, &request.body, first_len) => sent.ok()?,
+            }
             receiver.await.ok()
         };
         let result = timeout_at(since + request.remaining, exchange).await;
--- a/crates/agent/src/links/traffic/mod.rs
+++ b/crates/agent/src/links/traffic/mod.rs
@@ -18,6 +18,7 @@
     time::Duration,
 };
 
+use body_budget::BodyBudget;
 use model::{Instance, NotRunReason};
 use tokio::{
     net::TcpListener,
@@ -68,6 +69,8 @@
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     /// All open links, also those that requests do not use because there is another one with the same peer.
     links: Mutex<Vec<Arc<Link>>>,
+    /// Room for the bodies that peers send.
+    bodies: BodyBudget,
 }
 
 /// The state of the link with a peer.
@@ -95,6 +98,7 @@
         listener: TcpListener,
         key: LinkKey,
         handler: Arc<dyn Handler>,
+        bodies: BodyBudget,
     ) -> TrafficLinks {
         let identity = LinkIdentity { own, kind: LinkKind::Traffic, key };
         let shared = Arc::new(Shared {
@@ -102,6 +106,7 @@
             handler,
             peers: Mutex::default(),
             links: Mutex::default(),
+            bodies,
         });
         tokio::spawn(listen(Arc::clone(&shared), listener));
         tokio::spawn(idle::retire_idle_links(Arc::downgrade(&shared)));
@@ -209,7 +214,8 @@
         }
         self.links().push(Arc::clone(&link));
         log::debug!(target: "links", "Established a traffic link with {peer}.");
-        let inbox = TrafficInbox::new(Arc::clone(&link), Arc::clone(&self.handler));
+        let inbox =
+            TrafficInbox::new(Arc::clone(&link), Arc::clone(&self.handler), self.bodies.clone());
         let shared = Arc::clone(self);
         tokio::spawn(async move {
             match socket::run(socket, outbox, inbox, link.ping_request()).await {
--- a/crates/agent/src/links/traffic/tests.rs
+++ b/crates/agent/src/links/traffic/tests.rs
@@ -1,5 +1,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use body_budget::BodyBudget;
 use bytes::Bytes;
 use http::{HeaderMap, Method, uri::PathAndQuery};
 use model::{
@@ -56,7 +57,7 @@
 fn answer(body_len: u64, first: &'static [u8]) -> Progress {
     let body = Bytes::from_static(first);
     Head::Answer(Answer { id: ID, load: None, status: 200, headers: Vec::new(), body_len, body })
-        .start()
+        .start(&BodyBudget::unlimited())
 }
 
 fn assembly(progress: Progress) -> Assembly {
@@ -105,7 +106,8 @@
         body_len: body.len() as u64,
         body: body.slice(..first_len),
     };
-    let mut progress = Progress::Partial(assembly(Head::Answer(head).start()));
+    let mut progress =
+        Progress::Partial(assembly(Head::Answer(head).start(&BodyBudget::unlimited())));
     for frame in chunks(ID, &body, first_len) {
         let Frame::Chunk(chunk) = frame else { panic!("{frame:?}") };
         progress = assembly(progress).add(&chunk);
@@ -145,7 +147,13 @@
     let bind = || TcpListener::bind("127.0.0.1:0");
     let own_listener = bind().await.unwrap();
     let own = instance("a", 1, own_listener.local_addr().unwrap());
-    let links = TrafficLinks::start(own, own_listener, key(), Arc::new(UnusedHandler));
+    let links = TrafficLinks::start(
+        own,
+        own_listener,
+        key(),
+        Arc::new(UnusedHandler),
+        BodyBudget::unlimited(),
+    );
     let listener = bind().await.unwrap();
     let address = listener.local_addr().unwrap();
     let unresponsive = instance("b", 1, address);
@@ -161,8 +169,13 @@
     // The socket stays open and is never read again.
     let _held = accepted.socket;
     let successor = instance("c", 2, address);
-    let _later_links =
-        TrafficLinks::start(successor.clone(), listener, key(), Arc::new(UnusedHandler));
+    let _later_links = TrafficLinks::start(
+        successor.clone(),
+        listener,
+        key(),
+        Arc::new(UnusedHandler),
+        BodyBudget::unlimited(),
+    );
     let connected = async {
         while links.link(&successor).await.is_none() {
             sleep(Duration::from_millis(20)).await;
@@ -204,7 +217,8 @@
         let permits = Arc::new(Semaphore::new(0));
         let handler = Arc::new(HoldingHandler(Arc::clone(&permits)));
         let key = LinkKey::new(b"a secret of all agents");
-        let links = TrafficLinks::start(own.clone(), listener, key, handler);
+        let links =
+            TrafficLinks::start(own.clone(), listener, key, handler, BodyBudget::unlimited());
         Process { own, links, permits }
     }
 
--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -5,12 +5,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use body_budget::BudgetUsage;
 use model::{ClassName, Outcome, RequestRate, TeamName};
 use object_store::CallCounts;
 use ownership::MemberCapacity;
 use prometheus::{
-    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 use traffic::LimitChange;
 
@@ -45,6 +46,8 @@
     measured_answers: IntCounter,
     member_weight: GaugeVec,
     grants: IntCounterVec,
+    body_bytes: IntGaugeVec,
+    body_refusals: IntCounterVec,
 }
 
 impl Metrics {
@@ -146,6 +149,22 @@
             ),
             &["tenant", "result"],
         )?;
+        let body_bytes = IntGaugeVec::new(
+            Opts::new(
+                "pomelohill_body_bytes",
+                "Bytes of request and answer bodies in memory: now, at most since the start, and the bound.",
+            ),
+            &["value"],
+        )?;
+        let body_refusals = IntCounterVec::new(
+            Opts::new(
+                "pomelohill_body_refusals_total",
+                "Bodies for which there was no room: requests that were refused, answers that were delayed.",
+            ),
+            &["kind"],
+        )?;
+        registry.register(Box::new(body_bytes.clone()))?;
+        registry.register(Box::new(body_refusals.clone()))?;
         registry.register(Box::new(grants.clone()))?;
         registry.register(Box::new(measured_answers.clone()))?;
         registry.register(Box::new(member_weight.clone()))?;
@@ -189,6 +208,8 @@
             measured_answers,
             member_weight,
             grants,
+            body_bytes,
+            body_refusals,
         })
     }
 
@@ -291,6 +312,21 @@
         }
     }
 
+    /// Sets the use of the budget for bodies.
+    pub(crate) fn set_bodies(&self, usage: &BudgetUsage) {
+        let bytes = |it| i64::try_from(it).unwrap_or(i64::MAX);
+        let set = |label, value| self.body_bytes.with_label_values(&[label]).set(bytes(value));
+        set("held", usage.bytes_held);
+        set("held_max", usage.bytes_held_max);
+        set("bound", usage.bytes_max);
+        for (kind, count) in
+            [("request", usage.refused_requests), ("answer", usage.delayed_answers)]
+        {
+            let counter = self.body_refusals.with_label_values(&[kind]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     fn text(&self) -> Result<String, prometheus::Error> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
--- a/crates/agent/src/metrics/server.rs
+++ b/crates/agent/src/metrics/server.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use body_budget::BodyBudget;
 use http::StatusCode;
 use tokio::net::TcpListener;
 use volo::net::incoming::DefaultIncoming;
@@ -13,9 +14,15 @@
 use crate::{gate::Gate, metrics::Metrics};
 
 /// Serves the metrics until the process ends.
-pub(crate) async fn serve(listener: TcpListener, metrics: Arc<Metrics>, gate: Arc<Gate>) {
+pub(crate) async fn serve(
+    listener: TcpListener,
+    metrics: Arc<Metrics>,
+    gate: Arc<Gate>,
+    bodies: BodyBudget,
+) {
     let handler = move || {
         let (metrics, gate) = (Arc::clone(&metrics), Arc::clone(&gate));
+        metrics.set_bodies(&bodies.usage());
         async move { answer(&metrics, &gate) }
     };
     let server = Server::new(Router::new().route("/metrics", get(handler)))
--- a/crates/agent/src/plane.rs
+++ b/crates/agent/src/plane.rs
@@ -10,6 +10,7 @@
 };
 
 use anyhow::Context;
+use body_budget::BodyBudget;
 use model::Instance;
 use object_store::{CallCounts, ObjectStore};
 use tokio::{
@@ -72,6 +73,8 @@
     /// Object store client for records that the traffic plane itself stores. Its connections belong to the
     /// runtime of the traffic threads.
     pub(crate) store: Arc<dyn ObjectStore>,
+    /// Room for the bodies of requests and answers.
+    pub(crate) bodies: BodyBudget,
 }
 
 /// The running traffic plane.
@@ -108,7 +111,9 @@
             connect: parts.connect,
         });
         let handler = Arc::new(Arc::clone(&gate));
-        let links = TrafficLinks::start(parts.own.clone(), parts.peers, parts.key, handler);
+        let bodies = parts.bodies;
+        let links =
+            TrafficLinks::start(parts.own.clone(), parts.peers, parts.key, handler, bodies.clone());
         gate.set_links(links.clone());
         let forwarder = Forwarder::new(ForwardParts {
             own: parts.own,
@@ -153,12 +158,13 @@
             metrics: Arc::clone(&metrics),
             log,
             unserved,
+            bodies: bodies.clone(),
         }));
         let (drained, drained_receiver) = oneshot::channel();
         let (closing, closed) = watch::channel(false);
         let server = ingress::serve(parts.callers, closed, Arc::clone(&ingress), drained_receiver);
         let server = tokio::spawn(server);
-        tokio::spawn(metrics::serve(parts.metrics, metrics, Arc::clone(&gate)));
+        tokio::spawn(metrics::serve(parts.metrics, metrics, Arc::clone(&gate), bodies));
         tokio::spawn(preconnect_links(parts.snapshots, links));
         Ok(Plane { gate, ingress, readiness, closing, drained, server })
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts the agent process (listeners, runtimes, signals) and stops it gracefully.
 
 use std::{
+    env,
     net::{SocketAddr, TcpListener as StdListener},
     sync::Arc,
     thread,
@@ -8,6 +9,7 @@
 };
 
 use anyhow::Context;
+use body_budget::BodyBudget;
 use model::{Incarnation, Instance};
 use object_store::{CallCounts, CountedStore, ObjectStore};
 use settings::AgentSettings;
@@ -47,6 +49,14 @@
 /// Share of the stop time limit reserved for closing the callers' connections.
 const CONNECTION_CLOSE_SHARE: f64 = 0.05;
 
+/// Divisor of the process's memory that yields the room for bodies. The rest is for everything else: up to 60 MB for
+/// the state of a large deployment, the buffers of connections, and bytes that wait unread in sockets.
+const BODIES_DIVISOR: usize = 2;
+
+/// Environment variable with the memory in MiB that the process may use, for platforms that set it for each instance. It
+/// takes precedence over the setting `memory_mb`.
+const MEMORY_VARIABLE: &str = "MESH_MEMORY_MB";
+
 /// A failure to bind one of the configured addresses.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -76,7 +86,11 @@
 /// `create_adapters` is called on the runtime of the traffic threads.
 pub fn run_with(
     file: SettingsFile,
-    create_adapters: impl FnOnce(&AgentSettings, &FollowedStores) -> anyhow::Result<Adapters>,
+    create_adapters: impl FnOnce(
+        &AgentSettings,
+        &FollowedStores,
+        &BodyBudget,
+    ) -> anyhow::Result<Adapters>,
 ) -> anyhow::Result<()> {
     let settings = file.settings.clone();
     let runtime = Builder::new_multi_thread()
@@ -94,7 +108,9 @@
     let platform_calls: Arc<CallCounts> = Arc::default();
     let relay = Relay::new(&settings);
     let followed_stores = FollowedStores::new(Arc::clone(&platform_calls), Arc::clone(&relay));
-    let adapters = runtime.block_on(async { create_adapters(&settings, &followed_stores) });
+    let bodies = BodyBudget::new(memory_bytes_max(&settings)? / BODIES_DIVISOR);
+    let adapters =
+        runtime.block_on(async { create_adapters(&settings, &followed_stores, &bodies) });
     let Adapters {
         store,
         traffic_store,
@@ -115,7 +131,7 @@
         control: settings.control_address,
         traffic: settings.traffic_address,
     };
-    log::info!(target: "agent", "Starting agent {own} for service {} in zone {}.", settings.service, own.zone);
+    log::info!(target: "agent", "Starting agent {own} for service {} in zone {}; bodies may have {} bytes together.", settings.service, own.zone, bodies.usage().bytes_max);
     let clock = Clock::start();
     let stop_max = settings.stop_duration_max;
     let key = LinkKey::new(settings.link_key.as_bytes());
@@ -164,6 +180,7 @@
             peers: TcpListener::from_std(listeners.traffic)?,
             metrics: TcpListener::from_std(listeners.metrics)?,
             platform_calls,
+            bodies,
         })
     };
     let plane = runtime.block_on(plane)?;
@@ -174,6 +191,14 @@
     stopped.and(control)
 }
 
+/// Returns the memory that the process may use, in bytes.
+fn memory_bytes_max(settings: &AgentSettings) -> anyhow::Result<usize> {
+    match env::var(MEMORY_VARIABLE).ok().filter(|it| !it.is_empty()) {
+        Some(text) => settings::parse_memory_mb(&text).context(MEMORY_VARIABLE),
+        None => Ok(settings.memory_bytes_max),
+    }
+}
+
 /// Waits for a stop signal, then hands slots over, drains requests and closes the callers' connections,
 /// all within `stop_max`.
 async fn stop(
--- a/crates/agent/src/tests/fakes.rs
+++ b/crates/agent/src/tests/fakes.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use body_budget::BodyBudget;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, uri::PathAndQuery};
 use model::{
@@ -45,6 +46,8 @@
 
 /// Time limit for waits, far longer than any of them takes.
 pub(super) const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Room of an agent for bodies.
+pub(super) const BODIES_BYTES_MAX: usize = 64 << 20;
 pub(super) const SECRET: &[u8] = b"a secret of all agents";
 
 /// An upstream whose behaviour is selected by the last segment of a request's path.
@@ -389,6 +392,7 @@
     pub(super) upstream: Arc<FakeUpstream>,
     pub(super) caller: HttpUpstream,
     pub(super) caller_address: SocketAddr,
+    pub(super) bodies: BodyBudget,
 }
 
 impl TestAgent {
@@ -478,6 +482,7 @@
         let (reporter, reports) = report::channel();
         let (gate, tasks) = GateHandle::new(clock);
         let snapshots: Arc<SnapshotCell> = Arc::default();
+        let bodies = BodyBudget::new(BODIES_BYTES_MAX);
         let fake = Arc::clone(&upstream);
         let plane = Plane::start(PlaneParts {
             own: own.clone(),
@@ -503,10 +508,11 @@
             ready: None,
             documents_from: DocumentSource::ObjectStore,
             store,
+            bodies: bodies.clone(),
         })
         .unwrap();
         let caller = HttpUpstream::new(caller_address, 1000, 64 << 20).unwrap();
-        TestAgent { plane, own, gate, snapshots, reports, upstream, caller, caller_address }
+        TestAgent { plane, own, gate, snapshots, reports, upstream, caller, caller_address, bodies }
     }
 
     /// Publishes routes in which one instance owns all slots.
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the traffic plane on real sockets, with in-memory upstreams and with the test in place of control.
 
 mod announcements;
+mod bodies;
 mod call_failures;
 mod callers;
 mod closing;
--- a/crates/body-budget/src/collect.rs
+++ b/crates/body-budget/src/collect.rs
@@ -31,17 +31,23 @@
 }
 
 /// The owner of a collected body's bytes.
-struct Held {
-    bytes: Vec<u8>,
+struct Held<T> {
+    bytes: T,
     _reservation: Reservation,
 }
 
-impl AsRef<[u8]> for Held {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
+/// Returns bytes that were received already, with the room reserved for them. The room becomes free when the last clone
+/// of them is dropped.
+pub fn held(bytes: Bytes, reservation: Reservation) -> Bytes {
+    Bytes::from_owner(Held { bytes, _reservation: reservation })
+}
+
 impl BodyBuffer {
     /// Creates an empty buffer for as many bytes as are reserved.
     pub fn new(reservation: Reservation) -> BodyBuffer {
--- a/crates/body-budget/src/lib.rs
+++ b/crates/body-budget/src/lib.rs
@@ -10,4 +10,4 @@
 mod tests;
 
 pub use budget::{BodyBudget, BodyKind, BudgetExceeded, BudgetUsage, Reservation};
-pub use collect::{BodyBuffer, CollectError, collect};
+pub use collect::{BodyBuffer, CollectError, collect, held};
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -10,13 +10,14 @@
     time::Duration,
 };
 
+use body_budget::{BodyBudget, BodyKind, CollectError, collect};
 use bytes::Bytes;
 use http::{
     HeaderMap, Request, Response, Version,
     header::{CONNECTION, HeaderName},
     response::Parts,
 };
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::{TrySendError, http1::SendRequest},
@@ -38,6 +39,9 @@
 const REPEATABLE_IDS_MAX: usize = 1_024;
 /// Longest wait for a connection that has just received a reply to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
+/// Size limit up to which replies are read outside of the budget for bodies, so that calls about leases and health never
+/// wait for room.
+const UNBUDGETED_BYTES_MAX: usize = 64 << 10;
 
 /// Timeouts and limits of a pool's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,6 +65,8 @@
     config: PoolConfig,
     idle: Mutex<Vec<IdleConnection>>,
     connections_opened: AtomicU64,
+    /// Room for the bodies of replies.
+    body_budget: BodyBudget,
 }
 
 /// Hash of the id that a call and its replies carry. All sendings of a call have the same id, so a late second copy of
@@ -140,12 +146,24 @@
 impl Pool {
     /// Creates a pool that opens its first connection with the first request.
     pub fn new(address: SocketAddr, config: PoolConfig) -> Pool {
-        Pool { address, config, idle: Mutex::default(), connections_opened: AtomicU64::new(0) }
+        Pool {
+            address,
+            config,
+            idle: Mutex::default(),
+            connections_opened: AtomicU64::new(0),
+            body_budget: BodyBudget::unlimited(),
+        }
+    }
+
+    /// Sets the budget within which large replies are read: a reply for which there is no room is not read on before
+    /// there is.
+    pub fn with_body_budget(self, body_budget: BodyBudget) -> Pool {
+        Pool { body_budget, ..self }
     }
 
     /// Creates an empty pool of connections to the same address, with the same configuration.
     pub fn separate(&self) -> Pool {
-        Pool::new(self.address, self.config)
+        Pool::new(self.address, self.config).with_body_budget(self.body_budget.clone())
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -207,7 +225,7 @@
         let is_first_on_connection = past.is_none();
         let mut past = past.unwrap_or_default();
         let (parts, body) = response.into_parts();
-        let body = read(body, bytes_max).await?;
+        let body = self.read(body, bytes_max).await?;
         past.last = id;
         match (reuse(&parts), id) {
             (Reuse::Never, _) => {}
@@ -250,6 +268,21 @@
         }
     }
 
+    async fn read(&self, body: Incoming, bytes_max: usize) -> Result<Bytes, ExchangeError> {
+        let budget = match bytes_max <= UNBUDGETED_BYTES_MAX {
+            true => &BodyBudget::unlimited(),
+            false => &self.body_budget,
+        };
+        collect(body, bytes_max, budget, BodyKind::Answer).await.map_err(|error| match error {
+            CollectError::TooLarge { bytes_max } => {
+                ExchangeError::Broken(format!("the body is larger than {bytes_max} bytes"))
+            }
+            CollectError::NoRoom(_) | CollectError::Broken(_) => {
+                ExchangeError::Broken(error.to_string())
+            }
+        })
+    }
+
     fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -344,16 +377,6 @@
     }
 }
 
-async fn read(body: Incoming, bytes_max: usize) -> Result<Bytes, ExchangeError> {
-    match Limited::new(body, bytes_max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(ExchangeError::Broken(format!("the body is larger than {bytes_max} bytes")))
-        }
-        Err(error) => Err(ExchangeError::Broken(error.to_string())),
-    }
-}
-
 /// Returns the request if hyper never started to write it.
 fn unwritten(error: &mut TrySendError<Request<Full<Bytes>>>) -> Option<Request<Full<Bytes>>> {
     if !error.error().is_canceled() {
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of an agent, read when it starts.
 
-use std::{net::SocketAddr, sync::LazyLock, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, sync::LazyLock, time::Duration};
 
 use model::{InstanceName, ServiceName, TeamName, Zone};
 use schemars::JsonSchema;
@@ -15,6 +15,15 @@
 /// Shortest accepted length of the secret that authenticates links between agents.
 const LINK_KEY_MIN_BYTES: usize = 16;
 
+/// Accepted values of `memory_mb`.
+const MEMORY_MB: RangeInclusive<f64> = 32.0..=1_048_576.0;
+
+/// A text that is not the memory of a process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("expected a number of MiB from 32 to 1048576, not {0:?}")]
+pub struct MemoryError(String);
+
 static SCHEMA: LazyLock<serde_json::Value> = LazyLock::new(schema_of::<RawAgentSettings>);
 
 /// Validated settings of an agent.
@@ -45,6 +54,8 @@
     pub upstream_address: Option<SocketAddr>,
     /// Number of threads for requests.
     pub traffic_threads: usize,
+    /// Memory in bytes that the process may use. Half of it is for the bodies of requests and answers.
+    pub memory_bytes_max: usize,
     /// Interval at which the local upstream sends announcements.
     pub announce_interval: Duration,
     /// Longest duration of a graceful stop, after which requests that are still running are
@@ -137,6 +148,11 @@
     #[serde(default = "default_traffic_threads")]
     #[schemars(range(min = 1, max = 64))]
     traffic_threads: usize,
+    /// Memory in MiB that the process may use. Half of it is for the bodies of requests and answers; requests beyond
+    /// that are refused as not run.
+    #[serde(default = "default_memory_mb")]
+    #[schemars(range(min = 32.0, max = 1_048_576.0))]
+    memory_mb: f64,
     /// A filter for log lines, such as `info` or `info,gate=debug`.
     #[serde(default = "default_log")]
     log: String,
@@ -146,6 +162,10 @@
     2
 }
 
+fn default_memory_mb() -> f64 {
+    256.0
+}
+
 fn default_announced_every_ms() -> u64 {
     1_000
 }
@@ -189,6 +209,7 @@
             ("announce_address", self.announce_address == other.announce_address),
             ("upstream_address", self.upstream_address == other.upstream_address),
             ("traffic_threads", self.traffic_threads == other.traffic_threads),
+            ("memory_mb", self.memory_bytes_max == other.memory_bytes_max),
             ("announced_every_ms", self.announce_interval == other.announce_interval),
             ("stop_ms_max", self.stop_duration_max == other.stop_duration_max),
             ("config_delay_max_s", self.config_delay_max == other.config_delay_max),
@@ -204,6 +225,16 @@
     }
 }
 
+/// Parses a value of the setting `memory_mb` from outside of the settings, and returns it in bytes.
+pub fn parse_memory_mb(text: &str) -> Result<usize, MemoryError> {
+    let memory_mb = text.trim().parse().ok().filter(|it| MEMORY_MB.contains(it));
+    memory_mb.map(bytes_of_mb).ok_or_else(|| MemoryError(text.to_owned()))
+}
+
+fn bytes_of_mb(mb: f64) -> usize {
+    (mb * f64::from(1 << 20)) as usize
+}
+
 fn check(parsed: &Parsed<RawAgentSettings>, problems: &mut Problems) -> Option<AgentSettings> {
     let raw = &parsed.raw;
     let mut checker = RuleChecker { parsed, problems };
@@ -249,6 +280,7 @@
         announce_address: announce?,
         upstream_address: upstream?,
         traffic_threads: raw.traffic_threads,
+        memory_bytes_max: bytes_of_mb(raw.memory_mb),
         announce_interval: Duration::from_millis(raw.announced_every_ms),
         stop_duration_max: Duration::from_millis(raw.stop_ms_max),
         config_delay_max: Duration::from_secs_f64(raw.config_delay_max_s),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,7 +18,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use agent_settings::AgentSettings;
+pub use agent_settings::{AgentSettings, MemoryError, parse_memory_mb};
 pub use central::{
     Backend, CentralConfig, CentralServiceConfig, DocumentDefaults, HostRoute, RoutingTable,
 };
--- a/crates/settings/src/tests/agent_settings.rs
+++ b/crates/settings/src/tests/agent_settings.rs
@@ -1,6 +1,6 @@
 //! Validation and comparison of agent settings.
 
-use crate::AgentSettings;
+use crate::{AgentSettings, parse_memory_mb};
 
 const SETTINGS: &str = r#"{
   // One agent of the club.
@@ -85,6 +85,7 @@
         ),
         ("\"link_key\"", "\"traffic_threads\": 3, \"link_key\"", "traffic_threads"),
         ("\"link_key\"", "\"announced_every_ms\": 1500, \"link_key\"", "announced_every_ms"),
+        ("\"link_key\"", "\"memory_mb\": 160, \"link_key\"", "memory_mb"),
         ("\"link_key\"", "\"stop_ms_max\": 5500, \"link_key\"", "stop_ms_max"),
         (
             "\"link_key\"",
@@ -97,3 +98,19 @@
         assert_eq!(settings.changed_fields(&other), [name]);
     }
 }
+
+#[test]
+fn memory_has_a_default_and_a_range() {
+    let memory = |text: &str| {
+        let settings = SETTINGS.replacen("\"link_key\"", &format!("{text} \"link_key\""), 1);
+        AgentSettings::parse(&settings).map(|it| it.memory_bytes_max).ok()
+    };
+    assert_eq!(memory(""), Some(256 << 20));
+    assert_eq!(memory("\"memory_mb\": 160,"), Some(160 << 20));
+    assert_eq!(memory("\"memory_mb\": 31,"), None);
+    assert_eq!(memory("\"memory_mb\": 2000000,"), None);
+    assert_eq!(parse_memory_mb("160.5"), Ok(168_296_448));
+    for invalid in ["", "31", "1e9", "many"] {
+        assert!(parse_memory_mb(invalid).is_err(), "{invalid:?}");
+    }
+}
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context;
+use body_budget::BodyBudget;
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
@@ -98,6 +99,12 @@
         Ok(HttpUpstream { health_path, ..self })
     }
 
+    /// Sets the budget within which answers are read.
+    pub fn with_body_budget(self, budget: BodyBudget) -> HttpUpstream {
+        let requests = Arc::new(self.requests.separate().with_body_budget(budget));
+        HttpUpstream { requests, ..self }
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.address
     }
