Replies without a head end after 1 MiB of informational replies

A connection now fails once 1 MiB was received without the head of a final reply. Heads without end, and bodies without end (with a length, in chunks, until the connection closes) end at their limits and close the connection; tests keep that.

--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -4,6 +4,7 @@
 //! The client of `volo-http` hides its connections: it neither shows whether a connection was reused nor closes a
 //! connection after a suspicious answer. This crate therefore uses `hyper`, the library below it, directly.
 
+mod connection;
 mod pool;
 
 #[cfg(test)]
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -18,17 +18,15 @@
     response::Parts,
 };
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::{TrySendError, http1::SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::{body::Incoming, client::conn::TrySendError};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout},
 };
 
+use crate::connection::{self, Sender};
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Margin by which an idle connection is dropped before its peer closes it, since a request sent at the moment of
 /// closing is lost. The peer announces its time-out in whole seconds.
@@ -56,8 +54,6 @@
     pub probe_interval: Option<Duration>,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
-
 /// Pool of connections to one address.
 #[derive(Debug)]
 pub struct Pool {
@@ -364,9 +360,8 @@
         let closed = |reason: String| ExchangeError::Closed(reason);
         self.connections_opened.fetch_add(1, Ordering::Relaxed);
         self.configure(&stream).map_err(|error| closed(error.to_string()))?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| closed(error.to_string()))?;
+        let (sender, connection) =
+            connection::start(stream).await.map_err(|error| closed(error.to_string()))?;
         let address = self.address;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/crates/http-pool/src/tests/mod.rs
+++ b/crates/http-pool/src/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the pool against a peer with scripted replies.
 
+mod endless;
+
 use std::{
     io::{Read, Write},
     net::TcpListener as BlockingListener,
