A request's head that is overdue closes its connection

A caller that sent a part of a head and nothing more held its connection, and up to 408 KB of memory, without bound. A connection is now closed 15 s after the first byte of a head that is not complete, unless further bytes are unread. Idle connections stay open: the HTTP library's own time-out for heads counts idleness too. Its buffer is bounded by the largest header_bytes_max. Heads without end are refused at that limit.

--- a/crates/agent/src/ingress/read_ahead.rs
+++ b/crates/agent/src/ingress/read_ahead.rs
@@ -25,7 +25,12 @@
     request::Parts,
 };
 use hyper::rt;
-use tokio::{io::AsyncWrite, net::TcpStream, task::JoinHandle};
+use tokio::{
+    io::AsyncWrite,
+    net::TcpStream,
+    task::JoinHandle,
+    time::{Instant, sleep_until},
+};
 use volo_http::{body::Body, response::Response};
 
 use crate::ingress::{Ingress, stalls::is_readable};
@@ -38,6 +43,10 @@
 /// that follow it, are served in turn.
 const SCANNED_HEAD_BYTES_MAX: usize = 16 << 10;
 const SCANNED_HEADERS_MAX: usize = 64;
+/// Longest time from the first byte of a request to the end of its head. Callers may stay idle between requests.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Interval at which a connection with an overdue head is checked for further bytes.
+const HEAD_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Whether the caller is still connected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +77,8 @@
     begun_count: u64,
     /// Number of requests that the server has answered.
     answered_count: u64,
+    /// When the first bytes were read of a request that the server has not begun, with none before it unanswered.
+    head_since: Option<Instant>,
     /// Requests started early, with their numbers on the connection.
     early_requests: VecDeque<(u64, EarlyRequest)>,
     /// Number of the last request that is not idempotent. Later ones start only after it is answered, since
@@ -125,6 +136,7 @@
             scanner: HeadScanner::default(),
             begun_count: 0,
             answered_count: 0,
+            head_since: None,
             early_requests: VecDeque::new(),
             barrier: None,
         };
@@ -141,6 +153,7 @@
         let mut shared = self.shared();
         let number = shared.begun_count;
         shared.begun_count += 1;
+        shared.head_since = None;
         let (_, early) = shared.early_requests.pop_front_if(|it| it.0 == number)?;
         let is_same = early.is_for(head);
         if !is_same {
@@ -160,6 +173,20 @@
         self.shared().longest_wait
     }
 
+    /// Waits until the head of a request is overdue and no further bytes of it have arrived.
+    pub(super) async fn wait_for_head_timeout(&self) {
+        loop {
+            let now = Instant::now();
+            let head_since = self.shared().head_since;
+            let due_at = head_since.unwrap_or(now) + HEAD_TIMEOUT;
+            // After a suspension of the process, the bytes that have arrived meanwhile are read first.
+            if due_at <= now && !self.has_unread() {
+                return;
+            }
+            sleep_until(due_at.max(now + HEAD_CHECK_INTERVAL)).await;
+        }
+    }
+
     /// Records that the server has the response to a request. Returns whether later requests have been started.
     pub(super) fn record_answer(&self) -> bool {
         let mut shared = self.shared();
@@ -197,6 +224,9 @@
             match self.stream.try_read_buf(&mut self.unread) {
                 Ok(0) => self.is_at_end = true,
                 Ok(_) => {
+                    if self.begun_count == self.answered_count {
+                        self.head_since.get_or_insert_with(Instant::now);
+                    }
                     self.longest_wait = ingress.stalls().longest_wait(self.empty_after_stalls);
                     self.start_early_requests(scanned_len, ingress);
                 }
--- a/crates/agent/src/ingress/server.rs
+++ b/crates/agent/src/ingress/server.rs
@@ -32,6 +32,10 @@
 /// Pause after a failure to accept a connection, for instance when too many files are open.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Limit of a connection's buffer, and so of the head of a request: the largest `header_bytes_max` and some more, so that
+/// the document's limit is the one that is answered.
+const HEAD_BUFFER_BYTES_MAX: usize = (256 + 32) << 10;
+
 /// Extension of a request: the longest time for which it may have waited unread.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LongestWait(pub(super) Duration);
@@ -167,8 +171,9 @@
             })
         }
     });
-    let mut connection =
-        pin!(http1::Builder::new().serve_connection(caller_stream.clone(), service));
+    let mut server = http1::Builder::new();
+    server.max_buf_size(HEAD_BUFFER_BYTES_MAX);
+    let mut connection = pin!(server.serve_connection(caller_stream.clone(), service));
     let mut server_ends = pin!(async {
         // An error means that the server has ended.
         _ = server_end.wait_for(|it| *it).await;
@@ -179,6 +184,10 @@
                 break Some(result);
             }
             () = &mut server_ends => break None,
+            () = caller_stream.wait_for_head_timeout() => {
+                log::debug!(target: "ingress", "A caller sent no complete head of a request in time; closing its connection.");
+                return;
+            }
             // Reads the bytes that may have arrived during the stall.
             Ok(()) = stall_ends.changed() => {}
         }
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -19,6 +19,7 @@
 mod reload;
 mod restart;
 mod returns;
+mod request_heads;
 mod request_log;
 mod stalls;
 mod stop;
