Large bodies are mappings of their own

Buffers of 256 KiB and more are anonymous private mappings now (memmap2), which are returned at once. A body of unknown length gets a mapping for the largest one, whose pages are taken as they are written, so that growing copies nothing.

--- a/crates/body-budget/src/collect.rs
+++ b/crates/body-budget/src/collect.rs
@@ -6,7 +6,10 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 
-use crate::budget::{BodyBudget, BodyKind, BudgetExceeded, Reservation};
+use crate::{
+    budget::{BodyBudget, BodyKind, BudgetExceeded, Reservation},
+    buffer::BodyBuffer,
+};
 
 /// First room that is reserved for a body of unknown length; each further step doubles it.
 const STEP_BYTES: usize = 64 << 10;
@@ -23,63 +26,10 @@
     Broken(String),
 }
 
-/// A body that is being received, with the room reserved for it.
-#[derive(Debug)]
-pub struct BodyBuffer {
-    bytes: Vec<u8>,
-    reservation: Reservation,
-}
-
-/// The owner of a collected body's bytes.
-struct Held<T> {
-    bytes: T,
-    _reservation: Reservation,
-}
-
-impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
-    fn as_ref(&self) -> &[u8] {
-        self.bytes.as_ref()
-    }
-}
-
-/// Returns bytes that were received already, with the room reserved for them. The room becomes free when the last clone
-/// of them is dropped.
-pub fn held(bytes: Bytes, reservation: Reservation) -> Bytes {
-    Bytes::from_owner(Held { bytes, _reservation: reservation })
-}
-
 impl BodyBuffer {
-    /// Creates an empty buffer for as many bytes as are reserved.
-    pub fn new(reservation: Reservation) -> BodyBuffer {
-        // Allocated at once: a vector that grows is copied, and both copies are in memory meanwhile.
-        BodyBuffer { bytes: Vec::with_capacity(reservation.bytes()), reservation }
-    }
-
-    pub fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
-    }
-
-    /// Appends bytes, for which room has to be reserved.
-    pub fn extend(&mut self, bytes: &[u8]) {
-        debug_assert!(self.bytes.len() + bytes.len() <= self.reservation.bytes());
-        self.bytes.extend_from_slice(bytes);
-    }
-
-    /// Returns the bytes. The room becomes free when the last clone of them is dropped.
-    pub fn freeze(self) -> Bytes {
-        if self.bytes.is_empty() {
-            return Bytes::new();
-        }
-        Bytes::from_owner(Held { bytes: self.bytes, _reservation: self.reservation })
-    }
-
     /// Returns by how many bytes the room has to grow for `more` further bytes.
     fn missing(&self, more: usize, bytes_max: usize) -> usize {
-        let needed = self.bytes.len() + more;
+        let needed = self.len() + more;
         let reserved = self.reservation.bytes();
         if needed <= reserved {
             return 0;
@@ -118,8 +68,7 @@
         }
         let missing = buffer.missing(data.remaining(), bytes_max);
         grow(&mut buffer.reservation, missing, kind).await?;
-        let additional = buffer.reservation.bytes() - buffer.len();
-        buffer.bytes.reserve_exact(additional);
+        buffer.fit_to_room(bytes_max);
         while data.has_remaining() {
             let part = data.chunk();
             buffer.extend(part);
--- a/crates/body-budget/src/lib.rs
+++ b/crates/body-budget/src/lib.rs
@@ -4,10 +4,12 @@
 //! reservation lives as long as the last clone of the body's [`bytes::Bytes`].
 
 mod budget;
+mod buffer;
 mod collect;
 
 #[cfg(test)]
 mod tests;
 
 pub use budget::{BodyBudget, BodyKind, BudgetExceeded, BudgetUsage, Reservation};
-pub use collect::{BodyBuffer, CollectError, collect, held};
+pub use buffer::{BodyBuffer, held};
+pub use collect::{CollectError, collect};
