--- a/crates/agent/src/ingress/announce.rs
+++ b/crates/agent/src/ingress/announce.rs
@@ -5,7 +5,7 @@
 use body_budget::{BodyBudget, BodyKind, collect};
 use http::{Method, StatusCode, request::Parts};
 use ownership::UpstreamState;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::timeout};
 use upstream::{AnnouncedKeys, AnnouncementBody, AssignedKeys, HealthState};
 use volo::{Service, net::incoming::DefaultIncoming};
 use volo_http::{
@@ -21,6 +21,8 @@
 /// Size limit of an announcement. One that lists 300 ranges of keys and the tokens of as many more has about
 /// 30 KB.
 const ANNOUNCEMENT_BYTES_MAX: usize = 64 << 10;
+/// Time within which an announcement has to be received; its sender waits for a second or less.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A message from the local upstream about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -86,10 +88,14 @@
     pub(super) async fn handle(&self, head: &Parts, body: Body) -> Response {
         // Outside of the process's budget, since requests must not keep out announcements.
         let budget = BodyBudget::unlimited();
-        let body = collect(body, ANNOUNCEMENT_BYTES_MAX, &budget, BodyKind::Request).await;
-        let message = match body {
-            Ok(body) => self.protocol.read(head, &body),
-            Err(error) => Err((StatusCode::BAD_REQUEST, error.to_string())),
+        let reading = collect(body, ANNOUNCEMENT_BYTES_MAX, &budget, BodyKind::Request);
+        let message = match timeout(ANNOUNCEMENT_TIMEOUT, reading).await {
+            Ok(Ok(body)) => self.protocol.read(head, &body),
+            Ok(Err(error)) => Err((StatusCode::BAD_REQUEST, error.to_string())),
+            Err(_) => {
+                let text = format!("the body did not end within {ANNOUNCEMENT_TIMEOUT:?}");
+                Err((StatusCode::REQUEST_TIMEOUT, text))
+            }
         };
         match message {
             Ok(message) => {
--- a/crates/agent/src/ingress/tests/announce.rs
+++ b/crates/agent/src/ingress/tests/announce.rs
@@ -5,14 +5,19 @@
 use http::{Method, Request, StatusCode, request::Parts};
 use model::{ConfigVersion, Incarnation, Instance, InstanceName, ServiceName, Zone};
 use ownership::UpstreamState;
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::timeout,
+};
 use upstream::{AnnouncedKeys, AssignedKeys};
 use volo_http::{body::Body, response::Response};
 
 use crate::{
     clock::Clock,
     gate::UpstreamClock,
-    ingress::{AnnounceProtocol, Announcements, KeyGranter, UpstreamMessage},
+    ingress::{AnnounceProtocol, Announcements, KeyGranter, UpstreamMessage, serve_announcements},
     report::{Announcement, Report, Reporter},
 };
 
@@ -140,3 +145,55 @@
     assert_eq!(answer(&announcements, "valid").await, StatusCode::OK);
     assert!(matches!(reports.try_recv(), Ok(Report::Announcement(_))));
 }
+
+/// Another writer may send a body without end to the address for announcements.
+#[tokio::test]
+async fn an_announcement_without_end_is_refused_and_its_connection_is_closed() {
+    let (announcements, mut reports) = announcements(announced(UpstreamState::Ready));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_announcements(listener, announcements));
+    for (framing, repeated) in [
+        ("content-length: 99999999999", "x"),
+        ("transfer-encoding: chunked", "8\r\nxxxxxxxx\r\n"),
+        ("x-a: b", "x-a: b\r\n"),
+    ] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let end = if framing.starts_with("x-a") { "\r\n" } else { "\r\n\r\n" };
+        let head = format!("PUT /announce HTTP/1.1\r\nhost: x\r\n{framing}{end}");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let (block, mut sent) = (repeated.repeat(4096), 0);
+        let sending = async {
+            while sent <= 32 << 20 && stream.write_all(block.as_bytes()).await.is_ok() {
+                sent += block.len();
+            }
+        };
+        let limit = Duration::from_secs(20);
+        timeout(limit, sending).await.expect("the connection is neither read nor closed");
+        assert!(sent <= 32 << 20, "{framing}: {sent} bytes were taken in");
+    }
+    assert!(reports.try_recv().is_err(), "a report of a refused announcement");
+}
+
+/// Guards against connections that are held open by a body that never ends.
+#[tokio::test(start_paused = true)]
+async fn an_announcement_that_is_not_sent_is_refused_after_some_time() {
+    struct Pending;
+    impl http_body::Body for Pending {
+        type Data = bytes::Bytes;
+        type Error = std::convert::Infallible;
+
+        fn poll_frame(
+            self: Pin<&mut Self>,
+            _cx: &mut std::task::Context<'_>,
+        ) -> std::task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, Self::Error>>> {
+            std::task::Poll::Pending
+        }
+    }
+    let (announcements, _reports) = announcements(announced(UpstreamState::Ready));
+    let request = Request::builder().method(Method::PUT).uri("/announce").body(());
+    let (head, ()) = request.unwrap().into_parts();
+    let answering = announcements.handle(&head, Body::from_body(Pending));
+    let response = timeout(Duration::from_secs(60), answering).await.expect("no answer");
+    assert_eq!(response.status(), StatusCode::REQUEST_TIMEOUT);
+}
