--- a/crates/body-budget/src/tests/budget.rs
+++ b/crates/body-budget/src/tests/budget.rs
@@ -86,8 +86,9 @@
     let waiting = timeout(Duration::from_secs(60), answer.grow_later(200)).await;
     assert!(waiting.is_err(), "the answer exceeds the budget");
     assert_eq!((answer.bytes(), budget.usage().delayed_answers), (30, 1));
-    let (grown, ()) = tokio::join!(answer.grow_later(200), async { drop(requests) });
-    assert_eq!(grown, Ok(()));
+    let growing = timeout(Duration::from_secs(60), answer.grow_later(200));
+    let (grown, ()) = tokio::join!(growing, async { drop(requests) });
+    assert_eq!(grown, Ok(Ok(())));
     assert_eq!(budget.usage().bytes_held, 230);
     let never = answer.grow_later(BYTES_MAX).await;
     assert!(never.is_err_and(|it| it.is_permanent));
--- a/crates/body-budget/src/tests/collect.rs
+++ b/crates/body-budget/src/tests/collect.rs
@@ -117,6 +117,7 @@
     assert!(timeout(Duration::from_secs(60), reading).await.is_err());
     assert_eq!(body.read, 0);
     let reading = collect(body, 1_000, &budget, BodyKind::Answer);
+    let reading = timeout(Duration::from_secs(60), reading);
     let (bytes, ()) = tokio::join!(reading, async { drop(held) });
-    assert_eq!(bytes.unwrap().len(), 300);
+    assert_eq!(bytes.expect("not read on").unwrap().len(), 300);
 }
--- a/crates/http-pool/src/tests/endless.rs
+++ b/crates/http-pool/src/tests/endless.rs
@@ -21,9 +21,10 @@
 /// More than a client and the sockets may take in before the connection ends.
 const SENT_BYTES_MAX: usize = 32 << 20;
 
-/// Starts a peer that replies with `first`, and then with `repeated` until its connection is closed. The receiver gets
+/// Starts a peer that replies to a first request with `before`, if given, and to the next one with `first`, and then with `repeated` until its connection is closed. The receiver gets
 /// the number of bytes that were sent by then.
 async fn endless_peer(
+    before: Option<&'static str>,
     first: &'static str,
     repeated: &'static str,
 ) -> (SocketAddr, oneshot::Receiver<usize>) {
@@ -33,6 +34,10 @@
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut buffer = [0; 4096];
+        if let Some(before) = before {
+            assert_ne!(stream.read(&mut buffer).await.unwrap(), 0);
+            stream.write_all(before.as_bytes()).await.unwrap();
+        }
         assert_ne!(stream.read(&mut buffer).await.unwrap(), 0);
         let mut sent = first.len();
         stream.write_all(first.as_bytes()).await.unwrap();
@@ -53,7 +58,7 @@
 
 /// Checks that an endless reply ends with an error, and that its connection is closed.
 async fn check(first: &'static str, repeated: &'static str) -> ExchangeError {
-    let (address, sent) = endless_peer(first, repeated).await;
+    let (address, sent) = endless_peer(None, first, repeated).await;
     let pool = Pool::new(address, CONFIG);
     let error = exchange(&pool, 1 << 20).await.map(|it| it.parts).unwrap_err();
     let sent = timeout(WAIT_TIMEOUT, sent).await.expect("the connection was not closed").unwrap();
@@ -93,6 +98,19 @@
     }
 }
 
+/// Guards against a limit that holds for the first reply of a connection only.
+#[tokio::test]
+async fn informational_replies_without_end_end_at_the_limit_after_another_reply() {
+    let informational = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    let (address, sent) = endless_peer(Some(super::OK), "", informational).await;
+    let pool = Pool::new(address, CONFIG);
+    exchange(&pool, 1 << 20).await.unwrap();
+    let error = exchange(&pool, 1 << 20).await.map(|it| it.parts).unwrap_err();
+    assert!(matches!(error, ExchangeError::Lost(_)), "{error:?}");
+    let sent = timeout(WAIT_TIMEOUT, sent).await.expect("the connection was not closed").unwrap();
+    assert!(sent <= SENT_BYTES_MAX, "{sent} bytes were taken in");
+}
+
 /// Guards against a limit on heads that ends long bodies or counts the replies before.
 #[tokio::test]
 async fn long_bodies_and_many_replies_are_not_bounded_as_heads() {
@@ -124,7 +142,8 @@
         assert_eq!(budget.usage().bytes_held, 950);
         drop(held);
     };
-    let (reply, ()) = tokio::join!(reading, freeing);
+    let both = async { tokio::join!(reading, freeing) };
+    let (reply, ()) = timeout(WAIT_TIMEOUT, both).await.expect("the reply did not wait for room");
     assert_eq!(reply.unwrap().body.len(), 100);
     assert_eq!(budget.usage().bytes_held, 0);
     // Calls about leases and health have small limits and do not wait.
