--- a/crates/agent/src/tests/request_heads.rs
+++ b/crates/agent/src/tests/request_heads.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
+use body_budget::BodyKind;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     time::{advance, pause, resume, sleep, timeout},
 };
 
-use super::fakes::{TestAgent, WAIT_TIMEOUT};
+use super::fakes::{BODIES_BYTES_MAX, TestAgent, WAIT_TIMEOUT};
 
 const REQUEST: &[u8] = b"GET /svc/echo HTTP/1.1\r\nhost: x\r\nx-key: k\r\n\r\n";
 /// More than an agent and the sockets may take in before the connection ends.
@@ -38,6 +39,8 @@
     pause();
     advance(time).await;
     resume();
+    // Lets the agent's timers fire before anything else is sent.
+    sleep(Duration::from_millis(50)).await;
 }
 
 /// Guards against connections that are held open by an incomplete head.
@@ -70,6 +73,22 @@
     }
 }
 
+/// Guards against bytes of a body that are taken for the begin of a head: the connection was closed while it was idle.
+#[tokio::test]
+async fn idle_connection_with_a_discarded_body_is_not_closed_as_one_with_an_overdue_head() {
+    let agent = owner().await;
+    let held = agent.bodies.hold(BodyKind::Request, BODIES_BYTES_MAX);
+    let mut stream = connect(&agent).await;
+    let head = "POST /svc/echo HTTP/1.1\r\nhost: x\r\nx-key: k\r\ncontent-length: 1000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    assert!(read(&mut stream).await.starts_with("HTTP/1.1 503 "));
+    stream.write_all(&vec![7; 1_000_000]).await.unwrap();
+    pass(Duration::from_secs(20)).await;
+    drop(held);
+    stream.write_all(REQUEST).await.unwrap();
+    assert!(read(&mut stream).await.starts_with("HTTP/1.1 200 "));
+}
+
 /// Guards against a head without end that is taken into memory.
 #[tokio::test]
 async fn head_without_end_ends_at_its_limit_and_closes_the_connection() {
