--- a/crates/agent/src/ingress/announce.rs
+++ b/crates/agent/src/ingress/announce.rs
@@ -2,10 +2,10 @@
 
 use std::{convert::Infallible, pin::Pin, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use body_budget::{BodyBudget, BodyKind, collect};
 use http::{Method, StatusCode, request::Parts};
 use ownership::UpstreamState;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::timeout};
 use upstream::{AnnouncedKeys, AnnouncementBody, AssignedKeys, HealthState};
 use volo::{Service, net::incoming::DefaultIncoming};
 use volo_http::{
@@ -15,13 +15,14 @@
 use crate::{
     clock::Clock,
     gate::UpstreamClock,
-    ingress::read_body,
     report::{Announcement, Report, Reporter, UpstreamId},
 };
 
 /// Size limit of an announcement. One that lists 300 ranges of keys and the tokens of as many more has about
 /// 30 KB.
 const ANNOUNCEMENT_BYTES_MAX: usize = 64 << 10;
+/// Time within which an announcement has to be received; its sender waits for a second or less.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A message from the local upstream about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -85,10 +86,16 @@
 
     /// Reads an announcement, passes it on to control and builds the response.
     pub(super) async fn handle(&self, head: &Parts, body: Body) -> Response {
-        let body: Result<Bytes, _> = read_body(body, ANNOUNCEMENT_BYTES_MAX).await;
-        let message = match body {
-            Ok(body) => self.protocol.read(head, &body),
-            Err(error) => Err((StatusCode::BAD_REQUEST, error.to_string())),
+        // Outside of the process's budget, since requests must not keep out announcements.
+        let budget = BodyBudget::unlimited();
+        let reading = collect(body, ANNOUNCEMENT_BYTES_MAX, &budget, BodyKind::Request);
+        let message = match timeout(ANNOUNCEMENT_TIMEOUT, reading).await {
+            Ok(Ok(body)) => self.protocol.read(head, &body),
+            Ok(Err(error)) => Err((StatusCode::BAD_REQUEST, error.to_string())),
+            Err(_) => {
+                let text = format!("the body did not end within {ANNOUNCEMENT_TIMEOUT:?}");
+                Err((StatusCode::REQUEST_TIMEOUT, text))
+            }
         };
         match message {
             Ok(message) => {
--- a/crates/agent/src/ingress/read_ahead.rs
+++ b/crates/agent/src/ingress/read_ahead.rs
@@ -25,19 +25,29 @@
     request::Parts,
 };
 use hyper::rt;
-use tokio::{io::AsyncWrite, net::TcpStream, task::JoinHandle};
+use tokio::{
+    io::AsyncWrite,
+    net::TcpStream,
+    task::JoinHandle,
+    time::{Instant, sleep_until},
+};
 use volo_http::{body::Body, response::Response};
 
 use crate::ingress::{Ingress, stalls::is_readable};
 
-/// Limit of bytes read before the server asks for them: some hundred heads, or a part of a body.
-const READ_AHEAD_BYTES_MAX: usize = 64 << 10;
+/// Limit of bytes read before the server asks for them: some dozen heads, or a part of a body. The server's own buffer
+/// grows with it, so that a connection on which a body is received takes several times as much.
+const READ_AHEAD_BYTES_MAX: usize = 16 << 10;
 /// Largest number of requests of one connection that are started early. Further ones are served in turn.
 const EARLY_REQUESTS_MAX: usize = 8;
 /// Largest head that is scanned, in bytes and by its number of headers. A request with a larger one, and those
 /// that follow it, are served in turn.
 const SCANNED_HEAD_BYTES_MAX: usize = 16 << 10;
 const SCANNED_HEADERS_MAX: usize = 64;
+/// Longest time from the first byte of a request to the end of its head. Callers may stay idle between requests.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Interval at which a connection with an overdue head is checked for further bytes.
+const HEAD_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Whether the caller is still connected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +78,8 @@
     begun_count: u64,
     /// Number of requests that the server has answered.
     answered_count: u64,
+    /// When the first bytes were read of a head that is not complete.
+    head_since: Option<Instant>,
     /// Requests started early, with their numbers on the connection.
     early_requests: VecDeque<(u64, EarlyRequest)>,
     /// Number of the last request that is not idempotent. Later ones start only after it is answered, since
@@ -125,6 +137,7 @@
             scanner: HeadScanner::default(),
             begun_count: 0,
             answered_count: 0,
+            head_since: None,
             early_requests: VecDeque::new(),
             barrier: None,
         };
@@ -160,6 +173,20 @@
         self.shared().longest_wait
     }
 
+    /// Waits until the head of a request is overdue and no further bytes of it have arrived.
+    pub(super) async fn wait_for_head_timeout(&self) {
+        loop {
+            let now = Instant::now();
+            let head_since = self.shared().idle_head_since();
+            let due_at = head_since.unwrap_or(now) + HEAD_TIMEOUT;
+            // After a suspension of the process, the bytes that have arrived meanwhile are read first.
+            if due_at <= now && !self.has_unread() {
+                return;
+            }
+            sleep_until(due_at.max(now + HEAD_CHECK_INTERVAL)).await;
+        }
+    }
+
     /// Records that the server has the response to a request. Returns whether later requests have been started.
     pub(super) fn record_answer(&self) -> bool {
         let mut shared = self.shared();
@@ -180,6 +207,11 @@
 }
 
 impl Shared {
+    /// Returns since when a head is incomplete, if no request before it is unanswered.
+    fn idle_head_since(&self) -> Option<Instant> {
+        self.head_since.filter(|_| self.begun_count == self.answered_count)
+    }
+
     /// Reads the available bytes, up to [`READ_AHEAD_BYTES_MAX`].
     fn poll_fill(&mut self, cx: &mut Context<'_>, ingress: &Arc<Ingress>) -> Poll<io::Result<()>> {
         while !self.is_at_end && self.unread.len() < READ_AHEAD_BYTES_MAX {
@@ -199,6 +231,10 @@
                 Ok(_) => {
                     self.longest_wait = ingress.stalls().longest_wait(self.empty_after_stalls);
                     self.start_early_requests(scanned_len, ingress);
+                    match self.scanner.is_inside_head() {
+                        true => drop(self.head_since.get_or_insert_with(Instant::now)),
+                        false => self.head_since = None,
+                    }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => {
@@ -307,6 +343,11 @@
 }
 
 impl HeadScanner {
+    /// Returns whether a part of a head was scanned. Returns false if the start of the next request is unknown.
+    fn is_inside_head(&self) -> bool {
+        matches!(&self.state, ScanState::Head(partial) if !partial.is_empty())
+    }
+
     /// Scans further bytes. Returns the requests whose heads end in them: their numbers on the connection,
     /// counted from 0, and their heads if they have no body.
     pub(super) fn scan(&mut self, mut bytes: &[u8]) -> Vec<(u64, Option<Parts>)> {
--- a/crates/agent/src/tests/mod.rs
+++ b/crates/agent/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the traffic plane on real sockets, with in-memory upstreams and with the test in place of control.
 
 mod announcements;
+mod bodies;
 mod call_failures;
 mod callers;
 mod closing;
@@ -20,6 +21,7 @@
 mod reload;
 mod restart;
 mod returns;
+mod request_heads;
 mod request_log;
 mod stalls;
 mod stop;
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -10,24 +10,23 @@
     time::Duration,
 };
 
+use body_budget::{BodyBudget, BodyKind, CollectError, collect};
 use bytes::Bytes;
 use http::{
     HeaderMap, Request, Response, Version,
     header::{CONNECTION, HeaderName},
     response::Parts,
 };
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{
-    body::Incoming,
-    client::conn::{TrySendError, http1::SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::TrySendError};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout},
 };
 
+use crate::connection::{self, Sender};
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Margin by which an idle connection is dropped before its peer closes it, since a request sent at the moment of
 /// closing is lost. The peer announces its time-out in whole seconds.
@@ -40,6 +39,9 @@
 const REPEATABLE_IDS_MAX: usize = 1_024;
 /// Longest wait for a connection that has just received a reply to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
+/// Size limit up to which replies are read outside of the budget for bodies, so that calls about leases and health never
+/// wait for room.
+const UNBUDGETED_BYTES_MAX: usize = 64 << 10;
 
 /// Timeouts and limits of a pool's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,8 +56,6 @@
     pub probe_interval: Option<Duration>,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
-
 /// Pool of connections to one address.
 #[derive(Debug)]
 pub struct Pool {
@@ -63,6 +63,8 @@
     config: PoolConfig,
     idle: Mutex<Vec<IdleConnection>>,
     connections_opened: AtomicU64,
+    /// Room for the bodies of replies.
+    body_budget: BodyBudget,
 }
 
 /// Hash of the id that a call and its replies carry. All sendings of a call have the same id, so a late second copy of
@@ -127,6 +129,7 @@
 pub struct Connection {
     sender: Sender,
     config: PoolConfig,
+    body_budget: BodyBudget,
     expires_at: Instant,
 }
 
@@ -150,7 +153,7 @@
             Err(error) => return Err(send_error(error)),
         };
         let (parts, body) = response.into_parts();
-        let body = read(body, bytes_max).await?;
+        let body = read(body, bytes_max, &self.body_budget).await?;
         let connection = match idle_time(&self.config, CONNECTION_KEEP_ALIVE_MARGIN, &parts) {
             Some(idle_time) if !self.sender.is_closed() => {
                 self.expires_at = Instant::now() + idle_time;
@@ -182,12 +185,24 @@
 impl Pool {
     /// Creates a pool that opens its first connection with the first request.
     pub fn new(address: SocketAddr, config: PoolConfig) -> Pool {
-        Pool { address, config, idle: Mutex::default(), connections_opened: AtomicU64::new(0) }
+        Pool {
+            address,
+            config,
+            idle: Mutex::default(),
+            connections_opened: AtomicU64::new(0),
+            body_budget: BodyBudget::unlimited(),
+        }
+    }
+
+    /// Sets the budget within which large replies are read: a reply for which there is no room is not read on before
+    /// there is.
+    pub fn with_body_budget(self, body_budget: BodyBudget) -> Pool {
+        Pool { body_budget, ..self }
     }
 
     /// Creates an empty pool of connections to the same address, with the same configuration.
     pub fn separate(&self) -> Pool {
-        Pool::new(self.address, self.config)
+        Pool::new(self.address, self.config).with_body_budget(self.body_budget.clone())
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -203,7 +218,8 @@
     pub async fn open_connection(&self) -> Result<Connection, ExchangeError> {
         let sender = self.connect().await?;
         let expires_at = Instant::now() + self.config.idle_timeout;
-        Ok(Connection { sender, config: self.config, expires_at })
+        let body_budget = self.body_budget.clone();
+        Ok(Connection { sender, config: self.config, body_budget, expires_at })
     }
 
     /// Returns whether the address refuses connections, that is, no process listens there. A connection opened by the
@@ -256,7 +272,7 @@
         let is_first_on_connection = past.is_none();
         let mut past = past.unwrap_or_default();
         let (parts, body) = response.into_parts();
-        let body = read(body, bytes_max).await?;
+        let body = read(body, bytes_max, &self.body_budget).await?;
         past.last = id;
         match (reuse(&parts), id) {
             (Reuse::Never, _) => {}
@@ -371,9 +387,8 @@
         let closed = |reason: String| ExchangeError::Closed(reason);
         self.connections_opened.fetch_add(1, Ordering::Relaxed);
         self.configure(&stream).map_err(|error| closed(error.to_string()))?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| closed(error.to_string()))?;
+        let (sender, connection) =
+            connection::start(stream).await.map_err(|error| closed(error.to_string()))?;
         let address = self.address;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -384,14 +399,24 @@
     }
 }
 
-async fn read(body: Incoming, bytes_max: usize) -> Result<Bytes, ExchangeError> {
-    match Limited::new(body, bytes_max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(ExchangeError::Broken(format!("the body is larger than {bytes_max} bytes")))
+/// Reads a body within the budget, unless it is small.
+async fn read(
+    body: Incoming,
+    bytes_max: usize,
+    budget: &BodyBudget,
+) -> Result<Bytes, ExchangeError> {
+    let budget = match bytes_max <= UNBUDGETED_BYTES_MAX {
+        true => &BodyBudget::unlimited(),
+        false => budget,
+    };
+    collect(body, bytes_max, budget, BodyKind::Answer).await.map_err(|error| match error {
+        CollectError::TooLarge { bytes_max } => {
+            ExchangeError::Broken(format!("the body is larger than {bytes_max} bytes"))
         }
-        Err(error) => Err(ExchangeError::Broken(error.to_string())),
-    }
+        CollectError::NoRoom(_) | CollectError::Broken(_) => {
+            ExchangeError::Broken(error.to_string())
+        }
+    })
 }
 
 /// Returns the request if hyper never started to write it.
