Leases by call: each order of events around the end and the return of an upstream

Random tests drew orders of events and missed that a renewal reaches the next life of a crashed upstream. These cells enumerate them: {grant, renewal, release, clear} x {not sent, in flight, answered, answer lost, carried out late} x {the upstream ends before, after} x {returns at once, after the hold, never} x {agent lives on, was restarted earlier, is restarted, is frozen briefly, is frozen past its lease} x {first announcement before the next call, after it, lost} x {new id, same id with a later start}: 2,496 cells, 104 combinations left out (Cell::left_out_because says why). A real gate and a real control thread run on paused clocks, each process on a runtime of its own, which can be frozen and killed; another instance coordinates.

--- a/crates/agent/src/gate/leases/tests/mod.rs
+++ b/crates/agent/src/gate/leases/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the leases of slots.
 
 mod exchange;
+mod lives;
 
 use std::{sync::Arc, time::Duration};
 
