A cleared upstream ends all sessions of the earlier incarnations of its agent

What callers saw: an agent whose session had been replaced and that was then restarted had its keys unserved until the lease of the replaced session lapsed, 2.3 s after the first accepted announcement of its upstream.

Cause: the report that the upstream is cleared ended the current session of the earlier incarnation, and the replaced sessions of the reporting one, but not the replaced sessions of the earlier one. The upstream holds the grants of none.

--- a/crates/ownership/src/coordinator/incarnations.rs
+++ b/crates/ownership/src/coordinator/incarnations.rs
@@ -93,10 +93,15 @@
             it.until = it.until.min(now);
         }
         // An incarnation that joined after this one is a later one, and the report was delayed.
-        let earlier = self.members.rows.values_mut().filter(|it| it.joined_at < joined_at);
-        for row in earlier.filter(|it| is_other_incarnation(&it.instance, &instance)) {
+        let earlier = self.members.rows.iter_mut().filter(|(_, it)| it.joined_at < joined_at);
+        for (id, row) in earlier.filter(|(_, it)| is_other_incarnation(&it.instance, &instance)) {
             self.slot_table.retain_runs(now, &row.instance, row.session, row.lease_until);
             row.lease_until = row.lease_until.min(now);
+            // Sessions that the earlier incarnation itself had replaced.
+            for it in self.members.lapsing.iter_mut().filter(|it| it.member == *id) {
+                self.slot_table.retain_runs(now, &row.instance, it.session, it.until);
+                it.until = it.until.min(now);
+            }
         }
         let times = self.object.acked().times;
         self.succession.record_cleared(id.clone(), joined_at, times);
