--- a/crates/agent/src/gate/leases/tests/mod.rs
+++ b/crates/agent/src/gate/leases/tests/mod.rs
@@ -384,6 +384,33 @@
     assert!(take_closed(&mut leases, at(1499)).is_empty(), "the first grant still holds");
 }
 
+/// Guards against a grant that is sent after its slot was taken back while it waited for its connection.
+#[test]
+fn a_grant_leaves_out_slots_that_have_changed_since_it_was_due() {
+    let mut leases = SlotLeases::default();
+    for slot in 1..=3 {
+        leases.admit(at(0), Slot(slot), token(1));
+    }
+    let due = [slot_leases::Call::Grant { range: range(1, 3, 1) }];
+    assert_eq!(leases.due_calls(at(0), at(1500)), due);
+    leases.close(at(10), Slot(1), token(1), None);
+    leases.admit(at(10), Slot(2), token(2));
+    let started = leases.start_grant(at(20), at(1500), range(1, 3, 1));
+    assert_eq!(started.map(|it| it.range), Some(range(3, 3, 1)));
+    leases.close(at(30), Slot(3), token(1), None);
+    assert!(leases.start_grant(at(30), at(1500), range(1, 3, 1)).is_none());
+}
+
+/// Guards against a grant that is sent before the grants of earlier sessions are released, which would undo it.
+#[test]
+fn no_grant_that_was_due_before_is_started_while_the_upstream_is_cleared() {
+    let mut leases = SlotLeases::default();
+    leases.admit(at(0), Slot(1), token(1));
+    assert_eq!(leases.due_calls(at(0), at(1500)).len(), 1);
+    leases.clear(token(9));
+    assert!(leases.start_grant(at(10), at(1500), range(1, 1, 1)).is_none());
+}
+
 /// The upstream may process the two calls in either order.
 #[test]
 fn a_release_waits_for_a_grant_in_flight() {
