--- a/crates/agent/src/control/tests/successors.rs
+++ b/crates/agent/src/control/tests/successors.rs
@@ -80,3 +80,16 @@
     wait_until("keys", || agent.owns_slots()).await;
     agent.kill();
 }
+
+/// Guards against leases of an ended upstream that its agent goes on to extend.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_session_ends_once_a_probe_shows_that_the_upstream_has_ended() {
+    let platform = Arc::new(FakeStore::new());
+    platform.put("services/standings", DOCUMENT);
+    let agent = Agent::start("standings-1", &platform, &[]).await;
+    wait_until("keys", || agent.owns_slots()).await;
+    let ended = agent.ended_sessions();
+    agent.answer_probe(&announcement(), Presence::Replaced);
+    wait_until("the end of the session", || agent.ended_sessions() > ended).await;
+    agent.kill();
+}
